--- /dev/null
+++ b/Source/Common/Ids.h
@@ -0,0 +1,97 @@
+#pragma once
+/// \file
+/// Strong types for ids and units. Two ids of different kinds never convert
+/// into one another, so a server's name can't be passed for a customer's.
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace samphireshunt {
+
+/// A text id of one kind; \p Tag is never defined and only tells kinds apart.
+template <class Tag> class TextId {
+public:
+  TextId() = default;
+  explicit TextId(std::string Text) : Text_(std::move(Text)) {}
+  const std::string &str() const { return Text_; }
+  bool empty() const { return Text_.empty(); }
+  auto operator<=>(const TextId &) const = default;
+
+private:
+  std::string Text_;
+};
+
+/// A number with a unit or a kind of its own.
+template <class Tag, class Value = std::uint64_t> class Quantity {
+public:
+  constexpr Quantity() = default;
+  constexpr explicit Quantity(Value Count) : Count_(Count) {}
+  constexpr Value count() const { return Count_; }
+  constexpr auto operator<=>(const Quantity &) const = default;
+  constexpr Quantity &operator+=(Quantity Other) {
+    Count_ += Other.Count_;
+    return *this;
+  }
+  constexpr Quantity &operator-=(Quantity Other) {
+    Count_ -= Other.Count_;
+    return *this;
+  }
+  friend constexpr Quantity operator+(Quantity Left, Quantity Right) {
+    return Quantity(Left.Count_ + Right.Count_);
+  }
+  friend constexpr Quantity operator-(Quantity Left, Quantity Right) {
+    return Quantity(Left.Count_ - Right.Count_);
+  }
+
+private:
+  Value Count_{};
+};
+
+using VmId = TextId<struct VmTag>;
+using DataCenterName = TextId<struct DataCenterTag>;
+using ServiceName = TextId<struct ServiceTag>;
+using CustomerName = TextId<struct CustomerTag>;
+using PoolName = TextId<struct PoolTag>;
+using ServerName = TextId<struct ServerTag>;
+
+/// Tokens of a prompt or an answer.
+using Tokens = Quantity<struct TokensTag, std::int64_t>;
+/// A document's version: starts at 1, only goes up.
+using DocumentVersion = Quantity<struct DocumentVersionTag>;
+/// Milliseconds since the epoch at which a process started; of two processes
+/// with one VmId, the higher is the later one.
+using Incarnation = Quantity<struct IncarnationTag>;
+/// A tier's place in the document: 0 is the highest tier.
+using TierIndex = Quantity<struct TierTag, std::uint32_t>;
+
+/// Names one request in the whole fleet: the process that accepted it and a
+/// number that this process never uses twice.
+struct RequestId {
+  std::uint64_t Origin_ = 0;
+  std::uint64_t Sequence_ = 0;
+  auto operator<=>(const RequestId &) const = default;
+
+  /// The id as 32 hexadecimal digits with a dash in the middle.
+  std::string str() const;
+  /// \returns nothing when \p Text is not what str() writes.
+  static std::optional<RequestId> parse(std::string_view Text);
+};
+
+} // namespace samphireshunt
+
+template <class Tag> struct std::hash<samphireshunt::TextId<Tag>> {
+  std::size_t operator()(const samphireshunt::TextId<Tag> &Id) const noexcept {
+    return std::hash<std::string>()(Id.str());
+  }
+};
+
+template <> struct std::hash<samphireshunt::RequestId> {
+  std::size_t operator()(const samphireshunt::RequestId &Id) const noexcept {
+    constexpr std::uint64_t GoldenRatio = 0x9E3779B97F4A7C15ULL;
+    return Id.Origin_ ^ (Id.Sequence_ * GoldenRatio);
+  }
+};
--- /dev/null
+++ b/Source/Connection/FrameChannel.cpp
@@ -0,0 +1,145 @@
+#include "Connection/FrameChannel.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+std::shared_ptr<FrameChannel> FrameChannel::create(asio::ip::tcp::socket Socket,
+                                                   Hooks Reactions,
+                                                   Timing Periods) {
+  std::shared_ptr<FrameChannel> Channel(
+      new FrameChannel(std::move(Socket), std::move(Reactions), Periods));
+  auto Executor = Channel->Socket_.get_executor();
+  auto Read = [Channel]() { return Channel->readFrames(); };
+  auto Watch = [Channel]() { return Channel->watchSilence(); };
+  asio::co_spawn(Executor, std::move(Read), asio::detached);
+  asio::co_spawn(Executor, std::move(Watch), asio::detached);
+  return Channel;
+}
+
+FrameChannel::FrameChannel(asio::ip::tcp::socket Socket, Hooks Reactions,
+                           Timing Periods)
+    : Socket_(std::move(Socket)), Hooks_(std::move(Reactions)),
+      Timing_(Periods), SilenceTimer_(Socket_.get_executor()),
+      LastHeard_(std::chrono::steady_clock::now()) {
+  error_code Ignored;
+  Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+}
+
+void FrameChannel::send(std::string Message) {
+  if (!Socket_.is_open())
+    return;
+  std::uint32_t Size = boost::endian::native_to_little(
+      static_cast<std::uint32_t>(Message.size()));
+  std::string Frame(reinterpret_cast<const char *>(&Size), sizeof(Size));
+  Frame += Message;
+  BytesSent_ += Frame.size();
+  Outgoing_.push_back(std::move(Frame));
+  if (Writing_)
+    return;
+  Writing_ = true;
+  auto Write = [Self = shared_from_this()]() { return Self->writeFrames(); };
+  asio::co_spawn(Socket_.get_executor(), std::move(Write), asio::detached);
+}
+
+void FrameChannel::close() {
+  Hooks_ = Hooks();
+  error_code Ignored;
+  Socket_.close(Ignored);
+  SilenceTimer_.cancel();
+}
+
+void FrameChannel::fail() {
+  auto Closed = std::move(Hooks_.Closed_);
+  close();
+  if (Closed)
+    Closed();
+}
+
+Awaitable<void> FrameChannel::readFrames() {
+  error_code Error;
+  while (Socket_.is_open()) {
+    std::uint32_t Size = 0;
+    co_await asio::async_read(Socket_, asio::buffer(&Size, sizeof(Size)),
+                              asio::redirect_error(asio::use_awaitable, Error));
+    Size = boost::endian::little_to_native(Size);
+    if (Error || Size > MaxFrameBytes)
+      break;
+    std::string Bytes(Size, '\0');
+    co_await asio::async_read(Socket_, asio::buffer(Bytes),
+                              asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      break;
+    LastHeard_ = std::chrono::steady_clock::now();
+    receive(Bytes);
+  }
+  fail();
+}
+
+void FrameChannel::receive(std::string_view Bytes) {
+  auto Envelope = decodeMessage(Bytes);
+  if (!Envelope)
+    return fail();
+  if (const auto *Beat = Envelope->body.AsHeartbeat()) {
+    wire::HeartbeatT Answer;
+    Answer.answer = true;
+    if (!Beat->answer)
+      send(encodeMessage(std::move(Answer)));
+    return;
+  }
+  if (auto Received = Hooks_.Received_)
+    Received(std::move(*Envelope));
+}
+
+Awaitable<void> FrameChannel::writeFrames() {
+  error_code Error;
+  while (!Outgoing_.empty() && Socket_.is_open() && !Error) {
+    std::string Frame = std::move(Outgoing_.front());
+    Outgoing_.pop_front();
+    co_await asio::async_write(
+        Socket_, asio::buffer(Frame),
+        asio::redirect_error(asio::use_awaitable, Error));
+  }
+  Writing_ = false;
+  if (Error)
+    fail();
+}
+
+/// A connection can go silent for good: something between the two ends lost
+/// track of it, writes succeed into the socket's buffer, and no error ever
+/// comes. Without the heartbeats, requests that wait for a grant would wait
+/// until their deadline; with them the link is replaced within Silence_.
+Awaitable<void> FrameChannel::watchSilence() {
+  error_code Error;
+  bool WasAwaiting = false;
+  while (Socket_.is_open()) {
+    SilenceTimer_.expires_after(Timing_.Heartbeat_);
+    co_await SilenceTimer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!Socket_.is_open())
+      break;
+    bool Awaiting = Hooks_.Awaiting_ && Hooks_.Awaiting_();
+    auto Now = std::chrono::steady_clock::now();
+    if (Awaiting && !WasAwaiting)
+      LastHeard_ = Now;
+    WasAwaiting = Awaiting;
+    if (!Awaiting)
+      continue;
+    if (Now - LastHeard_ > Timing_.Silence_) {
+      fail();
+      break;
+    }
+    send(encodeMessage(wire::HeartbeatT()));
+  }
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Connection/HttpServer.cpp
@@ -0,0 +1,332 @@
+#include "Connection/Http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <optional>
+
+namespace samphireshunt {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr std::size_t FirstReadBytes = 4096;
+
+/// What the connections of one server share; outlives the server itself.
+struct ServerState {
+  HttpServerOptions Options_;
+  std::atomic<bool> CloseAfterAnswers_ = false;
+  std::atomic<std::size_t> OpenConnections_ = 0;
+  std::atomic<std::size_t> ActiveExchanges_ = 0;
+};
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Lower;
+}
+
+Failure readFailure(const beast::error_code &Error) {
+  if (Error == http::error::header_limit)
+    return {ResultCode::HeaderTooLarge, Error.message()};
+  if (Error == http::error::body_limit)
+    return {ResultCode::BodyTooLarge, Error.message()};
+  if (Error == beast::error::timeout)
+    return {ResultCode::ReadTimeout, Error.message()};
+  return {ResultCode::MalformedRequest, Error.message()};
+}
+
+/// True when nobody is left to be told about \p Error.
+bool isHangUp(const beast::error_code &Error) {
+  return Error == http::error::end_of_stream || Error == asio::error::eof ||
+         Error == asio::error::connection_reset ||
+         Error == http::error::partial_message ||
+         Error == asio::error::operation_aborted;
+}
+
+/// One connection: reads a request, lets the handler answer it, and goes on
+/// while both sides keep the connection.
+class Session : public HttpExchange,
+                public std::enable_shared_from_this<Session> {
+public:
+  Session(Tcp::socket Socket, std::shared_ptr<ServerState> State)
+      : Stream_(std::move(Socket)), State_(std::move(State)) {
+    ++State_->OpenConnections_;
+  }
+  ~Session() override { --State_->OpenConnections_; }
+
+  Awaitable<void> run() {
+    while (Stream_.socket().is_open()) {
+      bool Begun = co_await awaitFirstByte();
+      if (!Begun)
+        break;
+      ++State_->ActiveExchanges_;
+      Answered_ = false;
+      bool Read = co_await readRequest();
+      if (Read)
+        co_await State_->Options_.Handler_(*this);
+      CallerLeft_ = nullptr;
+      Watching_ = false;
+      --State_->ActiveExchanges_;
+      if (!Answered_ || !KeepAlive_)
+        break;
+    }
+    beast::error_code Ignored;
+    Stream_.socket().shutdown(Tcp::socket::shutdown_send, Ignored);
+    Stream_.close();
+  }
+
+  /// Refuses what came on this connection, and closes it.
+  Awaitable<void> refuse(Failure Cause) {
+    KeepAlive_ = false;
+    HttpResponse Response = State_->Options_.Refusal_(std::move(Cause));
+    co_await respond(std::move(Response));
+    Stream_.close();
+  }
+
+  const HttpRequest &request() const override { return Request_; }
+
+  Awaitable<bool> respond(HttpResponse Response) override {
+    http::response<http::string_body> Message;
+    fillHead(Message, Response);
+    Message.body() = std::move(Response.Body_);
+    Message.prepare_payload();
+    beast::error_code Error;
+    Stream_.expires_after(State_->Options_.WriteTimeout_);
+    co_await http::async_write(
+        Stream_, Message, asio::redirect_error(asio::use_awaitable, Error));
+    Answered_ = !Error;
+    co_return !Error;
+  }
+
+  Awaitable<bool> beginStream(HttpResponse Head) override {
+    http::response<http::empty_body> Message;
+    fillHead(Message, Head);
+    Message.chunked(true);
+    http::response_serializer<http::empty_body> Serializer(Message);
+    beast::error_code Error;
+    Stream_.expires_after(State_->Options_.WriteTimeout_);
+    co_await http::async_write_header(
+        Stream_, Serializer, asio::redirect_error(asio::use_awaitable, Error));
+    co_return !Error;
+  }
+
+  Awaitable<bool> writeChunk(std::string Data) override {
+    if (Data.empty())
+      co_return true;
+    auto Chunk = http::make_chunk(asio::buffer(Data));
+    co_return co_await writeBuffers(Chunk);
+  }
+
+  Awaitable<bool> endStream() override {
+    auto Last = http::make_chunk_last();
+    Answered_ = co_await writeBuffers(Last);
+    co_return Answered_;
+  }
+
+  void abort() override {
+    Answered_ = false;
+    Stream_.close();
+  }
+
+  void onCallerLeft(std::function<void()> Hook) override {
+    CallerLeft_ = std::move(Hook);
+    if (Watching_)
+      return;
+    Watching_ = true;
+    Stream_.socket().async_wait(
+        Tcp::socket::wait_read,
+        [Self = shared_from_this()](const beast::error_code &Error) {
+          if (!Error)
+            Self->reportCallerLeft();
+        });
+  }
+
+private:
+  template <class Buffers> Awaitable<bool> writeBuffers(const Buffers &Data) {
+    beast::error_code Error;
+    Stream_.expires_after(State_->Options_.WriteTimeout_);
+    co_await asio::async_write(
+        Stream_, Data, asio::redirect_error(asio::use_awaitable, Error));
+    co_return !Error;
+  }
+
+  /// An idle connection waits here. It is told apart from one with a request
+  /// under way, which a graceful stop must not cut.
+  Awaitable<bool> awaitFirstByte() {
+    if (Buffer_.size() > 0)
+      co_return true;
+    beast::error_code Error;
+    Stream_.expires_after(State_->Options_.ReadTimeout_);
+    auto Space = Buffer_.prepare(FirstReadBytes);
+    std::size_t Count = co_await Stream_.async_read_some(
+        Space, asio::redirect_error(asio::use_awaitable, Error));
+    Buffer_.commit(Count);
+    co_return !Error;
+  }
+
+  Awaitable<bool> readRequest() {
+    http::request_parser<http::string_body> Parser;
+    Parser.header_limit(State_->Options_.MaxHeaderBytes_);
+    Parser.body_limit(State_->Options_.MaxBodyBytes_);
+    beast::error_code Error;
+    Stream_.expires_after(State_->Options_.ReadTimeout_);
+    co_await http::async_read(Stream_, Buffer_, Parser,
+                              asio::redirect_error(asio::use_awaitable, Error));
+    Stream_.expires_never();
+    if (Error) {
+      if (!isHangUp(Error))
+        co_await refuse(readFailure(Error));
+      co_return false;
+    }
+    auto Message = Parser.release();
+    KeepAlive_ = Message.keep_alive();
+    Version_ = Message.version();
+    Request_.Method_ = std::string(Message.method_string());
+    Request_.Target_ = std::string(Message.target());
+    Request_.Fields_.clear();
+    for (const auto &Field : Message)
+      Request_.Fields_[lowerCase(Field.name_string())] =
+          std::string(Field.value());
+    Request_.Body_ = std::move(Message.body());
+    co_return true;
+  }
+
+  template <class Message> void fillHead(Message &Target, HttpResponse &Head) {
+    if (State_->CloseAfterAnswers_)
+      KeepAlive_ = false;
+    Target.version(Version_);
+    Target.result(static_cast<unsigned>(Head.Status_));
+    for (const auto &[Name, Value] : Head.Fields_)
+      Target.set(Name, Value);
+    Target.keep_alive(KeepAlive_);
+  }
+
+  /// The socket is readable during the answer: a pipelined request, or the
+  /// caller's end of the connection. Only a look at the bytes can tell.
+  void reportCallerLeft() {
+    if (!Watching_ || !Stream_.socket().is_open())
+      return;
+    char Byte = 0;
+    beast::error_code Error;
+    Stream_.socket().non_blocking(true, Error);
+    std::size_t Count = Stream_.socket().receive(
+        asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
+    bool Gone =
+        (Error && Error != asio::error::would_block) || (!Error && Count == 0);
+    if (Gone && CallerLeft_)
+      std::exchange(CallerLeft_, nullptr)();
+  }
+
+  beast::tcp_stream Stream_;
+  std::shared_ptr<ServerState> State_;
+  beast::flat_buffer Buffer_;
+  HttpRequest Request_;
+  std::function<void()> CallerLeft_;
+  unsigned Version_ = 11;
+  bool KeepAlive_ = true;
+  bool Answered_ = false;
+  bool Watching_ = false;
+};
+
+class BeastHttpServer : public HttpServer {
+public:
+  BeastHttpServer(Tcp::acceptor Acceptor,
+                  std::vector<asio::io_context *> Workers,
+                  std::shared_ptr<ServerState> State)
+      : Acceptor_(std::move(Acceptor)), Workers_(std::move(Workers)),
+        State_(std::move(State)), Address_(Acceptor_.local_endpoint()) {
+    acceptNext();
+  }
+
+  Endpoint address() const override { return Address_; }
+  void stopAccepting() override {
+    closeAfterAnswers();
+    beast::error_code Ignored;
+    Acceptor_.close(Ignored);
+  }
+  void closeAfterAnswers() override { State_->CloseAfterAnswers_ = true; }
+  std::size_t openConnections() const override {
+    return State_->OpenConnections_;
+  }
+  std::size_t activeExchanges() const override {
+    return State_->ActiveExchanges_;
+  }
+
+private:
+  void acceptNext() {
+    asio::io_context &Worker = *Workers_[NextWorker_++ % Workers_.size()];
+    Acceptor_.async_accept(Worker,
+                           [this](beast::error_code Error, Tcp::socket Socket) {
+                             if (Error == asio::error::operation_aborted)
+                               return;
+                             if (!Error)
+                               start(std::move(Socket));
+                             if (Acceptor_.is_open())
+                               acceptNext();
+                           });
+  }
+
+  void start(Tcp::socket Socket) {
+    beast::error_code Ignored;
+    Socket.set_option(Tcp::no_delay(true), Ignored);
+    auto Executor = Socket.get_executor();
+    bool Full = State_->OpenConnections_ >= State_->Options_.MaxConnections_;
+    auto Connection = std::make_shared<Session>(std::move(Socket), State_);
+    auto Run = [Connection, Full] {
+      Failure TooMany{ResultCode::TooManyConnections, ""};
+      return Full ? Connection->refuse(std::move(TooMany)) : Connection->run();
+    };
+    asio::co_spawn(Executor, std::move(Run), asio::detached);
+  }
+
+  Tcp::acceptor Acceptor_;
+  std::vector<asio::io_context *> Workers_;
+  std::shared_ptr<ServerState> State_;
+  Endpoint Address_;
+  std::size_t NextWorker_ = 0;
+};
+
+} // namespace
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::create(asio::io_context &AcceptContext,
+                   std::vector<asio::io_context *> Workers,
+                   HttpServerOptions Options) {
+  beast::error_code Error;
+  Tcp::acceptor Acceptor(AcceptContext);
+  Acceptor.open(Options.Address_.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Options.Address_, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return Failure{ResultCode::BadSetting,
+                   "can't listen on " + formatEndpoint(Options.Address_) +
+                       ": " + Error.message()};
+  auto State = std::make_shared<ServerState>();
+  State->Options_ = std::move(Options);
+  if (!State->Options_.Refusal_)
+    State->Options_.Refusal_ = [](Failure Cause) {
+      return jsonResponse(400, "{\"error\":\"" +
+                                   std::string(describe(Cause.Code_).Name_) +
+                                   "\"}");
+    };
+  return std::unique_ptr<HttpServer>(std::make_unique<BeastHttpServer>(
+      std::move(Acceptor), std::move(Workers), std::move(State)));
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Connection/PeerMessage.cpp
@@ -0,0 +1,17 @@
+#include "Connection/PeerMessage.h"
+
+namespace samphireshunt {
+
+Result<wire::EnvelopeT> decodeMessage(std::string_view Bytes) {
+  const auto *Data = reinterpret_cast<const std::uint8_t *>(Bytes.data());
+  // A peer of another release, or no peer at all, may write to this port:
+  // reading an unchecked buffer would follow offsets out of it.
+  flatbuffers::Verifier Verifier(Data, Bytes.size());
+  if (!wire::VerifyEnvelopeBuffer(Verifier))
+    return Failure{ResultCode::MalformedRequest, "not a peer message"};
+  wire::EnvelopeT Envelope;
+  wire::GetEnvelope(Data)->UnPackTo(&Envelope);
+  return Envelope;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Connection/PeerMessage.h
@@ -0,0 +1,37 @@
+#pragma once
+/// \file
+/// Encoding and checked decoding of the messages between daemons.
+
+#include "Common/Ids.h"
+#include "Common/ResultCode.h"
+#include "Connection/Peer_generated.h"
+
+#include <string>
+#include <string_view>
+
+namespace samphireshunt {
+
+/// A frame longer than this is refused: a document of a megabyte fits.
+inline constexpr std::size_t MaxFrameBytes = 4 * 1024 * 1024;
+
+/// Encodes any body of the schema as one Envelope.
+template <class BodyTable> std::string encodeMessage(BodyTable Body) {
+  wire::EnvelopeT Envelope;
+  Envelope.body.Set(std::move(Body));
+  flatbuffers::FlatBufferBuilder Builder;
+  Builder.Finish(wire::Envelope::Pack(Builder, &Envelope));
+  return std::string(reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+                     Builder.GetSize());
+}
+
+/// \returns MalformedRequest when \p Bytes are not a valid Envelope.
+Result<wire::EnvelopeT> decodeMessage(std::string_view Bytes);
+
+inline RequestId fromWire(const std::unique_ptr<wire::Id> &Id) {
+  return Id ? RequestId{Id->origin(), Id->sequence()} : RequestId{};
+}
+inline std::unique_ptr<wire::Id> toWire(RequestId Id) {
+  return std::make_unique<wire::Id>(Id.Origin_, Id.Sequence_);
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Cell.h
@@ -0,0 +1,45 @@
+#pragma once
+/// \file
+/// Cells: slices of a pool, each scheduled by one keeper, and the choice of
+/// the keeper by rendezvous hashing over the live daemons.
+
+#include "Common/Ids.h"
+#include "Connection/Peer_generated.h"
+#include "Process/MemberTable.h"
+#include "Version/Document.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace samphireshunt {
+
+/// Servers of one cell at the most; with more, a pool is cut into more cells.
+inline constexpr std::size_t MaxCellServers = 32;
+
+struct CellId {
+  ServiceName Service_;
+  PoolName Pool_;
+  std::uint32_t Index_ = 0;
+  auto operator<=>(const CellId &) const = default;
+
+  std::string str() const;
+  std::unique_ptr<wire::CellT> toWire() const;
+  static CellId fromWire(const std::unique_ptr<wire::CellT> &Cell);
+};
+
+/// Into how many cells a pool is cut.
+std::uint32_t cellCount(const Pool &Whole);
+/// The cell of a server; stays the same while the count does.
+std::uint32_t cellOf(const ServerName &Server, std::uint32_t Count);
+/// The servers of one cell, in the document's order.
+std::vector<const BackendServer *> cellServers(const Pool &Whole,
+                                               std::uint32_t Index);
+
+/// The member that keeps the cell: the one with the highest hash of cell and
+/// member, so that a change of one member moves only that member's cells.
+/// \returns null when \p Candidates is empty.
+const Member *keeperOf(const CellId &Cell, std::span<const Member> Candidates);
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/ConfigurationSync.cpp
@@ -0,0 +1,128 @@
+#include "Process/ConfigurationSync.h"
+
+#include "Common/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+ConfigurationSync::ConfigurationSync(asio::io_context &Control,
+                                     PlatformHooks Platform,
+                                     DocumentStore &Documents, Options Settings,
+                                     Hooks Reactions)
+    : Control_(Control), Platform_(std::move(Platform)), Documents_(Documents),
+      Options_(Settings), Hooks_(std::move(Reactions)),
+      Started_(steady_clock::now()) {}
+
+void ConfigurationSync::start() {
+  Started_ = steady_clock::now();
+  auto Watch = [this]() { return watchDocuments(); };
+  auto List = [this]() { return listVms(); };
+  asio::co_spawn(Control_, std::move(Watch), asio::detached);
+  asio::co_spawn(Control_, std::move(List), asio::detached);
+}
+
+Awaitable<void> ConfigurationSync::pause(milliseconds Time) {
+  asio::steady_timer Timer(Control_, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+Awaitable<void> ConfigurationSync::watchDocuments() {
+  Revision After;
+  while (!Stopped_) {
+    // Revision 0 asks for everything there is, without waiting.
+    auto Wait = PlatformRead_ ? Options_.WatchTime_ : milliseconds(0);
+    auto Changes = co_await Platform_.Watch_(DocumentKeyPrefix, After, Wait);
+    PlatformReachable_ = Changes.has_value();
+    if (!Changes) {
+      co_await pause(Options_.RetryTime_);
+      continue;
+    }
+    for (const KeyValue &Entry : Changes->Entries_)
+      adoptEntry(Entry);
+    // A service that was set back to an older state must not make the watch
+    // wait for revisions that it will not reach for a long time.
+    After = Changes->Revision_;
+    PlatformRead_ = true;
+  }
+}
+
+void ConfigurationSync::adoptEntry(const KeyValue &Entry) {
+  std::string_view Prefix(DocumentKeyPrefix);
+  ServiceName Service(Entry.Key_.substr(Prefix.size()));
+  documentReceived(Service, Entry.Value_);
+}
+
+void ConfigurationSync::documentReceived(const ServiceName &Service,
+                                         const std::string &Encoded) {
+  auto Decoded = VersionedDocument::decode(Encoded);
+  if (!Decoded) {
+    logEvent(LogCategory::Version, spdlog::level::err, "undecodable",
+             {{"service", Service.str()}, {"detail", Decoded.error().Detail_}});
+    return;
+  }
+  auto &Newest = NewestHeard_[Service];
+  Newest = std::max(Newest, Decoded->Version_);
+  Documents_.adopt(Service, *Decoded);
+}
+
+void ConfigurationSync::versionSeen(const VmId &From,
+                                    const ServiceName &Service,
+                                    DocumentVersion Version) {
+  auto &Newest = NewestHeard_[Service];
+  Newest = std::max(Newest, Version);
+  auto Snapshot = Documents_.snapshot();
+  const ServiceConfiguration *InForce = Snapshot->service(Service);
+  DocumentVersion Known =
+      InForce ? std::max(InForce->Version_, InForce->NotUnderstood_)
+              : DocumentVersion(0);
+  if (Version > Known)
+    Hooks_.AskPeer_(From, Service);
+}
+
+Awaitable<void> ConfigurationSync::listVms() {
+  while (!Stopped_) {
+    auto Listed = co_await Platform_.Vms_();
+    if (Listed) {
+      auto IsDaemon = [](const ListedVm &Vm) {
+        return Vm.Role_ == VmRole::System;
+      };
+      ExpectsPeers_ = std::ranges::count_if(*Listed, IsDaemon) > 1;
+      Hooks_.VmsListed_(*Listed);
+    }
+    co_await pause(Options_.ListInterval_);
+  }
+}
+
+/// A read of the platform may be stale, and peers may hold a newer version
+/// that was accepted just before an outage. A daemon that started serving on
+/// an old version would revert it for its callers: it first hears a peer, or
+/// learns that there is none.
+bool ConfigurationSync::ready() const {
+  auto Snapshot = Documents_.snapshot();
+  if (Snapshot->Services_.empty())
+    return false;
+  if (WasReady_)
+    return true;
+  bool Waited = steady_clock::now() - Started_ > Options_.JoinTime_;
+  bool Joined =
+      Hooks_.HeardFromPeer_() || (PlatformRead_ && (!ExpectsPeers_ || Waited));
+  bool UpToDate = std::ranges::all_of(NewestHeard_, [&](const auto &Item) {
+    const ServiceConfiguration *InForce = Snapshot->service(Item.first);
+    return InForce &&
+           std::max(InForce->Version_, InForce->NotUnderstood_) >= Item.second;
+  });
+  const_cast<ConfigurationSync *>(this)->WasReady_ = Joined && UpToDate;
+  return WasReady_;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/EngineMonitor.cpp
@@ -0,0 +1,145 @@
+#include "Process/EngineMonitor.h"
+
+#include "Common/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+EngineMonitor::EngineMonitor(asio::io_context &Control,
+                             DocumentStore &Documents, KeeperService &Keeper,
+                             Options Settings)
+    : Control_(Control), Documents_(Documents), Keeper_(Keeper),
+      Options_(Settings) {}
+
+void EngineMonitor::start() {
+  auto Run = [this]() { return run(); };
+  asio::co_spawn(Control_, std::move(Run), asio::detached);
+}
+
+Awaitable<void> EngineMonitor::run() {
+  asio::steady_timer Timer(Control_);
+  while (!Stopped_) {
+    auto Snapshot = Documents_.snapshot();
+    for (const CellId &Cell : Keeper_.cells()) {
+      const ServiceConfiguration *Service = Snapshot->service(Cell.Service_);
+      const Pool *Whole =
+          Service ? Service->Document_->pool(Cell.Pool_) : nullptr;
+      if (!Whole)
+        continue;
+      for (const BackendServer *Server : cellServers(*Whole, Cell.Index_)) {
+        ServerKey Key(Cell, Server->Name_);
+        if (std::exchange(Watched_[Key].Busy_, true))
+          continue;
+        auto Poll = [this, Key, Address = Server->Address_]() {
+          return poll(Key, Address);
+        };
+        asio::co_spawn(Control_, std::move(Poll), asio::detached);
+      }
+    }
+    Timer.expires_after(Options_.Period_);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+Awaitable<void> EngineMonitor::poll(ServerKey Key, Endpoint Address) {
+  HttpRequest Request;
+  Request.Target_ = "/v1/load";
+  auto Response =
+      co_await httpCall(Address, std::move(Request), Options_.Timeout_);
+  Watched &State = Watched_[Key];
+  State.Busy_ = false;
+  // An engine that answers with an error, or whose report can't be read, does
+  // not report load; only one that can't be reached is taken for gone.
+  bool Reached = Response.has_value();
+  State.Failures_ = Reached ? 0 : State.Failures_ + 1;
+  bool Healthy = State.Failures_ < Options_.FailuresToUnhealthy_;
+  LoadReport Seen;
+  bool HasEvents = false;
+  if (Reached && Response->Status_ == 200) {
+    Json Body = Json::parse(Response->Body_, nullptr, false);
+    if (Body.is_object()) {
+      Seen.Running_ = Body.value("running", 0U);
+      Seen.Waiting_ = Body.value("waiting", 0U);
+      Seen.Leaving_ = Body.value("leaving", false);
+      HasEvents = Body.value("nextEvent", std::uint64_t(0)) > State.NextEvent_;
+    }
+  }
+  Keeper_.engineReport(Key.first, Key.second, Healthy, Seen);
+  if (HasEvents)
+    co_await readEvents(Key, Address);
+}
+
+/// Cache events come late and with gaps. After a gap nothing that was
+/// evicted in it can be known, so the engine's whole index is dropped: it
+/// fills again from dispatches, while a wrong entry would send prompts to an
+/// engine that has to work on them anew.
+Awaitable<void> EngineMonitor::readEvents(ServerKey Key, Endpoint Address) {
+  HttpRequest Request;
+  Request.Target_ =
+      fmt::format("/v1/cache-events?after={}", Watched_[Key].NextEvent_);
+  auto Response =
+      co_await httpCall(Address, std::move(Request), Options_.Timeout_);
+  if (!Response || Response->Status_ != 200)
+    co_return;
+  Json Body = Json::parse(Response->Body_, nullptr, false);
+  if (!Body.is_object() || !Body.contains("events"))
+    co_return;
+  std::vector<std::uint64_t> Evicted;
+  bool Gap = Body.value("gap", false);
+  for (const Json &Event : Body["events"])
+    if (Event.value("kind", "") == "evicted")
+      Evicted.push_back(Event.value("block", std::uint64_t(0)));
+  Watched_[Key].NextEvent_ = Body.value("next", std::uint64_t(0));
+  Keeper_.cacheEvicted(Key.first, Key.second, Evicted, Gap);
+}
+
+void EngineMonitor::cleanOrphan(const OrphanedRequest &Orphan) {
+  const RunningRequest &Request = Orphan.Request_;
+  auto Snapshot = Documents_.snapshot();
+  const ServiceConfiguration *Service =
+      Snapshot->service(Orphan.Cell_.Service_);
+  const Pool *Whole =
+      Service ? Service->Document_->pool(Orphan.Cell_.Pool_) : nullptr;
+  const BackendServer *Server = Whole ? Whole->find(Request.Server_) : nullptr;
+  // A non-idempotent request is left to finish: cut in the middle, nobody
+  // could tell what of it took effect.
+  if (!Server || Request.NonIdempotent_ || Whole->Kind_ != PoolKind::Model)
+    return;
+  logEvent(LogCategory::Keeper, spdlog::level::info, "orphan",
+           {{"request", Request.Id_.str()}, {"server", Request.Server_.str()}});
+  auto Cancel = [this, Address = Server->Address_, Id = Request.Id_]() {
+    return cancelOrphan(Address, Id);
+  };
+  asio::co_spawn(Control_, std::move(Cancel), asio::detached);
+}
+
+/// The daemon may only be cut off from this one and still be streaming to its
+/// caller. The engine knows whether anyone reads the stream: only one that
+/// nobody reads is cancelled.
+Awaitable<void> EngineMonitor::cancelOrphan(Endpoint Address, RequestId Id) {
+  asio::steady_timer Timer(Control_);
+  for (int Try = 0; Try < Options_.OrphanTries_ && !Stopped_; ++Try) {
+    HttpRequest Request;
+    Request.Method_ = "DELETE";
+    Request.Target_ =
+        fmt::format("/v1/requests/{}?onlyDetached=true", Id.str());
+    auto Response =
+        co_await httpCall(Address, std::move(Request), Options_.Timeout_);
+    constexpr int StillAttached = 409;
+    if (Response && Response->Status_ != StillAttached)
+      co_return;
+    Timer.expires_after(Options_.OrphanRetry_);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/EngineMonitor.h
@@ -0,0 +1,54 @@
+#pragma once
+/// \file
+/// Asks the engines of kept cells for their load and cache events, and cancels
+/// the streams of dead daemons. Runs on the control thread.
+
+#include "Process/KeeperService.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <set>
+
+namespace samphireshunt {
+
+class EngineMonitor {
+public:
+  struct Options {
+    std::chrono::milliseconds Period_{500};
+    std::chrono::milliseconds Timeout_{400};
+    /// Failed reports in a row before an engine gets no new work.
+    int FailuresToUnhealthy_ = 2;
+    std::chrono::milliseconds OrphanRetry_{1000};
+    int OrphanTries_ = 60;
+  };
+
+  EngineMonitor(boost::asio::io_context &Control, DocumentStore &Documents,
+                KeeperService &Keeper, Options Settings);
+  void start();
+  void stop() { Stopped_ = true; }
+  /// Cancels the request at its engine, unless it must not run again or its
+  /// daemon turns out to be still connected there.
+  void cleanOrphan(const OrphanedRequest &Orphan);
+
+private:
+  struct Watched {
+    int Failures_ = 0;
+    bool Busy_ = false;
+    std::uint64_t NextEvent_ = 0;
+  };
+  using ServerKey = std::pair<CellId, ServerName>;
+
+  Awaitable<void> run();
+  Awaitable<void> poll(ServerKey Key, Endpoint Address);
+  Awaitable<void> readEvents(ServerKey Key, Endpoint Address);
+  Awaitable<void> cancelOrphan(Endpoint Address, RequestId Id);
+
+  boost::asio::io_context &Control_;
+  DocumentStore &Documents_;
+  KeeperService &Keeper_;
+  Options Options_;
+  std::map<ServerKey, Watched> Watched_;
+  bool Stopped_ = false;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/GrantClient.cpp
@@ -0,0 +1,291 @@
+#include "Process/GrantClient.h"
+
+#include "Common/Log.h"
+#include "Connection/PeerMessage.h"
+#include "Process/KeeperService.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// How long a keeper that could not be reached is passed over.
+constexpr milliseconds UnreachableTime{2000};
+
+std::uint32_t remainingMillis(TimePoint Deadline) {
+  auto Rest = duration_cast<milliseconds>(Deadline - steady_clock::now());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, Rest.count()));
+}
+
+std::string encodeAsk(const CellId &Cell, const AskedRequest &Request) {
+  wire::AskT Ask;
+  Ask.id = toWire(Request.Id_);
+  Ask.cell = Cell.toWire();
+  Ask.tier = Request.Tier_.count();
+  Ask.customer = Request.Customer_.str();
+  // A span of time rather than an instant: clocks of VMs differ.
+  Ask.deadline_ms = remainingMillis(Request.Deadline_);
+  Ask.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
+  Ask.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
+  Ask.prefix = Request.Prefix_;
+  Ask.non_idempotent = Request.NonIdempotent_;
+  for (const ServerName &Name : Request.Excluded_)
+    Ask.excluded.push_back(Name.str());
+  return encodeMessage(std::move(Ask));
+}
+
+std::string encodeRunning(const CellId &Cell, const RunningRequest &Request) {
+  wire::RunningT Running;
+  Running.id = toWire(Request.Id_);
+  Running.cell = Cell.toWire();
+  Running.server = Request.Server_.str();
+  Running.tier = Request.Tier_.count();
+  Running.customer = Request.Customer_.str();
+  Running.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
+  Running.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
+  Running.non_idempotent = Request.NonIdempotent_;
+  return encodeMessage(std::move(Running));
+}
+
+std::string encodeDone(const CellId &Cell, const RequestId &Id,
+                       const ServedSample &Seen) {
+  wire::DoneT Done;
+  Done.id = toWire(Id);
+  Done.cell = Cell.toWire();
+  Done.reached = Seen.Reached_;
+  Done.complete = Seen.Complete_;
+  Done.generated = static_cast<std::uint32_t>(Seen.Generated_.count());
+  Done.first_token_us = static_cast<std::uint32_t>(Seen.FirstToken_.count());
+  Done.duration_us = static_cast<std::uint32_t>(Seen.Duration_.count());
+  return encodeMessage(std::move(Done));
+}
+
+} // namespace
+
+GrantClient::GrantClient(asio::io_context &Control, VmId Self, Hooks Reactions)
+    : Control_(Control), Self_(std::move(Self)), Hooks_(std::move(Reactions)),
+      RebindTimer_(Control) {}
+
+void GrantClient::acquire(CellId Cell, AskedRequest Request,
+                          Answered OnAnswer) {
+  asio::post(Control_, [this, Cell = std::move(Cell),
+                        Request = std::move(Request),
+                        OnAnswer = std::move(OnAnswer)]() mutable {
+    RequestId Id = Request.Id_;
+    Request.Entry_ = Self_;
+    auto [Item, New] = Asks_.insert_or_assign(
+        Id, Ask{std::move(Cell), std::move(Request), std::move(OnAnswer), {}});
+    sendAsk(Item->second);
+  });
+}
+
+std::optional<VmId> GrantClient::chooseKeeper(const CellId &Cell) {
+  auto Now = steady_clock::now();
+  std::erase_if(Unreachable_,
+                [Now](const auto &Item) { return Item.second <= Now; });
+  std::vector<VmId> Passed;
+  for (const auto &[Id, Until] : Unreachable_)
+    Passed.push_back(Id);
+  return Hooks_.KeeperOf_(Cell, Passed);
+}
+
+void GrantClient::sendAsk(Ask &Target) {
+  // With no other keeper in reach this daemon keeps the cell itself, with the
+  // share of the engines' limits that its part of the fleet may use.
+  Target.Keeper_ = chooseKeeper(Target.Cell_).value_or(Self_);
+  if (Target.Keeper_ != Self_)
+    return Hooks_.Send_(Target.Keeper_,
+                        encodeAsk(Target.Cell_, Target.Request_));
+  CellId Cell = Target.Cell_;
+  AskedRequest Request = Target.Request_;
+  Local_->ask(Cell, std::move(Request));
+}
+
+void GrantClient::sendRunning(Granted &Target) {
+  Target.Keeper_ = chooseKeeper(Target.Cell_).value_or(Self_);
+  if (Target.Keeper_ == Self_)
+    return Local_->running(Target.Cell_, Target.Request_);
+  Hooks_.Send_(Target.Keeper_, encodeRunning(Target.Cell_, Target.Request_));
+}
+
+void GrantClient::sendWithdraw(const CellId &Cell, const RequestId &Id,
+                               const VmId &To) {
+  if (To == Self_)
+    return Local_->withdraw(Cell, Id);
+  wire::WithdrawT Withdraw;
+  Withdraw.id = toWire(Id);
+  Withdraw.cell = Cell.toWire();
+  Hooks_.Send_(To, encodeMessage(std::move(Withdraw)));
+}
+
+void GrantClient::withdraw(RequestId Id) {
+  asio::post(Control_, [this, Id] {
+    auto Node = Asks_.extract(Id);
+    if (Node) {
+      sendWithdraw(Node.mapped().Cell_, Id, Node.mapped().Keeper_);
+      return;
+    }
+    // The grant came while the withdrawal was on its way here.
+    finish(Id, ServedSample());
+  });
+}
+
+void GrantClient::dispatched(RequestId Id, Cancelled OnCancel) {
+  asio::post(Control_, [this, Id, OnCancel = std::move(OnCancel)]() mutable {
+    auto Found = Granted_.find(Id);
+    if (Found == Granted_.end())
+      return;
+    Found->second.Dispatched_ = true;
+    Found->second.OnCancel_ = std::move(OnCancel);
+  });
+}
+
+void GrantClient::firstToken(RequestId Id, microseconds Delay) {
+  asio::post(Control_, [this, Id, Delay] {
+    auto Found = Granted_.find(Id);
+    if (Found == Granted_.end())
+      return;
+    const Granted &Target = Found->second;
+    if (Target.Keeper_ == Self_)
+      return Local_->firstToken(Target.Cell_, Id, {Delay});
+    wire::FirstTokenT Message;
+    Message.id = toWire(Id);
+    Message.cell = Target.Cell_.toWire();
+    Message.delay_us = static_cast<std::uint32_t>(Delay.count());
+    Hooks_.Send_(Target.Keeper_, encodeMessage(std::move(Message)));
+  });
+}
+
+void GrantClient::done(RequestId Id, ServedSample Seen) {
+  asio::post(Control_, [this, Id, Seen] { finish(Id, Seen); });
+}
+
+void GrantClient::finish(const RequestId &Id, const ServedSample &Seen) {
+  auto Node = Granted_.extract(Id);
+  if (!Node)
+    return;
+  const Granted &Ended = Node.mapped();
+  if (Ended.Keeper_ == Self_)
+    return Local_->done(Ended.Cell_, Id, Seen);
+  Hooks_.Send_(Ended.Keeper_, encodeDone(Ended.Cell_, Id, Seen));
+}
+
+void GrantClient::onDecision(const Decision &Taken, const VmId &From) {
+  if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
+    onGrant(*Grant, From);
+  else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
+    onRefusal(*Refusal);
+  else
+    onCancel(std::get<CancelDecision>(Taken));
+}
+
+/// A grant may come late, for a request that was given up; from a keeper that
+/// this entry no longer asks; or twice. Only the keeper that is asked now can
+/// grant, and only once: any other grant is handed back, or the engine's place
+/// would stay taken until the entry's end.
+void GrantClient::onGrant(const GrantDecision &Grant, const VmId &From) {
+  auto Found = Asks_.find(Grant.Id_);
+  if (Found == Asks_.end() || Found->second.Keeper_ != From) {
+    auto Running = Granted_.find(Grant.Id_);
+    bool Duplicate =
+        Running != Granted_.end() && Running->second.Keeper_ == From;
+    if (!Duplicate)
+      handBack(Grant.Id_, From);
+    return;
+  }
+  Ask Granting = std::move(Found->second);
+  Asks_.erase(Found);
+  const AskedRequest &Asked = Granting.Request_;
+  Granted Target;
+  Target.Cell_ = Granting.Cell_;
+  Target.Keeper_ = From;
+  Target.Request_ = {
+      Asked.Id_,     Asked.Tier_,   Asked.Customer_,      Grant.Server_,
+      Asked.Prompt_, Asked.Answer_, Asked.NonIdempotent_, Self_};
+  Granted_[Asked.Id_] = std::move(Target);
+  Granting.OnAnswer_({ResultCode::Ok, Grant.Server_, {}});
+}
+
+void GrantClient::handBack(const RequestId &Id, const VmId &Keeper) {
+  // The cell is not known here any more; a keeper looks in all of its cells.
+  if (Keeper == Self_)
+    return Local_->handBack(Id);
+  Hooks_.Send_(Keeper, encodeDone(CellId(), Id, ServedSample()));
+}
+
+void GrantClient::onRefusal(const RefuseDecision &Refusal) {
+  auto Node = Asks_.extract(Refusal.Id_);
+  if (Node)
+    Node.mapped().OnAnswer_({Refusal.Code_, {}, Refusal.RetryAfter_});
+}
+
+void GrantClient::onCancel(const CancelDecision &Cancel) {
+  auto Found = Granted_.find(Cancel.Id_);
+  if (Found != Granted_.end() && Found->second.OnCancel_)
+    Found->second.OnCancel_();
+}
+
+void GrantClient::onLinkDown(const VmId &Keeper) {
+  Unreachable_[Keeper] = steady_clock::now() + UnreachableTime;
+  Hooks_.Suspect_(Keeper);
+  logEvent(LogCategory::Keeper, spdlog::level::warn, "keeper-unreachable",
+           {{"keeper", Keeper.str()}});
+  rebind();
+  scheduleRebind(UnreachableTime + milliseconds(1));
+}
+
+void GrantClient::scheduleRebind(milliseconds Delay) {
+  RebindTimer_.expires_after(Delay);
+  RebindTimer_.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      rebind();
+  });
+}
+
+void GrantClient::rebind() {
+  auto Moved = [this](const CellId &Cell, const VmId &Present) {
+    return Unreachable_.contains(Present) ||
+           chooseKeeper(Cell).value_or(Self_) != Present;
+  };
+  // Ids first: a local keeper may answer at once, which changes the map.
+  std::vector<RequestId> MovedAsks;
+  for (const auto &[Id, Target] : Asks_)
+    if (Moved(Target.Cell_, Target.Keeper_))
+      MovedAsks.push_back(Id);
+  for (auto &[Id, Target] : Granted_) {
+    VmId Before = Target.Keeper_;
+    if (!Moved(Target.Cell_, Before))
+      continue;
+    if (!Unreachable_.contains(Before))
+      sendWithdraw(Target.Cell_, Id, Before);
+    sendRunning(Target);
+  }
+  for (const RequestId &Id : MovedAsks) {
+    auto Found = Asks_.find(Id);
+    if (Found == Asks_.end())
+      continue;
+    VmId Before = Found->second.Keeper_;
+    if (!Unreachable_.contains(Before))
+      sendWithdraw(Found->second.Cell_, Id, Before);
+    sendAsk(Found->second);
+  }
+}
+
+bool GrantClient::awaiting(const VmId &Keeper) const {
+  auto AskedHere = [&](const auto &Item) {
+    return Item.second.Keeper_ == Keeper;
+  };
+  return std::ranges::any_of(Asks_, AskedHere) ||
+         std::ranges::any_of(Granted_, AskedHere);
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/HttpPlatform.cpp
@@ -0,0 +1,163 @@
+#include "Process/Platform.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace samphireshunt {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+/// A body; wrapped, since a JSON value converts from anything, failures too.
+struct JsonBody {
+  Json Root_;
+};
+
+KeyValue keyValueFromJson(const Json &Entry) {
+  return {Entry.at("key").get<std::string>(),
+          Entry.at("value").get<std::string>(),
+          Revision(Entry.at("revision").get<std::uint64_t>())};
+}
+
+KeyValueList listFromJson(const Json &Root) {
+  KeyValueList List;
+  for (const Json &Entry : Root.at("entries"))
+    List.Entries_.push_back(keyValueFromJson(Entry));
+  List.Revision_ = Revision(Root.at("revision").get<std::uint64_t>());
+  return List;
+}
+
+ListedVm vmFromJson(const Json &Entry) {
+  ListedVm Vm;
+  Vm.Id_ = VmId(Entry.at("id").get<std::string>());
+  Vm.Role_ = Entry.at("role") == "backend" ? VmRole::Backend : VmRole::System;
+  Vm.Leaving_ = Entry.at("state") == "leaving";
+  Vm.Address_ = Entry.at("address").get<std::string>();
+  Vm.OperatorAddress_ = Entry.value("operators", "");
+  return Vm;
+}
+
+/// One call. A status of 200 gives the body; others become failures.
+Awaitable<Result<JsonBody>> call(Endpoint Address, HttpRequest Request,
+                                 milliseconds Timeout) {
+  auto Response = co_await httpCall(Address, std::move(Request), Timeout);
+  if (!Response)
+    co_return Failure{ResultCode::PlatformUnavailable,
+                      Response.error().Detail_};
+  if (Response->Status_ == 404)
+    co_return Failure{ResultCode::NotFound, ""};
+  if (Response->Status_ == 409)
+    co_return Failure{ResultCode::VersionConflict, Response->Body_};
+  JsonBody Body{Json::parse(Response->Body_, nullptr, false)};
+  if (Response->Status_ != 200 || Body.Root_.is_discarded())
+    co_return Failure{ResultCode::PlatformUnavailable,
+                      fmt::format("status {}", Response->Status_)};
+  co_return Body;
+}
+
+/// Runs \p Convert on the body; a body of another shape is a failure of the
+/// service, not of this program.
+template <class Value, class Function>
+Result<Value> convert(const Result<JsonBody> &Body, Function Convert) {
+  if (!Body)
+    return Body.error();
+  try {
+    return Convert(Body->Root_);
+  } catch (const Json::exception &Error) {
+    return Failure{ResultCode::PlatformUnavailable, Error.what()};
+  }
+}
+
+Awaitable<Result<std::optional<KeyValue>>>
+get(Endpoint Address, milliseconds Timeout, std::string Key) {
+  HttpRequest Request;
+  Request.Target_ = "/v1/kv/" + Key;
+  auto Body = co_await call(Address, std::move(Request), Timeout);
+  if (!Body && Body.error().Code_ == ResultCode::NotFound)
+    co_return std::optional<KeyValue>();
+  co_return convert<std::optional<KeyValue>>(Body, [](const Json &Entry) {
+    return std::optional(keyValueFromJson(Entry));
+  });
+}
+
+Awaitable<Result<Revision>> put(Endpoint Address, milliseconds Timeout,
+                                KeyValueWrite Write) {
+  HttpRequest Request;
+  Request.Method_ = "PUT";
+  Request.Target_ =
+      fmt::format("/v1/kv/{}?expect={}&ttlMs={}", Write.Key_,
+                  Write.Expected_.count(), Write.TimeToLive_.count());
+  Request.Body_ = std::move(Write.Value_);
+  auto Body = co_await call(Address, std::move(Request), Timeout);
+  co_return convert<Revision>(Body, [](const Json &Root) {
+    return Revision(Root.at("revision").get<std::uint64_t>());
+  });
+}
+
+Awaitable<Result<void>> remove(Endpoint Address, milliseconds Timeout,
+                               std::string Key, Revision Expected) {
+  HttpRequest Request;
+  Request.Method_ = "DELETE";
+  Request.Target_ = fmt::format("/v1/kv/{}?expect={}", Key, Expected.count());
+  auto Body = co_await call(Address, std::move(Request), Timeout);
+  if (!Body)
+    co_return Body.error();
+  co_return Result<void>();
+}
+
+Awaitable<Result<KeyValueList>> list(Endpoint Address, milliseconds Timeout,
+                                     std::string Prefix) {
+  HttpRequest Request;
+  Request.Target_ = "/v1/list?prefix=" + Prefix;
+  auto Body = co_await call(Address, std::move(Request), Timeout);
+  co_return convert<KeyValueList>(Body, listFromJson);
+}
+
+Awaitable<Result<KeyValueList>> watch(Endpoint Address, milliseconds Timeout,
+                                      std::string Prefix, Revision After,
+                                      milliseconds Wait) {
+  HttpRequest Request;
+  Request.Target_ = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}",
+                                Prefix, After.count(), Wait.count());
+  // A watch that never returns is as good as none: the time limit ends it.
+  auto Body = co_await call(Address, std::move(Request), Timeout + Wait);
+  co_return convert<KeyValueList>(Body, listFromJson);
+}
+
+Awaitable<Result<std::vector<ListedVm>>> vms(Endpoint Address,
+                                             milliseconds Timeout) {
+  HttpRequest Request;
+  Request.Target_ = "/v1/vms";
+  auto Body = co_await call(Address, std::move(Request), Timeout);
+  co_return convert<std::vector<ListedVm>>(Body, [](const Json &Root) {
+    std::vector<ListedVm> List;
+    for (const Json &Entry : Root.at("vms"))
+      List.push_back(vmFromJson(Entry));
+    return List;
+  });
+}
+
+} // namespace
+
+PlatformHooks httpPlatform(Endpoint Address, milliseconds Timeout) {
+  PlatformHooks Hooks;
+  Hooks.Get_ = [=](std::string Key) { return get(Address, Timeout, Key); };
+  Hooks.Put_ = [=](KeyValueWrite Write) {
+    return put(Address, Timeout, Write);
+  };
+  Hooks.Delete_ = [=](std::string Key, Revision Expected) {
+    return remove(Address, Timeout, Key, Expected);
+  };
+  Hooks.List_ = [=](std::string Prefix) {
+    return list(Address, Timeout, Prefix);
+  };
+  Hooks.Watch_ = [=](std::string Prefix, Revision After, milliseconds Wait) {
+    return watch(Address, Timeout, Prefix, After, Wait);
+  };
+  Hooks.Vms_ = [=]() { return vms(Address, Timeout); };
+  return Hooks;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/KeeperService.cpp
@@ -0,0 +1,234 @@
+#include "Process/KeeperService.h"
+
+#include "Common/Log.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace samphireshunt {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+/// A cell that is no longer this daemon's is dropped after it is unused for
+/// this long.
+constexpr std::chrono::seconds UnusedCellTime{10};
+} // namespace
+
+KeeperService::KeeperService(boost::asio::io_context &Control,
+                             DocumentStore &Documents, Options Settings,
+                             Hooks Reactions)
+    : Documents_(Documents), Options_(Settings), Hooks_(std::move(Reactions)),
+      Timer_(Control) {
+  schedule();
+}
+
+void KeeperService::schedule() {
+  Timer_.expires_after(Options_.Tick_);
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    onTick();
+    schedule();
+  });
+}
+
+void KeeperService::onTick() {
+  for (auto &[Id, Target] : Cells_)
+    if (Target->Scheduler_.waiting() > 0)
+      decide(Id, *Target);
+  auto Now = steady_clock::now();
+  std::erase_if(GoneEntries_, [&](const auto &Item) {
+    if (Now - Item.second < Options_.EntryGrace_)
+      return false;
+    // The entry lives but asks another keeper now, which knows what it runs.
+    for (auto &[Id, Target] : Cells_)
+      Target->Scheduler_.removeEntry(Item.first);
+    return true;
+  });
+}
+
+KeeperService::KeptCell &KeeperService::kept(const CellId &Cell) {
+  auto &Target = Cells_[Cell];
+  auto Now = steady_clock::now();
+  if (!Target) {
+    Target = std::make_unique<KeptCell>(
+        KeptCell{Scheduler(Options_.Scheduling_), Now, Now});
+    configure(Cell, *Target);
+    if (!Hooks_.AloneInFleet_())
+      Target->Scheduler_.setWarmUntil(Now + Options_.WarmUp_);
+    logEvent(LogCategory::Keeper, spdlog::level::info, "keeping",
+             {{"cell", Cell.str()}});
+  }
+  Target->LastUsed_ = Now;
+  return *Target;
+}
+
+void KeeperService::configure(const CellId &Cell, KeptCell &Target) {
+  auto Snapshot = Documents_.snapshot();
+  const ServiceConfiguration *Service = Snapshot->service(Cell.Service_);
+  const Pool *Whole = Service ? Service->Document_->pool(Cell.Pool_) : nullptr;
+  if (!Whole)
+    return Target.Scheduler_.configure({}, {}, 1, 1);
+  std::vector<ServerCapacity> Servers;
+  for (const BackendServer *Server : cellServers(*Whole, Cell.Index_)) {
+    bool Active = Snapshot->activeServer(Cell.Service_, Cell.Pool_,
+                                         Server->Name_) != nullptr;
+    Servers.push_back({Server->Name_, Server->MaxInFlight_, Active});
+  }
+  std::map<CustomerName, CustomerShare> Shares;
+  for (const Customer &Known : Service->Document_->Customers_)
+    Shares[Known.Name_] = {Known.Weight_, Known.MaxInFlight_};
+  auto TierCount =
+      static_cast<std::uint32_t>(Service->Document_->Tiers_.size());
+  Target.Scheduler_.configure(std::move(Servers), std::move(Shares), TierCount,
+                              Whole->MaxWaiting_);
+  Target.Scheduler_.setShare(Hooks_.LiveShare_());
+}
+
+void KeeperService::refresh() {
+  auto Snapshot = Documents_.snapshot();
+  for (const auto &[Name, Service] : Snapshot->Services_)
+    for (const Pool &Whole : Service.Document_->Pools_)
+      for (std::uint32_t Index = 0; Index < cellCount(Whole); ++Index) {
+        CellId Cell{Name, Whole.Name_, Index};
+        if (Hooks_.IsKeeper_(Cell))
+          kept(Cell);
+      }
+  auto Now = steady_clock::now();
+  std::erase_if(Cells_, [&](const auto &Item) {
+    const KeptCell &Target = *Item.second;
+    return !Hooks_.IsKeeper_(Item.first) && Target.Scheduler_.waiting() == 0 &&
+           Now - Target.LastUsed_ > UnusedCellTime;
+  });
+  for (auto &[Cell, Target] : Cells_) {
+    configure(Cell, *Target);
+    decide(Cell, *Target);
+  }
+}
+
+void KeeperService::ask(const CellId &Cell, AskedRequest Request) {
+  KeptCell &Target = kept(Cell);
+  auto Remote = RemoteFloors_.find({Cell.Service_, Cell.Pool_});
+  auto Now = steady_clock::now();
+  if (Remote != RemoteFloors_.end() && Remote->second.Until_ > Now)
+    deliver(Cell, Target.Scheduler_.raiseFloor(Remote->second.Tier_,
+                                               Remote->second.Until_, Now));
+  deliver(Cell, Target.Scheduler_.ask(std::move(Request), Now));
+  decide(Cell, Target);
+}
+
+void KeeperService::withdraw(const CellId &Cell, const RequestId &Id) {
+  KeptCell &Target = kept(Cell);
+  Target.Scheduler_.withdraw(Id);
+  decide(Cell, Target);
+}
+
+void KeeperService::running(const CellId &Cell, RunningRequest Request) {
+  kept(Cell).Scheduler_.addRunning(Request);
+}
+
+void KeeperService::firstToken(const CellId &Cell, const RequestId &Id,
+                               const FirstTokenSample &Seen) {
+  kept(Cell).Scheduler_.firstToken(Id, Seen);
+}
+
+void KeeperService::done(const CellId &Cell, const RequestId &Id,
+                         const ServedSample &Seen) {
+  KeptCell &Target = kept(Cell);
+  Target.Scheduler_.done(Id, Seen, steady_clock::now());
+  decide(Cell, Target);
+}
+
+void KeeperService::handBack(const RequestId &Id) {
+  for (auto &[Cell, Target] : Cells_) {
+    Target->Scheduler_.done(Id, ServedSample(), steady_clock::now());
+    decide(Cell, *Target);
+  }
+}
+
+void KeeperService::decide(const CellId &Cell, KeptCell &Target) {
+  auto Now = steady_clock::now();
+  bool HadFloor = Target.Scheduler_.floor(Now).has_value();
+  deliver(Cell, Target.Scheduler_.decide(Now));
+  if (!HadFloor && Target.Scheduler_.floor(Now))
+    Hooks_.FloorRaised_();
+}
+
+void KeeperService::deliver(const CellId &Cell,
+                            const std::vector<Decision> &Decisions) {
+  for (const Decision &Taken : Decisions)
+    Hooks_.Decided_(Cell, Taken);
+}
+
+void KeeperService::entryGone(const VmId &Entry) {
+  GoneEntries_[Entry] = steady_clock::now();
+}
+
+void KeeperService::entryDead(const VmId &Entry) {
+  GoneEntries_.erase(Entry);
+  for (auto &[Cell, Target] : Cells_) {
+    for (RunningRequest &Request : Target->Scheduler_.removeEntry(Entry))
+      Hooks_.Orphaned_({Cell, std::move(Request)});
+    decide(Cell, *Target);
+  }
+}
+
+std::vector<PoolFloor> KeeperService::floors() const {
+  auto Now = steady_clock::now();
+  std::vector<PoolFloor> All;
+  for (const auto &[Cell, Target] : Cells_)
+    if (auto Tier = Target->Scheduler_.floor(Now))
+      All.push_back(
+          {Cell.Service_, Cell.Pool_, *Tier, Target->Scheduler_.floorUntil()});
+  return All;
+}
+
+void KeeperService::floorSeen(const PoolFloor &Floor) {
+  auto Now = steady_clock::now();
+  RemoteFloors_[{Floor.Service_, Floor.Pool_}] = Floor;
+  for (auto &[Cell, Target] : Cells_)
+    if (Cell.Service_ == Floor.Service_ && Cell.Pool_ == Floor.Pool_)
+      deliver(Cell,
+              Target->Scheduler_.raiseFloor(Floor.Tier_, Floor.Until_, Now));
+}
+
+void KeeperService::engineReport(const CellId &Cell, const ServerName &Server,
+                                 bool Healthy, const LoadReport &Seen) {
+  auto Found = Cells_.find(Cell);
+  if (Found == Cells_.end())
+    return;
+  if (ServerModel *Model = Found->second->Scheduler_.server(Server)) {
+    Model->setHealthy(Healthy && !Seen.Leaving_);
+    Model->report(Seen);
+  }
+}
+
+void KeeperService::cacheEvicted(const CellId &Cell, const ServerName &Server,
+                                 std::span<const std::uint64_t> Blocks,
+                                 bool All) {
+  auto Found = Cells_.find(Cell);
+  if (Found == Cells_.end())
+    return;
+  ServerModel *Model = Found->second->Scheduler_.server(Server);
+  if (!Model)
+    return;
+  if (All)
+    Model->prefixes().clear();
+  std::ranges::for_each(
+      Blocks, [Model](std::uint64_t Block) { Model->prefixes().erase(Block); });
+}
+
+std::vector<CellId> KeeperService::cells() const {
+  std::vector<CellId> Ids;
+  std::ranges::copy(Cells_ | std::views::keys, std::back_inserter(Ids));
+  return Ids;
+}
+
+const Scheduler *KeeperService::scheduler(const CellId &Cell) const {
+  auto Found = Cells_.find(Cell);
+  return Found == Cells_.end() ? nullptr : &Found->second->Scheduler_;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/KeeperService.h
@@ -0,0 +1,102 @@
+#pragma once
+/// \file
+/// The cells that this daemon keeps: a scheduler each, fed by the asks of all
+/// entries. State is soft: a new keeper gets it again from the entries. Runs
+/// on the control thread.
+
+#include "Process/Cell.h"
+#include "Process/MembershipService.h"
+#include "Process/Scheduler.h"
+#include "Version/DocumentStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace samphireshunt {
+
+/// A running request whose entry died.
+struct OrphanedRequest {
+  CellId Cell_;
+  RunningRequest Request_;
+};
+
+class KeeperService {
+public:
+  struct Options {
+    /// How long a new keeper listens before it grants: entries tell it what
+    /// runs, so that engines are not filled twice.
+    std::chrono::milliseconds WarmUp_{300};
+    std::chrono::milliseconds Tick_{10};
+    /// How long the running requests of an entry whose link broke are kept.
+    std::chrono::milliseconds EntryGrace_{3000};
+    Scheduler::Options Scheduling_;
+  };
+  struct Hooks {
+    std::function<void(const CellId &, const Decision &)> Decided_;
+    std::function<void(const OrphanedRequest &)> Orphaned_;
+    std::function<bool()> AloneInFleet_;
+    /// True when this daemon should keep the cell.
+    std::function<bool(const CellId &)> IsKeeper_;
+    std::function<double()> LiveShare_;
+    /// A cell of a pool raised its floor: others must hear of it.
+    std::function<void()> FloorRaised_;
+  };
+
+  KeeperService(boost::asio::io_context &Control, DocumentStore &Documents,
+                Options Settings, Hooks Reactions);
+
+  void ask(const CellId &Cell, AskedRequest Request);
+  void withdraw(const CellId &Cell, const RequestId &Id);
+  void running(const CellId &Cell, RunningRequest Request);
+  void firstToken(const CellId &Cell, const RequestId &Id,
+                  const FirstTokenSample &Seen);
+  void done(const CellId &Cell, const RequestId &Id, const ServedSample &Seen);
+  /// A grant was not used, and the entry no longer knows its cell.
+  void handBack(const RequestId &Id);
+  /// The link of an entry broke: it will ask again, here or elsewhere.
+  void entryGone(const VmId &Entry);
+  void entryBack(const VmId &Entry) { GoneEntries_.erase(Entry); }
+  /// The entry is dead: its running requests are orphans.
+  void entryDead(const VmId &Entry);
+  /// Documents or members changed: starts and drops cells.
+  void refresh();
+  void stop() { Timer_.cancel(); }
+
+  std::vector<PoolFloor> floors() const;
+  void floorSeen(const PoolFloor &Floor);
+  void engineReport(const CellId &Cell, const ServerName &Server, bool Healthy,
+                    const LoadReport &Seen);
+  /// Blocks that an engine evicted or, with \p All, its whole cache.
+  void cacheEvicted(const CellId &Cell, const ServerName &Server,
+                    std::span<const std::uint64_t> Blocks, bool All);
+  std::vector<CellId> cells() const;
+  const Scheduler *scheduler(const CellId &Cell) const;
+
+private:
+  struct KeptCell {
+    Scheduler Scheduler_;
+    TimePoint Since_;
+    TimePoint LastUsed_;
+  };
+
+  KeptCell &kept(const CellId &Cell);
+  void configure(const CellId &Cell, KeptCell &Target);
+  void decide(const CellId &Cell, KeptCell &Target);
+  void deliver(const CellId &Cell, const std::vector<Decision> &Decisions);
+  void schedule();
+  void onTick();
+
+  DocumentStore &Documents_;
+  Options Options_;
+  Hooks Hooks_;
+  std::map<CellId, std::unique_ptr<KeptCell>> Cells_;
+  std::map<VmId, TimePoint> GoneEntries_;
+  std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
+  boost::asio::steady_timer Timer_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/MemberTable.h
@@ -0,0 +1,101 @@
+#pragma once
+/// \file
+/// The daemons that this daemon knows, by the rules of SWIM: probes, suspicion
+/// and refutation, with updates piggybacked on the probes. Pure: no sockets,
+/// and the time is an argument.
+
+#include "Common/Ids.h"
+
+#include <pcg_random.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace samphireshunt {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// In rising order of precedence at an equal incarnation and counter.
+enum class MemberStatus : std::uint8_t { Alive, Leaving, Suspect, Dead };
+
+struct Member {
+  VmId Id_;
+  Incarnation Incarnation_;
+  /// Raised by the member itself to refute a suspicion or to change status.
+  std::uint32_t Counter_ = 0;
+  MemberStatus Status_ = MemberStatus::Alive;
+  std::string Address_;         ///< For peers.
+  std::string OperatorAddress_; ///< For operators.
+  DataCenterName DataCenter_;
+
+  bool operator==(const Member &) const = default;
+};
+
+class MemberTable {
+public:
+  struct Options {
+    std::chrono::milliseconds SuspectTime_{1500};
+    /// How long a dead member counts as one that may be cut off rather than
+    /// gone, when the platform does not tell.
+    std::chrono::milliseconds DeadRetention_{60000};
+    std::uint64_t Seed_ = 1;
+  };
+  using ChangedHook = std::function<void(const Member &)>;
+
+  MemberTable(Member Self, Options Settings);
+
+  const Member &self() const { return Self_; }
+  /// Marks this daemon as leaving, with a higher counter.
+  void leave();
+  /// Takes in what another daemon says. \returns true when it was news.
+  bool merge(const Member &Update, TimePoint Now);
+  /// The member gave no sign of life.
+  void suspect(const VmId &Id, TimePoint Now);
+  /// Ends suspicions that were not refuted, and forgets the long dead.
+  void tick(TimePoint Now);
+  /// Forgets a dead member: the platform says that its VM is gone.
+  void forgetDead(const std::function<bool(const VmId &)> &IsListed);
+
+  /// The next member to probe, each once in a random round.
+  std::optional<Member> nextProbe();
+  /// Up to \p Count members other than \p Excluded, at random.
+  std::vector<Member> randomMembers(std::size_t Count, const VmId &Excluded);
+  /// Updates for the next message, the least often sent first.
+  std::vector<Member> piggyback(std::size_t Count);
+
+  std::optional<Member> find(const VmId &Id) const;
+  /// Every known member but this one.
+  std::vector<Member> others() const;
+  /// Members that may keep cells: alive or suspect, and this daemon unless it
+  /// is leaving.
+  std::vector<Member> keepers() const;
+  /// Live members by all known ones (dead ones that are still listed count):
+  /// the share of the fleet that this daemon can speak for.
+  double liveShare() const;
+  /// Called after each change of another member.
+  void onChanged(ChangedHook Hook) { Changed_ = std::move(Hook); }
+
+private:
+  struct Entry {
+    Member Member_;
+    TimePoint Since_;
+    std::uint32_t Sent_ = 0;
+  };
+  void refute(const Member &Update);
+  void change(Entry &Target, const Member &Update, TimePoint Now);
+  std::uint32_t maxTransmissions() const;
+
+  Member Self_;
+  std::uint32_t SelfSent_ = 0;
+  Options Options_;
+  std::map<VmId, Entry> Members_;
+  std::vector<VmId> ProbeRound_;
+  pcg32 Random_;
+  ChangedHook Changed_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/PeerNetwork.cpp
@@ -0,0 +1,200 @@
+#include "Process/PeerNetwork.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+constexpr std::chrono::milliseconds ConnectTimeout{500};
+} // namespace
+
+Result<std::unique_ptr<PeerNetwork>>
+PeerNetwork::create(asio::io_context &Control, Endpoint Address, VmId Self,
+                    Hooks Reactions) {
+  error_code Error;
+  Tcp::acceptor Acceptor(Control);
+  Acceptor.open(Address.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return Failure{ResultCode::BadSetting, "can't listen on " +
+                                               formatEndpoint(Address) + ": " +
+                                               Error.message()};
+  return std::unique_ptr<PeerNetwork>(new PeerNetwork(
+      Control, std::move(Acceptor), std::move(Self), std::move(Reactions)));
+}
+
+PeerNetwork::PeerNetwork(asio::io_context &Control, Tcp::acceptor Acceptor,
+                         VmId Self, Hooks Reactions)
+    : Control_(Control), Acceptor_(std::move(Acceptor)), Self_(std::move(Self)),
+      Hooks_(std::move(Reactions)) {
+  acceptNext();
+}
+
+void PeerNetwork::acceptNext() {
+  Acceptor_.async_accept([this](const error_code &Error, Tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted || !Acceptor_.is_open())
+      return;
+    if (!Error)
+      startInbound(std::move(Socket));
+    acceptNext();
+  });
+}
+
+void PeerNetwork::startInbound(Tcp::socket Socket) {
+  auto Self = std::make_shared<std::weak_ptr<FrameChannel>>();
+  FrameChannel::Hooks Reactions;
+  Reactions.Received_ = [this, Self](wire::EnvelopeT Message) {
+    if (auto Channel = Self->lock())
+      onInbound(Channel, std::move(Message));
+  };
+  Reactions.Closed_ = [this, Self] {
+    if (auto Channel = Self->lock())
+      dropInbound(Channel.get());
+  };
+  auto Channel = FrameChannel::create(std::move(Socket), std::move(Reactions),
+                                      FrameChannel::Timing());
+  *Self = Channel;
+  Unnamed_[Channel.get()] = Channel;
+}
+
+void PeerNetwork::onInbound(const std::shared_ptr<FrameChannel> &Channel,
+                            wire::EnvelopeT Message) {
+  if (const auto *Hello = Message.body.AsHello()) {
+    VmId From(Hello->vm);
+    Unnamed_.erase(Channel.get());
+    auto &Present = Inbound_[From];
+    if (Present && Present != Channel)
+      Present->close();
+    Present = Channel;
+    return;
+  }
+  auto Found = std::ranges::find_if(
+      Inbound_, [&](const auto &Item) { return Item.second == Channel; });
+  if (Found != Inbound_.end())
+    Hooks_.Asked_(VmId(Found->first), std::move(Message));
+}
+
+void PeerNetwork::dropInbound(const FrameChannel *Channel) {
+  Unnamed_.erase(Channel);
+  auto Found = std::ranges::find_if(
+      Inbound_, [&](const auto &Item) { return Item.second.get() == Channel; });
+  if (Found == Inbound_.end())
+    return;
+  VmId From = Found->first;
+  BytesOfClosed_ += Found->second->bytesSent();
+  Inbound_.erase(Found);
+  Hooks_.AskerGone_(From);
+}
+
+void PeerNetwork::send(const VmId &To, std::string Message) {
+  Link &Target = Links_[To];
+  if (Target.Channel_) {
+    Target.Channel_->send(std::move(Message));
+    return;
+  }
+  bool Opening = !Target.Queued_.empty();
+  Target.Queued_.push_back(std::move(Message));
+  if (!Opening)
+    open(To);
+}
+
+void PeerNetwork::open(const VmId &To) {
+  auto Text = Hooks_.AddressOf_(To);
+  auto Address = Text ? parseEndpoint(*Text) : Result<Endpoint>(Failure());
+  if (!Address) {
+    // Not at once: the sender may be in the middle of changing its tables.
+    asio::post(Control_, [this, To] { linkDown(To); });
+    return;
+  }
+  auto Connect = [this, To, Target = *Address]() {
+    return connect(To, Target);
+  };
+  asio::co_spawn(Control_, std::move(Connect), asio::detached);
+}
+
+Awaitable<void> PeerNetwork::connect(VmId To, Endpoint Address) {
+  Tcp::socket Socket(Control_);
+  asio::steady_timer Limit(Control_, ConnectTimeout);
+  Limit.async_wait([&Socket](const error_code &Error) {
+    error_code Ignored;
+    if (!Error)
+      Socket.close(Ignored);
+  });
+  auto [Error] = co_await Socket.async_connect(
+      Address, asio::as_tuple(asio::use_awaitable));
+  bool InTime = Limit.cancel() > 0 && Socket.is_open();
+  if (Error || !InTime) {
+    linkDown(To);
+    co_return;
+  }
+  FrameChannel::Hooks Reactions;
+  Reactions.Received_ = [this, To](wire::EnvelopeT Message) {
+    Hooks_.Answered_(To, std::move(Message));
+  };
+  Reactions.Closed_ = [this, To] { linkDown(To); };
+  Reactions.Awaiting_ = [this, To] { return Hooks_.Awaiting_(To); };
+  Link &Target = Links_[To];
+  Target.Channel_ = FrameChannel::create(
+      std::move(Socket), std::move(Reactions), FrameChannel::Timing());
+  wire::HelloT Hello;
+  Hello.vm = Self_.str();
+  Target.Channel_->send(encodeMessage(std::move(Hello)));
+  for (std::string &Message : Target.Queued_)
+    Target.Channel_->send(std::move(Message));
+  Target.Queued_.clear();
+}
+
+void PeerNetwork::linkDown(const VmId &To) {
+  auto Found = Links_.find(To);
+  if (Found == Links_.end())
+    return;
+  if (Found->second.Channel_)
+    BytesOfClosed_ += Found->second.Channel_->bytesSent();
+  Links_.erase(Found);
+  Hooks_.LinkDown_(To);
+}
+
+void PeerNetwork::reply(const VmId &To, std::string Message) {
+  auto Found = Inbound_.find(To);
+  if (Found != Inbound_.end())
+    Found->second->send(std::move(Message));
+}
+
+void PeerNetwork::stop() {
+  error_code Ignored;
+  Acceptor_.close(Ignored);
+  for (auto &[Id, Target] : Links_)
+    if (Target.Channel_)
+      Target.Channel_->close();
+  for (auto &[Id, Channel] : Inbound_)
+    Channel->close();
+  for (auto &[Raw, Channel] : Unnamed_)
+    Channel->close();
+  Links_.clear();
+  Inbound_.clear();
+  Unnamed_.clear();
+}
+
+std::uint64_t PeerNetwork::bytesSent() const {
+  std::uint64_t Sum = BytesOfClosed_;
+  for (const auto &[Id, Target] : Links_)
+    Sum += Target.Channel_ ? Target.Channel_->bytesSent() : 0;
+  for (const auto &[Id, Channel] : Inbound_)
+    Sum += Channel->bytesSent();
+  return Sum;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/PrefixIndex.cpp
@@ -0,0 +1,69 @@
+#include "Process/PrefixIndex.h"
+
+#include "Common/Hash.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace samphireshunt {
+
+namespace {
+constexpr std::int64_t BytesPerToken = 4;
+constexpr std::size_t BlockBytes = BlockTokens * BytesPerToken;
+} // namespace
+
+std::vector<std::uint64_t> prefixHashes(std::string_view Prompt) {
+  std::vector<std::uint64_t> Hashes;
+  std::uint64_t Before = 0;
+  while (Prompt.size() >= BlockBytes) {
+    Before = stableHash(Prompt.substr(0, BlockBytes), Before);
+    Hashes.push_back(Before);
+    Prompt.remove_prefix(BlockBytes);
+  }
+  return Hashes;
+}
+
+Tokens estimateTokens(std::string_view Prompt) {
+  auto Bytes = static_cast<std::int64_t>(Prompt.size());
+  return Tokens((Bytes + BytesPerToken - 1) / BytesPerToken);
+}
+
+void PrefixIndex::insert(std::span<const std::uint64_t> Prefix) {
+  // The last block goes in first, so that the first one, which every longer
+  // prefix needs, is the last of them to be evicted.
+  for (std::uint64_t Block : Prefix | std::views::reverse) {
+    auto Found = ByHash_.find(Block);
+    if (Found != ByHash_.end()) {
+      LeastRecent_.splice(LeastRecent_.end(), LeastRecent_, Found->second);
+      continue;
+    }
+    LeastRecent_.push_back(Block);
+    ByHash_[Block] = std::prev(LeastRecent_.end());
+  }
+  while (ByHash_.size() > MaxBlocks_) {
+    ByHash_.erase(LeastRecent_.front());
+    LeastRecent_.pop_front();
+  }
+}
+
+void PrefixIndex::erase(std::uint64_t Block) {
+  auto Found = ByHash_.find(Block);
+  if (Found == ByHash_.end())
+    return;
+  LeastRecent_.erase(Found->second);
+  ByHash_.erase(Found);
+}
+
+void PrefixIndex::clear() {
+  ByHash_.clear();
+  LeastRecent_.clear();
+}
+
+std::size_t
+PrefixIndex::cachedBlocks(std::span<const std::uint64_t> Prefix) const {
+  auto FirstMissing = std::ranges::find_if(
+      Prefix, [this](std::uint64_t Block) { return !ByHash_.contains(Block); });
+  return static_cast<std::size_t>(FirstMissing - Prefix.begin());
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/PrefixIndex.h
@@ -0,0 +1,44 @@
+#pragma once
+/// \file
+/// Which blocks of prompts an engine has likely cached, from what was sent to
+/// it and from its cache events. A wrong entry only costs time.
+
+#include "Common/Ids.h"
+
+#include <cstdint>
+#include <list>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace samphireshunt {
+
+/// Tokens in one block of a prompt.
+inline constexpr std::int64_t BlockTokens = 64;
+
+/// The hash of each whole block of the prompt, each over all text before its
+/// end: equal hashes mean equal prefixes.
+std::vector<std::uint64_t> prefixHashes(std::string_view Prompt);
+/// A prompt's length in tokens, as far as that can be told without the
+/// model's tokenizer: four bytes to a token.
+Tokens estimateTokens(std::string_view Prompt);
+
+class PrefixIndex {
+public:
+  explicit PrefixIndex(std::size_t MaxBlocks = 4096) : MaxBlocks_(MaxBlocks) {}
+
+  void insert(std::span<const std::uint64_t> Prefix);
+  void erase(std::uint64_t Block);
+  void clear();
+  /// How many leading blocks of \p Prefix are cached.
+  std::size_t cachedBlocks(std::span<const std::uint64_t> Prefix) const;
+  std::size_t size() const { return ByHash_.size(); }
+
+private:
+  std::size_t MaxBlocks_;
+  std::list<std::uint64_t> LeastRecent_; ///< Front is the oldest.
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> ByHash_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Scheduler.cpp
@@ -0,0 +1,461 @@
+#include "Process/Scheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <ranges>
+
+namespace samphireshunt {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr milliseconds MinRetryAfter{500};
+constexpr milliseconds MaxRetryAfter{30000};
+
+/// What a request costs its customer in the share of its tier.
+double tokenCost(const AskedRequest &Request) {
+  auto Cost = (Request.Prompt_ + Request.Answer_).count();
+  return static_cast<double>(std::max<std::int64_t>(1, Cost));
+}
+
+} // namespace
+
+Scheduler::Scheduler(Options Settings)
+    : Options_(Settings), Tiers_(std::max(1U, Settings.TierCount_)),
+      Random_(Settings.Seed_) {}
+
+void Scheduler::configure(std::vector<ServerCapacity> Servers,
+                          std::map<CustomerName, CustomerShare> Customers,
+                          std::uint32_t TierCount, std::size_t MaxWaiting) {
+  std::map<ServerName, ServerModel> Next;
+  for (const ServerCapacity &Capacity : Servers) {
+    auto Known = Servers_.find(Capacity.Name_);
+    auto Model = Known == Servers_.end() ? ServerModel(Capacity)
+                                         : std::move(Known->second);
+    Model.configure(Capacity);
+    Next.emplace(Capacity.Name_, std::move(Model));
+  }
+  Servers_ = std::move(Next);
+  Shares_ = std::move(Customers);
+  Options_.MaxWaiting_ = MaxWaiting;
+  // Requests that wait in a tier that the document no longer has keep their
+  // queue until they are served or expire.
+  if (TierCount > Tiers_.size())
+    Tiers_.resize(TierCount);
+}
+
+std::size_t Scheduler::queueIndex(TierIndex Tier) const {
+  if (!Options_.StrictTiers_)
+    return 0;
+  return std::min<std::size_t>(Tier.count(), Tiers_.size() - 1);
+}
+
+double Scheduler::weightOf(const CustomerName &Customer) const {
+  auto Found = Shares_.find(Customer);
+  return Found == Shares_.end() ? 1.0 : Found->second.Weight_;
+}
+
+void Scheduler::enqueue(WaitingRequest Request) {
+  const AskedRequest &Asked = Request.Asked_;
+  TierQueue &Tier = Tiers_[queueIndex(Asked.Tier_)];
+  CustomerName Name =
+      Options_.FairCustomers_ ? Asked.Customer_ : CustomerName();
+  CustomerQueue &Queue = Tier.Customers_[Name];
+  if (Queue.Requests_.empty()) {
+    // A customer that was away has no claim to what it did not use.
+    if (!Tier.Active_.empty())
+      Queue.ServedTokens_ =
+          std::max(Queue.ServedTokens_, Tier.Active_.begin()->first);
+    Tier.Active_.emplace(Queue.ServedTokens_, Name);
+  }
+  Queue.Requests_.emplace(Asked.Deadline_, Request.Arrival_, Asked.Id_);
+  ++Tier.Count_;
+  ByLatestStart_.emplace(Request.LatestStart_, Asked.Id_);
+  RequestId Id = Asked.Id_;
+  Waiting_.emplace(Id, std::move(Request));
+}
+
+Scheduler::WaitingRequest Scheduler::dequeue(const RequestId &Id) {
+  auto Node = Waiting_.extract(Id);
+  WaitingRequest Request = std::move(Node.mapped());
+  const AskedRequest &Asked = Request.Asked_;
+  TierQueue &Tier = Tiers_[queueIndex(Asked.Tier_)];
+  CustomerName Name =
+      Options_.FairCustomers_ ? Asked.Customer_ : CustomerName();
+  CustomerQueue &Queue = Tier.Customers_[Name];
+  Queue.Requests_.erase({Asked.Deadline_, Request.Arrival_, Id});
+  --Tier.Count_;
+  if (Queue.Requests_.empty())
+    Tier.Active_.erase({Queue.ServedTokens_, Name});
+  ByLatestStart_.erase({Request.LatestStart_, Id});
+  return Request;
+}
+
+std::vector<Decision> Scheduler::ask(AskedRequest Request, TimePoint Now) {
+  std::vector<Decision> Out;
+  // The same request comes again when its link was replaced: the first ask
+  // still stands, or was granted and the grant was lost with the link.
+  if (Waiting_.contains(Request.Id_))
+    return Out;
+  if (auto Known = Running_.find(Request.Id_); Known != Running_.end())
+    endRunning(Known);
+  bool AnyServer = std::ranges::any_of(
+      Servers_, [](const auto &Item) { return Item.second.usable(); });
+  if (!AnyServer) {
+    Out.push_back(refusal(Request, ResultCode::NoBackendServer));
+    return Out;
+  }
+  auto Lowest = floor(Now);
+  if (Options_.StrictTiers_ && Lowest && Request.Tier_ > *Lowest) {
+    Out.push_back(refusal(Request, ResultCode::ShedForHigherTier));
+    return Out;
+  }
+  nanoseconds Service =
+      Options_.RefuseInfeasible_ ? bestServiceTime(Request) : nanoseconds(0);
+  if (Now + Service >= Request.Deadline_) {
+    // Even an idle engine could not do it: no sign of overload, no floor.
+    Out.push_back(refusal(Request, ResultCode::CannotFinishInTime));
+    return Out;
+  }
+  if (Waiting_.size() >= Options_.MaxWaiting_ &&
+      !makeRoom(Request.Tier_, Out)) {
+    noteShed(Request.Tier_, Now, Out);
+    Out.push_back(refusal(Request, ResultCode::QueueFull));
+    return Out;
+  }
+  WaitingRequest Waiting;
+  Waiting.Arrival_ = NextArrival_++;
+  Waiting.LatestStart_ =
+      Request.Deadline_ - duration_cast<TimePoint::duration>(Service);
+  Waiting.Asked_ = std::move(Request);
+  enqueue(std::move(Waiting));
+  return Out;
+}
+
+RefuseDecision Scheduler::refusal(const AskedRequest &Request,
+                                  ResultCode Code) {
+  return {Request.Id_, Code, retryAfter(Request.Tier_), Request.Entry_};
+}
+
+/// The work that goes first divided by the rate at which work ends, with
+/// jitter: callers who are refused together must not come back together.
+milliseconds Scheduler::retryAfter(TierIndex Tier) {
+  std::size_t Before = 0;
+  for (const TierQueue &Queue : Tiers_ | std::views::take(Tier.count() + 1))
+    Before += Queue.Count_;
+  double Rate = std::max(EndsPerSecond_, 1.0);
+  double Millis = 1000.0 * static_cast<double>(Before) / Rate;
+  Millis = std::clamp(Millis, static_cast<double>(MinRetryAfter.count()),
+                      static_cast<double>(MaxRetryAfter.count()));
+  constexpr double JitterSteps = 1000;
+  double Jitter =
+      Random_(static_cast<std::uint32_t>(JitterSteps)) / JitterSteps;
+  return milliseconds(static_cast<std::int64_t>(Millis * (1.0 + Jitter)));
+}
+
+/// The waiting request to shed first for one of \p Above: of the lowest tier,
+/// of the customer that was served most, the latest deadline.
+std::optional<RequestId> Scheduler::lowestWaiting(TierIndex Above) const {
+  std::size_t First = queueIndex(Above) + 1;
+  if (!Options_.StrictTiers_ || First >= Tiers_.size())
+    return std::nullopt;
+  auto Lower = std::span(Tiers_).subspan(First);
+  for (const TierQueue &Tier : Lower | std::views::reverse) {
+    if (Tier.Active_.empty())
+      continue;
+    const CustomerName &Name = Tier.Active_.rbegin()->second;
+    const CustomerQueue &Queue = Tier.Customers_.at(Name);
+    return std::get<RequestId>(*Queue.Requests_.rbegin());
+  }
+  return std::nullopt;
+}
+
+bool Scheduler::makeRoom(TierIndex Tier, std::vector<Decision> &Out) {
+  auto Victim = lowestWaiting(Tier);
+  if (!Victim)
+    return false;
+  WaitingRequest Shed = dequeue(*Victim);
+  Out.push_back(refusal(Shed.Asked_, ResultCode::ShedForHigherTier));
+  return true;
+}
+
+void Scheduler::withdraw(const RequestId &Id) {
+  if (Waiting_.contains(Id)) {
+    dequeue(Id);
+    return;
+  }
+  if (auto Found = Running_.find(Id); Found != Running_.end())
+    endRunning(Found);
+}
+
+void Scheduler::addRunning(const RunningRequest &Request) {
+  if (Waiting_.contains(Request.Id_))
+    dequeue(Request.Id_);
+  if (!Running_.try_emplace(Request.Id_, Request).second)
+    return;
+  ++RunningByCustomer_[Request.Customer_];
+  if (ServerModel *Server = server(Request.Server_))
+    Server->start(Request.Id_, Tokens(0), {});
+}
+
+Scheduler::RunningMap::iterator
+Scheduler::endRunning(RunningMap::iterator Item) {
+  const RunningRequest &Request = Item->second;
+  if (ServerModel *Server = server(Request.Server_))
+    Server->end(Request.Id_);
+  auto Count = RunningByCustomer_.find(Request.Customer_);
+  if (Count != RunningByCustomer_.end() && --Count->second == 0)
+    RunningByCustomer_.erase(Count);
+  Cancelled_.erase(Request.Id_);
+  return Running_.erase(Item);
+}
+
+void Scheduler::done(const RequestId &Id, const ServedSample &Seen,
+                     TimePoint Now) {
+  auto Found = Running_.find(Id);
+  if (Found == Running_.end())
+    return;
+  if (ServerModel *Server = server(Found->second.Server_))
+    Server->learn(Seen);
+  endRunning(Found);
+  if (!Seen.Complete_)
+    return;
+  std::chrono::duration<double> Gap = Now - LastEnd_;
+  LastEnd_ = Now;
+  constexpr double Smoothing = 0.05;
+  double Rate = 1.0 / std::max(Gap.count(), 1e-4);
+  EndsPerSecond_ += Smoothing * (Rate - EndsPerSecond_);
+}
+
+void Scheduler::firstToken(const RequestId &Id, const FirstTokenSample &Seen) {
+  auto Found = Running_.find(Id);
+  if (Found == Running_.end())
+    return;
+  if (ServerModel *Server = server(Found->second.Server_))
+    Server->firstToken(Id, Seen);
+}
+
+std::vector<RunningRequest> Scheduler::removeEntry(const VmId &Entry) {
+  std::vector<RequestId> Dropped;
+  for (const auto &[Id, Request] : Waiting_)
+    if (Request.Asked_.Entry_ == Entry)
+      Dropped.push_back(Id);
+  std::ranges::for_each(Dropped, [this](RequestId Id) { dequeue(Id); });
+  std::vector<RunningRequest> Orphans;
+  for (auto Item = Running_.begin(); Item != Running_.end();) {
+    if (Item->second.Entry_ != Entry) {
+      ++Item;
+      continue;
+    }
+    Orphans.push_back(Item->second);
+    Item = endRunning(Item);
+  }
+  return Orphans;
+}
+
+std::optional<TierIndex> Scheduler::floor(TimePoint Now) const {
+  return Now < FloorUntil_ ? Floor_ : std::nullopt;
+}
+
+std::vector<Decision> Scheduler::raiseFloor(TierIndex Tier, TimePoint Until,
+                                            TimePoint Now) {
+  std::vector<Decision> Out;
+  auto Present = floor(Now);
+  if (!Present || Tier < *Present)
+    Floor_ = Tier;
+  FloorUntil_ = std::max(FloorUntil_, Until);
+  shedBelow(Tier, Out);
+  return Out;
+}
+
+void Scheduler::shedBelow(TierIndex Tier, std::vector<Decision> &Out) {
+  while (makeRoom(Tier, Out)) {
+  }
+}
+
+/// A request of \p Tier is about to be shed for lack of capacity: from now on
+/// no lower one may be served, or a higher tier would be shed while a lower
+/// one still is. Those that wait are shed with it; those that run are
+/// cancelled, unless they must not run again.
+void Scheduler::noteShed(TierIndex Tier, TimePoint Now,
+                         std::vector<Decision> &Out) {
+  if (!Options_.StrictTiers_)
+    return;
+  auto More = raiseFloor(Tier, Now + Options_.FloorHold_, Now);
+  std::ranges::move(More, std::back_inserter(Out));
+  while (Options_.Preempt_ && preemptFor(Tier, Out)) {
+  }
+}
+
+bool Scheduler::hasPreemptible(TierIndex Above) const {
+  return std::ranges::any_of(Running_, [&](const auto &Item) {
+    const RunningRequest &Request = Item.second;
+    return Request.Tier_ > Above && !Request.NonIdempotent_ &&
+           !Cancelled_.contains(Request.Id_);
+  });
+}
+
+/// Cancels one running request of the lowest tier below \p Tier: the one
+/// whose prompt is the shortest, since its prefill is what is lost.
+bool Scheduler::preemptFor(TierIndex Tier, std::vector<Decision> &Out) {
+  const RunningRequest *Victim = nullptr;
+  auto Order = [](const RunningRequest &Request) {
+    constexpr auto Lowest = std::numeric_limits<std::uint32_t>::max();
+    return std::tuple(Lowest - Request.Tier_.count(), Request.Prompt_,
+                      Request.Id_);
+  };
+  for (const auto &[Id, Request] : Running_) {
+    if (Request.Tier_ <= Tier || Request.NonIdempotent_ ||
+        Cancelled_.contains(Id))
+      continue;
+    if (!Victim || Order(Request) < Order(*Victim))
+      Victim = &Request;
+  }
+  if (!Victim)
+    return false;
+  Cancelled_.insert(Victim->Id_);
+  Out.push_back(CancelDecision{Victim->Id_, Victim->Server_, Victim->Entry_});
+  return true;
+}
+
+void Scheduler::expire(TimePoint Now, std::vector<Decision> &Out) {
+  while (!ByLatestStart_.empty() && ByLatestStart_.begin()->first <= Now) {
+    RequestId Id = ByLatestStart_.begin()->second;
+    WaitingRequest Expired = dequeue(Id);
+    noteShed(Expired.Asked_.Tier_, Now, Out);
+    Out.push_back(refusal(Expired.Asked_, ResultCode::DeadlineInQueue));
+  }
+}
+
+void Scheduler::preemptUrgent(TimePoint Now, std::vector<Decision> &Out) {
+  if (!Options_.Preempt_ || !Options_.StrictTiers_)
+    return;
+  for (const auto &[LatestStart, Id] : ByLatestStart_) {
+    if (LatestStart - Options_.PreemptMargin_ > Now)
+      break;
+    WaitingRequest &Urgent = Waiting_.at(Id);
+    if (!Urgent.Preempting_ && !atCeiling(Urgent.Asked_.Customer_))
+      Urgent.Preempting_ = preemptFor(Urgent.Asked_.Tier_, Out);
+  }
+}
+
+bool Scheduler::atCeiling(const CustomerName &Customer) const {
+  auto Share = Shares_.find(Customer);
+  if (Share == Shares_.end() || Share->second.MaxInFlight_ == 0)
+    return false;
+  auto Count = RunningByCustomer_.find(Customer);
+  return Count != RunningByCustomer_.end() &&
+         Count->second >= Share->second.MaxInFlight_;
+}
+
+bool Scheduler::anySpare() const {
+  return std::ranges::any_of(Servers_, [this](const auto &Item) {
+    return Item.second.hasRoom(Share_);
+  });
+}
+
+ServerModel *Scheduler::choose(const AskedRequest &Request) {
+  ServerModel *Best = nullptr;
+  auto BestScore = std::tuple(nanoseconds::max(), 0U);
+  for (auto &[Name, Server] : Servers_) {
+    bool Excluded = std::ranges::count(Request.Excluded_, Name) > 0;
+    if (Excluded || !Server.hasRoom(Share_))
+      continue;
+    auto Score =
+        std::tuple(Server.expectedFirstToken(Request.Prompt_, Request.Prefix_) +
+                       Server.betweenTokens() * Request.Answer_.count(),
+                   Server.inFlight());
+    if (Best && Score >= BestScore)
+      continue;
+    Best = &Server;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+nanoseconds Scheduler::bestServiceTime(const AskedRequest &Request) const {
+  nanoseconds Best = nanoseconds::max();
+  for (const auto &[Name, Server] : Servers_) {
+    if (!Server.usable())
+      continue;
+    // An answer may end long before the most that it may have, so only its
+    // first token is certain to be needed.
+    Best = std::min(
+        Best, Server.idleService(Request.Prompt_, Tokens(1), Request.Prefix_));
+  }
+  return Best == nanoseconds::max() ? nanoseconds(0) : Best;
+}
+
+void Scheduler::serve(const WaitingRequest &Request, ServerModel &Server,
+                      std::vector<Decision> &Out) {
+  const AskedRequest &Asked = Request.Asked_;
+  const ServerName &Name = Server.capacity().Name_;
+  Server.start(Asked.Id_, Asked.Prompt_, Asked.Prefix_);
+  ++RunningByCustomer_[Asked.Customer_];
+  Running_[Asked.Id_] = {
+      Asked.Id_,     Asked.Tier_,   Asked.Customer_,      Name,
+      Asked.Prompt_, Asked.Answer_, Asked.NonIdempotent_, Asked.Entry_};
+  Out.push_back(GrantDecision{Asked.Id_, Name, Asked.Entry_});
+}
+
+bool Scheduler::grantFromTier(TierQueue &Tier, std::vector<Decision> &Out) {
+  for (const auto &[Served, Name] : Tier.Active_) {
+    CustomerQueue &Queue = Tier.Customers_.at(Name);
+    RequestId Id = std::get<RequestId>(*Queue.Requests_.begin());
+    const AskedRequest &Next = Waiting_.at(Id).Asked_;
+    if (atCeiling(Next.Customer_))
+      continue;
+    ServerModel *Server = choose(Next);
+    if (!Server)
+      continue;
+    CustomerName Customer = Name;
+    double Cost = tokenCost(Next) / weightOf(Next.Customer_);
+    WaitingRequest Granted = dequeue(Id);
+    bool StillActive = !Queue.Requests_.empty();
+    if (StillActive)
+      Tier.Active_.erase({Queue.ServedTokens_, Customer});
+    Queue.ServedTokens_ += Cost;
+    if (StillActive)
+      Tier.Active_.emplace(Queue.ServedTokens_, Customer);
+    serve(Granted, *Server, Out);
+    return true;
+  }
+  return false;
+}
+
+void Scheduler::grant(TimePoint Now, std::vector<Decision> &Out) {
+  if (Now < WarmUntil_)
+    return;
+  for (TierQueue &Tier : Tiers_) {
+    while (!Tier.Active_.empty() && anySpare() && grantFromTier(Tier, Out)) {
+    }
+    if (!anySpare())
+      return;
+  }
+}
+
+std::vector<Decision> Scheduler::decide(TimePoint Now) {
+  std::vector<Decision> Out;
+  grant(Now, Out);
+  preemptUrgent(Now, Out);
+  expire(Now, Out);
+  return Out;
+}
+
+std::optional<RunningRequest>
+Scheduler::findRunning(const RequestId &Id) const {
+  auto Found = Running_.find(Id);
+  if (Found == Running_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+ServerModel *Scheduler::server(const ServerName &Name) {
+  auto Found = Servers_.find(Name);
+  return Found == Servers_.end() ? nullptr : &Found->second;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Scheduler.h
@@ -0,0 +1,197 @@
+#pragma once
+/// \file
+/// The decisions of a cell's keeper: which waiting request gets which engine,
+/// and which is given up. Pure: no sockets, and the time is an argument.
+///
+/// Order: strictly by tier; within a tier the customer with the least served
+/// tokens for its weight; within a customer the earliest deadline.
+
+#include "Common/Ids.h"
+#include "Common/ResultCode.h"
+#include "Process/ServerModel.h"
+
+#include <pcg_random.hpp>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace samphireshunt {
+
+/// A request that waits for an engine of the cell.
+struct AskedRequest {
+  RequestId Id_;
+  TierIndex Tier_;
+  CustomerName Customer_;
+  TimePoint Deadline_;
+  Tokens Prompt_;
+  Tokens Answer_;                     ///< The most that may be generated.
+  std::vector<std::uint64_t> Prefix_; ///< Hashes of the prompt's blocks.
+  bool NonIdempotent_ = false;
+  std::vector<ServerName> Excluded_;
+  VmId Entry_;
+};
+
+/// A request that runs on an engine of the cell.
+struct RunningRequest {
+  RequestId Id_;
+  TierIndex Tier_;
+  CustomerName Customer_;
+  ServerName Server_;
+  Tokens Prompt_;
+  Tokens Answer_;
+  bool NonIdempotent_ = false;
+  VmId Entry_;
+};
+
+struct GrantDecision {
+  RequestId Id_;
+  ServerName Server_;
+  VmId Entry_;
+  bool operator==(const GrantDecision &) const = default;
+};
+struct RefuseDecision {
+  RequestId Id_;
+  ResultCode Code_;
+  std::chrono::milliseconds RetryAfter_;
+  VmId Entry_;
+};
+struct CancelDecision {
+  RequestId Id_;
+  ServerName Server_;
+  VmId Entry_;
+  bool operator==(const CancelDecision &) const = default;
+};
+using Decision = std::variant<GrantDecision, RefuseDecision, CancelDecision>;
+
+/// What the scheduler needs to know of a customer.
+struct CustomerShare {
+  std::uint32_t Weight_ = 1;
+  std::uint32_t MaxInFlight_ = 0; ///< 0 is no ceiling.
+};
+
+class Scheduler {
+public:
+  struct Options {
+    std::uint32_t TierCount_ = 1;
+    std::size_t MaxWaiting_ = 1000;
+    /// How long lower tiers stay shut out after a higher one was shed.
+    std::chrono::milliseconds FloorHold_{2000};
+    /// How long before its latest start a request may take the engine of a
+    /// lower tier's running one.
+    std::chrono::milliseconds PreemptMargin_{250};
+    std::uint64_t Seed_ = 1;
+    // Decisions that a measurement may leave out.
+    bool StrictTiers_ = true;
+    bool FairCustomers_ = true;
+    bool RefuseInfeasible_ = true;
+    bool Preempt_ = true;
+  };
+
+  explicit Scheduler(Options Settings);
+
+  /// Replaces servers and customers. Running requests of a server that is
+  /// gone stay known until they end.
+  void configure(std::vector<ServerCapacity> Servers,
+                 std::map<CustomerName, CustomerShare> Customers,
+                 std::uint32_t TierCount, std::size_t MaxWaiting);
+  /// The part of each server's limit that this keeper may use, from 0 to 1.
+  void setShare(double Share) { Share_ = Share; }
+  /// Before this no grant is given: a new keeper first hears what runs.
+  void setWarmUntil(TimePoint Until) { WarmUntil_ = Until; }
+
+  /// Takes a request in, or refuses it at once.
+  std::vector<Decision> ask(AskedRequest Request, TimePoint Now);
+  /// The request waits no more, or runs under another keeper.
+  void withdraw(const RequestId &Id);
+  /// A request of an earlier keeper runs on this server.
+  void addRunning(const RunningRequest &Request);
+  /// A granted request ended; the model learns from \p Seen.
+  void done(const RequestId &Id, const ServedSample &Seen, TimePoint Now);
+  /// A granted request gave its first token.
+  void firstToken(const RequestId &Id, const FirstTokenSample &Seen);
+  /// A daemon died. \returns what it ran; its waiting requests are dropped.
+  std::vector<RunningRequest> removeEntry(const VmId &Entry);
+  /// Another keeper of the pool shed a request of \p Tier.
+  std::vector<Decision> raiseFloor(TierIndex Tier, TimePoint Until,
+                                   TimePoint Now);
+  /// What can be decided now: grants, refusals of what can no longer finish,
+  /// cancellations for higher tiers.
+  std::vector<Decision> decide(TimePoint Now);
+
+  /// The lowest tier that is admitted, while a floor holds.
+  std::optional<TierIndex> floor(TimePoint Now) const;
+  TimePoint floorUntil() const { return FloorUntil_; }
+  std::size_t waiting() const { return Waiting_.size(); }
+  std::size_t running() const { return Running_.size(); }
+  std::optional<RunningRequest> findRunning(const RequestId &Id) const;
+  ServerModel *server(const ServerName &Name);
+  const std::map<ServerName, ServerModel> &servers() const { return Servers_; }
+
+private:
+  using DeadlineKey = std::tuple<TimePoint, std::uint64_t, RequestId>;
+  struct WaitingRequest {
+    AskedRequest Asked_;
+    std::uint64_t Arrival_ = 0;
+    TimePoint LatestStart_;
+    bool Preempting_ = false;
+  };
+  struct CustomerQueue {
+    double ServedTokens_ = 0; ///< Divided by the customer's weight.
+    std::set<DeadlineKey> Requests_;
+  };
+  struct TierQueue {
+    std::map<CustomerName, CustomerQueue> Customers_;
+    std::set<std::pair<double, CustomerName>> Active_;
+    std::size_t Count_ = 0;
+  };
+  using RunningMap = std::unordered_map<RequestId, RunningRequest>;
+
+  void enqueue(WaitingRequest Request);
+  WaitingRequest dequeue(const RequestId &Id);
+  std::size_t queueIndex(TierIndex Tier) const;
+  RefuseDecision refusal(const AskedRequest &Request, ResultCode Code);
+  std::optional<RequestId> lowestWaiting(TierIndex Above) const;
+  bool makeRoom(TierIndex Tier, std::vector<Decision> &Out);
+  bool hasPreemptible(TierIndex Above) const;
+  bool preemptFor(TierIndex Tier, std::vector<Decision> &Out);
+  void shedBelow(TierIndex Tier, std::vector<Decision> &Out);
+  void noteShed(TierIndex Tier, TimePoint Now, std::vector<Decision> &Out);
+  void expire(TimePoint Now, std::vector<Decision> &Out);
+  void preemptUrgent(TimePoint Now, std::vector<Decision> &Out);
+  void grant(TimePoint Now, std::vector<Decision> &Out);
+  bool grantFromTier(TierQueue &Tier, std::vector<Decision> &Out);
+  bool atCeiling(const CustomerName &Customer) const;
+  ServerModel *choose(const AskedRequest &Request);
+  bool anySpare() const;
+  std::chrono::nanoseconds bestServiceTime(const AskedRequest &Request) const;
+  std::chrono::milliseconds retryAfter(TierIndex Tier);
+  void serve(const WaitingRequest &Request, ServerModel &Server,
+             std::vector<Decision> &Out);
+  RunningMap::iterator endRunning(RunningMap::iterator Item);
+  double weightOf(const CustomerName &Customer) const;
+
+  Options Options_;
+  std::map<ServerName, ServerModel> Servers_;
+  std::map<CustomerName, CustomerShare> Shares_;
+  std::vector<TierQueue> Tiers_;
+  std::unordered_map<RequestId, WaitingRequest> Waiting_;
+  std::set<std::pair<TimePoint, RequestId>> ByLatestStart_;
+  RunningMap Running_;
+  std::unordered_map<CustomerName, std::uint32_t> RunningByCustomer_;
+  std::set<RequestId> Cancelled_;
+  double Share_ = 1.0;
+  TimePoint WarmUntil_;
+  std::optional<TierIndex> Floor_;
+  TimePoint FloorUntil_;
+  std::uint64_t NextArrival_ = 0;
+  double EndsPerSecond_ = 0;
+  TimePoint LastEnd_;
+  pcg32 Random_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/ServerModel.h
@@ -0,0 +1,92 @@
+#pragma once
+/// \file
+/// What a keeper knows of one engine: what it granted there, how fast the
+/// engine has been seen to be, and which prompt prefixes it has likely cached.
+
+#include "Common/Ids.h"
+#include "Process/MemberTable.h"
+#include "Process/PrefixIndex.h"
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+
+namespace samphireshunt {
+
+struct ServerCapacity {
+  ServerName Name_;
+  std::uint32_t MaxInFlight_ = 1;
+  bool Active_ = true;
+};
+
+/// A request that ended.
+struct ServedSample {
+  bool Reached_ = false;  ///< Its bytes were sent to the engine.
+  bool Complete_ = false; ///< The whole answer came.
+  Tokens Generated_;
+  std::chrono::microseconds FirstToken_{0};
+  std::chrono::microseconds Duration_{0};
+};
+
+struct FirstTokenSample {
+  std::chrono::microseconds Delay_{0};
+};
+
+/// An engine's own report; it lags.
+struct LoadReport {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+  bool Leaving_ = false;
+};
+
+class ServerModel {
+public:
+  explicit ServerModel(ServerCapacity Capacity) : Capacity_(Capacity) {}
+
+  void configure(const ServerCapacity &Capacity) { Capacity_ = Capacity; }
+  const ServerCapacity &capacity() const { return Capacity_; }
+  /// False while the engine can't be reached or leaves.
+  void setHealthy(bool Healthy) { Healthy_ = Healthy; }
+  bool usable() const { return Capacity_.Active_ && Healthy_; }
+  bool hasRoom(double Share) const;
+
+  void start(const RequestId &Id, Tokens Prompt,
+             std::span<const std::uint64_t> Prefix);
+  void firstToken(const RequestId &Id, const FirstTokenSample &Seen);
+  void end(const RequestId &Id);
+  void learn(const ServedSample &Seen);
+  void report(const LoadReport &Seen) { Reported_ = Seen; }
+
+  std::uint32_t inFlight() const { return InFlight_; }
+  /// Expected time until the first token of a request started now.
+  std::chrono::nanoseconds
+  expectedFirstToken(Tokens Prompt,
+                     std::span<const std::uint64_t> Prefix) const;
+  /// Expected time between tokens; 0 while nothing was seen.
+  std::chrono::nanoseconds betweenTokens() const { return BetweenTokens_; }
+  /// Time that the request would take with nothing else to do first; 0 while
+  /// too little was seen, and for engines that give no tokens.
+  std::chrono::nanoseconds
+  idleService(Tokens Prompt, Tokens Answer,
+              std::span<const std::uint64_t> Prefix) const;
+  PrefixIndex &prefixes() { return Prefixes_; }
+  const PrefixIndex &prefixes() const { return Prefixes_; }
+
+private:
+  Tokens uncached(Tokens Prompt, std::span<const std::uint64_t> Prefix) const;
+
+  ServerCapacity Capacity_;
+  bool Healthy_ = true;
+  std::uint32_t InFlight_ = 0;
+  LoadReport Reported_;
+  /// Prompt tokens that the engine still has to work on, by request.
+  std::unordered_map<RequestId, Tokens> Prefilling_;
+  Tokens PendingPrefill_;
+  double PrefillNanosPerToken_ = 0;
+  std::chrono::nanoseconds BetweenTokens_{0};
+  std::chrono::nanoseconds Duration_{0};
+  PrefixIndex Prefixes_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Programs/CtlCommands.cpp
@@ -0,0 +1,437 @@
+#include "Programs/CtlCommands.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace samphireshunt {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds CallTimeout{2000};
+constexpr milliseconds PollInterval{100};
+constexpr int PutTries = 5;
+/// First line of what `get` prints; `apply` takes the version from it.
+constexpr std::string_view VersionComment = "# version: ";
+
+Result<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return Failure{ResultCode::NotFound, "can't read " + Path};
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+std::optional<std::int64_t> versionInComment(const std::string &Text) {
+  if (!Text.starts_with(VersionComment))
+    return std::nullopt;
+  std::int64_t Version = 0;
+  const char *Begin = Text.data() + VersionComment.size();
+  auto Parsed = std::from_chars(Begin, Text.data() + Text.size(), Version);
+  return Parsed.ec == std::errc() ? std::optional(Version) : std::nullopt;
+}
+
+Json findingToJson(const Finding &Found) {
+  return {{"code", static_cast<int>(Found.Code_)},
+          {"name", describe(Found.Code_).Name_},
+          {"line", Found.Line_},
+          {"place", Found.Place_},
+          {"message", Found.Message_}};
+}
+
+Awaitable<void> pauseFor(milliseconds Time) {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor,
+                                  Time);
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+}
+
+ExitStatus exitFor(const Failure &Cause) {
+  switch (Cause.Code_) {
+  case ResultCode::VersionConflict:
+    return ExitStatus::Conflict;
+  case ResultCode::NotFound:
+    return ExitStatus::NotFound;
+  default:
+    return ExitStatus::Unavailable;
+  }
+}
+
+} // namespace
+
+void CtlCommands::print(const Json &Body, const std::string &Text) const {
+  if (Options_.Json_)
+    fmt::print("{}\n", Body.dump());
+  else
+    fmt::print("{}", Text);
+}
+
+ExitStatus CtlCommands::fail(ExitStatus Status, const Failure &Cause) const {
+  const ResultCodeInfo &Info = describe(Cause.Code_);
+  if (Options_.Json_)
+    fmt::print("{}\n", Json{{"error",
+                             {{"code", static_cast<int>(Cause.Code_)},
+                              {"name", Info.Name_},
+                              {"detail", Cause.Detail_},
+                              {"advice", Info.Advice_}}}}
+                           .dump());
+  else
+    fmt::print(stderr, "error {} {}: {} {} {}\n", static_cast<int>(Cause.Code_),
+               Info.Name_, Info.Meaning_, Cause.Detail_, Info.Advice_);
+  return Status;
+}
+
+std::optional<CheckedDocument>
+CtlCommands::readChecked(const std::string &Path) const {
+  auto Text = readFile(Path);
+  if (!Text) {
+    fail(ExitStatus::NotFound, Text.error());
+    return std::nullopt;
+  }
+  auto Read = readYamlDocument(*Text);
+  if (auto *Checked = std::get_if<CheckedDocument>(&Read))
+    return std::move(*Checked);
+  Json Findings = Json::array();
+  std::string Lines;
+  for (const Finding &Found : std::get<std::vector<Finding>>(Read)) {
+    Findings.push_back(findingToJson(Found));
+    Lines +=
+        fmt::format("{}:{}: {} {}: {}: {}\n", Path, Found.Line_,
+                    static_cast<int>(Found.Code_), describe(Found.Code_).Name_,
+                    Found.Place_, Found.Message_);
+  }
+  print({{"valid", false}, {"findings", std::move(Findings)}}, Lines);
+  return std::nullopt;
+}
+
+ExitStatus CtlCommands::validate(const std::string &Path) {
+  auto Checked = readChecked(Path);
+  if (!Checked)
+    return ExitStatus::Invalid;
+  print({{"valid", true}}, Path + ": valid\n");
+  return ExitStatus::Ok;
+}
+
+ExitStatus CtlCommands::explain(const std::string &Code) {
+  int Number = -1;
+  std::from_chars(Code.data(), Code.data() + Code.size(), Number);
+  bool All = Code == "all";
+  Json Rows = Json::array();
+  std::string Text;
+  if (All)
+    Text = "| code | name | meaning | what to do |\n|---|---|---|---|\n";
+  for (const ResultCodeInfo &Row : resultCodeTable()) {
+    bool Wanted = static_cast<int>(Row.Code_) == Number || Row.Name_ == Code;
+    if (!All && !Wanted)
+      continue;
+    Rows.push_back({{"code", static_cast<int>(Row.Code_)},
+                    {"name", Row.Name_},
+                    {"meaning", Row.Meaning_},
+                    {"advice", Row.Advice_}});
+    Text += fmt::format(
+        fmt::runtime(All ? "| {} | {} | {} | {} |\n" : "{} {}\n{}\n{}\n"),
+        static_cast<int>(Row.Code_), Row.Name_, Row.Meaning_, Row.Advice_);
+  }
+  if (Rows.empty())
+    return fail(ExitStatus::NotFound,
+                {ResultCode::NotFound, "no code '" + Code + "'"});
+  print(Rows, Text);
+  return ExitStatus::Ok;
+}
+
+Awaitable<Result<std::optional<KeyValue>>>
+CtlCommands::current(ServiceName Service) {
+  return Options_.Platform_.Get_(documentKey(Service));
+}
+
+Awaitable<ExitStatus> CtlCommands::get(std::string Service) {
+  auto Entry = co_await current(ServiceName(Service));
+  if (!Entry)
+    co_return fail(ExitStatus::Unavailable, Entry.error());
+  if (!*Entry)
+    co_return fail(ExitStatus::NotFound, {ResultCode::NotFound, Service});
+  auto Decoded = VersionedDocument::decode((*Entry)->Value_);
+  if (!Decoded)
+    co_return fail(ExitStatus::Invalid, Decoded.error());
+  Json Document = Json::parse(Decoded->CanonicalJson_);
+  // JSON is YAML: what is printed can be edited and applied.
+  std::string Text = fmt::format("{}{}\n{}\n", VersionComment,
+                                 Decoded->Version_.count(), Document.dump(2));
+  print({{"version", Decoded->Version_.count()}, {"document", Document}}, Text);
+  co_return ExitStatus::Ok;
+}
+
+Awaitable<ExitStatus> CtlCommands::diff(std::string Path) {
+  auto Checked = readChecked(Path);
+  if (!Checked)
+    co_return ExitStatus::Invalid;
+  auto Entry = co_await current(Checked->Document_->Service_);
+  if (!Entry)
+    co_return fail(ExitStatus::Unavailable, Entry.error());
+  Json Before = Json::object();
+  if (*Entry)
+    if (auto Decoded = VersionedDocument::decode((*Entry)->Value_))
+      Before = Json::parse(Decoded->CanonicalJson_);
+  Json Changes = Json::diff(Before, Json::parse(Checked->CanonicalJson_));
+  std::string Text;
+  for (const Json &Change : Changes)
+    Text += fmt::format("{:<8}{} {}\n", Change["op"].get<std::string>(),
+                        Change["path"].get<std::string>(),
+                        Change.contains("value") ? Change["value"].dump() : "");
+  print(Changes, Text.empty() ? "no difference\n" : Text);
+  co_return ExitStatus::Ok;
+}
+
+Awaitable<ExitStatus> CtlCommands::apply(std::string Path) {
+  auto Checked = readChecked(Path);
+  if (!Checked)
+    co_return ExitStatus::Invalid;
+  if (auto Refused = co_await refuseTooNewFormat(Checked->CanonicalJson_))
+    co_return *Refused;
+  std::int64_t Expected = Options_.ExpectedVersion_;
+  if (Expected < 0)
+    Expected = versionInComment(*readFile(Path)).value_or(-1);
+  co_return co_await put(Checked->Document_->Service_, Checked->CanonicalJson_,
+                         Expected);
+}
+
+/// A daemon that does not understand a document's format keeps serving the
+/// last one that it understood: the change would not be in force there.
+Awaitable<std::optional<ExitStatus>>
+CtlCommands::refuseTooNewFormat(std::string CanonicalJson) {
+  int Format = Json::parse(CanonicalJson)["format"].get<int>();
+  std::vector<std::string> Old;
+  for (const DaemonState &State : co_await askDaemons())
+    if (State.Reached_ && State.Status_.value("format", 0) < Format)
+      Old.push_back(State.Vm_.str());
+  if (Old.empty())
+    co_return std::nullopt;
+  co_return fail(
+      ExitStatus::FormatTooNew,
+      {ResultCode::FormatTooNew, fmt::format("on {}.", fmt::join(Old, ", "))});
+}
+
+/// Writes the next version by compare-and-swap against the version that the
+/// operator read.
+Awaitable<ExitStatus> CtlCommands::put(ServiceName Service,
+                                       std::string CanonicalJson,
+                                       std::int64_t ExpectedVersion) {
+  auto Entry = co_await current(Service);
+  if (!Entry)
+    co_return fail(ExitStatus::Unavailable, Entry.error());
+  VersionedDocument Present;
+  Revision Expected;
+  if (*Entry) {
+    auto Decoded = VersionedDocument::decode((*Entry)->Value_);
+    if (!Decoded)
+      co_return fail(ExitStatus::Invalid, Decoded.error());
+    Present = std::move(*Decoded);
+    Expected = (*Entry)->Revision_;
+  }
+  auto PresentNumber = static_cast<std::int64_t>(Present.Version_.count());
+  if (ExpectedVersion >= 0 && ExpectedVersion != PresentNumber) {
+    std::string Other =
+        Present.ChangeIds_.empty() ? "none" : Present.ChangeIds_.back();
+    co_return fail(ExitStatus::Conflict,
+                   {ResultCode::VersionConflict,
+                    fmt::format("you read version {}; it is {} now, by change "
+                                "{}.",
+                                ExpectedVersion, PresentNumber, Other)});
+  }
+  VersionedDocument Next =
+      Present.next(Options_.ChangeId_, std::move(CanonicalJson));
+  auto Accepted = co_await putOnce(Service, Next, Expected);
+  if (!Accepted)
+    co_return fail(exitFor(Accepted.error()), Accepted.error());
+  co_await keepHistory(Service, Next);
+  print({{"accepted", Accepted->count()}, {"change", Options_.ChangeId_}},
+        fmt::format("accepted as version {}\n", Accepted->count()));
+  if (!Options_.Wait_)
+    co_return ExitStatus::Ok;
+  co_return co_await awaitEverywhere(Service, *Accepted);
+}
+
+/// A write may take effect although its answer never returns. The ids of the
+/// last changes tell whether this one did, even after another operator's.
+Awaitable<Result<DocumentVersion>> CtlCommands::putOnce(ServiceName Service,
+                                                        VersionedDocument Next,
+                                                        Revision Expected) {
+  KeyValueWrite Write;
+  Write.Key_ = documentKey(Service);
+  Write.Value_ = Next.encode();
+  Write.Expected_ = Expected;
+  Failure Last;
+  for (int Try = 0; Try < PutTries; ++Try) {
+    auto Written = co_await Options_.Platform_.Put_(Write);
+    if (Written)
+      co_return Next.Version_;
+    Last = Written.error();
+    auto Entry = co_await current(Service);
+    if (Entry && *Entry) {
+      auto Decoded = VersionedDocument::decode((*Entry)->Value_);
+      bool Accepted = Decoded && std::ranges::count(Decoded->ChangeIds_,
+                                                    Options_.ChangeId_) > 0;
+      if (Accepted)
+        co_return Next.Version_;
+      if ((*Entry)->Revision_ != Expected) {
+        std::string Other = Decoded && !Decoded->ChangeIds_.empty()
+                                ? Decoded->ChangeIds_.back()
+                                : "another";
+        co_return Failure{ResultCode::VersionConflict,
+                          "by change " + Other + "."};
+      }
+    }
+    co_await pauseFor(PollInterval);
+  }
+  co_return Last;
+}
+
+Awaitable<void> CtlCommands::keepHistory(ServiceName Service,
+                                         VersionedDocument Accepted) {
+  KeyValueWrite Write;
+  Write.Key_ = historyKey(Service, Accepted.Version_);
+  Write.Value_ = Accepted.encode();
+  for (int Try = 0; Try < PutTries; ++Try) {
+    auto Written = co_await Options_.Platform_.Put_(Write);
+    if (Written || Written.error().Code_ == ResultCode::VersionConflict)
+      co_return;
+    co_await pauseFor(PollInterval);
+  }
+  fmt::print(stderr, "warning: version {} is in force but not in the history\n",
+             Accepted.Version_.count());
+}
+
+Awaitable<ExitStatus> CtlCommands::history(std::string Service) {
+  auto Listed = co_await Options_.Platform_.List_("history/" + Service + "/");
+  if (!Listed)
+    co_return fail(ExitStatus::Unavailable, Listed.error());
+  Json Rows = Json::array();
+  std::string Text;
+  for (const KeyValue &Entry : Listed->Entries_) {
+    auto Decoded = VersionedDocument::decode(Entry.Value_);
+    if (!Decoded)
+      continue;
+    std::string Change =
+        Decoded->ChangeIds_.empty() ? "" : Decoded->ChangeIds_.back();
+    Rows.push_back(
+        {{"version", Decoded->Version_.count()}, {"change", Change}});
+    Text += fmt::format("version {:<6} change {}\n", Decoded->Version_.count(),
+                        Change);
+  }
+  if (Rows.empty())
+    co_return fail(ExitStatus::NotFound, {ResultCode::NotFound, Service});
+  print(Rows, Text);
+  co_return ExitStatus::Ok;
+}
+
+/// Versions only go up: going back is a new version with an old text.
+Awaitable<ExitStatus> CtlCommands::rollback(std::string Service,
+                                            std::string Version) {
+  std::uint64_t Number = 0;
+  std::from_chars(Version.data(), Version.data() + Version.size(), Number);
+  ServiceName Name(Service);
+  auto Entry = co_await Options_.Platform_.Get_(
+      historyKey(Name, DocumentVersion(Number)));
+  if (!Entry)
+    co_return fail(ExitStatus::Unavailable, Entry.error());
+  if (!*Entry)
+    co_return fail(ExitStatus::NotFound,
+                   {ResultCode::NotFound, "version " + Version + "."});
+  auto Decoded = VersionedDocument::decode((*Entry)->Value_);
+  if (!Decoded)
+    co_return fail(ExitStatus::Invalid, Decoded.error());
+  co_return co_await put(Name, Decoded->CanonicalJson_,
+                         Options_.ExpectedVersion_);
+}
+
+Awaitable<std::vector<CtlCommands::DaemonState>> CtlCommands::askDaemons() {
+  std::vector<DaemonState> States;
+  auto Listed = co_await Options_.Platform_.Vms_();
+  if (!Listed)
+    co_return States;
+  for (const ListedVm &Vm : *Listed) {
+    auto Address = parseEndpoint(Vm.OperatorAddress_);
+    if (Vm.Role_ != VmRole::System || Vm.Leaving_ || !Address)
+      continue;
+    DaemonState State;
+    State.Vm_ = Vm.Id_;
+    HttpRequest Request;
+    Request.Target_ = "/status";
+    auto Response =
+        co_await httpCall(*Address, std::move(Request), CallTimeout);
+    if (Response && Response->Status_ == 200) {
+      State.Status_ = Json::parse(Response->Body_, nullptr, false);
+      State.Reached_ = State.Status_.is_object();
+    }
+    States.push_back(std::move(State));
+  }
+  co_return States;
+}
+
+Awaitable<ExitStatus> CtlCommands::awaitEverywhere(ServiceName Service,
+                                                   DocumentVersion Version) {
+  auto Deadline = steady_clock::now() + Options_.WaitTimeout_;
+  std::vector<std::string> Behind;
+  std::size_t Before = 0;
+  do {
+    Behind.clear();
+    auto States = co_await askDaemons();
+    for (const DaemonState &State : States) {
+      Json Services = State.Status_.value("services", Json::object());
+      Json Known = Services.value(Service.str(), Json::object());
+      if (Known.value("version", std::uint64_t(0)) < Version.count())
+        Behind.push_back(State.Vm_.str());
+    }
+    if (!States.empty() && Behind.empty()) {
+      print({{"inForce", Version.count()}, {"daemons", States.size()}},
+            fmt::format("in force on all {} daemons\n", States.size()));
+      co_return ExitStatus::Ok;
+    }
+    if (!Options_.Json_ && Behind.size() != Before)
+      fmt::print(stderr, "waiting for {} of {} daemons\n", Behind.size(),
+                 States.size());
+    Before = Behind.size();
+    co_await pauseFor(PollInterval);
+  } while (steady_clock::now() < Deadline);
+  co_return fail(ExitStatus::NotEverywhere,
+                 {ResultCode::NotInForceEverywhere,
+                  fmt::format("Not on: {}.", fmt::join(Behind, ", "))});
+}
+
+Awaitable<ExitStatus> CtlCommands::status() {
+  auto States = co_await askDaemons();
+  Json Rows = Json::array();
+  std::string Text;
+  for (const DaemonState &State : States) {
+    Json Row = State.Status_;
+    Row["vm"] = State.Vm_.str();
+    Row["reached"] = State.Reached_;
+    std::string Versions;
+    for (const auto &[Name, Service] :
+         State.Status_.value("services", Json::object()).items())
+      Versions += fmt::format(" {}={}", Name,
+                              Service.value("version", std::uint64_t(0)));
+    Text += fmt::format("{:<12} {:<12} ready={} active={}{}\n", State.Vm_.str(),
+                        State.Reached_ ? "reached" : "unreachable",
+                        State.Status_.value("ready", false),
+                        State.Status_.value("activeRequests", 0), Versions);
+    Rows.push_back(std::move(Row));
+  }
+  if (States.empty())
+    co_return fail(ExitStatus::Unavailable,
+                   {ResultCode::PlatformUnavailable, "no list of VMs."});
+  print(Rows, Text);
+  co_return ExitStatus::Ok;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Programs/Daemon.h
@@ -0,0 +1,108 @@
+#pragma once
+/// \file
+/// The daemon: one process on one VM, with all roles. One control thread for
+/// membership, keeping and configuration; worker threads for requests.
+
+#include "Process/ConfigurationSync.h"
+#include "Process/EngineMonitor.h"
+#include "Process/KeeperService.h"
+#include "Process/MembershipService.h"
+#include "Process/PeerNetwork.h"
+#include "Programs/Metrics.h"
+#include "Programs/OperatorService.h"
+#include "Programs/Settings.h"
+#include "Programs/TraceExporter.h"
+#include "Request/CallerService.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace samphireshunt {
+
+class Daemon {
+public:
+  /// Binds all addresses and wires the parts. \returns BadSetting.
+  static Result<std::unique_ptr<Daemon>> create(Settings Configured);
+  ~Daemon();
+
+  /// Serves until a graceful stop has ended. \returns the exit status.
+  int run();
+  /// The addresses bound, as one JSON line.
+  std::string describeAddresses() const;
+
+private:
+  /// One thread, its requests and its connections to backend servers.
+  struct Worker {
+    boost::asio::io_context Context_{1};
+    BackendConnections Connections_{BackendConnections::Options()};
+    std::unique_ptr<CallerService> Callers_;
+    std::thread Thread_;
+  };
+
+  explicit Daemon(Settings Configured);
+  Result<void> wire();
+  Result<void> wirePeers();
+  Result<void> wireMembership();
+  void wireKeeper();
+  void wireConfiguration();
+  Result<void> wireCallers();
+  Result<void> wireOperators();
+
+  std::optional<VmId> keeperFor(const CellId &Cell,
+                                const std::vector<VmId> &Unreachable) const;
+  void onAsked(const VmId &From, wire::EnvelopeT Message);
+  void onAnswered(const VmId &From, wire::EnvelopeT Message);
+  void onDecided(const Decision &Taken);
+  void onMemberChanged(const Member &Changed);
+  void onDocumentChanged(const ServiceName &Service);
+  void onVmsListed(const std::vector<ListedVm> &Listed);
+  void sendDocument(const VmId &To, const ServiceName &Service);
+  void refreshSoon();
+  void applyLogLevel();
+  bool isReady() const;
+  RequestId nextRequestId();
+
+  void beginDrain();
+  void awaitDrained();
+  void stopAll();
+  std::string status() const;
+  std::string vms() const;
+  std::string metrics();
+
+  Settings Settings_;
+  Incarnation Incarnation_;
+  std::uint64_t Origin_ = 0;
+  std::atomic<std::uint64_t> NextSequence_ = 1;
+  std::atomic<bool> Ready_ = false;
+  std::atomic<bool> Draining_ = false;
+  TimePoint DrainStarted_;
+
+  boost::asio::io_context Control_{1};
+  DocumentStore Documents_;
+  PlatformHooks Platform_;
+  Metrics Metrics_;
+  std::unique_ptr<ClaimStore> Claims_;
+  std::unique_ptr<MemberTable> Members_;
+  RcuCell<std::vector<Member>> MemberSnapshot_;
+  std::unique_ptr<PeerNetwork> Peers_;
+  std::unique_ptr<MembershipService> Membership_;
+  std::unique_ptr<KeeperService> Keeper_;
+  std::unique_ptr<GrantClient> Grants_;
+  std::unique_ptr<EngineMonitor> Engines_;
+  std::unique_ptr<ConfigurationSync> Configuration_;
+  std::unique_ptr<TraceExporter> Traces_;
+  std::vector<std::unique_ptr<Worker>> Workers_;
+  std::unique_ptr<HttpServer> CallerServer_;
+  std::unique_ptr<OperatorService> Operators_;
+  std::unique_ptr<HttpServer> OperatorServer_;
+  boost::asio::signal_set Signals_;
+  boost::asio::steady_timer DrainTimer_;
+  boost::asio::steady_timer RefreshTimer_;
+  bool RefreshPending_ = false;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Programs/Settings.cpp
@@ -0,0 +1,166 @@
+#include "Programs/Settings.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <ranges>
+
+ABSL_FLAG(std::string, vm_id, "", "Name of this VM; unique in the fleet.");
+ABSL_FLAG(std::string, data_center, "", "Data centre of this VM.");
+ABSL_FLAG(std::string, callers_address, "0.0.0.0:8080",
+          "IP:port for callers' HTTP requests.");
+ABSL_FLAG(std::string, peers_address, "0.0.0.0:7946",
+          "IP:port (TCP and UDP) for other daemons.");
+ABSL_FLAG(std::string, operators_address, "127.0.0.1:9090",
+          "IP:port for /healthz, /readyz, /metrics and /status.");
+ABSL_FLAG(std::string, platform_address, "",
+          "IP:port of the platform's key-value service.");
+ABSL_FLAG(int, platform_timeout_ms, 1000, "Limit of one call, in ms.");
+ABSL_FLAG(std::string, advertise_peers, "",
+          "IP:port told to other daemons, when not peers_address.");
+ABSL_FLAG(std::string, advertise_operators, "",
+          "IP:port told to operators, when not operators_address.");
+ABSL_FLAG(std::string, seed_peers, "",
+          "IP:port,... of daemons to join while the platform is down.");
+ABSL_FLAG(int, threads, 2, "Worker threads for requests, 1 to 64.");
+ABSL_FLAG(int, max_connections, 10000, "Callers' connections at once.");
+ABSL_FLAG(int, drain_delay_ms, 5000,
+          "After SIGTERM, how long new connections are still taken, in ms.");
+ABSL_FLAG(int, drain_timeout_ms, 600000,
+          "After SIGTERM, how long running requests may take, in ms.");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error.");
+ABSL_FLAG(std::string, trace_collector, "",
+          "IP:port that takes OTLP/HTTP JSON traces; empty: none.");
+
+namespace samphireshunt {
+
+namespace {
+
+constexpr std::array<const char *, 16> FlagNames = {
+    "vm_id",          "data_center",         "callers_address",
+    "peers_address",  "operators_address",   "platform_address",
+    "threads",        "platform_timeout_ms", "advertise_peers",
+    "seed_peers",     "advertise_operators", "max_connections",
+    "drain_delay_ms", "drain_timeout_ms",    "log_level",
+    "trace_collector"};
+
+std::string environmentName(std::string_view Flag) {
+  std::string Name = "SAMPHIRESHUNT_";
+  std::ranges::transform(Flag, std::back_inserter(Name), [](unsigned char C) {
+    return static_cast<char>(std::toupper(C));
+  });
+  return Name;
+}
+
+/// Collects what is wrong, so that all of it is told at once.
+class Checker {
+public:
+  void environment() {
+    for (const char *Name : FlagNames) {
+      const char *Value = std::getenv(environmentName(Name).c_str());
+      std::string Error;
+      if (Value && !absl::FindCommandLineFlag(Name)->ParseFrom(Value, &Error))
+        bad(environmentName(Name), Error);
+    }
+  }
+  Endpoint address(std::string_view Name, const std::string &Text,
+                   bool Required = true) {
+    if (Text.empty() && !Required)
+      return {};
+    auto Parsed = parseEndpoint(Text);
+    if (!Parsed)
+      bad(Name, Parsed.error().Detail_);
+    return Parsed ? *Parsed : Endpoint();
+  }
+  int number(std::string_view Name, int Value, int Low, int High) {
+    if (Value < Low || Value > High)
+      bad(Name, fmt::format("{} is not from {} to {}", Value, Low, High));
+    return Value;
+  }
+  std::string text(std::string_view Name, std::string Value) {
+    if (Value.empty())
+      bad(Name, "must be set");
+    return Value;
+  }
+  void bad(std::string_view Name, std::string_view Problem) {
+    Problems_.push_back(fmt::format("{}: {}", Name, Problem));
+  }
+  const std::vector<std::string> &problems() const { return Problems_; }
+
+private:
+  std::vector<std::string> Problems_;
+};
+
+std::vector<Endpoint> addressList(Checker &Check, const std::string &Text) {
+  std::vector<Endpoint> List;
+  for (auto Part : std::views::split(Text, ',')) {
+    std::string Item(Part.begin(), Part.end());
+    if (!Item.empty())
+      List.push_back(Check.address("seed_peers", Item));
+  }
+  return List;
+}
+
+} // namespace
+
+Result<Settings> Settings::parse(int ArgumentCount, char **Arguments) {
+  absl::SetProgramUsageMessage("request scheduler daemon");
+  Checker Check;
+  Check.environment();
+  absl::ParseCommandLine(ArgumentCount, Arguments);
+  constexpr int HourMs = 3600 * 1000;
+  constexpr int MaxThreads = 64;
+  constexpr int MaxConnectionsLimit = 1000000;
+  Settings Read;
+  Read.Vm_ = VmId(Check.text("vm_id", absl::GetFlag(FLAGS_vm_id)));
+  Read.DataCenter_ = DataCenterName(
+      Check.text("data_center", absl::GetFlag(FLAGS_data_center)));
+  Read.Callers_ =
+      Check.address("callers_address", absl::GetFlag(FLAGS_callers_address));
+  Read.Peers_ =
+      Check.address("peers_address", absl::GetFlag(FLAGS_peers_address));
+  Read.Operators_ = Check.address("operators_address",
+                                  absl::GetFlag(FLAGS_operators_address));
+  Read.Platform_ =
+      Check.address("platform_address", absl::GetFlag(FLAGS_platform_address));
+  Read.PlatformTimeout_ = std::chrono::milliseconds(
+      Check.number("platform_timeout_ms",
+                   absl::GetFlag(FLAGS_platform_timeout_ms), 1, HourMs));
+  Read.AdvertisedPeers_ = absl::GetFlag(FLAGS_advertise_peers);
+  Check.address("advertise_peers", Read.AdvertisedPeers_, false);
+  // Other VMs can't connect to "any address".
+  if (Read.Peers_.address().is_unspecified() && Read.AdvertisedPeers_.empty())
+    Check.bad("advertise_peers", "must be set when peers_address is any");
+  Read.AdvertisedOperators_ = absl::GetFlag(FLAGS_advertise_operators);
+  Check.address("advertise_operators", Read.AdvertisedOperators_, false);
+  Read.SeedPeers_ = addressList(Check, absl::GetFlag(FLAGS_seed_peers));
+  Read.Threads_ = static_cast<std::size_t>(
+      Check.number("threads", absl::GetFlag(FLAGS_threads), 1, MaxThreads));
+  Read.MaxConnections_ = static_cast<std::size_t>(
+      Check.number("max_connections", absl::GetFlag(FLAGS_max_connections), 1,
+                   MaxConnectionsLimit));
+  Read.DrainDelay_ = std::chrono::milliseconds(Check.number(
+      "drain_delay_ms", absl::GetFlag(FLAGS_drain_delay_ms), 0, HourMs));
+  Read.DrainTimeout_ = std::chrono::milliseconds(Check.number(
+      "drain_timeout_ms", absl::GetFlag(FLAGS_drain_timeout_ms), 0, HourMs));
+  Read.LogLevel_ = absl::GetFlag(FLAGS_log_level);
+  constexpr std::array<std::string_view, 4> Levels = {"debug", "info",
+                                                      "warning", "error"};
+  if (!std::ranges::count(Levels, Read.LogLevel_))
+    Check.bad("log_level", fmt::format("'{}' is not one of {}", Read.LogLevel_,
+                                       fmt::join(Levels, ", ")));
+  Read.TraceCollector_ = Check.address(
+      "trace_collector", absl::GetFlag(FLAGS_trace_collector), false);
+  if (!Check.problems().empty())
+    return Failure{ResultCode::BadSetting,
+                   fmt::format("{}", fmt::join(Check.problems(), "; "))};
+  return Read;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Request/CallerService.cpp
@@ -0,0 +1,206 @@
+#include "Request/CallerService.h"
+
+#include "Common/Hash.h"
+#include "Common/Log.h"
+#include "Process/PrefixIndex.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace samphireshunt {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+/// Taken for the length of an answer when the caller sets no limit.
+constexpr std::int64_t DefaultAnswerTokens = 256;
+
+Verdict refused(ResultCode Code, std::string Detail = "") {
+  Verdict Ended;
+  Ended.Code_ = Code;
+  Ended.Detail_ = std::move(Detail);
+  return Ended;
+}
+
+/// All messages of a chat, in order, as one prompt.
+Result<std::string> promptOf(const Json &Body) {
+  auto Messages = Body.find("messages");
+  if (Messages == Body.end() || !Messages->is_array() || Messages->empty())
+    return Failure{ResultCode::MalformedRequest,
+                   "'messages' must be a list with at least one message"};
+  std::string Prompt;
+  for (const Json &Message : *Messages) {
+    bool Valid = Message.is_object() && Message.contains("content") &&
+                 Message["content"].is_string();
+    if (!Valid)
+      return Failure{ResultCode::MalformedRequest,
+                     "every message needs a text as its 'content'"};
+    Prompt += Message["content"].get<std::string>();
+  }
+  return Prompt;
+}
+
+} // namespace
+
+CallerService::CallerService(RequestServices Services,
+                             std::function<bool()> IsReady,
+                             std::function<RequestId()> NextId)
+    : Services_(std::move(Services)), IsReady_(std::move(IsReady)),
+      NextId_(std::move(NextId)) {}
+
+Awaitable<void> CallerService::handle(HttpExchange &Exchange) {
+  RequestId Id = NextId_();
+  RequestContext Context{.Services_ = Services_,
+                         .Exchange_ = Exchange,
+                         .Id_ = Id,
+                         .Snapshot_ = Services_.Documents_.snapshot(),
+                         .Started_ = steady_clock::now(),
+                         .Trace_ =
+                             Trace(Exchange.request().field("traceparent"),
+                                   std::hash<RequestId>()(Id))};
+  std::string Fault;
+  try {
+    if (auto Refusal = check(Context))
+      co_await answerVerdict(Context, std::move(*Refusal));
+    else if (Context.Pool_->Kind_ == PoolKind::Model)
+      co_await runModelCall(Context);
+    else
+      co_await runApplicationCall(Context);
+  } catch (const std::exception &Error) {
+    Fault = Error.what();
+  }
+  if (!Fault.empty()) {
+    logEvent(LogCategory::Request, spdlog::level::err, "fault",
+             {{"request", Id.str()}, {"detail", Fault}});
+    Services_.Grants_.done(Id, ServedSample());
+    bool Dispatched = Context.State_.dispatched();
+    Verdict Ended = refused(ResultCode::Internal, Fault);
+    Ended.Outcome_ = Dispatched ? Outcome::Unknown : Outcome::NotRun;
+    if (Dispatched)
+      Exchange.abort();
+    else
+      co_await answerVerdict(Context, std::move(Ended));
+  }
+}
+
+std::optional<Verdict> CallerService::check(RequestContext &Context) const {
+  if (!IsReady_())
+    return refused(ResultCode::NotReady);
+  if (auto Refusal = checkRoute(Context))
+    return Refusal;
+  if (auto Refusal = checkCustomer(Context))
+    return Refusal;
+  if (auto Refusal = checkDeadline(Context))
+    return Refusal;
+  if (Context.Pool_->Kind_ == PoolKind::Model)
+    return checkModelBody(Context);
+  return std::nullopt;
+}
+
+std::optional<Verdict>
+CallerService::checkRoute(RequestContext &Context) const {
+  const HttpRequest &Request = Context.Exchange_.request();
+  Context.Service_ = Context.Snapshot_->serviceForHost(Request.field("host"));
+  if (!Context.Service_)
+    return refused(ResultCode::NoRoute, "no service has this host");
+  const Document &Document = Context.document();
+  Context.Route_ = Document.route(Request.path());
+  if (!Context.Route_)
+    return refused(ResultCode::NoRoute, "no route matches the path");
+  const auto &Methods = Context.Route_->Methods_;
+  if (!Methods.empty() && !std::ranges::count(Methods, Request.Method_))
+    return refused(ResultCode::MethodNotAllowed, Request.Method_);
+  if (Request.Body_.size() > Document.Limits_.MaxBodyBytes_)
+    return refused(ResultCode::BodyTooLarge);
+  Context.Pool_ = Document.pool(Context.Route_->Pool_);
+  return std::nullopt;
+}
+
+std::optional<Verdict>
+CallerService::checkCustomer(RequestContext &Context) const {
+  const HttpRequest &Request = Context.Exchange_.request();
+  std::string_view Authorization = Request.field("authorization");
+  if (!Authorization.starts_with(BearerPrefix))
+    return refused(ResultCode::UnknownCustomer, "no bearer key");
+  Authorization.remove_prefix(BearerPrefix.size());
+  Context.Customer_ =
+      Context.document().customerByKeyDigest(sha256Hex(Authorization));
+  if (!Context.Customer_)
+    return refused(ResultCode::UnknownCustomer);
+  Context.Tier_ = Context.Customer_->DefaultTier_;
+  const std::string &Wanted = Request.field("x-tier");
+  if (Wanted.empty())
+    return std::nullopt;
+  auto Tier = Context.document().tier(Wanted);
+  if (!Tier || !std::ranges::count(Context.Customer_->AllowedTiers_, *Tier))
+    return refused(ResultCode::TierNotAllowed, Wanted);
+  Context.Tier_ = *Tier;
+  return std::nullopt;
+}
+
+std::optional<Verdict>
+CallerService::checkDeadline(RequestContext &Context) const {
+  const ServiceLimits &Limits = Context.document().Limits_;
+  milliseconds Timeout = Limits.DefaultTimeout_;
+  const std::string &Text =
+      Context.Exchange_.request().field("x-request-timeout-ms");
+  if (!Text.empty()) {
+    std::int64_t Millis = 0;
+    auto Parsed =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
+    bool Whole =
+        Parsed.ec == std::errc() && Parsed.ptr == Text.data() + Text.size();
+    if (!Whole || Millis < 1 || Millis > Limits.MaxTimeout_.count())
+      return refused(ResultCode::BadDeadline, Text);
+    Timeout = milliseconds(Millis);
+  }
+  Context.Deadline_ = Context.Started_ + Timeout;
+  return std::nullopt;
+}
+
+std::optional<Verdict>
+CallerService::checkModelBody(RequestContext &Context) const {
+  const HttpRequest &Request = Context.Exchange_.request();
+  Json Body = Json::parse(Request.Body_, nullptr, false);
+  if (!Body.is_object())
+    return refused(ResultCode::MalformedRequest, "the body is no JSON object");
+  auto Model = Body.find("model");
+  if (Model == Body.end() || !Model->is_string())
+    return refused(ResultCode::MalformedRequest, "'model' must be a text");
+  auto Stream = Body.find("stream");
+  if (Stream != Body.end() && !Stream->is_boolean())
+    return refused(ResultCode::MalformedRequest,
+                   "'stream' must be true or false");
+  auto Serves = [&](const Pool &Candidate) {
+    return std::ranges::count(Candidate.Models_, Model->get<std::string>()) > 0;
+  };
+  const auto &Pools = Context.document().Pools_;
+  auto Found = std::ranges::find_if(Pools, Serves);
+  if (Found == Pools.end())
+    return refused(ResultCode::UnknownModel, Model->get<std::string>());
+  Context.Pool_ = &*Found;
+  auto Prompt = promptOf(Body);
+  if (!Prompt)
+    return refused(Prompt.error().Code_, Prompt.error().Detail_);
+  Context.PromptTokens_ = estimateTokens(*Prompt);
+  Context.Prefix_ = prefixHashes(*Prompt);
+  auto Limit = Body.find("max_tokens");
+  std::int64_t Answer = DefaultAnswerTokens;
+  if (Limit != Body.end()) {
+    if (!Limit->is_number_integer() || Limit->get<std::int64_t>() < 1)
+      return refused(ResultCode::MalformedRequest,
+                     "'max_tokens' must be a whole number from 1");
+    Answer = Limit->get<std::int64_t>();
+  }
+  Context.AnswerTokens_ = Tokens(Answer);
+  return std::nullopt;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Request/CallerService.h
@@ -0,0 +1,31 @@
+#pragma once
+/// \file
+/// The handler of callers' requests on one worker: checks a request against
+/// the configuration and runs it.
+
+#include "Request/RequestContext.h"
+
+#include <functional>
+
+namespace samphireshunt {
+
+class CallerService {
+public:
+  CallerService(RequestServices Services, std::function<bool()> IsReady,
+                std::function<RequestId()> NextId);
+
+  Awaitable<void> handle(HttpExchange &Exchange);
+
+private:
+  std::optional<Verdict> check(RequestContext &Context) const;
+  std::optional<Verdict> checkRoute(RequestContext &Context) const;
+  std::optional<Verdict> checkCustomer(RequestContext &Context) const;
+  std::optional<Verdict> checkDeadline(RequestContext &Context) const;
+  std::optional<Verdict> checkModelBody(RequestContext &Context) const;
+
+  RequestServices Services_;
+  std::function<bool()> IsReady_;
+  std::function<RequestId()> NextId_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Request/ClaimStore.cpp
@@ -0,0 +1,148 @@
+#include "Request/ClaimStore.h"
+
+#include "Common/Hash.h"
+#include "Common/Log.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+namespace {
+
+std::string encodeClaim(const Claim &Value) {
+  Json Root;
+  Root["attempt"] = Value.Attempt_;
+  Root["vm"] = Value.Vm_.str();
+  Root["incarnation"] = Value.Incarnation_.count();
+  Root["bodyDigest"] = Value.BodyDigest_;
+  Root["state"] = static_cast<int>(Value.State_);
+  if (Value.State_ == ClaimState::Answered) {
+    Root["status"] = Value.Answer_.Status_;
+    Root["fields"] = Value.Answer_.Fields_;
+    // Bodies need not be text; JSON strings must be.
+    Root["body"] = std::vector<std::uint8_t>(Value.Answer_.Body_.begin(),
+                                             Value.Answer_.Body_.end());
+  }
+  return Root.dump();
+}
+
+Result<Claim> decodeClaim(const KeyValue &Entry) {
+  try {
+    Json Root = Json::parse(Entry.Value_);
+    Claim Value;
+    Value.Attempt_ = Root.at("attempt").get<std::string>();
+    Value.Vm_ = VmId(Root.at("vm").get<std::string>());
+    Value.Incarnation_ =
+        Incarnation(Root.at("incarnation").get<std::uint64_t>());
+    Value.BodyDigest_ = Root.at("bodyDigest").get<std::string>();
+    Value.State_ = static_cast<ClaimState>(Root.at("state").get<int>());
+    Value.Revision_ = Entry.Revision_;
+    if (Value.State_ == ClaimState::Answered) {
+      Value.Answer_.Status_ = Root.at("status").get<int>();
+      Value.Answer_.Fields_ = Root.at("fields").get<HttpFields>();
+      auto Bytes = Root.at("body").get<std::vector<std::uint8_t>>();
+      Value.Answer_.Body_.assign(Bytes.begin(), Bytes.end());
+    }
+    return Value;
+  } catch (const Json::exception &Error) {
+    return Failure{ResultCode::PlatformUnavailable, Error.what()};
+  }
+}
+
+} // namespace
+
+std::string ClaimKey::storeKey() const {
+  return "claims/" + Service_.str() + "/" + Customer_.str() + "/" +
+         sha256Hex(IdempotencyKey_);
+}
+
+Awaitable<void> ClaimStore::pause(std::chrono::milliseconds Time) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+Awaitable<Result<std::optional<Claim>>> ClaimStore::find(ClaimKey Key) {
+  auto Entry = co_await Platform_.Get_(Key.storeKey());
+  if (!Entry)
+    co_return Entry.error();
+  if (!*Entry)
+    co_return std::optional<Claim>();
+  auto Decoded = decodeClaim(**Entry);
+  if (!Decoded)
+    co_return Decoded.error();
+  co_return std::optional<Claim>(std::move(*Decoded));
+}
+
+/// A create may take effect although its answer never returns. Without the
+/// read back, such a claim would be taken for another one's, and the key
+/// could never run. A create that is sent again carries the same attempt, so
+/// whichever of the two took effect, the attempt that stands tells the owner.
+Awaitable<Result<Claim>> ClaimStore::claim(ClaimKey Key, Claim Wanted) {
+  KeyValueWrite Write;
+  Write.Key_ = Key.storeKey();
+  Write.Value_ = encodeClaim(Wanted);
+  Write.TimeToLive_ = Options_.Retention_;
+  std::string Reason;
+  for (int Try = 0; Try < Options_.ReadBackTries_; ++Try) {
+    auto Written = co_await Platform_.Put_(Write);
+    if (Written) {
+      Wanted.Revision_ = *Written;
+      co_return Wanted;
+    }
+    Reason = Written.error().Detail_;
+    auto Present = co_await find(Key);
+    if (Present && *Present)
+      co_return std::move(**Present);
+    co_await pause(Options_.RetryDelay_);
+  }
+  co_return Failure{ResultCode::ClaimFailed, Reason};
+}
+
+Awaitable<void> ClaimStore::finish(ClaimKey Key, Claim Ended) {
+  if (Ended.Answer_.Body_.size() > Options_.MaxAnswerBytes_)
+    Ended.State_ = ClaimState::Unknown;
+  KeyValueWrite Write;
+  Write.Key_ = Key.storeKey();
+  Write.Value_ = encodeClaim(Ended);
+  Write.Expected_ = Ended.Revision_;
+  Write.TimeToLive_ = Options_.Retention_;
+  for (int Try = 0; Try < Options_.FinishTries_; ++Try) {
+    auto Written = co_await Platform_.Put_(Write);
+    // A conflict can only be an earlier try of this one: nobody else writes
+    // to a claim.
+    if (Written || Written.error().Code_ == ResultCode::VersionConflict)
+      co_return;
+    co_await pause(Options_.FinishDelay_);
+  }
+  logEvent(LogCategory::Request, spdlog::level::warn, "claim-not-finished",
+           {{"attempt", Ended.Attempt_}});
+}
+
+/// Only a claim that is this attempt's own may go: the key may have been
+/// released before and claimed by another attempt since.
+Awaitable<void> ClaimStore::release(ClaimKey Key, Claim Unused,
+                                    bool MayLandLate) {
+  for (int Try = 0; Try < Options_.FinishTries_; ++Try) {
+    auto Present = co_await find(Key);
+    bool Absent = Present && !*Present;
+    bool Others =
+        Present && *Present && (*Present)->Attempt_ != Unused.Attempt_;
+    if (Others || (Absent && !MayLandLate))
+      co_return;
+    if (Present && *Present) {
+      auto Deleted =
+          co_await Platform_.Delete_(Key.storeKey(), (*Present)->Revision_);
+      if (Deleted)
+        co_return;
+    }
+    co_await pause(Options_.FinishDelay_);
+  }
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Request/FinalAnswer.h
@@ -0,0 +1,35 @@
+#pragma once
+/// \file
+/// Final answers that this program writes itself, with outcome and code.
+
+#include "Common/Ids.h"
+#include "Common/ResultCode.h"
+#include "Connection/Http.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace samphireshunt {
+
+/// How a request ended without a whole answer of a backend server.
+struct Verdict {
+  Outcome Outcome_ = Outcome::NotRun;
+  ResultCode Code_ = ResultCode::Internal;
+  std::string Detail_;
+  std::chrono::milliseconds RetryAfter_{1000};
+};
+
+/// The HTTP status that goes with a code.
+int httpStatus(ResultCode Code);
+/// True when asking again later can help, so that Retry-After is given.
+bool comesBack(const Verdict &Ended);
+/// The body of an error, as in the OpenAI API, with outcome and code.
+std::string errorBody(const Verdict &Ended);
+/// The whole answer: status, header fields and body.
+HttpResponse finalResponse(const RequestId &Id, const Verdict &Ended);
+/// Adds the fields that every final answer carries.
+void addOutcomeFields(HttpResponse &Response, const RequestId &Id,
+                      Outcome Value, ResultCode Code);
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Request/GrantWait.cpp
@@ -0,0 +1,58 @@
+#include "Request/GrantWait.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+
+std::shared_ptr<GrantWait> GrantWait::create(asio::any_io_executor Executor,
+                                             GrantClient &Grants,
+                                             RequestId Id) {
+  return std::shared_ptr<GrantWait>(
+      new GrantWait(std::move(Executor), Grants, Id));
+}
+
+GrantWait::GrantWait(asio::any_io_executor Executor, GrantClient &Grants,
+                     RequestId Id)
+    : Executor_(Executor), Grants_(Grants), Id_(Id), Signal_(Executor) {}
+
+Awaitable<std::optional<GrantAnswer>>
+GrantWait::wait(CellId Cell, AskedRequest Request, TimePoint Deadline) {
+  Answer_.reset();
+  if (CallerLeft_)
+    co_return std::nullopt;
+  Waiting_ = true;
+  Signal_.expires_at(Deadline);
+  auto Deliver = [Self = shared_from_this()](GrantAnswer Answer) {
+    asio::post(Self->Executor_, [Self, Answer = std::move(Answer)]() mutable {
+      Self->deliver(std::move(Answer));
+    });
+  };
+  Grants_.acquire(std::move(Cell), std::move(Request), std::move(Deliver));
+  co_await Signal_.async_wait(asio::as_tuple(asio::use_awaitable));
+  Waiting_ = false;
+  if (!Answer_)
+    Grants_.withdraw(Id_);
+  co_return std::move(Answer_);
+}
+
+void GrantWait::deliver(GrantAnswer Answer) {
+  // The wait may have ended between the keeper's answer and now. Its
+  // withdrawal is on the way to the control thread, where it hands the grant
+  // back; nothing may be dispatched on it here.
+  if (!Waiting_)
+    return;
+  Answer_ = std::move(Answer);
+  Signal_.cancel();
+}
+
+void GrantWait::callerLeft() {
+  CallerLeft_ = true;
+  if (Waiting_)
+    Signal_.cancel();
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Request/RequestContext.h
@@ -0,0 +1,97 @@
+#pragma once
+/// \file
+/// What lives as long as one request, and the services that it uses.
+
+#include "Connection/BackendConnections.h"
+#include "Process/GrantClient.h"
+#include "Request/ClaimStore.h"
+#include "Request/FinalAnswer.h"
+#include "Request/RequestState.h"
+#include "Request/Trace.h"
+#include "Version/DocumentStore.h"
+
+#include <functional>
+#include <memory>
+
+namespace samphireshunt {
+
+/// What happened to a request, for metrics.
+struct RequestReport {
+  std::string Service_;
+  std::string Tier_;
+  Outcome Outcome_;
+  ResultCode Code_;
+  std::chrono::microseconds Total_{0};
+  std::chrono::microseconds Waited_{0};
+};
+
+/// Shared by the requests of one worker thread.
+struct RequestServices {
+  DocumentStore &Documents_;
+  GrantClient &Grants_;
+  ClaimStore &Claims_;
+  BackendConnections &Connections_;
+  VmId Vm_;
+  Incarnation Incarnation_;
+  /// True while the process that made a claim may still be running.
+  std::function<bool(const VmId &, Incarnation)> IsProcessAlive_;
+  std::function<void(const RequestReport &)> Report_;
+  TraceSink Traces_;
+};
+
+/// One request from its head to its last byte. Used by one coroutine on one
+/// worker; only State_ may be touched by others.
+struct RequestContext {
+  RequestServices &Services_;
+  HttpExchange &Exchange_;
+  RequestId Id_;
+  std::shared_ptr<const ConfigurationSnapshot> Snapshot_;
+  const ServiceConfiguration *Service_ = nullptr;
+  const Customer *Customer_ = nullptr;
+  const Pool *Pool_ = nullptr;
+  const Route *Route_ = nullptr;
+  TierIndex Tier_;
+  TimePoint Started_;
+  TimePoint Deadline_;
+  Tokens PromptTokens_;
+  Tokens AnswerTokens_;
+  std::vector<std::uint64_t> Prefix_;
+  RequestState State_;
+  Trace Trace_;
+  std::chrono::microseconds Waited_{0};
+
+  /// Time until the deadline, at least a millisecond.
+  std::chrono::milliseconds remaining() const;
+  bool expired() const;
+  const Document &document() const { return *Service_->Document_; }
+};
+
+/// A server that was granted, with a connection that is ready for the request.
+struct ReadyServer {
+  BackendServer Server_;
+  std::unique_ptr<HttpConnection> Connection_;
+};
+
+/// Called between grant and connection; a failed verdict ends the request.
+using BeforeConnect = std::function<Awaitable<std::optional<Verdict>>()>;
+
+/// Gets a grant and a connection; tries further servers while no byte has
+/// left. On return the request is dispatched or given up, and the caller has
+/// been asked for at most one grant at a time.
+Awaitable<std::variant<ReadyServer, Verdict>>
+obtainServer(RequestContext &Context, bool FreshConnection,
+             BeforeConnect Prepare);
+
+/// The request as it goes to the backend server: end-to-end fields only.
+HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber);
+
+/// Serves a request of a model pool.
+Awaitable<void> runModelCall(RequestContext &Context);
+/// Serves a request of an application pool.
+Awaitable<void> runApplicationCall(RequestContext &Context);
+/// Writes the verdict as the final answer and reports it.
+Awaitable<void> answerVerdict(RequestContext &Context, Verdict Ended);
+/// Reports the end of a request to metrics and traces.
+void reportEnd(RequestContext &Context, Outcome Value, ResultCode Code);
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Version/DocumentReader.cpp
@@ -0,0 +1,391 @@
+#include "Version/DocumentReader.h"
+
+#include "DocumentSchema.inc"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <map>
+#include <set>
+
+namespace samphireshunt {
+
+namespace {
+
+using Json = nlohmann::json;
+using LineByPlace = std::map<std::string, int>;
+
+/// YAML has no types of its own for plain scalars: a quoted one is text, any
+/// other is a number or a truth value when it reads as one.
+Json scalarToJson(const YAML::Node &Node) {
+  const std::string &Text = Node.Scalar();
+  if (Node.Tag() == "!")
+    return Text;
+  if (Text == "true")
+    return true;
+  if (Text == "false")
+    return false;
+  std::int64_t Number = 0;
+  auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Parsed.ec == std::errc() && Parsed.ptr == Text.data() + Text.size())
+    return Number;
+  return Text;
+}
+
+class YamlConverter {
+public:
+  Json convert(const YAML::Node &Node, const std::string &Place) {
+    Lines_[Place] = Node.Mark().line + 1;
+    if (Node.IsMap())
+      return convertMap(Node, Place);
+    if (Node.IsSequence())
+      return convertSequence(Node, Place);
+    if (Node.IsScalar())
+      return scalarToJson(Node);
+    return nullptr;
+  }
+  LineByPlace takeLines() { return std::move(Lines_); }
+  std::vector<Finding> takeFindings() { return std::move(Findings_); }
+
+private:
+  Json convertMap(const YAML::Node &Node, const std::string &Place) {
+    Json Object = Json::object();
+    for (const auto &Entry : Node) {
+      std::string Key = Entry.first.as<std::string>();
+      std::string Inner = Place + "/" + Key;
+      if (Object.contains(Key))
+        Findings_.push_back({ResultCode::DocumentDuplicate,
+                             Entry.first.Mark().line + 1, Inner,
+                             "the field stands twice; remove one"});
+      Object[Key] = convert(Entry.second, Inner);
+      Lines_[Inner] = Entry.first.Mark().line + 1;
+    }
+    return Object;
+  }
+  Json convertSequence(const YAML::Node &Node, const std::string &Place) {
+    Json Array = Json::array();
+    for (const auto &Item : Node)
+      Array.push_back(convert(Item, fmt::format("{}/{}", Place, Array.size())));
+    return Array;
+  }
+
+  LineByPlace Lines_;
+  std::vector<Finding> Findings_;
+};
+
+const valijson::Schema &parsedSchema() {
+  static const std::unique_ptr<valijson::Schema> Schema = [] {
+    auto Parsed = std::make_unique<valijson::Schema>();
+    Json Text = Json::parse(DocumentSchemaText);
+    valijson::adapters::NlohmannJsonAdapter Adapter(Text);
+    valijson::SchemaParser().populateSchema(Adapter, *Parsed);
+    return Parsed;
+  }();
+  return *Schema;
+}
+
+/// Collects findings and knows the lines of places.
+class Findings {
+public:
+  explicit Findings(LineByPlace Lines) : Lines_(std::move(Lines)) {}
+
+  void add(ResultCode Code, std::string Place, std::string Message) {
+    int Line = lineOf(Place);
+    All_.push_back({Code, Line, std::move(Place), std::move(Message)});
+  }
+  void add(std::vector<Finding> More) {
+    All_.insert(All_.end(), More.begin(), More.end());
+  }
+  bool empty() const { return All_.empty(); }
+  std::vector<Finding> take() {
+    std::ranges::stable_sort(All_, {}, &Finding::Line_);
+    return std::move(All_);
+  }
+
+private:
+  int lineOf(std::string Place) const {
+    while (!Place.empty()) {
+      auto Found = Lines_.find(Place);
+      if (Found != Lines_.end())
+        return Found->second;
+      Place.resize(Place.rfind('/'));
+    }
+    return Lines_.empty() ? 0 : 1;
+  }
+
+  LineByPlace Lines_;
+  std::vector<Finding> All_;
+};
+
+/// One of valijson's errors. It names a place as <root>[pools][0][servers].
+Finding schemaFinding(const valijson::ValidationResults::Error &Error) {
+  Finding Found;
+  for (const std::string &Part : Error.context)
+    if (Part != "<root>")
+      Found.Place_ += "/" + Part.substr(1, Part.size() - 2);
+  Found.Message_ = Error.description;
+  // "Object contains a property that could not be validated using [...]: 'x'"
+  constexpr std::string_view Unknown = "Object contains a property";
+  if (!Found.Message_.starts_with(Unknown))
+    return Found;
+  std::size_t End = Found.Message_.rfind('\'');
+  std::size_t Start = Found.Message_.rfind('\'', End - 1) + 1;
+  std::string Name = Found.Message_.substr(Start, End - Start);
+  Found.Place_ += "/" + Name;
+  Found.Message_ =
+      fmt::format("unknown field '{}'; correct or remove it", Name);
+  return Found;
+}
+
+void checkSchema(const Json &Root, Findings &Found) {
+  valijson::Validator Validator;
+  valijson::ValidationResults Results;
+  valijson::adapters::NlohmannJsonAdapter Adapter(Root);
+  if (Validator.validate(parsedSchema(), Adapter, &Results))
+    return;
+  std::vector<Finding> All;
+  valijson::ValidationResults::Error Error;
+  while (Results.popError(Error))
+    All.push_back(schemaFinding(Error));
+  // An error is reported again for each object around it; the innermost one
+  // is the one to mend.
+  auto IsOuter = [&All](const Finding &Outer) {
+    return std::ranges::any_of(All, [&](const Finding &Inner) {
+      return Inner.Place_.size() > Outer.Place_.size() &&
+             Inner.Place_.starts_with(Outer.Place_);
+    });
+  };
+  for (const Finding &One : All)
+    if (!One.Message_.starts_with("Failed to validate") || !IsOuter(One))
+      Found.add(One.Code_, One.Place_, One.Message_);
+}
+
+/// Makes the typed document and checks what a schema can't: references from
+/// one field to another and names that must be unique.
+class DocumentBuilder {
+public:
+  DocumentBuilder(const Json &Root, Findings &Found)
+      : Root_(Root), Found_(Found) {}
+
+  Document build() {
+    Result_.Service_ = ServiceName(Root_.at("service").get<std::string>());
+    Result_.Hosts_ = Root_.value("hosts", std::vector<std::string>());
+    Result_.LogLevel_ = Root_.value("logLevel", "info");
+    Result_.Tiers_ = Root_.at("tiers").get<std::vector<std::string>>();
+    checkUnique(Result_.Tiers_, "/tiers", "tier");
+    buildLimits();
+    buildCustomers();
+    buildPools();
+    buildRoutes();
+    Result_.buildIndex();
+    return std::move(Result_);
+  }
+
+private:
+  void checkUnique(const std::vector<std::string> &Names,
+                   const std::string &Place, std::string_view What) {
+    std::set<std::string> Seen;
+    for (std::size_t Index = 0; Index < Names.size(); ++Index)
+      if (!Seen.insert(Names[Index]).second)
+        Found_.add(ResultCode::DocumentDuplicate,
+                   fmt::format("{}/{}", Place, Index),
+                   fmt::format("{} '{}' stands twice; rename or remove one",
+                               What, Names[Index]));
+  }
+
+  TierIndex tierAt(const std::string &Place, const std::string &Name) {
+    auto Tier = Result_.tier(Name);
+    if (!Tier)
+      Found_.add(ResultCode::DocumentReference, Place,
+                 fmt::format("tier '{}' is not in /tiers; add it or write one "
+                             "of: {}",
+                             Name, fmt::join(Result_.Tiers_, ", ")));
+    return Tier.value_or(TierIndex(0));
+  }
+
+  void buildLimits() {
+    Json Limits = Root_.value("limits", Json::object());
+    ServiceLimits &Target = Result_.Limits_;
+    Target.DefaultTimeout_ = std::chrono::milliseconds(
+        Limits.value("defaultTimeoutMs", Target.DefaultTimeout_.count()));
+    Target.MaxTimeout_ = std::chrono::milliseconds(
+        Limits.value("maxTimeoutMs", Target.MaxTimeout_.count()));
+    Target.MaxBodyBytes_ = Limits.value("maxBodyBytes", Target.MaxBodyBytes_);
+    if (Target.DefaultTimeout_ > Target.MaxTimeout_)
+      Found_.add(ResultCode::DocumentReference, "/limits/defaultTimeoutMs",
+                 "greater than maxTimeoutMs; lower it or raise maxTimeoutMs");
+  }
+
+  void buildCustomers() {
+    std::vector<std::string> Names;
+    std::map<std::string, std::string> DigestOwner;
+    for (const Json &Entry : Root_.at("customers")) {
+      std::string Place = fmt::format("/customers/{}", Names.size());
+      Customer Built;
+      Names.push_back(Entry.at("name").get<std::string>());
+      Built.Name_ = CustomerName(Names.back());
+      Built.DefaultTier_ = tierAt(Place + "/defaultTier",
+                                  Entry.at("defaultTier").get<std::string>());
+      Built.Weight_ = Entry.value("weight", Built.Weight_);
+      Built.MaxInFlight_ = Entry.value("maxInFlight", Built.MaxInFlight_);
+      Built.AllowedTiers_.push_back(Built.DefaultTier_);
+      for (const Json &Name : Entry.value("allowedTiers", Json::array()))
+        Built.AllowedTiers_.push_back(
+            tierAt(Place + "/allowedTiers", Name.get<std::string>()));
+      for (const Json &Digest : Entry.at("keyDigests"))
+        addDigest(Built, Digest.get<std::string>(), Place, DigestOwner);
+      Result_.Customers_.push_back(std::move(Built));
+    }
+    checkUnique(Names, "/customers", "customer");
+  }
+
+  void addDigest(Customer &Owner, const std::string &Text,
+                 const std::string &Place,
+                 std::map<std::string, std::string> &DigestOwner) {
+    std::string Digest = Text.substr(Text.find(':') + 1);
+    auto [Known, New] = DigestOwner.try_emplace(Digest, Owner.Name_.str());
+    if (!New)
+      Found_.add(ResultCode::DocumentDuplicate, Place + "/keyDigests",
+                 fmt::format("'{}' has the same key; give each its own",
+                             Known->second));
+    Owner.KeyDigests_.push_back(Digest);
+  }
+
+  void buildPools() {
+    std::vector<std::string> Names;
+    std::map<std::string, std::string> ModelOwner;
+    for (const Json &Entry : Root_.at("pools")) {
+      std::string Place = fmt::format("/pools/{}", Names.size());
+      Pool Built;
+      Names.push_back(Entry.at("name").get<std::string>());
+      Built.Name_ = PoolName(Names.back());
+      Built.Kind_ =
+          Entry.at("kind") == "model" ? PoolKind::Model : PoolKind::Application;
+      Built.MaxWaiting_ = Entry.value("maxWaiting", Built.MaxWaiting_);
+      Built.Models_ = Entry.value("models", std::vector<std::string>());
+      if (Built.Kind_ == PoolKind::Model && Built.Models_.empty())
+        Found_.add(ResultCode::DocumentReference, Place,
+                   "a model pool names no model; add 'models'");
+      for (const std::string &Model : Built.Models_)
+        if (!ModelOwner.try_emplace(Model, Names.back()).second)
+          Found_.add(ResultCode::DocumentDuplicate, Place + "/models",
+                     fmt::format("model '{}' is served by two pools; keep one",
+                                 Model));
+      buildServers(Built, Entry.at("servers"), Place + "/servers");
+      Result_.Pools_.push_back(std::move(Built));
+    }
+    checkUnique(Names, "/pools", "pool");
+  }
+
+  void buildServers(Pool &Target, const Json &Entries,
+                    const std::string &Place) {
+    std::vector<std::string> Names;
+    for (const Json &Entry : Entries) {
+      std::string Here = fmt::format("{}/{}", Place, Names.size());
+      BackendServer Built;
+      Names.push_back(Entry.at("name").get<std::string>());
+      Built.Name_ = ServerName(Names.back());
+      std::string Text = Entry.at("address").get<std::string>();
+      auto Address = parseEndpoint(Text);
+      if (!Address)
+        Found_.add(ResultCode::DocumentSchema, Here + "/address",
+                   Address.error().Detail_ + "; write e.g. 10.1.2.3:8000");
+      else
+        Built.Address_ = *Address;
+      if (!Addresses_.insert(Text).second)
+        Found_.add(ResultCode::DocumentDuplicate, Here + "/address",
+                   fmt::format("address {} stands twice", Text));
+      Built.DataCenter_ =
+          DataCenterName(Entry.at("dataCenter").get<std::string>());
+      Built.Leaving_ = Entry.value("state", "active") == "leaving";
+      Built.MaxInFlight_ = Entry.value("maxInFlight", Built.MaxInFlight_);
+      Built.ChecksFencing_ = Entry.value("checksFencing", false);
+      Built.RefusesBeforeRunning_ = Entry.value("refusesBeforeRunning", false);
+      Target.Servers_.push_back(std::move(Built));
+    }
+    checkUnique(Names, Place, "server");
+  }
+
+  void buildRoutes() {
+    std::vector<std::string> Paths;
+    for (const Json &Entry : Root_.at("routes")) {
+      std::string Place = fmt::format("/routes/{}", Paths.size());
+      Route Built;
+      Paths.push_back(Entry.at("path").get<std::string>());
+      Built.PathPrefix_ = Paths.back();
+      Built.Pool_ = PoolName(Entry.at("pool").get<std::string>());
+      Built.Methods_ = Entry.value("methods", std::vector<std::string>());
+      Built.NonIdempotent_ = Entry.value("nonIdempotent", false);
+      const Pool *Target = Result_.pool(Built.Pool_);
+      if (!Target)
+        Found_.add(
+            ResultCode::DocumentReference, Place + "/pool",
+            fmt::format("pool '{}' is not in /pools", Built.Pool_.str()));
+      else if (Target->Kind_ == PoolKind::Model && Built.NonIdempotent_)
+        Found_.add(ResultCode::DocumentReference, Place + "/nonIdempotent",
+                   "only routes to application pools can be non-idempotent");
+      Result_.Routes_.push_back(std::move(Built));
+    }
+    checkUnique(Paths, "/routes", "path");
+  }
+
+  const Json &Root_;
+  Findings &Found_;
+  Document Result_;
+  std::set<std::string> Addresses_;
+};
+
+DocumentOrFindings check(const Json &Root, Findings Found) {
+  // A newer format may have fields that the schema does not know: say so
+  // alone, since every other finding would mislead.
+  bool Numbered = Root.is_object() && Root.contains("format") &&
+                  Root["format"].is_number_integer();
+  if (Numbered && Root["format"].get<int>() > NewestFormat) {
+    Found.add(
+        ResultCode::FormatTooNew, "/format",
+        fmt::format("this program understands formats up to {}", NewestFormat));
+    return Found.take();
+  }
+  checkSchema(Root, Found);
+  if (!Found.empty())
+    return Found.take();
+  auto Built = std::make_shared<Document>(DocumentBuilder(Root, Found).build());
+  if (!Found.empty())
+    return Found.take();
+  return CheckedDocument{std::move(Built), Root.dump()};
+}
+
+} // namespace
+
+const char *documentSchema() { return DocumentSchemaText; }
+
+DocumentOrFindings readYamlDocument(const std::string &Text) {
+  try {
+    YAML::Node Root = YAML::Load(Text);
+    YamlConverter Converter;
+    Json Converted = Converter.convert(Root, "");
+    Findings Found(Converter.takeLines());
+    Found.add(Converter.takeFindings());
+    return check(Converted, std::move(Found));
+  } catch (const YAML::Exception &Error) {
+    return std::vector<Finding>{
+        {ResultCode::DocumentSyntax, Error.mark.line + 1, "", Error.msg}};
+  }
+}
+
+DocumentOrFindings readJsonDocument(const std::string &Text) {
+  Json Root = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  if (Root.is_discarded())
+    return std::vector<Finding>{
+        {ResultCode::DocumentSyntax, 0, "", "not valid JSON"}};
+  return check(Root, Findings({}));
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Version/DocumentStore.h
@@ -0,0 +1,65 @@
+#pragma once
+/// \file
+/// The documents in force on this daemon, as immutable snapshots. A version
+/// only ever goes up.
+
+#include "Version/Document.h"
+#include "Version/RcuCell.h"
+#include "Version/VersionedDocument.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace samphireshunt {
+
+/// One service in force.
+struct ServiceConfiguration {
+  DocumentVersion Version_;
+  std::shared_ptr<const Document> Document_;
+  std::shared_ptr<const VersionedDocument> Source_;
+  /// The newest version that could not be adopted because its format is newer
+  /// than this program; 0 when there is none.
+  DocumentVersion NotUnderstood_;
+};
+
+/// All services in force at one instant, and the servers that are leaving.
+struct ConfigurationSnapshot {
+  std::map<ServiceName, ServiceConfiguration> Services_;
+  /// Addresses that the platform's list of VMs names as leaving.
+  std::set<Endpoint> LeavingAddresses_;
+
+  /// The service of a Host header; the only service when no host is declared.
+  const ServiceConfiguration *serviceForHost(std::string_view Host) const;
+  const ServiceConfiguration *service(const ServiceName &Name) const;
+  /// The server, unless it is unknown or leaving: it may get new work now.
+  const BackendServer *activeServer(const ServiceName &Service,
+                                    const PoolName &Pool,
+                                    const ServerName &Server) const;
+};
+
+class DocumentStore {
+public:
+  using ChangedHook = std::function<void(const ServiceName &, DocumentVersion)>;
+
+  DocumentStore();
+  /// Adopts \p Source when its version is higher than the one in force.
+  /// \returns true when it is in force now because of this call.
+  bool adopt(const ServiceName &Service, const VersionedDocument &Source);
+  /// Replaces the list of leaving addresses.
+  void setLeavingAddresses(std::set<Endpoint> Addresses);
+  std::shared_ptr<const ConfigurationSnapshot> snapshot() const {
+    return Current_.read();
+  }
+  /// Called after each adoption, on the adopting thread.
+  void onChanged(ChangedHook Hook) { Changed_ = std::move(Hook); }
+
+private:
+  std::mutex WriterMutex_;
+  RcuCell<ConfigurationSnapshot> Current_;
+  ChangedHook Changed_;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Tools/format.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Formats the sources in place; with --check only tells which are not.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t Files < <(git ls-files -co --exclude-standard '*.h' '*.cpp' |
+  grep -v '_generated\.h$')
+if [ "${1:-}" = --check ]; then
+  clang-format --dry-run --Werror "${Files[@]}"
+else
+  clang-format -i "${Files[@]}"
+fi
--- /dev/null
+++ b/UnitTests/Version/DocumentReaderTest.cpp
@@ -0,0 +1,88 @@
+#include "Version/DocumentReader.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace samphireshunt;
+
+namespace {
+
+const std::string Valid = R"(format: 1
+service: quilotoa-alto
+tiers: [crew, desk]
+customers:
+  - name: crews
+    keyDigests: ["sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"]
+    defaultTier: crew
+pools:
+  - name: escriba
+    kind: model
+    models: [escriba]
+    servers:
+      - {name: e1, address: "10.0.0.1:8000", dataCenter: latacunga}
+routes:
+  - {path: /v1/chat/completions, pool: escriba}
+)";
+
+std::string replaced(std::string Text, const std::string &Old,
+                     const std::string &New) {
+  Text.replace(Text.find(Old), Old.size(), New);
+  return Text;
+}
+
+std::vector<Finding> findings(const std::string &Text) {
+  auto Read = readYamlDocument(Text);
+  auto *Found = std::get_if<std::vector<Finding>>(&Read);
+  return Found ? *Found : std::vector<Finding>();
+}
+
+bool has(const std::vector<Finding> &Found, ResultCode Code, int Line) {
+  return std::ranges::any_of(Found, [&](const Finding &One) {
+    return One.Code_ == Code && One.Line_ == Line;
+  });
+}
+
+} // namespace
+
+TEST_CASE("a valid document reads the same from YAML and from its JSON") {
+  auto FromYaml = std::get<CheckedDocument>(readYamlDocument(Valid));
+  auto FromJson =
+      std::get<CheckedDocument>(readJsonDocument(FromYaml.CanonicalJson_));
+  CHECK(FromJson.CanonicalJson_ == FromYaml.CanonicalJson_);
+  const Document &Read = *FromJson.Document_;
+  CHECK(Read.Service_.str() == "quilotoa-alto");
+  CHECK(Read.customerByKeyDigest(std::string(64, 'a'))->Name_.str() == "crews");
+  CHECK(Read.customerByKeyDigest(std::string(64, 'b')) == nullptr);
+  CHECK(Read.route("/v1/chat/completions")->Pool_.str() == "escriba");
+  CHECK(Read.route("/v1/chat/completionsandmore") == nullptr);
+}
+
+TEST_CASE("each kind of mistake is found with its line and code") {
+  CHECK(has(findings(replaced(Valid, "service:", "servce:")),
+            ResultCode::DocumentSchema, 1));
+  CHECK(has(findings(replaced(Valid, "defaultTier: crew", "defaultTier: x")),
+            ResultCode::DocumentReference, 7));
+  CHECK(has(findings(replaced(Valid, "[crew, desk]", "[crew, crew]")),
+            ResultCode::DocumentDuplicate, 3));
+  CHECK(has(findings(replaced(Valid, "pool: escriba", "pool: other")),
+            ResultCode::DocumentReference, 15));
+  CHECK(has(findings(replaced(Valid, "10.0.0.1:8000", "escriba.example:80")),
+            ResultCode::DocumentSchema, 13));
+  CHECK(has(findings(replaced(Valid, "format: 1", "format: 9")),
+            ResultCode::FormatTooNew, 1));
+  CHECK(has(findings(replaced(Valid, "tiers: [", "tiers: [[")),
+            ResultCode::DocumentSyntax, 4));
+  CHECK(
+      has(findings(replaced(Valid, "kind: model", "kind: model\n    kidn: x")),
+          ResultCode::DocumentSchema, 11));
+}
+
+TEST_CASE("all findings come at once, in the order of lines") {
+  std::string Twice = replaced(replaced(Valid, "pool: escriba", "pool: other"),
+                               "defaultTier: crew", "defaultTier: x");
+  auto Found = findings(Twice);
+  REQUIRE(Found.size() == 2);
+  CHECK(Found[0].Line_ == 7);
+  CHECK(Found[1].Line_ == 15);
+}
--- /dev/null
+++ b/standins/ApplicationEngine.cpp
@@ -0,0 +1,121 @@
+/// \file
+/// Stand-in for an application service. POST /faults switches its faults.
+
+#include "AnswerText.h"
+#include "Ledger.h"
+#include "StandinMain.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <fmt/format.h>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:0", "IP:port to listen on.");
+ABSL_FLAG(std::string, name, "application", "The engine's name.");
+ABSL_FLAG(std::string, ledger, "", "File that the ledger is appended to.");
+ABSL_FLAG(int, service_ms, 5, "Time that a request takes, in ms.");
+
+namespace samphireshunt::standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The next so many requests suffer a fault.
+struct Faults {
+  int Silent_ = 0;  ///< Run, and never answered.
+  int Cut_ = 0;     ///< Run; the connection closes within the answer.
+  int Crossed_ = 0; ///< Answered with another request's id.
+  int Refuse_ = 0;  ///< Refused before running.
+  int LateMs_ = 0;  ///< All answers come this much later.
+  bool Leaving_ = false;
+};
+
+class ApplicationEngine {
+public:
+  ApplicationEngine()
+      : Name_(absl::GetFlag(FLAGS_name)),
+        Ledger_(absl::GetFlag(FLAGS_ledger), Name_),
+        ServiceTime_(absl::GetFlag(FLAGS_service_ms)) {}
+
+  Awaitable<void> handle(HttpExchange &Exchange) {
+    std::string_view Path = Exchange.request().path();
+    if (Path == "/faults")
+      co_return co_await setFaults(Exchange);
+    if (Path == "/v1/load") {
+      Json Load = {
+          {"running", Running_}, {"waiting", 0}, {"leaving", Faults_.Leaving_}};
+      co_await Exchange.respond(jsonAnswer(200, Load));
+      co_return;
+    }
+    ++Running_;
+    co_await run(Exchange);
+    --Running_;
+  }
+
+private:
+  static bool take(int &Count) { return Count > 0 && Count-- > 0; }
+
+  Awaitable<void> run(HttpExchange &Exchange) {
+    HttpRequest Request = Exchange.request();
+    std::string Id = Request.field("x-request-id");
+    std::string Nonce = jsonBody(Request).value("nonce", "");
+    if (Nonce.empty())
+      Nonce = Request.queryParameter("nonce");
+    Json More = {{"key", Request.field("idempotency-key")}};
+    Ledger_.write("received", Id, Nonce, More);
+    if (take(Faults_.Refuse_)) {
+      Ledger_.write("refused", Id, Nonce, More);
+      co_await Exchange.respond(jsonAnswer(503, Json::object()));
+      co_return;
+    }
+    Ledger_.write("ran", Id, Nonce, More);
+    co_await sleepFor(ServiceTime_ + milliseconds(Faults_.LateMs_));
+    Ledger_.write("finished", Id, Nonce, More);
+    if (take(Faults_.Silent_))
+      co_await sleepFor(std::chrono::hours(1));
+    Json Body = {{"engine", Name_},
+                 {"nonce", Nonce},
+                 {"answer", applicationAnswer(Request.path(), Nonce)}};
+    HttpResponse Response = jsonAnswer(200, Body);
+    Response.Fields_["x-request-id"] = take(Faults_.Crossed_) ? "other" : Id;
+    if (take(Faults_.Cut_)) {
+      std::string Half = Response.Body_.substr(0, Response.Body_.size() / 2);
+      Response.Body_.clear();
+      co_await Exchange.beginStream(std::move(Response));
+      co_await Exchange.writeChunk(std::move(Half));
+      co_return Exchange.abort();
+    }
+    co_await Exchange.respond(std::move(Response));
+  }
+
+  Awaitable<void> setFaults(HttpExchange &Exchange) {
+    Json Body = jsonBody(Exchange.request());
+    Faults_.Silent_ = Body.value("silent", 0);
+    Faults_.Cut_ = Body.value("cut", 0);
+    Faults_.Crossed_ = Body.value("crossed", 0);
+    Faults_.Refuse_ = Body.value("refuse", 0);
+    Faults_.LateMs_ = Body.value("lateMs", 0);
+    Faults_.Leaving_ = Body.value("leaving", false);
+    co_await Exchange.respond(jsonAnswer(200, Json::object()));
+  }
+
+  std::string Name_;
+  Ledger Ledger_;
+  milliseconds ServiceTime_;
+  Faults Faults_;
+  int Running_ = 0;
+};
+
+} // namespace
+
+} // namespace samphireshunt::standins
+
+int main(int ArgumentCount, char **Arguments) {
+  using namespace samphireshunt;
+  absl::ParseCommandLine(ArgumentCount, Arguments);
+  boost::asio::io_context Context(1);
+  standins::ApplicationEngine Engine;
+  return standins::serve(
+      Context, absl::GetFlag(FLAGS_address),
+      [&Engine](HttpExchange &Exchange) { return Engine.handle(Exchange); });
+}
--- /dev/null
+++ b/standins/CheckerMain.cpp
@@ -0,0 +1,36 @@
+/// \file
+/// Compares callers' logs with engines' ledgers. Exit status 1 on a violation.
+
+#include "Checker.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <fmt/format.h>
+
+#include <iterator>
+#include <ranges>
+
+ABSL_FLAG(std::string, calls, "", "Callers' logs, separated by commas.");
+ABSL_FLAG(std::string, ledgers, "", "Ledgers, separated by commas.");
+ABSL_FLAG(bool, daemons_killed, false, "Callers may have been cut off.");
+
+int main(int ArgumentCount, char **Arguments) {
+  using namespace samphireshunt::standins;
+  absl::ParseCommandLine(ArgumentCount, Arguments);
+  std::vector<CallRecord> Calls;
+  for (auto Part : std::views::split(absl::GetFlag(FLAGS_calls), ','))
+    std::ranges::move(readCallerLog(std::string(Part.begin(), Part.end())),
+                      std::back_inserter(Calls));
+  std::vector<LedgerLine> Ledger;
+  for (auto Part : std::views::split(absl::GetFlag(FLAGS_ledgers), ','))
+    std::ranges::move(readLedger(std::string(Part.begin(), Part.end())),
+                      std::back_inserter(Ledger));
+  CheckOptions Allowed;
+  Allowed.DaemonsKilled_ = absl::GetFlag(FLAGS_daemons_killed);
+  auto Findings = check(Calls, Ledger, Allowed);
+  for (const std::string &Finding : Findings)
+    fmt::print("VIOLATION {}\n", Finding);
+  fmt::print("{} calls, {} ledger lines, {} violations\n", Calls.size(),
+             Ledger.size(), Findings.size());
+  return Findings.empty() && !Calls.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/standins/Relay.cpp
@@ -0,0 +1,205 @@
+/// \file
+/// A network between two processes that can be cut: relays TCP connections and
+/// UDP datagrams to a target. POST /faults with mode "pass", "silent" (what
+/// comes is dropped, connections stay open) or "refuse" (connections close).
+
+#include "StandinMain.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <cstdio>
+#include <map>
+#include <set>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:0", "IP:port for /faults.");
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:port that is relayed.");
+ABSL_FLAG(std::string, target, "", "IP:port that it goes to.");
+
+namespace samphireshunt::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
+using boost::system::error_code;
+
+enum class Mode { Pass, Silent, Refuse };
+
+class Relay {
+public:
+  explicit Relay(asio::io_context &Context)
+      : Context_(Context), Acceptor_(Context), Datagrams_(Context) {}
+
+  bool start() {
+    auto Listen = parseEndpoint(absl::GetFlag(FLAGS_listen));
+    if (!Listen)
+      return false;
+    if (auto Target = parseEndpoint(absl::GetFlag(FLAGS_target)))
+      Target_ = *Target;
+    Acceptor_ = Tcp::acceptor(Context_, *Listen);
+    Endpoint Bound = Acceptor_.local_endpoint();
+    Datagrams_ =
+        Udp::socket(Context_, Udp::endpoint(Bound.address(), Bound.port()));
+    Json Line = {{"event", "relaying"}, {"address", formatEndpoint(Bound)}};
+    fmt::print("{}\n", Line.dump());
+    auto Accept = [this]() { return accept(); };
+    auto Receive = [this]() { return receive(); };
+    asio::co_spawn(Context_, std::move(Accept), asio::detached);
+    asio::co_spawn(Context_, std::move(Receive), asio::detached);
+    return true;
+  }
+
+  Awaitable<void> handle(HttpExchange &Exchange) {
+    Json Body = jsonBody(Exchange.request());
+    std::string Name = Body.value("mode", "pass");
+    Mode_ = Name == "silent"   ? Mode::Silent
+            : Name == "refuse" ? Mode::Refuse
+                               : Mode::Pass;
+    if (Body.contains("target"))
+      Target_ = parseEndpoint(Body["target"].get<std::string>()).value();
+    if (Mode_ == Mode::Refuse)
+      closeAll();
+    co_await Exchange.respond(jsonAnswer(200, Json::object()));
+  }
+
+private:
+  using SocketPointer = std::shared_ptr<Tcp::socket>;
+
+  void closeAll() {
+    for (const SocketPointer &Open : Sockets_) {
+      error_code Ignored;
+      Open->close(Ignored);
+    }
+    Sockets_.clear();
+  }
+
+  Awaitable<void> accept() {
+    while (true) {
+      auto [Error, Socket] =
+          co_await Acceptor_.async_accept(asio::as_tuple(asio::use_awaitable));
+      if (Error)
+        break;
+      auto Caller = std::make_shared<Tcp::socket>(std::move(Socket));
+      auto Serve = [this, Caller]() { return serveConnection(Caller); };
+      asio::co_spawn(Context_, std::move(Serve), asio::detached);
+    }
+  }
+
+  Awaitable<void> serveConnection(SocketPointer Caller) {
+    if (Mode_ == Mode::Refuse)
+      co_return;
+    Sockets_.insert(Caller);
+    // Connections made in silence reach nobody, but stay open.
+    if (Mode_ == Mode::Silent)
+      co_return;
+    auto Server = std::make_shared<Tcp::socket>(Context_);
+    auto [Error] = co_await Server->async_connect(
+        Target_, asio::as_tuple(asio::use_awaitable));
+    if (Error) {
+      Sockets_.erase(Caller);
+      co_return;
+    }
+    Sockets_.insert(Server);
+    auto Back = [this, Server, Caller]() { return pump(Server, Caller); };
+    asio::co_spawn(Context_, std::move(Back), asio::detached);
+    co_await pump(Caller, Server);
+  }
+
+  Awaitable<void> pump(SocketPointer From, SocketPointer To) {
+    std::array<char, 16384> Space;
+    while (true) {
+      auto [Error, Count] = co_await From->async_read_some(
+          asio::buffer(Space), asio::as_tuple(asio::use_awaitable));
+      if (Error)
+        break;
+      if (Mode_ != Mode::Pass)
+        continue;
+      auto [WriteError, Written] =
+          co_await asio::async_write(*To, asio::buffer(Space.data(), Count),
+                                     asio::as_tuple(asio::use_awaitable));
+      if (WriteError)
+        break;
+    }
+    if (Mode_ == Mode::Silent)
+      co_return;
+    error_code Ignored;
+    From->close(Ignored);
+    To->close(Ignored);
+    Sockets_.erase(From);
+    Sockets_.erase(To);
+  }
+
+  /// Datagrams go to the target from a socket for each sender, so that the
+  /// target's answers find their way back.
+  Awaitable<void> receive() {
+    std::array<char, 65536> Space;
+    while (true) {
+      Udp::endpoint Sender;
+      auto [Error, Count] = co_await Datagrams_.async_receive_from(
+          asio::buffer(Space), Sender, asio::as_tuple(asio::use_awaitable));
+      if (Error)
+        break;
+      if (Mode_ != Mode::Pass)
+        continue;
+      auto &Out = BySender_[Sender];
+      if (!Out) {
+        Out = std::make_shared<Udp::socket>(Context_, Udp::v4());
+        auto Answer = [this, Out, Sender]() { return answer(Out, Sender); };
+        asio::co_spawn(Context_, std::move(Answer), asio::detached);
+      }
+      error_code Ignored;
+      Out->send_to(asio::buffer(Space.data(), Count),
+                   Udp::endpoint(Target_.address(), Target_.port()), 0,
+                   Ignored);
+    }
+  }
+
+  Awaitable<void> answer(std::shared_ptr<Udp::socket> Out,
+                         Udp::endpoint Sender) {
+    std::array<char, 65536> Space;
+    while (true) {
+      auto [Error, Count] = co_await Out->async_receive(
+          asio::buffer(Space), asio::as_tuple(asio::use_awaitable));
+      if (Error)
+        continue;
+      if (Mode_ != Mode::Pass)
+        continue;
+      error_code Ignored;
+      Datagrams_.send_to(asio::buffer(Space.data(), Count), Sender, 0, Ignored);
+    }
+  }
+
+  asio::io_context &Context_;
+  Tcp::acceptor Acceptor_;
+  Udp::socket Datagrams_;
+  Endpoint Target_;
+  Mode Mode_ = Mode::Pass;
+  std::set<SocketPointer> Sockets_;
+  std::map<Udp::endpoint, std::shared_ptr<Udp::socket>> BySender_;
+};
+
+} // namespace
+
+} // namespace samphireshunt::standins
+
+int main(int ArgumentCount, char **Arguments) {
+  using namespace samphireshunt;
+  absl::ParseCommandLine(ArgumentCount, Arguments);
+  boost::asio::io_context Context(1);
+  standins::Relay Network(Context);
+  if (!Network.start())
+    return 2;
+  return standins::serve(
+      Context, absl::GetFlag(FLAGS_address),
+      [&Network](HttpExchange &Exchange) { return Network.handle(Exchange); });
+}
