--- a/FailureTests/Cluster.cpp
+++ b/FailureTests/Cluster.cpp
@@ -63,6 +63,17 @@
   Lines_[Name] = Started->readLine();
 }
 
+void Cluster::startRelay(const std::string &Name) {
+  auto &Started = Processes_[Name];
+  if (Started)
+    return;
+  Started = std::make_unique<ChildProcess>(
+      std::vector<std::string>{STANDIN_FOLDER "/standin_Relay"},
+      Folder_ + "/" + Name + ".log");
+  RelayLines_[Name] = Started->readLine();
+  Lines_[Name] = Started->readLine();
+}
+
 void Cluster::startEngines() {
   for (int Number = 1; Number <= Options_.Models_; ++Number) {
     std::string Name = fmt::format("model-{}", Number);
@@ -84,24 +95,25 @@
 
 void Cluster::startDaemon(int Number) {
   std::string Name = fmt::format("vm-{}", Number);
+  std::string Platform = address("platform");
+  if (Options_.PlatformRelays_) {
+    std::string Way = fmt::format("platform-relay-{}", Number);
+    startRelay(Way);
+    faults(Way, {{"mode", "pass"}, {"target", Platform}});
+    Platform = RelayLines_[Way]["address"].get<std::string>();
+  }
   std::vector<std::string> Command = {PROGRAM_FOLDER "/samphireshuntd",
                                       "--vm_id=" + Name,
                                       "--data_center=latacunga",
                                       "--callers_address=127.0.0.1:0",
                                       "--peers_address=127.0.0.1:0",
                                       "--operators_address=127.0.0.1:0",
-                                      "--platform_address=" +
-                                          address("platform"),
+                                      "--platform_address=" + Platform,
                                       "--platform_timeout_ms=500",
                                       "--drain_delay_ms=300"};
   std::string RelayName = fmt::format("relay-{}", Number);
   if (Options_.Relays_) {
-    auto &Started = Processes_[RelayName];
-    Started = std::make_unique<ChildProcess>(
-        std::vector<std::string>{STANDIN_FOLDER "/standin_Relay"},
-        Folder_ + "/" + RelayName + ".log");
-    RelayLines_[RelayName] = Started->readLine();
-    Lines_[RelayName] = Started->readLine();
+    startRelay(RelayName);
     Command.push_back("--advertise_peers=" +
                       RelayLines_[RelayName]["address"].get<std::string>());
   }
--- a/FailureTests/Cluster.h
+++ b/FailureTests/Cluster.h
@@ -30,6 +30,8 @@
   int Applications_ = 1;
   /// Daemons reach one another through relays that can be cut.
   bool Relays_ = false;
+  /// Daemons reach the platform through relays of their own.
+  bool PlatformRelays_ = false;
   int MaxInFlight_ = 8;
   double StepMs_ = 5;
   int ServiceMs_ = 5;
@@ -90,6 +92,7 @@
 
 private:
   void startProcess(const std::string &Name, std::vector<std::string> Command);
+  void startRelay(const std::string &Name);
   void startEngines();
   std::string address(const std::string &Name,
                       const std::string &Field = "address") const;
--- /dev/null
+++ b/FailureTests/LeavingTest.cpp
@@ -0,0 +1,159 @@
+/// \file
+/// Promises: a leaving backend server gets no new work after a few seconds;
+/// every planned stop is graceful.
+
+#include "FailureTests/Cluster.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+Json withLeaving(Json Document, const std::string &Server) {
+  for (Json &Pool : Document["pools"])
+    for (Json &Entry : Pool["servers"])
+      if (Entry["name"] == Server)
+        Entry["state"] = "leaving";
+  return Document;
+}
+
+std::size_t receivedBy(const Cluster &Fleet, const std::string &Engine) {
+  auto Ledger = Fleet.ledger();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Ledger, [&](const auto &Line) {
+        return Line.Event_ == "received" && Line.Engine_ == Engine;
+      }));
+}
+
+void serveMany(Cluster &Fleet, int Count) {
+  std::vector<std::future<CallRecord>> Calls;
+  for (int Index = 0; Index < Count; ++Index)
+    Calls.push_back(Fleet.start(Fleet.chat(1 + Index % 3)));
+  CHECK(countOutcome(finish(Calls), "answered") ==
+        static_cast<std::size_t>(Count));
+}
+
+} // namespace
+
+TEST_CASE("a server that the document lets leave gets no new work") {
+  // Symptom: a server that was drained for hours still gets a request.
+  // Sequence: requests wait, some granted for the server, when the document
+  // sets it to leaving.
+  // Cause: a grant or a snapshot from before the change was still used.
+  ClusterOptions Options;
+  Options.MaxInFlight_ = 1;
+  Cluster Fleet(Options);
+  std::vector<std::future<CallRecord>> Calls;
+  for (int Index = 0; Index < 30; ++Index)
+    Calls.push_back(Fleet.start(Fleet.chat(1 + Index % 3)));
+  REQUIRE(eventually([&] { return receivedBy(Fleet, "model-1") > 0; }));
+  REQUIRE(Fleet.apply(withLeaving(Fleet.document(), "model-1"), {"--wait"}) ==
+          0);
+  std::size_t Before = receivedBy(Fleet, "model-1");
+  CHECK(countOutcome(finish(Calls), "answered") == 30);
+  serveMany(Fleet, 12);
+  CHECK(receivedBy(Fleet, "model-1") <= Before + 1);
+  CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
+}
+
+TEST_CASE("a change reaches daemons that are cut off from the platform") {
+  // Symptom: one daemon goes on sending to a server that left.
+  // Sequence: two daemons lose the platform; the document sets a server to
+  // leaving; the platform then fails for all.
+  // Cause: each daemon learns of changes from the platform alone.
+  ClusterOptions Options;
+  Options.PlatformRelays_ = true;
+  Cluster Fleet(Options);
+  for (const char *Name : {"platform-relay-2", "platform-relay-3"})
+    Fleet.faults(Name, {{"mode", "silent"}});
+  REQUIRE(Fleet.apply(withLeaving(Fleet.document(), "model-1"), {"--wait"}) ==
+          0);
+  Fleet.faults("platform", {{"outage", true}});
+  std::size_t Before = receivedBy(Fleet, "model-1");
+  serveMany(Fleet, 12);
+  CHECK(receivedBy(Fleet, "model-1") == Before);
+}
+
+TEST_CASE("a server that the platform's list lets leave gets no new work") {
+  // Symptom: requests go to a VM that the platform is about to take away.
+  // Sequence: the list, which lags, shows the VM as leaving.
+  // Cause: only the document was asked whether a server may get work.
+  Cluster Fleet;
+  serveMany(Fleet, 12);
+  Fleet.listLeaving({"model-1"});
+  CHECK(eventually(
+      [&] {
+        for (int Daemon = 1; Daemon <= 3; ++Daemon)
+          for (const Json &Cell : Fleet.status(Daemon)["cells"])
+            if (Cell["cell"] == "test/models/0" &&
+                Cell["servers"]["model-1"].value("usable", true))
+              return false;
+        return true;
+      },
+      milliseconds(5000)));
+  std::size_t Before = receivedBy(Fleet, "model-1");
+  serveMany(Fleet, 12);
+  CHECK(receivedBy(Fleet, "model-1") == Before);
+}
+
+TEST_CASE("a graceful stop of the keeper and entry cuts nothing") {
+  // Symptom: during a planned restart a caller's stream breaks off.
+  // Sequence: SIGTERM to a daemon that keeps cells, with requests waiting,
+  // streaming and still coming.
+  // Cause: the process ended, or refused, before its work was done.
+  ClusterOptions Options;
+  Options.MaxInFlight_ = 2;
+  Cluster Fleet(Options);
+  int Keeper = Fleet.keeperOf("models");
+  std::vector<std::future<CallRecord>> Calls;
+  for (int Index = 0; Index < 24; ++Index) {
+    CallRequest Request = Fleet.stream(1 + Index % 3);
+    Request.MaxTokens_ = 60;
+    Calls.push_back(Fleet.start(std::move(Request)));
+  }
+  REQUIRE(eventually([&] { return Fleet.ledgerCount("ran") >= 4; }));
+  std::string Name = fmt::format("vm-{}", Keeper);
+  Fleet.process(Name).signal(SIGTERM);
+  // The balancer sends on for a while.
+  REQUIRE(eventually(
+      [&] { return Fleet.status(Keeper).value("draining", false); }));
+  for (int Index = 0; Index < 3; ++Index)
+    Calls.push_back(Fleet.start(Fleet.chat(Keeper)));
+  CHECK(countOutcome(finish(Calls), "answered") == 27);
+  CHECK(Fleet.process(Name).wait() == 0);
+  CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
+}
+
+TEST_CASE("a rolling restart of every daemon under load cuts nothing") {
+  // Symptom: an update of the fleet costs answers.
+  // Sequence: each daemon in turn is stopped gracefully and started anew,
+  // while callers use those that are ready.
+  // Cause: cells that move, and documents that must come from peers.
+  Cluster Fleet;
+  std::vector<CallRecord> Records;
+  for (int Leaving = 1; Leaving <= 3; ++Leaving) {
+    std::vector<std::future<CallRecord>> Calls;
+    for (int Index = 0; Index < 12; ++Index) {
+      CallRequest Request = Fleet.stream(1 + Index % 3);
+      Request.MaxTokens_ = 40;
+      Calls.push_back(Fleet.start(std::move(Request)));
+    }
+    std::string Name = fmt::format("vm-{}", Leaving);
+    REQUIRE(eventually(
+        [&] { return Fleet.status(Leaving).value("activeRequests", 0) > 0; }));
+    Fleet.process(Name).signal(SIGTERM);
+    for (int Index = 0; Index < 12; ++Index)
+      Calls.push_back(Fleet.start(Fleet.chat(1 + (Leaving + Index % 2) % 3)));
+    CHECK(Fleet.process(Name).wait() == 0);
+    CHECK(countOutcome(finish(Calls), "answered") == 24);
+    Fleet.startDaemon(Leaving);
+    Fleet.awaitReady();
+  }
+  CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
+}
--- a/Source/Process/ConfigurationSync.h
+++ b/Source/Process/ConfigurationSync.h
@@ -19,7 +19,7 @@
   struct Options {
     /// How long one watch waits at the service; also bounds how long a watch
     /// that died unnoticed can hide a change.
-    std::chrono::milliseconds WatchTime_{5000};
+    std::chrono::milliseconds WatchTime_{2500};
     std::chrono::milliseconds RetryTime_{500};
     std::chrono::milliseconds ListInterval_{1000};
     /// At the start, how long to wait for a word from any peer.
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -40,7 +40,7 @@
   /// Writes that take effect although their answer never returns.
   int LoseWriteAnswers_ = 0;
   bool StallWatches_ = false;
-  /// Reads see the state as it was when this was switched on.
+  /// Reads see each key's value before its last write.
   bool StaleReads_ = false;
   bool FrozenVmList_ = false;
 };
@@ -95,11 +95,11 @@
   }
 
   const std::map<std::string, Entry> &readable() const {
-    return Faults_.StaleReads_ ? Stale_ : Entries_;
+    return Faults_.StaleReads_ ? Previous_ : Entries_;
   }
 
   std::uint64_t readableRevision() const {
-    return Faults_.StaleReads_ ? StaleRevision_ : Revision_;
+    return Faults_.StaleReads_ && Revision_ > 0 ? Revision_ - 1 : Revision_;
   }
 
   Json entriesAfter(const std::string &Prefix, std::uint64_t After) const {
@@ -141,6 +141,8 @@
       co_return;
     }
     ++Revision_;
+    if (Found != Entries_.end())
+      Previous_[Key] = Found->second;
     if (Request.Method_ == "DELETE") {
       Entries_.erase(Key);
     } else {
@@ -213,10 +215,6 @@
     Next.StallWatches_ = Body.value("stallWatches", false);
     Next.StaleReads_ = Body.value("staleReads", false);
     Next.FrozenVmList_ = Body.value("frozenVmList", false);
-    if (Next.StaleReads_ && !Faults_.StaleReads_) {
-      Stale_ = Entries_;
-      StaleRevision_ = Revision_;
-    }
     if (Next.FrozenVmList_ && !Faults_.FrozenVmList_)
       FrozenVms_ = Vms_;
     Faults_ = Next;
@@ -230,8 +228,8 @@
   }
 
   std::map<std::string, Entry> Entries_;
-  std::map<std::string, Entry> Stale_;
-  std::uint64_t StaleRevision_ = 0;
+  /// Each key's value before its last write.
+  std::map<std::string, Entry> Previous_;
   std::uint64_t Revision_ = 0;
   Json Vms_ = {{"vms", Json::array()}};
   Json FrozenVms_;
