--- /dev/null
+++ b/UnitTests/Process/MemberTableTest.cpp
@@ -0,0 +1,119 @@
+#include "Process/MemberTable.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+namespace {
+
+const TimePoint Start{std::chrono::seconds(1000)};
+
+Member member(const std::string &Name, std::uint64_t Process = 1) {
+  Member Built;
+  Built.Id_ = VmId(Name);
+  Built.Incarnation_ = Incarnation(Process);
+  return Built;
+}
+
+} // namespace
+
+TEST_CASE("whatever the order of updates, tables end up the same") {
+  bool Holds = rc::check([] {
+    auto Updates = *rc::gen::container<std::vector<Member>>(rc::gen::apply(
+        [](int Name, int Process, int Counter, int Status) {
+          Member Built = member(std::string(1, static_cast<char>('a' + Name)),
+                                static_cast<std::uint64_t>(Process));
+          Built.Counter_ = static_cast<std::uint32_t>(Counter);
+          Built.Status_ = static_cast<MemberStatus>(Status);
+          return Built;
+        },
+        rc::gen::inRange(0, 3), rc::gen::inRange(1, 3), rc::gen::inRange(0, 3),
+        rc::gen::inRange(0, 3)));
+    MemberTable Forwards(member("self"), {});
+    MemberTable Backwards(member("self"), {});
+    for (const Member &Update : Updates)
+      Forwards.merge(Update, Start);
+    std::ranges::reverse(Updates);
+    for (const Member &Update : Updates)
+      Backwards.merge(Update, Start);
+    RC_ASSERT(Forwards.others() == Backwards.others());
+  });
+  CHECK(Holds);
+}
+
+TEST_CASE("a daemon that is called dead refutes it with a higher counter") {
+  // Symptom: a live daemon loses its cells and its streams for good.
+  // Sequence: a pause makes others hold it dead; it wakes.
+  // Cause: nobody but itself can take the claim back.
+  MemberTable Woken(member("vm-1"), {});
+  MemberTable Other(member("vm-2"), {});
+  Other.merge(Woken.self(), Start);
+  Other.suspect(VmId("vm-1"), Start);
+  Other.tick(Start + milliseconds(1500));
+  REQUIRE(Other.find(VmId("vm-1"))->Status_ == MemberStatus::Dead);
+  Woken.merge(*Other.find(VmId("vm-1")), Start);
+  CHECK(Other.merge(Woken.self(), Start));
+  CHECK(Other.find(VmId("vm-1"))->Status_ == MemberStatus::Alive);
+}
+
+TEST_CASE("a process that starts anew on a VM replaces the dead one") {
+  MemberTable Table(member("self"), {});
+  Table.merge(member("vm-1", 1), Start);
+  Table.suspect(VmId("vm-1"), Start);
+  Table.tick(Start + milliseconds(2000));
+  CHECK(Table.merge(member("vm-1", 2), Start));
+  CHECK(Table.find(VmId("vm-1"))->Status_ == MemberStatus::Alive);
+  CHECK_FALSE(Table.merge(member("vm-1", 1), Start));
+}
+
+TEST_CASE("a suspicion that is refuted in time kills nobody") {
+  MemberTable Table(member("self"), {});
+  Table.merge(member("vm-1"), Start);
+  Table.suspect(VmId("vm-1"), Start);
+  Member Refuted = member("vm-1");
+  Refuted.Counter_ = 1;
+  CHECK(Table.merge(Refuted, Start + milliseconds(500)));
+  Table.tick(Start + milliseconds(5000));
+  CHECK(Table.find(VmId("vm-1"))->Status_ == MemberStatus::Alive);
+}
+
+TEST_CASE("dead members lower the share until the platform's list drops them") {
+  MemberTable Table(member("self"), {});
+  for (const char *Name : {"a", "b", "c"})
+    Table.merge(member(Name), Start);
+  CHECK(Table.liveShare() == doctest::Approx(1.0));
+  Table.suspect(VmId("a"), Start);
+  Table.tick(Start + milliseconds(2000));
+  CHECK(Table.liveShare() == doctest::Approx(0.75));
+  Table.forgetDead([](const VmId &) { return true; });
+  CHECK(Table.liveShare() == doctest::Approx(0.75));
+  Table.forgetDead([](const VmId &) { return false; });
+  CHECK(Table.liveShare() == doctest::Approx(1.0));
+}
+
+TEST_CASE("a leaving daemon keeps no cell and is probed as before") {
+  MemberTable Table(member("self"), {});
+  Table.merge(member("a"), Start);
+  Table.leave();
+  auto Keepers = Table.keepers();
+  REQUIRE(Keepers.size() == 1);
+  CHECK(Keepers[0].Id_ == VmId("a"));
+  CHECK(Table.nextProbe()->Id_ == VmId("a"));
+}
+
+TEST_CASE("a round of probes reaches every member once, the dead too") {
+  MemberTable Table(member("self"), {});
+  for (const char *Name : {"a", "b", "c", "d"})
+    Table.merge(member(Name), Start);
+  Table.suspect(VmId("b"), Start);
+  Table.tick(Start + milliseconds(2000));
+  std::vector<VmId> Probed;
+  for (int Round = 0; Round < 4; ++Round)
+    Probed.push_back(Table.nextProbe()->Id_);
+  std::ranges::sort(Probed);
+  CHECK(Probed == std::vector{VmId("a"), VmId("b"), VmId("c"), VmId("d")});
+}
--- /dev/null
+++ b/UnitTests/Process/NaiveScheduler.h
@@ -0,0 +1,284 @@
+#pragma once
+/// \file
+/// The scheduler's rules over one list that is scanned for every decision: slow
+/// and plain, to compare the real one with.
+
+#include "Process/Scheduler.h"
+
+#include <algorithm>
+
+namespace samphireshunt::tests {
+
+class NaiveScheduler {
+public:
+  NaiveScheduler(Scheduler::Options Settings,
+                 std::vector<ServerCapacity> Servers,
+                 std::map<CustomerName, CustomerShare> Shares)
+      : Options_(Settings), Shares_(std::move(Shares)) {
+    for (const ServerCapacity &Capacity : Servers)
+      Servers_.emplace(Capacity.Name_, ServerModel(Capacity));
+  }
+
+  std::vector<Decision> ask(const AskedRequest &Request, TimePoint Now) {
+    std::vector<Decision> Out;
+    if (find(Request.Id_) != Waiting_.end())
+      return Out;
+    end(Request.Id_);
+    bool Below = Floor_ && Now < FloorUntil_ && Request.Tier_ > *Floor_;
+    if (Below) {
+      refuse(Request, ResultCode::ShedForHigherTier, Out);
+      return Out;
+    }
+    if (Now >= Request.Deadline_) {
+      refuse(Request, ResultCode::CannotFinishInTime, Out);
+      return Out;
+    }
+    if (Waiting_.size() >= Options_.MaxWaiting_ &&
+        !shedLowest(Request.Tier_, Out)) {
+      noteShed(Request.Tier_, Now, Out);
+      refuse(Request, ResultCode::QueueFull, Out);
+      return Out;
+    }
+    activate(Request);
+    Waiting_.push_back({Request, NextArrival_++, false});
+    return Out;
+  }
+
+  void withdraw(const RequestId &Id) {
+    if (auto Found = find(Id); Found != Waiting_.end())
+      Waiting_.erase(Found);
+    else
+      end(Id);
+  }
+
+  void done(const RequestId &Id) { end(Id); }
+
+  std::vector<RequestId> removeEntry(const VmId &Entry) {
+    std::erase_if(Waiting_, [&](const Entry_ &One) {
+      return One.Asked_.Entry_ == Entry;
+    });
+    std::vector<RequestId> Orphans;
+    for (const RunningRequest &One : Running_)
+      if (One.Entry_ == Entry)
+        Orphans.push_back(One.Id_);
+    for (const RequestId &Id : Orphans)
+      end(Id);
+    return Orphans;
+  }
+
+  std::vector<Decision> decide(TimePoint Now) {
+    std::vector<Decision> Out;
+    while (grantOne(Out)) {
+    }
+    preemptUrgent(Now, Out);
+    expire(Now, Out);
+    return Out;
+  }
+
+  const std::vector<RunningRequest> &running() const { return Running_; }
+  std::size_t waitingBelow(TierIndex Tier) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Waiting_, [&](const Entry_ &One) { return One.Asked_.Tier_ > Tier; }));
+  }
+  bool cancelled(const RequestId &Id) const { return Cancelled_.contains(Id); }
+
+private:
+  struct Entry_ {
+    AskedRequest Asked_;
+    std::uint64_t Arrival_ = 0;
+    bool Preempting_ = false;
+  };
+  using ServedKey = std::pair<TierIndex, CustomerName>;
+
+  std::vector<Entry_>::iterator find(const RequestId &Id) {
+    return std::ranges::find_if(
+        Waiting_, [&](const Entry_ &One) { return One.Asked_.Id_ == Id; });
+  }
+
+  void end(const RequestId &Id) {
+    auto Found = std::ranges::find(Running_, Id, &RunningRequest::Id_);
+    if (Found == Running_.end())
+      return;
+    Servers_.at(Found->Server_).end(Id);
+    Cancelled_.erase(Id);
+    Running_.erase(Found);
+  }
+
+  void refuse(const AskedRequest &Request, ResultCode Code,
+              std::vector<Decision> &Out) {
+    Out.push_back(RefuseDecision{Request.Id_, Code, {}, Request.Entry_});
+  }
+
+  bool waits(const ServedKey &Key) const {
+    return std::ranges::any_of(Waiting_, [&](const Entry_ &One) {
+      return One.Asked_.Tier_ == Key.first &&
+             One.Asked_.Customer_ == Key.second;
+    });
+  }
+
+  void activate(const AskedRequest &Request) {
+    ServedKey Key{Request.Tier_, Request.Customer_};
+    if (waits(Key))
+      return;
+    std::optional<double> Least;
+    for (const Entry_ &One : Waiting_)
+      if (One.Asked_.Tier_ == Request.Tier_) {
+        double Served = Served_[{One.Asked_.Tier_, One.Asked_.Customer_}];
+        Least = Least ? std::min(*Least, Served) : Served;
+      }
+    double &Own = Served_[Key];
+    Own = std::max(Own, Least.value_or(Own));
+  }
+
+  /// The order in which waiting requests are served.
+  auto order(const Entry_ &One) {
+    ServedKey Key{One.Asked_.Tier_, One.Asked_.Customer_};
+    return std::tuple(One.Asked_.Tier_, Served_[Key], One.Asked_.Customer_,
+                      One.Asked_.Deadline_, One.Arrival_);
+  }
+
+  bool atCeiling(const CustomerName &Customer) const {
+    std::uint32_t Limit = Shares_.at(Customer).MaxInFlight_;
+    auto Count =
+        std::ranges::count(Running_, Customer, &RunningRequest::Customer_);
+    return Limit > 0 && static_cast<std::uint32_t>(Count) >= Limit;
+  }
+
+  ServerModel *choose(const AskedRequest &Request) {
+    ServerModel *Best = nullptr;
+    auto Score = [&](const ServerModel &Server) {
+      return std::pair(
+          Server.expectedFirstToken(Request.Prompt_, Request.Prefix_),
+          Server.inFlight());
+    };
+    for (auto &[Name, Server] : Servers_) {
+      if (!Server.hasRoom(1.0) || std::ranges::count(Request.Excluded_, Name))
+        continue;
+      if (!Best || Score(Server) < Score(*Best))
+        Best = &Server;
+    }
+    return Best;
+  }
+
+  bool grantOne(std::vector<Decision> &Out) {
+    std::vector<Entry_> Sorted = Waiting_;
+    std::ranges::sort(Sorted, {},
+                      [this](const Entry_ &One) { return order(One); });
+    std::set<ServedKey> Tried;
+    for (const Entry_ &One : Sorted) {
+      const AskedRequest &Asked = One.Asked_;
+      // Only the first request of each customer in a tier is looked at.
+      if (!Tried.insert({Asked.Tier_, Asked.Customer_}).second ||
+          atCeiling(Asked.Customer_))
+        continue;
+      ServerModel *Server = choose(Asked);
+      if (!Server)
+        continue;
+      serve(Asked, *Server, Out);
+      return true;
+    }
+    return false;
+  }
+
+  void serve(AskedRequest Asked, ServerModel &Server,
+             std::vector<Decision> &Out) {
+    double Cost = static_cast<double>(
+        std::max<std::int64_t>(1, (Asked.Prompt_ + Asked.Answer_).count()));
+    Served_[{Asked.Tier_, Asked.Customer_}] +=
+        Cost / Shares_.at(Asked.Customer_).Weight_;
+    Waiting_.erase(find(Asked.Id_));
+    Server.start(Asked.Id_, Asked.Prompt_, Asked.Prefix_);
+    ServerName Name = Server.capacity().Name_;
+    Running_.push_back({Asked.Id_, Asked.Tier_, Asked.Customer_, Name,
+                        Asked.Prompt_, Asked.Answer_, Asked.NonIdempotent_,
+                        Asked.Entry_});
+    Out.push_back(GrantDecision{Asked.Id_, Name, Asked.Entry_});
+  }
+
+  bool shedLowest(TierIndex Above, std::vector<Decision> &Out) {
+    auto Victim = Waiting_.end();
+    for (auto One = Waiting_.begin(); One != Waiting_.end(); ++One)
+      if (One->Asked_.Tier_ > Above &&
+          (Victim == Waiting_.end() || order(*Victim) < order(*One)))
+        Victim = One;
+    if (Victim == Waiting_.end())
+      return false;
+    refuse(Victim->Asked_, ResultCode::ShedForHigherTier, Out);
+    Waiting_.erase(Victim);
+    return true;
+  }
+
+  bool preemptFor(TierIndex Tier, std::vector<Decision> &Out) {
+    const RunningRequest *Victim = nullptr;
+    auto Worse = [](const RunningRequest &Left, const RunningRequest &Right) {
+      return std::tuple(Right.Tier_, Left.Prompt_, Left.Id_) <
+             std::tuple(Left.Tier_, Right.Prompt_, Right.Id_);
+    };
+    for (const RunningRequest &One : Running_) {
+      bool Eligible = One.Tier_ > Tier && !One.NonIdempotent_ &&
+                      !Cancelled_.contains(One.Id_);
+      if (Eligible && (!Victim || Worse(One, *Victim)))
+        Victim = &One;
+    }
+    if (!Victim)
+      return false;
+    Cancelled_.insert(Victim->Id_);
+    Out.push_back(CancelDecision{Victim->Id_, Victim->Server_, Victim->Entry_});
+    return true;
+  }
+
+  void noteShed(TierIndex Tier, TimePoint Now, std::vector<Decision> &Out) {
+    if (!(Floor_ && Now < FloorUntil_ && *Floor_ <= Tier))
+      Floor_ = Tier;
+    FloorUntil_ = std::max(FloorUntil_, Now + Options_.FloorHold_);
+    while (shedLowest(Tier, Out)) {
+    }
+    while (preemptFor(Tier, Out)) {
+    }
+  }
+
+  std::vector<RequestId> dueBy(TimePoint Limit) const {
+    std::vector<std::pair<TimePoint, RequestId>> Due;
+    for (const Entry_ &One : Waiting_)
+      if (One.Asked_.Deadline_ <= Limit)
+        Due.emplace_back(One.Asked_.Deadline_, One.Asked_.Id_);
+    std::ranges::sort(Due);
+    std::vector<RequestId> Ids;
+    for (const auto &[Deadline, Id] : Due)
+      Ids.push_back(Id);
+    return Ids;
+  }
+
+  void preemptUrgent(TimePoint Now, std::vector<Decision> &Out) {
+    for (const RequestId &Id : dueBy(Now + Options_.PreemptMargin_)) {
+      auto One = find(Id);
+      if (!One->Preempting_ && !atCeiling(One->Asked_.Customer_))
+        One->Preempting_ = preemptFor(One->Asked_.Tier_, Out);
+    }
+  }
+
+  void expire(TimePoint Now, std::vector<Decision> &Out) {
+    for (const RequestId &Id : dueBy(Now)) {
+      auto One = find(Id);
+      if (One == Waiting_.end())
+        continue;
+      AskedRequest Asked = One->Asked_;
+      Waiting_.erase(One);
+      noteShed(Asked.Tier_, Now, Out);
+      refuse(Asked, ResultCode::DeadlineInQueue, Out);
+    }
+  }
+
+  Scheduler::Options Options_;
+  std::map<ServerName, ServerModel> Servers_;
+  std::map<CustomerName, CustomerShare> Shares_;
+  std::map<ServedKey, double> Served_;
+  std::vector<Entry_> Waiting_;
+  std::vector<RunningRequest> Running_;
+  std::set<RequestId> Cancelled_;
+  std::optional<TierIndex> Floor_;
+  TimePoint FloorUntil_;
+  std::uint64_t NextArrival_ = 0;
+};
+
+} // namespace samphireshunt::tests
--- /dev/null
+++ b/UnitTests/Process/PrefixIndexTest.cpp
@@ -0,0 +1,49 @@
+#include "Process/PrefixIndex.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace samphireshunt;
+
+TEST_CASE("the index holds what a plain list of the last blocks holds") {
+  bool Holds = rc::check([] {
+    constexpr std::size_t MaxBlocks = 8;
+    PrefixIndex Index(MaxBlocks);
+    std::vector<std::uint64_t> Plain; // The oldest first.
+    auto Prompts = *rc::gen::container<std::vector<std::vector<std::uint64_t>>>(
+        rc::gen::container<std::vector<std::uint64_t>>(
+            rc::gen::inRange<std::uint64_t>(0, 20)));
+    for (auto &Prompt : Prompts) {
+      // A prompt has no block twice: its hash covers all before it.
+      std::ranges::sort(Prompt);
+      Prompt.erase(std::ranges::unique(Prompt).begin(), Prompt.end());
+      Index.insert(Prompt);
+      for (auto Block = Prompt.rbegin(); Block != Prompt.rend(); ++Block) {
+        std::erase(Plain, *Block);
+        Plain.push_back(*Block);
+      }
+      while (Plain.size() > MaxBlocks)
+        Plain.erase(Plain.begin());
+      std::size_t Cached = 0;
+      while (Cached < Prompt.size() &&
+             std::ranges::count(Plain, Prompt[Cached]))
+        ++Cached;
+      RC_ASSERT(Index.cachedBlocks(Prompt) == Cached);
+      RC_ASSERT(Index.size() == Plain.size());
+    }
+  });
+  CHECK(Holds);
+}
+
+TEST_CASE("equal hashes mean equal prefixes, block by block") {
+  std::string Common(3 * 256, 'a');
+  auto Left = prefixHashes(Common + std::string(256, 'b'));
+  auto Right = prefixHashes(Common + std::string(256, 'c'));
+  REQUIRE(Left.size() == 4);
+  CHECK(std::equal(Left.begin(), Left.begin() + 3, Right.begin()));
+  CHECK(Left[3] != Right[3]);
+  CHECK(Left[0] != Left[1]); // Equal blocks at other places differ.
+  CHECK(prefixHashes(std::string(255, 'a')).empty());
+}
