--- /dev/null
+++ b/Bench/SchedulerCost.cpp
@@ -0,0 +1,63 @@
+/// \file
+/// Nanoseconds a decision, at 32 engines, by the number of waiting requests.
+
+#include "Process/Scheduler.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+using namespace samphireshunt;
+
+namespace {
+
+constexpr std::uint32_t Engines = 32;
+constexpr std::uint32_t Tiers = 5;
+constexpr int CustomerCount = 100;
+
+AskedRequest request(std::uint64_t Number, TimePoint Now) {
+  AskedRequest Asked;
+  Asked.Id_ = {1, Number};
+  Asked.Tier_ = TierIndex(static_cast<std::uint32_t>(Number % Tiers));
+  Asked.Customer_ = CustomerName(fmt::format("c{}", Number % CustomerCount));
+  Asked.Deadline_ = Now + std::chrono::hours(1);
+  Asked.Prompt_ = Tokens(100);
+  Asked.Answer_ = Tokens(100);
+  return Asked;
+}
+
+/// One request ends, one comes, one is granted.
+void decideAtDepth(benchmark::State &State) {
+  Scheduler::Options Options;
+  Options.TierCount_ = Tiers;
+  Scheduler Cell(Options);
+  std::vector<ServerCapacity> Servers;
+  for (std::uint32_t Index = 0; Index < Engines; ++Index)
+    Servers.push_back({ServerName(fmt::format("e{}", Index)), 8, true});
+  Cell.configure(Servers, {}, Tiers, 1000000);
+  TimePoint Now{std::chrono::seconds(1000)};
+  std::uint64_t Next = 1;
+  std::vector<RequestId> Running;
+  auto Decide = [&] {
+    for (const Decision &Taken : Cell.decide(Now))
+      if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
+        Running.push_back(Grant->Id_);
+  };
+  auto Wanted = static_cast<std::size_t>(State.range(0));
+  while (Cell.waiting() < Wanted) {
+    Cell.ask(request(Next++, Now), Now);
+    Decide();
+  }
+  std::size_t Oldest = 0;
+  for (auto Step : State) {
+    (void)Step;
+    Cell.done(Running[Oldest++], ServedSample(), Now);
+    Cell.ask(request(Next++, Now), Now);
+    Decide();
+  }
+}
+
+BENCHMARK(decideAtDepth)->RangeMultiplier(10)->Range(10, 100000);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/FailureTests/Cluster.cpp
+++ b/FailureTests/Cluster.cpp
@@ -77,9 +77,12 @@
 void Cluster::startEngines() {
   for (int Number = 1; Number <= Options_.Models_; ++Number) {
     std::string Name = fmt::format("model-{}", Number);
+    double Step = Options_.Steps_.empty()
+                      ? Options_.StepMs_
+                      : Options_.Steps_[static_cast<std::size_t>(Number - 1)];
     std::vector<std::string> Command = {
         STANDIN_FOLDER "/standin_ModelEngine", "--name=" + Name,
-        fmt::format("--step_ms={}", Options_.StepMs_),
+        fmt::format("--step_ms={}", Step),
         fmt::format("--ledger={}/{}.ledger", Folder_, Name)};
     std::ranges::copy(Options_.ModelFlags_, std::back_inserter(Command));
     startProcess(Name, std::move(Command));
--- a/FailureTests/Cluster.h
+++ b/FailureTests/Cluster.h
@@ -34,6 +34,8 @@
   bool PlatformRelays_ = false;
   int MaxInFlight_ = 8;
   double StepMs_ = 5;
+  /// Step times of the model engines one by one, instead of StepMs_.
+  std::vector<double> Steps_;
   int ServiceMs_ = 5;
   bool RefusesBeforeRunning_ = true;
   /// Further flags of every daemon, and of every model engine.
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -199,10 +199,7 @@
   auto Found = Cells_.find(Cell);
   if (Found == Cells_.end())
     return;
-  if (ServerModel *Model = Found->second->Scheduler_.server(Server)) {
-    Model->setHealthy(Healthy && !Seen.Leaving_);
-    Model->report(Seen);
-  }
+  Found->second->Scheduler_.report(Server, Healthy, Seen);
 }
 
 void KeeperService::cacheEvicted(const CellId &Cell, const ServerName &Server,
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -217,8 +217,17 @@
   auto Found = Running_.find(Id);
   if (Found == Running_.end())
     return;
-  if (ServerModel *Server = server(Found->second.Server_))
+  const RunningRequest &Ended = Found->second;
+  if (ServerModel *Server = server(Ended.Server_))
     Server->learn(Seen);
+  if (Seen.Complete_ && Ended.Answer_.count() > 0) {
+    double Share = static_cast<double>(Seen.Generated_.count()) /
+                   static_cast<double>(Ended.Answer_.count());
+    auto [Known, New] = AnswerShare_.try_emplace(Ended.Customer_, Share);
+    constexpr double NewShareWeight = 0.1;
+    if (!New)
+      Known->second += NewShareWeight * (Share - Known->second);
+  }
   endRunning(Found);
   if (!Seen.Complete_)
     return;
@@ -352,21 +361,52 @@
 
 bool Scheduler::anySpare() const {
   return std::ranges::any_of(Servers_, [this](const auto &Item) {
-    return Item.second.hasRoom(Share_);
+    return Options_.TwoChoices_ ? Item.second.usable()
+                                : Item.second.hasRoom(Share_);
   });
 }
 
-ServerModel *Scheduler::choose(const AskedRequest &Request) {
+std::span<const std::uint64_t>
+Scheduler::prefixOf(const AskedRequest &Request) const {
+  if (!Options_.UsePrefixes_)
+    return {};
+  return Request.Prefix_;
+}
+
+Tokens Scheduler::expectedAnswer(const AskedRequest &Request) const {
+  auto Share = AnswerShare_.find(Request.Customer_);
+  if (Share == AnswerShare_.end())
+    return Tokens(0);
+  double Count = static_cast<double>(Request.Answer_.count()) * Share->second;
+  return Tokens(static_cast<std::int64_t>(Count));
+}
+
+/// A request that an engine can't finish by its deadline would cost its
+/// prefill for nothing there; another engine may be faster.
+bool Scheduler::finishesInTime(const AskedRequest &Request,
+                               const ServerModel &Server, TimePoint Now) const {
+  if (!Options_.RefuseInfeasible_)
+    return true;
+  auto Service = Server.idleService(Request.Prompt_, expectedAnswer(Request),
+                                    prefixOf(Request));
+  return Now + Service <= Request.Deadline_;
+}
+
+ServerModel *Scheduler::choose(const AskedRequest &Request, TimePoint Now) {
+  if (Options_.TwoChoices_)
+    return chooseOfTwo();
   ServerModel *Best = nullptr;
   auto BestScore = std::tuple(nanoseconds::max(), 0U);
+  auto Prefix = prefixOf(Request);
   for (auto &[Name, Server] : Servers_) {
     bool Excluded = std::ranges::count(Request.Excluded_, Name) > 0;
-    if (Excluded || !Server.hasRoom(Share_))
+    if (Excluded || !Server.hasRoom(Share_) ||
+        !finishesInTime(Request, Server, Now))
       continue;
-    auto Score =
-        std::tuple(Server.expectedFirstToken(Request.Prompt_, Request.Prefix_) +
-                       Server.betweenTokens() * Request.Answer_.count(),
-                   Server.inFlight());
+    auto Time = Server.expectedFirstToken(Request.Prompt_, Prefix);
+    if (Options_.UseSpeeds_)
+      Time += Server.betweenTokens() * expectedAnswer(Request).count();
+    auto Score = std::tuple(Time, Server.inFlight());
     if (Best && Score >= BestScore)
       continue;
     Best = &Server;
@@ -375,24 +415,45 @@
   return Best;
 }
 
+ServerModel *Scheduler::chooseOfTwo() {
+  std::vector<ServerModel *> Usable;
+  for (auto &[Name, Server] : Servers_)
+    if (Server.usable())
+      Usable.push_back(&Server);
+  if (Usable.empty())
+    return nullptr;
+  auto Count = static_cast<std::uint32_t>(Usable.size());
+  ServerModel *First = Usable[Random_(Count)];
+  ServerModel *Second = Usable[Random_(Count)];
+  return First->reportedLoad() <= Second->reportedLoad() ? First : Second;
+}
+
 nanoseconds Scheduler::bestServiceTime(const AskedRequest &Request) const {
   nanoseconds Best = nanoseconds::max();
-  for (const auto &[Name, Server] : Servers_) {
-    if (!Server.usable())
-      continue;
-    // An answer may end long before the most that it may have, so only its
-    // first token is certain to be needed.
-    Best = std::min(
-        Best, Server.idleService(Request.Prompt_, Tokens(1), Request.Prefix_));
-  }
+  for (const auto &[Name, Server] : Servers_)
+    if (Server.usable())
+      Best = std::min(Best, Server.idleService(Request.Prompt_,
+                                               expectedAnswer(Request),
+                                               prefixOf(Request)));
   return Best == nanoseconds::max() ? nanoseconds(0) : Best;
 }
 
+void Scheduler::report(const ServerName &Name, bool Healthy,
+                       const LoadReport &Seen) {
+  ServerModel *Model = server(Name);
+  if (!Model)
+    return;
+  Model->setHealthy(Healthy && !Seen.Leaving_);
+  Model->report(Seen);
+  if (Options_.AdaptLimits_)
+    Model->adaptLimit(Seen);
+}
+
 void Scheduler::serve(const WaitingRequest &Request, ServerModel &Server,
                       std::vector<Decision> &Out) {
   const AskedRequest &Asked = Request.Asked_;
   const ServerName &Name = Server.capacity().Name_;
-  Server.start(Asked.Id_, Asked.Prompt_, Asked.Prefix_);
+  Server.start(Asked.Id_, Asked.Prompt_, prefixOf(Asked));
   ++RunningByCustomer_[Asked.Customer_];
   Running_[Asked.Id_] = {
       Asked.Id_,     Asked.Tier_,   Asked.Customer_,      Name,
@@ -400,14 +461,15 @@
   Out.push_back(GrantDecision{Asked.Id_, Name, Asked.Entry_});
 }
 
-bool Scheduler::grantFromTier(TierQueue &Tier, std::vector<Decision> &Out) {
+bool Scheduler::grantFromTier(TierQueue &Tier, TimePoint Now,
+                              std::vector<Decision> &Out) {
   for (const auto &[Served, Name] : Tier.Active_) {
     CustomerQueue &Queue = Tier.Customers_.at(Name);
     RequestId Id = std::get<RequestId>(*Queue.Requests_.begin());
     const AskedRequest &Next = Waiting_.at(Id).Asked_;
     if (atCeiling(Next.Customer_))
       continue;
-    ServerModel *Server = choose(Next);
+    ServerModel *Server = choose(Next, Now);
     if (!Server)
       continue;
     CustomerName Customer = Name;
@@ -429,7 +491,8 @@
   if (Now < WarmUntil_)
     return;
   for (TierQueue &Tier : Tiers_) {
-    while (!Tier.Active_.empty() && anySpare() && grantFromTier(Tier, Out)) {
+    while (!Tier.Active_.empty() && anySpare() &&
+           grantFromTier(Tier, Now, Out)) {
     }
     if (!anySpare())
       return;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -90,6 +91,12 @@
     bool FairCustomers_ = true;
     bool RefuseInfeasible_ = true;
     bool Preempt_ = true;
+    bool UsePrefixes_ = true;
+    bool UseSpeeds_ = true;
+    bool AdaptLimits_ = true;
+    /// The baseline of measurements: every daemon by itself, each request at
+    /// once to the less loaded of two random engines, by their own reports.
+    bool TwoChoices_ = false;
   };
 
   explicit Scheduler(Options Settings);
@@ -123,6 +130,9 @@
   /// cancellations for higher tiers.
   std::vector<Decision> decide(TimePoint Now);
 
+  /// An engine's own report came.
+  void report(const ServerName &Server, bool Healthy, const LoadReport &Seen);
+
   /// The lowest tier that is admitted, while a floor holds.
   std::optional<TierIndex> floor(TimePoint Now) const;
   TimePoint floorUntil() const { return FloorUntil_; }
@@ -164,9 +174,16 @@
   void expire(TimePoint Now, std::vector<Decision> &Out);
   void preemptUrgent(TimePoint Now, std::vector<Decision> &Out);
   void grant(TimePoint Now, std::vector<Decision> &Out);
-  bool grantFromTier(TierQueue &Tier, std::vector<Decision> &Out);
+  bool grantFromTier(TierQueue &Tier, TimePoint Now,
+                     std::vector<Decision> &Out);
   bool atCeiling(const CustomerName &Customer) const;
-  ServerModel *choose(const AskedRequest &Request);
+  ServerModel *choose(const AskedRequest &Request, TimePoint Now);
+  ServerModel *chooseOfTwo();
+  bool finishesInTime(const AskedRequest &Request, const ServerModel &Server,
+                      TimePoint Now) const;
+  std::span<const std::uint64_t> prefixOf(const AskedRequest &Request) const;
+  /// How many tokens the answer will likely have; 0 while nothing is known.
+  Tokens expectedAnswer(const AskedRequest &Request) const;
   bool anySpare() const;
   std::chrono::nanoseconds bestServiceTime(const AskedRequest &Request) const;
   std::chrono::milliseconds retryAfter(TierIndex Tier);
@@ -183,6 +200,8 @@
   std::set<std::pair<TimePoint, RequestId>> ByLatestStart_;
   RunningMap Running_;
   std::unordered_map<CustomerName, std::uint32_t> RunningByCustomer_;
+  /// The part of their allowed answers that a customer's answers have.
+  std::unordered_map<CustomerName, double> AnswerShare_;
   std::set<RequestId> Cancelled_;
   double Share_ = 1.0;
   TimePoint WarmUntil_;
--- a/Source/Process/ServerModel.cpp
+++ b/Source/Process/ServerModel.cpp
@@ -23,11 +23,26 @@
 
 } // namespace
 
+void ServerModel::configure(const ServerCapacity &Capacity) {
+  if (Capacity.MaxInFlight_ != Capacity_.MaxInFlight_)
+    Limit_ = Capacity.MaxInFlight_;
+  Capacity_ = Capacity;
+}
+
+void ServerModel::adaptLimit(const LoadReport &Seen) {
+  // The report lags: what it counts as waiting may have been granted before
+  // the limit came down, so one place more than the running ones is left.
+  if (Seen.Waiting_ > 1)
+    Limit_ = std::min(Limit_, std::max(1U, Seen.Running_ + 1));
+  else if (Seen.Waiting_ == 0 && InFlight_ >= Limit_)
+    Limit_ = std::min(Limit_ + 1, Capacity_.MaxInFlight_);
+}
+
 bool ServerModel::hasRoom(double Share) const {
   // A keeper that speaks for a part of the fleet uses that part of the limit,
   // but at least one place: keepers on both sides of a partition may then
   // together exceed the limit by one each at the most.
-  double Limit = std::floor(Capacity_.MaxInFlight_ * Share);
+  double Limit = std::floor(Limit_ * Share);
   return usable() && InFlight_ < std::max(1.0, Limit);
 }
 
--- a/Source/Process/ServerModel.h
+++ b/Source/Process/ServerModel.h
@@ -42,9 +42,10 @@
 
 class ServerModel {
 public:
-  explicit ServerModel(ServerCapacity Capacity) : Capacity_(Capacity) {}
+  explicit ServerModel(ServerCapacity Capacity)
+      : Capacity_(Capacity), Limit_(Capacity.MaxInFlight_) {}
 
-  void configure(const ServerCapacity &Capacity) { Capacity_ = Capacity; }
+  void configure(const ServerCapacity &Capacity);
   const ServerCapacity &capacity() const { return Capacity_; }
   /// False while the engine can't be reached or leaves.
   void setHealthy(bool Healthy) { Healthy_ = Healthy; }
@@ -57,6 +58,15 @@
   void end(const RequestId &Id);
   void learn(const ServedSample &Seen);
   void report(const LoadReport &Seen) { Reported_ = Seen; }
+  /// Moves the limit by a report: down to what the engine works on when it
+  /// lets requests wait, since they wait there in the order of their coming;
+  /// up by one when the limit is what holds requests back.
+  void adaptLimit(const LoadReport &Seen);
+  std::uint32_t limit() const { return Limit_; }
+  /// Requests at the engine by its own last report.
+  std::uint32_t reportedLoad() const {
+    return Reported_.Running_ + Reported_.Waiting_;
+  }
 
   std::uint32_t inFlight() const { return InFlight_; }
   /// Expected time until the first token of a request started now.
@@ -77,6 +87,8 @@
   Tokens uncached(Tokens Prompt, std::span<const std::uint64_t> Prefix) const;
 
   ServerCapacity Capacity_;
+  /// At the most the document's limit.
+  std::uint32_t Limit_;
   bool Healthy_ = true;
   std::uint32_t InFlight_ = 0;
   LoadReport Reported_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -89,6 +89,24 @@
       [](const auto &Value) -> const VmId & { return Value.Entry_; }, Taken);
 }
 
+Scheduler::Options schedulingOptions(const Settings &Configured) {
+  auto Taken = [&](std::string_view Name) {
+    return std::ranges::count(Configured.LeftOut_, Name) == 0;
+  };
+  Scheduler::Options Options;
+  Options.TwoChoices_ = Configured.TwoChoices_;
+  Options.StrictTiers_ = Taken("tiers");
+  Options.FairCustomers_ = Taken("fairness");
+  Options.RefuseInfeasible_ = Taken("feasibility");
+  Options.Preempt_ = Taken("preemption");
+  Options.UsePrefixes_ = Taken("prefixes");
+  Options.UseSpeeds_ = Taken("speeds");
+  Options.AdaptLimits_ = Taken("limits");
+  if (Configured.TwoChoices_)
+    Options.StrictTiers_ = Options.RefuseInfeasible_ = Options.Preempt_ = false;
+  return Options;
+}
+
 std::string_view statusName(MemberStatus Status) {
   switch (Status) {
   case MemberStatus::Alive:
@@ -233,6 +251,7 @@
   Hooks.LiveShare_ = [this] { return Members_->liveShare(); };
   Hooks.FloorRaised_ = [this] { Membership_->spreadNews(); };
   KeeperService::Options Options;
+  Options.Scheduling_ = schedulingOptions(Settings_);
   Options.Scheduling_.Seed_ = Origin_;
   Keeper_ = std::make_unique<KeeperService>(Control_, Documents_, Options,
                                             std::move(Hooks));
@@ -342,6 +361,8 @@
 std::optional<VmId>
 Daemon::keeperFor(const CellId &Cell,
                   const std::vector<VmId> &Unreachable) const {
+  if (Settings_.TwoChoices_)
+    return Settings_.Vm_;
   std::vector<Member> Candidates = Members_->keepers();
   std::erase_if(Candidates, [&](const Member &Candidate) {
     return std::ranges::count(Unreachable, Candidate.Id_) > 0;
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -35,6 +35,11 @@
 ABSL_FLAG(int, drain_timeout_ms, 600000,
           "After SIGTERM, how long running requests may take, in ms.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error.");
+ABSL_FLAG(std::string, scheduling, "keepers",
+          "keepers; or two-choices, the baseline of measurements.");
+ABSL_FLAG(std::string, leave_out, "",
+          "For measurements only: decisions that are not taken, of tiers, "
+          "fairness, feasibility, preemption, prefixes, speeds, limits.");
 ABSL_FLAG(std::string, trace_collector, "",
           "IP:port that takes OTLP/HTTP JSON traces; empty: none.");
 
@@ -42,13 +47,17 @@
 
 namespace {
 
-constexpr std::array<const char *, 16> FlagNames = {
-    "vm_id",          "data_center",         "callers_address",
-    "peers_address",  "operators_address",   "platform_address",
-    "threads",        "platform_timeout_ms", "advertise_peers",
-    "seed_peers",     "advertise_operators", "max_connections",
-    "drain_delay_ms", "drain_timeout_ms",    "log_level",
-    "trace_collector"};
+constexpr std::array<const char *, 18> FlagNames = {
+    "vm_id",           "data_center",         "callers_address",
+    "peers_address",   "operators_address",   "platform_address",
+    "threads",         "platform_timeout_ms", "advertise_peers",
+    "seed_peers",      "advertise_operators", "max_connections",
+    "drain_delay_ms",  "drain_timeout_ms",    "log_level",
+    "trace_collector", "scheduling",          "leave_out"};
+
+constexpr std::array<std::string_view, 7> LeavableDecisions = {
+    "tiers",    "fairness", "feasibility", "preemption",
+    "prefixes", "speeds",   "limits"};
 
 std::string environmentName(std::string_view Flag) {
   std::string Name = "SAMPHIRESHUNT_";
@@ -153,6 +162,15 @@
   if (!std::ranges::count(Levels, Read.LogLevel_))
     Check.bad("log_level", fmt::format("'{}' is not one of {}", Read.LogLevel_,
                                        fmt::join(Levels, ", ")));
+  std::string Scheduling = absl::GetFlag(FLAGS_scheduling);
+  Read.TwoChoices_ = Scheduling == "two-choices";
+  if (!Read.TwoChoices_ && Scheduling != "keepers")
+    Check.bad("scheduling", fmt::format("'{}' is not known", Scheduling));
+  Read.LeftOut_ =
+      absl::StrSplit(absl::GetFlag(FLAGS_leave_out), ',', absl::SkipEmpty());
+  for (const std::string &Name : Read.LeftOut_)
+    if (!std::ranges::count(LeavableDecisions, Name))
+      Check.bad("leave_out", fmt::format("'{}' is not known", Name));
   Read.TraceCollector_ = Check.address(
       "trace_collector", absl::GetFlag(FLAGS_trace_collector), false);
   if (!Check.problems().empty())
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -31,6 +31,10 @@
   std::chrono::milliseconds DrainDelay_{5000};
   std::chrono::milliseconds DrainTimeout_{600000};
   std::string LogLevel_;
+  /// Every daemon schedules by itself; the baseline of measurements.
+  bool TwoChoices_ = false;
+  /// Decisions that a measurement leaves out.
+  std::vector<std::string> LeftOut_;
   /// Where traces go; an unspecified port is nowhere.
   Endpoint TraceCollector_;
 
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -15,14 +15,20 @@
   ninja -C build "$1" >build.log 2>&1 || { tail -20 build.log; return 1; }
 }
 
-# mutate NAME FILE PERL_EXPRESSION TEST_PROGRAM CASE_PATTERN
+# edit FILE PERL_EXPRESSION: fails when nothing changes.
+edit() {
+  cp "$1" "saved.$(basename "$1")"
+  perl -0pi -e "$2" "$1"
+  ! cmp -s "saved.$(basename "$1")" "$1"
+}
+
+# mutate NAME FILE PERL_EXPRESSION TEST_PROGRAM CASE_PATTERN [FILE EXPRESSION]
 mutate() {
   [ -z "$Only" ] || [ "$Only" = "$1" ] || return 0
-  cp "$2" saved
-  perl -0pi -e "$3" "$2"
-  if cmp -s saved "$2"; then
-    echo "$1: STALE, the expression matches nothing in $2"
+  if ! edit "$2" "$3" || { [ $# -gt 5 ] && ! edit "$6" "$7"; }; then
+    echo "$1: STALE, an expression matches nothing"
     Missed=1
+    restore "$2" "${6:-}"
     return
   fi
   if ! build all; then
@@ -34,7 +40,12 @@
   else
     echo "$1: caught by '$5'"
   fi
-  cp saved "$2"
+  restore "$2" "${6:-}"
+}
+
+restore() {
+  cp "saved.$(basename "$1")" "$1"
+  [ -z "$2" ] || cp "saved.$(basename "$2")" "$2"
 }
 
 cmake -G Ninja -B build -DCMAKE_BUILD_TYPE=Release >/dev/null
@@ -48,9 +59,10 @@
 mutate prove-not-run $S/Request/ModelCall.cpp \
   's/bool NeverSeen = [^;]*;/bool NeverSeen = false;/' \
   ${F}DispatchOnceTest '*silent connection*'
-mutate close-abandoned $S/Connection/HttpConnection.cpp \
-  's/return Whole_ && [^;]*;/return true;/; s/(void close\(\) override \{).*?\}/$1}/s' \
-  ${F}OwnAnswerTest '*after the deadline*'
+mutate close-abandoned $S/Request/ApplicationCall.cpp \
+  's/(on a connection of its own it meets nobody\.\n)\s*Ready_\.Connection_->close\(\);/$1    Context_.Services_.Connections_.giveBack(Ready_.Server_.Address_, std::move(Ready_.Connection_));/' \
+  ${F}OwnAnswerTest '*after the deadline*' $S/Connection/HttpConnection.cpp \
+  's/return Whole_ && [^;]*;/return true;/'
 mutate whole-body $S/Connection/HttpConnection.cpp \
   's/if \(Error && !BufferFull\)\s*co_return connectionFailure\(Error\);/if (Error && !BufferFull) co_return std::string();/' \
   ${F}OwnAnswerTest '*cut off is not passed*'
@@ -132,6 +144,22 @@
 mutate live-share $S/Process/MemberTable.cpp \
   's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
+U=UnitTests/UnitTests_
+mutate scheduler-order $S/Process/Scheduler.cpp \
+  's/std::get<RequestId>\(\*Queue\.Requests_\.begin\(\)\)/std::get<RequestId>(*Queue.Requests_.rbegin())/' \
+  ${U}Process '*plain scan*'
+mutate scheduler-fairness $S/Process/Scheduler.cpp \
+  's/Queue\.ServedTokens_ \+= Cost;/(void)Cost;/' \
+  ${U}Process '*plain scan*'
+mutate scheduler-floor $S/Process/Scheduler.cpp \
+  's/(void Scheduler::shedBelow\([^{]*\{\n)/$1  return;\n/' \
+  ${U}Process '*plain scan*'
+mutate claim-read-back-unit $S/Request/ClaimStore.cpp \
+  's/if \(Present && \*Present\)\s*co_return std::move\(\*\*Present\);/if (Present \&\& *Present) { co_return Wanted; }/' \
+  ${U}Request '*at the most holds a key*'
+mutate request-state $S/Request/RequestState.h \
+  's/return State_\.compare_exchange_strong\(Expected, Next\);/if (State_.load() != Expected) return false; State_.store(Next); return true;/' \
+  ${U}Request '*in one instant*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
