Start only what finishes in time, and look past a head that only fast engines can

Cause: under overload bronze requests started at the edge of their deadlines: their prefill was done and thrown away, since only an idle engine's time was reckoned, with no margin. Ruled out: the floor (bronze is the lowest tier).

--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{30000};
 
+/// Expected times are averages, and half of the requests take longer: a
+/// request is started only when a fifth of its expected time is left over.
+nanoseconds withMargin(nanoseconds Expected) { return Expected + Expected / 5; }
+
 /// What a request costs its customer in the share of its tier.
 double tokenCost(const AskedRequest &Request) {
   auto Cost = (Request.Prompt_ + Request.Answer_).count();
@@ -113,8 +117,9 @@
     Out.push_back(refusal(Request, ResultCode::ShedForHigherTier));
     return Out;
   }
-  nanoseconds Service =
-      Options_.RefuseInfeasible_ ? bestServiceTime(Request) : nanoseconds(0);
+  nanoseconds Service = Options_.RefuseInfeasible_
+                            ? withMargin(bestServiceTime(Request))
+                            : nanoseconds(0);
   if (Now + Service >= Request.Deadline_) {
     // Even an idle engine could not do it: no sign of overload, no floor.
     Out.push_back(refusal(Request, ResultCode::CannotFinishInTime));
@@ -381,15 +386,29 @@
   return Tokens(static_cast<std::int64_t>(Count));
 }
 
+nanoseconds Scheduler::expectedService(const AskedRequest &Request,
+                                       const ServerModel &Server) const {
+  if (Server.betweenTokens().count() == 0)
+    return nanoseconds(0);
+  return Server.expectedFirstToken(Request.Prompt_, prefixOf(Request)) +
+         Server.betweenTokens() * expectedAnswer(Request).count();
+}
+
 /// A request that an engine can't finish by its deadline would cost its
 /// prefill for nothing there; another engine may be faster.
 bool Scheduler::finishesInTime(const AskedRequest &Request,
                                const ServerModel &Server, TimePoint Now) const {
-  if (!Options_.RefuseInfeasible_)
+  auto Service = expectedService(Request, Server);
+  if (!Options_.RefuseInfeasible_ || Service.count() == 0)
     return true;
-  auto Service = Server.idleService(Request.Prompt_, expectedAnswer(Request),
-                                    prefixOf(Request));
-  return Now + Service <= Request.Deadline_;
+  return Now + withMargin(Service) <= Request.Deadline_;
+}
+
+/// True when not even an idle engine could finish the request in time.
+bool Scheduler::isDoomed(const AskedRequest &Request, TimePoint Now) const {
+  auto Service = withMargin(bestServiceTime(Request));
+  return Options_.RefuseInfeasible_ && Service.count() > 0 &&
+         Now + Service > Request.Deadline_;
 }
 
 ServerModel *Scheduler::choose(const AskedRequest &Request, TimePoint Now) {
@@ -461,27 +480,59 @@
   Out.push_back(GrantDecision{Asked.Id_, Name, Asked.Entry_});
 }
 
+/// The first request of the queue that an engine with room can finish in time.
+/// The one with the earliest deadline may only be for a fast engine; without a
+/// look further, slow engines would stand idle while it waits.
+std::optional<Scheduler::Placement>
+Scheduler::firstPlaceable(const CustomerQueue &Queue, TimePoint Now) {
+  RequestId Head = std::get<RequestId>(*Queue.Requests_.begin());
+  const AskedRequest &First = Waiting_.at(Head).Asked_;
+  if (ServerModel *Server = choose(First, Now))
+    return Placement{Head, Server};
+  if (!Options_.RefuseInfeasible_)
+    return std::nullopt;
+  nanoseconds Soonest = nanoseconds::max();
+  for (const auto &[Name, Server] : Servers_)
+    if (Server.hasRoom(Share_))
+      Soonest = std::min(Soonest, expectedService(First, Server));
+  if (Soonest == nanoseconds::max())
+    return std::nullopt;
+  DeadlineKey Least{Now + withMargin(Soonest), 0, RequestId()};
+  auto Later = Queue.Requests_.lower_bound(Least);
+  if (Later == Queue.Requests_.end())
+    return std::nullopt;
+  RequestId Id = std::get<RequestId>(*Later);
+  ServerModel *Server = choose(Waiting_.at(Id).Asked_, Now);
+  return Server ? std::optional(Placement{Id, Server}) : std::nullopt;
+}
+
 bool Scheduler::grantFromTier(TierQueue &Tier, TimePoint Now,
                               std::vector<Decision> &Out) {
   for (const auto &[Served, Name] : Tier.Active_) {
     CustomerQueue &Queue = Tier.Customers_.at(Name);
-    RequestId Id = std::get<RequestId>(*Queue.Requests_.begin());
-    const AskedRequest &Next = Waiting_.at(Id).Asked_;
-    if (atCeiling(Next.Customer_))
+    RequestId Head = std::get<RequestId>(*Queue.Requests_.begin());
+    const AskedRequest &First = Waiting_.at(Head).Asked_;
+    if (atCeiling(First.Customer_))
       continue;
-    ServerModel *Server = choose(Next, Now);
-    if (!Server)
+    auto Placed = firstPlaceable(Queue, Now);
+    if (!Placed && isDoomed(First, Now)) {
+      WaitingRequest Shed = dequeue(Head);
+      noteShed(Shed.Asked_.Tier_, Now, Out);
+      Out.push_back(refusal(Shed.Asked_, ResultCode::DeadlineInQueue));
+      return true;
+    }
+    if (!Placed)
       continue;
     CustomerName Customer = Name;
-    double Cost = tokenCost(Next) / weightOf(Next.Customer_);
-    WaitingRequest Granted = dequeue(Id);
+    WaitingRequest Granted = dequeue(Placed->Id_);
     bool StillActive = !Queue.Requests_.empty();
     if (StillActive)
       Tier.Active_.erase({Queue.ServedTokens_, Customer});
-    Queue.ServedTokens_ += Cost;
+    double Cost = tokenCost(Granted.Asked_);
+    Queue.ServedTokens_ += Cost / weightOf(Granted.Asked_.Customer_);
     if (StillActive)
       Tier.Active_.emplace(Queue.ServedTokens_, Customer);
-    serve(Granted, *Server, Out);
+    serve(Granted, *Placed->Server_, Out);
     return true;
   }
   return false;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -159,6 +159,10 @@
     std::set<std::pair<double, CustomerName>> Active_;
     std::size_t Count_ = 0;
   };
+  struct Placement {
+    RequestId Id_;
+    ServerModel *Server_ = nullptr;
+  };
   using RunningMap = std::unordered_map<RequestId, RunningRequest>;
 
   void enqueue(WaitingRequest Request);
@@ -174,13 +178,18 @@
   void expire(TimePoint Now, std::vector<Decision> &Out);
   void preemptUrgent(TimePoint Now, std::vector<Decision> &Out);
   void grant(TimePoint Now, std::vector<Decision> &Out);
+  std::optional<Placement> firstPlaceable(const CustomerQueue &Queue,
+                                          TimePoint Now);
   bool grantFromTier(TierQueue &Tier, TimePoint Now,
                      std::vector<Decision> &Out);
   bool atCeiling(const CustomerName &Customer) const;
   ServerModel *choose(const AskedRequest &Request, TimePoint Now);
   ServerModel *chooseOfTwo();
+  std::chrono::nanoseconds expectedService(const AskedRequest &Request,
+                                           const ServerModel &Server) const;
   bool finishesInTime(const AskedRequest &Request, const ServerModel &Server,
                       TimePoint Now) const;
+  bool isDoomed(const AskedRequest &Request, TimePoint Now) const;
   std::span<const std::uint64_t> prefixOf(const AskedRequest &Request) const;
   /// How many tokens the answer will likely have; 0 while nothing is known.
   Tokens expectedAnswer(const AskedRequest &Request) const;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -3,6 +3,7 @@
 # a copy of the tree, and expects the named test case to fail there.
 #   Tools/mutations.sh [NAME]
 set -uo pipefail
+{ # Read whole before it runs, so that it may be edited meanwhile.
 cd "$(dirname "$0")/.."
 Copy=$(mktemp -d)
 trap 'rm -rf "$Copy"' EXIT
@@ -12,7 +13,7 @@
 Missed=0
 
 build() {
-  ninja -C build "$1" >build.log 2>&1 || { tail -20 build.log; return 1; }
+  ninja -C build "$@" >build.log 2>&1 || { tail -20 build.log; return 1; }
 }
 
 # edit FILE PERL_EXPRESSION: fails when nothing changes.
@@ -31,7 +32,7 @@
     restore "$2" "${6:-}"
     return
   fi
-  if ! build all; then
+  if ! build samphireshuntd samphireshuntctl "$(basename "$4")"; then
     echo "$1: does not build"
     Missed=1
   elif timeout 120 "build/$4" -tc="$5" >run.log 2>&1; then
@@ -163,3 +164,4 @@
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
+}
