--- a/FailureTests/Cluster.cpp
+++ b/FailureTests/Cluster.cpp
@@ -171,6 +171,10 @@
       .value();
 }
 
+std::string Cluster::peersAddress(int Daemon) const {
+  return address(fmt::format("vm-{}", Daemon), "peers");
+}
+
 Json Cluster::request(const std::string &Name, const std::string &Path,
                       const std::string &Method, const std::string &Body) {
   bool IsDaemon = Name.starts_with("vm-");
--- a/FailureTests/Cluster.h
+++ b/FailureTests/Cluster.h
@@ -91,6 +91,7 @@
   std::string folder() const { return Folder_; }
   boost::asio::io_context &context() { return Context_; }
   Endpoint callersAddress(int Daemon) const;
+  std::string peersAddress(int Daemon) const;
 
 private:
   void startProcess(const std::string &Name, std::vector<std::string> Command);
--- /dev/null
+++ b/FailureTests/ObservationTest.cpp
@@ -0,0 +1,121 @@
+/// \file
+/// What operators see, and that seeing never harms: traces, metrics, status.
+
+#include "FailureTests/Cluster.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <pcg_random.hpp>
+
+#include <set>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Takes OTLP/HTTP JSON and keeps the names of spans.
+class Collector {
+public:
+  Collector() : Guard_(boost::asio::make_work_guard(Context_)) {
+    HttpServerOptions Options;
+    Options.Address_ = parseEndpoint("127.0.0.1:0").value();
+    Options.Handler_ = [this](HttpExchange &Exchange) {
+      return take(Exchange);
+    };
+    Server_ = std::move(
+        HttpServer::create(Context_, {&Context_}, std::move(Options)).value());
+    Thread_ = std::thread([this] { Context_.run(); });
+  }
+  ~Collector() {
+    Context_.stop();
+    Thread_.join();
+  }
+  std::string address() const { return formatEndpoint(Server_->address()); }
+  std::set<std::string> names() {
+    std::scoped_lock Lock(Mutex_);
+    return Names_;
+  }
+
+private:
+  Awaitable<void> take(HttpExchange &Exchange) {
+    Json Body = Json::parse(Exchange.request().Body_);
+    {
+      std::scoped_lock Lock(Mutex_);
+      for (const Json &Resource : Body["resourceSpans"])
+        for (const Json &Scope : Resource["scopeSpans"])
+          for (const Json &Span : Scope["spans"])
+            Names_.insert(Span["name"].get<std::string>());
+    }
+    co_await Exchange.respond(jsonResponse(200, "{}"));
+  }
+
+  boost::asio::io_context Context_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Guard_;
+  std::unique_ptr<HttpServer> Server_;
+  std::thread Thread_;
+  std::mutex Mutex_;
+  std::set<std::string> Names_;
+};
+
+} // namespace
+
+TEST_CASE("traces have a span for each hop") {
+  Collector Traces;
+  ClusterOptions Options;
+  Options.DaemonFlags_ = {"--trace_collector=" + Traces.address()};
+  Cluster Fleet(Options);
+  CHECK(Fleet.run(Fleet.stream(1)).Correct_);
+  CHECK(eventually([&] {
+    std::set<std::string> Names = Traces.names();
+    for (const char *Name :
+         {"request", "wait-for-grant", "dispatch", "first-token", "stream"})
+      if (!Names.contains(Name))
+        return false;
+    return true;
+  }));
+}
+
+TEST_CASE("a dead trace collector costs traces, never requests") {
+  // Symptom: requests slow down while the tracing system is down.
+  // Sequence: the collector's address takes no connection.
+  // Cause: requests waited for their traces to be taken.
+  ClusterOptions Options;
+  Options.DaemonFlags_ = {"--trace_collector=127.0.0.1:1"};
+  Cluster Fleet(Options);
+  for (int Index = 0; Index < 10; ++Index)
+    CHECK(Fleet.run(Fleet.reading(1)).Correct_);
+  CHECK(eventually(
+      [&] { return Fleet.status(1).value("tracesDropped", 0) >= 10; }));
+}
+
+TEST_CASE("bytes that are no messages harm no daemon") {
+  // Symptom: a port scan ends a daemon.
+  // Sequence: random bytes on the peers' address, by TCP and by UDP.
+  // Cause: what comes from the network was taken for a message.
+  namespace asio = boost::asio;
+  Cluster Fleet;
+  Json Line = Fleet.status(1);
+  auto Peers = parseEndpoint(Fleet.peersAddress(1)).value();
+  pcg32 Random(7);
+  asio::io_context Context;
+  asio::ip::udp::socket Datagrams(Context, asio::ip::udp::v4());
+  for (int Round = 0; Round < 200; ++Round) {
+    std::string Bytes(Random(300), '\0');
+    for (char &Byte : Bytes)
+      Byte = static_cast<char>(Random(256));
+    Datagrams.send_to(asio::buffer(Bytes),
+                      asio::ip::udp::endpoint(Peers.address(), Peers.port()));
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect(Peers);
+    boost::system::error_code Ignored;
+    asio::write(Socket, asio::buffer(Bytes), Ignored);
+  }
+  for (int Daemon = 1; Daemon <= 3; ++Daemon)
+    CHECK(Fleet.run(Fleet.chat(Daemon)).Correct_);
+  CHECK(Fleet.status(1)["incarnation"] == Line["incarnation"]);
+}
