--- a/Source/Process/GrantClient.cpp
+++ b/Source/Process/GrantClient.cpp
@@ -1,7 +1,7 @@
 #include "Process/GrantClient.h"
 
 #include "Common/Log.h"
-#include "Connection/PeerMessage.h"
+#include "Process/KeeperMessages.h"
 #include "Process/KeeperService.h"
 
 #include <boost/asio/post.hpp>
@@ -21,54 +21,6 @@
 /// How long a keeper that could not be reached is passed over.
 constexpr milliseconds UnreachableTime{2000};
 
-std::uint32_t remainingMillis(TimePoint Deadline) {
-  auto Rest = duration_cast<milliseconds>(Deadline - steady_clock::now());
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, Rest.count()));
-}
-
-std::string encodeAsk(const CellId &Cell, const AskedRequest &Request) {
-  wire::AskT Ask;
-  Ask.id = toWire(Request.Id_);
-  Ask.cell = Cell.toWire();
-  Ask.tier = Request.Tier_.count();
-  Ask.customer = Request.Customer_.str();
-  // A span of time rather than an instant: clocks of VMs differ.
-  Ask.deadline_ms = remainingMillis(Request.Deadline_);
-  Ask.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
-  Ask.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
-  Ask.prefix = Request.Prefix_;
-  Ask.non_idempotent = Request.NonIdempotent_;
-  for (const ServerName &Name : Request.Excluded_)
-    Ask.excluded.push_back(Name.str());
-  return encodeMessage(std::move(Ask));
-}
-
-std::string encodeRunning(const CellId &Cell, const RunningRequest &Request) {
-  wire::RunningT Running;
-  Running.id = toWire(Request.Id_);
-  Running.cell = Cell.toWire();
-  Running.server = Request.Server_.str();
-  Running.tier = Request.Tier_.count();
-  Running.customer = Request.Customer_.str();
-  Running.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
-  Running.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
-  Running.non_idempotent = Request.NonIdempotent_;
-  return encodeMessage(std::move(Running));
-}
-
-std::string encodeDone(const CellId &Cell, const RequestId &Id,
-                       const ServedSample &Seen) {
-  wire::DoneT Done;
-  Done.id = toWire(Id);
-  Done.cell = Cell.toWire();
-  Done.reached = Seen.Reached_;
-  Done.complete = Seen.Complete_;
-  Done.generated = static_cast<std::uint32_t>(Seen.Generated_.count());
-  Done.first_token_us = static_cast<std::uint32_t>(Seen.FirstToken_.count());
-  Done.duration_us = static_cast<std::uint32_t>(Seen.Duration_.count());
-  return encodeMessage(std::move(Done));
-}
-
 } // namespace
 
 GrantClient::GrantClient(asio::io_context &Control, VmId Self, Hooks Reactions)
@@ -121,10 +73,7 @@
                                const VmId &To) {
   if (To == Self_)
     return Local_->withdraw(Cell, Id);
-  wire::WithdrawT Withdraw;
-  Withdraw.id = toWire(Id);
-  Withdraw.cell = Cell.toWire();
-  Hooks_.Send_(To, encodeMessage(std::move(Withdraw)));
+  Hooks_.Send_(To, encodeWithdraw(Cell, Id));
 }
 
 void GrantClient::withdraw(RequestId Id) {
@@ -157,11 +106,7 @@
     const Granted &Target = Found->second;
     if (Target.Keeper_ == Self_)
       return Local_->firstToken(Target.Cell_, Id, {Delay});
-    wire::FirstTokenT Message;
-    Message.id = toWire(Id);
-    Message.cell = Target.Cell_.toWire();
-    Message.delay_us = static_cast<std::uint32_t>(Delay.count());
-    Hooks_.Send_(Target.Keeper_, encodeMessage(std::move(Message)));
+    Hooks_.Send_(Target.Keeper_, encodeFirstToken(Target.Cell_, Id, Delay));
   });
 }
 
--- /dev/null
+++ b/Source/Process/KeeperMessages.cpp
@@ -0,0 +1,133 @@
+#include "Process/KeeperMessages.h"
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+std::uint32_t remainingMillis(TimePoint Deadline) {
+  auto Rest = duration_cast<milliseconds>(Deadline - steady_clock::now());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, Rest.count()));
+}
+
+} // namespace
+
+std::string encodeAsk(const CellId &Cell, const AskedRequest &Request) {
+  wire::AskT Ask;
+  Ask.id = toWire(Request.Id_);
+  Ask.cell = Cell.toWire();
+  Ask.tier = Request.Tier_.count();
+  Ask.customer = Request.Customer_.str();
+  // A span of time rather than an instant: clocks of VMs differ.
+  Ask.deadline_ms = remainingMillis(Request.Deadline_);
+  Ask.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
+  Ask.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
+  Ask.prefix = Request.Prefix_;
+  Ask.non_idempotent = Request.NonIdempotent_;
+  for (const ServerName &Name : Request.Excluded_)
+    Ask.excluded.push_back(Name.str());
+  return encodeMessage(std::move(Ask));
+}
+
+std::string encodeRunning(const CellId &Cell, const RunningRequest &Request) {
+  wire::RunningT Running;
+  Running.id = toWire(Request.Id_);
+  Running.cell = Cell.toWire();
+  Running.server = Request.Server_.str();
+  Running.tier = Request.Tier_.count();
+  Running.customer = Request.Customer_.str();
+  Running.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
+  Running.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
+  Running.non_idempotent = Request.NonIdempotent_;
+  return encodeMessage(std::move(Running));
+}
+
+std::string encodeDone(const CellId &Cell, const RequestId &Id,
+                       const ServedSample &Seen) {
+  wire::DoneT Done;
+  Done.id = toWire(Id);
+  Done.cell = Cell.toWire();
+  Done.reached = Seen.Reached_;
+  Done.complete = Seen.Complete_;
+  Done.generated = static_cast<std::uint32_t>(Seen.Generated_.count());
+  Done.first_token_us = static_cast<std::uint32_t>(Seen.FirstToken_.count());
+  Done.duration_us = static_cast<std::uint32_t>(Seen.Duration_.count());
+  return encodeMessage(std::move(Done));
+}
+
+std::string encodeWithdraw(const CellId &Cell, const RequestId &Id) {
+  wire::WithdrawT Withdraw;
+  Withdraw.id = toWire(Id);
+  Withdraw.cell = Cell.toWire();
+  return encodeMessage(std::move(Withdraw));
+}
+
+std::string encodeFirstToken(const CellId &Cell, const RequestId &Id,
+                             std::chrono::microseconds Delay) {
+  wire::FirstTokenT Message;
+  Message.id = toWire(Id);
+  Message.cell = Cell.toWire();
+  Message.delay_us = static_cast<std::uint32_t>(Delay.count());
+  return encodeMessage(std::move(Message));
+}
+
+AskedRequest askFromWire(const wire::AskT &Ask, const VmId &From) {
+  AskedRequest Asked;
+  Asked.Id_ = fromWire(Ask.id);
+  Asked.Tier_ = TierIndex(Ask.tier);
+  Asked.Customer_ = CustomerName(Ask.customer);
+  Asked.Deadline_ = steady_clock::now() + milliseconds(Ask.deadline_ms);
+  Asked.Prompt_ = Tokens(Ask.prompt_tokens);
+  Asked.Answer_ = Tokens(Ask.answer_tokens);
+  Asked.Prefix_ = Ask.prefix;
+  Asked.NonIdempotent_ = Ask.non_idempotent;
+  for (const std::string &Name : Ask.excluded)
+    Asked.Excluded_.emplace_back(Name);
+  Asked.Entry_ = From;
+  return Asked;
+}
+
+RunningRequest runningFromWire(const wire::RunningT &Running,
+                               const VmId &From) {
+  return {fromWire(Running.id),           TierIndex(Running.tier),
+          CustomerName(Running.customer), ServerName(Running.server),
+          Tokens(Running.prompt_tokens),  Tokens(Running.answer_tokens),
+          Running.non_idempotent,         From};
+}
+
+ServedSample sampleFromWire(const wire::DoneT &Done) {
+  ServedSample Seen;
+  Seen.Reached_ = Done.reached;
+  Seen.Complete_ = Done.complete;
+  Seen.Generated_ = Tokens(Done.generated);
+  Seen.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
+  Seen.Duration_ = std::chrono::microseconds(Done.duration_us);
+  return Seen;
+}
+
+std::string encodeDecision(const Decision &Taken) {
+  if (const auto *Grant = std::get_if<GrantDecision>(&Taken)) {
+    wire::GrantT Message;
+    Message.id = toWire(Grant->Id_);
+    Message.server = Grant->Server_.str();
+    return encodeMessage(std::move(Message));
+  }
+  if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken)) {
+    wire::RefuseT Message;
+    Message.id = toWire(Refusal->Id_);
+    Message.code = static_cast<int>(Refusal->Code_);
+    Message.retry_after_ms =
+        static_cast<std::uint32_t>(Refusal->RetryAfter_.count());
+    return encodeMessage(std::move(Message));
+  }
+  wire::CancelT Message;
+  Message.id = toWire(std::get<CancelDecision>(Taken).Id_);
+  return encodeMessage(std::move(Message));
+}
+
+} // namespace samphireshunt
--- a/Source/Process/MemberTable.cpp
+++ b/Source/Process/MemberTable.cpp
@@ -20,6 +20,20 @@
 
 } // namespace
 
+std::string_view memberStatusName(MemberStatus Status) {
+  switch (Status) {
+  case MemberStatus::Alive:
+    return "alive";
+  case MemberStatus::Leaving:
+    return "leaving";
+  case MemberStatus::Suspect:
+    return "suspect";
+  case MemberStatus::Dead:
+    return "dead";
+  }
+  return "dead";
+}
+
 MemberTable::MemberTable(Member Self, Options Settings)
     : Self_(std::move(Self)), Options_(Settings), Random_(Settings.Seed_) {}
 
--- a/Source/Process/MemberTable.h
+++ b/Source/Process/MemberTable.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphireshunt {
@@ -22,6 +23,9 @@
 /// In rising order of precedence at an equal incarnation and counter.
 enum class MemberStatus : std::uint8_t { Alive, Leaving, Suspect, Dead };
 
+/// The status as operators see it, e.g. "alive".
+std::string_view memberStatusName(MemberStatus Status);
+
 struct Member {
   VmId Id_;
   Incarnation Incarnation_;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -173,7 +173,6 @@
   RefuseDecision refusal(const AskedRequest &Request, ResultCode Code);
   std::optional<RequestId> lowestWaiting(TierIndex Above) const;
   bool makeRoom(TierIndex Tier, std::vector<Decision> &Out);
-  bool hasPreemptible(TierIndex Above) const;
   bool preemptFor(TierIndex Tier, std::vector<Decision> &Out);
   void shedBelow(TierIndex Tier, std::vector<Decision> &Out);
   void noteShed(TierIndex Tier, TimePoint Now, std::vector<Decision> &Out);
@@ -200,6 +199,7 @@
   /// How many tokens the answer will likely have; 0 while nothing is known.
   Tokens expectedAnswer(const AskedRequest &Request) const;
   bool anySpare() const;
+  /// Time on the quickest idle engine, with a margin; 0 while none is known.
   std::chrono::nanoseconds bestServiceTime(const AskedRequest &Request) const;
   std::chrono::milliseconds retryAfter(TierIndex Tier);
   void serve(const WaitingRequest &Request, ServerModel &Server,
--- /dev/null
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -0,0 +1,179 @@
+/// \file
+/// Which engine a waiting request should go to, and whether it can finish there
+/// in time.
+
+#include "Process/Scheduler.h"
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/// Expected times are averages, and half of the requests take longer: a
+/// request is started only when a fifth of its expected time is left over.
+nanoseconds withMargin(nanoseconds Expected) { return Expected + Expected / 5; }
+
+} // namespace
+
+std::span<const std::uint64_t>
+Scheduler::prefixOf(const AskedRequest &Request) const {
+  if (!Options_.UsePrefixes_)
+    return {};
+  return Request.Prefix_;
+}
+
+Tokens Scheduler::expectedAnswer(const AskedRequest &Request) const {
+  auto Share = AnswerShare_.find(Request.Customer_);
+  if (Share == AnswerShare_.end())
+    return Tokens(0);
+  double Count = static_cast<double>(Request.Answer_.count()) * Share->second;
+  return Tokens(static_cast<std::int64_t>(Count));
+}
+
+nanoseconds Scheduler::expectedService(const AskedRequest &Request,
+                                       const ServerModel &Server) const {
+  if (Server.betweenTokens().count() == 0)
+    return nanoseconds(0);
+  return Server.expectedFirstToken(Request.Prompt_, prefixOf(Request)) +
+         Server.betweenTokens() * expectedAnswer(Request).count();
+}
+
+/// A request that an engine can't finish by its deadline would cost its
+/// prefill for nothing there; another engine may be faster.
+bool Scheduler::finishesInTime(const AskedRequest &Request,
+                               const ServerModel &Server, TimePoint Now) const {
+  auto Service = expectedService(Request, Server);
+  if (!Options_.RefuseInfeasible_ || Service.count() == 0)
+    return true;
+  return Now + withMargin(Service) <= Request.Deadline_;
+}
+
+/// True when not even an idle engine could finish the request in time.
+bool Scheduler::isDoomed(const AskedRequest &Request, TimePoint Now) const {
+  auto Service = bestServiceTime(Request);
+  return Options_.RefuseInfeasible_ && Service.count() > 0 &&
+         Now + Service > Request.Deadline_;
+}
+
+ServerModel *Scheduler::choose(const AskedRequest &Request, TimePoint Now) {
+  if (Options_.TwoChoices_)
+    return chooseOfTwo();
+  if (auto Wanted = prefixPlace(Request, Now))
+    return quickest(Request, Now, *Wanted);
+  return quickest(Request, Now, PrefixPlace::Elsewhere);
+}
+
+/// Where a long prompt should go, when not just anywhere. Its work done anew on
+/// another engine would cost that engine its time, and a full cache the blocks
+/// of another prompt, which then are worked on anew in turn. So while there is
+/// time, the request waits for an engine that has its beginning, or is about
+/// to.
+std::optional<PrefixPlace> Scheduler::prefixPlace(const AskedRequest &Request,
+                                                  TimePoint Now) const {
+  auto Prefix = prefixOf(Request);
+  auto Best = PrefixPlace::Elsewhere;
+  bool HasTime = false;
+  for (const auto &[Name, Server] : Servers_) {
+    auto Place =
+        Server.usable() ? Server.placeOf(Prefix) : PrefixPlace::Elsewhere;
+    if (Place == PrefixPlace::Elsewhere || Place < Best)
+      continue;
+    Best = Place;
+    auto Service = withMargin(expectedService(Request, Server));
+    HasTime |= Now + Service + Options_.PreemptMargin_ < Request.Deadline_;
+  }
+  return HasTime ? std::optional(Best) : std::nullopt;
+}
+
+/// The engine with room that is expected to answer first, of those that have
+/// the prompt's beginning cached when \p Wanted says so. One that is only in
+/// progress is waited for.
+ServerModel *Scheduler::quickest(const AskedRequest &Request, TimePoint Now,
+                                 PrefixPlace Wanted) {
+  ServerModel *Best = nullptr;
+  auto BestScore = std::tuple(nanoseconds::max(), 0U);
+  auto Prefix = prefixOf(Request);
+  if (Wanted == PrefixPlace::InProgress)
+    return nullptr;
+  for (auto &[Name, Server] : Servers_) {
+    bool Excluded = std::ranges::count(Request.Excluded_, Name) > 0;
+    if (Excluded || !Server.hasRoom(Share_) ||
+        !finishesInTime(Request, Server, Now))
+      continue;
+    if (Wanted == PrefixPlace::Cached && Server.placeOf(Prefix) != Wanted)
+      continue;
+    auto Time = Server.expectedFirstToken(Request.Prompt_, Prefix) +
+                Server.evictionCost(Request.Prompt_, Prefix);
+    if (Options_.UseSpeeds_)
+      Time += Server.betweenTokens() * expectedAnswer(Request).count();
+    auto Score = std::tuple(Time, Server.inFlight());
+    if (Best && Score >= BestScore)
+      continue;
+    Best = &Server;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+ServerModel *Scheduler::chooseOfTwo() {
+  std::vector<ServerModel *> Usable;
+  for (auto &[Name, Server] : Servers_)
+    if (Server.usable())
+      Usable.push_back(&Server);
+  if (Usable.empty())
+    return nullptr;
+  auto Count = static_cast<std::uint32_t>(Usable.size());
+  ServerModel *First = Usable[Random_(Count)];
+  ServerModel *Second = Usable[Random_(Count)];
+  return First->reportedLoad() <= Second->reportedLoad() ? First : Second;
+}
+
+nanoseconds Scheduler::bestServiceTime(const AskedRequest &Request) const {
+  nanoseconds Best = nanoseconds::max();
+  for (const auto &[Name, Server] : Servers_)
+    if (Server.usable())
+      Best = std::min(Best, Server.idleService(Request.Prompt_,
+                                               expectedAnswer(Request),
+                                               prefixOf(Request)));
+  return Best == nanoseconds::max() ? nanoseconds(0) : withMargin(Best);
+}
+
+/// The first request of the queue that an engine with room can finish in time.
+/// The one with the earliest deadline may only be for a fast engine; without a
+/// look further, slow engines would stand idle while it waits.
+std::optional<Scheduler::Placement>
+Scheduler::firstPlaceable(const CustomerQueue &Queue, TimePoint Now) {
+  // A few are looked at one by one: the first may wait for its own engine
+  // while others could be served.
+  constexpr int LookedAt = 8;
+  int Seen = 0;
+  for (const DeadlineKey &Key : Queue.Requests_) {
+    RequestId Id = std::get<RequestId>(Key);
+    if (ServerModel *Server = choose(Waiting_.at(Id).Asked_, Now))
+      return Placement{Id, Server};
+    if (!Options_.UsePrefixes_ || ++Seen == LookedAt)
+      break;
+  }
+  RequestId Head = std::get<RequestId>(*Queue.Requests_.begin());
+  const AskedRequest &First = Waiting_.at(Head).Asked_;
+  if (!Options_.RefuseInfeasible_)
+    return std::nullopt;
+  nanoseconds Soonest = nanoseconds::max();
+  for (const auto &[Name, Server] : Servers_)
+    if (Server.hasRoom(Share_))
+      Soonest = std::min(Soonest, expectedService(First, Server));
+  if (Soonest == nanoseconds::max())
+    return std::nullopt;
+  DeadlineKey Least{Now + withMargin(Soonest), 0, RequestId()};
+  auto Later = Queue.Requests_.lower_bound(Least);
+  if (Later == Queue.Requests_.end())
+    return std::nullopt;
+  RequestId Id = std::get<RequestId>(*Later);
+  ServerModel *Server = choose(Waiting_.at(Id).Asked_, Now);
+  return Server ? std::optional(Placement{Id, Server}) : std::nullopt;
+}
+
+} // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -2,11 +2,10 @@
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
+#include "Process/KeeperMessages.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -14,7 +13,6 @@
 namespace samphireshunt {
 
 namespace asio = boost::asio;
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -30,60 +28,6 @@
   return Incarnation(static_cast<std::uint64_t>(Millis));
 }
 
-AskedRequest askFromWire(const wire::AskT &Ask, const VmId &From) {
-  AskedRequest Asked;
-  Asked.Id_ = fromWire(Ask.id);
-  Asked.Tier_ = TierIndex(Ask.tier);
-  Asked.Customer_ = CustomerName(Ask.customer);
-  Asked.Deadline_ = steady_clock::now() + milliseconds(Ask.deadline_ms);
-  Asked.Prompt_ = Tokens(Ask.prompt_tokens);
-  Asked.Answer_ = Tokens(Ask.answer_tokens);
-  Asked.Prefix_ = Ask.prefix;
-  Asked.NonIdempotent_ = Ask.non_idempotent;
-  for (const std::string &Name : Ask.excluded)
-    Asked.Excluded_.emplace_back(Name);
-  Asked.Entry_ = From;
-  return Asked;
-}
-
-RunningRequest runningFromWire(const wire::RunningT &Running,
-                               const VmId &From) {
-  return {fromWire(Running.id),           TierIndex(Running.tier),
-          CustomerName(Running.customer), ServerName(Running.server),
-          Tokens(Running.prompt_tokens),  Tokens(Running.answer_tokens),
-          Running.non_idempotent,         From};
-}
-
-ServedSample sampleFromWire(const wire::DoneT &Done) {
-  ServedSample Seen;
-  Seen.Reached_ = Done.reached;
-  Seen.Complete_ = Done.complete;
-  Seen.Generated_ = Tokens(Done.generated);
-  Seen.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
-  Seen.Duration_ = std::chrono::microseconds(Done.duration_us);
-  return Seen;
-}
-
-std::string encodeDecision(const Decision &Taken) {
-  if (const auto *Grant = std::get_if<GrantDecision>(&Taken)) {
-    wire::GrantT Message;
-    Message.id = toWire(Grant->Id_);
-    Message.server = Grant->Server_.str();
-    return encodeMessage(std::move(Message));
-  }
-  if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken)) {
-    wire::RefuseT Message;
-    Message.id = toWire(Refusal->Id_);
-    Message.code = static_cast<int>(Refusal->Code_);
-    Message.retry_after_ms =
-        static_cast<std::uint32_t>(Refusal->RetryAfter_.count());
-    return encodeMessage(std::move(Message));
-  }
-  wire::CancelT Message;
-  Message.id = toWire(std::get<CancelDecision>(Taken).Id_);
-  return encodeMessage(std::move(Message));
-}
-
 const VmId &entryOf(const Decision &Taken) {
   return std::visit(
       [](const auto &Value) -> const VmId & { return Value.Entry_; }, Taken);
@@ -107,20 +51,6 @@
   return Options;
 }
 
-std::string_view statusName(MemberStatus Status) {
-  switch (Status) {
-  case MemberStatus::Alive:
-    return "alive";
-  case MemberStatus::Leaving:
-    return "leaving";
-  case MemberStatus::Suspect:
-    return "suspect";
-  case MemberStatus::Dead:
-    return "dead";
-  }
-  return "dead";
-}
-
 } // namespace
 
 Result<std::unique_ptr<Daemon>> Daemon::create(Settings Configured) {
@@ -435,7 +365,7 @@
 void Daemon::onMemberChanged(const Member &Changed) {
   logEvent(LogCategory::Membership, spdlog::level::info, "member",
            {{"member", Changed.Id_.str()},
-            {"status", std::string(statusName(Changed.Status_))}});
+            {"status", std::string(memberStatusName(Changed.Status_))}});
   refreshSoon();
   if (Changed.Status_ != MemberStatus::Dead)
     return;
@@ -570,98 +500,4 @@
   Control_.stop();
 }
 
-std::string Daemon::describeAddresses() const {
-  Json Line;
-  Line["event"] = "listening";
-  Line["vm"] = Settings_.Vm_.str();
-  Line["callers"] = formatEndpoint(CallerServer_->address());
-  Line["peers"] = formatEndpoint(Peers_->address());
-  Line["operators"] = formatEndpoint(OperatorServer_->address());
-  return Line.dump();
-}
-
-std::string Daemon::status() const {
-  Json Root;
-  Root["vm"] = Settings_.Vm_.str();
-  Root["dataCenter"] = Settings_.DataCenter_.str();
-  Root["incarnation"] = Incarnation_.count();
-  Root["format"] = NewestFormat;
-  Root["ready"] = isReady();
-  Root["draining"] = Draining_.load();
-  Root["platformReachable"] = Configuration_->platformReachable();
-  Root["activeRequests"] = CallerServer_->activeExchanges();
-  Root["liveShare"] = Members_->liveShare();
-  Root["controlBytesSent"] = Membership_->bytesSent() + Peers_->bytesSent();
-  Root["gossipBytesReceived"] = Membership_->bytesReceived();
-  Root["tracesDropped"] = Traces_->dropped();
-  Root["services"] = Json::object();
-  auto Snapshot = Documents_.snapshot();
-  for (const auto &[Name, Service] : Snapshot->Services_) {
-    Json Entry;
-    Entry["version"] = Service.Version_.count();
-    if (Service.NotUnderstood_.count() > 0)
-      Entry["notUnderstood"] = Service.NotUnderstood_.count();
-    Root["services"][Name.str()] = std::move(Entry);
-  }
-  Root["members"] = Json::array();
-  for (const Member &Other : Members_->others())
-    Root["members"].push_back({{"vm", Other.Id_.str()},
-                               {"status", statusName(Other.Status_)},
-                               {"dataCenter", Other.DataCenter_.str()},
-                               {"operators", Other.OperatorAddress_}});
-  Root["cells"] = Json::array();
-  for (const CellId &Cell : Keeper_->cells()) {
-    const Scheduler *Kept = Keeper_->scheduler(Cell);
-    Json Entry;
-    Entry["cell"] = Cell.str();
-    Entry["keeper"] = keeperFor(Cell, {}) == Settings_.Vm_;
-    Entry["waiting"] = Kept->waiting();
-    Entry["running"] = Kept->running();
-    Entry["servers"] = Json::object();
-    for (const auto &[Name, Server] : Kept->servers())
-      Entry["servers"][Name.str()] = {{"inFlight", Server.inFlight()},
-                                      {"usable", Server.usable()}};
-    Root["cells"].push_back(std::move(Entry));
-  }
-  return Root.dump();
-}
-
-std::string Daemon::vms() const {
-  Json List = Json::array();
-  auto Add = [&List](const Member &Known) {
-    List.push_back(
-        {{"id", Known.Id_.str()},
-         {"role", "system"},
-         {"state", Known.Status_ == MemberStatus::Leaving ? "leaving" : "live"},
-         {"address", Known.Address_},
-         {"operators", Known.OperatorAddress_}});
-  };
-  Add(Members_->self());
-  for (const Member &Other : Members_->others())
-    if (Other.Status_ != MemberStatus::Dead)
-      Add(Other);
-  Json Root;
-  Root["vms"] = std::move(List);
-  return Root.dump();
-}
-
-std::string Daemon::metrics() {
-  Metrics_.setGauge("ready", isReady() ? 1 : 0);
-  Metrics_.setGauge("active_requests",
-                    static_cast<double>(CallerServer_->activeExchanges()));
-  Metrics_.setGauge("caller_connections",
-                    static_cast<double>(CallerServer_->openConnections()));
-  Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
-  Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
-  Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
-  Metrics_.setGauge("live_share", Members_->liveShare());
-  Metrics_.setGauge("platform_reachable",
-                    Configuration_->platformReachable() ? 1 : 0);
-  Metrics_.setGauge("traces_dropped", static_cast<double>(Traces_->dropped()));
-  Metrics_.setGauge(
-      "control_bytes_sent",
-      static_cast<double>(Membership_->bytesSent() + Peers_->bytesSent()));
-  return Metrics_.text();
-}
-
 } // namespace samphireshunt
--- /dev/null
+++ b/Source/Programs/DaemonReports.cpp
@@ -0,0 +1,106 @@
+/// \file
+/// What the daemon tells operators of itself: addresses, status, metrics.
+
+#include "Programs/Daemon.h"
+
+#include <nlohmann/json.hpp>
+
+namespace samphireshunt {
+
+using Json = nlohmann::json;
+
+std::string Daemon::describeAddresses() const {
+  Json Line;
+  Line["event"] = "listening";
+  Line["vm"] = Settings_.Vm_.str();
+  Line["callers"] = formatEndpoint(CallerServer_->address());
+  Line["peers"] = formatEndpoint(Peers_->address());
+  Line["operators"] = formatEndpoint(OperatorServer_->address());
+  return Line.dump();
+}
+
+std::string Daemon::status() const {
+  Json Root;
+  Root["vm"] = Settings_.Vm_.str();
+  Root["dataCenter"] = Settings_.DataCenter_.str();
+  Root["incarnation"] = Incarnation_.count();
+  Root["format"] = NewestFormat;
+  Root["ready"] = isReady();
+  Root["draining"] = Draining_.load();
+  Root["platformReachable"] = Configuration_->platformReachable();
+  Root["activeRequests"] = CallerServer_->activeExchanges();
+  Root["liveShare"] = Members_->liveShare();
+  Root["controlBytesSent"] = Membership_->bytesSent() + Peers_->bytesSent();
+  Root["gossipBytesReceived"] = Membership_->bytesReceived();
+  Root["tracesDropped"] = Traces_->dropped();
+  Root["services"] = Json::object();
+  auto Snapshot = Documents_.snapshot();
+  for (const auto &[Name, Service] : Snapshot->Services_) {
+    Json Entry;
+    Entry["version"] = Service.Version_.count();
+    if (Service.NotUnderstood_.count() > 0)
+      Entry["notUnderstood"] = Service.NotUnderstood_.count();
+    Root["services"][Name.str()] = std::move(Entry);
+  }
+  Root["members"] = Json::array();
+  for (const Member &Other : Members_->others())
+    Root["members"].push_back({{"vm", Other.Id_.str()},
+                               {"status", memberStatusName(Other.Status_)},
+                               {"dataCenter", Other.DataCenter_.str()},
+                               {"operators", Other.OperatorAddress_}});
+  Root["cells"] = Json::array();
+  for (const CellId &Cell : Keeper_->cells()) {
+    const Scheduler *Kept = Keeper_->scheduler(Cell);
+    Json Entry;
+    Entry["cell"] = Cell.str();
+    Entry["keeper"] = keeperFor(Cell, {}) == Settings_.Vm_;
+    Entry["waiting"] = Kept->waiting();
+    Entry["running"] = Kept->running();
+    Entry["servers"] = Json::object();
+    for (const auto &[Name, Server] : Kept->servers())
+      Entry["servers"][Name.str()] = {{"inFlight", Server.inFlight()},
+                                      {"usable", Server.usable()}};
+    Root["cells"].push_back(std::move(Entry));
+  }
+  return Root.dump();
+}
+
+std::string Daemon::vms() const {
+  Json List = Json::array();
+  auto Add = [&List](const Member &Known) {
+    List.push_back(
+        {{"id", Known.Id_.str()},
+         {"role", "system"},
+         {"state", Known.Status_ == MemberStatus::Leaving ? "leaving" : "live"},
+         {"address", Known.Address_},
+         {"operators", Known.OperatorAddress_}});
+  };
+  Add(Members_->self());
+  for (const Member &Other : Members_->others())
+    if (Other.Status_ != MemberStatus::Dead)
+      Add(Other);
+  Json Root;
+  Root["vms"] = std::move(List);
+  return Root.dump();
+}
+
+std::string Daemon::metrics() {
+  Metrics_.setGauge("ready", isReady() ? 1 : 0);
+  Metrics_.setGauge("active_requests",
+                    static_cast<double>(CallerServer_->activeExchanges()));
+  Metrics_.setGauge("caller_connections",
+                    static_cast<double>(CallerServer_->openConnections()));
+  Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
+  Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
+  Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
+  Metrics_.setGauge("live_share", Members_->liveShare());
+  Metrics_.setGauge("platform_reachable",
+                    Configuration_->platformReachable() ? 1 : 0);
+  Metrics_.setGauge("traces_dropped", static_cast<double>(Traces_->dropped()));
+  Metrics_.setGauge(
+      "control_bytes_sent",
+      static_cast<double>(Membership_->bytesSent() + Peers_->bytesSent()));
+  return Metrics_.text();
+}
+
+} // namespace samphireshunt
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -146,8 +146,8 @@
   's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
 U=UnitTests/UnitTests_
-mutate scheduler-order $S/Process/Scheduler.cpp \
-  's/std::get<RequestId>\(\*Queue\.Requests_\.begin\(\)\)/std::get<RequestId>(*Queue.Requests_.rbegin())/' \
+mutate scheduler-order $S/Process/SchedulerPlacement.cpp \
+  's/for \(const DeadlineKey &Key : Queue\.Requests_\)/for (const DeadlineKey \&Key : std::set<DeadlineKey, std::greater<>>(Queue.Requests_.begin(), Queue.Requests_.end()))/' \
   ${U}Process '*plain scan*'
 mutate scheduler-fairness $S/Process/Scheduler.cpp \
   's/Queue\.ServedTokens_ \+= Cost;/(void)Cost;/' \
