--- a/Source/Process/ConfigurationSync.cpp
+++ b/Source/Process/ConfigurationSync.cpp
@@ -107,7 +107,7 @@
 /// that was accepted just before an outage. A daemon that started serving on
 /// an old version would revert it for its callers: it first hears a peer, or
 /// learns that there is none.
-bool ConfigurationSync::ready() const {
+bool ConfigurationSync::ready() {
   auto Snapshot = Documents_.snapshot();
   if (Snapshot->Services_.empty())
     return false;
@@ -121,7 +121,7 @@
     return InForce &&
            std::max(InForce->Version_, InForce->NotUnderstood_) >= Item.second;
   });
-  const_cast<ConfigurationSync *>(this)->WasReady_ = Joined && UpToDate;
+  WasReady_ = Joined && UpToDate;
   return WasReady_;
 }
 
--- a/Source/Process/ConfigurationSync.h
+++ b/Source/Process/ConfigurationSync.h
@@ -44,7 +44,7 @@
   void documentReceived(const ServiceName &Service, const std::string &Encoded);
   /// True when this daemon may serve: what it has is as new as what it heard
   /// of, and it heard from the platform or from a peer.
-  bool ready() const;
+  bool ready();
   bool platformReachable() const { return PlatformReachable_; }
 
 private:
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Shows that the failure tests can fail: leaves out one mechanism at a time in
 # a copy of the tree, and expects the named test case to fail there.
-#   Tools/mutations.sh [NAME]
+#   [JOBS=N] Tools/mutations.sh [NAME]
 set -uo pipefail
 { # Read whole before it runs, so that it may be edited meanwhile.
 cd "$(dirname "$0")/.."
@@ -13,7 +13,7 @@
 Missed=0
 
 build() {
-  ninja -C build "$@" >build.log 2>&1 || { tail -20 build.log; return 1; }
+  ninja -j "${JOBS:-$(nproc)}" -C build "$@" >build.log 2>&1 || { tail -20 build.log; return 1; }
 }
 
 # edit FILE PERL_EXPRESSION: fails when nothing changes.
