Keep a dead entry's running requests until its death is known

Cause: Failure.PartitionTest failed once (orphans not cancelled): they were dropped 3 s after the link broke, while the death can take as long to be known. Ruled out: the cancelling itself (passes when the death is first).

--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -32,7 +32,9 @@
     std::chrono::milliseconds WarmUp_{300};
     std::chrono::milliseconds Tick_{10};
     /// How long the running requests of an entry whose link broke are kept.
-    std::chrono::milliseconds EntryGrace_{3000};
+    /// Longer than its death takes to be known: dropped before, its orphans
+    /// would never be cancelled.
+    std::chrono::milliseconds EntryGrace_{10000};
     Scheduler::Options Scheduling_;
   };
   struct Hooks {
