--- a/FailureTests/Cluster.cpp
+++ b/FailureTests/Cluster.cpp
@@ -107,6 +107,7 @@
   }
   std::vector<std::string> Command = {PROGRAM_FOLDER "/samphireshuntd",
                                       "--vm_id=" + Name,
+                                      "--log_output=stderr",
                                       "--data_center=latacunga",
                                       "--callers_address=127.0.0.1:0",
                                       "--peers_address=127.0.0.1:0",
--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -557,6 +557,8 @@
   bool non_idempotent = false;
   std::vector<std::string> excluded{};
   uint64_t document_version = 0;
+  uint32_t objective_ms = 0;
+  uint32_t max_wait_ms = 0;
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -578,7 +580,9 @@
     VT_PREFIX = 18,
     VT_NON_IDEMPOTENT = 20,
     VT_EXCLUDED = 22,
-    VT_DOCUMENT_VERSION = 24
+    VT_DOCUMENT_VERSION = 24,
+    VT_OBJECTIVE_MS = 26,
+    VT_MAX_WAIT_MS = 28
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -613,6 +617,14 @@
   uint64_t document_version() const {
     return GetField<uint64_t>(VT_DOCUMENT_VERSION, 0);
   }
+  /// Time within which the first event is worth most; 0 is none.
+  uint32_t objective_ms() const {
+    return GetField<uint32_t>(VT_OBJECTIVE_MS, 0);
+  }
+  /// The longest that the request may wait; 0 is up to its deadline.
+  uint32_t max_wait_ms() const {
+    return GetField<uint32_t>(VT_MAX_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -631,6 +643,8 @@
            verifier.VerifyVector(excluded()) &&
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -675,6 +689,12 @@
   void add_document_version(uint64_t document_version) {
     fbb_.AddElement<uint64_t>(Ask::VT_DOCUMENT_VERSION, document_version, 0);
   }
+  void add_objective_ms(uint32_t objective_ms) {
+    fbb_.AddElement<uint32_t>(Ask::VT_OBJECTIVE_MS, objective_ms, 0);
+  }
+  void add_max_wait_ms(uint32_t max_wait_ms) {
+    fbb_.AddElement<uint32_t>(Ask::VT_MAX_WAIT_MS, max_wait_ms, 0);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -698,9 +718,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prefix = 0,
     bool non_idempotent = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
-    uint64_t document_version = 0) {
+    uint64_t document_version = 0,
+    uint32_t objective_ms = 0,
+    uint32_t max_wait_ms = 0) {
   AskBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_max_wait_ms(max_wait_ms);
+  builder_.add_objective_ms(objective_ms);
   builder_.add_excluded(excluded);
   builder_.add_prefix(prefix);
   builder_.add_answer_tokens(answer_tokens);
@@ -726,7 +750,9 @@
     const std::vector<uint64_t> *prefix = nullptr,
     bool non_idempotent = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
-    uint64_t document_version = 0) {
+    uint64_t document_version = 0,
+    uint32_t objective_ms = 0,
+    uint32_t max_wait_ms = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -742,7 +768,9 @@
       prefix__,
       non_idempotent,
       excluded__,
-      document_version);
+      document_version,
+      objective_ms,
+      max_wait_ms);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1212,6 +1240,7 @@
   uint32_t generated = 0;
   uint32_t first_token_us = 0;
   uint32_t duration_us = 0;
+  bool faulty = false;
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1230,7 +1259,8 @@
     VT_COMPLETE = 12,
     VT_GENERATED = 14,
     VT_FIRST_TOKEN_US = 16,
-    VT_DURATION_US = 18
+    VT_DURATION_US = 18,
+    VT_FAULTY = 20
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1256,6 +1286,10 @@
   uint32_t duration_us() const {
     return GetField<uint32_t>(VT_DURATION_US, 0);
   }
+  /// The server could not be reached, broke off or answered with an error.
+  bool faulty() const {
+    return GetField<uint8_t>(VT_FAULTY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1268,6 +1302,7 @@
            VerifyField<uint32_t>(verifier, VT_GENERATED, 4) &&
            VerifyField<uint32_t>(verifier, VT_FIRST_TOKEN_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_DURATION_US, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FAULTY, 1) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1303,6 +1338,9 @@
   void add_duration_us(uint32_t duration_us) {
     fbb_.AddElement<uint32_t>(Done::VT_DURATION_US, duration_us, 0);
   }
+  void add_faulty(bool faulty) {
+    fbb_.AddElement<uint8_t>(Done::VT_FAULTY, static_cast<uint8_t>(faulty), 0);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1323,7 +1361,8 @@
     bool complete = false,
     uint32_t generated = 0,
     uint32_t first_token_us = 0,
-    uint32_t duration_us = 0) {
+    uint32_t duration_us = 0,
+    bool faulty = false) {
   DoneBuilder builder_(_fbb);
   builder_.add_duration_us(duration_us);
   builder_.add_first_token_us(first_token_us);
@@ -1331,6 +1370,7 @@
   builder_.add_server(server);
   builder_.add_cell(cell);
   builder_.add_id(id);
+  builder_.add_faulty(faulty);
   builder_.add_complete(complete);
   builder_.add_reached(reached);
   return builder_.Finish();
@@ -1345,7 +1385,8 @@
     bool complete = false,
     uint32_t generated = 0,
     uint32_t first_token_us = 0,
-    uint32_t duration_us = 0) {
+    uint32_t duration_us = 0,
+    bool faulty = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateDone(
       _fbb,
@@ -1356,7 +1397,8 @@
       complete,
       generated,
       first_token_us,
-      duration_us);
+      duration_us,
+      faulty);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2520,7 +2562,9 @@
         prefix(o.prefix),
         non_idempotent(o.non_idempotent),
         excluded(o.excluded),
-        document_version(o.document_version) {
+        document_version(o.document_version),
+        objective_ms(o.objective_ms),
+        max_wait_ms(o.max_wait_ms) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -2535,6 +2579,8 @@
   std::swap(non_idempotent, o.non_idempotent);
   std::swap(excluded, o.excluded);
   std::swap(document_version, o.document_version);
+  std::swap(objective_ms, o.objective_ms);
+  std::swap(max_wait_ms, o.max_wait_ms);
   return *this;
 }
 
@@ -2558,6 +2604,8 @@
   { auto _e = non_idempotent(); _o->non_idempotent = _e; }
   { auto _e = excluded(); if (_e) { _o->excluded.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->excluded[_i] = _e->Get(_i)->str(); } } }
   { auto _e = document_version(); _o->document_version = _e; }
+  { auto _e = objective_ms(); _o->objective_ms = _e; }
+  { auto _e = max_wait_ms(); _o->max_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2579,6 +2627,8 @@
   auto _non_idempotent = _o->non_idempotent;
   auto _excluded = _o->excluded.size() ? _fbb.CreateVectorOfStrings(_o->excluded) : 0;
   auto _document_version = _o->document_version;
+  auto _objective_ms = _o->objective_ms;
+  auto _max_wait_ms = _o->max_wait_ms;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -2591,7 +2641,9 @@
       _prefix,
       _non_idempotent,
       _excluded,
-      _document_version);
+      _document_version,
+      _objective_ms,
+      _max_wait_ms);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
@@ -2837,7 +2889,8 @@
         complete(o.complete),
         generated(o.generated),
         first_token_us(o.first_token_us),
-        duration_us(o.duration_us) {
+        duration_us(o.duration_us),
+        faulty(o.faulty) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -2849,6 +2902,7 @@
   std::swap(generated, o.generated);
   std::swap(first_token_us, o.first_token_us);
   std::swap(duration_us, o.duration_us);
+  std::swap(faulty, o.faulty);
   return *this;
 }
 
@@ -2869,6 +2923,7 @@
   { auto _e = generated(); _o->generated = _e; }
   { auto _e = first_token_us(); _o->first_token_us = _e; }
   { auto _e = duration_us(); _o->duration_us = _e; }
+  { auto _e = faulty(); _o->faulty = _e; }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2887,6 +2942,7 @@
   auto _generated = _o->generated;
   auto _first_token_us = _o->first_token_us;
   auto _duration_us = _o->duration_us;
+  auto _faulty = _o->faulty;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -2896,7 +2952,8 @@
       _complete,
       _generated,
       _first_token_us,
-      _duration_us);
+      _duration_us,
+      _faulty);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
--- a/Source/Common/Log.cpp
+++ b/Source/Common/Log.cpp
@@ -1,7 +1,10 @@
 #include "Common/Log.h"
 
+#include "Common/LogSink.h"
+
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+
+#include <unistd.h>
 
 namespace samphireshunt {
 
@@ -25,8 +28,12 @@
 
 } // namespace
 
-void initializeLog(std::string_view Origin, spdlog::level::level_enum Level) {
-  auto Logger = spdlog::stderr_logger_mt("samphireshunt");
+void initializeLog(std::string_view Origin, spdlog::level::level_enum Level,
+                   LogOutput Output) {
+  int Descriptor =
+      Output == LogOutput::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+  auto Logger = std::make_shared<spdlog::logger>(
+      "samphireshunt", std::make_shared<NonBlockingSink>(Descriptor));
   std::string Name = nlohmann::json(Origin).dump();
   Logger->set_pattern(
       "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",\"vm\":" + Name +
--- a/Source/Common/Log.h
+++ b/Source/Common/Log.h
@@ -1,6 +1,6 @@
 #pragma once
 /// \file
-/// Structured logs: one JSON object a line on standard error, by spdlog.
+/// Structured logs: one JSON object a line on standard output, by spdlog.
 
 #include <spdlog/spdlog.h>
 
@@ -21,8 +21,11 @@
 /// Further fields of one line, in the order in which they are written.
 using LogFields = std::vector<std::pair<std::string_view, std::string>>;
 
-/// Sends all lines to standard error as JSON; \p Origin names the VM.
-void initializeLog(std::string_view Origin, spdlog::level::level_enum Level);
+enum class LogOutput { StandardOutput, StandardError };
+
+/// Sends all lines to \p Output as JSON; \p Origin names the VM.
+void initializeLog(std::string_view Origin, spdlog::level::level_enum Level,
+                   LogOutput Output);
 
 /// Writes one line: time, level, category, \p Event and \p Fields.
 void logEvent(LogCategory Category, spdlog::level::level_enum Level,
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -52,6 +52,9 @@
   RefusedByServer = 208,
   NotReady = 209,
   KeeperUnreachable = 210,
+  WaitTooLong = 211,
+  AllotmentSpent = 212,
+  ConfigurationStale = 213,
   // 3xx: after the dispatch.
   AnswerTimeout = 300,
   ConnectionLost = 301,
@@ -66,6 +69,7 @@
   PlatformUnavailable = 403,
   VersionConflict = 404,
   NotFound = 405,
+  HistoryLost = 406,
   // 5xx: documents and settings.
   DocumentSyntax = 500,
   DocumentSchema = 501,
--- a/Source/Connection/BackendConnections.h
+++ b/Source/Connection/BackendConnections.h
@@ -11,31 +11,36 @@
 
 namespace samphireshunt {
 
+/// An idle connection may have gone silent: something between the two ends lost
+/// track of it, a request written to it vanishes, and no error comes back. One
+/// that carried an answer this recently is taken as proved; for a request that
+/// may be sent again an older one does as well.
+inline constexpr std::chrono::milliseconds ProvedMaxIdle{1000};
+
 class BackendConnections {
 public:
   struct Options {
-    /// An idle connection may have gone silent: something between the two
-    /// ends lost track of it, a request written to it vanishes, and no error
-    /// comes back. One that carried an answer this recently is taken as
-    /// proved; an older one is closed and a new one opened instead.
-    std::chrono::milliseconds ProvedFor_{1000};
     std::size_t MaxIdlePerServer_ = 64;
     std::chrono::milliseconds ConnectTimeout_{500};
   };
 
   explicit BackendConnections(Options Settings) : Options_(Settings) {}
 
-  /// A proved idle connection, or a new one; always new with \p Fresh.
-  Awaitable<Result<std::unique_ptr<HttpConnection>>> take(Endpoint Address,
-                                                          bool Fresh);
+  /// An idle connection that answered within \p MaxIdle, or a new one.
+  Awaitable<Result<std::unique_ptr<HttpConnection>>>
+  take(Endpoint Address, std::chrono::milliseconds MaxIdle);
   /// Keeps the connection when its last answer was read whole; closes it
   /// otherwise, so that a late answer can never meet another request.
   void giveBack(const Endpoint &Address,
                 std::unique_ptr<HttpConnection> Connection);
 
 private:
+  using Connections = std::vector<std::unique_ptr<HttpConnection>>;
+  std::unique_ptr<HttpConnection> takeIdle(Connections &Idle,
+                                           std::chrono::milliseconds MaxIdle);
+
   Options Options_;
-  std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> Idle_;
+  std::map<Endpoint, Connections> Idle_;
 };
 
 } // namespace samphireshunt
--- /dev/null
+++ b/Source/Connection/EventSplitter.cpp
@@ -0,0 +1,63 @@
+#include "Connection/EventSplitter.h"
+
+namespace samphireshunt {
+
+namespace {
+
+constexpr std::string_view IdField = "id:";
+
+/// The end of the first whole event in \p Bytes, or npos. Lines end in LF, CR
+/// LF or CR; an empty line ends an event.
+std::size_t eventEnd(std::string_view Bytes) {
+  bool LineEmpty = true;
+  for (std::size_t Index = 0; Index < Bytes.size(); ++Index) {
+    char C = Bytes[Index];
+    if (C != '\n' && C != '\r') {
+      LineEmpty = false;
+      continue;
+    }
+    // The LF of a CR LF may still be on its way; it belongs to this line.
+    if (C == '\r' && Index + 1 == Bytes.size())
+      return std::string_view::npos;
+    if (C == '\r' && Bytes[Index + 1] == '\n')
+      ++Index;
+    if (LineEmpty)
+      return Index + 1;
+    LineEmpty = true;
+  }
+  return std::string_view::npos;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view Bytes) {
+  Rest_ += Bytes;
+  std::string_view Left = Rest_;
+  std::size_t Whole = 0;
+  for (std::size_t End = eventEnd(Left); End != std::string_view::npos;
+       End = eventEnd(Left)) {
+    noteEvent(Left.substr(0, End));
+    Left.remove_prefix(End);
+    Whole += End;
+  }
+  std::string Events = Rest_.substr(0, Whole);
+  Rest_.erase(0, Whole);
+  return Events;
+}
+
+void EventSplitter::noteEvent(std::string_view Event) {
+  ++Count_;
+  while (!Event.empty()) {
+    std::size_t End = std::min(Event.find_first_of("\r\n"), Event.size());
+    std::string_view Line = Event.substr(0, End);
+    Event.remove_prefix(std::min(End + 1, Event.size()));
+    if (!Line.starts_with(IdField))
+      continue;
+    Line.remove_prefix(IdField.size());
+    if (Line.starts_with(' '))
+      Line.remove_prefix(1);
+    LastId_ = std::string(Line);
+  }
+}
+
+} // namespace samphireshunt
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,14 @@
 /// Builds the answer to a request that can't be parsed or is too large.
 using HttpRefusal = std::function<HttpResponse(Failure)>;
 
+/// What may change while a server listens.
+struct HttpLimits {
+  std::size_t MaxHeaderBytes_;
+  std::size_t MaxBodyBytes_;
+  /// How long an idle connection stays.
+  std::chrono::milliseconds IdleTimeout_;
+};
+
 /// Limits of one listening address, and what varies.
 struct HttpServerOptions {
   Endpoint Address_;
@@ -89,6 +98,8 @@
   std::chrono::milliseconds WriteTimeout_{30000};
   HttpHandler Handler_;
   HttpRefusal Refusal_;
+  /// Asked for each request; unset: the limits above hold throughout.
+  std::function<HttpLimits()> Limits_;
 };
 
 /// Accepts on one context and spreads the connections over worker contexts.
@@ -108,6 +119,8 @@
   virtual std::size_t openConnections() const = 0;
   /// Requests from their first byte in to their last byte out.
   virtual std::size_t activeExchanges() const = 0;
+  /// When the last connection was taken.
+  virtual std::chrono::steady_clock::time_point lastAccepted() const = 0;
 };
 
 /// The client's side of a connection; for use by one coroutine at a time.
@@ -118,9 +131,16 @@
   static Awaitable<Result<std::unique_ptr<HttpConnection>>>
   connect(Endpoint Address, std::chrono::milliseconds Timeout);
 
-  /// Writes the whole request. An error leaves open whether bytes left.
+  /// Writes the request. An error leaves open whether bytes left. A long body
+  /// is still being written when this returns: the other side may answer
+  /// before it has read all of it.
   virtual Awaitable<Result<void>> send(const HttpRequest &Request,
                                        std::chrono::milliseconds Timeout) = 0;
+  /// Takes a body that has no length and ends with its connection as whole,
+  /// unless the connection was reset.
+  virtual void acceptUnframed() = 0;
+  /// How long the other side says that it keeps the connection while idle.
+  virtual std::optional<std::chrono::seconds> idleLimit() const = 0;
   /// Reads the answer's head; its body is empty.
   virtual Awaitable<Result<HttpResponse>>
   readHead(std::chrono::milliseconds Timeout) = 0;
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -1,11 +1,17 @@
 #include "Connection/Http.h"
 
+#include "Connection/SocketOptions.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <optional>
 
 namespace samphireshunt {
@@ -18,6 +24,40 @@
 
 constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+/// A longer body is written while the answer is awaited: a server may answer
+/// before it has read it, and read on later or never.
+constexpr std::size_t LongBodyBytes = 4096;
+/// A backend server that acknowledges nothing for this long, or no probe, is
+/// down or cut off: far longer than any network delay, and short enough that
+/// its requests can still be served elsewhere.
+constexpr SilenceLimits BackendSilence{std::chrono::milliseconds(2000),
+                                       std::chrono::seconds(1),
+                                       std::chrono::seconds(1), 2};
+
+using Request = http::request<http::string_body>;
+
+/// What the writing of one request came to.
+struct SendState {
+  bool Done_ = false;
+  beast::error_code Error_;
+};
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Lower;
+}
+
+Awaitable<void> writeRequest(std::shared_ptr<beast::tcp_stream> Stream,
+                             std::shared_ptr<Request> Message,
+                             std::shared_ptr<SendState> State) {
+  co_await http::async_write(
+      *Stream, *Message,
+      asio::redirect_error(asio::use_awaitable, State->Error_));
+  State->Done_ = true;
+}
 
 Failure connectionFailure(const beast::error_code &Error) {
   if (Error == beast::error::timeout)
@@ -27,28 +67,36 @@
 
 class BeastHttpConnection : public HttpConnection {
 public:
-  explicit BeastHttpConnection(beast::tcp_stream Stream)
+  explicit BeastHttpConnection(std::shared_ptr<beast::tcp_stream> Stream)
       : Stream_(std::move(Stream)) {}
+  /// A body may still be being written by a coroutine that shares the stream.
+  ~BeastHttpConnection() override { Stream_->close(); }
 
   Awaitable<Result<void>> send(const HttpRequest &Request,
                                std::chrono::milliseconds Timeout) override {
     Whole_ = false;
-    http::request<http::string_body> Message;
-    Message.version(11);
-    Message.method_string(Request.Method_);
-    Message.target(Request.Target_);
+    auto Message = std::make_shared<http::request<http::string_body>>();
+    Message->version(11);
+    Message->method_string(Request.Method_);
+    Message->target(Request.Target_);
     for (const auto &[Name, Value] : Request.Fields_)
-      Message.set(Name, Value);
+      Message->set(Name, Value);
     if (!Request.Fields_.contains("host"))
-      Message.set(http::field::host, "backend");
-    Message.body() = Request.Body_;
-    Message.prepare_payload();
-    beast::error_code Error;
-    Stream_.expires_after(Timeout);
-    co_await http::async_write(
-        Stream_, Message, asio::redirect_error(asio::use_awaitable, Error));
-    if (Error)
-      co_return connectionFailure(Error);
+      Message->set(http::field::host, "backend");
+    Message->body() = Request.Body_;
+    Message->prepare_payload();
+    Sent_ = std::make_shared<SendState>();
+    Stream_->expires_after(Timeout);
+    if (Request.Body_.size() > LongBodyBytes) {
+      auto Write = [Stream = Stream_, Message, State = Sent_]() {
+        return writeRequest(Stream, Message, State);
+      };
+      asio::co_spawn(Stream_->get_executor(), std::move(Write), asio::detached);
+      co_return Result<void>();
+    }
+    co_await writeRequest(Stream_, std::move(Message), Sent_);
+    if (Sent_->Error_)
+      co_return connectionFailure(Sent_->Error_);
     co_return Result<void>();
   }
 
@@ -57,23 +105,18 @@
     Parser_.emplace();
     Parser_->body_limit(MaxAnswerBytes);
     beast::error_code Error;
-    Stream_.expires_after(Timeout);
+    Stream_->expires_after(Timeout);
     co_await http::async_read_header(
-        Stream_, Buffer_, *Parser_,
+        *Stream_, Buffer_, *Parser_,
         asio::redirect_error(asio::use_awaitable, Error));
     if (Error)
       co_return connectionFailure(Error);
     LastHeard_ = std::chrono::steady_clock::now();
     HttpResponse Head;
     Head.Status_ = static_cast<int>(Parser_->get().result_int());
-    for (const auto &Field : Parser_->get()) {
-      std::string Name(Field.name_string());
-      beast::string_view View(Name);
-      std::ranges::transform(View, Name.begin(), [](unsigned char C) {
-        return static_cast<char>(std::tolower(C));
-      });
-      Head.Fields_[Name] = std::string(Field.value());
-    }
+    for (const auto &Field : Parser_->get())
+      Head.Fields_[lowerCase(Field.name_string())] = std::string(Field.value());
+    noteIdleLimit(Head);
     co_return Head;
   }
 
@@ -84,9 +127,9 @@
       Parser_->get().body().data = Space.data();
       Parser_->get().body().size = Space.size();
       beast::error_code Error;
-      Stream_.expires_after(Timeout);
+      Stream_->expires_after(Timeout);
       co_await http::async_read_some(
-          Stream_, Buffer_, *Parser_,
+          *Stream_, Buffer_, *Parser_,
           asio::redirect_error(asio::use_awaitable, Error));
       bool BufferFull = Error == http::error::need_buffer;
       if (Error && !BufferFull)
@@ -101,21 +144,28 @@
     int Status = Parser_->get().result_int();
     bool Counted = Parser_->chunked() || Parser_->content_length() ||
                    Status == 204 || Status == 304;
-    if (!Counted)
+    if (!Counted && !AcceptUnframed_)
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
-    Whole_ = Parser_->keep_alive();
+    Whole_ = Counted && Parser_->keep_alive();
     co_return std::string();
   }
 
+  void acceptUnframed() override { AcceptUnframed_ = true; }
+  std::optional<std::chrono::seconds> idleLimit() const override {
+    return IdleLimit_;
+  }
+
   bool reusable() const override {
-    return Whole_ && Buffer_.size() == 0 && Stream_.socket().is_open();
+    // With the body unsent, the next request's bytes would be taken for it.
+    bool Sent = Sent_ && Sent_->Done_ && !Sent_->Error_;
+    return Whole_ && Sent && Buffer_.size() == 0 && Stream_->socket().is_open();
   }
   bool quiet() override {
     char Byte = 0;
     beast::error_code Error;
-    Stream_.socket().non_blocking(true, Error);
-    Stream_.socket().receive(asio::buffer(&Byte, 1),
-                             asio::ip::tcp::socket::message_peek, Error);
+    Stream_->socket().non_blocking(true, Error);
+    Stream_->socket().receive(asio::buffer(&Byte, 1),
+                              asio::ip::tcp::socket::message_peek, Error);
     return Error == asio::error::would_block;
   }
   std::chrono::steady_clock::time_point lastHeard() const override {
@@ -123,11 +173,30 @@
   }
   void close() override {
     Whole_ = false;
-    Stream_.close();
+    Stream_->close();
   }
 
 private:
-  beast::tcp_stream Stream_;
+  /// "Keep-Alive: timeout=5, max=100".
+  void noteIdleLimit(const HttpResponse &Head) {
+    auto Field = Head.Fields_.find("keep-alive");
+    if (Field == Head.Fields_.end())
+      return;
+    constexpr std::string_view Name = "timeout=";
+    std::size_t Start = Field->second.find(Name);
+    if (Start == std::string::npos)
+      return;
+    const char *First = Field->second.data() + Start + Name.size();
+    const char *End = Field->second.data() + Field->second.size();
+    std::int64_t Seconds = 0;
+    if (std::from_chars(First, End, Seconds).ec == std::errc())
+      IdleLimit_ = std::chrono::seconds(Seconds);
+  }
+
+  std::shared_ptr<beast::tcp_stream> Stream_;
+  std::shared_ptr<SendState> Sent_;
+  std::optional<std::chrono::seconds> IdleLimit_;
+  bool AcceptUnframed_ = false;
   beast::flat_buffer Buffer_;
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::chrono::steady_clock::time_point LastHeard_;
@@ -138,15 +207,17 @@
 
 Awaitable<Result<std::unique_ptr<HttpConnection>>>
 HttpConnection::connect(Endpoint Address, std::chrono::milliseconds Timeout) {
-  beast::tcp_stream Stream(co_await asio::this_coro::executor);
+  auto Stream =
+      std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
   beast::error_code Error;
-  Stream.expires_after(Timeout);
-  co_await Stream.async_connect(
+  Stream->expires_after(Timeout);
+  co_await Stream->async_connect(
       Address, asio::redirect_error(asio::use_awaitable, Error));
   if (Error)
     co_return Failure{ResultCode::ConnectFailed,
                       formatEndpoint(Address) + ": " + Error.message()};
-  Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
+  Stream->socket().set_option(asio::ip::tcp::no_delay(true), Error);
+  limitSilence(Stream->socket(), BackendSilence);
   std::unique_ptr<HttpConnection> Connection =
       std::make_unique<BeastHttpConnection>(std::move(Stream));
   co_return Connection;
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "Connection/Http.h"
 
+#include "Connection/SocketOptions.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -22,6 +24,10 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::size_t FirstReadBytes = 4096;
+/// A caller's VM that is gone without a word holds its connection this long.
+constexpr SilenceLimits CallerSilence{std::chrono::milliseconds(10000),
+                                      std::chrono::seconds(10),
+                                      std::chrono::seconds(3), 3};
 constexpr std::chrono::milliseconds DiscardTime{1000};
 
 /// What the connections of one server share; outlives the server itself.
@@ -30,6 +36,13 @@
   std::atomic<bool> CloseAfterAnswers_ = false;
   std::atomic<std::size_t> OpenConnections_ = 0;
   std::atomic<std::size_t> ActiveExchanges_ = 0;
+
+  HttpLimits limits() const {
+    if (Options_.Limits_)
+      return Options_.Limits_();
+    return {Options_.MaxHeaderBytes_, Options_.MaxBodyBytes_,
+            Options_.ReadTimeout_};
+  }
 };
 
 std::string lowerCase(std::string_view Text) {
@@ -190,7 +203,7 @@
     if (Buffer_.size() > 0)
       co_return true;
     beast::error_code Error;
-    Stream_.expires_after(State_->Options_.ReadTimeout_);
+    Stream_.expires_after(State_->limits().IdleTimeout_);
     auto Space = Buffer_.prepare(FirstReadBytes);
     std::size_t Count = co_await Stream_.async_read_some(
         Space, asio::redirect_error(asio::use_awaitable, Error));
@@ -200,8 +213,9 @@
 
   Awaitable<bool> readRequest() {
     http::request_parser<http::string_body> Parser;
-    Parser.header_limit(State_->Options_.MaxHeaderBytes_);
-    Parser.body_limit(State_->Options_.MaxBodyBytes_);
+    HttpLimits Limits = State_->limits();
+    Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
+    Parser.body_limit(Limits.MaxBodyBytes_);
     beast::error_code Error;
     Stream_.expires_never();
     // A timeout of the stream would close it, and the caller would not learn
@@ -234,9 +248,13 @@
     Request_.Method_ = std::string(Message.method_string());
     Request_.Target_ = std::string(Message.target());
     Request_.Fields_.clear();
-    for (const auto &Field : Message)
-      Request_.Fields_[lowerCase(Field.name_string())] =
-          std::string(Field.value());
+    for (const auto &Field : Message) {
+      auto [Known, New] = Request_.Fields_.try_emplace(
+          lowerCase(Field.name_string()), std::string(Field.value()));
+      // Fields of one name are one list.
+      if (!New)
+        Known->second += ", " + std::string(Field.value());
+    }
     Request_.Body_ = std::move(Message.body());
     co_return true;
   }
@@ -301,6 +319,9 @@
   std::size_t activeExchanges() const override {
     return State_->ActiveExchanges_;
   }
+  std::chrono::steady_clock::time_point lastAccepted() const override {
+    return LastAccepted_;
+  }
 
 private:
   void acceptNext() {
@@ -319,6 +340,8 @@
   void start(Tcp::socket Socket) {
     beast::error_code Ignored;
     Socket.set_option(Tcp::no_delay(true), Ignored);
+    limitSilence(Socket, CallerSilence);
+    LastAccepted_ = std::chrono::steady_clock::now();
     auto Executor = Socket.get_executor();
     bool Full = State_->OpenConnections_ >= State_->Options_.MaxConnections_;
     auto Connection = std::make_shared<Session>(std::move(Socket), State_);
@@ -334,6 +357,7 @@
   std::shared_ptr<ServerState> State_;
   Endpoint Address_;
   std::size_t NextWorker_ = 0;
+  std::chrono::steady_clock::time_point LastAccepted_;
 };
 
 } // namespace
--- /dev/null
+++ b/Source/Connection/SocketOptions.cpp
@@ -0,0 +1,30 @@
+#include "Connection/SocketOptions.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace samphireshunt {
+
+namespace {
+
+void setOption(int Socket, int Level, int Name, int Value) {
+  // Ignored on purpose, see limitSilence().
+  (void)setsockopt(Socket, Level, Name, &Value, sizeof(Value));
+}
+
+} // namespace
+
+void limitSilence(boost::asio::ip::tcp::socket &Socket,
+                  const SilenceLimits &Limits) {
+  int Handle = Socket.native_handle();
+  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Limits.Unacknowledged_.count()));
+  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE,
+            static_cast<int>(Limits.ProbeAfter_.count()));
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL,
+            static_cast<int>(Limits.ProbeInterval_.count()));
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, Limits.Probes_);
+}
+
+} // namespace samphireshunt
--- a/Source/Process/Cell.cpp
+++ b/Source/Process/Cell.cpp
@@ -48,7 +48,9 @@
 }
 
 const Member *keeperOf(const CellId &Cell, std::span<const Member> Candidates) {
-  std::uint64_t Seed = stableHash(Cell.str());
+  // Cells of one index of all pools of a service have one keeper: it counts
+  // what a customer uses of its allotment in all of them.
+  std::uint64_t Seed = stableHash(Cell.Service_.str(), Cell.Index_);
   auto Weight = [Seed](const Member &Candidate) {
     return std::pair(stableHash(Candidate.Id_.str(), Seed), Candidate.Id_);
   };
--- /dev/null
+++ b/Source/Process/DirectoryView.cpp
@@ -0,0 +1,82 @@
+#include "Process/DirectoryView.h"
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace {
+
+bool sameServer(const RegisteredServer &Left, const RegisteredServer &Right) {
+  const BackendServer &A = Left.Server_;
+  const BackendServer &B = Right.Server_;
+  return Left.Pool_ == Right.Pool_ && A.Address_ == B.Address_ &&
+         A.DataCenter_ == B.DataCenter_ && A.Leaving_ == B.Leaving_ &&
+         A.MaxInFlight_ == B.MaxInFlight_;
+}
+
+} // namespace
+
+bool DirectoryView::seen(const RegisteredServer &Server) {
+  Entry &Target = Entries_[Server.Server_.Name_];
+  Target.Missing_ = false;
+  if (sameServer(Target.Server_, Server))
+    return false;
+  Target.Server_ = Server;
+  return true;
+}
+
+bool DirectoryView::missing(const ServerName &Name, BootTime Now) {
+  auto Found = Entries_.find(Name);
+  if (Found == Entries_.end())
+    return false;
+  if (inOutage(Now)) {
+    Found->second.Missing_ = true;
+    return false;
+  }
+  Entries_.erase(Found);
+  return true;
+}
+
+bool DirectoryView::listed(const std::set<ServerName> &Names, BootTime Now) {
+  std::vector<ServerName> Gone;
+  for (const auto &[Name, Known] : Entries_)
+    if (!Names.contains(Name))
+      Gone.push_back(Name);
+  bool Changed = false;
+  for (const ServerName &Name : Gone)
+    Changed |= missing(Name, Now);
+  return Changed;
+}
+
+void DirectoryView::outageBegan() { Outage_ = true; }
+
+void DirectoryView::outageEnded(BootTime Now) {
+  if (Outage_)
+    KeepUntil_ = Now + RegisterAgainTime_;
+  Outage_ = false;
+}
+
+bool DirectoryView::dropUnseen(BootTime Now) {
+  if (inOutage(Now))
+    return false;
+  auto Dropped = std::erase_if(
+      Entries_, [](const auto &Item) { return Item.second.Missing_; });
+  return Dropped > 0;
+}
+
+std::optional<BootTime> DirectoryView::nextDrop() const {
+  bool Any = std::ranges::any_of(
+      Entries_, [](const auto &Item) { return Item.second.Missing_; });
+  if (Outage_ || !Any)
+    return std::nullopt;
+  return KeepUntil_;
+}
+
+ServersByPool DirectoryView::servers() const {
+  ServersByPool Servers;
+  for (const auto &[Name, Known] : Entries_)
+    Servers[Known.Server_.Pool_].push_back(Known.Server_.Server_);
+  return Servers;
+}
+
+} // namespace samphireshunt
--- a/Source/Process/KeeperMessages.cpp
+++ b/Source/Process/KeeperMessages.cpp
@@ -29,6 +29,9 @@
   Ask.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
   Ask.prefix = Request.Prefix_;
   Ask.non_idempotent = Request.NonIdempotent_;
+  if (Request.Objective_ != TimePoint())
+    Ask.objective_ms = remainingMillis(Request.Objective_);
+  Ask.max_wait_ms = static_cast<std::uint32_t>(Request.MaxWait_.count());
   for (const ServerName &Name : Request.Excluded_)
     Ask.excluded.push_back(Name.str());
   return encodeMessage(std::move(Ask));
@@ -54,6 +57,7 @@
   Done.cell = Cell.toWire();
   Done.reached = Seen.Reached_;
   Done.complete = Seen.Complete_;
+  Done.faulty = Seen.Faulty_;
   Done.generated = static_cast<std::uint32_t>(Seen.Generated_.count());
   Done.first_token_us = static_cast<std::uint32_t>(Seen.FirstToken_.count());
   Done.duration_us = static_cast<std::uint32_t>(Seen.Duration_.count());
@@ -86,6 +90,9 @@
   Asked.Answer_ = Tokens(Ask.answer_tokens);
   Asked.Prefix_ = Ask.prefix;
   Asked.NonIdempotent_ = Ask.non_idempotent;
+  if (Ask.objective_ms > 0)
+    Asked.Objective_ = steady_clock::now() + milliseconds(Ask.objective_ms);
+  Asked.MaxWait_ = milliseconds(Ask.max_wait_ms);
   for (const std::string &Name : Ask.excluded)
     Asked.Excluded_.emplace_back(Name);
   Asked.Entry_ = From;
@@ -104,6 +111,7 @@
   ServedSample Seen;
   Seen.Reached_ = Done.reached;
   Seen.Complete_ = Done.complete;
+  Seen.Faulty_ = Done.faulty;
   Seen.Generated_ = Tokens(Done.generated);
   Seen.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
   Seen.Duration_ = std::chrono::microseconds(Done.duration_us);
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -14,21 +14,40 @@
 /// A cell that is no longer this daemon's is dropped after it is unused for
 /// this long.
 constexpr std::chrono::seconds UnusedCellTime{10};
+
+/// What the request counts against its customer's allotment.
+double allotmentCost(const Allotment &Allowed, const AskedRequest &Request) {
+  if (!Allowed.CountsTokens_)
+    return 1;
+  Tokens Counted = Request.Prompt_ + Request.Answer_;
+  if (Counted.count() == 0)
+    Counted = Allowed.TokensOfOther_;
+  return static_cast<double>(Counted.count());
+}
 } // namespace
 
 KeeperService::KeeperService(boost::asio::io_context &Control,
                              DocumentStore &Documents, Options Settings,
                              Hooks Reactions)
     : Documents_(Documents), Options_(Settings), Hooks_(std::move(Reactions)),
-      Timer_(Control) {
+      Allotments_(Settings.Allotments_), Timer_(Control) {
   schedule();
 }
 
+/// Requests that wait are looked at often; a keeper that has none sleeps.
 void KeeperService::schedule() {
-  Timer_.expires_after(Options_.Tick_);
+  bool Busy = std::ranges::any_of(Cells_, [](const auto &Item) {
+    return Item.second->Scheduler_.waiting() > 0;
+  });
+  if (TickScheduled_ && (!Busy || TickIsShort_))
+    return;
+  TickScheduled_ = true;
+  TickIsShort_ = Busy;
+  Timer_.expires_after(Busy ? Options_.Tick_ : Options_.IdleTick_);
   Timer_.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
       return;
+    TickScheduled_ = false;
     onTick();
     schedule();
   });
@@ -75,7 +94,8 @@
   for (const BackendServer *Server : cellServers(*Whole, Cell.Index_)) {
     bool Active = Snapshot->activeServer(Cell.Service_, Cell.Pool_,
                                          Server->Name_) != nullptr;
-    Servers.push_back({Server->Name_, Server->MaxInFlight_, Active});
+    Servers.push_back(
+        {Server->Name_, Server->MaxInFlight_, Active, Whole->CacheTokens_});
   }
   std::map<CustomerName, CustomerShare> Shares;
   for (const Customer &Known : Service->Document_->Customers_)
@@ -110,6 +130,8 @@
 
 void KeeperService::ask(const CellId &Cell, AskedRequest Request) {
   KeptCell &Target = kept(Cell);
+  if (auto Refusal = chargeAllotment(Cell, Request))
+    return deliver(Cell, {*Refusal});
   auto Remote = RemoteFloors_.find({Cell.Service_, Cell.Pool_});
   auto Now = steady_clock::now();
   if (Remote != RemoteFloors_.end() && Remote->second.Until_ > Now)
@@ -119,7 +141,29 @@
   decide(Cell, Target);
 }
 
+std::optional<RefuseDecision>
+KeeperService::chargeAllotment(const CellId &Cell,
+                               const AskedRequest &Request) {
+  auto Snapshot = Documents_.snapshot();
+  const ServiceConfiguration *Service = Snapshot->service(Cell.Service_);
+  const Customer *Known =
+      Service ? Service->Document_->customer(Request.Customer_) : nullptr;
+  if (!Known)
+    return std::nullopt;
+  const Allotment &Allowed = Known->Allotment_;
+  double Cost = allotmentCost(Allowed, Request);
+  double Share = Hooks_.LiveShare_();
+  if (Allotments_.take(Request.Id_, Known->Name_, Allowed, Cost, Share,
+                       steady_clock::now()))
+    return std::nullopt;
+  return RefuseDecision{
+      Request.Id_, ResultCode::AllotmentSpent,
+      Allotments_.untilFilled(Known->Name_, Allowed, Cost, Share),
+      Request.Entry_};
+}
+
 void KeeperService::withdraw(const CellId &Cell, const RequestId &Id) {
+  Allotments_.giveBack(Id);
   KeptCell &Target = kept(Cell);
   Target.Scheduler_.withdraw(Id);
   decide(Cell, Target);
@@ -152,14 +196,20 @@
   auto Now = steady_clock::now();
   bool HadFloor = Target.Scheduler_.floor(Now).has_value();
   deliver(Cell, Target.Scheduler_.decide(Now));
+  schedule();
   if (!HadFloor && Target.Scheduler_.floor(Now))
     Hooks_.FloorRaised_();
 }
 
 void KeeperService::deliver(const CellId &Cell,
                             const std::vector<Decision> &Decisions) {
-  for (const Decision &Taken : Decisions)
+  for (const Decision &Taken : Decisions) {
+    if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
+      Allotments_.used(Grant->Id_);
+    else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
+      Allotments_.giveBack(Refusal->Id_);
     Hooks_.Decided_(Cell, Taken);
+  }
 }
 
 void KeeperService::entryGone(const VmId &Entry) {
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -4,6 +4,7 @@
 /// entries. State is soft: a new keeper gets it again from the entries. Runs
 /// on the control thread.
 
+#include "Process/AllotmentLedger.h"
 #include "Process/Cell.h"
 #include "Process/MembershipService.h"
 #include "Process/Scheduler.h"
@@ -31,11 +32,14 @@
     /// runs, so that engines are not filled twice.
     std::chrono::milliseconds WarmUp_{300};
     std::chrono::milliseconds Tick_{10};
+    /// The tick while nothing waits.
+    std::chrono::milliseconds IdleTick_{1000};
     /// How long the running requests of an entry whose link broke are kept.
     /// Longer than its death takes to be known: dropped before, its orphans
     /// would never be cancelled.
     std::chrono::milliseconds EntryGrace_{10000};
     Scheduler::Options Scheduling_;
+    AllotmentLedger::Options Allotments_;
   };
   struct Hooks {
     std::function<void(const CellId &, const Decision &)> Decided_;
@@ -86,6 +90,8 @@
   };
 
   KeptCell &kept(const CellId &Cell);
+  std::optional<RefuseDecision> chargeAllotment(const CellId &Cell,
+                                                const AskedRequest &Request);
   void configure(const CellId &Cell, KeptCell &Target);
   void decide(const CellId &Cell, KeptCell &Target);
   void deliver(const CellId &Cell, const std::vector<Decision> &Decisions);
@@ -97,8 +103,11 @@
   Hooks Hooks_;
   std::map<CellId, std::unique_ptr<KeptCell>> Cells_;
   std::map<VmId, TimePoint> GoneEntries_;
+  AllotmentLedger Allotments_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
   boost::asio::steady_timer Timer_;
+  bool TickScheduled_ = false;
+  bool TickIsShort_ = false;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Platform.h
+++ b/Source/Process/Platform.h
@@ -23,6 +23,8 @@
   std::string Key_;
   std::string Value_;
   Revision Revision_;
+  /// The key was removed by this write; only in what a watch returns.
+  bool Deleted_ = false;
 };
 
 /// Entries under a prefix, and the revision up to which they are complete.
@@ -54,6 +56,7 @@
 
 /// All calls run on the caller's executor. PlatformUnavailable leaves open
 /// whether a write took effect; VersionConflict says that it did not.
+/// HistoryLost: the changes since a revision are no longer known, list anew.
 struct PlatformHooks {
   std::function<Awaitable<Result<std::optional<KeyValue>>>(std::string Key)>
       Get_;
--- a/Source/Process/PrefixIndex.cpp
+++ b/Source/Process/PrefixIndex.cpp
@@ -27,6 +27,23 @@
   return Hashes;
 }
 
+std::vector<std::uint64_t> prefixHashes(std::span<const PromptPart> Parts) {
+  std::vector<std::uint64_t> Hashes;
+  std::uint64_t Before = 0;
+  std::int64_t Covered = 0;
+  std::int64_t Length = 0;
+  for (const PromptPart &Part : Parts) {
+    Length += Part.Length_.count();
+    Before = stableHash(std::to_string(Part.Id_), Before);
+    // A block that two parts share belongs to the later one.
+    while (Covered + BlockTokens <= Length) {
+      Covered += BlockTokens;
+      Hashes.push_back(stableHash(std::to_string(Covered), Before));
+    }
+  }
+  return Hashes;
+}
+
 Tokens estimateTokens(std::string_view Prompt) {
   auto Bytes = static_cast<std::int64_t>(Prompt.size());
   return Tokens((Bytes + BytesPerToken - 1) / BytesPerToken);
--- a/Source/Process/PrefixIndex.h
+++ b/Source/Process/PrefixIndex.h
@@ -20,6 +20,14 @@
 /// The hash of each whole block of the prompt, each over all text before its
 /// end: equal hashes mean equal prefixes.
 std::vector<std::uint64_t> prefixHashes(std::string_view Prompt);
+/// A part of a prompt that other prompts may begin with too; parts stand in
+/// order.
+struct PromptPart {
+  std::uint64_t Id_ = 0;
+  Tokens Length_;
+};
+/// The same for a prompt of which only its parts are known.
+std::vector<std::uint64_t> prefixHashes(std::span<const PromptPart> Parts);
 /// A prompt's length in tokens, as far as that can be told without the
 /// model's tokenizer: four bytes to a token.
 Tokens estimateTokens(std::string_view Prompt);
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <ranges>
 #include <span>
 
 namespace samphireshunt {
@@ -71,7 +72,7 @@
           std::max(Queue.ServedTokens_, Tier.Active_.begin()->first);
     Tier.Active_.emplace(Queue.ServedTokens_, Name);
   }
-  Queue.Requests_.emplace(Asked.Deadline_, Request.Arrival_, Asked.Id_);
+  Queue.Requests_.emplace(urgencyOf(Asked), Request.Arrival_, Asked.Id_);
   ++Tier.Count_;
   ByLatestStart_.emplace(Request.LatestStart_, Asked.Id_);
   RequestId Id = Asked.Id_;
@@ -86,7 +87,7 @@
   CustomerName Name =
       Options_.FairCustomers_ ? Asked.Customer_ : CustomerName();
   CustomerQueue &Queue = Tier.Customers_[Name];
-  Queue.Requests_.erase({Asked.Deadline_, Request.Arrival_, Id});
+  Queue.Requests_.erase({urgencyOf(Asked), Request.Arrival_, Id});
   --Tier.Count_;
   if (Queue.Requests_.empty())
     Tier.Active_.erase({Queue.ServedTokens_, Name});
@@ -102,6 +103,10 @@
     return Out;
   if (auto Known = Running_.find(Request.Id_); Known != Running_.end())
     endRunning(Known);
+  TierQueue &Own = Tiers_[queueIndex(Request.Tier_)];
+  Own.decay(Now);
+  Own.Arrived_ += 1;
+  Own.RecentArrivals_.add(Now);
   if (!hasServerFor(Request)) {
     Out.push_back(refusal(Request, ResultCode::NoBackendServer));
     return Out;
@@ -118,6 +123,12 @@
     Out.push_back(refusal(Request, ResultCode::CannotFinishInTime));
     return Out;
   }
+  if (wouldWaitTooLong(Request, Now)) {
+    RefuseDecision Refusal = refusal(Request, ResultCode::WaitTooLong);
+    Refusal.RetryAfter_ = predictedWait(Request.Tier_, Now);
+    Out.push_back(Refusal);
+    return Out;
+  }
   if (Waiting_.size() >= Options_.MaxWaiting_ &&
       !makeRoom(Request.Tier_, Out)) {
     noteShed(Request.Tier_, Now, Out);
@@ -128,6 +139,9 @@
   Waiting.Arrival_ = NextArrival_++;
   Waiting.LatestStart_ =
       Request.Deadline_ - duration_cast<TimePoint::duration>(Service);
+  if (Request.MaxWait_.count() > 0)
+    Waiting.LatestStart_ =
+        std::min(Waiting.LatestStart_, Now + Request.MaxWait_);
   Waiting.Asked_ = std::move(Request);
   enqueue(std::move(Waiting));
   return Out;
@@ -234,8 +248,11 @@
   if (Found == Running_.end())
     return;
   const RunningRequest &Ended = Found->second;
-  if (ServerModel *Server = server(Ended.Server_))
+  if (ServerModel *Server = server(Ended.Server_)) {
     Server->learn(Seen);
+    judge(*Server, Seen, Now);
+  }
+  Ends_.add(Now);
   if (Seen.Complete_ && Ended.Answer_.count() > 0) {
     double Share = static_cast<double>(Seen.Generated_.count()) /
                    static_cast<double>(Ended.Answer_.count());
@@ -306,7 +323,7 @@
 /// cancelled, unless they must not run again.
 void Scheduler::noteShed(TierIndex Tier, TimePoint Now,
                          std::vector<Decision> &Out) {
-  if (!Options_.StrictTiers_)
+  if (!Options_.StrictTiers_ || Options_.GuaranteedShare_ > 0)
     return;
   auto More = raiseFloor(Tier, Now + Options_.FloorHold_, Now);
   std::ranges::move(More, std::back_inserter(Out));
@@ -425,6 +442,8 @@
     bool StillActive = !Queue.Requests_.empty();
     if (StillActive)
       Tier.Active_.erase({Queue.ServedTokens_, Customer});
+    Tier.decay(Now);
+    Tier.Granted_ += 1;
     double Cost = tokenCost(Granted.Asked_);
     Queue.ServedTokens_ += Cost / weightOf(Granted.Asked_.Customer_);
     if (StillActive)
@@ -438,6 +457,7 @@
 void Scheduler::grant(TimePoint Now, std::vector<Decision> &Out) {
   if (Now < WarmUntil_)
     return;
+  grantStarving(Now, Out);
   for (TierQueue &Tier : Tiers_) {
     while (!Tier.Active_.empty() && anySpare() &&
            grantFromTier(Tier, Now, Out)) {
@@ -447,8 +467,17 @@
   }
 }
 
+/// The lowest tiers first: they are the ones that others starve.
+void Scheduler::grantStarving(TimePoint Now, std::vector<Decision> &Out) {
+  for (TierQueue &Tier : Tiers_ | std::views::reverse)
+    while (isStarving(Tier, Now) && anySpare() &&
+           grantFromTier(Tier, Now, Out)) {
+    }
+}
+
 std::vector<Decision> Scheduler::decide(TimePoint Now) {
   std::vector<Decision> Out;
+  judgeServers(Now);
   refuseUnservable(Out);
   grant(Now, Out);
   preemptUrgent(Now, Out);
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -8,6 +8,7 @@
 
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
+#include "Common/SlidingCount.h"
 #include "Process/ServerModel.h"
 
 #include <pcg_random.hpp>
@@ -29,6 +30,10 @@
   TierIndex Tier_;
   CustomerName Customer_;
   TimePoint Deadline_;
+  /// Within this the answer is worth most; unset: up to the deadline.
+  TimePoint Objective_{};
+  /// The longest that it may wait; 0: until its latest start.
+  std::chrono::milliseconds MaxWait_{0};
   Tokens Prompt_;
   Tokens Answer_;                     ///< The most that may be generated.
   std::vector<std::uint64_t> Prefix_; ///< Hashes of the prompt's blocks.
@@ -86,6 +91,12 @@
     /// lower tier's running one.
     std::chrono::milliseconds PreemptMargin_{250};
     std::uint64_t Seed_ = 1;
+    /// The part of its arrivals that each tier gets served whatever higher
+    /// tiers ask for; 0 is strict order, with lower tiers shut out while a
+    /// higher one is shed.
+    double GuaranteedShare_ = 0;
+    /// Refuse at once what would wait longer than it may.
+    bool RefuseLongWaits_ = false;
     // Decisions that a measurement may leave out.
     bool StrictTiers_ = true;
     bool FairCustomers_ = true;
@@ -143,6 +154,8 @@
   const std::map<ServerName, ServerModel> &servers() const { return Servers_; }
 
 private:
+  static constexpr std::size_t RateSlots = 5;
+  static constexpr std::chrono::milliseconds RateWindow{1000};
   using DeadlineKey = std::tuple<TimePoint, std::uint64_t, RequestId>;
   struct WaitingRequest {
     AskedRequest Asked_;
@@ -158,6 +171,13 @@
     std::map<CustomerName, CustomerQueue> Customers_;
     std::set<std::pair<double, CustomerName>> Active_;
     std::size_t Count_ = 0;
+    // Fading counts, for the guaranteed share.
+    double Arrived_ = 0;
+    double Granted_ = 0;
+    TimePoint Decayed_;
+    SlidingCount<RateSlots> RecentArrivals_{RateWindow};
+
+    void decay(TimePoint Now);
   };
   struct Placement {
     RequestId Id_;
@@ -202,6 +222,14 @@
   /// Time on the quickest idle engine, with a margin; 0 while none is known.
   std::chrono::nanoseconds bestServiceTime(const AskedRequest &Request) const;
   std::chrono::milliseconds retryAfter(TierIndex Tier);
+  bool isStarving(TierQueue &Tier, TimePoint Now);
+  std::chrono::milliseconds predictedWait(TierIndex Tier, TimePoint Now);
+  bool wouldWaitTooLong(const AskedRequest &Request, TimePoint Now);
+  static TimePoint urgencyOf(const AskedRequest &Request);
+  void judgeServers(TimePoint Now);
+  void judge(ServerModel &Server, const ServedSample &Seen, TimePoint Now);
+  double poolFailureRate() const;
+  void grantStarving(TimePoint Now, std::vector<Decision> &Out);
   void serve(const WaitingRequest &Request, ServerModel &Server,
              std::vector<Decision> &Out);
   RunningMap::iterator endRunning(RunningMap::iterator Item);
@@ -224,6 +252,7 @@
   TimePoint FloorUntil_;
   std::uint64_t NextArrival_ = 0;
   double EndsPerSecond_ = 0;
+  SlidingCount<RateSlots> Ends_{RateWindow};
   TimePoint LastEnd_;
   pcg32 Random_;
 };
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -5,6 +5,7 @@
 #include "Process/Scheduler.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace samphireshunt {
 
@@ -12,6 +13,9 @@
 
 using std::chrono::nanoseconds;
 
+/// No first event comes sooner than this after a grant.
+constexpr std::chrono::milliseconds LeastFirstEvent{60};
+
 /// Expected times are averages, and half of the requests take longer: a
 /// request is started only when a fifth of its expected time is left over.
 nanoseconds withMargin(nanoseconds Expected) { return Expected + Expected / 5; }
@@ -73,6 +77,10 @@
 /// to.
 std::optional<PrefixPlace> Scheduler::prefixPlace(const AskedRequest &Request,
                                                   TimePoint Now) const {
+  // With an objective there is no time to spare: a long prompt's own engine
+  // is preferred by its time alone.
+  if (Request.Objective_ != TimePoint())
+    return std::nullopt;
   auto Prefix = prefixOf(Request);
   auto Best = PrefixPlace::Elsewhere;
   bool HasTime = false;
@@ -150,7 +158,17 @@
   // while others could be served.
   constexpr int LookedAt = 8;
   int Seen = 0;
-  for (const DeadlineKey &Key : Queue.Requests_) {
+  // Those that are late already wait for a calmer moment: served first, they
+  // would make all that come after them late as well.
+  auto First = Queue.Requests_.begin();
+  const AskedRequest &Oldest = Waiting_.at(std::get<RequestId>(*First)).Asked_;
+  if (Oldest.Objective_ != TimePoint()) {
+    DeadlineKey InTime{Now + LeastFirstEvent, 0, RequestId()};
+    auto Found = Queue.Requests_.lower_bound(InTime);
+    First = Found == Queue.Requests_.end() ? First : Found;
+  }
+  for (const DeadlineKey &Key :
+       std::ranges::subrange(First, Queue.Requests_.end())) {
     RequestId Id = std::get<RequestId>(Key);
     if (ServerModel *Server = choose(Waiting_.at(Id).Asked_, Now))
       return Placement{Id, Server};
@@ -158,13 +176,13 @@
       break;
   }
   RequestId Head = std::get<RequestId>(*Queue.Requests_.begin());
-  const AskedRequest &First = Waiting_.at(Head).Asked_;
+  const AskedRequest &Asked = Waiting_.at(Head).Asked_;
   if (!Options_.RefuseInfeasible_)
     return std::nullopt;
   nanoseconds Soonest = nanoseconds::max();
   for (const auto &[Name, Server] : Servers_)
     if (Server.hasRoom(Share_))
-      Soonest = std::min(Soonest, expectedService(First, Server));
+      Soonest = std::min(Soonest, expectedService(Asked, Server));
   if (Soonest == nanoseconds::max())
     return std::nullopt;
   DeadlineKey Least{Now + withMargin(Soonest), 0, RequestId()};
--- a/Source/Process/ServerModel.cpp
+++ b/Source/Process/ServerModel.cpp
@@ -31,6 +31,13 @@
 
 } // namespace
 
+ServerModel::ServerModel(ServerCapacity Capacity)
+    : Capacity_(Capacity), Limit_(Capacity.MaxInFlight_) {
+  if (Capacity.CacheTokens_.count() > 0)
+    Prefixes_ = PrefixIndex(
+        static_cast<std::size_t>(Capacity.CacheTokens_.count() / BlockTokens));
+}
+
 void ServerModel::configure(const ServerCapacity &Capacity) {
   if (Capacity.MaxInFlight_ != Capacity_.MaxInFlight_)
     Limit_ = Capacity.MaxInFlight_;
@@ -50,7 +57,7 @@
   // A keeper that speaks for a part of the fleet uses that part of the limit,
   // but at least one place: keepers on both sides of a partition may then
   // together exceed the limit by one each at the most.
-  double Limit = std::floor(Limit_ * Share);
+  double Limit = OnTrial_ ? 1.0 : std::floor(Limit_ * Share);
   return usable() && InFlight_ < std::max(1.0, Limit);
 }
 
--- a/Source/Process/ServerModel.h
+++ b/Source/Process/ServerModel.h
@@ -6,6 +6,7 @@
 #include "Common/Ids.h"
 #include "Process/MemberTable.h"
 #include "Process/PrefixIndex.h"
+#include "Process/ServerHealth.h"
 
 #include <chrono>
 #include <cstdint>
@@ -19,12 +20,16 @@
   ServerName Name_;
   std::uint32_t MaxInFlight_ = 1;
   bool Active_ = true;
+  /// Tokens that its cache holds; 0 is unknown.
+  Tokens CacheTokens_{0};
 };
 
 /// A request that ended.
 struct ServedSample {
   bool Reached_ = false;  ///< Its bytes were sent to the engine.
   bool Complete_ = false; ///< The whole answer came.
+  /// The server could not be reached, broke off or answered with an error.
+  bool Faulty_ = false;
   Tokens Generated_;
   std::chrono::microseconds FirstToken_{0};
   std::chrono::microseconds Duration_{0};
@@ -46,8 +51,7 @@
 
 class ServerModel {
 public:
-  explicit ServerModel(ServerCapacity Capacity)
-      : Capacity_(Capacity), Limit_(Capacity.MaxInFlight_) {}
+  explicit ServerModel(ServerCapacity Capacity);
 
   void configure(const ServerCapacity &Capacity);
   const ServerCapacity &capacity() const { return Capacity_; }
@@ -59,7 +63,14 @@
   /// True when the engine may get new work.
   bool usable() const {
     bool Answers = Reachable_ || !ReachabilityTrusted_;
-    return Capacity_.Active_ && !Reported_.Leaving_ && Answers;
+    return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_;
+  }
+  ServerHealth &health() { return Health_; }
+  const ServerHealth &health() const { return Health_; }
+  /// Keeps work from the engine, or lets it have one request at a time.
+  void setLeftOut(bool LeftOut, bool OnTrial) {
+    LeftOut_ = LeftOut;
+    OnTrial_ = OnTrial;
   }
   bool hasRoom(double Share) const;
 
@@ -109,6 +120,9 @@
   std::uint32_t Limit_;
   bool Reachable_ = true;
   bool ReachabilityTrusted_ = true;
+  ServerHealth Health_;
+  bool LeftOut_ = false;
+  bool OnTrial_ = false;
   std::uint32_t InFlight_ = 0;
   LoadReport Reported_;
   /// Prompt work that the engine still has to do for one request.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -19,6 +19,20 @@
 namespace {
 
 constexpr milliseconds DrainCheckInterval{50};
+/// The same while the daemon neither starts nor stops.
+constexpr milliseconds CalmCheckInterval{250};
+/// How often the settings' file is looked at: it may change without a signal.
+constexpr milliseconds FlagFileInterval{1000};
+/// Taken off the revocation bound, for what lies between the last look at the
+/// lease and the engine: the dispatch, and the network.
+constexpr milliseconds RevocationMargin{300};
+/// Least time for which a caller may leave its connection idle.
+constexpr milliseconds LeastIdleTimeout{30000};
+/// Callers count their idle time from another moment than this daemon.
+constexpr milliseconds IdleSlack{1000};
+/// The part of the fleet's credit on an allotment that a new keeper may use:
+/// an earlier one may have used it just before.
+constexpr double AllotmentCreditPart = 0.5;
 /// Changes that come together are worked off together.
 constexpr milliseconds RefreshDelay{5};
 
@@ -46,6 +60,14 @@
   Options.UsePrefixes_ = Taken("prefixes");
   Options.UseSpeeds_ = Taken("speeds");
   Options.AdaptLimits_ = Taken("limits");
+  // Lower tiers keep a part of their requests served, whatever higher ones ask
+  // for: measured days count a kind of request that starves as a failure.
+  constexpr double GuaranteedShare = 0.5;
+  if (Configured.ByObjective_) {
+    Options.GuaranteedShare_ = GuaranteedShare;
+    Options.RefuseLongWaits_ = true;
+    Options.Preempt_ = false;
+  }
   if (Configured.TwoChoices_)
     Options.StrictTiers_ = Options.RefuseInfeasible_ = Options.Preempt_ = false;
   return Options;
@@ -53,20 +75,31 @@
 
 } // namespace
 
-Result<std::unique_ptr<Daemon>> Daemon::create(Settings Configured) {
-  std::unique_ptr<Daemon> Built(new Daemon(std::move(Configured)));
+Result<std::unique_ptr<Daemon>> Daemon::create(Settings Configured,
+                                               PlatformAdapter Adapter) {
+  std::unique_ptr<Daemon> Built(
+      new Daemon(std::move(Configured), std::move(Adapter)));
   auto Wired = Built->wire();
   if (!Wired)
     return Wired.error();
   return Built;
 }
 
-Daemon::Daemon(Settings Configured)
-    : Settings_(std::move(Configured)), Incarnation_(newIncarnation()),
+Daemon::Daemon(Settings Configured, PlatformAdapter Adapter)
+    : Settings_(std::move(Configured)), Adapter_(std::move(Adapter)),
+      Freshness_(Settings_.RevocationBound_.count() > 0
+                     ? Settings_.RevocationBound_ - RevocationMargin
+                     : milliseconds(0)),
+      Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       Signals_(Control_), DrainTimer_(Control_), RefreshTimer_(Control_) {
   Origin_ = stableHash(Settings_.Vm_.str(), Incarnation_.count());
-  Platform_ = httpPlatform(Settings_.Platform_, Settings_.PlatformTimeout_);
+  Platform_ = Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_);
+  RepeatBudget::Options Budget;
+  Budget.Ratio_ = Settings_.RepeatRatio_;
+  Budget.Extra_ = Settings_.RepeatExtra_;
+  Budget.Window_ = Settings_.RepeatWindow_;
+  Repeats_ = std::make_unique<RepeatBudget>(Budget);
   Claims_ = std::make_unique<ClaimStore>(Platform_, ClaimStore::Options());
 }
 
@@ -137,8 +170,9 @@
   };
   Hooks.VersionSeen_ = [this](const VmId &From,
                               const wire::ServiceVersionT &Version) {
-    Configuration_->versionSeen(From, ServiceName(Version.service),
-                                DocumentVersion(Version.version));
+    if (Configuration_)
+      Configuration_->versionSeen(From, ServiceName(Version.service),
+                                  DocumentVersion(Version.version));
   };
   Hooks.Floors_ = [this] { return Keeper_->floors(); };
   Hooks.FloorSeen_ = [this](const PoolFloor &Floor) {
@@ -183,6 +217,8 @@
   KeeperService::Options Options;
   Options.Scheduling_ = schedulingOptions(Settings_);
   Options.Scheduling_.Seed_ = Origin_;
+  Options.Allotments_.Credit_ =
+      AllotmentCreditPart * Settings_.AllotmentCredit_;
   Keeper_ = std::make_unique<KeeperService>(Control_, Documents_, Options,
                                             std::move(Hooks));
   Grants_->setLocalKeeper(Keeper_.get());
@@ -190,7 +226,31 @@
                                              EngineMonitor::Options());
 }
 
+void Daemon::wireFollower() {
+  StoreFollower::Hooks Hooks;
+  Hooks.DaemonSeen_ = [this](const VmId &Id, const std::string &Text) {
+    auto Address = parseEndpoint(Text);
+    if (!Address)
+      logEvent(LogCategory::Membership, spdlog::level::err, "bad-address",
+               {{"member", Id.str()}, {"detail", Address.error().Detail_}});
+    else if (!Members_->find(Id))
+      Membership_->join(*Address);
+  };
+  Follower_ = std::make_unique<StoreFollower>(
+      Control_, Platform_, Documents_, Freshness_, *Adapter_.Layout_,
+      StoreFollower::Options(), std::move(Hooks));
+}
+
 void Daemon::wireConfiguration() {
+  Documents_.onChanged([this](const ServiceName &Service, DocumentVersion) {
+    onDocumentChanged(Service);
+  });
+  TraceExporter::Options TraceOptions;
+  TraceOptions.Collector_ = Settings_.TraceCollector_;
+  TraceOptions.Vm_ = Settings_.Vm_.str();
+  Traces_ = std::make_unique<TraceExporter>(Control_, TraceOptions);
+  if (Adapter_.Layout_)
+    return wireFollower();
   ConfigurationSync::Hooks Hooks;
   Hooks.AskPeer_ = [this](const VmId &From, const ServiceName &Service) {
     wire::DocumentRequestT Request;
@@ -204,52 +264,91 @@
   Configuration_ = std::make_unique<ConfigurationSync>(
       Control_, Platform_, Documents_, ConfigurationSync::Options(),
       std::move(Hooks));
-  Documents_.onChanged([this](const ServiceName &Service, DocumentVersion) {
-    onDocumentChanged(Service);
-  });
-  TraceExporter::Options TraceOptions;
-  TraceOptions.Collector_ = Settings_.TraceCollector_;
-  TraceOptions.Vm_ = Settings_.Vm_.str();
-  Traces_ = std::make_unique<TraceExporter>(Control_, TraceOptions);
+  // Documents are taken as they were read until a newer one is seen.
+  Freshness_.renew(BootClock::now());
 }
 
-Result<void> Daemon::wireCallers() {
-  std::vector<asio::io_context *> Contexts;
-  std::map<asio::execution_context *, CallerService *> ByContext;
+RequestServices Daemon::requestServices(BackendConnections &Connections) {
   TraceSink Sink;
   if (Settings_.TraceCollector_.port() != 0)
     Sink = [this](TraceRecord Record) { Traces_->offer(std::move(Record)); };
-  for (std::size_t Index = 0; Index < Settings_.Threads_; ++Index) {
-    auto Added = std::make_unique<Worker>();
-    RequestServices Services{
-        Documents_,
-        *Grants_,
-        *Claims_,
-        Added->Connections_,
-        Settings_.Vm_,
-        Incarnation_,
-        [this](const VmId &Vm, Incarnation Process) {
-          if (Vm == Settings_.Vm_)
-            return Process == Incarnation_;
-          auto Known = MemberSnapshot_.read();
-          return std::ranges::any_of(*Known, [&](const Member &Other) {
-            return Other.Id_ == Vm && Other.Incarnation_ == Process &&
-                   Other.Status_ != MemberStatus::Dead;
-          });
-        },
-        [this](const RequestReport &Seen) { Metrics_.report(Seen); },
-        Sink};
-    Added->Callers_ = std::make_unique<CallerService>(
-        std::move(Services), [this] { return isReady(); },
-        [this] { return nextRequestId(); });
-    Contexts.push_back(&Added->Context_);
-    ByContext[&Added->Context_] = Added->Callers_.get();
+  auto IsProcessAlive = [this](const VmId &Vm, Incarnation Process) {
+    if (Vm == Settings_.Vm_)
+      return Process == Incarnation_;
+    auto Known = MemberSnapshot_.read();
+    return std::ranges::any_of(*Known, [&](const Member &Other) {
+      return Other.Id_ == Vm && Other.Incarnation_ == Process &&
+             Other.Status_ != MemberStatus::Dead;
+    });
+  };
+  auto FleetSize = [this] {
+    auto Known = MemberSnapshot_.read();
+    auto Alive = std::ranges::count_if(*Known, [](const Member &Other) {
+      return Other.Status_ != MemberStatus::Dead;
+    });
+    return static_cast<std::size_t>(Alive) + 1;
+  };
+  return {Documents_,
+          *Grants_,
+          *Claims_,
+          Connections,
+          Settings_.Vm_,
+          Incarnation_,
+          IsProcessAlive,
+          [this](const RequestReport &Seen) { Metrics_.report(Seen); },
+          Sink,
+          Adapter_.Dialect_,
+          Freshness_,
+          *Repeats_,
+          FleetSize};
+}
+
+std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
+  auto Made = std::make_unique<Worker>();
+  if (!OnControlThread)
+    Made->OwnContext_.emplace(1);
+  Made->Context_ = OnControlThread ? &Control_ : &*Made->OwnContext_;
+  Made->Callers_ = std::make_unique<CallerService>(
+      requestServices(Made->Connections_), [this] { return isReady(); },
+      [this] { return nextRequestId(); });
+  return Made;
+}
+
+/// What the configuration in force allows callers, and at least what this
+/// program's settings do.
+HttpLimits Daemon::callerLimits() const {
+  HttpLimits Limits{HttpServerOptions().MaxHeaderBytes_,
+                    HttpServerOptions().MaxBodyBytes_, Settings_.ReadTimeout_};
+  auto Snapshot = Documents_.snapshot();
+  for (const auto &[Name, Service] : Snapshot->Services_) {
+    const ServiceLimits &Configured = Service.Document_->Limits_;
+    Limits.MaxHeaderBytes_ =
+        std::max(Limits.MaxHeaderBytes_, Configured.MaxHeaderBytes_);
+    Limits.MaxBodyBytes_ =
+        std::max(Limits.MaxBodyBytes_, Configured.MaxBodyBytes_);
+    if (Configured.IdleTimeout_.count() > 0)
+      Limits.IdleTimeout_ = std::max({Limits.IdleTimeout_, LeastIdleTimeout,
+                                      Configured.IdleTimeout_ + IdleSlack});
+  }
+  return Limits;
+}
+
+Result<void> Daemon::wireCallers() {
+  std::vector<asio::io_context *> Contexts;
+  std::map<asio::execution_context *, CallerService *> ByContext;
+  bool OnControlThread = Settings_.Threads_ == 0;
+  std::size_t Count = std::max<std::size_t>(1, Settings_.Threads_);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    auto Added = makeWorker(OnControlThread);
+    Contexts.push_back(Added->Context_);
+    ByContext[Added->Context_] = Added->Callers_.get();
     Workers_.push_back(std::move(Added));
   }
   HttpServerOptions Options;
   Options.Address_ = Settings_.Callers_;
   Options.MaxConnections_ = Settings_.MaxConnections_;
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
+  Options.Limits_ = [this] { return callerLimits(); };
   Options.Handler_ = [ByContext](HttpExchange &Exchange) -> Awaitable<void> {
     auto Executor = co_await asio::this_coro::executor;
     auto &Context = asio::query(Executor, asio::execution::context);
@@ -271,24 +370,37 @@
 
 Result<void> Daemon::wireOperators() {
   OperatorService::Hooks Hooks;
-  Hooks.IsReady_ = [this] { return isReady() && !Draining_; };
+  Hooks.IsReady_ = [this] { return isTakingCallers(); };
   Hooks.Status_ = [this] { return status(); };
   Hooks.Metrics_ = [this] { return metrics(); };
   Hooks.Vms_ = [this] { return vms(); };
   Operators_ = std::make_unique<OperatorService>(Platform_, std::move(Hooks));
-  HttpServerOptions Options;
-  Options.Address_ = Settings_.Operators_;
-  Options.MaxConnections_ = 256;
-  Options.Handler_ = [this](HttpExchange &Exchange) {
-    return Operators_->handle(Exchange);
-  };
-  auto Server = HttpServer::create(Control_, {&Control_}, std::move(Options));
+  auto Server = HttpServer::create(Control_, {&Control_},
+                                   operatorOptions(Settings_.Operators_));
   if (!Server)
     return Server.error();
   OperatorServer_ = std::move(*Server);
+  if (Settings_.Metrics_.port() == 0)
+    return {};
+  auto Metrics = HttpServer::create(Control_, {&Control_},
+                                    operatorOptions(Settings_.Metrics_));
+  if (!Metrics)
+    return Metrics.error();
+  MetricsServer_ = std::move(*Metrics);
   return {};
 }
 
+HttpServerOptions Daemon::operatorOptions(const Endpoint &Address) {
+  constexpr std::size_t MostConnections = 256;
+  HttpServerOptions Options;
+  Options.Address_ = Address;
+  Options.MaxConnections_ = MostConnections;
+  Options.Handler_ = [this](HttpExchange &Exchange) {
+    return Operators_->handle(Exchange);
+  };
+  return Options;
+}
+
 std::optional<VmId>
 Daemon::keeperFor(const CellId &Cell,
                   const std::vector<VmId> &Unreachable) const {
@@ -327,7 +439,7 @@
 void Daemon::sendDocument(const VmId &To, const ServiceName &Service) {
   auto Snapshot = Documents_.snapshot();
   const ServiceConfiguration *InForce = Snapshot->service(Service);
-  if (!InForce)
+  if (!InForce || !InForce->Source_)
     return;
   wire::DocumentReplyT Reply;
   Reply.service = Service.str();
@@ -349,7 +461,8 @@
                         From);
   else if (const auto *Cancel = Message.body.AsCancel())
     Grants_->onDecision(CancelDecision{fromWire(Cancel->id), {}, {}}, From);
-  else if (const auto *Reply = Message.body.AsDocumentReply())
+  else if (const auto *Reply = Message.body.AsDocumentReply();
+           Reply && Configuration_)
     Configuration_->documentReceived(ServiceName(Reply->service),
                                      Reply->envelope);
 }
@@ -431,35 +544,76 @@
 
 bool Daemon::isReady() const { return Ready_; }
 
+/// With a configuration that may be out of date, keys can't be honoured: other
+/// daemons should get the callers.
+bool Daemon::isTakingCallers() const {
+  return isReady() && !Draining_ && Freshness_.valid(BootClock::now());
+}
+
+bool Daemon::configurationReady() {
+  if (Configuration_)
+    return Configuration_->ready();
+  return !Documents_.snapshot()->Services_.empty();
+}
+
+bool Daemon::platformReachable() const {
+  return Configuration_ ? Configuration_->platformReachable()
+                        : Follower_->platformReachable();
+}
+
 RequestId Daemon::nextRequestId() { return {Origin_, NextSequence_++}; }
 
+void Daemon::startConfiguration() {
+  if (Configuration_) {
+    Configuration_->start();
+    return Engines_->start();
+  }
+  Follower_->start(Settings_.Vm_, Members_->self().Address_);
+}
+
+void Daemon::awaitSignal() {
+  Signals_.async_wait(
+      [this](const boost::system::error_code &Error, int Number) {
+        if (Error)
+          return;
+        if (Number == SIGHUP)
+          reloadSettings();
+        else if (!Draining_)
+          beginDrain();
+        awaitSignal();
+      });
+}
+
 int Daemon::run() {
   Signals_.add(SIGTERM);
   Signals_.add(SIGINT);
-  Signals_.async_wait([this](const boost::system::error_code &Error, int) {
-    if (!Error)
-      beginDrain();
-  });
+  Signals_.add(SIGHUP);
+  awaitSignal();
+  logEvent(LogCategory::Process, spdlog::level::info, "started",
+           {{"incarnation", std::to_string(Incarnation_.count())}});
   Membership_->start();
   std::ranges::for_each(Settings_.SeedPeers_, [this](const Endpoint &Peer) {
     Membership_->join(Peer);
   });
-  Configuration_->start();
-  Engines_->start();
+  startConfiguration();
   if (Settings_.TraceCollector_.port() != 0)
     Traces_->start();
   awaitDrained();
   for (auto &Present : Workers_)
-    Present->Thread_ = std::thread([&Context = Present->Context_] {
-      auto Guard = asio::make_work_guard(Context);
-      Context.run();
-    });
+    if (Present->OwnContext_)
+      Present->Thread_ = std::thread([&Context = *Present->OwnContext_] {
+        auto Guard = asio::make_work_guard(Context);
+        Context.run();
+      });
   Control_.run();
   for (auto &Present : Workers_) {
-    Present->Context_.stop();
+    if (!Present->OwnContext_)
+      continue;
+    Present->OwnContext_->stop();
     Present->Thread_.join();
   }
   logEvent(LogCategory::Process, spdlog::level::info, "stopped");
+  spdlog::default_logger()->flush();
   return 0;
 }
 
@@ -476,27 +630,71 @@
   refreshSoon();
 }
 
+/// A balancer with few other daemons goes on sending to this one, so it takes
+/// connections until none comes any more.
+bool Daemon::mayStop(steady_clock::duration Drained) {
+  if (Drained >= Settings_.DrainTimeout_)
+    return true;
+  if (Drained < Settings_.DrainDelay_)
+    return false;
+  auto SinceAccepted = steady_clock::now() - CallerServer_->lastAccepted();
+  if (Settings_.DrainQuiet_.count() == 0)
+    CallerServer_->stopAccepting();
+  return CallerServer_->activeExchanges() == 0 &&
+         SinceAccepted >= Settings_.DrainQuiet_;
+}
+
 /// Checks regularly whether the daemon became ready, or its stop is complete.
 void Daemon::awaitDrained() {
-  Ready_ = Configuration_->ready();
-  auto Drained = steady_clock::now() - DrainStarted_;
-  if (Draining_ && Drained >= Settings_.DrainDelay_) {
-    CallerServer_->stopAccepting();
-    bool Idle = CallerServer_->activeExchanges() == 0;
-    if (Idle || Drained >= Settings_.DrainTimeout_)
-      return stopAll();
-  }
-  DrainTimer_.expires_after(DrainCheckInterval);
+  bool WasReady = Ready_;
+  Ready_ = configurationReady();
+  if (Ready_ && !WasReady)
+    logEvent(LogCategory::Process, spdlog::level::info, "ready");
+  if (Draining_ && mayStop(steady_clock::now() - DrainStarted_))
+    return stopAll();
+  if (steady_clock::now() - FlagFileLooked_ >= FlagFileInterval)
+    reloadSettings();
+  bool Calm = Ready_ && !Draining_;
+  DrainTimer_.expires_after(Calm ? CalmCheckInterval : DrainCheckInterval);
   DrainTimer_.async_wait([this](const boost::system::error_code &Error) {
     if (!Error)
       awaitDrained();
   });
 }
 
+/// Takes over what may change while the daemon runs: the log level, the peers
+/// to join and the times of a stop. Addresses stay until the next start.
+void Daemon::reloadSettings() {
+  FlagFileLooked_ = steady_clock::now();
+  if (Settings_.FlagFile_.empty())
+    return;
+  std::error_code Error;
+  auto Written = std::filesystem::last_write_time(Settings_.FlagFile_, Error);
+  if (Error || Written == std::exchange(FlagFileTime_, Written))
+    return;
+  auto Read = Settings_.reload();
+  if (!Read) {
+    logEvent(LogCategory::Process, spdlog::level::err, "settings-not-reloaded",
+             {{"detail", Read.error().Detail_}});
+    return;
+  }
+  Settings_.LogLevel_ = Read->LogLevel_;
+  Settings_.DrainDelay_ = Read->DrainDelay_;
+  Settings_.DrainQuiet_ = Read->DrainQuiet_;
+  Settings_.DrainTimeout_ = Read->DrainTimeout_;
+  std::ranges::for_each(Read->SeedPeers_, [this](const Endpoint &Peer) {
+    Membership_->join(Peer);
+  });
+  applyLogLevel();
+  logEvent(LogCategory::Process, spdlog::level::info, "settings-read");
+}
+
 void Daemon::stopAll() {
   Membership_->stop();
   Peers_->stop();
   Keeper_->stop();
+  if (Follower_)
+    Follower_->stop();
   Control_.stop();
 }
 
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -8,6 +8,7 @@
 #include "Process/KeeperService.h"
 #include "Process/MembershipService.h"
 #include "Process/PeerNetwork.h"
+#include "Process/StoreFollower.h"
 #include "Programs/Metrics.h"
 #include "Programs/OperatorService.h"
 #include "Programs/Settings.h"
@@ -17,16 +18,29 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <filesystem>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
 namespace samphireshunt {
 
+/// What makes the daemon fit a platform; the default is the product's own.
+struct PlatformAdapter {
+  std::function<PlatformHooks(Endpoint, std::chrono::milliseconds)> Hooks_ =
+      httpPlatform;
+  /// Set where the configuration, servers and daemons stand in the platform's
+  /// service; unset: documents stand there, as samphireshuntctl writes them.
+  std::optional<StoreLayout> Layout_;
+  ForwardingDialect Dialect_ = ownDialect();
+};
+
 class Daemon {
 public:
   /// Binds all addresses and wires the parts. \returns BadSetting.
-  static Result<std::unique_ptr<Daemon>> create(Settings Configured);
+  static Result<std::unique_ptr<Daemon>> create(Settings Configured,
+                                                PlatformAdapter Adapter = {});
   ~Daemon();
 
   /// Serves until a graceful stop has ended. \returns the exit status.
@@ -37,13 +51,15 @@
 private:
   /// One thread, its requests and its connections to backend servers.
   struct Worker {
-    boost::asio::io_context Context_{1};
+    /// Unset where the control thread serves requests.
+    std::optional<boost::asio::io_context> OwnContext_;
+    boost::asio::io_context *Context_ = nullptr;
     BackendConnections Connections_{BackendConnections::Options()};
     std::unique_ptr<CallerService> Callers_;
     std::thread Thread_;
   };
 
-  explicit Daemon(Settings Configured);
+  Daemon(Settings Configured, PlatformAdapter Adapter);
   Result<void> wire();
   Result<void> wirePeers();
   Result<void> wireMembership();
@@ -51,6 +67,18 @@
   void wireConfiguration();
   Result<void> wireCallers();
   Result<void> wireOperators();
+  HttpServerOptions operatorOptions(const Endpoint &Address);
+  RequestServices requestServices(BackendConnections &Connections);
+  std::unique_ptr<Worker> makeWorker(bool OnControlThread);
+  void wireFollower();
+  void startConfiguration();
+  HttpLimits callerLimits() const;
+  bool configurationReady();
+  bool platformReachable() const;
+  bool isTakingCallers() const;
+  bool mayStop(std::chrono::steady_clock::duration Drained);
+  void reloadSettings();
+  void awaitSignal();
 
   std::optional<VmId> keeperFor(const CellId &Cell,
                                 const std::vector<VmId> &Unreachable) const;
@@ -74,6 +102,9 @@
   std::string metrics();
 
   Settings Settings_;
+  PlatformAdapter Adapter_;
+  FreshnessLease Freshness_;
+  std::unique_ptr<RepeatBudget> Repeats_;
   Incarnation Incarnation_;
   std::uint64_t Origin_ = 0;
   std::atomic<std::uint64_t> NextSequence_ = 1;
@@ -93,16 +124,21 @@
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
   std::unique_ptr<EngineMonitor> Engines_;
+  /// Documents of the product's own, or the platform's configuration.
   std::unique_ptr<ConfigurationSync> Configuration_;
+  std::unique_ptr<StoreFollower> Follower_;
   std::unique_ptr<TraceExporter> Traces_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::unique_ptr<HttpServer> CallerServer_;
   std::unique_ptr<OperatorService> Operators_;
   std::unique_ptr<HttpServer> OperatorServer_;
+  std::unique_ptr<HttpServer> MetricsServer_;
   boost::asio::signal_set Signals_;
   boost::asio::steady_timer DrainTimer_;
   boost::asio::steady_timer RefreshTimer_;
   bool RefreshPending_ = false;
+  std::filesystem::file_time_type FlagFileTime_;
+  std::chrono::steady_clock::time_point FlagFileLooked_;
 };
 
 } // namespace samphireshunt
--- a/Source/Programs/DaemonMain.cpp
+++ b/Source/Programs/DaemonMain.cpp
@@ -1,14 +1,13 @@
-/// \file
-/// samphireshuntd.
+#include "Programs/DaemonMain.h"
 
 #include "Common/Log.h"
-#include "Programs/Daemon.h"
 
 #include <fmt/format.h>
 
+#include <csignal>
 #include <cstdio>
 
-using namespace samphireshunt;
+namespace samphireshunt {
 
 namespace {
 
@@ -24,14 +23,19 @@
 
 } // namespace
 
-int main(int ArgumentCount, char **Arguments) {
+int daemonMain(int ArgumentCount, char **Arguments, PlatformAdapter Adapter) {
+  // A reload may be asked for before the daemon listens for it, and a reader of
+  // the logs may go: neither may end the process.
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     auto Configured = Settings::parse(ArgumentCount, Arguments);
     if (!Configured)
       return reportFailure(Configured.error());
     initializeLog(Configured->Vm_.str(),
-                  spdlog::level::from_str(Configured->LogLevel_));
-    auto Started = Daemon::create(std::move(*Configured));
+                  spdlog::level::from_str(Configured->LogLevel_),
+                  Configured->LogOutput_);
+    auto Started = Daemon::create(std::move(*Configured), std::move(Adapter));
     if (!Started)
       return reportFailure(Started.error());
     fmt::print("{}\n", (*Started)->describeAddresses());
@@ -42,3 +46,5 @@
     return ExitFault;
   }
 }
+
+} // namespace samphireshunt
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -27,7 +27,7 @@
   Root["format"] = NewestFormat;
   Root["ready"] = isReady();
   Root["draining"] = Draining_.load();
-  Root["platformReachable"] = Configuration_->platformReachable();
+  Root["platformReachable"] = platformReachable();
   Root["activeRequests"] = CallerServer_->activeExchanges();
   Root["liveShare"] = Members_->liveShare();
   Root["controlBytesSent"] = Membership_->bytesSent() + Peers_->bytesSent();
@@ -94,8 +94,7 @@
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
   Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
   Metrics_.setGauge("live_share", Members_->liveShare());
-  Metrics_.setGauge("platform_reachable",
-                    Configuration_->platformReachable() ? 1 : 0);
+  Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
   Metrics_.setGauge("traces_dropped", static_cast<double>(Traces_->dropped()));
   Metrics_.setGauge(
       "control_bytes_sent",
--- /dev/null
+++ b/Source/Programs/SamphireshuntdMain.cpp
@@ -0,0 +1,8 @@
+/// \file
+/// samphireshuntd, with the product's own platform.
+
+#include "Programs/DaemonMain.h"
+
+int main(int ArgumentCount, char **Arguments) {
+  return samphireshunt::daemonMain(ArgumentCount, Arguments, {});
+}
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <fstream>
+#include <span>
 
 ABSL_FLAG(std::string, vm_id, "", "Name of this VM; unique in the fleet.");
 ABSL_FLAG(std::string, data_center, "", "Data centre of this VM.");
@@ -28,7 +30,9 @@
           "IP:port told to operators, when not operators_address.");
 ABSL_FLAG(std::string, seed_peers, "",
           "IP:port,... of daemons to join while the platform is down.");
-ABSL_FLAG(int, threads, 2, "Worker threads for requests, 1 to 64.");
+ABSL_FLAG(int, threads, 2,
+          "Worker threads for requests, 0 to 64; 0: the control thread serves "
+          "them.");
 ABSL_FLAG(int, max_connections, 10000, "Callers' connections at once.");
 ABSL_FLAG(int, read_timeout_ms, 30000,
           "How long a request may take to arrive, and an idle connection to "
@@ -37,6 +41,24 @@
           "After SIGTERM, how long new connections are still taken, in ms.");
 ABSL_FLAG(int, drain_timeout_ms, 600000,
           "After SIGTERM, how long running requests may take, in ms.");
+ABSL_FLAG(int, drain_quiet_ms, 0,
+          "After the drain delay, connections are taken until none came for "
+          "this long, in ms; 0: none is taken after the delay.");
+ABSL_FLAG(std::string, log_output, "stdout", "stdout or stderr.");
+ABSL_FLAG(std::string, metrics_address, "",
+          "IP:port that serves /metrics besides operators_address.");
+ABSL_FLAG(int, revocation_bound_ms, 0,
+          "How long a key may work that was taken away, in ms; 0: no bound.");
+ABSL_FLAG(std::string, admission, "tiers",
+          "tiers: strictly by tier; objectives: by latency objective, with a "
+          "guaranteed part of each tier.");
+ABSL_FLAG(double, repeat_ratio, 0.2,
+          "Repeats of requests by requests, within the window.");
+ABSL_FLAG(double, repeat_extra, 10,
+          "Repeats on top of that, in the whole fleet.");
+ABSL_FLAG(double, repeat_window_s, 10, "Window of repeats, in seconds.");
+ABSL_FLAG(double, allotment_credit, 0,
+          "How far all keepers together may overdraw a customer's allotment.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error.");
 ABSL_FLAG(std::string, scheduling, "keepers",
           "keepers; or two-choices, the baseline of measurements.");
@@ -50,14 +72,17 @@
 
 namespace {
 
-constexpr std::array<const char *, 19> FlagNames = {
+constexpr std::array<const char *, 28> FlagNames = {
     "vm_id",           "data_center",         "callers_address",
     "peers_address",   "operators_address",   "platform_address",
     "threads",         "platform_timeout_ms", "advertise_peers",
     "seed_peers",      "advertise_operators", "max_connections",
     "drain_delay_ms",  "drain_timeout_ms",    "log_level",
     "trace_collector", "scheduling",          "read_timeout_ms",
-    "leave_out"};
+    "leave_out",       "drain_quiet_ms",      "log_output",
+    "metrics_address", "revocation_bound_ms", "admission",
+    "repeat_ratio",    "repeat_extra",        "repeat_window_s",
+    "allotment_credit"};
 
 constexpr std::array<std::string_view, 7> LeavableDecisions = {
     "tiers",    "fairness", "feasibility", "preemption",
@@ -96,6 +121,18 @@
       bad(Name, fmt::format("{} is not from {} to {}", Value, Low, High));
     return Value;
   }
+  double amount(std::string_view Name, double Value) {
+    if (!(Value >= 0))
+      bad(Name, fmt::format("{} is less than 0", Value));
+    return Value;
+  }
+  std::string oneOf(std::string_view Name, std::string Value,
+                    std::vector<std::string_view> Allowed) {
+    if (!std::ranges::count(Allowed, Value))
+      bad(Name, fmt::format("'{}' is not one of {}", Value,
+                            fmt::join(Allowed, ", ")));
+    return Value;
+  }
   std::string text(std::string_view Name, std::string Value) {
     if (Value.empty())
       bad(Name, "must be set");
@@ -118,13 +155,8 @@
   return List;
 }
 
-} // namespace
-
-Result<Settings> Settings::parse(int ArgumentCount, char **Arguments) {
-  absl::SetProgramUsageMessage("request scheduler daemon");
-  Checker Check;
-  Check.environment();
-  absl::ParseCommandLine(ArgumentCount, Arguments);
+/// The settings that the flags stand for now.
+Result<Settings> fromFlags(Checker Check) {
   constexpr int HourMs = 3600 * 1000;
   constexpr int MaxThreads = 64;
   constexpr int MaxConnectionsLimit = 1000000;
@@ -152,7 +184,7 @@
   Check.address("advertise_operators", Read.AdvertisedOperators_, false);
   Read.SeedPeers_ = addressList(Check, absl::GetFlag(FLAGS_seed_peers));
   Read.Threads_ = static_cast<std::size_t>(
-      Check.number("threads", absl::GetFlag(FLAGS_threads), 1, MaxThreads));
+      Check.number("threads", absl::GetFlag(FLAGS_threads), 0, MaxThreads));
   Read.MaxConnections_ = static_cast<std::size_t>(
       Check.number("max_connections", absl::GetFlag(FLAGS_max_connections), 1,
                    MaxConnectionsLimit));
@@ -162,12 +194,32 @@
       "drain_delay_ms", absl::GetFlag(FLAGS_drain_delay_ms), 0, HourMs));
   Read.DrainTimeout_ = std::chrono::milliseconds(Check.number(
       "drain_timeout_ms", absl::GetFlag(FLAGS_drain_timeout_ms), 0, HourMs));
+  Read.DrainQuiet_ = std::chrono::milliseconds(Check.number(
+      "drain_quiet_ms", absl::GetFlag(FLAGS_drain_quiet_ms), 0, HourMs));
+  Read.Metrics_ = Check.address("metrics_address",
+                                absl::GetFlag(FLAGS_metrics_address), false);
+  Read.RevocationBound_ = std::chrono::milliseconds(
+      Check.number("revocation_bound_ms",
+                   absl::GetFlag(FLAGS_revocation_bound_ms), 0, HourMs));
+  Read.ByObjective_ = Check.oneOf("admission", absl::GetFlag(FLAGS_admission),
+                                  {"tiers", "objectives"}) == "objectives";
+  Read.LogOutput_ = Check.oneOf("log_output", absl::GetFlag(FLAGS_log_output),
+                                {"stdout", "stderr"}) == "stderr"
+                        ? LogOutput::StandardError
+                        : LogOutput::StandardOutput;
+  Read.RepeatRatio_ =
+      Check.amount("repeat_ratio", absl::GetFlag(FLAGS_repeat_ratio));
+  Read.RepeatExtra_ =
+      Check.amount("repeat_extra", absl::GetFlag(FLAGS_repeat_extra));
+  Read.AllotmentCredit_ =
+      Check.amount("allotment_credit", absl::GetFlag(FLAGS_allotment_credit));
+  std::chrono::duration<double> Window(
+      Check.amount("repeat_window_s", absl::GetFlag(FLAGS_repeat_window_s)));
+  Read.RepeatWindow_ =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Window);
   Read.LogLevel_ = absl::GetFlag(FLAGS_log_level);
-  constexpr std::array<std::string_view, 4> Levels = {"debug", "info",
-                                                      "warning", "error"};
-  if (!std::ranges::count(Levels, Read.LogLevel_))
-    Check.bad("log_level", fmt::format("'{}' is not one of {}", Read.LogLevel_,
-                                       fmt::join(Levels, ", ")));
+  Check.oneOf("log_level", Read.LogLevel_,
+              {"debug", "info", "warning", "error"});
   std::string Scheduling = absl::GetFlag(FLAGS_scheduling);
   Read.TwoChoices_ = Scheduling == "two-choices";
   if (!Read.TwoChoices_ && Scheduling != "keepers")
@@ -185,4 +237,76 @@
   return Read;
 }
 
+/// "--name=value", a line each; empty lines and comments are passed over.
+std::vector<std::pair<std::string, std::string>>
+readFlagFile(const std::string &Path, Checker &Check) {
+  std::vector<std::pair<std::string, std::string>> Lines;
+  std::ifstream File(Path);
+  if (!File)
+    Check.bad("flagfile", fmt::format("can't read {}", Path));
+  for (std::string Line; std::getline(File, Line);) {
+    if (Line.empty() || Line.starts_with('#'))
+      continue;
+    std::size_t Equals = Line.find('=');
+    if (!Line.starts_with("--") || Equals == std::string::npos) {
+      Check.bad("flagfile", fmt::format("'{}' is not --name=value", Line));
+      continue;
+    }
+    constexpr std::size_t Dashes = 2;
+    Lines.emplace_back(Line.substr(Dashes, Equals - Dashes),
+                       Line.substr(Equals + 1));
+  }
+  return Lines;
+}
+
+/// The values of all flags, to be put back.
+std::vector<std::pair<std::string, std::string>> presentFlags() {
+  std::vector<std::pair<std::string, std::string>> Present;
+  for (const char *Name : FlagNames)
+    Present.emplace_back(Name, absl::FindCommandLineFlag(Name)->CurrentValue());
+  return Present;
+}
+
+void setFlag(const std::string &Name, const std::string &Value,
+             Checker &Check) {
+  std::string Error;
+  bool Known = std::ranges::count(FlagNames, Name) > 0;
+  if (!Known)
+    return Check.bad(Name, "is not known");
+  if (!absl::FindCommandLineFlag(Name)->ParseFrom(Value, &Error))
+    Check.bad(Name, Error);
+}
+
+} // namespace
+
+Result<Settings> Settings::parse(int ArgumentCount, char **Arguments) {
+  absl::SetProgramUsageMessage("request scheduler daemon");
+  Checker Check;
+  Check.environment();
+  absl::ParseCommandLine(ArgumentCount, Arguments);
+  auto Read = fromFlags(std::move(Check));
+  constexpr std::string_view FlagFile = "--flagfile=";
+  for (std::string_view Argument :
+       std::span(Arguments, static_cast<std::size_t>(ArgumentCount)))
+    if (Read && Argument.starts_with(FlagFile))
+      Read->FlagFile_ = Argument.substr(FlagFile.size());
+  return Read;
+}
+
+Result<Settings> Settings::reload() const {
+  auto Before = presentFlags();
+  Checker Check;
+  for (const auto &[Name, Value] : readFlagFile(FlagFile_, Check))
+    setFlag(Name, Value, Check);
+  auto Read = fromFlags(std::move(Check));
+  if (Read) {
+    Read->FlagFile_ = FlagFile_;
+    return Read;
+  }
+  Checker Ignored;
+  for (const auto &[Name, Value] : Before)
+    setFlag(Name, Value, Ignored);
+  return Read;
+}
+
 } // namespace samphireshunt
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -4,6 +4,7 @@
 /// SAMPHIRESHUNT_<NAME>. A flag on the command line goes first.
 
 #include "Common/Ids.h"
+#include "Common/Log.h"
 #include "Common/ResultCode.h"
 #include "Connection/Http.h"
 
@@ -26,12 +27,34 @@
   std::string AdvertisedOperators_;
   /// Peers to join when the platform does not answer.
   std::vector<Endpoint> SeedPeers_;
+  /// 0: requests are served by the control thread.
   std::size_t Threads_ = 2;
   std::size_t MaxConnections_ = 10000;
   std::chrono::milliseconds ReadTimeout_{30000};
   std::chrono::milliseconds DrainDelay_{5000};
   std::chrono::milliseconds DrainTimeout_{600000};
+  /// After the delay, a stop waits until no connection was taken for this
+  /// long; 0: it takes no more at once.
+  std::chrono::milliseconds DrainQuiet_{0};
   std::string LogLevel_;
+  LogOutput LogOutput_ = LogOutput::StandardOutput;
+  /// Where /metrics is served as well; an unspecified port is nowhere.
+  Endpoint Metrics_;
+  /// How long a key may work that was taken away; 0: the configuration in
+  /// force is always taken as the newest.
+  std::chrono::milliseconds RevocationBound_{0};
+  /// Requests are served by their objectives, with a guaranteed part of each
+  /// tier, rather than strictly by tier.
+  bool ByObjective_ = false;
+  /// Repeats of requests: their part of all requests, and how many on top in
+  /// the whole fleet, within the window.
+  double RepeatRatio_ = 0.2;
+  double RepeatExtra_ = 10;
+  std::chrono::milliseconds RepeatWindow_{10000};
+  /// How far allotments may be overdrawn in all, in their unit.
+  double AllotmentCredit_ = 0;
+  /// The file that the flags were read from, for a reload.
+  std::string FlagFile_;
   /// Every daemon schedules by itself; the baseline of measurements.
   bool TwoChoices_ = false;
   /// Decisions that a measurement leaves out.
@@ -41,6 +64,9 @@
 
   /// Reads flags and environment. \returns BadSetting with all that is wrong.
   static Result<Settings> parse(int ArgumentCount, char **Arguments);
+  /// Reads the flag file once more. \returns BadSetting, and leaves the flags
+  /// as they were, when any of it is wrong.
+  Result<Settings> reload() const;
 };
 
 } // namespace samphireshunt
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -46,10 +46,11 @@
       if (Known)
         co_return;
     }
-    BeforeConnect Prepare;
+    SeekOptions Options;
+    Options.MaxIdle_ = Claims ? milliseconds(0) : ProvedMaxIdle;
     if (Claims)
-      Prepare = [this]() { return claimKey(); };
-    auto Obtained = co_await obtainServer(Context_, Claims, std::move(Prepare));
+      Options.Prepare_ = [this]() { return claimKey(); };
+    auto Obtained = co_await obtainServer(Context_, std::move(Options));
     if (auto *Refused = std::get_if<Verdict>(&Obtained)) {
       Verdict Ended = std::move(*Refused);
       co_return co_await refuse(std::move(Ended));
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -3,6 +3,7 @@
 #include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Process/PrefixIndex.h"
+#include "Request/ForwardedCall.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -70,6 +71,8 @@
   try {
     if (auto Refusal = check(Context))
       co_await answerVerdict(Context, std::move(*Refusal));
+    else if (Context.Route_->Forwarding_)
+      co_await runForwardedCall(Context);
     else if (Context.Pool_->Kind_ == PoolKind::Model)
       co_await runModelCall(Context);
     else
@@ -96,6 +99,8 @@
     return refused(ResultCode::NotReady);
   if (auto Refusal = checkRoute(Context))
     return Refusal;
+  if (Context.Route_->Forwarding_)
+    return checkForwarded(Context);
   if (auto Refusal = checkCustomer(Context))
     return Refusal;
   if (auto Refusal = checkDeadline(Context))
@@ -112,9 +117,11 @@
   if (!Context.Service_)
     return refused(ResultCode::NoRoute, "no service has this host");
   const Document &Document = Context.document();
-  Context.Route_ = Document.route(Request.path());
+  Context.Route_ = Document.route(Request.path(), Request.field("host"));
   if (!Context.Route_)
-    return refused(ResultCode::NoRoute, "no route matches the path");
+    return refusedIfFresh(ResultCode::NoRoute, "no route matches the path");
+  if (Context.Route_->Forwarding_)
+    return std::nullopt;
   const auto &Methods = Context.Route_->Methods_;
   constexpr std::array<std::string_view, 5> Served = {"GET", "POST", "PUT",
                                                       "PATCH", "DELETE"};
@@ -128,6 +135,67 @@
   return std::nullopt;
 }
 
+/// What this daemon does not know may have been added since: while it can't
+/// tell whether its configuration is the newest, it does not deny anything.
+Verdict CallerService::refusedIfFresh(ResultCode Code,
+                                      std::string Detail) const {
+  bool Fresh = Services_.Freshness_.valid(BootClock::now());
+  return refused(Fresh ? Code : ResultCode::ConfigurationStale,
+                 std::move(Detail));
+}
+
+/// A request that goes to a backend server as it is.
+std::optional<Verdict>
+CallerService::checkForwarded(RequestContext &Context) const {
+  const HttpRequest &Request = Context.Exchange_.request();
+  const ForwardingRule &Rule = *Context.Route_->Forwarding_;
+  Context.Call_ = Services_.Dialect_.ReadCall_(Request.Fields_);
+  Context.Tier_ = Rule.Tier_;
+  Context.Pool_ = choosePool(Context);
+  if (!Context.Pool_)
+    return refused(ResultCode::NoBackendServer, "the route names no pool");
+  auto Timeout = Rule.Timeout_;
+  if (Context.Call_.Timeout_)
+    Timeout = std::min(Timeout, *Context.Call_.Timeout_);
+  Context.Deadline_ = Context.Started_ + Timeout;
+  Context.PromptTokens_ = Context.Call_.Prompt_.value_or(Tokens(0));
+  Context.AnswerTokens_ = Context.Call_.MaxAnswer_.value_or(Tokens(0));
+  Context.Prefix_ = prefixHashes(Context.Call_.Parts_);
+  if (Rule.Anonymous_ || Context.document().Customers_.empty())
+    return std::nullopt;
+  std::string_view Authorization = Request.field("authorization");
+  if (!Authorization.starts_with(BearerPrefix))
+    return refusedIfFresh(ResultCode::UnknownCustomer, "no bearer key");
+  Authorization.remove_prefix(BearerPrefix.size());
+  Context.KeyDigest_ = sha256Hex(Authorization);
+  Context.Customer_ =
+      Context.document().customerByKeyDigest(Context.KeyDigest_);
+  if (!Context.Customer_)
+    return refusedIfFresh(ResultCode::UnknownCustomer, "");
+  return checkCallerStillAllowed(Context);
+}
+
+/// One of the route's pools, by their weights. Requests of one session go to
+/// one pool, where their prompt may be cached.
+const Pool *CallerService::choosePool(const RequestContext &Context) const {
+  const auto &Targets = Context.Route_->Forwarding_->Targets_;
+  std::uint64_t Sum = 0;
+  for (const WeightedPool &Target : Targets)
+    Sum += Target.Weight_;
+  if (Sum == 0)
+    return nullptr;
+  const auto &Parts = Context.Call_.Parts_;
+  std::uint64_t Affinity = Parts.empty() ? stableHash(Context.Call_.CallId_)
+                                         : stableHash("", Parts.back().Id_);
+  std::uint64_t Point = Affinity % Sum;
+  auto Chosen = std::ranges::find_if(Targets, [&](const WeightedPool &Target) {
+    bool Here = Point < Target.Weight_;
+    Point -= Here ? 0 : Target.Weight_;
+    return Here;
+  });
+  return Context.document().pool(Chosen->Pool_);
+}
+
 std::optional<Verdict>
 CallerService::checkCustomer(RequestContext &Context) const {
   const HttpRequest &Request = Context.Exchange_.request();
--- a/Source/Request/CallerService.h
+++ b/Source/Request/CallerService.h
@@ -19,6 +19,9 @@
 private:
   std::optional<Verdict> check(RequestContext &Context) const;
   std::optional<Verdict> checkRoute(RequestContext &Context) const;
+  std::optional<Verdict> checkForwarded(RequestContext &Context) const;
+  Verdict refusedIfFresh(ResultCode Code, std::string Detail) const;
+  const Pool *choosePool(const RequestContext &Context) const;
   std::optional<Verdict> checkCustomer(RequestContext &Context) const;
   std::optional<Verdict> checkDeadline(RequestContext &Context) const;
   std::optional<Verdict> checkModelBody(RequestContext &Context) const;
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -1,5 +1,6 @@
 #include "Request/FinalAnswer.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace samphireshunt {
@@ -31,6 +32,7 @@
   case ResultCode::VersionConflict:
     return 409;
   case ResultCode::CustomerCeiling:
+  case ResultCode::AllotmentSpent:
   case ResultCode::QueueFull:
   case ResultCode::ShedForHigherTier:
     return 429;
@@ -76,14 +78,18 @@
   return Body.dump(-1, ' ', false, Replace);
 }
 
-HttpResponse finalResponse(const RequestId &Id, const Verdict &Ended) {
+HttpResponse finalResponse(const RequestId &Id, const Verdict &Ended,
+                           bool Fractional) {
   HttpResponse Response =
       jsonResponse(httpStatus(Ended.Code_), errorBody(Ended));
   addOutcomeFields(Response, Id, Ended.Outcome_, Ended.Code_);
   if (!comesBack(Ended))
     return Response;
+  std::chrono::duration<double> Exact = Ended.RetryAfter_;
   auto Seconds = std::chrono::ceil<std::chrono::seconds>(Ended.RetryAfter_);
-  Response.Fields_["retry-after"] = std::to_string(Seconds.count());
+  Response.Fields_["retry-after"] = Fractional
+                                        ? fmt::format("{:.3f}", Exact.count())
+                                        : std::to_string(Seconds.count());
   Response.Fields_["x-retry-after-ms"] =
       std::to_string(Ended.RetryAfter_.count());
   return Response;
--- a/Source/Request/FinalAnswer.h
+++ b/Source/Request/FinalAnswer.h
@@ -27,7 +27,9 @@
 /// The body of an error, as in the OpenAI API, with outcome and code.
 std::string errorBody(const Verdict &Ended);
 /// The whole answer: status, header fields and body.
-HttpResponse finalResponse(const RequestId &Id, const Verdict &Ended);
+/// \p Fractional: Retry-After may have a fraction of a second.
+HttpResponse finalResponse(const RequestId &Id, const Verdict &Ended,
+                           bool Fractional = false);
 /// Adds the fields that every final answer carries.
 void addOutcomeFields(HttpResponse &Response, const RequestId &Id,
                       Outcome Value, ResultCode Code);
--- /dev/null
+++ b/Source/Request/ForwardingDialect.cpp
@@ -0,0 +1,96 @@
+#include "Request/ForwardingDialect.h"
+
+#include <charconv>
+
+namespace samphireshunt {
+
+namespace {
+
+const std::string &fieldOf(const HttpFields &Fields, const std::string &Name) {
+  static const std::string Absent;
+  auto Found = Fields.find(Name);
+  return Found == Fields.end() ? Absent : Found->second;
+}
+
+std::optional<Tokens> tokensOf(const HttpFields &Fields,
+                               const std::string &Name) {
+  auto Count = parseCount(fieldOf(Fields, Name));
+  return Count ? std::optional(Tokens(*Count)) : std::nullopt;
+}
+
+CallLabels readCall(const HttpFields &Fields) {
+  CallLabels Labels;
+  Labels.CallId_ = fieldOf(Fields, "x-call-id");
+  if (auto Millis = parseCount(fieldOf(Fields, "x-request-timeout-ms")))
+    Labels.Timeout_ = std::chrono::milliseconds(*Millis);
+  Labels.Prompt_ = tokensOf(Fields, "x-prompt-tokens");
+  Labels.MaxAnswer_ = tokensOf(Fields, "x-answer-tokens");
+  Labels.Parts_ = parsePromptParts(fieldOf(Fields, "x-prompt-parts"));
+  return Labels;
+}
+
+void writeForward(HttpFields &Fields, const ForwardLabels &Labels) {
+  Fields["x-request-timeout-ms"] = std::to_string(Labels.Timeout_.count());
+  Fields["x-expect-server"] = Labels.Server_.str();
+  Fields["x-customer"] = Labels.Customer_.str();
+}
+
+AnswerLabels readAnswer(const HttpResponse &Head) {
+  AnswerLabels Labels;
+  Labels.CallId_ = fieldOf(Head.Fields_, "x-call-id");
+  Labels.NotRun_ = Head.Fields_.contains("x-not-run");
+  Labels.Proved_ = Head.Fields_.contains("x-answer-proof");
+  return Labels;
+}
+
+void nameAnswer(HttpFields &Fields, const std::string &CallId) {
+  if (!CallId.empty())
+    Fields["x-call-id"] = CallId;
+}
+
+} // namespace
+
+std::optional<std::int64_t> parseCount(std::string_view Text) {
+  std::int64_t Count = 0;
+  const char *End = Text.data() + Text.size();
+  auto Parsed = std::from_chars(Text.data(), End, Count);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Count < 0)
+    return std::nullopt;
+  return Count;
+}
+
+std::vector<PromptPart> parsePromptParts(std::string_view Text) {
+  constexpr int Hexadecimal = 16;
+  std::vector<PromptPart> Parts;
+  while (!Text.empty()) {
+    std::size_t Comma = std::min(Text.find(','), Text.size());
+    std::string_view Item = Text.substr(0, Comma);
+    Text.remove_prefix(std::min(Comma + 1, Text.size()));
+    while (Item.starts_with(' '))
+      Item.remove_prefix(1);
+    std::size_t Colon = Item.find(':');
+    if (Colon == std::string_view::npos)
+      break;
+    PromptPart Part;
+    auto Parsed = std::from_chars(Item.data(), Item.data() + Colon, Part.Id_,
+                                  Hexadecimal);
+    auto Length = parseCount(Item.substr(Colon + 1));
+    if (Parsed.ec != std::errc() || Parsed.ptr != Item.data() + Colon ||
+        !Length)
+      break;
+    Part.Length_ = Tokens(*Length);
+    Parts.push_back(Part);
+  }
+  return Parts;
+}
+
+ForwardingDialect ownDialect() {
+  ForwardingDialect Dialect;
+  Dialect.ReadCall_ = readCall;
+  Dialect.WriteForward_ = writeForward;
+  Dialect.ReadAnswer_ = readAnswer;
+  Dialect.NameAnswer_ = nameAnswer;
+  return Dialect;
+}
+
+} // namespace samphireshunt
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -72,7 +72,9 @@
 
   Awaitable<void> run() {
     Streaming_ = wantsStream();
-    auto Obtained = co_await obtainServer(Context_, false, nullptr);
+    SeekOptions Options;
+    Options.MaxIdle_ = ProvedMaxIdle;
+    auto Obtained = co_await obtainServer(Context_, std::move(Options));
     if (auto *Refused = std::get_if<Verdict>(&Obtained)) {
       Verdict Ended = std::move(*Refused);
       co_return co_await answerVerdict(Context_, std::move(Ended));
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -1,8 +1,11 @@
 #include "Request/RequestContext.h"
 
 #include "Common/Log.h"
+#include "Request/ForwardedCall.h"
 #include "Request/GrantWait.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -28,33 +31,59 @@
                                                         "trailer",
                                                         "upgrade",
                                                         "transfer-encoding",
-                                                        "authorization",
-                                                        "x-request-timeout-ms",
+                                                        "proxy-connection",
+                                                        "proxy-authenticate",
                                                         "content-length"};
+/// The key is this program's matter alone.
+constexpr std::string_view KeyField = "authorization";
+/// Left of a deadline, a request that is refused may use this part to wait.
+constexpr int RetryPart = 3;
 
 CellId cellFor(const RequestContext &Context, int Attempt) {
   std::uint32_t Count = cellCount(*Context.Pool_);
   // Requests that share their first block go to the same cell, since its
   // engines are where the block may be cached.
+  // The first part of a forwarded prompt is shared by nearly all; the last
+  // one belongs to its session.
   std::uint64_t Affinity =
       Context.Prefix_.empty() ? Context.Id_.Sequence_ : Context.Prefix_.front();
+  if (!Context.Call_.Parts_.empty())
+    Affinity = Context.Call_.Parts_.back().Id_;
   auto Index = static_cast<std::uint32_t>(
       (Affinity + static_cast<std::uint64_t>(Attempt)) % Count);
   return {Context.document().Service_, Context.Pool_->Name_, Index};
 }
 
+/// A caller gives a stream up after a gap, also before its first event: what
+/// starts later than a good part of that is run for nobody.
+milliseconds longestWait(const ForwardingRule &Rule, milliseconds Left) {
+  constexpr int PercentOfPatience = 75;
+  constexpr int PercentOfTimeLeft = 60;
+  constexpr int Hundred = 100;
+  auto Wait = Left * PercentOfTimeLeft / Hundred;
+  if (Rule.Kind_ == RequestKind::Stream)
+    Wait = std::min(Wait, callerPatience(Rule) * PercentOfPatience / Hundred);
+  return std::max(Wait, milliseconds(1));
+}
+
 AskedRequest askFor(const RequestContext &Context,
                     const std::vector<ServerName> &Excluded) {
   AskedRequest Asked;
   Asked.Id_ = Context.Id_;
   Asked.Tier_ = Context.Tier_;
-  Asked.Customer_ = Context.Customer_->Name_;
+  if (Context.Customer_)
+    Asked.Customer_ = Context.Customer_->Name_;
   Asked.Deadline_ = Context.Deadline_;
   Asked.Prompt_ = Context.PromptTokens_;
   Asked.Answer_ = Context.AnswerTokens_;
   Asked.Prefix_ = Context.Prefix_;
   Asked.NonIdempotent_ = Context.Route_->NonIdempotent_;
   Asked.Excluded_ = Excluded;
+  if (Context.Route_->Forwarding_) {
+    const ForwardingRule &Rule = *Context.Route_->Forwarding_;
+    Asked.Objective_ = Context.Started_ + Rule.Objective_;
+    Asked.MaxWait_ = longestWait(Rule, Context.remaining());
+  }
   return Asked;
 }
 
@@ -74,6 +103,10 @@
                       {"outcome", std::string(outcomeName(Value))},
                       {"code", std::to_string(static_cast<int>(Code))},
                       {"dropped", std::to_string(*Dropped)}};
+  if (!Context.Call_.CallId_.empty())
+    Fields.emplace_back("call", Context.Call_.CallId_);
+  if (Context.Route_ && !Context.Route_->Name_.empty())
+    Fields.emplace_back("route", Context.Route_->Name_);
   if (Context.Customer_)
     Fields.emplace_back("customer", Context.Customer_->Name_.str());
   if (Context.Service_) {
@@ -102,8 +135,7 @@
 }
 
 Awaitable<std::variant<ReadyServer, Verdict>>
-obtainServer(RequestContext &Context, bool FreshConnection,
-             BeforeConnect Prepare) {
+obtainServer(RequestContext &Context, SeekOptions Options) {
   GrantClient &Grants = Context.Services_.Grants_;
   auto Wait = GrantWait::create(co_await boost::asio::this_coro::executor,
                                 Grants, Context.Id_);
@@ -112,7 +144,7 @@
     if (auto Present = Weak.lock())
       Present->callerLeft();
   });
-  std::vector<ServerName> Excluded;
+  std::vector<ServerName> Excluded = std::move(Options.Excluded_);
   Verdict Ended = notRun(ResultCode::ConnectFailed);
   std::uint32_t Cells = cellCount(*Context.Pool_);
   std::uint32_t CellTries = 0;
@@ -152,24 +184,34 @@
     }
     BackendServer Chosen = *Server;
     std::optional<Verdict> Refused;
-    if (Prepare)
-      Refused = co_await Prepare();
+    if (Options.Prepare_)
+      Refused = co_await Options.Prepare_();
     if (Refused) {
       Grants.done(Context.Id_, ServedSample());
       Context.State_.tryGiveUp();
       co_return std::move(*Refused);
     }
     auto Connected = co_await Context.Services_.Connections_.take(
-        Chosen.Address_, FreshConnection);
+        Chosen.Address_, Options.MaxIdle_);
     if (!Connected) {
-      Grants.done(Context.Id_, ServedSample());
+      ServedSample Unreachable;
+      Unreachable.Faulty_ = true;
+      Grants.done(Context.Id_, Unreachable);
       Excluded.push_back(Answer->Server_);
       Ended = notRun(ResultCode::ConnectFailed);
       Ended.Detail_ = Connected.error().Detail_;
       continue;
     }
+    if (Options.BeforeDispatch_)
+      Refused = Options.BeforeDispatch_();
+    if (Refused || Wait->hasCallerLeft()) {
+      Grants.done(Context.Id_, ServedSample());
+      Ended = Refused ? std::move(*Refused) : notRun(ResultCode::CallerLeft);
+      break;
+    }
     // This process may have been paused anywhere above, past the deadline.
-    if (Context.expired() || !Context.State_.tryDispatch()) {
+    bool MayDispatch = Options.Repeat_ || Context.State_.tryDispatch();
+    if (Context.expired() || !MayDispatch) {
       Grants.done(Context.Id_, ServedSample());
       Ended = notRun(ResultCode::DeadlineInQueue);
       break;
@@ -183,18 +225,74 @@
   co_return std::move(Ended);
 }
 
-HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber) {
-  HttpRequest Request = Context.Exchange_.request();
+void removeHopFields(HttpFields &Fields) {
+  // The connection field names further fields of this one connection.
+  auto Named = Fields.find("connection");
+  std::vector<std::string> Names;
+  if (Named != Fields.end())
+    Names = absl::StrSplit(absl::AsciiStrToLower(Named->second),
+                           absl::ByAnyChar(", "), absl::SkipEmpty());
+  for (const std::string &Name : Names)
+    Fields.erase(Name);
   for (std::string_view Field : HopFields)
-    Request.Fields_.erase(std::string(Field));
+    Fields.erase(std::string(Field));
+}
+
+HttpRequest endToEndRequest(const HttpRequest &Request) {
+  HttpRequest Forwarded = Request;
+  removeHopFields(Forwarded.Fields_);
+  Forwarded.Fields_.erase(std::string(KeyField));
+  return Forwarded;
+}
+
+std::optional<Verdict> checkCallerStillAllowed(const RequestContext &Context) {
+  if (!Context.Customer_)
+    return std::nullopt;
+  if (!Context.Services_.Freshness_.valid(BootClock::now()))
+    return notRun(ResultCode::ConfigurationStale);
+  auto Newest = Context.Services_.Documents_.snapshot();
+  const ServiceConfiguration *Service =
+      Newest->service(Context.document().Service_);
+  if (!Service || !Service->Document_->customerByKeyDigest(Context.KeyDigest_))
+    return notRun(ResultCode::UnknownCustomer);
+  return std::nullopt;
+}
+
+HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber) {
+  HttpRequest Request = endToEndRequest(Context.Exchange_.request());
+  Request.Fields_.erase("x-request-timeout-ms");
   Request.Fields_["x-request-id"] = Context.Id_.str();
   Request.Fields_["x-customer"] = Context.Customer_->Name_.str();
   Request.Fields_["traceparent"] = Context.Trace_.traceparent(SpanNumber);
   return Request;
 }
 
+namespace {
+
+/// A caller that may come back only once is told a moment at which there is
+/// still time for its request. Callers that are refused together must not come
+/// back together.
+void shortenRetryAfter(const RequestContext &Context, Verdict &Ended) {
+  constexpr milliseconds Least{50};
+  constexpr std::uint64_t JitterSteps = 256;
+  auto Longest = std::max(Least, Context.remaining() / RetryPart);
+  auto Wanted = std::clamp(Ended.RetryAfter_, Least, Longest);
+  std::uint64_t Step = std::hash<RequestId>()(Context.Id_) % JitterSteps;
+  // Between two thirds of the wait and all of it.
+  auto Jitter = Wanted * static_cast<std::int64_t>(Step) /
+                static_cast<std::int64_t>(RetryPart * JitterSteps);
+  Ended.RetryAfter_ = Wanted - Jitter;
+}
+
+} // namespace
+
 Awaitable<void> answerVerdict(RequestContext &Context, Verdict Ended) {
-  HttpResponse Response = finalResponse(Context.Id_, Ended);
+  if (Context.Route_ && Context.Route_->Forwarding_)
+    shortenRetryAfter(Context, Ended);
+  HttpResponse Response = finalResponse(
+      Context.Id_, Ended, Context.Services_.Dialect_.FractionalRetryAfter_);
+  Context.Services_.Dialect_.NameAnswer_(Response.Fields_,
+                                         Context.Call_.CallId_);
   co_await Context.Exchange_.respond(std::move(Response));
   reportEnd(Context, Ended.Outcome_, Ended.Code_);
 }
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -3,9 +3,12 @@
 /// What lives as long as one request, and the services that it uses.
 
 #include "Connection/BackendConnections.h"
+#include "Process/FreshnessLease.h"
 #include "Process/GrantClient.h"
 #include "Request/ClaimStore.h"
 #include "Request/FinalAnswer.h"
+#include "Request/ForwardingDialect.h"
+#include "Request/RepeatBudget.h"
 #include "Request/RequestState.h"
 #include "Request/Trace.h"
 #include "Version/DocumentStore.h"
@@ -37,6 +40,12 @@
   std::function<bool(const VmId &, Incarnation)> IsProcessAlive_;
   std::function<void(const RequestReport &)> Report_;
   TraceSink Traces_;
+  // For forwarded requests.
+  const ForwardingDialect &Dialect_;
+  const FreshnessLease &Freshness_;
+  RepeatBudget &Repeats_;
+  /// Daemons that are alive, this one included.
+  std::function<std::size_t()> FleetSize_;
 };
 
 /// One request from its head to its last byte. Used by one coroutine on one
@@ -56,6 +65,9 @@
   Tokens PromptTokens_;
   Tokens AnswerTokens_;
   std::vector<std::uint64_t> Prefix_;
+  /// Of a forwarded request.
+  CallLabels Call_;
+  std::string KeyDigest_;
   RequestState State_;
   Trace Trace_;
   std::chrono::microseconds Waited_{0};
@@ -75,12 +87,32 @@
 /// Called between grant and connection; a failed verdict ends the request.
 using BeforeConnect = std::function<Awaitable<std::optional<Verdict>>()>;
 
+/// How to look for a server.
+struct SeekOptions {
+  /// Only a connection that answered this recently is used again; 0: none.
+  std::chrono::milliseconds MaxIdle_{0};
+  BeforeConnect Prepare_;
+  /// A verdict ends the request just before its first byte would leave.
+  std::function<std::optional<Verdict>()> BeforeDispatch_;
+  std::vector<ServerName> Excluded_;
+  /// The request was dispatched before, and may be again.
+  bool Repeat_ = false;
+};
+
 /// Gets a grant and a connection; tries further servers while no byte has
 /// left. On return the request is dispatched or given up, and the caller has
 /// been asked for at most one grant at a time.
 Awaitable<std::variant<ReadyServer, Verdict>>
-obtainServer(RequestContext &Context, bool FreshConnection,
-             BeforeConnect Prepare);
+obtainServer(RequestContext &Context, SeekOptions Options);
+
+/// Removes the fields that concern one connection only, and the length, which
+/// is set anew.
+void removeHopFields(HttpFields &Fields);
+/// A request without the fields that concern one connection or this program.
+HttpRequest endToEndRequest(const HttpRequest &Request);
+/// \returns a verdict when the newest configuration no longer allows the
+/// caller's key, or when this daemon can't tell whether it is the newest.
+std::optional<Verdict> checkCallerStillAllowed(const RequestContext &Context);
 
 /// The request as it goes to the backend server: end-to-end fields only.
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber);
--- a/Source/Version/Document.cpp
+++ b/Source/Version/Document.cpp
@@ -15,14 +15,30 @@
                                           : &Customers_[Found->second];
 }
 
+const Customer *Document::customer(const CustomerName &Name) const {
+  auto Found = std::ranges::find(Customers_, Name, &Customer::Name_);
+  return Found == Customers_.end() ? nullptr : &*Found;
+}
+
 const Pool *Document::pool(const PoolName &Name) const {
   auto Found = std::ranges::find(Pools_, Name, &Pool::Name_);
   return Found == Pools_.end() ? nullptr : &*Found;
 }
 
-const Route *Document::route(std::string_view Path) const {
-  auto Matches = [Path](const Route &Candidate) {
+std::string_view withoutPort(std::string_view Host) {
+  std::size_t Colon = Host.rfind(':');
+  bool InBrackets = Host.find(']', Colon) != std::string_view::npos;
+  return Colon == std::string_view::npos || InBrackets ? Host
+                                                       : Host.substr(0, Colon);
+}
+
+const Route *Document::route(std::string_view Path,
+                             std::string_view Host) const {
+  std::string_view Name = withoutPort(Host);
+  auto Matches = [Path, Name](const Route &Candidate) {
     const std::string &Prefix = Candidate.PathPrefix_;
+    if (!Candidate.Host_.empty() && Candidate.Host_ != Name)
+      return false;
     if (!Path.starts_with(Prefix))
       return false;
     // "/readings" must not take "/readingsarchive".
--- a/Source/Version/DocumentStore.cpp
+++ b/Source/Version/DocumentStore.cpp
@@ -7,17 +7,6 @@
 
 namespace samphireshunt {
 
-namespace {
-
-std::string_view withoutPort(std::string_view Host) {
-  std::size_t Colon = Host.rfind(':');
-  bool InBrackets = Host.find(']', Colon) != std::string_view::npos;
-  return Colon == std::string_view::npos || InBrackets ? Host
-                                                       : Host.substr(0, Colon);
-}
-
-} // namespace
-
 const ServiceConfiguration *
 ConfigurationSnapshot::serviceForHost(std::string_view Host) const {
   std::string_view Name = withoutPort(Host);
@@ -80,12 +69,71 @@
   Next->Services_[Service] = std::move(Adopted);
   Current_.write(std::move(Next));
   Lock.unlock();
+  announce(Service, Source.Version_);
+  return true;
+}
+
+bool DocumentStore::adopt(const ServiceName &Service, DocumentVersion Version,
+                          std::shared_ptr<const Document> Read) {
+  std::unique_lock Lock(WriterMutex_);
+  auto Old = Current_.read();
+  const ServiceConfiguration *InForce = Old->service(Service);
+  if (InForce && InForce->Version_ >= Version)
+    return false;
+  auto Next = std::make_shared<ConfigurationSnapshot>(*Old);
+  ServiceConfiguration Adopted;
+  Adopted.Version_ = Version;
+  Adopted.Document_ = withDirectory(Service, std::move(Read));
+  Next->Services_[Service] = std::move(Adopted);
+  Current_.write(std::move(Next));
+  Lock.unlock();
+  announce(Service, Version);
+  return true;
+}
+
+std::shared_ptr<const Document>
+DocumentStore::withDirectory(const ServiceName &Service,
+                             std::shared_ptr<const Document> Read) const {
+  auto Directory = Directories_.find(Service);
+  if (Directory == Directories_.end())
+    return Read;
+  auto Filled = std::make_shared<Document>(*Read);
+  for (Pool &Target : Filled->Pools_) {
+    if (!Target.FromDirectory_)
+      continue;
+    auto Servers = Directory->second.find(Target.Name_);
+    Target.Servers_ = Servers == Directory->second.end()
+                          ? std::vector<BackendServer>()
+                          : Servers->second;
+  }
+  return Filled;
+}
+
+void DocumentStore::setServers(const ServiceName &Service,
+                               ServersByPool Servers) {
+  std::unique_lock Lock(WriterMutex_);
+  Directories_[Service] = std::move(Servers);
+  auto Old = Current_.read();
+  const ServiceConfiguration *InForce = Old->service(Service);
+  if (!InForce)
+    return;
+  auto Next = std::make_shared<ConfigurationSnapshot>(*Old);
+  ServiceConfiguration &Target = Next->Services_[Service];
+  Target.Document_ = withDirectory(Service, Target.Document_);
+  DocumentVersion Version = Target.Version_;
+  Current_.write(std::move(Next));
+  Lock.unlock();
+  if (Changed_)
+    Changed_(Service, Version);
+}
+
+void DocumentStore::announce(const ServiceName &Service,
+                             DocumentVersion Version) {
   logEvent(LogCategory::Version, spdlog::level::info, "adopted",
            {{"service", Service.str()},
-            {"version", std::to_string(Source.Version_.count())}});
+            {"version", std::to_string(Version.count())}});
   if (Changed_)
-    Changed_(Service, Source.Version_);
-  return true;
+    Changed_(Service, Version);
 }
 
 void DocumentStore::setLeavingAddresses(std::set<Endpoint> Addresses) {
--- a/Source/Version/DocumentStore.h
+++ b/Source/Version/DocumentStore.h
@@ -40,6 +40,9 @@
                                     const ServerName &Server) const;
 };
 
+/// Backend servers that registered themselves, by the pool that they serve.
+using ServersByPool = std::map<PoolName, std::vector<BackendServer>>;
+
 class DocumentStore {
 public:
   using ChangedHook = std::function<void(const ServiceName &, DocumentVersion)>;
@@ -48,6 +51,11 @@
   /// Adopts \p Source when its version is higher than the one in force.
   /// \returns true when it is in force now because of this call.
   bool adopt(const ServiceName &Service, const VersionedDocument &Source);
+  /// The same for a document that was read by another reader.
+  bool adopt(const ServiceName &Service, DocumentVersion Version,
+             std::shared_ptr<const Document> Read);
+  /// Replaces the servers of the pools whose servers register themselves.
+  void setServers(const ServiceName &Service, ServersByPool Servers);
   /// Replaces the list of leaving addresses.
   void setLeavingAddresses(std::set<Endpoint> Addresses);
   std::shared_ptr<const ConfigurationSnapshot> snapshot() const {
@@ -57,7 +65,13 @@
   void onChanged(ChangedHook Hook) { Changed_ = std::move(Hook); }
 
 private:
+  std::shared_ptr<const Document>
+  withDirectory(const ServiceName &Service,
+                std::shared_ptr<const Document> Read) const;
+  void announce(const ServiceName &Service, DocumentVersion Version);
+
   std::mutex WriterMutex_;
+  std::map<ServiceName, ServersByPool> Directories_;
   RcuCell<ConfigurationSnapshot> Current_;
   ChangedHook Changed_;
 };
