Keep temporaries out of co_await expressions, refuse late streams in a stop

Cause: the compiler destroys a temporary argument of a coroutine twice when it is made within a co_await expression; every such argument is a named value now. Ruled out: hooks that outlive a request (cleared at its end).

--- a/Source/Process/AllotmentLedger.cpp
+++ b/Source/Process/AllotmentLedger.cpp
@@ -4,47 +4,50 @@
 
 namespace samphireshunt {
 
-using std::chrono::milliseconds;
+namespace {
+
+/// What a new keeper lets through of a window's allotment at once.
+constexpr double FirstPart = 0.15;
+
+} // namespace
+
+double AllotmentLedger::limit(const Allotment &Allowed, double Share,
+                              TimePoint Now) const {
+  std::chrono::duration<double> Window = Options_.Window_;
+  std::chrono::duration<double> Counted = Now - Started_;
+  double Known = std::min(1.0, FirstPart + Counted / Window);
+  double Whole =
+      Allowed.PerSecond_ * Window.count() + Allowed.Burst_ + Options_.Credit_;
+  return Share * Known * Whole;
+}
 
 bool AllotmentLedger::take(const RequestId &Id, const CustomerName &Customer,
                            const Allotment &Allowed, double Cost, double Share,
                            TimePoint Now) {
   if (Allowed.PerSecond_ <= 0)
     return true;
-  auto [Item, New] = Buckets_.try_emplace(Customer);
-  Bucket &Target = Item->second;
-  if (New)
-    Target.Filled_ = Now;
-  std::chrono::duration<double> Since = Now - Target.Filled_;
-  Target.Filled_ = Now;
-  double Filled = Target.Level_ + Share * Allowed.PerSecond_ * Since.count();
-  Target.Level_ = std::min(Filled, Share * Allowed.Burst_);
-  if (Target.Level_ + Share * Options_.Credit_ < Cost)
+  // A part of the window more, since the oldest part drops out whole.
+  auto Covered = Options_.Window_ + Options_.Window_ / Slots;
+  Use &Target = Used_.try_emplace(Customer, Covered).first->second;
+  if (Target.sum(Now) + Cost > limit(Allowed, Share, Now))
     return false;
-  Target.Level_ -= Cost;
+  Target.add(Now, Cost);
   Open_[Id] = {Customer, Cost};
   return true;
 }
 
-void AllotmentLedger::giveBack(const RequestId &Id) {
+void AllotmentLedger::giveBack(const RequestId &Id, TimePoint Now) {
   auto Node = Open_.extract(Id);
   if (!Node)
     return;
-  auto Found = Buckets_.find(Node.mapped().Customer_);
-  if (Found != Buckets_.end())
-    Found->second.Level_ += Node.mapped().Cost_;
+  auto Found = Used_.find(Node.mapped().Customer_);
+  if (Found != Used_.end())
+    Found->second.add(Now, -Node.mapped().Cost_);
 }
 
-milliseconds AllotmentLedger::untilFilled(const CustomerName &Customer,
-                                          const Allotment &Allowed, double Cost,
-                                          double Share) const {
-  auto Found = Buckets_.find(Customer);
-  if (Found == Buckets_.end() || Allowed.PerSecond_ <= 0)
-    return milliseconds(0);
-  double Missing = Cost - Found->second.Level_ - Share * Options_.Credit_;
-  constexpr double MillisPerSecond = 1000;
-  double Millis = MillisPerSecond * Missing / (Share * Allowed.PerSecond_);
-  return milliseconds(static_cast<std::int64_t>(std::max(0.0, Millis)));
+void AllotmentLedger::restart(TimePoint Now) {
+  Started_ = Now;
+  Used_.clear();
 }
 
 } // namespace samphireshunt
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -14,6 +14,8 @@
 /// A cell that is no longer this daemon's is dropped after it is unused for
 /// this long.
 constexpr std::chrono::seconds UnusedCellTime{10};
+/// A customer that is over its allotment stays over it for a while.
+constexpr milliseconds AllotmentRetryAfter{1500};
 
 /// What the request counts against its customer's allotment.
 double allotmentCost(const Allotment &Allowed, const AskedRequest &Request) {
@@ -30,7 +32,7 @@
                              DocumentStore &Documents, Options Settings,
                              Hooks Reactions)
     : Documents_(Documents), Options_(Settings), Hooks_(std::move(Reactions)),
-      Allotments_(Settings.Allotments_), Timer_(Control) {
+      Allotments_(Settings.Allotments_, steady_clock::now()), Timer_(Control) {
   schedule();
 }
 
@@ -75,8 +77,10 @@
     Target = std::make_unique<KeptCell>(
         KeptCell{Scheduler(Options_.Scheduling_), Now, Now});
     configure(Cell, *Target);
-    if (!Hooks_.AloneInFleet_())
+    if (!Hooks_.AloneInFleet_()) {
       Target->Scheduler_.setWarmUntil(Now + Options_.WarmUp_);
+      Allotments_.restart(Now);
+    }
     logEvent(LogCategory::Keeper, spdlog::level::info, "keeping",
              {{"cell", Cell.str()}});
   }
@@ -156,14 +160,12 @@
   if (Allotments_.take(Request.Id_, Known->Name_, Allowed, Cost, Share,
                        steady_clock::now()))
     return std::nullopt;
-  return RefuseDecision{
-      Request.Id_, ResultCode::AllotmentSpent,
-      Allotments_.untilFilled(Known->Name_, Allowed, Cost, Share),
-      Request.Entry_};
+  return RefuseDecision{Request.Id_, ResultCode::AllotmentSpent,
+                        AllotmentRetryAfter, Request.Entry_};
 }
 
 void KeeperService::withdraw(const CellId &Cell, const RequestId &Id) {
-  Allotments_.giveBack(Id);
+  Allotments_.giveBack(Id, steady_clock::now());
   KeptCell &Target = kept(Cell);
   Target.Scheduler_.withdraw(Id);
   decide(Cell, Target);
@@ -207,7 +209,7 @@
     if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
       Allotments_.used(Grant->Id_);
     else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
-      Allotments_.giveBack(Refusal->Id_);
+      Allotments_.giveBack(Refusal->Id_, steady_clock::now());
     Hooks_.Decided_(Cell, Taken);
   }
 }
--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -48,7 +48,11 @@
 
 Awaitable<void> StoreFollower::follow() {
   while (!Stopped_) {
-    auto Done = NeedsList_ ? co_await listAll() : co_await watchOnce();
+    Result<void> Done;
+    if (NeedsList_)
+      Done = co_await listAll();
+    else
+      Done = co_await watchOnce();
     if (!Done) {
       Failure Cause = Done.error();
       co_await failed(Cause);
@@ -64,7 +68,7 @@
   if (std::exchange(Failures_, 0) > 1)
     logEvent(LogCategory::Process, spdlog::level::info, "platform-regained");
   Directory_.outageEnded(BootClock::now());
-  if (Directory_.nextDrop()) {
+  if (Directory_.nextDrop() && !std::exchange(DropPlanned_, true)) {
     auto Drop = [this]() { return dropUnseenLater(); };
     asio::co_spawn(Control_, std::move(Drop), asio::detached);
   }
@@ -95,7 +99,8 @@
 
 Awaitable<Result<void>> StoreFollower::listAll() {
   BootTime SentAt = BootClock::now();
-  auto Listed = co_await Platform_.List_(AllKeys);
+  std::string Prefix = AllKeys;
+  auto Listed = co_await Platform_.List_(std::move(Prefix));
   if (!Listed)
     co_return Listed.error();
   // The outage is over before what is missing is looked at.
@@ -115,8 +120,9 @@
 
 Awaitable<Result<void>> StoreFollower::watchOnce() {
   BootTime SentAt = BootClock::now();
+  std::string Prefix = AllKeys;
   auto Changes =
-      co_await Platform_.Watch_(AllKeys, After_, Options_.WatchTime_);
+      co_await Platform_.Watch_(std::move(Prefix), After_, Options_.WatchTime_);
   if (!Changes)
     co_return Changes.error();
   for (const KeyValue &Entry : Changes->Entries_)
@@ -133,7 +139,7 @@
   Write.Key_ = Layout_.DaemonPrefix_ + Self_.str();
   Write.Value_ = Address_;
   Write.Expected_ = OwnRevision_;
-  auto Written = co_await Platform_.Put_(Write);
+  auto Written = co_await Platform_.Put_(std::move(Write));
   if (Written) {
     RegisteredAddress_ = Address_;
     co_return;
@@ -153,6 +159,7 @@
       break;
     co_await pause(millisUntil(*Next));
   }
+  DropPlanned_ = false;
   if (Directory_.dropUnseen(BootClock::now()))
     publish();
 }
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -95,6 +95,7 @@
   bool NeedsList_ = true;
   bool Stopped_ = false;
   bool DirectoryChanged_ = false;
+  bool DropPlanned_ = false;
   int Failures_ = 0;
 };
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -219,6 +219,7 @@
   Options.Scheduling_.Seed_ = Origin_;
   Options.Allotments_.Credit_ =
       AllotmentCreditPart * Settings_.AllotmentCredit_;
+  Options.Allotments_.Window_ = Settings_.AllotmentWindow_;
   Keeper_ = std::make_unique<KeeperService>(Control_, Documents_, Options,
                                             std::move(Hooks));
   Grants_->setLocalKeeper(Keeper_.get());
@@ -300,6 +301,7 @@
           Adapter_.Dialect_,
           Freshness_,
           *Repeats_,
+          [this](const ForwardingRule &Rule) { return hasTimeFor(Rule); },
           FleetSize};
 }
 
@@ -630,8 +632,20 @@
   refreshSoon();
 }
 
+/// A request that is refused finds another daemon; one that is cut is lost.
+bool Daemon::hasTimeFor(const ForwardingRule &Rule) const {
+  if (!Draining_)
+    return true;
+  auto Drained = steady_clock::now() - DrainStarted_;
+  if (Drained < Settings_.DrainAdmit_)
+    return true;
+  return Rule.Kind_ != RequestKind::Stream &&
+         Drained + Rule.Timeout_ < Settings_.DrainTimeout_;
+}
+
 /// A balancer with few other daemons goes on sending to this one, so it takes
-/// connections until none comes any more.
+/// connections until none comes any more. Where that never happens it goes on
+/// only while requests run: what comes late it refuses anyway.
 bool Daemon::mayStop(steady_clock::duration Drained) {
   if (Drained >= Settings_.DrainTimeout_)
     return true;
@@ -640,8 +654,9 @@
   auto SinceAccepted = steady_clock::now() - CallerServer_->lastAccepted();
   if (Settings_.DrainQuiet_.count() == 0)
     CallerServer_->stopAccepting();
-  return CallerServer_->activeExchanges() == 0 &&
-         SinceAccepted >= Settings_.DrainQuiet_;
+  bool Quiet = SinceAccepted >= Settings_.DrainQuiet_ ||
+               Drained >= 2 * Settings_.DrainDelay_;
+  return CallerServer_->activeExchanges() == 0 && Quiet;
 }
 
 /// Checks regularly whether the daemon became ready, or its stop is complete.
@@ -681,6 +696,7 @@
   Settings_.LogLevel_ = Read->LogLevel_;
   Settings_.DrainDelay_ = Read->DrainDelay_;
   Settings_.DrainQuiet_ = Read->DrainQuiet_;
+  Settings_.DrainAdmit_ = Read->DrainAdmit_;
   Settings_.DrainTimeout_ = Read->DrainTimeout_;
   std::ranges::for_each(Read->SeedPeers_, [this](const Endpoint &Peer) {
     Membership_->join(Peer);
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -76,6 +76,7 @@
   bool configurationReady();
   bool platformReachable() const;
   bool isTakingCallers() const;
+  bool hasTimeFor(const ForwardingRule &Rule) const;
   bool mayStop(std::chrono::steady_clock::duration Drained);
   void reloadSettings();
   void awaitSignal();
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -41,6 +41,8 @@
           "After SIGTERM, how long new connections are still taken, in ms.");
 ABSL_FLAG(int, drain_timeout_ms, 600000,
           "After SIGTERM, how long running requests may take, in ms.");
+ABSL_FLAG(int, drain_admit_ms, 600000,
+          "After SIGTERM, how long streams are still begun, in ms.");
 ABSL_FLAG(int, drain_quiet_ms, 0,
           "After the drain delay, connections are taken until none came for "
           "this long, in ms; 0: none is taken after the delay.");
@@ -59,6 +61,8 @@
 ABSL_FLAG(double, repeat_window_s, 10, "Window of repeats, in seconds.");
 ABSL_FLAG(double, allotment_credit, 0,
           "How far all keepers together may overdraw a customer's allotment.");
+ABSL_FLAG(double, allotment_window_s, 8,
+          "Window within which allotments are counted, in seconds.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error.");
 ABSL_FLAG(std::string, scheduling, "keepers",
           "keepers; or two-choices, the baseline of measurements.");
@@ -72,17 +76,36 @@
 
 namespace {
 
-constexpr std::array<const char *, 28> FlagNames = {
-    "vm_id",           "data_center",         "callers_address",
-    "peers_address",   "operators_address",   "platform_address",
-    "threads",         "platform_timeout_ms", "advertise_peers",
-    "seed_peers",      "advertise_operators", "max_connections",
-    "drain_delay_ms",  "drain_timeout_ms",    "log_level",
-    "trace_collector", "scheduling",          "read_timeout_ms",
-    "leave_out",       "drain_quiet_ms",      "log_output",
-    "metrics_address", "revocation_bound_ms", "admission",
-    "repeat_ratio",    "repeat_extra",        "repeat_window_s",
-    "allotment_credit"};
+constexpr std::array<const char *, 30> FlagNames = {"vm_id",
+                                                    "data_center",
+                                                    "callers_address",
+                                                    "peers_address",
+                                                    "operators_address",
+                                                    "platform_address",
+                                                    "threads",
+                                                    "platform_timeout_ms",
+                                                    "advertise_peers",
+                                                    "seed_peers",
+                                                    "advertise_operators",
+                                                    "max_connections",
+                                                    "drain_delay_ms",
+                                                    "drain_timeout_ms",
+                                                    "log_level",
+                                                    "trace_collector",
+                                                    "scheduling",
+                                                    "read_timeout_ms",
+                                                    "leave_out",
+                                                    "drain_quiet_ms",
+                                                    "log_output",
+                                                    "metrics_address",
+                                                    "revocation_bound_ms",
+                                                    "admission",
+                                                    "repeat_ratio",
+                                                    "repeat_extra",
+                                                    "repeat_window_s",
+                                                    "allotment_credit",
+                                                    "allotment_window_s",
+                                                    "drain_admit_ms"};
 
 constexpr std::array<std::string_view, 7> LeavableDecisions = {
     "tiers",    "fairness", "feasibility", "preemption",
@@ -194,6 +217,8 @@
       "drain_delay_ms", absl::GetFlag(FLAGS_drain_delay_ms), 0, HourMs));
   Read.DrainTimeout_ = std::chrono::milliseconds(Check.number(
       "drain_timeout_ms", absl::GetFlag(FLAGS_drain_timeout_ms), 0, HourMs));
+  Read.DrainAdmit_ = std::chrono::milliseconds(Check.number(
+      "drain_admit_ms", absl::GetFlag(FLAGS_drain_admit_ms), 0, HourMs));
   Read.DrainQuiet_ = std::chrono::milliseconds(Check.number(
       "drain_quiet_ms", absl::GetFlag(FLAGS_drain_quiet_ms), 0, HourMs));
   Read.Metrics_ = Check.address("metrics_address",
@@ -213,6 +238,10 @@
       Check.amount("repeat_extra", absl::GetFlag(FLAGS_repeat_extra));
   Read.AllotmentCredit_ =
       Check.amount("allotment_credit", absl::GetFlag(FLAGS_allotment_credit));
+  std::chrono::duration<double> Counted(Check.amount(
+      "allotment_window_s", absl::GetFlag(FLAGS_allotment_window_s)));
+  Read.AllotmentWindow_ =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Counted);
   std::chrono::duration<double> Window(
       Check.amount("repeat_window_s", absl::GetFlag(FLAGS_repeat_window_s)));
   Read.RepeatWindow_ =
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -33,6 +33,8 @@
   std::chrono::milliseconds ReadTimeout_{30000};
   std::chrono::milliseconds DrainDelay_{5000};
   std::chrono::milliseconds DrainTimeout_{600000};
+  /// How long after SIGTERM requests are taken that may last for long.
+  std::chrono::milliseconds DrainAdmit_{600000};
   /// After the delay, a stop waits until no connection was taken for this
   /// long; 0: it takes no more at once.
   std::chrono::milliseconds DrainQuiet_{0};
@@ -53,6 +55,7 @@
   std::chrono::milliseconds RepeatWindow_{10000};
   /// How far allotments may be overdrawn in all, in their unit.
   double AllotmentCredit_ = 0;
+  std::chrono::milliseconds AllotmentWindow_{8000};
   /// The file that the flags were read from, for a reload.
   std::string FlagFile_;
   /// Every daemon schedules by itself; the baseline of measurements.
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -150,6 +150,8 @@
   const HttpRequest &Request = Context.Exchange_.request();
   const ForwardingRule &Rule = *Context.Route_->Forwarding_;
   Context.Call_ = Services_.Dialect_.ReadCall_(Request.Fields_);
+  if (!Services_.HasTimeFor_(Rule))
+    return refused(ResultCode::NotReady, "the daemon is stopping");
   Context.Tier_ = Rule.Tier_;
   Context.Pool_ = choosePool(Context);
   if (!Context.Pool_)
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -56,7 +56,8 @@
     auto Now = steady_clock::now();
     Context_.Services_.Repeats_.noteRequest(Context_.Pool_->Name_, Now);
     while (true) {
-      auto Obtained = co_await obtainServer(Context_, seekOptions());
+      SeekOptions Options = seekOptions();
+      auto Obtained = co_await obtainServer(Context_, std::move(Options));
       if (auto *Refused = std::get_if<Verdict>(&Obtained)) {
         Verdict Ended = std::move(*Refused);
         co_return co_await finish(std::move(Ended));
@@ -66,8 +67,10 @@
       reportAttempt(Ended);
       if (Ended == AttemptEnd::Answered)
         co_return reportEnd(Context_, Outcome::Answered, ResultCode::Ok);
-      if (Ended == AttemptEnd::CallerLeft || !mayRepeat(Ended))
-        co_return co_await finish(verdictAfter(Ended));
+      if (Ended == AttemptEnd::CallerLeft || !mayRepeat(Ended)) {
+        Verdict Final = verdictAfter(Ended);
+        co_return co_await finish(std::move(Final));
+      }
       logRepeat(Ended);
     }
   }
@@ -99,8 +102,8 @@
     watchCaller();
     HttpConnection &Connection = *Ready_.Connection_;
     Connection.acceptUnframed();
-    auto Sent =
-        co_await Connection.send(forwardedRequest(), Context_.remaining());
+    HttpRequest Request = forwardedRequest();
+    auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return failed(Sent.error());
     auto Head = co_await Connection.readHead(headTimeout());
@@ -257,8 +260,10 @@
         co_return callerGone();
     }
     giveBack();
-    bool Written = co_await writeEvents(Head, Splitter_.rest());
-    Written = Written && co_await Context_.Exchange_.endStream();
+    std::string Rest = Splitter_.rest();
+    bool Written = co_await writeEvents(Head, std::move(Rest));
+    if (Written)
+      Written = co_await Context_.Exchange_.endStream();
     co_return Written ? AttemptEnd::Answered : callerGone();
   }
 
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -44,6 +44,8 @@
   const ForwardingDialect &Dialect_;
   const FreshnessLease &Freshness_;
   RepeatBudget &Repeats_;
+  /// False for a request that a stop of this daemon would cut.
+  std::function<bool(const ForwardingRule &)> HasTimeFor_;
   /// Daemons that are alive, this one included.
   std::function<std::size_t()> FleetSize_;
 };
