--- a/Source/Process/AllotmentLedger.h
+++ b/Source/Process/AllotmentLedger.h
@@ -3,14 +3,13 @@
 /// What customers have used of their allotments, counted where their requests
 /// are decided. Pure: the time is an argument.
 ///
-/// Load pattern: one customer sends many times its usual. Within any window it
-/// gets what its rate gives in that time and its burst on top, and no more. A
-/// new keeper knows nothing of what an earlier one let through: it takes it
-/// that the customer used its rate evenly, and lets through what is left of the
-/// window.
+/// Load pattern: one customer sends many times its usual. A bucket fills at the
+/// allotted rate up to the allotted burst, and a request takes its cost out of
+/// it. A new keeper knows nothing of what an earlier one let through, maybe a
+/// whole burst just before: its buckets begin empty when it begins to count, so
+/// that however often keepers change, the rate is all that is added.
 
 #include "Common/Ids.h"
-#include "Common/SlidingCount.h"
 #include "Version/Document.h"
 
 #include <chrono>
@@ -23,9 +22,8 @@
   using TimePoint = std::chrono::steady_clock::time_point;
 
   struct Options {
-    std::chrono::milliseconds Window_{8000};
-    /// How much all keepers may let through beyond the allotment within a
-    /// window, in its unit.
+    /// What all keepers together may let through on top of the burst, in the
+    /// allotment's unit.
     double Credit_ = 0;
   };
 
@@ -40,24 +38,23 @@
   /// The request was granted: its cost is used.
   void used(const RequestId &Id) { Open_.erase(Id); }
   /// The request was not granted: its cost does not count.
-  void giveBack(const RequestId &Id, TimePoint Now);
+  void giveBack(const RequestId &Id);
   /// Begins anew: another daemon counted until now.
   void restart(TimePoint Now);
 
 private:
-  /// A customer's use is kept in this many parts of the window.
-  static constexpr std::size_t Slots = 32;
-  using Use = SlidingCount<Slots>;
+  struct Bucket {
+    double Level_ = 0;
+    TimePoint Filled_;
+  };
   struct Taken {
     CustomerName Customer_;
     double Cost_;
   };
 
-  double limit(const Allotment &Allowed, double Share, TimePoint Now) const;
-
   Options Options_;
   TimePoint Started_;
-  std::unordered_map<CustomerName, Use> Used_;
+  std::unordered_map<CustomerName, Bucket> Buckets_;
   /// Requests that are neither granted nor refused yet.
   std::unordered_map<RequestId, Taken> Open_;
 };
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -165,7 +165,7 @@
 }
 
 void KeeperService::withdraw(const CellId &Cell, const RequestId &Id) {
-  Allotments_.giveBack(Id, steady_clock::now());
+  Allotments_.giveBack(Id);
   KeptCell &Target = kept(Cell);
   Target.Scheduler_.withdraw(Id);
   decide(Cell, Target);
@@ -209,7 +209,7 @@
     if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
       Allotments_.used(Grant->Id_);
     else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
-      Allotments_.giveBack(Refusal->Id_, steady_clock::now());
+      Allotments_.giveBack(Refusal->Id_);
     Hooks_.Decided_(Cell, Taken);
   }
 }
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds IdleSlack{1000};
 /// The part of the fleet's credit on an allotment that a new keeper may use:
 /// an earlier one may have used it just before.
-constexpr double AllotmentCreditPart = 0.5;
+constexpr double AllotmentCreditPart = 0.4;
 /// Changes that come together are worked off together.
 constexpr milliseconds RefreshDelay{5};
 
@@ -219,7 +219,6 @@
   Options.Scheduling_.Seed_ = Origin_;
   Options.Allotments_.Credit_ =
       AllotmentCreditPart * Settings_.AllotmentCredit_;
-  Options.Allotments_.Window_ = Settings_.AllotmentWindow_;
   Keeper_ = std::make_unique<KeeperService>(Control_, Documents_, Options,
                                             std::move(Hooks));
   Grants_->setLocalKeeper(Keeper_.get());
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -61,8 +61,6 @@
 ABSL_FLAG(double, repeat_window_s, 10, "Window of repeats, in seconds.");
 ABSL_FLAG(double, allotment_credit, 0,
           "How far all keepers together may overdraw a customer's allotment.");
-ABSL_FLAG(double, allotment_window_s, 8,
-          "Window within which allotments are counted, in seconds.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error.");
 ABSL_FLAG(std::string, scheduling, "keepers",
           "keepers; or two-choices, the baseline of measurements.");
@@ -76,7 +74,7 @@
 
 namespace {
 
-constexpr std::array<const char *, 30> FlagNames = {"vm_id",
+constexpr std::array<const char *, 29> FlagNames = {"vm_id",
                                                     "data_center",
                                                     "callers_address",
                                                     "peers_address",
@@ -104,7 +102,6 @@
                                                     "repeat_extra",
                                                     "repeat_window_s",
                                                     "allotment_credit",
-                                                    "allotment_window_s",
                                                     "drain_admit_ms"};
 
 constexpr std::array<std::string_view, 7> LeavableDecisions = {
@@ -238,10 +235,6 @@
       Check.amount("repeat_extra", absl::GetFlag(FLAGS_repeat_extra));
   Read.AllotmentCredit_ =
       Check.amount("allotment_credit", absl::GetFlag(FLAGS_allotment_credit));
-  std::chrono::duration<double> Counted(Check.amount(
-      "allotment_window_s", absl::GetFlag(FLAGS_allotment_window_s)));
-  Read.AllotmentWindow_ =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Counted);
   std::chrono::duration<double> Window(
       Check.amount("repeat_window_s", absl::GetFlag(FLAGS_repeat_window_s)));
   Read.RepeatWindow_ =
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -55,7 +55,6 @@
   std::chrono::milliseconds RepeatWindow_{10000};
   /// How far allotments may be overdrawn in all, in their unit.
   double AllotmentCredit_ = 0;
-  std::chrono::milliseconds AllotmentWindow_{8000};
   /// The file that the flags were read from, for a reload.
   std::string FlagFile_;
   /// Every daemon schedules by itself; the baseline of measurements.
