Count a repeat after a truthful refusal as no second dispatch; name the last stream's outcome

It counts by request, and by key only what was not refused. The new test failed before (1 finding where none is due).

--- a/FailureTests/CombinedTest.cpp
+++ b/FailureTests/CombinedTest.cpp
@@ -129,6 +129,8 @@
     auto Violations = Fleet.violations({.DaemonsKilled_ = true});
     CHECK_MESSAGE(Violations.empty(), joined(Violations));
     Fleet.awaitReady();
-    CHECK(Fleet.run(Fleet.stream(1)).Correct_);
+    CallRecord Last = Fleet.run(Fleet.stream(1));
+    CHECK_MESSAGE(Last.Correct_, "seed " << Seed << ": " << Last.Outcome_
+                                         << ", code " << Last.Code_);
   }
 }
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -145,6 +145,13 @@
   decide(Cell, Target);
 }
 
+double KeeperService::mostCells(const Document &Whole) {
+  std::uint32_t Most = 1;
+  for (const Pool &Known : Whole.Pools_)
+    Most = std::max(Most, cellCount(Known));
+  return Most;
+}
+
 std::optional<RefuseDecision>
 KeeperService::chargeAllotment(const CellId &Cell,
                                const AskedRequest &Request) {
@@ -156,7 +163,8 @@
     return std::nullopt;
   const Allotment &Allowed = Known->Allotment_;
   double Cost = allotmentCost(Allowed, Request);
-  double Share = Hooks_.LiveShare_();
+  // The keepers of a pool's cells know nothing of each other's counts.
+  double Share = Hooks_.LiveShare_() / mostCells(*Service->Document_);
   if (Allotments_.take(Request.Id_, Known->Name_, Allowed, Cost, Share,
                        steady_clock::now()))
     return std::nullopt;
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -90,6 +90,8 @@
   };
 
   KeptCell &kept(const CellId &Cell);
+  /// The most cells that a pool of the document has.
+  static double mostCells(const Document &Whole);
   std::optional<RefuseDecision> chargeAllotment(const CellId &Cell,
                                                 const AskedRequest &Request);
   void configure(const CellId &Cell, KeptCell &Target);
--- a/UnitTests/standins/CheckerTest.cpp
+++ b/UnitTests/standins/CheckerTest.cpp
@@ -70,6 +70,31 @@
   CHECK(found({Rude}, {}) == 1);
 }
 
+TEST_CASE("a caller's own repeat after a truthful refusal is no second "
+          "dispatch") {
+  // Symptom: "dispatched twice" of a key whose caller was told not-run and came
+  // back. Sequence: an engine refuses the first request; the repeat, a request
+  // of its own with the same nonce and key, runs. Cause: receipts were counted
+  // by nonce, whatever became of them.
+  auto Line = [](const std::string &Event, const std::string &Request) {
+    return LedgerLine{Event, "engine", Request, "a", "k"};
+  };
+  CallRecord Refused = notRun("a");
+  Refused.IdempotencyKey_ = "k";
+  CallRecord Repeated = answered("a");
+  Repeated.IdempotencyKey_ = "k";
+  CHECK(
+      found({Refused, Repeated}, {Line("received", "r1"), Line("refused", "r1"),
+                                  Line("received", "r2"), Line("ran", "r2"),
+                                  Line("finished", "r2")}) == 0);
+  // One request that comes twice is, also when it was refused.
+  CHECK(found({Repeated}, {Line("received", "r1"), Line("refused", "r1"),
+                           Line("received", "r1"), Line("ran", "r1")}) == 1);
+  // So are two requests of one key that were not refused, run or not.
+  CHECK(found({Repeated}, {Line("received", "r1"), Line("received", "r2"),
+                           Line("ran", "r2")}) == 1);
+}
+
 TEST_CASE("a second dispatch and a second run are found") {
   CHECK(found({answered("a")}, {line("received", "a"), line("received", "a"),
                                 line("ran", "a")}) == 1);
--- a/standins/Checker.cpp
+++ b/standins/Checker.cpp
@@ -23,11 +23,17 @@
   }
 }
 
-/// What the engines did with one nonce.
+/// What the engines did with one nonce, key or request.
 struct Seen {
   std::size_t Received_ = 0;
   std::size_t Refused_ = 0;
   std::size_t Ran_ = 0;
+
+  void count(const LedgerLine &Line) {
+    Received_ += Line.Event_ == "received";
+    Refused_ += Line.Event_ == "refused";
+    Ran_ += Line.Event_ == "ran";
+  }
 };
 
 class Check {
@@ -35,12 +41,15 @@
   Check(const std::vector<LedgerLine> &Ledger, CheckOptions Allowed)
       : Allowed_(Allowed) {
     for (const LedgerLine &Line : Ledger) {
-      Seen &Target = ByNonce_[Line.Nonce_];
-      Target.Received_ += Line.Event_ == "received";
-      Target.Refused_ += Line.Event_ == "refused";
-      Target.Ran_ += Line.Event_ == "ran";
-      if (Line.Event_ == "ran" && !Line.IdempotencyKey_.empty())
-        ++RunsByKey_[Line.IdempotencyKey_];
+      ByNonce_[Line.Nonce_].count(Line);
+      Seen &Request = ByRequest_[{Line.Request_, Line.Nonce_}];
+      Request.count(Line);
+      if (Request.Received_ > 1)
+        SentTwice_.insert(Line.Nonce_);
+      if (Line.IdempotencyKey_.empty())
+        continue;
+      Keyed_.insert(Line.Nonce_);
+      ByKey_[Line.IdempotencyKey_].count(Line);
     }
   }
 
@@ -48,15 +57,20 @@
     for (const CallRecord &Call : Calls)
       one(Call);
     for (const auto &[Nonce, Did] : ByNonce_) {
-      // A key's repeats carry their first attempt's nonce.
-      if (Did.Received_ > 1)
+      // A key's repeats carry their first attempt's nonce, as requests of their
+      // own: those are judged by their key.
+      bool Repeated = !Keyed_.contains(Nonce) && Did.Received_ > 1;
+      if (Repeated || SentTwice_.contains(Nonce))
         found(Nonce, "dispatched twice");
       if (Did.Ran_ > 1)
         found(Nonce, "ran twice");
     }
-    for (const auto &[Key, Runs] : RunsByKey_)
-      if (Runs > 1)
+    for (const auto &[Key, Did] : ByKey_) {
+      if (Did.Ran_ > 1)
         found(Key, "non-idempotent request ran twice");
+      else if (Did.Received_ > Did.Refused_ + 1)
+        found(Key, "non-idempotent request dispatched twice");
+    }
     return std::move(Findings_);
   }
 
@@ -94,7 +108,11 @@
 
   CheckOptions Allowed_;
   std::map<std::string, Seen> ByNonce_;
-  std::map<std::string, std::size_t> RunsByKey_;
+  std::map<std::string, Seen> ByKey_;
+  std::map<std::pair<std::string, std::string>, Seen> ByRequest_;
+  /// Nonces of requests that engines received more than once.
+  std::set<std::string> SentTwice_;
+  std::set<std::string> Keyed_;
   std::vector<std::string> Findings_;
 };
 
