--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -45,8 +45,9 @@
          Tier.Granted_ < Options_.GuaranteedShare_ * Tier.Arrived_;
 }
 
-/// What waits before a request of \p Tier, by the rate at which grants are
-/// ended that higher tiers will not take up again.
+/// What waits before a request of \p Tier, by the rate at which grants end
+/// that higher tiers will not take up again; or, if that is sooner, what waits
+/// in its own tier by the rate that the tier is guaranteed.
 milliseconds Scheduler::predictedWait(TierIndex Tier, TimePoint Now) {
   std::size_t Own = queueIndex(Tier);
   double Before = 0;
@@ -60,9 +61,14 @@
   if (Before == 0 || Ends < LeastEnds)
     return milliseconds(0);
   double Free = std::max(Ends - HigherArrivals, LeastPartOfRate * Ends);
-  constexpr double MillisPerSecond = 1000;
-  return milliseconds(
-      static_cast<std::int64_t>(MillisPerSecond * Before / Free));
+  double Seconds = Before / Free;
+  double Guaranteed =
+      Options_.GuaranteedShare_ * Tiers_[Own].RecentArrivals_.sum(Now);
+  if (Guaranteed > 0)
+    Seconds = std::min(Seconds,
+                       static_cast<double>(Tiers_[Own].Count_) / Guaranteed);
+  std::chrono::duration<double> Wait(Seconds);
+  return std::chrono::duration_cast<milliseconds>(Wait);
 }
 
 /// A request that would be refused after a long wait is refused at once.
--- /dev/null
+++ b/UnitTests/Common/SlidingCountTest.cpp
@@ -0,0 +1,18 @@
+#include "Common/SlidingCount.h"
+
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+TEST_CASE("what happened longer ago than the window does not count") {
+  SlidingCount<5> Count(milliseconds(1000));
+  SlidingCount<5>::TimePoint Now{std::chrono::seconds(100)};
+  Count.add(Now, 3);
+  Count.add(Now + milliseconds(500));
+  CHECK(Count.sum(Now + milliseconds(500)) == 4);
+  CHECK(Count.sum(Now + milliseconds(1000)) == 1);
+  CHECK(Count.sum(Now + milliseconds(1500)) == 0);
+  Count.add(Now + std::chrono::hours(5));
+  CHECK(Count.sum(Now + std::chrono::hours(5)) == 1);
+}
--- /dev/null
+++ b/UnitTests/Process/FreshnessLeaseTest.cpp
@@ -0,0 +1,44 @@
+#include "Process/FreshnessLease.h"
+
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using std::chrono::seconds;
+
+namespace {
+constexpr BootTime Start{seconds(1000)};
+} // namespace
+
+TEST_CASE("before anything was read nothing is fresh") {
+  CHECK_FALSE(FreshnessLease(seconds(5)).valid(Start));
+  CHECK_FALSE(FreshnessLease(seconds(0)).valid(Start));
+}
+
+TEST_CASE("a pause that outlasts the lease ends it, though an answer was read "
+          "after it") {
+  // Symptom: a key works seconds after it was taken away.
+  // Sequence: a watch is sent, answered and not read, since the process is
+  // frozen; the key is taken away; the process wakes and reads the old answer.
+  // Cause: freshness was counted from the reading of the answer.
+  FreshnessLease Lease(seconds(5));
+  BootTime Sent = Start;
+  BootTime Woken = Start + seconds(6);
+  Lease.renew(Sent);
+  CHECK_FALSE(Lease.valid(Woken));
+  Lease.renew(Woken);
+  CHECK(Lease.valid(Woken + seconds(4)));
+}
+
+TEST_CASE("an answer that comes late takes nothing back") {
+  FreshnessLease Lease(seconds(5));
+  Lease.renew(Start + seconds(3));
+  Lease.renew(Start);
+  CHECK(Lease.valid(Start + seconds(7)));
+  CHECK(Lease.age(Start + seconds(7)) == seconds(4));
+}
+
+TEST_CASE("without a bound what was read once stays fresh") {
+  FreshnessLease Lease(seconds(0));
+  Lease.renew(Start);
+  CHECK(Lease.valid(Start + std::chrono::hours(1)));
+}
--- /dev/null
+++ b/UnitTests/Process/SchedulerAdmissionTest.cpp
@@ -0,0 +1,205 @@
+/// \file
+/// Admission by objectives, with loads replayed through the scheduler alone.
+
+#include "Process/Scheduler.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+Scheduler::Options byObjective() {
+  Scheduler::Options Options;
+  Options.TierCount_ = 2;
+  Options.GuaranteedShare_ = 0.5;
+  Options.RefuseLongWaits_ = true;
+  Options.Preempt_ = false;
+  Options.RefuseInfeasible_ = false;
+  return Options;
+}
+
+/// A kind of request, as a load sends it.
+struct Kind {
+  std::uint32_t Tier_;
+  milliseconds Every_;   ///< One comes in each such span.
+  milliseconds Service_; ///< How long it holds its place.
+  milliseconds Objective_{500};
+  milliseconds MaxWait_{2000};
+};
+
+struct Served {
+  int Asked_ = 0;
+  int InTime_ = 0;
+  int Late_ = 0;
+  int Refused_ = 0;
+  milliseconds LongestHeld_{0}; ///< Of those that were refused.
+};
+
+/// Plays kinds of requests against a scheduler in steps of a millisecond.
+class Replay {
+public:
+  Replay(Scheduler::Options Options, std::uint32_t Engines,
+         std::uint32_t Places)
+      : Scheduler_(Options) {
+    std::vector<ServerCapacity> Servers;
+    for (std::uint32_t Index = 0; Index < Engines; ++Index)
+      Servers.push_back(
+          {ServerName(fmt::format("engine-{}", Index)), Places, true});
+    Scheduler_.configure(std::move(Servers), {}, Options.TierCount_, 10000);
+  }
+
+  void run(milliseconds Length, const std::vector<Kind> &Kinds) {
+    auto End = Now_ + Length;
+    for (; Now_ < End; Now_ += milliseconds(1)) {
+      endDue();
+      for (const Kind &Each : Kinds)
+        if ((Now_ - Start) % Each.Every_ == milliseconds(0))
+          ask(Each);
+      take(Scheduler_.decide(Now_));
+    }
+  }
+  const Served &served(std::uint32_t Tier) { return Served_[Tier]; }
+
+private:
+  struct Sent {
+    Kind Kind_;
+    TimePoint At_;
+  };
+
+  void ask(const Kind &Each) {
+    AskedRequest Asked;
+    Asked.Id_ = {1, ++Sequence_};
+    Asked.Tier_ = TierIndex(Each.Tier_);
+    Asked.Customer_ = CustomerName("c");
+    Asked.Deadline_ = Now_ + milliseconds(15000);
+    Asked.Objective_ = Now_ + Each.Objective_;
+    Asked.MaxWait_ = Each.MaxWait_;
+    Sent_[Asked.Id_] = {Each, Now_};
+    ++Served_[Each.Tier_].Asked_;
+    take(Scheduler_.ask(std::move(Asked), Now_));
+  }
+
+  void take(const std::vector<Decision> &Decisions) {
+    for (const Decision &Taken : Decisions) {
+      if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
+        granted(Grant->Id_);
+      else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
+        refused(Refusal->Id_);
+    }
+  }
+  void granted(const RequestId &Id) {
+    const Sent &Asked = Sent_.at(Id);
+    Served &Count = Served_[Asked.Kind_.Tier_];
+    bool InTime = Now_ - Asked.At_ <= Asked.Kind_.Objective_;
+    ++(InTime ? Count.InTime_ : Count.Late_);
+    Ends_.emplace(Now_ + Asked.Kind_.Service_, Id);
+  }
+  void refused(const RequestId &Id) {
+    const Sent &Asked = Sent_.at(Id);
+    Served &Count = Served_[Asked.Kind_.Tier_];
+    ++Count.Refused_;
+    auto Held = std::chrono::duration_cast<milliseconds>(Now_ - Asked.At_);
+    Count.LongestHeld_ = std::max(Count.LongestHeld_, Held);
+  }
+  void endDue() {
+    while (!Ends_.empty() && Ends_.begin()->first <= Now_) {
+      ServedSample Seen;
+      Seen.Reached_ = true;
+      Seen.Complete_ = true;
+      Scheduler_.done(Ends_.begin()->second, Seen, Now_);
+      Ends_.erase(Ends_.begin());
+    }
+  }
+
+  Scheduler Scheduler_;
+  TimePoint Now_ = Start;
+  std::uint64_t Sequence_ = 0;
+  std::map<RequestId, Sent> Sent_;
+  std::multimap<TimePoint, RequestId> Ends_;
+  std::map<std::uint32_t, Served> Served_;
+};
+
+/// Short dear requests, and long cheap ones that alone need all places.
+const Kind Dear{0, milliseconds(20), milliseconds(250)};
+const Kind Cheap{1, milliseconds(20), milliseconds(1400)};
+
+} // namespace
+
+TEST_CASE("a burst of long cheap streams keeps no dear request waiting") {
+  // Load: 50 a second of each kind on 60 places; the cheap ones alone want 70.
+  Replay Load(byObjective(), 10, 6);
+  Load.run(milliseconds(10000), {Dear, Cheap});
+  const Served &Dearest = Load.served(0);
+  CHECK(Dearest.InTime_ == Dearest.Asked_);
+}
+
+TEST_CASE("under that burst cheap ones are served in time or refused at once, "
+          "not all of them late") {
+  Replay Load(byObjective(), 10, 6);
+  Load.run(milliseconds(10000), {Dear, Cheap});
+  const Served &Cheapest = Load.served(1);
+  // 60 places less the 12.5 that dear ones hold serve 34 a second of 50.
+  CHECK(Cheapest.InTime_ + Cheapest.Late_ > 300);
+  CHECK(Cheapest.InTime_ > 2 * Cheapest.Late_);
+}
+
+TEST_CASE("a tier that higher ones crowd out keeps its guaranteed part") {
+  // Load: dear requests alone want twice what there is.
+  const Kind Flood{0, milliseconds(5), milliseconds(600)};
+  Replay Load(byObjective(), 10, 6);
+  Load.run(milliseconds(10000), {Flood, Cheap});
+  const Served &Cheapest = Load.served(1);
+  CHECK(Cheapest.InTime_ + Cheapest.Late_ > Cheapest.Asked_ * 2 / 5);
+}
+
+TEST_CASE("strict order, without a guaranteed part, starves it") {
+  // The same load without the mechanism: what the case before prevents.
+  const Kind Flood{0, milliseconds(5), milliseconds(600)};
+  auto Options = byObjective();
+  Options.GuaranteedShare_ = 0;
+  Replay Load(Options, 10, 6);
+  Load.run(milliseconds(10000), {Flood, Cheap});
+  const Served &Cheapest = Load.served(1);
+  CHECK(Cheapest.InTime_ + Cheapest.Late_ < Cheapest.Asked_ / 5);
+}
+
+TEST_CASE("nobody is held for longer than it may wait") {
+  Replay Load(byObjective(), 2, 6);
+  Load.run(milliseconds(10000), {Cheap});
+  CHECK(Load.served(1).Refused_ > 0);
+  CHECK(Load.served(1).LongestHeld_ <= Cheap.MaxWait_ + milliseconds(1));
+}
+
+TEST_CASE("an engine that fails what it gets loses its work to the others") {
+  Scheduler Deciding(byObjective());
+  Deciding.configure(
+      {{ServerName("good"), 4, true}, {ServerName("bad"), 4, true}}, {}, 2,
+      100);
+  int ToBad = 0;
+  for (std::uint64_t Number = 1; Number <= 200; ++Number) {
+    auto Now = Start + milliseconds(10 * Number);
+    AskedRequest Asked;
+    Asked.Id_ = {1, Number};
+    Asked.Customer_ = CustomerName("c");
+    Asked.Deadline_ = Now + milliseconds(1000);
+    Deciding.ask(Asked, Now);
+    auto Decisions = Deciding.decide(Now);
+    REQUIRE(Decisions.size() == 1);
+    const auto &Grant = std::get<GrantDecision>(Decisions.front());
+    bool Bad = Grant.Server_ == ServerName("bad");
+    ToBad += Bad;
+    ServedSample Seen;
+    Seen.Reached_ = true;
+    Seen.Complete_ = !Bad;
+    Seen.Faulty_ = Bad;
+    Deciding.done(Asked.Id_, Seen, Now);
+  }
+  CHECK(ToBad < 20);
+}
--- /dev/null
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -0,0 +1,350 @@
+#include "UnitTests/Request/ForwardingHarness.h"
+
+#include "Common/Hash.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace samphireshunt::tests {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+const ServiceName Service("fleet");
+const PoolName ThePool("pool");
+constexpr std::size_t ReadBytes = 4096;
+/// Far longer than any case takes, short enough to see that one hangs.
+constexpr std::chrono::seconds LongestCase{10};
+
+Endpoint anyPort() { return {asio::ip::make_address("127.0.0.1"), 0}; }
+
+std::size_t headEnd(const std::string &Bytes) {
+  constexpr std::string_view Blank = "\r\n\r\n";
+  std::size_t At = Bytes.find(Blank);
+  return At == std::string::npos ? At : At + Blank.size();
+}
+
+/// True when \p Bytes hold a whole message, by its length or its last chunk.
+bool isWhole(const std::string &Bytes) {
+  std::size_t End = headEnd(Bytes);
+  if (End == std::string::npos)
+    return false;
+  std::string Length = fieldIn(Bytes, "content-length");
+  if (!Length.empty())
+    return Bytes.size() - End >= std::stoul(Length);
+  if (!fieldIn(Bytes, "transfer-encoding").empty())
+    return Bytes.ends_with(LastChunk);
+  return true;
+}
+
+Awaitable<bool> readMore(Tcp::socket &Socket, std::string &Into) {
+  std::array<char, ReadBytes> Space;
+  boost::system::error_code Error;
+  std::size_t Count = co_await Socket.async_read_some(
+      asio::buffer(Space), asio::redirect_error(asio::use_awaitable, Error));
+  Into.append(Space.data(), Count);
+  co_return !Error;
+}
+
+} // namespace
+
+ScriptedServer::ScriptedServer(asio::io_context &Context, ScriptOf Decide)
+    : Acceptor_(Context, anyPort()), Decide_(std::move(Decide)) {
+  auto Accept = [this]() { return accept(); };
+  asio::co_spawn(Context, std::move(Accept), asio::detached);
+}
+
+Awaitable<void> ScriptedServer::accept() {
+  while (true) {
+    Tcp::socket Socket = co_await Acceptor_.async_accept(asio::use_awaitable);
+    ++Connections_;
+    auto Executor = Socket.get_executor();
+    auto Shared = std::make_shared<Tcp::socket>(std::move(Socket));
+    auto Serve = [this, Shared]() { return serve(std::move(*Shared)); };
+    asio::co_spawn(Executor, std::move(Serve), asio::detached);
+  }
+}
+
+Awaitable<void> ScriptedServer::serve(Tcp::socket Socket) {
+  std::string Request;
+  Script Now;
+  bool Decided = false;
+  while (true) {
+    if (!Decided && headEnd(Request) != std::string::npos) {
+      Now = Decide_(Request, Requests_.size());
+      Decided = true;
+    }
+    bool Enough = Decided && Now.AnswerAfterBytes_ > 0 &&
+                  Request.size() >= Now.AnswerAfterBytes_;
+    if (!Enough && !isWhole(Request)) {
+      bool More = co_await readMore(Socket, Request);
+      if (More)
+        continue;
+      ++Closed_;
+      co_return;
+    }
+    Requests_.push_back(std::exchange(Request, {}));
+    Decided = false;
+    boost::system::error_code Error;
+    auto Buffer = asio::buffer(Now.Bytes_);
+    co_await asio::async_write(
+        Socket, Buffer, asio::redirect_error(asio::use_awaitable, Error));
+    if (Now.Then_ == Script::Then::Close)
+      co_return;
+    if (Now.Then_ == Script::Then::Reset) {
+      // Closed here: the destructor would take the option back.
+      Socket.set_option(asio::socket_base::linger(true, 0), Error);
+      Socket.close(Error);
+      co_return;
+    }
+    if (Now.Then_ == Script::Then::KeepOpen)
+      continue;
+    std::string Ignored;
+    bool Open = true;
+    while (Open)
+      Open = co_await readMore(Socket, Ignored);
+    ++Closed_;
+    co_return;
+  }
+}
+
+int CallerSaw::status() const {
+  constexpr std::size_t StatusAt = 9;
+  constexpr std::size_t StatusDigits = 3;
+  if (Bytes_.size() < StatusAt + StatusDigits)
+    return 0;
+  return std::stoi(Bytes_.substr(StatusAt, StatusDigits));
+}
+
+std::string CallerSaw::body() const {
+  std::size_t End = headEnd(Bytes_);
+  return End == std::string::npos ? std::string() : Bytes_.substr(End);
+}
+
+bool CallerSaw::hasLastChunk() const { return Bytes_.ends_with(LastChunk); }
+
+ForwardingHarness::ForwardingHarness(Options Wanted,
+                                     std::vector<ScriptOf> Servers)
+    : Options_(Wanted), Lease_(Wanted.Lease_) {
+  for (ScriptOf &Decide : Servers)
+    Servers_.push_back(
+        std::make_unique<ScriptedServer>(Context_, std::move(Decide)));
+  Lease_.renew(BootClock::now());
+  GrantClient::Hooks ClientHooks;
+  ClientHooks.KeeperOf_ = [](const CellId &, const std::vector<VmId> &) {
+    return std::optional(VmId("vm"));
+  };
+  ClientHooks.Suspect_ = [](const VmId &) {};
+  Grants_ = std::make_unique<GrantClient>(Context_, VmId("vm"),
+                                          std::move(ClientHooks));
+  KeeperService::Hooks Hooks;
+  Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
+    Grants_->onDecision(Taken, VmId("vm"));
+  };
+  Hooks.Orphaned_ = [](const OrphanedRequest &) {};
+  Hooks.AloneInFleet_ = [] { return true; };
+  Hooks.IsKeeper_ = [](const CellId &) { return true; };
+  Hooks.LiveShare_ = [] { return 1.0; };
+  Hooks.FloorRaised_ = [] {};
+  KeeperService::Options Keeping;
+  Keeping.Scheduling_.GuaranteedShare_ = 0.5;
+  Keeping.Scheduling_.RefuseInfeasible_ = false;
+  Keeping.Scheduling_.Preempt_ = false;
+  Keeper_ = std::make_unique<KeeperService>(Context_, Documents_, Keeping,
+                                            std::move(Hooks));
+  Grants_->setLocalKeeper(Keeper_.get());
+  Documents_.onChanged(
+      [this](const ServiceName &, DocumentVersion) { Keeper_->refresh(); });
+  publish();
+  adopt({"key"});
+  Callers_ = std::make_unique<CallerService>(
+      services(), [] { return true; },
+      [this] {
+        return RequestId{1, NextId_++};
+      });
+  HttpServerOptions Listening;
+  Listening.Address_ = anyPort();
+  Listening.Handler_ = [this](HttpExchange &Exchange) {
+    return Callers_->handle(Exchange);
+  };
+  Front_ = std::move(
+      *HttpServer::create(Context_, {&Context_}, std::move(Listening)));
+}
+
+RequestServices ForwardingHarness::services() {
+  return {Documents_,
+          *Grants_,
+          Claims_,
+          Connections_,
+          VmId("vm"),
+          Incarnation(1),
+          [](const VmId &, Incarnation) { return true; },
+          [](const RequestReport &) {},
+          nullptr,
+          Dialect_,
+          Lease_,
+          Repeats_,
+          [](const ForwardingRule &) { return true; },
+          [] { return std::size_t{1}; }};
+}
+
+void ForwardingHarness::publish(std::vector<std::size_t> Leaving,
+                                std::vector<std::size_t> Gone) {
+  std::vector<BackendServer> Listed;
+  for (std::size_t Index = 0; Index < Servers_.size(); ++Index) {
+    if (std::ranges::count(Gone, Index))
+      continue;
+    BackendServer Built;
+    Built.Name_ = ServerName(fmt::format("server-{}", Index));
+    Built.Address_ = Servers_[Index]->address();
+    Built.MaxInFlight_ = Options_.MaxInFlight_;
+    Built.Leaving_ = std::ranges::count(Leaving, Index) > 0;
+    Listed.push_back(std::move(Built));
+  }
+  Documents_.setServers(Service, {{ThePool, std::move(Listed)}});
+}
+
+void ForwardingHarness::adopt(std::vector<std::string> Keys) {
+  Document Built;
+  Built.Service_ = Service;
+  Built.Tiers_ = {"0"};
+  Pool Target;
+  Target.Name_ = ThePool;
+  Target.FromDirectory_ = true;
+  Built.Pools_.push_back(std::move(Target));
+  Route Only;
+  Only.PathPrefix_ = "/";
+  Only.Pool_ = ThePool;
+  ForwardingRule Rule;
+  Rule.Kind_ = Options_.Kind_;
+  Rule.Resumable_ = Options_.Resumable_;
+  Rule.MaxAttempts_ = Options_.Attempts_;
+  Rule.Timeout_ = milliseconds(3000);
+  Rule.Objective_ = milliseconds(500);
+  Rule.Anonymous_ = !Options_.Keyed_;
+  Rule.Targets_ = {{ThePool, 1}};
+  Only.Forwarding_ = std::move(Rule);
+  Built.Routes_.push_back(std::move(Only));
+  Customer Caller;
+  Caller.Name_ = CustomerName("customer");
+  std::ranges::transform(Keys, std::back_inserter(Caller.KeyDigests_),
+                         [](const std::string &Key) { return sha256Hex(Key); });
+  Built.Customers_.push_back(std::move(Caller));
+  Built.buildIndex();
+  Documents_.adopt(Service, DocumentVersion(++Version_),
+                   std::make_shared<const Document>(std::move(Built)));
+}
+
+Awaitable<void> ForwardingHarness::ask(std::string Bytes,
+                                       std::shared_ptr<CallerSaw> Saw) {
+  auto Socket = std::make_shared<Tcp::socket>(Context_);
+  Saw->Connection_ = Socket;
+  boost::system::error_code Error;
+  co_await Socket->async_connect(
+      Front_->address(), asio::redirect_error(asio::use_awaitable, Error));
+  auto Buffer = asio::buffer(Bytes);
+  co_await asio::async_write(*Socket, Buffer,
+                             asio::redirect_error(asio::use_awaitable, Error));
+  bool Open = !Error;
+  while (Open && !isWhole(Saw->Bytes_))
+    Open = co_await readMore(*Socket, Saw->Bytes_);
+  Saw->Ended_ = true;
+}
+
+std::shared_ptr<CallerSaw>
+ForwardingHarness::begin(const std::string &CallId, const std::string &Body,
+                         const std::string &MoreFields) {
+  std::string Bytes = fmt::format(
+      "POST /p HTTP/1.1\r\nHost: h\r\nX-Call-Id: {}\r\nAuthorization: Bearer "
+      "key\r\nContent-Length: {}\r\n{}\r\n{}",
+      CallId, Body.size(), MoreFields, Body);
+  auto Saw = std::make_shared<CallerSaw>();
+  auto Ask = [this, Bytes, Saw]() { return ask(Bytes, Saw); };
+  asio::co_spawn(Context_, std::move(Ask), asio::detached);
+  return Saw;
+}
+
+CallerSaw ForwardingHarness::call(const std::string &CallId,
+                                  const std::string &Body,
+                                  const std::string &MoreFields) {
+  auto Saw = begin(CallId, Body, MoreFields);
+  runUntil([&] { return Saw->Ended_; });
+  return *Saw;
+}
+
+void ForwardingHarness::leave(const CallerSaw &Call) {
+  if (auto Socket = Call.Connection_.lock())
+    Socket->close();
+}
+
+bool ForwardingHarness::runUntil(const std::function<bool()> &Done) {
+  auto End = steady_clock::now() + LongestCase;
+  Context_.restart();
+  while (!Done() && steady_clock::now() < End)
+    Context_.run_one_for(milliseconds(50));
+  return Done();
+}
+
+std::size_t ForwardingHarness::received() const {
+  std::size_t Sum = 0;
+  for (const auto &Server : Servers_)
+    Sum += Server->requests().size();
+  return Sum;
+}
+
+std::string wholeAnswer(const std::string &CallId, const std::string &Body,
+                        int Status) {
+  return fmt::format("HTTP/1.1 {} Answer\r\nX-Call-Id: {}\r\nX-Answer-Proof: "
+                     "p\r\nContent-Length: {}\r\n\r\n{}",
+                     Status, CallId, Body.size(), Body);
+}
+
+std::string streamHead(const std::string &CallId) {
+  return fmt::format("HTTP/1.1 200 OK\r\nX-Call-Id: {}\r\nX-Answer-Proof: "
+                     "p\r\nContent-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n",
+                     CallId);
+}
+
+std::string chunk(const std::string &Data) {
+  return fmt::format("{:x}\r\n{}\r\n", Data.size(), Data);
+}
+
+std::string eventChunk(int Id, const std::string &Data) {
+  return chunk(fmt::format("id: {}\ndata: {}\n\n", Id, Data));
+}
+
+std::string refusal(const std::string &CallId) {
+  return fmt::format("HTTP/1.1 503 Full\r\nX-Call-Id: {}\r\nX-Not-Run: "
+                     "1\r\nContent-Length: 0\r\n\r\n",
+                     CallId);
+}
+
+std::string fieldIn(const std::string &Bytes, const std::string &Name) {
+  std::string Lower = Bytes.substr(0, headEnd(Bytes));
+  std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  std::size_t At = Lower.find("\r\n" + Name + ":");
+  if (At == std::string::npos)
+    return {};
+  At += Name.size() + 3;
+  std::size_t End = Bytes.find("\r\n", At);
+  std::string Value = Bytes.substr(At, End - At);
+  Value.erase(0, Value.find_first_not_of(' '));
+  return Value;
+}
+
+} // namespace samphireshunt::tests
--- /dev/null
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -0,0 +1,118 @@
+#include "platform/Configuration.h"
+
+#include "Common/Hash.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+namespace {
+
+Json example() {
+  return Json::parse(R"({"version":7,
+    "routes":[
+      {"name":"r-1","hostname":"a.example","prefix":"/s/","kind":"streaming",
+       "timeout-ms":6000,"goal-ms":800,"priority":0,"attempts":1,
+       "anonymous":false,"sticky":true,"resumable":false,"gap-target-ms":400,
+       "backends":[{"service":"engines","weight":90},
+                   {"service":"plain","weight":10}]},
+      {"name":"r-2","hostname":"a.example","prefix":"/u/","kind":"unsafe",
+       "timeout-ms":800,"priority":2,"service":"plain","attempts":3}],
+    "services":[
+      {"name":"engines","health-path":"/healthz","max-conns":490,
+       "backend":{"batch-size":7,"kv-capacity":187300}},
+      {"name":"plain","max-conns":100}],
+    "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
+              "header-timeout-ms":3000,"idle-timeout-ms":15000},
+    "tenants":[{"name":"t-1","api-keys":["key-a","key-b"],"unit":"tokens",
+                "plain-tokens":200,"rate-per-s":153443,"burst":1000}]})");
+}
+
+std::shared_ptr<const Document> readExample() {
+  auto Read = platform::readConfiguration(example().dump());
+  REQUIRE(Read.has_value());
+  CHECK(Read->Version_ == DocumentVersion(7));
+  return Read->Document_;
+}
+
+} // namespace
+
+TEST_CASE("a configuration becomes a document with forwarding rules") {
+  auto Document = readExample();
+  const Route *Split = Document->route("/s/1", "a.example:80");
+  REQUIRE(Split);
+  const ForwardingRule &Rule = *Split->Forwarding_;
+  CHECK(Rule.Kind_ == RequestKind::Stream);
+  CHECK_FALSE(Rule.repeatable());
+  CHECK(Rule.Timeout_ == milliseconds(6000));
+  CHECK(Rule.Objective_ == milliseconds(800));
+  CHECK(Rule.MaxEventGap_ == milliseconds(400));
+  CHECK(Rule.Targets_.size() == 2);
+  CHECK(Rule.Targets_[0].Weight_ == 90);
+  CHECK(Rule.Tier_ == TierIndex(0));
+  const Route *Unsafe = Document->route("/u/x", "a.example");
+  REQUIRE(Unsafe);
+  CHECK(Unsafe->Forwarding_->Kind_ == RequestKind::NonIdempotent);
+  CHECK(Unsafe->Forwarding_->Tier_ == TierIndex(1));
+  CHECK(Document->route("/u/x", "b.example") == nullptr);
+  CHECK(Document->pool(PoolName("engines"))->CacheTokens_ == Tokens(187300));
+  CHECK(Document->Limits_.IdleTimeout_ == milliseconds(15000));
+}
+
+TEST_CASE("keys are kept as digests, allotments in their unit") {
+  auto Document = readExample();
+  const Customer *Known = Document->customerByKeyDigest(sha256Hex("key-b"));
+  REQUIRE(Known);
+  CHECK(Known->Name_ == CustomerName("t-1"));
+  CHECK(Known->Allotment_.CountsTokens_);
+  CHECK(Known->Allotment_.PerSecond_ == 153443);
+  CHECK(Known->Allotment_.TokensOfOther_ == Tokens(200));
+  CHECK(Document->customerByKeyDigest(sha256Hex("key-c")) == nullptr);
+}
+
+TEST_CASE("a kind that is not known is never repeated") {
+  Json Changed = example();
+  Changed["routes"][1]["kind"] = "new-kind";
+  auto Read = platform::readConfiguration(Changed.dump());
+  REQUIRE(Read.has_value());
+  const Route *Found = Read->Document_->route("/u/", "a.example");
+  CHECK_FALSE(Found->Forwarding_->repeatable());
+}
+
+TEST_CASE("what can't be read is a numbered failure") {
+  CHECK(platform::readConfiguration("{").error().Code_ ==
+        ResultCode::DocumentSyntax);
+  CHECK(platform::readConfiguration("[]").error().Code_ ==
+        ResultCode::DocumentSyntax);
+  for (const char *Field : {"version", "routes", "services"}) {
+    Json Changed = example();
+    Changed.erase(Field);
+    CHECK(platform::readConfiguration(Changed.dump()).error().Code_ ==
+          ResultCode::DocumentSchema);
+  }
+  Json Changed = example();
+  Changed["routes"][0]["hostname"] = 5;
+  CHECK(platform::readConfiguration(Changed.dump()).error().Code_ ==
+        ResultCode::DocumentSchema);
+}
+
+TEST_CASE("an entry of the directory becomes a backend server") {
+  Json Entry = {{"service", "engines"}, {"address", "10.1.2.3:80"},
+                {"zone", "z"},          {"batch-size", 7},
+                {"state", "draining"},  {"sequence", 4}};
+  auto Read = platform::readServer("i-1", Entry.dump());
+  REQUIRE(Read.has_value());
+  CHECK(Read->Pool_ == PoolName("engines"));
+  CHECK(Read->Server_.Name_ == ServerName("i-1"));
+  CHECK(Read->Server_.MaxInFlight_ == 7);
+  CHECK(Read->Server_.Leaving_);
+  Entry.erase("address");
+  CHECK(platform::readServer("i-1", Entry.dump()).error().Code_ ==
+        ResultCode::DocumentSchema);
+  Entry["address"] = "nowhere";
+  CHECK(platform::readServer("i-1", Entry.dump()).error().Code_ ==
+        ResultCode::DocumentSchema);
+}
--- /dev/null
+++ b/UnitTests/platform/FakeStore.h
@@ -0,0 +1,70 @@
+#pragma once
+/// \file
+/// The platform's metadata store, written anew over its published protocol, in
+/// the test's own thread, with faults.
+
+#include "Connection/Http.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace samphireshunt::tests {
+
+class FakeStore {
+public:
+  explicit FakeStore(boost::asio::io_context &Context);
+
+  Endpoint address() const { return Server_->address(); }
+  /// Writes as operators and servers do, past the protocol.
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  /// The value of a key; empty when it does not exist.
+  std::string get(const std::string &Key) const;
+  /// Forgets all changes so far.
+  void dropHistory() { HistoryFrom_ = Revision_; }
+  std::size_t calls(const std::string &Path) const;
+
+  /// Answers every call with this status; 0: answers properly.
+  int FailWith_ = 0;
+  /// Takes calls and never answers.
+  bool Silent_ = false;
+  /// This many writes are done and not answered.
+  int LoseWriteAnswers_ = 0;
+  std::size_t PageSize_ = 500;
+
+private:
+  struct Item {
+    std::string Value_;
+    std::uint64_t Revision_ = 0;
+  };
+  struct Change {
+    std::string Key_;
+    std::uint64_t Revision_;
+    bool Removed_;
+  };
+
+  Awaitable<void> handle(HttpExchange &Exchange);
+  Awaitable<HttpResponse> watch(const HttpRequest &Request);
+  HttpResponse range(const HttpRequest &Request) const;
+  HttpResponse key(const HttpRequest &Request) const;
+  HttpResponse transaction(const HttpRequest &Request);
+  nlohmann::json itemOf(const std::string &Key, const Item &Stored) const;
+
+  boost::asio::io_context &Context_;
+  std::unique_ptr<HttpServer> Server_;
+  std::map<std::string, Item> Items_;
+  std::vector<Change> Changes_;
+  std::map<std::string, std::size_t> Calls_;
+  std::uint64_t Revision_ = 1;
+  std::uint64_t HistoryFrom_ = 0;
+};
+
+/// Runs \p Context until \p Done, some seconds at the most.
+bool runUntil(boost::asio::io_context &Context,
+              const std::function<bool()> &Done);
+
+} // namespace samphireshunt::tests
--- /dev/null
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -0,0 +1,73 @@
+#include "platform/Headers.h"
+
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+namespace {
+const ForwardingDialect Dialect = platform::platformDialect();
+} // namespace
+
+TEST_CASE("a caller's labels are read into typed values") {
+  HttpFields Fields = {
+      {"x-samphireshunt-request-id", "9c41"},
+      {"x-samphireshunt-deadline-ms", "6000"},
+      {"x-samphireshunt-token-count", "1460,80"},
+      {"x-samphireshunt-length-hint", "12"},
+      {"x-samphireshunt-prompt-prefix", "5c1e07a2:800,91bd3f06:410"}};
+  CallLabels Labels = Dialect.ReadCall_(Fields);
+  CHECK(Labels.CallId_ == "9c41");
+  CHECK(Labels.Timeout_ == milliseconds(6000));
+  CHECK(Labels.Prompt_ == Tokens(1460));
+  CHECK(Labels.MaxAnswer_ == Tokens(80));
+  CHECK(Labels.GuessedAnswer_ == Tokens(12));
+  REQUIRE(Labels.Parts_.size() == 2);
+  CHECK(Labels.Parts_[1].Id_ == 0x91bd3f06);
+  CHECK(Labels.Parts_[1].Length_ == Tokens(410));
+}
+
+TEST_CASE("labels that can't be read are absent, not zero") {
+  CallLabels Labels =
+      Dialect.ReadCall_({{"x-samphireshunt-deadline-ms", "soon"},
+                         {"x-samphireshunt-token-count", "12"},
+                         {"x-samphireshunt-prompt-prefix", "5c:800,zz:1"}});
+  CHECK_FALSE(Labels.Timeout_.has_value());
+  CHECK(Labels.Prompt_ == Tokens(12));
+  CHECK_FALSE(Labels.MaxAnswer_.has_value());
+  CHECK(Labels.Parts_.size() == 1);
+}
+
+TEST_CASE("what only this system may set never comes from a caller") {
+  HttpFields Fields = {{"x-samphireshunt-tenant", "somebody"},
+                       {"x-samphireshunt-retention", "r"},
+                       {"x-samphireshunt-pin-ms", "1"},
+                       {"x-samphireshunt-kv-backup", "10.0.0.1:1"},
+                       {"kv-from", "10.0.0.1:1/h"},
+                       {"kv-fetch", "10.0.0.1:1"},
+                       {"x-samphireshunt-deadline-ms", "9999"},
+                       {"x-other", "kept"}};
+  ForwardLabels Labels;
+  Labels.Timeout_ = milliseconds(700);
+  Labels.Server_ = ServerName("i-1");
+  Dialect.WriteForward_(Fields, Labels);
+  CHECK(Fields == HttpFields{{"x-samphireshunt-deadline-ms", "700"},
+                             {"x-samphireshunt-expect-instance", "i-1"},
+                             {"x-other", "kept"}});
+  Labels.Customer_ = CustomerName("t-1");
+  Dialect.WriteForward_(Fields, Labels);
+  CHECK(Fields.at("x-samphireshunt-tenant") == "t-1");
+}
+
+TEST_CASE("only a server's own word says that it did not run") {
+  HttpResponse Answer;
+  Answer.Status_ = 503;
+  CHECK_FALSE(Dialect.ReadAnswer_(Answer).NotRun_);
+  Answer.Fields_["x-samphireshunt-not-executed"] = "1";
+  Answer.Fields_["x-samphireshunt-server-load"] = "3,2,8";
+  CHECK(Dialect.ReadAnswer_(Answer).NotRun_);
+  CHECK(Dialect.ReadAnswer_(Answer).Waiting_ == 2U);
+  HttpResponse Misdirected;
+  Misdirected.Status_ = 421;
+  CHECK(Dialect.ReadAnswer_(Misdirected).NotRun_);
+}
--- /dev/null
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -0,0 +1,205 @@
+/// \file
+/// What a daemon believes of configuration and servers while the platform's
+/// store is well, away, slow to tell, or has lost its history.
+
+#include "Process/StoreFollower.h"
+
+#include "UnitTests/platform/FakeStore.h"
+#include "platform/Configuration.h"
+#include "platform/Store.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+const ServiceName Service("platform");
+const PoolName ThePool("s");
+constexpr milliseconds Lease{400};
+
+std::string configuration(int Version) {
+  return fmt::format(R"({{"version":{},"routes":[],"services":[{{"name":"s"}}],
+                         "limits":{{}}}})",
+                     Version);
+}
+
+std::string serverEntry(const std::string &State) {
+  return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
+                         "state":"{}","batch-size":2}})",
+                     State);
+}
+
+class FollowerFixture {
+public:
+  FollowerFixture() : Store_(Context_), Freshness_(Lease) {
+    Store_.put("op/config", configuration(3));
+    Store_.put("servers/i-1", serverEntry("ready"));
+    follow();
+  }
+  /// A daemon that begins to follow.
+  void follow() {
+    StoreFollower::Options Options;
+    Options.WatchTime_ = milliseconds(100);
+    Options.FirstPause_ = milliseconds(5);
+    Options.LongestPause_ = milliseconds(10);
+    Options.RegisterAgainTime_ = milliseconds(150);
+    StoreFollower::Hooks Hooks;
+    Hooks.DaemonSeen_ = [this](const VmId &Id, const std::string &Address) {
+      Seen_[Id] = Address;
+    };
+    Follower_ = std::make_unique<StoreFollower>(
+        Context_, platform::storeHooks(Store_.address(), milliseconds(100)),
+        Documents_, Freshness_, platform::storeLayout(), Options,
+        std::move(Hooks));
+    Follower_->start(VmId("vm-1"), "10.0.0.9:7600");
+  }
+  bool runUntil(const std::function<bool()> &Done) {
+    return tests::runUntil(Context_, Done);
+  }
+  void runFor(milliseconds Time) {
+    auto End = std::chrono::steady_clock::now() + Time;
+    tests::runUntil(Context_,
+                    [End] { return std::chrono::steady_clock::now() >= End; });
+  }
+  DocumentVersion version() const {
+    auto Snapshot = Documents_.snapshot();
+    const ServiceConfiguration *InForce = Snapshot->service(Service);
+    return InForce ? InForce->Version_ : DocumentVersion(0);
+  }
+  std::size_t servers() const {
+    auto Snapshot = Documents_.snapshot();
+    const ServiceConfiguration *InForce = Snapshot->service(Service);
+    const Pool *Found = InForce ? InForce->Document_->pool(ThePool) : nullptr;
+    return Found ? Found->Servers_.size() : 0;
+  }
+  bool isActive(const std::string &Name) const {
+    return Documents_.snapshot()->activeServer(Service, ThePool,
+                                               ServerName(Name)) != nullptr;
+  }
+
+  boost::asio::io_context Context_;
+  FakeStore Store_;
+  DocumentStore Documents_;
+  FreshnessLease Freshness_;
+  std::map<VmId, std::string> Seen_;
+  std::unique_ptr<StoreFollower> Follower_;
+};
+
+} // namespace
+
+TEST_CASE("configuration, servers and daemons are in force as they change") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  CHECK(Test.version() == DocumentVersion(3));
+  CHECK(Test.runUntil([&] {
+    return Test.Store_.get("samphireshunt/daemons/vm-1") == "10.0.0.9:7600";
+  }));
+  Test.Store_.put("samphireshunt/daemons/vm-2", "10.0.0.8:7600");
+  Test.Store_.put("servers/i-1", serverEntry("draining"));
+  Test.Store_.put("op/config", configuration(5));
+  CHECK(Test.runUntil([&] {
+    return Test.version() == DocumentVersion(5) && !Test.isActive("i-1") &&
+           Test.Seen_.contains(VmId("vm-2"));
+  }));
+  CHECK(Test.servers() == 1);
+  Test.Store_.remove("servers/i-1");
+  CHECK(Test.runUntil([&] { return Test.servers() == 0; }));
+}
+
+TEST_CASE("a daemon that starts again at its address writes nothing") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  REQUIRE(Test.runUntil(
+      [&] { return !Test.Store_.get("samphireshunt/daemons/vm-1").empty(); }));
+  Test.Follower_->stop();
+  Test.runFor(milliseconds(150));
+  Test.follow();
+  Test.runFor(milliseconds(150));
+  CHECK(Test.Store_.calls("/-/kv-txn") == 1);
+}
+
+TEST_CASE("a registration whose answer was lost is found, not written again") {
+  FollowerFixture Test;
+  Test.Store_.LoseWriteAnswers_ = 1;
+  CHECK(Test.runUntil(
+      [&] { return !Test.Store_.get("samphireshunt/daemons/vm-1").empty(); }));
+  Test.runFor(milliseconds(300));
+  CHECK(Test.Store_.calls("/-/kv-txn") <= 2);
+}
+
+TEST_CASE("an older version never comes back into force") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.version() == DocumentVersion(3); }));
+  Test.Store_.put("op/config", configuration(2));
+  Test.runFor(milliseconds(150));
+  CHECK(Test.version() == DocumentVersion(3));
+}
+
+TEST_CASE("what can't be read leaves the last good state in force") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Store_.put("op/config", "{\"version\":9}");
+  Test.Store_.put("servers/i-1", "{}");
+  Test.Store_.put("servers/i-2", serverEntry("ready"));
+  CHECK(Test.runUntil([&] { return Test.isActive("i-2"); }));
+  CHECK(Test.isActive("i-1"));
+  CHECK(Test.version() == DocumentVersion(3));
+}
+
+TEST_CASE("a server that left while the history was lost is gone at once") {
+  // Symptom: requests go to a server long after it left.
+  // Sequence: watches hear nothing; a server's entry goes; the history is
+  // dropped and the watch refused.
+  // Cause: the watch went on from the newest revision, past the change.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Store_.remove("servers/i-1");
+  Test.Store_.put("op/config", configuration(4));
+  Test.Store_.dropHistory();
+  CHECK(Test.runUntil([&] { return Test.servers() == 0; }));
+  CHECK(Test.version() == DocumentVersion(4));
+}
+
+TEST_CASE("servers whose entries lapse in an outage keep their work until "
+          "they should be back") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Store_.put("servers/i-2", serverEntry("ready"));
+  REQUIRE(Test.runUntil([&] { return Test.servers() == 2; }));
+  Test.Store_.FailWith_ = 503;
+  REQUIRE(Test.runUntil([&] { return !Test.Follower_->platformReachable(); }));
+  Test.runFor(milliseconds(50));
+  Test.Store_.remove("servers/i-1");
+  Test.Store_.remove("servers/i-2");
+  Test.Store_.FailWith_ = 0;
+  REQUIRE(Test.runUntil([&] { return Test.Follower_->platformReachable(); }));
+  CHECK(Test.servers() == 2);
+  Test.Store_.put("servers/i-1", serverEntry("ready"));
+  CHECK(Test.runUntil([&] { return Test.servers() == 1; }));
+  CHECK(Test.isActive("i-1"));
+}
+
+TEST_CASE("a store that falls silent ends the freshness, and its return "
+          "renews it") {
+  FollowerFixture Test;
+  auto Fresh = [&] { return Test.Freshness_.valid(BootClock::now()); };
+  REQUIRE(Test.runUntil(Fresh));
+  Test.Store_.Silent_ = true;
+  CHECK(Test.runUntil([&] { return !Fresh(); }));
+  Test.Store_.Silent_ = false;
+  CHECK(Test.runUntil(Fresh));
+}
+
+TEST_CASE("a calm store is asked no more than the watch's time requires") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  auto Before = Test.Store_.calls("/-/kv-watch");
+  Test.runFor(milliseconds(500));
+  // A watch of 100 ms each, and one that was under way.
+  CHECK(Test.Store_.calls("/-/kv-watch") - Before <= 6);
+  CHECK(Test.Store_.calls("/-/kv-range") == 1);
+}
--- /dev/null
+++ b/UnitTests/platform/StoreTest.cpp
@@ -0,0 +1,127 @@
+/// \file
+/// The client of the platform's store, against a store that misbehaves.
+
+#include "platform/Store.h"
+
+#include "UnitTests/platform/FakeStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+class StoreFixture {
+public:
+  StoreFixture()
+      : Store_(Context_),
+        Hooks_(platform::storeHooks(Store_.address(), milliseconds(200))) {}
+
+  /// The result of one call.
+  template <class Value, class Call> Result<Value> wait(Call Begin) {
+    std::optional<Result<Value>> Got;
+    auto Run = [&]() -> Awaitable<void> {
+      auto Answer = co_await Begin();
+      Got.emplace(std::move(Answer));
+    };
+    boost::asio::co_spawn(Context_, Run, boost::asio::detached);
+    REQUIRE(runUntil(Context_, [&] { return Got.has_value(); }));
+    return std::move(*Got);
+  }
+  Result<KeyValueList> list(const std::string &Prefix) {
+    return wait<KeyValueList>([&] { return Hooks_.List_(Prefix); });
+  }
+  Result<KeyValueList> watch(Revision After, milliseconds Wait) {
+    return wait<KeyValueList>([&] { return Hooks_.Watch_("", After, Wait); });
+  }
+  Result<Revision> put(const std::string &Key, const std::string &Value,
+                       Revision Expected) {
+    KeyValueWrite Write;
+    Write.Key_ = Key;
+    Write.Value_ = Value;
+    Write.Expected_ = Expected;
+    return wait<Revision>([&] { return Hooks_.Put_(Write); });
+  }
+
+  boost::asio::io_context Context_;
+  FakeStore Store_;
+  PlatformHooks Hooks_;
+};
+
+} // namespace
+
+TEST_CASE("values of any bytes come back as they were written") {
+  StoreFixture Test;
+  for (const std::string &Value :
+       {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
+        std::string("\0\xff\n", 3)}) {
+    Test.Store_.remove("k");
+    REQUIRE(Test.put("k", Value, Revision(0)).has_value());
+    CHECK(Test.Store_.get("k") == Value);
+    auto Got = Test.wait<std::optional<KeyValue>>(
+        [&] { return Test.Hooks_.Get_("k"); });
+    REQUIRE(Got.has_value());
+    CHECK((*Got)->Value_ == Value);
+  }
+}
+
+TEST_CASE("a list is read over all its pages, from the first page's revision") {
+  // Symptom: a change is never seen.
+  // Sequence: a list is read page by page; between two pages a key of the first
+  // one changes; the watch begins at the last page's revision.
+  // Cause: pages are no snapshot.
+  StoreFixture Test;
+  Test.Store_.PageSize_ = 2;
+  for (const char *Key : {"a/1", "a/2", "a/3", "a/4", "a/5", "b/1"})
+    Test.Store_.put(Key, Key);
+  auto Listed = Test.list("a/");
+  REQUIRE(Listed.has_value());
+  CHECK(Listed->Entries_.size() == 5);
+  CHECK(Test.Store_.calls("/-/kv-range") == 3);
+}
+
+TEST_CASE("a watch tells what was written and what was removed") {
+  StoreFixture Test;
+  Test.Store_.put("k", "old");
+  auto Listed = Test.list("");
+  Test.Store_.put("k", "new");
+  Test.Store_.remove("k");
+  auto Changes = Test.watch(Listed->Revision_, milliseconds(1000));
+  REQUIRE(Changes.has_value());
+  REQUIRE_FALSE(Changes->Entries_.empty());
+  CHECK(Changes->Entries_.back().Deleted_);
+  auto Nothing = Test.watch(Changes->Revision_, milliseconds(10));
+  REQUIRE(Nothing.has_value());
+  CHECK(Nothing->Entries_.empty());
+}
+
+TEST_CASE("history that was dropped is told apart from an outage") {
+  StoreFixture Test;
+  Test.Store_.put("k", "v");
+  Test.Store_.dropHistory();
+  CHECK(Test.watch(Revision(1), milliseconds(10)).error().Code_ ==
+        ResultCode::HistoryLost);
+  for (int Status : {429, 503}) {
+    Test.Store_.FailWith_ = Status;
+    CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
+  }
+  Test.Store_.FailWith_ = 0;
+  Test.Store_.Silent_ = true;
+  CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
+}
+
+TEST_CASE("a write that is refused is told apart from one whose answer is "
+          "lost") {
+  StoreFixture Test;
+  Test.Store_.put("k", "theirs");
+  CHECK(Test.put("k", "ours", Revision(0)).error().Code_ ==
+        ResultCode::VersionConflict);
+  Test.Store_.LoseWriteAnswers_ = 1;
+  CHECK(Test.put("n", "ours", Revision(0)).error().Code_ ==
+        ResultCode::PlatformUnavailable);
+  CHECK(Test.Store_.get("n") == "ours");
+}
