Serve shorter answers first by the caller's guess, and whole limits to a majority

Load: long cheap streams. While a cut lasted, the majority left 3 of 8 places of each engine unused.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -559,6 +559,7 @@
   uint64_t document_version = 0;
   uint32_t objective_ms = 0;
   uint32_t max_wait_ms = 0;
+  uint32_t guessed_tokens = 0;
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -582,7 +583,8 @@
     VT_EXCLUDED = 22,
     VT_DOCUMENT_VERSION = 24,
     VT_OBJECTIVE_MS = 26,
-    VT_MAX_WAIT_MS = 28
+    VT_MAX_WAIT_MS = 28,
+    VT_GUESSED_TOKENS = 30
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -625,6 +627,10 @@
   uint32_t max_wait_ms() const {
     return GetField<uint32_t>(VT_MAX_WAIT_MS, 0);
   }
+  /// The caller's own guess of the answer's tokens; 0 is none.
+  uint32_t guessed_tokens() const {
+    return GetField<uint32_t>(VT_GUESSED_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -645,6 +651,7 @@
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_MAX_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GUESSED_TOKENS, 4) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -695,6 +702,9 @@
   void add_max_wait_ms(uint32_t max_wait_ms) {
     fbb_.AddElement<uint32_t>(Ask::VT_MAX_WAIT_MS, max_wait_ms, 0);
   }
+  void add_guessed_tokens(uint32_t guessed_tokens) {
+    fbb_.AddElement<uint32_t>(Ask::VT_GUESSED_TOKENS, guessed_tokens, 0);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -720,9 +730,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     uint64_t document_version = 0,
     uint32_t objective_ms = 0,
-    uint32_t max_wait_ms = 0) {
+    uint32_t max_wait_ms = 0,
+    uint32_t guessed_tokens = 0) {
   AskBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_guessed_tokens(guessed_tokens);
   builder_.add_max_wait_ms(max_wait_ms);
   builder_.add_objective_ms(objective_ms);
   builder_.add_excluded(excluded);
@@ -752,7 +764,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     uint64_t document_version = 0,
     uint32_t objective_ms = 0,
-    uint32_t max_wait_ms = 0) {
+    uint32_t max_wait_ms = 0,
+    uint32_t guessed_tokens = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -770,7 +783,8 @@
       excluded__,
       document_version,
       objective_ms,
-      max_wait_ms);
+      max_wait_ms,
+      guessed_tokens);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2564,7 +2578,8 @@
         excluded(o.excluded),
         document_version(o.document_version),
         objective_ms(o.objective_ms),
-        max_wait_ms(o.max_wait_ms) {
+        max_wait_ms(o.max_wait_ms),
+        guessed_tokens(o.guessed_tokens) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -2581,6 +2596,7 @@
   std::swap(document_version, o.document_version);
   std::swap(objective_ms, o.objective_ms);
   std::swap(max_wait_ms, o.max_wait_ms);
+  std::swap(guessed_tokens, o.guessed_tokens);
   return *this;
 }
 
@@ -2606,6 +2622,7 @@
   { auto _e = document_version(); _o->document_version = _e; }
   { auto _e = objective_ms(); _o->objective_ms = _e; }
   { auto _e = max_wait_ms(); _o->max_wait_ms = _e; }
+  { auto _e = guessed_tokens(); _o->guessed_tokens = _e; }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2629,6 +2646,7 @@
   auto _document_version = _o->document_version;
   auto _objective_ms = _o->objective_ms;
   auto _max_wait_ms = _o->max_wait_ms;
+  auto _guessed_tokens = _o->guessed_tokens;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -2643,7 +2661,8 @@
       _excluded,
       _document_version,
       _objective_ms,
-      _max_wait_ms);
+      _max_wait_ms,
+      _guessed_tokens);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
--- a/Source/Process/KeeperMessages.cpp
+++ b/Source/Process/KeeperMessages.cpp
@@ -31,6 +31,7 @@
   Ask.non_idempotent = Request.NonIdempotent_;
   if (Request.Objective_ != TimePoint())
     Ask.objective_ms = remainingMillis(Request.Objective_);
+  Ask.guessed_tokens = static_cast<std::uint32_t>(Request.Guessed_.count());
   Ask.max_wait_ms = static_cast<std::uint32_t>(Request.MaxWait_.count());
   for (const ServerName &Name : Request.Excluded_)
     Ask.excluded.push_back(Name.str());
@@ -92,6 +93,7 @@
   Asked.NonIdempotent_ = Ask.non_idempotent;
   if (Ask.objective_ms > 0)
     Asked.Objective_ = steady_clock::now() + milliseconds(Ask.objective_ms);
+  Asked.Guessed_ = Tokens(Ask.guessed_tokens);
   Asked.MaxWait_ = milliseconds(Ask.max_wait_ms);
   for (const std::string &Name : Ask.excluded)
     Asked.Excluded_.emplace_back(Name);
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -108,7 +108,12 @@
       static_cast<std::uint32_t>(Service->Document_->Tiers_.size());
   Target.Scheduler_.configure(std::move(Servers), std::move(Shares), TierCount,
                               Whole->MaxWaiting_);
-  Target.Scheduler_.setShare(Hooks_.LiveShare_());
+  // The few daemons that are cut off from most others use their part of the
+  // engines; held back by as much, the others would leave it unused for as long
+  // as the cut lasts. What both grant too much waits in the engines.
+  double Share = Hooks_.LiveShare_();
+  constexpr double Half = 0.5;
+  Target.Scheduler_.setShare(Share > Half ? 1.0 : Share);
 }
 
 void KeeperService::refresh() {
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -47,6 +47,7 @@
     std::function<bool()> AloneInFleet_;
     /// True when this daemon should keep the cell.
     std::function<bool(const CellId &)> IsKeeper_;
+    /// The part of the fleet that this daemon speaks for.
     std::function<double()> LiveShare_;
     /// A cell of a pool raised its floor: others must hear of it.
     std::function<void()> FloorRaised_;
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -72,7 +72,7 @@
           std::max(Queue.ServedTokens_, Tier.Active_.begin()->first);
     Tier.Active_.emplace(Queue.ServedTokens_, Name);
   }
-  Queue.Requests_.emplace(urgencyOf(Asked), Request.Arrival_, Asked.Id_);
+  Queue.Requests_.emplace(Request.Urgency_, Request.Arrival_, Asked.Id_);
   ++Tier.Count_;
   ByLatestStart_.emplace(Request.LatestStart_, Asked.Id_);
   RequestId Id = Asked.Id_;
@@ -87,7 +87,7 @@
   CustomerName Name =
       Options_.FairCustomers_ ? Asked.Customer_ : CustomerName();
   CustomerQueue &Queue = Tier.Customers_[Name];
-  Queue.Requests_.erase({urgencyOf(Asked), Request.Arrival_, Id});
+  Queue.Requests_.erase({Request.Urgency_, Request.Arrival_, Id});
   --Tier.Count_;
   if (Queue.Requests_.empty())
     Tier.Active_.erase({Queue.ServedTokens_, Name});
@@ -142,6 +142,7 @@
   if (Request.MaxWait_.count() > 0)
     Waiting.LatestStart_ =
         std::min(Waiting.LatestStart_, Now + Request.MaxWait_);
+  Waiting.Urgency_ = urgencyOf(Request);
   Waiting.Asked_ = std::move(Request);
   enqueue(std::move(Waiting));
   return Out;
@@ -264,6 +265,7 @@
   endRunning(Found);
   if (!Seen.Complete_)
     return;
+  noteHold(Seen);
   std::chrono::duration<double> Gap = Now - LastEnd_;
   LastEnd_ = Now;
   constexpr double Smoothing = 0.05;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -36,6 +36,9 @@
   std::chrono::milliseconds MaxWait_{0};
   Tokens Prompt_;
   Tokens Answer_;                     ///< The most that may be generated.
+  /// The caller's guess of the answer's length; 0 is none. Right in the
+  /// middle, and off by a half more often than not.
+  Tokens Guessed_;
   std::vector<std::uint64_t> Prefix_; ///< Hashes of the prompt's blocks.
   bool NonIdempotent_ = false;
   std::vector<ServerName> Excluded_;
@@ -159,6 +162,7 @@
   using DeadlineKey = std::tuple<TimePoint, std::uint64_t, RequestId>;
   struct WaitingRequest {
     AskedRequest Asked_;
+    TimePoint Urgency_;
     std::uint64_t Arrival_ = 0;
     TimePoint LatestStart_;
     bool Preempting_ = false;
@@ -201,6 +205,8 @@
   void grant(TimePoint Now, std::vector<Decision> &Out);
   std::optional<Placement> firstPlaceable(const CustomerQueue &Queue,
                                           TimePoint Now);
+  std::optional<Placement> firstOf(const CustomerQueue &Queue, bool InTime,
+                                   TimePoint Now);
   bool grantFromTier(TierQueue &Tier, TimePoint Now,
                      std::vector<Decision> &Out);
   bool atCeiling(const CustomerName &Customer) const;
@@ -225,7 +231,9 @@
   bool isStarving(TierQueue &Tier, TimePoint Now);
   std::chrono::milliseconds predictedWait(TierIndex Tier, TimePoint Now);
   bool wouldWaitTooLong(const AskedRequest &Request, TimePoint Now);
-  static TimePoint urgencyOf(const AskedRequest &Request);
+  TimePoint urgencyOf(const AskedRequest &Request) const;
+  std::chrono::nanoseconds typicalService(const AskedRequest &Request) const;
+  void noteHold(const ServedSample &Seen);
   void judgeServers(TimePoint Now);
   void judge(ServerModel &Server, const ServedSample &Seen, TimePoint Now);
   double poolFailureRate() const;
@@ -253,6 +261,8 @@
   std::uint64_t NextArrival_ = 0;
   double EndsPerSecond_ = 0;
   SlidingCount<RateSlots> Ends_{RateWindow};
+  /// How long a granted request holds its place, on average.
+  std::chrono::nanoseconds MeanHold_{0};
   TimePoint LastEnd_;
   pcg32 Random_;
 };
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -71,16 +71,48 @@
   return std::chrono::duration_cast<milliseconds>(Wait);
 }
 
-/// A request that would be refused after a long wait is refused at once.
+void Scheduler::noteHold(const ServedSample &Seen) {
+  constexpr std::int64_t NewestPart = 50;
+  nanoseconds Held = Seen.Duration_;
+  MeanHold_ += MeanHold_.count() == 0 ? Held : (Held - MeanHold_) / NewestPart;
+}
+
+/// How long the request would hold a place of an engine of middling speed; 0
+/// while nothing is known.
+nanoseconds Scheduler::typicalService(const AskedRequest &Request) const {
+  nanoseconds Sum{0};
+  std::int64_t Known = 0;
+  for (const auto &[Name, Server] : Servers_) {
+    nanoseconds Service = expectedService(Request, Server);
+    Sum += Service;
+    Known += Service.count() > 0;
+  }
+  return Known == 0 ? nanoseconds(0) : Sum / Known;
+}
+
+/// A request that would be refused after a long wait is refused at once; and
+/// one that would hold a place for much longer than others do so already after
+/// a short one. Of answers whose lengths differ a hundredfold, the longest
+/// tenth would take half of the places, for a tenth of the callers.
 bool Scheduler::wouldWaitTooLong(const AskedRequest &Request, TimePoint Now) {
-  return Options_.RefuseLongWaits_ && Request.MaxWait_.count() > 0 &&
-         predictedWait(Request.Tier_, Now) > Request.MaxWait_;
+  if (!Options_.RefuseLongWaits_ || Request.MaxWait_.count() == 0)
+    return false;
+  constexpr double LeastPart = 0.1;
+  auto Service = static_cast<double>(typicalService(Request).count());
+  auto Mean = static_cast<double>(MeanHold_.count());
+  double Part = Service > Mean ? std::max(LeastPart, Mean / Service) : 1.0;
+  std::chrono::duration<double, std::milli> Longest = Request.MaxWait_;
+  return predictedWait(Request.Tier_, Now) > Longest * Part;
 }
 
-/// By when the request should start; 0 without an objective.
-TimePoint Scheduler::urgencyOf(const AskedRequest &Request) {
-  return Request.Objective_ == TimePoint() ? Request.Deadline_
-                                           : Request.Objective_;
+/// Requests of a customer are served in this order: by the moment at which an
+/// answer is wanted, and shorter ones before longer ones.
+TimePoint Scheduler::urgencyOf(const AskedRequest &Request) const {
+  if (Request.Objective_ == TimePoint())
+    return Request.Deadline_;
+  auto Longer = std::chrono::duration_cast<TimePoint::duration>(
+      typicalService(Request));
+  return Request.Objective_ + Longer;
 }
 
 /// Leaves out engines that fail what they get, unless that would leave too few:
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -30,6 +30,8 @@
 }
 
 Tokens Scheduler::expectedAnswer(const AskedRequest &Request) const {
+  if (Request.Guessed_.count() > 0)
+    return std::min(Request.Guessed_, std::max(Request.Answer_, Tokens(1)));
   auto Share = AnswerShare_.find(Request.Customer_);
   if (Share == AnswerShare_.end())
     return Tokens(0);
@@ -149,32 +151,39 @@
   return Best == nanoseconds::max() ? nanoseconds(0) : withMargin(Best);
 }
 
-/// The first request of the queue that an engine with room can finish in time.
-/// The one with the earliest deadline may only be for a fast engine; without a
-/// look further, slow engines would stand idle while it waits.
+/// The first request that an engine with room can take, of those that could
+/// still be answered in time or, without \p InTime, of all.
 std::optional<Scheduler::Placement>
-Scheduler::firstPlaceable(const CustomerQueue &Queue, TimePoint Now) {
+Scheduler::firstOf(const CustomerQueue &Queue, bool InTime, TimePoint Now) {
   // A few are looked at one by one: the first may wait for its own engine
   // while others could be served.
   constexpr int LookedAt = 8;
   int Seen = 0;
-  // Those that are late already wait for a calmer moment: served first, they
-  // would make all that come after them late as well.
-  auto First = Queue.Requests_.begin();
-  const AskedRequest &Oldest = Waiting_.at(std::get<RequestId>(*First)).Asked_;
-  if (Oldest.Objective_ != TimePoint()) {
-    DeadlineKey InTime{Now + LeastFirstEvent, 0, RequestId()};
-    auto Found = Queue.Requests_.lower_bound(InTime);
-    First = Found == Queue.Requests_.end() ? First : Found;
-  }
-  for (const DeadlineKey &Key :
-       std::ranges::subrange(First, Queue.Requests_.end())) {
+  for (const DeadlineKey &Key : Queue.Requests_) {
     RequestId Id = std::get<RequestId>(Key);
-    if (ServerModel *Server = choose(Waiting_.at(Id).Asked_, Now))
+    const AskedRequest &Asked = Waiting_.at(Id).Asked_;
+    if (InTime && Asked.Objective_ < Now + LeastFirstEvent)
+      continue;
+    if (ServerModel *Server = choose(Asked, Now))
       return Placement{Id, Server};
     if (!Options_.UsePrefixes_ || ++Seen == LookedAt)
       break;
   }
+  return std::nullopt;
+}
+
+/// The first request of the queue that an engine with room can finish in time.
+/// The one with the earliest deadline may only be for a fast engine; without a
+/// look further, slow engines would stand idle while it waits.
+std::optional<Scheduler::Placement>
+Scheduler::firstPlaceable(const CustomerQueue &Queue, TimePoint Now) {
+  // Those that are late already wait for a calmer moment: served first, they
+  // would make all that come after them late as well.
+  if (Options_.RefuseLongWaits_)
+    if (auto InTime = firstOf(Queue, true, Now))
+      return InTime;
+  if (auto First = firstOf(Queue, false, Now))
+    return First;
   RequestId Head = std::get<RequestId>(*Queue.Requests_.begin());
   const AskedRequest &Asked = Waiting_.at(Head).Asked_;
   if (!Options_.RefuseInfeasible_)
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -60,11 +60,8 @@
   Options.UsePrefixes_ = Taken("prefixes");
   Options.UseSpeeds_ = Taken("speeds");
   Options.AdaptLimits_ = Taken("limits");
-  // Lower tiers keep a part of their requests served, whatever higher ones ask
-  // for: measured days count a kind of request that starves as a failure.
-  constexpr double GuaranteedShare = 0.5;
   if (Configured.ByObjective_) {
-    Options.GuaranteedShare_ = GuaranteedShare;
+    Options.GuaranteedShare_ = Configured.GuaranteedShare_;
     Options.RefuseLongWaits_ = true;
     Options.Preempt_ = false;
   }
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -54,6 +54,9 @@
 ABSL_FLAG(std::string, admission, "tiers",
           "tiers: strictly by tier; objectives: by latency objective, with a "
           "guaranteed part of each tier.");
+ABSL_FLAG(double, guaranteed_share, 0.3,
+          "With objectives: the part of each tier's requests that is served "
+          "whatever higher tiers ask for.");
 ABSL_FLAG(double, repeat_ratio, 0.2,
           "Repeats of requests by requests, within the window.");
 ABSL_FLAG(double, repeat_extra, 10,
@@ -74,7 +77,7 @@
 
 namespace {
 
-constexpr std::array<const char *, 29> FlagNames = {"vm_id",
+constexpr std::array<const char *, 30> FlagNames = {"vm_id",
                                                     "data_center",
                                                     "callers_address",
                                                     "peers_address",
@@ -102,7 +105,7 @@
                                                     "repeat_extra",
                                                     "repeat_window_s",
                                                     "allotment_credit",
-                                                    "drain_admit_ms"};
+                                                    "drain_admit_ms",  "guaranteed_share"};
 
 constexpr std::array<std::string_view, 7> LeavableDecisions = {
     "tiers",    "fairness", "feasibility", "preemption",
@@ -229,6 +232,8 @@
                                 {"stdout", "stderr"}) == "stderr"
                         ? LogOutput::StandardError
                         : LogOutput::StandardOutput;
+  Read.GuaranteedShare_ = Check.amount(
+      "guaranteed_share", absl::GetFlag(FLAGS_guaranteed_share));
   Read.RepeatRatio_ =
       Check.amount("repeat_ratio", absl::GetFlag(FLAGS_repeat_ratio));
   Read.RepeatExtra_ =
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -48,6 +48,9 @@
   /// Requests are served by their objectives, with a guaranteed part of each
   /// tier, rather than strictly by tier.
   bool ByObjective_ = false;
+  /// The part of each tier's requests that is served whatever higher tiers ask
+  /// for, by objectives.
+  double GuaranteedShare_ = 0.3;
   /// Repeats of requests: their part of all requests, and how many on top in
   /// the whole fleet, within the window.
   double RepeatRatio_ = 0.2;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -302,7 +302,8 @@
     Seen.Duration_ = duration_cast<microseconds>(Now - Dispatched_);
     if (FirstEvent_ != TimePoint()) {
       Seen.FirstToken_ = duration_cast<microseconds>(FirstEvent_ - Dispatched_);
-      Seen.Generated_ = Tokens(static_cast<std::int64_t>(Splitter_.count()));
+      auto Events = static_cast<std::int64_t>(Splitter_.count());
+      Seen.Generated_ = Tokens(Events * Context_.Pool_->TokensPerEvent_);
     }
     Context_.Services_.Grants_.done(Context_.Id_, Seen);
     Tried_.push_back(Ready_.Server_.Name_);
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -82,6 +82,7 @@
   if (Context.Route_->Forwarding_) {
     const ForwardingRule &Rule = *Context.Route_->Forwarding_;
     Asked.Objective_ = Context.Started_ + Rule.Objective_;
+    Asked.Guessed_ = Context.Call_.GuessedAnswer_.value_or(Tokens(0));
     Asked.MaxWait_ = longestWait(Rule, Context.remaining());
   }
   return Asked;
--- a/Source/Version/Document.h
+++ b/Source/Version/Document.h
@@ -58,6 +58,8 @@
   bool FromDirectory_ = false;
   /// Tokens that a server's cache holds; 0 is unknown.
   Tokens CacheTokens_{0};
+  /// Tokens in one event of a stream.
+  std::int64_t TokensPerEvent_ = 1;
 
   const BackendServer *find(const ServerName &Name) const;
 };
