--- a/Source/Process/AllotmentLedger.h
+++ b/Source/Process/AllotmentLedger.h
@@ -3,9 +3,11 @@
 /// What customers have used of their allotments, counted where their requests
 /// are decided. Pure: the time is an argument.
 ///
-/// Load pattern: one customer sends many times its usual. A bucket fills at the
-/// allotted rate up to the allotted burst, and a request takes its cost out of
-/// it. A new keeper knows nothing of what an earlier one let through, maybe a
+/// Load pattern: one customer sends many times its usual. A bucket fills at a
+/// rate up to a burst, and a request takes its cost out of it. Where the
+/// platform tolerates more than the allotment within a window, most of that is
+/// given out: what is refused within the tolerance is work lost for no one's
+/// gain. A new keeper knows nothing of what an earlier one let through, maybe a
 /// whole burst just before: its buckets begin empty when it begins to count, so
 /// that however often keepers change, the rate is all that is added.
 
@@ -22,9 +24,11 @@
   using TimePoint = std::chrono::steady_clock::time_point;
 
   struct Options {
-    /// What all keepers together may let through on top of the burst, in the
-    /// allotment's unit.
-    double Credit_ = 0;
+    /// Within this time the customer may use what its rate gives and its burst,
+    /// and more by the two tolerances.
+    std::chrono::milliseconds Window_{8000};
+    double Overrun_ = 0; ///< As a part of the allotment.
+    double Credit_ = 0;  ///< On top of that, in the allotment's unit.
   };
 
   /// \p Started: when the keeper began to count.
@@ -43,6 +47,13 @@
   void restart(TimePoint Now);
 
 private:
+  /// How fast a bucket fills, and how much it holds.
+  struct Flow {
+    double PerSecond_;
+    double Most_;
+  };
+  Flow flowOf(const Allotment &Allowed) const;
+
   struct Bucket {
     double Level_ = 0;
     TimePoint Filled_;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -35,7 +35,7 @@
   /// The longest that it may wait; 0: until its latest start.
   std::chrono::milliseconds MaxWait_{0};
   Tokens Prompt_;
-  Tokens Answer_;                     ///< The most that may be generated.
+  Tokens Answer_; ///< The most that may be generated.
   /// The caller's guess of the answer's length; 0 is none. Right in the
   /// middle, and off by a half more often than not.
   Tokens Guessed_;
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -65,8 +65,8 @@
   double Guaranteed =
       Options_.GuaranteedShare_ * Tiers_[Own].RecentArrivals_.sum(Now);
   if (Guaranteed > 0)
-    Seconds = std::min(Seconds,
-                       static_cast<double>(Tiers_[Own].Count_) / Guaranteed);
+    Seconds =
+        std::min(Seconds, static_cast<double>(Tiers_[Own].Count_) / Guaranteed);
   std::chrono::duration<double> Wait(Seconds);
   return std::chrono::duration_cast<milliseconds>(Wait);
 }
@@ -110,8 +110,8 @@
 TimePoint Scheduler::urgencyOf(const AskedRequest &Request) const {
   if (Request.Objective_ == TimePoint())
     return Request.Deadline_;
-  auto Longer = std::chrono::duration_cast<TimePoint::duration>(
-      typicalService(Request));
+  auto Longer =
+      std::chrono::duration_cast<TimePoint::duration>(typicalService(Request));
   return Request.Objective_ + Longer;
 }
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -30,9 +30,6 @@
 constexpr milliseconds LeastIdleTimeout{30000};
 /// Callers count their idle time from another moment than this daemon.
 constexpr milliseconds IdleSlack{1000};
-/// The part of the fleet's credit on an allotment that a new keeper may use:
-/// an earlier one may have used it just before.
-constexpr double AllotmentCreditPart = 0.4;
 /// Changes that come together are worked off together.
 constexpr milliseconds RefreshDelay{5};
 
@@ -214,8 +211,9 @@
   KeeperService::Options Options;
   Options.Scheduling_ = schedulingOptions(Settings_);
   Options.Scheduling_.Seed_ = Origin_;
-  Options.Allotments_.Credit_ =
-      AllotmentCreditPart * Settings_.AllotmentCredit_;
+  Options.Allotments_.Window_ = Settings_.AllotmentWindow_;
+  Options.Allotments_.Overrun_ = Settings_.AllotmentOverrun_;
+  Options.Allotments_.Credit_ = Settings_.AllotmentCredit_;
   Keeper_ = std::make_unique<KeeperService>(Control_, Documents_, Options,
                                             std::move(Hooks));
   Grants_->setLocalKeeper(Keeper_.get());
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -62,8 +62,12 @@
 ABSL_FLAG(double, repeat_extra, 10,
           "Repeats on top of that, in the whole fleet.");
 ABSL_FLAG(double, repeat_window_s, 10, "Window of repeats, in seconds.");
+ABSL_FLAG(double, allotment_window_s, 8,
+          "Window within which allotments are judged, in seconds.");
+ABSL_FLAG(double, allotment_overrun, 0,
+          "What is tolerated beyond an allotment, as a part of it.");
 ABSL_FLAG(double, allotment_credit, 0,
-          "How far all keepers together may overdraw a customer's allotment.");
+          "What is tolerated on top of that, in the allotment's unit.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error.");
 ABSL_FLAG(std::string, scheduling, "keepers",
           "keepers; or two-choices, the baseline of measurements.");
@@ -77,7 +81,7 @@
 
 namespace {
 
-constexpr std::array<const char *, 30> FlagNames = {"vm_id",
+constexpr std::array<const char *, 32> FlagNames = {"vm_id",
                                                     "data_center",
                                                     "callers_address",
                                                     "peers_address",
@@ -105,7 +109,10 @@
                                                     "repeat_extra",
                                                     "repeat_window_s",
                                                     "allotment_credit",
-                                                    "drain_admit_ms",  "guaranteed_share"};
+                                                    "drain_admit_ms",
+                                                    "guaranteed_share",
+                                                    "allotment_window_s",
+                                                    "allotment_overrun"};
 
 constexpr std::array<std::string_view, 7> LeavableDecisions = {
     "tiers",    "fairness", "feasibility", "preemption",
@@ -149,6 +156,10 @@
       bad(Name, fmt::format("{} is less than 0", Value));
     return Value;
   }
+  std::chrono::milliseconds seconds(std::string_view Name, double Value) {
+    std::chrono::duration<double> Exact(amount(Name, Value));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Exact);
+  }
   std::string oneOf(std::string_view Name, std::string Value,
                     std::vector<std::string_view> Allowed) {
     if (!std::ranges::count(Allowed, Value))
@@ -232,18 +243,20 @@
                                 {"stdout", "stderr"}) == "stderr"
                         ? LogOutput::StandardError
                         : LogOutput::StandardOutput;
-  Read.GuaranteedShare_ = Check.amount(
-      "guaranteed_share", absl::GetFlag(FLAGS_guaranteed_share));
+  Read.GuaranteedShare_ =
+      Check.amount("guaranteed_share", absl::GetFlag(FLAGS_guaranteed_share));
   Read.RepeatRatio_ =
       Check.amount("repeat_ratio", absl::GetFlag(FLAGS_repeat_ratio));
   Read.RepeatExtra_ =
       Check.amount("repeat_extra", absl::GetFlag(FLAGS_repeat_extra));
+  Read.AllotmentWindow_ = Check.seconds(
+      "allotment_window_s", absl::GetFlag(FLAGS_allotment_window_s));
+  Read.AllotmentOverrun_ =
+      Check.amount("allotment_overrun", absl::GetFlag(FLAGS_allotment_overrun));
   Read.AllotmentCredit_ =
       Check.amount("allotment_credit", absl::GetFlag(FLAGS_allotment_credit));
-  std::chrono::duration<double> Window(
-      Check.amount("repeat_window_s", absl::GetFlag(FLAGS_repeat_window_s)));
   Read.RepeatWindow_ =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Window);
+      Check.seconds("repeat_window_s", absl::GetFlag(FLAGS_repeat_window_s));
   Read.LogLevel_ = absl::GetFlag(FLAGS_log_level);
   Check.oneOf("log_level", Read.LogLevel_,
               {"debug", "info", "warning", "error"});
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -56,7 +56,10 @@
   double RepeatRatio_ = 0.2;
   double RepeatExtra_ = 10;
   std::chrono::milliseconds RepeatWindow_{10000};
-  /// How far allotments may be overdrawn in all, in their unit.
+  /// What customers may use within a window beyond their allotments: a part of
+  /// those, and on top an amount in their unit.
+  std::chrono::milliseconds AllotmentWindow_{8000};
+  double AllotmentOverrun_ = 0;
   double AllotmentCredit_ = 0;
   /// The file that the flags were read from, for a reload.
   std::string FlagFile_;
--- a/UnitTests/Process/AllotmentLedgerTest.cpp
+++ b/UnitTests/Process/AllotmentLedgerTest.cpp
@@ -73,6 +73,19 @@
   CHECK_FALSE(Ledger.take({1, 3}, Hot, hundredPerSecond(), 100, 1, Start));
 }
 
+TEST_CASE("what is tolerated within a window is given out, and not exceeded") {
+  // The same flood, where a tenth and 500 more are tolerated, and a change of
+  // keepers in the middle of it.
+  constexpr double Tolerated = (100 * 8 + 100) * 1.1 + 500;
+  AllotmentLedger Steady({.Overrun_ = 0.1, .Credit_ = 500}, Start);
+  CHECK(flood(Steady, Start + seconds(20), seconds(8)) > 1200);
+  AllotmentLedger Before({.Overrun_ = 0.1, .Credit_ = 500}, Start);
+  double Through = flood(Before, Start + seconds(20), seconds(4));
+  AllotmentLedger After({.Overrun_ = 0.1, .Credit_ = 500}, Start + seconds(24));
+  Through += flood(After, Start + seconds(24), seconds(4));
+  CHECK(Through <= Tolerated);
+}
+
 TEST_CASE("a customer without an allotment is not counted") {
   AllotmentLedger Ledger({.Credit_ = 0}, Start);
   CHECK(Ledger.take({1, 1}, Hot, Allotment(), 1e9, 1, Start));
