--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -15,7 +15,7 @@
 /// this long.
 constexpr std::chrono::seconds UnusedCellTime{10};
 /// A customer that is over its allotment stays over it for a while.
-constexpr milliseconds AllotmentRetryAfter{1500};
+constexpr milliseconds AllotmentRetryAfter{300};
 
 /// What the request counts against its customer's allotment.
 double allotmentCost(const Allotment &Allowed, const AskedRequest &Request) {
