Confirm the configuration by reads of its own, keep a part of long answers, send callers on

- Watches last 20 s and a read every 3.2 s renews the freshness lease and shows a deaf watch (a new test: a watch that went silent is replaced).
- Long answers are put back under load, but served at least half as often as their tier.
- A daemon that stops, or can't tell whether its configuration is the newest, sends callers to another one at once, and is unready while out of touch.

--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -80,7 +80,7 @@
                    "The backend server refused before running.",
                    "Come back after Retry-After."},
     ResultCodeInfo{NotReady, "not-ready",
-                   "The daemon has no configuration yet, or is stopping.",
+                   "The daemon has no configuration yet.",
                    "Come back after Retry-After; another VM will answer."},
     ResultCodeInfo{KeeperUnreachable, "keeper-unreachable",
                    "No keeper of the cell could be asked in time.",
@@ -95,6 +95,9 @@
                    "The daemon can't tell whether its configuration is the "
                    "newest.",
                    "Come back after Retry-After; another VM will answer."},
+    ResultCodeInfo{Stopping, "stopping",
+                   "The daemon stops, and the answer might be cut.",
+                   "Come back after Retry-After; another VM will answer."},
     ResultCodeInfo{AnswerTimeout, "answer-timeout",
                    "The backend server did not answer by the deadline.",
                    "It may have run: check before asking again."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -55,6 +55,7 @@
   WaitTooLong = 211,
   AllotmentSpent = 212,
   ConfigurationStale = 213,
+  Stopping = 214,
   // 3xx: after the dispatch.
   AnswerTimeout = 300,
   ConnectionLost = 301,
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -104,8 +104,13 @@
   if (auto Known = Running_.find(Request.Id_); Known != Running_.end())
     endRunning(Known);
   TierQueue &Own = Tiers_[queueIndex(Request.Tier_)];
-  Own.decay(Now);
-  Own.Arrived_ += 1;
+  bool Long = isLong(Request);
+  Own.Share_.decay(Now);
+  Own.Share_.Arrived_ += 1;
+  if (Long) {
+    Own.LongShare_.decay(Now);
+    Own.LongShare_.Arrived_ += 1;
+  }
   Own.RecentArrivals_.add(Now);
   if (!hasServerFor(Request)) {
     Out.push_back(refusal(Request, ResultCode::NoBackendServer));
@@ -142,7 +147,8 @@
   if (Request.MaxWait_.count() > 0)
     Waiting.LatestStart_ =
         std::min(Waiting.LatestStart_, Now + Request.MaxWait_);
-  Waiting.Urgency_ = urgencyOf(Request);
+  Waiting.Urgency_ = urgencyOf(Request, Now);
+  Waiting.Long_ = Long;
   Waiting.Asked_ = std::move(Request);
   enqueue(std::move(Waiting));
   return Out;
@@ -444,8 +450,10 @@
     bool StillActive = !Queue.Requests_.empty();
     if (StillActive)
       Tier.Active_.erase({Queue.ServedTokens_, Customer});
-    Tier.decay(Now);
-    Tier.Granted_ += 1;
+    Tier.Share_.decay(Now);
+    Tier.Share_.Granted_ += 1;
+    if (Granted.Long_)
+      Tier.LongShare_.Granted_ += 1;
     double Cost = tokenCost(Granted.Asked_);
     Queue.ServedTokens_ += Cost / weightOf(Granted.Asked_.Customer_);
     if (StillActive)
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -163,10 +163,21 @@
   struct WaitingRequest {
     AskedRequest Asked_;
     TimePoint Urgency_;
+    bool Long_ = false;
     std::uint64_t Arrival_ = 0;
     TimePoint LatestStart_;
     bool Preempting_ = false;
   };
+  /// Arrivals and grants, fading with time.
+  struct FadingShare {
+    double Arrived_ = 0;
+    double Granted_ = 0;
+    TimePoint Decayed_;
+
+    void decay(TimePoint Now);
+    /// The part of the arrivals that was granted; 1 while there were few.
+    double part() const;
+  };
   struct CustomerQueue {
     double ServedTokens_ = 0; ///< Divided by the customer's weight.
     std::set<DeadlineKey> Requests_;
@@ -175,13 +186,10 @@
     std::map<CustomerName, CustomerQueue> Customers_;
     std::set<std::pair<double, CustomerName>> Active_;
     std::size_t Count_ = 0;
-    // Fading counts, for the guaranteed share.
-    double Arrived_ = 0;
-    double Granted_ = 0;
-    TimePoint Decayed_;
+    FadingShare Share_;
+    /// Of those whose answers are much longer than others.
+    FadingShare LongShare_;
     SlidingCount<RateSlots> RecentArrivals_{RateWindow};
-
-    void decay(TimePoint Now);
   };
   struct Placement {
     RequestId Id_;
@@ -231,7 +239,10 @@
   bool isStarving(TierQueue &Tier, TimePoint Now);
   std::chrono::milliseconds predictedWait(TierIndex Tier, TimePoint Now);
   bool wouldWaitTooLong(const AskedRequest &Request, TimePoint Now);
-  TimePoint urgencyOf(const AskedRequest &Request) const;
+  TimePoint urgencyOf(const AskedRequest &Request, TimePoint Now);
+  bool isLong(const AskedRequest &Request) const;
+  /// False where long answers would otherwise hardly be served any more.
+  bool mayPutBack(const AskedRequest &Request, TimePoint Now);
   std::chrono::nanoseconds typicalService(const AskedRequest &Request) const;
   void noteHold(const ServedSample &Seen);
   void judgeServers(TimePoint Now);
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-void Scheduler::TierQueue::decay(TimePoint Now) {
+void Scheduler::FadingShare::decay(TimePoint Now) {
   std::chrono::duration<double> Since = Now - Decayed_;
   double Kept = std::max(0.0, 1.0 - Since.count() / ShareMemory.count());
   Decayed_ = Now;
@@ -37,12 +37,15 @@
   Granted_ *= Kept;
 }
 
+double Scheduler::FadingShare::part() const {
+  return Arrived_ < LeastArrivals ? 1.0 : Granted_ / Arrived_;
+}
+
 bool Scheduler::isStarving(TierQueue &Tier, TimePoint Now) {
   if (Options_.GuaranteedShare_ <= 0 || Tier.Count_ == 0)
     return false;
-  Tier.decay(Now);
-  return Tier.Arrived_ >= LeastArrivals &&
-         Tier.Granted_ < Options_.GuaranteedShare_ * Tier.Arrived_;
+  Tier.Share_.decay(Now);
+  return Tier.Share_.part() < Options_.GuaranteedShare_;
 }
 
 /// What waits before a request of \p Tier, by the rate at which grants end
@@ -90,29 +93,50 @@
   return Known == 0 ? nanoseconds(0) : Sum / Known;
 }
 
-/// A request that would be refused after a long wait is refused at once; and
-/// one that would hold a place for much longer than others do so already after
-/// a short one. Of answers whose lengths differ a hundredfold, the longest
-/// tenth would take half of the places, for a tenth of the callers.
+bool Scheduler::isLong(const AskedRequest &Request) const {
+  // With lengths spread as callers' are, about one in ten.
+  constexpr int TimesMean = 2;
+  return MeanHold_.count() > 0 &&
+         typicalService(Request) > TimesMean * MeanHold_;
+}
+
+/// Of answers whose lengths differ a hundredfold, the longest tenth takes half
+/// of the places, for a tenth of the callers: under load they go behind. But
+/// they are served at least two thirds as often as the others of their tier.
+bool Scheduler::mayPutBack(const AskedRequest &Request, TimePoint Now) {
+  constexpr double LeastPart = 0.5;
+  if (!isLong(Request))
+    return false;
+  TierQueue &Own = Tiers_[queueIndex(Request.Tier_)];
+  Own.Share_.decay(Now);
+  Own.LongShare_.decay(Now);
+  return Own.LongShare_.part() >= LeastPart * Own.Share_.part();
+}
+
+/// A request that would be refused after a long wait is refused at once; and a
+/// long one already after a short wait.
 bool Scheduler::wouldWaitTooLong(const AskedRequest &Request, TimePoint Now) {
   if (!Options_.RefuseLongWaits_ || Request.MaxWait_.count() == 0)
     return false;
   constexpr double LeastPart = 0.1;
-  auto Service = static_cast<double>(typicalService(Request).count());
-  auto Mean = static_cast<double>(MeanHold_.count());
-  double Part = Service > Mean ? std::max(LeastPart, Mean / Service) : 1.0;
+  double Part = 1;
+  if (mayPutBack(Request, Now))
+    Part = std::max(LeastPart,
+                    static_cast<double>(MeanHold_.count()) /
+                        static_cast<double>(typicalService(Request).count()));
   std::chrono::duration<double, std::milli> Longest = Request.MaxWait_;
   return predictedWait(Request.Tier_, Now) > Longest * Part;
 }
 
 /// Requests of a customer are served in this order: by the moment at which an
-/// answer is wanted, and shorter ones before longer ones.
-TimePoint Scheduler::urgencyOf(const AskedRequest &Request) const {
+/// answer is wanted, and long ones behind.
+TimePoint Scheduler::urgencyOf(const AskedRequest &Request, TimePoint Now) {
   if (Request.Objective_ == TimePoint())
     return Request.Deadline_;
-  auto Longer =
-      std::chrono::duration_cast<TimePoint::duration>(typicalService(Request));
-  return Request.Objective_ + Longer;
+  if (!mayPutBack(Request, Now))
+    return Request.Objective_;
+  return Request.Objective_ + std::chrono::duration_cast<TimePoint::duration>(
+                                  typicalService(Request));
 }
 
 /// Leaves out engines that fail what they get, unless that would leave too few:
--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -37,7 +37,14 @@
 void StoreFollower::start(VmId Self, std::string Address) {
   Self_ = std::move(Self);
   Address_ = std::move(Address);
-  auto Follow = [this]() { return follow(); };
+  startWatch();
+  auto Confirm = [this]() { return confirmRegularly(); };
+  asio::co_spawn(Control_, std::move(Confirm), asio::detached);
+}
+
+void StoreFollower::startWatch() {
+  std::uint64_t Generation = ++Generation_;
+  auto Follow = [this, Generation]() { return follow(Generation); };
   asio::co_spawn(Control_, std::move(Follow), asio::detached);
 }
 
@@ -46,13 +53,15 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
-Awaitable<void> StoreFollower::follow() {
-  while (!Stopped_) {
+Awaitable<void> StoreFollower::follow(std::uint64_t Generation) {
+  while (!Stopped_ && Generation == Generation_) {
     Result<void> Done;
     if (NeedsList_)
       Done = co_await listAll();
     else
-      Done = co_await watchOnce();
+      Done = co_await watchOnce(Generation);
+    if (Generation != Generation_)
+      co_return;
     if (!Done) {
       Failure Cause = Done.error();
       co_await failed(Cause);
@@ -61,13 +70,55 @@
     succeeded();
     if (RegisteredAddress_ != Address_)
       co_await registerSelf();
+    if (std::exchange(SawChanges_, false))
+      co_await pause(Options_.GatherTime_);
+  }
+}
+
+/// A connection may go silent for good while new ones work: a watch on it hears
+/// nothing, and nothing tells it apart from a calm service but another call.
+Awaitable<void> StoreFollower::confirmRegularly() {
+  milliseconds Wait = Options_.ConfirmTime_;
+  while (!Stopped_) {
+    co_await pause(Wait);
+    bool WasLost = !platformReachable();
+    auto Present = co_await confirm();
+    Wait = Present ? Options_.ConfirmTime_ : milliseconds(0);
+    if (!Present) {
+      Failure Cause = Present.error();
+      co_await failed(Cause);
+      continue;
+    }
+    succeeded();
+    bool Behind = After_ < *Present;
+    if (Behind)
+      co_await pause(Options_.BehindTime_);
+    if (WasLost || (Behind && After_ < *Present))
+      startWatch();
   }
 }
 
+/// \returns the service's revision.
+Awaitable<Result<Revision>> StoreFollower::confirm() {
+  BootTime SentAt = BootClock::now();
+  std::string Prefix = Layout_.ConfigurationKey_;
+  auto Listed = co_await Platform_.List_(std::move(Prefix));
+  if (!Listed)
+    co_return Listed.error();
+  std::ranges::for_each(Listed->Entries_,
+                        [this](const KeyValue &Entry) { apply(Entry); });
+  Freshness_.renew(SentAt);
+  co_return Listed->Revision_;
+}
+
 void StoreFollower::succeeded() {
   if (std::exchange(Failures_, 0) > 1)
     logEvent(LogCategory::Process, spdlog::level::info, "platform-regained");
   Directory_.outageEnded(BootClock::now());
+  applyDirectory();
+}
+
+void StoreFollower::applyDirectory() {
   if (Directory_.nextDrop() && !std::exchange(DropPlanned_, true)) {
     auto Drop = [this]() { return dropUnseenLater(); };
     asio::co_spawn(Control_, std::move(Drop), asio::detached);
@@ -118,16 +169,20 @@
   co_return Result<void>();
 }
 
-Awaitable<Result<void>> StoreFollower::watchOnce() {
+Awaitable<Result<void>> StoreFollower::watchOnce(std::uint64_t Generation) {
   BootTime SentAt = BootClock::now();
   std::string Prefix = AllKeys;
   auto Changes =
       co_await Platform_.Watch_(std::move(Prefix), After_, Options_.WatchTime_);
   if (!Changes)
     co_return Changes.error();
+  // Another watch may have told of newer changes since.
+  if (Generation != Generation_)
+    co_return Result<void>();
   for (const KeyValue &Entry : Changes->Entries_)
     apply(Entry);
   After_ = Changes->Revision_;
+  SawChanges_ = !Changes->Entries_.empty();
   Freshness_.renew(SentAt);
   co_return Result<void>();
 }
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -40,10 +40,18 @@
 class StoreFollower {
 public:
   struct Options {
-    /// How long one watch waits at the service. With the time that a dead
-    /// connection goes unnoticed it must stay well under the freshness lease,
-    /// which runs from the sending of the watch before.
-    std::chrono::milliseconds WatchTime_{1500};
+    /// How long one watch waits at the service: each one that returns is a
+    /// call, with changes or without.
+    std::chrono::milliseconds WatchTime_{20000};
+    /// How often the configuration is read besides. That renews the freshness
+    /// lease, of five seconds or so, and shows whether the watch still hears:
+    /// two calls in the time in which a watch alone would need five.
+    std::chrono::milliseconds ConfirmTime_{3200};
+    /// How long the watch may be behind what was read.
+    std::chrono::milliseconds BehindTime_{300};
+    /// Pause after a watch that told of changes: those that follow come in one
+    /// answer, and each answer counts as a call.
+    std::chrono::milliseconds GatherTime_{250};
     /// Pause after the second failure in a row, doubled up to the longest.
     std::chrono::milliseconds FirstPause_{100};
     std::chrono::milliseconds LongestPause_{400};
@@ -63,16 +71,21 @@
   /// Begins to follow, and registers this daemon under its address.
   void start(VmId Self, std::string Address);
   void stop() { Stopped_ = true; }
-  bool platformReachable() const { return Failures_ == 0; }
+  /// One call may fail while the service is well, e.g. a watch that is cut.
+  bool platformReachable() const { return Failures_ < 2; }
 
 private:
-  Awaitable<void> follow();
+  Awaitable<void> follow(std::uint64_t Generation);
+  Awaitable<void> confirmRegularly();
+  Awaitable<Result<Revision>> confirm();
+  void startWatch();
   Awaitable<Result<void>> listAll();
-  Awaitable<Result<void>> watchOnce();
+  Awaitable<Result<void>> watchOnce(std::uint64_t Generation);
   Awaitable<void> registerSelf();
   Awaitable<void> pause(std::chrono::milliseconds Time);
   Awaitable<void> dropUnseenLater();
   void succeeded();
+  void applyDirectory();
   Awaitable<void> failed(const Failure &Cause);
   void apply(const KeyValue &Entry);
   void applyServer(const std::string &Name, const KeyValue &Entry);
@@ -92,10 +105,13 @@
   std::string RegisteredAddress_;
   Revision OwnRevision_;
   Revision After_;
+  /// Of the watch that counts; others were given up and end when they return.
+  std::uint64_t Generation_ = 0;
   bool NeedsList_ = true;
   bool Stopped_ = false;
   bool DirectoryChanged_ = false;
   bool DropPlanned_ = false;
+  bool SawChanges_ = false;
   int Failures_ = 0;
 };
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -541,9 +541,12 @@
 bool Daemon::isReady() const { return Ready_; }
 
 /// With a configuration that may be out of date, keys can't be honoured: other
-/// daemons should get the callers.
+/// daemons should get the callers, and already when that is about to happen.
+/// While no daemon is in touch, the balancer sends to all of them.
 bool Daemon::isTakingCallers() const {
-  return isReady() && !Draining_ && Freshness_.valid(BootClock::now());
+  bool InTouch = Configuration_ || Follower_->platformReachable();
+  return isReady() && !Draining_ && InTouch &&
+         Freshness_.valid(BootClock::now());
 }
 
 bool Daemon::configurationReady() {
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -25,10 +25,7 @@
 constexpr std::int64_t DefaultAnswerTokens = 256;
 
 Verdict refused(ResultCode Code, std::string Detail = "") {
-  Verdict Ended;
-  Ended.Code_ = Code;
-  Ended.Detail_ = std::move(Detail);
-  return Ended;
+  return Verdict(Code, std::move(Detail));
 }
 
 /// All messages of a chat, in order, as one prompt.
@@ -151,7 +148,7 @@
   const ForwardingRule &Rule = *Context.Route_->Forwarding_;
   Context.Call_ = Services_.Dialect_.ReadCall_(Request.Fields_);
   if (!Services_.HasTimeFor_(Rule))
-    return refused(ResultCode::NotReady, "the daemon is stopping");
+    return refused(ResultCode::Stopping);
   Context.Tier_ = Rule.Tier_;
   Context.Pool_ = choosePool(Context);
   if (!Context.Pool_)
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -50,6 +50,32 @@
   }
 }
 
+std::chrono::milliseconds usualRetryAfter(ResultCode Code) {
+  constexpr std::chrono::milliseconds AtAnotherDaemon{60};
+  constexpr std::chrono::milliseconds AtAnotherServer{200};
+  /// Daemons start together after a loss of power, and are ready soon.
+  constexpr std::chrono::milliseconds AfterStart{500};
+  constexpr std::chrono::milliseconds Later{1000};
+  switch (Code) {
+  case ResultCode::NotReady:
+    return AfterStart;
+  case ResultCode::Stopping:
+  case ResultCode::ConfigurationStale:
+  case ResultCode::KeeperUnreachable:
+    return AtAnotherDaemon;
+  case ResultCode::ConnectFailed:
+  case ResultCode::NoBackendServer:
+  case ResultCode::RefusedByServer:
+    return AtAnotherServer;
+  default:
+    return Later;
+  }
+}
+
+Verdict::Verdict(ResultCode Code, std::string Detail)
+    : Code_(Code), Detail_(std::move(Detail)),
+      RetryAfter_(usualRetryAfter(Code)) {}
+
 bool comesBack(const Verdict &Ended) {
   int Number = static_cast<int>(Ended.Code_);
   bool Overload = Number >= 200 && Number < 300;
--- a/Source/Request/FinalAnswer.h
+++ b/Source/Request/FinalAnswer.h
@@ -14,6 +14,10 @@
 
 /// How a request ended without a whole answer of a backend server.
 struct Verdict {
+  Verdict() = default;
+  /// Not run, with the code's usual time to come back.
+  explicit Verdict(ResultCode Code, std::string Detail = "");
+
   Outcome Outcome_ = Outcome::NotRun;
   ResultCode Code_ = ResultCode::Internal;
   std::string Detail_;
@@ -22,6 +26,9 @@
 
 /// The HTTP status that goes with a code.
 int httpStatus(ResultCode Code);
+/// How long a caller should wait when nothing more is known: for what is only
+/// this daemon's matter hardly at all, since another one will answer.
+std::chrono::milliseconds usualRetryAfter(ResultCode Code);
 /// True when asking again later can help, so that Retry-After is given.
 bool comesBack(const Verdict &Ended);
 /// The body of an error, as in the OpenAI API, with outcome and code.
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -342,9 +342,7 @@
   }
 
   Verdict verdictAfter(AttemptEnd Ended) const {
-    Verdict Result;
-    Result.Code_ = Cause_.Code_;
-    Result.Detail_ = Cause_.Detail_;
+    Verdict Result(Cause_.Code_, Cause_.Detail_);
     if (Ended == AttemptEnd::CallerLeft)
       Result.Code_ = ResultCode::CallerLeft;
     return Result;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -118,11 +118,7 @@
   logEvent(LogCategory::Request, Level, "ended", Fields);
 }
 
-Verdict notRun(ResultCode Code) {
-  Verdict Ended;
-  Ended.Code_ = Code;
-  return Ended;
-}
+Verdict notRun(ResultCode Code) { return Verdict(Code); }
 
 } // namespace
 
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -140,6 +140,7 @@
   std::string Prefix = Request.queryParameter("prefix");
   std::uint64_t After = number(Request, "after");
   auto End = steady_clock::now() + milliseconds(number(Request, "wait-ms"));
+  bool Deaf = false;
   while (true) {
     if (FailWith_ > 0)
       co_return jsonResponse(FailWith_, "{}");
@@ -157,7 +158,8 @@
       else if (Stored != Items_.end())
         Events.push_back(itemOf(Seen.Key_, Stored->second));
     }
-    if (!Events.empty() || steady_clock::now() >= End) {
+    Deaf = Deaf || DeafWatches_;
+    if ((!Events.empty() && !Deaf) || steady_clock::now() >= End) {
       Json Body = {{"events", Events}, {"current-rev", Revision_}};
       co_return jsonResponse(200, Body.dump());
     }
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -32,6 +32,8 @@
   int FailWith_ = 0;
   /// Takes calls and never answers.
   bool Silent_ = false;
+  /// Watches that wait while this is set hear nothing until their time is up.
+  bool DeafWatches_ = false;
   /// This many writes are done and not answered.
   int LoseWriteAnswers_ = 0;
   std::size_t PageSize_ = 500;
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -43,7 +43,10 @@
   /// A daemon that begins to follow.
   void follow() {
     StoreFollower::Options Options;
-    Options.WatchTime_ = milliseconds(100);
+    Options.WatchTime_ = milliseconds(2000);
+    Options.ConfirmTime_ = milliseconds(100);
+    Options.BehindTime_ = milliseconds(20);
+    Options.GatherTime_ = milliseconds(5);
     Options.FirstPause_ = milliseconds(5);
     Options.LongestPause_ = milliseconds(10);
     Options.RegisterAgainTime_ = milliseconds(150);
@@ -194,12 +197,31 @@
   CHECK(Test.runUntil(Fresh));
 }
 
-TEST_CASE("a calm store is asked no more than the watch's time requires") {
+TEST_CASE("a calm store is asked no more than the freshness requires") {
   FollowerFixture Test;
   REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
-  auto Before = Test.Store_.calls("/-/kv-watch");
+  auto Watches = Test.Store_.calls("/-/kv-watch");
+  auto Ranges = Test.Store_.calls("/-/kv-range");
   Test.runFor(milliseconds(500));
-  // A watch of 100 ms each, and one that was under way.
-  CHECK(Test.Store_.calls("/-/kv-watch") - Before <= 6);
-  CHECK(Test.Store_.calls("/-/kv-range") == 1);
+  // One watch is under way; a read each 100 ms.
+  CHECK(Test.Store_.calls("/-/kv-watch") - Watches <= 2);
+  CHECK(Test.Store_.calls("/-/kv-range") - Ranges <= 6);
+}
+
+TEST_CASE("a watch that went silent is replaced") {
+  // Symptom: a server that began to leave gets requests for as long as a watch
+  // may last.
+  // Sequence: the watch's connection goes silent while new ones work; a server
+  // begins to leave.
+  // Cause: nothing tells a deaf watch from a calm service but another call.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.runFor(milliseconds(30));
+  Test.Store_.DeafWatches_ = true;
+  Test.Store_.put("servers/i-1", serverEntry("draining"));
+  Test.runFor(milliseconds(10));
+  Test.Store_.DeafWatches_ = false;
+  auto Begin = std::chrono::steady_clock::now();
+  CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
+  CHECK(std::chrono::steady_clock::now() - Begin < milliseconds(1500));
 }
