Explain a request from its id: a line for each end and refusal, explain-request

Each end names servers, waits, versions and the age of the configuration; each refusal at a keeper what waits and runs there; engines left out and back. The tool puts the lines of several daemons in order with their beliefs. At most 20 lines a second of each code.

--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -1,6 +1,6 @@
 #include "Process/KeeperService.h"
 
-#include "Common/Log.h"
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <iterator>
@@ -14,6 +14,8 @@
 /// A cell that is no longer this daemon's is dropped after it is unused for
 /// this long.
 constexpr std::chrono::seconds UnusedCellTime{10};
+/// Of each code.
+constexpr std::uint32_t RefusalLinesPerSecond = 20;
 /// A customer that is over its allotment stays over it for a while.
 constexpr milliseconds AllotmentRetryAfter{300};
 
@@ -32,7 +34,8 @@
                              DocumentStore &Documents, Options Settings,
                              Hooks Reactions)
     : Documents_(Documents), Options_(Settings), Hooks_(std::move(Reactions)),
-      Allotments_(Settings.Allotments_, steady_clock::now()), Timer_(Control) {
+      Allotments_(Settings.Allotments_, steady_clock::now()),
+      RefusalLines_(RefusalLinesPerSecond), Timer_(Control) {
   schedule();
 }
 
@@ -196,7 +199,13 @@
 void KeeperService::done(const CellId &Cell, const RequestId &Id,
                          const ServedSample &Seen) {
   KeptCell &Target = kept(Cell);
+  auto Ended = Target.Scheduler_.findRunning(Id);
+  ServerModel *Server =
+      Ended ? Target.Scheduler_.server(Ended->Server_) : nullptr;
+  bool WasLeftOut = Server && Server->health().leftOut(steady_clock::now());
   Target.Scheduler_.done(Id, Seen, steady_clock::now());
+  if (Server)
+    logHealth(Cell, Ended->Server_, Server->health(), WasLeftOut);
   decide(Cell, Target);
 }
 
@@ -216,13 +225,51 @@
     Hooks_.FloorRaised_();
 }
 
+/// Why a request was refused is known here; its entry knows only the code.
+void KeeperService::logRefusal(const CellId &Cell,
+                               const RefuseDecision &Refusal) {
+  auto Dropped =
+      RefusalLines_.admit(static_cast<int>(Refusal.Code_), steady_clock::now());
+  auto Found = Cells_.find(Cell);
+  if (!Dropped || Found == Cells_.end())
+    return;
+  const Scheduler &Deciding = Found->second->Scheduler_;
+  auto Usable = std::ranges::count_if(Deciding.servers(), [](const auto &Item) {
+    return Item.second.usable();
+  });
+  logEvent(LogCategory::Keeper, spdlog::level::info, "refused",
+           {{"request", Refusal.Id_.str()},
+            {"code", std::to_string(static_cast<int>(Refusal.Code_))},
+            {"cell", Cell.str()},
+            {"entry", Refusal.Entry_.str()},
+            {"waiting", std::to_string(Deciding.waiting())},
+            {"running", std::to_string(Deciding.running())},
+            {"usable_servers", std::to_string(Usable)},
+            {"retry_after_ms", std::to_string(Refusal.RetryAfter_.count())},
+            {"dropped", std::to_string(*Dropped)}});
+}
+
+void KeeperService::logHealth(const CellId &Cell, const ServerName &Server,
+                              const ServerHealth &Health, bool WasLeftOut) {
+  bool LeftOut = Health.leftOut(steady_clock::now());
+  if (LeftOut == WasLeftOut)
+    return;
+  logEvent(LogCategory::Keeper, spdlog::level::info,
+           LeftOut ? "server-left-out" : "server-back",
+           {{"server", Server.str()},
+            {"cell", Cell.str()},
+            {"failure_rate", fmt::format("{:.2f}", Health.failureRate())}});
+}
+
 void KeeperService::deliver(const CellId &Cell,
                             const std::vector<Decision> &Decisions) {
   for (const Decision &Taken : Decisions) {
     if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
       Allotments_.used(Grant->Id_);
-    else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
+    else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken)) {
       Allotments_.giveBack(Refusal->Id_);
+      logRefusal(Cell, *Refusal);
+    }
     Hooks_.Decided_(Cell, Taken);
   }
 }
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -4,6 +4,7 @@
 /// entries. State is soft: a new keeper gets it again from the entries. Runs
 /// on the control thread.
 
+#include "Common/Log.h"
 #include "Process/AllotmentLedger.h"
 #include "Process/Cell.h"
 #include "Process/MembershipService.h"
@@ -91,6 +92,9 @@
   };
 
   KeptCell &kept(const CellId &Cell);
+  void logRefusal(const CellId &Cell, const RefuseDecision &Refusal);
+  void logHealth(const CellId &Cell, const ServerName &Server,
+                 const ServerHealth &Health, bool WasLeftOut);
   /// The most cells that a pool of the document has.
   static double mostCells(const Document &Whole);
   std::optional<RefuseDecision> chargeAllotment(const CellId &Cell,
@@ -107,6 +111,7 @@
   std::map<CellId, std::unique_ptr<KeptCell>> Cells_;
   std::map<VmId, TimePoint> GoneEntries_;
   AllotmentLedger Allotments_;
+  LogSampler RefusalLines_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
   boost::asio::steady_timer Timer_;
   bool TickScheduled_ = false;
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -102,9 +102,9 @@
 
 /// Of answers whose lengths differ a hundredfold, the longest tenth takes half
 /// of the places, for a tenth of the callers: under load they go behind. But
-/// they are served at least two thirds as often as the others of their tier.
+/// they are served at least three fifths as often as the others of their tier.
 bool Scheduler::mayPutBack(const AskedRequest &Request, TimePoint Now) {
-  constexpr double LeastPart = 0.5;
+  constexpr double LeastPart = 0.6;
   if (!isLong(Request))
     return false;
   TierQueue &Own = Tiers_[queueIndex(Request.Tier_)];
--- a/Source/Programs/CtlMain.cpp
+++ b/Source/Programs/CtlMain.cpp
@@ -2,6 +2,7 @@
 /// samphireshuntctl: the operators' tool.
 
 #include "Programs/CtlCommands.h"
+#include "Programs/RequestStory.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -11,7 +12,10 @@
 #include <fmt/format.h>
 
 #include <cstdlib>
+#include <fstream>
+#include <iostream>
 #include <random>
+#include <sstream>
 
 ABSL_FLAG(std::string, server, "",
           "IP:port of the platform's service or of any daemon's operators "
@@ -37,7 +41,10 @@
     "  history SERVICE          lists past versions\n"
     "  rollback SERVICE VERSION makes a past version the next one\n"
     "  status                   shows every daemon\n"
-    "  explain CODE|NAME|all    explains a result code\n";
+    "  explain CODE|NAME|all    explains a result code\n"
+    "  explain-request ID [FILE...]\n"
+    "                           tells a request's story from daemons' logs;\n"
+    "                           without files from standard input\n";
 
 ExitStatus usage() {
   fmt::print(stderr, "{}", Usage);
@@ -83,7 +90,34 @@
   return 0;
 }
 
+/// Beliefs of this long before a request are shown with it.
+constexpr double BeliefSeconds = 10;
+
+ExitStatus explainRequest(const std::vector<std::string> &Words) {
+  std::stringstream Logs;
+  if (Words.size() == 2)
+    Logs << std::cin.rdbuf();
+  constexpr std::size_t FirstFile = 2;
+  for (std::size_t Index = FirstFile; Index < Words.size(); ++Index) {
+    std::ifstream File(Words[Index]);
+    if (!File) {
+      fmt::print(stderr, "can't read {}\n", Words[Index]);
+      return ExitStatus::Usage;
+    }
+    Logs << File.rdbuf();
+  }
+  RequestStory Story = readStory(Logs, Words[1], BeliefSeconds);
+  if (!Story.Found_) {
+    fmt::print(stderr, "no line of request {}\n", Words[1]);
+    return ExitStatus::NotFound;
+  }
+  fmt::print("{}", Story.text());
+  return ExitStatus::Ok;
+}
+
 ExitStatus run(const std::vector<std::string> &Words) {
+  if (Words.size() >= 2 && Words[0] == "explain-request")
+    return explainRequest(Words);
   if (Words.empty() || wordsNeeded(Words[0]) != Words.size())
     return usage();
   CtlOptions Options;
--- /dev/null
+++ b/Source/Programs/RequestStory.cpp
@@ -0,0 +1,111 @@
+#include "Programs/RequestStory.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <set>
+
+namespace samphireshunt {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// Fields that say the same of every line of a story.
+const std::set<std::string> CommonFields = {"time", "level", "vm", "category",
+                                            "event"};
+
+struct ReadLine {
+  LogLine Line_;
+  double Seconds_ = 0; ///< Within its day.
+};
+
+double part(std::string_view Text, std::size_t At, std::size_t Length) {
+  double Value = 0;
+  if (Text.size() >= At + Length)
+    std::from_chars(Text.data() + At, Text.data() + At + Length, Value);
+  return Value;
+}
+
+/// "2026-06-17T08:29:04.839+00:00" as seconds of its day.
+double secondsOf(std::string_view Time) {
+  constexpr std::size_t Hours = 11;
+  constexpr std::size_t Minutes = 14;
+  constexpr std::size_t Seconds = 17;
+  constexpr std::size_t SecondsLength = 6;
+  constexpr double PerMinute = 60;
+  return (part(Time, Hours, 2) * PerMinute + part(Time, Minutes, 2)) *
+             PerMinute +
+         part(Time, Seconds, SecondsLength);
+}
+
+std::string valueText(const Json &Value) {
+  return Value.is_string() ? Value.get<std::string>() : Value.dump();
+}
+
+std::optional<ReadLine> parseLine(const std::string &Text,
+                                  const std::string &Id) {
+  std::size_t Start = Text.find('{');
+  if (Start == std::string::npos)
+    return std::nullopt;
+  Json Line = Json::parse(Text.substr(Start), nullptr, false);
+  if (!Line.is_object() || !Line.contains("event") || !Line.contains("time"))
+    return std::nullopt;
+  ReadLine Read;
+  Read.Line_.Time_ = Line.value("time", "");
+  Read.Line_.Vm_ = Line.value("vm", "");
+  Read.Line_.Event_ = Line.value("event", "");
+  Read.Line_.OfRequest_ =
+      Line.value("request", "") == Id || Line.value("call", "") == Id;
+  Read.Seconds_ = secondsOf(Read.Line_.Time_);
+  for (const auto &[Name, Value] : Line.items())
+    if (!CommonFields.contains(Name))
+      Read.Line_.Fields_ += fmt::format(" {}={}", Name, valueText(Value));
+  // Lines of other requests are no beliefs.
+  bool OfAnother = !Read.Line_.OfRequest_ &&
+                   (Line.contains("request") || Line.contains("call"));
+  return OfAnother ? std::nullopt : std::optional(std::move(Read));
+}
+
+} // namespace
+
+std::string RequestStory::text() const {
+  std::string Text;
+  for (const LogLine &Line : Lines_)
+    Text += fmt::format("{} {:1} {:20} {}{}\n", Line.Time_,
+                        Line.OfRequest_ ? ">" : " ", Line.Vm_, Line.Event_,
+                        Line.Fields_);
+  return Text;
+}
+
+RequestStory readStory(std::istream &Logs, const std::string &Id,
+                       double BeliefSeconds) {
+  std::vector<ReadLine> All;
+  for (std::string Text; std::getline(Logs, Text);)
+    if (auto Read = parseLine(Text, Id))
+      All.push_back(std::move(*Read));
+  auto IsOfRequest = [](const ReadLine &Read) { return Read.Line_.OfRequest_; };
+  RequestStory Story;
+  if (std::ranges::none_of(All, IsOfRequest))
+    return Story;
+  Story.Found_ = true;
+  std::ranges::stable_sort(All, {}, &ReadLine::Seconds_);
+  double First = std::ranges::find_if(All, IsOfRequest)->Seconds_;
+  auto Last = std::find_if(All.rbegin(), All.rend(), IsOfRequest);
+  std::set<std::string> Vms;
+  for (const ReadLine &Read : All)
+    if (Read.Line_.OfRequest_)
+      Vms.insert(Read.Line_.Vm_);
+  for (ReadLine &Read : All) {
+    bool Near = Read.Seconds_ >= First - BeliefSeconds &&
+                Read.Seconds_ <= Last->Seconds_;
+    if (Read.Line_.OfRequest_ || (Near && Vms.contains(Read.Line_.Vm_)))
+      Story.Lines_.push_back(std::move(Read.Line_));
+  }
+  return Story;
+}
+
+} // namespace samphireshunt
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -88,11 +88,21 @@
   return Asked;
 }
 
-/// One line for a request's end. Answers are worth a line only when someone
-/// looks closely; what was not answered always is, within limits.
+std::string millisText(std::chrono::nanoseconds Time) {
+  return std::to_string(duration_cast<milliseconds>(Time).count());
+}
+
+std::string serversText(const RequestContext &Context) {
+  std::string Text;
+  for (const ServerName &Name : Context.Servers_)
+    Text += (Text.empty() ? "" : ",") + Name.str();
+  return Text;
+}
+
+/// One line for a request's end, with what decided it; at most so many a second
+/// of each code.
 void logEnd(const RequestContext &Context, Outcome Value, ResultCode Code) {
-  auto Level =
-      Value == Outcome::Answered ? spdlog::level::debug : spdlog::level::info;
+  auto Level = spdlog::level::info;
   if (!spdlog::should_log(Level))
     return;
   constexpr std::uint32_t LinesPerSecond = 20;
@@ -115,6 +125,15 @@
     Fields.emplace_back("version",
                         std::to_string(Context.Service_->Version_.count()));
   }
+  auto Now = steady_clock::now();
+  Fields.emplace_back(
+      "confirmed_ms_ago",
+      millisText(Context.Services_.Freshness_.age(BootClock::now())));
+  Fields.emplace_back("tier", std::to_string(Context.Tier_.count()));
+  Fields.emplace_back("servers", serversText(Context));
+  Fields.emplace_back("waited_ms", millisText(Context.Waited_));
+  Fields.emplace_back("total_ms", millisText(Now - Context.Started_));
+  Fields.emplace_back("left_ms", millisText(Context.Deadline_ - Now));
   logEvent(LogCategory::Request, Level, "ended", Fields);
 }
 
@@ -213,6 +232,7 @@
       Ended = notRun(ResultCode::DeadlineInQueue);
       break;
     }
+    Context.Servers_.push_back(Chosen.Name_);
     ReadyServer Ready;
     Ready.Server_ = std::move(Chosen);
     Ready.Connection_ = std::move(*Connected);
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -73,6 +73,8 @@
   RequestState State_;
   Trace Trace_;
   std::chrono::microseconds Waited_{0};
+  /// Servers that it was dispatched to, in their order.
+  std::vector<ServerName> Servers_;
 
   /// Time until the deadline, at least a millisecond.
   std::chrono::milliseconds remaining() const;
--- /dev/null
+++ b/UnitTests/Programs/RequestStoryTest.cpp
@@ -0,0 +1,43 @@
+#include "Programs/RequestStory.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace samphireshunt;
+
+namespace {
+
+const char *const Logs =
+    R"(not a log line
+7.1 vm-2 {"time":"2026-06-17T08:29:05.200+00:00","level":"info","vm":"vm-2","category":"keeper","event":"refused","request":"r-1","code":"211","waiting":"40"}
+{"time":"2026-06-17T08:29:05.210+00:00","level":"info","vm":"vm-1","category":"request","event":"ended","request":"r-1","call":"c-1","outcome":"not-run","code":"211"}
+{"time":"2026-06-17T08:29:04.000+00:00","level":"info","vm":"vm-1","category":"version","event":"adopted","service":"s","version":"3"}
+{"time":"2026-06-17T08:28:01.000+00:00","level":"info","vm":"vm-1","category":"version","event":"adopted","service":"s","version":"2"}
+{"time":"2026-06-17T08:29:04.500+00:00","level":"info","vm":"vm-3","category":"process","event":"started"}
+{"time":"2026-06-17T08:29:05.205+00:00","level":"info","vm":"vm-1","category":"request","event":"ended","request":"r-2","call":"c-2","code":"0"}
+)";
+
+RequestStory story(const std::string &Id) {
+  std::istringstream Stream(Logs);
+  return readStory(Stream, Id, 10);
+}
+
+} // namespace
+
+TEST_CASE("a request is told in order, with what its daemons believed") {
+  auto Story = story("r-1");
+  REQUIRE(Story.Found_);
+  REQUIRE(Story.Lines_.size() == 3);
+  CHECK(Story.Lines_[0].Event_ == "adopted");
+  CHECK(Story.Lines_[0].Fields_ == " service=s version=3");
+  CHECK(Story.Lines_[1].Event_ == "refused");
+  CHECK(Story.Lines_[1].Vm_ == "vm-2");
+  CHECK(Story.Lines_[2].Event_ == "ended");
+  CHECK(Story.text().find("> vm-2") != std::string::npos);
+}
+
+TEST_CASE("the caller's own id finds it as well, and an unknown one nothing") {
+  CHECK(story("c-1").Lines_.size() == 2);
+  CHECK_FALSE(story("c-9").Found_);
+}
