Keep one request more than its places at each engine

Load: all places taken. A place that gets free stays empty until the keeper has heard of it and a grant has reached an entry and a request the engine.

--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -39,6 +39,9 @@
     /// Longer than its death takes to be known: dropped before, its orphans
     /// would never be cancelled.
     std::chrono::milliseconds EntryGrace_{10000};
+    /// Requests beyond an engine's limit that wait in the engine, so that a
+    /// place that gets free is not empty until this keeper has heard of it.
+    std::uint32_t AheadPerServer_ = 0;
     Scheduler::Options Scheduling_;
     AllotmentLedger::Options Allotments_;
   };
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -211,6 +211,10 @@
   KeeperService::Options Options;
   Options.Scheduling_ = schedulingOptions(Settings_);
   Options.Scheduling_.Seed_ = Origin_;
+  // Mean worth of eight seeds with none and with one ahead: 0.619 and 0.652 on
+  // the hardest day of Red Clay, 0.561 and 0.569 on that of Quilotoa Alto.
+  if (Settings_.ByObjective_)
+    Options.AheadPerServer_ = 1;
   Options.Allotments_.Window_ = Settings_.AllotmentWindow_;
   Options.Allotments_.Overrun_ = Settings_.AllotmentOverrun_;
   Options.Allotments_.Credit_ = Settings_.AllotmentCredit_;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -170,10 +170,10 @@
 
   AttemptEnd failed(Failure Cause) {
     Ready_.Connection_->close();
+    MayHaveRun_ = true;
     if (CallerLeft_)
       return AttemptEnd::CallerLeft;
     Faulty_ = !Context_.expired();
-    MayHaveRun_ = true;
     Cause_ = std::move(Cause);
     return Begun_ ? AttemptEnd::Broken : AttemptEnd::Failed;
   }
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -133,7 +133,8 @@
   Fields.emplace_back("servers", serversText(Context));
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
   Fields.emplace_back("total_ms", millisText(Now - Context.Started_));
-  Fields.emplace_back("left_ms", millisText(Context.Deadline_ - Now));
+  if (Context.Deadline_ != TimePoint())
+    Fields.emplace_back("left_ms", millisText(Context.Deadline_ - Now));
   logEvent(LogCategory::Request, Level, "ended", Fields);
 }
 
