--- /dev/null
+++ b/FailureTests/platform/SoakWorld.cpp
@@ -0,0 +1,469 @@
+#include "FailureTests/platform/SoakWorld.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+
+namespace samphireshunt::tests {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t DaemonCount = 8;
+constexpr int EventCount = 6;
+constexpr std::uint32_t Percent = 100;
+/// A key must not work for longer after it was taken away.
+constexpr milliseconds RevocationBound{5000};
+/// A leaving engine gets no request later than this after it said so, while the
+/// store is well.
+constexpr milliseconds DrainBound{2000};
+/// So long the store must have been well for that bound to hold.
+constexpr milliseconds CalmStore{5000};
+
+const char *pathOf(SoakKind Kind) {
+  switch (Kind) {
+  case SoakKind::Safe:
+    return "/safe/1";
+  case SoakKind::Unsafe:
+    return "/unsafe/1";
+  case SoakKind::Stream:
+    return "/stream/1";
+  default:
+    return "/resumable/1";
+  }
+}
+
+bool isStream(SoakKind Kind) {
+  return Kind == SoakKind::Stream || Kind == SoakKind::Resumable;
+}
+
+bool mayRunTwice(SoakKind Kind) {
+  return Kind == SoakKind::Safe || Kind == SoakKind::Resumable;
+}
+
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+std::string eventOf(const std::string &CallId, int Number) {
+  return fmt::format("id: {}\ndata: {}-{}\n\n", Number, CallId, Number);
+}
+
+std::string wholeBody(SoakKind Kind, const std::string &CallId) {
+  if (!isStream(Kind))
+    return "answer to " + CallId;
+  std::string Body;
+  for (int Number = 1; Number <= EventCount; ++Number)
+    Body += eventOf(CallId, Number);
+  return Body;
+}
+
+Json routeOf(const char *Name, const char *Kind, bool Resumable) {
+  return {{"name", Name},
+          {"hostname", "soak.example"},
+          {"prefix", fmt::format("/{}/", Name)},
+          {"kind", Kind},
+          {"timeout-ms", 3000},
+          {"goal-ms", 500},
+          {"priority", 0},
+          {"attempts", 2},
+          {"resumable", Resumable},
+          {"service", "engines"}};
+}
+
+} // namespace
+
+struct SoakWorld::Engine {
+  std::string Id_;
+  std::unique_ptr<HttpServer> Server_;
+  Time Leaving_;
+  bool Gone_ = false;
+};
+
+SoakWorld::SoakWorld(std::uint64_t Seed)
+    : Random_(Seed), Store_(Context_), Daemons_(DaemonCount) {
+  for (int Number = 1; Number <= 6; ++Number) {
+    std::string Key = fmt::format("key-{}", Number);
+    ActiveKeys_.insert(Key);
+    OwnerOf_[Key] = fmt::format("customer-{}", 1 + Number % 2);
+  }
+  writeConfiguration();
+  for (int Number = 0; Number < 4; ++Number)
+    addEngine();
+  Thread_ = std::thread([this] {
+    auto Guard = asio::make_work_guard(Context_);
+    Context_.run();
+  });
+}
+
+SoakWorld::~SoakWorld() {
+  Context_.stop();
+  Thread_.join();
+}
+
+void SoakWorld::run(std::function<void()> Work) {
+  std::promise<void> Done;
+  asio::post(Context_, [&] {
+    Work();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+Endpoint SoakWorld::storeAddress() { return Store_.address(); }
+
+void SoakWorld::writeConfiguration() {
+  Json Customers = Json::array();
+  for (const char *Name : {"customer-1", "customer-2"}) {
+    Json Keys = Json::array();
+    for (const std::string &Key : ActiveKeys_)
+      if (OwnerOf_[Key] == Name)
+        Keys.push_back(Key);
+    Customers.push_back({{"name", Name}, {"api-keys", Keys}});
+  }
+  Version_ += 1 + pick(3);
+  Json Root = {
+      {"version", Version_},
+      {"routes",
+       {routeOf("safe", "safe", false), routeOf("unsafe", "unsafe", false),
+        routeOf("stream", "streaming", false),
+        routeOf("resumable", "streaming", true)}},
+      {"services", {{{"name", "engines"}}}},
+      {"limits", {{"idle-timeout-ms", 15000}}},
+      {"tenants", Customers}};
+  Store_.put("op/config", Root.dump());
+}
+
+void SoakWorld::addEngine() {
+  auto Added = std::make_unique<Engine>();
+  Engine &Self = *Added;
+  Self.Id_ = fmt::format("i-{}", NextId_++);
+  HttpServerOptions Options;
+  Options.Address_ = {asio::ip::make_address("127.0.0.1"), 0};
+  Options.Handler_ = [this, &Self](HttpExchange &Exchange) {
+    return serve(Self, Exchange);
+  };
+  Self.Server_ =
+      std::move(*HttpServer::create(Context_, {&Context_}, std::move(Options)));
+  Engines_.push_back(std::move(Added));
+  register_(Self);
+}
+
+void SoakWorld::register_(const Engine &Target) {
+  bool Leaving = Target.Leaving_ != Time();
+  Json Entry = {{"service", "engines"},
+                {"address", formatEndpoint(Target.Server_->address())},
+                {"zone", "z"},
+                {"batch-size", 4},
+                {"state", Leaving ? "draining" : "ready"}};
+  Store_.put("servers/" + Target.Id_, Entry.dump());
+}
+
+Awaitable<void> SoakWorld::sleep(milliseconds Time) {
+  asio::steady_timer Timer(Context_, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+Awaitable<void> SoakWorld::serve(Engine &Self, HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  std::string CallId = Request.field("x-samphireshunt-request-id");
+  HttpResponse Answer;
+  Answer.Fields_["x-samphireshunt-request-id"] = CallId;
+  bool Other = Request.field("x-samphireshunt-expect-instance") != Self.Id_;
+  bool Refuses = Misbehave_ && pick(Percent) < 5;
+  if (Other || Refuses) {
+    Answer.Status_ = Other ? 421 : 503;
+    Answer.Fields_["x-samphireshunt-not-executed"] = "1";
+    co_await Exchange.respond(std::move(Answer));
+    co_return;
+  }
+  auto Now = steady_clock::now();
+  bool Late = Self.Leaving_ != Time() && Now - Self.Leaving_ > DrainBound;
+  if (Late && Now - StoreTroubled_ > CalmStore)
+    Violations_.push_back(CallId + ": reached a leaving engine too late");
+  if (!Request.field("authorization").empty())
+    Violations_.push_back(CallId + ": the key was passed on");
+  Runs_.push_back(
+      {CallId, Self.Id_, Request.field("x-samphireshunt-tenant"), Now});
+  ++RunsOf_[CallId];
+  bool Stream = Request.path().starts_with("/stream") ||
+                Request.path().starts_with("/resumable");
+  if (Misbehave_ && pick(Percent) < 4)
+    co_return Exchange.abort();
+  if (Misbehave_ && pick(Percent) < 5)
+    co_await sleep(milliseconds(pick(900)));
+  if (Stream)
+    co_return co_await serveStream(Self, Exchange, std::move(CallId));
+  co_await sleep(milliseconds(2 + pick(20)));
+  Answer.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
+  Answer.Body_ = "answer to " + CallId;
+  if (Misbehave_ && pick(Percent) < 5)
+    Answer.Status_ = 500;
+  if (Misbehave_ && pick(Percent) < 3)
+    Answer.Fields_["x-samphireshunt-request-id"] = "another";
+  co_await Exchange.respond(std::move(Answer));
+}
+
+Awaitable<void> SoakWorld::serveStream(Engine &Self, HttpExchange &Exchange,
+                                       std::string CallId) {
+  std::string After = Exchange.request().field("last-event-id");
+  HttpResponse Head;
+  Head.Fields_["x-samphireshunt-request-id"] = CallId;
+  Head.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
+  Head.Fields_["content-type"] = "text/event-stream";
+  bool Open = co_await Exchange.beginStream(std::move(Head));
+  int First = After.empty() ? 1 : std::stoi(After) + 1;
+  for (int Number = First; Open && Number <= EventCount; ++Number) {
+    co_await sleep(milliseconds(2 + pick(15)));
+    std::string Event = eventOf(CallId, Number);
+    bool Cut = Misbehave_ && pick(Percent) < 2;
+    if (Cut)
+      Event.resize(Event.size() / 2);
+    Open = co_await Exchange.writeChunk(std::move(Event));
+    if (Cut)
+      co_return Exchange.abort();
+  }
+  if (Open)
+    co_await Exchange.endStream();
+}
+
+void SoakWorld::setDaemon(std::size_t Index, std::optional<Endpoint> Callers) {
+  run([&] { Daemons_.at(Index) = Callers; });
+}
+
+void SoakWorld::startCallers(int Count) {
+  run([&] {
+    CallersRun_ = true;
+    CallersLeft_ = Count;
+    for (int Number = 0; Number < Count; ++Number) {
+      auto Caller = [this, Number]() {
+        return caller(static_cast<std::uint64_t>(Number));
+      };
+      asio::co_spawn(Context_, std::move(Caller), asio::detached);
+    }
+  });
+}
+
+void SoakWorld::stopCallers() {
+  run([&] { CallersRun_ = false; });
+  auto Left = [this] {
+    int Count = 0;
+    run([&] { Count = CallersLeft_; });
+    return Count;
+  };
+  while (Left() > 0)
+    std::this_thread::sleep_for(milliseconds(20));
+}
+
+/// A caller goes on using its open connection until that is closed.
+Awaitable<void> SoakWorld::caller(std::uint64_t) {
+  std::unique_ptr<HttpConnection> Kept;
+  while (CallersRun_) {
+    co_await sleep(milliseconds(5 + pick(40)));
+    auto Daemon = Daemons_[pick(static_cast<std::uint32_t>(Daemons_.size()))];
+    if (!Daemon)
+      continue;
+    auto Kind = static_cast<SoakKind>(pick(4));
+    std::string Key = fmt::format("key-{}", 1 + pick(6));
+    Endpoint To = *Daemon;
+    SoakCall Seen =
+        co_await callOnce(Kind, std::move(Key), std::move(To), Kept);
+    Calls_.push_back(std::move(Seen));
+  }
+  --CallersLeft_;
+}
+
+Awaitable<SoakCall> SoakWorld::callOnce(SoakKind Kind, std::string Key,
+                                        Endpoint To,
+                                        std::unique_ptr<HttpConnection> &Kept) {
+  constexpr milliseconds Limit{3000};
+  SoakCall Seen;
+  Seen.Id_ = fmt::format("c-{}", NextId_++);
+  Seen.Kind_ = Kind;
+  Seen.Key_ = Key;
+  HttpRequest Request;
+  Request.Method_ = Kind == SoakKind::Safe ? "GET" : "POST";
+  Request.Target_ = pathOf(Kind);
+  Request.Fields_ = {{"host", "soak.example"},
+                     {"x-samphireshunt-request-id", Seen.Id_},
+                     {"x-samphireshunt-deadline-ms", "2500"},
+                     {"authorization", "Bearer " + Key}};
+  if (!Kept) {
+    auto Connected = co_await HttpConnection::connect(To, Limit);
+    if (!Connected)
+      co_return Seen;
+    Kept = std::move(*Connected);
+  }
+  Seen.Sent_ = steady_clock::now();
+  auto Sent = co_await Kept->send(Request, Limit);
+  bool Open = Sent.has_value();
+  if (Open) {
+    auto Head = co_await Kept->readHead(Limit);
+    Open = Head.has_value();
+    Seen.Status_ = Open ? Head->Status_ : 0;
+  }
+  while (Open) {
+    auto Part = co_await Kept->readSome(Limit);
+    Open = Part.has_value() && !Part->empty();
+    Seen.Complete_ = Part.has_value() && Part->empty();
+    if (Open)
+      Seen.Body_ += *Part;
+  }
+  if (!Kept->reusable())
+    Kept.reset();
+  co_return Seen;
+}
+
+void SoakWorld::failStore(int Status) {
+  run([&] {
+    Store_.FailWith_ = Status;
+    StoreTroubled_ = steady_clock::now();
+  });
+}
+
+void SoakWorld::silenceStore(bool Silent) {
+  run([&] {
+    Store_.Silent_ = Silent;
+    StoreTroubled_ = steady_clock::now();
+  });
+}
+
+void SoakWorld::dropHistory() {
+  run([&] { Store_.dropHistory(); });
+}
+
+void SoakWorld::loseWriteAnswers(int Count) {
+  run([&] { Store_.LoseWriteAnswers_ = Count; });
+}
+
+void SoakWorld::revokeKey() {
+  run([&] {
+    // Some stay, or nothing would be served at the end.
+    constexpr std::size_t KeptKeys = 3;
+    if (ActiveKeys_.size() <= KeptKeys)
+      return;
+    std::string Key = *ActiveKeys_.begin();
+    ActiveKeys_.erase(Key);
+    Revoked_[Key] = steady_clock::now();
+    writeConfiguration();
+  });
+}
+
+void SoakWorld::changeConfiguration() {
+  run([&] { writeConfiguration(); });
+}
+
+void SoakWorld::replaceEngine() {
+  run([&] {
+    auto Ready = std::ranges::find_if(Engines_, [](const auto &Known) {
+      return Known->Leaving_ == Time() && !Known->Gone_;
+    });
+    Engine *Leaver = Ready == Engines_.end() ? nullptr : Ready->get();
+    addEngine();
+    if (!Leaver)
+      return;
+    Leaver->Leaving_ = steady_clock::now();
+    register_(*Leaver);
+    auto Leave = [this, Leaver]() -> Awaitable<void> {
+      constexpr milliseconds Linger{4000};
+      co_await sleep(Linger);
+      Leaver->Gone_ = true;
+      Store_.remove("servers/" + Leaver->Id_);
+      Leaver->Server_->stopAccepting();
+    };
+    asio::co_spawn(Context_, std::move(Leave), asio::detached);
+  });
+}
+
+std::vector<std::string> SoakWorld::probeAll() {
+  std::promise<std::vector<std::string>> Done;
+  auto Probe = [&]() -> Awaitable<void> {
+    std::vector<std::string> Failed;
+    for (std::size_t Index = 0; Index < Daemons_.size(); ++Index) {
+      if (!Daemons_[Index])
+        continue;
+      for (int Kind = 0; Kind < 4; ++Kind) {
+        std::unique_ptr<HttpConnection> Fresh;
+        Endpoint To = *Daemons_[Index];
+        std::string Key = *ActiveKeys_.rbegin();
+        SoakCall Seen = co_await callOnce(static_cast<SoakKind>(Kind),
+                                          std::move(Key), std::move(To), Fresh);
+        Calls_.push_back(Seen);
+        if (Seen.Status_ != 200 || !Seen.Complete_)
+          Failed.push_back(fmt::format("daemon {} kind {}: status {}", Index,
+                                       Kind, Seen.Status_));
+      }
+    }
+    Done.set_value(std::move(Failed));
+  };
+  asio::co_spawn(Context_, Probe, asio::detached);
+  return Done.get_future().get();
+}
+
+void SoakWorld::check(const SoakCall &Call,
+                      std::vector<std::string> &Found) const {
+  auto Known = RunsOf_.find(Call.Id_);
+  std::size_t Runs = Known == RunsOf_.end() ? 0 : Known->second;
+  bool Success = Call.Status_ == 200 && Call.Complete_;
+  if (Success && Call.Body_ != wholeBody(Call.Kind_, Call.Id_))
+    Found.push_back(Call.Id_ + ": a wrong or partial answer looked whole");
+  if (!mayRunTwice(Call.Kind_) && Runs > 1)
+    Found.push_back(Call.Id_ + ": ran twice");
+  if (!mayRunTwice(Call.Kind_) && promisesNotRun(Call.Status_) && Runs > 0)
+    Found.push_back(fmt::format("{}: told not run ({}), but it ran", Call.Id_,
+                                Call.Status_));
+  auto Taken = Revoked_.find(Call.Key_);
+  if (Taken != Revoked_.end() && Runs > 0 &&
+      Call.Sent_ > Taken->second + RevocationBound)
+    Found.push_back(Call.Id_ + ": ran long after its key was taken away");
+}
+
+std::vector<std::string> SoakWorld::violations() {
+  std::vector<std::string> Found;
+  run([&] {
+    Found = Violations_;
+    std::map<std::string, const SoakCall *> ById;
+    for (const SoakCall &Call : Calls_) {
+      ById[Call.Id_] = &Call;
+      check(Call, Found);
+    }
+    for (const SoakRun &Run : Runs_) {
+      auto Call = ById.find(Run.CallId_);
+      bool Owner = Call == ById.end() ||
+                   OwnerOf_.at(Call->second->Key_) == Run.Customer_;
+      if (!Owner)
+        Found.push_back(Run.CallId_ + ": ran under another customer's name");
+    }
+  });
+  return Found;
+}
+
+std::size_t SoakWorld::answered() {
+  std::size_t Count = 0;
+  run([&] {
+    Count = static_cast<std::size_t>(
+        std::ranges::count_if(Calls_, [](const SoakCall &Call) {
+          return Call.Status_ == 200 && Call.Complete_;
+        }));
+  });
+  return Count;
+}
+
+std::size_t SoakWorld::asked() {
+  std::size_t Count = 0;
+  run([&] { Count = Calls_.size(); });
+  return Count;
+}
+
+} // namespace samphireshunt::tests
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -51,7 +51,7 @@
     std::chrono::milliseconds BehindTime_{300};
     /// Pause after a watch that told of changes: those that follow come in one
     /// answer, and each answer counts as a call.
-    std::chrono::milliseconds GatherTime_{250};
+    std::chrono::milliseconds GatherTime_{500};
     /// Pause after the second failure in a row, doubled up to the longest.
     std::chrono::milliseconds FirstPause_{100};
     std::chrono::milliseconds LongestPause_{400};
