--- a/FailureTests/platform/SoakWorld.cpp
+++ b/FailureTests/platform/SoakWorld.cpp
@@ -157,10 +157,10 @@
   Self.Server_ =
       std::move(*HttpServer::create(Context_, {&Context_}, std::move(Options)));
   Engines_.push_back(std::move(Added));
-  register_(Self);
+  publish(Self);
 }
 
-void SoakWorld::register_(const Engine &Target) {
+void SoakWorld::publish(const Engine &Target) {
   bool Leaving = Target.Leaving_ != Time();
   Json Entry = {{"service", "engines"},
                 {"address", formatEndpoint(Target.Server_->address())},
@@ -374,7 +374,7 @@
     if (!Leaver)
       return;
     Leaver->Leaving_ = steady_clock::now();
-    register_(*Leaver);
+    publish(*Leaver);
     auto Leave = [this, Leaver]() -> Awaitable<void> {
       constexpr milliseconds Linger{4000};
       co_await sleep(Linger);
--- a/FailureTests/platform/SoakWorld.h
+++ b/FailureTests/platform/SoakWorld.h
@@ -81,7 +81,7 @@
   void run(std::function<void()> Work);
   void addEngine();
   void writeConfiguration();
-  void register_(const Engine &Target);
+  void publish(const Engine &Target);
   Awaitable<void> serve(Engine &Self, HttpExchange &Exchange);
   Awaitable<void> serveStream(Engine &Self, HttpExchange &Exchange,
                               std::string CallId);
--- a/Source/Common/BootClock.h
+++ b/Source/Common/BootClock.h
@@ -14,9 +14,10 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The standard's names for them.
+  // NOLINTNEXTLINE
   static constexpr bool is_steady = true;
-
-  // NOLINTNEXTLINE: the standard's name for it.
+  // NOLINTNEXTLINE
   static time_point now() {
     timespec Time{};
     clock_gettime(CLOCK_BOOTTIME, &Time);
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <ranges>
 #include <span>
 
 namespace samphireshunt {
@@ -479,10 +478,11 @@
 
 /// The lowest tiers first: they are the ones that others starve.
 void Scheduler::grantStarving(TimePoint Now, std::vector<Decision> &Out) {
-  for (TierQueue &Tier : Tiers_ | std::views::reverse)
+  std::for_each(Tiers_.rbegin(), Tiers_.rend(), [&](TierQueue &Tier) {
     while (isStarving(Tier, Now) && anySpare() &&
            grantFromTier(Tier, Now, Out)) {
     }
+  });
 }
 
 std::vector<Decision> Scheduler::decide(TimePoint Now) {
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -226,8 +226,6 @@
   ServerModel *chooseOfTwo();
   std::chrono::nanoseconds expectedService(const AskedRequest &Request,
                                            const ServerModel &Server) const;
-  std::chrono::nanoseconds cautiousService(const AskedRequest &Request,
-                                           const ServerModel &Server) const;
   bool finishesInTime(const AskedRequest &Request, const ServerModel &Server,
                       TimePoint Now) const;
   bool isDoomed(const AskedRequest &Request, TimePoint Now) const;
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -5,7 +5,6 @@
 #include "Process/Scheduler.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace samphireshunt {
 
@@ -47,21 +46,6 @@
          Server.betweenTokens() * expectedAnswer(Request).count();
 }
 
-/// The time that the request takes unless its answer is much longer than the
-/// caller guessed. One answer in ten is over 1.9 times as long: on a slow
-/// engine it would hold a place up to its deadline, and be cut there for
-/// nothing.
-nanoseconds Scheduler::cautiousService(const AskedRequest &Request,
-                                       const ServerModel &Server) const {
-  constexpr double NineInTen = 1.9;
-  auto Longer = static_cast<std::int64_t>(
-      NineInTen * static_cast<double>(Request.Guessed_.count()));
-  Tokens Answer =
-      std::min(Tokens(Longer), std::max(Request.Answer_, Tokens(1)));
-  return Server.expectedFirstToken(Request.Prompt_, prefixOf(Request)) +
-         Server.betweenTokens() * Answer.count();
-}
-
 /// A request that an engine can't finish by its deadline would cost its
 /// prefill for nothing there; another engine may be faster.
 bool Scheduler::finishesInTime(const AskedRequest &Request,
@@ -69,8 +53,6 @@
   auto Service = expectedService(Request, Server);
   if (!Options_.RefuseInfeasible_ || Service.count() == 0)
     return true;
-  if (Request.Guessed_.count() > 0)
-    Service = cautiousService(Request, Server);
   return Now + withMargin(Service) <= Request.Deadline_;
 }
 
