--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -25,6 +25,9 @@
 /// Header fields by lower-case name.
 using HttpFields = std::map<std::string, std::string>;
 
+/// Names of header fields are compared in lower case.
+std::string lowerCase(std::string_view Text);
+
 /// A request, read whole.
 struct HttpRequest {
   std::string Method_ = "GET";
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -42,14 +42,6 @@
   beast::error_code Error_;
 };
 
-std::string lowerCase(std::string_view Text) {
-  std::string Lower(Text);
-  std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Lower;
-}
-
 Awaitable<void> writeRequest(std::shared_ptr<beast::tcp_stream> Stream,
                              std::shared_ptr<Request> Message,
                              std::shared_ptr<SendState> State) {
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -45,14 +45,6 @@
   }
 };
 
-std::string lowerCase(std::string_view Text) {
-  std::string Lower(Text);
-  std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Lower;
-}
-
 Failure readFailure(const beast::error_code &Error) {
   if (Error == http::error::header_limit)
     return {ResultCode::HeaderTooLarge, Error.message()};
--- /dev/null
+++ b/Source/Programs/DaemonLife.cpp
@@ -0,0 +1,202 @@
+/// \file
+/// The daemon's life: start, readiness, signals, reload and graceful stop.
+
+#include "Common/Log.h"
+#include "Programs/Daemon.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// How often a stop or a start is looked at.
+constexpr milliseconds DrainCheckInterval{50};
+/// The same while the daemon neither starts nor stops.
+constexpr milliseconds CalmCheckInterval{250};
+/// How often the settings' file is looked at: it may change without a signal.
+constexpr milliseconds FlagFileInterval{1000};
+
+} // namespace
+
+bool Daemon::isReady() const { return Ready_; }
+
+/// With a configuration that may be out of date, keys can't be honoured: other
+/// daemons should get the callers, and already when that is about to happen.
+/// While no daemon is in touch, the balancer sends to all of them.
+bool Daemon::isTakingCallers() const {
+  bool InTouch = Configuration_ || Follower_->platformReachable();
+  return isReady() && !Draining_ && InTouch &&
+         Freshness_.valid(BootClock::now());
+}
+
+bool Daemon::configurationReady() {
+  if (Configuration_)
+    return Configuration_->ready();
+  return !Documents_.snapshot()->Services_.empty();
+}
+
+bool Daemon::platformReachable() const {
+  return Configuration_ ? Configuration_->platformReachable()
+                        : Follower_->platformReachable();
+}
+
+RequestId Daemon::nextRequestId() { return {Origin_, NextSequence_++}; }
+
+void Daemon::startConfiguration() {
+  if (Configuration_) {
+    Configuration_->start();
+    return Engines_->start();
+  }
+  Follower_->start(Settings_.Vm_, Members_->self().Address_);
+}
+
+void Daemon::awaitSignal() {
+  Signals_.async_wait(
+      [this](const boost::system::error_code &Error, int Number) {
+        if (Error)
+          return;
+        if (Number == SIGHUP)
+          reloadSettings();
+        else if (!Draining_)
+          beginDrain();
+        awaitSignal();
+      });
+}
+
+int Daemon::run() {
+  Signals_.add(SIGTERM);
+  Signals_.add(SIGINT);
+  Signals_.add(SIGHUP);
+  awaitSignal();
+  logEvent(LogCategory::Process, spdlog::level::info, "started",
+           {{"incarnation", std::to_string(Incarnation_.count())}});
+  Membership_->start();
+  std::ranges::for_each(Settings_.SeedPeers_, [this](const Endpoint &Peer) {
+    Membership_->join(Peer);
+  });
+  startConfiguration();
+  if (Settings_.TraceCollector_.port() != 0)
+    Traces_->start();
+  awaitDrained();
+  for (auto &Present : Workers_)
+    if (Present->OwnContext_)
+      Present->Thread_ = std::thread([&Context = *Present->OwnContext_] {
+        auto Guard = asio::make_work_guard(Context);
+        Context.run();
+      });
+  Control_.run();
+  for (auto &Present : Workers_) {
+    if (!Present->OwnContext_)
+      continue;
+    Present->OwnContext_->stop();
+    Present->Thread_.join();
+  }
+  logEvent(LogCategory::Process, spdlog::level::info, "stopped");
+  spdlog::default_logger()->flush();
+  return 0;
+}
+
+/// A planned stop. The balancer goes on sending for some seconds, so new
+/// connections are still taken; others learn at once that this daemon leaves
+/// and take its cells.
+void Daemon::beginDrain() {
+  logEvent(LogCategory::Process, spdlog::level::info, "draining");
+  Draining_ = true;
+  DrainStarted_ = steady_clock::now();
+  Members_->leave();
+  Membership_->spreadNews();
+  CallerServer_->closeAfterAnswers();
+  refreshSoon();
+}
+
+/// A request that is refused finds another daemon; one that is cut is lost.
+bool Daemon::hasTimeFor(const ForwardingRule &Rule) const {
+  if (!Draining_)
+    return true;
+  auto Drained = steady_clock::now() - DrainStarted_;
+  if (Drained < Settings_.DrainAdmit_)
+    return true;
+  return Rule.Kind_ != RequestKind::Stream &&
+         Drained + Rule.Timeout_ < Settings_.DrainTimeout_;
+}
+
+/// A balancer with few other daemons goes on sending to this one, so it takes
+/// connections until none comes any more. Where that never happens it goes on
+/// only while requests run: what comes late it refuses anyway.
+bool Daemon::mayStop(steady_clock::duration Drained) {
+  if (Drained >= Settings_.DrainTimeout_)
+    return true;
+  if (Drained < Settings_.DrainDelay_)
+    return false;
+  auto SinceAccepted = steady_clock::now() - CallerServer_->lastAccepted();
+  if (Settings_.DrainQuiet_.count() == 0)
+    CallerServer_->stopAccepting();
+  bool Quiet = SinceAccepted >= Settings_.DrainQuiet_ ||
+               Drained >= 2 * Settings_.DrainDelay_;
+  return CallerServer_->activeExchanges() == 0 && Quiet;
+}
+
+/// Checks regularly whether the daemon became ready, or its stop is complete.
+void Daemon::awaitDrained() {
+  bool WasReady = Ready_;
+  Ready_ = configurationReady();
+  if (Ready_ && !WasReady)
+    logEvent(LogCategory::Process, spdlog::level::info, "ready");
+  if (Draining_ && mayStop(steady_clock::now() - DrainStarted_))
+    return stopAll();
+  if (steady_clock::now() - FlagFileLooked_ >= FlagFileInterval)
+    reloadSettings();
+  bool Calm = Ready_ && !Draining_;
+  DrainTimer_.expires_after(Calm ? CalmCheckInterval : DrainCheckInterval);
+  DrainTimer_.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      awaitDrained();
+  });
+}
+
+/// Takes over what may change while the daemon runs: the log level, the peers
+/// to join and the times of a stop. Addresses stay until the next start.
+void Daemon::reloadSettings() {
+  FlagFileLooked_ = steady_clock::now();
+  if (Settings_.FlagFile_.empty())
+    return;
+  std::error_code Error;
+  auto Written = std::filesystem::last_write_time(Settings_.FlagFile_, Error);
+  if (Error || Written == std::exchange(FlagFileTime_, Written))
+    return;
+  auto Read = Settings_.reload();
+  if (!Read) {
+    logEvent(LogCategory::Process, spdlog::level::err, "settings-not-reloaded",
+             {{"detail", Read.error().Detail_}});
+    return;
+  }
+  Settings_.LogLevel_ = Read->LogLevel_;
+  Settings_.DrainDelay_ = Read->DrainDelay_;
+  Settings_.DrainQuiet_ = Read->DrainQuiet_;
+  Settings_.DrainAdmit_ = Read->DrainAdmit_;
+  Settings_.DrainTimeout_ = Read->DrainTimeout_;
+  std::ranges::for_each(Read->SeedPeers_, [this](const Endpoint &Peer) {
+    Membership_->join(Peer);
+  });
+  applyLogLevel();
+  logEvent(LogCategory::Process, spdlog::level::info, "settings-read");
+}
+
+void Daemon::stopAll() {
+  Membership_->stop();
+  Peers_->stop();
+  Keeper_->stop();
+  if (Follower_)
+    Follower_->stop();
+  Control_.stop();
+}
+
+} // namespace samphireshunt
