Let the failure tests wait until keepers grant

Traced: its request allows 100 ms, and a new keeper grants nothing for 300 ms. Since keepers go by service and index, the VM that starts last may become the keeper; the cluster counted as ready before. The checks of the test are unchanged.

--- a/FailureTests/Cluster.cpp
+++ b/FailureTests/Cluster.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <unistd.h>
 
 namespace samphireshunt::tests {
@@ -266,9 +267,14 @@
   return {Tool.wait(), std::move(Output)};
 }
 
+/// A new keeper listens before it grants: a request with a short time limit
+/// would be refused until then, and a test of what comes after its dispatch
+/// would test nothing.
 void Cluster::awaitReady() {
   auto Ready = [this] {
     std::size_t Started = 0;
+    std::set<std::string> Cells;
+    std::set<std::string> Granting;
     for (const auto &[Name, Process] : Processes_)
       Started += Name.starts_with("vm-") && Process && Process->running();
     for (const auto &[Name, Process] : Processes_) {
@@ -283,8 +289,13 @@
           });
       if (static_cast<std::size_t>(Alive) + 1 < Started)
         return false;
+      for (const Json &Cell : Status["cells"]) {
+        Cells.insert(Cell["cell"].get<std::string>());
+        if (Cell["keeper"].get<bool>() && !Cell["warming"].get<bool>())
+          Granting.insert(Cell["cell"].get<std::string>());
+      }
     }
-    return true;
+    return Cells == Granting;
   };
   if (!eventually(Ready))
     throw std::runtime_error("the cluster did not become ready");
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -124,6 +124,7 @@
   void setShare(double Share) { Share_ = Share; }
   /// Before this no grant is given: a new keeper first hears what runs.
   void setWarmUntil(TimePoint Until) { WarmUntil_ = Until; }
+  bool warming(TimePoint Now) const { return Now < WarmUntil_; }
 
   /// Takes a request in, or refuses it at once.
   std::vector<Decision> ask(AskedRequest Request, TimePoint Now);
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -54,6 +54,7 @@
     Json Entry;
     Entry["cell"] = Cell.str();
     Entry["keeper"] = keeperFor(Cell, {}) == Settings_.Vm_;
+    Entry["warming"] = Kept->warming(std::chrono::steady_clock::now());
     Entry["waiting"] = Kept->waiting();
     Entry["running"] = Kept->running();
     Entry["servers"] = Json::object();
