Test that an entry's new link frees the places of what ended meanwhile (fails)

The test replays the sequence without processes: a link breaks, the ends of its requests go to another keeper, the entry is back within the grace time. It fails: the entry's return keeps all of its old requests running for ever.

--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -279,6 +279,8 @@
   GoneEntries_[Entry] = steady_clock::now();
 }
 
+void KeeperService::entryBack(const VmId &Entry) { GoneEntries_.erase(Entry); }
+
 void KeeperService::entryDead(const VmId &Entry) {
   GoneEntries_.erase(Entry);
   for (auto &[Cell, Target] : Cells_) {
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -70,7 +70,8 @@
   void handBack(const RequestId &Id);
   /// The link of an entry broke: it will ask again, here or elsewhere.
   void entryGone(const VmId &Entry);
-  void entryBack(const VmId &Entry) { GoneEntries_.erase(Entry); }
+  /// The entry opened a new link, on which it says all that it has here.
+  void entryBack(const VmId &Entry);
   /// The entry is dead: its running requests are orphans.
   void entryDead(const VmId &Entry);
   /// Documents or members changed: starts and drops cells.
--- a/Source/Process/PeerNetwork.cpp
+++ b/Source/Process/PeerNetwork.cpp
@@ -79,6 +79,7 @@
     if (Present && Present != Channel)
       Present->close();
     Present = Channel;
+    Hooks_.AskerCame_(From);
     return;
   }
   auto Found = std::ranges::find_if(
--- a/Source/Process/PeerNetwork.h
+++ b/Source/Process/PeerNetwork.h
@@ -25,6 +25,8 @@
     std::function<void(const VmId &From, wire::EnvelopeT)> Answered_;
     /// A link to \p To could not be opened, or broke.
     std::function<void(const VmId &To)> LinkDown_;
+    /// \p From opened a link; earlier ones of it are void.
+    std::function<void(const VmId &From)> AskerCame_;
     /// The link that \p From had opened broke.
     std::function<void(const VmId &From)> AskerGone_;
     /// True while an answer of \p To is awaited.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -113,6 +113,7 @@
     onAnswered(From, std::move(Message));
   };
   Hooks.LinkDown_ = [this](const VmId &To) { Grants_->onLinkDown(To); };
+  Hooks.AskerCame_ = [this](const VmId &From) { Keeper_->entryBack(From); };
   Hooks.AskerGone_ = [this](const VmId &From) { Keeper_->entryGone(From); };
   Hooks.Awaiting_ = [this](const VmId &To) { return Grants_->awaiting(To); };
   Hooks.AddressOf_ = [this](const VmId &To) -> std::optional<std::string> {
@@ -408,7 +409,6 @@
 }
 
 void Daemon::onAsked(const VmId &From, wire::EnvelopeT Message) {
-  Keeper_->entryBack(From);
   if (const auto *Ask = Message.body.AsAsk())
     Keeper_->ask(CellId::fromWire(Ask->cell), askFromWire(*Ask, From));
   else if (const auto *Withdraw = Message.body.AsWithdraw())
--- /dev/null
+++ b/UnitTests/Process/KeeperServiceTest.cpp
@@ -0,0 +1,111 @@
+/// \file
+/// A keeper's cells between entries that come and go.
+
+#include "Process/KeeperService.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace samphireshunt;
+
+namespace {
+
+const ServiceName Service("s");
+const PoolName ThePool("p");
+const CellId Cell{Service, ThePool, 0};
+const VmId Entry("entry");
+
+/// A keeper of one engine with one place.
+class OneEngineKeeper {
+public:
+  OneEngineKeeper()
+      : Keeper_(Control_, withOneEngine(Documents_), KeeperService::Options(),
+                hooks()) {}
+
+  void ask(std::uint64_t Number) {
+    AskedRequest Asked;
+    Asked.Id_ = {1, Number};
+    Asked.Customer_ = CustomerName("c");
+    Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
+    Asked.Entry_ = Entry;
+    Keeper_.ask(Cell, std::move(Asked));
+  }
+  bool granted(std::uint64_t Number) const {
+    return std::ranges::count(Granted_, RequestId{1, Number}) > 0;
+  }
+
+  boost::asio::io_context Control_;
+  DocumentStore Documents_;
+  std::vector<RequestId> Granted_;
+  std::vector<RequestId> Orphans_;
+  KeeperService Keeper_;
+
+private:
+  static DocumentStore &withOneEngine(DocumentStore &Documents) {
+    Document Built;
+    Built.Service_ = Service;
+    Built.Tiers_ = {"0"};
+    Pool Target;
+    Target.Name_ = ThePool;
+    BackendServer Engine;
+    Engine.Name_ = ServerName("engine");
+    Engine.MaxInFlight_ = 1;
+    Target.Servers_.push_back(Engine);
+    Built.Pools_.push_back(std::move(Target));
+    Built.buildIndex();
+    Documents.adopt(Service, DocumentVersion(1),
+                    std::make_shared<const Document>(std::move(Built)));
+    return Documents;
+  }
+  KeeperService::Hooks hooks() {
+    KeeperService::Hooks Hooks;
+    Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
+      if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
+        Granted_.push_back(Grant->Id_);
+    };
+    Hooks.Orphaned_ = [this](const OrphanedRequest &Orphan) {
+      Orphans_.push_back(Orphan.Request_.Id_);
+    };
+    Hooks.AloneInFleet_ = [] { return true; };
+    Hooks.IsKeeper_ = [](const CellId &) { return true; };
+    Hooks.LiveShare_ = [] { return 1.0; };
+    Hooks.FloorRaised_ = [] {};
+    return Hooks;
+  }
+};
+
+} // namespace
+
+TEST_CASE("an entry's new link frees the places of what ended while its old "
+          "one was broken") {
+  // Symptom: after a keeper was paused, every request is refused although its
+  // engines are idle; its lines say running=20.
+  // Sequence: an entry runs requests; its link to the paused keeper breaks, and
+  // the ends of its requests are told to another keeper; within seconds the
+  // entry asks again on a new link.
+  // Cause: the entry's return was taken for its requests' still running.
+  OneEngineKeeper Paused;
+  Paused.ask(1);
+  REQUIRE(Paused.granted(1));
+  Paused.Keeper_.entryGone(Entry);
+  Paused.Keeper_.entryBack(Entry);
+  Paused.ask(2);
+  CHECK(Paused.granted(2));
+}
+
+TEST_CASE("what an entry says to run on its new link takes its place again") {
+  OneEngineKeeper Paused;
+  Paused.ask(1);
+  Paused.Keeper_.entryGone(Entry);
+  Paused.Keeper_.entryBack(Entry);
+  RunningRequest Still;
+  Still.Id_ = {1, 1};
+  Still.Server_ = ServerName("engine");
+  Still.Entry_ = Entry;
+  Paused.Keeper_.running(Cell, Still);
+  Paused.ask(2);
+  CHECK_FALSE(Paused.granted(2));
+  // It goes on at its entry: nobody cancels it.
+  CHECK(Paused.Orphans_.empty());
+}
