Drop an entry's earlier requests when it opens a new link to its keeper

Ruled out: a longer or shorter grace (the entry may be back at any moment); a lost message on a living link (it is TCP).

Now an entry's Hello on a new link voids what it had there: a link that breaks makes the entry move everything to another keeper, and what moves back is said again. The allotment of its waiting requests is given back too, which it was not.

--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -24,8 +24,11 @@
 constexpr std::size_t Daemons = 3;
 constexpr int Callers = 24;
 
-/// Seeds that failed once, each with its cause. None has yet.
-const std::vector<std::uint64_t> Regressions = {};
+/// Seeds that failed once, each with its cause.
+const std::vector<std::uint64_t> Regressions = {
+    // A keeper that was paused kept an entry's ended requests as running.
+    1008,
+};
 
 class SoakFleet {
 public:
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -68,7 +68,7 @@
       return false;
     // The entry lives but asks another keeper now, which knows what it runs.
     for (auto &[Id, Target] : Cells_)
-      Target->Scheduler_.removeEntry(Item.first);
+      drop(*Target, Item.first);
     return true;
   });
 }
@@ -279,12 +279,30 @@
   GoneEntries_[Entry] = steady_clock::now();
 }
 
-void KeeperService::entryBack(const VmId &Entry) { GoneEntries_.erase(Entry); }
+/// While its earlier link was broken the entry told another keeper what ended.
+/// Kept, those requests would hold their places for ever, and new ones be
+/// refused although the engines are idle. The entry says on its new link what
+/// waits and runs by now.
+void KeeperService::entryBack(const VmId &Entry) {
+  GoneEntries_.erase(Entry);
+  for (auto &[Cell, Target] : Cells_) {
+    drop(*Target, Entry);
+    decide(Cell, *Target);
+  }
+}
+
+std::vector<RunningRequest> KeeperService::drop(KeptCell &Target,
+                                                const VmId &Entry) {
+  EntryRemains Left = Target.Scheduler_.removeEntry(Entry);
+  for (const RequestId &Id : Left.Waiting_)
+    Allotments_.giveBack(Id);
+  return std::move(Left.Running_);
+}
 
 void KeeperService::entryDead(const VmId &Entry) {
   GoneEntries_.erase(Entry);
   for (auto &[Cell, Target] : Cells_) {
-    for (RunningRequest &Request : Target->Scheduler_.removeEntry(Entry))
+    for (RunningRequest &Request : drop(*Target, Entry))
       Hooks_.Orphaned_({Cell, std::move(Request)});
     decide(Cell, *Target);
   }
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -96,6 +96,8 @@
   };
 
   KeptCell &kept(const CellId &Cell);
+  /// Forgets the entry's requests. \returns those that ran.
+  std::vector<RunningRequest> drop(KeptCell &Target, const VmId &Entry);
   void logRefusal(const CellId &Cell, const RefuseDecision &Refusal);
   void logHealth(const CellId &Cell, const ServerName &Server,
                  const ServerHealth &Health, bool WasLeftOut);
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -286,22 +286,21 @@
     Server->firstToken(Id, Seen);
 }
 
-std::vector<RunningRequest> Scheduler::removeEntry(const VmId &Entry) {
-  std::vector<RequestId> Dropped;
+EntryRemains Scheduler::removeEntry(const VmId &Entry) {
+  EntryRemains Left;
   for (const auto &[Id, Request] : Waiting_)
     if (Request.Asked_.Entry_ == Entry)
-      Dropped.push_back(Id);
-  std::ranges::for_each(Dropped, [this](RequestId Id) { dequeue(Id); });
-  std::vector<RunningRequest> Orphans;
+      Left.Waiting_.push_back(Id);
+  std::ranges::for_each(Left.Waiting_, [this](RequestId Id) { dequeue(Id); });
   for (auto Item = Running_.begin(); Item != Running_.end();) {
     if (Item->second.Entry_ != Entry) {
       ++Item;
       continue;
     }
-    Orphans.push_back(Item->second);
+    Left.Running_.push_back(Item->second);
     Item = endRunning(Item);
   }
-  return Orphans;
+  return Left;
 }
 
 std::optional<TierIndex> Scheduler::floor(TimePoint Now) const {
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -57,6 +57,12 @@
   VmId Entry_;
 };
 
+/// What an entry that is gone had at a keeper.
+struct EntryRemains {
+  std::vector<RequestId> Waiting_;
+  std::vector<RunningRequest> Running_;
+};
+
 struct GrantDecision {
   RequestId Id_;
   ServerName Server_;
@@ -136,8 +142,8 @@
   void done(const RequestId &Id, const ServedSample &Seen, TimePoint Now);
   /// A granted request gave its first token.
   void firstToken(const RequestId &Id, const FirstTokenSample &Seen);
-  /// A daemon died. \returns what it ran; its waiting requests are dropped.
-  std::vector<RunningRequest> removeEntry(const VmId &Entry);
+  /// Forgets all requests of a daemon. \returns them.
+  EntryRemains removeEntry(const VmId &Entry);
   /// Another keeper of the pool shed a request of \p Tier.
   std::vector<Decision> raiseFloor(TierIndex Tier, TimePoint Until,
                                    TimePoint Now);
--- a/UnitTests/Process/SchedulerTest.cpp
+++ b/UnitTests/Process/SchedulerTest.cpp
@@ -133,7 +133,7 @@
         Now += milliseconds(*rc::gen::inRange(0, 500));
       } else if (*rc::gen::inRange(0, 5) == 0) {
         std::vector<RequestId> Orphans;
-        for (const RunningRequest &One : Real.removeEntry(VmId("x")))
+        for (const RunningRequest &One : Real.removeEntry(VmId("x")).Running_)
           Orphans.push_back(One.Id_);
         std::ranges::sort(Orphans);
         auto Expected = Naive.removeEntry(VmId("x"));
