Give an engine nothing more once another one answers in its place

Cause: an engine that crashes and starts again at its address has a new name; its old entry stays in the directory for three missed heartbeats.

The refusal now marks that name as gone at its keeper, with a line in the log; a name is never used again, so this needs no way back. The new test fails without it (a second request is granted to the engine that is gone).

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -1255,6 +1255,7 @@
   uint32_t first_token_us = 0;
   uint32_t duration_us = 0;
   bool faulty = false;
+  bool replaced = false;
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1274,7 +1275,8 @@
     VT_GENERATED = 14,
     VT_FIRST_TOKEN_US = 16,
     VT_DURATION_US = 18,
-    VT_FAULTY = 20
+    VT_FAULTY = 20,
+    VT_REPLACED = 22
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1304,6 +1306,10 @@
   bool faulty() const {
     return GetField<uint8_t>(VT_FAULTY, 0) != 0;
   }
+  /// Another server answered at its address.
+  bool replaced() const {
+    return GetField<uint8_t>(VT_REPLACED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1317,6 +1323,7 @@
            VerifyField<uint32_t>(verifier, VT_FIRST_TOKEN_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_DURATION_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_FAULTY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REPLACED, 1) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1355,6 +1362,9 @@
   void add_faulty(bool faulty) {
     fbb_.AddElement<uint8_t>(Done::VT_FAULTY, static_cast<uint8_t>(faulty), 0);
   }
+  void add_replaced(bool replaced) {
+    fbb_.AddElement<uint8_t>(Done::VT_REPLACED, static_cast<uint8_t>(replaced), 0);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1376,7 +1386,8 @@
     uint32_t generated = 0,
     uint32_t first_token_us = 0,
     uint32_t duration_us = 0,
-    bool faulty = false) {
+    bool faulty = false,
+    bool replaced = false) {
   DoneBuilder builder_(_fbb);
   builder_.add_duration_us(duration_us);
   builder_.add_first_token_us(first_token_us);
@@ -1384,6 +1395,7 @@
   builder_.add_server(server);
   builder_.add_cell(cell);
   builder_.add_id(id);
+  builder_.add_replaced(replaced);
   builder_.add_faulty(faulty);
   builder_.add_complete(complete);
   builder_.add_reached(reached);
@@ -1400,7 +1412,8 @@
     uint32_t generated = 0,
     uint32_t first_token_us = 0,
     uint32_t duration_us = 0,
-    bool faulty = false) {
+    bool faulty = false,
+    bool replaced = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateDone(
       _fbb,
@@ -1412,7 +1425,8 @@
       generated,
       first_token_us,
       duration_us,
-      faulty);
+      faulty,
+      replaced);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2909,7 +2923,8 @@
         generated(o.generated),
         first_token_us(o.first_token_us),
         duration_us(o.duration_us),
-        faulty(o.faulty) {
+        faulty(o.faulty),
+        replaced(o.replaced) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -2922,6 +2937,7 @@
   std::swap(first_token_us, o.first_token_us);
   std::swap(duration_us, o.duration_us);
   std::swap(faulty, o.faulty);
+  std::swap(replaced, o.replaced);
   return *this;
 }
 
@@ -2943,6 +2959,7 @@
   { auto _e = first_token_us(); _o->first_token_us = _e; }
   { auto _e = duration_us(); _o->duration_us = _e; }
   { auto _e = faulty(); _o->faulty = _e; }
+  { auto _e = replaced(); _o->replaced = _e; }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2962,6 +2979,7 @@
   auto _first_token_us = _o->first_token_us;
   auto _duration_us = _o->duration_us;
   auto _faulty = _o->faulty;
+  auto _replaced = _o->replaced;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -2972,7 +2990,8 @@
       _generated,
       _first_token_us,
       _duration_us,
-      _faulty);
+      _faulty,
+      _replaced);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
--- a/Source/Process/KeeperMessages.cpp
+++ b/Source/Process/KeeperMessages.cpp
@@ -59,6 +59,7 @@
   Done.reached = Seen.Reached_;
   Done.complete = Seen.Complete_;
   Done.faulty = Seen.Faulty_;
+  Done.replaced = Seen.Replaced_;
   Done.generated = static_cast<std::uint32_t>(Seen.Generated_.count());
   Done.first_token_us = static_cast<std::uint32_t>(Seen.FirstToken_.count());
   Done.duration_us = static_cast<std::uint32_t>(Seen.Duration_.count());
@@ -114,6 +115,7 @@
   Seen.Reached_ = Done.reached;
   Seen.Complete_ = Done.complete;
   Seen.Faulty_ = Done.faulty;
+  Seen.Replaced_ = Done.replaced;
   Seen.Generated_ = Tokens(Done.generated);
   Seen.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
   Seen.Duration_ = std::chrono::microseconds(Done.duration_us);
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -207,6 +207,9 @@
   Target.Scheduler_.done(Id, Seen, steady_clock::now());
   if (Server)
     logHealth(Cell, Ended->Server_, Server->health(), WasLeftOut);
+  if (Server && Seen.Replaced_)
+    logEvent(LogCategory::Keeper, spdlog::level::info, "server-replaced",
+             {{"server", Ended->Server_.str()}, {"cell", Cell.str()}});
   decide(Cell, Target);
 }
 
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -162,7 +162,9 @@
 
 void Scheduler::judge(ServerModel &Server, const ServedSample &Seen,
                       TimePoint Now) {
-  if (Seen.Complete_)
+  if (Seen.Replaced_)
+    Server.markReplaced();
+  else if (Seen.Complete_)
     Server.health().succeeded();
   else if (Seen.Faulty_ && !Seen.Reached_)
     Server.health().unreachable(Now);
--- a/Source/Process/ServerModel.h
+++ b/Source/Process/ServerModel.h
@@ -30,6 +30,8 @@
   bool Complete_ = false; ///< The whole answer came.
   /// The server could not be reached, broke off or answered with an error.
   bool Faulty_ = false;
+  /// Another server answered at its address: the one that was meant is gone.
+  bool Replaced_ = false;
   Tokens Generated_;
   std::chrono::microseconds FirstToken_{0};
   std::chrono::microseconds Duration_{0};
@@ -63,8 +65,12 @@
   /// True when the engine may get new work.
   bool usable() const {
     bool Answers = Reachable_ || !ReachabilityTrusted_;
-    return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_;
+    return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_ &&
+           !Replaced_;
   }
+  /// Another server answers at its address. A name is never used again, so it
+  /// stays gone, whatever the directory still says.
+  void markReplaced() { Replaced_ = true; }
   ServerHealth &health() { return Health_; }
   const ServerHealth &health() const { return Health_; }
   /// Keeps work from the engine, or lets it have one request at a time.
@@ -123,6 +129,7 @@
   ServerHealth Health_;
   bool LeftOut_ = false;
   bool OnTrial_ = false;
+  bool Replaced_ = false;
   std::uint32_t InFlight_ = 0;
   LoadReport Reported_;
   /// Prompt work that the engine still has to do for one request.
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -99,6 +99,7 @@
     Dispatched_ = steady_clock::now();
     FirstEvent_ = TimePoint();
     Faulty_ = false;
+    Replaced_ = false;
     watchCaller();
     HttpConnection &Connection = *Ready_.Connection_;
     Connection.acceptUnframed();
@@ -113,6 +114,7 @@
     // An extra answer of an earlier request may stand where this one's is due.
     if (Labels.CallId_ != Context_.Call_.CallId_)
       co_return failed({ResultCode::CrossedAnswer, Labels.CallId_});
+    Replaced_ = Labels.Replaced_;
     if (Labels.NotRun_)
       co_return co_await refusedByServer(std::move(*Head));
     bool Success = Head->Status_ < StatusMultipleChoices;
@@ -298,6 +300,7 @@
     Seen.Reached_ = true;
     Seen.Complete_ = Ended == AttemptEnd::Answered;
     Seen.Faulty_ = Faulty_;
+    Seen.Replaced_ = Replaced_;
     auto Now = steady_clock::now();
     Seen.Duration_ = duration_cast<microseconds>(Now - Dispatched_);
     if (FirstEvent_ != TimePoint()) {
@@ -383,6 +386,7 @@
   bool Begun_ = false;
   bool MayHaveRun_ = false;
   bool Faulty_ = false;
+  bool Replaced_ = false;
   bool CallerLeft_ = false;
 };
 
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr int StatusMisdirected = 421;
+
 const std::string &fieldOf(const HttpFields &Fields, const std::string &Name) {
   static const std::string Absent;
   auto Found = Fields.find(Name);
@@ -38,7 +40,8 @@
 AnswerLabels readAnswer(const HttpResponse &Head) {
   AnswerLabels Labels;
   Labels.CallId_ = fieldOf(Head.Fields_, "x-call-id");
-  Labels.NotRun_ = Head.Fields_.contains("x-not-run");
+  Labels.Replaced_ = Head.Status_ == StatusMisdirected;
+  Labels.NotRun_ = Head.Fields_.contains("x-not-run") || Labels.Replaced_;
   Labels.Proved_ = Head.Fields_.contains("x-answer-proof");
   return Labels;
 }
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -41,6 +41,8 @@
   std::string CallId_;
   /// The server did not run the request and will not.
   bool NotRun_ = false;
+  /// It is not the server that was meant; that one is gone.
+  bool Replaced_ = false;
   /// The answer bears the server's proof that it is its own.
   bool Proved_ = false;
   /// Requests that wait in the server, if it tells.
--- a/UnitTests/Process/SchedulerAdmissionTest.cpp
+++ b/UnitTests/Process/SchedulerAdmissionTest.cpp
@@ -177,6 +177,31 @@
   CHECK(Load.served(1).LongestHeld_ <= Cheap.MaxWait_ + milliseconds(1));
 }
 
+TEST_CASE("an engine in whose place another one answers gets nothing more") {
+  // Symptom: one request in nine is refused by a server that it was not meant
+  // for, and uses up its tries, long after an engine crashed.
+  // Sequence: an engine crashes and starts again at its address under another
+  // name; its old entry stays in the directory until its heartbeats are missed.
+  // Cause: the refusal proves that the old one is gone, and was not used.
+  Scheduler Deciding(byObjective());
+  Deciding.configure({{ServerName("crashed"), 4, true}}, {}, 2, 100);
+  AskedRequest Asked;
+  Asked.Id_ = {1, 1};
+  Asked.Customer_ = CustomerName("c");
+  Asked.Deadline_ = Start + milliseconds(1000);
+  Deciding.ask(Asked, Start);
+  REQUIRE(Deciding.decide(Start).size() == 1);
+  ServedSample Seen;
+  Seen.Reached_ = true;
+  Seen.Replaced_ = true;
+  Deciding.done(Asked.Id_, Seen, Start);
+  Asked.Id_ = {1, 2};
+  auto Decisions = Deciding.ask(Asked, Start);
+  REQUIRE(Decisions.size() == 1);
+  CHECK(std::get<RefuseDecision>(Decisions.front()).Code_ ==
+        ResultCode::NoBackendServer);
+}
+
 TEST_CASE("an engine that fails what it gets loses its work to the others") {
   Scheduler Deciding(byObjective());
   Deciding.configure(
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -9,6 +9,16 @@
 const ForwardingDialect Dialect = platform::platformDialect();
 } // namespace
 
+TEST_CASE("another server at the address is told from one that refuses") {
+  HttpResponse Head;
+  Head.Status_ = 421;
+  CHECK(Dialect.ReadAnswer_(Head).Replaced_);
+  Head.Status_ = 503;
+  Head.Fields_["x-samphireshunt-not-executed"] = "1";
+  CHECK(Dialect.ReadAnswer_(Head).NotRun_);
+  CHECK_FALSE(Dialect.ReadAnswer_(Head).Replaced_);
+}
+
 TEST_CASE("a caller's labels are read into typed values") {
   HttpFields Fields = {
       {"x-samphireshunt-request-id", "9c41"},
