Learn engines' speeds by a line, count streams by tokens, keep quick engines for long prompts

Its time for a prompt was one product, in which the fixed 40 ms of a first token hid the difference for short prompts; its time between tokens took answers of one event for 0 ms a token; and a request that waits inside an engine counted as one that starts at once. Ruled out: waiting at the keeper (14 of 507 late ones waited longer than half of their objective).

Now a line is fitted through (unread tokens, delay), streams count by their tokens, a new engine is assumed to be like its pool, and a request goes to the engine that is just quick enough: in half of its objective, not one of the quick ones if there is another. The log line of a request's end says its first event, longest pause, events, prompt and guessed tokens.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -1256,6 +1256,7 @@
   uint32_t duration_us = 0;
   bool faulty = false;
   bool replaced = false;
+  uint32_t at_once = 1;
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1276,7 +1277,8 @@
     VT_FIRST_TOKEN_US = 16,
     VT_DURATION_US = 18,
     VT_FAULTY = 20,
-    VT_REPLACED = 22
+    VT_REPLACED = 22,
+    VT_AT_ONCE = 24
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1310,6 +1312,10 @@
   bool replaced() const {
     return GetField<uint8_t>(VT_REPLACED, 0) != 0;
   }
+  /// Tokens in the first event.
+  uint32_t at_once() const {
+    return GetField<uint32_t>(VT_AT_ONCE, 1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1324,6 +1330,7 @@
            VerifyField<uint32_t>(verifier, VT_DURATION_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_FAULTY, 1) &&
            VerifyField<uint8_t>(verifier, VT_REPLACED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AT_ONCE, 4) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1365,6 +1372,9 @@
   void add_replaced(bool replaced) {
     fbb_.AddElement<uint8_t>(Done::VT_REPLACED, static_cast<uint8_t>(replaced), 0);
   }
+  void add_at_once(uint32_t at_once) {
+    fbb_.AddElement<uint32_t>(Done::VT_AT_ONCE, at_once, 1);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1387,8 +1397,10 @@
     uint32_t first_token_us = 0,
     uint32_t duration_us = 0,
     bool faulty = false,
-    bool replaced = false) {
+    bool replaced = false,
+    uint32_t at_once = 1) {
   DoneBuilder builder_(_fbb);
+  builder_.add_at_once(at_once);
   builder_.add_duration_us(duration_us);
   builder_.add_first_token_us(first_token_us);
   builder_.add_generated(generated);
@@ -1413,7 +1425,8 @@
     uint32_t first_token_us = 0,
     uint32_t duration_us = 0,
     bool faulty = false,
-    bool replaced = false) {
+    bool replaced = false,
+    uint32_t at_once = 1) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateDone(
       _fbb,
@@ -1426,7 +1439,8 @@
       first_token_us,
       duration_us,
       faulty,
-      replaced);
+      replaced,
+      at_once);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2924,7 +2938,8 @@
         first_token_us(o.first_token_us),
         duration_us(o.duration_us),
         faulty(o.faulty),
-        replaced(o.replaced) {
+        replaced(o.replaced),
+        at_once(o.at_once) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -2938,6 +2953,7 @@
   std::swap(duration_us, o.duration_us);
   std::swap(faulty, o.faulty);
   std::swap(replaced, o.replaced);
+  std::swap(at_once, o.at_once);
   return *this;
 }
 
@@ -2960,6 +2976,7 @@
   { auto _e = duration_us(); _o->duration_us = _e; }
   { auto _e = faulty(); _o->faulty = _e; }
   { auto _e = replaced(); _o->replaced = _e; }
+  { auto _e = at_once(); _o->at_once = _e; }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2980,6 +2997,7 @@
   auto _duration_us = _o->duration_us;
   auto _faulty = _o->faulty;
   auto _replaced = _o->replaced;
+  auto _at_once = _o->at_once;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -2991,7 +3009,8 @@
       _first_token_us,
       _duration_us,
       _faulty,
-      _replaced);
+      _replaced,
+      _at_once);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
--- a/Source/Process/KeeperMessages.cpp
+++ b/Source/Process/KeeperMessages.cpp
@@ -60,6 +60,7 @@
   Done.complete = Seen.Complete_;
   Done.faulty = Seen.Faulty_;
   Done.replaced = Seen.Replaced_;
+  Done.at_once = static_cast<std::uint32_t>(Seen.AtOnce_.count());
   Done.generated = static_cast<std::uint32_t>(Seen.Generated_.count());
   Done.first_token_us = static_cast<std::uint32_t>(Seen.FirstToken_.count());
   Done.duration_us = static_cast<std::uint32_t>(Seen.Duration_.count());
@@ -117,6 +118,7 @@
   Seen.Faulty_ = Done.faulty;
   Seen.Replaced_ = Done.replaced;
   Seen.Generated_ = Tokens(Done.generated);
+  Seen.AtOnce_ = Tokens(Done.at_once);
   Seen.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
   Seen.Duration_ = std::chrono::microseconds(Done.duration_us);
   return Seen;
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -103,7 +103,7 @@
                                          Server->Name_) != nullptr;
     Servers.push_back({Server->Name_,
                        Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
-                       Whole->CacheTokens_});
+                       Whole->CacheTokens_, Options_.AheadPerServer_});
   }
   std::map<CustomerName, CustomerShare> Shares;
   for (const Customer &Known : Service->Document_->Customers_)
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -36,6 +36,8 @@
     auto Model = Known == Servers_.end() ? ServerModel(Capacity)
                                          : std::move(Known->second);
     Model.configure(Capacity);
+    if (Known == Servers_.end())
+      Model.assume(Typical_);
     Next.emplace(Capacity.Name_, std::move(Model));
   }
   Servers_ = std::move(Next);
@@ -255,7 +257,7 @@
     return;
   const RunningRequest &Ended = Found->second;
   if (ServerModel *Server = server(Ended.Server_)) {
-    Server->learn(Seen);
+    Server->learn(Seen, Typical_);
     judge(*Server, Seen, Now);
   }
   Ends_.add(Now);
@@ -283,7 +285,7 @@
   if (Found == Running_.end())
     return;
   if (ServerModel *Server = server(Found->second.Server_))
-    Server->firstToken(Id, Seen);
+    Server->firstToken(Id, Seen, Typical_);
 }
 
 EntryRemains Scheduler::removeEntry(const VmId &Entry) {
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -106,6 +106,9 @@
     double GuaranteedShare_ = 0;
     /// Refuse at once what would wait longer than it may.
     bool RefuseLongWaits_ = false;
+    /// The part of the time left to its objective within which the first event
+    /// is expected, where an engine that is not among the quick ones is taken.
+    double ObjectivePart_ = 0.5;
     // Decisions that a measurement may leave out.
     bool StrictTiers_ = true;
     bool FairCustomers_ = true;
@@ -230,6 +233,10 @@
                                          TimePoint Now) const;
   ServerModel *quickest(const AskedRequest &Request, TimePoint Now,
                         PrefixPlace Wanted);
+  bool canTake(const AskedRequest &Request, const ServerModel &Server,
+               TimePoint Now) const;
+  ServerModel *justQuickEnough(const AskedRequest &Request, TimePoint Now);
+  std::chrono::nanoseconds quickestBetweenTokens() const;
   ServerModel *chooseOfTwo();
   std::chrono::nanoseconds expectedService(const AskedRequest &Request,
                                            const ServerModel &Server) const;
@@ -263,6 +270,8 @@
 
   Options Options_;
   std::map<ServerName, ServerModel> Servers_;
+  /// What all engines of the pool are like, taken together.
+  EngineSpeed Typical_;
   std::map<CustomerName, CustomerShare> Shares_;
   std::vector<TierQueue> Tiers_;
   std::unordered_map<RequestId, WaitingRequest> Waiting_;
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -15,6 +15,11 @@
 /// No first event comes sooner than this after a grant.
 constexpr std::chrono::milliseconds LeastFirstEvent{60};
 
+/// An engine counts as quick when it takes less than 3/2 of the time between
+/// tokens that the quickest one takes.
+constexpr int QuickFactor = 3;
+constexpr int QuickDivisor = 2;
+
 /// Expected times are averages, and half of the requests take longer: a
 /// request is started only when a fifth of its expected time is left over.
 nanoseconds withMargin(nanoseconds Expected) { return Expected + Expected / 5; }
@@ -66,11 +71,60 @@
 ServerModel *Scheduler::choose(const AskedRequest &Request, TimePoint Now) {
   if (Options_.TwoChoices_)
     return chooseOfTwo();
+  if (Request.Objective_ != TimePoint())
+    return justQuickEnough(Request, Now);
   if (auto Wanted = prefixPlace(Request, Now))
     return quickest(Request, Now, *Wanted);
   return quickest(Request, Now, PrefixPlace::Elsewhere);
 }
 
+/// Whether the engine can take the request now.
+bool Scheduler::canTake(const AskedRequest &Request, const ServerModel &Server,
+                        TimePoint Now) const {
+  bool Excluded =
+      std::ranges::count(Request.Excluded_, Server.capacity().Name_) > 0;
+  return !Excluded && Server.hasRoom(Share_) &&
+         finishesInTime(Request, Server, Now);
+}
+
+/// Of the engines on which the first event would come well within the
+/// objective, one that is not among the quick ones, if there is any: those are
+/// kept for long prompts, which only they read in time. Of several the one
+/// that is expected to answer first.
+ServerModel *Scheduler::justQuickEnough(const AskedRequest &Request,
+                                        TimePoint Now) {
+  auto Prefix = prefixOf(Request);
+  nanoseconds Quickest = quickestBetweenTokens();
+  auto Budget = std::chrono::duration_cast<nanoseconds>(
+      (Request.Objective_ - Now) * Options_.ObjectivePart_);
+  ServerModel *Best = nullptr;
+  auto BestScore = std::tuple(true, true, nanoseconds::max(), 0U);
+  for (auto &[Name, Server] : Servers_) {
+    if (!canTake(Request, Server, Now))
+      continue;
+    auto First = Server.expectedFirstToken(Request.Prompt_, Prefix);
+    bool Late = First > Budget;
+    bool Quick = Server.betweenTokens() * QuickDivisor < Quickest * QuickFactor;
+    auto Score = std::tuple(Late, !Late && Quick, First, Server.inFlight());
+    if (Best && Score >= BestScore)
+      continue;
+    Best = &Server;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+nanoseconds Scheduler::quickestBetweenTokens() const {
+  nanoseconds Quickest{0};
+  for (const auto &[Name, Server] : Servers_) {
+    nanoseconds Between = Server.betweenTokens();
+    if (Server.usable() && Between.count() > 0 &&
+        (Quickest.count() == 0 || Between < Quickest))
+      Quickest = Between;
+  }
+  return Quickest;
+}
+
 /// Where a long prompt should go, when not just anywhere. Its work done anew on
 /// another engine would cost that engine its time, and a full cache the blocks
 /// of another prompt, which then are worked on anew in turn. So while there is
@@ -108,9 +162,7 @@
   if (Wanted == PrefixPlace::InProgress)
     return nullptr;
   for (auto &[Name, Server] : Servers_) {
-    bool Excluded = std::ranges::count(Request.Excluded_, Name) > 0;
-    if (Excluded || !Server.hasRoom(Share_) ||
-        !finishesInTime(Request, Server, Now))
+    if (!canTake(Request, Server, Now))
       continue;
     if (Wanted == PrefixPlace::Cached && Server.placeOf(Prefix) != Wanted)
       continue;
--- a/Source/Process/ServerModel.cpp
+++ b/Source/Process/ServerModel.cpp
@@ -15,10 +15,7 @@
 /// Prompts with fewer shared blocks drive nothing worth keeping out.
 constexpr std::size_t LongPrefixBlocks = 8;
 /// How often evicted prompt work is expected to be done again.
-constexpr double EvictedWorkFactor = 4;
-
-/// Prompt work below this tells too little of an engine's speed.
-constexpr Tokens LeastLearnedPrefill(128);
+constexpr int EvictedWorkFactor = 4;
 
 double blend(double Old, double Sample) {
   return Old == 0 ? Sample : Old + NewSampleWeight * (Sample - Old);
@@ -63,8 +60,9 @@
 
 void ServerModel::start(const RequestId &Id, Tokens Prompt,
                         std::span<const std::uint64_t> Prefix) {
-  ++InFlight_;
   PrefillWork Added;
+  Added.HadPlace_ = InFlight_ < places();
+  ++InFlight_;
   Added.Own_ = uncached(Prompt, Prefix);
   PendingPrefill_ += Added.Own_;
   Added.WithThoseAhead_ = PendingPrefill_;
@@ -74,19 +72,25 @@
   Prefilling_[Id] = std::move(Added);
 }
 
-void ServerModel::firstToken(const RequestId &Id,
-                             const FirstTokenSample &Seen) {
+std::uint32_t ServerModel::places() const {
+  return std::max(1U, Limit_ - std::min(Limit_, Capacity_.Ahead_));
+}
+
+nanoseconds ServerModel::waitForPlace() const {
+  if (InFlight_ < places())
+    return nanoseconds(0);
+  return Duration_ / places() * (InFlight_ - places() + 1);
+}
+
+void ServerModel::firstToken(const RequestId &Id, const FirstTokenSample &Seen,
+                             EngineSpeed &Typical) {
   auto Found = Prefilling_.find(Id);
   if (Found == Prefilling_.end())
     return;
   const PrefillWork &Done = Found->second;
-  // A small prompt's delay is mostly that of its step, not of its tokens.
-  if (Done.WithThoseAhead_ >= LeastLearnedPrefill) {
-    auto Delay = nanoseconds(Seen.Delay_) - BetweenTokens_;
-    double PerToken = static_cast<double>(Delay.count()) /
-                      static_cast<double>(Done.WithThoseAhead_.count());
-    PrefillNanosPerToken_ =
-        blend(PrefillNanosPerToken_, std::max(1.0, PerToken));
+  if (Done.HadPlace_) {
+    Speed_.firstToken(Done.WithThoseAhead_, Seen.Delay_);
+    Typical.firstToken(Done.WithThoseAhead_, Seen.Delay_);
   }
   Prefixes_.insert(Done.Prefix_);
   endPrefill(Id);
@@ -121,15 +125,14 @@
   return Begun ? PrefixPlace::InProgress : PrefixPlace::Elsewhere;
 }
 
-void ServerModel::learn(const ServedSample &Seen) {
+void ServerModel::learn(const ServedSample &Seen, EngineSpeed &Typical) {
   if (!Seen.Complete_)
     return;
   Duration_ = blend(Duration_, nanoseconds(Seen.Duration_));
-  if (Seen.Generated_.count() > 1) {
-    auto Streaming = nanoseconds(Seen.Duration_ - Seen.FirstToken_);
-    BetweenTokens_ =
-        blend(BetweenTokens_, Streaming / (Seen.Generated_.count() - 1));
-  }
+  auto Streaming = nanoseconds(Seen.Duration_ - Seen.FirstToken_);
+  Tokens AfterFirst = Seen.Generated_ - Seen.AtOnce_;
+  Speed_.stream(AfterFirst, Streaming);
+  Typical.stream(AfterFirst, Streaming);
 }
 
 Tokens ServerModel::uncached(Tokens Prompt,
@@ -144,32 +147,23 @@
                           std::span<const std::uint64_t> Prefix) const {
   if (Prefix.size() < LongPrefixBlocks || !Prefixes_.full())
     return nanoseconds(0);
-  double Work = static_cast<double>(uncached(Prompt, Prefix).count());
-  double Nanos = EvictedWorkFactor * Work * PrefillNanosPerToken_;
-  return nanoseconds(static_cast<std::int64_t>(Nanos));
+  return EvictedWorkFactor * Speed_.reading(uncached(Prompt, Prefix));
 }
 
 nanoseconds
 ServerModel::expectedFirstToken(Tokens Prompt,
                                 std::span<const std::uint64_t> Prefix) const {
-  Tokens Work = PendingPrefill_ + uncached(Prompt, Prefix);
-  // Before anything was seen an engine is taken for a quick one: it is tried,
-  // and the first answers tell.
-  constexpr double AssumedNanosPerToken = 10000;
-  double PerToken =
-      PrefillNanosPerToken_ > 0 ? PrefillNanosPerToken_ : AssumedNanosPerToken;
-  double Nanos = static_cast<double>(Work.count()) * PerToken;
-  return nanoseconds(static_cast<std::int64_t>(Nanos)) + BetweenTokens_;
+  Tokens Unread = PendingPrefill_ + uncached(Prompt, Prefix);
+  return waitForPlace() + Speed_.untilFirstToken(Unread);
 }
 
 nanoseconds
 ServerModel::idleService(Tokens Prompt, Tokens Answer,
                          std::span<const std::uint64_t> Prefix) const {
-  if (BetweenTokens_.count() == 0 || PrefillNanosPerToken_ == 0)
+  if (!Speed_.known())
     return nanoseconds(0);
-  double Work = static_cast<double>(uncached(Prompt, Prefix).count());
-  nanoseconds Prefill(static_cast<std::int64_t>(Work * PrefillNanosPerToken_));
-  return Prefill + BetweenTokens_ * Answer.count();
+  return Speed_.untilFirstToken(uncached(Prompt, Prefix)) +
+         Speed_.betweenTokens() * Answer.count();
 }
 
 } // namespace samphireshunt
--- a/Source/Process/ServerModel.h
+++ b/Source/Process/ServerModel.h
@@ -4,6 +4,7 @@
 /// engine has been seen to be, and which prompt prefixes it has likely cached.
 
 #include "Common/Ids.h"
+#include "Process/EngineSpeed.h"
 #include "Process/MemberTable.h"
 #include "Process/PrefixIndex.h"
 #include "Process/ServerHealth.h"
@@ -18,10 +19,13 @@
 
 struct ServerCapacity {
   ServerName Name_;
+  /// What may be sent there, with what waits inside the engine.
   std::uint32_t MaxInFlight_ = 1;
   bool Active_ = true;
   /// Tokens that its cache holds; 0 is unknown.
   Tokens CacheTokens_{0};
+  /// Of MaxInFlight_, what waits inside the engine for a place to get free.
+  std::uint32_t Ahead_ = 0;
 };
 
 /// A request that ended.
@@ -33,6 +37,8 @@
   /// Another server answered at its address: the one that was meant is gone.
   bool Replaced_ = false;
   Tokens Generated_;
+  /// Tokens that came at once, in the first event.
+  Tokens AtOnce_{1};
   std::chrono::microseconds FirstToken_{0};
   std::chrono::microseconds Duration_{0};
 };
@@ -82,11 +88,13 @@
 
   void start(const RequestId &Id, Tokens Prompt,
              std::span<const std::uint64_t> Prefix);
-  void firstToken(const RequestId &Id, const FirstTokenSample &Seen);
+  /// \p Typical learns what all engines of the pool are like.
+  void firstToken(const RequestId &Id, const FirstTokenSample &Seen,
+                  EngineSpeed &Typical);
   void end(const RequestId &Id);
   /// What the engine has of a long prompt's beginning.
   PrefixPlace placeOf(std::span<const std::uint64_t> Prefix) const;
-  void learn(const ServedSample &Seen);
+  void learn(const ServedSample &Seen, EngineSpeed &Typical);
   void report(const LoadReport &Seen) { Reported_ = Seen; }
   /// Moves the limit by a report: down to what the engine works on when it
   /// lets requests wait, since they wait there in the order of their coming;
@@ -99,7 +107,8 @@
   }
 
   std::uint32_t inFlight() const { return InFlight_; }
-  /// Expected time until the first token of a request started now.
+  /// Expected time until the first token of a request started now, a wait for
+  /// a place of the engine included.
   std::chrono::nanoseconds
   expectedFirstToken(Tokens Prompt,
                      std::span<const std::uint64_t> Prefix) const;
@@ -109,7 +118,15 @@
   std::chrono::nanoseconds
   evictionCost(Tokens Prompt, std::span<const std::uint64_t> Prefix) const;
   /// Expected time between tokens; 0 while nothing was seen.
-  std::chrono::nanoseconds betweenTokens() const { return BetweenTokens_; }
+  std::chrono::nanoseconds betweenTokens() const {
+    return Speed_.betweenTokens();
+  }
+  /// Time that the engine needs for the prompts that it has not read yet.
+  std::chrono::nanoseconds unreadTime() const {
+    return Speed_.reading(PendingPrefill_);
+  }
+  /// What is believed of the engine before its own requests tell.
+  void assume(const EngineSpeed &Typical) { Speed_.assume(Typical); }
   /// Time that the request would take with nothing else to do first; 0 while
   /// too little was seen, and for engines that give no tokens.
   std::chrono::nanoseconds
@@ -137,15 +154,18 @@
     Tokens Own_;
     Tokens WithThoseAhead_;
     std::vector<std::uint64_t> Prefix_;
+    /// It did not have to wait for a place in the engine.
+    bool HadPlace_ = true;
   };
+  std::uint32_t places() const;
+  std::chrono::nanoseconds waitForPlace() const;
   void endPrefill(const RequestId &Id);
 
   std::unordered_map<RequestId, PrefillWork> Prefilling_;
   /// Blocks of prompts that are being worked on, with their number.
   std::unordered_map<std::uint64_t, int> InProgress_;
   Tokens PendingPrefill_;
-  double PrefillNanosPerToken_ = 0;
-  std::chrono::nanoseconds BetweenTokens_{0};
+  EngineSpeed Speed_;
   std::chrono::nanoseconds Duration_{0};
   PrefixIndex Prefixes_;
 };
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -250,6 +250,7 @@
         co_return failed(Part.error());
       if (Part->empty())
         break;
+      Context_.Pace_.event(Context_.Started_, steady_clock::now());
       if (FirstEvent_ == TimePoint())
         noteFirstEvent();
       std::string Ready = Splitter_.feed(*Part);
@@ -306,8 +307,10 @@
     if (FirstEvent_ != TimePoint()) {
       Seen.FirstToken_ = duration_cast<microseconds>(FirstEvent_ - Dispatched_);
       auto Events = static_cast<std::int64_t>(Splitter_.count());
-      Seen.Generated_ = Tokens(Events * Context_.Pool_->TokensPerEvent_);
+      Seen.AtOnce_ = Tokens(Context_.Pool_->TokensPerEvent_);
+      Seen.Generated_ = Tokens(Events * Seen.AtOnce_.count());
     }
+    Context_.Pace_.Events_ = Splitter_.count();
     Context_.Services_.Grants_.done(Context_.Id_, Seen);
     Tried_.push_back(Ready_.Server_.Name_);
     Splitter_.dropRest();
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -133,6 +133,18 @@
   Fields.emplace_back("servers", serversText(Context));
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
   Fields.emplace_back("total_ms", millisText(Now - Context.Started_));
+  if (Context.Pace_.FirstEvent_) {
+    Fields.emplace_back("first_event_ms", millisText(*Context.Pace_.FirstEvent_));
+    Fields.emplace_back("longest_pause_ms",
+                        millisText(Context.Pace_.LongestPause_));
+    Fields.emplace_back("events", std::to_string(Context.Pace_.Events_));
+  }
+  if (Context.PromptTokens_.count() > 0)
+    Fields.emplace_back("prompt_tokens",
+                        std::to_string(Context.PromptTokens_.count()));
+  if (Context.Call_.GuessedAnswer_)
+    Fields.emplace_back("guessed_tokens",
+                        std::to_string(Context.Call_.GuessedAnswer_->count()));
   if (Context.Deadline_ != TimePoint())
     Fields.emplace_back("left_ms", millisText(Context.Deadline_ - Now));
   logEvent(LogCategory::Request, Level, "ended", Fields);
@@ -142,6 +154,15 @@
 
 } // namespace
 
+void StreamPace::event(TimePoint Started, TimePoint Now) {
+  if (!FirstEvent_)
+    FirstEvent_ = duration_cast<milliseconds>(Now - Started);
+  else
+    LongestPause_ =
+        std::max(LongestPause_, duration_cast<milliseconds>(Now - Last_));
+  Last_ = Now;
+}
+
 milliseconds RequestContext::remaining() const {
   auto Rest = duration_cast<milliseconds>(Deadline_ - steady_clock::now());
   return std::max(Rest, milliseconds(1));
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -50,6 +50,16 @@
   std::function<std::size_t()> FleetSize_;
 };
 
+/// How a stream of events came: what its caller saw of the engine's pace.
+struct StreamPace {
+  std::optional<std::chrono::milliseconds> FirstEvent_; ///< From the start.
+  std::chrono::milliseconds LongestPause_{0};
+  std::size_t Events_ = 0;
+  TimePoint Last_;
+
+  void event(TimePoint Started, TimePoint Now);
+};
+
 /// One request from its head to its last byte. Used by one coroutine on one
 /// worker; only State_ may be touched by others.
 struct RequestContext {
@@ -73,6 +83,7 @@
   RequestState State_;
   Trace Trace_;
   std::chrono::microseconds Waited_{0};
+  StreamPace Pace_;
   /// Servers that it was dispatched to, in their order.
   std::vector<ServerName> Servers_;
 
