Guarantee a tier a part of how often all are served

Now a tier is served at least 0.3 times as often as all, over 30 s.

The test of the guaranteed part compared with the tier's own arrivals; it now compares with how often all are served, with the same halves.

--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -103,8 +103,8 @@
     /// lower tier's running one.
     std::chrono::milliseconds PreemptMargin_{250};
     std::uint64_t Seed_ = 1;
-    /// The part of its arrivals that each tier gets served whatever higher
-    /// tiers ask for; 0 is strict order, with lower tiers shut out while a
+    /// How often each tier is served whatever higher tiers ask for, as a part of
+    /// how often all are; 0 is strict order, with lower tiers shut out while a
     /// higher one is shed.
     double GuaranteedShare_ = 0;
     /// Refuse at once what would wait longer than it may.
@@ -271,6 +271,7 @@
   std::chrono::milliseconds returnAfter(TierIndex Tier, TimePoint Now);
   double freeRate(TierIndex Tier, TimePoint Now);
   bool isStarving(TierQueue &Tier, TimePoint Now);
+  double servedPart(TimePoint Now);
   std::chrono::milliseconds predictedWait(TierIndex Tier, TimePoint Now);
   bool wouldWaitTooLong(const AskedRequest &Request, TimePoint Now);
   TimePoint urgencyOf(const AskedRequest &Request, TimePoint Now);
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -48,7 +48,18 @@
   if (Options_.GuaranteedShare_ <= 0 || Tier.Count_ == 0)
     return false;
   Tier.Share_.decay(Now);
-  return Tier.Share_.part() < Options_.GuaranteedShare_;
+  return Tier.Share_.part() < Options_.GuaranteedShare_ * servedPart(Now);
+}
+
+/// The part of all tiers' arrivals that was granted.
+double Scheduler::servedPart(TimePoint Now) {
+  FadingShare All;
+  for (TierQueue &Tier : Tiers_) {
+    Tier.Share_.decay(Now);
+    All.Arrived_ += Tier.Share_.Arrived_;
+    All.Granted_ += Tier.Share_.Granted_;
+  }
+  return std::min(1.0, All.part());
 }
 
 /// Places that get free each second and that higher tiers will not take up
@@ -76,7 +87,8 @@
     return milliseconds(0);
   double Seconds = Before / Free;
   double Guaranteed =
-      Options_.GuaranteedShare_ * Tiers_[Own].RecentArrivals_.sum(Now);
+      Options_.GuaranteedShare_ * servedPart(Now) *
+      Tiers_[Own].RecentArrivals_.sum(Now);
   if (Guaranteed > 0)
     Seconds =
         std::min(Seconds, static_cast<double>(Tiers_[Own].Count_) / Guaranteed);
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -55,8 +55,8 @@
           "tiers: strictly by tier; objectives: by latency objective, with a "
           "guaranteed part of each tier.");
 ABSL_FLAG(double, guaranteed_share, 0.3,
-          "With objectives: the part of each tier's requests that is served "
-          "whatever higher tiers ask for.");
+          "With objectives: how often each tier is served whatever higher "
+          "tiers ask for, as a part of how often all are.");
 ABSL_FLAG(double, repeat_ratio, 0.2,
           "Repeats of requests by requests, within the window.");
 ABSL_FLAG(double, repeat_extra, 10,
