--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -90,6 +90,18 @@
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
+struct Follow;
+struct FollowBuilder;
+struct FollowT;
+
+struct StateEntry;
+struct StateEntryBuilder;
+struct StateEntryT;
+
+struct State;
+struct StateBuilder;
+struct StateT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -110,11 +122,13 @@
   Hello = 12,
   Heartbeat = 13,
   FirstToken = 14,
+  Follow = 15,
+  State = 16,
   MIN = NONE,
-  MAX = FirstToken
+  MAX = State
 };
 
-inline const Body (&EnumValuesBody())[15] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -130,13 +144,15 @@
     Body::ProbeAck,
     Body::Hello,
     Body::Heartbeat,
-    Body::FirstToken
+    Body::FirstToken,
+    Body::Follow,
+    Body::State
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[16] = {
+  static const char * const names[18] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -152,13 +168,15 @@
     "Hello",
     "Heartbeat",
     "FirstToken",
+    "Follow",
+    "State",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::FirstToken)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::State)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -223,6 +241,14 @@
   static const Body enum_value = Body::FirstToken;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::Follow> {
+  static const Body enum_value = Body::Follow;
+};
+
+template<> struct BodyTraits<samphireshunt::wire::State> {
+  static const Body enum_value = Body::State;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -283,6 +309,14 @@
   static const Body enum_value = Body::FirstToken;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::FollowT> {
+  static const Body enum_value = Body::Follow;
+};
+
+template<> struct BodyUnionTraits<samphireshunt::wire::StateT> {
+  static const Body enum_value = Body::State;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -425,6 +459,22 @@
     return type == Body::FirstToken ?
       reinterpret_cast<const samphireshunt::wire::FirstTokenT *>(value) : nullptr;
   }
+  samphireshunt::wire::FollowT *AsFollow() {
+    return type == Body::Follow ?
+      reinterpret_cast<samphireshunt::wire::FollowT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::FollowT *AsFollow() const {
+    return type == Body::Follow ?
+      reinterpret_cast<const samphireshunt::wire::FollowT *>(value) : nullptr;
+  }
+  samphireshunt::wire::StateT *AsState() {
+    return type == Body::State ?
+      reinterpret_cast<samphireshunt::wire::StateT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::StateT *AsState() const {
+    return type == Body::State ?
+      reinterpret_cast<const samphireshunt::wire::StateT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2413,6 +2463,364 @@
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct FollowT : public flatbuffers::NativeTable {
+  typedef Follow TableType;
+  uint32_t sequence = 0;
+  uint64_t incarnation = 0;
+  uint64_t number = 0;
+};
+
+/// Asks what a daemon that reads the platform's service believes, after a
+/// number of its changes.
+struct Follow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FollowT NativeTableType;
+  typedef FollowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_INCARNATION = 6,
+    VT_NUMBER = 8
+  };
+  /// Comes back with the answer.
+  uint32_t sequence() const {
+    return GetField<uint32_t>(VT_SEQUENCE, 0);
+  }
+  /// The process that the number is of.
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  FollowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FollowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Follow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FollowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FollowBuilder {
+  typedef Follow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint32_t sequence) {
+    fbb_.AddElement<uint32_t>(Follow::VT_SEQUENCE, sequence, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Follow::VT_INCARNATION, incarnation, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(Follow::VT_NUMBER, number, 0);
+  }
+  explicit FollowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Follow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Follow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Follow> CreateFollow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t sequence = 0,
+    uint64_t incarnation = 0,
+    uint64_t number = 0) {
+  FollowBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_incarnation(incarnation);
+  builder_.add_sequence(sequence);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<Follow> CreateFollow(flatbuffers::FlatBufferBuilder &_fbb, const FollowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StateEntryT : public flatbuffers::NativeTable {
+  typedef StateEntry TableType;
+  std::string key{};
+  std::string value{};
+  uint64_t revision = 0;
+  bool deleted = false;
+};
+
+struct StateEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StateEntryT NativeTableType;
+  typedef StateEntryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_REVISION = 8,
+    VT_DELETED = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           verifier.EndTable();
+  }
+  StateEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StateEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StateEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StateEntryBuilder {
+  typedef StateEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StateEntry::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(StateEntry::VT_VALUE, value);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StateEntry::VT_REVISION, revision, 0);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(StateEntry::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  explicit StateEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StateEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StateEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StateEntry> CreateStateEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0,
+    uint64_t revision = 0,
+    bool deleted = false) {
+  StateEntryBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StateEntry> CreateStateEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const char *value = nullptr,
+    uint64_t revision = 0,
+    bool deleted = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return samphireshunt::wire::CreateStateEntry(
+      _fbb,
+      key__,
+      value__,
+      revision,
+      deleted);
+}
+
+flatbuffers::Offset<StateEntry> CreateStateEntry(flatbuffers::FlatBufferBuilder &_fbb, const StateEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StateT : public flatbuffers::NativeTable {
+  typedef State TableType;
+  uint32_t sequence = 0;
+  uint64_t incarnation = 0;
+  uint64_t number = 0;
+  uint64_t after = 0;
+  bool complete = false;
+  uint64_t revision = 0;
+  uint32_t age_ms = 0;
+  bool reads_service = false;
+  std::vector<std::unique_ptr<samphireshunt::wire::StateEntryT>> entries{};
+  StateT() = default;
+  StateT(const StateT &o);
+  StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
+  StateT &operator=(StateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// The answer; with sequence 0 sent by itself, when something has changed.
+struct State FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StateT NativeTableType;
+  typedef StateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_INCARNATION = 6,
+    VT_NUMBER = 8,
+    VT_AFTER = 10,
+    VT_COMPLETE = 12,
+    VT_REVISION = 14,
+    VT_AGE_MS = 16,
+    VT_READS_SERVICE = 18,
+    VT_ENTRIES = 20
+  };
+  uint32_t sequence() const {
+    return GetField<uint32_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  /// The entries are the changes after this number.
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  /// All that is believed, not only changes.
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
+  /// The newest revision of the service that is taken in.
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  /// How long ago the configuration was known to be the newest.
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  /// False when this daemon follows another one itself.
+  bool reads_service() const {
+    return GetField<uint8_t>(VT_READS_SERVICE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_READS_SERVICE, 1) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+  StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<State> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StateBuilder {
+  typedef State Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint32_t sequence) {
+    fbb_.AddElement<uint32_t>(State::VT_SEQUENCE, sequence, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(State::VT_INCARNATION, incarnation, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(State::VT_NUMBER, number, 0);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(State::VT_AFTER, after, 0);
+  }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(State::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(State::VT_REVISION, revision, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(State::VT_AGE_MS, age_ms, 0);
+  }
+  void add_reads_service(bool reads_service) {
+    fbb_.AddElement<uint8_t>(State::VT_READS_SERVICE, static_cast<uint8_t>(reads_service), 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries) {
+    fbb_.AddOffset(State::VT_ENTRIES, entries);
+  }
+  explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<State> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<State>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<State> CreateState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t sequence = 0,
+    uint64_t incarnation = 0,
+    uint64_t number = 0,
+    uint64_t after = 0,
+    bool complete = false,
+    uint64_t revision = 0,
+    uint32_t age_ms = 0,
+    bool reads_service = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries = 0) {
+  StateBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_after(after);
+  builder_.add_number(number);
+  builder_.add_incarnation(incarnation);
+  builder_.add_entries(entries);
+  builder_.add_age_ms(age_ms);
+  builder_.add_sequence(sequence);
+  builder_.add_reads_service(reads_service);
+  builder_.add_complete(complete);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<State> CreateStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t sequence = 0,
+    uint64_t incarnation = 0,
+    uint64_t number = 0,
+    uint64_t after = 0,
+    bool complete = false,
+    uint64_t revision = 0,
+    uint32_t age_ms = 0,
+    bool reads_service = false,
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
+  return samphireshunt::wire::CreateState(
+      _fbb,
+      sequence,
+      incarnation,
+      number,
+      after,
+      complete,
+      revision,
+      age_ms,
+      reads_service,
+      entries__);
+}
+
+flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   samphireshunt::wire::BodyUnion body{};
@@ -2474,6 +2882,12 @@
   const samphireshunt::wire::FirstToken *body_as_FirstToken() const {
     return body_type() == samphireshunt::wire::Body::FirstToken ? static_cast<const samphireshunt::wire::FirstToken *>(body()) : nullptr;
   }
+  const samphireshunt::wire::Follow *body_as_Follow() const {
+    return body_type() == samphireshunt::wire::Body::Follow ? static_cast<const samphireshunt::wire::Follow *>(body()) : nullptr;
+  }
+  const samphireshunt::wire::State *body_as_State() const {
+    return body_type() == samphireshunt::wire::Body::State ? static_cast<const samphireshunt::wire::State *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2542,6 +2956,14 @@
   return body_as_FirstToken();
 }
 
+template<> inline const samphireshunt::wire::Follow *Envelope::body_as<samphireshunt::wire::Follow>() const {
+  return body_as_Follow();
+}
+
+template<> inline const samphireshunt::wire::State *Envelope::body_as<samphireshunt::wire::State>() const {
+  return body_as_State();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3419,6 +3841,149 @@
       _answer);
 }
 
+inline FollowT *Follow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<FollowT>(new FollowT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Follow::UnPackTo(FollowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<Follow> Follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FollowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFollow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Follow> CreateFollow(flatbuffers::FlatBufferBuilder &_fbb, const FollowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FollowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _incarnation = _o->incarnation;
+  auto _number = _o->number;
+  return samphireshunt::wire::CreateFollow(
+      _fbb,
+      _sequence,
+      _incarnation,
+      _number);
+}
+
+inline StateEntryT *StateEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<StateEntryT>(new StateEntryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StateEntry::UnPackTo(StateEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = deleted(); _o->deleted = _e; }
+}
+
+inline flatbuffers::Offset<StateEntry> StateEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStateEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StateEntry> CreateStateEntry(flatbuffers::FlatBufferBuilder &_fbb, const StateEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StateEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
+  auto _revision = _o->revision;
+  auto _deleted = _o->deleted;
+  return samphireshunt::wire::CreateStateEntry(
+      _fbb,
+      _key,
+      _value,
+      _revision,
+      _deleted);
+}
+
+inline StateT::StateT(const StateT &o)
+      : sequence(o.sequence),
+        incarnation(o.incarnation),
+        number(o.number),
+        after(o.after),
+        complete(o.complete),
+        revision(o.revision),
+        age_ms(o.age_ms),
+        reads_service(o.reads_service) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
+}
+
+inline StateT &StateT::operator=(StateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(incarnation, o.incarnation);
+  std::swap(number, o.number);
+  std::swap(after, o.after);
+  std::swap(complete, o.complete);
+  std::swap(revision, o.revision);
+  std::swap(age_ms, o.age_ms);
+  std::swap(reads_service, o.reads_service);
+  std::swap(entries, o.entries);
+  return *this;
+}
+
+inline StateT *State::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<StateT>(new StateT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void State::UnPackTo(StateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = after(); _o->after = _e; }
+  { auto _e = complete(); _o->complete = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = reads_service(); _o->reads_service = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<samphireshunt::wire::StateEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _incarnation = _o->incarnation;
+  auto _number = _o->number;
+  auto _after = _o->after;
+  auto _complete = _o->complete;
+  auto _revision = _o->revision;
+  auto _age_ms = _o->age_ms;
+  auto _reads_service = _o->reads_service;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateStateEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return samphireshunt::wire::CreateState(
+      _fbb,
+      _sequence,
+      _incarnation,
+      _number,
+      _after,
+      _complete,
+      _revision,
+      _age_ms,
+      _reads_service,
+      _entries);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EnvelopeT>(new EnvelopeT());
   UnPackTo(_o.get(), _resolver);
@@ -3509,6 +4074,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::FirstToken *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Follow: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Follow *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::State: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::State *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3584,6 +4157,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::FirstToken *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Follow: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Follow *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::State: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::State *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3647,6 +4228,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::FirstTokenT *>(value);
       return CreateFirstToken(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Follow: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::FollowT *>(value);
+      return CreateFollow(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::State: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::StateT *>(value);
+      return CreateState(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3709,6 +4298,14 @@
       value = new samphireshunt::wire::FirstTokenT(*reinterpret_cast<samphireshunt::wire::FirstTokenT *>(u.value));
       break;
     }
+    case Body::Follow: {
+      value = new samphireshunt::wire::FollowT(*reinterpret_cast<samphireshunt::wire::FollowT *>(u.value));
+      break;
+    }
+    case Body::State: {
+      value = new samphireshunt::wire::StateT(*reinterpret_cast<samphireshunt::wire::StateT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3786,6 +4383,16 @@
       delete ptr;
       break;
     }
+    case Body::Follow: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::FollowT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::State: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::StateT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/Source/Process/ChangeLog.cpp
@@ -0,0 +1,65 @@
+#include "Process/ChangeLog.h"
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+void ChangeLog::set(const KeyValue &Entry) {
+  Noted &Target = Entries_[Entry.Key_];
+  bool Known = Target.Number_ > 0;
+  if (Known && !Target.Entry_.Deleted_ && Target.Entry_.Value_ == Entry.Value_)
+    return;
+  if (Known && Target.Entry_.Deleted_)
+    --Removals_;
+  Target.Entry_ = Entry;
+  Target.Number_ = ++Last_;
+}
+
+void ChangeLog::remove(const std::string &Key) {
+  auto Found = Entries_.find(Key);
+  if (Found == Entries_.end() || Found->second.Entry_.Deleted_)
+    return;
+  Found->second.Entry_.Deleted_ = true;
+  Found->second.Entry_.Value_.clear();
+  Found->second.Number_ = ++Last_;
+  ++Removals_;
+  forgetOldRemovals();
+}
+
+void ChangeLog::removeUnless(
+    const std::string &Prefix,
+    const std::function<bool(const std::string &Name)> &Keep) {
+  std::vector<std::string> Gone;
+  for (const auto &[Key, Known] : Entries_)
+    if (Key.starts_with(Prefix) && !Keep(Key.substr(Prefix.size())))
+      Gone.push_back(Key);
+  std::ranges::for_each(Gone, [this](const std::string &Key) { remove(Key); });
+}
+
+void ChangeLog::forgetOldRemovals() {
+  while (Removals_ > MostRemovals) {
+    auto Oldest = Entries_.end();
+    for (auto Item = Entries_.begin(); Item != Entries_.end(); ++Item)
+      if (Item->second.Entry_.Deleted_ &&
+          (Oldest == Entries_.end() ||
+           Item->second.Number_ < Oldest->second.Number_))
+        Oldest = Item;
+    Forgotten_ = std::max(Forgotten_, Oldest->second.Number_);
+    Entries_.erase(Oldest);
+    --Removals_;
+  }
+}
+
+ChangeLog::Changes ChangeLog::since(std::uint64_t Number) const {
+  Changes Found;
+  Found.Complete_ = Number == 0 || Number < Forgotten_ || Number > Last_;
+  for (const auto &[Key, Known] : Entries_) {
+    bool Wanted =
+        Found.Complete_ ? !Known.Entry_.Deleted_ : Known.Number_ > Number;
+    if (Wanted)
+      Found.Entries_.push_back(Known.Entry_);
+  }
+  return Found;
+}
+
+} // namespace samphireshunt
--- a/Source/Process/DirectoryView.cpp
+++ b/Source/Process/DirectoryView.cpp
@@ -48,6 +48,12 @@
   return Changed;
 }
 
+bool DirectoryView::keepOnly(const std::set<ServerName> &Names) {
+  auto Removed = std::erase_if(
+      Entries_, [&](const auto &Item) { return !Names.contains(Item.first); });
+  return Removed > 0;
+}
+
 void DirectoryView::outageBegan() { Outage_ = true; }
 
 void DirectoryView::outageEnded(BootTime Now) {
--- a/Source/Process/DirectoryView.h
+++ b/Source/Process/DirectoryView.h
@@ -45,6 +45,15 @@
 
   ServersByPool servers() const;
   std::size_t size() const { return Entries_.size(); }
+  bool contains(const ServerName &Name) const {
+    return Entries_.contains(Name);
+  }
+
+  // Said by a daemon that has looked at outages itself.
+  /// \returns true when the server was known.
+  bool remove(const ServerName &Name) { return Entries_.erase(Name) > 0; }
+  /// Removes all but these. \returns true when there were others.
+  bool keepOnly(const std::set<ServerName> &Names);
 
 private:
   struct Entry {
--- /dev/null
+++ b/Source/Process/PeerFollower.h
@@ -0,0 +1,119 @@
+#pragma once
+/// \file
+/// Follows a daemon that reads the platform's service, instead of the service.
+/// Runs on the control thread.
+///
+/// What goes wrong: the daemon that is followed dies, freezes, is cut off or
+/// loses the service itself, and this one would go on with what it knows, send
+/// work to servers that left and honour keys that were taken away. So it asks
+/// twice a second, goes to the next reader when the answer is late or old, and
+/// after two of them to the service itself. The freshness lease is renewed from
+/// the moment at which the question was sent, less the age that the answer
+/// states: a datagram or a frame that lay unread for long renews nothing.
+
+#include "Connection/PeerMessage.h"
+#include "Process/FreshnessLease.h"
+#include "Process/StoreFollower.h"
+#include "Process/StoreReaders.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace samphireshunt {
+
+class PeerFollower {
+public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  struct Options {
+    /// How often the reader is asked. With the answer's time this bounds how
+    /// long a change may stay unheard when readers freeze.
+    std::chrono::milliseconds AskTime_{500};
+    std::chrono::milliseconds AnswerTime_{400};
+    /// A reader whose own knowledge is older than this has lost the service:
+    /// readers confirm theirs each 600 ms.
+    std::chrono::milliseconds OldestAge_{1200};
+    /// Readers tried before the service is asked.
+    std::size_t MostTries_ = 2;
+    /// After this time a reader that failed is tried again.
+    std::chrono::milliseconds TryAgainTime_{1000};
+    /// A daemon that starts reads the service first, for this long.
+    std::chrono::milliseconds SettleTime_{2000};
+    /// Followers that did not ask for this long are told no changes.
+    std::chrono::milliseconds ForgetTime_{2000};
+  };
+  struct Hooks {
+    /// This daemon's part, and the readers that it may follow.
+    std::function<ReaderChoice()> Choose_;
+    /// Sends to a reader, and to a follower on the link that it opened.
+    std::function<void(const VmId &, std::string)> Send_;
+    std::function<void(const VmId &, std::string)> Reply_;
+  };
+
+  PeerFollower(boost::asio::io_context &Control, Incarnation Self,
+               StoreFollower &Service, StoreView &View,
+               FreshnessLease &Freshness, Options Settings, Hooks Reactions);
+  void start();
+  void stop() { Timer_.cancel(); }
+
+  // As a follower.
+  void onState(const VmId &From, const wire::StateT &Told);
+  void onLinkDown(const VmId &Reader);
+  /// True while an answer of this daemon is awaited.
+  bool awaiting(const VmId &Reader) const;
+  /// True unless a reader is followed that does not answer.
+  bool inTouch() const;
+  /// The daemon that is followed, if any.
+  const std::optional<VmId> &reader() const { return Reader_; }
+
+  // As a reader.
+  void onFollow(const VmId &From, const wire::FollowT &Asked);
+  /// Tells followers what has changed.
+  void onChanged();
+  std::size_t followers() const { return Followers_.size(); }
+
+private:
+  struct Follower {
+    TimePoint LastAsked_;
+    std::uint64_t Number_ = 0;
+  };
+
+  void schedule(std::chrono::milliseconds Delay);
+  void onTimer();
+  void ask();
+  void passOver(const VmId &Reader, std::string_view Why);
+  void choose();
+  void readService(bool AfterOutage);
+  wire::StateT stateAfter(std::uint64_t Number) const;
+  void forgetFollowers();
+  void tell(const VmId &To, std::uint32_t Sequence, std::uint64_t After);
+
+  boost::asio::steady_timer Timer_;
+  Incarnation Self_;
+  StoreFollower &Service_;
+  StoreView &View_;
+  FreshnessLease &Freshness_;
+  Options Options_;
+  Hooks Hooks_;
+  std::optional<VmId> Reader_;
+  /// What of the reader's changes is known here.
+  std::uint64_t ReaderProcess_ = 0;
+  std::uint64_t ReaderNumber_ = 0;
+  std::uint32_t Sequence_ = 0;
+  bool Awaiting_ = false;
+  BootTime AskedAt_;
+  /// Readers whose last question is not answered. As long as it is awaited the
+  /// link's heartbeats show whether it went silent, and replace it.
+  std::set<VmId> Unanswered_;
+  /// Readers that failed, and when that is forgotten.
+  std::map<VmId, TimePoint> PassedOver_;
+  bool SawOldState_ = false;
+  std::map<VmId, Follower> Followers_;
+};
+
+} // namespace samphireshunt
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -103,9 +103,9 @@
     /// lower tier's running one.
     std::chrono::milliseconds PreemptMargin_{250};
     std::uint64_t Seed_ = 1;
-    /// How often each tier is served whatever higher tiers ask for, as a part of
-    /// how often all are; 0 is strict order, with lower tiers shut out while a
-    /// higher one is shed.
+    /// How often each tier is served whatever higher tiers ask for, as a part
+    /// of how often all are; 0 is strict order, with lower tiers shut out while
+    /// a higher one is shed.
     double GuaranteedShare_ = 0;
     /// Refuse at once what would wait longer than it may.
     bool RefuseLongWaits_ = false;
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -86,9 +86,8 @@
   if (Before == 0 || Free == 0)
     return milliseconds(0);
   double Seconds = Before / Free;
-  double Guaranteed =
-      Options_.GuaranteedShare_ * servedPart(Now) *
-      Tiers_[Own].RecentArrivals_.sum(Now);
+  double Guaranteed = Options_.GuaranteedShare_ * servedPart(Now) *
+                      Tiers_[Own].RecentArrivals_.sum(Now);
   if (Guaranteed > 0)
     Seconds =
         std::min(Seconds, static_cast<double>(Tiers_[Own].Count_) / Guaranteed);
--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -27,12 +27,10 @@
 } // namespace
 
 StoreFollower::StoreFollower(asio::io_context &Control, PlatformHooks Platform,
-                             DocumentStore &Documents,
-                             FreshnessLease &Freshness, StoreLayout Layout,
-                             Options Settings, Hooks Reactions)
-    : Control_(Control), Platform_(std::move(Platform)), Documents_(Documents),
-      Freshness_(Freshness), Layout_(std::move(Layout)), Options_(Settings),
-      Hooks_(std::move(Reactions)), Directory_(Settings.RegisterAgainTime_) {}
+                             StoreView &View, FreshnessLease &Freshness,
+                             Options Settings)
+    : Control_(Control), Platform_(std::move(Platform)), View_(View),
+      Freshness_(Freshness), Options_(Settings) {}
 
 void StoreFollower::start(VmId Self, std::string Address) {
   Self_ = std::move(Self);
@@ -48,7 +46,32 @@
   asio::co_spawn(Control_, std::move(Follow), asio::detached);
 }
 
-Awaitable<void> StoreFollower::pause(milliseconds Time) {
+void StoreFollower::pause() {
+  Paused_ = true;
+  // Ends the watch when it returns.
+  ++Generation_;
+}
+
+void StoreFollower::resume(bool AfterOutage) {
+  Paused_ = false;
+  Failures_ = 0;
+  NeedsList_ = true;
+  if (AfterOutage)
+    View_.outageBegan();
+  startWatch();
+}
+
+milliseconds StoreFollower::confirmTime() const {
+  return Role_ == StoreRole::Reader ? Options_.ReaderConfirmTime_
+                                    : Options_.ConfirmTime_;
+}
+
+milliseconds StoreFollower::longestPause() const {
+  return Role_ == StoreRole::Spare ? Options_.SpareLongestPause_
+                                   : Options_.LongestPause_;
+}
+
+Awaitable<void> StoreFollower::sleep(milliseconds Time) {
   asio::steady_timer Timer(Control_, Time);
   co_await Timer.async_wait(asio::use_awaitable);
 }
@@ -71,19 +94,23 @@
     if (RegisteredAddress_ != Address_)
       co_await registerSelf();
     if (std::exchange(SawChanges_, false))
-      co_await pause(Options_.GatherTime_);
+      co_await sleep(Options_.GatherTime_);
   }
 }
 
 /// A connection may go silent for good while new ones work: a watch on it hears
 /// nothing, and nothing tells it apart from a calm service but another call.
 Awaitable<void> StoreFollower::confirmRegularly() {
-  milliseconds Wait = Options_.ConfirmTime_;
+  milliseconds Wait = confirmTime();
   while (!Stopped_) {
-    co_await pause(Wait);
+    co_await sleep(Wait);
+    if (Paused_) {
+      Wait = confirmTime();
+      continue;
+    }
     bool WasLost = !platformReachable();
     auto Present = co_await confirm();
-    Wait = Present ? Options_.ConfirmTime_ : milliseconds(0);
+    Wait = Present ? confirmTime() : milliseconds(0);
     if (!Present) {
       Failure Cause = Present.error();
       co_await failed(Cause);
@@ -92,8 +119,8 @@
     succeeded();
     bool Behind = After_ < *Present;
     if (Behind)
-      co_await pause(Options_.BehindTime_);
-    if (WasLost || (Behind && After_ < *Present))
+      co_await sleep(Options_.BehindTime_);
+    if (!Paused_ && (WasLost || (Behind && After_ < *Present)))
       startWatch();
   }
 }
@@ -101,12 +128,12 @@
 /// \returns the service's revision.
 Awaitable<Result<Revision>> StoreFollower::confirm() {
   BootTime SentAt = BootClock::now();
-  std::string Prefix = Layout_.ConfigurationKey_;
+  std::string Prefix = View_.layout().ConfigurationKey_;
   auto Listed = co_await Platform_.List_(std::move(Prefix));
   if (!Listed)
     co_return Listed.error();
   std::ranges::for_each(Listed->Entries_,
-                        [this](const KeyValue &Entry) { apply(Entry); });
+                        [this](const KeyValue &Entry) { View_.apply(Entry); });
   Freshness_.renew(SentAt);
   co_return Listed->Revision_;
 }
@@ -114,17 +141,16 @@
 void StoreFollower::succeeded() {
   if (std::exchange(Failures_, 0) > 1)
     logEvent(LogCategory::Process, spdlog::level::info, "platform-regained");
-  Directory_.outageEnded(BootClock::now());
+  View_.outageEnded();
   applyDirectory();
 }
 
 void StoreFollower::applyDirectory() {
-  if (Directory_.nextDrop() && !std::exchange(DropPlanned_, true)) {
+  if (View_.nextDrop() && !std::exchange(DropPlanned_, true)) {
     auto Drop = [this]() { return dropUnseenLater(); };
     asio::co_spawn(Control_, std::move(Drop), asio::detached);
   }
-  if (std::exchange(DirectoryChanged_, false))
-    publish();
+  View_.publish();
 }
 
 /// A watch may be cut although the service is well; the call after it tells.
@@ -141,11 +167,11 @@
   if (Failures_ == 2)
     logEvent(LogCategory::Process, spdlog::level::warn, "platform-lost",
              {{"detail", Cause.Detail_}});
-  Directory_.outageBegan();
-  constexpr int MostDoublings = 4;
+  View_.outageBegan();
+  constexpr int MostDoublings = 5;
   int Doublings = std::min(Failures_ - 2, MostDoublings);
-  co_await pause(std::min(Options_.FirstPause_ * (1 << Doublings),
-                          Options_.LongestPause_));
+  co_await sleep(
+      std::min(Options_.FirstPause_ * (1 << Doublings), longestPause()));
 }
 
 Awaitable<Result<void>> StoreFollower::listAll() {
@@ -154,15 +180,12 @@
   auto Listed = co_await Platform_.List_(std::move(Prefix));
   if (!Listed)
     co_return Listed.error();
+  // Another daemon is followed by now, and may have told of newer changes.
+  if (Paused_)
+    co_return Result<void>();
   // The outage is over before what is missing is looked at.
-  Directory_.outageEnded(BootClock::now());
-  std::set<ServerName> Servers;
-  for (const KeyValue &Entry : Listed->Entries_) {
-    if (Entry.Key_.starts_with(Layout_.ServerPrefix_))
-      Servers.emplace(Entry.Key_.substr(Layout_.ServerPrefix_.size()));
-    apply(Entry);
-  }
-  DirectoryChanged_ |= Directory_.listed(Servers, BootClock::now());
+  View_.outageEnded();
+  View_.listed(*Listed);
   After_ = Listed->Revision_;
   NeedsList_ = false;
   Freshness_.renew(SentAt);
@@ -180,8 +203,9 @@
   if (Generation != Generation_)
     co_return Result<void>();
   for (const KeyValue &Entry : Changes->Entries_)
-    apply(Entry);
+    View_.apply(Entry);
   After_ = Changes->Revision_;
+  View_.advance(After_);
   SawChanges_ = !Changes->Entries_.empty();
   Freshness_.renew(SentAt);
   co_return Result<void>();
@@ -191,7 +215,7 @@
 /// same address finds its entry and writes nothing.
 Awaitable<void> StoreFollower::registerSelf() {
   KeyValueWrite Write;
-  Write.Key_ = Layout_.DaemonPrefix_ + Self_.str();
+  Write.Key_ = View_.layout().DaemonPrefix_ + Self_.str();
   Write.Value_ = Address_;
   Write.Expected_ = OwnRevision_;
   auto Written = co_await Platform_.Put_(std::move(Write));
@@ -205,75 +229,24 @@
   if (Written.error().Code_ == ResultCode::VersionConflict)
     NeedsList_ = true;
   else
-    co_await pause(Options_.FirstPause_);
+    co_await sleep(Options_.FirstPause_);
 }
 
 Awaitable<void> StoreFollower::dropUnseenLater() {
-  while (auto Next = Directory_.nextDrop()) {
+  while (auto Next = View_.nextDrop()) {
     if (BootClock::now() >= *Next)
       break;
-    co_await pause(millisUntil(*Next));
+    co_await sleep(millisUntil(*Next));
   }
   DropPlanned_ = false;
-  if (Directory_.dropUnseen(BootClock::now()))
-    publish();
+  View_.dropUnseen();
 }
 
-void StoreFollower::apply(const KeyValue &Entry) {
-  const std::string &Key = Entry.Key_;
-  if (Key == Layout_.ConfigurationKey_ && !Entry.Deleted_)
-    return adopt(Entry.Value_);
-  if (Key.starts_with(Layout_.ServerPrefix_))
-    return applyServer(Key.substr(Layout_.ServerPrefix_.size()), Entry);
-  if (!Key.starts_with(Layout_.DaemonPrefix_) || Entry.Deleted_)
-    return;
-  VmId Daemon(Key.substr(Layout_.DaemonPrefix_.size()));
+void StoreFollower::daemonSeen(const VmId &Daemon, const KeyValue &Entry) {
   if (Daemon != Self_)
-    return Hooks_.DaemonSeen_(Daemon, Entry.Value_);
+    return;
   OwnRevision_ = Entry.Revision_;
   RegisteredAddress_ = Entry.Value_;
 }
 
-void StoreFollower::applyServer(const std::string &Name,
-                                const KeyValue &Entry) {
-  if (Entry.Deleted_) {
-    logEvent(LogCategory::Version, spdlog::level::info, "server-gone",
-             {{"server", Name},
-              {"revision", std::to_string(Entry.Revision_.count())}});
-    DirectoryChanged_ |= Directory_.missing(ServerName(Name), BootClock::now());
-    return;
-  }
-  auto Read = Layout_.ReadServer_(Name, Entry.Value_);
-  if (!Read) {
-    logEvent(LogCategory::Version, spdlog::level::err, "server-not-understood",
-             {{"server", Name}, {"detail", Read.error().Detail_}});
-    return;
-  }
-  if (!Directory_.seen(*Read))
-    return;
-  DirectoryChanged_ = true;
-  logEvent(LogCategory::Version, spdlog::level::info, "server-seen",
-           {{"server", Name},
-            {"pool", Read->Pool_.str()},
-            {"address", formatEndpoint(Read->Server_.Address_)},
-            {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
-            {"revision", std::to_string(Entry.Revision_.count())}});
-}
-
-/// What can't be read leaves the last good configuration in force.
-void StoreFollower::adopt(const std::string &Value) {
-  auto Read = Layout_.ReadConfiguration_(Value);
-  if (!Read) {
-    logEvent(LogCategory::Version, spdlog::level::err,
-             "configuration-not-understood",
-             {{"detail", Read.error().Detail_}});
-    return;
-  }
-  Documents_.adopt(Layout_.Service_, Read->Version_, Read->Document_);
-}
-
-void StoreFollower::publish() {
-  Documents_.setServers(Layout_.Service_, Directory_.servers());
-}
-
 } // namespace samphireshunt
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -4,10 +4,9 @@
 /// the directory of backend servers and the other daemons. Runs on the control
 /// thread.
 
-#include "Process/DirectoryView.h"
 #include "Process/FreshnessLease.h"
-#include "Process/Platform.h"
-#include "Version/DocumentStore.h"
+#include "Process/StoreReaders.h"
+#include "Process/StoreView.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -17,26 +16,6 @@
 
 namespace samphireshunt {
 
-/// A configuration as the platform holds it.
-struct ReadConfiguration {
-  DocumentVersion Version_;
-  std::shared_ptr<const Document> Document_;
-};
-
-/// Where things stand in the platform's service, and how to read them.
-struct StoreLayout {
-  ServiceName Service_;
-  std::string ConfigurationKey_;
-  std::string ServerPrefix_;
-  std::string DaemonPrefix_;
-  std::function<Result<ReadConfiguration>(const std::string &Value)>
-      ReadConfiguration_;
-  /// \p Name is the key without its prefix.
-  std::function<Result<RegisteredServer>(const std::string &Name,
-                                         const std::string &Value)>
-      ReadServer_;
-};
-
 class StoreFollower {
 public:
   struct Options {
@@ -47,6 +26,9 @@
     /// lease, of five seconds or so, and shows whether the watch still hears:
     /// two calls in the time in which a watch alone would need five.
     std::chrono::milliseconds ConfirmTime_{3200};
+    /// The same at a daemon that others follow: until a lost service shows,
+    /// these hear nothing of servers that leave.
+    std::chrono::milliseconds ReaderConfirmTime_{600};
     /// How long the watch may be behind what was read.
     std::chrono::milliseconds BehindTime_{300};
     /// Pause after a watch that told of changes: those that follow come in one
@@ -55,22 +37,28 @@
     /// Pause after the second failure in a row, doubled up to the longest.
     std::chrono::milliseconds FirstPause_{100};
     std::chrono::milliseconds LongestPause_{400};
-    /// After an outage servers that lapsed meanwhile register again: the
-    /// platform promises about two seconds.
-    std::chrono::milliseconds RegisterAgainTime_{2400};
-  };
-  struct Hooks {
-    /// A daemon registered itself at this address.
-    std::function<void(const VmId &, const std::string &Address)> DaemonSeen_;
+    /// The same at a daemon that follows another one as soon as that has the
+    /// service back: each failed call counts too.
+    std::chrono::milliseconds SpareLongestPause_{2000};
   };
 
   StoreFollower(boost::asio::io_context &Control, PlatformHooks Platform,
-                DocumentStore &Documents, FreshnessLease &Freshness,
-                StoreLayout Layout, Options Settings, Hooks Reactions);
+                StoreView &View, FreshnessLease &Freshness, Options Settings);
 
   /// Begins to follow, and registers this daemon under its address.
   void start(VmId Self, std::string Address);
   void stop() { Stopped_ = true; }
+  /// Leaves the service alone: another daemon is followed instead.
+  void pause();
+  /// Follows the service again. \p AfterOutage: it may have been away, and
+  /// servers that lapsed meanwhile only seem gone.
+  void resume(bool AfterOutage);
+  bool paused() const { return Paused_; }
+  void setRole(StoreRole Role) { Role_ = Role; }
+  /// This daemon is registered under its address.
+  bool registered() const { return RegisteredAddress_ == Address_; }
+  /// A daemon's entry was read; its own tells that it is registered.
+  void daemonSeen(const VmId &Daemon, const KeyValue &Entry);
   /// One call may fail while the service is well, e.g. a watch that is cut.
   bool platformReachable() const { return Failures_ < 2; }
 
@@ -82,24 +70,19 @@
   Awaitable<Result<void>> listAll();
   Awaitable<Result<void>> watchOnce(std::uint64_t Generation);
   Awaitable<void> registerSelf();
-  Awaitable<void> pause(std::chrono::milliseconds Time);
+  Awaitable<void> sleep(std::chrono::milliseconds Time);
   Awaitable<void> dropUnseenLater();
   void succeeded();
   void applyDirectory();
   Awaitable<void> failed(const Failure &Cause);
-  void apply(const KeyValue &Entry);
-  void applyServer(const std::string &Name, const KeyValue &Entry);
-  void adopt(const std::string &Value);
-  void publish();
+  std::chrono::milliseconds confirmTime() const;
+  std::chrono::milliseconds longestPause() const;
 
   boost::asio::io_context &Control_;
   PlatformHooks Platform_;
-  DocumentStore &Documents_;
+  StoreView &View_;
   FreshnessLease &Freshness_;
-  StoreLayout Layout_;
   Options Options_;
-  Hooks Hooks_;
-  DirectoryView Directory_;
   VmId Self_;
   std::string Address_;
   std::string RegisteredAddress_;
@@ -109,7 +92,8 @@
   std::uint64_t Generation_ = 0;
   bool NeedsList_ = true;
   bool Stopped_ = false;
-  bool DirectoryChanged_ = false;
+  bool Paused_ = false;
+  StoreRole Role_ = StoreRole::Alone;
   bool DropPlanned_ = false;
   bool SawChanges_ = false;
   int Failures_ = 0;
--- /dev/null
+++ b/Source/Process/StoreReaders.h
@@ -0,0 +1,41 @@
+#pragma once
+/// \file
+/// Which daemons read the platform's service, and which follow those instead.
+/// Pure.
+///
+/// Load pattern: every daemon that watches the service costs it a call for each
+/// change, and further ones to know that its configuration is the newest. With
+/// 89 daemons that was a hundred calls a second where eight readers need ten,
+/// and the service's rate does not grow with the fleet. Small fleets read all
+/// by themselves: a daemon that is followed may freeze, and what it would have
+/// told comes a second later.
+
+#include "Process/MemberTable.h"
+
+#include <span>
+#include <vector>
+
+namespace samphireshunt {
+
+/// One daemon in so many reads the service, and all do in fleets up to this.
+inline constexpr std::size_t DaemonsPerReader = 12;
+/// The least number of readers in larger fleets.
+inline constexpr std::size_t LeastReaders = 3;
+
+/// How a daemon reads the platform's service.
+enum class StoreRole {
+  Alone,  ///< In a small fleet: each for itself.
+  Reader, ///< For those that follow it.
+  Spare   ///< Only while no reader can be followed.
+};
+
+struct ReaderChoice {
+  StoreRole Role_ = StoreRole::Alone;
+  /// The readers that a spare daemon may follow, the best one first.
+  std::vector<VmId> Readers_;
+};
+
+/// \p Alive are all members that may keep cells, \p Self included.
+ReaderChoice chooseReaders(const Member &Self, std::span<const Member> Alive);
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/StoreView.cpp
@@ -0,0 +1,124 @@
+#include "Process/StoreView.h"
+
+#include "Common/Log.h"
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+StoreView::StoreView(DocumentStore &Documents, StoreLayout Layout,
+                     BootClock::duration RegisterAgainTime)
+    : Documents_(Documents), Layout_(std::move(Layout)),
+      Directory_(RegisterAgainTime) {}
+
+void StoreView::apply(const KeyValue &Entry) {
+  const std::string &Key = Entry.Key_;
+  if (Key == Layout_.ConfigurationKey_ && !Entry.Deleted_)
+    return adopt(Entry);
+  if (Key.starts_with(Layout_.ServerPrefix_))
+    return applyServer(Key.substr(Layout_.ServerPrefix_.size()), Entry);
+  if (Key.starts_with(Layout_.DaemonPrefix_) && !Entry.Deleted_)
+    Hooks_.DaemonSeen_(VmId(Key.substr(Layout_.DaemonPrefix_.size())), Entry);
+}
+
+void StoreView::listed(const KeyValueList &All) {
+  std::set<ServerName> Servers;
+  for (const KeyValue &Entry : All.Entries_) {
+    if (Entry.Key_.starts_with(Layout_.ServerPrefix_))
+      Servers.emplace(Entry.Key_.substr(Layout_.ServerPrefix_.size()));
+    apply(Entry);
+  }
+  DirectoryChanged_ |= Directory_.listed(Servers, BootClock::now());
+  advance(All.Revision_);
+}
+
+void StoreView::dropUnseen() {
+  DirectoryChanged_ |= Directory_.dropUnseen(BootClock::now());
+  publish();
+}
+
+void StoreView::publish() {
+  if (!std::exchange(DirectoryChanged_, false))
+    return;
+  noteServers();
+  Documents_.setServers(Layout_.Service_, Directory_.servers());
+  Hooks_.Changed_();
+}
+
+/// Followers are told what is believed, not what was read: servers that only
+/// lapsed in an outage stay.
+void StoreView::noteServers() {
+  Log_.removeUnless(Layout_.ServerPrefix_, [this](const std::string &Name) {
+    return Directory_.contains(ServerName(Name));
+  });
+}
+
+bool StoreView::follow(const ChangeLog::Changes &Told, Revision Revision) {
+  // A daemon that is behind would bring a leaving server back.
+  if (Revision < Revision_)
+    return false;
+  std::set<ServerName> Servers;
+  for (const KeyValue &Entry : Told.Entries_) {
+    bool IsServer = Entry.Key_.starts_with(Layout_.ServerPrefix_);
+    ServerName Name(IsServer ? Entry.Key_.substr(Layout_.ServerPrefix_.size())
+                             : "");
+    if (IsServer && Entry.Deleted_)
+      DirectoryChanged_ |= Directory_.remove(Name);
+    else
+      apply(Entry);
+    if (IsServer)
+      Servers.insert(std::move(Name));
+  }
+  if (Told.Complete_)
+    DirectoryChanged_ |= Directory_.keepOnly(Servers);
+  advance(Revision);
+  publish();
+  return true;
+}
+
+void StoreView::applyServer(const std::string &Name, const KeyValue &Entry) {
+  if (Entry.Deleted_) {
+    logEvent(LogCategory::Version, spdlog::level::info, "server-gone",
+             {{"server", Name},
+              {"revision", std::to_string(Entry.Revision_.count())}});
+    DirectoryChanged_ |= Directory_.missing(ServerName(Name), BootClock::now());
+    return;
+  }
+  auto Read = Layout_.ReadServer_(Name, Entry.Value_);
+  if (!Read) {
+    logEvent(LogCategory::Version, spdlog::level::err, "server-not-understood",
+             {{"server", Name}, {"detail", Read.error().Detail_}});
+    return;
+  }
+  Log_.set(Entry);
+  if (!Directory_.seen(*Read))
+    return;
+  DirectoryChanged_ = true;
+  logEvent(LogCategory::Version, spdlog::level::info, "server-seen",
+           {{"server", Name},
+            {"pool", Read->Pool_.str()},
+            {"address", formatEndpoint(Read->Server_.Address_)},
+            {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
+            {"revision", std::to_string(Entry.Revision_.count())}});
+}
+
+/// What can't be read leaves the last good configuration in force.
+void StoreView::adopt(const KeyValue &Entry) {
+  // It is read again and again to know that it is the newest.
+  if (Entry.Revision_ == ConfigurationRevision_)
+    return;
+  auto Read = Layout_.ReadConfiguration_(Entry.Value_);
+  if (!Read) {
+    logEvent(LogCategory::Version, spdlog::level::err,
+             "configuration-not-understood",
+             {{"detail", Read.error().Detail_}});
+    return;
+  }
+  ConfigurationRevision_ = Entry.Revision_;
+  if (!Documents_.adopt(Layout_.Service_, Read->Version_, Read->Document_))
+    return;
+  Log_.set(Entry);
+  Hooks_.Changed_();
+}
+
+} // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds LeastIdleTimeout{30000};
 /// Callers count their idle time from another moment than this daemon.
 constexpr milliseconds IdleSlack{1000};
+/// After an outage of the platform's service servers that lapsed meanwhile
+/// register again: the platform promises about two seconds.
+constexpr milliseconds RegisterAgainTime{2400};
 /// Changes that come together are worked off together.
 constexpr milliseconds RefreshDelay{5};
 
@@ -112,10 +115,17 @@
   Hooks.Answered_ = [this](const VmId &From, wire::EnvelopeT Message) {
     onAnswered(From, std::move(Message));
   };
-  Hooks.LinkDown_ = [this](const VmId &To) { Grants_->onLinkDown(To); };
+  Hooks.LinkDown_ = [this](const VmId &To) {
+    Grants_->onLinkDown(To);
+    if (PeerFollower_)
+      PeerFollower_->onLinkDown(To);
+  };
   Hooks.AskerCame_ = [this](const VmId &From) { Keeper_->entryBack(From); };
   Hooks.AskerGone_ = [this](const VmId &From) { Keeper_->entryGone(From); };
-  Hooks.Awaiting_ = [this](const VmId &To) { return Grants_->awaiting(To); };
+  Hooks.Awaiting_ = [this](const VmId &To) {
+    return Grants_->awaiting(To) ||
+           (PeerFollower_ && PeerFollower_->awaiting(To));
+  };
   Hooks.AddressOf_ = [this](const VmId &To) -> std::optional<std::string> {
     auto Known = Members_->find(To);
     return Known ? std::optional(Known->Address_) : std::nullopt;
@@ -220,18 +230,40 @@
 }
 
 void Daemon::wireFollower() {
-  StoreFollower::Hooks Hooks;
-  Hooks.DaemonSeen_ = [this](const VmId &Id, const std::string &Text) {
-    auto Address = parseEndpoint(Text);
-    if (!Address)
-      logEvent(LogCategory::Membership, spdlog::level::err, "bad-address",
-               {{"member", Id.str()}, {"detail", Address.error().Detail_}});
-    else if (!Members_->find(Id))
-      Membership_->join(*Address);
+  View_ = std::make_unique<StoreView>(Documents_, *Adapter_.Layout_,
+                                      RegisterAgainTime);
+  StoreView::Hooks ViewHooks;
+  ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
+    Follower_->daemonSeen(Id, Entry);
+    onDaemonRegistered(Id, Entry.Value_);
   };
+  ViewHooks.Changed_ = [this] { PeerFollower_->onChanged(); };
+  View_->setHooks(std::move(ViewHooks));
   Follower_ = std::make_unique<StoreFollower>(
-      Control_, Platform_, Documents_, Freshness_, *Adapter_.Layout_,
-      StoreFollower::Options(), std::move(Hooks));
+      Control_, Platform_, *View_, Freshness_, StoreFollower::Options());
+  PeerFollower::Hooks Hooks;
+  Hooks.Choose_ = [this] {
+    return chooseReaders(Members_->self(), Members_->keepers());
+  };
+  Hooks.Send_ = [this](const VmId &To, std::string Message) {
+    Peers_->send(To, std::move(Message));
+  };
+  Hooks.Reply_ = [this](const VmId &To, std::string Message) {
+    Peers_->reply(To, std::move(Message));
+  };
+  PeerFollower_ = std::make_unique<PeerFollower>(
+      Control_, Incarnation_, *Follower_, *View_, Freshness_,
+      PeerFollower::Options(), std::move(Hooks));
+}
+
+void Daemon::onDaemonRegistered(const VmId &Id, const std::string &Text) {
+  if (Id == Settings_.Vm_ || Members_->find(Id))
+    return;
+  auto Address = parseEndpoint(Text);
+  if (Address)
+    return Membership_->join(*Address);
+  logEvent(LogCategory::Membership, spdlog::level::err, "bad-address",
+           {{"member", Id.str()}, {"detail", Address.error().Detail_}});
 }
 
 void Daemon::wireConfiguration() {
@@ -427,6 +459,8 @@
       Keeper_->handBack(fromWire(Done->id));
   } else if (const auto *Request = Message.body.AsDocumentRequest())
     sendDocument(From, ServiceName(Request->service));
+  else if (const auto *Asked = Message.body.AsFollow(); Asked && PeerFollower_)
+    PeerFollower_->onFollow(From, *Asked);
 }
 
 void Daemon::sendDocument(const VmId &To, const ServiceName &Service) {
@@ -458,6 +492,8 @@
            Reply && Configuration_)
     Configuration_->documentReceived(ServiceName(Reply->service),
                                      Reply->envelope);
+  else if (const auto *Told = Message.body.AsState(); Told && PeerFollower_)
+    PeerFollower_->onState(From, *Told);
 }
 
 void Daemon::onDecided(const Decision &Taken) {
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -7,6 +7,7 @@
 #include "Process/EngineMonitor.h"
 #include "Process/KeeperService.h"
 #include "Process/MembershipService.h"
+#include "Process/PeerFollower.h"
 #include "Process/PeerNetwork.h"
 #include "Process/StoreFollower.h"
 #include "Programs/Metrics.h"
@@ -71,6 +72,7 @@
   RequestServices requestServices(BackendConnections &Connections);
   std::unique_ptr<Worker> makeWorker(bool OnControlThread);
   void wireFollower();
+  void onDaemonRegistered(const VmId &Id, const std::string &Text);
   void startConfiguration();
   HttpLimits callerLimits() const;
   bool configurationReady();
@@ -127,7 +129,9 @@
   std::unique_ptr<EngineMonitor> Engines_;
   /// Documents of the product's own, or the platform's configuration.
   std::unique_ptr<ConfigurationSync> Configuration_;
+  std::unique_ptr<StoreView> View_;
   std::unique_ptr<StoreFollower> Follower_;
+  std::unique_ptr<PeerFollower> PeerFollower_;
   std::unique_ptr<TraceExporter> Traces_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::unique_ptr<HttpServer> CallerServer_;
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -32,7 +32,7 @@
 /// daemons should get the callers, and already when that is about to happen.
 /// While no daemon is in touch, the balancer sends to all of them.
 bool Daemon::isTakingCallers() const {
-  bool InTouch = Configuration_ || Follower_->platformReachable();
+  bool InTouch = Configuration_ || PeerFollower_->inTouch();
   return isReady() && !Draining_ && InTouch &&
          Freshness_.valid(BootClock::now());
 }
@@ -45,7 +45,7 @@
 
 bool Daemon::platformReachable() const {
   return Configuration_ ? Configuration_->platformReachable()
-                        : Follower_->platformReachable();
+                        : PeerFollower_->inTouch();
 }
 
 RequestId Daemon::nextRequestId() { return {Origin_, NextSequence_++}; }
@@ -56,6 +56,7 @@
     return Engines_->start();
   }
   Follower_->start(Settings_.Vm_, Members_->self().Address_);
+  PeerFollower_->start();
 }
 
 void Daemon::awaitSignal() {
@@ -194,8 +195,10 @@
   Membership_->stop();
   Peers_->stop();
   Keeper_->stop();
-  if (Follower_)
+  if (Follower_) {
     Follower_->stop();
+    PeerFollower_->stop();
+  }
   Control_.stop();
 }
 
--- /dev/null
+++ b/UnitTests/Process/StoreReadersTest.cpp
@@ -0,0 +1,91 @@
+#include "Process/StoreReaders.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace samphireshunt;
+
+namespace {
+
+std::vector<Member> fleet(int Count) {
+  std::vector<Member> Members;
+  for (int Index = 0; Index < Count; ++Index) {
+    Member Built;
+    Built.Id_ = VmId(fmt::format("vm-{}", Index));
+    Built.DataCenter_ = DataCenterName(fmt::format("dc-{}", Index % 4));
+    Members.push_back(std::move(Built));
+  }
+  return Members;
+}
+
+} // namespace
+
+TEST_CASE("in a small fleet every daemon reads the service itself") {
+  auto Members = fleet(12);
+  for (const Member &Self : Members) {
+    ReaderChoice Choice = chooseReaders(Self, Members);
+    CHECK(Choice.Role_ == StoreRole::Alone);
+    CHECK(Choice.Readers_.empty());
+  }
+}
+
+TEST_CASE(
+    "in a large one a few do, the same for all, and are followed evenly") {
+  // Load: 89 daemons, each with a watch and reads of its own, make a hundred
+  // calls a second of the service.
+  auto Members = fleet(89);
+  std::set<VmId> Readers;
+  std::map<VmId, int> Followers;
+  int ReadersByRole = 0;
+  for (const Member &Self : Members) {
+    ReaderChoice Choice = chooseReaders(Self, Members);
+    ReadersByRole += Choice.Role_ == StoreRole::Reader;
+    if (Choice.Role_ == StoreRole::Reader)
+      continue;
+    REQUIRE(Choice.Readers_.size() == 7);
+    Readers.insert(Choice.Readers_.begin(), Choice.Readers_.end());
+    ++Followers[Choice.Readers_.front()];
+  }
+  CHECK(Readers.size() == 7);
+  CHECK(ReadersByRole == 7);
+  CHECK(std::ranges::all_of(
+      Followers, [](const auto &Item) { return Item.second <= 25; }));
+}
+
+TEST_CASE("a reader of the own data center goes first") {
+  auto Members = fleet(60);
+  std::set<DataCenterName> WithReader;
+  for (const Member &Self : Members)
+    if (chooseReaders(Self, Members).Role_ == StoreRole::Reader)
+      WithReader.insert(Self.DataCenter_);
+  for (const Member &Self : Members) {
+    ReaderChoice Choice = chooseReaders(Self, Members);
+    if (Choice.Readers_.empty() || !WithReader.contains(Self.DataCenter_))
+      continue;
+    auto First =
+        std::ranges::find(Members, Choice.Readers_.front(), &Member::Id_);
+    CHECK(First->DataCenter_ == Self.DataCenter_);
+  }
+}
+
+TEST_CASE("a reader that goes is replaced by one other, the rest stay") {
+  auto Members = fleet(60);
+  std::set<VmId> Before;
+  for (const Member &Self : Members)
+    if (chooseReaders(Self, Members).Role_ == StoreRole::Reader)
+      Before.insert(Self.Id_);
+  std::erase_if(Members,
+                [&](const Member &One) { return One.Id_ == *Before.begin(); });
+  std::set<VmId> After;
+  for (const Member &Self : Members)
+    if (chooseReaders(Self, Members).Role_ == StoreRole::Reader)
+      After.insert(Self.Id_);
+  std::set<VmId> Stayed;
+  std::ranges::set_intersection(Before, After,
+                                std::inserter(Stayed, Stayed.begin()));
+  CHECK(Stayed.size() >= Before.size() - 1);
+}
--- /dev/null
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -0,0 +1,283 @@
+/// \file
+/// A daemon that follows others instead of the platform's store, while these
+/// are well, frozen, behind, or have lost the store themselves.
+
+#include "Process/PeerFollower.h"
+
+#include "UnitTests/platform/FakeStore.h"
+#include "platform/Configuration.h"
+#include "platform/Store.h"
+
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+const ServiceName Service("platform");
+const PoolName ThePool("s");
+constexpr milliseconds Lease{1000};
+
+std::string configuration(int Version) {
+  return fmt::format(R"({{"version":{},"routes":[],"services":[{{"name":"s"}}],
+                         "limits":{{}}}})",
+                     Version);
+}
+
+std::string serverEntry(const std::string &State) {
+  return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
+                         "state":"{}","batch-size":2}})",
+                     State);
+}
+
+/// One daemon's part of all this. Messages between daemons are handed over by
+/// the fixture.
+class Daemon {
+public:
+  Daemon(boost::asio::io_context &Context, FakeStore &Store, std::string Name,
+         ReaderChoice Choice, PeerFollower::Hooks Hooks)
+      : Freshness_(Lease),
+        View_(Documents_, platform::storeLayout(), milliseconds(150)) {
+    StoreView::Hooks ViewHooks;
+    ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
+      Service_->daemonSeen(Id, Entry);
+    };
+    ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
+    View_.setHooks(std::move(ViewHooks));
+    StoreFollower::Options Options;
+    Options.WatchTime_ = milliseconds(2000);
+    Options.ConfirmTime_ = milliseconds(200);
+    Options.ReaderConfirmTime_ = milliseconds(40);
+    Options.BehindTime_ = milliseconds(20);
+    Options.GatherTime_ = milliseconds(5);
+    Options.FirstPause_ = milliseconds(5);
+    Options.LongestPause_ = milliseconds(10);
+    Options.SpareLongestPause_ = milliseconds(50);
+    Service_ = std::make_unique<StoreFollower>(
+        Context, platform::storeHooks(Store.address(), milliseconds(50)), View_,
+        Freshness_, Options);
+    PeerFollower::Options PeerOptions;
+    PeerOptions.AskTime_ = milliseconds(40);
+    PeerOptions.AnswerTime_ = milliseconds(40);
+    PeerOptions.OldestAge_ = milliseconds(160);
+    PeerOptions.TryAgainTime_ = milliseconds(100);
+    PeerOptions.SettleTime_ = milliseconds(50);
+    Hooks.Choose_ = [Choice] { return Choice; };
+    static std::uint64_t Process = 0;
+    Peers_ = std::make_unique<PeerFollower>(Context, Incarnation(++Process),
+                                            *Service_, View_, Freshness_,
+                                            PeerOptions, std::move(Hooks));
+    Service_->start(VmId(Name), "10.0.0.9:7600");
+    Peers_->start();
+  }
+
+  bool isActive(const std::string &Name) const {
+    return Documents_.snapshot()->activeServer(Service, ThePool,
+                                               ServerName(Name)) != nullptr;
+  }
+  DocumentVersion version() const {
+    auto Snapshot = Documents_.snapshot();
+    const ServiceConfiguration *InForce = Snapshot->service(Service);
+    return InForce ? InForce->Version_ : DocumentVersion(0);
+  }
+  bool follows(const std::string &Reader) const {
+    return Service_->paused() && Peers_->reader() == VmId(Reader);
+  }
+
+  DocumentStore Documents_;
+  FreshnessLease Freshness_;
+  StoreView View_;
+  std::unique_ptr<StoreFollower> Service_;
+  std::unique_ptr<PeerFollower> Peers_;
+};
+
+/// Two readers, each with a store of its own that tells the same, so that one
+/// may lose it alone; and a daemon that follows them.
+class Fleet {
+public:
+  Fleet() {
+    put("op/config", configuration(3));
+    put("servers/i-1", serverEntry("ready"));
+    for (const char *Name : {"first", "second"})
+      add(Name, *Stores_[Name], {StoreRole::Reader, {}});
+    add("spare", SpareStore_,
+        {StoreRole::Spare, {VmId("first"), VmId("second")}});
+  }
+  void put(const std::string &Key, const std::string &Value) {
+    for (auto &[Name, Store] : Stores_)
+      Store->put(Key, Value);
+    SpareStore_.put(Key, Value);
+  }
+  Daemon &operator[](const std::string &Name) { return *Daemons_.at(Name); }
+  FakeStore &storeOf(const std::string &Reader) { return *Stores_.at(Reader); }
+  bool runUntil(const std::function<bool()> &Done) {
+    return tests::runUntil(Context_, Done);
+  }
+  void runFor(milliseconds Time) {
+    auto End = std::chrono::steady_clock::now() + Time;
+    tests::runUntil(Context_,
+                    [End] { return std::chrono::steady_clock::now() >= End; });
+  }
+  std::size_t calls() const {
+    return SpareStore_.calls("/-/kv-range") + SpareStore_.calls("/-/kv-watch");
+  }
+
+  boost::asio::io_context Context_;
+  FakeStore SpareStore_{Context_};
+  std::map<std::string, std::unique_ptr<FakeStore>> Stores_ = makeStores();
+  /// Daemons that neither hear nor answer others.
+  std::set<std::string> Frozen_;
+  /// The next so many messages that readers send by themselves are lost.
+  int LosePushes_ = 0;
+  std::map<std::string, std::unique_ptr<Daemon>> Daemons_;
+
+private:
+  std::map<std::string, std::unique_ptr<FakeStore>> makeStores() {
+    std::map<std::string, std::unique_ptr<FakeStore>> Stores;
+    for (const char *Name : {"first", "second"})
+      Stores[Name] = std::make_unique<FakeStore>(Context_);
+    return Stores;
+  }
+  void add(const std::string &Name, FakeStore &Store, ReaderChoice Choice) {
+    PeerFollower::Hooks Hooks;
+    auto Pass = [this, Name](const VmId &To, std::string Message) {
+      boost::asio::post(Context_, [this, Name, To, Message] {
+        deliver(Name, To.str(), Message);
+      });
+    };
+    Hooks.Send_ = Pass;
+    Hooks.Reply_ = Pass;
+    Daemons_[Name] = std::make_unique<Daemon>(Context_, Store, Name,
+                                              std::move(Choice), Hooks);
+  }
+  void deliver(const std::string &From, const std::string &To,
+               const std::string &Message) {
+    if (Frozen_.contains(From) || Frozen_.contains(To))
+      return;
+    auto Decoded = decodeMessage(Message).value();
+    if (const auto *Asked = Decoded.body.AsFollow())
+      return Daemons_.at(To)->Peers_->onFollow(VmId(From), *Asked);
+    const auto *Told = Decoded.body.AsState();
+    if (Told->sequence == 0 && LosePushes_ > 0) {
+      --LosePushes_;
+      return;
+    }
+    Daemons_.at(To)->Peers_->onState(VmId(From), *Told);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a daemon that follows another hears all changes and leaves the "
+          "service alone") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.runFor(milliseconds(50));
+  auto Calls = Test.calls();
+  Test.put("servers/i-2", serverEntry("ready"));
+  Test.put("op/config", configuration(5));
+  CHECK(Test.runUntil([&] {
+    return Spare.isActive("i-2") && Spare.version() == DocumentVersion(5);
+  }));
+  Test.put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  // A while longer than the lease: what the reader confirms renews it.
+  Test.runFor(Lease + milliseconds(300));
+  CHECK(Spare.Freshness_.valid(BootClock::now()));
+  CHECK(Test.calls() == Calls);
+}
+
+TEST_CASE("a reader that freezes is left within two questions") {
+  // Symptom: a daemon sends work to a server long after it began to leave.
+  // Sequence: the daemon that it follows freezes; a server begins to leave.
+  // Cause: nobody told it, and it did not ask anybody else.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.Frozen_.insert("first");
+  Test.put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  CHECK(Spare.follows("second"));
+}
+
+TEST_CASE("with no reader left the service is read, and readers are followed "
+          "again when they are back") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.Frozen_ = {"first", "second"};
+  Test.put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  CHECK_FALSE(Spare.Service_->paused());
+  Test.Frozen_.clear();
+  CHECK(Test.runUntil([&] { return Spare.Service_->paused(); }));
+}
+
+TEST_CASE("a reader that lost the service renews nothing and is left") {
+  // Symptom: a key that was taken away works for longer than the bound.
+  // Sequence: the reader is cut off from the service; its followers ask on.
+  // Cause: an answer was taken for a confirmation, whatever its age.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.storeOf("first").Silent_ = true;
+  CHECK(Test.runUntil([&] { return Spare.follows("second"); }));
+  Test.storeOf("second").Silent_ = true;
+  Test.SpareStore_.Silent_ = true;
+  CHECK(
+      Test.runUntil([&] { return !Spare.Freshness_.valid(BootClock::now()); }));
+}
+
+TEST_CASE("a reader that is behind brings no leaving server back") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  // The second one's store is partitioned: it knows nothing of the change.
+  Test.storeOf("first").put("servers/i-1", serverEntry("draining"));
+  REQUIRE(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  Test.Frozen_.insert("first");
+  Test.SpareStore_.FailWith_ = 503;
+  Test.runFor(milliseconds(400));
+  CHECK_FALSE(Spare.isActive("i-1"));
+  CHECK_FALSE(Spare.follows("second"));
+}
+
+TEST_CASE("a change that was lost on its way comes with the next answer") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.LosePushes_ = 1;
+  Test.put("servers/i-2", serverEntry("ready"));
+  REQUIRE(Test.runUntil([&] { return Test["first"].isActive("i-2"); }));
+  Test.put("servers/i-3", serverEntry("ready"));
+  CHECK(Test.runUntil(
+      [&] { return Spare.isActive("i-2") && Spare.isActive("i-3"); }));
+}
+
+TEST_CASE("servers that lapse in an outage stay, also for followers") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  for (const char *Name : {"first", "second"})
+    Test.storeOf(Name).FailWith_ = 503;
+  Test.SpareStore_.FailWith_ = 503;
+  REQUIRE(Test.runUntil([&] { return !Spare.Service_->paused(); }));
+  Test.runFor(milliseconds(100));
+  for (const char *Name : {"first", "second"}) {
+    Test.storeOf(Name).remove("servers/i-1");
+    Test.storeOf(Name).FailWith_ = 0;
+  }
+  Test.SpareStore_.remove("servers/i-1");
+  Test.SpareStore_.FailWith_ = 0;
+  REQUIRE(Test.runUntil([&] { return Spare.Service_->paused(); }));
+  CHECK(Spare.isActive("i-1"));
+  // Back within the time allowed.
+  Test.put("servers/i-1", serverEntry("ready"));
+  Test.runFor(milliseconds(300));
+  CHECK(Spare.isActive("i-1"));
+}
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -35,7 +35,9 @@
 
 class FollowerFixture {
 public:
-  FollowerFixture() : Store_(Context_), Freshness_(Lease) {
+  FollowerFixture()
+      : Store_(Context_), Freshness_(Lease),
+        View_(Documents_, platform::storeLayout(), milliseconds(150)) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
     follow();
@@ -49,15 +51,16 @@
     Options.GatherTime_ = milliseconds(5);
     Options.FirstPause_ = milliseconds(5);
     Options.LongestPause_ = milliseconds(10);
-    Options.RegisterAgainTime_ = milliseconds(150);
-    StoreFollower::Hooks Hooks;
-    Hooks.DaemonSeen_ = [this](const VmId &Id, const std::string &Address) {
-      Seen_[Id] = Address;
+    StoreView::Hooks Hooks;
+    Hooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
+      Follower_->daemonSeen(Id, Entry);
+      Seen_[Id] = Entry.Value_;
     };
+    Hooks.Changed_ = [] {};
+    View_.setHooks(std::move(Hooks));
     Follower_ = std::make_unique<StoreFollower>(
         Context_, platform::storeHooks(Store_.address(), milliseconds(100)),
-        Documents_, Freshness_, platform::storeLayout(), Options,
-        std::move(Hooks));
+        View_, Freshness_, Options);
     Follower_->start(VmId("vm-1"), "10.0.0.9:7600");
   }
   bool runUntil(const std::function<bool()> &Done) {
@@ -88,6 +91,7 @@
   FakeStore Store_;
   DocumentStore Documents_;
   FreshnessLease Freshness_;
+  StoreView View_;
   std::map<VmId, std::string> Seen_;
   std::unique_ptr<StoreFollower> Follower_;
 };
