Work out a request's standing once, and take answers above the mean for long

The expected service of a request was worked out over all engines of the cell up to five times; now once, in a Standing that says service, length and order. Answers longer than the mean, not twice that, stand behind under load, still served at least three fifths as often as the others.

--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -73,7 +73,8 @@
           std::max(Queue.ServedTokens_, Tier.Active_.begin()->first);
     Tier.Active_.emplace(Queue.ServedTokens_, Name);
   }
-  Queue.Requests_.emplace(Request.Urgency_, Request.Arrival_, Asked.Id_);
+  Queue.Requests_.emplace(Request.Standing_.Urgency_, Request.Arrival_,
+                          Asked.Id_);
   ++Tier.Count_;
   ByLatestStart_.emplace(Request.LatestStart_, Asked.Id_);
   RequestId Id = Asked.Id_;
@@ -88,7 +89,7 @@
   CustomerName Name =
       Options_.FairCustomers_ ? Asked.Customer_ : CustomerName();
   CustomerQueue &Queue = Tier.Customers_[Name];
-  Queue.Requests_.erase({Request.Urgency_, Request.Arrival_, Id});
+  Queue.Requests_.erase({Request.Standing_.Urgency_, Request.Arrival_, Id});
   --Tier.Count_;
   if (Queue.Requests_.empty())
     Tier.Active_.erase({Queue.ServedTokens_, Name});
@@ -105,12 +106,12 @@
   if (auto Known = Running_.find(Request.Id_); Known != Running_.end())
     endRunning(Known);
   TierQueue &Own = Tiers_[queueIndex(Request.Tier_)];
-  bool Long = isLong(Request);
+  Standing Place = standingOf(Request, Now);
   if (!Request.AskedBefore_) {
     Own.Share_.decay(Now);
     Own.Share_.Arrived_ += 1;
     Own.LongShare_.decay(Now);
-    Own.LongShare_.Arrived_ += Long ? 1 : 0;
+    Own.LongShare_.Arrived_ += Place.Long_ ? 1 : 0;
   }
   Own.RecentArrivals_.add(Now);
   if (!hasServerFor(Request)) {
@@ -129,7 +130,7 @@
     Out.push_back(refusal(Request, ResultCode::CannotFinishInTime));
     return Out;
   }
-  if (wouldWaitTooLong(Request, Now)) {
+  if (wouldWaitTooLong(Request, Place, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::WaitTooLong);
     Refusal.RetryAfter_ = returnAfter(Request.Tier_, Now);
     Out.push_back(Refusal);
@@ -148,8 +149,7 @@
   if (Request.MaxWait_.count() > 0)
     Waiting.LatestStart_ =
         std::min(Waiting.LatestStart_, Now + Request.MaxWait_);
-  Waiting.Urgency_ = urgencyOf(Request, Now);
-  Waiting.Long_ = Long;
+  Waiting.Standing_ = Place;
   Waiting.Asked_ = std::move(Request);
   enqueue(std::move(Waiting));
   return Out;
@@ -472,7 +472,7 @@
     Tier.Active_.erase({Queue.ServedTokens_, Customer});
   Tier.Share_.decay(Now);
   Tier.Share_.Granted_ += 1;
-  if (Granted.Long_)
+  if (Granted.Standing_.Long_)
     Tier.LongShare_.Granted_ += 1;
   double Cost = tokenCost(Granted.Asked_);
   Queue.ServedTokens_ += Cost / weightOf(Granted.Asked_.Customer_);
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -170,13 +170,26 @@
   const std::map<ServerName, ServerModel> &servers() const { return Servers_; }
 
 private:
+  /// No first event comes sooner than this after a grant.
+  static constexpr std::chrono::milliseconds LeastFirstEvent{60};
   static constexpr std::size_t RateSlots = 5;
   static constexpr std::chrono::milliseconds RateWindow{1000};
   using DeadlineKey = std::tuple<TimePoint, std::uint64_t, RequestId>;
+  /// Where a request stands among those of its tier.
+  struct Standing {
+    /// How long it would hold a place of an engine of middling speed; 0 while
+    /// nothing is known.
+    std::chrono::nanoseconds Service_{0};
+    /// Its answer is much longer than others.
+    bool Long_ = false;
+    /// It may be put behind others for that.
+    bool PutBack_ = false;
+    /// Requests are served in the order of these moments.
+    TimePoint Urgency_;
+  };
   struct WaitingRequest {
     AskedRequest Asked_;
-    TimePoint Urgency_;
-    bool Long_ = false;
+    Standing Standing_;
     std::uint64_t Arrival_ = 0;
     TimePoint LatestStart_;
     bool Preempting_ = false;
@@ -273,12 +286,11 @@
   bool isStarving(TierQueue &Tier, TimePoint Now);
   double servedPart(TimePoint Now);
   std::chrono::milliseconds predictedWait(TierIndex Tier, TimePoint Now);
-  bool wouldWaitTooLong(const AskedRequest &Request, TimePoint Now);
-  TimePoint urgencyOf(const AskedRequest &Request, TimePoint Now);
-  bool isLong(const AskedRequest &Request) const;
-  /// False where long answers would otherwise hardly be served any more.
-  bool mayPutBack(const AskedRequest &Request, TimePoint Now);
+  bool wouldWaitTooLong(const AskedRequest &Request, const Standing &Place,
+                        TimePoint Now);
   std::chrono::nanoseconds typicalService(const AskedRequest &Request) const;
+  Standing standingOf(const AskedRequest &Request, TimePoint Now);
+  bool mayPutBack(TierIndex Tier, TimePoint Now);
   void noteHold(const ServedSample &Seen);
   void judgeServers(TimePoint Now);
   void judge(ServerModel &Server, const ServedSample &Seen, TimePoint Now);
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -133,21 +133,33 @@
   return Known == 0 ? nanoseconds(0) : Sum / Known;
 }
 
-bool Scheduler::isLong(const AskedRequest &Request) const {
-  // With lengths spread as callers' are, about one in ten.
-  constexpr int TimesMean = 2;
-  return MeanHold_.count() > 0 &&
-         typicalService(Request) > TimesMean * MeanHold_;
-}
-
-/// Of answers whose lengths differ a hundredfold, the longest tenth takes half
-/// of the places, for a tenth of the callers: under load they go behind. But
-/// they are served at least three fifths as often as the others of their tier.
-bool Scheduler::mayPutBack(const AskedRequest &Request, TimePoint Now) {
+/// Requests of a customer are served by the moment at which an answer is
+/// wanted. Of answers whose lengths differ a hundredfold, the longest tenth
+/// takes half of the places, for a tenth of the callers: under load they go
+/// behind.
+Scheduler::Standing Scheduler::standingOf(const AskedRequest &Request,
+                                          TimePoint Now) {
+  // With lengths spread as callers' are, about one in five is longer.
+  Standing Place;
+  if (Request.Objective_ == TimePoint()) {
+    Place.Urgency_ = Request.Deadline_;
+    return Place;
+  }
+  Place.Service_ = typicalService(Request);
+  Place.Long_ = MeanHold_.count() > 0 && Place.Service_ > MeanHold_;
+  Place.PutBack_ = Place.Long_ && mayPutBack(Request.Tier_, Now);
+  Place.Urgency_ = Request.Objective_;
+  if (Place.PutBack_)
+    Place.Urgency_ +=
+        std::chrono::duration_cast<TimePoint::duration>(Place.Service_);
+  return Place;
+}
+
+/// Long answers are served at least three fifths as often as the others of
+/// their tier.
+bool Scheduler::mayPutBack(TierIndex Tier, TimePoint Now) {
   constexpr double LeastPart = 0.6;
-  if (!isLong(Request))
-    return false;
-  TierQueue &Own = Tiers_[queueIndex(Request.Tier_)];
+  TierQueue &Own = Tiers_[queueIndex(Tier)];
   Own.Share_.decay(Now);
   Own.LongShare_.decay(Now);
   return Own.LongShare_.part() >= LeastPart * Own.Share_.part();
@@ -155,30 +167,19 @@
 
 /// A request that would be refused after a long wait is refused at once; and a
 /// long one already after a short wait.
-bool Scheduler::wouldWaitTooLong(const AskedRequest &Request, TimePoint Now) {
+bool Scheduler::wouldWaitTooLong(const AskedRequest &Request,
+                                 const Standing &Place, TimePoint Now) {
   if (!Options_.RefuseLongWaits_ || Request.MaxWait_.count() == 0)
     return false;
   constexpr double LeastPart = 0.1;
   double Part = 1;
-  if (mayPutBack(Request, Now))
-    Part = std::max(LeastPart,
-                    static_cast<double>(MeanHold_.count()) /
-                        static_cast<double>(typicalService(Request).count()));
+  if (Place.PutBack_)
+    Part = std::max(LeastPart, static_cast<double>(MeanHold_.count()) /
+                                   static_cast<double>(Place.Service_.count()));
   std::chrono::duration<double, std::milli> Longest = Request.MaxWait_;
   return predictedWait(Request.Tier_, Now) > Longest * Part;
 }
 
-/// Requests of a customer are served in this order: by the moment at which an
-/// answer is wanted, and long ones behind.
-TimePoint Scheduler::urgencyOf(const AskedRequest &Request, TimePoint Now) {
-  if (Request.Objective_ == TimePoint())
-    return Request.Deadline_;
-  if (!mayPutBack(Request, Now))
-    return Request.Objective_;
-  return Request.Objective_ + std::chrono::duration_cast<TimePoint::duration>(
-                                  typicalService(Request));
-}
-
 /// Leaves out engines that fail what they get, unless that would leave too few:
 /// the others would drown in what they can't take.
 void Scheduler::judgeServers(TimePoint Now) {
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -12,9 +12,6 @@
 
 using std::chrono::nanoseconds;
 
-/// No first event comes sooner than this after a grant.
-constexpr std::chrono::milliseconds LeastFirstEvent{60};
-
 /// An engine counts as quick when it takes less than 3/2 of the time between
 /// tokens that the quickest one takes.
 constexpr int QuickFactor = 3;
