Show followers, ages and calls of the platform's service in status and metrics

Operators could not see what a fleet asks of the service, which daemon follows which, nor how old the configuration is. Counters and times by call, histograms of first events and longest pauses, age and followers; unread prompts and time between tokens of each engine in /status.

--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -52,6 +52,8 @@
         "--threads=" + std::to_string(Random_(2)),
         "--admission=objectives",
         "--revocation_bound_ms=5000",
+        // One daemon reads the store, and two follow it.
+        "--daemons_per_reader=2",
         "--drain_delay_ms=600",
         "--drain_quiet_ms=100",
         "--drain_admit_ms=1000",
--- /dev/null
+++ b/Source/Process/MeasuredPlatform.cpp
@@ -0,0 +1,53 @@
+#include "Process/MeasuredPlatform.h"
+
+namespace samphireshunt {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::steady_clock;
+
+template <class Value>
+Awaitable<Result<Value>> measured(std::string Call,
+                                  Awaitable<Result<Value>> Inner,
+                                  PlatformCallSeen Seen) {
+  auto Begin = steady_clock::now();
+  auto Answer = co_await std::move(Inner);
+  // The service may answer "not so": that is an answer.
+  bool Answered =
+      Answer || Answer.error().Code_ != ResultCode::PlatformUnavailable;
+  Seen(Call, Answered,
+       duration_cast<microseconds>(steady_clock::now() - Begin));
+  co_return Answer;
+}
+
+} // namespace
+
+PlatformHooks measuredPlatform(PlatformHooks Inner, PlatformCallSeen Seen) {
+  PlatformHooks Hooks;
+  Hooks.Get_ = [Call = std::move(Inner.Get_), Seen](std::string Key) {
+    return measured("get", Call(std::move(Key)), Seen);
+  };
+  Hooks.Put_ = [Call = std::move(Inner.Put_), Seen](KeyValueWrite Write) {
+    return measured("put", Call(std::move(Write)), Seen);
+  };
+  Hooks.Delete_ = [Call = std::move(Inner.Delete_), Seen](std::string Key,
+                                                          Revision Expected) {
+    return measured("delete", Call(std::move(Key), Expected), Seen);
+  };
+  Hooks.List_ = [Call = std::move(Inner.List_), Seen](std::string Prefix) {
+    return measured("list", Call(std::move(Prefix)), Seen);
+  };
+  Hooks.Watch_ = [Call = std::move(Inner.Watch_),
+                  Seen](std::string Prefix, Revision After,
+                        std::chrono::milliseconds Wait) {
+    return measured("watch", Call(std::move(Prefix), After, Wait), Seen);
+  };
+  Hooks.Vms_ = [Call = std::move(Inner.Vms_), Seen]() {
+    return measured("vms", Call(), Seen);
+  };
+  return Hooks;
+}
+
+} // namespace samphireshunt
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -134,12 +134,11 @@
 }
 
 /// Requests of a customer are served by the moment at which an answer is
-/// wanted. Of answers whose lengths differ a hundredfold, the longest tenth
-/// takes half of the places, for a tenth of the callers: under load they go
+/// wanted. Of answers whose lengths differ a hundredfold, the longest fifth
+/// takes most of the places, for a fifth of the callers: under load they go
 /// behind.
 Scheduler::Standing Scheduler::standingOf(const AskedRequest &Request,
                                           TimePoint Now) {
-  // With lengths spread as callers' are, about one in five is longer.
   Standing Place;
   if (Request.Objective_ == TimePoint()) {
     Place.Urgency_ = Request.Deadline_;
--- a/Source/Process/StoreReaders.cpp
+++ b/Source/Process/StoreReaders.cpp
@@ -11,16 +11,21 @@
 /// Any constant: the same members are chosen everywhere.
 constexpr std::string_view ChoiceName = "store-readers";
 
+/// In fleets that have readers; of a very small one, half.
+constexpr std::size_t LeastReaders = 3;
+
 std::uint64_t weightOf(const Member &Candidate) {
   return stableHash(Candidate.Id_.str(), stableHash(ChoiceName));
 }
 
 } // namespace
 
-ReaderChoice chooseReaders(const Member &Self, std::span<const Member> Alive) {
-  if (Alive.size() <= DaemonsPerReader)
+ReaderChoice chooseReaders(const Member &Self, std::span<const Member> Alive,
+                           std::size_t PerReader) {
+  if (PerReader == 0 || Alive.size() <= PerReader)
     return {StoreRole::Alone, {}};
-  std::size_t Count = std::max(LeastReaders, Alive.size() / DaemonsPerReader);
+  std::size_t Least = std::min(LeastReaders, Alive.size() / 2);
+  std::size_t Count = std::max(Least, Alive.size() / PerReader);
   std::vector<Member> Readers(Alive.begin(), Alive.end());
   std::ranges::partial_sort(
       Readers, Readers.begin() + static_cast<std::ptrdiff_t>(Count),
--- a/Source/Process/StoreReaders.h
+++ b/Source/Process/StoreReaders.h
@@ -17,10 +17,9 @@
 
 namespace samphireshunt {
 
-/// One daemon in so many reads the service, and all do in fleets up to this.
+/// One daemon in so many reads the service, and all do in fleets up to this: a
+/// reader tells its followers all twice a second over a link of 10 Mbit/s.
 inline constexpr std::size_t DaemonsPerReader = 12;
-/// The least number of readers in larger fleets.
-inline constexpr std::size_t LeastReaders = 3;
 
 /// How a daemon reads the platform's service.
 enum class StoreRole {
@@ -35,7 +34,9 @@
   std::vector<VmId> Readers_;
 };
 
-/// \p Alive are all members that may keep cells, \p Self included.
-ReaderChoice chooseReaders(const Member &Self, std::span<const Member> Alive);
+/// \p Alive are all members that may keep cells, \p Self included; one in
+/// \p PerReader reads the service, 0: all do.
+ReaderChoice chooseReaders(const Member &Self, std::span<const Member> Alive,
+                           std::size_t PerReader);
 
 } // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Process/KeeperMessages.h"
+#include "Process/MeasuredPlatform.h"
 
 #include <boost/asio/this_coro.hpp>
 
@@ -84,7 +85,12 @@
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       Signals_(Control_), DrainTimer_(Control_), RefreshTimer_(Control_) {
   Origin_ = stableHash(Settings_.Vm_.str(), Incarnation_.count());
-  Platform_ = Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_);
+  Platform_ = measuredPlatform(
+      Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_),
+      [this](const std::string &Call, bool Succeeded,
+             std::chrono::microseconds Time) {
+        Metrics_.reportPlatformCall(Call, Succeeded, Time);
+      });
   RepeatBudget::Options Budget;
   Budget.Ratio_ = Settings_.RepeatRatio_;
   Budget.Extra_ = Settings_.RepeatExtra_;
@@ -243,7 +249,8 @@
       Control_, Platform_, *View_, Freshness_, StoreFollower::Options());
   PeerFollower::Hooks Hooks;
   Hooks.Choose_ = [this] {
-    return chooseReaders(Members_->self(), Members_->keepers());
+    return chooseReaders(Members_->self(), Members_->keepers(),
+                         Settings_.DaemonsPerReader_);
   };
   Hooks.Send_ = [this](const VmId &To, std::string Message) {
     Peers_->send(To, std::move(Message));
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -101,6 +101,8 @@
   void awaitDrained();
   void stopAll();
   std::string status() const;
+  /// How long ago the configuration was known to be the newest.
+  std::chrono::milliseconds configurationAge() const;
   std::string vms() const;
   std::string metrics();
 
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -9,6 +9,18 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+std::int64_t millis(std::chrono::nanoseconds Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+std::int64_t micros(std::chrono::nanoseconds Time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Time).count();
+}
+
+} // namespace
+
 std::string Daemon::describeAddresses() const {
   Json Line;
   Line["event"] = "listening";
@@ -19,6 +31,11 @@
   return Line.dump();
 }
 
+std::chrono::milliseconds Daemon::configurationAge() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      Freshness_.age(BootClock::now()));
+}
+
 std::string Daemon::status() const {
   Json Root;
   Root["vm"] = Settings_.Vm_.str();
@@ -28,6 +45,13 @@
   Root["ready"] = isReady();
   Root["draining"] = Draining_.load();
   Root["platformReachable"] = platformReachable();
+  Root["configurationAgeMs"] = configurationAge().count();
+  if (PeerFollower_) {
+    Root["follows"] = Follower_->paused() && PeerFollower_->reader()
+                          ? Json(PeerFollower_->reader()->str())
+                          : Json(nullptr);
+    Root["followers"] = PeerFollower_->followers();
+  }
   Root["activeRequests"] = CallerServer_->activeExchanges();
   Root["liveShare"] = Members_->liveShare();
   Root["controlBytesSent"] = Membership_->bytesSent() + Peers_->bytesSent();
@@ -59,8 +83,11 @@
     Entry["running"] = Kept->running();
     Entry["servers"] = Json::object();
     for (const auto &[Name, Server] : Kept->servers())
-      Entry["servers"][Name.str()] = {{"inFlight", Server.inFlight()},
-                                      {"usable", Server.usable()}};
+      Entry["servers"][Name.str()] = {
+          {"inFlight", Server.inFlight()},
+          {"usable", Server.usable()},
+          {"unreadMs", millis(Server.unreadTime())},
+          {"tokenMicros", micros(Server.betweenTokens())}};
     Root["cells"].push_back(std::move(Entry));
   }
   return Root.dump();
@@ -96,6 +123,11 @@
   Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
   Metrics_.setGauge("live_share", Members_->liveShare());
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
+  Metrics_.setGauge("configuration_age_seconds",
+                    std::chrono::duration<double>(configurationAge()).count());
+  if (PeerFollower_)
+    Metrics_.setGauge("followers",
+                      static_cast<double>(PeerFollower_->followers()));
   Metrics_.setGauge("traces_dropped", static_cast<double>(Traces_->dropped()));
   Metrics_.setGauge(
       "control_bytes_sent",
--- a/Source/Programs/Metrics.cpp
+++ b/Source/Programs/Metrics.cpp
@@ -10,7 +10,7 @@
 const prometheus::Histogram::BucketBoundaries SecondsBuckets = {
     0.001, 0.003, 0.01, 0.03, 0.1, 0.33, 1, 3, 10, 30, 100};
 
-constexpr double MicrosecondsPerSecond = 1e6;
+double seconds(std::chrono::duration<double> Time) { return Time.count(); }
 
 } // namespace
 
@@ -26,7 +26,23 @@
       Waits_(prometheus::BuildHistogram()
                  .Name("samphireshunt_wait_seconds")
                  .Help("Time until the grant.")
-                 .Register(Registry_)) {}
+                 .Register(Registry_)),
+      FirstEvents_(prometheus::BuildHistogram()
+                       .Name("samphireshunt_first_event_seconds")
+                       .Help("Time until a stream's first event.")
+                       .Register(Registry_)),
+      Pauses_(prometheus::BuildHistogram()
+                  .Name("samphireshunt_longest_pause_seconds")
+                  .Help("Longest pause between two events of a stream.")
+                  .Register(Registry_)),
+      PlatformCalls_(prometheus::BuildCounter()
+                         .Name("samphireshunt_platform_calls_total")
+                         .Help("Calls of the platform's service.")
+                         .Register(Registry_)),
+      PlatformTimes_(prometheus::BuildHistogram()
+                         .Name("samphireshunt_platform_call_seconds")
+                         .Help("Time of a call of the platform's service.")
+                         .Register(Registry_)) {}
 
 void Metrics::report(const RequestReport &Seen) {
   std::string Code = std::to_string(static_cast<int>(Seen.Code_));
@@ -38,11 +54,19 @@
       .Increment();
   prometheus::Labels Labels = {{"service", Seen.Service_},
                                {"tier", Seen.Tier_}};
-  auto Seconds = [](std::chrono::microseconds Time) {
-    return static_cast<double>(Time.count()) / MicrosecondsPerSecond;
-  };
-  Durations_.Add(Labels, SecondsBuckets).Observe(Seconds(Seen.Total_));
-  Waits_.Add(Labels, SecondsBuckets).Observe(Seconds(Seen.Waited_));
+  Durations_.Add(Labels, SecondsBuckets).Observe(seconds(Seen.Total_));
+  Waits_.Add(Labels, SecondsBuckets).Observe(seconds(Seen.Waited_));
+  if (!Seen.FirstEvent_)
+    return;
+  FirstEvents_.Add(Labels, SecondsBuckets).Observe(seconds(*Seen.FirstEvent_));
+  Pauses_.Add(Labels, SecondsBuckets).Observe(seconds(Seen.LongestPause_));
+}
+
+void Metrics::reportPlatformCall(const std::string &Call, bool Succeeded,
+                                 std::chrono::microseconds Time) {
+  PlatformCalls_.Add({{"call", Call}, {"result", Succeeded ? "ok" : "failed"}})
+      .Increment();
+  PlatformTimes_.Add({{"call", Call}}, SecondsBuckets).Observe(seconds(Time));
 }
 
 void Metrics::setGauge(const std::string &Name, double Value) {
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -57,6 +57,9 @@
 ABSL_FLAG(double, guaranteed_share, 0.3,
           "With objectives: how often each tier is served whatever higher "
           "tiers ask for, as a part of how often all are.");
+ABSL_FLAG(int, daemons_per_reader, 12,
+          "One daemon in so many reads the platform's service, and the others "
+          "follow it; 0: all read it.");
 ABSL_FLAG(double, repeat_ratio, 0.2,
           "Repeats of requests by requests, within the window.");
 ABSL_FLAG(double, repeat_extra, 10,
@@ -81,38 +84,39 @@
 
 namespace {
 
-constexpr std::array<const char *, 32> FlagNames = {"vm_id",
-                                                    "data_center",
-                                                    "callers_address",
-                                                    "peers_address",
-                                                    "operators_address",
-                                                    "platform_address",
-                                                    "threads",
-                                                    "platform_timeout_ms",
-                                                    "advertise_peers",
-                                                    "seed_peers",
-                                                    "advertise_operators",
-                                                    "max_connections",
-                                                    "drain_delay_ms",
-                                                    "drain_timeout_ms",
-                                                    "log_level",
-                                                    "trace_collector",
-                                                    "scheduling",
-                                                    "read_timeout_ms",
-                                                    "leave_out",
-                                                    "drain_quiet_ms",
-                                                    "log_output",
-                                                    "metrics_address",
-                                                    "revocation_bound_ms",
-                                                    "admission",
-                                                    "repeat_ratio",
-                                                    "repeat_extra",
-                                                    "repeat_window_s",
-                                                    "allotment_credit",
-                                                    "drain_admit_ms",
-                                                    "guaranteed_share",
-                                                    "allotment_window_s",
-                                                    "allotment_overrun"};
+constexpr std::array FlagNames = {"vm_id",
+                                  "data_center",
+                                  "callers_address",
+                                  "peers_address",
+                                  "operators_address",
+                                  "platform_address",
+                                  "threads",
+                                  "platform_timeout_ms",
+                                  "advertise_peers",
+                                  "seed_peers",
+                                  "advertise_operators",
+                                  "max_connections",
+                                  "drain_delay_ms",
+                                  "drain_timeout_ms",
+                                  "log_level",
+                                  "trace_collector",
+                                  "scheduling",
+                                  "read_timeout_ms",
+                                  "leave_out",
+                                  "drain_quiet_ms",
+                                  "log_output",
+                                  "metrics_address",
+                                  "revocation_bound_ms",
+                                  "admission",
+                                  "repeat_ratio",
+                                  "repeat_extra",
+                                  "repeat_window_s",
+                                  "allotment_credit",
+                                  "drain_admit_ms",
+                                  "guaranteed_share",
+                                  "daemons_per_reader",
+                                  "allotment_window_s",
+                                  "allotment_overrun"};
 
 constexpr std::array<std::string_view, 7> LeavableDecisions = {
     "tiers",    "fairness", "feasibility", "preemption",
@@ -245,6 +249,10 @@
                         : LogOutput::StandardOutput;
   Read.GuaranteedShare_ =
       Check.amount("guaranteed_share", absl::GetFlag(FLAGS_guaranteed_share));
+  constexpr int MostPerReader = 1000;
+  Read.DaemonsPerReader_ = static_cast<std::size_t>(
+      Check.number("daemons_per_reader",
+                   absl::GetFlag(FLAGS_daemons_per_reader), 0, MostPerReader));
   Read.RepeatRatio_ =
       Check.amount("repeat_ratio", absl::GetFlag(FLAGS_repeat_ratio));
   Read.RepeatExtra_ =
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -48,9 +48,11 @@
   /// Requests are served by their objectives, with a guaranteed part of each
   /// tier, rather than strictly by tier.
   bool ByObjective_ = false;
-  /// The part of each tier's requests that is served whatever higher tiers ask
-  /// for, by objectives.
+  /// How often each tier is served whatever higher tiers ask for, by
+  /// objectives: a part of how often all are.
   double GuaranteedShare_ = 0.3;
+  /// One daemon in so many reads the platform's service; 0: all do.
+  std::size_t DaemonsPerReader_ = 12;
   /// Repeats of requests: their part of all requests, and how many on top in
   /// the whole fleet, within the window.
   double RepeatRatio_ = 0.2;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -346,6 +346,8 @@
   Report.Total_ =
       duration_cast<microseconds>(steady_clock::now() - Context.Started_);
   Report.Waited_ = Context.Waited_;
+  Report.FirstEvent_ = Context.Pace_.FirstEvent_;
+  Report.LongestPause_ = Context.Pace_.LongestPause_;
   Context.Services_.Report_(Report);
   Context.Trace_.attribute(Trace::Root, "outcome",
                            std::string(outcomeName(Value)));
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -26,6 +26,9 @@
   ResultCode Code_;
   std::chrono::microseconds Total_{0};
   std::chrono::microseconds Waited_{0};
+  /// Of a stream.
+  std::optional<std::chrono::milliseconds> FirstEvent_;
+  std::chrono::milliseconds LongestPause_{0};
 };
 
 /// Shared by the requests of one worker thread.
--- a/UnitTests/Process/StoreReadersTest.cpp
+++ b/UnitTests/Process/StoreReadersTest.cpp
@@ -27,7 +27,7 @@
 TEST_CASE("in a small fleet every daemon reads the service itself") {
   auto Members = fleet(12);
   for (const Member &Self : Members) {
-    ReaderChoice Choice = chooseReaders(Self, Members);
+    ReaderChoice Choice = chooseReaders(Self, Members, DaemonsPerReader);
     CHECK(Choice.Role_ == StoreRole::Alone);
     CHECK(Choice.Readers_.empty());
   }
@@ -42,7 +42,7 @@
   std::map<VmId, int> Followers;
   int ReadersByRole = 0;
   for (const Member &Self : Members) {
-    ReaderChoice Choice = chooseReaders(Self, Members);
+    ReaderChoice Choice = chooseReaders(Self, Members, DaemonsPerReader);
     ReadersByRole += Choice.Role_ == StoreRole::Reader;
     if (Choice.Role_ == StoreRole::Reader)
       continue;
@@ -60,10 +60,10 @@
   auto Members = fleet(60);
   std::set<DataCenterName> WithReader;
   for (const Member &Self : Members)
-    if (chooseReaders(Self, Members).Role_ == StoreRole::Reader)
+    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ == StoreRole::Reader)
       WithReader.insert(Self.DataCenter_);
   for (const Member &Self : Members) {
-    ReaderChoice Choice = chooseReaders(Self, Members);
+    ReaderChoice Choice = chooseReaders(Self, Members, DaemonsPerReader);
     if (Choice.Readers_.empty() || !WithReader.contains(Self.DataCenter_))
       continue;
     auto First =
@@ -76,13 +76,13 @@
   auto Members = fleet(60);
   std::set<VmId> Before;
   for (const Member &Self : Members)
-    if (chooseReaders(Self, Members).Role_ == StoreRole::Reader)
+    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ == StoreRole::Reader)
       Before.insert(Self.Id_);
   std::erase_if(Members,
                 [&](const Member &One) { return One.Id_ == *Before.begin(); });
   std::set<VmId> After;
   for (const Member &Self : Members)
-    if (chooseReaders(Self, Members).Role_ == StoreRole::Reader)
+    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ == StoreRole::Reader)
       After.insert(Self.Id_);
   std::set<VmId> Stayed;
   std::ranges::set_intersection(Before, After,
