--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -38,6 +38,7 @@
       start(Index);
   }
 
+  /// One of the daemons reads the store, and the others follow it.
   void start(std::size_t Index) {
     std::string Log = fmt::format("soak-vm-{}.log", Index);
     std::vector<std::string> Command = {
@@ -52,7 +53,6 @@
         "--threads=" + std::to_string(Random_(2)),
         "--admission=objectives",
         "--revocation_bound_ms=5000",
-        // One daemon reads the store, and two follow it.
         "--daemons_per_reader=2",
         "--drain_delay_ms=600",
         "--drain_quiet_ms=100",
--- a/UnitTests/Process/StoreReadersTest.cpp
+++ b/UnitTests/Process/StoreReadersTest.cpp
@@ -60,7 +60,8 @@
   auto Members = fleet(60);
   std::set<DataCenterName> WithReader;
   for (const Member &Self : Members)
-    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ == StoreRole::Reader)
+    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ ==
+        StoreRole::Reader)
       WithReader.insert(Self.DataCenter_);
   for (const Member &Self : Members) {
     ReaderChoice Choice = chooseReaders(Self, Members, DaemonsPerReader);
@@ -76,13 +77,15 @@
   auto Members = fleet(60);
   std::set<VmId> Before;
   for (const Member &Self : Members)
-    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ == StoreRole::Reader)
+    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ ==
+        StoreRole::Reader)
       Before.insert(Self.Id_);
   std::erase_if(Members,
                 [&](const Member &One) { return One.Id_ == *Before.begin(); });
   std::set<VmId> After;
   for (const Member &Self : Members)
-    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ == StoreRole::Reader)
+    if (chooseReaders(Self, Members, DaemonsPerReader).Role_ ==
+        StoreRole::Reader)
       After.insert(Self.Id_);
   std::set<VmId> Stayed;
   std::ranges::set_intersection(Before, After,
