Pass over a keeper that has no configuration yet

Cause: the store turned two of seven daemons away as they started; one of them is the keeper of both cells by its name, and knew no engine. Ruled out: engines (idle, seen by the others at 34.9 s), warm-up (0.3 s), the lease.

A keeper that does not know a cell's pool now says so (code 209 between daemons), and entries ask the next one, as for a keeper that they can't reach. Both tests failed before.

--- a/Source/Process/GrantClient.cpp
+++ b/Source/Process/GrantClient.cpp
@@ -18,7 +18,8 @@
 
 namespace {
 
-/// How long a keeper that could not be reached is passed over.
+/// How long a keeper that could not be reached, or knows nothing, is passed
+/// over.
 constexpr milliseconds UnreachableTime{2000};
 
 } // namespace
@@ -128,7 +129,7 @@
   if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
     onGrant(*Grant, From);
   else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
-    onRefusal(*Refusal);
+    onRefusal(*Refusal, From);
   else
     onCancel(std::get<CancelDecision>(Taken));
 }
@@ -167,7 +168,11 @@
   Hooks_.Send_(Keeper, encodeDone(CellId(), Id, ServedSample()));
 }
 
-void GrantClient::onRefusal(const RefuseDecision &Refusal) {
+void GrantClient::onRefusal(const RefuseDecision &Refusal, const VmId &From) {
+  // A daemon that has just started may be the keeper by its name, and be turned
+  // away by the platform's service: it knows no engine, others do.
+  if (Refusal.Code_ == ResultCode::NotReady && From != Self_)
+    return passOver(From);
   auto Node = Asks_.extract(Refusal.Id_);
   if (Node)
     Node.mapped().OnAnswer_({Refusal.Code_, {}, Refusal.RetryAfter_});
@@ -180,10 +185,14 @@
 }
 
 void GrantClient::onLinkDown(const VmId &Keeper) {
-  Unreachable_[Keeper] = steady_clock::now() + UnreachableTime;
   Hooks_.Suspect_(Keeper);
   logEvent(LogCategory::Keeper, spdlog::level::warn, "keeper-unreachable",
            {{"keeper", Keeper.str()}});
+  passOver(Keeper);
+}
+
+void GrantClient::passOver(const VmId &Keeper) {
+  Unreachable_[Keeper] = steady_clock::now() + UnreachableTime;
   rebind();
   scheduleRebind(UnreachableTime + milliseconds(1));
 }
--- a/Source/Process/GrantClient.h
+++ b/Source/Process/GrantClient.h
@@ -81,7 +81,8 @@
   void sendRunning(Granted &Target);
   void sendWithdraw(const CellId &Cell, const RequestId &Id, const VmId &To);
   void onGrant(const GrantDecision &Grant, const VmId &From);
-  void onRefusal(const RefuseDecision &Refusal);
+  void onRefusal(const RefuseDecision &Refusal, const VmId &From);
+  void passOver(const VmId &Keeper);
   void onCancel(const CancelDecision &Cancel);
   void handBack(const RequestId &Id, const VmId &Keeper);
   void finish(const RequestId &Id, const ServedSample &Seen);
@@ -93,7 +94,7 @@
   KeeperService *Local_ = nullptr;
   std::unordered_map<RequestId, Ask> Asks_;
   std::unordered_map<RequestId, Granted> Granted_;
-  /// Until when each keeper that could not be reached is passed over.
+  /// Until when each keeper that failed is passed over.
   std::map<VmId, TimePoint> Unreachable_;
   boost::asio::steady_timer RebindTimer_;
 };
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -142,6 +142,9 @@
 }
 
 void KeeperService::ask(const CellId &Cell, AskedRequest Request) {
+  if (!knows(Cell))
+    return deliver(Cell, {RefuseDecision{Request.Id_, ResultCode::NotReady,
+                                         milliseconds(0), Request.Entry_}});
   KeptCell &Target = kept(Cell);
   if (auto Refusal = chargeAllotment(Cell, Request))
     return deliver(Cell, {*Refusal});
@@ -154,6 +157,12 @@
   decide(Cell, Target);
 }
 
+bool KeeperService::knows(const CellId &Cell) const {
+  auto Snapshot = Documents_.snapshot();
+  const ServiceConfiguration *Service = Snapshot->service(Cell.Service_);
+  return Service && Service->Document_->pool(Cell.Pool_);
+}
+
 double KeeperService::mostCells(const Document &Whole) {
   std::uint32_t Most = 1;
   for (const Pool &Known : Whole.Pools_)
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -96,6 +96,8 @@
   };
 
   KeptCell &kept(const CellId &Cell);
+  /// False while this daemon has no configuration with the cell's pool.
+  bool knows(const CellId &Cell) const;
   /// Forgets the entry's requests. \returns those that ran.
   std::vector<RunningRequest> drop(KeptCell &Target, const VmId &Entry);
   void logRefusal(const CellId &Cell, const RefuseDecision &Refusal);
--- a/UnitTests/Process/GrantClientTest.cpp
+++ b/UnitTests/Process/GrantClientTest.cpp
@@ -123,3 +123,23 @@
   CHECK(Asking.sent("second", wire::Body::Done) == 1);
   CHECK(Asking.sent("first", wire::Body::Done) == 0);
 }
+
+TEST_CASE("a keeper that has no configuration yet is passed over") {
+  // Symptom: for five seconds after a loss of power every request is refused
+  // with code 204, at all daemons, although engines are idle.
+  // Sequence: all daemons start again; the platform's service turns away the
+  // one that keeps the cell, so it knows no engine.
+  // Cause: its refusal was taken for that of a cell without engines.
+  Entry Asking;
+  Asking.acquire();
+  Asking.Client_.onDecision(
+      RefuseDecision{
+          Id, ResultCode::NotReady, std::chrono::milliseconds(0), {}},
+      VmId("first"));
+  Asking.settle();
+  CHECK(Asking.Answers_.empty());
+  CHECK(Asking.sent("second", wire::Body::Ask) == 1);
+  Asking.grantFrom("second", "e1");
+  REQUIRE(Asking.Answers_.size() == 1);
+  CHECK(Asking.Answers_.front().Code_ == ResultCode::Ok);
+}
--- a/UnitTests/Process/KeeperServiceTest.cpp
+++ b/UnitTests/Process/KeeperServiceTest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace samphireshunt;
 
@@ -23,13 +24,13 @@
       : Keeper_(Control_, withOneEngine(Documents_), KeeperService::Options(),
                 hooks()) {}
 
-  void ask(std::uint64_t Number) {
+  void ask(std::uint64_t Number, const CellId &Of = Cell) {
     AskedRequest Asked;
     Asked.Id_ = {1, Number};
     Asked.Customer_ = CustomerName("c");
     Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
     Asked.Entry_ = Entry;
-    Keeper_.ask(Cell, std::move(Asked));
+    Keeper_.ask(Of, std::move(Asked));
   }
   bool granted(std::uint64_t Number) const {
     return std::ranges::count(Granted_, RequestId{1, Number}) > 0;
@@ -39,6 +40,7 @@
   DocumentStore Documents_;
   std::vector<RequestId> Granted_;
   std::vector<RequestId> Orphans_;
+  std::map<RequestId, ResultCode> Refused_;
   KeeperService Keeper_;
 
 private:
@@ -63,6 +65,8 @@
     Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
       if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
         Granted_.push_back(Grant->Id_);
+      if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
+        Refused_[Refusal->Id_] = Refusal->Code_;
     };
     Hooks.Orphaned_ = [this](const OrphanedRequest &Orphan) {
       Orphans_.push_back(Orphan.Request_.Id_);
@@ -109,3 +113,13 @@
   // It goes on at its entry: nobody cancels it.
   CHECK(Paused.Orphans_.empty());
 }
+
+TEST_CASE(
+    "a keeper that does not know a cell's pool says so, instead of that it "
+    "has no engines") {
+  OneEngineKeeper Keeper;
+  Keeper.ask(1, {ServiceName("unknown"), ThePool, 0});
+  Keeper.ask(2, {Service, PoolName("unknown"), 0});
+  CHECK(Keeper.Refused_[{1, 1}] == ResultCode::NotReady);
+  CHECK(Keeper.Refused_[{1, 2}] == ResultCode::NotReady);
+}
