Test planned stops and the loss of all daemons on the platform's protocol

Real processes, callers with open connections: each daemon is stopped in turn, and all are killed right after a key was taken away. The soak's fleet has a file of its own.

--- /dev/null
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -0,0 +1,126 @@
+#include "FailureTests/platform/SoakFleet.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <thread>
+
+namespace samphireshunt::tests {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+SoakFleet::SoakFleet(std::uint64_t Seed, SoakWorld &Around)
+    : Around_(Around), Random_(Seed) {
+  for (std::size_t Index = 0; Index < Daemons; ++Index)
+    start(Index);
+}
+
+void SoakFleet::start(std::size_t Index) {
+  std::string Log = fmt::format("soak-vm-{}.log", Index);
+  std::vector<std::string> Command = {
+      PLATFORM_DAEMON,
+      fmt::format("--vm_id=vm-{}", Index),
+      "--data_center=z",
+      "--callers_address=127.0.0.1:0",
+      "--peers_address=127.0.0.1:0",
+      "--operators_address=127.0.0.1:0",
+      "--platform_address=" + formatEndpoint(Around_.storeAddress()),
+      "--platform_timeout_ms=500",
+      "--threads=" + std::to_string(Random_(2)),
+      "--admission=objectives",
+      "--revocation_bound_ms=5000",
+      "--daemons_per_reader=2",
+      "--drain_delay_ms=600",
+      "--drain_quiet_ms=100",
+      "--drain_admit_ms=1000",
+      "--drain_timeout_ms=4000",
+      "--log_output=stderr"};
+  Processes_[Index] = std::make_unique<ChildProcess>(Command, Log);
+  auto Addresses = Processes_[Index]->readLine();
+  auto Callers = parseEndpoint(Addresses["callers"].get<std::string>());
+  Around_.setDaemon(Index, *Callers);
+}
+
+void SoakFleet::kill(std::size_t Index) {
+  Around_.setDaemon(Index, std::nullopt);
+  Processes_[Index]->kill();
+}
+
+int SoakFleet::stopAndStart(std::size_t Index) {
+  // New callers still come for a while, as a balancer sends them.
+  Processes_[Index]->signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(200));
+  Around_.setDaemon(Index, std::nullopt);
+  int Status = Processes_[Index]->wait();
+  start(Index);
+  return Status;
+}
+
+void SoakFleet::pause(std::size_t Index) {
+  Processes_[Index]->freeze();
+  std::this_thread::sleep_for(milliseconds(100 + Random_(1500)));
+  Processes_[Index]->wake();
+}
+
+void SoakFleet::storeTrouble() {
+  bool Silent = Random_(2) == 0;
+  if (Silent)
+    Around_.silenceStore(true);
+  else
+    Around_.failStore(Random_(2) == 0 ? 503 : 429);
+  std::this_thread::sleep_for(milliseconds(200 + Random_(2500)));
+  Around_.silenceStore(false);
+  Around_.failStore(0);
+}
+
+void SoakFleet::strike() {
+  std::size_t Index = Random_(Daemons);
+  switch (Random_(11)) {
+  case 0:
+    kill(Index);
+    return start(Index);
+  case 1:
+    stopAndStart(Index);
+    return;
+  case 2:
+    return pause(Index);
+  case 3:
+    return Processes_[Index]->signal(SIGHUP);
+  case 4:
+    return storeTrouble();
+  case 5:
+    return Around_.dropHistory();
+  case 6:
+    return Around_.replaceEngine();
+  case 7:
+    Around_.revokeKey();
+    return;
+  case 8:
+    return Around_.changeConfiguration();
+  case 9:
+    return Around_.loseWriteAnswers(1);
+  default:
+    Misbehaving_ = !Misbehaving_;
+    return Around_.misbehave(Misbehaving_);
+  }
+}
+
+void SoakFleet::heal() {
+  Around_.failStore(0);
+  Around_.silenceStore(false);
+  Around_.misbehave(false);
+  for (auto &Process : Processes_)
+    Process->wake();
+}
+
+std::vector<std::string> probeUntilWell(SoakWorld &Around) {
+  constexpr std::chrono::seconds Limit{10};
+  auto End = steady_clock::now() + Limit;
+  auto Failed = Around.probeAll();
+  while (!Failed.empty() && steady_clock::now() < End)
+    Failed = Around.probeAll();
+  return Failed;
+}
+
+} // namespace samphireshunt::tests
--- /dev/null
+++ b/FailureTests/platform/SoakFleet.h
@@ -0,0 +1,46 @@
+#pragma once
+/// \file
+/// The daemons of a test on the platform's protocol: real processes, and the
+/// faults that strike them from outside.
+
+#include "FailureTests/ChildProcess.h"
+#include "FailureTests/platform/SoakWorld.h"
+
+#include <pcg_random.hpp>
+
+#include <array>
+#include <memory>
+
+namespace samphireshunt::tests {
+
+/// Three daemons: one reads the store, and the others follow it.
+class SoakFleet {
+public:
+  static constexpr std::size_t Daemons = 3;
+
+  SoakFleet(std::uint64_t Seed, SoakWorld &Around);
+
+  void start(std::size_t Index);
+  void kill(std::size_t Index);
+  /// A planned stop: callers still come for a while. \returns the exit status.
+  int stopAndStart(std::size_t Index);
+  /// One fault drawn by the seed, and for some of them its end.
+  void strike();
+  /// Ends all faults.
+  void heal();
+
+private:
+  void pause(std::size_t Index);
+  void storeTrouble();
+
+  SoakWorld &Around_;
+  pcg32 Random_;
+  std::array<std::unique_ptr<ChildProcess>, Daemons> Processes_;
+  bool Misbehaving_ = false;
+};
+
+/// Waits some seconds until every daemon serves every kind of request.
+/// \returns what is still not served.
+std::vector<std::string> probeUntilWell(SoakWorld &Around);
+
+} // namespace samphireshunt::tests
--- a/FailureTests/platform/SoakWorld.cpp
+++ b/FailureTests/platform/SoakWorld.cpp
@@ -347,17 +347,19 @@
   run([&] { Store_.LoseWriteAnswers_ = Count; });
 }
 
-void SoakWorld::revokeKey() {
+std::string SoakWorld::revokeKey() {
+  std::string Key;
   run([&] {
     // Some stay, or nothing would be served at the end.
     constexpr std::size_t KeptKeys = 3;
     if (ActiveKeys_.size() <= KeptKeys)
       return;
-    std::string Key = *ActiveKeys_.begin();
+    Key = *ActiveKeys_.begin();
     ActiveKeys_.erase(Key);
     Revoked_[Key] = steady_clock::now();
     writeConfiguration();
   });
+  return Key;
 }
 
 void SoakWorld::changeConfiguration() {
@@ -449,6 +451,33 @@
   return Found;
 }
 
+std::vector<std::string> SoakWorld::cutCalls() {
+  std::vector<std::string> Cut;
+  run([&] {
+    for (const SoakCall &Call : Calls_)
+      if (RunsOf_.contains(Call.Id_) && !Call.Complete_)
+        Cut.push_back(fmt::format("{} kind {} status {}", Call.Id_,
+                                  static_cast<int>(Call.Kind_), Call.Status_));
+  });
+  return Cut;
+}
+
+int SoakWorld::statusWithKey(const std::string &Key) {
+  std::promise<int> Done;
+  auto Ask = [&]() -> Awaitable<void> {
+    auto Daemon = std::ranges::find_if(
+        Daemons_, [](const auto &Known) { return Known.has_value(); });
+    std::unique_ptr<HttpConnection> Fresh;
+    Endpoint To = **Daemon;
+    std::string Copy = Key;
+    SoakCall Seen = co_await callOnce(SoakKind::Safe, std::move(Copy),
+                                      std::move(To), Fresh);
+    Done.set_value(Seen.Status_);
+  };
+  asio::co_spawn(Context_, Ask, asio::detached);
+  return Done.get_future().get();
+}
+
 std::size_t SoakWorld::answered() {
   std::size_t Count = 0;
   run([&] {
--- a/FailureTests/platform/SoakWorld.h
+++ b/FailureTests/platform/SoakWorld.h
@@ -60,8 +60,8 @@
   void misbehave(bool Engines) {
     run([=, this] { Misbehave_ = Engines; });
   }
-  /// Takes a caller's key away.
-  void revokeKey();
+  /// Takes a caller's key away. \returns it; empty when too few are left.
+  std::string revokeKey();
   /// An engine begins to leave, goes, and another comes.
   void replaceEngine();
   void changeConfiguration();
@@ -70,6 +70,11 @@
   std::vector<std::string> probeAll();
   /// All violations of what was promised, from what was seen so far.
   std::vector<std::string> violations();
+  /// Requests that an engine ran and whose caller got no whole answer; with
+  /// engines that behave each is one that a daemon cut.
+  std::vector<std::string> cutCalls();
+  /// The status of a request with this key at some daemon.
+  int statusWithKey(const std::string &Key);
   std::size_t answered();
   std::size_t asked();
 
