--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -356,3 +356,27 @@
   CHECK(Second->status() == 503);
   CHECK(Path.received() == 1);
 }
+
+TEST_CASE("a request has its final answer soon after its route's timeout") {
+  // Symptom: callers wait far beyond the time that the operator set.
+  // Sequence: a server takes a request and says nothing; the caller would wait
+  // for a minute.
+  // Cause: only the caller's own limit counted.
+  using std::chrono::steady_clock;
+  auto Hanging = always({"", Script::Then::Hold});
+  for (auto Kind : {RequestKind::Idempotent, RequestKind::NonIdempotent,
+                    RequestKind::Stream}) {
+    auto Wanted = kind(Kind);
+    Wanted.Timeout_ = std::chrono::milliseconds(300);
+    ForwardingHarness Path(Wanted, {Hanging, Hanging});
+    auto Begin = steady_clock::now();
+    auto Saw = Path.call("c1", "x", "X-Request-Timeout-Ms: 60000\r\n");
+    CHECK(Saw.status() == 504);
+    CHECK(steady_clock::now() - Begin < std::chrono::milliseconds(800));
+    // The server is told no more time than is left of the route's.
+    const std::string &Sent = Path.server(0).requests().empty()
+                                  ? Path.server(1).requests().at(0)
+                                  : Path.server(0).requests().at(0);
+    CHECK(std::stoi(fieldIn(Sent, "x-request-timeout-ms")) <= 300);
+  }
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -231,7 +231,7 @@
   Rule.Kind_ = Options_.Kind_;
   Rule.Resumable_ = Options_.Resumable_;
   Rule.MaxAttempts_ = Options_.Attempts_;
-  Rule.Timeout_ = milliseconds(3000);
+  Rule.Timeout_ = Options_.Timeout_;
   Rule.Objective_ = milliseconds(500);
   Rule.Anonymous_ = !Options_.Keyed_;
   Rule.Targets_ = {{ThePool, 1}};
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -74,6 +74,8 @@
     std::uint32_t Attempts_ = 2;
     std::uint32_t MaxInFlight_ = 4;
     bool Keyed_ = false;
+    /// The route's.
+    std::chrono::milliseconds Timeout_{3000};
     BootClock::duration Lease_{0};
   };
 
