Follow another daemon in small fleets too, while the platform's service is lost

A daemon that the service turns away knew nothing new: it stopped serving keys after the lease, could not hear of leaving servers, and one that started then had no configuration at all, though its peers had. Now it asks another one, by the same questions and with the same lease, until the service is back; it still counts as unready, since a balancer had better send callers elsewhere. Tests: a leaving server heard of through a peer, the lease renewed, the service read again, a daemon that starts while it is turned away. With needsReader() left out for small fleets both fail (tried).

--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -11,7 +11,8 @@
 using std::chrono::steady_clock;
 
 SoakFleet::SoakFleet(std::uint64_t Seed, SoakWorld &Around)
-    : Around_(Around), Random_(Seed) {
+    : Around_(Around), Random_(Seed),
+      DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
 }
@@ -30,7 +31,7 @@
       "--threads=" + std::to_string(Random_(2)),
       "--admission=objectives",
       "--revocation_bound_ms=5000",
-      "--daemons_per_reader=2",
+      fmt::format("--daemons_per_reader={}", DaemonsPerReader_),
       "--drain_delay_ms=600",
       "--drain_quiet_ms=100",
       "--drain_admit_ms=1000",
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -13,7 +13,8 @@
 
 namespace samphireshunt::tests {
 
-/// Three daemons: one reads the store, and the others follow it.
+/// Three daemons. With an even seed one reads the store and the others follow
+/// it; with an odd one each reads it, and follows another without it.
 class SoakFleet {
 public:
   static constexpr std::size_t Daemons = 3;
@@ -35,6 +36,7 @@
 
   SoakWorld &Around_;
   pcg32 Random_;
+  std::size_t DaemonsPerReader_;
   std::array<std::unique_ptr<ChildProcess>, Daemons> Processes_;
   bool Misbehaving_ = false;
 };
--- a/FailureTests/platform/StopTest.cpp
+++ b/FailureTests/platform/StopTest.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-constexpr std::uint64_t Seed = 1;
+/// One daemon reads the store, and the others follow it.
+constexpr std::uint64_t Seed = 2;
 constexpr int Callers = 24;
 /// A stop is over within this time.
 constexpr std::chrono::seconds StopBound{8};
--- a/Source/Process/PeerFollower.cpp
+++ b/Source/Process/PeerFollower.cpp
@@ -31,7 +31,10 @@
     : Timer_(Control), Self_(Self), Service_(Service), View_(View),
       Freshness_(Freshness), Options_(Settings), Hooks_(std::move(Reactions)) {}
 
-void PeerFollower::start() { schedule(Options_.SettleTime_); }
+void PeerFollower::start() {
+  Started_ = steady_clock::now();
+  schedule(Options_.AskTime_);
+}
 
 void PeerFollower::schedule(milliseconds Delay) {
   Timer_.expires_after(Delay);
@@ -55,13 +58,16 @@
   std::erase_if(PassedOver_,
                 [Now](const auto &Item) { return Item.second <= Now; });
   ReaderChoice Choice = Hooks_.Choose_();
-  Service_.setRole(Choice.Role_);
+  Role_ = Choice.Role_;
+  Service_.setRole(Role_);
   auto Usable =
       std::ranges::find_if(Choice.Readers_, [this](const VmId &Reader) {
         return !PassedOver_.contains(Reader);
       });
-  bool TriedEnough = PassedOver_.size() >= Options_.MostTries_;
-  if (Usable == Choice.Readers_.end() || TriedEnough) {
+  // A spare daemon can ask the service instead; one that is alone does already.
+  bool TriedEnough =
+      Role_ == StoreRole::Spare && PassedOver_.size() >= Options_.MostTries_;
+  if (!needsReader() || Usable == Choice.Readers_.end() || TriedEnough) {
     readService(SawOldState_);
     return schedule(Options_.AskTime_);
   }
@@ -72,6 +78,18 @@
   ask();
 }
 
+bool PeerFollower::needsReader() const {
+  switch (Role_) {
+  case StoreRole::Alone:
+    return !Service_.platformReachable();
+  case StoreRole::Spare:
+    return Service_.registered() &&
+           steady_clock::now() - Started_ >= Options_.SettleTime_;
+  default:
+    return false;
+  }
+}
+
 void PeerFollower::ask() {
   wire::FollowT Question;
   Question.sequence = ++Sequence_;
@@ -86,8 +104,10 @@
 }
 
 void PeerFollower::passOver(const VmId &Reader, std::string_view Why) {
-  logEvent(LogCategory::Process, spdlog::level::info, "reader-passed-over",
-           {{"reader", Reader.str()}, {"detail", std::string(Why)}});
+  // In an outage of the service nobody can be followed: one line is enough.
+  if (ReaderNumber_ > 0)
+    logEvent(LogCategory::Process, spdlog::level::info, "reader-passed-over",
+             {{"reader", Reader.str()}, {"detail", std::string(Why)}});
   PassedOver_[Reader] = steady_clock::now() + Options_.TryAgainTime_;
   Awaiting_ = false;
   Reader_.reset();
@@ -112,7 +132,8 @@
   if (Told.sequence != 0 && !Answer)
     return;
   milliseconds Age(Told.age_ms);
-  SawOldState_ = Age > Options_.OldestAge_;
+  SawOldState_ = Age > (Role_ == StoreRole::Alone ? Options_.OldestAgeOfAlone_
+                                                  : Options_.OldestAge_);
   if (SawOldState_)
     return passOver(From, "it has lost the service");
   if (!Told.reads_service)
@@ -133,7 +154,8 @@
     return;
   Awaiting_ = false;
   Freshness_.renew(AskedAt_ - Age);
-  if (!Service_.paused()) {
+  bool Spare = Role_ == StoreRole::Spare;
+  if (Spare && !Service_.paused()) {
     logEvent(
         LogCategory::Process, spdlog::level::info, "following",
         {{"reader", From.str()}, {"revision", std::to_string(Told.revision)}});
--- a/Source/Process/PeerFollower.h
+++ b/Source/Process/PeerFollower.h
@@ -38,6 +38,8 @@
     /// A reader whose own knowledge is older than this has lost the service:
     /// readers confirm theirs each 600 ms.
     std::chrono::milliseconds OldestAge_{1200};
+    /// The same in a small fleet, where each confirms its own each 3.2 s.
+    std::chrono::milliseconds OldestAgeOfAlone_{4000};
     /// Readers tried before the service is asked.
     std::size_t MostTries_ = 2;
     /// After this time a reader that failed is tried again.
@@ -88,6 +90,8 @@
   void ask();
   void passOver(const VmId &Reader, std::string_view Why);
   void choose();
+  /// Whether another daemon is to be followed at all.
+  bool needsReader() const;
   void readService(bool AfterOutage);
   wire::StateT stateAfter(std::uint64_t Number) const;
   void forgetFollowers();
@@ -100,6 +104,8 @@
   FreshnessLease &Freshness_;
   Options Options_;
   Hooks Hooks_;
+  StoreRole Role_ = StoreRole::Alone;
+  TimePoint Started_;
   std::optional<VmId> Reader_;
   /// What of the reader's changes is known here.
   std::uint64_t ReaderProcess_ = 0;
--- a/Source/Process/StoreReaders.h
+++ b/Source/Process/StoreReaders.h
@@ -23,14 +23,15 @@
 
 /// How a daemon reads the platform's service.
 enum class StoreRole {
-  Alone,  ///< In a small fleet: each for itself.
+  Alone,  ///< In a small fleet: each for itself, and others without it.
   Reader, ///< For those that follow it.
   Spare   ///< Only while no reader can be followed.
 };
 
 struct ReaderChoice {
   StoreRole Role_ = StoreRole::Alone;
-  /// The readers that a spare daemon may follow, the best one first.
+  /// The daemons to follow, the best one first: by a spare daemon always, by
+  /// one that is alone while it has lost the service.
   std::vector<VmId> Readers_;
 };
 
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -99,13 +99,23 @@
 /// may lose it alone; and a daemon that follows them.
 class Fleet {
 public:
-  Fleet() {
+  /// \p Small: all read the store, and "spare" follows only without it.
+  explicit Fleet(bool Small = false) {
     put("op/config", configuration(3));
     put("servers/i-1", serverEntry("ready"));
     for (const char *Name : {"first", "second"})
-      add(Name, *Stores_[Name], {StoreRole::Reader, {}});
-    add("spare", SpareStore_,
-        {StoreRole::Spare, {VmId("first"), VmId("second")}});
+      add(Name, *Stores_[Name],
+          {Small ? StoreRole::Alone : StoreRole::Reader, {}});
+    SpareChoice_ = {Small ? StoreRole::Alone : StoreRole::Spare,
+                    {VmId("first"), VmId("second")}};
+    startSpare();
+  }
+  /// Starts the daemon that follows, maybe once more.
+  void startSpare() {
+    if (Daemons_.contains("spare"))
+      Daemons_["spare"]->Service_->stop();
+    Retired_.push_back(std::move(Daemons_["spare"]));
+    add("spare", SpareStore_, SpareChoice_);
   }
   void put(const std::string &Key, const std::string &Value) {
     for (auto &[Name, Store] : Stores_)
@@ -134,6 +144,9 @@
   /// The next so many messages that readers send by themselves are lost.
   int LosePushes_ = 0;
   std::map<std::string, std::unique_ptr<Daemon>> Daemons_;
+  /// Their calls may still be under way.
+  std::vector<std::unique_ptr<Daemon>> Retired_;
+  ReaderChoice SpareChoice_;
 
 private:
   std::map<std::string, std::unique_ptr<FakeStore>> makeStores() {
@@ -281,3 +294,37 @@
   Test.runFor(milliseconds(300));
   CHECK(Spare.isActive("i-1"));
 }
+
+TEST_CASE("a daemon of a small fleet that lost the service hears of a leaving "
+          "server from others, and reads the service again when it is back") {
+  // Symptom: one daemon sends work to a server that left, or refuses all keys,
+  // while the others are well.
+  // Sequence: the service turns one daemon away; a server begins to leave.
+  // Cause: it asked only the service.
+  Fleet Test(true);
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.isActive("i-1"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  for (const char *Name : {"first", "second"})
+    Test.storeOf(Name).put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  Test.runFor(Lease + milliseconds(300));
+  CHECK(Spare.Freshness_.valid(BootClock::now()));
+  // The balancer had better send callers elsewhere.
+  CHECK_FALSE(Spare.Peers_->inTouch());
+  Test.SpareStore_.FailWith_ = 0;
+  CHECK(Test.runUntil([&] { return Spare.Peers_->inTouch(); }));
+  CHECK(Test.runUntil([&] { return !Spare.Peers_->reader(); }));
+}
+
+TEST_CASE("a daemon that starts while the service turns it away gets the "
+          "configuration from others") {
+  Fleet Test(true);
+  REQUIRE(Test.runUntil([&] { return Test["first"].isActive("i-1"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.startSpare();
+  CHECK(Test.runUntil([&] {
+    return Test["spare"].version() == DocumentVersion(3) &&
+           Test["spare"].isActive("i-1");
+  }));
+}
