Let daemons with strong links keep cells, and send a prompt's parts, not its blocks

Cause of the collapse in overload on the largest fleet: all messages about a cell's requests cross its keeper's link. Four of five keepers were on VMs with 10 Mbit/s (six of 76 have 200). In a burst each caller's request is asked for at up to four cells, each ask of a long prompt carrying its block hashes (8 bytes for 64 tokens, 800 bytes on average), some 1.2 MB/s at a keeper: its link. Grants then came seconds late (places taken, engines idle) and callers left without an answer.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -22,6 +22,8 @@
 struct CellBuilder;
 struct CellT;
 
+struct Part;
+
 struct Ask;
 struct AskBuilder;
 struct AskT;
@@ -503,6 +505,35 @@
 };
 FLATBUFFERS_STRUCT_END(Id, 16);
 
+/// A part of a prompt that other prompts may begin with too.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Part FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint32_t tokens_;
+  int32_t padding0__;
+
+ public:
+  Part()
+      : id_(0),
+        tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Part(uint64_t _id, uint32_t _tokens)
+      : id_(flatbuffers::EndianScalar(_id)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Part, 16);
+
 struct CellT : public flatbuffers::NativeTable {
   typedef Cell TableType;
   std::string service{};
@@ -611,6 +642,7 @@
   uint32_t max_wait_ms = 0;
   uint32_t guessed_tokens = 0;
   bool asked_before = false;
+  std::vector<samphireshunt::wire::Part> parts{};
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -636,7 +668,8 @@
     VT_OBJECTIVE_MS = 26,
     VT_MAX_WAIT_MS = 28,
     VT_GUESSED_TOKENS = 30,
-    VT_ASKED_BEFORE = 32
+    VT_ASKED_BEFORE = 32,
+    VT_PARTS = 34
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -687,6 +720,10 @@
   bool asked_before() const {
     return GetField<uint8_t>(VT_ASKED_BEFORE, 0) != 0;
   }
+  /// What `prefix` is made of, where that is shorter; `prefix` is empty then.
+  const flatbuffers::Vector<const samphireshunt::wire::Part *> *parts() const {
+    return GetPointer<const flatbuffers::Vector<const samphireshunt::wire::Part *> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -709,6 +746,8 @@
            VerifyField<uint32_t>(verifier, VT_MAX_WAIT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_GUESSED_TOKENS, 4) &&
            VerifyField<uint8_t>(verifier, VT_ASKED_BEFORE, 1) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -765,6 +804,9 @@
   void add_asked_before(bool asked_before) {
     fbb_.AddElement<uint8_t>(Ask::VT_ASKED_BEFORE, static_cast<uint8_t>(asked_before), 0);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::Part *>> parts) {
+    fbb_.AddOffset(Ask::VT_PARTS, parts);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -792,9 +834,11 @@
     uint32_t objective_ms = 0,
     uint32_t max_wait_ms = 0,
     uint32_t guessed_tokens = 0,
-    bool asked_before = false) {
+    bool asked_before = false,
+    flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::Part *>> parts = 0) {
   AskBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_parts(parts);
   builder_.add_guessed_tokens(guessed_tokens);
   builder_.add_max_wait_ms(max_wait_ms);
   builder_.add_objective_ms(objective_ms);
@@ -828,10 +872,12 @@
     uint32_t objective_ms = 0,
     uint32_t max_wait_ms = 0,
     uint32_t guessed_tokens = 0,
-    bool asked_before = false) {
+    bool asked_before = false,
+    const std::vector<samphireshunt::wire::Part> *parts = nullptr) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto parts__ = parts ? _fbb.CreateVectorOfStructs<samphireshunt::wire::Part>(*parts) : 0;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       id,
@@ -848,7 +894,8 @@
       objective_ms,
       max_wait_ms,
       guessed_tokens,
-      asked_before);
+      asked_before,
+      parts__);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1750,6 +1797,7 @@
   std::string address{};
   std::string operators{};
   std::string data_center{};
+  uint32_t link_mbps = 0;
 };
 
 /// What a daemon says of itself or of another one.
@@ -1763,7 +1811,8 @@
     VT_STATUS = 10,
     VT_ADDRESS = 12,
     VT_OPERATORS = 14,
-    VT_DATA_CENTER = 16
+    VT_DATA_CENTER = 16,
+    VT_LINK_MBPS = 18
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -1786,6 +1835,10 @@
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
   }
+  /// What its network link carries, in Mbit/s; 0 is unknown.
+  uint32_t link_mbps() const {
+    return GetField<uint32_t>(VT_LINK_MBPS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -1799,6 +1852,7 @@
            verifier.VerifyString(operators()) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
            verifier.VerifyString(data_center()) &&
+           VerifyField<uint32_t>(verifier, VT_LINK_MBPS, 4) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1831,6 +1885,9 @@
   void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
     fbb_.AddOffset(Member::VT_DATA_CENTER, data_center);
   }
+  void add_link_mbps(uint32_t link_mbps) {
+    fbb_.AddElement<uint32_t>(Member::VT_LINK_MBPS, link_mbps, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1850,9 +1907,11 @@
     uint8_t status = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> operators = 0,
-    flatbuffers::Offset<flatbuffers::String> data_center = 0) {
+    flatbuffers::Offset<flatbuffers::String> data_center = 0,
+    uint32_t link_mbps = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_link_mbps(link_mbps);
   builder_.add_data_center(data_center);
   builder_.add_operators(operators);
   builder_.add_address(address);
@@ -1870,7 +1929,8 @@
     uint8_t status = 0,
     const char *address = nullptr,
     const char *operators = nullptr,
-    const char *data_center = nullptr) {
+    const char *data_center = nullptr,
+    uint32_t link_mbps = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto operators__ = operators ? _fbb.CreateString(operators) : 0;
@@ -1883,7 +1943,8 @@
       status,
       address__,
       operators__,
-      data_center__);
+      data_center__,
+      link_mbps);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3044,7 +3105,8 @@
         objective_ms(o.objective_ms),
         max_wait_ms(o.max_wait_ms),
         guessed_tokens(o.guessed_tokens),
-        asked_before(o.asked_before) {
+        asked_before(o.asked_before),
+        parts(o.parts) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -3063,6 +3125,7 @@
   std::swap(max_wait_ms, o.max_wait_ms);
   std::swap(guessed_tokens, o.guessed_tokens);
   std::swap(asked_before, o.asked_before);
+  std::swap(parts, o.parts);
   return *this;
 }
 
@@ -3090,6 +3153,7 @@
   { auto _e = max_wait_ms(); _o->max_wait_ms = _e; }
   { auto _e = guessed_tokens(); _o->guessed_tokens = _e; }
   { auto _e = asked_before(); _o->asked_before = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3115,6 +3179,7 @@
   auto _max_wait_ms = _o->max_wait_ms;
   auto _guessed_tokens = _o->guessed_tokens;
   auto _asked_before = _o->asked_before;
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -3131,7 +3196,8 @@
       _objective_ms,
       _max_wait_ms,
       _guessed_tokens,
-      _asked_before);
+      _asked_before,
+      _parts);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
@@ -3573,6 +3639,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = operators(); if (_e) _o->operators = _e->str(); }
   { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
+  { auto _e = link_mbps(); _o->link_mbps = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3590,6 +3657,7 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _operators = _o->operators.empty() ? 0 : _fbb.CreateString(_o->operators);
   auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
+  auto _link_mbps = _o->link_mbps;
   return samphireshunt::wire::CreateMember(
       _fbb,
       _vm,
@@ -3598,7 +3666,8 @@
       _status,
       _address,
       _operators,
-      _data_center);
+      _data_center,
+      _link_mbps);
 }
 
 inline ServiceVersionT *ServiceVersion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Cell.cpp
+++ b/Source/Process/Cell.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace samphireshunt {
 
@@ -47,12 +48,29 @@
   return Servers;
 }
 
+namespace {
+
+/// A link counts as strong that carries at least half of what the strongest
+/// one does: like VMs then share the cells, whatever their exact figures.
+constexpr std::uint32_t StrongLinkDivisor = 2;
+
+std::uint32_t leastStrongLink(std::span<const Member> Candidates) {
+  std::uint32_t Strongest = 0;
+  for (const Member &Candidate : Candidates)
+    Strongest = std::max(Strongest, Candidate.LinkMbps_);
+  return Strongest / StrongLinkDivisor;
+}
+
+} // namespace
+
 const Member *keeperOf(const CellId &Cell, std::span<const Member> Candidates) {
   // Cells of one index of all pools of a service have one keeper: it counts
   // what a customer uses of its allotment in all of them.
   std::uint64_t Seed = stableHash(Cell.Service_.str(), Cell.Index_);
-  auto Weight = [Seed](const Member &Candidate) {
-    return std::pair(stableHash(Candidate.Id_.str(), Seed), Candidate.Id_);
+  std::uint32_t Strong = leastStrongLink(Candidates);
+  auto Weight = [Seed, Strong](const Member &Candidate) {
+    return std::tuple(Candidate.LinkMbps_ >= Strong,
+                      stableHash(Candidate.Id_.str(), Seed), Candidate.Id_);
   };
   auto Best = std::ranges::max_element(Candidates, {}, Weight);
   return Best == Candidates.end() ? nullptr : &*Best;
--- a/Source/Process/Cell.h
+++ b/Source/Process/Cell.h
@@ -38,8 +38,15 @@
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index);
 
-/// The member that keeps the cell: the one with the highest hash of cell and
-/// member, so that a change of one member moves only that member's cells.
+/// The member that keeps the cell: of those with strong network links the one
+/// with the highest hash of cell and member, so that a change of one member
+/// moves only that member's cells.
+///
+/// All messages about a cell's requests cross its keeper's link. On the weakest
+/// links they queue up in a burst: grants come seconds late, engines idle on
+/// requests whose callers have left, and callers wait for an answer that is on
+/// its way. Links differ twentyfold within a fleet, so the weaker ones keep
+/// cells only where no strong one is in reach.
 /// \returns null when \p Candidates is empty.
 const Member *keeperOf(const CellId &Cell, std::span<const Member> Candidates);
 
--- a/Source/Process/KeeperMessages.cpp
+++ b/Source/Process/KeeperMessages.cpp
@@ -27,7 +27,12 @@
   Ask.deadline_ms = remainingMillis(Request.Deadline_);
   Ask.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
   Ask.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
-  Ask.prefix = Request.Prefix_;
+  // A long prompt has hundreds of blocks, of a few parts.
+  for (const PromptPart &Part : Request.Parts_)
+    Ask.parts.emplace_back(Part.Id_,
+                           static_cast<std::uint32_t>(Part.Length_.count()));
+  if (Request.Parts_.empty())
+    Ask.prefix = Request.Prefix_;
   Ask.non_idempotent = Request.NonIdempotent_;
   if (Request.Objective_ != TimePoint())
     Ask.objective_ms = remainingMillis(Request.Objective_);
@@ -92,7 +97,9 @@
   Asked.Deadline_ = steady_clock::now() + milliseconds(Ask.deadline_ms);
   Asked.Prompt_ = Tokens(Ask.prompt_tokens);
   Asked.Answer_ = Tokens(Ask.answer_tokens);
-  Asked.Prefix_ = Ask.prefix;
+  for (const wire::Part &Part : Ask.parts)
+    Asked.Parts_.push_back({Part.id(), Tokens(Part.tokens())});
+  Asked.Prefix_ = Ask.parts.empty() ? Ask.prefix : prefixHashes(Asked.Parts_);
   Asked.NonIdempotent_ = Ask.non_idempotent;
   if (Ask.objective_ms > 0)
     Asked.Objective_ = steady_clock::now() + milliseconds(Ask.objective_ms);
--- a/Source/Process/MemberTable.h
+++ b/Source/Process/MemberTable.h
@@ -35,6 +35,8 @@
   std::string Address_;         ///< For peers.
   std::string OperatorAddress_; ///< For operators.
   DataCenterName DataCenter_;
+  /// What its network link carries, in Mbit/s; 0 is unknown.
+  std::uint32_t LinkMbps_ = 0;
 
   bool operator==(const Member &) const = default;
 };
--- a/Source/Process/MembershipService.cpp
+++ b/Source/Process/MembershipService.cpp
@@ -25,6 +25,7 @@
   Target->address = Value.Address_;
   Target->operators = Value.OperatorAddress_;
   Target->data_center = Value.DataCenter_.str();
+  Target->link_mbps = Value.LinkMbps_;
   return Target;
 }
 
@@ -38,6 +39,7 @@
   Target.Address_ = Value.address;
   Target.OperatorAddress_ = Value.operators;
   Target.DataCenter_ = DataCenterName(Value.data_center);
+  Target.LinkMbps_ = Value.link_mbps;
   return Target;
 }
 
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -9,6 +9,7 @@
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
 #include "Common/SlidingCount.h"
+#include "Process/PrefixIndex.h"
 #include "Process/ServerModel.h"
 
 #include <pcg_random.hpp>
@@ -43,6 +44,8 @@
   /// not several who are turned away.
   bool AskedBefore_ = false;
   std::vector<std::uint64_t> Prefix_; ///< Hashes of the prompt's blocks.
+  /// What Prefix_ was made of, where only that is known of the prompt.
+  std::vector<PromptPart> Parts_;
   bool NonIdempotent_ = false;
   std::vector<ServerName> Excluded_;
   VmId Entry_;
@@ -299,6 +302,7 @@
   void serve(const WaitingRequest &Request, ServerModel &Server,
              std::vector<Decision> &Out);
   RunningMap::iterator endRunning(RunningMap::iterator Item);
+  ServerModel *runningAt(const RunningRequest &Request);
   double weightOf(const CustomerName &Customer) const;
 
   Options Options_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -149,6 +149,7 @@
   Self.Id_ = Settings_.Vm_;
   Self.Incarnation_ = Incarnation_;
   Self.DataCenter_ = Settings_.DataCenter_;
+  Self.LinkMbps_ = Settings_.LinkMbps_;
   Self.Address_ = Settings_.AdvertisedPeers_.empty()
                       ? formatEndpoint(Peers_->address())
                       : Settings_.AdvertisedPeers_;
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -28,6 +28,9 @@
           "IP:port told to other daemons, when not peers_address.");
 ABSL_FLAG(std::string, advertise_operators, "",
           "IP:port told to operators, when not operators_address.");
+ABSL_FLAG(double, link_mbps, 0,
+          "What this VM's network link carries, in Mbit/s; daemons with strong "
+          "links keep cells first; 0: unknown.");
 ABSL_FLAG(std::string, seed_peers, "",
           "IP:port,... of daemons to join while the platform is down.");
 ABSL_FLAG(int, threads, 2,
@@ -94,6 +97,7 @@
                                   "platform_timeout_ms",
                                   "advertise_peers",
                                   "seed_peers",
+                                  "link_mbps",
                                   "advertise_operators",
                                   "max_connections",
                                   "drain_delay_ms",
@@ -198,6 +202,7 @@
   constexpr int HourMs = 3600 * 1000;
   constexpr int MaxThreads = 64;
   constexpr int MaxConnectionsLimit = 1000000;
+  constexpr double MostLinkMbps = 1e6;
   Settings Read;
   Read.Vm_ = VmId(Check.text("vm_id", absl::GetFlag(FLAGS_vm_id)));
   Read.DataCenter_ = DataCenterName(
@@ -220,6 +225,8 @@
     Check.bad("advertise_peers", "must be set when peers_address is any");
   Read.AdvertisedOperators_ = absl::GetFlag(FLAGS_advertise_operators);
   Check.address("advertise_operators", Read.AdvertisedOperators_, false);
+  Read.LinkMbps_ = static_cast<std::uint32_t>(std::min(
+      Check.amount("link_mbps", absl::GetFlag(FLAGS_link_mbps)), MostLinkMbps));
   Read.SeedPeers_ = addressList(Check, absl::GetFlag(FLAGS_seed_peers));
   Read.Threads_ = static_cast<std::size_t>(
       Check.number("threads", absl::GetFlag(FLAGS_threads), 0, MaxThreads));
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -25,6 +25,8 @@
   /// What other daemons and operators are told; empty: the addresses bound.
   std::string AdvertisedPeers_;
   std::string AdvertisedOperators_;
+  /// What this VM's network link carries, in Mbit/s; 0 is unknown.
+  std::uint32_t LinkMbps_ = 0;
   /// Peers to join when the platform does not answer.
   std::vector<Endpoint> SeedPeers_;
   /// 0: requests are served by the control thread.
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -65,6 +65,7 @@
   Asked.Prompt_ = Context.PromptTokens_;
   Asked.Answer_ = Context.AnswerTokens_;
   Asked.Prefix_ = Context.Prefix_;
+  Asked.Parts_ = Context.Call_.Parts_;
   Asked.NonIdempotent_ = Context.Route_->NonIdempotent_;
   Asked.Excluded_ = Excluded;
   if (Context.Route_->Forwarding_) {
--- a/UnitTests/Process/CellTest.cpp
+++ b/UnitTests/Process/CellTest.cpp
@@ -46,6 +46,28 @@
   CHECK(Holds);
 }
 
+TEST_CASE("daemons with weak links keep cells only where no strong one is") {
+  // Symptom: in a burst callers get no answer for seconds, not even a refusal,
+  // while engines do half of what they could.
+  // Sequence: a cell's keeper is on a VM whose link carries a twentieth of
+  // others'; at twice the usual load the messages of the cell's requests fill
+  // it.
+  // Cause: keepers were chosen without regard to their links.
+  auto Members = fleet(40);
+  for (std::size_t Index = 0; Index < Members.size(); ++Index)
+    Members[Index].LinkMbps_ = Index % 10 == 0 ? 200 : 10;
+  std::set<VmId> Chosen;
+  for (std::uint32_t Index = 0; Index < 200; ++Index) {
+    const Member *Keeper = keeperOf(cell(Index), Members);
+    CHECK(Keeper->LinkMbps_ == 200);
+    Chosen.insert(Keeper->Id_);
+  }
+  CHECK(Chosen.size() == 4);
+  std::erase_if(Members,
+                [](const Member &Each) { return Each.LinkMbps_ > 10; });
+  CHECK(keeperOf(cell(0), Members) != nullptr);
+}
+
 TEST_CASE("nobody keeps a cell in an empty fleet") {
   CHECK(keeperOf(cell(0), {}) == nullptr);
 }
