Tell an engine's processes apart, and take no entry of another writer for an engine

An engine may start again under its id: the directory's field for its start is read into BackendServer::Incarnation_; a later one empties what a keeper believes of the engine (places, prompts being read, cache, health, 'replaced'; speeds stay), and what ended in the earlier process frees nothing and teaches nothing. An earlier one that is read late is not taken in. An engine that doesn't tell its start counts as one process.

Entries with fields missing or of another type, unknown states, numbers that are negative, fractional or huge, or bytes that can't be read name no server; one that was good and is overwritten so gets no new work, what runs goes on; one log line an entry and cause.

--- a/FailureTests/platform/SoakWorld.cpp
+++ b/FailureTests/platform/SoakWorld.cpp
@@ -166,6 +166,10 @@
                 {"address", formatEndpoint(Target.Server_->address())},
                 {"zone", "z"},
                 {"batch-size", 4},
+                {"version", "v1"},
+                {"warmup-left-ms", 0},
+                {"sequence", 1},
+                {"born", 1},
                 {"state", Leaving ? "draining" : "ready"}};
   Store_.put("servers/" + Target.Id_, Entry.dump());
 }
--- a/Source/Common/Ids.h
+++ b/Source/Common/Ids.h
@@ -65,7 +65,7 @@
 /// A document's version: starts at 1, only goes up.
 using DocumentVersion = Quantity<struct DocumentVersionTag>;
 /// Milliseconds since the epoch at which a process started; of two processes
-/// with one VmId, the higher is the later one.
+/// with one VmId or ServerName, the higher is the later one. 0 is unknown.
 using Incarnation = Quantity<struct IncarnationTag>;
 /// A tier's place in the document: 0 is the highest tier.
 using TierIndex = Quantity<struct TierTag, std::uint32_t>;
--- a/Source/Process/DirectoryView.cpp
+++ b/Source/Process/DirectoryView.cpp
@@ -11,13 +11,18 @@
   const BackendServer &B = Right.Server_;
   return Left.Pool_ == Right.Pool_ && A.Address_ == B.Address_ &&
          A.DataCenter_ == B.DataCenter_ && A.Leaving_ == B.Leaving_ &&
-         A.MaxInFlight_ == B.MaxInFlight_;
+         A.MaxInFlight_ == B.MaxInFlight_ && A.Incarnation_ == B.Incarnation_;
 }
 
 } // namespace
 
 bool DirectoryView::seen(const RegisteredServer &Server) {
   Entry &Target = Entries_[Server.Server_.Name_];
+  // What an earlier process of the server wrote may be read late, from a daemon
+  // that is behind. Taken in, it would bring a leaving state, or an address,
+  // back that is no longer true.
+  if (Server.Server_.Incarnation_ < Target.Server_.Server_.Incarnation_)
+    return false;
   Target.Missing_ = false;
   if (sameServer(Target.Server_, Server))
     return false;
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -101,9 +101,9 @@
   for (const BackendServer *Server : cellServers(*Whole, Cell.Index_)) {
     bool Active = Snapshot->activeServer(Cell.Service_, Cell.Pool_,
                                          Server->Name_) != nullptr;
-    Servers.push_back({Server->Name_,
-                       Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
-                       Whole->CacheTokens_, Options_.AheadPerServer_});
+    Servers.push_back(
+        {Server->Name_, Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
+         Whole->CacheTokens_, Options_.AheadPerServer_, Server->Incarnation_});
   }
   std::map<CustomerName, CustomerShare> Shares;
   for (const Customer &Known : Service->Document_->Customers_)
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -238,10 +238,17 @@
     Server->start(Request.Id_, Tokens(0), {});
 }
 
+/// The engine that the request runs on; null when that is gone, or has started
+/// again since: what the earlier process did says nothing of the present one.
+ServerModel *Scheduler::runningAt(const RunningRequest &Request) {
+  ServerModel *Present = server(Request.Server_);
+  return Present && Present->runs(Request.Id_) ? Present : nullptr;
+}
+
 Scheduler::RunningMap::iterator
 Scheduler::endRunning(RunningMap::iterator Item) {
   const RunningRequest &Request = Item->second;
-  if (ServerModel *Server = server(Request.Server_))
+  if (ServerModel *Server = runningAt(Request))
     Server->end(Request.Id_);
   auto Count = RunningByCustomer_.find(Request.Customer_);
   if (Count != RunningByCustomer_.end() && --Count->second == 0)
@@ -256,7 +263,7 @@
   if (Found == Running_.end())
     return;
   const RunningRequest &Ended = Found->second;
-  if (ServerModel *Server = server(Ended.Server_)) {
+  if (ServerModel *Server = runningAt(Ended)) {
     Server->learn(Seen, Typical_);
     judge(*Server, Seen, Now);
   }
@@ -284,7 +291,7 @@
   auto Found = Running_.find(Id);
   if (Found == Running_.end())
     return;
-  if (ServerModel *Server = server(Found->second.Server_))
+  if (ServerModel *Server = runningAt(Found->second))
     Server->firstToken(Id, Seen, Typical_);
 }
 
--- a/Source/Process/ServerModel.cpp
+++ b/Source/Process/ServerModel.cpp
@@ -40,7 +40,27 @@
         static_cast<std::size_t>(Capacity.CacheTokens_.count() / BlockTokens));
 }
 
+/// The engine is a new process under its old name. Counted on, what it had
+/// would mislead: places would seem taken by requests that ended with the old
+/// process, and prompts would go there for a cache that is empty. How fast the
+/// engine is stays known.
+void ServerModel::restarted() {
+  Limit_ = Capacity_.MaxInFlight_;
+  Reachable_ = true;
+  Health_ = ServerHealth();
+  LeftOut_ = OnTrial_ = Replaced_ = false;
+  InFlight_.clear();
+  Reported_ = LoadReport();
+  Prefilling_.clear();
+  InProgress_.clear();
+  PendingPrefill_ = Tokens(0);
+  Prefixes_.clear();
+}
+
 void ServerModel::configure(const ServerCapacity &Capacity) {
+  bool Known = Capacity_.Incarnation_.count() > 0;
+  if (Known && Capacity.Incarnation_ > Capacity_.Incarnation_)
+    restarted();
   if (Capacity.MaxInFlight_ != Capacity_.MaxInFlight_)
     Limit_ = Capacity.MaxInFlight_;
   Capacity_ = Capacity;
@@ -51,7 +71,7 @@
   // the limit came down, so one place more than the running ones is left.
   if (Seen.Waiting_ > 1)
     Limit_ = std::min(Limit_, std::max(1U, Seen.Running_ + 1));
-  else if (Seen.Waiting_ == 0 && InFlight_ >= Limit_)
+  else if (Seen.Waiting_ == 0 && inFlight() >= Limit_)
     Limit_ = std::min(Limit_ + 1, Capacity_.MaxInFlight_);
 }
 
@@ -60,15 +80,15 @@
   // but at least one place: keepers on both sides of a partition may then
   // together exceed the limit by one each at the most.
   double Limit = OnTrial_ ? 1.0 : std::floor(Limit_ * Share);
-  return usable() && InFlight_ < std::max(1.0, Limit) &&
+  return usable() && inFlight() < std::max(1.0, Limit) &&
          unreadTime() < LongestUnread;
 }
 
 void ServerModel::start(const RequestId &Id, Tokens Prompt,
                         std::span<const std::uint64_t> Prefix) {
   PrefillWork Added;
-  Added.HadPlace_ = InFlight_ < places();
-  ++InFlight_;
+  Added.HadPlace_ = inFlight() < places();
+  InFlight_.insert(Id);
   Added.Own_ = uncached(Prompt, Prefix);
   PendingPrefill_ += Added.Own_;
   Added.WithThoseAhead_ = PendingPrefill_;
@@ -83,9 +103,9 @@
 }
 
 nanoseconds ServerModel::waitForPlace() const {
-  if (InFlight_ < places())
+  if (inFlight() < places())
     return nanoseconds(0);
-  return Duration_ / places() * (InFlight_ - places() + 1);
+  return Duration_ / places() * (inFlight() - places() + 1);
 }
 
 void ServerModel::firstToken(const RequestId &Id, const FirstTokenSample &Seen,
@@ -113,8 +133,7 @@
 }
 
 void ServerModel::end(const RequestId &Id) {
-  if (InFlight_ > 0)
-    --InFlight_;
+  InFlight_.erase(Id);
   endPrefill(Id);
 }
 
--- a/Source/Process/ServerModel.h
+++ b/Source/Process/ServerModel.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace samphireshunt {
@@ -26,6 +27,8 @@
   Tokens CacheTokens_{0};
   /// Of MaxInFlight_, what waits inside the engine for a place to get free.
   std::uint32_t Ahead_ = 0;
+  /// The engine's present process; 0 is unknown.
+  Incarnation Incarnation_;
 };
 
 /// A request that ended.
@@ -74,8 +77,9 @@
     return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_ &&
            !Replaced_;
   }
-  /// Another server answers at its address. A name is never used again, so it
-  /// stays gone, whatever the directory still says.
+  Incarnation incarnation() const { return Capacity_.Incarnation_; }
+  /// Another server answers at its address. It stays gone, whatever the
+  /// directory still says, until it starts again.
   void markReplaced() { Replaced_ = true; }
   ServerHealth &health() { return Health_; }
   const ServerHealth &health() const { return Health_; }
@@ -106,7 +110,11 @@
     return Reported_.Running_ + Reported_.Waiting_;
   }
 
-  std::uint32_t inFlight() const { return InFlight_; }
+  std::uint32_t inFlight() const {
+    return static_cast<std::uint32_t>(InFlight_.size());
+  }
+  /// It was granted there, to the engine's present process.
+  bool runs(const RequestId &Id) const { return InFlight_.contains(Id); }
   /// Expected time until the first token of a request started now, a wait for
   /// a place of the engine included.
   std::chrono::nanoseconds
@@ -136,6 +144,7 @@
   const PrefixIndex &prefixes() const { return Prefixes_; }
 
 private:
+  void restarted();
   Tokens uncached(Tokens Prompt, std::span<const std::uint64_t> Prefix) const;
 
   ServerCapacity Capacity_;
@@ -147,7 +156,7 @@
   bool LeftOut_ = false;
   bool OnTrial_ = false;
   bool Replaced_ = false;
-  std::uint32_t InFlight_ = 0;
+  std::unordered_set<RequestId> InFlight_;
   LoadReport Reported_;
   /// Prompt work that the engine still has to do for one request.
   struct PrefillWork {
--- a/Source/Process/StoreView.cpp
+++ b/Source/Process/StoreView.cpp
@@ -3,6 +3,7 @@
 #include "Common/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -28,6 +29,9 @@
       Servers.emplace(Entry.Key_.substr(Layout_.ServerPrefix_.size()));
     apply(Entry);
   }
+  std::erase_if(Rejected_, [&](const auto &Item) {
+    return !Servers.contains(ServerName(Item.first));
+  });
   DirectoryChanged_ |= Directory_.listed(Servers, BootClock::now());
   advance(All.Revision_);
 }
@@ -78,6 +82,7 @@
 
 void StoreView::applyServer(const std::string &Name, const KeyValue &Entry) {
   if (Entry.Deleted_) {
+    Rejected_.erase(Name);
     logEvent(LogCategory::Version, spdlog::level::info, "server-gone",
              {{"server", Name},
               {"revision", std::to_string(Entry.Revision_.count())}});
@@ -85,11 +90,9 @@
     return;
   }
   auto Read = Layout_.ReadServer_(Name, Entry.Value_);
-  if (!Read) {
-    logEvent(LogCategory::Version, spdlog::level::err, "server-not-understood",
-             {{"server", Name}, {"detail", Read.error().Detail_}});
-    return;
-  }
+  if (!Read)
+    return rejectServer(Name, Entry, Read.error());
+  Rejected_.erase(Name);
   Log_.set(Entry);
   if (!Directory_.seen(*Read))
     return;
@@ -99,6 +102,23 @@
             {"pool", Read->Pool_.str()},
             {"address", formatEndpoint(Read->Server_.Address_)},
             {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
+            {"incarnation", std::to_string(Read->Server_.Incarnation_.count())},
+            {"revision", std::to_string(Entry.Revision_.count())}});
+}
+
+/// An entry that can't be read names no server. One that was good and is
+/// overwritten so gets no new work: where the server is, and whether it still
+/// takes any, is no longer known. What runs there goes on.
+void StoreView::rejectServer(const std::string &Name, const KeyValue &Entry,
+                             const Failure &Cause) {
+  DirectoryChanged_ |= Directory_.remove(ServerName(Name));
+  // It is read again and again: one line for each cause.
+  if (std::exchange(Rejected_[Name], Cause.Detail_) == Cause.Detail_)
+    return;
+  logEvent(LogCategory::Version, spdlog::level::err, "server-not-understood",
+           {{"server", Name},
+            {"code", std::to_string(static_cast<int>(Cause.Code_))},
+            {"detail", Cause.Detail_},
             {"revision", std::to_string(Entry.Revision_.count())}});
 }
 
--- a/Source/Process/StoreView.h
+++ b/Source/Process/StoreView.h
@@ -11,6 +11,7 @@
 #include "Version/DocumentStore.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -77,6 +78,8 @@
 
 private:
   void applyServer(const std::string &Name, const KeyValue &Entry);
+  void rejectServer(const std::string &Name, const KeyValue &Entry,
+                    const Failure &Cause);
   void adopt(const KeyValue &Entry);
   void noteServers();
 
@@ -89,6 +92,8 @@
   /// Of the configuration that was read last.
   Revision ConfigurationRevision_;
   bool DirectoryChanged_ = false;
+  /// Entries that can't be read, by name, with the cause that was logged.
+  std::map<std::string, std::string> Rejected_;
 };
 
 } // namespace samphireshunt
--- a/Source/Version/Document.h
+++ b/Source/Version/Document.h
@@ -42,6 +42,8 @@
   ServerName Name_;
   Endpoint Address_;
   DataCenterName DataCenter_;
+  /// A server may start again under its name; then it has none of what it had.
+  Incarnation Incarnation_;
   bool Leaving_ = false;
   std::uint32_t MaxInFlight_ = 8;
   bool ChecksFencing_ = false;
--- a/UnitTests/Process/DirectoryViewTest.cpp
+++ b/UnitTests/Process/DirectoryViewTest.cpp
@@ -76,3 +76,19 @@
   CHECK(View.listed({ServerName("stays")}, Start));
   CHECK(View.size() == 1);
 }
+
+TEST_CASE("what an earlier process of a server wrote is not taken in late") {
+  // Symptom: an engine that has just started again gets no work.
+  // Sequence: it was leaving when it crashed; it starts again under its name;
+  // a daemon that is behind tells of the leaving.
+  // Cause: of two entries under one name the one that came last was believed.
+  DirectoryView View(Again);
+  RegisteredServer Earlier = server("a", true);
+  Earlier.Server_.Incarnation_ = Incarnation(1000);
+  RegisteredServer Later = server("a");
+  Later.Server_.Incarnation_ = Incarnation(2000);
+  View.seen(Earlier);
+  CHECK(View.seen(Later));
+  CHECK_FALSE(View.seen(Earlier));
+  CHECK_FALSE(View.servers()[PoolName("pool")].front().Leaving_);
+}
--- a/UnitTests/Process/SchedulerTest.cpp
+++ b/UnitTests/Process/SchedulerTest.cpp
@@ -239,3 +239,49 @@
   CHECK(Times.size() > 50);
   CHECK(*Times.begin() >= milliseconds(500));
 }
+
+TEST_CASE(
+    "an engine that starts again under its name has none of what it had") {
+  // Symptom: an engine that is back after a crash gets no work, or too much.
+  // Sequence: its places are taken when it crashes; its entry tells of a new
+  // process within one heartbeat; later the entries that had requests there
+  // tell that these failed.
+  // Cause: the places of the earlier process stayed taken, and those failures
+  // freed places, and spoke against the health, of the new one.
+  Scheduler Real = configured({.TierCount_ = TierCount}, 1, 2);
+  TimePoint Now{std::chrono::seconds(1000)};
+  auto StartedAt = [&](std::uint64_t Started) {
+    auto List = servers(1, 2);
+    List.front().Incarnation_ = Incarnation(Started);
+    Real.configure(std::move(List), customers(), TierCount, 1000);
+  };
+  StartedAt(1000);
+  for (std::uint64_t Number = 1; Number <= 2; ++Number)
+    Real.ask(request(Number, 0, Now + milliseconds(900)), Now);
+  REQUIRE(Real.decide(Now).size() == 2);
+  StartedAt(2000);
+  for (std::uint64_t Number = 3; Number <= 5; ++Number)
+    Real.ask(request(Number, 0, Now + milliseconds(900)), Now);
+  CHECK(Real.decide(Now).size() == 2);
+  ServedSample Broken;
+  Broken.Reached_ = Broken.Faulty_ = true;
+  Real.done({1, 1}, Broken, Now);
+  Real.done({1, 2}, Broken, Now);
+  CHECK(Real.decide(Now).empty());
+  CHECK(Real.server(ServerName("engine-0"))->health().failureRate() == 0);
+  Real.done({1, 3}, ServedSample(), Now);
+  CHECK(Real.decide(Now).size() == 1);
+}
+
+TEST_CASE("an engine whose name was given away is used again once it is back") {
+  Scheduler Real = configured({.TierCount_ = TierCount}, 1, 2);
+  TimePoint Now{std::chrono::seconds(1000)};
+  auto List = servers(1, 2);
+  List.front().Incarnation_ = Incarnation(1000);
+  Real.configure(List, customers(), TierCount, 1000);
+  Real.server(ServerName("engine-0"))->markReplaced();
+  List.front().Incarnation_ = Incarnation(2000);
+  Real.configure(List, customers(), TierCount, 1000);
+  Real.ask(request(1, 0, Now + milliseconds(900)), Now);
+  CHECK(Real.decide(Now).size() == 1);
+}
--- a/UnitTests/platform/ConfigurationTest.cpp
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 using namespace samphireshunt;
 using std::chrono::milliseconds;
@@ -99,16 +100,28 @@
         ResultCode::DocumentSchema);
 }
 
+namespace {
+
+Json directoryEntry() {
+  return {{"service", "engines"}, {"address", "10.1.2.3:80"},
+          {"zone", "z"},          {"batch-size", 7},
+          {"state", "ready"},     {"version", "v1"},
+          {"warmup-left-ms", 0},  {"sequence", 4},
+          {"born", 1764700000123}};
+}
+
+} // namespace
+
 TEST_CASE("an entry of the directory becomes a backend server") {
-  Json Entry = {{"service", "engines"}, {"address", "10.1.2.3:80"},
-                {"zone", "z"},          {"batch-size", 7},
-                {"state", "draining"},  {"sequence", 4}};
+  Json Entry = directoryEntry();
+  Entry["state"] = "draining";
   auto Read = platform::readServer("i-1", Entry.dump());
   REQUIRE(Read.has_value());
   CHECK(Read->Pool_ == PoolName("engines"));
   CHECK(Read->Server_.Name_ == ServerName("i-1"));
   CHECK(Read->Server_.MaxInFlight_ == 7);
   CHECK(Read->Server_.Leaving_);
+  CHECK(Read->Server_.Incarnation_ == Incarnation(1764700000123));
   Entry.erase("address");
   CHECK(platform::readServer("i-1", Entry.dump()).error().Code_ ==
         ResultCode::DocumentSchema);
@@ -116,3 +129,74 @@
   CHECK(platform::readServer("i-1", Entry.dump()).error().Code_ ==
         ResultCode::DocumentSchema);
 }
+
+TEST_CASE("an engine that does not tell its start is one process") {
+  Json Entry = directoryEntry();
+  Entry.erase("born");
+  auto Read = platform::readServer("i-1", Entry.dump());
+  REQUIRE(Read.has_value());
+  CHECK(Read->Server_.Incarnation_ == Incarnation(0));
+}
+
+TEST_CASE("what another writer left in the directory names no server") {
+  // Symptom: requests go to an address where no engine is, or to one that
+  // leaves.
+  // Sequence: an entry has a state that is not known, or none, or a field of
+  // another type.
+  // Cause: whatever was not "draining" was taken for ready, and a strange
+  // number of places for a default.
+  const std::vector<std::pair<std::string, Json>> Wrong = {
+      {"state", "asleep"},
+      {"state", 1},
+      {"service", 7},
+      {"service", ""},
+      {"address", "10.1.2.3"},
+      {"address", nullptr},
+      {"zone", Json::array()},
+      {"batch-size", -1},
+      {"batch-size", 0},
+      {"batch-size", 2.5},
+      {"batch-size", "7"},
+      {"batch-size", 1e18},
+      {"sequence", -4},
+      {"sequence", "4"},
+      {"version", 3},
+      {"warmup-left-ms", "0"},
+      {"warmup-left-ms", -1},
+      {"born", "yesterday"},
+      {"born", 1764700000123.5},
+      {"born", -1},
+      {"state", {{"at", "ready"}}}};
+  for (const auto &[Field, Value] : Wrong) {
+    CAPTURE(Field);
+    CAPTURE(Value.dump());
+    Json Entry = directoryEntry();
+    Entry[Field] = Value;
+    auto Read = platform::readServer("i-1", Entry.dump());
+    REQUIRE_FALSE(Read.has_value());
+    CHECK(Read.error().Code_ == ResultCode::DocumentSchema);
+  }
+  for (const char *Field : {"state", "service", "address", "zone", "batch-size",
+                            "sequence", "version", "warmup-left-ms"}) {
+    CAPTURE(Field);
+    Json Entry = directoryEntry();
+    Entry.erase(Field);
+    CHECK_FALSE(platform::readServer("i-1", Entry.dump()).has_value());
+  }
+}
+
+TEST_CASE("no bytes of an entry are taken for a server, or break the reader") {
+  bool Holds = rc::check([](const std::string &Bytes) {
+    RC_ASSERT(!platform::readServer("i-1", Bytes).has_value());
+  });
+  CHECK(Holds);
+  bool HoldsCut = rc::check([] {
+    std::string Text = directoryEntry().dump();
+    auto Place = *rc::gen::inRange<std::size_t>(0, Text.size());
+    Text[Place] = *rc::gen::arbitrary<char>();
+    auto Read = platform::readServer("i-1", Text);
+    if (Read)
+      RC_ASSERT(Read->Server_.MaxInFlight_ >= 1U);
+  });
+  CHECK(HoldsCut);
+}
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -30,7 +30,8 @@
 
 std::string serverEntry(const std::string &State) {
   return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
-                         "state":"{}","batch-size":2}})",
+                         "state":"{}","batch-size":2,"version":"v1",
+                         "warmup-left-ms":0,"sequence":1}})",
                      State);
 }
 
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -29,7 +29,8 @@
 
 std::string serverEntry(const std::string &State) {
   return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
-                         "state":"{}","batch-size":2}})",
+                         "state":"{}","batch-size":2,"version":"v1",
+                         "warmup-left-ms":0,"sequence":1}})",
                      State);
 }
 
@@ -146,14 +147,17 @@
   CHECK(Test.version() == DocumentVersion(3));
 }
 
-TEST_CASE("what can't be read leaves the last good state in force") {
+TEST_CASE(
+    "a configuration that can't be read leaves the last good one in force, "
+    "an entry of a server names none") {
   FollowerFixture Test;
   REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
   Test.Store_.put("op/config", "{\"version\":9}");
   Test.Store_.put("servers/i-1", "{}");
   Test.Store_.put("servers/i-2", serverEntry("ready"));
   CHECK(Test.runUntil([&] { return Test.isActive("i-2"); }));
-  CHECK(Test.isActive("i-1"));
+  CHECK_FALSE(Test.isActive("i-1"));
+  CHECK(Test.servers() == 1);
   CHECK(Test.version() == DocumentVersion(3));
 }
 
@@ -229,3 +233,20 @@
   CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
   CHECK(std::chrono::steady_clock::now() - Begin < milliseconds(1500));
 }
+
+TEST_CASE("an entry that is overwritten by another writer gets no new work") {
+  // Symptom: requests are sent to an engine of which nobody knows any more
+  // where it is.
+  // Sequence: an engine's good entry is overwritten by bytes that can't be
+  // read; another engine's entry stays as it was.
+  // Cause: the last good entry was kept for as long as the bad one stood.
+  FollowerFixture Test;
+  Test.Store_.put("servers/i-2", serverEntry("ready"));
+  REQUIRE(Test.runUntil(
+      [&] { return Test.isActive("i-1") && Test.isActive("i-2"); }));
+  Test.Store_.put("servers/i-1", std::string("\xff\xfe{", 3));
+  CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
+  CHECK(Test.isActive("i-2"));
+  Test.Store_.put("servers/i-1", serverEntry("ready"));
+  CHECK(Test.runUntil([&] { return Test.isActive("i-1"); }));
+}
