Let a queue of late requests turn no first attempt away, and promise returns in time

Cause: a first attempt's wait was predicted from all that waits in its tier, late returns included, though those go after it. Moments to come back grew without bound (314 s at the median in a long burst).

Change: late ones are counted apart; only admitted arrivals of higher tiers take places; a moment to come back lies within a third of the time the caller has, and takes a slot of the schedule only then.

--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -76,6 +76,7 @@
   Queue.Requests_.emplace(Request.Standing_.Urgency_, Request.Arrival_,
                           Asked.Id_);
   ++Tier.Count_;
+  Tier.LateCount_ += Request.Standing_.Late_ ? 1 : 0;
   ByLatestStart_.emplace(Request.LatestStart_, Asked.Id_);
   RequestId Id = Asked.Id_;
   Waiting_.emplace(Id, std::move(Request));
@@ -91,6 +92,7 @@
   CustomerQueue &Queue = Tier.Customers_[Name];
   Queue.Requests_.erase({Request.Standing_.Urgency_, Request.Arrival_, Id});
   --Tier.Count_;
+  Tier.LateCount_ -= Request.Standing_.Late_ ? 1 : 0;
   if (Queue.Requests_.empty())
     Tier.Active_.erase({Queue.ServedTokens_, Name});
   ByLatestStart_.erase({Request.LatestStart_, Id});
@@ -132,7 +134,7 @@
   }
   if (wouldWaitTooLong(Request, Place, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::WaitTooLong);
-    Refusal.RetryAfter_ = returnAfter(Request.Tier_, Now);
+    Refusal.RetryAfter_ = returnAfter(Request, Now);
     Out.push_back(Refusal);
     return Out;
   }
@@ -151,6 +153,7 @@
         std::min(Waiting.LatestStart_, Now + Request.MaxWait_);
   Waiting.Standing_ = Place;
   Waiting.Asked_ = std::move(Request);
+  Own.RecentAdmitted_.add(Now);
   enqueue(std::move(Waiting));
   return Out;
 }
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -187,6 +187,8 @@
     bool Long_ = false;
     /// It may be put behind others for that.
     bool PutBack_ = false;
+    /// No answer would be within its objective any more.
+    bool Late_ = false;
     /// Requests are served in the order of these moments.
     TimePoint Urgency_;
   };
@@ -214,8 +216,10 @@
   /// When callers of a tier that were refused may come back.
   class ReturnSchedule {
   public:
-    /// The next free moment, at \p PerSecond of them.
-    std::chrono::milliseconds next(TimePoint Now, double PerSecond);
+    /// The next free moment, at \p PerSecond of them; nothing, and none is
+    /// taken, when that is later than \p Longest from now.
+    std::optional<std::chrono::milliseconds>
+    next(TimePoint Now, double PerSecond, std::chrono::milliseconds Longest);
 
   private:
     TimePoint Next_;
@@ -224,10 +228,14 @@
     std::map<CustomerName, CustomerQueue> Customers_;
     std::set<std::pair<double, CustomerName>> Active_;
     std::size_t Count_ = 0;
+    /// Of those the ones that were late when they asked: they go last.
+    std::size_t LateCount_ = 0;
     FadingShare Share_;
     /// Of those whose answers are much longer than others.
     FadingShare LongShare_;
+    /// What came, and what of it was let wait for a place.
     SlidingCount<RateSlots> RecentArrivals_{RateWindow};
+    SlidingCount<RateSlots> RecentAdmitted_{RateWindow};
     ReturnSchedule Returns_;
   };
   struct Placement {
@@ -284,11 +292,13 @@
   /// Time on the quickest idle engine, with a margin; 0 while none is known.
   std::chrono::nanoseconds bestServiceTime(const AskedRequest &Request) const;
   std::chrono::milliseconds retryAfter(TierIndex Tier);
-  std::chrono::milliseconds returnAfter(TierIndex Tier, TimePoint Now);
+  std::chrono::milliseconds returnAfter(const AskedRequest &Request,
+                                        TimePoint Now);
   double freeRate(TierIndex Tier, TimePoint Now);
   bool isStarving(TierQueue &Tier, TimePoint Now);
   double servedPart(TimePoint Now);
-  std::chrono::milliseconds predictedWait(TierIndex Tier, TimePoint Now);
+  std::chrono::milliseconds predictedWait(TierIndex Tier, bool Late,
+                                          TimePoint Now);
   bool wouldWaitTooLong(const AskedRequest &Request, const Standing &Place,
                         TimePoint Now);
   std::chrono::nanoseconds typicalService(const AskedRequest &Request) const;
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -27,6 +27,8 @@
 constexpr double LeastPartOfRate = 0.2;
 /// Of the places for a tier, what is promised to callers that come back.
 constexpr double PartForReturns = 0.5;
+/// Callers wait for a third of the time that they have left, at the most.
+constexpr int ReturnPart = 3;
 /// A rate taken from fewer ends than this within the window is a guess.
 constexpr double LeastEnds = 5;
 
@@ -68,19 +70,26 @@
   double Ends = Ends_.sum(Now);
   if (Ends < LeastEnds)
     return 0;
-  double HigherArrivals = 0;
+  // What is refused takes no place; in a burst it is most of what comes.
+  double HigherAdmitted = 0;
   for (TierQueue &Higher : std::span(Tiers_).first(queueIndex(Tier)))
-    HigherArrivals += Higher.RecentArrivals_.sum(Now);
-  return std::max(Ends - HigherArrivals, LeastPartOfRate * Ends);
+    HigherAdmitted += Higher.RecentAdmitted_.sum(Now);
+  return std::max(Ends - HigherAdmitted, LeastPartOfRate * Ends);
 }
 
 /// What waits before a request of \p Tier, by the rate of places for it; or, if
 /// that is sooner, what waits in its own tier by the rate that the tier is
-/// guaranteed.
-milliseconds Scheduler::predictedWait(TierIndex Tier, TimePoint Now) {
+/// guaranteed. What is late already goes after what is not: counted with the
+/// others, callers that came back too late would turn away those that could
+/// still be served in time, who then come back too late in their turn.
+milliseconds Scheduler::predictedWait(TierIndex Tier, bool Late,
+                                      TimePoint Now) {
   std::size_t Own = queueIndex(Tier);
-  double Before = 0;
-  for (const TierQueue &Queue : std::span(Tiers_).first(Own + 1))
+  std::size_t OwnBefore = Tiers_[Own].Count_;
+  if (!Late)
+    OwnBefore -= Tiers_[Own].LateCount_;
+  auto Before = static_cast<double>(OwnBefore);
+  for (const TierQueue &Queue : std::span(Tiers_).first(Own))
     Before += static_cast<double>(Queue.Count_);
   double Free = freeRate(Tier, Now);
   if (Before == 0 || Free == 0)
@@ -89,29 +98,42 @@
   double Guaranteed = Options_.GuaranteedShare_ * servedPart(Now) *
                       Tiers_[Own].RecentArrivals_.sum(Now);
   if (Guaranteed > 0)
-    Seconds =
-        std::min(Seconds, static_cast<double>(Tiers_[Own].Count_) / Guaranteed);
+    Seconds = std::min(Seconds, static_cast<double>(OwnBefore) / Guaranteed);
   std::chrono::duration<double> Wait(Seconds);
   return std::chrono::duration_cast<milliseconds>(Wait);
 }
 
-milliseconds Scheduler::ReturnSchedule::next(TimePoint Now, double PerSecond) {
+std::optional<milliseconds>
+Scheduler::ReturnSchedule::next(TimePoint Now, double PerSecond,
+                                milliseconds Longest) {
   std::chrono::duration<double> Each(1.0 / PerSecond);
-  Next_ = std::max(Next_, Now) +
-          std::chrono::duration_cast<TimePoint::duration>(Each);
+  TimePoint Free = std::max(Next_, Now) +
+                   std::chrono::duration_cast<TimePoint::duration>(Each);
+  if (Free > Now + Longest)
+    return std::nullopt;
+  Next_ = Free;
   return std::chrono::duration_cast<milliseconds>(Next_ - Now);
 }
 
 /// Callers that are refused in a burst are told moments one after the other,
 /// at the rate of places for them, and after what waits already. Told the same
-/// moment, they would come back together and be refused again.
-milliseconds Scheduler::returnAfter(TierIndex Tier, TimePoint Now) {
+/// moment, they would come back together and be refused again. Nobody is told a
+/// moment that he has no time for: in a long burst the moments would run away,
+/// to minutes, and stay there when it is over. For whom no moment is left, the
+/// time that he has is as good at one moment as at another.
+milliseconds Scheduler::returnAfter(const AskedRequest &Request,
+                                    TimePoint Now) {
+  TierIndex Tier = Request.Tier_;
   double Free = freeRate(Tier, Now);
   if (Free == 0)
     return retryAfter(Tier);
-  milliseconds Returns =
-      Tiers_[queueIndex(Tier)].Returns_.next(Now, PartForReturns * Free);
-  return std::max(Returns, predictedWait(Tier, Now));
+  auto Left = std::chrono::duration_cast<milliseconds>(Request.Deadline_ - Now);
+  milliseconds Longest = std::max(milliseconds(1), Left / ReturnPart);
+  auto Returns = Tiers_[queueIndex(Tier)].Returns_.next(
+      Now, PartForReturns * Free, Longest);
+  if (!Returns)
+    return milliseconds(Random_(static_cast<std::uint32_t>(Longest.count())));
+  return std::clamp(predictedWait(Tier, true, Now), *Returns, Longest);
 }
 
 void Scheduler::noteHold(const ServedSample &Seen) {
@@ -144,6 +166,7 @@
     Place.Urgency_ = Request.Deadline_;
     return Place;
   }
+  Place.Late_ = Request.Objective_ < Now + LeastFirstEvent;
   Place.Service_ = typicalService(Request);
   Place.Long_ = MeanHold_.count() > 0 && Place.Service_ > MeanHold_;
   Place.PutBack_ = Place.Long_ && mayPutBack(Request.Tier_, Now);
@@ -176,7 +199,7 @@
     Part = std::max(LeastPart, static_cast<double>(MeanHold_.count()) /
                                    static_cast<double>(Place.Service_.count()));
   std::chrono::duration<double, std::milli> Longest = Request.MaxWait_;
-  return predictedWait(Request.Tier_, Now) > Longest * Part;
+  return predictedWait(Request.Tier_, Place.Late_, Now) > Longest * Part;
 }
 
 /// Leaves out engines that fail what they get, unless that would leave too few:
--- a/UnitTests/Process/SchedulerAdmissionTest.cpp
+++ b/UnitTests/Process/SchedulerAdmissionTest.cpp
@@ -34,6 +34,9 @@
   milliseconds Objective_{500};
   milliseconds MaxWait_{2000};
   int Asks_ = 1; ///< How often each caller asks at once, refused or not.
+  /// How long a caller stays that comes back once when it is refused; 0: it
+  /// doesn't come back.
+  milliseconds Patience_{0};
 };
 
 struct Served {
@@ -61,6 +64,7 @@
     auto End = Now_ + Length;
     for (; Now_ < End; Now_ += milliseconds(1)) {
       endDue();
+      comeBack();
       for (const Kind &Each : Kinds)
         if ((Now_ - Start) % Each.Every_ == milliseconds(0))
           ask(Each);
@@ -76,7 +80,8 @@
 private:
   struct Sent {
     Kind Kind_;
-    TimePoint At_;
+    TimePoint At_; ///< The caller's first attempt.
+    bool CameBack_ = false;
   };
 
   void ask(const Kind &Each) {
@@ -96,6 +101,24 @@
     ++Served_[Each.Tier_].Asked_;
     take(Scheduler_.ask(std::move(Asked), Now_));
   }
+  /// Those that were refused ask once more, late by now.
+  void comeBack() {
+    while (!Due_.empty() && Due_.begin()->first <= Now_) {
+      Sent Back = Due_.begin()->second;
+      Due_.erase(Due_.begin());
+      Back.CameBack_ = true;
+      AskedRequest Asked;
+      Asked.Id_ = {1, ++Sequence_};
+      Asked.AskedBefore_ = true;
+      Asked.Tier_ = TierIndex(Back.Kind_.Tier_);
+      Asked.Customer_ = CustomerName("c");
+      Asked.Deadline_ = Back.At_ + Back.Kind_.Patience_;
+      Asked.Objective_ = Now_;
+      Asked.MaxWait_ = milliseconds(1800);
+      Sent_[Asked.Id_] = Back;
+      take(Scheduler_.ask(std::move(Asked), Now_));
+    }
+  }
 
   void take(const std::vector<Decision> &Decisions) {
     for (const Decision &Taken : Decisions) {
@@ -116,6 +139,10 @@
     const Sent &Asked = Sent_.at(Refusal.Id_);
     if (Refusal.Code_ == ResultCode::WaitTooLong)
       Returns_.push_back(Now_ + Refusal.RetryAfter_);
+    if (Asked.Kind_.Patience_.count() > 0 && !Asked.CameBack_) {
+      Due_.emplace(Now_ + Refusal.RetryAfter_, Asked);
+      return;
+    }
     Served &Count = Served_[Asked.Kind_.Tier_];
     ++Count.Refused_;
     auto Held = std::chrono::duration_cast<milliseconds>(Now_ - Asked.At_);
@@ -138,6 +165,7 @@
   std::multimap<TimePoint, RequestId> Ends_;
   std::map<std::uint32_t, Served> Served_;
   std::vector<TimePoint> Returns_;
+  std::multimap<TimePoint, Sent> Due_;
 };
 
 /// Short dear requests, and long cheap ones that alone need all places.
@@ -327,3 +355,49 @@
   }
   CHECK(ToBad < 20);
 }
+
+TEST_CASE("callers that come back too late turn nobody away who is in time") {
+  // Symptom: in a burst no first attempt is served in time, and the engines
+  // work for callers who are late already, until long after the burst.
+  // Sequence: half of a burst is refused and told to come back; it waits for as
+  // long as it may; what asks for the first time is refused, since so much
+  // waits, and comes back late in its turn.
+  // Cause: a first attempt's wait was predicted from all that waits, though
+  // what is late goes after it.
+  // Load: 60 places, each held for 250 ms: 240 a second. Three seconds of 200
+  // a second, four of 500, then 200 again.
+  const Kind Calm{0,
+                  milliseconds(5),
+                  milliseconds(250),
+                  milliseconds(400),
+                  milliseconds(400),
+                  1,
+                  milliseconds(4000)};
+  Kind Burst = Calm;
+  Burst.Every_ = milliseconds(2);
+  Replay Load(byObjective(), 10, 6);
+  Load.run(milliseconds(3000), {Calm});
+  Load.beginCount();
+  Load.run(milliseconds(4000), {Burst});
+  constexpr int MostInBurst = 4 * 240;
+  CHECK(Load.served(0).InTime_ >= 0.9 * MostInBurst);
+  Load.run(milliseconds(2000), {Calm});
+  Load.beginCount();
+  Load.run(milliseconds(4000), {Calm});
+  CHECK(Load.served(0).InTime_ >= 0.9 * Load.served(0).Asked_);
+}
+
+TEST_CASE("a moment to come back is one that the caller has time for") {
+  // Symptom: callers are told to come back after five minutes.
+  // Sequence: in a burst refusals come faster than places for a long time.
+  // Cause: each refusal put the next moment further off, without bound.
+  Replay Load(byObjective(), 2, 6);
+  const Kind Flood{0, milliseconds(1), milliseconds(250), milliseconds(100),
+                   milliseconds(100)};
+  Load.run(milliseconds(10000), {Flood});
+  REQUIRE(Load.returns().size() > 1000);
+  // The callers stay for 15 s: a third of it.
+  TimePoint Latest = Start + milliseconds(10000) + milliseconds(5000);
+  CHECK(std::ranges::all_of(
+      Load.returns(), [&](TimePoint Moment) { return Moment <= Latest; }));
+}
