Let no follower take a removed server back from a daemon that was in an outage; count kept cells in allotments

Ruled out: slow news of the removal itself (readers had it within 20 to 450 ms).

Change: a follower remembers the revision of a removed server's entry and takes nothing up to it from another daemon; an entry written anew with the same text counts as a change in the log that followers read. The test fails before.

--- a/Source/Process/ChangeLog.cpp
+++ b/Source/Process/ChangeLog.cpp
@@ -7,7 +7,11 @@
 void ChangeLog::set(const KeyValue &Entry) {
   Noted &Target = Entries_[Entry.Key_];
   bool Known = Target.Number_ > 0;
-  if (Known && !Target.Entry_.Deleted_ && Target.Entry_.Value_ == Entry.Value_)
+  // A key that was removed and written anew may hold the same as before; its
+  // revision tells followers that know of the removal.
+  if (Known && !Target.Entry_.Deleted_ &&
+      Target.Entry_.Value_ == Entry.Value_ &&
+      Target.Entry_.Revision_ >= Entry.Revision_)
     return;
   if (Known && Target.Entry_.Deleted_)
     --Removals_;
@@ -26,14 +30,17 @@
   forgetOldRemovals();
 }
 
-void ChangeLog::removeUnless(
+std::vector<KeyValue> ChangeLog::removeUnless(
     const std::string &Prefix,
     const std::function<bool(const std::string &Name)> &Keep) {
-  std::vector<std::string> Gone;
+  std::vector<KeyValue> Gone;
   for (const auto &[Key, Known] : Entries_)
-    if (Key.starts_with(Prefix) && !Keep(Key.substr(Prefix.size())))
-      Gone.push_back(Key);
-  std::ranges::for_each(Gone, [this](const std::string &Key) { remove(Key); });
+    if (Key.starts_with(Prefix) && !Known.Entry_.Deleted_ &&
+        !Keep(Key.substr(Prefix.size())))
+      Gone.push_back(Known.Entry_);
+  for (const KeyValue &Entry : Gone)
+    remove(Entry.Key_);
+  return Gone;
 }
 
 void ChangeLog::forgetOldRemovals() {
--- a/Source/Process/ChangeLog.h
+++ b/Source/Process/ChangeLog.h
@@ -23,8 +23,10 @@
   void set(const KeyValue &Entry);
   void remove(const std::string &Key);
   /// Removes the keys under \p Prefix that \p Keep does not accept.
-  void removeUnless(const std::string &Prefix,
-                    const std::function<bool(const std::string &Name)> &Keep);
+  /// \returns what they held.
+  std::vector<KeyValue>
+  removeUnless(const std::string &Prefix,
+               const std::function<bool(const std::string &Name)> &Keep);
 
   std::uint64_t last() const { return Last_; }
   Changes since(std::uint64_t Number) const;
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 
 namespace samphireshunt {
 
@@ -131,6 +132,7 @@
         if (Hooks_.IsKeeper_(Cell))
           kept(Cell);
       }
+  noteKeptParts();
   auto Now = steady_clock::now();
   std::erase_if(Cells_, [&](const auto &Item) {
     const KeptCell &Target = *Item.second;
@@ -172,6 +174,35 @@
   return Most;
 }
 
+void KeeperService::noteKeptParts() {
+  auto Snapshot = Documents_.snapshot();
+  KeptParts_.clear();
+  for (const auto &[Name, Service] : Snapshot->Services_) {
+    const Document &Whole = *Service.Document_;
+    if (Whole.Pools_.empty())
+      continue;
+    // A cell's keeper is the same for all pools.
+    const PoolName &AnyPool = Whole.Pools_.front().Name_;
+    auto Count = static_cast<std::uint32_t>(mostCells(Whole));
+    auto Indices = std::views::iota(0U, Count);
+    auto Kept = std::ranges::count_if(Indices, [&](std::uint32_t Index) {
+      return Hooks_.IsKeeper_({Name, AnyPool, Index});
+    });
+    KeptParts_[Name] = static_cast<double>(Kept) / Count;
+  }
+}
+
+/// The keepers of a pool's cells know nothing of each other's counts: each
+/// gives out as much of an allotment as it has of the cells. One cell's part
+/// for a keeper of two would leave the rest unused.
+double
+KeeperService::allotmentShare(const ServiceConfiguration &Service) const {
+  auto Found = KeptParts_.find(Service.Document_->Service_);
+  double Kept = Found == KeptParts_.end() ? 0 : Found->second;
+  return Hooks_.LiveShare_() *
+         std::max(Kept, 1 / mostCells(*Service.Document_));
+}
+
 std::optional<RefuseDecision>
 KeeperService::chargeAllotment(const CellId &Cell,
                                const AskedRequest &Request) {
@@ -187,8 +218,7 @@
   Charge.Customer_ = Known->Name_;
   Charge.Cost_ = allotmentCost(Allowed, Request);
   Charge.LeavesRoom_ = Request.Tier_.count() > 0;
-  // The keepers of a pool's cells know nothing of each other's counts.
-  double Share = Hooks_.LiveShare_() / mostCells(*Service->Document_);
+  double Share = allotmentShare(*Service);
   if (Allotments_.take(Charge, Allowed, Share, steady_clock::now()))
     return std::nullopt;
   auto RetryAfter = std::max(LeastAllotmentRetryAfter,
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -105,6 +105,9 @@
                  const ServerHealth &Health, bool WasLeftOut);
   /// The most cells that a pool of the document has.
   static double mostCells(const Document &Whole);
+  /// Notes which part of each service's cells this daemon keeps.
+  void noteKeptParts();
+  double allotmentShare(const ServiceConfiguration &Service) const;
   std::optional<RefuseDecision> chargeAllotment(const CellId &Cell,
                                                 const AskedRequest &Request);
   void configure(const CellId &Cell, KeptCell &Target);
@@ -119,6 +122,7 @@
   std::map<CellId, std::unique_ptr<KeptCell>> Cells_;
   std::map<VmId, TimePoint> GoneEntries_;
   AllotmentLedger Allotments_;
+  std::map<ServiceName, double> KeptParts_;
   LogSampler RefusalLines_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
   boost::asio::steady_timer Timer_;
--- a/Source/Process/StoreView.cpp
+++ b/Source/Process/StoreView.cpp
@@ -7,6 +7,11 @@
 
 namespace samphireshunt {
 
+namespace {
+/// Removed servers are kept in mind up to so many: they come and go for ever.
+constexpr std::size_t MostRemoved = 10000;
+} // namespace
+
 StoreView::StoreView(DocumentStore &Documents, StoreLayout Layout,
                      BootClock::duration RegisterAgainTime)
     : Documents_(Documents), Layout_(std::move(Layout)),
@@ -52,9 +57,24 @@
 /// Followers are told what is believed, not what was read: servers that only
 /// lapsed in an outage stay.
 void StoreView::noteServers() {
-  Log_.removeUnless(Layout_.ServerPrefix_, [this](const std::string &Name) {
-    return Directory_.contains(ServerName(Name));
-  });
+  auto Gone =
+      Log_.removeUnless(Layout_.ServerPrefix_, [this](const std::string &Name) {
+        return Directory_.contains(ServerName(Name));
+      });
+  if (Removed_.size() > MostRemoved)
+    Removed_.clear();
+  for (const KeyValue &Entry : Gone)
+    Removed_[Entry.Key_.substr(Layout_.ServerPrefix_.size())] = Entry.Revision_;
+}
+
+/// A daemon that regains the service keeps servers that went missing meanwhile
+/// for a while, since their entries may only have lapsed, and tells its
+/// followers so. A follower that has heard of the removal from another daemon
+/// would send work to a server that left long ago. One that registers again has
+/// an entry of a later revision.
+bool StoreView::wasRemoved(const std::string &Name, Revision Told) const {
+  auto Found = Removed_.find(Name);
+  return Found != Removed_.end() && Told <= Found->second;
 }
 
 bool StoreView::follow(const ChangeLog::Changes &Told, Revision Revision) {
@@ -66,6 +86,8 @@
     bool IsServer = Entry.Key_.starts_with(Layout_.ServerPrefix_);
     ServerName Name(IsServer ? Entry.Key_.substr(Layout_.ServerPrefix_.size())
                              : "");
+    if (IsServer && wasRemoved(Name.str(), Entry.Revision_))
+      continue;
     if (IsServer && Entry.Deleted_)
       DirectoryChanged_ |= Directory_.remove(Name);
     else
--- a/Source/Process/StoreView.h
+++ b/Source/Process/StoreView.h
@@ -78,6 +78,7 @@
 
 private:
   void applyServer(const std::string &Name, const KeyValue &Entry);
+  bool wasRemoved(const std::string &Name, Revision Told) const;
   void rejectServer(const std::string &Name, const KeyValue &Entry,
                     const Failure &Cause);
   void adopt(const KeyValue &Entry);
@@ -92,6 +93,8 @@
   /// Of the configuration that was read last.
   Revision ConfigurationRevision_;
   bool DirectoryChanged_ = false;
+  /// Revisions of the entries of servers that were removed, by name.
+  std::map<std::string, Revision> Removed_;
   /// Entries that can't be read, by name, with the cause that was logged.
   std::map<std::string, std::string> Rejected_;
 };
--- /dev/null
+++ b/UnitTests/platform/StoreViewTest.cpp
@@ -0,0 +1,84 @@
+#include "Process/StoreView.h"
+
+#include "platform/Configuration.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+namespace {
+
+const ServiceName Service("platform");
+const PoolName ThePool("s");
+
+KeyValue configuration() {
+  return {"op/config",
+          R"({"version":3,"routes":[],"services":[{"name":"s"}],"limits":{}})",
+          Revision(1)};
+}
+
+KeyValue server(const std::string &Name, std::uint64_t At) {
+  std::string Value = R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                          "state":"ready","batch-size":2,"version":"v1",
+                          "warmup-left-ms":0,"sequence":1})";
+  return {"servers/" + Name, std::move(Value), Revision(At)};
+}
+
+/// What a daemon believes that follows others.
+class Follower {
+public:
+  Follower() : View_(Documents_, platform::storeLayout(), milliseconds(2400)) {
+    StoreView::Hooks Hooks;
+    Hooks.DaemonSeen_ = [](const VmId &, const KeyValue &) {};
+    Hooks.Changed_ = [] {};
+    View_.setHooks(std::move(Hooks));
+  }
+  bool isActive(const std::string &Name) const {
+    return Documents_.snapshot()->activeServer(Service, ThePool,
+                                               ServerName(Name)) != nullptr;
+  }
+
+  DocumentStore Documents_;
+  StoreView View_;
+};
+
+} // namespace
+
+TEST_CASE("a server that is known to be gone does not come back with another "
+          "daemon's older belief") {
+  // Symptom: requests are sent to an engine three seconds and more after the
+  // platform's service said that it is gone.
+  // Sequence: a daemon hears of the removal from the one that it follows; it
+  // turns to another one, which was turned away by the service meanwhile and
+  // still takes the entry for lapsed.
+  // Cause: whoever has read as far is believed in everything.
+  Follower Test;
+  REQUIRE(Test.View_.follow({true, {configuration(), server("i-1", 5)}},
+                            Revision(10)));
+  REQUIRE(Test.isActive("i-1"));
+  KeyValue Gone = server("i-1", 5);
+  Gone.Deleted_ = true;
+  REQUIRE(Test.View_.follow({false, {Gone}}, Revision(20)));
+  CHECK_FALSE(Test.isActive("i-1"));
+  REQUIRE(Test.View_.follow({true, {configuration(), server("i-1", 5)}},
+                            Revision(30)));
+  CHECK_FALSE(Test.isActive("i-1"));
+  // It registers again.
+  REQUIRE(Test.View_.follow({false, {server("i-1", 40)}}, Revision(40)));
+  CHECK(Test.isActive("i-1"));
+}
+
+TEST_CASE("followers hear of a server that registers again with the same "
+          "entry") {
+  Follower Reader;
+  KeyValueList All{{configuration(), server("i-1", 5)}, Revision(10)};
+  Reader.View_.listed(All);
+  Reader.View_.publish();
+  auto Number = Reader.View_.log().last();
+  Reader.View_.apply(server("i-1", 40));
+  auto Changes = Reader.View_.log().since(Number);
+  REQUIRE(Changes.Entries_.size() == 1);
+  CHECK(Changes.Entries_.front().Revision_ == Revision(40));
+}
