Give the longest answers their part of the places too

Change: three lengths (up to the mean hold, up to three times, longer), each served at least three fifths as often as its tier.

--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -112,8 +112,9 @@
   if (!Request.AskedBefore_) {
     Own.Share_.decay(Now);
     Own.Share_.Arrived_ += 1;
-    Own.LongShare_.decay(Now);
-    Own.LongShare_.Arrived_ += Place.Long_ ? 1 : 0;
+    FadingShare &OfLength = shareOf(Own, Place.Length_);
+    OfLength.decay(Now);
+    OfLength.Arrived_ += 1;
   }
   Own.RecentArrivals_.add(Now);
   if (!hasServerFor(Request)) {
@@ -482,8 +483,9 @@
     Tier.Active_.erase({Queue.ServedTokens_, Customer});
   Tier.Share_.decay(Now);
   Tier.Share_.Granted_ += 1;
-  if (Granted.Standing_.Long_)
-    Tier.LongShare_.Granted_ += 1;
+  FadingShare &OfLength = shareOf(Tier, Granted.Standing_.Length_);
+  OfLength.decay(Now);
+  OfLength.Granted_ += 1;
   double Cost = tokenCost(Granted.Asked_);
   Queue.ServedTokens_ += Cost / weightOf(Granted.Asked_.Customer_);
   if (StillActive)
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -14,6 +14,7 @@
 
 #include <pcg_random.hpp>
 
+#include <array>
 #include <chrono>
 #include <limits>
 #include <map>
@@ -187,13 +188,17 @@
   static constexpr std::size_t RateSlots = 5;
   static constexpr std::chrono::milliseconds RateWindow{1000};
   using DeadlineKey = std::tuple<TimePoint, std::uint64_t, RequestId>;
+  /// How long an answer holds its place: up to the mean, up to three times
+  /// that, or longer, as about one in ten does.
+  enum class AnswerLength : std::uint8_t { Usual, Long, VeryLong };
+  static constexpr std::size_t AnswerLengths = 3;
   /// Where a request stands among those of its tier.
   struct Standing {
     /// How long it would hold a place of an engine of middling speed; 0 while
     /// nothing is known.
     std::chrono::nanoseconds Service_{0};
-    /// Its answer is much longer than others.
-    bool Long_ = false;
+    /// How much longer than others its answer is.
+    AnswerLength Length_ = AnswerLength::Usual;
     /// It may be put behind others for that.
     bool PutBack_ = false;
     /// No answer would be within its objective any more.
@@ -240,8 +245,8 @@
     /// Of those the ones that were late when they asked: they go last.
     std::size_t LateCount_ = 0;
     FadingShare Share_;
-    /// Of those whose answers are much longer than others.
-    FadingShare LongShare_;
+    /// The same by the lengths of answers.
+    std::array<FadingShare, AnswerLengths> ShareByLength_;
     /// What came, and what of it was let wait for a place.
     SlidingCount<RateSlots> RecentArrivals_{RateWindow};
     SlidingCount<RateSlots> RecentAdmitted_{RateWindow};
@@ -328,7 +333,9 @@
                         TimePoint Now);
   std::chrono::nanoseconds typicalService(const AskedRequest &Request) const;
   Standing standingOf(const AskedRequest &Request, TimePoint Now);
-  bool mayPutBack(TierIndex Tier, TimePoint Now);
+  bool mayPutBack(TierIndex Tier, AnswerLength Length, TimePoint Now);
+  AnswerLength lengthOf(std::chrono::nanoseconds Service) const;
+  static FadingShare &shareOf(TierQueue &Tier, AnswerLength Length);
   void noteHold(const ServedSample &Seen);
   void judgeServers(TimePoint Now);
   void judge(ServerModel &Server, const ServedSample &Seen, TimePoint Now);
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -168,8 +168,8 @@
   }
   Place.Late_ = Request.Objective_ < Now + LeastFirstEvent;
   Place.Service_ = typicalService(Request);
-  Place.Long_ = MeanHold_.count() > 0 && Place.Service_ > MeanHold_;
-  Place.PutBack_ = Place.Long_ && mayPutBack(Request.Tier_, Now);
+  Place.Length_ = lengthOf(Place.Service_);
+  Place.PutBack_ = mayPutBack(Request.Tier_, Place.Length_, Now);
   Place.Urgency_ = Request.Objective_;
   if (Place.PutBack_)
     Place.Urgency_ +=
@@ -177,14 +177,31 @@
   return Place;
 }
 
-/// Long answers are served at least three fifths as often as the others of
-/// their tier.
-bool Scheduler::mayPutBack(TierIndex Tier, TimePoint Now) {
+Scheduler::AnswerLength Scheduler::lengthOf(nanoseconds Service) const {
+  constexpr int VeryLong = 3;
+  if (MeanHold_.count() == 0 || Service <= MeanHold_)
+    return AnswerLength::Usual;
+  return Service > VeryLong * MeanHold_ ? AnswerLength::VeryLong
+                                        : AnswerLength::Long;
+}
+
+Scheduler::FadingShare &Scheduler::shareOf(TierQueue &Tier,
+                                           AnswerLength Length) {
+  return Tier.ShareByLength_[static_cast<std::size_t>(Length)];
+}
+
+/// Answers longer than usual are served at least three fifths as often as all
+/// of their tier, the longest too: counted together, all that were served were
+/// the shorter ones of them, and of the longest tenth one in five.
+bool Scheduler::mayPutBack(TierIndex Tier, AnswerLength Length, TimePoint Now) {
   constexpr double LeastPart = 0.6;
+  if (Length == AnswerLength::Usual)
+    return false;
   TierQueue &Own = Tiers_[queueIndex(Tier)];
+  FadingShare &OfLength = shareOf(Own, Length);
   Own.Share_.decay(Now);
-  Own.LongShare_.decay(Now);
-  return Own.LongShare_.part() >= LeastPart * Own.Share_.part();
+  OfLength.decay(Now);
+  return OfLength.part() >= LeastPart * Own.Share_.part();
 }
 
 /// A request that would be refused after a long wait is refused at once; and a
