--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -217,7 +217,7 @@
   Charge.Id_ = Request.Id_;
   Charge.Customer_ = Known->Name_;
   Charge.Cost_ = allotmentCost(Allowed, Request);
-  Charge.LeavesRoom_ = Request.Tier_.count() > 0;
+  Charge.LeavesRoom_ = Options_.KeepRoom_ && Request.Tier_.count() > 0;
   double Share = allotmentShare(*Service);
   if (Allotments_.take(Charge, Allowed, Share, steady_clock::now()))
     return std::nullopt;
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -48,6 +48,8 @@
     std::uint32_t AheadPerServer_ = 0;
     Scheduler::Options Scheduling_;
     AllotmentLedger::Options Allotments_;
+    /// Lower tiers leave room in allotments for large requests of the highest.
+    bool KeepRoom_ = true;
   };
   struct Hooks {
     std::function<void(const CellId &, const Decision &)> Decided_;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -121,6 +121,14 @@
     double ObjectivePart_ = 0.5;
     /// Prompts go where the pauses of all that stream there stay allowed.
     bool KeepPauses_ = true;
+    /// What is late turns nothing away that is not.
+    bool CountLateApart_ = true;
+    /// Long answers go behind others.
+    bool PutLongBack_ = true;
+    /// Refused callers get moments of their own to come back.
+    bool ScheduleReturns_ = true;
+    /// Quick engines are kept for what only they read in time.
+    bool KeepQuick_ = true;
     // Decisions that a measurement may leave out.
     bool StrictTiers_ = true;
     bool FairCustomers_ = true;
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -86,7 +86,7 @@
                                       TimePoint Now) {
   std::size_t Own = queueIndex(Tier);
   std::size_t OwnBefore = Tiers_[Own].Count_;
-  if (!Late)
+  if (!Late && Options_.CountLateApart_)
     OwnBefore -= Tiers_[Own].LateCount_;
   auto Before = static_cast<double>(OwnBefore);
   for (const TierQueue &Queue : std::span(Tiers_).first(Own))
@@ -125,7 +125,7 @@
                                     TimePoint Now) {
   TierIndex Tier = Request.Tier_;
   double Free = freeRate(Tier, Now);
-  if (Free == 0)
+  if (Free == 0 || !Options_.ScheduleReturns_)
     return retryAfter(Tier);
   auto Left = std::chrono::duration_cast<milliseconds>(Request.Deadline_ - Now);
   milliseconds Longest = std::max(milliseconds(1), Left / ReturnPart);
@@ -195,7 +195,7 @@
 /// the shorter ones of them, and of the longest tenth one in five.
 bool Scheduler::mayPutBack(TierIndex Tier, AnswerLength Length, TimePoint Now) {
   constexpr double LeastPart = 0.6;
-  if (Length == AnswerLength::Usual)
+  if (Length == AnswerLength::Usual || !Options_.PutLongBack_)
     return false;
   TierQueue &Own = Tiers_[queueIndex(Tier)];
   FadingShare &OfLength = shareOf(Own, Length);
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -183,7 +183,8 @@
       continue;
     auto First = Server.expectedFirstToken(Request.Prompt_, Prefix);
     bool Late = First > Budget;
-    bool Quick = Server.betweenTokens() * QuickDivisor < Quickest * QuickFactor;
+    bool Quick = Options_.KeepQuick_ &&
+                 Server.betweenTokens() * QuickDivisor < Quickest * QuickFactor;
     auto Score = std::tuple(Late, !Late && Quick, First, Server.inFlight());
     if (Best && Score >= BestScore)
       continue;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -54,6 +54,11 @@
   Options.UsePrefixes_ = Taken("prefixes");
   Options.UseSpeeds_ = Taken("speeds");
   Options.AdaptLimits_ = Taken("limits");
+  Options.KeepPauses_ = Taken("pauses");
+  Options.CountLateApart_ = Taken("late-apart");
+  Options.PutLongBack_ = Taken("lengths");
+  Options.ScheduleReturns_ = Taken("returns");
+  Options.KeepQuick_ = Taken("quick");
   if (Configured.ByObjective_) {
     Options.GuaranteedShare_ = Configured.GuaranteedShare_;
     Options.RefuseLongWaits_ = true;
@@ -224,8 +229,12 @@
   Options.Scheduling_.Seed_ = Origin_;
   // Mean worth of eight seeds with none and with one ahead: 0.619 and 0.652 on
   // the hardest day of Red Clay, 0.561 and 0.569 on that of Quilotoa Alto.
-  if (Settings_.ByObjective_)
+  auto Taken = [&](std::string_view Name) {
+    return std::ranges::count(Settings_.LeftOut_, Name) == 0;
+  };
+  if (Settings_.ByObjective_ && Taken("ahead"))
     Options.AheadPerServer_ = 1;
+  Options.KeepRoom_ = Taken("room");
   Options.Allotments_.Window_ = Settings_.AllotmentWindow_;
   Options.Allotments_.Overrun_ = Settings_.AllotmentOverrun_;
   Options.Allotments_.Credit_ = Settings_.AllotmentCredit_;
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -79,7 +79,8 @@
           "keepers; or two-choices, the baseline of measurements.");
 ABSL_FLAG(std::string, leave_out, "",
           "For measurements only: decisions that are not taken, of tiers, "
-          "fairness, feasibility, preemption, prefixes, speeds, limits.");
+          "fairness, feasibility, preemption, prefixes, speeds, limits, "
+          "pauses, late-apart, lengths, room, returns, ahead, quick.");
 ABSL_FLAG(std::string, trace_collector, "",
           "IP:port that takes OTLP/HTTP JSON traces; empty: none.");
 
@@ -122,9 +123,10 @@
                                   "allotment_window_s",
                                   "allotment_overrun"};
 
-constexpr std::array<std::string_view, 7> LeavableDecisions = {
-    "tiers",    "fairness", "feasibility", "preemption",
-    "prefixes", "speeds",   "limits"};
+constexpr std::array<std::string_view, 14> LeavableDecisions = {
+    "tiers",  "fairness", "feasibility", "preemption", "prefixes",
+    "speeds", "limits",   "pauses",      "late-apart", "lengths",
+    "room",   "returns",  "ahead",       "quick"};
 
 std::string environmentName(std::string_view Flag) {
   std::string Name = "SAMPHIRESHUNT_";
