Pass over a keeper that answers too late, and tell it so

Change: an answer is due within the time that the request may wait plus 250 ms; a keeper that is late at two checks in a row is withdrawn from and passed over for 5 s. A check that comes late itself says nothing of others.

Tests fail before.

--- a/Source/Process/GrantClient.cpp
+++ b/Source/Process/GrantClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -21,12 +22,22 @@
 /// How long a keeper that could not be reached, or knows nothing, is passed
 /// over.
 constexpr milliseconds UnreachableTime{2000};
+/// How long one that was late is passed over: a VM that was slow for a second
+/// is so for some more.
+constexpr milliseconds SlowTime{5000};
+/// A keeper answers a request within the time that it may wait, give or take a
+/// look at its queue each 10 ms and the way between two VMs.
+constexpr milliseconds LateAnswer{250};
+/// How often asks are checked for answers that are late.
+constexpr milliseconds CheckPeriod{100};
+/// When the check itself comes so late, it is this VM that is slow.
+constexpr milliseconds OwnDelay{50};
 
 } // namespace
 
 GrantClient::GrantClient(asio::io_context &Control, VmId Self, Hooks Reactions)
     : Control_(Control), Self_(std::move(Self)), Hooks_(std::move(Reactions)),
-      RebindTimer_(Control) {}
+      RebindTimer_(Control), CheckTimer_(Control) {}
 
 void GrantClient::acquire(CellId Cell, AskedRequest Request,
                           Answered OnAnswer) {
@@ -38,6 +49,7 @@
     auto [Item, New] = Asks_.insert_or_assign(
         Id, Ask{std::move(Cell), std::move(Request), std::move(OnAnswer), {}});
     sendAsk(Item->second);
+    scheduleCheck();
   });
 }
 
@@ -55,6 +67,9 @@
   // With no other keeper in reach this daemon keeps the cell itself, with the
   // share of the engines' limits that its part of the fleet may use.
   Target.Keeper_ = chooseKeeper(Target.Cell_).value_or(Self_);
+  milliseconds MaxWait = Target.Request_.MaxWait_;
+  if (MaxWait.count() > 0)
+    Target.AnswerDue_ = steady_clock::now() + MaxWait + LateAnswer;
   if (Target.Keeper_ != Self_)
     return Hooks_.Send_(Target.Keeper_,
                         encodeAsk(Target.Cell_, Target.Request_));
@@ -172,7 +187,7 @@
   // A daemon that has just started may be the keeper by its name, and be turned
   // away by the platform's service: it knows no engine, others do.
   if (Refusal.Code_ == ResultCode::NotReady && From != Self_)
-    return passOver(From);
+    return passOver(From, UnreachableTime);
   auto Node = Asks_.extract(Refusal.Id_);
   if (Node)
     Node.mapped().OnAnswer_({Refusal.Code_, {}, Refusal.RetryAfter_});
@@ -188,13 +203,63 @@
   Hooks_.Suspect_(Keeper);
   logEvent(LogCategory::Keeper, spdlog::level::warn, "keeper-unreachable",
            {{"keeper", Keeper.str()}});
-  passOver(Keeper);
+  passOver(Keeper, UnreachableTime);
 }
 
-void GrantClient::passOver(const VmId &Keeper) {
-  Unreachable_[Keeper] = steady_clock::now() + UnreachableTime;
+void GrantClient::passOver(const VmId &Keeper, milliseconds Time) {
+  Unreachable_[Keeper] = steady_clock::now() + Time;
   rebind();
-  scheduleRebind(UnreachableTime + milliseconds(1));
+  scheduleRebind(Time + milliseconds(1));
+}
+
+void GrantClient::scheduleCheck() {
+  if (CheckScheduled_ || Asks_.empty())
+    return;
+  CheckScheduled_ = true;
+  CheckTimer_.expires_after(CheckPeriod);
+  CheckTimer_.async_wait([this](const boost::system::error_code &Error) {
+    CheckScheduled_ = false;
+    if (Error)
+      return;
+    auto Now = steady_clock::now();
+    if (Now - CheckTimer_.expiry() > OwnDelay)
+      Late_.clear();
+    else
+      checkLateAnswers(Now);
+    scheduleCheck();
+  });
+}
+
+/// A keeper whose VM is slow or out of processor time holds its links, but its
+/// answers come after the callers have left: all requests of its cells fail for
+/// as long as that lasts. Another daemon can keep the cell. Only at the second
+/// check in a row: after a pause of this process its answers may lie unread.
+void GrantClient::checkLateAnswers(TimePoint Now) {
+  std::set<VmId> Late;
+  for (const auto &[Id, Target] : Asks_)
+    if (Target.Keeper_ != Self_ && Target.AnswerDue_ <= Now)
+      Late.insert(Target.Keeper_);
+  std::set<VmId> Before = std::exchange(Late_, Late);
+  for (const VmId &Keeper : Late) {
+    if (!Before.contains(Keeper))
+      continue;
+    Late_.erase(Keeper);
+    logEvent(LogCategory::Keeper, spdlog::level::warn, "keeper-late",
+             {{"keeper", Keeper.str()}});
+    withdrawAll(Keeper);
+    passOver(Keeper, SlowTime);
+  }
+}
+
+/// A keeper that is left although its link holds must hear it: what it granted
+/// would keep its places there for ever.
+void GrantClient::withdrawAll(const VmId &Keeper) {
+  for (const auto &[Id, Target] : Asks_)
+    if (Target.Keeper_ == Keeper)
+      sendWithdraw(Target.Cell_, Id, Keeper);
+  for (const auto &[Id, Target] : Granted_)
+    if (Target.Keeper_ == Keeper)
+      sendWithdraw(Target.Cell_, Id, Keeper);
 }
 
 void GrantClient::scheduleRebind(milliseconds Delay) {
--- a/Source/Process/GrantClient.h
+++ b/Source/Process/GrantClient.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace samphireshunt {
@@ -55,6 +56,9 @@
   // On the control thread.
   void onDecision(const Decision &Taken, const VmId &From);
   void onLinkDown(const VmId &Keeper);
+  /// Passes over keepers that are late with their answers at two checks in a
+  /// row.
+  void checkLateAnswers(TimePoint Now);
   /// Members changed: asks whose keeper is another one now move there.
   void rebind();
   bool awaiting(const VmId &Keeper) const;
@@ -67,6 +71,8 @@
     AskedRequest Request_;
     Answered OnAnswer_;
     VmId Keeper_;
+    /// By then its keeper has granted or refused it.
+    TimePoint AnswerDue_ = TimePoint::max();
   };
   struct Granted {
     CellId Cell_;
@@ -82,11 +88,13 @@
   void sendWithdraw(const CellId &Cell, const RequestId &Id, const VmId &To);
   void onGrant(const GrantDecision &Grant, const VmId &From);
   void onRefusal(const RefuseDecision &Refusal, const VmId &From);
-  void passOver(const VmId &Keeper);
+  void passOver(const VmId &Keeper, std::chrono::milliseconds Time);
+  void withdrawAll(const VmId &Keeper);
   void onCancel(const CancelDecision &Cancel);
   void handBack(const RequestId &Id, const VmId &Keeper);
   void finish(const RequestId &Id, const ServedSample &Seen);
   void scheduleRebind(std::chrono::milliseconds Delay);
+  void scheduleCheck();
 
   boost::asio::io_context &Control_;
   VmId Self_;
@@ -96,7 +104,11 @@
   std::unordered_map<RequestId, Granted> Granted_;
   /// Until when each keeper that failed is passed over.
   std::map<VmId, TimePoint> Unreachable_;
+  /// Keepers that were late with an answer at the last check.
+  std::set<VmId> Late_;
   boost::asio::steady_timer RebindTimer_;
+  boost::asio::steady_timer CheckTimer_;
+  bool CheckScheduled_ = false;
 };
 
 } // namespace samphireshunt
--- a/UnitTests/Process/GrantClientTest.cpp
+++ b/UnitTests/Process/GrantClientTest.cpp
@@ -23,6 +23,7 @@
     Asked.Id_ = Id;
     Asked.Customer_ = CustomerName("c");
     Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
+    Asked.MaxWait_ = std::chrono::seconds(1);
     Client_.acquire(Cell, Asked,
                     [this](GrantAnswer Answer) { Answers_.push_back(Answer); });
     settle();
@@ -143,3 +144,23 @@
   REQUIRE(Asking.Answers_.size() == 1);
   CHECK(Asking.Answers_.front().Code_ == ResultCode::Ok);
 }
+
+TEST_CASE("a keeper that answers too late is passed over") {
+  // Symptom: for ten seconds all callers leave without an answer, and engines
+  // are idle.
+  // Sequence: a burst comes while the keeper's VM is slow; its links hold.
+  // Cause: only a keeper that was silent was passed over.
+  Entry Asking;
+  Asking.acquire();
+  auto Asked = std::chrono::steady_clock::now();
+  Asking.Client_.checkLateAnswers(Asked + std::chrono::milliseconds(900));
+  Asking.Client_.checkLateAnswers(Asked + std::chrono::milliseconds(1000));
+  CHECK(Asking.sent("second", wire::Body::Ask) == 0);
+  Asking.Client_.checkLateAnswers(Asked + std::chrono::seconds(5));
+  CHECK(Asking.sent("second", wire::Body::Ask) == 0);
+  Asking.Client_.checkLateAnswers(Asked + std::chrono::seconds(6));
+  CHECK(Asking.sent("second", wire::Body::Ask) == 1);
+  CHECK(Asking.sent("first", wire::Body::Ask) == 1);
+  // It lives, and would keep the request's place for ever.
+  CHECK(Asking.sent("first", wire::Body::Withdraw) == 1);
+}
