--- a/Source/Process/AllotmentLedger.h
+++ b/Source/Process/AllotmentLedger.h
@@ -13,7 +13,7 @@
 /// for the largest request of the highest one. In one bucket the smallest
 /// requests, which always fit, leave no room for a large one, whatever its
 /// tier, and one within the allotment is refused for what others took beyond
-/// it: 251 of the dearest requests on a calm day, with engines idle.
+/// it: 70 of 944 callers of the highest tier on a calm day, with engines idle.
 ///
 /// A new keeper knows nothing of what an earlier one let through, maybe a
 /// whole burst just before: its buckets begin empty when it begins to count, so
