--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace samphireshunt {
 
@@ -184,10 +183,9 @@
     // A cell's keeper is the same for all pools.
     const PoolName &AnyPool = Whole.Pools_.front().Name_;
     auto Count = static_cast<std::uint32_t>(mostCells(Whole));
-    auto Indices = std::views::iota(0U, Count);
-    auto Kept = std::ranges::count_if(Indices, [&](std::uint32_t Index) {
-      return Hooks_.IsKeeper_({Name, AnyPool, Index});
-    });
+    std::uint32_t Kept = 0;
+    for (std::uint32_t Index = 0; Index < Count; ++Index)
+      Kept += Hooks_.IsKeeper_({Name, AnyPool, Index}) ? 1 : 0;
     KeptParts_[Name] = static_cast<double>(Kept) / Count;
   }
 }
--- a/UnitTests/platform/ConfigurationTest.cpp
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -167,11 +167,11 @@
       {"born", 1764700000123.5},
       {"born", -1},
       {"state", {{"at", "ready"}}}};
-  for (const auto &[Field, Value] : Wrong) {
-    CAPTURE(Field);
-    CAPTURE(Value.dump());
+  for (const auto &Change : Wrong) {
+    CAPTURE(Change.first);
+    CAPTURE(Change.second.dump());
     Json Entry = directoryEntry();
-    Entry[Field] = Value;
+    Entry[Change.first] = Change.second;
     auto Read = platform::readServer("i-1", Entry.dump());
     REQUIRE_FALSE(Read.has_value());
     CHECK(Read.error().Code_ == ResultCode::DocumentSchema);
