--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/SchedulerPlacement.cpp
@@ -109,7 +109,8 @@
 /// it a queue of which nothing can be placed costs the keeper a look at each
 /// engine for each waiting request, at each message: its answers then come
 /// after its callers have left, and those who come back keep it so, long after
-/// the burst.
+/// the burst. One whose beginning is cached may need less room than a shorter
+/// prompt; it waits for the next round then.
 bool Scheduler::hasNoRoomAnywhere(const AskedRequest &Request) {
   if (Round_.Pause_ != Request.MaxPause_) {
     Round_ = Round();
@@ -162,15 +163,15 @@
 /// that is expected to answer first.
 ServerModel *Scheduler::justQuickEnough(const AskedRequest &Request,
                                         TimePoint Now) {
+  if (hasNoRoomAnywhere(Request))
+    return nullptr;
+  EngineLooks_ += Servers_.size();
   auto Prefix = prefixOf(Request);
   nanoseconds Quickest = quickestBetweenTokens();
   nanoseconds Budget = LateBudget;
   if (Request.Objective_ > Now + LeastFirstEvent)
     Budget = std::chrono::duration_cast<nanoseconds>(
         (Request.Objective_ - Now) * Options_.ObjectivePart_);
-  if (hasNoRoomAnywhere(Request))
-    return nullptr;
-  EngineLooks_ += Servers_.size();
   bool AnyRoom = false;
   nanoseconds Pause = longestPause(Request);
   ServerModel *Best = nullptr;
