--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -192,13 +192,17 @@
 
 /// The keepers of a pool's cells know nothing of each other's counts: each
 /// gives out as much of an allotment as it has of the cells. One cell's part
-/// for a keeper of two would leave the rest unused.
+/// for a keeper of two would leave the rest unused. A daemon that is asked
+/// without being a keeper stands in for one that may be counting as well: it
+/// gives out half of a cell's part.
 double
 KeeperService::allotmentShare(const ServiceConfiguration &Service) const {
+  constexpr double StandInPart = 0.5;
   auto Found = KeptParts_.find(Service.Document_->Service_);
   double Kept = Found == KeptParts_.end() ? 0 : Found->second;
-  return Hooks_.LiveShare_() *
-         std::max(Kept, 1 / mostCells(*Service.Document_));
+  if (Kept == 0)
+    Kept = StandInPart / mostCells(*Service.Document_);
+  return Hooks_.LiveShare_() * Kept;
 }
 
 std::optional<RefuseDecision>
