Walk through no map of grants while decisions change it

Sequence, from its logs: a configuration is adopted, the keepers change, and grants move to the next one. Cause: a withdrawal at the keeper in the same process frees a place, which goes to a waiting request at once; that grant was put into the map that was being walked through. Change: ids first, then each by itself.

--- a/Source/Process/GrantClient.cpp
+++ b/Source/Process/GrantClient.cpp
@@ -275,27 +275,39 @@
     return Unreachable_.contains(Present) ||
            chooseKeeper(Cell).value_or(Self_) != Present;
   };
-  // Ids first: a local keeper may answer at once, which changes the map.
+  // Ids first, of both: a place that a local keeper gets back by a withdrawal
+  // goes to the next request at once, and that grant changes both maps. Walked
+  // through meanwhile, they lead into memory that was freed, and the process
+  // ends.
   std::vector<RequestId> MovedAsks;
   for (const auto &[Id, Target] : Asks_)
     if (Moved(Target.Cell_, Target.Keeper_))
       MovedAsks.push_back(Id);
-  for (auto &[Id, Target] : Granted_) {
-    VmId Before = Target.Keeper_;
-    if (!Moved(Target.Cell_, Before))
+  std::vector<RequestId> MovedGrants;
+  for (const auto &[Id, Target] : Granted_)
+    if (Moved(Target.Cell_, Target.Keeper_))
+      MovedGrants.push_back(Id);
+  for (const RequestId &Id : MovedGrants) {
+    auto Found = Granted_.find(Id);
+    if (Found == Granted_.end())
       continue;
+    VmId Before = Found->second.Keeper_;
+    CellId Cell = Found->second.Cell_;
     if (!Unreachable_.contains(Before))
-      sendWithdraw(Target.Cell_, Id, Before);
-    sendRunning(Target);
+      sendWithdraw(Cell, Id, Before);
+    if (auto Still = Granted_.find(Id); Still != Granted_.end())
+      sendRunning(Still->second);
   }
   for (const RequestId &Id : MovedAsks) {
     auto Found = Asks_.find(Id);
     if (Found == Asks_.end())
       continue;
     VmId Before = Found->second.Keeper_;
+    CellId Cell = Found->second.Cell_;
     if (!Unreachable_.contains(Before))
-      sendWithdraw(Found->second.Cell_, Id, Before);
-    sendAsk(Found->second);
+      sendWithdraw(Cell, Id, Before);
+    if (auto Still = Asks_.find(Id); Still != Asks_.end())
+      sendAsk(Still->second);
   }
 }
 
