--- a/UnitTests/Process/GrantClientTest.cpp
+++ b/UnitTests/Process/GrantClientTest.cpp
@@ -1,10 +1,14 @@
 #include "Process/GrantClient.h"
 
 #include "Connection/PeerMessage.h"
+#include "Process/KeeperService.h"
 
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <set>
 
 using namespace samphireshunt;
 
@@ -164,3 +168,109 @@
   // It lives, and would keep the request's place for ever.
   CHECK(Asking.sent("first", wire::Body::Withdraw) == 1);
 }
+
+namespace {
+
+/// A daemon that keeps its own cell, of engines with one place each, until
+/// another one does.
+class OwnKeeper {
+public:
+  explicit OwnKeeper(int Engines)
+      : Client_(Control_, Self, clientHooks()),
+        Keeper_(Control_, withEngines(Documents_, Engines), options(),
+                keeperHooks()) {
+    Client_.setLocalKeeper(&Keeper_);
+  }
+  void acquire(std::uint64_t Number) {
+    AskedRequest Asked;
+    Asked.Id_ = {1, Number};
+    Asked.Customer_ = CustomerName("c");
+    Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
+    Client_.acquire(Cell, Asked, [](const GrantAnswer &) {});
+    Control_.restart();
+    Control_.poll();
+  }
+
+  static inline const VmId Self{"self"};
+  boost::asio::io_context Control_;
+  DocumentStore Documents_;
+  bool OtherKeeps_ = false;
+  /// Requests of which the other keeper was told that they run.
+  std::multiset<RequestId> Told_;
+  GrantClient Client_;
+  KeeperService Keeper_;
+
+private:
+  static KeeperService::Options options() {
+    KeeperService::Options Options;
+    Options.RoundPause_ = 0;
+    return Options;
+  }
+  static DocumentStore &withEngines(DocumentStore &Documents, int Count) {
+    Document Built;
+    Built.Service_ = Cell.Service_;
+    Built.Tiers_ = {"0"};
+    Pool Target;
+    Target.Name_ = Cell.Pool_;
+    for (int Index = 0; Index < Count; ++Index) {
+      BackendServer Engine;
+      Engine.Name_ = ServerName(fmt::format("engine-{}", Index));
+      Engine.MaxInFlight_ = 1;
+      Target.Servers_.push_back(std::move(Engine));
+    }
+    Built.Pools_.push_back(std::move(Target));
+    Built.buildIndex();
+    Documents.adopt(Cell.Service_, DocumentVersion(1),
+                    std::make_shared<const Document>(std::move(Built)));
+    return Documents;
+  }
+  GrantClient::Hooks clientHooks() {
+    GrantClient::Hooks Hooks;
+    Hooks.KeeperOf_ = [this](const CellId &, const std::vector<VmId> &) {
+      return std::optional(OtherKeeps_ ? VmId("other") : Self);
+    };
+    Hooks.Send_ = [this](const VmId &, const std::string &Message) {
+      auto Decoded = decodeMessage(Message).value();
+      if (const auto *Running = Decoded.body.AsRunning())
+        Told_.insert({Running->id->origin(), Running->id->sequence()});
+    };
+    Hooks.Suspect_ = [](const VmId &) {};
+    return Hooks;
+  }
+  KeeperService::Hooks keeperHooks() {
+    KeeperService::Hooks Hooks;
+    Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
+      Client_.onDecision(Taken, Self);
+    };
+    Hooks.Orphaned_ = [](const OrphanedRequest &) {};
+    Hooks.AloneInFleet_ = [] { return true; };
+    Hooks.IsKeeper_ = [](const CellId &) { return true; };
+    Hooks.LiveShare_ = [] { return 1.0; };
+    Hooks.FloorRaised_ = [] {};
+    return Hooks;
+  }
+};
+
+} // namespace
+
+TEST_CASE(
+    "grants that come while others move to the next keeper harm nothing") {
+  // Symptom: a daemon ends by itself, with memory in use that was freed, as a
+  // new configuration comes.
+  // Sequence: it keeps a cell, with requests of its own running and waiting;
+  // the cell moves; each withdrawal frees a place for one that waits.
+  // Cause: the map of grants was walked through while grants were put into it.
+  constexpr std::uint64_t Places = 40;
+  OwnKeeper Daemon(Places);
+  for (std::uint64_t Number = 1; Number <= 5 * Places; ++Number)
+    Daemon.acquire(Number);
+  REQUIRE(Daemon.Client_.running() == Places);
+  Daemon.OtherKeeps_ = true;
+  Daemon.Client_.rebind();
+  for (std::uint64_t Number = 1; Number <= Places; ++Number)
+    CHECK(Daemon.Told_.count({1, Number}) == 1);
+  Daemon.Client_.rebind();
+  CHECK(std::ranges::all_of(Daemon.Told_, [&](const RequestId &Moved) {
+    return Daemon.Told_.count(Moved) == 1;
+  }));
+}
