Bound the time for which messages are gathered for a round of decisions

A process that the machine does not let run for a while would take its own pause for a costly round, and wait four times as long again.

--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -14,6 +14,9 @@
 /// A cell that is no longer this daemon's is dropped after it is unused for
 /// this long.
 constexpr std::chrono::seconds UnusedCellTime{10};
+/// The longest that messages are gathered for one round, whatever the last one
+/// took: five looks at the queues of a keeper that is not busy.
+constexpr milliseconds LongestRoundPause{50};
 /// Of each code.
 constexpr std::uint32_t RefusalLinesPerSecond = 20;
 /// A customer that is over its allotment stays over it for a while: the least
@@ -278,7 +281,10 @@
     return schedule();
   decideNow(Cell, Target);
   auto Ended = steady_clock::now();
-  Target.NextRound_ = Ended + Options_.RoundPause_ * (Ended - Now);
+  // A process that was not let run for a while has not been busy.
+  Target.NextRound_ =
+      Ended + std::min<TimePoint::duration>(
+                  Options_.RoundPause_ * (Ended - Now), LongestRoundPause);
 }
 
 void KeeperService::decideNow(const CellId &Cell, KeptCell &Target) {
