--- a/FailureTests/ObservationTest.cpp
+++ b/FailureTests/ObservationTest.cpp
@@ -9,6 +9,8 @@
 #include <fmt/format.h>
 #include <pcg_random.hpp>
 
+#include <csignal>
+#include <fstream>
 #include <set>
 
 using namespace samphireshunt;
@@ -119,3 +121,24 @@
     CHECK(Fleet.run(Fleet.chat(Daemon)).Correct_);
   CHECK(Fleet.status(1)["incarnation"] == Line["incarnation"]);
 }
+
+TEST_CASE("a process that a signal ends says which, and where it was") {
+  // Daemons ended with a segmentation fault, and their logs stopped in the
+  // middle of a calm second: nothing told which of several suspects it was.
+  Cluster Fleet;
+  ChildProcess &Daemon = Fleet.process("vm-1");
+  Daemon.signal(SIGSEGV);
+  CHECK(Daemon.wait() == -1);
+  std::ifstream Log(Fleet.folder() + "/vm-1.log");
+  Json Told;
+  for (std::string Line; std::getline(Log, Line);)
+    if (Line.find("ended-by-signal") != std::string::npos)
+      Told = Json::parse(Line);
+  REQUIRE(Told.is_object());
+  CHECK(Told["signal"] == std::to_string(SIGSEGV));
+  CHECK(Told["vm"] == "vm-1");
+  auto InDaemon = [](const Json &Frame) {
+    return Frame.get<std::string>().find("Daemon3run") != std::string::npos;
+  };
+  CHECK(std::ranges::any_of(Told["stack"], InDaemon));
+}
--- a/Source/Process/PeerNetwork.cpp
+++ b/Source/Process/PeerNetwork.cpp
@@ -12,13 +12,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-namespace {
-constexpr std::chrono::milliseconds ConnectTimeout{500};
-} // namespace
-
 Result<std::unique_ptr<PeerNetwork>>
 PeerNetwork::create(asio::io_context &Control, Endpoint Address, VmId Self,
-                    Hooks Reactions) {
+                    Options Settings, Hooks Reactions) {
   error_code Error;
   Tcp::acceptor Acceptor(Control);
   Acceptor.open(Address.protocol(), Error);
@@ -32,14 +28,15 @@
     return Failure{ResultCode::BadSetting, "can't listen on " +
                                                formatEndpoint(Address) + ": " +
                                                Error.message()};
-  return std::unique_ptr<PeerNetwork>(new PeerNetwork(
-      Control, std::move(Acceptor), std::move(Self), std::move(Reactions)));
+  return std::unique_ptr<PeerNetwork>(
+      new PeerNetwork(Control, std::move(Acceptor), std::move(Self), Settings,
+                      std::move(Reactions)));
 }
 
 PeerNetwork::PeerNetwork(asio::io_context &Control, Tcp::acceptor Acceptor,
-                         VmId Self, Hooks Reactions)
+                         VmId Self, Options Settings, Hooks Reactions)
     : Control_(Control), Acceptor_(std::move(Acceptor)), Self_(std::move(Self)),
-      Hooks_(std::move(Reactions)) {
+      Options_(Settings), Hooks_(std::move(Reactions)) {
   acceptNext();
 }
 
@@ -128,7 +125,7 @@
 
 Awaitable<void> PeerNetwork::connect(VmId To, Endpoint Address) {
   Tcp::socket Socket(Control_);
-  asio::steady_timer Limit(Control_, ConnectTimeout);
+  asio::steady_timer Limit(Control_, Options_.ConnectTimeout_);
   Limit.async_wait([&Socket](const error_code &Error) {
     error_code Ignored;
     if (!Error)
--- a/Source/Process/PeerNetwork.h
+++ b/Source/Process/PeerNetwork.h
@@ -18,6 +18,11 @@
 
 class PeerNetwork {
 public:
+  struct Options {
+    /// Far longer than any way between two VMs: one that does not answer by
+    /// then is down or cut off.
+    std::chrono::milliseconds ConnectTimeout_{500};
+  };
   struct Hooks {
     /// A message on a link that \p From opened.
     std::function<void(const VmId &From, wire::EnvelopeT)> Asked_;
@@ -36,7 +41,7 @@
 
   static Result<std::unique_ptr<PeerNetwork>>
   create(boost::asio::io_context &Control, Endpoint Address, VmId Self,
-         Hooks Reactions);
+         Options Settings, Hooks Reactions);
 
   Endpoint address() const { return Acceptor_.local_endpoint(); }
   /// Sends on the link to \p To, which is opened when there is none.
@@ -54,7 +59,7 @@
   using Tcp = boost::asio::ip::tcp;
 
   PeerNetwork(boost::asio::io_context &Control, Tcp::acceptor Acceptor,
-              VmId Self, Hooks Reactions);
+              VmId Self, Options Settings, Hooks Reactions);
   void acceptNext();
   void startInbound(Tcp::socket Socket);
   void onInbound(const std::shared_ptr<FrameChannel> &Channel,
@@ -67,6 +72,7 @@
   boost::asio::io_context &Control_;
   Tcp::acceptor Acceptor_;
   VmId Self_;
+  Options Options_;
   Hooks Hooks_;
   std::map<VmId, Link> Links_;
   std::map<VmId, std::shared_ptr<FrameChannel>> Inbound_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -142,7 +142,7 @@
     return Known ? std::optional(Known->Address_) : std::nullopt;
   };
   auto Peers = PeerNetwork::create(Control_, Settings_.Peers_, Settings_.Vm_,
-                                   std::move(Hooks));
+                                   PeerNetwork::Options(), std::move(Hooks));
   if (!Peers)
     return Peers.error();
   Peers_ = std::move(*Peers);
--- a/Source/Programs/DaemonMain.cpp
+++ b/Source/Programs/DaemonMain.cpp
@@ -1,11 +1,13 @@
 #include "Programs/DaemonMain.h"
 
+#include "Common/CrashReport.h"
 #include "Common/Log.h"
 
 #include <fmt/format.h>
 
 #include <csignal>
 #include <cstdio>
+#include <unistd.h>
 
 namespace samphireshunt {
 
@@ -35,6 +37,7 @@
     initializeLog(Configured->Vm_.str(),
                   spdlog::level::from_str(Configured->LogLevel_),
                   Configured->LogOutput_);
+    reportCrashes(Configured->Vm_.str(), STDERR_FILENO);
     auto Started = Daemon::create(std::move(*Configured), std::move(Adapter));
     if (!Started)
       return reportFailure(Started.error());
