Let a connection's timeout share the state of what it closes

Cause: PeerNetwork::connect held its socket by reference in the handler of a timer. When the timeout is due in the turn in which the connection is made, the handler is queued already and can't be cancelled; the coroutine ends, and the handler closes what lies in its memory: a segmentation fault, or another connection's end.

Change: connectTcp() uses the stream's own timeout, whose handler holds the shared state weakly. A connection that is made by the time this process looks is used, so a pause of its own is no longer taken for the death of another daemon.

--- /dev/null
+++ b/Source/Connection/TcpConnect.cpp
@@ -0,0 +1,29 @@
+#include "Connection/TcpConnect.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+Awaitable<Result<asio::ip::tcp::socket>>
+connectTcp(Endpoint Address, std::chrono::milliseconds Timeout) {
+  // The stream's own timeout shares its state. The handler of a timer beside
+  // the socket can be queued already when the connection is made, outlive this
+  // coroutine, and close what lies in its memory by then.
+  beast::tcp_stream Stream(co_await asio::this_coro::executor);
+  beast::error_code Error;
+  Stream.expires_after(Timeout);
+  co_await Stream.async_connect(
+      Address, asio::redirect_error(asio::use_awaitable, Error));
+  if (Error)
+    co_return Failure{ResultCode::ConnectFailed,
+                      formatEndpoint(Address) + ": " + Error.message()};
+  co_return Stream.release_socket();
+}
+
+} // namespace samphireshunt
--- a/Source/Process/PeerNetwork.cpp
+++ b/Source/Process/PeerNetwork.cpp
@@ -1,9 +1,9 @@
 #include "Process/PeerNetwork.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include "Connection/TcpConnect.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -124,20 +124,9 @@
 }
 
 Awaitable<void> PeerNetwork::connect(VmId To, Endpoint Address) {
-  Tcp::socket Socket(Control_);
-  asio::steady_timer Limit(Control_, Options_.ConnectTimeout_);
-  Limit.async_wait([&Socket](const error_code &Error) {
-    error_code Ignored;
-    if (!Error)
-      Socket.close(Ignored);
-  });
-  auto [Error] = co_await Socket.async_connect(
-      Address, asio::as_tuple(asio::use_awaitable));
-  bool InTime = Limit.cancel() > 0 && Socket.is_open();
-  if (Error || !InTime) {
-    linkDown(To);
-    co_return;
-  }
+  auto Connected = co_await connectTcp(Address, Options_.ConnectTimeout_);
+  if (!Connected)
+    co_return linkDown(To);
   FrameChannel::Hooks Reactions;
   Reactions.Received_ = [this, To](wire::EnvelopeT Message) {
     Hooks_.Answered_(To, std::move(Message));
@@ -146,7 +135,7 @@
   Reactions.Awaiting_ = [this, To] { return Hooks_.Awaiting_(To); };
   Link &Target = Links_[To];
   Target.Channel_ = FrameChannel::create(
-      std::move(Socket), std::move(Reactions), FrameChannel::Timing());
+      std::move(*Connected), std::move(Reactions), FrameChannel::Timing());
   wire::HelloT Hello;
   Hello.vm = Self_.str();
   Target.Channel_->send(encodeMessage(std::move(Hello)));
