Take no pause of this process for the death of others, and probe suspects each period

Cause: timers that are due after a pause run before the acks that came meanwhile are read, so all that was asked counted as silent, and suspicions ended before their refutations were read. A suspect was probed again only in its turn of the round.

Change: a timer that comes 50 ms late or more moves the start of probes and suspicions by as much; two suspects are probed each period besides.

--- a/Source/Process/MemberTable.cpp
+++ b/Source/Process/MemberTable.cpp
@@ -111,6 +111,12 @@
   });
 }
 
+void MemberTable::extendSuspicions(std::chrono::steady_clock::duration Time) {
+  for (auto &[Id, Known] : Members_)
+    if (Known.Member_.Status_ == MemberStatus::Suspect)
+      Known.Since_ += Time;
+}
+
 void MemberTable::forgetDead(
     const std::function<bool(const VmId &)> &IsListed) {
   std::erase_if(Members_, [&](const auto &Item) {
@@ -139,9 +145,24 @@
 
 std::vector<Member> MemberTable::randomMembers(std::size_t Count,
                                                const VmId &Excluded) {
+  return sample(Count, [&](const Member &Candidate) {
+    return Candidate.Id_ != Excluded &&
+           Candidate.Status_ < MemberStatus::Suspect;
+  });
+}
+
+std::vector<Member> MemberTable::suspects(std::size_t Count) {
+  return sample(Count, [](const Member &Candidate) {
+    return Candidate.Status_ == MemberStatus::Suspect;
+  });
+}
+
+std::vector<Member>
+MemberTable::sample(std::size_t Count,
+                    const std::function<bool(const Member &)> &Wanted) {
   std::vector<Member> Candidates;
   for (const auto &[Id, Known] : Members_)
-    if (Id != Excluded && Known.Member_.Status_ < MemberStatus::Suspect)
+    if (Wanted(Known.Member_))
       Candidates.push_back(Known.Member_);
   std::vector<Member> Chosen;
   std::ranges::sample(Candidates, std::back_inserter(Chosen),
--- a/Source/Process/MemberTable.h
+++ b/Source/Process/MemberTable.h
@@ -66,8 +66,14 @@
   /// Forgets a dead member: the platform says that its VM is gone.
   void forgetDead(const std::function<bool(const VmId &)> &IsListed);
 
+  /// This process was not let run for \p Time: what others sent meanwhile lies
+  /// unread, refutations among it. Suspicions last longer by as much.
+  void extendSuspicions(std::chrono::steady_clock::duration Time);
+
   /// The next member to probe, each once in a random round.
   std::optional<Member> nextProbe();
+  /// Up to \p Count members that are suspect, at random.
+  std::vector<Member> suspects(std::size_t Count);
   /// Up to \p Count members other than \p Excluded, at random.
   std::vector<Member> randomMembers(std::size_t Count, const VmId &Excluded);
   /// Updates for the next message, the least often sent first.
@@ -92,6 +98,8 @@
     std::uint32_t Sent_ = 0;
   };
   void refute(const Member &Update);
+  std::vector<Member> sample(std::size_t Count,
+                             const std::function<bool(const Member &)> &Wanted);
   void change(Entry &Target, const Member &Update, TimePoint Now);
   std::uint32_t maxTransmissions() const;
 
--- a/Source/Process/MembershipService.cpp
+++ b/Source/Process/MembershipService.cpp
@@ -15,6 +15,10 @@
 
 /// How often acks are checked between two periods.
 constexpr milliseconds CheckInterval{50};
+/// A timer that comes so late shows that this process was not let run.
+constexpr milliseconds OwnDelay{50};
+/// Suspects that are probed each period, besides the round.
+constexpr std::size_t SuspectProbes = 2;
 
 std::unique_ptr<wire::MemberT> memberToWire(const Member &Value) {
   auto Target = std::make_unique<wire::MemberT>();
@@ -87,6 +91,7 @@
   PeriodTimer_.async_wait([this](const error_code &Error) {
     if (Error)
       return;
+    notePause(steady_clock::now() - PeriodTimer_.expiry());
     checkPending();
     Members_.tick(steady_clock::now());
     if (steady_clock::now() >= NextPeriod_)
@@ -95,10 +100,27 @@
   });
 }
 
+/// After a pause of this process its timers are due before the acks that came
+/// meanwhile are read: without this it takes all that it has asked for dead,
+/// their keepers change, and their requests move.
+void MembershipService::notePause(steady_clock::duration Late) {
+  if (Late < OwnDelay)
+    return;
+  // And one interval more, in which the acks are read.
+  for (auto &[Sequence, Probe] : Pending_)
+    Probe.Started_ += Late + CheckInterval;
+  Members_.extendSuspicions(Late);
+}
+
 void MembershipService::onPeriod() {
   NextPeriod_ = steady_clock::now() + Options_.Period_;
   if (auto Target = Members_.nextProbe())
     probe(*Target);
+  // A suspect hears of it by gossip only after some periods; the probe tells it
+  // at once, and its ack refutes. In a round of 74 members its turn would come
+  // half a minute later, long after it is taken for dead.
+  for (const Member &Target : Members_.suspects(SuspectProbes))
+    probe(Target);
 }
 
 void MembershipService::probe(const Member &Target) {
--- a/Source/Process/MembershipService.h
+++ b/Source/Process/MembershipService.h
@@ -79,6 +79,7 @@
   void onAck(const wire::ProbeAckT &Ack);
   template <class Message> void learn(const Message &Heard);
   template <class Message> void fill(Message &Target);
+  void notePause(std::chrono::steady_clock::duration Late);
   void onPeriod();
   void schedule();
   void checkPending();
--- a/UnitTests/Process/MemberTableTest.cpp
+++ b/UnitTests/Process/MemberTableTest.cpp
@@ -117,3 +117,29 @@
   std::ranges::sort(Probed);
   CHECK(Probed == std::vector{VmId("a"), VmId("b"), VmId("c"), VmId("d")});
 }
+
+TEST_CASE("a suspicion lasts longer by the time that this process paused") {
+  // 1,082 daemons that all ran were taken for dead in five seconds: after a
+  // pause the suspicion's time was over before the refutation was read.
+  MemberTable Table(member("self"), {});
+  Table.merge(member("a"), Start);
+  Table.suspect(VmId("a"), Start);
+  Table.extendSuspicions(milliseconds(1000));
+  Table.tick(Start + milliseconds(2400));
+  CHECK(Table.find(VmId("a"))->Status_ == MemberStatus::Suspect);
+  Table.tick(Start + milliseconds(2500));
+  CHECK(Table.find(VmId("a"))->Status_ == MemberStatus::Dead);
+}
+
+TEST_CASE("suspects are known apart, up to a number") {
+  MemberTable Table(member("self"), {});
+  for (const char *Name : {"a", "b", "c", "d"})
+    Table.merge(member(Name), Start);
+  CHECK(Table.suspects(2).empty());
+  Table.suspect(VmId("b"), Start);
+  REQUIRE(Table.suspects(2).size() == 1);
+  CHECK(Table.suspects(2).front().Id_ == VmId("b"));
+  Table.suspect(VmId("c"), Start);
+  Table.suspect(VmId("d"), Start);
+  CHECK(Table.suspects(2).size() == 2);
+}
