Benchmark: what a configuration costs the thread that takes it in

Why: beside configurations with many routes daemons serve nobody for a while; which step takes the time was not known.

--- /dev/null
+++ b/Bench/AdoptionCost.cpp
@@ -0,0 +1,267 @@
+/// \file
+/// What a configuration costs the thread that takes it in, by its number of
+/// routes: microseconds of processor time and bytes allocated, step by step.
+
+#include "Common/Hash.h"
+#include "Process/ChangeLog.h"
+#include "Process/DirectoryView.h"
+#include "Process/KeeperService.h"
+#include "platform/Configuration.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <new>
+#include <utility>
+
+namespace {
+
+std::size_t AllocatedBytes = 0;
+std::size_t Allocations = 0;
+
+} // namespace
+
+void *operator new(std::size_t Size) {
+  AllocatedBytes += Size;
+  ++Allocations;
+  if (void *Space = std::malloc(Size))
+    return Space;
+  throw std::bad_alloc();
+}
+
+void operator delete(void *Space) noexcept { std::free(Space); }
+void operator delete(void *Space, std::size_t) noexcept { std::free(Space); }
+
+using namespace samphireshunt;
+
+namespace {
+
+constexpr int CustomerCount = 16;
+constexpr int KeysPerCustomer = 2;
+/// The engines and application servers of a middle-sized deployment.
+constexpr int EngineCount = 112;
+constexpr int ApplicationCount = 6;
+constexpr int MemberCount = 76;
+constexpr const char *Host = "front.example";
+
+std::string routesText(std::int64_t Count) {
+  std::string Text;
+  for (std::int64_t Index = 0; Index < Count; ++Index)
+    Text += fmt::format(
+        R"({}{{"name":"route-{:05}","hostname":"{}","prefix":"/idle/{:05}/",)"
+        R"("kind":"streaming","timeout-ms":12000,"goal-ms":600,"priority":{},)"
+        R"("attempts":1,"anonymous":false,"sticky":false,"resumable":false,)"
+        R"("gap-target-ms":300,"service":"engines"}})",
+        Index > 0 ? "," : "", Index, Host, Index, Index % 3);
+  return Text;
+}
+
+std::string customersText() {
+  std::string Text;
+  for (int Index = 0; Index < CustomerCount; ++Index) {
+    std::string Keys;
+    for (int Key = 0; Key < KeysPerCustomer; ++Key)
+      Keys += fmt::format(R"({}"key-{}-{}")", Key > 0 ? "," : "", Index, Key);
+    Text += fmt::format(R"({}{{"name":"customer-{}","api-keys":[{}],)"
+                        R"("unit":"tokens","plain-tokens":200,)"
+                        R"("rate-per-s":36000,"burst":1000}})",
+                        Index > 0 ? "," : "", Index, Keys);
+  }
+  return Text;
+}
+
+/// A configuration as the platform holds it.
+std::string configurationText(std::int64_t Routes) {
+  return fmt::format(
+      R"({{"version":7,"routes":[{}],"services":[{{"name":"engines",)"
+      R"("max-conns":570,"backend":{{"batch-size":7,"kv-capacity":497040}}}},)"
+      R"({{"name":"plain","max-conns":520}}],"limits":{{"max-header-bytes":)"
+      R"(16384,"max-body-bytes":4194304}},"tenants":[{}]}})",
+      routesText(Routes), customersText());
+}
+
+BackendServer server(int Index, std::uint64_t Process) {
+  BackendServer Built;
+  Built.Name_ = ServerName(fmt::format("instance-of-a-zone-{:04}", Index));
+  Built.Address_ = {boost::asio::ip::make_address("10.1.2.3"),
+                    static_cast<std::uint16_t>(1000 + Index)};
+  Built.DataCenter_ = DataCenterName("data-center");
+  Built.Incarnation_ = Incarnation(Process);
+  return Built;
+}
+
+/// All servers; one of them has started again for each \p Process.
+ServersByPool servers(std::uint64_t Process) {
+  ServersByPool All;
+  for (int Index = 0; Index < EngineCount; ++Index)
+    All[PoolName("engines")].push_back(server(Index, Index ? 1 : Process));
+  for (int Index = 0; Index < ApplicationCount; ++Index)
+    All[PoolName("plain")].push_back(server(EngineCount + Index, 1));
+  return All;
+}
+
+ReadConfiguration read(const std::string &Text) {
+  auto Read = platform::readConfiguration(Text);
+  if (!Read)
+    throw std::runtime_error(Read.error().Detail_);
+  return *Read;
+}
+
+/// Counts what is allocated in the loop of one benchmark.
+class AllocationCount {
+public:
+  explicit AllocationCount(benchmark::State &State) : State_(State) {}
+  ~AllocationCount() {
+    auto Rate = benchmark::Counter::kAvgIterations;
+    auto Bytes = static_cast<double>(AllocatedBytes - BytesBefore_);
+    auto Times = static_cast<double>(Allocations - TimesBefore_);
+    State_.counters["bytes"] = benchmark::Counter(Bytes, Rate);
+    State_.counters["allocations"] = benchmark::Counter(Times, Rate);
+  }
+
+private:
+  benchmark::State &State_;
+  std::size_t BytesBefore_ = AllocatedBytes;
+  std::size_t TimesBefore_ = Allocations;
+};
+
+void parseTree(benchmark::State &State) {
+  std::string Text = configurationText(State.range(0));
+  AllocationCount Count(State);
+  for (auto Step : State)
+    benchmark::DoNotOptimize(nlohmann::json::parse(Text));
+}
+
+void readWhole(benchmark::State &State) {
+  std::string Text = configurationText(State.range(0));
+  AllocationCount Count(State);
+  for (auto Step : State)
+    benchmark::DoNotOptimize(read(Text));
+}
+
+void digestKeys(benchmark::State &State) {
+  AllocationCount Count(State);
+  for (auto Step : State)
+    for (int Key = 0; Key < CustomerCount * KeysPerCustomer; ++Key)
+      benchmark::DoNotOptimize(sha256Hex("key-of-a-customer"));
+}
+
+void adopt(benchmark::State &State) {
+  ReadConfiguration Read = read(configurationText(State.range(0)));
+  DocumentStore Store;
+  const ServiceName &Service = Read.Document_->Service_;
+  Store.setServers(Service, servers(1));
+  std::uint64_t Version = 0;
+  AllocationCount Count(State);
+  for (auto Step : State)
+    Store.adopt(Service, DocumentVersion(++Version), Read.Document_);
+}
+
+void changeServer(benchmark::State &State) {
+  ReadConfiguration Read = read(configurationText(State.range(0)));
+  DocumentStore Store;
+  const ServiceName &Service = Read.Document_->Service_;
+  Store.adopt(Service, Read.Version_, Read.Document_);
+  ServersByPool All = servers(1);
+  AllocationCount Count(State);
+  for (auto Step : State)
+    Store.setServers(Service, All);
+}
+
+/// The last step of an adoption and of a change of servers: the keeper's cells.
+void refreshKeeper(benchmark::State &State) {
+  ReadConfiguration Read = read(configurationText(State.range(0)));
+  DocumentStore Store;
+  const ServiceName &Service = Read.Document_->Service_;
+  Store.setServers(Service, servers(1));
+  Store.adopt(Service, Read.Version_, Read.Document_);
+  Member Self;
+  Self.Id_ = VmId("vm-0");
+  MemberTable Members(Self, MemberTable::Options());
+  for (int Index = 1; Index < MemberCount; ++Index) {
+    Member Other;
+    Other.Id_ = VmId(fmt::format("vm-{}", Index));
+    Members.merge(Other, TimePoint());
+  }
+  KeeperService::Hooks Hooks;
+  Hooks.Decided_ = [](const CellId &, const Decision &) {};
+  Hooks.AloneInFleet_ = [] { return false; };
+  Hooks.FloorRaised_ = [] {};
+  Hooks.LiveShare_ = [&] { return Members.liveShare(); };
+  Hooks.IsKeeper_ = [&](const CellId &Cell) {
+    std::vector<Member> Candidates = Members.keepers();
+    const Member *Keeper = keeperOf(Cell, Candidates);
+    // The cost is that of a daemon that keeps all cells.
+    return Keeper != nullptr;
+  };
+  boost::asio::io_context Control;
+  KeeperService Keeper(Control, Store, KeeperService::Options(),
+                       std::move(Hooks));
+  Keeper.refresh();
+  AllocationCount Count(State);
+  for (auto Step : State)
+    Keeper.refresh();
+}
+
+/// What a request looks up.
+void findRoute(benchmark::State &State) {
+  ReadConfiguration Read = read(configurationText(State.range(0)));
+  std::string Path = fmt::format("/idle/{:05}/x", State.range(0) / 2);
+  AllocationCount Count(State);
+  for (auto Step : State)
+    benchmark::DoNotOptimize(Read.Document_->route(Path, Host));
+}
+
+/// What is kept of a configuration for other daemons.
+void noteForFollowers(benchmark::State &State) {
+  KeyValue Entry;
+  Entry.Key_ = "configuration";
+  Entry.Value_ = configurationText(State.range(0));
+  ChangeLog Log;
+  std::uint64_t Revisions = 0;
+  AllocationCount Count(State);
+  for (auto Step : State) {
+    Entry.Revision_ = Revision(++Revisions);
+    Log.set(Entry);
+  }
+}
+
+/// An answer to one follower, before it is encoded.
+void tellFollower(benchmark::State &State) {
+  KeyValue Entry;
+  Entry.Key_ = "configuration";
+  Entry.Value_ = configurationText(State.range(0));
+  ChangeLog Log;
+  Log.set(Entry);
+  AllocationCount Count(State);
+  for (auto Step : State)
+    benchmark::DoNotOptimize(Log.since(0));
+}
+
+void byRoutes(benchmark::internal::Benchmark *Target) {
+  for (std::int64_t Routes : {100, 1400, 4200, 14000})
+    Target->Arg(Routes);
+  Target->Unit(benchmark::kMicrosecond);
+}
+
+BENCHMARK(parseTree)->Apply(byRoutes);
+BENCHMARK(readWhole)->Apply(byRoutes);
+BENCHMARK(digestKeys)->Unit(benchmark::kMicrosecond);
+BENCHMARK(adopt)->Apply(byRoutes);
+BENCHMARK(changeServer)->Apply(byRoutes);
+BENCHMARK(refreshKeeper)->Apply(byRoutes);
+BENCHMARK(findRoute)->Apply(byRoutes);
+BENCHMARK(noteForFollowers)->Apply(byRoutes);
+BENCHMARK(tellFollower)->Apply(byRoutes);
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  spdlog::set_level(spdlog::level::off);
+  benchmark::Initialize(&Count, Arguments);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
