Test that nothing is dispatched for a caller that left during a pause

The test: the connection to the server is made and the caller closes before the next turn; the connection's event comes first. Its order is fixed: a listener that no coroutine serves shows between two handlers that the connection was begun.

--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -305,6 +305,25 @@
   CHECK(Path.received() == 1);
 }
 
+TEST_CASE(
+    "a caller that left while the process was held up is not dispatched") {
+  // Requests reached engines 0.6 s after their callers had left, at a daemon
+  // that had just taken in a configuration with many routes: its thread serves
+  // nobody meanwhile, over 200 ms for 4,200 routes on an eighth of a core. A
+  // caller gives up and a connection to an engine is made in such a pause, so
+  // both events are due in one turn; where the connection's comes first, the
+  // whole request is at the engine before the caller's leaving is looked at.
+  BareListener Server;
+  ForwardingHarness Path(kind(RequestKind::Idempotent), {});
+  Path.publishAt(Server.address());
+  auto Saw = Path.begin("c1");
+  // The connection stands; the request's coroutine has not been told yet.
+  REQUIRE(Path.runUntil([&] { return Server.connected(); }));
+  ForwardingHarness::leave(*Saw);
+  CHECK(Path.runUntil([&] { return Server.closed(); }));
+  CHECK(Server.received() == "");
+}
+
 TEST_CASE("a key that is taken away while its request waits does not run") {
   // Symptom: a request runs seconds after its key was taken away.
   // Sequence: a request waits for a place; a configuration takes its key away;
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -120,6 +120,41 @@
   }
 }
 
+BareListener::BareListener()
+    : Acceptor_(Context_, anyPort()), Socket_(Context_) {
+  Acceptor_.non_blocking(true);
+}
+
+bool BareListener::connected() {
+  boost::system::error_code Error;
+  if (!Socket_.is_open())
+    Acceptor_.accept(Socket_, Error);
+  return Socket_.is_open();
+}
+
+void BareListener::read() {
+  if (!connected() || Closed_)
+    return;
+  std::array<char, ReadBytes> Space;
+  boost::system::error_code Error;
+  Socket_.non_blocking(true);
+  while (!Error) {
+    std::size_t Count = Socket_.read_some(asio::buffer(Space), Error);
+    Received_.append(Space.data(), Count);
+  }
+  Closed_ = Error != asio::error::would_block;
+}
+
+const std::string &BareListener::received() {
+  read();
+  return Received_;
+}
+
+bool BareListener::closed() {
+  read();
+  return Closed_;
+}
+
 int CallerSaw::status() const {
   constexpr std::size_t StatusAt = 9;
   constexpr std::size_t StatusDigits = 3;
@@ -216,6 +251,14 @@
   Documents_.setServers(Service, {{ThePool, std::move(Listed)}});
 }
 
+void ForwardingHarness::publishAt(const Endpoint &Address) {
+  BackendServer Built;
+  Built.Name_ = ServerName("server-0");
+  Built.Address_ = Address;
+  Built.MaxInFlight_ = Options_.MaxInFlight_;
+  Documents_.setServers(Service, {{ThePool, {std::move(Built)}}});
+}
+
 void ForwardingHarness::adopt(std::vector<std::string> Keys) {
   Document Built;
   Built.Service_ = Service;
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -55,6 +55,30 @@
   std::size_t Closed_ = 0;
 };
 
+/// A listening socket that no coroutine serves: it shows what has reached it
+/// between two handlers of a harness, without taking a turn itself.
+class BareListener {
+public:
+  BareListener();
+
+  Endpoint address() const { return Acceptor_.local_endpoint(); }
+  /// True once a connection was made to it.
+  bool connected();
+  /// All bytes of the first connection so far.
+  const std::string &received();
+  /// True once the other side has closed the first connection.
+  bool closed();
+
+private:
+  void read();
+
+  boost::asio::io_context Context_{1};
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  boost::asio::ip::tcp::socket Socket_;
+  std::string Received_;
+  bool Closed_ = false;
+};
+
 /// What a caller saw: all bytes until its answer was whole, or the end.
 struct CallerSaw {
   std::string Bytes_;
@@ -98,6 +122,8 @@
   /// Publishes the directory; \p Leaving and \p Gone are indexes of servers.
   void publish(std::vector<std::size_t> Leaving = {},
                std::vector<std::size_t> Gone = {});
+  /// Publishes a directory with one server, at this address.
+  void publishAt(const Endpoint &Address);
   /// Puts a configuration in force with these keys.
   void adopt(std::vector<std::string> Keys);
   FreshnessLease &lease() { return Lease_; }
