Look at the caller's connection itself just before a dispatch

Cause: that a caller left was known by an event only. After a pause of the process the event may wait behind the one that lets the request go on, and the request leaves for nobody. Change: HttpExchange::hasCallerLeft() peeks at the socket; asked after the last wait before a dispatch, of forwarded, model and application requests. One system call more for each dispatch. Ruled out: to handle the queue first (post the dispatch once more): the event is only due after the next look at the sockets, so one turn more proves nothing.

--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -74,6 +74,9 @@
   /// Calls \p Hook once, on the exchange's executor, when the caller closes
   /// its side before the answer is sent.
   virtual void onCallerLeft(std::function<void()> Hook) = 0;
+  /// Looks at the connection itself: true when the caller has closed its side
+  /// by now, also where the event of it still waits for its turn.
+  virtual bool hasCallerLeft() = 0;
 };
 
 using HttpHandler = std::function<Awaitable<void>(HttpExchange &)>;
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -164,6 +164,19 @@
         });
   }
 
+  /// Only a look at the bytes can tell an end from a pipelined request.
+  bool hasCallerLeft() override {
+    if (!Stream_.socket().is_open())
+      return true;
+    char Byte = 0;
+    beast::error_code Error;
+    Stream_.socket().non_blocking(true, Error);
+    std::size_t Count = Stream_.socket().receive(
+        asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
+    return (Error && Error != asio::error::would_block) ||
+           (!Error && Count == 0);
+  }
+
 private:
   template <class Buffers> Awaitable<bool> writeBuffers(const Buffers &Data) {
     beast::error_code Error;
@@ -262,18 +275,11 @@
   }
 
   /// The socket is readable during the answer: a pipelined request, or the
-  /// caller's end of the connection. Only a look at the bytes can tell.
+  /// caller's end of the connection.
   void reportCallerLeft() {
     if (!Watching_ || !Stream_.socket().is_open())
       return;
-    char Byte = 0;
-    beast::error_code Error;
-    Stream_.socket().non_blocking(true, Error);
-    std::size_t Count = Stream_.socket().receive(
-        asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
-    bool Gone =
-        (Error && Error != asio::error::would_block) || (!Error && Count == 0);
-    if (Gone && CallerLeft_)
+    if (hasCallerLeft() && CallerLeft_)
       std::exchange(CallerLeft_, nullptr)();
   }
 
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -241,7 +241,13 @@
     }
     if (Options.BeforeDispatch_)
       Refused = Options.BeforeDispatch_();
-    if (Refused || Wait->hasCallerLeft()) {
+    // After a pause of this process the event of the caller's leaving may still
+    // wait for its turn: engines would get requests that nobody waits for, with
+    // callers gone for as long as the pause was. So its connection is looked
+    // at.
+    bool CallerLeft =
+        Wait->hasCallerLeft() || Context.Exchange_.hasCallerLeft();
+    if (Refused || CallerLeft) {
       Grants.done(Context.Id_, ServedSample());
       Ended = Refused ? std::move(*Refused) : notRun(ResultCode::CallerLeft);
       break;
