--- a/UnitTests/platform/ConfigurationTest.cpp
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -208,6 +208,70 @@
         textOf(platform::readConfiguration(Written.dump())));
 }
 
+TEST_CASE("a route with a wrong or missing member is not taken") {
+  // With an empty list of services to split over, the first of them was taken
+  // all the same: whatever lay in that memory became the route's service.
+  const std::vector<std::pair<std::string, Json>> Wrong = {
+      {"name", 5},
+      {"hostname", nullptr},
+      {"prefix", Json::array()},
+      {"kind", true},
+      {"resumable", 1},
+      {"anonymous", "no"},
+      {"attempts", "2"},
+      {"attempts", -1},
+      {"priority", 1e18},
+      {"priority", Json::object()},
+      {"backends", Json::array()},
+      {"backends", "engines"},
+      {"backends", Json::object()},
+      {"backends", Json::array({5})},
+      {"backends", Json::array({Json::array({5})})},
+      {"backends", Json::array({{{"weight", 1}}})},
+      {"backends", Json::array({{{"service", 1}}})},
+      {"backends", Json::array({{{"service", "a"}, {"weight", "1"}}})}};
+  for (const auto &[Field, Value] : Wrong) {
+    CAPTURE(Field);
+    CAPTURE(Value.dump());
+    Json Changed = example();
+    Changed["routes"][0][Field] = Value;
+    auto Read = platform::readConfiguration(Changed.dump());
+    REQUIRE_FALSE(Read.has_value());
+    CHECK(Read.error().Code_ == ResultCode::DocumentSchema);
+    CHECK(Read.error().Detail_ != "");
+  }
+  for (const char *Field : {"name", "hostname", "prefix", "kind", "service"}) {
+    CAPTURE(Field);
+    Json Changed = example();
+    Changed["routes"][1].erase(Field);
+    CHECK_FALSE(platform::readConfiguration(Changed.dump()).has_value());
+  }
+}
+
+TEST_CASE("members of a route that are absent, unknown or no times have their "
+          "defaults") {
+  Json Changed = example();
+  Json &Written = Changed["routes"][1];
+  for (const char *Field : {"timeout-ms", "attempts", "priority"})
+    Written.erase(Field);
+  Written["goal-ms"] = nullptr;
+  Written["gap-target-ms"] = "soon";
+  Written["labels"] = {{"name", "x"}, {"backends", Json::array({1})}};
+  Written["numbers"] = Json::array({1, {{"service", 2}}});
+  auto Read = platform::readConfiguration(Changed.dump());
+  REQUIRE(Read.has_value());
+  const Route &Known = *Read->Document_->Routes_[1];
+  CHECK(Known.Name_ == "r-2");
+  const ForwardingRule &Rule = *Known.Forwarding_;
+  CHECK(Rule.Timeout_ == milliseconds(30000));
+  CHECK(Rule.Objective_ == milliseconds(30000));
+  CHECK(Rule.MaxEventGap_ == milliseconds(0));
+  CHECK(Rule.MaxAttempts_ == 1);
+  CHECK(Rule.Tier_ == TierIndex(0));
+  REQUIRE(Rule.Targets_.size() == 1);
+  CHECK(Rule.Targets_[0].Pool_ == PoolName("plain"));
+}
+
 TEST_CASE("an unusual text of a configuration is read like any other") {
   std::string Plain = example().dump();
   std::string Expected = textOf(platform::readConfiguration(Plain));
