--- a/UnitTests/platform/ConfigurationTest.cpp
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -230,11 +230,11 @@
       {"backends", Json::array({{{"weight", 1}}})},
       {"backends", Json::array({{{"service", 1}}})},
       {"backends", Json::array({{{"service", "a"}, {"weight", "1"}}})}};
-  for (const auto &[Field, Value] : Wrong) {
-    CAPTURE(Field);
-    CAPTURE(Value.dump());
+  for (const auto &Change : Wrong) {
+    CAPTURE(Change.first);
+    CAPTURE(Change.second.dump());
     Json Changed = example();
-    Changed["routes"][0][Field] = Value;
+    Changed["routes"][0][Change.first] = Change.second;
     auto Read = platform::readConfiguration(Changed.dump());
     REQUIRE_FALSE(Read.has_value());
     CHECK(Read.error().Code_ == ResultCode::DocumentSchema);
