Look at a server itself for whether it may get work

Cause: a cell's configuration looked each of its servers up by name among all of the pool, though it held them.

--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -103,8 +103,7 @@
     return Target.Scheduler_.configure({}, {}, 1, 1);
   std::vector<ServerCapacity> Servers;
   for (const BackendServer *Server : cellServers(*Whole, Cell.Index_)) {
-    bool Active = Snapshot->activeServer(Cell.Service_, Cell.Pool_,
-                                         Server->Name_) != nullptr;
+    bool Active = Snapshot->isActive(*Server);
     Servers.push_back(
         {Server->Name_, Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
          Whole->CacheTokens_, Options_.AheadPerServer_, Server->Incarnation_});
--- a/Source/Version/DocumentStore.cpp
+++ b/Source/Version/DocumentStore.cpp
@@ -28,6 +28,10 @@
   return Found == Services_.end() ? nullptr : &Found->second;
 }
 
+bool ConfigurationSnapshot::isActive(const BackendServer &Server) const {
+  return !Server.Leaving_ && !LeavingAddresses_.contains(Server.Address_);
+}
+
 const BackendServer *
 ConfigurationSnapshot::activeServer(const ServiceName &Service,
                                     const PoolName &Pool,
@@ -37,9 +41,7 @@
     return nullptr;
   const auto *Servers = Configuration->pool(Pool);
   const BackendServer *Found = Servers ? Servers->find(Server) : nullptr;
-  if (!Found || Found->Leaving_ || LeavingAddresses_.contains(Found->Address_))
-    return nullptr;
-  return Found;
+  return Found && isActive(*Found) ? Found : nullptr;
 }
 
 DocumentStore::DocumentStore()
--- a/Source/Version/DocumentStore.h
+++ b/Source/Version/DocumentStore.h
@@ -40,7 +40,9 @@
   /// The service of a Host header; the only service when no host is declared.
   const ServiceConfiguration *serviceForHost(std::string_view Host) const;
   const ServiceConfiguration *service(const ServiceName &Name) const;
-  /// The server, unless it is unknown or leaving: it may get new work now.
+  /// True unless the server is leaving: it may get new work now.
+  bool isActive(const BackendServer &Server) const;
+  /// The server, unless it is unknown or leaving.
   const BackendServer *activeServer(const ServiceName &Service,
                                     const PoolName &Pool,
                                     const ServerName &Server) const;
