Test: look at a path's next byte only where the path begins with the prefix

The scan that routes are compared with read past a path that is shorter than the prefix; what it found did not depend on it. Seen by the address sanitizer (-O1 -g1 -fsanitize=address): Unit.Version failed, now it, Unit.platform and Unit.Request pass under it (10, 47 and 39 cases).

--- a/UnitTests/Version/DocumentTest.cpp
+++ b/UnitTests/Version/DocumentTest.cpp
@@ -28,9 +28,11 @@
   for (const auto &Candidate : Whole.Routes_) {
     const std::string &Prefix = Candidate->PathPrefix_;
     bool OfHost = Candidate->Host_.empty() || Candidate->Host_ == Host;
+    if (!OfHost || !Path.starts_with(Prefix))
+      continue;
     bool AtName = Prefix.ends_with('/') || Path.size() == Prefix.size() ||
                   Path[Prefix.size()] == '/';
-    if (!OfHost || !Path.starts_with(Prefix) || !AtName)
+    if (!AtName)
       continue;
     if (!Best || Prefix.size() > Best->PathPrefix_.size())
       Best = Candidate.get();
