Tests, failing: decisions are told on the stack of the walk that makes them

Sight: a keeper tells its decisions while it walks through its cells, and a request of the same process calls back on that stack. The tests tell which calls do (all eight that can decide: ask, withdrawal, end, grant handed back, entry's new link and death, another keeper's floor, new configuration), and what it costs now that no map is changed beneath a walk any more: - a cell that moves to another keeper leaves 80 requests at 40 places: each that is withdrawn to move frees its place for one that is about to move as well; - a grant is told although it was taken back; - a keeper that was passed over can still refuse a request that another one is asked for.

--- a/UnitTests/Process/GrantClientTest.cpp
+++ b/UnitTests/Process/GrantClientTest.cpp
@@ -187,6 +187,10 @@
     Asked.Customer_ = CustomerName("c");
     Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
     Client_.acquire(Cell, Asked, [](const GrantAnswer &) {});
+    settle();
+  }
+  /// Works off all that was posted.
+  void settle() {
     Control_.restart();
     Control_.poll();
   }
@@ -274,3 +278,38 @@
     return Daemon.Told_.count(Moved) == 1;
   }));
 }
+
+TEST_CASE("a cell that moves gives no place to what moves with it") {
+  // Engines of one place each got two requests when their cell moved to another
+  // keeper: 40 ran, and 80 did after the move. Each request that was withdrawn
+  // to move freed its place; it went to one that waited, at once and at the
+  // keeper that was about to be left, while the next keeper was told that the
+  // first one still runs.
+  constexpr std::uint64_t Places = 40;
+  OwnKeeper Daemon(Places);
+  for (std::uint64_t Number = 1; Number <= 5 * Places; ++Number)
+    Daemon.acquire(Number);
+  REQUIRE(Daemon.Client_.running() == Places);
+  Daemon.OtherKeeps_ = true;
+  Daemon.Client_.rebind();
+  Daemon.settle();
+  CHECK(Daemon.Client_.running() == Places);
+  CHECK(Daemon.Client_.waiting() == 4 * Places);
+}
+
+TEST_CASE("only the keeper that is asked now can refuse") {
+  // A request ends with a refusal although its keeper has room: an earlier one,
+  // that was passed over for its late answers, refuses it after all.
+  Entry Asking;
+  Asking.acquire();
+  Asking.Client_.onLinkDown(VmId("first"));
+  REQUIRE(Asking.sent("second", wire::Body::Ask) == 1);
+  RefuseDecision Late{
+      Id, ResultCode::WaitTooLong, std::chrono::milliseconds(0), {}};
+  Asking.Client_.onDecision(Late, VmId("first"));
+  Asking.settle();
+  CHECK(Asking.Answers_.empty());
+  Asking.grantFrom("second", "e1");
+  REQUIRE(Asking.Answers_.size() == 1);
+  CHECK(Asking.Answers_.front().Code_ == ResultCode::Ok);
+}
--- a/UnitTests/Process/KeeperServiceTest.cpp
+++ b/UnitTests/Process/KeeperServiceTest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 
 using namespace samphireshunt;
@@ -24,22 +25,46 @@
       : Keeper_(Control_, withOneEngine(Documents_), options(), hooks()) {}
 
   void ask(std::uint64_t Number, const CellId &Of = Cell) {
+    Keeper_.ask(Of, asked(Number));
+    settle();
+  }
+  static AskedRequest asked(std::uint64_t Number) {
     AskedRequest Asked;
     Asked.Id_ = {1, Number};
     Asked.Customer_ = CustomerName("c");
     Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
     Asked.Entry_ = Entry;
-    Keeper_.ask(Of, std::move(Asked));
+    return Asked;
+  }
+  /// Works off all that was posted.
+  void settle() {
+    Control_.restart();
+    Control_.poll();
   }
   bool granted(std::uint64_t Number) const {
     return std::ranges::count(Granted_, RequestId{1, Number}) > 0;
   }
+  /// How often others were told of something while \p Call ran, and by what was
+  /// posted until then.
+  std::pair<int, int> toldDuringAndAfter(const std::function<void()> &Call) {
+    int Before = Told_;
+    Call();
+    int During = Told_;
+    settle();
+    return {During - Before, Told_ - During};
+  }
+  /// Puts a configuration in force whose only engine leaves.
+  void letEngineLeave() {
+    adopt(Documents_, DocumentVersion(2), true);
+    Keeper_.refresh();
+  }
 
   boost::asio::io_context Control_;
   DocumentStore Documents_;
   std::vector<RequestId> Granted_;
   std::vector<RequestId> Orphans_;
   std::map<RequestId, ResultCode> Refused_;
+  int Told_ = 0;
   KeeperService Keeper_;
 
 private:
@@ -50,30 +75,37 @@
     return Options;
   }
   static DocumentStore &withOneEngine(DocumentStore &Documents) {
+    adopt(Documents, DocumentVersion(1), false);
+    return Documents;
+  }
+  static void adopt(DocumentStore &Documents, DocumentVersion Version,
+                    bool Leaving) {
     Document Built;
     Built.Service_ = Service;
-    Built.Tiers_ = {"0"};
+    Built.Tiers_ = {"0", "1"};
     Pool Target;
     Target.Name_ = ThePool;
     BackendServer Engine;
     Engine.Name_ = ServerName("engine");
     Engine.MaxInFlight_ = 1;
+    Engine.Leaving_ = Leaving;
     Target.Servers_.push_back(Engine);
     Built.Pools_.push_back(std::move(Target));
     Built.buildIndex();
-    Documents.adopt(Service, DocumentVersion(1),
+    Documents.adopt(Service, Version,
                     std::make_shared<const Document>(std::move(Built)));
-    return Documents;
   }
   KeeperService::Hooks hooks() {
     KeeperService::Hooks Hooks;
     Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
+      ++Told_;
       if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
         Granted_.push_back(Grant->Id_);
       if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken))
         Refused_[Refusal->Id_] = Refusal->Code_;
     };
     Hooks.Orphaned_ = [this](const OrphanedRequest &Orphan) {
+      ++Told_;
       Orphans_.push_back(Orphan.Request_.Id_);
     };
     Hooks.AloneInFleet_ = [] { return true; };
@@ -128,3 +160,66 @@
   CHECK(Keeper.Refused_[{1, 1}] == ResultCode::NotReady);
   CHECK(Keeper.Refused_[{1, 2}] == ResultCode::NotReady);
 }
+
+TEST_CASE("decisions are told after the call that makes them has returned") {
+  // Daemons ended by themselves, with memory in use that was freed, 15 to 60 ms
+  // after their lines "adopted": a new configuration makes a keeper walk
+  // through its cells and decide. Whoever was told of a grant on that stack
+  // called back, and changed what was walked through.
+  OneEngineKeeper Kept;
+  KeeperService &Keeper = Kept.Keeper_;
+  Kept.ask(1);
+  REQUIRE(Kept.granted(1));
+  AskedRequest Waits = OneEngineKeeper::asked(2);
+  Waits.Entry_ = VmId("other");
+  Waits.Tier_ = TierIndex(1);
+  Keeper.ask(Cell, Waits);
+  Kept.settle();
+  REQUIRE_FALSE(Kept.granted(2));
+  std::function<void()> Decide;
+  SUBCASE("an ask") {
+    Decide = [&] {
+      Keeper.ask({ServiceName("unknown"), ThePool, 0},
+                 OneEngineKeeper::asked(3));
+    };
+  }
+  SUBCASE("a withdrawal") {
+    Decide = [&] { Keeper.withdraw(Cell, {1, 1}); };
+  }
+  SUBCASE("an end") {
+    Decide = [&] { Keeper.done(Cell, {1, 1}, ServedSample()); };
+  }
+  SUBCASE("a grant that is handed back") {
+    Decide = [&] { Keeper.handBack({1, 1}); };
+  }
+  SUBCASE("an entry's new link") {
+    Decide = [&] { Keeper.entryBack(Entry); };
+  }
+  SUBCASE("an entry's death") {
+    Decide = [&] { Keeper.entryDead(Entry); };
+  }
+  SUBCASE("another keeper's floor") {
+    auto Until = std::chrono::steady_clock::now() + std::chrono::hours(1);
+    Decide = [&Keeper, Until] {
+      Keeper.floorSeen({Service, ThePool, TierIndex(0), Until});
+    };
+  }
+  SUBCASE("a new configuration") {
+    Decide = [&] { Kept.letEngineLeave(); };
+  }
+  auto [During, After] = Kept.toldDuringAndAfter(Decide);
+  CHECK(During == 0);
+  CHECK(After > 0);
+}
+
+TEST_CASE("a grant that is taken back before it is told is not told") {
+  // Told although its place was given to another request meanwhile, it would
+  // put two requests into one place of an engine.
+  OneEngineKeeper Kept;
+  Kept.Keeper_.ask(Cell, OneEngineKeeper::asked(1));
+  SUBCASE("its request is withdrawn") { Kept.Keeper_.withdraw(Cell, {1, 1}); }
+  SUBCASE("its entry has a new link") { Kept.Keeper_.entryBack(Entry); }
+  Kept.ask(2);
+  CHECK_FALSE(Kept.granted(1));
+  CHECK(Kept.granted(2));
+}
