Post decisions instead of telling them on the stack of the walk that makes them

Cause: a keeper told each decision at once, while it walked through its cells or while the client of the same process walked through its asks and grants. Change: what a keeper tells (decisions, orphans, a raised floor) goes into a queue that a posted turn works off, in order; one post however much is queued. Walks can't be changed beneath themselves any more, so the client walks through its maps again without lists of ids beside them. A grant that was taken back before it is told is not told, and its allotment is given back. A refusal counts only from the keeper that is asked now. Ruled out: telling at the end of the outermost call. A rebind of the client calls the keeper once for each request, and would be told between two of them.

Left out one by one, each of: the check that a grant still stands, giving its allotment back, using it when it is told, makes a case fail.

--- a/Source/Process/GrantClient.cpp
+++ b/Source/Process/GrantClient.cpp
@@ -188,9 +188,12 @@
   // away by the platform's service: it knows no engine, others do.
   if (Refusal.Code_ == ResultCode::NotReady && From != Self_)
     return passOver(From, UnreachableTime);
-  auto Node = Asks_.extract(Refusal.Id_);
-  if (Node)
-    Node.mapped().OnAnswer_({Refusal.Code_, {}, Refusal.RetryAfter_});
+  // One that was passed over may refuse late what another one has room for.
+  auto Found = Asks_.find(Refusal.Id_);
+  if (Found == Asks_.end() || Found->second.Keeper_ != From)
+    return;
+  auto Node = Asks_.extract(Found);
+  Node.mapped().OnAnswer_({Refusal.Code_, {}, Refusal.RetryAfter_});
 }
 
 void GrantClient::onCancel(const CancelDecision &Cancel) {
@@ -271,44 +274,27 @@
 }
 
 void GrantClient::rebind() {
-  auto Moved = [this](const CellId &Cell, const VmId &Present) {
-    return Unreachable_.contains(Present) ||
-           chooseKeeper(Cell).value_or(Self_) != Present;
+  // Nobody answers on this stack, the keeper in this process neither: the maps
+  // stay as they are while they are walked through.
+  auto Moves = [this](const auto &Target) {
+    return Unreachable_.contains(Target.Keeper_) ||
+           chooseKeeper(Target.Cell_).value_or(Self_) != Target.Keeper_;
   };
-  // Ids first, of both: a place that a local keeper gets back by a withdrawal
-  // goes to the next request at once, and that grant changes both maps. Walked
-  // through meanwhile, they lead into memory that was freed, and the process
-  // ends.
-  std::vector<RequestId> MovedAsks;
-  for (const auto &[Id, Target] : Asks_)
-    if (Moved(Target.Cell_, Target.Keeper_))
-      MovedAsks.push_back(Id);
-  std::vector<RequestId> MovedGrants;
-  for (const auto &[Id, Target] : Granted_)
-    if (Moved(Target.Cell_, Target.Keeper_))
-      MovedGrants.push_back(Id);
-  for (const RequestId &Id : MovedGrants) {
-    auto Found = Granted_.find(Id);
-    if (Found == Granted_.end())
-      continue;
-    VmId Before = Found->second.Keeper_;
-    CellId Cell = Found->second.Cell_;
-    if (!Unreachable_.contains(Before))
-      sendWithdraw(Cell, Id, Before);
-    if (auto Still = Granted_.find(Id); Still != Granted_.end())
-      sendRunning(Still->second);
-  }
-  for (const RequestId &Id : MovedAsks) {
-    auto Found = Asks_.find(Id);
-    if (Found == Asks_.end())
-      continue;
-    VmId Before = Found->second.Keeper_;
-    CellId Cell = Found->second.Cell_;
-    if (!Unreachable_.contains(Before))
-      sendWithdraw(Cell, Id, Before);
-    if (auto Still = Asks_.find(Id); Still != Asks_.end())
-      sendAsk(Still->second);
-  }
+  auto Leave = [this](const RequestId &Id, const auto &Target) {
+    if (!Unreachable_.contains(Target.Keeper_))
+      sendWithdraw(Target.Cell_, Id, Target.Keeper_);
+  };
+  // What runs goes first: the next keeper must not give its places away.
+  for (auto &[Id, Target] : Granted_)
+    if (Moves(Target)) {
+      Leave(Id, Target);
+      sendRunning(Target);
+    }
+  for (auto &[Id, Target] : Asks_)
+    if (Moves(Target)) {
+      Leave(Id, Target);
+      sendAsk(Target);
+    }
 }
 
 bool GrantClient::awaiting(const VmId &Keeper) const {
--- a/Source/Process/GrantClient.h
+++ b/Source/Process/GrantClient.h
@@ -39,7 +39,8 @@
   using Cancelled = std::function<void()>;
 
   GrantClient(boost::asio::io_context &Control, VmId Self, Hooks Reactions);
-  /// The keeper in this process; set once, before the first ask.
+  /// The keeper in this process, which tells its decisions in turns of their
+  /// own; set once, before the first ask.
   void setLocalKeeper(class KeeperService *Keeper) { Local_ = Keeper; }
 
   // From any thread.
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -39,7 +39,9 @@
                              Hooks Reactions)
     : Documents_(Documents), Options_(Settings), Hooks_(std::move(Reactions)),
       Allotments_(Settings.Allotments_, steady_clock::now()),
-      RefusalLines_(RefusalLinesPerSecond), Timer_(Control) {
+      RefusalLines_(RefusalLinesPerSecond),
+      Notices_(Control, [this](const Notice &Next) { tell(Next); }),
+      Timer_(Control) {
   schedule();
 }
 
@@ -144,17 +146,17 @@
 
 void KeeperService::ask(const CellId &Cell, AskedRequest Request) {
   if (!knows(Cell))
-    return deliver(Cell, {RefuseDecision{Request.Id_, ResultCode::NotReady,
-                                         milliseconds(0), Request.Entry_}});
+    return announce(Cell, {RefuseDecision{Request.Id_, ResultCode::NotReady,
+                                          milliseconds(0), Request.Entry_}});
   KeptCell &Target = kept(Cell);
   if (auto Refusal = chargeAllotment(Cell, Request))
-    return deliver(Cell, {*Refusal});
+    return announce(Cell, {*Refusal});
   auto Remote = RemoteFloors_.find({Cell.Service_, Cell.Pool_});
   auto Now = steady_clock::now();
   if (Remote != RemoteFloors_.end() && Remote->second.Until_ > Now)
-    deliver(Cell, Target.Scheduler_.raiseFloor(Remote->second.Tier_,
-                                               Remote->second.Until_, Now));
-  deliver(Cell, Target.Scheduler_.ask(std::move(Request), Now));
+    announce(Cell, Target.Scheduler_.raiseFloor(Remote->second.Tier_,
+                                                Remote->second.Until_, Now));
+  announce(Cell, Target.Scheduler_.ask(std::move(Request), Now));
   decide(Cell, Target);
 }
 
@@ -289,10 +291,10 @@
 void KeeperService::decideNow(const CellId &Cell, KeptCell &Target) {
   auto Now = steady_clock::now();
   bool HadFloor = Target.Scheduler_.floor(Now).has_value();
-  deliver(Cell, Target.Scheduler_.decide(Now));
+  announce(Cell, Target.Scheduler_.decide(Now));
   schedule();
   if (!HadFloor && Target.Scheduler_.floor(Now))
-    Hooks_.FloorRaised_();
+    Notices_.push(RaisedFloor());
 }
 
 /// Why a request was refused is known here; its entry knows only the code.
@@ -331,17 +333,46 @@
             {"failure_rate", fmt::format("{:.2f}", Health.failureRate())}});
 }
 
-void KeeperService::deliver(const CellId &Cell,
-                            const std::vector<Decision> &Decisions) {
-  for (const Decision &Taken : Decisions) {
-    if (const auto *Grant = std::get_if<GrantDecision>(&Taken))
-      Allotments_.used(Grant->Id_);
-    else if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken)) {
+void KeeperService::announce(const CellId &Cell,
+                             std::vector<Decision> Decisions) {
+  for (Decision &Taken : Decisions) {
+    if (const auto *Refusal = std::get_if<RefuseDecision>(&Taken)) {
       Allotments_.giveBack(Refusal->Id_);
       logRefusal(Cell, *Refusal);
     }
-    Hooks_.Decided_(Cell, Taken);
+    Notices_.push(CellDecision{Cell, std::move(Taken)});
+  }
+}
+
+void KeeperService::tell(const Notice &Next) {
+  if (const auto *Decided = std::get_if<CellDecision>(&Next))
+    tellDecision(*Decided);
+  else if (const auto *Orphan = std::get_if<OrphanedRequest>(&Next))
+    Hooks_.Orphaned_(*Orphan);
+  else
+    Hooks_.FloorRaised_();
+}
+
+void KeeperService::tellDecision(const CellDecision &Decided) {
+  if (const auto *Grant = std::get_if<GrantDecision>(&Decided.Taken_)) {
+    if (!stillStands(Decided.Cell_, *Grant))
+      return Allotments_.giveBack(Grant->Id_);
+    Allotments_.used(Grant->Id_);
   }
+  Hooks_.Decided_(Decided.Cell_, Decided.Taken_);
+}
+
+/// A grant may be taken back before it is told: its request was withdrawn, or
+/// its entry came on a new link. Told all the same, the request would run in a
+/// place that may be another one's by now.
+bool KeeperService::stillStands(const CellId &Cell,
+                                const GrantDecision &Grant) const {
+  const Scheduler *Deciding = scheduler(Cell);
+  if (!Deciding)
+    return true; // A cell that was dropped meanwhile took nothing back.
+  auto Running = Deciding->findRunning(Grant.Id_);
+  return Running && Running->Server_ == Grant.Server_ &&
+         Running->Entry_ == Grant.Entry_;
 }
 
 void KeeperService::entryGone(const VmId &Entry) {
@@ -372,7 +403,7 @@
   GoneEntries_.erase(Entry);
   for (auto &[Cell, Target] : Cells_) {
     for (RunningRequest &Request : drop(*Target, Entry))
-      Hooks_.Orphaned_({Cell, std::move(Request)});
+      Notices_.push(OrphanedRequest{Cell, std::move(Request)});
     decide(Cell, *Target);
   }
 }
@@ -392,8 +423,8 @@
   RemoteFloors_[{Floor.Service_, Floor.Pool_}] = Floor;
   for (auto &[Cell, Target] : Cells_)
     if (Cell.Service_ == Floor.Service_ && Cell.Pool_ == Floor.Pool_)
-      deliver(Cell,
-              Target->Scheduler_.raiseFloor(Floor.Tier_, Floor.Until_, Now));
+      announce(Cell,
+               Target->Scheduler_.raiseFloor(Floor.Tier_, Floor.Until_, Now));
 }
 
 void KeeperService::engineReport(const CellId &Cell, const ServerName &Server,
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -8,6 +8,7 @@
 #include "Process/AllotmentLedger.h"
 #include "Process/Cell.h"
 #include "Process/MembershipService.h"
+#include "Process/PostedQueue.h"
 #include "Process/Scheduler.h"
 #include "Version/DocumentStore.h"
 
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <variant>
 
 namespace samphireshunt {
 
@@ -51,16 +53,18 @@
     /// Lower tiers leave room in allotments for large requests of the highest.
     bool KeepRoom_ = true;
   };
+  /// The first three are called in turns of their own, in the order of what
+  /// they tell, never on the stack of a call to this service.
   struct Hooks {
     std::function<void(const CellId &, const Decision &)> Decided_;
     std::function<void(const OrphanedRequest &)> Orphaned_;
+    /// A cell of a pool raised its floor: others must hear of it.
+    std::function<void()> FloorRaised_;
     std::function<bool()> AloneInFleet_;
     /// True when this daemon should keep the cell.
     std::function<bool(const CellId &)> IsKeeper_;
     /// The part of the fleet that this daemon speaks for.
     std::function<double()> LiveShare_;
-    /// A cell of a pool raised its floor: others must hear of it.
-    std::function<void()> FloorRaised_;
   };
 
   KeeperService(boost::asio::io_context &Control, DocumentStore &Documents,
@@ -95,6 +99,13 @@
   const Scheduler *scheduler(const CellId &Cell) const;
 
 private:
+  struct CellDecision {
+    CellId Cell_;
+    Decision Taken_;
+  };
+  struct RaisedFloor {};
+  /// What others are to be told.
+  using Notice = std::variant<CellDecision, OrphanedRequest, RaisedFloor>;
   struct KeptCell {
     Scheduler Scheduler_;
     TimePoint Since_;
@@ -123,7 +134,10 @@
   void configure(const CellId &Cell, KeptCell &Target);
   void decide(const CellId &Cell, KeptCell &Target);
   void decideNow(const CellId &Cell, KeptCell &Target);
-  void deliver(const CellId &Cell, const std::vector<Decision> &Decisions);
+  void announce(const CellId &Cell, std::vector<Decision> Decisions);
+  void tell(const Notice &Next);
+  void tellDecision(const CellDecision &Decided);
+  bool stillStands(const CellId &Cell, const GrantDecision &Grant) const;
   void schedule();
   void onTick();
 
@@ -136,6 +150,7 @@
   std::map<ServiceName, double> KeptParts_;
   LogSampler RefusalLines_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
+  PostedQueue<Notice> Notices_;
   boost::asio::steady_timer Timer_;
   bool TickScheduled_ = false;
   bool TickIsShort_ = false;
--- a/UnitTests/Process/KeeperServiceTest.cpp
+++ b/UnitTests/Process/KeeperServiceTest.cpp
@@ -17,6 +17,8 @@
 const PoolName ThePool("p");
 const CellId Cell{Service, ThePool, 0};
 const VmId Entry("entry");
+/// Of the customer "limited".
+const Allotment Allowed{10, 1, false, Tokens(0)};
 
 /// A keeper of one engine with one place.
 class OneEngineKeeper {
@@ -91,6 +93,10 @@
     Engine.Leaving_ = Leaving;
     Target.Servers_.push_back(Engine);
     Built.Pools_.push_back(std::move(Target));
+    Customer Limited;
+    Limited.Name_ = CustomerName("limited");
+    Limited.Allotment_ = Allowed;
+    Built.Customers_.push_back(std::move(Limited));
     Built.buildIndex();
     Documents.adopt(Service, Version,
                     std::make_shared<const Document>(std::move(Built)));
@@ -223,3 +229,48 @@
   CHECK_FALSE(Kept.granted(1));
   CHECK(Kept.granted(2));
 }
+
+TEST_CASE("a grant that is taken back before it is told uses no allotment") {
+  OneEngineKeeper Kept;
+  Kept.Keeper_.refresh();
+  AskedRequest Asked = OneEngineKeeper::asked(0);
+  Asked.Customer_ = CustomerName("limited");
+  auto Granted = [&] {
+    return Kept.Keeper_.scheduler(Cell)->findRunning(Asked.Id_).has_value();
+  };
+  // The allotment is empty at first, and fills within a tenth of a second.
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!Granted() && std::chrono::steady_clock::now() < End) {
+    Kept.settle();
+    ++Asked.Id_.Sequence_;
+    Kept.Keeper_.ask(Cell, Asked);
+  }
+  REQUIRE(Granted());
+  SUBCASE("its request is withdrawn") {
+    Kept.Keeper_.withdraw(Cell, Asked.Id_);
+  }
+  SUBCASE("its entry has a new link") { Kept.Keeper_.entryBack(Entry); }
+  Kept.settle();
+  ++Asked.Id_.Sequence_;
+  Kept.Keeper_.ask(Cell, Asked);
+  CHECK(Granted());
+}
+
+TEST_CASE("grants that are told use their allotment") {
+  OneEngineKeeper Kept;
+  auto Begin = std::chrono::steady_clock::now();
+  Kept.Keeper_.refresh();
+  AskedRequest Asked = OneEngineKeeper::asked(0);
+  Asked.Customer_ = CustomerName("limited");
+  std::chrono::duration<double> Taken{0};
+  constexpr std::chrono::milliseconds TimeOfThree{300};
+  while (Kept.Granted_.empty() || Taken < TimeOfThree) {
+    ++Asked.Id_.Sequence_;
+    Kept.Keeper_.ask(Cell, Asked);
+    Kept.settle();
+    Kept.Keeper_.withdraw(Cell, Asked.Id_);
+    Taken = std::chrono::steady_clock::now() - Begin;
+  }
+  auto Most = Allowed.Burst_ + Allowed.PerSecond_ * Taken.count();
+  CHECK(static_cast<double>(Kept.Granted_.size()) <= Most);
+}
