Test, failing under the address sanitizer: a stop destroys waits after their worker

Sight: a daemon with worker threads whose stop runs out of time while requests wait for a grant. Its grants, and what is queued on the control thread, hold waits whose timers are the workers'; the workers' contexts were destroyed first.

--- a/FailureTests/LeavingTest.cpp
+++ b/FailureTests/LeavingTest.cpp
@@ -161,3 +161,29 @@
   }
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
+
+TEST_CASE("a stop whose time is up ends in order while requests wait") {
+  // Built with the address sanitizer, a planned stop ended with status 1 after
+  // its line "stopped": "heap-use-after-free ... in ~GrantWait", freed by
+  // "~io_context". Requests still waited for a grant. Each wait has a timer of
+  // its worker's, and was destroyed with the grants, after that worker.
+  ClusterOptions Options;
+  Options.Models_ = 1;
+  Options.MaxInFlight_ = 1;
+  Options.StepMs_ = 100;
+  Options.DaemonFlags_ = {"--threads=2", "--drain_timeout_ms=1000"};
+  Cluster Fleet(Options);
+  std::vector<std::future<CallRecord>> Calls;
+  constexpr int Count = 12;
+  for (int Index = 0; Index < Count; ++Index) {
+    CallRequest Request = Fleet.stream(1);
+    Request.MaxTokens_ = 400;
+    Calls.push_back(Fleet.start(std::move(Request)));
+  }
+  REQUIRE(eventually(
+      [&] { return Fleet.status(1).value("activeRequests", 0) == Count; }));
+  REQUIRE(eventually([&] { return Fleet.ledgerCount("ran") >= 1; }));
+  Fleet.process("vm-1").signal(SIGTERM);
+  CHECK(Fleet.process("vm-1").wait() == 0);
+  finish(Calls);
+}
