Let who may end a request hold it weakly, and close no connection that was given back

Cause: the hooks of the caller's leaving and of the keeper's cancellation held a request by its address, or its connection by a bare pointer. A fault unwinds the request while these stay where they were left. And a model request closed a connection that it had handed back. Change: requests are shared objects that the hooks hold weakly; nothing that can be reached from outside points into them any more. One place closes the connection, if there is one. Forwarded requests held themselves the same way; no fault could be shown there, since theirs ends with the exchange.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 
 namespace samphireshunt {
 
@@ -47,7 +48,8 @@
   return std::ranges::count(PromisingStatuses, Status) > 0;
 }
 
-class ForwardedCall {
+/// Its caller's leaving, which may come when it has ended, holds it weakly.
+class ForwardedCall : public std::enable_shared_from_this<ForwardedCall> {
 public:
   explicit ForwardedCall(RequestContext &Context)
       : Context_(Context), Rule_(*Context.Route_->Forwarding_),
@@ -164,13 +166,18 @@
   /// tell what took effect of one that is cut short.
   void watchCaller() {
     bool CutsRun = Rule_.repeatable() || isStream();
-    Context_.Exchange_.onCallerLeft([this, CutsRun] {
-      CallerLeft_ = true;
-      if (CutsRun && Ready_.Connection_)
-        Ready_.Connection_->close();
+    Context_.Exchange_.onCallerLeft([Weak = weak_from_this(), CutsRun] {
+      if (auto Present = Weak.lock())
+        Present->noteCallerLeft(CutsRun);
     });
   }
 
+  void noteCallerLeft(bool CutsRun) {
+    CallerLeft_ = true;
+    if (CutsRun && Ready_.Connection_)
+      Ready_.Connection_->close();
+  }
+
   AttemptEnd failed(Failure Cause) {
     Ready_.Connection_->close();
     MayHaveRun_ = true;
@@ -397,8 +404,8 @@
 } // namespace
 
 Awaitable<void> runForwardedCall(RequestContext &Context) {
-  ForwardedCall Call(Context);
-  co_await Call.run();
+  auto Call = std::make_shared<ForwardedCall>(Context);
+  co_await Call->run();
 }
 
 } // namespace samphireshunt
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <memory>
 
 namespace samphireshunt {
 
@@ -60,13 +61,9 @@
   return Number;
 }
 
-/// What the keeper's cancellation must reach from another thread.
-struct CancelFlag {
-  bool Cancelled_ = false;
-  HttpConnection *Connection_ = nullptr;
-};
-
-class ModelCall {
+/// Shared with nobody: who may end it holds it weakly, since both the caller's
+/// leaving and the keeper's cancellation may come when it has ended.
+class ModelCall : public std::enable_shared_from_this<ModelCall> {
 public:
   explicit ModelCall(RequestContext &Context) : Context_(Context) {}
 
@@ -83,7 +80,6 @@
     Dispatched_ = steady_clock::now();
     co_await listenForCancel();
     std::optional<Verdict> Broken = co_await exchange();
-    Flag_->Connection_ = nullptr;
     Context_.Services_.Grants_.done(Context_.Id_, sample(!Broken));
     if (Broken)
       co_await answerBroken(std::move(*Broken));
@@ -101,21 +97,31 @@
   /// leave: both end the read that is under way.
   Awaitable<void> listenForCancel() {
     auto Executor = co_await asio::this_coro::executor;
-    Flag_->Connection_ = Ready_.Connection_.get();
-    auto Stop = [Flag = Flag_, Executor] {
-      asio::post(Executor, [Flag] {
-        Flag->Cancelled_ = true;
-        if (Flag->Connection_)
-          Flag->Connection_->close();
+    auto Stop = [Weak = weak_from_this(), Executor] {
+      asio::post(Executor, [Weak] {
+        if (auto Present = Weak.lock())
+          Present->cancel();
       });
     };
     Context_.Services_.Grants_.dispatched(Context_.Id_, std::move(Stop));
-    auto Left = [this, Flag = Flag_] {
-      CallerLeft_ = true;
-      if (Flag->Connection_)
-        Flag->Connection_->close();
-    };
-    Context_.Exchange_.onCallerLeft(std::move(Left));
+    Context_.Exchange_.onCallerLeft([Weak = weak_from_this()] {
+      if (auto Present = Weak.lock())
+        Present->callerLeft();
+    });
+  }
+
+  void cancel() {
+    Cancelled_ = true;
+    closeConnection();
+  }
+  void callerLeft() {
+    CallerLeft_ = true;
+    closeConnection();
+  }
+  /// After a whole answer the connection is kept for other requests.
+  void closeConnection() {
+    if (Ready_.Connection_)
+      Ready_.Connection_->close();
   }
 
   /// Sends the request and reads the answer to its end. \returns nothing when
@@ -254,7 +260,7 @@
     if (!CallerLeft_)
       CallerLeft_ |= !co_await Context_.Exchange_.writeChunk(std::move(Text));
     if (CallerLeft_)
-      Ready_.Connection_->close();
+      closeConnection();
   }
 
   /// A reason not to go on after the connection broke.
@@ -263,7 +269,7 @@
     Ended.Outcome_ = Begun_ ? Outcome::Partial : Outcome::Unknown;
     if (CallerLeft_)
       Ended.Code_ = ResultCode::CallerLeft;
-    else if (Flag_->Cancelled_)
+    else if (Cancelled_)
       Ended.Code_ = ResultCode::CancelledForHigherTier;
     else if (Context_.expired())
       Ended.Code_ = ResultCode::AnswerTimeout;
@@ -291,7 +297,6 @@
       co_return Broken;
     }
     Ready_.Connection_ = std::move(*Connected);
-    Flag_->Connection_ = Ready_.Connection_.get();
     HttpRequest Request;
     Request.Target_ =
         fmt::format("/v1/requests/{}?from={}", Context_.Id_.str(), NextEvent_);
@@ -399,7 +404,6 @@
 
   RequestContext &Context_;
   ReadyServer Ready_;
-  std::shared_ptr<CancelFlag> Flag_ = std::make_shared<CancelFlag>();
   TimePoint Dispatched_;
   microseconds FirstToken_{0};
   std::uint64_t NextEvent_ = 0;
@@ -409,6 +413,7 @@
   bool Begun_ = false;
   bool Whole_ = false;
   bool CallerLeft_ = false;
+  bool Cancelled_ = false;
   std::string Collected_;
   std::string FinishReason_ = "stop";
   std::string Model_;
@@ -417,8 +422,8 @@
 } // namespace
 
 Awaitable<void> runModelCall(RequestContext &Context) {
-  ModelCall Call(Context);
-  co_await Call.run();
+  auto Call = std::make_shared<ModelCall>(Context);
+  co_await Call->run();
   Context.Exchange_.onCallerLeft(nullptr);
 }
 
