Let the workers' contexts outlive all that holds their timers and sockets

Cause: a worker owned its context and ended before the grants and the control thread's context, which hold waits with the worker's timers, and sockets that are being accepted for it. Change: the contexts are declared before both. Failure.LeavingTest: 6 of 6 cases pass; the one with requests that wait at the stop failed under the address sanitizer before.

--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -348,9 +348,11 @@
 
 std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
   auto Made = std::make_unique<Worker>();
+  Made->Context_ = &Control_;
   if (!OnControlThread)
-    Made->OwnContext_.emplace(1);
-  Made->Context_ = OnControlThread ? &Control_ : &*Made->OwnContext_;
+    Made->Context_ =
+        WorkerContexts_.emplace_back(std::make_unique<asio::io_context>(1))
+            .get();
   Made->Callers_ = std::make_unique<CallerService>(
       requestServices(Made->Connections_), [this] { return isReady(); },
       [this] { return nextRequestId(); });
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -52,8 +52,7 @@
 private:
   /// One thread, its requests and its connections to backend servers.
   struct Worker {
-    /// Unset where the control thread serves requests.
-    std::optional<boost::asio::io_context> OwnContext_;
+    /// The control thread's, where that serves requests.
     boost::asio::io_context *Context_ = nullptr;
     BackendConnections Connections_{BackendConnections::Options()};
     std::unique_ptr<CallerService> Callers_;
@@ -117,6 +116,10 @@
   std::atomic<bool> Draining_ = false;
   TimePoint DrainStarted_;
 
+  /// Requests that wait for a grant are known to Grants_ and Control_, by
+  /// timers of their workers' contexts: a context that ended first would leave
+  /// these with freed memory, and a stop would end with a signal.
+  std::vector<std::unique_ptr<boost::asio::io_context>> WorkerContexts_;
   boost::asio::io_context Control_{1};
   DocumentStore Documents_;
   PlatformHooks Platform_;
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -88,16 +88,16 @@
     Traces_->start();
   awaitDrained();
   for (auto &Present : Workers_)
-    if (Present->OwnContext_)
-      Present->Thread_ = std::thread([&Context = *Present->OwnContext_] {
+    if (Present->Context_ != &Control_)
+      Present->Thread_ = std::thread([&Context = *Present->Context_] {
         auto Guard = asio::make_work_guard(Context);
         Context.run();
       });
   Control_.run();
   for (auto &Present : Workers_) {
-    if (!Present->OwnContext_)
+    if (Present->Context_ == &Control_)
       continue;
-    Present->OwnContext_->stop();
+    Present->Context_->stop();
     Present->Thread_.join();
   }
   logEvent(LogCategory::Process, spdlog::level::info, "stopped");
