--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -161,6 +161,24 @@
 mutate request-state $S/Request/RequestState.h \
   's/return State_\.compare_exchange_strong\(Expected, Next\);/if (State_.load() != Expected) return false; State_.store(Next); return true;/' \
   ${U}Request '*in one instant*'
+mutate posted-decisions $S/Process/KeeperService.cpp \
+  's/Notices_\.push\(CellDecision\{Cell, std::move\(Taken\)\}\);/tell(CellDecision{Cell, std::move(Taken)});/' \
+  ${U}Process '*after the call that makes them*'
+mutate taken-back-grant $S/Process/KeeperService.cpp \
+  's/if \(!stillStands\(Decided\.Cell_, \*Grant\)\)/if (false)/' \
+  ${U}Process '*taken back before it is told is not told*'
+mutate taken-back-allotment $S/Process/KeeperService.cpp \
+  's/return Allotments_\.giveBack\(Grant->Id_\);/return;/' \
+  ${U}Process '*uses no allotment*'
+mutate told-allotment $S/Process/KeeperService.cpp \
+  's/    Allotments_\.used\(Grant->Id_\);\n//' \
+  ${U}Process '*use their allotment*'
+mutate late-refusal $S/Process/GrantClient.cpp \
+  's/ \|\| Found->second\.Keeper_ != From\)\n    return;/)\n    return;/' \
+  ${U}Process '*asked now can refuse*'
+mutate connection-given-back $S/Request/ModelCall.cpp \
+  's/(void closeConnection\(\) \{\n)    if \(Ready_\.Connection_\)\n/$1/' \
+  ${U}Request '*leaves before the last event*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
