--- a/UnitTests/Process/PeerNetworkTest.cpp
+++ b/UnitTests/Process/PeerNetworkTest.cpp
@@ -109,7 +109,10 @@
     };
     Hooks.Awaiting_ = [](const VmId &) { return false; };
     Hooks.AddressOf_ = [this](const VmId &To) -> std::optional<std::string> {
-      return formatEndpoint(Addresses_.at(To));
+      auto Known = Addresses_.find(To);
+      if (Known == Addresses_.end())
+        return std::nullopt;
+      return formatEndpoint(Known->second);
     };
     return Hooks;
   }
@@ -156,3 +159,22 @@
   CHECK(countIn(Daemons.Received_, several("early")) == EachKind);
   CHECK(Daemons.Down_.count(Refusing) == 1);
 }
+
+TEST_CASE("a sender is not told of a broken link while it sends") {
+  // Who sends may be walking through its tables, and whoever is told that a
+  // link broke changes them.
+  Fleet Daemons;
+  const VmId Unknown("unknown");
+  bool Sending = false;
+  bool ToldWhileSending = false;
+  Daemons.OnDown_ = [&](const VmId &) { ToldWhileSending |= Sending; };
+  boost::asio::post(Daemons.Control_, [&] {
+    Sending = true;
+    Daemons.send(Unknown);
+    Daemons.send(Refusing);
+    Sending = false;
+  });
+  Daemons.pollUntil([&] { return Daemons.Down_.size() == 2; });
+  CHECK(Daemons.Down_ == std::multiset{Unknown, Refusing});
+  CHECK_FALSE(ToldWhileSending);
+}
