--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -32,6 +32,7 @@
   }
   Awaitable<bool> endStream() override { co_return true; }
   void abort() override { OnAbort_(); }
+  bool hasCallerLeft() override { return false; }
   void onCallerLeft(std::function<void()> Hook) override {
     CallerLeft_ = std::move(Hook);
   }
@@ -123,7 +124,7 @@
     Route Only;
     Only.PathPrefix_ = "/";
     Only.Pool_ = ThePool;
-    Built.Routes_.push_back(std::move(Only));
+    Built.Routes_.push_back(std::make_shared<const Route>(std::move(Only)));
     Customer Caller;
     Caller.Name_ = CustomerName("customer");
     Caller.KeyDigests_ = {sha256Hex("key")};
