--- a/FailureTests/Cluster.cpp
+++ b/FailureTests/Cluster.cpp
@@ -11,7 +11,6 @@
 #include <fstream>
 #include <iterator>
 #include <set>
-#include <unistd.h>
 
 namespace samphireshunt::tests {
 
@@ -23,44 +22,26 @@
 const std::string CustomerKey = "test-key-alpha";
 const std::string Host = "test.example";
 
-std::string makeFolder() {
-  std::string Template =
-      (std::filesystem::temp_directory_path() / "samphireshunt-XXXXXX")
-          .string();
-  if (!::mkdtemp(Template.data()))
-    throw std::runtime_error("no temporary folder");
-  return Template;
-}
-
 } // namespace
 
-Cluster::Cluster(ClusterOptions Settings)
-    : Options_(std::move(Settings)), Folder_(makeFolder()),
-      Guard_(asio::make_work_guard(Context_)),
-      Thread_([this] { Context_.run(); }) {
+Cluster::Cluster(ClusterOptions Settings) : Options_(std::move(Settings)) {
   startProcess("platform", {STANDIN_FOLDER "/standin_Platform"});
   startEngines();
   for (int Number = 1; Number <= Options_.Daemons_; ++Number)
     startDaemon(Number);
   listVms();
-  if (apply(document()) != 0)
-    throw std::runtime_error("the document was not accepted");
+  if (int Status = apply(document()); Status != 0)
+    throw std::runtime_error(
+        fmt::format("the document was not accepted: exit status {}, {}", Status,
+                    logTail(folder() + "/tool.log")));
   awaitReady();
 }
 
-Cluster::~Cluster() {
-  Processes_.clear();
-  Guard_.reset();
-  Context_.stop();
-  Thread_.join();
-  std::filesystem::remove_all(Folder_);
-}
-
 void Cluster::startProcess(const std::string &Name,
                            std::vector<std::string> Command) {
   auto &Started = Processes_[Name];
   Started =
-      std::make_unique<ChildProcess>(Command, Folder_ + "/" + Name + ".log");
+      std::make_unique<ChildProcess>(Command, folder() + "/" + Name + ".log");
   Lines_[Name] = Started->readLine();
 }
 
@@ -70,7 +51,7 @@
     return;
   Started = std::make_unique<ChildProcess>(
       std::vector<std::string>{STANDIN_FOLDER "/standin_Relay"},
-      Folder_ + "/" + Name + ".log");
+      folder() + "/" + Name + ".log");
   RelayLines_[Name] = Started->readLine();
   Lines_[Name] = Started->readLine();
 }
@@ -84,7 +65,7 @@
     std::vector<std::string> Command = {
         STANDIN_FOLDER "/standin_ModelEngine", "--name=" + Name,
         fmt::format("--step_ms={}", Step),
-        fmt::format("--ledger={}/{}.ledger", Folder_, Name)};
+        fmt::format("--ledger={}/{}.ledger", folder(), Name)};
     std::ranges::copy(Options_.ModelFlags_, std::back_inserter(Command));
     startProcess(Name, std::move(Command));
   }
@@ -93,7 +74,7 @@
     startProcess(Name,
                  {STANDIN_FOLDER "/standin_ApplicationEngine", "--name=" + Name,
                   fmt::format("--service_ms={}", Options_.ServiceMs_),
-                  fmt::format("--ledger={}/{}.ledger", Folder_, Name)});
+                  fmt::format("--ledger={}/{}.ledger", folder(), Name)});
   }
 }
 
@@ -155,7 +136,7 @@
     }
   }
   Json Body = {{"vms", std::move(Vms)}};
-  request("platform", "/control/vms", "POST", Body.dump());
+  control("platform", "/control/vms", Body);
 }
 
 void Cluster::listLeaving(const std::vector<std::string> &Servers) {
@@ -187,7 +168,7 @@
   Request.Target_ = Path;
   Request.Body_ = Body;
   auto Call = [=]() { return httpCall(Target, Request, milliseconds(5000)); };
-  auto Response = asio::co_spawn(Context_, std::move(Call), asio::use_future);
+  auto Response = asio::co_spawn(context(), std::move(Call), asio::use_future);
   auto Answer = Response.get();
   if (!Answer)
     return Json();
@@ -198,7 +179,16 @@
 }
 
 void Cluster::faults(const std::string &Name, const Json &Body) {
-  request(Name, "/faults", "POST", Body.dump());
+  control(Name, "/faults", Body);
+}
+
+void Cluster::control(const std::string &Name, const std::string &Path,
+                      const Json &Body) {
+  Json Answer = request(Name, Path, "POST", Body.dump());
+  int Status = Answer.is_object() ? Answer.value("httpStatus", 0) : 0;
+  if (Status != 200)
+    throw std::runtime_error(fmt::format("{} did not take {}: status {}", Name,
+                                         Body.dump(), Status));
 }
 
 Json Cluster::status(int Daemon) {
@@ -245,7 +235,7 @@
 
 int Cluster::apply(const Json &Document, const std::vector<std::string> &Flags,
                    const std::string &Server) {
-  std::string Path = Folder_ + "/document.yaml";
+  std::string Path = folder() + "/document.yaml";
   std::ofstream(Path) << Document.dump(2);
   bool IsDaemon = Server.starts_with("vm-");
   std::vector<std::string> Words = {
@@ -262,43 +252,65 @@
   });
   if (!HasServer)
     Words.push_back("--server=" + address("platform"));
-  ChildProcess Tool(Words, Folder_ + "/tool.log");
+  ChildProcess Tool(Words, folder() + "/tool.log");
   std::string Output = Tool.readAll();
   return {Tool.wait(), std::move(Output)};
 }
 
+std::vector<std::string> Cluster::runningDaemons() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Process] : Processes_)
+    if (Name.starts_with("vm-") && Process && Process->running())
+      Names.push_back(Name);
+  return Names;
+}
+
+std::string Cluster::notReady(const std::string &Name, const Json &Status,
+                              std::size_t Started) const {
+  if (!Status.is_object())
+    return Name + " does not tell its status";
+  if (!Status.value("ready", false))
+    return fmt::format("{} is not ready: {}", Name, Status.dump());
+  auto Alive =
+      std::ranges::count_if(Status.at("members"), [](const Json &Member) {
+        return Member["status"] == "alive";
+      });
+  if (static_cast<std::size_t>(Alive) + 1 < Started)
+    return fmt::format("{} knows of {} other daemons: {}", Name, Alive,
+                       Status.at("members").dump());
+  return {};
+}
+
 /// A new keeper listens before it grants: a request with a short time limit
 /// would be refused until then, and a test of what comes after its dispatch
 /// would test nothing.
-void Cluster::awaitReady() {
-  auto Ready = [this] {
-    std::size_t Started = 0;
-    std::set<std::string> Cells;
-    std::set<std::string> Granting;
-    for (const auto &[Name, Process] : Processes_)
-      Started += Name.starts_with("vm-") && Process && Process->running();
-    for (const auto &[Name, Process] : Processes_) {
-      if (!Name.starts_with("vm-") || !Process || !Process->running())
-        continue;
-      Json Status = request(Name, "/status");
-      if (!Status.value("ready", false))
-        return false;
-      auto Alive =
-          std::ranges::count_if(Status["members"], [](const Json &Member) {
-            return Member["status"] == "alive";
-          });
-      if (static_cast<std::size_t>(Alive) + 1 < Started)
-        return false;
-      for (const Json &Cell : Status["cells"]) {
-        Cells.insert(Cell["cell"].get<std::string>());
-        if (Cell["keeper"].get<bool>() && !Cell["warming"].get<bool>())
-          Granting.insert(Cell["cell"].get<std::string>());
-      }
+std::string Cluster::notReady() {
+  std::vector<std::string> Running = runningDaemons();
+  std::set<std::string> Waiting;
+  std::set<std::string> Granting;
+  for (const std::string &Name : Running) {
+    Json Status = request(Name, "/status");
+    if (std::string Missing = notReady(Name, Status, Running.size());
+        !Missing.empty())
+      return Missing;
+    for (const Json &Cell : Status["cells"]) {
+      bool Grants = Cell["keeper"].get<bool>() && !Cell["warming"].get<bool>();
+      (Grants ? Granting : Waiting).insert(Cell["cell"].get<std::string>());
     }
-    return Cells == Granting;
-  };
-  if (!eventually(Ready))
-    throw std::runtime_error("the cluster did not become ready");
+  }
+  std::vector<std::string> Missing;
+  std::ranges::set_difference(Waiting, Granting, std::back_inserter(Missing));
+  return Missing.empty() ? "" : "nobody grants for " + joined(Missing);
+}
+
+void Cluster::awaitReady() {
+  std::string Missing;
+  bool Ready = eventually([&] {
+    Missing = notReady();
+    return Missing.empty();
+  });
+  if (!Ready)
+    throw std::runtime_error("the cluster did not become ready: " + Missing);
 }
 
 CallRequest Cluster::base(int Daemon) {
@@ -345,7 +357,7 @@
     Calls_.push_back(Record);
     co_return Record;
   };
-  return asio::co_spawn(Context_, std::move(Call), asio::use_future);
+  return asio::co_spawn(context(), std::move(Call), asio::use_future);
 }
 
 int Cluster::keeperOf(const std::string &Pool) {
@@ -364,7 +376,7 @@
 
 std::vector<standins::LedgerLine> Cluster::ledger() const {
   std::vector<standins::LedgerLine> All;
-  for (const auto &File : std::filesystem::directory_iterator(Folder_))
+  for (const auto &File : std::filesystem::directory_iterator(folder()))
     if (File.path().extension() == ".ledger")
       std::ranges::move(standins::readLedger(File.path().string()),
                         std::back_inserter(All));
@@ -399,6 +411,14 @@
       std::ranges::count(Calls, Outcome, &CallRecord::Outcome_));
 }
 
+std::string unanswered(const std::vector<CallRecord> &Calls) {
+  std::vector<std::string> Lines;
+  for (const CallRecord &Call : Calls)
+    if (Call.Outcome_ != "answered")
+      Lines.push_back(Call.toJson().dump());
+  return joined(Lines);
+}
+
 std::vector<CallRecord> finish(std::vector<std::future<CallRecord>> &Calls) {
   std::vector<CallRecord> Records;
   std::ranges::transform(Calls, std::back_inserter(Records),
--- a/FailureTests/Cluster.h
+++ b/FailureTests/Cluster.h
@@ -7,6 +7,8 @@
 #include "Caller.h"
 #include "Checker.h"
 #include "FailureTests/ChildProcess.h"
+#include "FailureTests/ContextThread.h"
+#include "FailureTests/TestFolder.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -43,10 +45,10 @@
   std::vector<std::string> ModelFlags_;
 };
 
+/// Throws on construction, with the cause, when it doesn't become ready.
 class Cluster {
 public:
   explicit Cluster(ClusterOptions Settings = {});
-  ~Cluster();
 
   // Processes by name: "platform", "vm-1", "model-1", "app-1", "relay-1".
   ChildProcess &process(const std::string &Name) {
@@ -57,6 +59,7 @@
   void listVms();
   /// Marks VMs of backend servers as leaving in the platform's list.
   void listLeaving(const std::vector<std::string> &Servers);
+  /// Switches faults of a stand-in; throws if it does not take them.
   void faults(const std::string &Name, const Json &Body);
   Json status(int Daemon);
   Json request(const std::string &Name, const std::string &Path,
@@ -88,12 +91,20 @@
   std::size_t ledgerCount(const std::string &Event) const;
   /// Violations of the promises in this run.
   std::vector<std::string> violations(standins::CheckOptions Allowed = {});
-  std::string folder() const { return Folder_; }
-  boost::asio::io_context &context() { return Context_; }
+  std::string folder() const { return Folder_.path(); }
+  boost::asio::io_context &context() { return Thread_.context(); }
   Endpoint callersAddress(int Daemon) const;
   std::string peersAddress(int Daemon) const;
 
 private:
+  /// What is missing for awaitReady(); empty when all is ready.
+  std::string notReady();
+  std::string notReady(const std::string &Name, const Json &Status,
+                       std::size_t Started) const;
+  /// Asks a stand-in for something that a test depends on.
+  void control(const std::string &Name, const std::string &Path,
+               const Json &Body);
+  std::vector<std::string> runningDaemons() const;
   void startProcess(const std::string &Name, std::vector<std::string> Command);
   void startRelay(const std::string &Name);
   void startEngines();
@@ -102,18 +113,16 @@
   CallRequest base(int Daemon);
 
   ClusterOptions Options_;
-  std::string Folder_;
+  TestFolder Folder_;
   std::map<std::string, std::unique_ptr<ChildProcess>> Processes_;
   std::map<std::string, Json> Lines_;
   std::map<std::string, Json> RelayLines_;
   std::vector<std::string> LeavingServers_;
-  boost::asio::io_context Context_{1};
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      Guard_;
-  std::thread Thread_;
   std::mutex Mutex_;
   std::vector<CallRecord> Calls_;
   int NextNonce_ = 0;
+  /// Last, so that it ends first: its calls use the rest.
+  ContextThread Thread_;
 };
 
 /// Waits until \p Condition holds. \returns false after \p Limit.
@@ -123,6 +132,8 @@
 /// Counts records with this outcome.
 std::size_t countOutcome(const std::vector<CallRecord> &Calls,
                          const std::string &Outcome);
+/// The records of calls that were not answered, for a failed check.
+std::string unanswered(const std::vector<CallRecord> &Calls);
 /// Waits for all calls.
 std::vector<CallRecord> finish(std::vector<std::future<CallRecord>> &Calls);
 
--- a/FailureTests/LeavingTest.cpp
+++ b/FailureTests/LeavingTest.cpp
@@ -47,8 +47,10 @@
   std::vector<std::future<CallRecord>> Calls;
   for (int Index = 0; Index < Count; ++Index)
     Calls.push_back(Fleet.start(Fleet.chat(1 + Index % 3)));
-  CHECK(countOutcome(finish(Calls), "answered") ==
-        static_cast<std::size_t>(Count));
+  auto Records = finish(Calls);
+  CHECK_MESSAGE(countOutcome(Records, "answered") ==
+                    static_cast<std::size_t>(Count),
+                unanswered(Records));
 }
 
 } // namespace
@@ -68,7 +70,8 @@
   REQUIRE(Fleet.apply(withLeaving(Fleet.document(), "model-1"), {"--wait"}) ==
           0);
   std::size_t Before = receivedBy(Fleet, "model-1");
-  CHECK(countOutcome(finish(Calls), "answered") == 30);
+  auto Records = finish(Calls);
+  CHECK_MESSAGE(countOutcome(Records, "answered") == 30, unanswered(Records));
   serveMany(Fleet, 12);
   CHECK(receivedBy(Fleet, "model-1") <= Before + 1);
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
@@ -129,7 +132,8 @@
       [&] { return Fleet.status(Keeper).value("draining", false); }));
   for (int Index = 0; Index < 3; ++Index)
     Calls.push_back(Fleet.start(Fleet.chat(Keeper)));
-  CHECK(countOutcome(finish(Calls), "answered") == 27);
+  auto Records = finish(Calls);
+  CHECK_MESSAGE(countOutcome(Records, "answered") == 27, unanswered(Records));
   CHECK(Fleet.process(Name).wait() == 0);
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
@@ -140,7 +144,6 @@
   // while callers use those that are ready.
   // Cause: cells that move, and documents that must come from peers.
   Cluster Fleet;
-  std::vector<CallRecord> Records;
   for (int Leaving = 1; Leaving <= 3; ++Leaving) {
     std::vector<std::future<CallRecord>> Calls;
     for (int Index = 0; Index < 12; ++Index) {
@@ -155,7 +158,8 @@
     for (int Index = 0; Index < 12; ++Index)
       Calls.push_back(Fleet.start(Fleet.chat(1 + (Leaving + Index % 2) % 3)));
     CHECK(Fleet.process(Name).wait() == 0);
-    CHECK(countOutcome(finish(Calls), "answered") == 24);
+    auto Records = finish(Calls);
+    CHECK_MESSAGE(countOutcome(Records, "answered") == 24, unanswered(Records));
     Fleet.startDaemon(Leaving);
     Fleet.awaitReady();
   }
--- a/FailureTests/PartitionTest.cpp
+++ b/FailureTests/PartitionTest.cpp
@@ -46,11 +46,13 @@
     Fleet.faults(Link, {{"mode", Mode}});
     for (int Daemon = 1; Daemon <= 3; ++Daemon) {
       auto Records = serve(Fleet, Daemon, 8);
-      CHECK(countOutcome(Records, "answered") == 8);
+      CHECK_MESSAGE(countOutcome(Records, "answered") == 8,
+                    unanswered(Records));
     }
     Fleet.faults(Link, {{"mode", "pass"}});
     CHECK(eventually([&] { return allAlive(Fleet); }));
-    CHECK(countOutcome(serve(Fleet, 1 + Keeper % 3, 8), "answered") == 8);
+    auto Records = serve(Fleet, 1 + Keeper % 3, 8);
+    CHECK_MESSAGE(countOutcome(Records, "answered") == 8, unanswered(Records));
   }
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
@@ -64,8 +66,10 @@
   Cluster Fleet(Options);
   for (int Daemon = 1; Daemon <= 3; ++Daemon)
     Fleet.faults(fmt::format("relay-{}", Daemon), {{"mode", "silent"}});
-  for (int Daemon = 1; Daemon <= 3; ++Daemon)
-    CHECK(countOutcome(serve(Fleet, Daemon, 8), "answered") == 8);
+  for (int Daemon = 1; Daemon <= 3; ++Daemon) {
+    auto Records = serve(Fleet, Daemon, 8);
+    CHECK_MESSAGE(countOutcome(Records, "answered") == 8, unanswered(Records));
+  }
   CHECK(eventually([&] {
     // Each speaks for a third of the fleet, and takes a third of the limits.
     return Fleet.status(1).value("liveShare", 1.0) < 0.4;
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -1,5 +1,7 @@
 #include "FailureTests/platform/SoakFleet.h"
 
+#include "FailureTests/TestHooks.h"
+
 #include <fmt/format.h>
 
 #include <csignal>
@@ -18,7 +20,7 @@
 }
 
 void SoakFleet::start(std::size_t Index) {
-  std::string Log = fmt::format("soak-vm-{}.log", Index);
+  std::string Log = fmt::format("{}/vm-{}.log", Folder_.path(), Index);
   std::vector<std::string> Command = {
       PLATFORM_DAEMON,
       fmt::format("--vm_id=vm-{}", Index),
@@ -58,6 +60,12 @@
   return Status;
 }
 
+void SoakFleet::checkStop(std::size_t Index) {
+  if (int Status = stopAndStart(Index); Status != 0)
+    testHooks().Fail_(
+        fmt::format("vm-{} ended its stop with {}", Index, Status));
+}
+
 void SoakFleet::pause(std::size_t Index) {
   Processes_[Index]->freeze();
   std::this_thread::sleep_for(milliseconds(100 + Random_(1500)));
@@ -82,8 +90,7 @@
     kill(Index);
     return start(Index);
   case 1:
-    stopAndStart(Index);
-    return;
+    return checkStop(Index);
   case 2:
     return pause(Index);
   case 3:
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -4,6 +4,7 @@
 /// faults that strike them from outside.
 
 #include "FailureTests/ChildProcess.h"
+#include "FailureTests/TestFolder.h"
 #include "FailureTests/platform/SoakWorld.h"
 
 #include <pcg_random.hpp>
@@ -24,19 +25,21 @@
   void start(std::size_t Index);
   void kill(std::size_t Index);
   /// A planned stop: callers still come for a while. \returns the exit status.
-  int stopAndStart(std::size_t Index);
+  [[nodiscard]] int stopAndStart(std::size_t Index);
   /// One fault drawn by the seed, and for some of them its end.
   void strike();
   /// Ends all faults.
   void heal();
 
 private:
+  void checkStop(std::size_t Index);
   void pause(std::size_t Index);
   void storeTrouble();
 
   SoakWorld &Around_;
   pcg32 Random_;
   std::size_t DaemonsPerReader_;
+  TestFolder Folder_; ///< The daemons' logs.
   std::array<std::unique_ptr<ChildProcess>, Daemons> Processes_;
   bool Misbehaving_ = false;
 };
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -145,6 +145,16 @@
 mutate live-share $S/Process/MemberTable.cpp \
   's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
+T=FailureTests
+mutate joined-thread $T/ContextThread.h \
+  's/    Thread_\.join\(\);\n//' \
+  ${F}ClusterTest "*can't start says why*"
+mutate own-end $T/ChildProcess.cpp \
+  's/bool Expected = .*?;/bool Expected = true;/s' \
+  ${F}ClusterTest '*ends by itself fails*'
+mutate report-beside-kill $T/ChildProcess.cpp \
+  's/(void ChildProcess::checkReports\(\) const \{\n)/$1  return;\n/' \
+  ${F}ClusterTest "*sanitizer's report*"
 U=UnitTests/UnitTests_
 mutate scheduler-order $S/Process/SchedulerPlacement.cpp \
   's/for \(const DeadlineKey &Key : Queue\.Requests_\)/for (const DeadlineKey \&Key : std::set<DeadlineKey, std::greater<>>(Queue.Requests_.begin(), Queue.Requests_.end()))/' \
