Choose a port that is free for TCP and for UDP

A daemon that is to choose its port for other daemons (port 0) takes one that is free for TCP and then binds the same one for UDP, where another process may have it; the daemon ends with status 2, the cluster's constructor throws. So do the relays of the tests, which ended by an uncaught exception.

Whoever asks for a certain port gets that one or the failure, as before.

--- a/Source/Process/MembershipService.cpp
+++ b/Source/Process/MembershipService.cpp
@@ -49,10 +49,8 @@
 
 } // namespace
 
-Result<std::unique_ptr<MembershipService>>
-MembershipService::create(asio::io_context &Control, Endpoint Address,
-                          MemberTable &Members, Options Settings,
-                          Hooks Reactions) {
+Result<MembershipService::Udp::socket>
+MembershipService::bind(asio::io_context &Control, const Endpoint &Address) {
   Udp::endpoint Local(Address.address(), Address.port());
   error_code Error;
   Udp::socket Socket(Control);
@@ -63,6 +61,13 @@
     return Failure{ResultCode::BadSetting, "can't bind UDP " +
                                                formatEndpoint(Address) + ": " +
                                                Error.message()};
+  return Socket;
+}
+
+std::unique_ptr<MembershipService>
+MembershipService::create(asio::io_context &Control, Udp::socket Socket,
+                          MemberTable &Members, Options Settings,
+                          Hooks Reactions) {
   return std::unique_ptr<MembershipService>(new MembershipService(
       Control, std::move(Socket), Members, Settings, std::move(Reactions)));
 }
--- a/Source/Process/MembershipService.h
+++ b/Source/Process/MembershipService.h
@@ -45,8 +45,13 @@
     std::function<void(const PoolFloor &)> FloorSeen_;
   };
 
-  static Result<std::unique_ptr<MembershipService>>
-  create(boost::asio::io_context &Control, Endpoint Address,
+  using Udp = boost::asio::ip::udp;
+
+  /// The socket for create(). \returns BadSetting.
+  static Result<Udp::socket> bind(boost::asio::io_context &Control,
+                                  const Endpoint &Address);
+  static std::unique_ptr<MembershipService>
+  create(boost::asio::io_context &Control, Udp::socket Socket,
          MemberTable &Members, Options Settings, Hooks Reactions);
 
   void start();
@@ -61,7 +66,6 @@
   std::uint64_t bytesReceived() const { return BytesReceived_; }
 
 private:
-  using Udp = boost::asio::ip::udp;
   struct PendingProbe {
     VmId Target_;
     TimePoint Started_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "Common/Log.h"
 #include "Process/KeeperMessages.h"
 #include "Process/MeasuredPlatform.h"
+#include "Process/PeerPort.h"
 
 #include <boost/asio/this_coro.hpp>
 
@@ -107,18 +108,18 @@
 Daemon::~Daemon() = default;
 
 Result<void> Daemon::wire() {
-  if (auto Done = wirePeers(); !Done)
+  Udp::socket Datagrams(Control_);
+  if (auto Done = wirePeers(Datagrams); !Done)
     return Done;
   if (auto Done = wireOperators(); !Done)
     return Done;
-  if (auto Done = wireMembership(); !Done)
-    return Done;
+  wireMembership(std::move(Datagrams));
   wireKeeper();
   wireConfiguration();
   return wireCallers();
 }
 
-Result<void> Daemon::wirePeers() {
+PeerNetwork::Hooks Daemon::peerHooks() {
   PeerNetwork::Hooks Hooks;
   Hooks.Asked_ = [this](const VmId &From, wire::EnvelopeT Message) {
     onAsked(From, std::move(Message));
@@ -141,15 +142,29 @@
     auto Known = Members_->find(To);
     return Known ? std::optional(Known->Address_) : std::nullopt;
   };
-  auto Peers = PeerNetwork::create(Control_, Settings_.Peers_, Settings_.Vm_,
-                                   PeerNetwork::Options(), std::move(Hooks));
-  if (!Peers)
-    return Peers.error();
-  Peers_ = std::move(*Peers);
-  return {};
+  return Hooks;
+}
+
+Result<void> Daemon::wirePeers(Udp::socket &Datagrams) {
+  auto OpenStreams = [this]() -> Result<Endpoint> {
+    auto Peers = PeerNetwork::create(Control_, Settings_.Peers_, Settings_.Vm_,
+                                     PeerNetwork::Options(), peerHooks());
+    if (!Peers)
+      return Peers.error();
+    Peers_ = std::move(*Peers);
+    return Peers_->address();
+  };
+  auto OpenDatagrams = [&](const Endpoint &Address) -> Result<void> {
+    auto Bound = MembershipService::bind(Control_, Address);
+    if (!Bound)
+      return Bound.error();
+    Datagrams = std::move(*Bound);
+    return {};
+  };
+  return openAtOnePort(Settings_.Peers_, OpenStreams, OpenDatagrams);
 }
 
-Result<void> Daemon::wireMembership() {
+void Daemon::wireMembership(Udp::socket Datagrams) {
   Member Self;
   Self.Id_ = Settings_.Vm_;
   Self.Incarnation_ = Incarnation_;
@@ -188,13 +203,9 @@
   Hooks.FloorSeen_ = [this](const PoolFloor &Floor) {
     Keeper_->floorSeen(Floor);
   };
-  auto Service =
-      MembershipService::create(Control_, Peers_->address(), *Members_,
+  Membership_ =
+      MembershipService::create(Control_, std::move(Datagrams), *Members_,
                                 MembershipService::Options(), std::move(Hooks));
-  if (!Service)
-    return Service.error();
-  Membership_ = std::move(*Service);
-  return {};
 }
 
 void Daemon::wireKeeper() {
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -62,8 +62,12 @@
 
   Daemon(Settings Configured, PlatformAdapter Adapter);
   Result<void> wire();
-  Result<void> wirePeers();
-  Result<void> wireMembership();
+  using Udp = boost::asio::ip::udp;
+
+  PeerNetwork::Hooks peerHooks();
+  /// Binds the address for other daemons, for datagrams in \p Datagrams.
+  Result<void> wirePeers(Udp::socket &Datagrams);
+  void wireMembership(Udp::socket Datagrams);
   void wireKeeper();
   void wireConfiguration();
   Result<void> wireCallers();
--- a/UnitTests/Process/MembershipServiceTest.cpp
+++ b/UnitTests/Process/MembershipServiceTest.cpp
@@ -45,10 +45,10 @@
     Hooks.VersionSeen_ = [](const VmId &, const wire::ServiceVersionT &) {};
     Hooks.Floors_ = [] { return std::vector<PoolFloor>(); };
     Hooks.FloorSeen_ = [](const PoolFloor &) {};
-    auto Made = MembershipService::create(Control, Address_, Members_, Options,
-                                          std::move(Hooks));
-    REQUIRE(Made.has_value());
-    Service_ = std::move(*Made);
+    auto Bound = MembershipService::bind(Control, Address_);
+    REQUIRE(Bound.has_value());
+    Service_ = MembershipService::create(Control, std::move(*Bound), Members_,
+                                         Options, std::move(Hooks));
   }
 
   Endpoint Address_;
--- a/standins/Relay.cpp
+++ b/standins/Relay.cpp
@@ -3,6 +3,8 @@
 /// UDP datagrams to a target. POST /faults with mode "pass", "silent" (what
 /// comes is dropped, connections stay open) or "refuse" (connections close).
 
+#include "Process/MembershipService.h"
+#include "Process/PeerPort.h"
 #include "StandinMain.h"
 
 #include <absl/flags/flag.h>
@@ -46,11 +48,12 @@
       return false;
     if (auto Target = parseEndpoint(absl::GetFlag(FLAGS_target)))
       Target_ = *Target;
-    Acceptor_ = Tcp::acceptor(Context_, *Listen);
-    Endpoint Bound = Acceptor_.local_endpoint();
-    Datagrams_ =
-        Udp::socket(Context_, Udp::endpoint(Bound.address(), Bound.port()));
-    Json Line = {{"event", "relaying"}, {"address", formatEndpoint(Bound)}};
+    if (auto Opened = open(*Listen); !Opened) {
+      fmt::print(stderr, "relay: {}\n", Opened.error().Detail_);
+      return false;
+    }
+    Json Line = {{"event", "relaying"},
+                 {"address", formatEndpoint(Acceptor_.local_endpoint())}};
     fmt::print("{}\n", Line.dump());
     auto Accept = [this]() { return accept(); };
     auto Receive = [this]() { return receive(); };
@@ -75,6 +78,21 @@
 private:
   using SocketPointer = std::shared_ptr<Tcp::socket>;
 
+  Result<void> open(const Endpoint &Listen) {
+    auto OpenStreams = [&]() -> Result<Endpoint> {
+      Acceptor_ = Tcp::acceptor(Context_, Listen);
+      return Acceptor_.local_endpoint();
+    };
+    auto OpenDatagrams = [this](const Endpoint &Address) -> Result<void> {
+      auto Bound = MembershipService::bind(Context_, Address);
+      if (!Bound)
+        return Bound.error();
+      Datagrams_ = std::move(*Bound);
+      return {};
+    };
+    return openAtOnePort(Listen, OpenStreams, OpenDatagrams);
+  }
+
   void closeAll() {
     for (const SocketPointer &Open : Sockets_) {
       error_code Ignored;
