Build with a sanitizer: Tools/sanitize.sh address|thread

No build of the project ran under one. Running the tests with what KNOWN-RED.txt lists is a script of its own now, for both; Docs looks at its own build's tool.

Read-copy-update: liburcu's barriers are in assembly, the thread sanitizer sees no order through them. RcuCell tells it of the two that there are.

--- a/Source/Version/RcuCell.h
+++ b/Source/Version/RcuCell.h
@@ -3,6 +3,8 @@
 /// Read-copy-update of one immutable value: readers take no lock and never
 /// wait for a writer.
 
+#include "Common/ThreadSanitizer.h"
+
 #include <urcu-bp.h>
 
 #include <memory>
@@ -22,7 +24,10 @@
   /// request keeps the one that it began with.
   Pointer read() const {
     urcu_bp_read_lock();
-    Pointer Copy = *rcu_dereference(Current_);
+    const Pointer *Present = rcu_dereference(Current_);
+    tsanAcquire(&Published_);
+    Pointer Copy = *Present;
+    tsanRelease(&Copied_);
     urcu_bp_read_unlock();
     return Copy;
   }
@@ -32,13 +37,21 @@
   /// freed memory.
   void write(Pointer Next) {
     auto *Fresh = new Pointer(std::move(Next));
+    tsanRelease(&Published_);
     Pointer *Old = rcu_xchg_pointer(&Current_, Fresh);
     urcu_bp_synchronize_rcu();
+    tsanAcquire(&Copied_);
     delete Old;
   }
 
 private:
   Pointer *Current_;
+  // The library's barriers are in assembly, which the thread sanitizer doesn't
+  // see: what is written before a value is published happens before its
+  // readers' use, and their copies before the old value is freed. Two marks, so
+  // that readers are not taken for ordered among themselves.
+  [[no_unique_address]] mutable TsanMark Published_;
+  [[no_unique_address]] mutable TsanMark Copied_;
 };
 
 } // namespace samphireshunt
--- a/Tools/check_docs.sh
+++ b/Tools/check_docs.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Checks docs against the program: the table of codes, and the examples.
+#   Tools/check_docs.sh [BUILD]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-Tool=build/Source/Programs/samphireshuntctl
+Tool=${1:-build}/Source/Programs/samphireshuntctl
 diff <("$Tool" explain all) <(grep '^|' docs/RESULT_CODES.md)
 for Example in docs/examples/*.yaml; do
   "$Tool" validate "$Example"
--- /dev/null
+++ b/Tools/run_tests.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Passes the tests of a build, but for those listed in KNOWN-RED.txt (name first,
+# up to the bar): these are run and printed, and don't decide.
+#   Tools/run_tests.sh BUILD [CTEST_OPTION...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Build=$1
+shift
+Known=""
+[ -f KNOWN-RED.txt ] && Known=$(cut -d'|' -f1 KNOWN-RED.txt | tr -d ' ' | paste -sd'|')
+ctest --test-dir "$Build" --output-on-failure ${Known:+-E "^($Known)\$"} "$@"
+if [ -n "$Known" ]; then
+  echo "known red, passed over:"
+  cat KNOWN-RED.txt
+  ctest --test-dir "$Build" -R "^($Known)\$" || true
+fi
--- /dev/null
+++ b/Tools/sanitize.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Builds into build-asan/ or build-tsan/ with a sanitizer and passes the whole
+# test suite there, real daemons included.
+#   [JOBS=N] Tools/sanitize.sh address|thread [CTEST_OPTION...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Kind=${1:-}
+shift || true
+case "$Kind" in
+address) Build=build-asan ;;
+thread) Build=build-tsan ;;
+*)
+  echo "usage: Tools/sanitize.sh address|thread [CTEST_OPTION...]" >&2
+  exit 2
+  ;;
+esac
+# The first report ends the process by SIGABRT: no test expects that, also of a
+# daemon that it starts. A local that is used after its function returned is seen
+# too. Daemons are killed at a test's end, so leaks are looked for in the rest.
+export ASAN_OPTIONS="abort_on_error=1:detect_stack_use_after_return=1:strict_init_order=1${ASAN_OPTIONS:+:$ASAN_OPTIONS}"
+export TSAN_OPTIONS="abort_on_error=1:halt_on_error=1:second_deadlock_stack=1:suppressions=$PWD/Tools/thread-sanitizer.supp${TSAN_OPTIONS:+:$TSAN_OPTIONS}"
+cmake -G Ninja -B "$Build" -DCMAKE_BUILD_TYPE=Release \
+  -DSAMPHIRESHUNT_SANITIZER="$Kind" >"$Build.cmake.log" 2>&1 ||
+  { cat "$Build.cmake.log"; exit 1; }
+rm -f "$Build.cmake.log"
+ninja -C "$Build" ${JOBS:+-j "$JOBS"}
+Tools/run_tests.sh "$Build" "$@"
