Give the places of an entry whose link broke to who waits

Failure.LeavingTest, listed as known red (4 of 12 calls answered, beside load): the cause is found. A keeper that is not let run for 0.7 to 1 s is passed over by the other daemons: they close their links and ask the next keeper. What they had asked before lies unread; when the keeper goes on it grants places to these asks, whose entries have other grants by then, and holds what it granted before the pause, whose ends were told to the next keeper. Both held their places for ten seconds (EntryGrace_), so the keeper's own callers, and those of a daemon whose link held, waited until their deadlines: 'refused code=200 waiting=9 running=1 usable_servers=1' with an idle engine.

Which daemons' calls are lost depends on whose links broke; 4 of 12 are those of one daemon.

Mend: what waits for an entry is dropped with its link (the entry asks anew in any case); its running requests hold their places for 3 s instead of 10: an entry that still has something there is back on a new link after the 2 s for which it passes over a keeper, and says what runs. What ran is remembered for the 10 s as before, so that a death that is known late still ends the orphans.

Cost: an entry that itself pauses for over 3 s with its link broken has its places given away sooner than before; its engines then have more than their limit until it is back.

--- a/FailureTests/PartitionTest.cpp
+++ b/FailureTests/PartitionTest.cpp
@@ -80,6 +80,36 @@
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
 
+TEST_CASE("callers of a keeper that paused are served when it goes on") {
+  // Beside load 4 of 12 calls were answered, those of one daemon of three. A
+  // keeper that was not let run for a second is left by the others, whose
+  // callers are served by the next one. When it goes on it grants places to
+  // what they had asked of it before; nobody ends these grants, and its own
+  // callers wait until their deadlines.
+  ClusterOptions Options;
+  Options.MaxInFlight_ = 1;
+  Cluster Fleet(Options);
+  int Keeper = Fleet.keeperOf("models");
+  ChildProcess &Paused = Fleet.process(fmt::format("vm-{}", Keeper));
+  std::vector<std::future<CallRecord>> Own;
+  std::vector<std::future<CallRecord>> Others;
+  constexpr int EachDaemon = 4;
+  for (int Index = 0; Index < EachDaemon; ++Index)
+    for (int Daemon = 1; Daemon <= 3; ++Daemon)
+      (Daemon == Keeper ? Own : Others)
+          .push_back(Fleet.start(Fleet.chat(Daemon)));
+  REQUIRE(eventually([&] { return Fleet.ledgerCount("ran") > 0; }));
+  Paused.freeze();
+  auto OthersRecords = finish(Others);
+  Paused.wake();
+  CHECK_MESSAGE(countOutcome(OthersRecords, "answered") == 2 * EachDaemon,
+                unanswered(OthersRecords));
+  auto OwnRecords = finish(Own);
+  CHECK_MESSAGE(countOutcome(OwnRecords, "answered") == EachDaemon,
+                unanswered(OwnRecords));
+  CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
+}
+
 TEST_CASE("the streams of a dead daemon are ended at their engines") {
   // Symptom: engines work for minutes on answers that nobody reads.
   // Sequence: a daemon is killed with long answers under way.
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/KeeperService.cpp
@@ -66,15 +66,37 @@
   for (auto &[Id, Target] : Cells_)
     if (Target->Scheduler_.waiting() > 0)
       decide(Id, *Target);
+  checkGoneEntries();
+}
+
+void KeeperService::checkGoneEntries() {
   auto Now = steady_clock::now();
+  bool AnyTaken = false;
+  for (auto &[Entry, Gone] : GoneEntries_) {
+    if (!Gone.HoldsPlaces_ || Now - Gone.Since_ < Options_.PlaceGrace_)
+      continue;
+    takePlaces(Entry, Gone);
+    AnyTaken = true;
+  }
+  // The entry lives but asks another keeper now, which knows what it runs.
   std::erase_if(GoneEntries_, [&](const auto &Item) {
-    if (Now - Item.second < Options_.EntryGrace_)
-      return false;
-    // The entry lives but asks another keeper now, which knows what it runs.
-    for (auto &[Id, Target] : Cells_)
-      drop(*Target, Item.first);
-    return true;
+    return !Item.second.HoldsPlaces_ &&
+           Now - Item.second.Since_ >= Options_.EntryGrace_;
   });
+  if (!AnyTaken)
+    return;
+  for (auto &[Cell, Target] : Cells_)
+    decide(Cell, *Target);
+}
+
+/// While the link was broken the entry told another keeper what ended. Kept,
+/// those requests would hold their places until nobody remembers them, and
+/// others wait past their deadlines although the engines are idle.
+void KeeperService::takePlaces(const VmId &Entry, GoneEntry &Gone) {
+  Gone.HoldsPlaces_ = false;
+  for (auto &[Cell, Target] : Cells_)
+    for (RunningRequest &Request : drop(*Target, Entry))
+      Gone.Ran_.push_back({Cell, std::move(Request)});
 }
 
 KeeperService::KeptCell &KeeperService::kept(const CellId &Cell) {
@@ -344,8 +366,13 @@
   }
 }
 
+/// What waits for it can't be granted any more: the grant would go nowhere, and
+/// the place stay taken. The entry asks the next keeper for it.
 void KeeperService::entryGone(const VmId &Entry) {
-  GoneEntries_[Entry] = steady_clock::now();
+  GoneEntries_[Entry] = {steady_clock::now(), true, {}};
+  for (auto &[Cell, Target] : Cells_)
+    for (const RequestId &Id : Target->Scheduler_.removeWaiting(Entry))
+      Allotments_.giveBack(Id);
 }
 
 /// While its earlier link was broken the entry told another keeper what ended.
@@ -369,7 +396,8 @@
 }
 
 void KeeperService::entryDead(const VmId &Entry) {
-  GoneEntries_.erase(Entry);
+  if (auto Gone = GoneEntries_.extract(Entry))
+    std::ranges::for_each(Gone.mapped().Ran_, Hooks_.Orphaned_);
   for (auto &[Cell, Target] : Cells_) {
     for (RunningRequest &Request : drop(*Target, Entry))
       Hooks_.Orphaned_({Cell, std::move(Request)});
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/KeeperService.h
@@ -39,9 +39,14 @@
     /// long as it took: rounds take a fifth of the time at the most. 0: each
     /// message is answered by a round of its own.
     int RoundPause_ = 4;
-    /// How long the running requests of an entry whose link broke are kept.
-    /// Longer than its death takes to be known: dropped before, its orphans
-    /// would never be cancelled.
+    /// How long the running requests of an entry whose link broke hold their
+    /// places. An entry that has something here asks again after the two
+    /// seconds for which it passes over a keeper, on a new link, and says what
+    /// runs; one that does not has told another keeper what ended.
+    std::chrono::milliseconds PlaceGrace_{3000};
+    /// How long those requests are remembered. Longer than the entry's death
+    /// takes to be known: forgotten before, its orphans would never be
+    /// cancelled.
     std::chrono::milliseconds EntryGrace_{10000};
     /// Requests beyond an engine's limit that wait in the engine, so that a
     /// place that gets free is not empty until this keeper has heard of it.
@@ -103,11 +108,21 @@
     TimePoint NextRound_{};
   };
 
+  /// An entry whose link broke.
+  struct GoneEntry {
+    TimePoint Since_;
+    bool HoldsPlaces_ = true;
+    /// What ran for it when its places were taken.
+    std::vector<OrphanedRequest> Ran_;
+  };
+
   KeptCell &kept(const CellId &Cell);
   /// False while this daemon has no configuration with the cell's pool.
   bool knows(const CellId &Cell) const;
   /// Forgets the entry's requests. \returns those that ran.
   std::vector<RunningRequest> drop(KeptCell &Target, const VmId &Entry);
+  void checkGoneEntries();
+  void takePlaces(const VmId &Entry, GoneEntry &Gone);
   void logRefusal(const CellId &Cell, const RefuseDecision &Refusal);
   void logHealth(const CellId &Cell, const ServerName &Server,
                  const ServerHealth &Health, bool WasLeftOut);
@@ -131,7 +146,7 @@
   Options Options_;
   Hooks Hooks_;
   std::map<CellId, std::unique_ptr<KeptCell>> Cells_;
-  std::map<VmId, TimePoint> GoneEntries_;
+  std::map<VmId, GoneEntry> GoneEntries_;
   AllotmentLedger Allotments_;
   std::map<ServiceName, double> KeptParts_;
   LogSampler RefusalLines_;
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -299,12 +299,18 @@
     Server->firstToken(Id, Seen, Typical_);
 }
 
-EntryRemains Scheduler::removeEntry(const VmId &Entry) {
-  EntryRemains Left;
+std::vector<RequestId> Scheduler::removeWaiting(const VmId &Entry) {
+  std::vector<RequestId> Removed;
   for (const auto &[Id, Request] : Waiting_)
     if (Request.Asked_.Entry_ == Entry)
-      Left.Waiting_.push_back(Id);
-  std::ranges::for_each(Left.Waiting_, [this](RequestId Id) { dequeue(Id); });
+      Removed.push_back(Id);
+  std::ranges::for_each(Removed, [this](RequestId Id) { dequeue(Id); });
+  return Removed;
+}
+
+EntryRemains Scheduler::removeEntry(const VmId &Entry) {
+  EntryRemains Left;
+  Left.Waiting_ = removeWaiting(Entry);
   for (auto Item = Running_.begin(); Item != Running_.end();) {
     if (Item->second.Entry_ != Entry) {
       ++Item;
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -167,6 +167,8 @@
   void done(const RequestId &Id, const ServedSample &Seen, TimePoint Now);
   /// A granted request gave its first token.
   void firstToken(const RequestId &Id, const FirstTokenSample &Seen);
+  /// Forgets the requests of a daemon that wait. \returns them.
+  std::vector<RequestId> removeWaiting(const VmId &Entry);
   /// Forgets all requests of a daemon. \returns them.
   EntryRemains removeEntry(const VmId &Entry);
   /// Another keeper of the pool shed a request of \p Tier.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -145,6 +145,12 @@
 mutate live-share $S/Process/MemberTable.cpp \
   's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
+mutate waiting-of-gone $S/Process/KeeperService.cpp \
+  's/    for \(const RequestId &Id : Target->Scheduler_\.removeWaiting\(Entry\)\)\n\s*Allotments_\.giveBack\(Id\);/    (void)Target;/' \
+  UnitTests/UnitTests_Process '*whose link broke gets no place*'
+mutate places-of-gone $S/Process/KeeperService.cpp \
+  's/  Gone\.HoldsPlaces_ = false;\n/$&  return;\n/' \
+  UnitTests/UnitTests_Process '*place of an entry whose link broke*'
 T=FailureTests
 mutate joined-thread $T/ContextThread.h \
   's/    Thread_\.join\(\);\n//' \
--- a/UnitTests/Process/KeeperServiceTest.cpp
+++ b/UnitTests/Process/KeeperServiceTest.cpp
@@ -47,6 +47,7 @@
   static KeeperService::Options options() {
     KeeperService::Options Options;
     Options.RoundPause_ = 0;
+    Options.PlaceGrace_ = std::chrono::milliseconds(0);
     return Options;
   }
   static DocumentStore &withOneEngine(DocumentStore &Documents) {
@@ -128,3 +129,67 @@
   CHECK(Keeper.Refused_[{1, 1}] == ResultCode::NotReady);
   CHECK(Keeper.Refused_[{1, 2}] == ResultCode::NotReady);
 }
+
+namespace {
+
+const VmId OtherEntry("other-entry");
+
+void askFrom(OneEngineKeeper &Keeper, const VmId &From, std::uint64_t Number) {
+  AskedRequest Asked;
+  Asked.Id_ = {1, Number};
+  Asked.Customer_ = CustomerName("c");
+  Asked.Deadline_ = std::chrono::steady_clock::now() + std::chrono::hours(1);
+  Asked.Entry_ = From;
+  Keeper.Keeper_.ask(Cell, std::move(Asked));
+  Keeper.Control_.poll();
+}
+
+/// Works until the request has its place, or far longer than that may take.
+bool grantedInTime(OneEngineKeeper &Keeper, std::uint64_t Number) {
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!Keeper.granted(Number) && std::chrono::steady_clock::now() < End)
+    Keeper.Control_.run_one_for(std::chrono::milliseconds(10));
+  return Keeper.granted(Number);
+}
+
+} // namespace
+
+TEST_CASE("what waits for an entry whose link broke gets no place") {
+  // A keeper was not let run for a second. Its entries closed their links and
+  // asked another keeper; what they had asked before still lay unread, and got
+  // the places when the keeper went on. Nobody ever ended those grants: the
+  // keeper's own callers waited until their deadlines, "refused code=200,
+  // waiting=9, running=1" ten seconds later with an idle engine.
+  OneEngineKeeper Paused;
+  askFrom(Paused, Entry, 1);
+  askFrom(Paused, Entry, 2);
+  askFrom(Paused, OtherEntry, 3);
+  REQUIRE(Paused.granted(1));
+  Paused.Keeper_.entryGone(Entry);
+  Paused.Keeper_.done(Cell, {1, 1}, ServedSample());
+  CHECK(grantedInTime(Paused, 3));
+  CHECK_FALSE(Paused.granted(2));
+}
+
+TEST_CASE("the place of an entry whose link broke goes to who waits") {
+  // As above: what the keeper granted before its pause had ended meanwhile, as
+  // its entry told another keeper.
+  OneEngineKeeper Paused;
+  askFrom(Paused, Entry, 1);
+  askFrom(Paused, OtherEntry, 2);
+  REQUIRE(Paused.granted(1));
+  Paused.Keeper_.entryGone(Entry);
+  CHECK(grantedInTime(Paused, 2));
+  CHECK(Paused.Orphans_.empty());
+  SUBCASE("its requests are ended at their engines if the entry is dead") {
+    Paused.Keeper_.entryDead(Entry);
+    Paused.Control_.poll();
+    CHECK(Paused.Orphans_ == std::vector<RequestId>{{1, 1}});
+  }
+  SUBCASE("they are left alone if it comes back") {
+    Paused.Keeper_.entryBack(Entry);
+    Paused.Keeper_.entryDead(Entry);
+    Paused.Control_.poll();
+    CHECK(Paused.Orphans_.empty());
+  }
+}
