Decide on a stop only when all that came has been looked at

The daemon counted no request as running and ended.

The same whenever a process is not let run while its stop comes due: it finds in one turn that the time is up and that connections lie unaccepted. Now the stop is decided after all threads have gone through what there is (five turns each), and not if a connection came meanwhile. The bound on a stop (drain_timeout) does not wait for that.

--- a/FailureTests/LeavingTest.cpp
+++ b/FailureTests/LeavingTest.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <thread>
 
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
@@ -138,6 +139,26 @@
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
 
+TEST_CASE("a stop that comes due while the daemon pauses cuts nothing") {
+  // Two streams of twelve were cut at a daemon that was stopped beside load:
+  // one of its threads was not let run for 0.6 s, and with it lay unread what
+  // callers had sent. The daemon counted no request as running, and ended.
+  Cluster Fleet;
+  ChildProcess &Stopping = Fleet.process("vm-1");
+  Stopping.signal(SIGTERM);
+  REQUIRE(eventually([&] { return Fleet.status(1).value("draining", false); }));
+  Stopping.freeze();
+  std::vector<std::future<CallRecord>> Calls;
+  for (int Index = 0; Index < 12; ++Index)
+    Calls.push_back(Fleet.start(Fleet.chat(1)));
+  // The length of the pause: the stop is due in it.
+  std::this_thread::sleep_for(milliseconds(1000));
+  Stopping.wake();
+  auto Records = finish(Calls);
+  CHECK_MESSAGE(countOutcome(Records, "answered") == 12, unanswered(Records));
+  CHECK(Stopping.wait() == 0);
+}
+
 TEST_CASE("a rolling restart of every daemon under load cuts nothing") {
   // Symptom: an update of the fleet costs answers.
   // Sequence: each daemon in turn is stopped gracefully and started anew,
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -83,6 +83,9 @@
   bool platformReachable() const;
   bool isTakingCallers() const;
   bool hasTimeFor(const ForwardingRule &Rule) const;
+  void lookAround();
+  void lookThrough(std::vector<boost::asio::io_context *> Left);
+  void onLookedAround();
   bool mayStop(std::chrono::steady_clock::duration Drained);
   void reloadSettings();
   void awaitSignal();
@@ -120,6 +123,8 @@
   std::atomic<bool> Ready_ = false;
   std::atomic<bool> Draining_ = false;
   TimePoint DrainStarted_;
+  bool LookingAround_ = false;
+  TimePoint LookStarted_;
 
   boost::asio::io_context Control_{1};
   DocumentStore Documents_;
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -23,6 +24,9 @@
 constexpr milliseconds CalmCheckInterval{250};
 /// How often the settings' file is looked at: it may change without a signal.
 constexpr milliseconds FlagFileInterval{1000};
+/// Turns of a thread after which a connection that was there at the first has
+/// been accepted, its request read, and counts as active.
+constexpr std::size_t LookTurns = 5;
 
 } // namespace
 
@@ -129,14 +133,44 @@
          Drained + Rule.Timeout_ < Settings_.DrainTimeout_;
 }
 
+/// A process or a thread that was not let run for a while finds at once that
+/// the time of its stop has come and that connections and requests lie unread.
+/// Decided in that turn, the stop would cut them. So all threads go through
+/// what there is first, and the stop is decided when the last has done so.
+void Daemon::lookAround() {
+  if (std::exchange(LookingAround_, true))
+    return;
+  LookStarted_ = steady_clock::now();
+  std::vector<asio::io_context *> Turns(LookTurns, &Control_);
+  for (auto &Present : Workers_)
+    if (Present->OwnContext_)
+      Turns.insert(Turns.begin(), LookTurns, &*Present->OwnContext_);
+  lookThrough(std::move(Turns));
+}
+
+void Daemon::lookThrough(std::vector<asio::io_context *> Left) {
+  if (Left.empty())
+    return asio::post(Control_, [this] { onLookedAround(); });
+  asio::io_context &Next = *Left.back();
+  Left.pop_back();
+  asio::post(Next, [this, Left = std::move(Left)]() mutable {
+    lookThrough(std::move(Left));
+  });
+}
+
+void Daemon::onLookedAround() {
+  LookingAround_ = false;
+  // What came meanwhile may lie unread again.
+  if (CallerServer_->lastAccepted() >= LookStarted_)
+    return;
+  if (mayStop(steady_clock::now() - DrainStarted_))
+    stopAll();
+}
+
 /// A balancer with few other daemons goes on sending to this one, so it takes
 /// connections until none comes any more. Where that never happens it goes on
 /// only while requests run: what comes late it refuses anyway.
 bool Daemon::mayStop(steady_clock::duration Drained) {
-  if (Drained >= Settings_.DrainTimeout_)
-    return true;
-  if (Drained < Settings_.DrainDelay_)
-    return false;
   auto SinceAccepted = steady_clock::now() - CallerServer_->lastAccepted();
   if (Settings_.DrainQuiet_.count() == 0)
     CallerServer_->stopAccepting();
@@ -151,8 +185,13 @@
   Ready_ = configurationReady();
   if (Ready_ && !WasReady)
     logEvent(LogCategory::Process, spdlog::level::info, "ready");
-  if (Draining_ && mayStop(steady_clock::now() - DrainStarted_))
-    return stopAll();
+  if (Draining_) {
+    auto Drained = steady_clock::now() - DrainStarted_;
+    if (Drained >= Settings_.DrainTimeout_)
+      return stopAll();
+    if (Drained >= Settings_.DrainDelay_)
+      lookAround();
+  }
   if (steady_clock::now() - FlagFileLooked_ >= FlagFileInterval)
     reloadSettings();
   bool Calm = Ready_ && !Draining_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -118,6 +118,9 @@
 mutate drain $S/Programs/Daemon.cpp \
   's/bool Idle = [^;]*;/bool Idle = true;/' \
   ${F}LeavingTest '*graceful stop*'
+mutate look-before-stop $S/Programs/DaemonLife.cpp \
+  's/std::vector<asio::io_context \*> Turns\(LookTurns.*?lookThrough\(std::move\(Turns\)\);/onLookedAround();/s' \
+  ${F}LeavingTest '*comes due while*'
 mutate version-order $S/Version/DocumentStore.cpp \
   's/InForce->Version_ >= Source\.Version_/InForce->Version_ == Source.Version_/' \
   ${F}ConfigurationTest '*only go up*'
