Soak: count the bound on a leaving engine from the end of a daemon's pause

Traced from the daemons' lines: i-1 began to leave between 53.4 and 53.526 s; the store had dropped its history, so vm-1 found 'history-lost' at 53.991, and was paused by the soak from about 54.0 to 55.50 s, before its new list came. The other two daemons had it at 54.03 and 54.05.

So the check charged a daemon for a time in which it was frozen, which the bound does not do: it holds for machines in touch, and one that is frozen is not. It now passes a request over only if its own daemon was paused after the engine began to leave and has been going on for no longer than the same two seconds. The pause of one daemon excuses no other. All else that was checked is checked as before.

The failure came of timing; it was not replayed.

--- a/FailureTests/platform/SoakWorld.cpp
+++ b/FailureTests/platform/SoakWorld.cpp
@@ -26,7 +26,8 @@
 /// A key must not work for longer after it was taken away.
 constexpr milliseconds RevocationBound{5000};
 /// A leaving engine gets no request later than this after it said so, while the
-/// store is well.
+/// store is well; from a daemon that could not be told, as it was paused, after
+/// it went on.
 constexpr milliseconds DrainBound{2000};
 /// So long the store must have been well for that bound to hold.
 constexpr milliseconds CalmStore{5000};
@@ -194,7 +195,8 @@
   }
   auto Now = steady_clock::now();
   bool Late = Self.Leaving_ != Time() && Now - Self.Leaving_ > DrainBound;
-  if (Late && Now - StoreTroubled_ > CalmStore)
+  if (Late && Now - StoreTroubled_ > CalmStore &&
+      !excusedByPause(CallId, Self.Leaving_))
     Violations_.push_back(CallId + ": reached a leaving engine too late");
   if (!Request.field("authorization").empty())
     Violations_.push_back(CallId + ": the key was passed on");
@@ -273,6 +275,7 @@
 /// A caller goes on using its open connection until that is closed.
 Awaitable<void> SoakWorld::caller(std::uint64_t) {
   std::unique_ptr<HttpConnection> Kept;
+  Endpoint KeptTo;
   while (CallersRun_) {
     co_await sleep(milliseconds(5 + pick(40)));
     auto Daemon = Daemons_[pick(static_cast<std::uint32_t>(Daemons_.size()))];
@@ -280,7 +283,9 @@
       continue;
     auto Kind = static_cast<SoakKind>(pick(4));
     std::string Key = fmt::format("key-{}", 1 + pick(6));
-    Endpoint To = *Daemon;
+    if (!Kept)
+      KeptTo = *Daemon;
+    Endpoint To = KeptTo;
     SoakCall Seen =
         co_await callOnce(Kind, std::move(Key), std::move(To), Kept);
     Calls_.push_back(std::move(Seen));
@@ -294,6 +299,7 @@
   constexpr milliseconds Limit{3000};
   SoakCall Seen;
   Seen.Id_ = fmt::format("c-{}", NextId_++);
+  SentTo_[Seen.Id_] = To;
   Seen.Kind_ = Kind;
   Seen.Key_ = Key;
   HttpRequest Request;
@@ -329,6 +335,22 @@
   co_return Seen;
 }
 
+void SoakWorld::noteWake(std::size_t Index) {
+  run([&] {
+    if (Daemons_.at(Index))
+      Woken_[*Daemons_[Index]] = steady_clock::now();
+  });
+}
+
+bool SoakWorld::excusedByPause(const std::string &CallId, Time Since) const {
+  auto Daemon = SentTo_.find(CallId);
+  if (Daemon == SentTo_.end())
+    return false;
+  auto Woken = Woken_.find(Daemon->second);
+  return Woken != Woken_.end() && Woken->second > Since &&
+         steady_clock::now() - Woken->second <= DrainBound;
+}
+
 void SoakWorld::failStore(int Status) {
   run([&] {
     Store_.FailWith_ = Status;
--- a/FailureTests/platform/SoakWorld.h
+++ b/FailureTests/platform/SoakWorld.h
@@ -52,6 +52,9 @@
   void stopCallers();
   void setDaemon(std::size_t Index, std::optional<Endpoint> Callers);
 
+  /// A daemon is about to go on after a pause.
+  void noteWake(std::size_t Index);
+
   // Faults; each returns at once.
   void failStore(int Status);
   void silenceStore(bool Silent);
@@ -95,6 +98,9 @@
                                std::unique_ptr<HttpConnection> &Kept);
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   void check(const SoakCall &Call, std::vector<std::string> &Found) const;
+  /// Whether an engine that began to leave at \p Since may still get the call:
+  /// its daemon was paused meanwhile, and has gone on only just now.
+  bool excusedByPause(const std::string &CallId, Time Since) const;
   std::uint32_t pick(std::uint32_t Count) { return Random_(Count); }
 
   boost::asio::io_context Context_{1};
@@ -108,6 +114,8 @@
   std::map<std::string, std::string> OwnerOf_; ///< Customers by key.
   std::set<std::string> ActiveKeys_;
   std::map<std::string, Time> Revoked_;
+  std::map<std::string, Endpoint> SentTo_; ///< Daemons by call.
+  std::map<Endpoint, Time> Woken_;
   std::vector<std::string> Violations_;
   Time StoreTroubled_;
   std::uint64_t NextId_ = 1;
