--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -61,8 +61,12 @@
 
   Daemon(Settings Configured, PlatformAdapter Adapter);
   Result<void> wire();
-  Result<void> wirePeers();
-  Result<void> wireMembership();
+  using Udp = boost::asio::ip::udp;
+
+  PeerNetwork::Hooks peerHooks();
+  /// Binds the address for other daemons, for datagrams in \p Datagrams.
+  Result<void> wirePeers(Udp::socket &Datagrams);
+  void wireMembership(Udp::socket Datagrams);
   void wireKeeper();
   void wireConfiguration();
   Result<void> wireCallers();
@@ -78,6 +82,9 @@
   bool platformReachable() const;
   bool isTakingCallers() const;
   bool hasTimeFor(const ForwardingRule &Rule) const;
+  void lookAround();
+  void lookThrough(std::vector<boost::asio::io_context *> Left);
+  void onLookedAround();
   bool mayStop(std::chrono::steady_clock::duration Drained);
   void reloadSettings();
   void awaitSignal();
@@ -115,6 +122,8 @@
   std::atomic<bool> Ready_ = false;
   std::atomic<bool> Draining_ = false;
   TimePoint DrainStarted_;
+  bool LookingAround_ = false;
+  TimePoint LookStarted_;
 
   /// Requests that wait for a grant are known to Grants_ and Control_, by
   /// timers of their workers' contexts: a context that ended first would leave
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -118,6 +118,9 @@
 mutate drain $S/Programs/Daemon.cpp \
   's/bool Idle = [^;]*;/bool Idle = true;/' \
   ${F}LeavingTest '*graceful stop*'
+mutate look-before-stop $S/Programs/DaemonLife.cpp \
+  's/std::vector<asio::io_context \*> Turns\(LookTurns.*?lookThrough\(std::move\(Turns\)\);/onLookedAround();/s' \
+  ${F}LeavingTest '*comes due while*'
 mutate version-order $S/Version/DocumentStore.cpp \
   's/InForce->Version_ >= Source\.Version_/InForce->Version_ == Source.Version_/' \
   ${F}ConfigurationTest '*only go up*'
@@ -145,6 +148,22 @@
 mutate live-share $S/Process/MemberTable.cpp \
   's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
+mutate waiting-of-gone $S/Process/KeeperService.cpp \
+  's/    for \(const RequestId &Id : Target->Scheduler_\.removeWaiting\(Entry\)\)\n\s*Allotments_\.giveBack\(Id\);/    (void)Target;/' \
+  UnitTests/UnitTests_Process '*whose link broke gets no place*'
+mutate places-of-gone $S/Process/KeeperService.cpp \
+  's/  Gone\.HoldsPlaces_ = false;\n/$&  return;\n/' \
+  UnitTests/UnitTests_Process '*place of an entry whose link broke*'
+T=FailureTests
+mutate joined-thread $T/ContextThread.h \
+  's/    Thread_\.join\(\);\n//' \
+  ${F}ClusterTest "*can't start says why*"
+mutate own-end $T/ChildProcess.cpp \
+  's/bool Expected = .*?;/bool Expected = true;/s' \
+  ${F}ClusterTest '*ends by itself fails*'
+mutate report-beside-kill $T/ChildProcess.cpp \
+  's/(void ChildProcess::checkReports\(\) const \{\n)/$1  return;\n/' \
+  ${F}ClusterTest "*sanitizer's report*"
 U=UnitTests/UnitTests_
 mutate scheduler-order $S/Process/SchedulerPlacement.cpp \
   's/for \(const DeadlineKey &Key : Queue\.Requests_\)/for (const DeadlineKey \&Key : std::set<DeadlineKey, std::greater<>>(Queue.Requests_.begin(), Queue.Requests_.end()))/' \
