--- a/UnitTests/platform/ConfigurationTest.cpp
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -296,6 +296,41 @@
           ResultCode::DocumentSyntax);
 }
 
+TEST_CASE("of two members of a route the last one counts, whatever the first") {
+  // A configuration that readers of JSON take was refused, and the version
+  // before it stayed in force: a member stood there twice, of a wrong type at
+  // first, and the reader of routes kept what it had found wrong there. A
+  // generated case showed it, with a split whose first part had no service.
+  const std::vector<std::pair<std::string, std::string>> Doubled = {
+      {"name", "5"},
+      {"attempts", "-1"},
+      {"anonymous", "{}"},
+      {"backends", "7"},
+      {"backends", "[]"},
+      {"backends", "[{\"weight\":1}]"},
+      {"backends", "[{\"service\":1},[2]]"}};
+  Json Written = example();
+  std::string Route = Written["routes"][0].dump();
+  std::string Expected = textOf(platform::readConfiguration(Written.dump()));
+  REQUIRE(Expected != "not read");
+  for (const auto &[Name, First] : Doubled) {
+    CAPTURE(Name);
+    CAPTURE(First);
+    std::string Text = Written.dump();
+    auto Place = Text.find(Route) + 1;
+    Text.insert(Place, "\"" + Name + "\":" + First + ",");
+    CHECK(textOf(platform::readConfiguration(Text)) == Expected);
+  }
+  std::string Text = Written.dump();
+  auto Part = Text.find("{", Text.find("\"backends\"")) + 1;
+  Text.insert(Part, R"("service":5,"weight":"1",)");
+  CHECK(textOf(platform::readConfiguration(Text)) == Expected);
+  std::string Last = Written.dump();
+  auto End = Last.find(Route) + Route.size() - 1;
+  Last.insert(End, R"(,"name":5)");
+  CHECK(textOf(platform::readConfiguration(Last)) == "not read");
+}
+
 TEST_CASE("read after any version, a configuration is what its text says") {
   bool Holds = rc::check([] {
     platform::ConfigurationReader Reader;
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -95,6 +95,8 @@
   HttpResponse Answer = jsonResponse(404, "{}");
   if (FailWith_ > 0)
     Answer = jsonResponse(FailWith_, "{}");
+  else if (!AnswerWith_.empty())
+    Answer = jsonResponse(200, AnswerWith_);
   else if (Path == "/-/kv-range")
     Answer = range(Request);
   else if (Path == "/-/kv-key")
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -30,6 +30,8 @@
 
   /// Answers every call with this status; 0: answers properly.
   int FailWith_ = 0;
+  /// Answers every call with this body; empty: answers properly.
+  std::string AnswerWith_;
   /// Takes calls and never answers.
   bool Silent_ = false;
   /// Watches that wait while this is set hear nothing until their time is up.
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -114,6 +114,35 @@
   CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
 }
 
+TEST_CASE("an answer whose members are of another type is an outage") {
+  // Symptom: a daemon goes on with what it knew, for good, and logs nothing.
+  // Sequence: an answer of the store has a text where a number is due.
+  // Cause: the reader threw, out of the coroutine that follows the store, which
+  // ended unseen.
+  StoreFixture Test;
+  for (const char *Body :
+       {R"({"entries":[{"key":5,"value":"","revision":1}],"current-rev":1})",
+        R"({"entries":[{"key":"k","value":7,"revision":1}],"current-rev":1})",
+        R"({"entries":[{"key":"k","value":"","revision":"1"}]})",
+        R"({"entries":[{"key":"k","tombstone":"yes"}]})",
+        R"({"entries":[],"current-rev":"1"})",
+        R"({"entries":[{"key":"k"}],"has-more":"no"})", R"({"entries":7})"}) {
+    CAPTURE(Body);
+    Test.Store_.AnswerWith_ = Body;
+    CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
+  }
+  Test.Store_.AnswerWith_ = R"({"events":[{"key":"k","revision":[]}]})";
+  CHECK(Test.watch(Revision(1), milliseconds(10)).error().Code_ ==
+        ResultCode::PlatformUnavailable);
+  Test.Store_.AnswerWith_ = R"({"key":{},"value":"","revision":1})";
+  auto Got =
+      Test.wait<std::optional<KeyValue>>([&] { return Test.Hooks_.Get_("k"); });
+  CHECK(Got.error().Code_ == ResultCode::PlatformUnavailable);
+  Test.Store_.AnswerWith_ = R"({"revision":"1"})";
+  CHECK(Test.put("k", "v", Revision(0)).error().Code_ ==
+        ResultCode::PlatformUnavailable);
+}
+
 TEST_CASE("a write that is refused is told apart from one whose answer is "
           "lost") {
   StoreFixture Test;
