Let the time of a request's read end with the read; count what runs by its life

Cause: a timer that is cancelled when its handler is queued already runs all the same, and cancelled what the connection did next: the look-out for the caller's end, or a part of its answer. The same class as the timeout of a connection between daemons. A handler that throws left the count of running requests raised, and a stop waited for it to no end.

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -63,6 +63,21 @@
          Error == asio::error::operation_aborted;
 }
 
+/// Counts one request as running for as long as it lives, also when its handler
+/// throws: a stop waits for what runs.
+class ActiveExchange {
+public:
+  explicit ActiveExchange(std::atomic<std::size_t> &Count) : Count_(Count) {
+    ++Count_;
+  }
+  ~ActiveExchange() { --Count_; }
+  ActiveExchange(const ActiveExchange &) = delete;
+  ActiveExchange &operator=(const ActiveExchange &) = delete;
+
+private:
+  std::atomic<std::size_t> &Count_;
+};
+
 /// One connection: reads a request, lets the handler answer it, and goes on
 /// while both sides keep the connection.
 class Session : public HttpExchange,
@@ -79,15 +94,8 @@
       bool Begun = co_await awaitFirstByte();
       if (!Begun)
         break;
-      ++State_->ActiveExchanges_;
-      Answered_ = false;
-      bool Read = co_await readRequest();
-      if (Read)
-        co_await State_->Options_.Handler_(*this);
-      CallerLeft_ = nullptr;
-      Watching_ = false;
-      --State_->ActiveExchanges_;
-      if (!Answered_ || !KeepAlive_)
+      bool Served = co_await serveRequest();
+      if (!Served || !KeepAlive_)
         break;
     }
     beast::error_code Ignored;
@@ -178,6 +186,10 @@
   }
 
 private:
+  /// Where the read of a request stands. A timer that is cancelled when its
+  /// handler is queued already would cancel what the connection does next.
+  enum class ReadState { Reading, Late, Over };
+
   template <class Buffers> Awaitable<bool> writeBuffers(const Buffers &Data) {
     beast::error_code Error;
     Stream_.expires_after(State_->Options_.WriteTimeout_);
@@ -216,6 +228,18 @@
     co_return !Error;
   }
 
+  /// \returns whether the request was answered to its end.
+  Awaitable<bool> serveRequest() {
+    ActiveExchange Running(State_->ActiveExchanges_);
+    Answered_ = false;
+    bool Read = co_await readRequest();
+    if (Read)
+      co_await State_->Options_.Handler_(*this);
+    CallerLeft_ = nullptr;
+    Watching_ = false;
+    co_return Answered_;
+  }
+
   Awaitable<bool> readRequest() {
     http::request_parser<http::string_body> Parser;
     HttpLimits Limits = State_->limits();
@@ -225,19 +249,22 @@
     Stream_.expires_never();
     // A timeout of the stream would close it, and the caller would not learn
     // why: this one only ends the read.
-    auto Late = std::make_shared<bool>(false);
+    auto State = std::make_shared<ReadState>(ReadState::Reading);
     asio::steady_timer Limit(Stream_.get_executor(),
                              State_->Options_.ReadTimeout_);
     Limit.async_wait(
-        [Self = shared_from_this(), Late](const beast::error_code &Ended) {
-          *Late = !Ended;
-          if (!Ended)
-            Self->Stream_.cancel();
+        [Self = shared_from_this(), State](const beast::error_code &Ended) {
+          if (Ended || *State != ReadState::Reading)
+            return;
+          *State = ReadState::Late;
+          Self->Stream_.cancel();
         });
     co_await http::async_read(Stream_, Buffer_, Parser,
                               asio::redirect_error(asio::use_awaitable, Error));
+    bool Late = *State == ReadState::Late;
+    *State = ReadState::Over;
     Limit.cancel();
-    if (Error && *Late) {
+    if (Error && Late) {
       Failure Cause{ResultCode::ReadTimeout, Error.message()};
       co_await refuse(std::move(Cause));
       co_return false;
