Take no pause of this process for the silence of a link's other end

Cause: the watch compared the time since the last message with the limit, also when the process itself had been away for longer and had asked for nothing.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -129,6 +129,11 @@
       break;
     bool Awaiting = Hooks_.Awaiting_ && Hooks_.Awaiting_();
     auto Now = std::chrono::steady_clock::now();
+    // A process that gets no processor asks for nothing and hears nothing.
+    // Taken for the other's silence, its own pause would close links to daemons
+    // that run, and lose all that is awaited there.
+    if (Now - SilenceTimer_.expiry() > Timing_.Heartbeat_)
+      LastHeard_ = Now;
     if (Awaiting && !WasAwaiting)
       LastHeard_ = Now;
     WasAwaiting = Awaiting;
