Tell the stack also where an exception that nobody catches ends the process

A process that aborts itself left no line where handlers of that signal are not run. The line is written before the abort now, with what the exception says.

--- a/Source/Common/CrashReport.cpp
+++ b/Source/Common/CrashReport.cpp
@@ -5,9 +5,11 @@
 #include <charconv>
 #include <csignal>
 #include <cstdint>
-#include <cstring>
+#include <cstdlib>
 #include <dlfcn.h>
+#include <exception>
 #include <execinfo.h>
+#include <string>
 #include <unistd.h>
 
 namespace samphireshunt {
@@ -76,27 +78,70 @@
   std::size_t Size_ = 0;
 };
 
-/// Uses only what may be called when the heap or a lock is broken. A second
-/// fault, in here, ends the process at once: the signal's action was reset.
-void onFatalSignal(int Number, siginfo_t *Cause, void *) {
+void beginLine(CrashLine &Line, std::string_view Event) {
+  Line << R"({"level":"critical","vm":")" << std::string_view(Vm.data())
+       << R"(","category":"process","event":")" << Event << R"(")";
+}
+
+/// Ends the line with the stack of who calls.
+void writeWithStack(CrashLine &Line) {
   std::array<void *, MostFrames> Frames;
   int Count = backtrace(Frames.data(), static_cast<int>(Frames.size()));
-  CrashLine Line;
-  Line << R"({"level":"critical","vm":")" << std::string_view(Vm.data())
-       << R"(","category":"process","event":"ended-by-signal","signal":")";
-  Line.number(static_cast<std::uintptr_t>(Number), 10) << R"(","address":"0x)";
-  Line.number(reinterpret_cast<std::uintptr_t>(Cause->si_addr), 16)
-      << R"(","stack":[)";
+  Line << R"(,"stack":[)";
   for (int Index = 0; Index < Count; ++Index) {
     Line << (Index > 0 ? ",\"" : "\"");
     Line.place(Frames[static_cast<std::size_t>(Index)]) << "\"";
   }
   Line << "]}";
   Line.write();
+}
+
+/// Uses only what may be called when the heap or a lock is broken. A second
+/// fault, in here, ends the process at once: the signal's action was reset.
+void onFatalSignal(int Number, siginfo_t *Cause, void *) {
+  CrashLine Line;
+  beginLine(Line, "ended-by-signal");
+  Line << R"(,"signal":")";
+  Line.number(static_cast<std::uintptr_t>(Number), 10) << R"(","address":"0x)";
+  Line.number(reinterpret_cast<std::uintptr_t>(Cause->si_addr), 16) << R"(")";
+  writeWithStack(Line);
   // The process ends by the signal, as it would have without this.
   std::raise(Number);
 }
 
+/// What \p Text says, fit for a line of JSON.
+std::string plain(std::string_view Text) {
+  std::string Plain(Text);
+  std::ranges::replace_if(
+      Plain, [](unsigned char C) { return C < ' ' || C == '"' || C == '\\'; },
+      ' ');
+  return Plain;
+}
+
+std::string describeCurrentException() {
+  if (!std::current_exception())
+    return "no exception";
+  try {
+    std::rethrow_exception(std::current_exception());
+  } catch (const std::exception &Error) {
+    return plain(Error.what());
+  } catch (...) {
+    return "of a type without a text";
+  }
+}
+
+/// An exception that nobody catches aborts the process. Not all systems let a
+/// handler of that signal run; here the stack is still the one that threw.
+[[noreturn]] void onTerminate() {
+  CrashLine Line;
+  beginLine(Line, "ended-by-exception");
+  Line << R"(,"detail":")" << describeCurrentException() << R"(")";
+  writeWithStack(Line);
+  // One line is enough.
+  std::signal(SIGABRT, SIG_DFL);
+  std::abort();
+}
+
 } // namespace
 
 void reportCrashes(std::string_view Origin, int Descriptor) {
@@ -116,6 +161,7 @@
   sigemptyset(&Action.sa_mask);
   for (int Number : FatalSignals)
     sigaction(Number, &Action, nullptr);
+  std::set_terminate(onTerminate);
 }
 
 } // namespace samphireshunt
--- a/UnitTests/Common/CrashReportTest.cpp
+++ b/UnitTests/Common/CrashReportTest.cpp
@@ -47,6 +47,8 @@
   return Seen;
 }
 
+void fail() { throw std::runtime_error("a \"bad\" end"); }
+
 bool holds(const std::string &Text, const std::string &Part) {
   return Text.find(Part) != std::string::npos;
 }
@@ -68,8 +70,7 @@
 TEST_CASE("a process that an uncaught exception ends says which and where") {
   // The same symptom; where no handler of SIGABRT is run, the line must be
   // written before the process aborts itself.
-  Ended Seen =
-      endBy([]() noexcept { throw std::runtime_error("a \"bad\" end"); });
+  Ended Seen = endBy([]() noexcept { fail(); });
   CHECK(Seen.Signal_ == SIGABRT);
   CHECK(holds(Seen.Said_, R"("event":"ended-by-exception")"));
   CHECK(holds(Seen.Said_, R"("detail":"a  bad  end")"));
