Log an exception that leaves a coroutine nobody waits for

Cause: Asio's detached drops it. A watch, a confirmation or a poll that ended so was over for good, and the daemon said nothing. An engine's load report of another form is named in the log and counts as none; it ended the poll.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -1,7 +1,7 @@
 #include "Connection/FrameChannel.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Connection/Spawn.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,8 +21,8 @@
   auto Executor = Channel->Socket_.get_executor();
   auto Read = [Channel]() { return Channel->readFrames(); };
   auto Watch = [Channel]() { return Channel->watchSilence(); };
-  asio::co_spawn(Executor, std::move(Read), asio::detached);
-  asio::co_spawn(Executor, std::move(Watch), asio::detached);
+  spawnLogged(Executor, "read-frames", std::move(Read));
+  spawnLogged(Executor, "watch-link", std::move(Watch));
   return Channel;
 }
 
@@ -48,7 +48,7 @@
     return;
   Writing_ = true;
   auto Write = [Self = shared_from_this()]() { return Self->writeFrames(); };
-  asio::co_spawn(Socket_.get_executor(), std::move(Write), asio::detached);
+  spawnLogged(Socket_.get_executor(), "write-frames", std::move(Write));
 }
 
 void FrameChannel::close() {
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -1,9 +1,8 @@
 #include "Connection/Http.h"
 
 #include "Connection/SocketOptions.h"
+#include "Connection/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -83,7 +82,7 @@
       auto Write = [Stream = Stream_, Message, State = Sent_]() {
         return writeRequest(Stream, Message, State);
       };
-      asio::co_spawn(Stream_->get_executor(), std::move(Write), asio::detached);
+      spawnLogged(Stream_->get_executor(), "write-request", std::move(Write));
       co_return Result<void>();
     }
     co_await writeRequest(Stream_, std::move(Message), Sent_);
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -1,9 +1,8 @@
 #include "Connection/Http.h"
 
 #include "Connection/SocketOptions.h"
+#include "Connection/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -374,7 +373,7 @@
       Failure TooMany{ResultCode::TooManyConnections, ""};
       return Full ? Connection->refuse(std::move(TooMany)) : Connection->run();
     };
-    asio::co_spawn(Executor, std::move(Run), asio::detached);
+    spawnLogged(Executor, "serve-connection", std::move(Run));
   }
 
   Tcp::acceptor Acceptor_;
--- a/Source/Process/ConfigurationSync.cpp
+++ b/Source/Process/ConfigurationSync.cpp
@@ -1,9 +1,8 @@
 #include "Process/ConfigurationSync.h"
 
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -27,8 +26,8 @@
   Started_ = steady_clock::now();
   auto Watch = [this]() { return watchDocuments(); };
   auto List = [this]() { return listVms(); };
-  asio::co_spawn(Control_, std::move(Watch), asio::detached);
-  asio::co_spawn(Control_, std::move(List), asio::detached);
+  spawnLogged(Control_, "watch-documents", std::move(Watch));
+  spawnLogged(Control_, "list-vms", std::move(List));
 }
 
 Awaitable<void> ConfigurationSync::pause(milliseconds Time) {
--- a/Source/Process/EngineMonitor.cpp
+++ b/Source/Process/EngineMonitor.cpp
@@ -1,9 +1,8 @@
 #include "Process/EngineMonitor.h"
 
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -22,7 +21,7 @@
 
 void EngineMonitor::start() {
   auto Run = [this]() { return run(); };
-  asio::co_spawn(Control_, std::move(Run), asio::detached);
+  spawnLogged(Control_, "monitor-engines", std::move(Run));
 }
 
 Awaitable<void> EngineMonitor::run() {
@@ -41,7 +40,7 @@
         auto Poll = [this, Key, Address = Server->Address_]() {
           return poll(Key, Address);
         };
-        asio::co_spawn(Control_, std::move(Poll), asio::detached);
+        spawnLogged(Control_, "poll-engine", std::move(Poll));
       }
     }
     Timer.expires_after(Options_.Period_);
@@ -49,6 +48,33 @@
   }
 }
 
+namespace {
+
+struct EngineReport {
+  LoadReport Load_;
+  std::uint64_t NextEvent_ = 0;
+};
+
+/// A report that can't be read counts as none.
+EngineReport readReport(const ServerName &Server, const std::string &Text) {
+  try {
+    Json Body = Json::parse(Text);
+    EngineReport Read;
+    Read.Load_.Running_ = Body.value("running", 0U);
+    Read.Load_.Waiting_ = Body.value("waiting", 0U);
+    Read.Load_.Leaving_ = Body.value("leaving", false);
+    Read.NextEvent_ = Body.value("nextEvent", std::uint64_t(0));
+    return Read;
+  } catch (const Json::exception &Error) {
+    logEvent(LogCategory::Keeper, spdlog::level::warn,
+             "engine-report-not-understood",
+             {{"server", Server.str()}, {"detail", Error.what()}});
+    return {};
+  }
+}
+
+} // namespace
+
 Awaitable<void> EngineMonitor::poll(ServerKey Key, Endpoint Address) {
   HttpRequest Request;
   Request.Target_ = "/v1/load";
@@ -61,19 +87,12 @@
   bool Reached = Response.has_value();
   State.Failures_ = Reached ? 0 : State.Failures_ + 1;
   bool Healthy = State.Failures_ < Options_.FailuresToUnhealthy_;
-  LoadReport Seen;
-  bool HasEvents = false;
-  if (Reached && Response->Status_ == 200) {
-    Json Body = Json::parse(Response->Body_, nullptr, false);
-    if (Body.is_object()) {
-      Seen.Running_ = Body.value("running", 0U);
-      Seen.Waiting_ = Body.value("waiting", 0U);
-      Seen.Leaving_ = Body.value("leaving", false);
-      HasEvents = Body.value("nextEvent", std::uint64_t(0)) > State.NextEvent_;
-    }
-  }
+  EngineReport Report;
+  if (Reached && Response->Status_ == 200)
+    Report = readReport(Key.second, Response->Body_);
+  bool HasEvents = Report.NextEvent_ > State.NextEvent_;
   if (Reached || !Healthy)
-    Keeper_.engineReport(Key.first, Key.second, Healthy, Seen);
+    Keeper_.engineReport(Key.first, Key.second, Healthy, Report.Load_);
   if (HasEvents)
     co_await readEvents(Key, Address);
   else if (Reached)
@@ -120,7 +139,7 @@
   auto Cancel = [this, Address = Server->Address_, Id = Request.Id_]() {
     return cancelOrphan(Address, Id);
   };
-  asio::co_spawn(Control_, std::move(Cancel), asio::detached);
+  spawnLogged(Control_, "cancel-orphan", std::move(Cancel));
 }
 
 /// The daemon may only be cut off from this one and still be streaming to its
--- a/Source/Process/PeerNetwork.cpp
+++ b/Source/Process/PeerNetwork.cpp
@@ -1,10 +1,8 @@
 #include "Process/PeerNetwork.h"
 
+#include "Connection/Spawn.h"
 #include "Connection/TcpConnect.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace samphireshunt {
@@ -120,7 +118,7 @@
   auto Connect = [this, To, Target = *Address]() {
     return connect(To, Target);
   };
-  asio::co_spawn(Control_, std::move(Connect), asio::detached);
+  spawnLogged(Control_, "connect-peer", std::move(Connect));
 }
 
 Awaitable<void> PeerNetwork::connect(VmId To, Endpoint Address) {
--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -1,9 +1,8 @@
 #include "Process/StoreFollower.h"
 
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -37,13 +36,13 @@
   Address_ = std::move(Address);
   startWatch();
   auto Confirm = [this]() { return confirmRegularly(); };
-  asio::co_spawn(Control_, std::move(Confirm), asio::detached);
+  spawnLogged(Control_, "confirm-store", std::move(Confirm));
 }
 
 void StoreFollower::startWatch() {
   std::uint64_t Generation = ++Generation_;
   auto Follow = [this, Generation]() { return follow(Generation); };
-  asio::co_spawn(Control_, std::move(Follow), asio::detached);
+  spawnLogged(Control_, "follow-store", std::move(Follow));
 }
 
 void StoreFollower::pause() {
@@ -148,7 +147,7 @@
 void StoreFollower::applyDirectory() {
   if (View_.nextDrop() && !std::exchange(DropPlanned_, true)) {
     auto Drop = [this]() { return dropUnseenLater(); };
-    asio::co_spawn(Control_, std::move(Drop), asio::detached);
+    spawnLogged(Control_, "drop-servers", std::move(Drop));
   }
   View_.publish();
 }
--- a/Source/Programs/TraceExporter.cpp
+++ b/Source/Programs/TraceExporter.cpp
@@ -1,7 +1,7 @@
 #include "Programs/TraceExporter.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Connection/Spawn.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -46,7 +46,7 @@
 
 void TraceExporter::start() {
   auto Run = [this]() { return run(); };
-  asio::co_spawn(Control_, std::move(Run), asio::detached);
+  spawnLogged(Control_, "export-traces", std::move(Run));
 }
 
 void TraceExporter::offer(TraceRecord Record) {
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -4,10 +4,9 @@
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 #include "Request/RequestContext.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
@@ -245,7 +244,7 @@
                    Ended = std::move(Ended)]() {
       return Claims.finish(Key, Ended);
     };
-    asio::co_spawn(Executor, std::move(Finish), asio::detached);
+    spawnLogged(Executor, "finish-claim", std::move(Finish));
   }
 
   Awaitable<void> releaseInBackground() {
@@ -254,7 +253,7 @@
                     Unused = *Wanted_, Late = MayLandLate_]() {
       return Claims.release(Key, Unused, Late);
     };
-    asio::co_spawn(Executor, std::move(Release), asio::detached);
+    spawnLogged(Executor, "release-claim", std::move(Release));
   }
 
   RequestContext &Context_;
