Confirm the configuration by the store's revision, not by reading it again

Cause: a reader confirmed its configuration each 600 ms by reading it whole. With a configuration of 1 MB that is more than a link of 10 Mbit/s carries. The daemon's own entry is read instead: each answer of the store states its revision, and what is taken in up to that is the newest. The lease is renewed from when the question was sent, and only once all up to its answer's revision is taken in. Ruled out: a watch that does not wait. It may be as deaf as one that waits, and then says 'no changes' at a newer revision.

--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -47,6 +47,7 @@
 
 void StoreFollower::pause() {
   Paused_ = true;
+  Unproven_.clear();
   // Ends the watch when it returns.
   ++Generation_;
 }
@@ -124,19 +125,34 @@
   }
 }
 
+/// Reads one small entry, since each answer states the service's revision: what
+/// is taken in up to that is the newest. A large configuration that were read
+/// for this would fill a slow link for good; one would notice by a reader that
+/// sends all that its link carries while nothing changes. A watch that does not
+/// wait would tell as much, but may have gone deaf like one that waits, and
+/// then tells "no changes" at a newer revision.
 /// \returns the service's revision.
 Awaitable<Result<Revision>> StoreFollower::confirm() {
   BootTime SentAt = BootClock::now();
-  std::string Prefix = View_.layout().ConfigurationKey_;
+  std::string Prefix = ownKey();
   auto Listed = co_await Platform_.List_(std::move(Prefix));
   if (!Listed)
     co_return Listed.error();
-  std::ranges::for_each(Listed->Entries_,
-                        [this](const KeyValue &Entry) { View_.apply(Entry); });
-  Freshness_.renew(SentAt);
+  if (!Paused_)
+    Unproven_[Listed->Revision_] = SentAt;
+  proveFresh();
   co_return Listed->Revision_;
 }
 
+/// The lease is renewed from the moment of a question, as soon as all that its
+/// answer's revision stands for is taken in, and no sooner.
+void StoreFollower::proveFresh() {
+  auto Newer = Unproven_.upper_bound(After_);
+  std::for_each(Unproven_.begin(), Newer,
+                [this](const auto &Asked) { Freshness_.renew(Asked.second); });
+  Unproven_.erase(Unproven_.begin(), Newer);
+}
+
 void StoreFollower::succeeded() {
   if (std::exchange(Failures_, 0) > 1)
     logEvent(LogCategory::Process, spdlog::level::info, "platform-regained");
@@ -188,6 +204,7 @@
   After_ = Listed->Revision_;
   NeedsList_ = false;
   Freshness_.renew(SentAt);
+  proveFresh();
   co_return Result<void>();
 }
 
@@ -207,14 +224,19 @@
   View_.advance(After_);
   SawChanges_ = !Changes->Entries_.empty();
   Freshness_.renew(SentAt);
+  proveFresh();
   co_return Result<void>();
 }
 
+std::string StoreFollower::ownKey() const {
+  return View_.layout().DaemonPrefix_ + Self_.str();
+}
+
 /// Other daemons find this one by its entry. A daemon that starts again at the
 /// same address finds its entry and writes nothing.
 Awaitable<void> StoreFollower::registerSelf() {
   KeyValueWrite Write;
-  Write.Key_ = View_.layout().DaemonPrefix_ + Self_.str();
+  Write.Key_ = ownKey();
   Write.Value_ = Address_;
   Write.Expected_ = OwnRevision_;
   auto Written = co_await Platform_.Put_(std::move(Write));
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -22,14 +23,15 @@
     /// How long one watch waits at the service: each one that returns is a
     /// call, with changes or without.
     std::chrono::milliseconds WatchTime_{20000};
-    /// How often the configuration is read besides. That renews the freshness
-    /// lease, of five seconds or so, and shows whether the watch still hears:
-    /// two calls in the time in which a watch alone would need five.
+    /// How often the service's revision is asked for besides. That renews the
+    /// freshness lease, of five seconds or so, and shows whether the watch
+    /// still hears: two calls in the time in which a watch alone would need
+    /// five.
     std::chrono::milliseconds ConfirmTime_{3200};
     /// The same at a daemon that others follow: until a lost service shows,
     /// these hear nothing of servers that leave.
     std::chrono::milliseconds ReaderConfirmTime_{600};
-    /// How long the watch may be behind what was read.
+    /// How long the watch may be behind the revision that was told.
     std::chrono::milliseconds BehindTime_{300};
     /// Pause after a watch that told of changes: those that follow come in one
     /// answer, and each answer counts as a call.
@@ -66,10 +68,13 @@
   Awaitable<void> follow(std::uint64_t Generation);
   Awaitable<void> confirmRegularly();
   Awaitable<Result<Revision>> confirm();
+  /// All up to After_ is taken in.
+  void proveFresh();
   void startWatch();
   Awaitable<Result<void>> listAll();
   Awaitable<Result<void>> watchOnce(std::uint64_t Generation);
   Awaitable<void> registerSelf();
+  std::string ownKey() const;
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   Awaitable<void> dropUnseenLater();
   void succeeded();
@@ -88,6 +93,9 @@
   std::string RegisteredAddress_;
   Revision OwnRevision_;
   Revision After_;
+  /// Revisions that were told and are not taken in yet, with the moment at
+  /// which they were asked for last.
+  std::map<Revision, BootTime> Unproven_;
   /// Of the watch that counts; others were given up and end when they return.
   std::uint64_t Generation_ = 0;
   bool NeedsList_ = true;
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace samphireshunt::tests {
 
@@ -88,10 +89,7 @@
   const HttpRequest &Request = Exchange.request();
   std::string Path(Request.path());
   ++Calls_[Path];
-  while (Silent_) {
-    asio::steady_timer Timer(Context_, milliseconds(5));
-    co_await Timer.async_wait(asio::use_awaitable);
-  }
+  co_await sleepWhileSilent();
   HttpResponse Answer = jsonResponse(404, "{}");
   if (FailWith_ > 0)
     Answer = jsonResponse(FailWith_, "{}");
@@ -110,7 +108,45 @@
     Exchange.abort();
     co_return;
   }
-  co_await Exchange.respond(std::move(Answer));
+  co_await send(Exchange, std::move(Answer));
+}
+
+Awaitable<void> FakeStore::send(HttpExchange &Exchange, HttpResponse Answer) {
+  constexpr std::size_t PacketBytes = 1400;
+  if (BytesPerSecond_ == 0) {
+    BytesSent_ += Answer.Body_.size();
+    co_await Exchange.respond(std::move(Answer));
+    co_return;
+  }
+  std::string Body = std::exchange(Answer.Body_, std::string());
+  bool Open = co_await Exchange.beginStream(std::move(Answer));
+  for (std::size_t At = 0; Open && At < Body.size(); At += PacketBytes) {
+    std::string Packet = Body.substr(At, PacketBytes);
+    co_await sleepWhileSilent();
+    co_await carry(Packet.size());
+    BytesSent_ += Packet.size();
+    Open = co_await Exchange.writeChunk(std::move(Packet));
+  }
+  if (Open)
+    co_await Exchange.endStream();
+}
+
+Awaitable<void> FakeStore::carry(std::size_t Bytes) {
+  std::chrono::duration<double> Needed(static_cast<double>(Bytes) /
+                                       static_cast<double>(BytesPerSecond_));
+  LinkFreeAt_ = std::max(LinkFreeAt_, steady_clock::now()) +
+                std::chrono::duration_cast<steady_clock::duration>(Needed);
+  co_await sleep(LinkFreeAt_ - steady_clock::now());
+}
+
+Awaitable<void> FakeStore::sleep(steady_clock::duration Time) {
+  asio::steady_timer Timer(Context_, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+Awaitable<void> FakeStore::sleepWhileSilent() {
+  while (Silent_)
+    co_await sleep(milliseconds(5));
 }
 
 HttpResponse FakeStore::range(const HttpRequest &Request) const {
@@ -165,8 +201,7 @@
       Json Body = {{"events", Events}, {"current-rev", Revision_}};
       co_return jsonResponse(200, Body.dump());
     }
-    asio::steady_timer Timer(Context_, milliseconds(2));
-    co_await Timer.async_wait(asio::use_awaitable);
+    co_await sleep(milliseconds(2));
   }
 }
 
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -27,6 +27,8 @@
   /// Forgets all changes so far.
   void dropHistory() { HistoryFrom_ = Revision_; }
   std::size_t calls(const std::string &Path) const;
+  /// Of the bodies of all answers so far.
+  std::size_t bytesSent() const { return BytesSent_; }
 
   /// Answers every call with this status; 0: answers properly.
   int FailWith_ = 0;
@@ -39,6 +41,8 @@
   /// This many writes are done and not answered.
   int LoseWriteAnswers_ = 0;
   std::size_t PageSize_ = 500;
+  /// What the link to the store carries, all answers together; 0: no limit.
+  std::size_t BytesPerSecond_ = 0;
 
 private:
   struct Item {
@@ -52,6 +56,11 @@
   };
 
   Awaitable<void> handle(HttpExchange &Exchange);
+  Awaitable<void> send(HttpExchange &Exchange, HttpResponse Answer);
+  /// Returns when the link has carried \p Bytes more.
+  Awaitable<void> carry(std::size_t Bytes);
+  Awaitable<void> sleep(std::chrono::steady_clock::duration Time);
+  Awaitable<void> sleepWhileSilent();
   Awaitable<HttpResponse> watch(const HttpRequest &Request);
   HttpResponse range(const HttpRequest &Request) const;
   HttpResponse key(const HttpRequest &Request) const;
@@ -63,6 +72,9 @@
   std::map<std::string, Item> Items_;
   std::vector<Change> Changes_;
   std::map<std::string, std::size_t> Calls_;
+  std::size_t BytesSent_ = 0;
+  /// When all that was given to the link so far is through.
+  std::chrono::steady_clock::time_point LinkFreeAt_;
   std::uint64_t Revision_ = 1;
   std::uint64_t HistoryFrom_ = 0;
 };
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -27,6 +27,11 @@
                      Version);
 }
 
+/// A configuration of so many bytes and more.
+std::string largeConfiguration(int Version, std::size_t Bytes) {
+  return configuration(Version) + std::string(Bytes, ' ');
+}
+
 std::string serverEntry(const std::string &State) {
   return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
                          "state":"{}","batch-size":2,"version":"v1",
@@ -250,3 +255,42 @@
   Test.Store_.put("servers/i-1", serverEntry("ready"));
   CHECK(Test.runUntil([&] { return Test.isActive("i-1"); }));
 }
+
+TEST_CASE("a large configuration is read once, not with each confirmation") {
+  // Symptom: a daemon with a slow link keeps it full for as long as it runs,
+  // once the configuration has become large.
+  // Sequence: the operator writes a large configuration; nothing changes then.
+  // Cause: each confirmation read the whole configuration again.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  constexpr std::size_t Large = 300000;
+  Test.Store_.put("op/config", largeConfiguration(4, Large));
+  REQUIRE(Test.runUntil([&] { return Test.version() == DocumentVersion(4); }));
+  Test.runFor(milliseconds(150));
+  auto Bytes = Test.Store_.bytesSent();
+  auto Calls = Test.Store_.calls("/-/kv-range");
+  Test.runFor(milliseconds(600));
+  CHECK(Test.Store_.calls("/-/kv-range") >= Calls + 3);
+  CHECK(Test.Store_.bytesSent() - Bytes < Large / 10);
+  CHECK(Test.Freshness_.valid(BootClock::now()));
+}
+
+TEST_CASE("a change that is not taken in yet ends the freshness") {
+  // Symptom: a key that was taken away works for longer than the bound.
+  // Sequence: watches hear nothing for a while, new ones neither; the operator
+  // takes a key away.
+  // Cause: a confirmation was taken for one although the service's revision
+  // was past what is known here.
+  FollowerFixture Test;
+  auto Fresh = [&] { return Test.Freshness_.valid(BootClock::now()); };
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  REQUIRE(Test.runUntil(Fresh));
+  Test.runFor(milliseconds(150));
+  Test.Store_.DeafWatches_ = true;
+  Test.Store_.put("op/config", configuration(4));
+  Test.runFor(Lease + milliseconds(100));
+  CHECK((Test.version() == DocumentVersion(4) || !Fresh()));
+  Test.Store_.DeafWatches_ = false;
+  CHECK(Test.runUntil(
+      [&] { return Test.version() == DocumentVersion(4) && Fresh(); }));
+}
