Take a part of a frame for a sign of life; bound what a link queues

Cause: a message of a megabyte takes a second or more on a link of 10 Mbit/s. A link counted only whole frames as heard, so that it was closed after 0.7 s in the middle of the message, and all of it was sent again on the next link. The other way, a heartbeat behind such a message is read only after it, and nothing else came back. Nothing bounded what waited to be sent.

Ruled out: progress of one's own writes as a sign of life. Heartbeats are written into the socket's buffer also when the other side is gone.

Change: each part that is read counts as heard, and while a frame takes longer than a heartbeat's period, its taker sends a sign of life as often.

Tests that failed before: "a long frame that comes slowly is not taken for silence" (the link was closed while it came), "who takes a long frame says so before it is whole" (nothing was heard), "a link on which too much waits to be sent is closed" (it stayed open). "A long frame that stops halfway is silence", "a frame that is soon whole is not answered by a sign of life" and "what was sent no longer counts as waiting" guard the mend and passed before.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -1,17 +1,31 @@
 #include "Connection/FrameChannel.h"
 
+#include "Common/Log.h"
 #include "Connection/Spawn.h"
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include <algorithm>
+#include <optional>
+
 namespace samphireshunt {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using std::chrono::steady_clock;
+
+namespace {
+
+wire::HeartbeatT signOfLife() {
+  wire::HeartbeatT Answer;
+  Answer.answer = true;
+  return Answer;
+}
+
+} // namespace
 
 std::shared_ptr<FrameChannel> FrameChannel::create(asio::ip::tcp::socket Socket,
                                                    Hooks Reactions,
@@ -30,7 +44,7 @@
                            Timing Periods)
     : Socket_(std::move(Socket)), Hooks_(std::move(Reactions)),
       Timing_(Periods), SilenceTimer_(Socket_.get_executor()),
-      LastHeard_(std::chrono::steady_clock::now()) {
+      LastHeard_(steady_clock::now()) {
   error_code Ignored;
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
 }
@@ -42,6 +56,9 @@
       static_cast<std::uint32_t>(Message.size()));
   std::string Frame(reinterpret_cast<const char *>(&Size), sizeof(Size));
   Frame += Message;
+  if (QueuedBytes_ + Frame.size() > MaxQueuedBytes)
+    return closeOverfull();
+  QueuedBytes_ += Frame.size();
   BytesSent_ += Frame.size();
   Outgoing_.push_back(std::move(Frame));
   if (Writing_)
@@ -65,35 +82,69 @@
     Closed();
 }
 
+/// The reading coroutine ends by the closed socket and tells of it then.
+void FrameChannel::closeOverfull() {
+  error_code Ignored;
+  auto Other = Socket_.remote_endpoint(Ignored);
+  logEvent(LogCategory::Process, spdlog::level::warn, "link-overfull",
+           {{"address", formatEndpoint(Other)},
+            {"queued_bytes", std::to_string(QueuedBytes_)}});
+  Outgoing_.clear();
+  Socket_.close(Ignored);
+  SilenceTimer_.cancel();
+}
+
 Awaitable<void> FrameChannel::readFrames() {
-  error_code Error;
   while (Socket_.is_open()) {
     std::uint32_t Size = 0;
-    co_await asio::async_read(Socket_, asio::buffer(&Size, sizeof(Size)),
-                              asio::redirect_error(asio::use_awaitable, Error));
+    auto SizeBuffer = asio::buffer(&Size, sizeof(Size));
+    error_code Error = co_await readAll(SizeBuffer);
     Size = boost::endian::little_to_native(Size);
     if (Error || Size > MaxFrameBytes)
       break;
     std::string Bytes(Size, '\0');
-    co_await asio::async_read(Socket_, asio::buffer(Bytes),
-                              asio::redirect_error(asio::use_awaitable, Error));
+    auto Buffer = asio::buffer(Bytes);
+    Error = co_await readAll(Buffer);
     if (Error)
       break;
-    LastHeard_ = std::chrono::steady_clock::now();
     receive(Bytes);
   }
   fail();
 }
 
+Awaitable<error_code> FrameChannel::readAll(asio::mutable_buffer Target) {
+  error_code Error;
+  std::optional<TimePoint> Begun;
+  while (Target.size() > 0 && !Error) {
+    Target += co_await Socket_.async_read_some(
+        Target, asio::redirect_error(asio::use_awaitable, Error));
+    LastHeard_ = Error ? LastHeard_ : steady_clock::now();
+    Begun = Begun.value_or(LastHeard_);
+    if (!Error && Target.size() > 0)
+      tellProgress(*Begun);
+  }
+  co_return Error;
+}
+
+/// A frame of a megabyte takes a second on a weak link. Counted only when it is
+/// whole, it would be silence: the link would be closed in its middle, and all
+/// of it sent again on the next one, for ever; the other side could not hear
+/// from here either, as its question waits behind the frame. So a part is a
+/// sign of life, and is answered by one.
+void FrameChannel::tellProgress(TimePoint Begun) {
+  if (LastHeard_ - std::max(Begun, LastTold_) < Timing_.Heartbeat_)
+    return;
+  LastTold_ = LastHeard_;
+  send(encodeMessage(signOfLife()));
+}
+
 void FrameChannel::receive(std::string_view Bytes) {
   auto Envelope = decodeMessage(Bytes);
   if (!Envelope)
     return fail();
   if (const auto *Beat = Envelope->body.AsHeartbeat()) {
-    wire::HeartbeatT Answer;
-    Answer.answer = true;
     if (!Beat->answer)
-      send(encodeMessage(std::move(Answer)));
+      send(encodeMessage(signOfLife()));
     return;
   }
   if (auto Received = Hooks_.Received_)
@@ -108,6 +159,7 @@
     co_await asio::async_write(
         Socket_, asio::buffer(Frame),
         asio::redirect_error(asio::use_awaitable, Error));
+    QueuedBytes_ -= Frame.size();
   }
   Writing_ = false;
   if (Error)
@@ -128,7 +180,7 @@
     if (!Socket_.is_open())
       break;
     bool Awaiting = Hooks_.Awaiting_ && Hooks_.Awaiting_();
-    auto Now = std::chrono::steady_clock::now();
+    auto Now = steady_clock::now();
     // A process that gets no processor asks for nothing and hears nothing.
     // Taken for the other's silence, its own pause would close links to daemons
     // that run, and lose all that is awaited there.
