Test, failing: a pause of a process is taken for the silence of its reader

PeerFollower's timer for an answer is due in the turn in which the length of the answer's frame is read; its handler comes before the frame's bytes. The daemon leaves a reader that runs, and after two of them reads all of the service.

Only the follower is paused.

--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -12,6 +12,9 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <thread>
+#include <utility>
+
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
@@ -184,6 +187,56 @@
   }
 };
 
+/// A daemon that follows one of two readers. These answer at once; only the
+/// daemon itself is ever paused.
+class LoneFollower {
+public:
+  LoneFollower() {
+    Store_.put("op/config", configuration(3));
+    PeerFollower::Hooks Hooks;
+    Hooks.Send_ = [this](const VmId &To, const std::string &Message) {
+      ++Questions_[To.str()];
+      answer(To, decodeMessage(Message).value().body.AsFollow()->sequence);
+    };
+    Hooks.Reply_ = [](const VmId &, const std::string &) {};
+    Self_ = std::make_unique<Daemon>(
+        Context_, Store_, "spare",
+        ReaderChoice{StoreRole::Spare, {VmId("first"), VmId("second")}},
+        std::move(Hooks));
+  }
+  bool runUntil(const std::function<bool()> &Done) {
+    return tests::runUntil(Context_, Done);
+  }
+
+  boost::asio::io_context Context_;
+  FakeStore Store_{Context_};
+  /// For so long the daemon is not let run when the next answer has come.
+  milliseconds NextPause_{0};
+  /// How often each reader was asked.
+  std::map<std::string, int> Questions_;
+  std::unique_ptr<Daemon> Self_;
+
+private:
+  /// A frame is read in two steps: its length, then its bytes.
+  void answer(const VmId &From, std::uint32_t Sequence) {
+    boost::asio::post(Context_, [this, From, Sequence] {
+      std::this_thread::sleep_for(std::exchange(NextPause_, milliseconds(0)));
+      boost::asio::post(Context_, [this, From, Sequence] {
+        boost::asio::post(Context_, [this, From, Sequence] {
+          wire::StateT Told;
+          Told.sequence = Sequence;
+          Told.incarnation = 1;
+          Told.number = 1;
+          Told.revision = 1000;
+          Told.complete = true;
+          Told.reads_service = true;
+          Self_->Peers_->onState(From, Told);
+        });
+      });
+    });
+  }
+};
+
 } // namespace
 
 TEST_CASE("a daemon that follows another hears all changes and leaves the "
@@ -329,3 +382,21 @@
            Test["spare"].isActive("i-1");
   }));
 }
+
+TEST_CASE(
+    "a pause of this process is not taken for the silence of its reader") {
+  // Symptom: beside a large configuration daemons leave readers that run, and
+  // after two of them read the whole of the service, over links that are full.
+  // Sequence: a daemon asks its reader and gets no processor for longer than an
+  // answer may take; the answer lies unread when it goes on.
+  // Cause: the timer is due in the turn in which the length of the answer's
+  // frame is read, and its handler comes before the frame's bytes.
+  LoneFollower Test;
+  REQUIRE(Test.runUntil([&] { return Test.Self_->follows("first"); }));
+  int Before = Test.Questions_["first"];
+  Test.NextPause_ = milliseconds(60);
+  REQUIRE(Test.runUntil([&] { return Test.Questions_["first"] > Before + 2; }));
+  CHECK(Test.NextPause_.count() == 0);
+  CHECK(Test.Questions_["second"] == 0);
+  CHECK(Test.Self_->follows("first"));
+}
