Test, failing: a handler that throws leaves its caller without an end

A handler that looks out for its caller's end and then throws ends the coroutine of its connection, but the look-out holds the connection open: the caller gets neither an answer nor the connection's end.

--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -109,3 +109,22 @@
   CHECK(Test.pollUntil([&] { return Test.Server_->openConnections() == 0; }));
   CHECK(Test.Server_->activeExchanges() == 0);
 }
+
+TEST_CASE(
+    "a handler that throws while it looks out for its caller's end closes "
+    "the connection too") {
+  // Symptom: a caller waits for an answer until its own time is up, and nothing
+  // comes, neither an answer nor the connection's end.
+  // Sequence: a handler looks out for its caller's end and ends by an
+  // exception.
+  // Cause: the look-out holds the connection until the caller itself ends it.
+  ServerFixture Test([](HttpExchange &Exchange) -> Awaitable<void> {
+    Exchange.onCallerLeft([] {});
+    throw std::runtime_error("the handler's own");
+    co_return;
+  });
+  Test.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  REQUIRE(Test.pollUntil([&] { return Test.Server_->openConnections() == 1; }));
+  CHECK(Test.pollUntil([&] { return Test.Server_->openConnections() == 0; }));
+  CHECK(Test.Server_->activeExchanges() == 0);
+}
