Test, failing: a body that nests deeply ends the daemon

Fails: SIGSEGV of the test's process, by a body of 400 KB with 200,000 lists in lists. The second case holds the other end: 40 levels are served.

--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -24,7 +24,10 @@
 class FakeExchange : public HttpExchange {
 public:
   const HttpRequest &request() const override { return Request_; }
-  Awaitable<bool> respond(HttpResponse) override { co_return true; }
+  Awaitable<bool> respond(HttpResponse Response) override {
+    Answer_ = std::move(Response);
+    co_return true;
+  }
   Awaitable<bool> beginStream(HttpResponse) override { co_return true; }
   Awaitable<bool> writeChunk(std::string Data) override {
     Written_ += Data;
@@ -38,6 +41,7 @@
   }
 
   HttpRequest Request_;
+  HttpResponse Answer_;
   std::string Written_;
   std::function<void()> CallerLeft_;
   std::function<bool(const std::string &)> TakesChunk_ =
@@ -78,12 +82,16 @@
 
   /// Runs the request to its end, and what is posted meanwhile.
   void run(FakeExchange &Exchange, bool Streaming) {
+    runBody(Exchange,
+            fmt::format(
+                R"({{"model":"m","stream":{},"messages":[{{"content":"x"}}]}})",
+                Streaming));
+  }
+  void runBody(FakeExchange &Exchange, std::string Body) {
     Exchange.Request_.Method_ = "POST";
     Exchange.Request_.Target_ = "/v1/chat/completions";
     Exchange.Request_.Fields_["authorization"] = "Bearer key";
-    Exchange.Request_.Body_ = fmt::format(
-        R"({{"model":"m","stream":{},"messages":[{{"content":"x"}}]}})",
-        Streaming);
+    Exchange.Request_.Body_ = std::move(Body);
     bool Ended = false;
     auto Handle = [this, &Exchange] { return Callers_->handle(Exchange); };
     boost::asio::co_spawn(
@@ -199,3 +207,29 @@
   Daemon.run(Caller, false);
   CHECK(Aborted);
 }
+
+TEST_CASE("a body that nests deeply is refused") {
+  // Symptom: a daemon ends by itself, with a segmentation fault, and then the
+  // one that its caller tries next.
+  // Sequence: a caller sends a request of 400 KB that is nothing but lists in
+  // lists, beside what a request needs.
+  // Cause: a JSON value is written by a function that calls itself for each
+  // level, and the stack ends before the levels do.
+  constexpr std::size_t Levels = 200000;
+  ModelHarness Daemon({Word, std::string(LastEvent)});
+  FakeExchange Caller;
+  Daemon.runBody(Caller,
+                 R"({"model":"m","messages":[{"content":"x"}],"more":)" +
+                     std::string(Levels, '[') + std::string(Levels, ']') + "}");
+  CHECK(Caller.Answer_.Status_ == 400);
+}
+
+TEST_CASE("a body that nests as tools' schemas do is served") {
+  constexpr std::size_t Levels = 40;
+  ModelHarness Daemon({Word, std::string(LastEvent)});
+  FakeExchange Caller;
+  Daemon.runBody(Caller,
+                 R"({"model":"m","messages":[{"content":"x"}],"more":)" +
+                     std::string(Levels, '[') + std::string(Levels, ']') + "}");
+  CHECK(Caller.Answer_.Status_ == 200);
+}
