Close a connection also when an exception ends what serves it

Cause: the look-out for the caller's end holds the session, so an exception that ended its coroutine left the connection open, with nobody to answer on it. Now the coroutine closes it however it ends. Unit.Connection: 1 of 13 cases failed before, 13 of 13 pass.

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -77,6 +77,20 @@
   std::atomic<std::size_t> &Count_;
 };
 
+/// Closes a connection when what serves it ends, also by an exception. The
+/// look-out for the caller's end holds the session: without this the connection
+/// would stay open, and its caller wait for an answer that nobody writes.
+class ClosedAtEnd {
+public:
+  explicit ClosedAtEnd(beast::tcp_stream &Stream) : Stream_(Stream) {}
+  ~ClosedAtEnd() { Stream_.close(); }
+  ClosedAtEnd(const ClosedAtEnd &) = delete;
+  ClosedAtEnd &operator=(const ClosedAtEnd &) = delete;
+
+private:
+  beast::tcp_stream &Stream_;
+};
+
 /// One connection: reads a request, lets the handler answer it, and goes on
 /// while both sides keep the connection.
 class Session : public HttpExchange,
@@ -89,6 +103,7 @@
   ~Session() override { --State_->OpenConnections_; }
 
   Awaitable<void> run() {
+    ClosedAtEnd Closing(Stream_);
     while (Stream_.socket().is_open()) {
       bool Begun = co_await awaitFirstByte();
       if (!Begun)
@@ -99,7 +114,6 @@
     }
     beast::error_code Ignored;
     Stream_.socket().shutdown(Tcp::socket::shutdown_send, Ignored);
-    Stream_.close();
   }
 
   /// Refuses what came on this connection, and closes it.
