Refuse a body that nests deeper than 100 levels

Cause: the JSON library copies and writes a value by functions that call themselves for each level; 400 KB of lists in lists ended the process with SIGSEGV. No value so deep is built any more. Requests that are forwarded are not read, so only requests of model pools were concerned. Unit.Request: the process ended before, 43 of 43 pass. Left: what engines send (events of a stream) is still parsed without a limit.

--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -28,6 +28,24 @@
   return Verdict(Code, std::move(Detail));
 }
 
+/// Tools' schemas nest by ten or twenty levels; no request in sight by more.
+constexpr int MostLevels = 100;
+
+/// A value is copied and written by functions that call themselves for each of
+/// its levels. A body of nothing but lists in lists ends the stack, and with it
+/// the process and all its requests: one notices by a segmentation fault with
+/// hundreds of frames of the JSON library. So none is built that is so deep.
+/// \returns a value that is no object when \p Text is none, or nests deeper.
+Json parseBody(const std::string &Text) {
+  bool TooDeep = false;
+  auto MayGoOn = [&TooDeep](int Level, Json::parse_event_t, Json &) {
+    TooDeep |= Level > MostLevels;
+    return !TooDeep;
+  };
+  Json Body = Json::parse(Text, MayGoOn, /*allow_exceptions=*/false);
+  return TooDeep ? Json() : Body;
+}
+
 /// All messages of a chat, in order, as one prompt.
 Result<std::string> promptOf(const Json &Body) {
   auto Messages = Body.find("messages");
@@ -242,9 +260,10 @@
 std::optional<Verdict>
 CallerService::checkModelBody(RequestContext &Context) const {
   const HttpRequest &Request = Context.Exchange_.request();
-  Json Body = Json::parse(Request.Body_, nullptr, false);
+  Json Body = parseBody(Request.Body_);
   if (!Body.is_object())
-    return refused(ResultCode::MalformedRequest, "the body is no JSON object");
+    return refused(ResultCode::MalformedRequest,
+                   "the body is no JSON object, or nests too deeply");
   auto Model = Body.find("model");
   if (Model == Body.end() || !Model->is_string())
     return refused(ResultCode::MalformedRequest, "'model' must be a text");
