Set the moment of a stop before the stop is seen

Cause: threads that serve requests look at the flag and then at the moment; the flag was set first. Between the two a request found a stop that began at the clock's beginning, and was refused. By reading; no test: the window is one clock's reading.

--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -114,8 +114,10 @@
 /// and take its cells.
 void Daemon::beginDrain() {
   logEvent(LogCategory::Process, spdlog::level::info, "draining");
-  Draining_ = true;
+  // The other threads read the moment once they see that the stop began. Seen
+  // first, it would be the clock's beginning, and they refuse what has time.
   DrainStarted_ = steady_clock::now();
+  Draining_ = true;
   Members_->leave();
   Membership_->spreadNews();
   CallerServer_->closeAfterAnswers();
