--- a/Source/Programs/DaemonMain.h
+++ b/Source/Programs/DaemonMain.h
@@ -7,7 +7,7 @@
 namespace samphireshunt {
 
 /// Reads the settings, serves until a graceful stop, and returns the exit
-/// status: 2 for bad settings, 1 for a fault.
+/// status: 2 for bad settings, 1 for a fault at the start.
 int daemonMain(int ArgumentCount, char **Arguments, PlatformAdapter Adapter);
 
 } // namespace samphireshunt
