Soak: excuse a pause only of a daemon that did not have to know before

The check of a leaving engine passed a call over whenever its daemon's last pause had ended after the engine began to leave, up to two seconds before: also where the daemon had run for many seconds between the two, and should have known. Now the pause must have begun within the bound. Stricter, nothing else changed.

--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -67,6 +67,7 @@
 }
 
 void SoakFleet::pause(std::size_t Index) {
+  Around_.notePause(Index);
   Processes_[Index]->freeze();
   std::this_thread::sleep_for(milliseconds(100 + Random_(1500)));
   Around_.noteWake(Index);
--- a/FailureTests/platform/SoakWorld.cpp
+++ b/FailureTests/platform/SoakWorld.cpp
@@ -335,10 +335,17 @@
   co_return Seen;
 }
 
+void SoakWorld::notePause(std::size_t Index) {
+  run([&] {
+    if (Daemons_.at(Index))
+      Pauses_[*Daemons_[Index]] = {steady_clock::now(), Time()};
+  });
+}
+
 void SoakWorld::noteWake(std::size_t Index) {
   run([&] {
     if (Daemons_.at(Index))
-      Woken_[*Daemons_[Index]] = steady_clock::now();
+      Pauses_[*Daemons_[Index]].Ended_ = steady_clock::now();
   });
 }
 
@@ -346,9 +353,13 @@
   auto Daemon = SentTo_.find(CallId);
   if (Daemon == SentTo_.end())
     return false;
-  auto Woken = Woken_.find(Daemon->second);
-  return Woken != Woken_.end() && Woken->second > Since &&
-         steady_clock::now() - Woken->second <= DrainBound;
+  auto Found = Pauses_.find(Daemon->second);
+  if (Found == Pauses_.end())
+    return false;
+  const Pause &Last = Found->second;
+  // A daemon that had its whole time to hear of it before the pause is late.
+  return Last.Begun_ <= Since + DrainBound && Last.Ended_ > Since &&
+         steady_clock::now() - Last.Ended_ <= DrainBound;
 }
 
 void SoakWorld::failStore(int Status) {
--- a/FailureTests/platform/SoakWorld.h
+++ b/FailureTests/platform/SoakWorld.h
@@ -52,7 +52,8 @@
   void stopCallers();
   void setDaemon(std::size_t Index, std::optional<Endpoint> Callers);
 
-  /// A daemon is about to go on after a pause.
+  /// A daemon is about to be paused, and to go on.
+  void notePause(std::size_t Index);
   void noteWake(std::size_t Index);
 
   // Faults; each returns at once.
@@ -99,7 +100,8 @@
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   void check(const SoakCall &Call, std::vector<std::string> &Found) const;
   /// Whether an engine that began to leave at \p Since may still get the call:
-  /// its daemon was paused meanwhile, and has gone on only just now.
+  /// its daemon was paused before it had to know, and has gone on only just
+  /// now.
   bool excusedByPause(const std::string &CallId, Time Since) const;
   std::uint32_t pick(std::uint32_t Count) { return Random_(Count); }
 
@@ -115,7 +117,11 @@
   std::set<std::string> ActiveKeys_;
   std::map<std::string, Time> Revoked_;
   std::map<std::string, Endpoint> SentTo_; ///< Daemons by call.
-  std::map<Endpoint, Time> Woken_;
+  struct Pause {
+    Time Begun_;
+    Time Ended_;
+  };
+  std::map<Endpoint, Pause> Pauses_; ///< The last one of each daemon.
   std::vector<std::string> Violations_;
   Time StoreTroubled_;
   std::uint64_t NextId_ = 1;
