Move requests that wait to the queue of their tier when tiers are added

Cause: which queue a request waits in was told by its tier and the number of queues of the moment. An entry may have a configuration with one more priority before its keeper: what it asked for waited in the lowest queue, and was looked for in the new one after the keeper's configuration had come. decide() threw out of the map, on the control thread, which ends the process with code 134 just after a configuration. Ruled out: keeping the old queue with each request (a lower tier would go on standing in a higher one's queue). Unit.Process: 2 cases failed before, 105 of 105 pass.

--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -46,7 +46,24 @@
   // Requests that wait in a tier that the document no longer has keep their
   // queue until they are served or expire.
   if (TierCount > Tiers_.size())
-    Tiers_.resize(TierCount);
+    addTiers(TierCount);
+}
+
+/// An entry may know of a new, lowest tier before its keeper does: what it asks
+/// for waits in the lowest queue that there is. It is moved to its own queue
+/// with the tier: looked for there while it stands in the other, it would be
+/// found in neither, and the exception of the map would end the process.
+void Scheduler::addTiers(std::uint32_t Count) {
+  std::vector<RequestId> Ids;
+  for (const auto &[Id, Request] : Waiting_)
+    if (Request.Asked_.Tier_.count() >= Tiers_.size())
+      Ids.push_back(Id);
+  std::vector<WaitingRequest> Moved;
+  std::ranges::transform(Ids, std::back_inserter(Moved),
+                         [this](const RequestId &Id) { return dequeue(Id); });
+  Tiers_.resize(Count);
+  for (WaitingRequest &Request : Moved)
+    enqueue(std::move(Request));
 }
 
 std::size_t Scheduler::queueIndex(TierIndex Tier) const {
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -279,6 +279,7 @@
   };
   using RunningMap = std::unordered_map<RequestId, RunningRequest>;
 
+  void addTiers(std::uint32_t Count);
   void enqueue(WaitingRequest Request);
   WaitingRequest dequeue(const RequestId &Id);
   std::size_t queueIndex(TierIndex Tier) const;
