List anew after a watch that ends past changes that it did not tell

Cause: a watch that hears nothing and ends states the newest revision, and was believed up to there: a server that left in that moment got work for good. Each revision is a change of some key, and the watch is over all keys, so an answer without changes at a newer revision is taken as lost history now. Test: fails before (two of two conditions never met); the store of the tests tells no changes at the end of a deaf watch now, which is stricter than before.

--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -218,6 +218,11 @@
   // Another watch may have told of newer changes since.
   if (Generation != Generation_)
     co_return Result<void>();
+  // Each revision is a change of some key. A deaf watch that ends tells none of
+  // them, and its revision says that there were some: believed up to there, a
+  // server that left would get work for good.
+  if (Changes->Entries_.empty() && After_ < Changes->Revision_)
+    co_return Failure{ResultCode::HistoryLost, "a watch did not tell changes"};
   for (const KeyValue &Entry : Changes->Entries_)
     View_.apply(Entry);
   After_ = Changes->Revision_;
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -198,6 +198,8 @@
     }
     Deaf = Deaf || DeafWatches_;
     if ((!Events.empty() && !Deaf) || steady_clock::now() >= End) {
+      if (Deaf)
+        Events.clear();
       Json Body = {{"events", Events}, {"current-rev", Revision_}};
       co_return jsonResponse(200, Body.dump());
     }
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -36,7 +36,8 @@
   std::string AnswerWith_;
   /// Takes calls and never answers.
   bool Silent_ = false;
-  /// Watches that wait while this is set hear nothing until their time is up.
+  /// Watches that wait while this is set hear nothing and, when their time is
+  /// up, tell the newest revision without the changes up to it.
   bool DeafWatches_ = false;
   /// This many writes are done and not answered.
   int LoseWriteAnswers_ = 0;
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -41,8 +41,8 @@
 
 class FollowerFixture {
 public:
-  FollowerFixture()
-      : Store_(Context_), Freshness_(Lease),
+  explicit FollowerFixture(milliseconds WatchTime = milliseconds(2000))
+      : WatchTime_(WatchTime), Store_(Context_), Freshness_(Lease),
         View_(Documents_, platform::storeLayout(), milliseconds(150)) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
@@ -51,7 +51,7 @@
   /// A daemon that begins to follow.
   void follow() {
     StoreFollower::Options Options;
-    Options.WatchTime_ = milliseconds(2000);
+    Options.WatchTime_ = WatchTime_;
     Options.ConfirmTime_ = milliseconds(100);
     Options.BehindTime_ = milliseconds(20);
     Options.GatherTime_ = milliseconds(5);
@@ -93,6 +93,7 @@
                                                ServerName(Name)) != nullptr;
   }
 
+  milliseconds WatchTime_;
   boost::asio::io_context Context_;
   FakeStore Store_;
   DocumentStore Documents_;
@@ -294,3 +295,25 @@
   CHECK(Test.runUntil(
       [&] { return Test.version() == DocumentVersion(4) && Fresh(); }));
 }
+
+TEST_CASE("a watch that ends past changes that it did not tell is no news") {
+  // Symptom: requests go to a server for good that left, and a key that was
+  // taken away works for good.
+  // Sequence: watches hear nothing for a moment; a server leaves and the
+  // configuration changes; a watch's time is up just then.
+  // Cause: an answer without changes was believed up to its revision.
+  constexpr milliseconds ShortWatch{50};
+  FollowerFixture Test(ShortWatch);
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  Test.runFor(ShortWatch * 2);
+  Test.Store_.DeafWatches_ = true;
+  Test.runFor(milliseconds(10));
+  Test.Store_.remove("servers/i-1");
+  Test.Store_.put("op/config", configuration(4));
+  Test.runFor(ShortWatch * 2);
+  Test.Store_.DeafWatches_ = false;
+  CHECK(Test.runUntil([&] {
+    return Test.servers() == 0 && Test.version() == DocumentVersion(4);
+  }));
+}
