Give up no watch whose answer is coming

Cause: a watch that was behind the service's revision for 300 ms was taken for deaf. A large configuration comes longer than that over a slow link. The next watch began the same answer anew, beside the first, and the first one's was not taken in any more: links full for good, and a change that never comes through. Ruled out: taking in the answers of watches that were given up. That would end the loop, and still read everything several times.

--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -120,11 +120,19 @@
     bool Behind = After_ < *Present;
     if (Behind)
       co_await sleep(Options_.BehindTime_);
-    if (!Paused_ && (WasLost || (Behind && After_ < *Present)))
+    bool Deaf = Behind && After_ < *Present;
+    if (!Paused_ && (WasLost || Deaf) && !answerComes())
       startWatch();
   }
 }
 
+/// A large answer takes a slow link longer than a watch may be behind. Given up
+/// meanwhile, it would be begun anew each time: one would notice by a link that
+/// is full for good, with a change that never comes through it.
+bool StoreFollower::answerComes() const {
+  return Platform_.AnswerComes_ && Platform_.AnswerComes_();
+}
+
 /// Reads one small entry, since each answer states the service's revision: what
 /// is taken in up to that is the newest. A large configuration that were read
 /// for this would fill a slow link for good; one would notice by a reader that
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -71,6 +71,8 @@
   /// All up to After_ is taken in.
   void proveFresh();
   void startWatch();
+  /// The watch is not deaf: what it answers is on its way.
+  bool answerComes() const;
   Awaitable<Result<void>> listAll();
   Awaitable<Result<void>> watchOnce(std::uint64_t Generation);
   Awaitable<void> registerSelf();
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -317,3 +317,26 @@
     return Test.servers() == 0 && Test.version() == DocumentVersion(4);
   }));
 }
+
+TEST_CASE("a watch whose answer is coming is not given up") {
+  // Symptom: a daemon with a slow link keeps it full for as long as it runs,
+  // and never hears the end of a large change.
+  // Sequence: the operator writes a configuration that takes the link longer
+  // than a watch may be behind.
+  // Cause: the watch was taken for deaf while its answer came. The next one
+  // began the same answer anew, beside the first.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  Test.runFor(milliseconds(50));
+  constexpr std::size_t Large = 300000;
+  Test.Store_.BytesPerSecond_ = Large * 2;
+  auto Bytes = Test.Store_.bytesSent();
+  Test.Store_.put("op/config", largeConfiguration(4, Large));
+  CHECK(Test.runUntil([&] { return Test.version() == DocumentVersion(4); }));
+  Test.runFor(milliseconds(800));
+  // The value stands in the answer by four bytes for three.
+  CHECK(Test.Store_.bytesSent() - Bytes < Large * 4 / 3 + Large / 4);
+  CHECK(Test.Freshness_.valid(BootClock::now()));
+  CHECK(Test.Follower_->platformReachable());
+}
