Take only what may have been an outage of the service for one

Cause: a daemon that turned to the service after old answers of two readers took it for the end of an outage, and kept servers that its list did not hold for 2.4 s: with readers that are busy with a large configuration, servers that were removed got work. So did one whose own two failures came before it followed a reader: its outage ended with its own next list, however much later. An outage is over now when a daemon that reads the service is followed. Old answers count as one only if what is known here is older than the soonest lapse of an entry (two beats of 1.2 s); own failures count as before. Left as it is: a daemon that fails twice itself keeps what is missing, as existing tests say. Ruled out: to judge by the readers' word alone; a busy one and one that is cut off say the same.

--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -48,6 +48,10 @@
 void StoreFollower::pause() {
   Paused_ = true;
   Unproven_.clear();
+  // The daemon that is followed reads the service. An outage that were to end
+  // with this daemon's own next list, minutes later, would keep servers then
+  // that were removed in between.
+  View_.outageEnded();
   // Ends the watch when it returns.
   ++Generation_;
 }
@@ -56,8 +60,7 @@
   Paused_ = false;
   Failures_ = 0;
   NeedsList_ = true;
-  if (AfterOutage)
-    View_.outageBegan();
+  MaybeOutage_ = AfterOutage;
   startWatch();
 }
 
@@ -206,6 +209,11 @@
   // Another daemon is followed by now, and may have told of newer changes.
   if (Paused_)
     co_return Result<void>();
+  // What a busy daemon that was followed did not hear is no outage. Taken for
+  // one, servers that were removed meanwhile would get work for seconds more.
+  if (std::exchange(MaybeOutage_, false) &&
+      Freshness_.age(SentAt) >= Options_.LapseTime_)
+    View_.outageBegan();
   // The outage is over before what is missing is looked at.
   View_.outageEnded();
   View_.listed(*Listed);
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/StoreFollower.h
@@ -33,6 +33,10 @@
     std::chrono::milliseconds ReaderConfirmTime_{600};
     /// How long the watch may be behind the revision that was told.
     std::chrono::milliseconds BehindTime_{300};
+    /// No outage shorter than this lets the entry of a living server lapse: it
+    /// does after three beats of silence, and the last one may have come up to
+    /// a beat, of 1.2 s, before the outage.
+    std::chrono::milliseconds LapseTime_{2400};
     /// Pause after a watch that told of changes: those that follow come in one
     /// answer, and each answer counts as a call.
     std::chrono::milliseconds GatherTime_{500};
@@ -53,7 +57,8 @@
   /// Leaves the service alone: another daemon is followed instead.
   void pause();
   /// Follows the service again. \p AfterOutage: it may have been away, and
-  /// servers that lapsed meanwhile only seem gone.
+  /// servers that lapsed meanwhile only seem gone, unless what is known here is
+  /// younger than any entry that lapses.
   void resume(bool AfterOutage);
   bool paused() const { return Paused_; }
   void setRole(StoreRole Role) { Role_ = Role; }
@@ -103,6 +108,8 @@
   bool NeedsList_ = true;
   bool Stopped_ = false;
   bool Paused_ = false;
+  /// The daemon that was followed had not heard of the service lately.
+  bool MaybeOutage_ = false;
   StoreRole Role_ = StoreRole::Alone;
   bool DropPlanned_ = false;
   bool SawChanges_ = false;
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -400,3 +400,24 @@
   CHECK(Test.Questions_["second"] == 0);
   CHECK(Test.Self_->follows("first"));
 }
+
+TEST_CASE("a server that is removed while the readers are behind is gone for "
+          "a daemon that reads the service itself") {
+  // Symptom: requests are sent to a server seconds after the service said that
+  // it is gone.
+  // Sequence: both readers hear nothing of the service for a moment; a server
+  // is removed; the daemon that follows them turns to the service, which
+  // answers it at once.
+  // Cause: old answers of two readers were taken for an outage of the service.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  REQUIRE(Spare.isActive("i-1"));
+  auto Watches = Test.SpareStore_.calls("/-/kv-watch");
+  Test.SpareStore_.remove("servers/i-1");
+  for (const char *Name : {"first", "second"})
+    Test.storeOf(Name).Silent_ = true;
+  REQUIRE(Test.runUntil(
+      [&] { return Test.SpareStore_.calls("/-/kv-watch") > Watches; }));
+  CHECK_FALSE(Spare.isActive("i-1"));
+}
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -41,8 +41,11 @@
 
 class FollowerFixture {
 public:
-  explicit FollowerFixture(milliseconds WatchTime = milliseconds(2000))
-      : WatchTime_(WatchTime), Store_(Context_), Freshness_(Lease),
+  explicit FollowerFixture(
+      milliseconds WatchTime = milliseconds(2000),
+      milliseconds LapseTime = StoreFollower::Options().LapseTime_)
+      : WatchTime_(WatchTime), LapseTime_(LapseTime), Store_(Context_),
+        Freshness_(Lease),
         View_(Documents_, platform::storeLayout(), milliseconds(150)) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
@@ -52,6 +55,7 @@
   void follow() {
     StoreFollower::Options Options;
     Options.WatchTime_ = WatchTime_;
+    Options.LapseTime_ = LapseTime_;
     Options.ConfirmTime_ = milliseconds(100);
     Options.BehindTime_ = milliseconds(20);
     Options.GatherTime_ = milliseconds(5);
@@ -88,12 +92,19 @@
     const Pool *Found = InForce ? InForce->pool(ThePool) : nullptr;
     return Found ? Found->Servers_.size() : 0;
   }
+  /// Follows the service again; returns when all is listed and in force.
+  void resume(bool AfterOutage) {
+    auto Watches = Store_.calls("/-/kv-watch");
+    Follower_->resume(AfterOutage);
+    REQUIRE(runUntil([&] { return Store_.calls("/-/kv-watch") > Watches; }));
+  }
   bool isActive(const std::string &Name) const {
     return Documents_.snapshot()->activeServer(Service, ThePool,
                                                ServerName(Name)) != nullptr;
   }
 
   milliseconds WatchTime_;
+  milliseconds LapseTime_;
   boost::asio::io_context Context_;
   FakeStore Store_;
   DocumentStore Documents_;
@@ -340,3 +351,50 @@
   CHECK(Test.Freshness_.valid(BootClock::now()));
   CHECK(Test.Follower_->platformReachable());
 }
+
+TEST_CASE("a server that was removed while another daemon was followed is gone "
+          "with the first list, unless an outage may have let it lapse") {
+  // Symptom: requests are sent to a server seconds after the service said that
+  // it is gone.
+  // Sequence: the followed daemon is behind for a second; a server is removed;
+  // this daemon reads the service, which was well all the while.
+  // Cause: every turn to the service after an old answer was taken for the end
+  // of an outage in which entries lapse. No outage so short lets any lapse.
+  constexpr milliseconds Watch{2000};
+  FollowerFixture Short(Watch, milliseconds(60000));
+  REQUIRE(Short.runUntil([&] { return Short.isActive("i-1"); }));
+  REQUIRE(Short.runUntil([&] { return Short.Store_.calls("/-/kv-txn") == 1; }));
+  Short.Follower_->pause();
+  Short.Store_.remove("servers/i-1");
+  Short.resume(true);
+  CHECK(Short.servers() == 0);
+
+  FollowerFixture Long(Watch, milliseconds(50));
+  REQUIRE(Long.runUntil([&] { return Long.isActive("i-1"); }));
+  REQUIRE(Long.runUntil([&] { return Long.Store_.calls("/-/kv-txn") == 1; }));
+  Long.Follower_->pause();
+  Long.runFor(milliseconds(100));
+  Long.Store_.remove("servers/i-1");
+  Long.resume(true);
+  CHECK(Long.servers() == 1);
+  CHECK(Long.runUntil([&] { return Long.servers() == 0; }));
+}
+
+TEST_CASE("an outage is over for a daemon that follows one that reads again") {
+  // Symptom: requests are sent to a server seconds after the service said that
+  // it is gone, minutes after an outage.
+  // Sequence: the service fails; another daemon that reads it is followed; a
+  // server is removed long after; this daemon reads the service again.
+  // Cause: the outage was taken to end with this daemon's own next list.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Store_.FailWith_ = 503;
+  REQUIRE(Test.runUntil([&] { return !Test.Follower_->platformReachable(); }));
+  Test.Follower_->pause();
+  Test.Store_.FailWith_ = 0;
+  // Longer than servers that lapsed may take to register again.
+  Test.runFor(milliseconds(300));
+  Test.Store_.remove("servers/i-1");
+  Test.resume(false);
+  CHECK(Test.servers() == 0);
+}
