--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/StoreFollower.cpp
@@ -48,6 +48,10 @@
 void StoreFollower::pause() {
   Paused_ = true;
   Unproven_.clear();
+  // The daemon that is followed reads the service. An outage that were to end
+  // with this daemon's own next list, minutes later, would keep servers then
+  // that were removed in between.
+  View_.outageEnded();
   // Ends the watch when it returns.
   ++Generation_;
 }
@@ -56,8 +60,7 @@
   Paused_ = false;
   Failures_ = 0;
   NeedsList_ = true;
-  if (AfterOutage)
-    View_.outageBegan();
+  MaybeOutage_ = AfterOutage;
   startWatch();
 }
 
@@ -120,11 +123,19 @@
     bool Behind = After_ < *Present;
     if (Behind)
       co_await sleep(Options_.BehindTime_);
-    if (!Paused_ && (WasLost || (Behind && After_ < *Present)))
+    bool Deaf = Behind && After_ < *Present;
+    if (!Paused_ && (WasLost || Deaf) && !answerComes())
       startWatch();
   }
 }
 
+/// A large answer takes a slow link longer than a watch may be behind. Given up
+/// meanwhile, it would be begun anew each time: one would notice by a link that
+/// is full for good, with a change that never comes through it.
+bool StoreFollower::answerComes() const {
+  return Platform_.AnswerComes_ && Platform_.AnswerComes_();
+}
+
 /// Reads one small entry, since each answer states the service's revision: what
 /// is taken in up to that is the newest. A large configuration that were read
 /// for this would fill a slow link for good; one would notice by a reader that
@@ -198,6 +209,11 @@
   // Another daemon is followed by now, and may have told of newer changes.
   if (Paused_)
     co_return Result<void>();
+  // What a busy daemon that was followed did not hear is no outage. Taken for
+  // one, servers that were removed meanwhile would get work for seconds more.
+  if (std::exchange(MaybeOutage_, false) &&
+      Freshness_.age(SentAt) >= Options_.LapseTime_)
+    View_.outageBegan();
   // The outage is over before what is missing is looked at.
   View_.outageEnded();
   View_.listed(*Listed);
@@ -218,6 +234,11 @@
   // Another watch may have told of newer changes since.
   if (Generation != Generation_)
     co_return Result<void>();
+  // Each revision is a change of some key. A deaf watch that ends tells none of
+  // them, and its revision says that there were some: believed up to there, a
+  // server that left would get work for good.
+  if (Changes->Entries_.empty() && After_ < Changes->Revision_)
+    co_return Failure{ResultCode::HistoryLost, "a watch did not tell changes"};
   for (const KeyValue &Entry : Changes->Entries_)
     View_.apply(Entry);
   After_ = Changes->Revision_;
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -41,8 +41,11 @@
 
 class FollowerFixture {
 public:
-  FollowerFixture()
-      : Store_(Context_), Freshness_(Lease),
+  explicit FollowerFixture(
+      milliseconds WatchTime = milliseconds(2000),
+      milliseconds LapseTime = StoreFollower::Options().LapseTime_)
+      : WatchTime_(WatchTime), LapseTime_(LapseTime), Store_(Context_),
+        Freshness_(Lease),
         View_(Documents_, platform::storeLayout(), milliseconds(150)) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
@@ -51,7 +54,8 @@
   /// A daemon that begins to follow.
   void follow() {
     StoreFollower::Options Options;
-    Options.WatchTime_ = milliseconds(2000);
+    Options.WatchTime_ = WatchTime_;
+    Options.LapseTime_ = LapseTime_;
     Options.ConfirmTime_ = milliseconds(100);
     Options.BehindTime_ = milliseconds(20);
     Options.GatherTime_ = milliseconds(5);
@@ -88,11 +92,19 @@
     const Pool *Found = InForce ? InForce->pool(ThePool) : nullptr;
     return Found ? Found->Servers_.size() : 0;
   }
+  /// Follows the service again; returns when all is listed and in force.
+  void resume(bool AfterOutage) {
+    auto Watches = Store_.calls("/-/kv-watch");
+    Follower_->resume(AfterOutage);
+    REQUIRE(runUntil([&] { return Store_.calls("/-/kv-watch") > Watches; }));
+  }
   bool isActive(const std::string &Name) const {
     return Documents_.snapshot()->activeServer(Service, ThePool,
                                                ServerName(Name)) != nullptr;
   }
 
+  milliseconds WatchTime_;
+  milliseconds LapseTime_;
   boost::asio::io_context Context_;
   FakeStore Store_;
   DocumentStore Documents_;
@@ -294,3 +306,95 @@
   CHECK(Test.runUntil(
       [&] { return Test.version() == DocumentVersion(4) && Fresh(); }));
 }
+
+TEST_CASE("a watch that ends past changes that it did not tell is no news") {
+  // Symptom: requests go to a server for good that left, and a key that was
+  // taken away works for good.
+  // Sequence: watches hear nothing for a moment; a server leaves and the
+  // configuration changes; a watch's time is up just then.
+  // Cause: an answer without changes was believed up to its revision.
+  constexpr milliseconds ShortWatch{50};
+  FollowerFixture Test(ShortWatch);
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  Test.runFor(ShortWatch * 2);
+  Test.Store_.DeafWatches_ = true;
+  Test.runFor(milliseconds(10));
+  Test.Store_.remove("servers/i-1");
+  Test.Store_.put("op/config", configuration(4));
+  Test.runFor(ShortWatch * 2);
+  Test.Store_.DeafWatches_ = false;
+  CHECK(Test.runUntil([&] {
+    return Test.servers() == 0 && Test.version() == DocumentVersion(4);
+  }));
+}
+
+TEST_CASE("a watch whose answer is coming is not given up") {
+  // Symptom: a daemon with a slow link keeps it full for as long as it runs,
+  // and never hears the end of a large change.
+  // Sequence: the operator writes a configuration that takes the link longer
+  // than a watch may be behind.
+  // Cause: the watch was taken for deaf while its answer came. The next one
+  // began the same answer anew, beside the first.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  Test.runFor(milliseconds(50));
+  constexpr std::size_t Large = 300000;
+  Test.Store_.BytesPerSecond_ = Large * 2;
+  auto Bytes = Test.Store_.bytesSent();
+  Test.Store_.put("op/config", largeConfiguration(4, Large));
+  CHECK(Test.runUntil([&] { return Test.version() == DocumentVersion(4); }));
+  Test.runFor(milliseconds(800));
+  // The value stands in the answer by four bytes for three.
+  CHECK(Test.Store_.bytesSent() - Bytes < Large * 4 / 3 + Large / 4);
+  CHECK(Test.Freshness_.valid(BootClock::now()));
+  CHECK(Test.Follower_->platformReachable());
+}
+
+TEST_CASE("a server that was removed while another daemon was followed is gone "
+          "with the first list, unless an outage may have let it lapse") {
+  // Symptom: requests are sent to a server seconds after the service said that
+  // it is gone.
+  // Sequence: the followed daemon is behind for a second; a server is removed;
+  // this daemon reads the service, which was well all the while.
+  // Cause: every turn to the service after an old answer was taken for the end
+  // of an outage in which entries lapse. No outage so short lets any lapse.
+  constexpr milliseconds Watch{2000};
+  FollowerFixture Short(Watch, milliseconds(60000));
+  REQUIRE(Short.runUntil([&] { return Short.isActive("i-1"); }));
+  REQUIRE(Short.runUntil([&] { return Short.Store_.calls("/-/kv-txn") == 1; }));
+  Short.Follower_->pause();
+  Short.Store_.remove("servers/i-1");
+  Short.resume(true);
+  CHECK(Short.servers() == 0);
+
+  FollowerFixture Long(Watch, milliseconds(50));
+  REQUIRE(Long.runUntil([&] { return Long.isActive("i-1"); }));
+  REQUIRE(Long.runUntil([&] { return Long.Store_.calls("/-/kv-txn") == 1; }));
+  Long.Follower_->pause();
+  Long.runFor(milliseconds(100));
+  Long.Store_.remove("servers/i-1");
+  Long.resume(true);
+  CHECK(Long.servers() == 1);
+  CHECK(Long.runUntil([&] { return Long.servers() == 0; }));
+}
+
+TEST_CASE("an outage is over for a daemon that follows one that reads again") {
+  // Symptom: requests are sent to a server seconds after the service said that
+  // it is gone, minutes after an outage.
+  // Sequence: the service fails; another daemon that reads it is followed; a
+  // server is removed long after; this daemon reads the service again.
+  // Cause: the outage was taken to end with this daemon's own next list.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Store_.FailWith_ = 503;
+  REQUIRE(Test.runUntil([&] { return !Test.Follower_->platformReachable(); }));
+  Test.Follower_->pause();
+  Test.Store_.FailWith_ = 0;
+  // Longer than servers that lapsed may take to register again.
+  Test.runFor(milliseconds(300));
+  Test.Store_.remove("servers/i-1");
+  Test.resume(false);
+  CHECK(Test.servers() == 0);
+}
