--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -104,6 +104,14 @@
 struct StateBuilder;
 struct StateT;
 
+struct TextAsk;
+struct TextAskBuilder;
+struct TextAskT;
+
+struct TextPart;
+struct TextPartBuilder;
+struct TextPartT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -126,11 +134,13 @@
   FirstToken = 14,
   Follow = 15,
   State = 16,
+  TextAsk = 17,
+  TextPart = 18,
   MIN = NONE,
-  MAX = State
+  MAX = TextPart
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[19] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -148,13 +158,15 @@
     Body::Heartbeat,
     Body::FirstToken,
     Body::Follow,
-    Body::State
+    Body::State,
+    Body::TextAsk,
+    Body::TextPart
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[20] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -172,13 +184,15 @@
     "FirstToken",
     "Follow",
     "State",
+    "TextAsk",
+    "TextPart",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::State)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TextPart)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -251,6 +265,14 @@
   static const Body enum_value = Body::State;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::TextAsk> {
+  static const Body enum_value = Body::TextAsk;
+};
+
+template<> struct BodyTraits<samphireshunt::wire::TextPart> {
+  static const Body enum_value = Body::TextPart;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -319,6 +341,14 @@
   static const Body enum_value = Body::State;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::TextAskT> {
+  static const Body enum_value = Body::TextAsk;
+};
+
+template<> struct BodyUnionTraits<samphireshunt::wire::TextPartT> {
+  static const Body enum_value = Body::TextPart;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -477,6 +507,22 @@
     return type == Body::State ?
       reinterpret_cast<const samphireshunt::wire::StateT *>(value) : nullptr;
   }
+  samphireshunt::wire::TextAskT *AsTextAsk() {
+    return type == Body::TextAsk ?
+      reinterpret_cast<samphireshunt::wire::TextAskT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::TextAskT *AsTextAsk() const {
+    return type == Body::TextAsk ?
+      reinterpret_cast<const samphireshunt::wire::TextAskT *>(value) : nullptr;
+  }
+  samphireshunt::wire::TextPartT *AsTextPart() {
+    return type == Body::TextPart ?
+      reinterpret_cast<samphireshunt::wire::TextPartT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::TextPartT *AsTextPart() const {
+    return type == Body::TextPart ?
+      reinterpret_cast<const samphireshunt::wire::TextPartT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2543,6 +2589,7 @@
   uint32_t sequence = 0;
   uint64_t incarnation = 0;
   uint64_t number = 0;
+  bool apart = false;
 };
 
 /// Asks what a daemon that reads the platform's service believes, after a
@@ -2553,7 +2600,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
     VT_INCARNATION = 6,
-    VT_NUMBER = 8
+    VT_NUMBER = 8,
+    VT_APART = 10
   };
   /// Comes back with the answer.
   uint32_t sequence() const {
@@ -2566,11 +2614,17 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  /// The configuration's text is asked for apart; without this, as by daemons
+  /// of earlier versions, it comes among the entries.
+  bool apart() const {
+    return GetField<uint8_t>(VT_APART, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_APART, 1) &&
            verifier.EndTable();
   }
   FollowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2591,6 +2645,9 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(Follow::VT_NUMBER, number, 0);
   }
+  void add_apart(bool apart) {
+    fbb_.AddElement<uint8_t>(Follow::VT_APART, static_cast<uint8_t>(apart), 0);
+  }
   explicit FollowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2606,11 +2663,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t sequence = 0,
     uint64_t incarnation = 0,
-    uint64_t number = 0) {
+    uint64_t number = 0,
+    bool apart = false) {
   FollowBuilder builder_(_fbb);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
   builder_.add_sequence(sequence);
+  builder_.add_apart(apart);
   return builder_.Finish();
 }
 
@@ -2730,6 +2789,8 @@
   uint32_t age_ms = 0;
   bool reads_service = false;
   std::vector<std::unique_ptr<samphireshunt::wire::StateEntryT>> entries{};
+  uint64_t text_revision = 0;
+  uint64_t text_size = 0;
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2749,7 +2810,9 @@
     VT_REVISION = 14,
     VT_AGE_MS = 16,
     VT_READS_SERVICE = 18,
-    VT_ENTRIES = 20
+    VT_ENTRIES = 20,
+    VT_TEXT_REVISION = 22,
+    VT_TEXT_SIZE = 24
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2783,6 +2846,14 @@
   const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *>(VT_ENTRIES);
   }
+  /// Where the configuration's text is asked for apart: its revision and its
+  /// size in bytes; 0 is none.
+  uint64_t text_revision() const {
+    return GetField<uint64_t>(VT_TEXT_REVISION, 0);
+  }
+  uint64_t text_size() const {
+    return GetField<uint64_t>(VT_TEXT_SIZE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2796,6 +2867,8 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_TEXT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TEXT_SIZE, 8) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2834,6 +2907,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries) {
     fbb_.AddOffset(State::VT_ENTRIES, entries);
   }
+  void add_text_revision(uint64_t text_revision) {
+    fbb_.AddElement<uint64_t>(State::VT_TEXT_REVISION, text_revision, 0);
+  }
+  void add_text_size(uint64_t text_size) {
+    fbb_.AddElement<uint64_t>(State::VT_TEXT_SIZE, text_size, 0);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2855,8 +2934,12 @@
     uint64_t revision = 0,
     uint32_t age_ms = 0,
     bool reads_service = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries = 0,
+    uint64_t text_revision = 0,
+    uint64_t text_size = 0) {
   StateBuilder builder_(_fbb);
+  builder_.add_text_size(text_size);
+  builder_.add_text_revision(text_revision);
   builder_.add_revision(revision);
   builder_.add_after(after);
   builder_.add_number(number);
@@ -2879,7 +2962,9 @@
     uint64_t revision = 0,
     uint32_t age_ms = 0,
     bool reads_service = false,
-    const std::vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries = nullptr,
+    uint64_t text_revision = 0,
+    uint64_t text_size = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
   return samphireshunt::wire::CreateState(
       _fbb,
@@ -2891,11 +2976,233 @@
       revision,
       age_ms,
       reads_service,
-      entries__);
+      entries__,
+      text_revision,
+      text_size);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TextAskT : public flatbuffers::NativeTable {
+  typedef TextAsk TableType;
+  uint64_t revision = 0;
+  uint64_t held = 0;
+  uint32_t offset = 0;
+};
+
+/// Asks for a part of the configuration's text, compressed with an earlier text
+/// as the prefix.
+struct TextAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TextAskT NativeTableType;
+  typedef TextAskBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4,
+    VT_HELD = 6,
+    VT_OFFSET = 8
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  /// The text that the asking daemon holds; 0 is none.
+  uint64_t held() const {
+    return GetField<uint64_t>(VT_HELD, 0);
+  }
+  /// Where the part begins in the compressed text.
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           verifier.EndTable();
+  }
+  TextAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TextAskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TextAsk> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TextAskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TextAskBuilder {
+  typedef TextAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(TextAsk::VT_REVISION, revision, 0);
+  }
+  void add_held(uint64_t held) {
+    fbb_.AddElement<uint64_t>(TextAsk::VT_HELD, held, 0);
+  }
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(TextAsk::VT_OFFSET, offset, 0);
+  }
+  explicit TextAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TextAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TextAsk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TextAsk> CreateTextAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    uint64_t held = 0,
+    uint32_t offset = 0) {
+  TextAskBuilder builder_(_fbb);
+  builder_.add_held(held);
+  builder_.add_revision(revision);
+  builder_.add_offset(offset);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<TextAsk> CreateTextAsk(flatbuffers::FlatBufferBuilder &_fbb, const TextAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TextPartT : public flatbuffers::NativeTable {
+  typedef TextPart TableType;
+  uint64_t revision = 0;
+  uint64_t held = 0;
+  uint32_t offset = 0;
+  uint32_t size = 0;
+  uint64_t hash = 0;
+  uint32_t packed_size = 0;
+  std::vector<uint8_t> bytes{};
+};
+
+struct TextPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TextPartT NativeTableType;
+  typedef TextPartBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4,
+    VT_HELD = 6,
+    VT_OFFSET = 8,
+    VT_SIZE = 10,
+    VT_HASH = 12,
+    VT_PACKED_SIZE = 14,
+    VT_BYTES = 16
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  /// The revision of the prefix; 0 is none.
+  uint64_t held() const {
+    return GetField<uint64_t>(VT_HELD, 0);
+  }
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  /// Of the whole text; 0 when this daemon does not have it.
+  uint32_t size() const {
+    return GetField<uint32_t>(VT_SIZE, 0);
+  }
+  uint64_t hash() const {
+    return GetField<uint64_t>(VT_HASH, 0);
+  }
+  uint32_t packed_size() const {
+    return GetField<uint32_t>(VT_PACKED_SIZE, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PACKED_SIZE, 4) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+  TextPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TextPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TextPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TextPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TextPartBuilder {
+  typedef TextPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(TextPart::VT_REVISION, revision, 0);
+  }
+  void add_held(uint64_t held) {
+    fbb_.AddElement<uint64_t>(TextPart::VT_HELD, held, 0);
+  }
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(TextPart::VT_OFFSET, offset, 0);
+  }
+  void add_size(uint32_t size) {
+    fbb_.AddElement<uint32_t>(TextPart::VT_SIZE, size, 0);
+  }
+  void add_hash(uint64_t hash) {
+    fbb_.AddElement<uint64_t>(TextPart::VT_HASH, hash, 0);
+  }
+  void add_packed_size(uint32_t packed_size) {
+    fbb_.AddElement<uint32_t>(TextPart::VT_PACKED_SIZE, packed_size, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(TextPart::VT_BYTES, bytes);
+  }
+  explicit TextPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TextPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TextPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TextPart> CreateTextPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    uint64_t held = 0,
+    uint32_t offset = 0,
+    uint32_t size = 0,
+    uint64_t hash = 0,
+    uint32_t packed_size = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  TextPartBuilder builder_(_fbb);
+  builder_.add_hash(hash);
+  builder_.add_held(held);
+  builder_.add_revision(revision);
+  builder_.add_bytes(bytes);
+  builder_.add_packed_size(packed_size);
+  builder_.add_size(size);
+  builder_.add_offset(offset);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TextPart> CreateTextPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    uint64_t held = 0,
+    uint32_t offset = 0,
+    uint32_t size = 0,
+    uint64_t hash = 0,
+    uint32_t packed_size = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return samphireshunt::wire::CreateTextPart(
+      _fbb,
+      revision,
+      held,
+      offset,
+      size,
+      hash,
+      packed_size,
+      bytes__);
+}
+
+flatbuffers::Offset<TextPart> CreateTextPart(flatbuffers::FlatBufferBuilder &_fbb, const TextPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   samphireshunt::wire::BodyUnion body{};
@@ -2963,6 +3270,12 @@
   const samphireshunt::wire::State *body_as_State() const {
     return body_type() == samphireshunt::wire::Body::State ? static_cast<const samphireshunt::wire::State *>(body()) : nullptr;
   }
+  const samphireshunt::wire::TextAsk *body_as_TextAsk() const {
+    return body_type() == samphireshunt::wire::Body::TextAsk ? static_cast<const samphireshunt::wire::TextAsk *>(body()) : nullptr;
+  }
+  const samphireshunt::wire::TextPart *body_as_TextPart() const {
+    return body_type() == samphireshunt::wire::Body::TextPart ? static_cast<const samphireshunt::wire::TextPart *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3039,6 +3352,14 @@
   return body_as_State();
 }
 
+template<> inline const samphireshunt::wire::TextAsk *Envelope::body_as<samphireshunt::wire::TextAsk>() const {
+  return body_as_TextAsk();
+}
+
+template<> inline const samphireshunt::wire::TextPart *Envelope::body_as<samphireshunt::wire::TextPart>() const {
+  return body_as_TextPart();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3941,6 +4262,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = number(); _o->number = _e; }
+  { auto _e = apart(); _o->apart = _e; }
 }
 
 inline flatbuffers::Offset<Follow> Follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FollowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3954,11 +4276,13 @@
   auto _sequence = _o->sequence;
   auto _incarnation = _o->incarnation;
   auto _number = _o->number;
+  auto _apart = _o->apart;
   return samphireshunt::wire::CreateFollow(
       _fbb,
       _sequence,
       _incarnation,
-      _number);
+      _number,
+      _apart);
 }
 
 inline StateEntryT *StateEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4004,7 +4328,9 @@
         complete(o.complete),
         revision(o.revision),
         age_ms(o.age_ms),
-        reads_service(o.reads_service) {
+        reads_service(o.reads_service),
+        text_revision(o.text_revision),
+        text_size(o.text_size) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -4019,6 +4345,8 @@
   std::swap(age_ms, o.age_ms);
   std::swap(reads_service, o.reads_service);
   std::swap(entries, o.entries);
+  std::swap(text_revision, o.text_revision);
+  std::swap(text_size, o.text_size);
   return *this;
 }
 
@@ -4040,6 +4368,8 @@
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = reads_service(); _o->reads_service = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<samphireshunt::wire::StateEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = text_revision(); _o->text_revision = _e; }
+  { auto _e = text_size(); _o->text_size = _e; }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4059,6 +4389,8 @@
   auto _age_ms = _o->age_ms;
   auto _reads_service = _o->reads_service;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateStateEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _text_revision = _o->text_revision;
+  auto _text_size = _o->text_size;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -4069,7 +4401,85 @@
       _revision,
       _age_ms,
       _reads_service,
-      _entries);
+      _entries,
+      _text_revision,
+      _text_size);
+}
+
+inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<TextAskT>(new TextAskT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TextAsk::UnPackTo(TextAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = held(); _o->held = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+}
+
+inline flatbuffers::Offset<TextAsk> TextAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TextAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTextAsk(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TextAsk> CreateTextAsk(flatbuffers::FlatBufferBuilder &_fbb, const TextAskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TextAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _revision = _o->revision;
+  auto _held = _o->held;
+  auto _offset = _o->offset;
+  return samphireshunt::wire::CreateTextAsk(
+      _fbb,
+      _revision,
+      _held,
+      _offset);
+}
+
+inline TextPartT *TextPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<TextPartT>(new TextPartT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TextPart::UnPackTo(TextPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = held(); _o->held = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = size(); _o->size = _e; }
+  { auto _e = hash(); _o->hash = _e; }
+  { auto _e = packed_size(); _o->packed_size = _e; }
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+}
+
+inline flatbuffers::Offset<TextPart> TextPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TextPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTextPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TextPart> CreateTextPart(flatbuffers::FlatBufferBuilder &_fbb, const TextPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TextPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _revision = _o->revision;
+  auto _held = _o->held;
+  auto _offset = _o->offset;
+  auto _size = _o->size;
+  auto _hash = _o->hash;
+  auto _packed_size = _o->packed_size;
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  return samphireshunt::wire::CreateTextPart(
+      _fbb,
+      _revision,
+      _held,
+      _offset,
+      _size,
+      _hash,
+      _packed_size,
+      _bytes);
 }
 
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4170,6 +4580,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::State *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::TextAsk: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::TextAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TextPart: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::TextPart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4253,6 +4671,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::State *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::TextAsk: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::TextAsk *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::TextPart: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::TextPart *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4324,6 +4750,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::StateT *>(value);
       return CreateState(_fbb, ptr, _rehasher).Union();
     }
+    case Body::TextAsk: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::TextAskT *>(value);
+      return CreateTextAsk(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::TextPart: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::TextPartT *>(value);
+      return CreateTextPart(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4394,6 +4828,14 @@
       value = new samphireshunt::wire::StateT(*reinterpret_cast<samphireshunt::wire::StateT *>(u.value));
       break;
     }
+    case Body::TextAsk: {
+      value = new samphireshunt::wire::TextAskT(*reinterpret_cast<samphireshunt::wire::TextAskT *>(u.value));
+      break;
+    }
+    case Body::TextPart: {
+      value = new samphireshunt::wire::TextPartT(*reinterpret_cast<samphireshunt::wire::TextPartT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4481,6 +4923,16 @@
       delete ptr;
       break;
     }
+    case Body::TextAsk: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::TextAskT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::TextPart: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::TextPartT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Process/ChangeLog.cpp
+++ b/Source/Process/ChangeLog.cpp
@@ -57,13 +57,20 @@
   }
 }
 
-ChangeLog::Changes ChangeLog::since(std::uint64_t Number) const {
+const KeyValue *ChangeLog::find(const std::string &Key) const {
+  auto Found = Entries_.find(Key);
+  bool Known = Found != Entries_.end() && !Found->second.Entry_.Deleted_;
+  return Known ? &Found->second.Entry_ : nullptr;
+}
+
+ChangeLog::Changes ChangeLog::since(std::uint64_t Number,
+                                    std::string_view Apart) const {
   Changes Found;
   Found.Complete_ = Number == 0 || Number < Forgotten_ || Number > Last_;
   for (const auto &[Key, Known] : Entries_) {
     bool Wanted =
         Found.Complete_ ? !Known.Entry_.Deleted_ : Known.Number_ > Number;
-    if (Wanted)
+    if (Wanted && Key != Apart)
       Found.Entries_.push_back(Known.Entry_);
   }
   return Found;
--- a/Source/Process/ChangeLog.h
+++ b/Source/Process/ChangeLog.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphireshunt {
@@ -29,7 +30,10 @@
                const std::function<bool(const std::string &Name)> &Keep);
 
   std::uint64_t last() const { return Last_; }
-  Changes since(std::uint64_t Number) const;
+  /// \p Apart: a key that is told in another way.
+  Changes since(std::uint64_t Number, std::string_view Apart = {}) const;
+  /// \returns a null pointer when \p Key is not known or was removed.
+  const KeyValue *find(const std::string &Key) const;
 
 private:
   /// Removals are kept in mind up to so many: servers come and go for ever.
--- a/Source/Process/PeerFollower.cpp
+++ b/Source/Process/PeerFollower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -72,6 +73,7 @@
     return schedule(Options_.AskTime_);
   }
   if (Reader_ != *Usable) {
+    Transfer_.drop();
     Reader_ = *Usable;
     ReaderNumber_ = 0;
   }
@@ -95,6 +97,7 @@
   Question.sequence = ++Sequence_;
   Question.incarnation = ReaderProcess_;
   Question.number = ReaderNumber_;
+  Question.apart = true;
   Awaiting_ = true;
   Unanswered_.insert(*Reader_);
   AskedAt_ = BootClock::now();
@@ -111,11 +114,13 @@
   PassedOver_[Reader] = steady_clock::now() + Options_.TryAgainTime_;
   Awaiting_ = false;
   Reader_.reset();
+  Transfer_.drop();
   choose();
 }
 
 void PeerFollower::readService(bool AfterOutage) {
   Reader_.reset();
+  Transfer_.drop();
   Awaiting_ = false;
   if (!Service_.paused())
     return;
@@ -150,10 +155,15 @@
     return passOver(From, "it is behind");
   ReaderProcess_ = Told.incarnation;
   ReaderNumber_ = Told.number;
-  if (!Answer)
-    return;
+  if (Answer)
+    onAnswer(From, Told);
+  askForText(Told);
+}
+
+void PeerFollower::onAnswer(const VmId &From, const wire::StateT &Told) {
   Awaiting_ = false;
-  Freshness_.renew(AskedAt_ - Age);
+  if (!lacksTextOf(Told))
+    Freshness_.renew(AskedAt_ - milliseconds(Told.age_ms));
   bool Spare = Role_ == StoreRole::Spare;
   if (Spare && !Service_.paused()) {
     logEvent(
@@ -164,6 +174,61 @@
   schedule(Options_.AskTime_);
 }
 
+bool PeerFollower::lacksTextOf(const wire::StateT &Told) const {
+  Revision Held = std::max(View_.configurationRevision(), Texts_.newest());
+  return Transfer_.lacks(Revision(Told.text_revision), Held);
+}
+
+void PeerFollower::askForText(const wire::StateT &Told) {
+  if (!lacksTextOf(Told))
+    return;
+  Revision Named(Told.text_revision);
+  if (Told.text_size > MaxTextBytes && std::exchange(TooLong_, Named) != Named)
+    logEvent(LogCategory::Process, spdlog::level::err, "configuration-too-long",
+             {{"revision", std::to_string(Named.count())},
+              {"size", std::to_string(Told.text_size)}});
+  auto Question = Transfer_.named(Named, Told.text_size, Texts_.newest(),
+                                  steady_clock::now());
+  if (Question)
+    Hooks_.Send_(VmId(*Reader_), encodeMessage(std::move(*Question)));
+}
+
+void PeerFollower::onTextPart(const VmId &From, const wire::TextPartT &Part) {
+  if (Reader_ != From)
+    return;
+  auto Step = Transfer_.received(Part, Texts_, steady_clock::now());
+  if (Step.Broken_)
+    logEvent(LogCategory::Process, spdlog::level::warn, "configuration-broken",
+             {{"reader", From.str()},
+              {"revision", std::to_string(Part.revision)},
+              {"size", std::to_string(Part.size)}});
+  if (Step.Text_)
+    adoptText(Revision(Part.revision), std::move(*Step.Text_));
+  if (Step.Ask_)
+    Hooks_.Send_(From, encodeMessage(std::move(*Step.Ask_)));
+}
+
+void PeerFollower::adoptText(Revision Number, std::string Text) {
+  // Read from the service itself meanwhile.
+  if (Number <= View_.configurationRevision())
+    return;
+  KeyValue Entry;
+  Entry.Key_ = View_.layout().ConfigurationKey_;
+  Entry.Value_ = std::move(Text);
+  Entry.Revision_ = Number;
+  View_.apply(Entry);
+  // The lease was not renewed while it came.
+  if (Reader_ && !Awaiting_)
+    ask();
+}
+
+/// Whoever is followed later has the texts with which it packs.
+void PeerFollower::keepText() {
+  const KeyValue *Known = View_.log().find(View_.layout().ConfigurationKey_);
+  if (Known)
+    Texts_.keep(Known->Revision_, Known->Value_);
+}
+
 void PeerFollower::onLinkDown(const VmId &Reader) {
   Unanswered_.erase(Reader);
   if (Reader_ == Reader)
@@ -180,7 +245,15 @@
   return Reader_.has_value();
 }
 
-wire::StateT PeerFollower::stateAfter(std::uint64_t Number) const {
+void PeerFollower::nameText(wire::StateT &Told) const {
+  const KeyValue *Known = View_.log().find(View_.layout().ConfigurationKey_);
+  if (!Known)
+    return;
+  Told.text_revision = Known->Revision_.count();
+  Told.text_size = Known->Value_.size();
+}
+
+wire::StateT PeerFollower::stateAfter(std::uint64_t Number, bool Apart) const {
   wire::StateT Told;
   Told.incarnation = Self_.count();
   Told.number = View_.log().last();
@@ -191,7 +264,10 @@
   Told.age_ms = static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(Age.count(), 0, Most));
   Told.reads_service = !Service_.paused() && Service_.platformReachable();
-  ChangeLog::Changes Changes = View_.log().since(Number);
+  std::string TextKey = Apart ? View_.layout().ConfigurationKey_ : "";
+  ChangeLog::Changes Changes = View_.log().since(Number, TextKey);
+  if (Apart)
+    nameText(Told);
   Told.complete = Changes.Complete_;
   for (const KeyValue &Entry : Changes.Entries_) {
     auto Added = std::make_unique<wire::StateEntryT>();
@@ -206,19 +282,26 @@
 
 void PeerFollower::tell(const VmId &To, std::uint32_t Sequence,
                         std::uint64_t After) {
-  wire::StateT Told = stateAfter(After);
+  Follower &Known = Followers_[To];
+  wire::StateT Told = stateAfter(After, Known.Apart_);
   Told.sequence = Sequence;
-  Followers_[To].Number_ = Told.number;
+  Known.Number_ = Told.number;
   Hooks_.Reply_(To, encodeMessage(std::move(Told)));
 }
 
 void PeerFollower::onFollow(const VmId &From, const wire::FollowT &Asked) {
   Followers_[From].LastAsked_ = steady_clock::now();
+  Followers_[From].Apart_ = Asked.apart;
   bool Same = Asked.incarnation == Self_.count();
   tell(From, Asked.sequence, Same ? Asked.number : 0);
 }
 
+void PeerFollower::onTextAsk(const VmId &From, const wire::TextAskT &Asked) {
+  Hooks_.Reply_(From, encodeMessage(Texts_.part(Asked)));
+}
+
 void PeerFollower::onChanged() {
+  keepText();
   forgetFollowers();
   for (auto &[Name, Known] : Followers_)
     if (Known.Number_ != View_.log().last())
--- a/Source/Process/PeerFollower.h
+++ b/Source/Process/PeerFollower.h
@@ -10,8 +10,15 @@
 /// after two of them to the service itself. The freshness lease is renewed from
 /// the moment at which the question was sent, less the age that the answer
 /// states: a datagram or a frame that lay unread for long renews nothing.
+///
+/// The configuration's text does not come with the changes: an answer names its
+/// revision, and who lacks it asks for it in parts (DocumentTransfer.h). The
+/// lease is not renewed by a reader whose configuration is newer than the one
+/// that is in force here. A daemon of an earlier version neither asks so nor
+/// names one: it is told the text, and tells it, among the changes.
 
 #include "Connection/PeerMessage.h"
+#include "Process/DocumentTransfer.h"
 #include "Process/FreshnessLease.h"
 #include "Process/StoreFollower.h"
 #include "Process/StoreReaders.h"
@@ -65,6 +72,7 @@
 
   // As a follower.
   void onState(const VmId &From, const wire::StateT &Told);
+  void onTextPart(const VmId &From, const wire::TextPartT &Part);
   void onLinkDown(const VmId &Reader);
   /// True while an answer of this daemon is awaited.
   bool awaiting(const VmId &Reader) const;
@@ -75,6 +83,7 @@
 
   // As a reader.
   void onFollow(const VmId &From, const wire::FollowT &Asked);
+  void onTextAsk(const VmId &From, const wire::TextAskT &Asked);
   /// Tells followers what has changed.
   void onChanged();
   std::size_t followers() const { return Followers_.size(); }
@@ -83,6 +92,8 @@
   struct Follower {
     TimePoint LastAsked_;
     std::uint64_t Number_ = 0;
+    /// It asks for the configuration's text apart.
+    bool Apart_ = false;
   };
 
   void schedule(std::chrono::milliseconds Delay);
@@ -93,7 +104,14 @@
   /// Whether another daemon is to be followed at all.
   bool needsReader() const;
   void readService(bool AfterOutage);
-  wire::StateT stateAfter(std::uint64_t Number) const;
+  void onAnswer(const VmId &From, const wire::StateT &Told);
+  /// Whether the reader has a configuration that is not in force here.
+  bool lacksTextOf(const wire::StateT &Told) const;
+  void askForText(const wire::StateT &Told);
+  void keepText();
+  void adoptText(Revision Number, std::string Text);
+  wire::StateT stateAfter(std::uint64_t Number, bool Apart) const;
+  void nameText(wire::StateT &Told) const;
   void forgetFollowers();
   void tell(const VmId &To, std::uint32_t Sequence, std::uint64_t After);
 
@@ -120,6 +138,10 @@
   std::map<VmId, TimePoint> PassedOver_;
   bool SawOldState_ = false;
   std::map<VmId, Follower> Followers_;
+  DocumentTexts Texts_;
+  DocumentTransfer Transfer_;
+  /// Of a text that is too long to be taken, as it was logged.
+  Revision TooLong_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/StoreView.h
+++ b/Source/Process/StoreView.h
@@ -73,6 +73,8 @@
   /// The newest revision of the service that is taken in completely.
   Revision revision() const { return Revision_; }
   void advance(Revision Newer) { Revision_ = std::max(Revision_, Newer); }
+  /// Of the configuration that was read last.
+  Revision configurationRevision() const { return ConfigurationRevision_; }
   const ChangeLog &log() const { return Log_; }
   const StoreLayout &layout() const { return Layout_; }
 
--- /dev/null
+++ b/Source/Process/TextPacking.cpp
@@ -0,0 +1,69 @@
+#include "Process/TextPacking.h"
+
+#include <zstd.h>
+
+#include <algorithm>
+#include <bit>
+#include <memory>
+
+namespace samphireshunt {
+
+namespace {
+
+using Packer = std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)>;
+using Unpacker = std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)>;
+
+/// The library's fastest usual level: a reader packs between requests.
+constexpr int PackingLevel = 1;
+/// What the library takes: 1 KB and 128 MB, as powers of two.
+constexpr int LeastWindow = 10;
+constexpr int MostWindow = 27;
+
+/// Both the prefix and the text must be within reach, or the beginning of the
+/// prefix is not used.
+int windowFor(std::size_t Bytes) {
+  return std::clamp(static_cast<int>(std::bit_width(Bytes)), LeastWindow,
+                    MostWindow);
+}
+
+} // namespace
+
+std::optional<std::string> packText(std::string_view Text,
+                                    std::string_view Prefix) {
+  Packer Context(ZSTD_createCCtx(), &ZSTD_freeCCtx);
+  if (!Context)
+    return std::nullopt;
+  ZSTD_CCtx *Raw = Context.get();
+  ZSTD_CCtx_setParameter(Raw, ZSTD_c_compressionLevel, PackingLevel);
+  ZSTD_CCtx_setParameter(Raw, ZSTD_c_windowLog,
+                         windowFor(Text.size() + Prefix.size()));
+  // Equal stretches lie a whole text apart, further than the levels look.
+  ZSTD_CCtx_setParameter(Raw, ZSTD_c_enableLongDistanceMatching, 1);
+  ZSTD_CCtx_refPrefix(Raw, Prefix.data(), Prefix.size());
+  std::string Packed(ZSTD_compressBound(Text.size()), '\0');
+  std::size_t Size = ZSTD_compress2(Raw, Packed.data(), Packed.size(),
+                                    Text.data(), Text.size());
+  if (ZSTD_isError(Size))
+    return std::nullopt;
+  Packed.resize(Size);
+  Packed.shrink_to_fit();
+  return Packed;
+}
+
+std::optional<std::string> unpackText(std::string_view Packed, std::size_t Size,
+                                      std::string_view Prefix) {
+  Unpacker Context(ZSTD_createDCtx(), &ZSTD_freeDCtx);
+  if (!Context)
+    return std::nullopt;
+  ZSTD_DCtx_refPrefix(Context.get(), Prefix.data(), Prefix.size());
+  std::string Text(Size, '\0');
+  std::size_t Got = ZSTD_decompressDCtx(Context.get(), Text.data(), Text.size(),
+                                        Packed.data(), Packed.size());
+  if (ZSTD_isError(Got) || Got != Size)
+    return std::nullopt;
+  return Text;
+}
+
+std::size_t mostPacked(std::size_t Size) { return ZSTD_compressBound(Size); }
+
+} // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -491,6 +491,8 @@
     sendDocument(From, ServiceName(Request->service));
   else if (const auto *Asked = Message.body.AsFollow(); Asked && PeerFollower_)
     PeerFollower_->onFollow(From, *Asked);
+  else if (const auto *Text = Message.body.AsTextAsk(); Text && PeerFollower_)
+    PeerFollower_->onTextAsk(From, *Text);
 }
 
 void Daemon::sendDocument(const VmId &To, const ServiceName &Service) {
@@ -524,6 +526,8 @@
                                      Reply->envelope);
   else if (const auto *Told = Message.body.AsState(); Told && PeerFollower_)
     PeerFollower_->onState(From, *Told);
+  else if (const auto *Part = Message.body.AsTextPart(); Part && PeerFollower_)
+    PeerFollower_->onTextPart(From, *Part);
 }
 
 void Daemon::onDecided(const Decision &Taken) {
--- a/Tools/install.sh
+++ b/Tools/install.sh
@@ -6,7 +6,7 @@
   libboost1.81-dev libflatbuffers-dev prometheus-cpp-dev libabsl-dev
   libspdlog-dev libfmt-dev doctest-dev librapidcheck-dev liburcu-dev
   libyaml-cpp-dev nlohmann-json3-dev libvalijson-dev libxxhash-dev
-  libpcg-cpp-dev libssl-dev libbenchmark-dev gnuplot-nox
+  libpcg-cpp-dev libssl-dev libzstd-dev libbenchmark-dev gnuplot-nox
 )
 if dpkg -s "${Packages[@]}" >/dev/null 2>&1; then
   exit 0
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -198,6 +198,24 @@
 mutate connection-given-back $S/Request/ModelCall.cpp \
   's/(void closeConnection\(\) \{\n)    if \(Ready_\.Connection_\)\n/$1/' \
   ${U}Request '*leaves before the last event*'
+mutate part-of-frame $S/Connection/FrameChannel.cpp \
+  's/LastHeard_ = Error \? LastHeard_ : steady_clock::now\(\);/LastHeard_ = Error || Target.size() > 0 ? LastHeard_ : steady_clock::now();/' \
+  ${U}Connection '*long frame that comes slowly*'
+mutate sign-behind-frame $S/Connection/FrameChannel.cpp \
+  's/  send\(encodeMessage\(signOfLife\(\)\)\);\n\}/}/' \
+  ${U}Connection '*takes a long frame says so*'
+mutate queue-bound $S/Connection/FrameChannel.cpp \
+  's/return closeOverfull\(\);/;/' \
+  ${U}Connection '*too much waits to be sent*'
+mutate text-apart $S/Process/PeerFollower.cpp \
+  's/  Question\.apart = true;\n//' \
+  ${U}platform '*comes in small messages*'
+mutate text-lease $S/Process/PeerFollower.cpp \
+  's/if \(!lacksTextOf\(Told\)\)\n//' \
+  ${U}platform '*text does not come*'
+mutate text-hash $S/Process/DocumentTransfer.cpp \
+  's/ \|\| stableHash\(\*Text\) != Hash_//' \
+  ${U}Process '*not what it was named as*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
--- /dev/null
+++ b/UnitTests/Process/TextPackingTest.cpp
@@ -0,0 +1,51 @@
+#include "Process/TextPacking.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace samphireshunt;
+
+namespace {
+
+/// Text that can't be packed by itself.
+std::string digits(std::size_t Size) {
+  std::string Text;
+  std::uint32_t Next = 1;
+  while (Text.size() < Size) {
+    Next = Next * 1664525 + 1013904223;
+    Text += static_cast<char>(Next >> 24);
+  }
+  return Text;
+}
+
+} // namespace
+
+TEST_CASE("what is packed with a prefix comes back with it") {
+  CHECK(rc::check([](const std::string &Text, const std::string &Prefix) {
+    auto Packed = packText(Text, Prefix);
+    RC_ASSERT(Packed.has_value());
+    RC_ASSERT(Packed->size() <= mostPacked(Text.size()));
+    RC_ASSERT(unpackText(*Packed, Text.size(), Prefix) == Text);
+    RC_ASSERT(!unpackText(*Packed, Text.size() + 1, Prefix));
+  }));
+}
+
+TEST_CASE("of a text like its prefix little is left") {
+  std::string Before = digits(3000000);
+  std::string After = Before;
+  After.insert(1000000, "a new route");
+  After.erase(2000000, 1000);
+  auto Packed = packText(After, Before);
+  REQUIRE(Packed);
+  CHECK(Packed->size() < 2000);
+  CHECK(unpackText(*Packed, After.size(), Before) == After);
+}
+
+TEST_CASE("bytes that are no packed text give none") {
+  std::string Text = digits(10000);
+  std::string Packed = packText(Text, "").value();
+  CHECK_FALSE(unpackText("", Text.size(), ""));
+  CHECK_FALSE(unpackText(digits(500), Text.size(), ""));
+  CHECK_FALSE(unpackText(Packed.substr(0, Packed.size() - 1), Text.size(), ""));
+  CHECK_FALSE(unpackText(Packed, Text.size() - 1, ""));
+}
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -28,6 +28,19 @@
                      Version);
 }
 
+/// One of a given size, of digits that no packing makes small.
+std::string largeConfiguration(int Version, std::size_t Size) {
+  std::string Digits;
+  std::uint32_t Next = 1;
+  while (Digits.size() < Size) {
+    Next = Next * 1664525 + 1013904223;
+    Digits += fmt::format("{:08x}", Next);
+  }
+  std::string Text = configuration(Version);
+  Text.insert(1, fmt::format(R"("note":"{}",)", Digits));
+  return Text;
+}
+
 std::string serverEntry(const std::string &State) {
   return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
                          "state":"{}","batch-size":2,"version":"v1",
@@ -144,6 +157,20 @@
   std::set<std::string> Frozen_;
   /// The next so many messages that readers send by themselves are lost.
   int LosePushes_ = 0;
+  /// Parts of a text that daemons send are lost while this is set.
+  bool LoseParts_ = false;
+  /// This many parts come with a wrong byte.
+  int SpoilParts_ = 0;
+  int Parts_ = 0;
+  /// What the last text of which a part came takes in all.
+  std::size_t PackedSize_ = 0;
+  /// Questions that asked for texts apart.
+  int AskedApart_ = 0;
+  /// One of the two is of an earlier version, which knows nothing of texts that
+  /// are told apart.
+  bool Mixed_ = false;
+  /// The longest message that a daemon has sent to another.
+  std::size_t LongestMessage_ = 0;
   std::map<std::string, std::unique_ptr<Daemon>> Daemons_;
   /// Their calls may still be under way.
   std::vector<std::unique_ptr<Daemon>> Retired_;
@@ -172,15 +199,36 @@
                const std::string &Message) {
     if (Frozen_.contains(From) || Frozen_.contains(To))
       return;
+    LongestMessage_ = std::max(LongestMessage_, Message.size());
     auto Decoded = decodeMessage(Message).value();
-    if (const auto *Asked = Decoded.body.AsFollow())
-      return Daemons_.at(To)->Peers_->onFollow(VmId(From), *Asked);
+    PeerFollower &Peers = *Daemons_.at(To)->Peers_;
+    if (auto *Asked = Decoded.body.AsFollow()) {
+      Asked->apart = Asked->apart && !Mixed_;
+      AskedApart_ += Asked->apart ? 1 : 0;
+      return Peers.onFollow(VmId(From), *Asked);
+    }
+    if (const auto *Text = Decoded.body.AsTextAsk())
+      return Peers.onTextAsk(VmId(From), *Text);
+    if (auto *Part = Decoded.body.AsTextPart())
+      return deliverPart(From, Peers, *Part);
     const auto *Told = Decoded.body.AsState();
     if (Told->sequence == 0 && LosePushes_ > 0) {
       --LosePushes_;
       return;
     }
-    Daemons_.at(To)->Peers_->onState(VmId(From), *Told);
+    Peers.onState(VmId(From), *Told);
+  }
+  void deliverPart(const std::string &From, PeerFollower &Peers,
+                   wire::TextPartT &Part) {
+    if (LoseParts_)
+      return;
+    ++Parts_;
+    PackedSize_ = Part.packed_size;
+    if (SpoilParts_ > 0 && !Part.bytes.empty()) {
+      --SpoilParts_;
+      Part.bytes.back() ^= 0xff;
+    }
+    Peers.onTextPart(VmId(From), Part);
   }
 };
 
@@ -329,3 +377,125 @@
            Test["spare"].isActive("i-1");
   }));
 }
+
+TEST_CASE("a large configuration comes in small messages") {
+  // Symptom: daemons on slow links never get a large configuration, and leave
+  // one reader for another.
+  // Sequence: a configuration of a megabyte is written; its readers tell it.
+  // Cause: all of it came in one message, longer than an answer may take, and
+  // nothing else got through meanwhile.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.put("op/config", largeConfiguration(5, 1000000));
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  constexpr std::size_t TellsOfAll = 32 * 1024;
+  CHECK(Test.LongestMessage_ < TellsOfAll);
+}
+
+TEST_CASE("of a configuration that changed a little, little is sent") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.put("op/config", largeConfiguration(5, 300000));
+  REQUIRE(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  // Digits are half of what they are written as.
+  CHECK(Test.PackedSize_ > 100000);
+  Test.put("op/config", largeConfiguration(6, 300000));
+  REQUIRE(Test.runUntil([&] { return Spare.version() == DocumentVersion(6); }));
+  CHECK(Test.PackedSize_ < 1000);
+}
+
+TEST_CASE("while a configuration's text does not come, servers that leave are "
+          "heard of, and the old one does not count as fresh") {
+  // Symptom: a key that was taken away works for longer than the bound.
+  // Sequence: the reader has a new configuration; its text stays out, and its
+  // answers come as always.
+  // Cause: an answer of a reader was taken for a confirmation of what is in
+  // force here, though the reader had a newer one.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.LoseParts_ = true;
+  Test.put("op/config", largeConfiguration(5, 100000));
+  REQUIRE(Test.runUntil(
+      [&] { return Test["first"].version() == DocumentVersion(5); }));
+  Test.put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  CHECK(
+      Test.runUntil([&] { return !Spare.Freshness_.valid(BootClock::now()); }));
+  CHECK(Spare.version() == DocumentVersion(3));
+  Test.LoseParts_ = false;
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  CHECK(
+      Test.runUntil([&] { return Spare.Freshness_.valid(BootClock::now()); }));
+}
+
+TEST_CASE("a text that comes wrong is asked for again, and not put in force") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.SpoilParts_ = 1;
+  Test.put("op/config", largeConfiguration(5, 100000));
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  CHECK(Test.SpoilParts_ == 0);
+}
+
+TEST_CASE("the text comes from the next reader when the first one freezes in "
+          "the middle of it") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.put("op/config", largeConfiguration(5, 300000));
+  REQUIRE(Test.runUntil([&] { return Test.Parts_ >= 2; }));
+  REQUIRE(Spare.version() == DocumentVersion(3));
+  Test.Frozen_.insert("first");
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  CHECK(Test.runUntil([&] { return Spare.follows("second"); }));
+}
+
+TEST_CASE("a newer configuration takes the place of one that is under way") {
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.put("op/config", largeConfiguration(5, 300000));
+  REQUIRE(Test.runUntil([&] { return Test.Parts_ >= 2; }));
+  Test.LoseParts_ = true;
+  Test.put("op/config", largeConfiguration(6, 300000));
+  for (const char *Name : {"first", "second"})
+    REQUIRE(Test.runUntil(
+        [&] { return Test[Name].version() == DocumentVersion(6); }));
+  Test.LoseParts_ = false;
+  CHECK(Test.runUntil([&] { return Spare.version() > DocumentVersion(3); }));
+  CHECK(Spare.version() == DocumentVersion(6));
+}
+
+TEST_CASE("a configuration comes among the changes where one daemon is of an "
+          "earlier version") {
+  // Symptom: beside a rolling replacement, new daemons stay at the old
+  // configuration.
+  // Sequence: a daemon that asks for texts follows one that can't tell them, or
+  // the other way round.
+  // Cause: the text was left out of the changes for one that does not ask.
+  Fleet Test;
+  Test.Mixed_ = true;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.put("op/config", largeConfiguration(5, 100000));
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  CHECK(Test.Parts_ == 0);
+  Test.runFor(Lease + milliseconds(300));
+  CHECK(Spare.Freshness_.valid(BootClock::now()));
+  // The earlier one was replaced.
+  Test.Mixed_ = false;
+  REQUIRE(Test.runUntil([&] { return Test.AskedApart_ > 0; }));
+  Test.put("op/config", largeConfiguration(6, 100000));
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(6); }));
+  CHECK(Test.Parts_ > 0);
+}
