Mutations: match the code again, and two more

Five of 47 expressions matched nothing, which the tool calls STALE: leaving-document and leaving-list since servers stand apart from the configuration, drain, join-first and scheduler-fairness before.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -107,16 +107,16 @@
   's/bool StrictTiers_ = true/bool StrictTiers_ = false/' \
   ${F}TierTest '*burst of the lowest*'
 mutate leaving-document $S/Version/DocumentStore.cpp \
-  's/Found->Leaving_ \|\|/false ||/' \
+  's/return !Server\.Leaving_ && /return /' \
   ${F}LeavingTest '*document lets leave*'
 mutate leaving-list $S/Version/DocumentStore.cpp \
-  's/LeavingAddresses_\.contains\(Found->Address_\)/false/' \
+  's/!LeavingAddresses_\.contains\(Server\.Address_\)/true/' \
   ${F}LeavingTest "*platform's list lets leave*"
 mutate version-gossip $S/Process/ConfigurationSync.cpp \
   's/if \(Version > Known\)\s*Hooks_\.AskPeer_\(From, Service\);/(void)Known; (void)From;/' \
   ${F}LeavingTest '*cut off from the platform*'
-mutate drain $S/Programs/Daemon.cpp \
-  's/bool Idle = [^;]*;/bool Idle = true;/' \
+mutate drain $S/Programs/DaemonLife.cpp \
+  's/return CallerServer_->activeExchanges\(\) == 0 && Quiet;/(void)Quiet;\n  return true;/' \
   ${F}LeavingTest '*graceful stop*'
 mutate look-before-stop $S/Programs/DaemonLife.cpp \
   's/std::vector<asio::io_context \*> Turns\(LookTurns.*?lookThrough\(std::move\(Turns\)\);/onLookedAround();/s' \
@@ -125,7 +125,7 @@
   's/InForce->Version_ >= Source\.Version_/InForce->Version_ == Source.Version_/' \
   ${F}ConfigurationTest '*only go up*'
 mutate join-first $S/Process/ConfigurationSync.cpp \
-  's/bool Joined = [^;]*;/bool Joined = true;/' \
+  's/bool Joined =[^;]*;/bool Joined = true;\n  (void)Waited;/' \
   ${F}ConfigurationTest '*stale read*'
 mutate change-ids $S/Programs/CtlCommands.cpp \
   's/if \(Accepted\)\s*co_return Next\.Version_;/(void)Accepted;/' \
@@ -169,7 +169,7 @@
   's/for \(const DeadlineKey &Key : Queue\.Requests_\)/for (const DeadlineKey \&Key : std::set<DeadlineKey, std::greater<>>(Queue.Requests_.begin(), Queue.Requests_.end()))/' \
   ${U}Process '*plain scan*'
 mutate scheduler-fairness $S/Process/Scheduler.cpp \
-  's/Queue\.ServedTokens_ \+= Cost;/(void)Cost;/' \
+  's/Queue\.ServedTokens_ \+= Cost [^;]*;/(void)Cost;/' \
   ${U}Process '*plain scan*'
 mutate scheduler-floor $S/Process/Scheduler.cpp \
   's/(void Scheduler::shedBelow\([^{]*\{\n)/$1  return;\n/' \
@@ -198,6 +198,12 @@
 mutate connection-given-back $S/Request/ModelCall.cpp \
   's/(void closeConnection\(\) \{\n)    if \(Ready_\.Connection_\)\n/$1/' \
   ${U}Request '*leaves before the last event*'
+mutate closed-at-end $S/Connection/HttpServer.cpp \
+  's/~ClosedAtEnd\(\) \{ Stream_\.close\(\); \}/~ClosedAtEnd() {}/' \
+  ${U}Connection "*looks out for its caller's end closes*"
+mutate levels-of-body $S/Request/CallerService.cpp \
+  's/TooDeep \|= Level > MostLevels;/TooDeep |= Level > 1000 * MostLevels * 1000;/' \
+  ${U}Request '*nests deeply is refused*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
