Leave out the mends of the store's side one by one, and expect their tests to fail

Six lines in Tools/mutations.sh. Each was applied to the tree by itself, by hand, with Unit.platform built and the named case run: six of six caught.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -222,6 +222,24 @@
 mutate levels-of-body $S/Request/CallerService.cpp \
   's/TooDeep \|= Level > MostLevels;/TooDeep |= Level > 1000 * MostLevels * 1000;/' \
   ${U}Request '*nests deeply is refused*'
+mutate small-confirmation $S/Process/StoreFollower.cpp \
+  's/std::string Prefix = ownKey\(\);/std::string Prefix = View_.layout().ConfigurationKey_;/' \
+  ${U}platform '*large configuration is read once*'
+mutate untold-changes $S/Process/StoreFollower.cpp \
+  's/if \(Changes->Entries_\.empty\(\) && After_ < Changes->Revision_\)/if (false)/' \
+  ${U}platform '*ends past changes*'
+mutate answer-comes $S/Process/StoreFollower.cpp \
+  's/ && !answerComes\(\)\)/)/' \
+  ${U}platform '*whose answer is coming*'
+mutate answer-silence platform/Store.cpp \
+  's/Limits\{Timeout, Timeout_, Longest_\}/Limits{Timeout, Timeout_, Timeout_}/' \
+  ${U}platform '*over a slow link*'
+mutate soonest-lapse $S/Process/StoreFollower.cpp \
+  's/ &&\s+Freshness_\.age\(SentAt\) >= Options_\.LapseTime_\)/)/' \
+  ${U}platform '*gone with the first list*'
+mutate followed-outage $S/Process/StoreFollower.cpp \
+  's/(minutes later, would keep servers then\n.*\n)  View_\.outageEnded\(\);/$1/' \
+  ${U}platform '*follows one that reads again*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
