Count each length of an answer by itself, so that the longest are served too

Cause: answers longer than three times the mean of all tiers were one class, which had to be served 0.6 times as often as its tier, remembered for 30 s. Its shorter part was served and made up for the longest; and what all lengths had been served in a calm time counted against the long ones for most of the next burst.

Change: a length is a doubling of the mean, each with its own count over 20 s, and goes behind others only while it is served 0.55 times as often as its tier, 0.02 more with each length. No place of a higher tier is touched.

Left: guesses of more than the quickest engine can do are still refused with 203, a fifth of the longest tenth by guess.

--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduler.cpp
@@ -129,7 +129,7 @@
   if (!Request.AskedBefore_) {
     Own.Share_.decay(Now);
     Own.Share_.Arrived_ += 1;
-    FadingShare &OfLength = shareOf(Own, Place.Length_);
+    FadingShare &OfLength = Own.ShareByLength_[Place.Length_];
     OfLength.decay(Now);
     OfLength.Arrived_ += 1;
   }
@@ -506,7 +506,7 @@
     Tier.Active_.erase({Queue.ServedTokens_, Customer});
   Tier.Share_.decay(Now);
   Tier.Share_.Granted_ += 1;
-  FadingShare &OfLength = shareOf(Tier, Granted.Standing_.Length_);
+  FadingShare &OfLength = Tier.ShareByLength_[Granted.Standing_.Length_];
   OfLength.decay(Now);
   OfLength.Granted_ += 1;
   double Cost = tokenCost(Granted.Asked_);
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduler.h
@@ -198,17 +198,27 @@
   static constexpr std::size_t RateSlots = 5;
   static constexpr std::chrono::milliseconds RateWindow{1000};
   using DeadlineKey = std::tuple<TimePoint, std::uint64_t, RequestId>;
-  /// How long an answer holds its place: up to the mean, up to three times
-  /// that, or longer, as about one in ten does.
-  enum class AnswerLength : std::uint8_t { Usual, Long, VeryLong };
-  static constexpr std::size_t AnswerLengths = 3;
+  /// How long an answer holds its place: 0 is up to the mean, each further one
+  /// up to twice as long as the one before, the last one any longer. Of answers
+  /// whose lengths differ a thousandfold one in ten is beyond eight times the
+  /// mean of all tiers.
+  using AnswerLength = std::size_t;
+  static constexpr AnswerLength UsualLength = 0;
+  static constexpr std::size_t AnswerLengths = 7;
+  /// How long a tier's arrivals and grants are remembered for its share.
+  static constexpr std::chrono::duration<double> TierMemory{30.0};
+  /// The same for each length of its answers. In a calm time all lengths are
+  /// served: remembered for long, the long ones have to go without for as long
+  /// in the next burst. Remembered for less, few answers of a length are left
+  /// to count at a keeper, and long ones get more than their part by chance.
+  static constexpr std::chrono::duration<double> LengthMemory{20.0};
   /// Where a request stands among those of its tier.
   struct Standing {
     /// How long it would hold a place of an engine of middling speed; 0 while
     /// nothing is known.
     std::chrono::nanoseconds Service_{0};
     /// How much longer than others its answer is.
-    AnswerLength Length_ = AnswerLength::Usual;
+    AnswerLength Length_ = UsualLength;
     /// It may be put behind others for that.
     bool PutBack_ = false;
     /// No answer would be within its objective any more.
@@ -225,6 +235,7 @@
   };
   /// Arrivals and grants, fading with time.
   struct FadingShare {
+    std::chrono::duration<double> Memory_ = TierMemory;
     double Arrived_ = 0;
     double Granted_ = 0;
     TimePoint Decayed_;
@@ -237,6 +248,11 @@
     double ServedTokens_ = 0; ///< Divided by the customer's weight.
     std::set<DeadlineKey> Requests_;
   };
+  static std::array<FadingShare, AnswerLengths> sharesByLength() {
+    std::array<FadingShare, AnswerLengths> Shares;
+    Shares.fill(FadingShare{.Memory_ = LengthMemory});
+    return Shares;
+  }
   /// When callers of a tier that were refused may come back.
   class ReturnSchedule {
   public:
@@ -256,7 +272,7 @@
     std::size_t LateCount_ = 0;
     FadingShare Share_;
     /// The same by the lengths of answers.
-    std::array<FadingShare, AnswerLengths> ShareByLength_;
+    std::array<FadingShare, AnswerLengths> ShareByLength_ = sharesByLength();
     /// What came, and what of it was let wait for a place.
     SlidingCount<RateSlots> RecentArrivals_{RateWindow};
     SlidingCount<RateSlots> RecentAdmitted_{RateWindow};
@@ -346,7 +362,8 @@
   Standing standingOf(const AskedRequest &Request, TimePoint Now);
   bool mayPutBack(TierIndex Tier, AnswerLength Length, TimePoint Now);
   AnswerLength lengthOf(std::chrono::nanoseconds Service) const;
-  static FadingShare &shareOf(TierQueue &Tier, AnswerLength Length);
+  static double leastPart(AnswerLength Length);
+  static FadingShare shareOfAll(TierQueue &Tier, TimePoint Now);
   void noteHold(const ServedSample &Seen);
   void judgeServers(TimePoint Now);
   void judge(ServerModel &Server, const ServedSample &Seen, TimePoint Now);
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/SchedulerAdmission.cpp
@@ -10,6 +10,7 @@
 #include "Process/Scheduler.h"
 
 #include <algorithm>
+#include <bit>
 #include <span>
 
 namespace samphireshunt {
@@ -19,8 +20,6 @@
 
 namespace {
 
-/// How long a tier's arrivals and grants are remembered for its share.
-constexpr std::chrono::duration<double> ShareMemory{30.0};
 /// Fewer arrivals than this say nothing of a share.
 constexpr double LeastArrivals = 8;
 /// A tier may count on at least this part of the rate, whatever goes first.
@@ -36,7 +35,7 @@
 
 void Scheduler::FadingShare::decay(TimePoint Now) {
   std::chrono::duration<double> Since = Now - Decayed_;
-  double Kept = std::max(0.0, 1.0 - Since.count() / ShareMemory.count());
+  double Kept = std::max(0.0, 1.0 - Since.count() / Memory_.count());
   Decayed_ = Now;
   Arrived_ *= Kept;
   Granted_ *= Kept;
@@ -178,30 +177,46 @@
 }
 
 Scheduler::AnswerLength Scheduler::lengthOf(nanoseconds Service) const {
-  constexpr int VeryLong = 3;
   if (MeanHold_.count() == 0 || Service <= MeanHold_)
-    return AnswerLength::Usual;
-  return Service > VeryLong * MeanHold_ ? AnswerLength::VeryLong
-                                        : AnswerLength::Long;
+    return UsualLength;
+  auto Means = static_cast<std::uint64_t>(Service / MeanHold_);
+  return std::min<AnswerLength>(std::bit_width(Means), AnswerLengths - 1);
 }
 
-Scheduler::FadingShare &Scheduler::shareOf(TierQueue &Tier,
-                                           AnswerLength Length) {
-  return Tier.ShareByLength_[static_cast<std::size_t>(Length)];
+/// All lengths of a tier's answers together, as long remembered as each.
+Scheduler::FadingShare Scheduler::shareOfAll(TierQueue &Tier, TimePoint Now) {
+  FadingShare All{.Memory_ = LengthMemory};
+  for (FadingShare &Each : Tier.ShareByLength_) {
+    Each.decay(Now);
+    All.Arrived_ += Each.Arrived_;
+    All.Granted_ += Each.Granted_;
+  }
+  return All;
+}
+
+/// How often answers of a length are served at least, as a part of how often
+/// all of their tier are. A little more with each length: guesses are off by a
+/// half, so those that truly are the longest are spread over two lengths and
+/// served less often than either. Much more for them would cost too many of the
+/// short ones, of which many are served in the place of a single long one.
+double Scheduler::leastPart(AnswerLength Length) {
+  constexpr double OfAnyLength = 0.55;
+  constexpr double OfEachFurther = 0.02;
+  return OfAnyLength + OfEachFurther * static_cast<double>(Length);
 }
 
-/// Answers longer than usual are served at least three fifths as often as all
-/// of their tier, the longest too: counted together, all that were served were
-/// the shorter ones of them, and of the longest tenth one in five.
+/// Answers longer than usual go behind others only while their own length is
+/// served often enough. Counted together, those that were served were the
+/// shorter ones of them, and of the longest tenth one in five: one notices by
+/// refusals (211) of long guesses in a tier of which most are answered. With a
+/// count for each length none makes up for another; the places come from the
+/// same tier, never from a higher one.
 bool Scheduler::mayPutBack(TierIndex Tier, AnswerLength Length, TimePoint Now) {
-  constexpr double LeastPart = 0.6;
-  if (Length == AnswerLength::Usual || !Options_.PutLongBack_)
+  if (Length == UsualLength || !Options_.PutLongBack_)
     return false;
   TierQueue &Own = Tiers_[queueIndex(Tier)];
-  FadingShare &OfLength = shareOf(Own, Length);
-  Own.Share_.decay(Now);
-  OfLength.decay(Now);
-  return OfLength.part() >= LeastPart * Own.Share_.part();
+  double PartOfAll = shareOfAll(Own, Now).part();
+  return Own.ShareByLength_[Length].part() >= leastPart(Length) * PartOfAll;
 }
 
 /// A request that would be refused after a long wait is refused at once; and a
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -174,6 +174,9 @@
 mutate scheduler-floor $S/Process/Scheduler.cpp \
   's/(void Scheduler::shedBelow\([^{]*\{\n)/$1  return;\n/' \
   ${U}Process '*plain scan*'
+mutate length-shares $S/Process/SchedulerAdmission.cpp \
+  's/std::min<AnswerLength>\(std::bit_width\(Means\), AnswerLengths - 1\)/std::min<AnswerLength>(std::bit_width(Means), 1)/' \
+  ${U}Process '*longest requests of the lowest tier*'
 mutate claim-read-back-unit $S/Request/ClaimStore.cpp \
   's/if \(Present && \*Present\)\s*co_return std::move\(\*\*Present\);/if (Present \&\& *Present) { co_return Wanted; }/' \
   ${U}Request '*at the most holds a key*'
