Test that a follower which knows a large configuration is not told all of it again

Cause: a follower that turns to another reader asks for all since number 0, and is told the whole configuration, which it has. The answer takes longer than a question waits, is dropped, and the next reader is asked for the same. A request's close waits behind that (0.52 s in a traced case of an engine that worked on after its caller had left).

Ruled out: a version that some daemon still lacks (all had adopted the last one); traffic (the same after its end).

The fixture can now give a daemon a slow link; its other cases are unchanged.

--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -9,11 +9,14 @@
 #include "platform/Store.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
@@ -25,10 +28,19 @@
 const PoolName ThePool("s");
 constexpr milliseconds Lease{1000};
 
-std::string configuration(int Version) {
-  return fmt::format(R"({{"version":{},"routes":[],"services":[{{"name":"s"}}],
-                         "limits":{{}}}})",
-                     Version);
+std::string route(std::size_t Index) {
+  return fmt::format(R"({{"name":"r-{0}","hostname":"h{0}.example",
+                         "prefix":"/p{0}/","kind":"safe","service":"s"}})",
+                     Index);
+}
+
+std::string configuration(int Version, std::size_t Routes = 0) {
+  std::vector<std::string> All;
+  for (std::size_t Index = 0; Index < Routes; ++Index)
+    All.push_back(route(Index));
+  return fmt::format(R"({{"version":{},"routes":[{}],
+                         "services":[{{"name":"s"}}],"limits":{{}}}})",
+                     Version, fmt::join(All, ","));
 }
 
 /// One of a given size, of digits that no packing makes small.
@@ -174,6 +186,10 @@
   bool Mixed_ = false;
   /// The longest message that a daemon has sent to another.
   std::size_t LongestMessage_ = 0;
+  /// What a daemon's link carries in a millisecond; the others' carry all.
+  std::map<std::string, std::size_t> BytesPerMs_;
+  /// What each daemon has sent, in bytes.
+  std::map<std::string, std::size_t> Sent_;
   std::map<std::string, std::unique_ptr<Daemon>> Daemons_;
   /// Their calls may still be under way.
   std::vector<std::unique_ptr<Daemon>> Retired_;
@@ -189,15 +205,31 @@
   void add(const std::string &Name, FakeStore &Store, ReaderChoice Choice) {
     PeerFollower::Hooks Hooks;
     auto Pass = [this, Name](const VmId &To, std::string Message) {
-      boost::asio::post(Context_, [this, Name, To, Message] {
-        deliver(Name, To.str(), Message);
-      });
+      send(Name, To, std::move(Message));
     };
     Hooks.Send_ = Pass;
     Hooks.Reply_ = Pass;
     Daemons_[Name] = std::make_unique<Daemon>(Context_, Store, Name,
                                               std::move(Choice), Hooks);
   }
+  void send(const std::string &From, const VmId &To, std::string Message) {
+    Sent_[From] += Message.size();
+    auto Deliver = [this, From, To, Message] {
+      deliver(From, To.str(), Message);
+    };
+    if (auto Slow = BytesPerMs_.find(From); Slow != BytesPerMs_.end())
+      return carry(LinkFree_[From], Message.size() / Slow->second, Deliver);
+    boost::asio::post(Context_, Deliver);
+  }
+  /// A message waits for those that its sender's link still carries.
+  void carry(std::chrono::steady_clock::time_point &Free, std::size_t TakesMs,
+             const std::function<void()> &Deliver) {
+    Free = std::max(Free, std::chrono::steady_clock::now());
+    Free += milliseconds(TakesMs) + std::chrono::nanoseconds(1);
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context_, Free);
+    Timer->async_wait(
+        [Timer, Deliver](const boost::system::error_code &) { Deliver(); });
+  }
   void deliver(const std::string &From, const std::string &To,
                const std::string &Message) {
     if (Frozen_.contains(From) || Frozen_.contains(To))
@@ -233,6 +265,9 @@
     }
     Peers.onTextPart(VmId(From), Part);
   }
+
+  /// When a daemon's link has carried all that it was given.
+  std::map<std::string, std::chrono::steady_clock::time_point> LinkFree_;
 };
 
 /// A daemon that follows one of two readers. These answer at once; only the
@@ -591,3 +626,42 @@
   CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(6); }));
   CHECK(Test.Parts_ > 0);
 }
+
+TEST_CASE("a daemon that knows a large configuration follows a reader whose "
+          "link can't carry it in the time that an answer may take") {
+  // Symptom: once a large configuration is in force, links of 10 Mbit/s stay
+  // full for as long as the fleet runs; daemons behind them seem dead, and
+  // hardly any daemon follows another one.
+  // Sequence: a configuration of 2,000 routes is in force everywhere. Nothing
+  // changes any more. A follower asks a reader that it did not follow last,
+  // over a link that needs some 200 ms for that much; an answer may take 40.
+  // Cause: a reader tells whoever did not follow it last all that it
+  // believes. The answer comes too late and is dropped, the next reader is
+  // asked the same, then the service, and so on for ever.
+  constexpr std::size_t Routes = 2000;
+  constexpr std::size_t SlowLink = 1000;
+  const std::string Large = configuration(5, Routes);
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.put("op/config", Large);
+  REQUIRE(Test.runUntil([&] {
+    return std::ranges::all_of(Test.Daemons_, [](const auto &Item) {
+      return Item.second->version() == DocumentVersion(5);
+    });
+  }));
+  for (const char *Name : {"first", "second"})
+    Test.BytesPerMs_[Name] = SlowLink;
+  Test.Frozen_.insert("first");
+  // Long enough for one answer of everything, and for many questions.
+  Test.runFor(milliseconds(500));
+  CHECK(Spare.Service_->paused());
+  // Nothing has changed: next to nothing is to be told, and nobody need ask
+  // the service. The frozen reader is asked again now and then, in between.
+  auto Calls = Test.calls();
+  Test.Sent_.clear();
+  Test.runFor(milliseconds(500));
+  CHECK(Test.Sent_["second"] < Large.size());
+  CHECK(Test.calls() == Calls);
+  CHECK(Spare.Service_->paused());
+}
