--- a/UnitTests/platform/ConfigurationTest.cpp
+++ b/UnitTests/platform/ConfigurationTest.cpp
@@ -313,12 +313,12 @@
   std::string Route = Written["routes"][0].dump();
   std::string Expected = textOf(platform::readConfiguration(Written.dump()));
   REQUIRE(Expected != "not read");
-  for (const auto &[Name, First] : Doubled) {
-    CAPTURE(Name);
-    CAPTURE(First);
+  for (const auto &Member : Doubled) {
+    CAPTURE(Member.first);
+    CAPTURE(Member.second);
     std::string Text = Written.dump();
     auto Place = Text.find(Route) + 1;
-    Text.insert(Place, "\"" + Name + "\":" + First + ",");
+    Text.insert(Place, "\"" + Member.first + "\":" + Member.second + ",");
     CHECK(textOf(platform::readConfiguration(Text)) == Expected);
   }
   std::string Text = Written.dump();
