Split Source/Process by what its parts decide

Cause: the folder had 48 files of four kinds, and the decisions about load stood among sockets and stores. Ruled out: folders of their own beside Process, since all of these live as long as the process.

Change: Membership, Scheduling (pure), Keeping and Configuration within Process, tests alike; only paths of includes and pages change.

--- a/Bench/AdoptionCost.cpp
+++ b/Bench/AdoptionCost.cpp
@@ -3,9 +3,9 @@
 /// routes: microseconds of processor time and bytes allocated, step by step.
 
 #include "Common/Hash.h"
-#include "Process/ChangeLog.h"
-#include "Process/DirectoryView.h"
-#include "Process/KeeperService.h"
+#include "Process/Configuration/ChangeLog.h"
+#include "Process/Configuration/DirectoryView.h"
+#include "Process/Keeping/KeeperService.h"
 #include "platform/Configuration.h"
 
 #include <benchmark/benchmark.h>
--- a/Bench/SchedulerCost.cpp
+++ b/Bench/SchedulerCost.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Nanoseconds a decision, at 32 engines, by the number of waiting requests.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
--- a/Source/Process/ChangeLog.cpp
+++ b/Source/Process/Configuration/ChangeLog.cpp
@@ -1,4 +1,4 @@
-#include "Process/ChangeLog.h"
+#include "Process/Configuration/ChangeLog.h"
 
 #include <algorithm>
 
--- a/Source/Process/ChangeLog.h
+++ b/Source/Process/Configuration/ChangeLog.h
@@ -3,7 +3,7 @@
 /// What a daemon believes the platform's service holds, as numbered changes,
 /// for daemons that follow this one instead of the service. Pure.
 
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 
 #include <map>
 #include <string>
--- a/Source/Process/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -1,4 +1,4 @@
-#include "Process/ConfigurationSync.h"
+#include "Process/Configuration/ConfigurationSync.h"
 
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
--- a/Source/Process/ConfigurationSync.h
+++ b/Source/Process/Configuration/ConfigurationSync.h
@@ -3,7 +3,7 @@
 /// Brings documents into force: from the platform by one watch, and from
 /// other daemons by the versions in their gossip. Runs on the control thread.
 
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 #include "Version/DocumentStore.h"
 
 #include <boost/asio/io_context.hpp>
--- a/Source/Process/DirectoryView.cpp
+++ b/Source/Process/Configuration/DirectoryView.cpp
@@ -1,4 +1,4 @@
-#include "Process/DirectoryView.h"
+#include "Process/Configuration/DirectoryView.h"
 
 #include <algorithm>
 
--- a/Source/Process/DocumentTransfer.cpp
+++ b/Source/Process/Configuration/DocumentTransfer.cpp
@@ -1,7 +1,7 @@
-#include "Process/DocumentTransfer.h"
+#include "Process/Configuration/DocumentTransfer.h"
 
 #include "Common/Hash.h"
-#include "Process/TextPacking.h"
+#include "Process/Configuration/TextPacking.h"
 
 #include <algorithm>
 
--- a/Source/Process/DocumentTransfer.h
+++ b/Source/Process/Configuration/DocumentTransfer.h
@@ -12,7 +12,7 @@
 
 #include "Common/Ids.h"
 #include "Connection/PeerMessage.h"
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 
 #include <chrono>
 #include <map>
--- a/Source/Process/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -1,4 +1,4 @@
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/Source/Process/MeasuredPlatform.cpp
+++ b/Source/Process/Configuration/MeasuredPlatform.cpp
@@ -1,4 +1,4 @@
-#include "Process/MeasuredPlatform.h"
+#include "Process/Configuration/MeasuredPlatform.h"
 
 namespace samphireshunt {
 
--- a/Source/Process/MeasuredPlatform.h
+++ b/Source/Process/Configuration/MeasuredPlatform.h
@@ -3,7 +3,7 @@
 /// Hooks that report each call of the platform's service: operators see what a
 /// fleet asks of it, and how slow or lossy it is.
 
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 
 namespace samphireshunt {
 
--- a/Source/Process/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -1,4 +1,4 @@
-#include "Process/PeerFollower.h"
+#include "Process/Configuration/PeerFollower.h"
 
 #include "Common/Log.h"
 
--- a/Source/Process/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -18,10 +18,10 @@
 /// names one: it is told the text, and tells it, among the changes.
 
 #include "Connection/PeerMessage.h"
-#include "Process/DocumentTransfer.h"
-#include "Process/FreshnessLease.h"
-#include "Process/StoreFollower.h"
-#include "Process/StoreReaders.h"
+#include "Process/Configuration/DocumentTransfer.h"
+#include "Process/Configuration/FreshnessLease.h"
+#include "Process/Configuration/StoreFollower.h"
+#include "Process/Configuration/StoreReaders.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Process/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -1,4 +1,4 @@
-#include "Process/StoreFollower.h"
+#include "Process/Configuration/StoreFollower.h"
 
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
--- a/Source/Process/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -4,9 +4,9 @@
 /// the directory of backend servers and the other daemons. Runs on the control
 /// thread.
 
-#include "Process/FreshnessLease.h"
-#include "Process/StoreReaders.h"
-#include "Process/StoreView.h"
+#include "Process/Configuration/FreshnessLease.h"
+#include "Process/Configuration/StoreReaders.h"
+#include "Process/Configuration/StoreView.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Process/StoreReaders.h
+++ b/Source/Process/Configuration/StoreReaders.h
@@ -10,7 +10,7 @@
 /// by themselves: a daemon that is followed may freeze, and what it would have
 /// told comes a second later.
 
-#include "Process/MemberTable.h"
+#include "Process/Membership/MemberTable.h"
 
 #include <span>
 #include <vector>
--- a/Source/Process/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -1,4 +1,4 @@
-#include "Process/StoreView.h"
+#include "Process/Configuration/StoreView.h"
 
 #include "Common/Log.h"
 
--- a/Source/Process/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -5,9 +5,9 @@
 /// never goes back: what an older revision says is not taken in. Runs on the
 /// control thread.
 
-#include "Process/ChangeLog.h"
-#include "Process/DirectoryView.h"
-#include "Process/Platform.h"
+#include "Process/Configuration/ChangeLog.h"
+#include "Process/Configuration/DirectoryView.h"
+#include "Process/Configuration/Platform.h"
 #include "Version/DocumentStore.h"
 
 #include <functional>
--- a/Source/Process/Cell.cpp
+++ b/Source/Process/Keeping/Cell.cpp
@@ -1,4 +1,4 @@
-#include "Process/Cell.h"
+#include "Process/Keeping/Cell.h"
 
 #include "Common/Hash.h"
 
--- a/Source/Process/Cell.h
+++ b/Source/Process/Keeping/Cell.h
@@ -5,7 +5,7 @@
 
 #include "Common/Ids.h"
 #include "Generated/Peer_generated.h"
-#include "Process/MemberTable.h"
+#include "Process/Membership/MemberTable.h"
 #include "Version/Document.h"
 
 #include <memory>
--- a/Source/Process/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -1,4 +1,4 @@
-#include "Process/EngineMonitor.h"
+#include "Process/Keeping/EngineMonitor.h"
 
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
--- a/Source/Process/EngineMonitor.h
+++ b/Source/Process/Keeping/EngineMonitor.h
@@ -3,7 +3,7 @@
 /// Asks the engines of kept cells for their load and cache events, and cancels
 /// the streams of dead daemons. Runs on the control thread.
 
-#include "Process/KeeperService.h"
+#include "Process/Keeping/KeeperService.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Process/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -1,8 +1,8 @@
-#include "Process/GrantClient.h"
+#include "Process/Keeping/GrantClient.h"
 
 #include "Common/Log.h"
-#include "Process/KeeperMessages.h"
-#include "Process/KeeperService.h"
+#include "Process/Keeping/KeeperMessages.h"
+#include "Process/Keeping/KeeperService.h"
 
 #include <boost/asio/post.hpp>
 
--- a/Source/Process/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -4,8 +4,8 @@
 /// asks to the next keeper when that one is lost, and tells keepers what runs.
 /// Calls may come from any thread; the state lives on the control thread.
 
-#include "Process/Cell.h"
-#include "Process/Scheduler.h"
+#include "Process/Keeping/Cell.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Process/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -1,4 +1,4 @@
-#include "Process/KeeperMessages.h"
+#include "Process/Keeping/KeeperMessages.h"
 
 #include <algorithm>
 
--- a/Source/Process/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -3,8 +3,8 @@
 /// The messages between entries and keepers, to and from their typed values.
 
 #include "Connection/PeerMessage.h"
-#include "Process/Cell.h"
-#include "Process/Scheduler.h"
+#include "Process/Keeping/Cell.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <string>
 
--- a/Source/Process/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -1,4 +1,4 @@
-#include "Process/KeeperService.h"
+#include "Process/Keeping/KeeperService.h"
 
 #include <fmt/format.h>
 
--- a/Source/Process/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -5,11 +5,11 @@
 /// on the control thread.
 
 #include "Common/Log.h"
-#include "Process/AllotmentLedger.h"
-#include "Process/Cell.h"
-#include "Process/MembershipService.h"
-#include "Process/PostedQueue.h"
-#include "Process/Scheduler.h"
+#include "Process/Keeping/Cell.h"
+#include "Process/Keeping/PostedQueue.h"
+#include "Process/Membership/MembershipService.h"
+#include "Process/Scheduling/AllotmentLedger.h"
+#include "Process/Scheduling/Scheduler.h"
 #include "Version/DocumentStore.h"
 
 #include <boost/asio/io_context.hpp>
--- a/Source/Process/MembershipService.h
+++ b/Source/Process/Membership/MembershipService.h
@@ -5,7 +5,7 @@
 
 #include "Connection/Http.h"
 #include "Connection/PeerMessage.h"
-#include "Process/MemberTable.h"
+#include "Process/Membership/MemberTable.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
--- a/Source/Process/PeerNetwork.h
+++ b/Source/Process/Membership/PeerNetwork.h
@@ -5,7 +5,7 @@
 /// thread.
 
 #include "Connection/FrameChannel.h"
-#include "Process/MemberTable.h"
+#include "Process/Membership/MemberTable.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Process/PeerPort.cpp
+++ b/Source/Process/Membership/PeerPort.cpp
@@ -1,4 +1,4 @@
-#include "Process/PeerPort.h"
+#include "Process/Membership/PeerPort.h"
 
 namespace samphireshunt {
 
--- a/Source/Process/EngineSpeed.cpp
+++ b/Source/Process/Scheduling/EngineSpeed.cpp
@@ -1,4 +1,4 @@
-#include "Process/EngineSpeed.h"
+#include "Process/Scheduling/EngineSpeed.h"
 
 #include <algorithm>
 
--- a/Source/Process/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -1,4 +1,4 @@
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <algorithm>
 #include <limits>
--- a/Source/Process/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -9,8 +9,8 @@
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
 #include "Common/SlidingCount.h"
-#include "Process/PrefixIndex.h"
-#include "Process/ServerModel.h"
+#include "Process/Scheduling/PrefixIndex.h"
+#include "Process/Scheduling/ServerModel.h"
 
 #include <pcg_random.hpp>
 
--- a/Source/Process/SchedulerAdmission.cpp
+++ b/Source/Process/Scheduling/SchedulerAdmission.cpp
@@ -7,7 +7,7 @@
 /// while they are worth most rather than all of them late, and it is never
 /// shut out altogether.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <algorithm>
 #include <bit>
--- a/Source/Process/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -2,7 +2,7 @@
 /// Which engine a waiting request should go to, and whether it can finish there
 /// in time.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <algorithm>
 
--- a/Source/Process/ServerHealth.cpp
+++ b/Source/Process/Scheduling/ServerHealth.cpp
@@ -1,4 +1,4 @@
-#include "Process/ServerHealth.h"
+#include "Process/Scheduling/ServerHealth.h"
 
 #include <algorithm>
 
--- a/Source/Process/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -1,4 +1,4 @@
-#include "Process/ServerModel.h"
+#include "Process/Scheduling/ServerModel.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Process/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -4,10 +4,10 @@
 /// engine has been seen to be, and which prompt prefixes it has likely cached.
 
 #include "Common/Ids.h"
-#include "Process/EngineSpeed.h"
-#include "Process/MemberTable.h"
-#include "Process/PrefixIndex.h"
-#include "Process/ServerHealth.h"
+#include "Process/Membership/MemberTable.h"
+#include "Process/Scheduling/EngineSpeed.h"
+#include "Process/Scheduling/PrefixIndex.h"
+#include "Process/Scheduling/ServerHealth.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/Programs/CtlCommands.h
+++ b/Source/Programs/CtlCommands.h
@@ -2,7 +2,7 @@
 /// \file
 /// The commands of samphireshuntctl. Each returns an exit status.
 
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 #include "Version/DocumentReader.h"
 #include "Version/VersionedDocument.h"
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -2,9 +2,9 @@
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
-#include "Process/KeeperMessages.h"
-#include "Process/MeasuredPlatform.h"
-#include "Process/PeerPort.h"
+#include "Process/Configuration/MeasuredPlatform.h"
+#include "Process/Keeping/KeeperMessages.h"
+#include "Process/Membership/PeerPort.h"
 
 #include <boost/asio/this_coro.hpp>
 
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -3,13 +3,13 @@
 /// The daemon: one process on one VM, with all roles. One control thread for
 /// membership, keeping and configuration; worker threads for requests.
 
-#include "Process/ConfigurationSync.h"
-#include "Process/EngineMonitor.h"
-#include "Process/KeeperService.h"
-#include "Process/MembershipService.h"
-#include "Process/PeerFollower.h"
-#include "Process/PeerNetwork.h"
-#include "Process/StoreFollower.h"
+#include "Process/Configuration/ConfigurationSync.h"
+#include "Process/Configuration/PeerFollower.h"
+#include "Process/Configuration/StoreFollower.h"
+#include "Process/Keeping/EngineMonitor.h"
+#include "Process/Keeping/KeeperService.h"
+#include "Process/Membership/MembershipService.h"
+#include "Process/Membership/PeerNetwork.h"
 #include "Programs/Metrics.h"
 #include "Programs/OperatorService.h"
 #include "Programs/Settings.h"
--- a/Source/Programs/OperatorService.h
+++ b/Source/Programs/OperatorService.h
@@ -4,7 +4,7 @@
 /// the platform's key-value service for the command-line tool.
 
 #include "Connection/Http.h"
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -2,7 +2,7 @@
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
-#include "Process/PrefixIndex.h"
+#include "Process/Scheduling/PrefixIndex.h"
 #include "Request/ForwardedCall.h"
 
 #include <fmt/format.h>
--- a/Source/Request/ClaimStore.h
+++ b/Source/Request/ClaimStore.h
@@ -4,7 +4,7 @@
 /// made by one create with compare-and-swap and never lapses while its key is
 /// kept: whoever holds it may dispatch, however long it was paused.
 
-#include "Process/Platform.h"
+#include "Process/Configuration/Platform.h"
 
 #include <functional>
 
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -6,7 +6,7 @@
 
 #include "Common/Ids.h"
 #include "Connection/Http.h"
-#include "Process/PrefixIndex.h"
+#include "Process/Scheduling/PrefixIndex.h"
 
 #include <chrono>
 #include <functional>
--- a/Source/Request/GrantWait.h
+++ b/Source/Request/GrantWait.h
@@ -3,7 +3,7 @@
 /// A request's wait for its grant: ends with the keeper's answer, the deadline
 /// or the caller's leaving, whichever is first.
 
-#include "Process/GrantClient.h"
+#include "Process/Keeping/GrantClient.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -3,8 +3,8 @@
 /// What lives as long as one request, and the services that it uses.
 
 #include "Connection/BackendConnections.h"
-#include "Process/FreshnessLease.h"
-#include "Process/GrantClient.h"
+#include "Process/Configuration/FreshnessLease.h"
+#include "Process/Keeping/GrantClient.h"
 #include "Request/ClaimStore.h"
 #include "Request/FinalAnswer.h"
 #include "Request/ForwardingDialect.h"
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -54,7 +54,7 @@
 
 F=FailureTests/FailureTests_
 S=Source
-mutate keeper-rebind $S/Process/GrantClient.cpp \
+mutate keeper-rebind $S/Process/Keeping/GrantClient.cpp \
   's/(void GrantClient::onLinkDown.*?)  rebind\(\);\n  scheduleRebind[^\n]*\n/$1/s; s/(void GrantClient::rebind\(\) \{\n)/$1  return;\n/' \
   ${F}DispatchOnceTest '*keeper that dies*'
 mutate prove-not-run $S/Request/ModelCall.cpp \
@@ -97,13 +97,13 @@
 mutate refusal-declared $S/Request/ModelCall.cpp \
   's/Ready_\.Server_\.RefusesBeforeRunning_ &&/true \&\&/' \
   ${F}NonIdempotentTest '*refusal before running*'
-mutate preemption $S/Process/Scheduler.h \
+mutate preemption $S/Process/Scheduling/Scheduler.h \
   's/bool Preempt_ = true/bool Preempt_ = false/' \
   ${F}TierTest '*long streams*'
-mutate floor $S/Process/Scheduler.cpp \
+mutate floor $S/Process/Scheduling/Scheduler.cpp \
   's/(void Scheduler::noteShed\([^{]*\{\n)/$1  return;\n/' \
   ${F}TierTest '*nothing lower*'
-mutate strict-tiers $S/Process/Scheduler.h \
+mutate strict-tiers $S/Process/Scheduling/Scheduler.h \
   's/bool StrictTiers_ = true/bool StrictTiers_ = false/' \
   ${F}TierTest '*burst of the lowest*'
 mutate leaving-document $S/Version/DocumentStore.cpp \
@@ -112,7 +112,7 @@
 mutate leaving-list $S/Version/DocumentStore.cpp \
   's/!LeavingAddresses_\.contains\(Server\.Address_\)/true/' \
   ${F}LeavingTest "*platform's list lets leave*"
-mutate version-gossip $S/Process/ConfigurationSync.cpp \
+mutate version-gossip $S/Process/Configuration/ConfigurationSync.cpp \
   's/if \(Version > Known\)\s*Hooks_\.AskPeer_\(From, Service\);/(void)Known; (void)From;/' \
   ${F}LeavingTest '*cut off from the platform*'
 mutate drain $S/Programs/DaemonLife.cpp \
@@ -124,7 +124,7 @@
 mutate version-order $S/Version/DocumentStore.cpp \
   's/InForce->Version_ >= Source\.Version_/InForce->Version_ == Source.Version_/' \
   ${F}ConfigurationTest '*only go up*'
-mutate join-first $S/Process/ConfigurationSync.cpp \
+mutate join-first $S/Process/Configuration/ConfigurationSync.cpp \
   's/bool Joined =[^;]*;/bool Joined = true;\n  (void)Waited;/' \
   ${F}ConfigurationTest '*stale read*'
 mutate change-ids $S/Programs/CtlCommands.cpp \
@@ -133,25 +133,25 @@
 mutate expected-version $S/Programs/CtlCommands.cpp \
   's/ExpectedVersion >= 0 && ExpectedVersion != PresentNumber/false/' \
   ${F}ConfigurationTest '*two operators*'
-mutate watch-limit $S/Process/ConfigurationSync.h \
+mutate watch-limit $S/Process/Configuration/ConfigurationSync.h \
   's/WatchTime_\{2500\}/WatchTime_{3600000}/' \
   ${F}ConfigurationTest '*watch that died*'
 mutate newer-format $S/Version/DocumentStore.cpp \
   's/Next->Services_\[Service\]\.NotUnderstood_ = Source\.Version_;/Next->Services_.erase(Service);/' \
   ${F}ConfigurationTest '*newer format*'
-mutate probe-the-dead $S/Process/MemberTable.cpp \
+mutate probe-the-dead $S/Process/Membership/MemberTable.cpp \
   's/if \(auto Found = find\(Id\)\)\s*return Found;/if (auto Found = find(Id); Found \&\& Found->Status_ < MemberStatus::Dead) return Found; else if (Members_.empty()) return std::nullopt;/' \
   ${F}PartitionTest '*all cut off*'
-mutate orphans $S/Process/EngineMonitor.cpp \
+mutate orphans $S/Process/Keeping/EngineMonitor.cpp \
   's/(void EngineMonitor::cleanOrphan\([^{]*\{\n)/$1  return;\n/' \
   ${F}PartitionTest '*dead daemon*'
-mutate live-share $S/Process/MemberTable.cpp \
+mutate live-share $S/Process/Membership/MemberTable.cpp \
   's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
-mutate waiting-of-gone $S/Process/KeeperService.cpp \
+mutate waiting-of-gone $S/Process/Keeping/KeeperService.cpp \
   's/    for \(const RequestId &Id : Target->Scheduler_\.removeWaiting\(Entry\)\)\n\s*Allotments_\.giveBack\(Id\);/    (void)Target;/' \
   UnitTests/UnitTests_Process '*whose link broke gets no place*'
-mutate places-of-gone $S/Process/KeeperService.cpp \
+mutate places-of-gone $S/Process/Keeping/KeeperService.cpp \
   's/  Gone\.HoldsPlaces_ = false;\n/$&  return;\n/' \
   UnitTests/UnitTests_Process '*place of an entry whose link broke*'
 T=FailureTests
@@ -165,16 +165,16 @@
   's/(void ChildProcess::checkReports\(\) const \{\n)/$1  return;\n/' \
   ${F}ClusterTest "*sanitizer's report*"
 U=UnitTests/UnitTests_
-mutate scheduler-order $S/Process/SchedulerPlacement.cpp \
+mutate scheduler-order $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/for \(const DeadlineKey &Key : Queue\.Requests_\)/for (const DeadlineKey \&Key : std::set<DeadlineKey, std::greater<>>(Queue.Requests_.begin(), Queue.Requests_.end()))/' \
   ${U}Process '*plain scan*'
-mutate scheduler-fairness $S/Process/Scheduler.cpp \
+mutate scheduler-fairness $S/Process/Scheduling/Scheduler.cpp \
   's/Queue\.ServedTokens_ \+= Cost [^;]*;/(void)Cost;/' \
   ${U}Process '*plain scan*'
-mutate scheduler-floor $S/Process/Scheduler.cpp \
+mutate scheduler-floor $S/Process/Scheduling/Scheduler.cpp \
   's/(void Scheduler::shedBelow\([^{]*\{\n)/$1  return;\n/' \
   ${U}Process '*plain scan*'
-mutate length-shares $S/Process/SchedulerAdmission.cpp \
+mutate length-shares $S/Process/Scheduling/SchedulerAdmission.cpp \
   's/std::min<AnswerLength>\(std::bit_width\(Means\), AnswerLengths - 1\)/std::min<AnswerLength>(std::bit_width(Means), 1)/' \
   ${U}Process '*longest requests of the lowest tier*'
 mutate claim-read-back-unit $S/Request/ClaimStore.cpp \
@@ -183,19 +183,19 @@
 mutate request-state $S/Request/RequestState.h \
   's/return State_\.compare_exchange_strong\(Expected, Next\);/if (State_.load() != Expected) return false; State_.store(Next); return true;/' \
   ${U}Request '*in one instant*'
-mutate posted-decisions $S/Process/KeeperService.cpp \
+mutate posted-decisions $S/Process/Keeping/KeeperService.cpp \
   's/Notices_\.push\(CellDecision\{Cell, std::move\(Taken\)\}\);/tell(CellDecision{Cell, std::move(Taken)});/' \
   ${U}Process '*after the call that makes them*'
-mutate taken-back-grant $S/Process/KeeperService.cpp \
+mutate taken-back-grant $S/Process/Keeping/KeeperService.cpp \
   's/if \(!stillStands\(Decided\.Cell_, \*Grant\)\)/if (false)/' \
   ${U}Process '*taken back before it is told is not told*'
-mutate taken-back-allotment $S/Process/KeeperService.cpp \
+mutate taken-back-allotment $S/Process/Keeping/KeeperService.cpp \
   's/return Allotments_\.giveBack\(Grant->Id_\);/return;/' \
   ${U}Process '*uses no allotment*'
-mutate told-allotment $S/Process/KeeperService.cpp \
+mutate told-allotment $S/Process/Keeping/KeeperService.cpp \
   's/    Allotments_\.used\(Grant->Id_\);\n//' \
   ${U}Process '*use their allotment*'
-mutate late-refusal $S/Process/GrantClient.cpp \
+mutate late-refusal $S/Process/Keeping/GrantClient.cpp \
   's/ \|\| Found->second\.Keeper_ != From\)\n    return;/)\n    return;/' \
   ${U}Process '*asked now can refuse*'
 mutate connection-given-back $S/Request/ModelCall.cpp \
@@ -210,13 +210,13 @@
 mutate queue-bound $S/Connection/FrameChannel.cpp \
   's/return closeOverfull\(\);/;/' \
   ${U}Connection '*too much waits to be sent*'
-mutate text-apart $S/Process/PeerFollower.cpp \
+mutate text-apart $S/Process/Configuration/PeerFollower.cpp \
   's/  Question\.apart = true;\n//' \
   ${U}platform '*comes in small messages*'
-mutate text-lease $S/Process/PeerFollower.cpp \
+mutate text-lease $S/Process/Configuration/PeerFollower.cpp \
   's/if \(!lacksTextOf\(Told\)\)\n//' \
   ${U}platform '*text does not come*'
-mutate text-hash $S/Process/DocumentTransfer.cpp \
+mutate text-hash $S/Process/Configuration/DocumentTransfer.cpp \
   's/ \|\| stableHash\(\*Text\) != Hash_//' \
   ${U}Process '*not what it was named as*'
 mutate closed-at-end $S/Connection/HttpServer.cpp \
@@ -225,22 +225,22 @@
 mutate levels-of-body $S/Request/CallerService.cpp \
   's/TooDeep \|= Level > MostLevels;/TooDeep |= Level > 1000 * MostLevels * 1000;/' \
   ${U}Request '*nests deeply is refused*'
-mutate small-confirmation $S/Process/StoreFollower.cpp \
+mutate small-confirmation $S/Process/Configuration/StoreFollower.cpp \
   's/std::string Prefix = ownKey\(\);/std::string Prefix = View_.layout().ConfigurationKey_;/' \
   ${U}platform '*large configuration is read once*'
-mutate untold-changes $S/Process/StoreFollower.cpp \
+mutate untold-changes $S/Process/Configuration/StoreFollower.cpp \
   's/if \(Changes->Entries_\.empty\(\) && After_ < Changes->Revision_\)/if (false)/' \
   ${U}platform '*ends past changes*'
-mutate answer-comes $S/Process/StoreFollower.cpp \
+mutate answer-comes $S/Process/Configuration/StoreFollower.cpp \
   's/ && !answerComes\(\)\)/)/' \
   ${U}platform '*whose answer is coming*'
 mutate answer-silence platform/Store.cpp \
   's/Limits\{Timeout, Timeout_, Longest_\}/Limits{Timeout, Timeout_, Timeout_}/' \
   ${U}platform '*over a slow link*'
-mutate soonest-lapse $S/Process/StoreFollower.cpp \
+mutate soonest-lapse $S/Process/Configuration/StoreFollower.cpp \
   's/ &&\s+Freshness_\.age\(SentAt\) >= Options_\.LapseTime_\)/)/' \
   ${U}platform '*gone with the first list*'
-mutate followed-outage $S/Process/StoreFollower.cpp \
+mutate followed-outage $S/Process/Configuration/StoreFollower.cpp \
   's/(minutes later, would keep servers then\n.*\n)  View_\.outageEnded\(\);/$1/' \
   ${U}platform '*follows one that reads again*'
 
--- a/UnitTests/Process/ChangeLogTest.cpp
+++ b/UnitTests/Process/Configuration/ChangeLogTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/ChangeLog.h"
+#include "Process/Configuration/ChangeLog.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/UnitTests/Process/DocumentTransferTest.cpp
+++ b/UnitTests/Process/Configuration/DocumentTransferTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// A daemon that holds texts, and one to which the newest is on its way.
 
-#include "Process/DocumentTransfer.h"
+#include "Process/Configuration/DocumentTransfer.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/FreshnessLeaseTest.cpp
+++ b/UnitTests/Process/Configuration/FreshnessLeaseTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/FreshnessLease.h"
+#include "Process/Configuration/FreshnessLease.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/MeasuredPlatformTest.cpp
+++ b/UnitTests/Process/Configuration/MeasuredPlatformTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/MeasuredPlatform.h"
+#include "Process/Configuration/MeasuredPlatform.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/UnitTests/Process/StoreReadersTest.cpp
+++ b/UnitTests/Process/Configuration/StoreReadersTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/StoreReaders.h"
+#include "Process/Configuration/StoreReaders.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/UnitTests/Process/TextPackingTest.cpp
+++ b/UnitTests/Process/Configuration/TextPackingTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/TextPacking.h"
+#include "Process/Configuration/TextPacking.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/UnitTests/Process/CellTest.cpp
+++ b/UnitTests/Process/Keeping/CellTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/Cell.h"
+#include "Process/Keeping/Cell.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/UnitTests/Process/GrantClientTest.cpp
+++ b/UnitTests/Process/Keeping/GrantClientTest.cpp
@@ -1,7 +1,7 @@
-#include "Process/GrantClient.h"
+#include "Process/Keeping/GrantClient.h"
 
 #include "Connection/PeerMessage.h"
-#include "Process/KeeperService.h"
+#include "Process/Keeping/KeeperService.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/KeeperServiceTest.cpp
+++ b/UnitTests/Process/Keeping/KeeperServiceTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// A keeper's cells between entries that come and go.
 
-#include "Process/KeeperService.h"
+#include "Process/Keeping/KeeperService.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/PostedQueueTest.cpp
+++ b/UnitTests/Process/Keeping/PostedQueueTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/PostedQueue.h"
+#include "Process/Keeping/PostedQueue.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/MemberTableTest.cpp
+++ b/UnitTests/Process/Membership/MemberTableTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/MemberTable.h"
+#include "Process/Membership/MemberTable.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/UnitTests/Process/MembershipServiceTest.cpp
+++ b/UnitTests/Process/Membership/MembershipServiceTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/MembershipService.h"
+#include "Process/Membership/MembershipService.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/PeerNetworkTest.cpp
+++ b/UnitTests/Process/Membership/PeerNetworkTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/PeerNetwork.h"
+#include "Process/Membership/PeerNetwork.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/AllotmentLedgerTest.cpp
+++ b/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/AllotmentLedger.h"
+#include "Process/Scheduling/AllotmentLedger.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Process/FakeEngine.h
+++ b/UnitTests/Process/Scheduling/FakeEngine.h
@@ -4,7 +4,7 @@
 /// arrival, reads prompts one after the other, and gives a token to each
 /// running request in every step. Steps of a millisecond; no sockets.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <deque>
 #include <optional>
--- a/UnitTests/Process/NaiveScheduler.h
+++ b/UnitTests/Process/Scheduling/NaiveScheduler.h
@@ -3,7 +3,7 @@
 /// The scheduler's rules over one list that is scanned for every decision: slow
 /// and plain, to compare the real one with.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <algorithm>
 
--- a/UnitTests/Process/PrefixIndexTest.cpp
+++ b/UnitTests/Process/Scheduling/PrefixIndexTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/PrefixIndex.h"
+#include "Process/Scheduling/PrefixIndex.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/UnitTests/Process/SchedulerAdmissionTest.cpp
+++ b/UnitTests/Process/Scheduling/SchedulerAdmissionTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Admission by objectives, with loads replayed through the scheduler alone.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/UnitTests/Process/SchedulerPlacementTest.cpp
+++ b/UnitTests/Process/Scheduling/SchedulerPlacementTest.cpp
@@ -2,7 +2,7 @@
 /// Placement on unlike engines, with loads replayed through the scheduler and
 /// fake engines.
 
-#include "UnitTests/Process/FakeEngine.h"
+#include "UnitTests/Process/Scheduling/FakeEngine.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/UnitTests/Process/SchedulerTest.cpp
+++ b/UnitTests/Process/Scheduling/SchedulerTest.cpp
@@ -1,6 +1,6 @@
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
-#include "UnitTests/Process/NaiveScheduler.h"
+#include "UnitTests/Process/Scheduling/NaiveScheduler.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/UnitTests/Process/SchedulerTiersTest.cpp
+++ b/UnitTests/Process/Scheduling/SchedulerTiersTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// A keeper whose configuration gets more tiers while requests wait.
 
-#include "Process/Scheduler.h"
+#include "Process/Scheduling/Scheduler.h"
 
 #include <doctest/doctest.h>
 
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -4,7 +4,7 @@
 /// side, keeper and connections are the real ones; backend servers are scripts
 /// that read a request and write bytes.
 
-#include "Process/KeeperService.h"
+#include "Process/Keeping/KeeperService.h"
 #include "Request/CallerService.h"
 
 #include <boost/asio/io_context.hpp>
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -2,7 +2,7 @@
 /// A daemon that follows others instead of the platform's store, while these
 /// are well, frozen, behind, or have lost the store themselves.
 
-#include "Process/PeerFollower.h"
+#include "Process/Configuration/PeerFollower.h"
 
 #include "UnitTests/platform/FakeStore.h"
 #include "platform/Configuration.h"
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -2,7 +2,7 @@
 /// What a daemon believes of configuration and servers while the platform's
 /// store is well, away, slow to tell, or has lost its history.
 
-#include "Process/StoreFollower.h"
+#include "Process/Configuration/StoreFollower.h"
 
 #include "UnitTests/platform/FakeStore.h"
 #include "platform/Configuration.h"
--- a/UnitTests/platform/StoreViewTest.cpp
+++ b/UnitTests/platform/StoreViewTest.cpp
@@ -1,4 +1,4 @@
-#include "Process/StoreView.h"
+#include "Process/Configuration/StoreView.h"
 
 #include "platform/Configuration.h"
 
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -6,7 +6,7 @@
 
 #include "AnswerText.h"
 #include "Ledger.h"
-#include "Process/PrefixIndex.h"
+#include "Process/Scheduling/PrefixIndex.h"
 #include "StandinMain.h"
 
 #include <absl/flags/flag.h>
--- a/standins/Relay.cpp
+++ b/standins/Relay.cpp
@@ -3,8 +3,8 @@
 /// UDP datagrams to a target. POST /faults with mode "pass", "silent" (what
 /// comes is dropped, connections stay open) or "refuse" (connections close).
 
-#include "Process/MembershipService.h"
-#include "Process/PeerPort.h"
+#include "Process/Membership/MembershipService.h"
+#include "Process/Membership/PeerPort.h"
 #include "StandinMain.h"
 
 #include <absl/flags/flag.h>
