Give each cell requests as it has servers

Cause: a pool of 320 servers is cut into seven cells of 38 to 55 by jump hashing, and each got a seventh of the requests: at the limit the small ones refused while the large ones had places. Ruled out: cells of equal size, since each server that comes or goes would move others.

Change: a key chooses a server by rendezvous hashing, and its cell. The test of parts fails before (a cell's requests a server differ by a quarter); one of 320 servers moves 0.3 % of the sessions.

--- a/Source/Process/Keeping/Cell.cpp
+++ b/Source/Process/Keeping/Cell.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <tuple>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -50,6 +52,18 @@
   return static_cast<std::uint32_t>(Chosen);
 }
 
+std::uint32_t cellForKey(const Pool &Whole, std::uint64_t Key) {
+  std::uint32_t Count = cellCount(Whole);
+  if (Count == 1)
+    return 0;
+  auto Weighted =
+      Whole.Servers_ | std::views::transform([Key](const auto &One) {
+        return std::pair(stableHash(One.Name_.str(), Key), &One);
+      });
+  const BackendServer *Chosen = std::ranges::max(Weighted).second;
+  return cellOf(Chosen->Name_, Count);
+}
+
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index) {
   std::uint32_t Count = cellCount(Whole);
--- a/Source/Process/Keeping/Cell.h
+++ b/Source/Process/Keeping/Cell.h
@@ -36,6 +36,15 @@
 /// The cell of a server, by jump consistent hashing: a cell more takes its part
 /// of the others' servers, and leaves the rest where they are.
 std::uint32_t cellOf(const ServerName &Server, std::uint32_t Count);
+/// The cell for a request, by a key of its own or of its session, from 0 to
+/// cellCount() - 1: each cell gets requests as it has servers.
+///
+/// Load pattern: more requests than all servers can do. Cells differ in size by
+/// a tenth and more; given equal parts, the small ones refuse requests and wait
+/// in vain for places while the large ones have some free. One server that
+/// comes or goes takes along only the keys that are its own, so that nearly all
+/// sessions stay where their prompts are cached.
+std::uint32_t cellForKey(const Pool &Whole, std::uint64_t Key);
 /// The servers of one cell, in the document's order.
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index);
--- /dev/null
+++ b/Source/Programs/LogLines.cpp
@@ -0,0 +1,39 @@
+#include "Programs/LogLines.h"
+
+#include <charconv>
+
+namespace samphireshunt {
+
+namespace {
+
+double part(std::string_view Text, std::size_t At, std::size_t Length) {
+  double Value = 0;
+  if (Text.size() >= At + Length)
+    std::from_chars(Text.data() + At, Text.data() + At + Length, Value);
+  return Value;
+}
+
+} // namespace
+
+std::optional<nlohmann::ordered_json> parseLogLine(std::string_view Text) {
+  std::size_t Start = Text.find('{');
+  if (Start == std::string_view::npos)
+    return std::nullopt;
+  auto Line = nlohmann::ordered_json::parse(Text.substr(Start), nullptr, false);
+  if (!Line.is_object())
+    return std::nullopt;
+  return Line;
+}
+
+double secondsOfDay(std::string_view Time) {
+  constexpr std::size_t Hours = 11;
+  constexpr std::size_t Minutes = 14;
+  constexpr std::size_t Seconds = 17;
+  constexpr std::size_t SecondsLength = 6;
+  constexpr double PerMinute = 60;
+  return (part(Time, Hours, 2) * PerMinute + part(Time, Minutes, 2)) *
+             PerMinute +
+         part(Time, Seconds, SecondsLength);
+}
+
+} // namespace samphireshunt
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -49,8 +49,8 @@
       Context.Prefix_.empty() ? Context.Id_.Sequence_ : Context.Prefix_.front();
   if (!Context.Call_.Parts_.empty())
     Affinity = Context.Call_.Parts_.back().Id_;
-  auto Index = static_cast<std::uint32_t>(
-      (Affinity + static_cast<std::uint64_t>(Attempt)) % Count);
+  auto Step = static_cast<std::uint32_t>(Attempt);
+  std::uint32_t Index = (cellForKey(*Context.Pool_, Affinity) + Step) % Count;
   return {Context.document().Service_, Context.Pool_->Name_, Index};
 }
 
--- a/UnitTests/Process/Keeping/CellTest.cpp
+++ b/UnitTests/Process/Keeping/CellTest.cpp
@@ -125,3 +125,39 @@
     CHECK(Part == doctest::Approx(1.0 / (Count + 1)).epsilon(0.35));
   }
 }
+
+TEST_CASE("cells get requests as they have servers") {
+  // Symptom: at the limit some cells refuse requests while others have places.
+  // Sequence: 320 servers are cut into seven cells of 38 to 55; all cells get a
+  // seventh of the requests.
+  // Cause: the choice of a cell did not look at its size.
+  Pool Whole = poolOf(320);
+  std::uint32_t Count = cellCount(Whole);
+  REQUIRE(Count == 7);
+  constexpr int Requests = 32000;
+  std::vector<int> Asked(Count, 0);
+  std::mt19937_64 Random(1);
+  for (int Index = 0; Index < Requests; ++Index)
+    ++Asked[cellForKey(Whole, Random())];
+  for (std::uint32_t Index = 0; Index < Count; ++Index) {
+    double PerServer =
+        Asked[Index] / static_cast<double>(cellServers(Whole, Index).size());
+    CHECK(PerServer == doctest::Approx(100).epsilon(0.08));
+  }
+}
+
+TEST_CASE("a server that goes moves only its own sessions to other cells") {
+  Pool Whole = poolOf(320);
+  Pool Fewer = Whole;
+  Fewer.Servers_.erase(Fewer.Servers_.begin() + 100);
+  REQUIRE(cellCount(Fewer) == cellCount(Whole));
+  constexpr int Sessions = 3200;
+  int Moved = 0;
+  std::mt19937_64 Random(1);
+  for (int Index = 0; Index < Sessions; ++Index) {
+    std::uint64_t Session = Random();
+    Moved += cellForKey(Whole, Session) != cellForKey(Fewer, Session);
+  }
+  // One of 320 servers has ten of the sessions.
+  CHECK(Moved <= 20);
+}
