--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -4,7 +4,7 @@
 /// engine has been seen to be, and which prompt prefixes it has likely cached.
 
 #include "Common/Ids.h"
-#include "Process/Membership/MemberTable.h"
+#include "Common/TimePoint.h"
 #include "Process/Scheduling/EngineSpeed.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerHealth.h"
--- a/Source/Request/WaitPlan.h
+++ b/Source/Request/WaitPlan.h
@@ -10,6 +10,7 @@
 /// still be answered within its objective. One that comes back has missed that
 /// already: it may wait for as long as its caller stays.
 
+#include "Common/TimePoint.h"
 #include "Version/Document.h"
 
 #include <map>
@@ -17,8 +18,6 @@
 
 namespace samphireshunt {
 
-using TimePoint = std::chrono::steady_clock::time_point;
-
 /// Tells requests that come back by the time limit that they state: callers
 /// state the same limit each time at first, and later what is left of it.
 class UsualTimeouts {
