samphireshuntctl report: what became of all requests, from logs

Where worth is lost was counted by hand from log lines. The command adds up the lines of requests' ends by kind, reason and second; each stands for the like lines that were left out before it, so that parts add up to the whole. A line of an answered request says whether it was late and why. Broken lines are counted; memory is bounded by kinds and moments.

--- a/Source/Programs/CtlMain.cpp
+++ b/Source/Programs/CtlMain.cpp
@@ -2,6 +2,7 @@
 /// samphireshuntctl: the operators' tool.
 
 #include "Programs/CtlCommands.h"
+#include "Programs/OutcomeReport.h"
 #include "Programs/RequestStory.h"
 
 #include <absl/flags/flag.h>
@@ -13,8 +14,10 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <random>
+#include <span>
 #include <sstream>
 
 ABSL_FLAG(std::string, server, "",
@@ -44,7 +47,9 @@
     "  explain CODE|NAME|all    explains a result code\n"
     "  explain-request ID [FILE...]\n"
     "                           tells a request's story from daemons' logs;\n"
-    "                           without files from standard input\n";
+    "                           without files from standard input\n"
+    "  report [FILE...]         counts from daemons' logs what became of all\n"
+    "                           requests, by kind, reason and moment\n";
 
 ExitStatus usage() {
   fmt::print(stderr, "{}", Usage);
@@ -93,19 +98,29 @@
 /// Beliefs of this long before a request are shown with it.
 constexpr double BeliefSeconds = 10;
 
-ExitStatus explainRequest(const std::vector<std::string> &Words) {
-  std::stringstream Logs;
-  if (Words.size() == 2)
-    Logs << std::cin.rdbuf();
-  constexpr std::size_t FirstFile = 2;
-  for (std::size_t Index = FirstFile; Index < Words.size(); ++Index) {
-    std::ifstream File(Words[Index]);
+/// Gives each of \p Files, or standard input where there are none.
+ExitStatus readLogs(std::span<const std::string> Files,
+                    const std::function<void(std::istream &)> &Read) {
+  if (Files.empty())
+    Read(std::cin);
+  for (const std::string &Name : Files) {
+    std::ifstream File(Name);
     if (!File) {
-      fmt::print(stderr, "can't read {}\n", Words[Index]);
+      fmt::print(stderr, "can't read {}\n", Name);
       return ExitStatus::Usage;
     }
-    Logs << File.rdbuf();
+    Read(File);
   }
+  return ExitStatus::Ok;
+}
+
+ExitStatus explainRequest(const std::vector<std::string> &Words) {
+  std::stringstream Logs;
+  constexpr std::size_t FirstFile = 2;
+  ExitStatus Done = readLogs(std::span(Words).subspan(FirstFile),
+                             [&](std::istream &File) { Logs << File.rdbuf(); });
+  if (Done != ExitStatus::Ok)
+    return Done;
   RequestStory Story = readStory(Logs, Words[1], BeliefSeconds);
   if (!Story.Found_) {
     fmt::print(stderr, "no line of request {}\n", Words[1]);
@@ -115,9 +130,27 @@
   return ExitStatus::Ok;
 }
 
+ExitStatus report(const std::vector<std::string> &Words) {
+  OutcomeReport Report;
+  ExitStatus Done = readLogs(std::span(Words).subspan(1),
+                             [&](std::istream &File) { Report.read(File); });
+  if (Done != ExitStatus::Ok)
+    return Done;
+  if (Report.total() == 0) {
+    fmt::print(stderr, "no line of a request's end\n");
+    return ExitStatus::NotFound;
+  }
+  bool Json = absl::GetFlag(FLAGS_output) == "json";
+  constexpr int Indent = 2;
+  fmt::print("{}\n", Json ? Report.json().dump(Indent) : Report.text());
+  return ExitStatus::Ok;
+}
+
 ExitStatus run(const std::vector<std::string> &Words) {
   if (Words.size() >= 2 && Words[0] == "explain-request")
     return explainRequest(Words);
+  if (!Words.empty() && Words[0] == "report")
+    return report(Words);
   if (Words.empty() || wordsNeeded(Words[0]) != Words.size())
     return usage();
   CtlOptions Options;
--- a/Source/Programs/RequestStory.cpp
+++ b/Source/Programs/RequestStory.cpp
@@ -1,10 +1,10 @@
 #include "Programs/RequestStory.h"
 
+#include "Programs/LogLines.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <set>
 
@@ -23,44 +23,23 @@
   double Seconds_ = 0; ///< Within its day.
 };
 
-double part(std::string_view Text, std::size_t At, std::size_t Length) {
-  double Value = 0;
-  if (Text.size() >= At + Length)
-    std::from_chars(Text.data() + At, Text.data() + At + Length, Value);
-  return Value;
-}
-
-/// "2026-06-17T08:29:04.839+00:00" as seconds of its day.
-double secondsOf(std::string_view Time) {
-  constexpr std::size_t Hours = 11;
-  constexpr std::size_t Minutes = 14;
-  constexpr std::size_t Seconds = 17;
-  constexpr std::size_t SecondsLength = 6;
-  constexpr double PerMinute = 60;
-  return (part(Time, Hours, 2) * PerMinute + part(Time, Minutes, 2)) *
-             PerMinute +
-         part(Time, Seconds, SecondsLength);
-}
-
 std::string valueText(const Json &Value) {
   return Value.is_string() ? Value.get<std::string>() : Value.dump();
 }
 
 std::optional<ReadLine> parseLine(const std::string &Text,
                                   const std::string &Id) {
-  std::size_t Start = Text.find('{');
-  if (Start == std::string::npos)
-    return std::nullopt;
-  Json Line = Json::parse(Text.substr(Start), nullptr, false);
-  if (!Line.is_object() || !Line.contains("event") || !Line.contains("time"))
+  auto Parsed = parseLogLine(Text);
+  if (!Parsed || !Parsed->contains("event") || !Parsed->contains("time"))
     return std::nullopt;
+  const Json &Line = *Parsed;
   ReadLine Read;
   Read.Line_.Time_ = Line.value("time", "");
   Read.Line_.Vm_ = Line.value("vm", "");
   Read.Line_.Event_ = Line.value("event", "");
   Read.Line_.OfRequest_ =
       Line.value("request", "") == Id || Line.value("call", "") == Id;
-  Read.Seconds_ = secondsOf(Read.Line_.Time_);
+  Read.Seconds_ = secondsOfDay(Read.Line_.Time_);
   for (const auto &[Name, Value] : Line.items())
     if (!CommonFields.contains(Name))
       Read.Line_.Fields_ += fmt::format(" {}={}", Name, valueText(Value));
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Request/GrantWait.h"
+#include "Request/Lateness.h"
 #include "Request/WaitPlan.h"
 
 #include <absl/strings/ascii.h>
@@ -92,6 +93,15 @@
   return Text;
 }
 
+Lateness latenessNow(const RequestContext &Context, TimePoint Now) {
+  AnswerTimes Times;
+  Times.First_ = Context.Pace_.FirstEvent_.value_or(
+      duration_cast<milliseconds>(Now - Context.Started_));
+  Times.LongestPause_ = Context.Pace_.LongestPause_;
+  Times.SinceFirstAttempt_ = Context.SinceFirstAttempt_;
+  return latenessOf(*Context.Route_->Forwarding_, Times);
+}
+
 /// One line for a request's end, with what decided it; at most so many a second
 /// of each code.
 void logEnd(const RequestContext &Context, Outcome Value, ResultCode Code) {
@@ -126,6 +136,10 @@
   Fields.emplace_back("servers", serversText(Context));
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
   Fields.emplace_back("total_ms", millisText(Now - Context.Started_));
+  if (Value == Outcome::Answered && Context.Route_ &&
+      Context.Route_->Forwarding_)
+    Fields.emplace_back("late",
+                        std::string(latenessName(latenessNow(Context, Now))));
   if (Context.Pace_.FirstEvent_) {
     Fields.emplace_back("first_event_ms",
                         millisText(*Context.Pace_.FirstEvent_));
