Few readers of the service, on strong links; a reader that answers stays

Ruled out: a tree of followers, which adds a way that news can be lost on, while strong links carry 48 followers.

Change: readers are counted by their links, strong ones first; a daemon that becomes a reader confirms at once; a follower stays with a reader that answers; all of a large directory is logged in one line.

--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -70,25 +70,38 @@
   ReaderChoice Choice = Hooks_.Choose_();
   Role_ = Choice.Role_;
   Service_.setRole(Role_);
-  auto Usable =
-      std::ranges::find_if(Choice.Readers_, [this](const VmId &Reader) {
-        return !PassedOver_.contains(Reader);
-      });
+  auto Usable = pickReader(Choice.Readers_);
   // A spare daemon can ask the service instead; one that is alone does already.
   bool TriedEnough =
       Role_ == StoreRole::Spare && PassedOver_.size() >= Options_.MostTries_;
-  if (!needsReader() || Usable == Choice.Readers_.end() || TriedEnough) {
+  if (!needsReader() || !Usable || TriedEnough) {
     readService(SawOldState_);
     return schedule(Options_.AskTime_);
   }
   if (Reader_ != *Usable) {
     Transfer_.drop();
     Reader_ = *Usable;
+    FollowedSince_ = Now;
     ReaderNumber_ = 0;
   }
   ask();
 }
 
+/// A view of the members that flaps, as beside a burst, names other readers
+/// each time; the one that is followed stays as long as it is one of them.
+std::optional<VmId>
+PeerFollower::pickReader(const std::vector<VmId> &Readers) const {
+  bool Stays = Reader_ && std::ranges::count(Readers, *Reader_) > 0 &&
+               !PassedOver_.contains(*Reader_) &&
+               steady_clock::now() - FollowedSince_ < Options_.StayTime_;
+  if (Stays)
+    return Reader_;
+  auto Usable = std::ranges::find_if(Readers, [this](const VmId &Reader) {
+    return !PassedOver_.contains(Reader);
+  });
+  return Usable == Readers.end() ? std::nullopt : std::optional(*Usable);
+}
+
 bool PeerFollower::needsReader() const {
   switch (Role_) {
   case StoreRole::Alone:
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -51,8 +51,12 @@
     std::size_t MostTries_ = 2;
     /// After this time a reader that failed is tried again.
     std::chrono::milliseconds TryAgainTime_{1000};
-    /// A daemon that starts reads the service first, for this long.
-    std::chrono::milliseconds SettleTime_{2000};
+    /// A daemon that starts reads the service first, for this long: until those
+    /// that started with it have registered there and answered it.
+    std::chrono::milliseconds SettleTime_{1000};
+    /// A reader that answers is followed for this long before a better one is
+    /// looked for: each change of readers costs the whole of what they tell.
+    std::chrono::milliseconds StayTime_{15000};
     /// Followers that did not ask for this long are told no changes.
     std::chrono::milliseconds ForgetTime_{2000};
   };
@@ -101,6 +105,8 @@
   void ask();
   void passOver(const VmId &Reader, std::string_view Why);
   void choose();
+  /// The reader to follow now, of those that may be.
+  std::optional<VmId> pickReader(const std::vector<VmId> &Readers) const;
   /// Whether another daemon is to be followed at all.
   bool needsReader() const;
   void readService(bool AfterOutage);
@@ -125,6 +131,7 @@
   StoreRole Role_ = StoreRole::Alone;
   TimePoint Started_;
   std::optional<VmId> Reader_;
+  TimePoint FollowedSince_;
   /// What of the reader's changes is known here.
   std::uint64_t ReaderProcess_ = 0;
   std::uint64_t ReaderNumber_ = 0;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -3,7 +3,7 @@
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -29,7 +29,7 @@
                              StoreView &View, FreshnessLease &Freshness,
                              Options Settings)
     : Control_(Control), Platform_(std::move(Platform)), View_(View),
-      Freshness_(Freshness), Options_(Settings) {}
+      Freshness_(Freshness), Options_(Settings), ConfirmTimer_(Control) {}
 
 void StoreFollower::start(VmId Self, std::string Address) {
   Self_ = std::move(Self);
@@ -64,6 +64,15 @@
   startWatch();
 }
 
+/// Until its next proof, seconds later, it would look to its followers as if it
+/// had lost the service, and all of them would read that themselves.
+void StoreFollower::setRole(StoreRole Role) {
+  bool Becomes = Role == StoreRole::Reader && Role_ != Role;
+  Role_ = Role;
+  if (Becomes)
+    ConfirmTimer_.cancel();
+}
+
 milliseconds StoreFollower::confirmTime() const {
   return Role_ == StoreRole::Reader ? Options_.ReaderConfirmTime_
                                     : Options_.ConfirmTime_;
@@ -79,6 +88,12 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+Awaitable<void> StoreFollower::sleepUntilConfirm(milliseconds Time) {
+  ConfirmTimer_.expires_after(Time);
+  auto Ended = asio::as_tuple(asio::use_awaitable);
+  co_await ConfirmTimer_.async_wait(Ended);
+}
+
 Awaitable<void> StoreFollower::follow(std::uint64_t Generation) {
   while (!Stopped_ && Generation == Generation_) {
     Result<void> Done;
@@ -106,7 +121,7 @@
 Awaitable<void> StoreFollower::confirmRegularly() {
   milliseconds Wait = confirmTime();
   while (!Stopped_) {
-    co_await sleep(Wait);
+    co_await sleepUntilConfirm(Wait);
     if (Paused_) {
       Wait = confirmTime();
       continue;
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -9,6 +9,7 @@
 #include "Process/Configuration/StoreView.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -61,7 +62,8 @@
   /// younger than any entry that lapses.
   void resume(bool AfterOutage);
   bool paused() const { return Paused_; }
-  void setRole(StoreRole Role) { Role_ = Role; }
+  /// One that becomes a reader proves at once that it has the service.
+  void setRole(StoreRole Role);
   /// This daemon is registered under its address.
   bool registered() const { return RegisteredAddress_ == Address_; }
   /// A daemon's entry was read; its own tells that it is registered.
@@ -83,6 +85,8 @@
   Awaitable<void> registerSelf();
   std::string ownKey() const;
   Awaitable<void> sleep(std::chrono::milliseconds Time);
+  /// May be ended before its time by cancelling the timer.
+  Awaitable<void> sleepUntilConfirm(std::chrono::milliseconds Time);
   Awaitable<void> dropUnseenLater();
   void succeeded();
   void applyDirectory();
@@ -111,6 +115,7 @@
   /// The daemon that was followed had not heard of the service lately.
   bool MaybeOutage_ = false;
   StoreRole Role_ = StoreRole::Alone;
+  boost::asio::steady_timer ConfirmTimer_;
   bool DropPlanned_ = false;
   bool SawChanges_ = false;
   int Failures_ = 0;
--- a/Source/Process/Configuration/StoreReaders.cpp
+++ b/Source/Process/Configuration/StoreReaders.cpp
@@ -3,6 +3,8 @@
 #include "Common/Hash.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -14,8 +16,34 @@
 /// In fleets that have readers; of a very small one, half.
 constexpr std::size_t LeastReaders = 3;
 
-std::uint64_t weightOf(const Member &Candidate) {
-  return stableHash(Candidate.Id_.str(), stableHash(ChoiceName));
+/// The link for which a reader's followers are counted, in Mbit/s.
+constexpr std::size_t WeakLinkMbps = 10;
+
+/// How many daemons a reader stands for, itself included.
+std::size_t capacityOf(const Member &Reader, std::size_t PerReader) {
+  std::size_t Strength = Reader.LinkMbps_ / WeakLinkMbps;
+  return PerReader * std::clamp<std::size_t>(Strength, 1, MostOfStrongLink);
+}
+
+/// The best first: strong links, and among like ones the same order everywhere.
+void sortAsReaders(std::vector<Member> &Members, std::size_t PerReader) {
+  std::uint64_t Seed = stableHash(ChoiceName);
+  std::ranges::sort(Members, std::greater<>(), [&](const Member &Candidate) {
+    return std::pair(capacityOf(Candidate, PerReader),
+                     stableHash(Candidate.Id_.str(), Seed));
+  });
+}
+
+/// Of \p Sorted, how many are needed for all.
+std::size_t readersNeeded(const std::vector<Member> &Sorted,
+                          std::size_t PerReader) {
+  std::size_t Served = 0;
+  auto Enough = std::ranges::find_if(Sorted, [&](const Member &Reader) {
+    Served += capacityOf(Reader, PerReader);
+    return Served > Sorted.size();
+  });
+  auto Count = static_cast<std::size_t>(Enough - Sorted.begin());
+  return std::max(Count, std::min(LeastReaders, Sorted.size() / 2));
 }
 
 /// Those of the own data center first; among these each daemon has an order of
@@ -41,12 +69,8 @@
     std::erase_if(Readers, IsSelf);
     return {StoreRole::Alone, inOrderFor(Self, std::move(Readers))};
   }
-  std::size_t Least = std::min(LeastReaders, Alive.size() / 2);
-  std::size_t Count = std::max(Least, Alive.size() / PerReader);
-  std::ranges::partial_sort(
-      Readers, Readers.begin() + static_cast<std::ptrdiff_t>(Count),
-      std::greater<>(), weightOf);
-  Readers.resize(Count);
+  sortAsReaders(Readers, PerReader);
+  Readers.resize(readersNeeded(Readers, PerReader));
   if (std::ranges::any_of(Readers, IsSelf))
     return {StoreRole::Reader, {}};
   return {StoreRole::Spare, inOrderFor(Self, std::move(Readers))};
--- a/Source/Process/Configuration/StoreReaders.h
+++ b/Source/Process/Configuration/StoreReaders.h
@@ -9,6 +9,11 @@
 /// and the service's rate does not grow with the fleet. Small fleets read all
 /// by themselves: a daemon that is followed may freeze, and what it would have
 /// told comes a second later.
+///
+/// Each call of the service is paid for, and what a fleet of hundreds pays for
+/// most is its readers' calls in calm. So there are few, on the strongest
+/// links: one of these tells as many followers as four of the weak do, and a
+/// change crosses it in a tenth of the time.
 
 #include "Process/Membership/MemberTable.h"
 
@@ -17,9 +22,13 @@
 
 namespace samphireshunt {
 
-/// One daemon in so many reads the service, and all do in fleets up to this: a
-/// reader tells its followers all twice a second over a link of 10 Mbit/s.
+/// One daemon in so many reads the service where links are weak or unknown, and
+/// all do in fleets up to this: a reader tells its followers all twice a second
+/// over a link of 10 Mbit/s.
 inline constexpr std::size_t DaemonsPerReader = 12;
+/// A stronger link carries more followers, up to so many times as many: beyond
+/// that the processor that answers them binds.
+inline constexpr std::size_t MostOfStrongLink = 4;
 
 /// How a daemon reads the platform's service.
 enum class StoreRole {
@@ -36,7 +45,7 @@
 };
 
 /// \p Alive are all members that may keep cells, \p Self included; one in
-/// \p PerReader reads the service, 0: all do.
+/// \p PerReader reads the service, or fewer on strong links; 0: all do.
 ReaderChoice chooseReaders(const Member &Self, std::span<const Member> Alive,
                            std::size_t PerReader);
 
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -2,7 +2,10 @@
 
 #include "Common/Log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace samphireshunt {
@@ -47,6 +50,7 @@
 }
 
 void StoreView::publish() {
+  logServers();
   if (!std::exchange(DirectoryChanged_, false))
     return;
   noteServers();
@@ -105,9 +109,10 @@
 void StoreView::applyServer(const std::string &Name, const KeyValue &Entry) {
   if (Entry.Deleted_) {
     Rejected_.erase(Name);
-    logEvent(LogCategory::Version, spdlog::level::info, "server-gone",
-             {{"server", Name},
-              {"revision", std::to_string(Entry.Revision_.count())}});
+    ServerLines_.push_back(
+        {"server-gone",
+         Name,
+         {{"revision", std::to_string(Entry.Revision_.count())}}});
     DirectoryChanged_ |= Directory_.missing(ServerName(Name), BootClock::now());
     return;
   }
@@ -119,13 +124,36 @@
   if (!Directory_.seen(*Read))
     return;
   DirectoryChanged_ = true;
-  logEvent(LogCategory::Version, spdlog::level::info, "server-seen",
-           {{"server", Name},
-            {"pool", Read->Pool_.str()},
-            {"address", formatEndpoint(Read->Server_.Address_)},
-            {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
-            {"incarnation", std::to_string(Read->Server_.Incarnation_.count())},
-            {"revision", std::to_string(Entry.Revision_.count())}});
+  ServerLines_.push_back(
+      {"server-seen",
+       Name,
+       {{"pool", Read->Pool_.str()},
+        {"address", formatEndpoint(Read->Server_.Address_)},
+        {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
+        {"incarnation", std::to_string(Read->Server_.Incarnation_.count())},
+        {"revision", std::to_string(Entry.Revision_.count())}}});
+}
+
+/// All of a large directory come at once, to each daemon: one line names many.
+void StoreView::logServers() {
+  constexpr std::size_t MostOwnLines = 4;
+  auto Lines = std::exchange(ServerLines_, {});
+  std::map<std::string_view, std::vector<std::string_view>> ByEvent;
+  for (ServerLine &Line : Lines) {
+    ByEvent[Line.Event_].push_back(Line.Name_);
+    if (Lines.size() > MostOwnLines)
+      continue;
+    Line.Fields_.insert(Line.Fields_.begin(), {"server", Line.Name_});
+    logEvent(LogCategory::Version, spdlog::level::info, Line.Event_,
+             Line.Fields_);
+  }
+  if (Lines.size() <= MostOwnLines)
+    return;
+  for (const auto &[Event, Names] : ByEvent)
+    logEvent(LogCategory::Version, spdlog::level::info, Event,
+             {{"count", std::to_string(Names.size())},
+              {"servers", fmt::format("{}", fmt::join(Names, ","))},
+              {"revision", std::to_string(Revision_.count())}});
 }
 
 /// An entry that can't be read names no server. One that was good and is
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -5,6 +5,7 @@
 /// never goes back: what an older revision says is not taken in. Runs on the
 /// control thread.
 
+#include "Common/Log.h"
 #include "Process/Configuration/ChangeLog.h"
 #include "Process/Configuration/DirectoryView.h"
 #include "Process/Configuration/Platform.h"
@@ -85,6 +86,7 @@
                     const Failure &Cause);
   void adopt(const KeyValue &Entry);
   void noteServers();
+  void logServers();
 
   DocumentStore &Documents_;
   StoreLayout Layout_;
@@ -95,6 +97,14 @@
   /// Of the configuration that was read last.
   Revision ConfigurationRevision_;
   bool DirectoryChanged_ = false;
+  /// Servers that were heard of and are not logged yet, with what is to be
+  /// told.
+  struct ServerLine {
+    std::string_view Event_;
+    std::string Name_;
+    LogFields Fields_;
+  };
+  std::vector<ServerLine> ServerLines_;
   /// Revisions of the entries of servers that were removed, by name.
   std::map<std::string, Revision> Removed_;
   /// Entries that can't be read, by name, with the cause that was logged.
--- a/UnitTests/Process/Configuration/StoreReadersTest.cpp
+++ b/UnitTests/Process/Configuration/StoreReadersTest.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -22,6 +23,27 @@
   return Members;
 }
 
+/// Of \p Count daemons, \p Strong with a link of 200 Mbit/s, the others of 20.
+std::vector<Member> fleetOfUnlikeLinks(int Count, int Strong) {
+  constexpr std::uint32_t StrongMbps = 200;
+  constexpr std::uint32_t WeakMbps = 20;
+  auto Members = fleet(Count);
+  for (int Index = 0; Index < Count; ++Index)
+    Members[static_cast<std::size_t>(Index)].LinkMbps_ =
+        Index < Strong ? StrongMbps : WeakMbps;
+  return Members;
+}
+
+std::vector<Member> readersOf(const std::vector<Member> &Members) {
+  std::vector<Member> Readers;
+  std::ranges::copy_if(
+      Members, std::back_inserter(Readers), [&](const Member &Self) {
+        return chooseReaders(Self, Members, DaemonsPerReader).Role_ ==
+               StoreRole::Reader;
+      });
+  return Readers;
+}
+
 } // namespace
 
 TEST_CASE("in a small fleet every daemon reads the service itself") {
@@ -94,3 +116,35 @@
                                 std::inserter(Stayed, Stayed.begin()));
   CHECK(Stayed.size() >= Before.size() - 1);
 }
+
+TEST_CASE("in a fleet of hundreds few read the service, those with strong "
+          "links") {
+  // Symptom: on a calm day the largest part of what the fleet costs are calls
+  // of the platform's service.
+  // Sequence: 295 daemons have 24 readers, each of which asks twice a second
+  // whether it knows all.
+  // Cause: the number of readers grew with the fleet, as if all links were as
+  // weak as the weakest.
+  auto Members = fleetOfUnlikeLinks(295, 18);
+  auto Readers = readersOf(Members);
+  CHECK(Readers.size() == 6);
+  CHECK(std::ranges::all_of(
+      Readers, [](const Member &Reader) { return Reader.LinkMbps_ == 200; }));
+  std::map<VmId, int> Followers;
+  for (const Member &Self : Members) {
+    auto Choice = chooseReaders(Self, Members, DaemonsPerReader);
+    if (Choice.Role_ == StoreRole::Spare)
+      ++Followers[Choice.Readers_.front()];
+  }
+  CHECK(std::ranges::all_of(
+      Followers, [](const auto &Item) { return Item.second <= 2 * 48; }));
+}
+
+TEST_CASE("without its strong links a fleet has more readers") {
+  // All strong VMs are lost at once.
+  auto Members = fleetOfUnlikeLinks(277, 0);
+  CHECK(readersOf(Members).size() == 11);
+  // With too few of them, weak ones take the rest.
+  auto Mixed = readersOf(fleetOfUnlikeLinks(295, 2));
+  CHECK(Mixed.size() == 10);
+}
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -69,7 +69,7 @@
 public:
   Daemon(boost::asio::io_context &Context, FakeStore &Store, std::string Name,
          ReaderChoice Choice, PeerFollower::Hooks Hooks)
-      : Freshness_(Lease),
+      : Choice_(std::move(Choice)), Freshness_(Lease),
         View_(Documents_, platform::storeLayout(), milliseconds(150)) {
     StoreView::Hooks ViewHooks;
     ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
@@ -95,7 +95,8 @@
     PeerOptions.OldestAge_ = milliseconds(160);
     PeerOptions.TryAgainTime_ = milliseconds(100);
     PeerOptions.SettleTime_ = milliseconds(50);
-    Hooks.Choose_ = [Choice] { return Choice; };
+    PeerOptions.StayTime_ = milliseconds(400);
+    Hooks.Choose_ = [this] { return Choice_; };
     static std::uint64_t Process = 0;
     Peers_ = std::make_unique<PeerFollower>(Context, Incarnation(++Process),
                                             *Service_, View_, Freshness_,
@@ -117,6 +118,8 @@
     return Service_->paused() && Peers_->reader() == VmId(Reader);
   }
 
+  /// Whom it may follow; a test may change its mind.
+  ReaderChoice Choice_;
   DocumentStore Documents_;
   FreshnessLease Freshness_;
   StoreView View_;
@@ -355,6 +358,41 @@
   CHECK(Spare.follows("second"));
 }
 
+TEST_CASE("a daemon that becomes a reader proves at once that it has the "
+          "service") {
+  // Symptom: when a fleet starts, or readers are replaced, all followers read
+  // the service themselves for seconds.
+  // Sequence: a daemon that was alone is chosen as a reader; it confirms what
+  // it knows only when its earlier, longer pause is over. Cause: to its
+  // followers it looks as if it had lost the service until then.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  auto Calls = Test.calls();
+  // The first proof of one that is alone would come within this time.
+  Test.runFor(milliseconds(300));
+  CHECK(Spare.follows("first"));
+  CHECK(Test.calls() == Calls);
+}
+
+TEST_CASE("a reader that answers is followed for a while, though another one "
+          "would be chosen by now") {
+  // Symptom: beside a burst daemons on weak links get the whole directory of
+  // servers again and again.
+  // Sequence: the view of the members flaps, and with it the best reader.
+  // Cause: the reader was chosen anew with each question.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  std::ranges::reverse(Spare.Choice_.Readers_);
+  Test.runFor(milliseconds(150));
+  CHECK(Spare.follows("first"));
+  CHECK(Test.runUntil([&] { return Spare.follows("second"); }));
+  // One that may not be followed any more is left at once.
+  Spare.Choice_.Readers_ = {VmId("first")};
+  CHECK(Test.runUntil([&] { return Spare.follows("first"); }));
+}
+
 TEST_CASE("with no reader left the service is read, and readers are followed "
           "again when they are back") {
   Fleet Test;
