Fewer calls of the service at a start and while it turns readers away

And who asked two readers that had lost the service read it himself.

Change: after the first list a second passes before the watch, by whose end most follow another daemon; readers that answer that they have lost the service don't count as tries. The test of the latter fails before.

--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -58,7 +58,7 @@
     return choose();
   if (!std::exchange(Overdue_, true))
     return schedule(LookAgainTime);
-  passOver(VmId(*Reader_), "no answer");
+  passOver(VmId(*Reader_), Fault::Silent, "no answer");
 }
 
 /// Asks the first reader that has not failed lately; after some failures the
@@ -66,14 +66,17 @@
 void PeerFollower::choose() {
   auto Now = steady_clock::now();
   std::erase_if(PassedOver_,
-                [Now](const auto &Item) { return Item.second <= Now; });
+                [Now](const auto &Item) { return Item.second.Until_ <= Now; });
   ReaderChoice Choice = Hooks_.Choose_();
   Role_ = Choice.Role_;
   Service_.setRole(Role_);
   auto Usable = pickReader(Choice.Readers_);
   // A spare daemon can ask the service instead; one that is alone does already.
-  bool TriedEnough =
-      Role_ == StoreRole::Spare && PassedOver_.size() >= Options_.MostTries_;
+  auto Silent = std::ranges::count_if(PassedOver_, [](const auto &Item) {
+    return Item.second.Kind_ == Fault::Silent;
+  });
+  bool TriedEnough = Role_ == StoreRole::Spare &&
+                     std::cmp_greater_equal(Silent, Options_.MostTries_);
   if (!needsReader() || !Usable || TriedEnough) {
     readService(SawOldState_);
     return schedule(Options_.AskTime_);
@@ -129,12 +132,13 @@
   Hooks_.Send_(VmId(*Reader_), encodeMessage(std::move(Question)));
 }
 
-void PeerFollower::passOver(const VmId &Reader, std::string_view Why) {
+void PeerFollower::passOver(const VmId &Reader, Fault Kind,
+                            std::string_view Why) {
   // In an outage of the service nobody can be followed: one line is enough.
   if (ReaderNumber_ > 0)
     logEvent(LogCategory::Process, spdlog::level::info, "reader-passed-over",
              {{"reader", Reader.str()}, {"detail", std::string(Why)}});
-  PassedOver_[Reader] = steady_clock::now() + Options_.TryAgainTime_;
+  PassedOver_[Reader] = {Kind, steady_clock::now() + Options_.TryAgainTime_};
   Awaiting_ = false;
   Reader_.reset();
   Transfer_.drop();
@@ -163,19 +167,19 @@
   SawOldState_ = Age > (Role_ == StoreRole::Alone ? Options_.OldestAgeOfAlone_
                                                   : Options_.OldestAge_);
   if (SawOldState_)
-    return passOver(From, "it has lost the service");
+    return passOver(From, Fault::Useless, "it has lost the service");
   if (!Told.reads_service)
-    return passOver(From, "it does not read the service");
+    return passOver(From, Fault::Useless, "it does not read the service");
   bool Same = Told.incarnation == ReaderProcess_;
   if (!Told.complete && (!Same || Told.after > ReaderNumber_)) {
     // Something that it told before was lost with a link. The next answer has
     // all since the number that is asked for.
     if (!Answer)
       return;
-    return passOver(From, "its answer has a gap");
+    return passOver(From, Fault::Useless, "its answer has a gap");
   }
   if (!View_.follow(changesOf(Told), Revision(Told.revision)))
-    return passOver(From, "it is behind");
+    return passOver(From, Fault::Useless, "it is behind");
   ReaderProcess_ = Told.incarnation;
   ReaderNumber_ = Told.number;
   if (Answer)
@@ -255,7 +259,7 @@
 void PeerFollower::onLinkDown(const VmId &Reader) {
   Unanswered_.erase(Reader);
   if (Reader_ == Reader)
-    passOver(VmId(Reader), "its link broke");
+    passOver(VmId(Reader), Fault::Silent, "its link broke");
 }
 
 bool PeerFollower::awaiting(const VmId &Reader) const {
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -47,7 +47,8 @@
     std::chrono::milliseconds OldestAge_{1200};
     /// The same in a small fleet, where each confirms its own each 3.2 s.
     std::chrono::milliseconds OldestAgeOfAlone_{4000};
-    /// Readers tried before the service is asked.
+    /// Silent readers that are tried before the service is asked. One that
+    /// answers that it has lost the service costs no time: another may have it.
     std::size_t MostTries_ = 2;
     /// After this time a reader that failed is tried again.
     std::chrono::milliseconds TryAgainTime_{1000};
@@ -103,7 +104,9 @@
   void schedule(std::chrono::milliseconds Delay);
   void onTimer();
   void ask();
-  void passOver(const VmId &Reader, std::string_view Why);
+  /// Why a reader is left.
+  enum class Fault { Silent, Useless };
+  void passOver(const VmId &Reader, Fault Kind, std::string_view Why);
   void choose();
   /// The reader to follow now, of those that may be.
   std::optional<VmId> pickReader(const std::vector<VmId> &Readers) const;
@@ -143,8 +146,12 @@
   /// Readers whose last question is not answered. As long as it is awaited the
   /// link's heartbeats show whether it went silent, and replace it.
   std::set<VmId> Unanswered_;
-  /// Readers that failed, and when that is forgotten.
-  std::map<VmId, TimePoint> PassedOver_;
+  /// A reader that failed, and when that is forgotten.
+  struct Passed {
+    Fault Kind_;
+    TimePoint Until_;
+  };
+  std::map<VmId, Passed> PassedOver_;
   bool SawOldState_ = false;
   std::map<VmId, Follower> Followers_;
   DocumentTexts Texts_;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -111,7 +111,9 @@
     succeeded();
     if (RegisteredAddress_ != Address_)
       co_await registerSelf();
-    if (std::exchange(SawChanges_, false))
+    if (!std::exchange(ListedBefore_, true))
+      co_await sleep(Options_.FirstGatherTime_);
+    else if (std::exchange(SawChanges_, false))
       co_await sleep(Options_.GatherTime_);
   }
 }
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -41,6 +41,9 @@
     /// Pause after a watch that told of changes: those that follow come in one
     /// answer, and each answer counts as a call.
     std::chrono::milliseconds GatherTime_{500};
+    /// The same after the first list of a process: in a fleet that starts all
+    /// daemons register meanwhile, and by its end most follow another one.
+    std::chrono::milliseconds FirstGatherTime_{1000};
     /// Pause after the second failure in a row, doubled up to the longest.
     std::chrono::milliseconds FirstPause_{100};
     std::chrono::milliseconds LongestPause_{400};
@@ -118,6 +121,7 @@
   boost::asio::steady_timer ConfirmTimer_;
   bool DropPlanned_ = false;
   bool SawChanges_ = false;
+  bool ListedBefore_ = false;
   int Failures_ = 0;
 };
 
--- /dev/null
+++ b/Tools/regression.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# What is played before a landing, with the users' bench: the standard days of
+# the regression sites, and hunts on all. Not part of CI, which has no bench.
+#   BENCH=PROGRAM SYSTEM=FOLDER [JOBS=N] Tools/regression.sh score|hunt WHY [SITE...]
+# SYSTEM is the folder of the users' pages; a SITE, e.g. further/ramdin-manuels,
+# limits the run to it. 40 days of hunt on each site, 8 where there are 60 VMs
+# or more.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+: "${BENCH:?the path of the bench}" "${SYSTEM:?the folder of the pages}"
+Verb=${1:-}
+Why=${2:-}
+if [ "$Verb" != score ] && [ "$Verb" != hunt ] || [ -z "$Why" ]; then
+  sed -n '2,8s/^# \{0,1\}//p' "$0" >&2
+  exit 2
+fi
+shift 2
+# The large site has taken the place of the oldest two among what is scored; these
+# are hunted on as before.
+Scored=(large/emalq-red-large further-grown/ramdin-manuels-grown
+  grown/emalq-red-grown grown/rcic-lending-grown further/ramdin-manuels)
+Hunted=("${Scored[@]}" sites/emalq-red sites/rcic-lending)
+Large="large/emalq-red-large further-grown/ramdin-manuels-grown grown/emalq-red-grown grown/rcic-lending-grown"
+Sites=("${Hunted[@]}")
+[ "$Verb" = hunt ] || Sites=("${Scored[@]}")
+[ $# -eq 0 ] || Sites=("$@")
+Jobs=${JOBS:-$(($(nproc) / 2))}
+Failed=0
+for Site in "${Sites[@]}"; do
+  Options=(--jobs "$Jobs" --why "$Why")
+  if [ "$Verb" = hunt ]; then
+    Days=40
+    [[ " $Large " != *" $Site "* ]] || Days=8
+    Options+=(--days "$Days")
+  fi
+  echo "== $Verb $Site"
+  "$BENCH" "$Verb" "$SYSTEM/$Site.toml" "${Options[@]}" || Failed=1
+done
+exit "$Failed"
--- /dev/null
+++ b/UnitTests/Process/Membership/LocalHealthTest.cpp
@@ -0,0 +1,27 @@
+#include "Process/Membership/LocalHealth.h"
+
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+TEST_CASE("the more of its own probes fail, the longer a daemon waits") {
+  LocalHealth Health;
+  CHECK(Health.scaled(milliseconds(150)) == milliseconds(150));
+  Health.bad();
+  CHECK(Health.scaled(milliseconds(150)) == milliseconds(300));
+  for (int Times = 0; Times < 100; ++Times)
+    Health.bad();
+  CHECK(Health.scaled(milliseconds(150)) == milliseconds(750));
+}
+
+TEST_CASE("answers in time make it trust itself again") {
+  LocalHealth Health;
+  for (int Times = 0; Times < 4; ++Times)
+    Health.bad();
+  for (int Times = 0; Times < 9; ++Times)
+    Health.good();
+  CHECK(Health.score() == 0);
+  Health.bad();
+  CHECK(Health.score() == 1);
+}
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -83,6 +83,7 @@
     Options.ReaderConfirmTime_ = milliseconds(40);
     Options.BehindTime_ = milliseconds(20);
     Options.GatherTime_ = milliseconds(5);
+    Options.FirstGatherTime_ = milliseconds(10);
     Options.FirstPause_ = milliseconds(5);
     Options.LongestPause_ = milliseconds(10);
     Options.SpareLongestPause_ = milliseconds(50);
@@ -127,7 +128,7 @@
   std::unique_ptr<PeerFollower> Peers_;
 };
 
-/// Two readers, each with a store of its own that tells the same, so that one
+/// Three readers, each with a store of its own that tells the same, so that one
 /// may lose it alone; and a daemon that follows them.
 class Fleet {
 public:
@@ -135,7 +136,7 @@
   explicit Fleet(bool Small = false) {
     put("op/config", configuration(3));
     put("servers/i-1", serverEntry("ready"));
-    for (const char *Name : {"first", "second"})
+    for (const char *Name : {"first", "second", "third"})
       add(Name, *Stores_[Name],
           {Small ? StoreRole::Alone : StoreRole::Reader, {}});
     SpareChoice_ = {Small ? StoreRole::Alone : StoreRole::Spare,
@@ -201,7 +202,7 @@
 private:
   std::map<std::string, std::unique_ptr<FakeStore>> makeStores() {
     std::map<std::string, std::unique_ptr<FakeStore>> Stores;
-    for (const char *Name : {"first", "second"})
+    for (const char *Name : {"first", "second", "third"})
       Stores[Name] = std::make_unique<FakeStore>(Context_);
     return Stores;
   }
@@ -421,6 +422,23 @@
       Test.runUntil([&] { return !Spare.Freshness_.valid(BootClock::now()); }));
 }
 
+TEST_CASE("readers that have lost the service are passed over until one has "
+          "it") {
+  // Symptom: while the service turns some readers away, all who follow them
+  // read it themselves, at hundreds of calls a second.
+  // Sequence: two of three readers lose it, and say so when they are asked.
+  // Cause: two tries were enough, though each had taken no time.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Spare.Choice_.Readers_.push_back(VmId("third"));
+  auto Calls = Test.calls();
+  Test.storeOf("first").Silent_ = true;
+  Test.storeOf("second").Silent_ = true;
+  CHECK(Test.runUntil([&] { return Spare.follows("third"); }));
+  CHECK(Test.calls() == Calls);
+}
+
 TEST_CASE("a reader that is behind brings no leaving server back") {
   Fleet Test;
   Daemon &Spare = Test["spare"];
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -59,6 +59,7 @@
     Options.ConfirmTime_ = milliseconds(100);
     Options.BehindTime_ = milliseconds(20);
     Options.GatherTime_ = milliseconds(5);
+    Options.FirstGatherTime_ = milliseconds(5);
     Options.FirstPause_ = milliseconds(5);
     Options.LongestPause_ = milliseconds(10);
     StoreView::Hooks Hooks;
