Followers wait a second for readers that have lost the service

Ruled out: fewer tries without a wait, since all readers are tried within milliseconds.

Change: while no reader has the service, they are asked on for a second after the last good answer; a follower that looks for itself begins a second apart. The test of a short outage fails before (the service is read).

--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -77,6 +77,8 @@
   });
   bool TriedEnough = Role_ == StoreRole::Spare &&
                      std::cmp_greater_equal(Silent, Options_.MostTries_);
+  if (needsReader() && !Usable && !TriedEnough && patient(Now))
+    return schedule(Options_.AskAgainTime_);
   if (!needsReader() || !Usable || TriedEnough) {
     readService(SawOldState_);
     return schedule(Options_.AskTime_);
@@ -117,6 +119,11 @@
   }
 }
 
+bool PeerFollower::patient(TimePoint Now) const {
+  return Role_ == StoreRole::Spare && Service_.paused() &&
+         Now - LastAnswer_ < Options_.PatientTime_;
+}
+
 void PeerFollower::ask() {
   wire::FollowT Question;
   Question.sequence = ++Sequence_;
@@ -138,7 +145,9 @@
   if (ReaderNumber_ > 0)
     logEvent(LogCategory::Process, spdlog::level::info, "reader-passed-over",
              {{"reader", Reader.str()}, {"detail", std::string(Why)}});
-  PassedOver_[Reader] = {Kind, steady_clock::now() + Options_.TryAgainTime_};
+  milliseconds Time =
+      Kind == Fault::Silent ? Options_.TryAgainTime_ : Options_.AskAgainTime_;
+  PassedOver_[Reader] = {Kind, steady_clock::now() + Time};
   Awaiting_ = false;
   Reader_.reset();
   Transfer_.drop();
@@ -189,6 +198,7 @@
 
 void PeerFollower::onAnswer(const VmId &From, const wire::StateT &Told) {
   Awaiting_ = false;
+  LastAnswer_ = steady_clock::now();
   if (!lacksTextOf(Told))
     Freshness_.renew(AskedAt_ - milliseconds(Told.age_ms));
   bool Spare = Role_ == StoreRole::Spare;
@@ -269,7 +279,7 @@
 bool PeerFollower::inTouch() const {
   if (!Service_.paused())
     return Service_.platformReachable();
-  return Reader_.has_value();
+  return Reader_.has_value() || patient(steady_clock::now());
 }
 
 void PeerFollower::nameText(wire::StateT &Told) const {
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -50,6 +50,15 @@
     /// Silent readers that are tried before the service is asked. One that
     /// answers that it has lost the service costs no time: another may have it.
     std::size_t MostTries_ = 2;
+    /// While no reader has the service, they are asked on for this long since
+    /// the last good answer: a reader that lost its watch is back within it,
+    /// and an outage is one for all. Hundreds of followers that look for
+    /// themselves would be the largest load that the service ever gets, just
+    /// when it is back. Bounds how long a leaving server may stay unheard of
+    /// where the service turns only the readers away.
+    std::chrono::milliseconds PatientTime_{1000};
+    /// After this time a reader that said so itself is asked again.
+    std::chrono::milliseconds AskAgainTime_{250};
     /// After this time a reader that failed is tried again.
     std::chrono::milliseconds TryAgainTime_{1000};
     /// A daemon that starts reads the service first, for this long: until those
@@ -81,7 +90,7 @@
   void onLinkDown(const VmId &Reader);
   /// True while an answer of this daemon is awaited.
   bool awaiting(const VmId &Reader) const;
-  /// True unless a reader is followed that does not answer.
+  /// False once no reader answers, or none has had the service for a while.
   bool inTouch() const;
   /// The daemon that is followed, if any.
   const std::optional<VmId> &reader() const { return Reader_; }
@@ -112,6 +121,8 @@
   std::optional<VmId> pickReader(const std::vector<VmId> &Readers) const;
   /// Whether another daemon is to be followed at all.
   bool needsReader() const;
+  /// The service is left alone for now, though no reader has it.
+  bool patient(TimePoint Now) const;
   void readService(bool AfterOutage);
   void onAnswer(const VmId &From, const wire::StateT &Told);
   /// Whether the reader has a configuration that is not in force here.
@@ -135,6 +146,7 @@
   TimePoint Started_;
   std::optional<VmId> Reader_;
   TimePoint FollowedSince_;
+  TimePoint LastAnswer_;
   /// What of the reader's changes is known here.
   std::uint64_t ReaderProcess_ = 0;
   std::uint64_t ReaderNumber_ = 0;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -78,6 +78,11 @@
                                     : Options_.ConfirmTime_;
 }
 
+milliseconds StoreFollower::firstPause() const {
+  return Role_ == StoreRole::Spare ? Options_.SpareFirstPause_
+                                   : Options_.FirstPause_;
+}
+
 milliseconds StoreFollower::longestPause() const {
   return Role_ == StoreRole::Spare ? Options_.SpareLongestPause_
                                    : Options_.LongestPause_;
@@ -213,8 +218,7 @@
   View_.outageBegan();
   constexpr int MostDoublings = 5;
   int Doublings = std::min(Failures_ - 2, MostDoublings);
-  co_await sleep(
-      std::min(Options_.FirstPause_ * (1 << Doublings), longestPause()));
+  co_await sleep(std::min(firstPause() * (1 << Doublings), longestPause()));
 }
 
 Awaitable<Result<void>> StoreFollower::listAll() {
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -48,7 +48,8 @@
     std::chrono::milliseconds FirstPause_{100};
     std::chrono::milliseconds LongestPause_{400};
     /// The same at a daemon that follows another one as soon as that has the
-    /// service back: each failed call counts too.
+    /// service back: each failed call counts too, and there are hundreds.
+    std::chrono::milliseconds SpareFirstPause_{1000};
     std::chrono::milliseconds SpareLongestPause_{2000};
   };
 
@@ -95,6 +96,7 @@
   void applyDirectory();
   Awaitable<void> failed(const Failure &Cause);
   std::chrono::milliseconds confirmTime() const;
+  std::chrono::milliseconds firstPause() const;
   std::chrono::milliseconds longestPause() const;
 
   boost::asio::io_context &Control_;
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -86,6 +86,7 @@
     Options.FirstGatherTime_ = milliseconds(10);
     Options.FirstPause_ = milliseconds(5);
     Options.LongestPause_ = milliseconds(10);
+    Options.SpareFirstPause_ = milliseconds(20);
     Options.SpareLongestPause_ = milliseconds(50);
     Service_ = std::make_unique<StoreFollower>(
         Context, platform::storeHooks(Store.address(), milliseconds(50)), View_,
@@ -97,6 +98,8 @@
     PeerOptions.TryAgainTime_ = milliseconds(100);
     PeerOptions.SettleTime_ = milliseconds(50);
     PeerOptions.StayTime_ = milliseconds(400);
+    PeerOptions.PatientTime_ = milliseconds(200);
+    PeerOptions.AskAgainTime_ = milliseconds(20);
     Hooks.Choose_ = [this] { return Choice_; };
     static std::uint64_t Process = 0;
     Peers_ = std::make_unique<PeerFollower>(Context, Incarnation(++Process),
@@ -439,6 +442,30 @@
   CHECK(Test.calls() == Calls);
 }
 
+TEST_CASE("a short outage of the service is waited for with the readers") {
+  // Symptom: the service gets ten calls from each daemon of a fleet of hundreds
+  // in the seconds in which it is away and comes back.
+  // Sequence: all readers lose it for a moment, and have it back.
+  // Cause: each follower looked for itself as soon as no reader had it.
+  Fleet Test;
+  Daemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  auto Calls = Test.calls();
+  for (const char *Name : {"first", "second", "third"})
+    Test.storeOf(Name).FailWith_ = 503;
+  bool Lost = Test.runUntil([&] { return !Spare.Peers_->reader(); });
+  for (const char *Name : {"first", "second", "third"})
+    Test.storeOf(Name).FailWith_ = 0;
+  CHECK(Lost);
+  CHECK(Test.runUntil([&] { return Spare.Peers_->reader().has_value(); }));
+  CHECK(Spare.Service_->paused());
+  CHECK(Test.calls() == Calls);
+  // A longer one is not: some only seem to be the service's.
+  for (const char *Name : {"first", "second", "third"})
+    Test.storeOf(Name).FailWith_ = 503;
+  CHECK(Test.runUntil([&] { return !Spare.Service_->paused(); }));
+}
+
 TEST_CASE("a reader that is behind brings no leaving server back") {
   Fleet Test;
   Daemon &Spare = Test["spare"];
