--- a/Source/Process/Keeping/Cell.cpp
+++ b/Source/Process/Keeping/Cell.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -56,11 +55,10 @@
   std::uint32_t Count = cellCount(Whole);
   if (Count == 1)
     return 0;
-  auto Weighted =
-      Whole.Servers_ | std::views::transform([Key](const auto &One) {
-        return std::pair(stableHash(One.Name_.str(), Key), &One);
-      });
-  const BackendServer *Chosen = std::ranges::max(Weighted).second;
+  auto Weight = [Key](const BackendServer &Server) {
+    return stableHash(Server.Name_.str(), Key);
+  };
+  auto Chosen = std::ranges::max_element(Whole.Servers_, {}, Weight);
   return cellOf(Chosen->Name_, Count);
 }
 
