--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -243,6 +243,33 @@
 mutate followed-outage $S/Process/Configuration/StoreFollower.cpp \
   's/(minutes later, would keep servers then\n.*\n)  View_\.outageEnded\(\);/$1/' \
   ${U}platform '*follows one that reads again*'
+mutate cells-by-size $S/Process/Keeping/Cell.cpp \
+  's/(  std::uint32_t Count = cellCount\(Whole\);\n  if \(Count == 1\)\n    return 0;)/$1\n  return static_cast<std::uint32_t>(Key % Count);/' \
+  ${U}Process '*get requests as they have servers*'
+mutate strong-readers $S/Process/Configuration/StoreReaders.cpp \
+  's/std::size_t Strength = [^;]*;/std::size_t Strength = 1;/' \
+  ${U}Process '*fleet of hundreds few read*'
+mutate news-first $S/Process/Membership/MemberTable.cpp \
+  's/return std::pair\(!isNews\(\*Known, Now\), Known->Sent_\);/return std::pair(false, Known->Sent_);/' \
+  ${U}MembershipFleet '*death is known to all*'
+mutate suspect-probers $S/Process/Membership/MemberTable.cpp \
+  's/double Chance = [^;]*;/double Chance = 1;/' \
+  ${U}MembershipFleet '*probed by a few*'
+mutate suspect-time $S/Process/Membership/MemberTable.cpp \
+  's/Options_\.SuspectTimePerDoubling_ \* Doublings/Options_.SuspectTimePerDoubling_ * 0 * Doublings/' \
+  ${U}MembershipFleet '*lost datagrams kill nobody*'
+mutate dead-probes $S/Process/Membership/MemberTable.cpp \
+  's/if \(!LastReturn_ \|\|/if (true ||/' \
+  ${U}MembershipFleet '*after a partition*'
+mutate reader-stays $S/Process/Configuration/PeerFollower.cpp \
+  's/bool Stays = Reader_ &&/bool Stays = false \&\& Reader_ \&\&/' \
+  ${U}platform '*is followed for a while*'
+mutate reader-confirms $S/Process/Configuration/StoreFollower.cpp \
+  's/if \(Becomes\)/if (false)/' \
+  ${U}platform '*becomes a reader*'
+mutate patient-followers $S/Process/Configuration/PeerFollower.cpp \
+  's/return Role_ == StoreRole::Spare && Service_\.paused\(\) &&/return false \&\&/' \
+  ${U}platform '*short outage of the service*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
--- a/UnitTests/Connection/SpawnTest.cpp
+++ b/UnitTests/Connection/SpawnTest.cpp
@@ -4,14 +4,11 @@
 #include "Connection/Spawn.h"
 
 #include "Connection/Http.h"
+#include "UnitTests/LogCapture.h"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
-#include <spdlog/sinks/ostream_sink.h>
-#include <spdlog/spdlog.h>
 
-#include <memory>
-#include <sstream>
 #include <stdexcept>
 #include <string>
 
@@ -21,10 +18,7 @@
   // Symptom: a daemon hears of no change any more, and says nothing.
   // Sequence: the coroutine that follows the store is left by an exception.
   // Cause: nobody waits for it, and what left it was dropped.
-  std::ostringstream Lines;
-  auto Before = spdlog::default_logger();
-  spdlog::set_default_logger(std::make_shared<spdlog::logger>(
-      "test", std::make_shared<spdlog::sinks::ostream_sink_mt>(Lines)));
+  tests::LogCapture Log;
   boost::asio::io_context Context;
   spawnLogged(Context, "some-watch", []() -> Awaitable<void> {
     throw std::runtime_error("what went wrong");
@@ -32,8 +26,7 @@
   });
   spawnLogged(Context, "calm", []() -> Awaitable<void> { co_return; });
   Context.run();
-  spdlog::set_default_logger(Before);
-  std::string Said = Lines.str();
+  std::string Said = Log.text();
   CHECK(Said.find("coroutine-failed") != std::string::npos);
   CHECK(Said.find("some-watch") != std::string::npos);
   CHECK(Said.find("what went wrong") != std::string::npos);
--- a/UnitTests/platform/StoreViewTest.cpp
+++ b/UnitTests/platform/StoreViewTest.cpp
@@ -1,5 +1,6 @@
 #include "Process/Configuration/StoreView.h"
 
+#include "UnitTests/LogCapture.h"
 #include "platform/Configuration.h"
 
 #include <doctest/doctest.h>
@@ -82,3 +83,22 @@
   REQUIRE(Changes.Entries_.size() == 1);
   CHECK(Changes.Entries_.front().Revision_ == Revision(40));
 }
+
+TEST_CASE("a large directory is told in one line, a single server in its own") {
+  Follower Test;
+  tests::LogCapture Log;
+  KeyValueList All;
+  All.Entries_ = {configuration()};
+  for (int Index = 0; Index < 300; ++Index)
+    All.Entries_.push_back(server(fmt::format("i-{}", Index), 5));
+  All.Revision_ = Revision(10);
+  Test.View_.listed(All);
+  Test.View_.publish();
+  CHECK(Log.count("server-seen") == 1);
+  CHECK(Log.count(R"("count":"300","servers":"i-0,i-1,)") == 1);
+  KeyValue Gone = server("i-7", 11);
+  Gone.Deleted_ = true;
+  Test.View_.apply(Gone);
+  Test.View_.publish();
+  CHECK(Log.count(R"("event":"server-gone","server":"i-7")") == 1);
+}
