--- a/Source/Process/Configuration/StoreReaders.h
+++ b/Source/Process/Configuration/StoreReaders.h
@@ -4,16 +4,13 @@
 /// Pure.
 ///
 /// Load pattern: every daemon that watches the service costs it a call for each
-/// change, and further ones to know that its configuration is the newest. With
-/// 89 daemons that was a hundred calls a second where eight readers need ten,
-/// and the service's rate does not grow with the fleet. Small fleets read all
-/// by themselves: a daemon that is followed may freeze, and what it would have
-/// told comes a second later.
+/// change, and further ones to know that its configuration is the newest, while
+/// the service's rate does not grow with the fleet. Small fleets read all by
+/// themselves: a daemon that is followed may freeze, and what it would have told
+/// comes a second later.
 ///
-/// Each call of the service is paid for, and what a fleet of hundreds pays for
-/// most is its readers' calls in calm. So there are few, on the strongest
-/// links: one of these tells as many followers as four of the weak do, and a
-/// change crosses it in a tenth of the time.
+/// Readers make most of the calls in calm. So there are few, on the strongest
+/// links: one of these tells as many followers as several weak ones, and sooner.
 
 #include "Process/Membership/MemberTable.h"
 
--- a/Source/Process/Keeping/KeeperChoice.h
+++ b/Source/Process/Keeping/KeeperChoice.h
@@ -3,8 +3,8 @@
 /// Remembers who keeps which cell. Pure.
 ///
 /// The choice looks at every member. Each request needs it, and each change of
-/// a member asks it again for all that wait and run: in a fleet of hundreds, on
-/// an eighth of a core, that took a tenth of the time while members changed.
+/// a member asks it again for all that wait and run: in a fleet of hundreds a
+/// weak VM would be busy with it just when members come and go.
 
 #include "Process/Keeping/Cell.h"
 #include "Process/Membership/MemberTable.h"
