--- a/UnitTests/Process/Configuration/StoreReadersTest.cpp
+++ b/UnitTests/Process/Configuration/StoreReadersTest.cpp
@@ -1,5 +1,7 @@
 #include "Process/Configuration/StoreReaders.h"
 
+#include "UnitTests/Process/MemberFleet.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -9,20 +11,10 @@
 #include <set>
 
 using namespace samphireshunt;
+using namespace samphireshunt::tests;
 
 namespace {
 
-std::vector<Member> fleet(int Count) {
-  std::vector<Member> Members;
-  for (int Index = 0; Index < Count; ++Index) {
-    Member Built;
-    Built.Id_ = VmId(fmt::format("vm-{}", Index));
-    Built.DataCenter_ = DataCenterName(fmt::format("dc-{}", Index % 4));
-    Members.push_back(std::move(Built));
-  }
-  return Members;
-}
-
 /// Of \p Count daemons, \p Strong with a link of 200 Mbit/s, the others of 20.
 std::vector<Member> fleetOfUnlikeLinks(int Count, int Strong) {
   constexpr std::uint32_t StrongMbps = 200;
--- a/UnitTests/Process/Keeping/CellTest.cpp
+++ b/UnitTests/Process/Keeping/CellTest.cpp
@@ -1,5 +1,7 @@
 #include "Process/Keeping/Cell.h"
 
+#include "UnitTests/Process/MemberFleet.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <rapidcheck.h>
@@ -9,19 +11,10 @@
 #include <set>
 
 using namespace samphireshunt;
+using namespace samphireshunt::tests;
 
 namespace {
 
-std::vector<Member> fleet(int Count) {
-  std::vector<Member> Members;
-  for (int Index = 0; Index < Count; ++Index) {
-    Member Built;
-    Built.Id_ = VmId(fmt::format("vm-{}", Index));
-    Members.push_back(std::move(Built));
-  }
-  return Members;
-}
-
 Pool poolOf(int Count) {
   Pool Whole;
   for (int Index = 0; Index < Count; ++Index) {
--- a/UnitTests/Process/Keeping/KeeperChoiceTest.cpp
+++ b/UnitTests/Process/Keeping/KeeperChoiceTest.cpp
@@ -1,22 +1,15 @@
 #include "Process/Keeping/KeeperChoice.h"
 
+#include "UnitTests/Process/MemberFleet.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
 using namespace samphireshunt;
+using namespace samphireshunt::tests;
 
 namespace {
 
-std::vector<Member> fleet(int Count) {
-  std::vector<Member> Members;
-  for (int Index = 0; Index < Count; ++Index) {
-    Member Built;
-    Built.Id_ = VmId(fmt::format("vm-{}", Index));
-    Members.push_back(std::move(Built));
-  }
-  return Members;
-}
-
 CellId cell(std::uint32_t Index) {
   return {ServiceName("s"), PoolName("p"), Index};
 }
