--- a/Source/Process/Configuration/StoreReaders.h
+++ b/Source/Process/Configuration/StoreReaders.h
@@ -6,11 +6,12 @@
 /// Load pattern: every daemon that watches the service costs it a call for each
 /// change, and further ones to know that its configuration is the newest, while
 /// the service's rate does not grow with the fleet. Small fleets read all by
-/// themselves: a daemon that is followed may freeze, and what it would have told
-/// comes a second later.
+/// themselves: a daemon that is followed may freeze, and what it would have
+/// told comes a second later.
 ///
 /// Readers make most of the calls in calm. So there are few, on the strongest
-/// links: one of these tells as many followers as several weak ones, and sooner.
+/// links: one of these tells as many followers as several weak ones, and
+/// sooner.
 
 #include "Process/Membership/MemberTable.h"
 
