Tell since when a daemon knows of a newer configuration

The record of the incident can't tell a daemon that knew of a newer version from one that did not: a request's line has the version in force and the age of its last confirmation only.

- A reader says how long ago it read the text that it names (text_age_ms); a follower that lacks the text keeps the moment (FreshnessLease::newerKnown).
- configuration-overdue, once for each text that is not here within the bound for changes (apply_bound_ms, the deployment's config-apply-ms, less 0.8 s in which readers hear of a change), with how many bytes of it came.

No decision is changed. The fleet of the follower tests moves to a header of its own.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -2791,6 +2791,7 @@
   std::vector<std::unique_ptr<samphireshunt::wire::StateEntryT>> entries{};
   uint64_t text_revision = 0;
   uint64_t text_size = 0;
+  uint32_t text_age_ms = 0;
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2812,7 +2813,8 @@
     VT_READS_SERVICE = 18,
     VT_ENTRIES = 20,
     VT_TEXT_REVISION = 22,
-    VT_TEXT_SIZE = 24
+    VT_TEXT_SIZE = 24,
+    VT_TEXT_AGE_MS = 26
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2854,6 +2856,10 @@
   uint64_t text_size() const {
     return GetField<uint64_t>(VT_TEXT_SIZE, 0);
   }
+  /// How long ago the sender read that text.
+  uint32_t text_age_ms() const {
+    return GetField<uint32_t>(VT_TEXT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2869,6 +2875,7 @@
            verifier.VerifyVectorOfTables(entries()) &&
            VerifyField<uint64_t>(verifier, VT_TEXT_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TEXT_SIZE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TEXT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2913,6 +2920,9 @@
   void add_text_size(uint64_t text_size) {
     fbb_.AddElement<uint64_t>(State::VT_TEXT_SIZE, text_size, 0);
   }
+  void add_text_age_ms(uint32_t text_age_ms) {
+    fbb_.AddElement<uint32_t>(State::VT_TEXT_AGE_MS, text_age_ms, 0);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2936,7 +2946,8 @@
     bool reads_service = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries = 0,
     uint64_t text_revision = 0,
-    uint64_t text_size = 0) {
+    uint64_t text_size = 0,
+    uint32_t text_age_ms = 0) {
   StateBuilder builder_(_fbb);
   builder_.add_text_size(text_size);
   builder_.add_text_revision(text_revision);
@@ -2944,6 +2955,7 @@
   builder_.add_after(after);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
+  builder_.add_text_age_ms(text_age_ms);
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
   builder_.add_sequence(sequence);
@@ -2964,7 +2976,8 @@
     bool reads_service = false,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries = nullptr,
     uint64_t text_revision = 0,
-    uint64_t text_size = 0) {
+    uint64_t text_size = 0,
+    uint32_t text_age_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
   return samphireshunt::wire::CreateState(
       _fbb,
@@ -2978,7 +2991,8 @@
       reads_service,
       entries__,
       text_revision,
-      text_size);
+      text_size,
+      text_age_ms);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4330,7 +4344,8 @@
         age_ms(o.age_ms),
         reads_service(o.reads_service),
         text_revision(o.text_revision),
-        text_size(o.text_size) {
+        text_size(o.text_size),
+        text_age_ms(o.text_age_ms) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -4347,6 +4362,7 @@
   std::swap(entries, o.entries);
   std::swap(text_revision, o.text_revision);
   std::swap(text_size, o.text_size);
+  std::swap(text_age_ms, o.text_age_ms);
   return *this;
 }
 
@@ -4370,6 +4386,7 @@
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<samphireshunt::wire::StateEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = text_revision(); _o->text_revision = _e; }
   { auto _e = text_size(); _o->text_size = _e; }
+  { auto _e = text_age_ms(); _o->text_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4391,6 +4408,7 @@
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateStateEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _text_revision = _o->text_revision;
   auto _text_size = _o->text_size;
+  auto _text_age_ms = _o->text_age_ms;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -4403,7 +4421,8 @@
       _reads_service,
       _entries,
       _text_revision,
-      _text_size);
+      _text_size,
+      _text_age_ms);
 }
 
 inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Configuration/DocumentTransfer.h
+++ b/Source/Process/Configuration/DocumentTransfer.h
@@ -81,6 +81,8 @@
   /// The reader is another one, or gone.
   void drop();
   Revision wanted() const { return Wanted_; }
+  /// Compressed bytes of it that are here.
+  std::size_t received() const { return Packed_.size(); }
 
 private:
   /// A part that did not come by then was lost with its link or its reader's
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -21,6 +21,14 @@
 /// may be full.
 constexpr milliseconds LookAgainTime{1};
 
+/// Rounded up, as messages carry it.
+std::uint32_t millisSince(BootTime Moment) {
+  auto Age = std::chrono::ceil<milliseconds>(BootClock::now() - Moment);
+  constexpr std::int64_t Most = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Age.count(), 0, Most));
+}
+
 ChangeLog::Changes changesOf(const wire::StateT &Told) {
   ChangeLog::Changes Changes;
   Changes.Complete_ = Told.complete;
@@ -191,6 +199,7 @@
     return passOver(From, Fault::Useless, "it is behind");
   ReaderProcess_ = Told.incarnation;
   ReaderNumber_ = Told.number;
+  noteLag(Told);
   if (Answer)
     onAnswer(From, Told);
   askForText(Told);
@@ -216,6 +225,23 @@
   return Transfer_.lacks(Revision(Told.text_revision), Held);
 }
 
+void PeerFollower::noteLag(const wire::StateT &Told) {
+  if (!lacksTextOf(Told))
+    return Freshness_.newestInForce();
+  BootTime Now = BootClock::now();
+  Freshness_.newerKnown(Now - milliseconds(Told.text_age_ms));
+  Revision Named(Told.text_revision);
+  if (!Freshness_.overdue(Now) || std::exchange(OverdueText_, Named) == Named)
+    return;
+  auto Behind = duration_cast<milliseconds>(Freshness_.behind(Now));
+  logEvent(LogCategory::Process, spdlog::level::warn, "configuration-overdue",
+           {{"reader", Reader_->str()},
+            {"revision", std::to_string(Named.count())},
+            {"size", std::to_string(Told.text_size)},
+            {"received", std::to_string(Transfer_.received())},
+            {"newer_known_ms", std::to_string(Behind.count())}});
+}
+
 void PeerFollower::askForText(const wire::StateT &Told) {
   if (!lacksTextOf(Told))
     return;
@@ -288,6 +314,7 @@
     return;
   Told.text_revision = Known->Revision_.count();
   Told.text_size = Known->Value_.size();
+  Told.text_age_ms = millisSince(View_.configurationReadAt());
 }
 
 wire::StateT PeerFollower::stateAfter(std::uint64_t Number, bool Apart) const {
@@ -296,10 +323,7 @@
   Told.number = View_.log().last();
   Told.after = Number;
   Told.revision = View_.revision().count();
-  auto Age = std::chrono::ceil<milliseconds>(Freshness_.age(BootClock::now()));
-  constexpr std::int64_t Most = std::numeric_limits<std::uint32_t>::max();
-  Told.age_ms = static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(Age.count(), 0, Most));
+  Told.age_ms = millisSince(Freshness_.confirmedAt());
   Told.reads_service = !Service_.paused() && Service_.platformReachable();
   std::string TextKey = Apart ? View_.layout().ConfigurationKey_ : "";
   ChangeLog::Changes Changes = View_.log().since(Number, TextKey);
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -127,6 +127,8 @@
   void onAnswer(const VmId &From, const wire::StateT &Told);
   /// Whether the reader has a configuration that is not in force here.
   bool lacksTextOf(const wire::StateT &Told) const;
+  /// Notes since when the reader has a configuration that is not here.
+  void noteLag(const wire::StateT &Told);
   void askForText(const wire::StateT &Told);
   void keepText();
   void adoptText(Revision Number, std::string Text);
@@ -170,6 +172,8 @@
   DocumentTransfer Transfer_;
   /// Of a text that is too long to be taken, as it was logged.
   Revision TooLong_;
+  /// Of a text that is overdue, as it was logged.
+  Revision OverdueText_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -240,6 +240,7 @@
   View_.listed(*Listed);
   After_ = Listed->Revision_;
   NeedsList_ = false;
+  Freshness_.newestInForce();
   Freshness_.renew(SentAt);
   proveFresh();
   co_return Result<void>();
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -185,6 +185,7 @@
     return;
   }
   ConfigurationRevision_ = Entry.Revision_;
+  ConfigurationReadAt_ = BootClock::now();
   if (!Documents_.adopt(Layout_.Service_, Read->Version_, Read->Document_))
     return;
   Log_.set(Entry);
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -76,6 +76,8 @@
   void advance(Revision Newer) { Revision_ = std::max(Revision_, Newer); }
   /// Of the configuration that was read last.
   Revision configurationRevision() const { return ConfigurationRevision_; }
+  /// When that was read; the clock's beginning before the first.
+  BootTime configurationReadAt() const { return ConfigurationReadAt_; }
   const ChangeLog &log() const { return Log_; }
   const StoreLayout &layout() const { return Layout_; }
 
@@ -96,6 +98,7 @@
   Revision Revision_;
   /// Of the configuration that was read last.
   Revision ConfigurationRevision_;
+  BootTime ConfigurationReadAt_;
   bool DirectoryChanged_ = false;
   /// Servers that were heard of and are not logged yet, with what is to be
   /// told.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -21,6 +21,8 @@
 /// Taken off the revocation bound, for what lies between the last look at the
 /// lease and the engine: the dispatch, and the network.
 constexpr milliseconds RevocationMargin{300};
+/// Taken off the bound for changes: within it readers know of each.
+constexpr milliseconds ApplyMargin{800};
 /// Least time for which a caller may leave its connection idle.
 constexpr milliseconds LeastIdleTimeout{30000};
 /// Callers count their idle time from another moment than this daemon.
@@ -42,6 +44,12 @@
       [](const auto &Value) -> const VmId & { return Value.Entry_; }, Taken);
 }
 
+/// How long a newer configuration may be known of and not be in force; 0: for
+/// ever.
+milliseconds applyTime(milliseconds Bound) {
+  return std::max(Bound - ApplyMargin, Bound / 2);
+}
+
 Scheduler::Options schedulingOptions(const Settings &Configured) {
   auto Taken = [&](std::string_view Name) {
     return std::ranges::count(Configured.LeftOut_, Name) == 0;
@@ -86,7 +94,8 @@
     : Settings_(std::move(Configured)), Adapter_(std::move(Adapter)),
       Freshness_(Settings_.RevocationBound_.count() > 0
                      ? Settings_.RevocationBound_ - RevocationMargin
-                     : milliseconds(0)),
+                     : milliseconds(0),
+                 applyTime(Settings_.ApplyBound_)),
       Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       MemberLog_(Control_),
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -46,6 +46,7 @@
   Root["draining"] = Draining_.load();
   Root["platformReachable"] = platformReachable();
   Root["configurationAgeMs"] = configurationAge().count();
+  Root["configurationBehindMs"] = millis(Freshness_.behind(BootClock::now()));
   if (PeerFollower_) {
     Root["follows"] = Follower_->paused() && PeerFollower_->reader()
                           ? Json(PeerFollower_->reader()->str())
@@ -126,6 +127,10 @@
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
   Metrics_.setGauge("configuration_age_seconds",
                     std::chrono::duration<double>(configurationAge()).count());
+  Metrics_.setGauge(
+      "configuration_behind_seconds",
+      std::chrono::duration<double>(Freshness_.behind(BootClock::now()))
+          .count());
   if (PeerFollower_)
     Metrics_.setGauge("followers",
                       static_cast<double>(PeerFollower_->followers()));
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -52,6 +52,9 @@
 ABSL_FLAG(std::string, log_output, "stdout", "stdout or stderr.");
 ABSL_FLAG(std::string, metrics_address, "",
           "IP:port that serves /metrics besides operators_address.");
+ABSL_FLAG(int, apply_bound_ms, 0,
+          "How long after its acceptance a configuration may not be in force "
+          "yet, in ms; 0: no bound.");
 ABSL_FLAG(int, revocation_bound_ms, 0,
           "How long a key may work that was taken away, in ms; 0: no bound.");
 ABSL_FLAG(std::string, admission, "tiers",
@@ -111,6 +114,7 @@
                                   "drain_quiet_ms",
                                   "log_output",
                                   "metrics_address",
+                                  "apply_bound_ms",
                                   "revocation_bound_ms",
                                   "admission",
                                   "repeat_ratio",
@@ -247,6 +251,8 @@
       "drain_quiet_ms", absl::GetFlag(FLAGS_drain_quiet_ms), 0, HourMs));
   Read.Metrics_ = Check.address("metrics_address",
                                 absl::GetFlag(FLAGS_metrics_address), false);
+  Read.ApplyBound_ = std::chrono::milliseconds(Check.number(
+      "apply_bound_ms", absl::GetFlag(FLAGS_apply_bound_ms), 0, HourMs));
   Read.RevocationBound_ = std::chrono::milliseconds(
       Check.number("revocation_bound_ms",
                    absl::GetFlag(FLAGS_revocation_bound_ms), 0, HourMs));
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -47,6 +47,9 @@
   /// How long a key may work that was taken away; 0: the configuration in
   /// force is always taken as the newest.
   std::chrono::milliseconds RevocationBound_{0};
+  /// How long after its acceptance a configuration may not be in force yet; 0:
+  /// no bound.
+  std::chrono::milliseconds ApplyBound_{0};
   /// Requests are served by their objectives, with a guaranteed part of each
   /// tier, rather than strictly by tier.
   bool ByObjective_ = false;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -132,6 +132,9 @@
   Fields.emplace_back(
       "confirmed_ms_ago",
       millisText(Context.Services_.Freshness_.age(BootClock::now())));
+  auto Behind = Context.Services_.Freshness_.behind(BootClock::now());
+  if (Behind.count() > 0)
+    Fields.emplace_back("newer_known_ms", millisText(Behind));
   Fields.emplace_back("tier", std::to_string(Context.Tier_.count()));
   Fields.emplace_back("servers", serversText(Context));
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
--- a/UnitTests/Process/Configuration/FreshnessLeaseTest.cpp
+++ b/UnitTests/Process/Configuration/FreshnessLeaseTest.cpp
@@ -42,3 +42,24 @@
   Lease.renew(Start);
   CHECK(Lease.valid(Start + std::chrono::hours(1)));
 }
+
+TEST_CASE("a configuration is overdue once a newer one is known of for the "
+          "bound, and not before") {
+  FreshnessLease Lease(seconds(5), seconds(2));
+  CHECK_FALSE(Lease.overdue(Start));
+  Lease.newerKnown(Start + seconds(1));
+  Lease.newerKnown(Start);
+  Lease.newerKnown(Start + seconds(2));
+  CHECK(Lease.behind(Start + seconds(1)) == seconds(1));
+  CHECK_FALSE(Lease.overdue(Start + seconds(1)));
+  CHECK(Lease.overdue(Start + seconds(2)));
+  Lease.newestInForce();
+  CHECK_FALSE(Lease.overdue(Start + seconds(9)));
+  CHECK(Lease.behind(Start + seconds(9)) == seconds(0));
+}
+
+TEST_CASE("without a bound for changes no configuration is overdue") {
+  FreshnessLease Lease(seconds(5));
+  Lease.newerKnown(Start);
+  CHECK_FALSE(Lease.overdue(Start + seconds(9)));
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -172,7 +172,7 @@
 
 ForwardingHarness::ForwardingHarness(Options Wanted,
                                      std::vector<ScriptOf> Servers)
-    : Options_(Wanted), Lease_(Wanted.Lease_) {
+    : Options_(Wanted), Lease_(Wanted.Lease_, Wanted.ApplyBound_) {
   for (ScriptOf &Decide : Servers)
     Servers_.push_back(
         std::make_unique<ScriptedServer>(Context_, std::move(Decide)));
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -101,6 +101,8 @@
     /// The route's.
     std::chrono::milliseconds Timeout_{3000};
     BootClock::duration Lease_{0};
+    /// How long a newer configuration may be known of; 0: for ever.
+    BootClock::duration ApplyBound_{0};
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -2,337 +2,20 @@
 /// A daemon that follows others instead of the platform's store, while these
 /// are well, frozen, behind, or have lost the store themselves.
 
-#include "Process/Configuration/PeerFollower.h"
+#include "UnitTests/platform/FollowerFleet.h"
 
-#include "UnitTests/platform/FakeStore.h"
-#include "platform/Configuration.h"
-#include "platform/Store.h"
-
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
-#include <fmt/format.h>
 
 #include <algorithm>
-#include <thread>
-#include <utility>
 #include <vector>
 
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
-using std::chrono::milliseconds;
-
-namespace {
-
-const ServiceName Service("platform");
-const PoolName ThePool("s");
-constexpr milliseconds Lease{1000};
-
-std::string route(std::size_t Index) {
-  return fmt::format(R"({{"name":"r-{0}","hostname":"h{0}.example",
-                         "prefix":"/p{0}/","kind":"safe","service":"s"}})",
-                     Index);
-}
-
-std::string configuration(int Version, std::size_t Routes = 0) {
-  std::vector<std::string> All;
-  for (std::size_t Index = 0; Index < Routes; ++Index)
-    All.push_back(route(Index));
-  return fmt::format(R"({{"version":{},"routes":[{}],
-                         "services":[{{"name":"s"}}],"limits":{{}}}})",
-                     Version, fmt::join(All, ","));
-}
-
-/// One of a given size, of digits that no packing makes small.
-std::string largeConfiguration(int Version, std::size_t Size) {
-  std::string Digits;
-  std::uint32_t Next = 1;
-  while (Digits.size() < Size) {
-    Next = Next * 1664525 + 1013904223;
-    Digits += fmt::format("{:08x}", Next);
-  }
-  std::string Text = configuration(Version);
-  Text.insert(1, fmt::format(R"("note":"{}",)", Digits));
-  return Text;
-}
-
-std::string serverEntry(const std::string &State) {
-  return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
-                         "state":"{}","batch-size":2,"version":"v1",
-                         "warmup-left-ms":0,"sequence":1}})",
-                     State);
-}
-
-/// One daemon's part of all this. Messages between daemons are handed over by
-/// the fixture.
-class Daemon {
-public:
-  Daemon(boost::asio::io_context &Context, FakeStore &Store, std::string Name,
-         ReaderChoice Choice, PeerFollower::Hooks Hooks)
-      : Choice_(std::move(Choice)), Freshness_(Lease),
-        View_(Documents_, platform::storeLayout(), milliseconds(150)) {
-    StoreView::Hooks ViewHooks;
-    ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
-      Service_->daemonSeen(Id, Entry);
-    };
-    ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
-    View_.setHooks(std::move(ViewHooks));
-    StoreFollower::Options Options;
-    Options.WatchTime_ = milliseconds(2000);
-    Options.ConfirmTime_ = milliseconds(200);
-    Options.ReaderConfirmTime_ = milliseconds(40);
-    Options.BehindTime_ = milliseconds(20);
-    Options.GatherTime_ = milliseconds(5);
-    Options.FirstGatherTime_ = milliseconds(10);
-    Options.FirstPause_ = milliseconds(5);
-    Options.LongestPause_ = milliseconds(10);
-    Options.SpareFirstPause_ = milliseconds(20);
-    Options.SpareLongestPause_ = milliseconds(50);
-    Service_ = std::make_unique<StoreFollower>(
-        Context, platform::storeHooks(Store.address(), milliseconds(50)), View_,
-        Freshness_, Options);
-    PeerFollower::Options PeerOptions;
-    PeerOptions.AskTime_ = milliseconds(40);
-    PeerOptions.AnswerTime_ = milliseconds(40);
-    PeerOptions.OldestAge_ = milliseconds(160);
-    PeerOptions.TryAgainTime_ = milliseconds(100);
-    PeerOptions.SettleTime_ = milliseconds(50);
-    PeerOptions.StayTime_ = milliseconds(400);
-    PeerOptions.PatientTime_ = milliseconds(200);
-    PeerOptions.AskAgainTime_ = milliseconds(20);
-    Hooks.Choose_ = [this] { return Choice_; };
-    static std::uint64_t Process = 0;
-    Peers_ = std::make_unique<PeerFollower>(Context, Incarnation(++Process),
-                                            *Service_, View_, Freshness_,
-                                            PeerOptions, std::move(Hooks));
-    Service_->start(VmId(Name), "10.0.0.9:7600");
-    Peers_->start();
-  }
-
-  bool isActive(const std::string &Name) const {
-    return Documents_.snapshot()->activeServer(Service, ThePool,
-                                               ServerName(Name)) != nullptr;
-  }
-  DocumentVersion version() const {
-    auto Snapshot = Documents_.snapshot();
-    const ServiceConfiguration *InForce = Snapshot->service(Service);
-    return InForce ? InForce->Version_ : DocumentVersion(0);
-  }
-  bool follows(const std::string &Reader) const {
-    return Service_->paused() && Peers_->reader() == VmId(Reader);
-  }
-
-  /// Whom it may follow; a test may change its mind.
-  ReaderChoice Choice_;
-  DocumentStore Documents_;
-  FreshnessLease Freshness_;
-  StoreView View_;
-  std::unique_ptr<StoreFollower> Service_;
-  std::unique_ptr<PeerFollower> Peers_;
-};
-
-/// Three readers, each with a store of its own that tells the same, so that one
-/// may lose it alone; and a daemon that follows them.
-class Fleet {
-public:
-  /// \p Small: all read the store, and "spare" follows only without it.
-  explicit Fleet(bool Small = false) {
-    put("op/config", configuration(3));
-    put("servers/i-1", serverEntry("ready"));
-    for (const char *Name : {"first", "second", "third"})
-      add(Name, *Stores_[Name],
-          {Small ? StoreRole::Alone : StoreRole::Reader, {}});
-    SpareChoice_ = {Small ? StoreRole::Alone : StoreRole::Spare,
-                    {VmId("first"), VmId("second")}};
-    startSpare();
-  }
-  /// Starts the daemon that follows, maybe once more.
-  void startSpare() {
-    if (Daemons_.contains("spare"))
-      Daemons_["spare"]->Service_->stop();
-    Retired_.push_back(std::move(Daemons_["spare"]));
-    add("spare", SpareStore_, SpareChoice_);
-  }
-  void put(const std::string &Key, const std::string &Value) {
-    for (auto &[Name, Store] : Stores_)
-      Store->put(Key, Value);
-    SpareStore_.put(Key, Value);
-  }
-  Daemon &operator[](const std::string &Name) { return *Daemons_.at(Name); }
-  FakeStore &storeOf(const std::string &Reader) { return *Stores_.at(Reader); }
-  bool runUntil(const std::function<bool()> &Done) {
-    return tests::runUntil(Context_, Done);
-  }
-  void runFor(milliseconds Time) {
-    auto End = std::chrono::steady_clock::now() + Time;
-    tests::runUntil(Context_,
-                    [End] { return std::chrono::steady_clock::now() >= End; });
-  }
-  std::size_t calls() const {
-    return SpareStore_.calls("/-/kv-range") + SpareStore_.calls("/-/kv-watch");
-  }
-
-  boost::asio::io_context Context_;
-  FakeStore SpareStore_{Context_};
-  std::map<std::string, std::unique_ptr<FakeStore>> Stores_ = makeStores();
-  /// Daemons that neither hear nor answer others.
-  std::set<std::string> Frozen_;
-  /// The next so many messages that readers send by themselves are lost.
-  int LosePushes_ = 0;
-  /// Parts of a text that daemons send are lost while this is set.
-  bool LoseParts_ = false;
-  /// This many parts come with a wrong byte.
-  int SpoilParts_ = 0;
-  int Parts_ = 0;
-  /// What the last text of which a part came takes in all.
-  std::size_t PackedSize_ = 0;
-  /// Questions that asked for texts apart.
-  int AskedApart_ = 0;
-  /// One of the two is of an earlier version, which knows nothing of texts that
-  /// are told apart.
-  bool Mixed_ = false;
-  /// The longest message that a daemon has sent to another.
-  std::size_t LongestMessage_ = 0;
-  /// What a daemon's link carries in a millisecond; the others' carry all.
-  std::map<std::string, std::size_t> BytesPerMs_;
-  /// What each daemon has sent, in bytes.
-  std::map<std::string, std::size_t> Sent_;
-  std::map<std::string, std::unique_ptr<Daemon>> Daemons_;
-  /// Their calls may still be under way.
-  std::vector<std::unique_ptr<Daemon>> Retired_;
-  ReaderChoice SpareChoice_;
-
-private:
-  std::map<std::string, std::unique_ptr<FakeStore>> makeStores() {
-    std::map<std::string, std::unique_ptr<FakeStore>> Stores;
-    for (const char *Name : {"first", "second", "third"})
-      Stores[Name] = std::make_unique<FakeStore>(Context_);
-    return Stores;
-  }
-  void add(const std::string &Name, FakeStore &Store, ReaderChoice Choice) {
-    PeerFollower::Hooks Hooks;
-    auto Pass = [this, Name](const VmId &To, std::string Message) {
-      send(Name, To, std::move(Message));
-    };
-    Hooks.Send_ = Pass;
-    Hooks.Reply_ = Pass;
-    Daemons_[Name] = std::make_unique<Daemon>(Context_, Store, Name,
-                                              std::move(Choice), Hooks);
-  }
-  void send(const std::string &From, const VmId &To, std::string Message) {
-    Sent_[From] += Message.size();
-    auto Deliver = [this, From, To, Message] {
-      deliver(From, To.str(), Message);
-    };
-    if (auto Slow = BytesPerMs_.find(From); Slow != BytesPerMs_.end())
-      return carry(LinkFree_[From], Message.size() / Slow->second, Deliver);
-    boost::asio::post(Context_, Deliver);
-  }
-  /// A message waits for those that its sender's link still carries.
-  void carry(std::chrono::steady_clock::time_point &Free, std::size_t TakesMs,
-             const std::function<void()> &Deliver) {
-    Free = std::max(Free, std::chrono::steady_clock::now());
-    Free += milliseconds(TakesMs) + std::chrono::nanoseconds(1);
-    auto Timer = std::make_shared<boost::asio::steady_timer>(Context_, Free);
-    Timer->async_wait(
-        [Timer, Deliver](const boost::system::error_code &) { Deliver(); });
-  }
-  void deliver(const std::string &From, const std::string &To,
-               const std::string &Message) {
-    if (Frozen_.contains(From) || Frozen_.contains(To))
-      return;
-    LongestMessage_ = std::max(LongestMessage_, Message.size());
-    auto Decoded = decodeMessage(Message).value();
-    PeerFollower &Peers = *Daemons_.at(To)->Peers_;
-    if (auto *Asked = Decoded.body.AsFollow()) {
-      Asked->apart = Asked->apart && !Mixed_;
-      AskedApart_ += Asked->apart ? 1 : 0;
-      return Peers.onFollow(VmId(From), *Asked);
-    }
-    if (const auto *Text = Decoded.body.AsTextAsk())
-      return Peers.onTextAsk(VmId(From), *Text);
-    if (auto *Part = Decoded.body.AsTextPart())
-      return deliverPart(From, Peers, *Part);
-    const auto *Told = Decoded.body.AsState();
-    if (Told->sequence == 0 && LosePushes_ > 0) {
-      --LosePushes_;
-      return;
-    }
-    Peers.onState(VmId(From), *Told);
-  }
-  void deliverPart(const std::string &From, PeerFollower &Peers,
-                   wire::TextPartT &Part) {
-    if (LoseParts_)
-      return;
-    ++Parts_;
-    PackedSize_ = Part.packed_size;
-    if (SpoilParts_ > 0 && !Part.bytes.empty()) {
-      --SpoilParts_;
-      Part.bytes.back() ^= 0xff;
-    }
-    Peers.onTextPart(VmId(From), Part);
-  }
-
-  /// When a daemon's link has carried all that it was given.
-  std::map<std::string, std::chrono::steady_clock::time_point> LinkFree_;
-};
-
-/// A daemon that follows one of two readers. These answer at once; only the
-/// daemon itself is ever paused.
-class LoneFollower {
-public:
-  LoneFollower() {
-    Store_.put("op/config", configuration(3));
-    PeerFollower::Hooks Hooks;
-    Hooks.Send_ = [this](const VmId &To, const std::string &Message) {
-      ++Questions_[To.str()];
-      answer(To, decodeMessage(Message).value().body.AsFollow()->sequence);
-    };
-    Hooks.Reply_ = [](const VmId &, const std::string &) {};
-    Self_ = std::make_unique<Daemon>(
-        Context_, Store_, "spare",
-        ReaderChoice{StoreRole::Spare, {VmId("first"), VmId("second")}},
-        std::move(Hooks));
-  }
-  bool runUntil(const std::function<bool()> &Done) {
-    return tests::runUntil(Context_, Done);
-  }
-
-  boost::asio::io_context Context_;
-  FakeStore Store_{Context_};
-  /// For so long the daemon is not let run when the next answer has come.
-  milliseconds NextPause_{0};
-  /// How often each reader was asked.
-  std::map<std::string, int> Questions_;
-  std::unique_ptr<Daemon> Self_;
-
-private:
-  /// A frame is read in two steps: its length, then its bytes.
-  void answer(const VmId &From, std::uint32_t Sequence) {
-    boost::asio::post(Context_, [this, From, Sequence] {
-      std::this_thread::sleep_for(std::exchange(NextPause_, milliseconds(0)));
-      boost::asio::post(Context_, [this, From, Sequence] {
-        boost::asio::post(Context_, [this, From, Sequence] {
-          wire::StateT Told;
-          Told.sequence = Sequence;
-          Told.incarnation = 1;
-          Told.number = 1;
-          Told.revision = 1000;
-          Told.complete = true;
-          Told.reads_service = true;
-          Self_->Peers_->onState(From, Told);
-        });
-      });
-    });
-  }
-};
-
-} // namespace
 
 TEST_CASE("a daemon that follows another hears all changes and leaves the "
           "service alone") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.runFor(milliseconds(50));
   auto Calls = Test.calls();
@@ -354,7 +37,7 @@
   // Sequence: the daemon that it follows freezes; a server begins to leave.
   // Cause: nobody told it, and it did not ask anybody else.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.Frozen_.insert("first");
   Test.put("servers/i-1", serverEntry("draining"));
@@ -370,7 +53,7 @@
   // it knows only when its earlier, longer pause is over. Cause: to its
   // followers it looks as if it had lost the service until then.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   auto Calls = Test.calls();
   // The first proof of one that is alone would come within this time.
@@ -386,7 +69,7 @@
   // Sequence: the view of the members flaps, and with it the best reader.
   // Cause: the reader was chosen anew with each question.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   std::ranges::reverse(Spare.Choice_.Readers_);
   Test.runFor(milliseconds(150));
@@ -400,7 +83,7 @@
 TEST_CASE("with no reader left the service is read, and readers are followed "
           "again when they are back") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.Frozen_ = {"first", "second"};
   Test.put("servers/i-1", serverEntry("draining"));
@@ -415,7 +98,7 @@
   // Sequence: the reader is cut off from the service; its followers ask on.
   // Cause: an answer was taken for a confirmation, whatever its age.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.storeOf("first").Silent_ = true;
   CHECK(Test.runUntil([&] { return Spare.follows("second"); }));
@@ -432,7 +115,7 @@
   // Sequence: two of three readers lose it, and say so when they are asked.
   // Cause: two tries were enough, though each had taken no time.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Spare.Choice_.Readers_.push_back(VmId("third"));
   auto Calls = Test.calls();
@@ -448,7 +131,7 @@
   // Sequence: all readers lose it for a moment, and have it back.
   // Cause: each follower looked for itself as soon as no reader had it.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   auto Calls = Test.calls();
   for (const char *Name : {"first", "second", "third"})
@@ -468,7 +151,7 @@
 
 TEST_CASE("a reader that is behind brings no leaving server back") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   // The second one's store is partitioned: it knows nothing of the change.
   Test.storeOf("first").put("servers/i-1", serverEntry("draining"));
@@ -482,7 +165,7 @@
 
 TEST_CASE("a change that was lost on its way comes with the next answer") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.LosePushes_ = 1;
   Test.put("servers/i-2", serverEntry("ready"));
@@ -494,7 +177,7 @@
 
 TEST_CASE("servers that lapse in an outage stay, also for followers") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   for (const char *Name : {"first", "second"})
     Test.storeOf(Name).FailWith_ = 503;
@@ -522,7 +205,7 @@
   // Sequence: the service turns one daemon away; a server begins to leave.
   // Cause: it asked only the service.
   Fleet Test(true);
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.isActive("i-1"); }));
   Test.SpareStore_.FailWith_ = 503;
   for (const char *Name : {"first", "second"})
@@ -576,7 +259,7 @@
   // answers it at once.
   // Cause: old answers of two readers were taken for an outage of the service.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   REQUIRE(Spare.isActive("i-1"));
   auto Watches = Test.SpareStore_.calls("/-/kv-watch");
@@ -595,7 +278,7 @@
   // Cause: all of it came in one message, longer than an answer may take, and
   // nothing else got through meanwhile.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.put("op/config", largeConfiguration(5, 1000000));
   CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
@@ -605,7 +288,7 @@
 
 TEST_CASE("of a configuration that changed a little, little is sent") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   Test.put("op/config", largeConfiguration(5, 300000));
@@ -625,7 +308,7 @@
   // Cause: an answer of a reader was taken for a confirmation of what is in
   // force here, though the reader had a newer one.
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   Test.LoseParts_ = true;
@@ -645,7 +328,7 @@
 
 TEST_CASE("a text that comes wrong is asked for again, and not put in force") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   Test.SpoilParts_ = 1;
@@ -657,7 +340,7 @@
 TEST_CASE("the text comes from the next reader when the first one freezes in "
           "the middle of it") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   Test.put("op/config", largeConfiguration(5, 300000));
@@ -670,7 +353,7 @@
 
 TEST_CASE("a newer configuration takes the place of one that is under way") {
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   Test.put("op/config", largeConfiguration(5, 300000));
@@ -694,7 +377,7 @@
   // Cause: the text was left out of the changes for one that does not ask.
   Fleet Test;
   Test.Mixed_ = true;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   Test.put("op/config", largeConfiguration(5, 100000));
@@ -725,7 +408,7 @@
   constexpr std::size_t SlowLink = 1000;
   const std::string Large = configuration(5, Routes);
   Fleet Test;
-  Daemon &Spare = Test["spare"];
+  FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.put("op/config", Large);
   REQUIRE(Test.runUntil([&] {
