Serve nothing by a configuration that was replaced longer ago than the bound

What callers saw: requests ran by a version that had been replaced 5.6 s and 4.5 s before, at daemons that were in touch; the bound is 3 s.

Cause: the lease that bounds how old a configuration may be is looked at for requests with a key only. A daemon that knows of a newer version, and whose link is too full for its text, refuses those (code 213) and serves routes without a key by the old version for ever. Evidence: the record's readiness checks fail 4.8 s to 5.7 s after the acceptance, when the lease ends, and both wrong runs are on routes that need no key.

Ruled out: a lease that was renewed by an answer that did not stand for the new text (keys would have worked on); a request that kept an old configuration while it waited (21 ms and 0.8 s).

Now such a daemon answers 213 to all, and is unready, once a newer version has been known of for the bound; and it denies nothing (401, 404) as soon as it knows of one. A daemon that can't tell goes on serving routes without a key: an outage of the service alone is no reason to refuse these.

--- a/Source/Process/Configuration/FreshnessLease.h
+++ b/Source/Process/Configuration/FreshnessLease.h
@@ -61,7 +61,8 @@
       return BootClock::duration(0);
     return Now.time_since_epoch() - BootClock::duration(Since);
   }
-  /// The one in force should have been replaced by now.
+  /// The one in force should have been replaced by now: no request may be
+  /// decided by it, with a key or without.
   bool overdue(BootTime Now) const {
     return ApplyBound_.count() > 0 && behind(Now) >= ApplyBound_;
   }
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -37,8 +37,9 @@
 /// While no daemon is in touch, the balancer sends to all of them.
 bool Daemon::isTakingCallers() const {
   bool InTouch = Configuration_ || PeerFollower_->inTouch();
-  return isReady() && !Draining_ && InTouch &&
-         Freshness_.valid(BootClock::now());
+  BootTime Now = BootClock::now();
+  return isReady() && !Draining_ && InTouch && Freshness_.valid(Now) &&
+         !Freshness_.overdue(Now);
 }
 
 bool Daemon::configurationReady() {
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -112,6 +112,8 @@
 std::optional<Verdict> CallerService::check(RequestContext &Context) {
   if (!IsReady_())
     return refused(ResultCode::NotReady);
+  if (Services_.Freshness_.overdue(BootClock::now()))
+    return refused(ResultCode::ConfigurationStale, "a newer one is overdue");
   if (auto Refusal = checkRoute(Context))
     return Refusal;
   if (Context.Route_->Forwarding_)
@@ -151,10 +153,13 @@
 }
 
 /// What this daemon does not know may have been added since: while it can't
-/// tell whether its configuration is the newest, it does not deny anything.
+/// tell whether its configuration is the newest, or knows that it is not, it
+/// does not deny anything.
 Verdict CallerService::refusedIfFresh(ResultCode Code,
                                       std::string Detail) const {
-  bool Fresh = Services_.Freshness_.valid(BootClock::now());
+  BootTime Now = BootClock::now();
+  bool Fresh = Services_.Freshness_.valid(Now) &&
+               Services_.Freshness_.behind(Now).count() == 0;
   return refused(Fresh ? Code : ResultCode::ConfigurationStale,
                  std::move(Detail));
 }
