Overdue also at a daemon that reads the service, and on the product's own platform

The same class in two more places: a daemon knows of a newer configuration and goes on by the old one. - A daemon that reads the service itself, while a full link carries a large answer for longer than the bound. Only while an answer comes: a change that was told of just before an outage may be any key's, and refusing for it would stop what needs no confirmation. - Documents of the product's own: a version heard of by gossip that no peer hands over.

--- a/Source/Process/Configuration/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -16,10 +16,11 @@
 
 ConfigurationSync::ConfigurationSync(asio::io_context &Control,
                                      PlatformHooks Platform,
-                                     DocumentStore &Documents, Options Settings,
-                                     Hooks Reactions)
+                                     DocumentStore &Documents,
+                                     FreshnessLease &Freshness,
+                                     Options Settings, Hooks Reactions)
     : Control_(Control), Platform_(std::move(Platform)), Documents_(Documents),
-      Options_(Settings), Hooks_(std::move(Reactions)),
+      Freshness_(Freshness), Options_(Settings), Hooks_(std::move(Reactions)),
       Started_(steady_clock::now()) {}
 
 void ConfigurationSync::start() {
@@ -72,6 +73,7 @@
   auto &Newest = NewestHeard_[Service];
   Newest = std::max(Newest, Decoded->Version_);
   Documents_.adopt(Service, *Decoded);
+  noteLag();
 }
 
 void ConfigurationSync::versionSeen(const VmId &From,
@@ -86,6 +88,23 @@
               : DocumentVersion(0);
   if (Version > Known)
     Hooks_.AskPeer_(From, Service);
+  noteLag();
+}
+
+bool ConfigurationSync::upToDate() const {
+  auto Snapshot = Documents_.snapshot();
+  return std::ranges::all_of(NewestHeard_, [&](const auto &Item) {
+    const ServiceConfiguration *InForce = Snapshot->service(Item.first);
+    return InForce &&
+           std::max(InForce->Version_, InForce->NotUnderstood_) >= Item.second;
+  });
+}
+
+void ConfigurationSync::noteLag() {
+  if (upToDate())
+    Freshness_.newestInForce();
+  else
+    Freshness_.newerKnown(BootClock::now());
 }
 
 Awaitable<void> ConfigurationSync::listVms() {
@@ -115,12 +134,7 @@
   bool Waited = steady_clock::now() - Started_ > Options_.JoinTime_;
   bool Joined =
       Hooks_.HeardFromPeer_() || (PlatformRead_ && (!ExpectsPeers_ || Waited));
-  bool UpToDate = std::ranges::all_of(NewestHeard_, [&](const auto &Item) {
-    const ServiceConfiguration *InForce = Snapshot->service(Item.first);
-    return InForce &&
-           std::max(InForce->Version_, InForce->NotUnderstood_) >= Item.second;
-  });
-  WasReady_ = Joined && UpToDate;
+  WasReady_ = Joined && upToDate();
   return WasReady_;
 }
 
--- a/Source/Process/Configuration/ConfigurationSync.h
+++ b/Source/Process/Configuration/ConfigurationSync.h
@@ -3,6 +3,7 @@
 /// Brings documents into force: from the platform by one watch, and from
 /// other daemons by the versions in their gossip. Runs on the control thread.
 
+#include "Process/Configuration/FreshnessLease.h"
 #include "Process/Configuration/Platform.h"
 #include "Version/DocumentStore.h"
 
@@ -32,8 +33,8 @@
   };
 
   ConfigurationSync(boost::asio::io_context &Control, PlatformHooks Platform,
-                    DocumentStore &Documents, Options Settings,
-                    Hooks Reactions);
+                    DocumentStore &Documents, FreshnessLease &Freshness,
+                    Options Settings, Hooks Reactions);
 
   void start();
   void stop() { Stopped_ = true; }
@@ -52,10 +53,14 @@
   Awaitable<void> listVms();
   Awaitable<void> pause(std::chrono::milliseconds Time);
   void adoptEntry(const KeyValue &Entry);
+  /// What is in force is as new as what was heard of.
+  bool upToDate() const;
+  void noteLag();
 
   boost::asio::io_context &Control_;
   PlatformHooks Platform_;
   DocumentStore &Documents_;
+  FreshnessLease &Freshness_;
   Options Options_;
   Hooks Hooks_;
   std::map<ServiceName, DocumentVersion> NewestHeard_;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -146,6 +146,8 @@
     if (Behind)
       co_await sleep(Options_.BehindTime_);
     bool Deaf = Behind && After_ < *Present;
+    if (!Paused_ && Deaf)
+      noteLargeAnswer();
     if (!Paused_ && (WasLost || Deaf) && !answerComes())
       startWatch();
   }
@@ -158,6 +160,12 @@
   return Platform_.AnswerComes_ && Platform_.AnswerComes_();
 }
 
+/// Only a configuration is so large that its answer comes for long.
+void StoreFollower::noteLargeAnswer() {
+  if (answerComes() && !Unproven_.empty())
+    Freshness_.newerKnown(Unproven_.begin()->second);
+}
+
 /// Reads one small entry, since each answer states the service's revision: what
 /// is taken in up to that is the newest. A large configuration that were read
 /// for this would fill a slow link for good; one would notice by a reader that
@@ -184,6 +192,8 @@
   std::for_each(Unproven_.begin(), Newer,
                 [this](const auto &Asked) { Freshness_.renew(Asked.second); });
   Unproven_.erase(Unproven_.begin(), Newer);
+  if (Unproven_.empty())
+    Freshness_.newestInForce();
 }
 
 void StoreFollower::succeeded() {
@@ -240,7 +250,6 @@
   View_.listed(*Listed);
   After_ = Listed->Revision_;
   NeedsList_ = false;
-  Freshness_.newestInForce();
   Freshness_.renew(SentAt);
   proveFresh();
   co_return Result<void>();
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -82,6 +82,8 @@
   /// All up to After_ is taken in.
   void proveFresh();
   void startWatch();
+  /// Notes since when a configuration that is not here yet is known of.
+  void noteLargeAnswer();
   /// The watch is not deaf: what it answers is on its way.
   bool answerComes() const;
   Awaitable<Result<void>> listAll();
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -326,7 +326,7 @@
     return Membership_->protocol().heardFromPeer();
   };
   Configuration_ = std::make_unique<ConfigurationSync>(
-      Control_, Platform_, Documents_, ConfigurationSync::Options(),
+      Control_, Platform_, Documents_, Freshness_, ConfigurationSync::Options(),
       std::move(Hooks));
   // Documents are taken as they were read until a newer one is seen.
   Freshness_.renew(BootClock::now());
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -270,6 +270,21 @@
 mutate patient-followers $S/Process/Configuration/PeerFollower.cpp \
   's/return Role_ == StoreRole::Spare && Service_\.paused\(\) &&/return false \&\&/' \
   ${U}platform '*short outage of the service*'
+mutate overdue-refused $S/Request/CallerService.cpp \
+  's/if \(Services_\.Freshness_\.overdue\(BootClock::now\(\)\)\)/if (false)/' \
+  ${U}OverdueConfiguration '*without a key*'
+mutate denied-while-behind $S/Request/CallerService.cpp \
+  's/ &&\s+Services_\.Freshness_\.behind\(Now\)\.count\(\) == 0//' \
+  ${U}OverdueConfiguration '*nothing is denied*'
+mutate lag-noted $S/Process/Configuration/PeerFollower.cpp \
+  's/  noteLag\(Told\);\n//' \
+  ${U}OverdueConfiguration '*does not come*'
+mutate slow-answer-noted $S/Process/Configuration/StoreFollower.cpp \
+  's/if \(answerComes\(\) &&/if (false \&\&/' \
+  ${U}platform '*answer comes slowly*'
+mutate peer-lag-noted $S/Process/Configuration/ConfigurationSync.cpp \
+  's/  noteLag\(\);\n\}\n\nbool/}\n\nbool/' \
+  ${U}Process '*heard of and does not come*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -27,6 +27,8 @@
                      Version);
 }
 
+constexpr milliseconds ApplyBound{200};
+
 /// A configuration of so many bytes and more.
 std::string largeConfiguration(int Version, std::size_t Bytes) {
   return configuration(Version) + std::string(Bytes, ' ');
@@ -45,7 +47,7 @@
       milliseconds WatchTime = milliseconds(2000),
       milliseconds LapseTime = StoreFollower::Options().LapseTime_)
       : WatchTime_(WatchTime), LapseTime_(LapseTime), Store_(Context_),
-        Freshness_(Lease),
+        Freshness_(Lease, ApplyBound),
         View_(Documents_, platform::storeLayout(), milliseconds(150)) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
@@ -353,6 +355,35 @@
   CHECK(Test.Follower_->platformReachable());
 }
 
+// A replaced configuration serves on while a full link carries the next one.
+TEST_CASE("a configuration whose answer comes slowly makes the one in force "
+          "overdue, until it is here") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  Test.Store_.BytesPerSecond_ = 100000;
+  Test.Store_.put("op/config", largeConfiguration(5, 60000));
+  auto IsOverdue = [&] { return Test.Freshness_.overdue(BootClock::now()); };
+  CHECK(Test.runUntil(IsOverdue));
+  CHECK(Test.version() == DocumentVersion(3));
+  CHECK(Test.runUntil([&] { return Test.version() == DocumentVersion(5); }));
+  CHECK(Test.runUntil([&] { return !IsOverdue(); }));
+}
+
+// An outage right after a change stops requests that need no confirmation.
+TEST_CASE("a change that was told of before an outage makes nothing overdue") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.Store_.calls("/-/kv-txn") == 1; }));
+  Test.Store_.DeafWatches_ = true;
+  Test.runFor(milliseconds(30));
+  auto Calls = Test.Store_.calls("/-/kv-range");
+  Test.Store_.put("servers/i-1", serverEntry("draining"));
+  REQUIRE(Test.runUntil(
+      [&] { return Test.Store_.calls("/-/kv-range") > Calls + 1; }));
+  Test.Store_.FailWith_ = 503;
+  Test.runFor(2 * ApplyBound);
+  CHECK_FALSE(Test.Freshness_.overdue(BootClock::now()));
+}
+
 TEST_CASE("a server that was removed while another daemon was followed is gone "
           "with the first list, unless an outage may have let it lapse") {
   // Symptom: requests are sent to a server seconds after the service said that
