--- a/Bench/AdoptionCost.cpp
+++ b/Bench/AdoptionCost.cpp
@@ -249,7 +249,7 @@
   std::uint64_t Revisions = 0;
   AllocationCount Count(State);
   for (auto Step : State) {
-    Entry.Revision_ = Revision(++Revisions);
+    Entry.Position_.Revision_ = Revision(++Revisions);
     Log.set(Entry);
   }
 }
--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -2589,7 +2589,7 @@
   uint32_t sequence = 0;
   uint64_t incarnation = 0;
   uint64_t number = 0;
-  bool apart = false;
+  bool text_apart = false;
 };
 
 /// Asks what a daemon that reads the platform's service believes, after a
@@ -2601,7 +2601,7 @@
     VT_SEQUENCE = 4,
     VT_INCARNATION = 6,
     VT_NUMBER = 8,
-    VT_APART = 10
+    VT_TEXT_APART = 12
   };
   /// Comes back with the answer.
   uint32_t sequence() const {
@@ -2614,17 +2614,17 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
-  /// The configuration's text is asked for apart; without this, as by daemons
-  /// of earlier versions, it comes among the entries.
-  bool apart() const {
-    return GetField<uint8_t>(VT_APART, 0) != 0;
+  /// The configuration's text is asked for apart, by its version; without this,
+  /// as by daemons of earlier versions, it comes among the entries.
+  bool text_apart() const {
+    return GetField<uint8_t>(VT_TEXT_APART, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
-           VerifyField<uint8_t>(verifier, VT_APART, 1) &&
+           VerifyField<uint8_t>(verifier, VT_TEXT_APART, 1) &&
            verifier.EndTable();
   }
   FollowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2645,8 +2645,8 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(Follow::VT_NUMBER, number, 0);
   }
-  void add_apart(bool apart) {
-    fbb_.AddElement<uint8_t>(Follow::VT_APART, static_cast<uint8_t>(apart), 0);
+  void add_text_apart(bool text_apart) {
+    fbb_.AddElement<uint8_t>(Follow::VT_TEXT_APART, static_cast<uint8_t>(text_apart), 0);
   }
   explicit FollowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2664,12 +2664,12 @@
     uint32_t sequence = 0,
     uint64_t incarnation = 0,
     uint64_t number = 0,
-    bool apart = false) {
+    bool text_apart = false) {
   FollowBuilder builder_(_fbb);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
   builder_.add_sequence(sequence);
-  builder_.add_apart(apart);
+  builder_.add_text_apart(text_apart);
   return builder_.Finish();
 }
 
@@ -2681,6 +2681,7 @@
   std::string value{};
   uint64_t revision = 0;
   bool deleted = false;
+  uint64_t era = 0;
 };
 
 struct StateEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2690,7 +2691,8 @@
     VT_KEY = 4,
     VT_VALUE = 6,
     VT_REVISION = 8,
-    VT_DELETED = 10
+    VT_DELETED = 10,
+    VT_ERA = 12
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -2704,6 +2706,10 @@
   bool deleted() const {
     return GetField<uint8_t>(VT_DELETED, 0) != 0;
   }
+  /// Of the service, when the entry was written.
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -2712,6 +2718,7 @@
            verifier.VerifyString(value()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   StateEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2735,6 +2742,9 @@
   void add_deleted(bool deleted) {
     fbb_.AddElement<uint8_t>(StateEntry::VT_DELETED, static_cast<uint8_t>(deleted), 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(StateEntry::VT_ERA, era, 0);
+  }
   explicit StateEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2751,8 +2761,10 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::String> value = 0,
     uint64_t revision = 0,
-    bool deleted = false) {
+    bool deleted = false,
+    uint64_t era = 0) {
   StateEntryBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_value(value);
   builder_.add_key(key);
@@ -2765,7 +2777,8 @@
     const char *key = nullptr,
     const char *value = nullptr,
     uint64_t revision = 0,
-    bool deleted = false) {
+    bool deleted = false,
+    uint64_t era = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateString(value) : 0;
   return samphireshunt::wire::CreateStateEntry(
@@ -2773,7 +2786,8 @@
       key__,
       value__,
       revision,
-      deleted);
+      deleted,
+      era);
 }
 
 flatbuffers::Offset<StateEntry> CreateStateEntry(flatbuffers::FlatBufferBuilder &_fbb, const StateEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2789,9 +2803,12 @@
   uint32_t age_ms = 0;
   bool reads_service = false;
   std::vector<std::unique_ptr<samphireshunt::wire::StateEntryT>> entries{};
-  uint64_t text_revision = 0;
   uint64_t text_size = 0;
   uint32_t text_age_ms = 0;
+  uint64_t text_version = 0;
+  uint64_t era = 0;
+  uint64_t era_first = 0;
+  uint32_t unconfirmed_ms = 0;
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2812,9 +2829,12 @@
     VT_AGE_MS = 16,
     VT_READS_SERVICE = 18,
     VT_ENTRIES = 20,
-    VT_TEXT_REVISION = 22,
     VT_TEXT_SIZE = 24,
-    VT_TEXT_AGE_MS = 26
+    VT_TEXT_AGE_MS = 26,
+    VT_TEXT_VERSION = 28,
+    VT_ERA = 30,
+    VT_ERA_FIRST = 32,
+    VT_UNCONFIRMED_MS = 34
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2837,7 +2857,7 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
-  /// How long ago the configuration was known to be the newest.
+  /// How long ago the service was asked last whose answer is taken in.
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
@@ -2848,11 +2868,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *>(VT_ENTRIES);
   }
-  /// Where the configuration's text is asked for apart: its revision and its
-  /// size in bytes; 0 is none.
-  uint64_t text_revision() const {
-    return GetField<uint64_t>(VT_TEXT_REVISION, 0);
-  }
+  /// Where the configuration's text is asked for apart: its size in bytes; 0 is
+  /// none.
   uint64_t text_size() const {
     return GetField<uint64_t>(VT_TEXT_SIZE, 0);
   }
@@ -2860,6 +2877,24 @@
   uint32_t text_age_ms() const {
     return GetField<uint32_t>(VT_TEXT_AGE_MS, 0);
   }
+  /// Of the configuration's document; 0 is none.
+  uint64_t text_version() const {
+    return GetField<uint64_t>(VT_TEXT_VERSION, 0);
+  }
+  /// Of the service, at `revision`.
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  /// The service's revision when the sender saw the era begin; 0 when it did
+  /// not.
+  uint64_t era_first() const {
+    return GetField<uint64_t>(VT_ERA_FIRST, 0);
+  }
+  /// How much longer than `age_ms` ago the configuration was known to be the
+  /// newest.
+  uint32_t unconfirmed_ms() const {
+    return GetField<uint32_t>(VT_UNCONFIRMED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2873,9 +2908,12 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
-           VerifyField<uint64_t>(verifier, VT_TEXT_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TEXT_SIZE, 8) &&
            VerifyField<uint32_t>(verifier, VT_TEXT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TEXT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA_FIRST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_UNCONFIRMED_MS, 4) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2914,15 +2952,24 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries) {
     fbb_.AddOffset(State::VT_ENTRIES, entries);
   }
-  void add_text_revision(uint64_t text_revision) {
-    fbb_.AddElement<uint64_t>(State::VT_TEXT_REVISION, text_revision, 0);
-  }
   void add_text_size(uint64_t text_size) {
     fbb_.AddElement<uint64_t>(State::VT_TEXT_SIZE, text_size, 0);
   }
   void add_text_age_ms(uint32_t text_age_ms) {
     fbb_.AddElement<uint32_t>(State::VT_TEXT_AGE_MS, text_age_ms, 0);
   }
+  void add_text_version(uint64_t text_version) {
+    fbb_.AddElement<uint64_t>(State::VT_TEXT_VERSION, text_version, 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(State::VT_ERA, era, 0);
+  }
+  void add_era_first(uint64_t era_first) {
+    fbb_.AddElement<uint64_t>(State::VT_ERA_FIRST, era_first, 0);
+  }
+  void add_unconfirmed_ms(uint32_t unconfirmed_ms) {
+    fbb_.AddElement<uint32_t>(State::VT_UNCONFIRMED_MS, unconfirmed_ms, 0);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2945,16 +2992,22 @@
     uint32_t age_ms = 0,
     bool reads_service = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>> entries = 0,
-    uint64_t text_revision = 0,
     uint64_t text_size = 0,
-    uint32_t text_age_ms = 0) {
+    uint32_t text_age_ms = 0,
+    uint64_t text_version = 0,
+    uint64_t era = 0,
+    uint64_t era_first = 0,
+    uint32_t unconfirmed_ms = 0) {
   StateBuilder builder_(_fbb);
+  builder_.add_era_first(era_first);
+  builder_.add_era(era);
+  builder_.add_text_version(text_version);
   builder_.add_text_size(text_size);
-  builder_.add_text_revision(text_revision);
   builder_.add_revision(revision);
   builder_.add_after(after);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
+  builder_.add_unconfirmed_ms(unconfirmed_ms);
   builder_.add_text_age_ms(text_age_ms);
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
@@ -2975,9 +3028,12 @@
     uint32_t age_ms = 0,
     bool reads_service = false,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> *entries = nullptr,
-    uint64_t text_revision = 0,
     uint64_t text_size = 0,
-    uint32_t text_age_ms = 0) {
+    uint32_t text_age_ms = 0,
+    uint64_t text_version = 0,
+    uint64_t era = 0,
+    uint64_t era_first = 0,
+    uint32_t unconfirmed_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
   return samphireshunt::wire::CreateState(
       _fbb,
@@ -2990,18 +3046,21 @@
       age_ms,
       reads_service,
       entries__,
-      text_revision,
       text_size,
-      text_age_ms);
+      text_age_ms,
+      text_version,
+      era,
+      era_first,
+      unconfirmed_ms);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct TextAskT : public flatbuffers::NativeTable {
   typedef TextAsk TableType;
-  uint64_t revision = 0;
-  uint64_t held = 0;
   uint32_t offset = 0;
+  uint64_t version = 0;
+  uint64_t held_version = 0;
 };
 
 /// Asks for a part of the configuration's text, compressed with an earlier text
@@ -3010,26 +3069,26 @@
   typedef TextAskT NativeTableType;
   typedef TextAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4,
-    VT_HELD = 6,
-    VT_OFFSET = 8
+    VT_OFFSET = 8,
+    VT_VERSION = 10,
+    VT_HELD_VERSION = 12
   };
-  uint64_t revision() const {
-    return GetField<uint64_t>(VT_REVISION, 0);
-  }
-  /// The text that the asking daemon holds; 0 is none.
-  uint64_t held() const {
-    return GetField<uint64_t>(VT_HELD, 0);
-  }
   /// Where the part begins in the compressed text.
   uint32_t offset() const {
     return GetField<uint32_t>(VT_OFFSET, 0);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  /// Of the text that the asking daemon holds; 0 is none.
+  uint64_t held_version() const {
+    return GetField<uint64_t>(VT_HELD_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
            VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_VERSION, 8) &&
            verifier.EndTable();
   }
   TextAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3041,15 +3100,15 @@
   typedef TextAsk Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(TextAsk::VT_REVISION, revision, 0);
-  }
-  void add_held(uint64_t held) {
-    fbb_.AddElement<uint64_t>(TextAsk::VT_HELD, held, 0);
-  }
   void add_offset(uint32_t offset) {
     fbb_.AddElement<uint32_t>(TextAsk::VT_OFFSET, offset, 0);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(TextAsk::VT_VERSION, version, 0);
+  }
+  void add_held_version(uint64_t held_version) {
+    fbb_.AddElement<uint64_t>(TextAsk::VT_HELD_VERSION, held_version, 0);
+  }
   explicit TextAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3063,12 +3122,12 @@
 
 inline flatbuffers::Offset<TextAsk> CreateTextAsk(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    uint64_t held = 0,
-    uint32_t offset = 0) {
+    uint32_t offset = 0,
+    uint64_t version = 0,
+    uint64_t held_version = 0) {
   TextAskBuilder builder_(_fbb);
-  builder_.add_held(held);
-  builder_.add_revision(revision);
+  builder_.add_held_version(held_version);
+  builder_.add_version(version);
   builder_.add_offset(offset);
   return builder_.Finish();
 }
@@ -3077,34 +3136,27 @@
 
 struct TextPartT : public flatbuffers::NativeTable {
   typedef TextPart TableType;
-  uint64_t revision = 0;
-  uint64_t held = 0;
   uint32_t offset = 0;
   uint32_t size = 0;
   uint64_t hash = 0;
   uint32_t packed_size = 0;
   std::vector<uint8_t> bytes{};
+  uint64_t version = 0;
+  uint64_t held_version = 0;
 };
 
 struct TextPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TextPartT NativeTableType;
   typedef TextPartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4,
-    VT_HELD = 6,
     VT_OFFSET = 8,
     VT_SIZE = 10,
     VT_HASH = 12,
     VT_PACKED_SIZE = 14,
-    VT_BYTES = 16
+    VT_BYTES = 16,
+    VT_VERSION = 18,
+    VT_HELD_VERSION = 20
   };
-  uint64_t revision() const {
-    return GetField<uint64_t>(VT_REVISION, 0);
-  }
-  /// The revision of the prefix; 0 is none.
-  uint64_t held() const {
-    return GetField<uint64_t>(VT_HELD, 0);
-  }
   uint32_t offset() const {
     return GetField<uint32_t>(VT_OFFSET, 0);
   }
@@ -3121,16 +3173,23 @@
   const flatbuffers::Vector<uint8_t> *bytes() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  /// Of the prefix; 0 is none.
+  uint64_t held_version() const {
+    return GetField<uint64_t>(VT_HELD_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
            VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
            VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyField<uint32_t>(verifier, VT_PACKED_SIZE, 4) &&
            VerifyOffset(verifier, VT_BYTES) &&
            verifier.VerifyVector(bytes()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_VERSION, 8) &&
            verifier.EndTable();
   }
   TextPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3142,12 +3201,6 @@
   typedef TextPart Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(TextPart::VT_REVISION, revision, 0);
-  }
-  void add_held(uint64_t held) {
-    fbb_.AddElement<uint64_t>(TextPart::VT_HELD, held, 0);
-  }
   void add_offset(uint32_t offset) {
     fbb_.AddElement<uint32_t>(TextPart::VT_OFFSET, offset, 0);
   }
@@ -3163,6 +3216,12 @@
   void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
     fbb_.AddOffset(TextPart::VT_BYTES, bytes);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(TextPart::VT_VERSION, version, 0);
+  }
+  void add_held_version(uint64_t held_version) {
+    fbb_.AddElement<uint64_t>(TextPart::VT_HELD_VERSION, held_version, 0);
+  }
   explicit TextPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3176,17 +3235,17 @@
 
 inline flatbuffers::Offset<TextPart> CreateTextPart(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    uint64_t held = 0,
     uint32_t offset = 0,
     uint32_t size = 0,
     uint64_t hash = 0,
     uint32_t packed_size = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    uint64_t version = 0,
+    uint64_t held_version = 0) {
   TextPartBuilder builder_(_fbb);
+  builder_.add_held_version(held_version);
+  builder_.add_version(version);
   builder_.add_hash(hash);
-  builder_.add_held(held);
-  builder_.add_revision(revision);
   builder_.add_bytes(bytes);
   builder_.add_packed_size(packed_size);
   builder_.add_size(size);
@@ -3196,23 +3255,23 @@
 
 inline flatbuffers::Offset<TextPart> CreateTextPartDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    uint64_t held = 0,
     uint32_t offset = 0,
     uint32_t size = 0,
     uint64_t hash = 0,
     uint32_t packed_size = 0,
-    const std::vector<uint8_t> *bytes = nullptr) {
+    const std::vector<uint8_t> *bytes = nullptr,
+    uint64_t version = 0,
+    uint64_t held_version = 0) {
   auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
   return samphireshunt::wire::CreateTextPart(
       _fbb,
-      revision,
-      held,
       offset,
       size,
       hash,
       packed_size,
-      bytes__);
+      bytes__,
+      version,
+      held_version);
 }
 
 flatbuffers::Offset<TextPart> CreateTextPart(flatbuffers::FlatBufferBuilder &_fbb, const TextPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4276,7 +4335,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = number(); _o->number = _e; }
-  { auto _e = apart(); _o->apart = _e; }
+  { auto _e = text_apart(); _o->text_apart = _e; }
 }
 
 inline flatbuffers::Offset<Follow> Follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FollowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4290,13 +4349,13 @@
   auto _sequence = _o->sequence;
   auto _incarnation = _o->incarnation;
   auto _number = _o->number;
-  auto _apart = _o->apart;
+  auto _text_apart = _o->text_apart;
   return samphireshunt::wire::CreateFollow(
       _fbb,
       _sequence,
       _incarnation,
       _number,
-      _apart);
+      _text_apart);
 }
 
 inline StateEntryT *StateEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4312,6 +4371,7 @@
   { auto _e = value(); if (_e) _o->value = _e->str(); }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = deleted(); _o->deleted = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<StateEntry> StateEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4326,12 +4386,14 @@
   auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
   auto _revision = _o->revision;
   auto _deleted = _o->deleted;
+  auto _era = _o->era;
   return samphireshunt::wire::CreateStateEntry(
       _fbb,
       _key,
       _value,
       _revision,
-      _deleted);
+      _deleted,
+      _era);
 }
 
 inline StateT::StateT(const StateT &o)
@@ -4343,9 +4405,12 @@
         revision(o.revision),
         age_ms(o.age_ms),
         reads_service(o.reads_service),
-        text_revision(o.text_revision),
         text_size(o.text_size),
-        text_age_ms(o.text_age_ms) {
+        text_age_ms(o.text_age_ms),
+        text_version(o.text_version),
+        era(o.era),
+        era_first(o.era_first),
+        unconfirmed_ms(o.unconfirmed_ms) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -4360,9 +4425,12 @@
   std::swap(age_ms, o.age_ms);
   std::swap(reads_service, o.reads_service);
   std::swap(entries, o.entries);
-  std::swap(text_revision, o.text_revision);
   std::swap(text_size, o.text_size);
   std::swap(text_age_ms, o.text_age_ms);
+  std::swap(text_version, o.text_version);
+  std::swap(era, o.era);
+  std::swap(era_first, o.era_first);
+  std::swap(unconfirmed_ms, o.unconfirmed_ms);
   return *this;
 }
 
@@ -4384,9 +4452,12 @@
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = reads_service(); _o->reads_service = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<samphireshunt::wire::StateEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = text_revision(); _o->text_revision = _e; }
   { auto _e = text_size(); _o->text_size = _e; }
   { auto _e = text_age_ms(); _o->text_age_ms = _e; }
+  { auto _e = text_version(); _o->text_version = _e; }
+  { auto _e = era(); _o->era = _e; }
+  { auto _e = era_first(); _o->era_first = _e; }
+  { auto _e = unconfirmed_ms(); _o->unconfirmed_ms = _e; }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4406,9 +4477,12 @@
   auto _age_ms = _o->age_ms;
   auto _reads_service = _o->reads_service;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateStateEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _text_revision = _o->text_revision;
   auto _text_size = _o->text_size;
   auto _text_age_ms = _o->text_age_ms;
+  auto _text_version = _o->text_version;
+  auto _era = _o->era;
+  auto _era_first = _o->era_first;
+  auto _unconfirmed_ms = _o->unconfirmed_ms;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -4420,9 +4494,12 @@
       _age_ms,
       _reads_service,
       _entries,
-      _text_revision,
       _text_size,
-      _text_age_ms);
+      _text_age_ms,
+      _text_version,
+      _era,
+      _era_first,
+      _unconfirmed_ms);
 }
 
 inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4434,9 +4511,9 @@
 inline void TextAsk::UnPackTo(TextAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = revision(); _o->revision = _e; }
-  { auto _e = held(); _o->held = _e; }
   { auto _e = offset(); _o->offset = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = held_version(); _o->held_version = _e; }
 }
 
 inline flatbuffers::Offset<TextAsk> TextAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TextAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4447,14 +4524,14 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TextAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _revision = _o->revision;
-  auto _held = _o->held;
   auto _offset = _o->offset;
+  auto _version = _o->version;
+  auto _held_version = _o->held_version;
   return samphireshunt::wire::CreateTextAsk(
       _fbb,
-      _revision,
-      _held,
-      _offset);
+      _offset,
+      _version,
+      _held_version);
 }
 
 inline TextPartT *TextPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4466,13 +4543,13 @@
 inline void TextPart::UnPackTo(TextPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = revision(); _o->revision = _e; }
-  { auto _e = held(); _o->held = _e; }
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = size(); _o->size = _e; }
   { auto _e = hash(); _o->hash = _e; }
   { auto _e = packed_size(); _o->packed_size = _e; }
   { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = held_version(); _o->held_version = _e; }
 }
 
 inline flatbuffers::Offset<TextPart> TextPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TextPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4483,22 +4560,22 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TextPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _revision = _o->revision;
-  auto _held = _o->held;
   auto _offset = _o->offset;
   auto _size = _o->size;
   auto _hash = _o->hash;
   auto _packed_size = _o->packed_size;
   auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  auto _version = _o->version;
+  auto _held_version = _o->held_version;
   return samphireshunt::wire::CreateTextPart(
       _fbb,
-      _revision,
-      _held,
       _offset,
       _size,
       _hash,
       _packed_size,
-      _bytes);
+      _bytes,
+      _version,
+      _held_version);
 }
 
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -136,6 +136,13 @@
     ResultCodeInfo{HistoryLost, "history-lost",
                    "The platform's service dropped the changes asked for.",
                    "Read the keys anew."},
+    ResultCodeInfo{StoreRestored, "store-restored",
+                   "The platform's service came back from an older copy.",
+                   "Read the keys anew; check what a write left behind."},
+    ResultCodeInfo{BadStoreEra, "bad-store-era",
+                   "The platform's service tells an era that is no number or "
+                   "falls.",
+                   "Look at the service; the last good state holds."},
     ResultCodeInfo{DocumentSyntax, "document-syntax",
                    "The document is not valid YAML.",
                    "Correct the line that the finding names."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -71,6 +71,8 @@
   VersionConflict = 404,
   NotFound = 405,
   HistoryLost = 406,
+  StoreRestored = 407,
+  BadStoreEra = 408,
   // 5xx: documents and settings.
   DocumentSyntax = 500,
   DocumentSchema = 501,
--- a/Source/Process/Configuration/ChangeLog.cpp
+++ b/Source/Process/Configuration/ChangeLog.cpp
@@ -8,10 +8,10 @@
   Noted &Target = Entries_[Entry.Key_];
   bool Known = Target.Number_ > 0;
   // A key that was removed and written anew may hold the same as before; its
-  // revision tells followers that know of the removal.
+  // position tells followers that know of the removal.
   if (Known && !Target.Entry_.Deleted_ &&
       Target.Entry_.Value_ == Entry.Value_ &&
-      Target.Entry_.Revision_ >= Entry.Revision_)
+      Target.Entry_.Position_ >= Entry.Position_)
     return;
   if (Known && Target.Entry_.Deleted_)
     --Removals_;
--- a/Source/Process/Configuration/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -37,10 +37,11 @@
 }
 
 Awaitable<void> ConfigurationSync::watchDocuments() {
-  Revision After;
+  StorePosition After;
   while (!Stopped_) {
     // Revision 0 asks for everything there is, without waiting.
-    auto Wait = PlatformRead_ ? Options_.WatchTime_ : milliseconds(0);
+    bool All = After.Revision_ == Revision();
+    auto Wait = All ? milliseconds(0) : Options_.WatchTime_;
     auto Changes = co_await Platform_.Watch_(DocumentKeyPrefix, After, Wait);
     PlatformReachable_ = Changes.has_value();
     if (!Changes) {
@@ -51,7 +52,11 @@
       adoptEntry(Entry);
     // A service that was set back to an older state must not make the watch
     // wait for revisions that it will not reach for a long time.
-    After = Changes->Revision_;
+    // Nor do its revisions count that are given out again.
+    bool SameEra = All || Changes->Position_.Era_ == After.Era_;
+    After = Changes->Position_;
+    if (!SameEra)
+      After.Revision_ = {};
     PlatformRead_ = true;
   }
 }
--- a/Source/Process/Configuration/DocumentTransfer.cpp
+++ b/Source/Process/Configuration/DocumentTransfer.cpp
@@ -7,7 +7,7 @@
 
 namespace samphireshunt {
 
-void DocumentTexts::keep(Revision Number, const std::string &Text) {
+void DocumentTexts::keep(DocumentVersion Number, const std::string &Text) {
   if (Number <= newest() || Text.size() > MaxTextBytes)
     return;
   Texts_[Number] = Text;
@@ -17,16 +17,16 @@
     Texts_.erase(Texts_.begin());
 }
 
-const std::string *DocumentTexts::find(Revision Number) const {
+const std::string *DocumentTexts::find(DocumentVersion Number) const {
   auto Found = Texts_.find(Number);
   return Found == Texts_.end() ? nullptr : &Found->second;
 }
 
-Revision DocumentTexts::newest() const {
-  return Texts_.empty() ? Revision() : Texts_.rbegin()->first;
+DocumentVersion DocumentTexts::newest() const {
+  return Texts_.empty() ? DocumentVersion() : Texts_.rbegin()->first;
 }
 
-const std::string &DocumentTexts::packed(Revision Held) {
+const std::string &DocumentTexts::packed(DocumentVersion Held) {
   auto [Found, Added] = Packed_.try_emplace(Held);
   if (!Added)
     return Found->second;
@@ -37,17 +37,18 @@
 
 wire::TextPartT DocumentTexts::part(const wire::TextAskT &Asked) {
   wire::TextPartT Part;
-  Part.revision = Asked.revision;
+  Part.version = Asked.version;
   Part.offset = Asked.offset;
-  Revision Wanted(Asked.revision);
+  DocumentVersion Wanted(Asked.version);
   if (Texts_.empty() || Wanted != newest())
     return Part;
-  Revision Held(Asked.held);
-  Revision Prefix = Held < Wanted && find(Held) ? Held : Revision();
+  DocumentVersion Held(Asked.held_version);
+  DocumentVersion Prefix =
+      Held < Wanted && find(Held) ? Held : DocumentVersion();
   const std::string &Whole = packed(Prefix);
   if (Asked.offset >= Whole.size())
     return Part;
-  Part.held = Prefix.count();
+  Part.held_version = Prefix.count();
   Part.size = static_cast<std::uint32_t>(Texts_.rbegin()->second.size());
   Part.hash = NewestHash_;
   Part.packed_size = static_cast<std::uint32_t>(Whole.size());
@@ -56,15 +57,15 @@
   return Part;
 }
 
-bool DocumentTransfer::lacks(Revision Named, Revision Held) const {
+bool DocumentTransfer::lacks(DocumentVersion Named,
+                             DocumentVersion Held) const {
   return Named > std::max(Held, Finished_);
 }
 
-std::optional<wire::TextAskT> DocumentTransfer::named(Revision Wanted,
-                                                      std::size_t Size,
-                                                      Revision Held,
-                                                      TimePoint Now) {
-  if (Size == 0 || Size > MaxTextBytes)
+std::optional<wire::TextAskT>
+DocumentTransfer::named(DocumentVersion Wanted, std::optional<std::size_t> Size,
+                        DocumentVersion Held, TimePoint Now) {
+  if (Size && (*Size == 0 || *Size > MaxTextBytes))
     return std::nullopt;
   if (Wanted == Wanted_ && Now - AskedAt_ < PartTime)
     return std::nullopt;
@@ -72,7 +73,7 @@
     drop();
     Wanted_ = Wanted;
     Size_ = Size;
-    Held_ = Wanted == BrokenOnce_ ? Revision() : Held;
+    Held_ = Wanted == BrokenOnce_ ? DocumentVersion() : Held;
   }
   AskedAt_ = Now;
   return question();
@@ -80,8 +81,8 @@
 
 wire::TextAskT DocumentTransfer::question() const {
   wire::TextAskT Question;
-  Question.revision = Wanted_.count();
-  Question.held = Held_.count();
+  Question.version = Wanted_.count();
+  Question.held_version = Held_.count();
   Question.offset = static_cast<std::uint32_t>(Packed_.size());
   return Question;
 }
@@ -90,8 +91,8 @@
                                                   const DocumentTexts &Held,
                                                   TimePoint Now) {
   // Another text was asked for since, or this part twice.
-  if (Wanted_ == Revision() || Revision(Part.revision) != Wanted_ ||
-      Part.offset != Packed_.size())
+  if (Wanted_ == DocumentVersion() ||
+      DocumentVersion(Part.version) != Wanted_ || Part.offset != Packed_.size())
     return {};
   // The reader has a newer one, which it names.
   if (Part.size == 0) {
@@ -99,9 +100,10 @@
     return {};
   }
   if (Packed_.empty()) {
+    Size_ = Size_.value_or(Part.size);
     PackedSize_ = Part.packed_size;
     Hash_ = Part.hash;
-    Prefix_ = Revision(Part.held);
+    Prefix_ = DocumentVersion(Part.held_version);
   }
   if (!fits(Part))
     return broken();
@@ -116,10 +118,11 @@
 
 bool DocumentTransfer::fits(const wire::TextPartT &Part) const {
   bool AsBefore = Part.size == Size_ && Part.packed_size == PackedSize_ &&
-                  Part.hash == Hash_ && Revision(Part.held) == Prefix_;
-  bool AsAsked = Prefix_ == Held_ || Prefix_ == Revision();
+                  Part.hash == Hash_ &&
+                  DocumentVersion(Part.held_version) == Prefix_;
+  bool AsAsked = Prefix_ == Held_ || Prefix_ == DocumentVersion();
   return AsBefore && AsAsked && !Part.bytes.empty() &&
-         PackedSize_ <= mostPacked(Size_) &&
+         Part.size <= MaxTextBytes && PackedSize_ <= mostPacked(*Size_) &&
          Part.bytes.size() <= PackedSize_ - Packed_.size();
 }
 
@@ -145,7 +148,7 @@
 }
 
 void DocumentTransfer::drop() {
-  Wanted_ = Revision();
+  Wanted_ = DocumentVersion();
   Packed_ = std::string();
 }
 
--- a/Source/Process/Configuration/DocumentTransfer.h
+++ b/Source/Process/Configuration/DocumentTransfer.h
@@ -35,11 +35,11 @@
 class DocumentTexts {
 public:
   /// Nothing, unless \p Number is newer than all that are held.
-  void keep(Revision Number, const std::string &Text);
+  void keep(DocumentVersion Number, const std::string &Text);
   /// \returns a null pointer when it is not held.
-  const std::string *find(Revision Number) const;
+  const std::string *find(DocumentVersion Number) const;
   /// 0 when none is held.
-  Revision newest() const;
+  DocumentVersion newest() const;
   /// The part that is asked for; without bytes when it is not held.
   wire::TextPartT part(const wire::TextAskT &Asked);
 
@@ -48,11 +48,11 @@
   static constexpr std::size_t MostTexts = 3;
 
   /// The newest text, packed with \p Held; packed once for all that ask.
-  const std::string &packed(Revision Held);
+  const std::string &packed(DocumentVersion Held);
 
-  std::map<Revision, std::string> Texts_;
+  std::map<DocumentVersion, std::string> Texts_;
   std::uint64_t NewestHash_ = 0;
-  std::map<Revision, std::string> Packed_;
+  std::map<DocumentVersion, std::string> Packed_;
 };
 
 /// The text that is under way to this daemon.
@@ -70,17 +70,19 @@
   };
 
   /// True when \p Named is newer than \p Held and than what has come.
-  bool lacks(Revision Named, Revision Held) const;
+  bool lacks(DocumentVersion Named, DocumentVersion Held) const;
   /// The reader named a text that this daemon lacks. A newer one takes the
   /// place of the one that is under way.
   /// \returns the question to send, if any.
-  std::optional<wire::TextAskT> named(Revision Wanted, std::size_t Size,
-                                      Revision Held, TimePoint Now);
+  /// \p Size is unset where only the version was named.
+  std::optional<wire::TextAskT> named(DocumentVersion Wanted,
+                                      std::optional<std::size_t> Size,
+                                      DocumentVersion Held, TimePoint Now);
   Step received(const wire::TextPartT &Part, const DocumentTexts &Held,
                 TimePoint Now);
   /// The reader is another one, or gone.
   void drop();
-  Revision wanted() const { return Wanted_; }
+  DocumentVersion wanted() const { return Wanted_; }
   /// Compressed bytes of it that are here.
   std::size_t received() const { return Packed_.size(); }
 
@@ -94,20 +96,20 @@
   Step finish(const wire::TextPartT &Last, const DocumentTexts &Held);
   Step broken();
 
-  Revision Wanted_;
-  std::size_t Size_ = 0;
+  DocumentVersion Wanted_;
+  std::optional<std::size_t> Size_;
   /// The prefix that was asked for.
-  Revision Held_;
+  DocumentVersion Held_;
   /// Of the first part: those after it must say the same.
   std::size_t PackedSize_ = 0;
   std::uint64_t Hash_ = 0;
-  Revision Prefix_;
+  DocumentVersion Prefix_;
   std::string Packed_;
   TimePoint AskedAt_;
   /// The newest that came whole, also when it can't be read.
-  Revision Finished_;
+  DocumentVersion Finished_;
   /// What came broken last is asked for without a prefix.
-  Revision BrokenOnce_;
+  DocumentVersion BrokenOnce_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -1,4 +1,5 @@
 #include "Process/Configuration/Platform.h"
+#include "Process/Configuration/StoreEraHeader.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -13,19 +14,23 @@
 /// A body; wrapped, since a JSON value converts from anything, failures too.
 struct JsonBody {
   Json Root_;
+  StoreEra Era_;
 };
 
-KeyValue keyValueFromJson(const Json &Entry) {
+StorePosition positionFromJson(const JsonBody &Body, const Json &Holder) {
+  return {Body.Era_, Revision(Holder.at("revision").get<std::uint64_t>())};
+}
+
+KeyValue keyValueFromJson(const JsonBody &Body, const Json &Entry) {
   return {Entry.at("key").get<std::string>(),
-          Entry.at("value").get<std::string>(),
-          Revision(Entry.at("revision").get<std::uint64_t>())};
+          Entry.at("value").get<std::string>(), positionFromJson(Body, Entry)};
 }
 
-KeyValueList listFromJson(const Json &Root) {
+KeyValueList listFromJson(const JsonBody &Body) {
   KeyValueList List;
-  for (const Json &Entry : Root.at("entries"))
-    List.Entries_.push_back(keyValueFromJson(Entry));
-  List.Revision_ = Revision(Root.at("revision").get<std::uint64_t>());
+  for (const Json &Entry : Body.Root_.at("entries"))
+    List.Entries_.push_back(keyValueFromJson(Body, Entry));
+  List.Position_ = positionFromJson(Body, Body.Root_);
   return List;
 }
 
@@ -50,7 +55,10 @@
     co_return Failure{ResultCode::NotFound, ""};
   if (Response->Status_ == 409)
     co_return Failure{ResultCode::VersionConflict, Response->Body_};
-  JsonBody Body{Json::parse(Response->Body_, nullptr, false)};
+  auto Era = storeEraOf(Response->Fields_);
+  if (!Era)
+    co_return Era.error();
+  JsonBody Body{Json::parse(Response->Body_, nullptr, false), *Era};
   if (Response->Status_ != 200 || Body.Root_.is_discarded())
     co_return Failure{ResultCode::PlatformUnavailable,
                       fmt::format("status {}", Response->Status_)};
@@ -64,7 +72,7 @@
   if (!Body)
     return Body.error();
   try {
-    return Convert(Body->Root_);
+    return Convert(*Body);
   } catch (const Json::exception &Error) {
     return Failure{ResultCode::PlatformUnavailable, Error.what()};
   }
@@ -77,30 +85,34 @@
   auto Body = co_await call(Address, std::move(Request), Timeout);
   if (!Body && Body.error().Code_ == ResultCode::NotFound)
     co_return std::optional<KeyValue>();
-  co_return convert<std::optional<KeyValue>>(Body, [](const Json &Entry) {
-    return std::optional(keyValueFromJson(Entry));
+  co_return convert<std::optional<KeyValue>>(Body, [](const JsonBody &Entry) {
+    return std::optional(keyValueFromJson(Entry, Entry.Root_));
   });
 }
 
-Awaitable<Result<Revision>> put(Endpoint Address, milliseconds Timeout,
-                                KeyValueWrite Write) {
+Awaitable<Result<StorePosition>> put(Endpoint Address, milliseconds Timeout,
+                                     KeyValueWrite Write) {
   HttpRequest Request;
   Request.Method_ = "PUT";
   Request.Target_ =
-      fmt::format("/v1/kv/{}?expect={}&ttlMs={}", Write.Key_,
-                  Write.Expected_.count(), Write.TimeToLive_.count());
+      fmt::format("/v1/kv/{}?expect={}&era={}&ttlMs={}", Write.Key_,
+                  Write.Expected_.Revision_.count(),
+                  Write.Expected_.Era_.count(), Write.TimeToLive_.count());
   Request.Body_ = std::move(Write.Value_);
   auto Body = co_await call(Address, std::move(Request), Timeout);
-  co_return convert<Revision>(Body, [](const Json &Root) {
-    return Revision(Root.at("revision").get<std::uint64_t>());
+  if (Body && spansEras(Write.Expected_, Body->Era_))
+    co_return Failure{ResultCode::StoreRestored, "a write spans two eras"};
+  co_return convert<StorePosition>(Body, [](const JsonBody &Done) {
+    return positionFromJson(Done, Done.Root_);
   });
 }
 
 Awaitable<Result<void>> remove(Endpoint Address, milliseconds Timeout,
-                               std::string Key, Revision Expected) {
+                               std::string Key, StorePosition Expected) {
   HttpRequest Request;
   Request.Method_ = "DELETE";
-  Request.Target_ = fmt::format("/v1/kv/{}?expect={}", Key, Expected.count());
+  Request.Target_ =
+      fmt::format("/v1/kv/{}?expect={}", Key, Expected.Revision_.count());
   auto Body = co_await call(Address, std::move(Request), Timeout);
   if (!Body)
     co_return Body.error();
@@ -116,11 +128,11 @@
 }
 
 Awaitable<Result<KeyValueList>> watch(Endpoint Address, milliseconds Timeout,
-                                      std::string Prefix, Revision After,
+                                      std::string Prefix, StorePosition After,
                                       milliseconds Wait) {
   HttpRequest Request;
   Request.Target_ = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}",
-                                Prefix, After.count(), Wait.count());
+                                Prefix, After.Revision_.count(), Wait.count());
   // A watch that never returns is as good as none: the time limit ends it.
   auto Body = co_await call(Address, std::move(Request), Timeout + Wait);
   co_return convert<KeyValueList>(Body, listFromJson);
@@ -131,9 +143,9 @@
   HttpRequest Request;
   Request.Target_ = "/v1/vms";
   auto Body = co_await call(Address, std::move(Request), Timeout);
-  co_return convert<std::vector<ListedVm>>(Body, [](const Json &Root) {
+  co_return convert<std::vector<ListedVm>>(Body, [](const JsonBody &Listed) {
     std::vector<ListedVm> List;
-    for (const Json &Entry : Root.at("vms"))
+    for (const Json &Entry : Listed.Root_.at("vms"))
       List.push_back(vmFromJson(Entry));
     return List;
   });
@@ -147,13 +159,14 @@
   Hooks.Put_ = [=](KeyValueWrite Write) {
     return put(Address, Timeout, Write);
   };
-  Hooks.Delete_ = [=](std::string Key, Revision Expected) {
+  Hooks.Delete_ = [=](std::string Key, StorePosition Expected) {
     return remove(Address, Timeout, Key, Expected);
   };
   Hooks.List_ = [=](std::string Prefix) {
     return list(Address, Timeout, Prefix);
   };
-  Hooks.Watch_ = [=](std::string Prefix, Revision After, milliseconds Wait) {
+  Hooks.Watch_ = [=](std::string Prefix, StorePosition After,
+                     milliseconds Wait) {
     return watch(Address, Timeout, Prefix, After, Wait);
   };
   Hooks.Vms_ = [=]() { return vms(Address, Timeout); };
--- a/Source/Process/Configuration/MeasuredPlatform.cpp
+++ b/Source/Process/Configuration/MeasuredPlatform.cpp
@@ -32,15 +32,15 @@
   Hooks.Put_ = [Call = std::move(Inner.Put_), Seen](KeyValueWrite Write) {
     return measured("put", Call(std::move(Write)), Seen);
   };
-  Hooks.Delete_ = [Call = std::move(Inner.Delete_), Seen](std::string Key,
-                                                          Revision Expected) {
+  Hooks.Delete_ = [Call = std::move(Inner.Delete_),
+                   Seen](std::string Key, StorePosition Expected) {
     return measured("delete", Call(std::move(Key), Expected), Seen);
   };
   Hooks.List_ = [Call = std::move(Inner.List_), Seen](std::string Prefix) {
     return measured("list", Call(std::move(Prefix)), Seen);
   };
   Hooks.Watch_ = [Call = std::move(Inner.Watch_),
-                  Seen](std::string Prefix, Revision After,
+                  Seen](std::string Prefix, StorePosition After,
                         std::chrono::milliseconds Wait) {
     return measured("watch", Call(std::move(Prefix), After, Wait), Seen);
   };
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -34,7 +34,10 @@
   Changes.Complete_ = Told.complete;
   for (const auto &Entry : Told.entries)
     Changes.Entries_.push_back(
-        {Entry->key, Entry->value, Revision(Entry->revision), Entry->deleted});
+        {Entry->key,
+         Entry->value,
+         {StoreEra(Entry->era), Revision(Entry->revision)},
+         Entry->deleted});
   return Changes;
 }
 
@@ -45,7 +48,8 @@
                            FreshnessLease &Freshness, Options Settings,
                            Hooks Reactions)
     : Timer_(Control), Self_(Self), Service_(Service), View_(View),
-      Freshness_(Freshness), Options_(Settings), Hooks_(std::move(Reactions)) {}
+      Freshness_(Freshness), Options_(Settings), Hooks_(std::move(Reactions)),
+      Heard_(Settings.Heard_) {}
 
 void PeerFollower::start() {
   Started_ = steady_clock::now();
@@ -62,6 +66,7 @@
 
 void PeerFollower::onTimer() {
   forgetFollowers();
+  askForHeardVersion();
   if (!Awaiting_ || !Reader_)
     return choose();
   if (!std::exchange(Overdue_, true))
@@ -137,7 +142,7 @@
   Question.sequence = ++Sequence_;
   Question.incarnation = ReaderProcess_;
   Question.number = ReaderNumber_;
-  Question.apart = true;
+  Question.text_apart = true;
   Awaiting_ = true;
   Overdue_ = false;
   Unanswered_.insert(*Reader_);
@@ -195,8 +200,10 @@
       return;
     return passOver(From, Fault::Useless, "its answer has a gap");
   }
-  if (!View_.follow(changesOf(Told), Revision(Told.revision)))
+  StorePosition Reached{StoreEra(Told.era), Revision(Told.revision)};
+  if (!View_.follow(changesOf(Told), Reached, Revision(Told.era_first)))
     return passOver(From, Fault::Useless, "it is behind");
+  Service_.planDrops();
   ReaderProcess_ = Told.incarnation;
   ReaderNumber_ = Told.number;
   noteLag(Told);
@@ -208,8 +215,11 @@
 void PeerFollower::onAnswer(const VmId &From, const wire::StateT &Told) {
   Awaiting_ = false;
   LastAnswer_ = steady_clock::now();
-  if (!lacksTextOf(Told))
-    Freshness_.renew(AskedAt_ - milliseconds(Told.age_ms));
+  // One that lacks what is in force here can't tell whether it is the newest.
+  bool NamesNone = Told.text_version == 0;
+  if (NamesNone || DocumentVersion(Told.text_version) == View_.version())
+    Freshness_.renew(AskedAt_ - milliseconds(Told.age_ms) -
+                     milliseconds(Told.unconfirmed_ms));
   bool Spare = Role_ == StoreRole::Spare;
   if (Spare && !Service_.paused()) {
     logEvent(
@@ -221,8 +231,8 @@
 }
 
 bool PeerFollower::lacksTextOf(const wire::StateT &Told) const {
-  Revision Held = std::max(View_.configurationRevision(), Texts_.newest());
-  return Transfer_.lacks(Revision(Told.text_revision), Held);
+  DocumentVersion Held = std::max(View_.version(), Texts_.newest());
+  return Transfer_.lacks(DocumentVersion(Told.text_version), Held);
 }
 
 void PeerFollower::noteLag(const wire::StateT &Told) {
@@ -230,13 +240,13 @@
     return Freshness_.newestInForce();
   BootTime Now = BootClock::now();
   Freshness_.newerKnown(Now - milliseconds(Told.text_age_ms));
-  Revision Named(Told.text_revision);
+  DocumentVersion Named(Told.text_version);
   if (!Freshness_.overdue(Now) || std::exchange(OverdueText_, Named) == Named)
     return;
   auto Behind = duration_cast<milliseconds>(Freshness_.behind(Now));
   logEvent(LogCategory::Process, spdlog::level::warn, "configuration-overdue",
            {{"reader", Reader_->str()},
-            {"revision", std::to_string(Named.count())},
+            {"version", std::to_string(Named.count())},
             {"size", std::to_string(Told.text_size)},
             {"received", std::to_string(Transfer_.received())},
             {"newer_known_ms", std::to_string(Behind.count())}});
@@ -245,10 +255,10 @@
 void PeerFollower::askForText(const wire::StateT &Told) {
   if (!lacksTextOf(Told))
     return;
-  Revision Named(Told.text_revision);
+  DocumentVersion Named(Told.text_version);
   if (Told.text_size > MaxTextBytes && std::exchange(TooLong_, Named) != Named)
     logEvent(LogCategory::Process, spdlog::level::err, "configuration-too-long",
-             {{"revision", std::to_string(Named.count())},
+             {{"version", std::to_string(Named.count())},
               {"size", std::to_string(Told.text_size)}});
   auto Question = Transfer_.named(Named, Told.text_size, Texts_.newest(),
                                   steady_clock::now());
@@ -257,39 +267,78 @@
 }
 
 void PeerFollower::onTextPart(const VmId &From, const wire::TextPartT &Part) {
-  if (Reader_ != From)
+  DocumentVersion Version(Part.version);
+  if (Reader_ == From && Transfer_.wanted() == Version)
+    return takeStep(From, Part,
+                    Transfer_.received(Part, Texts_, steady_clock::now()));
+  if (HeardFrom_ == From && HeardTransfer_.wanted() == Version)
+    onHeardPart(Part);
+}
+
+void PeerFollower::onHeardPart(const wire::TextPartT &Part) {
+  VmId From = *HeardFrom_;
+  if (Part.size == 0) {
+    Heard_.notHandedOver(From, steady_clock::now());
+    HeardTransfer_.drop();
     return;
-  auto Step = Transfer_.received(Part, Texts_, steady_clock::now());
-  if (Step.Broken_)
-    logEvent(LogCategory::Process, spdlog::level::warn, "configuration-broken",
-             {{"reader", From.str()},
-              {"revision", std::to_string(Part.revision)},
-              {"size", std::to_string(Part.size)}});
-  if (Step.Text_)
-    adoptText(Revision(Part.revision), std::move(*Step.Text_));
-  if (Step.Ask_)
-    Hooks_.Send_(From, encodeMessage(std::move(*Step.Ask_)));
+  }
+  // Only a text that comes proves that there is such a version.
+  Freshness_.newerKnown(BootClock::now());
+  takeStep(From, Part,
+           HeardTransfer_.received(Part, Texts_, steady_clock::now()));
 }
 
-void PeerFollower::adoptText(Revision Number, std::string Text) {
-  // Read from the service itself meanwhile.
-  if (Number <= View_.configurationRevision())
+void PeerFollower::takeStep(const VmId &From, const wire::TextPartT &Part,
+                            DocumentTransfer::Step Next) {
+  if (Next.Broken_)
+    logEvent(LogCategory::Process, spdlog::level::warn, "configuration-broken",
+             {{"from", From.str()},
+              {"version", std::to_string(Part.version)},
+              {"size", std::to_string(Part.size)}});
+  if (Next.Ask_)
+    Hooks_.Send_(From, encodeMessage(std::move(*Next.Ask_)));
+  DocumentVersion Version(Part.version);
+  if (!Next.Text_ || Version <= View_.version())
     return;
-  KeyValue Entry;
-  Entry.Key_ = View_.layout().ConfigurationKey_;
-  Entry.Value_ = std::move(Text);
-  Entry.Revision_ = Number;
-  View_.apply(Entry);
+  if (!View_.takeText(Version, std::move(*Next.Text_)))
+    return Heard_.notHandedOver(From, steady_clock::now());
+  Freshness_.newestInForce();
   // The lease was not renewed while it came.
   if (Reader_ && !Awaiting_)
     ask();
 }
 
+void PeerFollower::onVersionHeard(const VmId &From, DocumentVersion Version) {
+  Heard_.heard(From, Version, View_.version(), steady_clock::now());
+}
+
+bool PeerFollower::lacksHeardVersion() {
+  return Heard_.missing(View_.version(), steady_clock::now()).has_value();
+}
+
+void PeerFollower::askForHeardVersion() {
+  auto Now = steady_clock::now();
+  auto Wanted = Heard_.due(View_.version(), Now);
+  if (!Wanted || Reader_ == Wanted->By_)
+    return;
+  if (HeardFrom_ != Wanted->By_)
+    HeardTransfer_.drop();
+  HeardFrom_ = Wanted->By_;
+  auto Question = HeardTransfer_.named(Wanted->Version_, std::nullopt,
+                                       Texts_.newest(), Now);
+  if (!Question)
+    return;
+  logEvent(LogCategory::Process, spdlog::level::info, "asking-for-version",
+           {{"from", Wanted->By_.str()},
+            {"version", std::to_string(Wanted->Version_.count())}});
+  Hooks_.Send_(Wanted->By_, encodeMessage(std::move(*Question)));
+}
+
 /// Whoever is followed later has the texts with which it packs.
 void PeerFollower::keepText() {
   const KeyValue *Known = View_.log().find(View_.layout().ConfigurationKey_);
   if (Known)
-    Texts_.keep(Known->Revision_, Known->Value_);
+    Texts_.keep(View_.version(), Known->Value_);
 }
 
 void PeerFollower::onLinkDown(const VmId &Reader) {
@@ -312,7 +361,7 @@
   const KeyValue *Known = View_.log().find(View_.layout().ConfigurationKey_);
   if (!Known)
     return;
-  Told.text_revision = Known->Revision_.count();
+  Told.text_version = View_.version().count();
   Told.text_size = Known->Value_.size();
   Told.text_age_ms = millisSince(View_.configurationReadAt());
 }
@@ -322,8 +371,13 @@
   Told.incarnation = Self_.count();
   Told.number = View_.log().last();
   Told.after = Number;
-  Told.revision = View_.revision().count();
-  Told.age_ms = millisSince(Freshness_.confirmedAt());
+  Told.era = View_.position().Era_.count();
+  Told.revision = View_.position().Revision_.count();
+  if (View_.eraStart())
+    Told.era_first = View_.eraStart()->First_.Revision_.count();
+  Told.age_ms = millisSince(Service_.reachedAt());
+  std::uint32_t Confirmed = millisSince(Freshness_.confirmedAt());
+  Told.unconfirmed_ms = Confirmed - std::min(Confirmed, Told.age_ms);
   Told.reads_service = !Service_.paused() && Service_.platformReachable();
   std::string TextKey = Apart ? View_.layout().ConfigurationKey_ : "";
   ChangeLog::Changes Changes = View_.log().since(Number, TextKey);
@@ -334,7 +388,8 @@
     auto Added = std::make_unique<wire::StateEntryT>();
     Added->key = Entry.Key_;
     Added->value = Entry.Value_;
-    Added->revision = Entry.Revision_.count();
+    Added->revision = Entry.Position_.Revision_.count();
+    Added->era = Entry.Position_.Era_.count();
     Added->deleted = Entry.Deleted_;
     Told.entries.push_back(std::move(Added));
   }
@@ -352,7 +407,7 @@
 
 void PeerFollower::onFollow(const VmId &From, const wire::FollowT &Asked) {
   Followers_[From].LastAsked_ = steady_clock::now();
-  Followers_[From].Apart_ = Asked.apart;
+  Followers_[From].Apart_ = Asked.text_apart;
   bool Same = Asked.incarnation == Self_.count();
   tell(From, Asked.sequence, Same ? Asked.number : 0);
 }
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -12,14 +12,16 @@
 /// states: a datagram or a frame that lay unread for long renews nothing.
 ///
 /// The configuration's text does not come with the changes: an answer names its
-/// revision, and who lacks it asks for it in parts (DocumentTransfer.h). The
-/// lease is not renewed by a reader whose configuration is newer than the one
-/// that is in force here. A daemon of an earlier version neither asks so nor
-/// names one: it is told the text, and tells it, among the changes.
+/// version, and who lacks it asks for it in parts (DocumentTransfer.h). The
+/// lease is renewed only by a reader that has the version in force here. A
+/// daemon of an earlier release neither asks so nor names one: it is told the
+/// text, and tells it, among the changes. A version that gossip names and that
+/// does not come from the reader or the service is asked of who named it.
 
 #include "Connection/PeerMessage.h"
 #include "Process/Configuration/DocumentTransfer.h"
 #include "Process/Configuration/FreshnessLease.h"
+#include "Process/Configuration/HeardVersions.h"
 #include "Process/Configuration/StoreFollower.h"
 #include "Process/Configuration/StoreReaders.h"
 
@@ -69,6 +71,7 @@
     std::chrono::milliseconds StayTime_{15000};
     /// Followers that did not ask for this long are told no changes.
     std::chrono::milliseconds ForgetTime_{2000};
+    HeardVersions::Options Heard_;
   };
   struct Hooks {
     /// This daemon's part, and the readers that it may follow.
@@ -88,6 +91,10 @@
   void onState(const VmId &From, const wire::StateT &Told);
   void onTextPart(const VmId &From, const wire::TextPartT &Part);
   void onLinkDown(const VmId &Reader);
+  /// Gossip: this daemon has that version in force.
+  void onVersionHeard(const VmId &From, DocumentVersion Version);
+  /// A newer version than the one in force is named, and looked for.
+  bool lacksHeardVersion();
   /// True while an answer of this daemon is awaited.
   bool awaiting(const VmId &Reader) const;
   /// False once no reader answers, or none has had the service for a while.
@@ -130,8 +137,13 @@
   /// Notes since when the reader has a configuration that is not here.
   void noteLag(const wire::StateT &Told);
   void askForText(const wire::StateT &Told);
+  void askForHeardVersion();
+  /// A part of a text that gossip has named.
+  void onHeardPart(const wire::TextPartT &Part);
+  /// What follows from a part of a text.
+  void takeStep(const VmId &From, const wire::TextPartT &Part,
+                DocumentTransfer::Step Next);
   void keepText();
-  void adoptText(Revision Number, std::string Text);
   wire::StateT stateAfter(std::uint64_t Number, bool Apart) const;
   void nameText(wire::StateT &Told) const;
   void forgetFollowers();
@@ -170,10 +182,14 @@
   std::map<VmId, Follower> Followers_;
   DocumentTexts Texts_;
   DocumentTransfer Transfer_;
+  HeardVersions Heard_;
+  /// Of the version that gossip has named, and the daemon that sends it.
+  DocumentTransfer HeardTransfer_;
+  std::optional<VmId> HeardFrom_;
   /// Of a text that is too long to be taken, as it was logged.
-  Revision TooLong_;
+  DocumentVersion TooLong_;
   /// Of a text that is overdue, as it was logged.
-  Revision OverdueText_;
+  DocumentVersion OverdueText_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "Process/Configuration/StoreFollower.h"
 
+#include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
 
@@ -142,6 +143,10 @@
       continue;
     }
     succeeded();
+    if (!Paused_ && Present->Era_ != After_.Era_) {
+      startWatch();
+      continue;
+    }
     bool Behind = After_ < *Present;
     if (Behind)
       co_await sleep(Options_.BehindTime_);
@@ -172,17 +177,35 @@
 /// sends all that its link carries while nothing changes. A watch that does not
 /// wait would tell as much, but may have gone deaf like one that waits, and
 /// then tells "no changes" at a newer revision.
-/// \returns the service's revision.
-Awaitable<Result<Revision>> StoreFollower::confirm() {
+/// \returns where the service stands.
+Awaitable<Result<StorePosition>> StoreFollower::confirm() {
   BootTime SentAt = BootClock::now();
   std::string Prefix = ownKey();
   auto Listed = co_await Platform_.List_(std::move(Prefix));
   if (!Listed)
     co_return Listed.error();
+  if (auto Reached = noteReached(Listed->Position_); !Reached)
+    co_return Reached.error();
   if (!Paused_)
-    Unproven_[Listed->Revision_] = SentAt;
+    Unproven_[Listed->Position_] = SentAt;
   proveFresh();
-  co_return Listed->Revision_;
+  co_return Listed->Position_;
+}
+
+void StoreFollower::heardAt(BootTime SentAt) {
+  ReachedAt_ = std::max(ReachedAt_, SentAt);
+  if (View_.confirmsNewest(SentAt))
+    Freshness_.renew(SentAt);
+}
+
+Result<void> StoreFollower::noteReached(const StorePosition &Told) {
+  auto Reached = View_.reached(Told);
+  // What was taken in of another era is not taken in of this one.
+  if (Reached && Told.Era_ != After_.Era_) {
+    Unproven_.clear();
+    NeedsList_ = true;
+  }
+  return Reached;
 }
 
 /// The lease is renewed from the moment of a question, as soon as all that its
@@ -190,7 +213,7 @@
 void StoreFollower::proveFresh() {
   auto Newer = Unproven_.upper_bound(After_);
   std::for_each(Unproven_.begin(), Newer,
-                [this](const auto &Asked) { Freshness_.renew(Asked.second); });
+                [this](const auto &Asked) { heardAt(Asked.second); });
   Unproven_.erase(Unproven_.begin(), Newer);
   if (Unproven_.empty())
     Freshness_.newestInForce();
@@ -204,21 +227,36 @@
 }
 
 void StoreFollower::applyDirectory() {
+  planDrops();
+  View_.publish();
+}
+
+void StoreFollower::planDrops() {
   if (View_.nextDrop() && !std::exchange(DropPlanned_, true)) {
     auto Drop = [this]() { return dropUnseenLater(); };
     spawnLogged(Control_, "drop-servers", std::move(Drop));
   }
-  View_.publish();
 }
 
 /// A watch may be cut although the service is well; the call after it tells.
 Awaitable<void> StoreFollower::failed(const Failure &Cause) {
-  if (Cause.Code_ == ResultCode::HistoryLost) {
-    logEvent(LogCategory::Process, spdlog::level::info, "history-lost",
-             {{"revision", std::to_string(After_.count())}});
+  bool Restored = Cause.Code_ == ResultCode::StoreRestored;
+  if (Restored || Cause.Code_ == ResultCode::HistoryLost) {
+    logEvent(LogCategory::Process, spdlog::level::info,
+             Restored ? "store-restored" : "history-lost",
+             {{"revision", std::to_string(After_.Revision_.count())},
+              {"era", std::to_string(After_.Era_.count())},
+              {"detail", Cause.Detail_}});
     NeedsList_ = true;
     co_return;
   }
+  if (Cause.Code_ == ResultCode::BadStoreEra) {
+    ++BadEras_;
+    if (std::exchange(BadEra_, Cause.Detail_) != Cause.Detail_)
+      logEvent(LogCategory::Process, spdlog::level::err, "bad-store-era",
+               {{"code", std::to_string(static_cast<int>(Cause.Code_))},
+                {"detail", Cause.Detail_}});
+  }
   ++Failures_;
   if (Failures_ == 1)
     co_return;
@@ -240,6 +278,8 @@
   // Another daemon is followed by now, and may have told of newer changes.
   if (Paused_)
     co_return Result<void>();
+  if (auto Reached = noteReached(Listed->Position_); !Reached)
+    co_return Reached.error();
   // What a busy daemon that was followed did not hear is no outage. Taken for
   // one, servers that were removed meanwhile would get work for seconds more.
   if (std::exchange(MaybeOutage_, false) &&
@@ -248,9 +288,9 @@
   // The outage is over before what is missing is looked at.
   View_.outageEnded();
   View_.listed(*Listed);
-  After_ = Listed->Revision_;
+  After_ = Listed->Position_;
   NeedsList_ = false;
-  Freshness_.renew(SentAt);
+  heardAt(SentAt);
   proveFresh();
   co_return Result<void>();
 }
@@ -265,17 +305,21 @@
   // Another watch may have told of newer changes since.
   if (Generation != Generation_)
     co_return Result<void>();
+  if (auto Reached = noteReached(Changes->Position_); !Reached)
+    co_return Reached.error();
+  if (Changes->Position_.Era_ != After_.Era_)
+    co_return Failure{ResultCode::StoreRestored, "a watch spans two eras"};
   // Each revision is a change of some key. A deaf watch that ends tells none of
   // them, and its revision says that there were some: believed up to there, a
   // server that left would get work for good.
-  if (Changes->Entries_.empty() && After_ < Changes->Revision_)
+  if (Changes->Entries_.empty() && After_ < Changes->Position_)
     co_return Failure{ResultCode::HistoryLost, "a watch did not tell changes"};
   for (const KeyValue &Entry : Changes->Entries_)
     View_.apply(Entry);
-  After_ = Changes->Revision_;
+  After_ = Changes->Position_;
   View_.advance(After_);
   SawChanges_ = !Changes->Entries_.empty();
-  Freshness_.renew(SentAt);
+  heardAt(SentAt);
   proveFresh();
   co_return Result<void>();
 }
@@ -290,16 +334,19 @@
   KeyValueWrite Write;
   Write.Key_ = ownKey();
   Write.Value_ = Address_;
-  Write.Expected_ = OwnRevision_;
+  Write.Expected_ = OwnPosition_;
+  BootTime SentAt = BootClock::now();
   auto Written = co_await Platform_.Put_(std::move(Write));
   if (Written) {
     RegisteredAddress_ = Address_;
+    RegisteredAt_ = SentAt;
     co_return;
   }
   logEvent(LogCategory::Process, spdlog::level::warn, "not-registered",
            {{"detail", Written.error().Detail_}});
   // Another write came between, maybe this one whose answer was lost.
-  if (Written.error().Code_ == ResultCode::VersionConflict)
+  auto Code = Written.error().Code_;
+  if (Code == ResultCode::VersionConflict || Code == ResultCode::StoreRestored)
     NeedsList_ = true;
   else
     co_await sleep(Options_.FirstPause_);
@@ -318,8 +365,41 @@
 void StoreFollower::daemonSeen(const VmId &Daemon, const KeyValue &Entry) {
   if (Daemon != Self_)
     return;
-  OwnRevision_ = Entry.Revision_;
+  OwnPosition_ = Entry.Position_;
   RegisteredAddress_ = Entry.Value_;
 }
 
+/// One that reads lists anew and sees whether its entry is there. One that
+/// follows another daemon does not, and newcomers would not find it.
+void StoreFollower::onEraBegan() {
+  OwnPosition_ = {};
+  if (!Paused_) {
+    RegisteredAddress_.clear();
+    return;
+  }
+  bool MayBeLost = RegisteredAt_ != BootTime() &&
+                   BootClock::now() - RegisteredAt_ < Options_.LongestCopyAge_;
+  if (!MayBeLost)
+    return;
+  auto Again = [this]() { return registerAgain(); };
+  spawnLogged(Control_, "register-again", std::move(Again));
+}
+
+Awaitable<void> StoreFollower::registerAgain() {
+  std::uint64_t Era = View_.position().Era_.count();
+  auto Spread = static_cast<std::uint64_t>(Options_.RegisterSpread_.count());
+  std::uint64_t Wait = Spread == 0 ? 0 : stableHash(Self_.str(), Era) % Spread;
+  co_await sleep(milliseconds(Wait));
+  if (Stopped_ || !Paused_ || View_.position().Era_.count() != Era)
+    co_return;
+  KeyValueWrite Write;
+  Write.Key_ = ownKey();
+  Write.Value_ = Address_;
+  auto Written = co_await Platform_.Put_(std::move(Write));
+  // One that is there already is not overwritten.
+  std::string Outcome = Written ? "written" : Written.error().Detail_;
+  logEvent(LogCategory::Process, spdlog::level::info, "registered-again",
+           {{"era", std::to_string(Era)}, {"detail", Outcome}});
+}
+
 } // namespace samphireshunt
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -51,6 +51,12 @@
     /// service back: each failed call counts too, and there are hundreds.
     std::chrono::milliseconds SpareFirstPause_{1000};
     std::chrono::milliseconds SpareLongestPause_{2000};
+    /// A copy from which the service comes back is some seconds old: only
+    /// entries that were written within this time before may be missing.
+    std::chrono::milliseconds LongestCopyAge_{60000};
+    /// Daemons that follow others write their entries again spread over this
+    /// time.
+    std::chrono::milliseconds RegisterSpread_{5000};
   };
 
   StoreFollower(boost::asio::io_context &Control, PlatformHooks Platform,
@@ -70,15 +76,26 @@
   void setRole(StoreRole Role);
   /// This daemon is registered under its address.
   bool registered() const { return RegisteredAddress_ == Address_; }
+  /// When the service was asked last whose answer is taken in; the clock's
+  /// beginning before the first.
+  BootTime reachedAt() const { return ReachedAt_; }
+  /// The service came back from a copy, which may lack this daemon's entry.
+  void onEraBegan();
+  /// Sees to what is to be dropped later of what was taken in.
+  void planDrops();
   /// A daemon's entry was read; its own tells that it is registered.
   void daemonSeen(const VmId &Daemon, const KeyValue &Entry);
   /// One call may fail while the service is well, e.g. a watch that is cut.
   bool platformReachable() const { return Failures_ < 2; }
+  /// Answers whose era could not be taken.
+  std::uint64_t badEras() const { return BadEras_; }
 
 private:
   Awaitable<void> follow(std::uint64_t Generation);
   Awaitable<void> confirmRegularly();
-  Awaitable<Result<Revision>> confirm();
+  Awaitable<Result<StorePosition>> confirm();
+  /// The service told all up to what is taken in, when asked at \p SentAt.
+  void heardAt(BootTime SentAt);
   /// All up to After_ is taken in.
   void proveFresh();
   void startWatch();
@@ -89,6 +106,8 @@
   Awaitable<Result<void>> listAll();
   Awaitable<Result<void>> watchOnce(std::uint64_t Generation);
   Awaitable<void> registerSelf();
+  Awaitable<void> registerAgain();
+  Result<void> noteReached(const StorePosition &Told);
   std::string ownKey() const;
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   /// May be ended before its time by cancelling the timer.
@@ -109,11 +128,15 @@
   VmId Self_;
   std::string Address_;
   std::string RegisteredAddress_;
-  Revision OwnRevision_;
-  Revision After_;
-  /// Revisions that were told and are not taken in yet, with the moment at
+  /// Of this daemon's own entry; revision 0 when it has none.
+  StorePosition OwnPosition_;
+  /// When its entry was written by this process.
+  BootTime RegisteredAt_;
+  StorePosition After_;
+  /// Positions that were told and are not taken in yet, with the moment at
   /// which they were asked for last.
-  std::map<Revision, BootTime> Unproven_;
+  std::map<StorePosition, BootTime> Unproven_;
+  BootTime ReachedAt_;
   /// Of the watch that counts; others were given up and end when they return.
   std::uint64_t Generation_ = 0;
   bool NeedsList_ = true;
@@ -123,6 +146,9 @@
   bool MaybeOutage_ = false;
   StoreRole Role_ = StoreRole::Alone;
   boost::asio::steady_timer ConfirmTimer_;
+  /// The cause of the last answer whose era could not be taken, as logged.
+  std::string BadEra_;
+  std::uint64_t BadEras_ = 0;
   bool DropPlanned_ = false;
   bool SawChanges_ = false;
   bool ListedBefore_ = false;
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -10,27 +10,89 @@
 
 namespace samphireshunt {
 
-namespace {
-/// Removed servers are kept in mind up to so many: they come and go for ever.
-constexpr std::size_t MostRemoved = 10000;
-} // namespace
-
-StoreView::StoreView(DocumentStore &Documents, StoreLayout Layout,
-                     BootClock::duration RegisterAgainTime)
+StoreView::StoreView(DocumentStore &Documents, StoreLayout Layout, Times Limits)
     : Documents_(Documents), Layout_(std::move(Layout)),
-      Directory_(RegisterAgainTime) {}
+      Directory_(Limits.RegisterAgain_), Times_(Limits),
+      Departed_(Limits.Lapse_) {}
+
+Result<void> StoreView::reached(const StorePosition &Told) {
+  bool Known = Position_ != StorePosition();
+  if (EraRead_ && Told.Era_ < Position_.Era_)
+    return Failure{ResultCode::BadStoreEra,
+                   fmt::format("era {} after {}", Told.Era_.count(),
+                               Position_.Era_.count())};
+  // An era that only a daemon has told yields to the service's own word.
+  if (Known && Told.Era_ != Position_.Era_)
+    beginEra(Told);
+  EraRead_ = true;
+  Position_.Era_ = Told.Era_;
+  return {};
+}
+
+/// What was acknowledged since the copy was made is lost in the service, not
+/// here: it is written again.
+void StoreView::beginEra(const StorePosition &First) {
+  BootTime Now = Hooks_.Now_();
+  logEvent(LogCategory::Version, spdlog::level::warn, "store-era",
+           {{"old", std::to_string(Position_.Era_.count())},
+            {"new", std::to_string(First.Era_.count())},
+            {"revision_held", std::to_string(Position_.Revision_.count())},
+            {"revision_told", std::to_string(First.Revision_.count())}});
+  EraStart_ = EraStart{First, Now};
+  EraLogged_ = false;
+  Position_ = {First.Era_, Revision()};
+  ConfigurationPosition_ = {};
+  ToldVersion_ = {};
+  Doubted_.clear();
+  Directory_.outageBegan();
+  Directory_.outageEnded(Now);
+  Hooks_.EraBegan_();
+}
+
+/// Once for each era, when its configuration was told.
+void StoreView::logEra() {
+  if (std::exchange(EraLogged_, true))
+    return;
+  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Hooks_.Now_() - ConfigurationReadAt_);
+  logEvent(LogCategory::Version, spdlog::level::info, "store-era-version",
+           {{"era", std::to_string(Position_.Era_.count())},
+            {"told", std::to_string(ToldVersion_.count())},
+            {"in_force", std::to_string(version().count())},
+            {"age_ms", std::to_string(Age.count())}});
+}
+
+bool StoreView::confirmsNewest(BootTime Asked) const {
+  if (!EraStart_)
+    return true;
+  if (ToldVersion_ < version())
+    return false;
+  return EraStart_->knownAsWritten(ConfigurationPosition_) ||
+         Asked - EraStart_->SeenAt_ >= Times_.RegisterAgain_;
+}
+
+DocumentVersion StoreView::version() const {
+  auto Snapshot = Documents_.snapshot();
+  const ServiceConfiguration *InForce = Snapshot->service(Layout_.Service_);
+  return InForce ? InForce->Version_ : DocumentVersion();
+}
 
 void StoreView::apply(const KeyValue &Entry) {
+  applyFrom(Source::Service, Entry);
+}
+
+void StoreView::applyFrom(Source From, const KeyValue &Entry) {
   const std::string &Key = Entry.Key_;
   if (Key == Layout_.ConfigurationKey_ && !Entry.Deleted_)
     return adopt(Entry);
   if (Key.starts_with(Layout_.ServerPrefix_))
-    return applyServer(Key.substr(Layout_.ServerPrefix_.size()), Entry);
+    return applyServer(From, Key.substr(Layout_.ServerPrefix_.size()), Entry);
   if (Key.starts_with(Layout_.DaemonPrefix_) && !Entry.Deleted_)
     Hooks_.DaemonSeen_(VmId(Key.substr(Layout_.DaemonPrefix_.size())), Entry);
 }
 
 void StoreView::listed(const KeyValueList &All) {
+  Doubted_.clear();
   std::set<ServerName> Servers;
   for (const KeyValue &Entry : All.Entries_) {
     if (Entry.Key_.starts_with(Layout_.ServerPrefix_))
@@ -40,15 +102,31 @@
   std::erase_if(Rejected_, [&](const auto &Item) {
     return !Servers.contains(ServerName(Item.first));
   });
-  DirectoryChanged_ |= Directory_.listed(Servers, BootClock::now());
-  advance(All.Revision_);
+  DirectoryChanged_ |= Directory_.listed(Servers, Hooks_.Now_());
+  advance(All.Position_);
+}
+
+std::optional<BootTime> StoreView::nextDrop() const {
+  auto Next = Directory_.nextDrop();
+  if (Doubted_.empty() || !EraStart_)
+    return Next;
+  BootTime Lapsed = Departed_.lapsesAt(*EraStart_);
+  return Next ? std::min(*Next, Lapsed) : Lapsed;
 }
 
 void StoreView::dropUnseen() {
-  DirectoryChanged_ |= Directory_.dropUnseen(BootClock::now());
+  DirectoryChanged_ |= Directory_.dropUnseen(Hooks_.Now_());
+  settleDoubts();
   publish();
 }
 
+void StoreView::settleDoubts() {
+  if (Doubted_.empty() || Hooks_.Now_() < Departed_.lapsesAt(*EraStart_))
+    return;
+  for (const auto &[Name, Entry] : std::exchange(Doubted_, {}))
+    applyServer(Source::Daemon, Name, Entry);
+}
+
 void StoreView::publish() {
   logServers();
   if (!std::exchange(DirectoryChanged_, false))
@@ -65,63 +143,116 @@
       Log_.removeUnless(Layout_.ServerPrefix_, [this](const std::string &Name) {
         return Directory_.contains(ServerName(Name));
       });
-  if (Removed_.size() > MostRemoved)
-    Removed_.clear();
   for (const KeyValue &Entry : Gone)
-    Removed_[Entry.Key_.substr(Layout_.ServerPrefix_.size())] = Entry.Revision_;
+    Departed_.left(Entry.Key_.substr(Layout_.ServerPrefix_.size()),
+                   {Entry.Position_, incarnationOf(Entry)});
+}
+
+Incarnation StoreView::incarnationOf(const KeyValue &Entry) const {
+  auto Name = Entry.Key_.substr(Layout_.ServerPrefix_.size());
+  auto Read = Layout_.ReadServer_(Name, Entry.Value_);
+  return Read ? Read->Server_.Incarnation_ : Incarnation();
 }
 
 /// A daemon that regains the service keeps servers that went missing meanwhile
 /// for a while, since their entries may only have lapsed, and tells its
 /// followers so. A follower that has heard of the removal from another daemon
-/// would send work to a server that left long ago. One that registers again has
-/// an entry of a later revision.
-bool StoreView::wasRemoved(const std::string &Name, Revision Told) const {
-  auto Found = Removed_.find(Name);
-  return Found != Removed_.end() && Told <= Found->second;
+/// would send work to a server that left long ago. A copy of the service does
+/// the same to all.
+bool StoreView::admits(Source From, const std::string &Name,
+                       const BackendServer &Told,
+                       const StorePosition &Written) const {
+  DepartedServers::Candidate Entry{Written, Told.Incarnation_,
+                                   From == Source::Service};
+  return Told.Leaving_ ||
+         Departed_.admits(Name, Entry, EraStart_, Hooks_.Now_());
 }
 
-bool StoreView::follow(const ChangeLog::Changes &Told, Revision Revision) {
+void StoreView::doubt(const std::string &Name, const KeyValue &Entry) {
+  if (!EraStart_ || Entry.Position_.Era_ != EraStart_->First_.Era_)
+    return;
+  ServerLines_.push_back(
+      {"server-doubted",
+       Name,
+       {{"revision", std::to_string(Entry.Position_.Revision_.count())}}});
+  Doubted_[Name] = Entry;
+}
+
+bool StoreView::follow(const ChangeLog::Changes &Told,
+                       const StorePosition &Reached, Revision EraFirst) {
   // A daemon that is behind would bring a leaving server back.
-  if (Revision < Revision_)
+  if (Reached < Position_)
     return false;
+  StorePosition First{Reached.Era_, EraFirst};
+  bool Known = Position_ != StorePosition();
+  if (Known && Reached.Era_ > Position_.Era_) {
+    beginEra(EraFirst == Revision() ? Reached : First);
+    EraRead_ = false;
+  } else if (EraStart_ && EraFirst != Revision()) {
+    EraStart_->First_ = std::min(EraStart_->First_, First);
+  }
   std::set<ServerName> Servers;
   for (const KeyValue &Entry : Told.Entries_) {
     bool IsServer = Entry.Key_.starts_with(Layout_.ServerPrefix_);
     ServerName Name(IsServer ? Entry.Key_.substr(Layout_.ServerPrefix_.size())
                              : "");
-    if (IsServer && wasRemoved(Name.str(), Entry.Revision_))
-      continue;
-    if (IsServer && Entry.Deleted_)
+    if (IsServer && Entry.Deleted_) {
+      Doubted_.erase(Name.str());
       DirectoryChanged_ |= Directory_.remove(Name);
-    else
-      apply(Entry);
+    } else {
+      applyFrom(Source::Daemon, Entry);
+    }
     if (IsServer)
       Servers.insert(std::move(Name));
   }
   if (Told.Complete_)
-    DirectoryChanged_ |= Directory_.keepOnly(Servers);
-  advance(Revision);
+    keepTold(Servers);
+  advance(Reached);
   publish();
   return true;
 }
 
-void StoreView::applyServer(const std::string &Name, const KeyValue &Entry) {
+/// A daemon that tells all it believes may have missed what was lost with the
+/// copy: servers that registered since are kept as in an outage.
+void StoreView::keepTold(const std::set<ServerName> &Servers) {
+  BootTime Now = Hooks_.Now_();
+  std::erase_if(Doubted_, [&](const auto &Item) {
+    return !Servers.contains(ServerName(Item.first));
+  });
+  bool EraIsNew = EraStart_ && Now < EraStart_->SeenAt_ + Times_.RegisterAgain_;
+  DirectoryChanged_ |=
+      EraIsNew ? Directory_.listed(Servers, Now) : Directory_.keepOnly(Servers);
+}
+
+void StoreView::applyServer(Source From, const std::string &Name,
+                            const KeyValue &Entry) {
   if (Entry.Deleted_) {
     Rejected_.erase(Name);
+    Doubted_.erase(Name);
     ServerLines_.push_back(
         {"server-gone",
          Name,
-         {{"revision", std::to_string(Entry.Revision_.count())}}});
-    DirectoryChanged_ |= Directory_.missing(ServerName(Name), BootClock::now());
+         {{"revision", std::to_string(Entry.Position_.Revision_.count())}}});
+    DirectoryChanged_ |= Directory_.missing(ServerName(Name), Hooks_.Now_());
     return;
   }
   auto Read = Layout_.ReadServer_(Name, Entry.Value_);
   if (!Read)
     return rejectServer(Name, Entry, Read.error());
+  if (!admits(From, Name, Read->Server_, Entry.Position_))
+    return doubt(Name, Entry);
+  if (Read->Server_.Leaving_)
+    Departed_.left(Name, {Entry.Position_, Read->Server_.Incarnation_});
+  else
+    Departed_.cameBack(Name);
+  Doubted_.erase(Name);
   Rejected_.erase(Name);
-  Log_.set(Entry);
-  if (!Directory_.seen(*Read))
+  bool Changed = Directory_.seen(*Read);
+  // What the copy of an era repeats is told to nobody again.
+  bool OfCopy = EraStart_ && !EraStart_->knownAsWritten(Entry.Position_);
+  if (Changed || !OfCopy || !Log_.find(Entry.Key_))
+    Log_.set(Entry);
+  if (!Changed)
     return;
   DirectoryChanged_ = true;
   ServerLines_.push_back(
@@ -131,7 +262,7 @@
         {"address", formatEndpoint(Read->Server_.Address_)},
         {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
         {"incarnation", std::to_string(Read->Server_.Incarnation_.count())},
-        {"revision", std::to_string(Entry.Revision_.count())}}});
+        {"revision", std::to_string(Entry.Position_.Revision_.count())}}});
 }
 
 /// All of a large directory come at once, to each daemon: one line names many.
@@ -153,7 +284,7 @@
     logEvent(LogCategory::Version, spdlog::level::info, Event,
              {{"count", std::to_string(Names.size())},
               {"servers", fmt::format("{}", fmt::join(Names, ","))},
-              {"revision", std::to_string(Revision_.count())}});
+              {"revision", std::to_string(Position_.Revision_.count())}});
 }
 
 /// An entry that can't be read names no server. One that was good and is
@@ -169,13 +300,13 @@
            {{"server", Name},
             {"code", std::to_string(static_cast<int>(Cause.Code_))},
             {"detail", Cause.Detail_},
-            {"revision", std::to_string(Entry.Revision_.count())}});
+            {"revision", std::to_string(Entry.Position_.Revision_.count())}});
 }
 
 /// What can't be read leaves the last good configuration in force.
 void StoreView::adopt(const KeyValue &Entry) {
   // It is read again and again to know that it is the newest.
-  if (Entry.Revision_ == ConfigurationRevision_)
+  if (Entry.Position_ == ConfigurationPosition_)
     return;
   auto Read = Layout_.ReadConfiguration_(Entry.Value_);
   if (!Read) {
@@ -184,12 +315,37 @@
              {{"detail", Read.error().Detail_}});
     return;
   }
-  ConfigurationRevision_ = Entry.Revision_;
-  ConfigurationReadAt_ = BootClock::now();
-  if (!Documents_.adopt(Layout_.Service_, Read->Version_, Read->Document_))
-    return;
+  ConfigurationPosition_ = Entry.Position_;
+  ToldVersion_ = Read->Version_;
+  putInForce(*Read, Entry);
+  logEra();
+}
+
+bool StoreView::putInForce(const ReadConfiguration &Read,
+                           const KeyValue &Entry) {
+  if (!Documents_.adopt(Layout_.Service_, Read.Version_, Read.Document_))
+    return false;
+  ConfigurationReadAt_ = Hooks_.Now_();
   Log_.set(Entry);
   Hooks_.Changed_();
+  return true;
+}
+
+bool StoreView::takeText(DocumentVersion Version, std::string Text) {
+  auto Read = Layout_.ReadConfiguration_(Text);
+  if (!Read || Read->Version_ != Version) {
+    logEvent(
+        LogCategory::Version, spdlog::level::err,
+        "configuration-not-understood",
+        {{"version", std::to_string(Version.count())},
+         {"detail", Read ? "it is of another version" : Read.error().Detail_}});
+    return false;
+  }
+  KeyValue Entry;
+  Entry.Key_ = Layout_.ConfigurationKey_;
+  Entry.Value_ = std::move(Text);
+  putInForce(*Read, Entry);
+  return true;
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -2,11 +2,13 @@
 /// \file
 /// What this daemon believes of configuration and backend servers, and how it
 /// takes in what the platform's service, or a daemon that follows it, says. It
-/// never goes back: what an older revision says is not taken in. Runs on the
-/// control thread.
+/// never goes back: what an older position says is not taken in, nor what a
+/// copy still holds from which the service came back. Runs on the control
+/// thread.
 
 #include "Common/Log.h"
 #include "Process/Configuration/ChangeLog.h"
+#include "Process/Configuration/DepartedServers.h"
 #include "Process/Configuration/DirectoryView.h"
 #include "Process/Configuration/Platform.h"
 #include "Version/DocumentStore.h"
@@ -45,48 +47,84 @@
     std::function<void(const VmId &, const KeyValue &)> DaemonSeen_;
     /// Something was taken in that followers of this daemon should hear.
     std::function<void()> Changed_;
+    /// The service came back from an older copy.
+    std::function<void()> EraBegan_ = [] {};
+    std::function<BootTime()> Now_ = BootClock::now;
+  };
+  struct Times {
+    /// After an outage, or a return from a copy, operator and servers write
+    /// again within this time.
+    BootClock::duration RegisterAgain_;
+    /// The entry of a server that is silent is removed within it: five of its
+    /// beats.
+    BootClock::duration Lapse_ = std::chrono::seconds(6);
   };
 
-  /// \p RegisterAgainTime: after an outage servers that lapsed meanwhile
-  /// register again within this time.
-  StoreView(DocumentStore &Documents, StoreLayout Layout,
-            BootClock::duration RegisterAgainTime);
+  StoreView(DocumentStore &Documents, StoreLayout Layout, Times Limits);
   void setHooks(Hooks Reactions) { Hooks_ = std::move(Reactions); }
 
   // From the service itself.
+  /// The service has answered from \p Told. \returns BadStoreEra when its era
+  /// is older than one that was read from it before.
+  Result<void> reached(const StorePosition &Told);
   /// One entry that was read or has changed; publish() puts it in force.
   void apply(const KeyValue &Entry);
   /// Everything under all keys was read.
   void listed(const KeyValueList &All);
   void outageBegan() { Directory_.outageBegan(); }
-  void outageEnded() { Directory_.outageEnded(BootClock::now()); }
-  /// Drops servers that went missing in an outage and are not back.
+  void outageEnded() { Directory_.outageEnded(Hooks_.Now_()); }
+  /// Drops servers that went missing in an outage and are not back, and takes
+  /// those back that the copy of an era brought and that did not lapse.
   void dropUnseen();
-  std::optional<BootTime> nextDrop() const { return Directory_.nextDrop(); }
+  /// When dropUnseen() has something to do next.
+  std::optional<BootTime> nextDrop() const;
+  /// An answer that was asked for at \p Asked shows that no newer configuration
+  /// was ever accepted than the one in force.
+  bool confirmsNewest(BootTime Asked) const;
   /// Puts changed servers in force.
   void publish();
 
   // From a daemon that follows the service: what it believes, in force at once.
-  /// \returns false, and takes nothing in, when \p Revision is older than what
-  /// is known here.
-  bool follow(const ChangeLog::Changes &Told, Revision Revision);
+  /// \returns false, and takes nothing in, when \p Reached is older than what
+  /// is known here. \p EraFirst: where the teller saw its era begin; revision 0
+  /// where it did not.
+  bool follow(const ChangeLog::Changes &Told, const StorePosition &Reached,
+              Revision EraFirst = {});
+  /// The text of a configuration. \returns false when it is not \p Version.
+  bool takeText(DocumentVersion Version, std::string Text);
 
-  /// The newest revision of the service that is taken in completely.
-  Revision revision() const { return Revision_; }
-  void advance(Revision Newer) { Revision_ = std::max(Revision_, Newer); }
-  /// Of the configuration that was read last.
-  Revision configurationRevision() const { return ConfigurationRevision_; }
-  /// When that was read; the clock's beginning before the first.
+  /// The newest position of the service that is taken in completely.
+  const StorePosition &position() const { return Position_; }
+  void advance(const StorePosition &Newer) {
+    Position_ = std::max(Position_, Newer);
+  }
+  /// Unset until an era began under this process.
+  const std::optional<EraStart> &eraStart() const { return EraStart_; }
+  /// Of the configuration in force; 0 when there is none.
+  DocumentVersion version() const;
+  /// When it was read; the clock's beginning before the first.
   BootTime configurationReadAt() const { return ConfigurationReadAt_; }
   const ChangeLog &log() const { return Log_; }
   const StoreLayout &layout() const { return Layout_; }
 
 private:
-  void applyServer(const std::string &Name, const KeyValue &Entry);
-  bool wasRemoved(const std::string &Name, Revision Told) const;
+  /// Who told an entry.
+  enum class Source { Service, Daemon };
+
+  void beginEra(const StorePosition &First);
+  void logEra();
+  void applyFrom(Source From, const KeyValue &Entry);
+  void applyServer(Source From, const std::string &Name, const KeyValue &Entry);
+  bool admits(Source From, const std::string &Name, const BackendServer &Told,
+              const StorePosition &Written) const;
+  void keepTold(const std::set<ServerName> &Servers);
+  void doubt(const std::string &Name, const KeyValue &Entry);
+  void settleDoubts();
+  Incarnation incarnationOf(const KeyValue &Entry) const;
   void rejectServer(const std::string &Name, const KeyValue &Entry,
                     const Failure &Cause);
   void adopt(const KeyValue &Entry);
+  bool putInForce(const ReadConfiguration &Read, const KeyValue &Entry);
   void noteServers();
   void logServers();
 
@@ -95,9 +133,15 @@
   Hooks Hooks_;
   DirectoryView Directory_;
   ChangeLog Log_;
-  Revision Revision_;
-  /// Of the configuration that was read last.
-  Revision ConfigurationRevision_;
+  Times Times_;
+  StorePosition Position_;
+  /// The era was read from the service; false while only a daemon has told it.
+  bool EraRead_ = false;
+  std::optional<EraStart> EraStart_;
+  bool EraLogged_ = true;
+  /// Of the configuration that was read last, in force or not.
+  StorePosition ConfigurationPosition_;
+  DocumentVersion ToldVersion_;
   BootTime ConfigurationReadAt_;
   bool DirectoryChanged_ = false;
   /// Servers that were heard of and are not logged yet, with what is to be
@@ -108,8 +152,9 @@
     LogFields Fields_;
   };
   std::vector<ServerLine> ServerLines_;
-  /// Revisions of the entries of servers that were removed, by name.
-  std::map<std::string, Revision> Removed_;
+  DepartedServers Departed_;
+  /// Entries of servers that have left, from the copy of an era.
+  std::map<std::string, KeyValue> Doubted_;
   /// Entries that can't be read, by name, with the cause that was logged.
   std::map<std::string, std::string> Rejected_;
 };
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace samphireshunt {
@@ -230,13 +231,13 @@
   if (!Entry)
     co_return fail(ExitStatus::Unavailable, Entry.error());
   VersionedDocument Present;
-  Revision Expected;
+  StorePosition Expected;
   if (*Entry) {
     auto Decoded = VersionedDocument::decode((*Entry)->Value_);
     if (!Decoded)
       co_return fail(ExitStatus::Invalid, Decoded.error());
     Present = std::move(*Decoded);
-    Expected = (*Entry)->Revision_;
+    Expected = (*Entry)->Position_;
   }
   auto PresentNumber = static_cast<std::int64_t>(Present.Version_.count());
   if (ExpectedVersion >= 0 && ExpectedVersion != PresentNumber) {
@@ -263,9 +264,9 @@
 
 /// A write may take effect although its answer never returns. The ids of the
 /// last changes tell whether this one did, even after another operator's.
-Awaitable<Result<DocumentVersion>> CtlCommands::putOnce(ServiceName Service,
-                                                        VersionedDocument Next,
-                                                        Revision Expected) {
+Awaitable<Result<DocumentVersion>>
+CtlCommands::putOnce(ServiceName Service, VersionedDocument Next,
+                     StorePosition Expected) {
   KeyValueWrite Write;
   Write.Key_ = documentKey(Service);
   Write.Value_ = Next.encode();
@@ -283,7 +284,7 @@
                                                     Options_.ChangeId_) > 0;
       if (Accepted)
         co_return Next.Version_;
-      if ((*Entry)->Revision_ != Expected) {
+      if ((*Entry)->Position_ != Expected) {
         std::string Other = Decoded && !Decoded->ChangeIds_.empty()
                                 ? Decoded->ChangeIds_.back()
                                 : "another";
@@ -412,6 +413,7 @@
   auto States = co_await askDaemons();
   Json Rows = Json::array();
   std::string Text;
+  std::set<std::uint64_t> Eras;
   for (const DaemonState &State : States) {
     Json Row = State.Status_;
     Row["vm"] = State.Vm_.str();
@@ -421,6 +423,13 @@
          State.Status_.value("services", Json::object()).items())
       Versions += fmt::format(" {}={}", Name,
                               Service.value("version", std::uint64_t(0)));
+    if (State.Status_.contains("storeEra")) {
+      auto Era = State.Status_.value("storeEra", std::uint64_t(0));
+      Eras.insert(Era);
+      Versions +=
+          fmt::format(" era={} revision={}", Era,
+                      State.Status_.value("storeRevision", std::uint64_t(0)));
+    }
     Text += fmt::format("{:<12} {:<12} ready={} active={}{}\n", State.Vm_.str(),
                         State.Reached_ ? "reached" : "unreachable",
                         State.Status_.value("ready", false),
@@ -430,6 +439,9 @@
   if (States.empty())
     co_return fail(ExitStatus::Unavailable,
                    {ResultCode::PlatformUnavailable, "no list of VMs."});
+  if (Eras.size() > 1)
+    Text +=
+        fmt::format("eras of the service differ: {}\n", fmt::join(Eras, ", "));
   print(Rows, Text);
   co_return ExitStatus::Ok;
 }
--- a/Source/Programs/CtlCommands.h
+++ b/Source/Programs/CtlCommands.h
@@ -64,7 +64,7 @@
   Awaitable<ExitStatus> put(ServiceName Service, std::string CanonicalJson,
                             std::int64_t ExpectedVersion);
   Awaitable<Result<DocumentVersion>>
-  putOnce(ServiceName Service, VersionedDocument Next, Revision Expected);
+  putOnce(ServiceName Service, VersionedDocument Next, StorePosition Expected);
   Awaitable<void> keepHistory(ServiceName Service, VersionedDocument Accepted);
   Awaitable<ExitStatus> awaitEverywhere(ServiceName Service,
                                         DocumentVersion Version);
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -206,9 +206,12 @@
   };
   Hooks.VersionSeen_ = [this](const VmId &From,
                               const wire::ServiceVersionT &Version) {
+    ServiceName Service(Version.service);
+    DocumentVersion Seen(Version.version);
     if (Configuration_)
-      Configuration_->versionSeen(From, ServiceName(Version.service),
-                                  DocumentVersion(Version.version));
+      Configuration_->versionSeen(From, Service, Seen);
+    if (PeerFollower_ && Service == Adapter_.Layout_->Service_)
+      PeerFollower_->onVersionHeard(From, Seen);
   };
   Hooks.Floors_ = [this] { return Keeper_->floors(); };
   Hooks.FloorSeen_ = [this](const PoolFloor &Floor) {
@@ -267,13 +270,14 @@
 
 void Daemon::wireFollower() {
   View_ = std::make_unique<StoreView>(Documents_, *Adapter_.Layout_,
-                                      RegisterAgainTime);
+                                      StoreView::Times{RegisterAgainTime});
   StoreView::Hooks ViewHooks;
   ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
     Follower_->daemonSeen(Id, Entry);
     onDaemonRegistered(Id, Entry.Value_);
   };
   ViewHooks.Changed_ = [this] { PeerFollower_->onChanged(); };
+  ViewHooks.EraBegan_ = [this] { Follower_->onEraBegan(); };
   View_->setHooks(std::move(ViewHooks));
   Follower_ = std::make_unique<StoreFollower>(
       Control_, Platform_, *View_, Freshness_, StoreFollower::Options());
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -122,6 +122,9 @@
   std::uint64_t Origin_ = 0;
   std::atomic<std::uint64_t> NextSequence_ = 1;
   std::atomic<bool> Ready_ = false;
+  TimePoint Started_;
+  /// It has what the others had when it started.
+  bool Joined_ = false;
   std::atomic<bool> Draining_ = false;
   TimePoint DrainStarted_;
   bool LookingAround_ = false;
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -18,6 +18,10 @@
 
 namespace {
 
+/// How long a daemon that starts waits for a word of another one, and then for
+/// the configuration that this one has.
+constexpr milliseconds JoinTime{1500};
+constexpr milliseconds FetchTime{1500};
 /// How often a stop or a start is looked at.
 constexpr milliseconds DrainCheckInterval{50};
 /// The same while the daemon neither starts nor stops.
@@ -42,10 +46,20 @@
          !Freshness_.overdue(Now);
 }
 
+/// The service may have come back from a copy that lacks what was accepted. One
+/// that starts then would serve by an older configuration than the others: it
+/// hears one of them first, and gets what that one names.
 bool Daemon::configurationReady() {
   if (Configuration_)
     return Configuration_->ready();
-  return !Documents_.snapshot()->Services_.empty();
+  if (Documents_.snapshot()->Services_.empty())
+    return false;
+  auto Running = steady_clock::now() - Started_;
+  bool Joined = Membership_->protocol().heardFromPeer() || Running >= JoinTime;
+  bool Complete =
+      !PeerFollower_->lacksHeardVersion() || Running >= JoinTime + FetchTime;
+  Joined_ = Joined_ || (Joined && Complete);
+  return Joined_;
 }
 
 bool Daemon::platformReachable() const {
@@ -84,6 +98,7 @@
   awaitSignal();
   logEvent(LogCategory::Process, spdlog::level::info, "started",
            {{"incarnation", std::to_string(Incarnation_.count())}});
+  Started_ = steady_clock::now();
   Membership_->start();
   std::ranges::for_each(Settings_.SeedPeers_, [this](const Endpoint &Peer) {
     Membership_->join(Peer);
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -52,6 +52,8 @@
                           ? Json(PeerFollower_->reader()->str())
                           : Json(nullptr);
     Root["followers"] = PeerFollower_->followers();
+    Root["storeEra"] = View_->position().Era_.count();
+    Root["storeRevision"] = View_->position().Revision_.count();
   }
   Root["activeRequests"] = CallerServer_->activeExchanges();
   Root["liveShare"] = Members_->liveShare();
@@ -131,9 +133,14 @@
       "configuration_behind_seconds",
       std::chrono::duration<double>(Freshness_.behind(BootClock::now()))
           .count());
-  if (PeerFollower_)
+  if (PeerFollower_) {
     Metrics_.setGauge("followers",
                       static_cast<double>(PeerFollower_->followers()));
+    Metrics_.setGauge("store_era",
+                      static_cast<double>(View_->position().Era_.count()));
+    Metrics_.setGauge("bad_store_eras",
+                      static_cast<double>(Follower_->badEras()));
+  }
   Metrics_.setGauge("traces_dropped", static_cast<double>(Traces_->dropped()));
   Metrics_.setGauge("control_bytes_sent",
                     static_cast<double>(Membership_->protocol().bytesSent() +
--- a/Source/Programs/OperatorService.cpp
+++ b/Source/Programs/OperatorService.cpp
@@ -1,5 +1,6 @@
 #include "Programs/OperatorService.h"
 
+#include "Process/Configuration/StoreEraHeader.h"
 #include "Request/FinalAnswer.h"
 
 #include <nlohmann/json.hpp>
@@ -21,10 +22,16 @@
   return jsonResponse(httpStatus(Cause.Code_), errorBody(Ended));
 }
 
+HttpResponse answerOfEra(const Json &Body, StoreEra Era) {
+  HttpResponse Response = jsonResponse(200, Body.dump());
+  Response.Fields_[StoreEraField] = std::to_string(Era.count());
+  return Response;
+}
+
 Json entryToJson(const KeyValue &Entry) {
   return {{"key", Entry.Key_},
           {"value", Entry.Value_},
-          {"revision", Entry.Revision_.count()}};
+          {"revision", Entry.Position_.Revision_.count()}};
 }
 
 /// Operators reach documents and their history, but never the claims.
@@ -87,8 +94,8 @@
   Body["entries"] = Json::array();
   for (const KeyValue &Entry : Listed->Entries_)
     Body["entries"].push_back(entryToJson(Entry));
-  Body["revision"] = Listed->Revision_.count();
-  co_return jsonResponse(200, Body.dump());
+  Body["revision"] = Listed->Position_.Revision_.count();
+  co_return answerOfEra(Body, Listed->Position_.Era_);
 }
 
 Awaitable<HttpResponse> OperatorService::keyValue(const HttpRequest &Request) {
@@ -101,18 +108,19 @@
       co_return failed(Entry.error());
     if (!*Entry)
       co_return failed({ResultCode::NotFound, Key});
-    co_return jsonResponse(200, entryToJson(**Entry).dump());
+    co_return answerOfEra(entryToJson(**Entry), (*Entry)->Position_.Era_);
   }
   KeyValueWrite Write;
   Write.Key_ = Key;
   Write.Value_ = Request.Body_;
-  Write.Expected_ = Revision(numberParameter(Request, "expect"));
+  Write.Expected_ = {StoreEra(numberParameter(Request, "era")),
+                     Revision(numberParameter(Request, "expect"))};
   auto Written = co_await Platform_.Put_(Write);
   if (!Written)
     co_return failed(Written.error());
   Json Body;
-  Body["revision"] = Written->count();
-  co_return jsonResponse(200, Body.dump());
+  Body["revision"] = Written->Revision_.count();
+  co_return answerOfEra(Body, Written->Era_);
 }
 
 } // namespace samphireshunt
--- a/Source/Request/ClaimStore.cpp
+++ b/Source/Request/ClaimStore.cpp
@@ -42,7 +42,7 @@
         Incarnation(Root.at("incarnation").get<std::uint64_t>());
     Value.BodyDigest_ = Root.at("bodyDigest").get<std::string>();
     Value.State_ = static_cast<ClaimState>(Root.at("state").get<int>());
-    Value.Revision_ = Entry.Revision_;
+    Value.Position_ = Entry.Position_;
     if (Value.State_ == ClaimState::Answered) {
       Value.Answer_.Status_ = Root.at("status").get<int>();
       Value.Answer_.Fields_ = Root.at("fields").get<HttpFields>();
@@ -92,7 +92,7 @@
   for (int Try = 0; Try < Options_.ReadBackTries_; ++Try) {
     auto Written = co_await Platform_.Put_(Write);
     if (Written) {
-      Wanted.Revision_ = *Written;
+      Wanted.Position_ = *Written;
       co_return Wanted;
     }
     Reason = Written.error().Detail_;
@@ -110,7 +110,7 @@
   KeyValueWrite Write;
   Write.Key_ = Key.storeKey();
   Write.Value_ = encodeClaim(Ended);
-  Write.Expected_ = Ended.Revision_;
+  Write.Expected_ = Ended.Position_;
   Write.TimeToLive_ = Options_.Retention_;
   for (int Try = 0; Try < Options_.FinishTries_; ++Try) {
     auto Written = co_await Platform_.Put_(Write);
@@ -137,7 +137,7 @@
       co_return;
     if (Present && *Present) {
       auto Deleted =
-          co_await Platform_.Delete_(Key.storeKey(), (*Present)->Revision_);
+          co_await Platform_.Delete_(Key.storeKey(), (*Present)->Position_);
       if (Deleted)
         co_return;
     }
--- a/Source/Request/ClaimStore.h
+++ b/Source/Request/ClaimStore.h
@@ -28,8 +28,8 @@
   Incarnation Incarnation_;
   std::string BodyDigest_;
   ClaimState State_ = ClaimState::Claimed;
-  HttpResponse Answer_; ///< With Answered.
-  Revision Revision_;   ///< Not part of the value.
+  HttpResponse Answer_;    ///< With Answered.
+  StorePosition Position_; ///< Not part of the value.
 };
 
 class ClaimStore {
--- a/UnitTests/Process/Configuration/ChangeLogTest.cpp
+++ b/UnitTests/Process/Configuration/ChangeLogTest.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 KeyValue entry(const std::string &Key, const std::string &Value) {
-  return {Key, Value, Revision(1), false};
+  return {Key, Value, {StoreEra(), Revision(1)}, false};
 }
 
 } // namespace
--- a/UnitTests/Process/Configuration/MeasuredPlatformTest.cpp
+++ b/UnitTests/Process/Configuration/MeasuredPlatformTest.cpp
@@ -12,10 +12,10 @@
   Inner.List_ = [](std::string) -> Awaitable<Result<KeyValueList>> {
     co_return KeyValueList();
   };
-  Inner.Put_ = [](KeyValueWrite) -> Awaitable<Result<Revision>> {
+  Inner.Put_ = [](KeyValueWrite) -> Awaitable<Result<StorePosition>> {
     co_return Failure{ResultCode::VersionConflict, ""};
   };
-  Inner.Delete_ = [](std::string, Revision) -> Awaitable<Result<void>> {
+  Inner.Delete_ = [](std::string, StorePosition) -> Awaitable<Result<void>> {
     co_return Failure{ResultCode::PlatformUnavailable, ""};
   };
   std::vector<std::pair<std::string, bool>> Seen;
@@ -31,7 +31,7 @@
     CHECK(Listed.has_value());
     auto Written = co_await Hooks.Put_(Write);
     CHECK_FALSE(Written.has_value());
-    auto Removed = co_await Hooks.Delete_(Name, Revision(1));
+    auto Removed = co_await Hooks.Delete_(Name, StorePosition());
     CHECK_FALSE(Removed.has_value());
   };
   boost::asio::co_spawn(Context, Calls, boost::asio::detached);
--- a/UnitTests/Request/ClaimStoreTest.cpp
+++ b/UnitTests/Request/ClaimStoreTest.cpp
@@ -23,7 +23,7 @@
     PlatformHooks Hooks;
     Hooks.Get_ = [this](std::string Key) { return get(std::move(Key)); };
     Hooks.Put_ = [this](KeyValueWrite Write) { return put(std::move(Write)); };
-    Hooks.Delete_ = [this](std::string Key, Revision) {
+    Hooks.Delete_ = [this](std::string Key, StorePosition) {
       return remove(std::move(Key));
     };
     return Hooks;
@@ -50,19 +50,20 @@
                                       : std::optional(Found->second);
   }
 
-  Awaitable<Result<Revision>> put(KeyValueWrite Write) {
+  Awaitable<Result<StorePosition>> put(KeyValueWrite Write) {
     Fate Next = take(WriteFates_);
     if (Next == Fate::LostBefore)
       co_return Failure{ResultCode::PlatformUnavailable, ""};
     auto Found = Entries_.find(Write.Key_);
-    Revision Present =
-        Found == Entries_.end() ? Revision(0) : Found->second.Revision_;
+    StorePosition Present =
+        Found == Entries_.end() ? StorePosition() : Found->second.Position_;
     if (Present != Write.Expected_)
       co_return Failure{ResultCode::VersionConflict, ""};
-    Entries_[Write.Key_] = {Write.Key_, Write.Value_, Revision(++Last_)};
+    StorePosition Written{StoreEra(), Revision(++Last_)};
+    Entries_[Write.Key_] = {Write.Key_, Write.Value_, Written};
     if (Next == Fate::LostAfter)
       co_return Failure{ResultCode::PlatformUnavailable, ""};
-    co_return Revision(Last_);
+    co_return Written;
   }
 
   Awaitable<Result<void>> remove(std::string Key) {
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -67,6 +67,15 @@
   Changes_.push_back({Key, ++Revision_, true});
 }
 
+void FakeStore::restoreCopy() {
+  Items_ = Copy_.Items_;
+  Changes_ = Copy_.Changes_;
+  Revision_ = Copy_.Revision_;
+  HistoryFrom_ = std::min(HistoryFrom_, Revision_);
+  ++Restores_;
+  Era_ = std::to_string(Era_.empty() ? 1 : std::stoull(Era_) + 1);
+}
+
 std::string FakeStore::get(const std::string &Key) const {
   auto Found = Items_.find(Key);
   return Found == Items_.end() ? std::string() : Found->second.Value_;
@@ -89,20 +98,28 @@
   const HttpRequest &Request = Exchange.request();
   std::string Path(Request.path());
   ++Calls_[Path];
+  auto Restores = Restores_;
   co_await sleepWhileSilent();
   HttpResponse Answer = jsonResponse(404, "{}");
   if (FailWith_ > 0)
     Answer = jsonResponse(FailWith_, "{}");
   else if (!AnswerWith_.empty())
     Answer = jsonResponse(200, AnswerWith_);
-  else if (Path == "/-/kv-range")
+  else if (Path == "/-/kv-range") {
+    BeforePage_(Request.queryParameter("after").empty() ? 0 : 1);
     Answer = range(Request);
-  else if (Path == "/-/kv-key")
+  } else if (Path == "/-/kv-key")
     Answer = key(Request);
   else if (Path == "/-/kv-watch")
     Answer = co_await watch(Request);
   else if (Path == "/-/kv-txn")
     Answer = transaction(Request);
+  if (Restores != Restores_) {
+    Exchange.abort();
+    co_return;
+  }
+  if (!Era_.empty())
+    Answer.Fields_["store-era"] = Era_;
   if (Path == "/-/kv-txn" && LoseWriteAnswers_ > 0) {
     --LoseWriteAnswers_;
     Exchange.abort();
@@ -178,11 +195,12 @@
   std::string Prefix = Request.queryParameter("prefix");
   std::uint64_t After = number(Request, "after");
   auto End = steady_clock::now() + milliseconds(number(Request, "wait-ms"));
+  auto Restores = Restores_;
   bool Deaf = false;
-  while (true) {
+  while (Restores == Restores_) {
     if (FailWith_ > 0)
       co_return jsonResponse(FailWith_, "{}");
-    if (After < HistoryFrom_)
+    if (After < HistoryFrom_ || After > Revision_)
       co_return jsonResponse(410, "{}");
     Json Events = Json::array();
     for (const Change &Seen : Changes_) {
@@ -205,6 +223,7 @@
     }
     co_await sleep(milliseconds(2));
   }
+  co_return jsonResponse(503, "{}");
 }
 
 HttpResponse FakeStore::transaction(const HttpRequest &Request) {
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -24,6 +24,11 @@
   void remove(const std::string &Key);
   /// The value of a key; empty when it does not exist.
   std::string get(const std::string &Key) const;
+  /// Keeps a copy of everything as it is now.
+  void takeCopy() { Copy_ = State{Items_, Changes_, Revision_}; }
+  /// Comes back from the copy, in the next era: what was written since is gone,
+  /// and its revisions are given out again. Calls that wait are cut.
+  void restoreCopy();
   /// Forgets all changes so far.
   void dropHistory() { HistoryFrom_ = Revision_; }
   std::size_t calls(const std::string &Path) const;
@@ -42,6 +47,10 @@
   /// This many writes are done and not answered.
   int LoseWriteAnswers_ = 0;
   std::size_t PageSize_ = 500;
+  /// Told in all answers; empty: the field is left out.
+  std::string Era_;
+  /// Called before each answer of a list, with the number of its page.
+  std::function<void(std::size_t)> BeforePage_ = [](std::size_t) {};
   /// What the link to the store carries, all answers together; 0: no limit.
   std::size_t BytesPerSecond_ = 0;
 
@@ -56,6 +65,12 @@
     bool Removed_;
   };
 
+  struct State {
+    std::map<std::string, Item> Items_;
+    std::vector<Change> Changes_;
+    std::uint64_t Revision_ = 1;
+  };
+
   Awaitable<void> handle(HttpExchange &Exchange);
   Awaitable<void> send(HttpExchange &Exchange, HttpResponse Answer);
   /// Returns when the link has carried \p Bytes more.
@@ -78,6 +93,9 @@
   std::chrono::steady_clock::time_point LinkFreeAt_;
   std::uint64_t Revision_ = 1;
   std::uint64_t HistoryFrom_ = 0;
+  State Copy_;
+  /// Of all times that it came back; calls that began before are cut.
+  std::uint64_t Restores_ = 0;
 };
 
 /// Runs \p Context until \p Done, some seconds at the most.
--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -30,6 +30,8 @@
 inline const PoolName ThePool("s");
 inline constexpr milliseconds Lease{1000};
 inline constexpr milliseconds ApplyBound{300};
+inline constexpr milliseconds RegisterAgain{150};
+inline constexpr milliseconds Lapse{800};
 
 inline std::string route(std::size_t Index) {
   return fmt::format(R"({{"name":"r-{0}","hostname":"h{0}.example",
@@ -74,12 +76,13 @@
                   std::string Name, ReaderChoice Choice,
                   PeerFollower::Hooks Hooks)
       : Choice_(std::move(Choice)), Freshness_(Lease, ApplyBound),
-        View_(Documents_, platform::storeLayout(), milliseconds(150)) {
+        View_(Documents_, platform::storeLayout(), {RegisterAgain, Lapse}) {
     StoreView::Hooks ViewHooks;
     ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
       Service_->daemonSeen(Id, Entry);
     };
     ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
+    ViewHooks.EraBegan_ = [this] { Service_->onEraBegan(); };
     View_.setHooks(std::move(ViewHooks));
     StoreFollower::Options Options;
     Options.WatchTime_ = milliseconds(2000);
@@ -92,6 +95,7 @@
     Options.LongestPause_ = milliseconds(10);
     Options.SpareFirstPause_ = milliseconds(20);
     Options.SpareLongestPause_ = milliseconds(50);
+    Options.RegisterSpread_ = milliseconds(20);
     Service_ = std::make_unique<StoreFollower>(
         Context, platform::storeHooks(Store.address(), milliseconds(50)), View_,
         Freshness_, Options);
@@ -104,6 +108,8 @@
     PeerOptions.StayTime_ = milliseconds(400);
     PeerOptions.PatientTime_ = milliseconds(200);
     PeerOptions.AskAgainTime_ = milliseconds(20);
+    PeerOptions.Heard_.Patience_ = milliseconds(30);
+    PeerOptions.Heard_.GiveUp_ = milliseconds(300);
     Hooks.Choose_ = [this] { return Choice_; };
     static std::uint64_t Process = 0;
     Peers_ = std::make_unique<PeerFollower>(Context, Incarnation(++Process),
@@ -158,9 +164,21 @@
     add("spare", SpareStore_, SpareChoice_);
   }
   void put(const std::string &Key, const std::string &Value) {
+    forAllStores([&](FakeStore &Store) { Store.put(Key, Value); });
+  }
+  void remove(const std::string &Key) {
+    forAllStores([&](FakeStore &Store) { Store.remove(Key); });
+  }
+  void takeCopies() {
+    forAllStores([](FakeStore &Store) { Store.takeCopy(); });
+  }
+  void restoreCopies() {
+    forAllStores([](FakeStore &Store) { Store.restoreCopy(); });
+  }
+  void forAllStores(const std::function<void(FakeStore &)> &Do) {
     for (auto &[Name, Store] : Stores_)
-      Store->put(Key, Value);
-    SpareStore_.put(Key, Value);
+      Do(*Store);
+    Do(SpareStore_);
   }
   FollowingDaemon &operator[](const std::string &Name) {
     return *Daemons_.at(Name);
@@ -251,8 +269,8 @@
     auto Decoded = decodeMessage(Message).value();
     PeerFollower &Peers = *Daemons_.at(To)->Peers_;
     if (auto *Asked = Decoded.body.AsFollow()) {
-      Asked->apart = Asked->apart && !Mixed_;
-      AskedApart_ += Asked->apart ? 1 : 0;
+      Asked->text_apart = Asked->text_apart && !Mixed_;
+      AskedApart_ += Asked->text_apart ? 1 : 0;
       return Peers.onFollow(VmId(From), *Asked);
     }
     if (const auto *Text = Decoded.body.AsTextAsk())
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -48,7 +48,7 @@
       milliseconds LapseTime = StoreFollower::Options().LapseTime_)
       : WatchTime_(WatchTime), LapseTime_(LapseTime), Store_(Context_),
         Freshness_(Lease, ApplyBound),
-        View_(Documents_, platform::storeLayout(), milliseconds(150)) {
+        View_(Documents_, platform::storeLayout(), {milliseconds(150)}) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
     follow();
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -17,6 +17,10 @@
 
 constexpr milliseconds CallTime{200};
 
+StorePosition at(std::uint64_t Number) {
+  return {StoreEra(), Revision(Number)};
+}
+
 class StoreFixture {
 public:
   StoreFixture()
@@ -42,16 +46,16 @@
   Result<KeyValueList> list(const std::string &Prefix) {
     return wait<KeyValueList>([&] { return Hooks_.List_(Prefix); });
   }
-  Result<KeyValueList> watch(Revision After, milliseconds Wait) {
+  Result<KeyValueList> watch(StorePosition After, milliseconds Wait) {
     return wait<KeyValueList>([&] { return Hooks_.Watch_("", After, Wait); });
   }
-  Result<Revision> put(const std::string &Key, const std::string &Value,
-                       Revision Expected) {
+  Result<StorePosition> put(const std::string &Key, const std::string &Value,
+                            StorePosition Expected) {
     KeyValueWrite Write;
     Write.Key_ = Key;
     Write.Value_ = Value;
     Write.Expected_ = Expected;
-    return wait<Revision>([&] { return Hooks_.Put_(Write); });
+    return wait<StorePosition>([&] { return Hooks_.Put_(Write); });
   }
 
   boost::asio::io_context Context_;
@@ -67,7 +71,7 @@
        {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
         std::string("\0\xff\n", 3)}) {
     Test.Store_.remove("k");
-    REQUIRE(Test.put("k", Value, Revision(0)).has_value());
+    REQUIRE(Test.put("k", Value, at(0)).has_value());
     CHECK(Test.Store_.get("k") == Value);
     auto Got = Test.wait<std::optional<KeyValue>>(
         [&] { return Test.Hooks_.Get_("k"); });
@@ -97,11 +101,11 @@
   auto Listed = Test.list("");
   Test.Store_.put("k", "new");
   Test.Store_.remove("k");
-  auto Changes = Test.watch(Listed->Revision_, milliseconds(1000));
+  auto Changes = Test.watch(Listed->Position_, milliseconds(1000));
   REQUIRE(Changes.has_value());
   REQUIRE_FALSE(Changes->Entries_.empty());
   CHECK(Changes->Entries_.back().Deleted_);
-  auto Nothing = Test.watch(Changes->Revision_, milliseconds(10));
+  auto Nothing = Test.watch(Changes->Position_, milliseconds(10));
   REQUIRE(Nothing.has_value());
   CHECK(Nothing->Entries_.empty());
 }
@@ -110,7 +114,7 @@
   StoreFixture Test;
   Test.Store_.put("k", "v");
   Test.Store_.dropHistory();
-  CHECK(Test.watch(Revision(1), milliseconds(10)).error().Code_ ==
+  CHECK(Test.watch(at(1), milliseconds(10)).error().Code_ ==
         ResultCode::HistoryLost);
   for (int Status : {429, 503}) {
     Test.Store_.FailWith_ = Status;
@@ -139,14 +143,14 @@
     CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
   }
   Test.Store_.AnswerWith_ = R"({"events":[{"key":"k","revision":[]}]})";
-  CHECK(Test.watch(Revision(1), milliseconds(10)).error().Code_ ==
+  CHECK(Test.watch(at(1), milliseconds(10)).error().Code_ ==
         ResultCode::PlatformUnavailable);
   Test.Store_.AnswerWith_ = R"({"key":{},"value":"","revision":1})";
   auto Got =
       Test.wait<std::optional<KeyValue>>([&] { return Test.Hooks_.Get_("k"); });
   CHECK(Got.error().Code_ == ResultCode::PlatformUnavailable);
   Test.Store_.AnswerWith_ = R"({"revision":"1"})";
-  CHECK(Test.put("k", "v", Revision(0)).error().Code_ ==
+  CHECK(Test.put("k", "v", at(0)).error().Code_ ==
         ResultCode::PlatformUnavailable);
 }
 
@@ -154,10 +158,10 @@
           "lost") {
   StoreFixture Test;
   Test.Store_.put("k", "theirs");
-  CHECK(Test.put("k", "ours", Revision(0)).error().Code_ ==
+  CHECK(Test.put("k", "ours", at(0)).error().Code_ ==
         ResultCode::VersionConflict);
   Test.Store_.LoseWriteAnswers_ = 1;
-  CHECK(Test.put("n", "ours", Revision(0)).error().Code_ ==
+  CHECK(Test.put("n", "ours", at(0)).error().Code_ ==
         ResultCode::PlatformUnavailable);
   CHECK(Test.Store_.get("n") == "ours");
 }
@@ -179,7 +183,7 @@
   CHECK(Listed->Entries_.front().Value_.size() == Large);
   // Longer than a call may be silent.
   CHECK(std::chrono::steady_clock::now() - Begin > CallTime * 2);
-  auto Changes = Test.watch(Revision(1), milliseconds(0));
+  auto Changes = Test.watch(at(1), milliseconds(0));
   REQUIRE(Changes.has_value());
   CHECK(Changes->Entries_.size() == 1);
 }
@@ -214,3 +218,49 @@
   CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
   CHECK(std::chrono::steady_clock::now() - Begin > CallTime * 2);
 }
+
+// Pages of a list before and after a copy are joined to a state that never was.
+TEST_CASE("pages of two eras are not joined") {
+  StoreFixture Test;
+  Test.Store_.PageSize_ = 1;
+  Test.Store_.put("a", "1");
+  Test.Store_.put("b", "1");
+  Test.Store_.BeforePage_ = [&](std::size_t Page) {
+    if (Page == 1 && Test.Store_.Era_.empty())
+      Test.Store_.Era_ = "1";
+  };
+  CHECK(Test.list("").error().Code_ == ResultCode::StoreRestored);
+  auto Again = Test.list("");
+  REQUIRE(Again.has_value());
+  CHECK(Again->Position_.Era_ == StoreEra(1));
+  CHECK(Again->Entries_.size() == 2);
+}
+
+// A revision that was given out twice makes a conditional write succeed.
+TEST_CASE("a conditional write that meets another era's revision counts as "
+          "unknown") {
+  StoreFixture Test;
+  Test.Store_.put("k", "old");
+  Test.Store_.takeCopy();
+  auto Written = Test.put("k", "ours", at(2));
+  REQUIRE(Written.has_value());
+  Test.Store_.restoreCopy();
+  Test.Store_.put("k", "another's");
+  CHECK(Test.put("k", "ours again", *Written).error().Code_ ==
+        ResultCode::StoreRestored);
+  // A create needs no revision of an era.
+  CHECK(Test.put("n", "ours", at(0)).has_value());
+}
+
+TEST_CASE("a store without eras is in era 0, one with a bad era has none") {
+  StoreFixture Test;
+  CHECK(Test.list("")->Position_.Era_ == StoreEra(0));
+  Test.Store_.Era_ = "18446744073709551615";
+  CHECK(Test.list("")->Position_.Era_ == StoreEra(18446744073709551615ULL));
+  for (const char *Bad : {"x", "-1", "1 2", "1.0", "18446744073709551616"}) {
+    Test.Store_.Era_ = Bad;
+    CHECK(Test.list("").error().Code_ == ResultCode::BadStoreEra);
+    CHECK(Test.watch(at(1), milliseconds(1)).error().Code_ ==
+          ResultCode::BadStoreEra);
+  }
+}
--- a/UnitTests/platform/StoreViewTest.cpp
+++ b/UnitTests/platform/StoreViewTest.cpp
@@ -14,23 +14,28 @@
 const ServiceName Service("platform");
 const PoolName ThePool("s");
 
+StorePosition at(std::uint64_t Number) {
+  return {StoreEra(), Revision(Number)};
+}
+
 KeyValue configuration() {
   return {"op/config",
           R"({"version":3,"routes":[],"services":[{"name":"s"}],"limits":{}})",
-          Revision(1)};
+          at(1)};
 }
 
 KeyValue server(const std::string &Name, std::uint64_t At) {
   std::string Value = R"({"service":"s","address":"10.0.0.1:80","zone":"z",
                           "state":"ready","batch-size":2,"version":"v1",
                           "warmup-left-ms":0,"sequence":1})";
-  return {"servers/" + Name, std::move(Value), Revision(At)};
+  return {"servers/" + Name, std::move(Value), at(At)};
 }
 
 /// What a daemon believes that follows others.
 class Follower {
 public:
-  Follower() : View_(Documents_, platform::storeLayout(), milliseconds(2400)) {
+  Follower()
+      : View_(Documents_, platform::storeLayout(), {milliseconds(2400)}) {
     StoreView::Hooks Hooks;
     Hooks.DaemonSeen_ = [](const VmId &, const KeyValue &) {};
     Hooks.Changed_ = [] {};
@@ -56,32 +61,32 @@
   // still takes the entry for lapsed.
   // Cause: whoever has read as far is believed in everything.
   Follower Test;
-  REQUIRE(Test.View_.follow({true, {configuration(), server("i-1", 5)}},
-                            Revision(10)));
+  REQUIRE(
+      Test.View_.follow({true, {configuration(), server("i-1", 5)}}, at(10)));
   REQUIRE(Test.isActive("i-1"));
   KeyValue Gone = server("i-1", 5);
   Gone.Deleted_ = true;
-  REQUIRE(Test.View_.follow({false, {Gone}}, Revision(20)));
+  REQUIRE(Test.View_.follow({false, {Gone}}, at(20)));
   CHECK_FALSE(Test.isActive("i-1"));
-  REQUIRE(Test.View_.follow({true, {configuration(), server("i-1", 5)}},
-                            Revision(30)));
+  REQUIRE(
+      Test.View_.follow({true, {configuration(), server("i-1", 5)}}, at(30)));
   CHECK_FALSE(Test.isActive("i-1"));
   // It registers again.
-  REQUIRE(Test.View_.follow({false, {server("i-1", 40)}}, Revision(40)));
+  REQUIRE(Test.View_.follow({false, {server("i-1", 40)}}, at(40)));
   CHECK(Test.isActive("i-1"));
 }
 
 TEST_CASE("followers hear of a server that registers again with the same "
           "entry") {
   Follower Reader;
-  KeyValueList All{{configuration(), server("i-1", 5)}, Revision(10)};
+  KeyValueList All{{configuration(), server("i-1", 5)}, at(10)};
   Reader.View_.listed(All);
   Reader.View_.publish();
   auto Number = Reader.View_.log().last();
   Reader.View_.apply(server("i-1", 40));
   auto Changes = Reader.View_.log().since(Number);
   REQUIRE(Changes.Entries_.size() == 1);
-  CHECK(Changes.Entries_.front().Revision_ == Revision(40));
+  CHECK(Changes.Entries_.front().Position_ == at(40));
 }
 
 TEST_CASE("a large directory is told in one line, a single server in its own") {
@@ -91,7 +96,7 @@
   All.Entries_ = {configuration()};
   for (int Index = 0; Index < 300; ++Index)
     All.Entries_.push_back(server(fmt::format("i-{}", Index), 5));
-  All.Revision_ = Revision(10);
+  All.Position_ = at(10);
   Test.View_.listed(All);
   Test.View_.publish();
   CHECK(Log.count("server-seen") == 1);
