Believe no entry that precedes what is known of a server, also across copies

Found by a model check: a store with copies, an operator, an engine that registers, leaves and starts again, two daemons that read it and one that follows; all orders of what may happen, to a depth.

- A server that had left got work again once 6 s had passed since the era was seen, though nothing had been read since: an entry of the copy counts only when an answer that was asked for after that time still holds it.
- An engine that had started again under its id was replaced by its earlier life: the copy's entry was taken for news.
One whose revision is lower than what is known waits like that of a departed server; one of an older position is not taken in.
- A follower dropped a server, and remembered it as departed, since its reader did not know what to make of the copy's entry; and took one back that its reader only kept through an outage.
A reader names both kinds (unsure).

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -2809,6 +2809,7 @@
   uint64_t era = 0;
   uint64_t era_first = 0;
   uint32_t unconfirmed_ms = 0;
+  std::vector<std::string> unsure{};
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2834,7 +2835,8 @@
     VT_TEXT_VERSION = 28,
     VT_ERA = 30,
     VT_ERA_FIRST = 32,
-    VT_UNCONFIRMED_MS = 34
+    VT_UNCONFIRMED_MS = 34,
+    VT_UNSURE = 36
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2895,6 +2897,10 @@
   uint32_t unconfirmed_ms() const {
     return GetField<uint32_t>(VT_UNCONFIRMED_MS, 0);
   }
+  /// Keys of which the sender can't say whether they still stand.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unsure() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNSURE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2914,6 +2920,9 @@
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_ERA_FIRST, 8) &&
            VerifyField<uint32_t>(verifier, VT_UNCONFIRMED_MS, 4) &&
+           VerifyOffset(verifier, VT_UNSURE) &&
+           verifier.VerifyVector(unsure()) &&
+           verifier.VerifyVectorOfStrings(unsure()) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2970,6 +2979,9 @@
   void add_unconfirmed_ms(uint32_t unconfirmed_ms) {
     fbb_.AddElement<uint32_t>(State::VT_UNCONFIRMED_MS, unconfirmed_ms, 0);
   }
+  void add_unsure(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unsure) {
+    fbb_.AddOffset(State::VT_UNSURE, unsure);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2997,7 +3009,8 @@
     uint64_t text_version = 0,
     uint64_t era = 0,
     uint64_t era_first = 0,
-    uint32_t unconfirmed_ms = 0) {
+    uint32_t unconfirmed_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unsure = 0) {
   StateBuilder builder_(_fbb);
   builder_.add_era_first(era_first);
   builder_.add_era(era);
@@ -3007,6 +3020,7 @@
   builder_.add_after(after);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
+  builder_.add_unsure(unsure);
   builder_.add_unconfirmed_ms(unconfirmed_ms);
   builder_.add_text_age_ms(text_age_ms);
   builder_.add_entries(entries);
@@ -3033,8 +3047,10 @@
     uint64_t text_version = 0,
     uint64_t era = 0,
     uint64_t era_first = 0,
-    uint32_t unconfirmed_ms = 0) {
+    uint32_t unconfirmed_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unsure = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
+  auto unsure__ = unsure ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unsure) : 0;
   return samphireshunt::wire::CreateState(
       _fbb,
       sequence,
@@ -3051,7 +3067,8 @@
       text_version,
       era,
       era_first,
-      unconfirmed_ms);
+      unconfirmed_ms,
+      unsure__);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4410,7 +4427,8 @@
         text_version(o.text_version),
         era(o.era),
         era_first(o.era_first),
-        unconfirmed_ms(o.unconfirmed_ms) {
+        unconfirmed_ms(o.unconfirmed_ms),
+        unsure(o.unsure) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -4431,6 +4449,7 @@
   std::swap(era, o.era);
   std::swap(era_first, o.era_first);
   std::swap(unconfirmed_ms, o.unconfirmed_ms);
+  std::swap(unsure, o.unsure);
   return *this;
 }
 
@@ -4458,6 +4477,7 @@
   { auto _e = era(); _o->era = _e; }
   { auto _e = era_first(); _o->era_first = _e; }
   { auto _e = unconfirmed_ms(); _o->unconfirmed_ms = _e; }
+  { auto _e = unsure(); if (_e) { _o->unsure.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unsure[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4483,6 +4503,7 @@
   auto _era = _o->era;
   auto _era_first = _o->era_first;
   auto _unconfirmed_ms = _o->unconfirmed_ms;
+  auto _unsure = _o->unsure.size() ? _fbb.CreateVectorOfStrings(_o->unsure) : 0;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -4499,7 +4520,8 @@
       _text_version,
       _era,
       _era_first,
-      _unconfirmed_ms);
+      _unconfirmed_ms,
+      _unsure);
 }
 
 inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Configuration/ChangeLog.h
+++ b/Source/Process/Configuration/ChangeLog.h
@@ -18,6 +18,8 @@
   struct Changes {
     bool Complete_ = false;
     std::vector<KeyValue> Entries_;
+    /// When complete: keys of which is not known whether they still stand.
+    std::vector<std::string> Unsure_;
   };
 
   /// Notes an entry as it was read; nothing when it is known so.
--- a/Source/Process/Configuration/DepartedServers.cpp
+++ b/Source/Process/Configuration/DepartedServers.cpp
@@ -8,20 +8,22 @@
   Departures_[Name] = Known;
 }
 
-bool DepartedServers::admits(const std::string &Name, const Candidate &Entry,
-                             const std::optional<EraStart> &Era,
-                             BootTime Now) const {
+Admission DepartedServers::admits(const std::string &Name,
+                                  const Candidate &Entry,
+                                  const std::optional<EraStart> &Era) const {
   auto Found = Departures_.find(Name);
   if (Found == Departures_.end())
-    return true;
+    return Admission::Admitted;
   const Departure &Known = Found->second;
   if (Entry.Incarnation_ > Known.Incarnation_)
-    return true;
-  if (Entry.Written_.Era_ == Known.Written_.Era_)
-    return Entry.FromService_ || Entry.Written_ > Known.Written_;
-  if (Entry.Written_.Era_ < Known.Written_.Era_ || !Era)
-    return false;
-  return Era->knownAsWritten(Entry.Written_) || Now >= lapsesAt(*Era);
+    return Admission::Admitted;
+  bool SameEra = Entry.Written_.Era_ == Known.Written_.Era_;
+  if (SameEra && Entry.FromService_)
+    return Admission::Admitted;
+  if (Entry.Written_ <= Known.Written_)
+    return Admission::Refused;
+  bool Later = SameEra || (Era && Era->knownAsWritten(Entry.Written_));
+  return Later ? Admission::Admitted : Admission::Doubted;
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/DepartedServers.h
+++ b/Source/Process/Configuration/DepartedServers.h
@@ -2,7 +2,7 @@
 /// \file
 /// Servers that have left, so that an older entry brings none of them back: one
 /// told by a daemon that is behind, or one that stands in the copy from which
-/// the platform's service came back. Pure: the time is an argument.
+/// the platform's service came back. Pure.
 
 #include "Common/BootClock.h"
 #include "Process/Configuration/Platform.h"
@@ -24,6 +24,13 @@
   }
 };
 
+/// Whether an entry of a server counts.
+enum class Admission {
+  Admitted,
+  Doubted, ///< It stands in the copy of an era, and may be from before.
+  Refused  ///< What is known was written later.
+};
+
 class DepartedServers {
 public:
   /// The last entry of a server that says, or is known to precede, its leaving.
@@ -39,28 +46,18 @@
     bool FromService_ = false;
   };
 
-  /// \p LapseTime: a silent server's entry is removed within it.
-  explicit DepartedServers(BootClock::duration LapseTime)
-      : LapseTime_(LapseTime) {}
-
   void left(const std::string &Name, Departure Known);
   /// It takes work again.
   void cameBack(const std::string &Name) { Departures_.erase(Name); }
   /// Whether the entry tells of a life after the departure. \p Era is unset
   /// as long as no era has begun.
-  bool admits(const std::string &Name, const Candidate &Entry,
-              const std::optional<EraStart> &Era, BootTime Now) const;
-  /// When entries that were not admitted count all the same, unless they are
-  /// removed by then.
-  BootTime lapsesAt(const EraStart &Era) const {
-    return Era.SeenAt_ + LapseTime_;
-  }
+  Admission admits(const std::string &Name, const Candidate &Entry,
+                   const std::optional<EraStart> &Era) const;
 
 private:
   /// Servers come and go for ever.
   static constexpr std::size_t MostDepartures = 10000;
 
-  BootClock::duration LapseTime_;
   std::map<std::string, Departure> Departures_;
 };
 
--- a/Source/Process/Configuration/DirectoryView.cpp
+++ b/Source/Process/Configuration/DirectoryView.cpp
@@ -83,6 +83,14 @@
   return KeepUntil_;
 }
 
+std::vector<ServerName> DirectoryView::missingNames() const {
+  std::vector<ServerName> Names;
+  for (const auto &[Name, Known] : Entries_)
+    if (Known.Missing_)
+      Names.push_back(Name);
+  return Names;
+}
+
 ServersByPool DirectoryView::servers() const {
   ServersByPool Servers;
   for (const auto &[Name, Known] : Entries_)
--- a/Source/Process/Configuration/DirectoryView.h
+++ b/Source/Process/Configuration/DirectoryView.h
@@ -44,6 +44,8 @@
   std::optional<BootTime> nextDrop() const;
 
   ServersByPool servers() const;
+  /// Servers that went missing in an outage and are kept.
+  std::vector<ServerName> missingNames() const;
   std::size_t size() const { return Entries_.size(); }
   bool contains(const ServerName &Name) const {
     return Entries_.contains(Name);
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -32,6 +32,7 @@
 ChangeLog::Changes changesOf(const wire::StateT &Told) {
   ChangeLog::Changes Changes;
   Changes.Complete_ = Told.complete;
+  Changes.Unsure_ = Told.unsure;
   for (const auto &Entry : Told.entries)
     Changes.Entries_.push_back(
         {Entry->key,
@@ -215,6 +216,7 @@
 void PeerFollower::onAnswer(const VmId &From, const wire::StateT &Told) {
   Awaiting_ = false;
   LastAnswer_ = steady_clock::now();
+  View_.heardAt(AskedAt_ - milliseconds(Told.age_ms));
   // One that lacks what is in force here can't tell whether it is the newest.
   bool NamesNone = Told.text_version == 0;
   if (NamesNone || DocumentVersion(Told.text_version) == View_.version())
@@ -380,10 +382,11 @@
   Told.unconfirmed_ms = Confirmed - std::min(Confirmed, Told.age_ms);
   Told.reads_service = !Service_.paused() && Service_.platformReachable();
   std::string TextKey = Apart ? View_.layout().ConfigurationKey_ : "";
-  ChangeLog::Changes Changes = View_.log().since(Number, TextKey);
+  ChangeLog::Changes Changes = View_.told(Number, TextKey);
   if (Apart)
     nameText(Told);
   Told.complete = Changes.Complete_;
+  Told.unsure = std::move(Changes.Unsure_);
   for (const KeyValue &Entry : Changes.Entries_) {
     auto Added = std::make_unique<wire::StateEntryT>();
     Added->key = Entry.Key_;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -194,6 +194,7 @@
 
 void StoreFollower::heardAt(BootTime SentAt) {
   ReachedAt_ = std::max(ReachedAt_, SentAt);
+  View_.heardAt(SentAt);
   if (View_.confirmsNewest(SentAt))
     Freshness_.renew(SentAt);
 }
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -12,8 +12,7 @@
 
 StoreView::StoreView(DocumentStore &Documents, StoreLayout Layout, Times Limits)
     : Documents_(Documents), Layout_(std::move(Layout)),
-      Directory_(Limits.RegisterAgain_), Times_(Limits),
-      Departed_(Limits.Lapse_) {}
+      Directory_(Limits.RegisterAgain_), Times_(Limits) {}
 
 Result<void> StoreView::reached(const StorePosition &Told) {
   bool Known = Position_ != StorePosition();
@@ -106,25 +105,18 @@
   advance(All.Position_);
 }
 
-std::optional<BootTime> StoreView::nextDrop() const {
-  auto Next = Directory_.nextDrop();
-  if (Doubted_.empty() || !EraStart_)
-    return Next;
-  BootTime Lapsed = Departed_.lapsesAt(*EraStart_);
-  return Next ? std::min(*Next, Lapsed) : Lapsed;
-}
-
 void StoreView::dropUnseen() {
   DirectoryChanged_ |= Directory_.dropUnseen(Hooks_.Now_());
-  settleDoubts();
   publish();
 }
 
-void StoreView::settleDoubts() {
-  if (Doubted_.empty() || Hooks_.Now_() < Departed_.lapsesAt(*EraStart_))
+void StoreView::heardAt(BootTime Asked) {
+  if (Doubted_.empty() || Asked < EraStart_->SeenAt_ + Times_.Lapse_)
     return;
   for (const auto &[Name, Entry] : std::exchange(Doubted_, {}))
-    applyServer(Source::Daemon, Name, Entry);
+    if (auto Read = Layout_.ReadServer_(Name, Entry.Value_))
+      takeServer(Name, Entry, *Read);
+  publish();
 }
 
 void StoreView::publish() {
@@ -159,18 +151,34 @@
 /// followers so. A follower that has heard of the removal from another daemon
 /// would send work to a server that left long ago. A copy of the service does
 /// the same to all.
-bool StoreView::admits(Source From, const std::string &Name,
-                       const BackendServer &Told,
-                       const StorePosition &Written) const {
+Admission StoreView::admits(Source From, const std::string &Name,
+                            const BackendServer &Told,
+                            const StorePosition &Written) const {
+  auto Known = comparedWithKnown(Name, Told, Written);
+  if (Known != Admission::Admitted || Told.Leaving_)
+    return Known;
   DepartedServers::Candidate Entry{Written, Told.Incarnation_,
                                    From == Source::Service};
-  return Told.Leaving_ ||
-         Departed_.admits(Name, Entry, EraStart_, Hooks_.Now_());
+  return Departed_.admits(Name, Entry, EraStart_);
+}
+
+/// A copy keeps the revisions of the era in which it was made: an entry of it
+/// may be older than what is known, though its era is later.
+Admission StoreView::comparedWithKnown(const std::string &Name,
+                                       const BackendServer &Told,
+                                       const StorePosition &Written) const {
+  const KeyValue *Known = Log_.find(Layout_.ServerPrefix_ + Name);
+  if (!Known || Told.Incarnation_ > incarnationOf(*Known))
+    return Admission::Admitted;
+  if (Written < Known->Position_)
+    return Admission::Refused;
+  bool OfCopy = Written.Era_ != Known->Position_.Era_ && EraStart_ &&
+                !EraStart_->knownAsWritten(Written);
+  bool Older = OfCopy && Written.Revision_ < Known->Position_.Revision_;
+  return Older ? Admission::Doubted : Admission::Admitted;
 }
 
 void StoreView::doubt(const std::string &Name, const KeyValue &Entry) {
-  if (!EraStart_ || Entry.Position_.Era_ != EraStart_->First_.Era_)
-    return;
   ServerLines_.push_back(
       {"server-doubted",
        Name,
@@ -192,6 +200,8 @@
     EraStart_->First_ = std::min(EraStart_->First_, First);
   }
   std::set<ServerName> Servers;
+  for (const std::string &Key : Told.Unsure_)
+    Servers.emplace(Key.substr(Layout_.ServerPrefix_.size()));
   for (const KeyValue &Entry : Told.Entries_) {
     bool IsServer = Entry.Key_.starts_with(Layout_.ServerPrefix_);
     ServerName Name(IsServer ? Entry.Key_.substr(Layout_.ServerPrefix_.size())
@@ -200,7 +210,8 @@
       Doubted_.erase(Name.str());
       DirectoryChanged_ |= Directory_.remove(Name);
     } else {
-      applyFrom(Source::Daemon, Entry);
+      bool Unsure = std::ranges::count(Told.Unsure_, Entry.Key_) > 0;
+      applyFrom(Unsure ? Source::UnsureDaemon : Source::Daemon, Entry);
     }
     if (IsServer)
       Servers.insert(std::move(Name));
@@ -212,6 +223,18 @@
   return true;
 }
 
+ChangeLog::Changes StoreView::told(std::uint64_t Number,
+                                   std::string_view Apart) const {
+  ChangeLog::Changes Changes = Log_.since(Number, Apart);
+  if (!Changes.Complete_)
+    return Changes;
+  for (const auto &[Name, Entry] : Doubted_)
+    Changes.Unsure_.push_back(Entry.Key_);
+  for (const ServerName &Name : Directory_.missingNames())
+    Changes.Unsure_.push_back(Layout_.ServerPrefix_ + Name.str());
+  return Changes;
+}
+
 /// A daemon that tells all it believes may have missed what was lost with the
 /// copy: servers that registered since are kept as in an outage.
 void StoreView::keepTold(const std::set<ServerName> &Servers) {
@@ -239,15 +262,24 @@
   auto Read = Layout_.ReadServer_(Name, Entry.Value_);
   if (!Read)
     return rejectServer(Name, Entry, Read.error());
-  if (!admits(From, Name, Read->Server_, Entry.Position_))
+  Rejected_.erase(Name);
+  auto Counts = admits(From, Name, Read->Server_, Entry.Position_);
+  bool MayStand = EraStart_ && From != Source::UnsureDaemon;
+  if (Counts == Admission::Doubted && MayStand)
     return doubt(Name, Entry);
-  if (Read->Server_.Leaving_)
-    Departed_.left(Name, {Entry.Position_, Read->Server_.Incarnation_});
+  if (Counts != Admission::Admitted)
+    return;
+  Doubted_.erase(Name);
+  takeServer(Name, Entry, *Read);
+}
+
+void StoreView::takeServer(const std::string &Name, const KeyValue &Entry,
+                           const RegisteredServer &Read) {
+  if (Read.Server_.Leaving_)
+    Departed_.left(Name, {Entry.Position_, Read.Server_.Incarnation_});
   else
     Departed_.cameBack(Name);
-  Doubted_.erase(Name);
-  Rejected_.erase(Name);
-  bool Changed = Directory_.seen(*Read);
+  bool Changed = Directory_.seen(Read);
   // What the copy of an era repeats is told to nobody again.
   bool OfCopy = EraStart_ && !EraStart_->knownAsWritten(Entry.Position_);
   if (Changed || !OfCopy || !Log_.find(Entry.Key_))
@@ -258,10 +290,10 @@
   ServerLines_.push_back(
       {"server-seen",
        Name,
-       {{"pool", Read->Pool_.str()},
-        {"address", formatEndpoint(Read->Server_.Address_)},
-        {"state", Read->Server_.Leaving_ ? "leaving" : "active"},
-        {"incarnation", std::to_string(Read->Server_.Incarnation_.count())},
+       {{"pool", Read.Pool_.str()},
+        {"address", formatEndpoint(Read.Server_.Address_)},
+        {"state", Read.Server_.Leaving_ ? "leaving" : "active"},
+        {"incarnation", std::to_string(Read.Server_.Incarnation_.count())},
         {"revision", std::to_string(Entry.Position_.Revision_.count())}}});
 }
 
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -73,11 +73,13 @@
   void listed(const KeyValueList &All);
   void outageBegan() { Directory_.outageBegan(); }
   void outageEnded() { Directory_.outageEnded(Hooks_.Now_()); }
-  /// Drops servers that went missing in an outage and are not back, and takes
-  /// those back that the copy of an era brought and that did not lapse.
+  /// Drops servers that went missing in an outage and are not back.
   void dropUnseen();
-  /// When dropUnseen() has something to do next.
-  std::optional<BootTime> nextDrop() const;
+  std::optional<BootTime> nextDrop() const { return Directory_.nextDrop(); }
+  /// All that the service held at \p Asked is taken in, from itself or by way
+  /// of a daemon: entries that the copy of an era brought and that have not
+  /// lapsed by then count.
+  void heardAt(BootTime Asked);
   /// An answer that was asked for at \p Asked shows that no newer configuration
   /// was ever accepted than the one in force.
   bool confirmsNewest(BootTime Asked) const;
@@ -105,21 +107,30 @@
   /// When it was read; the clock's beginning before the first.
   BootTime configurationReadAt() const { return ConfigurationReadAt_; }
   const ChangeLog &log() const { return Log_; }
+  /// What followers are told after \p Number; \p Apart is a key that is told in
+  /// another way.
+  ChangeLog::Changes told(std::uint64_t Number,
+                          std::string_view Apart = {}) const;
   const StoreLayout &layout() const { return Layout_; }
 
 private:
-  /// Who told an entry.
-  enum class Source { Service, Daemon };
+  /// Who told an entry; a daemon may not know whether it still stands.
+  enum class Source { Service, Daemon, UnsureDaemon };
 
   void beginEra(const StorePosition &First);
   void logEra();
   void applyFrom(Source From, const KeyValue &Entry);
   void applyServer(Source From, const std::string &Name, const KeyValue &Entry);
-  bool admits(Source From, const std::string &Name, const BackendServer &Told,
-              const StorePosition &Written) const;
+  Admission admits(Source From, const std::string &Name,
+                   const BackendServer &Told,
+                   const StorePosition &Written) const;
+  Admission comparedWithKnown(const std::string &Name,
+                              const BackendServer &Told,
+                              const StorePosition &Written) const;
+  void takeServer(const std::string &Name, const KeyValue &Entry,
+                  const RegisteredServer &Read);
   void keepTold(const std::set<ServerName> &Servers);
   void doubt(const std::string &Name, const KeyValue &Entry);
-  void settleDoubts();
   Incarnation incarnationOf(const KeyValue &Entry) const;
   void rejectServer(const std::string &Name, const KeyValue &Entry,
                     const Failure &Cause);
