A doubted entry of which the teller is not sure is dropped; test of a later incarnation

The model check at depth 5: a follower that doubted an entry of the copy took it when the next reader answered, though that one only kept the server through an outage.

--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -200,8 +200,11 @@
     EraStart_->First_ = std::min(EraStart_->First_, First);
   }
   std::set<ServerName> Servers;
-  for (const std::string &Key : Told.Unsure_)
-    Servers.emplace(Key.substr(Layout_.ServerPrefix_.size()));
+  for (const std::string &Key : Told.Unsure_) {
+    std::string Name = Key.substr(Layout_.ServerPrefix_.size());
+    Doubted_.erase(Name);
+    Servers.emplace(std::move(Name));
+  }
   for (const KeyValue &Entry : Told.Entries_) {
     bool IsServer = Entry.Key_.starts_with(Layout_.ServerPrefix_);
     ServerName Name(IsServer ? Entry.Key_.substr(Layout_.ServerPrefix_.size())
--- a/UnitTests/Process/Configuration/DepartedServersTest.cpp
+++ b/UnitTests/Process/Configuration/DepartedServersTest.cpp
@@ -49,6 +49,7 @@
 TEST_CASE("a later incarnation counts at once") {
   DepartedFixture Test;
   Test.Era_ = EraStart{at(2, 30), Now};
-  CHECK(
-      Test.Servers_.admits(Name, {at(2, 20), Incarnation(8), true}, Test.Era_));
+  auto Later =
+      Test.Servers_.admits(Name, {at(2, 20), Incarnation(8), true}, Test.Era_);
+  CHECK(Later == Admission::Admitted);
 }
