Calls of the service when it comes back older: a bench, and followers that write only what is missing

build/Bench/store_era_fleet: 30, 100 and 300 daemons in one thread, in real time, the store away for 1.5 s.

- Each follower read the service a second time: told of the era, it forgot that it is registered.
A daemon sees that its entry is missing when it lists; one that follows is told so by its reader (lacks_entry), and writes it then only.
- The choice of readers is worked out once for each change of members, not twice a second: it took most of the time of 300 daemons in one process.
- FakeStore looks for changes after a revision by halving.

Mutations era-* (13), not run yet; Tools/mutations.sh takes a pattern.

--- /dev/null
+++ b/Bench/StoreEraFleet.cpp
@@ -0,0 +1,228 @@
+/// \file
+/// How soon a fleet has what is written after the platform's store was away, or
+/// came back from an older copy, and how many calls of the store that costs: a
+/// table of docs/CAPACITY.md. All daemons in one thread, in real time.
+///   store_era_fleet [COUNT...]
+
+#include "Process/Configuration/PeerFollower.h"
+
+#include "UnitTests/platform/FakeStore.h"
+#include "platform/Configuration.h"
+#include "platform/Store.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t DaemonsPerReader = 12;
+/// One VM in so many has a strong link.
+constexpr std::size_t StrongOneIn = 20;
+constexpr std::uint32_t StrongMbps = 200;
+constexpr std::uint32_t WeakMbps = 10;
+/// Few: all daemons share one thread, each takes each entry in.
+constexpr int Servers = 30;
+constexpr milliseconds CallTimeout{700};
+constexpr milliseconds Away{1500};
+constexpr milliseconds StartGap{5};
+constexpr seconds Settle{8};
+constexpr seconds Limit{30};
+/// Calls are counted for so long from the beginning of the trouble.
+constexpr seconds Counted{10};
+
+std::string configuration(int Version) {
+  return fmt::format(R"({{"version":{},"routes":[],"services":[{{"name":"s"}}],
+                         "limits":{{}}}})",
+                     Version);
+}
+
+std::string serverEntry(int Number) {
+  return fmt::format(R"({{"service":"s","address":"10.0.0.1:{}","zone":"z",
+                         "state":"ready","batch-size":2,"version":"v1",
+                         "warmup-left-ms":0,"sequence":1}})",
+                     8000 + Number);
+}
+
+class BenchDaemon {
+public:
+  BenchDaemon(boost::asio::io_context &Context, FakeStore &Store,
+              const Member &Self, PeerFollower::Hooks Hooks)
+      : Freshness_(seconds(5)),
+        View_(Documents_, platform::storeLayout(), {milliseconds(2400)}) {
+    StoreView::Hooks ViewHooks;
+    ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
+      Service_->daemonSeen(Id, Entry);
+    };
+    ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
+    View_.setHooks(std::move(ViewHooks));
+    Service_ = std::make_unique<StoreFollower>(
+        Context, platform::storeHooks(Store.address(), CallTimeout), View_,
+        Freshness_, StoreFollower::Options());
+    static std::uint64_t Process = 0;
+    Peers_ = std::make_unique<PeerFollower>(
+        Context, Incarnation(++Process), *Service_, View_, Freshness_,
+        PeerFollower::Options(), std::move(Hooks));
+    Service_->start(Self.Id_, "10.0.0.9:7600");
+    Peers_->start();
+  }
+
+  DocumentStore Documents_;
+  FreshnessLease Freshness_;
+  StoreView View_;
+  std::unique_ptr<StoreFollower> Service_;
+  std::unique_ptr<PeerFollower> Peers_;
+};
+
+class BenchFleet {
+public:
+  explicit BenchFleet(std::size_t Count) {
+    Store_.put("op/config", configuration(1));
+    writeServers();
+    for (std::size_t Number = 0; Number < Count; ++Number)
+      Members_.push_back(memberOf(Number));
+    for (const Member &Self : Members_) {
+      add(Self);
+      runFor(StartGap);
+    }
+    runFor(Settle);
+  }
+  void writeServers() {
+    for (int Number = 0; Number < Servers; ++Number)
+      Store_.put(fmt::format("servers/i-{}", Number), serverEntry(Number));
+  }
+  void runFor(steady_clock::duration Time) {
+    Context_.restart();
+    Context_.run_for(Time);
+  }
+  std::size_t calls() const {
+    return Store_.calls("/-/kv-range") + Store_.calls("/-/kv-watch") +
+           Store_.calls("/-/kv-txn");
+  }
+  std::size_t following() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Daemons_, [](const auto &Daemon) {
+          return Daemon->Service_->paused();
+        }));
+  }
+  /// In thousandths, how many have that version in force.
+  std::size_t permilleWith(int Version) const {
+    DocumentVersion Wanted(static_cast<std::uint64_t>(Version));
+    auto Have = std::ranges::count_if(Daemons_, [&](const auto &Daemon) {
+      return Daemon->View_.version() == Wanted;
+    });
+    return static_cast<std::size_t>(Have) * 1000 / Daemons_.size();
+  }
+  milliseconds untilPermille(std::size_t Wanted, int Version,
+                             steady_clock::time_point Begin) {
+    while (permilleWith(Version) < Wanted &&
+           steady_clock::now() < Begin + Limit)
+      runFor(milliseconds(5));
+    return std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                    Begin);
+  }
+
+  boost::asio::io_context Context_;
+  FakeStore Store_{Context_};
+
+private:
+  static Member memberOf(std::size_t Number) {
+    Member Self;
+    Self.Id_ = VmId(fmt::format("vm-{}", Number));
+    Self.LinkMbps_ = Number % StrongOneIn == 0 ? StrongMbps : WeakMbps;
+    return Self;
+  }
+  void add(const Member &Self) {
+    PeerFollower::Hooks Hooks;
+    auto Pass = [this, From = Self.Id_](const VmId &To, std::string Message) {
+      boost::asio::post(
+          Context_, [this, From, To, Message] { deliver(From, To, Message); });
+    };
+    Hooks.Send_ = Pass;
+    Hooks.Reply_ = Pass;
+    Hooks.Choose_ = [Chosen = chooseReaders(Self, Members_, DaemonsPerReader)] {
+      return Chosen;
+    };
+    Index_[Self.Id_] = Daemons_.size();
+    Daemons_.push_back(
+        std::make_unique<BenchDaemon>(Context_, Store_, Self, Hooks));
+  }
+  void deliver(const VmId &From, const VmId &To, const std::string &Message) {
+    auto Decoded = decodeMessage(Message).value();
+    auto Found = Index_.find(To);
+    if (Found == Index_.end())
+      return;
+    PeerFollower &Peers = *Daemons_[Found->second]->Peers_;
+    if (const auto *Asked = Decoded.body.AsFollow())
+      Peers.onFollow(From, *Asked);
+    else if (const auto *Text = Decoded.body.AsTextAsk())
+      Peers.onTextAsk(From, *Text);
+    else if (const auto *Part = Decoded.body.AsTextPart())
+      Peers.onTextPart(From, *Part);
+    else if (const auto *Told = Decoded.body.AsState())
+      Peers.onState(From, *Told);
+  }
+
+  std::vector<Member> Members_;
+  std::vector<std::unique_ptr<BenchDaemon>> Daemons_;
+  std::map<VmId, std::size_t> Index_;
+};
+
+void measure(std::size_t Count, bool Copy) {
+  BenchFleet Fleet(Count);
+  Fleet.Store_.takeCopy();
+  Fleet.Store_.put("op/config", configuration(2));
+  Fleet.runFor(seconds(3));
+  std::size_t Following = Fleet.following();
+  auto Begin = steady_clock::now();
+  std::size_t Before = Fleet.calls();
+  Fleet.Store_.FailWith_ = 503;
+  Fleet.runFor(Away);
+  Fleet.Store_.FailWith_ = 0;
+  if (Copy)
+    Fleet.Store_.restoreCopy();
+  Fleet.writeServers();
+  Fleet.Store_.put("op/config", configuration(3));
+  auto Back = steady_clock::now();
+  auto Nearly = Fleet.untilPermille(990, 3, Back);
+  auto All = Fleet.untilPermille(1000, 3, Back);
+  auto Rest = Begin + Counted - steady_clock::now();
+  Fleet.runFor(std::max(steady_clock::duration(0), Rest));
+  fmt::print("| {} | {} | {} | {} | {} | {} |\n", Count, Following,
+             Copy ? "older copy" : "outage", Nearly.count(), All.count(),
+             Fleet.calls() - Before);
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  std::vector<std::size_t> Counts;
+  for (int Index = 1; Index < ArgumentCount; ++Index) {
+    std::string_view Text(Arguments[Index]);
+    std::size_t Count = 0;
+    std::from_chars(Text.data(), Text.data() + Text.size(), Count);
+    Counts.push_back(Count);
+  }
+  if (Counts.empty())
+    Counts = {30, 100, 300};
+  spdlog::set_level(spdlog::level::off);
+  fmt::print("| daemons | of them following | trouble | 99 in 100, ms | all, "
+             "ms | calls in 10 s |\n"
+             "|---|---|---|---|---|---|\n");
+  for (std::size_t Count : Counts)
+    for (bool Copy : {false, true})
+      measure(Count, Copy);
+}
--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -2810,6 +2810,7 @@
   uint64_t era_first = 0;
   uint32_t unconfirmed_ms = 0;
   std::vector<std::string> unsure{};
+  bool lacks_entry = false;
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2836,7 +2837,8 @@
     VT_ERA = 30,
     VT_ERA_FIRST = 32,
     VT_UNCONFIRMED_MS = 34,
-    VT_UNSURE = 36
+    VT_UNSURE = 36,
+    VT_LACKS_ENTRY = 38
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2901,6 +2903,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unsure() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNSURE);
   }
+  /// The service has no entry of the daemon that is answered.
+  bool lacks_entry() const {
+    return GetField<uint8_t>(VT_LACKS_ENTRY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2923,6 +2929,7 @@
            VerifyOffset(verifier, VT_UNSURE) &&
            verifier.VerifyVector(unsure()) &&
            verifier.VerifyVectorOfStrings(unsure()) &&
+           VerifyField<uint8_t>(verifier, VT_LACKS_ENTRY, 1) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2982,6 +2989,9 @@
   void add_unsure(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unsure) {
     fbb_.AddOffset(State::VT_UNSURE, unsure);
   }
+  void add_lacks_entry(bool lacks_entry) {
+    fbb_.AddElement<uint8_t>(State::VT_LACKS_ENTRY, static_cast<uint8_t>(lacks_entry), 0);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3010,7 +3020,8 @@
     uint64_t era = 0,
     uint64_t era_first = 0,
     uint32_t unconfirmed_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unsure = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unsure = 0,
+    bool lacks_entry = false) {
   StateBuilder builder_(_fbb);
   builder_.add_era_first(era_first);
   builder_.add_era(era);
@@ -3026,6 +3037,7 @@
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
   builder_.add_sequence(sequence);
+  builder_.add_lacks_entry(lacks_entry);
   builder_.add_reads_service(reads_service);
   builder_.add_complete(complete);
   return builder_.Finish();
@@ -3048,7 +3060,8 @@
     uint64_t era = 0,
     uint64_t era_first = 0,
     uint32_t unconfirmed_ms = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unsure = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unsure = nullptr,
+    bool lacks_entry = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
   auto unsure__ = unsure ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unsure) : 0;
   return samphireshunt::wire::CreateState(
@@ -3068,7 +3081,8 @@
       era,
       era_first,
       unconfirmed_ms,
-      unsure__);
+      unsure__,
+      lacks_entry);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4428,7 +4442,8 @@
         era(o.era),
         era_first(o.era_first),
         unconfirmed_ms(o.unconfirmed_ms),
-        unsure(o.unsure) {
+        unsure(o.unsure),
+        lacks_entry(o.lacks_entry) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -4450,6 +4465,7 @@
   std::swap(era_first, o.era_first);
   std::swap(unconfirmed_ms, o.unconfirmed_ms);
   std::swap(unsure, o.unsure);
+  std::swap(lacks_entry, o.lacks_entry);
   return *this;
 }
 
@@ -4478,6 +4494,7 @@
   { auto _e = era_first(); _o->era_first = _e; }
   { auto _e = unconfirmed_ms(); _o->unconfirmed_ms = _e; }
   { auto _e = unsure(); if (_e) { _o->unsure.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unsure[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = lacks_entry(); _o->lacks_entry = _e; }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4504,6 +4521,7 @@
   auto _era_first = _o->era_first;
   auto _unconfirmed_ms = _o->unconfirmed_ms;
   auto _unsure = _o->unsure.size() ? _fbb.CreateVectorOfStrings(_o->unsure) : 0;
+  auto _lacks_entry = _o->lacks_entry;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -4521,7 +4539,8 @@
       _era,
       _era_first,
       _unconfirmed_ms,
-      _unsure);
+      _unsure,
+      _lacks_entry);
 }
 
 inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -217,6 +217,7 @@
   Awaiting_ = false;
   LastAnswer_ = steady_clock::now();
   View_.heardAt(AskedAt_ - milliseconds(Told.age_ms));
+  Service_.entryMissing(Told.lacks_entry);
   // One that lacks what is in force here can't tell whether it is the newest.
   bool NamesNone = Told.text_version == 0;
   if (NamesNone || DocumentVersion(Told.text_version) == View_.version())
@@ -404,6 +405,7 @@
   Follower &Known = Followers_[To];
   wire::StateT Told = stateAfter(After, Known.Apart_);
   Told.sequence = Sequence;
+  Told.lacks_entry = !View_.hasDaemon(To);
   Known.Number_ = Told.number;
   Hooks_.Reply_(To, encodeMessage(std::move(Told)));
 }
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -286,6 +286,9 @@
   if (std::exchange(MaybeOutage_, false) &&
       Freshness_.age(SentAt) >= Options_.LapseTime_)
     View_.outageBegan();
+  // Its entry is seen again if it is still there.
+  OwnPosition_ = {};
+  RegisteredAddress_.clear();
   // The outage is over before what is missing is looked at.
   View_.outageEnded();
   View_.listed(*Listed);
@@ -336,11 +339,9 @@
   Write.Key_ = ownKey();
   Write.Value_ = Address_;
   Write.Expected_ = OwnPosition_;
-  BootTime SentAt = BootClock::now();
   auto Written = co_await Platform_.Put_(std::move(Write));
   if (Written) {
     RegisteredAddress_ = Address_;
-    RegisteredAt_ = SentAt;
     co_return;
   }
   logEvent(LogCategory::Process, spdlog::level::warn, "not-registered",
@@ -370,28 +371,22 @@
   RegisteredAddress_ = Entry.Value_;
 }
 
-/// One that reads lists anew and sees whether its entry is there. One that
-/// follows another daemon does not, and newcomers would not find it.
-void StoreFollower::onEraBegan() {
-  OwnPosition_ = {};
-  if (!Paused_) {
-    RegisteredAddress_.clear();
-    return;
-  }
-  bool MayBeLost = RegisteredAt_ != BootTime() &&
-                   BootClock::now() - RegisteredAt_ < Options_.LongestCopyAge_;
-  if (!MayBeLost)
+/// Newcomers would not find this daemon.
+void StoreFollower::entryMissing(bool Missing) {
+  EntryMissing_ = Missing;
+  if (!Missing || !Paused_ || std::exchange(RegisterPlanned_, true))
     return;
   auto Again = [this]() { return registerAgain(); };
   spawnLogged(Control_, "register-again", std::move(Again));
 }
 
 Awaitable<void> StoreFollower::registerAgain() {
-  std::uint64_t Era = View_.position().Era_.count();
   auto Spread = static_cast<std::uint64_t>(Options_.RegisterSpread_.count());
-  std::uint64_t Wait = Spread == 0 ? 0 : stableHash(Self_.str(), Era) % Spread;
+  std::uint64_t Wait =
+      stableHash(Self_.str()) % std::max<std::uint64_t>(Spread, 1);
   co_await sleep(milliseconds(Wait));
-  if (Stopped_ || !Paused_ || View_.position().Era_.count() != Era)
+  RegisterPlanned_ = false;
+  if (Stopped_ || !Paused_ || !std::exchange(EntryMissing_, false))
     co_return;
   KeyValueWrite Write;
   Write.Key_ = ownKey();
@@ -400,7 +395,7 @@
   // One that is there already is not overwritten.
   std::string Outcome = Written ? "written" : Written.error().Detail_;
   logEvent(LogCategory::Process, spdlog::level::info, "registered-again",
-           {{"era", std::to_string(Era)}, {"detail", Outcome}});
+           {{"detail", Outcome}});
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -51,9 +51,6 @@
     /// service back: each failed call counts too, and there are hundreds.
     std::chrono::milliseconds SpareFirstPause_{1000};
     std::chrono::milliseconds SpareLongestPause_{2000};
-    /// A copy from which the service comes back is some seconds old: only
-    /// entries that were written within this time before may be missing.
-    std::chrono::milliseconds LongestCopyAge_{60000};
     /// Daemons that follow others write their entries again spread over this
     /// time.
     std::chrono::milliseconds RegisterSpread_{5000};
@@ -79,8 +76,9 @@
   /// When the service was asked last whose answer is taken in; the clock's
   /// beginning before the first.
   BootTime reachedAt() const { return ReachedAt_; }
-  /// The service came back from a copy, which may lack this daemon's entry.
-  void onEraBegan();
+  /// While another daemon is followed: the service has no entry of this one, by
+  /// that daemon's word.
+  void entryMissing(bool Missing);
   /// Sees to what is to be dropped later of what was taken in.
   void planDrops();
   /// A daemon's entry was read; its own tells that it is registered.
@@ -130,8 +128,6 @@
   std::string RegisteredAddress_;
   /// Of this daemon's own entry; revision 0 when it has none.
   StorePosition OwnPosition_;
-  /// When its entry was written by this process.
-  BootTime RegisteredAt_;
   StorePosition After_;
   /// Positions that were told and are not taken in yet, with the moment at
   /// which they were asked for last.
@@ -149,6 +145,8 @@
   /// The cause of the last answer whose era could not be taken, as logged.
   std::string BadEra_;
   std::uint64_t BadEras_ = 0;
+  bool EntryMissing_ = false;
+  bool RegisterPlanned_ = false;
   bool DropPlanned_ = false;
   bool SawChanges_ = false;
   bool ListedBefore_ = false;
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -45,7 +45,6 @@
   Doubted_.clear();
   Directory_.outageBegan();
   Directory_.outageEnded(Now);
-  Hooks_.EraBegan_();
 }
 
 /// Once for each era, when its configuration was told.
@@ -86,12 +85,22 @@
     return adopt(Entry);
   if (Key.starts_with(Layout_.ServerPrefix_))
     return applyServer(From, Key.substr(Layout_.ServerPrefix_.size()), Entry);
-  if (Key.starts_with(Layout_.DaemonPrefix_) && !Entry.Deleted_)
-    Hooks_.DaemonSeen_(VmId(Key.substr(Layout_.DaemonPrefix_.size())), Entry);
+  if (Key.starts_with(Layout_.DaemonPrefix_))
+    applyDaemon(VmId(Key.substr(Layout_.DaemonPrefix_.size())), Entry);
+}
+
+void StoreView::applyDaemon(const VmId &Daemon, const KeyValue &Entry) {
+  if (Entry.Deleted_) {
+    Daemons_.erase(Daemon);
+    return;
+  }
+  Daemons_.insert(Daemon);
+  Hooks_.DaemonSeen_(Daemon, Entry);
 }
 
 void StoreView::listed(const KeyValueList &All) {
   Doubted_.clear();
+  Daemons_.clear();
   std::set<ServerName> Servers;
   for (const KeyValue &Entry : All.Entries_) {
     if (Entry.Key_.starts_with(Layout_.ServerPrefix_))
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace samphireshunt {
@@ -47,8 +48,6 @@
     std::function<void(const VmId &, const KeyValue &)> DaemonSeen_;
     /// Something was taken in that followers of this daemon should hear.
     std::function<void()> Changed_;
-    /// The service came back from an older copy.
-    std::function<void()> EraBegan_ = [] {};
     std::function<BootTime()> Now_ = BootClock::now;
   };
   struct Times {
@@ -100,6 +99,8 @@
   void advance(const StorePosition &Newer) {
     Position_ = std::max(Position_, Newer);
   }
+  /// The service has an entry of that daemon; known of one that reads it.
+  bool hasDaemon(const VmId &Daemon) const { return Daemons_.contains(Daemon); }
   /// Unset until an era began under this process.
   const std::optional<EraStart> &eraStart() const { return EraStart_; }
   /// Of the configuration in force; 0 when there is none.
@@ -120,6 +121,7 @@
   void beginEra(const StorePosition &First);
   void logEra();
   void applyFrom(Source From, const KeyValue &Entry);
+  void applyDaemon(const VmId &Daemon, const KeyValue &Entry);
   void applyServer(Source From, const std::string &Name, const KeyValue &Entry);
   Admission admits(Source From, const std::string &Name,
                    const BackendServer &Told,
@@ -144,6 +146,8 @@
   Hooks Hooks_;
   DirectoryView Directory_;
   ChangeLog Log_;
+  /// Those with an entry in the service.
+  std::set<VmId> Daemons_;
   Times Times_;
   StorePosition Position_;
   /// The era was read from the service; false while only a daemon has told it.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -277,14 +277,15 @@
     onDaemonRegistered(Id, Entry.Value_);
   };
   ViewHooks.Changed_ = [this] { PeerFollower_->onChanged(); };
-  ViewHooks.EraBegan_ = [this] { Follower_->onEraBegan(); };
   View_->setHooks(std::move(ViewHooks));
   Follower_ = std::make_unique<StoreFollower>(
       Control_, Platform_, *View_, Freshness_, StoreFollower::Options());
   PeerFollower::Hooks Hooks;
   Hooks.Choose_ = [this] {
-    return chooseReaders(Members_->self(), Members_->keepers(),
-                         Settings_.DaemonsPerReader_);
+    if (!ReaderChoice_)
+      ReaderChoice_ = chooseReaders(Members_->self(), Members_->keepers(),
+                                    Settings_.DaemonsPerReader_);
+    return *ReaderChoice_;
   };
   Hooks.Send_ = [this](const VmId &To, std::string Message) {
     Peers_->send(To, std::move(Message));
@@ -548,9 +549,14 @@
     Peers_->reply(Entry, encodeDecision(Taken));
 }
 
+void Daemon::membersChanged() {
+  KeeperChoice_.membersChanged();
+  ReaderChoice_.reset();
+}
+
 void Daemon::onMemberChanged(const Member &Changed) {
   MemberLog_.changed(Changed);
-  KeeperChoice_.membersChanged();
+  membersChanged();
   refreshSoon();
   if (Changed.Status_ != MemberStatus::Dead)
     return;
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -97,6 +97,8 @@
   void onAnswered(const VmId &From, wire::EnvelopeT Message);
   void onDecided(const Decision &Taken);
   void onMemberChanged(const Member &Changed);
+  /// What was worked out from the members counts no more.
+  void membersChanged();
   void onDocumentChanged(const ServiceName &Service);
   void onVmsListed(const std::vector<ListedVm> &Listed);
   void sendDocument(const VmId &To, const ServiceName &Service);
@@ -154,6 +156,8 @@
   std::unique_ptr<StoreView> View_;
   std::unique_ptr<StoreFollower> Follower_;
   std::unique_ptr<PeerFollower> PeerFollower_;
+  /// Unset when the members have changed since.
+  std::optional<ReaderChoice> ReaderChoice_;
   std::unique_ptr<TraceExporter> Traces_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::unique_ptr<HttpServer> CallerServer_;
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -135,7 +135,7 @@
   DrainStarted_ = steady_clock::now();
   Draining_ = true;
   Members_->leave();
-  KeeperChoice_.membersChanged();
+  membersChanged();
   Membership_->spreadNews();
   CallerServer_->closeAfterAnswers();
   refreshSoon();
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Shows that the failure tests can fail: leaves out one mechanism at a time in
 # a copy of the tree, and expects the named test case to fail there.
-#   [JOBS=N] Tools/mutations.sh [NAME]
+#   [JOBS=N] Tools/mutations.sh [NAMES], e.g. 'era-*'
 set -uo pipefail
 { # Read whole before it runs, so that it may be edited meanwhile.
 cd "$(dirname "$0")/.."
@@ -25,7 +25,8 @@
 
 # mutate NAME FILE PERL_EXPRESSION TEST_PROGRAM CASE_PATTERN [FILE EXPRESSION]
 mutate() {
-  [ -z "$Only" ] || [ "$Only" = "$1" ] || return 0
+  # shellcheck disable=SC2053
+  [ -z "$Only" ] || [[ "$1" == $Only ]] || return 0
   if ! edit "$2" "$3" || { [ $# -gt 5 ] && ! edit "$6" "$7"; }; then
     echo "$1: STALE, an expression matches nothing"
     Missed=1
@@ -285,6 +286,45 @@
 mutate peer-lag-noted $S/Process/Configuration/ConfigurationSync.cpp \
   's/  noteLag\(\);\n\}\n\nbool/}\n\nbool/' \
   ${U}Process '*heard of and does not come*'
+mutate era-order $S/Process/Configuration/StoreView.cpp \
+  's/if \(EraRead_ && Told\.Era_ < Position_\.Era_\)/if (false)/' \
+  ${U}platform '*answer of an older era*'
+mutate era-departed $S/Process/Configuration/DepartedServers.cpp \
+  's/Later \? Admission::Admitted : Admission::Doubted/Later ? Admission::Admitted : Admission::Admitted/' \
+  ${U}StoreEraModel '*in all orders*'
+mutate era-known-older $S/Process/Configuration/StoreView.cpp \
+  's/return Older \? Admission::Doubted : Admission::Admitted;/return Admission::Admitted;/; s/  bool Older = OfCopy && [^;]*;\n//; s/  bool OfCopy = Written\.Era_[^;]*;\n//' \
+  ${U}StoreEraModel '*in all orders*'
+mutate era-heard-at $S/Process/Configuration/StoreView.cpp \
+  's/Doubted_\.empty\(\) \|\| Asked < EraStart_->SeenAt_ \+ Times_\.Lapse_/Doubted_.empty() || Asked < EraStart_->SeenAt_/' \
+  ${U}StoreEraModel '*in all orders*'
+mutate era-unsure $S/Process/Configuration/StoreView.cpp \
+  's/Unsure \? Source::UnsureDaemon : Source::Daemon/Unsure ? Source::Daemon : Source::Daemon/' \
+  ${U}StoreEraModel '*in all orders*'
+mutate era-confirms $S/Process/Configuration/StoreView.cpp \
+  's/if \(ToldVersion_ < version\(\)\)\n    return false;//' \
+  ${U}platform '*is confirmed only*'
+mutate era-outage $S/Process/Configuration/StoreView.cpp \
+  's/  Directory_\.outageBegan\(\);\n  Directory_\.outageEnded\(Now\);\n//; s/  BootTime Now = Hooks_\.Now_\(\);\n  logEvent/  BootTime Now = Hooks_.Now_();\n  (void)Now;\n  logEvent/' \
+  ${U}platform '*the copy lacks gets work*'
+mutate era-own-entry $S/Process/Configuration/StoreFollower.cpp \
+  's/  RegisteredAddress_\.clear\(\);\n//' \
+  ${U}platform '*their own entries again*'
+mutate era-follower-entry $S/Process/Configuration/PeerFollower.cpp \
+  's/  Service_\.entryMissing\(Told\.lacks_entry\);\n//' \
+  ${U}platform '*their own entries again*'
+mutate era-pages platform/Store.cpp \
+  's/if \(All\.Position_\.Era_ != Listed\.Position_\.Era_\)/if (false)/' \
+  ${U}platform '*pages of two eras*'
+mutate era-write platform/Store.cpp \
+  's/if \(spansEras\(Expected, Body->Era_\)\)/if (false)/' \
+  ${U}platform '*conditional write that meets*'
+mutate era-heard-version $S/Process/Configuration/PeerFollower.cpp \
+  's/(void PeerFollower::onTimer\(\) \{\n  forgetFollowers\(\);\n)  askForHeardVersion\(\);\n/$1/' \
+  ${U}platform '*gossip names comes*'
+mutate era-yields $S/Process/Configuration/StoreView.cpp \
+  's/    EraRead_ = false;\n//' \
+  ${U}platform '*yields to the service*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -203,8 +203,10 @@
     if (After < HistoryFrom_ || After > Revision_)
       co_return jsonResponse(410, "{}");
     Json Events = Json::array();
-    for (const Change &Seen : Changes_) {
-      if (Seen.Revision_ <= After || !Seen.Key_.starts_with(Prefix))
+    auto Newer =
+        std::ranges::upper_bound(Changes_, After, {}, &Change::Revision_);
+    for (const Change &Seen : std::ranges::subrange(Newer, Changes_.end())) {
+      if (!Seen.Key_.starts_with(Prefix))
         continue;
       auto Stored = Items_.find(Seen.Key_);
       if (Seen.Removed_)
--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -82,7 +82,6 @@
       Service_->daemonSeen(Id, Entry);
     };
     ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
-    ViewHooks.EraBegan_ = [this] { Service_->onEraBegan(); };
     View_.setHooks(std::move(ViewHooks));
     StoreFollower::Options Options;
     Options.WatchTime_ = milliseconds(2000);
