Tell a large directory packed, and not at all to one that has it

Cause, by a test that failed first: who changes its reader is told the whole directory again, 250 bytes an engine. On a link of 10 Mbit/s that takes longer than an answer may (0.4 s from 2,000 engines on); the answer is dropped, the next reader asked the same, then the service, for ever. With 1,000 engines over a slow link the test saw 708 KB in half a second and nobody followed.

- A question names a digest of the servers believed in; a reader with the same one tells no entries.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -2590,6 +2590,7 @@
   uint64_t incarnation = 0;
   uint64_t number = 0;
   bool text_apart = false;
+  uint64_t digest = 0;
 };
 
 /// Asks what a daemon that reads the platform's service believes, after a
@@ -2601,7 +2602,8 @@
     VT_SEQUENCE = 4,
     VT_INCARNATION = 6,
     VT_NUMBER = 8,
-    VT_TEXT_APART = 12
+    VT_TEXT_APART = 12,
+    VT_DIGEST = 14
   };
   /// Comes back with the answer.
   uint32_t sequence() const {
@@ -2619,12 +2621,17 @@
   bool text_apart() const {
     return GetField<uint8_t>(VT_TEXT_APART, 0) != 0;
   }
+  /// Of the servers that the asking daemon believes in; 0 is none.
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_TEXT_APART, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            verifier.EndTable();
   }
   FollowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2648,6 +2655,9 @@
   void add_text_apart(bool text_apart) {
     fbb_.AddElement<uint8_t>(Follow::VT_TEXT_APART, static_cast<uint8_t>(text_apart), 0);
   }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(Follow::VT_DIGEST, digest, 0);
+  }
   explicit FollowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2664,8 +2674,10 @@
     uint32_t sequence = 0,
     uint64_t incarnation = 0,
     uint64_t number = 0,
-    bool text_apart = false) {
+    bool text_apart = false,
+    uint64_t digest = 0) {
   FollowBuilder builder_(_fbb);
+  builder_.add_digest(digest);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
   builder_.add_sequence(sequence);
@@ -2811,6 +2823,9 @@
   uint32_t unconfirmed_ms = 0;
   std::vector<std::string> unsure{};
   bool lacks_entry = false;
+  uint64_t same_digest = 0;
+  std::vector<uint8_t> packed{};
+  uint32_t packed_from = 0;
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2838,7 +2853,10 @@
     VT_ERA_FIRST = 32,
     VT_UNCONFIRMED_MS = 34,
     VT_UNSURE = 36,
-    VT_LACKS_ENTRY = 38
+    VT_LACKS_ENTRY = 38,
+    VT_SAME_DIGEST = 40,
+    VT_PACKED = 42,
+    VT_PACKED_FROM = 44
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2907,6 +2925,20 @@
   bool lacks_entry() const {
     return GetField<uint8_t>(VT_LACKS_ENTRY, 0) != 0;
   }
+  /// Of the servers that are believed in, where the asking daemon believes in
+  /// the same: then no entries are told, and `after` does not count. 0 where it
+  /// does not.
+  uint64_t same_digest() const {
+    return GetField<uint64_t>(VT_SAME_DIGEST, 0);
+  }
+  /// Many entries, as a compressed State with nothing else; 0 bytes are none.
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  /// Of that State.
+  uint32_t packed_from() const {
+    return GetField<uint32_t>(VT_PACKED_FROM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2930,6 +2962,10 @@
            verifier.VerifyVector(unsure()) &&
            verifier.VerifyVectorOfStrings(unsure()) &&
            VerifyField<uint8_t>(verifier, VT_LACKS_ENTRY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SAME_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           VerifyField<uint32_t>(verifier, VT_PACKED_FROM, 4) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2992,6 +3028,15 @@
   void add_lacks_entry(bool lacks_entry) {
     fbb_.AddElement<uint8_t>(State::VT_LACKS_ENTRY, static_cast<uint8_t>(lacks_entry), 0);
   }
+  void add_same_digest(uint64_t same_digest) {
+    fbb_.AddElement<uint64_t>(State::VT_SAME_DIGEST, same_digest, 0);
+  }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(State::VT_PACKED, packed);
+  }
+  void add_packed_from(uint32_t packed_from) {
+    fbb_.AddElement<uint32_t>(State::VT_PACKED_FROM, packed_from, 0);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3021,8 +3066,12 @@
     uint64_t era_first = 0,
     uint32_t unconfirmed_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unsure = 0,
-    bool lacks_entry = false) {
+    bool lacks_entry = false,
+    uint64_t same_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
+    uint32_t packed_from = 0) {
   StateBuilder builder_(_fbb);
+  builder_.add_same_digest(same_digest);
   builder_.add_era_first(era_first);
   builder_.add_era(era);
   builder_.add_text_version(text_version);
@@ -3031,6 +3080,8 @@
   builder_.add_after(after);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
+  builder_.add_packed_from(packed_from);
+  builder_.add_packed(packed);
   builder_.add_unsure(unsure);
   builder_.add_unconfirmed_ms(unconfirmed_ms);
   builder_.add_text_age_ms(text_age_ms);
@@ -3061,9 +3112,13 @@
     uint64_t era_first = 0,
     uint32_t unconfirmed_ms = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *unsure = nullptr,
-    bool lacks_entry = false) {
+    bool lacks_entry = false,
+    uint64_t same_digest = 0,
+    const std::vector<uint8_t> *packed = nullptr,
+    uint32_t packed_from = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
   auto unsure__ = unsure ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unsure) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return samphireshunt::wire::CreateState(
       _fbb,
       sequence,
@@ -3082,7 +3137,10 @@
       era_first,
       unconfirmed_ms,
       unsure__,
-      lacks_entry);
+      lacks_entry,
+      same_digest,
+      packed__,
+      packed_from);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4367,6 +4425,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = number(); _o->number = _e; }
   { auto _e = text_apart(); _o->text_apart = _e; }
+  { auto _e = digest(); _o->digest = _e; }
 }
 
 inline flatbuffers::Offset<Follow> Follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FollowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4381,12 +4440,14 @@
   auto _incarnation = _o->incarnation;
   auto _number = _o->number;
   auto _text_apart = _o->text_apart;
+  auto _digest = _o->digest;
   return samphireshunt::wire::CreateFollow(
       _fbb,
       _sequence,
       _incarnation,
       _number,
-      _text_apart);
+      _text_apart,
+      _digest);
 }
 
 inline StateEntryT *StateEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4443,7 +4504,10 @@
         era_first(o.era_first),
         unconfirmed_ms(o.unconfirmed_ms),
         unsure(o.unsure),
-        lacks_entry(o.lacks_entry) {
+        lacks_entry(o.lacks_entry),
+        same_digest(o.same_digest),
+        packed(o.packed),
+        packed_from(o.packed_from) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -4466,6 +4530,9 @@
   std::swap(unconfirmed_ms, o.unconfirmed_ms);
   std::swap(unsure, o.unsure);
   std::swap(lacks_entry, o.lacks_entry);
+  std::swap(same_digest, o.same_digest);
+  std::swap(packed, o.packed);
+  std::swap(packed_from, o.packed_from);
   return *this;
 }
 
@@ -4495,6 +4562,9 @@
   { auto _e = unconfirmed_ms(); _o->unconfirmed_ms = _e; }
   { auto _e = unsure(); if (_e) { _o->unsure.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unsure[_i] = _e->Get(_i)->str(); } } }
   { auto _e = lacks_entry(); _o->lacks_entry = _e; }
+  { auto _e = same_digest(); _o->same_digest = _e; }
+  { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
+  { auto _e = packed_from(); _o->packed_from = _e; }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4522,6 +4592,9 @@
   auto _unconfirmed_ms = _o->unconfirmed_ms;
   auto _unsure = _o->unsure.size() ? _fbb.CreateVectorOfStrings(_o->unsure) : 0;
   auto _lacks_entry = _o->lacks_entry;
+  auto _same_digest = _o->same_digest;
+  auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
+  auto _packed_from = _o->packed_from;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -4540,7 +4613,10 @@
       _era_first,
       _unconfirmed_ms,
       _unsure,
-      _lacks_entry);
+      _lacks_entry,
+      _same_digest,
+      _packed,
+      _packed_from);
 }
 
 inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Configuration/DirectoryView.cpp
+++ b/Source/Process/Configuration/DirectoryView.cpp
@@ -1,5 +1,9 @@
 #include "Process/Configuration/DirectoryView.h"
 
+#include "Common/Hash.h"
+
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace samphireshunt {
@@ -14,8 +18,38 @@
          A.MaxInFlight_ == B.MaxInFlight_ && A.Incarnation_ == B.Incarnation_;
 }
 
+std::uint64_t digestOf(const RegisteredServer &Known) {
+  const BackendServer &Server = Known.Server_;
+  return stableHash(fmt::format(
+      "{}\n{}\n{}\n{}\n{}\n{}\n{}", Known.Pool_.str(), Server.Name_.str(),
+      formatEndpoint(Server.Address_), Server.DataCenter_.str(),
+      Server.Leaving_, Server.MaxInFlight_, Server.Incarnation_.count()));
+}
+
 } // namespace
 
+std::uint64_t DirectoryView::digest() const {
+  if (!Digest_) {
+    Digest_ = 0;
+    for (const auto &[Name, Known] : Entries_)
+      *Digest_ ^= digestOf(Known.Server_);
+  }
+  return *Digest_;
+}
+
+void DirectoryView::erase(std::map<ServerName, Entry>::iterator Found) {
+  Entries_.erase(Found);
+  Digest_.reset();
+}
+
+bool DirectoryView::remove(const ServerName &Name) {
+  auto Found = Entries_.find(Name);
+  if (Found == Entries_.end())
+    return false;
+  erase(Found);
+  return true;
+}
+
 bool DirectoryView::seen(const RegisteredServer &Server) {
   Entry &Target = Entries_[Server.Server_.Name_];
   // What an earlier process of the server wrote may be read late, from a daemon
@@ -27,6 +61,7 @@
   if (sameServer(Target.Server_, Server))
     return false;
   Target.Server_ = Server;
+  Digest_.reset();
   return true;
 }
 
@@ -38,7 +73,7 @@
     Found->second.Missing_ = true;
     return false;
   }
-  Entries_.erase(Found);
+  erase(Found);
   return true;
 }
 
@@ -56,6 +91,7 @@
 bool DirectoryView::keepOnly(const std::set<ServerName> &Names) {
   auto Removed = std::erase_if(
       Entries_, [&](const auto &Item) { return !Names.contains(Item.first); });
+  Digest_.reset();
   return Removed > 0;
 }
 
@@ -72,6 +108,7 @@
     return false;
   auto Dropped = std::erase_if(
       Entries_, [](const auto &Item) { return Item.second.Missing_; });
+  Digest_.reset();
   return Dropped > 0;
 }
 
--- a/Source/Process/Configuration/DirectoryView.h
+++ b/Source/Process/Configuration/DirectoryView.h
@@ -44,6 +44,9 @@
   std::optional<BootTime> nextDrop() const;
 
   ServersByPool servers() const;
+  /// Equal for directories of the same servers, but by a rare chance; 0 where
+  /// there are none.
+  std::uint64_t digest() const;
   /// Servers that went missing in an outage and are kept.
   std::vector<ServerName> missingNames() const;
   std::size_t size() const { return Entries_.size(); }
@@ -53,7 +56,7 @@
 
   // Said by a daemon that has looked at outages itself.
   /// \returns true when the server was known.
-  bool remove(const ServerName &Name) { return Entries_.erase(Name) > 0; }
+  bool remove(const ServerName &Name);
   /// Removes all but these. \returns true when there were others.
   bool keepOnly(const std::set<ServerName> &Names);
 
@@ -62,12 +65,15 @@
     RegisteredServer Server_;
     bool Missing_ = false;
   };
+  void erase(std::map<ServerName, Entry>::iterator Found);
   bool inOutage(BootTime Now) const { return Outage_ || Now < KeepUntil_; }
 
   BootClock::duration RegisterAgainTime_;
   std::map<ServerName, Entry> Entries_;
   bool Outage_ = false;
   BootTime KeepUntil_;
+  /// Unset since the servers have changed.
+  mutable std::optional<std::uint64_t> Digest_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -29,19 +29,6 @@
       std::clamp<std::int64_t>(Age.count(), 0, Most));
 }
 
-ChangeLog::Changes changesOf(const wire::StateT &Told) {
-  ChangeLog::Changes Changes;
-  Changes.Complete_ = Told.complete;
-  Changes.Unsure_ = Told.unsure;
-  for (const auto &Entry : Told.entries)
-    Changes.Entries_.push_back(
-        {Entry->key,
-         Entry->value,
-         {StoreEra(Entry->era), Revision(Entry->revision)},
-         Entry->deleted});
-  return Changes;
-}
-
 } // namespace
 
 PeerFollower::PeerFollower(boost::asio::io_context &Control, Incarnation Self,
@@ -101,6 +88,7 @@
     Transfer_.drop();
     Reader_ = *Usable;
     FollowedSince_ = Now;
+    ReaderProcess_ = 0;
     ReaderNumber_ = 0;
   }
   ask();
@@ -144,6 +132,7 @@
   Question.incarnation = ReaderProcess_;
   Question.number = ReaderNumber_;
   Question.text_apart = true;
+  Question.digest = View_.digest();
   Awaiting_ = true;
   Overdue_ = false;
   Unanswered_.insert(*Reader_);
@@ -194,7 +183,10 @@
   if (!Told.reads_service)
     return passOver(From, Fault::Useless, "it does not read the service");
   bool Same = Told.incarnation == ReaderProcess_;
-  if (!Told.complete && (!Same || Told.after > ReaderNumber_)) {
+  bool GoesOn = Told.same_digest == 0
+                    ? Same && Told.after <= ReaderNumber_
+                    : Answer && Told.same_digest == View_.digest();
+  if (!Told.complete && !GoesOn) {
     // Something that it told before was lost with a link. The next answer has
     // all since the number that is asked for.
     if (!Answer)
@@ -202,7 +194,10 @@
     return passOver(From, Fault::Useless, "its answer has a gap");
   }
   StorePosition Reached{StoreEra(Told.era), Revision(Told.revision)};
-  if (!View_.follow(changesOf(Told), Reached, Revision(Told.era_first)))
+  auto Changes = changesOf(Told);
+  if (!Changes)
+    return passOver(From, Fault::Useless, Changes.error().Detail_);
+  if (!View_.follow(*Changes, Reached, Revision(Told.era_first)))
     return passOver(From, Fault::Useless, "it is behind");
   Service_.planDrops();
   ReaderProcess_ = Told.incarnation;
@@ -369,11 +364,10 @@
   Told.text_age_ms = millisSince(View_.configurationReadAt());
 }
 
-wire::StateT PeerFollower::stateAfter(std::uint64_t Number, bool Apart) const {
+wire::StateT PeerFollower::standing() const {
   wire::StateT Told;
   Told.incarnation = Self_.count();
   Told.number = View_.log().last();
-  Told.after = Number;
   Told.era = View_.position().Era_.count();
   Told.revision = View_.position().Revision_.count();
   if (View_.eraStart())
@@ -382,39 +376,44 @@
   std::uint32_t Confirmed = millisSince(Freshness_.confirmedAt());
   Told.unconfirmed_ms = Confirmed - std::min(Confirmed, Told.age_ms);
   Told.reads_service = !Service_.paused() && Service_.platformReachable();
+  return Told;
+}
+
+/// A daemon of an earlier release knows neither texts apart nor packed entries.
+void PeerFollower::addChanges(std::uint64_t After, bool Apart,
+                              wire::StateT &Told) {
   std::string TextKey = Apart ? View_.layout().ConfigurationKey_ : "";
-  ChangeLog::Changes Changes = View_.told(Number, TextKey);
-  if (Apart)
-    nameText(Told);
+  ChangeLog::Changes Changes = View_.told(After, TextKey);
+  Told.after = After;
   Told.complete = Changes.Complete_;
-  Told.unsure = std::move(Changes.Unsure_);
-  for (const KeyValue &Entry : Changes.Entries_) {
-    auto Added = std::make_unique<wire::StateEntryT>();
-    Added->key = Entry.Key_;
-    Added->value = Entry.Value_;
-    Added->revision = Entry.Position_.Revision_.count();
-    Added->era = Entry.Position_.Era_.count();
-    Added->deleted = Entry.Deleted_;
-    Told.entries.push_back(std::move(Added));
-  }
-  return Told;
+  Told.unsure = Changes.Unsure_;
+  Entries_.put(Changes, Apart, After, Told);
 }
 
 void PeerFollower::tell(const VmId &To, std::uint32_t Sequence,
-                        std::uint64_t After) {
+                        std::uint64_t After, bool SameServers) {
   Follower &Known = Followers_[To];
-  wire::StateT Told = stateAfter(After, Known.Apart_);
+  wire::StateT Told = standing();
+  if (Known.Apart_)
+    nameText(Told);
+  if (SameServers)
+    Told.same_digest = View_.digest();
+  else
+    addChanges(After, Known.Apart_, Told);
   Told.sequence = Sequence;
   Told.lacks_entry = !View_.hasDaemon(To);
   Known.Number_ = Told.number;
   Hooks_.Reply_(To, encodeMessage(std::move(Told)));
 }
 
+/// One that followed another daemon so far mostly believes the same already.
 void PeerFollower::onFollow(const VmId &From, const wire::FollowT &Asked) {
   Followers_[From].LastAsked_ = steady_clock::now();
   Followers_[From].Apart_ = Asked.text_apart;
-  bool Same = Asked.incarnation == Self_.count();
-  tell(From, Asked.sequence, Same ? Asked.number : 0);
+  bool GoesOn = Asked.incarnation == Self_.count();
+  bool SameServers = !GoesOn && Asked.text_apart && Asked.digest != 0 &&
+                     Asked.digest == View_.digest();
+  tell(From, Asked.sequence, GoesOn ? Asked.number : 0, SameServers);
 }
 
 void PeerFollower::onTextAsk(const VmId &From, const wire::TextAskT &Asked) {
@@ -426,7 +425,7 @@
   forgetFollowers();
   for (auto &[Name, Known] : Followers_)
     if (Known.Number_ != View_.log().last())
-      tell(Name, 0, Known.Number_);
+      tell(Name, 0, Known.Number_, /*SameServers=*/false);
 }
 
 void PeerFollower::forgetFollowers() {
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -22,6 +22,7 @@
 #include "Process/Configuration/DocumentTransfer.h"
 #include "Process/Configuration/FreshnessLease.h"
 #include "Process/Configuration/HeardVersions.h"
+#include "Process/Configuration/StateEntries.h"
 #include "Process/Configuration/StoreFollower.h"
 #include "Process/Configuration/StoreReaders.h"
 
@@ -144,10 +145,13 @@
   void takeStep(const VmId &From, const wire::TextPartT &Part,
                 DocumentTransfer::Step Next);
   void keepText();
-  wire::StateT stateAfter(std::uint64_t Number, bool Apart) const;
+  /// Where this daemon stands, without what has changed.
+  wire::StateT standing() const;
+  void addChanges(std::uint64_t After, bool Apart, wire::StateT &Told);
   void nameText(wire::StateT &Told) const;
   void forgetFollowers();
-  void tell(const VmId &To, std::uint32_t Sequence, std::uint64_t After);
+  void tell(const VmId &To, std::uint32_t Sequence, std::uint64_t After,
+            bool SameServers);
 
   boost::asio::steady_timer Timer_;
   Incarnation Self_;
@@ -180,6 +184,7 @@
   std::map<VmId, Passed> PassedOver_;
   bool SawOldState_ = false;
   std::map<VmId, Follower> Followers_;
+  StateEntries Entries_;
   DocumentTexts Texts_;
   DocumentTransfer Transfer_;
   HeardVersions Heard_;
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -99,6 +99,8 @@
   void advance(const StorePosition &Newer) {
     Position_ = std::max(Position_, Newer);
   }
+  /// Of the servers that are believed in; 0 is none.
+  std::uint64_t digest() const { return Directory_.digest(); }
   /// The service has an entry of that daemon; known of one that reads it.
   bool hasDaemon(const VmId &Daemon) const { return Daemons_.contains(Daemon); }
   /// Unset until an era began under this process.
--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -165,6 +165,11 @@
   void put(const std::string &Key, const std::string &Value) {
     forAllStores([&](FakeStore &Store) { Store.put(Key, Value); });
   }
+  /// Servers i-0 and so on.
+  void putServers(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      put(fmt::format("servers/i-{}", Index), serverEntry("ready"));
+  }
   void remove(const std::string &Key) {
     forAllStores([&](FakeStore &Store) { Store.remove(Key); });
   }
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -431,3 +431,50 @@
   CHECK(Test.calls() == Calls);
   CHECK(Spare.Service_->paused());
 }
+
+// Links stay full for good: whoever changes its reader is told the whole
+// directory, later than an answer may come.
+TEST_CASE("a daemon that knows a large directory follows another reader over a "
+          "slow link, and is told next to nothing") {
+  constexpr std::size_t SlowLink = 1000;
+  constexpr std::size_t MostTold = 20000;
+  Fleet Test;
+  FollowingDaemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.putServers(1000);
+  REQUIRE(Test.runUntil([&] {
+    return std::ranges::all_of(Test.Daemons_, [](const auto &Item) {
+      return Item.second->isActive("i-999");
+    });
+  }));
+  Test.runFor(milliseconds(300));
+  for (const char *Name : {"first", "second"})
+    Test.BytesPerMs_[Name] = SlowLink;
+  auto Calls = Test.calls();
+  Test.Sent_.clear();
+  Test.Frozen_.insert("first");
+  Test.runFor(milliseconds(500));
+  CHECK(Spare.Service_->paused());
+  CHECK(Test.runUntil([&] { return Spare.follows("second"); }));
+  CHECK(Test.Sent_["second"] < MostTold);
+  CHECK(Test.calls() == Calls);
+  // What changes after that is told alone.
+  Test.put("servers/i-500", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-500"); }));
+  CHECK(Test.Sent_["second"] < MostTold);
+}
+
+// A daemon on a weak link never gets the directory: it comes too late.
+TEST_CASE("a large directory is told packed to one that has nothing of it") {
+  constexpr std::size_t MostTold = 60000;
+  Fleet Test;
+  Test.putServers(1000);
+  REQUIRE(Test.runUntil([&] { return Test["first"].isActive("i-999"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.Sent_.clear();
+  Test.startSpare();
+  FollowingDaemon &Spare = Test["spare"];
+  Spare.Choice_.Role_ = StoreRole::Alone;
+  CHECK(Test.runUntil([&] { return Spare.isActive("i-999"); }));
+  CHECK(Test.LongestMessage_ < MostTold);
+}
