Tests of followers don't depend on a free processor

Stopped for 45 ms at random, "a daemon that follows another hears all changes" failed 2 of 30 times: its question may be answered for 40 ms, the answer came later, and the service was read. Checks unchanged.

--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -69,12 +69,13 @@
 }
 
 /// One daemon's part of all this. Messages between daemons are handed over by
-/// the fixture.
+/// the fixture. With a \p Slowdown its questions take so many times as long, so
+/// that a pause of the test's own process changes nothing.
 class FollowingDaemon {
 public:
   FollowingDaemon(boost::asio::io_context &Context, FakeStore &Store,
                   std::string Name, ReaderChoice Choice,
-                  PeerFollower::Hooks Hooks)
+                  PeerFollower::Hooks Hooks, int Slowdown = 1)
       : Choice_(std::move(Choice)), Freshness_(Lease, ApplyBound),
         View_(Documents_, platform::storeLayout(), {RegisterAgain, Lapse}) {
     StoreView::Hooks ViewHooks;
@@ -86,7 +87,7 @@
     StoreFollower::Options Options;
     Options.WatchTime_ = milliseconds(2000);
     Options.ConfirmTime_ = milliseconds(200);
-    Options.ReaderConfirmTime_ = milliseconds(40);
+    Options.ReaderConfirmTime_ = Slowdown * milliseconds(40);
     Options.BehindTime_ = milliseconds(20);
     Options.GatherTime_ = milliseconds(5);
     Options.FirstGatherTime_ = milliseconds(10);
@@ -96,13 +97,14 @@
     Options.SpareLongestPause_ = milliseconds(50);
     Options.RegisterSpread_ = milliseconds(20);
     Service_ = std::make_unique<StoreFollower>(
-        Context, platform::storeHooks(Store.address(), milliseconds(50)), View_,
-        Freshness_, Options);
+        Context,
+        platform::storeHooks(Store.address(), Slowdown * milliseconds(50)),
+        View_, Freshness_, Options);
     PeerFollower::Options PeerOptions;
-    PeerOptions.AskTime_ = milliseconds(40);
-    PeerOptions.AnswerTime_ = milliseconds(40);
-    PeerOptions.OldestAge_ = milliseconds(160);
-    PeerOptions.TryAgainTime_ = milliseconds(100);
+    PeerOptions.AskTime_ = Slowdown * milliseconds(40);
+    PeerOptions.AnswerTime_ = Slowdown * milliseconds(40);
+    PeerOptions.OldestAge_ = Slowdown * milliseconds(160);
+    PeerOptions.TryAgainTime_ = Slowdown * milliseconds(100);
     PeerOptions.SettleTime_ = milliseconds(50);
     PeerOptions.StayTime_ = milliseconds(400);
     PeerOptions.PatientTime_ = milliseconds(200);
@@ -145,7 +147,7 @@
 class Fleet {
 public:
   /// \p Small: all read the store, and "spare" follows only without it.
-  explicit Fleet(bool Small = false) {
+  explicit Fleet(bool Small = false, int Slowdown = 1) : Slowdown_(Slowdown) {
     put("op/config", configuration(3));
     put("servers/i-1", serverEntry("ready"));
     for (const char *Name : {"first", "second", "third"})
@@ -231,6 +233,8 @@
   ReaderChoice SpareChoice_;
 
 private:
+  int Slowdown_;
+
   std::map<std::string, std::unique_ptr<FakeStore>> makeStores() {
     std::map<std::string, std::unique_ptr<FakeStore>> Stores;
     for (const char *Name : {"first", "second", "third"})
@@ -245,7 +249,7 @@
     Hooks.Send_ = Pass;
     Hooks.Reply_ = Pass;
     Daemons_[Name] = std::make_unique<FollowingDaemon>(
-        Context_, Store, Name, std::move(Choice), Hooks);
+        Context_, Store, Name, std::move(Choice), Hooks, Slowdown_);
   }
   void send(const std::string &From, const VmId &To, std::string Message) {
     Sent_[From] += Message.size();
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -12,9 +12,14 @@
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
 
+namespace {
+/// Answers may take 160 ms: longer than a busy machine stops a process.
+constexpr int UnhurriedBy = 4;
+} // namespace
+
 TEST_CASE("a daemon that follows another hears all changes and leaves the "
           "service alone") {
-  Fleet Test;
+  Fleet Test(/*Small=*/false, UnhurriedBy);
   FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.runFor(milliseconds(50));
@@ -36,7 +41,7 @@
   // Symptom: a daemon sends work to a server long after it began to leave.
   // Sequence: the daemon that it follows freezes; a server begins to leave.
   // Cause: nobody told it, and it did not ask anybody else.
-  Fleet Test;
+  Fleet Test(/*Small=*/false, UnhurriedBy);
   FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.Frozen_.insert("first");
