--- a/Source/Process/Configuration/DepartedServers.cpp
+++ b/Source/Process/Configuration/DepartedServers.cpp
@@ -20,6 +20,10 @@
   bool SameEra = Entry.Written_.Era_ == Known.Written_.Era_;
   if (SameEra && Entry.FromService_)
     return Admission::Admitted;
+  // An era that was only told, and turned out wrong, compares with nothing.
+  bool WrongEra = Era && Known.Written_.Era_ > Era->First_.Era_;
+  if (WrongEra)
+    return Admission::Doubted;
   if (Entry.Written_ <= Known.Written_)
     return Admission::Refused;
   bool Later = SameEra || (Era && Era->knownAsWritten(Entry.Written_));
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -177,14 +177,17 @@
                                        const BackendServer &Told,
                                        const StorePosition &Written) const {
   const KeyValue *Known = Log_.find(Layout_.ServerPrefix_ + Name);
-  if (!Known || Told.Incarnation_ > incarnationOf(*Known))
+  // An era that was only told, and turned out wrong, compares with nothing.
+  if (!Known || Known->Position_.Era_ > Position_.Era_)
     return Admission::Admitted;
-  if (Written < Known->Position_)
-    return Admission::Refused;
-  bool OfCopy = Written.Era_ != Known->Position_.Era_ && EraStart_ &&
+  const StorePosition &Before = Known->Position_;
+  bool OfCopy = Written.Era_ > Before.Era_ && EraStart_ &&
                 !EraStart_->knownAsWritten(Written);
-  bool Older = OfCopy && Written.Revision_ < Known->Position_.Revision_;
-  return Older ? Admission::Doubted : Admission::Admitted;
+  bool Older =
+      Written < Before || (OfCopy && Written.Revision_ < Before.Revision_);
+  if (!Older || Told.Incarnation_ > incarnationOf(*Known))
+    return Admission::Admitted;
+  return OfCopy ? Admission::Doubted : Admission::Refused;
 }
 
 void StoreView::doubt(const std::string &Name, const KeyValue &Entry) {
@@ -209,6 +212,7 @@
     EraStart_->First_ = std::min(EraStart_->First_, First);
   }
   std::set<ServerName> Servers;
+  std::set<std::string_view> Unsure(Told.Unsure_.begin(), Told.Unsure_.end());
   for (const std::string &Key : Told.Unsure_) {
     std::string Name = Key.substr(Layout_.ServerPrefix_.size());
     Doubted_.erase(Name);
@@ -222,8 +226,8 @@
       Doubted_.erase(Name.str());
       DirectoryChanged_ |= Directory_.remove(Name);
     } else {
-      bool Unsure = std::ranges::count(Told.Unsure_, Entry.Key_) > 0;
-      applyFrom(Unsure ? Source::UnsureDaemon : Source::Daemon, Entry);
+      bool IsUnsure = Unsure.contains(Entry.Key_);
+      applyFrom(IsUnsure ? Source::UnsureDaemon : Source::Daemon, Entry);
     }
     if (IsServer)
       Servers.insert(std::move(Name));
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -293,13 +293,13 @@
   's/Later \? Admission::Admitted : Admission::Doubted/Later ? Admission::Admitted : Admission::Admitted/' \
   ${U}StoreEraModel '*in all orders*'
 mutate era-known-older $S/Process/Configuration/StoreView.cpp \
-  's/return Older \? Admission::Doubted : Admission::Admitted;/return Admission::Admitted;/; s/  bool Older = OfCopy && [^;]*;\n//; s/  bool OfCopy = Written\.Era_[^;]*;\n//' \
+  's/  bool Older = Written < Before \|\|\s+\(OfCopy && [^;]*;/  bool Older = false;/' \
   ${U}StoreEraModel '*in all orders*'
 mutate era-heard-at $S/Process/Configuration/StoreView.cpp \
   's/Doubted_\.empty\(\) \|\| Asked < EraStart_->SeenAt_ \+ Times_\.Lapse_/Doubted_.empty() || Asked < EraStart_->SeenAt_/' \
   ${U}StoreEraModel '*in all orders*'
 mutate era-unsure $S/Process/Configuration/StoreView.cpp \
-  's/Unsure \? Source::UnsureDaemon : Source::Daemon/Unsure ? Source::Daemon : Source::Daemon/' \
+  's/IsUnsure \? Source::UnsureDaemon : Source::Daemon/IsUnsure ? Source::Daemon : Source::Daemon/' \
   ${U}StoreEraModel '*in all orders*'
 mutate era-confirms $S/Process/Configuration/StoreView.cpp \
   's/if \(ToldVersion_ < version\(\)\)\n    return false;//' \
--- a/UnitTests/platform/StoreEraTest.cpp
+++ b/UnitTests/platform/StoreEraTest.cpp
@@ -234,12 +234,17 @@
 TEST_CASE("an era that only a daemon has told yields to the service's own") {
   CopyFleet Test;
   FollowingDaemon &Spare = Test["spare"];
-  REQUIRE(Spare.View_.follow({}, {StoreEra(1000), Revision(1)}));
+  KeyValue Told{
+      "servers/i-2", serverEntry("ready"), {StoreEra(1000), Revision(1)}};
+  REQUIRE(Spare.View_.follow({false, {Told}, {}}, Told.Position_));
   CHECK(Test.runUntil([&] { return !Spare.Service_->paused(); }));
   CHECK(Test.runUntil([&] { return Spare.follows("first"); }));
   CHECK(Spare.View_.position().Era_ == StoreEra(0));
   Test.put("servers/i-1", serverEntry("draining"));
   CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-2"); }));
+  Test.put("servers/i-2", serverEntry("ready"));
+  CHECK(Test.runUntil([&] { return Spare.isActive("i-2"); }));
 }
 
 // What a paused process reads late of the older era is believed.
