Tests: a span of the store's changes; one copy of its entries, and of a bench's arguments

Cause: clang 14, which the linter uses, refuses std::ranges::subrange over a vector's iterators with libstdc++ 12; a clean checkout's lint failed on it. Configurations and entries of the platform's store were written in three files, the reading of a bench's arguments in two. Ruled out: a fault of the code; gcc and the tests took it. Change: std::span; UnitTests/platform/StoreEntries.h and Bench/Counts.h.

--- a/Bench/MembershipFleet.cpp
+++ b/Bench/MembershipFleet.cpp
@@ -3,13 +3,12 @@
 /// virtual time, and what that costs: the table of docs/CAPACITY.md.
 ///   membership_fleet [COUNT...]
 
+#include "Bench/Counts.h"
 #include "UnitTests/Process/Membership/SimulatedFleet.h"
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <cstdio>
-#include <string_view>
 #include <vector>
 
 using namespace samphireshunt;
@@ -92,19 +91,11 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  std::vector<std::size_t> Counts;
-  for (int Index = 1; Index < ArgumentCount; ++Index) {
-    std::string_view Text(Arguments[Index]);
-    std::size_t Count = 0;
-    std::from_chars(Text.data(), Text.data() + Text.size(), Count);
-    Counts.push_back(Count);
-  }
-  if (Counts.empty())
-    Counts = {30, 100, 300, 1000};
   fmt::print("| daemons | death heard of by all, ms | return of 55 %, ms | end "
              "of a partition, ms | bytes/s sent | false deaths in 30 s | false "
              "suspicions in 30 s, 5 % lost | false deaths, 5 % lost |\n");
-  for (std::size_t Count : Counts)
+  for (std::size_t Count :
+       countsFrom(ArgumentCount, Arguments, {30, 100, 300, 1000}))
     row(Count);
   return 0;
 }
--- a/Bench/StoreEraFleet.cpp
+++ b/Bench/StoreEraFleet.cpp
@@ -4,9 +4,11 @@
 /// table of docs/CAPACITY.md. All daemons in one thread, in real time.
 ///   store_era_fleet [COUNT...]
 
+#include "Bench/Counts.h"
 #include "Process/Configuration/PeerFollower.h"
 
 #include "UnitTests/platform/FakeStore.h"
+#include "UnitTests/platform/StoreEntries.h"
 #include "platform/Configuration.h"
 #include "platform/Store.h"
 
@@ -14,10 +16,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <memory>
-#include <string_view>
 #include <vector>
 
 using namespace samphireshunt;
@@ -35,6 +35,7 @@
 constexpr std::uint32_t WeakMbps = 10;
 /// Few: all daemons share one thread, each takes each entry in.
 constexpr int Servers = 30;
+constexpr int FirstPort = 8000;
 constexpr milliseconds CallTimeout{700};
 constexpr milliseconds Away{1500};
 constexpr milliseconds StartGap{5};
@@ -43,19 +44,6 @@
 /// Calls are counted for so long from the beginning of the trouble.
 constexpr seconds Counted{10};
 
-std::string configuration(int Version) {
-  return fmt::format(R"({{"version":{},"routes":[],"services":[{{"name":"s"}}],
-                         "limits":{{}}}})",
-                     Version);
-}
-
-std::string serverEntry(int Number) {
-  return fmt::format(R"({{"service":"s","address":"10.0.0.1:{}","zone":"z",
-                         "state":"ready","batch-size":2,"version":"v1",
-                         "warmup-left-ms":0,"sequence":1}})",
-                     8000 + Number);
-}
-
 class BenchDaemon {
 public:
   BenchDaemon(boost::asio::io_context &Context, FakeStore &Store,
@@ -101,7 +89,8 @@
   }
   void writeServers() {
     for (int Number = 0; Number < Servers; ++Number)
-      Store_.put(fmt::format("servers/i-{}", Number), serverEntry(Number));
+      Store_.put(fmt::format("servers/i-{}", Number),
+                 serverEntry("ready", FirstPort + Number));
   }
   void runFor(steady_clock::duration Time) {
     Context_.restart();
@@ -209,20 +198,12 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  std::vector<std::size_t> Counts;
-  for (int Index = 1; Index < ArgumentCount; ++Index) {
-    std::string_view Text(Arguments[Index]);
-    std::size_t Count = 0;
-    std::from_chars(Text.data(), Text.data() + Text.size(), Count);
-    Counts.push_back(Count);
-  }
-  if (Counts.empty())
-    Counts = {30, 100, 300};
   spdlog::set_level(spdlog::level::off);
-  fmt::print("| daemons | of them following | trouble | 99 in 100, ms | all, "
-             "ms | calls in 10 s |\n"
-             "|---|---|---|---|---|---|\n");
-  for (std::size_t Count : Counts)
+  fmt::print(
+      "| daemons | of them following | trouble | 99 in 100, ms | all, ms "
+      "| calls in 10 s |\n"
+      "|---|---|---|---|---|---|\n");
+  for (std::size_t Count : countsFrom(ArgumentCount, Arguments, {30, 100, 300}))
     for (bool Copy : {false, true})
       measure(Count, Copy);
 }
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <span>
 #include <utility>
 
 namespace samphireshunt::tests {
@@ -205,7 +206,7 @@
     Json Events = Json::array();
     auto Newer =
         std::ranges::upper_bound(Changes_, After, {}, &Change::Revision_);
-    for (const Change &Seen : std::ranges::subrange(Newer, Changes_.end())) {
+    for (const Change &Seen : std::span(Newer, Changes_.end())) {
       if (!Seen.Key_.starts_with(Prefix))
         continue;
       auto Stored = Items_.find(Seen.Key_);
--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -6,6 +6,7 @@
 #include "Process/Configuration/PeerFollower.h"
 
 #include "UnitTests/platform/FakeStore.h"
+#include "UnitTests/platform/StoreEntries.h"
 #include "platform/Configuration.h"
 #include "platform/Store.h"
 
@@ -33,21 +34,6 @@
 inline constexpr milliseconds RegisterAgain{150};
 inline constexpr milliseconds Lapse{800};
 
-inline std::string route(std::size_t Index) {
-  return fmt::format(R"({{"name":"r-{0}","hostname":"h{0}.example",
-                         "prefix":"/p{0}/","kind":"safe","service":"s"}})",
-                     Index);
-}
-
-inline std::string configuration(int Version, std::size_t Routes = 0) {
-  std::vector<std::string> All;
-  for (std::size_t Index = 0; Index < Routes; ++Index)
-    All.push_back(route(Index));
-  return fmt::format(R"({{"version":{},"routes":[{}],
-                         "services":[{{"name":"s"}}],"limits":{{}}}})",
-                     Version, fmt::join(All, ","));
-}
-
 /// One of a given size, of digits that no packing makes small.
 inline std::string largeConfiguration(int Version, std::size_t Size) {
   std::string Digits;
@@ -61,13 +47,6 @@
   return Text;
 }
 
-inline std::string serverEntry(const std::string &State) {
-  return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
-                         "state":"{}","batch-size":2,"version":"v1",
-                         "warmup-left-ms":0,"sequence":1}})",
-                     State);
-}
-
 /// One daemon's part of all this. Messages between daemons are handed over by
 /// the fixture. With a \p Slowdown its questions take so many times as long, so
 /// that a pause of the test's own process changes nothing.
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -5,11 +5,11 @@
 #include "Process/Configuration/StoreFollower.h"
 
 #include "UnitTests/platform/FakeStore.h"
+#include "UnitTests/platform/StoreEntries.h"
 #include "platform/Configuration.h"
 #include "platform/Store.h"
 
 #include <doctest/doctest.h>
-#include <fmt/format.h>
 
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
@@ -21,12 +21,6 @@
 const PoolName ThePool("s");
 constexpr milliseconds Lease{400};
 
-std::string configuration(int Version) {
-  return fmt::format(R"({{"version":{},"routes":[],"services":[{{"name":"s"}}],
-                         "limits":{{}}}})",
-                     Version);
-}
-
 constexpr milliseconds ApplyBound{200};
 
 /// A configuration of so many bytes and more.
@@ -34,13 +28,6 @@
   return configuration(Version) + std::string(Bytes, ' ');
 }
 
-std::string serverEntry(const std::string &State) {
-  return fmt::format(R"({{"service":"s","address":"10.0.0.1:80","zone":"z",
-                         "state":"{}","batch-size":2,"version":"v1",
-                         "warmup-left-ms":0,"sequence":1}})",
-                     State);
-}
-
 class FollowerFixture {
 public:
   explicit FollowerFixture(
