Test, failing: a calm customer's request at each keeper of a large fleet

Cause: the test took four of 62 cells for what one keeper has, and asked that one. Where cells lie is the product's own choice: with the test's number no choice of keepers could have mended it, and a keeper with one cell was not looked at. Change: the product's choice among 300 members, 18 with strong links; each daemon that keeps a cell must grant the request within 100 asks 20 ms apart (two seconds, as before). Strictly more: all keepers instead of one. Counted asks instead of a time, so that a pause of the test's process fails nothing.

--- a/UnitTests/Process/Keeping/AllotmentOfManyCellsTest.cpp
+++ b/UnitTests/Process/Keeping/AllotmentOfManyCellsTest.cpp
@@ -1,12 +1,20 @@
 /// \file
 /// Allotments where a pool has many cells, and each keeper few of them.
 
+#include "Process/Keeping/KeeperChoice.h"
 #include "Process/Keeping/KeeperService.h"
 
+#include "UnitTests/Process/MemberFleet.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <memory>
+#include <vector>
+
 using namespace samphireshunt;
+using namespace samphireshunt::tests;
 using std::chrono::steady_clock;
 
 namespace {
@@ -14,19 +22,19 @@
 const ServiceName Service("s");
 const PoolName ThePool("p");
 const CustomerName Calm("calm");
-/// As many as one keeper has in a fleet of 300 VMs with 18 strong links.
-constexpr std::uint32_t KeptCells = 4;
+constexpr int Vms = 300;
+constexpr int StrongLinks = 18;
+constexpr std::uint32_t StrongMbps = 200;
+constexpr std::uint32_t WeakMbps = 10;
 constexpr int Servers = 3000;
 constexpr std::int64_t TokensPerSecond = 18000;
 constexpr std::int64_t PromptTokens = 2890;
 constexpr std::int64_t AnswerTokens = 600;
-/// Long enough for a bucket to fill.
-constexpr std::chrono::seconds Patience{2};
+/// Long enough for a bucket to fill, with the pause between asks.
+constexpr int MostAsks = 100;
+constexpr std::chrono::milliseconds Pause{20};
 
-void adopt(DocumentStore &Documents) {
-  Document Built;
-  Built.Service_ = Service;
-  Built.Tiers_ = {"0"};
+Pool poolOfAll() {
   Pool Target;
   Target.Name_ = ThePool;
   for (int Number = 0; Number < Servers; ++Number) {
@@ -35,7 +43,14 @@
     Engine.MaxInFlight_ = 1;
     Target.Servers_.push_back(std::move(Engine));
   }
-  Built.Pools_.push_back(std::move(Target));
+  return Target;
+}
+
+void adopt(DocumentStore &Documents) {
+  Document Built;
+  Built.Service_ = Service;
+  Built.Tiers_ = {"0"};
+  Built.Pools_.push_back(poolOfAll());
   Customer Limited;
   Limited.Name_ = Calm;
   Limited.Allotment_ = {static_cast<double>(TokensPerSecond),
@@ -46,32 +61,26 @@
                   std::make_shared<const Document>(std::move(Built)));
 }
 
-} // namespace
+std::vector<Member> fleetWithStrongLinks() {
+  std::vector<Member> Members = fleet(Vms);
+  for (int Index = 0; Index < Vms; ++Index)
+    Members[Index].LinkMbps_ =
+        Index % (Vms / StrongLinks) == 0 ? StrongMbps : WeakMbps;
+  return Members;
+}
 
-// In large fleets callers within their allotment are refused for ever.
-TEST_CASE("a request within the allotment of a calm customer is granted, "
-          "however many cells there are") {
-  boost::asio::io_context Control;
-  DocumentStore Documents;
-  adopt(Documents);
-  bool Granted = false;
-  KeeperService::Hooks Hooks;
-  Hooks.Decided_ = [&](const CellId &, const Decision &Taken) {
-    Granted |= std::holds_alternative<GrantDecision>(Taken);
-  };
-  Hooks.Orphaned_ = [](const OrphanedRequest &) {};
-  Hooks.AloneInFleet_ = [] { return true; };
-  Hooks.IsKeeper_ = [](const CellId &Cell) { return Cell.Index_ < KeptCells; };
-  Hooks.LiveShare_ = [] { return 1.0; };
-  Hooks.FloorRaised_ = [] {};
-  KeeperService::Options Options;
-  Options.Allotments_.Overrun_ = 0.1;
-  Options.Allotments_.Credit_ = 4.0 * TokensPerSecond;
-  KeeperService Keeper(Control, Documents, Options, std::move(Hooks));
-  Keeper.refresh();
-  auto End = steady_clock::now() + Patience;
-  for (std::uint64_t Number = 1; !Granted && steady_clock::now() < End;
-       ++Number) {
+/// One daemon of the fleet, with the cells that it keeps.
+class KeepingVm {
+public:
+  KeepingVm(boost::asio::io_context &Control, DocumentStore &Documents,
+            KeeperChoice &Choice, VmId Self)
+      : Keeper_(Control, Documents, options(), hooks(Choice, std::move(Self))) {
+    Keeper_.refresh();
+  }
+
+  bool granted() const { return Granted_; }
+  std::vector<CellId> cells() const { return Keeper_.cells(); }
+  void ask(std::uint64_t Number) {
     AskedRequest Asked;
     Asked.Id_ = {1, Number};
     Asked.Customer_ = Calm;
@@ -79,9 +88,62 @@
     Asked.Answer_ = Tokens(AnswerTokens);
     Asked.Deadline_ = steady_clock::now() + std::chrono::hours(1);
     Asked.Entry_ = VmId("entry");
-    Keeper.ask({Service, ThePool, 0}, std::move(Asked));
+    Keeper_.ask(cells().front(), std::move(Asked));
+  }
+
+private:
+  static KeeperService::Options options() {
+    KeeperService::Options Options;
+    Options.Allotments_.Overrun_ = 0.1;
+    Options.Allotments_.Credit_ = 4.0 * TokensPerSecond;
+    return Options;
+  }
+
+  KeeperService::Hooks hooks(KeeperChoice &Choice, VmId Self) {
+    KeeperService::Hooks Hooks;
+    Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
+      Granted_ |= std::holds_alternative<GrantDecision>(Taken);
+    };
+    Hooks.Orphaned_ = [](const OrphanedRequest &) {};
+    Hooks.AloneInFleet_ = [] { return false; };
+    Hooks.IsKeeper_ = [&Choice, Self = std::move(Self)](const CellId &Cell) {
+      return Choice.keeperOf(Cell, {}) == Self;
+    };
+    Hooks.LiveShare_ = [] { return 1.0; };
+    Hooks.FloorRaised_ = [] {};
+    return Hooks;
+  }
+
+  bool Granted_ = false;
+  KeeperService Keeper_;
+};
+
+} // namespace
+
+// In large fleets callers within their allotment are refused for ever.
+TEST_CASE("a request within the allotment of a calm customer is granted, "
+          "whichever of many cells it asks") {
+  boost::asio::io_context Control;
+  DocumentStore Documents;
+  adopt(Documents);
+  std::vector<Member> Members = fleetWithStrongLinks();
+  KeeperChoice Choice([&] { return Members; });
+  std::vector<std::unique_ptr<KeepingVm>> Keepers;
+  std::size_t Cells = 0;
+  for (const Member &One : Members) {
+    auto Keeper =
+        std::make_unique<KeepingVm>(Control, Documents, Choice, One.Id_);
+    Cells += Keeper->cells().size();
+    if (!Keeper->cells().empty())
+      Keepers.push_back(std::move(Keeper));
+  }
+  CHECK(Cells == cellCount(poolOfAll()));
+  for (std::uint64_t Number = 1; Number <= MostAsks; ++Number) {
+    for (auto &Keeper : Keepers)
+      if (!Keeper->granted())
+        Keeper->ask(Number);
     Control.restart();
-    Control.run_for(std::chrono::milliseconds(20));
+    Control.run_for(Pause);
   }
-  CHECK(Granted);
+  CHECK(std::ranges::all_of(Keepers, &KeepingVm::granted));
 }
