Few keepers of a large pool; a request larger than its bucket takes out of both

Cause: each keeper gives out its part of a customer's allotment, and the number of keepers grew with the fleet: 62 cells at 3,000 engines, one to eight of them at each of 18 daemons. A request that costs more than a keeper's part of the burst was refused for ever (212), though the customer asked for little. Ruled out, each as a mutation that the test catches: few keepers alone, both buckets alone, and these two without the overflow. Change: eight keepers a service at the most, each with every eighth cell (pools of up to eight cells keep theirs); a request that its keeper's bucket never holds takes out of the tolerance's too; what a full bucket can't hold fills that one. What is given out within a window stays bounded by the same sum.

--- a/Bench/AdoptionCost.cpp
+++ b/Bench/AdoptionCost.cpp
@@ -219,7 +219,7 @@
   Hooks.LiveShare_ = [&] { return Members.liveShare(); };
   Hooks.IsKeeper_ = [&](const CellId &Cell) {
     std::vector<Member> Candidates = Members.keepers();
-    const Member *Keeper = keeperOf(Cell, Candidates);
+    const Member *Keeper = keeperOf(keptWith(Cell), Candidates);
     return Keeper != nullptr;
   };
   boost::asio::io_context Control;
--- a/Source/Process/Keeping/Cell.cpp
+++ b/Source/Process/Keeping/Cell.cpp
@@ -72,6 +72,10 @@
   return Servers;
 }
 
+CellId keptWith(const CellId &Cell) {
+  return {Cell.Service_, Cell.Pool_, Cell.Index_ % MostKeepers};
+}
+
 namespace {
 
 /// A link counts as strong that carries at least half of what the strongest
--- a/Source/Process/Keeping/Cell.h
+++ b/Source/Process/Keeping/Cell.h
@@ -19,6 +19,10 @@
 /// more cells. A decision looks at all engines of its cell: 3 us for 32.
 inline constexpr std::size_t MaxCellServers = 48;
 
+/// Keepers of one service at the most. What a customer may use is divided among
+/// them: with many, no part is as large as a request.
+inline constexpr std::uint32_t MostKeepers = 8;
+
 struct CellId {
   ServiceName Service_;
   PoolName Pool_;
@@ -49,6 +53,9 @@
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index);
 
+/// The cell whose keeper keeps this one too: one of the first MostKeepers.
+CellId keptWith(const CellId &Cell);
+
 /// The member that keeps the cell: of those with strong network links the one
 /// with the highest hash of cell and member, so that a change of one member
 /// moves only that member's cells.
--- a/Source/Process/Scheduling/AllotmentLedger.cpp
+++ b/Source/Process/Scheduling/AllotmentLedger.cpp
@@ -24,10 +24,6 @@
 /// worth of large requests lie between two of the very largest.
 constexpr std::chrono::seconds LargestHalf{20};
 
-double filled(double Level, double PerSecond, double Most, double Seconds) {
-  return std::min(Level + PerSecond * Seconds, Most);
-}
-
 } // namespace
 
 AllotmentLedger::Flow AllotmentLedger::allotted(const Allotment &Allowed,
@@ -47,30 +43,53 @@
   return {(Whole - AtOnce) / Window.count(), AtOnce};
 }
 
+AllotmentLedger::Levels AllotmentLedger::filled(const Levels &Left,
+                                                const Flow &Own,
+                                                const Flow &More,
+                                                double Seconds) {
+  double Allotted = Left.Allotted_ + Own.PerSecond_ * Seconds;
+  double Over = std::max(0.0, Allotted - Own.Most_);
+  double Tolerated = Left.Tolerated_ + More.PerSecond_ * Seconds + Over;
+  return {std::min(Allotted, Own.Most_), std::min(Tolerated, More.Most_)};
+}
+
+std::optional<AllotmentLedger::Levels>
+AllotmentLedger::fit(const Levels &Left, double Cost, double Kept,
+                     const Flow &Own, const Flow &More) {
+  auto Fits = [Cost, Kept](double Level, double Most) {
+    return Level >= Cost + std::min(Kept, KeptMost * Most);
+  };
+  if (Fits(Left.Allotted_, Own.Most_))
+    return Levels{Cost, 0};
+  if (Fits(Left.Tolerated_, More.Most_))
+    return Levels{0, Cost};
+  bool OfBoth = Cost > Own.Most_ &&
+                Fits(Left.Allotted_ + Left.Tolerated_, Own.Most_ + More.Most_);
+  if (!OfBoth)
+    return std::nullopt;
+  return Levels{Left.Allotted_, Cost - Left.Allotted_};
+}
+
 bool AllotmentLedger::take(const Charge &Asked, const Allotment &Allowed,
                            double Share, TimePoint Now) {
   if (Allowed.PerSecond_ <= 0)
     return true;
-  Account Empty{0, 0, 0, Started_};
+  Account Empty{{}, 0, Started_};
   Account &Target = Accounts_.try_emplace(Asked.Customer_, Empty).first->second;
   std::chrono::duration<double> Since = Now - Target.Filled_;
   Target.Filled_ = Now;
   Flow Own = allotted(Allowed, Share);
   Flow More = tolerated(Allowed, Share);
-  Target.Allotted_ =
-      filled(Target.Allotted_, Own.PerSecond_, Own.Most_, Since.count());
-  Target.Tolerated_ =
-      filled(Target.Tolerated_, More.PerSecond_, More.Most_, Since.count());
+  Levels &Left = Target.Left_;
+  Left = filled(Left, Own, More, Since.count());
   double Largest = noteCost(Target, Asked, Since);
   double Kept = Asked.LeavesRoom_ ? Largest : 0;
-  bool Within =
-      Target.Allotted_ >= Asked.Cost_ + std::min(Kept, KeptMost * Own.Most_);
-  bool Beyond =
-      Target.Tolerated_ >= Asked.Cost_ + std::min(Kept, KeptMost * More.Most_);
-  if (!Within && !Beyond)
+  auto Cost = fit(Left, Asked.Cost_, Kept, Own, More);
+  if (!Cost)
     return false;
-  (Within ? Target.Allotted_ : Target.Tolerated_) -= Asked.Cost_;
-  Open_[Asked.Id_] = {Asked.Customer_, Asked.Cost_, !Within};
+  Left.Allotted_ -= Cost->Allotted_;
+  Left.Tolerated_ -= Cost->Tolerated_;
+  Open_[Asked.Id_] = {Asked.Customer_, *Cost};
   return true;
 }
 
@@ -90,12 +109,18 @@
                                                   double Share) const {
   auto Found = Accounts_.find(Asked.Customer_);
   Flow Own = allotted(Allowed, Share);
-  if (Found == Accounts_.end() || Own.Most_ < Asked.Cost_)
+  Flow More = tolerated(Allowed, Share);
+  if (Found == Accounts_.end() || Own.Most_ + More.Most_ < Asked.Cost_)
     return Options_.Window_;
-  std::chrono::duration<double> Seconds(
-      std::max(0.0, Asked.Cost_ - Found->second.Allotted_) / Own.PerSecond_);
-  auto Exact = std::chrono::duration_cast<std::chrono::milliseconds>(Seconds);
-  return std::min(Exact, Options_.Window_);
+  const Levels &Left = Found->second.Left_;
+  double Seconds = (Asked.Cost_ - Left.Allotted_) / Own.PerSecond_;
+  if (Own.Most_ < Asked.Cost_)
+    Seconds = std::max((Asked.Cost_ - Left.Allotted_ - Left.Tolerated_) /
+                           (Own.PerSecond_ + More.PerSecond_),
+                       Seconds - More.Most_ / Own.PerSecond_);
+  std::chrono::duration<double> Window = Options_.Window_;
+  std::chrono::duration<double> Exact(std::clamp(Seconds, 0.0, Window.count()));
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Exact);
 }
 
 void AllotmentLedger::giveBack(const RequestId &Id) {
@@ -107,7 +132,8 @@
   if (Found == Accounts_.end())
     return;
   Account &Target = Found->second;
-  (Unused.Tolerated_ ? Target.Tolerated_ : Target.Allotted_) += Unused.Cost_;
+  Target.Left_.Allotted_ += Unused.Cost_.Allotted_;
+  Target.Left_.Tolerated_ += Unused.Cost_.Tolerated_;
 }
 
 void AllotmentLedger::restart(TimePoint Now) {
--- a/Source/Process/Scheduling/AllotmentLedger.h
+++ b/Source/Process/Scheduling/AllotmentLedger.h
@@ -15,6 +15,9 @@
 /// tier, and one within the allotment is refused for what others took beyond
 /// it: 70 of 944 callers of the highest tier on a calm day, with engines idle.
 ///
+/// A request that is larger than the allotment's bucket takes out of both:
+/// where many keepers have a part each, it would be refused for ever.
+///
 /// A new keeper knows nothing of what an earlier one let through, maybe a
 /// whole burst just before: its buckets begin empty when it begins to count, so
 /// that however often keepers change, the rate is all that is added.
@@ -23,6 +26,7 @@
 #include "Version/Document.h"
 
 #include <chrono>
+#include <optional>
 #include <unordered_map>
 
 namespace samphireshunt {
@@ -73,12 +77,22 @@
     double PerSecond_;
     double Most_;
   };
+  /// What is left in the two buckets, or taken out of them.
+  struct Levels {
+    double Allotted_ = 0;
+    double Tolerated_ = 0;
+  };
   Flow allotted(const Allotment &Allowed, double Share) const;
   Flow tolerated(const Allotment &Allowed, double Share) const;
+  /// What the bucket of the allotment can't hold goes into the other one.
+  static Levels filled(const Levels &Left, const Flow &Own, const Flow &More,
+                       double Seconds);
+  /// What the request takes out of each bucket; nothing when it does not fit.
+  static std::optional<Levels> fit(const Levels &Left, double Cost, double Kept,
+                                   const Flow &Own, const Flow &More);
 
   struct Account {
-    double Allotted_ = 0;
-    double Tolerated_ = 0;
+    Levels Left_;
     double Largest_ = 0; ///< Cost of the largest request of late.
     TimePoint Filled_;
   };
@@ -86,8 +100,7 @@
                          std::chrono::duration<double> Since);
   struct Taken {
     CustomerName Customer_;
-    double Cost_;
-    bool Tolerated_;
+    Levels Cost_;
   };
 
   Options Options_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -325,6 +325,15 @@
 mutate era-yields $S/Process/Configuration/StoreView.cpp \
   's/    EraRead_ = false;\n//' \
   ${U}platform '*yields to the service*'
+mutate allotment-few-keepers $S/Process/Keeping/Cell.cpp \
+  's/Cell\.Index_ % MostKeepers/Cell.Index_/' \
+  ${U}AllotmentOfManyCells '*'
+mutate allotment-both-buckets $S/Process/Scheduling/AllotmentLedger.cpp \
+  's/if \(!OfBoth\)/if (true)/' \
+  ${U}AllotmentOfManyCells '*'
+mutate allotment-overflow $S/Process/Scheduling/AllotmentLedger.cpp \
+  's/ \* Seconds \+ Over;/ * Seconds;/' \
+  ${U}AllotmentOfManyCells '*'
 
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
--- a/UnitTests/Process/Keeping/KeeperChoiceTest.cpp
+++ b/UnitTests/Process/Keeping/KeeperChoiceTest.cpp
@@ -46,3 +46,19 @@
   CHECK(Choice.keeperOf(cell(0), {VmId("vm-0"), VmId("vm-1"), VmId("vm-2")}) ==
         std::nullopt);
 }
+
+// Each of many keepers has too small a part of an allotment for a request.
+TEST_CASE("a pool of many cells has few keepers, each with as many cells") {
+  constexpr std::uint32_t Cells = 62;
+  auto Members = fleet(300);
+  KeeperChoice Choice([&] { return Members; });
+  std::map<VmId, std::uint32_t> Kept;
+  for (std::uint32_t Index = 0; Index < Cells; ++Index) {
+    VmId Keeper = *Choice.keeperOf(cell(Index), {});
+    ++Kept[Keeper];
+    CHECK(Keeper == keeperOf(cell(Index % MostKeepers), Members)->Id_);
+  }
+  CHECK(Kept.size() <= MostKeepers);
+  for (const auto &[Keeper, Count] : Kept)
+    CHECK(Count >= Cells / MostKeepers);
+}
--- a/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
+++ b/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
@@ -133,3 +133,55 @@
   Next.Cost_ = 500;
   CHECK(Ledger.fitsIn(Next, hundredPerSecond(), 1) == milliseconds(8000));
 }
+
+// A keeper with a small part refuses a large request for ever.
+TEST_CASE("a request larger than its bucket takes out of both, and no more "
+          "than is tolerated") {
+  constexpr int Keepers = 8;
+  constexpr double Part = 1.0 / Keepers;
+  constexpr double Cost = 30;
+  constexpr double Tolerated = (100 * 8 + 100) * 1.1 + 500;
+  double Through = 0;
+  for (int Keeper = 0; Keeper < Keepers; ++Keeper) {
+    AllotmentLedger Ledger({.Overrun_ = 0.1, .Credit_ = 500}, Start);
+    int Granted = 0;
+    for (std::uint64_t Step = 0; Step < 800; ++Step) {
+      AllotmentLedger::Charge Large{{1, Step}, Hot, Cost, false};
+      auto Now = Start + seconds(20) + milliseconds(10) * Step;
+      Granted += Ledger.take(Large, hundredPerSecond(), Part, Now);
+      Ledger.used(Large.Id_);
+    }
+    CHECK(Granted >= 2);
+    Through += Cost * Granted;
+  }
+  CHECK(Through <= Tolerated);
+}
+
+// What was taken out of two buckets and not used is missing from one of them.
+TEST_CASE("a large request that is not granted gives back to both buckets") {
+  AllotmentLedger Ledger({.Credit_ = 500}, Start);
+  auto Now = Start + seconds(20);
+  AllotmentLedger::Charge Large{{1, 1}, Hot, 220, false};
+  CHECK(Ledger.take(Large, hundredPerSecond(), 1, Now));
+  Large.Id_ = {1, 2};
+  CHECK_FALSE(Ledger.take(Large, hundredPerSecond(), 1, Now));
+  Ledger.giveBack({1, 1});
+  CHECK(Ledger.take(Large, hundredPerSecond(), 1, Now));
+}
+
+// Callers come back too early, or never, with a request larger than a bucket.
+TEST_CASE("a refused request larger than its bucket is told when it would "
+          "fit") {
+  AllotmentLedger Ledger({.Credit_ = 500}, Start);
+  auto Now = Start + seconds(20);
+  AllotmentLedger::Charge Large{{1, 1}, Hot, 220, false};
+  REQUIRE(Ledger.take(Large, hundredPerSecond(), 1, Now));
+  Ledger.used(Large.Id_);
+  Large.Id_ = {1, 2};
+  CHECK_FALSE(Ledger.take(Large, hundredPerSecond(), 1, Now));
+  auto Wait = Ledger.fitsIn(Large, hundredPerSecond(), 1);
+  CHECK_FALSE(
+      Ledger.take(Large, hundredPerSecond(), 1, Now + Wait - milliseconds(5)));
+  CHECK(
+      Ledger.take(Large, hundredPerSecond(), 1, Now + Wait + milliseconds(5)));
+}
