Test: documents are read anew in a new era, on the product's own platform

ConfigurationSync asks from the beginning after an older copy; nothing showed it. A scripted service answers with version 3, a new era, version 2 of the copy and version 4: the watch's positions are checked, 3 stays in force until 4 comes. Mutation era-documents. Ruled out: a change of the code, none is needed.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -325,6 +325,9 @@
 mutate era-yields $S/Process/Configuration/StoreView.cpp \
   's/    EraRead_ = false;\n//' \
   ${U}platform '*yields to the service*'
+mutate era-documents $S/Process/Configuration/ConfigurationSync.cpp \
+  's/    if \(!SameEra\)\n      After.Revision_ = \{\};\n//' \
+  ${U}Process '*is read anew*'
 mutate allotment-few-keepers $S/Process/Keeping/Cell.cpp \
   's/Cell\.Index_ % MostKeepers/Cell.Index_/' \
   ${U}AllotmentOfManyCells '*'
--- a/UnitTests/Process/Configuration/ConfigurationSyncTest.cpp
+++ b/UnitTests/Process/Configuration/ConfigurationSyncTest.cpp
@@ -46,3 +46,52 @@
   Sync.documentReceived(Service, encoded(2));
   CHECK_FALSE(Freshness.overdue(BootClock::now() + seconds(3)));
 }
+
+// After an older copy a document below the revisions read before is missed.
+TEST_CASE("a service that is back in a new era is read anew, and nothing in "
+          "force goes back") {
+  boost::asio::io_context Context;
+  DocumentStore Documents;
+  FreshnessLease Freshness(seconds(0), seconds(2));
+  ConfigurationSync::Hooks Hooks;
+  Hooks.VmsListed_ = [](const std::vector<ListedVm> &) {};
+  auto Entry = [](std::uint64_t Version, StorePosition Written) {
+    return KeyValue{documentKey(Service), encoded(Version), Written};
+  };
+  constexpr StorePosition BeforeCopy{StoreEra(0), Revision(90)};
+  constexpr StorePosition AfterCopy{StoreEra(1), Revision(40)};
+  const std::vector<KeyValueList> Answers{
+      {{Entry(3, BeforeCopy)}, BeforeCopy},
+      {{}, AfterCopy},
+      {{Entry(2, {StoreEra(1), Revision(30)})}, AfterCopy},
+      {{Entry(4, {StoreEra(1), Revision(41)})}, {StoreEra(1), Revision(41)}}};
+  std::vector<StorePosition> Asked;
+  std::vector<DocumentVersion> InForce;
+  ConfigurationSync *Running = nullptr;
+  PlatformHooks Platform;
+  Platform.Watch_ =
+      [&](const std::string &, StorePosition After,
+          std::chrono::milliseconds) -> Awaitable<Result<KeyValueList>> {
+    if (!Asked.empty())
+      InForce.push_back(Documents.snapshot()->service(Service)->Version_);
+    Asked.push_back(After);
+    if (Asked.size() == Answers.size())
+      Running->stop();
+    co_return Answers[Asked.size() - 1];
+  };
+  Platform.Vms_ = []() -> Awaitable<Result<std::vector<ListedVm>>> {
+    co_return std::vector<ListedVm>();
+  };
+  ConfigurationSync::Options Options;
+  Options.ListInterval_ = std::chrono::milliseconds(1);
+  ConfigurationSync Sync(Context, std::move(Platform), Documents, Freshness,
+                         Options, std::move(Hooks));
+  Running = &Sync;
+  Sync.start();
+  Context.run();
+  const std::vector<StorePosition> Expected{
+      {}, BeforeCopy, {StoreEra(1), Revision()}, AfterCopy};
+  CHECK(Asked == Expected);
+  CHECK(InForce == std::vector(3, DocumentVersion(3)));
+  CHECK(Documents.snapshot()->service(Service)->Version_ == DocumentVersion(4));
+}
