--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -293,7 +293,7 @@
   's/Later \? Admission::Admitted : Admission::Doubted/Later ? Admission::Admitted : Admission::Admitted/' \
   ${U}StoreEraModel '*in all orders*'
 mutate era-known-older $S/Process/Configuration/StoreView.cpp \
-  's/  bool Older = Written < Before \|\|\s+\(OfCopy && [^;]*;/  bool Older = false;/' \
+  's/  bool Older =\s+Written < Before \|\| \(OfCopy && [^;]*;/  bool Older = false;/' \
   ${U}StoreEraModel '*in all orders*'
 mutate era-heard-at $S/Process/Configuration/StoreView.cpp \
   's/Doubted_\.empty\(\) \|\| Asked < EraStart_->SeenAt_ \+ Times_\.Lapse_/Doubted_.empty() || Asked < EraStart_->SeenAt_/' \
