--- a/Source/Process/Keeping/Cell.h
+++ b/Source/Process/Keeping/Cell.h
@@ -53,8 +53,7 @@
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index);
 
-/// The cell whose keeper keeps this one too: one of the first MostKeepers. For
-/// any other cell keeperOf() is not its keeper.
+/// One of the first MostKeepers cells: keeperOf() it is the keeper of \p Cell.
 CellId keptWith(const CellId &Cell);
 
 /// The member that keeps the cell: of those with strong network links the one
