--- a/Bench/StoreEraFleet.cpp
+++ b/Bench/StoreEraFleet.cpp
@@ -5,12 +5,9 @@
 ///   store_era_fleet [COUNT...]
 
 #include "Bench/Counts.h"
-#include "Process/Configuration/PeerFollower.h"
 
-#include "UnitTests/platform/FakeStore.h"
+#include "UnitTests/platform/StoreDaemon.h"
 #include "UnitTests/platform/StoreEntries.h"
-#include "platform/Configuration.h"
-#include "platform/Store.h"
 
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
@@ -36,6 +33,8 @@
 /// Few: all daemons share one thread, each takes each entry in.
 constexpr int Servers = 30;
 constexpr int FirstPort = 8000;
+constexpr seconds Lease{5};
+constexpr milliseconds RegisterAgain{2400};
 constexpr milliseconds CallTimeout{700};
 constexpr milliseconds Away{1500};
 constexpr milliseconds StartGap{5};
@@ -44,35 +43,14 @@
 /// Calls are counted for so long from the beginning of the trouble.
 constexpr seconds Counted{10};
 
-class BenchDaemon {
-public:
-  BenchDaemon(boost::asio::io_context &Context, FakeStore &Store,
-              const Member &Self, PeerFollower::Hooks Hooks)
-      : Freshness_(seconds(5)),
-        View_(Documents_, platform::storeLayout(), {milliseconds(2400)}) {
-    StoreView::Hooks ViewHooks;
-    ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
-      Service_->daemonSeen(Id, Entry);
-    };
-    ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
-    View_.setHooks(std::move(ViewHooks));
-    Service_ = std::make_unique<StoreFollower>(
-        Context, platform::storeHooks(Store.address(), CallTimeout), View_,
-        Freshness_, StoreFollower::Options());
-    static std::uint64_t Process = 0;
-    Peers_ = std::make_unique<PeerFollower>(
-        Context, Incarnation(++Process), *Service_, View_, Freshness_,
-        PeerFollower::Options(), std::move(Hooks));
-    Service_->start(Self.Id_, "10.0.0.9:7600");
-    Peers_->start();
-  }
-
-  DocumentStore Documents_;
-  FreshnessLease Freshness_;
-  StoreView View_;
-  std::unique_ptr<StoreFollower> Service_;
-  std::unique_ptr<PeerFollower> Peers_;
-};
+/// Times of a process with its usual settings.
+StoreDaemon::Settings usualSettings() {
+  StoreDaemon::Settings Built;
+  Built.Lease_ = Lease;
+  Built.Times_ = {RegisterAgain};
+  Built.CallTimeout_ = CallTimeout;
+  return Built;
+}
 
 class BenchFleet {
 public:
@@ -146,7 +124,8 @@
     };
     Index_[Self.Id_] = Daemons_.size();
     Daemons_.push_back(
-        std::make_unique<BenchDaemon>(Context_, Store_, Self, Hooks));
+        std::make_unique<StoreDaemon>(Context_, Store_, usualSettings()));
+    Daemons_.back()->start(Self.Id_, std::move(Hooks));
   }
   void deliver(const VmId &From, const VmId &To, const std::string &Message) {
     auto Decoded = decodeMessage(Message).value();
@@ -165,7 +144,7 @@
   }
 
   std::vector<Member> Members_;
-  std::vector<std::unique_ptr<BenchDaemon>> Daemons_;
+  std::vector<std::unique_ptr<StoreDaemon>> Daemons_;
   std::map<VmId, std::size_t> Index_;
 };
 
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -254,4 +254,9 @@
   return Done();
 }
 
+void runFor(asio::io_context &Context, milliseconds Time) {
+  auto End = steady_clock::now() + Time;
+  runUntil(Context, [End] { return steady_clock::now() >= End; });
+}
+
 } // namespace samphireshunt::tests
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -101,5 +101,6 @@
 /// Runs \p Context until \p Done, some seconds at the most.
 bool runUntil(boost::asio::io_context &Context,
               const std::function<bool()> &Done);
+void runFor(boost::asio::io_context &Context, std::chrono::milliseconds Time);
 
 } // namespace samphireshunt::tests
--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -3,12 +3,8 @@
 /// Daemons that read the platform's store or follow one that does, in one
 /// thread; messages between them are handed over, delayed or lost by the test.
 
-#include "Process/Configuration/PeerFollower.h"
-
-#include "UnitTests/platform/FakeStore.h"
+#include "UnitTests/platform/StoreDaemon.h"
 #include "UnitTests/platform/StoreEntries.h"
-#include "platform/Configuration.h"
-#include "platform/Store.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,8 +23,6 @@
 
 using std::chrono::milliseconds;
 
-inline const ServiceName Service("platform");
-inline const PoolName ThePool("s");
 inline constexpr milliseconds Lease{1000};
 inline constexpr milliseconds ApplyBound{300};
 inline constexpr milliseconds RegisterAgain{150};
@@ -47,23 +41,40 @@
   return Text;
 }
 
-/// One daemon's part of all this. Messages between daemons are handed over by
-/// the fixture. With a \p Slowdown its questions take so many times as long, so
-/// that a pause of the test's own process changes nothing.
-class FollowingDaemon {
+/// One daemon's part of all this, with times of a test. Messages between
+/// daemons are handed over by the fixture. With a \p Slowdown its questions
+/// take so many times as long, so that a pause of the test's own process
+/// changes nothing.
+class FollowingDaemon : public StoreDaemon {
 public:
   FollowingDaemon(boost::asio::io_context &Context, FakeStore &Store,
-                  std::string Name, ReaderChoice Choice,
+                  const std::string &Name, ReaderChoice Choice,
                   PeerFollower::Hooks Hooks, int Slowdown = 1)
-      : Choice_(std::move(Choice)), Freshness_(Lease, ApplyBound),
-        View_(Documents_, platform::storeLayout(), {RegisterAgain, Lapse}) {
-    StoreView::Hooks ViewHooks;
-    ViewHooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
-      Service_->daemonSeen(Id, Entry);
-    };
-    ViewHooks.Changed_ = [this] { Peers_->onChanged(); };
-    View_.setHooks(std::move(ViewHooks));
-    StoreFollower::Options Options;
+      : StoreDaemon(Context, Store, settings(Slowdown)),
+        Choice_(std::move(Choice)) {
+    Hooks.Choose_ = [this] { return Choice_; };
+    start(VmId(Name), std::move(Hooks));
+  }
+
+  bool isActive(const std::string &Name) const {
+    return tests::isActive(Documents_, Name);
+  }
+  DocumentVersion version() const { return View_.version(); }
+  bool follows(const std::string &Reader) const {
+    return Service_->paused() && Peers_->reader() == VmId(Reader);
+  }
+
+  /// Whom it may follow; a test may change its mind.
+  ReaderChoice Choice_;
+
+private:
+  static Settings settings(int Slowdown) {
+    Settings Built;
+    Built.Lease_ = Lease;
+    Built.ApplyBound_ = ApplyBound;
+    Built.Times_ = {RegisterAgain, Lapse};
+    Built.CallTimeout_ = Slowdown * milliseconds(50);
+    StoreFollower::Options &Options = Built.Service_;
     Options.WatchTime_ = milliseconds(2000);
     Options.ConfirmTime_ = milliseconds(200);
     Options.ReaderConfirmTime_ = Slowdown * milliseconds(40);
@@ -75,11 +86,7 @@
     Options.SpareFirstPause_ = milliseconds(20);
     Options.SpareLongestPause_ = milliseconds(50);
     Options.RegisterSpread_ = milliseconds(20);
-    Service_ = std::make_unique<StoreFollower>(
-        Context,
-        platform::storeHooks(Store.address(), Slowdown * milliseconds(50)),
-        View_, Freshness_, Options);
-    PeerFollower::Options PeerOptions;
+    PeerFollower::Options &PeerOptions = Built.Peers_;
     PeerOptions.AskTime_ = Slowdown * milliseconds(40);
     PeerOptions.AnswerTime_ = Slowdown * milliseconds(40);
     PeerOptions.OldestAge_ = Slowdown * milliseconds(160);
@@ -90,35 +97,8 @@
     PeerOptions.AskAgainTime_ = milliseconds(20);
     PeerOptions.Heard_.Patience_ = milliseconds(30);
     PeerOptions.Heard_.GiveUp_ = milliseconds(300);
-    Hooks.Choose_ = [this] { return Choice_; };
-    static std::uint64_t Process = 0;
-    Peers_ = std::make_unique<PeerFollower>(Context, Incarnation(++Process),
-                                            *Service_, View_, Freshness_,
-                                            PeerOptions, std::move(Hooks));
-    Service_->start(VmId(Name), "10.0.0.9:7600");
-    Peers_->start();
-  }
-
-  bool isActive(const std::string &Name) const {
-    return Documents_.snapshot()->activeServer(Service, ThePool,
-                                               ServerName(Name)) != nullptr;
-  }
-  DocumentVersion version() const {
-    auto Snapshot = Documents_.snapshot();
-    const ServiceConfiguration *InForce = Snapshot->service(Service);
-    return InForce ? InForce->Version_ : DocumentVersion(0);
-  }
-  bool follows(const std::string &Reader) const {
-    return Service_->paused() && Peers_->reader() == VmId(Reader);
+    return Built;
   }
-
-  /// Whom it may follow; a test may change its mind.
-  ReaderChoice Choice_;
-  DocumentStore Documents_;
-  FreshnessLease Freshness_;
-  StoreView View_;
-  std::unique_ptr<StoreFollower> Service_;
-  std::unique_ptr<PeerFollower> Peers_;
 };
 
 /// Three readers, each with a store of its own that tells the same, so that one
@@ -165,6 +145,18 @@
       Do(*Store);
     Do(SpareStore_);
   }
+  /// The readers have a version whose text does not come to the follower, which
+  /// has lost the store. \returns whether they have it.
+  bool loseTextOf(int Version) {
+    constexpr std::size_t Size = 100000;
+    SpareStore_.FailWith_ = 503;
+    LoseParts_ = true;
+    put("op/config", largeConfiguration(Version, Size));
+    return runUntil([&] {
+      return (*this)["first"].version() ==
+             DocumentVersion(static_cast<std::uint64_t>(Version));
+    });
+  }
   FollowingDaemon &operator[](const std::string &Name) {
     return *Daemons_.at(Name);
   }
@@ -172,11 +164,7 @@
   bool runUntil(const std::function<bool()> &Done) {
     return tests::runUntil(Context_, Done);
   }
-  void runFor(milliseconds Time) {
-    auto End = std::chrono::steady_clock::now() + Time;
-    tests::runUntil(Context_,
-                    [End] { return std::chrono::steady_clock::now() >= End; });
-  }
+  void runFor(milliseconds Time) { tests::runFor(Context_, Time); }
   std::size_t calls() const {
     return SpareStore_.calls("/-/kv-range") + SpareStore_.calls("/-/kv-watch");
   }
--- a/UnitTests/platform/OverdueConfigurationTest.cpp
+++ b/UnitTests/platform/OverdueConfigurationTest.cpp
@@ -60,11 +60,7 @@
   Fleet Test;
   FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
-  Test.SpareStore_.FailWith_ = 503;
-  Test.LoseParts_ = true;
-  Test.put("op/config", largeConfiguration(5, 100000));
-  REQUIRE(Test.runUntil(
-      [&] { return Test["first"].version() == DocumentVersion(5); }));
+  REQUIRE(Test.loseTextOf(5));
   auto IsOverdue = [&] { return Spare.Freshness_.overdue(BootClock::now()); };
   CHECK(Test.runUntil(IsOverdue));
   Test.LoseParts_ = false;
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -315,11 +315,7 @@
   Fleet Test;
   FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
-  Test.SpareStore_.FailWith_ = 503;
-  Test.LoseParts_ = true;
-  Test.put("op/config", largeConfiguration(5, 100000));
-  REQUIRE(Test.runUntil(
-      [&] { return Test["first"].version() == DocumentVersion(5); }));
+  REQUIRE(Test.loseTextOf(5));
   Test.put("servers/i-1", serverEntry("draining"));
   CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
   CHECK(
--- /dev/null
+++ b/UnitTests/platform/StoreDaemon.h
@@ -0,0 +1,65 @@
+#pragma once
+/// \file
+/// What a daemon has to do with the platform's store, alone or through another
+/// daemon, put together as in the process; for tests and measurements.
+
+#include "Process/Configuration/PeerFollower.h"
+
+#include "UnitTests/platform/FakeStore.h"
+#include "platform/Configuration.h"
+#include "platform/Store.h"
+
+#include <memory>
+#include <utility>
+
+namespace samphireshunt::tests {
+
+class StoreDaemon {
+public:
+  struct Settings {
+    BootClock::duration Lease_{};
+    BootClock::duration ApplyBound_{};
+    StoreView::Times Times_{};
+    std::chrono::milliseconds CallTimeout_{};
+    StoreFollower::Options Service_;
+    PeerFollower::Options Peers_;
+  };
+
+  StoreDaemon(boost::asio::io_context &Context, FakeStore &Store,
+              Settings Wanted)
+      : Context_(Context), Wanted_(std::move(Wanted)),
+        Freshness_(Wanted_.Lease_, Wanted_.ApplyBound_),
+        View_(Documents_, platform::storeLayout(), Wanted_.Times_),
+        Service_(std::make_unique<StoreFollower>(
+            Context,
+            platform::storeHooks(Store.address(), Wanted_.CallTimeout_), View_,
+            Freshness_, Wanted_.Service_)) {
+    StoreView::Hooks Hooks;
+    Hooks.DaemonSeen_ = [this](const VmId &Id, const KeyValue &Entry) {
+      Service_->daemonSeen(Id, Entry);
+    };
+    Hooks.Changed_ = [this] { Peers_->onChanged(); };
+    View_.setHooks(std::move(Hooks));
+  }
+  void start(const VmId &Self, PeerFollower::Hooks Hooks) {
+    static std::uint64_t Process = 0;
+    Peers_ = std::make_unique<PeerFollower>(Context_, Incarnation(++Process),
+                                            *Service_, View_, Freshness_,
+                                            Wanted_.Peers_, std::move(Hooks));
+    Service_->start(Self, "10.0.0.9:7600");
+    Peers_->start();
+  }
+
+private:
+  boost::asio::io_context &Context_;
+  Settings Wanted_;
+
+public:
+  DocumentStore Documents_;
+  FreshnessLease Freshness_;
+  StoreView View_;
+  std::unique_ptr<StoreFollower> Service_;
+  std::unique_ptr<PeerFollower> Peers_;
+};
+
+} // namespace samphireshunt::tests
--- a/UnitTests/platform/StoreEntries.h
+++ b/UnitTests/platform/StoreEntries.h
@@ -2,6 +2,8 @@
 /// \file
 /// What operators and engines write into the platform's store, for tests.
 
+#include "Version/DocumentStore.h"
+
 #include <fmt/format.h>
 
 #include <string>
@@ -9,6 +11,9 @@
 
 namespace samphireshunt::tests {
 
+inline const ServiceName Service("platform");
+inline const PoolName ThePool("s");
+
 inline std::string route(std::size_t Index) {
   return fmt::format(R"({{"name":"r-{0}","hostname":"h{0}.example",
                          "prefix":"/p{0}/","kind":"safe","service":"s"}})",
@@ -32,4 +37,9 @@
                      Port, State);
 }
 
+inline bool isActive(const DocumentStore &Documents, const std::string &Name) {
+  return Documents.snapshot()->activeServer(Service, ThePool,
+                                            ServerName(Name)) != nullptr;
+}
+
 } // namespace samphireshunt::tests
--- a/UnitTests/platform/StoreEraTest.cpp
+++ b/UnitTests/platform/StoreEraTest.cpp
@@ -49,6 +49,15 @@
              DocumentVersion(static_cast<std::uint64_t>(Version));
     });
   }
+  /// All have a version that the copy lacks from which the store comes back.
+  /// \returns whether all had it.
+  bool loseVersion(int Version) {
+    takeCopies();
+    put("op/config", configuration(Version));
+    bool All = allHave(Version);
+    restoreCopies();
+    return All;
+  }
 };
 
 bool isFresh(FollowingDaemon &Daemon) {
@@ -61,11 +70,8 @@
 TEST_CASE("a version that the copy lacks stays in force, and is confirmed only "
           "once it is written again") {
   CopyFleet Test;
-  Test.takeCopies();
-  Test.put("op/config", configuration(5));
-  REQUIRE(Test.allHave(5));
+  REQUIRE(Test.loseVersion(5));
   auto Lists = Test.SpareStore_.calls("/-/kv-range");
-  Test.restoreCopies();
   REQUIRE(Test.allInEra(1));
   CHECK(
       Test.everybody([](FollowingDaemon &Daemon) { return !isFresh(Daemon); }));
@@ -203,10 +209,7 @@
 // A daemon that starts after the loss serves by the older configuration.
 TEST_CASE("a version that gossip names comes from the daemon that has it") {
   CopyFleet Test;
-  Test.takeCopies();
-  Test.put("op/config", configuration(5));
-  REQUIRE(Test.allHave(5));
-  Test.restoreCopies();
+  REQUIRE(Test.loseVersion(5));
   Test["first"].Choice_ = {StoreRole::Alone, {}};
   Test.SpareChoice_ = {StoreRole::Alone, {}};
   Test.startSpare();
@@ -286,10 +289,7 @@
 // Two copies one after the other: the second one's loss goes unseen.
 TEST_CASE("what was written between two copies is written again after both") {
   CopyFleet Test;
-  Test.takeCopies();
-  Test.put("op/config", configuration(5));
-  REQUIRE(Test.allHave(5));
-  Test.restoreCopies();
+  REQUIRE(Test.loseVersion(5));
   REQUIRE(Test.allInEra(1));
   Test.put("op/config", configuration(5));
   Test.put("op/config", configuration(6));
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -17,10 +17,7 @@
 
 namespace {
 
-const ServiceName Service("platform");
-const PoolName ThePool("s");
 constexpr milliseconds Lease{400};
-
 constexpr milliseconds ApplyBound{200};
 
 /// A configuration of so many bytes and more.
@@ -66,16 +63,8 @@
   bool runUntil(const std::function<bool()> &Done) {
     return tests::runUntil(Context_, Done);
   }
-  void runFor(milliseconds Time) {
-    auto End = std::chrono::steady_clock::now() + Time;
-    tests::runUntil(Context_,
-                    [End] { return std::chrono::steady_clock::now() >= End; });
-  }
-  DocumentVersion version() const {
-    auto Snapshot = Documents_.snapshot();
-    const ServiceConfiguration *InForce = Snapshot->service(Service);
-    return InForce ? InForce->Version_ : DocumentVersion(0);
-  }
+  void runFor(milliseconds Time) { tests::runFor(Context_, Time); }
+  DocumentVersion version() const { return View_.version(); }
   std::size_t servers() const {
     auto Snapshot = Documents_.snapshot();
     const ServiceConfiguration *InForce = Snapshot->service(Service);
@@ -89,8 +78,7 @@
     REQUIRE(runUntil([&] { return Store_.calls("/-/kv-watch") > Watches; }));
   }
   bool isActive(const std::string &Name) const {
-    return Documents_.snapshot()->activeServer(Service, ThePool,
-                                               ServerName(Name)) != nullptr;
+    return tests::isActive(Documents_, Name);
   }
 
   milliseconds WatchTime_;
