--- a/Source/Process/Keeping/Cell.h
+++ b/Source/Process/Keeping/Cell.h
@@ -16,7 +16,7 @@
 namespace samphireshunt {
 
 /// Servers of one cell on average, at the most; with more, a pool is cut into
-/// more cells. A decision looks at all engines of its cell: 3 us for 32.
+/// more cells. A decision looks at all engines of its cell.
 inline constexpr std::size_t MaxCellServers = 48;
 
 /// Keepers of one service at the most. What a customer may use is divided among
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -196,9 +196,7 @@
 }
 
 /// A cell's keeper is the same for all pools, and to find it takes a look at
-/// all members: it is asked for once for each index. With 400 members and 33
-/// cells a refresh took 10 ms when it was asked for each cell and use, and 7
-/// so.
+/// all members: it is asked for once for each index.
 void KeeperService::refreshService(const ServiceName &Name,
                                    const ServiceConfiguration &Service) {
   if (Service.Pools_.empty())
--- a/Source/Process/Scheduling/AllotmentLedger.cpp
+++ b/Source/Process/Scheduling/AllotmentLedger.cpp
@@ -10,8 +10,7 @@
 /// The part of the tolerance that is given out. The rest is for moments at
 /// which two daemons count for the same cell: one that was killed and is back,
 /// and the one that entries turned to meanwhile; and for requests that arrive
-/// at engines later than they are counted. With 0.75 a customer that sent seven
-/// times its usual got 0.02 % more than all that is tolerated.
+/// at engines later than they are counted.
 constexpr double UsedTolerance = 0.6;
 /// The part of that which may come at once; the rest is spread over the window.
 /// With less, a large request of a small customer would never fit.
--- a/Source/Process/Scheduling/AllotmentLedger.h
+++ b/Source/Process/Scheduling/AllotmentLedger.h
@@ -13,7 +13,7 @@
 /// for the largest request of the highest one. In one bucket the smallest
 /// requests, which always fit, leave no room for a large one, whatever its
 /// tier, and one within the allotment is refused for what others took beyond
-/// it: 70 of 944 callers of the highest tier on a calm day, with engines idle.
+/// it, with engines idle.
 ///
 /// A request that is larger than the allotment's bucket takes out of both:
 /// where many keepers have a part each, it would be refused for ever.
