A server's compared fields, and the write of an own entry, named once

Cause: the directory listed the fields of a server twice, for equality and for its digest: one added to the first only would leave followers with an old entry for good. The digest was also worked out anew where nothing had been removed, and two functions built the same write. Change: comparedFields(), noteRemoved() in place of erase(), ownEntry(). The digest's bytes are as before, so daemons of both versions agree.

--- a/Source/Process/Configuration/DirectoryView.cpp
+++ b/Source/Process/Configuration/DirectoryView.cpp
@@ -5,25 +5,26 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace samphireshunt {
 
 namespace {
 
-bool sameServer(const RegisteredServer &Left, const RegisteredServer &Right) {
-  const BackendServer &A = Left.Server_;
-  const BackendServer &B = Right.Server_;
-  return Left.Pool_ == Right.Pool_ && A.Address_ == B.Address_ &&
-         A.DataCenter_ == B.DataCenter_ && A.Leaving_ == B.Leaving_ &&
-         A.MaxInFlight_ == B.MaxInFlight_ && A.Incarnation_ == B.Incarnation_;
+/// What makes two entries of a server differ.
+auto comparedFields(const RegisteredServer &Known) {
+  const BackendServer &Server = Known.Server_;
+  return std::tie(Known.Pool_, Server.Address_, Server.DataCenter_,
+                  Server.Leaving_, Server.MaxInFlight_, Server.Incarnation_);
 }
 
 std::uint64_t digestOf(const RegisteredServer &Known) {
-  const BackendServer &Server = Known.Server_;
-  return stableHash(fmt::format(
-      "{}\n{}\n{}\n{}\n{}\n{}\n{}", Known.Pool_.str(), Server.Name_.str(),
-      formatEndpoint(Server.Address_), Server.DataCenter_.str(),
-      Server.Leaving_, Server.MaxInFlight_, Server.Incarnation_.count()));
+  const auto &[Pool, Address, DataCenter, Leaving, Most, Process] =
+      comparedFields(Known);
+  return stableHash(fmt::format("{}\n{}\n{}\n{}\n{}\n{}\n{}", Pool.str(),
+                                Known.Server_.Name_.str(),
+                                formatEndpoint(Address), DataCenter.str(),
+                                Leaving, Most, Process.count()));
 }
 
 } // namespace
@@ -37,17 +38,14 @@
   return *Digest_;
 }
 
-void DirectoryView::erase(std::map<ServerName, Entry>::iterator Found) {
-  Entries_.erase(Found);
-  Digest_.reset();
+bool DirectoryView::noteRemoved(std::size_t Count) {
+  if (Count > 0)
+    Digest_.reset();
+  return Count > 0;
 }
 
 bool DirectoryView::remove(const ServerName &Name) {
-  auto Found = Entries_.find(Name);
-  if (Found == Entries_.end())
-    return false;
-  erase(Found);
-  return true;
+  return noteRemoved(Entries_.erase(Name));
 }
 
 bool DirectoryView::seen(const RegisteredServer &Server) {
@@ -58,7 +56,7 @@
   if (Server.Server_.Incarnation_ < Target.Server_.Server_.Incarnation_)
     return false;
   Target.Missing_ = false;
-  if (sameServer(Target.Server_, Server))
+  if (comparedFields(Target.Server_) == comparedFields(Server))
     return false;
   Target.Server_ = Server;
   Digest_.reset();
@@ -73,8 +71,8 @@
     Found->second.Missing_ = true;
     return false;
   }
-  erase(Found);
-  return true;
+  Entries_.erase(Found);
+  return noteRemoved(1);
 }
 
 bool DirectoryView::listed(const std::set<ServerName> &Names, BootTime Now) {
@@ -91,8 +89,7 @@
 bool DirectoryView::keepOnly(const std::set<ServerName> &Names) {
   auto Removed = std::erase_if(
       Entries_, [&](const auto &Item) { return !Names.contains(Item.first); });
-  Digest_.reset();
-  return Removed > 0;
+  return noteRemoved(Removed);
 }
 
 void DirectoryView::outageBegan() { Outage_ = true; }
@@ -108,8 +105,7 @@
     return false;
   auto Dropped = std::erase_if(
       Entries_, [](const auto &Item) { return Item.second.Missing_; });
-  Digest_.reset();
-  return Dropped > 0;
+  return noteRemoved(Dropped);
 }
 
 std::optional<BootTime> DirectoryView::nextDrop() const {
--- a/Source/Process/Configuration/DirectoryView.h
+++ b/Source/Process/Configuration/DirectoryView.h
@@ -65,7 +65,8 @@
     RegisteredServer Server_;
     bool Missing_ = false;
   };
-  void erase(std::map<ServerName, Entry>::iterator Found);
+  /// \returns whether any were removed.
+  bool noteRemoved(std::size_t Count);
   bool inOutage(BootTime Now) const { return Outage_ || Now < KeepUntil_; }
 
   BootClock::duration RegisterAgainTime_;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -332,13 +332,18 @@
   return View_.layout().DaemonPrefix_ + Self_.str();
 }
 
-/// Other daemons find this one by its entry. A daemon that starts again at the
-/// same address finds its entry and writes nothing.
-Awaitable<void> StoreFollower::registerSelf() {
+KeyValueWrite StoreFollower::ownEntry(const StorePosition &Expected) const {
   KeyValueWrite Write;
   Write.Key_ = ownKey();
   Write.Value_ = Address_;
-  Write.Expected_ = OwnPosition_;
+  Write.Expected_ = Expected;
+  return Write;
+}
+
+/// Other daemons find this one by its entry. A daemon that starts again at the
+/// same address finds its entry and writes nothing.
+Awaitable<void> StoreFollower::registerSelf() {
+  KeyValueWrite Write = ownEntry(OwnPosition_);
   auto Written = co_await Platform_.Put_(std::move(Write));
   if (Written) {
     RegisteredAddress_ = Address_;
@@ -388,9 +393,7 @@
   RegisterPlanned_ = false;
   if (Stopped_ || !Paused_ || !std::exchange(EntryMissing_, false))
     co_return;
-  KeyValueWrite Write;
-  Write.Key_ = ownKey();
-  Write.Value_ = Address_;
+  KeyValueWrite Write = ownEntry({});
   auto Written = co_await Platform_.Put_(std::move(Write));
   // One that is there already is not overwritten.
   std::string Outcome = Written ? "written" : Written.error().Detail_;
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -107,6 +107,8 @@
   Awaitable<void> registerAgain();
   Result<void> noteReached(const StorePosition &Told);
   std::string ownKey() const;
+  /// The write of it, where it must stand as at \p Expected.
+  KeyValueWrite ownEntry(const StorePosition &Expected) const;
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   /// May be ended before its time by cancelling the timer.
   Awaitable<void> sleepUntilConfirm(std::chrono::milliseconds Time);
