Mutations: build only what the named ones need

Cause: with names given, the script still built all tests and benches first, and both daemons for tests that start none. Change: a mutation builds its test, and the daemons where its test is one of real processes; without names all is built first, as before. Ruled out: a weaker check, the cases and what must fail are the same.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -33,7 +33,9 @@
     restore "$2" "${6:-}"
     return
   fi
-  if ! build samphireshuntd samphireshuntctl "$(basename "$4")"; then
+  local Daemons=(samphireshuntd samphireshuntctl)
+  [[ "$4" == FailureTests/* ]] || Daemons=()
+  if ! build "${Daemons[@]}" "$(basename "$4")"; then
     echo "$1: does not build"
     Missed=1
   elif timeout 120 "build/$4" -tc="$5" >run.log 2>&1; then
@@ -51,7 +53,8 @@
 }
 
 cmake -G Ninja -B build -DCMAKE_BUILD_TYPE=Release >/dev/null
-build all || exit 1
+# A mutation builds what it needs; all of them need all.
+[ -n "$Only" ] || build all || exit 1
 
 F=FailureTests/FailureTests_
 S=Source
