--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -64,22 +64,39 @@
 
 ScriptedServer::ScriptedServer(asio::io_context &Context, ScriptOf Decide)
     : Acceptor_(Context, anyPort()), Decide_(std::move(Decide)) {
+  Address_ = Acceptor_.local_endpoint();
   auto Accept = [this]() { return accept(); };
   asio::co_spawn(Context, std::move(Accept), asio::detached);
 }
 
 Awaitable<void> ScriptedServer::accept() {
-  while (true) {
-    Tcp::socket Socket = co_await Acceptor_.async_accept(asio::use_awaitable);
+  while (Acceptor_.is_open()) {
+    boost::system::error_code Error;
+    Tcp::socket Accepted = co_await Acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return;
     ++Connections_;
-    auto Executor = Socket.get_executor();
-    auto Shared = std::make_shared<Tcp::socket>(std::move(Socket));
-    auto Serve = [this, Shared]() { return serve(std::move(*Shared)); };
+    auto Executor = Accepted.get_executor();
+    auto Peer = std::make_shared<Tcp::socket>(std::move(Accepted));
+    Peers_.push_back(Peer);
+    auto Serve = [this, Peer]() { return serve(Peer); };
     asio::co_spawn(Executor, std::move(Serve), asio::detached);
   }
 }
 
-Awaitable<void> ScriptedServer::serve(Tcp::socket Socket) {
+void ScriptedServer::crash() {
+  Acceptor_.close();
+  for (const auto &Weak : Peers_)
+    if (auto Peer = Weak.lock()) {
+      boost::system::error_code Error;
+      Peer->set_option(asio::socket_base::linger(true, 0), Error);
+      Peer->close(Error);
+    }
+}
+
+Awaitable<void> ScriptedServer::serve(std::shared_ptr<Tcp::socket> Peer) {
+  Tcp::socket &Socket = *Peer;
   std::string Request;
   Script Current;
   bool Decided = false;
@@ -105,6 +122,10 @@
         Socket, Buffer, asio::redirect_error(asio::use_awaitable, Error));
     if (Current.Then_ == Script::Then::Close)
       co_return;
+    if (Current.Then_ == Script::Then::Crash) {
+      crash();
+      co_return;
+    }
     if (Current.Then_ == Script::Then::Reset) {
       // Closed explicitly, since the destructor would reset the linger option.
       Socket.set_option(asio::socket_base::linger(true, 0), Error);
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -22,7 +22,8 @@
     KeepOpen, ///< Waits for the next request.
     Close,    ///< Closes the connection normally.
     Reset,    ///< Resets the connection.
-    Hold      ///< Sends nothing more until the peer closes.
+    Hold,     ///< Sends nothing more until the peer closes.
+    Crash     ///< Ends the server: resets all connections, refuses new ones.
   };
   std::string Bytes_;
   Then Then_ = Then::KeepOpen;
@@ -40,17 +41,22 @@
 public:
   ScriptedServer(boost::asio::io_context &Context, ScriptOf Decide);
 
-  Endpoint address() const { return Acceptor_.local_endpoint(); }
+  const Endpoint &address() const { return Address_; }
   const std::vector<std::string> &requests() const { return Requests_; }
   std::size_t connections() const { return Connections_; }
   /// Number of connections that the peer closed.
   std::size_t closed() const { return Closed_; }
+  /// Resets all connections and refuses new ones.
+  void crash();
 
 private:
+  using Socket = boost::asio::ip::tcp::socket;
   Awaitable<void> accept();
-  Awaitable<void> serve(boost::asio::ip::tcp::socket Socket);
+  Awaitable<void> serve(std::shared_ptr<Socket> Peer);
 
+  Endpoint Address_;
   boost::asio::ip::tcp::acceptor Acceptor_;
+  std::vector<std::weak_ptr<Socket>> Peers_;
   ScriptOf Decide_;
   std::vector<std::string> Requests_;
   std::size_t Connections_ = 0;
