A lost request's last log line names its fingerprint

The logs of the incident could not tell whether two failed attempts were the same request: ids differ, and the content is in no line. Others pay nothing. No logic changes.

--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -126,6 +126,8 @@
     Fields.emplace_back("route", Context.Route_->Name_);
   if (Context.Customer_)
     Fields.emplace_back("customer", Context.Customer_->Name_.str());
+  if (Context.Fingerprint_)
+    Fields.emplace_back("fingerprint", Context.Fingerprint_.str());
   if (Context.Service_) {
     Fields.emplace_back("service", Context.document().Service_.str());
     Fields.emplace_back("version",
@@ -182,6 +184,21 @@
   Last_ = Now;
 }
 
+const RequestFingerprint &RequestContext::fingerprint() {
+  if (Fingerprint_)
+    return Fingerprint_;
+  const HttpRequest &Request = Exchange_.request();
+  FingerprintParts Parts;
+  Parts.Method_ = Request.Method_;
+  Parts.Host_ = Request.field("host");
+  Parts.Target_ = Request.Target_;
+  if (Customer_)
+    Parts.Customer_ = Customer_->Name_.str();
+  Parts.Body_ = Request.Body_;
+  Fingerprint_ = fingerprintOf(Parts);
+  return Fingerprint_;
+}
+
 milliseconds RequestContext::remaining() const {
   auto Left = duration_cast<milliseconds>(Deadline_ - steady_clock::now());
   return std::max(Left, milliseconds(1));
@@ -365,6 +382,9 @@
 }
 
 void reportEnd(RequestContext &Context, Outcome Value, ResultCode Code) {
+  // Shows whether several servers lost their connections under one request.
+  if (Code == ResultCode::ConnectionLost)
+    Context.fingerprint();
   logEnd(Context, Value, Code);
   RequestReport Report;
   if (Context.Service_) {
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -2,6 +2,7 @@
 /// \file
 /// State with the lifetime of one request, and the services that it uses.
 
+#include "Common/RequestFingerprint.h"
 #include "Connection/BackendConnections.h"
 #include "Process/Configuration/FreshnessLease.h"
 #include "Process/Keeping/GrantClient.h"
@@ -95,6 +96,11 @@
   /// Servers that the request was dispatched to, in order.
   std::vector<ServerName> Servers_;
 
+  /// Computed by the first call of fingerprint().
+  RequestFingerprint Fingerprint_;
+
+  /// \returns what identifies the request under whatever id it comes.
+  const RequestFingerprint &fingerprint();
   /// \returns the time until the deadline, at least one millisecond.
   std::chrono::milliseconds remaining() const;
   bool expired() const;
