--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -24,6 +24,8 @@
 
 struct Part;
 
+struct Fingerprint;
+
 struct Ask;
 struct AskBuilder;
 struct AskT;
@@ -76,6 +78,12 @@
 struct FloorBuilder;
 struct FloorT;
 
+struct ServerCrash;
+
+struct CrashRecord;
+struct CrashRecordBuilder;
+struct CrashRecordT;
+
 struct Probe;
 struct ProbeBuilder;
 struct ProbeT;
@@ -580,6 +588,61 @@
 };
 FLATBUFFERS_STRUCT_END(Part, 16);
 
+/// Identifies requests with the same content under different ids.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Fingerprint FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t high_;
+  uint64_t low_;
+
+ public:
+  Fingerprint()
+      : high_(0),
+        low_(0) {
+  }
+  Fingerprint(uint64_t _high, uint64_t _low)
+      : high_(flatbuffers::EndianScalar(_high)),
+        low_(flatbuffers::EndianScalar(_low)) {
+  }
+  uint64_t high() const {
+    return flatbuffers::EndianScalar(high_);
+  }
+  uint64_t low() const {
+    return flatbuffers::EndianScalar(low_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Fingerprint, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t age_ms_;
+  uint32_t dispatch_age_ms_;
+
+ public:
+  ServerCrash()
+      : server_(0),
+        age_ms_(0),
+        dispatch_age_ms_(0) {
+  }
+  ServerCrash(uint64_t _server, uint32_t _age_ms, uint32_t _dispatch_age_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        dispatch_age_ms_(flatbuffers::EndianScalar(_dispatch_age_ms)) {
+  }
+  /// Hash of the server's name.
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  /// The time since the request was sent to the server.
+  uint32_t dispatch_age_ms() const {
+    return flatbuffers::EndianScalar(dispatch_age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerCrash, 16);
+
 struct CellT : public flatbuffers::NativeTable {
   typedef Cell TableType;
   std::string service{};
@@ -690,6 +753,7 @@
   bool asked_before = false;
   std::vector<samphireshunt::wire::Part> parts{};
   uint32_t max_pause_ms = 0;
+  std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -717,7 +781,8 @@
     VT_GUESSED_TOKENS = 30,
     VT_ASKED_BEFORE = 32,
     VT_PARTS = 34,
-    VT_MAX_PAUSE_MS = 36
+    VT_MAX_PAUSE_MS = 36,
+    VT_FINGERPRINT = 38
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -778,6 +843,10 @@
   uint32_t max_pause_ms() const {
     return GetField<uint32_t>(VT_MAX_PAUSE_MS, 0);
   }
+  /// Sent while any request is known to have crashed a server.
+  const samphireshunt::wire::Fingerprint *fingerprint() const {
+    return GetStruct<const samphireshunt::wire::Fingerprint *>(VT_FINGERPRINT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -803,6 +872,7 @@
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
            VerifyField<uint32_t>(verifier, VT_MAX_PAUSE_MS, 4) &&
+           VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -865,6 +935,9 @@
   void add_max_pause_ms(uint32_t max_pause_ms) {
     fbb_.AddElement<uint32_t>(Ask::VT_MAX_PAUSE_MS, max_pause_ms, 0);
   }
+  void add_fingerprint(const samphireshunt::wire::Fingerprint *fingerprint) {
+    fbb_.AddStruct(Ask::VT_FINGERPRINT, fingerprint);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -894,9 +967,11 @@
     uint32_t guessed_tokens = 0,
     bool asked_before = false,
     flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::Part *>> parts = 0,
-    uint32_t max_pause_ms = 0) {
+    uint32_t max_pause_ms = 0,
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
   AskBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_fingerprint(fingerprint);
   builder_.add_max_pause_ms(max_pause_ms);
   builder_.add_parts(parts);
   builder_.add_guessed_tokens(guessed_tokens);
@@ -934,7 +1009,8 @@
     uint32_t guessed_tokens = 0,
     bool asked_before = false,
     const std::vector<samphireshunt::wire::Part> *parts = nullptr,
-    uint32_t max_pause_ms = 0) {
+    uint32_t max_pause_ms = 0,
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -957,7 +1033,8 @@
       guessed_tokens,
       asked_before,
       parts__,
-      max_pause_ms);
+      max_pause_ms,
+      fingerprint);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1267,6 +1344,7 @@
   uint32_t prompt_tokens = 0;
   uint32_t answer_tokens = 0;
   bool non_idempotent = false;
+  std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   RunningT() = default;
   RunningT(const RunningT &o);
   RunningT(RunningT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1286,7 +1364,8 @@
     VT_CUSTOMER = 12,
     VT_PROMPT_TOKENS = 14,
     VT_ANSWER_TOKENS = 16,
-    VT_NON_IDEMPOTENT = 18
+    VT_NON_IDEMPOTENT = 18,
+    VT_FINGERPRINT = 20
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1312,6 +1391,9 @@
   bool non_idempotent() const {
     return GetField<uint8_t>(VT_NON_IDEMPOTENT, 0) != 0;
   }
+  const samphireshunt::wire::Fingerprint *fingerprint() const {
+    return GetStruct<const samphireshunt::wire::Fingerprint *>(VT_FINGERPRINT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1325,6 +1407,7 @@
            VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
            VerifyField<uint32_t>(verifier, VT_ANSWER_TOKENS, 4) &&
            VerifyField<uint8_t>(verifier, VT_NON_IDEMPOTENT, 1) &&
+           VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
            verifier.EndTable();
   }
   RunningT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1360,6 +1443,9 @@
   void add_non_idempotent(bool non_idempotent) {
     fbb_.AddElement<uint8_t>(Running::VT_NON_IDEMPOTENT, static_cast<uint8_t>(non_idempotent), 0);
   }
+  void add_fingerprint(const samphireshunt::wire::Fingerprint *fingerprint) {
+    fbb_.AddStruct(Running::VT_FINGERPRINT, fingerprint);
+  }
   explicit RunningBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1380,8 +1466,10 @@
     flatbuffers::Offset<flatbuffers::String> customer = 0,
     uint32_t prompt_tokens = 0,
     uint32_t answer_tokens = 0,
-    bool non_idempotent = false) {
+    bool non_idempotent = false,
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
   RunningBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
   builder_.add_answer_tokens(answer_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_customer(customer);
@@ -1402,7 +1490,8 @@
     const char *customer = nullptr,
     uint32_t prompt_tokens = 0,
     uint32_t answer_tokens = 0,
-    bool non_idempotent = false) {
+    bool non_idempotent = false,
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return samphireshunt::wire::CreateRunning(
@@ -1414,7 +1503,8 @@
       customer__,
       prompt_tokens,
       answer_tokens,
-      non_idempotent);
+      non_idempotent,
+      fingerprint);
 }
 
 flatbuffers::Offset<Running> CreateRunning(flatbuffers::FlatBufferBuilder &_fbb, const RunningT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1432,6 +1522,8 @@
   bool faulty = false;
   bool replaced = false;
   uint32_t at_once = 1;
+  bool crashed = false;
+  std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1453,7 +1545,9 @@
     VT_DURATION_US = 18,
     VT_FAULTY = 20,
     VT_REPLACED = 22,
-    VT_AT_ONCE = 24
+    VT_AT_ONCE = 24,
+    VT_CRASHED = 26,
+    VT_FINGERPRINT = 28
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1492,6 +1586,13 @@
   uint32_t at_once() const {
     return GetField<uint32_t>(VT_AT_ONCE, 1);
   }
+  /// The server's process ended while it ran the request.
+  bool crashed() const {
+    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  }
+  const samphireshunt::wire::Fingerprint *fingerprint() const {
+    return GetStruct<const samphireshunt::wire::Fingerprint *>(VT_FINGERPRINT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1507,6 +1608,8 @@
            VerifyField<uint8_t>(verifier, VT_FAULTY, 1) &&
            VerifyField<uint8_t>(verifier, VT_REPLACED, 1) &&
            VerifyField<uint32_t>(verifier, VT_AT_ONCE, 4) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
+           VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1551,6 +1654,12 @@
   void add_at_once(uint32_t at_once) {
     fbb_.AddElement<uint32_t>(Done::VT_AT_ONCE, at_once, 1);
   }
+  void add_crashed(bool crashed) {
+    fbb_.AddElement<uint8_t>(Done::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  }
+  void add_fingerprint(const samphireshunt::wire::Fingerprint *fingerprint) {
+    fbb_.AddStruct(Done::VT_FINGERPRINT, fingerprint);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1574,8 +1683,11 @@
     uint32_t duration_us = 0,
     bool faulty = false,
     bool replaced = false,
-    uint32_t at_once = 1) {
+    uint32_t at_once = 1,
+    bool crashed = false,
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
   DoneBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
   builder_.add_at_once(at_once);
   builder_.add_duration_us(duration_us);
   builder_.add_first_token_us(first_token_us);
@@ -1583,6 +1695,7 @@
   builder_.add_server(server);
   builder_.add_cell(cell);
   builder_.add_id(id);
+  builder_.add_crashed(crashed);
   builder_.add_replaced(replaced);
   builder_.add_faulty(faulty);
   builder_.add_complete(complete);
@@ -1602,7 +1715,9 @@
     uint32_t duration_us = 0,
     bool faulty = false,
     bool replaced = false,
-    uint32_t at_once = 1) {
+    uint32_t at_once = 1,
+    bool crashed = false,
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateDone(
       _fbb,
@@ -1616,7 +1731,9 @@
       duration_us,
       faulty,
       replaced,
-      at_once);
+      at_once,
+      crashed,
+      fingerprint);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2193,6 +2310,113 @@
 
 flatbuffers::Offset<Floor> CreateFloor(flatbuffers::FlatBufferBuilder &_fbb, const FloorT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashRecordT : public flatbuffers::NativeTable {
+  typedef CrashRecord TableType;
+  std::unique_ptr<samphireshunt::wire::Fingerprint> request{};
+  std::vector<samphireshunt::wire::ServerCrash> crashes{};
+  bool cleared = false;
+  uint32_t cleared_age_ms = 0;
+  CrashRecordT() = default;
+  CrashRecordT(const CrashRecordT &o);
+  CrashRecordT(CrashRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  CrashRecordT &operator=(CrashRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// The servers that crashed while they ran one request.
+struct CrashRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashRecordT NativeTableType;
+  typedef CrashRecordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_CRASHES = 6,
+    VT_CLEARED = 8,
+    VT_CLEARED_AGE_MS = 10
+  };
+  const samphireshunt::wire::Fingerprint *request() const {
+    return GetStruct<const samphireshunt::wire::Fingerprint *>(VT_REQUEST);
+  }
+  const flatbuffers::Vector<const samphireshunt::wire::ServerCrash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const samphireshunt::wire::ServerCrash *> *>(VT_CRASHES);
+  }
+  /// A run of the request completed.
+  bool cleared() const {
+    return GetField<uint8_t>(VT_CLEARED, 0) != 0;
+  }
+  uint32_t cleared_age_ms() const {
+    return GetField<uint32_t>(VT_CLEARED_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyField<uint8_t>(verifier, VT_CLEARED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CLEARED_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  CrashRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashRecordBuilder {
+  typedef CrashRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(const samphireshunt::wire::Fingerprint *request) {
+    fbb_.AddStruct(CrashRecord::VT_REQUEST, request);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::ServerCrash *>> crashes) {
+    fbb_.AddOffset(CrashRecord::VT_CRASHES, crashes);
+  }
+  void add_cleared(bool cleared) {
+    fbb_.AddElement<uint8_t>(CrashRecord::VT_CLEARED, static_cast<uint8_t>(cleared), 0);
+  }
+  void add_cleared_age_ms(uint32_t cleared_age_ms) {
+    fbb_.AddElement<uint32_t>(CrashRecord::VT_CLEARED_AGE_MS, cleared_age_ms, 0);
+  }
+  explicit CrashRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashRecord> CreateCrashRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Fingerprint *request = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::ServerCrash *>> crashes = 0,
+    bool cleared = false,
+    uint32_t cleared_age_ms = 0) {
+  CrashRecordBuilder builder_(_fbb);
+  builder_.add_cleared_age_ms(cleared_age_ms);
+  builder_.add_crashes(crashes);
+  builder_.add_request(request);
+  builder_.add_cleared(cleared);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CrashRecord> CreateCrashRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Fingerprint *request = nullptr,
+    const std::vector<samphireshunt::wire::ServerCrash> *crashes = nullptr,
+    bool cleared = false,
+    uint32_t cleared_age_ms = 0) {
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<samphireshunt::wire::ServerCrash>(*crashes) : 0;
+  return samphireshunt::wire::CreateCrashRecord(
+      _fbb,
+      request,
+      crashes__,
+      cleared,
+      cleared_age_ms);
+}
+
+flatbuffers::Offset<CrashRecord> CreateCrashRecord(flatbuffers::FlatBufferBuilder &_fbb, const CrashRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ProbeT : public flatbuffers::NativeTable {
   typedef Probe TableType;
   uint32_t sequence = 0;
@@ -2201,6 +2425,8 @@
   std::vector<std::unique_ptr<samphireshunt::wire::MemberT>> members{};
   std::vector<std::unique_ptr<samphireshunt::wire::ServiceVersionT>> versions{};
   std::vector<std::unique_ptr<samphireshunt::wire::FloorT>> floors{};
+  uint64_t crash_digest = 0;
+  std::vector<std::unique_ptr<samphireshunt::wire::CrashRecordT>> crashes{};
   ProbeT() = default;
   ProbeT(const ProbeT &o);
   ProbeT(ProbeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2216,7 +2442,9 @@
     VT_TARGET = 8,
     VT_MEMBERS = 10,
     VT_VERSIONS = 12,
-    VT_FLOORS = 14
+    VT_FLOORS = 14,
+    VT_CRASH_DIGEST = 16,
+    VT_CRASHES = 18
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2237,6 +2465,13 @@
   const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *>(VT_FLOORS);
   }
+  /// Digest of all crash records of the sender.
+  uint64_t crash_digest() const {
+    return GetField<uint64_t>(VT_CRASH_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2253,6 +2488,10 @@
            VerifyOffset(verifier, VT_FLOORS) &&
            verifier.VerifyVector(floors()) &&
            verifier.VerifyVectorOfTables(floors()) &&
+           VerifyField<uint64_t>(verifier, VT_CRASH_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
   ProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2282,6 +2521,12 @@
   void add_floors(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors) {
     fbb_.AddOffset(Probe::VT_FLOORS, floors);
   }
+  void add_crash_digest(uint64_t crash_digest) {
+    fbb_.AddElement<uint64_t>(Probe::VT_CRASH_DIGEST, crash_digest, 0);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes) {
+    fbb_.AddOffset(Probe::VT_CRASHES, crashes);
+  }
   explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2300,8 +2545,12 @@
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>> versions = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors = 0,
+    uint64_t crash_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes = 0) {
   ProbeBuilder builder_(_fbb);
+  builder_.add_crash_digest(crash_digest);
+  builder_.add_crashes(crashes);
   builder_.add_floors(floors);
   builder_.add_versions(versions);
   builder_.add_members(members);
@@ -2318,11 +2567,14 @@
     const char *target = nullptr,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::Member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>> *versions = nullptr,
-    const std::vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors = nullptr) {
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors = nullptr,
+    uint64_t crash_digest = 0,
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Member>>(*members) : 0;
   auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>(*versions) : 0;
   auto floors__ = floors ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>>(*floors) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>(*crashes) : 0;
   return samphireshunt::wire::CreateProbe(
       _fbb,
       sequence,
@@ -2330,7 +2582,9 @@
       target__,
       members__,
       versions__,
-      floors__);
+      floors__,
+      crash_digest,
+      crashes__);
 }
 
 flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2342,6 +2596,8 @@
   std::vector<std::unique_ptr<samphireshunt::wire::MemberT>> members{};
   std::vector<std::unique_ptr<samphireshunt::wire::ServiceVersionT>> versions{};
   std::vector<std::unique_ptr<samphireshunt::wire::FloorT>> floors{};
+  uint64_t crash_digest = 0;
+  std::vector<std::unique_ptr<samphireshunt::wire::CrashRecordT>> crashes{};
   ProbeAckT() = default;
   ProbeAckT(const ProbeAckT &o);
   ProbeAckT(ProbeAckT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2356,7 +2612,9 @@
     VT_SENDER = 6,
     VT_MEMBERS = 8,
     VT_VERSIONS = 10,
-    VT_FLOORS = 12
+    VT_FLOORS = 12,
+    VT_CRASH_DIGEST = 14,
+    VT_CRASHES = 16
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -2373,6 +2631,13 @@
   const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *>(VT_FLOORS);
   }
+  /// Digest of all crash records of the sender.
+  uint64_t crash_digest() const {
+    return GetField<uint64_t>(VT_CRASH_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -2387,6 +2652,10 @@
            VerifyOffset(verifier, VT_FLOORS) &&
            verifier.VerifyVector(floors()) &&
            verifier.VerifyVectorOfTables(floors()) &&
+           VerifyField<uint64_t>(verifier, VT_CRASH_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
   ProbeAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2413,6 +2682,12 @@
   void add_floors(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors) {
     fbb_.AddOffset(ProbeAck::VT_FLOORS, floors);
   }
+  void add_crash_digest(uint64_t crash_digest) {
+    fbb_.AddElement<uint64_t>(ProbeAck::VT_CRASH_DIGEST, crash_digest, 0);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes) {
+    fbb_.AddOffset(ProbeAck::VT_CRASHES, crashes);
+  }
   explicit ProbeAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2430,8 +2705,12 @@
     flatbuffers::Offset<samphireshunt::wire::Member> sender = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>> versions = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors = 0,
+    uint64_t crash_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes = 0) {
   ProbeAckBuilder builder_(_fbb);
+  builder_.add_crash_digest(crash_digest);
+  builder_.add_crashes(crashes);
   builder_.add_floors(floors);
   builder_.add_versions(versions);
   builder_.add_members(members);
@@ -2446,17 +2725,22 @@
     flatbuffers::Offset<samphireshunt::wire::Member> sender = 0,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::Member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>> *versions = nullptr,
-    const std::vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors = nullptr) {
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors = nullptr,
+    uint64_t crash_digest = 0,
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Member>>(*members) : 0;
   auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>(*versions) : 0;
   auto floors__ = floors ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>>(*floors) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>(*crashes) : 0;
   return samphireshunt::wire::CreateProbeAck(
       _fbb,
       sequence,
       sender,
       members__,
       versions__,
-      floors__);
+      floors__,
+      crash_digest,
+      crashes__);
 }
 
 flatbuffers::Offset<ProbeAck> CreateProbeAck(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3614,7 +3898,8 @@
         guessed_tokens(o.guessed_tokens),
         asked_before(o.asked_before),
         parts(o.parts),
-        max_pause_ms(o.max_pause_ms) {
+        max_pause_ms(o.max_pause_ms),
+        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -3635,6 +3920,7 @@
   std::swap(asked_before, o.asked_before);
   std::swap(parts, o.parts);
   std::swap(max_pause_ms, o.max_pause_ms);
+  std::swap(fingerprint, o.fingerprint);
   return *this;
 }
 
@@ -3664,6 +3950,7 @@
   { auto _e = asked_before(); _o->asked_before = _e; }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
   { auto _e = max_pause_ms(); _o->max_pause_ms = _e; }
+  { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3691,6 +3978,7 @@
   auto _asked_before = _o->asked_before;
   auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
   auto _max_pause_ms = _o->max_pause_ms;
+  auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -3709,7 +3997,8 @@
       _guessed_tokens,
       _asked_before,
       _parts,
-      _max_pause_ms);
+      _max_pause_ms,
+      _fingerprint);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
@@ -3885,7 +4174,8 @@
         customer(o.customer),
         prompt_tokens(o.prompt_tokens),
         answer_tokens(o.answer_tokens),
-        non_idempotent(o.non_idempotent) {
+        non_idempotent(o.non_idempotent),
+        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr) {
 }
 
 inline RunningT &RunningT::operator=(RunningT o) FLATBUFFERS_NOEXCEPT {
@@ -3897,6 +4187,7 @@
   std::swap(prompt_tokens, o.prompt_tokens);
   std::swap(answer_tokens, o.answer_tokens);
   std::swap(non_idempotent, o.non_idempotent);
+  std::swap(fingerprint, o.fingerprint);
   return *this;
 }
 
@@ -3917,6 +4208,7 @@
   { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
   { auto _e = answer_tokens(); _o->answer_tokens = _e; }
   { auto _e = non_idempotent(); _o->non_idempotent = _e; }
+  { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
 }
 
 inline flatbuffers::Offset<Running> Running::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunningT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3935,6 +4227,7 @@
   auto _prompt_tokens = _o->prompt_tokens;
   auto _answer_tokens = _o->answer_tokens;
   auto _non_idempotent = _o->non_idempotent;
+  auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   return samphireshunt::wire::CreateRunning(
       _fbb,
       _id,
@@ -3944,7 +4237,8 @@
       _customer,
       _prompt_tokens,
       _answer_tokens,
-      _non_idempotent);
+      _non_idempotent,
+      _fingerprint);
 }
 
 inline DoneT::DoneT(const DoneT &o)
@@ -3958,7 +4252,9 @@
         duration_us(o.duration_us),
         faulty(o.faulty),
         replaced(o.replaced),
-        at_once(o.at_once) {
+        at_once(o.at_once),
+        crashed(o.crashed),
+        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -3973,6 +4269,8 @@
   std::swap(faulty, o.faulty);
   std::swap(replaced, o.replaced);
   std::swap(at_once, o.at_once);
+  std::swap(crashed, o.crashed);
+  std::swap(fingerprint, o.fingerprint);
   return *this;
 }
 
@@ -3996,6 +4294,8 @@
   { auto _e = faulty(); _o->faulty = _e; }
   { auto _e = replaced(); _o->replaced = _e; }
   { auto _e = at_once(); _o->at_once = _e; }
+  { auto _e = crashed(); _o->crashed = _e; }
+  { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4017,6 +4317,8 @@
   auto _faulty = _o->faulty;
   auto _replaced = _o->replaced;
   auto _at_once = _o->at_once;
+  auto _crashed = _o->crashed;
+  auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -4029,7 +4331,9 @@
       _duration_us,
       _faulty,
       _replaced,
-      _at_once);
+      _at_once,
+      _crashed,
+      _fingerprint);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
@@ -4246,16 +4550,69 @@
       _remaining_ms);
 }
 
+inline CrashRecordT::CrashRecordT(const CrashRecordT &o)
+      : request((o.request) ? new samphireshunt::wire::Fingerprint(*o.request) : nullptr),
+        crashes(o.crashes),
+        cleared(o.cleared),
+        cleared_age_ms(o.cleared_age_ms) {
+}
+
+inline CrashRecordT &CrashRecordT::operator=(CrashRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
+  std::swap(crashes, o.crashes);
+  std::swap(cleared, o.cleared);
+  std::swap(cleared_age_ms, o.cleared_age_ms);
+  return *this;
+}
+
+inline CrashRecordT *CrashRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<CrashRecordT>(new CrashRecordT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashRecord::UnPackTo(CrashRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); if (_e) _o->request = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = cleared(); _o->cleared = _e; }
+  { auto _e = cleared_age_ms(); _o->cleared_age_ms = _e; }
+}
+
+inline flatbuffers::Offset<CrashRecord> CrashRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashRecord> CreateCrashRecord(flatbuffers::FlatBufferBuilder &_fbb, const CrashRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request ? _o->request.get() : nullptr;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
+  auto _cleared = _o->cleared;
+  auto _cleared_age_ms = _o->cleared_age_ms;
+  return samphireshunt::wire::CreateCrashRecord(
+      _fbb,
+      _request,
+      _crashes,
+      _cleared,
+      _cleared_age_ms);
+}
+
 inline ProbeT::ProbeT(const ProbeT &o)
       : sequence(o.sequence),
         sender((o.sender) ? new samphireshunt::wire::MemberT(*o.sender) : nullptr),
-        target(o.target) {
+        target(o.target),
+        crash_digest(o.crash_digest) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new samphireshunt::wire::MemberT(*members_) : nullptr); }
   versions.reserve(o.versions.size());
   for (const auto &versions_ : o.versions) { versions.emplace_back((versions_) ? new samphireshunt::wire::ServiceVersionT(*versions_) : nullptr); }
   floors.reserve(o.floors.size());
   for (const auto &floors_ : o.floors) { floors.emplace_back((floors_) ? new samphireshunt::wire::FloorT(*floors_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new samphireshunt::wire::CrashRecordT(*crashes_) : nullptr); }
 }
 
 inline ProbeT &ProbeT::operator=(ProbeT o) FLATBUFFERS_NOEXCEPT {
@@ -4265,6 +4622,8 @@
   std::swap(members, o.members);
   std::swap(versions, o.versions);
   std::swap(floors, o.floors);
+  std::swap(crash_digest, o.crash_digest);
+  std::swap(crashes, o.crashes);
   return *this;
 }
 
@@ -4283,6 +4642,8 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<samphireshunt::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = std::unique_ptr<samphireshunt::wire::ServiceVersionT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = floors(); if (_e) { _o->floors.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->floors[_i] = std::unique_ptr<samphireshunt::wire::FloorT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crash_digest(); _o->crash_digest = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<samphireshunt::wire::CrashRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Probe> Probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4299,6 +4660,8 @@
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _versions = _o->versions.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>> (_o->versions.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceVersion(*__va->__fbb, __va->__o->versions[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _floors = _o->floors.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>> (_o->floors.size(), [](size_t i, _VectorArgs *__va) { return CreateFloor(*__va->__fbb, __va->__o->floors[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crash_digest = _o->crash_digest;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRecord(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   return samphireshunt::wire::CreateProbe(
       _fbb,
       _sequence,
@@ -4306,18 +4669,23 @@
       _target,
       _members,
       _versions,
-      _floors);
+      _floors,
+      _crash_digest,
+      _crashes);
 }
 
 inline ProbeAckT::ProbeAckT(const ProbeAckT &o)
       : sequence(o.sequence),
-        sender((o.sender) ? new samphireshunt::wire::MemberT(*o.sender) : nullptr) {
+        sender((o.sender) ? new samphireshunt::wire::MemberT(*o.sender) : nullptr),
+        crash_digest(o.crash_digest) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new samphireshunt::wire::MemberT(*members_) : nullptr); }
   versions.reserve(o.versions.size());
   for (const auto &versions_ : o.versions) { versions.emplace_back((versions_) ? new samphireshunt::wire::ServiceVersionT(*versions_) : nullptr); }
   floors.reserve(o.floors.size());
   for (const auto &floors_ : o.floors) { floors.emplace_back((floors_) ? new samphireshunt::wire::FloorT(*floors_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new samphireshunt::wire::CrashRecordT(*crashes_) : nullptr); }
 }
 
 inline ProbeAckT &ProbeAckT::operator=(ProbeAckT o) FLATBUFFERS_NOEXCEPT {
@@ -4326,6 +4694,8 @@
   std::swap(members, o.members);
   std::swap(versions, o.versions);
   std::swap(floors, o.floors);
+  std::swap(crash_digest, o.crash_digest);
+  std::swap(crashes, o.crashes);
   return *this;
 }
 
@@ -4343,6 +4713,8 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<samphireshunt::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = std::unique_ptr<samphireshunt::wire::ServiceVersionT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = floors(); if (_e) { _o->floors.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->floors[_i] = std::unique_ptr<samphireshunt::wire::FloorT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crash_digest(); _o->crash_digest = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<samphireshunt::wire::CrashRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ProbeAck> ProbeAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4358,13 +4730,17 @@
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _versions = _o->versions.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>> (_o->versions.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceVersion(*__va->__fbb, __va->__o->versions[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _floors = _o->floors.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>> (_o->floors.size(), [](size_t i, _VectorArgs *__va) { return CreateFloor(*__va->__fbb, __va->__o->floors[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crash_digest = _o->crash_digest;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRecord(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   return samphireshunt::wire::CreateProbeAck(
       _fbb,
       _sequence,
       _sender,
       _members,
       _versions,
-      _floors);
+      _floors,
+      _crash_digest,
+      _crashes);
 }
 
 inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -41,6 +41,7 @@
   BadDeadline = 110,
   TooManyConnections = 111,
   MethodNotAllowed = 112,
+  CrashesServers = 113,
   // 2xx: ended before any dispatch.
   DeadlineInQueue = 200,
   ShedForHigherTier = 201,
--- a/Source/Connection/TcpConnect.cpp
+++ b/Source/Connection/TcpConnect.cpp
@@ -27,4 +27,17 @@
   co_return Stream.release_socket();
 }
 
+Awaitable<PortState> checkPort(Endpoint Address,
+                               std::chrono::milliseconds Timeout) {
+  beast::tcp_stream Stream(co_await asio::this_coro::executor);
+  beast::error_code Error;
+  Stream.expires_after(Timeout);
+  co_await Stream.async_connect(
+      Address, asio::redirect_error(asio::use_awaitable, Error));
+  if (!Error)
+    co_return PortState::Open;
+  co_return Error == asio::error::connection_refused ? PortState::Refused
+                                                     : PortState::Silent;
+}
+
 } // namespace samphireshunt
--- a/Source/Connection/TcpConnect.h
+++ b/Source/Connection/TcpConnect.h
@@ -13,4 +13,12 @@
 Awaitable<Result<boost::asio::ip::tcp::socket>>
 connectTcp(Endpoint Address, std::chrono::milliseconds Timeout);
 
+/// The reaction of an address to a new connection.
+enum class PortState { Open, Refused, Silent };
+
+/// Opens a connection and closes it. \returns Silent if \p Address can't be
+/// reached or has not answered within \p Timeout.
+Awaitable<PortState> checkPort(Endpoint Address,
+                               std::chrono::milliseconds Timeout);
+
 } // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Keeping/CrashTracker.cpp
@@ -0,0 +1,137 @@
+#include "Process/Keeping/CrashTracker.h"
+
+#include "Common/Log.h"
+
+#include <algorithm>
+#include <iterator>
+#include <span>
+#include <utility>
+
+namespace samphireshunt {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Records in a message about recent changes, and in one to a daemon that knows
+/// something else. A record takes 60 bytes and 16 for each crash.
+constexpr std::size_t RecentRecords = 2;
+constexpr std::size_t DifferingRecords = 4;
+/// Maximum number of crashes sent with a record: the newest ones.
+constexpr std::size_t MaxCrashesSent = 8;
+
+std::uint32_t ageMillis(TimePoint At, TimePoint Now) {
+  auto Age = duration_cast<milliseconds>(Now - At).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, Age));
+}
+
+wire::CrashRecordT toWire(const CrashRecord &Record, TimePoint Now) {
+  wire::CrashRecordT Target;
+  Target.request = std::make_unique<wire::Fingerprint>(Record.Request_.High_,
+                                                       Record.Request_.Low_);
+  auto Excess =
+      Record.Crashes_.size() - std::min(Record.Crashes_.size(), MaxCrashesSent);
+  for (const ServerCrash &Crash : std::span(Record.Crashes_).subspan(Excess))
+    Target.crashes.emplace_back(Crash.Server_, ageMillis(Crash.At_, Now),
+                                ageMillis(Crash.Dispatched_, Now));
+  Target.cleared = Record.Cleared_.has_value();
+  if (Record.Cleared_)
+    Target.cleared_age_ms = ageMillis(*Record.Cleared_, Now);
+  return Target;
+}
+
+CrashRecord fromWire(const wire::CrashRecordT &Record, TimePoint Now) {
+  CrashRecord Target;
+  if (Record.request)
+    Target.Request_ = {Record.request->high(), Record.request->low()};
+  std::ranges::transform(Record.crashes, std::back_inserter(Target.Crashes_),
+                         [Now](const wire::ServerCrash &Crash) {
+                           return ServerCrash{
+                               Crash.server(),
+                               Now - milliseconds(Crash.dispatch_age_ms()),
+                               Now - milliseconds(Crash.age_ms())};
+                         });
+  if (Record.cleared)
+    Target.Cleared_ = Now - milliseconds(Record.cleared_age_ms);
+  return Target;
+}
+
+const char *standingName(RequestStanding Value) {
+  switch (Value) {
+  case RequestStanding::Unsuspected:
+    return "unsuspected";
+  case RequestStanding::Suspected:
+    return "suspected";
+  case RequestStanding::Refused:
+    return "refused";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+CrashTracker::CrashTracker(Clock Now)
+    : Now_(std::move(Now)),
+      Published_(std::make_shared<const CrashSnapshot>()) {}
+
+void CrashTracker::requestEnded(const ServerName &Server,
+                                const ServedSample &Sample) {
+  if (!Sample.Fingerprint_ || (!Sample.Crashed_ && !Sample.Complete_))
+    return;
+  auto Now = Now_();
+  RequestStanding Before = standing(Sample.Fingerprint_);
+  bool Changed = Sample.Crashed_
+                     ? History_.recordCrash(Sample.Fingerprint_, Server,
+                                            Now - Sample.Duration_, Now)
+                     : History_.recordCompleted(Sample.Fingerprint_, Now);
+  if (Changed)
+    publish(Sample.Fingerprint_, Before, Server);
+}
+
+RequestStanding
+CrashTracker::standing(const RequestFingerprint &Request) const {
+  return History_.standing(Request, Now_());
+}
+
+std::vector<wire::CrashRecordT> CrashTracker::recordsToSend(bool Differs) {
+  auto Now = Now_();
+  auto Records = Differs ? History_.toSend(DifferingRecords, Now)
+                         : History_.recentChanges(RecentRecords, Now);
+  std::vector<wire::CrashRecordT> Messages;
+  std::ranges::transform(
+      Records, std::back_inserter(Messages),
+      [Now](const CrashRecord &Record) { return toWire(Record, Now); });
+  return Messages;
+}
+
+void CrashTracker::recordReceived(const wire::CrashRecordT &Received) {
+  auto Now = Now_();
+  CrashRecord Known = fromWire(Received, Now);
+  RequestStanding Before = standing(Known.Request_);
+  if (History_.merge(Known, Now))
+    publish(Known.Request_, Before, {});
+}
+
+/// Makes a change visible to the threads that serve requests and logs it, with
+/// the server if this daemon itself saw the cause.
+void CrashTracker::publish(const RequestFingerprint &Changed,
+                           RequestStanding Before, const ServerName &Server) {
+  Published_.write(std::make_shared<const CrashSnapshot>(History_.snapshot()));
+  RequestStanding After = standing(Changed);
+  const CrashRecord *Record = History_.find(Changed);
+  logEvent(
+      LogCategory::Keeper, spdlog::level::info, "request-crashes",
+      {{"fingerprint", Changed.str()},
+       {"server", Server.str()},
+       {"crashes", std::to_string(Record ? Record->Crashes_.size() : 0)},
+       {"distinct", std::to_string(Record ? Record->distinctCrashes() : 0)},
+       {"standing", standingName(After)}});
+  if (After == Before)
+    return;
+  if (After == RequestStanding::Refused)
+    Hooks_.Refused_(Changed);
+  Hooks_.Spread_();
+}
+
+} // namespace samphireshunt
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -138,6 +138,7 @@
   if (!Node)
     return;
   const GrantedRequest &Ended = Node.mapped();
+  Hooks_.Ended_(Ended.Request_.Server_, Sample);
   if (Ended.Keeper_ == Self_)
     return LocalKeeper_->done(Ended.Cell_, Id, Sample);
   Hooks_.Send_(Ended.Keeper_, encodeDone(Ended.Cell_, Id, Sample));
@@ -172,9 +173,15 @@
   GrantedRequest Target;
   Target.Cell_ = Accepted.Cell_;
   Target.Keeper_ = From;
-  Target.Request_ = {
-      Request.Id_,     Request.Tier_,   Request.Customer_,      Grant.Server_,
-      Request.Prompt_, Request.Answer_, Request.NonIdempotent_, Self_};
+  Target.Request_ = {Request.Id_,
+                     Request.Tier_,
+                     Request.Customer_,
+                     Grant.Server_,
+                     Request.Prompt_,
+                     Request.Answer_,
+                     Request.NonIdempotent_,
+                     Self_,
+                     Request.Fingerprint_};
   GrantedRequests_[Request.Id_] = std::move(Target);
   Accepted.OnAnswer_({ResultCode::Ok, Grant.Server_, {}});
 }
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -38,6 +38,9 @@
     std::function<void(const VmId &, std::string)> Send_;
     /// Called when the link to a keeper broke, to probe whether it is alive.
     std::function<void(const VmId &)> Check_;
+    /// Reports the end of a request on a server.
+    std::function<void(const ServerName &, const ServedSample &)> Ended_ =
+        [](const ServerName &, const ServedSample &) {};
   };
   using Answered = std::function<void(GrantAnswer)>;
   using Cancelled = std::function<void()>;
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -16,6 +16,18 @@
       std::max<std::int64_t>(1, Remaining.count()));
 }
 
+std::unique_ptr<wire::Fingerprint> toWire(const RequestFingerprint &Request) {
+  if (!Request)
+    return nullptr;
+  return std::make_unique<wire::Fingerprint>(Request.High_, Request.Low_);
+}
+
+RequestFingerprint fromWire(const std::unique_ptr<wire::Fingerprint> &Request) {
+  if (!Request)
+    return {};
+  return {Request->high(), Request->low()};
+}
+
 } // namespace
 
 std::string encodeAsk(const CellId &Cell, const GrantRequest &Request) {
@@ -44,6 +56,7 @@
   Ask.max_pause_ms = static_cast<std::uint32_t>(Request.MaxPause_.count());
   Ask.asked_before = Request.IsRetry_;
   Ask.max_wait_ms = static_cast<std::uint32_t>(Request.MaxWait_.count());
+  Ask.fingerprint = toWire(Request.Fingerprint_);
   for (const ServerName &Name : Request.Excluded_)
     Ask.excluded.push_back(Name.str());
   return encodeMessage(std::move(Ask));
@@ -59,6 +72,7 @@
   Running.prompt_tokens = static_cast<std::uint32_t>(Request.Prompt_.count());
   Running.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
   Running.non_idempotent = Request.NonIdempotent_;
+  Running.fingerprint = toWire(Request.Fingerprint_);
   return encodeMessage(std::move(Running));
 }
 
@@ -71,6 +85,8 @@
   Done.complete = Sample.Complete_;
   Done.faulty = Sample.Faulty_;
   Done.replaced = Sample.Replaced_;
+  Done.crashed = Sample.Crashed_;
+  Done.fingerprint = toWire(Sample.Fingerprint_);
   Done.at_once = static_cast<std::uint32_t>(Sample.FirstEventTokens_.count());
   Done.generated = static_cast<std::uint32_t>(Sample.Generated_.count());
   Done.first_token_us = static_cast<std::uint32_t>(Sample.FirstToken_.count());
@@ -116,6 +132,7 @@
   for (const std::string &Name : Ask.excluded)
     Request.Excluded_.emplace_back(Name);
   Request.Ingress_ = From;
+  Request.Fingerprint_ = fromWire(Ask.fingerprint);
   return Request;
 }
 
@@ -124,7 +141,8 @@
   return {fromWire(Running.id),           TierIndex(Running.tier),
           CustomerName(Running.customer), ServerName(Running.server),
           Tokens(Running.prompt_tokens),  Tokens(Running.answer_tokens),
-          Running.non_idempotent,         From};
+          Running.non_idempotent,         From,
+          fromWire(Running.fingerprint)};
 }
 
 ServedSample sampleFromWire(const wire::DoneT &Done) {
@@ -133,6 +151,8 @@
   Sample.Complete_ = Done.complete;
   Sample.Faulty_ = Done.faulty;
   Sample.Replaced_ = Done.replaced;
+  Sample.Crashed_ = Done.crashed;
+  Sample.Fingerprint_ = fromWire(Done.fingerprint);
   Sample.Generated_ = Tokens(Done.generated);
   Sample.FirstEventTokens_ = Tokens(Done.at_once);
   Sample.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -114,6 +114,7 @@
   if (!Target) {
     Target = std::make_unique<ScheduledCell>(
         ScheduledCell{Scheduler(Options_.Scheduling_), Now, Now});
+    Target->Scheduler_.setStandingHook(Hooks_.StandingOf_);
     configure(Cell, *Target);
     if (!Hooks_.AloneInFleet_()) {
       Target->Scheduler_.setWarmupEnd(Now + Options_.WarmUp_);
@@ -290,12 +291,19 @@
   Target.Scheduler_.done(Id, Sample, steady_clock::now());
   if (Server)
     logHealth(Cell, Ended->Server_, Server->health(), WasLeftOut);
+  if (Ended)
+    Hooks_.Ended_(Ended->Server_, Sample);
   if (Server && Sample.Replaced_)
     logEvent(LogCategory::Keeper, spdlog::level::info, "server-replaced",
              {{"server", Ended->Server_.str()}, {"cell", Cell.str()}});
   decide(Cell, Target);
 }
 
+void KeeperService::refuseCrashing(const RequestFingerprint &Request) {
+  for (auto &[Cell, Target] : Cells_)
+    postDecisions(Cell, Target->Scheduler_.refuseCrashing(Request));
+}
+
 void KeeperService::returnGrant(const RequestId &Id) {
   for (auto &[Cell, Target] : Cells_) {
     Target->Scheduler_.done(Id, ServedSample(), steady_clock::now());
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -74,6 +74,12 @@
     std::function<bool(const CellId &)> IsKeeper_;
     /// Returns the fraction of the fleet in this daemon's partition.
     std::function<double()> LiveShare_;
+    /// Reports the end of a request on a server.
+    std::function<void(const ServerName &, const ServedSample &)> Ended_ =
+        [](const ServerName &, const ServedSample &) {};
+    /// Returns what is known about a request's crashes.
+    std::function<RequestStanding(const RequestFingerprint &)> StandingOf_ =
+        [](const RequestFingerprint &) { return RequestStanding::Unsuspected; };
   };
 
   KeeperService(boost::asio::io_context &Control, DocumentStore &Documents,
@@ -97,6 +103,8 @@
   void ingressReconnected(const VmId &Ingress);
   /// Called when the ingress daemon died. Its running requests become orphans.
   void ingressDied(const VmId &Ingress);
+  /// Refuses all waiting copies of a request that crashes servers.
+  void refuseCrashing(const RequestFingerprint &Request);
   /// Starts and drops cells. Called when documents or members changed.
   void refresh();
   void stop() { Timer_.cancel(); }
--- a/Source/Process/Membership/MembershipProtocol.cpp
+++ b/Source/Process/Membership/MembershipProtocol.cpp
@@ -182,10 +182,13 @@
     Hooks_.FloorSeen_({ServiceName(Floor->service), PoolName(Floor->pool),
                        TierIndex(Floor->tier),
                        Now + milliseconds(Floor->remaining_ms)});
+  for (const auto &Record : Received.crashes)
+    Hooks_.CrashSeen_(*Record);
 }
 
 template <class Message>
-void MembershipProtocol::addGossip(Message &Target, TimePoint Now) {
+void MembershipProtocol::addGossip(Message &Target, TimePoint Now,
+                                   bool CrashDigestDiffers) {
   Target.sender = memberToWire(Members_.self());
   std::size_t Count =
       std::clamp(Members_.recentChangeCount(Now), Options_.PiggybackedMembers_,
@@ -206,6 +209,10 @@
         std::chrono::duration_cast<milliseconds>(Floor.Until_ - Now).count());
     Target.floors.push_back(std::move(Entry));
   }
+  Target.crash_digest = Hooks_.CrashDigest_();
+  for (auto &Record : Hooks_.CrashRecords_(CrashDigestDiffers))
+    Target.crashes.push_back(
+        std::make_unique<wire::CrashRecordT>(std::move(Record)));
 }
 
 void MembershipProtocol::onProbe(const wire::ProbeT &Probe,
@@ -214,7 +221,7 @@
   if (Probe.target.empty()) {
     wire::ProbeAckT Ack;
     Ack.sequence = Probe.sequence;
-    addGossip(Ack, Now);
+    addGossip(Ack, Now, Probe.crash_digest != Hooks_.CrashDigest_());
     // A suspected sender receives the claim, whatever else is piggybacked.
     if (Probe.sender)
       if (auto Known = Members_.find(VmId(Probe.sender->vm)))
--- a/Source/Process/Membership/MembershipProtocol.h
+++ b/Source/Process/Membership/MembershipProtocol.h
@@ -49,6 +49,14 @@
         VersionSeen_;
     std::function<std::vector<PoolFloor>()> Floors_;
     std::function<void(const PoolFloor &)> FloorSeen_;
+    /// Returns the digest of all crash records of this daemon.
+    std::function<std::uint64_t()> CrashDigest_ = [] { return 0; };
+    /// Returns crash records for another daemon. With \p Differs, that daemon's
+    /// digest differs from this one's.
+    std::function<std::vector<wire::CrashRecordT>(bool Differs)> CrashRecords_ =
+        [](bool) { return std::vector<wire::CrashRecordT>(); };
+    std::function<void(const wire::CrashRecordT &)> CrashSeen_ =
+        [](const wire::CrashRecordT &) {};
   };
   using SendHook = std::function<void(const Endpoint &, std::string Datagram)>;
 
@@ -95,7 +103,9 @@
   void onAck(const wire::ProbeAckT &Ack, TimePoint Now);
   template <class Message>
   void applyGossip(const Message &Received, TimePoint Now);
-  template <class Message> void addGossip(Message &Target, TimePoint Now);
+  template <class Message>
+  void addGossip(Message &Target, TimePoint Now,
+                 bool CrashDigestDiffers = false);
   template <class Message> void send(Message Body, const Endpoint &To);
 
   MemberTable &Members_;
--- /dev/null
+++ b/Source/Process/Scheduling/CrashHistory.h
@@ -0,0 +1,118 @@
+#pragma once
+/// \file
+/// Which requests crashed the servers that ran them, and which of them are
+/// therefore refused. The code is free of I/O; the current time is passed in.
+///
+/// Load pattern: a request that crashes each server that runs it is sent again
+/// and again, under new ids, at any daemon. Each crash also ends the other
+/// requests of that server, which are sent again too; they must go on being
+/// served, and so must a popular request while servers crash for other reasons.
+///
+/// A request is suspected after its first crash and cleared as soon as one of
+/// its runs completes. While it is suspected, the keeper runs one copy of it at
+/// a time, on a server without other suspected requests. Copies that had been
+/// dispatched before another one's server crashed count as one with it: servers
+/// that crash together have a cause of their own. The third crash leads to
+/// refusal for a while, each further one to a longer refusal, with a single run
+/// in between.
+///
+/// Daemons exchange their histories. A history is the union of all crashes that
+/// any daemon saw, so the order of messages does not matter.
+
+#include "Common/Ids.h"
+#include "Common/RequestFingerprint.h"
+#include "Common/TimePoint.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace samphireshunt {
+
+/// What is known about a request's fingerprint.
+enum class RequestStanding { Unsuspected, Suspected, Refused };
+
+/// The crash of a server while it ran the request.
+struct ServerCrash {
+  std::uint64_t Server_ = 0; ///< Hash of the server's name.
+  TimePoint Dispatched_;     ///< When the request was sent to it.
+  TimePoint At_;
+};
+
+/// All that is known about one fingerprint.
+struct CrashRecord {
+  RequestFingerprint Request_;
+  /// In order of time, one for each server.
+  std::vector<ServerCrash> Crashes_;
+  /// When a run of the request completed; crashes before that don't count.
+  std::optional<TimePoint> Cleared_;
+
+  /// \returns the number of crashes of which each ended a run that was
+  /// dispatched after the one before.
+  std::size_t distinctCrashes() const;
+  /// \returns the end of the refusal; nothing when there were too few crashes.
+  std::optional<TimePoint> refusedUntil() const;
+  RequestStanding standing(TimePoint Now) const;
+};
+
+/// An immutable copy of a history for the threads that serve requests.
+struct CrashSnapshot {
+  std::map<RequestFingerprint, CrashRecord> Records_;
+
+  bool empty() const { return Records_.empty(); }
+  RequestStanding standing(const RequestFingerprint &Request,
+                           TimePoint Now) const;
+};
+
+class CrashHistory {
+public:
+  /// Maximum number of fingerprints; beyond it the one that crashed a server
+  /// longest ago is forgotten, suspected ones first.
+  static constexpr std::size_t MaxRecords = 256;
+
+  /// Adds a crash of \p Server while it ran \p Request, which was sent to it at
+  /// \p Dispatched. \returns false if it was known.
+  bool recordCrash(const RequestFingerprint &Request, const ServerName &Server,
+                   TimePoint Dispatched, TimePoint Now);
+  /// Clears \p Request, a run of which completed. \returns false if it was
+  /// under no suspicion.
+  bool recordCompleted(const RequestFingerprint &Request, TimePoint Now);
+  /// Adds what another daemon knows. \returns false if all of it was known.
+  bool merge(const CrashRecord &Known, TimePoint Now);
+
+  RequestStanding standing(const RequestFingerprint &Request,
+                           TimePoint Now) const;
+  const CrashRecord *find(const RequestFingerprint &Request) const;
+  bool empty() const { return Snapshot_.empty(); }
+  std::size_t refused(TimePoint Now) const;
+  const CrashSnapshot &snapshot() const { return Snapshot_; }
+
+  /// \returns a digest that is equal at two daemons that know the same.
+  std::uint64_t digest() const;
+  /// \returns up to \p Count records for another daemon: those that were sent
+  /// least often, refused ones first.
+  std::vector<CrashRecord> toSend(std::size_t Count, TimePoint Now);
+  /// \returns up to \p Count records that changed within the last seconds.
+  std::vector<CrashRecord> recentChanges(std::size_t Count, TimePoint Now);
+  /// Removes what is too old to matter.
+  void forgetOld(TimePoint Now);
+
+private:
+  struct Spread {
+    std::uint32_t Sent_ = 0;
+    TimePoint Changed_;
+  };
+  std::vector<CrashRecord> leastSent(std::vector<RequestFingerprint> Candidates,
+                                     std::size_t Count, TimePoint Now);
+  void changed(const RequestFingerprint &Request, TimePoint Now);
+  void makeRoom(TimePoint Now);
+  void erase(const RequestFingerprint &Request);
+
+  CrashSnapshot Snapshot_;
+  std::map<RequestFingerprint, Spread> Spread_;
+};
+
+} // namespace samphireshunt
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -127,6 +127,10 @@
     return Out;
   if (auto Known = Running_.find(Request.Id_); Known != Running_.end())
     endRunning(Known);
+  if (StandingOf_(Request.Fingerprint_) == RequestStanding::Refused) {
+    Out.push_back(refusal(Request, ResultCode::CrashesServers));
+    return Out;
+  }
   TierQueue &OwnTier = Tiers_[queueIndex(Request.Tier_)];
   QueueRank Rank = rankOf(Request, Now);
   if (!Request.IsRetry_) {
@@ -198,6 +202,20 @@
   }
 }
 
+std::vector<Decision>
+Scheduler::refuseCrashing(const RequestFingerprint &Request) {
+  std::vector<RequestId> Copies;
+  for (const auto &[Id, Waiting] : Waiting_)
+    if (Waiting.Details_.Fingerprint_ == Request)
+      Copies.push_back(Id);
+  std::vector<Decision> Out;
+  std::ranges::transform(
+      Copies, std::back_inserter(Out), [this](const RequestId &Id) {
+        return refusal(dequeue(Id).Details_, ResultCode::CrashesServers);
+      });
+  return Out;
+}
+
 RefuseDecision Scheduler::refusal(const GrantRequest &Request,
                                   ResultCode Code) {
   return {Request.Id_, Code, retryAfter(Request.Tier_), Request.Ingress_};
@@ -472,7 +490,8 @@
                            Details.Prompt_,
                            Details.Answer_,
                            Details.NonIdempotent_,
-                           Details.Ingress_};
+                           Details.Ingress_,
+                           Details.Fingerprint_};
   Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_});
 }
 
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -11,6 +11,7 @@
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
 #include "Common/SlidingCount.h"
+#include "Process/Scheduling/CrashHistory.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerModel.h"
 
@@ -18,6 +19,7 @@
 
 #include <array>
 #include <chrono>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -58,6 +60,8 @@
   bool NonIdempotent_ = false;
   std::vector<ServerName> Excluded_;
   VmId Ingress_;
+  /// Set while any request is known to have crashed a server.
+  RequestFingerprint Fingerprint_;
 };
 
 /// A request that runs on an engine of the cell.
@@ -70,6 +74,7 @@
   Tokens Answer_;
   bool NonIdempotent_ = false;
   VmId Ingress_;
+  RequestFingerprint Fingerprint_;
 };
 
 /// The requests that an ingress daemon had at a keeper when it was removed.
@@ -164,6 +169,11 @@
   /// Sets the fraction of each server's limit that this keeper may use, from 0
   /// to 1.
   void setShare(double Share) { Share_ = Share; }
+  /// Sets the hook that tells what is known about a request's crashes.
+  void setStandingHook(
+      std::function<RequestStanding(const RequestFingerprint &)> Hook) {
+    StandingOf_ = std::move(Hook);
+  }
   /// Sets the number of tokens in one event of an answer.
   void setTokensPerEvent(std::int64_t Count) { TokensPerEvent_ = Count; }
   /// Sets the end of the warm-up, during which nothing is granted: a new keeper
@@ -173,6 +183,8 @@
 
   /// Queues a request, or refuses it at once.
   std::vector<Decision> requestGrant(GrantRequest Request, TimePoint Now);
+  /// Refuses all waiting copies of a request that crashes servers.
+  std::vector<Decision> refuseCrashing(const RequestFingerprint &Request);
   /// Removes a request that no longer waits, or that runs under another keeper.
   void withdraw(const RequestId &Id);
   /// Adds a request that an earlier keeper granted and that still runs.
@@ -350,6 +362,10 @@
                              PrefixState Wanted);
   bool canTake(const GrantRequest &Request, const ServerModel &Server,
                TimePoint Now) const;
+  /// True if a copy of a suspected request runs.
+  bool isCopyRunning(const GrantRequest &Request) const;
+  bool standingAllows(const GrantRequest &Request,
+                      const ServerModel &Server) const;
   bool staysWithinPause(const GrantRequest &Request, const ServerModel &Server,
                         std::chrono::nanoseconds Longest) const;
   std::chrono::nanoseconds allowedPause(const GrantRequest &Request) const;
@@ -399,6 +415,8 @@
   double weightOf(const CustomerName &Customer) const;
 
   Options Options_;
+  std::function<RequestStanding(const RequestFingerprint &)> StandingOf_ =
+      [](const RequestFingerprint &) { return RequestStanding::Unsuspected; };
   std::map<ServerName, ServerModel> Servers_;
   /// The speed of the pool's engines, learned from all of them together.
   EngineSpeed PoolSpeed_;
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -92,7 +92,33 @@
   bool Excluded =
       std::ranges::count(Request.Excluded_, Server.capacity().Name_) > 0;
   return !Excluded && Server.hasRoom(Share_) &&
-         finishesInTime(Request, Server, Now);
+         finishesInTime(Request, Server, Now) &&
+         standingAllows(Request, Server);
+}
+
+bool Scheduler::isCopyRunning(const GrantRequest &Request) const {
+  if (StandingOf_(Request.Fingerprint_) == RequestStanding::Unsuspected)
+    return false;
+  return std::ranges::any_of(Running_, [&](const auto &Item) {
+    return Item.second.Fingerprint_ == Request.Fingerprint_;
+  });
+}
+
+/// \returns false for a suspected request while another copy of it runs, and on
+/// a server that runs another suspected request. Otherwise one more crash would
+/// end several servers, or would not show which request causes it.
+bool Scheduler::standingAllows(const GrantRequest &Request,
+                               const ServerModel &Server) const {
+  RequestStanding Standing = StandingOf_(Request.Fingerprint_);
+  if (Standing != RequestStanding::Suspected)
+    return Standing == RequestStanding::Unsuspected;
+  return std::ranges::none_of(Running_, [&](const auto &Item) {
+    const RunningRequest &Other = Item.second;
+    if (Other.Fingerprint_ == Request.Fingerprint_)
+      return true;
+    return Other.Server_ == Server.capacity().Name_ &&
+           StandingOf_(Other.Fingerprint_) != RequestStanding::Unsuspected;
+  });
 }
 
 /// The longest prompt that stays within the pause on an idle engine.
@@ -311,6 +337,9 @@
     const GrantRequest &Details = Waiting_.at(Id).Details_;
     if (InTime && Details.Objective_ < Now + MinFirstEventDelay)
       continue;
+    // Many copies of one request must not hold up its customer's others.
+    if (isCopyRunning(Details))
+      continue;
     if (ServerModel *Server = chooseEngine(Details, Now))
       return Placement{Id, Server};
     if (!Options_.UsePrefixes_ || ++Checked == MaxChecked)
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -4,6 +4,7 @@
 /// speed, and the prompt prefixes that it has likely cached.
 
 #include "Common/Ids.h"
+#include "Common/RequestFingerprint.h"
 #include "Common/TimePoint.h"
 #include "Process/Scheduling/EngineSpeed.h"
 #include "Process/Scheduling/PrefixIndex.h"
@@ -42,6 +43,11 @@
   bool Faulty_ = false;
   /// Another server answered at the address: the intended one is gone.
   bool Replaced_ = false;
+  /// The server's process ended while it ran the request.
+  bool Crashed_ = false;
+  /// Set if the server crashed, and while any request is known to have crashed
+  /// a server.
+  RequestFingerprint Fingerprint_;
   Tokens Generated_;
   /// Number of tokens in the first event.
   Tokens FirstEventTokens_{1};
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -225,6 +225,13 @@
   Hooks.FloorSeen_ = [this](const PoolFloor &Floor) {
     Keeper_->onRemoteFloor(Floor);
   };
+  Hooks.CrashDigest_ = [this] { return Crashes_.digest(); };
+  Hooks.CrashRecords_ = [this](bool Differs) {
+    return Crashes_.recordsToSend(Differs);
+  };
+  Hooks.CrashSeen_ = [this](const wire::CrashRecordT &Received) {
+    Crashes_.recordReceived(Received);
+  };
   Membership_ =
       MembershipService::create(Control_, std::move(Datagrams), *Members_,
                                 MembershipService::Options(), std::move(Hooks));
@@ -240,6 +247,10 @@
     Peers_->send(To, std::move(Message));
   };
   ClientHooks.Check_ = [this](const VmId &Id) { Membership_->check(Id); };
+  ClientHooks.Ended_ = [this](const ServerName &Server,
+                              const ServedSample &Sample) {
+    Crashes_.requestEnded(Server, Sample);
+  };
   Grants_ = std::make_unique<GrantClient>(Control_, Settings_.Vm_,
                                           std::move(ClientHooks));
   KeeperService::Hooks Hooks;
@@ -255,6 +266,20 @@
   };
   Hooks.LiveShare_ = [this] { return Members_->liveShare(); };
   Hooks.FloorRaised_ = [this] { Membership_->spreadUpdates(); };
+  Hooks.Ended_ = [this](const ServerName &Server, const ServedSample &Sample) {
+    Crashes_.requestEnded(Server, Sample);
+  };
+  Hooks.StandingOf_ = [this](const RequestFingerprint &Request) {
+    return Crashes_.standing(Request);
+  };
+  CrashTracker::Hooks CrashHooks;
+  CrashHooks.Refused_ = [this](const RequestFingerprint &Request) {
+    asio::post(Control_, [this, Request] { Keeper_->refuseCrashing(Request); });
+  };
+  CrashHooks.Spread_ = [this] {
+    asio::post(Control_, [this] { Membership_->spreadUpdates(); });
+  };
+  Crashes_.setHooks(std::move(CrashHooks));
   KeeperService::Options Options;
   Options.Scheduling_ = schedulingOptions(Settings_);
   Options.Scheduling_.Seed_ = Origin_;
@@ -372,6 +397,7 @@
           *Grants_,
           *Claims_,
           Connections,
+          Crashes_,
           Settings_.Vm_,
           Incarnation_,
           IsProcessAlive,
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -147,6 +147,7 @@
   PlatformHooks Platform_;
   Metrics Metrics_;
   std::unique_ptr<ClaimStore> Claims_;
+  CrashTracker Crashes_;
   std::unique_ptr<MemberTable> Members_;
   RcuCell<std::vector<Member>> MemberSnapshot_;
   MemberLog MemberLog_;
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -6,7 +6,7 @@
 #include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
-#include "Request/RequestContext.h"
+#include "Request/CrashEvidence.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
@@ -67,6 +67,11 @@
     Sample.Complete_ = Answer.has_value();
     Sample.Duration_ =
         duration_cast<microseconds>(steady_clock::now() - Dispatched_);
+    if (Answer)
+      addFingerprint(Context_, Sample);
+    else
+      co_await addCrashEvidence(Context_, Ready_.Server_, Answer.error().Code_,
+                                Sample);
     Context_.Services_.Grants_.done(Context_.Id_, Sample);
     if (Answer)
       co_await answerWhole(std::move(*Answer));
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -43,6 +43,10 @@
   case ResultCode::CrossedAnswer:
   case ResultCode::ServerError:
     return 502;
+  case ResultCode::CrashesServers:
+    // States that the request was not run. Without Retry-After, since a retry
+    // would be refused too.
+    return 503;
   case ResultCode::Internal:
     return 500;
   default:
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
+#include "Request/CrashEvidence.h"
 #include "Request/WaitPlan.h"
 
 #include <fmt/format.h>
@@ -71,7 +72,7 @@
       }
       Ready_ = std::move(std::get<ReadyServer>(Obtained));
       AttemptEnd Ended = co_await attempt();
-      reportAttempt(Ended);
+      co_await reportAttempt(Ended);
       if (Ended == AttemptEnd::Answered)
         co_return reportEnd(Context_, Outcome::Answered, ResultCode::Ok);
       if (Ended == AttemptEnd::CallerLeft || !mayRetry(Ended)) {
@@ -315,7 +316,7 @@
     return AttemptEnd::CallerLeft;
   }
 
-  void reportAttempt(AttemptEnd Ended) {
+  Awaitable<void> reportAttempt(AttemptEnd Ended) {
     ServedSample Sample;
     Sample.Reached_ = true;
     Sample.Complete_ = Ended == AttemptEnd::Answered;
@@ -331,6 +332,11 @@
       Sample.Generated_ = Tokens(Events * Sample.FirstEventTokens_.count());
     }
     Context_.StreamTiming_.Events_ = Splitter_.count();
+    if (Ended == AttemptEnd::Answered)
+      addFingerprint(Context_, Sample);
+    else if (Ended == AttemptEnd::Failed || Ended == AttemptEnd::Broken)
+      co_await addCrashEvidence(Context_, Ready_.Server_, LastFailure_.Code_,
+                                Sample);
     Context_.Services_.Grants_.done(Context_.Id_, Sample);
     TriedServers_.push_back(Ready_.Server_.Name_);
     Splitter_.dropPartialEvent();
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -5,7 +5,7 @@
 
 #include "Common/Log.h"
 #include "Connection/EventStream.h"
-#include "Request/RequestContext.h"
+#include "Request/CrashEvidence.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -80,7 +80,13 @@
     Dispatched_ = steady_clock::now();
     co_await watchForCancellation();
     std::optional<Verdict> Broken = co_await exchange();
-    Context_.Services_.Grants_.done(Context_.Id_, sample(!Broken));
+    ServedSample Sample = sample(!Broken);
+    if (!Broken)
+      addFingerprint(Context_, Sample);
+    else
+      co_await addCrashEvidence(Context_, Ready_.Server_, Broken->Code_,
+                                Sample);
+    Context_.Services_.Grants_.done(Context_.Id_, Sample);
     if (Broken)
       co_await answerIncomplete(std::move(*Broken));
     else
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -42,7 +42,14 @@
 /// this; the jitter takes off at most the same fraction of the delay.
 constexpr int RetryDelayDivisor = 3;
 
-CellId cellFor(const RequestContext &Context, int Attempt) {
+RequestStanding standingOf(RequestContext &Context) {
+  auto Known = Context.Services_.Crashes_.snapshot();
+  if (Known->empty())
+    return RequestStanding::Unsuspected;
+  return Known->standing(Context.fingerprint(), steady_clock::now());
+}
+
+CellId cellFor(RequestContext &Context, int Attempt) {
   std::uint32_t Count = cellCount(*Context.Pool_);
   // Requests that share their first block go to the same cell, whose engines
   // may have the block cached. For forwarded prompts the last part is used
@@ -52,6 +59,10 @@
       Context.Prefix_.empty() ? Context.Id_.Sequence_ : Context.Prefix_.front();
   if (!Context.Call_.Parts_.empty())
     Affinity = Context.Call_.Parts_.back().Id_;
+  // All copies of a suspected request must have the same keeper, which runs one
+  // at a time.
+  if (standingOf(Context) != RequestStanding::Unsuspected)
+    Affinity = Context.fingerprint().Low_;
   auto Step = static_cast<std::uint32_t>(Attempt);
   std::uint32_t Index = (cellForKey(*Context.Pool_, Affinity) + Step) % Count;
   return {Context.document().Service_, Context.Pool_->Name_, Index};
@@ -71,6 +82,7 @@
   Request.Parts_ = Context.Call_.Parts_;
   Request.NonIdempotent_ = Context.Route_->NonIdempotent_;
   Request.Excluded_ = Excluded;
+  Request.Fingerprint_ = Context.Fingerprint_;
   if (Context.Route_->Forwarding_) {
     const ForwardingRule &Rule = *Context.Route_->Forwarding_;
     RequestTimes Times{Context.Started_, Context.Deadline_,
@@ -220,6 +232,10 @@
   });
   std::vector<ServerName> Excluded = std::move(Options.Excluded_);
   Verdict Ended = notRun(ResultCode::ConnectFailed);
+  if (auto Refused = checkCrashes(Context)) {
+    Context.State_.tryGiveUp();
+    co_return std::move(*Refused);
+  }
   std::uint32_t Cells = cellCount(*Context.Pool_);
   std::uint32_t CellTries = 0;
   for (int Try = 0; Try < MaxGrantRequests && !Context.expired(); ++Try) {
@@ -243,7 +259,9 @@
       Ended.RetryAfter_ = Answer->RetryAfter_;
       // Another cell of the pool may have capacity for the request.
       bool MoreCells = ++CellTries < Cells;
-      if (MoreCells && Answer->Code_ != ResultCode::ShedForHigherTier)
+      bool OtherCellMayGrant = Answer->Code_ != ResultCode::ShedForHigherTier &&
+                               Answer->Code_ != ResultCode::CrashesServers;
+      if (MoreCells && OtherCellMayGrant)
         continue;
       break;
     }
@@ -280,6 +298,8 @@
     }
     if (Options.BeforeDispatch_)
       Refused = Options.BeforeDispatch_();
+    if (!Refused)
+      Refused = checkCrashes(Context);
     // After a pause of this process the event for the caller's disconnect may
     // still be queued in the event loop. Engines would then get requests whose
     // callers left during the pause, so the caller's connection is checked
@@ -342,6 +362,12 @@
   return std::nullopt;
 }
 
+std::optional<Verdict> checkCrashes(RequestContext &Context) {
+  if (standingOf(Context) != RequestStanding::Refused)
+    return std::nullopt;
+  return notRun(ResultCode::CrashesServers);
+}
+
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber) {
   HttpRequest Request = endToEndRequest(Context.Exchange_.request());
   Request.Fields_.erase("x-request-timeout-ms");
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -5,6 +5,7 @@
 #include "Common/RequestFingerprint.h"
 #include "Connection/BackendConnections.h"
 #include "Process/Configuration/FreshnessLease.h"
+#include "Process/Keeping/CrashTracker.h"
 #include "Process/Keeping/GrantClient.h"
 #include "Request/ClaimStore.h"
 #include "Request/FinalAnswer.h"
@@ -38,6 +39,8 @@
   GrantClient &Grants_;
   ClaimStore &Claims_;
   BackendConnections &Connections_;
+  /// Only snapshot() is called here.
+  const CrashTracker &Crashes_;
   VmId Vm_;
   Incarnation Incarnation_;
   /// True while the process that made a claim may still be running.
@@ -151,6 +154,9 @@
 /// request's id, customer and trace.
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber);
 
+/// \returns a verdict if servers crashed each time that they ran the request.
+std::optional<Verdict> checkCrashes(RequestContext &Context);
+
 /// Serves a request of a model pool.
 Awaitable<void> runModelCall(RequestContext &Context);
 /// Serves a request of an application pool.
--- /dev/null
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -0,0 +1,111 @@
+/// \file
+/// Tests how daemons of a large fleet learn which requests crash servers, in
+/// virtual time.
+
+#include "UnitTests/Process/Membership/SimulatedFleet.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ranges>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t FleetSize = 300;
+/// Within this time each daemon in touch must know.
+constexpr milliseconds ContactTime{3000};
+
+RequestFingerprint request(std::uint64_t Number) { return {1, Number}; }
+
+/// Three servers crash under the request, each seen by another daemon.
+void crashThree(SimulatedFleet &Fleet, const RequestFingerprint &Request) {
+  for (std::size_t Index : std::views::iota(0U, 3U)) {
+    ServedSample Sample;
+    Sample.Crashed_ = true;
+    Sample.Fingerprint_ = Request;
+    Sample.Duration_ = milliseconds(100);
+    Fleet.crashes(Index).requestEnded(
+        ServerName(fmt::format("server-{}", Index)), Sample);
+    Fleet.runFor(milliseconds(500));
+  }
+}
+
+} // namespace
+
+TEST_CASE("a request that crashed three servers is refused by all daemons in "
+          "time") {
+  // Guards against a verdict that stays with the daemons that saw the crashes.
+  SimulatedFleet::Options Options;
+  Options.LossPercent_ = 3;
+  SimulatedFleet Fleet(FleetSize, Options);
+  Fleet.runFor(seconds(2));
+  crashThree(Fleet, request(1));
+  auto Time = Fleet.runUntil(
+      [&] { return Fleet.refusing(request(1)) == FleetSize; }, seconds(30));
+  MESSAGE("refused by all " << Time.count() + 500
+                            << " ms after the last crash");
+  CHECK(Time + milliseconds(500) <= ContactTime);
+}
+
+TEST_CASE("a daemon that starts later learns which requests are refused") {
+  // Guards against a verdict that is only pushed when it is new.
+  SimulatedFleet Fleet(FleetSize, {});
+  constexpr std::uint64_t Refused = 12;
+  for (std::uint64_t Number = 1; Number <= Refused; ++Number)
+    crashThree(Fleet, request(Number));
+  Fleet.runFor(seconds(10));
+  Fleet.kill(200);
+  Fleet.runFor(seconds(5));
+  Fleet.restart(200);
+  auto KnowsAll = [&] {
+    return std::ranges::all_of(std::views::iota(std::uint64_t{1}, Refused + 1),
+                               [&](std::uint64_t Number) {
+                                 return Fleet.crashes(200).standing(
+                                            request(Number)) ==
+                                        RequestStanding::Refused;
+                               });
+  };
+  auto Time = Fleet.runUntil(KnowsAll, seconds(30));
+  MESSAGE("known " << Time.count() << " ms after the start");
+  CHECK(Time <= ContactTime);
+}
+
+TEST_CASE("daemons that come back from a cut learn which requests are "
+          "refused") {
+  // Guards against a daemon that sends a refused request after a cut.
+  SimulatedFleet Fleet(FleetSize, {});
+  Fleet.runFor(seconds(2));
+  constexpr std::size_t CutOff = 20;
+  for (std::size_t Index = 100; Index < 100 + CutOff; ++Index)
+    Fleet.setSide(Index, 1);
+  crashThree(Fleet, request(1));
+  Fleet.runFor(seconds(8));
+  CHECK(Fleet.refusing(request(1)) == FleetSize - CutOff);
+  for (std::size_t Index = 100; Index < 100 + CutOff; ++Index)
+    Fleet.setSide(Index, 0);
+  auto Time = Fleet.runUntil(
+      [&] { return Fleet.refusing(request(1)) == FleetSize; }, seconds(30));
+  MESSAGE("refused by all " << Time.count() << " ms after the cut");
+  CHECK(Time <= ContactTime);
+}
+
+TEST_CASE("a calm fleet spends nothing on what all daemons know") {
+  // Guards against records that are sent forever.
+  SimulatedFleet Fleet(FleetSize, {});
+  Fleet.runFor(seconds(10));
+  auto BytesIn = [&](seconds Duration) {
+    std::uint64_t Before = Fleet.bytesSent();
+    Fleet.runFor(Duration);
+    return Fleet.bytesSent() - Before;
+  };
+  std::uint64_t Calm = BytesIn(seconds(10));
+  crashThree(Fleet, request(1));
+  Fleet.runFor(seconds(10));
+  CHECK(BytesIn(seconds(10)) < Calm + Calm / 20);
+}
--- a/UnitTests/Process/Membership/SimulatedFleet.cpp
+++ b/UnitTests/Process/Membership/SimulatedFleet.cpp
@@ -74,6 +74,23 @@
   Hooks.VersionSeen_ = [](const VmId &, const wire::ServiceVersionT &) {};
   Hooks.Floors_ = [] { return std::vector<PoolFloor>(); };
   Hooks.FloorSeen_ = [](const PoolFloor &) {};
+  Target.Crashes_ = std::make_unique<CrashTracker>([this] { return Now_; });
+  CrashTracker &Crashes = *Target.Crashes_;
+  Hooks.CrashDigest_ = [&Crashes] { return Crashes.digest(); };
+  Hooks.CrashRecords_ = [&Crashes](bool Differs) {
+    return Crashes.recordsToSend(Differs);
+  };
+  Hooks.CrashSeen_ = [&Crashes](const wire::CrashRecordT &Received) {
+    Crashes.recordReceived(Received);
+  };
+  CrashTracker::Hooks CrashHooks;
+  CrashHooks.Spread_ = [this, Index, Process = Target.Process_] {
+    plan(Now_, [this, Index, Process] {
+      if (Nodes_[Index]->Process_ == Process)
+        Nodes_[Index]->Protocol_->spreadUpdates(Now_);
+    });
+  };
+  Crashes.setHooks(std::move(CrashHooks));
   Target.Protocol_ = std::make_unique<MembershipProtocol>(
       *Target.Members_, MembershipProtocol::Options(), std::move(Hooks),
       [this, Index](const Endpoint &To, std::string Datagram) {
@@ -199,6 +216,14 @@
       }));
 }
 
+std::size_t SimulatedFleet::refusing(const RequestFingerprint &Request) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Nodes_, [&](const auto &Known) {
+        return Known->Alive_ &&
+               Known->Crashes_->standing(Request) == RequestStanding::Refused;
+      }));
+}
+
 std::size_t SimulatedFleet::falseViews() const {
   std::size_t Pairs = 0;
   for (const auto &Viewer : Nodes_) {
--- a/UnitTests/Process/Membership/SimulatedFleet.h
+++ b/UnitTests/Process/Membership/SimulatedFleet.h
@@ -4,6 +4,7 @@
 /// network with delays, losses and partitions, and on slow VMs. The simulation
 /// is deterministic for a given seed.
 
+#include "Process/Keeping/CrashTracker.h"
 #include "Process/Membership/MembershipProtocol.h"
 
 #include <pcg_random.hpp>
@@ -60,6 +61,10 @@
   std::size_t size() const { return Nodes_.size(); }
   bool alive(std::size_t Index) const { return Nodes_[Index]->Alive_; }
   MemberTable &members(std::size_t Index) { return *Nodes_[Index]->Members_; }
+  /// The requests that crash servers, as the daemon knows them.
+  CrashTracker &crashes(std::size_t Index) { return *Nodes_[Index]->Crashes_; }
+  /// Returns the number of live daemons that refuse the request.
+  std::size_t refusing(const RequestFingerprint &Request) const;
   /// Returns the number of live daemons whose view of \p Target is \p Status.
   std::size_t viewsOf(std::size_t Target, MemberStatus Status) const;
   /// Returns the number of pairs of live daemons of which one does not know the
@@ -81,6 +86,7 @@
     Member Self_;
     std::unique_ptr<MemberTable> Members_;
     std::unique_ptr<MembershipProtocol> Protocol_;
+    std::unique_ptr<CrashTracker> Crashes_;
     bool Alive_ = true;
     int Side_ = 0;
     double Slowness_ = 1;
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -205,6 +205,10 @@
     return std::optional(VmId("vm"));
   };
   ClientHooks.Check_ = [](const VmId &) {};
+  ClientHooks.Ended_ = [this](const ServerName &Server,
+                              const ServedSample &Sample) {
+    Crashes_.requestEnded(Server, Sample);
+  };
   Grants_ = std::make_unique<GrantClient>(Context_, VmId("vm"),
                                           std::move(ClientHooks));
   KeeperService::Hooks Hooks;
@@ -216,6 +220,9 @@
   Hooks.IsKeeper_ = [](const CellId &) { return true; };
   Hooks.LiveShare_ = [] { return 1.0; };
   Hooks.FloorRaised_ = [] {};
+  Hooks.StandingOf_ = [this](const RequestFingerprint &Request) {
+    return Crashes_.standing(Request);
+  };
   KeeperService::Options Keeping;
   Keeping.Scheduling_.GuaranteedShare_ = 0.5;
   Keeping.Scheduling_.RefuseInfeasible_ = false;
@@ -246,6 +253,7 @@
           *Grants_,
           Claims_,
           Connections_,
+          Crashes_,
           VmId("vm"),
           Incarnation(1),
           [](const VmId &, Incarnation) { return true; },
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -158,6 +158,7 @@
   PlatformHooks NoPlatform_;
   ClaimStore Claims_{NoPlatform_, ClaimStore::Options()};
   RetryBudget RetryBudget_{RetryBudget::Options()};
+  CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
   BackendConnections Connections_{BackendConnections::Options()};
   std::unique_ptr<KeeperService> Keeper_;
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -147,6 +147,7 @@
             *Grants_,
             Claims_,
             Connections_,
+            Crashes_,
             Self,
             Incarnation(1),
             [](const VmId &, Incarnation) { return true; },
@@ -169,6 +170,7 @@
   RetryBudget RetryBudget_{RetryBudget::Options()};
   ForwardingDialect Dialect_ = defaultDialect();
   BackendConnections Connections_{BackendConnections::Options()};
+  CrashTracker Crashes_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
   std::unique_ptr<CallerService> Callers_;
