--- a/FailureTests/ChildProcess.h
+++ b/FailureTests/ChildProcess.h
@@ -37,6 +37,8 @@
   std::string readAll();
   void signal(int Number);
   void kill();
+  /// The process may end by this signal without the test sending it.
+  void expectSignal(int Number) { SentSignals_.insert(Number); }
   void freeze();
   void resume();
   /// Waits for the process to end. The caller has to check the exit status; a
@@ -60,7 +62,7 @@
   std::size_t LogBegin_ = 0;
   pid_t Pid_ = -1;
   int Output_ = -1;
-  std::set<int> SentSignals_; ///< Signals that the test sent.
+  std::set<int> SentSignals_; ///< Signals that the test sent or expects.
 };
 
 } // namespace samphireshunt::tests
--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -33,6 +33,13 @@
 constexpr milliseconds SilentEntryTime{3600};
 /// DrainBound applies only if the store has had no fault for this time.
 constexpr milliseconds FaultFreeStoreTime{5000};
+/// The start of a body that crashes each engine that runs it.
+constexpr std::string_view CrashingBody = "crash";
+/// A request that has crashed this many engines reaches at most MaxRetriesAfter
+/// more, not counting the ContactTime in which all daemons learn of it.
+constexpr std::size_t CrashesBeforeRefusal = 3;
+constexpr std::ptrdiff_t MaxRetriesAfter = 3;
+constexpr milliseconds ContactTime{3000};
 
 const char *requestPath(SoakKind Kind) {
   switch (Kind) {
@@ -92,6 +99,7 @@
   std::unique_ptr<HttpServer> Server_;
   Time Leaving_;
   bool Removed_ = false;
+  bool Crashed_ = false;
 };
 
 SoakEnvironment::SoakEnvironment(std::uint64_t Seed)
@@ -186,6 +194,8 @@
 Awaitable<void> SoakEnvironment::serve(Engine &Self, HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   std::string CallId = Request.field("x-samphireshunt-request-id");
+  if (Self.Crashed_)
+    co_return Exchange.abort();
   HttpResponse Answer;
   Answer.Fields_["x-samphireshunt-request-id"] = CallId;
   bool WrongInstance =
@@ -207,9 +217,14 @@
                           ": reached a leaving engine after the drain bound");
   if (!Request.field("authorization").empty())
     Violations_.push_back(CallId + ": the key was forwarded to the engine");
-  Runs_.push_back(
-      {CallId, Self.Id_, Request.field("x-samphireshunt-tenant"), Now});
+  Runs_.push_back({CallId, Self.Id_, Request.field("x-samphireshunt-tenant"),
+                   Request.Body_, Now});
   ++RunCounts_[CallId];
+  if (Request.Body_.starts_with(CrashingBody)) {
+    co_await sleep(milliseconds(pick(100)));
+    crash(Self);
+    co_return Exchange.abort();
+  }
   bool Stream = Request.path().starts_with("/stream") ||
                 Request.path().starts_with("/resumable");
   if (EngineFaults_ && pick(Percent) < 4)
@@ -219,6 +234,8 @@
   if (Stream)
     co_return co_await serveStream(Self, Exchange, std::move(CallId));
   co_await sleep(milliseconds(2 + pick(20)));
+  if (Self.Crashed_)
+    co_return Exchange.abort();
   Answer.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
   Answer.Body_ = "answer to " + CallId;
   if (EngineFaults_ && pick(Percent) < 5)
@@ -241,6 +258,8 @@
   for (int Number = First; Open && Number <= EventCount; ++Number) {
     co_await sleep(milliseconds(2 + pick(15)));
     std::string Event = eventText(CallId, Number);
+    if (Self.Crashed_)
+      co_return Exchange.abort();
     bool Cut = EngineFaults_ && pick(Percent) < 2;
     if (Cut)
       Event.resize(Event.size() / 2);
@@ -309,7 +328,8 @@
 
 Awaitable<SoakCall>
 SoakEnvironment::callOnce(SoakKind Kind, std::string Key, Endpoint To,
-                          std::unique_ptr<HttpConnection> &Connection) {
+                          std::unique_ptr<HttpConnection> &Connection,
+                          std::string Body) {
   constexpr milliseconds Limit{3000};
   SoakCall Seen;
   Seen.Id_ = fmt::format("c-{}", NextId_++);
@@ -319,6 +339,7 @@
   HttpRequest Request;
   Request.Method_ = Kind == SoakKind::Safe ? "GET" : "POST";
   Request.Target_ = requestPath(Kind);
+  Request.Body_ = std::move(Body);
   Request.Fields_ = {{"host", "soak.example"},
                      {"x-samphireshunt-request-id", Seen.Id_},
                      {"x-samphireshunt-deadline-ms", "2500"},
@@ -481,6 +502,72 @@
   });
 }
 
+/// Ends an engine as a crash does: connections break, new ones are refused, and
+/// its entry disappears later. A new engine starts after a while.
+void SoakEnvironment::crash(Engine &Target) {
+  if (std::exchange(Target.Crashed_, true))
+    return;
+  Target.Server_->stopAccepting();
+  auto Replace = [this, &Target]() -> Awaitable<void> {
+    constexpr milliseconds EntryExpiry{1000};
+    co_await sleep(EntryExpiry);
+    Target.Removed_ = true;
+    Store_.remove("servers/" + Target.Id_);
+    addEngine();
+  };
+  asio::co_spawn(Context_, std::move(Replace), asio::detached);
+}
+
+void SoakEnvironment::sendCrashingRequest() {
+  run([&] {
+    auto Send = [this, Body = fmt::format("{}-{}", CrashingBody, NextId_++)]() {
+      return crashingCaller(Body);
+    };
+    asio::co_spawn(Context_, std::move(Send), asio::detached);
+  });
+}
+
+Awaitable<void> SoakEnvironment::crashingCaller(std::string Body) {
+  auto Kind = static_cast<SoakKind>(pick(4));
+  // The request comes under one key, in some rounds at all daemons at once.
+  std::string Key = *ActiveKeys_.rbegin();
+  constexpr int Rounds = 12;
+  for (int Round = 0; CallersRunning_ && Round < Rounds; ++Round) {
+    bool AtAll = pick(4) == 0;
+    std::size_t Chosen = pick(static_cast<std::uint32_t>(Daemons_.size()));
+    for (std::size_t Index = 0; Index < Daemons_.size(); ++Index) {
+      if (!Daemons_[Index] || (!AtAll && Index != Chosen))
+        continue;
+      auto Call = [this, Kind, Key, Body,
+                   To = *Daemons_[Index]]() -> Awaitable<void> {
+        std::unique_ptr<HttpConnection> Connection;
+        SoakCall Seen = co_await callOnce(Kind, Key, To, Connection, Body);
+        Calls_.push_back(std::move(Seen));
+      };
+      asio::co_spawn(Context_, std::move(Call), asio::detached);
+    }
+    co_await sleep(milliseconds(100 + pick(900)));
+  }
+}
+
+void SoakEnvironment::checkCrashes(std::vector<std::string> &Violations) const {
+  std::map<std::string, std::vector<Time>> Reached;
+  for (const SoakRun &Run : Runs_)
+    if (Run.Body_.starts_with(CrashingBody))
+      Reached[Run.Body_].push_back(Run.At_);
+  for (const auto &[Body, Times] : Reached) {
+    if (Times.size() <= CrashesBeforeRefusal)
+      continue;
+    Time Known = Times[CrashesBeforeRefusal - 1] + ContactTime;
+    auto Late =
+        std::ranges::count_if(Times, [&](Time At) { return At > Known; });
+    if (Late > MaxRetriesAfter)
+      Violations.push_back(
+          fmt::format("{}: reached engines {} times after it had crashed three",
+                      Body, Late));
+  }
+}
+
 std::vector<std::string> SoakEnvironment::probeAll() {
   std::promise<std::vector<std::string>> Done;
   auto Probe = [&]() -> Awaitable<void> {
@@ -531,6 +618,7 @@
   std::vector<std::string> Violations;
   run([&] {
     Violations = Violations_;
+    checkCrashes(Violations);
     std::map<std::string, const SoakCall *> ById;
     for (const SoakCall &Call : Calls_) {
       ById[Call.Id_] = &Call;
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -38,6 +38,7 @@
   std::string CallId_;
   std::string Engine_;
   std::string Customer_;
+  std::string Body_;
   std::chrono::steady_clock::time_point At_;
 };
 
@@ -76,6 +77,9 @@
   /// some seconds later.
   void replaceEngine();
   void changeConfiguration();
+  /// Sends a new request that crashes each engine that runs it, again and again
+  /// for a while. A crashed engine is replaced by a new one.
+  void sendCrashingRequest();
 
   /// Sends a valid request of each kind to every daemon.
   /// \returns descriptions of the failed ones.
@@ -97,6 +101,8 @@
   /// Runs \p Work on the thread of this object and waits until it is done.
   void run(std::function<void()> Work);
   void addEngine();
+  void crash(Engine &Target);
+  Awaitable<void> crashingCaller(std::string Body);
   void writeConfiguration();
   void publish(const Engine &Target);
   Awaitable<void> restoreBackup(std::chrono::milliseconds Away);
@@ -109,9 +115,12 @@
                               std::string CallId);
   Awaitable<void> caller(std::uint64_t Number);
   Awaitable<SoakCall> callOnce(SoakKind Kind, std::string Key, Endpoint To,
-                               std::unique_ptr<HttpConnection> &Connection);
+                               std::unique_ptr<HttpConnection> &Connection,
+                               std::string Body = {});
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   void check(const SoakCall &Call, std::vector<std::string> &Violations) const;
+  /// Checks how often requests that crash engines reached engines.
+  void checkCrashes(std::vector<std::string> &Violations) const;
   /// \returns whether an engine that began to leave at \p Since may still get
   /// the call: the daemon of the call was paused before it had to know this and
   /// has resumed only recently.
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -15,7 +15,7 @@
 SoakFleet::SoakFleet(std::uint64_t Seed, SoakEnvironment &Environment,
                      bool RestoreCopies)
     : Environment_(Environment), Random_(Seed), RestoreRandom_(Seed, 1),
-      RestoreCopies_(RestoreCopies),
+      RestoreCopies_(RestoreCopies), CrashRandom_(Seed, 2),
       DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
@@ -104,8 +104,16 @@
   }
 }
 
+/// A draw of its own, so that seeds select the same other faults as before.
+void SoakFleet::sendCrashingRequest() {
+  constexpr std::uint32_t OneIn = 12;
+  if (CrashRandom_(OneIn) == 0)
+    Environment_.sendCrashingRequest();
+}
+
 void SoakFleet::injectFault() {
   copyOrRestoreStore();
+  sendCrashingRequest();
   std::size_t Index = Random_(Daemons);
   switch (Random_(11)) {
   case 0:
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -42,6 +42,7 @@
   void pause(std::size_t Index);
   void disruptStore();
   void copyOrRestoreStore();
+  void sendCrashingRequest();
 
   SoakEnvironment &Environment_;
   pcg32 Random_;
@@ -49,6 +50,7 @@
   /// faults of a seed.
   pcg32 RestoreRandom_;
   bool RestoreCopies_;
+  pcg32 CrashRandom_;
   std::size_t DaemonsPerReader_;
   TestFolder Folder_; ///< The daemons' logs.
   std::array<std::unique_ptr<ChildProcess>, Daemons> Processes_;
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -141,6 +141,12 @@
     Metrics_.setGauge("bad_store_eras",
                       static_cast<double>(Follower_->badEras()));
   }
+  const CrashHistory &Crashes = Crashes_.history();
+  Metrics_.setGauge("crashing_requests_known",
+                    static_cast<double>(Crashes.snapshot().Records_.size()));
+  Metrics_.setGauge(
+      "crashing_requests_refused",
+      static_cast<double>(Crashes.refused(std::chrono::steady_clock::now())));
   Metrics_.setGauge("traces_dropped", static_cast<double>(Traces_->dropped()));
   Metrics_.setGauge("control_bytes_sent",
                     static_cast<double>(Membership_->protocol().bytesSent() +
--- a/Source/Programs/RequestTimeline.cpp
+++ b/Source/Programs/RequestTimeline.cpp
@@ -21,6 +21,9 @@
 struct ReadLine {
   LogLine Line_;
   double Seconds_ = 0; ///< Since the start of its day.
+  std::string Fingerprint_;
+  /// The daemon itself saw a server crash under a request, or complete it.
+  bool OfCrash_ = false;
 };
 
 std::string valueText(const Json &Value) {
@@ -40,6 +43,9 @@
   Read.Line_.OfRequest_ =
       Line.value("request", "") == Id || Line.value("call", "") == Id;
   Read.Seconds_ = secondsOfDay(Read.Line_.Time_);
+  Read.Fingerprint_ = Line.value("fingerprint", "");
+  Read.OfCrash_ = Read.Line_.Event_ == "request-crashes" &&
+                  !Line.value("server", "").empty();
   for (const auto &[Name, Value] : Line.items())
     if (!CommonFields.contains(Name))
       Read.Line_.Fields_ += fmt::format(" {}={}", Name, valueText(Value));
@@ -75,13 +81,20 @@
   double First = std::ranges::find_if(All, IsOfRequest)->Seconds_;
   auto Last = std::find_if(All.rbegin(), All.rend(), IsOfRequest);
   std::set<std::string> Vms;
+  std::set<std::string> Fingerprints;
   for (const ReadLine &Read : All)
-    if (Read.Line_.OfRequest_)
+    if (Read.Line_.OfRequest_) {
       Vms.insert(Read.Line_.Vm_);
+      Fingerprints.insert(Read.Fingerprint_);
+    }
+  Fingerprints.erase("");
   for (ReadLine &Read : All) {
     bool WithinContext = Read.Seconds_ >= First - ContextSeconds &&
                          Read.Seconds_ <= Last->Seconds_;
-    if (Read.Line_.OfRequest_ ||
+    // Crashes under earlier copies, whenever and wherever they were seen.
+    bool ExplainsRefusal =
+        Read.OfCrash_ && Fingerprints.contains(Read.Fingerprint_);
+    if (Read.Line_.OfRequest_ || ExplainsRefusal ||
         (WithinContext && Vms.contains(Read.Line_.Vm_)))
       Timeline.Lines_.push_back(std::move(Read.Line_));
   }
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -342,6 +342,46 @@
   's/ \* Seconds \+ Overflow;/ * Seconds;/' \
   ${U}AllotmentOfManyCells '*'
 
+mutate crash-refused $S/Process/Scheduling/CrashHistory.cpp \
+  's/CrashesToRefuse = 3/CrashesToRefuse = 1000/' \
+  ${U}CrashingRequest '*stops reaching them*'
+mutate crash-evidence $S/Request/CrashEvidence.cpp \
+  's/Port != PortState::Refused/false/' \
+  ${U}CrashingRequest '*lost connection alone*'
+mutate crash-leaving $S/Request/CrashEvidence.cpp \
+  's/!Lost \|\| !Active/!Lost/' \
+  ${U}CrashingRequest '*leaving server that ends*'
+mutate crash-final $S/Request/FinalAnswer.cpp \
+  's/bool Overload = Number >= 200/bool Overload = Number >= 113/' \
+  ${U}CrashingRequest '*refusal is final*'
+mutate crash-together $S/Process/Scheduling/CrashHistory.cpp \
+  's/Crash\.Dispatched_ >= Starts\.back\(\)\.At_/Crash.Dispatched_ != TimePoint()/' \
+  ${U}Process '*crash together*'
+mutate crash-longer $S/Process/Scheduling/CrashHistory.cpp \
+  's/RefusalFactor = 4/RefusalFactor = 1/' \
+  ${U}Process '*each further crash makes it longer*'
+mutate crash-cleared $S/Process/Scheduling/CrashHistory.cpp \
+  's/(CrashHistory::recordCompleted[^{]*\{\n)/$1  return false;\n/' \
+  ${U}Process '*popular request is served on*'
+mutate crash-copies $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/(bool Scheduler::isCopyRunning[^{]*\{\n)/$1  return false;\n/; s/    if \(Other\.Fingerprint_ == Request\.Fingerprint_\)\n      return true;\n//' \
+  ${U}Process '*one runs at a time*'
+mutate crash-suspects-apart $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/return Other\.Server_ == Server\.capacity\(\)\.Name_ &&\s+StandingOf_\(Other\.Fingerprint_\) != RequestStanding::Unsuspected;/return false;/' \
+  ${U}Process '*share servers with one*'
+mutate crash-own-turn $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/    if \(isCopyRunning\(Details\)\)\n      continue;\n//' \
+  ${U}Process "*hold up their caller's other*"
+mutate crash-digest $S/Process/Membership/MembershipProtocol.cpp \
+  's/Probe\.crash_digest != Hooks_\.CrashDigest_\(\)/false/' \
+  ${U}MembershipFleet '*starts later learns*'
+mutate crash-news $S/Process/Keeping/CrashTracker.cpp \
+  's/  Hooks_\.Spread_\(\);\n//; s/Differs \? /true ? std::vector<CrashRecord>() : Differs ? /' \
+  ${U}MembershipFleet '*refused by all daemons in*'
+mutate crash-known-parts $S/Common/RequestFingerprint.cpp \
+  "s/std::to_string\\(Part\\.size\\(\\)\\) \\+ ':'/std::string()/" \
+  ${U}Common '*share a fingerprint*'
+
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
 }
--- a/UnitTests/Programs/RequestTimelineTest.cpp
+++ b/UnitTests/Programs/RequestTimelineTest.cpp
@@ -43,3 +43,16 @@
   CHECK(timelineOf("c-1").Lines_.size() == 2);
   CHECK_FALSE(timelineOf("c-9").Found_);
 }
+
+TEST_CASE("a refusal for crashes is explained by the crashes that were seen") {
+  // Guards against an operator who sees code 113 and not why.
+  std::istringstream Stream(
+      R"({"time":"2026-06-17T08:20:00.000+00:00","vm":"vm-3","event":"request-crashes","fingerprint":"f","server":"s-1"}
+{"time":"2026-06-17T08:20:00.100+00:00","vm":"vm-1","event":"request-crashes","fingerprint":"f","server":""}
+{"time":"2026-06-17T08:21:00.000+00:00","vm":"vm-3","event":"request-crashes","fingerprint":"g","server":"s-2"}
+{"time":"2026-06-17T08:29:00.000+00:00","vm":"vm-1","event":"ended","request":"r-1","code":"113","fingerprint":"f"}
+)");
+  auto Timeline = readTimeline(Stream, "r-1", 10);
+  REQUIRE(Timeline.Lines_.size() == 2);
+  CHECK(Timeline.Lines_[0].Vm_ == "vm-3");
+}
--- a/standins/ApplicationEngine.cpp
+++ b/standins/ApplicationEngine.cpp
@@ -10,6 +10,8 @@
 #include <absl/flags/parse.h>
 #include <fmt/format.h>
 
+#include <csignal>
+
 ABSL_FLAG(std::string, address, "127.0.0.1:0", "IP:port to listen on.");
 ABSL_FLAG(std::string, name, "application", "The engine's name.");
 ABSL_FLAG(std::string, ledger, "", "File to append the ledger to.");
@@ -70,6 +72,8 @@
       co_return;
     }
     Ledger_.write("ran", Id, Nonce, Extra);
+    if (Nonce.starts_with(CrashingNonce))
+      std::raise(SIGKILL);
     co_await sleepFor(ServiceTime_ + milliseconds(Faults_.DelayMs_));
     Ledger_.write("finished", Id, Nonce, Extra);
     if (consumeFault(Faults_.Silent_))
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -22,6 +22,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <csignal>
 #include <deque>
 #include <list>
 #include <map>
@@ -173,6 +174,10 @@
       co_await Exchange.respond(jsonAnswer(503, Json::object()));
       co_return;
     }
+    if (Nonce.starts_with(CrashingNonce)) {
+      Ledger_.write("ran", Id, Nonce);
+      std::raise(SIGKILL);
+    }
     RunPointer Added = admit(Id, Nonce, Body);
     co_await stream(Exchange, Added, 0);
   }
--- a/standins/StandinMain.h
+++ b/standins/StandinMain.h
@@ -10,11 +10,15 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 
 namespace samphireshunt::standins {
 
 using Json = nlohmann::json;
 
+/// The start of a nonce with which a request ends the engine that runs it.
+inline constexpr std::string_view CrashingNonce = "crash";
+
 /// Serves \p Handler on \p Address until SIGTERM or SIGINT.
 /// \returns the exit status: 2 when the address is invalid or can't be bound.
 int serve(boost::asio::io_context &Context, const std::string &Address,
