--- a/UnitTests/Request/CrashingRequestTest.cpp
+++ b/UnitTests/Request/CrashingRequestTest.cpp
@@ -64,7 +64,8 @@
   auto Reset = [](const std::string &, std::size_t) {
     return Script{"", Script::Then::Reset};
   };
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent), {Reset, Reset});
+  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+                         std::vector<ScriptOf>(Servers, Reset));
   for (std::size_t Attempt = 0; Attempt < Servers; ++Attempt)
     CHECK(fieldIn(Path.call("c" + std::to_string(Attempt)).Bytes_,
                   "x-result-code") != "113");
