Servers get no more requests than the rate that they name

What the users' servers saw: a server in need that named 1.4 requests a second in its answers went on to get 4 to 6 a second.

Cause: nothing read the field; a limit of a server was not a notion of ours.

Now the dialect decodes the rate once (a decimal number; anything else is logged with code 306 and changes nothing), the ingress daemon reports it as soon as the head of an answer is read, and the keeper that grants all requests of the server counts them: it may send at the named rate, with a quarter of a second of burst, and begins with none. The rate is part of whether a server has room, so other servers take the rest. An answer without it ends the limit if its request was granted after the rate was last named, a new process of the server too; a server that names less than 0.25 a second still gets that much, since only its answers tell the end. Ingress daemons remember the limits that they saw for a minute and tell a cell's new keeper before they ask it; a daemon that stands in for a keeper uses half the rate.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -38,6 +38,10 @@
 struct GrantBuilder;
 struct GrantT;
 
+struct ServerLimit;
+struct ServerLimitBuilder;
+struct ServerLimitT;
+
 struct Refuse;
 struct RefuseBuilder;
 struct RefuseT;
@@ -144,11 +148,12 @@
   State = 16,
   TextAsk = 17,
   TextPart = 18,
+  ServerLimit = 19,
   MIN = NONE,
-  MAX = TextPart
+  MAX = ServerLimit
 };
 
-inline const Body (&EnumValuesBody())[19] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -168,13 +173,14 @@
     Body::Follow,
     Body::State,
     Body::TextAsk,
-    Body::TextPart
+    Body::TextPart,
+    Body::ServerLimit
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[20] = {
+  static const char * const names[21] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -194,13 +200,14 @@
     "State",
     "TextAsk",
     "TextPart",
+    "ServerLimit",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TextPart)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ServerLimit)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -281,6 +288,10 @@
   static const Body enum_value = Body::TextPart;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::ServerLimit> {
+  static const Body enum_value = Body::ServerLimit;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -357,6 +368,10 @@
   static const Body enum_value = Body::TextPart;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::ServerLimitT> {
+  static const Body enum_value = Body::ServerLimit;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -531,6 +546,14 @@
     return type == Body::TextPart ?
       reinterpret_cast<const samphireshunt::wire::TextPartT *>(value) : nullptr;
   }
+  samphireshunt::wire::ServerLimitT *AsServerLimit() {
+    return type == Body::ServerLimit ?
+      reinterpret_cast<samphireshunt::wire::ServerLimitT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::ServerLimitT *AsServerLimit() const {
+    return type == Body::ServerLimit ?
+      reinterpret_cast<const samphireshunt::wire::ServerLimitT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1113,6 +1136,7 @@
   typedef Grant TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
   std::string server{};
+  bool limited = false;
   GrantT() = default;
   GrantT(const GrantT &o);
   GrantT(GrantT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1124,7 +1148,8 @@
   typedef GrantBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_SERVER = 6
+    VT_SERVER = 6,
+    VT_LIMITED = 8
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1132,11 +1157,16 @@
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
   }
+  /// The server named a limit of requests per second when it last answered.
+  bool limited() const {
+    return GetField<uint8_t>(VT_LIMITED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
+           VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
            verifier.EndTable();
   }
   GrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1154,6 +1184,9 @@
   void add_server(flatbuffers::Offset<flatbuffers::String> server) {
     fbb_.AddOffset(Grant::VT_SERVER, server);
   }
+  void add_limited(bool limited) {
+    fbb_.AddElement<uint8_t>(Grant::VT_LIMITED, static_cast<uint8_t>(limited), 0);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1168,26 +1201,151 @@
 inline flatbuffers::Offset<Grant> CreateGrant(
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
-    flatbuffers::Offset<flatbuffers::String> server = 0) {
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    bool limited = false) {
   GrantBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_id(id);
+  builder_.add_limited(limited);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Grant> CreateGrantDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
-    const char *server = nullptr) {
+    const char *server = nullptr,
+    bool limited = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateGrant(
       _fbb,
       id,
-      server__);
+      server__,
+      limited);
 }
 
 flatbuffers::Offset<Grant> CreateGrant(flatbuffers::FlatBufferBuilder &_fbb, const GrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServerLimitT : public flatbuffers::NativeTable {
+  typedef ServerLimit TableType;
+  std::unique_ptr<samphireshunt::wire::Id> id{};
+  std::unique_ptr<samphireshunt::wire::CellT> cell{};
+  std::string server{};
+  bool named = false;
+  double per_second = 0.0;
+  ServerLimitT() = default;
+  ServerLimitT(const ServerLimitT &o);
+  ServerLimitT(ServerLimitT&&) FLATBUFFERS_NOEXCEPT = default;
+  ServerLimitT &operator=(ServerLimitT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a server's answer says about the requests per second that it accepts.
+struct ServerLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerLimitT NativeTableType;
+  typedef ServerLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_CELL = 6,
+    VT_SERVER = 8,
+    VT_NAMED = 10,
+    VT_PER_SECOND = 12
+  };
+  /// The request that was answered; unset in a report to a new keeper.
+  const samphireshunt::wire::Id *id() const {
+    return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
+  }
+  const samphireshunt::wire::Cell *cell() const {
+    return GetPointer<const samphireshunt::wire::Cell *>(VT_CELL);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool named() const {
+    return GetField<uint8_t>(VT_NAMED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_CELL) &&
+           verifier.VerifyTable(cell()) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint8_t>(verifier, VT_NAMED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           verifier.EndTable();
+  }
+  ServerLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerLimitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerLimit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerLimitBuilder {
+  typedef ServerLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(const samphireshunt::wire::Id *id) {
+    fbb_.AddStruct(ServerLimit::VT_ID, id);
+  }
+  void add_cell(flatbuffers::Offset<samphireshunt::wire::Cell> cell) {
+    fbb_.AddOffset(ServerLimit::VT_CELL, cell);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerLimit::VT_SERVER, server);
+  }
+  void add_named(bool named) {
+    fbb_.AddElement<uint8_t>(ServerLimit::VT_NAMED, static_cast<uint8_t>(named), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(ServerLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  explicit ServerLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Id *id = nullptr,
+    flatbuffers::Offset<samphireshunt::wire::Cell> cell = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    bool named = false,
+    double per_second = 0.0) {
+  ServerLimitBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_server(server);
+  builder_.add_cell(cell);
+  builder_.add_id(id);
+  builder_.add_named(named);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Id *id = nullptr,
+    flatbuffers::Offset<samphireshunt::wire::Cell> cell = 0,
+    const char *server = nullptr,
+    bool named = false,
+    double per_second = 0.0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return samphireshunt::wire::CreateServerLimit(
+      _fbb,
+      id,
+      cell,
+      server__,
+      named,
+      per_second);
+}
+
+flatbuffers::Offset<ServerLimit> CreateServerLimit(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RefuseT : public flatbuffers::NativeTable {
   typedef Refuse TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
@@ -3732,6 +3890,9 @@
   const samphireshunt::wire::TextPart *body_as_TextPart() const {
     return body_type() == samphireshunt::wire::Body::TextPart ? static_cast<const samphireshunt::wire::TextPart *>(body()) : nullptr;
   }
+  const samphireshunt::wire::ServerLimit *body_as_ServerLimit() const {
+    return body_type() == samphireshunt::wire::Body::ServerLimit ? static_cast<const samphireshunt::wire::ServerLimit *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3816,6 +3977,10 @@
   return body_as_TextPart();
 }
 
+template<> inline const samphireshunt::wire::ServerLimit *Envelope::body_as<samphireshunt::wire::ServerLimit>() const {
+  return body_as_ServerLimit();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4043,12 +4208,14 @@
 
 inline GrantT::GrantT(const GrantT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
-        server(o.server) {
+        server(o.server),
+        limited(o.limited) {
 }
 
 inline GrantT &GrantT::operator=(GrantT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(server, o.server);
+  std::swap(limited, o.limited);
   return *this;
 }
 
@@ -4063,6 +4230,7 @@
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = limited(); _o->limited = _e; }
 }
 
 inline flatbuffers::Offset<Grant> Grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4075,10 +4243,67 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _limited = _o->limited;
   return samphireshunt::wire::CreateGrant(
       _fbb,
       _id,
-      _server);
+      _server,
+      _limited);
+}
+
+inline ServerLimitT::ServerLimitT(const ServerLimitT &o)
+      : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
+        cell((o.cell) ? new samphireshunt::wire::CellT(*o.cell) : nullptr),
+        server(o.server),
+        named(o.named),
+        per_second(o.per_second) {
+}
+
+inline ServerLimitT &ServerLimitT::operator=(ServerLimitT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(cell, o.cell);
+  std::swap(server, o.server);
+  std::swap(named, o.named);
+  std::swap(per_second, o.per_second);
+  return *this;
+}
+
+inline ServerLimitT *ServerLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ServerLimitT>(new ServerLimitT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerLimit::UnPackTo(ServerLimitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
+  { auto _e = cell(); if (_e) _o->cell = std::unique_ptr<samphireshunt::wire::CellT>(_e->UnPack(_resolver)); }
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = named(); _o->named = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+}
+
+inline flatbuffers::Offset<ServerLimit> ServerLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerLimit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimit(flatbuffers::FlatBufferBuilder &_fbb, const ServerLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerLimitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id ? _o->id.get() : nullptr;
+  auto _cell = _o->cell ? CreateCell(_fbb, _o->cell.get(), _rehasher) : 0;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _named = _o->named;
+  auto _per_second = _o->per_second;
+  return samphireshunt::wire::CreateServerLimit(
+      _fbb,
+      _id,
+      _cell,
+      _server,
+      _named,
+      _per_second);
 }
 
 inline RefuseT::RefuseT(const RefuseT &o)
@@ -5187,6 +5412,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::TextPart *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ServerLimit: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::ServerLimit *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5278,6 +5507,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::TextPart *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ServerLimit: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::ServerLimit *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5357,6 +5590,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::TextPartT *>(value);
       return CreateTextPart(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ServerLimit: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::ServerLimitT *>(value);
+      return CreateServerLimit(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5435,6 +5672,10 @@
       value = new samphireshunt::wire::TextPartT(*reinterpret_cast<samphireshunt::wire::TextPartT *>(u.value));
       break;
     }
+    case Body::ServerLimit: {
+      value = new samphireshunt::wire::ServerLimitT(*reinterpret_cast<samphireshunt::wire::ServerLimitT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5532,6 +5773,11 @@
       delete ptr;
       break;
     }
+    case Body::ServerLimit: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::ServerLimitT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -65,6 +65,7 @@
   CrossedAnswer = 303,
   CancelledForHigherTier = 304,
   ServerError = 305,
+  BadServerLimit = 306,
   // 4xx: idempotency keys and the platform's service.
   ClaimFailed = 400,
   FirstAttemptRunning = 401,
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -34,6 +34,9 @@
 /// If the check itself is delayed by more than this, it is the local VM that is
 /// slow, and no keeper is blamed.
 constexpr milliseconds MaxCheckDelay{50};
+/// How long a server's limit is remembered for a new keeper after the server
+/// last named it to this daemon.
+constexpr std::chrono::seconds LimitMemory{60};
 
 } // namespace
 
@@ -70,6 +73,7 @@
   // with the share of the engines' limits that its partition of the fleet may
   // use.
   Target.Keeper_ = chooseKeeper(Target.Cell_).value_or(Self_);
+  informKeeper(Target.Cell_, Target.Keeper_);
   milliseconds MaxWait = Target.Request_.MaxWait_;
   if (MaxWait.count() > 0)
     Target.AnswerDue_ = steady_clock::now() + MaxWait + AnswerMargin;
@@ -83,6 +87,7 @@
 
 void GrantClient::sendRunning(GrantedRequest &Target) {
   Target.Keeper_ = chooseKeeper(Target.Cell_).value_or(Self_);
+  informKeeper(Target.Cell_, Target.Keeper_);
   if (Target.Keeper_ == Self_)
     return LocalKeeper_->running(Target.Cell_, Target.Request_);
   Hooks_.Send_(Target.Keeper_, encodeRunning(Target.Cell_, Target.Request_));
@@ -129,6 +134,48 @@
   });
 }
 
+void GrantClient::limitRead(RequestId Id, std::optional<RequestRate> Named) {
+  asio::post(Control_, [this, Id, Named] {
+    auto Found = GrantedRequests_.find(Id);
+    if (Found == GrantedRequests_.end())
+      return;
+    const GrantedRequest &Answered = Found->second;
+    const ServerName &Server = Answered.Request_.Server_;
+    if (Named)
+      KnownLimits_[Server] = {Answered.Cell_, *Named, steady_clock::now()};
+    else
+      KnownLimits_.erase(Server);
+    reportLimit(Answered.Cell_, Server, Id, Named, Answered.Keeper_);
+  });
+}
+
+void GrantClient::reportLimit(const CellId &Cell, const ServerName &Server,
+                              const RequestId &Id,
+                              const std::optional<RequestRate> &Named,
+                              const VmId &To) {
+  if (To == Self_)
+    return LocalKeeper_->limitRead(Cell, Server, Id, Named);
+  Hooks_.Send_(To, encodeServerLimit(Cell, Server, Id, Named));
+}
+
+/// Tells a cell's new keeper which limits this daemon knows, before it grants
+/// anything to this daemon. Otherwise it would learn of each limit only from an
+/// answer to a request beyond it.
+void GrantClient::informKeeper(const CellId &Cell, const VmId &Keeper) {
+  if (KnownLimits_.empty())
+    return;
+  auto Oldest = steady_clock::now() - LimitMemory;
+  std::erase_if(KnownLimits_, [Oldest](const auto &Item) {
+    return Item.second.Named_ < Oldest;
+  });
+  auto [Informed, New] = InformedKeepers_.try_emplace(Cell, Keeper);
+  if (!New && std::exchange(Informed->second, Keeper) == Keeper)
+    return;
+  for (const auto &[Server, Limit] : KnownLimits_)
+    if (Limit.Cell_ == Cell)
+      reportLimit(Cell, Server, RequestId(), Limit.Rate_, Keeper);
+}
+
 void GrantClient::done(RequestId Id, ServedSample Sample) {
   asio::post(Control_, [this, Id, Sample] { finish(Id, Sample); });
 }
@@ -183,7 +230,7 @@
                      Self_,
                      Request.Fingerprint_};
   GrantedRequests_[Request.Id_] = std::move(Target);
-  Accepted.OnAnswer_({ResultCode::Ok, Grant.Server_, {}});
+  Accepted.OnAnswer_({ResultCode::Ok, Grant.Server_, {}, Grant.Limited_});
 }
 
 void GrantClient::returnGrant(const RequestId &Id, const VmId &Keeper) {
@@ -223,6 +270,8 @@
 
 void GrantClient::failOver(const VmId &Keeper, milliseconds Duration) {
   Unreachable_[Keeper] = steady_clock::now() + Duration;
+  std::erase_if(InformedKeepers_,
+                [&](const auto &Item) { return Item.second == Keeper; });
   rebind();
   scheduleRebind(Duration + milliseconds(1));
 }
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -25,6 +25,8 @@
   ResultCode Code_ = ResultCode::Ok;
   ServerName Server_; ///< With Ok.
   std::chrono::milliseconds RetryAfter_{1000};
+  /// With Ok: the server names the rate of requests that it accepts.
+  bool Limited_ = false;
 };
 
 class GrantClient {
@@ -60,6 +62,9 @@
   /// the control thread when the keeper preempts it for a higher tier.
   void dispatched(RequestId Id, Cancelled OnCancel);
   void firstToken(RequestId Id, std::chrono::microseconds Delay);
+  /// Reports what the server's answer to a granted request says about the rate
+  /// of requests that it accepts.
+  void limitRead(RequestId Id, std::optional<RequestRate> Named);
   /// Releases the grant, whether or not it was used.
   void done(RequestId Id, ServedSample Sample);
 
@@ -93,7 +98,18 @@
     bool Dispatched_ = false;
   };
 
+  /// A rate that a server named in an answer to this daemon.
+  struct KnownLimit {
+    CellId Cell_;
+    RequestRate Rate_;
+    TimePoint Named_;
+  };
+
   std::optional<VmId> chooseKeeper(const CellId &Cell);
+  void reportLimit(const CellId &Cell, const ServerName &Server,
+                   const RequestId &Id, const std::optional<RequestRate> &Named,
+                   const VmId &To);
+  void informKeeper(const CellId &Cell, const VmId &Keeper);
   void sendGrantRequest(Ask &Target);
   void sendRunning(GrantedRequest &Target);
   void sendWithdraw(const CellId &Cell, const RequestId &Id, const VmId &To);
@@ -117,6 +133,9 @@
   std::map<VmId, TimePoint> Unreachable_;
   /// Keepers whose answers were overdue at the last check.
   std::set<VmId> OverdueKeepers_;
+  std::map<ServerName, KnownLimit> KnownLimits_;
+  /// The keepers that have the limits known here.
+  std::map<CellId, VmId> InformedKeepers_;
   boost::asio::steady_timer RebindTimer_;
   boost::asio::steady_timer CheckTimer_;
   bool CheckScheduled_ = false;
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -1,6 +1,7 @@
 #include "Process/Keeping/KeeperMessages.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace samphireshunt {
 
@@ -110,6 +111,25 @@
   return encodeMessage(std::move(Message));
 }
 
+std::string encodeServerLimit(const CellId &Cell, const ServerName &Server,
+                              const RequestId &Id,
+                              const std::optional<RequestRate> &Named) {
+  wire::ServerLimitT Limit;
+  Limit.id = toWire(Id);
+  Limit.cell = Cell.toWire();
+  Limit.server = Server.str();
+  Limit.named = Named.has_value();
+  Limit.per_second = Named.value_or(RequestRate()).perSecond();
+  return encodeMessage(std::move(Limit));
+}
+
+std::optional<RequestRate> rateFromWire(const wire::ServerLimitT &Limit) {
+  bool Valid = std::isfinite(Limit.per_second) && Limit.per_second >= 0;
+  if (!Limit.named || !Valid)
+    return std::nullopt;
+  return RequestRate(Limit.per_second);
+}
+
 GrantRequest askFromWire(const wire::AskT &Ask, const VmId &From) {
   GrantRequest Request;
   Request.Id_ = fromWire(Ask.id);
@@ -165,6 +185,7 @@
     wire::GrantT Message;
     Message.id = toWire(Grant->Id_);
     Message.server = Grant->Server_.str();
+    Message.limited = Grant->Limited_;
     return encodeMessage(std::move(Message));
   }
   if (const auto *Refusal = std::get_if<RefuseDecision>(&Made)) {
--- a/Source/Process/Keeping/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -19,8 +19,14 @@
                              std::chrono::microseconds Delay);
 std::string encodeDone(const CellId &Cell, const RequestId &Id,
                        const ServedSample &Sample);
+/// \p Id is the answered request; unset in a report to a new keeper.
+std::string encodeServerLimit(const CellId &Cell, const ServerName &Server,
+                              const RequestId &Id,
+                              const std::optional<RequestRate> &Named);
 GrantRequest askFromWire(const wire::AskT &Ask, const VmId &From);
 RunningRequest runningFromWire(const wire::RunningT &Running, const VmId &From);
+/// \returns nothing if the server names no rate.
+std::optional<RequestRate> rateFromWire(const wire::ServerLimitT &Limit);
 ServedSample sampleFromWire(const wire::DoneT &Done);
 
 // From a keeper to an ingress daemon.
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -155,6 +155,9 @@
   double Share = Hooks_.LiveShare_();
   constexpr double Half = 0.5;
   Target.Scheduler_.setShare(Share > Half ? 1.0 : Share);
+  // A daemon that stands in for the cell's keeper may do so while that one
+  // grants too.
+  Target.Scheduler_.setRateShare(Hooks_.IsKeeper_(Cell) ? Share : Share * Half);
 }
 
 void KeeperService::refresh() {
@@ -299,6 +302,32 @@
   decide(Cell, Target);
 }
 
+void KeeperService::limitRead(const CellId &Cell, const ServerName &Server,
+                              const RequestId &Id,
+                              const std::optional<RequestRate> &Named) {
+  Scheduler &Deciding = scheduledCell(Cell).Scheduler_;
+  const ServerModel *Model = Deciding.server(Server);
+  if (!Model)
+    return;
+  auto Before = Model->rate().named();
+  Deciding.limitRead(Server, Id, Named, steady_clock::now());
+  if (Model->rate().named() != Before)
+    logLimit(Cell, Server, Before, Model->rate().named());
+}
+
+void KeeperService::logLimit(const CellId &Cell, const ServerName &Server,
+                             const std::optional<RequestRate> &Before,
+                             const std::optional<RequestRate> &Named) {
+  auto Text = [](const std::optional<RequestRate> &Rate) {
+    return Rate ? fmt::format("{}", Rate->perSecond()) : std::string("none");
+  };
+  logEvent(LogCategory::Keeper, spdlog::level::info, "server-limit",
+           {{"server", Server.str()},
+            {"cell", Cell.str()},
+            {"per_second", Text(Named)},
+            {"before", Text(Before)}});
+}
+
 void KeeperService::refuseCrashing(const RequestFingerprint &Request) {
   for (auto &[Cell, Target] : Cells_)
     postDecisions(Cell, Target->Scheduler_.refuseCrashing(Request));
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -103,6 +103,10 @@
   void ingressReconnected(const VmId &Ingress);
   /// Called when the ingress daemon died. Its running requests become orphans.
   void ingressDied(const VmId &Ingress);
+  /// Applies what an engine's answer says about the rate of requests that it
+  /// accepts.
+  void limitRead(const CellId &Cell, const ServerName &Server,
+                 const RequestId &Id, const std::optional<RequestRate> &Named);
   /// Refuses all waiting copies of a request that crashes servers.
   void refuseCrashing(const RequestFingerprint &Request);
   /// Starts and drops cells. Called when documents or members changed.
@@ -171,6 +175,9 @@
   void postDecisions(const CellId &Cell, std::vector<Decision> Decisions);
   void deliver(const Notification &Event);
   void deliverDecision(const CellDecision &Event);
+  void logLimit(const CellId &Cell, const ServerName &Server,
+                const std::optional<RequestRate> &Before,
+                const std::optional<RequestRate> &Named);
   bool isStillValid(const CellId &Cell, const GrantDecision &Grant) const;
   void schedule();
   void onTick();
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -310,6 +310,8 @@
     return;
   const RunningRequest &Ended = Found->second;
   if (ServerModel *Server = runningServer(Ended)) {
+    if (!Sample.Reached_)
+      Server->rate().giveBack();
     Server->recordServed(Sample, PoolSpeed_);
     recordOutcome(*Server, Sample, Now);
   }
@@ -477,11 +479,34 @@
     Server.trustReachability(AnyReachable);
 }
 
+void Scheduler::refillRates(TimePoint Now) {
+  for (auto &[Name, Server] : Servers_)
+    Server.rate().refill(Now, RateShare_);
+}
+
+/// An answer without a rate ends the limit only if its request was granted
+/// after the server last named one: heads of long answers come in any order.
+void Scheduler::limitRead(const ServerName &Name, const RequestId &Id,
+                          const std::optional<RequestRate> &Named,
+                          TimePoint Now) {
+  ServerModel *Model = server(Name);
+  if (!Model)
+    return;
+  if (Named)
+    return Model->rate().name(*Named, Now);
+  auto Answered = Running_.find(Id);
+  bool Newer = Answered != Running_.end() && Model->runs(Id) &&
+               Answered->second.Granted_ > Model->rate().namedAt();
+  if (Newer)
+    Model->rate().clear();
+}
+
 void Scheduler::serve(const WaitingRequest &Request, ServerModel &Server,
-                      std::vector<Decision> &Out) {
+                      TimePoint Now, std::vector<Decision> &Out) {
   const GrantRequest &Details = Request.Details_;
   const ServerName &Name = Server.capacity().Name_;
   Server.start(Details.Id_, Details.Prompt_, prefixOf(Details));
+  Server.rate().take();
   ++RunningByCustomer_[Details.Customer_];
   Running_[Details.Id_] = {Details.Id_,
                            Details.Tier_,
@@ -491,8 +516,10 @@
                            Details.Answer_,
                            Details.NonIdempotent_,
                            Details.Ingress_,
-                           Details.Fingerprint_};
-  Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_});
+                           Details.Fingerprint_,
+                           Now};
+  Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_,
+                              Server.rate().named().has_value()});
 }
 
 /// Grants one request of the tier. Requests that have already missed their
@@ -546,7 +573,7 @@
   Queue.ServedTokens_ += Cost / weightOf(Granted.Details_.Customer_);
   if (StillActive)
     Tier.Active_.emplace(Queue.ServedTokens_, Customer);
-  serve(Granted, *Placed.Server_, Out);
+  serve(Granted, *Placed.Server_, Now, Out);
 }
 
 void Scheduler::grant(TimePoint Now, std::vector<Decision> &Out) {
@@ -576,6 +603,7 @@
 std::vector<Decision> Scheduler::decide(TimePoint Now) {
   std::vector<Decision> Out;
   applyHealth(Now);
+  refillRates(Now);
   refuseUnservable(Out);
   grant(Now, Out);
   preemptUrgent(Now, Out);
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -75,6 +75,8 @@
   bool NonIdempotent_ = false;
   VmId Ingress_;
   RequestFingerprint Fingerprint_;
+  /// Unset if another keeper granted it.
+  TimePoint Granted_{};
 };
 
 /// The requests that an ingress daemon had at a keeper when it was removed.
@@ -87,6 +89,8 @@
   RequestId Id_;
   ServerName Server_;
   VmId Ingress_;
+  /// The server names the rate of requests that it accepts.
+  bool Limited_ = false;
   bool operator==(const GrantDecision &) const = default;
 };
 struct RefuseDecision {
@@ -174,6 +178,8 @@
       std::function<RequestStanding(const RequestFingerprint &)> Hook) {
     StandingOf_ = std::move(Hook);
   }
+  /// Sets the fraction of servers' named rates that this keeper may use.
+  void setRateShare(double Share) { RateShare_ = Share; }
   /// Sets the number of tokens in one event of an answer.
   void setTokensPerEvent(std::int64_t Count) { TokensPerEvent_ = Count; }
   /// Sets the end of the warm-up, during which nothing is granted: a new keeper
@@ -193,6 +199,10 @@
   void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now);
   /// Records the first token of a granted request.
   void firstToken(const RequestId &Id, const FirstTokenSample &Sample);
+  /// Applies what an engine's answer to \p Id says about the rate of requests
+  /// that it accepts.
+  void limitRead(const ServerName &Server, const RequestId &Id,
+                 const std::optional<RequestRate> &Named, TimePoint Now);
   /// Removes the waiting requests of an ingress daemon. \returns their ids.
   std::vector<RequestId> removeWaiting(const VmId &Ingress);
   /// Removes all requests of an ingress daemon. \returns them.
@@ -408,8 +418,9 @@
                      TimePoint Now);
   double poolFailureRate() const;
   void grantStarving(TimePoint Now, std::vector<Decision> &Out);
-  void serve(const WaitingRequest &Request, ServerModel &Server,
+  void serve(const WaitingRequest &Request, ServerModel &Server, TimePoint Now,
              std::vector<Decision> &Out);
+  void refillRates(TimePoint Now);
   RunningMap::iterator endRunning(RunningMap::iterator Item);
   ServerModel *runningServer(const RunningRequest &Request);
   double weightOf(const CustomerName &Customer) const;
@@ -430,6 +441,7 @@
   std::unordered_map<CustomerName, double> AnswerShare_;
   std::set<RequestId> Cancelled_;
   double Share_ = 1.0;
+  double RateShare_ = 1.0;
   std::int64_t TokensPerEvent_ = 1;
   Round Round_;
   std::uint64_t EngineChecks_ = 0;
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -48,6 +48,7 @@
   Limit_ = Capacity_.MaxInFlight_;
   Reachable_ = true;
   Health_ = ServerHealth();
+  Rate_ = ServerRate();
   LeftOut_ = OnTrial_ = Replaced_ = false;
   InFlight_.clear();
   Reported_ = LoadReport();
@@ -81,7 +82,7 @@
   // of the limit, but at least one slot. Keepers on both sides of a partition
   // may then together exceed the limit by at most one each.
   double Limit = OnTrial_ ? 1.0 : std::floor(Limit_ * Share);
-  return usable() && inFlight() < std::max(1.0, Limit) &&
+  return usable() && Rate_.allowsOne() && inFlight() < std::max(1.0, Limit) &&
          pendingReadingTime() < MaxUnreadTime;
 }
 
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -9,6 +9,7 @@
 #include "Process/Scheduling/EngineSpeed.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerHealth.h"
+#include "Process/Scheduling/ServerRate.h"
 
 #include <chrono>
 #include <cstdint>
@@ -99,6 +100,9 @@
     OnTrial_ = OnTrial;
   }
   bool hasRoom(double Share) const;
+  /// The rate of requests that the engine accepts, if it names one.
+  ServerRate &rate() { return Rate_; }
+  const ServerRate &rate() const { return Rate_; }
 
   void start(const RequestId &Id, Tokens Prompt,
              std::span<const std::uint64_t> Prefix);
@@ -182,6 +186,7 @@
   bool Reachable_ = true;
   bool ReachabilityTrusted_ = true;
   ServerHealth Health_;
+  ServerRate Rate_;
   bool LeftOut_ = false;
   bool OnTrial_ = false;
   bool Replaced_ = false;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -529,6 +529,9 @@
   else if (const auto *First = Message.body.AsFirstToken())
     Keeper_->firstToken(CellId::fromWire(First->cell), fromWire(First->id),
                         {std::chrono::microseconds(First->delay_us)});
+  else if (const auto *Limit = Message.body.AsServerLimit())
+    Keeper_->limitRead(CellId::fromWire(Limit->cell), ServerName(Limit->server),
+                       fromWire(Limit->id), rateFromWire(*Limit));
   else if (const auto *Done = Message.body.AsDone()) {
     if (Done->cell && !Done->cell->service.empty())
       Keeper_->done(CellId::fromWire(Done->cell), fromWire(Done->id),
@@ -559,7 +562,8 @@
 void Daemon::onPeerResponse(const VmId &From, wire::EnvelopeT Message) {
   if (const auto *Grant = Message.body.AsGrant())
     Grants_->onDecision(
-        GrantDecision{fromWire(Grant->id), ServerName(Grant->server), {}},
+        GrantDecision{
+            fromWire(Grant->id), ServerName(Grant->server), {}, Grant->limited},
         From);
   else if (const auto *Refusal = Message.body.AsRefuse())
     Grants_->onDecision(RefuseDecision{fromWire(Refusal->id),
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -3,6 +3,7 @@
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
 #include "Request/CrashEvidence.h"
+#include "Request/ServerLimit.h"
 #include "Request/WaitPlan.h"
 
 #include <fmt/format.h>
@@ -123,6 +124,8 @@
     // The connection may deliver an extra answer to an earlier request first.
     if (Labels.CallId_ != Context_.Call_.CallId_)
       co_return failed({ResultCode::CrossedAnswer, Labels.CallId_});
+    if (!Labels.Replaced_)
+      reportServerLimit(Context_, Ready_, *Head);
     Replaced_ = Labels.Replaced_;
     if (Labels.NotRun_)
       co_return co_await refusedByServer(std::move(*Head));
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -47,6 +47,10 @@
   return Labels;
 }
 
+Result<std::optional<RequestRate>> readOwnLimit(const HttpFields &Fields) {
+  return readServerLimit(Fields, "x-server-limit");
+}
+
 void addCallId(HttpFields &Fields, const std::string &CallId) {
   if (!CallId.empty())
     Fields["x-call-id"] = CallId;
@@ -54,6 +58,17 @@
 
 } // namespace
 
+Result<std::optional<RequestRate>> readServerLimit(const HttpFields &Fields,
+                                                   const std::string &Name) {
+  auto Found = Fields.find(Name);
+  if (Found == Fields.end())
+    return std::optional<RequestRate>();
+  auto Rate = parseRequestRate(Found->second);
+  if (!Rate)
+    return Rate.error();
+  return std::optional(*Rate);
+}
+
 std::optional<std::int64_t> parseCount(std::string_view Text) {
   std::int64_t Count = 0;
   const char *End = Text.data() + Text.size();
@@ -93,6 +108,7 @@
   Dialect.ReadCall_ = readCall;
   Dialect.WriteForward_ = writeForward;
   Dialect.ReadAnswer_ = readAnswer;
+  Dialect.ReadServerLimit_ = readOwnLimit;
   Dialect.AddCallId_ = addCallId;
   return Dialect;
 }
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -7,6 +7,7 @@
 #include "Common/Ids.h"
 #include "Connection/Http.h"
 #include "Process/Scheduling/PrefixIndex.h"
+#include "Process/Scheduling/ServerRate.h"
 
 #include <chrono>
 #include <functional>
@@ -55,6 +56,11 @@
   /// Sets or removes the fields of a request that the daemon controls.
   std::function<void(HttpFields &, const ForwardLabels &)> WriteForward_;
   std::function<AnswerLabels(const HttpResponse &)> ReadAnswer_;
+  /// Returns the rate of requests that the server of an answer accepts from all
+  /// daemons together; nothing if it names none, BadServerLimit if it names
+  /// something else.
+  std::function<Result<std::optional<RequestRate>>(const HttpFields &)>
+      ReadServerLimit_;
   /// Adds the call id to an answer that the daemon generates itself.
   std::function<void(HttpFields &, const std::string &CallId)> AddCallId_;
   /// Retry-After may have a fraction of a second.
@@ -63,12 +69,16 @@
 
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
-/// (HEX:TOKENS,...), x-expect-server, x-customer, x-not-run, x-answer-proof.
+/// (HEX:TOKENS,...), x-expect-server, x-customer, x-not-run, x-answer-proof,
+/// x-server-limit.
 ForwardingDialect defaultDialect();
 
 /// Parses "HEX:TOKENS,HEX:TOKENS". The list ends before the first item that
 /// is malformed.
 std::vector<PromptPart> parsePromptParts(std::string_view Text);
+/// \returns the rate in a field of an answer; nothing if the field is absent.
+Result<std::optional<RequestRate>> readServerLimit(const HttpFields &Fields,
+                                                   const std::string &Name);
 /// \returns nothing unless \p Text is a non-negative integer.
 std::optional<std::int64_t> parseCount(std::string_view Text);
 
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -6,6 +6,7 @@
 #include "Common/Log.h"
 #include "Connection/EventStream.h"
 #include "Request/CrashEvidence.h"
+#include "Request/ServerLimit.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -150,6 +151,8 @@
       auto Head = co_await Ready_.Connection_->readHead(
           std::min(SilenceTimeout, Context_.remaining()));
       Attached = Head.has_value();
+      if (Attached)
+        reportServerLimit(Context_, Ready_, *Head);
       if (Attached && Head->Status_ != 200)
         co_return co_await verdictOfStatus(std::move(*Head));
     }
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -323,6 +323,7 @@
     ReadyServer Ready;
     Ready.Server_ = std::move(Chosen);
     Ready.Connection_ = std::move(*Connected);
+    Ready.Limited_ = Answer->Limited_;
     co_return std::move(Ready);
   }
   Context.State_.tryGiveUp();
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -114,6 +114,8 @@
 struct ReadyServer {
   BackendServer Server_;
   std::unique_ptr<HttpConnection> Connection_;
+  /// The server names the rate of requests that it accepts.
+  bool Limited_ = false;
 };
 
 /// Called between grant and connection. A returned verdict ends the request.
--- a/UnitTests/Process/Keeping/GrantClientTest.cpp
+++ b/UnitTests/Process/Keeping/GrantClientTest.cpp
@@ -131,6 +131,31 @@
   CHECK(Ingress.sent("first", wire::Body::Done) == 0);
 }
 
+TEST_CASE("a new keeper learns of servers' limits before it is asked") {
+  // Guards against a server that gets requests beyond the rate that it named to
+  // this daemon, since its next keeper does not know that rate.
+  IngressDaemon Ingress;
+  Ingress.acquire();
+  Ingress.grantFrom("first", "e1");
+  Ingress.Client_.limitRead(Id, RequestRate(1.4));
+  Ingress.settle();
+  CHECK(Ingress.sent("first", wire::Body::ServerLimit) == 1);
+  Ingress.Client_.done(Id, ServedSample());
+  Ingress.settle();
+  Ingress.Client_.onLinkDown(VmId("first"));
+  Ingress.acquire();
+  auto ToSecond = [](const auto &Message) { return Message.first == "second"; };
+  auto First = std::ranges::find_if(Ingress.Sent_, ToSecond);
+  REQUIRE(First != Ingress.Sent_.end());
+  CHECK(First->second == wire::Body::ServerLimit);
+  CHECK(Ingress.sent("second", wire::Body::Ask) == 1);
+  // A limit that has ended is not reported.
+  Ingress.grantFrom("second", "e1");
+  Ingress.Client_.limitRead(Id, std::nullopt);
+  Ingress.settle();
+  CHECK(Ingress.sent("second", wire::Body::ServerLimit) == 2);
+}
+
 TEST_CASE("a keeper without a configuration is skipped") {
   // After a loss of power, all daemons would refuse every request with code 204
   // for seconds although engines are idle: the platform's service turned away
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -83,3 +83,15 @@
   Misdirected.Status_ = 421;
   CHECK(Dialect.ReadAnswer_(Misdirected).NotRun_);
 }
+
+TEST_CASE("the rate that an engine names is read under both of its names") {
+  for (const char *Name : {"server-limit", "x-samphireshunt-server-limit"}) {
+    auto Read = Dialect.ReadServerLimit_({{Name, "1.4"}});
+    REQUIRE(Read.has_value());
+    CHECK(*Read == RequestRate(1.4));
+    auto Bad = Dialect.ReadServerLimit_({{Name, "-1"}});
+    REQUIRE(Bad.has_error());
+    CHECK(Bad.error().Code_ == ResultCode::BadServerLimit);
+  }
+  CHECK_FALSE(Dialect.ReadServerLimit_({}).value().has_value());
+}
