A cleared request is counted, not timed, in what daemons tell each other

Cause: a clearing travelled as an age. Each daemon set it later than the one before by the delay of the message, took that for news and passed it on; the time crept past later crashes. Ruled out: the digest, which has no times.

Clearings are counted now; the higher count wins, equal ones are joined. Changes that other daemons report are logged only where they change the request's standing.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -2472,7 +2472,7 @@
   typedef CrashRecord TableType;
   std::unique_ptr<samphireshunt::wire::Fingerprint> request{};
   std::vector<samphireshunt::wire::ServerCrash> crashes{};
-  bool cleared = false;
+  uint32_t clearings = 0;
   uint32_t cleared_age_ms = 0;
   CrashRecordT() = default;
   CrashRecordT(const CrashRecordT &o);
@@ -2487,7 +2487,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
     VT_CRASHES = 6,
-    VT_CLEARED = 8,
+    VT_CLEARINGS = 8,
     VT_CLEARED_AGE_MS = 10
   };
   const samphireshunt::wire::Fingerprint *request() const {
@@ -2496,10 +2496,11 @@
   const flatbuffers::Vector<const samphireshunt::wire::ServerCrash *> *crashes() const {
     return GetPointer<const flatbuffers::Vector<const samphireshunt::wire::ServerCrash *> *>(VT_CRASHES);
   }
-  /// A run of the request completed.
-  bool cleared() const {
-    return GetField<uint8_t>(VT_CLEARED, 0) != 0;
+  /// How often a run of the request completed while it was suspected.
+  uint32_t clearings() const {
+    return GetField<uint32_t>(VT_CLEARINGS, 0);
   }
+  /// The time since the last of them.
   uint32_t cleared_age_ms() const {
     return GetField<uint32_t>(VT_CLEARED_AGE_MS, 0);
   }
@@ -2508,7 +2509,7 @@
            VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_REQUEST, 8) &&
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
-           VerifyField<uint8_t>(verifier, VT_CLEARED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CLEARINGS, 4) &&
            VerifyField<uint32_t>(verifier, VT_CLEARED_AGE_MS, 4) &&
            verifier.EndTable();
   }
@@ -2527,8 +2528,8 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::ServerCrash *>> crashes) {
     fbb_.AddOffset(CrashRecord::VT_CRASHES, crashes);
   }
-  void add_cleared(bool cleared) {
-    fbb_.AddElement<uint8_t>(CrashRecord::VT_CLEARED, static_cast<uint8_t>(cleared), 0);
+  void add_clearings(uint32_t clearings) {
+    fbb_.AddElement<uint32_t>(CrashRecord::VT_CLEARINGS, clearings, 0);
   }
   void add_cleared_age_ms(uint32_t cleared_age_ms) {
     fbb_.AddElement<uint32_t>(CrashRecord::VT_CLEARED_AGE_MS, cleared_age_ms, 0);
@@ -2548,13 +2549,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Fingerprint *request = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::ServerCrash *>> crashes = 0,
-    bool cleared = false,
+    uint32_t clearings = 0,
     uint32_t cleared_age_ms = 0) {
   CrashRecordBuilder builder_(_fbb);
   builder_.add_cleared_age_ms(cleared_age_ms);
+  builder_.add_clearings(clearings);
   builder_.add_crashes(crashes);
   builder_.add_request(request);
-  builder_.add_cleared(cleared);
   return builder_.Finish();
 }
 
@@ -2562,14 +2563,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Fingerprint *request = nullptr,
     const std::vector<samphireshunt::wire::ServerCrash> *crashes = nullptr,
-    bool cleared = false,
+    uint32_t clearings = 0,
     uint32_t cleared_age_ms = 0) {
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<samphireshunt::wire::ServerCrash>(*crashes) : 0;
   return samphireshunt::wire::CreateCrashRecord(
       _fbb,
       request,
       crashes__,
-      cleared,
+      clearings,
       cleared_age_ms);
 }
 
@@ -4778,14 +4779,14 @@
 inline CrashRecordT::CrashRecordT(const CrashRecordT &o)
       : request((o.request) ? new samphireshunt::wire::Fingerprint(*o.request) : nullptr),
         crashes(o.crashes),
-        cleared(o.cleared),
+        clearings(o.clearings),
         cleared_age_ms(o.cleared_age_ms) {
 }
 
 inline CrashRecordT &CrashRecordT::operator=(CrashRecordT o) FLATBUFFERS_NOEXCEPT {
   std::swap(request, o.request);
   std::swap(crashes, o.crashes);
-  std::swap(cleared, o.cleared);
+  std::swap(clearings, o.clearings);
   std::swap(cleared_age_ms, o.cleared_age_ms);
   return *this;
 }
@@ -4801,7 +4802,7 @@
   (void)_resolver;
   { auto _e = request(); if (_e) _o->request = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
-  { auto _e = cleared(); _o->cleared = _e; }
+  { auto _e = clearings(); _o->clearings = _e; }
   { auto _e = cleared_age_ms(); _o->cleared_age_ms = _e; }
 }
 
@@ -4815,13 +4816,13 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _request = _o->request ? _o->request.get() : nullptr;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
-  auto _cleared = _o->cleared;
+  auto _clearings = _o->clearings;
   auto _cleared_age_ms = _o->cleared_age_ms;
   return samphireshunt::wire::CreateCrashRecord(
       _fbb,
       _request,
       _crashes,
-      _cleared,
+      _clearings,
       _cleared_age_ms);
 }
 
--- a/Source/Process/Keeping/CrashTracker.cpp
+++ b/Source/Process/Keeping/CrashTracker.cpp
@@ -35,7 +35,7 @@
   for (const ServerCrash &Crash : std::span(Record.Crashes_).subspan(Excess))
     Target.crashes.emplace_back(Crash.Server_, ageMillis(Crash.At_, Now),
                                 ageMillis(Crash.Dispatched_, Now));
-  Target.cleared = Record.Cleared_.has_value();
+  Target.clearings = Record.Clearings_;
   if (Record.Cleared_)
     Target.cleared_age_ms = ageMillis(*Record.Cleared_, Now);
   return Target;
@@ -52,7 +52,8 @@
                                Now - milliseconds(Crash.dispatch_age_ms()),
                                Now - milliseconds(Crash.age_ms())};
                          });
-  if (Record.cleared)
+  Target.Clearings_ = Record.clearings;
+  if (Record.clearings > 0)
     Target.Cleared_ = Now - milliseconds(Record.cleared_age_ms);
   return Target;
 }
@@ -119,6 +120,8 @@
                            RequestStanding Before, const ServerName &Server) {
   Published_.write(std::make_shared<const CrashSnapshot>(History_.snapshot()));
   RequestStanding After = standing(Changed);
+  if (Server.empty() && After == Before)
+    return;
   const CrashRecord *Record = History_.find(Changed);
   logEvent(
       LogCategory::Keeper, spdlog::level::info, "request-crashes",
--- a/Source/Process/Scheduling/CrashHistory.cpp
+++ b/Source/Process/Scheduling/CrashHistory.cpp
@@ -45,10 +45,8 @@
   return Starts;
 }
 
-/// \returns false if the crash, or a later run that completed, was known.
+/// \returns false if the crash was known.
 bool addCrash(CrashRecord &Record, const ServerCrash &Added) {
-  if (Record.Cleared_ && Added.At_ <= *Record.Cleared_)
-    return false;
   bool Known =
       std::ranges::any_of(Record.Crashes_, [&](const ServerCrash &Crash) {
         return Crash.Server_ == Added.Server_;
@@ -65,16 +63,6 @@
   return true;
 }
 
-/// \returns false if a run that completed at this time or later was known.
-bool clear(CrashRecord &Record, TimePoint At) {
-  if (Record.Cleared_ && *Record.Cleared_ >= At)
-    return false;
-  Record.Cleared_ = At;
-  std::erase_if(Record.Crashes_,
-                [At](const ServerCrash &Crash) { return Crash.At_ <= At; });
-  return true;
-}
-
 bool isOld(const CrashRecord &Record, TimePoint Now) {
   if (auto Until = Record.refusedUntil())
     return Now - *Until > MemoryAfterRefusal;
@@ -120,6 +108,8 @@
                                TimePoint Now) {
   CrashRecord Seen;
   Seen.Request_ = Request;
+  if (const CrashRecord *Present = find(Request))
+    Seen.Clearings_ = Present->Clearings_;
   Seen.Crashes_.push_back({stableHash(Server.str()), Dispatched, Now});
   return merge(Seen, Now);
 }
@@ -129,7 +119,10 @@
   auto Found = Snapshot_.Records_.find(Request);
   if (Found == Snapshot_.Records_.end() || Found->second.Crashes_.empty())
     return false;
-  clear(Found->second, Now);
+  CrashRecord &Record = Found->second;
+  Record.Crashes_.clear();
+  ++Record.Clearings_;
+  Record.Cleared_ = Now;
   changed(Request, Now);
   return true;
 }
@@ -142,9 +135,15 @@
   auto [Found, New] = Snapshot_.Records_.try_emplace(Known.Request_);
   CrashRecord &Record = Found->second;
   Record.Request_ = Known.Request_;
-  bool Changed = Known.Cleared_ && clear(Record, *Known.Cleared_);
-  for (const ServerCrash &Crash : Known.Crashes_)
-    Changed = addCrash(Record, Crash) || Changed;
+  bool Changed = Known.Clearings_ > Record.Clearings_;
+  if (Changed) {
+    Record.Clearings_ = Known.Clearings_;
+    Record.Cleared_ = Known.Cleared_;
+    Record.Crashes_.clear();
+  }
+  if (Known.Clearings_ == Record.Clearings_)
+    for (const ServerCrash &Crash : Known.Crashes_)
+      Changed = addCrash(Record, Crash) || Changed;
   if (Changed)
     changed(Known.Request_, Now);
   else if (New)
@@ -169,12 +168,12 @@
       }));
 }
 
-/// Covers the servers that crashed and whether the request was cleared, but no
-/// times: those differ by the delay of messages.
+/// Covers the servers that crashed and how often the request was cleared, but
+/// no times: those differ by the delay of messages.
 std::uint64_t CrashHistory::digest() const {
   std::uint64_t Sum = 0;
   for (const auto &[Request, Record] : Snapshot_.Records_) {
-    std::uint64_t OfRecord = Record.Cleared_.has_value() ? 1 : 0;
+    std::uint64_t OfRecord = Record.Clearings_;
     for (const ServerCrash &Crash : Record.Crashes_)
       OfRecord += stableHash("crash", Crash.Server_);
     Sum += stableHash(Request.str(), OfRecord);
--- a/Source/Process/Scheduling/CrashHistory.h
+++ b/Source/Process/Scheduling/CrashHistory.h
@@ -17,7 +17,10 @@
 /// in between.
 ///
 /// Daemons exchange their histories. A history is the union of all crashes that
-/// any daemon saw, so the order of messages does not matter.
+/// any daemon saw since the request was last cleared, so the order of messages
+/// does not matter. Clearings are counted rather than timed: times differ by
+/// the delay of messages, and a later one at each daemon would be news for
+/// ever.
 
 #include "Common/Ids.h"
 #include "Common/RequestFingerprint.h"
@@ -47,7 +50,10 @@
   RequestFingerprint Request_;
   /// In order of time, one for each server.
   std::vector<ServerCrash> Crashes_;
-  /// When a run of the request completed; crashes before that don't count.
+  /// How often a run of the request completed while it was suspected. Crashes
+  /// before the last time are gone.
+  std::uint32_t Clearings_ = 0;
+  /// When that was; unset if it never was.
   std::optional<TimePoint> Cleared_;
 
   /// \returns the number of crashes of which each ended a run that was
--- a/UnitTests/Process/Membership/CrashNewsTest.cpp
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -109,3 +109,28 @@
   Fleet.runFor(seconds(10));
   CHECK(BytesIn(seconds(10)) < Calm + Calm / 20);
 }
+
+TEST_CASE("a request that was cleared is not news for ever") {
+  // Guards against daemons that tell each other again and again that a popular
+  // request is harmless, each time a little later, until no crash counts.
+  SimulatedFleet Fleet(FleetSize / 10, {});
+  Fleet.runFor(seconds(10));
+  auto BytesIn = [&](seconds Duration) {
+    std::uint64_t Before = Fleet.bytesSent();
+    Fleet.runFor(Duration);
+    return Fleet.bytesSent() - Before;
+  };
+  std::uint64_t Calm = BytesIn(seconds(10));
+  for (int Round = 0; Round < 2; ++Round) {
+    crashThree(Fleet, request(1));
+    Fleet.runFor(ContactTime);
+    CHECK(Fleet.crashes(7).standing(request(1)) == RequestStanding::Refused);
+    ServedSample Completed;
+    Completed.Complete_ = true;
+    Completed.Fingerprint_ = request(1);
+    Fleet.crashes(Round).requestEnded(ServerName("server"), Completed);
+    Fleet.runFor(seconds(10));
+    CHECK(Fleet.refusing(request(1)) == 0);
+    CHECK(BytesIn(seconds(10)) < Calm + Calm / 10);
+  }
+}
--- a/UnitTests/Process/Scheduling/CrashHistoryTest.cpp
+++ b/UnitTests/Process/Scheduling/CrashHistoryTest.cpp
@@ -23,6 +23,7 @@
 
 constexpr TimePoint Start{hours(1000)};
 constexpr milliseconds RunTime{100};
+constexpr std::size_t ManyServers = 6;
 const RequestFingerprint Request{1, 1};
 
 ServerName server(std::size_t Number) {
@@ -93,6 +94,7 @@
       Record.Request_ = Request;
       Record.Crashes_ = {{*rc::gen::inRange<std::uint64_t>(1, 8),
                           Start + Dispatched, Start + Dispatched + Lasted}};
+      Record.Clearings_ = *rc::gen::inRange<std::uint32_t>(0, 3);
       News.push_back(Record);
     }
     // One daemon sees each server's crash; its time is the one that counts.
@@ -102,6 +104,7 @@
     });
     CrashRecord Cleared;
     Cleared.Request_ = Request;
+    Cleared.Clearings_ = 1;
     Cleared.Cleared_ = Start + milliseconds(*rc::gen::inRange(0, 5000));
     if (*rc::gen::arbitrary<bool>())
       News.push_back(Cleared);
@@ -146,15 +149,14 @@
 /// under a new name. All requests on a server end with it.
 class CrashReplay {
 public:
-  static constexpr std::size_t Servers = 6;
   static constexpr milliseconds Step{100};
   static constexpr int StepsPerRun = 8;
 
-  CrashReplay() {
+  explicit CrashReplay(std::size_t Servers) : Servers_(Servers) {
     Scheduler_.setStandingHook([this](const RequestFingerprint &Sent) {
       return History_.standing(Sent, Now_);
     });
-    for (std::size_t Number = 0; Number < Servers; ++Number)
+    for (std::size_t Number = 0; Number < Servers_; ++Number)
       Names_.push_back(server(NextServer_++));
     configure();
   }
@@ -187,7 +189,7 @@
     apply(Scheduler_.decide(Now_));
   }
 
-  std::size_t crashes() const { return NextServer_ - Servers; }
+  std::size_t crashes() const { return NextServer_ - Servers_; }
   std::size_t answered(const RequestFingerprint &Sent) const {
     auto Found = Answered_.find(Sent);
     return Found == Answered_.end() ? 0 : Found->second;
@@ -241,6 +243,7 @@
       ++Answered_[Sent];
   }
 
+  std::size_t Servers_;
   CrashHistory History_;
   Scheduler Scheduler_{Scheduler::Options()};
   TimePoint Now_ = Start;
@@ -260,13 +263,15 @@
   // Guards against harmless requests that are refused because they ran beside
   // the one that ends servers, were sent again with it, and shared its next
   // server too.
-  CrashReplay Load;
+  // On two servers all that ran beside it is placed beside it again.
+  constexpr std::size_t Servers = 2;
+  CrashReplay Load(Servers);
   const RequestFingerprint Harmful{9, 9};
-  constexpr std::uint64_t Harmless = 18;
+  constexpr std::uint64_t Harmless = 7;
   for (std::uint64_t Number = 1; Number <= Harmless; ++Number)
     Load.send({Number, 1});
   Load.send(Harmful);
-  for (int Step = 0; Step < 100; ++Step)
+  for (int Step = 0; Step < 200; ++Step)
     Load.step([&](const RequestFingerprint &Sent) { return Sent == Harmful; });
   CHECK(Load.crashes() == 3);
   CHECK(Load.refused(Harmful) == 1);
@@ -278,7 +283,7 @@
 
 TEST_CASE("of many copies of a suspected request one runs at a time") {
   // Guards against copies that waited together and each end a server at once.
-  CrashReplay Load;
+  CrashReplay Load(ManyServers);
   const RequestFingerprint Harmful{9, 9};
   auto Crashes = [&](const RequestFingerprint &Sent) {
     return Sent == Harmful;
@@ -299,7 +304,7 @@
 TEST_CASE("a popular request is served on through ordinary crashes") {
   // Guards against a popular request that is refused because servers crashed
   // under it three times in a day, for reasons of their own.
-  CrashReplay Load;
+  CrashReplay Load(ManyServers);
   const RequestFingerprint Popular{1, 1};
   std::size_t Sent = 0;
   for (int Round = 0; Round < 6; ++Round) {
@@ -324,7 +329,7 @@
           "requests") {
   // Guards against a caller that is served nothing while it repeats one
   // request.
-  CrashReplay Load;
+  CrashReplay Load(ManyServers);
   const RequestFingerprint Harmful{1, 1};
   const RequestFingerprint Harmless{1, 2};
   bool First = true;
