Popular requests survive a storm of crashes; the soak plays both kinds of trouble

Cause, from the daemons' logs: its trials ran beside requests that were not yet suspected, or went to engines that were known to be gone, three times before one of its runs completed. Ruled out: missed completions; none came between.

A crash counts only if the server was not known to have crashed when the request was sent, and a request that is known to have completed within ten minutes needs six crashes.

The process test of limits kills the keeper of the cell.

--- a/FailureTests/ChildProcess.cpp
+++ b/FailureTests/ChildProcess.cpp
@@ -55,6 +55,9 @@
   posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO, LogPath.c_str(),
                                    O_CREAT | O_WRONLY | O_APPEND,
                                    LogPermissions);
+  // A child that inherited a listening socket would keep its port open.
+  constexpr int FirstInherited = 3;
+  posix_spawn_file_actions_addclosefrom_np(&Actions, FirstInherited);
   std::vector<char *> Arguments;
   std::ranges::transform(Command, std::back_inserter(Arguments),
                          [](const std::string &Argument) {
--- a/FailureTests/LimitsTest.cpp
+++ b/FailureTests/LimitsTest.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+using namespace samphireshunt;
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
 namespace asio = boost::asio;
@@ -115,3 +116,38 @@
   CHECK(None.Total_ < milliseconds(1000));
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
+
+TEST_CASE("engines that name a rate of requests get no more from all daemons") {
+  // Guards against daemons that each keep to the rate, and against a new keeper
+  // that does not know it.
+  ClusterOptions Options;
+  Options.Models_ = 3;
+  Options.Applications_ = 3;
+  Cluster Fleet(Options);
+  for (const char *Name : {"model-1", "app-1"})
+    Fleet.faults(Name, {{"limit", "2"}});
+  // 1.5 times the rate in 4 s, and 5 more.
+  constexpr std::ptrdiff_t MaxRuns = 17;
+  auto RunsOf = [&](const std::string &Engine) {
+    return std::ranges::count_if(
+        Fleet.ledger(), [&](const standins::LedgerLine &Line) {
+          return Line.Engine_ == Engine && Line.Event_ == "received";
+        });
+  };
+  auto Begin = std::chrono::steady_clock::now();
+  int Keeper = Fleet.keeperOf("applications");
+  for (int Number = 0; Number < 60; ++Number) {
+    if (Number == 30)
+      Fleet.process("vm-" + std::to_string(Keeper)).kill();
+    int Daemon = 1 + Number % 3;
+    if (Number >= 30 && Daemon == Keeper)
+      continue;
+    Fleet.run(Fleet.reading(Daemon));
+    Fleet.run(Fleet.chat(Daemon));
+  }
+  auto Took = std::chrono::steady_clock::now() - Begin;
+  auto Windows = 1 + Took / std::chrono::seconds(4);
+  CHECK(RunsOf("model-1") <= MaxRuns * Windows);
+  CHECK(RunsOf("app-1") <= MaxRuns * Windows);
+  CHECK(RunsOf("app-1") >= 1);
+}
--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -40,6 +40,13 @@
 constexpr std::size_t CrashesBeforeRefusal = 3;
 constexpr std::ptrdiff_t MaxRetriesAfter = 3;
 constexpr milliseconds ContactTime{3000};
+/// From ContactTime after an engine first named its limit, it gets at most this
+/// many times the limit, plus LimitSlack, within LimitWindow. Counted are
+/// requests of daemons that passed on such an answer TellTime before.
+constexpr double LimitFactor = 1.5;
+constexpr double LimitSlack = 5;
+constexpr milliseconds LimitWindow{4000};
+constexpr milliseconds TellTime{500};
 
 const char *requestPath(SoakKind Kind) {
   switch (Kind) {
@@ -54,6 +61,10 @@
   }
 }
 
+std::int64_t millis(steady_clock::duration Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
 bool isStream(SoakKind Kind) {
   return Kind == SoakKind::Stream || Kind == SoakKind::Resumable;
 }
@@ -100,6 +111,13 @@
   Time Leaving_;
   bool Removed_ = false;
   bool Crashed_ = false;
+  /// The requests per second that it names, 0 for none, and since when.
+  double Limit_ = 0;
+  Time Limited_;
+  /// When a daemon first passed on an answer with the limit.
+  std::map<Endpoint, Time> Told_;
+  /// Requests while the limit was named, with the daemons that sent them.
+  std::vector<std::pair<Time, Endpoint>> Arrivals_;
 };
 
 SoakEnvironment::SoakEnvironment(std::uint64_t Seed)
@@ -198,6 +216,7 @@
     co_return Exchange.abort();
   HttpResponse Answer;
   Answer.Fields_["x-samphireshunt-request-id"] = CallId;
+  noteLimit(Self, CallId, Answer);
   bool WrongInstance =
       Request.field("x-samphireshunt-expect-instance") != Self.Id_;
   bool Refuses = EngineFaults_ && pick(Percent) < 5;
@@ -245,12 +264,77 @@
   co_await Exchange.respond(std::move(Answer));
 }
 
+/// Counts a request at an engine that names a limit, and adds the limit to its
+/// answer.
+void SoakEnvironment::noteLimit(Engine &Self, const std::string &CallId,
+                                HttpResponse &Answer) {
+  auto Daemon = DaemonByCall_.find(CallId);
+  if (Self.Limit_ == 0 || Daemon == DaemonByCall_.end())
+    return;
+  Answer.Fields_["server-limit"] = std::to_string(Self.Limit_);
+  auto Now = steady_clock::now();
+  Self.Arrivals_.emplace_back(Now, Daemon->second);
+  Self.Told_.try_emplace(Daemon->second, Now);
+}
+
+void SoakEnvironment::limitEngine() {
+  run([&] {
+    auto MayName = [](const auto &Known) {
+      return Known->Leaving_ == Time() && !Known->Removed_ &&
+             !Known->Crashed_ && Known->Limited_ == Time();
+    };
+    auto Found = std::ranges::find_if(Engines_, MayName);
+    bool OneNames = std::ranges::any_of(
+        Engines_, [](const auto &Known) { return Known->Limit_ > 0; });
+    if (Found == Engines_.end() || OneNames)
+      return;
+    Engine *Named = Found->get();
+    constexpr double Tenths = 10;
+    Named->Limit_ = (1 + pick(60)) / Tenths;
+    Named->Limited_ = steady_clock::now();
+    auto End = [this, Named]() -> Awaitable<void> {
+      constexpr milliseconds NamedTime{9000};
+      co_await sleep(NamedTime);
+      checkLimit(*Named, Violations_);
+      Named->Limit_ = 0;
+    };
+    asio::co_spawn(Context_, std::move(End), asio::detached);
+  });
+}
+
+/// A pause or a late start excuses a daemon: it may not have heard of a change
+/// of the keeper.
+void SoakEnvironment::checkLimit(const Engine &Limited,
+                                 std::vector<std::string> &Violations) const {
+  std::vector<Time> Counted;
+  for (const auto &[At, Daemon] : Limited.Arrivals_) {
+    bool Paused = Pauses_.contains(Daemon);
+    if (!Paused && At >= Limited.Limited_ + ContactTime &&
+        At >= Limited.Told_.at(Daemon) + TellTime)
+      Counted.push_back(At);
+  }
+  double Allowed = LimitFactor * Limited.Limit_ *
+                       std::chrono::duration<double>(LimitWindow).count() +
+                   LimitSlack;
+  for (auto First = Counted.begin(); First != Counted.end(); ++First) {
+    auto End =
+        std::ranges::upper_bound(First, Counted.end(), *First + LimitWindow);
+    auto Count = static_cast<double>(End - First);
+    if (Count > Allowed)
+      return Violations.push_back(fmt::format(
+          "{}: named a limit of {} a second and got {} requests in 4 s",
+          Limited.Id_, Limited.Limit_, Count));
+  }
+}
+
 Awaitable<void> SoakEnvironment::serveStream(Engine &Self,
                                              HttpExchange &Exchange,
                                              std::string CallId) {
   std::string After = Exchange.request().field("last-event-id");
   HttpResponse Head;
   Head.Fields_["x-samphireshunt-request-id"] = CallId;
+  if (Self.Limit_ > 0)
+    Head.Fields_["server-limit"] = std::to_string(Self.Limit_);
   Head.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
   Head.Fields_["content-type"] = "text/event-stream";
   bool Open = co_await Exchange.beginStream(std::move(Head));
@@ -551,20 +635,25 @@
 }
 
 void SoakEnvironment::checkCrashes(std::vector<std::string> &Violations) const {
-  std::map<std::string, std::vector<Time>> Reached;
+  std::map<std::string, std::vector<const SoakRun *>> Reached;
   for (const SoakRun &Run : Runs_)
     if (Run.Body_.starts_with(CrashingBody))
-      Reached[Run.Body_].push_back(Run.At_);
-  for (const auto &[Body, Times] : Reached) {
-    if (Times.size() <= CrashesBeforeRefusal)
+      Reached[Run.Body_].push_back(&Run);
+  for (const auto &[Body, Runs] : Reached) {
+    if (Runs.size() <= CrashesBeforeRefusal)
+      continue;
+    Time Known = Runs[CrashesBeforeRefusal - 1]->At_ + ContactTime;
+    auto Late = std::ranges::count_if(
+        Runs, [&](const SoakRun *Run) { return Run->At_ > Known; });
+    if (Late <= MaxRetriesAfter)
       continue;
-    Time Known = Times[CrashesBeforeRefusal - 1] + ContactTime;
-    auto Late =
-        std::ranges::count_if(Times, [&](Time At) { return At > Known; });
-    if (Late > MaxRetriesAfter)
-      Violations.push_back(
-          fmt::format("{}: reached engines {} times after it had crashed three",
-                      Body, Late));
+    std::string Each;
+    for (const SoakRun *Run : Runs)
+      Each += fmt::format(" {}@{}ms({})", Run->Engine_,
+                          millis(Run->At_ - Runs.front()->At_), Run->CallId_);
+    Violations.push_back(fmt::format(
+        "{}: reached engines {} times after it had crashed three:{}", Body,
+        Late, Each));
   }
 }
 
@@ -619,6 +708,9 @@
   run([&] {
     Violations = Violations_;
     checkCrashes(Violations);
+    for (const auto &Known : Engines_)
+      if (Known->Limit_ > 0)
+        checkLimit(*Known, Violations);
     std::map<std::string, const SoakCall *> ById;
     for (const SoakCall &Call : Calls_) {
       ById[Call.Id_] = &Call;
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -77,6 +77,8 @@
   /// some seconds later.
   void replaceEngine();
   void changeConfiguration();
+  /// Lets an engine name a limit of requests per second for a while.
+  void limitEngine();
   /// Sends a new request that crashes each engine that runs it, again and again
   /// for a while. A crashed engine is replaced by a new one.
   void sendCrashingRequest();
@@ -101,6 +103,7 @@
   /// Runs \p Work on the thread of this object and waits until it is done.
   void run(std::function<void()> Work);
   void addEngine();
+  void noteLimit(Engine &Self, const std::string &CallId, HttpResponse &Answer);
   void crash(Engine &Target);
   Awaitable<void> crashingCaller(std::string Body);
   void writeConfiguration();
@@ -119,6 +122,9 @@
                                std::string Body = {});
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   void check(const SoakCall &Call, std::vector<std::string> &Violations) const;
+  /// Checks how many requests engines got that had named a limit.
+  void checkLimit(const Engine &Limited,
+                  std::vector<std::string> &Violations) const;
   /// Checks how often requests that crash engines reached engines.
   void checkCrashes(std::vector<std::string> &Violations) const;
   /// \returns whether an engine that began to leave at \p Since may still get
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -16,7 +16,7 @@
                      bool RestoreCopies)
     : Environment_(Environment), Random_(Seed), RestoreRandom_(Seed, 1),
       RestoreCopies_(RestoreCopies), CrashRandom_(Seed, 2),
-      DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
+      LimitRandom_(Seed, 3), DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
 }
@@ -111,9 +111,16 @@
     Environment_.sendCrashingRequest();
 }
 
+void SoakFleet::limitEngine() {
+  constexpr std::uint32_t OneIn = 8;
+  if (LimitRandom_(OneIn) == 0)
+    Environment_.limitEngine();
+}
+
 void SoakFleet::injectFault() {
   copyOrRestoreStore();
   sendCrashingRequest();
+  limitEngine();
   std::size_t Index = Random_(Daemons);
   switch (Random_(11)) {
   case 0:
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -43,6 +43,7 @@
   void disruptStore();
   void copyOrRestoreStore();
   void sendCrashingRequest();
+  void limitEngine();
 
   SoakEnvironment &Environment_;
   pcg32 Random_;
@@ -51,6 +52,7 @@
   pcg32 RestoreRandom_;
   bool RestoreCopies_;
   pcg32 CrashRandom_;
+  pcg32 LimitRandom_;
   std::size_t DaemonsPerReader_;
   TestFolder Folder_; ///< The daemons' logs.
   std::array<std::unique_ptr<ChildProcess>, Daemons> Processes_;
--- a/Source/Common/RequestFingerprint.h
+++ b/Source/Common/RequestFingerprint.h
@@ -15,6 +15,7 @@
   std::uint64_t High_ = 0;
   std::uint64_t Low_ = 0;
 
+  // NOLINTNEXTLINE: the checks take the operator's generated code for ours.
   auto operator<=>(const RequestFingerprint &) const = default;
   /// \returns false for the default value, which stands for no request.
   explicit operator bool() const { return High_ != 0 || Low_ != 0; }
--- a/Source/Process/Scheduling/CrashHistory.h
+++ b/Source/Process/Scheduling/CrashHistory.h
@@ -16,6 +16,10 @@
 /// refusal for a while, each further one to a longer refusal, with a single run
 /// in between.
 ///
+/// A request that is known to have completed lately needs twice as many
+/// crashes: a popular one runs everywhere, also beside others that crash
+/// servers.
+///
 /// Daemons exchange their histories. A history is the union of all crashes that
 /// any daemon saw since the request was last cleared, so the order of messages
 /// does not matter. Clearings are counted rather than timed: times differ by
@@ -83,8 +87,8 @@
   /// \p Dispatched. \returns false if it was known.
   bool recordCrash(const RequestFingerprint &Request, const ServerName &Server,
                    TimePoint Dispatched, TimePoint Now);
-  /// Clears \p Request, a run of which completed. \returns false if it was
-  /// under no suspicion.
+  /// Clears \p Request, a run of which completed, and remembers that for a
+  /// while. \returns false if it was under no suspicion.
   bool recordCompleted(const RequestFingerprint &Request, TimePoint Now);
   /// Adds what another daemon knows. \returns false if all of it was known.
   bool merge(const CrashRecord &Known, TimePoint Now);
@@ -113,12 +117,16 @@
   };
   std::vector<CrashRecord> leastSent(std::vector<RequestFingerprint> Candidates,
                                      std::size_t Count, TimePoint Now);
+  bool crashedBefore(std::uint64_t Server, TimePoint Dispatched) const;
+  void rememberCompleted(const RequestFingerprint &Request, TimePoint Now);
   void changed(const RequestFingerprint &Request, TimePoint Now);
   void makeRoom(TimePoint Now);
   void erase(const RequestFingerprint &Request);
 
   CrashSnapshot Snapshot_;
   std::map<RequestFingerprint, Spread> Spread_;
+  /// Requests that completed lately, and when they last did.
+  std::map<RequestFingerprint, TimePoint> Completed_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -46,8 +46,7 @@
   bool Replaced_ = false;
   /// The server's process ended while it ran the request.
   bool Crashed_ = false;
-  /// Set if the server crashed, and while any request is known to have crashed
-  /// a server.
+  /// Set if the server crashed or the request completed.
   RequestFingerprint Fingerprint_;
   Tokens Generated_;
   /// Number of tokens in the first event.
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -30,8 +30,7 @@
 }
 
 void addFingerprint(RequestContext &Context, ServedSample &Sample) {
-  if (!Context.Services_.Crashes_.snapshot()->empty())
-    Sample.Fingerprint_ = Context.fingerprint();
+  Sample.Fingerprint_ = Context.fingerprint();
 }
 
 } // namespace samphireshunt
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -16,7 +16,7 @@
 Awaitable<void> addCrashEvidence(RequestContext &Context, BackendServer Server,
                                  ResultCode Cause, ServedSample &Sample);
 
-/// Adds to \p Sample which request ended, if that may clear it.
+/// Adds to \p Sample which request completed.
 void addFingerprint(RequestContext &Context, ServedSample &Sample);
 
 } // namespace samphireshunt
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -360,6 +360,15 @@
 mutate crash-longer $S/Process/Scheduling/CrashHistory.cpp \
   's/RefusalFactor = 4/RefusalFactor = 1/' \
   ${U}Process '*each further crash makes it longer*'
+mutate crash-completed $S/Process/Scheduling/CrashHistory.cpp \
+  's/CrashesToRefuseCompleted = 6/CrashesToRefuseCompleted = 3/' \
+  ${U}Process '*has completed needs more*'
+mutate crash-gone-before $S/Process/Scheduling/CrashHistory.cpp \
+  's/  if \(crashedBefore\(Hash, Dispatched\)\)\n    return false;\n//' \
+  ${U}Process '*crashed before a request was sent*'
+mutate crash-counted $S/Process/Scheduling/CrashHistory.cpp \
+  's/  bool Changed = Known\.Clearings_ > Record\.Clearings_;/  bool Changed = Known.Cleared_ \&\& (!Record.Cleared_ || *Known.Cleared_ > *Record.Cleared_);/' \
+  ${U}MembershipFleet '*news for ever*'
 mutate crash-cleared $S/Process/Scheduling/CrashHistory.cpp \
   's/(CrashHistory::recordCompleted[^{]*\{\n)/$1  return false;\n/' \
   ${U}Process '*popular request is served on*'
@@ -382,6 +391,40 @@
   "s/std::to_string\\(Part\\.size\\(\\)\\) \\+ ':'/std::string()/" \
   ${U}Common '*share a fingerprint*'
 
+mutate limit-read platform/Headers.cpp \
+  's/Dialect\.ReadServerLimit_ = readLimit;/Dialect.ReadServerLimit_ = [](const HttpFields \&) { return Result<std::optional<RequestRate>>(std::optional<RequestRate>()); };/' \
+  ${U}platform '*under both of its names*'
+mutate limit-kept $S/Process/Scheduling/ServerModel.cpp \
+  's/ && Rate_\.allowsOne\(\)//' \
+  ${U}ServerLimit '*'
+mutate limit-begins-empty $S/Process/Scheduling/ServerRate.cpp \
+  's/    Allowed_ = 0;\n    Refilled_/    Allowed_ = 3;\n    Refilled_/' \
+  ${U}Process "*follow each other don't add up*"
+mutate limit-stand-in $S/Process/Scheduling/ServerRate.cpp \
+  's/MinPerSecond\) \* Share/MinPerSecond) * std::max(1.0, Share)/' \
+  ${U}Process '*two keepers of one cell*'
+mutate limit-ends $S/Process/Scheduling/Scheduler.cpp \
+  's/  if \(Newer\)\n    Model->rate\(\)\.clear\(\);/  if (Newer \&\& false)\n    Model->rate().clear();/' \
+  ${U}Process '*limit ends with an answer*'
+mutate limit-late-answer $S/Process/Scheduling/Scheduler.cpp \
+  's/ &&\s+Answered->second\.Granted_ > Model->rate\(\)\.namedAt\(\)//' \
+  ${U}Process '*limit ends with an answer*'
+mutate limit-restart $S/Process/Scheduling/ServerModel.cpp \
+  's/  Rate_ = ServerRate\(\);\n//' \
+  ${U}Process '*starts again has no limit*'
+mutate limit-returned $S/Process/Scheduling/Scheduler.cpp \
+  's/      Server->rate\(\)\.giveBack\(\);/      (void)Server;/' \
+  ${U}Process '*not used counts for nothing*'
+mutate limit-least $S/Process/Scheduling/ServerRate.cpp \
+  's/MinPerSecond = 0\.25/MinPerSecond = 0/' \
+  ${U}Process '*names nearly nothing*'
+mutate limit-bad-value $S/Process/Scheduling/ServerRate.cpp \
+  's/ && !std::signbit\(PerSecond\)//' \
+  ${U}Process '*only a decimal number*'
+mutate limit-new-keeper $S/Process/Keeping/GrantClient.cpp \
+  's/(void GrantClient::informKeeper[^{]*\{\n)/$1  return;\n/' \
+  ${U}Process '*limits before it is asked*'
+
 [ "$Missed" -eq 0 ] && echo "every mutation was caught"
 exit "$Missed"
 }
--- a/UnitTests/Process/Membership/CrashNewsTest.cpp
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -7,9 +7,6 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <ranges>
-
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
@@ -23,15 +20,22 @@
 
 RequestFingerprint request(std::uint64_t Number) { return {1, Number}; }
 
-/// Three servers crash under the request, each seen by another daemon.
-void crashThree(SimulatedFleet &Fleet, const RequestFingerprint &Request) {
-  for (std::size_t Index : std::views::iota(0U, 3U)) {
+constexpr std::size_t CrashesToRefuse = 3;
+/// The same for a request that has completed before.
+constexpr std::size_t CrashesToRefuseCompleted = 6;
+
+/// Servers crash under the request one after the other, each seen by another
+/// daemon.
+void crashServers(SimulatedFleet &Fleet, const RequestFingerprint &Request,
+                  std::size_t Count, std::size_t Round = 0) {
+  for (std::size_t Index = 0; Index < Count; ++Index) {
     ServedSample Sample;
     Sample.Crashed_ = true;
     Sample.Fingerprint_ = Request;
     Sample.Duration_ = milliseconds(100);
     Fleet.crashes(Index).requestEnded(
-        ServerName(fmt::format("server-{}", Index)), Sample);
+        ServerName(fmt::format("server-{}-{}-{}", Request.Low_, Round, Index)),
+        Sample);
     Fleet.runFor(milliseconds(500));
   }
 }
@@ -45,7 +49,7 @@
   Options.LossPercent_ = 3;
   SimulatedFleet Fleet(FleetSize, Options);
   Fleet.runFor(seconds(2));
-  crashThree(Fleet, request(1));
+  crashServers(Fleet, request(1), CrashesToRefuse);
   auto Time = Fleet.runUntil(
       [&] { return Fleet.refusing(request(1)) == FleetSize; }, seconds(30));
   MESSAGE("refused by all " << Time.count() + 500
@@ -58,18 +62,17 @@
   SimulatedFleet Fleet(FleetSize, {});
   constexpr std::uint64_t Refused = 12;
   for (std::uint64_t Number = 1; Number <= Refused; ++Number)
-    crashThree(Fleet, request(Number));
+    crashServers(Fleet, request(Number), CrashesToRefuse);
   Fleet.runFor(seconds(10));
   Fleet.kill(200);
   Fleet.runFor(seconds(5));
   Fleet.restart(200);
   auto KnowsAll = [&] {
-    return std::ranges::all_of(std::views::iota(std::uint64_t{1}, Refused + 1),
-                               [&](std::uint64_t Number) {
-                                 return Fleet.crashes(200).standing(
-                                            request(Number)) ==
-                                        RequestStanding::Refused;
-                               });
+    std::size_t Known = 0;
+    for (std::uint64_t Number = 1; Number <= Refused; ++Number)
+      Known += Fleet.crashes(200).standing(request(Number)) ==
+               RequestStanding::Refused;
+    return Known == Refused;
   };
   auto Time = Fleet.runUntil(KnowsAll, seconds(30));
   MESSAGE("known " << Time.count() << " ms after the start");
@@ -84,7 +87,7 @@
   constexpr std::size_t CutOff = 20;
   for (std::size_t Index = 100; Index < 100 + CutOff; ++Index)
     Fleet.setSide(Index, 1);
-  crashThree(Fleet, request(1));
+  crashServers(Fleet, request(1), CrashesToRefuse);
   Fleet.runFor(seconds(8));
   CHECK(Fleet.refusing(request(1)) == FleetSize - CutOff);
   for (std::size_t Index = 100; Index < 100 + CutOff; ++Index)
@@ -105,7 +108,7 @@
     return Fleet.bytesSent() - Before;
   };
   std::uint64_t Calm = BytesIn(seconds(10));
-  crashThree(Fleet, request(1));
+  crashServers(Fleet, request(1), CrashesToRefuse);
   Fleet.runFor(seconds(10));
   CHECK(BytesIn(seconds(10)) < Calm + Calm / 20);
 }
@@ -121,8 +124,10 @@
     return Fleet.bytesSent() - Before;
   };
   std::uint64_t Calm = BytesIn(seconds(10));
-  for (int Round = 0; Round < 2; ++Round) {
-    crashThree(Fleet, request(1));
+  for (std::size_t Round = 0; Round < 2; ++Round) {
+    crashServers(Fleet, request(1),
+                 Round == 0 ? CrashesToRefuse : CrashesToRefuseCompleted,
+                 Round);
     Fleet.runFor(ContactTime);
     CHECK(Fleet.crashes(7).standing(request(1)) == RequestStanding::Refused);
     ServedSample Completed;
--- a/standins/ApplicationEngine.cpp
+++ b/standins/ApplicationEngine.cpp
@@ -31,6 +31,7 @@
   int Refuse_ = 0;  ///< Refused before running.
   int DelayMs_ = 0; ///< Delay of every answer.
   bool Leaving_ = false;
+  std::string Limit_; ///< The rate of requests that answers name.
 };
 
 class ApplicationEngine {
@@ -82,6 +83,8 @@
                  {"nonce", Nonce},
                  {"answer", applicationAnswer(Request.path(), Nonce)}};
     HttpResponse Response = jsonAnswer(200, Body);
+    if (!Faults_.Limit_.empty())
+      Response.Fields_["x-server-limit"] = Faults_.Limit_;
     Response.Fields_["x-request-id"] =
         consumeFault(Faults_.Crossed_) ? "other" : Id;
     if (consumeFault(Faults_.Cut_)) {
@@ -103,6 +106,7 @@
     Faults_.Refuse_ = Body.value("refuse", 0);
     Faults_.DelayMs_ = Body.value("lateMs", 0);
     Faults_.Leaving_ = Body.value("leaving", false);
+    Faults_.Limit_ = Body.value("limit", "");
     co_await Exchange.respond(jsonAnswer(200, Json::object()));
   }
 
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -60,6 +60,7 @@
   int Swallow_ = 0;   ///< The request is dropped: no ledger line, no answer.
   bool NoResume_ = false; ///< Requests to resume a stream get 404.
   bool Leaving_ = false;
+  std::string Limit_; ///< The rate of requests that answers name.
 };
 
 /// One request that the engine admitted, with the events of its answer.
@@ -319,6 +320,8 @@
     HttpResponse Head;
     Head.Fields_["content-type"] = "text/event-stream";
     Head.Fields_["x-request-id"] = Source->Id_;
+    if (!Faults_.Limit_.empty())
+      Head.Fields_["x-server-limit"] = Faults_.Limit_;
     ++Source->Readers_;
     auto Timer = std::make_shared<asio::steady_timer>(Context_);
     Source->WaitingReaders_.insert(Timer.get());
@@ -455,6 +458,7 @@
     Faults_.Swallow_ = Body.value("swallow", 0);
     Faults_.NoResume_ = Body.value("noResume", false);
     Faults_.Leaving_ = Body.value("leaving", false);
+    Faults_.Limit_ = Body.value("limit", "");
     co_await Exchange.respond(jsonAnswer(200, Json::object()));
   }
 
