samphireshuntctl status shows services instead of failing on them

Operators got exit status 4 and a JSON error as soon as a daemon had a service. Cause: the loop over the services walked items() of a temporary object. It is a named value now; the test failed before (status 4, 'cannot use value() with null').

--- a/FailureTests/ObservationTest.cpp
+++ b/FailureTests/ObservationTest.cpp
@@ -142,3 +142,17 @@
   };
   CHECK(std::ranges::any_of(CrashEvent["stack"], InDaemon));
 }
+
+TEST_CASE("the tool shows the versions that each daemon has in force") {
+  // Guards against a status that fails as soon as a daemon has a service.
+  Cluster Fleet;
+  auto [Status, Text] = Fleet.tool({"status"});
+  CHECK(Status == 0);
+  CHECK(Text.find("test=1") != std::string::npos);
+  auto [JsonStatus, Output] = Fleet.tool({"status", "--output=json"});
+  CHECK(JsonStatus == 0);
+  Json Rows = Json::parse(Output, nullptr, false);
+  REQUIRE(Rows.size() == 3);
+  for (const Json &Row : Rows)
+    CHECK(Row["services"]["test"]["version"] == 1);
+}
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -423,8 +423,9 @@
     Row["vm"] = State.Vm_.str();
     Row["reached"] = State.Reached_;
     std::string Versions;
-    for (const auto &[Name, Service] :
-         State.Status_.value("services", Json::object()).items())
+    // items() refers to the object, which must outlive the loop.
+    Json Services = State.Status_.value("services", Json::object());
+    for (const auto &[Name, Service] : Services.items())
       Versions += fmt::format(" {}={}", Name,
                               Service.value("version", std::uint64_t(0)));
     if (State.Status_.contains("storeEra")) {
