samphireshuntctl status shows a daemon that is down beside the others

Cause: the state of such a daemon was null, and a member of it was asked for. It is an empty object now; status prints all rows and ends with 4, as OPERATIONS says. The test failed before (one row instead of three). Tools/demo.sh calls status.

--- a/FailureTests/ObservationTest.cpp
+++ b/FailureTests/ObservationTest.cpp
@@ -156,3 +156,22 @@
   for (const Json &Row : Rows)
     CHECK(Row["services"]["test"]["version"] == 1);
 }
+
+TEST_CASE("the tool shows a daemon that is down beside the others") {
+  // Guards against a status that fails when an operator needs it.
+  Cluster Fleet;
+  constexpr int DaemonsNotReachable = 4;
+  Fleet.process("vm-3").kill();
+  auto [Status, Output] = Fleet.tool({"status", "--output=json"});
+  CHECK(Status == DaemonsNotReachable);
+  Json Rows = Json::parse(Output, nullptr, false);
+  REQUIRE(Rows.size() == 3);
+  for (const Json &Row : Rows) {
+    bool Down = Row["vm"] == "vm-3";
+    CHECK(Row["reached"] == !Down);
+    CHECK(Row.contains("services") == !Down);
+  }
+  auto [TextStatus, Text] = Fleet.tool({"status"});
+  CHECK(TextStatus == DaemonsNotReachable);
+  CHECK(Text.find("unreachable") != std::string::npos);
+}
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -374,8 +374,10 @@
     auto Response =
         co_await httpCall(*Address, std::move(Request), CallTimeout);
     if (Response && Response->Status_ == 200) {
-      State.Status_ = Json::parse(Response->Body_, nullptr, false);
-      State.Reached_ = State.Status_.is_object();
+      Json Status = Json::parse(Response->Body_, nullptr, false);
+      State.Reached_ = Status.is_object();
+      if (State.Reached_)
+        State.Status_ = std::move(Status);
     }
     States.push_back(std::move(State));
   }
@@ -448,7 +450,8 @@
     Text +=
         fmt::format("eras of the service differ: {}\n", fmt::join(Eras, ", "));
   print(Rows, Text);
-  co_return ExitStatus::Ok;
+  bool AllReached = std::ranges::all_of(States, &DaemonState::Reached_);
+  co_return AllReached ? ExitStatus::Ok : ExitStatus::Unavailable;
 }
 
 } // namespace samphireshunt
--- a/Source/Programs/CtlCommands.h
+++ b/Source/Programs/CtlCommands.h
@@ -54,7 +54,8 @@
   struct DaemonState {
     VmId Vm_;
     bool Reached_ = false;
-    nlohmann::json Status_;
+    /// Empty unless the daemon was reached.
+    nlohmann::json Status_ = nlohmann::json::object();
   };
 
   void print(const nlohmann::json &Body, const std::string &Text) const;
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -77,6 +77,7 @@
 for Number in 1 2 3; do
   await_ready "$(field "vm-$Number" operators)"
 done
+"$Bin/samphireshuntctl" status --server="$Platform"
 
 # send NAME SERVICE KEY MORE...: makes three calls, one to each daemon.
 send() {
