Crash records that are too old are removed in time; their digest is kept

Found while reading: forgetOld() was called only when 256 records were there. A daemon that starts later rejects records of more than an hour, so the others would send it up to four of them in each answer for good. The digest was computed anew for each message, over all records. The test failed before: after an hour no daemon's digest was that of an empty history.

--- a/Source/Process/Keeping/CrashTracker.cpp
+++ b/Source/Process/Keeping/CrashTracker.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t DifferingRecords = 4;
 /// Maximum number of crashes sent with a record: the newest ones.
 constexpr std::size_t MaxCrashesSent = 8;
+/// How often records that are too old to matter are removed.
+constexpr std::chrono::seconds CleanUpInterval{10};
 
 std::uint32_t ageMillis(TimePoint At, TimePoint Now) {
   auto Age = duration_cast<milliseconds>(Now - At).count();
@@ -97,6 +99,10 @@
 
 std::vector<wire::CrashRecordT> CrashTracker::recordsToSend(bool Differs) {
   auto Now = Now_();
+  if (Now - LastCleanUp_ > CleanUpInterval) {
+    LastCleanUp_ = Now;
+    History_.forgetOld(Now);
+  }
   auto Records = Differs ? History_.toSend(DifferingRecords, Now)
                          : History_.recentChanges(RecentRecords, Now);
   std::vector<wire::CrashRecordT> Messages;
--- a/Source/Process/Keeping/CrashTracker.h
+++ b/Source/Process/Keeping/CrashTracker.h
@@ -55,6 +55,7 @@
   Clock Now_;
   CrashHistory History_;
   RcuCell<CrashSnapshot> Published_;
+  TimePoint LastCleanUp_;
   Hooks Hooks_;
 };
 
--- a/Source/Process/Scheduling/CrashHistory.cpp
+++ b/Source/Process/Scheduling/CrashHistory.cpp
@@ -212,7 +212,7 @@
 
 /// Covers the servers that crashed and how often the request was cleared, but
 /// no times: those differ by the delay of messages.
-std::uint64_t CrashHistory::digest() const {
+void CrashHistory::updateDigest() {
   std::uint64_t Sum = 0;
   for (const auto &[Request, Record] : Snapshot_.Records_) {
     std::uint64_t OfRecord = Record.Clearings_;
@@ -220,7 +220,7 @@
       OfRecord += stableHash("crash", Crash.Server_);
     Sum += stableHash(Request.str(), OfRecord);
   }
-  return Sum;
+  Digest_ = Sum;
 }
 
 std::vector<CrashRecord> CrashHistory::toSend(std::size_t Count,
@@ -259,6 +259,7 @@
 
 void CrashHistory::changed(const RequestFingerprint &Request, TimePoint Now) {
   Spread_[Request] = {0, Now};
+  updateDigest();
 }
 
 void CrashHistory::forgetOld(TimePoint Now) {
@@ -288,6 +289,7 @@
 void CrashHistory::erase(const RequestFingerprint &Request) {
   Snapshot_.Records_.erase(Request);
   Spread_.erase(Request);
+  updateDigest();
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/CrashHistory.h
+++ b/Source/Process/Scheduling/CrashHistory.h
@@ -101,13 +101,14 @@
   const CrashSnapshot &snapshot() const { return Snapshot_; }
 
   /// \returns a digest that is equal at two daemons that know the same.
-  std::uint64_t digest() const;
+  std::uint64_t digest() const { return Digest_; }
   /// \returns up to \p Count records for another daemon: those that were sent
   /// least often, refused ones first.
   std::vector<CrashRecord> toSend(std::size_t Count, TimePoint Now);
   /// \returns up to \p Count records that changed within the last seconds.
   std::vector<CrashRecord> recentChanges(std::size_t Count, TimePoint Now);
-  /// Removes what is too old to matter.
+  /// Removes what is too old to matter. Daemons that started later don't accept
+  /// it, and would be told of it again and again.
   void forgetOld(TimePoint Now);
 
 private:
@@ -123,7 +124,10 @@
   void makeRoom(TimePoint Now);
   void erase(const RequestFingerprint &Request);
 
+  void updateDigest();
+
   CrashSnapshot Snapshot_;
+  std::uint64_t Digest_ = 0;
   std::map<RequestFingerprint, Spread> Spread_;
   /// Requests that completed lately, and when they last did.
   std::map<RequestFingerprint, TimePoint> Completed_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -369,6 +369,9 @@
 mutate crash-counted $S/Process/Scheduling/CrashHistory.cpp \
   's/  bool Changed = Known\.Clearings_ > Record\.Clearings_;/  bool Changed = Known.Cleared_ \&\& (!Record.Cleared_ || *Known.Cleared_ > *Record.Cleared_);/' \
   ${U}MembershipFleet '*news for ever*'
+mutate crash-forgotten $S/Process/Keeping/CrashTracker.cpp \
+  's/    History_\.forgetOld\(Now\);\n//' \
+  ${U}MembershipFleet '*too old to matter*'
 mutate crash-cleared $S/Process/Scheduling/CrashHistory.cpp \
   's/(CrashHistory::recordCompleted[^{]*\{\n)/$1  return false;\n/' \
   ${U}Process '*popular request is served on*'
--- a/UnitTests/Process/Membership/CrashNewsTest.cpp
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -139,3 +139,15 @@
     CHECK(BytesIn(seconds(10)) < Calm + Calm / 10);
   }
 }
+
+TEST_CASE("what is too old to matter is not told to a daemon that starts") {
+  // Guards against records that a new daemon rejects and is sent for ever.
+  SimulatedFleet Fleet(FleetSize / 30, {});
+  crashServers(Fleet, request(1), 1);
+  Fleet.runFor(std::chrono::hours(1));
+  Fleet.kill(5);
+  Fleet.restart(5);
+  Fleet.runFor(seconds(20));
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    CHECK(Fleet.crashes(Index).digest() == 0);
+}
