--- a/UnitTests/Process/Membership/CrashNewsTest.cpp
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t FleetSize = 300;
-/// Within this time each daemon in touch must know.
+/// Within this time each daemon that others reach must know.
 constexpr milliseconds ContactTime{3000};
 
 RequestFingerprint request(std::uint64_t Number) { return {1, Number}; }
