--- a/UnitTests/Process/Scheduling/ServerRateTest.cpp
+++ b/UnitTests/Process/Scheduling/ServerRateTest.cpp
@@ -33,8 +33,8 @@
   return Most;
 }
 
-/// Returns the largest number of requests that a server with the rate may get in
-/// 4 s.
+/// Returns the largest number of requests that a server with the rate may get
+/// in 4 s.
 std::size_t allowedIn4Seconds(RequestRate Rate) {
   constexpr double Slack = 5;
   return static_cast<std::size_t>(4 * 1.5 * Rate.perSecond() + Slack);
