Logs tell which server a daemon could not reach, why, and who excluded it

Missing in the incident of VMs that are cut off from all servers: code 206 keeps the reason in its answer only, and server-left-out does not say on whose report. Connections to servers are opened by a hook, so that a test can set the links of a real daemon; by default nothing changes.

--- a/Source/Connection/BackendConnections.cpp
+++ b/Source/Connection/BackendConnections.cpp
@@ -43,7 +43,16 @@
   if (MaxIdle.count() > 0)
     if (auto Reused = takeIdle(Idle_[Address], MaxIdle))
       co_return Reused;
-  co_return co_await HttpConnection::connect(Address, Options_.ConnectTimeout_);
+  auto Opened = co_await Options_.Connect_(Address, Options_.ConnectTimeout_);
+  if (!Opened.Socket_)
+    co_return Failure{ResultCode::ConnectFailed, std::move(Opened.Detail_)};
+  co_return HttpConnection::adopt(std::move(*Opened.Socket_));
+}
+
+Awaitable<PortState> BackendConnections::checkPort(Endpoint Address,
+                                                   milliseconds Timeout) {
+  auto Opened = co_await Options_.Connect_(std::move(Address), Timeout);
+  co_return Opened.State_;
 }
 
 void BackendConnections::returnConnection(
--- a/Source/Connection/BackendConnections.h
+++ b/Source/Connection/BackendConnections.h
@@ -3,7 +3,7 @@
 /// A pool of keep-alive connections to backend servers. There is one pool per
 /// worker thread; it is not thread-safe.
 
-#include "Connection/Http.h"
+#include "Connection/TcpConnect.h"
 
 #include <map>
 #include <memory>
@@ -22,14 +22,19 @@
   struct Options {
     std::size_t MaxIdlePerServer_ = 64;
     std::chrono::milliseconds ConnectTimeout_{500};
+    Connector Connect_ = openTcp;
   };
 
-  explicit BackendConnections(Options Settings) : Options_(Settings) {}
+  explicit BackendConnections(Options Settings)
+      : Options_(std::move(Settings)) {}
 
   /// \returns an idle connection that received bytes within \p MaxIdle, or a
   /// new one. Fails with ConnectFailed.
   Awaitable<Result<std::unique_ptr<HttpConnection>>>
   take(Endpoint Address, std::chrono::milliseconds MaxIdle);
+  /// Opens a connection and closes it.
+  Awaitable<PortState> checkPort(Endpoint Address,
+                                 std::chrono::milliseconds Timeout);
   /// Returns \p Connection to the pool if its last response was read
   /// completely. Otherwise closes it, so that the rest of that response can
   /// never be taken for the response to another request.
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -145,6 +145,9 @@
   /// \returns ConnectFailed, after \p Timeout at the latest.
   static Awaitable<Result<std::unique_ptr<HttpConnection>>>
   connect(Endpoint Address, std::chrono::milliseconds Timeout);
+  /// \returns a connection that uses \p Socket, which is connected.
+  static std::unique_ptr<HttpConnection>
+  adopt(boost::asio::ip::tcp::socket Socket);
 
   /// Writes the request. After an error it is not known whether any bytes were
   /// sent. A long body may still be being written when this returns, because
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
+#include "Connection/TcpConnect.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -202,20 +203,19 @@
 
 Awaitable<Result<std::unique_ptr<HttpConnection>>>
 HttpConnection::connect(Endpoint Address, std::chrono::milliseconds Timeout) {
-  auto Stream =
-      std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
-  beast::error_code Error;
-  Stream->expires_after(Timeout);
-  co_await Stream->async_connect(
-      Address, asio::redirect_error(asio::use_awaitable, Error));
-  if (Error)
-    co_return Failure{ResultCode::ConnectFailed,
-                      formatEndpoint(Address) + ": " + Error.message()};
-  Stream->socket().set_option(asio::ip::tcp::no_delay(true), Error);
-  limitSilence(Stream->socket(), BackendSilence);
-  std::unique_ptr<HttpConnection> Connection =
-      std::make_unique<BeastHttpConnection>(std::move(Stream));
-  co_return Connection;
+  auto Opened = co_await openTcp(Address, Timeout);
+  if (!Opened.Socket_)
+    co_return Failure{ResultCode::ConnectFailed, std::move(Opened.Detail_)};
+  co_return adopt(std::move(*Opened.Socket_));
+}
+
+std::unique_ptr<HttpConnection>
+HttpConnection::adopt(asio::ip::tcp::socket Socket) {
+  beast::error_code Ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  limitSilence(Socket, BackendSilence);
+  return std::make_unique<BeastHttpConnection>(
+      std::make_shared<beast::tcp_stream>(std::move(Socket)));
 }
 
 namespace {
--- a/Source/Connection/TcpConnect.h
+++ b/Source/Connection/TcpConnect.h
@@ -4,21 +4,39 @@
 
 #include "Connection/Http.h"
 
-namespace samphireshunt {
+#include <functional>
+#include <optional>
 
-/// \returns ConnectFailed when \p Address refuses or has not answered within \p
-/// Timeout. A connection that is already established when the timeout is
-/// handled in the same event-loop iteration is still accepted: the delay was
-/// then in this process.
-Awaitable<Result<boost::asio::ip::tcp::socket>>
-connectTcp(Endpoint Address, std::chrono::milliseconds Timeout);
+namespace samphireshunt {
 
 /// The reaction of an address to a new connection.
 enum class PortState { Open, Refused, Silent };
 
-/// Opens a connection and closes it. \returns Silent if \p Address can't be
-/// reached or has not answered within \p Timeout.
-Awaitable<PortState> checkPort(Endpoint Address,
-                               std::chrono::milliseconds Timeout);
+/// \returns the state as logs show it, e.g. "refused".
+std::string_view portStateName(PortState State);
+
+/// The result of opening a connection.
+struct ConnectResult {
+  /// Silent also if the address can't be reached.
+  PortState State_ = PortState::Silent;
+  /// Set if Open.
+  std::optional<boost::asio::ip::tcp::socket> Socket_;
+  std::string Detail_;
+};
+
+/// Opens connections to backend servers.
+using Connector = std::function<Awaitable<ConnectResult>(
+    Endpoint, std::chrono::milliseconds)>;
+
+/// Opens a connection. A connection that is already established when the
+/// timeout is handled in the same event-loop iteration is still accepted: the
+/// delay was then in this process.
+Awaitable<ConnectResult> openTcp(Endpoint Address,
+                                 std::chrono::milliseconds Timeout);
+
+/// \returns ConnectFailed when \p Address refuses or has not answered within \p
+/// Timeout.
+Awaitable<Result<boost::asio::ip::tcp::socket>>
+connectTcp(Endpoint Address, std::chrono::milliseconds Timeout);
 
 } // namespace samphireshunt
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -294,7 +294,7 @@
   bool WasLeftOut = Server && Server->health().leftOut(steady_clock::now());
   Target.Scheduler_.done(Id, Sample, steady_clock::now());
   if (Server)
-    logHealth(Cell, Ended->Server_, Server->health(), WasLeftOut);
+    logHealth(Cell, *Ended, Server->health(), WasLeftOut);
   if (Ended) {
     Hooks_.Ended_(Ended->Server_, Sample);
     Hooks_.Served_(Cell, *Ended, Sample);
@@ -396,15 +396,16 @@
             {"dropped", std::to_string(*Dropped)}});
 }
 
-void KeeperService::logHealth(const CellId &Cell, const ServerName &Server,
+void KeeperService::logHealth(const CellId &Cell, const RunningRequest &Ended,
                               const ServerHealth &Health, bool WasLeftOut) {
   bool LeftOut = Health.leftOut(steady_clock::now());
   if (LeftOut == WasLeftOut)
     return;
   logEvent(LogCategory::Keeper, spdlog::level::info,
            LeftOut ? "server-left-out" : "server-back",
-           {{"server", Server.str()},
+           {{"server", Ended.Server_.str()},
             {"cell", Cell.str()},
+            {"reported_by", Ended.Ingress_.str()},
             {"failure_rate", fmt::format("{:.2f}", Health.failureRate())}});
 }
 
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -173,7 +173,7 @@
   void checkDisconnectedIngresses();
   void releaseSlots(const VmId &Ingress, DisconnectedIngress &Disconnected);
   void logRefusal(const CellId &Cell, const RefuseDecision &Refusal);
-  void logHealth(const CellId &Cell, const ServerName &Server,
+  void logHealth(const CellId &Cell, const RunningRequest &Ended,
                  const ServerHealth &Health, bool WasLeftOut);
   /// Returns the largest number of cells of any pool of the service.
   static double maxCellCount(const ServiceConfiguration &Service);
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -472,7 +472,9 @@
 }
 
 std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
-  auto Made = std::make_unique<Worker>();
+  BackendConnections::Options Connecting;
+  Connecting.Connect_ = Adapter_.ConnectServer_;
+  auto Made = std::make_unique<Worker>(std::move(Connecting));
   Made->Context_ = &Control_;
   if (!OnControlThread)
     Made->Context_ =
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -42,6 +42,8 @@
   /// Set together with Layout_.
   RolloutLayout Rollouts_;
   ForwardingDialect Dialect_ = defaultDialect();
+  /// Opens connections to backend servers.
+  Connector ConnectServer_ = openTcp;
 };
 
 class Daemon {
@@ -63,9 +65,12 @@
   struct Worker {
     /// The control thread's context, if that thread serves requests. Not owned.
     boost::asio::io_context *Context_ = nullptr;
-    BackendConnections Connections_{BackendConnections::Options()};
+    BackendConnections Connections_;
     std::unique_ptr<CallerService> Callers_;
     std::thread Thread_;
+
+    explicit Worker(BackendConnections::Options Connecting)
+        : Connections_(std::move(Connecting)) {}
   };
 
   Daemon(Settings Configured, PlatformAdapter Adapter);
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -1,7 +1,5 @@
 #include "Request/CrashEvidence.h"
 
-#include "Connection/TcpConnect.h"
-
 namespace samphireshunt {
 
 namespace {
@@ -22,7 +20,8 @@
                            Server.Name_) != nullptr;
   if (!Lost || !Active)
     co_return;
-  PortState Port = co_await checkPort(Server.Address_, PortCheckTimeout);
+  PortState Port = co_await Context.Services_.Connections_.checkPort(
+      Server.Address_, PortCheckTimeout);
   if (Port != PortState::Refused)
     co_return;
   Sample.Crashed_ = true;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -183,6 +183,21 @@
   logEvent(LogCategory::Request, Level, "ended", Fields);
 }
 
+void logUnreachable(const RequestContext &Context, const ServerName &Server,
+                    const std::string &Detail) {
+  constexpr std::uint32_t LinesPerSecond = 20;
+  thread_local LogSampler Sampler(LinesPerSecond);
+  auto Dropped = Sampler.admit(static_cast<int>(ResultCode::ConnectFailed),
+                               steady_clock::now());
+  if (!Dropped)
+    return;
+  logEvent(LogCategory::Request, spdlog::level::info, "server-unreachable",
+           {{"request", Context.Id_.str()},
+            {"server", Server.str()},
+            {"detail", Detail},
+            {"dropped", std::to_string(*Dropped)}});
+}
+
 Verdict notRun(ResultCode Code) { return Verdict(Code); }
 
 } // namespace
@@ -294,6 +309,7 @@
       Excluded.push_back(Answer->Server_);
       Ended = notRun(ResultCode::ConnectFailed);
       Ended.Detail_ = Connected.error().Detail_;
+      logUnreachable(Context, Answer->Server_, Ended.Detail_);
       continue;
     }
     if (Options.BeforeDispatch_)
