--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -981,6 +981,19 @@
   return Done.get_future().get();
 }
 
+SoakCount SoakEnvironment::countCalls(std::size_t Daemon, Time Begin) {
+  SoakCount Counted;
+  run([&] {
+    for (const SoakCall &Call : Calls_) {
+      if (Call.Sent_ < Begin || DaemonByCall_.at(Call.Id_) != Daemons_[Daemon])
+        continue;
+      ++Counted.All_;
+      Counted.Answered_ += Call.Status_ == 200 && Call.Complete_ ? 1 : 0;
+    }
+  });
+  return Counted;
+}
+
 std::size_t SoakEnvironment::answered() {
   std::size_t Count = 0;
   run([&] {
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -33,6 +33,12 @@
   std::string Body_;
 };
 
+/// Calls of one daemon.
+struct SoakCount {
+  std::size_t All_ = 0;
+  std::size_t Answered_ = 0;
+};
+
 /// An execution of a request as observed by an engine.
 struct SoakRun {
   std::string CallId_;
@@ -118,6 +124,9 @@
   std::vector<std::string> cutCalls();
   /// Sends a request with \p Key to a running daemon. \returns its HTTP status.
   int statusWithKey(const std::string &Key);
+  /// Counts the calls that were sent to a daemon since \p Begin and have ended.
+  SoakCount countCalls(std::size_t Daemon,
+                       std::chrono::steady_clock::time_point Begin);
   std::size_t answered();
   std::size_t callCount();
 
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -13,10 +13,10 @@
 using std::chrono::steady_clock;
 
 SoakFleet::SoakFleet(std::uint64_t Seed, SoakEnvironment &Environment,
-                     bool RestoreCopies)
+                     SoakFleetOptions Wanted)
     : Environment_(Environment), Random_(Seed), RestoreRandom_(Seed, 1),
-      RestoreCopies_(RestoreCopies), CrashRandom_(Seed, 2),
-      LimitRandom_(Seed, 3), DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
+      Options_(Wanted), CrashRandom_(Seed, 2), LimitRandom_(Seed, 3),
+      DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
 }
@@ -24,7 +24,7 @@
 void SoakFleet::start(std::size_t Index) {
   std::string Log = fmt::format("{}/vm-{}.log", Folder_.path(), Index);
   std::vector<std::string> Command = {
-      PLATFORM_DAEMON,
+      Options_.FaultyLinks_ ? FAULTY_LINKS_DAEMON : PLATFORM_DAEMON,
       fmt::format("--vm_id=vm-{}", Index),
       "--data_center=z",
       "--callers_address=127.0.0.1:0",
@@ -53,6 +53,10 @@
   Processes_[Index]->kill();
 }
 
+void SoakFleet::setLinks(std::size_t Index, int Signal) {
+  Processes_[Index]->signal(Signal);
+}
+
 int SoakFleet::stopAndStart(std::size_t Index) {
   // Callers still connect for a while, as a load balancer keeps sending them.
   Processes_[Index]->signal(SIGTERM);
@@ -91,7 +95,7 @@
 /// Taking and restoring the copy are independent draws, so that the copy is
 /// several faults old when the store is restored from it.
 void SoakFleet::copyOrRestoreStore() {
-  if (!RestoreCopies_)
+  if (!Options_.RestoreCopies_)
     return;
   switch (RestoreRandom_(8)) {
   case 0:
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -14,6 +14,13 @@
 
 namespace samphireshunt::tests {
 
+struct SoakFleetOptions {
+  /// The store is sometimes restored from an older copy.
+  bool RestoreCopies_ = false;
+  /// The links of daemons to engines can have faults.
+  bool FaultyLinks_ = false;
+};
+
 /// Three daemons. With an even seed one daemon reads the store and the others
 /// follow it. With an odd seed every daemon reads the store, and follows
 /// another one if it cannot reach it.
@@ -21,13 +28,14 @@
 public:
   static constexpr std::size_t Daemons = 3;
 
-  /// If \p RestoreCopies is set, the store is sometimes restored from an older
-  /// copy.
   SoakFleet(std::uint64_t Seed, SoakEnvironment &Environment,
-            bool RestoreCopies = false);
+            SoakFleetOptions Wanted = {});
 
   void start(std::size_t Index);
   void kill(std::size_t Index);
+  /// Sets the state of the daemon's links to engines, by a signal of
+  /// LinkFaults.h. Requires FaultyLinks_.
+  void setLinks(std::size_t Index, int Signal);
   /// Stops a daemon with SIGTERM while callers still connect for a while, and
   /// starts it again. \returns the exit status of the stopped process.
   [[nodiscard]] int stopAndStart(std::size_t Index);
@@ -50,7 +58,7 @@
   /// A separate generator, so that RestoreCopies_ does not change the other
   /// faults of a seed.
   pcg32 RestoreRandom_;
-  bool RestoreCopies_;
+  SoakFleetOptions Options_;
   pcg32 CrashRandom_;
   pcg32 LimitRandom_;
   std::size_t DaemonsPerReader_;
--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -56,7 +56,7 @@
   for (std::uint64_t Seed : Seeds) {
     SoakEnvironment Environment(Seed);
     Environment.takeStoreCopy();
-    SoakFleet Fleet(Seed, Environment, RestoreCopies);
+    SoakFleet Fleet(Seed, Environment, {.RestoreCopies_ = RestoreCopies});
     auto Before = probeUntilHealthy(Environment);
     REQUIRE_MESSAGE(Before.empty(), "seed " << Seed << ": " << Before.front());
     Environment.startCallers(Callers);
