--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -136,6 +136,14 @@
 struct RolloutLeaseBuilder;
 struct RolloutLeaseT;
 
+struct Relay;
+struct RelayBuilder;
+struct RelayT;
+
+struct Relayed;
+struct RelayedBuilder;
+struct RelayedT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -163,11 +171,13 @@
   ServerLimit = 19,
   RolloutReport = 20,
   RolloutLease = 21,
+  Relay = 22,
+  Relayed = 23,
   MIN = NONE,
-  MAX = RolloutLease
+  MAX = Relayed
 };
 
-inline const Body (&EnumValuesBody())[22] {
+inline const Body (&EnumValuesBody())[24] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -190,13 +200,15 @@
     Body::TextPart,
     Body::ServerLimit,
     Body::RolloutReport,
-    Body::RolloutLease
+    Body::RolloutLease,
+    Body::Relay,
+    Body::Relayed
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[23] = {
+  static const char * const names[25] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -219,13 +231,15 @@
     "ServerLimit",
     "RolloutReport",
     "RolloutLease",
+    "Relay",
+    "Relayed",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RolloutLease)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Relayed)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -318,6 +332,14 @@
   static const Body enum_value = Body::RolloutLease;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::Relay> {
+  static const Body enum_value = Body::Relay;
+};
+
+template<> struct BodyTraits<samphireshunt::wire::Relayed> {
+  static const Body enum_value = Body::Relayed;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -406,6 +428,14 @@
   static const Body enum_value = Body::RolloutLease;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::RelayT> {
+  static const Body enum_value = Body::Relay;
+};
+
+template<> struct BodyUnionTraits<samphireshunt::wire::RelayedT> {
+  static const Body enum_value = Body::Relayed;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -604,6 +634,22 @@
     return type == Body::RolloutLease ?
       reinterpret_cast<const samphireshunt::wire::RolloutLeaseT *>(value) : nullptr;
   }
+  samphireshunt::wire::RelayT *AsRelay() {
+    return type == Body::Relay ?
+      reinterpret_cast<samphireshunt::wire::RelayT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::RelayT *AsRelay() const {
+    return type == Body::Relay ?
+      reinterpret_cast<const samphireshunt::wire::RelayT *>(value) : nullptr;
+  }
+  samphireshunt::wire::RelayedT *AsRelayed() {
+    return type == Body::Relayed ?
+      reinterpret_cast<samphireshunt::wire::RelayedT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::RelayedT *AsRelayed() const {
+    return type == Body::Relayed ?
+      reinterpret_cast<const samphireshunt::wire::RelayedT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2188,6 +2234,7 @@
   std::string operators{};
   std::string data_center{};
   uint32_t link_mbps = 0;
+  uint16_t relay_port = 0;
 };
 
 /// The state of a daemon, as reported by itself or by another daemon.
@@ -2202,7 +2249,8 @@
     VT_ADDRESS = 12,
     VT_OPERATORS = 14,
     VT_DATA_CENTER = 16,
-    VT_LINK_MBPS = 18
+    VT_LINK_MBPS = 18,
+    VT_RELAY_PORT = 20
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -2229,6 +2277,11 @@
   uint32_t link_mbps() const {
     return GetField<uint32_t>(VT_LINK_MBPS, 0);
   }
+  /// The port at which it relays connections to servers, at the host of
+  /// `address`; 0 is none.
+  uint16_t relay_port() const {
+    return GetField<uint16_t>(VT_RELAY_PORT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -2243,6 +2296,7 @@
            VerifyOffset(verifier, VT_DATA_CENTER) &&
            verifier.VerifyString(data_center()) &&
            VerifyField<uint32_t>(verifier, VT_LINK_MBPS, 4) &&
+           VerifyField<uint16_t>(verifier, VT_RELAY_PORT, 2) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2278,6 +2332,9 @@
   void add_link_mbps(uint32_t link_mbps) {
     fbb_.AddElement<uint32_t>(Member::VT_LINK_MBPS, link_mbps, 0);
   }
+  void add_relay_port(uint16_t relay_port) {
+    fbb_.AddElement<uint16_t>(Member::VT_RELAY_PORT, relay_port, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2298,7 +2355,8 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> operators = 0,
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
-    uint32_t link_mbps = 0) {
+    uint32_t link_mbps = 0,
+    uint16_t relay_port = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_link_mbps(link_mbps);
@@ -2307,6 +2365,7 @@
   builder_.add_address(address);
   builder_.add_counter(counter);
   builder_.add_vm(vm);
+  builder_.add_relay_port(relay_port);
   builder_.add_status(status);
   return builder_.Finish();
 }
@@ -2320,7 +2379,8 @@
     const char *address = nullptr,
     const char *operators = nullptr,
     const char *data_center = nullptr,
-    uint32_t link_mbps = 0) {
+    uint32_t link_mbps = 0,
+    uint16_t relay_port = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto operators__ = operators ? _fbb.CreateString(operators) : 0;
@@ -2334,7 +2394,8 @@
       address__,
       operators__,
       data_center__,
-      link_mbps);
+      link_mbps,
+      relay_port);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4296,6 +4357,154 @@
 
 flatbuffers::Offset<RolloutLease> CreateRolloutLease(flatbuffers::FlatBufferBuilder &_fbb, const RolloutLeaseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RelayT : public flatbuffers::NativeTable {
+  typedef Relay TableType;
+  std::string service{};
+  std::string pool{};
+  std::string server{};
+};
+
+/// The first message on a connection to a relay port: asks the daemon to connect
+/// the sender to a server.
+struct Relay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayT NativeTableType;
+  typedef RelayBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_POOL = 6,
+    VT_SERVER = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           verifier.EndTable();
+  }
+  RelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Relay> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayBuilder {
+  typedef Relay Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(Relay::VT_SERVICE, service);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Relay::VT_POOL, pool);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(Relay::VT_SERVER, server);
+  }
+  explicit RelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Relay> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Relay>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Relay> CreateRelay(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0) {
+  RelayBuilder builder_(_fbb);
+  builder_.add_server(server);
+  builder_.add_pool(pool);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Relay> CreateRelayDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *pool = nullptr,
+    const char *server = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return samphireshunt::wire::CreateRelay(
+      _fbb,
+      service__,
+      pool__,
+      server__);
+}
+
+flatbuffers::Offset<Relay> CreateRelay(flatbuffers::FlatBufferBuilder &_fbb, const RelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RelayedT : public flatbuffers::NativeTable {
+  typedef Relayed TableType;
+  uint8_t result = 0;
+};
+
+/// The answer to Relay. After a result of 0 the connection carries the bytes of
+/// the sender and of the server.
+struct Relayed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayedT NativeTableType;
+  typedef RelayedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RESULT = 4
+  };
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           verifier.EndTable();
+  }
+  RelayedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Relayed> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayedBuilder {
+  typedef Relayed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(Relayed::VT_RESULT, result, 0);
+  }
+  explicit RelayedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Relayed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Relayed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Relayed> CreateRelayed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t result = 0) {
+  RelayedBuilder builder_(_fbb);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<Relayed> CreateRelayed(flatbuffers::FlatBufferBuilder &_fbb, const RelayedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   samphireshunt::wire::BodyUnion body{};
@@ -4378,6 +4587,12 @@
   const samphireshunt::wire::RolloutLease *body_as_RolloutLease() const {
     return body_type() == samphireshunt::wire::Body::RolloutLease ? static_cast<const samphireshunt::wire::RolloutLease *>(body()) : nullptr;
   }
+  const samphireshunt::wire::Relay *body_as_Relay() const {
+    return body_type() == samphireshunt::wire::Body::Relay ? static_cast<const samphireshunt::wire::Relay *>(body()) : nullptr;
+  }
+  const samphireshunt::wire::Relayed *body_as_Relayed() const {
+    return body_type() == samphireshunt::wire::Body::Relayed ? static_cast<const samphireshunt::wire::Relayed *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4474,6 +4689,14 @@
   return body_as_RolloutLease();
 }
 
+template<> inline const samphireshunt::wire::Relay *Envelope::body_as<samphireshunt::wire::Relay>() const {
+  return body_as_Relay();
+}
+
+template<> inline const samphireshunt::wire::Relayed *Envelope::body_as<samphireshunt::wire::Relayed>() const {
+  return body_as_Relayed();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5174,6 +5397,7 @@
   { auto _e = operators(); if (_e) _o->operators = _e->str(); }
   { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
   { auto _e = link_mbps(); _o->link_mbps = _e; }
+  { auto _e = relay_port(); _o->relay_port = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5192,6 +5416,7 @@
   auto _operators = _o->operators.empty() ? 0 : _fbb.CreateString(_o->operators);
   auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
   auto _link_mbps = _o->link_mbps;
+  auto _relay_port = _o->relay_port;
   return samphireshunt::wire::CreateMember(
       _fbb,
       _vm,
@@ -5201,7 +5426,8 @@
       _address,
       _operators,
       _data_center,
-      _link_mbps);
+      _link_mbps,
+      _relay_port);
 }
 
 inline ServiceVersionT *ServiceVersion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5954,6 +6180,64 @@
       _valid_ms);
 }
 
+inline RelayT *Relay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<RelayT>(new RelayT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Relay::UnPackTo(RelayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+}
+
+inline flatbuffers::Offset<Relay> Relay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelay(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Relay> CreateRelay(flatbuffers::FlatBufferBuilder &_fbb, const RelayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  return samphireshunt::wire::CreateRelay(
+      _fbb,
+      _service,
+      _pool,
+      _server);
+}
+
+inline RelayedT *Relayed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<RelayedT>(new RelayedT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Relayed::UnPackTo(RelayedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = result(); _o->result = _e; }
+}
+
+inline flatbuffers::Offset<Relayed> Relayed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayed(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Relayed> CreateRelayed(flatbuffers::FlatBufferBuilder &_fbb, const RelayedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _result = _o->result;
+  return samphireshunt::wire::CreateRelayed(
+      _fbb,
+      _result);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EnvelopeT>(new EnvelopeT());
   UnPackTo(_o.get(), _resolver);
@@ -6072,6 +6356,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::RolloutLease *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Relay: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Relay *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::Relayed: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Relayed *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6175,6 +6467,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::RolloutLease *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Relay: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Relay *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::Relayed: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Relayed *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6266,6 +6566,14 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::RolloutLeaseT *>(value);
       return CreateRolloutLease(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Relay: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::RelayT *>(value);
+      return CreateRelay(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::Relayed: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::RelayedT *>(value);
+      return CreateRelayed(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6356,6 +6664,14 @@
       value = new samphireshunt::wire::RolloutLeaseT(*reinterpret_cast<samphireshunt::wire::RolloutLeaseT *>(u.value));
       break;
     }
+    case Body::Relay: {
+      value = new samphireshunt::wire::RelayT(*reinterpret_cast<samphireshunt::wire::RelayT *>(u.value));
+      break;
+    }
+    case Body::Relayed: {
+      value = new samphireshunt::wire::RelayedT(*reinterpret_cast<samphireshunt::wire::RelayedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6468,6 +6784,16 @@
       delete ptr;
       break;
     }
+    case Body::Relay: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::RelayT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::Relayed: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::RelayedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -58,6 +58,7 @@
   AllotmentSpent = 212,
   ConfigurationStale = 213,
   Stopping = 214,
+  NoPath = 215,
   // 3xx: after the dispatch.
   AnswerTimeout = 300,
   ConnectionLost = 301,
--- a/Source/Connection/BackendConnections.cpp
+++ b/Source/Connection/BackendConnections.cpp
@@ -27,7 +27,11 @@
 } // namespace
 
 std::unique_ptr<HttpConnection>
-BackendConnections::takeIdle(Connections &Idle, milliseconds MaxIdle) {
+BackendConnections::takeIdle(const Endpoint &Address, milliseconds MaxIdle) {
+  auto Found = Idle_.find(Address);
+  if (Found == Idle_.end() || MaxIdle.count() == 0)
+    return nullptr;
+  Connections &Idle = Found->second;
   while (!Idle.empty()) {
     auto Connection = std::move(Idle.back());
     Idle.pop_back();
@@ -38,23 +42,6 @@
   return nullptr;
 }
 
-Awaitable<Result<std::unique_ptr<HttpConnection>>>
-BackendConnections::take(Endpoint Address, milliseconds MaxIdle) {
-  if (MaxIdle.count() > 0)
-    if (auto Reused = takeIdle(Idle_[Address], MaxIdle))
-      co_return Reused;
-  auto Opened = co_await Options_.Connect_(Address, Options_.ConnectTimeout_);
-  if (!Opened.Socket_)
-    co_return Failure{ResultCode::ConnectFailed, std::move(Opened.Detail_)};
-  co_return HttpConnection::adopt(std::move(*Opened.Socket_));
-}
-
-Awaitable<PortState> BackendConnections::checkPort(Endpoint Address,
-                                                   milliseconds Timeout) {
-  auto Opened = co_await Options_.Connect_(std::move(Address), Timeout);
-  co_return Opened.State_;
-}
-
 void BackendConnections::returnConnection(
     const Endpoint &Address, std::unique_ptr<HttpConnection> Connection) {
   auto &Idle = Idle_[Address];
--- a/Source/Connection/BackendConnections.h
+++ b/Source/Connection/BackendConnections.h
@@ -3,7 +3,7 @@
 /// A pool of keep-alive connections to backend servers. There is one pool per
 /// worker thread; it is not thread-safe.
 
-#include "Connection/TcpConnect.h"
+#include "Connection/Http.h"
 
 #include <map>
 #include <memory>
@@ -21,20 +21,16 @@
 public:
   struct Options {
     std::size_t MaxIdlePerServer_ = 64;
-    std::chrono::milliseconds ConnectTimeout_{500};
-    Connector Connect_ = openTcp;
   };
 
-  explicit BackendConnections(Options Settings)
-      : Options_(std::move(Settings)) {}
+  explicit BackendConnections(Options Settings) : Options_(Settings) {}
 
-  /// \returns an idle connection that received bytes within \p MaxIdle, or a
-  /// new one. Fails with ConnectFailed.
-  Awaitable<Result<std::unique_ptr<HttpConnection>>>
-  take(Endpoint Address, std::chrono::milliseconds MaxIdle);
-  /// Opens a connection and closes it.
-  Awaitable<PortState> checkPort(Endpoint Address,
-                                 std::chrono::milliseconds Timeout);
+  /// \returns an idle connection that received bytes within \p MaxIdle; null if
+  /// there is none, or with a \p MaxIdle of 0.
+  std::unique_ptr<HttpConnection> takeIdle(const Endpoint &Address,
+                                           std::chrono::milliseconds MaxIdle);
+  /// Closes the idle connections to a server.
+  void closeIdle(const Endpoint &Address) { Idle_.erase(Address); }
   /// Returns \p Connection to the pool if its last response was read
   /// completely. Otherwise closes it, so that the rest of that response can
   /// never be taken for the response to another request.
@@ -43,8 +39,6 @@
 
 private:
   using Connections = std::vector<std::unique_ptr<HttpConnection>>;
-  std::unique_ptr<HttpConnection> takeIdle(Connections &Idle,
-                                           std::chrono::milliseconds MaxIdle);
 
   Options Options_;
   std::map<Endpoint, Connections> Idle_;
--- a/Source/Process/Membership/MemberTable.h
+++ b/Source/Process/Membership/MemberTable.h
@@ -36,6 +36,8 @@
   DataCenterName DataCenter_;
   /// The bandwidth of its network link in Mbit/s; 0 if unknown.
   std::uint32_t LinkMbps_ = 0;
+  /// Where it relays connections to servers, at the host of Address_; 0: none.
+  std::uint16_t RelayPort_ = 0;
 
   bool operator==(const Member &) const = default;
 };
--- a/Source/Process/Membership/MembershipProtocol.cpp
+++ b/Source/Process/Membership/MembershipProtocol.cpp
@@ -27,6 +27,7 @@
   Target->operators = Value.OperatorAddress_;
   Target->data_center = Value.DataCenter_.str();
   Target->link_mbps = Value.LinkMbps_;
+  Target->relay_port = Value.RelayPort_;
   return Target;
 }
 
@@ -41,6 +42,7 @@
   Target.OperatorAddress_ = Value.operators;
   Target.DataCenter_ = DataCenterName(Value.data_center);
   Target.LinkMbps_ = Value.link_mbps;
+  Target.RelayPort_ = Value.relay_port;
   return Target;
 }
 
--- /dev/null
+++ b/Source/Process/Relay/RelayHandshake.h
@@ -0,0 +1,62 @@
+#pragma once
+/// \file
+/// The first messages on a connection to a daemon's relay port: which server
+/// the connection is for, and whether the daemon has connected to it. After
+/// that the connection carries bytes without frames.
+
+#include "Common/Ids.h"
+#include "Connection/Http.h"
+
+#include <optional>
+
+namespace samphireshunt {
+
+/// What a daemon answers when it is asked to relay. Numbers are sent.
+enum class RelayResult : std::uint8_t {
+  Connected = 0,
+  Refused = 1,       ///< The server refuses connections.
+  Silent = 2,        ///< The server does not answer.
+  NoPath = 3,        ///< The daemon itself is cut off from the server.
+  UnknownServer = 4, ///< Not an active server in the daemon's configuration.
+  Busy = 5,          ///< The daemon relays as much as it may.
+  Stopping = 6,      ///< The daemon is about to stop.
+  NoAnswer = 7,      ///< Never sent: the daemon could not be asked.
+};
+
+/// \returns the result as logs show it, e.g. "no-path".
+std::string_view relayResultName(RelayResult Result);
+
+/// A server, by the names that all daemons know.
+struct RelayTarget {
+  ServiceName Service_;
+  PoolName Pool_;
+  ServerName Server_;
+};
+
+/// A connection through another daemon.
+struct RelayedSocket {
+  RelayResult Result_ = RelayResult::NoAnswer;
+  /// Set if Connected.
+  std::optional<boost::asio::ip::tcp::socket> Socket_;
+};
+
+/// Asks the daemon at \p Relay to connect to a server.
+Awaitable<RelayedSocket> requestRelay(Endpoint Relay, RelayTarget Target,
+                                      std::chrono::milliseconds Timeout);
+
+/// A connection on which another daemon asks for a server.
+struct RelayRequest {
+  boost::asio::ip::tcp::socket Socket_;
+  RelayTarget Target_;
+};
+
+/// Reads what another daemon asks for. \returns MalformedRequest or
+/// ReadTimeout.
+Awaitable<Result<RelayRequest>>
+readRelayRequest(boost::asio::ip::tcp::socket Socket,
+                 std::chrono::milliseconds Timeout);
+/// \returns false if the connection is lost.
+Awaitable<bool> sendRelayResult(boost::asio::ip::tcp::socket &Socket,
+                                RelayResult Value);
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Relay/RelayServer.cpp
@@ -0,0 +1,192 @@
+#include "Process/Relay/RelayServer.h"
+
+#include "Common/Log.h"
+#include "Connection/SocketOptions.h"
+#include "Connection/Spawn.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Socket = asio::ip::tcp::socket;
+
+namespace {
+
+constexpr std::size_t CopyBytes = 8192;
+/// The same limits as for a connection without a relay.
+constexpr SilenceLimits RelayedSilence{std::chrono::milliseconds(3000),
+                                       std::chrono::seconds(1),
+                                       std::chrono::seconds(1), 2};
+
+/// Counts a connection while it exists.
+class ConnectionCount {
+public:
+  explicit ConnectionCount(std::shared_ptr<std::atomic<std::size_t>> Count)
+      : Count_(std::move(Count)) {
+    ++*Count_;
+  }
+  ConnectionCount(const ConnectionCount &) = delete;
+  ConnectionCount &operator=(const ConnectionCount &) = delete;
+  ~ConnectionCount() { --*Count_; }
+
+private:
+  std::shared_ptr<std::atomic<std::size_t>> Count_;
+};
+
+/// A relayed connection: its end at the other daemon, and at the server.
+struct RelayedPair {
+  RelayedPair(Socket Daemon, Socket Server,
+              std::shared_ptr<std::atomic<std::size_t>> Count)
+      : Daemon_(std::move(Daemon)), Server_(std::move(Server)),
+        Counted_(std::move(Count)) {}
+
+  Socket Daemon_;
+  Socket Server_;
+  ConnectionCount Counted_;
+
+  void reset() {
+    for (Socket *End : {&Daemon_, &Server_}) {
+      error_code Ignored;
+      End->set_option(asio::socket_base::linger(true, 0), Ignored);
+      End->close(Ignored);
+    }
+  }
+};
+
+/// Copies bytes until one end closes. \returns how \p From ended.
+Awaitable<error_code> copyBytes(Socket &From, Socket &To) {
+  std::array<char, CopyBytes> Bytes;
+  while (true) {
+    error_code Error;
+    std::size_t Count = co_await From.async_read_some(
+        asio::buffer(Bytes), asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return Error;
+    auto Read = asio::buffer(Bytes, Count);
+    co_await asio::async_write(
+        To, Read, asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return Error;
+  }
+}
+
+/// The other daemon closes its end only when it gives up the request, which the
+/// server has to notice at once.
+Awaitable<void> copyRequest(std::shared_ptr<RelayedPair> Pair) {
+  error_code Error = co_await copyBytes(Pair->Daemon_, Pair->Server_);
+  if (Error != asio::error::eof)
+    co_return Pair->reset();
+  error_code Ignored;
+  Pair->Server_.close(Ignored);
+  Pair->Daemon_.close(Ignored);
+}
+
+/// An answer without a length ends with its connection, and is complete only if
+/// the connection was closed normally.
+Awaitable<void> copyAnswer(std::shared_ptr<RelayedPair> Pair) {
+  error_code Error = co_await copyBytes(Pair->Server_, Pair->Daemon_);
+  if (Error != asio::error::eof)
+    co_return Pair->reset();
+  error_code Ignored;
+  Pair->Daemon_.shutdown(Socket::shutdown_send, Ignored);
+}
+
+void configure(Socket &Target) {
+  error_code Ignored;
+  Target.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  limitSilence(Target, RelayedSilence);
+}
+
+} // namespace
+
+Result<std::unique_ptr<RelayServer>>
+RelayServer::create(asio::io_context &Accept, Options Settings, OpenHook Open) {
+  error_code Error;
+  Tcp::acceptor Acceptor(Accept);
+  Acceptor.open(Settings.Address_.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Settings.Address_, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return Failure{ResultCode::BadSetting,
+                   "can't listen on " + formatEndpoint(Settings.Address_) +
+                       ": " + Error.message()};
+  return std::unique_ptr<RelayServer>(new RelayServer(
+      std::move(Acceptor), std::move(Settings), std::move(Open)));
+}
+
+RelayServer::RelayServer(Tcp::acceptor Acceptor, Options Settings,
+                         OpenHook Open)
+    : Acceptor_(std::move(Acceptor)), Options_(std::move(Settings)),
+      Open_(std::move(Open)) {}
+
+void RelayServer::start(std::vector<asio::io_context *> Workers) {
+  Workers_ = std::move(Workers);
+  acceptNext();
+}
+
+void RelayServer::stop() {
+  error_code Ignored;
+  Acceptor_.close(Ignored);
+}
+
+void RelayServer::acceptNext() {
+  asio::io_context &Worker = *Workers_[NextWorker_++ % Workers_.size()];
+  Acceptor_.async_accept(
+      Worker, [this, &Worker](const error_code &Error, Tcp::socket Accepted) {
+        if (Error == asio::error::operation_aborted || !Acceptor_.is_open())
+          return;
+        if (!Error) {
+          auto Shared = std::make_shared<Socket>(std::move(Accepted));
+          auto Serve = [this, Shared]() { return serve(std::move(*Shared)); };
+          spawnLogged(Worker, "relay", std::move(Serve));
+        }
+        acceptNext();
+      });
+}
+
+Awaitable<RelayedSocket> RelayServer::open(RelayTarget Target) {
+  RelayedSocket Refused;
+  Refused.Result_ = RelayResult::Stopping;
+  if (Stopping_)
+    co_return Refused;
+  Refused.Result_ = RelayResult::Busy;
+  if (connections() >= Options_.MaxConnections_)
+    co_return Refused;
+  co_return co_await Open_(std::move(Target));
+}
+
+Awaitable<void> RelayServer::serve(Tcp::socket Accepted) {
+  configure(Accepted);
+  auto Asked = co_await readRelayRequest(std::move(Accepted),
+                                         Options_.HandshakeTimeout_);
+  if (!Asked) {
+    logEvent(LogCategory::Process, spdlog::level::warn, "relay-not-asked",
+             {{"code", std::to_string(static_cast<int>(Asked.error().Code_))},
+              {"detail", Asked.error().Detail_}});
+    co_return;
+  }
+  RelayTarget Target = Asked->Target_;
+  auto Opened = co_await open(std::move(Target));
+  bool Sent = co_await sendRelayResult(Asked->Socket_, Opened.Result_);
+  if (!Sent || !Opened.Socket_)
+    co_return;
+  configure(*Opened.Socket_);
+  auto Executor = Asked->Socket_.get_executor();
+  auto Pair = std::make_shared<RelayedPair>(
+      std::move(Asked->Socket_), std::move(*Opened.Socket_), Connections_);
+  auto Copy = [Pair]() { return copyAnswer(Pair); };
+  spawnLogged(Executor, "relay-answer", std::move(Copy));
+  co_await copyRequest(std::move(Pair));
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -0,0 +1,237 @@
+#include "Process/Relay/ServerConnector.h"
+
+#include "Common/Log.h"
+#include "Connection/Spawn.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// How often the probes that are due are started.
+constexpr milliseconds ProbeTick{100};
+/// The minimum time between two checks of a server for other daemons.
+constexpr milliseconds CheckInterval{1000};
+
+void logPath(const char *Event, const Endpoint &Server, const char *Seen,
+             const std::string &Relay) {
+  constexpr std::uint32_t LinesPerSecond = 20;
+  thread_local LogSampler Sampler(LinesPerSecond);
+  auto Dropped = Sampler.admit(0, steady_clock::now());
+  if (!Dropped)
+    return;
+  logEvent(LogCategory::Request, spdlog::level::info, Event,
+           {{"address", formatEndpoint(Server)},
+            {"seen", Seen},
+            {"relay", Relay},
+            {"dropped", std::to_string(*Dropped)}});
+}
+
+} // namespace
+
+ServerConnector::ServerConnector(asio::io_context &Context, Options Settings,
+                                 Hooks Callbacks)
+    : Context_(Context), Options_(std::move(Settings)),
+      Hooks_(std::move(Callbacks)), Pool_(Options_.Pool_),
+      Paths_(Options_.Paths_) {}
+
+milliseconds ServerConnector::directTimeout() const {
+  return Hooks_.Relays_()->empty() ? Options_.OnlyTimeout_
+                                   : Options_.DirectTimeout_;
+}
+
+Awaitable<std::variant<ServerLink, LinkFailure>>
+ServerConnector::take(ServerTarget Target, milliseconds MaxIdle) {
+  Paths_.used(Target.Address_, steady_clock::now());
+  ServerLink Link;
+  if (!Paths_.trustsIdle(Target.Address_))
+    Pool_.closeIdle(Target.Address_);
+  else if ((Link.Connection_ = Pool_.takeIdle(Target.Address_, MaxIdle)))
+    co_return Link;
+  LinkFailure Failed;
+  PortState Seen = PortState::Silent;
+  bool TriedDirect = !Paths_.isCutOff(Target.Address_);
+  if (TriedDirect) {
+    auto Opened = co_await Options_.Connect_(Target.Address_, directTimeout());
+    if (Opened.Socket_) {
+      onReached(Target.Address_);
+      Link.Connection_ = HttpConnection::adopt(std::move(*Opened.Socket_));
+      co_return Link;
+    }
+    Seen = Opened.State_;
+    Failed.Detail_ = std::move(Opened.Detail_);
+  }
+  RelayTarget Names = Target.Names_;
+  auto Tried = co_await tryRelays(std::move(Names));
+  if (Tried.Last_.Socket_) {
+    if (TriedDirect)
+      onCutOff(Target, Seen, *Tried.Relay_);
+    ++RelayedCount_;
+    Link.Connection_ = HttpConnection::adopt(std::move(*Tried.Last_.Socket_));
+    Link.Relay_ = Tried.Relay_;
+    co_return Link;
+  }
+  bool OthersFailed = Tried.Refused_ + Tried.Silent_ > 0;
+  Failed.PathLost_ = !OthersFailed && (Tried.WithoutPath_ > 0 || !TriedDirect);
+  co_return Failed;
+}
+
+void ServerConnector::giveBack(const Endpoint &Address, ServerLink Link) {
+  if (Link.Relay_)
+    return Link.Connection_->close();
+  onReached(Address);
+  Pool_.returnConnection(Address, std::move(Link.Connection_));
+}
+
+/// Asks daemons one after the other until one is connected. Nothing of a
+/// request has been sent on a connection that is not used.
+Awaitable<ServerConnector::RelayAttempt>
+ServerConnector::tryRelays(RelayTarget Target) {
+  RelayAttempt Tried;
+  std::vector<VmId> Asked;
+  auto Candidates = Hooks_.Relays_();
+  std::uint64_t Key = NextKey_++;
+  while (Asked.size() < Options_.MaxRelays_) {
+    const RelayCandidate *Found =
+        Choice_.next(*Candidates, Asked, Key, steady_clock::now());
+    if (!Found) {
+      bool Avoided = Choice_.anyWithoutPath(*Candidates, steady_clock::now());
+      Tried.WithoutPath_ += Avoided ? 1 : 0;
+      break;
+    }
+    RelayCandidate Chosen = *Found;
+    Asked.push_back(Chosen.Id_);
+    RelayTarget Names = Target;
+    Endpoint Address = Chosen.Address_;
+    Tried.Last_ = co_await requestRelay(std::move(Address), std::move(Names),
+                                        Options_.RelayTimeout_);
+    Choice_.answered(Chosen, Tried.Last_.Result_, steady_clock::now());
+    Tried.Relay_ = Chosen.Id_;
+    if (Tried.Last_.Socket_)
+      break;
+    Tried.Refused_ += Tried.Last_.Result_ == RelayResult::Refused ? 1 : 0;
+    Tried.Silent_ += Tried.Last_.Result_ == RelayResult::Silent ? 1 : 0;
+    Tried.WithoutPath_ += Tried.Last_.Result_ == RelayResult::NoPath ? 1 : 0;
+  }
+  co_return Tried;
+}
+
+Awaitable<ServerCheck> ServerConnector::check(ServerTarget Target) {
+  PortState Seen = PortState::Silent;
+  bool TriedDirect = !Paths_.isCutOff(Target.Address_);
+  if (TriedDirect) {
+    auto Opened =
+        co_await Options_.Connect_(Target.Address_, Options_.DirectTimeout_);
+    Seen = Opened.State_;
+  }
+  if (Seen == PortState::Open) {
+    onReached(Target.Address_);
+    co_return ServerCheck::Reached;
+  }
+  RelayTarget Names = Target.Names_;
+  auto Tried = co_await tryRelays(std::move(Names));
+  if (Tried.Last_.Socket_ && TriedDirect)
+    onCutOff(Target, Seen, *Tried.Relay_);
+  if (Tried.Last_.Socket_)
+    co_return ServerCheck::PathLost;
+  bool OthersFailed = Tried.Refused_ + Tried.Silent_ > 0;
+  if (!OthersFailed && (Tried.WithoutPath_ > 0 || !TriedDirect))
+    co_return ServerCheck::PathLost;
+  bool AllRefused = Seen == PortState::Refused || !TriedDirect;
+  co_return AllRefused &&Tried.Silent_ == 0 ? ServerCheck::Refused
+                                            : ServerCheck::Silent;
+}
+
+Awaitable<RelayedSocket> ServerConnector::openForRelay(ServerTarget Target) {
+  RelayedSocket Opened;
+  Paths_.used(Target.Address_, steady_clock::now());
+  if (Paths_.isCutOff(Target.Address_)) {
+    Opened.Result_ = RelayResult::NoPath;
+    co_return Opened;
+  }
+  auto Direct =
+      co_await Options_.Connect_(Target.Address_, Options_.DirectTimeout_);
+  if (Direct.Socket_) {
+    onReached(Target.Address_);
+    Opened.Result_ = RelayResult::Connected;
+    Opened.Socket_ = std::move(Direct.Socket_);
+    co_return Opened;
+  }
+  Opened.Result_ = Direct.State_ == PortState::Refused ? RelayResult::Refused
+                                                       : RelayResult::Silent;
+  checkLater(std::move(Target));
+  co_return Opened;
+}
+
+/// This daemon may be cut off as well, without a request of its own that shows
+/// it.
+void ServerConnector::checkLater(ServerTarget Target) {
+  auto Now = steady_clock::now();
+  std::erase_if(Checked_, [Now](const auto &Item) {
+    return Now - Item.second >= CheckInterval;
+  });
+  if (!Checked_.try_emplace(Target.Address_, Now).second)
+    return;
+  auto Check = [this, Target]() -> Awaitable<void> {
+    ServerTarget Checked = Target;
+    co_await check(std::move(Checked));
+  };
+  spawnLogged(Context_, "check-server", std::move(Check));
+}
+
+void ServerConnector::onReached(const Endpoint &Server) {
+  if (!Paths_.reached(Server, steady_clock::now()))
+    return;
+  CutOffCount_ = Paths_.cutOffCount();
+  logPath("path-restored", Server, "open", "");
+}
+
+void ServerConnector::onCutOff(const ServerTarget &Target, PortState Seen,
+                               const VmId &Relay) {
+  if (!Paths_.cutOff(Target.Address_, Seen, steady_clock::now()))
+    return;
+  CutOffCount_ = Paths_.cutOffCount();
+  logPath("path-lost", Target.Address_, portStateName(Seen).data(),
+          Relay.str());
+  startProbes();
+}
+
+void ServerConnector::startProbes() {
+  if (std::exchange(Probing_, true))
+    return;
+  auto Probe = [this]() { return probeAll(); };
+  spawnLogged(Context_, "probe-servers", std::move(Probe));
+}
+
+Awaitable<void> ServerConnector::probeAll() {
+  asio::steady_timer Timer(Context_);
+  while (Paths_.needsProbes()) {
+    for (const Endpoint &Server : Paths_.toProbe(steady_clock::now())) {
+      auto Probe = [this, Server]() { return probe(Server); };
+      spawnLogged(Context_, "probe-server", std::move(Probe));
+    }
+    Timer.expires_after(ProbeTick);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+  Probing_ = false;
+}
+
+Awaitable<void> ServerConnector::probe(Endpoint Server) {
+  Endpoint Address = Server;
+  auto Opened =
+      co_await Options_.Connect_(std::move(Address), Options_.DirectTimeout_);
+  if (Opened.Socket_)
+    co_return onReached(Server);
+  Paths_.probeFailed(Server, Opened.State_);
+  CutOffCount_ = Paths_.cutOffCount();
+}
+
+} // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -105,6 +105,7 @@
                  applyTime(Settings_.ApplyBound_)),
       Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
+      RelayCandidates_(std::make_shared<std::vector<RelayCandidate>>()),
       MemberLog_(Control_),
       KeeperChoice_([this] { return Members_->keepers(); }), Signals_(Control_),
       DrainTimer_(Control_), RefreshTimer_(Control_) {
@@ -129,6 +130,8 @@
   Udp::socket Datagrams(Control_);
   if (auto Done = wirePeers(Datagrams); !Done)
     return Done;
+  if (auto Done = wireRelay(); !Done)
+    return Done;
   if (auto Done = wireOperators(); !Done)
     return Done;
   wireMembership(std::move(Datagrams));
@@ -186,12 +189,56 @@
   return openOnSamePort(Settings_.Peers_, OpenStreams, OpenDatagrams);
 }
 
+Result<void> Daemon::wireRelay() {
+  RelayServer::Options Options;
+  Options.Address_ = Settings_.Relay_;
+  auto Open = [this](RelayTarget Target) {
+    return openForRelay(std::move(Target));
+  };
+  auto Created = RelayServer::create(Control_, Options, std::move(Open));
+  if (!Created)
+    return Created.error();
+  Relay_ = std::move(*Created);
+  return {};
+}
+
+Awaitable<RelayedSocket> Daemon::openForRelay(RelayTarget Target) {
+  auto Snapshot = Documents_.snapshot();
+  const BackendServer *Server =
+      Snapshot->activeServer(Target.Service_, Target.Pool_, Target.Server_);
+  RelayedSocket Refused;
+  Refused.Result_ = RelayResult::UnknownServer;
+  if (!Server)
+    co_return Refused;
+  auto Executor = co_await asio::this_coro::executor;
+  auto &Context = asio::query(Executor, asio::execution::context);
+  auto Found = std::ranges::find_if(
+      Workers_, [&](const auto &Known) { return Known->Context_ == &Context; });
+  ServerTarget Known{std::move(Target), Server->Address_};
+  co_return co_await (*Found)->Servers_->openForRelay(std::move(Known));
+}
+
+std::vector<RelayCandidate> Daemon::relayCandidates() const {
+  std::vector<RelayCandidate> Candidates;
+  for (const Member &Known : Members_->others()) {
+    auto Address = parseEndpoint(Known.Address_);
+    if (Known.Status_ != MemberStatus::Alive || Known.RelayPort_ == 0 ||
+        !Address)
+      continue;
+    Candidates.push_back({Known.Id_,
+                          Endpoint(Address->address(), Known.RelayPort_),
+                          Known.DataCenter_ == Settings_.DataCenter_});
+  }
+  return Candidates;
+}
+
 void Daemon::wireMembership(Udp::socket Datagrams) {
   Member Self;
   Self.Id_ = Settings_.Vm_;
   Self.Incarnation_ = Incarnation_;
   Self.DataCenter_ = Settings_.DataCenter_;
   Self.LinkMbps_ = Settings_.LinkMbps_;
+  Self.RelayPort_ = Relay_->address().port();
   Self.Address_ = Settings_.AdvertisedPeers_.empty()
                       ? formatEndpoint(Peers_->address())
                       : Settings_.AdvertisedPeers_;
@@ -434,7 +481,7 @@
   Freshness_.renew(BootClock::now());
 }
 
-RequestServices Daemon::requestServices(BackendConnections &Connections) {
+RequestServices Daemon::requestServices(ServerConnector &Servers) {
   TraceSink Sink;
   if (Settings_.TraceCollector_.port() != 0)
     Sink = [this](TraceRecord Record) { Traces_->offer(std::move(Record)); };
@@ -457,7 +504,7 @@
   return {Documents_,
           *Grants_,
           *Claims_,
-          Connections,
+          Servers,
           Crashes_,
           Settings_.Vm_,
           Incarnation_,
@@ -472,16 +519,20 @@
 }
 
 std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
-  BackendConnections::Options Connecting;
-  Connecting.Connect_ = Adapter_.ConnectServer_;
-  auto Made = std::make_unique<Worker>(std::move(Connecting));
+  auto Made = std::make_unique<Worker>();
   Made->Context_ = &Control_;
   if (!OnControlThread)
     Made->Context_ =
         WorkerContexts_.emplace_back(std::make_unique<asio::io_context>(1))
             .get();
+  ServerConnector::Options Connecting;
+  Connecting.Connect_ = Adapter_.ConnectServer_;
+  ServerConnector::Hooks Hooks;
+  Hooks.Relays_ = [this] { return RelayCandidates_.read(); };
+  Made->Servers_ = std::make_unique<ServerConnector>(
+      *Made->Context_, std::move(Connecting), std::move(Hooks));
   Made->Callers_ = std::make_unique<CallerService>(
-      requestServices(Made->Connections_), [this] { return isReady(); },
+      requestServices(*Made->Servers_), [this] { return isReady(); },
       [this] { return nextRequestId(); });
   return Made;
 }
@@ -516,6 +567,7 @@
     ByContext[Added->Context_] = Added->Callers_.get();
     Workers_.push_back(std::move(Added));
   }
+  Relay_->start(Contexts);
   HttpServerOptions Options;
   Options.Address_ = Settings_.Callers_;
   Options.MaxConnections_ = Settings_.MaxConnections_;
@@ -704,6 +756,8 @@
       return;
     MemberSnapshot_.write(
         std::make_shared<std::vector<Member>>(Members_->others()));
+    RelayCandidates_.write(
+        std::make_shared<std::vector<RelayCandidate>>(relayCandidates()));
     Keeper_->refresh();
     Grants_->rebind();
   });
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -12,6 +12,8 @@
 #include "Process/Membership/MemberLog.h"
 #include "Process/Membership/MembershipService.h"
 #include "Process/Membership/PeerNetwork.h"
+#include "Process/Relay/RelayServer.h"
+#include "Process/Relay/ServerConnector.h"
 #include "Process/Rollout/RolloutService.h"
 #include "Programs/Metrics.h"
 #include "Programs/OperatorService.h"
@@ -65,12 +67,9 @@
   struct Worker {
     /// The control thread's context, if that thread serves requests. Not owned.
     boost::asio::io_context *Context_ = nullptr;
-    BackendConnections Connections_;
+    std::unique_ptr<ServerConnector> Servers_;
     std::unique_ptr<CallerService> Callers_;
     std::thread Thread_;
-
-    explicit Worker(BackendConnections::Options Connecting)
-        : Connections_(std::move(Connecting)) {}
   };
 
   Daemon(Settings Configured, PlatformAdapter Adapter);
@@ -80,13 +79,16 @@
   PeerNetwork::Hooks peerHooks();
   /// Binds the address for other daemons, with the UDP socket in \p Datagrams.
   Result<void> wirePeers(Udp::socket &Datagrams);
+  Result<void> wireRelay();
+  Awaitable<RelayedSocket> openForRelay(RelayTarget Target);
+  std::vector<RelayCandidate> relayCandidates() const;
   void wireMembership(Udp::socket Datagrams);
   void wireKeeper();
   void wireConfiguration();
   Result<void> wireCallers();
   Result<void> wireOperators();
   HttpServerOptions operatorOptions(const Endpoint &Address);
-  RequestServices requestServices(BackendConnections &Connections);
+  RequestServices requestServices(ServerConnector &Servers);
   std::unique_ptr<Worker> makeWorker(bool OnControlThread);
   void wireFollower();
   void wireRollouts();
@@ -159,6 +161,7 @@
   CrashTracker Crashes_;
   std::unique_ptr<MemberTable> Members_;
   RcuCell<std::vector<Member>> MemberSnapshot_;
+  RcuCell<std::vector<RelayCandidate>> RelayCandidates_;
   MemberLog MemberLog_;
   std::unique_ptr<PeerNetwork> Peers_;
   std::unique_ptr<MembershipService> Membership_;
@@ -179,6 +182,7 @@
   std::optional<ReaderChoice> ReaderChoice_;
   std::unique_ptr<TraceExporter> Traces_;
   std::vector<std::unique_ptr<Worker>> Workers_;
+  std::unique_ptr<RelayServer> Relay_;
   std::unique_ptr<HttpServer> CallerServer_;
   std::unique_ptr<OperatorService> Operators_;
   std::unique_ptr<HttpServer> OperatorServer_;
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -145,6 +145,7 @@
   membersChanged();
   Membership_->spreadUpdates();
   CallerServer_->closeAfterAnswers();
+  Relay_->refuseNew();
   scheduleRefresh();
 }
 
@@ -195,7 +196,8 @@
     stopAll();
 }
 
-/// True when no request is active and no new connections are expected. A
+/// True when no request is active, none is relayed and no new connections are
+/// expected. A
 /// balancer with few other daemons keeps sending to this one, so connections
 /// are accepted until none arrives any more. If they never end, the daemon
 /// continues only while requests are active: requests that arrive that late are
@@ -206,7 +208,8 @@
     CallerServer_->stopAccepting();
   bool Quiet = SinceAccepted >= Settings_.DrainQuiet_ ||
                Drained >= 2 * Settings_.DrainDelay_;
-  return CallerServer_->activeExchanges() == 0 && Quiet;
+  return CallerServer_->activeExchanges() == 0 && Relay_->connections() == 0 &&
+         Quiet;
 }
 
 /// Checks periodically whether the daemon has become ready or its stop is
@@ -266,6 +269,7 @@
   Membership_->stop();
   MemberLog_.stop();
   Peers_->stop();
+  Relay_->stop();
   Keeper_->stop();
   if (Follower_) {
     Follower_->stop();
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -66,6 +66,7 @@
            {"exposed", Known.Exposed_},
            {"badAnswers", Known.BadAnswers_}});
   }
+  Root["relayedConnections"] = Relay_->connections();
   Root["activeRequests"] = CallerServer_->activeExchanges();
   Root["liveShare"] = Members_->liveShare();
   Root["controlBytesSent"] =
@@ -135,6 +136,16 @@
                     static_cast<double>(CallerServer_->openConnections()));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
+  Metrics_.setGauge("relayed_connections",
+                    static_cast<double>(Relay_->connections()));
+  double CutOff = 0;
+  double RelayedByOthers = 0;
+  for (const auto &Current : Workers_) {
+    CutOff += static_cast<double>(Current->Servers_->cutOffCount());
+    RelayedByOthers += static_cast<double>(Current->Servers_->relayedCount());
+  }
+  Metrics_.setGauge("servers_cut_off", CutOff);
+  Metrics_.setGauge("connections_relayed_by_others", RelayedByOthers);
   Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
   Metrics_.setGauge("live_share", Members_->liveShare());
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -52,6 +52,9 @@
 ABSL_FLAG(std::string, log_output, "stdout", "stdout or stderr.");
 ABSL_FLAG(std::string, metrics_address, "",
           "IP:port that serves /metrics besides operators_address.");
+ABSL_FLAG(std::string, relay_address, "",
+          "IP:port at which other daemons that can't reach a server ask this "
+          "one to relay; empty: any port at the IP of peers_address.");
 ABSL_FLAG(int, apply_bound_ms, 0,
           "Longest time from the acceptance of a configuration until it is "
           "active, in ms; 0: no bound.");
@@ -120,6 +123,7 @@
                                   "drain_quiet_ms",
                                   "log_output",
                                   "metrics_address",
+                                  "relay_address",
                                   "apply_bound_ms",
                                   "revocation_bound_ms",
                                   "admission",
@@ -259,6 +263,10 @@
       "drain_quiet_ms", absl::GetFlag(FLAGS_drain_quiet_ms), 0, HourMs));
   Read.Metrics_ = Check.address("metrics_address",
                                 absl::GetFlag(FLAGS_metrics_address), false);
+  Read.Relay_ =
+      Check.address("relay_address", absl::GetFlag(FLAGS_relay_address), false);
+  if (absl::GetFlag(FLAGS_relay_address).empty())
+    Read.Relay_ = Endpoint(Read.Peers_.address(), 0);
   Read.ApplyBound_ = std::chrono::milliseconds(Check.number(
       "apply_bound_ms", absl::GetFlag(FLAGS_apply_bound_ms), 0, HourMs));
   Read.RevocationBound_ = std::chrono::milliseconds(
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -46,6 +46,8 @@
   LogOutput LogOutput_ = LogOutput::StandardOutput;
   /// An additional address for /metrics; port 0 means none.
   Endpoint Metrics_;
+  /// Where connections of other daemons to servers are relayed.
+  Endpoint Relay_;
   /// How long a revoked key may still be accepted. 0: no bound, the active
   /// configuration is always assumed to be the newest.
   std::chrono::milliseconds RevocationBound_{0};
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -215,8 +215,7 @@
   Awaitable<void> answerWhole(HttpResponse Answer) {
     if (Claimed_)
       co_await finishInBackground(ClaimState::Answered, &Answer);
-    Context_.Services_.Connections_.returnConnection(
-        Ready_.Server_.Address_, std::move(Ready_.Connection_));
+    releaseConnection(Context_, Ready_);
     for (std::string_view Field :
          {"connection", "keep-alive", "transfer-encoding", "content-length"})
       Answer.Fields_.erase(std::string(Field));
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -2,27 +2,23 @@
 
 namespace samphireshunt {
 
-namespace {
-
-/// A VM answers at once that nothing listens at a port. Without an answer for
-/// this long, nothing is known about the server.
-constexpr std::chrono::milliseconds PortCheckTimeout{100};
-
-} // namespace
-
 Awaitable<void> addCrashEvidence(RequestContext &Context, BackendServer Server,
                                  ResultCode Cause, ServedSample &Sample) {
   bool Lost =
       Cause == ResultCode::ConnectionLost || Cause == ResultCode::StreamBroken;
+  bool Silent = Cause == ResultCode::AnswerTimeout;
   auto Newest = Context.Services_.Documents_.snapshot();
   bool Active =
       Newest->activeServer(Context.document().Service_, Context.Pool_->Name_,
                            Server.Name_) != nullptr;
-  if (!Lost || !Active)
+  if ((!Lost && !Silent) || !Active)
     co_return;
-  PortState Port = co_await Context.Services_.Connections_.checkPort(
-      Server.Address_, PortCheckTimeout);
-  if (Port != PortState::Refused)
+  ServerTarget Target = targetOf(Context, Server);
+  ServerCheck Found =
+      co_await Context.Services_.Servers_.check(std::move(Target));
+  if (Found == ServerCheck::PathLost)
+    Sample.Faulty_ = false;
+  if (!Lost || Found != ServerCheck::Refused)
     co_return;
   Sample.Crashed_ = true;
   Sample.Fingerprint_ = Context.fingerprint();
--- a/Source/Request/CrashEvidence.h
+++ b/Source/Request/CrashEvidence.h
@@ -7,12 +7,14 @@
 
 namespace samphireshunt {
 
-/// Adds to \p Sample whether \p Server crashed while it ran the request, after
-/// the connection to it was lost because of \p Cause.
+/// Adds to \p Sample what a lost connection to \p Server, or a timeout, shows
+/// about the server.
 ///
 /// A server has crashed if its connection was lost and its address refuses new
-/// ones at once. A reset alone proves nothing, nor does a server that is silent
-/// or can't be reached; one that is leaving may end as planned.
+/// ones at once, also from other daemons where there are any. A reset alone
+/// proves nothing, nor does a server that is silent or can't be reached; one
+/// that is leaving may end as planned. A server that only this daemon can't
+/// reach is not at fault.
 Awaitable<void> addCrashEvidence(RequestContext &Context, BackendServer Server,
                                  ResultCode Cause, ServedSample &Sample);
 
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -140,6 +140,8 @@
   HttpRequest forwardedRequest() {
     std::size_t SpanNumber = Context_.Trace_.begin("dispatch");
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
+    if (Ready_.Relay_)
+      Context_.Trace_.attribute(SpanNumber, "relay", Ready_.Relay_->str());
     HttpRequest Request = endToEndRequest(Context_.Exchange_.request());
     Request.Fields_["traceparent"] = Context_.Trace_.traceparent(SpanNumber);
     ForwardLabels Labels;
@@ -202,7 +204,7 @@
   Awaitable<AttemptEnd> refusedByServer(HttpResponse Head) {
     bool Whole = co_await readBody(Head);
     if (Whole)
-      releaseConnection();
+      releaseConnection(Context_, Ready_);
     else
       Ready_.Connection_->close();
     LastFailure_ = {ResultCode::RefusedByServer,
@@ -222,16 +224,11 @@
     }
   }
 
-  void releaseConnection() {
-    Context_.Services_.Connections_.returnConnection(
-        Ready_.Server_.Address_, std::move(Ready_.Connection_));
-  }
-
   Awaitable<AttemptEnd> relayAnswer(HttpResponse Answer) {
     bool Whole = co_await readBody(Answer);
     if (!Whole)
       co_return failed({ResultCode::ConnectionLost, "answer broke off"});
-    releaseConnection();
+    releaseConnection(Context_, Ready_);
     if (promisesNotRun(Answer.Status_)) {
       // The request may have run, but the caller would take this status for a
       // promise that it did not.
@@ -284,7 +281,7 @@
       if (!Written)
         co_return writeFailed();
     }
-    releaseConnection();
+    releaseConnection(Context_, Ready_);
     std::string Rest = Splitter_.partialEvent();
     bool Written = co_await writeEvents(Head, std::move(Rest));
     if (Written)
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -300,17 +300,20 @@
   Awaitable<std::optional<Verdict>> resume() {
     ++IdleResumes_;
     Ready_.Connection_->close();
-    auto Connected = co_await HttpConnection::connect(
-        Ready_.Server_.Address_, std::min(ResumeTimeout, Context_.remaining()));
+    ServerTarget Target = targetOf(Context_, Ready_.Server_);
+    auto Connected = co_await Context_.Services_.Servers_.take(
+        std::move(Target), milliseconds(0));
     Verdict Broken;
     Broken.Outcome_ = HeadSent_ ? Outcome::Partial : Outcome::Unknown;
     Broken.Code_ =
         HeadSent_ ? ResultCode::StreamBroken : ResultCode::ConnectionLost;
-    if (!Connected) {
-      Broken.Detail_ = Connected.error().Detail_;
+    if (auto *Failed = std::get_if<LinkFailure>(&Connected)) {
+      Broken.Detail_ = Failed->Detail_;
       co_return Broken;
     }
-    Ready_.Connection_ = std::move(*Connected);
+    auto &Link = std::get<ServerLink>(Connected);
+    Ready_.Connection_ = std::move(Link.Connection_);
+    Ready_.Relay_ = std::move(Link.Relay_);
     HttpRequest Request;
     Request.Target_ =
         fmt::format("/v1/requests/{}?from={}", Context_.Id_.str(), NextEvent_);
@@ -383,8 +386,7 @@
   }
 
   Awaitable<void> answerComplete() {
-    Context_.Services_.Connections_.returnConnection(
-        Ready_.Server_.Address_, std::move(Ready_.Connection_));
+    releaseConnection(Context_, Ready_);
     if (Streaming_) {
       // The outcome is sent as a comment, which clients of the OpenAI API
       // ignore.
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -154,6 +154,8 @@
     Fields.emplace_back("newer_known_ms", millisText(Behind));
   Fields.emplace_back("tier", std::to_string(Context.Tier_.count()));
   Fields.emplace_back("servers", serversText(Context));
+  if (Context.Relay_)
+    Fields.emplace_back("relay", Context.Relay_->str());
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
   Fields.emplace_back("total_ms", millisText(Now - Context.Started_));
   if (Value == Outcome::Answered && Context.Route_ &&
@@ -184,17 +186,18 @@
 }
 
 void logUnreachable(const RequestContext &Context, const ServerName &Server,
-                    const std::string &Detail) {
+                    const Verdict &Cause) {
   constexpr std::uint32_t LinesPerSecond = 20;
   thread_local LogSampler Sampler(LinesPerSecond);
-  auto Dropped = Sampler.admit(static_cast<int>(ResultCode::ConnectFailed),
-                               steady_clock::now());
+  auto Code = static_cast<int>(Cause.Code_);
+  auto Dropped = Sampler.admit(Code, steady_clock::now());
   if (!Dropped)
     return;
   logEvent(LogCategory::Request, spdlog::level::info, "server-unreachable",
            {{"request", Context.Id_.str()},
             {"server", Server.str()},
-            {"detail", Detail},
+            {"code", std::to_string(Code)},
+            {"detail", Cause.Detail_},
             {"dropped", std::to_string(*Dropped)}});
 }
 
@@ -300,18 +303,21 @@
       Context.State_.tryGiveUp();
       co_return std::move(*Refused);
     }
-    auto Connected = co_await Context.Services_.Connections_.take(
-        Chosen.Address_, Options.MaxIdle_);
-    if (!Connected) {
+    ServerTarget Target = targetOf(Context, Chosen);
+    auto Connected = co_await Context.Services_.Servers_.take(std::move(Target),
+                                                              Options.MaxIdle_);
+    if (auto *Failed = std::get_if<LinkFailure>(&Connected)) {
       ServedSample Unreachable;
-      Unreachable.Faulty_ = true;
+      Unreachable.Faulty_ = !Failed->PathLost_;
       Grants.done(Context.Id_, Unreachable);
       Excluded.push_back(Answer->Server_);
-      Ended = notRun(ResultCode::ConnectFailed);
-      Ended.Detail_ = Connected.error().Detail_;
-      logUnreachable(Context, Answer->Server_, Ended.Detail_);
+      Ended = notRun(Failed->PathLost_ ? ResultCode::NoPath
+                                       : ResultCode::ConnectFailed);
+      Ended.Detail_ = Failed->Detail_;
+      logUnreachable(Context, Answer->Server_, Ended);
       continue;
     }
+    auto &Link = std::get<ServerLink>(Connected);
     if (Options.BeforeDispatch_)
       Refused = Options.BeforeDispatch_();
     if (!Refused)
@@ -336,9 +342,11 @@
       break;
     }
     Context.Servers_.push_back(Chosen.Name_);
+    Context.Relay_ = Link.Relay_;
     ReadyServer Ready;
     Ready.Server_ = std::move(Chosen);
-    Ready.Connection_ = std::move(*Connected);
+    Ready.Connection_ = std::move(Link.Connection_);
+    Ready.Relay_ = std::move(Link.Relay_);
     Ready.Limited_ = Answer->Limited_;
     co_return std::move(Ready);
   }
@@ -346,6 +354,17 @@
   co_return std::move(Ended);
 }
 
+ServerTarget targetOf(const RequestContext &Context,
+                      const BackendServer &Server) {
+  return {{Context.document().Service_, Context.Pool_->Name_, Server.Name_},
+          Server.Address_};
+}
+
+void releaseConnection(RequestContext &Context, ReadyServer &Used) {
+  Context.Services_.Servers_.giveBack(
+      Used.Server_.Address_, {std::move(Used.Connection_), Used.Relay_});
+}
+
 void removeHopFields(HttpFields &Fields) {
   // The Connection field lists further hop-by-hop fields.
   auto Listed = Fields.find("connection");
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -3,10 +3,10 @@
 /// State with the lifetime of one request, and the services that it uses.
 
 #include "Common/RequestFingerprint.h"
-#include "Connection/BackendConnections.h"
 #include "Process/Configuration/FreshnessLease.h"
 #include "Process/Keeping/CrashTracker.h"
 #include "Process/Keeping/GrantClient.h"
+#include "Process/Relay/ServerConnector.h"
 #include "Request/ClaimStore.h"
 #include "Request/FinalAnswer.h"
 #include "Request/ForwardingDialect.h"
@@ -38,7 +38,7 @@
   DocumentStore &Documents_;
   GrantClient &Grants_;
   ClaimStore &Claims_;
-  BackendConnections &Connections_;
+  ServerConnector &Servers_;
   /// Only snapshot() is called here.
   const CrashTracker &Crashes_;
   VmId Vm_;
@@ -98,6 +98,8 @@
   StreamTiming StreamTiming_;
   /// Servers that the request was dispatched to, in order.
   std::vector<ServerName> Servers_;
+  /// The daemon that relays the last dispatch; unset if it is direct.
+  std::optional<VmId> Relay_;
 
   /// Computed by the first call of fingerprint().
   RequestFingerprint Fingerprint_;
@@ -114,10 +116,18 @@
 struct ReadyServer {
   BackendServer Server_;
   std::unique_ptr<HttpConnection> Connection_;
+  /// The daemon that relays the connection; unset if it is direct.
+  std::optional<VmId> Relay_;
   /// The server names the rate of requests that it accepts.
   bool Limited_ = false;
 };
 
+/// \returns the server of a request's pool as connections address it.
+ServerTarget targetOf(const RequestContext &Context,
+                      const BackendServer &Server);
+/// Keeps the connection for further requests.
+void releaseConnection(RequestContext &Context, ReadyServer &Used);
+
 /// Called between grant and connection. A returned verdict ends the request.
 using BeforeConnect = std::function<Awaitable<std::optional<Verdict>>()>;
 
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -195,7 +195,9 @@
 
 ForwardingHarness::ForwardingHarness(Options Wanted,
                                      std::vector<ScriptOf> Servers)
-    : Options_(Wanted), Lease_(Wanted.Lease_, Wanted.ApplyBound_) {
+    : Options_(Wanted), Lease_(Wanted.Lease_, Wanted.ApplyBound_),
+      Connector_(Context_, ServerConnector::Options(),
+                 ServerConnector::Hooks()) {
   for (ScriptOf &Decide : Servers)
     Servers_.push_back(
         std::make_unique<ScriptedServer>(Context_, std::move(Decide)));
@@ -252,7 +254,7 @@
   return {Documents_,
           *Grants_,
           Claims_,
-          Connections_,
+          Connector_,
           Crashes_,
           VmId("vm"),
           Incarnation(1),
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -160,7 +160,7 @@
   RetryBudget RetryBudget_{RetryBudget::Options()};
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
-  BackendConnections Connections_{BackendConnections::Options()};
+  ServerConnector Connector_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
   std::unique_ptr<CallerService> Callers_;
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -146,7 +146,7 @@
     return {Documents_,
             *Grants_,
             Claims_,
-            Connections_,
+            Connector_,
             Crashes_,
             Self,
             Incarnation(1),
@@ -169,7 +169,8 @@
   ClaimStore Claims_{NoPlatform_, ClaimStore::Options()};
   RetryBudget RetryBudget_{RetryBudget::Options()};
   ForwardingDialect Dialect_ = defaultDialect();
-  BackendConnections Connections_{BackendConnections::Options()};
+  ServerConnector Connector_{Context_, ServerConnector::Options(),
+                             ServerConnector::Hooks()};
   CrashTracker Crashes_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
