--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -196,11 +196,18 @@
 ForwardingHarness::ForwardingHarness(Options Wanted,
                                      std::vector<ScriptOf> Servers)
     : Options_(Wanted), Lease_(Wanted.Lease_, Wanted.ApplyBound_),
-      Connector_(Context_, ServerConnector::Options(),
-                 ServerConnector::Hooks()) {
+      Connector_(Context_, connecting(), relays()) {
   for (ScriptOf &Decide : Servers)
     Servers_.push_back(
         std::make_unique<ScriptedServer>(Context_, std::move(Decide)));
+  auto AddressOf = [this](const ServerName &Name) -> std::optional<Endpoint> {
+    auto Snapshot = Documents_.snapshot();
+    const BackendServer *Known = Snapshot->activeServer(Service, ThePool, Name);
+    return Known ? std::optional(Known->Address_) : std::nullopt;
+  };
+  for (std::size_t Index = 0; Index < Wanted.Relays_; ++Index)
+    Relays_.push_back(std::make_unique<RelayingDaemon>(
+        Context_, VmId(fmt::format("relay-{}", Index)), AddressOf));
   Lease_.renew(BootClock::now());
   GrantClient::Hooks ClientHooks;
   ClientHooks.KeeperOf_ = [](const CellId &, const std::vector<VmId> &) {
@@ -250,6 +257,67 @@
       *HttpServer::create(Context_, {&Context_}, std::move(Listening)));
 }
 
+Connector connectorFor(const PortState &Links) {
+  return [&Links](Endpoint Address,
+                  milliseconds Timeout) -> Awaitable<ConnectResult> {
+    if (Links == PortState::Open)
+      co_return co_await openTcp(std::move(Address), Timeout);
+    ConnectResult Failed;
+    Failed.State_ = Links;
+    co_return Failed;
+  };
+}
+
+RelayingDaemon::RelayingDaemon(
+    asio::io_context &Context, VmId Id,
+    std::function<std::optional<Endpoint>(const ServerName &)> AddressOf)
+    : Id_(std::move(Id)), Connector_(
+                              Context,
+                              [this] {
+                                ServerConnector::Options Connecting;
+                                Connecting.Connect_ = connectorFor(Links_);
+                                return Connecting;
+                              }(),
+                              ServerConnector::Hooks()) {
+  RelayServer::Options Listening;
+  Listening.Address_ = anyPort();
+  auto Open = [this, AddressOf = std::move(AddressOf)](
+                  RelayTarget Target) -> Awaitable<RelayedSocket> {
+    RelayedSocket Unknown;
+    Unknown.Result_ = RelayResult::UnknownServer;
+    auto Address = AddressOf(Target.Server_);
+    if (!Address)
+      co_return Unknown;
+    ServerTarget Known{std::move(Target), *Address};
+    co_return co_await Connector_.openForRelay(std::move(Known));
+  };
+  Server_ = std::move(
+      *RelayServer::create(Context, std::move(Listening), std::move(Open)));
+  Server_->start({&Context});
+}
+
+RelayCandidate RelayingDaemon::candidate() const {
+  return {Id_, Server_->address(), true};
+}
+
+ServerConnector::Options ForwardingHarness::connecting() {
+  ServerConnector::Options Connecting;
+  Connecting.Connect_ = connectorFor(Links_);
+  return Connecting;
+}
+
+ServerConnector::Hooks ForwardingHarness::relays() {
+  ServerConnector::Hooks Hooks;
+  Hooks.Relays_ = [this] {
+    auto Candidates = std::make_shared<std::vector<RelayCandidate>>();
+    std::ranges::transform(
+        Relays_, std::back_inserter(*Candidates),
+        [](const auto &Known) { return Known->candidate(); });
+    return std::shared_ptr<const std::vector<RelayCandidate>>(Candidates);
+  };
+  return Hooks;
+}
+
 RequestServices ForwardingHarness::services() {
   return {Documents_,
           *Grants_,
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -5,6 +5,7 @@
 /// backend servers are scripted: they read a request and write given bytes.
 
 #include "Process/Keeping/KeeperService.h"
+#include "Process/Relay/RelayServer.h"
 #include "Request/CallerService.h"
 
 #include <boost/asio/io_context.hpp>
@@ -99,6 +100,33 @@
   bool hasLastChunk() const;
 };
 
+/// A second daemon that relays connections to servers.
+class RelayingDaemon {
+public:
+  /// \p AddressOf returns the address of a server, or nothing if the daemon
+  /// does not know it.
+  RelayingDaemon(
+      boost::asio::io_context &Context, VmId Id,
+      std::function<std::optional<Endpoint>(const ServerName &)> AddressOf);
+
+  RelayCandidate candidate() const;
+  std::size_t connections() const { return Server_->connections(); }
+  RelayServer &server() { return *Server_; }
+  /// Sets what it sees of the servers.
+  void setLinks(PortState Seen) { Links_ = Seen; }
+  /// Ends it: resets nothing, but no longer accepts.
+  void stop() { Server_->stop(); }
+
+private:
+  VmId Id_;
+  PortState Links_ = PortState::Open;
+  ServerConnector Connector_;
+  std::unique_ptr<RelayServer> Server_;
+};
+
+/// \returns a connector that opens connections only while \p Links is Open.
+Connector connectorFor(const PortState &Links);
+
 /// A daemon's request path with scripted backend servers and test callers.
 class ForwardingHarness {
 public:
@@ -114,6 +142,8 @@
     /// How long a newer configuration may be known without being applied; 0: no
     /// limit.
     BootClock::duration ApplyBound_{0};
+    /// Number of other daemons that can relay.
+    std::size_t Relays_ = 0;
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
@@ -141,12 +171,18 @@
   void publishAt(const Endpoint &Address);
   /// Activates a configuration in which the customer has these keys.
   void adopt(std::vector<std::string> Keys);
+  /// Sets what this daemon sees of the servers.
+  void setLinks(PortState Seen) { Links_ = Seen; }
+  RelayingDaemon &relay(std::size_t Index) { return *Relays_[Index]; }
+  ServerConnector &connector() { return Connector_; }
   FreshnessLease &lease() { return Lease_; }
   /// \returns the number of requests that wait for a grant.
   std::size_t waiting() const { return Grants_->waiting(); }
 
 private:
   RequestServices services();
+  ServerConnector::Options connecting();
+  ServerConnector::Hooks relays();
   Awaitable<void> sendAndReceive(std::string Bytes,
                                  std::shared_ptr<CallerReply> Reply);
 
@@ -160,6 +196,8 @@
   RetryBudget RetryBudget_{RetryBudget::Options()};
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
+  PortState Links_ = PortState::Open;
+  std::vector<std::unique_ptr<RelayingDaemon>> Relays_;
   ServerConnector Connector_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
--- /dev/null
+++ b/UnitTests/Request/RelayedCallTest.cpp
@@ -0,0 +1,181 @@
+/// \file
+/// Requests of a daemon that is cut off from servers, relayed by other daemons.
+
+#include "UnitTests/Request/ForwardingHarness.h"
+
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+
+namespace {
+
+Script answer(const std::string &Request, std::size_t) {
+  return {completeAnswer(fieldIn(Request, "x-call-id"), "answer")};
+}
+
+Script hold(const std::string &, std::size_t) {
+  return {"", Script::Then::Hold};
+}
+
+ForwardingHarness::Options kind(RequestKind Kind, std::size_t Relays = 2) {
+  ForwardingHarness::Options Wanted;
+  Wanted.Kind_ = Kind;
+  Wanted.Relays_ = Relays;
+  return Wanted;
+}
+
+std::string nameOf(std::size_t Number) { return "c" + std::to_string(Number); }
+
+} // namespace
+
+TEST_CASE("all kinds of requests are served through another daemon, once") {
+  // Guards against a daemon without links that refuses its callers, and against
+  // requests that run at both ends of a relay.
+  for (PortState Look : {PortState::Refused, PortState::Silent})
+    for (RequestKind Kind :
+         {RequestKind::Idempotent, RequestKind::NonIdempotent}) {
+      ForwardingHarness Path(kind(Kind), {answer, answer, answer});
+      Path.setLinks(Look);
+      for (std::size_t Number = 0; Number < 20; ++Number) {
+        CallerReply Reply = Path.call(nameOf(Number));
+        CHECK(Reply.status() == 200);
+        CHECK(Reply.body() == "answer");
+      }
+      CHECK(Path.received() == 20);
+    }
+}
+
+TEST_CASE("a stream is relayed as it is, with its end") {
+  // Guards against a stream that looks complete but is not.
+  for (bool Complete : {true, false}) {
+    auto Events = [Complete](const std::string &Request, std::size_t) {
+      Script Sent;
+      Sent.Bytes_ = streamHead(fieldIn(Request, "x-call-id")) +
+                    eventChunk(1, "one") + (Complete ? LastChunk : "");
+      Sent.Then_ = Complete ? Script::Then::KeepOpen : Script::Then::Reset;
+      return Sent;
+    };
+    ForwardingHarness Path(kind(RequestKind::Stream), {Events});
+    Path.setLinks(PortState::Refused);
+    CallerReply Reply = Path.call("c");
+    CHECK(Reply.body().find("one") != std::string::npos);
+    CHECK(Reply.hasLastChunk() == Complete);
+  }
+}
+
+TEST_CASE("an answer without a length is complete only if it ends normally") {
+  // Guards against a relay that turns a reset into a normal end.
+  for (bool Reset : {true, false}) {
+    auto Unframed = [Reset](const std::string &Request, std::size_t) {
+      return Script{
+          "HTTP/1.1 200 OK\r\nX-Call-Id: " + fieldIn(Request, "x-call-id") +
+              "\r\nX-Answer-Proof: p\r\nConnection: close\r\n\r\nall",
+          Reset ? Script::Then::Reset : Script::Then::Close};
+    };
+    ForwardingHarness Path(kind(RequestKind::NonIdempotent), {Unframed});
+    Path.setLinks(PortState::Refused);
+    CHECK((Path.call("c").status() == 200) != Reset);
+  }
+}
+
+TEST_CASE("a relay that breaks after the dispatch is no proof of no run") {
+  // Guards against a caller that is told not run for a request that ran.
+  auto RunThenReset = [](const std::string &, std::size_t) {
+    return Script{"", Script::Then::Reset};
+  };
+  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+                         {RunThenReset, RunThenReset});
+  Path.setLinks(PortState::Refused);
+  CallerReply Reply = Path.call("c");
+  CHECK(Reply.status() == 502);
+  CHECK(fieldIn(Reply.Bytes_, "x-outcome") == "unknown");
+  CHECK(Path.received() == 1);
+}
+
+TEST_CASE("a caller that leaves ends the request behind the relay") {
+  // Guards against engines that work for callers that have left.
+  ForwardingHarness Path(kind(RequestKind::Idempotent), {hold});
+  Path.setLinks(PortState::Refused);
+  auto Call = Path.begin("c");
+  REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
+  ForwardingHarness::disconnect(*Call);
+  CHECK(Path.runUntil([&] { return Path.server(0).closed() == 1; }));
+  CHECK(Path.runUntil([&] {
+    return Path.relay(0).connections() + Path.relay(1).connections() == 0;
+  }));
+}
+
+TEST_CASE("a daemon that is cut off blames neither servers nor requests") {
+  // Guards against harmless requests that are refused for the whole fleet,
+  // since their connections were reset and new ones are refused.
+  ForwardingHarness *Target = nullptr;
+  auto ResetWithLinks = [&Target](const std::string &Request, std::size_t) {
+    if (Request.find("first") == std::string::npos)
+      return answer(Request, 0);
+    Target->setLinks(PortState::Refused);
+    return Script{"", Script::Then::Reset};
+  };
+  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+                         std::vector<ScriptOf>(8, ResetWithLinks));
+  Target = &Path;
+  for (std::size_t Number = 0; Number < 8; ++Number) {
+    Path.setLinks(PortState::Open);
+    CHECK(fieldIn(Path.call(nameOf(Number), "first").Bytes_, "x-result-code") ==
+          "301");
+  }
+  CHECK(Path.call("other", "harmless").status() == 200);
+}
+
+TEST_CASE("a crash that other daemons see as well is still a crash") {
+  // Guards against requests that go on ending servers because each daemon takes
+  // the crash for a fault of its links.
+  auto Crash = [](const std::string &, std::size_t) {
+    return Script{"", Script::Then::Crash};
+  };
+  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+                         std::vector<ScriptOf>(10, Crash));
+  for (std::size_t Number = 0; Number < 10; ++Number)
+    Path.call(nameOf(Number), "poison");
+  CHECK(Path.received() <= 6);
+}
+
+TEST_CASE("without any path requests are refused at once and truthfully") {
+  // Guards against callers that are held, or told that their request may have
+  // run, while no daemon reaches a server.
+  ForwardingHarness Path(kind(RequestKind::NonIdempotent), {answer, answer});
+  Path.setLinks(PortState::Refused);
+  for (std::size_t Index = 0; Index < 2; ++Index)
+    Path.relay(Index).setLinks(PortState::Refused);
+  for (std::size_t Number = 0; Number < 5; ++Number) {
+    CallerReply Reply = Path.call(nameOf(Number));
+    CHECK(Reply.status() == 503);
+    CHECK(fieldIn(Reply.Bytes_, "x-outcome") == "not-run");
+  }
+  CHECK(Path.received() == 0);
+}
+
+TEST_CASE("a daemon about to stop relays what it has, and nothing new") {
+  // Guards against requests that a planned stop of the relay cuts.
+  ForwardingHarness Path(kind(RequestKind::Idempotent, 1), {hold, answer});
+  Path.setLinks(PortState::Refused);
+  auto Call = Path.begin("c");
+  REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
+  Path.relay(0).server().refuseNew();
+  CHECK(Path.call("later").status() == 503);
+  CHECK(Path.relay(0).connections() == 1);
+  CHECK_FALSE(Call->Ended_);
+}
+
+TEST_CASE("links that are back are used again") {
+  // Guards against a daemon that is relayed for as long as it runs.
+  ForwardingHarness Path(kind(RequestKind::Idempotent), {answer, answer});
+  Path.setLinks(PortState::Refused);
+  CHECK(Path.call("c").status() == 200);
+  CHECK(Path.runUntil([&] { return Path.connector().cutOffCount() > 0; }));
+  Path.setLinks(PortState::Open);
+  CHECK(Path.runUntil([&] { return Path.connector().cutOffCount() == 0; }));
+  std::uint64_t Relayed = Path.connector().relayedCount();
+  CHECK(Path.call("d").status() == 200);
+  CHECK(Path.connector().relayedCount() == Relayed);
+}
