Connections survive servers that are silent for a second or so

A set TCP_USER_TIMEOUT also decides when keep-alive probes give up: with 2,000 ms an idle connection, as that of a request whose answer takes a second, broke at the second probe, after 1,000 ms of silence. A sound server may be silent for that long. Now 3,000 ms, so 2,000 ms of silence are survived. Dead links are found by new connections, which this does not change.

--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -27,13 +27,6 @@
 /// A longer body is written while the response is awaited, because a server may
 /// respond before it has read the body, and read the rest later or never.
 constexpr std::size_t LongBodyBytes = 4096;
-/// Time after which a backend server that acknowledges no data or answers no
-/// probes counts as down or unreachable. It is far longer than any network
-/// delay, and short enough to serve the affected requests elsewhere.
-constexpr SilenceLimits BackendSilence{std::chrono::milliseconds(2000),
-                                       std::chrono::seconds(1),
-                                       std::chrono::seconds(1), 2};
-
 using Request = http::request<http::string_body>;
 
 /// The result of writing one request.
@@ -213,7 +206,7 @@
 HttpConnection::adopt(asio::ip::tcp::socket Socket) {
   beast::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  limitSilence(Socket, BackendSilence);
+  limitSilence(Socket, ServerSilence);
   return std::make_unique<BeastHttpConnection>(
       std::make_shared<beast::tcp_stream>(std::move(Socket)));
 }
--- a/Source/Connection/SocketOptions.cpp
+++ b/Source/Connection/SocketOptions.cpp
@@ -14,6 +14,14 @@
 
 } // namespace
 
+std::chrono::milliseconds toleratedSilence(const SilenceLimits &Limits) {
+  // The peer may have fallen silent right before the first probe.
+  std::chrono::milliseconds Silent = Limits.ProbeAfter_;
+  while (Silent < Limits.Unacknowledged_)
+    Silent += Limits.ProbeInterval_;
+  return Silent - Limits.ProbeAfter_;
+}
+
 void limitSilence(boost::asio::ip::tcp::socket &Socket,
                   const SilenceLimits &Limits) {
   int Handle = Socket.native_handle();
--- a/Source/Connection/SocketOptions.h
+++ b/Source/Connection/SocketOptions.h
@@ -18,6 +18,18 @@
   int Probes_;
 };
 
+/// The limits of connections to backend servers. A server may be silent for a
+/// second or so and go on: a shorter limit would cut the requests that it runs.
+/// A longer one would hold requests of a server that is gone.
+inline constexpr SilenceLimits ServerSilence{std::chrono::milliseconds(3000),
+                                             std::chrono::seconds(1),
+                                             std::chrono::seconds(1), 2};
+
+/// \returns for how long an idle connection surely survives a peer that sends
+/// nothing. Linux gives up at the first probe that is due when the peer has been
+/// silent for Unacknowledged_, whatever the number of probes.
+std::chrono::milliseconds toleratedSilence(const SilenceLimits &Limits);
+
 /// Applies \p Limits to \p Socket. A VM that has lost power or is behind a
 /// network partition sends nothing at all; without these limits a read from it
 /// would wait forever. Errors are ignored: a socket that doesn't support an
--- a/Source/Process/Relay/RelayServer.cpp
+++ b/Source/Process/Relay/RelayServer.cpp
@@ -19,11 +19,6 @@
 namespace {
 
 constexpr std::size_t CopyBytes = 8192;
-/// The same limits as for a connection without a relay.
-constexpr SilenceLimits RelayedSilence{std::chrono::milliseconds(3000),
-                                       std::chrono::seconds(1),
-                                       std::chrono::seconds(1), 2};
-
 /// Counts a connection while it exists.
 class ConnectionCount {
 public:
@@ -100,7 +95,7 @@
 void configure(Socket &Target) {
   error_code Ignored;
   Target.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  limitSilence(Target, RelayedSilence);
+  limitSilence(Target, ServerSilence);
 }
 
 } // namespace
