Servers that lose their connections together were not crashed by requests

Losses at three or more servers at the same moment have a common fault, so they are no evidence against requests. One after the other they still are: a request that is sent again runs only after its last loss.

--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -21,6 +21,11 @@
 /// The minimum time between two checks of a server for other daemons.
 constexpr milliseconds CheckInterval{1000};
 
+/// So many servers that lose their connections together have a common fault,
+/// which is none of the requests that ran there. Relays that lost their links
+/// at the same moment may not know it yet.
+constexpr std::size_t LossesTogether = 3;
+
 void logPath(const char *Event, const Endpoint &Server, const char *Seen,
              const std::string &Relay) {
   constexpr std::uint32_t LinesPerSecond = 20;
@@ -125,6 +130,20 @@
 }
 
 Awaitable<ServerCheck> ServerConnector::check(ServerTarget Target) {
+  TimePoint Begun = steady_clock::now();
+  Endpoint Server = Target.Address_;
+  ++InProgress_[Server];
+  if (InProgress_.size() >= LossesTogether)
+    CheckedTogether_ = Begun;
+  ServerCheck Found = co_await checkNow(std::move(Target));
+  if (--InProgress_[Server] == 0)
+    InProgress_.erase(Server);
+  bool Together = CheckedTogether_ >= Begun;
+  co_return Found == ServerCheck::Refused &&Together ? ServerCheck::Silent
+                                                     : Found;
+}
+
+Awaitable<ServerCheck> ServerConnector::checkNow(ServerTarget Target) {
   PortState Seen = PortState::Silent;
   bool TriedDirect = !Paths_.isCutOff(Target.Address_);
   if (TriedDirect) {
@@ -145,9 +164,9 @@
   bool OthersFailed = Tried.Refused_ + Tried.Silent_ > 0;
   if (!OthersFailed && (Tried.WithoutPath_ > 0 || !TriedDirect))
     co_return ServerCheck::PathLost;
-  bool AllRefused = Seen == PortState::Refused || !TriedDirect;
-  co_return AllRefused &&Tried.Silent_ == 0 ? ServerCheck::Refused
-                                            : ServerCheck::Silent;
+  bool Refused =
+      (Seen == PortState::Refused || !TriedDirect) && Tried.Silent_ == 0;
+  co_return Refused ? ServerCheck::Refused : ServerCheck::Silent;
 }
 
 Awaitable<RelayedSocket> ServerConnector::openForRelay(ServerTarget Target) {
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -40,8 +40,8 @@
 /// What is known of a server after a connection to it was lost.
 enum class ServerCheck {
   Reached, ///< It accepts connections from this daemon.
-  Refused, ///< It refuses connections from all daemons that were asked.
-  Silent,  ///< It answers none of them.
+  Refused, ///< It alone refuses connections from all daemons that were asked.
+  Silent,  ///< It can't be reached, for whatever reason.
   PathLost ///< Other daemons reach it, or none of them reaches any server.
 };
 
@@ -104,6 +104,7 @@
   void onReached(const Endpoint &Server);
   void onCutOff(const ServerTarget &Target, PortState Seen, const VmId &Relay);
   void checkLater(ServerTarget Target);
+  Awaitable<ServerCheck> checkNow(ServerTarget Target);
   void startProbes();
   Awaitable<void> probeAll();
   Awaitable<void> probe(Endpoint Server);
@@ -118,6 +119,11 @@
   bool Probing_ = false;
   /// When each server was last checked for another daemon.
   std::map<Endpoint, TimePoint> Checked_;
+  /// Checks in progress of each server.
+  std::map<Endpoint, std::size_t> InProgress_;
+  /// When so many servers were last checked together that they have a common
+  /// fault.
+  TimePoint CheckedTogether_;
   std::atomic<std::size_t> CutOffCount_ = 0;
   std::atomic<std::uint64_t> RelayedCount_ = 0;
 };
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -87,6 +87,10 @@
 
 void ScriptedServer::crash() {
   Acceptor_.close();
+  resetConnections();
+}
+
+void ScriptedServer::resetConnections() {
   for (const auto &Weak : Peers_)
     if (auto Peer = Weak.lock()) {
       boost::system::error_code Error;
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -49,6 +49,7 @@
   std::size_t closed() const { return Closed_; }
   /// Resets all connections and refuses new ones.
   void crash();
+  void resetConnections();
 
 private:
   using Socket = boost::asio::ip::tcp::socket;
@@ -175,6 +176,7 @@
   void setLinks(PortState Seen) { Links_ = Seen; }
   RelayingDaemon &relay(std::size_t Index) { return *Relays_[Index]; }
   ServerConnector &connector() { return Connector_; }
+  const CrashTracker &crashes() const { return Crashes_; }
   FreshnessLease &lease() { return Lease_; }
   /// \returns the number of requests that wait for a grant.
   std::size_t waiting() const { return Grants_->waiting(); }
--- a/UnitTests/Request/RelayedCallTest.cpp
+++ b/UnitTests/Request/RelayedCallTest.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
 
@@ -140,6 +142,36 @@
   CHECK(Path.received() <= 6);
 }
 
+TEST_CASE("daemons that lose their links together blame no request") {
+  // Guards against harmless requests that are refused for the whole fleet,
+  // since the daemons that are asked have lost their links too and don't know
+  // it.
+  ForwardingHarness *Target = nullptr;
+  std::size_t Running = 0;
+  auto ResetAll = [&](const std::string &, std::size_t) {
+    if (++Running < 4)
+      return Script{"", Script::Then::Hold};
+    for (std::size_t Index = 0; Index < 2; ++Index)
+      Target->relay(Index).setLinks(PortState::Refused);
+    Target->setLinks(PortState::Refused);
+    for (std::size_t Index = 0; Index < 4; ++Index)
+      Target->server(Index).resetConnections();
+    return Script{"", Script::Then::Reset};
+  };
+  ForwardingHarness::Options Wanted = kind(RequestKind::NonIdempotent);
+  Wanted.MaxInFlight_ = 1;
+  ForwardingHarness Path(Wanted, std::vector<ScriptOf>(4, ResetAll));
+  Target = &Path;
+  std::vector<std::shared_ptr<CallerReply>> Calls;
+  for (std::size_t Number = 0; Number < 4; ++Number)
+    Calls.push_back(Path.begin(nameOf(Number)));
+  CHECK(Path.runUntil([&] {
+    return std::ranges::all_of(Calls,
+                               [](const auto &Call) { return Call->Ended_; });
+  }));
+  CHECK(Path.crashes().snapshot()->empty());
+}
+
 TEST_CASE("without any path requests are refused at once and truthfully") {
   // Guards against callers that are held, or told that their request may have
   // run, while no daemon reaches a server.
