--- /dev/null
+++ b/UnitTests/Request/LeavingServerTest.cpp
@@ -0,0 +1,55 @@
+/// \file
+/// Servers that say in their answers that they leave.
+
+#include "UnitTests/Request/ForwardingHarness.h"
+
+#include <doctest/doctest.h>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+
+namespace {
+
+Script answer(const std::string &Request, std::size_t) {
+  return {completeAnswer(fieldIn(Request, "x-call-id"), "answer")};
+}
+
+Script addLeaving(Script Answer) {
+  std::size_t LineEnd = Answer.Bytes_.find("\r\n");
+  Answer.Bytes_.insert(LineEnd, "\r\nX-Server-Leaving: 1");
+  return Answer;
+}
+
+ForwardingHarness::Options idempotent() {
+  ForwardingHarness::Options Wanted;
+  Wanted.Kind_ = RequestKind::Idempotent;
+  return Wanted;
+}
+
+} // namespace
+
+TEST_CASE("a server that says that it leaves gets no more requests") {
+  // Guards against a daemon that knows of leaving servers from the platform's
+  // service only, which may be down or late.
+  auto Answers = [](const std::string &Request, std::size_t Number) {
+    return addLeaving(answer(Request, Number));
+  };
+  auto Rejects = [](const std::string &Request, std::size_t) {
+    return addLeaving({refusal(fieldIn(Request, "x-call-id"))});
+  };
+  auto Fails = [](const std::string &Request, std::size_t) {
+    return addLeaving(
+        {completeAnswer(fieldIn(Request, "x-call-id"), "failed", 500)});
+  };
+  for (const ScriptOf &Leaving :
+       {ScriptOf(Answers), ScriptOf(Rejects), ScriptOf(Fails)}) {
+    ForwardingHarness Path(idempotent(), {Leaving, answer, answer});
+    for (std::size_t Number = 0; Number < 30; ++Number)
+      CHECK(Path.call("c" + std::to_string(Number)).status() == 200);
+    CHECK(Path.server(0).requests().size() == 1);
+    // The service still calls the server ready.
+    Path.publish();
+    CHECK(Path.call("later").status() == 200);
+    CHECK(Path.server(0).requests().size() == 1);
+  }
+}
