A server that says in its answers that it leaves gets no more requests

What callers saw: nothing; the server was given work 2.3 to 4.9 s after its answers had said that it leaves, while the platform's service was down.

Cause: that a server leaves was known from the platform's service only, and no code read the field. Ruled out: late configuration; the service had accepted nothing yet.

Change: whatever an answer is, a result, a rejection or a failure, the daemon that reads it is bound from then on: it asks before it connects and again just before bytes are sent, for its own requests and for those that it relays. The keeper is told and grants the server to nobody; so is a keeper that takes over, and the daemon that relayed the answer. An older word of the service does not bring the server back, its next process does.

Test: Unit.LeavingServer failed before (29 of 29 further requests) and passes.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -156,29 +156,32 @@
 enum class NoticeKind : uint8_t {
   Unknown = 0,
   Brittle = 1,
+  Leaving = 2,
   MIN = Unknown,
-  MAX = Brittle
+  MAX = Leaving
 };
 
-inline const NoticeKind (&EnumValuesNoticeKind())[2] {
+inline const NoticeKind (&EnumValuesNoticeKind())[3] {
   static const NoticeKind values[] = {
     NoticeKind::Unknown,
-    NoticeKind::Brittle
+    NoticeKind::Brittle,
+    NoticeKind::Leaving
   };
   return values;
 }
 
 inline const char * const *EnumNamesNoticeKind() {
-  static const char * const names[3] = {
+  static const char * const names[4] = {
     "Unknown",
     "Brittle",
+    "Leaving",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameNoticeKind(NoticeKind e) {
-  if (flatbuffers::IsOutRange(e, NoticeKind::Unknown, NoticeKind::Brittle)) return "";
+  if (flatbuffers::IsOutRange(e, NoticeKind::Unknown, NoticeKind::Leaving)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesNoticeKind()[index];
 }
@@ -1504,6 +1507,8 @@
   samphireshunt::wire::NoticeKind kind = samphireshunt::wire::NoticeKind::Unknown;
   bool named = false;
   uint32_t count = 0;
+  uint64_t incarnation = 0;
+  bool relayed = false;
   ServerNoticeT() = default;
   ServerNoticeT(const ServerNoticeT &o);
   ServerNoticeT(ServerNoticeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1520,7 +1525,9 @@
     VT_SERVER = 8,
     VT_KIND = 10,
     VT_NAMED = 12,
-    VT_COUNT = 14
+    VT_COUNT = 14,
+    VT_INCARNATION = 16,
+    VT_RELAYED = 18
   };
   /// The request that was answered; unset in a report to a new keeper.
   const samphireshunt::wire::Id *id() const {
@@ -1543,6 +1550,14 @@
   uint32_t count() const {
     return GetField<uint32_t>(VT_COUNT, 0);
   }
+  /// The process of the server that said so; 0 is unknown.
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  /// The receiver relayed the answer, and is bound by it as the sender is.
+  bool relayed() const {
+    return GetField<uint8_t>(VT_RELAYED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1553,6 +1568,8 @@
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint8_t>(verifier, VT_NAMED, 1) &&
            VerifyField<uint32_t>(verifier, VT_COUNT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RELAYED, 1) &&
            verifier.EndTable();
   }
   ServerNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1582,6 +1599,12 @@
   void add_count(uint32_t count) {
     fbb_.AddElement<uint32_t>(ServerNotice::VT_COUNT, count, 0);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ServerNotice::VT_INCARNATION, incarnation, 0);
+  }
+  void add_relayed(bool relayed) {
+    fbb_.AddElement<uint8_t>(ServerNotice::VT_RELAYED, static_cast<uint8_t>(relayed), 0);
+  }
   explicit ServerNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1600,12 +1623,16 @@
     flatbuffers::Offset<flatbuffers::String> server = 0,
     samphireshunt::wire::NoticeKind kind = samphireshunt::wire::NoticeKind::Unknown,
     bool named = false,
-    uint32_t count = 0) {
+    uint32_t count = 0,
+    uint64_t incarnation = 0,
+    bool relayed = false) {
   ServerNoticeBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_count(count);
   builder_.add_server(server);
   builder_.add_cell(cell);
   builder_.add_id(id);
+  builder_.add_relayed(relayed);
   builder_.add_named(named);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -1618,7 +1645,9 @@
     const char *server = nullptr,
     samphireshunt::wire::NoticeKind kind = samphireshunt::wire::NoticeKind::Unknown,
     bool named = false,
-    uint32_t count = 0) {
+    uint32_t count = 0,
+    uint64_t incarnation = 0,
+    bool relayed = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateServerNotice(
       _fbb,
@@ -1627,7 +1656,9 @@
       server__,
       kind,
       named,
-      count);
+      count,
+      incarnation,
+      relayed);
 }
 
 flatbuffers::Offset<ServerNotice> CreateServerNotice(flatbuffers::FlatBufferBuilder &_fbb, const ServerNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5239,7 +5270,9 @@
         server(o.server),
         kind(o.kind),
         named(o.named),
-        count(o.count) {
+        count(o.count),
+        incarnation(o.incarnation),
+        relayed(o.relayed) {
 }
 
 inline ServerNoticeT &ServerNoticeT::operator=(ServerNoticeT o) FLATBUFFERS_NOEXCEPT {
@@ -5249,6 +5282,8 @@
   std::swap(kind, o.kind);
   std::swap(named, o.named);
   std::swap(count, o.count);
+  std::swap(incarnation, o.incarnation);
+  std::swap(relayed, o.relayed);
   return *this;
 }
 
@@ -5267,6 +5302,8 @@
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = named(); _o->named = _e; }
   { auto _e = count(); _o->count = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = relayed(); _o->relayed = _e; }
 }
 
 inline flatbuffers::Offset<ServerNotice> ServerNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5283,6 +5320,8 @@
   auto _kind = _o->kind;
   auto _named = _o->named;
   auto _count = _o->count;
+  auto _incarnation = _o->incarnation;
+  auto _relayed = _o->relayed;
   return samphireshunt::wire::CreateServerNotice(
       _fbb,
       _id,
@@ -5290,7 +5329,9 @@
       _server,
       _kind,
       _named,
-      _count);
+      _count,
+      _incarnation,
+      _relayed);
 }
 
 inline RefuseT::RefuseT(const RefuseT &o)
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -42,7 +42,8 @@
 
 GrantClient::GrantClient(asio::io_context &Control, VmId Self, Hooks Callbacks)
     : Control_(Control), Self_(std::move(Self)), Hooks_(std::move(Callbacks)),
-      RebindTimer_(Control), CheckTimer_(Control) {}
+      Holds_(std::make_shared<const ServerHolds>()), RebindTimer_(Control),
+      CheckTimer_(Control) {}
 
 void GrantClient::acquire(CellId Cell, GrantRequest Request,
                           Answered OnAnswer) {
@@ -160,30 +161,56 @@
   Hooks_.Send_(To, encodeServerLimit(Cell, Server, Id, Named));
 }
 
-void GrantClient::noticeRead(RequestId Id, ServerNotice Notice) {
-  asio::post(Control_, [this, Id, Notice] {
+void GrantClient::noticeRead(RequestId Id, AnsweredServer Server,
+                             ServerNotice Notice) {
+  asio::post(Control_, [this, Id, Server = std::move(Server), Notice] {
+    ServerStatement Said{{}, Server.Name_, Server.Process_, Id, Notice};
     auto Found = GrantedRequests_.find(Id);
+    if (Found != GrantedRequests_.end())
+      Said.Cell_ = Found->second.Cell_;
+    hold(Said);
+    if (Server.Relay_)
+      Hooks_.Send_(*Server.Relay_, encodeStatement(Said, true));
     if (Found == GrantedRequests_.end())
       return;
-    const GrantedRequest &Answered = Found->second;
-    const ServerName &Server = Answered.Request_.Server_;
-    const auto &Brittle = std::get<BrittleNotice>(Notice);
-    if (Brittle.Survived_ || KnownLimits_.contains(Server)) {
-      KnownLimit &Known = KnownLimits_[Server];
-      Known.Cell_ = Answered.Cell_;
-      Known.Survived_ = Brittle.Survived_;
-      Known.Named_ = steady_clock::now();
-    }
-    reportNotice(Answered.Cell_, Server, Id, Notice, Answered.Keeper_);
+    remember(Said);
+    reportStatement(Said, Found->second.Keeper_);
   });
 }
 
-void GrantClient::reportNotice(const CellId &Cell, const ServerName &Server,
-                               const RequestId &Id, const ServerNotice &Notice,
-                               const VmId &To) {
+void GrantClient::hold(const ServerStatement &Said) {
+  auto Now = steady_clock::now();
+  if (!std::holds_alternative<LeavingNotice>(Said.Notice_) ||
+      !Holds_.read()->maySend(Said.Server_, Said.Process_, Now))
+    return;
+  ServerHolds Changed = *Holds_.read();
+  Changed.leave(Said.Server_, Said.Process_, Now);
+  Changed.forgetOld(Now);
+  Holds_.write(std::make_shared<const ServerHolds>(std::move(Changed)));
+  logEvent(LogCategory::Keeper, spdlog::level::info, "server-held",
+           {{"server", Said.Server_.str()}, {"cause", "leaving"}});
+}
+
+/// Keeps what a server said for a keeper that takes over its cell.
+void GrantClient::remember(const ServerStatement &Said) {
+  const auto *Brittle = std::get_if<BrittleNotice>(&Said.Notice_);
+  bool Ends = Brittle && !Brittle->Survived_;
+  if (Ends && !KnownLimits_.contains(Said.Server_))
+    return;
+  KnownLimit &Known = KnownLimits_[Said.Server_];
+  Known.Cell_ = Said.Cell_;
+  Known.Process_ = Said.Process_;
+  Known.Named_ = steady_clock::now();
+  if (Brittle)
+    Known.Survived_ = Brittle->Survived_;
+  else
+    Known.Leaving_ = true;
+}
+
+void GrantClient::reportStatement(const ServerStatement &Said, const VmId &To) {
   if (To == Self_)
-    return LocalKeeper_->noticeRead(Cell, Server, Id, Notice);
-  Hooks_.Send_(To, encodeNotice(Cell, Server, Id, Notice));
+    return LocalKeeper_->noticeRead(Said);
+  Hooks_.Send_(To, encodeStatement(Said, false));
 }
 
 /// Tells a cell's new keeper which limits this daemon knows, before it grants
@@ -204,9 +231,13 @@
       continue;
     if (Limit.Rate_)
       reportLimit(Cell, Server, RequestId(), Limit.Rate_, Keeper);
+    ServerStatement Said{Cell, Server, Limit.Process_, RequestId(),
+                         LeavingNotice()};
+    if (Limit.Leaving_)
+      reportStatement(Said, Keeper);
+    Said.Notice_ = BrittleNotice{Limit.Survived_};
     if (Limit.Survived_)
-      reportNotice(Cell, Server, RequestId(), BrittleNotice{Limit.Survived_},
-                   Keeper);
+      reportStatement(Said, Keeper);
   }
 }
 
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -7,7 +7,10 @@
 /// thread.
 
 #include "Process/Keeping/Cell.h"
+#include "Process/Keeping/KeeperMessages.h"
 #include "Process/Scheduling/Scheduler.h"
+#include "Process/Scheduling/ServerHolds.h"
+#include "Version/RcuCell.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,6 +32,14 @@
   bool Limited_ = false;
 };
 
+/// The server that gave an answer.
+struct AnsweredServer {
+  ServerName Name_;
+  Incarnation Process_;
+  /// The daemon that relayed the answer; unset if there is none.
+  std::optional<VmId> Relay_;
+};
+
 class GrantClient {
 public:
   struct Hooks {
@@ -67,11 +78,16 @@
   void limitRead(RequestId Id, std::optional<RequestRate> Named);
   /// Reports what the server's answer to a granted request says about the
   /// server.
-  void noticeRead(RequestId Id, ServerNotice Notice);
+  void noticeRead(RequestId Id, AnsweredServer Server, ServerNotice Notice);
+  /// Whether this daemon may send requests to servers, by what these have said.
+  std::shared_ptr<const ServerHolds> holds() const { return Holds_.read(); }
   /// Releases the grant, whether or not it was used.
   void done(RequestId Id, ServedSample Sample);
 
   // On the control thread.
+  /// Applies what a server has said in an answer to this daemon, or in one that
+  /// it relayed.
+  void hold(const ServerStatement &Said);
   void onDecision(const Decision &Made, const VmId &From);
   void onLinkDown(const VmId &Keeper);
   /// Fails over from keepers whose answers are overdue in two consecutive
@@ -106,6 +122,8 @@
     CellId Cell_;
     std::optional<RequestRate> Rate_;
     std::optional<RejectionCount> Survived_;
+    bool Leaving_ = false;
+    Incarnation Process_;
     TimePoint Named_;
   };
 
@@ -113,9 +131,8 @@
   void reportLimit(const CellId &Cell, const ServerName &Server,
                    const RequestId &Id, const std::optional<RequestRate> &Named,
                    const VmId &To);
-  void reportNotice(const CellId &Cell, const ServerName &Server,
-                    const RequestId &Id, const ServerNotice &Notice,
-                    const VmId &To);
+  void reportStatement(const ServerStatement &Said, const VmId &To);
+  void remember(const ServerStatement &Said);
   void informKeeper(const CellId &Cell, const VmId &Keeper);
   void sendGrantRequest(Ask &Target);
   void sendRunning(GrantedRequest &Target);
@@ -141,6 +158,7 @@
   /// Keepers whose answers were overdue at the last check.
   std::set<VmId> OverdueKeepers_;
   std::map<ServerName, KnownLimit> KnownLimits_;
+  RcuCell<ServerHolds> Holds_;
   /// The keepers that have the limits known here.
   std::map<CellId, VmId> InformedKeepers_;
   boost::asio::steady_timer RebindTimer_;
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -124,27 +124,41 @@
   return encodeMessage(std::move(Limit));
 }
 
-std::string encodeNotice(const CellId &Cell, const ServerName &Server,
-                         const RequestId &Id, const ServerNotice &Notice) {
+std::string encodeStatement(const ServerStatement &Said, bool Relayed) {
   wire::ServerNoticeT Message;
-  Message.id = toWire(Id);
-  Message.cell = Cell.toWire();
-  Message.server = Server.str();
-  if (const auto *Brittle = std::get_if<BrittleNotice>(&Notice)) {
+  Message.id = toWire(Said.Id_);
+  Message.cell = Said.Cell_.toWire();
+  Message.server = Said.Server_.str();
+  Message.incarnation = Said.Process_.count();
+  Message.relayed = Relayed;
+  if (const auto *Brittle = std::get_if<BrittleNotice>(&Said.Notice_)) {
     Message.kind = wire::NoticeKind::Brittle;
     Message.named = Brittle->Survived_.has_value();
     Message.count = Brittle->Survived_.value_or(RejectionCount()).count();
+  } else {
+    Message.kind = wire::NoticeKind::Leaving;
   }
   return encodeMessage(std::move(Message));
 }
 
-std::optional<ServerNotice> noticeFromWire(const wire::ServerNoticeT &Notice) {
-  if (Notice.kind != wire::NoticeKind::Brittle)
+std::optional<ServerStatement>
+statementFromWire(const wire::ServerNoticeT &Notice) {
+  ServerStatement Said{CellId::fromWire(Notice.cell), ServerName(Notice.server),
+                       Incarnation(Notice.incarnation), fromWire(Notice.id),
+                       LeavingNotice()};
+  switch (Notice.kind) {
+  case wire::NoticeKind::Brittle: {
+    BrittleNotice Brittle;
+    if (Notice.named)
+      Brittle.Survived_ = RejectionCount(Notice.count);
+    Said.Notice_ = Brittle;
+    return Said;
+  }
+  case wire::NoticeKind::Leaving:
+    return Said;
+  default:
     return std::nullopt;
-  BrittleNotice Brittle;
-  if (Notice.named)
-    Brittle.Survived_ = RejectionCount(Notice.count);
-  return Brittle;
+  }
 }
 
 std::optional<RequestRate> rateFromWire(const wire::ServerLimitT &Limit) {
--- a/Source/Process/Keeping/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -23,14 +23,24 @@
 std::string encodeServerLimit(const CellId &Cell, const ServerName &Server,
                               const RequestId &Id,
                               const std::optional<RequestRate> &Named);
-std::string encodeNotice(const CellId &Cell, const ServerName &Server,
-                         const RequestId &Id, const ServerNotice &Notice);
+/// A notice with the server that it is about.
+struct ServerStatement {
+  CellId Cell_;
+  ServerName Server_;
+  Incarnation Process_;
+  /// The answered request; unset in a report to a new keeper.
+  RequestId Id_;
+  ServerNotice Notice_;
+};
+/// \p Relayed: the receiver relayed the answer.
+std::string encodeStatement(const ServerStatement &Said, bool Relayed);
 GrantRequest askFromWire(const wire::AskT &Ask, const VmId &From);
 RunningRequest runningFromWire(const wire::RunningT &Running, const VmId &From);
 /// \returns nothing if the server names no rate.
 std::optional<RequestRate> rateFromWire(const wire::ServerLimitT &Limit);
 /// \returns nothing for a kind of notice that this daemon does not know.
-std::optional<ServerNotice> noticeFromWire(const wire::ServerNoticeT &Notice);
+std::optional<ServerStatement>
+statementFromWire(const wire::ServerNoticeT &Notice);
 ServedSample sampleFromWire(const wire::DoneT &Done);
 
 // From a keeper to an ingress daemon.
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -318,22 +318,27 @@
     logLimit(Cell, Server, Before, Model->rate().named());
 }
 
-void KeeperService::noticeRead(const CellId &Cell, const ServerName &Server,
-                               const RequestId &Id,
-                               const ServerNotice &Notice) {
-  Scheduler &Deciding = scheduledCell(Cell).Scheduler_;
-  const ServerModel *Model = Deciding.server(Server);
+void KeeperService::noticeRead(const ServerStatement &Said) {
+  Scheduler &Deciding = scheduledCell(Said.Cell_).Scheduler_;
+  const ServerModel *Model = Deciding.server(Said.Server_);
   if (!Model)
     return;
   auto Before = Model->rejections().named();
-  Deciding.noticeRead(Server, Id, Notice, steady_clock::now());
+  bool WasLeaving = Model->saysLeaving();
+  Deciding.noticeRead(Said.Server_, Said.Id_, Said.Notice_,
+                      steady_clock::now());
   auto After = Model->rejections().named();
-  if (After == Before)
-    return;
-  logEvent(LogCategory::Keeper, spdlog::level::info, "server-brittle",
-           {{"server", Server.str()},
-            {"cell", Cell.str()},
-            {"survives", After ? std::to_string(After->count()) : "none"}});
+  LogFields Fields = {{"server", Said.Server_.str()},
+                      {"cell", Said.Cell_.str()}};
+  if (After != Before) {
+    Fields.emplace_back("survives",
+                        After ? std::to_string(After->count()) : "none");
+    logEvent(LogCategory::Keeper, spdlog::level::info, "server-brittle",
+             Fields);
+  }
+  if (Model->saysLeaving() && !WasLeaving)
+    logEvent(LogCategory::Keeper, spdlog::level::info, "server-says-leaving",
+             Fields);
 }
 
 void KeeperService::logLimit(const CellId &Cell, const ServerName &Server,
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -6,6 +6,7 @@
 
 #include "Common/Log.h"
 #include "Process/Keeping/Cell.h"
+#include "Process/Keeping/KeeperMessages.h"
 #include "Process/Keeping/PostedQueue.h"
 #include "Process/Membership/MembershipService.h"
 #include "Process/Scheduling/AllotmentLedger.h"
@@ -118,8 +119,7 @@
   void limitRead(const CellId &Cell, const ServerName &Server,
                  const RequestId &Id, const std::optional<RequestRate> &Named);
   /// Applies what an engine's answer says about the engine.
-  void noticeRead(const CellId &Cell, const ServerName &Server,
-                  const RequestId &Id, const ServerNotice &Notice);
+  void noticeRead(const ServerStatement &Said);
   /// Refuses all waiting copies of a request that crashes servers.
   void refuseCrashing(const RequestFingerprint &Request);
   /// Starts and drops cells. Called when documents or members changed.
--- a/Source/Process/Relay/RelayHandshake.cpp
+++ b/Source/Process/Relay/RelayHandshake.cpp
@@ -51,7 +51,7 @@
 }
 
 RelayResult resultOf(const wire::RelayedT &Answer) {
-  auto Highest = static_cast<std::uint8_t>(RelayResult::Stopping);
+  auto Highest = static_cast<std::uint8_t>(RelayResult::NotNow);
   return Answer.result <= Highest ? static_cast<RelayResult>(Answer.result)
                                   : RelayResult::NoPath;
 }
@@ -74,6 +74,8 @@
     return "busy";
   case RelayResult::Stopping:
     return "stopping";
+  case RelayResult::NotNow:
+    return "not-now";
   case RelayResult::NoAnswer:
     return "no-answer";
   }
--- a/Source/Process/Relay/RelayHandshake.h
+++ b/Source/Process/Relay/RelayHandshake.h
@@ -20,7 +20,8 @@
   UnknownServer = 4, ///< Not an active server in the daemon's configuration.
   Busy = 5,          ///< The daemon relays as much as it may.
   Stopping = 6,      ///< The daemon is about to stop.
-  NoAnswer = 7,      ///< Never sent: the daemon could not be asked.
+  NotNow = 7,        ///< The server wants no requests from the daemon.
+  NoAnswer = 255,    ///< Never sent: the daemon could not be asked.
 };
 
 /// \returns the result as logs show it, e.g. "no-path".
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -96,6 +96,12 @@
   Pool_.returnConnection(Address, std::move(Link.Connection_));
 }
 
+void ServerConnector::putBack(const Endpoint &Address, ServerLink Link) {
+  if (Link.Relay_ || !Link.Connection_->reusable())
+    return Link.Connection_->close();
+  Pool_.returnConnection(Address, std::move(Link.Connection_));
+}
+
 /// Asks daemons one after the other until one is connected. Nothing of a
 /// request has been sent on a connection that is not used.
 Awaitable<ServerConnector::RelayAttempt>
@@ -124,7 +130,9 @@
       break;
     Tried.Refused_ += Tried.Last_.Result_ == RelayResult::Refused ? 1 : 0;
     Tried.Silent_ += Tried.Last_.Result_ == RelayResult::Silent ? 1 : 0;
-    Tried.WithoutPath_ += Tried.Last_.Result_ == RelayResult::NoPath ? 1 : 0;
+    bool WithoutPath = Tried.Last_.Result_ == RelayResult::NoPath ||
+                       Tried.Last_.Result_ == RelayResult::NotNow;
+    Tried.WithoutPath_ += WithoutPath ? 1 : 0;
   }
   co_return Tried;
 }
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -77,6 +77,8 @@
   take(ServerTarget Target, std::chrono::milliseconds MaxIdle);
   /// Keeps a direct connection for further requests; closes a relayed one.
   void giveBack(const Endpoint &Address, ServerLink Link);
+  /// Returns a connection on which nothing was sent.
+  void putBack(const Endpoint &Address, ServerLink Link);
   /// Finds out why a connection to the server was lost.
   Awaitable<ServerCheck> check(ServerTarget Target);
   /// Opens a connection for another daemon.
@@ -95,7 +97,7 @@
     std::optional<VmId> Relay_;
     std::size_t Refused_ = 0;
     std::size_t Silent_ = 0;
-    /// Daemons that are cut off themselves, or don't know the server.
+    /// Daemons that are cut off themselves, or may not use the server now.
     std::size_t WithoutPath_ = 0;
   };
 
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -515,6 +515,8 @@
   ServerModel *Model = server(Name);
   if (!Model)
     return;
+  if (std::holds_alternative<LeavingNotice>(Notice))
+    return Model->markLeaving();
   const auto &Brittle = std::get<BrittleNotice>(Notice);
   if (Brittle.Survived_)
     Model->rejections().name(*Brittle.Survived_, Now);
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -50,7 +50,7 @@
   Health_ = ServerHealth();
   Rate_ = ServerRate();
   Rejections_ = RejectionLimit();
-  LeftOut_ = OnTrial_ = Replaced_ = false;
+  LeftOut_ = OnTrial_ = Replaced_ = SaysLeaving_ = false;
   InFlight_.clear();
   Reported_ = LoadReport();
   Prefilling_.clear();
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -91,12 +91,15 @@
   bool usable() const {
     bool Answers = Reachable_ || !ReachabilityTrusted_;
     return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_ &&
-           !Replaced_;
+           !Replaced_ && !SaysLeaving_;
   }
   Incarnation incarnation() const { return Capacity_.Incarnation_; }
   /// Marks the engine as gone because another server answers at its address. It
   /// stays gone until it starts again, even while the directory still lists it.
   void markReplaced() { Replaced_ = true; }
+  /// Marks the engine's process as leaving, whatever the directory says.
+  void markLeaving() { SaysLeaving_ = true; }
+  bool saysLeaving() const { return SaysLeaving_; }
   ServerHealth &health() { return Health_; }
   const ServerHealth &health() const { return Health_; }
   /// Excludes the engine from new work, or limits it to one request at a time.
@@ -199,6 +202,7 @@
   bool LeftOut_ = false;
   bool OnTrial_ = false;
   bool Replaced_ = false;
+  bool SaysLeaving_ = false;
   std::unordered_set<RequestId> InFlight_;
   LoadReport Reported_;
   /// Prompt work that the engine still has to do for one request.
--- a/Source/Process/Scheduling/ServerNotice.h
+++ b/Source/Process/Scheduling/ServerNotice.h
@@ -15,6 +15,9 @@
   std::optional<RejectionCount> Survived_;
 };
 
-using ServerNotice = std::variant<BrittleNotice>;
+/// The server leaves.
+struct LeavingNotice {};
+
+using ServerNotice = std::variant<BrittleNotice, LeavingNotice>;
 
 } // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -210,6 +210,10 @@
   Refused.Result_ = RelayResult::UnknownServer;
   if (!Server)
     co_return Refused;
+  Refused.Result_ = RelayResult::NotNow;
+  if (!Grants_->holds()->maySend(Server->Name_, Server->Incarnation_,
+                                 steady_clock::now()))
+    co_return Refused;
   auto Executor = co_await asio::this_coro::executor;
   auto &Context = asio::query(Executor, asio::execution::context);
   auto Found = std::ranges::find_if(
@@ -648,10 +652,11 @@
     Keeper_->limitRead(CellId::fromWire(Limit->cell), ServerName(Limit->server),
                        fromWire(Limit->id), rateFromWire(*Limit));
   else if (const auto *Notice = Message.body.AsServerNotice()) {
-    if (auto Said = noticeFromWire(*Notice))
-      Keeper_->noticeRead(CellId::fromWire(Notice->cell),
-                          ServerName(Notice->server), fromWire(Notice->id),
-                          *Said);
+    auto Said = statementFromWire(*Notice);
+    if (Said && Notice->relayed)
+      Grants_->hold(*Said);
+    else if (Said)
+      Keeper_->noticeRead(*Said);
   } else if (const auto *Done = Message.body.AsDone()) {
     if (Done->cell && !Done->cell->service.empty())
       Keeper_->done(CellId::fromWire(Done->cell), fromWire(Done->id),
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -7,7 +7,7 @@
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
 #include "Request/CrashEvidence.h"
-#include "Request/ServerLimit.h"
+#include "Request/ServerNotices.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
@@ -191,7 +191,7 @@
     auto Head = co_await Connection.readHead(Context_.remaining());
     if (!Head)
       co_return Head.error();
-    reportServerLimit(Context_, Ready_, *Head);
+    reportServerNotices(Context_, Ready_, *Head);
     while (true) {
       auto Received = co_await Connection.readSome(Context_.remaining());
       if (!Received)
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -3,7 +3,7 @@
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
 #include "Request/CrashEvidence.h"
-#include "Request/ServerLimit.h"
+#include "Request/ServerNotices.h"
 #include "Request/WaitPlan.h"
 
 #include <fmt/format.h>
@@ -122,11 +122,11 @@
     if (!Head)
       co_return failed(Head.error());
     AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
+    if (!Labels.Replaced_)
+      reportServerNotices(Context_, Ready_, *Head);
     // The connection may deliver an extra answer to an earlier request first.
     if (Labels.CallId_ != Context_.Call_.CallId_)
       co_return failed({ResultCode::CrossedAnswer, Labels.CallId_});
-    if (!Labels.Replaced_)
-      reportServerLimit(Context_, Ready_, *Head);
     Replaced_ = Labels.Replaced_;
     if (Labels.NotRun_)
       co_return co_await refusedByServer(std::move(*Head));
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -80,6 +80,16 @@
   return std::optional(*Survived);
 }
 
+Result<bool> readLeaving(const HttpFields &Fields, const std::string &Name) {
+  auto Found = Fields.find(Name);
+  if (Found == Fields.end() || Found->second == "0")
+    return false;
+  if (Found->second != "1")
+    return Failure{ResultCode::BadServerNotice,
+                   "'" + Found->second + "' is neither 0 nor 1"};
+  return true;
+}
+
 std::optional<std::int64_t> parseCount(std::string_view Text) {
   std::int64_t Count = 0;
   const char *End = Text.data() + Text.size();
@@ -123,6 +133,9 @@
   Dialect.ReadBrittle_ = [](const HttpFields &Fields) {
     return readBrittle(Fields, "x-server-brittle");
   };
+  Dialect.ReadLeaving_ = [](const HttpFields &Fields) {
+    return readLeaving(Fields, "x-server-leaving");
+  };
   Dialect.AddCallId_ = addCallId;
   return Dialect;
 }
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -66,6 +66,9 @@
   /// nothing if it does not say so, BadServerNotice if that can't be read.
   std::function<Result<std::optional<RejectionCount>>(const HttpFields &)>
       ReadBrittle_;
+  /// Returns whether the server of an answer leaves; BadServerNotice if that
+  /// can't be read.
+  std::function<Result<bool>(const HttpFields &)> ReadLeaving_;
   /// Adds the call id to an answer that the daemon generates itself.
   std::function<void(HttpFields &, const std::string &CallId)> AddCallId_;
   /// Retry-After may have a fraction of a second.
@@ -75,7 +78,7 @@
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
 /// (HEX:TOKENS,...), x-expect-server, x-customer, x-not-run, x-answer-proof,
-/// x-server-limit, x-server-brittle.
+/// x-server-limit, x-server-brittle, x-server-leaving.
 ForwardingDialect defaultDialect();
 
 /// Parses "HEX:TOKENS,HEX:TOKENS". The list ends before the first item that
@@ -88,6 +91,8 @@
 /// field is absent.
 Result<std::optional<RejectionCount>> readBrittle(const HttpFields &Fields,
                                                   const std::string &Name);
+/// \returns true if a field of an answer is 1; false if it is 0 or absent.
+Result<bool> readLeaving(const HttpFields &Fields, const std::string &Name);
 /// \returns nothing unless \p Text is a non-negative integer.
 std::optional<std::int64_t> parseCount(std::string_view Text);
 
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -6,7 +6,7 @@
 #include "Common/Log.h"
 #include "Connection/EventStream.h"
 #include "Request/CrashEvidence.h"
-#include "Request/ServerLimit.h"
+#include "Request/ServerNotices.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -152,7 +152,7 @@
           std::min(SilenceTimeout, Context_.remaining()));
       Attached = Head.has_value();
       if (Attached)
-        reportServerLimit(Context_, Ready_, *Head);
+        reportServerNotices(Context_, Ready_, *Head);
       if (Attached && Head->Status_ != 200)
         co_return co_await verdictOfStatus(std::move(*Head));
     }
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -295,6 +295,17 @@
       continue;
     }
     BackendServer Chosen = *Server;
+    // The server may have said something in an answer since the grant.
+    auto IsHeld = [&] {
+      return !Grants.holds()->maySend(Chosen.Name_, Chosen.Incarnation_,
+                                      steady_clock::now());
+    };
+    if (IsHeld()) {
+      Grants.done(Context.Id_, ServedSample());
+      Excluded.push_back(Answer->Server_);
+      Ended = notRun(ResultCode::NoBackendServer);
+      continue;
+    }
     std::optional<Verdict> Refused;
     if (Options.Prepare_)
       Refused = co_await Options.Prepare_();
@@ -318,6 +329,13 @@
       continue;
     }
     auto &Link = std::get<ServerLink>(Connected);
+    if (IsHeld()) {
+      Grants.done(Context.Id_, ServedSample());
+      Context.Services_.Servers_.putBack(Chosen.Address_, std::move(Link));
+      Excluded.push_back(Answer->Server_);
+      Ended = notRun(ResultCode::NoBackendServer);
+      continue;
+    }
     if (Options.BeforeDispatch_)
       Refused = Options.BeforeDispatch_();
     if (!Refused)
--- a/Source/Request/ServerLimit.cpp
+++ b/Source/Request/ServerNotices.cpp
@@ -1,4 +1,4 @@
-#include "Request/ServerLimit.h"
+#include "Request/ServerNotices.h"
 
 #include "Common/Log.h"
 
@@ -22,8 +22,8 @@
 
 } // namespace
 
-void reportServerLimit(RequestContext &Context, const ReadyServer &From,
-                       const HttpResponse &Head) {
+void reportServerNotices(RequestContext &Context, const ReadyServer &From,
+                         const HttpResponse &Head) {
   const ForwardingDialect &Dialect = Context.Services_.Dialect_;
   GrantClient &Grants = Context.Services_.Grants_;
   // Most answers name nothing and come from servers that never did.
@@ -32,11 +32,18 @@
     logBad("bad-server-limit", From.Server_.Name_, Rate.error());
   else if (*Rate || From.Limited_)
     Grants.limitRead(Context.Id_, *Rate);
+  AnsweredServer Server{From.Server_.Name_, From.Server_.Incarnation_,
+                        From.Relay_};
   auto Survived = Dialect.ReadBrittle_(Head.Fields_);
   if (!Survived)
     logBad("bad-server-notice", From.Server_.Name_, Survived.error());
   else if (*Survived || From.Limited_)
-    Grants.noticeRead(Context.Id_, BrittleNotice{*Survived});
+    Grants.noticeRead(Context.Id_, Server, BrittleNotice{*Survived});
+  auto Leaving = Dialect.ReadLeaving_(Head.Fields_);
+  if (!Leaving)
+    logBad("bad-server-notice", From.Server_.Name_, Leaving.error());
+  else if (*Leaving)
+    Grants.noticeRead(Context.Id_, Server, LeavingNotice());
 }
 
 } // namespace samphireshunt
--- a/Source/Request/ServerLimit.h
+++ b/Source/Request/ServerNotices.h
@@ -1,7 +1,7 @@
 #pragma once
 /// \file
 /// Reads what servers say of themselves in their answers: the rate of requests
-/// that they accept, and how many rejections they survive.
+/// that they accept, how many rejections they survive, and that they leave.
 
 #include "Request/RequestContext.h"
 
@@ -9,7 +9,7 @@
 
 /// Reports what the head of an answer says about the server, or that it says it
 /// no more, to the keeper. What can't be read is logged and changes nothing.
-void reportServerLimit(RequestContext &Context, const ReadyServer &From,
-                       const HttpResponse &Head);
+void reportServerNotices(RequestContext &Context, const ReadyServer &From,
+                         const HttpResponse &Head);
 
 } // namespace samphireshunt
