A server that rejects requests and asks for a rest gets it

What callers saw: requests refused after three servers had rejected each, while these got 8 to 15 requests of a daemon in the time in which two are allowed.

Cause: no code read Retry-After of a rejection, and a rejected request frees its slot at the keeper at once, so the server looks idle and is granted the next.

Change: a rest belongs to the daemon that was answered and the server. The keeper grants the server to that daemon again after the rest; the daemon asks before it connects and again just before bytes are sent, and so does one that relays. A longer rest beats a shorter one. While all servers rest for longer than a request may wait, it is refused at once, with the time until the first one is back.

Test: Unit.RestingServer failed before (60 requests within a second) and passes.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -157,31 +157,34 @@
   Unknown = 0,
   Brittle = 1,
   Leaving = 2,
+  Rest = 3,
   MIN = Unknown,
-  MAX = Leaving
+  MAX = Rest
 };
 
-inline const NoticeKind (&EnumValuesNoticeKind())[3] {
+inline const NoticeKind (&EnumValuesNoticeKind())[4] {
   static const NoticeKind values[] = {
     NoticeKind::Unknown,
     NoticeKind::Brittle,
-    NoticeKind::Leaving
+    NoticeKind::Leaving,
+    NoticeKind::Rest
   };
   return values;
 }
 
 inline const char * const *EnumNamesNoticeKind() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "Unknown",
     "Brittle",
     "Leaving",
+    "Rest",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameNoticeKind(NoticeKind e) {
-  if (flatbuffers::IsOutRange(e, NoticeKind::Unknown, NoticeKind::Leaving)) return "";
+  if (flatbuffers::IsOutRange(e, NoticeKind::Unknown, NoticeKind::Rest)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesNoticeKind()[index];
 }
@@ -1509,6 +1512,7 @@
   uint32_t count = 0;
   uint64_t incarnation = 0;
   bool relayed = false;
+  uint32_t rest_ms = 0;
   ServerNoticeT() = default;
   ServerNoticeT(const ServerNoticeT &o);
   ServerNoticeT(ServerNoticeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1527,7 +1531,8 @@
     VT_NAMED = 12,
     VT_COUNT = 14,
     VT_INCARNATION = 16,
-    VT_RELAYED = 18
+    VT_RELAYED = 18,
+    VT_REST_MS = 20
   };
   /// The request that was answered; unset in a report to a new keeper.
   const samphireshunt::wire::Id *id() const {
@@ -1558,6 +1563,10 @@
   bool relayed() const {
     return GetField<uint8_t>(VT_RELAYED, 0) != 0;
   }
+  /// Rest: how long the server wants no requests from the daemon.
+  uint32_t rest_ms() const {
+    return GetField<uint32_t>(VT_REST_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1570,6 +1579,7 @@
            VerifyField<uint32_t>(verifier, VT_COUNT, 4) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELAYED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_REST_MS, 4) &&
            verifier.EndTable();
   }
   ServerNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1605,6 +1615,9 @@
   void add_relayed(bool relayed) {
     fbb_.AddElement<uint8_t>(ServerNotice::VT_RELAYED, static_cast<uint8_t>(relayed), 0);
   }
+  void add_rest_ms(uint32_t rest_ms) {
+    fbb_.AddElement<uint32_t>(ServerNotice::VT_REST_MS, rest_ms, 0);
+  }
   explicit ServerNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1625,9 +1638,11 @@
     bool named = false,
     uint32_t count = 0,
     uint64_t incarnation = 0,
-    bool relayed = false) {
+    bool relayed = false,
+    uint32_t rest_ms = 0) {
   ServerNoticeBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_rest_ms(rest_ms);
   builder_.add_count(count);
   builder_.add_server(server);
   builder_.add_cell(cell);
@@ -1647,7 +1662,8 @@
     bool named = false,
     uint32_t count = 0,
     uint64_t incarnation = 0,
-    bool relayed = false) {
+    bool relayed = false,
+    uint32_t rest_ms = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return samphireshunt::wire::CreateServerNotice(
       _fbb,
@@ -1658,7 +1674,8 @@
       named,
       count,
       incarnation,
-      relayed);
+      relayed,
+      rest_ms);
 }
 
 flatbuffers::Offset<ServerNotice> CreateServerNotice(flatbuffers::FlatBufferBuilder &_fbb, const ServerNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5272,7 +5289,8 @@
         named(o.named),
         count(o.count),
         incarnation(o.incarnation),
-        relayed(o.relayed) {
+        relayed(o.relayed),
+        rest_ms(o.rest_ms) {
 }
 
 inline ServerNoticeT &ServerNoticeT::operator=(ServerNoticeT o) FLATBUFFERS_NOEXCEPT {
@@ -5284,6 +5302,7 @@
   std::swap(count, o.count);
   std::swap(incarnation, o.incarnation);
   std::swap(relayed, o.relayed);
+  std::swap(rest_ms, o.rest_ms);
   return *this;
 }
 
@@ -5304,6 +5323,7 @@
   { auto _e = count(); _o->count = _e; }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = relayed(); _o->relayed = _e; }
+  { auto _e = rest_ms(); _o->rest_ms = _e; }
 }
 
 inline flatbuffers::Offset<ServerNotice> ServerNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5322,6 +5342,7 @@
   auto _count = _o->count;
   auto _incarnation = _o->incarnation;
   auto _relayed = _o->relayed;
+  auto _rest_ms = _o->rest_ms;
   return samphireshunt::wire::CreateServerNotice(
       _fbb,
       _id,
@@ -5331,7 +5352,8 @@
       _named,
       _count,
       _incarnation,
-      _relayed);
+      _relayed,
+      _rest_ms);
 }
 
 inline RefuseT::RefuseT(const RefuseT &o)
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -164,7 +164,7 @@
 void GrantClient::noticeRead(RequestId Id, AnsweredServer Server,
                              ServerNotice Notice) {
   asio::post(Control_, [this, Id, Server = std::move(Server), Notice] {
-    ServerStatement Said{{}, Server.Name_, Server.Process_, Id, Notice};
+    ServerStatement Said{{}, Server.Name_, Server.Process_, Id, Notice, Self_};
     auto Found = GrantedRequests_.find(Id);
     if (Found != GrantedRequests_.end())
       Said.Cell_ = Found->second.Cell_;
@@ -180,15 +180,21 @@
 
 void GrantClient::hold(const ServerStatement &Said) {
   auto Now = steady_clock::now();
-  if (!std::holds_alternative<LeavingNotice>(Said.Notice_) ||
-      !Holds_.read()->maySend(Said.Server_, Said.Process_, Now))
-    return;
   ServerHolds Changed = *Holds_.read();
-  Changed.leave(Said.Server_, Said.Process_, Now);
+  const auto *Rest = std::get_if<RestNotice>(&Said.Notice_);
+  bool Leaves = std::holds_alternative<LeavingNotice>(Said.Notice_);
+  if (Rest && Now + Rest->Time_ > Changed.restUntil(Said.Server_))
+    Changed.rest(Said.Server_, Now + Rest->Time_, Now);
+  else if (Leaves && Changed.maySend(Said.Server_, Said.Process_, Now))
+    Changed.leave(Said.Server_, Said.Process_, Now);
+  else
+    return;
   Changed.forgetOld(Now);
   Holds_.write(std::make_shared<const ServerHolds>(std::move(Changed)));
   logEvent(LogCategory::Keeper, spdlog::level::info, "server-held",
-           {{"server", Said.Server_.str()}, {"cause", "leaving"}});
+           {{"server", Said.Server_.str()},
+            {"cause", Rest ? "rest" : "leaving"},
+            {"rest_ms", std::to_string(Rest ? Rest->Time_.count() : 0)}});
 }
 
 /// Keeps what a server said for a keeper that takes over its cell.
@@ -203,6 +209,8 @@
   Known.Named_ = steady_clock::now();
   if (Brittle)
     Known.Survived_ = Brittle->Survived_;
+  else if (const auto *Rest = std::get_if<RestNotice>(&Said.Notice_))
+    Known.RestUntil_ = std::max(Known.RestUntil_, Known.Named_ + Rest->Time_);
   else
     Known.Leaving_ = true;
 }
@@ -231,13 +239,18 @@
       continue;
     if (Limit.Rate_)
       reportLimit(Cell, Server, RequestId(), Limit.Rate_, Keeper);
-    ServerStatement Said{Cell, Server, Limit.Process_, RequestId(),
-                         LeavingNotice()};
+    ServerStatement Said{Cell,        Server,          Limit.Process_,
+                         RequestId(), LeavingNotice(), Self_};
     if (Limit.Leaving_)
       reportStatement(Said, Keeper);
     Said.Notice_ = BrittleNotice{Limit.Survived_};
     if (Limit.Survived_)
       reportStatement(Said, Keeper);
+    auto Rest =
+        duration_cast<milliseconds>(Limit.RestUntil_ - steady_clock::now());
+    Said.Notice_ = RestNotice{Rest};
+    if (Rest.count() > 0)
+      reportStatement(Said, Keeper);
   }
 }
 
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -123,6 +123,7 @@
     std::optional<RequestRate> Rate_;
     std::optional<RejectionCount> Survived_;
     bool Leaving_ = false;
+    TimePoint RestUntil_;
     Incarnation Process_;
     TimePoint Named_;
   };
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -135,6 +135,9 @@
     Message.kind = wire::NoticeKind::Brittle;
     Message.named = Brittle->Survived_.has_value();
     Message.count = Brittle->Survived_.value_or(RejectionCount()).count();
+  } else if (const auto *Rest = std::get_if<RestNotice>(&Said.Notice_)) {
+    Message.kind = wire::NoticeKind::Rest;
+    Message.rest_ms = static_cast<std::uint32_t>(Rest->Time_.count());
   } else {
     Message.kind = wire::NoticeKind::Leaving;
   }
@@ -156,6 +159,9 @@
   }
   case wire::NoticeKind::Leaving:
     return Said;
+  case wire::NoticeKind::Rest:
+    Said.Notice_ = RestNotice{milliseconds(Notice.rest_ms)};
+    return Said;
   default:
     return std::nullopt;
   }
--- a/Source/Process/Keeping/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -31,6 +31,8 @@
   /// The answered request; unset in a report to a new keeper.
   RequestId Id_;
   ServerNotice Notice_;
+  /// The daemon that read it. Not sent: the receiver knows the sender.
+  VmId Ingress_;
 };
 /// \p Relayed: the receiver relayed the answer.
 std::string encodeStatement(const ServerStatement &Said, bool Relayed);
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -325,7 +325,7 @@
     return;
   auto Before = Model->rejections().named();
   bool WasLeaving = Model->saysLeaving();
-  Deciding.noticeRead(Said.Server_, Said.Id_, Said.Notice_,
+  Deciding.noticeRead(Said.Server_, Said.Ingress_, Said.Id_, Said.Notice_,
                       steady_clock::now());
   auto After = Model->rejections().named();
   LogFields Fields = {{"server", Said.Server_.str()},
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -141,8 +141,11 @@
     OfLength.Arrived_ += 1;
   }
   OwnTier.RecentArrivals_.add(Now);
-  if (!hasServerFor(Request)) {
-    Out.push_back(refusal(Request, ResultCode::NoBackendServer));
+  if (!hasServerFor(Request, Now)) {
+    RefuseDecision Refusal = refusal(Request, ResultCode::NoBackendServer);
+    Refusal.RetryAfter_ =
+        timeUntilRested(Request, Now).value_or(Refusal.RetryAfter_);
+    Out.push_back(Refusal);
     return Out;
   }
   auto Lowest = floor(Now);
@@ -186,13 +189,32 @@
   return Out;
 }
 
-bool Scheduler::hasServerFor(const GrantRequest &Request) const {
+/// \returns true if an engine may be free for the request before it would have
+/// waited too long.
+bool Scheduler::hasServerFor(const GrantRequest &Request, TimePoint Now) const {
+  TimePoint Latest = Request.Deadline_;
+  if (Request.MaxWait_.count() > 0)
+    Latest = std::min(Latest, Now + Request.MaxWait_);
   return std::ranges::any_of(Servers_, [&](const auto &Item) {
     return Item.second.usable() &&
+           Item.second.restUntil(Request.Ingress_) < Latest &&
            std::ranges::count(Request.Excluded_, Item.first) == 0;
   });
 }
 
+std::optional<milliseconds>
+Scheduler::timeUntilRested(const GrantRequest &Request, TimePoint Now) const {
+  std::optional<milliseconds> Shortest;
+  for (const auto &[Name, Server] : Servers_) {
+    TimePoint Until = Server.restUntil(Request.Ingress_);
+    if (!Server.usable() || Until <= Now)
+      continue;
+    auto Left = std::chrono::ceil<milliseconds>(Until - Now);
+    Shortest = std::min(Shortest.value_or(Left), Left);
+  }
+  return Shortest;
+}
+
 /// Refuses all waiting requests if no server is usable, so that they do not
 /// wait until their deadlines.
 void Scheduler::refuseUnservable(std::vector<Decision> &Out) {
@@ -510,13 +532,16 @@
          Answered->second.Granted_ > Time;
 }
 
-void Scheduler::noticeRead(const ServerName &Name, const RequestId &Id,
-                           const ServerNotice &Notice, TimePoint Now) {
+void Scheduler::noticeRead(const ServerName &Name, const VmId &Ingress,
+                           const RequestId &Id, const ServerNotice &Notice,
+                           TimePoint Now) {
   ServerModel *Model = server(Name);
   if (!Model)
     return;
   if (std::holds_alternative<LeavingNotice>(Notice))
     return Model->markLeaving();
+  if (const auto *Rest = std::get_if<RestNotice>(&Notice))
+    return Model->rest(Ingress, Now + Rest->Time_);
   const auto &Brittle = std::get<BrittleNotice>(Notice);
   if (Brittle.Survived_)
     Model->rejections().name(*Brittle.Survived_, Now);
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -206,9 +206,11 @@
   /// that it accepts.
   void limitRead(const ServerName &Server, const RequestId &Id,
                  const std::optional<RequestRate> &Named, TimePoint Now);
-  /// Applies what an engine's answer to \p Id says about the engine.
-  void noticeRead(const ServerName &Server, const RequestId &Id,
-                  const ServerNotice &Notice, TimePoint Now);
+  /// Applies what an engine's answer to \p Id of the ingress daemon \p Ingress
+  /// says about the engine.
+  void noticeRead(const ServerName &Server, const VmId &Ingress,
+                  const RequestId &Id, const ServerNotice &Notice,
+                  TimePoint Now);
   /// Removes the waiting requests of an ingress daemon. \returns their ids.
   std::vector<RequestId> removeWaiting(const VmId &Ingress);
   /// Removes all requests of an ingress daemon. \returns them.
@@ -354,7 +356,11 @@
   void enqueue(WaitingRequest Request);
   WaitingRequest dequeue(const RequestId &Id);
   std::size_t queueIndex(TierIndex Tier) const;
-  bool hasServerFor(const GrantRequest &Request) const;
+  bool hasServerFor(const GrantRequest &Request, TimePoint Now) const;
+  /// \returns the time until the first engine no longer rests for the request's
+  /// ingress daemon; nothing if none rests.
+  std::optional<std::chrono::milliseconds>
+  timeUntilRested(const GrantRequest &Request, TimePoint Now) const;
   void refuseUnservable(std::vector<Decision> &Out);
   RefuseDecision refusal(const GrantRequest &Request, ResultCode Code);
   std::optional<RequestId> lowestWaiting(TierIndex Above) const;
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -96,7 +96,9 @@
                         TimePoint Now) const {
   bool Excluded =
       std::ranges::count(Request.Excluded_, Server.capacity().Name_) > 0;
-  return !Excluded && hasRoom(Server) && finishesInTime(Request, Server, Now) &&
+  bool Rests = Now < Server.restUntil(Request.Ingress_);
+  return !Excluded && !Rests && hasRoom(Server) &&
+         finishesInTime(Request, Server, Now) &&
          standingAllows(Request, Server);
 }
 
--- a/Source/Process/Scheduling/ServerHolds.cpp
+++ b/Source/Process/Scheduling/ServerHolds.cpp
@@ -1,5 +1,7 @@
 #include "Process/Scheduling/ServerHolds.h"
 
+#include <algorithm>
+
 namespace samphireshunt {
 
 namespace {
@@ -17,16 +19,31 @@
   Known.Heard_ = Now;
 }
 
+void ServerHolds::rest(const ServerName &Server, TimePoint Until,
+                       TimePoint Now) {
+  Hold &Known = Holds_[Server];
+  Known.RestUntil_ = std::max(Known.RestUntil_, Until);
+  Known.Heard_ = Now;
+}
+
+TimePoint ServerHolds::restUntil(const ServerName &Server) const {
+  auto Found = Holds_.find(Server);
+  return Found == Holds_.end() ? TimePoint() : Found->second.RestUntil_;
+}
+
 bool ServerHolds::maySend(const ServerName &Server, Incarnation Process,
-                          TimePoint) const {
+                          TimePoint Now) const {
   auto Found = Holds_.find(Server);
-  return Found == Holds_.end() || !Found->second.Leaving_ ||
-         Found->second.Process_ != Process;
+  if (Found == Holds_.end())
+    return true;
+  const Hold &Known = Found->second;
+  bool Leaves = Known.Leaving_ && Known.Process_ == Process;
+  return !Leaves && Now >= Known.RestUntil_;
 }
 
 void ServerHolds::forgetOld(TimePoint Now) {
   std::erase_if(Holds_, [Now](const auto &Item) {
-    return Now - Item.second.Heard_ > Memory;
+    return Now - Item.second.Heard_ > Memory && Now >= Item.second.RestUntil_;
   });
 }
 
--- a/Source/Process/Scheduling/ServerHolds.h
+++ b/Source/Process/Scheduling/ServerHolds.h
@@ -22,10 +22,15 @@
 public:
   /// The server's process said that it leaves.
   void leave(const ServerName &Server, Incarnation Process, TimePoint Now);
+  /// The server wants no requests until \p Until. A shorter time than one that
+  /// it named before changes nothing.
+  void rest(const ServerName &Server, TimePoint Until, TimePoint Now);
 
   /// \returns false while requests must not be sent to the server's process.
   bool maySend(const ServerName &Server, Incarnation Process,
                TimePoint Now) const;
+  /// \returns the end of the server's rest; the clock's epoch without one.
+  TimePoint restUntil(const ServerName &Server) const;
   /// Forgets servers that have not been heard of for a long time.
   void forgetOld(TimePoint Now);
 
@@ -34,6 +39,7 @@
     bool Leaving_ = false;
     /// The process that leaves.
     Incarnation Process_;
+    TimePoint RestUntil_;
     TimePoint Heard_;
   };
 
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -50,6 +50,7 @@
   Health_ = ServerHealth();
   Rate_ = ServerRate();
   Rejections_ = RejectionLimit();
+  RestUntil_.clear();
   LeftOut_ = OnTrial_ = Replaced_ = SaysLeaving_ = false;
   InFlight_.clear();
   Reported_ = LoadReport();
@@ -90,6 +91,16 @@
          pendingReadingTime() < MaxUnreadTime;
 }
 
+void ServerModel::rest(const VmId &Ingress, TimePoint Until) {
+  TimePoint &Known = RestUntil_[Ingress];
+  Known = std::max(Known, Until);
+}
+
+TimePoint ServerModel::restUntil(const VmId &Ingress) const {
+  auto Found = RestUntil_.find(Ingress);
+  return Found == RestUntil_.end() ? TimePoint() : Found->second;
+}
+
 void ServerModel::start(const RequestId &Id, Tokens Prompt,
                         std::span<const std::uint64_t> Prefix) {
   PrefillWork Added;
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
@@ -100,6 +101,10 @@
   /// Marks the engine's process as leaving, whatever the directory says.
   void markLeaving() { SaysLeaving_ = true; }
   bool saysLeaving() const { return SaysLeaving_; }
+  /// The engine wants no requests from \p Ingress until \p Until.
+  void rest(const VmId &Ingress, TimePoint Until);
+  /// \returns the end of the rest; the clock's epoch without one.
+  TimePoint restUntil(const VmId &Ingress) const;
   ServerHealth &health() { return Health_; }
   const ServerHealth &health() const { return Health_; }
   /// Excludes the engine from new work, or limits it to one request at a time.
@@ -203,6 +208,8 @@
   bool OnTrial_ = false;
   bool Replaced_ = false;
   bool SaysLeaving_ = false;
+  /// Until when it wants no requests from ingress daemons.
+  std::map<VmId, TimePoint> RestUntil_;
   std::unordered_set<RequestId> InFlight_;
   LoadReport Reported_;
   /// Prompt work that the engine still has to do for one request.
--- a/Source/Process/Scheduling/ServerNotice.h
+++ b/Source/Process/Scheduling/ServerNotice.h
@@ -4,7 +4,9 @@
 
 #include "Process/Scheduling/RejectionLimit.h"
 
+#include <chrono>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace samphireshunt {
@@ -18,6 +20,15 @@
 /// The server leaves.
 struct LeavingNotice {};
 
-using ServerNotice = std::variant<BrittleNotice, LeavingNotice>;
+/// The server wants no requests from the daemon that it answered for so long.
+struct RestNotice {
+  std::chrono::milliseconds Time_{0};
+};
+
+using ServerNotice = std::variant<BrittleNotice, LeavingNotice, RestNotice>;
+
+/// Parses a decimal number of seconds. \returns BadServerNotice if \p Text is
+/// anything else or negative. More than a day counts as a day.
+Result<std::chrono::milliseconds> parseRest(std::string_view Text);
 
 } // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -653,6 +653,8 @@
                        fromWire(Limit->id), rateFromWire(*Limit));
   else if (const auto *Notice = Message.body.AsServerNotice()) {
     auto Said = statementFromWire(*Notice);
+    if (Said)
+      Said->Ingress_ = From;
     if (Said && Notice->relayed)
       Grants_->hold(*Said);
     else if (Said)
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -90,6 +90,14 @@
   return true;
 }
 
+Result<std::chrono::milliseconds> readRest(const HttpResponse &Head) {
+  constexpr int StatusUnavailable = 503;
+  auto Found = Head.Fields_.find("retry-after");
+  if (Head.Status_ != StatusUnavailable || Found == Head.Fields_.end())
+    return std::chrono::milliseconds(0);
+  return parseRest(Found->second);
+}
+
 std::optional<std::int64_t> parseCount(std::string_view Text) {
   std::int64_t Count = 0;
   const char *End = Text.data() + Text.size();
@@ -136,6 +144,7 @@
   Dialect.ReadLeaving_ = [](const HttpFields &Fields) {
     return readLeaving(Fields, "x-server-leaving");
   };
+  Dialect.ReadRest_ = readRest;
   Dialect.AddCallId_ = addCallId;
   return Dialect;
 }
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -69,6 +69,10 @@
   /// Returns whether the server of an answer leaves; BadServerNotice if that
   /// can't be read.
   std::function<Result<bool>(const HttpFields &)> ReadLeaving_;
+  /// Returns for how long the server of an answer wants no requests; 0 if it
+  /// does not say so, BadServerNotice if that can't be read.
+  std::function<Result<std::chrono::milliseconds>(const HttpResponse &)>
+      ReadRest_;
   /// Adds the call id to an answer that the daemon generates itself.
   std::function<void(HttpFields &, const std::string &CallId)> AddCallId_;
   /// Retry-After may have a fraction of a second.
@@ -78,7 +82,7 @@
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
 /// (HEX:TOKENS,...), x-expect-server, x-customer, x-not-run, x-answer-proof,
-/// x-server-limit, x-server-brittle, x-server-leaving.
+/// x-server-limit, x-server-brittle, x-server-leaving, retry-after.
 ForwardingDialect defaultDialect();
 
 /// Parses "HEX:TOKENS,HEX:TOKENS". The list ends before the first item that
@@ -93,6 +97,9 @@
                                                   const std::string &Name);
 /// \returns true if a field of an answer is 1; false if it is 0 or absent.
 Result<bool> readLeaving(const HttpFields &Fields, const std::string &Name);
+/// \returns the seconds in the field retry-after of a rejection, an answer with
+/// status 503; 0 for any other answer.
+Result<std::chrono::milliseconds> readRest(const HttpResponse &Head);
 /// \returns nothing unless \p Text is a non-negative integer.
 std::optional<std::int64_t> parseCount(std::string_view Text);
 
--- a/Source/Request/ServerNotices.cpp
+++ b/Source/Request/ServerNotices.cpp
@@ -44,6 +44,11 @@
     logBad("bad-server-notice", From.Server_.Name_, Leaving.error());
   else if (*Leaving)
     Grants.noticeRead(Context.Id_, Server, LeavingNotice());
+  auto Rest = Dialect.ReadRest_(Head);
+  if (!Rest)
+    logBad("bad-server-notice", From.Server_.Name_, Rest.error());
+  else if (Rest->count() > 0)
+    Grants.noticeRead(Context.Id_, Server, RestNotice{*Rest});
 }
 
 } // namespace samphireshunt
--- a/Source/Request/ServerNotices.h
+++ b/Source/Request/ServerNotices.h
@@ -1,7 +1,8 @@
 #pragma once
 /// \file
 /// Reads what servers say of themselves in their answers: the rate of requests
-/// that they accept, how many rejections they survive, and that they leave.
+/// that they accept, how many rejections they survive, that they leave, and
+/// that they want a rest.
 
 #include "Request/RequestContext.h"
 
