--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -47,6 +47,16 @@
 constexpr double LimitSlack = 5;
 constexpr milliseconds LimitWindow{4000};
 constexpr milliseconds TellTime{500};
+/// Requests that may reach an engine from a daemon from RestReaction after it
+/// asked for a rest until the rest ends.
+constexpr std::size_t MaxInRest = 2;
+constexpr milliseconds RestReaction{500};
+/// Brittle engines let no requests wait from ContactTime on, and end when they
+/// reject more than this many within a second; at most MaxFalls of them.
+constexpr std::size_t SurvivedRejections = 3;
+constexpr std::size_t BrittlePlaces = 4;
+constexpr milliseconds BrittleTime{7000};
+constexpr int MaxFalls = 2;
 /// A bad version gets at most this share of the requests from the order to its
 /// time limit, and this many more; and none that is sent later than
 /// RevertBound after this many bad answers.
@@ -143,6 +153,17 @@
   Time Limited_;
   /// When a daemon first passed on an answer with the limit.
   std::map<Endpoint, Time> Told_;
+  /// When a daemon first passed on an answer saying that the engine leaves.
+  std::map<Endpoint, Time> ToldLeaving_;
+  bool Rests_ = false;
+  /// A rest that the engine asked a daemon for.
+  struct Rest {
+    Time Begin_;
+    Time End_;
+    std::size_t Arrivals_ = 0;
+  };
+  std::map<Endpoint, Rest> Rest_;
+  std::vector<Time> Rejections_;
   /// Requests while the limit was named, with the daemons that sent them.
   std::vector<std::pair<Time, Endpoint>> Arrivals_;
 };
@@ -250,6 +271,7 @@
   HttpResponse Answer;
   Answer.Fields_["x-samphireshunt-request-id"] = CallId;
   noteLimit(Self, CallId, Answer);
+  noteNotices(Self, CallId, Answer);
   bool WrongInstance =
       Request.field("x-samphireshunt-expect-instance") != Self.Id_;
   bool Refuses = EngineFaults_ && pick(Percent) < 5;
@@ -259,6 +281,10 @@
     co_await Exchange.respond(std::move(Answer));
     co_return;
   }
+  if (rejects(Self, CallId, Answer)) {
+    co_await Exchange.respond(std::move(Answer));
+    co_return;
+  }
   auto Now = steady_clock::now();
   bool PastDrainBound =
       Self.Leaving_ != Time() && Now - Self.Leaving_ > DrainBound;
@@ -316,6 +342,140 @@
   Self.Told_.try_emplace(Daemon->second, Now);
 }
 
+/// A pause excuses a daemon.
+void SoakEnvironment::noteNotices(Engine &Self, const std::string &CallId,
+                                  HttpResponse &Answer) {
+  if (isBrittle())
+    Answer.Fields_["server-brittle"] = std::to_string(SurvivedRejections);
+  if (Self.Leaving_ != Time())
+    Answer.Fields_["server-leaving"] = "1";
+  auto Call = DaemonByCall_.find(CallId);
+  if (Call == DaemonByCall_.end())
+    return;
+  const Endpoint &Daemon = Call->second;
+  auto Now = steady_clock::now();
+  bool Paused = Pauses_.contains(Daemon);
+  auto Told = Self.ToldLeaving_.find(Daemon);
+  if (Told != Self.ToldLeaving_.end() && !Paused &&
+      SentAt_.at(CallId) > Told->second + DrainBound)
+    Violations_.push_back(fmt::format("{}: reached {}, which had said to its "
+                                      "daemon that it leaves",
+                                      CallId, Self.Id_));
+  if (Self.Leaving_ != Time())
+    Self.ToldLeaving_.try_emplace(Daemon, Now);
+  auto Rest = Self.Rest_.find(Daemon);
+  bool InRest = Rest != Self.Rest_.end() &&
+                Now > Rest->second.Begin_ + RestReaction &&
+                Now < Rest->second.End_;
+  if (InRest && !Paused && ++Rest->second.Arrivals_ > MaxInRest)
+    Violations_.push_back(fmt::format(
+        "{}: reached {}, which had asked for a rest", CallId, Self.Id_));
+}
+
+bool SoakEnvironment::isBrittle() const {
+  return BrittleSince_ != Time() &&
+         steady_clock::now() < BrittleSince_ + BrittleTime;
+}
+
+bool SoakEnvironment::rejects(Engine &Self, const std::string &CallId,
+                              HttpResponse &Answer) {
+  auto Now = steady_clock::now();
+  bool Full = isBrittle() && Now > BrittleSince_ + ContactTime &&
+              Self.Running_ >= static_cast<int>(BrittlePlaces);
+  if (!Full && !Self.Rests_)
+    return false;
+  Answer.Status_ = 503;
+  Answer.Fields_["x-samphireshunt-not-executed"] = "1";
+  auto Call = DaemonByCall_.find(CallId);
+  if (Self.Rests_ && Call != DaemonByCall_.end()) {
+    int Tenths = 8 + static_cast<int>(pick(20));
+    Answer.Fields_["retry-after"] =
+        fmt::format("{}.{}", Tenths / 10, Tenths % 10);
+    Engine::Rest &Asked = Self.Rest_[Call->second];
+    if (Now + milliseconds(100 * Tenths) > Asked.End_)
+      Asked = {Now, Now + milliseconds(100 * Tenths), 0};
+  }
+  if (!Full)
+    return true;
+  Self.Rejections_.push_back(Now);
+  auto InSecond = std::ranges::count_if(Self.Rejections_, [&](Time At) {
+    return Now - At <= std::chrono::seconds(1);
+  });
+  if (static_cast<std::size_t>(InSecond) > SurvivedRejections &&
+      !Self.Crashed_) {
+    if (++Falls_ > MaxFalls)
+      Violations_.push_back(
+          fmt::format("{}: {} brittle engines fell", Self.Id_, Falls_));
+    crash(Self);
+  }
+  return true;
+}
+
+void SoakEnvironment::makeBrittle() {
+  run([&] {
+    auto Now = steady_clock::now();
+    if (BrittleSince_ != Time() && Now < BrittleSince_ + 2 * BrittleTime)
+      return;
+    BrittleSince_ = Now;
+    Falls_ = 0;
+  });
+}
+
+void SoakEnvironment::restEngine() {
+  run([&] {
+    auto Found = std::ranges::find_if(Engines_, [](const auto &Known) {
+      return !Known->Removed_ && !Known->Crashed_ && !Known->Rests_ &&
+             Known->Leaving_ == Time();
+    });
+    bool OneRests = std::ranges::any_of(
+        Engines_, [](const auto &Known) { return Known->Rests_; });
+    if (Found == Engines_.end() || OneRests)
+      return;
+    (*Found)->Rests_ = true;
+    auto End = [this, Resting = Found->get()]() -> Awaitable<void> {
+      constexpr milliseconds RestingTime{3000};
+      co_await sleep(RestingTime);
+      Resting->Rests_ = false;
+    };
+    asio::co_spawn(Context_, std::move(End), asio::detached);
+  });
+}
+
+void SoakEnvironment::leaveUnannounced() {
+  run([&] {
+    auto Ready = std::ranges::find_if(Engines_, [](const auto &Known) {
+      return Known->Leaving_ == Time() && !Known->Removed_ && !Known->Crashed_;
+    });
+    if (Ready == Engines_.end())
+      return;
+    Engine *Leaving = Ready->get();
+    addEngine(ServiceVersion_);
+    Leaving->Leaving_ = steady_clock::now();
+    // The store's word is late, which excuses daemons that have not been told
+    // by the engine.
+    LastStoreFault_ = Leaving->Leaving_;
+    auto Publish = [this, Leaving]() -> Awaitable<void> {
+      constexpr milliseconds LateTime{4000};
+      co_await sleep(LateTime);
+      if (!Leaving->Removed_)
+        publish(*Leaving);
+      removeLater(*Leaving);
+    };
+    asio::co_spawn(Context_, std::move(Publish), asio::detached);
+  });
+}
+
+void SoakEnvironment::removeLater(Engine &Leaving) {
+  auto Leave = [this, &Leaving]() -> Awaitable<void> {
+    constexpr milliseconds RemovalDelay{4000};
+    co_await sleep(RemovalDelay);
+    Leaving.Removed_ = true;
+    Store_.remove("servers/" + Leaving.Id_);
+    Leaving.Server_->stopAccepting();
+  };
+  asio::co_spawn(Context_, std::move(Leave), asio::detached);
+}
+
 void SoakEnvironment::limitEngine() {
   run([&] {
     auto MayName = [](const auto &Known) {
@@ -375,6 +535,10 @@
   Head.Fields_["x-samphireshunt-request-id"] = CallId;
   if (Self.Limit_ > 0)
     Head.Fields_["server-limit"] = std::to_string(Self.Limit_);
+  if (isBrittle())
+    Head.Fields_["server-brittle"] = std::to_string(SurvivedRejections);
+  if (Self.Leaving_ != Time())
+    Head.Fields_["server-leaving"] = "1";
   Head.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
   Head.Fields_["content-type"] = "text/event-stream";
   bool Open = co_await Exchange.beginStream(std::move(Head));
@@ -475,6 +639,7 @@
     Connection = std::move(*Connected);
   }
   Seen.Sent_ = steady_clock::now();
+  SentAt_[Seen.Id_] = Seen.Sent_;
   auto Sent = co_await Connection->send(Request, Limit);
   bool Open = Sent.has_value();
   if (Open) {
@@ -615,14 +780,7 @@
       return;
     LeavingEngine->Leaving_ = steady_clock::now();
     publish(*LeavingEngine);
-    auto Leave = [this, LeavingEngine]() -> Awaitable<void> {
-      constexpr milliseconds RemovalDelay{4000};
-      co_await sleep(RemovalDelay);
-      LeavingEngine->Removed_ = true;
-      Store_.remove("servers/" + LeavingEngine->Id_);
-      LeavingEngine->Server_->stopAccepting();
-    };
-    asio::co_spawn(Context_, std::move(Leave), asio::detached);
+    removeLater(*LeavingEngine);
   });
 }
 
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -98,6 +98,14 @@
   void changeConfiguration();
   /// Lets an engine name a limit of requests per second for a while.
   void limitEngine();
+  /// Lets an engine say in its answers that it leaves, seconds before it tells
+  /// the store.
+  void leaveUnannounced();
+  /// Lets an engine reject requests and ask for rests, for a while.
+  void restEngine();
+  /// Lets all engines say for a while that they are brittle. Later they let no
+  /// requests wait, and end when they have to reject too many.
+  void makeBrittle();
   /// Sends a new request that crashes each engine that runs it, again and again
   /// for a while. A crashed engine is replaced by a new one.
   void sendCrashingRequest();
@@ -138,6 +146,14 @@
   void run(std::function<void()> Work);
   Engine &addEngine(const std::string &Version);
   void noteLimit(Engine &Self, const std::string &CallId, HttpResponse &Answer);
+  /// Checks a request at an engine against what the engine has said before, and
+  /// adds to its answer what it says now.
+  void noteNotices(Engine &Self, const std::string &CallId,
+                   HttpResponse &Answer);
+  /// \returns true if the engine rejects the request for what it has said.
+  bool rejects(Engine &Self, const std::string &CallId, HttpResponse &Answer);
+  bool isBrittle() const;
+  void removeLater(Engine &Leaving);
   void crash(Engine &Target);
   Awaitable<void> crashingCaller(std::string Body);
   /// An order to roll out, and what came of it.
@@ -207,6 +223,10 @@
     Time Begin_;
     Time End_;
   };
+  std::map<std::string, Time> SentAt_; ///< By call ID.
+  /// Since when all engines say that they are brittle.
+  Time BrittleSince_;
+  int Falls_ = 0;                    ///< Brittle engines that ended.
   std::map<Endpoint, Pause> Pauses_; ///< The last pause of each daemon.
   std::vector<std::string> Violations_;
   std::vector<std::unique_ptr<Rollout>> Rollouts_;
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -1,9 +1,11 @@
 #include "FailureTests/platform/SoakFleet.h"
 
 #include "FailureTests/TestHooks.h"
+#include "FailureTests/platform/LinkFaults.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -16,6 +18,7 @@
                      SoakFleetOptions Wanted)
     : Environment_(Environment), Random_(Seed), RestoreRandom_(Seed, 1),
       Options_(Wanted), CrashRandom_(Seed, 2), LimitRandom_(Seed, 3),
+      NoticeRandom_(Seed, 4), LinkRandom_(Seed, 5),
       DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
@@ -121,8 +124,48 @@
     Environment_.limitEngine();
 }
 
+void SoakFleet::disturbEngines() {
+  switch (NoticeRandom_(24)) {
+  case 0:
+    return Environment_.leaveUnannounced();
+  case 1:
+  case 2:
+    return Environment_.restEngine();
+  case 3:
+    return Environment_.makeBrittle();
+  default:
+    return;
+  }
+}
+
+/// Cuts a daemon off from all engines for a while, in one of three ways. Others
+/// may be cut off at the same time, but not all.
+void SoakFleet::cutLinks() {
+  auto Now = steady_clock::now();
+  for (std::size_t Index = 0; Index < Daemons; ++Index)
+    if (LinksBack_[Index] != steady_clock::time_point() &&
+        LinksBack_[Index] <= Now) {
+      LinksBack_[Index] = {};
+      setLinks(Index, PassSignal);
+    }
+  constexpr std::uint32_t OneIn = 10;
+  std::size_t Index = LinkRandom_(Daemons);
+  constexpr std::array Signals = {HangSignal, ResetSignal, RefuseNewSignal};
+  int Signal = Signals[LinkRandom_(Signals.size())];
+  milliseconds Time(300 + LinkRandom_(4000));
+  auto Cut = std::ranges::count_if(
+      LinksBack_, [](auto Back) { return Back != steady_clock::time_point(); });
+  if (LinkRandom_(OneIn) != 0 || Cut + 1 >= static_cast<long>(Daemons) ||
+      !Options_.FaultyLinks_)
+    return;
+  LinksBack_[Index] = Now + Time;
+  setLinks(Index, Signal);
+}
+
 void SoakFleet::injectFault() {
   copyOrRestoreStore();
+  disturbEngines();
+  cutLinks();
   sendCrashingRequest();
   limitEngine();
   std::size_t Index = Random_(Daemons);
@@ -159,8 +202,11 @@
   Environment_.failStore(0);
   Environment_.silenceStore(false);
   Environment_.setEngineFaults(false);
-  for (auto &Process : Processes_)
+  for (auto &Process : Processes_) {
     Process->resume();
+    if (Options_.FaultyLinks_)
+      Process->signal(PassSignal);
+  }
 }
 
 std::vector<std::string> probeUntilHealthy(SoakEnvironment &Environment) {
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -52,6 +52,8 @@
   void copyOrRestoreStore();
   void sendCrashingRequest();
   void limitEngine();
+  void disturbEngines();
+  void cutLinks();
 
   SoakEnvironment &Environment_;
   pcg32 Random_;
@@ -61,6 +63,10 @@
   SoakFleetOptions Options_;
   pcg32 CrashRandom_;
   pcg32 LimitRandom_;
+  pcg32 NoticeRandom_;
+  pcg32 LinkRandom_;
+  /// When the links of each daemon work again.
+  std::array<std::chrono::steady_clock::time_point, Daemons> LinksBack_{};
   std::size_t DaemonsPerReader_;
   TestFolder Folder_; ///< The daemons' logs.
   std::array<std::unique_ptr<ChildProcess>, Daemons> Processes_;
--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -56,7 +56,8 @@
   for (std::uint64_t Seed : Seeds) {
     SoakEnvironment Environment(Seed);
     Environment.takeStoreCopy();
-    SoakFleet Fleet(Seed, Environment, {.RestoreCopies_ = RestoreCopies});
+    SoakFleet Fleet(Seed, Environment,
+                    {.RestoreCopies_ = RestoreCopies, .FaultyLinks_ = true});
     auto Before = probeUntilHealthy(Environment);
     REQUIRE_MESSAGE(Before.empty(), "seed " << Seed << ": " << Before.front());
     Environment.startCallers(Callers);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -121,7 +121,7 @@
   's/if \(Version > Known\)\s*Hooks_\.RequestDocument_\(From, Service\);/(void)Known; (void)From;/' \
   ${F}LeavingTest '*cut off from the platform*'
 mutate drain $S/Programs/DaemonLife.cpp \
-  's/return CallerServer_->activeExchanges\(\) == 0 && Quiet;/(void)Quiet;\n  return true;/' \
+  's/return CallerServer_->activeExchanges\(\) == 0 &&\s+Relay_->connections\(\) == 0 &&\s+Quiet;/(void)Quiet;\n  return true;/' \
   ${F}LeavingTest '*graceful stop*'
 mutate look-before-stop $S/Programs/DaemonLife.cpp \
   's/std::vector<asio::io_context \*> Contexts\(FlushIterations.*?flushNextQueue\(std::move\(Contexts\)\);/onEventQueuesFlushed();/s' \
@@ -216,7 +216,7 @@
   's/return closeOnFullQueue\(\);/;/' \
   ${U}Connection '*too much waits to be sent*'
 mutate text-apart $S/Process/Configuration/PeerFollower.cpp \
-  's/  Question\.apart = true;\n//' \
+  's/  Request\.text_apart = true;\n//' \
   ${U}platform '*comes in small messages*'
 mutate text-lease $S/Process/Configuration/PeerFollower.cpp \
   's/if \(!lacksTextOf\(State\)\)\n//' \
@@ -234,7 +234,7 @@
   's/std::string Prefix = ownKey\(\);/std::string Prefix = View_.layout().ConfigurationKey_;/' \
   ${U}platform '*large configuration is read once*'
 mutate untold-changes $S/Process/Configuration/StoreFollower.cpp \
-  's/if \(Changes->Entries_\.empty\(\) && After_ < Changes->Revision_\)/if (false)/' \
+  's/if \(Changes->Entries_\.empty\(\) && After_ < Changes->Position_\)/if (false)/' \
   ${U}platform '*ends past changes*'
 mutate answer-comes $S/Process/Configuration/StoreFollower.cpp \
   's/ && !answerArriving\(\)\)/)/' \
@@ -346,10 +346,10 @@
   's/CrashesToRefuse = 3/CrashesToRefuse = 1000/' \
   ${U}CrashingRequest '*stops reaching them*'
 mutate crash-evidence $S/Request/CrashEvidence.cpp \
-  's/Port != PortState::Refused/false/' \
+  's/ \|\| Found != ServerCheck::Refused//' \
   ${U}CrashingRequest '*lost connection alone*'
 mutate crash-leaving $S/Request/CrashEvidence.cpp \
-  's/!Lost \|\| !Active/!Lost/' \
+  's/\(!Lost && !Silent\) \|\| !Active/(!Lost \&\& !Silent)/' \
   ${U}CrashingRequest '*leaving server that ends*'
 mutate crash-final $S/Request/FinalAnswer.cpp \
   's/bool Overload = Number >= 200/bool Overload = Number >= 113/' \
@@ -407,10 +407,10 @@
   's/MinPerSecond\) \* Share/MinPerSecond) * std::max(1.0, Share)/' \
   ${U}Process '*two keepers of one cell*'
 mutate limit-ends $S/Process/Scheduling/Scheduler.cpp \
-  's/  if \(Newer\)\n    Model->rate\(\)\.clear\(\);/  if (Newer \&\& false)\n    Model->rate().clear();/' \
+  's/  if \(grantedAfter\(\*Model, Id, Model->rate\(\)\.namedAt\(\)\)\)\n    Model->rate\(\)\.clear\(\);\n//' \
   ${U}Process '*limit ends with an answer*'
 mutate limit-late-answer $S/Process/Scheduling/Scheduler.cpp \
-  's/ &&\s+Answered->second\.Granted_ > Model->rate\(\)\.namedAt\(\)//' \
+  's/grantedAfter\(\*Model, Id, Model->rate\(\)\.namedAt\(\)\)/grantedAfter(*Model, Id, TimePoint())/' \
   ${U}Process '*limit ends with an answer*'
 mutate limit-restart $S/Process/Scheduling/ServerModel.cpp \
   's/  Rate_ = ServerRate\(\);\n//' \
@@ -427,6 +427,72 @@
 mutate limit-new-keeper $S/Process/Keeping/GrantClient.cpp \
   's/(void GrantClient::informKeeper[^{]*\{\n)/$1  return;\n/' \
   ${U}Process '*limits before it is asked*'
+L=$S/Process/Relay
+mutate relay-asked $L/ServerConnector.cpp \
+  's/MaxRelays_\) \{/MaxRelays_ \&\& false) {/' \
+  ${U}RelayedCall '*served through another daemon*'
+mutate relay-real-cut $L/ServerConnector.cpp \
+  's/Asked\.size\(\) < Options_\.MaxRelays_/false/' \
+  ${F}platform_CutFromServersTest '*cut off from all servers serves*'
+mutate relay-normal-end $L/RelayServer.cpp \
+  's/  if \(Error != asio::error::eof\)\n    co_return Pair->reset\(\);\n  error_code Ignored;\n  Pair->Daemon_\.shutdown/  error_code Ignored;\n  Pair->Daemon_.shutdown/' \
+  ${U}RelayedCall '*complete only if it ends normally*'
+mutate relay-caller-left $L/RelayServer.cpp \
+  's/  Pair->Server_\.close\(Ignored\);\n  Pair->Daemon_\.close\(Ignored\);\n//' \
+  ${U}RelayedCall '*caller that leaves ends*'
+mutate relay-blame $S/Request/CrashEvidence.cpp \
+  's/co_await Context\.Services_\.Servers_\.check\(std::move\(Target\)\);/ServerCheck::Refused;/' \
+  ${U}RelayedCall '*blames neither servers*'
+mutate relay-lost-together $L/ServerConnector.cpp \
+  's/bool Together = [^;]*;/bool Together = false;/' \
+  ${U}RelayedCall '*blame no request*'
+mutate relay-stopping $L/RelayServer.cpp \
+  's/  if \(Stopping_\)\n    co_return Refused;\n//' \
+  ${U}RelayedCall '*about to stop relays*'
+mutate relay-probes $L/ServerConnector.cpp \
+  's/  startProbes\(\);\n//' \
+  ${U}RelayedCall '*links that are back*'
+mutate paths-doubt $L/ServerPaths.cpp \
+  's/  doubtAll\(Seen, Now\);\n//' \
+  ${U}Process '*others be probed at once*'
+mutate paths-idle $L/ServerPaths.cpp \
+  's/Found->second\.Seen_ != PortState::Silent;/true;/' \
+  ${U}Process '*may hang are not used*'
+mutate relay-far $L/RelayChoice.cpp \
+  's/bool PrefersFar = [^;]*;/bool PrefersFar = false;/' \
+  ${U}Process '*whole data centre has none*'
+mutate relay-near $L/RelayChoice.cpp \
+  's/bool PrefersFar = [^;]*;/bool PrefersFar = true;/' \
+  ${U}Process '*own data centre go first*'
+mutate silence $S/Connection/SocketOptions.h \
+  's/milliseconds\(3000\)/milliseconds(2000)/' \
+  ${U}Connection '*silent for a second or so*'
+mutate brittle-kept $S/Process/Scheduling/ServerModel.cpp \
+  's/ && Rejections_\.allowsOne\(\)//' \
+  ${U}BrittleServer '*'
+mutate brittle-rejected $S/Process/Scheduling/RejectionLimit.cpp \
+  's/PausedUntil_ = Now \+ PauseTime;/(void)Now;/' \
+  ${U}BrittleServer '*'
+mutate held-leaving $S/Process/Scheduling/ServerHolds.cpp \
+  's/  bool Leaves = [^;]*;\n//; s/!Leaves && //' \
+  ${U}Process '*process that leaves*'
+mutate held-longer $S/Process/Scheduling/ServerHolds.cpp \
+  's/std::max\(Known\.RestUntil_, Until\)/Until/' \
+  ${U}Process '*longer rest beats*'
+mutate leaving-kept $S/Process/Scheduling/ServerModel.h \
+  's/ && !SaysLeaving_;/;/' \
+  ${U}LeavingServer '*' $S/Request/RequestContext.cpp \
+  's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
+mutate rest-kept $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/!Excluded && !Rests && /!Excluded \&\& /' \
+  ${U}RestingServer '*gets it*' $S/Request/RequestContext.cpp \
+  's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
+mutate rest-told-at-once $S/Process/Scheduling/Scheduler.cpp \
+  's/           Item\.second\.restUntil\(Request\.Ingress_\) < Latest &&\n//' \
+  ${U}RestingServer '*told at once*'
+mutate held-at-dispatch $S/Request/RequestContext.cpp \
+  's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s' \
+  ${U}LeavingServer '*granted before*'
 R=$S/Process/Rollout
 mutate rollout-selection $R/VersionSelection.cpp \
   's/Use Allowed = useOf\(Server\);/Use Allowed = Use::Full;/' \
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -306,10 +306,21 @@
 
 ServerConnector::Options ForwardingHarness::connecting() {
   ServerConnector::Options Connecting;
-  Connecting.Connect_ = connectorFor(Links_);
+  Connecting.Connect_ = [this, Open = connectorFor(Links_)](
+                            Endpoint Address, milliseconds Timeout) {
+    Connecting_();
+    return Open(std::move(Address), Timeout);
+  };
   return Connecting;
 }
 
+void ForwardingHarness::say(std::size_t Server, ServerNotice Notice) {
+  ServerStatement Said;
+  Said.Server_ = ServerName(fmt::format("server-{}", Server));
+  Said.Notice_ = Notice;
+  Grants_->hold(Said);
+}
+
 ServerConnector::Hooks ForwardingHarness::relays() {
   ServerConnector::Hooks Hooks;
   Hooks.Relays_ = [this] {
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -174,6 +174,10 @@
   void adopt(std::vector<std::string> Keys);
   /// Sets what this daemon sees of the servers.
   void setLinks(PortState Seen) { Links_ = Seen; }
+  /// Calls \p Hook while a connection to a server is being opened.
+  void onConnect(std::function<void()> Hook) { Connecting_ = std::move(Hook); }
+  /// Applies what a server has said in another answer.
+  void say(std::size_t Server, ServerNotice Notice);
   RelayingDaemon &relay(std::size_t Index) { return *Relays_[Index]; }
   ServerConnector &connector() { return Connector_; }
   const CrashTracker &crashes() const { return Crashes_; }
@@ -199,6 +203,7 @@
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
   PortState Links_ = PortState::Open;
+  std::function<void()> Connecting_ = [] {};
   std::vector<std::unique_ptr<RelayingDaemon>> Relays_;
   ServerConnector Connector_;
   std::unique_ptr<KeeperService> Keeper_;
--- a/UnitTests/Request/LeavingServerTest.cpp
+++ b/UnitTests/Request/LeavingServerTest.cpp
@@ -53,3 +53,13 @@
     CHECK(Path.server(0).requests().size() == 1);
   }
 }
+
+TEST_CASE("a request that was granted before goes to another server") {
+  // Guards against requests that are on their way to a server when it says that
+  // it leaves.
+  ForwardingHarness Path(idempotent(), {answer, answer});
+  Path.onConnect([&] { Path.say(0, LeavingNotice()); });
+  CHECK(Path.call("c").status() == 200);
+  CHECK(Path.server(0).requests().empty());
+  CHECK(Path.server(1).requests().size() == 1);
+}
