--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -101,9 +101,10 @@
     ResultCodeInfo{Stopping, "stopping",
                    "The daemon stops, and the answer might be cut.",
                    "Come back after Retry-After; another VM will answer."},
-    ResultCodeInfo{NoPath, "no-path",
-                   "Neither this daemon nor those that it asked reach a server.",
-                   "Come back after Retry-After; see path-lost in the logs."},
+    ResultCodeInfo{
+        NoPath, "no-path",
+        "Neither this daemon nor those that it asked reach a server.",
+        "Come back after Retry-After; see path-lost in the logs."},
     ResultCodeInfo{AnswerTimeout, "answer-timeout",
                    "The backend server did not answer by the deadline.",
                    "It may have run: check before asking again."},
--- a/Source/Connection/SocketOptions.h
+++ b/Source/Connection/SocketOptions.h
@@ -26,8 +26,8 @@
                                              std::chrono::seconds(1), 2};
 
 /// \returns for how long an idle connection surely survives a peer that sends
-/// nothing. Linux gives up at the first probe that is due when the peer has been
-/// silent for Unacknowledged_, whatever the number of probes.
+/// nothing. Linux gives up at the first probe that is due when the peer has
+/// been silent for Unacknowledged_, whatever the number of probes.
 std::chrono::milliseconds toleratedSilence(const SilenceLimits &Limits);
 
 /// Applies \p Limits to \p Socket. A VM that has lost power or is behind a
