A server that is down costs a request no more time than before relays

Cause: a request granted to a server that is silent paid 250 ms for its own attempt and as much for each of three daemons that it asked, a second in all, where 500 ms were usual; a timeout of an answer paid as well before the request went to another server.

Change: two daemons that did not reach the server are enough; they get 150 ms, the own attempt 200 ms: 500 ms in all. A timeout is judged by what is known of the path, without asking.

--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -110,7 +110,8 @@
   std::vector<VmId> Asked;
   auto Candidates = Hooks_.Relays_();
   std::uint64_t Key = NextKey_++;
-  while (Asked.size() < Options_.MaxRelays_) {
+  while (Asked.size() < Options_.MaxRelays_ &&
+         Tried.Refused_ + Tried.Silent_ < Options_.MaxFailures_) {
     const RelayCandidate *Found =
         Choice_.next(*Candidates, Asked, Key, steady_clock::now());
     if (!Found) {
@@ -156,7 +157,7 @@
   bool TriedDirect = !Paths_.isCutOff(Target.Address_);
   if (TriedDirect) {
     auto Opened =
-        co_await Options_.Connect_(Target.Address_, Options_.DirectTimeout_);
+        co_await Options_.Connect_(Target.Address_, Options_.ForRelayTimeout_);
     Seen = Opened.State_;
   }
   if (Seen == PortState::Open) {
@@ -185,7 +186,7 @@
     co_return Opened;
   }
   auto Direct =
-      co_await Options_.Connect_(Target.Address_, Options_.DirectTimeout_);
+      co_await Options_.Connect_(Target.Address_, Options_.ForRelayTimeout_);
   if (Direct.Socket_) {
     onReached(Target.Address_);
     Opened.Result_ = RelayResult::Connected;
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -53,12 +53,18 @@
     ServerPaths::Options Paths_;
     /// Timeouts of a direct connection, with and without daemons that could
     /// relay it.
-    std::chrono::milliseconds DirectTimeout_{250};
+    std::chrono::milliseconds DirectTimeout_{200};
     std::chrono::milliseconds OnlyTimeout_{500};
+    /// Timeout of a connection that is opened for another daemon, or to find
+    /// out about a lost one.
+    std::chrono::milliseconds ForRelayTimeout_{150};
     /// Time for the other daemon to connect, and for both round trips to it.
-    std::chrono::milliseconds RelayTimeout_{450};
+    std::chrono::milliseconds RelayTimeout_{350};
     /// Daemons that are asked for one connection.
     std::size_t MaxRelays_ = 3;
+    /// So many daemons that did not reach the server are enough: it is down,
+    /// and its request goes to another one.
+    std::size_t MaxFailures_ = 2;
   };
   struct Hooks {
     /// Returns the daemons that can be asked to relay.
@@ -84,6 +90,9 @@
   /// Opens a connection for another daemon.
   Awaitable<RelayedSocket> openForRelay(ServerTarget Target);
 
+  bool isCutOff(const Endpoint &Server) const {
+    return Paths_.isCutOff(Server);
+  }
   /// \returns the number of servers that this daemon is cut off from.
   /// Thread-safe.
   std::size_t cutOffCount() const { return CutOffCount_; }
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -4,21 +4,24 @@
 
 Awaitable<void> addCrashEvidence(RequestContext &Context, BackendServer Server,
                                  ResultCode Cause, ServedSample &Sample) {
+  // A timeout may have any cause. It is not worth the time to find out, which
+  // the request has for another server.
+  ServerConnector &Servers = Context.Services_.Servers_;
+  if (Cause == ResultCode::AnswerTimeout && Servers.isCutOff(Server.Address_))
+    Sample.Faulty_ = false;
   bool Lost =
       Cause == ResultCode::ConnectionLost || Cause == ResultCode::StreamBroken;
-  bool Silent = Cause == ResultCode::AnswerTimeout;
   auto Newest = Context.Services_.Documents_.snapshot();
   bool Active =
       Newest->activeServer(Context.document().Service_, Context.Pool_->Name_,
                            Server.Name_) != nullptr;
-  if ((!Lost && !Silent) || !Active)
+  if (!Lost || !Active)
     co_return;
   ServerTarget Target = targetOf(Context, Server);
-  ServerCheck Found =
-      co_await Context.Services_.Servers_.check(std::move(Target));
+  ServerCheck Found = co_await Servers.check(std::move(Target));
   if (Found == ServerCheck::PathLost)
     Sample.Faulty_ = false;
-  if (!Lost || Found != ServerCheck::Refused)
+  if (Found != ServerCheck::Refused)
     co_return;
   Sample.Crashed_ = true;
   Sample.Fingerprint_ = Context.fingerprint();
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -346,10 +346,10 @@
   's/CrashesToRefuse = 3/CrashesToRefuse = 1000/' \
   ${U}CrashingRequest '*stops reaching them*'
 mutate crash-evidence $S/Request/CrashEvidence.cpp \
-  's/ \|\| Found != ServerCheck::Refused//' \
+  's/Found != ServerCheck::Refused/false/' \
   ${U}CrashingRequest '*lost connection alone*'
 mutate crash-leaving $S/Request/CrashEvidence.cpp \
-  's/\(!Lost && !Silent\) \|\| !Active/(!Lost \&\& !Silent)/' \
+  's/!Lost \|\| !Active/!Lost/' \
   ${U}CrashingRequest '*leaving server that ends*'
 mutate crash-final $S/Request/FinalAnswer.cpp \
   's/bool Overload = Number >= 200/bool Overload = Number >= 113/' \
@@ -429,7 +429,7 @@
   ${U}Process '*limits before it is asked*'
 L=$S/Process/Relay
 mutate relay-asked $L/ServerConnector.cpp \
-  's/MaxRelays_\) \{/MaxRelays_ \&\& false) {/' \
+  's/Asked\.size\(\) < Options_\.MaxRelays_/false/' \
   ${U}RelayedCall '*served through another daemon*'
 mutate relay-real-cut $L/ServerConnector.cpp \
   's/Asked\.size\(\) < Options_\.MaxRelays_/false/' \
@@ -441,7 +441,7 @@
   's/  Pair->Server_\.close\(Ignored\);\n  Pair->Daemon_\.close\(Ignored\);\n//' \
   ${U}RelayedCall '*caller that leaves ends*'
 mutate relay-blame $S/Request/CrashEvidence.cpp \
-  's/co_await Context\.Services_\.Servers_\.check\(std::move\(Target\)\);/ServerCheck::Refused;/' \
+  's/co_await Servers\.check\(std::move\(Target\)\);/ServerCheck::Refused;/' \
   ${U}RelayedCall '*blames neither servers*'
 mutate relay-lost-together $L/ServerConnector.cpp \
   's/bool Together = [^;]*;/bool Together = false;/' \
--- a/UnitTests/Process/Relay/RelayFleetTest.cpp
+++ b/UnitTests/Process/Relay/RelayFleetTest.cpp
@@ -3,7 +3,7 @@
 /// links to the servers.
 
 #include "Process/Relay/RelayChoice.h"
-#include "Process/Relay/ServerPaths.h"
+#include "Process/Relay/ServerConnector.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -20,9 +20,8 @@
 constexpr std::size_t Daemons = 300;
 constexpr std::size_t CutDaemons = 100;
 constexpr std::uint16_t Servers = 1100;
-constexpr std::size_t MaxAsked = 3;
-constexpr milliseconds DirectTimeout{250};
 constexpr milliseconds RoundTrip{2};
+const ServerConnector::Options Settings;
 /// Each daemon gets a request this often.
 constexpr milliseconds RequestGap{240};
 const TimePoint Cut{seconds(100)};
@@ -63,10 +62,10 @@
     if (TriedDirect && !isCut(Daemon))
       return {true, RoundTrip};
     if (TriedDirect)
-      Made.Delay_ += failTime();
+      Made.Delay_ += failTime(Settings.DirectTimeout_);
     std::vector<VmId> Asked;
     std::uint64_t Key = Key_++;
-    while (Asked.size() < MaxAsked && !Made.Served_) {
+    while (Asked.size() < Settings.MaxRelays_ && !Made.Served_) {
       const RelayCandidate *Found = Choices_[Daemon].next(
           Candidates_[Daemon], Asked, Key, Now + Made.Delay_);
       if (!Found)
@@ -91,8 +90,8 @@
 
 private:
   static bool isCut(std::size_t Daemon) { return Daemon < CutDaemons; }
-  milliseconds failTime() const {
-    return Look_ == PortState::Silent ? DirectTimeout : RoundTrip;
+  milliseconds failTime(milliseconds Timeout) const {
+    return Look_ == PortState::Silent ? Timeout : RoundTrip;
   }
   std::size_t indexOf(const RelayCandidate &Known) const {
     return static_cast<std::size_t>(std::stoul(Known.Id_.str().substr(3)));
@@ -109,7 +108,7 @@
       probe(Relay, Now);
     return {Look_ == PortState::Silent ? RelayResult::Silent
                                        : RelayResult::Refused,
-            RoundTrip + failTime()};
+            RoundTrip + failTime(Settings.ForRelayTimeout_)};
   }
   void probe(std::size_t Daemon, TimePoint Now) {
     for (const Endpoint &Server : Paths_[Daemon].toProbe(Now))
