A server that says that it leaves while it rests is held for good

Found by reading: a daemon noted a leaving only if it might use the server, so one that was said during a rest was forgotten with the rest. Test: the server got 1 request after a rest of 50 ms before, none now.

Kept connections that still work no longer count as a path that is back: only new connections show that, or a cut that refuses new ones would be taken for over by each answer.

--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -185,7 +185,7 @@
   bool Leaves = std::holds_alternative<LeavingNotice>(Said.Notice_);
   if (Rest && Now + Rest->Time_ > Changed.restUntil(Said.Server_))
     Changed.rest(Said.Server_, Now + Rest->Time_, Now);
-  else if (Leaves && Changed.maySend(Said.Server_, Said.Process_, Now))
+  else if (Leaves && !Changed.isLeaving(Said.Server_, Said.Process_))
     Changed.leave(Said.Server_, Said.Process_, Now);
   else
     return;
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -92,7 +92,6 @@
 void ServerConnector::giveBack(const Endpoint &Address, ServerLink Link) {
   if (Link.Relay_)
     return Link.Connection_->close();
-  onReached(Address);
   Pool_.returnConnection(Address, std::move(Link.Connection_));
 }
 
@@ -148,8 +147,9 @@
   if (--InProgress_[Server] == 0)
     InProgress_.erase(Server);
   bool Together = CheckedTogether_ >= Begun;
-  co_return Found == ServerCheck::Refused &&Together ? ServerCheck::Silent
-                                                     : Found;
+  if (Found == ServerCheck::Refused && Together)
+    Found = ServerCheck::Silent;
+  co_return Found;
 }
 
 Awaitable<ServerCheck> ServerConnector::checkNow(ServerTarget Target) {
--- a/Source/Process/Scheduling/ServerHolds.cpp
+++ b/Source/Process/Scheduling/ServerHolds.cpp
@@ -36,9 +36,14 @@
   auto Found = Holds_.find(Server);
   if (Found == Holds_.end())
     return true;
-  const Hold &Known = Found->second;
-  bool Leaves = Known.Leaving_ && Known.Process_ == Process;
-  return !Leaves && Now >= Known.RestUntil_;
+  return !isLeaving(Server, Process) && Now >= Found->second.RestUntil_;
+}
+
+bool ServerHolds::isLeaving(const ServerName &Server,
+                            Incarnation Process) const {
+  auto Found = Holds_.find(Server);
+  return Found != Holds_.end() && Found->second.Leaving_ &&
+         Found->second.Process_ == Process;
 }
 
 void ServerHolds::forgetOld(TimePoint Now) {
--- a/Source/Process/Scheduling/ServerHolds.h
+++ b/Source/Process/Scheduling/ServerHolds.h
@@ -29,6 +29,8 @@
   /// \returns false while requests must not be sent to the server's process.
   bool maySend(const ServerName &Server, Incarnation Process,
                TimePoint Now) const;
+  /// \returns true if the server's process said that it leaves.
+  bool isLeaving(const ServerName &Server, Incarnation Process) const;
   /// \returns the end of the server's rest; the clock's epoch without one.
   TimePoint restUntil(const ServerName &Server) const;
   /// Forgets servers that have not been heard of for a long time.
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -197,11 +197,10 @@
 }
 
 /// True when no request is active, none is relayed and no new connections are
-/// expected. A
-/// balancer with few other daemons keeps sending to this one, so connections
-/// are accepted until none arrives any more. If they never end, the daemon
-/// continues only while requests are active: requests that arrive that late are
-/// refused anyway.
+/// expected. A balancer with few other daemons keeps sending to this one, so
+/// connections are accepted until none arrives any more. If they never end, the
+/// daemon continues only while requests are active: requests that arrive that
+/// late are refused anyway.
 bool Daemon::mayStop(steady_clock::duration Drained) {
   auto SinceAccepted = steady_clock::now() - CallerServer_->lastAccepted();
   if (Settings_.DrainQuiet_.count() == 0)
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -474,7 +474,7 @@
   's/PausedUntil_ = Now \+ PauseTime;/(void)Now;/' \
   ${U}BrittleServer '*'
 mutate held-leaving $S/Process/Scheduling/ServerHolds.cpp \
-  's/  bool Leaves = [^;]*;\n//; s/!Leaves && //' \
+  's/return !isLeaving\(Server, Process\) && /return /' \
   ${U}Process '*process that leaves*'
 mutate held-longer $S/Process/Scheduling/ServerHolds.cpp \
   's/std::max\(Known\.RestUntil_, Until\)/Until/' \
--- a/UnitTests/Request/RestingServerTest.cpp
+++ b/UnitTests/Request/RestingServerTest.cpp
@@ -70,3 +70,14 @@
   CHECK(steady_clock::now() - Begin < milliseconds(200));
   CHECK(Path.received() <= 2 * (1 + MaxOnTheWay));
 }
+
+TEST_CASE("a server that leaves while it rests is not used after the rest") {
+  // Guards against a rest that hides that the server leaves.
+  ForwardingHarness Path(idempotent(), {answer, answer});
+  Path.say(0, RestNotice{milliseconds(50)});
+  Path.say(0, LeavingNotice());
+  auto End = steady_clock::now() + milliseconds(100);
+  Path.runUntil([&] { return steady_clock::now() >= End; });
+  CHECK(Path.call("c").status() == 200);
+  CHECK(Path.server(0).requests().empty());
+}
