The last line of a request and a counter tell how the end of its answer is known

The record of streams that broke off and looked complete can't tell three hypotheses apart: no line says whether an answer had a length, chunks or neither, nor whether a stream ended within an event.

Fields answer_end (length, chunks, close) and inside_event in 'ended'; counter samphireshunt_answer_ends_total by both. The splitter of a stream that may not be resumed keeps the start of an event across reads, so that the end is judged right; its bytes are passed on as before. Ids and counts of events that come in two reads were wrong for such streams.

--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -41,6 +41,18 @@
   return {};
 }
 
+std::string_view bodyEndName(BodyEnd Known) {
+  switch (Known) {
+  case BodyEnd::Length:
+    return "length";
+  case BodyEnd::Chunks:
+    return "chunks";
+  case BodyEnd::Close:
+    return "close";
+  }
+  return "close";
+}
+
 HttpResponse jsonResponse(int Status, std::string Body) {
   HttpResponse Response;
   Response.Status_ = Status;
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -138,6 +138,16 @@
   virtual std::chrono::steady_clock::time_point lastAccepted() const = 0;
 };
 
+/// How the end of a response's body is known.
+enum class BodyEnd {
+  Length, ///< By its length; also a response that can't have a body.
+  Chunks, ///< By its last chunk.
+  Close,  ///< By the end of the connection.
+};
+
+/// \returns the name in logs and metrics, e.g. "close".
+std::string_view bodyEndName(BodyEnd Known);
+
 /// The client side of a connection, for use by one coroutine at a time.
 class HttpConnection {
 public:
@@ -168,6 +178,8 @@
   /// \returns AnswerTimeout or ConnectionLost.
   virtual Awaitable<Result<std::string>>
   readSome(std::chrono::milliseconds Timeout) = 0;
+  /// How the end of the response is known whose head was read last.
+  virtual BodyEnd bodyEnd() const = 0;
   /// True when the last response was read to its end and the server keeps the
   /// connection open. Only then may another request use it.
   virtual bool reusable() const = 0;
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -27,6 +27,8 @@
 /// A longer body is written while the response is awaited, because a server may
 /// respond before it has read the body, and read the rest later or never.
 constexpr std::size_t LongBodyBytes = 4096;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotModified = 304;
 using Request = http::request<http::string_body>;
 
 /// The result of writing one request.
@@ -128,15 +130,22 @@
     // A body that is terminated by the end of the connection may have been
     // truncated. Only a body with a length or in chunks is known to be
     // complete.
-    int Status = Parser_->get().result_int();
-    bool Counted = Parser_->chunked() || Parser_->content_length() ||
-                   Status == 204 || Status == 304;
+    bool Counted = bodyEnd() != BodyEnd::Close;
     if (!Counted && !AcceptUnframed_)
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
     Complete_ = Counted && Parser_->keep_alive();
     co_return std::string();
   }
 
+  BodyEnd bodyEnd() const override {
+    if (Parser_->chunked())
+      return BodyEnd::Chunks;
+    int Status = Parser_->get().result_int();
+    bool WithoutBody = Status == StatusNoContent || Status == StatusNotModified;
+    return Parser_->content_length() || WithoutBody ? BodyEnd::Length
+                                                    : BodyEnd::Close;
+  }
+
   void acceptUnframed() override { AcceptUnframed_ = true; }
   std::optional<std::chrono::seconds> idleLimit() const override {
     return IdleLimit_;
--- a/Source/Programs/Metrics.cpp
+++ b/Source/Programs/Metrics.cpp
@@ -35,6 +35,11 @@
                   .Name("samphireshunt_longest_pause_seconds")
                   .Help("Longest pause between two events of a stream.")
                   .Register(Registry_)),
+      AnswerEnds_(prometheus::BuildCounter()
+                      .Name("samphireshunt_answer_ends_total")
+                      .Help("Servers' answers by how their end is known, and "
+                            "whether a stream ended within an event.")
+                      .Register(Registry_)),
       PlatformCalls_(prometheus::BuildCounter()
                          .Name("samphireshunt_platform_calls_total")
                          .Help("Calls of the platform's service.")
@@ -56,6 +61,11 @@
                                {"tier", Request.Tier_}};
   Durations_.Add(Labels, SecondsBuckets).Observe(seconds(Request.Total_));
   Waits_.Add(Labels, SecondsBuckets).Observe(seconds(Request.Waited_));
+  if (const AnswerEnd &End = Request.AnswerEnd_; End.KnownBy_)
+    AnswerEnds_
+        .Add({{"known_by", std::string(bodyEndName(*End.KnownBy_))},
+              {"inside_event", End.InsideEvent_ ? "yes" : "no"}})
+        .Increment();
   if (!Request.FirstEvent_)
     return;
   FirstEvents_.Add(Labels, SecondsBuckets)
--- a/Source/Programs/Metrics.h
+++ b/Source/Programs/Metrics.h
@@ -1,8 +1,8 @@
 #pragma once
 /// \file
 /// Prometheus metrics. Labels have values only from the document (services,
-/// tiers), the table of result codes and the calls of the platform's service,
-/// so that their number is bounded.
+/// tiers), the table of result codes, the calls of the platform's service and
+/// the few ways in which answers end, so that their number is bounded.
 
 #include "Request/RequestContext.h"
 
@@ -36,6 +36,7 @@
   prometheus::Family<prometheus::Histogram> &Waits_;
   prometheus::Family<prometheus::Histogram> &FirstEvents_;
   prometheus::Family<prometheus::Histogram> &Pauses_;
+  prometheus::Family<prometheus::Counter> &AnswerEnds_;
   prometheus::Family<prometheus::Counter> &PlatformCalls_;
   prometheus::Family<prometheus::Histogram> &PlatformTimes_;
 };
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -111,6 +111,7 @@
     Faulty_ = false;
     Replaced_ = false;
     Rejected_ = false;
+    Context_.AnswerEnd_ = AnswerEnd();
     watchCaller();
     HttpConnection &Connection = *Ready_.Connection_;
     Connection.acceptUnframed();
@@ -121,6 +122,7 @@
     auto Head = co_await Connection.readHead(headTimeout());
     if (!Head)
       co_return failed(Head.error());
+    Context_.AnswerEnd_.KnownBy_ = Connection.bodyEnd();
     AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
     if (!Labels.Replaced_)
       reportServerNotices(Context_, Ready_, *Head);
@@ -275,16 +277,15 @@
       if (FirstEvent_ == TimePoint())
         recordFirstEvent();
       std::string Ready = Splitter_.feed(*Received);
-      if (!Rule_.Resumable_) {
+      if (!Rule_.Resumable_)
         Ready = std::move(*Received);
-        Splitter_.dropPartialEvent();
-      }
       bool Written = co_await writeEvents(Head, std::move(Ready));
       if (!Written)
         co_return writeFailed();
     }
+    Context_.AnswerEnd_.InsideEvent_ = !Splitter_.partialEvent().empty();
     releaseConnection(Context_, Ready_);
-    std::string Rest = Splitter_.partialEvent();
+    std::string Rest = Rule_.Resumable_ ? Splitter_.partialEvent() : "";
     bool Written = co_await writeEvents(Head, std::move(Rest));
     if (Written)
       Written = co_await Context_.Exchange_.endStream();
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -170,6 +170,12 @@
     Fields.emplace_back("events",
                         std::to_string(Context.StreamTiming_.Events_));
   }
+  if (Context.AnswerEnd_.KnownBy_) {
+    Fields.emplace_back("answer_end",
+                        std::string(bodyEndName(*Context.AnswerEnd_.KnownBy_)));
+    if (Context.AnswerEnd_.InsideEvent_)
+      Fields.emplace_back("inside_event", "yes");
+  }
   if (Context.SinceFirstAttempt_.count() > 0)
     Fields.emplace_back("first_attempt_ms_ago",
                         millisText(Context.SinceFirstAttempt_));
@@ -479,6 +485,7 @@
   Report.Waited_ = Context.Waited_;
   Report.FirstEvent_ = Context.StreamTiming_.FirstEvent_;
   Report.LongestPause_ = Context.StreamTiming_.LongestPause_;
+  Report.AnswerEnd_ = Context.AnswerEnd_;
   Context.Services_.Report_(Report);
   Context.Trace_.attribute(Trace::Root, "outcome",
                            std::string(outcomeName(Value)));
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -20,6 +20,14 @@
 
 namespace samphireshunt {
 
+/// How the end of a server's answer is known.
+struct AnswerEnd {
+  /// Unset without an answer.
+  std::optional<BodyEnd> KnownBy_;
+  /// A stream ended within an event.
+  bool InsideEvent_ = false;
+};
+
 /// The result of a request, for metrics.
 struct RequestReport {
   std::string Service_;
@@ -31,6 +39,7 @@
   /// Delay of a stream's first event; unset for plain answers.
   std::optional<std::chrono::milliseconds> FirstEvent_;
   std::chrono::milliseconds LongestPause_{0};
+  AnswerEnd AnswerEnd_;
 };
 
 /// Shared by the requests of one worker thread.
@@ -96,6 +105,8 @@
   Trace Trace_;
   std::chrono::microseconds Waited_{0};
   StreamTiming StreamTiming_;
+  /// Of the last dispatch of a forwarded request.
+  AnswerEnd AnswerEnd_;
   /// Servers that the request was dispatched to, in order.
   std::vector<ServerName> Servers_;
   /// The daemon that relays the last dispatch; unset if it is direct.
