--- /dev/null
+++ b/UnitTests/Request/BrokenAnswerTest.cpp
@@ -0,0 +1,125 @@
+/// \file
+/// Answers that servers break off, in all framings: they must never reach their
+/// callers as complete ones.
+
+#include "UnitTests/Request/ForwardingHarness.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+
+namespace {
+
+/// How a scripted server marks the end of its answer.
+enum class Framing { Length, Chunks, Close };
+constexpr std::array Framings = {Framing::Length, Framing::Chunks,
+                                 Framing::Close};
+
+std::string event(int Id, const std::string &Data) {
+  return fmt::format("id: {}\ndata: {}\n\n", Id, Data);
+}
+
+/// \returns a successful stream of events with \p Body, with a regular end.
+Script streamOf(Framing Framed, const std::string &CallId,
+                const std::string &Body) {
+  Script Answer;
+  std::string Fields = fmt::format("X-Call-Id: {}\r\nX-Answer-Proof: p\r\n"
+                                   "Content-Type: text/event-stream\r\n",
+                                   CallId);
+  std::string Framed_ = Body;
+  if (Framed == Framing::Length)
+    Fields += fmt::format("Content-Length: {}\r\n", Body.size());
+  if (Framed == Framing::Chunks) {
+    Fields += "Transfer-Encoding: chunked\r\n";
+    Framed_ = (Body.empty() ? "" : chunk(Body)) + LastChunk;
+  }
+  Answer.Bytes_ = "HTTP/1.1 200 OK\r\n" + Fields + "\r\n" + Framed_;
+  Answer.Then_ =
+      Framed == Framing::Close ? Script::Then::Close : Script::Then::KeepOpen;
+  return Answer;
+}
+
+ForwardingHarness::Options streams(bool Resumable) {
+  ForwardingHarness::Options Wanted;
+  Wanted.Kind_ = RequestKind::Stream;
+  Wanted.Resumable_ = Resumable;
+  return Wanted;
+}
+
+/// Answers each request with this stream.
+ScriptOf always(Framing Framed, std::string Body) {
+  return [=](const std::string &Request, std::size_t) {
+    return streamOf(Framed, fieldIn(Request, "x-call-id"), Body);
+  };
+}
+
+} // namespace
+
+TEST_CASE("a stream that ends within an event never looks complete") {
+  // Guards against a caller that takes a stream for complete whose server
+  // crashed, since its connection ended normally.
+  for (Framing Framed : Framings)
+    for (std::string Rest : {"id: 2", "id: 2\n", "id: 2\ndata: b\n"}) {
+      ForwardingHarness Path(streams(false),
+                             {always(Framed, event(1, "a") + Rest)});
+      CallerReply Reply = Path.call("c");
+      CAPTURE(bodyEndName(static_cast<BodyEnd>(Framed)));
+      CAPTURE(Rest);
+      CHECK(Reply.status() == 200);
+      CHECK(Reply.Ended_);
+      CHECK_FALSE(Reply.hasLastChunk());
+      CHECK(Reply.body().find("data: a") != std::string::npos);
+      CHECK(Reply.body().find("id: 2") == std::string::npos);
+      CHECK(Path.received() == 1);
+    }
+}
+
+TEST_CASE("a resumable stream that ends within an event is resumed after its "
+          "last complete event") {
+  // Guards against a missing or doubled event where one server's stream ended
+  // normally within an event and another one, framed differently, goes on.
+  for (Framing First : Framings)
+    for (Framing Second : Framings) {
+      auto Count = std::make_shared<int>(0);
+      auto Each = [=](const std::string &Request, std::size_t) {
+        std::string CallId = fieldIn(Request, "x-call-id");
+        if ((*Count)++ == 0)
+          return streamOf(First, CallId, event(1, "a") + "id: 2\ndata: b");
+        bool Continues = fieldIn(Request, "last-event-id") == "1";
+        return streamOf(Second, CallId,
+                        Continues ? event(2, "b") + event(3, "c") : "");
+      };
+      ForwardingHarness Path(streams(true), {Each, Each});
+      CallerReply Reply = Path.call("c");
+      CHECK(Reply.hasLastChunk());
+      std::string Body = Reply.body();
+      for (std::string Data : {"data: a\n\n", "data: b\n\n", "data: c\n\n"}) {
+        std::size_t At = Body.find(Data);
+        CHECK(At != std::string::npos);
+        CHECK(Body.find(Data, At + 1) == std::string::npos);
+      }
+      CHECK(Path.received() == 2);
+    }
+}
+
+TEST_CASE("a stream without a length or chunks is complete when its connection "
+          "ends between events") {
+  // Guards against valid answers that are delivered late, cut or run again
+  // because only their connection's end tells that they are complete.
+  for (bool Resumable : {true, false})
+    for (std::string After : {"", "\n", ": note\n", ": note\n\n", "\r\n"}) {
+      ForwardingHarness Path(
+          streams(Resumable),
+          {always(Framing::Close, event(1, "a") + event(2, "b") + After)});
+      CallerReply Reply = Path.call("c");
+      CHECK(Reply.status() == 200);
+      CHECK(Reply.hasLastChunk());
+      CHECK(Reply.body().find("data: b") != std::string::npos);
+      CHECK(Path.received() == 1);
+    }
+}
