A stream that ends within an event has been broken off

What callers saw: status 200, the server's proof, a regular end and a body that is too short, where a server had crashed while it streamed.

Cause: at the end of a server's body (its last chunk, its length, or the normal end of a connection whose answer has neither) relayEvents wrote what was left of an event and ended the caller's stream with its last chunk. Nothing asked whether the stream stood within an event. The class: the end of a connection is taken for the end of an answer.

Change: only whole events go out, on all streams, and the stream's end is asked of the splitter. A stream within an event has failed: it is resumed where it may be, ends without its last chunk otherwise, and counts as a failure of its server for health, crashes and roll-outs as a reset one does. A stream that broke within its first event has sent nothing yet, so that its head may still come from another server. A stream without a length or chunks that ends before any event is taken for broken off: nothing shows that its server did not crash; with a length or a last chunk the server says itself that there is nothing. An answer to a streaming route that declares another type is a plain answer.

The splitter searches only new bytes and holds back 1 MiB at most (code 308); a CR ends a line at once, so that the last event of a stream with such line ends does not wait for the next. Comments and blank lines after the last event are no broken event. Blocks without a field are no longer counted as events.

--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -68,6 +68,7 @@
   ServerError = 305,
   BadServerLimit = 306,
   BadServerNotice = 307,
+  EventTooLarge = 308,
   // 4xx: idempotency keys and the platform's service.
   ClaimFailed = 400,
   FirstAttemptRunning = 401,
--- a/Source/Connection/EventSplitter.cpp
+++ b/Source/Connection/EventSplitter.cpp
@@ -1,63 +1,79 @@
 #include "Connection/EventSplitter.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace samphireshunt {
 
 namespace {
 
 constexpr std::string_view IdField = "id:";
+/// The mark that may precede the first line of a stream.
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
+} // namespace
 
-/// \returns the end of the first complete event in \p Bytes, or npos. Lines end
-/// in LF, CR LF or CR; an empty line ends an event.
-std::size_t eventEnd(std::string_view Bytes) {
-  bool LineEmpty = true;
-  for (std::size_t Index = 0; Index < Bytes.size(); ++Index) {
-    char C = Bytes[Index];
-    if (C != '\n' && C != '\r') {
-      LineEmpty = false;
-      continue;
+Result<std::string> EventSplitter::feed(std::string_view Bytes) {
+  std::string Events;
+  while (!Bytes.empty()) {
+    bool EndsCrLf = std::exchange(AfterCr_, false) && Bytes.front() == '\n';
+    std::size_t End = Bytes.find_first_of("\r\n");
+    bool LineEnds = End != std::string_view::npos;
+    std::size_t Count = LineEnds ? End + 1 : Bytes.size();
+    Held_ += Bytes.substr(0, Count);
+    if (!EndsCrLf) {
+      Line_ += Bytes.substr(0, std::min(End, Count));
+      AfterCr_ = LineEnds && Bytes[End] == '\r';
     }
-    // The LF of a CR LF may not have arrived yet; it belongs to this line.
-    if (C == '\r' && Index + 1 == Bytes.size())
-      return std::string_view::npos;
-    if (C == '\r' && Bytes[Index + 1] == '\n')
-      ++Index;
-    if (LineEmpty)
-      return Index + 1;
-    LineEmpty = true;
+    bool EventEnds = EndsCrLf ? AtBoundary_ : LineEnds && endLine();
+    if (EventEnds)
+      Events += std::exchange(Held_, {});
+    Bytes.remove_prefix(Count);
   }
-  return std::string_view::npos;
+  if (Held_.size() > MaxEventBytes)
+    return Failure{ResultCode::EventTooLarge,
+                   std::to_string(Held_.size()) + " bytes"};
+  return Events;
 }
 
-} // namespace
+std::optional<std::string> EventSplitter::finish() {
+  bool OnlyMark = FirstLine_ && Line_ == ByteOrderMark;
+  if (HasField_ || (!Line_.empty() && !OnlyMark))
+    return std::nullopt;
+  return std::exchange(Held_, {});
+}
 
-std::string EventSplitter::feed(std::string_view Bytes) {
-  Partial_ += Bytes;
-  std::string_view Remaining = Partial_;
-  std::size_t CompleteBytes = 0;
-  for (std::size_t End = eventEnd(Remaining); End != std::string_view::npos;
-       End = eventEnd(Remaining)) {
-    noteEvent(Remaining.substr(0, End));
-    Remaining.remove_prefix(End);
-    CompleteBytes += End;
-  }
-  std::string Events = Partial_.substr(0, CompleteBytes);
-  Partial_.erase(0, CompleteBytes);
-  return Events;
+void EventSplitter::dropPartialEvent() {
+  Held_.clear();
+  Line_.clear();
+  NextId_.reset();
+  HasField_ = false;
+  AtBoundary_ = true;
+  AfterCr_ = false;
+  FirstLine_ = true;
 }
 
-void EventSplitter::noteEvent(std::string_view Event) {
-  ++Count_;
-  while (!Event.empty()) {
-    std::size_t End = std::min(Event.find_first_of("\r\n"), Event.size());
-    std::string_view Line = Event.substr(0, End);
-    Event.remove_prefix(std::min(End + 1, Event.size()));
-    if (!Line.starts_with(IdField))
-      continue;
+bool EventSplitter::endLine() {
+  std::string Ended = std::exchange(Line_, {});
+  std::string_view Line = Ended;
+  if (std::exchange(FirstLine_, false) && Line.starts_with(ByteOrderMark))
+    Line.remove_prefix(ByteOrderMark.size());
+  AtBoundary_ = Line.empty();
+  if (AtBoundary_) {
+    Count_ += HasField_ ? 1 : 0;
+    if (NextId_)
+      LastId_ = std::exchange(NextId_, std::nullopt);
+    HasField_ = false;
+    return true;
+  }
+  HasField_ |= !Line.starts_with(':');
+  if (Line.starts_with(IdField)) {
     Line.remove_prefix(IdField.size());
     if (Line.starts_with(' '))
       Line.remove_prefix(1);
-    LastId_ = std::string(Line);
+    NextId_ = std::string(Line);
   }
+  return false;
 }
 
 } // namespace samphireshunt
--- a/Source/Connection/EventSplitter.h
+++ b/Source/Connection/EventSplitter.h
@@ -4,6 +4,8 @@
 /// bytes unchanged. A stream that breaks off within an event can then be
 /// resumed elsewhere after the last complete event.
 
+#include "Common/ResultCode.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,21 +14,43 @@
 
 class EventSplitter {
 public:
+  /// The most bytes of an incomplete event that are held back.
+  static constexpr std::size_t MaxEventBytes = 1024 * 1024;
+
   /// Appends \p Bytes to the buffer. \returns the buffered bytes up to the end
-  /// of the last complete event; they are removed from the buffer.
-  std::string feed(std::string_view Bytes);
-  /// The buffered bytes: the beginning of an incomplete event.
-  const std::string &partialEvent() const { return Partial_; }
-  void dropPartialEvent() { Partial_.clear(); }
+  /// of the last complete event, which are removed from the buffer;
+  /// EventTooLarge if the rest is larger than MaxEventBytes.
+  Result<std::string> feed(std::string_view Bytes);
+  /// Ends the stream. \returns the buffered bytes if they are only comments;
+  /// nothing if the stream ended within an event.
+  std::optional<std::string> finish();
+  /// The buffered bytes: the beginning of an incomplete event, or comments.
+  const std::string &partialEvent() const { return Held_; }
+  /// Drops the buffered bytes; another stream continues the events.
+  void dropPartialEvent();
   /// The id of the last complete event that had one.
   const std::optional<std::string> &lastId() const { return LastId_; }
   /// The number of complete events so far.
   std::size_t count() const { return Count_; }
 
 private:
-  void noteEvent(std::string_view Event);
+  /// Processes the end of a line. \returns true if it was empty, which ends an
+  /// event.
+  bool endLine();
 
-  std::string Partial_;
+  /// All bytes since the last event.
+  std::string Held_;
+  /// The current line without its end.
+  std::string Line_;
+  /// The id in the current event.
+  std::optional<std::string> NextId_;
+  /// The current event has a field.
+  bool HasField_ = false;
+  /// No line has ended since the last event.
+  bool AtBoundary_ = true;
+  /// The last byte was a CR, so a LF that follows belongs to the same line end.
+  bool AfterCr_ = false;
+  bool FirstLine_ = true;
   std::optional<std::string> LastId_;
   std::size_t Count_ = 0;
 };
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -42,6 +42,7 @@
   case ResultCode::StreamBroken:
   case ResultCode::CrossedAnswer:
   case ResultCode::ServerError:
+  case ResultCode::EventTooLarge:
     return 502;
   case ResultCode::CrashesServers:
     // States that the request was not run. Without Retry-After, since a retry
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -52,6 +52,14 @@
   return std::ranges::count(NotRunStatuses, Status) > 0;
 }
 
+/// \returns false if the server declares that its answer is no stream of
+/// events.
+bool mayHoldEvents(const HttpResponse &Head) {
+  auto Type = Head.Fields_.find("content-type");
+  return Type == Head.Fields_.end() ||
+         lowerCase(Type->second).starts_with("text/event-stream");
+}
+
 /// One forwarded request, with all of its dispatches. Owned by its coroutine;
 /// the hook for the caller's disconnect holds a weak pointer, since it may be
 /// called after the request has ended.
@@ -135,7 +143,7 @@
     bool Success = Head->Status_ < StatusMultipleChoices;
     if (Success && !Labels.HasProof_)
       co_return failed({ResultCode::CrossedAnswer, "answer without proof"});
-    if (isStream() && Success)
+    if (isStream() && Success && mayHoldEvents(*Head))
       co_return co_await relayEvents(std::move(*Head));
     co_return co_await relayAnswer(std::move(*Head));
   }
@@ -263,9 +271,9 @@
     co_await Context_.Exchange_.respond(std::move(Answer));
   }
 
-  /// Forwards events as they arrive. For a resumable stream only complete
-  /// events are forwarded, so that another engine can continue after the last
-  /// one.
+  /// Forwards events as they arrive, only complete ones: the beginning of an
+  /// event is of no use to the caller, and another engine may continue after
+  /// the last complete one.
   Awaitable<AttemptEnd> relayEvents(HttpResponse Head) {
     while (true) {
       auto Received = co_await Ready_.Connection_->readSome(eventTimeout());
@@ -273,20 +281,29 @@
         co_return failed(Received.error());
       if (Received->empty())
         break;
+      auto Events = Splitter_.feed(*Received);
+      if (!Events)
+        co_return failed(Events.error());
+      if (Events->empty())
+        continue;
       Context_.StreamTiming_.event(Context_.Started_, steady_clock::now());
       if (FirstEvent_ == TimePoint())
         recordFirstEvent();
-      std::string Ready = Splitter_.feed(*Received);
-      if (!Rule_.Resumable_)
-        Ready = std::move(*Received);
-      bool Written = co_await writeEvents(Head, std::move(Ready));
+      bool Written = co_await writeEvents(Head, std::move(*Events));
       if (!Written)
         co_return writeFailed();
     }
-    Context_.AnswerEnd_.InsideEvent_ = !Splitter_.partialEvent().empty();
+    std::optional<std::string> Rest = Splitter_.finish();
+    Context_.AnswerEnd_.InsideEvent_ = !Rest;
+    if (!Rest)
+      co_return failed({ResultCode::StreamBroken, "ended within an event"});
+    // Nothing shows that the server has finished such a stream rather than
+    // crashed before its first event.
+    if (FirstEvent_ == TimePoint() &&
+        Ready_.Connection_->bodyEnd() == BodyEnd::Close)
+      co_return failed({ResultCode::StreamBroken, "ended without an event"});
     releaseConnection(Context_, Ready_);
-    std::string Rest = Rule_.Resumable_ ? Splitter_.partialEvent() : "";
-    bool Written = co_await writeEvents(Head, std::move(Rest));
+    bool Written = co_await writeEvents(Head, std::move(*Rest));
     if (Written)
       Written = co_await Context_.Exchange_.endStream();
     co_return Written ? AttemptEnd::Answered : writeFailed();
