A reset that the request's body has received is no normal end of an answer

With a body over 4 KiB a coroutine writes while another reads; if the write gets the reset, the read sees a normal end, and an answer without a length would be complete. A program of 15 lines with one socket shows it: write 'Connection reset by peer', read 'End of file'.

Change: an answer without a length whose request could not be written has been lost. The test resets a connection in that state; in the daemon the read got the reset first in each of five tries, so it passes without the change too.

--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -133,6 +133,10 @@
     bool Counted = bodyEnd() != BodyEnd::Close;
     if (!Counted && !AcceptUnframed_)
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
+    // The socket reports a reset once: after the write of the request's body
+    // has received it, a read sees a normal end.
+    if (!Counted && Sent_->Error_)
+      co_return connectionFailure(Sent_->Error_);
     Complete_ = Counted && Parser_->keep_alive();
     co_return std::string();
   }
--- a/UnitTests/Request/BrokenAnswerTest.cpp
+++ b/UnitTests/Request/BrokenAnswerTest.cpp
@@ -123,3 +123,24 @@
       CHECK(Path.received() == 1);
     }
 }
+
+TEST_CASE("a stream whose connection is reset while the request is still being "
+          "sent is not complete") {
+  // Guards against a reset that the write of the request's body receives, after
+  // which the read sees a normal end.
+  const std::string Long(8 * 1024 * 1024 - 1, 'b');
+  auto AnswerEarly = [](const std::string &Request, std::size_t) {
+    Script Early =
+        streamOf(Framing::Close, fieldIn(Request, "x-call-id"), event(1, "a"));
+    Early.Then_ = Script::Then::Stall;
+    Early.AnswerAfterBytes_ = 1000;
+    return Early;
+  };
+  ForwardingHarness Path(streams(false), {AnswerEarly});
+  auto Reply = Path.begin("c", Long);
+  REQUIRE(Path.runUntil(
+      [&] { return Reply->Bytes_.find("data: a") != std::string::npos; }));
+  Path.server(0).resetConnections();
+  CHECK(Path.runUntil([&] { return Reply->Ended_; }));
+  CHECK_FALSE(Reply->hasLastChunk());
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -126,6 +126,10 @@
         Socket, Buffer, asio::redirect_error(asio::use_awaitable, Error));
     if (Current.Then_ == Script::Then::Close)
       co_return;
+    if (Current.Then_ == Script::Then::Stall) {
+      Stalled_.push_back(Peer);
+      co_return;
+    }
     if (Current.Then_ == Script::Then::Crash) {
       crash();
       co_return;
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -24,6 +24,7 @@
     Close,    ///< Closes the connection normally.
     Reset,    ///< Resets the connection.
     Hold,     ///< Sends nothing more until the peer closes.
+    Stall,    ///< Neither sends nor reads anything more.
     Crash     ///< Ends the server: resets all connections, refuses new ones.
   };
   std::string Bytes_;
@@ -59,6 +60,7 @@
   Endpoint Address_;
   boost::asio::ip::tcp::acceptor Acceptor_;
   std::vector<std::weak_ptr<Socket>> Peers_;
+  std::vector<std::shared_ptr<Socket>> Stalled_;
   ScriptOf Decide_;
   std::vector<std::string> Requests_;
   std::size_t Connections_ = 0;
