--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -215,7 +215,7 @@
   };
   for (std::size_t Index = 0; Index < Wanted.Relays_; ++Index)
     Relays_.push_back(std::make_unique<RelayingDaemon>(
-        Context_, VmId(fmt::format("relay-{}", Index)), AddressOf));
+        VmId(fmt::format("relay-{}", Index)), AddressOf));
   Lease_.renew(BootClock::now());
   GrantClient::Hooks ClientHooks;
   ClientHooks.KeeperOf_ = [](const CellId &, const std::vector<VmId> &) {
@@ -277,16 +277,17 @@
 }
 
 RelayingDaemon::RelayingDaemon(
-    asio::io_context &Context, VmId Id,
+    VmId Id,
     std::function<std::optional<Endpoint>(const ServerName &)> AddressOf)
-    : Id_(std::move(Id)), Connector_(
-                              Context,
-                              [this] {
-                                ServerConnector::Options Connecting;
-                                Connecting.Connect_ = connectorFor(Links_);
-                                return Connecting;
-                              }(),
-                              ServerConnector::Hooks()) {
+    : Id_(std::move(Id)), Context_(std::make_unique<asio::io_context>(1)),
+      Connector_(
+          *Context_,
+          [this] {
+            ServerConnector::Options Connecting;
+            Connecting.Connect_ = connectorFor(Links_);
+            return Connecting;
+          }(),
+          ServerConnector::Hooks()) {
   RelayServer::Options Listening;
   Listening.Address_ = anyPort();
   auto Open = [this, AddressOf = std::move(AddressOf)](
@@ -300,12 +301,19 @@
     co_return co_await Connector_.openForRelay(std::move(Known));
   };
   Server_ = std::move(
-      *RelayServer::create(Context, std::move(Listening), std::move(Open)));
-  Server_->start({&Context});
+      *RelayServer::create(*Context_, std::move(Listening), std::move(Open)));
+  Server_->start({Context_.get()});
+  Address_ = Server_->address();
 }
 
-RelayCandidate RelayingDaemon::candidate() const {
-  return {Id_, Server_->address(), true};
+void RelayingDaemon::kill() {
+  Server_.reset();
+  Context_.reset();
+}
+
+void RelayingDaemon::poll() {
+  if (Context_)
+    Context_->poll();
 }
 
 ServerConnector::Options ForwardingHarness::connecting() {
@@ -456,8 +464,13 @@
 bool ForwardingHarness::runUntil(const std::function<bool()> &Done) {
   auto End = steady_clock::now() + MaxRunTime;
   Context_.restart();
-  while (!Done() && steady_clock::now() < End)
-    Context_.run_one_for(milliseconds(50));
+  // Relays have contexts of their own, whose events don't wake this one.
+  milliseconds Wait(Relays_.empty() ? 50 : 1);
+  while (!Done() && steady_clock::now() < End) {
+    Context_.run_one_for(Wait);
+    for (const auto &Relay : Relays_)
+      Relay->poll();
+  }
   return Done();
 }
 
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -109,22 +109,32 @@
   /// \p AddressOf returns the address of a server, or nothing if the daemon
   /// does not know it.
   RelayingDaemon(
-      boost::asio::io_context &Context, VmId Id,
+      VmId Id,
       std::function<std::optional<Endpoint>(const ServerName &)> AddressOf);
+  ~RelayingDaemon() { kill(); }
 
-  RelayCandidate candidate() const;
-  std::size_t connections() const { return Server_->connections(); }
+  RelayCandidate candidate() const { return {Id_, Address_, true}; }
+  std::size_t connections() const {
+    return Server_ ? Server_->connections() : 0;
+  }
   RelayServer &server() { return *Server_; }
   /// Sets what it sees of the servers.
   void setLinks(PortState Seen) { Links_ = Seen; }
   /// Ends it: resets nothing, but no longer accepts.
   void stop() { Server_->stop(); }
+  /// Closes all of its sockets, as the kernel does for a process that is
+  /// killed.
+  void kill();
+  /// Runs what is ready.
+  void poll();
 
 private:
   VmId Id_;
   PortState Links_ = PortState::Open;
+  std::unique_ptr<boost::asio::io_context> Context_;
   ServerConnector Connector_;
   std::unique_ptr<RelayServer> Server_;
+  Endpoint Address_;
 };
 
 /// \returns a connector that opens connections only while \p Links is Open.
--- a/UnitTests/Request/RelayedCallTest.cpp
+++ b/UnitTests/Request/RelayedCallTest.cpp
@@ -81,6 +81,31 @@
   }
 }
 
+TEST_CASE("a relay that is killed within an answer without a length does not "
+          "make it look complete") {
+  // Guards against the end of a relay that is taken for the end of an answer:
+  // the sockets of a killed process are closed normally.
+  for (RequestKind Kind : {RequestKind::NonIdempotent, RequestKind::Stream}) {
+    auto Unfinished = [](const std::string &Request, std::size_t) {
+      return Script{
+          "HTTP/1.1 200 OK\r\nX-Call-Id: " + fieldIn(Request, "x-call-id") +
+              "\r\nX-Answer-Proof: p\r\n\r\nid: 1\ndata: one\n\n",
+          Script::Then::Hold};
+    };
+    ForwardingHarness Path(kind(Kind, 1), {Unfinished});
+    Path.setLinks(PortState::Refused);
+    auto Reply = Path.begin("c");
+    REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
+    // Long enough for the beginning of the answer to arrive.
+    int Turns = 0;
+    Path.runUntil([&] { return ++Turns > 100; });
+    Path.relay(0).kill();
+    CHECK(Path.runUntil([&] { return Reply->Ended_; }));
+    CHECK_FALSE(Reply->hasLastChunk());
+    CHECK((Kind == RequestKind::Stream || Reply->status() == 502));
+  }
+}
+
 TEST_CASE("a relay that breaks after the dispatch is no proof of no run") {
   // Guards against a caller that is told not run for a request that ran.
   auto RunThenReset = [](const std::string &, std::size_t) {
