The end of a relay is not taken for the end of an answer

What callers would see: a plain answer or a stream that looks complete and isn't, when the daemon that relays the connection is killed, or ends its planned stop while it still relays.

Cause: the kernel closes the sockets of a process that ends; with nothing unread that is a normal end. An answer without a length ends with its connection, and the daemon in front took the relay's end for the server's.

Change: the server's bytes come over a relay in frames, and a frame without bytes says that the server has closed its side normally. A connection that ends without it was lost. Weighed: a closing word after the last byte can't be told from the rest of a truncated body with a length; SO_LINGER 0 on the relay's sockets makes the kernel reset them, but not where the VM or a middlebox decides. Daemons of the last version neither ask for frames nor send them: an answer without a length through one of them is not taken for complete; others pass.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -4614,6 +4614,7 @@
   std::string service{};
   std::string pool{};
   std::string server{};
+  bool framed = false;
 };
 
 /// The first message on a connection to a relay port: asks the daemon to connect
@@ -4624,7 +4625,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_POOL = 6,
-    VT_SERVER = 8
+    VT_SERVER = 8,
+    VT_FRAMED = 10
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -4635,6 +4637,10 @@
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
   }
+  /// The sender reads frames (ByteFrames.h).
+  bool framed() const {
+    return GetField<uint8_t>(VT_FRAMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -4643,6 +4649,7 @@
            verifier.VerifyString(pool()) &&
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
+           VerifyField<uint8_t>(verifier, VT_FRAMED, 1) &&
            verifier.EndTable();
   }
   RelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4663,6 +4670,9 @@
   void add_server(flatbuffers::Offset<flatbuffers::String> server) {
     fbb_.AddOffset(Relay::VT_SERVER, server);
   }
+  void add_framed(bool framed) {
+    fbb_.AddElement<uint8_t>(Relay::VT_FRAMED, static_cast<uint8_t>(framed), 0);
+  }
   explicit RelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4678,11 +4688,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> pool = 0,
-    flatbuffers::Offset<flatbuffers::String> server = 0) {
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    bool framed = false) {
   RelayBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_pool(pool);
   builder_.add_service(service);
+  builder_.add_framed(framed);
   return builder_.Finish();
 }
 
@@ -4690,7 +4702,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
     const char *pool = nullptr,
-    const char *server = nullptr) {
+    const char *server = nullptr,
+    bool framed = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto server__ = server ? _fbb.CreateString(server) : 0;
@@ -4698,7 +4711,8 @@
       _fbb,
       service__,
       pool__,
-      server__);
+      server__,
+      framed);
 }
 
 flatbuffers::Offset<Relay> CreateRelay(flatbuffers::FlatBufferBuilder &_fbb, const RelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4706,6 +4720,7 @@
 struct RelayedT : public flatbuffers::NativeTable {
   typedef Relayed TableType;
   uint8_t result = 0;
+  bool framed = false;
 };
 
 /// The answer to Relay. After a result of 0 the connection carries the bytes of
@@ -4714,14 +4729,20 @@
   typedef RelayedT NativeTableType;
   typedef RelayedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_RESULT = 4
+    VT_RESULT = 4,
+    VT_FRAMED = 6
   };
   uint8_t result() const {
     return GetField<uint8_t>(VT_RESULT, 0);
   }
+  /// The bytes of the server come in frames.
+  bool framed() const {
+    return GetField<uint8_t>(VT_FRAMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FRAMED, 1) &&
            verifier.EndTable();
   }
   RelayedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4736,6 +4757,9 @@
   void add_result(uint8_t result) {
     fbb_.AddElement<uint8_t>(Relayed::VT_RESULT, result, 0);
   }
+  void add_framed(bool framed) {
+    fbb_.AddElement<uint8_t>(Relayed::VT_FRAMED, static_cast<uint8_t>(framed), 0);
+  }
   explicit RelayedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4749,8 +4773,10 @@
 
 inline flatbuffers::Offset<Relayed> CreateRelayed(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t result = 0) {
+    uint8_t result = 0,
+    bool framed = false) {
   RelayedBuilder builder_(_fbb);
+  builder_.add_framed(framed);
   builder_.add_result(result);
   return builder_.Finish();
 }
@@ -6531,6 +6557,7 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = pool(); if (_e) _o->pool = _e->str(); }
   { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = framed(); _o->framed = _e; }
 }
 
 inline flatbuffers::Offset<Relay> Relay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6544,11 +6571,13 @@
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
   auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _framed = _o->framed;
   return samphireshunt::wire::CreateRelay(
       _fbb,
       _service,
       _pool,
-      _server);
+      _server,
+      _framed);
 }
 
 inline RelayedT *Relayed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6561,6 +6590,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = result(); _o->result = _e; }
+  { auto _e = framed(); _o->framed = _e; }
 }
 
 inline flatbuffers::Offset<Relayed> Relayed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6572,9 +6602,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _result = _o->result;
+  auto _framed = _o->framed;
   return samphireshunt::wire::CreateRelayed(
       _fbb,
-      _result);
+      _result,
+      _framed);
 }
 
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -148,6 +148,13 @@
 /// \returns the name in logs and metrics, e.g. "close".
 std::string_view bodyEndName(BodyEnd Known);
 
+/// What shows that the server has closed its side of a connection normally.
+enum class EndOfBytes {
+  OfConnection, ///< The end of the connection.
+  InFrame,      ///< The last frame of a relay.
+  Unknown,      ///< Nothing: a relay between may have ended instead.
+};
+
 /// The client side of a connection, for use by one coroutine at a time.
 class HttpConnection {
 public:
@@ -157,7 +164,7 @@
   connect(Endpoint Address, std::chrono::milliseconds Timeout);
   /// \returns a connection that uses \p Socket, which is connected.
   static std::unique_ptr<HttpConnection>
-  adopt(boost::asio::ip::tcp::socket Socket);
+  adopt(boost::asio::ip::tcp::socket Socket, EndOfBytes End);
 
   /// Writes the request. After an error it is not known whether any bytes were
   /// sent. A long body may still be being written when this returns, because
@@ -165,7 +172,8 @@
   virtual Awaitable<Result<void>> send(const HttpRequest &Request,
                                        std::chrono::milliseconds Timeout) = 0;
   /// Accepts a body without a length that ends with its connection as complete,
-  /// unless the connection was reset.
+  /// unless the connection was reset, or nothing shows that the server closed
+  /// it.
   virtual void acceptUnframed() = 0;
   /// The keep-alive timeout that the server announced for idle connections.
   virtual std::optional<std::chrono::seconds> idleLimit() const = 0;
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "Connection/Http.h"
 
+#include "Connection/ByteFrames.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
 #include "Connection/TcpConnect.h"
@@ -54,8 +55,11 @@
 
 class BeastHttpConnection : public HttpConnection {
 public:
-  explicit BeastHttpConnection(std::shared_ptr<beast::tcp_stream> Stream)
-      : Stream_(std::move(Stream)) {}
+  BeastHttpConnection(std::shared_ptr<beast::tcp_stream> Stream, EndOfBytes End)
+      : Stream_(std::move(Stream)), End_(End) {
+    if (End == EndOfBytes::InFrame)
+      Framed_.emplace(*Stream_);
+  }
   /// Closes the stream, since a coroutine that shares it may still be writing a
   /// body.
   ~BeastHttpConnection() override { Stream_->close(); }
@@ -94,9 +98,14 @@
     Parser_->body_limit(MaxAnswerBytes);
     beast::error_code Error;
     Stream_->expires_after(Timeout);
-    co_await http::async_read_header(
-        *Stream_, Buffer_, *Parser_,
-        asio::redirect_error(asio::use_awaitable, Error));
+    if (Framed_)
+      co_await http::async_read_header(
+          *Framed_, Buffer_, *Parser_,
+          asio::redirect_error(asio::use_awaitable, Error));
+    else
+      co_await http::async_read_header(
+          *Stream_, Buffer_, *Parser_,
+          asio::redirect_error(asio::use_awaitable, Error));
     if (Error)
       co_return connectionFailure(Error);
     LastReceived_ = std::chrono::steady_clock::now();
@@ -116,9 +125,14 @@
       Parser_->get().body().size = Space.size();
       beast::error_code Error;
       Stream_->expires_after(Timeout);
-      co_await http::async_read_some(
-          *Stream_, Buffer_, *Parser_,
-          asio::redirect_error(asio::use_awaitable, Error));
+      if (Framed_)
+        co_await http::async_read_some(
+            *Framed_, Buffer_, *Parser_,
+            asio::redirect_error(asio::use_awaitable, Error));
+      else
+        co_await http::async_read_some(
+            *Stream_, Buffer_, *Parser_,
+            asio::redirect_error(asio::use_awaitable, Error));
       bool BufferFull = Error == http::error::need_buffer;
       if (Error && !BufferFull)
         co_return connectionFailure(Error);
@@ -133,6 +147,9 @@
     bool Counted = bodyEnd() != BodyEnd::Close;
     if (!Counted && !AcceptUnframed_)
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
+    if (!Counted && End_ == EndOfBytes::Unknown)
+      co_return Failure{ResultCode::ConnectionLost,
+                        "end not told by the relay"};
     // The socket reports a reset once: after the write of the request's body
     // has received it, a read sees a normal end.
     if (!Counted && Sent_->Error_)
@@ -196,6 +213,9 @@
   }
 
   std::shared_ptr<beast::tcp_stream> Stream_;
+  EndOfBytes End_;
+  /// Set if the server's bytes come in frames.
+  std::optional<FramedReader> Framed_;
   std::shared_ptr<SendState> Sent_;
   std::optional<std::chrono::seconds> IdleLimit_;
   bool AcceptUnframed_ = false;
@@ -212,16 +232,16 @@
   auto Opened = co_await openTcp(Address, Timeout);
   if (!Opened.Socket_)
     co_return Failure{ResultCode::ConnectFailed, std::move(Opened.Detail_)};
-  co_return adopt(std::move(*Opened.Socket_));
+  co_return adopt(std::move(*Opened.Socket_), EndOfBytes::OfConnection);
 }
 
 std::unique_ptr<HttpConnection>
-HttpConnection::adopt(asio::ip::tcp::socket Socket) {
+HttpConnection::adopt(asio::ip::tcp::socket Socket, EndOfBytes End) {
   beast::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   limitSilence(Socket, ServerSilence);
   return std::make_unique<BeastHttpConnection>(
-      std::make_shared<beast::tcp_stream>(std::move(Socket)));
+      std::make_shared<beast::tcp_stream>(std::move(Socket)), End);
 }
 
 namespace {
--- a/Source/Process/Relay/RelayHandshake.cpp
+++ b/Source/Process/Relay/RelayHandshake.cpp
@@ -97,6 +97,7 @@
   Request.service = Target.Service_.str();
   Request.pool = Target.Pool_.str();
   Request.server = Target.Server_.str();
+  Request.framed = true;
   std::string Frame = frameOf(std::move(Request));
   auto Buffer = asio::buffer(Frame);
   co_await asio::async_write(Stream, Buffer,
@@ -110,6 +111,7 @@
   Opened.Result_ = resultOf(*Relayed);
   if (Opened.Result_ == RelayResult::Connected)
     Opened.Socket_ = Stream.release_socket();
+  Opened.Framed_ = Relayed->framed;
   co_return Opened;
 }
 
@@ -125,16 +127,18 @@
     co_return Failure{ResultCode::MalformedRequest, "not a relay request"};
   RelayTarget Target{ServiceName(Asked->service), PoolName(Asked->pool),
                      ServerName(Asked->server)};
-  co_return RelayRequest{Stream.release_socket(), std::move(Target)};
+  co_return RelayRequest{Stream.release_socket(), std::move(Target),
+                         Asked->framed};
 }
 
-Awaitable<bool> sendRelayResult(Socket &Peer, RelayResult Value) {
+Awaitable<bool> sendRelayResult(RelayRequest &Asked, RelayResult Value) {
   wire::RelayedT Answer;
   Answer.result = static_cast<std::uint8_t>(Value);
+  Answer.framed = Asked.Framed_;
   std::string Frame = frameOf(std::move(Answer));
   auto Buffer = asio::buffer(Frame);
   beast::error_code Error;
-  co_await asio::async_write(Peer, Buffer,
+  co_await asio::async_write(Asked.Socket_, Buffer,
                              asio::redirect_error(asio::use_awaitable, Error));
   co_return !Error;
 }
--- a/Source/Process/Relay/RelayHandshake.h
+++ b/Source/Process/Relay/RelayHandshake.h
@@ -2,7 +2,8 @@
 /// \file
 /// The first messages on a connection to a daemon's relay port: which server
 /// the connection is for, and whether the daemon has connected to it. After
-/// that the connection carries bytes without frames.
+/// that the connection carries the request without frames, and the answer in
+/// frames, since the end of a relay must not look like the end of an answer.
 
 #include "Common/Ids.h"
 #include "Connection/Http.h"
@@ -39,6 +40,8 @@
   RelayResult Result_ = RelayResult::NoAnswer;
   /// Set if Connected.
   std::optional<boost::asio::ip::tcp::socket> Socket_;
+  /// The server's bytes come in frames. Daemons of older versions send none.
+  bool Framed_ = false;
 };
 
 /// Asks the daemon at \p Relay to connect to a server.
@@ -49,6 +52,8 @@
 struct RelayRequest {
   boost::asio::ip::tcp::socket Socket_;
   RelayTarget Target_;
+  /// The other daemon reads frames.
+  bool Framed_ = false;
 };
 
 /// Reads what another daemon asks for. \returns MalformedRequest or
@@ -56,8 +61,7 @@
 Awaitable<Result<RelayRequest>>
 readRelayRequest(boost::asio::ip::tcp::socket Socket,
                  std::chrono::milliseconds Timeout);
-/// \returns false if the connection is lost.
-Awaitable<bool> sendRelayResult(boost::asio::ip::tcp::socket &Socket,
-                                RelayResult Value);
+/// Answers \p Asked. \returns false if the connection is lost.
+Awaitable<bool> sendRelayResult(RelayRequest &Asked, RelayResult Value);
 
 } // namespace samphireshunt
--- a/Source/Process/Relay/RelayServer.cpp
+++ b/Source/Process/Relay/RelayServer.cpp
@@ -1,6 +1,7 @@
 #include "Process/Relay/RelayServer.h"
 
 #include "Common/Log.h"
+#include "Connection/ByteFrames.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
 
@@ -36,12 +37,14 @@
 
 /// A relayed connection: its end at the other daemon, and at the server.
 struct RelayedPair {
-  RelayedPair(Socket Daemon, Socket Server,
+  RelayedPair(RelayRequest Asked, Socket Server,
               std::shared_ptr<std::atomic<std::size_t>> Count)
-      : Daemon_(std::move(Daemon)), Server_(std::move(Server)),
-        Counted_(std::move(Count)) {}
+      : Daemon_(std::move(Asked.Socket_)), Framed_(Asked.Framed_),
+        Server_(std::move(Server)), Counted_(std::move(Count)) {}
 
   Socket Daemon_;
+  /// The server's bytes are sent in frames.
+  bool Framed_;
   Socket Server_;
   ConnectionCount Counted_;
 
@@ -54,8 +57,9 @@
   }
 };
 
-/// Copies bytes until one end closes. \returns how \p From ended.
-Awaitable<error_code> copyBytes(Socket &From, Socket &To) {
+/// Copies bytes until one end closes, \p Framed or as they are. \returns how
+/// \p From ended.
+Awaitable<error_code> copyBytes(Socket &From, Socket &To, bool Framed) {
   std::array<char, CopyBytes> Bytes;
   while (true) {
     error_code Error;
@@ -63,7 +67,10 @@
         asio::buffer(Bytes), asio::redirect_error(asio::use_awaitable, Error));
     if (Error)
       co_return Error;
-    auto Read = asio::buffer(Bytes, Count);
+    FrameHead Head = frameHead(Count);
+    std::array<asio::const_buffer, 2> Read = {
+        asio::buffer(Head.data(), Framed ? Head.size() : 0),
+        asio::buffer(Bytes, Count)};
     co_await asio::async_write(
         To, Read, asio::redirect_error(asio::use_awaitable, Error));
     if (Error)
@@ -74,7 +81,8 @@
 /// The other daemon closes its end only when it gives up the request, which the
 /// server has to notice at once.
 Awaitable<void> copyRequest(std::shared_ptr<RelayedPair> Pair) {
-  error_code Error = co_await copyBytes(Pair->Daemon_, Pair->Server_);
+  error_code Error = co_await copyBytes(Pair->Daemon_, Pair->Server_,
+                                        /*Framed=*/false);
   if (Error != asio::error::eof)
     co_return Pair->reset();
   error_code Ignored;
@@ -83,12 +91,18 @@
 }
 
 /// An answer without a length ends with its connection, and is complete only if
-/// the connection was closed normally.
+/// the server closed it normally. The last frame says so.
 Awaitable<void> copyAnswer(std::shared_ptr<RelayedPair> Pair) {
-  error_code Error = co_await copyBytes(Pair->Server_, Pair->Daemon_);
+  error_code Error =
+      co_await copyBytes(Pair->Server_, Pair->Daemon_, Pair->Framed_);
   if (Error != asio::error::eof)
     co_return Pair->reset();
   error_code Ignored;
+  FrameHead Last = frameHead(0);
+  auto Buffer = asio::buffer(Last.data(), Pair->Framed_ ? Last.size() : 0);
+  co_await asio::async_write(
+      Pair->Daemon_, Buffer,
+      asio::redirect_error(asio::use_awaitable, Ignored));
   Pair->Daemon_.shutdown(Socket::shutdown_send, Ignored);
 }
 
@@ -172,13 +186,13 @@
   }
   RelayTarget Target = Asked->Target_;
   auto Opened = co_await open(std::move(Target));
-  bool Sent = co_await sendRelayResult(Asked->Socket_, Opened.Result_);
+  bool Sent = co_await sendRelayResult(*Asked, Opened.Result_);
   if (!Sent || !Opened.Socket_)
     co_return;
   configure(*Opened.Socket_);
   auto Executor = Asked->Socket_.get_executor();
   auto Pair = std::make_shared<RelayedPair>(
-      std::move(Asked->Socket_), std::move(*Opened.Socket_), Connections_);
+      std::move(*Asked), std::move(*Opened.Socket_), Connections_);
   auto Copy = [Pair]() { return copyAnswer(Pair); };
   spawnLogged(Executor, "relay-answer", std::move(Copy));
   co_await copyRequest(std::move(Pair));
--- a/Source/Process/Relay/RelayServer.h
+++ b/Source/Process/Relay/RelayServer.h
@@ -1,8 +1,9 @@
 #pragma once
 /// \file
 /// Relays connections of other daemons to servers that these daemons can't
-/// reach. Bytes are passed on unchanged in both directions; what a request is,
-/// and whether it may run again, is known to the other daemon alone.
+/// reach. Bytes are passed on unchanged in both directions, those of the server
+/// in frames; what a request is, and whether it may run again, is known to the
+/// other daemon alone.
 
 #include "Process/Relay/RelayHandshake.h"
 
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -68,7 +68,8 @@
     auto Opened = co_await Options_.Connect_(Target.Address_, directTimeout());
     if (Opened.Socket_) {
       onReached(Target.Address_);
-      Link.Connection_ = HttpConnection::adopt(std::move(*Opened.Socket_));
+      Link.Connection_ = HttpConnection::adopt(std::move(*Opened.Socket_),
+                                               EndOfBytes::OfConnection);
       co_return Link;
     }
     Seen = Opened.State_;
@@ -80,7 +81,9 @@
     if (TriedDirect)
       onCutOff(Target, Seen, *Tried.Relay_);
     ++RelayedCount_;
-    Link.Connection_ = HttpConnection::adopt(std::move(*Tried.Last_.Socket_));
+    Link.Connection_ = HttpConnection::adopt(
+        std::move(*Tried.Last_.Socket_),
+        Tried.Last_.Framed_ ? EndOfBytes::InFrame : EndOfBytes::Unknown);
     Link.Relay_ = Tried.Relay_;
     co_return Link;
   }
