A stream that is broken off looks broken to a caller that can't read chunks

What callers would see: one that speaks HTTP/1.0 got chunk sizes within its answer, and a normal end where the answer was broken off; one that asked with HEAD got a body.

Change: a stream in answer to HTTP/1.0 has neither length nor chunks. Its connection is reset unless the answer is complete, also if the handler throws or the process is killed (SO_LINGER). HEAD gets the head alone. Stand-ins can answer in this way to any caller (beginUnframed).

--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -68,12 +68,17 @@
   /// Sends a complete response. \returns false when the connection to the
   /// caller is closed.
   virtual Awaitable<bool> respond(HttpResponse Response) = 0;
-  /// Sends the head of a chunked response.
+  /// Sends the head of a chunked response; of an unframed one if the caller
+  /// speaks HTTP/1.0, which has no chunks.
   virtual Awaitable<bool> beginStream(HttpResponse Head) = 0;
+  /// Sends the head of a response with neither length nor chunks, which ends
+  /// with its connection.
+  virtual Awaitable<bool> beginUnframed(HttpResponse Head) = 0;
   virtual Awaitable<bool> writeChunk(std::string Data) = 0;
   virtual Awaitable<bool> endStream() = 0;
-  /// Closes the connection without sending the last chunk, so that no client
-  /// can take the incomplete response for a complete one.
+  /// Closes the connection without the last chunk, or resets it if the response
+  /// is unframed, so that no client can take the incomplete response for a
+  /// complete one.
   virtual void abort() = 0;
   /// Calls \p Hook once, on the exchange's executor, when the caller closes its
   /// side before the response is sent.
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -23,6 +23,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::size_t FirstReadBytes = 4096;
+constexpr unsigned Http11 = 11;
 /// How long the connection of a caller whose VM disappeared without closing it
 /// is kept.
 constexpr SilenceLimits CallerSilence{std::chrono::milliseconds(10000),
@@ -137,7 +138,7 @@
     fillHead(Message, Response);
     // A response to HEAD has no body; otherwise the client would misread the
     // next response.
-    if (Request_.Method_ != "HEAD")
+    if (mayHaveBody())
       Message.body() = std::move(Response.Body_);
     Message.prepare_payload();
     beast::error_code Error;
@@ -149,28 +150,32 @@
   }
 
   Awaitable<bool> beginStream(HttpResponse Head) override {
-    http::response<http::empty_body> Message;
-    fillHead(Message, Head);
-    Message.chunked(true);
-    http::response_serializer<http::empty_body> Serializer(Message);
-    beast::error_code Error;
-    Stream_.expires_after(State_->Options_.WriteTimeout_);
-    co_await http::async_write_header(
-        Stream_, Serializer, asio::redirect_error(asio::use_awaitable, Error));
-    co_return !Error;
+    return beginBody(std::move(Head), Version_ >= Http11);
+  }
+
+  Awaitable<bool> beginUnframed(HttpResponse Head) override {
+    return beginBody(std::move(Head), /*Chunked=*/false);
   }
 
   Awaitable<bool> writeChunk(std::string Data) override {
-    if (Data.empty())
+    if (Data.empty() || !mayHaveBody())
       co_return true;
-    auto Chunk = http::make_chunk(asio::buffer(Data));
+    auto Bytes = asio::buffer(Data);
+    if (!Chunked_)
+      co_return co_await writeBuffers(Bytes);
+    auto Chunk = http::make_chunk(Bytes);
     co_return co_await writeBuffers(Chunk);
   }
 
   Awaitable<bool> endStream() override {
-    auto Last = http::make_chunk_last();
-    Answered_ = co_await writeBuffers(Last);
-    co_return Answered_;
+    if (Chunked_ && mayHaveBody()) {
+      auto Last = http::make_chunk_last();
+      Answered_ = co_await writeBuffers(Last);
+      co_return Answered_;
+    }
+    resetOnClose(false);
+    Answered_ = true;
+    co_return true;
   }
 
   void abort() override {
@@ -206,6 +211,33 @@
   }
 
 private:
+  Awaitable<bool> beginBody(HttpResponse Head, bool Chunked) {
+    Chunked_ = Chunked;
+    if (!Chunked) {
+      KeepAlive_ = false;
+      resetOnClose(true);
+    }
+    http::response<http::empty_body> Message;
+    fillHead(Message, Head);
+    Message.chunked(Chunked);
+    http::response_serializer<http::empty_body> Serializer(Message);
+    beast::error_code Error;
+    Stream_.expires_after(State_->Options_.WriteTimeout_);
+    co_await http::async_write_header(
+        Stream_, Serializer, asio::redirect_error(asio::use_awaitable, Error));
+    co_return !Error;
+  }
+
+  /// While an unframed response is incomplete, a normal end of the connection
+  /// would complete it. The kernel resets the connection then, also if this
+  /// process is killed.
+  void resetOnClose(bool Reset) {
+    beast::error_code Ignored;
+    Stream_.socket().set_option(asio::socket_base::linger(Reset, 0), Ignored);
+  }
+
+  bool mayHaveBody() const { return Request_.Method_ != "HEAD"; }
+
   /// State of the read of a request. Without it, a timer whose handler is
   /// already queued when the timer is cancelled would cancel the next operation
   /// of the connection.
@@ -339,6 +371,8 @@
   std::function<void()> CallerLeft_;
   unsigned Version_ = 11;
   bool KeepAlive_ = true;
+  /// The response is sent in chunks.
+  bool Chunked_ = true;
   bool Answered_ = false;
   bool AwaitingDisconnect_ = false;
 };
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <array>
 #include <chrono>
 #include <functional>
 #include <stdexcept>
@@ -57,6 +58,24 @@
     Context_.poll();
   }
 
+  /// Reads what the server sends until it closes. \returns the end of the
+  /// connection as the caller sees it.
+  boost::system::error_code readAll(std::string &Into) {
+    boost::system::error_code Error = asio::error::would_block;
+    Caller_.non_blocking(true);
+    std::array<char, 4096> Space;
+    pollUntil([&] {
+      if (Error == asio::error::would_block)
+        Error = {};
+      while (!Error) {
+        std::size_t Count = Caller_.read_some(asio::buffer(Space), Error);
+        Into.append(Space.data(), Count);
+      }
+      return Error != asio::error::would_block;
+    });
+    return Error;
+  }
+
   asio::io_context Context_;
   asio::io_context CallerContext_;
   Tcp::socket Caller_;
@@ -125,3 +144,49 @@
   CHECK(Test.pollUntil([&] { return Test.Server_->openConnections() == 0; }));
   CHECK(Test.Server_->activeExchanges() == 0);
 }
+
+TEST_CASE(
+    "a stream that is broken off looks broken to a caller that can't read "
+    "chunks") {
+  // Guards against an incomplete answer that looks complete to a caller that
+  // speaks HTTP/1.0: only the end of its connection tells it.
+  enum class End { Complete, Aborted, Thrown };
+  for (End Wanted : {End::Complete, End::Aborted, End::Thrown}) {
+    ServerFixture Test([Wanted](HttpExchange &Exchange) -> Awaitable<void> {
+      HttpResponse Head;
+      Head.Fields_["content-type"] = "text/event-stream";
+      co_await Exchange.beginStream(std::move(Head));
+      std::string Event = "data: a\n\n";
+      co_await Exchange.writeChunk(std::move(Event));
+      if (Wanted == End::Thrown)
+        throw std::runtime_error("the handler's own");
+      if (Wanted == End::Aborted)
+        co_return Exchange.abort();
+      co_await Exchange.endStream();
+    });
+    Test.write("GET / HTTP/1.0\r\nhost: a\r\n\r\n");
+    std::string Answer;
+    auto Ended = Test.readAll(Answer);
+    CHECK((Ended == asio::error::eof) == (Wanted == End::Complete));
+    if (Wanted == End::Complete) {
+      CHECK(Answer.ends_with("\r\n\r\ndata: a\n\n"));
+      CHECK(Answer.find("chunked") == std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("a stream in answer to HEAD has no body") {
+  // Guards against a body that the caller takes for its next answer.
+  ServerFixture Test([](HttpExchange &Exchange) -> Awaitable<void> {
+    HttpResponse Head;
+    std::string Event = "data: a\n\n";
+    co_await Exchange.beginStream(std::move(Head));
+    co_await Exchange.writeChunk(std::move(Event));
+    co_await Exchange.endStream();
+  });
+  Test.write("HEAD / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+  std::string Answer;
+  CHECK(Test.readAll(Answer) == asio::error::eof);
+  CHECK(Answer.ends_with("\r\n\r\n"));
+  CHECK(Answer.find("data") == std::string::npos);
+}
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -30,6 +30,7 @@
     co_return true;
   }
   Awaitable<bool> beginStream(HttpResponse) override { co_return true; }
+  Awaitable<bool> beginUnframed(HttpResponse) override { co_return true; }
   Awaitable<bool> writeChunk(std::string Data) override {
     Written_ += Data;
     co_return AcceptChunk_(Data);
