Soak: engines answer in three framings and break off in five places

Answers, plain and streamed, come with a length, in chunks or with neither; streams break inside an event, with a broken or a normal connection, between events, and before the first one; draws of their own, so that seeds select the same other faults as before. The check of whole bodies is the old one.

--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -169,7 +169,8 @@
 };
 
 SoakEnvironment::SoakEnvironment(std::uint64_t Seed)
-    : Random_(Seed), Store_(Context_), Daemons_(DaemonCount) {
+    : Random_(Seed), FramingRandom_(Seed, 1), Store_(Context_),
+      Daemons_(DaemonCount) {
   for (int Number = 1; Number <= 6; ++Number) {
     std::string Key = fmt::format("key-{}", Number);
     ActiveKeys_.insert(Key);
@@ -326,9 +327,44 @@
     Answer.Status_ = 500;
   if (EngineFaults_ && pick(Percent) < 3)
     Answer.Fields_["x-samphireshunt-request-id"] = "another";
-  co_await Exchange.respond(std::move(Answer));
+  co_await sendFramed(Exchange, std::move(Answer));
+}
+
+Awaitable<void> SoakEnvironment::sendFramed(HttpExchange &Exchange,
+                                            HttpResponse Answer) {
+  BodyEnd Framing = drawFraming();
+  if (Framing == BodyEnd::Length)
+    co_return (void) co_await Exchange.respond(std::move(Answer));
+  std::string Body = std::move(Answer.Body_);
+  Answer.Body_.clear();
+  bool Open = Framing == BodyEnd::Chunks
+                  ? co_await Exchange.beginStream(std::move(Answer))
+                  : co_await Exchange.beginUnframed(std::move(Answer));
+  bool Cut = EngineFaults_ && FramingRandom_(Percent) < 5;
+  if (Cut)
+    Body.resize(Body.size() / 2);
+  if (Open)
+    Open = co_await Exchange.writeChunk(std::move(Body));
+  if (Cut || !Open)
+    co_return Exchange.abort();
+  co_await Exchange.endStream();
 }
 
+namespace {
+
+/// Where and how an engine breaks off a stream. A normal end of an unframed
+/// stream between events is left out, since it is also the end of a complete
+/// one.
+enum class StreamCut {
+  None,
+  InsideEvent,       ///< The connection breaks.
+  InsideEventNormal, ///< The stream ends as if it were complete.
+  BetweenEvents,     ///< The connection breaks.
+  BeforeFirst,       ///< The connection ends normally after the head.
+};
+
+} // namespace
+
 /// Counts a request at an engine that names a limit, and adds the limit to its
 /// answer.
 void SoakEnvironment::noteLimit(Engine &Self, const std::string &CallId,
@@ -541,22 +577,45 @@
     Head.Fields_["server-leaving"] = "1";
   Head.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
   Head.Fields_["content-type"] = "text/event-stream";
-  bool Open = co_await Exchange.beginStream(std::move(Head));
+  BodyEnd Framing = drawFraming();
+  HttpResponse Whole = Head;
+  bool Open = true;
+  if (Framing == BodyEnd::Chunks)
+    Open = co_await Exchange.beginStream(std::move(Head));
+  else if (Framing == BodyEnd::Close)
+    Open = co_await Exchange.beginUnframed(std::move(Head));
   int First = After.empty() ? 1 : std::stoi(After) + 1;
-  for (int Number = First; Open && Number <= EventCount; ++Number) {
+  auto Cut = StreamCut::None;
+  for (int Number = First;
+       Open && Cut == StreamCut::None && Number <= EventCount; ++Number) {
     co_await sleep(Factor * milliseconds(2 + pick(15)));
     std::string Event = eventText(CallId, Number);
     if (Self.Crashed_)
       co_return Exchange.abort();
-    bool Cut = Fails || (EngineFaults_ && pick(Percent) < 2);
-    if (Cut)
-      Event.resize(Event.size() / 2);
-    Open = co_await Exchange.writeChunk(std::move(Event));
-    if (Cut)
-      co_return Exchange.abort();
+    if (Fails || (EngineFaults_ && pick(Percent) < 2))
+      Cut = static_cast<StreamCut>(1 + FramingRandom_(4));
+    bool Unsent = Cut == StreamCut::BetweenEvents;
+    if (Cut == StreamCut::BeforeFirst) {
+      // Only an unframed stream without events is known to be incomplete.
+      Unsent = Number == First && Framing == BodyEnd::Close;
+      Cut = Unsent ? Cut : StreamCut::InsideEvent;
+    }
+    if (Cut != StreamCut::None)
+      Event.resize(Unsent ? 0
+                          : 1 + FramingRandom_(static_cast<std::uint32_t>(
+                                    Event.size() - 1)));
+    if (Framing == BodyEnd::Length)
+      Whole.Body_ += Event;
+    else
+      Open = co_await Exchange.writeChunk(std::move(Event));
   }
-  if (Open)
-    co_await Exchange.endStream();
+  bool Breaks =
+      Cut == StreamCut::InsideEvent || Cut == StreamCut::BetweenEvents;
+  if (!Open || Breaks)
+    co_return Exchange.abort();
+  if (Framing == BodyEnd::Length)
+    co_return (void) co_await Exchange.respond(std::move(Whole));
+  co_await Exchange.endStream();
 }
 
 void SoakEnvironment::setDaemon(std::size_t Index,
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -189,6 +189,9 @@
   Awaitable<void> serve(Engine &Self, HttpExchange &Exchange);
   Awaitable<void> serveStream(Engine &Self, HttpExchange &Exchange,
                               std::string CallId, int Factor, bool Fails);
+  /// Sends an answer with a length, in chunks or with neither.
+  Awaitable<void> sendFramed(HttpExchange &Exchange, HttpResponse Answer);
+  BodyEnd drawFraming() { return static_cast<BodyEnd>(FramingRandom_(3)); }
   Awaitable<void> caller(std::uint64_t Number);
   Awaitable<SoakCall> callOnce(SoakKind Kind, std::string Key, Endpoint To,
                                std::unique_ptr<HttpConnection> &Connection,
@@ -208,6 +211,8 @@
 
   boost::asio::io_context Context_{1};
   pcg32 Random_;
+  /// Apart from Random_, so that seeds select the same other faults as before.
+  pcg32 FramingRandom_;
   FakeStore Store_;
   std::vector<std::unique_ptr<Engine>> Engines_;
   std::vector<std::optional<Endpoint>> Daemons_;
