A valid answer without a length is not lost where its JSON shows its end

An engine that names none was taken for ill (its reports), and its answers to the product's own application calls were lost (code 301).

Change: such a body is complete if it is a whole JSON object or list, which can't be the beginning of a longer one; anything else is refused as before, since answers are kept with claims. Streams of the product's own engines name their last event. Stand-in engines answer in this way too (fault 'unframed'), whole and cut.

--- a/FailureTests/OwnAnswerTest.cpp
+++ b/FailureTests/OwnAnswerTest.cpp
@@ -44,6 +44,26 @@
   CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
 }
 
+TEST_CASE("an answer without a length is passed on if its end is known") {
+  // Guards against valid answers that are lost, and against beginnings that are
+  // taken for answers, where an engine names no length and ends its connection
+  // normally.
+  Cluster Fleet;
+  Fleet.faults("app-1", {{"unframed", 1}});
+  CHECK(Fleet.run(Fleet.reading(1)).Correct_);
+  Fleet.faults("app-1", {{"unframed", 1}, {"cut", 1}});
+  CallRecord Record = Fleet.run(Fleet.reading(1));
+  CHECK(Record.Outcome_ == "unknown");
+  CHECK(Record.Code_ == 301);
+  for (int Cut : {0, 1}) {
+    for (const char *Name : {"model-1", "model-2"})
+      Fleet.faults(Name, {{"unframed", 1}, {"cut", Cut}});
+    CHECK(Fleet.run(Fleet.stream(1)).Correct_);
+    CHECK(Fleet.run(Fleet.chat(2)).Correct_);
+  }
+  CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
+}
+
 TEST_CASE("a stream that is cut or goes silent is resumed at its engine") {
   // A middlebox between daemon and engine lost the state of the connection.
   // After two events it closes, or stays open without any further bytes, while
--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -1,6 +1,7 @@
 #include "Connection/Http.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -53,6 +54,13 @@
   return "close";
 }
 
+bool isWholeJson(std::string_view Body) {
+  std::size_t First = Body.find_first_not_of(" \t\r\n");
+  bool Bounded = First != std::string_view::npos &&
+                 (Body[First] == '{' || Body[First] == '[');
+  return Bounded && nlohmann::json::accept(Body);
+}
+
 HttpResponse jsonResponse(int Status, std::string Body) {
   HttpResponse Response;
   Response.Status_ = Status;
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -51,6 +51,10 @@
   std::string Body_;
 };
 
+/// \returns whether \p Body is a complete JSON object or list, which can't be
+/// the beginning of a longer one.
+bool isWholeJson(std::string_view Body);
+
 /// \returns a response with a JSON body.
 HttpResponse jsonResponse(int Status, std::string Body);
 
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -274,6 +274,7 @@
     co_return Connected.error();
   AnsweredCall Call;
   Call.Connection_ = std::move(*Connected);
+  Call.Connection_->acceptUnframed();
   auto Sent = co_await Call.Connection_->send(Request, Remaining());
   if (!Sent)
     co_return Sent.error();
@@ -284,7 +285,8 @@
   co_return Call;
 }
 
-/// Reads the rest of the response. Each chunk restarts the timeout \p Silence,
+/// Reads the rest of the response. One without a length or chunks is complete
+/// only if its body shows that. Each chunk restarts the timeout \p Silence,
 /// within the limit \p Remaining of the whole body.
 Awaitable<Result<HttpResponse>> endCall(AnsweredCall Call,
                                         std::chrono::milliseconds Silence,
@@ -294,9 +296,15 @@
         co_await Call.Connection_->readSome(std::min(Silence, Remaining()));
     if (!Chunk)
       co_return Chunk.error();
-    if (Chunk->empty())
-      co_return std::move(Call.Head_);
-    Call.Head_.Body_ += *Chunk;
+    if (!Chunk->empty()) {
+      Call.Head_.Body_ += *Chunk;
+      continue;
+    }
+    bool Known = Call.Connection_->bodyEnd() != BodyEnd::Close ||
+                 isWholeJson(Call.Head_.Body_);
+    if (!Known)
+      co_return Failure{ResultCode::ConnectionLost, "body without length"};
+    co_return std::move(Call.Head_);
   }
 }
 
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -185,6 +185,7 @@
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
     HttpRequest Request = backendRequest(Context_, SpanNumber);
     HttpConnection &Connection = *Ready_.Connection_;
+    Connection.acceptUnframed();
     auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return Sent.error();
@@ -200,6 +201,10 @@
         break;
       Head->Body_ += *Received;
     }
+    // An answer may be stored for repeats of its request, so its end has to be
+    // known.
+    if (Connection.bodyEnd() == BodyEnd::Close && !isWholeJson(Head->Body_))
+      co_return Failure{ResultCode::ConnectionLost, "body without length"};
     Context_.Trace_.end(SpanNumber);
     auto Echo = Head->Fields_.find("x-request-id");
     if (Echo != Head->Fields_.end() && Echo->second != Context_.Id_.str())
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -3,6 +3,8 @@
 
 #include "Connection/Http.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +13,7 @@
 #include <array>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -190,3 +193,27 @@
   CHECK(Answer.ends_with("\r\n\r\n"));
   CHECK(Answer.find("data") == std::string::npos);
 }
+
+TEST_CASE("a response without a length is complete for a call if its JSON is") {
+  // Guards against engines that are taken for ill since they name no length,
+  // and against the beginning of a report that is taken for all of it.
+  for (std::string Body : {"{\"running\":1}", "{\"running\":1", "", "12"}) {
+    ServerFixture Test([Body](HttpExchange &Exchange) -> Awaitable<void> {
+      HttpResponse Head;
+      std::string Bytes = Body;
+      co_await Exchange.beginUnframed(std::move(Head));
+      co_await Exchange.writeChunk(std::move(Bytes));
+      co_await Exchange.endStream();
+    });
+    std::optional<Result<HttpResponse>> Answer;
+    auto Call = [&]() -> Awaitable<void> {
+      Endpoint To = Test.Server_->address();
+      HttpRequest Request;
+      Answer = co_await httpCall(std::move(To), std::move(Request),
+                                 std::chrono::seconds(5));
+    };
+    asio::co_spawn(Test.Context_, std::move(Call), asio::detached);
+    REQUIRE(Test.pollUntil([&] { return Answer.has_value(); }));
+    CHECK(Answer->has_value() == Body.ends_with('}'));
+  }
+}
--- a/standins/ApplicationEngine.cpp
+++ b/standins/ApplicationEngine.cpp
@@ -25,11 +25,12 @@
 
 /// Faults to inject. A count is the number of following requests affected.
 struct Faults {
-  int Silent_ = 0;  ///< Run, but never answered.
-  int Cut_ = 0;     ///< Run; the connection closes in mid-answer.
-  int Crossed_ = 0; ///< The answer carries another request's id.
-  int Refuse_ = 0;  ///< Refused before running.
-  int DelayMs_ = 0; ///< Delay of every answer.
+  int Silent_ = 0;   ///< Run, but never answered.
+  int Cut_ = 0;      ///< Run; the connection closes in mid-answer.
+  int Unframed_ = 0; ///< The answer has neither length nor chunks.
+  int Crossed_ = 0;  ///< The answer carries another request's id.
+  int Refuse_ = 0;   ///< Refused before running.
+  int DelayMs_ = 0;  ///< Delay of every answer.
   bool Leaving_ = false;
   std::string Limit_; ///< The rate of requests that answers name.
 };
@@ -91,17 +92,37 @@
       std::string FirstHalf =
           Response.Body_.substr(0, Response.Body_.size() / 2);
       Response.Body_.clear();
-      co_await Exchange.beginStream(std::move(Response));
-      co_await Exchange.writeChunk(std::move(FirstHalf));
-      co_return Exchange.abort();
+      bool Unframed = consumeFault(Faults_.Unframed_);
+      if (!Unframed) {
+        co_await Exchange.beginStream(std::move(Response));
+        co_await Exchange.writeChunk(std::move(FirstHalf));
+        co_return Exchange.abort();
+      }
+      co_return co_await answerUnframed(Exchange, std::move(Response),
+                                        std::move(FirstHalf));
+    }
+    if (consumeFault(Faults_.Unframed_)) {
+      std::string Body = std::move(Response.Body_);
+      Response.Body_.clear();
+      co_return co_await answerUnframed(Exchange, std::move(Response),
+                                        std::move(Body));
     }
     co_await Exchange.respond(std::move(Response));
   }
 
+  /// The connection ends normally, whether \p Body is complete or not.
+  Awaitable<void> answerUnframed(HttpExchange &Exchange, HttpResponse Head,
+                                 std::string Body) {
+    co_await Exchange.beginUnframed(std::move(Head));
+    co_await Exchange.writeChunk(std::move(Body));
+    co_await Exchange.endStream();
+  }
+
   Awaitable<void> setFaults(HttpExchange &Exchange) {
     Json Body = jsonBody(Exchange.request());
     Faults_.Silent_ = Body.value("silent", 0);
     Faults_.Cut_ = Body.value("cut", 0);
+    Faults_.Unframed_ = Body.value("unframed", 0);
     Faults_.Crossed_ = Body.value("crossed", 0);
     Faults_.Refuse_ = Body.value("refuse", 0);
     Faults_.DelayMs_ = Body.value("lateMs", 0);
--- a/standins/ModelEngine.cpp
+++ b/standins/ModelEngine.cpp
@@ -55,6 +55,7 @@
   double Slow_ = 1.0; ///< Factor by which steps take longer.
   int Silent_ = 0;    ///< The connection stays open but sends nothing more.
   int Cut_ = 0;       ///< The connection closes.
+  int Unframed_ = 0;  ///< The stream has no chunks; a cut ends it normally.
   int Crossed_ = 0;   ///< An event of another request is inserted.
   int Refuse_ = 0;    ///< Refused before running.
   int Swallow_ = 0;   ///< The request is dropped: no ledger line, no answer.
@@ -325,7 +326,10 @@
     ++Source->Readers_;
     auto Timer = std::make_shared<asio::steady_timer>(Context_);
     Source->WaitingReaders_.insert(Timer.get());
-    bool CallerLeft = !co_await Exchange.beginStream(std::move(Head));
+    bool Unframed = consumeFault(Faults_.Unframed_);
+    bool CallerLeft = Unframed
+                          ? !co_await Exchange.beginUnframed(std::move(Head))
+                          : !co_await Exchange.beginStream(std::move(Head));
     Exchange.onCallerLeft([Timer, &CallerLeft] {
       CallerLeft = true;
       Timer->cancel();
@@ -349,7 +353,7 @@
     Exchange.onCallerLeft(nullptr);
     Source->WaitingReaders_.erase(Timer.get());
     --Source->Readers_;
-    if (Complete && !CallerLeft)
+    if ((Complete || Unframed) && !CallerLeft)
       co_await Exchange.endStream();
     else
       Exchange.abort();
@@ -453,6 +457,7 @@
     Faults_.Slow_ = Body.value("slow", 1.0);
     Faults_.Silent_ = Body.value("silent", 0);
     Faults_.Cut_ = Body.value("cut", 0);
+    Faults_.Unframed_ = Body.value("unframed", 0);
     Faults_.Crossed_ = Body.value("crossed", 0);
     Faults_.Refuse_ = Body.value("refuse", 0);
     Faults_.Swallow_ = Body.value("swallow", 0);
