--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -435,7 +435,7 @@
   's/Asked\.size\(\) < Options_\.MaxRelays_/false/' \
   ${F}platform_CutFromServersTest '*cut off from all servers serves*'
 mutate relay-normal-end $L/RelayServer.cpp \
-  's/  if \(Error != asio::error::eof\)\n    co_return Pair->reset\(\);\n  error_code Ignored;\n  Pair->Daemon_\.shutdown/  error_code Ignored;\n  Pair->Daemon_.shutdown/' \
+  's/(copyBytes\(Pair->Server_, Pair->Daemon_, Pair->Framed_\);\n)  if \(Error != asio::error::eof\)\n    co_return Pair->reset\(\);\n/$1/' \
   ${U}RelayedCall '*complete only if it ends normally*'
 mutate relay-caller-left $L/RelayServer.cpp \
   's/  Pair->Server_\.close\(Ignored\);\n  Pair->Daemon_\.close\(Ignored\);\n//' \
@@ -464,6 +464,27 @@
 mutate relay-near $L/RelayChoice.cpp \
   's/bool PrefersFar = [^;]*;/bool PrefersFar = true;/' \
   ${U}Process '*own data centre go first*'
+mutate relay-last-frame $S/Connection/ByteFrames.h \
+  's/Error = boost::asio::error::connection_reset;/;/' \
+  ${U}RelayedCall '*relay that is killed*'
+mutate stream-rest $S/Request/ForwardedCall.cpp \
+  's/Rest = Splitter_\.finish\(\);/Rest = Splitter_.partialEvent();/' \
+  ${U}BrokenAnswer '*within an event never looks complete*'
+mutate stream-no-event $S/Request/ForwardedCall.cpp \
+  's/if \(FirstEvent_ == TimePoint\(\) &&/if (false \&\&/' \
+  ${U}BrokenAnswer '*without any event is complete only*'
+mutate stream-evidence $S/Request/ForwardedCall.cpp \
+  's/co_return failed\(\{ResultCode::StreamBroken, "ended within an event"\}\);/{ Ready_.Connection_->close(); co_return AttemptEnd::Broken; }/' \
+  ${U}BrokenAnswer '*is gone has crashed*'
+mutate stream-size $S/Connection/EventSplitter.cpp \
+  's/Held_\.size\(\) > MaxEventBytes/false/' \
+  ${U}Connection '*never ends is given up*'
+mutate stream-old-caller $S/Connection/HttpServer.cpp \
+  's/resetOnClose\(true\)/resetOnClose(false)/' \
+  ${U}Connection '*read chunks*'
+mutate json-end $S/Request/ApplicationCall.cpp \
+  's/ && !isWholeJson\(Head->Body_\)\)/ \&\& false)/' \
+  ${F}OwnAnswerTest '*without a length is passed on*'
 mutate silence $S/Connection/SocketOptions.h \
   's/milliseconds\(3000\)/milliseconds(2000)/' \
   ${U}Connection '*silent for a second or so*'
--- a/UnitTests/Request/BrokenAnswerTest.cpp
+++ b/UnitTests/Request/BrokenAnswerTest.cpp
@@ -144,3 +144,55 @@
   CHECK(Path.runUntil([&] { return Reply->Ended_; }));
   CHECK_FALSE(Reply->hasLastChunk());
 }
+
+TEST_CASE("a stream without any event is complete only if its server says so") {
+  // Guards against an empty answer that looks complete, of a server that
+  // crashed after the head.
+  for (Framing Framed : Framings) {
+    ForwardingHarness Path(streams(false), {always(Framed, "")});
+    CallerReply Reply = Path.call("c");
+    CHECK(Reply.status() == (Framed == Framing::Close ? 502 : 200));
+  }
+  auto Count = std::make_shared<int>(0);
+  auto Each = [Count](const std::string &Request, std::size_t) {
+    std::string Body = (*Count)++ == 0 ? "" : event(1, "a");
+    return streamOf(Framing::Close, fieldIn(Request, "x-call-id"), Body);
+  };
+  ForwardingHarness Path(streams(true), {Each, Each});
+  CallerReply Reply = Path.call("c");
+  CHECK(Reply.hasLastChunk());
+  CHECK(Reply.body().find("data: a") != std::string::npos);
+}
+
+TEST_CASE("a server that breaks off a stream with a normal end and is gone has "
+          "crashed") {
+  // Guards against a request that ends one server after the other, unnoticed,
+  // since their connections end normally.
+  auto Ends = [](const std::string &Request, std::size_t) {
+    Script Answer = streamOf(Framing::Close, fieldIn(Request, "x-call-id"),
+                             event(1, "a") + "id: 2\ndata: b");
+    Answer.Then_ = Script::Then::End;
+    return Answer;
+  };
+  ForwardingHarness Path(streams(false), std::vector<ScriptOf>(10, Ends));
+  for (int Number = 0; Number < 10; ++Number)
+    CHECK_FALSE(
+        Path.call("c" + std::to_string(Number), "poison").hasLastChunk());
+  CHECK(Path.received() <= 6);
+}
+
+TEST_CASE(
+    "an answer to a streaming route that is no stream is a plain answer") {
+  // Guards against valid answers that are taken for broken streams.
+  auto Json = [](const std::string &Request, std::size_t) {
+    return Script{fmt::format("HTTP/1.1 200 OK\r\nX-Call-Id: {}\r\n"
+                              "X-Answer-Proof: p\r\n"
+                              "Content-Type: application/json\r\n"
+                              "Content-Length: 2\r\n\r\n{{}}",
+                              fieldIn(Request, "x-call-id"))};
+  };
+  ForwardingHarness Path(streams(false), {Json});
+  CallerReply Reply = Path.call("c");
+  CHECK(Reply.status() == 200);
+  CHECK(Reply.body() == "{}");
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -130,6 +130,11 @@
       Stalled_.push_back(Peer);
       co_return;
     }
+    if (Current.Then_ == Script::Then::End) {
+      Socket.close(Error);
+      crash();
+      co_return;
+    }
     if (Current.Then_ == Script::Then::Crash) {
       crash();
       co_return;
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -25,7 +25,8 @@
     Reset,    ///< Resets the connection.
     Hold,     ///< Sends nothing more until the peer closes.
     Stall,    ///< Neither sends nor reads anything more.
-    Crash     ///< Ends the server: resets all connections, refuses new ones.
+    Crash,    ///< Ends the server: resets all connections, refuses new ones.
+    End       ///< Ends the server, but this connection ends normally.
   };
   std::string Bytes_;
   Then Then_ = Then::KeepOpen;
