A check of paths for another daemon starts no further checks

What callers would see: less served where several servers are silent, in fleets of tens of daemons.

Cause: a daemon that could not connect for another one checks its own path, and asks two more daemons to connect for it. These could not either, and checked theirs. So one request to a server that is down made all daemons of the fleet check it, each second, and the checks kept each other going.

Change: a relay is asked either for a request or for a check; a check that fails starts no other one.

The test failed before.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -4615,6 +4615,7 @@
   std::string pool{};
   std::string server{};
   bool framed = false;
+  bool check = false;
 };
 
 /// The first message on a connection to a relay port: asks the daemon to connect
@@ -4626,7 +4627,8 @@
     VT_SERVICE = 4,
     VT_POOL = 6,
     VT_SERVER = 8,
-    VT_FRAMED = 10
+    VT_FRAMED = 10,
+    VT_CHECK = 12
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -4641,6 +4643,10 @@
   bool framed() const {
     return GetField<uint8_t>(VT_FRAMED, 0) != 0;
   }
+  /// The sender only finds out about its own paths and sends no request.
+  bool check() const {
+    return GetField<uint8_t>(VT_CHECK, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -4650,6 +4656,7 @@
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<uint8_t>(verifier, VT_FRAMED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CHECK, 1) &&
            verifier.EndTable();
   }
   RelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4673,6 +4680,9 @@
   void add_framed(bool framed) {
     fbb_.AddElement<uint8_t>(Relay::VT_FRAMED, static_cast<uint8_t>(framed), 0);
   }
+  void add_check(bool check) {
+    fbb_.AddElement<uint8_t>(Relay::VT_CHECK, static_cast<uint8_t>(check), 0);
+  }
   explicit RelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4689,11 +4699,13 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> pool = 0,
     flatbuffers::Offset<flatbuffers::String> server = 0,
-    bool framed = false) {
+    bool framed = false,
+    bool check = false) {
   RelayBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_pool(pool);
   builder_.add_service(service);
+  builder_.add_check(check);
   builder_.add_framed(framed);
   return builder_.Finish();
 }
@@ -4703,7 +4715,8 @@
     const char *service = nullptr,
     const char *pool = nullptr,
     const char *server = nullptr,
-    bool framed = false) {
+    bool framed = false,
+    bool check = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto server__ = server ? _fbb.CreateString(server) : 0;
@@ -4712,7 +4725,8 @@
       service__,
       pool__,
       server__,
-      framed);
+      framed,
+      check);
 }
 
 flatbuffers::Offset<Relay> CreateRelay(flatbuffers::FlatBufferBuilder &_fbb, const RelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6558,6 +6572,7 @@
   { auto _e = pool(); if (_e) _o->pool = _e->str(); }
   { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = framed(); _o->framed = _e; }
+  { auto _e = check(); _o->check = _e; }
 }
 
 inline flatbuffers::Offset<Relay> Relay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6572,12 +6587,14 @@
   auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
   auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
   auto _framed = _o->framed;
+  auto _check = _o->check;
   return samphireshunt::wire::CreateRelay(
       _fbb,
       _service,
       _pool,
       _server,
-      _framed);
+      _framed,
+      _check);
 }
 
 inline RelayedT *Relayed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Relay/RelayHandshake.cpp
+++ b/Source/Process/Relay/RelayHandshake.cpp
@@ -98,6 +98,7 @@
   Request.pool = Target.Pool_.str();
   Request.server = Target.Server_.str();
   Request.framed = true;
+  Request.check = Target.IsCheck_;
   std::string Frame = frameOf(std::move(Request));
   auto Buffer = asio::buffer(Frame);
   co_await asio::async_write(Stream, Buffer,
@@ -126,7 +127,7 @@
   if (!Asked)
     co_return Failure{ResultCode::MalformedRequest, "not a relay request"};
   RelayTarget Target{ServiceName(Asked->service), PoolName(Asked->pool),
-                     ServerName(Asked->server)};
+                     ServerName(Asked->server), Asked->check};
   co_return RelayRequest{Stream.release_socket(), std::move(Target),
                          Asked->framed};
 }
--- a/Source/Process/Relay/RelayHandshake.h
+++ b/Source/Process/Relay/RelayHandshake.h
@@ -33,6 +33,9 @@
   ServiceName Service_;
   PoolName Pool_;
   ServerName Server_;
+  /// No request will be sent: the other daemon only finds out whether it is cut
+  /// off itself.
+  bool IsCheck_ = false;
 };
 
 /// A connection through another daemon.
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -168,6 +168,7 @@
     co_return ServerCheck::Reached;
   }
   RelayTarget Names = Target.Names_;
+  Names.IsCheck_ = true;
   auto Tried = co_await tryRelays(std::move(Names));
   if (Tried.Last_.Socket_ && TriedDirect)
     onCutOff(Target, Seen, *Tried.Relay_);
@@ -198,7 +199,9 @@
   }
   Opened.Result_ = Direct.State_ == PortState::Refused ? RelayResult::Refused
                                                        : RelayResult::Silent;
-  checkLater(std::move(Target));
+  // A check for a check would be one for each daemon of the fleet.
+  if (!Target.Names_.IsCheck_)
+    checkLater(std::move(Target));
   co_return Opened;
 }
 
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -467,6 +467,9 @@
 mutate relay-last-frame $S/Connection/ByteFrames.h \
   's/Error = boost::asio::error::connection_reset;/;/' \
   ${U}RelayedCall '*relay that is killed*'
+mutate relay-check-once $L/ServerConnector.cpp \
+  's/  if \(!Target\.Names_\.IsCheck_\)\n    checkLater/  checkLater/' \
+  ${U}RelayedCall '*starts no further checks*'
 mutate stream-rest $S/Request/ForwardedCall.cpp \
   's/Rest = Splitter_\.finish\(\);/Rest = Splitter_.partialEvent();/' \
   ${U}BrokenAnswer '*within an event never looks complete*'
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -285,14 +285,7 @@
     VmId Id,
     std::function<std::optional<Endpoint>(const ServerName &)> AddressOf)
     : Id_(std::move(Id)), Context_(std::make_unique<asio::io_context>(1)),
-      Connector_(
-          *Context_,
-          [this] {
-            ServerConnector::Options Connecting;
-            Connecting.Connect_ = connectorFor(Links_);
-            return Connecting;
-          }(),
-          ServerConnector::Hooks()) {
+      Connector_(*Context_, connecting(), relays()) {
   RelayServer::Options Listening;
   Listening.Address_ = anyPort();
   auto Open = [this, AddressOf = std::move(AddressOf)](
@@ -311,6 +304,27 @@
   Address_ = Server_->address();
 }
 
+ServerConnector::Options RelayingDaemon::connecting() {
+  ServerConnector::Options Connecting;
+  Connecting.Connect_ = [this, Open = connectorFor(Links_)](
+                            Endpoint Address, milliseconds Timeout) {
+    ++ConnectsTried_;
+    return Open(std::move(Address), Timeout);
+  };
+  return Connecting;
+}
+
+ServerConnector::Hooks RelayingDaemon::relays() {
+  ServerConnector::Hooks Hooks;
+  Hooks.Relays_ = [this] { return Others_; };
+  return Hooks;
+}
+
+void RelayingDaemon::setOthers(std::vector<RelayCandidate> Others) {
+  Others_ =
+      std::make_shared<const std::vector<RelayCandidate>>(std::move(Others));
+}
+
 void RelayingDaemon::kill() {
   Server_.reset();
   Context_.reset();
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -121,6 +121,10 @@
   RelayServer &server() { return *Server_; }
   /// Sets what it sees of the servers.
   void setLinks(PortState Seen) { Links_ = Seen; }
+  /// Sets the daemons that it can ask to relay for itself.
+  void setOthers(std::vector<RelayCandidate> Others);
+  /// \returns how often it tried to connect to a server.
+  std::size_t connectsTried() const { return ConnectsTried_; }
   /// Ends it: resets nothing, but no longer accepts.
   void stop() { Server_->stop(); }
   /// Closes all of its sockets, as the kernel does for a process that is
@@ -130,8 +134,14 @@
   void poll();
 
 private:
+  ServerConnector::Options connecting();
+  ServerConnector::Hooks relays();
+
   VmId Id_;
   PortState Links_ = PortState::Open;
+  std::size_t ConnectsTried_ = 0;
+  std::shared_ptr<const std::vector<RelayCandidate>> Others_ =
+      std::make_shared<const std::vector<RelayCandidate>>();
   std::unique_ptr<boost::asio::io_context> Context_;
   ServerConnector Connector_;
   std::unique_ptr<RelayServer> Server_;
--- a/UnitTests/Request/RelayedCallTest.cpp
+++ b/UnitTests/Request/RelayedCallTest.cpp
@@ -236,3 +236,28 @@
   CHECK(Path.call("d").status() == 200);
   CHECK(Path.connector().relayedCount() == Relayed);
 }
+
+TEST_CASE("a check of paths for another daemon starts no further checks") {
+  // Guards against daemons that make each other check a server that is down,
+  // for as long as it is, in numbers that grow with the fleet.
+  constexpr std::size_t Others = 12;
+  ForwardingHarness Path(kind(RequestKind::Idempotent, Others), {answer});
+  std::vector<RelayCandidate> All;
+  for (std::size_t Index = 0; Index < Others; ++Index)
+    All.push_back(Path.relay(Index).candidate());
+  for (std::size_t Index = 0; Index < Others; ++Index) {
+    std::vector<RelayCandidate> Known = All;
+    Known.erase(Known.begin() + static_cast<std::ptrdiff_t>(Index));
+    Path.relay(Index).setOthers(std::move(Known));
+    Path.relay(Index).setLinks(PortState::Refused);
+  }
+  Path.setLinks(PortState::Refused);
+  CHECK(Path.call("c").status() == 503);
+  int Turns = 0;
+  Path.runUntil([&] { return ++Turns > 300; });
+  std::size_t Tried = 0;
+  for (std::size_t Index = 0; Index < Others; ++Index)
+    Tried += Path.relay(Index).connectsTried();
+  // Two daemons are asked, and each of them asks two more about its own path.
+  CHECK(Tried <= 2 * (2 + 2));
+}
