--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -2,6 +2,7 @@
 # Shows that the failure tests can fail: disables one mechanism at a time in a copy
 # of the tree, and expects the named test case to fail there.
 #   [JOBS=N] Tools/mutations.sh [NAMES], e.g. 'era-*'
+#   Tools/mutations.sh --check   only checks that all expressions match
 set -uo pipefail
 { # The shell reads this block completely first, so the file may be edited during a run.
 cd "$(dirname "$0")/.."
@@ -10,6 +11,8 @@
 git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$Copy"
 cd "$Copy"
 Only=${1:-}
+Check=""
+[ "$Only" != --check ] || { Check=yes; Only=""; }
 Missed=0
 
 build() {
@@ -34,6 +37,10 @@
     restore "$2" "${6:-}"
     return
   fi
+  if [ -n "$Check" ]; then
+    restore "$2" "${6:-}"
+    return
+  fi
   local Daemons=(samphireshuntd samphireshuntctl)
   [[ "$4" == FailureTests/* ]] || Daemons=()
   if ! build "${Daemons[@]}" "$(basename "$4")"; then
@@ -53,9 +60,9 @@
   [ -z "$2" ] || cp "saved.$(basename "$2")" "$2"
 }
 
-cmake -G Ninja -B build -DCMAKE_BUILD_TYPE=Release >/dev/null
+[ -n "$Check" ] || cmake -G Ninja -B build -DCMAKE_BUILD_TYPE=Release >/dev/null
 # With a name given, each mutation builds what it needs; without one, build all.
-[ -n "$Only" ] || build all || exit 1
+[ -n "$Only$Check" ] || build all || exit 1
 
 F=FailureTests/FailureTests_
 S=Source
@@ -558,6 +565,8 @@
   's/bool OfEarlierEra = [^;]*;/bool OfEarlierEra = false;/' \
   ${U}platform '*unless it was lost with a restore*'
 
-[ "$Missed" -eq 0 ] && echo "every mutation was caught"
+Passed="every mutation was caught"
+[ -z "$Check" ] || Passed="mutations: all expressions match"
+[ "$Missed" -eq 0 ] && echo "$Passed"
 exit "$Missed"
 }
