An answer without a type that has a length is no stream of events

What callers would see: 502 instead of a valid answer, where a server answers on a streaming route with a length and without a type.

Change: without a type an answer is a stream only if it has no length. Streams of events with a length have to name their type.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -52,12 +52,13 @@
   return std::ranges::count(NotRunStatuses, Status) > 0;
 }
 
-/// \returns false if the server declares that its answer is no stream of
-/// events.
-bool mayHoldEvents(const HttpResponse &Head) {
+/// \returns whether a successful answer to a streaming route is a stream of
+/// events: by its type, and without one unless it has a length.
+bool isEventStream(const HttpResponse &Head) {
   auto Type = Head.Fields_.find("content-type");
-  return Type == Head.Fields_.end() ||
-         lowerCase(Type->second).starts_with("text/event-stream");
+  if (Type == Head.Fields_.end())
+    return !Head.Fields_.contains("content-length");
+  return lowerCase(Type->second).starts_with("text/event-stream");
 }
 
 /// One forwarded request, with all of its dispatches. Owned by its coroutine;
@@ -143,7 +144,7 @@
     bool Success = Head->Status_ < StatusMultipleChoices;
     if (Success && !Labels.HasProof_)
       co_return failed({ResultCode::CrossedAnswer, "answer without proof"});
-    if (isStream() && Success && mayHoldEvents(*Head))
+    if (isStream() && Success && isEventStream(*Head))
       co_return co_await relayEvents(std::move(*Head));
     co_return co_await relayAnswer(std::move(*Head));
   }
--- a/UnitTests/Request/BrokenAnswerTest.cpp
+++ b/UnitTests/Request/BrokenAnswerTest.cpp
@@ -184,15 +184,31 @@
 TEST_CASE(
     "an answer to a streaming route that is no stream is a plain answer") {
   // Guards against valid answers that are taken for broken streams.
-  auto Json = [](const std::string &Request, std::size_t) {
+  for (std::string Type : {"Content-Type: application/json\r\n", ""}) {
+    auto Json = [Type](const std::string &Request, std::size_t) {
+      return Script{fmt::format("HTTP/1.1 200 OK\r\nX-Call-Id: {}\r\n"
+                                "X-Answer-Proof: p\r\n{}"
+                                "Content-Length: 2\r\n\r\n{{}}",
+                                fieldIn(Request, "x-call-id"), Type)};
+    };
+    ForwardingHarness Path(streams(false), {Json});
+    CallerReply Reply = Path.call("c");
+    CHECK(Reply.status() == 200);
+    CHECK(Reply.body() == "{}");
+  }
+}
+
+TEST_CASE("an answer to HEAD is complete with its head") {
+  // Guards against a request that waits until its deadline for a body that
+  // never comes.
+  auto HeadOnly = [](const std::string &Request, std::size_t) {
     return Script{fmt::format("HTTP/1.1 200 OK\r\nX-Call-Id: {}\r\n"
-                              "X-Answer-Proof: p\r\n"
-                              "Content-Type: application/json\r\n"
-                              "Content-Length: 2\r\n\r\n{{}}",
+                              "X-Answer-Proof: p\r\nContent-Length: 7\r\n\r\n",
                               fieldIn(Request, "x-call-id"))};
   };
-  ForwardingHarness Path(streams(false), {Json});
-  CallerReply Reply = Path.call("c");
-  CHECK(Reply.status() == 200);
-  CHECK(Reply.body() == "{}");
+  ForwardingHarness::Options Wanted;
+  Wanted.Method_ = "HEAD";
+  Wanted.Timeout_ = std::chrono::milliseconds(500);
+  ForwardingHarness Path(Wanted, {HeadOnly});
+  CHECK(Path.call("c", "").status() == 200);
 }
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -458,9 +458,9 @@
 ForwardingHarness::begin(const std::string &CallId, const std::string &Body,
                          const std::string &MoreFields) {
   std::string Bytes = fmt::format(
-      "POST /p HTTP/1.1\r\nHost: h\r\nX-Call-Id: {}\r\nAuthorization: Bearer "
+      "{} /p HTTP/1.1\r\nHost: h\r\nX-Call-Id: {}\r\nAuthorization: Bearer "
       "key\r\nContent-Length: {}\r\n{}\r\n{}",
-      CallId, Body.size(), MoreFields, Body);
+      Options_.Method_, CallId, Body.size(), MoreFields, Body);
   auto Reply = std::make_shared<CallerReply>();
   auto Ask = [this, Bytes, Reply]() { return sendAndReceive(Bytes, Reply); };
   asio::co_spawn(Context_, std::move(Ask), asio::detached);
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -156,6 +156,7 @@
 public:
   struct Options {
     RequestKind Kind_ = RequestKind::NonIdempotent;
+    std::string Method_ = "POST";
     bool Resumable_ = false;
     std::uint32_t Attempts_ = 2;
     std::uint32_t MaxInFlight_ = 4;
