An answer to HEAD is complete with its head

What callers would see: 502 or 504 at the time limit for a HEAD request whose server names the length that its body would have.

Change: the client reads no body after HEAD.

--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -67,6 +67,7 @@
   Awaitable<Result<void>> send(const HttpRequest &Request,
                                std::chrono::milliseconds Timeout) override {
     Complete_ = false;
+    ToHead_ = Request.Method_ == "HEAD";
     auto Message = std::make_shared<http::request<http::string_body>>();
     Message->version(11);
     Message->method_string(Request.Method_);
@@ -96,6 +97,7 @@
   readHead(std::chrono::milliseconds Timeout) override {
     Parser_.emplace();
     Parser_->body_limit(MaxAnswerBytes);
+    Parser_->skip(ToHead_);
     beast::error_code Error;
     Stream_->expires_after(Timeout);
     if (Framed_)
@@ -162,7 +164,8 @@
     if (Parser_->chunked())
       return BodyEnd::Chunks;
     int Status = Parser_->get().result_int();
-    bool WithoutBody = Status == StatusNoContent || Status == StatusNotModified;
+    bool WithoutBody =
+        ToHead_ || Status == StatusNoContent || Status == StatusNotModified;
     return Parser_->content_length() || WithoutBody ? BodyEnd::Length
                                                     : BodyEnd::Close;
   }
@@ -223,6 +226,8 @@
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::chrono::steady_clock::time_point LastReceived_;
   bool Complete_ = false;
+  /// The response answers HEAD and has no body, whatever its fields say.
+  bool ToHead_ = false;
 };
 
 } // namespace
