--- a/Source/Connection/ByteFrames.h
+++ b/Source/Connection/ByteFrames.h
@@ -35,6 +35,7 @@
   /// \p Source must outlive the reader.
   explicit FramedReader(boost::beast::tcp_stream &Source) : Source_(Source) {}
 
+  // NOLINTBEGIN(readability-identifier-naming): names that Asio requires.
   executor_type get_executor() { return Source_.get_executor(); }
 
   template <class Buffers, class Token>
@@ -45,6 +46,7 @@
                                                   std::size_t)>(
         ReadOperation{*this, First}, Handler, Source_);
   }
+  // NOLINTEND(readability-identifier-naming)
 
 private:
   /// One call of async_read_some(): reads a head if one is due, then bytes.
--- a/UnitTests/Request/BrokenAnswerTest.cpp
+++ b/UnitTests/Request/BrokenAnswerTest.cpp
@@ -31,14 +31,14 @@
   std::string Fields = fmt::format("X-Call-Id: {}\r\nX-Answer-Proof: p\r\n"
                                    "Content-Type: text/event-stream\r\n",
                                    CallId);
-  std::string Framed_ = Body;
+  std::string Content = Body;
   if (Framed == Framing::Length)
     Fields += fmt::format("Content-Length: {}\r\n", Body.size());
   if (Framed == Framing::Chunks) {
     Fields += "Transfer-Encoding: chunked\r\n";
-    Framed_ = (Body.empty() ? "" : chunk(Body)) + LastChunk;
+    Content = (Body.empty() ? "" : chunk(Body)) + LastChunk;
   }
-  Answer.Bytes_ = "HTTP/1.1 200 OK\r\n" + Fields + "\r\n" + Framed_;
+  Answer.Bytes_ = "HTTP/1.1 200 OK\r\n" + Fields + "\r\n" + Content;
   Answer.Then_ =
       Framed == Framing::Close ? Script::Then::Close : Script::Then::KeepOpen;
   return Answer;
