A connection without a response has no body to read

What callers would see: all requests of a daemon cut off, as it ends. Seen once, in the address sanitizer's run on (Failure.DispatchOnceTest, 'requests at an engine that dies are not sent to another engine'): vm-2 was aborted by the library's assertion on the parser of a response that was never begun.

Cause, traced from the abort: a model call that resumes its stream connects, can't send its request since the engine has just ended, and reads on; readSome used a parser that readHead had not made. Without the library's assertions it read memory that was never written.

Change: such a read is a lost connection. The new test passes without the change in the plain build too, where the memory happens to be zero; it was not run without it in the sanitizer's build.

--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -121,6 +121,8 @@
 
   Awaitable<Result<std::string>>
   readSome(std::chrono::milliseconds Timeout) override {
+    if (!Parser_)
+      co_return Failure{ResultCode::ConnectionLost, "no response"};
     while (!Parser_->is_done()) {
       std::array<char, ReadBufferBytes> Space;
       Parser_->get().body().data = Space.data();
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -217,3 +217,20 @@
     CHECK(Answer->has_value() == Body.ends_with('}'));
   }
 }
+
+TEST_CASE("a connection without a response has no body to read") {
+  // Guards against a daemon that crashes when it can't send a request to resume
+  // a stream, and then reads on.
+  ServerFixture Test([](HttpExchange &) -> Awaitable<void> { co_return; });
+  std::optional<Result<std::string>> Read;
+  auto Call = [&]() -> Awaitable<void> {
+    Endpoint To = Test.Server_->address();
+    auto Connected = co_await HttpConnection::connect(std::move(To),
+                                                      std::chrono::seconds(5));
+    Read = co_await (*Connected)->readSome(std::chrono::seconds(5));
+  };
+  asio::co_spawn(Test.Context_, std::move(Call), asio::detached);
+  REQUIRE(Test.pollUntil([&] { return Read.has_value(); }));
+  REQUIRE(Read->has_error());
+  CHECK(Read->error().Code_ == ResultCode::ConnectionLost);
+}
