The splitter keeps each line once

The current line was stored beside the bytes of its event, copied a second time for each read of a stream. It is a part of them. 88 checks of Unit.Connection (any reads, any ends of lines, any cut) and 190 of Unit.BrokenAnswer pass as before.

--- a/Source/Connection/EventSplitter.cpp
+++ b/Source/Connection/EventSplitter.cpp
@@ -1,6 +1,5 @@
 #include "Connection/EventSplitter.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace samphireshunt {
@@ -19,16 +18,21 @@
     bool EndsCrLf = std::exchange(AfterCr_, false) && Bytes.front() == '\n';
     std::size_t End = Bytes.find_first_of("\r\n");
     bool LineEnds = End != std::string_view::npos;
-    std::size_t Count = LineEnds ? End + 1 : Bytes.size();
-    Held_ += Bytes.substr(0, Count);
-    if (!EndsCrLf) {
-      Line_ += Bytes.substr(0, std::min(End, Count));
-      AfterCr_ = LineEnds && Bytes[End] == '\r';
+    Held_ += Bytes.substr(0, End);
+    bool EventEnds = EndsCrLf && AtBoundary_;
+    if (LineEnds && !EndsCrLf) {
+      EventEnds = endLine(line());
+      AfterCr_ = Bytes[End] == '\r';
     }
-    bool EventEnds = EndsCrLf ? AtBoundary_ : LineEnds && endLine();
-    if (EventEnds)
+    if (LineEnds) {
+      Held_ += Bytes[End];
+      LineStart_ = Held_.size();
+    }
+    if (EventEnds) {
       Events += std::exchange(Held_, {});
-    Bytes.remove_prefix(Count);
+      LineStart_ = 0;
+    }
+    Bytes.remove_prefix(LineEnds ? End + 1 : Bytes.size());
   }
   if (Held_.size() > MaxEventBytes)
     return Failure{ResultCode::EventTooLarge,
@@ -37,15 +41,16 @@
 }
 
 std::optional<std::string> EventSplitter::finish() {
-  bool OnlyMark = FirstLine_ && Line_ == ByteOrderMark;
-  if (HasField_ || (!Line_.empty() && !OnlyMark))
+  bool OnlyMark = FirstLine_ && line() == ByteOrderMark;
+  if (HasField_ || (!line().empty() && !OnlyMark))
     return std::nullopt;
+  LineStart_ = 0;
   return std::exchange(Held_, {});
 }
 
 void EventSplitter::dropPartialEvent() {
   Held_.clear();
-  Line_.clear();
+  LineStart_ = 0;
   NextId_.reset();
   HasField_ = false;
   AtBoundary_ = true;
@@ -53,9 +58,7 @@
   FirstLine_ = true;
 }
 
-bool EventSplitter::endLine() {
-  std::string Ended = std::exchange(Line_, {});
-  std::string_view Line = Ended;
+bool EventSplitter::endLine(std::string_view Line) {
   if (std::exchange(FirstLine_, false) && Line.starts_with(ByteOrderMark))
     Line.remove_prefix(ByteOrderMark.size());
   AtBoundary_ = Line.empty();
--- a/Source/Connection/EventSplitter.h
+++ b/Source/Connection/EventSplitter.h
@@ -34,14 +34,17 @@
   std::size_t count() const { return Count_; }
 
 private:
-  /// Processes the end of a line. \returns true if it was empty, which ends an
-  /// event.
-  bool endLine();
+  /// \returns the current line, without its end.
+  std::string_view line() const {
+    return std::string_view(Held_).substr(LineStart_);
+  }
+  /// Processes a whole line. \returns true if it is empty, which ends an event.
+  bool endLine(std::string_view Line);
 
   /// All bytes since the last event.
   std::string Held_;
-  /// The current line without its end.
-  std::string Line_;
+  /// Where the current line starts in Held_.
+  std::size_t LineStart_ = 0;
   /// The id in the current event.
   std::optional<std::string> NextId_;
   /// The current event has a field.
