--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -61,6 +61,10 @@
   return Bounded && nlohmann::json::accept(Body);
 }
 
+bool isEndKnown(const HttpConnection &Connection, std::string_view Body) {
+  return Connection.bodyEnd() != BodyEnd::Close || isWholeJson(Body);
+}
+
 HttpResponse jsonResponse(int Status, std::string Body) {
   HttpResponse Response;
   Response.Status_ = Status;
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -209,6 +209,10 @@
   virtual void close() = 0;
 };
 
+/// \returns whether the end of \p Body, read from \p Connection, is known: by
+/// its framing, or as it is whole JSON.
+bool isEndKnown(const HttpConnection &Connection, std::string_view Body);
+
 /// Timeouts of one call.
 struct HttpCallLimits {
   /// From the start of the call to the head of the response.
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -307,9 +307,7 @@
       Call.Head_.Body_ += *Chunk;
       continue;
     }
-    bool Known = Call.Connection_->bodyEnd() != BodyEnd::Close ||
-                 isWholeJson(Call.Head_.Body_);
-    if (!Known)
+    if (!isEndKnown(*Call.Connection_, Call.Head_.Body_))
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
     co_return std::move(Call.Head_);
   }
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -203,7 +203,7 @@
     }
     // An answer may be stored for repeats of its request, so its end has to be
     // known.
-    if (Connection.bodyEnd() == BodyEnd::Close && !isWholeJson(Head->Body_))
+    if (!isEndKnown(Connection, Head->Body_))
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
     Context_.Trace_.end(SpanNumber);
     auto Echo = Head->Fields_.find("x-request-id");
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -493,7 +493,7 @@
   's/resetOnClose\(true\)/resetOnClose(false)/' \
   ${U}Connection '*read chunks*'
 mutate json-end $S/Request/ApplicationCall.cpp \
-  's/ && !isWholeJson\(Head->Body_\)\)/ \&\& false)/' \
+  's/!isEndKnown\(Connection, Head->Body_\)/false/' \
   ${F}OwnAnswerTest '*without a length is passed on*'
 mutate silence $S/Connection/SocketOptions.h \
   's/milliseconds\(3000\)/milliseconds(2000)/' \
