--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -199,7 +199,7 @@
   }
   Opened.Result_ = Direct.State_ == PortState::Refused ? RelayResult::Refused
                                                        : RelayResult::Silent;
-  // A check for a check would be one for each daemon of the fleet.
+  // Otherwise the checks of one daemon would spread to the whole fleet.
   if (!Target.Names_.IsCheck_)
     checkLater(std::move(Target));
   co_return Opened;
