--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -113,6 +113,17 @@
   return Body;
 }
 
+/// Where and how an engine breaks off a stream. A normal end of an unframed
+/// stream between events is left out, since it is also the end of a complete
+/// one.
+enum class StreamCut {
+  None,
+  InsideEvent,       ///< The connection breaks.
+  InsideEventNormal, ///< The stream ends as if it were complete.
+  BetweenEvents,     ///< The connection breaks.
+  BeforeFirst,       ///< The connection ends normally after the head.
+};
+
 /// Counts a request while it exists.
 class RunningCount {
 public:
@@ -350,21 +361,6 @@
   co_await Exchange.endStream();
 }
 
-namespace {
-
-/// Where and how an engine breaks off a stream. A normal end of an unframed
-/// stream between events is left out, since it is also the end of a complete
-/// one.
-enum class StreamCut {
-  None,
-  InsideEvent,       ///< The connection breaks.
-  InsideEventNormal, ///< The stream ends as if it were complete.
-  BetweenEvents,     ///< The connection breaks.
-  BeforeFirst,       ///< The connection ends normally after the head.
-};
-
-} // namespace
-
 /// Counts a request at an engine that names a limit, and adds the limit to its
 /// answer.
 void SoakEnvironment::noteLimit(Engine &Self, const std::string &CallId,
