The lines of a request and of a server tell software versions

The record of streams that went on at another version can't tell three hypotheses apart: lines name servers but not their versions, and nothing says that an attempt continues a stream.

'ended' has versions (of its servers), after_event and resumes; 'resumed' and 'repeated' have the version of the server that was left; 'server-seen' has the version. The fields are read in both dialects; nothing is decided by them yet. Unit.Request and Unit.platform pass, with a new case that reads both names.

--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -382,6 +382,7 @@
        {{"pool", Read.Pool_.str()},
         {"address", formatEndpoint(Read.Server_.Address_)},
         {"state", Read.Server_.Leaving_ ? "leaving" : "active"},
+        {"version", Read.Server_.Version_.str()},
         {"incarnation", std::to_string(Read.Server_.Incarnation_.count())},
         {"revision", std::to_string(Entry.Position_.Revision_.count())}}});
 }
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -392,6 +392,7 @@
              {{"request", Context_.Id_.str()},
               {"call", Context_.Call_.CallId_},
               {"server", Ready_.Server_.Name_.str()},
+              {"version", Ready_.Server_.Version_.str()},
               {"code", std::to_string(static_cast<int>(LastFailure_.Code_))},
               {"detail", LastFailure_.Detail_}});
   }
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -29,6 +29,8 @@
   Labels.Prompt_ = tokenField(Fields, "x-prompt-tokens");
   Labels.MaxAnswer_ = tokenField(Fields, "x-answer-tokens");
   Labels.Parts_ = parsePromptParts(fieldOrEmpty(Fields, "x-prompt-parts"));
+  Labels.AfterEvent_ = readAfterEvent(Fields);
+  Labels.Resumes_ = fieldOrEmpty(Fields, "x-resumes");
   return Labels;
 }
 
@@ -98,6 +100,11 @@
   return parseRest(Found->second);
 }
 
+std::optional<std::string> readAfterEvent(const HttpFields &Fields) {
+  auto Found = Fields.find("last-event-id");
+  return Found == Fields.end() ? std::nullopt : std::optional(Found->second);
+}
+
 std::optional<std::int64_t> parseCount(std::string_view Text) {
   std::int64_t Count = 0;
   const char *End = Text.data() + Text.size();
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -28,6 +28,11 @@
   /// The caller's estimate of the answer's length; often far off.
   std::optional<Tokens> EstimatedAnswer_;
   std::vector<PromptPart> Parts_;
+  /// The caller takes a stream up again after the event with this id.
+  std::optional<std::string> AfterEvent_;
+  /// The call id of the attempt that brought the first event of that stream;
+  /// empty if the caller does not state it.
+  std::string Resumes_;
 };
 
 /// Metadata that the daemon sends to a backend server.
@@ -81,10 +86,12 @@
 
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
-/// (HEX:TOKENS,...), x-expect-server, x-customer, x-not-run, x-answer-proof,
+/// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-server, x-customer, x-not-run, x-answer-proof,
 /// x-server-limit, x-server-brittle, x-server-leaving, retry-after.
 ForwardingDialect defaultDialect();
 
+/// \returns the id in the field last-event-id, if there is one.
+std::optional<std::string> readAfterEvent(const HttpFields &Fields);
 /// Parses "HEX:TOKENS,HEX:TOKENS". The list ends before the first item that
 /// is malformed.
 std::vector<PromptPart> parsePromptParts(std::string_view Text);
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -6,6 +6,7 @@
 #include "Request/WaitPlan.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/this_coro.hpp>
 
@@ -102,10 +103,17 @@
 }
 
 std::string serversText(const RequestContext &Context) {
-  std::string Text;
-  for (const ServerName &Name : Context.Servers_)
-    Text += (Text.empty() ? "" : ",") + Name.str();
-  return Text;
+  return absl::StrJoin(Context.Servers_, ",",
+                       [](std::string *Out, const DispatchedServer &Server) {
+                         *Out += Server.Name_.str();
+                       });
+}
+
+std::string versionsText(const RequestContext &Context) {
+  return absl::StrJoin(Context.Servers_, ",",
+                       [](std::string *Out, const DispatchedServer &Server) {
+                         *Out += Server.Version_.str();
+                       });
 }
 
 Lateness latenessNow(const RequestContext &Context, TimePoint Now) {
@@ -154,6 +162,16 @@
     Fields.emplace_back("newer_known_ms", millisText(Behind));
   Fields.emplace_back("tier", std::to_string(Context.Tier_.count()));
   Fields.emplace_back("servers", serversText(Context));
+  bool Versioned =
+      std::ranges::any_of(Context.Servers_, [](const DispatchedServer &Server) {
+        return !Server.Version_.empty();
+      });
+  if (Versioned)
+    Fields.emplace_back("versions", versionsText(Context));
+  if (Context.Call_.AfterEvent_) {
+    Fields.emplace_back("after_event", *Context.Call_.AfterEvent_);
+    Fields.emplace_back("resumes", Context.Call_.Resumes_);
+  }
   if (Context.Relay_)
     Fields.emplace_back("relay", Context.Relay_->str());
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
@@ -365,7 +383,7 @@
       Ended = notRun(ResultCode::DeadlineInQueue);
       break;
     }
-    Context.Servers_.push_back(Chosen.Name_);
+    Context.Servers_.push_back({Chosen.Name_, Chosen.Version_});
     Context.Relay_ = Link.Relay_;
     ReadyServer Ready;
     Ready.Server_ = std::move(Chosen);
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -28,6 +28,12 @@
   bool InsideEvent_ = false;
 };
 
+/// A server that a request was dispatched to.
+struct DispatchedServer {
+  ServerName Name_;
+  SoftwareVersion Version_;
+};
+
 /// The result of a request, for metrics.
 struct RequestReport {
   std::string Service_;
@@ -108,7 +114,7 @@
   /// Of the last dispatch of a forwarded request.
   AnswerEnd AnswerEnd_;
   /// Servers that the request was dispatched to, in order.
-  std::vector<ServerName> Servers_;
+  std::vector<DispatchedServer> Servers_;
   /// The daemon that relays the last dispatch; unset if it is direct.
   std::optional<VmId> Relay_;
 
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -95,3 +95,16 @@
   }
   CHECK_FALSE(Dialect.ReadServerLimit_({}).value().has_value());
 }
+
+TEST_CASE("a caller that takes a stream up again names the attempt that began "
+          "it") {
+  for (const char *Name : {"resumes", "x-samphireshunt-resumes"}) {
+    CallLabels Labels =
+        Dialect.ReadCall_({{Name, "9c41"}, {"last-event-id", "7"}});
+    CHECK(Labels.Resumes_ == "9c41");
+    CHECK(Labels.AfterEvent_ == "7");
+  }
+  CallLabels New = Dialect.ReadCall_({});
+  CHECK(New.Resumes_.empty());
+  CHECK_FALSE(New.AfterEvent_.has_value());
+}
