--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -393,6 +393,8 @@
     Built.Address_ = Servers_[Index]->address();
     Built.MaxInFlight_ = Options_.MaxInFlight_;
     Built.Leaving_ = std::ranges::count(Leaving, Index) > 0;
+    const auto &Versions = Options_.Versions_;
+    Built.Version_ = SoftwareVersion(Versions[Index % Versions.size()]);
     Listed.push_back(std::move(Built));
   }
   Documents_.setServers(Service, {{ThePool, std::move(Listed)}});
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -169,6 +169,8 @@
     BootClock::duration ApplyBound_{0};
     /// Number of other daemons that can relay.
     std::size_t Relays_ = 0;
+    /// Software versions, which the servers have in turn.
+    std::vector<std::string> Versions_ = {""};
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
--- /dev/null
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -0,0 +1,95 @@
+/// \file
+/// Streams that go on after they broke off, while servers of several software
+/// versions serve side by side.
+
+#include "UnitTests/Request/ForwardingHarness.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+
+namespace {
+
+constexpr std::size_t Servers = 6;
+/// The budget for retries allows most of them one.
+constexpr int Streams = 16;
+
+ForwardingHarness::Options versions(std::uint32_t Attempts) {
+  ForwardingHarness::Options Wanted;
+  Wanted.Kind_ = RequestKind::Stream;
+  Wanted.Resumable_ = true;
+  Wanted.Attempts_ = Attempts;
+  Wanted.Versions_ = {"v1", "v2"};
+  return Wanted;
+}
+
+/// Begins a stream and breaks it off after an event; a stream that is resumed
+/// goes on to its end. The events tell the server's version.
+ScriptOf breakOff(const std::string &Version) {
+  return [Version](const std::string &Request, std::size_t) {
+    Script Answer;
+    Answer.Bytes_ = streamHead(fieldIn(Request, "x-call-id"));
+    if (fieldIn(Request, "last-event-id").empty()) {
+      Answer.Bytes_ += eventChunk(1, Version);
+      Answer.Then_ = Script::Then::Reset;
+    } else {
+      Answer.Bytes_ += eventChunk(2, Version) + LastChunk;
+    }
+    return Answer;
+  };
+}
+
+std::vector<ScriptOf> serversOfTwoVersions() {
+  std::vector<ScriptOf> Scripts;
+  for (std::size_t Index = 0; Index < Servers; ++Index)
+    Scripts.push_back(breakOff(Index % 2 == 0 ? "v1" : "v2"));
+  return Scripts;
+}
+
+bool has(const std::string &Body, const std::string &Version) {
+  return Body.find("data: " + Version + "\n") != std::string::npos;
+}
+
+bool isMixed(const std::string &Body) {
+  return has(Body, "v1") && has(Body, "v2");
+}
+
+std::string takeUp(const std::string &CallId) {
+  return fmt::format("Last-Event-Id: 1\r\nX-Resumes: {}\r\n", CallId);
+}
+
+} // namespace
+
+TEST_CASE("an answer goes on only at the version that began it") {
+  // Guards against one answer with the events of two versions, which callers
+  // can't make sense of.
+  ForwardingHarness Path(versions(2), serversOfTwoVersions());
+  int Mixed = 0;
+  int Complete = 0;
+  for (int Number = 0; Number < Streams; ++Number) {
+    CallerReply Reply = Path.call(fmt::format("c{}", Number));
+    Mixed += isMixed(Reply.body());
+    Complete += Reply.hasLastChunk();
+  }
+  CHECK(Mixed == 0);
+  CHECK(2 * Complete >= Streams);
+}
+
+TEST_CASE("a stream that its caller takes up again goes on only at the version "
+          "that began it") {
+  // Guards against the events of two versions over a caller's attempts.
+  ForwardingHarness Path(versions(1), serversOfTwoVersions());
+  int Mixed = 0;
+  int Complete = 0;
+  for (int Number = 0; Number < Streams; ++Number) {
+    std::string First = fmt::format("c{}", Number);
+    CallerReply Begun = Path.call(First);
+    CallerReply Rest = Path.call(First + "-again", "x", takeUp(First));
+    Mixed += isMixed(Begun.body() + Rest.body());
+    Complete += Rest.hasLastChunk();
+  }
+  CHECK(Mixed == 0);
+  CHECK(2 * Complete >= Streams);
+}
