An answer goes on only at the version that began it

What callers saw: a stream that one server began and one of another software version went on with, within one answer; what two versions write doesn't fit together.

Cause: the version of the first server was not kept. The second server of a stream was chosen as for a new request. Ruled out: a stale list (the server's entry names its version at the dispatch) and the selection of versions (several may serve side by side).

Change: the pool and version of the server whose events the caller got are kept with the request (StreamOrigin). The version goes with the grant request, to the cells that have servers of it, and is compared with the server's entry when the grant comes and again before the dispatch. Streams that wait for their version don't use up the checks of other requests. The plan of the wait counts from the break. A silent server is left only if another one of its version is listed.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -933,6 +933,7 @@
   std::vector<samphireshunt::wire::Part> parts{};
   uint32_t max_pause_ms = 0;
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
+  std::string software{};
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -961,7 +962,8 @@
     VT_ASKED_BEFORE = 32,
     VT_PARTS = 34,
     VT_MAX_PAUSE_MS = 36,
-    VT_FINGERPRINT = 38
+    VT_FINGERPRINT = 38,
+    VT_SOFTWARE = 40
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1026,6 +1028,11 @@
   const samphireshunt::wire::Fingerprint *fingerprint() const {
     return GetStruct<const samphireshunt::wire::Fingerprint *>(VT_FINGERPRINT);
   }
+  /// The only version of server software that may run the request, which goes
+  /// on with a stream; empty is any.
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1052,6 +1059,8 @@
            verifier.VerifyVector(parts()) &&
            VerifyField<uint32_t>(verifier, VT_MAX_PAUSE_MS, 4) &&
            VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1117,6 +1126,9 @@
   void add_fingerprint(const samphireshunt::wire::Fingerprint *fingerprint) {
     fbb_.AddStruct(Ask::VT_FINGERPRINT, fingerprint);
   }
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(Ask::VT_SOFTWARE, software);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1147,9 +1159,11 @@
     bool asked_before = false,
     flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::Part *>> parts = 0,
     uint32_t max_pause_ms = 0,
-    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
+    flatbuffers::Offset<flatbuffers::String> software = 0) {
   AskBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_software(software);
   builder_.add_fingerprint(fingerprint);
   builder_.add_max_pause_ms(max_pause_ms);
   builder_.add_parts(parts);
@@ -1189,11 +1203,13 @@
     bool asked_before = false,
     const std::vector<samphireshunt::wire::Part> *parts = nullptr,
     uint32_t max_pause_ms = 0,
-    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
+    const char *software = nullptr) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<samphireshunt::wire::Part>(*parts) : 0;
+  auto software__ = software ? _fbb.CreateString(software) : 0;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       id,
@@ -1213,7 +1229,8 @@
       asked_before,
       parts__,
       max_pause_ms,
-      fingerprint);
+      fingerprint,
+      software__);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5079,7 +5096,8 @@
         asked_before(o.asked_before),
         parts(o.parts),
         max_pause_ms(o.max_pause_ms),
-        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr) {
+        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
+        software(o.software) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -5101,6 +5119,7 @@
   std::swap(parts, o.parts);
   std::swap(max_pause_ms, o.max_pause_ms);
   std::swap(fingerprint, o.fingerprint);
+  std::swap(software, o.software);
   return *this;
 }
 
@@ -5131,6 +5150,7 @@
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = *_e->Get(_i); } } }
   { auto _e = max_pause_ms(); _o->max_pause_ms = _e; }
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
+  { auto _e = software(); if (_e) _o->software = _e->str(); }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5159,6 +5179,7 @@
   auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStructs(_o->parts) : 0;
   auto _max_pause_ms = _o->max_pause_ms;
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
+  auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -5178,7 +5199,8 @@
       _asked_before,
       _parts,
       _max_pause_ms,
-      _fingerprint);
+      _fingerprint,
+      _software);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
--- a/Source/Process/Keeping/Cell.cpp
+++ b/Source/Process/Keeping/Cell.cpp
@@ -5,7 +5,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -62,6 +64,25 @@
   return cellOf(Chosen->Name_, Count);
 }
 
+std::vector<std::uint32_t> cellsOfVersion(const Pool &Whole,
+                                          const SoftwareVersion &Version,
+                                          std::uint64_t Key) {
+  std::uint32_t Count = cellCount(Whole);
+  std::map<std::uint32_t, std::uint64_t> WeightOfCell;
+  for (const BackendServer &Server : Whole.Servers_) {
+    if (Server.Version_ != Version || Server.Leaving_)
+      continue;
+    std::uint64_t &Weight = WeightOfCell[cellOf(Server.Name_, Count)];
+    Weight = std::max(Weight, stableHash(Server.Name_.str(), Key));
+  }
+  std::vector<std::uint32_t> Cells;
+  std::ranges::transform(WeightOfCell, std::back_inserter(Cells),
+                         [](const auto &Item) { return Item.first; });
+  std::ranges::sort(Cells, std::greater(),
+                    [&](std::uint32_t Cell) { return WeightOfCell.at(Cell); });
+  return Cells;
+}
+
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index) {
   std::uint32_t Count = cellCount(Whole);
--- a/Source/Process/Keeping/Cell.h
+++ b/Source/Process/Keeping/Cell.h
@@ -52,6 +52,11 @@
 /// keys that map to it, so nearly all sessions stay where their prompts are
 /// cached.
 std::uint32_t cellForKey(const Pool &Whole, std::uint64_t Key);
+/// Returns the cells that have servers of the version, at which a request with
+/// the key should ask, the best first. Empty if the pool has no such server.
+std::vector<std::uint32_t> cellsOfVersion(const Pool &Whole,
+                                          const SoftwareVersion &Version,
+                                          std::uint64_t Key);
 /// Returns the servers of one cell, in the document's order.
 std::vector<const BackendServer *> cellServers(const Pool &Whole,
                                                std::uint32_t Index);
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -58,6 +58,7 @@
   Ask.asked_before = Request.IsRetry_;
   Ask.max_wait_ms = static_cast<std::uint32_t>(Request.MaxWait_.count());
   Ask.fingerprint = toWire(Request.Fingerprint_);
+  Ask.software = Request.Version_.str();
   for (const ServerName &Name : Request.Excluded_)
     Ask.excluded.push_back(Name.str());
   return encodeMessage(std::move(Ask));
@@ -197,6 +198,7 @@
     Request.Excluded_.emplace_back(Name);
   Request.Ingress_ = From;
   Request.Fingerprint_ = fromWire(Ask.fingerprint);
+  Request.Version_ = SoftwareVersion(Ask.software);
   return Request;
 }
 
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -139,7 +139,8 @@
     Servers.push_back({Server->Name_,
                        Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
                        Whole->CacheTokens_, Options_.AheadPerServer_,
-                       Server->Incarnation_, Server->Canary_});
+                       Server->Incarnation_, Server->Canary_,
+                       Server->Version_});
   }
   std::map<CustomerName, CustomerPolicy> Policies;
   for (const Customer &Known : Service->Document_->Customers_)
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -189,6 +189,15 @@
   return Out;
 }
 
+bool Scheduler::mayRunOn(const GrantRequest &Request,
+                         const ServerModel &Server) {
+  const ServerCapacity &Capacity = Server.capacity();
+  bool VersionFits =
+      Request.Version_.empty() || Request.Version_ == Capacity.Version_;
+  return VersionFits &&
+         std::ranges::count(Request.Excluded_, Capacity.Name_) == 0;
+}
+
 /// \returns true if an engine may be free for the request before it would have
 /// waited too long.
 bool Scheduler::hasServerFor(const GrantRequest &Request, TimePoint Now) const {
@@ -198,7 +207,7 @@
   return std::ranges::any_of(Servers_, [&](const auto &Item) {
     return Item.second.usable() &&
            Item.second.restUntil(Request.Ingress_) < Latest &&
-           std::ranges::count(Request.Excluded_, Item.first) == 0;
+           mayRunOn(Request, Item.second);
   });
 }
 
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -60,6 +60,9 @@
   std::vector<PromptPart> Parts_;
   bool NonIdempotent_ = false;
   std::vector<ServerName> Excluded_;
+  /// The only version of server software that may run the request, which goes
+  /// on with a stream; empty: any.
+  SoftwareVersion Version_;
   VmId Ingress_;
   /// Set while any request is known to have crashed a server.
   RequestFingerprint Fingerprint_;
@@ -356,6 +359,8 @@
   void enqueue(WaitingRequest Request);
   WaitingRequest dequeue(const RequestId &Id);
   std::size_t queueIndex(TierIndex Tier) const;
+  /// \returns whether the server is one that may run the request, free or not.
+  static bool mayRunOn(const GrantRequest &Request, const ServerModel &Server);
   bool hasServerFor(const GrantRequest &Request, TimePoint Now) const;
   /// \returns the time until the first engine no longer rests for the request's
   /// ingress daemon; nothing if none rests.
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -94,10 +94,8 @@
 /// True if the engine can take the request now.
 bool Scheduler::canTake(const GrantRequest &Request, const ServerModel &Server,
                         TimePoint Now) const {
-  bool Excluded =
-      std::ranges::count(Request.Excluded_, Server.capacity().Name_) > 0;
   bool Rests = Now < Server.restUntil(Request.Ingress_);
-  return !Excluded && !Rests && hasRoom(Server) &&
+  return mayRunOn(Request, Server) && !Rests && hasRoom(Server) &&
          finishesInTime(Request, Server, Now) &&
          standingAllows(Request, Server);
 }
@@ -351,6 +349,10 @@
       continue;
     if (ServerModel *Server = chooseEngine(Details, Now))
       return Placement{Id, Server};
+    // Many streams of one version that wait must not hold up the requests that
+    // any version may run.
+    if (!Details.Version_.empty())
+      continue;
     if (!Options_.UsePrefixes_ || ++Checked == MaxChecked)
       break;
   }
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -38,6 +38,8 @@
   /// The engine's version is on trial: only a limited number of requests may be
   /// granted to it.
   bool Canary_ = false;
+  /// Of the engine's software; empty means unknown.
+  SoftwareVersion Version_;
 };
 
 /// The outcome of a request.
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -89,6 +89,7 @@
         Verdict Final = verdictAfter(Ended);
         co_return co_await finish(std::move(Final));
       }
+      Context_.BrokeOff_ = steady_clock::now();
       logRetry(Ended);
     }
   }
@@ -181,11 +182,31 @@
   /// Timeout for the next event of a stream.
   milliseconds eventTimeout() const {
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
-    auto Timeout =
-        Rule_.Resumable_ && !Last ? ResumeAfterSilence : callerPatience(Rule_);
+    bool Move = Rule_.Resumable_ && !Last && couldGoOnElsewhere();
+    auto Timeout = Move ? ResumeAfterSilence : callerPatience(Rule_);
     return std::min(Context_.remaining(), Timeout);
   }
 
+  /// \returns whether another server is listed that may go on with the stream.
+  /// Without one, leaving a silent server would only break the stream off.
+  bool couldGoOnElsewhere() const {
+    if (!Context_.Origin_)
+      return true;
+    auto Newest = Context_.Services_.Documents_.snapshot();
+    const ServiceConfiguration *Service =
+        Newest->service(Context_.document().Service_);
+    const Pool *Whole =
+        Service ? Service->pool(Context_.Pool_->Name_) : nullptr;
+    return Whole &&
+           std::ranges::any_of(
+               Whole->Servers_, [&](const BackendServer &Other) {
+                 return Other.Version_ == Context_.Origin_->Version_ &&
+                        Newest->isActive(Other) &&
+                        Other.Name_ != Ready_.Server_.Name_ &&
+                        std::ranges::count(TriedServers_, Other.Name_) == 0;
+               });
+  }
+
   /// Closes the server's connection when the caller disconnects, which makes
   /// the server stop. A request that must not be retried runs to its end
   /// instead: the effects of an interrupted run would be unknown.
@@ -322,6 +343,9 @@
   Awaitable<bool> writeEvents(HttpResponse &Head, std::string Events) {
     if (!HeadSent_) {
       removeHopFields(Head.Fields_);
+      if (!Context_.Origin_)
+        Context_.Origin_ =
+            StreamOrigin{Context_.Pool_->Name_, Ready_.Server_.Version_};
       bool Written = co_await Context_.Exchange_.beginStream(std::move(Head));
       if (!Written)
         co_return false;
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -86,8 +86,9 @@
 
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
-/// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-server, x-customer, x-not-run, x-answer-proof,
-/// x-server-limit, x-server-brittle, x-server-leaving, retry-after.
+/// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-server, x-customer,
+/// x-not-run, x-answer-proof, x-server-limit, x-server-brittle,
+/// x-server-leaving, retry-after.
 ForwardingDialect defaultDialect();
 
 /// \returns the id in the field last-event-id, if there is one.
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace samphireshunt {
 
@@ -50,8 +51,9 @@
   return Known->standing(Context.fingerprint(), steady_clock::now());
 }
 
-CellId cellFor(RequestContext &Context, int Attempt) {
-  std::uint32_t Count = cellCount(*Context.Pool_);
+/// \returns the cells to ask for a server, in order; empty if no server may run
+/// the request.
+std::vector<std::uint32_t> cellsFor(RequestContext &Context) {
   // Requests that share their first block go to the same cell, whose engines
   // may have the block cached. For forwarded prompts the last part is used
   // instead: it belongs to one session, while nearly all prompts share the
@@ -64,9 +66,21 @@
   // at a time.
   if (standingOf(Context) != RequestStanding::Unsuspected)
     Affinity = Context.fingerprint().Low_;
-  auto Step = static_cast<std::uint32_t>(Attempt);
-  std::uint32_t Index = (cellForKey(*Context.Pool_, Affinity) + Step) % Count;
-  return {Context.document().Service_, Context.Pool_->Name_, Index};
+  if (Context.Origin_) {
+    // Servers may have come since the request began.
+    auto Newest = Context.Services_.Documents_.snapshot();
+    const ServiceConfiguration *Service =
+        Newest->service(Context.document().Service_);
+    const Pool *Whole = Service ? Service->pool(Context.Pool_->Name_) : nullptr;
+    if (!Whole)
+      return {};
+    return cellsOfVersion(*Whole, Context.Origin_->Version_, Affinity);
+  }
+  std::vector<std::uint32_t> Cells(cellCount(*Context.Pool_));
+  std::iota(Cells.begin(), Cells.end(), 0U);
+  std::ranges::rotate(Cells,
+                      Cells.begin() + cellForKey(*Context.Pool_, Affinity));
+  return Cells;
 }
 
 GrantRequest makeGrantRequest(const RequestContext &Context,
@@ -84,10 +98,15 @@
   Request.NonIdempotent_ = Context.Route_->NonIdempotent_;
   Request.Excluded_ = Excluded;
   Request.Fingerprint_ = Context.Fingerprint_;
+  if (Context.Origin_)
+    Request.Version_ = Context.Origin_->Version_;
   if (Context.Route_->Forwarding_) {
     const ForwardingRule &Rule = *Context.Route_->Forwarding_;
     RequestTimes Times{Context.Started_, Context.Deadline_,
                        Context.SinceFirstAttempt_};
+    // The next event is what such a request is in time for, not the first one.
+    if (Context.Origin_)
+      Times = {Context.BrokeOff_, Context.Deadline_, milliseconds(0)};
     WaitPlan Plan = planWait(Rule, Times, steady_clock::now());
     Request.Objective_ = Plan.Objective_;
     Request.MaxWait_ = Plan.MaxWait_;
@@ -227,6 +246,20 @@
 
 Verdict notRun(ResultCode Code) { return Verdict(Code); }
 
+/// \returns a server of the request's pool as it is listed now; nothing if it
+/// may not run the request.
+std::optional<BackendServer> findServer(const RequestContext &Context,
+                                        const ServerName &Name) {
+  auto Newest = Context.Services_.Documents_.snapshot();
+  const BackendServer *Listed = Newest->activeServer(
+      Context.document().Service_, Context.Pool_->Name_, Name);
+  if (!Listed)
+    return std::nullopt;
+  if (Context.Origin_ && Context.Origin_->Version_ != Listed->Version_)
+    return std::nullopt;
+  return *Listed;
+}
+
 } // namespace
 
 void StreamTiming::event(TimePoint Started, TimePoint Now) {
@@ -278,11 +311,16 @@
     Context.State_.tryGiveUp();
     co_return std::move(*Refused);
   }
-  std::uint32_t Cells = cellCount(*Context.Pool_);
-  std::uint32_t CellTries = 0;
+  std::vector<std::uint32_t> Cells = cellsFor(Context);
+  std::size_t CellTries = 0;
+  if (Cells.empty()) {
+    Context.State_.tryGiveUp();
+    co_return notRun(ResultCode::NoBackendServer);
+  }
   for (int Try = 0; Try < MaxGrantRequests && !Context.expired(); ++Try) {
     std::size_t SpanNumber = Context.Trace_.begin("wait-for-grant");
-    CellId Cell = cellFor(Context, static_cast<int>(CellTries));
+    CellId Cell{Context.document().Service_, Context.Pool_->Name_,
+                Cells[CellTries]};
     GrantRequest Request = makeGrantRequest(Context, Excluded);
     Request.IsRetry_ = CellTries > 0 || Options.IsRetry_ ||
                        Context.SinceFirstAttempt_.count() > 0;
@@ -300,7 +338,7 @@
       Ended = notRun(Answer->Code_);
       Ended.RetryAfter_ = Answer->RetryAfter_;
       // Another cell of the pool may have capacity for the request.
-      bool MoreCells = ++CellTries < Cells;
+      bool MoreCells = ++CellTries < Cells.size();
       bool OtherCellMayGrant = Answer->Code_ != ResultCode::ShedForHigherTier &&
                                Answer->Code_ != ResultCode::CrashesServers;
       if (MoreCells && OtherCellMayGrant)
@@ -309,16 +347,14 @@
     }
     // The server may have started to leave while the request waited, so the
     // newest snapshot is checked, not the one that the request started with.
-    auto Newest = Context.Services_.Documents_.snapshot();
-    const BackendServer *Server = Newest->activeServer(
-        Context.document().Service_, Context.Pool_->Name_, Answer->Server_);
+    auto Server = findServer(Context, Answer->Server_);
     if (!Server) {
       Grants.done(Context.Id_, ServedSample());
       Excluded.push_back(Answer->Server_);
       Ended = notRun(ResultCode::NoBackendServer);
       continue;
     }
-    BackendServer Chosen = *Server;
+    BackendServer Chosen = std::move(*Server);
     // The server may have said something in an answer since the grant.
     auto IsHeld = [&] {
       return !Grants.holds()->maySend(Chosen.Name_, Chosen.Incarnation_,
@@ -353,7 +389,9 @@
       continue;
     }
     auto &Link = std::get<ServerLink>(Connected);
-    if (IsHeld()) {
+    // Its entry may also have changed.
+    bool Fits = !Context.Origin_ || findServer(Context, Chosen.Name_);
+    if (IsHeld() || !Fits) {
       Grants.done(Context.Id_, ServedSample());
       Context.Services_.Servers_.putBack(Chosen.Address_, std::move(Link));
       Excluded.push_back(Answer->Server_);
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -7,6 +7,7 @@
 #include "Process/Keeping/CrashTracker.h"
 #include "Process/Keeping/GrantClient.h"
 #include "Process/Relay/ServerConnector.h"
+#include "Process/Streams/StreamOrigin.h"
 #include "Request/ClaimStore.h"
 #include "Request/FinalAnswer.h"
 #include "Request/ForwardingDialect.h"
@@ -118,6 +119,12 @@
   /// The daemon that relays the last dispatch; unset if it is direct.
   std::optional<VmId> Relay_;
 
+  /// Set once the caller has events of a stream, from this answer or an earlier
+  /// one.
+  std::optional<StreamOrigin> Origin_;
+  /// When the stream had to look for another server to go on.
+  TimePoint BrokeOff_;
+
   /// Computed by the first call of fingerprint().
   RequestFingerprint Fingerprint_;
 
--- a/UnitTests/Process/Keeping/CellTest.cpp
+++ b/UnitTests/Process/Keeping/CellTest.cpp
@@ -139,6 +139,21 @@
   }
 }
 
+TEST_CASE("a stream asks only at cells that have servers of its version") {
+  // Guards against a version of few servers in a large pool whose streams are
+  // refused by cells without any.
+  Pool Whole = poolOf(400);
+  Whole.Servers_[7].Version_ = SoftwareVersion("v2");
+  Whole.Servers_[90].Version_ = SoftwareVersion("v2");
+  auto Cells = cellsOfVersion(Whole, SoftwareVersion("v2"), 1);
+  std::set<std::uint32_t> Expected = {
+      cellOf(Whole.Servers_[7].Name_, cellCount(Whole)),
+      cellOf(Whole.Servers_[90].Name_, cellCount(Whole))};
+  CHECK(std::set(Cells.begin(), Cells.end()) == Expected);
+  CHECK(Cells.size() == Expected.size());
+  CHECK(cellsOfVersion(Whole, SoftwareVersion("v3"), 1).empty());
+}
+
 TEST_CASE("removing a server moves only its own sessions to other cells") {
   Pool Whole = poolOf(320);
   Pool Remaining = Whole;
--- /dev/null
+++ b/UnitTests/Process/Scheduling/VersionBoundTest.cpp
@@ -0,0 +1,91 @@
+/// \file
+/// Requests that only servers of one version may run. Load pattern: a server
+/// with a batch of streams ends, and all of them go on at once.
+
+#include "Process/Scheduling/Scheduler.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+constexpr std::uint32_t Slots = 4;
+constexpr std::uint64_t Bound = 30;
+
+Scheduler schedulerOfTwoVersions() {
+  Scheduler::Options Options;
+  Options.GuaranteedShare_ = 0.15;
+  Options.Preempt_ = false;
+  Scheduler Built(Options);
+  std::vector<ServerCapacity> Servers;
+  for (int Index = 0; Index < 4; ++Index) {
+    ServerCapacity Server;
+    Server.Name_ = ServerName(fmt::format("engine-{}", Index));
+    Server.MaxInFlight_ = Slots;
+    Server.Version_ = SoftwareVersion(Index < 2 ? "v1" : "v2");
+    Servers.push_back(std::move(Server));
+  }
+  Built.configure(std::move(Servers), {}, 1, 1000);
+  return Built;
+}
+
+GrantRequest request(std::uint64_t Number, const std::string &Version) {
+  GrantRequest Built;
+  Built.Id_ = {1, Number};
+  Built.Customer_ = CustomerName("c");
+  Built.Deadline_ = Start + milliseconds(10000);
+  Built.Objective_ = Start + milliseconds(500);
+  Built.MaxWait_ = milliseconds(400);
+  Built.Prompt_ = Tokens(10);
+  Built.Answer_ = Tokens(10);
+  Built.Version_ = SoftwareVersion(Version);
+  return Built;
+}
+
+std::size_t grantsOf(const std::vector<Decision> &Decisions,
+                     const std::vector<std::string> &Engines) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Decisions, [&](const Decision &Made) {
+        const auto *Grant = std::get_if<GrantDecision>(&Made);
+        return Grant && std::ranges::count(Engines, Grant->Server_.str()) > 0;
+      }));
+}
+
+} // namespace
+
+TEST_CASE("streams that go on fill the servers of their version and no other") {
+  // Guards against a stream that a server of another version goes on with.
+  Scheduler Keeper = schedulerOfTwoVersions();
+  for (std::uint64_t Number = 1; Number <= Bound; ++Number)
+    CHECK(Keeper.requestGrant(request(Number, "v1"), Start).empty());
+  auto Decisions = Keeper.decide(Start);
+  CHECK(grantsOf(Decisions, {"engine-0", "engine-1"}) == 2 * Slots);
+  CHECK(grantsOf(Decisions, {"engine-2", "engine-3"}) == 0);
+}
+
+TEST_CASE("streams that wait for their version hold up no other request") {
+  // Guards against free servers of one version while requests that any version
+  // may run wait behind streams of another one.
+  Scheduler Keeper = schedulerOfTwoVersions();
+  for (std::uint64_t Number = 1; Number <= Bound; ++Number)
+    Keeper.requestGrant(request(Number, "v1"), Start);
+  for (std::uint64_t Number = 1; Number <= Slots; ++Number)
+    Keeper.requestGrant(request(Bound + Number, ""), Start);
+  CHECK(grantsOf(Keeper.decide(Start), {"engine-2", "engine-3"}) == Slots);
+}
+
+TEST_CASE("a stream whose version has no server left is refused at once") {
+  // Guards against callers that wait for a server that can't come.
+  Scheduler Keeper = schedulerOfTwoVersions();
+  auto Decisions = Keeper.requestGrant(request(1, "v3"), Start);
+  REQUIRE(Decisions.size() == 1);
+  const auto *Refused = std::get_if<RefuseDecision>(&Decisions.front());
+  REQUIRE(Refused);
+  CHECK(Refused->Code_ == ResultCode::NoBackendServer);
+}
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -170,7 +170,7 @@
     /// Number of other daemons that can relay.
     std::size_t Relays_ = 0;
     /// Software versions, which the servers have in turn.
-    std::vector<std::string> Versions_ = {""};
+    std::vector<std::string> Versions_ = std::vector<std::string>(1);
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
