--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -148,6 +148,20 @@
 struct RelayedBuilder;
 struct RelayedT;
 
+struct StreamKey;
+
+struct StreamOrigin;
+struct StreamOriginBuilder;
+struct StreamOriginT;
+
+struct OriginAsk;
+struct OriginAskBuilder;
+struct OriginAskT;
+
+struct OriginAnswer;
+struct OriginAnswerBuilder;
+struct OriginAnswerT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -215,11 +229,14 @@
   Relay = 22,
   Relayed = 23,
   ServerNotice = 24,
+  StreamOrigin = 25,
+  OriginAsk = 26,
+  OriginAnswer = 27,
   MIN = NONE,
-  MAX = ServerNotice
+  MAX = OriginAnswer
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[28] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -245,13 +262,16 @@
     Body::RolloutLease,
     Body::Relay,
     Body::Relayed,
-    Body::ServerNotice
+    Body::ServerNotice,
+    Body::StreamOrigin,
+    Body::OriginAsk,
+    Body::OriginAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[29] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -277,13 +297,16 @@
     "Relay",
     "Relayed",
     "ServerNotice",
+    "StreamOrigin",
+    "OriginAsk",
+    "OriginAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ServerNotice)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OriginAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -388,6 +411,18 @@
   static const Body enum_value = Body::ServerNotice;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::StreamOrigin> {
+  static const Body enum_value = Body::StreamOrigin;
+};
+
+template<> struct BodyTraits<samphireshunt::wire::OriginAsk> {
+  static const Body enum_value = Body::OriginAsk;
+};
+
+template<> struct BodyTraits<samphireshunt::wire::OriginAnswer> {
+  static const Body enum_value = Body::OriginAnswer;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -488,6 +523,18 @@
   static const Body enum_value = Body::ServerNotice;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::StreamOriginT> {
+  static const Body enum_value = Body::StreamOrigin;
+};
+
+template<> struct BodyUnionTraits<samphireshunt::wire::OriginAskT> {
+  static const Body enum_value = Body::OriginAsk;
+};
+
+template<> struct BodyUnionTraits<samphireshunt::wire::OriginAnswerT> {
+  static const Body enum_value = Body::OriginAnswer;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -710,6 +757,30 @@
     return type == Body::ServerNotice ?
       reinterpret_cast<const samphireshunt::wire::ServerNoticeT *>(value) : nullptr;
   }
+  samphireshunt::wire::StreamOriginT *AsStreamOrigin() {
+    return type == Body::StreamOrigin ?
+      reinterpret_cast<samphireshunt::wire::StreamOriginT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::StreamOriginT *AsStreamOrigin() const {
+    return type == Body::StreamOrigin ?
+      reinterpret_cast<const samphireshunt::wire::StreamOriginT *>(value) : nullptr;
+  }
+  samphireshunt::wire::OriginAskT *AsOriginAsk() {
+    return type == Body::OriginAsk ?
+      reinterpret_cast<samphireshunt::wire::OriginAskT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::OriginAskT *AsOriginAsk() const {
+    return type == Body::OriginAsk ?
+      reinterpret_cast<const samphireshunt::wire::OriginAskT *>(value) : nullptr;
+  }
+  samphireshunt::wire::OriginAnswerT *AsOriginAnswer() {
+    return type == Body::OriginAnswer ?
+      reinterpret_cast<samphireshunt::wire::OriginAnswerT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::OriginAnswerT *AsOriginAnswer() const {
+    return type == Body::OriginAnswer ?
+      reinterpret_cast<const samphireshunt::wire::OriginAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -822,6 +893,30 @@
 };
 FLATBUFFERS_STRUCT_END(ServerCrash, 16);
 
+/// Identifies an attempt of a customer's caller.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamKey FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t high_;
+  uint64_t low_;
+
+ public:
+  StreamKey()
+      : high_(0),
+        low_(0) {
+  }
+  StreamKey(uint64_t _high, uint64_t _low)
+      : high_(flatbuffers::EndianScalar(_high)),
+        low_(flatbuffers::EndianScalar(_low)) {
+  }
+  uint64_t high() const {
+    return flatbuffers::EndianScalar(high_);
+  }
+  uint64_t low() const {
+    return flatbuffers::EndianScalar(low_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StreamKey, 16);
+
 struct CellT : public flatbuffers::NativeTable {
   typedef Cell TableType;
   std::string service{};
@@ -4814,6 +4909,288 @@
 
 flatbuffers::Offset<Relayed> CreateRelayed(flatbuffers::FlatBufferBuilder &_fbb, const RelayedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StreamOriginT : public flatbuffers::NativeTable {
+  typedef StreamOrigin TableType;
+  std::unique_ptr<samphireshunt::wire::StreamKey> key{};
+  std::string pool{};
+  std::string software{};
+  uint32_t needed_ms = 0;
+  StreamOriginT() = default;
+  StreamOriginT(const StreamOriginT &o);
+  StreamOriginT(StreamOriginT&&) FLATBUFFERS_NOEXCEPT = default;
+  StreamOriginT &operator=(StreamOriginT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Tells a daemon where a stream began, for a caller that takes it up again.
+struct StreamOrigin FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamOriginT NativeTableType;
+  typedef StreamOriginBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_POOL = 6,
+    VT_SOFTWARE = 8,
+    VT_NEEDED_MS = 10
+  };
+  const samphireshunt::wire::StreamKey *key() const {
+    return GetStruct<const samphireshunt::wire::StreamKey *>(VT_KEY);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  /// The version of the server's software; empty if unknown.
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
+  /// How long a caller may take the stream up.
+  uint32_t needed_ms() const {
+    return GetField<uint32_t>(VT_NEEDED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<samphireshunt::wire::StreamKey>(verifier, VT_KEY, 8) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
+           VerifyField<uint32_t>(verifier, VT_NEEDED_MS, 4) &&
+           verifier.EndTable();
+  }
+  StreamOriginT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamOriginT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamOrigin> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamOriginBuilder {
+  typedef StreamOrigin Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(const samphireshunt::wire::StreamKey *key) {
+    fbb_.AddStruct(StreamOrigin::VT_KEY, key);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(StreamOrigin::VT_POOL, pool);
+  }
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(StreamOrigin::VT_SOFTWARE, software);
+  }
+  void add_needed_ms(uint32_t needed_ms) {
+    fbb_.AddElement<uint32_t>(StreamOrigin::VT_NEEDED_MS, needed_ms, 0);
+  }
+  explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamOrigin> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamOrigin>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::StreamKey *key = nullptr,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    uint32_t needed_ms = 0) {
+  StreamOriginBuilder builder_(_fbb);
+  builder_.add_needed_ms(needed_ms);
+  builder_.add_software(software);
+  builder_.add_pool(pool);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOriginDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::StreamKey *key = nullptr,
+    const char *pool = nullptr,
+    const char *software = nullptr,
+    uint32_t needed_ms = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto software__ = software ? _fbb.CreateString(software) : 0;
+  return samphireshunt::wire::CreateStreamOrigin(
+      _fbb,
+      key,
+      pool__,
+      software__,
+      needed_ms);
+}
+
+flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OriginAskT : public flatbuffers::NativeTable {
+  typedef OriginAsk TableType;
+  uint64_t sequence = 0;
+  std::unique_ptr<samphireshunt::wire::StreamKey> key{};
+  OriginAskT() = default;
+  OriginAskT(const OriginAskT &o);
+  OriginAskT(OriginAskT&&) FLATBUFFERS_NOEXCEPT = default;
+  OriginAskT &operator=(OriginAskT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Asks where a stream began.
+struct OriginAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginAskT NativeTableType;
+  typedef OriginAskBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_KEY = 6
+  };
+  /// Copied into the answer.
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const samphireshunt::wire::StreamKey *key() const {
+    return GetStruct<const samphireshunt::wire::StreamKey *>(VT_KEY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<samphireshunt::wire::StreamKey>(verifier, VT_KEY, 8) &&
+           verifier.EndTable();
+  }
+  OriginAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OriginAskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OriginAsk> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginAskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OriginAskBuilder {
+  typedef OriginAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(OriginAsk::VT_SEQUENCE, sequence, 0);
+  }
+  void add_key(const samphireshunt::wire::StreamKey *key) {
+    fbb_.AddStruct(OriginAsk::VT_KEY, key);
+  }
+  explicit OriginAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginAsk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginAsk> CreateOriginAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    const samphireshunt::wire::StreamKey *key = nullptr) {
+  OriginAskBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<OriginAsk> CreateOriginAsk(flatbuffers::FlatBufferBuilder &_fbb, const OriginAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OriginAnswerT : public flatbuffers::NativeTable {
+  typedef OriginAnswer TableType;
+  uint64_t sequence = 0;
+  bool known = false;
+  std::string pool{};
+  std::string software{};
+};
+
+struct OriginAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginAnswerT NativeTableType;
+  typedef OriginAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_KNOWN = 6,
+    VT_POOL = 8,
+    VT_SOFTWARE = 10
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  bool known() const {
+    return GetField<uint8_t>(VT_KNOWN, 0) != 0;
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
+           verifier.EndTable();
+  }
+  OriginAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OriginAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OriginAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OriginAnswerBuilder {
+  typedef OriginAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(OriginAnswer::VT_SEQUENCE, sequence, 0);
+  }
+  void add_known(bool known) {
+    fbb_.AddElement<uint8_t>(OriginAnswer::VT_KNOWN, static_cast<uint8_t>(known), 0);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(OriginAnswer::VT_POOL, pool);
+  }
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(OriginAnswer::VT_SOFTWARE, software);
+  }
+  explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    bool known = false,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> software = 0) {
+  OriginAnswerBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_software(software);
+  builder_.add_pool(pool);
+  builder_.add_known(known);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    bool known = false,
+    const char *pool = nullptr,
+    const char *software = nullptr) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto software__ = software ? _fbb.CreateString(software) : 0;
+  return samphireshunt::wire::CreateOriginAnswer(
+      _fbb,
+      sequence,
+      known,
+      pool__,
+      software__);
+}
+
+flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   samphireshunt::wire::BodyUnion body{};
@@ -4905,6 +5282,15 @@
   const samphireshunt::wire::ServerNotice *body_as_ServerNotice() const {
     return body_type() == samphireshunt::wire::Body::ServerNotice ? static_cast<const samphireshunt::wire::ServerNotice *>(body()) : nullptr;
   }
+  const samphireshunt::wire::StreamOrigin *body_as_StreamOrigin() const {
+    return body_type() == samphireshunt::wire::Body::StreamOrigin ? static_cast<const samphireshunt::wire::StreamOrigin *>(body()) : nullptr;
+  }
+  const samphireshunt::wire::OriginAsk *body_as_OriginAsk() const {
+    return body_type() == samphireshunt::wire::Body::OriginAsk ? static_cast<const samphireshunt::wire::OriginAsk *>(body()) : nullptr;
+  }
+  const samphireshunt::wire::OriginAnswer *body_as_OriginAnswer() const {
+    return body_type() == samphireshunt::wire::Body::OriginAnswer ? static_cast<const samphireshunt::wire::OriginAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5013,6 +5399,18 @@
   return body_as_ServerNotice();
 }
 
+template<> inline const samphireshunt::wire::StreamOrigin *Envelope::body_as<samphireshunt::wire::StreamOrigin>() const {
+  return body_as_StreamOrigin();
+}
+
+template<> inline const samphireshunt::wire::OriginAsk *Envelope::body_as<samphireshunt::wire::OriginAsk>() const {
+  return body_as_OriginAsk();
+}
+
+template<> inline const samphireshunt::wire::OriginAnswer *Envelope::body_as<samphireshunt::wire::OriginAnswer>() const {
+  return body_as_OriginAnswer();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6648,6 +7046,131 @@
       _framed);
 }
 
+inline StreamOriginT::StreamOriginT(const StreamOriginT &o)
+      : key((o.key) ? new samphireshunt::wire::StreamKey(*o.key) : nullptr),
+        pool(o.pool),
+        software(o.software),
+        needed_ms(o.needed_ms) {
+}
+
+inline StreamOriginT &StreamOriginT::operator=(StreamOriginT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(key, o.key);
+  std::swap(pool, o.pool);
+  std::swap(software, o.software);
+  std::swap(needed_ms, o.needed_ms);
+  return *this;
+}
+
+inline StreamOriginT *StreamOrigin::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<StreamOriginT>(new StreamOriginT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamOrigin::UnPackTo(StreamOriginT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = std::unique_ptr<samphireshunt::wire::StreamKey>(new samphireshunt::wire::StreamKey(*_e)); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = software(); if (_e) _o->software = _e->str(); }
+  { auto _e = needed_ms(); _o->needed_ms = _e; }
+}
+
+inline flatbuffers::Offset<StreamOrigin> StreamOrigin::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamOrigin(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamOriginT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key ? _o->key.get() : nullptr;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
+  auto _needed_ms = _o->needed_ms;
+  return samphireshunt::wire::CreateStreamOrigin(
+      _fbb,
+      _key,
+      _pool,
+      _software,
+      _needed_ms);
+}
+
+inline OriginAskT::OriginAskT(const OriginAskT &o)
+      : sequence(o.sequence),
+        key((o.key) ? new samphireshunt::wire::StreamKey(*o.key) : nullptr) {
+}
+
+inline OriginAskT &OriginAskT::operator=(OriginAskT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(key, o.key);
+  return *this;
+}
+
+inline OriginAskT *OriginAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<OriginAskT>(new OriginAskT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OriginAsk::UnPackTo(OriginAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = key(); if (_e) _o->key = std::unique_ptr<samphireshunt::wire::StreamKey>(new samphireshunt::wire::StreamKey(*_e)); }
+}
+
+inline flatbuffers::Offset<OriginAsk> OriginAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOriginAsk(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OriginAsk> CreateOriginAsk(flatbuffers::FlatBufferBuilder &_fbb, const OriginAskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OriginAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _key = _o->key ? _o->key.get() : nullptr;
+  return samphireshunt::wire::CreateOriginAsk(
+      _fbb,
+      _sequence,
+      _key);
+}
+
+inline OriginAnswerT *OriginAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<OriginAnswerT>(new OriginAnswerT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OriginAnswer::UnPackTo(OriginAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = known(); _o->known = _e; }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = software(); if (_e) _o->software = _e->str(); }
+}
+
+inline flatbuffers::Offset<OriginAnswer> OriginAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOriginAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OriginAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _known = _o->known;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
+  return samphireshunt::wire::CreateOriginAnswer(
+      _fbb,
+      _sequence,
+      _known,
+      _pool,
+      _software);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EnvelopeT>(new EnvelopeT());
   UnPackTo(_o.get(), _resolver);
@@ -6778,6 +7301,18 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::ServerNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::StreamOrigin: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::StreamOrigin *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::OriginAsk: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::OriginAnswer: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6893,6 +7428,18 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::ServerNotice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::StreamOrigin: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::StreamOrigin *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::OriginAsk: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAsk *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::OriginAnswer: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6996,6 +7543,18 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::ServerNoticeT *>(value);
       return CreateServerNotice(_fbb, ptr, _rehasher).Union();
     }
+    case Body::StreamOrigin: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::StreamOriginT *>(value);
+      return CreateStreamOrigin(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::OriginAsk: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAskT *>(value);
+      return CreateOriginAsk(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::OriginAnswer: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAnswerT *>(value);
+      return CreateOriginAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7098,6 +7657,18 @@
       value = new samphireshunt::wire::ServerNoticeT(*reinterpret_cast<samphireshunt::wire::ServerNoticeT *>(u.value));
       break;
     }
+    case Body::StreamOrigin: {
+      value = new samphireshunt::wire::StreamOriginT(*reinterpret_cast<samphireshunt::wire::StreamOriginT *>(u.value));
+      break;
+    }
+    case Body::OriginAsk: {
+      value = new samphireshunt::wire::OriginAskT(*reinterpret_cast<samphireshunt::wire::OriginAskT *>(u.value));
+      break;
+    }
+    case Body::OriginAnswer: {
+      value = new samphireshunt::wire::OriginAnswerT(*reinterpret_cast<samphireshunt::wire::OriginAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7225,6 +7796,21 @@
       delete ptr;
       break;
     }
+    case Body::StreamOrigin: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::StreamOriginT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::OriginAsk: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::OriginAskT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::OriginAnswer: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::OriginAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -105,6 +105,10 @@
         NoPath, "no-path",
         "Neither this daemon nor those that it asked reach a server.",
         "Come back after Retry-After; see path-lost in the logs."},
+    ResultCodeInfo{StreamOriginUnknown, "stream-origin-unknown",
+                   "No daemon can tell which version of its servers' software "
+                   "began the stream, and there are several.",
+                   "Discard the part that came; send the request anew."},
     ResultCodeInfo{AnswerTimeout, "answer-timeout",
                    "The backend server did not answer by the deadline.",
                    "It may have run: check before asking again."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -59,6 +59,7 @@
   ConfigurationStale = 213,
   Stopping = 214,
   NoPath = 215,
+  StreamOriginUnknown = 216,
   // 3xx: after the dispatch.
   AnswerTimeout = 300,
   ConnectionLost = 301,
--- /dev/null
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -0,0 +1,119 @@
+#pragma once
+/// \file
+/// Tells at any daemon where a stream began whose caller takes it up again. The
+/// daemon that serves a stream tells a few others before the caller gets the
+/// first event, and does not wait for them. Public functions may be called from
+/// any thread unless noted; the state is confined to the control thread.
+
+#include "Connection/PeerMessage.h"
+#include "Process/Streams/StreamOrigins.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace samphireshunt {
+
+/// How a daemon knows where a stream began.
+enum class OriginSource {
+  Unknown,
+  Self,       ///< It served the stream, or was told of it.
+  Peer,       ///< Another daemon told it.
+  OnlyVersion ///< Its pool has had only one version since.
+};
+
+/// \returns the name for logs and metrics.
+std::string_view originSourceName(OriginSource Source);
+
+struct FoundOrigin {
+  /// Unset if Source_ is Unknown.
+  std::optional<StreamOrigin> Origin_;
+  OriginSource Source_ = OriginSource::Unknown;
+};
+
+/// A stream that its caller takes up again.
+struct OriginQuery {
+  /// Unset if the caller does not say which attempt began it.
+  std::optional<StreamKey> Key_;
+  /// The pool that such streams begin at; unset if there are several.
+  std::optional<PoolName> Pool_;
+  /// The longest time since the stream began.
+  std::chrono::milliseconds MaxAge_{0};
+};
+
+class StreamOriginService {
+public:
+  struct Options {
+    /// Other daemons that are told of each stream.
+    std::size_t Copies_ = 2;
+    /// Other daemons that are asked. More than are told: some may be gone, and
+    /// daemons differ in which they know.
+    std::size_t Asked_ = 4;
+    /// How long their answers are awaited. Callers give up an attempt after a
+    /// second without an answer.
+    std::chrono::milliseconds AnswerTime_{400};
+  };
+  struct Hooks {
+    std::function<void(const VmId &, std::string)> Send_;
+    std::function<void(const VmId &, std::string)> Reply_;
+    /// Returns the other daemons that may keep records.
+    std::function<std::vector<VmId>()> Others_;
+    /// Returns the version of the pool's servers if there was only one within
+    /// the time; nothing if that is not known.
+    std::function<std::optional<SoftwareVersion>(const PoolName &,
+                                                 std::chrono::milliseconds)>
+        OnlyVersion_;
+  };
+  using Answered = std::function<void(FoundOrigin)>;
+
+  StreamOriginService(boost::asio::io_context &Control, Options Settings,
+                      Hooks Callbacks);
+
+  /// Records where a stream began; its caller may take it up for \p Needed.
+  void record(StreamKey Key, StreamOrigin Origin,
+              std::chrono::milliseconds Needed);
+  /// Calls \p OnAnswer once, on the control thread.
+  void find(OriginQuery Query, Answered OnAnswer);
+
+  // On the control thread.
+  void onRecord(const wire::StreamOriginT &Received);
+  void onAsk(const VmId &From, const wire::OriginAskT &Ask);
+  void onAnswer(const VmId &From, const wire::OriginAnswerT &Answer);
+  /// Called when the list of other daemons changed.
+  void membersChanged() { Others_.reset(); }
+  /// \returns true while an answer of \p Peer is awaited.
+  bool awaiting(const VmId &Peer) const;
+  std::size_t recordCount() const { return Origins_.size(); }
+
+private:
+  struct Lookup {
+    OriginQuery Query_;
+    Answered OnAnswer_;
+    /// Daemons whose answers are awaited.
+    std::vector<VmId> Asked_;
+    std::unique_ptr<boost::asio::steady_timer> Timer_;
+  };
+
+  const std::vector<VmId> &others();
+  void recordNow(const StreamKey &Key, const StreamOrigin &Origin,
+                 std::chrono::milliseconds Needed);
+  void findNow(OriginQuery Query, Answered OnAnswer);
+  void ask(OriginQuery Query, Answered OnAnswer);
+  void finish(std::uint64_t Sequence, std::optional<StreamOrigin> Origin);
+  FoundOrigin withoutRecord(const OriginQuery &Query) const;
+
+  boost::asio::io_context &Control_;
+  Options Options_;
+  Hooks Hooks_;
+  StreamOrigins Origins_;
+  std::optional<std::vector<VmId>> Others_;
+  std::map<std::uint64_t, Lookup> Lookups_;
+  std::uint64_t NextSequence_ = 1;
+};
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Streams/VersionTimeline.cpp
@@ -0,0 +1,49 @@
+#include "Process/Streams/VersionTimeline.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace samphireshunt {
+
+namespace {
+
+/// How long a version that is gone is remembered: longer than any stream lasts.
+constexpr std::chrono::minutes GoneMemory{20};
+
+} // namespace
+
+void VersionTimeline::note(const ServersByPool &Registered, BootTime Now) {
+  for (auto &[Pool, Timeline] : Pools_) {
+    for (auto &[Version, Gone] : Timeline.Versions_)
+      if (!Gone)
+        Gone = Now;
+    std::erase_if(Timeline.Versions_, [Now](const auto &Item) {
+      return Now - *Item.second > GoneMemory;
+    });
+  }
+  for (const auto &[Pool, Servers] : Registered) {
+    auto [Found, New] = Pools_.try_emplace(Pool);
+    if (New)
+      Found->second.Began_ = Now;
+    for (const BackendServer &Server : Servers)
+      Found->second.Versions_[Server.Version_] = std::nullopt;
+  }
+}
+
+std::optional<SoftwareVersion>
+VersionTimeline::onlyVersion(const PoolName &Pool, BootTime Since) const {
+  auto Found = Pools_.find(Pool);
+  if (Found == Pools_.end() || Found->second.Began_ > Since)
+    return std::nullopt;
+  std::optional<SoftwareVersion> Only;
+  for (const auto &[Version, Gone] : Found->second.Versions_) {
+    if (Gone && *Gone < Since)
+      continue;
+    if (Only)
+      return std::nullopt;
+    Only = Version;
+  }
+  return Only;
+}
+
+} // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -39,6 +39,9 @@
 /// The owner of a roll-out acts only while what it knows of the platform's
 /// service is at most this old.
 constexpr milliseconds RolloutStateAge{3000};
+/// The list of servers tells that a pool has only one version while it is at
+/// most this old: no daemon sends requests to a new version any sooner.
+constexpr milliseconds DirectoryAge = VersionSelection::HoldTime;
 
 Incarnation newIncarnation() {
   auto Now = std::chrono::system_clock::now().time_since_epoch();
@@ -136,6 +139,7 @@
     return Done;
   wireMembership(std::move(Datagrams));
   wireKeeper();
+  wireOrigins();
   wireConfiguration();
   return wireCallers();
 }
@@ -160,7 +164,7 @@
     Keeper_->ingressDisconnected(From);
   };
   Hooks.Awaiting_ = [this](const VmId &To) {
-    return Grants_->awaiting(To) ||
+    return Grants_->awaiting(To) || Origins_->awaiting(To) ||
            (PeerFollower_ && PeerFollower_->awaiting(To));
   };
   Hooks.AddressOf_ = [this](const VmId &To) -> std::optional<std::string> {
@@ -368,6 +372,42 @@
                                              EngineMonitor::Options());
 }
 
+void Daemon::wireOrigins() {
+  StreamOriginService::Hooks Hooks;
+  Hooks.Send_ = [this](const VmId &To, std::string Message) {
+    Peers_->send(To, std::move(Message));
+  };
+  Hooks.Reply_ = [this](const VmId &To, std::string Message) {
+    Peers_->reply(To, std::move(Message));
+  };
+  Hooks.Others_ = [this] { return recordKeeperCandidates(); };
+  Hooks.OnlyVersion_ = [this](const PoolName &Pool, milliseconds Within) {
+    return onlyVersion(Pool, Within);
+  };
+  Origins_ = std::make_unique<StreamOriginService>(
+      Control_, StreamOriginService::Options(), std::move(Hooks));
+}
+
+std::vector<VmId> Daemon::recordKeeperCandidates() const {
+  std::vector<VmId> Candidates;
+  for (const Member &Other : Members_->others())
+    if (Other.Status_ == MemberStatus::Alive ||
+        Other.Status_ == MemberStatus::Suspect)
+      Candidates.push_back(Other.Id_);
+  return Candidates;
+}
+
+std::optional<SoftwareVersion> Daemon::onlyVersion(const PoolName &Pool,
+                                                   milliseconds Within) {
+  // The servers of the product's own documents have no versions.
+  if (!View_)
+    return SoftwareVersion();
+  BootTime Now = BootClock::now();
+  if (Freshness_.age(Now) > DirectoryAge)
+    return std::nullopt;
+  return VersionTimeline_.onlyVersion(Pool, Now - Within);
+}
+
 void Daemon::wireRollouts() {
   RolloutService::Hooks Hooks;
   Hooks.Put_ = Platform_.Put_;
@@ -421,6 +461,7 @@
     Rollouts_->entryChanged(Entry);
   };
   ViewHooks.SelectServers_ = [this](ServersByPool Registered) {
+    VersionTimeline_.note(Registered, BootClock::now());
     return Rollouts_->select(std::move(Registered));
   };
   View_->setHooks(std::move(ViewHooks));
@@ -519,7 +560,8 @@
           Freshness_,
           *RetryBudget_,
           [this](const ForwardingRule &Rule) { return hasTimeFor(Rule); },
-          FleetSize};
+          FleetSize,
+          *Origins_};
 }
 
 std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
@@ -665,8 +707,12 @@
                     sampleFromWire(*Done));
     else
       Keeper_->returnGrant(fromWire(Done->id));
-  } else if (const auto *Report = Message.body.AsRolloutReport();
-             Report && Rollouts_)
+  } else if (const auto *Record = Message.body.AsStreamOrigin())
+    Origins_->onRecord(*Record);
+  else if (const auto *Origin = Message.body.AsOriginAsk())
+    Origins_->onAsk(From, *Origin);
+  else if (const auto *Report = Message.body.AsRolloutReport();
+           Report && Rollouts_)
     Rollouts_->onReport(From, *Report);
   else if (const auto *Request = Message.body.AsDocumentRequest())
     sendDocument(From, ServiceName(Request->service));
@@ -707,6 +753,8 @@
            Reply && Configuration_)
     Configuration_->documentReceived(ServiceName(Reply->service),
                                      Reply->envelope);
+  else if (const auto *Origin = Message.body.AsOriginAnswer())
+    Origins_->onAnswer(From, *Origin);
   else if (const auto *Lease = Message.body.AsRolloutLease();
            Lease && Rollouts_)
     Rollouts_->onLease(*Lease);
@@ -728,6 +776,7 @@
 void Daemon::membersChanged() {
   KeeperChoice_.membersChanged();
   ReaderChoice_.reset();
+  Origins_->membersChanged();
 }
 
 void Daemon::onMemberChanged(const Member &Changed) {
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -15,6 +15,8 @@
 #include "Process/Relay/RelayServer.h"
 #include "Process/Relay/ServerConnector.h"
 #include "Process/Rollout/RolloutService.h"
+#include "Process/Streams/StreamOriginService.h"
+#include "Process/Streams/VersionTimeline.h"
 #include "Programs/Metrics.h"
 #include "Programs/OperatorService.h"
 #include "Programs/Settings.h"
@@ -92,6 +94,10 @@
   std::unique_ptr<Worker> makeWorker(bool OnControlThread);
   void wireFollower();
   void wireRollouts();
+  void wireOrigins();
+  std::vector<VmId> recordKeeperCandidates() const;
+  std::optional<SoftwareVersion> onlyVersion(const PoolName &Pool,
+                                             std::chrono::milliseconds Within);
   void onDaemonRegistered(const VmId &Id, const std::string &Text);
   void startConfiguration();
   HttpLimits callerLimits() const;
@@ -169,6 +175,8 @@
   mutable KeeperChoice KeeperChoice_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
+  VersionTimeline VersionTimeline_;
+  std::unique_ptr<StreamOriginService> Origins_;
   std::unique_ptr<EngineMonitor> Engines_;
   /// Synchronizes the product's own documents; unset if the configuration comes
   /// from the platform (see View_).
--- a/Source/Programs/Metrics.cpp
+++ b/Source/Programs/Metrics.cpp
@@ -40,6 +40,11 @@
                       .Help("Servers' answers by how their end is known, and "
                             "whether a stream ended within an event.")
                       .Register(Registry_)),
+      TakenUp_(prometheus::BuildCounter()
+                   .Name("samphireshunt_streams_taken_up_total")
+                   .Help("Streams that callers took up again, by how it is "
+                         "known where they began.")
+                   .Register(Registry_)),
       PlatformCalls_(prometheus::BuildCounter()
                          .Name("samphireshunt_platform_calls_total")
                          .Help("Calls of the platform's service.")
@@ -66,6 +71,11 @@
         .Add({{"known_by", std::string(bodyEndName(*End.KnownBy_))},
               {"inside_event", End.InsideEvent_ ? "yes" : "no"}})
         .Increment();
+  if (Request.OriginSource_)
+    TakenUp_
+        .Add({{"origin", std::string(originSourceName(*Request.OriginSource_))},
+              {"code", Code}})
+        .Increment();
   if (!Request.FirstEvent_)
     return;
   FirstEvents_.Add(Labels, SecondsBuckets)
--- a/Source/Programs/Metrics.h
+++ b/Source/Programs/Metrics.h
@@ -37,6 +37,7 @@
   prometheus::Family<prometheus::Histogram> &FirstEvents_;
   prometheus::Family<prometheus::Histogram> &Pauses_;
   prometheus::Family<prometheus::Counter> &AnswerEnds_;
+  prometheus::Family<prometheus::Counter> &TakenUp_;
   prometheus::Family<prometheus::Counter> &PlatformCalls_;
   prometheus::Family<prometheus::Histogram> &PlatformTimes_;
 };
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -83,7 +83,9 @@
 
 bool isRetryable(const Verdict &Ended) {
   int Number = static_cast<int>(Ended.Code_);
-  bool Overload = Number >= 200 && Number < 300;
+  // The rest of a stream whose origin is unknown would be refused again.
+  bool Overload = Number >= 200 && Number < 300 &&
+                  Ended.Code_ != ResultCode::StreamOriginUnknown;
   bool Claim = Ended.Code_ == ResultCode::ClaimFailed ||
                Ended.Code_ == ResultCode::FirstAttemptRunning ||
                Ended.Code_ == ResultCode::PlatformUnavailable;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -3,6 +3,7 @@
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
 #include "Request/CrashEvidence.h"
+#include "Request/ResumedStream.h"
 #include "Request/ServerNotices.h"
 #include "Request/WaitPlan.h"
 
@@ -71,6 +72,10 @@
         Dialect_(Context.Services_.Dialect_) {}
 
   Awaitable<void> run() {
+    if (resumesStream(Context_)) {
+      if (auto Refused = co_await bindToOrigin(Context_))
+        co_return co_await finish(std::move(*Refused));
+    }
     auto Now = steady_clock::now();
     Context_.Services_.RetryBudget_.recordRequest(Context_.Pool_->Name_, Now);
     while (true) {
@@ -343,9 +348,7 @@
   Awaitable<bool> writeEvents(HttpResponse &Head, std::string Events) {
     if (!HeadSent_) {
       removeHopFields(Head.Fields_);
-      if (!Context_.Origin_)
-        Context_.Origin_ =
-            StreamOrigin{Context_.Pool_->Name_, Ready_.Server_.Version_};
+      recordOrigin(Context_, Ready_.Server_);
       bool Written = co_await Context_.Exchange_.beginStream(std::move(Head));
       if (!Written)
         co_return false;
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -102,7 +102,8 @@
 
 std::optional<std::string> readAfterEvent(const HttpFields &Fields) {
   auto Found = Fields.find("last-event-id");
-  return Found == Fields.end() ? std::nullopt : std::optional(Found->second);
+  bool Present = Found != Fields.end() && !Found->second.empty();
+  return Present ? std::optional(Found->second) : std::nullopt;
 }
 
 std::optional<std::int64_t> parseCount(std::string_view Text) {
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -91,7 +91,8 @@
 /// x-server-leaving, retry-after.
 ForwardingDialect defaultDialect();
 
-/// \returns the id in the field last-event-id, if there is one.
+/// \returns the id in the field last-event-id; nothing if it is absent or
+/// empty.
 std::optional<std::string> readAfterEvent(const HttpFields &Fields);
 /// Parses "HEX:TOKENS,HEX:TOKENS". The list ends before the first item that
 /// is malformed.
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -191,6 +191,12 @@
     Fields.emplace_back("after_event", *Context.Call_.AfterEvent_);
     Fields.emplace_back("resumes", Context.Call_.Resumes_);
   }
+  if (Context.OriginSource_) {
+    Fields.emplace_back("origin",
+                        std::string(originSourceName(*Context.OriginSource_)));
+    if (Context.Origin_)
+      Fields.emplace_back("began_at", Context.Origin_->Version_.str());
+  }
   if (Context.Relay_)
     Fields.emplace_back("relay", Context.Relay_->str());
   Fields.emplace_back("waited_ms", millisText(Context.Waited_));
@@ -542,6 +548,7 @@
   Report.FirstEvent_ = Context.StreamTiming_.FirstEvent_;
   Report.LongestPause_ = Context.StreamTiming_.LongestPause_;
   Report.AnswerEnd_ = Context.AnswerEnd_;
+  Report.OriginSource_ = Context.OriginSource_;
   Context.Services_.Report_(Report);
   Context.Trace_.attribute(Trace::Root, "outcome",
                            std::string(outcomeName(Value)));
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -7,7 +7,7 @@
 #include "Process/Keeping/CrashTracker.h"
 #include "Process/Keeping/GrantClient.h"
 #include "Process/Relay/ServerConnector.h"
-#include "Process/Streams/StreamOrigin.h"
+#include "Process/Streams/StreamOriginService.h"
 #include "Request/ClaimStore.h"
 #include "Request/FinalAnswer.h"
 #include "Request/ForwardingDialect.h"
@@ -47,6 +47,8 @@
   std::optional<std::chrono::milliseconds> FirstEvent_;
   std::chrono::milliseconds LongestPause_{0};
   AnswerEnd AnswerEnd_;
+  /// Set if the caller took a stream up again.
+  std::optional<OriginSource> OriginSource_;
 };
 
 /// Shared by the requests of one worker thread.
@@ -72,6 +74,7 @@
   std::function<bool(const ForwardingRule &)> HasTimeFor_;
   /// \returns the number of live daemons, this one included.
   std::function<std::size_t()> FleetSize_;
+  StreamOriginService &Origins_;
 };
 
 /// Timing of a stream's events as its caller sees them.
@@ -122,6 +125,8 @@
   /// Set once the caller has events of a stream, from this answer or an earlier
   /// one.
   std::optional<StreamOrigin> Origin_;
+  /// How that is known; set if the caller takes a stream up again.
+  std::optional<OriginSource> OriginSource_;
   /// When the stream had to look for another server to go on.
   TimePoint BrokeOff_;
 
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -564,6 +564,28 @@
 mutate rollout-restored $S/Process/Configuration/StoreView.cpp \
   's/bool OfEarlierEra = [^;]*;/bool OfEarlierEra = false;/' \
   ${U}platform '*unless it was lost with a restore*'
+mutate origin-not-kept $S/Request/ResumedStream.cpp \
+  's/if \(!Context\.Origin_\)\n *Context\.Origin_ = [^;]*;//' \
+  ${U}StreamOrigin '*goes on only at the version*'
+mutate origin-not-compared $S/Request/RequestContext.cpp \
+  's/Context\.Origin_->Version_ != Listed->Version_/false/' \
+  ${U}StreamOrigin '*not begun elsewhere*' \
+  $S/Process/Keeping/Cell.cpp 's/Server\.Version_ != Version \|\| //'
+mutate origin-not-bound $S/Process/Scheduling/Scheduler.cpp \
+  's/return VersionFits &&/return/' \
+  ${U}Process '*fill the servers of their version and no other*'
+mutate origin-holds-up $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/if \(!Details\.Version_\.empty\(\)\)\n *continue;//' \
+  ${U}Process '*hold up no other request*'
+mutate origin-not-told $S/Process/Streams/StreamOriginService.cpp \
+  's/recordKeepers\(Key, others\(\), Options_\.Copies_\)/std::vector<VmId>()/' \
+  ${U}Streams '*known at all others*'
+mutate origin-guessed $S/Process/Streams/VersionTimeline.cpp \
+  's/ \|\| Found->second\.Began_ > Since//' \
+  ${U}Streams '*before a daemon knew the pool*'
+mutate origin-of-another $S/Process/Streams/StreamOrigins.cpp \
+  's/if \(Known\.Origin_ != Origin\)/if (false)/' \
+  ${U}Streams '*two streams of different versions*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
--- /dev/null
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -0,0 +1,179 @@
+/// \file
+/// A fleet of daemons that tell each other where streams began, in one thread.
+
+#include "Process/Streams/StreamOriginService.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+
+using namespace samphireshunt;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Needed{60000};
+
+class OriginFleet {
+public:
+  explicit OriginFleet(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Ids_.emplace_back(fmt::format("vm-{}", Index));
+    for (const VmId &Id : Ids_)
+      Services_.emplace(
+          Id, std::make_unique<StreamOriginService>(
+                  Context_, StreamOriginService::Options(), hooks(Id)));
+  }
+
+  StreamOriginService &at(std::size_t Index) {
+    return *Services_.at(Ids_[Index]);
+  }
+  /// Ends a daemon. The others still list it.
+  void kill(std::size_t Index) { Killed_.insert(Ids_[Index]); }
+  /// Daemons without an answer stay silent.
+  void run() {
+    Context_.restart();
+    Context_.run();
+  }
+  FoundOrigin find(std::size_t Index, OriginQuery Query) {
+    std::optional<FoundOrigin> Found;
+    at(Index).find(std::move(Query),
+                   [&](FoundOrigin Answer) { Found = std::move(Answer); });
+    run();
+    REQUIRE(Found.has_value());
+    return *Found;
+  }
+  std::size_t bytes() const { return Bytes_; }
+  std::optional<SoftwareVersion> Only_;
+
+private:
+  StreamOriginService::Hooks hooks(const VmId &Self) {
+    StreamOriginService::Hooks Hooks;
+    Hooks.Send_ = [this, Self](const VmId &To, std::string Message) {
+      deliver(Self, To, std::move(Message));
+    };
+    Hooks.Reply_ = Hooks.Send_;
+    Hooks.Others_ = [this, Self] {
+      std::vector<VmId> Others = Ids_;
+      std::erase(Others, Self);
+      return Others;
+    };
+    Hooks.OnlyVersion_ = [this](const PoolName &, milliseconds) {
+      return Only_;
+    };
+    return Hooks;
+  }
+
+  void deliver(const VmId &From, const VmId &To, std::string Message) {
+    Bytes_ += Message.size();
+    if (Killed_.contains(To) || Killed_.contains(From))
+      return;
+    StreamOriginService &Target = *Services_.at(To);
+    auto Decoded = decodeMessage(Message);
+    REQUIRE(Decoded.has_value());
+    if (const auto *Record = Decoded->body.AsStreamOrigin())
+      Target.onRecord(*Record);
+    else if (const auto *Ask = Decoded->body.AsOriginAsk())
+      Target.onAsk(From, *Ask);
+    else if (const auto *Answer = Decoded->body.AsOriginAnswer())
+      Target.onAnswer(From, *Answer);
+  }
+
+  boost::asio::io_context Context_{1};
+  std::vector<VmId> Ids_;
+  std::map<VmId, std::unique_ptr<StreamOriginService>> Services_;
+  std::set<VmId> Killed_;
+  std::size_t Bytes_ = 0;
+};
+
+StreamOrigin origin(int Number) {
+  return {PoolName("pool"), SoftwareVersion(Number % 2 == 0 ? "v1" : "v2")};
+}
+
+OriginQuery query(int Number) {
+  OriginQuery Query;
+  Query.Key_ = streamKey(CustomerName("c"), std::to_string(Number));
+  Query.Pool_ = PoolName("pool");
+  Query.MaxAge_ = Needed;
+  return Query;
+}
+
+/// Lets the first daemon record streams of two versions, in turn.
+void recordStreams(OriginFleet &Fleet, int Count) {
+  for (int Number = 0; Number < Count; ++Number)
+    Fleet.at(0).record(*query(Number).Key_, origin(Number), Needed);
+  Fleet.run();
+}
+
+} // namespace
+
+TEST_CASE("streams of a daemon that was killed are known at all others") {
+  // Guards against callers that come back to another daemon, where their
+  // streams go on at a wrong version or not at all.
+  constexpr int Streams = 40;
+  OriginFleet Fleet(8);
+  recordStreams(Fleet, Streams);
+  Fleet.kill(0);
+  for (int Number = 0; Number < Streams; ++Number) {
+    FoundOrigin Found =
+        Fleet.find(1 + static_cast<std::size_t>(Number) % 7, query(Number));
+    CHECK(Found.Origin_ == origin(Number));
+  }
+}
+
+TEST_CASE("most streams are known where half of the daemons were killed") {
+  constexpr int Streams = 40;
+  OriginFleet Fleet(8);
+  recordStreams(Fleet, Streams);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    Fleet.kill(Index);
+  int Known = 0;
+  for (int Number = 0; Number < Streams; ++Number) {
+    FoundOrigin Found =
+        Fleet.find(4 + static_cast<std::size_t>(Number) % 4, query(Number));
+    if (Found.Origin_)
+      CHECK(Found.Origin_ == origin(Number));
+    Known += Found.Origin_.has_value();
+  }
+  CHECK(2 * Known >= Streams);
+}
+
+TEST_CASE("a stream that nobody knows is unknown at once, unless its pool has "
+          "only one version") {
+  // Guards against callers that are held up although all others have answered,
+  // and against a guess among several versions.
+  OriginFleet Fleet(8);
+  auto Begin = std::chrono::steady_clock::now();
+  CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
+  CHECK(std::chrono::steady_clock::now() - Begin <
+        StreamOriginService::Options().AnswerTime_);
+  Fleet.Only_ = SoftwareVersion("v1");
+  FoundOrigin Found = Fleet.find(1, query(1));
+  CHECK(Found.Source_ == OriginSource::OnlyVersion);
+  CHECK(Found.Origin_ == origin(0));
+  OriginQuery WithoutId = query(1);
+  WithoutId.Key_.reset();
+  CHECK(Fleet.find(1, WithoutId).Source_ == OriginSource::OnlyVersion);
+  OriginQuery SplitRoute = query(1);
+  SplitRoute.Pool_.reset();
+  CHECK(Fleet.find(1, SplitRoute).Source_ == OriginSource::Unknown);
+}
+
+TEST_CASE("a daemon that is alone decides by itself") {
+  OriginFleet Fleet(1);
+  Fleet.at(0).record(*query(1).Key_, origin(1), Needed);
+  CHECK(Fleet.find(0, query(1)).Origin_ == origin(1));
+  CHECK(Fleet.find(0, query(2)).Source_ == OriginSource::Unknown);
+}
+
+TEST_CASE("records take a small part of the bytes for control") {
+  // 1,700 requests a second at 400 daemons, all of them streams.
+  constexpr std::size_t StreamsPerSecond = 5;
+  constexpr std::size_t MaxBytes = 1000;
+  OriginFleet Fleet(400);
+  recordStreams(Fleet, StreamsPerSecond);
+  CHECK(Fleet.bytes() <= MaxBytes);
+  MESSAGE(Fleet.bytes() << " bytes for " << StreamsPerSecond << " streams");
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -252,6 +252,8 @@
   Keeper_ = std::make_unique<KeeperService>(Context_, Documents_, Keeping,
                                             std::move(Hooks));
   Grants_->setLocalKeeper(Keeper_.get());
+  Origins_ = std::make_unique<StreamOriginService>(
+      Context_, StreamOriginService::Options(), origins());
   Documents_.onChanged(
       [this](const ServiceName &, DocumentVersion) { Keeper_->refresh(); });
   publish();
@@ -364,6 +366,17 @@
   return Hooks;
 }
 
+StreamOriginService::Hooks ForwardingHarness::origins() {
+  StreamOriginService::Hooks Hooks;
+  Hooks.Others_ = [] { return std::vector<VmId>(); };
+  Hooks.OnlyVersion_ = [this](const PoolName &, milliseconds) {
+    return Options_.Versions_.size() == 1
+               ? std::optional(SoftwareVersion(Options_.Versions_.front()))
+               : std::nullopt;
+  };
+  return Hooks;
+}
+
 RequestServices ForwardingHarness::services() {
   return {Documents_,
           *Grants_,
@@ -379,7 +392,8 @@
           Lease_,
           RetryBudget_,
           [](const ForwardingRule &) { return true; },
-          [] { return std::size_t{1}; }};
+          [] { return std::size_t{1}; },
+          *Origins_};
 }
 
 void ForwardingHarness::publish(std::vector<std::size_t> Leaving,
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -215,6 +215,7 @@
   RequestServices services();
   ServerConnector::Options connecting();
   ServerConnector::Hooks relays();
+  StreamOriginService::Hooks origins();
   Awaitable<void> sendAndReceive(std::string Bytes,
                                  std::shared_ptr<CallerReply> Reply);
 
@@ -234,6 +235,7 @@
   ServerConnector Connector_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
+  std::unique_ptr<StreamOriginService> Origins_;
   std::unique_ptr<CallerService> Callers_;
   std::unique_ptr<HttpServer> Front_;
   std::uint64_t NextId_ = 1;
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -158,7 +158,8 @@
             Lease_,
             RetryBudget_,
             [](const ForwardingRule &) { return true; },
-            [] { return std::size_t{1}; }};
+            [] { return std::size_t{1}; },
+            Origins_};
   }
 
   std::vector<std::string> Events_;
@@ -172,6 +173,8 @@
   ForwardingDialect Dialect_ = defaultDialect();
   ServerConnector Connector_{Context_, ServerConnector::Options(),
                              ServerConnector::Hooks()};
+  StreamOriginService Origins_{Context_, StreamOriginService::Options(),
+                               StreamOriginService::Hooks()};
   CrashTracker Crashes_;
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -93,3 +93,39 @@
   CHECK(Mixed == 0);
   CHECK(2 * Complete >= Streams);
 }
+
+TEST_CASE("a stream whose beginning nobody knows is refused where versions "
+          "differ") {
+  // Guards against a guess, and against a caller that waits or comes back for a
+  // stream that can't go on.
+  ForwardingHarness Path(versions(1), serversOfTwoVersions());
+  for (std::string Fields : {takeUp("nobody"), takeUp("")}) {
+    CallerReply Reply = Path.call("c", "x", Fields);
+    CHECK(Reply.status() == 503);
+    CHECK(fieldIn(Reply.Bytes_, "x-result-code") == "216");
+    CHECK(fieldIn(Reply.Bytes_, "x-outcome") == "not-run");
+    CHECK(fieldIn(Reply.Bytes_, "retry-after").empty());
+  }
+  CHECK(Path.received() == 0);
+}
+
+TEST_CASE("a stream whose beginning nobody knows goes on at the only version") {
+  // Guards against callers that lose streams where nothing can be mixed up.
+  ForwardingHarness::Options Wanted = versions(1);
+  Wanted.Versions_ = {"v1"};
+  ForwardingHarness Path(Wanted, {breakOff("v1"), breakOff("v1")});
+  CHECK(Path.call("c", "x", takeUp("nobody")).hasLastChunk());
+  CHECK(Path.call("d", "x", takeUp("")).hasLastChunk());
+}
+
+TEST_CASE("a stream whose version has no server left is not begun elsewhere") {
+  // Guards against a caller's second attempt that falls back to what is left.
+  ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
+  std::string Begun = Path.call("c").body();
+  std::size_t First = has(Begun, "v1") ? 0 : 1;
+  Path.publish({}, {First});
+  CallerReply Rest = Path.call("d", "x", takeUp("c"));
+  CHECK(Rest.status() == 503);
+  CHECK(fieldIn(Rest.Bytes_, "x-result-code") == "204");
+  CHECK(Path.received() == 1);
+}
