Soak: engines of two versions side by side, callers that take streams up elsewhere

No rig of ours had engines of several versions outside of roll-outs, and no caller of ours ever sent Last-Event-Id. Events tell their version now; the soak draws it for each engine, and callers take a stream that broke off up again, twice at most, at any daemon. No stream may hold events of two versions over all of its attempts.

The expression of the mutation rest-kept matches again.

--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr std::size_t DaemonCount = 8;
+/// How often a caller takes a stream up again.
+constexpr int MaxTakeUps = 2;
 constexpr int EventCount = 6;
 constexpr std::uint32_t Percent = 100;
 /// Maximum time that a key may still work after it was revoked.
@@ -100,19 +102,47 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
-std::string eventText(const std::string &CallId, int Number) {
-  return fmt::format("id: {}\ndata: {}-{}\n\n", Number, CallId, Number);
+std::string eventText(const std::string &CallId, int Number,
+                      const std::string &Version) {
+  return fmt::format("id: {}\ndata: {}-{} {}\n\n", Number, CallId, Number,
+                     Version);
 }
 
-std::string completeBody(SoakKind Kind, const std::string &CallId) {
-  if (!isStream(Kind))
-    return "answer to " + CallId;
+/// \returns the whole answer to a call, of a stream as a version sends it.
+std::string completeBody(const SoakCall &Call, const std::string &Version) {
+  if (!isStream(Call.Kind_))
+    return "answer to " + Call.Id_;
   std::string Body;
-  for (int Number = 1; Number <= EventCount; ++Number)
-    Body += eventText(CallId, Number);
+  for (int Number = Call.After_ + 1; Number <= EventCount; ++Number)
+    Body += eventText(Call.Id_, Number, Version);
   return Body;
 }
 
+/// \returns the number of the last whole event in a stream; 0 without any.
+int lastEvent(const std::string &Body) {
+  constexpr std::string_view Field = "id: ";
+  std::size_t End = Body.rfind("\n\n");
+  if (End == std::string::npos)
+    return 0;
+  std::size_t At = Body.rfind(Field, End);
+  return At == std::string::npos ? 0
+                                 : std::stoi(Body.substr(At + Field.size()));
+}
+
+/// \returns the versions of the whole events in a stream.
+std::set<std::string> versionsIn(const std::string &Body) {
+  constexpr std::string_view EventEnd = "\n\n";
+  std::set<std::string> Versions;
+  std::size_t Begin = 0;
+  for (std::size_t End = Body.find(EventEnd); End != std::string::npos;
+       End = Body.find(EventEnd, Begin)) {
+    std::string Event = Body.substr(Begin, End - Begin);
+    Versions.insert(Event.substr(Event.rfind(' ') + 1));
+    Begin = End + EventEnd.size();
+  }
+  return Versions;
+}
+
 /// Where and how an engine breaks off a stream. A normal end of an unframed
 /// stream between events is left out, since it is also the end of a complete
 /// one.
@@ -179,17 +209,20 @@
   std::vector<std::pair<Time, Endpoint>> Arrivals_;
 };
 
-SoakEnvironment::SoakEnvironment(std::uint64_t Seed)
-    : Random_(Seed), FramingRandom_(Seed, 1), Store_(Context_),
-      Daemons_(DaemonCount) {
+SoakEnvironment::SoakEnvironment(std::uint64_t Seed,
+                                 std::vector<std::string> Versions)
+    : Random_(Seed), FramingRandom_(Seed, 1), VersionRandom_(Seed, 2),
+      Versions_(std::move(Versions)), Store_(Context_), Daemons_(DaemonCount),
+      ServiceVersion_(Versions_.front()) {
   for (int Number = 1; Number <= 6; ++Number) {
     std::string Key = fmt::format("key-{}", Number);
     ActiveKeys_.insert(Key);
     CustomerByKey_[Key] = fmt::format("customer-{}", 1 + Number % 2);
   }
   writeConfiguration();
-  for (int Number = 0; Number < 4; ++Number)
-    addEngine(ServiceVersion_);
+  constexpr std::size_t EngineCount = 4;
+  for (std::size_t Number = 0; Number < EngineCount; ++Number)
+    addEngine(Versions_[Number % Versions_.size()]);
   Thread_ = std::thread([this] {
     auto Guard = asio::make_work_guard(Context_);
     Context_.run();
@@ -235,6 +268,14 @@
   Store_.put("op/config", Configuration_);
 }
 
+/// With one version, that of the last roll-out that completed.
+std::string SoakEnvironment::drawVersion() {
+  if (Versions_.size() == 1)
+    return ServiceVersion_;
+  return Versions_[VersionRandom_(
+      static_cast<std::uint32_t>(Versions_.size()))];
+}
+
 SoakEnvironment::Engine &
 SoakEnvironment::addEngine(const std::string &Version) {
   auto Added = std::make_unique<Engine>();
@@ -481,7 +522,7 @@
     if (Ready == Engines_.end())
       return;
     Engine *Leaving = Ready->get();
-    addEngine(ServiceVersion_);
+    addEngine(drawVersion());
     Leaving->Leaving_ = steady_clock::now();
     // The store's word is late, which excuses daemons that have not been told
     // by the engine.
@@ -585,7 +626,7 @@
   for (int Number = First;
        Open && Cut == StreamCut::None && Number <= EventCount; ++Number) {
     co_await sleep(Factor * milliseconds(2 + pick(15)));
-    std::string Event = eventText(CallId, Number);
+    std::string Event = eventText(CallId, Number, Self.Version_);
     if (Self.Crashed_)
       co_return Exchange.abort();
     if (Fails || (EngineFaults_ && pick(Percent) < 2))
@@ -664,15 +705,37 @@
     Endpoint To = ConnectedTo;
     SoakCall Seen =
         co_await callOnce(Kind, std::move(Key), std::move(To), Connection);
-    Calls_.push_back(std::move(Seen));
+    bool Broken = Kind == SoakKind::Resumable && Seen.Status_ == 200 &&
+                  !Seen.Complete_ && lastEvent(Seen.Body_) > 0;
+    Calls_.push_back(Seen);
+    if (Broken)
+      co_await takeUp(std::move(Seen));
   }
   --ActiveCallers_;
 }
 
+Awaitable<void> SoakEnvironment::takeUp(SoakCall Broken) {
+  for (int Try = 0; Try < MaxTakeUps; ++Try) {
+    co_await sleep(milliseconds(10 + VersionRandom_(100)));
+    auto Daemon =
+        Daemons_[VersionRandom_(static_cast<std::uint32_t>(Daemons_.size()))];
+    if (!Daemon)
+      continue;
+    std::unique_ptr<HttpConnection> Connection;
+    SoakCall Rest = co_await callOnce(Broken.Kind_, Broken.Key_, *Daemon,
+                                      Connection, {}, &Broken);
+    Calls_.push_back(Rest);
+    if (Rest.Complete_ || lastEvent(Rest.Body_) == EventCount)
+      co_return;
+    if (lastEvent(Rest.Body_) > 0)
+      Broken = std::move(Rest);
+  }
+}
+
 Awaitable<SoakCall>
 SoakEnvironment::callOnce(SoakKind Kind, std::string Key, Endpoint To,
                           std::unique_ptr<HttpConnection> &Connection,
-                          std::string Body) {
+                          std::string Body, const SoakCall *Broken) {
   constexpr milliseconds Limit{3000};
   SoakCall Seen;
   Seen.Id_ = fmt::format("c-{}", NextId_++);
@@ -687,6 +750,12 @@
                      {"x-samphireshunt-request-id", Seen.Id_},
                      {"x-samphireshunt-deadline-ms", "2500"},
                      {"authorization", "Bearer " + Key}};
+  if (Broken) {
+    Seen.First_ = Broken->First_.empty() ? Broken->Id_ : Broken->First_;
+    Seen.After_ = lastEvent(Broken->Body_);
+    Request.Fields_["resumes"] = Seen.First_;
+    Request.Fields_["last-event-id"] = std::to_string(Seen.After_);
+  }
   if (!Connection) {
     auto Connected = co_await HttpConnection::connect(To, Limit);
     if (!Connected)
@@ -830,7 +899,7 @@
       return Known->Leaving_ == Time() && !Known->Removed_;
     });
     Engine *LeavingEngine = Ready == Engines_.end() ? nullptr : Ready->get();
-    addEngine(ServiceVersion_);
+    addEngine(drawVersion());
     if (!LeavingEngine)
       return;
     LeavingEngine->Leaving_ = steady_clock::now();
@@ -1120,12 +1189,52 @@
   return Done.get_future().get();
 }
 
+bool SoakEnvironment::isWhole(const SoakCall &Call) const {
+  return std::ranges::any_of(Runs_, [&](const SoakRun &Run) {
+    return Run.CallId_ == Call.Id_ &&
+           Call.Body_ == completeBody(Call, Run.Version_);
+  });
+}
+
+void SoakEnvironment::checkVersions(
+    std::vector<std::string> &Violations) const {
+  std::map<std::string, std::set<std::string>> ByStream;
+  for (const SoakCall &Call : Calls_) {
+    if (!isStream(Call.Kind_) || Call.Status_ != 200)
+      continue;
+    const std::string &First = Call.First_.empty() ? Call.Id_ : Call.First_;
+    ByStream[First].merge(versionsIn(Call.Body_));
+  }
+  for (const auto &[First, Versions] : ByStream)
+    if (Versions.size() > 1)
+      Violations.push_back(First + ": a stream holds events of two versions");
+}
+
+SoakTakeUps SoakEnvironment::takeUps() {
+  SoakTakeUps Counted;
+  run([&] {
+    for (const SoakCall &Call : Calls_) {
+      Endpoint Daemon = DaemonByCall_.at(Call.Id_);
+      bool InTouch = StartedAt_.contains(Daemon) &&
+                     Call.Sent_ > StartedAt_.at(Daemon) + ContactTime;
+      if (Call.Kind_ != SoakKind::Resumable || !InTouch)
+        continue;
+      bool Events = lastEvent(Call.Body_) > 0 || Call.Complete_;
+      bool Served = Call.Status_ == 200 && Events;
+      bool Again = !Call.First_.empty();
+      (Again ? Counted.All_ : Counted.New_) += 1;
+      (Again ? Counted.WentOn_ : Counted.Begun_) += Served ? 1 : 0;
+    }
+  });
+  return Counted;
+}
+
 void SoakEnvironment::check(const SoakCall &Call,
                             std::vector<std::string> &Violations) const {
   auto Known = RunCounts_.find(Call.Id_);
   std::size_t Runs = Known == RunCounts_.end() ? 0 : Known->second;
   bool Success = Call.Status_ == 200 && Call.Complete_;
-  if (Success && Call.Body_ != completeBody(Call.Kind_, Call.Id_))
+  if (Success && !isWhole(Call))
     Violations.push_back(Call.Id_ +
                          ": a wrong or partial answer looked complete");
   if (!mayRunTwice(Call.Kind_) && Runs > 1)
@@ -1145,6 +1254,7 @@
   run([&] {
     Violations = Violations_;
     checkCrashes(Violations);
+    checkVersions(Violations);
     for (const auto &Known : Engines_)
       if (Known->Limit_ > 0)
         checkLimit(*Known, Violations);
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -31,6 +31,19 @@
   int Status_ = 0;        ///< HTTP status; 0 without an answer.
   bool Complete_ = false; ///< The answer looked complete.
   std::string Body_;
+  /// Of a stream that the caller took up again: the call that brought its first
+  /// event, and the number of events that the caller already had.
+  std::string First_;
+  int After_ = 0;
+};
+
+/// Streams that callers took up again at daemons that had been up for a while.
+struct SoakTakeUps {
+  std::size_t All_ = 0;
+  std::size_t WentOn_ = 0; ///< They brought another event or their end.
+  /// New streams at such daemons, and those that brought an event.
+  std::size_t New_ = 0;
+  std::size_t Begun_ = 0;
 };
 
 /// Calls of one daemon.
@@ -64,7 +77,9 @@
 /// All public functions are thread-safe.
 class SoakEnvironment {
 public:
-  explicit SoakEnvironment(std::uint64_t Seed);
+  /// Engines have the \p Versions by chance, side by side.
+  explicit SoakEnvironment(std::uint64_t Seed,
+                           std::vector<std::string> Versions = {"v1"});
   ~SoakEnvironment();
 
   Endpoint storeAddress();
@@ -135,6 +150,7 @@
   /// Counts the calls that were sent to a daemon since \p Begin and have ended.
   SoakCount countCalls(std::size_t Daemon,
                        std::chrono::steady_clock::time_point Begin);
+  SoakTakeUps takeUps();
   std::size_t answered();
   std::size_t callCount();
 
@@ -195,9 +211,17 @@
   Awaitable<void> caller(std::uint64_t Number);
   Awaitable<SoakCall> callOnce(SoakKind Kind, std::string Key, Endpoint To,
                                std::unique_ptr<HttpConnection> &Connection,
-                               std::string Body = {});
+                               std::string Body = {},
+                               const SoakCall *Broken = nullptr);
+  /// Takes a stream that broke off up again, at any daemon.
+  Awaitable<void> takeUp(SoakCall Broken);
+  std::string drawVersion();
   Awaitable<void> sleep(std::chrono::milliseconds Time);
   void check(const SoakCall &Call, std::vector<std::string> &Violations) const;
+  /// Checks that no stream holds events of several versions, over all attempts
+  /// of its caller.
+  void checkVersions(std::vector<std::string> &Violations) const;
+  bool isWhole(const SoakCall &Call) const;
   /// Checks how many requests engines got that had named a limit.
   void checkLimit(const Engine &Limited,
                   std::vector<std::string> &Violations) const;
@@ -213,6 +237,8 @@
   pcg32 Random_;
   /// Apart from Random_, so that seeds select the same other faults as before.
   pcg32 FramingRandom_;
+  pcg32 VersionRandom_;
+  std::vector<std::string> Versions_;
   FakeStore Store_;
   std::vector<std::unique_ptr<Engine>> Engines_;
   std::vector<std::optional<Endpoint>> Daemons_;
--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -54,7 +54,7 @@
 
 void soak(const std::vector<std::uint64_t> &Seeds, bool RestoreCopies) {
   for (std::uint64_t Seed : Seeds) {
-    SoakEnvironment Environment(Seed);
+    SoakEnvironment Environment(Seed, {"v1", "v1.1"});
     Environment.takeStoreCopy();
     SoakFleet Fleet(Seed, Environment,
                     {.RestoreCopies_ = RestoreCopies, .FaultyLinks_ = true});
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -515,7 +515,7 @@
   ${U}LeavingServer '*' $S/Request/RequestContext.cpp \
   's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
 mutate rest-kept $S/Process/Scheduling/SchedulerPlacement.cpp \
-  's/!Excluded && !Rests && /!Excluded \&\& /' \
+  's/ && !Rests && hasRoom/ \&\& hasRoom/' \
   ${U}RestingServer '*gets it*' $S/Request/RequestContext.cpp \
   's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
 mutate rest-told-at-once $S/Process/Scheduling/Scheduler.cpp \
