The line of a lost request tells the parts of its prompt

The record of crashes by a part can't show what the crashed requests share: no line names parts. 'ended' has them wherever it has the fingerprint.

--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/this_coro.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
@@ -135,6 +136,13 @@
                        });
 }
 
+std::string partsText(const RequestContext &Context) {
+  return absl::StrJoin(Context.Call_.Parts_, ",",
+                       [](std::string *Out, const PromptPart &Part) {
+                         *Out += fmt::format("{:x}", Part.Id_);
+                       });
+}
+
 Lateness latenessNow(const RequestContext &Context, TimePoint Now) {
   AnswerTimes Times;
   Times.First_ = Context.StreamTiming_.FirstEvent_.value_or(
@@ -165,8 +173,11 @@
     Fields.emplace_back("route", Context.Route_->Name_);
   if (Context.Customer_)
     Fields.emplace_back("customer", Context.Customer_->Name_.str());
-  if (Context.Fingerprint_)
+  if (Context.Fingerprint_) {
     Fields.emplace_back("fingerprint", Context.Fingerprint_.str());
+    if (!Context.Call_.Parts_.empty())
+      Fields.emplace_back("parts", partsText(Context));
+  }
   if (Context.Service_) {
     Fields.emplace_back("service", Context.document().Service_.str());
     Fields.emplace_back("version",
