--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -232,11 +232,12 @@
   StreamOrigin = 25,
   OriginAsk = 26,
   OriginAnswer = 27,
+  CrashRecord = 28,
   MIN = NONE,
-  MAX = OriginAnswer
+  MAX = CrashRecord
 };
 
-inline const Body (&EnumValuesBody())[28] {
+inline const Body (&EnumValuesBody())[29] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -265,13 +266,14 @@
     Body::ServerNotice,
     Body::StreamOrigin,
     Body::OriginAsk,
-    Body::OriginAnswer
+    Body::OriginAnswer,
+    Body::CrashRecord
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[29] = {
+  static const char * const names[30] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -300,13 +302,14 @@
     "StreamOrigin",
     "OriginAsk",
     "OriginAnswer",
+    "CrashRecord",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OriginAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CrashRecord)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -423,6 +426,10 @@
   static const Body enum_value = Body::OriginAnswer;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::CrashRecord> {
+  static const Body enum_value = Body::CrashRecord;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -535,6 +542,10 @@
   static const Body enum_value = Body::OriginAnswer;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::CrashRecordT> {
+  static const Body enum_value = Body::CrashRecord;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -781,6 +792,14 @@
     return type == Body::OriginAnswer ?
       reinterpret_cast<const samphireshunt::wire::OriginAnswerT *>(value) : nullptr;
   }
+  samphireshunt::wire::CrashRecordT *AsCrashRecord() {
+    return type == Body::CrashRecord ?
+      reinterpret_cast<samphireshunt::wire::CrashRecordT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::CrashRecordT *AsCrashRecord() const {
+    return type == Body::CrashRecord ?
+      reinterpret_cast<const samphireshunt::wire::CrashRecordT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1949,6 +1968,7 @@
   uint32_t answer_tokens = 0;
   bool non_idempotent = false;
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
+  std::vector<uint64_t> parts{};
   RunningT() = default;
   RunningT(const RunningT &o);
   RunningT(RunningT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1969,7 +1989,8 @@
     VT_PROMPT_TOKENS = 14,
     VT_ANSWER_TOKENS = 16,
     VT_NON_IDEMPOTENT = 18,
-    VT_FINGERPRINT = 20
+    VT_FINGERPRINT = 20,
+    VT_PARTS = 22
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1998,6 +2019,10 @@
   const samphireshunt::wire::Fingerprint *fingerprint() const {
     return GetStruct<const samphireshunt::wire::Fingerprint *>(VT_FINGERPRINT);
   }
+  /// Ids of the parts of the prompt that it may share with other requests.
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -2012,6 +2037,8 @@
            VerifyField<uint32_t>(verifier, VT_ANSWER_TOKENS, 4) &&
            VerifyField<uint8_t>(verifier, VT_NON_IDEMPOTENT, 1) &&
            VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
            verifier.EndTable();
   }
   RunningT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2050,6 +2077,9 @@
   void add_fingerprint(const samphireshunt::wire::Fingerprint *fingerprint) {
     fbb_.AddStruct(Running::VT_FINGERPRINT, fingerprint);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Running::VT_PARTS, parts);
+  }
   explicit RunningBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2071,8 +2101,10 @@
     uint32_t prompt_tokens = 0,
     uint32_t answer_tokens = 0,
     bool non_idempotent = false,
-    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
   RunningBuilder builder_(_fbb);
+  builder_.add_parts(parts);
   builder_.add_fingerprint(fingerprint);
   builder_.add_answer_tokens(answer_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
@@ -2095,9 +2127,11 @@
     uint32_t prompt_tokens = 0,
     uint32_t answer_tokens = 0,
     bool non_idempotent = false,
-    const samphireshunt::wire::Fingerprint *fingerprint = nullptr) {
+    const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
+    const std::vector<uint64_t> *parts = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return samphireshunt::wire::CreateRunning(
       _fbb,
       id,
@@ -2108,7 +2142,8 @@
       prompt_tokens,
       answer_tokens,
       non_idempotent,
-      fingerprint);
+      fingerprint,
+      parts__);
 }
 
 flatbuffers::Offset<Running> CreateRunning(flatbuffers::FlatBufferBuilder &_fbb, const RunningT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2129,6 +2164,7 @@
   bool crashed = false;
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   bool rejected = false;
+  std::vector<uint64_t> parts{};
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2153,7 +2189,8 @@
     VT_AT_ONCE = 24,
     VT_CRASHED = 26,
     VT_FINGERPRINT = 28,
-    VT_REJECTED = 30
+    VT_REJECTED = 30,
+    VT_PARTS = 32
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -2203,6 +2240,11 @@
   bool rejected() const {
     return GetField<uint8_t>(VT_REJECTED, 0) != 0;
   }
+  /// Ids of the parts of the prompt that may have caused the crash, or that the
+  /// server has answered on.
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -2221,6 +2263,8 @@
            VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
            VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint8_t>(verifier, VT_REJECTED, 1) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2274,6 +2318,9 @@
   void add_rejected(bool rejected) {
     fbb_.AddElement<uint8_t>(Done::VT_REJECTED, static_cast<uint8_t>(rejected), 0);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Done::VT_PARTS, parts);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2300,8 +2347,10 @@
     uint32_t at_once = 1,
     bool crashed = false,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
-    bool rejected = false) {
+    bool rejected = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
   DoneBuilder builder_(_fbb);
+  builder_.add_parts(parts);
   builder_.add_fingerprint(fingerprint);
   builder_.add_at_once(at_once);
   builder_.add_duration_us(duration_us);
@@ -2334,8 +2383,10 @@
     uint32_t at_once = 1,
     bool crashed = false,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
-    bool rejected = false) {
+    bool rejected = false,
+    const std::vector<uint64_t> *parts = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return samphireshunt::wire::CreateDone(
       _fbb,
       id,
@@ -2351,7 +2402,8 @@
       at_once,
       crashed,
       fingerprint,
-      rejected);
+      rejected,
+      parts__);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5291,6 +5343,9 @@
   const samphireshunt::wire::OriginAnswer *body_as_OriginAnswer() const {
     return body_type() == samphireshunt::wire::Body::OriginAnswer ? static_cast<const samphireshunt::wire::OriginAnswer *>(body()) : nullptr;
   }
+  const samphireshunt::wire::CrashRecord *body_as_CrashRecord() const {
+    return body_type() == samphireshunt::wire::Body::CrashRecord ? static_cast<const samphireshunt::wire::CrashRecord *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5411,6 +5466,10 @@
   return body_as_OriginAnswer();
 }
 
+template<> inline const samphireshunt::wire::CrashRecord *Envelope::body_as<samphireshunt::wire::CrashRecord>() const {
+  return body_as_CrashRecord();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5910,7 +5969,8 @@
         prompt_tokens(o.prompt_tokens),
         answer_tokens(o.answer_tokens),
         non_idempotent(o.non_idempotent),
-        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr) {
+        fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
+        parts(o.parts) {
 }
 
 inline RunningT &RunningT::operator=(RunningT o) FLATBUFFERS_NOEXCEPT {
@@ -5923,6 +5983,7 @@
   std::swap(answer_tokens, o.answer_tokens);
   std::swap(non_idempotent, o.non_idempotent);
   std::swap(fingerprint, o.fingerprint);
+  std::swap(parts, o.parts);
   return *this;
 }
 
@@ -5944,6 +6005,7 @@
   { auto _e = answer_tokens(); _o->answer_tokens = _e; }
   { auto _e = non_idempotent(); _o->non_idempotent = _e; }
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Running> Running::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunningT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5963,6 +6025,7 @@
   auto _answer_tokens = _o->answer_tokens;
   auto _non_idempotent = _o->non_idempotent;
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
   return samphireshunt::wire::CreateRunning(
       _fbb,
       _id,
@@ -5973,7 +6036,8 @@
       _prompt_tokens,
       _answer_tokens,
       _non_idempotent,
-      _fingerprint);
+      _fingerprint,
+      _parts);
 }
 
 inline DoneT::DoneT(const DoneT &o)
@@ -5990,7 +6054,8 @@
         at_once(o.at_once),
         crashed(o.crashed),
         fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
-        rejected(o.rejected) {
+        rejected(o.rejected),
+        parts(o.parts) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -6008,6 +6073,7 @@
   std::swap(crashed, o.crashed);
   std::swap(fingerprint, o.fingerprint);
   std::swap(rejected, o.rejected);
+  std::swap(parts, o.parts);
   return *this;
 }
 
@@ -6034,6 +6100,7 @@
   { auto _e = crashed(); _o->crashed = _e; }
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
   { auto _e = rejected(); _o->rejected = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6058,6 +6125,7 @@
   auto _crashed = _o->crashed;
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   auto _rejected = _o->rejected;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -6073,7 +6141,8 @@
       _at_once,
       _crashed,
       _fingerprint,
-      _rejected);
+      _rejected,
+      _parts);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
@@ -7313,6 +7382,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::CrashRecord: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::CrashRecord *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7440,6 +7513,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::CrashRecord: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::CrashRecord *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7555,6 +7632,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::OriginAnswerT *>(value);
       return CreateOriginAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case Body::CrashRecord: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::CrashRecordT *>(value);
+      return CreateCrashRecord(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7669,6 +7750,10 @@
       value = new samphireshunt::wire::OriginAnswerT(*reinterpret_cast<samphireshunt::wire::OriginAnswerT *>(u.value));
       break;
     }
+    case Body::CrashRecord: {
+      value = new samphireshunt::wire::CrashRecordT(*reinterpret_cast<samphireshunt::wire::CrashRecordT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7811,6 +7896,11 @@
       delete ptr;
       break;
     }
+    case Body::CrashRecord: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::CrashRecordT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -55,6 +55,10 @@
     ResultCodeInfo{CrashesServers, "crashes-servers",
                    "Servers crashed each time that they ran this request.",
                    "Don't send it again; see its fingerprint in the logs."},
+    ResultCodeInfo{PromptPartCrashesServers, "prompt-part-crashes-servers",
+                   "Servers crashed each time that they began to answer on a "
+                   "part of the prompt.",
+                   "Leave the part out; request-crashes in the logs names it."},
     ResultCodeInfo{DeadlineInQueue, "deadline-in-queue",
                    "The deadline passed before a backend server was free.",
                    "Come back after Retry-After."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -42,6 +42,7 @@
   TooManyConnections = 111,
   MethodNotAllowed = 112,
   CrashesServers = 113,
+  PromptPartCrashesServers = 114,
   // 2xx: ended before any dispatch.
   DeadlineInQueue = 200,
   ShedForHigherTier = 201,
--- a/Source/Process/Keeping/CrashTracker.cpp
+++ b/Source/Process/Keeping/CrashTracker.cpp
@@ -1,5 +1,6 @@
 #include "Process/Keeping/CrashTracker.h"
 
+#include "Common/Hash.h"
 #include "Common/Log.h"
 
 #include <algorithm>
@@ -74,22 +75,45 @@
 
 } // namespace
 
+VmId crashCollector(const wire::Fingerprint &Part,
+                    const std::vector<VmId> &Members) {
+  return *std::ranges::max_element(Members, {}, [&](const VmId &Id) {
+    return stableHash(Id.str(), Part.low());
+  });
+}
+
 CrashTracker::CrashTracker(Clock Now)
     : Now_(std::move(Now)),
       Published_(std::make_shared<const CrashSnapshot>()) {}
 
 void CrashTracker::requestEnded(const ServerName &Server,
                                 const ServedSample &Sample) {
-  if (!Sample.Fingerprint_ || (!Sample.Crashed_ && !Sample.Complete_))
+  if (!Sample.Crashed_ && !Sample.Complete_)
     return;
+  std::vector<RequestFingerprint> Keys;
+  if (Sample.Fingerprint_)
+    Keys.push_back(Sample.Fingerprint_);
+  std::ranges::transform(Sample.Parts_, std::back_inserter(Keys), partKey);
   auto Now = Now_();
-  RequestStanding Before = standing(Sample.Fingerprint_);
-  bool Changed = Sample.Crashed_
-                     ? History_.recordCrash(Sample.Fingerprint_, Server,
-                                            Now - Sample.Duration_, Now)
-                     : History_.recordCompleted(Sample.Fingerprint_, Now);
-  if (Changed)
-    publish(Sample.Fingerprint_, Before, Server);
+  std::vector<std::pair<RequestFingerprint, RequestStanding>> Changed;
+  for (const RequestFingerprint &Key : Keys) {
+    RequestStanding Before = standing(Key);
+    if (apply(Key, Server, Sample, Now))
+      Changed.emplace_back(Key, Before);
+  }
+  if (Changed.empty())
+    return;
+  publish();
+  for (const auto &[Key, Before] : Changed)
+    reportChange(Key, Before, Server);
+}
+
+bool CrashTracker::apply(const RequestFingerprint &Key,
+                         const ServerName &Server, const ServedSample &Sample,
+                         TimePoint Now) {
+  if (Sample.Crashed_)
+    return History_.recordCrash(Key, Server, Now - Sample.Duration_, Now);
+  return History_.recordCompleted(Key, Now);
 }
 
 RequestStanding
@@ -112,26 +136,52 @@
   return Messages;
 }
 
+std::vector<wire::CrashRecordT>
+CrashTracker::partRecords(const ServerName &Server,
+                          const ServedSample &Sample) const {
+  std::vector<wire::CrashRecordT> Records;
+  if (!Sample.Crashed_)
+    return Records;
+  auto Now = Now_();
+  for (std::uint64_t Part : Sample.Parts_) {
+    CrashRecord Record;
+    Record.Request_ = partKey(Part);
+    Record.Crashes_.push_back(
+        {stableHash(Server.str()), Now - Sample.Duration_, Now});
+    Records.push_back(toWire(Record, Now));
+  }
+  return Records;
+}
+
 void CrashTracker::recordReceived(const wire::CrashRecordT &Received) {
   auto Now = Now_();
   CrashRecord Known = fromWire(Received, Now);
   RequestStanding Before = standing(Known.Request_);
-  if (History_.merge(Known, Now))
-    publish(Known.Request_, Before, {});
+  if (!History_.merge(Known, Now))
+    return;
+  publish();
+  reportChange(Known.Request_, Before, {});
 }
 
-/// Makes a change visible to the threads that serve requests and logs it, with
-/// the server if this daemon itself saw the cause.
-void CrashTracker::publish(const RequestFingerprint &Changed,
-                           RequestStanding Before, const ServerName &Server) {
+/// Makes changes visible to the threads that serve requests.
+void CrashTracker::publish() {
   Published_.write(std::make_shared<const CrashSnapshot>(History_.snapshot()));
+}
+
+/// Logs a change, with the server if this daemon itself saw the cause, and
+/// reports what follows. Of parts, most of which have no share in a crash, only
+/// changes of their standing are logged.
+void CrashTracker::reportChange(const RequestFingerprint &Changed,
+                                RequestStanding Before,
+                                const ServerName &Server) {
   RequestStanding After = standing(Changed);
-  if (Server.empty() && After == Before)
+  if ((Server.empty() || Changed.isPart()) && After == Before)
     return;
   const CrashRecord *Record = History_.find(Changed);
   logEvent(
       LogCategory::Keeper, spdlog::level::info, "request-crashes",
-      {{"fingerprint", Changed.str()},
+      {{"cause", Changed.isPart() ? "part" : "request"},
+       {"fingerprint", Changed.str()},
        {"server", Server.str()},
        {"crashes", std::to_string(Record ? Record->Crashes_.size() : 0)},
        {"distinct", std::to_string(Record ? Record->distinctCrashes() : 0)},
--- a/Source/Process/Keeping/CrashTracker.h
+++ b/Source/Process/Keeping/CrashTracker.h
@@ -16,6 +16,11 @@
 
 namespace samphireshunt {
 
+/// \returns the member that collects the crashes of a part, by hash. \p Members
+/// must not be empty.
+VmId crashCollector(const wire::Fingerprint &Part,
+                    const std::vector<VmId> &Members);
+
 class CrashTracker {
 public:
   struct Hooks {
@@ -40,6 +45,10 @@
   /// \returns the records to be sent with a message to another daemon, more of
   /// them if \p Differs.
   std::vector<wire::CrashRecordT> recordsToSend(bool Differs);
+  /// \returns a record of the crash for each part of the prompt that may have
+  /// caused it. The daemon that collects the crashes of that part gets it.
+  std::vector<wire::CrashRecordT> partRecords(const ServerName &Server,
+                                              const ServedSample &Sample) const;
   /// Adds what another daemon knows.
   void recordReceived(const wire::CrashRecordT &Received);
 
@@ -49,8 +58,12 @@
   }
 
 private:
-  void publish(const RequestFingerprint &Changed, RequestStanding Before,
-               const ServerName &Server);
+  /// \returns whether the history changed.
+  bool apply(const RequestFingerprint &Key, const ServerName &Server,
+             const ServedSample &Sample, TimePoint Now);
+  void publish();
+  void reportChange(const RequestFingerprint &Changed, RequestStanding Before,
+                    const ServerName &Server);
 
   Clock Now_;
   CrashHistory History_;
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -306,7 +306,8 @@
                      Request.Answer_,
                      Request.NonIdempotent_,
                      Self_,
-                     Request.Fingerprint_};
+                     Request.Fingerprint_,
+                     sharedParts(Request.Parts_)};
   GrantedRequests_[Request.Id_] = std::move(Target);
   Accepted.OnAnswer_({ResultCode::Ok, Grant.Server_, {}, Grant.Limited_});
 }
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -75,6 +75,7 @@
   Running.answer_tokens = static_cast<std::uint32_t>(Request.Answer_.count());
   Running.non_idempotent = Request.NonIdempotent_;
   Running.fingerprint = toWire(Request.Fingerprint_);
+  Running.parts = Request.Parts_;
   return encodeMessage(std::move(Running));
 }
 
@@ -90,6 +91,7 @@
   Done.crashed = Sample.Crashed_;
   Done.rejected = Sample.Rejected_;
   Done.fingerprint = toWire(Sample.Fingerprint_);
+  Done.parts = Sample.Parts_;
   Done.at_once = static_cast<std::uint32_t>(Sample.FirstEventTokens_.count());
   Done.generated = static_cast<std::uint32_t>(Sample.Generated_.count());
   Done.first_token_us = static_cast<std::uint32_t>(Sample.FirstToken_.count());
@@ -208,7 +210,7 @@
           CustomerName(Running.customer), ServerName(Running.server),
           Tokens(Running.prompt_tokens),  Tokens(Running.answer_tokens),
           Running.non_idempotent,         From,
-          fromWire(Running.fingerprint)};
+          fromWire(Running.fingerprint),  Running.parts};
 }
 
 ServedSample sampleFromWire(const wire::DoneT &Done) {
@@ -220,6 +222,7 @@
   Sample.Crashed_ = Done.crashed;
   Sample.Rejected_ = Done.rejected;
   Sample.Fingerprint_ = fromWire(Done.fingerprint);
+  Sample.Parts_ = Done.parts;
   Sample.Generated_ = Tokens(Done.generated);
   Sample.FirstEventTokens_ = Tokens(Done.at_once);
   Sample.FirstToken_ = std::chrono::microseconds(Done.first_token_us);
--- a/Source/Process/Scheduling/CrashHistory.cpp
+++ b/Source/Process/Scheduling/CrashHistory.cpp
@@ -17,21 +17,33 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-/// Number of distinct crashes from which on a request is refused.
-constexpr std::size_t CrashesToRefuse = 3;
-/// The same for a request that is known to have completed.
-constexpr std::size_t CrashesToRefuseCompleted = 6;
+/// When a request or a part is suspected and refused.
+struct CrashPolicy {
+  /// Numbers of distinct crashes.
+  std::size_t ToSuspect_;
+  std::size_t ToRefuse_;
+  /// The same if it is known to have completed.
+  std::size_t ToRefuseCompleted_;
+  /// How long it is refused after that many crashes. Each further crash
+  /// multiplies the time.
+  seconds FirstRefusal_;
+  /// How long it is remembered after its last crash, or after it was cleared,
+  /// unless it is refused.
+  seconds SuspicionTime_;
+};
+
+constexpr CrashPolicy RequestPolicy{1, 3, 6, minutes(10), hours(1)};
+/// Parts stay suspected only briefly: each crash makes some of a server's other
+/// requests suspicious.
+constexpr CrashPolicy PartPolicy{2, 3, 3, minutes(1), minutes(2)};
+/// Servers that crash closer together have a cause of their own, as the loss of
+/// a rack. Daemons notice a crash at slightly different times.
+constexpr milliseconds SameMoment{250};
 /// How long a completed run is remembered, and of how many requests.
 constexpr minutes CompletedMemory{10};
 constexpr std::size_t MaxCompleted = 4096;
-/// How long a request is refused after that many crashes. Each further crash
-/// multiplies the time.
-constexpr minutes FirstRefusal{10};
 constexpr int RefusalFactor = 4;
 constexpr hours LongestRefusal{24};
-/// How long a request that isn't refused is remembered after its last crash, or
-/// after it was cleared.
-constexpr hours SuspicionTime{1};
 /// How long a refused one is remembered after the end of its refusal.
 constexpr hours MemoryAfterRefusal{24};
 /// Maximum number of crashes kept for one request; the refusal is the longest
@@ -40,13 +52,24 @@
 /// How long a change is sent to every daemon without being asked for.
 constexpr seconds NewsTime{2};
 
-/// \returns the first crash of each group whose runs overlapped it.
-std::vector<ServerCrash> groupStarts(const std::vector<ServerCrash> &Crashes) {
+const CrashPolicy &policyOf(const RequestFingerprint &Request) {
+  return Request.isPart() ? PartPolicy : RequestPolicy;
+}
+
+/// \returns the first crash of each group that belongs together: for requests,
+/// crashes
+/// whose runs overlapped it, of parts only those at the same moment.
+std::vector<ServerCrash> groupStarts(const std::vector<ServerCrash> &Crashes,
+                                     bool OfPart) {
   std::vector<ServerCrash> Starts;
-  std::ranges::copy_if(
-      Crashes, std::back_inserter(Starts), [&](const ServerCrash &Crash) {
-        return Starts.empty() || Crash.Dispatched_ >= Starts.back().At_;
-      });
+  std::ranges::copy_if(Crashes, std::back_inserter(Starts),
+                       [&](const ServerCrash &Crash) {
+                         if (Starts.empty())
+                           return true;
+                         TimePoint Last = Starts.back().At_;
+                         return Crash.Dispatched_ >= Last ||
+                                (OfPart && Crash.At_ >= Last + SameMoment);
+                       });
   return Starts;
 }
 
@@ -62,7 +85,7 @@
                                         &ServerCrash::At_);
   Record.Crashes_.insert(Place, Added);
   if (Record.Crashes_.size() > MaxCrashes)
-    Record.Crashes_ = groupStarts(Record.Crashes_);
+    Record.Crashes_ = groupStarts(Record.Crashes_, Record.Request_.isPart());
   if (Record.Crashes_.size() > MaxCrashes)
     Record.Crashes_.erase(Record.Crashes_.begin());
   return true;
@@ -74,40 +97,86 @@
   TimePoint Last = Record.Cleared_.value_or(TimePoint::min());
   if (!Record.Crashes_.empty())
     Last = std::max(Last, Record.Crashes_.back().At_);
-  return Now - Last > SuspicionTime;
+  return Now - Last > policyOf(Record.Request_).SuspicionTime_;
 }
 
 } // namespace
 
 std::size_t CrashRecord::distinctCrashes() const {
-  return groupStarts(Crashes_).size();
+  return groupStarts(Crashes_, Request_.isPart()).size();
 }
 
 std::optional<TimePoint> CrashRecord::refusedUntil() const {
-  auto Starts = groupStarts(Crashes_);
+  const CrashPolicy &Policy = policyOf(Request_);
+  auto Starts = groupStarts(Crashes_, Request_.isPart());
   std::size_t Needed =
-      Clearings_ > 0 ? CrashesToRefuseCompleted : CrashesToRefuse;
+      Clearings_ > 0 ? Policy.ToRefuseCompleted_ : Policy.ToRefuse_;
   if (Starts.size() < Needed)
     return std::nullopt;
   auto Factor = std::pow(RefusalFactor, Starts.size() - Needed);
-  auto Refusal = std::min<std::chrono::duration<double>>(FirstRefusal * Factor,
-                                                         LongestRefusal);
+  auto Refusal = std::min<std::chrono::duration<double>>(
+      Policy.FirstRefusal_ * Factor, LongestRefusal);
   return Starts.back().At_ + duration_cast<TimePoint::duration>(Refusal);
 }
 
 RequestStanding CrashRecord::standing(TimePoint Now) const {
-  if (Crashes_.empty())
+  if (Crashes_.empty() || distinctCrashes() < policyOf(Request_).ToSuspect_)
     return RequestStanding::Unsuspected;
   auto Until = refusedUntil();
   return Until && Now < *Until ? RequestStanding::Refused
                                : RequestStanding::Suspected;
 }
 
+bool CrashRecord::isNews() const {
+  return !Request_.isPart() || Clearings_ > 0 ||
+         distinctCrashes() >= PartPolicy.ToSuspect_;
+}
+
 RequestStanding CrashSnapshot::standing(const RequestFingerprint &Request,
                                         TimePoint Now) const {
   auto Found = Records_.find(Request);
-  return Found == Records_.end() ? RequestStanding::Unsuspected
-                                 : Found->second.standing(Now);
+  if (Found == Records_.end())
+    return RequestStanding::Unsuspected;
+  RequestStanding Alone = Found->second.standing(Now);
+  if (Alone == RequestStanding::Unsuspected || !Request.isPart())
+    return Alone;
+  return unexplained(Found->second, Now).standing(Now);
+}
+
+namespace {
+
+/// \returns whether the part has crashed more servers, or as many but has never
+/// completed where the other one has.
+bool explainsMore(const CrashRecord &Part, const CrashRecord &Other) {
+  auto Weight = [](const CrashRecord &Record) {
+    bool NeverCompleted = Record.Clearings_ == 0 && !Record.CompletedBefore_;
+    return std::pair(Record.Crashes_.size(), NeverCompleted);
+  };
+  return Weight(Part) > Weight(Other);
+}
+
+} // namespace
+
+/// \returns the record of a part without the crashes that a refused part
+/// explains.
+CrashRecord CrashSnapshot::unexplained(const CrashRecord &Part,
+                                       TimePoint Now) const {
+  CrashRecord Rest = Part;
+  for (const auto &[Key, Other] : Records_) {
+    if (!Key.isPart() || !explainsMore(Other, Part) ||
+        Other.standing(Now) != RequestStanding::Refused)
+      continue;
+    std::erase_if(Rest.Crashes_, [&](const ServerCrash &Crash) {
+      return std::ranges::count(Other.Crashes_, Crash.Server_,
+                                &ServerCrash::Server_) > 0;
+    });
+  }
+  return Rest;
+}
+
+ResultCode refusalCode(const RequestFingerprint &Cause) {
+  return Cause.isPart() ? ResultCode::PromptPartCrashesServers
+                        : ResultCode::CrashesServers;
 }
 
 bool CrashHistory::recordCrash(const RequestFingerprint &Request,
@@ -119,10 +188,13 @@
   CrashRecord Seen;
   Seen.Request_ = Request;
   auto Completed = Completed_.find(Request);
+  bool CompletedLately = Completed != Completed_.end() &&
+                         Now - Completed->second <= CompletedMemory;
   if (const CrashRecord *Present = find(Request)) {
     Seen.Clearings_ = Present->Clearings_;
-  } else if (Completed != Completed_.end() &&
-             Now - Completed->second <= CompletedMemory) {
+  } else if (CompletedLately && Request.isPart()) {
+    Seen.CompletedBefore_ = true;
+  } else if (CompletedLately) {
     Seen.Clearings_ = 1;
     Seen.Cleared_ = Completed->second;
   }
@@ -145,14 +217,15 @@
 void CrashHistory::rememberCompleted(const RequestFingerprint &Request,
                                      TimePoint Now) {
   Completed_[Request] = Now;
-  if (Completed_.size() <= MaxCompleted)
-    return;
-  std::erase_if(Completed_, [Now](const auto &Item) {
-    return Now - Item.second > CompletedMemory;
-  });
-  if (Completed_.size() > MaxCompleted)
-    Completed_.erase(std::ranges::min_element(
-        Completed_, {}, [](const auto &Item) { return Item.second; }));
+  CompletedOrder_.emplace_back(Now, Request);
+  while (CompletedOrder_.size() > MaxCompleted ||
+         Now - CompletedOrder_.front().first > CompletedMemory) {
+    const auto &[At, First] = CompletedOrder_.front();
+    auto Found = Completed_.find(First);
+    if (Found != Completed_.end() && Found->second == At)
+      Completed_.erase(Found);
+    CompletedOrder_.pop_front();
+  }
 }
 
 bool CrashHistory::recordCompleted(const RequestFingerprint &Request,
@@ -162,6 +235,10 @@
   if (Found == Snapshot_.Records_.end() || Found->second.Crashes_.empty())
     return false;
   CrashRecord &Record = Found->second;
+  if (!Record.isNews()) {
+    erase(Request);
+    return true;
+  }
   Record.Crashes_.clear();
   ++Record.Clearings_;
   Record.Cleared_ = Now;
@@ -177,6 +254,7 @@
   auto [Found, New] = Snapshot_.Records_.try_emplace(Known.Request_);
   CrashRecord &Record = Found->second;
   Record.Request_ = Known.Request_;
+  Record.CompletedBefore_ |= Known.CompletedBefore_;
   bool Changed = Known.Clearings_ > Record.Clearings_;
   if (Changed) {
     Record.Clearings_ = Known.Clearings_;
@@ -210,24 +288,29 @@
       }));
 }
 
-/// Covers the servers that crashed and how often the request was cleared, but
-/// no times: those differ by the delay of messages.
-void CrashHistory::updateDigest() {
-  std::uint64_t Sum = 0;
-  for (const auto &[Request, Record] : Snapshot_.Records_) {
-    std::uint64_t OfRecord = Record.Clearings_;
-    for (const ServerCrash &Crash : Record.Crashes_)
-      OfRecord += stableHash("crash", Crash.Server_);
-    Sum += stableHash(Request.str(), OfRecord);
+/// The digest covers the servers that crashed and how often the request was
+/// cleared, but no times: those differ by the delay of messages.
+void CrashHistory::updateDigest(const RequestFingerprint &Request) {
+  std::uint64_t &Added = DigestOf_[Request];
+  Digest_ -= std::exchange(Added, 0);
+  const CrashRecord *Record = find(Request);
+  if (!Record || !Record->isNews()) {
+    DigestOf_.erase(Request);
+    return;
   }
-  Digest_ = Sum;
+  std::uint64_t OfRecord = Record->Clearings_;
+  for (const ServerCrash &Crash : Record->Crashes_)
+    OfRecord += stableHash("crash", Crash.Server_);
+  Added = stableHash(Request.str(), OfRecord);
+  Digest_ += Added;
 }
 
 std::vector<CrashRecord> CrashHistory::toSend(std::size_t Count,
                                               TimePoint Now) {
   std::vector<RequestFingerprint> All;
-  std::ranges::transform(Snapshot_.Records_, std::back_inserter(All),
-                         [](const auto &Item) { return Item.first; });
+  for (const auto &[Request, Record] : Snapshot_.Records_)
+    if (Record.isNews())
+      All.push_back(Request);
   return leastSent(std::move(All), Count, Now);
 }
 
@@ -235,7 +318,8 @@
                                                      TimePoint Now) {
   std::vector<RequestFingerprint> Recent;
   for (const auto &[Request, Spreading] : Spread_)
-    if (Now - Spreading.Changed_ <= NewsTime)
+    if (Now - Spreading.Changed_ <= NewsTime &&
+        Snapshot_.Records_.at(Request).isNews())
       Recent.push_back(Request);
   return leastSent(std::move(Recent), Count, Now);
 }
@@ -244,8 +328,9 @@
 CrashHistory::leastSent(std::vector<RequestFingerprint> Candidates,
                         std::size_t Count, TimePoint Now) {
   auto Order = [&](const RequestFingerprint &Request) {
-    bool Refused = standing(Request, Now) == RequestStanding::Refused;
-    return std::tuple(Spread_[Request].Sent_, !Refused, Request);
+    RequestStanding Standing = standing(Request, Now);
+    return std::tuple(Spread_[Request].Sent_, -static_cast<int>(Standing),
+                      Request);
   };
   std::ranges::sort(Candidates, {}, Order);
   Candidates.resize(std::min(Candidates.size(), Count));
@@ -259,7 +344,7 @@
 
 void CrashHistory::changed(const RequestFingerprint &Request, TimePoint Now) {
   Spread_[Request] = {0, Now};
-  updateDigest();
+  updateDigest(Request);
 }
 
 void CrashHistory::forgetOld(TimePoint Now) {
@@ -289,7 +374,7 @@
 void CrashHistory::erase(const RequestFingerprint &Request) {
   Snapshot_.Records_.erase(Request);
   Spread_.erase(Request);
-  updateDigest();
+  updateDigest(Request);
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/CrashHistory.h
+++ b/Source/Process/Scheduling/CrashHistory.h
@@ -4,9 +4,11 @@
 /// therefore refused. The code is free of I/O; the current time is passed in.
 ///
 /// Load pattern: a request that crashes each server that runs it is sent again
-/// and again, under new ids, at any daemon. Each crash also ends the other
-/// requests of that server, which are sent again too; they must go on being
-/// served, and so must a popular request while servers crash for other reasons.
+/// and again, under new ids, at any daemon. Or the requests all differ, and
+/// share a part of their prompts that crashes each server that begins to answer
+/// on it. Each crash also ends the other requests of that server, which are
+/// sent again too; they must go on being served, and so must popular requests
+/// and parts while servers crash for other reasons.
 ///
 /// A request is suspected after its first crash and cleared as soon as one of
 /// its runs completes. While it is suspected, the keeper runs one copy of it at
@@ -20,6 +22,14 @@
 /// crashes: a popular one runs everywhere, also beside others that crash
 /// servers.
 ///
+/// A part is treated in the same way, with these differences. Requests with it
+/// are dispatched side by side, so crashes at different moments count, however
+/// the runs overlapped. It is suspected from the second one on: most parts of a
+/// server's requests have no share in its crash, and are cleared by the next
+/// request that completes with them. A crash that a refused part explains does
+/// not count for the parts that were there too. Single crashes of parts are not
+/// sent to all daemons, but to one for each part, which sees when they add up.
+///
 /// Daemons exchange their histories. A history is the union of all crashes that
 /// any daemon saw since the request was last cleared, so the order of messages
 /// does not matter. Clearings are counted rather than timed: times differ by
@@ -28,10 +38,12 @@
 
 #include "Common/Ids.h"
 #include "Common/RequestFingerprint.h"
+#include "Common/ResultCode.h"
 #include "Common/TimePoint.h"
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -39,9 +51,18 @@
 
 namespace samphireshunt {
 
-/// What is known about a request's fingerprint.
+/// What is known about a request, or a part of prompts; in rising order.
 enum class RequestStanding { Unsuspected, Suspected, Refused };
 
+/// A standing and what it is about: a request or a part of its prompt.
+struct Suspicion {
+  RequestStanding Standing_ = RequestStanding::Unsuspected;
+  RequestFingerprint Cause_;
+};
+
+/// \returns the code with which a request is refused because of \p Cause.
+ResultCode refusalCode(const RequestFingerprint &Cause);
+
 /// The crash of a server while it ran the request.
 struct ServerCrash {
   std::uint64_t Server_ = 0; ///< Hash of the server's name.
@@ -59,13 +80,19 @@
   std::uint32_t Clearings_ = 0;
   /// When that was; unset if it never was.
   std::optional<TimePoint> Cleared_;
+  /// Of a part: this daemon knows that it had completed before it crashed
+  /// servers. Not sent.
+  bool CompletedBefore_ = false;
 
-  /// \returns the number of crashes of which each ended a run that was
-  /// dispatched after the one before.
+  /// \returns the number of crashes that don't belong to the one before. For a
+  /// request, the run must have been dispatched after it.
   std::size_t distinctCrashes() const;
   /// \returns the end of the refusal; nothing when there were too few crashes.
   std::optional<TimePoint> refusedUntil() const;
   RequestStanding standing(TimePoint Now) const;
+  /// \returns whether all daemons must know. A single crash of a part is no
+  /// news: most parts of a server's requests have no share in it.
+  bool isNews() const;
 };
 
 /// An immutable copy of a history for the threads that serve requests.
@@ -75,13 +102,16 @@
   bool empty() const { return Records_.empty(); }
   RequestStanding standing(const RequestFingerprint &Request,
                            TimePoint Now) const;
+
+private:
+  CrashRecord unexplained(const CrashRecord &Part, TimePoint Now) const;
 };
 
 class CrashHistory {
 public:
   /// Maximum number of fingerprints; beyond it the one that crashed a server
   /// longest ago is forgotten, suspected ones first.
-  static constexpr std::size_t MaxRecords = 256;
+  static constexpr std::size_t MaxRecords = 512;
 
   /// Adds a crash of \p Server while it ran \p Request, which was sent to it at
   /// \p Dispatched. \returns false if it was known.
@@ -124,13 +154,17 @@
   void makeRoom(TimePoint Now);
   void erase(const RequestFingerprint &Request);
 
-  void updateDigest();
+  void updateDigest(const RequestFingerprint &Request);
 
   CrashSnapshot Snapshot_;
   std::uint64_t Digest_ = 0;
+  /// What each record adds to the digest.
+  std::map<RequestFingerprint, std::uint64_t> DigestOf_;
   std::map<RequestFingerprint, Spread> Spread_;
   /// Requests that completed lately, and when they last did.
   std::map<RequestFingerprint, TimePoint> Completed_;
+  /// The same in order of time, with earlier completions of the same request.
+  std::deque<std::pair<TimePoint, RequestFingerprint>> CompletedOrder_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/PrefixIndex.cpp
+++ b/Source/Process/Scheduling/PrefixIndex.cpp
@@ -27,6 +27,14 @@
   return Hashes;
 }
 
+std::vector<std::uint64_t> sharedParts(std::span<const PromptPart> Parts) {
+  std::vector<std::uint64_t> Ids;
+  if (!Parts.empty())
+    std::ranges::transform(Parts.first(Parts.size() - 1),
+                           std::back_inserter(Ids), &PromptPart::Id_);
+  return Ids;
+}
+
 std::vector<std::uint64_t> prefixHashes(std::span<const PromptPart> Parts) {
   std::vector<std::uint64_t> Hashes;
   std::uint64_t Before = 0;
--- a/Source/Process/Scheduling/PrefixIndex.h
+++ b/Source/Process/Scheduling/PrefixIndex.h
@@ -27,6 +27,9 @@
   std::uint64_t Id_ = 0;
   Tokens Length_;
 };
+/// \returns the ids of the parts that other prompts may share: all but the
+/// last.
+std::vector<std::uint64_t> sharedParts(std::span<const PromptPart> Parts);
 /// Computes the hashes for a prompt of which only the parts are known.
 std::vector<std::uint64_t> prefixHashes(std::span<const PromptPart> Parts);
 /// Estimates the length of a prompt in tokens without the model's tokenizer, at
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -125,10 +125,11 @@
   // lost with the link.
   if (Waiting_.contains(Request.Id_))
     return Out;
-  if (auto Known = Running_.find(Request.Id_); Known != Running_.end())
-    endRunning(Known);
-  if (StandingOf_(Request.Fingerprint_) == RequestStanding::Refused) {
-    Out.push_back(refusal(Request, ResultCode::CrashesServers));
+  if (auto Granted = Running_.find(Request.Id_); Granted != Running_.end())
+    endRunning(Granted);
+  Suspicion Known = suspicionOf(Request);
+  if (Known.Standing_ == RequestStanding::Refused) {
+    Out.push_back(refusal(Request, refusalCode(Known.Cause_)));
     return Out;
   }
   TierQueue &OwnTier = Tiers_[queueIndex(Request.Tier_)];
@@ -236,15 +237,19 @@
 }
 
 std::vector<Decision>
-Scheduler::refuseCrashing(const RequestFingerprint &Request) {
-  std::vector<RequestId> Copies;
-  for (const auto &[Id, Waiting] : Waiting_)
-    if (Waiting.Details_.Fingerprint_ == Request)
-      Copies.push_back(Id);
+Scheduler::refuseCrashing(const RequestFingerprint &Cause) {
+  std::vector<RequestId> Ids;
+  for (const auto &[Id, Waiting] : Waiting_) {
+    const GrantRequest &Details = Waiting.Details_;
+    auto Parts = sharedParts(Details.Parts_);
+    bool HasPart = Cause.isPart() && std::ranges::count(Parts, Cause.Low_) > 0;
+    if (HasPart || Details.Fingerprint_ == Cause)
+      Ids.push_back(Id);
+  }
   std::vector<Decision> Out;
   std::ranges::transform(
-      Copies, std::back_inserter(Out), [this](const RequestId &Id) {
-        return refusal(dequeue(Id).Details_, ResultCode::CrashesServers);
+      Ids, std::back_inserter(Out), [&](const RequestId &Id) {
+        return refusal(dequeue(Id).Details_, refusalCode(Cause));
       });
   return Out;
 }
@@ -577,6 +582,7 @@
                            Details.NonIdempotent_,
                            Details.Ingress_,
                            Details.Fingerprint_,
+                           sharedParts(Details.Parts_),
                            Now};
   Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_,
                               Server.rate().named().has_value() ||
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -79,6 +79,8 @@
   bool NonIdempotent_ = false;
   VmId Ingress_;
   RequestFingerprint Fingerprint_;
+  /// Ids of the parts of the prompt that it may share with other requests.
+  std::vector<std::uint64_t> Parts_;
   /// Unset if another keeper granted it.
   TimePoint Granted_{};
 };
@@ -195,8 +197,9 @@
 
   /// Queues a request, or refuses it at once.
   std::vector<Decision> requestGrant(GrantRequest Request, TimePoint Now);
-  /// Refuses all waiting copies of a request that crashes servers.
-  std::vector<Decision> refuseCrashing(const RequestFingerprint &Request);
+  /// Refuses all waiting requests of which servers crash: copies of one
+  /// request, or those with one part of their prompts.
+  std::vector<Decision> refuseCrashing(const RequestFingerprint &Cause);
   /// Removes a request that no longer waits, or that runs under another keeper.
   void withdraw(const RequestId &Id);
   /// Adds a request that an earlier keeper granted and that still runs.
@@ -360,6 +363,11 @@
   WaitingRequest dequeue(const RequestId &Id);
   std::size_t queueIndex(TierIndex Tier) const;
   /// \returns whether the server is one that may run the request, free or not.
+  /// \returns the worst that is known of the request and the parts of its
+  /// prompt, and of which of them.
+  Suspicion suspicionOf(const RequestFingerprint &Request,
+                        const std::vector<std::uint64_t> &Parts) const;
+  Suspicion suspicionOf(const GrantRequest &Request) const;
   static bool mayRunOn(const GrantRequest &Request, const ServerModel &Server);
   bool hasServerFor(const GrantRequest &Request, TimePoint Now) const;
   /// \returns the time until the first engine no longer rests for the request's
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -100,28 +100,58 @@
          standingAllows(Request, Server);
 }
 
+Suspicion
+Scheduler::suspicionOf(const RequestFingerprint &Request,
+                       const std::vector<std::uint64_t> &Parts) const {
+  Suspicion Worst{StandingOf_(Request), Request};
+  for (std::uint64_t Part : Parts) {
+    RequestFingerprint Key = partKey(Part);
+    RequestStanding Standing = StandingOf_(Key);
+    if (Standing > Worst.Standing_)
+      Worst = {Standing, Key};
+  }
+  return Worst;
+}
+
+Suspicion Scheduler::suspicionOf(const GrantRequest &Request) const {
+  return suspicionOf(Request.Fingerprint_, sharedParts(Request.Parts_));
+}
+
+namespace {
+
+/// \returns whether the request is a copy of the cause, or has it as a part.
+bool hasCause(const RunningRequest &Request, const RequestFingerprint &Cause) {
+  if (!Cause.isPart())
+    return Request.Fingerprint_ == Cause;
+  return std::ranges::count(Request.Parts_, Cause.Low_) > 0;
+}
+
+} // namespace
+
 bool Scheduler::isCopyRunning(const GrantRequest &Request) const {
-  if (StandingOf_(Request.Fingerprint_) == RequestStanding::Unsuspected)
+  Suspicion Known = suspicionOf(Request);
+  if (Known.Standing_ == RequestStanding::Unsuspected)
     return false;
   return std::ranges::any_of(Running_, [&](const auto &Item) {
-    return Item.second.Fingerprint_ == Request.Fingerprint_;
+    return hasCause(Item.second, Known.Cause_);
   });
 }
 
-/// \returns false for a suspected request while another copy of it runs, and on
-/// a server that runs another suspected request. Otherwise one more crash would
-/// end several servers, or would not show which request causes it.
+/// \returns false for a suspected request while another one with the same cause
+/// runs, and on a server that runs another suspected request. Otherwise one
+/// more crash would end several servers, or would not show what causes it.
 bool Scheduler::standingAllows(const GrantRequest &Request,
                                const ServerModel &Server) const {
-  RequestStanding Standing = StandingOf_(Request.Fingerprint_);
-  if (Standing != RequestStanding::Suspected)
-    return Standing == RequestStanding::Unsuspected;
+  Suspicion Known = suspicionOf(Request);
+  if (Known.Standing_ != RequestStanding::Suspected)
+    return Known.Standing_ == RequestStanding::Unsuspected;
   return std::ranges::none_of(Running_, [&](const auto &Item) {
     const RunningRequest &Other = Item.second;
-    if (Other.Fingerprint_ == Request.Fingerprint_)
+    if (hasCause(Other, Known.Cause_))
       return true;
     return Other.Server_ == Server.capacity().Name_ &&
-           StandingOf_(Other.Fingerprint_) != RequestStanding::Unsuspected;
+           suspicionOf(Other.Fingerprint_, Other.Parts_).Standing_ !=
+               RequestStanding::Unsuspected;
   });
 }
 
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -57,6 +57,9 @@
   bool Rejected_ = false;
   /// Set if the server crashed or the request completed.
   RequestFingerprint Fingerprint_;
+  /// Ids of the parts of the prompt that may have caused the crash, or that the
+  /// server has answered on.
+  std::vector<std::uint64_t> Parts_;
   Tokens Generated_;
   /// Number of tokens in the first event.
   Tokens FirstEventTokens_{1};
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -308,6 +308,7 @@
   ClientHooks.Ended_ = [this](const ServerName &Server,
                               const ServedSample &Sample) {
     Crashes_.requestEnded(Server, Sample);
+    reportParts(Server, Sample);
   };
   Grants_ = std::make_unique<GrantClient>(Control_, Settings_.Vm_,
                                           std::move(ClientHooks));
@@ -372,6 +373,21 @@
                                              EngineMonitor::Options());
 }
 
+/// Reports a crash to the daemons that collect those of the parts that may have
+/// caused it.
+void Daemon::reportParts(const ServerName &Server, const ServedSample &Sample) {
+  auto Records = Crashes_.partRecords(Server, Sample);
+  if (Records.empty())
+    return;
+  std::vector<VmId> Fleet = recordKeeperCandidates();
+  Fleet.push_back(Settings_.Vm_);
+  for (wire::CrashRecordT &Record : Records) {
+    VmId To = crashCollector(*Record.request, Fleet);
+    if (To != Settings_.Vm_)
+      Peers_->send(To, encodeMessage(std::move(Record)));
+  }
+}
+
 void Daemon::wireOrigins() {
   StreamOriginService::Hooks Hooks;
   Hooks.Send_ = [this](const VmId &To, std::string Message) {
@@ -709,6 +725,8 @@
       Keeper_->returnGrant(fromWire(Done->id));
   } else if (const auto *Record = Message.body.AsStreamOrigin())
     Origins_->onRecord(*Record);
+  else if (const auto *Crash = Message.body.AsCrashRecord())
+    Crashes_.recordReceived(*Crash);
   else if (const auto *Origin = Message.body.AsOriginAsk())
     Origins_->onAsk(From, *Origin);
   else if (const auto *Report = Message.body.AsRolloutReport();
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -94,6 +94,7 @@
   std::unique_ptr<Worker> makeWorker(bool OnControlThread);
   void wireFollower();
   void wireRollouts();
+  void reportParts(const ServerName &Server, const ServedSample &Sample);
   void wireOrigins();
   std::vector<VmId> recordKeeperCandidates() const;
   std::optional<SoftwareVersion> onlyVersion(const PoolName &Pool,
--- a/Source/Request/CrashEvidence.cpp
+++ b/Source/Request/CrashEvidence.cpp
@@ -25,6 +25,16 @@
     co_return;
   Sample.Crashed_ = true;
   Sample.Fingerprint_ = Context.fingerprint();
+  bool Began = Sample.FirstToken_.count() > 0;
+  if (!Began)
+    Sample.Parts_ = sharedParts(Context.Call_.Parts_);
+}
+
+void addAnsweredParts(const RequestContext &Context, ServedSample &Sample) {
+  constexpr std::size_t SomeEvents = 2;
+  bool EndKnown = Context.AnswerEnd_.KnownBy_ != BodyEnd::Close;
+  if (EndKnown || Context.StreamTiming_.Events_ >= SomeEvents)
+    Sample.Parts_ = sharedParts(Context.Call_.Parts_);
 }
 
 void addFingerprint(RequestContext &Context, ServedSample &Sample) {
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -45,6 +45,7 @@
   case ResultCode::EventTooLarge:
     return 502;
   case ResultCode::CrashesServers:
+  case ResultCode::PromptPartCrashesServers:
     // States that the request was not run. Without Retry-After, since a retry
     // would be refused too.
     return 503;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -381,9 +381,11 @@
       Sample.Generated_ = Tokens(Events * Sample.FirstEventTokens_.count());
     }
     Context_.StreamTiming_.Events_ = Splitter_.count();
-    if (Ended == AttemptEnd::Answered)
+    if (Ended == AttemptEnd::Answered) {
       addFingerprint(Context_, Sample);
-    else if (Ended == AttemptEnd::Failed || Ended == AttemptEnd::Broken)
+      addAnsweredParts(Context_, Sample);
+    }
+    if (Ended == AttemptEnd::Failed || Ended == AttemptEnd::Broken)
       co_await addCrashEvidence(Context_, Ready_.Server_, LastFailure_.Code_,
                                 Sample);
     Context_.Services_.Grants_.done(Context_.Id_, Sample);
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -45,11 +45,20 @@
 /// this; the jitter takes off at most the same fraction of the delay.
 constexpr int RetryDelayDivisor = 3;
 
-RequestStanding standingOf(RequestContext &Context) {
+/// \returns the worst that is known of the request and the parts of its prompt.
+Suspicion suspicionOf(RequestContext &Context) {
   auto Known = Context.Services_.Crashes_.snapshot();
   if (Known->empty())
-    return RequestStanding::Unsuspected;
-  return Known->standing(Context.fingerprint(), steady_clock::now());
+    return {};
+  auto Now = steady_clock::now();
+  Suspicion Worst{Known->standing(Context.fingerprint(), Now),
+                  Context.fingerprint()};
+  for (std::uint64_t Part : sharedParts(Context.Call_.Parts_)) {
+    RequestStanding Standing = Known->standing(partKey(Part), Now);
+    if (Standing > Worst.Standing_)
+      Worst = {Standing, partKey(Part)};
+  }
+  return Worst;
 }
 
 /// \returns the cells to ask for a server, in order; empty if no server may run
@@ -63,10 +72,11 @@
       Context.Prefix_.empty() ? Context.Id_.Sequence_ : Context.Prefix_.front();
   if (!Context.Call_.Parts_.empty())
     Affinity = Context.Call_.Parts_.back().Id_;
-  // All copies of a suspected request must have the same keeper, which runs one
-  // at a time.
-  if (standingOf(Context) != RequestStanding::Unsuspected)
-    Affinity = Context.fingerprint().Low_;
+  // All requests with a suspected cause must have the same keeper, which runs
+  // one at a time.
+  Suspicion Known = suspicionOf(Context);
+  if (Known.Standing_ != RequestStanding::Unsuspected)
+    Affinity = Known.Cause_.Low_;
   if (Context.Origin_) {
     // Servers may have come since the request began.
     auto Newest = Context.Services_.Documents_.snapshot();
@@ -356,8 +366,10 @@
       Ended.RetryAfter_ = Answer->RetryAfter_;
       // Another cell of the pool may have capacity for the request.
       bool MoreCells = ++CellTries < Cells.size();
-      bool OtherCellMayGrant = Answer->Code_ != ResultCode::ShedForHigherTier &&
-                               Answer->Code_ != ResultCode::CrashesServers;
+      bool OtherCellMayGrant =
+          Answer->Code_ != ResultCode::ShedForHigherTier &&
+          Answer->Code_ != ResultCode::CrashesServers &&
+          Answer->Code_ != ResultCode::PromptPartCrashesServers;
       if (MoreCells && OtherCellMayGrant)
         continue;
       break;
@@ -496,9 +508,10 @@
 }
 
 std::optional<Verdict> checkCrashes(RequestContext &Context) {
-  if (standingOf(Context) != RequestStanding::Refused)
+  Suspicion Known = suspicionOf(Context);
+  if (Known.Standing_ != RequestStanding::Refused)
     return std::nullopt;
-  return notRun(ResultCode::CrashesServers);
+  return notRun(refusalCode(Known.Cause_));
 }
 
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber) {
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -586,6 +586,27 @@
 mutate origin-of-another $S/Process/Streams/StreamOrigins.cpp \
   's/if \(Known\.Origin_ != Origin\)/if (false)/' \
   ${U}Streams '*two streams of different versions*'
+mutate part-no-key $S/Request/CrashEvidence.cpp \
+  's/if \(!Began\)\n *Sample\.Parts_ = [^;]*;//' \
+  ${U}CrashingPart '*stops reaching them*'
+mutate part-side-by-side $S/Process/Scheduling/CrashHistory.cpp \
+  's/ \|\|\n *\(OfPart && Crash\.At_ >= Last \+ SameMoment\)//' \
+  ${U}Process '*side by side convict*'
+mutate part-same-moment $S/Process/Scheduling/CrashHistory.cpp \
+  's/constexpr milliseconds SameMoment\{250\}/constexpr milliseconds SameMoment{1}/' \
+  ${U}Process '*at one moment convicts no part*'
+mutate part-explained $S/Process/Scheduling/CrashHistory.cpp \
+  's/return unexplained\(Found->second, Now\)\.standing\(Now\);/return Alone;/' \
+  ${U}Process '*explains convicts no other part*'
+mutate part-one-at-a-time $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/return std::ranges::count\(Request\.Parts_, Cause\.Low_\) > 0;/return false;/' \
+  ${U}Process '*suspected part run one at a time*'
+mutate part-waiting $S/Process/Scheduling/Scheduler.cpp \
+  's/if \(HasPart \|\| Details/if (Details/' \
+  ${U}Process '*suspected part run one at a time*'
+mutate part-collected $S/Process/Keeping/CrashTracker.cpp \
+  's/for \(std::uint64_t Part : Sample\.Parts_\) \{/for (std::uint64_t Part : {0ULL}) {/' \
+  ${U}MembershipFleet '*a part that crashes servers is refused by all*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
--- a/UnitTests/Process/Membership/CrashNewsTest.cpp
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
@@ -40,6 +42,21 @@
   }
 }
 
+/// A daemon sees a crash, and tells those that collect the crashes of the
+/// parts.
+void reportCrash(SimulatedFleet &Fleet, std::size_t Index,
+                 const ServerName &Server, const ServedSample &Sample) {
+  Fleet.crashes(Index).requestEnded(Server, Sample);
+  std::vector<VmId> Names;
+  for (std::size_t Other = 0; Other < Fleet.size(); ++Other)
+    Names.push_back(SimulatedFleet::nameOf(Other));
+  for (const auto &Record : Fleet.crashes(Index).partRecords(Server, Sample)) {
+    VmId To = crashCollector(*Record.request, Names);
+    auto At = std::ranges::find(Names, To) - Names.begin();
+    Fleet.crashes(static_cast<std::size_t>(At)).recordReceived(Record);
+  }
+}
+
 } // namespace
 
 TEST_CASE("a request that crashed three servers is refused by all daemons in "
@@ -57,6 +74,42 @@
   CHECK(Time + milliseconds(500) <= ContactTime);
 }
 
+TEST_CASE(
+    "a part that crashes servers is refused by all daemons in time, among "
+    "the parts of all that ran there") {
+  // Guards against news of the one part that matters that wait behind those of
+  // parts which only were there too.
+  constexpr std::uint64_t OtherParts = 12;
+  constexpr std::size_t Crashes = 5;
+  for (std::size_t Size : {std::size_t{8}, FleetSize}) {
+    SimulatedFleet Fleet(Size, {});
+    Fleet.runFor(seconds(5));
+    std::uint64_t Before = Fleet.bytesSent();
+    for (std::size_t Index = 0; Index < Crashes; ++Index) {
+      ServedSample Sample;
+      Sample.Crashed_ = true;
+      Sample.Duration_ = milliseconds(100);
+      for (std::uint64_t Other = 0; Other < OtherParts; ++Other)
+        Sample.Parts_.push_back(100 + Index * OtherParts + Other);
+      Sample.Parts_.push_back(1);
+      reportCrash(Fleet, Index, ServerName(fmt::format("server-{}", Index)),
+                  Sample);
+      Fleet.runFor(milliseconds(300));
+    }
+    auto Time = Fleet.runUntil(
+        [&] { return Fleet.refusing(partKey(1)) == Size; }, seconds(30));
+    double PerDaemon =
+        static_cast<double>(Fleet.bytesSent() - Before) /
+        static_cast<double>(Size) /
+        std::chrono::duration<double>(Time + Crashes * milliseconds(300))
+            .count();
+    MESSAGE(Size << " daemons: refused by all " << Time.count() + 300
+                 << " ms after the last crash, " << PerDaemon
+                 << " bytes a second each");
+    CHECK(Time + milliseconds(300) <= ContactTime);
+  }
+}
+
 TEST_CASE("a daemon that starts later learns which requests are refused") {
   // Guards against a verdict that is only pushed when it is new.
   SimulatedFleet Fleet(FleetSize, {});
