--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -350,7 +350,7 @@
   ${U}AllotmentOfManyCells '*'
 
 mutate crash-refused $S/Process/Scheduling/CrashHistory.cpp \
-  's/CrashesToRefuse = 3/CrashesToRefuse = 1000/' \
+  's/RequestPolicy\{1, 3, 6,/RequestPolicy{1, 1000, 1000,/' \
   ${U}CrashingRequest '*stops reaching them*'
 mutate crash-evidence $S/Request/CrashEvidence.cpp \
   's/Found != ServerCheck::Refused/false/' \
@@ -362,13 +362,13 @@
   's/bool Overload = Number >= 200/bool Overload = Number >= 113/' \
   ${U}CrashingRequest '*refusal is final*'
 mutate crash-together $S/Process/Scheduling/CrashHistory.cpp \
-  's/Crash\.Dispatched_ >= Starts\.back\(\)\.At_/Crash.Dispatched_ != TimePoint()/' \
+  's/Crash\.Dispatched_ >= Last/Crash.Dispatched_ != TimePoint()/' \
   ${U}Process '*crash together*'
 mutate crash-longer $S/Process/Scheduling/CrashHistory.cpp \
   's/RefusalFactor = 4/RefusalFactor = 1/' \
   ${U}Process '*each further crash makes it longer*'
 mutate crash-completed $S/Process/Scheduling/CrashHistory.cpp \
-  's/CrashesToRefuseCompleted = 6/CrashesToRefuseCompleted = 3/' \
+  's/RequestPolicy\{1, 3, 6,/RequestPolicy{1, 3, 3,/' \
   ${U}Process '*has completed needs more*'
 mutate crash-gone-before $S/Process/Scheduling/CrashHistory.cpp \
   's/  if \(crashedBefore\(Hash, Dispatched\)\)\n    return false;\n//' \
@@ -386,7 +386,7 @@
   's/(bool Scheduler::isCopyRunning[^{]*\{\n)/$1  return false;\n/; s/    if \(Other\.Fingerprint_ == Request\.Fingerprint_\)\n      return true;\n//' \
   ${U}Process '*one runs at a time*'
 mutate crash-suspects-apart $S/Process/Scheduling/SchedulerPlacement.cpp \
-  's/return Other\.Server_ == Server\.capacity\(\)\.Name_ &&\s+StandingOf_\(Other\.Fingerprint_\) != RequestStanding::Unsuspected;/return false;/' \
+  's/return Other\.Server_ == Server\.capacity\(\)\.Name_ &&\s+suspicionOf\([^;]*;/return false;/' \
   ${U}Process '*share servers with one*'
 mutate crash-own-turn $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/    if \(isCopyRunning\(Details\)\)\n      continue;\n//' \
