Servers that crash together are no storm of news

Cause: each request whose server crashed is suspected, and each daemon that learned of one told three others at once, with members, versions and records, again for each request. At 300 daemons one crash of a batch became thousands of messages. Suspicion needs no haste: the keeper that would send the request again sees the crash itself.

Change: only refusals are sent at once, not more often than every 100 ms; all else goes with the next regular messages.

--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -42,6 +42,8 @@
 constexpr std::size_t CrashesBeforeRefusal = 3;
 constexpr std::ptrdiff_t MaxRetriesAfter = 3;
 constexpr milliseconds ContactTime{3000};
+/// The same for a part of prompts that has crashed this many.
+constexpr std::size_t CrashesOfPart = 5;
 /// From ContactTime after an engine first named its limit, it gets at most this
 /// many times the limit, plus LimitSlack, within LimitWindow. Counted are
 /// requests of daemons that passed on such an answer TellTime before.
@@ -348,12 +350,13 @@
                           ": reached a leaving engine after the drain bound");
   if (!Request.field("authorization").empty())
     Violations_.push_back(CallId + ": the key was forwarded to the engine");
+  std::string Parts = Request.field("x-samphireshunt-prompt-prefix");
   Runs_.push_back({CallId, Self.Id_, Self.Version_,
                    Request.field("x-samphireshunt-tenant"), Request.Body_,
-                   Now});
+                   Parts, Now});
   ++RunCounts_[CallId];
   RunningCount Running(Self.Running_);
-  if (Request.Body_.starts_with(CrashingBody)) {
+  if (Request.Body_.starts_with(CrashingBody) || hasCrashingPart(Parts)) {
     co_await sleep(milliseconds(pick(100)));
     crash(Self);
     co_return Exchange.abort();
@@ -735,7 +738,8 @@
 Awaitable<SoakCall>
 SoakEnvironment::callOnce(SoakKind Kind, std::string Key, Endpoint To,
                           std::unique_ptr<HttpConnection> &Connection,
-                          std::string Body, const SoakCall *Broken) {
+                          std::string Body, const SoakCall *Broken,
+                          std::string Part) {
   constexpr milliseconds Limit{3000};
   SoakCall Seen;
   Seen.Id_ = fmt::format("c-{}", NextId_++);
@@ -750,6 +754,12 @@
                      {"x-samphireshunt-request-id", Seen.Id_},
                      {"x-samphireshunt-deadline-ms", "2500"},
                      {"authorization", "Bearer " + Key}};
+  // All prompts share the first part, and some of them the second one.
+  std::string Shared =
+      Part.empty() ? fmt::format("{:x}", 16 + NextId_ % 4) : std::move(Part);
+  if (isStream(Kind))
+    Request.Fields_["x-samphireshunt-prompt-prefix"] =
+        fmt::format("a:60,{}:100,{:x}:10", Shared, 0x100000 + NextId_);
   if (Broken) {
     Seen.First_ = Broken->First_.empty() ? Broken->Id_ : Broken->First_;
     Seen.After_ = lastEvent(Broken->Body_);
@@ -1140,6 +1150,58 @@
   }
 }
 
+void SoakEnvironment::sendCrashingPart() {
+  run([&] {
+    std::string Part = fmt::format("{:x}", 0x10000 + NextId_++);
+    CrashingParts_.push_back(Part);
+    auto Send = [this, Part]() { return crashingPartCaller(Part); };
+    asio::co_spawn(Context_, std::move(Send), asio::detached);
+  });
+}
+
+bool SoakEnvironment::hasCrashingPart(const std::string &Parts) const {
+  return std::ranges::any_of(CrashingParts_, [&](const std::string &Part) {
+    return Parts.find(fmt::format(",{}:", Part)) != std::string::npos;
+  });
+}
+
+Awaitable<void> SoakEnvironment::crashingPartCaller(std::string Part) {
+  constexpr int Rounds = 16;
+  for (int Round = 0; CallersRunning_ && Round < Rounds; ++Round) {
+    auto Daemon =
+        Daemons_[VersionRandom_(static_cast<std::uint32_t>(Daemons_.size()))];
+    if (Daemon) {
+      auto Kind =
+          VersionRandom_(2) == 0 ? SoakKind::Stream : SoakKind::Resumable;
+      std::unique_ptr<HttpConnection> Connection;
+      SoakCall Seen = co_await callOnce(
+          Kind, *ActiveKeys_.rbegin(), *Daemon, Connection,
+          fmt::format("no two alike {}", NextId_), nullptr, Part);
+      Calls_.push_back(std::move(Seen));
+    }
+    co_await sleep(milliseconds(100 + VersionRandom_(500)));
+  }
+}
+
+void SoakEnvironment::checkCrashingParts(
+    std::vector<std::string> &Violations) const {
+  for (const std::string &Part : CrashingParts_) {
+    std::vector<const SoakRun *> Runs;
+    for (const SoakRun &Run : Runs_)
+      if (Run.Parts_.find(fmt::format(",{}:", Part)) != std::string::npos)
+        Runs.push_back(&Run);
+    if (Runs.size() <= CrashesOfPart)
+      continue;
+    Time Known = Runs[CrashesOfPart - 1]->At_ + ContactTime;
+    auto Late = std::ranges::count_if(
+        Runs, [&](const SoakRun *Run) { return Run->At_ > Known; });
+    if (Late > MaxRetriesAfter)
+      Violations.push_back(fmt::format(
+          "part {}: reached engines {} times after it had crashed five", Part,
+          Late));
+  }
+}
+
 void SoakEnvironment::checkCrashes(std::vector<std::string> &Violations) const {
   std::map<std::string, std::vector<const SoakRun *>> Reached;
   for (const SoakRun &Run : Runs_)
@@ -1254,6 +1316,7 @@
   run([&] {
     Violations = Violations_;
     checkCrashes(Violations);
+    checkCrashingParts(Violations);
     checkVersions(Violations);
     for (const auto &Known : Engines_)
       if (Known->Limit_ > 0)
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -59,6 +59,7 @@
   std::string Version_; ///< Of the engine.
   std::string Customer_;
   std::string Body_;
+  std::string Parts_;
   std::chrono::steady_clock::time_point At_;
 };
 
@@ -125,6 +126,10 @@
   /// for a while. A crashed engine is replaced by a new one.
   void sendCrashingRequest();
 
+  /// Sends new requests that share a part of their prompts which crashes each
+  /// engine that begins to answer on it, again and again for a while.
+  void sendCrashingPart();
+
   /// Orders a roll-out and starts as many engines of the version as are ready.
   /// The engines in service stop without draining when the status becomes
   /// completed; those of the version drain when it becomes reverted.
@@ -172,6 +177,12 @@
   void removeLater(Engine &Leaving);
   void crash(Engine &Target);
   Awaitable<void> crashingCaller(std::string Body);
+  Awaitable<void> crashingPartCaller(std::string Part);
+  /// Checks how often requests with a crashing part reached engines.
+  void checkCrashingParts(std::vector<std::string> &Violations) const;
+  /// \returns whether the prompt has a part that crashes engines; never the
+  /// last.
+  bool hasCrashingPart(const std::string &Parts) const;
   /// An order to roll out, and what came of it.
   struct Rollout {
     SoakVersion Version_;
@@ -212,7 +223,8 @@
   Awaitable<SoakCall> callOnce(SoakKind Kind, std::string Key, Endpoint To,
                                std::unique_ptr<HttpConnection> &Connection,
                                std::string Body = {},
-                               const SoakCall *Broken = nullptr);
+                               const SoakCall *Broken = nullptr,
+                               std::string Part = {});
   /// Takes a stream that broke off up again, at any daemon.
   Awaitable<void> takeUp(SoakCall Broken);
   std::string drawVersion();
@@ -239,6 +251,7 @@
   pcg32 FramingRandom_;
   pcg32 VersionRandom_;
   std::vector<std::string> Versions_;
+  std::vector<std::string> CrashingParts_;
   FakeStore Store_;
   std::vector<std::unique_ptr<Engine>> Engines_;
   std::vector<std::optional<Endpoint>> Daemons_;
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -17,8 +17,8 @@
 SoakFleet::SoakFleet(std::uint64_t Seed, SoakEnvironment &Environment,
                      SoakFleetOptions Wanted)
     : Environment_(Environment), Random_(Seed), RestoreRandom_(Seed, 1),
-      Options_(Wanted), CrashRandom_(Seed, 2), LimitRandom_(Seed, 3),
-      NoticeRandom_(Seed, 4), LinkRandom_(Seed, 5),
+      Options_(Wanted), CrashRandom_(Seed, 2), PartRandom_(Seed, 7),
+      LimitRandom_(Seed, 3), NoticeRandom_(Seed, 4), LinkRandom_(Seed, 5),
       DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
@@ -118,6 +118,12 @@
     Environment_.sendCrashingRequest();
 }
 
+void SoakFleet::sendCrashingPart() {
+  constexpr std::uint32_t OneIn = 20;
+  if (PartRandom_(OneIn) == 0)
+    Environment_.sendCrashingPart();
+}
+
 void SoakFleet::limitEngine() {
   constexpr std::uint32_t OneIn = 8;
   if (LimitRandom_(OneIn) == 0)
@@ -167,6 +173,7 @@
   disturbEngines();
   cutLinks();
   sendCrashingRequest();
+  sendCrashingPart();
   limitEngine();
   std::size_t Index = Random_(Daemons);
   switch (Random_(11)) {
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -51,6 +51,7 @@
   void disruptStore();
   void copyOrRestoreStore();
   void sendCrashingRequest();
+  void sendCrashingPart();
   void limitEngine();
   void disturbEngines();
   void cutLinks();
@@ -62,6 +63,7 @@
   pcg32 RestoreRandom_;
   SoakFleetOptions Options_;
   pcg32 CrashRandom_;
+  pcg32 PartRandom_;
   pcg32 LimitRandom_;
   pcg32 NoticeRandom_;
   pcg32 LinkRandom_;
--- a/Source/Process/Keeping/CrashTracker.cpp
+++ b/Source/Process/Keeping/CrashTracker.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t DifferingRecords = 4;
 /// Maximum number of crashes sent with a record: the newest ones.
 constexpr std::size_t MaxCrashesSent = 8;
+/// Refusals are sent to some members at once, but not more often than this.
+constexpr milliseconds SpreadInterval{100};
 /// How often records that are too old to matter are removed.
 constexpr std::chrono::seconds CleanUpInterval{10};
 
@@ -188,8 +190,15 @@
        {"standing", standingName(After)}});
   if (After == Before)
     return;
-  if (After == RequestStanding::Refused)
-    Hooks_.Refused_(Changed);
+  if (After != RequestStanding::Refused)
+    return;
+  Hooks_.Refused_(Changed);
+  // Other changes go with the next regular messages: while many servers crash,
+  // there is one for each of their requests.
+  auto Now = Now_();
+  if (Now - LastSpread_ < SpreadInterval)
+    return;
+  LastSpread_ = Now;
   Hooks_.Spread_();
 }
 
--- a/Source/Process/Keeping/CrashTracker.h
+++ b/Source/Process/Keeping/CrashTracker.h
@@ -27,7 +27,7 @@
     /// Called when a request is refused from now on.
     std::function<void(const RequestFingerprint &)> Refused_ =
         [](const RequestFingerprint &) {};
-    /// Called when other daemons should learn of a change at once.
+    /// Called when other daemons should learn of a refusal at once.
     std::function<void()> Spread_ = [] {};
   };
 
@@ -69,6 +69,7 @@
   CrashHistory History_;
   RcuCell<CrashSnapshot> Published_;
   TimePoint LastCleanUp_;
+  TimePoint LastSpread_;
   Hooks Hooks_;
 };
 
--- a/UnitTests/Process/Membership/CrashNewsTest.cpp
+++ b/UnitTests/Process/Membership/CrashNewsTest.cpp
@@ -204,3 +204,38 @@
   for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
     CHECK(Fleet.crashes(Index).digest() == 0);
 }
+
+TEST_CASE("many servers that crash at once are no storm of news") {
+  // Guards against a fleet that spends its links and processors on telling each
+  // other of requests of which each lost one server.
+  constexpr std::size_t CrashedServers = 71;
+  constexpr std::uint64_t RequestsEach = 12;
+  constexpr double MaxBytesPerSecond = 7000;
+  SimulatedFleet Fleet(FleetSize, {});
+  Fleet.runFor(seconds(5));
+  std::uint64_t Before = Fleet.bytesSent();
+  auto Begin = std::chrono::steady_clock::now();
+  for (std::size_t Server = 0; Server < CrashedServers; ++Server) {
+    for (std::uint64_t Number = 0; Number < RequestsEach; ++Number) {
+      ServedSample Sample;
+      Sample.Crashed_ = true;
+      Sample.Duration_ = milliseconds(100);
+      Sample.Fingerprint_ = request(1000 * Server + Number);
+      // The daemon of the caller and the keeper see it.
+      ServerName Name(fmt::format("server-{}", Server));
+      Fleet.crashes((Server * RequestsEach + Number) % FleetSize)
+          .requestEnded(Name, Sample);
+      Fleet.crashes(Server % 8).requestEnded(Name, Sample);
+    }
+    Fleet.runFor(milliseconds(50));
+  }
+  Fleet.runFor(seconds(3));
+  double Seconds = 0.05 * CrashedServers + 3;
+  double PerDaemon = static_cast<double>(Fleet.bytesSent() - Before) /
+                     static_cast<double>(FleetSize) / Seconds;
+  std::chrono::duration<double> Spent =
+      std::chrono::steady_clock::now() - Begin;
+  MESSAGE(PerDaemon << " bytes a second each, " << Spent.count()
+                    << " s of processor time in all");
+  CHECK(PerDaemon <= MaxBytesPerSecond);
+}
