A part of most prompts is not refused while nothing can complete

Three of four engines had crashed at different moments within 0.4 s, for several reasons, and no answer could complete in between; daemons that had just started did not know that the part had ever completed.

Change: that a part has completed lately is added to what others tell of it, so that all know. Such a part is refused after six distinct crashes over two seconds or more in which nothing completed with it. The first refusal of a part lasts 10 s (a minute before), the next ones eight times as long each time (four before): as few trials, and a wrong refusal is short.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -350,7 +350,7 @@
   ${U}AllotmentOfManyCells '*'
 
 mutate crash-refused $S/Process/Scheduling/CrashHistory.cpp \
-  's/RequestPolicy\{1, 3, 6,/RequestPolicy{1, 1000, 1000,/' \
+  's/\.ToRefuse_ = 3/.ToRefuse_ = 1000/' \
   ${U}CrashingRequest '*stops reaching them*'
 mutate crash-evidence $S/Request/CrashEvidence.cpp \
   's/Found != ServerCheck::Refused/false/' \
@@ -365,10 +365,10 @@
   's/Crash\.Dispatched_ >= Last/Crash.Dispatched_ != TimePoint()/' \
   ${U}Process '*crash together*'
 mutate crash-longer $S/Process/Scheduling/CrashHistory.cpp \
-  's/RefusalFactor = 4/RefusalFactor = 1/' \
+  's/\.RefusalFactor_ = 4/.RefusalFactor_ = 1/' \
   ${U}Process '*each further crash makes it longer*'
 mutate crash-completed $S/Process/Scheduling/CrashHistory.cpp \
-  's/RequestPolicy\{1, 3, 6,/RequestPolicy{1, 3, 3,/' \
+  's/\.ToRefuseCompleted_ = 6/.ToRefuseCompleted_ = 3/' \
   ${U}Process '*has completed needs more*'
 mutate crash-gone-before $S/Process/Scheduling/CrashHistory.cpp \
   's/  if \(crashedBefore\(Hash, Dispatched\)\)\n    return false;\n//' \
@@ -601,6 +601,12 @@
 mutate part-one-at-a-time $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/return std::ranges::count\(Request\.Parts_, Cause\.Low_\) > 0;/return false;/' \
   ${U}Process '*suspected part run one at a time*'
+mutate part-popular $S/Process/Scheduling/CrashHistory.cpp \
+  's/  if \(Known\.Clearings_ == 0 && CompletedLately\)/  if (false)/' \
+  ${U}Process '*not refused while nothing can complete*'
+mutate part-storm $S/Process/Keeping/CrashTracker.cpp \
+  's/  if \(After != RequestStanding::Refused\)\n    return;//' \
+  ${U}MembershipFleet '*no storm of news*'
 mutate part-waiting $S/Process/Scheduling/Scheduler.cpp \
   's/if \(HasPart \|\| Details/if (Details/' \
   ${U}Process '*suspected part run one at a time*'
--- a/UnitTests/Process/Scheduling/CrashingPartsTest.cpp
+++ b/UnitTests/Process/Scheduling/CrashingPartsTest.cpp
@@ -12,7 +12,6 @@
 using namespace samphireshunt;
 using std::chrono::hours;
 using std::chrono::milliseconds;
-using std::chrono::minutes;
 using std::chrono::seconds;
 
 namespace {
@@ -93,24 +92,41 @@
   CHECK(Load.standing(Deadly) == RequestStanding::Refused);
   CHECK(Load.standing(Rare) == RequestStanding::Unsuspected);
   // Alone it is judged by its own crashes.
-  for (int Number = 0; Number < 3; ++Number) {
+  for (int Number = 0; Number < 6; ++Number) {
     Load.Now_ += seconds(1);
     Load.crash({Rare}, Load.Now_ - milliseconds(100));
   }
   CHECK(Load.standing(Rare) == RequestStanding::Refused);
 }
 
-TEST_CASE("a part that completed earlier is refused after as many crashes") {
+TEST_CASE("a part that completed earlier is refused when it does so no more") {
   // Guards against a part that was sound until now.
   Crashes Load;
   Load.History_.recordCompleted(Deadly, Load.Now_);
-  for (int Number = 0; Number < 3; ++Number) {
-    Load.Now_ += seconds(1);
+  for (int Number = 0; Number < 6; ++Number) {
+    Load.Now_ += milliseconds(500);
     Load.crash({Deadly}, Load.Now_ - milliseconds(100));
   }
   CHECK(Load.standing(Deadly) == RequestStanding::Refused);
 }
 
+TEST_CASE("a part of most prompts is not refused while nothing can complete") {
+  // Guards against a minute without service after most servers crashed within a
+  // second, for several reasons, also at a daemon that has just started.
+  Crashes Load;
+  Load.History_.recordCompleted(Popular, Load.Now_);
+  Crashes Started;
+  for (int Number = 0; Number < 7; ++Number) {
+    Load.Now_ += milliseconds(260);
+    Started.Now_ = Load.Now_;
+    Started.crash({Popular}, Load.Now_ - milliseconds(100));
+    Load.History_.merge(*Started.History_.find(Popular), Load.Now_);
+    Started.History_.merge(*Load.History_.find(Popular), Load.Now_);
+    CHECK(Load.standing(Popular) != RequestStanding::Refused);
+    CHECK(Started.standing(Popular) != RequestStanding::Refused);
+  }
+}
+
 TEST_CASE("a refused part is tried again, later each time") {
   // Guards against a part that stays refused for good, and against trials that
   // crash one server after the other.
@@ -119,14 +135,14 @@
     Load.Now_ += seconds(1);
     Load.crash({Deadly}, Load.Now_ - milliseconds(100));
   }
-  Load.Now_ += seconds(59);
+  Load.Now_ += seconds(9);
   CHECK(Load.standing(Deadly) == RequestStanding::Refused);
   Load.Now_ += seconds(2);
   CHECK(Load.standing(Deadly) == RequestStanding::Suspected);
   Load.crash({Deadly}, Load.Now_ - milliseconds(100));
-  Load.Now_ += minutes(3);
+  Load.Now_ += seconds(70);
   CHECK(Load.standing(Deadly) == RequestStanding::Refused);
-  Load.Now_ += minutes(2);
+  Load.Now_ += seconds(20);
   Load.History_.recordCompleted(Deadly, Load.Now_);
   CHECK(Load.standing(Deadly) == RequestStanding::Unsuspected);
 }
