A popular part does not displace what else has completed; standings without copies

Found by reading: each completion of a part was one more entry of the bounded memory of completions, so that a part of all prompts would have filled it within seconds. Each request or part is there once now, and what has completed again is kept (a case of Unit.Process). The scheduler copied the ids of a prompt's parts for each engine that it examined; it reads them in place.

--- a/Source/Process/Scheduling/CrashHistory.cpp
+++ b/Source/Process/Scheduling/CrashHistory.cpp
@@ -71,9 +71,8 @@
   return Request.isPart() ? PartPolicy : RequestPolicy;
 }
 
-/// \returns the first crash of each group that belongs together: for requests,
-/// crashes
-/// whose runs overlapped it, of parts only those at the same moment.
+/// \returns the first crash of each group that belongs together: crashes whose
+/// runs overlapped it, and of parts only those at the same moment.
 std::vector<ServerCrash> groupStarts(const std::vector<ServerCrash> &Crashes,
                                      bool OfPart) {
   std::vector<ServerCrash> Starts;
@@ -224,15 +223,18 @@
 
 void CrashHistory::rememberCompleted(const RequestFingerprint &Request,
                                      TimePoint Now) {
-  Completed_[Request] = Now;
-  CompletedOrder_.emplace_back(Now, Request);
+  bool New = Completed_.insert_or_assign(Request, Now).second;
+  if (New)
+    CompletedOrder_.emplace_back(Now, Request);
   while (CompletedOrder_.size() > MaxCompleted ||
          Now - CompletedOrder_.front().first > CompletedMemory) {
-    const auto &[At, First] = CompletedOrder_.front();
+    auto [At, First] = CompletedOrder_.front();
+    CompletedOrder_.pop_front();
     auto Found = Completed_.find(First);
-    if (Found != Completed_.end() && Found->second == At)
+    if (Found->second > At)
+      CompletedOrder_.emplace_back(Found->second, First);
+    else
       Completed_.erase(Found);
-    CompletedOrder_.pop_front();
   }
 }
 
--- a/Source/Process/Scheduling/CrashHistory.h
+++ b/Source/Process/Scheduling/CrashHistory.h
@@ -160,7 +160,8 @@
   std::map<RequestFingerprint, Spread> Spread_;
   /// Requests that completed lately, and when they last did.
   std::map<RequestFingerprint, TimePoint> Completed_;
-  /// The same in order of time, with earlier completions of the same request.
+  /// Each of them once, in the order in which it is looked at whether it may be
+  /// forgotten: with an earlier time if it has completed again since.
   std::deque<std::pair<TimePoint, RequestFingerprint>> CompletedOrder_;
 };
 
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -362,12 +362,12 @@
   void enqueue(WaitingRequest Request);
   WaitingRequest dequeue(const RequestId &Id);
   std::size_t queueIndex(TierIndex Tier) const;
-  /// \returns whether the server is one that may run the request, free or not.
   /// \returns the worst that is known of the request and the parts of its
   /// prompt, and of which of them.
-  Suspicion suspicionOf(const RequestFingerprint &Request,
-                        const std::vector<std::uint64_t> &Parts) const;
+  Suspicion suspicionOf(const RunningRequest &Request) const;
   Suspicion suspicionOf(const GrantRequest &Request) const;
+  Suspicion worseOf(const Suspicion &Known, std::uint64_t Part) const;
+  /// \returns whether the server is one that may run the request, free or not.
   static bool mayRunOn(const GrantRequest &Request, const ServerModel &Server);
   bool hasServerFor(const GrantRequest &Request, TimePoint Now) const;
   /// \returns the time until the first engine no longer rests for the request's
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -100,21 +100,28 @@
          standingAllows(Request, Server);
 }
 
-Suspicion
-Scheduler::suspicionOf(const RequestFingerprint &Request,
-                       const std::vector<std::uint64_t> &Parts) const {
-  Suspicion Worst{StandingOf_(Request), Request};
-  for (std::uint64_t Part : Parts) {
-    RequestFingerprint Key = partKey(Part);
-    RequestStanding Standing = StandingOf_(Key);
-    if (Standing > Worst.Standing_)
-      Worst = {Standing, Key};
-  }
+Suspicion Scheduler::worseOf(const Suspicion &Known, std::uint64_t Part) const {
+  RequestFingerprint Key = partKey(Part);
+  RequestStanding Standing = StandingOf_(Key);
+  return Standing > Known.Standing_ ? Suspicion{Standing, Key} : Known;
+}
+
+Suspicion Scheduler::suspicionOf(const RunningRequest &Request) const {
+  Suspicion Worst{StandingOf_(Request.Fingerprint_), Request.Fingerprint_};
+  for (std::uint64_t Part : Request.Parts_)
+    Worst = worseOf(Worst, Part);
   return Worst;
 }
 
 Suspicion Scheduler::suspicionOf(const GrantRequest &Request) const {
-  return suspicionOf(Request.Fingerprint_, sharedParts(Request.Parts_));
+  Suspicion Worst{StandingOf_(Request.Fingerprint_), Request.Fingerprint_};
+  // The last part belongs to the request alone.
+  std::span<const PromptPart> Parts = Request.Parts_;
+  if (!Parts.empty())
+    Parts = Parts.first(Parts.size() - 1);
+  for (const PromptPart &Part : Parts)
+    Worst = worseOf(Worst, Part.Id_);
+  return Worst;
 }
 
 namespace {
@@ -150,8 +157,7 @@
     if (hasCause(Other, Known.Cause_))
       return true;
     return Other.Server_ == Server.capacity().Name_ &&
-           suspicionOf(Other.Fingerprint_, Other.Parts_).Standing_ !=
-               RequestStanding::Unsuspected;
+           suspicionOf(Other).Standing_ != RequestStanding::Unsuspected;
   });
 }
 
--- a/UnitTests/Process/Scheduling/CrashingPartsTest.cpp
+++ b/UnitTests/Process/Scheduling/CrashingPartsTest.cpp
@@ -127,6 +127,21 @@
   }
 }
 
+TEST_CASE("a popular part does not displace what else has completed") {
+  // Guards against a memory that is full of one part's completions.
+  Crashes Load;
+  Load.History_.recordCompleted(Rare, Load.Now_);
+  for (int Number = 0; Number < 10000; ++Number) {
+    Load.Now_ += milliseconds(10);
+    Load.History_.recordCompleted(Popular, Load.Now_);
+  }
+  for (int Number = 0; Number < 3; ++Number) {
+    Load.Now_ += seconds(1);
+    Load.crash({Rare}, Load.Now_ - milliseconds(100));
+  }
+  CHECK(Load.standing(Rare) == RequestStanding::Suspected);
+}
+
 TEST_CASE("a refused part is tried again, later each time") {
   // Guards against a part that stays refused for good, and against trials that
   // crash one server after the other.
