An unknown origin is refused with a Retry-After, as all codes of that group

The first whole run of the tests found it: Unit.Request "every code gives a complete answer" failed (1 of 45), since code 216 came without Retry-After. The promise is right: another daemon may know the stream, so the caller is told to come back there soon.

--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -112,7 +112,8 @@
     ResultCodeInfo{StreamOriginUnknown, "stream-origin-unknown",
                    "No daemon can tell which version of its servers' software "
                    "began the stream, and there are several.",
-                   "Discard the part that came; send the request anew."},
+                   "Come back after Retry-After, where another VM may know, or "
+                   "discard the part that came and send the request anew."},
     ResultCodeInfo{AnswerTimeout, "answer-timeout",
                    "The backend server did not answer by the deadline.",
                    "It may have run: check before asking again."},
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -68,6 +68,7 @@
   case ResultCode::Stopping:
   case ResultCode::ConfigurationStale:
   case ResultCode::KeeperUnreachable:
+  case ResultCode::StreamOriginUnknown:
     return AtAnotherDaemon;
   case ResultCode::ConnectFailed:
   case ResultCode::NoBackendServer:
@@ -84,9 +85,7 @@
 
 bool isRetryable(const Verdict &Ended) {
   int Number = static_cast<int>(Ended.Code_);
-  // The rest of a stream whose origin is unknown would be refused again.
-  bool Overload = Number >= 200 && Number < 300 &&
-                  Ended.Code_ != ResultCode::StreamOriginUnknown;
+  bool Overload = Number >= 200 && Number < 300;
   bool Claim = Ended.Code_ == ResultCode::ClaimFailed ||
                Ended.Code_ == ResultCode::FirstAttemptRunning ||
                Ended.Code_ == ResultCode::PlatformUnavailable;
