--- a/Source/Process/Scheduling/CrashHistory.cpp
+++ b/Source/Process/Scheduling/CrashHistory.cpp
@@ -178,8 +178,9 @@
 CrashRecord CrashSnapshot::unexplained(const CrashRecord &Part,
                                        TimePoint Now) const {
   CrashRecord Rest = Part;
-  for (const auto &[Key, Other] : Records_) {
-    if (!Key.isPart() || !explainsMore(Other, Part) ||
+  for (const auto &Item : Records_) {
+    const CrashRecord &Other = Item.second;
+    if (!Other.Request_.isPart() || !explainsMore(Other, Part) ||
         Other.standing(Now) != RequestStanding::Refused)
       continue;
     std::erase_if(Rest.Crashes_, [&](const ServerCrash &Crash) {
