--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -89,8 +89,8 @@
   }
   std::vector<std::uint32_t> Cells(cellCount(*Context.Pool_));
   std::iota(Cells.begin(), Cells.end(), 0U);
-  std::ranges::rotate(Cells,
-                      Cells.begin() + cellForKey(*Context.Pool_, Affinity));
+  auto First = Cells.begin() + cellForKey(*Context.Pool_, Affinity);
+  std::rotate(Cells.begin(), First, Cells.end());
   return Cells;
 }
 
