--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -99,7 +99,7 @@
   // Guards against a guess, and against a caller that waits for a stream that
   // can't go on here.
   ForwardingHarness Path(versions(1), serversOfTwoVersions());
-  for (std::string Fields : {takeUp("nobody"), takeUp("")}) {
+  for (const std::string &Fields : {takeUp("nobody"), takeUp("")}) {
     CallerReply Reply = Path.call("c", "x", Fields);
     CHECK(Reply.status() == 503);
     CHECK(fieldIn(Reply.Bytes_, "x-result-code") == "216");
