The cells of a request are looked at anew for each grant request

Found by reading the change: since streams are bound to versions, the cells and the place of a suspected request were chosen once for all grant requests of a dispatch. A server that comes, or a suspicion that arises, while the first one waits was missed; before, they were chosen for each.

--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -338,16 +338,17 @@
     Context.State_.tryGiveUp();
     co_return std::move(*Refused);
   }
-  std::vector<std::uint32_t> Cells = cellsFor(Context);
   std::size_t CellTries = 0;
-  if (Cells.empty()) {
-    Context.State_.tryGiveUp();
-    co_return notRun(ResultCode::NoBackendServer);
-  }
   for (int Try = 0; Try < MaxGrantRequests && !Context.expired(); ++Try) {
+    // Servers may come and suspicions arise between two grant requests.
+    std::vector<std::uint32_t> Cells = cellsFor(Context);
+    if (Cells.empty()) {
+      Ended = notRun(ResultCode::NoBackendServer);
+      break;
+    }
     std::size_t SpanNumber = Context.Trace_.begin("wait-for-grant");
     CellId Cell{Context.document().Service_, Context.Pool_->Name_,
-                Cells[CellTries]};
+                Cells[CellTries % Cells.size()]};
     GrantRequest Request = makeGrantRequest(Context, Excluded);
     Request.IsRetry_ = CellTries > 0 || Options.IsRetry_ ||
                        Context.SinceFirstAttempt_.count() > 0;
