--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -54,6 +54,10 @@
 struct CancelBuilder;
 struct CancelT;
 
+struct Suspend;
+struct SuspendBuilder;
+struct SuspendT;
+
 struct Running;
 struct RunningBuilder;
 struct RunningT;
@@ -233,11 +237,12 @@
   OriginAsk = 26,
   OriginAnswer = 27,
   CrashRecord = 28,
+  Suspend = 29,
   MIN = NONE,
-  MAX = CrashRecord
+  MAX = Suspend
 };
 
-inline const Body (&EnumValuesBody())[29] {
+inline const Body (&EnumValuesBody())[30] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -267,13 +272,14 @@
     Body::StreamOrigin,
     Body::OriginAsk,
     Body::OriginAnswer,
-    Body::CrashRecord
+    Body::CrashRecord,
+    Body::Suspend
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[30] = {
+  static const char * const names[31] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -303,13 +309,14 @@
     "OriginAsk",
     "OriginAnswer",
     "CrashRecord",
+    "Suspend",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CrashRecord)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Suspend)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -430,6 +437,10 @@
   static const Body enum_value = Body::CrashRecord;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::Suspend> {
+  static const Body enum_value = Body::Suspend;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -546,6 +557,10 @@
   static const Body enum_value = Body::CrashRecord;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::SuspendT> {
+  static const Body enum_value = Body::Suspend;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -800,6 +815,14 @@
     return type == Body::CrashRecord ?
       reinterpret_cast<const samphireshunt::wire::CrashRecordT *>(value) : nullptr;
   }
+  samphireshunt::wire::SuspendT *AsSuspend() {
+    return type == Body::Suspend ?
+      reinterpret_cast<samphireshunt::wire::SuspendT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::SuspendT *AsSuspend() const {
+    return type == Body::Suspend ?
+      reinterpret_cast<const samphireshunt::wire::SuspendT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1048,6 +1071,7 @@
   uint32_t max_pause_ms = 0;
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   std::string software{};
+  std::string only_server{};
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1077,7 +1101,8 @@
     VT_PARTS = 34,
     VT_MAX_PAUSE_MS = 36,
     VT_FINGERPRINT = 38,
-    VT_SOFTWARE = 40
+    VT_SOFTWARE = 40,
+    VT_ONLY_SERVER = 42
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1147,6 +1172,11 @@
   const flatbuffers::String *software() const {
     return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
   }
+  /// The only server that may run the request, which goes on with a run whose
+  /// memory is there; empty is any.
+  const flatbuffers::String *only_server() const {
+    return GetPointer<const flatbuffers::String *>(VT_ONLY_SERVER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1175,6 +1205,8 @@
            VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
            VerifyOffset(verifier, VT_SOFTWARE) &&
            verifier.VerifyString(software()) &&
+           VerifyOffset(verifier, VT_ONLY_SERVER) &&
+           verifier.VerifyString(only_server()) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1243,6 +1275,9 @@
   void add_software(flatbuffers::Offset<flatbuffers::String> software) {
     fbb_.AddOffset(Ask::VT_SOFTWARE, software);
   }
+  void add_only_server(flatbuffers::Offset<flatbuffers::String> only_server) {
+    fbb_.AddOffset(Ask::VT_ONLY_SERVER, only_server);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1274,9 +1309,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const samphireshunt::wire::Part *>> parts = 0,
     uint32_t max_pause_ms = 0,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
-    flatbuffers::Offset<flatbuffers::String> software = 0) {
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    flatbuffers::Offset<flatbuffers::String> only_server = 0) {
   AskBuilder builder_(_fbb);
   builder_.add_document_version(document_version);
+  builder_.add_only_server(only_server);
   builder_.add_software(software);
   builder_.add_fingerprint(fingerprint);
   builder_.add_max_pause_ms(max_pause_ms);
@@ -1318,12 +1355,14 @@
     const std::vector<samphireshunt::wire::Part> *parts = nullptr,
     uint32_t max_pause_ms = 0,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
-    const char *software = nullptr) {
+    const char *software = nullptr,
+    const char *only_server = nullptr) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<samphireshunt::wire::Part>(*parts) : 0;
   auto software__ = software ? _fbb.CreateString(software) : 0;
+  auto only_server__ = only_server ? _fbb.CreateString(only_server) : 0;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       id,
@@ -1344,7 +1383,8 @@
       parts__,
       max_pause_ms,
       fingerprint,
-      software__);
+      software__,
+      only_server__);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1424,6 +1464,7 @@
   std::unique_ptr<samphireshunt::wire::Id> id{};
   std::string server{};
   bool limited = false;
+  std::string backup{};
   GrantT() = default;
   GrantT(const GrantT &o);
   GrantT(GrantT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1436,7 +1477,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_SERVER = 6,
-    VT_LIMITED = 8
+    VT_LIMITED = 8,
+    VT_BACKUP = 10
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1448,12 +1490,19 @@
   bool limited() const {
     return GetField<uint8_t>(VT_LIMITED, 0) != 0;
   }
+  /// The server to which the memory of the run is to be backed up; empty is
+  /// none.
+  const flatbuffers::String *backup() const {
+    return GetPointer<const flatbuffers::String *>(VT_BACKUP);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
+           VerifyOffset(verifier, VT_BACKUP) &&
+           verifier.VerifyString(backup()) &&
            verifier.EndTable();
   }
   GrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1474,6 +1523,9 @@
   void add_limited(bool limited) {
     fbb_.AddElement<uint8_t>(Grant::VT_LIMITED, static_cast<uint8_t>(limited), 0);
   }
+  void add_backup(flatbuffers::Offset<flatbuffers::String> backup) {
+    fbb_.AddOffset(Grant::VT_BACKUP, backup);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1489,8 +1541,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
     flatbuffers::Offset<flatbuffers::String> server = 0,
-    bool limited = false) {
+    bool limited = false,
+    flatbuffers::Offset<flatbuffers::String> backup = 0) {
   GrantBuilder builder_(_fbb);
+  builder_.add_backup(backup);
   builder_.add_server(server);
   builder_.add_id(id);
   builder_.add_limited(limited);
@@ -1501,13 +1555,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
     const char *server = nullptr,
-    bool limited = false) {
+    bool limited = false,
+    const char *backup = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto backup__ = backup ? _fbb.CreateString(backup) : 0;
   return samphireshunt::wire::CreateGrant(
       _fbb,
       id,
       server__,
-      limited);
+      limited,
+      backup__);
 }
 
 flatbuffers::Offset<Grant> CreateGrant(flatbuffers::FlatBufferBuilder &_fbb, const GrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1957,6 +2014,64 @@
 
 flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SuspendT : public flatbuffers::NativeTable {
+  typedef Suspend TableType;
+  std::unique_ptr<samphireshunt::wire::Id> id{};
+  SuspendT() = default;
+  SuspendT(const SuspendT &o);
+  SuspendT(SuspendT&&) FLATBUFFERS_NOEXCEPT = default;
+  SuspendT &operator=(SuspendT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// The keeper asks the ingress daemon to stop a run and to keep its memory, so
+/// that it goes on later.
+struct Suspend FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspendT NativeTableType;
+  typedef SuspendBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4
+  };
+  const samphireshunt::wire::Id *id() const {
+    return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
+           verifier.EndTable();
+  }
+  SuspendT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspendT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Suspend> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspendBuilder {
+  typedef Suspend Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(const samphireshunt::wire::Id *id) {
+    fbb_.AddStruct(Suspend::VT_ID, id);
+  }
+  explicit SuspendBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Suspend> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Suspend>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Suspend> CreateSuspend(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Id *id = nullptr) {
+  SuspendBuilder builder_(_fbb);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<Suspend> CreateSuspend(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RunningT : public flatbuffers::NativeTable {
   typedef Running TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
@@ -2165,6 +2280,8 @@
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   bool rejected = false;
   std::vector<uint64_t> parts{};
+  bool suspended = false;
+  uint32_t work_time_percent = 0;
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2190,7 +2307,9 @@
     VT_CRASHED = 26,
     VT_FINGERPRINT = 28,
     VT_REJECTED = 30,
-    VT_PARTS = 32
+    VT_PARTS = 32,
+    VT_SUSPENDED = 34,
+    VT_WORK_TIME_PERCENT = 36
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -2245,6 +2364,16 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  /// The run was stopped and its memory is kept; its request will ask for the
+  /// server again.
+  bool suspended() const {
+    return GetField<uint8_t>(VT_SUSPENDED, 0) != 0;
+  }
+  /// How long work took on the server's machine when it answered, in percent of
+  /// the usual time; 0 is unknown.
+  uint32_t work_time_percent() const {
+    return GetField<uint32_t>(VT_WORK_TIME_PERCENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -2265,6 +2394,8 @@
            VerifyField<uint8_t>(verifier, VT_REJECTED, 1) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyField<uint8_t>(verifier, VT_SUSPENDED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WORK_TIME_PERCENT, 4) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2321,6 +2452,12 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(Done::VT_PARTS, parts);
   }
+  void add_suspended(bool suspended) {
+    fbb_.AddElement<uint8_t>(Done::VT_SUSPENDED, static_cast<uint8_t>(suspended), 0);
+  }
+  void add_work_time_percent(uint32_t work_time_percent) {
+    fbb_.AddElement<uint32_t>(Done::VT_WORK_TIME_PERCENT, work_time_percent, 0);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2348,8 +2485,11 @@
     bool crashed = false,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
     bool rejected = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    bool suspended = false,
+    uint32_t work_time_percent = 0) {
   DoneBuilder builder_(_fbb);
+  builder_.add_work_time_percent(work_time_percent);
   builder_.add_parts(parts);
   builder_.add_fingerprint(fingerprint);
   builder_.add_at_once(at_once);
@@ -2359,6 +2499,7 @@
   builder_.add_server(server);
   builder_.add_cell(cell);
   builder_.add_id(id);
+  builder_.add_suspended(suspended);
   builder_.add_rejected(rejected);
   builder_.add_crashed(crashed);
   builder_.add_replaced(replaced);
@@ -2384,7 +2525,9 @@
     bool crashed = false,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
     bool rejected = false,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    bool suspended = false,
+    uint32_t work_time_percent = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return samphireshunt::wire::CreateDone(
@@ -2403,7 +2546,9 @@
       crashed,
       fingerprint,
       rejected,
-      parts__);
+      parts__,
+      suspended,
+      work_time_percent);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2413,6 +2558,7 @@
   std::unique_ptr<samphireshunt::wire::Id> id{};
   std::unique_ptr<samphireshunt::wire::CellT> cell{};
   uint32_t delay_us = 0;
+  uint32_t work_time_percent = 0;
   FirstTokenT() = default;
   FirstTokenT(const FirstTokenT &o);
   FirstTokenT(FirstTokenT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2426,7 +2572,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_CELL = 6,
-    VT_DELAY_US = 8
+    VT_DELAY_US = 8,
+    VT_WORK_TIME_PERCENT = 10
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -2437,12 +2584,17 @@
   uint32_t delay_us() const {
     return GetField<uint32_t>(VT_DELAY_US, 0);
   }
+  /// As in Done.
+  uint32_t work_time_percent() const {
+    return GetField<uint32_t>(VT_WORK_TIME_PERCENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_CELL) &&
            verifier.VerifyTable(cell()) &&
            VerifyField<uint32_t>(verifier, VT_DELAY_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WORK_TIME_PERCENT, 4) &&
            verifier.EndTable();
   }
   FirstTokenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2463,6 +2615,9 @@
   void add_delay_us(uint32_t delay_us) {
     fbb_.AddElement<uint32_t>(FirstToken::VT_DELAY_US, delay_us, 0);
   }
+  void add_work_time_percent(uint32_t work_time_percent) {
+    fbb_.AddElement<uint32_t>(FirstToken::VT_WORK_TIME_PERCENT, work_time_percent, 0);
+  }
   explicit FirstTokenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2478,8 +2633,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
     flatbuffers::Offset<samphireshunt::wire::Cell> cell = 0,
-    uint32_t delay_us = 0) {
+    uint32_t delay_us = 0,
+    uint32_t work_time_percent = 0) {
   FirstTokenBuilder builder_(_fbb);
+  builder_.add_work_time_percent(work_time_percent);
   builder_.add_delay_us(delay_us);
   builder_.add_cell(cell);
   builder_.add_id(id);
@@ -5346,6 +5503,9 @@
   const samphireshunt::wire::CrashRecord *body_as_CrashRecord() const {
     return body_type() == samphireshunt::wire::Body::CrashRecord ? static_cast<const samphireshunt::wire::CrashRecord *>(body()) : nullptr;
   }
+  const samphireshunt::wire::Suspend *body_as_Suspend() const {
+    return body_type() == samphireshunt::wire::Body::Suspend ? static_cast<const samphireshunt::wire::Suspend *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5470,6 +5630,10 @@
   return body_as_CrashRecord();
 }
 
+template<> inline const samphireshunt::wire::Suspend *Envelope::body_as<samphireshunt::wire::Suspend>() const {
+  return body_as_Suspend();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5554,7 +5718,8 @@
         parts(o.parts),
         max_pause_ms(o.max_pause_ms),
         fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
-        software(o.software) {
+        software(o.software),
+        only_server(o.only_server) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -5577,6 +5742,7 @@
   std::swap(max_pause_ms, o.max_pause_ms);
   std::swap(fingerprint, o.fingerprint);
   std::swap(software, o.software);
+  std::swap(only_server, o.only_server);
   return *this;
 }
 
@@ -5608,6 +5774,7 @@
   { auto _e = max_pause_ms(); _o->max_pause_ms = _e; }
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
   { auto _e = software(); if (_e) _o->software = _e->str(); }
+  { auto _e = only_server(); if (_e) _o->only_server = _e->str(); }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5637,6 +5804,7 @@
   auto _max_pause_ms = _o->max_pause_ms;
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
+  auto _only_server = _o->only_server.empty() ? 0 : _fbb.CreateString(_o->only_server);
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -5657,7 +5825,8 @@
       _parts,
       _max_pause_ms,
       _fingerprint,
-      _software);
+      _software,
+      _only_server);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
@@ -5703,13 +5872,15 @@
 inline GrantT::GrantT(const GrantT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
         server(o.server),
-        limited(o.limited) {
+        limited(o.limited),
+        backup(o.backup) {
 }
 
 inline GrantT &GrantT::operator=(GrantT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(server, o.server);
   std::swap(limited, o.limited);
+  std::swap(backup, o.backup);
   return *this;
 }
 
@@ -5725,6 +5896,7 @@
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = limited(); _o->limited = _e; }
+  { auto _e = backup(); if (_e) _o->backup = _e->str(); }
 }
 
 inline flatbuffers::Offset<Grant> Grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5738,11 +5910,13 @@
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
   auto _limited = _o->limited;
+  auto _backup = _o->backup.empty() ? 0 : _fbb.CreateString(_o->backup);
   return samphireshunt::wire::CreateGrant(
       _fbb,
       _id,
       _server,
-      _limited);
+      _limited,
+      _backup);
 }
 
 inline ServerLimitT::ServerLimitT(const ServerLimitT &o)
@@ -5960,6 +6134,41 @@
       _code);
 }
 
+inline SuspendT::SuspendT(const SuspendT &o)
+      : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr) {
+}
+
+inline SuspendT &SuspendT::operator=(SuspendT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  return *this;
+}
+
+inline SuspendT *Suspend::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<SuspendT>(new SuspendT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Suspend::UnPackTo(SuspendT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
+}
+
+inline flatbuffers::Offset<Suspend> Suspend::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspend(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Suspend> CreateSuspend(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspendT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id ? _o->id.get() : nullptr;
+  return samphireshunt::wire::CreateSuspend(
+      _fbb,
+      _id);
+}
+
 inline RunningT::RunningT(const RunningT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
         cell((o.cell) ? new samphireshunt::wire::CellT(*o.cell) : nullptr),
@@ -6055,7 +6264,9 @@
         crashed(o.crashed),
         fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
         rejected(o.rejected),
-        parts(o.parts) {
+        parts(o.parts),
+        suspended(o.suspended),
+        work_time_percent(o.work_time_percent) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -6074,6 +6285,8 @@
   std::swap(fingerprint, o.fingerprint);
   std::swap(rejected, o.rejected);
   std::swap(parts, o.parts);
+  std::swap(suspended, o.suspended);
+  std::swap(work_time_percent, o.work_time_percent);
   return *this;
 }
 
@@ -6101,6 +6314,8 @@
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
   { auto _e = rejected(); _o->rejected = _e; }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = suspended(); _o->suspended = _e; }
+  { auto _e = work_time_percent(); _o->work_time_percent = _e; }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6126,6 +6341,8 @@
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   auto _rejected = _o->rejected;
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _suspended = _o->suspended;
+  auto _work_time_percent = _o->work_time_percent;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -6142,19 +6359,23 @@
       _crashed,
       _fingerprint,
       _rejected,
-      _parts);
+      _parts,
+      _suspended,
+      _work_time_percent);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
         cell((o.cell) ? new samphireshunt::wire::CellT(*o.cell) : nullptr),
-        delay_us(o.delay_us) {
+        delay_us(o.delay_us),
+        work_time_percent(o.work_time_percent) {
 }
 
 inline FirstTokenT &FirstTokenT::operator=(FirstTokenT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(cell, o.cell);
   std::swap(delay_us, o.delay_us);
+  std::swap(work_time_percent, o.work_time_percent);
   return *this;
 }
 
@@ -6170,6 +6391,7 @@
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = cell(); if (_e) _o->cell = std::unique_ptr<samphireshunt::wire::CellT>(_e->UnPack(_resolver)); }
   { auto _e = delay_us(); _o->delay_us = _e; }
+  { auto _e = work_time_percent(); _o->work_time_percent = _e; }
 }
 
 inline flatbuffers::Offset<FirstToken> FirstToken::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FirstTokenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6183,11 +6405,13 @@
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _cell = _o->cell ? CreateCell(_fbb, _o->cell.get(), _rehasher) : 0;
   auto _delay_us = _o->delay_us;
+  auto _work_time_percent = _o->work_time_percent;
   return samphireshunt::wire::CreateFirstToken(
       _fbb,
       _id,
       _cell,
-      _delay_us);
+      _delay_us,
+      _work_time_percent);
 }
 
 inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7386,6 +7610,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::CrashRecord *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Suspend: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Suspend *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7517,6 +7745,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::CrashRecord *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Suspend: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::Suspend *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7636,6 +7868,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::CrashRecordT *>(value);
       return CreateCrashRecord(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Suspend: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::SuspendT *>(value);
+      return CreateSuspend(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7754,6 +7990,10 @@
       value = new samphireshunt::wire::CrashRecordT(*reinterpret_cast<samphireshunt::wire::CrashRecordT *>(u.value));
       break;
     }
+    case Body::Suspend: {
+      value = new samphireshunt::wire::SuspendT(*reinterpret_cast<samphireshunt::wire::SuspendT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7901,6 +8141,11 @@
       delete ptr;
       break;
     }
+    case Body::Suspend: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::SuspendT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -109,6 +109,9 @@
         NoPath, "no-path",
         "Neither this daemon nor those that it asked reach a server.",
         "Come back after Retry-After; see path-lost in the logs."},
+    ResultCodeInfo{DaemonMemoryFull, "daemon-memory-full",
+                   "The daemon has no memory for the request's body.",
+                   "Come back after Retry-After; another VM may have some."},
     ResultCodeInfo{StreamOriginUnknown, "stream-origin-unknown",
                    "No daemon can tell which version of its servers' software "
                    "began the stream, and there are several.",
@@ -138,6 +141,14 @@
     ResultCodeInfo{BadServerNotice, "bad-server-notice",
                    "A server's answer says about itself what can't be read.",
                    "Look at the server; what it said before stays."},
+    ResultCodeInfo{BadMemoryAnswer, "bad-memory-answer",
+                   "An engine's answer about the memory of a run can't be "
+                   "read.",
+                   "Look at the engine; the run goes on where it is."},
+    ResultCodeInfo{CallerReadsSlowly, "caller-reads-slowly",
+                   "The caller read its answer more slowly than the daemon's "
+                   "memory allows.",
+                   "Discard the part that came; read faster."},
     ResultCodeInfo{EventTooLarge, "event-too-large",
                    "An event of a server's stream is larger than 1 MiB.",
                    "Discard the part that came; look at the server."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -61,6 +61,7 @@
   Stopping = 214,
   NoPath = 215,
   StreamOriginUnknown = 216,
+  DaemonMemoryFull = 217,
   // 3xx: after the dispatch.
   AnswerTimeout = 300,
   ConnectionLost = 301,
@@ -71,6 +72,8 @@
   BadServerLimit = 306,
   BadServerNotice = 307,
   EventTooLarge = 308,
+  BadMemoryAnswer = 309,
+  CallerReadsSlowly = 310,
   // 4xx: idempotency keys and the platform's service.
   ClaimFailed = 400,
   FirstAttemptRunning = 401,
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -113,25 +113,28 @@
   });
 }
 
-void GrantClient::dispatched(RequestId Id, Cancelled OnCancel) {
-  asio::post(Control_, [this, Id, OnCancel = std::move(OnCancel)]() mutable {
+void GrantClient::dispatched(RequestId Id, Cancelled OnCancel,
+                             Suspended OnSuspend) {
+  asio::post(Control_, [this, Id, OnCancel = std::move(OnCancel),
+                        OnSuspend = std::move(OnSuspend)]() mutable {
     auto Found = GrantedRequests_.find(Id);
     if (Found == GrantedRequests_.end())
       return;
     Found->second.Dispatched_ = true;
     Found->second.OnCancel_ = std::move(OnCancel);
+    Found->second.OnSuspend_ = std::move(OnSuspend);
   });
 }
 
-void GrantClient::firstToken(RequestId Id, microseconds Delay) {
-  asio::post(Control_, [this, Id, Delay] {
+void GrantClient::firstToken(RequestId Id, FirstTokenSample Sample) {
+  asio::post(Control_, [this, Id, Sample] {
     auto Found = GrantedRequests_.find(Id);
     if (Found == GrantedRequests_.end())
       return;
     const GrantedRequest &Target = Found->second;
     if (Target.Keeper_ == Self_)
-      return LocalKeeper_->firstToken(Target.Cell_, Id, {Delay});
-    Hooks_.Send_(Target.Keeper_, encodeFirstToken(Target.Cell_, Id, Delay));
+      return LocalKeeper_->firstToken(Target.Cell_, Id, Sample);
+    Hooks_.Send_(Target.Keeper_, encodeFirstToken(Target.Cell_, Id, Sample));
   });
 }
 
@@ -274,6 +277,8 @@
     onGrant(*Grant, From);
   else if (const auto *Refusal = std::get_if<RefuseDecision>(&Made))
     onRefusal(*Refusal, From);
+  else if (const auto *Suspend = std::get_if<SuspendDecision>(&Made))
+    onSuspend(*Suspend);
   else
     onCancel(std::get<CancelDecision>(Made));
 }
@@ -309,7 +314,8 @@
                      Request.Fingerprint_,
                      sharedParts(Request.Parts_)};
   GrantedRequests_[Request.Id_] = std::move(Target);
-  Accepted.OnAnswer_({ResultCode::Ok, Grant.Server_, {}, Grant.Limited_});
+  Accepted.OnAnswer_(
+      {ResultCode::Ok, Grant.Server_, {}, Grant.Limited_, Grant.Backup_});
 }
 
 void GrantClient::returnGrant(const RequestId &Id, const VmId &Keeper) {
@@ -340,6 +346,12 @@
     Found->second.OnCancel_();
 }
 
+void GrantClient::onSuspend(const SuspendDecision &Suspend) {
+  auto Found = GrantedRequests_.find(Suspend.Id_);
+  if (Found != GrantedRequests_.end() && Found->second.OnSuspend_)
+    Found->second.OnSuspend_();
+}
+
 void GrantClient::onLinkDown(const VmId &Keeper) {
   Hooks_.Check_(Keeper);
   logEvent(LogCategory::Keeper, spdlog::level::warn, "keeper-unreachable",
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -30,6 +30,9 @@
   std::chrono::milliseconds RetryAfter_{1000};
   /// With Ok: the server names the rate of requests that it accepts.
   bool Limited_ = false;
+  /// With Ok: the server to which the run's memory is to be backed up; empty:
+  /// none.
+  ServerName Backup_;
 };
 
 /// The server that gave an answer.
@@ -57,6 +60,7 @@
   };
   using Answered = std::function<void(GrantAnswer)>;
   using Cancelled = std::function<void()>;
+  using Suspended = std::function<void()>;
 
   GrantClient(boost::asio::io_context &Control, VmId Self, Hooks Callbacks);
   /// Sets the keeper in this process, which delivers its decisions in
@@ -71,8 +75,10 @@
   void withdraw(RequestId Id);
   /// Records that the granted request was dispatched. \p OnCancel is called on
   /// the control thread when the keeper preempts it for a higher tier.
-  void dispatched(RequestId Id, Cancelled OnCancel);
-  void firstToken(RequestId Id, std::chrono::microseconds Delay);
+  /// \p OnSuspend is called there when the keeper wants the run to be stopped
+  /// with its memory kept.
+  void dispatched(RequestId Id, Cancelled OnCancel, Suspended OnSuspend = {});
+  void firstToken(RequestId Id, FirstTokenSample Sample);
   /// Reports what the server's answer to a granted request says about the rate
   /// of requests that it accepts.
   void limitRead(RequestId Id, std::optional<RequestRate> Named);
@@ -113,6 +119,7 @@
     CellId Cell_;
     RunningRequest Request_;
     Cancelled OnCancel_;
+    Suspended OnSuspend_;
     VmId Keeper_;
     bool Dispatched_ = false;
   };
@@ -143,6 +150,7 @@
   void failOver(const VmId &Keeper, std::chrono::milliseconds Duration);
   void withdrawAll(const VmId &Keeper);
   void onCancel(const CancelDecision &Cancel);
+  void onSuspend(const SuspendDecision &Suspend);
   void returnGrant(const RequestId &Id, const VmId &Keeper);
   void finish(const RequestId &Id, const ServedSample &Sample);
   void scheduleRebind(std::chrono::milliseconds Delay);
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -59,6 +59,7 @@
   Ask.max_wait_ms = static_cast<std::uint32_t>(Request.MaxWait_.count());
   Ask.fingerprint = toWire(Request.Fingerprint_);
   Ask.software = Request.Version_.str();
+  Ask.only_server = Request.OnlyServer_.str();
   for (const ServerName &Name : Request.Excluded_)
     Ask.excluded.push_back(Name.str());
   return encodeMessage(std::move(Ask));
@@ -90,6 +91,8 @@
   Done.replaced = Sample.Replaced_;
   Done.crashed = Sample.Crashed_;
   Done.rejected = Sample.Rejected_;
+  Done.suspended = Sample.Suspended_;
+  Done.work_time_percent = Sample.WorkTimePercent_;
   Done.fingerprint = toWire(Sample.Fingerprint_);
   Done.parts = Sample.Parts_;
   Done.at_once = static_cast<std::uint32_t>(Sample.FirstEventTokens_.count());
@@ -107,11 +110,12 @@
 }
 
 std::string encodeFirstToken(const CellId &Cell, const RequestId &Id,
-                             std::chrono::microseconds Delay) {
+                             const FirstTokenSample &Sample) {
   wire::FirstTokenT Message;
   Message.id = toWire(Id);
   Message.cell = Cell.toWire();
-  Message.delay_us = static_cast<std::uint32_t>(Delay.count());
+  Message.delay_us = static_cast<std::uint32_t>(Sample.Delay_.count());
+  Message.work_time_percent = Sample.WorkTimePercent_;
   return encodeMessage(std::move(Message));
 }
 
@@ -201,6 +205,7 @@
   Request.Ingress_ = From;
   Request.Fingerprint_ = fromWire(Ask.fingerprint);
   Request.Version_ = SoftwareVersion(Ask.software);
+  Request.OnlyServer_ = ServerName(Ask.only_server);
   return Request;
 }
 
@@ -221,6 +226,8 @@
   Sample.Replaced_ = Done.replaced;
   Sample.Crashed_ = Done.crashed;
   Sample.Rejected_ = Done.rejected;
+  Sample.Suspended_ = Done.suspended;
+  Sample.WorkTimePercent_ = Done.work_time_percent;
   Sample.Fingerprint_ = fromWire(Done.fingerprint);
   Sample.Parts_ = Done.parts;
   Sample.Generated_ = Tokens(Done.generated);
@@ -230,12 +237,25 @@
   return Sample;
 }
 
+FirstTokenSample sampleFromWire(const wire::FirstTokenT &First) {
+  return {std::chrono::microseconds(First.delay_us), First.work_time_percent};
+}
+
+GrantDecision grantFromWire(const wire::GrantT &Grant) {
+  return {fromWire(Grant.id),
+          ServerName(Grant.server),
+          {},
+          Grant.limited,
+          ServerName(Grant.backup)};
+}
+
 std::string encodeDecision(const Decision &Made) {
   if (const auto *Grant = std::get_if<GrantDecision>(&Made)) {
     wire::GrantT Message;
     Message.id = toWire(Grant->Id_);
     Message.server = Grant->Server_.str();
     Message.limited = Grant->Limited_;
+    Message.backup = Grant->Backup_.str();
     return encodeMessage(std::move(Message));
   }
   if (const auto *Refusal = std::get_if<RefuseDecision>(&Made)) {
@@ -246,6 +266,11 @@
         static_cast<std::uint32_t>(Refusal->RetryAfter_.count());
     return encodeMessage(std::move(Message));
   }
+  if (const auto *Suspended = std::get_if<SuspendDecision>(&Made)) {
+    wire::SuspendT Message;
+    Message.id = toWire(Suspended->Id_);
+    return encodeMessage(std::move(Message));
+  }
   wire::CancelT Message;
   Message.id = toWire(std::get<CancelDecision>(Made).Id_);
   return encodeMessage(std::move(Message));
--- a/Source/Process/Keeping/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -16,7 +16,7 @@
 std::string encodeWithdraw(const CellId &Cell, const RequestId &Id);
 std::string encodeRunning(const CellId &Cell, const RunningRequest &Request);
 std::string encodeFirstToken(const CellId &Cell, const RequestId &Id,
-                             std::chrono::microseconds Delay);
+                             const FirstTokenSample &Sample);
 std::string encodeDone(const CellId &Cell, const RequestId &Id,
                        const ServedSample &Sample);
 /// \p Id is the answered request; unset in a report to a new keeper.
@@ -44,8 +44,10 @@
 std::optional<ServerStatement>
 statementFromWire(const wire::ServerNoticeT &Notice);
 ServedSample sampleFromWire(const wire::DoneT &Done);
+FirstTokenSample sampleFromWire(const wire::FirstTokenT &First);
 
 // From a keeper to an ingress daemon.
 std::string encodeDecision(const Decision &Made);
+GrantDecision grantFromWire(const wire::GrantT &Grant);
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -195,7 +195,9 @@
   const ServerCapacity &Capacity = Server.capacity();
   bool VersionFits =
       Request.Version_.empty() || Request.Version_ == Capacity.Version_;
-  return VersionFits &&
+  bool ServerFits =
+      Request.OnlyServer_.empty() || Request.OnlyServer_ == Capacity.Name_;
+  return VersionFits && ServerFits &&
          std::ranges::count(Request.Excluded_, Capacity.Name_) == 0;
 }
 
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -63,6 +63,9 @@
   /// The only version of server software that may run the request, which goes
   /// on with a stream; empty: any.
   SoftwareVersion Version_;
+  /// The only server that may run the request, which goes on with a run whose
+  /// memory is there; empty: any.
+  ServerName OnlyServer_;
   VmId Ingress_;
   /// Set while any request is known to have crashed a server.
   RequestFingerprint Fingerprint_;
@@ -97,6 +100,8 @@
   VmId Ingress_;
   /// The server says something of itself that its answers may end.
   bool Limited_ = false;
+  /// The server to which the run's memory is to be backed up; empty: none.
+  ServerName Backup_;
   bool operator==(const GrantDecision &) const = default;
 };
 struct RefuseDecision {
@@ -111,7 +116,15 @@
   VmId Ingress_;
   bool operator==(const CancelDecision &) const = default;
 };
-using Decision = std::variant<GrantDecision, RefuseDecision, CancelDecision>;
+/// The run is to be stopped with its memory kept, so that it goes on later.
+struct SuspendDecision {
+  RequestId Id_;
+  ServerName Server_;
+  VmId Ingress_;
+  bool operator==(const SuspendDecision &) const = default;
+};
+using Decision = std::variant<GrantDecision, RefuseDecision, CancelDecision,
+                              SuspendDecision>;
 
 /// A customer's weight and limit.
 struct CustomerPolicy {
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -385,9 +385,9 @@
       continue;
     if (ServerModel *Server = chooseEngine(Details, Now))
       return Placement{Id, Server};
-    // Many streams of one version that wait must not hold up the requests that
-    // any version may run.
-    if (!Details.Version_.empty())
+    // Many requests that are bound to a version or a server must not hold up
+    // those that any server may run.
+    if (!Details.Version_.empty() || !Details.OnlyServer_.empty())
       continue;
     if (!Options_.UsePrefixes_ || ++Checked == MaxChecked)
       break;
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -55,6 +55,12 @@
   bool Crashed_ = false;
   /// The server refused before running.
   bool Rejected_ = false;
+  /// The run was stopped and its memory is kept; its request will ask for the
+  /// server again.
+  bool Suspended_ = false;
+  /// How long work took on the server's machine, in percent of the usual time;
+  /// 0 if unknown.
+  std::uint32_t WorkTimePercent_ = 0;
   /// Set if the server crashed or the request completed.
   RequestFingerprint Fingerprint_;
   /// Ids of the parts of the prompt that may have caused the crash, or that the
@@ -69,6 +75,8 @@
 
 struct FirstTokenSample {
   std::chrono::microseconds Delay_{0};
+  /// As in ServedSample.
+  std::uint32_t WorkTimePercent_ = 0;
 };
 
 /// The load that an engine reports about itself; it is out of date by some
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -705,7 +705,7 @@
                      runningFromWire(*Running, From));
   else if (const auto *First = Message.body.AsFirstToken())
     Keeper_->firstToken(CellId::fromWire(First->cell), fromWire(First->id),
-                        {std::chrono::microseconds(First->delay_us)});
+                        sampleFromWire(*First));
   else if (const auto *Limit = Message.body.AsServerLimit())
     Keeper_->limitRead(CellId::fromWire(Limit->cell), ServerName(Limit->server),
                        fromWire(Limit->id), rateFromWire(*Limit));
@@ -755,10 +755,7 @@
 
 void Daemon::onPeerResponse(const VmId &From, wire::EnvelopeT Message) {
   if (const auto *Grant = Message.body.AsGrant())
-    Grants_->onDecision(
-        GrantDecision{
-            fromWire(Grant->id), ServerName(Grant->server), {}, Grant->limited},
-        From);
+    Grants_->onDecision(grantFromWire(*Grant), From);
   else if (const auto *Refusal = Message.body.AsRefuse())
     Grants_->onDecision(RefuseDecision{fromWire(Refusal->id),
                                        static_cast<ResultCode>(Refusal->code),
@@ -767,6 +764,8 @@
                         From);
   else if (const auto *Cancel = Message.body.AsCancel())
     Grants_->onDecision(CancelDecision{fromWire(Cancel->id), {}, {}}, From);
+  else if (const auto *Suspend = Message.body.AsSuspend())
+    Grants_->onDecision(SuspendDecision{fromWire(Suspend->id), {}, {}}, From);
   else if (const auto *Reply = Message.body.AsDocumentReply();
            Reply && Configuration_)
     Configuration_->documentReceived(ServiceName(Reply->service),
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -105,7 +106,10 @@
   ObtainOptions obtainOptions() {
     ObtainOptions Options;
     Options.MaxIdle_ = Rule_.retryable() ? RetryableMaxIdle : TrustedMaxIdle;
-    Options.Excluded_ = TriedServers_;
+    if (Memory_)
+      Options.OnlyServer_ = Memory_->Server_;
+    else
+      Options.Excluded_ = TriedServers_;
     Options.IsRetry_ = Sends_ > 0;
     Options.BeforeDispatch_ = [this] { return recheckCaller(); };
     return Options;
@@ -123,6 +127,7 @@
     Context_.Services_.Grants_.dispatched(Context_.Id_, nullptr);
     Dispatched_ = steady_clock::now();
     FirstEvent_ = TimePoint();
+    WorkTimePercent_ = 0;
     Faulty_ = false;
     Replaced_ = false;
     Rejected_ = false;
@@ -139,6 +144,7 @@
       co_return failed(Head.error());
     Context_.AnswerEnd_.KnownBy_ = Connection.bodyEnd();
     AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
+    WorkTimePercent_ = Labels.WorkTimePercent_.value_or(0);
     if (!Labels.Replaced_)
       reportServerNotices(Context_, Ready_, *Head);
     // The connection may deliver an extra answer to an earlier request first.
@@ -165,6 +171,9 @@
     ForwardLabels Labels;
     Labels.Timeout_ = Context_.remaining();
     Labels.Server_ = Ready_.Server_.Name_;
+    Labels.MemoryFrom_ = std::exchange(Memory_, std::nullopt);
+    if (Ready_.Backup_)
+      Labels.BackupTo_ = Ready_.Backup_->Address_;
     if (Context_.Customer_)
       Labels.Customer_ = Context_.Customer_->Name_;
     Dialect_.WriteForward_(Request.Fields_, Labels);
@@ -339,7 +348,8 @@
   void recordFirstEvent() {
     FirstEvent_ = steady_clock::now();
     auto Delay = duration_cast<microseconds>(FirstEvent_ - Dispatched_);
-    Context_.Services_.Grants_.firstToken(Context_.Id_, Delay);
+    Context_.Services_.Grants_.firstToken(Context_.Id_,
+                                          {Delay, WorkTimePercent_});
   }
 
   /// Writes events to the caller. The head is sent with the first events, since
@@ -371,6 +381,7 @@
     Sample.Faulty_ = Faulty_;
     Sample.Replaced_ = Replaced_;
     Sample.Rejected_ = Rejected_;
+    Sample.WorkTimePercent_ = WorkTimePercent_;
     auto Now = steady_clock::now();
     Sample.Duration_ = duration_cast<microseconds>(Now - Dispatched_);
     if (FirstEvent_ != TimePoint()) {
@@ -461,7 +472,11 @@
   EventSplitter Splitter_;
   std::vector<ServerName> TriedServers_;
   std::optional<HttpResponse> ServerErrorAnswer_;
+  /// Where the memory of the run is that the next dispatch goes on with.
+  std::optional<MemoryLocation> Memory_;
   Failure LastFailure_;
+  /// As in AnswerLabels, of the last dispatch; 0 if unknown.
+  std::uint32_t WorkTimePercent_ = 0;
   TimePoint Dispatched_;
   TimePoint FirstEvent_;
   int Sends_ = 0;    ///< Dispatches, refused ones too.
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -1,5 +1,7 @@
 #include "Request/ForwardingDialect.h"
 
+#include <nlohmann/json.hpp>
+
 #include <charconv>
 
 namespace samphireshunt {
@@ -35,6 +37,12 @@
 }
 
 void writeForward(HttpFields &Fields, const ForwardLabels &Labels) {
+  Fields.erase("x-memory-from");
+  Fields.erase("x-memory-backup");
+  if (Labels.MemoryFrom_)
+    Fields["x-memory-from"] = Labels.MemoryFrom_->Handle_;
+  if (Labels.BackupTo_)
+    Fields["x-memory-backup"] = formatEndpoint(*Labels.BackupTo_);
   Fields["x-request-timeout-ms"] = std::to_string(Labels.Timeout_.count());
   Fields["x-expect-server"] = Labels.Server_.str();
   Fields["x-customer"] = Labels.Customer_.str();
@@ -46,9 +54,30 @@
   Labels.Replaced_ = Head.Status_ == StatusMisdirected;
   Labels.NotRun_ = Head.Fields_.contains("x-not-run") || Labels.Replaced_;
   Labels.HasProof_ = Head.Fields_.contains("x-answer-proof");
+  auto Percent = parseCount(fieldOrEmpty(Head.Fields_, "x-work-time-percent"));
+  if (Percent)
+    Labels.WorkTimePercent_ = static_cast<std::uint32_t>(*Percent);
   return Labels;
 }
 
+HttpRequest writeMove(const MoveOrder &Order) {
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Target_ = "/v1/runs/" + Order.CallId_ + "/move";
+  Request.Fields_["content-type"] = "application/json";
+  nlohmann::json Body = {{"to", formatEndpoint(Order.To_)},
+                         {"stop", Order.Stop_}};
+  Request.Body_ = Body.dump();
+  return Request;
+}
+
+HttpRequest writeRelease(const std::string &Handle) {
+  HttpRequest Request;
+  Request.Method_ = "DELETE";
+  Request.Target_ = "/v1/memory/" + Handle;
+  return Request;
+}
+
 Result<std::optional<RequestRate>> readOwnLimit(const HttpFields &Fields) {
   return readServerLimit(Fields, "x-server-limit");
 }
@@ -115,6 +144,36 @@
   return Count;
 }
 
+Result<MoveAnswer> readMoveAnswer(const HttpResponse &Answer,
+                                  const std::string &HandleField,
+                                  const std::string &EventsField) {
+  constexpr int StatusOk = 200;
+  constexpr int StatusNotFound = 404;
+  constexpr int StatusConflict = 409;
+  constexpr int StatusUnavailable = 503;
+  MoveAnswer Read;
+  if (Answer.Status_ == StatusNotFound)
+    return Read;
+  Read.Result_ = MoveResult::Busy;
+  if (Answer.Status_ == StatusConflict)
+    return Read;
+  bool Copied = Answer.Status_ == StatusOk;
+  if (!Copied && Answer.Status_ != StatusUnavailable)
+    return Failure{ResultCode::BadMemoryAnswer,
+                   "status " + std::to_string(Answer.Status_)};
+  Read.Result_ = Copied ? MoveResult::Copied : MoveResult::NotCopied;
+  auto Body = nlohmann::json::parse(Answer.Body_, nullptr, false);
+  if (!Body.is_object())
+    return Failure{ResultCode::BadMemoryAnswer, "no JSON object"};
+  if (Body.contains(HandleField) && Body[HandleField].is_string())
+    Read.Handle_ = Body[HandleField].get<std::string>();
+  if (Body.contains(EventsField) && Body[EventsField].is_number_unsigned())
+    Read.Events_ = Body[EventsField].get<std::size_t>();
+  if (Copied && Read.Handle_.empty())
+    return Failure{ResultCode::BadMemoryAnswer, "no handle"};
+  return Read;
+}
+
 std::vector<PromptPart> parsePromptParts(std::string_view Text) {
   constexpr int Hexadecimal = 16;
   std::vector<PromptPart> Parts;
@@ -154,6 +213,11 @@
   };
   Dialect.ReadRest_ = readRest;
   Dialect.AddCallId_ = addCallId;
+  Dialect.Memory_.WriteMove_ = writeMove;
+  Dialect.Memory_.ReadMove_ = [](const HttpResponse &Answer) {
+    return readMoveAnswer(Answer, "handle", "events");
+  };
+  Dialect.Memory_.WriteRelease_ = writeRelease;
   return Dialect;
 }
 
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -9,6 +9,7 @@
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerNotice.h"
 #include "Process/Scheduling/ServerRate.h"
+#include "Process/Streams/RunMemory.h"
 
 #include <chrono>
 #include <functional>
@@ -41,6 +42,10 @@
   /// The intended server. Another server at the same address must refuse.
   ServerName Server_;
   CustomerName Customer_;
+  /// The request goes on with the run whose memory is there.
+  std::optional<MemoryLocation> MemoryFrom_;
+  /// The engine to which the run's memory is backed up as it grows.
+  std::optional<Endpoint> BackupTo_;
 };
 
 /// Metadata that a backend server states about its answer.
@@ -54,6 +59,9 @@
   bool HasProof_ = false;
   /// Requests queued in the server, if it reports them.
   std::optional<std::uint32_t> Waiting_;
+  /// How long work takes on the server's machine at the moment, in percent of
+  /// the usual time, if it reports that.
+  std::optional<std::uint32_t> WorkTimePercent_;
 };
 
 /// Hooks that translate between metadata and header fields.
@@ -80,6 +88,7 @@
       ReadRest_;
   /// Adds the call id to an answer that the daemon generates itself.
   std::function<void(HttpFields &, const std::string &CallId)> AddCallId_;
+  RunMemoryCalls Memory_;
   /// Retry-After may have a fraction of a second.
   bool FractionalRetryAfter_ = false;
 };
@@ -88,7 +97,9 @@
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
 /// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-server, x-customer,
 /// x-not-run, x-answer-proof, x-server-limit, x-server-brittle,
-/// x-server-leaving, retry-after.
+/// x-server-leaving, x-work-time-percent, x-memory-from, x-memory-backup,
+/// retry-after, and the calls POST /v1/runs/ID/move and DELETE
+/// /v1/memory/HANDLE.
 ForwardingDialect defaultDialect();
 
 /// \returns the id in the field last-event-id; nothing if it is absent or
@@ -109,6 +120,12 @@
 /// \returns the seconds in the field retry-after of a rejection, an answer with
 /// status 503; 0 for any other answer.
 Result<std::chrono::milliseconds> readRest(const HttpResponse &Head);
+/// Reads the answer to an order to move the memory of a run: 200 and 503 with a
+/// JSON object that has the handle and the number of events, 404, 409.
+/// \returns BadMemoryAnswer for another answer.
+Result<MoveAnswer> readMoveAnswer(const HttpResponse &Answer,
+                                  const std::string &HandleField,
+                                  const std::string &EventsField);
 /// \returns nothing unless \p Text is a non-negative integer.
 std::optional<std::int64_t> parseCount(std::string_view Text);
 
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -239,7 +239,7 @@
   void recordFirstToken() {
     FirstToken_ =
         duration_cast<microseconds>(steady_clock::now() - Dispatched_);
-    Context_.Services_.Grants_.firstToken(Context_.Id_, FirstToken_);
+    Context_.Services_.Grants_.firstToken(Context_.Id_, {FirstToken_});
     Context_.Trace_.end(FirstTokenSpan_);
     Context_.Trace_.begin("stream");
   }
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -63,11 +63,21 @@
 
 /// \returns the cells to ask for a server, in order; empty if no server may run
 /// the request.
-std::vector<std::uint32_t> cellsFor(RequestContext &Context) {
+std::vector<std::uint32_t> cellsFor(RequestContext &Context,
+                                    const ServerName &OnlyServer) {
   // Requests that share their first block go to the same cell, whose engines
   // may have the block cached. For forwarded prompts the last part is used
   // instead: it belongs to one session, while nearly all prompts share the
   // first part.
+  if (!OnlyServer.empty()) {
+    auto Newest = Context.Services_.Documents_.snapshot();
+    const ServiceConfiguration *Service =
+        Newest->service(Context.document().Service_);
+    const Pool *Whole = Service ? Service->pool(Context.Pool_->Name_) : nullptr;
+    if (!Whole || !Whole->find(OnlyServer))
+      return {};
+    return {cellOf(OnlyServer, cellCount(*Whole))};
+  }
   std::uint64_t Affinity =
       Context.Prefix_.empty() ? Context.Id_.Sequence_ : Context.Prefix_.front();
   if (!Context.Call_.Parts_.empty())
@@ -341,7 +351,7 @@
   std::size_t CellTries = 0;
   for (int Try = 0; Try < MaxGrantRequests && !Context.expired(); ++Try) {
     // Servers may come and suspicions arise between two grant requests.
-    std::vector<std::uint32_t> Cells = cellsFor(Context);
+    std::vector<std::uint32_t> Cells = cellsFor(Context, Options.OnlyServer_);
     if (Cells.empty()) {
       Ended = notRun(ResultCode::NoBackendServer);
       break;
@@ -350,6 +360,7 @@
     CellId Cell{Context.document().Service_, Context.Pool_->Name_,
                 Cells[CellTries % Cells.size()]};
     GrantRequest Request = makeGrantRequest(Context, Excluded);
+    Request.OnlyServer_ = Options.OnlyServer_;
     Request.IsRetry_ = CellTries > 0 || Options.IsRetry_ ||
                        Context.SinceFirstAttempt_.count() > 0;
     auto Answer = co_await Wait->wait(std::move(Cell), std::move(Request),
@@ -458,6 +469,8 @@
     Ready.Connection_ = std::move(Link.Connection_);
     Ready.Relay_ = std::move(Link.Relay_);
     Ready.Limited_ = Answer->Limited_;
+    if (!Answer->Backup_.empty())
+      Ready.Backup_ = findServer(Context, Answer->Backup_);
     co_return std::move(Ready);
   }
   Context.State_.tryGiveUp();
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -149,6 +149,8 @@
   std::optional<VmId> Relay_;
   /// The server names the rate of requests that it accepts.
   bool Limited_ = false;
+  /// The server to which the run's memory is to be backed up; unset: none.
+  std::optional<BackendServer> Backup_;
 };
 
 /// \returns the server of a request's pool as connections address it.
@@ -170,6 +172,9 @@
   /// request.
   std::function<std::optional<Verdict>()> BeforeDispatch_;
   std::vector<ServerName> Excluded_;
+  /// The only server that may run the request, which goes on with a run whose
+  /// memory is there; empty: any.
+  ServerName OnlyServer_;
   /// The request was dispatched before and may be dispatched again.
   bool IsRetry_ = false;
 };
--- a/Source/Version/Document.h
+++ b/Source/Version/Document.h
@@ -59,6 +59,19 @@
   bool Canary_ = false;
 };
 
+/// What the engines of a pool can do with the memory of a run.
+struct RunMemoryPolicy {
+  /// Runs can be stopped, and go on there or at another engine.
+  bool Moves_ = false;
+  /// Runs can be backed up to another engine as they grow.
+  bool Backups_ = false;
+  std::int64_t BytesPerToken_ = 0; ///< 0 if unknown.
+  double LinkMbps_ = 0;            ///< Between engines; 0 if unknown.
+  /// How long an engine keeps the memory of a run that nobody goes on with.
+  std::chrono::milliseconds KeepTime_{0};
+  bool operator==(const RunMemoryPolicy &) const = default;
+};
+
 /// A pool with its servers: those that the document lists, or in a snapshot all
 /// servers that currently exist.
 struct Pool {
@@ -74,6 +87,7 @@
   Tokens CacheTokens_{0};
   /// Tokens in one event of a stream.
   std::int64_t TokensPerEvent_ = 1;
+  RunMemoryPolicy RunMemory_;
 
   const BackendServer *find(const ServerName &Name) const;
 };
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -108,3 +108,46 @@
   CHECK(New.Resumes_.empty());
   CHECK_FALSE(New.AfterEvent_.has_value());
 }
+
+TEST_CASE(
+    "the time that work takes on a server's machine is the fourth figure") {
+  HttpResponse Head;
+  Head.Fields_["x-samphireshunt-server-load"] = "3,1,8,250";
+  AnswerLabels Labels = Dialect.ReadAnswer_(Head);
+  CHECK(Labels.Waiting_ == 1);
+  CHECK(Labels.WorkTimePercent_ == 250);
+  Head.Fields_["x-samphireshunt-server-load"] = "3,1,8";
+  CHECK_FALSE(Dialect.ReadAnswer_(Head).WorkTimePercent_.has_value());
+  Head.Fields_["x-samphireshunt-server-load"] = "3,1,8,soon";
+  CHECK_FALSE(Dialect.ReadAnswer_(Head).WorkTimePercent_.has_value());
+}
+
+TEST_CASE("a request that goes on with a run names the run's memory") {
+  HttpFields Fields = {{"kv-from", "10.0.0.1:1/forged"}};
+  ForwardLabels Labels;
+  Labels.MemoryFrom_ = MemoryLocation{ServerName("s"), "10.0.0.2:80/h7"};
+  Labels.BackupTo_ = *parseEndpoint("10.0.0.3:80");
+  Dialect.WriteForward_(Fields, Labels);
+  CHECK(Fields["kv-from"] == "10.0.0.2:80/h7");
+  CHECK(Fields["x-samphireshunt-kv-backup"] == "10.0.0.3:80");
+}
+
+TEST_CASE("an order to stop a run, and what engines answer to it") {
+  MoveOrder Order{"9c41", *parseEndpoint("10.0.0.3:80"), true};
+  HttpRequest Request = Dialect.Memory_.WriteMove_(Order);
+  CHECK(Request.Method_ == "POST");
+  CHECK(Request.Target_ == "/-/kv-move");
+  CHECK(Request.Body_ == R"({"id":"9c41","last":true,"to":"10.0.0.3:80"})");
+  auto Read = Dialect.Memory_.ReadMove_;
+  auto Kept = Read({503, {}, R"({"session":"h7","created":4})"});
+  REQUIRE(Kept);
+  CHECK(Kept->Result_ == MoveResult::NotCopied);
+  CHECK(Kept->Handle_ == "h7");
+  CHECK(Kept->Events_ == 4);
+  CHECK(Read({404, {}, ""})->Result_ == MoveResult::NoSuchRun);
+  CHECK(Read({409, {}, ""})->Result_ == MoveResult::Busy);
+  CHECK(Read({200, {}, "{}"}).error().Code_ == ResultCode::BadMemoryAnswer);
+  CHECK(Read({200, {}, "?"}).error().Code_ == ResultCode::BadMemoryAnswer);
+  CHECK(Read({500, {}, "{}"}).error().Code_ == ResultCode::BadMemoryAnswer);
+  CHECK(Dialect.Memory_.WriteRelease_("h7").Target_ == "/-/kv-handle/h7");
+}
