--- a/Tools/regression.sh
+++ b/Tools/regression.sh
@@ -17,10 +17,11 @@
 shift 2
 # The large site is scored instead of the two oldest sites, which are still hunted
 # on.
-Scored=(shifted/emalq-red-now-grown large/emalq-red-large further-grown/ramdin-manuels-grown
+Scored=(demands/bluemahoe-lessons-grown demands/plat-pays-tours-grown
+  shifted/emalq-red-now-grown large/emalq-red-large further-grown/ramdin-manuels-grown
   grown/emalq-red-grown grown/rcic-lending-grown further/ramdin-manuels)
 Hunted=("${Scored[@]}" sites/emalq-red sites/rcic-lending)
-Large="shifted/emalq-red-now-grown large/emalq-red-large further-grown/ramdin-manuels-grown grown/emalq-red-grown grown/rcic-lending-grown"
+Large="demands/bluemahoe-lessons-grown shifted/emalq-red-now-grown large/emalq-red-large further-grown/ramdin-manuels-grown grown/emalq-red-grown grown/rcic-lending-grown"
 Sites=("${Hunted[@]}")
 [ "$Verb" = hunt ] || Sites=("${Scored[@]}")
 [ $# -eq 0 ] || Sites=("$@")
