--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -58,6 +58,10 @@
 struct SuspendBuilder;
 struct SuspendT;
 
+struct NotSuspended;
+struct NotSuspendedBuilder;
+struct NotSuspendedT;
+
 struct Running;
 struct RunningBuilder;
 struct RunningT;
@@ -238,11 +242,12 @@
   OriginAnswer = 27,
   CrashRecord = 28,
   Suspend = 29,
+  NotSuspended = 30,
   MIN = NONE,
-  MAX = Suspend
+  MAX = NotSuspended
 };
 
-inline const Body (&EnumValuesBody())[30] {
+inline const Body (&EnumValuesBody())[31] {
   static const Body values[] = {
     Body::NONE,
     Body::Ask,
@@ -273,13 +278,14 @@
     Body::OriginAsk,
     Body::OriginAnswer,
     Body::CrashRecord,
-    Body::Suspend
+    Body::Suspend,
+    Body::NotSuspended
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[31] = {
+  static const char * const names[32] = {
     "NONE",
     "Ask",
     "Withdraw",
@@ -310,13 +316,14 @@
     "OriginAnswer",
     "CrashRecord",
     "Suspend",
+    "NotSuspended",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Suspend)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::NotSuspended)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -441,6 +448,10 @@
   static const Body enum_value = Body::Suspend;
 };
 
+template<> struct BodyTraits<samphireshunt::wire::NotSuspended> {
+  static const Body enum_value = Body::NotSuspended;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -561,6 +572,10 @@
   static const Body enum_value = Body::Suspend;
 };
 
+template<> struct BodyUnionTraits<samphireshunt::wire::NotSuspendedT> {
+  static const Body enum_value = Body::NotSuspended;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -823,6 +838,14 @@
     return type == Body::Suspend ?
       reinterpret_cast<const samphireshunt::wire::SuspendT *>(value) : nullptr;
   }
+  samphireshunt::wire::NotSuspendedT *AsNotSuspended() {
+    return type == Body::NotSuspended ?
+      reinterpret_cast<samphireshunt::wire::NotSuspendedT *>(value) : nullptr;
+  }
+  const samphireshunt::wire::NotSuspendedT *AsNotSuspended() const {
+    return type == Body::NotSuspended ?
+      reinterpret_cast<const samphireshunt::wire::NotSuspendedT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2017,6 +2040,7 @@
 struct SuspendT : public flatbuffers::NativeTable {
   typedef Suspend TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
+  std::string copy_to{};
   SuspendT() = default;
   SuspendT(const SuspendT &o);
   SuspendT(SuspendT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2029,14 +2053,21 @@
   typedef SuspendT NativeTableType;
   typedef SuspendBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ID = 4
+    VT_ID = 4,
+    VT_COPY_TO = 6
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
   }
+  /// The server that takes a copy of the memory for a moment.
+  const flatbuffers::String *copy_to() const {
+    return GetPointer<const flatbuffers::String *>(VT_COPY_TO);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_COPY_TO) &&
+           verifier.VerifyString(copy_to()) &&
            verifier.EndTable();
   }
   SuspendT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2051,6 +2082,9 @@
   void add_id(const samphireshunt::wire::Id *id) {
     fbb_.AddStruct(Suspend::VT_ID, id);
   }
+  void add_copy_to(flatbuffers::Offset<flatbuffers::String> copy_to) {
+    fbb_.AddOffset(Suspend::VT_COPY_TO, copy_to);
+  }
   explicit SuspendBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2064,14 +2098,96 @@
 
 inline flatbuffers::Offset<Suspend> CreateSuspend(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const samphireshunt::wire::Id *id = nullptr) {
+    const samphireshunt::wire::Id *id = nullptr,
+    flatbuffers::Offset<flatbuffers::String> copy_to = 0) {
   SuspendBuilder builder_(_fbb);
+  builder_.add_copy_to(copy_to);
   builder_.add_id(id);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Suspend> CreateSuspendDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Id *id = nullptr,
+    const char *copy_to = nullptr) {
+  auto copy_to__ = copy_to ? _fbb.CreateString(copy_to) : 0;
+  return samphireshunt::wire::CreateSuspend(
+      _fbb,
+      id,
+      copy_to__);
+}
+
 flatbuffers::Offset<Suspend> CreateSuspend(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct NotSuspendedT : public flatbuffers::NativeTable {
+  typedef NotSuspended TableType;
+  std::unique_ptr<samphireshunt::wire::Id> id{};
+  std::unique_ptr<samphireshunt::wire::CellT> cell{};
+  NotSuspendedT() = default;
+  NotSuspendedT(const NotSuspendedT &o);
+  NotSuspendedT(NotSuspendedT&&) FLATBUFFERS_NOEXCEPT = default;
+  NotSuspendedT &operator=(NotSuspendedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// The ingress daemon could not stop the run: it goes on, or has ended.
+struct NotSuspended FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NotSuspendedT NativeTableType;
+  typedef NotSuspendedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_CELL = 6
+  };
+  const samphireshunt::wire::Id *id() const {
+    return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
+  }
+  const samphireshunt::wire::Cell *cell() const {
+    return GetPointer<const samphireshunt::wire::Cell *>(VT_CELL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_CELL) &&
+           verifier.VerifyTable(cell()) &&
+           verifier.EndTable();
+  }
+  NotSuspendedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(NotSuspendedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<NotSuspended> Pack(flatbuffers::FlatBufferBuilder &_fbb, const NotSuspendedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct NotSuspendedBuilder {
+  typedef NotSuspended Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(const samphireshunt::wire::Id *id) {
+    fbb_.AddStruct(NotSuspended::VT_ID, id);
+  }
+  void add_cell(flatbuffers::Offset<samphireshunt::wire::Cell> cell) {
+    fbb_.AddOffset(NotSuspended::VT_CELL, cell);
+  }
+  explicit NotSuspendedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NotSuspended> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NotSuspended>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NotSuspended> CreateNotSuspended(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const samphireshunt::wire::Id *id = nullptr,
+    flatbuffers::Offset<samphireshunt::wire::Cell> cell = 0) {
+  NotSuspendedBuilder builder_(_fbb);
+  builder_.add_cell(cell);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<NotSuspended> CreateNotSuspended(flatbuffers::FlatBufferBuilder &_fbb, const NotSuspendedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RunningT : public flatbuffers::NativeTable {
   typedef Running TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
@@ -5506,6 +5622,9 @@
   const samphireshunt::wire::Suspend *body_as_Suspend() const {
     return body_type() == samphireshunt::wire::Body::Suspend ? static_cast<const samphireshunt::wire::Suspend *>(body()) : nullptr;
   }
+  const samphireshunt::wire::NotSuspended *body_as_NotSuspended() const {
+    return body_type() == samphireshunt::wire::Body::NotSuspended ? static_cast<const samphireshunt::wire::NotSuspended *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5634,6 +5753,10 @@
   return body_as_Suspend();
 }
 
+template<> inline const samphireshunt::wire::NotSuspended *Envelope::body_as<samphireshunt::wire::NotSuspended>() const {
+  return body_as_NotSuspended();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6135,11 +6258,13 @@
 }
 
 inline SuspendT::SuspendT(const SuspendT &o)
-      : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr) {
+      : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
+        copy_to(o.copy_to) {
 }
 
 inline SuspendT &SuspendT::operator=(SuspendT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
+  std::swap(copy_to, o.copy_to);
   return *this;
 }
 
@@ -6153,6 +6278,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
+  { auto _e = copy_to(); if (_e) _o->copy_to = _e->str(); }
 }
 
 inline flatbuffers::Offset<Suspend> Suspend::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6164,9 +6290,51 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspendT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id ? _o->id.get() : nullptr;
+  auto _copy_to = _o->copy_to.empty() ? 0 : _fbb.CreateString(_o->copy_to);
   return samphireshunt::wire::CreateSuspend(
       _fbb,
-      _id);
+      _id,
+      _copy_to);
+}
+
+inline NotSuspendedT::NotSuspendedT(const NotSuspendedT &o)
+      : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
+        cell((o.cell) ? new samphireshunt::wire::CellT(*o.cell) : nullptr) {
+}
+
+inline NotSuspendedT &NotSuspendedT::operator=(NotSuspendedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(cell, o.cell);
+  return *this;
+}
+
+inline NotSuspendedT *NotSuspended::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<NotSuspendedT>(new NotSuspendedT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void NotSuspended::UnPackTo(NotSuspendedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
+  { auto _e = cell(); if (_e) _o->cell = std::unique_ptr<samphireshunt::wire::CellT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<NotSuspended> NotSuspended::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NotSuspendedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateNotSuspended(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<NotSuspended> CreateNotSuspended(flatbuffers::FlatBufferBuilder &_fbb, const NotSuspendedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NotSuspendedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id ? _o->id.get() : nullptr;
+  auto _cell = _o->cell ? CreateCell(_fbb, _o->cell.get(), _rehasher) : 0;
+  return samphireshunt::wire::CreateNotSuspended(
+      _fbb,
+      _id,
+      _cell);
 }
 
 inline RunningT::RunningT(const RunningT &o)
@@ -7614,6 +7782,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::Suspend *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::NotSuspended: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::NotSuspended *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7749,6 +7921,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::Suspend *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::NotSuspended: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::NotSuspended *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7872,6 +8048,10 @@
       auto ptr = reinterpret_cast<const samphireshunt::wire::SuspendT *>(value);
       return CreateSuspend(_fbb, ptr, _rehasher).Union();
     }
+    case Body::NotSuspended: {
+      auto ptr = reinterpret_cast<const samphireshunt::wire::NotSuspendedT *>(value);
+      return CreateNotSuspended(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7994,6 +8174,10 @@
       value = new samphireshunt::wire::SuspendT(*reinterpret_cast<samphireshunt::wire::SuspendT *>(u.value));
       break;
     }
+    case Body::NotSuspended: {
+      value = new samphireshunt::wire::NotSuspendedT(*reinterpret_cast<samphireshunt::wire::NotSuspendedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8146,6 +8330,11 @@
       delete ptr;
       break;
     }
+    case Body::NotSuspended: {
+      auto ptr = reinterpret_cast<samphireshunt::wire::NotSuspendedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -126,6 +126,18 @@
   });
 }
 
+void GrantClient::notSuspended(RequestId Id) {
+  asio::post(Control_, [this, Id] {
+    auto Found = GrantedRequests_.find(Id);
+    if (Found == GrantedRequests_.end())
+      return;
+    const GrantedRequest &Target = Found->second;
+    if (Target.Keeper_ == Self_)
+      return LocalKeeper_->notSuspended(Target.Cell_, Id);
+    Hooks_.Send_(Target.Keeper_, encodeNotSuspended(Target.Cell_, Id));
+  });
+}
+
 void GrantClient::firstToken(RequestId Id, FirstTokenSample Sample) {
   asio::post(Control_, [this, Id, Sample] {
     auto Found = GrantedRequests_.find(Id);
@@ -349,7 +361,7 @@
 void GrantClient::onSuspend(const SuspendDecision &Suspend) {
   auto Found = GrantedRequests_.find(Suspend.Id_);
   if (Found != GrantedRequests_.end() && Found->second.OnSuspend_)
-    Found->second.OnSuspend_();
+    Found->second.OnSuspend_(Suspend.CopyTo_);
 }
 
 void GrantClient::onLinkDown(const VmId &Keeper) {
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -60,7 +60,8 @@
   };
   using Answered = std::function<void(GrantAnswer)>;
   using Cancelled = std::function<void()>;
-  using Suspended = std::function<void()>;
+  /// Called with the server that takes a copy of the run's memory for a moment.
+  using Suspended = std::function<void(const ServerName &CopyTo)>;
 
   GrantClient(boost::asio::io_context &Control, VmId Self, Hooks Callbacks);
   /// Sets the keeper in this process, which delivers its decisions in
@@ -78,6 +79,8 @@
   /// \p OnSuspend is called there when the keeper wants the run to be stopped
   /// with its memory kept.
   void dispatched(RequestId Id, Cancelled OnCancel, Suspended OnSuspend = {});
+  /// Reports that a run which was to be suspended goes on or has ended.
+  void notSuspended(RequestId Id);
   void firstToken(RequestId Id, FirstTokenSample Sample);
   /// Reports what the server's answer to a granted request says about the rate
   /// of requests that it accepts.
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -109,6 +109,13 @@
   return encodeMessage(std::move(Withdraw));
 }
 
+std::string encodeNotSuspended(const CellId &Cell, const RequestId &Id) {
+  wire::NotSuspendedT Message;
+  Message.id = toWire(Id);
+  Message.cell = Cell.toWire();
+  return encodeMessage(std::move(Message));
+}
+
 std::string encodeFirstToken(const CellId &Cell, const RequestId &Id,
                              const FirstTokenSample &Sample) {
   wire::FirstTokenT Message;
@@ -269,6 +276,7 @@
   if (const auto *Suspended = std::get_if<SuspendDecision>(&Made)) {
     wire::SuspendT Message;
     Message.id = toWire(Suspended->Id_);
+    Message.copy_to = Suspended->CopyTo_.str();
     return encodeMessage(std::move(Message));
   }
   wire::CancelT Message;
--- a/Source/Process/Keeping/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -14,6 +14,7 @@
 // From an ingress daemon to a keeper.
 std::string encodeAsk(const CellId &Cell, const GrantRequest &Request);
 std::string encodeWithdraw(const CellId &Cell, const RequestId &Id);
+std::string encodeNotSuspended(const CellId &Cell, const RequestId &Id);
 std::string encodeRunning(const CellId &Cell, const RunningRequest &Request);
 std::string encodeFirstToken(const CellId &Cell, const RequestId &Id,
                              const FirstTokenSample &Sample);
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -149,6 +149,7 @@
   Target.Scheduler_.configure(std::move(Servers), std::move(Policies),
                               TierCount, Whole->MaxWaiting_);
   Target.Scheduler_.setTokensPerEvent(Whole->TokensPerEvent_);
+  Target.Scheduler_.setMovesRuns(Whole->RunMemory_.Moves_);
   // A minority partition uses only its share of the engines. A majority
   // partition uses all of them: if it scaled down as well, the minority's share
   // would be idle while the partition lasts. Requests granted in excess by both
@@ -253,6 +254,9 @@
       Service ? Service->Document_->customer(Request.Customer_) : nullptr;
   if (!Known)
     return std::nullopt;
+  // A run that goes on was charged when it began.
+  if (!Request.OnlyServer_.empty())
+    return std::nullopt;
   const Allotment &Allowed = Known->Allotment_;
   AllotmentLedger::Charge Charge;
   Charge.Id_ = Request.Id_;
@@ -280,6 +284,10 @@
   scheduledCell(Cell).Scheduler_.addRunning(Request);
 }
 
+void KeeperService::notSuspended(const CellId &Cell, const RequestId &Id) {
+  scheduledCell(Cell).Scheduler_.notSuspended(Id);
+}
+
 void KeeperService::firstToken(const CellId &Cell, const RequestId &Id,
                                const FirstTokenSample &Sample) {
   scheduledCell(Cell).Scheduler_.firstToken(Id, Sample);
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -99,6 +99,7 @@
   void requestGrant(const CellId &Cell, GrantRequest Request);
   void withdraw(const CellId &Cell, const RequestId &Id);
   void running(const CellId &Cell, RunningRequest Request);
+  void notSuspended(const CellId &Cell, const RequestId &Id);
   void firstToken(const CellId &Cell, const RequestId &Id,
                   const FirstTokenSample &Sample);
   void done(const CellId &Cell, const RequestId &Id,
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -134,6 +134,7 @@
   }
   TierQueue &OwnTier = Tiers_[queueIndex(Request.Tier_)];
   QueueRank Rank = rankOf(Request, Now);
+  bool Continues = !Request.OnlyServer_.empty();
   if (!Request.IsRetry_) {
     OwnTier.Share_.decay(Now);
     OwnTier.Share_.Arrived_ += 1;
@@ -141,7 +142,8 @@
     OfLength.decay(Now);
     OfLength.Arrived_ += 1;
   }
-  OwnTier.RecentArrivals_.add(Now);
+  if (!Continues)
+    OwnTier.RecentArrivals_.add(Now);
   if (!hasServerFor(Request, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::NoBackendServer);
     Refusal.RetryAfter_ =
@@ -150,25 +152,27 @@
     return Out;
   }
   auto Lowest = floor(Now);
-  if (Options_.StrictTiers_ && Lowest && Request.Tier_ > *Lowest) {
+  if (!Continues && Options_.StrictTiers_ && Lowest &&
+      Request.Tier_ > *Lowest) {
     Out.push_back(refusal(Request, ResultCode::ShedForHigherTier));
     return Out;
   }
-  nanoseconds Service =
-      Options_.RefuseInfeasible_ ? bestServiceTime(Request) : nanoseconds(0);
+  nanoseconds Service = Options_.RefuseInfeasible_ && !Continues
+                            ? bestServiceTime(Request)
+                            : nanoseconds(0);
   if (Now + Service >= Request.Deadline_) {
     // Not even an idle engine could serve the request in time. This is no sign
     // of overload, so the admission floor is not raised.
     Out.push_back(refusal(Request, ResultCode::CannotFinishInTime));
     return Out;
   }
-  if (wouldWaitTooLong(Request, Rank, Now)) {
+  if (!Continues && wouldWaitTooLong(Request, Rank, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::WaitTooLong);
     Refusal.RetryAfter_ = returnAfter(Request, Now);
     Out.push_back(Refusal);
     return Out;
   }
-  if (Waiting_.size() >= Options_.MaxWaiting_ &&
+  if (!Continues && Waiting_.size() >= Options_.MaxWaiting_ &&
       !shedOneBelow(Request.Tier_, Out)) {
     handleShed(Request.Tier_, Now, Out);
     Out.push_back(refusal(Request, ResultCode::QueueFull));
@@ -183,8 +187,9 @@
         std::min(Waiting.LatestStart_, Now + Request.MaxWait_);
   Waiting.Rank_ = Rank;
   Waiting.Details_ = std::move(Request);
-  OwnTier.RecentAdmitted_.add(Now);
-  if (!Rank.ObjectiveMissed_)
+  if (!Continues)
+    OwnTier.RecentAdmitted_.add(Now);
+  if (!Continues && !Rank.ObjectiveMissed_)
     OwnTier.RecentInTime_.add(Now);
   enqueue(std::move(Waiting));
   return Out;
@@ -305,6 +310,7 @@
 }
 
 void Scheduler::withdraw(const RequestId &Id) {
+  Suspension_.ended(Id);
   if (Waiting_.contains(Id)) {
     dequeue(Id);
     return;
@@ -349,6 +355,10 @@
   if (Found == Running_.end())
     return;
   const RunningRequest &Ended = Found->second;
+  if (Sample.Suspended_)
+    Suspension_.suspended(Id);
+  else
+    Suspension_.ended(Id);
   if (ServerModel *Server = runningServer(Ended)) {
     if (!Sample.Reached_)
       Server->rate().giveBack();
@@ -358,7 +368,8 @@
     recordOutcome(*Server, Sample, Now);
   }
   Ends_.add(Now);
-  if (Sample.Complete_ && Ended.Answer_.count() > 0) {
+  bool Counted = Sample.Complete_ && Sample.Generated_.count() > 0;
+  if (Counted && Ended.Answer_.count() > 0) {
     double Share = static_cast<double>(Sample.Generated_.count()) /
                    static_cast<double>(Ended.Answer_.count());
     auto [Known, New] = AnswerShare_.try_emplace(Ended.Customer_, Share);
@@ -382,6 +393,7 @@
   auto Found = Running_.find(Id);
   if (Found == Running_.end())
     return;
+  Found->second.Streaming_ = true;
   if (ServerModel *Server = runningServer(Found->second))
     Server->firstToken(Id, Sample, PoolSpeed_);
 }
@@ -585,7 +597,10 @@
                            Details.Ingress_,
                            Details.Fingerprint_,
                            sharedParts(Details.Parts_),
-                           Now};
+                           Now,
+                           Details.Deadline_,
+                           expectedAnswer(Details),
+                           !Details.OnlyServer_.empty()};
   Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_,
                               Server.rate().named().has_value() ||
                                   Server.rejections().named().has_value()});
@@ -633,11 +648,13 @@
   bool StillActive = !Queue.Requests_.empty();
   if (StillActive)
     Tier.Active_.erase({Queue.ServedTokens_, Customer});
-  Tier.Share_.decay(Now);
-  Tier.Share_.Granted_ += 1;
-  DecayingShare &OfLength = Tier.ShareByLength_[Granted.Rank_.Length_];
-  OfLength.decay(Now);
-  OfLength.Granted_ += 1;
+  if (Granted.Details_.OnlyServer_.empty()) {
+    Tier.Share_.decay(Now);
+    Tier.Share_.Granted_ += 1;
+    DecayingShare &OfLength = Tier.ShareByLength_[Granted.Rank_.Length_];
+    OfLength.decay(Now);
+    OfLength.Granted_ += 1;
+  }
   double Cost = tokenCost(Granted.Details_);
   Queue.ServedTokens_ += Cost / weightOf(Granted.Details_.Customer_);
   if (StillActive)
@@ -649,6 +666,7 @@
   if (Now < WarmupEnd_)
     return;
   Round_ = Round();
+  grantPromised(Now, Out);
   grantStarving(Now, Out);
   for (TierQueue &Tier : Tiers_) {
     while (!Tier.Active_.empty() && anyEngineHasRoom() &&
@@ -674,7 +692,9 @@
   applyHealth(Now);
   refillRates(Now);
   refuseUnservable(Out);
+  promiseServers(Now);
   grant(Now, Out);
+  suspendStreams(Now, Out);
   preemptUrgent(Now, Out);
   expire(Now, Out);
   return Out;
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -15,6 +15,7 @@
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerModel.h"
 #include "Process/Scheduling/ServerNotice.h"
+#include "Process/Scheduling/StreamSuspension.h"
 
 #include <pcg_random.hpp>
 
@@ -86,6 +87,12 @@
   std::vector<std::uint64_t> Parts_;
   /// Unset if another keeper granted it.
   TimePoint Granted_{};
+  // The following are set only for streams that this keeper granted.
+  TimePoint Deadline_{};
+  /// The expected number of generated tokens; 0 while unknown.
+  Tokens ExpectedAnswer_{};
+  /// Its caller has got an event.
+  bool Streaming_ = false;
 };
 
 /// The requests that an ingress daemon had at a keeper when it was removed.
@@ -121,6 +128,8 @@
   RequestId Id_;
   ServerName Server_;
   VmId Ingress_;
+  /// The server that takes a copy of the memory for a moment.
+  ServerName CopyTo_;
   bool operator==(const SuspendDecision &) const = default;
 };
 using Decision = std::variant<GrantDecision, RefuseDecision, CancelDecision,
@@ -166,6 +175,9 @@
     bool DeferLongAnswers_ = true;
     /// Assign each refused caller a retry time of its own.
     bool ScheduleRetries_ = true;
+    /// Suspend streams of lower tiers for requests that would miss their
+    /// objective, where engines move the memory of runs.
+    bool SuspendStreams_ = true;
     /// Reserve fast engines for prompts that only they read in time.
     bool ReserveFastEngines_ = true;
     // Parts of the algorithm that a benchmark can disable.
@@ -203,6 +215,8 @@
   void setCanaryGrants(std::uint32_t Left) { CanaryGrants_ = Left; }
   /// Sets the number of tokens in one event of an answer.
   void setTokensPerEvent(std::int64_t Count) { TokensPerEvent_ = Count; }
+  /// Sets whether engines can stop runs and keep their memory.
+  void setMovesRuns(bool Moves) { MovesRuns_ = Moves; }
   /// Sets the end of the warm-up, during which nothing is granted: a new keeper
   /// must first learn which requests are running.
   void setWarmupEnd(TimePoint Until) { WarmupEnd_ = Until; }
@@ -219,6 +233,9 @@
   void addRunning(const RunningRequest &Request);
   /// Ends a granted request; the server model learns from \p Sample.
   void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now);
+  /// Records that a run which was to be suspended goes on or has ended.
+  void notSuspended(const RequestId &Id);
+  const StreamSuspension &suspension() const { return Suspension_; }
   /// Records the first token of a granted request.
   void firstToken(const RequestId &Id, const FirstTokenSample &Sample);
   /// Applies what an engine's answer to \p Id says about the rate of requests
@@ -415,6 +432,17 @@
   ServerModel *chooseFastest(const GrantRequest &Request, TimePoint Now,
                              PrefixState Wanted);
   bool hasRoom(const ServerModel &Server) const;
+  void suspendStreams(TimePoint Now, std::vector<Decision> &Out);
+  /// Requests that wait and could still meet their objective.
+  struct UnservedInTime {
+    std::size_t Count_ = 0;
+    TierIndex Highest_;
+  };
+  UnservedInTime unservedInTime(TimePoint Now) const;
+  std::vector<SuspensionCandidate> suspensionCandidates(TimePoint Now) const;
+  void setAsideForCopies(bool Needed, TimePoint Now);
+  void promiseServers(TimePoint Now);
+  void grantPromised(TimePoint Now, std::vector<Decision> &Out);
   bool canTake(const GrantRequest &Request, const ServerModel &Server,
                TimePoint Now) const;
   /// True if a copy of a suspected request runs.
@@ -493,6 +521,8 @@
   /// Mean ratio of generated to allowed tokens of each customer's answers.
   std::unordered_map<CustomerName, double> AnswerShare_;
   std::set<RequestId> Cancelled_;
+  bool MovesRuns_ = false;
+  StreamSuspension Suspension_;
   double Share_ = 1.0;
   double RateShare_ = 1.0;
   std::uint32_t CanaryGrants_ = 0;
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -95,7 +95,9 @@
 bool Scheduler::canTake(const GrantRequest &Request, const ServerModel &Server,
                         TimePoint Now) const {
   bool Rests = Now < Server.restUntil(Request.Ingress_);
+  const ServerName &Name = Server.capacity().Name_;
   return mayRunOn(Request, Server) && !Rests && hasRoom(Server) &&
+         Suspension_.mayTake(Name, Request.Id_) &&
          finishesInTime(Request, Server, Now) &&
          standingAllows(Request, Server);
 }
--- /dev/null
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -0,0 +1,151 @@
+/// \file
+/// Suspends streams of lower tiers for requests of higher tiers that would miss
+/// their objective, and grants suspended streams their servers again.
+
+#include "Process/Scheduling/Scheduler.h"
+
+#include <algorithm>
+
+namespace samphireshunt {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/// A request that gets a slot within this time needs no suspension: to stop a
+/// stream takes about half of it.
+constexpr std::chrono::duration<double> SoonEnough{0.1};
+/// How long slots stay set aside for copies after the last one was needed:
+/// bursts come in waves of some tenths of a second.
+constexpr milliseconds CopyServerTime{1000};
+/// A suspended stream is promised its server when less than this fraction of
+/// the time is left for which it may wait.
+constexpr int PromiseDivisor = 3;
+
+} // namespace
+
+void Scheduler::notSuspended(const RequestId &Id) { Suspension_.goesOn(Id); }
+
+/// \returns the requests above the lowest tier that wait and could still meet
+/// their objective. Those that go on with a run have been in time before.
+Scheduler::UnservedInTime Scheduler::unservedInTime(TimePoint Now) const {
+  UnservedInTime Unserved;
+  Unserved.Highest_ = TierIndex(static_cast<std::uint32_t>(Tiers_.size()));
+  for (const auto &[Id, Request] : Waiting_) {
+    const GrantRequest &Details = Request.Details_;
+    bool Lowest = queueIndex(Details.Tier_) + 1 == Tiers_.size();
+    if (Lowest || !Details.OnlyServer_.empty() ||
+        Details.Objective_ <= Now + MinFirstEventDelay)
+      continue;
+    ++Unserved.Count_;
+    Unserved.Highest_ = std::min(Unserved.Highest_, Details.Tier_);
+  }
+  return Unserved;
+}
+
+std::vector<SuspensionCandidate>
+Scheduler::suspensionCandidates(TimePoint Now) const {
+  std::vector<SuspensionCandidate> Candidates;
+  for (const auto &[Id, Run] : Running_) {
+    auto Server = Servers_.find(Run.Server_);
+    if (!Run.Streaming_ || Server == Servers_.end() ||
+        !Server->second.usable() || !Server->second.runs(Id) ||
+        Run.Server_ == Suspension_.CopyServer_)
+      continue;
+    nanoseconds Whole =
+        Server->second.timeBetweenTokens() * Run.ExpectedAnswer_.count();
+    Candidates.push_back({Id, Run.Tier_, Run.Server_, Run.Ingress_,
+                          Whole - (Now - Run.Granted_), Run.Deadline_ - Now});
+  }
+  return Candidates;
+}
+
+/// Keeps slots of the server with the fewest requests free while copies are
+/// needed.
+void Scheduler::setAsideForCopies(bool Needed, TimePoint Now) {
+  if (Needed)
+    Suspension_.CopyNeeded_ = Now;
+  std::optional<ServerName> &Chosen = Suspension_.CopyServer_;
+  ServerModel *Current = Chosen ? server(*Chosen) : nullptr;
+  bool Unneeded = Now - Suspension_.CopyNeeded_ > CopyServerTime;
+  if (Current && (Unneeded || !Current->usable())) {
+    Current->setSlotsAside(0);
+    Current = nullptr;
+  }
+  if (!Current)
+    Chosen.reset();
+  if (Current || !Needed)
+    return;
+  ServerModel *Least = nullptr;
+  for (auto &[Name, Server] : Servers_)
+    if (Server.usable() && !Server.capacity().Canary_ &&
+        Server.slotCount() > Suspension_.options().Copies_ &&
+        (!Least || Server.inFlight() < Least->inFlight()))
+      Least = &Server;
+  if (!Least)
+    return;
+  Least->setSlotsAside(
+      static_cast<std::uint32_t>(Suspension_.options().Copies_));
+  Chosen = Least->capacity().Name_;
+}
+
+void Scheduler::suspendStreams(TimePoint Now, std::vector<Decision> &Out) {
+  if (!MovesRuns_ || !Options_.SuspendStreams_ || !Options_.RefuseLongWaits_ ||
+      Tiers_.size() < 2 || Now < WarmupEnd_)
+    return;
+  Suspension_.forgetOld(Now);
+  UnservedInTime Unserved;
+  if (!Waiting_.empty() && !anyEngineHasRoom())
+    Unserved = unservedInTime(Now);
+  double Soon = Ends_.sum(Now) * SoonEnough.count();
+  auto Expected = static_cast<std::size_t>(Soon) + Suspension_.orders();
+  bool Needed = Unserved.Count_ > Expected;
+  setAsideForCopies(Needed, Now);
+  const std::optional<ServerName> &CopyTo = Suspension_.CopyServer_;
+  if (!Needed || !CopyTo)
+    return;
+  const ServerModel &Target = Servers_.at(*CopyTo);
+  if (Target.inFlight() + Suspension_.orders() >= Target.slotCount())
+    return;
+  std::size_t Slots = 0;
+  for (const auto &[Name, Server] : Servers_)
+    Slots += Server.usable() ? Server.slotCount() : 0;
+  auto Candidates = suspensionCandidates(Now);
+  std::size_t Wanted = Unserved.Count_ - Expected;
+  for (const SuspensionCandidate &Run : Suspension_.choose(
+           std::move(Candidates), Unserved.Highest_, Wanted, Slots)) {
+    if (Target.inFlight() + Suspension_.orders() >= Target.slotCount())
+      return;
+    Suspension_.ordered(Run, Now);
+    Out.push_back(SuspendDecision{Run.Id_, Run.Server_, Run.Ingress_, *CopyTo});
+  }
+}
+
+/// Promises servers to suspended streams that can't wait much longer. While
+/// higher tiers take each slot that becomes free, such streams would be lost.
+void Scheduler::promiseServers(TimePoint Now) {
+  Suspension_.clearPromises();
+  for (const auto &[Id, Request] : Waiting_) {
+    const GrantRequest &Details = Request.Details_;
+    if (Details.OnlyServer_.empty() || Details.MaxWait_.count() == 0)
+      continue;
+    if (Request.LatestStart_ - Now < Details.MaxWait_ / PromiseDivisor)
+      Suspension_.promise(Details.OnlyServer_, Id);
+  }
+}
+
+void Scheduler::grantPromised(TimePoint Now, std::vector<Decision> &Out) {
+  for (const auto &[Name, Id] : Suspension_.promised()) {
+    ServerModel *Server = server(Name);
+    const GrantRequest &Details = Waiting_.at(Id).Details_;
+    if (!Server || !canTake(Details, *Server, Now))
+      continue;
+    TierQueue &Tier = Tiers_[queueIndex(Details.Tier_)];
+    CustomerName Customer =
+        Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
+    grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
+  }
+}
+
+} // namespace samphireshunt
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -85,6 +85,8 @@
   // may then together exceed the limit by at most one each.
   // A brittle server may have no room for requests beyond its slots.
   std::uint32_t Usual = Rejections_.named() ? slots() : Limit_;
+  if (SlotsAside_ > 0)
+    Usual = slots() - std::min(slots(), SlotsAside_);
   double Limit = OnTrial_ ? 1.0 : std::floor(Usual * Share);
   return usable() && Rate_.allowsOne() && Rejections_.allowsOne() &&
          inFlight() < std::max(1.0, Limit) &&
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -126,6 +126,10 @@
     OnTrial_ = OnTrial;
   }
   bool hasRoom(double Share) const;
+  /// Sets how many slots are kept free for copies of the memory of runs.
+  void setSlotsAside(std::uint32_t Count) { SlotsAside_ = Count; }
+  /// The number of slots, and of requests that they can't hold now.
+  std::uint32_t slotCount() const { return slots(); }
   /// The rate of requests that the engine accepts, if it names one.
   ServerRate &rate() { return Rate_; }
   const ServerRate &rate() const { return Rate_; }
@@ -219,6 +223,7 @@
   RejectionLimit Rejections_;
   bool LeftOut_ = false;
   bool OnTrial_ = false;
+  std::uint32_t SlotsAside_ = 0;
   bool Replaced_ = false;
   bool SaysLeaving_ = false;
   /// Until when it wants no requests from ingress daemons.
--- /dev/null
+++ b/Source/Process/Scheduling/StreamSuspension.cpp
@@ -0,0 +1,97 @@
+#include "Process/Scheduling/StreamSuspension.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace samphireshunt {
+
+namespace {
+
+void eraseOne(std::multiset<ServerName> &Names, const ServerName &Name) {
+  if (auto Found = Names.find(Name); Found != Names.end())
+    Names.erase(Found);
+}
+
+} // namespace
+
+bool StreamSuspension::isEligible(const SuspensionCandidate &Run,
+                                  TierIndex Above) const {
+  auto Times = Times_.find(Run.Id_);
+  bool Spared = Times != Times_.end() && Times->second >= Options_.MaxTimes_;
+  return Run.Tier_ > Above && !Spared && Run.Rest_ >= Options_.MinRest_ &&
+         Run.Left_ >= Run.Rest_ + Options_.MinSlack_ &&
+         !Orders_.contains(Run.Id_) && !Servers_.contains(Run.Server_);
+}
+
+std::vector<SuspensionCandidate>
+StreamSuspension::choose(std::vector<SuspensionCandidate> Candidates,
+                         TierIndex Above, std::size_t Wanted,
+                         std::size_t Slots) const {
+  auto Limit =
+      static_cast<std::size_t>(static_cast<double>(Slots) * Options_.MaxShare_);
+  std::size_t Taken = Orders_.size() + Stopped_.size();
+  std::size_t Free = Limit > Taken ? Limit - Taken : 0;
+  std::size_t Copies =
+      Options_.Copies_ > Orders_.size() ? Options_.Copies_ - Orders_.size() : 0;
+  Wanted = std::min({Wanted, Free, Copies});
+  std::erase_if(Candidates, [&](const SuspensionCandidate &Run) {
+    return !isEligible(Run, Above);
+  });
+  std::ranges::sort(Candidates, [](const auto &Left, const auto &Right) {
+    return std::tuple(Right.Tier_, Right.Rest_, Left.Id_) <
+           std::tuple(Left.Tier_, Left.Rest_, Right.Id_);
+  });
+  std::vector<SuspensionCandidate> Chosen;
+  std::set<ServerName> Used;
+  for (SuspensionCandidate &Run : Candidates) {
+    if (Chosen.size() >= Wanted)
+      break;
+    if (Used.insert(Run.Server_).second)
+      Chosen.push_back(std::move(Run));
+  }
+  return Chosen;
+}
+
+void StreamSuspension::ordered(const SuspensionCandidate &Run, TimePoint Now) {
+  Orders_[Run.Id_] = {Run.Server_, Now};
+  ++Times_[Run.Id_];
+  Servers_.insert(Run.Server_);
+}
+
+void StreamSuspension::suspended(const RequestId &Id) {
+  auto Node = Orders_.extract(Id);
+  if (Node)
+    Stopped_[Id] = std::move(Node.mapped().Server_);
+}
+
+void StreamSuspension::goesOn(const RequestId &Id) {
+  if (auto Node = Orders_.extract(Id))
+    eraseOne(Servers_, Node.mapped().Server_);
+  if (auto Node = Stopped_.extract(Id))
+    eraseOne(Servers_, Node.mapped());
+}
+
+void StreamSuspension::ended(const RequestId &Id) {
+  goesOn(Id);
+  Times_.erase(Id);
+}
+
+void StreamSuspension::forgetOld(TimePoint Now) {
+  std::vector<RequestId> Lost;
+  for (const auto &[Id, Order] : Orders_)
+    if (Now - Order.Ordered_ > Options_.OrderTime_)
+      Lost.push_back(Id);
+  std::ranges::for_each(Lost, [this](const RequestId &Id) { goesOn(Id); });
+}
+
+void StreamSuspension::promise(const ServerName &Server, const RequestId &Id) {
+  Promised_.try_emplace(Server, Id);
+}
+
+bool StreamSuspension::mayTake(const ServerName &Server,
+                               const RequestId &Id) const {
+  auto Found = Promised_.find(Server);
+  return Found == Promised_.end() || Found->second == Id;
+}
+
+} // namespace samphireshunt
--- /dev/null
+++ b/Source/Process/Scheduling/StreamSuspension.h
@@ -0,0 +1,109 @@
+#pragma once
+/// \file
+/// Decides which running streams make room for requests of higher tiers, and
+/// remembers those that were asked to stop. The code is free of I/O.
+///
+/// Load pattern: a burst of the lowest tier fills the slots with streams that
+/// run for a second and more; seconds later a higher tier bursts. Its requests
+/// would miss their objectives behind streams that can't be cancelled without
+/// losing them.
+
+#include "Common/Ids.h"
+#include "Common/TimePoint.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace samphireshunt {
+
+/// A running stream that may be suspended.
+struct SuspensionCandidate {
+  RequestId Id_;
+  TierIndex Tier_;
+  ServerName Server_;
+  VmId Ingress_;
+  /// The expected time until it ends by itself.
+  std::chrono::nanoseconds Rest_{0};
+  /// The time until its caller's deadline.
+  std::chrono::nanoseconds Left_{0};
+};
+
+class StreamSuspension {
+public:
+  struct Options {
+    /// Streams asked to stop, or stopped, as a fraction of the cell's slots.
+    /// All of them go on later and need their slots back.
+    double MaxShare_ = 0.25;
+    /// How often one stream may be suspended: each time its caller waits.
+    int MaxTimes_ = 2;
+    /// A stream that ends within this by itself is left alone: to stop it takes
+    /// some tens of milliseconds, and its slot is free soon anyway.
+    std::chrono::milliseconds MinRest_{300};
+    /// Time that must be left beyond the rest of a stream: the longest pause
+    /// that callers take.
+    std::chrono::milliseconds MinSlack_{4000};
+    /// After this an order counts as lost.
+    std::chrono::milliseconds OrderTime_{1000};
+    /// Copies at a time, each in a slot that is set aside.
+    std::size_t Copies_ = 2;
+  };
+
+  StreamSuspension() = default;
+  explicit StreamSuspension(Options Settings) : Options_(Settings) {}
+  const Options &options() const { return Options_; }
+
+  /// Selects up to \p Wanted streams of lower tiers than \p Above among
+  /// \p Candidates, in the order in which they are to be stopped. \p Slots is
+  /// the number of slots of the cell.
+  std::vector<SuspensionCandidate>
+  choose(std::vector<SuspensionCandidate> Candidates, TierIndex Above,
+         std::size_t Wanted, std::size_t Slots) const;
+
+  /// Records an order to stop a run.
+  void ordered(const SuspensionCandidate &Run, TimePoint Now);
+  /// Records that the run has stopped.
+  void suspended(const RequestId &Id);
+  /// Records that the run goes on: the order was not carried out.
+  void goesOn(const RequestId &Id);
+  /// Records that the run has ended, or that nobody waits for it any more.
+  void ended(const RequestId &Id);
+  /// Forgets orders whose outcome did not come.
+  void forgetOld(TimePoint Now);
+
+  /// Promises the next slot of \p Server to the stream \p Id.
+  void promise(const ServerName &Server, const RequestId &Id);
+  void clearPromises() { Promised_.clear(); }
+  const std::map<ServerName, RequestId> &promised() const { return Promised_; }
+  /// \returns false while the server is promised to another request.
+  bool mayTake(const ServerName &Server, const RequestId &Id) const;
+
+  /// The server whose slots are set aside for copies; unset while none is.
+  std::optional<ServerName> CopyServer_;
+  /// When a copy was last needed.
+  TimePoint CopyNeeded_;
+
+  std::size_t orders() const { return Orders_.size(); }
+  /// \returns the number of streams that are stopped.
+  std::size_t stopped() const { return Stopped_.size(); }
+
+private:
+  struct Run {
+    ServerName Server_;
+    TimePoint Ordered_;
+  };
+  bool isEligible(const SuspensionCandidate &Run, TierIndex Above) const;
+
+  Options Options_;
+  std::map<RequestId, Run> Orders_;
+  std::map<RequestId, ServerName> Stopped_;
+  std::map<RequestId, int> Times_;
+  /// Servers that have a stream which was stopped, or is to be.
+  std::multiset<ServerName> Servers_;
+  std::map<ServerName, RequestId> Promised_;
+};
+
+} // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -78,6 +78,7 @@
   Options.DeferLongAnswers_ = IsEnabled("lengths");
   Options.ScheduleRetries_ = IsEnabled("returns");
   Options.ReserveFastEngines_ = IsEnabled("quick");
+  Options.SuspendStreams_ = IsEnabled("suspension");
   if (Configured.ByObjective_) {
     Options.GuaranteedShare_ = Configured.GuaranteedShare_;
     Options.RefuseLongWaits_ = true;
@@ -706,6 +707,8 @@
   else if (const auto *First = Message.body.AsFirstToken())
     Keeper_->firstToken(CellId::fromWire(First->cell), fromWire(First->id),
                         sampleFromWire(*First));
+  else if (const auto *Goes = Message.body.AsNotSuspended())
+    Keeper_->notSuspended(CellId::fromWire(Goes->cell), fromWire(Goes->id));
   else if (const auto *Limit = Message.body.AsServerLimit())
     Keeper_->limitRead(CellId::fromWire(Limit->cell), ServerName(Limit->server),
                        fromWire(Limit->id), rateFromWire(*Limit));
@@ -765,7 +768,10 @@
   else if (const auto *Cancel = Message.body.AsCancel())
     Grants_->onDecision(CancelDecision{fromWire(Cancel->id), {}, {}}, From);
   else if (const auto *Suspend = Message.body.AsSuspend())
-    Grants_->onDecision(SuspendDecision{fromWire(Suspend->id), {}, {}}, From);
+    Grants_->onDecision(
+        SuspendDecision{
+            fromWire(Suspend->id), {}, {}, ServerName(Suspend->copy_to)},
+        From);
   else if (const auto *Reply = Message.body.AsDocumentReply();
            Reply && Configuration_)
     Configuration_->documentReceived(ServiceName(Reply->service),
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -92,7 +92,8 @@
 ABSL_FLAG(std::string, leave_out, "",
           "For benchmarks only: scheduling decisions to disable, of tiers, "
           "fairness, feasibility, preemption, prefixes, speeds, limits, "
-          "pauses, late-apart, lengths, room, returns, ahead, quick.");
+          "pauses, late-apart, lengths, room, returns, ahead, quick, "
+          "work-time, suspension, backups.");
 ABSL_FLAG(std::string, trace_collector, "",
           "IP:port that receives OTLP/HTTP JSON traces; empty: none.");
 
@@ -139,10 +140,10 @@
                                   "rollout_exposure_slack",
                                   "allotment_overrun"};
 
-constexpr std::array<std::string_view, 14> OptionalDecisions = {
-    "tiers",  "fairness", "feasibility", "preemption", "prefixes",
-    "speeds", "limits",   "pauses",      "late-apart", "lengths",
-    "room",   "returns",  "ahead",       "quick"};
+constexpr std::array<std::string_view, 17> OptionalDecisions = {
+    "tiers",  "fairness", "feasibility", "preemption", "prefixes", "speeds",
+    "limits", "pauses",   "late-apart",  "lengths",    "room",     "returns",
+    "ahead",  "quick",    "work-time",   "suspension", "backups"};
 
 std::string environmentName(std::string_view Flag) {
   std::string Name = "SAMPHIRESHUNT_";
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -4,9 +4,12 @@
 #include "Connection/EventSplitter.h"
 #include "Request/CrashEvidence.h"
 #include "Request/ResumedStream.h"
+#include "Request/RunSuspension.h"
 #include "Request/ServerNotices.h"
 #include "Request/WaitPlan.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -47,6 +50,7 @@
   NotRun,    ///< The server refused before running.
   Failed,    ///< It may have run, but there is no usable answer.
   Broken,    ///< The caller has received only the start of the answer.
+  Suspended, ///< The run was stopped, and its memory is kept at the server.
   CallerLeft ///< The caller has disconnected.
 };
 
@@ -73,6 +77,7 @@
         Dialect_(Context.Services_.Dialect_) {}
 
   Awaitable<void> run() {
+    Executor_ = co_await boost::asio::this_coro::executor;
     if (resumesStream(Context_)) {
       if (auto Refused = co_await bindToOrigin(Context_))
         co_return co_await finish(std::move(*Refused));
@@ -96,7 +101,8 @@
         co_return co_await finish(std::move(Final));
       }
       Context_.BrokeOff_ = steady_clock::now();
-      logRetry(Ended);
+      if (Ended != AttemptEnd::Suspended)
+        logRetry(Ended);
     }
   }
 
@@ -124,7 +130,8 @@
 
   Awaitable<AttemptEnd> attempt() {
     ++Sends_;
-    Context_.Services_.Grants_.dispatched(Context_.Id_, nullptr);
+    Suspension_.reset();
+    Context_.Services_.Grants_.dispatched(Context_.Id_, nullptr, suspendHook());
     Dispatched_ = steady_clock::now();
     FirstEvent_ = TimePoint();
     WorkTimePercent_ = 0;
@@ -161,6 +168,78 @@
     co_return co_await relayAnswer(std::move(*Head));
   }
 
+  /// \returns the hook for a keeper's wish to suspend the run. It is called on
+  /// another thread.
+  GrantClient::Suspended suspendHook() {
+    if (!isStream() || !Context_.Pool_->RunMemory_.Moves_)
+      return {};
+    return [Weak = weak_from_this(),
+            Executor = Executor_](const ServerName &CopyTo) {
+      boost::asio::post(Executor, [Weak, CopyTo] {
+        if (auto Self = Weak.lock())
+          Self->suspend(CopyTo);
+      });
+    };
+  }
+
+  /// Orders the engine to stop the run, unless it can't go on later: the caller
+  /// has nothing to go on from, or has left; the daemon stops; or the fleet may
+  /// not send more requests a second time.
+  void suspend(const ServerName &CopyTo) {
+    auto Snapshot = Context_.Services_.Documents_.snapshot();
+    const BackendServer *Target = Snapshot->activeServer(
+        Context_.document().Service_, Context_.Pool_->Name_, CopyTo);
+    bool Streaming = Ready_.Connection_ && HeadSent_ && Splitter_.lastId();
+    bool MayStop = Target && Streaming && !Suspension_ && !CallerLeft_ &&
+                   Context_.Services_.HasTimeFor_(Rule_) && mayRepeat();
+    if (!MayStop)
+      return Context_.Services_.Grants_.notSuspended(Context_.Id_);
+    Suspension_ = RunSuspension::create(
+        Executor_, Dialect_.Memory_, Context_.Call_.CallId_,
+        {Ready_.Server_.Address_, Target->Address_}, [Weak = weak_from_this()] {
+          if (auto Self = Weak.lock())
+            Self->Context_.Services_.Grants_.notSuspended(Self->Context_.Id_);
+        });
+  }
+
+  /// \returns whether the budget for repeated sends allows one more, and takes
+  /// it.
+  bool mayRepeat() {
+    return Context_.Services_.RetryBudget_.tryRetry(
+        Context_.Pool_->Name_, Context_.Services_.FleetSize_(),
+        steady_clock::now());
+  }
+
+  /// Called when a stream has ended without its end. \returns true if that is
+  /// because its run was stopped, and it can go on.
+  Awaitable<bool> wasSuspended() {
+    if (!Suspension_)
+      co_return false;
+    auto Order = Suspension_;
+    auto Handle = co_await Order->stoppedRun();
+    if (!Handle)
+      co_return false;
+    const BackendServer &Server = Ready_.Server_;
+    Memory_ = MemoryLocation{Server.Name_,
+                             formatEndpoint(Server.Address_) + "/" + *Handle};
+    KeptHandle_ = std::move(*Handle);
+    KeptAt_ = Server.Address_;
+    logEvent(LogCategory::Request, spdlog::level::info, "stream-suspended",
+             {{"request", Context_.Id_.str()},
+              {"call", Context_.Call_.CallId_},
+              {"server", Server.Name_.str()},
+              {"events", std::to_string(Splitter_.count())}});
+    co_return true;
+  }
+
+  /// Frees the memory of a suspended run that does not go on.
+  void releaseKept() {
+    if (KeptHandle_.empty())
+      return;
+    releaseMemory(Executor_, Dialect_.Memory_, KeptAt_,
+                  std::exchange(KeptHandle_, {}));
+  }
+
   HttpRequest forwardedRequest() {
     std::size_t SpanNumber = Context_.Trace_.begin("dispatch");
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
@@ -171,6 +250,9 @@
     ForwardLabels Labels;
     Labels.Timeout_ = Context_.remaining();
     Labels.Server_ = Ready_.Server_.Name_;
+    Continues_ = Memory_.has_value();
+    if (Continues_)
+      KeptHandle_.clear();
     Labels.MemoryFrom_ = std::exchange(Memory_, std::nullopt);
     if (Ready_.Backup_)
       Labels.BackupTo_ = Ready_.Backup_->Address_;
@@ -313,6 +395,11 @@
   Awaitable<AttemptEnd> relayEvents(HttpResponse Head) {
     while (true) {
       auto Received = co_await Ready_.Connection_->readSome(eventTimeout());
+      bool Stopped = !Received && co_await wasSuspended();
+      if (Stopped) {
+        Ready_.Connection_->close();
+        co_return CallerLeft_ ? AttemptEnd::CallerLeft : AttemptEnd::Suspended;
+      }
       if (!Received)
         co_return failed(Received.error());
       if (Received->empty())
@@ -329,6 +416,13 @@
       if (!Written)
         co_return writeFailed();
     }
+    // The end of such a stream looks the same when its run was stopped.
+    bool Stopped = Ready_.Connection_->bodyEnd() == BodyEnd::Close &&
+                   co_await wasSuspended();
+    if (Stopped) {
+      Ready_.Connection_->close();
+      co_return CallerLeft_ ? AttemptEnd::CallerLeft : AttemptEnd::Suspended;
+    }
     std::optional<std::string> Rest = Splitter_.finish();
     Context_.AnswerEnd_.InsideEvent_ = !Rest;
     if (!Rest)
@@ -347,6 +441,9 @@
 
   void recordFirstEvent() {
     FirstEvent_ = steady_clock::now();
+    // Nothing was read before it, so it does not tell the engine's speed.
+    if (Continues_)
+      return;
     auto Delay = duration_cast<microseconds>(FirstEvent_ - Dispatched_);
     Context_.Services_.Grants_.firstToken(Context_.Id_,
                                           {Delay, WorkTimePercent_});
@@ -381,10 +478,11 @@
     Sample.Faulty_ = Faulty_;
     Sample.Replaced_ = Replaced_;
     Sample.Rejected_ = Rejected_;
+    Sample.Suspended_ = Ended == AttemptEnd::Suspended;
     Sample.WorkTimePercent_ = WorkTimePercent_;
     auto Now = steady_clock::now();
     Sample.Duration_ = duration_cast<microseconds>(Now - Dispatched_);
-    if (FirstEvent_ != TimePoint()) {
+    if (FirstEvent_ != TimePoint() && !Continues_) {
       Sample.FirstToken_ =
           duration_cast<microseconds>(FirstEvent_ - Dispatched_);
       auto Events = static_cast<std::int64_t>(Splitter_.count());
@@ -400,13 +498,19 @@
       co_await addCrashEvidence(Context_, Ready_.Server_, LastFailure_.Code_,
                                 Sample);
     Context_.Services_.Grants_.done(Context_.Id_, Sample);
-    TriedServers_.push_back(Ready_.Server_.Name_);
+    if (Ended != AttemptEnd::Suspended)
+      TriedServers_.push_back(Ready_.Server_.Name_);
     Splitter_.dropPartialEvent();
   }
 
   bool mayRetry(AttemptEnd Ended) {
     if (CallerLeft_ || Context_.remaining() <= MinTimeLeft)
       return false;
+    if (Ended == AttemptEnd::Suspended)
+      return true;
+    // Only its own run may go on with a stream that may not be resumed.
+    if (HeadSent_ && !Rule_.Resumable_)
+      return false;
     if (Ended == AttemptEnd::NotRun) {
       if (++Refusals_ > MaxRefusals)
         return false;
@@ -447,6 +551,7 @@
   /// Ends the request after its last attempt, when no other server is available
   /// or allowed.
   Awaitable<void> finish(Verdict Ended) {
+    releaseKept();
     if (HeadSent_) {
       Context_.Exchange_.abort();
       co_return reportEnd(Context_, Outcome::Partial, Ended.Code_);
@@ -472,6 +577,12 @@
   EventSplitter Splitter_;
   std::vector<ServerName> TriedServers_;
   std::optional<HttpResponse> ServerErrorAnswer_;
+  boost::asio::any_io_executor Executor_;
+  /// The order to stop the current run; null if there is none.
+  std::shared_ptr<RunSuspension> Suspension_;
+  /// The memory of a suspended run, until the run goes on.
+  std::string KeptHandle_;
+  Endpoint KeptAt_;
   /// Where the memory of the run is that the next dispatch goes on with.
   std::optional<MemoryLocation> Memory_;
   Failure LastFailure_;
@@ -483,6 +594,8 @@
   int Runs_ = 0;     ///< Dispatches that may have run.
   int Refusals_ = 0; ///< Dispatches that were refused.
   bool HeadSent_ = false;
+  /// The current dispatch goes on with the memory of the run.
+  bool Continues_ = false;
   bool MayHaveRun_ = false;
   bool Faulty_ = false;
   bool Replaced_ = false;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -138,6 +138,26 @@
   return Request;
 }
 
+/// Changes the request for a grant into one for a run that goes on at a server
+/// which has its memory: nothing is to be read there.
+void continueAt(const ServerName &Server, const RequestContext &Context,
+                GrantRequest &Request) {
+  Request.OnlyServer_ = Server;
+  Request.Prompt_ = Tokens(0);
+  Request.Prefix_.clear();
+  Request.Parts_.clear();
+  Request.Excluded_.clear();
+  WaitPlan Plan =
+      planContinuation(*Context.Route_->Forwarding_,
+                       Context.StreamTiming_.Last_, steady_clock::now());
+  Request.Objective_ = Plan.Objective_;
+  Request.MaxWait_ = Plan.MaxWait_;
+  auto Made = static_cast<std::int64_t>(Context.StreamTiming_.Events_) *
+              Context.Pool_->TokensPerEvent_;
+  Tokens Left = Request.EstimatedAnswer_ - Tokens(Made);
+  Request.EstimatedAnswer_ = std::max(Left, Tokens(1));
+}
+
 std::string millisText(std::chrono::nanoseconds Time) {
   return std::to_string(duration_cast<milliseconds>(Time).count());
 }
@@ -360,7 +380,8 @@
     CellId Cell{Context.document().Service_, Context.Pool_->Name_,
                 Cells[CellTries % Cells.size()]};
     GrantRequest Request = makeGrantRequest(Context, Excluded);
-    Request.OnlyServer_ = Options.OnlyServer_;
+    if (!Options.OnlyServer_.empty())
+      continueAt(Options.OnlyServer_, Context, Request);
     Request.IsRetry_ = CellTries > 0 || Options.IsRetry_ ||
                        Context.SinceFirstAttempt_.count() > 0;
     auto Answer = co_await Wait->wait(std::move(Cell), std::move(Request),
--- a/Source/Request/WaitPlan.cpp
+++ b/Source/Request/WaitPlan.cpp
@@ -62,6 +62,16 @@
   return Plan;
 }
 
+WaitPlan planContinuation(const ForwardingRule &Rule, TimePoint LastEvent,
+                          TimePoint Now) {
+  milliseconds MaxWait = callerPatience(Rule) * PercentOfPatience / Hundred;
+  auto Waited = duration_cast<milliseconds>(Now - LastEvent);
+  WaitPlan Plan;
+  Plan.MaxWait_ = std::max(milliseconds(1), MaxWait - Waited);
+  Plan.Objective_ = LastEvent + Rule.MaxEventGap_;
+  return Plan;
+}
+
 milliseconds callerPatience(const ForwardingRule &Rule) {
   // Callers give a stream up after a pause of two seconds, four times its
   // objective or eight times the maximum event gap, whichever is longest.
--- a/Source/Request/WaitPlan.h
+++ b/Source/Request/WaitPlan.h
@@ -56,6 +56,11 @@
 WaitPlan planWait(const ForwardingRule &Rule, const RequestTimes &Times,
                   TimePoint Now);
 
+/// \returns the plan for a stream that goes on with the memory of its run,
+/// whose caller got the last event at \p LastEvent.
+WaitPlan planContinuation(const ForwardingRule &Rule, TimePoint LastEvent,
+                          TimePoint Now);
+
 /// \returns how long a caller waits for the next event of a stream before it
 /// gives the stream up.
 std::chrono::milliseconds callerPatience(const ForwardingRule &Rule);
