--- a/Source/Process/Scheduling/SchedulerSuspension.cpp
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -56,7 +56,8 @@
     nanoseconds Whole =
         Server->second.timeBetweenTokens() * Run.ExpectedAnswer_.count();
     Candidates.push_back({Id, Run.Tier_, Run.Server_, Run.Ingress_,
-                          Whole - (Now - Run.Granted_), Run.Deadline_ - Now});
+                          Whole - (Now - Run.Granted_), Run.Deadline_ - Now,
+                          Server->second.slotCount()});
   }
   return Candidates;
 }
--- a/Source/Process/Scheduling/StreamSuspension.cpp
+++ b/Source/Process/Scheduling/StreamSuspension.cpp
@@ -18,9 +18,12 @@
                                   TierIndex Above) const {
   auto Times = Times_.find(Run.Id_);
   bool Spared = Times != Times_.end() && Times->second >= Options_.MaxTimes_;
+  auto AtServer = static_cast<std::size_t>(static_cast<double>(Run.Slots_) *
+                                           Options_.MaxShare_);
   return Run.Tier_ > Above && !Spared && Run.Rest_ >= Options_.MinRest_ &&
          Run.Left_ >= Run.Rest_ + Options_.MinSlack_ &&
-         !Orders_.contains(Run.Id_) && !Servers_.contains(Run.Server_);
+         !Orders_.contains(Run.Id_) &&
+         Servers_.count(Run.Server_) < std::max<std::size_t>(1, AtServer);
 }
 
 std::vector<SuspensionCandidate>
--- a/Source/Process/Scheduling/StreamSuspension.h
+++ b/Source/Process/Scheduling/StreamSuspension.h
@@ -30,14 +30,16 @@
   std::chrono::nanoseconds Rest_{0};
   /// The time until its caller's deadline.
   std::chrono::nanoseconds Left_{0};
+  /// The number of slots of its server.
+  std::size_t Slots_ = 1;
 };
 
 class StreamSuspension {
 public:
   struct Options {
-    /// Streams asked to stop, or stopped, as a fraction of the cell's slots.
-    /// All of them go on later and need their slots back.
-    double MaxShare_ = 0.25;
+    /// Streams asked to stop, or stopped, as a fraction of the slots of the
+    /// cell and of each server. All of them go on there and need a slot again.
+    double MaxShare_ = 0.5;
     /// How often one stream may be suspended: each time its caller waits.
     int MaxTimes_ = 2;
     /// A stream that ends within this by itself is left alone: to stop it takes
--- a/UnitTests/Process/Scheduling/SuspensionReplayTest.cpp
+++ b/UnitTests/Process/Scheduling/SuspensionReplayTest.cpp
@@ -179,11 +179,11 @@
 };
 
 /// Three seconds in which the lowest tier asks for one and a half times what
-/// there is, then a second in which the highest one asks for most of it.
+/// there is, then a second in which the highest one asks for half of it.
 void replayBurst(Replay &Load) {
   for (int Milli = 0; Milli < 12000; ++Milli) {
     bool Streams = Milli < 7000 && Milli % 25 == 0;
-    bool Burst = Milli >= 3000 && Milli < 4000 && Milli % 8 == 0;
+    bool Burst = Milli >= 3000 && Milli < 4000 && Milli % 12 == 0;
     if (Streams)
       Load.send(1, milliseconds(1800));
     if (Burst)
