--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -139,7 +139,7 @@
     Servers.push_back(
         {Server->Name_, Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
          Whole->CacheTokens_, Options_.AheadPerServer_, Server->Incarnation_,
-         Server->Canary_, Server->Version_});
+         Server->Canary_, Server->Version_, Server->DataCenter_});
   }
   std::map<CustomerName, CustomerPolicy> Policies;
   for (const Customer &Known : Service->Document_->Customers_)
@@ -150,6 +150,10 @@
                               TierCount, Whole->MaxWaiting_);
   Target.Scheduler_.setTokensPerEvent(Whole->TokensPerEvent_);
   Target.Scheduler_.setMovesRuns(Whole->RunMemory_.Moves_);
+  Scheduler::BackupCost Cost;
+  Cost.BytesPerToken_ = Whole->RunMemory_.BytesPerToken_;
+  Cost.LinkMbps_ = Whole->RunMemory_.LinkMbps_;
+  Target.Scheduler_.setBackups(Whole->RunMemory_.Backups_, Cost);
   // A minority partition uses only its share of the engines. A majority
   // partition uses all of them: if it scaled down as well, the minority's share
   // would be idle while the partition lasts. Requests granted in excess by both
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -362,6 +362,8 @@
   if (ServerModel *Server = runningServer(Ended)) {
     if (!Sample.Reached_)
       Server->rate().giveBack();
+    if (Sample.Crashed_)
+      recordCrash(*Server, Now);
     if (Sample.Rejected_)
       Server->rejections().rejected(Now);
     Server->recordServed(Sample, PoolSpeed_);
@@ -603,7 +605,8 @@
                            !Details.OnlyServer_.empty()};
   Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_,
                               Server.rate().named().has_value() ||
-                                  Server.rejections().named().has_value()});
+                                  Server.rejections().named().has_value(),
+                              backupFor(Details, Server, Now)});
 }
 
 /// Grants one request of the tier. Requests that have already missed their
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -11,6 +11,7 @@
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
 #include "Common/SlidingCount.h"
+#include "Process/Scheduling/BackupChoice.h"
 #include "Process/Scheduling/CrashHistory.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerModel.h"
@@ -175,6 +176,9 @@
     bool DeferLongAnswers_ = true;
     /// Assign each refused caller a retry time of its own.
     bool ScheduleRetries_ = true;
+    /// Back up runs that can't be repeated while engines crash, where engines
+    /// make backups.
+    bool BackUpRuns_ = true;
     /// Suspend streams of lower tiers for requests that would miss their
     /// objective, where engines move the memory of runs.
     bool SuspendStreams_ = true;
@@ -215,6 +219,16 @@
   void setCanaryGrants(std::uint32_t Left) { CanaryGrants_ = Left; }
   /// Sets the number of tokens in one event of an answer.
   void setTokensPerEvent(std::int64_t Count) { TokensPerEvent_ = Count; }
+  /// What a backup of a run costs.
+  struct BackupCost {
+    std::int64_t BytesPerToken_ = 0; ///< 0 if unknown.
+    double LinkMbps_ = 0;            ///< Between engines; 0 if unknown.
+  };
+  /// Sets whether engines can back runs up to each other.
+  void setBackups(bool Possible, BackupCost Cost) {
+    BacksUpRuns_ = Possible;
+    BackupCost_ = Cost;
+  }
   /// Sets whether engines can stop runs and keep their memory.
   void setMovesRuns(bool Moves) { MovesRuns_ = Moves; }
   /// Sets the end of the warm-up, during which nothing is granted: a new keeper
@@ -432,6 +446,9 @@
   ServerModel *chooseFastest(const GrantRequest &Request, TimePoint Now,
                              PrefixState Wanted);
   bool hasRoom(const ServerModel &Server) const;
+  void recordCrash(const ServerModel &Server, TimePoint Now);
+  ServerName backupFor(const GrantRequest &Request, const ServerModel &Server,
+                       TimePoint Now);
   void suspendStreams(TimePoint Now, std::vector<Decision> &Out);
   /// Requests that wait and could still meet their objective.
   struct UnservedInTime {
@@ -522,6 +539,9 @@
   std::unordered_map<CustomerName, double> AnswerShare_;
   std::set<RequestId> Cancelled_;
   bool MovesRuns_ = false;
+  bool BacksUpRuns_ = false;
+  BackupCost BackupCost_;
+  BackupChoice Backups_;
   StreamSuspension Suspension_;
   double Share_ = 1.0;
   double RateShare_ = 1.0;
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -40,6 +40,7 @@
   bool Canary_ = false;
   /// Of the engine's software; empty means unknown.
   SoftwareVersion Version_;
+  DataCenterName DataCenter_;
 };
 
 /// The outcome of a request.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -79,6 +79,7 @@
   Options.ScheduleRetries_ = IsEnabled("returns");
   Options.ReserveFastEngines_ = IsEnabled("quick");
   Options.SuspendStreams_ = IsEnabled("suspension");
+  Options.BackUpRuns_ = IsEnabled("backups");
   if (Configured.ByObjective_) {
     Options.GuaranteedShare_ = Configured.GuaranteedShare_;
     Options.RefuseLongWaits_ = true;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -94,6 +94,7 @@
       Ready_ = std::move(std::get<ReadyServer>(Obtained));
       AttemptEnd Ended = co_await attempt();
       co_await reportAttempt(Ended);
+      goOnWithBackup(Ended);
       if (Ended == AttemptEnd::Answered)
         co_return reportEnd(Context_, Outcome::Answered, ResultCode::Ok);
       if (Ended == AttemptEnd::CallerLeft || !mayRetry(Ended)) {
@@ -232,6 +233,28 @@
     co_return true;
   }
 
+  /// Called when a dispatch has failed. Takes note of the backup of its run, if
+  /// there is one; the run is over where it was, since its connection is
+  /// closed.
+  void goOnWithBackup(AttemptEnd Ended) {
+    bool Lost = Ended == AttemptEnd::Broken || Ended == AttemptEnd::Failed;
+    constexpr std::array RunLost = {ResultCode::ConnectionLost,
+                                    ResultCode::StreamBroken,
+                                    ResultCode::AnswerTimeout};
+    if (!Lost || !Ready_.Backup_ || Continues_ || CallerLeft_ ||
+        std::ranges::count(RunLost, LastFailure_.Code_) == 0)
+      return;
+    const BackendServer &Backup = *Ready_.Backup_;
+    Memory_ = MemoryLocation{Backup.Name_, formatEndpoint(Backup.Address_) +
+                                               "/" + Context_.Call_.CallId_};
+    logEvent(LogCategory::Request, spdlog::level::info, "run-continued",
+             {{"request", Context_.Id_.str()},
+              {"call", Context_.Call_.CallId_},
+              {"server", Ready_.Server_.Name_.str()},
+              {"backup", Backup.Name_.str()},
+              {"events", std::to_string(Splitter_.count())}});
+  }
+
   /// Frees the memory of a suspended run that does not go on.
   void releaseKept() {
     if (KeptHandle_.empty())
@@ -508,7 +531,11 @@
       return false;
     if (Ended == AttemptEnd::Suspended)
       return true;
-    // Only its own run may go on with a stream that may not be resumed.
+    if (Memory_)
+      return mayRepeat();
+    // Only its own run may go on with a request that may not be repeated.
+    if (MayHaveRun_ && !Rule_.retryable())
+      return false;
     if (HeadSent_ && !Rule_.Resumable_)
       return false;
     if (Ended == AttemptEnd::NotRun) {
