--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -282,7 +282,7 @@
 
 void KeeperService::firstToken(const CellId &Cell, const RequestId &Id,
                                const FirstTokenSample &Sample) {
-  scheduledCell(Cell).Scheduler_.firstToken(Id, Sample);
+  scheduledCell(Cell).Scheduler_.firstToken(Id, Sample, steady_clock::now());
 }
 
 void KeeperService::done(const CellId &Cell, const RequestId &Id,
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -354,7 +354,11 @@
       Server->rate().giveBack();
     if (Sample.Rejected_)
       Server->rejections().rejected(Now);
-    Server->recordServed(Sample, PoolSpeed_);
+    ServedSample Usual = Sample;
+    if (auto Factor = readWorkTime(*Server, Sample.WorkTimePercent_, Now))
+      Usual.Duration_ = std::chrono::duration_cast<std::chrono::microseconds>(
+          Factor->removeFrom(Sample.Duration_));
+    Server->recordServed(Usual, PoolSpeed_);
     recordOutcome(*Server, Sample, Now);
   }
   Ends_.add(Now);
@@ -377,13 +381,34 @@
   EndsPerSecond_ += Smoothing * (Rate - EndsPerSecond_);
 }
 
-void Scheduler::firstToken(const RequestId &Id,
-                           const FirstTokenSample &Sample) {
+/// Records what an answer told of the work time. \returns the factor, or
+/// nothing if it told none that can be used.
+std::optional<WorkTimeFactor> Scheduler::readWorkTime(ServerModel &Server,
+                                                      std::uint32_t Percent,
+                                                      TimePoint Now) {
+  if (Percent == 0 || !Options_.UseWorkTimes_)
+    return std::nullopt;
+  auto Factor = WorkTimeFactor::fromPercent(Percent);
+  if (Factor)
+    Server.workTime().read(*Factor, Now, WorkTimes_);
+  else
+    WorkTimes_.ignored();
+  return Factor;
+}
+
+void Scheduler::firstToken(const RequestId &Id, const FirstTokenSample &Sample,
+                           TimePoint Now) {
   auto Found = Running_.find(Id);
   if (Found == Running_.end())
     return;
-  if (ServerModel *Server = runningServer(Found->second))
-    Server->firstToken(Id, Sample, PoolSpeed_);
+  ServerModel *Server = runningServer(Found->second);
+  if (!Server)
+    return;
+  FirstTokenSample Usual = Sample;
+  if (auto Factor = readWorkTime(*Server, Sample.WorkTimePercent_, Now))
+    Usual.Delay_ = std::chrono::duration_cast<std::chrono::microseconds>(
+        Factor->removeFrom(Sample.Delay_));
+  Server->firstToken(Id, Usual, PoolSpeed_);
 }
 
 std::vector<RequestId> Scheduler::removeWaiting(const VmId &Ingress) {
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -166,6 +166,8 @@
     bool DeferLongAnswers_ = true;
     /// Assign each refused caller a retry time of its own.
     bool ScheduleRetries_ = true;
+    /// Place requests by how long work takes at servers at the moment.
+    bool UseWorkTimes_ = true;
     /// Reserve fast engines for prompts that only they read in time.
     bool ReserveFastEngines_ = true;
     // Parts of the algorithm that a benchmark can disable.
@@ -220,7 +222,8 @@
   /// Ends a granted request; the server model learns from \p Sample.
   void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now);
   /// Records the first token of a granted request.
-  void firstToken(const RequestId &Id, const FirstTokenSample &Sample);
+  void firstToken(const RequestId &Id, const FirstTokenSample &Sample,
+                  TimePoint Now);
   /// Applies what an engine's answer to \p Id says about the rate of requests
   /// that it accepts.
   void limitRead(const ServerName &Server, const RequestId &Id,
@@ -260,6 +263,8 @@
   countRunning(const std::function<bool(const ServerName &)> &Matches) const;
   ServerModel *server(const ServerName &Name);
   const std::map<ServerName, ServerModel> &servers() const { return Servers_; }
+  /// \returns what servers told of how long work takes there.
+  const WorkTimePattern &workTimes() const { return WorkTimes_; }
 
 private:
   /// The earliest time after a grant at which a first event can arrive.
@@ -428,6 +433,11 @@
   bool hasNoRoomAnywhere(const GrantRequest &Request);
   ServerModel *chooseForObjective(const GrantRequest &Request, TimePoint Now);
   std::chrono::nanoseconds minTimeBetweenTokens() const;
+  std::optional<WorkTimeFactor>
+  readWorkTime(ServerModel &Server, std::uint32_t Percent, TimePoint Now);
+  std::chrono::nanoseconds expectedFirstEvent(const GrantRequest &Request,
+                                              const ServerModel &Server,
+                                              TimePoint Now) const;
   ServerModel *chooseOfTwo();
   std::chrono::nanoseconds expectedService(const GrantRequest &Request,
                                            const ServerModel &Server) const;
@@ -484,6 +494,7 @@
   std::map<ServerName, ServerModel> Servers_;
   /// The speed of the pool's engines, learned from all of them together.
   EngineSpeed PoolSpeed_;
+  WorkTimePattern WorkTimes_;
   std::map<CustomerName, CustomerPolicy> CustomerPolicies_;
   std::vector<TierQueue> Tiers_;
   std::unordered_map<RequestId, WaitingRequest> Waiting_;
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -241,7 +241,6 @@
   if (hasNoRoomAnywhere(Request))
     return nullptr;
   EngineChecks_ += Servers_.size();
-  auto Prefix = prefixOf(Request);
   nanoseconds MinBetweenTokens = minTimeBetweenTokens();
   nanoseconds Budget = OverdueBudget;
   if (Request.Objective_ > Now + MinFirstEventDelay)
@@ -257,7 +256,7 @@
     AnyRoom = true;
     if (!canTake(Request, Server, Now))
       continue;
-    auto FirstToken = Server.expectedFirstToken(Request.Prompt_, Prefix);
+    auto FirstToken = expectedFirstEvent(Request, Server, Now);
     bool ExceedsBudget = FirstToken > Budget;
     bool Fast = Options_.ReserveFastEngines_ &&
                 Server.timeBetweenTokens() * FastDivisor <
@@ -276,6 +275,22 @@
   return Best;
 }
 
+/// \returns the expected time until the first event, or until the answer of a
+/// server that produces no tokens, with the work time at the server. Half of
+/// the answers that take as long as the objective allows would be late, so
+/// calls of some ten milliseconds avoid servers in a slow moment.
+nanoseconds Scheduler::expectedFirstEvent(const GrantRequest &Request,
+                                          const ServerModel &Server,
+                                          TimePoint Now) const {
+  nanoseconds Usual =
+      Server.expectedFirstToken(Request.Prompt_, prefixOf(Request));
+  if (WorkTimes_.readings() == 0)
+    return Usual;
+  if (Server.timeBetweenTokens().count() == 0)
+    Usual += Server.usualDuration();
+  return Server.workTime().expectedOver(Now, Usual, WorkTimes_).applyTo(Usual);
+}
+
 nanoseconds Scheduler::minTimeBetweenTokens() const {
   nanoseconds MinBetweenTokens{0};
   for (const auto &[Name, Server] : Servers_) {
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -50,6 +50,7 @@
   Health_ = ServerHealth();
   Rate_ = ServerRate();
   Rejections_ = RejectionLimit();
+  WorkTime_ = WorkTime();
   RestUntil_.clear();
   LeftOut_ = OnTrial_ = Replaced_ = SaysLeaving_ = false;
   InFlight_.clear();
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -11,6 +11,7 @@
 #include "Process/Scheduling/RejectionLimit.h"
 #include "Process/Scheduling/ServerHealth.h"
 #include "Process/Scheduling/ServerRate.h"
+#include "Process/Scheduling/WorkTime.h"
 
 #include <chrono>
 #include <cstdint>
@@ -135,6 +136,12 @@
 
   void start(const RequestId &Id, Tokens Prompt,
              std::span<const std::uint64_t> Prefix);
+  /// How long work takes there at the moment.
+  WorkTime &workTime() { return WorkTime_; }
+  const WorkTime &workTime() const { return WorkTime_; }
+  /// \returns the usual time of a request there that produces no tokens; 0
+  /// while unknown.
+  std::chrono::nanoseconds usualDuration() const { return Duration_; }
   /// Records the first token of a request; \p Typical learns from it too, for
   /// all engines of the pool.
   void firstToken(const RequestId &Id, const FirstTokenSample &Sample,
@@ -217,6 +224,7 @@
   ServerHealth Health_;
   ServerRate Rate_;
   RejectionLimit Rejections_;
+  WorkTime WorkTime_;
   bool LeftOut_ = false;
   bool OnTrial_ = false;
   bool Replaced_ = false;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -78,6 +78,7 @@
   Options.DeferLongAnswers_ = IsEnabled("lengths");
   Options.ScheduleRetries_ = IsEnabled("returns");
   Options.ReserveFastEngines_ = IsEnabled("quick");
+  Options.UseWorkTimes_ = IsEnabled("work-time");
   if (Configured.ByObjective_) {
     Options.GuaranteedShare_ = Configured.GuaranteedShare_;
     Options.RefuseLongWaits_ = true;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -381,7 +381,9 @@
     Sample.Faulty_ = Faulty_;
     Sample.Replaced_ = Replaced_;
     Sample.Rejected_ = Rejected_;
-    Sample.WorkTimePercent_ = WorkTimePercent_;
+    // The first event told it already, and it is out of date by now.
+    if (FirstEvent_ == TimePoint())
+      Sample.WorkTimePercent_ = WorkTimePercent_;
     auto Now = steady_clock::now();
     Sample.Duration_ = duration_cast<microseconds>(Now - Dispatched_);
     if (FirstEvent_ != TimePoint()) {
