--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -80,6 +80,7 @@
   Options.ReserveFastEngines_ = IsEnabled("quick");
   Options.SuspendStreams_ = IsEnabled("suspension");
   Options.BackUpRuns_ = IsEnabled("backups");
+  Options.UseWorkTimes_ = IsEnabled("work-time");
   if (Configured.ByObjective_) {
     Options.GuaranteedShare_ = Configured.GuaranteedShare_;
     Options.RefuseLongWaits_ = true;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -502,7 +502,9 @@
     Sample.Replaced_ = Replaced_;
     Sample.Rejected_ = Rejected_;
     Sample.Suspended_ = Ended == AttemptEnd::Suspended;
-    Sample.WorkTimePercent_ = WorkTimePercent_;
+    // The first event told it already, and it is out of date by now.
+    if (FirstEvent_ == TimePoint())
+      Sample.WorkTimePercent_ = WorkTimePercent_;
     auto Now = steady_clock::now();
     Sample.Duration_ = duration_cast<microseconds>(Now - Dispatched_);
     if (FirstEvent_ != TimePoint() && !Continues_) {
