--- /dev/null
+++ b/Source/Connection/MemoryBudget.h
@@ -0,0 +1,118 @@
+#pragma once
+/// \file
+/// The memory that a daemon may use for what it holds for others: bodies of
+/// requests, and answers that their callers have not read yet. Thread-safe.
+///
+/// Load pattern: hundreds of callers that read at a trickle or not at all, with
+/// the longest answers, at a VM of 88 MB.
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string_view>
+
+namespace samphireshunt {
+
+/// For whom memory is held.
+enum class MemoryOwner { RequestBodies, Answers };
+inline constexpr std::array MemoryOwners = {MemoryOwner::RequestBodies,
+                                            MemoryOwner::Answers};
+
+/// How much of the budget is in use.
+enum class MemoryLevel {
+  Free,
+  Tight, ///< Large bodies wait; readers slow their servers down.
+  Full,  ///< The slowest reader is ended.
+};
+
+/// \returns the name in logs and metrics, e.g. "request-bodies".
+std::string_view memoryOwnerName(MemoryOwner Owner);
+std::string_view memoryLevelName(MemoryLevel Level);
+
+class MemoryBudget {
+public:
+  /// Called when the level changes. May be called on any thread.
+  using LevelChanged = std::function<void(MemoryLevel)>;
+  /// Ends a reader; called on any thread, so it has to post.
+  using EndReader = std::function<void()>;
+
+  /// \p Limit in bytes; 0 means that there is no limit.
+  explicit MemoryBudget(std::size_t Limit) : Limit_(Limit) {}
+  /// Called once, before the first use.
+  void onLevelChanged(LevelChanged Hook) { LevelChanged_ = std::move(Hook); }
+
+  std::size_t limit() const { return Limit_; }
+  std::size_t used(MemoryOwner Owner) const;
+  std::size_t used() const;
+  MemoryLevel level() const;
+  /// \returns whether a body of \p Bytes may be taken in now.
+  bool hasRoomFor(std::size_t Bytes) const;
+
+  void add(MemoryOwner Owner, std::size_t Bytes);
+  void remove(MemoryOwner Owner, std::size_t Bytes);
+
+  /// A caller that reads an answer; it is removed when this is destroyed.
+  class Reader {
+  public:
+    ~Reader();
+    Reader(const Reader &) = delete;
+    Reader &operator=(const Reader &) = delete;
+    /// Sets how many bytes wait for the caller.
+    void setPending(std::size_t Bytes);
+
+  private:
+    friend class MemoryBudget;
+    Reader(MemoryBudget &Budget, std::uint64_t Number)
+        : Budget_(Budget), Number_(Number) {}
+
+    MemoryBudget &Budget_;
+    std::uint64_t Number_;
+    std::size_t Pending_ = 0;
+  };
+  std::unique_ptr<Reader> addReader(EndReader Hook);
+  /// \returns the number of readers that were ended.
+  std::uint64_t readersEnded() const { return ReadersEnded_; }
+
+private:
+  struct KnownReader {
+    EndReader End_;
+    std::size_t Pending_ = 0;
+  };
+  MemoryLevel levelOf(std::size_t Bytes) const;
+  void checkLevel();
+  void endSlowest();
+
+  std::size_t Limit_;
+  LevelChanged LevelChanged_ = [](MemoryLevel) {};
+  std::array<std::atomic<std::size_t>, MemoryOwners.size()> Used_{};
+  std::atomic<MemoryLevel> Level_ = MemoryLevel::Free;
+  std::atomic<std::uint64_t> ReadersEnded_ = 0;
+  std::mutex Mutex_;
+  std::uint64_t NextReader_ = 0;
+  std::map<std::uint64_t, KnownReader> Readers_;
+};
+
+/// Bytes that are held for an owner until this is destroyed.
+class MemoryUse {
+public:
+  MemoryUse(MemoryBudget &Budget, MemoryOwner Owner)
+      : Budget_(Budget), Owner_(Owner) {}
+  ~MemoryUse() { set(0); }
+  MemoryUse(const MemoryUse &) = delete;
+  MemoryUse &operator=(const MemoryUse &) = delete;
+
+  void set(std::size_t Bytes);
+  std::size_t bytes() const { return Bytes_; }
+
+private:
+  MemoryBudget &Budget_;
+  MemoryOwner Owner_;
+  std::size_t Bytes_ = 0;
+};
+
+} // namespace samphireshunt
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -2,11 +2,13 @@
 
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
+#include "Request/AnswerWriter.h"
 #include "Request/CrashEvidence.h"
 #include "Request/ResumedStream.h"
 #include "Request/ServerNotices.h"
 #include "Request/WaitPlan.h"
 
+#include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -73,6 +75,16 @@
         Dialect_(Context.Services_.Dialect_) {}
 
   Awaitable<void> run() {
+    Writer_ =
+        AnswerWriter::create(co_await boost::asio::this_coro::executor,
+                             Context_.Exchange_, Context_.Services_.Memory_);
+    co_await forward();
+    // The writer uses the exchange, which ends with this call.
+    co_await Writer_->finished();
+  }
+
+private:
+  Awaitable<void> forward() {
     if (resumesStream(Context_)) {
       if (auto Refused = co_await bindToOrigin(Context_))
         co_return co_await finish(std::move(*Refused));
@@ -89,6 +101,8 @@
       Ready_ = std::move(std::get<ReadyServer>(Obtained));
       AttemptEnd Ended = co_await attempt();
       co_await reportAttempt(Ended);
+      if (Ended == AttemptEnd::Answered)
+        Ended = co_await finishAnswer();
       if (Ended == AttemptEnd::Answered)
         co_return reportEnd(Context_, Outcome::Answered, ResultCode::Ok);
       if (Ended == AttemptEnd::CallerLeft || !mayRetry(Ended)) {
@@ -100,7 +114,6 @@
     }
   }
 
-private:
   bool isStream() const { return Rule_.Kind_ == RequestKind::Stream; }
 
   ObtainOptions obtainOptions() {
@@ -298,10 +311,27 @@
       ServerErrorAnswer_ = std::move(Answer);
       co_return AttemptEnd::Failed;
     }
-    co_await deliver(std::move(Answer));
+    WholeAnswer_ = std::move(Answer);
     co_return AttemptEnd::Answered;
   }
 
+  /// Gives the caller what is left of the answer after the server has finished
+  /// it, so that a caller that reads slowly holds no slot of the server.
+  Awaitable<AttemptEnd> finishAnswer() {
+    if (WholeAnswer_) {
+      MemoryUse Held(Context_.Services_.Memory_, MemoryOwner::Answers);
+      Held.set(WholeAnswer_->Body_.size());
+      HttpResponse Answer = std::move(*WholeAnswer_);
+      WholeAnswer_.reset();
+      co_await deliver(std::move(Answer));
+      co_return AttemptEnd::Answered;
+    }
+    bool Written = co_await Writer_->finished();
+    if (Written)
+      Written = co_await Context_.Exchange_.endStream();
+    co_return Written ? AttemptEnd::Answered : writeFailed();
+  }
+
   Awaitable<void> deliver(HttpResponse Answer) {
     removeHopFields(Answer.Fields_);
     co_await Context_.Exchange_.respond(std::move(Answer));
@@ -340,8 +370,6 @@
       co_return failed({ResultCode::StreamBroken, "ended without an event"});
     releaseConnection(Context_, Ready_);
     bool Written = co_await writeEvents(Head, std::move(*Rest));
-    if (Written)
-      Written = co_await Context_.Exchange_.endStream();
     co_return Written ? AttemptEnd::Answered : writeFailed();
   }
 
@@ -364,11 +392,14 @@
         co_return false;
       HeadSent_ = true;
     }
-    co_return co_await Context_.Exchange_.writeChunk(std::move(Events));
+    Writer_->push(std::move(Events));
+    co_return co_await Writer_->waitForCaller();
   }
 
   AttemptEnd writeFailed() {
     CallerLeft_ = true;
+    if (Writer_->readTooSlowly())
+      LastFailure_ = {ResultCode::CallerReadsSlowly, "no memory for the rest"};
     if (Ready_.Connection_)
       Ready_.Connection_->close();
     return AttemptEnd::CallerLeft;
@@ -439,7 +470,7 @@
 
   Verdict verdictAfter(AttemptEnd Ended) const {
     Verdict Result(LastFailure_.Code_, LastFailure_.Detail_);
-    if (Ended == AttemptEnd::CallerLeft)
+    if (Ended == AttemptEnd::CallerLeft && !Writer_->readTooSlowly())
       Result.Code_ = ResultCode::CallerLeft;
     return Result;
   }
@@ -448,6 +479,9 @@
   /// or allowed.
   Awaitable<void> finish(Verdict Ended) {
     if (HeadSent_) {
+      // What came whole reaches the caller before the end that is missing.
+      if (!CallerLeft_)
+        co_await Writer_->finished();
       Context_.Exchange_.abort();
       co_return reportEnd(Context_, Outcome::Partial, Ended.Code_);
     }
@@ -472,6 +506,9 @@
   EventSplitter Splitter_;
   std::vector<ServerName> TriedServers_;
   std::optional<HttpResponse> ServerErrorAnswer_;
+  /// Answered by the server, and not yet given to the caller.
+  std::optional<HttpResponse> WholeAnswer_;
+  std::shared_ptr<AnswerWriter> Writer_;
   /// Where the memory of the run is that the next dispatch goes on with.
   std::optional<MemoryLocation> Memory_;
   Failure LastFailure_;
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -3,6 +3,7 @@
 /// State with the lifetime of one request, and the services that it uses.
 
 #include "Common/RequestFingerprint.h"
+#include "Connection/MemoryBudget.h"
 #include "Process/Configuration/FreshnessLease.h"
 #include "Process/Keeping/CrashTracker.h"
 #include "Process/Keeping/GrantClient.h"
@@ -75,6 +76,7 @@
   /// \returns the number of live daemons, this one included.
   std::function<std::size_t()> FleetSize_;
   StreamOriginService &Origins_;
+  MemoryBudget &Memory_;
 };
 
 /// Timing of a stream's events as its caller sees them.
