--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -20,6 +20,8 @@
 
 namespace samphireshunt {
 
+class MemoryBudget;
+
 template <class Value> using Awaitable = boost::asio::awaitable<Value>;
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
@@ -120,6 +122,8 @@
   HttpRefusal Refusal_;
   /// Called for each request; if unset, the limits above apply throughout.
   std::function<HttpLimits()> Limits_;
+  /// Large bodies wait for room in it; null: there is no budget.
+  MemoryBudget *Memory_ = nullptr;
 };
 
 /// Accepts connections on one context and distributes them over worker
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Connection/Http.h"
 
+#include "Connection/MemoryBudget.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
 
@@ -32,6 +33,15 @@
 /// How long the rest of a refused request is read and discarded.
 constexpr std::chrono::milliseconds DiscardTime{1000};
 
+/// Bodies larger than this wait while memory is tight; smaller ones are no
+/// larger than what the kernel holds of them anyway.
+constexpr std::size_t LargeBodyBytes = 65536;
+/// How long a large body waits for memory, and how often that is checked. A
+/// caller has not been told anything by then, so the wait is a fraction of what
+/// callers take as a delay.
+constexpr std::chrono::milliseconds MaxBodyWait{400};
+constexpr std::chrono::milliseconds BodyWaitStep{20};
+
 /// State shared by the connections of one server; it outlives the server
 /// itself.
 struct ServerState {
@@ -286,9 +296,12 @@
   Awaitable<bool> serveRequest() {
     ActiveExchange Running(State_->ActiveExchanges_);
     Answered_ = false;
+    if (State_->Options_.Memory_)
+      Body_.emplace(*State_->Options_.Memory_, MemoryOwner::RequestBodies);
     bool Read = co_await readRequest();
     if (Read)
       co_await State_->Options_.Handler_(*this);
+    Body_.reset();
     CallerLeft_ = nullptr;
     AwaitingDisconnect_ = false;
     co_return Answered_;
@@ -313,11 +326,24 @@
           *State = ReadState::TimedOut;
           Self->Stream_.cancel();
         });
-    co_await http::async_read(Stream_, Buffer_, Parser,
-                              asio::redirect_error(asio::use_awaitable, Error));
+    co_await http::async_read_header(
+        Stream_, Buffer_, Parser,
+        asio::redirect_error(asio::use_awaitable, Error));
+    bool HasMemory = true;
+    if (!Error && Parser.content_length())
+      HasMemory = co_await awaitMemory(*Parser.content_length());
+    if (!Error && HasMemory)
+      co_await http::async_read(
+          Stream_, Buffer_, Parser,
+          asio::redirect_error(asio::use_awaitable, Error));
     bool TimedOut = *State == ReadState::TimedOut;
     *State = ReadState::Finished;
     Limit.cancel();
+    if (!HasMemory) {
+      Failure Cause{ResultCode::DaemonMemoryFull, "body of a request"};
+      co_await refuse(std::move(Cause));
+      co_return false;
+    }
     if (Error && TimedOut) {
       Failure Cause{ResultCode::ReadTimeout, Error.message()};
       co_await refuse(std::move(Cause));
@@ -342,6 +368,28 @@
         Known->second += ", " + std::string(Field.value());
     }
     Request_.Body_ = std::move(Message.body());
+    if (Body_)
+      Body_->set(Request_.Body_.size());
+    co_return true;
+  }
+
+  /// Waits for memory for a body of \p Bytes, if it is a large one. \returns
+  /// false if there is none in time.
+  Awaitable<bool> awaitMemory(std::uint64_t Bytes) {
+    MemoryBudget *Memory = State_->Options_.Memory_;
+    if (!Memory || Memory->limit() == 0 || Bytes <= LargeBodyBytes)
+      co_return true;
+    asio::steady_timer Timer(Stream_.get_executor());
+    for (auto Waited = BodyWaitStep * 0; !Memory->hasRoomFor(Bytes);
+         Waited += BodyWaitStep) {
+      if (Waited >= MaxBodyWait)
+        co_return false;
+      Timer.expires_after(BodyWaitStep);
+      co_await Timer.async_wait(asio::use_awaitable);
+    }
+    // Counted before it is read, so that others see it.
+    if (Body_)
+      Body_->set(Bytes);
     co_return true;
   }
 
@@ -368,6 +416,8 @@
   std::shared_ptr<ServerState> State_;
   beast::flat_buffer Buffer_;
   HttpRequest Request_;
+  /// The memory of the request's body; unset between requests.
+  std::optional<MemoryUse> Body_;
   std::function<void()> CallerLeft_;
   unsigned Version_ = 11;
   bool KeepAlive_ = true;
--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace samphireshunt {
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -54,6 +54,15 @@
       [](const auto &Value) -> const VmId & { return Value.Ingress_; }, Taken);
 }
 
+/// \returns how many bytes may be held for callers: a third of the process's
+/// memory. Another third is for the process itself, and the last one for bytes
+/// that the kernel has received and not yet passed on.
+std::size_t bufferBytes(std::uint32_t MemoryMb) {
+  constexpr std::size_t Parts = 3;
+  constexpr std::size_t BytesPerMb = 1000 * 1000;
+  return MemoryMb * BytesPerMb / Parts;
+}
+
 /// \returns how long a newer configuration may be known without being active;
 /// 0: without limit.
 milliseconds applyTime(milliseconds Bound) {
@@ -106,12 +115,16 @@
                      ? Settings_.RevocationBound_ - RevocationMargin
                      : milliseconds(0),
                  applyTime(Settings_.ApplyBound_)),
-      Incarnation_(newIncarnation()),
+      Memory_(bufferBytes(Settings_.MemoryMb_)), Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       RelayCandidates_(std::make_shared<std::vector<RelayCandidate>>()),
       MemberLog_(Control_),
       KeeperChoice_([this] { return Members_->keepers(); }), Signals_(Control_),
       DrainTimer_(Control_), RefreshTimer_(Control_) {
+  Memory_.onLevelChanged([](MemoryLevel Level) {
+    logEvent(LogCategory::Request, spdlog::level::info, "memory-level",
+             {{"level", std::string(memoryLevelName(Level))}});
+  });
   Origin_ = stableHash(Settings_.Vm_.str(), Incarnation_.count());
   Platform_ = measuredPlatform(
       Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_),
@@ -577,7 +590,8 @@
           *RetryBudget_,
           [this](const ForwardingRule &Rule) { return hasTimeFor(Rule); },
           FleetSize,
-          *Origins_};
+          *Origins_,
+          Memory_};
 }
 
 std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
@@ -635,6 +649,7 @@
   Options.MaxConnections_ = Settings_.MaxConnections_;
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
+  Options.Memory_ = &Memory_;
   Options.Handler_ = [ByContext](HttpExchange &Exchange) -> Awaitable<void> {
     auto Executor = co_await asio::this_coro::executor;
     auto &Context = asio::query(Executor, asio::execution::context);
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -3,6 +3,7 @@
 /// The daemon: one process per VM, with all roles. One control thread handles
 /// membership, scheduling and configuration; worker threads handle requests.
 
+#include "Connection/MemoryBudget.h"
 #include "Process/Configuration/ConfigurationSync.h"
 #include "Process/Configuration/PeerFollower.h"
 #include "Process/Configuration/StoreFollower.h"
@@ -142,6 +143,7 @@
   PlatformAdapter Adapter_;
   FreshnessLease Freshness_;
   std::unique_ptr<RetryBudget> RetryBudget_;
+  MemoryBudget Memory_;
   Incarnation Incarnation_;
   std::uint64_t Origin_ = 0;
   std::atomic<std::uint64_t> NextSequence_ = 1;
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -44,6 +44,8 @@
   Root["format"] = NewestFormat;
   Root["ready"] = isReady();
   Root["draining"] = Draining_.load();
+  Root["memoryLevel"] = std::string(memoryLevelName(Memory_.level()));
+  Root["slowReadersEnded"] = Memory_.readersEnded();
   Root["platformReachable"] = platformReachable();
   Root["configurationAgeMs"] = configurationAge().count();
   Root["configurationBehindMs"] = millis(Freshness_.behind(BootClock::now()));
@@ -134,6 +136,13 @@
                     static_cast<double>(CallerServer_->activeExchanges()));
   Metrics_.setGauge("caller_connections",
                     static_cast<double>(CallerServer_->openConnections()));
+  Metrics_.setGauge("memory_level", static_cast<double>(Memory_.level()));
+  Metrics_.setGauge("slow_readers_ended",
+                    static_cast<double>(Memory_.readersEnded()));
+  for (MemoryOwner Owner : MemoryOwners)
+    Metrics_.setGauge(Owner == MemoryOwner::Answers ? "memory_answers_bytes"
+                                                    : "memory_bodies_bytes",
+                      static_cast<double>(Memory_.used(Owner)));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
   Metrics_.setGauge("relayed_connections",
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -31,6 +31,9 @@
 ABSL_FLAG(double, link_mbps, 0,
           "Bandwidth of this VM's network link, in Mbit/s; daemons with fast "
           "links are the first to schedule cells; 0: unknown.");
+ABSL_FLAG(int, memory_mb, 0,
+          "Memory that this process may use, in MB, 32 to 1048576; what it "
+          "holds for slow callers is bounded by it; 0: no bound.");
 ABSL_FLAG(std::string, seed_peers, "",
           "IP:port,... of daemons to join while the platform is unavailable.");
 ABSL_FLAG(int, threads, 2,
@@ -111,6 +114,7 @@
                                   "advertise_peers",
                                   "seed_peers",
                                   "link_mbps",
+                                  "memory_mb",
                                   "advertise_operators",
                                   "max_connections",
                                   "drain_delay_ms",
@@ -245,6 +249,13 @@
   Check.address("advertise_operators", Read.AdvertisedOperators_, false);
   Read.LinkMbps_ = static_cast<std::uint32_t>(std::min(
       Check.amount("link_mbps", absl::GetFlag(FLAGS_link_mbps)), MaxLinkMbps));
+  constexpr int MinMemoryMb = 32;
+  constexpr int MaxMemoryMb = 1048576;
+  int MemoryMb =
+      Check.number("memory_mb", absl::GetFlag(FLAGS_memory_mb), 0, MaxMemoryMb);
+  if (MemoryMb > 0 && MemoryMb < MinMemoryMb)
+    Check.addError("memory_mb", "must be 0 or at least 32");
+  Read.MemoryMb_ = static_cast<std::uint32_t>(std::max(MemoryMb, 0));
   Read.SeedPeers_ = addressList(Check, absl::GetFlag(FLAGS_seed_peers));
   Read.Threads_ = static_cast<std::size_t>(
       Check.number("threads", absl::GetFlag(FLAGS_threads), 0, MaxThreads));
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -29,6 +29,8 @@
   std::string AdvertisedOperators_;
   /// Bandwidth of this VM's network link in Mbit/s; 0 is unknown.
   std::uint32_t LinkMbps_ = 0;
+  /// Memory that this process may use in MB; 0: no bound.
+  std::uint32_t MemoryMb_ = 0;
   /// Daemons to join while the platform is unavailable.
   std::vector<Endpoint> SeedPeers_;
   /// Number of worker threads. 0: the control thread serves requests.
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -393,7 +393,8 @@
           RetryBudget_,
           [](const ForwardingRule &) { return true; },
           [] { return std::size_t{1}; },
-          *Origins_};
+          *Origins_,
+          Memory_};
 }
 
 void ForwardingHarness::publish(std::vector<std::size_t> Leaving,
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -155,6 +155,8 @@
 class ForwardingHarness {
 public:
   struct Options {
+    /// What the daemon may hold for callers; 0: no bound.
+    std::size_t MemoryBytes_ = 0;
     RequestKind Kind_ = RequestKind::NonIdempotent;
     std::string Method_ = "POST";
     bool Resumable_ = false;
@@ -226,6 +228,7 @@
   std::vector<std::unique_ptr<ScriptedServer>> Servers_;
   PlatformHooks NoPlatform_;
   ClaimStore Claims_{NoPlatform_, ClaimStore::Options()};
+  MemoryBudget Memory_{Options_.MemoryBytes_};
   RetryBudget RetryBudget_{RetryBudget::Options()};
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
