--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
+#include "Request/AnswerWriter.h"
 #include "Request/CrashEvidence.h"
 #include "Request/ResumedStream.h"
 #include "Request/RunSuspension.h"
@@ -78,6 +79,15 @@
 
   Awaitable<void> run() {
     Executor_ = co_await boost::asio::this_coro::executor;
+    Writer_ = AnswerWriter::create(Executor_, Context_.Exchange_,
+                                   Context_.Services_.Memory_);
+    co_await forward();
+    // The writer uses the exchange, which ends with this call.
+    co_await Writer_->finished();
+  }
+
+private:
+  Awaitable<void> forward() {
     if (resumesStream(Context_)) {
       if (auto Refused = co_await bindToOrigin(Context_))
         co_return co_await finish(std::move(*Refused));
@@ -95,6 +105,8 @@
       AttemptEnd Ended = co_await attempt();
       co_await reportAttempt(Ended);
       goOnWithBackup(Ended);
+      if (Ended == AttemptEnd::Answered)
+        Ended = co_await finishAnswer();
       if (Ended == AttemptEnd::Answered)
         co_return reportEnd(Context_, Outcome::Answered, ResultCode::Ok);
       if (Ended == AttemptEnd::CallerLeft || !mayRetry(Ended)) {
@@ -107,7 +119,6 @@
     }
   }
 
-private:
   bool isStream() const { return Rule_.Kind_ == RequestKind::Stream; }
 
   ObtainOptions obtainOptions() {
@@ -403,10 +414,27 @@
       ServerErrorAnswer_ = std::move(Answer);
       co_return AttemptEnd::Failed;
     }
-    co_await deliver(std::move(Answer));
+    WholeAnswer_ = std::move(Answer);
     co_return AttemptEnd::Answered;
   }
 
+  /// Gives the caller what is left of the answer after the server has finished
+  /// it, so that a caller that reads slowly holds no slot of the server.
+  Awaitable<AttemptEnd> finishAnswer() {
+    if (WholeAnswer_) {
+      MemoryUse Held(Context_.Services_.Memory_, MemoryOwner::Answers);
+      Held.set(WholeAnswer_->Body_.size());
+      HttpResponse Answer = std::move(*WholeAnswer_);
+      WholeAnswer_.reset();
+      co_await deliver(std::move(Answer));
+      co_return AttemptEnd::Answered;
+    }
+    bool Written = co_await Writer_->finished();
+    if (Written)
+      Written = co_await Context_.Exchange_.endStream();
+    co_return Written ? AttemptEnd::Answered : writeFailed();
+  }
+
   Awaitable<void> deliver(HttpResponse Answer) {
     removeHopFields(Answer.Fields_);
     co_await Context_.Exchange_.respond(std::move(Answer));
@@ -457,8 +485,6 @@
       co_return failed({ResultCode::StreamBroken, "ended without an event"});
     releaseConnection(Context_, Ready_);
     bool Written = co_await writeEvents(Head, std::move(*Rest));
-    if (Written)
-      Written = co_await Context_.Exchange_.endStream();
     co_return Written ? AttemptEnd::Answered : writeFailed();
   }
 
@@ -484,11 +510,14 @@
         co_return false;
       HeadSent_ = true;
     }
-    co_return co_await Context_.Exchange_.writeChunk(std::move(Events));
+    Writer_->push(std::move(Events));
+    co_return co_await Writer_->waitForCaller();
   }
 
   AttemptEnd writeFailed() {
     CallerLeft_ = true;
+    if (Writer_->readTooSlowly())
+      LastFailure_ = {ResultCode::CallerReadsSlowly, "no memory for the rest"};
     if (Ready_.Connection_)
       Ready_.Connection_->close();
     return AttemptEnd::CallerLeft;
@@ -572,7 +601,7 @@
 
   Verdict verdictAfter(AttemptEnd Ended) const {
     Verdict Result(LastFailure_.Code_, LastFailure_.Detail_);
-    if (Ended == AttemptEnd::CallerLeft)
+    if (Ended == AttemptEnd::CallerLeft && !Writer_->readTooSlowly())
       Result.Code_ = ResultCode::CallerLeft;
     return Result;
   }
@@ -582,6 +611,9 @@
   Awaitable<void> finish(Verdict Ended) {
     releaseKept();
     if (HeadSent_) {
+      // What came whole reaches the caller before the end that is missing.
+      if (!CallerLeft_)
+        co_await Writer_->finished();
       Context_.Exchange_.abort();
       co_return reportEnd(Context_, Outcome::Partial, Ended.Code_);
     }
@@ -612,6 +644,9 @@
   /// The memory of a suspended run, until the run goes on.
   std::string KeptHandle_;
   Endpoint KeptAt_;
+  /// Answered by the server, and not yet given to the caller.
+  std::optional<HttpResponse> WholeAnswer_;
+  std::shared_ptr<AnswerWriter> Writer_;
   /// Where the memory of the run is that the next dispatch goes on with.
   std::optional<MemoryLocation> Memory_;
   Failure LastFailure_;
