Suspended streams: bookkeeping without leaks, tests of the request's path

Cause: a stopped stream that was granted again, refused, withdrawn or whose daemon died stayed in Stopped_ and Servers_, so its server was soon never chosen again. Promises and the count of unserved requests went over all waiting requests at each decision. Slots stayed set aside when suspension was switched off, and were lost when the copy server restarted. A continuation that was refused left its memory at the engine; a wish that came before the first event of a continuation stopped it before its head.

Ruled out: to undo the record at each of those ends by itself; each new end would have to think of it.

Change: a run counts as stopped exactly while its request to go on waits (enqueue and dequeue), an order exactly while the run runs (endRunning). Promises look at the stopped runs only, the most urgent first; unserved requests are counted from the highest tier, no further than needed. How often a stream was suspended is kept for a minute. Memory is freed unless the engine took it. Gauges and /status tell orders, failures and suspended streams.

--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -97,6 +97,8 @@
   Tier.ObjectiveMissedCount_ += Request.Rank_.ObjectiveMissed_ ? 1 : 0;
   ByLatestStart_.emplace(Request.LatestStart_, Details.Id_);
   RequestId Id = Details.Id_;
+  if (!Details.OnlyServer_.empty())
+    Suspension_.waits(Id, Details.OnlyServer_);
   Waiting_.emplace(Id, std::move(Request));
 }
 
@@ -114,6 +116,8 @@
   if (Queue.Requests_.empty())
     Tier.Active_.erase({Queue.ServedTokens_, Name});
   ByLatestStart_.erase({Request.LatestStart_, Id});
+  if (!Details.OnlyServer_.empty())
+    Suspension_.goesOn(Id);
   return Request;
 }
 
@@ -346,6 +350,7 @@
   if (Count != RunningByCustomer_.end() && --Count->second == 0)
     RunningByCustomer_.erase(Count);
   Cancelled_.erase(Request.Id_);
+  Suspension_.goesOn(Request.Id_);
   return Running_.erase(Item);
 }
 
@@ -355,9 +360,7 @@
   if (Found == Running_.end())
     return;
   const RunningRequest &Ended = Found->second;
-  if (Sample.Suspended_)
-    Suspension_.suspended(Id);
-  else
+  if (!Sample.Suspended_)
     Suspension_.ended(Id);
   if (ServerModel *Server = runningServer(Ended)) {
     if (!Sample.Reached_)
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -438,7 +438,7 @@
     std::size_t Count_ = 0;
     TierIndex Highest_;
   };
-  UnservedInTime unservedInTime(TimePoint Now) const;
+  UnservedInTime unservedInTime(TimePoint Now, std::size_t Limit) const;
   std::vector<SuspensionCandidate> suspensionCandidates(TimePoint Now) const;
   void setAsideForCopies(bool Needed, TimePoint Now);
   void promiseServers(TimePoint Now);
--- a/Source/Process/Scheduling/SchedulerSuspension.cpp
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -5,6 +5,7 @@
 #include "Process/Scheduling/Scheduler.h"
 
 #include <algorithm>
+#include <span>
 
 namespace samphireshunt {
 
@@ -25,22 +26,30 @@
 
 } // namespace
 
-void Scheduler::notSuspended(const RequestId &Id) { Suspension_.goesOn(Id); }
+void Scheduler::notSuspended(const RequestId &Id) {
+  if (Running_.contains(Id))
+    Suspension_.declined(Id);
+}
 
-/// \returns the requests above the lowest tier that wait and could still meet
-/// their objective. Those that go on with a run have been in time before.
-Scheduler::UnservedInTime Scheduler::unservedInTime(TimePoint Now) const {
+/// Counts requests above the lowest tier that wait and could still meet their
+/// objective, highest tier first and at most \p Limit. Those that go on with a
+/// run have been in time before.
+Scheduler::UnservedInTime Scheduler::unservedInTime(TimePoint Now,
+                                                    std::size_t Limit) const {
   UnservedInTime Unserved;
   Unserved.Highest_ = TierIndex(static_cast<std::uint32_t>(Tiers_.size()));
-  for (const auto &[Id, Request] : Waiting_) {
-    const GrantRequest &Details = Request.Details_;
-    bool Lowest = queueIndex(Details.Tier_) + 1 == Tiers_.size();
-    if (Lowest || !Details.OnlyServer_.empty() ||
-        Details.Objective_ <= Now + MinFirstEventDelay)
-      continue;
-    ++Unserved.Count_;
-    Unserved.Highest_ = std::min(Unserved.Highest_, Details.Tier_);
-  }
+  for (const TierQueue &Tier : std::span(Tiers_).first(Tiers_.size() - 1))
+    for (const auto &[Served, Name] : Tier.Active_)
+      for (const auto &Key : Tier.Customers_.at(Name).Requests_) {
+        const GrantRequest &Details =
+            Waiting_.at(std::get<RequestId>(Key)).Details_;
+        if (!Details.OnlyServer_.empty() ||
+            Details.Objective_ <= Now + MinFirstEventDelay)
+          continue;
+        Unserved.Highest_ = std::min(Unserved.Highest_, Details.Tier_);
+        if (++Unserved.Count_ >= Limit)
+          return Unserved;
+      }
   return Unserved;
 }
 
@@ -76,6 +85,10 @@
   }
   if (!Current)
     Chosen.reset();
+  // A server that restarted has a new model, which sets nothing aside.
+  if (Current)
+    Current->setSlotsAside(
+        static_cast<std::uint32_t>(Suspension_.options().Copies_));
   if (Current || !Needed)
     return;
   ServerModel *Least = nullptr;
@@ -94,13 +107,13 @@
 void Scheduler::suspendStreams(TimePoint Now, std::vector<Decision> &Out) {
   if (!MovesRuns_ || !Options_.SuspendStreams_ || !Options_.RefuseLongWaits_ ||
       Tiers_.size() < 2 || Now < WarmupEnd_)
-    return;
+    return setAsideForCopies(false, Now);
   Suspension_.forgetOld(Now);
-  UnservedInTime Unserved;
-  if (!Waiting_.empty() && !anyEngineHasRoom())
-    Unserved = unservedInTime(Now);
   double Soon = Ends_.sum(Now) * SoonEnough.count();
   auto Expected = static_cast<std::size_t>(Soon) + Suspension_.orders();
+  UnservedInTime Unserved;
+  if (!Waiting_.empty() && !anyEngineHasRoom())
+    Unserved = unservedInTime(Now, Expected + Suspension_.options().Copies_);
   bool Needed = Unserved.Count_ > Expected;
   setAsideForCopies(Needed, Now);
   const std::optional<ServerName> &CopyTo = Suspension_.CopyServer_;
@@ -127,13 +140,17 @@
 /// higher tiers take each slot that becomes free, such streams would be lost.
 void Scheduler::promiseServers(TimePoint Now) {
   Suspension_.clearPromises();
-  for (const auto &[Id, Request] : Waiting_) {
-    const GrantRequest &Details = Request.Details_;
-    if (Details.OnlyServer_.empty() || Details.MaxWait_.count() == 0)
-      continue;
-    if (Request.LatestStart_ - Now < Details.MaxWait_ / PromiseDivisor)
-      Suspension_.promise(Details.OnlyServer_, Id);
+  std::vector<std::pair<TimePoint, RequestId>> Urgent;
+  for (const auto &[Id, Server] : Suspension_.waiting()) {
+    const WaitingRequest &Request = Waiting_.at(Id);
+    auto MaxWait = Request.Details_.MaxWait_;
+    if (MaxWait.count() > 0 &&
+        Request.LatestStart_ - Now < MaxWait / PromiseDivisor)
+      Urgent.emplace_back(Request.LatestStart_, Id);
   }
+  std::ranges::sort(Urgent);
+  for (const auto &[LatestStart, Id] : Urgent)
+    Suspension_.promise(Waiting_.at(Id).Details_.OnlyServer_, Id);
 }
 
 void Scheduler::grantPromised(TimePoint Now, std::vector<Decision> &Out) {
--- a/Source/Process/Scheduling/StreamSuspension.cpp
+++ b/Source/Process/Scheduling/StreamSuspension.cpp
@@ -17,7 +17,8 @@
 bool StreamSuspension::isEligible(const SuspensionCandidate &Run,
                                   TierIndex Above) const {
   auto Times = Times_.find(Run.Id_);
-  bool Spared = Times != Times_.end() && Times->second >= Options_.MaxTimes_;
+  bool Spared =
+      Times != Times_.end() && Times->second.Orders_ >= Options_.MaxTimes_;
   auto AtServer = static_cast<std::size_t>(static_cast<double>(Run.Slots_) *
                                            Options_.MaxShare_);
   return Run.Tier_ > Above && !Spared && Run.Rest_ >= Options_.MinRest_ &&
@@ -57,14 +58,17 @@
 
 void StreamSuspension::ordered(const SuspensionCandidate &Run, TimePoint Now) {
   Orders_[Run.Id_] = {Run.Server_, Now};
-  ++Times_[Run.Id_];
+  ++OrdersInAll_;
+  Count &Times = Times_[Run.Id_];
+  ++Times.Orders_;
+  Times.Last_ = Now;
   Servers_.insert(Run.Server_);
 }
 
-void StreamSuspension::suspended(const RequestId &Id) {
-  auto Node = Orders_.extract(Id);
-  if (Node)
-    Stopped_[Id] = std::move(Node.mapped().Server_);
+void StreamSuspension::waits(const RequestId &Id, const ServerName &Server) {
+  goesOn(Id);
+  Stopped_.emplace(Id, Server);
+  Servers_.insert(Server);
 }
 
 void StreamSuspension::goesOn(const RequestId &Id) {
@@ -74,6 +78,11 @@
     eraseOne(Servers_, Node.mapped());
 }
 
+void StreamSuspension::declined(const RequestId &Id) {
+  FailedInAll_ += Orders_.count(Id);
+  goesOn(Id);
+}
+
 void StreamSuspension::ended(const RequestId &Id) {
   goesOn(Id);
   Times_.erase(Id);
@@ -84,7 +93,10 @@
   for (const auto &[Id, Order] : Orders_)
     if (Now - Order.Ordered_ > Options_.OrderTime_)
       Lost.push_back(Id);
-  std::ranges::for_each(Lost, [this](const RequestId &Id) { goesOn(Id); });
+  std::ranges::for_each(Lost, [this](const RequestId &Id) { declined(Id); });
+  std::erase_if(Times_, [&](const auto &Item) {
+    return Now - Item.second.Last_ > Options_.TimesKept_;
+  });
 }
 
 void StreamSuspension::promise(const ServerName &Server, const RequestId &Id) {
--- a/Source/Process/Scheduling/StreamSuspension.h
+++ b/Source/Process/Scheduling/StreamSuspension.h
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,6 +51,8 @@
     std::chrono::milliseconds MinSlack_{4000};
     /// After this an order counts as lost.
     std::chrono::milliseconds OrderTime_{1000};
+    /// How long orders count for MaxTimes_. Streams are rarely longer.
+    std::chrono::milliseconds TimesKept_{60000};
     /// Copies at a time, each in a slot that is set aside.
     std::size_t Copies_ = 2;
   };
@@ -67,13 +70,16 @@
 
   /// Records an order to stop a run.
   void ordered(const SuspensionCandidate &Run, TimePoint Now);
-  /// Records that the run has stopped.
-  void suspended(const RequestId &Id);
-  /// Records that the run goes on: the order was not carried out.
+  /// Records that a stopped run waits until it may go on at \p Server.
+  void waits(const RequestId &Id, const ServerName &Server);
+  /// \returns the stopped runs that wait, and their servers.
+  const std::map<RequestId, ServerName> &waiting() const { return Stopped_; }
+  /// Records that the run goes on, or waits no longer.
   void goesOn(const RequestId &Id);
   /// Records that the run has ended, or that nobody waits for it any more.
   void ended(const RequestId &Id);
-  /// Forgets orders whose outcome did not come.
+  /// Forgets orders whose outcome did not come, and how often streams were
+  /// stopped long ago.
   void forgetOld(TimePoint Now);
 
   /// Promises the next slot of \p Server to the stream \p Id.
@@ -88,7 +94,13 @@
   /// When a copy was last needed.
   TimePoint CopyNeeded_;
 
+  /// Records that an order was declined.
+  void declined(const RequestId &Id);
+
   std::size_t orders() const { return Orders_.size(); }
+  /// \returns how many orders there were, and how many had no effect.
+  std::uint64_t ordersInAll() const { return OrdersInAll_; }
+  std::uint64_t failedInAll() const { return FailedInAll_; }
   /// \returns the number of streams that are stopped.
   std::size_t stopped() const { return Stopped_.size(); }
 
@@ -97,12 +109,18 @@
     ServerName Server_;
     TimePoint Ordered_;
   };
+  struct Count {
+    int Orders_ = 0;
+    TimePoint Last_;
+  };
   bool isEligible(const SuspensionCandidate &Run, TierIndex Above) const;
 
   Options Options_;
+  std::uint64_t OrdersInAll_ = 0;
+  std::uint64_t FailedInAll_ = 0;
   std::map<RequestId, Run> Orders_;
   std::map<RequestId, ServerName> Stopped_;
-  std::map<RequestId, int> Times_;
+  std::map<RequestId, Count> Times_;
   /// Servers that have a stream which was stopped, or is to be.
   std::multiset<ServerName> Servers_;
   std::map<ServerName, RequestId> Promised_;
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -97,6 +97,9 @@
     Entry["warming"] = Scheduling->warming(std::chrono::steady_clock::now());
     Entry["waiting"] = Scheduling->waiting();
     Entry["running"] = Scheduling->running();
+    const StreamSuspension &Suspension = Scheduling->suspension();
+    Entry["suspended"] = Suspension.stopped();
+    Entry["stopping"] = Suspension.orders();
     Entry["servers"] = Json::object();
     for (const auto &[Name, Server] : Scheduling->servers())
       Entry["servers"][Name.str()] = {
@@ -147,6 +150,18 @@
   Metrics_.setGauge("servers_cut_off", CutOff);
   Metrics_.setGauge("connections_relayed_by_others", RelayedByOthers);
   Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
+  double Suspended = 0;
+  double Ordered = 0;
+  double Failed = 0;
+  for (const CellId &Cell : Keeper_->cells()) {
+    const StreamSuspension &Known = Keeper_->scheduler(Cell)->suspension();
+    Suspended += static_cast<double>(Known.stopped());
+    Ordered += static_cast<double>(Known.ordersInAll());
+    Failed += static_cast<double>(Known.failedInAll());
+  }
+  Metrics_.setGauge("streams_suspended", Suspended);
+  Metrics_.setGauge("suspensions_ordered", Ordered);
+  Metrics_.setGauge("suspensions_failed", Failed);
   Metrics_.setGauge("live_share", Members_->liveShare());
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
   Metrics_.setGauge("configuration_age_seconds",
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -94,6 +94,8 @@
       Ready_ = std::move(std::get<ReadyServer>(Obtained));
       AttemptEnd Ended = co_await attempt();
       co_await reportAttempt(Ended);
+      if (Ended != AttemptEnd::Suspended)
+        releaseKept();
       if (Ended == AttemptEnd::Answered)
         co_return reportEnd(Context_, Outcome::Answered, ResultCode::Ok);
       if (Ended == AttemptEnd::CallerLeft || !mayRetry(Ended)) {
@@ -163,6 +165,8 @@
     bool Success = Head->Status_ < StatusMultipleChoices;
     if (Success && !Labels.HasProof_)
       co_return failed({ResultCode::CrossedAnswer, "answer without proof"});
+    if (Success && Continues_)
+      continued();
     if (isStream() && Success && isEventStream(*Head))
       co_return co_await relayEvents(std::move(*Head));
     co_return co_await relayAnswer(std::move(*Head));
@@ -189,7 +193,8 @@
     auto Snapshot = Context_.Services_.Documents_.snapshot();
     const BackendServer *Target = Snapshot->activeServer(
         Context_.document().Service_, Context_.Pool_->Name_, CopyTo);
-    bool Streaming = Ready_.Connection_ && HeadSent_ && Splitter_.lastId();
+    bool Streaming = Ready_.Connection_ && HeadSent_ &&
+                     FirstEvent_ != TimePoint() && Splitter_.lastId();
     bool MayStop = Target && Streaming && !Suspension_ && !CallerLeft_ &&
                    Context_.Services_.HasTimeFor_(Rule_) && mayRepeat();
     if (!MayStop)
@@ -224,6 +229,8 @@
                              formatEndpoint(Server.Address_) + "/" + *Handle};
     KeptHandle_ = std::move(*Handle);
     KeptAt_ = Server.Address_;
+    // The result if it does not go on.
+    LastFailure_ = {ResultCode::StreamBroken, "suspended"};
     logEvent(LogCategory::Request, spdlog::level::info, "stream-suspended",
              {{"request", Context_.Id_.str()},
               {"call", Context_.Call_.CallId_},
@@ -232,6 +239,16 @@
     co_return true;
   }
 
+  /// Called when a run goes on: the engine has taken the memory, so nothing is
+  /// left to free.
+  void continued() {
+    KeptHandle_.clear();
+    logEvent(LogCategory::Request, spdlog::level::info, "stream-continued",
+             {{"request", Context_.Id_.str()},
+              {"call", Context_.Call_.CallId_},
+              {"server", Ready_.Server_.Name_.str()}});
+  }
+
   /// Frees the memory of a suspended run that does not go on.
   void releaseKept() {
     if (KeptHandle_.empty())
@@ -251,8 +268,6 @@
     Labels.Timeout_ = Context_.remaining();
     Labels.Server_ = Ready_.Server_.Name_;
     Continues_ = Memory_.has_value();
-    if (Continues_)
-      KeptHandle_.clear();
     Labels.MemoryFrom_ = std::exchange(Memory_, std::nullopt);
     if (Ready_.Backup_)
       Labels.BackupTo_ = Ready_.Backup_->Address_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -575,7 +575,7 @@
   's/return VersionFits &&/return/' \
   ${U}Process '*fill the servers of their version and no other*'
 mutate origin-holds-up $S/Process/Scheduling/SchedulerPlacement.cpp \
-  's/if \(!Details\.Version_\.empty\(\)\)\n *continue;//' \
+  's/if \(!Details\.Version_\.empty\(\) \|\| !Details\.OnlyServer_\.empty\(\)\)\n *continue;//' \
   ${U}Process '*hold up no other request*'
 mutate origin-not-told $S/Process/Streams/StreamOriginService.cpp \
   's/recordKeepers\(Key, others\(\), Options_\.Copies_\)/std::vector<VmId>()/' \
@@ -613,6 +613,12 @@
 mutate part-collected $S/Process/Keeping/CrashTracker.cpp \
   's/for \(std::uint64_t Part : Sample\.Parts_\) \{/for (std::uint64_t Part : {0ULL}) {/' \
   ${U}MembershipFleet '*a part that crashes servers is refused by all*'
+mutate suspension-counted $S/Process/Scheduling/Scheduler.cpp \
+  's/  if \(!Details\.OnlyServer_\.empty\(\)\)\n    Suspension_\.goesOn\(Id\);//' \
+  ${U}Process '*make room for a burst*'
+mutate suspension-goes-on $S/Request/ForwardedCall.cpp \
+  's/Memory_ = MemoryLocation/[[maybe_unused]] auto Unused = MemoryLocation/' \
+  ${U}SuspendedStream '*goes on at its server*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -99,6 +99,18 @@
     }
 }
 
+void ScriptedServer::actOnOthers(const Socket &Own, const Script &Current) {
+  for (const auto &Weak : Peers_) {
+    auto Peer = Weak.lock();
+    if (!Peer || Peer.get() == &Own || !Peer->is_open())
+      continue;
+    boost::system::error_code Error;
+    asio::write(*Peer, asio::buffer(Current.ToOthers_), Error);
+    if (Current.Then_ == Script::Then::CloseOthers)
+      Peer->close(Error);
+  }
+}
+
 Awaitable<void> ScriptedServer::serve(std::shared_ptr<Tcp::socket> Peer) {
   Tcp::socket &Socket = *Peer;
   std::string Request;
@@ -124,6 +136,11 @@
     auto Buffer = asio::buffer(Current.Bytes_);
     co_await asio::async_write(
         Socket, Buffer, asio::redirect_error(asio::use_awaitable, Error));
+    bool ClosesOthers = Current.Then_ == Script::Then::CloseOthers;
+    if (ClosesOthers || !Current.ToOthers_.empty())
+      actOnOthers(Socket, Current);
+    if (ClosesOthers)
+      continue;
     if (Current.Then_ == Script::Then::Close)
       co_return;
     if (Current.Then_ == Script::Then::Stall) {
@@ -354,6 +371,14 @@
   Grants_->hold(Said);
 }
 
+void ForwardingHarness::suspend(std::uint64_t Number, std::size_t CopyTo) {
+  SuspendDecision Made{RequestId{1, Number},
+                       {},
+                       VmId("vm"),
+                       ServerName(fmt::format("server-{}", CopyTo))};
+  Grants_->onDecision(Made, VmId("vm"));
+}
+
 ServerConnector::Hooks ForwardingHarness::relays() {
   ServerConnector::Hooks Hooks;
   Hooks.Relays_ = [this] {
@@ -391,7 +416,7 @@
           Dialect_,
           Lease_,
           RetryBudget_,
-          [](const ForwardingRule &) { return true; },
+          [this](const ForwardingRule &) { return !Draining_; },
           [] { return std::size_t{1}; },
           *Origins_};
 }
@@ -429,6 +454,7 @@
   Pool Target;
   Target.Name_ = ThePool;
   Target.FromDirectory_ = true;
+  Target.RunMemory_.Moves_ = Options_.MovesRuns_;
   Built.Pools_.push_back(std::move(Target));
   Route Only;
   Only.PathPrefix_ = "/";
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -20,18 +20,21 @@
 /// What a scripted server does with one request.
 struct Script {
   enum class Then {
-    KeepOpen, ///< Waits for the next request.
-    Close,    ///< Closes the connection normally.
-    Reset,    ///< Resets the connection.
-    Hold,     ///< Sends nothing more until the peer closes.
-    Stall,    ///< Neither sends nor reads anything more.
-    Crash,    ///< Ends the server: resets all connections, refuses new ones.
-    End       ///< Ends the server, but this connection ends normally.
+    KeepOpen,    ///< Waits for the next request.
+    Close,       ///< Closes the connection normally.
+    Reset,       ///< Resets the connection.
+    Hold,        ///< Sends nothing more until the peer closes.
+    Stall,       ///< Neither sends nor reads anything more.
+    CloseOthers, ///< Closes the server's other connections normally.
+    Crash,       ///< Ends the server: resets all connections, refuses new ones.
+    End          ///< Ends the server, but this connection ends normally.
   };
   std::string Bytes_;
   Then Then_ = Then::KeepOpen;
   /// Answers after this many bytes of the request; 0: after the whole request.
   std::size_t AnswerAfterBytes_ = 0;
+  /// Written to the server's other connections after the answer.
+  std::string ToOthers_ = {};
 };
 
 /// Selects the script by the request's bytes and its number at this server,
@@ -56,6 +59,8 @@
 private:
   using Socket = boost::asio::ip::tcp::socket;
   Awaitable<void> accept();
+  /// Does with the other connections what the script says.
+  void actOnOthers(const Socket &Own, const Script &Current);
   Awaitable<void> serve(std::shared_ptr<Socket> Peer);
 
   Endpoint Address_;
@@ -171,6 +176,8 @@
     std::size_t Relays_ = 0;
     /// Software versions, which the servers have in turn.
     std::vector<std::string> Versions_ = std::vector<std::string>(1);
+    /// The servers move the memory of runs.
+    bool MovesRuns_ = false;
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
@@ -204,6 +211,11 @@
   void onConnect(std::function<void()> Hook) { Connecting_ = std::move(Hook); }
   /// Applies what a server has said in another answer.
   void say(std::size_t Server, ServerNotice Notice);
+  /// Has the keeper ask for the suspension of the request with this number,
+  /// starting at 1.
+  void suspend(std::uint64_t Number, std::size_t CopyTo);
+  /// Sets whether the daemon drains.
+  void setDraining(bool Drains) { Draining_ = Drains; }
   RelayingDaemon &relay(std::size_t Index) { return *Relays_[Index]; }
   ServerConnector &connector() { return Connector_; }
   const CrashTracker &crashes() const { return Crashes_; }
@@ -239,6 +251,7 @@
   std::unique_ptr<CallerService> Callers_;
   std::unique_ptr<HttpServer> Front_;
   std::uint64_t NextId_ = 1;
+  bool Draining_ = false;
   std::uint64_t Version_ = 0;
 };
 
