RunBackupTest, red: not to be merged as it stands

Seen: no backup is granted for the call run, so it ends partial 301. Whether the set-up or the product is at fault isn't known. Supposed, not shown: the keeper has learned no speed of the scripted servers, and the time of the run counts as 0. The cases aren't eased.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -616,6 +616,9 @@
 mutate backup-danger $S/Process/Scheduling/BackupChoice.cpp \
   's/crashesPerSecond\(Target\.Engine_, Engines, Now\) > Danger/false/' \
   ${U}Process '*of the same version and in less danger*'
+mutate run-continued $S/Request/ForwardedCall.cpp \
+  's/Memory_ = MemoryLocation\{Backup\.Name_/MemoryLocation{Backup.Name_/' \
+  ${U}RunBackup '*goes on at the server that has the backup*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -429,10 +429,12 @@
   Pool Target;
   Target.Name_ = ThePool;
   Target.FromDirectory_ = true;
+  Target.RunMemory_ = Options_.RunMemory_;
   Built.Pools_.push_back(std::move(Target));
   Route Only;
   Only.PathPrefix_ = "/";
   Only.Pool_ = ThePool;
+  Only.NonIdempotent_ = Options_.NonIdempotent_;
   ForwardingRule Rule;
   Rule.Kind_ = Options_.Kind_;
   Rule.Resumable_ = Options_.Resumable_;
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -171,6 +171,10 @@
     std::size_t Relays_ = 0;
     /// Software versions, which the servers have in turn.
     std::vector<std::string> Versions_ = std::vector<std::string>(1);
+    /// What the servers can do with the memory of runs.
+    RunMemoryPolicy RunMemory_;
+    /// Tells the keeper that requests of the route must not run twice.
+    bool NonIdempotent_ = false;
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
