--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -619,6 +619,12 @@
 mutate suspension-goes-on $S/Request/ForwardedCall.cpp \
   's/Memory_ = MemoryLocation/[[maybe_unused]] auto Unused = MemoryLocation/' \
   ${U}SuspendedStream '*goes on at its server*'
+mutate backup-danger $S/Process/Scheduling/BackupChoice.cpp \
+  's/crashesPerSecond\(Target\.Engine_, Engines, Now\) > Danger/false/' \
+  ${U}Process '*of the same version and in less danger*'
+mutate run-continued $S/Request/ForwardedCall.cpp \
+  's/Memory_ = MemoryLocation\{Backup\.Name_/MemoryLocation{Backup.Name_/' \
+  ${U}RunBackup '*goes on at the server that has the backup*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -455,11 +455,13 @@
   Pool Target;
   Target.Name_ = ThePool;
   Target.FromDirectory_ = true;
+  Target.RunMemory_ = Options_.RunMemory_;
   Target.RunMemory_.Moves_ = Options_.MovesRuns_;
   Built.Pools_.push_back(std::move(Target));
   Route Only;
   Only.PathPrefix_ = "/";
   Only.Pool_ = ThePool;
+  Only.NonIdempotent_ = Options_.NonIdempotent_;
   ForwardingRule Rule;
   Rule.Kind_ = Options_.Kind_;
   Rule.Resumable_ = Options_.Resumable_;
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -180,6 +180,10 @@
     std::vector<std::string> Versions_ = std::vector<std::string>(1);
     /// The servers move the memory of runs.
     bool MovesRuns_ = false;
+    /// What the servers can do with the memory of runs.
+    RunMemoryPolicy RunMemory_;
+    /// Tells the keeper that requests of the route must not run twice.
+    bool NonIdempotent_ = false;
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
