--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -40,7 +40,7 @@
                              Hooks Callbacks)
     : Documents_(Documents), Options_(Settings), Hooks_(std::move(Callbacks)),
       Allotments_(Settings.Allotments_, steady_clock::now()),
-      RefusalSampler_(MaxRefusalLogsPerSecond),
+      RefusalSampler_(MaxRefusalLogsPerSecond), WorkTimeSampler_(1),
       Notifications_(Control,
                      [this](const Notification &Event) { deliver(Event); }),
       Timer_(Control) {
@@ -282,7 +282,13 @@
 
 void KeeperService::firstToken(const CellId &Cell, const RequestId &Id,
                                const FirstTokenSample &Sample) {
-  scheduledCell(Cell).Scheduler_.firstToken(Id, Sample, steady_clock::now());
+  Scheduler &Deciding = scheduledCell(Cell).Scheduler_;
+  auto Ignored = Deciding.workTimes().ignoredFigures();
+  Deciding.firstToken(Id, Sample, steady_clock::now());
+  if (Deciding.workTimes().ignoredFigures() == Ignored)
+    return;
+  if (auto Running = Deciding.findRunning(Id))
+    logIgnoredWorkTime(Cell, Running->Server_, Sample.WorkTimePercent_);
 }
 
 void KeeperService::done(const CellId &Cell, const RequestId &Id,
@@ -292,7 +298,10 @@
   ServerModel *Server =
       Ended ? Target.Scheduler_.server(Ended->Server_) : nullptr;
   bool WasLeftOut = Server && Server->health().leftOut(steady_clock::now());
+  auto Ignored = Target.Scheduler_.workTimes().ignoredFigures();
   Target.Scheduler_.done(Id, Sample, steady_clock::now());
+  if (Ended && Target.Scheduler_.workTimes().ignoredFigures() != Ignored)
+    logIgnoredWorkTime(Cell, Ended->Server_, Sample.WorkTimePercent_);
   if (Server)
     logHealth(Cell, *Ended, Server->health(), WasLeftOut);
   if (Ended) {
@@ -419,6 +428,19 @@
             {"dropped", std::to_string(*Dropped)}});
 }
 
+void KeeperService::logIgnoredWorkTime(const CellId &Cell,
+                                       const ServerName &Server,
+                                       std::uint32_t Percent) {
+  auto Dropped = WorkTimeSampler_.admit(0, steady_clock::now());
+  if (!Dropped)
+    return;
+  logEvent(LogCategory::Keeper, spdlog::level::warn, "work-time-ignored",
+           {{"server", Server.str()},
+            {"cell", Cell.str()},
+            {"percent", std::to_string(Percent)},
+            {"dropped", std::to_string(*Dropped)}});
+}
+
 void KeeperService::logHealth(const CellId &Cell, const RunningRequest &Ended,
                               const ServerHealth &Health, bool WasLeftOut) {
   bool LeftOut = Health.leftOut(steady_clock::now());
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -176,6 +176,8 @@
   void checkDisconnectedIngresses();
   void releaseSlots(const VmId &Ingress, DisconnectedIngress &Disconnected);
   void logRefusal(const CellId &Cell, const RefuseDecision &Refusal);
+  void logIgnoredWorkTime(const CellId &Cell, const ServerName &Server,
+                          std::uint32_t Percent);
   void logHealth(const CellId &Cell, const RunningRequest &Ended,
                  const ServerHealth &Health, bool WasLeftOut);
   /// Returns the largest number of cells of any pool of the service.
@@ -208,6 +210,7 @@
   AllotmentLedger Allotments_;
   std::map<ServiceName, double> ScheduledFractions_;
   LogSampler RefusalSampler_;
+  LogSampler WorkTimeSampler_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
   PostedQueue<Notification> Notifications_;
   boost::asio::steady_timer Timer_;
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -355,7 +355,9 @@
     if (Sample.Rejected_)
       Server->rejections().rejected(Now);
     ServedSample Usual = Sample;
-    if (auto Factor = readWorkTime(*Server, Sample.WorkTimePercent_, Now))
+    auto Factor = readWorkTime(*Server, Sample.WorkTimePercent_, Now);
+    // A stream meets slow and usual moments in turn.
+    if (Factor && Sample.FirstToken_.count() == 0)
       Usual.Duration_ = std::chrono::duration_cast<std::chrono::microseconds>(
           Factor->removeFrom(Sample.Duration_));
     Server->recordServed(Usual, PoolSpeed_);
--- a/Source/Process/Scheduling/WorkTime.cpp
+++ b/Source/Process/Scheduling/WorkTime.cpp
@@ -89,9 +89,9 @@
 
 WorkTimeFactor WorkTime::expectedAt(TimePoint Now,
                                     const WorkTimePattern &Pattern) const {
-  double Mean = Pattern.mean().value();
   if (!Last_)
-    return WorkTimeFactor::of(Mean);
+    return {};
+  double Mean = Pattern.mean().value();
   double Age = std::max(0.0, secondsOf(Now - LastRead_));
   double Left = std::exp(-Age / secondsOf(Pattern.slowTime()));
   return WorkTimeFactor::of(Mean + (Last_->value() - Mean) * Left);
@@ -101,6 +101,8 @@
 /// time.
 WorkTimeFactor WorkTime::expectedOver(TimePoint Now, nanoseconds Time,
                                       const WorkTimePattern &Pattern) const {
+  if (!Last_)
+    return {};
   double Mean = Pattern.mean().value();
   double Difference = expectedAt(Now, Pattern).value() - Mean;
   double Lengths = secondsOf(Time) / secondsOf(Pattern.slowTime());
--- a/Source/Process/Scheduling/WorkTime.h
+++ b/Source/Process/Scheduling/WorkTime.h
@@ -74,7 +74,8 @@
 public:
   /// Records what the server said at \p Now; \p Pattern learns from it too.
   void read(WorkTimeFactor Read, TimePoint Now, WorkTimePattern &Pattern);
-  /// \returns the factor that is expected at \p Now.
+  /// \returns the factor that is expected at \p Now; the usual one if the
+  /// server never told any.
   WorkTimeFactor expectedAt(TimePoint Now,
                             const WorkTimePattern &Pattern) const;
   /// \returns the mean factor that is expected from \p Now on for \p Time.
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -97,6 +97,11 @@
     Entry["warming"] = Scheduling->warming(std::chrono::steady_clock::now());
     Entry["waiting"] = Scheduling->waiting();
     Entry["running"] = Scheduling->running();
+    const WorkTimePattern &WorkTimes = Scheduling->workTimes();
+    Entry["workTimes"] = {{"readings", WorkTimes.readings()},
+                          {"ignored", WorkTimes.ignoredFigures()},
+                          {"mean", WorkTimes.mean().value()},
+                          {"slowMs", millis(WorkTimes.slowTime())}};
     Entry["servers"] = Json::object();
     for (const auto &[Name, Server] : Scheduling->servers())
       Entry["servers"][Name.str()] = {
@@ -134,6 +139,11 @@
                     static_cast<double>(CallerServer_->activeExchanges()));
   Metrics_.setGauge("caller_connections",
                     static_cast<double>(CallerServer_->openConnections()));
+  std::uint64_t IgnoredWorkTimes = 0;
+  for (const CellId &Cell : Keeper_->cells())
+    IgnoredWorkTimes += Keeper_->scheduler(Cell)->workTimes().ignoredFigures();
+  Metrics_.setGauge("work_times_ignored",
+                    static_cast<double>(IgnoredWorkTimes));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
   Metrics_.setGauge("relayed_connections",
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -139,10 +139,10 @@
                                   "rollout_exposure_slack",
                                   "allotment_overrun"};
 
-constexpr std::array<std::string_view, 14> OptionalDecisions = {
+constexpr std::array<std::string_view, 15> OptionalDecisions = {
     "tiers",  "fairness", "feasibility", "preemption", "prefixes",
     "speeds", "limits",   "pauses",      "late-apart", "lengths",
-    "room",   "returns",  "ahead",       "quick"};
+    "room",   "returns",  "ahead",       "quick",      "work-time"};
 
 std::string environmentName(std::string_view Flag) {
   std::string Name = "SAMPHIRESHUNT_";
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -613,6 +613,9 @@
 mutate part-collected $S/Process/Keeping/CrashTracker.cpp \
   's/for \(std::uint64_t Part : Sample\.Parts_\) \{/for (std::uint64_t Part : {0ULL}) {/' \
   ${U}MembershipFleet '*a part that crashes servers is refused by all*'
+mutate work-time-placement $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/return Server\.workTime\(\)\.expectedOver\(Now, Usual, WorkTimes_\)\.applyTo\(Usual\);/return Usual;/' \
+  ${U}Process '*short calls avoid servers*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
--- a/UnitTests/Process/Scheduling/SchedulerPlacementTest.cpp
+++ b/UnitTests/Process/Scheduling/SchedulerPlacementTest.cpp
@@ -165,8 +165,8 @@
   void onEvent(const FakeEngine::Event &Event) {
     SentRequest &Sent = Sent_.at(Event.Id_);
     if (Event.Kind_ == FakeEngine::Event::Kind::FirstToken) {
-      Scheduler_.firstToken(Event.Id_,
-                            {duration_cast<microseconds>(Now_ - Event.Sent_)});
+      Scheduler_.firstToken(
+          Event.Id_, {duration_cast<microseconds>(Now_ - Event.Sent_)}, Now_);
       return;
     }
     Sent.Ended_ = Sent.Answered_ = true;
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace samphireshunt;
 using std::chrono::milliseconds;
 
@@ -122,6 +124,20 @@
   CHECK_FALSE(Dialect.ReadAnswer_(Head).WorkTimePercent_.has_value());
 }
 
+TEST_CASE("an absurd time that work takes doesn't pass for a usual one") {
+  // Guards against a figure that overflows into a plausible one.
+  constexpr std::uint32_t Max = std::numeric_limits<std::uint32_t>::max();
+  HttpResponse Head;
+  Head.Fields_["x-samphireshunt-server-load"] = "3,1,8,4294967546";
+  CHECK(Dialect.ReadAnswer_(Head).WorkTimePercent_ == Max);
+  for (const char *Bad : {"3,1,8,-250", "3,1,8,", "3,1,8,99999999999999999999",
+                          "3,1,8,250%", "3,1,8, 250"}) {
+    CAPTURE(Bad);
+    Head.Fields_["x-samphireshunt-server-load"] = Bad;
+    CHECK_FALSE(Dialect.ReadAnswer_(Head).WorkTimePercent_.has_value());
+  }
+}
+
 TEST_CASE("a request that goes on with a run names the run's memory") {
   HttpFields Fields = {{"kv-from", "10.0.0.1:1/forged"}};
   ForwardLabels Labels;
