--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -156,7 +156,7 @@
   CHECK(Request.Body_ == R"({"id":"9c41","last":true,"to":"10.0.0.3:80"})");
   auto Read = Dialect.Memory_.ReadMove_;
   auto Kept = Read({503, {}, R"({"session":"h7","created":4})"});
-  REQUIRE(Kept);
+  REQUIRE(Kept.has_value());
   CHECK(Kept->Result_ == MoveResult::NotCopied);
   CHECK(Kept->Handle_ == "h7");
   CHECK(Kept->Events_ == 4);
