--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -102,6 +102,11 @@
     const StreamSuspension &Suspension = Scheduling->suspension();
     Entry["suspended"] = Suspension.stopped();
     Entry["stopping"] = Suspension.orders();
+    const WorkTimePattern &WorkTimes = Scheduling->workTimes();
+    Entry["workTimes"] = {{"readings", WorkTimes.readings()},
+                          {"ignored", WorkTimes.ignoredFigures()},
+                          {"mean", WorkTimes.mean().value()},
+                          {"slowMs", millis(WorkTimes.slowTime())}};
     Entry["servers"] = Json::object();
     for (const auto &[Name, Server] : Scheduling->servers())
       Entry["servers"][Name.str()] = {
@@ -146,6 +151,11 @@
     Metrics_.setGauge(Owner == MemoryOwner::Answers ? "memory_answers_bytes"
                                                     : "memory_bodies_bytes",
                       static_cast<double>(Memory_.used(Owner)));
+  std::uint64_t IgnoredWorkTimes = 0;
+  for (const CellId &Cell : Keeper_->cells())
+    IgnoredWorkTimes += Keeper_->scheduler(Cell)->workTimes().ignoredFigures();
+  Metrics_.setGauge("work_times_ignored",
+                    static_cast<double>(IgnoredWorkTimes));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
   Metrics_.setGauge("relayed_connections",
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -625,6 +625,9 @@
 mutate run-continued $S/Request/ForwardedCall.cpp \
   's/Memory_ = MemoryLocation\{Backup\.Name_/MemoryLocation{Backup.Name_/' \
   ${U}RunBackup '*goes on at the server that has the backup*'
+mutate work-time-placement $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/return Server\.workTime\(\)\.expectedOver\(Now, Usual, WorkTimes_\)\.applyTo\(Usual\);/return Usual;/' \
+  ${U}Process '*short calls avoid servers*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
