--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -301,6 +301,7 @@
     bool Read = co_await readRequest();
     if (Read)
       co_await State_->Options_.Handler_(*this);
+    Request_ = HttpRequest();
     Body_.reset();
     CallerLeft_ = nullptr;
     AwaitingDisconnect_ = false;
@@ -332,7 +333,10 @@
     bool HasMemory = true;
     if (!Error && Parser.content_length())
       HasMemory = co_await awaitMemory(*Parser.content_length());
-    if (!Error && HasMemory)
+    // The limit may have run out while no read was in progress.
+    if (*State == ReadState::TimedOut && !Error)
+      Error = asio::error::operation_aborted;
+    if (!Error && HasMemory && !Parser.is_done())
       co_await http::async_read(
           Stream_, Buffer_, Parser,
           asio::redirect_error(asio::use_awaitable, Error));
--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <ranges>
 #include <utility>
 
 namespace samphireshunt {
@@ -13,6 +14,9 @@
 constexpr double TightFraction = 0.5;
 /// Above this one it is full: what is left is for bodies that are being read.
 constexpr double FullFraction = 0.9;
+/// A lower level is reported only at this much below its bound, so that use
+/// around a bound doesn't fill the log.
+constexpr double ReportMargin = 0.1;
 /// A reader with fewer bytes than this is not ended: the kernel's buffers of
 /// its connection hold as much.
 constexpr std::size_t MinEndedBytes = 65536;
@@ -51,19 +55,17 @@
   return Fraction >= TightFraction ? MemoryLevel::Tight : MemoryLevel::Free;
 }
 
-MemoryLevel MemoryBudget::level() const {
-  return Level_.load(std::memory_order_relaxed);
-}
-
 bool MemoryBudget::hasRoomFor(std::size_t Bytes) const {
-  return levelOf(used() + Bytes) == MemoryLevel::Free;
+  // A body beyond the whole budget may be taken in alone.
+  std::size_t Used = used();
+  return Used == 0 || levelOf(Used + Bytes) == MemoryLevel::Free;
 }
 
 void MemoryBudget::add(MemoryOwner Owner, std::size_t Bytes) {
   Used_[indexOf(Owner)].fetch_add(Bytes, std::memory_order_relaxed);
   if (Limit_ == 0 || Bytes == 0)
     return;
-  checkLevel();
+  reportLevel();
   if (level() == MemoryLevel::Full)
     endSlowest();
 }
@@ -71,28 +73,40 @@
 void MemoryBudget::remove(MemoryOwner Owner, std::size_t Bytes) {
   Used_[indexOf(Owner)].fetch_sub(Bytes, std::memory_order_relaxed);
   if (Limit_ > 0 && Bytes > 0)
-    checkLevel();
+    reportLevel();
 }
 
-void MemoryBudget::checkLevel() {
-  MemoryLevel Now = levelOf(used());
-  if (Level_.exchange(Now, std::memory_order_relaxed) != Now)
+void MemoryBudget::reportLevel() {
+  auto Margin =
+      static_cast<std::size_t>(static_cast<double>(Limit_) * ReportMargin);
+  MemoryLevel Before = Reported_.load(std::memory_order_relaxed);
+  std::size_t Used = used();
+  MemoryLevel Now = std::clamp(Before, levelOf(Used), levelOf(Used + Margin));
+  if (Now != Before && Reported_.compare_exchange_strong(Before, Now))
     LevelChanged_(Now);
 }
 
-/// Ends the reader for which most bytes wait. Its hook is taken, so that the
-/// next call ends another one: the bytes are given back only later.
+/// Ends the reader for which most bytes wait. It gives them back only later, so
+/// what ended readers still hold counts as free.
 void MemoryBudget::endSlowest() {
   EndReader End;
   {
     std::lock_guard Lock(Mutex_);
-    auto Slowest = std::ranges::max_element(Readers_, {}, [](const auto &Item) {
-      return Item.second.End_ ? Item.second.Pending_ : 0;
-    });
-    if (Slowest == Readers_.end() || !Slowest->second.End_ ||
-        Slowest->second.Pending_ < MinEndedBytes)
+    std::size_t Used = used();
+    std::size_t Most = 0;
+    KnownReader *Slowest = nullptr;
+    for (KnownReader &Known : Readers_ | std::views::values) {
+      std::size_t Pending = Known.Pending_.load(std::memory_order_relaxed);
+      if (!Known.End_) {
+        Used -= std::min(Used, Pending);
+      } else if (Pending > Most) {
+        Most = Pending;
+        Slowest = &Known;
+      }
+    }
+    if (Most < MinEndedBytes || levelOf(Used) != MemoryLevel::Full)
       return;
-    End = std::exchange(Slowest->second.End_, nullptr);
+    End = std::exchange(Slowest->End_, nullptr);
   }
   ++ReadersEnded_;
   End();
@@ -101,16 +115,14 @@
 std::unique_ptr<MemoryBudget::Reader> MemoryBudget::addReader(EndReader Hook) {
   std::lock_guard Lock(Mutex_);
   std::uint64_t Number = ++NextReader_;
-  Readers_[Number] = {std::move(Hook), 0};
-  return std::unique_ptr<Reader>(new Reader(*this, Number));
+  KnownReader &Known = Readers_[Number];
+  Known.End_ = std::move(Hook);
+  return std::unique_ptr<Reader>(new Reader(*this, Number, Known));
 }
 
 void MemoryBudget::Reader::setPending(std::size_t Bytes) {
-  {
-    std::lock_guard Lock(Budget_.Mutex_);
-    Budget_.Readers_[Number_].Pending_ = Bytes;
-  }
-  std::size_t Before = std::exchange(Pending_, Bytes);
+  std::size_t Before =
+      Known_.Pending_.exchange(Bytes, std::memory_order_relaxed);
   if (Bytes > Before)
     Budget_.add(MemoryOwner::Answers, Bytes - Before);
   else
@@ -118,7 +130,7 @@
 }
 
 MemoryBudget::Reader::~Reader() {
-  Budget_.remove(MemoryOwner::Answers, Pending_);
+  setPending(0);
   std::lock_guard Lock(Budget_.Mutex_);
   Budget_.Readers_.erase(Number_);
 }
--- a/Source/Connection/MemoryBudget.h
+++ b/Source/Connection/MemoryBudget.h
@@ -49,13 +49,20 @@
   std::size_t limit() const { return Limit_; }
   std::size_t used(MemoryOwner Owner) const;
   std::size_t used() const;
-  MemoryLevel level() const;
+  MemoryLevel level() const { return levelOf(used()); }
   /// \returns whether a body of \p Bytes may be taken in now.
   bool hasRoomFor(std::size_t Bytes) const;
 
   void add(MemoryOwner Owner, std::size_t Bytes);
   void remove(MemoryOwner Owner, std::size_t Bytes);
 
+private:
+  struct KnownReader {
+    EndReader End_; ///< Empty once it has been called.
+    std::atomic<std::size_t> Pending_ = 0;
+  };
+
+public:
   /// A caller that reads an answer; it is removed when this is destroyed.
   class Reader {
   public:
@@ -67,30 +74,26 @@
 
   private:
     friend class MemoryBudget;
-    Reader(MemoryBudget &Budget, std::uint64_t Number)
-        : Budget_(Budget), Number_(Number) {}
+    Reader(MemoryBudget &Budget, std::uint64_t Number, KnownReader &Known)
+        : Budget_(Budget), Number_(Number), Known_(Known) {}
 
     MemoryBudget &Budget_;
     std::uint64_t Number_;
-    std::size_t Pending_ = 0;
+    KnownReader &Known_;
   };
   std::unique_ptr<Reader> addReader(EndReader Hook);
   /// \returns the number of readers that were ended.
   std::uint64_t readersEnded() const { return ReadersEnded_; }
 
 private:
-  struct KnownReader {
-    EndReader End_;
-    std::size_t Pending_ = 0;
-  };
   MemoryLevel levelOf(std::size_t Bytes) const;
-  void checkLevel();
+  void reportLevel();
   void endSlowest();
 
   std::size_t Limit_;
   LevelChanged LevelChanged_ = [](MemoryLevel) {};
   std::array<std::atomic<std::size_t>, MemoryOwners.size()> Used_{};
-  std::atomic<MemoryLevel> Level_ = MemoryLevel::Free;
+  std::atomic<MemoryLevel> Reported_ = MemoryLevel::Free;
   std::atomic<std::uint64_t> ReadersEnded_ = 0;
   std::mutex Mutex_;
   std::uint64_t NextReader_ = 0;
--- a/Source/Request/AnswerWriter.cpp
+++ b/Source/Request/AnswerWriter.cpp
@@ -14,9 +14,35 @@
 
 /// What may wait for one caller while memory is tight: a long answer whole.
 constexpr std::size_t MaxPendingWhileTight = 262144;
+/// Events that wait are joined up to this size: a buffer for each small event
+/// would take more memory than the event.
+constexpr std::size_t JoinedBytes = 16384;
 
 } // namespace
 
+/// A write in progress. It ends also by an exception, since otherwise
+/// finished() would wait forever.
+class AnswerWriter::Write {
+public:
+  explicit Write(AnswerWriter &Writer) : Writer_(Writer) {
+    Writer_.Writing_ = true;
+  }
+  ~Write() {
+    if (!Complete_)
+      Writer_.Failed_ = true;
+    Writer_.Queue_.clear();
+    Writer_.Writing_ = false;
+    Writer_.setPending(0);
+  }
+  Write(const Write &) = delete;
+  Write &operator=(const Write &) = delete;
+  void complete() { Complete_ = true; }
+
+private:
+  AnswerWriter &Writer_;
+  bool Complete_ = false;
+};
+
 AnswerWriter::AnswerWriter(const boost::asio::any_io_executor &Executor,
                            HttpExchange &Exchange, MemoryBudget &Budget)
     : Exchange_(Exchange), Budget_(Budget),
@@ -41,7 +67,16 @@
       });
 }
 
+void AnswerWriter::setPending(std::size_t Bytes) {
+  Pending_ = Bytes;
+  Reader_->setPending(Bytes);
+  Changed_.cancel();
+}
+
 void AnswerWriter::endReader() {
+  // It may have read everything since, and the exchange may have ended.
+  if (!Writing_)
+    return;
   EndedForMemory_ = true;
   Exchange_.abort();
 }
@@ -49,9 +84,12 @@
 void AnswerWriter::push(std::string Events) {
   if (Events.empty() || Failed_)
     return;
-  Pending_ += Events.size();
-  Queue_.push_back(std::move(Events));
-  Reader_->setPending(Pending_);
+  std::size_t Size = Events.size();
+  if (!Queue_.empty() && Queue_.back().size() + Size <= JoinedBytes)
+    Queue_.back() += Events;
+  else
+    Queue_.push_back(std::move(Events));
+  setPending(Pending_ + Size);
   if (std::exchange(Writing_, true))
     return;
   auto Run = [Self = shared_from_this()]() { return Self->write(); };
@@ -59,21 +97,31 @@
 }
 
 Awaitable<void> AnswerWriter::write() {
+  Write Running(*this);
   while (!Queue_.empty() && !Failed_) {
     std::string Next = std::move(Queue_.front());
     Queue_.pop_front();
     std::size_t Size = Next.size();
     bool Written = co_await Exchange_.writeChunk(std::move(Next));
-    Pending_ -= Size;
-    if (!Written) {
-      Failed_ = true;
-      Queue_.clear();
-      Pending_ = 0;
-    }
-    Reader_->setPending(Pending_);
-    Changed_.cancel();
+    if (!Written)
+      co_return;
+    setPending(Pending_ - Size);
   }
-  Writing_ = false;
+  Running.complete();
+}
+
+Awaitable<bool> AnswerWriter::respond(HttpResponse Answer) {
+  auto Self = shared_from_this();
+  Write Running(*this);
+  setPending(Answer.Body_.size());
+  bool Written = co_await Exchange_.respond(std::move(Answer));
+  if (Written)
+    Running.complete();
+  co_return Written;
+}
+
+void AnswerWriter::giveUp() {
+  Failed_ = true;
   Changed_.cancel();
 }
 
@@ -86,12 +134,18 @@
 
 Awaitable<bool> AnswerWriter::waitForCaller() {
   auto Self = shared_from_this();
-  while (!Failed_ && Pending_ > MaxPendingWhileTight &&
-         Budget_.level() != MemoryLevel::Free)
+  while (!Failed_ && isFarBehind())
     co_await waitForChange();
   co_return !Failed_;
 }
 
+bool AnswerWriter::isFarBehind() const {
+  MemoryLevel Level = Budget_.level();
+  if (Level == MemoryLevel::Full)
+    return Pending_ > 0;
+  return Level == MemoryLevel::Tight && Pending_ > MaxPendingWhileTight;
+}
+
 Awaitable<bool> AnswerWriter::finished() {
   auto Self = shared_from_this();
   while (Writing_)
--- a/Source/Request/AnswerWriter.h
+++ b/Source/Request/AnswerWriter.h
@@ -26,6 +26,11 @@
 
   /// Writes events after all earlier ones, without waiting for that.
   void push(std::string Events);
+  /// Writes a whole answer, the only one of its request. \returns false if it
+  /// couldn't be written.
+  Awaitable<bool> respond(HttpResponse Answer);
+  /// Writes nothing more: the caller has left.
+  void giveUp();
   /// Waits while the caller is far behind and the daemon's memory is tight.
   /// \returns false once the caller can't be written to.
   Awaitable<bool> waitForCaller();
@@ -41,9 +46,13 @@
   AnswerWriter(const boost::asio::any_io_executor &Executor,
                HttpExchange &Exchange, MemoryBudget &Budget);
   void registerReader();
+  class Write;
+
   void endReader();
+  void setPending(std::size_t Bytes);
   Awaitable<void> write();
   Awaitable<void> waitForChange();
+  bool isFarBehind() const;
 
   HttpExchange &Exchange_;
   MemoryBudget &Budget_;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -78,9 +79,17 @@
     Writer_ =
         AnswerWriter::create(co_await boost::asio::this_coro::executor,
                              Context_.Exchange_, Context_.Services_.Memory_);
-    co_await forward();
+    std::exception_ptr Escaped;
+    try {
+      co_await forward();
+    } catch (...) {
+      Escaped = std::current_exception();
+      Context_.Exchange_.abort();
+    }
     // The writer uses the exchange, which ends with this call.
     co_await Writer_->finished();
+    if (Escaped)
+      std::rethrow_exception(Escaped);
   }
 
 private:
@@ -247,13 +256,17 @@
 
   void handleCallerLeft(bool MayInterrupt) {
     CallerLeft_ = true;
-    if (MayInterrupt && Ready_.Connection_)
-      Ready_.Connection_->close();
+    if (!MayInterrupt || !Ready_.Connection_)
+      return;
+    Ready_.Connection_->close();
+    Writer_->giveUp();
   }
 
   AttemptEnd failed(Failure Cause) {
     Ready_.Connection_->close();
     MayHaveRun_ = true;
+    if (Writer_->failed())
+      return writeFailed();
     if (CallerLeft_)
       return AttemptEnd::CallerLeft;
     Faulty_ = !Context_.expired();
@@ -319,12 +332,12 @@
   /// it, so that a caller that reads slowly holds no slot of the server.
   Awaitable<AttemptEnd> finishAnswer() {
     if (WholeAnswer_) {
-      MemoryUse Held(Context_.Services_.Memory_, MemoryOwner::Answers);
-      Held.set(WholeAnswer_->Body_.size());
       HttpResponse Answer = std::move(*WholeAnswer_);
       WholeAnswer_.reset();
-      co_await deliver(std::move(Answer));
-      co_return AttemptEnd::Answered;
+      HeadSent_ = true;
+      removeHopFields(Answer.Fields_);
+      co_await Writer_->respond(std::move(Answer));
+      co_return Writer_->readTooSlowly() ? writeFailed() : AttemptEnd::Answered;
     }
     bool Written = co_await Writer_->finished();
     if (Written)
@@ -398,8 +411,12 @@
 
   AttemptEnd writeFailed() {
     CallerLeft_ = true;
-    if (Writer_->readTooSlowly())
+    if (Writer_->readTooSlowly()) {
       LastFailure_ = {ResultCode::CallerReadsSlowly, "no memory for the rest"};
+      logEvent(
+          LogCategory::Request, spdlog::level::info, "caller-reads-slowly",
+          {{"request", Context_.Id_.str()}, {"call", Context_.Call_.CallId_}});
+    }
     if (Ready_.Connection_)
       Ready_.Connection_->close();
     return AttemptEnd::CallerLeft;
--- /dev/null
+++ b/UnitTests/Connection/MemoryBudgetTest.cpp
@@ -0,0 +1,97 @@
+#include "Connection/MemoryBudget.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace samphireshunt;
+
+namespace {
+
+constexpr std::size_t Limit = 1000000;
+
+} // namespace
+
+TEST_CASE("the levels of a memory budget") {
+  // Guards against a daemon that takes in bodies until it is out of memory.
+  MemoryBudget Budget(Limit);
+  MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+  CHECK(Budget.hasRoomFor(2 * Limit));
+  Body.set(499999);
+  CHECK(Budget.level() == MemoryLevel::Free);
+  CHECK_FALSE(Budget.hasRoomFor(1));
+  Body.set(500000);
+  CHECK(Budget.level() == MemoryLevel::Tight);
+  Body.set(900000);
+  CHECK(Budget.level() == MemoryLevel::Full);
+  CHECK(Budget.used(MemoryOwner::RequestBodies) == 900000);
+  CHECK(Budget.used(MemoryOwner::Answers) == 0);
+}
+
+TEST_CASE("memory is given back when its use ends") {
+  // Guards against a budget that fills up with requests that have ended.
+  MemoryBudget Budget(Limit);
+  {
+    MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+    Body.set(Limit);
+    auto Reader = Budget.addReader([] {});
+    Reader->setPending(Limit);
+  }
+  CHECK(Budget.used() == 0);
+  CHECK(Budget.level() == MemoryLevel::Free);
+}
+
+TEST_CASE("without a limit the level of a memory budget is always free") {
+  // Guards against callers that are ended where no limit is configured.
+  MemoryBudget Budget(0);
+  int Ended = 0;
+  auto Reader = Budget.addReader([&] { ++Ended; });
+  Reader->setPending(1000 * Limit);
+  CHECK(Budget.level() == MemoryLevel::Free);
+  CHECK(Budget.hasRoomFor(Limit));
+  CHECK(Ended == 0);
+}
+
+TEST_CASE("at a full memory budget only the slowest reader is ended") {
+  // Guards against all readers ended before the first one's bytes are free.
+  MemoryBudget Budget(Limit);
+  std::vector<int> Ended;
+  auto First = Budget.addReader([&] { Ended.push_back(1); });
+  auto Slowest = Budget.addReader([&] { Ended.push_back(2); });
+  First->setPending(300000);
+  Slowest->setPending(500000);
+  MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+  Body.set(100000);
+  First->setPending(310000);
+  CHECK(Ended == std::vector{2});
+  Slowest.reset();
+  Body.set(600000);
+  CHECK(Ended == std::vector{2, 1});
+  CHECK(Budget.readersEnded() == 2);
+}
+
+TEST_CASE("a reader with little to read is not ended") {
+  // Guards against quick callers ended for the bodies of others.
+  MemoryBudget Budget(Limit);
+  int Ended = 0;
+  auto Quick = Budget.addReader([&] { ++Ended; });
+  Quick->setPending(65535);
+  MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+  Body.set(Limit);
+  CHECK(Ended == 0);
+}
+
+TEST_CASE("use around a bound of a memory budget is reported once") {
+  // Guards against a log that is filled with changes of the level.
+  MemoryBudget Budget(Limit);
+  std::vector<MemoryLevel> Reported;
+  Budget.onLevelChanged([&](MemoryLevel Now) { Reported.push_back(Now); });
+  MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+  for (int Time = 0; Time < 10; ++Time) {
+    Body.set(510000);
+    Body.set(490000);
+  }
+  CHECK(Reported == std::vector{MemoryLevel::Tight});
+  Body.set(0);
+  CHECK(Reported == std::vector{MemoryLevel::Tight, MemoryLevel::Free});
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -268,6 +268,11 @@
   Listening.Handler_ = [this](HttpExchange &Exchange) {
     return Callers_->handle(Exchange);
   };
+  Listening.Memory_ = &Memory_;
+  Listening.Refusal_ = [](Failure Cause) {
+    Verdict Ended(Cause.Code_, Cause.Detail_);
+    return finalResponse(RequestId(), Ended);
+  };
   Front_ = std::move(
       *HttpServer::create(Context_, {&Context_}, std::move(Listening)));
 }
@@ -466,6 +471,9 @@
   co_await asio::async_write(*Socket, Buffer,
                              asio::redirect_error(asio::use_awaitable, Error));
   bool Open = !Error;
+  if (Reply->Pause_)
+    co_await Reply->Pause_->async_wait(
+        asio::redirect_error(asio::use_awaitable, Error));
   while (Open && !isComplete(Reply->Bytes_))
     Open = co_await readMore(*Socket, Reply->Bytes_);
   Reply->Ended_ = true;
@@ -484,6 +492,15 @@
   return Reply;
 }
 
+std::shared_ptr<CallerReply>
+ForwardingHarness::beginUnread(const std::string &CallId,
+                               const std::string &Body) {
+  auto Reply = begin(CallId, Body);
+  Reply->Pause_ = std::make_shared<asio::steady_timer>(
+      Context_, steady_clock::time_point::max());
+  return Reply;
+}
+
 CallerReply ForwardingHarness::call(const std::string &CallId,
                                     const std::string &Body,
                                     const std::string &MoreFields) {
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -9,6 +9,7 @@
 #include "Request/CallerService.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -98,6 +99,8 @@
   std::string Bytes_;
   bool Ended_ = false; ///< The connection ended or the answer is complete.
   std::weak_ptr<boost::asio::ip::tcp::socket> Connection_;
+  /// If set, the caller reads nothing until this is cancelled.
+  std::shared_ptr<boost::asio::steady_timer> Pause_;
 
   int status() const;
   std::string body() const;
@@ -184,6 +187,9 @@
   std::shared_ptr<CallerReply> begin(const std::string &CallId,
                                      const std::string &Body = "x",
                                      const std::string &MoreFields = "");
+  /// Starts a call whose caller reads nothing until its pause is cancelled.
+  std::shared_ptr<CallerReply> beginUnread(const std::string &CallId,
+                                           const std::string &Body);
   /// Closes the caller's connection.
   static void disconnect(const CallerReply &Call);
   /// Runs until \p Done returns true or a time limit expires. \returns the
@@ -210,6 +216,7 @@
   ServerConnector &connector() { return Connector_; }
   const CrashTracker &crashes() const { return Crashes_; }
   FreshnessLease &lease() { return Lease_; }
+  MemoryBudget &memory() { return Memory_; }
   /// \returns the number of requests that wait for a grant.
   std::size_t waiting() const { return Grants_->waiting(); }
 
@@ -222,13 +229,14 @@
                                  std::shared_ptr<CallerReply> Reply);
 
   Options Options_;
+  /// Outlives the context, whose coroutines give their memory back.
+  MemoryBudget Memory_{Options_.MemoryBytes_};
   boost::asio::io_context Context_{1};
   FreshnessLease Lease_;
   DocumentStore Documents_;
   std::vector<std::unique_ptr<ScriptedServer>> Servers_;
   PlatformHooks NoPlatform_;
   ClaimStore Claims_{NoPlatform_, ClaimStore::Options()};
-  MemoryBudget Memory_{Options_.MemoryBytes_};
   RetryBudget RetryBudget_{RetryBudget::Options()};
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
