--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -159,10 +159,12 @@
             RetryBudget_,
             [](const ForwardingRule &) { return true; },
             [] { return std::size_t{1}; },
-            Origins_};
+            Origins_,
+            Memory_};
   }
 
   std::vector<std::string> Events_;
+  MemoryBudget Memory_{0};
   boost::asio::io_context Context_{1};
   ScriptedServer Engine_;
   FreshnessLease Lease_{std::chrono::milliseconds(0)};
