--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Connection/Http.h"
 
+#include "Common/Log.h"
 #include "Connection/MemoryBudget.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
@@ -301,6 +302,7 @@
     bool Read = co_await readRequest();
     if (Read)
       co_await State_->Options_.Handler_(*this);
+    Request_ = HttpRequest();
     Body_.reset();
     CallerLeft_ = nullptr;
     AwaitingDisconnect_ = false;
@@ -332,7 +334,10 @@
     bool HasMemory = true;
     if (!Error && Parser.content_length())
       HasMemory = co_await awaitMemory(*Parser.content_length());
-    if (!Error && HasMemory)
+    // The limit may have run out while no read was in progress.
+    if (*State == ReadState::TimedOut && !Error)
+      Error = asio::error::operation_aborted;
+    if (!Error && HasMemory && !Parser.is_done())
       co_await http::async_read(
           Stream_, Buffer_, Parser,
           asio::redirect_error(asio::use_awaitable, Error));
@@ -382,8 +387,12 @@
     asio::steady_timer Timer(Stream_.get_executor());
     for (auto Waited = BodyWaitStep * 0; !Memory->hasRoomFor(Bytes);
          Waited += BodyWaitStep) {
-      if (Waited >= MaxBodyWait)
+      if (Waited >= MaxBodyWait) {
+        logEvent(LogCategory::Request, spdlog::level::info, "body-refused",
+                 {{"bytes", std::to_string(Bytes)},
+                  {"used", std::to_string(Memory->used())}});
         co_return false;
+      }
       Timer.expires_after(BodyWaitStep);
       co_await Timer.async_wait(asio::use_awaitable);
     }
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -179,6 +179,7 @@
     /// Back up runs that can't be repeated while engines crash, where engines
     /// make backups.
     bool BackUpRuns_ = true;
+    BackupChoice::Options Backups_{};
     /// Suspend streams of lower tiers for requests that would miss their
     /// objective, where engines move the memory of runs.
     bool SuspendStreams_ = true;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -628,6 +628,12 @@
 mutate work-time-placement $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/return Server\.workTime\(\)\.expectedOver\(Now, Usual, WorkTimes_\)\.applyTo\(Usual\);/return Usual;/' \
   ${U}Process '*short calls avoid servers*'
+mutate slow-caller-slot $S/Request/AnswerWriter.cpp \
+  's/while \(!Failed_ && isFarBehind\(\)\)/while (!Failed_ \&\& Pending_ > 0)/' \
+  ${U}SlowCaller '*read its stream holds no slot*'
+mutate slow-caller-memory $S/Request/AnswerWriter.cpp \
+  's/while \(!Failed_ && isFarBehind\(\)\)/while (false)/' \
+  ${U}SlowCaller '*server waits for its slow caller*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
