--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <ranges>
 #include <utility>
 
 namespace samphireshunt {
@@ -95,7 +94,7 @@
     std::size_t Used = used();
     std::size_t Most = 0;
     KnownReader *Slowest = nullptr;
-    for (KnownReader &Known : Readers_ | std::views::values) {
+    for (auto &[Number, Known] : Readers_) {
       std::size_t Pending = Known.Pending_.load(std::memory_order_relaxed);
       if (!Known.End_) {
         Used -= std::min(Used, Pending);
