Without a memory bound a server waits for its slow caller, as before the budget

With no bound set, events gathered without limit: a daemon of 88 MB could be killed for it. The two tests of callers that hold no slot set a bound; what they expect is unchanged.

--- a/Source/Request/AnswerWriter.cpp
+++ b/Source/Request/AnswerWriter.cpp
@@ -141,7 +141,8 @@
 
 bool AnswerWriter::isFarBehind() const {
   MemoryLevel Level = Budget_.level();
-  if (Level == MemoryLevel::Full)
+  // Without a bound nothing may gather here.
+  if (Budget_.limit() == 0 || Level == MemoryLevel::Full)
     return Pending_ > 0;
   return Level == MemoryLevel::Tight && Pending_ > MaxPendingWhileTight;
 }
--- a/UnitTests/Request/SlowCallerTest.cpp
+++ b/UnitTests/Request/SlowCallerTest.cpp
@@ -53,7 +53,8 @@
 
 TEST_CASE("a caller that doesn't read its stream holds no slot") {
   // Guards against slots held by callers that don't read.
-  ForwardingHarness Path(oneSlot(RequestKind::Stream, 0), {streamed});
+  ForwardingHarness Path(oneSlot(RequestKind::Stream, 64 * LongAnswerBytes),
+                         {streamed});
   auto Slow = Path.beginUnread("slow", "long");
   REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
   // Calls are refused while the server still sends the long answer.
@@ -72,7 +73,8 @@
 
 TEST_CASE("a caller that doesn't read its plain answer holds no slot") {
   // Guards against slots held by callers that don't read.
-  ForwardingHarness Path(oneSlot(RequestKind::Idempotent, 0), {plain});
+  ForwardingHarness Path(oneSlot(RequestKind::Idempotent, 64 * LongAnswerBytes),
+                         {plain});
   auto Slow = Path.beginUnread("slow", "long");
   REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
   CHECK(Path.call("quick").body() == "b");
