No writer queue without a memory bound; requests that go on are found without a scan

Each forwarded request registered a reader under a mutex and each event began a coroutine, also where no bound of memory is set; now its caller is written to as before. The keeper looked through all waiting requests of each tier at each decision for those that go on with a run, which it already keeps. Whether a run's tokens tell how much of the allowed answer a customer uses follows from its being continued, not from a count of 0. Ruled out: a switch for the writer, which would be a second code path for the same thing.

--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -379,8 +379,9 @@
     recordOutcome(*Server, Sample, Now);
   }
   Ends_.add(Now);
-  bool Counted = Sample.Complete_ && Sample.Generated_.count() > 0;
-  if (Counted && Ended.Answer_.count() > 0) {
+  // Of a run that went on, only the rest was generated here.
+  bool Whole = Sample.Complete_ && !Ended.Continues_;
+  if (Whole && Ended.Answer_.count() > 0) {
     double Share = static_cast<double>(Sample.Generated_.count()) /
                    static_cast<double>(Ended.Answer_.count());
     auto [Known, New] = AnswerShare_.try_emplace(Ended.Customer_, Share);
@@ -632,6 +633,7 @@
                            Now,
                            Details.Deadline_,
                            expectedAnswer(Details),
+                           !Details.OnlyServer_.empty(),
                            !Details.OnlyServer_.empty()};
   Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_,
                               Server.rate().named().has_value() ||
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -92,6 +92,8 @@
   TimePoint Deadline_{};
   /// The expected number of generated tokens; 0 while unknown.
   Tokens ExpectedAnswer_{};
+  /// It goes on with a run that began under an earlier grant.
+  bool Continues_ = false;
   /// Its caller has got an event.
   bool Streaming_ = false;
 };
--- a/Source/Process/Scheduling/SchedulerBackups.cpp
+++ b/Source/Process/Scheduling/SchedulerBackups.cpp
@@ -45,13 +45,12 @@
 /// that they go on with takes up room there.
 void Scheduler::grantContinuing(TierQueue &Tier, TimePoint Now,
                                 std::vector<Decision> &Out) {
-  if (!BacksUpRuns_ && !MovesRuns_)
-    return;
   std::vector<std::pair<std::uint64_t, RequestId>> Continuing;
-  for (const auto &[Id, Request] : Waiting_)
-    if (!Request.Details_.OnlyServer_.empty() &&
-        &Tiers_[queueIndex(Request.Details_.Tier_)] == &Tier)
+  for (const auto &[Id, Server] : Suspension_.waiting()) {
+    const WaitingRequest &Request = Waiting_.at(Id);
+    if (&Tiers_[queueIndex(Request.Details_.Tier_)] == &Tier)
       Continuing.emplace_back(Request.Arrival_, Id);
+  }
   std::ranges::sort(Continuing);
   for (const auto &[Arrival, Id] : Continuing) {
     const GrantRequest &Details = Waiting_.at(Id).Details_;
--- a/Source/Request/AnswerWriter.cpp
+++ b/Source/Request/AnswerWriter.cpp
@@ -53,7 +53,8 @@
                      HttpExchange &Exchange, MemoryBudget &Budget) {
   std::shared_ptr<AnswerWriter> Created(
       new AnswerWriter(Executor, Exchange, Budget));
-  Created->registerReader();
+  if (Budget.limit() > 0)
+    Created->registerReader();
   return Created;
 }
 
@@ -69,7 +70,8 @@
 
 void AnswerWriter::setPending(std::size_t Bytes) {
   Pending_ = Bytes;
-  Reader_->setPending(Bytes);
+  if (Reader_)
+    Reader_->setPending(Bytes);
   Changed_.cancel();
 }
 
@@ -82,8 +84,6 @@
 }
 
 void AnswerWriter::push(std::string Events) {
-  if (Events.empty() || Failed_)
-    return;
   std::size_t Size = Events.size();
   if (!Queue_.empty() && Queue_.back().size() + Size <= JoinedBytes)
     Queue_.back() += Events;
@@ -92,11 +92,28 @@
   setPending(Pending_ + Size);
   if (std::exchange(Writing_, true))
     return;
-  auto Run = [Self = shared_from_this()]() { return Self->write(); };
+  auto Run = [Self = shared_from_this()]() { return Self->writeQueue(); };
   spawnLogged(Changed_.get_executor(), "write-answer", std::move(Run));
 }
 
-Awaitable<void> AnswerWriter::write() {
+Awaitable<bool> AnswerWriter::write(std::string Events) {
+  if (Events.empty() || Failed_)
+    co_return !Failed_;
+  auto Self = shared_from_this();
+  if (!Reader_) {
+    Write Running(*this);
+    bool Written = co_await Exchange_.writeChunk(std::move(Events));
+    if (Written)
+      Running.complete();
+    co_return Written;
+  }
+  push(std::move(Events));
+  while (!Failed_ && isFarBehind())
+    co_await waitForChange();
+  co_return !Failed_;
+}
+
+Awaitable<void> AnswerWriter::writeQueue() {
   Write Running(*this);
   while (!Queue_.empty() && !Failed_) {
     std::string Next = std::move(Queue_.front());
@@ -132,17 +149,9 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
 }
 
-Awaitable<bool> AnswerWriter::waitForCaller() {
-  auto Self = shared_from_this();
-  while (!Failed_ && isFarBehind())
-    co_await waitForChange();
-  co_return !Failed_;
-}
-
 bool AnswerWriter::isFarBehind() const {
   MemoryLevel Level = Budget_.level();
-  // Without a bound nothing may gather here.
-  if (Budget_.limit() == 0 || Level == MemoryLevel::Full)
+  if (Level == MemoryLevel::Full)
     return Pending_ > 0;
   return Level == MemoryLevel::Tight && Pending_ > MaxPendingWhileTight;
 }
--- a/Source/Request/AnswerWriter.h
+++ b/Source/Request/AnswerWriter.h
@@ -24,16 +24,15 @@
   create(const boost::asio::any_io_executor &Executor, HttpExchange &Exchange,
          MemoryBudget &Budget);
 
-  /// Writes events after all earlier ones, without waiting for that.
-  void push(std::string Events);
+  /// Writes events after all earlier ones. Waits while the caller is too far
+  /// behind for the daemon's memory; without a bound of that, until they are
+  /// written. \returns false once the caller can't be written to.
+  Awaitable<bool> write(std::string Events);
   /// Writes a whole answer, the only one of its request. \returns false if it
   /// couldn't be written.
   Awaitable<bool> respond(HttpResponse Answer);
   /// Writes nothing more: the caller has left.
   void giveUp();
-  /// Waits while the caller is far behind and the daemon's memory is tight.
-  /// \returns false once the caller can't be written to.
-  Awaitable<bool> waitForCaller();
   /// Waits until everything is written, or can't be. \returns false if the
   /// caller can't be written to.
   Awaitable<bool> finished();
@@ -50,13 +49,15 @@
 
   void endReader();
   void setPending(std::size_t Bytes);
-  Awaitable<void> write();
+  void push(std::string Events);
+  Awaitable<void> writeQueue();
   Awaitable<void> waitForChange();
   bool isFarBehind() const;
 
   HttpExchange &Exchange_;
   MemoryBudget &Budget_;
   boost::asio::steady_timer Changed_;
+  /// Null without a bound of memory.
   std::unique_ptr<MemoryBudget::Reader> Reader_;
   std::deque<std::string> Queue_;
   std::size_t Pending_ = 0;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -547,8 +547,7 @@
         co_return false;
       HeadSent_ = true;
     }
-    Writer_->push(std::move(Events));
-    co_return co_await Writer_->waitForCaller();
+    co_return co_await Writer_->write(std::move(Events));
   }
 
   AttemptEnd writeFailed() {
