Less work while parts are off; one way to read a work time; an engine counts once

Review: each end of a request copied its sample only for work times, bodies were counted without a bound, the engine of a run was counted among those that may take its backup. Two dialects saturated a figure, one of them not. A comment argued instead of saying what is returned.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds MaxRoundPause{50};
 /// Maximum number of refusals logged each second for one result code.
 constexpr std::uint32_t MaxRefusalLogsPerSecond = 20;
+/// Maximum number of work times logged each second that were ignored.
+constexpr std::uint32_t MaxWorkTimeLogsPerSecond = 1;
 /// The minimum retry delay sent to callers of a customer that exceeds its
 /// allotment, because it usually exceeds it for a while.
 constexpr milliseconds MinAllotmentRetryAfter{300};
@@ -40,7 +42,8 @@
                              Hooks Callbacks)
     : Documents_(Documents), Options_(Settings), Hooks_(std::move(Callbacks)),
       Allotments_(Settings.Allotments_, steady_clock::now()),
-      RefusalSampler_(MaxRefusalLogsPerSecond), WorkTimeSampler_(1),
+      RefusalSampler_(MaxRefusalLogsPerSecond),
+      WorkTimeSampler_(MaxWorkTimeLogsPerSecond),
       Notifications_(Control,
                      [this](const Notification &Event) { deliver(Event); }),
       Timer_(Control) {
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -369,13 +369,7 @@
       recordCrash(*Server, Now);
     if (Sample.Rejected_)
       Server->rejections().rejected(Now);
-    ServedSample Usual = Sample;
-    auto Factor = readWorkTime(*Server, Sample.WorkTimePercent_, Now);
-    // A stream meets slow and usual moments in turn.
-    if (Factor && Sample.FirstToken_.count() == 0)
-      Usual.Duration_ = std::chrono::duration_cast<std::chrono::microseconds>(
-          Factor->removeFrom(Sample.Duration_));
-    Server->recordServed(Usual, PoolSpeed_);
+    recordSpeed(*Server, Sample, Now);
     recordOutcome(*Server, Sample, Now);
   }
   Ends_.add(Now);
@@ -400,6 +394,19 @@
   EndsPerSecond_ += Smoothing * (Rate - EndsPerSecond_);
 }
 
+/// Learns the speed of a server from a request that has ended, as it is at the
+/// usual work time. A stream meets slow and usual moments in turn.
+void Scheduler::recordSpeed(ServerModel &Server, const ServedSample &Sample,
+                            TimePoint Now) {
+  auto Factor = readWorkTime(Server, Sample.WorkTimePercent_, Now);
+  if (!Factor || Sample.FirstToken_.count() > 0)
+    return Server.recordServed(Sample, PoolSpeed_);
+  ServedSample Usual = Sample;
+  Usual.Duration_ = std::chrono::duration_cast<std::chrono::microseconds>(
+      Factor->removeFrom(Sample.Duration_));
+  Server.recordServed(Usual, PoolSpeed_);
+}
+
 /// Records what an answer told of the work time. \returns the factor, or
 /// nothing if it told none that can be used.
 std::optional<WorkTimeFactor> Scheduler::readWorkTime(ServerModel &Server,
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -483,6 +483,8 @@
   bool hasNoRoomAnywhere(const GrantRequest &Request);
   ServerModel *chooseForObjective(const GrantRequest &Request, TimePoint Now);
   std::chrono::nanoseconds minTimeBetweenTokens() const;
+  void recordSpeed(ServerModel &Server, const ServedSample &Sample,
+                   TimePoint Now);
   std::optional<WorkTimeFactor>
   readWorkTime(ServerModel &Server, std::uint32_t Percent, TimePoint Now);
   std::chrono::nanoseconds expectedFirstEvent(const GrantRequest &Request,
--- a/Source/Process/Scheduling/SchedulerBackups.cpp
+++ b/Source/Process/Scheduling/SchedulerBackups.cpp
@@ -35,7 +35,7 @@
                  Whole.count() * BackupCost_.BytesPerToken_};
   std::vector<BackupTarget> Targets;
   for (const auto &[Name, Other] : Servers_)
-    if (Other.usable() && mayRunOn(Request, Other))
+    if (&Other != &Server && Other.usable() && mayRunOn(Request, Other))
       Targets.push_back({neighborhoodOf(Other), Other.inFlight()});
   return Backups_.choose(Run, Targets, BackupCost_.LinkMbps_, Now);
 }
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -278,9 +278,7 @@
 }
 
 /// \returns the expected time until the first event, or until the answer of a
-/// server that produces no tokens, with the work time at the server. Half of
-/// the answers that take as long as the objective allows would be late, so
-/// calls of some ten milliseconds avoid servers in a slow moment.
+/// server that produces no tokens, with the work time at the server.
 nanoseconds Scheduler::expectedFirstEvent(const GrantRequest &Request,
                                           const ServerModel &Server,
                                           TimePoint Now) const {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -652,7 +652,8 @@
   Options.MaxConnections_ = Settings_.MaxConnections_;
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
-  Options.Memory_ = &Memory_;
+  if (Memory_.limit() > 0)
+    Options.Memory_ = &Memory_;
   Options.Handler_ = [ByContext](HttpExchange &Exchange) -> Awaitable<void> {
     auto Executor = co_await asio::this_coro::executor;
     auto &Context = asio::query(Executor, asio::execution::context);
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -2,7 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace samphireshunt {
 
@@ -56,7 +58,7 @@
   Labels.HasProof_ = Head.Fields_.contains("x-answer-proof");
   auto Percent = parseCount(fieldOrEmpty(Head.Fields_, "x-work-time-percent"));
   if (Percent)
-    Labels.WorkTimePercent_ = static_cast<std::uint32_t>(*Percent);
+    Labels.WorkTimePercent_ = saturated(*Percent);
   return Labels;
 }
 
@@ -135,6 +137,11 @@
   return Present ? std::optional(Found->second) : std::nullopt;
 }
 
+std::uint32_t saturated(std::int64_t Number) {
+  constexpr std::int64_t Max = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(Number, Max));
+}
+
 std::optional<std::int64_t> parseCount(std::string_view Text) {
   std::int64_t Count = 0;
   const char *End = Text.data() + Text.size();
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -126,6 +126,9 @@
 Result<MoveAnswer> readMoveAnswer(const HttpResponse &Answer,
                                   const std::string &HandleField,
                                   const std::string &EventsField);
+/// \returns the number; the largest one if it is too large, so that it is still
+/// recognized as absurd.
+std::uint32_t saturated(std::int64_t Number);
 /// \returns nothing unless \p Text is a non-negative integer.
 std::optional<std::int64_t> parseCount(std::string_view Text);
 
