The replay of work times compiles in the linter as well

The part of ended calls is walked by iterators instead; the test checks the same. Ruled out: a fault of the test itself, it passed.

--- a/UnitTests/Process/Scheduling/WorkTimeReplayTest.cpp
+++ b/UnitTests/Process/Scheduling/WorkTimeReplayTest.cpp
@@ -100,11 +100,12 @@
       Server.Factors_.pop_back();
     for (FakeServer::Call &Call : Server.Calls_)
       Call.LeftMs_ -= 1 / Server.factor();
-    auto Ended = std::ranges::partition(
-        Server.Calls_, [](const auto &Call) { return Call.LeftMs_ > 0; });
-    for (const FakeServer::Call &Call : Ended)
-      end(Call, Server);
-    Server.Calls_.erase(Ended.begin(), Ended.end());
+    auto Ended = std::ranges::partition(Server.Calls_, [](const auto &Call) {
+                   return Call.LeftMs_ > 0;
+                 }).begin();
+    std::for_each(Ended, Server.Calls_.end(),
+                  [&](const FakeServer::Call &Call) { end(Call, Server); });
+    Server.Calls_.erase(Ended, Server.Calls_.end());
     if (Known_ == Figure::Oracle)
       Scheduler_.server(Name)->workTime().read(
           WorkTimeFactor::of(Server.factor()), Now_, OraclePattern_);
