Checks of dead servers for other daemons hide no crash

Cause: a daemon that is asked to relay to a server that has ended checks it, and these checks counted like connections that were lost together. Three of them in progress made the check of a real crash say that many servers were lost at once, so the request that crashed it was not blamed.

Shown by ServerConnectorTest: with the old line the check says Silent, with the new one Refused.

--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -216,7 +216,7 @@
     return;
   auto Check = [this, Target]() -> Awaitable<void> {
     ServerTarget Checked = Target;
-    co_await check(std::move(Checked));
+    co_await checkNow(std::move(Checked));
   };
   spawnLogged(Context_, "check-server", std::move(Check));
 }
--- /dev/null
+++ b/UnitTests/Process/Relay/ServerConnectorTest.cpp
@@ -0,0 +1,61 @@
+#include "Process/Relay/ServerConnector.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+using namespace samphireshunt;
+namespace asio = boost::asio;
+
+namespace {
+
+ServerTarget targetAt(std::uint16_t Port) {
+  return {{}, {asio::ip::make_address("127.0.0.1"), Port}};
+}
+
+} // namespace
+
+TEST_CASE("checks for other daemons hide no crash") {
+  // Guards against a crash that counts as one of many losses because other
+  // daemons ask for servers that ended earlier.
+  asio::io_context Context{1};
+  asio::steady_timer Never(Context,
+                           std::chrono::steady_clock::time_point::max());
+  std::map<Endpoint, int> Tries;
+  ServerConnector::Options Options;
+  Options.Connect_ =
+      [&](Endpoint Server,
+          std::chrono::milliseconds) -> Awaitable<ConnectResult> {
+    boost::system::error_code Ignored;
+    if (++Tries[Server] > 1)
+      co_await Never.async_wait(
+          asio::redirect_error(asio::use_awaitable, Ignored));
+    ConnectResult Tried;
+    Tried.State_ = PortState::Refused;
+    co_return Tried;
+  };
+  ServerConnector Connector(Context, Options, {});
+  for (std::uint16_t Port = 1; Port <= 4; ++Port)
+    asio::co_spawn(Context, Connector.openForRelay(targetAt(Port)),
+                   asio::detached);
+  Context.poll();
+  REQUIRE(std::ranges::all_of(
+      Tries, [](const auto &Item) { return Item.second == 2; }));
+  std::optional<ServerCheck> Found;
+  asio::co_spawn(
+      Context,
+      [&]() -> Awaitable<void> {
+        Found = co_await Connector.check(targetAt(5));
+      },
+      asio::detached);
+  Context.restart();
+  Context.poll();
+  CHECK(Found == ServerCheck::Refused);
+}
