--- a/FailureTests/ChildProcess.h
+++ b/FailureTests/ChildProcess.h
@@ -46,6 +46,7 @@
   /// \returns the exit status, or -1 if a signal ended the process.
   [[nodiscard]] int wait();
   bool running() const { return Pid_ > 0; }
+  pid_t pid() const { return Pid_; }
 
 private:
   /// Marks the process as ended. \returns a description of the wait \p Status.
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -334,13 +334,18 @@
     bool HasMemory = true;
     if (!Error && Parser.content_length())
       HasMemory = co_await awaitMemory(*Parser.content_length());
-    // The limit may have run out while no read was in progress.
-    if (*State == ReadState::TimedOut && !Error)
-      Error = asio::error::operation_aborted;
-    if (!Error && HasMemory && !Parser.is_done())
-      co_await http::async_read(
+    while (!Error && HasMemory && !Parser.is_done()) {
+      // The limit may have run out while no read was in progress.
+      if (*State == ReadState::TimedOut) {
+        Error = asio::error::operation_aborted;
+        break;
+      }
+      co_await http::async_read_some(
           Stream_, Buffer_, Parser,
           asio::redirect_error(asio::use_awaitable, Error));
+      if (!Parser.content_length())
+        HasMemory = co_await awaitMemory(Parser.get().body().size());
+    }
     bool TimedOut = *State == ReadState::TimedOut;
     *State = ReadState::Finished;
     Limit.cancel();
@@ -385,9 +390,10 @@
     if (!Memory || Memory->limit() == 0 || Bytes <= LargeBodyBytes)
       co_return true;
     asio::steady_timer Timer(Stream_.get_executor());
-    for (auto Waited = BodyWaitStep * 0; !Memory->hasRoomFor(Bytes);
-         Waited += BodyWaitStep) {
+    for (auto Waited = BodyWaitStep * 0;
+         !Memory->hasRoomFor(Bytes, Body_->bytes()); Waited += BodyWaitStep) {
       if (Waited >= MaxBodyWait) {
+        Memory->bodyRefused();
         logEvent(LogCategory::Request, spdlog::level::info, "body-refused",
                  {{"bytes", std::to_string(Bytes)},
                   {"used", std::to_string(Memory->used())}});
@@ -396,9 +402,8 @@
       Timer.expires_after(BodyWaitStep);
       co_await Timer.async_wait(asio::use_awaitable);
     }
-    // Counted before it is read, so that others see it.
-    if (Body_)
-      Body_->set(Bytes);
+    // A body with a length counts before it is read, so that others see it.
+    Body_->set(Bytes);
     co_return true;
   }
 
--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -54,10 +54,10 @@
   return Fraction >= TightFraction ? MemoryLevel::Tight : MemoryLevel::Free;
 }
 
-bool MemoryBudget::hasRoomFor(std::size_t Bytes) const {
+bool MemoryBudget::hasRoomFor(std::size_t Bytes, std::size_t Counted) const {
+  std::size_t Others = used() - std::min(used(), Counted);
   // A body beyond the whole budget may be taken in alone.
-  std::size_t Used = used();
-  return Used == 0 || levelOf(Used + Bytes) == MemoryLevel::Free;
+  return Others == 0 || levelOf(Others + Bytes) == MemoryLevel::Free;
 }
 
 void MemoryBudget::add(MemoryOwner Owner, std::size_t Bytes) {
@@ -111,6 +111,18 @@
   End();
 }
 
+bool MemoryBudget::takeTurn(const AnswerTurn &Answer) {
+  if (level() != MemoryLevel::Full)
+    return true;
+  const AnswerTurn *Current = nullptr;
+  return Turn_.compare_exchange_strong(Current, &Answer) || Current == &Answer;
+}
+
+void MemoryBudget::endTurn(const AnswerTurn &Answer) {
+  const AnswerTurn *Current = &Answer;
+  Turn_.compare_exchange_strong(Current, nullptr);
+}
+
 std::unique_ptr<MemoryBudget::Reader> MemoryBudget::addReader(EndReader Hook) {
   std::lock_guard Lock(Mutex_);
   std::uint64_t Number = ++NextReader_;
--- a/Source/Connection/MemoryBudget.h
+++ b/Source/Connection/MemoryBudget.h
@@ -4,7 +4,7 @@
 /// requests, and answers that their callers have not read yet. Thread-safe.
 ///
 /// Load pattern: hundreds of callers that read at a trickle or not at all, with
-/// the longest answers, at a VM of 88 MB.
+/// the longest answers, at a VM with little memory.
 
 #include <array>
 #include <atomic>
@@ -34,6 +34,8 @@
 std::string_view memoryOwnerName(MemoryOwner Owner);
 std::string_view memoryLevelName(MemoryLevel Level);
 
+class AnswerTurn;
+
 class MemoryBudget {
 public:
   /// Called when the level changes. May be called on any thread.
@@ -50,8 +52,12 @@
   std::size_t used(MemoryOwner Owner) const;
   std::size_t used() const;
   MemoryLevel level() const { return levelOf(used()); }
-  /// \returns whether a body of \p Bytes may be taken in now.
-  bool hasRoomFor(std::size_t Bytes) const;
+  /// \returns whether a body of \p Bytes may be taken in now, of which \p
+  /// Counted are in use already.
+  bool hasRoomFor(std::size_t Bytes, std::size_t Counted = 0) const;
+  /// Records that a body was refused for lack of memory.
+  void bodyRefused() { ++BodiesRefused_; }
+  std::uint64_t bodiesRefused() const { return BodiesRefused_; }
 
   void add(MemoryOwner Owner, std::size_t Bytes);
   void remove(MemoryOwner Owner, std::size_t Bytes);
@@ -86,6 +92,9 @@
   std::uint64_t readersEnded() const { return ReadersEnded_; }
 
 private:
+  friend class AnswerTurn;
+  bool takeTurn(const AnswerTurn &Answer);
+  void endTurn(const AnswerTurn &Answer);
   MemoryLevel levelOf(std::size_t Bytes) const;
   void reportLevel();
   void endSlowest();
@@ -95,11 +104,31 @@
   std::array<std::atomic<std::size_t>, MemoryOwners.size()> Used_{};
   std::atomic<MemoryLevel> Reported_ = MemoryLevel::Free;
   std::atomic<std::uint64_t> ReadersEnded_ = 0;
+  std::atomic<std::uint64_t> BodiesRefused_ = 0;
+  /// The answer that is read on while the budget is full.
+  std::atomic<const AnswerTurn *> Turn_ = nullptr;
   std::mutex Mutex_;
   std::uint64_t NextReader_ = 0;
   std::map<std::uint64_t, KnownReader> Readers_;
 };
 
+/// An answer that is read whole before its caller gets it. While the budget is
+/// full such answers are read one after the other: none would end if each of
+/// them waited for the others.
+class AnswerTurn {
+public:
+  explicit AnswerTurn(MemoryBudget &Budget) : Budget_(Budget) {}
+  ~AnswerTurn() { Budget_.endTurn(*this); }
+  AnswerTurn(const AnswerTurn &) = delete;
+  AnswerTurn &operator=(const AnswerTurn &) = delete;
+
+  /// \returns whether more of the answer may be read now.
+  bool mayReadOn() { return Budget_.takeTurn(*this); }
+
+private:
+  MemoryBudget &Budget_;
+};
+
 /// Bytes that are held for an owner until this is destroyed.
 class MemoryUse {
 public:
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -46,6 +46,7 @@
   Root["draining"] = Draining_.load();
   Root["memoryLevel"] = std::string(memoryLevelName(Memory_.level()));
   Root["slowReadersEnded"] = Memory_.readersEnded();
+  Root["bodiesRefused"] = Memory_.bodiesRefused();
   Root["platformReachable"] = platformReachable();
   Root["configurationAgeMs"] = configurationAge().count();
   Root["configurationBehindMs"] = millis(Freshness_.behind(BootClock::now()));
@@ -147,6 +148,8 @@
   Metrics_.setGauge("memory_level", static_cast<double>(Memory_.level()));
   Metrics_.setGauge("slow_readers_ended",
                     static_cast<double>(Memory_.readersEnded()));
+  Metrics_.setGauge("bodies_refused",
+                    static_cast<double>(Memory_.bodiesRefused()));
   for (MemoryOwner Owner : MemoryOwners)
     Metrics_.setGauge(Owner == MemoryOwner::Answers ? "memory_answers_bytes"
                                                     : "memory_bodies_bytes",
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -2,6 +2,7 @@
 /// Tests of the HTTP server with callers that are slow at unfavourable moments.
 
 #include "Connection/Http.h"
+#include "Connection/MemoryBudget.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,11 +34,13 @@
 /// calls of poll() is handled in one event-loop iteration.
 class ServerFixture {
 public:
-  explicit ServerFixture(HttpHandler Handler) : Caller_(CallerContext_) {
+  explicit ServerFixture(HttpHandler Handler, MemoryBudget *Memory = nullptr)
+      : Caller_(CallerContext_) {
     HttpServerOptions Options;
     Options.Address_ = {asio::ip::make_address("127.0.0.1"), 0};
     Options.ReadTimeout_ = ReadTimeout;
     Options.Handler_ = std::move(Handler);
+    Options.Memory_ = Memory;
     auto Made = HttpServer::create(Context_, {&Context_}, std::move(Options));
     REQUIRE(Made.has_value());
     Server_ = std::move(*Made);
@@ -234,3 +237,48 @@
   REQUIRE(Read->has_error());
   CHECK(Read->error().Code_ == ResultCode::ConnectionLost);
 }
+
+TEST_CASE("a large body in chunks is refused without memory for it") {
+  // Guards against bodies without a length that fill a daemon's memory.
+  constexpr std::size_t Limit = 1000000;
+  MemoryBudget Budget(Limit);
+  int Handled = 0;
+  {
+    ServerFixture Fixture(
+        [&](HttpExchange &Exchange) -> Awaitable<void> {
+          ++Handled;
+          co_await Exchange.respond(HttpResponse());
+        },
+        &Budget);
+    MemoryUse Others(Budget, MemoryOwner::RequestBodies);
+    Others.set(Limit);
+    Fixture.write("POST / HTTP/1.1\r\nhost: t\r\n"
+                  "transfer-encoding: chunked\r\n\r\n186a0\r\n" +
+                  std::string(100000, 'x') + "\r\n0\r\n\r\n");
+    std::string Answer;
+    Fixture.readAll(Answer);
+    CHECK_MESSAGE(Answer.find("daemon-memory-full") != std::string::npos,
+                  Answer);
+  }
+  CHECK(Handled == 0);
+  CHECK(Budget.bodiesRefused() == 1);
+  CHECK(Budget.used() == 0);
+}
+
+TEST_CASE("a body in chunks counts while it is read") {
+  // Guards against bodies without a length that no other body sees.
+  constexpr std::size_t Limit = 1000000;
+  MemoryBudget Budget(Limit);
+  {
+    ServerFixture Fixture(
+        [](HttpExchange &Exchange) -> Awaitable<void> {
+          co_await Exchange.respond(HttpResponse());
+        },
+        &Budget);
+    Fixture.write("POST / HTTP/1.1\r\nhost: t\r\n"
+                  "transfer-encoding: chunked\r\n\r\n186a0\r\n" +
+                  std::string(100000, 'x'));
+    CHECK(Fixture.pollUntil([&] { return Budget.used() >= 65536; }));
+  }
+  CHECK(Budget.used() == 0);
+}
--- a/UnitTests/Connection/MemoryBudgetTest.cpp
+++ b/UnitTests/Connection/MemoryBudgetTest.cpp
@@ -95,3 +95,14 @@
   Body.set(0);
   CHECK(Reported == std::vector{MemoryLevel::Tight, MemoryLevel::Free});
 }
+
+TEST_CASE("a body that is being read doesn't stand in its own way") {
+  // Guards against a body that waits for its own bytes to be given back.
+  MemoryBudget Budget(Limit);
+  MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+  Body.set(2 * Limit);
+  CHECK(Budget.hasRoomFor(3 * Limit, Body.bytes()));
+  MemoryUse Other(Budget, MemoryOwner::RequestBodies);
+  Other.set(1);
+  CHECK_FALSE(Budget.hasRoomFor(3 * Limit, Body.bytes()));
+}
