--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -459,6 +459,8 @@
                        TimePoint Now);
   void grantContinuing(TierQueue &Tier, TimePoint Now,
                        std::vector<Decision> &Out);
+  void grantAtOwnServer(const RequestId &Id, TimePoint Now,
+                        std::vector<Decision> &Out);
   void suspendStreams(TimePoint Now, std::vector<Decision> &Out);
   /// Requests that wait and could still meet their objective.
   struct UnservedInTime {
--- a/Source/Process/Scheduling/SchedulerBackups.cpp
+++ b/Source/Process/Scheduling/SchedulerBackups.cpp
@@ -52,16 +52,22 @@
       Continuing.emplace_back(Request.Arrival_, Id);
   }
   std::ranges::sort(Continuing);
-  for (const auto &[Arrival, Id] : Continuing) {
-    const GrantRequest &Details = Waiting_.at(Id).Details_;
-    ServerModel *Server = server(Details.OnlyServer_);
-    if (!Server || !canTake(Details, *Server, Now) ||
-        atMaxInFlight(Details.Customer_))
-      continue;
-    CustomerName Customer =
-        Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
-    grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
-  }
+  for (const auto &[Arrival, Id] : Continuing)
+    grantAtOwnServer(Id, Now, Out);
+}
+
+/// Grants a request that goes on with a run, if its server can take it now.
+void Scheduler::grantAtOwnServer(const RequestId &Id, TimePoint Now,
+                                 std::vector<Decision> &Out) {
+  const GrantRequest &Details = Waiting_.at(Id).Details_;
+  ServerModel *Server = server(Details.OnlyServer_);
+  if (!Server || !canTake(Details, *Server, Now) ||
+      atMaxInFlight(Details.Customer_))
+    return;
+  TierQueue &Tier = Tiers_[queueIndex(Details.Tier_)];
+  CustomerName Customer =
+      Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
+  grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/SchedulerSuspension.cpp
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -144,7 +144,12 @@
   for (const auto &[Id, Server] : Suspension_.waiting()) {
     const WaitingRequest &Request = Waiting_.at(Id);
     auto MaxWait = Request.Details_.MaxWait_;
-    if (MaxWait.count() > 0 &&
+    ServerModel *Own = server(Server);
+    bool OnlyLacksRoom = Own && Own->usable() &&
+                         mayRunOn(Request.Details_, *Own) &&
+                         finishesInTime(Request.Details_, *Own, Now) &&
+                         !atMaxInFlight(Request.Details_.Customer_);
+    if (OnlyLacksRoom && MaxWait.count() > 0 &&
         Request.LatestStart_ - Now < MaxWait / PromiseDivisor)
       Urgent.emplace_back(Request.LatestStart_, Id);
   }
@@ -154,16 +159,8 @@
 }
 
 void Scheduler::grantPromised(TimePoint Now, std::vector<Decision> &Out) {
-  for (const auto &[Name, Id] : Suspension_.promised()) {
-    ServerModel *Server = server(Name);
-    const GrantRequest &Details = Waiting_.at(Id).Details_;
-    if (!Server || !canTake(Details, *Server, Now))
-      continue;
-    TierQueue &Tier = Tiers_[queueIndex(Details.Tier_)];
-    CustomerName Customer =
-        Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
-    grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
-  }
+  for (const auto &[Name, Id] : Suspension_.promised())
+    grantAtOwnServer(Id, Now, Out);
 }
 
 } // namespace samphireshunt
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -10,7 +10,9 @@
 #include "Request/WaitPlan.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -69,6 +71,9 @@
   return lowerCase(Type->second).starts_with("text/event-stream");
 }
 
+/// How often an answer that waits for memory looks for it.
+constexpr milliseconds MemoryPause{20};
+
 /// One forwarded request, with all of its dispatches. Owned by its coroutine;
 /// the hook for the caller's disconnect holds a weak pointer, since it may be
 /// called after the request has ended.
@@ -76,7 +81,8 @@
 public:
   explicit ForwardedCall(RequestContext &Context)
       : Context_(Context), Rule_(*Context.Route_->Forwarding_),
-        Dialect_(Context.Services_.Dialect_) {}
+        Dialect_(Context.Services_.Dialect_),
+        HeldAnswer_(Context.Services_.Memory_, MemoryOwner::Answers) {}
 
   Awaitable<void> run() {
     Executor_ = co_await boost::asio::this_coro::executor;
@@ -114,8 +120,10 @@
       AttemptEnd Ended = co_await attempt();
       co_await reportAttempt(Ended);
       goOnWithBackup(Ended);
-      if (Ended != AttemptEnd::Suspended)
+      if (Ended != AttemptEnd::Suspended) {
         releaseKept();
+        releaseStopped();
+      }
       if (Ended == AttemptEnd::Answered)
         Ended = co_await finishAnswer();
       if (Ended == AttemptEnd::Answered)
@@ -128,8 +136,6 @@
       if (Ended == AttemptEnd::Suspended)
         continue;
       logRetry(Ended);
-      if (Memory_)
-        logContinued();
     }
   }
 
@@ -201,10 +207,11 @@
   GrantClient::Suspended suspendHook() {
     if (!isStream() || !Context_.Pool_->RunMemory_.Moves_)
       return {};
-    return [Weak = weak_from_this(),
-            Executor = Executor_](const ServerName &CopyTo) {
-      boost::asio::post(Executor, [Weak, CopyTo] {
-        if (auto Self = Weak.lock())
+    return [Weak = weak_from_this(), Executor = Executor_,
+            Send = Sends_](const ServerName &CopyTo) {
+      boost::asio::post(Executor, [Weak, Send, CopyTo] {
+        auto Self = Weak.lock();
+        if (Self && Self->Sends_ == Send)
           Self->suspend(CopyTo);
       });
     };
@@ -219,7 +226,8 @@
         Context_.document().Service_, Context_.Pool_->Name_, CopyTo);
     bool Streaming = Ready_.Connection_ && HeadSent_ &&
                      FirstEvent_ != TimePoint() && Splitter_.lastId();
-    bool MayStop = Target && Streaming && !Suspension_ && !CallerLeft_ &&
+    bool MayStop = Target && Target->Name_ != Ready_.Server_.Name_ &&
+                   Streaming && !Suspension_ && !CallerLeft_ &&
                    Context_.Services_.HasTimeFor_(Rule_) && mayRepeat();
     if (!MayStop)
       return Context_.Services_.Grants_.notSuspended(Context_.Id_);
@@ -269,9 +277,9 @@
   void goOnWithBackup(AttemptEnd Ended) {
     bool Lost = Ended == AttemptEnd::Broken || Ended == AttemptEnd::Failed;
     bool InTime = Context_.remaining() > MinTimeLeft;
+    // After a timeout the run may still be there.
     constexpr std::array RunLost = {ResultCode::ConnectionLost,
-                                    ResultCode::StreamBroken,
-                                    ResultCode::AnswerTimeout};
+                                    ResultCode::StreamBroken};
     if (!Lost || !InTime || !Ready_.Backup_ || Continues_ || CallerLeft_ ||
         std::ranges::count(RunLost, LastFailure_.Code_) == 0)
       return;
@@ -280,23 +288,17 @@
                                                "/" + Context_.Call_.CallId_};
   }
 
-  void logContinued() const {
-    logEvent(LogCategory::Request, spdlog::level::info, "run-continued",
-             {{"request", Context_.Id_.str()},
-              {"call", Context_.Call_.CallId_},
-              {"server", Ready_.Server_.Name_.str()},
-              {"backup", Memory_->Server_.str()},
-              {"events", std::to_string(Splitter_.count())}});
-  }
-
   /// Called when a run goes on: the engine has taken the memory, so nothing is
   /// left to free.
   void continued() {
+    bool Suspended = !KeptHandle_.empty();
     KeptHandle_.clear();
-    logEvent(LogCategory::Request, spdlog::level::info, "stream-continued",
+    logEvent(LogCategory::Request, spdlog::level::info,
+             Suspended ? "stream-continued" : "run-continued",
              {{"request", Context_.Id_.str()},
               {"call", Context_.Call_.CallId_},
-              {"server", Ready_.Server_.Name_.str()}});
+              {"server", Ready_.Server_.Name_.str()},
+              {"events", std::to_string(Splitter_.count())}});
   }
 
   /// Frees the memory of a suspended run that does not go on.
@@ -307,6 +309,14 @@
                   std::exchange(KeptHandle_, {}));
   }
 
+  /// Frees what an order to stop the run may leave after the run has ended in
+  /// another way.
+  void releaseStopped() {
+    if (Suspension_)
+      Suspension_->abandon();
+    Suspension_.reset();
+  }
+
   HttpRequest forwardedRequest() {
     std::size_t SpanNumber = Context_.Trace_.begin("dispatch");
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
@@ -394,7 +404,8 @@
       return writeFailed();
     if (CallerLeft_)
       return AttemptEnd::CallerLeft;
-    Faulty_ = !Context_.expired();
+    // A stream that ends after an order to stop its run is no fault.
+    Faulty_ = !Context_.expired() && !Suspension_;
     LastFailure_ = std::move(Cause);
     return HeadSent_ ? AttemptEnd::Broken : AttemptEnd::Failed;
   }
@@ -414,7 +425,10 @@
   }
 
   Awaitable<bool> readBody(HttpResponse &Answer) {
+    AnswerTurn Turn(Context_.Services_.Memory_);
     while (true) {
+      while (!Turn.mayReadOn() && !CallerLeft_ && !Context_.expired())
+        co_await pauseReading();
       auto Received =
           co_await Ready_.Connection_->readSome(Context_.remaining());
       if (!Received)
@@ -422,9 +436,15 @@
       if (Received->empty())
         co_return true;
       Answer.Body_ += *Received;
+      HeldAnswer_.set(Answer.Body_.size());
     }
   }
 
+  Awaitable<void> pauseReading() {
+    boost::asio::steady_timer Timer(Executor_, MemoryPause);
+    co_await Timer.async_wait(boost::asio::use_awaitable);
+  }
+
   Awaitable<AttemptEnd> relayAnswer(HttpResponse Answer) {
     bool Whole = co_await readBody(Answer);
     if (!Whole)
@@ -462,6 +482,7 @@
       HttpResponse Answer = std::move(*WholeAnswer_);
       WholeAnswer_.reset();
       HeadSent_ = true;
+      HeldAnswer_.set(0);
       removeHopFields(Answer.Fields_);
       co_await Writer_->respond(std::move(Answer));
       co_return Writer_->readTooSlowly() ? writeFailed() : AttemptEnd::Answered;
@@ -547,6 +568,8 @@
         co_return false;
       HeadSent_ = true;
     }
+    if (Context_.Services_.Memory_.limit() == 0)
+      co_return co_await Context_.Exchange_.writeChunk(std::move(Events));
     co_return co_await Writer_->write(std::move(Events));
   }
 
@@ -686,6 +709,8 @@
   Endpoint KeptAt_;
   /// Answered by the server, and not yet given to the caller.
   std::optional<HttpResponse> WholeAnswer_;
+  /// The memory of an answer that is read whole before its caller gets it.
+  MemoryUse HeldAnswer_;
   std::shared_ptr<AnswerWriter> Writer_;
   /// Where the memory of the run is that the next dispatch goes on with.
   std::optional<MemoryLocation> Memory_;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -147,9 +147,9 @@
   Request.Prefix_.clear();
   Request.Parts_.clear();
   Request.Excluded_.clear();
-  WaitPlan Plan =
-      planContinuation(*Context.Route_->Forwarding_,
-                       Context.StreamTiming_.Last_, steady_clock::now());
+  TimePoint LastEvent = std::max(Context.StreamTiming_.Last_, Context.Started_);
+  WaitPlan Plan = planContinuation(*Context.Route_->Forwarding_, LastEvent,
+                                   steady_clock::now());
   Request.Objective_ = Plan.Objective_;
   Request.MaxWait_ = Plan.MaxWait_;
   auto Made = static_cast<std::int64_t>(Context.StreamTiming_.Events_) *
--- a/Source/Request/RunSuspension.cpp
+++ b/Source/Request/RunSuspension.cpp
@@ -14,9 +14,9 @@
 
 using std::chrono::milliseconds;
 
-/// A copy takes some ten milliseconds; an engine that needs longer than this
-/// has queued it behind others, or its answer was lost.
-constexpr milliseconds OrderTimeout{600};
+/// As long as callers take a pause: a stopped run can't go on without the
+/// answer.
+constexpr milliseconds OrderTimeout{4000};
 constexpr milliseconds ReleaseTimeout{1000};
 
 } // namespace
@@ -63,6 +63,19 @@
   // The run goes on where it stopped, so the copy is of no use.
   if (Answer && Answer->Result_ == MoveResult::Copied)
     releaseMemory(Signal_.get_executor(), Calls_, Target_.CopyTo_, Handle_);
+  if (Abandoned_)
+    release();
+}
+
+void RunSuspension::release() {
+  if (!Handle_.empty())
+    releaseMemory(Signal_.get_executor(), Calls_, Target_.Source_, Handle_);
+}
+
+void RunSuspension::abandon() {
+  Abandoned_ = true;
+  if (Answered_)
+    release();
 }
 
 Awaitable<std::optional<std::string>> RunSuspension::stoppedRun() {
--- a/Source/Request/RunSuspension.h
+++ b/Source/Request/RunSuspension.h
@@ -36,12 +36,16 @@
   /// Waits for the engine's answer. \returns the handle if the run has stopped,
   /// nothing if it goes on, has ended, or the answer was lost.
   Awaitable<std::optional<std::string>> stoppedRun();
+  /// Frees the memory of a stopped run with which nothing goes on, now or once
+  /// the engine has answered.
+  void abandon();
 
 private:
   RunSuspension(const boost::asio::any_io_executor &Executor,
                 const RunMemoryCalls &Calls, SuspensionTarget Target,
                 std::function<void()> OnDeclined);
   Awaitable<void> order(MoveOrder Order);
+  void release();
 
   const RunMemoryCalls &Calls_;
   SuspensionTarget Target_;
@@ -49,6 +53,7 @@
   boost::asio::steady_timer Signal_;
   std::string Handle_;
   bool Answered_ = false;
+  bool Abandoned_ = false;
 };
 
 /// Frees the memory under a handle at \p Engine; a failure is logged.
