The replay of work times partitions without a subrange

Cause: clang-tidy 14 fails on the subrange itself, also when only its begin() is used; the whole lint run said so.

--- a/UnitTests/Process/Scheduling/WorkTimeReplayTest.cpp
+++ b/UnitTests/Process/Scheduling/WorkTimeReplayTest.cpp
@@ -100,9 +100,9 @@
       Server.Factors_.pop_back();
     for (FakeServer::Call &Call : Server.Calls_)
       Call.LeftMs_ -= 1 / Server.factor();
-    auto Ended = std::ranges::partition(Server.Calls_, [](const auto &Call) {
-                   return Call.LeftMs_ > 0;
-                 }).begin();
+    auto Ended =
+        std::partition(Server.Calls_.begin(), Server.Calls_.end(),
+                       [](const auto &Call) { return Call.LeftMs_ > 0; });
     std::for_each(Ended, Server.Calls_.end(),
                   [&](const FakeServer::Call &Call) { end(Call, Server); });
     Server.Calls_.erase(Ended, Server.Calls_.end());
