Less on a request's path while no memory is bounded and no stream suspended

Read as a newcomer: each event passed through a special case at its caller that AnswerWriter had too; each request with a body made a coroutine to find that there is no budget, and dropped its strings after the answer; each stream made a hook for a wish that no keeper has. The writer now decides once, without a coroutine of its own; the rest asks first. The daemon tells its requests whether streams may be suspended.

Also: one constant for what the kernel holds of a connection and one for how often memory is looked for (there were three and two); one place that asks the retry budget; one that finds the newest pool; how long engines keep the memory of a run, which nobody read, now bounds the wait of a run that goes on; the events that an engine had made stand in the line of a suspended stream.

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -34,14 +34,9 @@
 /// How long the rest of a refused request is read and discarded.
 constexpr std::chrono::milliseconds DiscardTime{1000};
 
-/// Bodies larger than this wait while memory is tight; smaller ones are no
-/// larger than what the kernel holds of them anyway.
-constexpr std::size_t LargeBodyBytes = 65536;
-/// How long a large body waits for memory, and how often that is checked. A
-/// caller has not been told anything by then, so the wait is a fraction of what
-/// callers take as a delay.
+/// How long a large body waits for memory. A caller has not been told anything
+/// by then, so the wait is a fraction of what callers take as a delay.
 constexpr std::chrono::milliseconds MaxBodyWait{400};
-constexpr std::chrono::milliseconds BodyWaitStep{20};
 
 /// State shared by the connections of one server; it outlives the server
 /// itself.
@@ -302,8 +297,10 @@
     bool Read = co_await readRequest();
     if (Read)
       co_await State_->Options_.Handler_(*this);
-    Request_ = HttpRequest();
-    Body_.reset();
+    if (Body_) {
+      Request_ = HttpRequest();
+      Body_.reset();
+    }
     CallerLeft_ = nullptr;
     AwaitingDisconnect_ = false;
     co_return Answered_;
@@ -332,7 +329,7 @@
         Stream_, Buffer_, Parser,
         asio::redirect_error(asio::use_awaitable, Error));
     bool HasMemory = true;
-    if (!Error && Parser.content_length())
+    if (!Error && Body_ && Parser.content_length())
       HasMemory = co_await awaitMemory(*Parser.content_length());
     Parser.eager(true);
     while (!Error && HasMemory && !Parser.is_done()) {
@@ -384,24 +381,22 @@
     co_return true;
   }
 
-  /// Waits for memory for a body of \p Bytes, if it is a large one. \returns
-  /// false if there is none in time.
+  /// Waits for memory for a body of \p Bytes, if it is a large one. Requires a
+  /// budget. \returns false if there is none in time.
   Awaitable<bool> awaitMemory(std::uint64_t Bytes) {
-    MemoryBudget *Memory = State_->Options_.Memory_;
-    if (!Memory || Memory->limit() == 0)
-      co_return true;
+    MemoryBudget &Memory = *State_->Options_.Memory_;
     asio::steady_timer Timer(Stream_.get_executor());
-    for (auto Waited = BodyWaitStep * 0;
-         Bytes > LargeBodyBytes && !Memory->hasRoomFor(Bytes, Body_->bytes());
-         Waited += BodyWaitStep) {
+    for (auto Waited = MemoryWaitStep * 0;
+         Bytes > KernelBufferBytes && !Memory.hasRoomFor(Bytes, Body_->bytes());
+         Waited += MemoryWaitStep) {
       if (Waited >= MaxBodyWait) {
-        Memory->bodyRefused();
+        Memory.bodyRefused();
         logEvent(LogCategory::Request, spdlog::level::info, "body-refused",
                  {{"bytes", std::to_string(Bytes)},
-                  {"used", std::to_string(Memory->used())}});
+                  {"used", std::to_string(Memory.used())}});
         co_return false;
       }
-      Timer.expires_after(BodyWaitStep);
+      Timer.expires_after(MemoryWaitStep);
       co_await Timer.async_wait(asio::use_awaitable);
     }
     // A body with a length counts before it is read, so that others see it.
--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -16,9 +16,6 @@
 /// A lower level is reported only at this much below its bound, so that use
 /// around a bound doesn't fill the log.
 constexpr double ReportMargin = 0.1;
-/// A reader with fewer bytes than this is not ended: the kernel's buffers of
-/// its connection hold as much.
-constexpr std::size_t MinEndedBytes = 65536;
 
 std::size_t indexOf(MemoryOwner Owner) {
   return static_cast<std::size_t>(Owner);
@@ -103,7 +100,7 @@
         Slowest = &Known;
       }
     }
-    if (Most < MinEndedBytes || levelOf(Used) != MemoryLevel::Full)
+    if (Most < KernelBufferBytes || levelOf(Used) != MemoryLevel::Full)
       return;
     End = std::exchange(Slowest->End_, nullptr);
   }
--- a/Source/Connection/MemoryBudget.h
+++ b/Source/Connection/MemoryBudget.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,12 @@
 
 namespace samphireshunt {
 
+/// About what the kernel's buffers hold of one connection: to bound less of it
+/// in the process gains nothing.
+inline constexpr std::size_t KernelBufferBytes = 65536;
+/// How often one that waits for memory looks for it.
+inline constexpr std::chrono::milliseconds MemoryWaitStep{20};
+
 /// For whom memory is held.
 enum class MemoryOwner { RequestBodies, Answers };
 inline constexpr std::array MemoryOwners = {MemoryOwner::RequestBodies,
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -594,7 +594,8 @@
           [this](const ForwardingRule &Rule) { return hasTimeFor(Rule); },
           FleetSize,
           *Origins_,
-          Memory_};
+          Memory_,
+          schedulingOptions(Settings_).SuspendStreams_};
 }
 
 std::unique_ptr<Daemon::Worker> Daemon::makeWorker(bool OnControlThread) {
--- a/Source/Request/AnswerWriter.cpp
+++ b/Source/Request/AnswerWriter.cpp
@@ -96,17 +96,10 @@
   spawnLogged(Changed_.get_executor(), "write-answer", std::move(Run));
 }
 
-Awaitable<bool> AnswerWriter::write(std::string Events) {
+Awaitable<bool> AnswerWriter::enqueue(std::string Events) {
   if (Events.empty() || Failed_)
     co_return !Failed_;
   auto Self = shared_from_this();
-  if (!Reader_) {
-    Write Running(*this);
-    bool Written = co_await Exchange_.writeChunk(std::move(Events));
-    if (Written)
-      Running.complete();
-    co_return Written;
-  }
   push(std::move(Events));
   while (!Failed_ && isFarBehind())
     co_await waitForChange();
--- a/Source/Request/AnswerWriter.h
+++ b/Source/Request/AnswerWriter.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -27,7 +28,10 @@
   /// Writes events after all earlier ones. Waits while the caller is too far
   /// behind for the daemon's memory; without a bound of that, until they are
   /// written. \returns false once the caller can't be written to.
-  Awaitable<bool> write(std::string Events);
+  Awaitable<bool> write(std::string Events) {
+    return Reader_ ? enqueue(std::move(Events))
+                   : Exchange_.writeChunk(std::move(Events));
+  }
   /// Writes a whole answer, the only one of its request. \returns false if it
   /// couldn't be written.
   Awaitable<bool> respond(HttpResponse Answer);
@@ -49,6 +53,7 @@
 
   void endReader();
   void setPending(std::size_t Bytes);
+  Awaitable<bool> enqueue(std::string Events);
   void push(std::string Events);
   Awaitable<void> writeQueue();
   Awaitable<void> waitForChange();
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -71,12 +71,6 @@
   return lowerCase(Type->second).starts_with("text/event-stream");
 }
 
-/// Shorter answers are read at once also without memory: the kernel holds as
-/// much of them anyway.
-constexpr std::size_t MinTurnBytes = 65536;
-/// How often an answer that waits for memory looks for it.
-constexpr milliseconds MemoryPause{20};
-
 /// One forwarded request, with all of its dispatches. Owned by its coroutine;
 /// the hook for the caller's disconnect holds a weak pointer, since it may be
 /// called after the request has ended.
@@ -208,7 +202,8 @@
   /// \returns the hook for a keeper's wish to suspend the run. It is called on
   /// another thread.
   GrantClient::Suspended suspendHook() {
-    if (!isStream() || !Context_.Pool_->RunMemory_.Moves_)
+    if (!Context_.Services_.SuspendsStreams_ || !isStream() ||
+        !Context_.Pool_->RunMemory_.Moves_)
       return {};
     return [Weak = weak_from_this(), Executor = Executor_,
             Send = Sends_](const ServerName &CopyTo) {
@@ -259,13 +254,13 @@
     if (!Suspension_)
       co_return false;
     auto Order = Suspension_;
-    auto Handle = co_await Order->stoppedRun();
-    if (!Handle)
+    auto Stopped = co_await Order->stoppedRun();
+    if (!Stopped)
       co_return false;
     const BackendServer &Server = Ready_.Server_;
-    Memory_ = MemoryLocation{Server.Name_,
-                             formatEndpoint(Server.Address_) + "/" + *Handle};
-    KeptHandle_ = std::move(*Handle);
+    Memory_ = MemoryLocation{Server.Name_, formatEndpoint(Server.Address_) +
+                                               "/" + Stopped->Handle_};
+    KeptHandle_ = std::move(Stopped->Handle_);
     KeptAt_ = Server.Address_;
     // The result if it does not go on.
     LastFailure_ = {ResultCode::StreamBroken, "suspended"};
@@ -274,6 +269,7 @@
              {{"request", Context_.Id_.str()},
               {"call", Context_.Call_.CallId_},
               {"server", Server.Name_.str()},
+              {"generated", std::to_string(Stopped->Events_)},
               {"events", std::to_string(Splitter_.count())}});
     co_return true;
   }
@@ -435,7 +431,7 @@
   Awaitable<bool> readBody(HttpResponse &Answer) {
     AnswerTurn Turn(Context_.Services_.Memory_);
     while (true) {
-      while (Answer.Body_.size() >= MinTurnBytes && !Turn.mayReadOn() &&
+      while (Answer.Body_.size() > KernelBufferBytes && !Turn.mayReadOn() &&
              !CallerLeft_ && !Context_.expired())
         co_await pauseReading();
       auto Received =
@@ -450,7 +446,7 @@
   }
 
   Awaitable<void> pauseReading() {
-    boost::asio::steady_timer Timer(Executor_, MemoryPause);
+    boost::asio::steady_timer Timer(Executor_, MemoryWaitStep);
     co_await Timer.async_wait(boost::asio::use_awaitable);
   }
 
@@ -577,8 +573,6 @@
         co_return false;
       HeadSent_ = true;
     }
-    if (Context_.Services_.Memory_.limit() == 0)
-      co_return co_await Context_.Exchange_.writeChunk(std::move(Events));
     co_return co_await Writer_->write(std::move(Events));
   }
 
@@ -648,9 +642,7 @@
                ++Runs_ >= static_cast<int>(Rule_.MaxAttempts_)) {
       return false;
     }
-    return Context_.Services_.RetryBudget_.tryRetry(
-        Context_.Pool_->Name_, Context_.Services_.FleetSize_(),
-        steady_clock::now());
+    return mayRepeat();
   }
 
   /// \returns true when the answer can be continued or restarted elsewhere. A
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -61,6 +61,15 @@
   return Worst;
 }
 
+/// \returns the request's pool with all servers that exist now, which may have
+/// come since the request began; null if the pool is gone.
+const Pool *newestPool(const RequestContext &Context,
+                       const ConfigurationSnapshot &Newest) {
+  const ServiceConfiguration *Service =
+      Newest.service(Context.document().Service_);
+  return Service ? Service->pool(Context.Pool_->Name_) : nullptr;
+}
+
 /// \returns the cells to ask for a server, in order; empty if no server may run
 /// the request.
 std::vector<std::uint32_t> cellsFor(RequestContext &Context,
@@ -71,9 +80,7 @@
   // first part.
   if (!OnlyServer.empty()) {
     auto Newest = Context.Services_.Documents_.snapshot();
-    const ServiceConfiguration *Service =
-        Newest->service(Context.document().Service_);
-    const Pool *Whole = Service ? Service->pool(Context.Pool_->Name_) : nullptr;
+    const Pool *Whole = newestPool(Context, *Newest);
     if (!Whole || !Whole->find(OnlyServer))
       return {};
     return {cellOf(OnlyServer, cellCount(*Whole))};
@@ -88,11 +95,8 @@
   if (Known.Standing_ != RequestStanding::Unsuspected)
     Affinity = Known.Cause_.Low_;
   if (Context.Origin_) {
-    // Servers may have come since the request began.
     auto Newest = Context.Services_.Documents_.snapshot();
-    const ServiceConfiguration *Service =
-        Newest->service(Context.document().Service_);
-    const Pool *Whole = Service ? Service->pool(Context.Pool_->Name_) : nullptr;
+    const Pool *Whole = newestPool(Context, *Newest);
     if (!Whole)
       return {};
     return cellsOfVersion(*Whole, Context.Origin_->Version_, Affinity);
@@ -149,6 +153,7 @@
   Request.Excluded_.clear();
   TimePoint LastEvent = std::max(Context.StreamTiming_.Last_, Context.Started_);
   WaitPlan Plan = planContinuation(*Context.Route_->Forwarding_, LastEvent,
+                                   Context.Pool_->RunMemory_.KeepTime_,
                                    steady_clock::now());
   Request.Objective_ = Plan.Objective_;
   Request.MaxWait_ = Plan.MaxWait_;
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -77,6 +77,8 @@
   std::function<std::size_t()> FleetSize_;
   StreamOriginService &Origins_;
   MemoryBudget &Memory_;
+  /// Keepers may ask to suspend streams.
+  bool SuspendsStreams_ = true;
 };
 
 /// Timing of a stream's events as its caller sees them.
--- a/Source/Request/RunSuspension.cpp
+++ b/Source/Request/RunSuspension.cpp
@@ -47,7 +47,7 @@
   auto Answer = Response ? Calls_.ReadMove_(*Response)
                          : Result<MoveAnswer>(Response.error());
   if (Answer)
-    Handle_ = Answer->Handle_;
+    Answer_ = *Answer;
   Answered_ = true;
   Signal_.cancel();
   if (!Answer)
@@ -55,18 +55,20 @@
              {{"call", Order.CallId_},
               {"code", std::to_string(static_cast<int>(Answer.error().Code_))},
               {"detail", Answer.error().Detail_}});
-  if (Handle_.empty())
+  if (Answer_.Handle_.empty())
     OnDeclined_();
   // The run goes on where it stopped, so the copy is of no use.
-  if (Answer && Answer->Result_ == MoveResult::Copied)
-    releaseMemory(Signal_.get_executor(), Calls_, Target_.CopyTo_, Handle_);
+  if (Answer_.Result_ == MoveResult::Copied)
+    releaseMemory(Signal_.get_executor(), Calls_, Target_.CopyTo_,
+                  Answer_.Handle_);
   if (Abandoned_)
     release();
 }
 
 void RunSuspension::release() {
-  if (!Handle_.empty())
-    releaseMemory(Signal_.get_executor(), Calls_, Target_.Source_, Handle_);
+  if (!Answer_.Handle_.empty())
+    releaseMemory(Signal_.get_executor(), Calls_, Target_.Source_,
+                  Answer_.Handle_);
 }
 
 void RunSuspension::abandon() {
@@ -75,15 +77,15 @@
     release();
 }
 
-Awaitable<std::optional<std::string>> RunSuspension::stoppedRun() {
+Awaitable<std::optional<MoveAnswer>> RunSuspension::stoppedRun() {
   auto Self = shared_from_this();
   boost::system::error_code Ignored;
   if (!Answered_)
     co_await Signal_.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
-  if (Handle_.empty())
+  if (Answer_.Handle_.empty())
     co_return std::nullopt;
-  co_return Handle_;
+  co_return Answer_;
 }
 
 void releaseMemory(const boost::asio::any_io_executor &Executor,
--- a/Source/Request/RunSuspension.h
+++ b/Source/Request/RunSuspension.h
@@ -35,9 +35,9 @@
          const RunMemoryCalls &Calls, std::string CallId,
          SuspensionTarget Target, std::function<void()> OnDeclined);
 
-  /// Waits for the engine's answer. \returns the handle if the run has stopped,
-  /// nothing if it goes on, has ended, or the answer was lost.
-  Awaitable<std::optional<std::string>> stoppedRun();
+  /// Waits for the engine's answer. \returns it if the run has stopped, nothing
+  /// if it goes on, has ended, or the answer was lost.
+  Awaitable<std::optional<MoveAnswer>> stoppedRun();
   /// Frees the memory of a stopped run with which nothing goes on, now or once
   /// the engine has answered.
   void abandon();
@@ -53,7 +53,8 @@
   SuspensionTarget Target_;
   std::function<void()> OnDeclined_;
   boost::asio::steady_timer Signal_;
-  std::string Handle_;
+  /// Has a handle if the run has stopped.
+  MoveAnswer Answer_;
   bool Answered_ = false;
   bool Abandoned_ = false;
 };
--- a/Source/Request/WaitPlan.cpp
+++ b/Source/Request/WaitPlan.cpp
@@ -63,8 +63,10 @@
 }
 
 WaitPlan planContinuation(const ForwardingRule &Rule, TimePoint LastEvent,
-                          TimePoint Now) {
+                          milliseconds KeepTime, TimePoint Now) {
   milliseconds MaxWait = callerPatience(Rule) * PercentOfPatience / Hundred;
+  if (KeepTime.count() > 0)
+    MaxWait = std::min(MaxWait, KeepTime);
   auto Waited = duration_cast<milliseconds>(Now - LastEvent);
   WaitPlan Plan;
   Plan.MaxWait_ = std::max(milliseconds(1), MaxWait - Waited);
--- a/Source/Request/WaitPlan.h
+++ b/Source/Request/WaitPlan.h
@@ -57,9 +57,10 @@
                   TimePoint Now);
 
 /// \returns the plan for a stream that goes on with the memory of its run,
-/// whose caller got the last event at \p LastEvent.
+/// whose caller got the last event at \p LastEvent. The memory is kept for
+/// \p KeepTime; 0: unknown.
 WaitPlan planContinuation(const ForwardingRule &Rule, TimePoint LastEvent,
-                          TimePoint Now);
+                          std::chrono::milliseconds KeepTime, TimePoint Now);
 
 /// \returns how long a caller waits for the next event of a stream before it
 /// gives the stream up.
--- a/UnitTests/Request/WaitPlanTest.cpp
+++ b/UnitTests/Request/WaitPlanTest.cpp
@@ -71,3 +71,15 @@
                                Start + std::chrono::seconds(71))
             .count() == 0);
 }
+
+TEST_CASE("a run that goes on waits no longer than its memory is kept") {
+  // Guards against requests that wait for memory which is gone.
+  auto MaxWait = [](milliseconds KeepTime) {
+    return planContinuation(stream(), Start, KeepTime,
+                            Start + milliseconds(200))
+        .MaxWait_;
+  };
+  CHECK(MaxWait(milliseconds(0)) == milliseconds(2200));
+  CHECK(MaxWait(milliseconds(1000)) == milliseconds(800));
+  CHECK(MaxWait(milliseconds(100)) == milliseconds(1));
+}
