Suspension: counts by server are derived, slots for copies belong to the scheduler

StreamSuspension kept a multiset of servers that its two maps already tell, and had two public members that only the scheduler used. ServerModel had two names for its slots.

--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -563,6 +563,10 @@
   BackupCost BackupCost_;
   BackupChoice Backups_;
   StreamSuspension Suspension_;
+  /// The server whose slots are set aside for copies of the memory of runs;
+  /// unset while none is.
+  std::optional<ServerName> CopyServer_;
+  TimePoint CopyNeeded_; ///< When a copy was last needed.
   double Share_ = 1.0;
   double RateShare_ = 1.0;
   std::uint32_t CanaryGrants_ = 0;
--- a/Source/Process/Scheduling/SchedulerSuspension.cpp
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -60,13 +60,13 @@
     auto Server = Servers_.find(Run.Server_);
     if (!Run.Streaming_ || Server == Servers_.end() ||
         !Server->second.usable() || !Server->second.runs(Id) ||
-        Run.Server_ == Suspension_.CopyServer_)
+        Run.Server_ == CopyServer_)
       continue;
     nanoseconds Whole =
         Server->second.timeBetweenTokens() * Run.ExpectedAnswer_.count();
     Candidates.push_back({Id, Run.Tier_, Run.Server_, Run.Ingress_,
                           Whole - (Now - Run.Granted_), Run.Deadline_ - Now,
-                          Server->second.slotCount()});
+                          Server->second.slots()});
   }
   return Candidates;
 }
@@ -75,10 +75,10 @@
 /// needed.
 void Scheduler::setAsideForCopies(bool Needed, TimePoint Now) {
   if (Needed)
-    Suspension_.CopyNeeded_ = Now;
-  std::optional<ServerName> &Chosen = Suspension_.CopyServer_;
+    CopyNeeded_ = Now;
+  std::optional<ServerName> &Chosen = CopyServer_;
   ServerModel *Current = Chosen ? server(*Chosen) : nullptr;
-  bool Unneeded = Now - Suspension_.CopyNeeded_ > CopyServerTime;
+  bool Unneeded = Now - CopyNeeded_ > CopyServerTime;
   if (Current && (Unneeded || !Current->usable())) {
     Current->setSlotsAside(0);
     Current = nullptr;
@@ -94,7 +94,7 @@
   ServerModel *Least = nullptr;
   for (auto &[Name, Server] : Servers_)
     if (Server.usable() && !Server.capacity().Canary_ &&
-        Server.slotCount() > Suspension_.options().Copies_ &&
+        Server.slots() > Suspension_.options().Copies_ &&
         (!Least || Server.inFlight() < Least->inFlight()))
       Least = &Server;
   if (!Least)
@@ -116,20 +116,20 @@
     Unserved = unservedInTime(Now, Expected + Suspension_.options().Copies_);
   bool Needed = Unserved.Count_ > Expected;
   setAsideForCopies(Needed, Now);
-  const std::optional<ServerName> &CopyTo = Suspension_.CopyServer_;
+  const std::optional<ServerName> &CopyTo = CopyServer_;
   if (!Needed || !CopyTo)
     return;
   const ServerModel &Target = Servers_.at(*CopyTo);
-  if (Target.inFlight() + Suspension_.orders() >= Target.slotCount())
+  if (Target.inFlight() + Suspension_.orders() >= Target.slots())
     return;
   std::size_t Slots = 0;
   for (const auto &[Name, Server] : Servers_)
-    Slots += Server.usable() ? Server.slotCount() : 0;
+    Slots += Server.usable() ? Server.slots() : 0;
   auto Candidates = suspensionCandidates(Now);
   std::size_t Wanted = Unserved.Count_ - Expected;
   for (const SuspensionCandidate &Run : Suspension_.choose(
            std::move(Candidates), Unserved.Highest_, Wanted, Slots)) {
-    if (Target.inFlight() + Suspension_.orders() >= Target.slotCount())
+    if (Target.inFlight() + Suspension_.orders() >= Target.slots())
       return;
     Suspension_.ordered(Run, Now);
     Out.push_back(SuspendDecision{Run.Id_, Run.Server_, Run.Ingress_, *CopyTo});
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -130,8 +130,7 @@
   bool hasRoom(double Share) const;
   /// Sets how many slots are kept free for copies of the memory of runs.
   void setSlotsAside(std::uint32_t Count) { SlotsAside_ = Count; }
-  /// The number of slots, and of requests that they can't hold now.
-  std::uint32_t slotCount() const { return slots(); }
+  std::uint32_t slots() const;
   /// The rate of requests that the engine accepts, if it names one.
   ServerRate &rate() { return Rate_; }
   const ServerRate &rate() const { return Rate_; }
@@ -247,7 +246,6 @@
     /// The request did not have to wait for a slot in the engine.
     bool HadSlot_ = true;
   };
-  std::uint32_t slots() const;
   std::chrono::nanoseconds waitForSlot() const;
   void endPrefill(const RequestId &Id);
 
--- a/Source/Process/Scheduling/StreamSuspension.cpp
+++ b/Source/Process/Scheduling/StreamSuspension.cpp
@@ -1,30 +1,34 @@
 #include "Process/Scheduling/StreamSuspension.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace samphireshunt {
 
-namespace {
-
-void eraseOne(std::multiset<ServerName> &Names, const ServerName &Name) {
-  if (auto Found = Names.find(Name); Found != Names.end())
-    Names.erase(Found);
+StreamSuspension::StoppedAt StreamSuspension::stoppedAt() const {
+  StoppedAt Counts;
+  for (const auto &[Id, Order] : Orders_)
+    ++Counts[Order.Server_];
+  for (const auto &[Id, Server] : Stopped_)
+    ++Counts[Server];
+  return Counts;
 }
 
-} // namespace
-
 bool StreamSuspension::isEligible(const SuspensionCandidate &Run,
-                                  TierIndex Above) const {
+                                  TierIndex Above,
+                                  const StoppedAt &Counts) const {
   auto Times = Times_.find(Run.Id_);
   bool Spared =
       Times != Times_.end() && Times->second.Orders_ >= Options_.MaxTimes_;
   auto AtServer = static_cast<std::size_t>(static_cast<double>(Run.Slots_) *
                                            Options_.MaxShare_);
+  auto Stopped = Counts.find(Run.Server_);
+  bool HasEnough = Stopped != Counts.end() &&
+                   Stopped->second >= std::max<std::size_t>(1, AtServer);
   return Run.Tier_ > Above && !Spared && Run.Rest_ >= Options_.MinRest_ &&
          Run.Left_ >= Run.Rest_ + Options_.MinSlack_ &&
-         !Orders_.contains(Run.Id_) &&
-         Servers_.count(Run.Server_) < std::max<std::size_t>(1, AtServer);
+         !Orders_.contains(Run.Id_) && !HasEnough;
 }
 
 std::vector<SuspensionCandidate>
@@ -38,8 +42,9 @@
   std::size_t Copies =
       Options_.Copies_ > Orders_.size() ? Options_.Copies_ - Orders_.size() : 0;
   Wanted = std::min({Wanted, Free, Copies});
+  StoppedAt Counts = stoppedAt();
   std::erase_if(Candidates, [&](const SuspensionCandidate &Run) {
-    return !isEligible(Run, Above);
+    return !isEligible(Run, Above, Counts);
   });
   std::ranges::sort(Candidates, [](const auto &Left, const auto &Right) {
     return std::tuple(Right.Tier_, Right.Rest_, Left.Id_) <
@@ -62,20 +67,16 @@
   Count &Times = Times_[Run.Id_];
   ++Times.Orders_;
   Times.Last_ = Now;
-  Servers_.insert(Run.Server_);
 }
 
 void StreamSuspension::waits(const RequestId &Id, const ServerName &Server) {
   goesOn(Id);
   Stopped_.emplace(Id, Server);
-  Servers_.insert(Server);
 }
 
 void StreamSuspension::goesOn(const RequestId &Id) {
-  if (auto Node = Orders_.extract(Id))
-    eraseOne(Servers_, Node.mapped().Server_);
-  if (auto Node = Stopped_.extract(Id))
-    eraseOne(Servers_, Node.mapped());
+  Orders_.erase(Id);
+  Stopped_.erase(Id);
 }
 
 void StreamSuspension::declined(const RequestId &Id) {
--- a/Source/Process/Scheduling/StreamSuspension.h
+++ b/Source/Process/Scheduling/StreamSuspension.h
@@ -15,8 +15,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
 #include <vector>
 
 namespace samphireshunt {
@@ -70,9 +68,10 @@
 
   /// Records an order to stop a run.
   void ordered(const SuspensionCandidate &Run, TimePoint Now);
-  /// Records that a stopped run waits until it may go on at \p Server.
+  /// Records that a run waits until it may go on at \p Server: it was stopped
+  /// there, or it was lost and its backup is there.
   void waits(const RequestId &Id, const ServerName &Server);
-  /// \returns the stopped runs that wait, and their servers.
+  /// \returns the runs that wait, and their servers.
   const std::map<RequestId, ServerName> &waiting() const { return Stopped_; }
   /// Records that the run goes on, or waits no longer.
   void goesOn(const RequestId &Id);
@@ -89,11 +88,6 @@
   /// \returns false while the server is promised to another request.
   bool mayTake(const ServerName &Server, const RequestId &Id) const;
 
-  /// The server whose slots are set aside for copies; unset while none is.
-  std::optional<ServerName> CopyServer_;
-  /// When a copy was last needed.
-  TimePoint CopyNeeded_;
-
   /// Records that an order was declined.
   void declined(const RequestId &Id);
 
@@ -113,7 +107,11 @@
     int Orders_ = 0;
     TimePoint Last_;
   };
-  bool isEligible(const SuspensionCandidate &Run, TierIndex Above) const;
+  /// The numbers of streams that were stopped, or are to be.
+  using StoppedAt = std::map<ServerName, std::size_t>;
+  StoppedAt stoppedAt() const;
+  bool isEligible(const SuspensionCandidate &Run, TierIndex Above,
+                  const StoppedAt &Counts) const;
 
   Options Options_;
   std::uint64_t OrdersInAll_ = 0;
@@ -121,8 +119,6 @@
   std::map<RequestId, Run> Orders_;
   std::map<RequestId, ServerName> Stopped_;
   std::map<RequestId, Count> Times_;
-  /// Servers that have a stream which was stopped, or is to be.
-  std::multiset<ServerName> Servers_;
   std::map<ServerName, RequestId> Promised_;
 };
 
