One way to try a server directly in its checks

check and checkNow repeated each other, and three values that belong together were passed apart. The tests' loops that wait for a check are one function; what they expect is the same.

--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -164,22 +164,19 @@
   TimePoint Begun = steady_clock::now();
   Endpoint Server = Target.Address_;
   beginCheck(Server, Begun);
-  bool TriesDirect = !Paths_.isCutOff(Server);
-  ConnectResult Direct;
-  if (TriesDirect)
-    Direct = co_await Options_.Connect_(Server, Options_.ForRelayTimeout_);
+  DirectAttempt Direct = co_await tryDirect(Server);
   ServerCheck Found = ServerCheck::Refused;
-  if (Direct.State_ == PortState::Open) {
+  if (Direct && Direct->State_ == PortState::Open) {
     // It has not become unreachable together with others, unless it is ending.
     endCheck(Server);
-    bool Refuses = co_await refusesNext(Server, std::move(Direct));
+    bool Refuses = co_await refusesNext(Server, std::move(*Direct));
     if (!Refuses) {
       onReached(Server);
       co_return ServerCheck::Reached;
     }
     beginCheck(Server, Begun);
   } else {
-    Found = co_await askOthers(std::move(Target), Direct.State_, TriesDirect);
+    Found = co_await askOthers(std::move(Target), std::move(Direct));
   }
   endCheck(Server);
   bool Together = CheckedTogether_ >= Begun;
@@ -188,6 +185,13 @@
   co_return Found;
 }
 
+Awaitable<ServerConnector::DirectAttempt>
+ServerConnector::tryDirect(Endpoint Server) {
+  if (Paths_.isCutOff(Server))
+    co_return std::nullopt;
+  co_return co_await Options_.Connect_(Server, Options_.ForRelayTimeout_);
+}
+
 void ServerConnector::beginCheck(const Endpoint &Server, TimePoint Begun) {
   ++InProgress_[Server];
   if (InProgress_.size() >= LossesTogether)
@@ -210,35 +214,21 @@
   co_return Next.State_ == PortState::Refused;
 }
 
-Awaitable<ServerCheck> ServerConnector::checkNow(ServerTarget Target) {
-  bool TriesDirect = !Paths_.isCutOff(Target.Address_);
-  ConnectResult Direct;
-  if (TriesDirect)
-    Direct =
-        co_await Options_.Connect_(Target.Address_, Options_.ForRelayTimeout_);
-  if (Direct.State_ == PortState::Open) {
-    onReached(Target.Address_);
-    co_return ServerCheck::Reached;
-  }
-  co_return co_await askOthers(std::move(Target), Direct.State_, TriesDirect);
-}
-
 /// Asks other daemons for a server that this daemon does not reach.
 Awaitable<ServerCheck> ServerConnector::askOthers(ServerTarget Target,
-                                                  PortState Seen,
-                                                  bool TriedDirect) {
+                                                  DirectAttempt Tried) {
   RelayTarget Names = Target.Names_;
   Names.IsCheck_ = true;
-  auto Tried = co_await tryRelays(std::move(Names));
-  if (Tried.Last_.Socket_ && TriedDirect)
-    onCutOff(Target, Seen, *Tried.Relay_);
-  if (Tried.Last_.Socket_)
+  auto Others = co_await tryRelays(std::move(Names));
+  if (Others.Last_.Socket_ && Tried)
+    onCutOff(Target, Tried->State_, *Others.Relay_);
+  if (Others.Last_.Socket_)
     co_return ServerCheck::PathLost;
-  bool OthersFailed = Tried.Refused_ + Tried.Silent_ > 0;
-  if (!OthersFailed && (Tried.WithoutPath_ > 0 || !TriedDirect))
+  bool OthersFailed = Others.Refused_ + Others.Silent_ > 0;
+  if (!OthersFailed && (Others.WithoutPath_ > 0 || !Tried))
     co_return ServerCheck::PathLost;
   bool Refused =
-      (Seen == PortState::Refused || !TriedDirect) && Tried.Silent_ == 0;
+      (!Tried || Tried->State_ == PortState::Refused) && Others.Silent_ == 0;
   co_return Refused ? ServerCheck::Refused : ServerCheck::Silent;
 }
 
@@ -275,8 +265,12 @@
   if (!Checked_.try_emplace(Target.Address_, Now).second)
     return;
   auto Check = [this, Target]() -> Awaitable<void> {
+    DirectAttempt Direct = co_await tryDirect(Target.Address_);
+    bool Reached = Direct && Direct->State_ == PortState::Open;
+    if (Reached)
+      co_return onReached(Target.Address_);
     ServerTarget Checked = Target;
-    co_await checkNow(std::move(Checked));
+    co_await askOthers(std::move(Checked), std::move(Direct));
   };
   spawnLogged(Context_, "check-server", std::move(Check));
 }
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -115,9 +115,11 @@
   void onReached(const Endpoint &Server);
   void onCutOff(const ServerTarget &Target, PortState Seen, const VmId &Relay);
   void checkLater(ServerTarget Target);
-  Awaitable<ServerCheck> checkNow(ServerTarget Target);
-  Awaitable<ServerCheck> askOthers(ServerTarget Target, PortState Seen,
-                                   bool TriedDirect);
+  /// A connection that this daemon tried to open itself; unset if it is cut off
+  /// from the server.
+  using DirectAttempt = std::optional<ConnectResult>;
+  Awaitable<DirectAttempt> tryDirect(Endpoint Server);
+  Awaitable<ServerCheck> askOthers(ServerTarget Target, DirectAttempt Tried);
   Awaitable<bool> refusesNext(Endpoint Server, ConnectResult Accepted);
   void beginCheck(const Endpoint &Server, TimePoint Begun);
   void endCheck(const Endpoint &Server);
--- a/UnitTests/Process/Relay/ServerConnectorTest.cpp
+++ b/UnitTests/Process/Relay/ServerConnectorTest.cpp
@@ -21,6 +21,20 @@
   return {{}, {asio::ip::make_address("127.0.0.1"), Port}};
 }
 
+/// \returns what a check of \p Target finds; nothing if it never ends.
+std::optional<ServerCheck> checkAt(asio::io_context &Context,
+                                   ServerConnector &Connector,
+                                   const ServerTarget &Target) {
+  std::optional<ServerCheck> Found;
+  asio::co_spawn(
+      Context,
+      [&]() -> Awaitable<void> { Found = co_await Connector.check(Target); },
+      asio::detached);
+  while (!Found && Context.run_one() > 0) {
+  }
+  return Found;
+}
+
 } // namespace
 
 TEST_CASE("checks for other daemons hide no crash") {
@@ -76,14 +90,7 @@
     co_return Tried;
   };
   ServerConnector Connector(Context, Options, {});
-  std::optional<ServerCheck> Found;
-  asio::co_spawn(
-      Context,
-      [&]() -> Awaitable<void> { Found = co_await Connector.check(Target); },
-      asio::detached);
-  while (!Found && Context.run_one() > 0) {
-  }
-  CHECK(Found == ServerCheck::Refused);
+  CHECK(checkAt(Context, Connector, Target) == ServerCheck::Refused);
 }
 
 TEST_CASE("a server that goes on accepting connections has not crashed") {
@@ -110,14 +117,7 @@
       return openTcp(std::move(Server), Timeout);
     };
     ServerConnector Connector(Context, Options, {});
-    std::optional<ServerCheck> Found;
-    asio::co_spawn(
-        Context,
-        [&]() -> Awaitable<void> { Found = co_await Connector.check(Target); },
-        asio::detached);
-    while (!Found && Context.run_one() > 0) {
-    }
-    CHECK(Found == ServerCheck::Reached);
+    CHECK(checkAt(Context, Connector, Target) == ServerCheck::Reached);
     CHECK(Connects == (Resets ? 2 : 1));
   }
 }
@@ -135,16 +135,8 @@
   }
   Endpoint Refusing = Listeners.back().local_endpoint();
   Listeners.pop_back();
-  std::optional<ServerCheck> Found;
   Context.run_one_for(std::chrono::milliseconds(1));
   Context.poll();
-  asio::co_spawn(
-      Context,
-      [&]() -> Awaitable<void> {
-        Found = co_await Connector.check(targetAt(Refusing.port()));
-      },
-      asio::detached);
-  while (!Found && Context.run_one() > 0) {
-  }
-  CHECK(Found == ServerCheck::Refused);
+  CHECK(checkAt(Context, Connector, targetAt(Refusing.port())) ==
+        ServerCheck::Refused);
 }
