--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -154,11 +154,6 @@
     Metrics_.setGauge(Owner == MemoryOwner::Answers ? "memory_answers_bytes"
                                                     : "memory_bodies_bytes",
                       static_cast<double>(Memory_.used(Owner)));
-  std::uint64_t IgnoredWorkTimes = 0;
-  for (const CellId &Cell : Keeper_->cells())
-    IgnoredWorkTimes += Keeper_->scheduler(Cell)->workTimes().ignoredFigures();
-  Metrics_.setGauge("work_times_ignored",
-                    static_cast<double>(IgnoredWorkTimes));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
   Metrics_.setGauge("relayed_connections",
@@ -171,16 +166,22 @@
   }
   Metrics_.setGauge("servers_cut_off", CutOff);
   Metrics_.setGauge("connections_relayed_by_others", RelayedByOthers);
-  Metrics_.setGauge("cells_kept", static_cast<double>(Keeper_->cells().size()));
+  auto Cells = Keeper_->cells();
+  Metrics_.setGauge("cells_kept", static_cast<double>(Cells.size()));
   double Suspended = 0;
   double Ordered = 0;
   double Failed = 0;
-  for (const CellId &Cell : Keeper_->cells()) {
-    const StreamSuspension &Known = Keeper_->scheduler(Cell)->suspension();
+  double IgnoredWorkTimes = 0;
+  for (const CellId &Cell : Cells) {
+    const Scheduler &Deciding = *Keeper_->scheduler(Cell);
+    const StreamSuspension &Known = Deciding.suspension();
     Suspended += static_cast<double>(Known.stopped());
     Ordered += static_cast<double>(Known.ordersInAll());
     Failed += static_cast<double>(Known.failedInAll());
+    IgnoredWorkTimes +=
+        static_cast<double>(Deciding.workTimes().ignoredFigures());
   }
+  Metrics_.setGauge("work_times_ignored", IgnoredWorkTimes);
   Metrics_.setGauge("streams_suspended", Suspended);
   Metrics_.setGauge("suspensions_ordered", Ordered);
   Metrics_.setGauge("suspensions_failed", Failed);
