--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -634,6 +634,18 @@
 mutate slow-caller-memory $S/Request/AnswerWriter.cpp \
   's/while \(!Failed_ && isFarBehind\(\)\)/while (false)/' \
   ${U}SlowCaller '*server waits for its slow caller*'
+mutate body-in-chunks $S/Connection/HttpServer.cpp \
+  's/if \(Body_ && !Parser\.content_length\(\)\)/if (false)/' \
+  ${U}Connection '*large body in chunks is refused*'
+mutate ending-listener $S/Process/Relay/ServerConnector.cpp \
+  's/bool Refuses = co_await refusesNext\(Server, std::move\(\*Direct\)\);/bool Refuses = false;/' \
+  ${U}Process '*accepts connections while it ends*'
+mutate watched-check-counts $S/Process/Relay/ServerConnector.cpp \
+  's/unless it is ending\.\n    endCheck\(Server\);/unless it is ending.\n    beginCheck(Server, Begun);/' \
+  ${U}Process '*checks of servers that go on*'
+mutate memory-kept $S/Request/WaitPlan.cpp \
+  's/if \(KeepTime\.count\(\) > 0\)/if (false)/' \
+  ${U}Request '*no longer than its memory is kept*'
 
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
