What frames a body is bounded, of servers' answers and callers' requests

Callers saw: a daemon whose memory runs out ends, and all of its callers get neither an answer nor a refusal.

Cause: the parser limits a head and the payload of a body. The line before a chunk and the fields after the last one have no limit, and the buffer had none: a peer that never ends such a line was held for as long as it sent. A read timeout does not end such a read either: a socket that is always ready completes each read before its timer's handler runs.

Ruled out by reading: heads (8 KB, 16 KB for callers), events of streams (1 MiB each), frames of other daemons (4 MB), relays (copied in parts).

The buffer holds 64 KiB besides a head.

--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -152,6 +152,11 @@
                    "The caller read its answer more slowly than the daemon's "
                    "memory allows.",
                    "Discard the part that came; read faster."},
+    ResultCodeInfo{AnswerTooLarge, "answer-too-large",
+                   "A server's answer, or what frames it, is larger than the "
+                   "daemon may hold.",
+                   "It may have run; look at the server, or give the VM more "
+                   "memory."},
     ResultCodeInfo{ClaimFailed, "claim-failed",
                    "The idempotency key could not be claimed.",
                    "Nothing ran; send it again with the same key."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -74,6 +74,7 @@
   EventTooLarge = 308,
   BadMemoryAnswer = 309,
   CallerReadsSlowly = 310,
+  AnswerTooLarge = 311,
   // 4xx: idempotency keys and the platform's service.
   ClaimFailed = 400,
   FirstAttemptRunning = 401,
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -25,6 +25,10 @@
 template <class Value> using Awaitable = boost::asio::awaitable<Value>;
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
+/// The longest line before a chunk, and the most bytes of fields after the last
+/// one. Beast limits a head, but neither of these.
+inline constexpr std::size_t MaxFramingBytes = 64 * 1024;
+
 /// Header fields by lower-case name.
 using HttpFields = std::map<std::string, std::string>;
 
@@ -191,12 +195,12 @@
   /// The keep-alive timeout that the server announced for idle connections.
   virtual std::optional<std::chrono::seconds> idleLimit() const = 0;
   /// Reads the head of the response; the body of the result is empty.
-  /// \returns AnswerTimeout or ConnectionLost.
+  /// \returns AnswerTimeout, ConnectionLost or AnswerTooLarge.
   virtual Awaitable<Result<HttpResponse>>
   readHead(std::chrono::milliseconds Timeout) = 0;
   /// Reads a chunk of the body. An empty string marks the end and is returned
   /// only when the body was complete.
-  /// \returns AnswerTimeout or ConnectionLost.
+  /// \returns AnswerTimeout, ConnectionLost or AnswerTooLarge.
   virtual Awaitable<Result<std::string>>
   readSome(std::chrono::milliseconds Timeout) = 0;
   /// How the end of the response is known whose head was read last.
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -50,6 +50,9 @@
 Failure connectionFailure(const beast::error_code &Error) {
   if (Error == beast::error::timeout)
     return {ResultCode::AnswerTimeout, Error.message()};
+  if (Error == http::error::header_limit || Error == http::error::body_limit ||
+      Error == http::error::buffer_overflow)
+    return {ResultCode::AnswerTooLarge, Error.message()};
   return {ResultCode::ConnectionLost, Error.message()};
 }
 
@@ -224,7 +227,7 @@
   std::shared_ptr<SendState> Sent_;
   std::optional<std::chrono::seconds> IdleLimit_;
   bool AcceptUnframed_ = false;
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{MaxFramingBytes};
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::chrono::steady_clock::time_point LastReceived_;
   bool Complete_ = false;
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <optional>
@@ -55,7 +56,8 @@
 };
 
 Failure readFailure(const beast::error_code &Error) {
-  if (Error == http::error::header_limit)
+  if (Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
     return {ResultCode::HeaderTooLarge, Error.message()};
   if (Error == http::error::body_limit)
     return {ResultCode::BodyTooLarge, Error.message()};
@@ -311,6 +313,8 @@
     HttpLimits Limits = State_->limits();
     Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
     Parser.body_limit(Limits.MaxBodyBytes_);
+    Buffer_.max_size(
+        std::max(Buffer_.size(), Limits.MaxHeaderBytes_ + MaxFramingBytes));
     beast::error_code Error;
     Stream_.expires_never();
     // The stream's own timeout would close it without telling the caller why.
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -43,6 +43,7 @@
   case ResultCode::CrossedAnswer:
   case ResultCode::ServerError:
   case ResultCode::EventTooLarge:
+  case ResultCode::AnswerTooLarge:
     return 502;
   case ResultCode::CrashesServers:
   case ResultCode::PromptPartCrashesServers:
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -283,3 +283,18 @@
   }
   CHECK(Budget.used() == 0);
 }
+
+TEST_CASE("a line before a chunk of a body is refused at a limit") {
+  // Guards against framing without end that takes the daemon's memory.
+  ServerFixture Test(
+      [](HttpExchange &Exchange) -> Awaitable<void> {
+        co_await Exchange.respond({});
+      },
+      nullptr, std::chrono::seconds(5));
+  Test.write("POST / HTTP/1.1\r\nhost: a\r\n"
+             "transfer-encoding: chunked\r\n\r\n1;a=");
+  Test.write(std::string(2 * MaxFramingBytes, 'a'));
+  std::string Answer;
+  Test.readAll(Answer);
+  CHECK(Answer.find("header-too-large") != std::string::npos);
+}
