An exception in a handler or a follower ends only that, not the process

Callers saw: when a process ends, all of its callers get neither an answer nor a refusal.

Ruled out: that coroutines of requests end the process (caught and logged since earlier).

runContext() logs it and goes on; periodic handlers are scheduled again whatever they did; followers run again after half a second, and list everything anew.

Tests: Unit.Connection (2 cases), Unit.platform 'whose follower fails follows again' (without it the newer state never becomes active: mutation follower-again).

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -472,15 +472,15 @@
 private:
   void acceptNext() {
     asio::io_context &Worker = *Workers_[NextWorker_++ % Workers_.size()];
-    Acceptor_.async_accept(Worker,
-                           [this](beast::error_code Error, Tcp::socket Socket) {
-                             if (Error == asio::error::operation_aborted)
-                               return;
-                             if (!Error)
-                               start(std::move(Socket));
-                             if (Acceptor_.is_open())
-                               acceptNext();
-                           });
+    Acceptor_.async_accept(
+        Worker, [this](beast::error_code Error, Tcp::socket Socket) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          if (!Error)
+            runLogged("accept-caller", [&] { start(std::move(Socket)); });
+          if (Acceptor_.is_open())
+            acceptNext();
+        });
   }
 
   void start(Tcp::socket Socket) {
--- a/Source/Connection/Spawn.cpp
+++ b/Source/Connection/Spawn.cpp
@@ -26,4 +26,9 @@
             {"detail", describe(std::move(Cause))}});
 }
 
+void runContext(boost::asio::io_context &Context) {
+  while (!runLogged("event-loop", [&Context] { Context.run(); })) {
+  }
+}
+
 } // namespace samphireshunt
--- a/Source/Process/Configuration/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -27,8 +27,8 @@
   Started_ = steady_clock::now();
   auto Watch = [this]() { return watchDocuments(); };
   auto List = [this]() { return listVms(); };
-  spawnLogged(Control_, "watch-documents", std::move(Watch));
-  spawnLogged(Control_, "list-vms", std::move(List));
+  spawnRepeated(Control_, "watch-documents", std::move(Watch));
+  spawnRepeated(Control_, "list-vms", std::move(List));
 }
 
 Awaitable<void> ConfigurationSync::pause(milliseconds Time) {
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -1,6 +1,7 @@
 #include "Process/Configuration/PeerFollower.h"
 
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 
 #include <algorithm>
 #include <limits>
@@ -47,8 +48,8 @@
 void PeerFollower::schedule(milliseconds Delay) {
   Timer_.expires_after(Delay);
   Timer_.async_wait([this](const boost::system::error_code &Error) {
-    if (!Error)
-      onTimer();
+    if (!Error && !runLogged("follow-reader", [this] { onTimer(); }))
+      schedule(Options_.RequestInterval_);
   });
 }
 
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -38,13 +38,17 @@
   Address_ = std::move(Address);
   startWatch();
   auto Confirm = [this]() { return confirmRegularly(); };
-  spawnLogged(Control_, "confirm-store", std::move(Confirm));
+  spawnRepeated(Control_, "confirm-store", std::move(Confirm));
 }
 
 void StoreFollower::startWatch() {
   std::uint64_t Generation = ++Generation_;
-  auto Follow = [this, Generation]() { return follow(Generation); };
-  spawnLogged(Control_, "follow-store", std::move(Follow));
+  auto Follow = [this, Generation, Again = false]() mutable {
+    // What the failed one had read may not have been adopted.
+    NeedsList_ |= std::exchange(Again, true);
+    return follow(Generation);
+  };
+  spawnRepeated(Control_, "follow-store", std::move(Follow));
 }
 
 void StoreFollower::pause() {
--- a/Source/Process/Keeping/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -21,7 +21,7 @@
 
 void EngineMonitor::start() {
   auto Run = [this]() { return run(); };
-  spawnLogged(Control_, "monitor-engines", std::move(Run));
+  spawnRepeated(Control_, "monitor-engines", std::move(Run));
 }
 
 Awaitable<void> EngineMonitor::run() {
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -1,6 +1,7 @@
 #include "Process/Keeping/GrantClient.h"
 
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 #include "Process/Keeping/KeeperMessages.h"
 #include "Process/Keeping/KeeperService.h"
 
@@ -392,7 +393,7 @@
     if (Now - CheckTimer_.expiry() > MaxCheckDelay)
       OverdueKeepers_.clear();
     else
-      checkOverdueAnswers(Now);
+      runLogged("check-keepers", [&] { checkOverdueAnswers(Now); });
     scheduleCheck();
   });
 }
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -1,5 +1,7 @@
 #include "Process/Keeping/KeeperService.h"
 
+#include "Connection/Spawn.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -65,7 +67,7 @@
     if (Error)
       return;
     TickScheduled_ = false;
-    onTick();
+    runLogged("keeper-tick", [this] { onTick(); });
     schedule();
   });
 }
--- a/Source/Process/Keeping/PostedQueue.h
+++ b/Source/Process/Keeping/PostedQueue.h
@@ -8,6 +8,8 @@
 /// slot would be granted twice. Queued values are delivered after the iteration
 /// has returned.
 
+#include "Connection/Spawn.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
@@ -50,7 +52,7 @@
   static void deliverAll(State &Present) {
     // Values pushed during the delivery wait for the next iteration.
     for (Value &Next : std::exchange(Present.Waiting_, {}))
-      Present.Deliver_(std::move(Next));
+      runLogged("deliver-posted", [&] { Present.Deliver_(std::move(Next)); });
   }
 
   boost::asio::io_context &Context_;
--- a/Source/Process/Membership/MembershipService.cpp
+++ b/Source/Process/Membership/MembershipService.cpp
@@ -1,5 +1,7 @@
 #include "Process/Membership/MembershipService.h"
 
+#include "Connection/Spawn.h"
+
 namespace samphireshunt {
 
 namespace asio = boost::asio;
@@ -56,7 +58,9 @@
       return;
     auto Now = steady_clock::now();
     Protocol_.onLateTimer(Now - Timer_.expiry());
-    schedule(Protocol_.step(Now));
+    TimePoint Next = Now + Protocol_.options().Period_;
+    runLogged("membership-step", [&] { Next = Protocol_.step(Now); });
+    schedule(Next);
   });
 }
 
@@ -66,10 +70,13 @@
       [this](const error_code &Error, std::size_t Count) {
         if (Error == asio::error::operation_aborted || !Socket_.is_open())
           return;
-        if (!Error)
+        auto Receive = [this, Count] {
           Protocol_.receive(std::string_view(Buffer_.data(), Count),
                             Endpoint(Sender_.address(), Sender_.port()),
                             steady_clock::now());
+        };
+        if (!Error)
+          runLogged("receive-datagram", Receive);
         receiveNext();
       });
 }
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -296,7 +296,7 @@
   if (std::exchange(Probing_, true))
     return;
   auto Probe = [this]() { return probeAll(); };
-  spawnLogged(Context_, "probe-servers", std::move(Probe));
+  spawnRepeated(Context_, "probe-servers", std::move(Probe));
 }
 
 Awaitable<void> ServerConnector::probeAll() {
--- a/Source/Process/Rollout/RolloutService.cpp
+++ b/Source/Process/Rollout/RolloutService.cpp
@@ -215,7 +215,7 @@
     TickScheduled_ = false;
     if (Error)
       return;
-    onTick();
+    runLogged("roll-out-tick", [this] { onTick(); });
     schedule();
   });
 }
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -133,6 +133,7 @@
   void beginDrain();
   void awaitDrained();
   void stopAll();
+  void checkProcess();
   std::string status() const;
   /// The time since the configuration was last known to be the newest.
   std::chrono::milliseconds configurationAge() const;
@@ -202,6 +203,7 @@
   boost::asio::steady_timer DrainTimer_;
   boost::asio::steady_timer RefreshTimer_;
   bool RefreshPending_ = false;
+  bool Stopped_ = false;
   std::filesystem::file_time_type FlagFileTime_;
   std::chrono::steady_clock::time_point FlagFileChecked_;
 };
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -3,6 +3,7 @@
 /// stop.
 
 #include "Common/Log.h"
+#include "Connection/Spawn.h"
 #include "Programs/Daemon.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -117,9 +118,9 @@
     if (Current->Context_ != &Control_)
       Current->Thread_ = std::thread([&Context = *Current->Context_] {
         auto Guard = asio::make_work_guard(Context);
-        Context.run();
+        runContext(Context);
       });
-  Control_.run();
+  runContext(Control_);
   for (auto &Current : Workers_) {
     if (Current->Context_ == &Control_)
       continue;
@@ -211,9 +212,7 @@
          Quiet;
 }
 
-/// Checks periodically whether the daemon has become ready or its stop is
-/// complete.
-void Daemon::awaitDrained() {
+void Daemon::checkProcess() {
   bool WasReady = Ready_;
   Ready_ = configurationReady();
   if (Ready_ && !WasReady)
@@ -227,6 +226,14 @@
   }
   if (steady_clock::now() - FlagFileChecked_ >= FlagFileInterval)
     reloadSettings();
+}
+
+/// Checks periodically whether the daemon has become ready or its stop is
+/// complete.
+void Daemon::awaitDrained() {
+  runLogged("check-process", [this] { checkProcess(); });
+  if (Stopped_)
+    return;
   bool Steady = Ready_ && !Draining_;
   DrainTimer_.expires_after(Steady ? SteadyCheckInterval : DrainCheckInterval);
   DrainTimer_.async_wait([this](const boost::system::error_code &Error) {
@@ -265,6 +272,7 @@
 }
 
 void Daemon::stopAll() {
+  Stopped_ = true;
   Membership_->stop();
   MemberLog_.stop();
   Peers_->stop();
--- a/Source/Programs/TraceExporter.cpp
+++ b/Source/Programs/TraceExporter.cpp
@@ -46,7 +46,7 @@
 
 void TraceExporter::start() {
   auto Run = [this]() { return run(); };
-  spawnLogged(Control_, "export-traces", std::move(Run));
+  spawnRepeated(Control_, "export-traces", std::move(Run));
 }
 
 void TraceExporter::offer(TraceRecord Record) {
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -647,6 +647,24 @@
   's/if \(KeepTime\.count\(\) > 0\)/if (false)/' \
   ${U}Request '*no longer than its memory is kept*'
 
+mutate framing-of-answers $S/Connection/HttpConnection.cpp \
+  's/Buffer_\{MaxFramingBytes\}/Buffer_/' \
+  ${U}Connection '*line before a chunk is given up*'
+mutate framing-of-bodies $S/Connection/HttpServer.cpp \
+  's/Buffer_\.max_size\(\n.*?\);//s' \
+  ${U}Connection '*line before a chunk of a body*'
+mutate whole-messages $S/Connection/MemoryBudget.cpp \
+  's/if \(Bytes <= KernelBufferBytes\)\n    return true;/return true;/' \
+  ${U}Connection '*message without end leaves room*'
+mutate stream-without-end $S/Request/ForwardedCall.cpp \
+  's/if \(Context_\.expired\(ReadyEventsTime\)\)/if (false)/' \
+  ${U}Request '*stream without end ends*'
+mutate fault-answered $S/Request/ForwardedCall.cpp \
+  's/if \(Context_\.Exchange_\.begun\(\)\)\n/if (true)\n/' \
+  ${U}Request '*fails by an exception gets an answer*'
+mutate follower-again $S/Process/Configuration/StoreFollower.cpp \
+  's/spawnRepeated\(Control_, "follow-store"/spawnLogged(Control_, "follow-store"/' \
+  ${U}platform '*whose follower fails follows again*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Connection/SpawnTest.cpp
+++ b/UnitTests/Connection/SpawnTest.cpp
@@ -7,6 +7,7 @@
 #include "UnitTests/LogCapture.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include <stdexcept>
@@ -33,3 +34,34 @@
   CHECK(Lines.find("what went wrong") != std::string::npos);
   CHECK(Lines.find("calm") == std::string::npos);
 }
+
+TEST_CASE("a coroutine that runs as long as the process runs again after an "
+          "exception") {
+  // Guards against a daemon that lives on and follows nothing.
+  tests::LogCapture Log;
+  boost::asio::io_context Context;
+  int Runs = 0;
+  spawnRepeated(Context, "some-watch", [&Runs]() -> Awaitable<void> {
+    if (++Runs < 3)
+      throw std::runtime_error("what went wrong");
+    co_return;
+  });
+  Context.run();
+  CHECK(Runs == 3);
+  CHECK(Log.text().find("what went wrong") != std::string::npos);
+}
+
+TEST_CASE("an exception in a handler ends only that handler") {
+  // Guards against a daemon that ends, with all of its callers' requests.
+  tests::LogCapture Log;
+  boost::asio::io_context Context;
+  int Handled = 0;
+  for (int Number = 0; Number < 3; ++Number)
+    boost::asio::post(Context, [&Handled] {
+      ++Handled;
+      throw std::runtime_error("what went wrong");
+    });
+  runContext(Context);
+  CHECK(Handled == 3);
+  CHECK(Log.text().find("what went wrong") != std::string::npos);
+}
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -11,6 +11,8 @@
 
 #include <doctest/doctest.h>
 
+#include <stdexcept>
+
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
@@ -53,7 +55,7 @@
       Follower_->onDaemonEntry(Id, Entry);
       Seen_[Id] = Entry.Value_;
     };
-    Hooks.Changed_ = [] {};
+    Hooks.Changed_ = [this] { Changed_(); };
     View_.setHooks(std::move(Hooks));
     Follower_ = std::make_unique<StoreFollower>(
         Context_, platform::storeHooks(Store_.address(), milliseconds(100)),
@@ -90,6 +92,7 @@
   FreshnessLease Freshness_;
   StoreView View_;
   std::map<VmId, std::string> Seen_;
+  std::function<void()> Changed_ = [] {};
   std::unique_ptr<StoreFollower> Follower_;
 };
 
@@ -403,3 +406,18 @@
   Test.resume(false);
   CHECK(Test.servers() == 0);
 }
+
+TEST_CASE("a daemon whose follower fails follows again") {
+  // Guards against a daemon that lives on and is behind for good.
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  int Faults = 1;
+  Test.Changed_ = [&] {
+    if (Faults-- > 0)
+      throw std::runtime_error("a fault of the program");
+  };
+  Test.Store_.put("op/config", configuration(5));
+  CHECK(Test.runUntil([&] { return Test.version() == DocumentVersion(5); }));
+  Test.Store_.put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
+}
