Metrics: the memory of the process, now and at most, and of the VM

A process that is killed for its memory writes nothing; no metric said how near a daemon had been. Hypotheses of the incident could not be told apart.

--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
+#include "Common/ProcessMemory.h"
 #include "Process/Configuration/MeasuredPlatform.h"
 #include "Process/Keeping/KeeperMessages.h"
 #include "Process/Membership/PeerPort.h"
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -3,6 +3,8 @@
 
 #include "Programs/Daemon.h"
 
+#include "Common/ProcessMemory.h"
+
 #include <nlohmann/json.hpp>
 
 namespace samphireshunt {
@@ -145,6 +147,11 @@
                     static_cast<double>(CallerServer_->activeExchanges()));
   Metrics_.setGauge("caller_connections",
                     static_cast<double>(CallerServer_->openConnections()));
+  Metrics_.setGauge("process_memory_bytes",
+                    static_cast<double>(processMemoryBytes()));
+  Metrics_.setGauge("process_memory_most_bytes",
+                    static_cast<double>(mostProcessMemoryBytes()));
+  Metrics_.setGauge("vm_memory_bytes", static_cast<double>(vmMemoryBytes()));
   Metrics_.setGauge("memory_level", static_cast<double>(Memory_.level()));
   Metrics_.setGauge("slow_readers_ended",
                     static_cast<double>(Memory_.readersEnded()));
