A request that fails by an exception gets an answer; each cut caller has a line

Callers saw: neither an answer nor a refusal, when a request's coroutine ended by an exception, also where nothing had been sent to the caller.

Cause: the exchange was aborted whatever its state. Now it is aborted only if the caller may have bytes of the answer; else the caller gets 500, outcome unknown if it was dispatched. Each connection that is closed after its request was read and without a whole response has a line (caller-cut, with the call's id and the reason) and counts in callers_cut_total: before, only the program's ends of a request had a line, not those of its connection.

Tests: Unit.Request 'fails by an exception gets an answer' (before: closed with no status), Unit.Connection 'a request without a whole response says why'.

--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -92,6 +92,8 @@
   virtual void abort() = 0;
   /// Calls \p Hook once, on the exchange's executor, when the caller closes its
   /// side before the response is sent.
+  /// \returns whether the caller may have bytes of the response already.
+  virtual bool begun() const = 0;
   virtual void onCallerLeft(std::function<void()> Hook) = 0;
   /// Checks the socket itself: true when the caller has closed its side, even
   /// if the corresponding event has not been dispatched yet.
@@ -106,6 +108,19 @@
 /// Limits that may change while the server is running.
 struct HttpLimits {
   std::size_t MaxHeaderBytes_;
+/// Why a caller's connection is closed whose request was read and has no whole
+/// response.
+enum class CutReason {
+  CallerLeft,   ///< The caller has closed it, or can't be reached.
+  Aborted,      ///< The handler ended the response, as its server broke off.
+  WriteTimeout, ///< The caller has read nothing for too long.
+  Fault,        ///< The handler threw an exception.
+};
+/// \returns the name in logs and metrics, e.g. "write-timeout".
+std::string_view cutReasonName(CutReason Reason);
+/// Called for each request that ends so.
+using CutHook = std::function<void(const HttpRequest &, CutReason)>;
+
   std::size_t MaxBodyBytes_;
   /// How long an idle connection is kept open.
   std::chrono::milliseconds IdleTimeout_;
@@ -130,6 +145,7 @@
   MemoryBudget *Memory_ = nullptr;
 };
 
+  CutHook Cut_ = [](const HttpRequest &, CutReason) {};
 /// Accepts connections on one context and distributes them over worker
 /// contexts.
 class HttpServer {
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -141,6 +141,7 @@
 
   const HttpRequest &request() const override { return Request_; }
 
+  bool begun() const override { return Begun_; }
   Awaitable<bool> respond(HttpResponse Response) override {
     http::response<http::string_body> Message;
     fillHead(Message, Response);
@@ -150,11 +151,12 @@
       Message.body() = std::move(Response.Body_);
     Message.prepare_payload();
     beast::error_code Error;
+    Begun_ = true;
     Stream_.expires_after(State_->Options_.WriteTimeout_);
     co_await http::async_write(
         Stream_, Message, asio::redirect_error(asio::use_awaitable, Error));
     Answered_ = !Error;
-    co_return !Error;
+    co_return written(Error);
   }
 
   Awaitable<bool> beginStream(HttpResponse Head) override {
@@ -189,6 +191,7 @@
   void abort() override {
     Answered_ = false;
     Stream_.close();
+    Cut_ = Cut_.value_or(CutReason::Aborted);
   }
 
   void onCallerLeft(std::function<void()> Hook) override {
@@ -222,6 +225,7 @@
   Awaitable<bool> beginBody(HttpResponse Head, bool Chunked) {
     Chunked_ = Chunked;
     if (!Chunked) {
+    Begun_ = true;
       KeepAlive_ = false;
       resetOnClose(true);
     }
@@ -233,7 +237,7 @@
     Stream_.expires_after(State_->Options_.WriteTimeout_);
     co_await http::async_write_header(
         Stream_, Serializer, asio::redirect_error(asio::use_awaitable, Error));
-    co_return !Error;
+    co_return written(Error);
   }
 
   /// While an unframed response is incomplete, a normal end of the connection
@@ -256,7 +260,15 @@
     Stream_.expires_after(State_->Options_.WriteTimeout_);
     co_await asio::async_write(
         Stream_, Data, asio::redirect_error(asio::use_awaitable, Error));
-    co_return !Error;
+    co_return written(Error);
+  }
+
+  /// Records why a write failed. \returns whether it did not.
+  bool written(const beast::error_code &Error) {
+    if (Error && !Cut_)
+      Cut_ = Error == beast::error::timeout ? CutReason::WriteTimeout
+                                            : CutReason::CallerLeft;
+    return !Error;
   }
 
   /// Reads and discards for a short time what the caller still sends. A
@@ -295,10 +307,12 @@
     ActiveExchange Running(State_->ActiveExchanges_);
     Answered_ = false;
     if (State_->Options_.Memory_)
+    Begun_ = false;
+    Cut_.reset();
       Body_.emplace(*State_->Options_.Memory_, MemoryOwner::RequestBodies);
     bool Read = co_await readRequest();
     if (Read)
-      co_await State_->Options_.Handler_(*this);
+      co_await handle();
     if (Body_) {
       Request_ = HttpRequest();
       Body_.reset();
@@ -309,6 +323,22 @@
   }
 
   Awaitable<bool> readRequest() {
+  /// Calls the handler, and tells how a request ended that has no whole
+  /// response.
+  Awaitable<void> handle() {
+    std::exception_ptr Escaped;
+    try {
+      co_await State_->Options_.Handler_(*this);
+    } catch (...) {
+      Escaped = std::current_exception();
+      Cut_ = CutReason::Fault;
+    }
+    if (!Answered_)
+      State_->Options_.Cut_(Request_, Cut_.value_or(CutReason::CallerLeft));
+    if (Escaped)
+      std::rethrow_exception(Escaped);
+  }
+
     http::request_parser<http::string_body> Parser;
     HttpLimits Limits = State_->limits();
     Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
@@ -440,6 +470,9 @@
   bool Chunked_ = true;
   bool Answered_ = false;
   bool AwaitingDisconnect_ = false;
+  bool Begun_ = false;
+  /// Set once it is known that the response won't be whole.
+  std::optional<CutReason> Cut_;
 };
 
 class BeastHttpServer : public HttpServer {
@@ -509,6 +542,12 @@
 } // namespace
 
 Result<std::unique_ptr<HttpServer>>
+std::string_view cutReasonName(CutReason Reason) {
+  constexpr std::array<std::string_view, 4> Names = {"caller-left", "aborted",
+                                                     "write-timeout", "fault"};
+  return Names[static_cast<std::size_t>(Reason)];
+}
+
 HttpServer::create(asio::io_context &AcceptContext,
                    std::vector<asio::io_context *> Workers,
                    HttpServerOptions Options) {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -651,6 +651,19 @@
   Relay_->start(Contexts);
   HttpServerOptions Options;
   Options.Address_ = Settings_.Callers_;
+void Daemon::reportCut(const HttpRequest &Request, CutReason Reason) {
+  Metrics_.reportCut(Reason);
+  constexpr std::uint32_t LinesPerSecond = 20;
+  thread_local LogSampler Sampler(LinesPerSecond);
+  auto Dropped =
+      Sampler.admit(static_cast<int>(Reason), std::chrono::steady_clock::now());
+  if (Dropped)
+    logEvent(LogCategory::Request, spdlog::level::info, "caller-cut",
+             {{"call", Adapter_.Dialect_.ReadCall_(Request.Fields_).CallId_},
+              {"reason", std::string(cutReasonName(Reason))},
+              {"dropped", std::to_string(*Dropped)}});
+}
+
   Options.MaxConnections_ = Settings_.MaxConnections_;
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
@@ -674,6 +687,9 @@
   CallerServer_ = std::move(*Server);
   return {};
 }
+  Options.Cut_ = [this](const HttpRequest &Request, CutReason Reason) {
+    reportCut(Request, Reason);
+  };
 
 Result<void> Daemon::wireOperators() {
   OperatorService::Hooks Hooks;
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -102,6 +102,8 @@
                                              std::chrono::milliseconds Within);
   void onDaemonRegistered(const VmId &Id, const std::string &Text);
   void startConfiguration();
+  /// Logs and counts a caller that got no whole response.
+  void reportCut(const HttpRequest &Request, CutReason Reason);
   HttpLimits callerLimits() const;
   bool configurationReady();
   bool platformReachable() const;
--- a/Source/Programs/Metrics.cpp
+++ b/Source/Programs/Metrics.cpp
@@ -45,6 +45,11 @@
                    .Help("Streams that callers took up again, by how it is "
                          "known where they began.")
                    .Register(Registry_)),
+      Cuts_(prometheus::BuildCounter()
+                .Name("samphireshunt_callers_cut_total")
+                .Help("Callers' connections that were closed after their "
+                      "request was read and without a whole response.")
+                .Register(Registry_)),
       PlatformCalls_(prometheus::BuildCounter()
                          .Name("samphireshunt_platform_calls_total")
                          .Help("Calls of the platform's service.")
@@ -83,6 +88,10 @@
   Pauses_.Add(Labels, SecondsBuckets).Observe(seconds(Request.LongestPause_));
 }
 
+void Metrics::reportCut(CutReason Reason) {
+  Cuts_.Add({{"reason", std::string(cutReasonName(Reason))}}).Increment();
+}
+
 void Metrics::reportPlatformCall(const std::string &Call, bool Succeeded,
                                  std::chrono::microseconds Time) {
   PlatformCalls_.Add({{"call", Call}, {"result", Succeeded ? "ok" : "failed"}})
--- a/Source/Programs/Metrics.h
+++ b/Source/Programs/Metrics.h
@@ -21,6 +21,8 @@
 
   /// Records one request. Thread-safe.
   void report(const RequestReport &Request);
+  /// Records a caller whose connection was closed without a whole response.
+  void reportCut(CutReason Reason);
   /// Records one call of the platform's service and its duration.
   void reportPlatformCall(const std::string &Call, bool Succeeded,
                           std::chrono::microseconds Time);
@@ -38,6 +40,7 @@
   prometheus::Family<prometheus::Histogram> &Pauses_;
   prometheus::Family<prometheus::Counter> &AnswerEnds_;
   prometheus::Family<prometheus::Counter> &TakenUp_;
+  prometheus::Family<prometheus::Counter> &Cuts_;
   prometheus::Family<prometheus::Counter> &PlatformCalls_;
   prometheus::Family<prometheus::Histogram> &PlatformTimes_;
 };
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -104,10 +104,13 @@
     bool Dispatched = Context.State_.dispatched();
     Verdict Ended = refused(ResultCode::Internal, Fault);
     Ended.Outcome_ = Dispatched ? Outcome::Unknown : Outcome::NotRun;
-    if (Dispatched)
+    if (Exchange.begun()) {
       Exchange.abort();
-    else
+      Ended.Outcome_ = Outcome::Partial;
+      reportEnd(Context, Ended.Outcome_, Ended.Code_);
+    } else {
       co_await answerVerdict(Context, std::move(Ended));
+    }
   }
 }
 
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -90,7 +90,8 @@
       co_await forward();
     } catch (...) {
       Escaped = std::current_exception();
-      Context_.Exchange_.abort();
+      if (Context_.Exchange_.begun())
+        Context_.Exchange_.abort();
     }
     // The writer uses the exchange, which ends with this call.
     co_await Writer_->finished();
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 using namespace samphireshunt;
 using std::chrono::milliseconds;
@@ -35,13 +36,15 @@
 class ServerFixture {
 public:
   explicit ServerFixture(HttpHandler Handler, MemoryBudget *Memory = nullptr,
-                         milliseconds Limit = ReadTimeout)
+                         milliseconds Limit = ReadTimeout, CutHook Cut = {})
       : Caller_(CallerContext_) {
     HttpServerOptions Options;
     Options.Address_ = {asio::ip::make_address("127.0.0.1"), 0};
     Options.ReadTimeout_ = Limit;
     Options.Handler_ = std::move(Handler);
     Options.Memory_ = Memory;
+    if (Cut)
+      Options.Cut_ = std::move(Cut);
     auto Made = HttpServer::create(Context_, {&Context_}, std::move(Options));
     REQUIRE(Made.has_value());
     Server_ = std::move(*Made);
@@ -288,7 +291,8 @@
   // Guards against framing without end that takes the daemon's memory.
   ServerFixture Test(
       [](HttpExchange &Exchange) -> Awaitable<void> {
-        co_await Exchange.respond({});
+        HttpResponse Response;
+        co_await Exchange.respond(std::move(Response));
       },
       nullptr, std::chrono::seconds(5));
   Test.write("POST / HTTP/1.1\r\nhost: a\r\n"
@@ -298,3 +302,35 @@
   Test.readAll(Answer);
   CHECK(Answer.find("header-too-large") != std::string::npos);
 }
+
+TEST_CASE("a request without a whole response says why") {
+  // Guards against a caller that is cut without a line in the log.
+  std::vector<CutReason> Reasons;
+  auto Cut = [&](const HttpRequest &, CutReason Reason) {
+    Reasons.push_back(Reason);
+  };
+  const std::string Get = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+  auto Abort = [](HttpExchange &Exchange) -> Awaitable<void> {
+    CHECK_FALSE(Exchange.begun());
+    HttpResponse Head;
+    co_await Exchange.beginStream(std::move(Head));
+    CHECK(Exchange.begun());
+    Exchange.abort();
+  };
+  auto Throw = [](HttpExchange &) -> Awaitable<void> {
+    throw std::runtime_error("the handler's own");
+    co_return;
+  };
+  auto Answer = [](HttpExchange &Exchange) -> Awaitable<void> {
+    HttpResponse Response;
+    co_await Exchange.respond(std::move(Response));
+  };
+  for (const HttpHandler &Handler :
+       {HttpHandler(Abort), HttpHandler(Throw), HttpHandler(Answer)}) {
+    ServerFixture Test(Handler, nullptr, ReadTimeout, Cut);
+    Test.write(Get);
+    std::string Ignored;
+    Test.readAll(Ignored);
+  }
+  CHECK(Reasons == std::vector{CutReason::Aborted, CutReason::Fault});
+}
--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -405,3 +405,35 @@
     CHECK(std::stoi(fieldIn(Sent, "x-request-timeout-ms")) <= 300);
   }
 }
+
+TEST_CASE("a request that fails by an exception gets an answer") {
+  // Guards against a caller that gets neither an answer nor a refusal.
+  ForwardingHarness Path(ForwardingHarness::Options(),
+                         {[](const std::string &, std::size_t) {
+                           return Script{completeAnswer("c1", "whole")};
+                         }});
+  Path.onConnect([] { throw std::runtime_error("the hook's own"); });
+  auto Before = Path.call("c1");
+  CHECK(Before.Ended_);
+  CHECK(Before.status() == 500);
+  CHECK(Path.received() == 0);
+}
+
+TEST_CASE("a stream without end ends at its deadline") {
+  // Guards against a request that never ends, as its server sends all the time.
+  constexpr std::size_t ManyBytes = 64 * 1024 * 1024;
+  std::string Events;
+  while (Events.size() < ManyBytes)
+    Events += eventChunk(1, "one of many");
+  auto Wanted = stream(false);
+  Wanted.Timeout_ = std::chrono::milliseconds(100);
+  ForwardingHarness Path(
+      Wanted, {always({streamHead("c1") + Events, Script::Then::Hold})});
+  auto Started = std::chrono::steady_clock::now();
+  auto Reply = Path.call("c1");
+  auto Took = std::chrono::steady_clock::now() - Started;
+  CHECK(Reply.Ended_);
+  CHECK_FALSE(Reply.hasLastChunk());
+  CHECK(Reply.Bytes_.size() < Events.size());
+  CHECK(Took < std::chrono::seconds(2));
+}
