A stream whose server sends all the time ends at its deadline

Cause: a read that always finds bytes completes before the handler of its timer runs, so neither a pause nor the deadline ended such a stream while its caller read on. The deadline is looked at after each read, with 250 ms for events that are ready.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -535,6 +535,12 @@
     bool Stopped = Ready_.Connection_->bodyEnd() == BodyEnd::Close &&
                    co_await wasSuspended();
     if (Stopped) {
+      std::size_t Held = Splitter_.partialEvent().size();
+      if (!HeldAnswer_.grow(Held))
+        co_return failed(answerTooLarge(Held));
+      // A read doesn't time out while the server sends all the time.
+      if (Context_.expired(ReadyEventsTime))
+        co_return failed({ResultCode::AnswerTimeout, "stream without end"});
       Ready_.Connection_->close();
       co_return CallerLeft_ ? AttemptEnd::CallerLeft : AttemptEnd::Suspended;
     }
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -207,6 +207,11 @@
   }
 
   /// Processes one event. An event of another request is an error; one that is
+      if (auto TooLarge = holdAnswer(Parser.heldBytes()))
+        co_return TooLarge;
+      // A read doesn't time out while the engine sends all the time.
+      if (Context_.expired(ReadyEventsTime))
+        co_return std::nullopt;
   /// not the next in sequence is skipped.
   Awaitable<std::optional<Verdict>> handleEvent(ServerSentEvent Event) {
     auto Number = eventNumber(Event, Context_.Id_);
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -353,8 +353,8 @@
   return std::max(Left, milliseconds(1));
 }
 
-bool RequestContext::expired() const {
-  return steady_clock::now() >= Deadline_;
+bool RequestContext::expired(milliseconds Since) const {
+  return steady_clock::now() >= Deadline_ + Since;
 }
 
 Awaitable<std::variant<ReadyServer, Verdict>>
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -81,6 +81,9 @@
   bool SuspendsStreams_ = true;
 };
 
+/// For how long after the deadline events that are ready are still passed on.
+inline constexpr std::chrono::milliseconds ReadyEventsTime{250};
+
 /// Timing of a stream's events as its caller sees them.
 struct StreamTiming {
   std::optional<std::chrono::milliseconds> FirstEvent_; ///< Since the start.
@@ -141,7 +144,9 @@
   const RequestFingerprint &fingerprint();
   /// \returns the time until the deadline, at least one millisecond.
   std::chrono::milliseconds remaining() const;
-  bool expired() const;
+  /// \returns whether the deadline was \p Since ago or earlier.
+  bool
+  expired(std::chrono::milliseconds Since = std::chrono::milliseconds(0)) const;
   const Document &document() const { return *Service_->Document_; }
 };
 
