What is held whole has a bound: answers, bodies of requests, events

Callers saw: a daemon whose memory runs out is ended, and all of its callers get neither an answer nor a refusal.

The same for calls to engines' reports and for events of the product's own streams.

A message may take as much as it leaves free of an eighth of the VM's memory, and 64 KiB always: one without end leaves half of it, n of them an n-th part. Calls to engines take 1 MiB at most.

Failure.platform.UnendingBytesTest, a real daemon, a VM of 88 MB, four such answers at once at six places of the grammar, and callers at five.

--- /dev/null
+++ b/FailureTests/platform/UnendingBytesTest.cpp
@@ -0,0 +1,304 @@
+/// \file
+/// Servers and callers that send without end, at a daemon with little memory.
+
+#include "FailureTests/ChildProcess.h"
+#include "FailureTests/Cluster.h"
+#include "FailureTests/ContextThread.h"
+#include "FailureTests/TestFolder.h"
+#include "UnitTests/platform/FakeStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <fstream>
+#include <future>
+#include <optional>
+
+using namespace samphireshunt;
+using namespace samphireshunt::tests;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t MemoryMb = 88;
+constexpr std::size_t BytesPerMb = 1000 * 1000;
+constexpr std::size_t BlockBytes = 65536;
+/// What a peer sends at most before it falls silent: twice the VM's memory.
+constexpr std::size_t SentBytes = 2 * MemoryMb * BytesPerMb;
+constexpr int CallsAtOnce = 4;
+constexpr milliseconds CallLimit{20000};
+#ifdef __SANITIZE_ADDRESS__
+/// The sanitizer's own memory is not the daemon's.
+constexpr bool MemoryIsOwn = false;
+#else
+constexpr bool MemoryIsOwn = true;
+#endif
+
+Json route(const char *Name, const char *Kind) {
+  return {{"name", Name},
+          {"hostname", "endless.example"},
+          {"prefix", fmt::format("/{}/", Name)},
+          {"kind", Kind},
+          {"timeout-ms", 5000},
+          {"goal-ms", 1000},
+          {"priority", 0},
+          {"attempts", 1},
+          {"resumable", false},
+          {"service", "engines"}};
+}
+
+/// Sends \p Start and then one letter for as long as it is read.
+Awaitable<void> sendEndless(Tcp::socket &Peer, std::string Start) {
+  std::string Block = std::move(Start);
+  boost::system::error_code Error;
+  for (std::size_t Sent = 0; Sent < SentBytes && !Error; Sent += BlockBytes) {
+    co_await asio::async_write(
+        Peer, asio::buffer(Block),
+        asio::redirect_error(asio::use_awaitable, Error));
+    Block.assign(BlockBytes, 'a');
+  }
+  std::array<char, 4096> Ignored;
+  while (!Error)
+    co_await Peer.async_read_some(
+        asio::buffer(Ignored),
+        asio::redirect_error(asio::use_awaitable, Error));
+}
+
+/// A store, an engine, and one daemon as a real process.
+class SmallVm {
+public:
+  explicit SmallVm(const std::string &MemoryFlag)
+      : Store_(Thread_.context()),
+        Engine_(Thread_.context(), {asio::ip::make_address("127.0.0.1"), 0}) {
+    asio::co_spawn(
+        Thread_.context(), [this] { return accept(); }, asio::detached);
+    asio::co_spawn(
+        Thread_.context(),
+        [this]() -> Awaitable<void> {
+          publish();
+          co_return;
+        },
+        asio::use_future)
+        .get();
+    Daemon_.emplace(
+        std::vector<std::string>{
+            PLATFORM_DAEMON, "--vm_id=vm-1", "--data_center=z",
+            "--callers_address=127.0.0.1:0", "--peers_address=127.0.0.1:0",
+            "--operators_address=127.0.0.1:0",
+            "--platform_address=" + formatEndpoint(Store_.address()),
+            "--threads=0", "--admission=objectives", MemoryFlag,
+            "--log_output=stderr"},
+        Folder_.path() + "/vm-1.log");
+    Json Addresses = Daemon_->readLine();
+    Callers_ = *parseEndpoint(Addresses["callers"].get<std::string>());
+  }
+  ~SmallVm() {
+    std::promise<void> Closed;
+    asio::post(Thread_.context(), [&] {
+      Engine_.close();
+      Closed.set_value();
+    });
+    Closed.get_future().wait();
+  }
+
+  std::future<Result<HttpResponse>> begin(const std::string &Target) {
+    HttpRequest Request;
+    Request.Target_ = Target;
+    Request.Fields_ = {
+        {"host", "endless.example"},
+        {"x-samphireshunt-request-id", fmt::format("call-{}", ++Calls_)}};
+    auto Call = [To = Callers_, Request]() {
+      return httpCall(To, Request, CallLimit);
+    };
+    return asio::co_spawn(Thread_.context(), std::move(Call), asio::use_future);
+  }
+  /// \returns the status of a call; 0 without a whole answer.
+  int call(const std::string &Target) {
+    auto Answer = begin(Target).get();
+    return Answer ? Answer->Status_ : 0;
+  }
+  /// \returns how many of several calls at once got \p Status.
+  int countStatus(const std::string &Target, int Status) {
+    std::vector<std::future<Result<HttpResponse>>> Calls;
+    while (Calls.size() < CallsAtOnce)
+      Calls.push_back(begin(Target));
+    return static_cast<int>(std::ranges::count_if(Calls, [&](auto &Call) {
+      auto Answer = Call.get();
+      return Answer && Answer->Status_ == Status;
+    }));
+  }
+
+  /// Sends a request that has no end, and waits until the daemon ends it.
+  void sendEndlessRequest(std::string Start) {
+    auto Work = [To = Callers_, Start = std::move(Start)]() -> Awaitable<void> {
+      Tcp::socket Peer(co_await asio::this_coro::executor);
+      co_await Peer.async_connect(To, asio::use_awaitable);
+      std::string Sent = Start;
+      co_await sendEndless(Peer, std::move(Sent));
+    };
+    asio::co_spawn(Thread_.context(), std::move(Work), asio::use_future).get();
+  }
+
+  /// \returns the most memory that the process has had, in bytes.
+  std::size_t mostMemory() const {
+    std::ifstream Lines(fmt::format("/proc/{}/status", Daemon_->pid()));
+    constexpr std::string_view Field = "VmHWM:";
+    constexpr std::size_t BytesPerKib = 1024;
+    for (std::string Line; std::getline(Lines, Line);)
+      if (Line.starts_with(Field))
+        return std::stoul(Line.substr(Field.size())) * BytesPerKib;
+    return 0;
+  }
+  bool memoryHeld() const {
+    std::size_t Most = mostMemory();
+    MESSAGE((Most / BytesPerMb) << " MB at most");
+    return Most > 0 && (!MemoryIsOwn || Most < MemoryMb * BytesPerMb);
+  }
+
+private:
+  void publish() {
+    Json Root = {
+        {"version", 1},
+        {"routes", {route("plain", "safe"), route("stream", "streaming")}},
+        {"services", {{{"name", "engines"}}}},
+        {"limits", {{"idle-timeout-ms", 15000}}},
+        {"tenants", Json::array()}};
+    Store_.put("op/config", Root.dump());
+    Json Entry = {{"service", "engines"},
+                  {"address", formatEndpoint(Engine_.local_endpoint())},
+                  {"zone", "z"},
+                  {"batch-size", 4 * CallsAtOnce},
+                  {"version", "v1"},
+                  {"warmup-left-ms", 0},
+                  {"sequence", 1},
+                  {"born", 1},
+                  {"state", "ready"}};
+    Store_.put("servers/engine", Entry.dump());
+  }
+
+  Awaitable<void> accept() {
+    boost::system::error_code Error;
+    while (!Error) {
+      auto Peer = std::make_shared<Tcp::socket>(Thread_.context());
+      co_await Engine_.async_accept(
+          *Peer, asio::redirect_error(asio::use_awaitable, Error));
+      if (!Error)
+        asio::co_spawn(
+            Thread_.context(), [this, Peer] { return serve(Peer); },
+            asio::detached);
+    }
+  }
+
+  Awaitable<void> serve(std::shared_ptr<Tcp::socket> Peer) {
+    std::string Request;
+    std::array<char, 4096> Space;
+    boost::system::error_code Error;
+    while (!Error && Request.find("\r\n\r\n") == std::string::npos) {
+      std::size_t Count = co_await Peer->async_read_some(
+          asio::buffer(Space),
+          asio::redirect_error(asio::use_awaitable, Error));
+      Request.append(Space.data(), Count);
+    }
+    if (Error)
+      co_return;
+    std::string Start = answerTo(Request);
+    bool Ends = Start.ends_with("ok");
+    if (Ends)
+      co_await asio::async_write(
+          *Peer, asio::buffer(Start),
+          asio::redirect_error(asio::use_awaitable, Error));
+    else
+      co_await sendEndless(*Peer, std::move(Start));
+  }
+
+  /// \returns the beginning of an answer to the path's last part.
+  static std::string answerTo(const std::string &Request) {
+    std::string Path = Request.substr(0, Request.find(" HTTP"));
+    std::string Part = Path.substr(Path.rfind('/') + 1);
+    constexpr std::string_view IdField = "x-samphireshunt-request-id: ";
+    std::size_t Id = lowerCase(Request).find(IdField) + IdField.size();
+    std::string Head = fmt::format(
+        "HTTP/1.1 200 OK\r\n{}{}\r\nx-samphireshunt-server-stamp: e\r\n",
+        IdField, Request.substr(Id, Request.find('\r', Id) - Id));
+    bool IsStream = Path.find("/stream/") != std::string::npos;
+    if (IsStream)
+      Head += "content-type: text/event-stream\r\n";
+    if (Part == "short")
+      return Head + "connection: close\r\ncontent-length: 2\r\n\r\nok";
+    if (Part == "head")
+      return Head + "x-more: ";
+    if (Part == "unframed")
+      return Head + "\r\n";
+    if (Part == "length")
+      return Head + "content-length: 60000000\r\n\r\n";
+    Head += "transfer-encoding: chunked\r\n\r\n";
+    if (Part == "chunk-line")
+      return Head + "1;a=";
+    if (Part == "last-fields")
+      return Head + "0\r\nx: ";
+    return Head + "ffffffff\r\n";
+  }
+
+  ContextThread Thread_;
+  FakeStore Store_;
+  Tcp::acceptor Engine_;
+  TestFolder Folder_;
+  std::optional<ChildProcess> Daemon_;
+  Endpoint Callers_;
+  int Calls_ = 0;
+};
+
+constexpr int BadGateway = 502;
+
+void checkAnswersWithoutEnd(SmallVm &Vm) {
+  REQUIRE(eventually([&] { return Vm.call("/plain/short") == 200; }));
+  for (const char *Kind : {"plain", "stream"})
+    for (const char *Part :
+         {"head", "unframed", "length", "chunk", "chunk-line", "last-fields"}) {
+      std::string Target = fmt::format("/{}/{}", Kind, Part);
+      CAPTURE(Target);
+      CHECK(Vm.countStatus(Target, BadGateway) == CallsAtOnce);
+      CHECK(eventually([&] { return Vm.call("/plain/short") == 200; }));
+    }
+  CHECK(Vm.memoryHeld());
+}
+
+} // namespace
+
+TEST_CASE("servers that send without end don't take a daemon's memory") {
+  // Guards against a daemon that is killed for its memory by a faulty server.
+  SmallVm Vm("--whole_messages_mb=11");
+  checkAnswersWithoutEnd(Vm);
+}
+
+TEST_CASE("nor with a bound of the daemon's memory") {
+  // Guards against an endless answer that takes what the budget leaves.
+  SmallVm Vm("--memory_mb=88");
+  checkAnswersWithoutEnd(Vm);
+}
+
+TEST_CASE("callers that send without end don't take a daemon's memory") {
+  // Guards against a daemon that is killed for its memory by one caller.
+  SmallVm Vm("--whole_messages_mb=11");
+  REQUIRE(eventually([&] { return Vm.call("/plain/short") == 200; }));
+  const std::string Head =
+      "POST /plain/x HTTP/1.1\r\nhost: endless.example\r\n";
+  const std::string Chunked = Head + "transfer-encoding: chunked\r\n\r\n";
+  for (const std::string &Start :
+       {std::string("GET /"), Head + "x: ", Chunked + "1;a=",
+        Chunked + "0\r\nx: ", Chunked + "ffffffff\r\n"}) {
+    CAPTURE(Start);
+    Vm.sendEndlessRequest(Start);
+    CHECK(Vm.call("/plain/short") == 200);
+  }
+  CHECK(Vm.memoryHeld());
+}
--- a/Source/Connection/EventStream.h
+++ b/Source/Connection/EventStream.h
@@ -20,6 +20,8 @@
   std::vector<ServerSentEvent> feed(std::string_view Bytes);
   /// True when the buffer contains no incomplete event.
   bool atBoundary() const { return Partial_.empty(); }
+  /// The number of bytes of the incomplete event.
+  std::size_t heldBytes() const { return Partial_.size(); }
 
 private:
   std::string Partial_;
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -29,6 +29,12 @@
 /// one. Beast limits a head, but neither of these.
 inline constexpr std::size_t MaxFramingBytes = 64 * 1024;
 
+/// The longest body of a response.
+inline constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
+/// The longest one of a response to a control call: a report, a list of cache
+/// events or a result.
+inline constexpr std::size_t MaxControlAnswerBytes = 1024 * 1024;
+
 /// Header fields by lower-case name.
 using HttpFields = std::map<std::string, std::string>;
 
@@ -86,14 +92,14 @@
   virtual Awaitable<bool> beginUnframed(HttpResponse Head) = 0;
   virtual Awaitable<bool> writeChunk(std::string Data) = 0;
   virtual Awaitable<bool> endStream() = 0;
+  /// \returns whether the caller may have bytes of the response already.
+  virtual bool begun() const = 0;
   /// Closes the connection without the last chunk, or resets it if the response
   /// is unframed, so that no client can take the incomplete response for a
   /// complete one.
   virtual void abort() = 0;
   /// Calls \p Hook once, on the exchange's executor, when the caller closes its
   /// side before the response is sent.
-  /// \returns whether the caller may have bytes of the response already.
-  virtual bool begun() const = 0;
   virtual void onCallerLeft(std::function<void()> Hook) = 0;
   /// Checks the socket itself: true when the caller has closed its side, even
   /// if the corresponding event has not been dispatched yet.
@@ -102,12 +108,6 @@
 
 using HttpHandler = std::function<Awaitable<void>(HttpExchange &)>;
 
-/// Builds the response to a request that can't be parsed or is too large.
-using HttpRefusal = std::function<HttpResponse(Failure)>;
-
-/// Limits that may change while the server is running.
-struct HttpLimits {
-  std::size_t MaxHeaderBytes_;
 /// Why a caller's connection is closed whose request was read and has no whole
 /// response.
 enum class CutReason {
@@ -121,6 +121,12 @@
 /// Called for each request that ends so.
 using CutHook = std::function<void(const HttpRequest &, CutReason)>;
 
+/// Builds the response to a request that can't be parsed or is too large.
+using HttpRefusal = std::function<HttpResponse(Failure)>;
+
+/// Limits that may change while the server is running.
+struct HttpLimits {
+  std::size_t MaxHeaderBytes_;
   std::size_t MaxBodyBytes_;
   /// How long an idle connection is kept open.
   std::chrono::milliseconds IdleTimeout_;
@@ -139,13 +145,13 @@
   std::chrono::milliseconds WriteTimeout_{30000};
   HttpHandler Handler_;
   HttpRefusal Refusal_;
+  CutHook Cut_ = [](const HttpRequest &, CutReason) {};
   /// Called for each request; if unset, the limits above apply throughout.
   std::function<HttpLimits()> Limits_;
   /// Large bodies wait for room in it; null: there is no budget.
   MemoryBudget *Memory_ = nullptr;
 };
 
-  CutHook Cut_ = [](const HttpRequest &, CutReason) {};
 /// Accepts connections on one context and distributes them over worker
 /// contexts.
 class HttpServer {
@@ -245,6 +251,7 @@
   std::chrono::milliseconds Silence_;
   /// From the head of the response to its end.
   std::chrono::milliseconds Body_;
+  std::size_t MaxBodyBytes_ = MaxAnswerBytes;
 };
 
 /// Sends one request over a connection of its own. \p OnHead, if set, is called
@@ -254,8 +261,10 @@
                                          std::function<void()> OnHead);
 
 /// Sends one request over a connection of its own, with \p Timeout for the
-/// whole call.
-Awaitable<Result<HttpResponse>> httpCall(Endpoint Address, HttpRequest Request,
-                                         std::chrono::milliseconds Timeout);
+/// whole call. A longer body than \p MaxBodyBytes is AnswerTooLarge.
+Awaitable<Result<HttpResponse>>
+httpCall(Endpoint Address, HttpRequest Request,
+         std::chrono::milliseconds Timeout,
+         std::size_t MaxBodyBytes = MaxAnswerBytes);
 
 } // namespace samphireshunt
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -23,7 +23,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 /// A longer body is written while the response is awaited, because a server may
 /// respond before it has read the body, and read the rest later or never.
@@ -300,13 +299,18 @@
 /// within the limit \p Remaining of the whole body.
 Awaitable<Result<HttpResponse>> endCall(AnsweredCall Call,
                                         std::chrono::milliseconds Silence,
-                                        RemainingTime Remaining) {
+                                        RemainingTime Remaining,
+                                        std::size_t MaxBodyBytes) {
   while (true) {
     auto Chunk =
         co_await Call.Connection_->readSome(std::min(Silence, Remaining()));
     if (!Chunk)
       co_return Chunk.error();
     if (!Chunk->empty()) {
+      std::size_t Size = Call.Head_.Body_.size() + Chunk->size();
+      if (Size > MaxBodyBytes)
+        co_return Failure{ResultCode::AnswerTooLarge,
+                          std::to_string(Size) + " bytes"};
       Call.Head_.Body_ += *Chunk;
       continue;
     }
@@ -329,17 +333,20 @@
   if (OnHead)
     OnHead();
   RemainingTime ToEnd(Limits.Body_);
-  co_return co_await endCall(std::move(*Begun), Limits.Silence_, ToEnd);
+  co_return co_await endCall(std::move(*Begun), Limits.Silence_, ToEnd,
+                             Limits.MaxBodyBytes_);
 }
 
 Awaitable<Result<HttpResponse>> httpCall(Endpoint Address, HttpRequest Request,
-                                         std::chrono::milliseconds Timeout) {
+                                         std::chrono::milliseconds Timeout,
+                                         std::size_t MaxBodyBytes) {
   RemainingTime Remaining(Timeout);
   auto Begun =
       co_await beginCall(std::move(Address), std::move(Request), Remaining);
   if (!Begun)
     co_return Begun.error();
-  co_return co_await endCall(std::move(*Begun), Timeout, Remaining);
+  co_return co_await endCall(std::move(*Begun), Timeout, Remaining,
+                             MaxBodyBytes);
 }
 
 } // namespace samphireshunt
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <exception>
 #include <optional>
 
 namespace samphireshunt {
@@ -140,8 +141,8 @@
   }
 
   const HttpRequest &request() const override { return Request_; }
-
   bool begun() const override { return Begun_; }
+
   Awaitable<bool> respond(HttpResponse Response) override {
     http::response<http::string_body> Message;
     fillHead(Message, Response);
@@ -150,8 +151,8 @@
     if (mayHaveBody())
       Message.body() = std::move(Response.Body_);
     Message.prepare_payload();
-    beast::error_code Error;
     Begun_ = true;
+    beast::error_code Error;
     Stream_.expires_after(State_->Options_.WriteTimeout_);
     co_await http::async_write(
         Stream_, Message, asio::redirect_error(asio::use_awaitable, Error));
@@ -190,8 +191,8 @@
 
   void abort() override {
     Answered_ = false;
-    Stream_.close();
     Cut_ = Cut_.value_or(CutReason::Aborted);
+    Stream_.close();
   }
 
   void onCallerLeft(std::function<void()> Hook) override {
@@ -224,8 +225,8 @@
 private:
   Awaitable<bool> beginBody(HttpResponse Head, bool Chunked) {
     Chunked_ = Chunked;
-    if (!Chunked) {
     Begun_ = true;
+    if (!Chunked) {
       KeepAlive_ = false;
       resetOnClose(true);
     }
@@ -306,9 +307,9 @@
   Awaitable<bool> serveRequest() {
     ActiveExchange Running(State_->ActiveExchanges_);
     Answered_ = false;
-    if (State_->Options_.Memory_)
     Begun_ = false;
     Cut_.reset();
+    if (State_->Options_.Memory_)
       Body_.emplace(*State_->Options_.Memory_, MemoryOwner::RequestBodies);
     bool Read = co_await readRequest();
     if (Read)
@@ -322,7 +323,6 @@
     co_return Answered_;
   }
 
-  Awaitable<bool> readRequest() {
   /// Calls the handler, and tells how a request ended that has no whole
   /// response.
   Awaitable<void> handle() {
@@ -339,6 +339,7 @@
       std::rethrow_exception(Escaped);
   }
 
+  Awaitable<bool> readRequest() {
     http::request_parser<http::string_body> Parser;
     HttpLimits Limits = State_->limits();
     Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
@@ -469,10 +470,10 @@
   /// The response is sent in chunks.
   bool Chunked_ = true;
   bool Answered_ = false;
-  bool AwaitingDisconnect_ = false;
   bool Begun_ = false;
   /// Set once it is known that the response won't be whole.
   std::optional<CutReason> Cut_;
+  bool AwaitingDisconnect_ = false;
 };
 
 class BeastHttpServer : public HttpServer {
@@ -541,13 +542,13 @@
 
 } // namespace
 
-Result<std::unique_ptr<HttpServer>>
 std::string_view cutReasonName(CutReason Reason) {
   constexpr std::array<std::string_view, 4> Names = {"caller-left", "aborted",
                                                      "write-timeout", "fault"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
+Result<std::unique_ptr<HttpServer>>
 HttpServer::create(asio::io_context &AcceptContext,
                    std::vector<asio::io_context *> Workers,
                    HttpServerOptions Options) {
--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -52,11 +52,25 @@
 }
 
 bool MemoryBudget::hasRoomFor(std::size_t Bytes, std::size_t Counted) const {
+  if (Limit_ == 0)
+    return mayHold(MemoryOwner::RequestBodies, Bytes, Counted);
   std::size_t Others = used() - std::min(used(), Counted);
   // A body beyond the whole budget may be taken in alone.
   return Others == 0 || levelOf(Others + Bytes) == MemoryLevel::Free;
 }
 
+bool MemoryBudget::mayHold(MemoryOwner Owner, std::size_t Bytes,
+                           std::size_t Counted) const {
+  if (Bytes <= KernelBufferBytes)
+    return true;
+  if (Limit_ > 0 || Bytes > WholeLimit_)
+    return Bytes <= WholeLimit_;
+  std::size_t Used = used(Owner);
+  std::size_t Others = Used - std::min(Used, Counted);
+  std::size_t Room = WholeLimit_ - Bytes;
+  return Others <= Room && Bytes <= Room - Others;
+}
+
 void MemoryBudget::add(MemoryOwner Owner, std::size_t Bytes) {
   Used_[indexOf(Owner)].fetch_add(Bytes, std::memory_order_relaxed);
   if (Limit_ == 0 || Bytes == 0)
@@ -143,6 +157,15 @@
   Budget_.Readers_.erase(Number_);
 }
 
+bool MemoryUse::grow(std::size_t Bytes) {
+  if (Bytes == Bytes_)
+    return true;
+  if (Bytes > Bytes_ && !Budget_.mayHold(Owner_, Bytes, Bytes_))
+    return false;
+  set(Bytes);
+  return true;
+}
+
 void MemoryUse::set(std::size_t Bytes) {
   std::size_t Before = std::exchange(Bytes_, Bytes);
   if (Bytes > Before)
--- a/Source/Connection/MemoryBudget.h
+++ b/Source/Connection/MemoryBudget.h
@@ -4,7 +4,8 @@
 /// requests, and answers that their callers have not read yet. Thread-safe.
 ///
 /// Load pattern: hundreds of callers that read at a trickle or not at all, with
-/// the longest answers, at a VM with little memory.
+/// the longest answers, at a VM with little memory; servers whose answers, and
+/// callers whose bodies, have no end.
 
 #include <array>
 #include <atomic>
@@ -12,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -49,9 +51,13 @@
   using LevelChanged = std::function<void(MemoryLevel)>;
   /// Ends a reader; called on any thread, so it has to post.
   using EndReader = std::function<void()>;
+  static constexpr std::size_t NoLimit =
+      std::numeric_limits<std::size_t>::max();
 
-  /// \p Limit in bytes; 0 means that there is no limit.
-  explicit MemoryBudget(std::size_t Limit) : Limit_(Limit) {}
+  /// \p Limit in bytes; 0 means that there is no limit. \p WholeLimit in
+  /// bytes is for what is held whole, for each owner.
+  explicit MemoryBudget(std::size_t Limit, std::size_t WholeLimit = NoLimit)
+      : Limit_(Limit), WholeLimit_(WholeLimit) {}
   /// Called once, before the first use.
   void onLevelChanged(LevelChanged Hook) { LevelChanged_ = std::move(Hook); }
 
@@ -62,6 +68,11 @@
   /// \returns whether a body of \p Bytes may be taken in now, of which \p
   /// Counted are in use already.
   bool hasRoomFor(std::size_t Bytes, std::size_t Counted = 0) const;
+  /// \returns whether a message that is held whole may grow to \p Bytes, of
+  /// which \p Counted are in use already. Without a limit of the budget it may
+  /// take as much as it leaves free, so that one without end leaves room for
+  /// the others.
+  bool mayHold(MemoryOwner Owner, std::size_t Bytes, std::size_t Counted) const;
   /// Records that a body was refused for lack of memory.
   void bodyRefused() { ++BodiesRefused_; }
   std::uint64_t bodiesRefused() const { return BodiesRefused_; }
@@ -107,6 +118,7 @@
   void endSlowest();
 
   std::size_t Limit_;
+  std::size_t WholeLimit_;
   LevelChanged LevelChanged_ = [](MemoryLevel) {};
   std::array<std::atomic<std::size_t>, MemoryOwners.size()> Used_{};
   std::atomic<MemoryLevel> Reported_ = MemoryLevel::Free;
@@ -146,6 +158,9 @@
   MemoryUse &operator=(const MemoryUse &) = delete;
 
   void set(std::size_t Bytes);
+  /// Sets the bytes of a message that is held whole. \returns false, and
+  /// changes nothing, if it may not grow so large.
+  bool grow(std::size_t Bytes);
   std::size_t bytes() const { return Bytes_; }
 
 private:
--- a/Source/Process/Keeping/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -79,8 +79,8 @@
 Awaitable<void> EngineMonitor::poll(ServerKey Key, Endpoint Address) {
   HttpRequest Request;
   Request.Target_ = "/v1/load";
-  auto Response =
-      co_await httpCall(Address, std::move(Request), Options_.Timeout_);
+  auto Response = co_await httpCall(Address, std::move(Request),
+                                    Options_.Timeout_, MaxControlAnswerBytes);
   PolledEngine &State = PolledEngines_[Key];
   State.Busy_ = false;
   // An engine that answers with an error, or with an invalid report, is
@@ -109,8 +109,8 @@
   HttpRequest Request;
   Request.Target_ =
       fmt::format("/v1/cache-events?after={}", PolledEngines_[Key].NextEvent_);
-  auto Response =
-      co_await httpCall(Address, std::move(Request), Options_.Timeout_);
+  auto Response = co_await httpCall(Address, std::move(Request),
+                                    Options_.Timeout_, MaxControlAnswerBytes);
   if (!Response || Response->Status_ != 200)
     co_return;
   Json Body = Json::parse(Response->Body_, nullptr, false);
@@ -155,8 +155,8 @@
     Request.Method_ = "DELETE";
     Request.Target_ =
         fmt::format("/v1/requests/{}?onlyDetached=true", Id.str());
-    auto Response =
-        co_await httpCall(Address, std::move(Request), Options_.Timeout_);
+    auto Response = co_await httpCall(Address, std::move(Request),
+                                      Options_.Timeout_, MaxControlAnswerBytes);
     constexpr int StillAttached = 409;
     if (Response && Response->Status_ != StillAttached)
       co_return;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -55,15 +55,28 @@
       [](const auto &Value) -> const VmId & { return Value.Ingress_; }, Taken);
 }
 
+constexpr std::size_t BytesPerMb = 1000 * 1000;
+
 /// \returns how many bytes may be held for callers: a third of the process's
 /// memory. Another third is for the process itself, and the last one for bytes
 /// that the kernel has received and not yet passed on.
 std::size_t bufferBytes(std::uint32_t MemoryMb) {
   constexpr std::size_t Parts = 3;
-  constexpr std::size_t BytesPerMb = 1000 * 1000;
   return MemoryMb * BytesPerMb / Parts;
 }
 
+/// \returns how many bytes of answers, and as many of requests' bodies, may be
+/// held whole. An eighth: a body is held up to three times while it is sent.
+std::size_t wholeMessageBytes(const Settings &Configured) {
+  constexpr std::size_t Parts = 8;
+  if (Configured.WholeMessagesMb_ > 0)
+    return Configured.WholeMessagesMb_ * BytesPerMb;
+  if (Configured.MemoryMb_ > 0)
+    return Configured.MemoryMb_ * BytesPerMb / Parts;
+  std::size_t Known = vmMemoryBytes();
+  return Known > 0 ? Known / Parts : MemoryBudget::NoLimit;
+}
+
 /// \returns how long a newer configuration may be known without being active;
 /// 0: without limit.
 milliseconds applyTime(milliseconds Bound) {
@@ -119,7 +132,8 @@
                      ? Settings_.RevocationBound_ - RevocationMargin
                      : milliseconds(0),
                  applyTime(Settings_.ApplyBound_)),
-      Memory_(bufferBytes(Settings_.MemoryMb_)), Incarnation_(newIncarnation()),
+      Memory_(bufferBytes(Settings_.MemoryMb_), wholeMessageBytes(Settings_)),
+      Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       RelayCandidates_(std::make_shared<std::vector<RelayCandidate>>()),
       MemberLog_(Control_),
@@ -637,6 +651,19 @@
   return Limits;
 }
 
+void Daemon::reportCut(const HttpRequest &Request, CutReason Reason) {
+  Metrics_.reportCut(Reason);
+  constexpr std::uint32_t LinesPerSecond = 20;
+  thread_local LogSampler Sampler(LinesPerSecond);
+  auto Dropped =
+      Sampler.admit(static_cast<int>(Reason), std::chrono::steady_clock::now());
+  if (Dropped)
+    logEvent(LogCategory::Request, spdlog::level::info, "caller-cut",
+             {{"call", Adapter_.Dialect_.ReadCall_(Request.Fields_).CallId_},
+              {"reason", std::string(cutReasonName(Reason))},
+              {"dropped", std::to_string(*Dropped)}});
+}
+
 Result<void> Daemon::wireCallers() {
   std::vector<asio::io_context *> Contexts;
   std::map<asio::execution_context *, CallerService *> ByContext;
@@ -651,29 +678,18 @@
   Relay_->start(Contexts);
   HttpServerOptions Options;
   Options.Address_ = Settings_.Callers_;
-void Daemon::reportCut(const HttpRequest &Request, CutReason Reason) {
-  Metrics_.reportCut(Reason);
-  constexpr std::uint32_t LinesPerSecond = 20;
-  thread_local LogSampler Sampler(LinesPerSecond);
-  auto Dropped =
-      Sampler.admit(static_cast<int>(Reason), std::chrono::steady_clock::now());
-  if (Dropped)
-    logEvent(LogCategory::Request, spdlog::level::info, "caller-cut",
-             {{"call", Adapter_.Dialect_.ReadCall_(Request.Fields_).CallId_},
-              {"reason", std::string(cutReasonName(Reason))},
-              {"dropped", std::to_string(*Dropped)}});
-}
-
   Options.MaxConnections_ = Settings_.MaxConnections_;
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
-  if (Memory_.limit() > 0)
-    Options.Memory_ = &Memory_;
+  Options.Memory_ = &Memory_;
   Options.Handler_ = [ByContext](HttpExchange &Exchange) -> Awaitable<void> {
     auto Executor = co_await asio::this_coro::executor;
     auto &Context = asio::query(Executor, asio::execution::context);
     co_await ByContext.at(&Context)->handle(Exchange);
   };
+  Options.Cut_ = [this](const HttpRequest &Request, CutReason Reason) {
+    reportCut(Request, Reason);
+  };
   Options.Refusal_ = [this](Failure Cause) {
     Verdict Ended;
     Ended.Code_ = Cause.Code_;
@@ -687,9 +703,6 @@
   CallerServer_ = std::move(*Server);
   return {};
 }
-  Options.Cut_ = [this](const HttpRequest &Request, CutReason Reason) {
-    reportCut(Request, Reason);
-  };
 
 Result<void> Daemon::wireOperators() {
   OperatorService::Hooks Hooks;
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -133,9 +133,9 @@
   RequestId nextRequestId();
 
   void beginDrain();
+  void checkProcess();
   void awaitDrained();
   void stopAll();
-  void checkProcess();
   std::string status() const;
   /// The time since the configuration was last known to be the newest.
   std::chrono::milliseconds configurationAge() const;
@@ -203,9 +203,9 @@
   std::unique_ptr<HttpServer> MetricsServer_;
   boost::asio::signal_set Signals_;
   boost::asio::steady_timer DrainTimer_;
+  bool Stopped_ = false;
   boost::asio::steady_timer RefreshTimer_;
   bool RefreshPending_ = false;
-  bool Stopped_ = false;
   std::filesystem::file_time_type FlagFileTime_;
   std::chrono::steady_clock::time_point FlagFileChecked_;
 };
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -34,6 +34,10 @@
 ABSL_FLAG(int, memory_mb, 0,
           "Memory that this process may use, in MB, 32 to 1048576; what it "
           "holds for slow callers is bounded by it; 0: no bound.");
+ABSL_FLAG(int, whole_messages_mb, 0,
+          "Memory for bodies of requests, and as much for answers, that are "
+          "held whole, in MB, 1 to 65536; 0: an eighth of memory_mb or of the "
+          "VM's memory.");
 ABSL_FLAG(std::string, seed_peers, "",
           "IP:port,... of daemons to join while the platform is unavailable.");
 ABSL_FLAG(int, threads, 2,
@@ -116,6 +120,7 @@
                                   "seed_peers",
                                   "link_mbps",
                                   "memory_mb",
+                                  "whole_messages_mb",
                                   "advertise_operators",
                                   "max_connections",
                                   "drain_delay_ms",
@@ -257,6 +262,11 @@
   if (MemoryMb > 0 && MemoryMb < MinMemoryMb)
     Check.addError("memory_mb", "must be 0 or at least 32");
   Read.MemoryMb_ = static_cast<std::uint32_t>(std::max(MemoryMb, 0));
+  constexpr int MaxWholeMessagesMb = 65536;
+  Read.WholeMessagesMb_ = static_cast<std::uint32_t>(
+      std::max(0, Check.number("whole_messages_mb",
+                               absl::GetFlag(FLAGS_whole_messages_mb), 0,
+                               MaxWholeMessagesMb)));
   Read.SeedPeers_ = addressList(Check, absl::GetFlag(FLAGS_seed_peers));
   Read.Threads_ = static_cast<std::size_t>(
       Check.number("threads", absl::GetFlag(FLAGS_threads), 0, MaxThreads));
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -31,6 +31,9 @@
   std::uint32_t LinkMbps_ = 0;
   /// Memory that this process may use in MB; 0: no bound.
   std::uint32_t MemoryMb_ = 0;
+  /// Memory for bodies of requests, and as much for answers, that are held
+  /// whole, in MB; 0: an eighth of the memory.
+  std::uint32_t WholeMessagesMb_ = 0;
   /// Daemons to join while the platform is unavailable.
   std::vector<Endpoint> SeedPeers_;
   /// Number of worker threads. 0: the control thread serves requests.
--- a/Source/Programs/TraceExporter.cpp
+++ b/Source/Programs/TraceExporter.cpp
@@ -76,7 +76,7 @@
     Request.Fields_["content-type"] = "application/json";
     Request.Body_ = encode(Batch);
     auto Response = co_await httpCall(Options_.Collector_, std::move(Request),
-                                      Options_.Timeout_);
+                                      Options_.Timeout_, MaxControlAnswerBytes);
     if (!Response || Response->Status_ != 200)
       Dropped_ += Batch.size();
   }
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/Hash.h"
 #include "Common/Log.h"
+#include "Connection/MemoryBudget.h"
 #include "Connection/Spawn.h"
 #include "Request/CrashEvidence.h"
 #include "Request/ServerNotices.h"
@@ -38,7 +39,9 @@
 
 class ApplicationCall {
 public:
-  explicit ApplicationCall(RequestContext &Context) : Context_(Context) {}
+  explicit ApplicationCall(RequestContext &Context)
+      : Context_(Context),
+        HeldAnswer_(Context.Services_.Memory_, MemoryOwner::Answers) {}
 
   Awaitable<void> run() {
     bool NeedsClaim = Context_.Route_->NonIdempotent_;
@@ -199,6 +202,10 @@
         co_return Received.error();
       if (Received->empty())
         break;
+      std::size_t Size = Head->Body_.size() + Received->size();
+      if (!HeldAnswer_.grow(Size))
+        co_return Failure{ResultCode::AnswerTooLarge,
+                          fmt::format("{} bytes", Size)};
       Head->Body_ += *Received;
     }
     // An answer may be stored for repeats of its request, so its end has to be
@@ -275,6 +282,8 @@
 
   RequestContext &Context_;
   ReadyServer Ready_;
+  /// The memory of the answer.
+  MemoryUse HeldAnswer_;
   TimePoint Dispatched_;
   std::optional<Claim> Wanted_;
   std::optional<Claim> Claimed_;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -79,7 +79,8 @@
   explicit ForwardedCall(RequestContext &Context)
       : Context_(Context), Rule_(*Context.Route_->Forwarding_),
         Dialect_(Context.Services_.Dialect_),
-        HeldAnswer_(Context.Services_.Memory_, MemoryOwner::Answers) {}
+        HeldAnswer_(Context.Services_.Memory_, MemoryOwner::Answers),
+        HeldError_(Context.Services_.Memory_, MemoryOwner::Answers) {}
 
   Awaitable<void> run() {
     Executor_ = co_await boost::asio::this_coro::executor;
@@ -161,6 +162,7 @@
   Awaitable<AttemptEnd> attempt() {
     ++Sends_;
     Suspension_.reset();
+    HeldAnswer_.set(0);
     Context_.Services_.Grants_.dispatched(Context_.Id_, nullptr, suspendHook());
     Dispatched_ = steady_clock::now();
     FirstEvent_ = TimePoint();
@@ -416,7 +418,7 @@
 
   Awaitable<AttemptEnd> refusedByServer(HttpResponse Head) {
     Rejected_ = !Replaced_;
-    bool Whole = co_await readBody(Head);
+    Result<void> Whole = co_await readBody(Head);
     HeldAnswer_.set(0);
     if (Whole)
       releaseConnection(Context_, Ready_);
@@ -429,7 +431,9 @@
     co_return AttemptEnd::NotRun;
   }
 
-  Awaitable<bool> readBody(HttpResponse &Answer) {
+  /// Reads the rest of an answer. \returns ConnectionLost, AnswerTimeout or
+  /// AnswerTooLarge.
+  Awaitable<Result<void>> readBody(HttpResponse &Answer) {
     AnswerTurn Turn(Context_.Services_.Memory_);
     while (true) {
       while (Answer.Body_.size() > KernelBufferBytes && !Turn.mayReadOn() &&
@@ -437,24 +441,31 @@
         co_await pauseReading();
       auto Received =
           co_await Ready_.Connection_->readSome(Context_.remaining());
+      if (!Received && Received.error().Code_ != ResultCode::AnswerTooLarge)
+        co_return Failure{ResultCode::ConnectionLost, "answer broke off"};
       if (!Received)
-        co_return false;
+        co_return Received.error();
       if (Received->empty())
-        co_return true;
+        co_return Result<void>();
+      if (!HeldAnswer_.grow(Answer.Body_.size() + Received->size()))
+        co_return answerTooLarge(Answer.Body_.size());
       Answer.Body_ += *Received;
-      HeldAnswer_.set(Answer.Body_.size());
     }
   }
 
+  static Failure answerTooLarge(std::size_t Bytes) {
+    return {ResultCode::AnswerTooLarge, fmt::format("{} bytes", Bytes)};
+  }
+
   Awaitable<void> pauseReading() {
     boost::asio::steady_timer Timer(Executor_, MemoryWaitStep);
     co_await Timer.async_wait(boost::asio::use_awaitable);
   }
 
   Awaitable<AttemptEnd> relayAnswer(HttpResponse Answer) {
-    bool Whole = co_await readBody(Answer);
+    Result<void> Whole = co_await readBody(Answer);
     if (!Whole)
-      co_return failed({ResultCode::ConnectionLost, "answer broke off"});
+      co_return failed(Whole.error());
     releaseConnection(Context_, Ready_);
     if (promisesNotRun(Answer.Status_)) {
       // The request may have run, but the caller would take this status for a
@@ -474,6 +485,8 @@
       Faulty_ = true;
       LastFailure_ = {ResultCode::ServerError,
                       fmt::format("status {}", Answer.Status_)};
+      HeldAnswer_.set(0);
+      HeldError_.set(Answer.Body_.size());
       ServerErrorAnswer_ = std::move(Answer);
       co_return AttemptEnd::Failed;
     }
@@ -522,6 +535,12 @@
       auto Events = Splitter_.feed(*Received);
       if (!Events)
         co_return failed(Events.error());
+      std::size_t Held = Splitter_.partialEvent().size();
+      if (!HeldAnswer_.grow(Held))
+        co_return failed(answerTooLarge(Held));
+      // A read doesn't time out while the server sends all the time.
+      if (Context_.expired(ReadyEventsTime))
+        co_return failed({ResultCode::AnswerTimeout, "stream without end"});
       if (Events->empty())
         continue;
       Context_.StreamTiming_.event(Context_.Started_, steady_clock::now());
@@ -535,12 +554,6 @@
     bool Stopped = Ready_.Connection_->bodyEnd() == BodyEnd::Close &&
                    co_await wasSuspended();
     if (Stopped) {
-      std::size_t Held = Splitter_.partialEvent().size();
-      if (!HeldAnswer_.grow(Held))
-        co_return failed(answerTooLarge(Held));
-      // A read doesn't time out while the server sends all the time.
-      if (Context_.expired(ReadyEventsTime))
-        co_return failed({ResultCode::AnswerTimeout, "stream without end"});
       Ready_.Connection_->close();
       co_return CallerLeft_ ? AttemptEnd::CallerLeft : AttemptEnd::Suspended;
     }
@@ -717,8 +730,11 @@
   Endpoint KeptAt_;
   /// Answered by the server, and not yet given to the caller.
   std::optional<HttpResponse> WholeAnswer_;
-  /// The memory of an answer that is read whole before its caller gets it.
+  /// The memory of an answer that is read whole before its caller gets it, or
+  /// of an event that is incomplete.
   MemoryUse HeldAnswer_;
+  /// The memory of ServerErrorAnswer_.
+  MemoryUse HeldError_;
   std::shared_ptr<AnswerWriter> Writer_;
   /// Where the memory of the run is that the next dispatch goes on with.
   std::optional<MemoryLocation> Memory_;
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -4,7 +4,9 @@
 /// an interrupted stream can be resumed where it broke off.
 
 #include "Common/Log.h"
+#include "Connection/EventSplitter.h"
 #include "Connection/EventStream.h"
+#include "Connection/MemoryBudget.h"
 #include "Request/CrashEvidence.h"
 #include "Request/ServerNotices.h"
 
@@ -42,7 +44,8 @@
   HttpRequest Request;
   Request.Method_ = "DELETE";
   Request.Target_ = "/v1/requests/" + Id.str();
-  return httpCall(Address, std::move(Request), ResumeTimeout);
+  return httpCall(Address, std::move(Request), ResumeTimeout,
+                  MaxControlAnswerBytes);
 }
 
 /// \returns the number in an event's id "<request>:<number>", or nothing when
@@ -66,7 +69,9 @@
 /// both come after the request has ended.
 class ModelCall : public std::enable_shared_from_this<ModelCall> {
 public:
-  explicit ModelCall(RequestContext &Context) : Context_(Context) {}
+  explicit ModelCall(RequestContext &Context)
+      : Context_(Context),
+        HeldAnswer_(Context.Services_.Memory_, MemoryOwner::Answers) {}
 
   Awaitable<void> run() {
     Streaming_ = wantsStream();
@@ -202,16 +207,29 @@
         if (Broken || AnswerComplete_)
           co_return Broken;
       }
-    }
-    co_return std::nullopt;
-  }
-
-  /// Processes one event. An event of another request is an error; one that is
       if (auto TooLarge = holdAnswer(Parser.heldBytes()))
         co_return TooLarge;
       // A read doesn't time out while the engine sends all the time.
       if (Context_.expired(ReadyEventsTime))
         co_return std::nullopt;
+    }
+    co_return std::nullopt;
+  }
+
+  /// Counts what is held of the answer. \returns the end of the request if that
+  /// is too much.
+  std::optional<Verdict> holdAnswer(std::size_t EventBytes) {
+    bool Fits = EventBytes <= EventSplitter::MaxEventBytes;
+    if (Fits && HeldAnswer_.grow(EventBytes + Collected_.size()))
+      return std::nullopt;
+    Verdict Ended;
+    Ended.Outcome_ = HeadSent_ ? Outcome::Partial : Outcome::Unknown;
+    Ended.Code_ = Fits ? ResultCode::AnswerTooLarge : ResultCode::EventTooLarge;
+    Ended.Detail_ = fmt::format("{} bytes", EventBytes + Collected_.size());
+    return Ended;
+  }
+
+  /// Processes one event. An event of another request is an error; one that is
   /// not the next in sequence is skipped.
   Awaitable<std::optional<Verdict>> handleEvent(ServerSentEvent Event) {
     auto Number = eventNumber(Event, Context_.Id_);
@@ -429,6 +447,8 @@
 
   RequestContext &Context_;
   ReadyServer Ready_;
+  /// The memory of an incomplete event and of a collected answer.
+  MemoryUse HeldAnswer_;
   TimePoint Dispatched_;
   microseconds FirstToken_{0};
   std::uint64_t NextEvent_ = 0;
--- a/Source/Request/RunSuspension.cpp
+++ b/Source/Request/RunSuspension.cpp
@@ -42,8 +42,8 @@
 
 Awaitable<void> RunSuspension::order(MoveOrder Order) {
   HttpRequest Request = Calls_.WriteMove_(Order);
-  auto Response =
-      co_await httpCall(Target_.Source_, std::move(Request), Target_.Patience_);
+  auto Response = co_await httpCall(Target_.Source_, std::move(Request),
+                                    Target_.Patience_, MaxControlAnswerBytes);
   auto Answer = Response ? Calls_.ReadMove_(*Response)
                          : Result<MoveAnswer>(Response.error());
   if (Answer)
@@ -95,7 +95,8 @@
   auto Run = [Engine, Request = std::move(Request),
               Handle = std::move(Handle)]() -> Awaitable<void> {
     HttpRequest Sent = Request;
-    auto Response = co_await httpCall(Engine, std::move(Sent), ReleaseTimeout);
+    auto Response = co_await httpCall(Engine, std::move(Sent), ReleaseTimeout,
+                                      MaxControlAnswerBytes);
     if (!Response)
       logEvent(LogCategory::Request, spdlog::level::warn, "memory-not-released",
                {{"server", formatEndpoint(Engine)},
--- a/UnitTests/Connection/MemoryBudgetTest.cpp
+++ b/UnitTests/Connection/MemoryBudgetTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <utility>
 #include <vector>
 
 using namespace samphireshunt;
@@ -106,3 +108,55 @@
   Other.set(1);
   CHECK_FALSE(Budget.hasRoomFor(3 * Limit, Body.bytes()));
 }
+
+TEST_CASE("a message without end leaves room for the others") {
+  // Guards against a daemon whose memory one server's answer takes.
+  MemoryBudget Budget(0, Limit);
+  MemoryUse Endless(Budget, MemoryOwner::Answers);
+  std::size_t Held = 0;
+  while (Endless.grow(Held + 1000))
+    Held += 1000;
+  CHECK(Held == Limit / 2);
+  CHECK(Endless.bytes() == Held);
+  MemoryUse Sound(Budget, MemoryOwner::Answers);
+  CHECK(Sound.grow(Limit / 4));
+  MemoryUse Body(Budget, MemoryOwner::RequestBodies);
+  CHECK(Body.grow(Limit / 2));
+}
+
+TEST_CASE("many messages without end stay below the limit") {
+  // Guards against a daemon whose memory many servers' answers take together.
+  constexpr std::size_t Count = 10;
+  MemoryBudget Budget(0, 10 * Limit);
+  std::vector<std::unique_ptr<MemoryUse>> Endless;
+  while (Endless.size() < Count)
+    Endless.push_back(
+        std::make_unique<MemoryUse>(Budget, MemoryOwner::Answers));
+  bool Grown = true;
+  while (std::exchange(Grown, false))
+    for (auto &Use : Endless)
+      Grown |= Use->grow(Use->bytes() + 1000);
+  CHECK(Budget.used() < 10 * Limit);
+  CHECK(Budget.used() > 8 * Limit);
+}
+
+TEST_CASE("a short message is held whatever the others take") {
+  // Guards against answers that are lost because callers read others slowly.
+  MemoryBudget Budget(0, Limit);
+  auto Reader = Budget.addReader([] {});
+  Reader->setPending(2 * Limit);
+  MemoryUse Short(Budget, MemoryOwner::Answers);
+  CHECK(Short.grow(KernelBufferBytes));
+  CHECK_FALSE(Short.grow(KernelBufferBytes + 1));
+  CHECK(Short.bytes() == KernelBufferBytes);
+}
+
+TEST_CASE("with a limit of the budget an answer is bounded by itself") {
+  // Guards against one answer without end that holds the turn of all others.
+  MemoryBudget Budget(Limit, Limit / 2);
+  MemoryUse First(Budget, MemoryOwner::Answers);
+  MemoryUse Second(Budget, MemoryOwner::Answers);
+  CHECK(First.grow(Limit / 2));
+  CHECK(Second.grow(Limit / 2));
+  CHECK_FALSE(Second.grow(Limit / 2 + 1));
+}
