A resumable stream leaves a silent server after 1.6 s, not after 1.2 s

A sound server may be silent for a second or so and go on. A resumable stream was taken from it after 1.2 s: its run was done twice, out of the budget for repeats, and a server that goes on within 400 ms still works on the first one.

What a caller gains by leaving earlier: nothing is in time after such a pause (pauses of 300 to 400 ms are allowed), and callers give a stream up after two seconds or more. So the server is left as late as lets another one send its first event, which takes about the route's objective, at 1.6 s at most and 1.2 s at least.

Looked at and left: heads of requests that may run twice (half of the time left), unacknowledged bytes (3 s), the product's own streams (resumed at the same server after 1 s, nothing runs again).

A server that is gone is left within 2 s, before and after.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -39,9 +39,6 @@
 /// A request with less time left isn't retried, since no server could answer it
 /// in time.
 constexpr milliseconds MinTimeLeft{20};
-/// A resumable stream is moved to another engine after this much silence. It is
-/// several times the pause between events of an engine with a full batch.
-constexpr milliseconds ResumeAfterSilence{1200};
 /// The first server of a retryable request gets the remaining time divided by
 /// this.
 constexpr int FirstAttemptDivisor = 2;
@@ -352,7 +349,7 @@
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
     if (Last || !Rule_.retryable())
       return isStream() ? std::min(Left, callerPatience(Rule_)) : Left;
-    return isStream() ? std::min(Left, ResumeAfterSilence)
+    return isStream() ? std::min(Left, resumeAfterSilence(Rule_))
                       : Left / FirstAttemptDivisor;
   }
 
@@ -360,7 +357,7 @@
   milliseconds eventTimeout() const {
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
     bool Move = Rule_.Resumable_ && !Last && couldGoOnElsewhere();
-    auto Timeout = Move ? ResumeAfterSilence : callerPatience(Rule_);
+    auto Timeout = Move ? resumeAfterSilence(Rule_) : callerPatience(Rule_);
     return std::min(Context_.remaining(), Timeout);
   }
 
--- a/Source/Request/WaitPlan.cpp
+++ b/Source/Request/WaitPlan.cpp
@@ -84,4 +84,15 @@
                    Rule.MaxEventGap_ * GapFactor});
 }
 
+milliseconds resumeAfterSilence(const ForwardingRule &Rule) {
+  // A sound server may be silent for a second or so and go on: its run would be
+  // done twice, and by then another one would hardly be ahead.
+  constexpr milliseconds SoundSilence{1600};
+  // Several times the pause between events of a server with a full batch.
+  constexpr milliseconds MinSilence{1200};
+  // Another server needs about the objective for its first event.
+  milliseconds InTime = callerPatience(Rule) - Rule.Objective_;
+  return std::clamp(InTime, MinSilence, SoundSilence);
+}
+
 } // namespace samphireshunt
--- a/Source/Request/WaitPlan.h
+++ b/Source/Request/WaitPlan.h
@@ -66,4 +66,8 @@
 /// gives the stream up.
 std::chrono::milliseconds callerPatience(const ForwardingRule &Rule);
 
+/// \returns how long a resumable stream waits for a silent server before it
+/// goes on elsewhere.
+std::chrono::milliseconds resumeAfterSilence(const ForwardingRule &Rule);
+
 } // namespace samphireshunt
--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -437,3 +437,43 @@
   CHECK(Reply.Bytes_.size() < Events.size());
   CHECK(Took < std::chrono::seconds(2));
 }
+
+TEST_CASE(
+    "a server that is silent for a second or so goes on with its stream") {
+  // Guards against sound runs that are left, and done twice.
+  constexpr std::chrono::milliseconds Silence{1250};
+  const std::string First = streamHead("c1") + eventChunk(1, "a");
+  const std::string Rest = eventChunk(2, "b") + LastChunk;
+  for (bool Resumable : {false, true})
+    for (const auto &[Before, After] :
+         {std::pair(First, Rest), std::pair(std::string(), First + Rest)}) {
+      CAPTURE(Resumable);
+      CAPTURE(Before);
+      Script Silent{Before};
+      Silent.Silence_ = Silence;
+      Silent.AfterSilence_ = After;
+      ForwardingHarness Path(stream(Resumable),
+                             {always(Silent), always(Silent)});
+      auto Reply = Path.call("c1");
+      CHECK(Reply.hasLastChunk());
+      CHECK(Path.received() == 1);
+    }
+}
+
+TEST_CASE("a server that is gone for good is left before the caller gives up") {
+  // Guards against resumable streams that wait for a dead server.
+  Script Dead{streamHead("c1") + eventChunk(1, "a"), Script::Then::Hold};
+  Script Whole{streamHead("c1") + eventChunk(2, "b") + LastChunk};
+  ForwardingHarness Path(
+      stream(true),
+      {[=](const std::string &Request, std::size_t) {
+         return fieldIn(Request, "last-event-id").empty() ? Dead : Whole;
+       },
+       [=](const std::string &Request, std::size_t) {
+         return fieldIn(Request, "last-event-id").empty() ? Dead : Whole;
+       }});
+  auto Started = std::chrono::steady_clock::now();
+  CHECK(Path.call("c1").hasLastChunk());
+  CHECK(std::chrono::steady_clock::now() - Started < std::chrono::seconds(2));
+  CHECK(Path.received() == 2);
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -136,6 +136,13 @@
     auto Buffer = asio::buffer(Current.Bytes_);
     co_await asio::async_write(
         Socket, Buffer, asio::redirect_error(asio::use_awaitable, Error));
+    if (Current.Silence_.count() > 0) {
+      asio::steady_timer Timer(Socket.get_executor(), Current.Silence_);
+      co_await Timer.async_wait(asio::use_awaitable);
+      auto Later = asio::buffer(Current.AfterSilence_);
+      co_await asio::async_write(
+          Socket, Later, asio::redirect_error(asio::use_awaitable, Error));
+    }
     bool ClosesOthers = Current.Then_ == Script::Then::CloseOthers;
     if (ClosesOthers || !Current.ToOthers_.empty())
       actOnOthers(Socket, Current);
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -36,6 +36,9 @@
   std::size_t AnswerAfterBytes_ = 0;
   /// Written to the server's other connections after the answer.
   std::string ToOthers_ = {};
+  /// How long the server is silent then, and what it writes after that.
+  std::chrono::milliseconds Silence_{0};
+  std::string AfterSilence_ = {};
 };
 
 /// Selects the script by the request's bytes and its number at this server,
--- a/UnitTests/Request/WaitPlanTest.cpp
+++ b/UnitTests/Request/WaitPlanTest.cpp
@@ -83,3 +83,19 @@
   CHECK(MaxWait(milliseconds(1000)) == milliseconds(800));
   CHECK(MaxWait(milliseconds(100)) == milliseconds(1));
 }
+
+TEST_CASE(
+    "a silent server is left later than sound ones are silent, and in time") {
+  // Guards against sound runs that are left, and against streams given up.
+  auto After = [](int Objective, int Gap) {
+    ForwardingRule Rule = stream();
+    Rule.Objective_ = milliseconds(Objective);
+    Rule.MaxEventGap_ = milliseconds(Gap);
+    return resumeAfterSilence(Rule).count();
+  };
+  CHECK(After(800, 400) == 1600);
+  CHECK(After(500, 300) == 1600);
+  CHECK(After(300, 100) == 1600);
+  CHECK(After(500, 100) == 1500);
+  CHECK(After(0, 0) == 1600);
+}
