A listener without descriptors rests before it accepts again

Cause: an accept that fails at the limit of descriptors fails again at once, and each of the three listeners asked again at once: a daemon at its limit took a whole core, and requests on its open connections waited.

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Connection/Http.h"
 
 #include "Common/Log.h"
+#include "Connection/AcceptLoop.h"
 #include "Connection/MemoryBudget.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
@@ -481,16 +482,24 @@
   BeastHttpServer(Tcp::acceptor Acceptor,
                   std::vector<asio::io_context *> Workers,
                   std::shared_ptr<ServerState> State)
-      : Acceptor_(std::move(Acceptor)), Workers_(std::move(Workers)),
-        State_(std::move(State)), Address_(Acceptor_.local_endpoint()) {
-    acceptNext();
+      : Workers_(std::move(Workers)), State_(std::move(State)),
+        Address_(Acceptor.local_endpoint()) {
+    AcceptLoop::Hooks Accepting;
+    Accepting.Context_ = [this]() -> asio::io_context & {
+      return *Workers_[NextWorker_++ % Workers_.size()];
+    };
+    Accepting.Accepted_ = [this](Tcp::socket Socket) {
+      start(std::move(Socket));
+    };
+    Accepting_ = AcceptLoop::create(std::move(Acceptor), "accept-caller",
+                                    std::move(Accepting));
+    Accepting_->start();
   }
 
   Endpoint address() const override { return Address_; }
   void stopAccepting() override {
     closeAfterAnswers();
-    beast::error_code Ignored;
-    Acceptor_.close(Ignored);
+    Accepting_->stop();
   }
   void closeAfterAnswers() override { State_->CloseAfterAnswers_ = true; }
   std::size_t openConnections() const override {
@@ -504,19 +513,6 @@
   }
 
 private:
-  void acceptNext() {
-    asio::io_context &Worker = *Workers_[NextWorker_++ % Workers_.size()];
-    Acceptor_.async_accept(
-        Worker, [this](beast::error_code Error, Tcp::socket Socket) {
-          if (Error == asio::error::operation_aborted)
-            return;
-          if (!Error)
-            runLogged("accept-caller", [&] { start(std::move(Socket)); });
-          if (Acceptor_.is_open())
-            acceptNext();
-        });
-  }
-
   void start(Tcp::socket Socket) {
     beast::error_code Ignored;
     Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -532,7 +528,7 @@
     spawnLogged(Executor, "serve-connection", std::move(Run));
   }
 
-  Tcp::acceptor Acceptor_;
+  std::shared_ptr<AcceptLoop> Accepting_;
   std::vector<asio::io_context *> Workers_;
   std::shared_ptr<ServerState> State_;
   Endpoint Address_;
--- a/Source/Process/Membership/PeerNetwork.cpp
+++ b/Source/Process/Membership/PeerNetwork.cpp
@@ -33,19 +33,16 @@
 
 PeerNetwork::PeerNetwork(asio::io_context &Control, Tcp::acceptor Acceptor,
                          VmId Self, Options Settings, Hooks Callbacks)
-    : Control_(Control), Acceptor_(std::move(Acceptor)), Self_(std::move(Self)),
-      Options_(Settings), Hooks_(std::move(Callbacks)) {
-  acceptNext();
-}
-
-void PeerNetwork::acceptNext() {
-  Acceptor_.async_accept([this](const error_code &Error, Tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted || !Acceptor_.is_open())
-      return;
-    if (!Error)
-      startInbound(std::move(Socket));
-    acceptNext();
-  });
+    : Control_(Control), Self_(std::move(Self)), Options_(Settings),
+      Hooks_(std::move(Callbacks)) {
+  AcceptLoop::Hooks Accepting;
+  Accepting.Context_ = [this]() -> asio::io_context & { return Control_; };
+  Accepting.Accepted_ = [this](Tcp::socket Socket) {
+    startInbound(std::move(Socket));
+  };
+  Accepting_ = AcceptLoop::create(std::move(Acceptor), "accept-daemon",
+                                  std::move(Accepting));
+  Accepting_->start();
 }
 
 void PeerNetwork::startInbound(Tcp::socket Socket) {
@@ -159,8 +156,7 @@
 }
 
 void PeerNetwork::stop() {
-  error_code Ignored;
-  Acceptor_.close(Ignored);
+  Accepting_->stop();
   for (auto &[Id, Target] : Links_)
     if (Target.Channel_)
       Target.Channel_->close();
--- a/Source/Process/Membership/PeerNetwork.h
+++ b/Source/Process/Membership/PeerNetwork.h
@@ -4,6 +4,7 @@
 /// it sends requests to, and those that others opened. Runs on the control
 /// thread.
 
+#include "Connection/AcceptLoop.h"
 #include "Connection/FrameChannel.h"
 #include "Process/Membership/MemberTable.h"
 
@@ -43,7 +44,7 @@
   create(boost::asio::io_context &Control, Endpoint Address, VmId Self,
          Options Settings, Hooks Callbacks);
 
-  Endpoint address() const { return Acceptor_.local_endpoint(); }
+  Endpoint address() const { return Accepting_->address(); }
   /// Sends on the link to \p To, and opens it if there is none.
   void send(const VmId &To, std::string Message);
   /// Sends on the link that \p To opened; the message is lost if there is none.
@@ -60,7 +61,6 @@
 
   PeerNetwork(boost::asio::io_context &Control, Tcp::acceptor Acceptor,
               VmId Self, Options Settings, Hooks Callbacks);
-  void acceptNext();
   void startInbound(Tcp::socket Socket);
   void onInbound(const std::shared_ptr<FrameChannel> &Channel,
                  wire::EnvelopeT Message);
@@ -70,7 +70,7 @@
   void linkDown(const VmId &To);
 
   boost::asio::io_context &Control_;
-  Tcp::acceptor Acceptor_;
+  std::shared_ptr<AcceptLoop> Accepting_;
   VmId Self_;
   Options Options_;
   Hooks Hooks_;
--- a/Source/Process/Relay/RelayServer.cpp
+++ b/Source/Process/Relay/RelayServer.cpp
@@ -135,33 +135,27 @@
 
 RelayServer::RelayServer(Tcp::acceptor Acceptor, Options Settings,
                          OpenHook Open)
-    : Acceptor_(std::move(Acceptor)), Options_(std::move(Settings)),
-      Open_(std::move(Open)) {}
+    : Options_(std::move(Settings)), Open_(std::move(Open)) {
+  AcceptLoop::Hooks Accepting;
+  Accepting.Context_ = [this]() -> asio::io_context & {
+    return *Workers_[NextWorker_++ % Workers_.size()];
+  };
+  Accepting.Accepted_ = [this](Socket Accepted) {
+    auto Executor = Accepted.get_executor();
+    auto Shared = std::make_shared<Socket>(std::move(Accepted));
+    auto Serve = [this, Shared]() { return serve(std::move(*Shared)); };
+    spawnLogged(Executor, "relay", std::move(Serve));
+  };
+  Accepting_ = AcceptLoop::create(std::move(Acceptor), "accept-relay",
+                                  std::move(Accepting));
+}
 
 void RelayServer::start(std::vector<asio::io_context *> Workers) {
   Workers_ = std::move(Workers);
-  acceptNext();
+  Accepting_->start();
 }
 
-void RelayServer::stop() {
-  error_code Ignored;
-  Acceptor_.close(Ignored);
-}
-
-void RelayServer::acceptNext() {
-  asio::io_context &Worker = *Workers_[NextWorker_++ % Workers_.size()];
-  Acceptor_.async_accept(
-      Worker, [this, &Worker](const error_code &Error, Tcp::socket Accepted) {
-        if (Error == asio::error::operation_aborted || !Acceptor_.is_open())
-          return;
-        if (!Error) {
-          auto Shared = std::make_shared<Socket>(std::move(Accepted));
-          auto Serve = [this, Shared]() { return serve(std::move(*Shared)); };
-          spawnLogged(Worker, "relay", std::move(Serve));
-        }
-        acceptNext();
-      });
-}
+void RelayServer::stop() { Accepting_->stop(); }
 
 Awaitable<RelayedSocket> RelayServer::open(RelayTarget Target) {
   RelayedSocket Refused;
--- a/Source/Process/Relay/RelayServer.h
+++ b/Source/Process/Relay/RelayServer.h
@@ -5,6 +5,7 @@
 /// in frames; what a request is, and whether it may run again, is known to the
 /// other daemon alone.
 
+#include "Connection/AcceptLoop.h"
 #include "Process/Relay/RelayHandshake.h"
 
 #include <boost/asio/io_context.hpp>
@@ -35,7 +36,7 @@
 
   /// Begins to accept and distributes the connections over \p Workers.
   void start(std::vector<boost::asio::io_context *> Workers);
-  Endpoint address() const { return Acceptor_.local_endpoint(); }
+  Endpoint address() const { return Accepting_->address(); }
   /// \returns the number of connections that are being relayed. Thread-safe.
   std::size_t connections() const { return *Connections_; }
   /// Refuses new connections; those that are being relayed go on.
@@ -46,11 +47,10 @@
   using Tcp = boost::asio::ip::tcp;
 
   RelayServer(Tcp::acceptor Acceptor, Options Settings, OpenHook Open);
-  void acceptNext();
   Awaitable<void> serve(Tcp::socket Accepted);
   Awaitable<RelayedSocket> open(RelayTarget Target);
 
-  Tcp::acceptor Acceptor_;
+  std::shared_ptr<AcceptLoop> Accepting_;
   std::vector<boost::asio::io_context *> Workers_;
   std::size_t NextWorker_ = 0;
   Options Options_;
