The test of a follower that fails fails without its mechanism

The mutation follower-again, run for the first time, was missed: the confirmation of the view, each 100 ms in the test, started a new watch. The test now has no confirmation in its time; what it expects is unchanged.

Without the repeat 1 of 3 checks fails, with it none.

--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -31,8 +31,10 @@
 public:
   explicit FollowerFixture(
       milliseconds WatchTime = milliseconds(2000),
-      milliseconds LapseTime = StoreFollower::Options().EarliestExpiry_)
-      : WatchTime_(WatchTime), EarliestExpiry_(LapseTime), Store_(Context_),
+      milliseconds LapseTime = StoreFollower::Options().EarliestExpiry_,
+      milliseconds ConfirmTime = milliseconds(100))
+      : WatchTime_(WatchTime), EarliestExpiry_(LapseTime),
+        ConfirmTime_(ConfirmTime), Store_(Context_),
         Freshness_(Lease, ApplyBound),
         View_(Documents_, platform::storeLayout(), {milliseconds(150)}) {
     Store_.put("op/config", configuration(3));
@@ -44,7 +46,7 @@
     StoreFollower::Options Options;
     Options.WatchTime_ = WatchTime_;
     Options.EarliestExpiry_ = EarliestExpiry_;
-    Options.ConfirmTime_ = milliseconds(100);
+    Options.ConfirmTime_ = ConfirmTime_;
     Options.MaxWatchLag_ = milliseconds(20);
     Options.BatchTime_ = milliseconds(5);
     Options.FirstBatchTime_ = milliseconds(5);
@@ -86,6 +88,7 @@
 
   milliseconds WatchTime_;
   milliseconds EarliestExpiry_;
+  milliseconds ConfirmTime_;
   boost::asio::io_context Context_;
   FakeStore Store_;
   DocumentStore Documents_;
@@ -408,8 +411,10 @@
 }
 
 TEST_CASE("a daemon whose follower fails follows again") {
-  // Guards against a daemon that lives on and is behind for good.
-  FollowerFixture Test;
+  // Guards against a daemon that is behind until its view is confirmed again.
+  FollowerFixture Test(milliseconds(2000),
+                       StoreFollower::Options().EarliestExpiry_,
+                       std::chrono::hours(1));
   REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
   int Faults = 1;
   Test.Changed_ = [&] {
