MemoryBudget: frames of other daemons, short bodies, answers in turn

Frames of other daemons are an owner of their own, bounded by the same eighth of the process's memory as bodies and answers, with 4 KiB that each may always have: a VM has as many links as the fleet has daemons. Short bodies are bounded together: each of up to 64 KiB was always free before. With a limit of the budget the sum of answers is bounded, not each by itself. An answer whose turn it is has room of its own, half of what may be held whole, so that answers that wait for each other end one after the other.

--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -24,7 +24,9 @@
 } // namespace
 
 std::string_view memoryOwnerName(MemoryOwner Owner) {
-  return Owner == MemoryOwner::RequestBodies ? "request-bodies" : "answers";
+  constexpr std::array<std::string_view, MemoryOwners.size()> Names = {
+      "request-bodies", "answers", "peer-frames"};
+  return Names[indexOf(Owner)];
 }
 
 std::string_view memoryLevelName(MemoryLevel Level) {
@@ -32,6 +34,11 @@
   return Names[static_cast<std::size_t>(Level)];
 }
 
+MemoryBudget &MemoryBudget::unlimited() {
+  static MemoryBudget Unlimited(0);
+  return Unlimited;
+}
+
 std::size_t MemoryBudget::used(MemoryOwner Owner) const {
   return Used_[indexOf(Owner)].load(std::memory_order_relaxed);
 }
@@ -59,18 +66,37 @@
   return Others == 0 || levelOf(Others + Bytes) == MemoryLevel::Free;
 }
 
+bool MemoryBudget::admitsBody(std::size_t Bytes, std::size_t Counted) const {
+  return Bytes <= KernelBufferBytes
+             ? mayHold(MemoryOwner::RequestBodies, Bytes, Counted)
+             : hasRoomFor(Bytes, Counted);
+}
+
 bool MemoryBudget::mayHold(MemoryOwner Owner, std::size_t Bytes,
                            std::size_t Counted) const {
-  if (Bytes <= KernelBufferBytes)
-    return true;
-  if (Limit_ > 0 || Bytes > WholeLimit_)
-    return Bytes <= WholeLimit_;
   std::size_t Used = used(Owner);
   std::size_t Others = Used - std::min(Used, Counted);
+  if (Bytes <= alwaysFreeBytes(Owner))
+    return Owner != MemoryOwner::RequestBodies ||
+           Others <= WholeLimit_ - std::min(Bytes, WholeLimit_);
+  if (Bytes > WholeLimit_)
+    return false;
+  // Answers and bodies are also bounded by the level, frames are not.
+  if (Limit_ > 0 && Owner != MemoryOwner::PeerFrames)
+    return used() - std::min(used(), Counted) + Bytes <= Limit_;
   std::size_t Room = WholeLimit_ - Bytes;
   return Others <= Room && Bytes <= Room - Others;
 }
 
+/// What one answer may take beyond the others is half of what may be held
+/// whole, the size of the largest message that is taken without a limit.
+bool MemoryBudget::mayHoldInTurn(std::size_t Bytes, std::size_t Counted) const {
+  std::size_t Most = Limit_ > 0 ? Limit_ : WholeLimit_;
+  std::size_t Used = Limit_ > 0 ? used() : used(MemoryOwner::Answers);
+  std::size_t Others = Used - std::min(Used, Counted);
+  return !tooLargeAlone(Bytes) && Others + Bytes <= Most + WholeLimit_ / 2;
+}
+
 bool MemoryBudget::tooLargeAlone(std::size_t Bytes) const {
   constexpr std::size_t Shares = 2; // As much as it takes stays free.
   return Bytes > (Limit_ > 0 ? WholeLimit_ : WholeLimit_ / Shares);
@@ -130,6 +156,10 @@
 bool MemoryBudget::takeTurn(const AnswerTurn &Answer) {
   if (level() != MemoryLevel::Full)
     return true;
+  return takeTurnNow(Answer);
+}
+
+bool MemoryBudget::takeTurnNow(const AnswerTurn &Answer) {
   const AnswerTurn *Current = nullptr;
   return Turn_.compare_exchange_strong(Current, &Answer) || Current == &Answer;
 }
@@ -171,6 +201,16 @@
   return true;
 }
 
+bool AnswerTurn::grow(MemoryUse &Held, std::size_t Bytes) {
+  if (Held.grow(Bytes))
+    return true;
+  if (!Budget_.mayHoldInTurn(Bytes, Held.bytes()) ||
+      !Budget_.takeTurnNow(*this))
+    return false;
+  Held.set(Bytes);
+  return true;
+}
+
 void MemoryUse::set(std::size_t Bytes) {
   std::size_t Before = std::exchange(Bytes_, Bytes);
   if (Bytes > Before)
--- a/UnitTests/Connection/MemoryBudgetTest.cpp
+++ b/UnitTests/Connection/MemoryBudgetTest.cpp
@@ -168,3 +168,45 @@
   CHECK(Budget.tooLargeAlone(Limit / 2 + 1));
   CHECK_FALSE(MemoryBudget(0).tooLargeAlone(1000 * Limit));
 }
+
+TEST_CASE("the answer whose turn it is ends, and the others wait") {
+  // Guards against answers that all end for lack of room, or wait for each
+  // other: none of them was whole.
+  MemoryBudget Budget(0, Limit);
+  MemoryUse First(Budget, MemoryOwner::Answers);
+  MemoryUse Second(Budget, MemoryOwner::Answers);
+  AnswerTurn FirstTurn(Budget);
+  auto SecondTurn = std::make_unique<AnswerTurn>(Budget);
+  std::size_t Each = Limit / 3;
+  CHECK(FirstTurn.grow(First, Each));
+  CHECK(SecondTurn->grow(Second, Each));
+  CHECK(FirstTurn.grow(First, Limit / 2));
+  CHECK_FALSE(SecondTurn->grow(Second, Limit / 2));
+  CHECK(Second.bytes() == Each);
+  CHECK_FALSE(FirstTurn.tooLarge(Limit / 2));
+  CHECK_FALSE(FirstTurn.grow(First, Limit / 2 + 1));
+  CHECK(FirstTurn.tooLarge(Limit / 2 + 1));
+}
+
+TEST_CASE("answers that had their turn are bounded together") {
+  // Guards against whole answers that wait for slow callers while the next one
+  // has its turn.
+  MemoryBudget Budget(0, Limit);
+  std::vector<std::unique_ptr<MemoryUse>> Held;
+  for (int Count = 0; Count < 10; ++Count) {
+    Held.push_back(std::make_unique<MemoryUse>(Budget, MemoryOwner::Answers));
+    AnswerTurn(Budget).grow(*Held.back(), Limit / 2);
+  }
+  CHECK(Budget.used() <= Limit + Limit / 2);
+}
+
+TEST_CASE("with a limit of the budget the sum of answers is bounded") {
+  // Guards against answers that are bounded one by one only.
+  MemoryBudget Budget(Limit, Limit / 4);
+  std::vector<std::unique_ptr<MemoryUse>> Held;
+  for (int Count = 0; Count < 10; ++Count) {
+    Held.push_back(std::make_unique<MemoryUse>(Budget, MemoryOwner::Answers));
+    Held.back()->grow(Limit / 4);
+  }
+  CHECK(Budget.used() == Limit);
+}
