Links between daemons take a bounded part of a daemon's memory

Callers would see: whole requests without an answer or a refusal, since the process that held them was ended for its memory.

Cause: a frame took the size that it announced before a byte of it had come, so a connection that sent four bytes cost up to 4 MB; connections that never said their name stayed for good, as nothing is awaited from them; what waits to be sent was bounded for each link, not over all, and what waits for a link to open was not bounded at all.

Change: a frame takes memory as it comes, and has to make progress of 4 KiB in 5 s. Before its name a connection may send 4 KiB at most, has 3 s for it, and 512 of them are kept. Frames that are read, queues, and messages that wait for a link share one bound. A link that finds no room for 0.4 s is closed; what waited for it is told by LinkDown_. Lines link-refused, frame-refused, frame-stalled; three gauges.

Unit: 100 announced frames count 4 KiB each; 20 links with half a megabyte each stay below 4 MB together.

Ruled out: random and cut frames end nothing on the code before either.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -9,7 +9,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
-#include <optional>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -19,6 +19,12 @@
 
 namespace {
 
+/// How long a frame waits for memory: less than the silence after which a link
+/// is closed.
+constexpr std::chrono::milliseconds MaxMemoryWait{400};
+/// The memory that a frame begins with, in bytes.
+constexpr std::size_t FirstFrameMemory = 4096;
+
 wire::HeartbeatT heartbeatReply() {
   wire::HeartbeatT Answer;
   Answer.answer = true;
@@ -29,9 +35,10 @@
 
 std::shared_ptr<FrameChannel> FrameChannel::create(asio::ip::tcp::socket Socket,
                                                    Hooks Callbacks,
-                                                   Timing Periods) {
-  std::shared_ptr<FrameChannel> Channel(
-      new FrameChannel(std::move(Socket), std::move(Callbacks), Periods));
+                                                   Timing Periods,
+                                                   Limits Bounds) {
+  std::shared_ptr<FrameChannel> Channel(new FrameChannel(
+      std::move(Socket), std::move(Callbacks), Periods, Bounds));
   auto Executor = Channel->Socket_.get_executor();
   auto Read = [Channel]() { return Channel->readFrames(); };
   auto Watch = [Channel]() { return Channel->watchSilence(); };
@@ -41,10 +48,14 @@
 }
 
 FrameChannel::FrameChannel(asio::ip::tcp::socket Socket, Hooks Callbacks,
-                           Timing Periods)
+                           Timing Periods, Limits Bounds)
     : Socket_(std::move(Socket)), Hooks_(std::move(Callbacks)),
-      Timing_(Periods), SilenceTimer_(Socket_.get_executor()),
+      Timing_(Periods), Limits_(Bounds), SilenceTimer_(Socket_.get_executor()),
       LastReceived_(steady_clock::now()) {
+  if (Limits_.Memory_) {
+    FrameMemory_.emplace(*Limits_.Memory_, MemoryOwner::PeerFrames);
+    QueueMemory_.emplace(*Limits_.Memory_, MemoryOwner::PeerFrames);
+  }
   error_code Ignored;
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
 }
@@ -56,9 +67,10 @@
       static_cast<std::uint32_t>(Message.size()));
   std::string Frame(reinterpret_cast<const char *>(&Size), sizeof(Size));
   Frame += Message;
-  if (QueuedBytes_ + Frame.size() > MaxQueuedBytes)
-    return closeOnFullQueue();
-  QueuedBytes_ += Frame.size();
+  std::size_t Queued = QueuedBytes_ + Frame.size();
+  if (Queued > MaxQueuedBytes || (QueueMemory_ && !QueueMemory_->grow(Queued)))
+    return closeForMemory("link-overfull", "queued_bytes", Queued);
+  QueuedBytes_ = Queued;
   BytesSent_ += Frame.size();
   Outgoing_.push_back(std::move(Frame));
   if (Writing_)
@@ -84,12 +96,15 @@
 
 /// Closes the socket only: readFrames() then ends with an error and calls
 /// Closed_.
-void FrameChannel::closeOnFullQueue() {
+void FrameChannel::closeForMemory(std::string_view Event, std::string_view Name,
+                                  std::size_t Bytes) {
   error_code Ignored;
   auto Other = Socket_.remote_endpoint(Ignored);
-  logEvent(LogCategory::Process, spdlog::level::warn, "link-overfull",
+  logEvent(LogCategory::Process, spdlog::level::warn, Event,
            {{"address", formatEndpoint(Other)},
-            {"queued_bytes", std::to_string(QueuedBytes_)}});
+            {std::string(Name), std::to_string(Bytes)}});
+  if (Limits_.Memory_)
+    Limits_.Memory_->linkClosed();
   Outgoing_.clear();
   Socket_.close(Ignored);
   SilenceTimer_.cancel();
@@ -101,25 +116,64 @@
     auto SizeBuffer = asio::buffer(&Size, sizeof(Size));
     error_code Error = co_await readAll(SizeBuffer);
     Size = boost::endian::little_to_native(Size);
-    if (Error || Size > MaxFrameBytes)
+    if (Error || Size > Limits_.FrameBytes_)
       break;
-    std::string Bytes(Size, '\0');
-    auto Buffer = asio::buffer(Bytes);
-    Error = co_await readAll(Buffer);
-    if (Error)
+    auto Bytes = co_await readBody(Size);
+    if (!Bytes)
       break;
-    receive(Bytes);
+    receive(*Bytes);
+    if (FrameMemory_)
+      FrameMemory_->set(0);
   }
   fail();
 }
 
+/// A connection that announces a long frame and sends nothing of it costs no
+/// more than one that announces nothing.
+Awaitable<std::optional<std::string>> FrameChannel::readBody(std::size_t Size) {
+  Incoming_ = IncomingFrame{0, 0, steady_clock::now()};
+  std::string Bytes;
+  while (Bytes.size() < Size) {
+    std::size_t Read = Bytes.size();
+    std::size_t Next = std::min(Size, std::max(FirstFrameMemory, 2 * Read));
+    if (!co_await awaitMemory(Next))
+      co_return std::nullopt;
+    Bytes.resize(Next);
+    auto Rest = asio::buffer(Bytes) + Read;
+    error_code Error = co_await readAll(Rest);
+    if (Error)
+      co_return std::nullopt;
+  }
+  Incoming_.reset();
+  co_return Bytes;
+}
+
+Awaitable<bool> FrameChannel::awaitMemory(std::size_t Bytes) {
+  if (!FrameMemory_)
+    co_return true;
+  asio::steady_timer Timer(Socket_.get_executor());
+  for (auto Waited = MemoryWaitStep * 0; !FrameMemory_->grow(Bytes);
+       Waited += MemoryWaitStep) {
+    if (Waited >= MaxMemoryWait || !Socket_.is_open()) {
+      closeForMemory("frame-refused", "bytes", Bytes);
+      co_return false;
+    }
+    Timer.expires_after(MemoryWaitStep);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+  co_return true;
+}
+
 Awaitable<error_code> FrameChannel::readAll(asio::mutable_buffer Target) {
   error_code Error;
   std::optional<TimePoint> Begun;
   while (Target.size() > 0 && !Error) {
-    Target += co_await Socket_.async_read_some(
+    std::size_t Count = co_await Socket_.async_read_some(
         Target, asio::redirect_error(asio::use_awaitable, Error));
+    Target += Count;
     LastReceived_ = Error ? LastReceived_ : steady_clock::now();
+    if (Incoming_)
+      Incoming_->Bytes_ += Count;
     Begun = Begun.value_or(LastReceived_);
     if (!Error && Target.size() > 0)
       reportProgress(*Begun);
@@ -162,12 +216,25 @@
         Socket_, asio::buffer(Frame),
         asio::redirect_error(asio::use_awaitable, Error));
     QueuedBytes_ -= Frame.size();
+    if (QueueMemory_)
+      QueueMemory_->set(QueuedBytes_);
   }
   Writing_ = false;
   if (Error)
     fail();
 }
 
+/// A frame that arrives by single bytes is not silent, but holds its memory for
+/// as long as its sender likes.
+bool FrameChannel::makesProgress(TimePoint Now) {
+  if (!Incoming_ || Now - Incoming_->Checked_ < Timing_.Progress_)
+    return true;
+  Incoming_->Checked_ = Now;
+  std::size_t Before =
+      std::exchange(Incoming_->CheckedBytes_, Incoming_->Bytes_);
+  return Incoming_->Bytes_ - Before >= MinFrameProgress;
+}
+
 /// Closes the connection when the peer is silent for too long. A network
 /// element between the two ends can lose the state of a connection: writes then
 /// succeed into the socket's buffer and no error is ever reported. Without
@@ -187,8 +254,15 @@
     // A process that is not scheduled neither sends nor receives. If its own
     // pause counted as silence of the peer, it would close links to working
     // daemons and lose everything awaited from them.
-    if (Now - SilenceTimer_.expiry() > Timing_.Heartbeat_)
+    bool WasPaused = Now - SilenceTimer_.expiry() > Timing_.Heartbeat_;
+    if (WasPaused)
       LastReceived_ = Now;
+    if (WasPaused && Incoming_)
+      Incoming_->Checked_ = Now;
+    if (!makesProgress(Now)) {
+      closeForMemory("frame-stalled", "bytes", Incoming_->Bytes_);
+      break;
+    }
     if (Awaiting && !WasAwaiting)
       LastReceived_ = Now;
     WasAwaiting = Awaiting;
--- a/Source/Connection/FrameChannel.h
+++ b/Source/Connection/FrameChannel.h
@@ -4,6 +4,7 @@
 /// All calls and hooks run on the executor of the connection's socket.
 
 #include "Connection/Http.h"
+#include "Connection/MemoryBudget.h"
 #include "Connection/PeerMessage.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,9 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace samphireshunt {
 
@@ -20,9 +24,13 @@
 /// killed. A connection over the limit is closed with a `link-overfull` log
 /// line; whoever needs the link opens it again with an empty queue.
 inline constexpr std::size_t MaxQueuedBytes = 2 * MaxFrameBytes;
+/// How much of a frame has to arrive within Timing::Progress_, in bytes. A slow
+/// link that hundreds of transfers share still carries more.
+inline constexpr std::size_t MinFrameProgress = 4096;
 
 /// One connection. It closes itself when the peer stays silent while a response
-/// is awaited.
+/// is awaited, when a frame makes no progress, and when there is no memory for
+/// what it holds.
 class FrameChannel : public std::enable_shared_from_this<FrameChannel> {
 public:
   struct Hooks {
@@ -39,10 +47,21 @@
     std::chrono::milliseconds Heartbeat_{200};
     /// Time without a received byte after which the connection is closed.
     std::chrono::milliseconds Silence_{700};
+    /// Time in which MinFrameProgress bytes of a frame have to arrive, whether
+    /// or not something is awaited.
+    std::chrono::milliseconds Progress_{5000};
+  };
+  struct Limits {
+    /// For the frame that is being read, and for what waits to be sent; null:
+    /// there is no budget.
+    MemoryBudget *Memory_ = nullptr;
+    /// The longest frame that is read.
+    std::size_t FrameBytes_ = MaxFrameBytes;
   };
 
   static std::shared_ptr<FrameChannel>
-  create(boost::asio::ip::tcp::socket Socket, Hooks Callbacks, Timing Periods);
+  create(boost::asio::ip::tcp::socket Socket, Hooks Callbacks, Timing Periods,
+         Limits Bounds = {nullptr, MaxFrameBytes});
 
   /// Queues one encoded message. If the queue exceeds MaxQueuedBytes, the
   /// connection closes itself; Closed_ is then called later, not on the
@@ -50,31 +69,54 @@
   void send(std::string Message);
   /// Closes the connection immediately; Closed_ is not called.
   void close();
+  /// Sets the longest frame that is read from now on, in bytes.
+  void setFrameLimit(std::size_t Bytes) { Limits_.FrameBytes_ = Bytes; }
   bool isOpen() const { return Socket_.is_open(); }
   std::uint64_t bytesSent() const { return BytesSent_; }
 
 private:
   using TimePoint = std::chrono::steady_clock::time_point;
 
+  /// The frame that is being read.
+  struct IncomingFrame {
+    std::size_t Bytes_ = 0; ///< Bytes that have arrived.
+    /// Bytes that had arrived at the last check of its progress.
+    std::size_t CheckedBytes_ = 0;
+    TimePoint Checked_;
+  };
+
   FrameChannel(boost::asio::ip::tcp::socket Socket, Hooks Callbacks,
-               Timing Periods);
+               Timing Periods, Limits Bounds);
   Awaitable<void> readFrames();
   /// Reads until \p Target is full. Each chunk received counts as a sign of
   /// life.
   Awaitable<boost::system::error_code>
   readAll(boost::asio::mutable_buffer Target);
+  /// Reads a frame of \p Size bytes. The memory for it grows with what arrives.
+  /// \returns nothing if the connection ends or has no memory for it.
+  Awaitable<std::optional<std::string>> readBody(std::size_t Size);
+  /// \returns whether there is memory for \p Bytes of a frame, after a short
+  /// wait if need be.
+  Awaitable<bool> awaitMemory(std::size_t Bytes);
+  bool makesProgress(TimePoint Now);
   /// Reports to the peer that a long frame is still arriving. \p Begun is the
   /// time at which the first bytes of the current read arrived.
   void reportProgress(TimePoint Begun);
   Awaitable<void> writeFrames();
   Awaitable<void> watchSilence();
   void fail();
-  void closeOnFullQueue();
+  /// Closes the socket and logs \p Event with \p Bytes in the field \p Name.
+  void closeForMemory(std::string_view Event, std::string_view Name,
+                      std::size_t Bytes);
   void receive(std::string_view Bytes);
 
   boost::asio::ip::tcp::socket Socket_;
   Hooks Hooks_;
   Timing Timing_;
+  Limits Limits_;
+  std::optional<MemoryUse> FrameMemory_;
+  std::optional<MemoryUse> QueueMemory_;
+  std::optional<IncomingFrame> Incoming_;
   std::deque<std::string> Outgoing_;
   boost::asio::steady_timer SilenceTimer_;
   TimePoint LastReceived_;
--- a/Source/Process/Membership/PeerNetwork.cpp
+++ b/Source/Process/Membership/PeerNetwork.cpp
@@ -1,15 +1,36 @@
 #include "Process/Membership/PeerNetwork.h"
 
+#include "Common/Log.h"
 #include "Connection/Spawn.h"
 #include "Connection/TcpConnect.h"
 
 #include <algorithm>
+#include <ranges>
+#include <string_view>
+#include <utility>
 
 namespace samphireshunt {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace {
+
+/// More than a message with the name of a VM takes, in bytes.
+constexpr std::size_t MaxHelloBytes = 4096;
+/// Connections without a name at once, and as many with the name of a VM that
+/// is no member yet: what the largest fleet opens when all of its daemons start
+/// together.
+constexpr std::size_t MaxStrangers = 512;
+constexpr int MaxHelloChecks = 6;
+
+void logRefusedLink(std::string_view Reason) {
+  logEvent(LogCategory::Process, spdlog::level::warn, "link-refused",
+           {{"reason", std::string(Reason)}});
+}
+
+} // namespace
+
 Result<std::unique_ptr<PeerNetwork>>
 PeerNetwork::create(asio::io_context &Control, Endpoint Address, VmId Self,
                     Options Settings, Hooks Callbacks) {
@@ -34,7 +55,7 @@
 PeerNetwork::PeerNetwork(asio::io_context &Control, Tcp::acceptor Acceptor,
                          VmId Self, Options Settings, Hooks Callbacks)
     : Control_(Control), Self_(std::move(Self)), Options_(Settings),
-      Hooks_(std::move(Callbacks)) {
+      Hooks_(std::move(Callbacks)), StrangerTimer_(Control) {
   AcceptLoop::Hooks Accepting;
   Accepting.Context_ = [this]() -> asio::io_context & { return Control_; };
   Accepting.Accepted_ = [this](Tcp::socket Socket) {
@@ -56,17 +77,71 @@
     if (auto Channel = Self->lock())
       dropInbound(Channel.get());
   };
-  auto Channel = FrameChannel::create(std::move(Socket), std::move(Callbacks),
-                                      FrameChannel::Timing());
+  auto Channel =
+      FrameChannel::create(std::move(Socket), std::move(Callbacks),
+                           FrameChannel::Timing(), limits(MaxHelloBytes));
   *Self = Channel;
-  Unidentified_[Channel.get()] = Channel;
+  // A daemon sends its name as soon as it is connected, so the oldest one is
+  // the least likely to be one.
+  if (Unidentified_.size() >= MaxStrangers) {
+    logRefusedLink("too many without a name");
+    Unidentified_.front().Channel_->close();
+    Unidentified_.erase(Unidentified_.begin());
+  }
+  Unidentified_.push_back({std::move(Channel)});
+  if (Unidentified_.size() == 1)
+    checkStrangers();
+}
+
+FrameChannel::Limits PeerNetwork::limits(std::size_t FrameBytes) const {
+  return {Options_.Memory_, FrameBytes};
+}
+
+/// Closes connections that send no name. They would stay for good otherwise:
+/// nothing is awaited from them, so their silence ends nothing.
+void PeerNetwork::checkStrangers() {
+  StrangerTimer_.expires_after(Options_.HelloCheck_);
+  StrangerTimer_.async_wait([this](const error_code &Error) {
+    if (Error)
+      return;
+    std::erase_if(Unidentified_, [](Stranger &Known) {
+      bool Closed = ++Known.Checks_ >= MaxHelloChecks;
+      if (Closed) {
+        logRefusedLink("no name");
+        Known.Channel_->close();
+      }
+      return Closed;
+    });
+    if (!Unidentified_.empty())
+      checkStrangers();
+  });
+}
+
+bool PeerNetwork::mayLink(const VmId &From) const {
+  auto IsUnknown = [this](const VmId &Id) { return !Hooks_.AddressOf_(Id); };
+  return Inbound_.contains(From) || !IsUnknown(From) ||
+         std::ranges::count_if(Inbound_ | std::views::keys, IsUnknown) <
+             static_cast<std::ptrdiff_t>(MaxStrangers);
+}
+
+/// \returns whether \p Channel had not sent its name before.
+bool PeerNetwork::identify(const FrameChannel *Channel) {
+  return std::erase_if(Unidentified_, [&](const Stranger &Known) {
+           return Known.Channel_.get() == Channel;
+         }) > 0;
 }
 
 void PeerNetwork::onInbound(const std::shared_ptr<FrameChannel> &Channel,
                             wire::EnvelopeT Message) {
   if (const auto *Hello = Message.body.AsHello()) {
     VmId From(Hello->vm);
-    Unidentified_.erase(Channel.get());
+    if (!identify(Channel.get()))
+      return;
+    if (!mayLink(From)) {
+      logRefusedLink("too many of unknown daemons");
+      return Channel->close();
+    }
+    Channel->setFrameLimit(MaxFrameBytes);
     auto &Present = Inbound_[From];
     if (Present && Present != Channel)
       Present->close();
@@ -81,7 +156,7 @@
 }
 
 void PeerNetwork::dropInbound(const FrameChannel *Channel) {
-  Unidentified_.erase(Channel);
+  identify(Channel);
   auto Found = std::ranges::find_if(
       Inbound_, [&](const auto &Item) { return Item.second.get() == Channel; });
   if (Found == Inbound_.end())
@@ -98,12 +173,32 @@
     Target.Channel_->send(std::move(Message));
     return;
   }
-  bool Opening = !Target.Queued_.empty();
-  Target.Queued_.push_back(std::move(Message));
-  if (!Opening)
+  queue(Target, std::move(Message));
+  if (!std::exchange(Target.Opening_, true))
     open(To);
 }
 
+/// Keeps a message until the link is open. What a link loses it loses as a
+/// whole, so that its sender is told by LinkDown_.
+void PeerNetwork::queue(Link &Target, std::string Message) {
+  if (Target.Overfull_)
+    return;
+  if (Options_.Memory_ && !Target.Memory_)
+    Target.Memory_ =
+        std::make_unique<MemoryUse>(*Options_.Memory_, MemoryOwner::PeerFrames);
+  std::size_t Bytes = Target.QueuedBytes_ + Message.size();
+  Target.Overfull_ = Bytes > MaxQueuedBytes ||
+                     (Target.Memory_ && !Target.Memory_->grow(Bytes));
+  if (!Target.Overfull_) {
+    Target.QueuedBytes_ = Bytes;
+    Target.Queued_.push_back(std::move(Message));
+    return;
+  }
+  logRefusedLink("too much waits for it");
+  Target.Queued_.clear();
+  Target.Memory_.reset();
+}
+
 void PeerNetwork::open(const VmId &To) {
   auto Text = Hooks_.AddressOf_(To);
   auto Address = Text ? parseEndpoint(*Text) : Result<Endpoint>(Failure());
@@ -120,7 +215,7 @@
 
 Awaitable<void> PeerNetwork::connect(VmId To, Endpoint Address) {
   auto Connected = co_await connectTcp(Address, Options_.ConnectTimeout_);
-  if (!Connected)
+  if (!Connected || Links_[To].Overfull_)
     co_return linkDown(To);
   FrameChannel::Hooks Callbacks;
   Callbacks.Received_ = [this, To](wire::EnvelopeT Message) {
@@ -129,14 +224,18 @@
   Callbacks.Closed_ = [this, To] { linkDown(To); };
   Callbacks.Awaiting_ = [this, To] { return Hooks_.Awaiting_(To); };
   Link &Target = Links_[To];
-  Target.Channel_ = FrameChannel::create(
-      std::move(*Connected), std::move(Callbacks), FrameChannel::Timing());
+  Target.Channel_ =
+      FrameChannel::create(std::move(*Connected), std::move(Callbacks),
+                           FrameChannel::Timing(), limits(MaxFrameBytes));
   wire::HelloT Hello;
   Hello.vm = Self_.str();
   Target.Channel_->send(encodeMessage(std::move(Hello)));
+  // The channel counts them from now on.
+  Target.Memory_.reset();
   for (std::string &Message : Target.Queued_)
     Target.Channel_->send(std::move(Message));
   Target.Queued_.clear();
+  Target.QueuedBytes_ = 0;
 }
 
 void PeerNetwork::linkDown(const VmId &To) {
@@ -162,8 +261,9 @@
       Target.Channel_->close();
   for (auto &[Id, Channel] : Inbound_)
     Channel->close();
-  for (auto &[Raw, Channel] : Unidentified_)
-    Channel->close();
+  for (Stranger &Known : Unidentified_)
+    Known.Channel_->close();
+  StrangerTimer_.cancel();
   Links_.clear();
   Inbound_.clear();
   Unidentified_.clear();
--- a/Source/Process/Membership/PeerNetwork.h
+++ b/Source/Process/Membership/PeerNetwork.h
@@ -12,8 +12,10 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace samphireshunt {
 
@@ -23,6 +25,12 @@
     /// Far longer than any round trip between two VMs: a daemon that does not
     /// accept within this time is down or partitioned.
     std::chrono::milliseconds ConnectTimeout_{500};
+    /// How often connections that have not sent their name are looked at. One
+    /// that still has not at the sixth time is closed: counted so, a pause of
+    /// this process closes none whose name is there to be read.
+    std::chrono::milliseconds HelloCheck_{500};
+    /// For what all links hold; null: there is no budget.
+    MemoryBudget *Memory_ = nullptr;
   };
   struct Hooks {
     /// Called with a message on a link that \p From opened.
@@ -51,11 +59,24 @@
   void reply(const VmId &To, std::string Message);
   void stop();
   std::uint64_t bytesSent() const;
+  /// \returns the number of connections whose peer has not sent its name.
+  std::size_t unidentified() const { return Unidentified_.size(); }
 
 private:
   struct Link {
     std::shared_ptr<FrameChannel> Channel_;
+    /// What waits for the connection, and its memory.
     std::vector<std::string> Queued_;
+    std::size_t QueuedBytes_ = 0;
+    std::unique_ptr<MemoryUse> Memory_;
+    bool Opening_ = false;
+    /// Something that waited was dropped: the link is given up once connected.
+    bool Overfull_ = false;
+  };
+  /// A connection whose peer has not sent its name.
+  struct Stranger {
+    std::shared_ptr<FrameChannel> Channel_;
+    int Checks_ = 0;
   };
   using Tcp = boost::asio::ip::tcp;
 
@@ -65,6 +86,11 @@
   void onInbound(const std::shared_ptr<FrameChannel> &Channel,
                  wire::EnvelopeT Message);
   void dropInbound(const FrameChannel *Channel);
+  bool identify(const FrameChannel *Channel);
+  bool mayLink(const VmId &From) const;
+  void checkStrangers();
+  void queue(Link &Target, std::string Message);
+  FrameChannel::Limits limits(std::size_t FrameBytes) const;
   void open(const VmId &To);
   Awaitable<void> connect(VmId To, Endpoint Address);
   void linkDown(const VmId &To);
@@ -76,8 +102,9 @@
   Hooks Hooks_;
   std::map<VmId, Link> Links_;
   std::map<VmId, std::shared_ptr<FrameChannel>> Inbound_;
-  /// Connections whose peer has not sent its name.
-  std::map<const FrameChannel *, std::shared_ptr<FrameChannel>> Unidentified_;
+  /// In the order in which they were accepted.
+  std::vector<Stranger> Unidentified_;
+  boost::asio::steady_timer StrangerTimer_;
   std::uint64_t ClosedBytesSent_ = 0;
 };
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -207,8 +207,10 @@
 
 Result<void> Daemon::wirePeers(Udp::socket &Datagrams) {
   auto OpenStreams = [this]() -> Result<Endpoint> {
+    PeerNetwork::Options Options;
+    Options.Memory_ = &Memory_;
     auto Peers = PeerNetwork::create(Control_, Settings_.Peers_, Settings_.Vm_,
-                                     PeerNetwork::Options(), peerHooks());
+                                     Options, peerHooks());
     if (!Peers)
       return Peers.error();
     Peers_ = std::move(*Peers);
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -141,6 +141,22 @@
   return Root.dump();
 }
 
+namespace {
+
+std::string_view memoryGauge(MemoryOwner Owner) {
+  switch (Owner) {
+  case MemoryOwner::RequestBodies:
+    return "memory_bodies_bytes";
+  case MemoryOwner::Answers:
+    return "memory_answers_bytes";
+  case MemoryOwner::PeerFrames:
+    return "memory_frames_bytes";
+  }
+  return "memory_bytes";
+}
+
+} // namespace
+
 std::string Daemon::metrics() {
   Metrics_.setGauge("ready", isReady() ? 1 : 0);
   Metrics_.setGauge("active_requests",
@@ -158,8 +174,7 @@
   Metrics_.setGauge("bodies_refused",
                     static_cast<double>(Memory_.bodiesRefused()));
   for (MemoryOwner Owner : MemoryOwners)
-    Metrics_.setGauge(Owner == MemoryOwner::Answers ? "memory_answers_bytes"
-                                                    : "memory_bodies_bytes",
+    Metrics_.setGauge(std::string(memoryGauge(Owner)),
                       static_cast<double>(Memory_.used(Owner)));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
--- a/UnitTests/Connection/FrameChannelTest.cpp
+++ b/UnitTests/Connection/FrameChannelTest.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace samphireshunt;
 using std::chrono::milliseconds;
@@ -70,16 +71,18 @@
 /// the test says so.
 class OneEnd {
 public:
-  explicit OneEnd(bool Awaiting, milliseconds Heartbeat = milliseconds(20))
-      : Periods_{Heartbeat, milliseconds(70)} {
+  explicit OneEnd(bool Awaiting, milliseconds Heartbeat = milliseconds(20),
+                  FrameChannel::Limits Bounds = {nullptr, MaxFrameBytes},
+                  milliseconds Progress = std::chrono::seconds(5))
+      : Periods_{Heartbeat, milliseconds(70), Progress} {
     Tcp::acceptor Acceptor(Context_, {asio::ip::make_address("127.0.0.1"), 0});
     Bare_.connect(Acceptor.local_endpoint());
     FrameChannel::Hooks Callbacks;
     Callbacks.Awaiting_ = [Awaiting] { return Awaiting; };
     Callbacks.Closed_ = [this] { Closed_ = true; };
     Callbacks.Received_ = [this](wire::EnvelopeT) { ++Received_; };
-    End_ =
-        FrameChannel::create(Acceptor.accept(), std::move(Callbacks), Periods_);
+    End_ = FrameChannel::create(Acceptor.accept(), std::move(Callbacks),
+                                Periods_, Bounds);
     Bare_.non_blocking(true);
   }
   ~OneEnd() { End_->close(); }
@@ -102,6 +105,11 @@
   void sendLast(const std::string &Frame) {
     asio::write(Bare_, asio::buffer(&Frame.back(), 1));
   }
+  void runUntil(const std::function<bool()> &Done) {
+    auto End = steady_clock::now() + std::chrono::seconds(5);
+    while (!Done() && steady_clock::now() < End)
+      TwoEnds::runFor(Context_);
+  }
   /// The number of bytes that have arrived at the bare socket and are unread.
   std::size_t unreadBytes() { return Bare_.available(); }
 
@@ -256,3 +264,75 @@
   CHECK(ReceivedBytes >= Wanted);
   CHECK(Test.End_->isOpen());
 }
+
+TEST_CASE("a frame that is announced takes no memory before it comes") {
+  // Guards against a daemon whose memory connections take that send four bytes.
+  constexpr std::size_t Limit = 1000000;
+  constexpr std::size_t Links = 100;
+  MemoryBudget Budget(0, Limit);
+  std::vector<std::unique_ptr<OneEnd>> Ends;
+  std::string Announced = makeLongFrame(MaxFrameBytes - 1000).substr(0, 4);
+  while (Ends.size() < Links)
+    Ends.push_back(std::make_unique<OneEnd>(
+        false, milliseconds(20), FrameChannel::Limits{&Budget, MaxFrameBytes}));
+  for (auto &End : Ends) {
+    asio::write(End->Bare_, asio::buffer(Announced));
+    End->runUntil([&, Before = Budget.used()] {
+      return Budget.used() > Before || End->Closed_;
+    });
+    CHECK_FALSE(End->Closed_);
+  }
+  CHECK(Budget.used() > 0);
+  CHECK(Budget.used() <= Links * alwaysFreeBytes(MemoryOwner::PeerFrames));
+}
+
+TEST_CASE("a frame that finds no memory ends its link, and those of others go "
+          "on") {
+  // Guards against links that take a daemon's memory together.
+  constexpr std::size_t Limit = 100000;
+  MemoryBudget Budget(0, Limit);
+  FrameChannel::Limits Bounds{&Budget, MaxFrameBytes};
+  OneEnd Large(false, milliseconds(20), Bounds);
+  OneEnd Small(false, milliseconds(20), Bounds);
+  asio::write(Large.Bare_, asio::buffer(makeLongFrame(2 * Limit)));
+  Large.runUntil([&] { return Large.Closed_; });
+  CHECK(Large.Closed_);
+  CHECK(Large.Received_ == 0);
+  CHECK(Budget.linksClosed() == 1);
+  asio::write(Small.Bare_, asio::buffer(makeLongFrame(2000)));
+  Small.runUntil([&] { return Small.Received_ > 0; });
+  CHECK(Small.Received_ == 1);
+}
+
+TEST_CASE("a frame of which single bytes come ends its link") {
+  // Guards against a frame that holds its memory for as long as its sender
+  // likes: it is never silent.
+  OneEnd Test(false, milliseconds(5), {nullptr, MaxFrameBytes},
+              milliseconds(50));
+  std::string Frame = makeLongFrame(300000);
+  std::size_t Sent = 0;
+  boost::system::error_code Ended;
+  Test.runUntil([&] {
+    asio::write(Test.Bare_, asio::buffer(&Frame[Sent++ % Frame.size()], 1),
+                Ended);
+    return Test.Closed_;
+  });
+  CHECK(Test.Closed_);
+}
+
+TEST_CASE("what waits on all links is bounded together") {
+  // Guards against a daemon whose memory its links take when no other daemon
+  // reads: each link alone stays below its limit.
+  constexpr std::size_t Limit = 4000000;
+  MemoryBudget Budget(0, Limit);
+  std::vector<std::unique_ptr<OneEnd>> Ends;
+  std::string Message = makeLongMessage(500000);
+  while (Ends.size() < 20) {
+    Ends.push_back(std::make_unique<OneEnd>(
+        false, milliseconds(20), FrameChannel::Limits{&Budget, MaxFrameBytes}));
+    Ends.back()->End_->send(Message);
+  }
+  CHECK(Budget.used() <= Limit);
+  CHECK(Budget.linksClosed() > 0);
+  CHECK(Ends.front()->End_->isOpen());
+}
--- a/UnitTests/Process/Membership/PeerNetworkTest.cpp
+++ b/UnitTests/Process/Membership/PeerNetworkTest.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <set>
@@ -14,10 +16,13 @@
 using namespace samphireshunt;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
+using Tcp = boost::asio::ip::tcp;
 
 namespace {
 
 const milliseconds Timeout{50};
+const milliseconds HelloCheck{20};
+constexpr std::size_t MemoryLimit = 1000000;
 const VmId Refusing("refusing");
 constexpr std::size_t DaemonsPerKind = 8;
 
@@ -58,6 +63,13 @@
     Client_ = make(VmId("asking"), clientHooks());
   }
 
+  /// Sends \p Message on the link to \p To.
+  void send(const VmId &To, std::string Message) {
+    Client_->send(To, std::move(Message));
+  }
+  const PeerNetwork &server(std::size_t Index) const {
+    return *Servers_[Index];
+  }
   /// Sends a message to \p To that contains its name.
   void send(const VmId &To) {
     wire::DocumentRequestT Message;
@@ -75,6 +87,7 @@
     }
   }
 
+  MemoryBudget Memory_{0, MemoryLimit};
   boost::asio::io_context Control_;
   std::map<VmId, Endpoint> Addresses_;
   /// Called with each daemon whose link broke or could not be opened.
@@ -86,6 +99,8 @@
   std::unique_ptr<PeerNetwork> make(VmId Self, PeerNetwork::Hooks Hooks) {
     PeerNetwork::Options Options;
     Options.ConnectTimeout_ = Timeout;
+    Options.HelloCheck_ = HelloCheck;
+    Options.Memory_ = &Memory_;
     auto Made = PeerNetwork::create(Control_, anyPort(), std::move(Self),
                                     Options, std::move(Hooks));
     REQUIRE(Made.has_value());
@@ -99,6 +114,7 @@
     };
     Hooks.PeerConnected_ = [](const VmId &) {};
     Hooks.PeerDisconnected_ = [](const VmId &) {};
+    Hooks.AddressOf_ = [](const VmId &) { return std::nullopt; };
     return Hooks;
   }
   PeerNetwork::Hooks clientHooks() {
@@ -180,3 +196,56 @@
   CHECK(Daemons.Down_ == std::multiset{Unknown, Refusing});
   CHECK_FALSE(NotifiedWhileSending);
 }
+
+TEST_CASE("a connection that sends no name is closed") {
+  // Guards against connections that cost a daemon memory for good: nothing is
+  // awaited from them, so their silence ends nothing.
+  Fleet Daemons;
+  Tcp::socket Silent(Daemons.Control_);
+  Silent.connect(Daemons.server(0).address());
+  Daemons.pollUntil([&] { return Daemons.server(0).unidentified() == 1; });
+  REQUIRE(Daemons.server(0).unidentified() == 1);
+  bool Ended = false;
+  std::array<char, 1> Space;
+  Silent.async_read_some(boost::asio::buffer(Space),
+                         [&](const boost::system::error_code &Error,
+                             std::size_t) { Ended = Error.failed(); });
+  Daemons.pollUntil([&] { return Ended; });
+  CHECK(Ended);
+  CHECK(Daemons.server(0).unidentified() == 0);
+}
+
+TEST_CASE("before its name a connection may send no long message") {
+  // Guards against strangers that take the memory for other daemons' messages.
+  Fleet Daemons;
+  Tcp::socket Stranger(Daemons.Control_);
+  Stranger.connect(Daemons.server(0).address());
+  const std::array<unsigned char, 4> Announced = {0, 0, 16, 0};
+  boost::asio::write(Stranger, boost::asio::buffer(Announced));
+  bool Ended = false;
+  std::array<char, 1> Space;
+  Stranger.async_read_some(boost::asio::buffer(Space),
+                           [&](const boost::system::error_code &Error,
+                               std::size_t) { Ended = Error.failed(); });
+  Daemons.pollUntil([&] { return Ended; });
+  CHECK(Ended);
+  CHECK(Daemons.Memory_.used() == 0);
+}
+
+TEST_CASE("what waits for a link to open is bounded, and its loss is told") {
+  // Guards against a daemon whose memory messages take that wait for a daemon
+  // that doesn't accept, and against a sender that waits for a lost message.
+  Fleet Daemons;
+  const VmId To = namesOf("early").front();
+  boost::asio::post(Daemons.Control_, [&] {
+    for (int Sent = 0; Sent < 20; ++Sent)
+      Daemons.send(To, std::string(MemoryLimit / 10, 'x'));
+    CHECK(Daemons.Memory_.used() <= MemoryLimit);
+  });
+  Daemons.pollUntil([&] { return Daemons.Down_.count(To) > 0; });
+  CHECK(Daemons.Down_.count(To) == 1);
+  CHECK(Daemons.Memory_.used() == 0);
+  Daemons.send(To);
+  Daemons.pollUntil([&] { return Daemons.Received_.count(To) > 0; });
+  CHECK(Daemons.Received_.count(To) == 1);
+}
