--- a/UnitTests/Connection/PeerMessageTest.cpp
+++ b/UnitTests/Connection/PeerMessageTest.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <vector>
+
 using namespace samphireshunt;
 
 namespace {
@@ -50,3 +52,25 @@
   CHECK_FALSE(decodeMessage("").has_value());
   CHECK_FALSE(decodeMessage("not a message at all").has_value());
 }
+
+TEST_CASE("a list that refers to one table many times is no message") {
+  // Guards against a frame that takes fifty times its size once it is decoded.
+  for (std::size_t Count : {std::size_t{10}, std::size_t{500000}}) {
+    flatbuffers::FlatBufferBuilder Copy;
+    auto Known = wire::CreateMember(Copy, Copy.CreateString("vm"));
+    auto List = Copy.CreateVector(
+        std::vector<flatbuffers::Offset<wire::Member>>(Count, Known));
+    wire::ProbeBuilder Probe(Copy);
+    Probe.add_members(List);
+    auto Body = Probe.Finish();
+    wire::EnvelopeBuilder Envelope(Copy);
+    Envelope.add_body_type(wire::Body::Probe);
+    Envelope.add_body(Body.Union());
+    Copy.Finish(Envelope.Finish());
+    std::string_view Bytes(
+        reinterpret_cast<const char *>(Copy.GetBufferPointer()),
+        Copy.GetSize());
+    CHECK(Bytes.size() < MaxFrameBytes);
+    CHECK(decodeMessage(Bytes).has_value() == (Count == 10));
+  }
+}
