Bodies: no listener outside the budget, and no room for strangers

Callers saw: large bodies refused with 217 though the daemon had memory, for as long as others announced bodies and did not send them; and a daemon that is ended for its memory cuts them all.

Cause: a body was read whole before its key was looked at, so anybody took the room of all large bodies; it held its memory from its announcement on; bodies of up to 64 KiB counted nowhere; and the operators' addresses had no budget at all.

Change: HttpServer::create takes the budget, so a listener can't be made without one. A body of over 64 KiB is refused by its head if its caller has no route or no key (CallerService::checkHead, the same answers as for other requests). It gets the memory for all of it once its beginning has come, waits up to 2 s for it (0.4 s before), and gives it up if it grows by less than 8 KiB in two looks half a second apart while another one waits. Bodies that could never be held are refused at once. Short ones count as they come.

Ruled out: to count only what has come of admitted bodies. 40 of them would share the room, and none would end.

--- a/FailureTests/ObservationTest.cpp
+++ b/FailureTests/ObservationTest.cpp
@@ -2,6 +2,7 @@
 /// Observability: traces, status and crash logs for operators, and that
 /// providing them never disturbs requests.
 
+#include "Connection/MemoryBudget.h"
 #include "FailureTests/Cluster.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -29,8 +30,10 @@
     Options.Handler_ = [this](HttpExchange &Exchange) {
       return receive(Exchange);
     };
-    Server_ = std::move(
-        HttpServer::create(Context_, {&Context_}, std::move(Options)).value());
+    Server_ = std::move(HttpServer::create(Context_, {&Context_},
+                                           MemoryBudget::unlimited(),
+                                           std::move(Options))
+                            .value());
     Thread_ = std::thread([this] { Context_.run(); });
   }
   ~Collector() {
--- a/FailureTests/platform/SlowCallersTest.cpp
+++ b/FailureTests/platform/SlowCallersTest.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Hundreds of callers that read nothing, at a daemon with little memory.
 
+#include "Connection/MemoryBudget.h"
 #include "FailureTests/ChildProcess.h"
 #include "FailureTests/Cluster.h"
 #include "FailureTests/ContextThread.h"
@@ -64,8 +65,9 @@
     Options.Handler_ = [this](HttpExchange &Exchange) {
       return serve(Exchange);
     };
-    Engine_ = std::move(*HttpServer::create(
-        Thread_.context(), {&Thread_.context()}, std::move(Options)));
+    Engine_ = std::move(
+        *HttpServer::create(Thread_.context(), {&Thread_.context()},
+                            MemoryBudget::unlimited(), std::move(Options)));
     run([this]() -> Awaitable<void> {
       publish();
       co_return;
--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -1,5 +1,7 @@
 #include "FailureTests/platform/SoakEnvironment.h"
 
+#include "Connection/MemoryBudget.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -292,8 +294,8 @@
   Options.Handler_ = [this, &Self](HttpExchange &Exchange) {
     return serve(Self, Exchange);
   };
-  Self.Server_ =
-      std::move(*HttpServer::create(Context_, {&Context_}, std::move(Options)));
+  Self.Server_ = std::move(*HttpServer::create(
+      Context_, {&Context_}, MemoryBudget::unlimited(), std::move(Options)));
   Engines_.push_back(std::move(Added));
   publish(Self);
   return Self;
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -108,6 +108,10 @@
 
 using HttpHandler = std::function<Awaitable<void>(HttpExchange &)>;
 
+/// Decides from the head of a request whether its body is read. \returns why
+/// not.
+using BodyCheck = std::function<std::optional<Failure>(const HttpRequest &)>;
+
 /// Why a caller's connection is closed whose request was read and has no whole
 /// response.
 enum class CutReason {
@@ -157,10 +161,11 @@
 class HttpServer {
 public:
   virtual ~HttpServer() = default;
-  /// \returns BadSetting when the address can't be bound.
+  /// Bodies of requests are held in \p Memory, in which large ones wait for
+  /// room. \returns BadSetting when the address can't be bound.
   static Result<std::unique_ptr<HttpServer>>
   create(boost::asio::io_context &AcceptContext,
-         std::vector<boost::asio::io_context *> Workers,
+         std::vector<boost::asio::io_context *> Workers, MemoryBudget &Memory,
          HttpServerOptions Options);
   virtual Endpoint address() const = 0;
   /// Stops accepting connections. Responses sent from now on carry "Connection:
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -37,13 +37,24 @@
 /// How long the rest of a refused request is read and discarded.
 constexpr std::chrono::milliseconds DiscardTime{1000};
 
-/// How long a large body waits for memory. A caller has not been told anything
-/// by then, so the wait is a fraction of what callers take as a delay.
-constexpr std::chrono::milliseconds MaxBodyWait{400};
+/// How long a large body waits for memory in all. A body takes about as long to
+/// come over a slow link, and is worth more than one that is sent again.
+constexpr std::chrono::milliseconds MaxBodyWait{2000};
+/// While others wait, a large body that holds memory has to grow by this much
+/// in one of two looks at it. A caller that announces a body and sends nothing
+/// of it would hold the memory for the whole time of the read otherwise.
+constexpr std::size_t MinBodyProgress = 8 * 1024;
+/// Two looks without progress fit into the time that another body waits.
+constexpr std::chrono::milliseconds ProgressInterval{500};
+constexpr int MaxStalls = 2;
 
 /// State shared by the connections of one server; it outlives the server
 /// itself.
 struct ServerState {
+  ServerState(MemoryBudget &Memory, HttpServerOptions Options)
+      : Memory_(Memory), Options_(std::move(Options)) {}
+
+  MemoryBudget &Memory_;
   HttpServerOptions Options_;
   std::atomic<bool> CloseAfterAnswers_ = false;
   std::atomic<std::size_t> OpenConnections_ = 0;
@@ -113,7 +124,8 @@
                 public std::enable_shared_from_this<Session> {
 public:
   Session(Tcp::socket Socket, std::shared_ptr<ServerState> State)
-      : Stream_(std::move(Socket)), State_(std::move(State)) {
+      : Stream_(std::move(Socket)), State_(std::move(State)),
+        Body_(State_->Memory_, MemoryOwner::RequestBodies) {
     ++State_->OpenConnections_;
   }
   ~Session() override { --State_->OpenConnections_; }
@@ -252,10 +264,35 @@
 
   bool mayHaveBody() const { return Request_.Method_ != "HEAD"; }
 
-  /// State of the read of a request. Without it, a timer whose handler is
-  /// already queued when the timer is cancelled would cancel the next operation
-  /// of the connection.
-  enum class ReadState { Reading, TimedOut, Finished };
+  using TimePoint = std::chrono::steady_clock::time_point;
+  using Parser = http::request_parser<http::string_body>;
+
+  /// The read of one request. Its timer shares it: a handler that is already
+  /// queued when the timer is cancelled would cancel the next operation of the
+  /// connection otherwise.
+  struct RequestRead {
+    explicit RequestRead(asio::any_io_executor Executor)
+        : Timer_(std::move(Executor)) {}
+
+    enum class State { Reading, TimedOut, Finished };
+    State State_ = State::Reading;
+    asio::steady_timer Timer_;
+    TimePoint End_;
+    /// The body has the memory for all of it.
+    bool HoldsMemory_ = false;
+    std::size_t Bytes_ = 0; ///< Bytes of the body that have come.
+    std::size_t CheckedBytes_ = 0;
+    int Stalls_ = 0;
+
+    bool timedOut() const { return State_ == State::TimedOut; }
+    /// \returns whether it holds memory for a body that does not come.
+    bool stalled(bool OthersWait) {
+      std::size_t Grown = Bytes_ - std::exchange(CheckedBytes_, Bytes_);
+      bool Slow = HoldsMemory_ && OthersWait && Grown < MinBodyProgress;
+      Stalls_ = Slow ? Stalls_ + 1 : 0;
+      return Stalls_ >= MaxStalls;
+    }
+  };
 
   template <class Buffers> Awaitable<bool> writeBuffers(const Buffers &Data) {
     beast::error_code Error;
@@ -309,16 +346,15 @@
     ActiveExchange Running(State_->ActiveExchanges_);
     Answered_ = false;
     Begun_ = false;
+    BodyChecked_ = false;
     Cut_.reset();
-    if (State_->Options_.Memory_)
-      Body_.emplace(*State_->Options_.Memory_, MemoryOwner::RequestBodies);
     bool Read = co_await readRequest();
     if (Read)
       co_await handle();
-    if (Body_) {
-      Request_ = HttpRequest();
-      Body_.reset();
-    }
+    Request_ = HttpRequest();
+    Body_.set(0);
+    if (Buffer_.size() == 0)
+      Buffer_.shrink_to_fit();
     CallerLeft_ = nullptr;
     AwaitingDisconnect_ = false;
     co_return Answered_;
@@ -340,14 +376,31 @@
       std::rethrow_exception(Escaped);
   }
 
+  /// Limits the time of \p Read. The stream's own timeout would close it
+  /// without telling the caller why; this timer only ends the read.
+  void watchRead(std::shared_ptr<RequestRead> Read) {
+    auto Now = std::chrono::steady_clock::now();
+    Read->Timer_.expires_at(std::min(Read->End_, Now + ProgressInterval));
+    Read->Timer_.async_wait([Self = shared_from_this(),
+                             Read](const beast::error_code &Ended) {
+      if (Ended || Read->State_ != RequestRead::State::Reading)
+        return;
+      bool Late = std::chrono::steady_clock::now() >= Read->End_;
+      if (!Late && !Read->stalled(Self->State_->Memory_.bodiesWaiting() > 0))
+        return Self->watchRead(Read);
+      Read->State_ = RequestRead::State::TimedOut;
+      Self->Stream_.cancel();
+    });
+  }
+
   Awaitable<bool> readRequest() {
-    http::request_parser<http::string_body> Parser;
+    auto Read = std::make_shared<RequestRead>(Stream_.get_executor());
+    std::optional<Parser> Into(std::in_place);
     HttpLimits Limits = State_->limits();
     Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
     Parser.body_limit(Limits.MaxBodyBytes_);
     Buffer_.max_size(
         std::max(Buffer_.size(), Limits.MaxHeaderBytes_ + MaxFramingBytes));
-    beast::error_code Error;
     Stream_.expires_never();
     // The stream's own timeout would close it without telling the caller why.
     // This timer only ends the read.
@@ -380,63 +433,141 @@
       if (Body_ && !Parser.content_length())
         HasMemory = co_await awaitMemory(Parser.get().body().size());
     }
-    bool TimedOut = *State == ReadState::TimedOut;
-    *State = ReadState::Finished;
-    Limit.cancel();
-    if (!HasMemory) {
-      Failure Cause{ResultCode::DaemonMemoryFull, "body of a request"};
-      co_await refuse(std::move(Cause));
+    if (Ended.Refusal_) {
+      co_await refuse(std::move(*Ended.Refusal_));
       co_return false;
     }
-    if (Error && TimedOut) {
-      Failure Cause{ResultCode::ReadTimeout, Error.message()};
-      co_await refuse(std::move(Cause));
+    if (Ended.Error_) {
+      if (!isHangUp(Ended.Error_))
+        co_await refuse(readFailure(Ended.Error_));
       co_return false;
     }
-    if (Error) {
-      if (!isHangUp(Error))
-        co_await refuse(readFailure(Error));
-      co_return false;
+    auto Message = Into->release();
+    takeHead(Message);
+    Request_.Body_ = std::move(Message.body());
+    Body_.set(Request_.Body_.size());
+    co_return true;
+  }
+
+  /// How the read of a request ended: whole if nothing is set.
+  struct ReadEnd {
+    beast::error_code Error_;
+    std::optional<Failure> Refusal_;
+  };
+
+  Awaitable<ReadEnd> readParts(Parser &Into, RequestRead &Read) {
+    ReadEnd Ended;
+    co_await http::async_read_header(
+        Stream_, Buffer_, Into,
+        asio::redirect_error(asio::use_awaitable, Ended.Error_));
+    if (!Ended.Error_)
+      takeHead(Into.get());
+    auto Length = Into.content_length();
+    if (!Ended.Error_ && Length && *Length > KernelBufferBytes)
+      Ended.Refusal_ = checkLargeBody(*Length);
+    Into.eager(true);
+    while (!Ended.Error_ && !Ended.Refusal_ && !Into.is_done()) {
+      // The limit may have run out while no read was in progress.
+      if (Read.timedOut())
+        break;
+      co_await http::async_read_some(
+          Stream_, Buffer_, Into,
+          asio::redirect_error(asio::use_awaitable, Ended.Error_));
+      if (!Ended.Error_)
+        Ended.Refusal_ = co_await holdBody(Into, Read);
     }
-    auto Message = Parser.release();
-    KeepAlive_ = Message.keep_alive();
-    Version_ = Message.version();
-    Request_.Method_ = std::string(Message.method_string());
-    Request_.Target_ = std::string(Message.target());
+    if (Read.timedOut() && !Ended.Refusal_ && !Into.is_done())
+      Ended.Refusal_ =
+          Failure{ResultCode::ReadTimeout, "the request is not whole in time"};
+    co_return Ended;
+  }
+
+  template <class Message> void takeHead(const Message &Head) {
+    KeepAlive_ = Head.keep_alive();
+    Version_ = Head.version();
+    Request_.Method_ = std::string(Head.method_string());
+    Request_.Target_ = std::string(Head.target());
     Request_.Fields_.clear();
-    for (const auto &Field : Message) {
+    for (const auto &Field : Head) {
       auto [Known, New] = Request_.Fields_.try_emplace(
           lowerCase(Field.name_string()), std::string(Field.value()));
       // Fields with the same name form one list.
       if (!New)
         Known->second += ", " + std::string(Field.value());
     }
-    Request_.Body_ = std::move(Message.body());
-    if (Body_)
-      Body_->set(Request_.Body_.size());
-    co_return true;
   }
 
-  /// Waits for memory for a body of \p Bytes, if it is a large one. Requires a
-  /// budget. \returns false if there is none in time.
-  Awaitable<bool> awaitMemory(std::uint64_t Bytes) {
-    MemoryBudget &Memory = *State_->Options_.Memory_;
-    asio::steady_timer Timer(Stream_.get_executor());
-    for (auto Waited = MemoryWaitStep * 0;
-         Bytes > KernelBufferBytes && !Memory.hasRoomFor(Bytes, Body_->bytes());
-         Waited += MemoryWaitStep) {
-      if (Waited >= MaxBodyWait) {
-        Memory.bodyRefused();
-        logEvent(LogCategory::Request, spdlog::level::info, "body-refused",
-                 {{"bytes", std::to_string(Bytes)},
-                  {"used", std::to_string(Memory.used())}});
-        co_return false;
+  /// \returns why a body of \p Bytes is not read.
+  std::optional<Failure> checkLargeBody(std::size_t Bytes) {
+    BodyChecked_ = true;
+    if (State_->Memory_.tooLargeAlone(Bytes))
+      return bodyRefused(Bytes);
+    const BodyCheck &Check = State_->Options_.CheckBody_;
+    auto Refusal = Check ? Check(Request_) : std::nullopt;
+    if (Refusal)
+      logBodyRefused(Refusal->Code_, Bytes);
+    return Refusal;
+  }
+
+  Failure bodyRefused(std::size_t Bytes) {
+    State_->Memory_.bodyRefused();
+    logBodyRefused(ResultCode::DaemonMemoryFull, Bytes);
+    return {ResultCode::DaemonMemoryFull, "body of a request"};
+  }
+
+  void logBodyRefused(ResultCode Code, std::size_t Bytes) const {
+    constexpr std::uint32_t LinesPerSecond = 20;
+    thread_local LogSampler Sampler(LinesPerSecond);
+    auto Dropped =
+        Sampler.admit(static_cast<int>(Code), std::chrono::steady_clock::now());
+    if (Dropped)
+      logEvent(LogCategory::Request, spdlog::level::info, "body-refused",
+               {{"code", std::to_string(static_cast<int>(Code))},
+                {"bytes", std::to_string(Bytes)},
+                {"used", std::to_string(State_->Memory_.used())},
+                {"dropped", std::to_string(*Dropped)}});
+  }
+
+  /// Accounts for what has come of a body. A large one with a length gets the
+  /// memory for all of it once its beginning has come: so it needs no more when
+  /// others have taken the rest, and one that is only announced takes nothing.
+  /// \returns why the rest is not read.
+  Awaitable<std::optional<Failure>> holdBody(Parser &Into, RequestRead &Read) {
+    std::size_t Come = Into.get().body().size();
+    Read.Bytes_ = Come;
+    bool Large = Come > KernelBufferBytes;
+    if (Large && !std::exchange(BodyChecked_, true))
+      if (auto Refusal = checkLargeBody(Come))
+        co_return Refusal;
+    std::size_t Wanted =
+        Large ? std::max<std::size_t>(Come, Into.content_length().value_or(0))
+              : Come;
+    if (Wanted <= Body_.bytes())
+      co_return std::nullopt;
+    bool Held = co_await awaitMemory(Wanted, Read);
+    if (!Held)
+      co_return bodyRefused(Wanted);
+    Read.HoldsMemory_ = Large;
+    co_return std::nullopt;
+  }
+
+  /// Waits for memory for a body of \p Bytes. \returns false if there is none
+  /// in time.
+  Awaitable<bool> awaitMemory(std::size_t Bytes, const RequestRead &Read) {
+    MemoryBudget &Memory = State_->Memory_;
+    if (!Memory.admitsBody(Bytes, Body_.bytes())) {
+      MemoryBudget::WaitingBody Waiting(Memory);
+      asio::steady_timer Timer(Stream_.get_executor());
+      auto Waited = MemoryWaitStep * 0;
+      while (!Memory.admitsBody(Bytes, Body_.bytes())) {
+        if (Waited >= MaxBodyWait || Read.timedOut())
+          co_return false;
+        Waited += MemoryWaitStep;
+        Timer.expires_after(MemoryWaitStep);
+        co_await Timer.async_wait(asio::use_awaitable);
       }
-      Timer.expires_after(MemoryWaitStep);
-      co_await Timer.async_wait(asio::use_awaitable);
     }
-    // A body with a length counts before it is read, so that others see it.
-    Body_->set(Bytes);
+    Body_.set(Bytes);
     co_return true;
   }
 
@@ -463,8 +594,10 @@
   std::shared_ptr<ServerState> State_;
   beast::flat_buffer Buffer_;
   HttpRequest Request_;
-  /// The memory of the request's body; unset between requests.
-  std::optional<MemoryUse> Body_;
+  /// The memory of the request's body.
+  MemoryUse Body_;
+  /// The body that is read has been checked from its head.
+  bool BodyChecked_ = false;
   std::function<void()> CallerLeft_;
   unsigned Version_ = 11;
   bool KeepAlive_ = true;
@@ -547,7 +680,7 @@
 Result<std::unique_ptr<HttpServer>>
 HttpServer::create(asio::io_context &AcceptContext,
                    std::vector<asio::io_context *> Workers,
-                   HttpServerOptions Options) {
+                   MemoryBudget &Memory, HttpServerOptions Options) {
   beast::error_code Error;
   Tcp::acceptor Acceptor(AcceptContext);
   Acceptor.open(Options.Address_.protocol(), Error);
@@ -561,8 +694,7 @@
     return Failure{ResultCode::BadSetting,
                    "can't listen on " + formatEndpoint(Options.Address_) +
                        ": " + Error.message()};
-  auto State = std::make_shared<ServerState>();
-  State->Options_ = std::move(Options);
+  auto State = std::make_shared<ServerState>(Memory, std::move(Options));
   if (!State->Options_.Refusal_)
     State->Options_.Refusal_ = [](Failure Cause) {
       return jsonResponse(400, "{\"error\":\"" +
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -683,7 +683,11 @@
   Options.MaxConnections_ = Settings_.MaxConnections_;
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
-  Options.Memory_ = &Memory_;
+  // Checks only state that all workers share.
+  Options.CheckBody_ = [Any = Workers_.front()->Callers_.get()](
+                           const HttpRequest &Head) {
+    return Any->checkHead(Head);
+  };
   Options.Handler_ = [ByContext](HttpExchange &Exchange) -> Awaitable<void> {
     auto Executor = co_await asio::this_coro::executor;
     auto &Context = asio::query(Executor, asio::execution::context);
@@ -698,8 +702,8 @@
     Ended.Detail_ = Cause.Detail_;
     return finalResponse(nextRequestId(), Ended);
   };
-  auto Server =
-      HttpServer::create(Control_, std::move(Contexts), std::move(Options));
+  auto Server = HttpServer::create(Control_, std::move(Contexts), Memory_,
+                                   std::move(Options));
   if (!Server)
     return Server.error();
   CallerServer_ = std::move(*Server);
@@ -713,14 +717,14 @@
   Hooks.Metrics_ = [this] { return metrics(); };
   Hooks.Vms_ = [this] { return vms(); };
   Operators_ = std::make_unique<OperatorService>(Platform_, std::move(Hooks));
-  auto Server = HttpServer::create(Control_, {&Control_},
+  auto Server = HttpServer::create(Control_, {&Control_}, Memory_,
                                    operatorOptions(Settings_.Operators_));
   if (!Server)
     return Server.error();
   OperatorServer_ = std::move(*Server);
   if (Settings_.Metrics_.port() == 0)
     return {};
-  auto Metrics = HttpServer::create(Control_, {&Control_},
+  auto Metrics = HttpServer::create(Control_, {&Control_}, Memory_,
                                     operatorOptions(Settings_.Metrics_));
   if (!Metrics)
     return Metrics.error();
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -66,6 +66,19 @@
   return Prompt;
 }
 
+/// \returns the key that a caller sent, empty if none.
+std::string_view bearerKey(const HttpRequest &Request) {
+  std::string_view Text = Request.field("authorization");
+  if (!Text.starts_with(BearerPrefix))
+    return {};
+  return Text.substr(BearerPrefix.size());
+}
+
+const Customer *customerOf(const Document &Known, const HttpRequest &Request) {
+  std::string_view Key = bearerKey(Request);
+  return Key.empty() ? nullptr : Known.customerByKeyDigest(sha256Hex(Key));
+}
+
 } // namespace
 
 CallerService::CallerService(RequestServices Services,
@@ -163,11 +176,34 @@
 /// \p Code.
 Verdict CallerService::refusedIfFresh(ResultCode Code,
                                       std::string Detail) const {
+  return refused(codeIfFresh(Code), std::move(Detail));
+}
+
+ResultCode CallerService::codeIfFresh(ResultCode Code) const {
   BootTime Now = BootClock::now();
   bool Fresh = Services_.Freshness_.valid(Now) &&
                Services_.Freshness_.behind(Now).count() == 0;
-  return refused(Fresh ? Code : ResultCode::ConfigurationStale,
-                 std::move(Detail));
+  return Fresh ? Code : ResultCode::ConfigurationStale;
+}
+
+std::optional<Failure> CallerService::checkHead(const HttpRequest &Head) const {
+  if (!IsReady_())
+    return Failure{ResultCode::NotReady, ""};
+  if (Services_.Freshness_.overdue(BootClock::now()))
+    return Failure{ResultCode::ConfigurationStale, "a newer one is overdue"};
+  auto Snapshot = Services_.Documents_.snapshot();
+  const std::string &Host = Head.field("host");
+  const ServiceConfiguration *Service = Snapshot->serviceForHost(Host);
+  const Route *Found =
+      Service ? Service->Document_->route(Head.path(), Host) : nullptr;
+  if (!Found)
+    return Failure{codeIfFresh(ResultCode::NoRoute), "no route matches"};
+  const Document &Known = *Service->Document_;
+  bool NeedsKey = !Found->Forwarding_ ||
+                  !(Found->Forwarding_->Anonymous_ || Known.Customers_.empty());
+  if (NeedsKey && !customerOf(Known, Head))
+    return Failure{codeIfFresh(ResultCode::UnknownCustomer), ""};
+  return std::nullopt;
 }
 
 /// Checks a request that is forwarded unchanged to a backend server, and fills
@@ -194,11 +230,10 @@
   Context.Prefix_ = prefixHashes(Context.Call_.Parts_);
   if (Rule.Anonymous_ || Context.document().Customers_.empty())
     return std::nullopt;
-  std::string_view Authorization = Request.field("authorization");
-  if (!Authorization.starts_with(BearerPrefix))
+  std::string_view Key = bearerKey(Request);
+  if (Key.empty())
     return refusedIfFresh(ResultCode::UnknownCustomer, "no bearer key");
-  Authorization.remove_prefix(BearerPrefix.size());
-  Context.KeyDigest_ = sha256Hex(Authorization);
+  Context.KeyDigest_ = sha256Hex(Key);
   Context.Customer_ =
       Context.document().customerByKeyDigest(Context.KeyDigest_);
   if (!Context.Customer_)
@@ -230,14 +265,10 @@
 std::optional<Verdict>
 CallerService::checkCustomer(RequestContext &Context) const {
   const HttpRequest &Request = Context.Exchange_.request();
-  std::string_view Authorization = Request.field("authorization");
-  if (!Authorization.starts_with(BearerPrefix))
-    return refused(ResultCode::UnknownCustomer, "no bearer key");
-  Authorization.remove_prefix(BearerPrefix.size());
-  Context.Customer_ =
-      Context.document().customerByKeyDigest(sha256Hex(Authorization));
+  Context.Customer_ = customerOf(Context.document(), Request);
   if (!Context.Customer_)
-    return refused(ResultCode::UnknownCustomer);
+    return refused(ResultCode::UnknownCustomer,
+                   bearerKey(Request).empty() ? "no bearer key" : "");
   Context.Tier_ = Context.Customer_->DefaultTier_;
   const std::string &Requested = Request.field("x-tier");
   if (Requested.empty())
--- a/Source/Request/CallerService.h
+++ b/Source/Request/CallerService.h
@@ -17,11 +17,15 @@
 
   /// Validates and runs one request and writes its final answer.
   Awaitable<void> handle(HttpExchange &Exchange);
+  /// Decides from the head of a request with a large body whether a customer of
+  /// this daemon sends it. May be called on any thread. \returns why not.
+  std::optional<Failure> checkHead(const HttpRequest &Head) const;
 
 private:
   std::optional<Verdict> check(RequestContext &Context);
   std::optional<Verdict> checkRoute(RequestContext &Context) const;
   std::optional<Verdict> checkForwarded(RequestContext &Context);
+  ResultCode codeIfFresh(ResultCode Code) const;
   Verdict refusedIfFresh(ResultCode Code, std::string Detail) const;
   const Pool *choosePool(const RequestContext &Context) const;
   std::optional<Verdict> checkCustomer(RequestContext &Context) const;
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
@@ -36,16 +37,19 @@
 class ServerFixture {
 public:
   explicit ServerFixture(HttpHandler Handler, MemoryBudget *Memory = nullptr,
-                         milliseconds Limit = ReadTimeout, CutHook Cut = {})
+                         milliseconds Limit = ReadTimeout, CutHook Cut = {},
+                         BodyCheck Check = {})
       : Caller_(CallerContext_) {
     HttpServerOptions Options;
     Options.Address_ = {asio::ip::make_address("127.0.0.1"), 0};
     Options.ReadTimeout_ = Limit;
     Options.Handler_ = std::move(Handler);
-    Options.Memory_ = Memory;
     if (Cut)
       Options.Cut_ = std::move(Cut);
-    auto Made = HttpServer::create(Context_, {&Context_}, std::move(Options));
+    Options.CheckBody_ = std::move(Check);
+    auto Made = HttpServer::create(Context_, {&Context_},
+                                   Memory ? *Memory : MemoryBudget::unlimited(),
+                                   std::move(Options));
     REQUIRE(Made.has_value());
     Server_ = std::move(*Made);
     Caller_.connect(Server_->address());
@@ -287,6 +291,127 @@
   CHECK(Budget.used() == 0);
 }
 
+/// Answers each request with an empty body.
+Awaitable<void> answerEmpty(HttpExchange &Exchange) {
+  HttpResponse Response;
+  co_await Exchange.respond(std::move(Response));
+}
+
+/// \returns the head of a request with a body of \p Bytes.
+std::string headWithLength(std::size_t Bytes) {
+  return "POST / HTTP/1.1\r\nhost: t\r\nconnection: close\r\n"
+         "content-length: " +
+         std::to_string(Bytes) + "\r\n\r\n";
+}
+
+TEST_CASE("a large body is refused by its head before it is read") {
+  // Guards against callers without a key that take the room of all large
+  // bodies.
+  MemoryBudget Budget(0, 11000000);
+  int Checks = 0;
+  ServerFixture Test(answerEmpty, &Budget, std::chrono::seconds(10), {},
+                     [&](const HttpRequest &Head) {
+                       ++Checks;
+                       CHECK(Head.Method_ == "POST");
+                       CHECK(Head.field("host") == "t");
+                       return Failure{ResultCode::UnknownCustomer, ""};
+                     });
+  Test.write(headWithLength(3900000));
+  std::string Answer;
+  Test.readAll(Answer);
+  CHECK_MESSAGE(Answer.find("unknown-customer") != std::string::npos, Answer);
+  CHECK(Checks == 1);
+  CHECK(Budget.used() == 0);
+}
+
+TEST_CASE("a large body in chunks is refused by its head as it grows large") {
+  // Guards against the same by a body that announces no length.
+  MemoryBudget Budget(0, 11000000);
+  ServerFixture Test(answerEmpty, &Budget, std::chrono::seconds(10), {},
+                     [](const HttpRequest &) {
+                       return Failure{ResultCode::UnknownCustomer, ""};
+                     });
+  Test.write("POST / HTTP/1.1\r\nhost: t\r\ntransfer-encoding: chunked\r\n\r\n"
+             "186a0\r\n" +
+             std::string(100000, 'x') + "\r\n");
+  std::string Answer;
+  Test.readAll(Answer);
+  CHECK_MESSAGE(Answer.find("unknown-customer") != std::string::npos, Answer);
+  Test.pollUntil([&] { return Budget.used() == 0; });
+  CHECK(Budget.used() == 0);
+}
+
+TEST_CASE("bodies that are only announced leave the room to others") {
+  // Guards against callers that announce large bodies and send little of them:
+  // the bodies of all others were refused for as long as that lasted.
+  constexpr std::size_t Bytes = 3900000;
+  MemoryBudget Budget(0, 11000000);
+  asio::io_context Callers;
+  std::vector<Tcp::socket> Announcing;
+  ServerFixture Test(answerEmpty, &Budget, std::chrono::seconds(10));
+  while (Announcing.size() < 40) {
+    Tcp::socket Caller(Callers);
+    Caller.connect(Test.Server_->address());
+    asio::write(Caller, asio::buffer(headWithLength(Bytes) + "begun"));
+    Announcing.push_back(std::move(Caller));
+  }
+  Test.pollUntil([&] { return Budget.used() >= 40 * 5; });
+  std::thread Sender(
+      [&] { Test.write(headWithLength(Bytes) + std::string(Bytes, 'x')); });
+  std::string Answer;
+  Test.readAll(Answer);
+  Sender.join();
+  CHECK_MESSAGE(Answer.find("200 OK") != std::string::npos, Answer);
+  CHECK(Budget.bodiesRefused() == 0);
+}
+
+TEST_CASE("a body that stalls gives its room to one that waits") {
+  // Guards against callers that send the beginning of a large body and then
+  // nothing, and hold its room for the whole time of a read.
+  constexpr std::size_t Bytes = 3900000;
+  MemoryBudget Budget(0, 11000000);
+  asio::io_context Callers;
+  Tcp::socket Stalling(Callers);
+  ServerFixture Test(answerEmpty, &Budget, std::chrono::seconds(10));
+  Stalling.connect(Test.Server_->address());
+  asio::write(Stalling,
+              asio::buffer(headWithLength(Bytes) + std::string(100000, 'x')));
+  REQUIRE(Test.pollUntil([&] { return Budget.used() >= Bytes; }));
+  std::thread Sender([&] {
+    boost::system::error_code Ignored;
+    asio::write(Test.Caller_,
+                asio::buffer(headWithLength(Bytes) + std::string(Bytes, 'x')),
+                Ignored);
+  });
+  std::string Answer;
+  Test.readAll(Answer);
+  Sender.join();
+  CHECK_MESSAGE(Answer.find("200 OK") != std::string::npos, Answer);
+}
+
+TEST_CASE("short bodies are bounded together") {
+  // Guards against hundreds of callers whose bodies, each too short to be
+  // counted, take a daemon's memory.
+  constexpr std::size_t Bytes = 60000;
+  MemoryBudget Budget(0, 10 * Bytes);
+  asio::io_context Callers;
+  std::vector<Tcp::socket> Sending;
+  ServerFixture Test(answerEmpty, &Budget, std::chrono::seconds(10));
+  while (Sending.size() < 30) {
+    Tcp::socket Caller(Callers);
+    Caller.connect(Test.Server_->address());
+    asio::write(Caller, asio::buffer(headWithLength(Bytes) +
+                                     std::string(Bytes - 1, 'x')));
+    Sending.push_back(std::move(Caller));
+  }
+  std::size_t Most = 0;
+  CHECK(Test.pollUntil([&] {
+    Most = std::max(Most, Budget.used());
+    return Budget.bodiesRefused() > 0;
+  }));
+  CHECK(Most <= 10 * Bytes);
+}
+
 TEST_CASE("a line before a chunk of a body is refused at a limit") {
   // Guards against framing without end that takes the daemon's memory.
   ServerFixture Test(
--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -476,3 +476,20 @@
   CHECK(std::chrono::steady_clock::now() - Started < std::chrono::seconds(2));
   CHECK(Path.received() == 2);
 }
+
+TEST_CASE("a large body is decided by its head as other requests are") {
+  // Guards against callers that are denied by the head what they would get, or
+  // get what they would be denied.
+  const std::string Long(200000, 'b');
+  auto Wanted = kind(RequestKind::NonIdempotent);
+  Wanted.RequiresKey_ = true;
+  ForwardingHarness Path(Wanted, {answerAll});
+  CHECK(Path.call("c1", Long).status() == 200);
+  Path.adopt({"another"});
+  CHECK(Path.call("c2", Long).status() == 401);
+  CHECK(Path.call("c3").status() == 401);
+  Path.lease().newerKnown(BootClock::now());
+  CHECK(Path.call("c4", Long).status() == 503);
+  CHECK(Path.call("c5").status() == 503);
+  CHECK(Path.received() == 1);
+}
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -295,13 +295,15 @@
   Listening.Handler_ = [this](HttpExchange &Exchange) {
     return Callers_->handle(Exchange);
   };
-  Listening.Memory_ = &Memory_;
+  Listening.CheckBody_ = [this](const HttpRequest &Head) {
+    return Callers_->checkHead(Head);
+  };
   Listening.Refusal_ = [](Failure Cause) {
     Verdict Ended(Cause.Code_, Cause.Detail_);
     return finalResponse(RequestId(), Ended);
   };
-  Front_ = std::move(
-      *HttpServer::create(Context_, {&Context_}, std::move(Listening)));
+  Front_ = std::move(*HttpServer::create(Context_, {&Context_}, Memory_,
+                                         std::move(Listening)));
 }
 
 Connector connectorFor(const PortState &Links) {
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -1,5 +1,7 @@
 #include "UnitTests/platform/FakeStore.h"
 
+#include "Connection/MemoryBudget.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/evp.h>
@@ -54,8 +56,8 @@
   Options.Handler_ = [this](HttpExchange &Exchange) {
     return handle(Exchange);
   };
-  Server_ =
-      std::move(*HttpServer::create(Context, {&Context}, std::move(Options)));
+  Server_ = std::move(*HttpServer::create(
+      Context, {&Context}, MemoryBudget::unlimited(), std::move(Options)));
 }
 
 void FakeStore::put(const std::string &Key, const std::string &Value) {
--- a/standins/StandinMain.cpp
+++ b/standins/StandinMain.cpp
@@ -1,5 +1,7 @@
 #include "StandinMain.h"
 
+#include "Connection/MemoryBudget.h"
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -25,7 +27,8 @@
   Options.MaxBodyBytes_ = 16 * 1024 * 1024;
   Options.ReadTimeout_ = std::chrono::hours(1);
   Options.Handler_ = std::move(Handler);
-  auto Server = HttpServer::create(Context, {&Context}, std::move(Options));
+  auto Server = HttpServer::create(
+      Context, {&Context}, MemoryBudget::unlimited(), std::move(Options));
   if (!Server) {
     fmt::print(stderr, "{}\n", Server.error().Detail_);
     return 2;
