A daemon knows the memory at which it is ended, and bounds what is unread

Callers would see: answers cut and requests without an answer, as the process is ended. The platform counts what has been received and not read toward the memory of a process; the daemon took an eighth of the VM's memory for whole messages, whatever the process may have, and bounded no receive buffer.

Receive buffers of callers' connections, and heads that are not whole, get a sixteenth of it each, so they are smaller the more connections there are; a fifth bounds the number of connections (1,074 at 88 MB), which are refused with 503 beyond it (400 was a denial of sound requests), as are heads that are too long only beside so many others.

--- a/FailureTests/platform/UnendingBytesTest.cpp
+++ b/FailureTests/platform/UnendingBytesTest.cpp
@@ -17,9 +17,13 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <optional>
+#include <set>
+#include <sstream>
+#include <vector>
 
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
@@ -35,6 +39,8 @@
 /// What a peer sends at most before it falls silent: twice the VM's memory.
 constexpr std::size_t SentBytes = 2 * MemoryMb * BytesPerMb;
 constexpr int CallsAtOnce = 4;
+/// How long a connection goes on sending what is not read.
+constexpr milliseconds SendLimit{500};
 constexpr milliseconds CallLimit{20000};
 #ifdef __SANITIZE_ADDRESS__
 /// The sanitizer's own memory is not the daemon's.
@@ -148,6 +154,64 @@
     asio::co_spawn(Thread_.context(), std::move(Work), asio::use_future).get();
   }
 
+  /// Opens \p Count connections to \p To, sends \p Start on each of them and
+  /// then one letter for as long as it is read, up to \p Most bytes.
+  void sendOnMany(const Endpoint &To, std::size_t Count,
+                  const std::string &Start, std::size_t Most) {
+    std::vector<std::future<void>> Senders;
+    while (Senders.size() < Count)
+      Senders.push_back(asio::co_spawn(
+          Thread_.context(),
+          [this, To, Start, Most] { return sendUpTo(To, Start, Most); },
+          asio::use_future));
+    for (auto &Sender : Senders)
+      Sender.get();
+  }
+  Endpoint callers() const { return Callers_; }
+  /// Closes the connections of sendOnMany().
+  void closeSenders() {
+    asio::co_spawn(
+        Thread_.context(),
+        [this]() -> Awaitable<void> {
+          Senders_.clear();
+          co_return;
+        },
+        asio::use_future)
+        .get();
+  }
+
+  /// \returns the addresses at which the daemon listens, as the kernel tells.
+  std::vector<Endpoint> listeners() const {
+    std::set<std::string> Own;
+    std::string Process = fmt::format("/proc/{}/", Daemon_->pid());
+    for (const auto &Entry :
+         std::filesystem::directory_iterator(Process + "fd")) {
+      std::error_code Ignored;
+      Own.insert(std::filesystem::read_symlink(Entry, Ignored).string());
+    }
+    std::vector<Endpoint> Found;
+    std::ifstream Lines(Process + "net/tcp");
+    std::string Line;
+    std::getline(Lines, Line);
+    while (std::getline(Lines, Line)) {
+      std::istringstream Fields(Line);
+      std::string Slot, Local, Remote, State, Skipped, Inode;
+      Fields >> Slot >> Local >> Remote >> State;
+      for (int Field = 0; Field < 5; ++Field)
+        Fields >> Skipped;
+      Fields >> Inode;
+      constexpr std::string_view Listening = "0A";
+      if (State != Listening || !Own.contains("socket:[" + Inode + "]"))
+        continue;
+      constexpr int Hexadecimal = 16;
+      auto Port =
+          std::stoul(Local.substr(Local.find(':') + 1), nullptr, Hexadecimal);
+      Found.emplace_back(asio::ip::make_address("127.0.0.1"),
+                         static_cast<std::uint16_t>(Port));
+    }
+    return Found;
+  }
+
   /// \returns the most memory that the process has had, in bytes.
   std::size_t mostMemory() const {
     std::ifstream Lines(fmt::format("/proc/{}/status", Daemon_->pid()));
@@ -158,10 +222,10 @@
         return std::stoul(Line.substr(Field.size())) * BytesPerKib;
     return 0;
   }
-  bool memoryHeld() const {
+  bool memoryHeld(std::size_t Megabytes = MemoryMb) const {
     std::size_t Most = mostMemory();
     MESSAGE((Most / BytesPerMb) << " MB at most");
-    return Most > 0 && (!MemoryIsOwn || Most < MemoryMb * BytesPerMb);
+    return Most > 0 && (!MemoryIsOwn || Most < Megabytes * BytesPerMb);
   }
 
 private:
@@ -185,6 +249,26 @@
     Store_.put("servers/engine", Entry.dump());
   }
 
+  Awaitable<void> sendUpTo(Endpoint To, std::string Start, std::size_t Most) {
+    auto Peer = std::make_shared<Tcp::socket>(Thread_.context());
+    boost::system::error_code Error;
+    co_await Peer->async_connect(
+        To, asio::redirect_error(asio::use_awaitable, Error));
+    Senders_.push_back(Peer);
+    std::string Block = std::move(Start);
+    asio::steady_timer Limit(Thread_.context(), SendLimit);
+    Limit.async_wait([Peer](const boost::system::error_code &Ended) {
+      if (!Ended)
+        Peer->cancel();
+    });
+    for (std::size_t Sent = 0; Sent < Most && !Error; Sent += BlockBytes) {
+      co_await asio::async_write(
+          *Peer, asio::buffer(Block),
+          asio::redirect_error(asio::use_awaitable, Error));
+      Block.assign(BlockBytes, 'a');
+    }
+  }
+
   Awaitable<void> accept() {
     boost::system::error_code Error;
     while (!Error) {
@@ -253,6 +337,7 @@
   Tcp::acceptor Engine_;
   TestFolder Folder_;
   std::optional<ChildProcess> Daemon_;
+  std::vector<std::shared_ptr<Tcp::socket>> Senders_;
   Endpoint Callers_;
   int Calls_ = 0;
 };
@@ -302,3 +387,44 @@
   }
   CHECK(Vm.memoryHeld());
 }
+
+TEST_CASE("no listener lets connections take a daemon's memory") {
+  // Guards against a listener that is outside of the budget: one that is added
+  // later is found here too.
+  constexpr std::size_t Connections = 100;
+  constexpr std::size_t Each = 4 * 1024 * 1024;
+  SmallVm Vm("--process_memory_mb=88");
+  REQUIRE(eventually([&] { return Vm.call("/plain/short") == 200; }));
+  const std::string Head =
+      "POST /plain/x HTTP/1.1\r\nhost: endless.example\r\n";
+  // A frame of four megabytes is announced in four bytes.
+  const std::string Frame("\0\0\x3f\0", 4);
+  auto Listeners = Vm.listeners();
+  // For callers, other daemons, relays and operators.
+  CHECK(Listeners.size() >= 4);
+  for (const Endpoint &To : Listeners) {
+    CAPTURE(To.port());
+    for (const std::string &Start :
+         {Frame, Head + "content-length: 3900000\r\n\r\n",
+          Head + "transfer-encoding: chunked\r\n\r\n3fffff\r\n"})
+      Vm.sendOnMany(To, Connections, Start, Each);
+    CHECK(Vm.call("/plain/short") == 200);
+    CHECK(Vm.memoryHeld());
+    Vm.closeSenders();
+  }
+}
+
+TEST_CASE("connections that stay open don't take a daemon's memory") {
+  // Guards against hundreds of callers whose heads are never whole.
+  constexpr std::size_t SmallMb = 60;
+  constexpr std::size_t Connections = 700;
+  constexpr std::size_t HeadBytes = 16000;
+  SmallVm Vm(fmt::format("--process_memory_mb={}", SmallMb));
+  REQUIRE(eventually([&] { return Vm.call("/plain/short") == 200; }));
+  Vm.sendOnMany(
+      Vm.callers(), Connections,
+      "GET /plain/short HTTP/1.1\r\nx: " + std::string(HeadBytes, 'a'), 1);
+  CHECK(Vm.memoryHeld(SmallMb));
+  Vm.closeSenders();
+  CHECK(eventually([&] { return Vm.call("/plain/short") == 200; }));
+}
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -152,8 +152,12 @@
   CutHook Cut_ = [](const HttpRequest &, CutReason) {};
   /// Called for each request; if unset, the limits above apply throughout.
   std::function<HttpLimits()> Limits_;
-  /// Large bodies wait for room in it; null: there is no budget.
-  MemoryBudget *Memory_ = nullptr;
+  /// What the kernel may hold of what callers send and is not read, over all
+  /// connections, and as much of heads, in bytes; 0: without limit.
+  std::size_t ReceiveBytes_ = 0;
+  /// Called before a large body is read, which otherwise takes the room of
+  /// others although its request is refused; unset: all are read.
+  BodyCheck CheckBody_;
 };
 
 /// Accepts connections on one context and distributes them over worker
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -60,6 +60,16 @@
   std::atomic<std::size_t> OpenConnections_ = 0;
   std::atomic<std::size_t> ActiveExchanges_ = 0;
 
+  /// \returns how long a head may be that is not whole. Beside thousands of
+  /// other connections it is as short as usual ones are.
+  std::size_t headLimit(std::size_t Most) const {
+    constexpr std::size_t UsualBytes = 4096;
+    std::size_t Share = Options_.ReceiveBytes_;
+    if (Share == 0)
+      return Most;
+    return std::min(Most, std::max(UsualBytes, Share / (OpenConnections_ + 1)));
+  }
+
   HttpLimits limits() const {
     if (Options_.Limits_)
       return Options_.Limits_();
@@ -397,41 +407,27 @@
     auto Read = std::make_shared<RequestRead>(Stream_.get_executor());
     std::optional<Parser> Into(std::in_place);
     HttpLimits Limits = State_->limits();
-    Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
-    Parser.body_limit(Limits.MaxBodyBytes_);
+    std::size_t HeadBytes = State_->headLimit(Limits.MaxHeaderBytes_);
+    bool IsCrowded = HeadBytes < Limits.MaxHeaderBytes_;
+    Limits.MaxHeaderBytes_ = HeadBytes;
+    Into->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes_));
+    Into->body_limit(Limits.MaxBodyBytes_);
     Buffer_.max_size(
         std::max(Buffer_.size(), Limits.MaxHeaderBytes_ + MaxFramingBytes));
     Stream_.expires_never();
-    // The stream's own timeout would close it without telling the caller why.
-    // This timer only ends the read.
-    auto State = std::make_shared<ReadState>(ReadState::Reading);
-    asio::steady_timer Limit(Stream_.get_executor(),
-                             State_->Options_.ReadTimeout_);
-    Limit.async_wait(
-        [Self = shared_from_this(), State](const beast::error_code &Ended) {
-          if (Ended || *State != ReadState::Reading)
-            return;
-          *State = ReadState::TimedOut;
-          Self->Stream_.cancel();
-        });
-    co_await http::async_read_header(
-        Stream_, Buffer_, Parser,
-        asio::redirect_error(asio::use_awaitable, Error));
-    bool HasMemory = true;
-    if (!Error && Body_ && Parser.content_length())
-      HasMemory = co_await awaitMemory(*Parser.content_length());
-    Parser.eager(true);
-    while (!Error && HasMemory && !Parser.is_done()) {
-      // The limit may have run out while no read was in progress.
-      if (*State == ReadState::TimedOut) {
-        Error = asio::error::operation_aborted;
-        break;
-      }
-      co_await http::async_read_some(
-          Stream_, Buffer_, Parser,
-          asio::redirect_error(asio::use_awaitable, Error));
-      if (Body_ && !Parser.content_length())
-        HasMemory = co_await awaitMemory(Parser.get().body().size());
+    Read->End_ =
+        std::chrono::steady_clock::now() + State_->Options_.ReadTimeout_;
+    watchRead(Read);
+    auto Ended = co_await readParts(*Into, *Read);
+    Read->State_ = RequestRead::State::Finished;
+    Read->Timer_.cancel();
+    // A head that would be read beside fewer connections is not at fault.
+    if (IsCrowded && Ended.Error_ == http::error::header_limit)
+      Ended.Refusal_ = bodyRefused(HeadBytes);
+    if (Ended.Refusal_ || Ended.Error_) {
+      // Others wait for its memory, and a refusal takes a while.
+      Into.reset();
+      Body_.set(0);
     }
     if (Ended.Refusal_) {
       co_await refuse(std::move(*Ended.Refusal_));
@@ -650,6 +646,9 @@
     beast::error_code Ignored;
     Socket.set_option(Tcp::no_delay(true), Ignored);
     limitSilence(Socket, CallerSilence);
+    if (std::size_t Share = State_->Options_.ReceiveBytes_)
+      limitReceiveBuffer(Socket,
+                         receiveBufferBytes(Share, State_->OpenConnections_));
     LastAccepted_ = std::chrono::steady_clock::now();
     auto Executor = Socket.get_executor();
     bool Full = State_->OpenConnections_ >= State_->Options_.MaxConnections_;
--- a/Source/Connection/SocketOptions.cpp
+++ b/Source/Connection/SocketOptions.cpp
@@ -1,5 +1,6 @@
 #include "Connection/SocketOptions.h"
 
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -14,6 +15,25 @@
 
 } // namespace
 
+std::size_t receiveBufferBytes(std::size_t Share, std::size_t Connections) {
+  // A sender needs some packets' worth to keep going, and no more than the
+  // kernel's own first size.
+  constexpr std::size_t Least = 2048;
+  constexpr std::size_t Most = 65536;
+  // The sum over connections grows with the logarithm of their number: of
+  // thousands it is about eight times that of one.
+  constexpr std::size_t Harmonic = 8;
+  constexpr std::size_t CountedTwice = 2;
+  std::size_t Bytes = Share / (Harmonic * CountedTwice * (Connections + 1));
+  return std::clamp(Bytes, Least, Most);
+}
+
+void limitReceiveBuffer(boost::asio::ip::tcp::socket &Socket,
+                        std::size_t Bytes) {
+  setOption(Socket.native_handle(), SOL_SOCKET, SO_RCVBUF,
+            static_cast<int>(Bytes));
+}
+
 std::chrono::milliseconds toleratedSilence(const SilenceLimits &Limits) {
   // The peer may have fallen silent right before the first probe.
   std::chrono::milliseconds Silent = Limits.ProbeAfter_;
--- a/Source/Connection/SocketOptions.h
+++ b/Source/Connection/SocketOptions.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
 
 namespace samphireshunt {
 
@@ -30,6 +31,18 @@
 /// been silent for Unacknowledged_, whatever the number of probes.
 std::chrono::milliseconds toleratedSilence(const SilenceLimits &Limits);
 
+/// \returns the size of the receive buffer of a connection that is accepted
+/// beside \p Connections others, so that all of them together take about \p
+/// Share bytes, however many there are. The kernel counts twice as much.
+///
+/// Load pattern: thousands of callers that send on while their requests wait.
+std::size_t receiveBufferBytes(std::size_t Share, std::size_t Connections);
+
+/// Sets the receive buffer of \p Socket to \p Bytes, and keeps the kernel from
+/// enlarging it. Errors are ignored.
+void limitReceiveBuffer(boost::asio::ip::tcp::socket &Socket,
+                        std::size_t Bytes);
+
 /// Applies \p Limits to \p Socket. A VM that has lost power or is behind a
 /// network partition sends nothing at all; without these limits a read from it
 /// would wait forever. Errors are ignored: a socket that doesn't support an
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -65,15 +65,44 @@
   return MemoryMb * BytesPerMb / Parts;
 }
 
-/// \returns how many bytes of answers, and as many of requests' bodies, may be
-/// held whole. An eighth: a body is held up to three times while it is sent.
+/// \returns the bytes at which the process is ended; 0 if that is not known.
+std::size_t processMemory(const Settings &Configured) {
+  if (Configured.ProcessMemoryMb_ > 0)
+    return static_cast<std::size_t>(Configured.ProcessMemoryMb_ * BytesPerMb);
+  return vmMemoryBytes();
+}
+
+/// \returns how many bytes the kernel may hold of what callers send and this
+/// process does not read, and as many of heads that are not whole; 0: without
+/// limit.
+std::size_t receiveBytes(const Settings &Configured) {
+  constexpr std::size_t Parts = 16;
+  return processMemory(Configured) / Parts;
+}
+
+/// \returns how many callers' connections there may be: a fifth of the memory
+/// is for them.
+std::size_t maxConnections(const Settings &Configured) {
+  constexpr std::size_t Parts = 5;
+  constexpr std::size_t ConnectionBytes = 16 * 1024;
+  constexpr std::size_t Fewest = 256;
+  std::size_t Memory = processMemory(Configured);
+  if (Memory == 0)
+    return Configured.MaxConnections_;
+  return std::min(Configured.MaxConnections_,
+                  std::max(Fewest, Memory / Parts / ConnectionBytes));
+}
+
+/// \returns how many bytes of answers, as many of requests' bodies, and as many
+/// of other daemons' messages may be held. An eighth: a body is held up to
+/// three times while it is sent.
 std::size_t wholeMessageBytes(const Settings &Configured) {
   constexpr std::size_t Parts = 8;
   if (Configured.WholeMessagesMb_ > 0)
     return Configured.WholeMessagesMb_ * BytesPerMb;
   if (Configured.MemoryMb_ > 0)
     return Configured.MemoryMb_ * BytesPerMb / Parts;
-  std::size_t Known = vmMemoryBytes();
+  std::size_t Known = processMemory(Configured);
   return Known > 0 ? Known / Parts : MemoryBudget::NoLimit;
 }
 
@@ -680,9 +709,10 @@
   Relay_->start(Contexts);
   HttpServerOptions Options;
   Options.Address_ = Settings_.Callers_;
-  Options.MaxConnections_ = Settings_.MaxConnections_;
+  Options.MaxConnections_ = maxConnections(Settings_);
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
+  Options.ReceiveBytes_ = receiveBytes(Settings_);
   // Checks only state that all workers share.
   Options.CheckBody_ = [Any = Workers_.front()->Callers_.get()](
                            const HttpRequest &Head) {
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -34,16 +34,21 @@
 ABSL_FLAG(int, memory_mb, 0,
           "Memory that this process may use, in MB, 32 to 1048576; what it "
           "holds for slow callers is bounded by it; 0: no bound.");
+ABSL_FLAG(double, process_memory_mb, 0,
+          "Memory at which the platform ends this process, in MB, unread "
+          "received bytes included; 0: the VM's memory.");
 ABSL_FLAG(int, whole_messages_mb, 0,
-          "Memory for bodies of requests, and as much for answers, that are "
-          "held whole, in MB, 1 to 65536; 0: an eighth of memory_mb or of the "
-          "VM's memory.");
+          "Memory for bodies of requests, as much for answers, and as much for "
+          "messages of other daemons, in MB, 1 to 65536; 0: an eighth of "
+          "memory_mb or of process_memory_mb.");
 ABSL_FLAG(std::string, seed_peers, "",
           "IP:port,... of daemons to join while the platform is unavailable.");
 ABSL_FLAG(int, threads, 2,
           "Worker threads for requests, 0 to 64; 0: the control thread serves "
           "them.");
-ABSL_FLAG(int, max_connections, 10000, "Callers' connections at once.");
+ABSL_FLAG(int, max_connections, 10000,
+          "Callers' connections at once; fewer if process_memory_mb is not "
+          "enough for 80 KiB each.");
 ABSL_FLAG(int, read_timeout_ms, 30000,
           "How long a request may take to arrive, and how long an idle "
           "connection is kept open, in ms.");
@@ -120,6 +125,7 @@
                                   "seed_peers",
                                   "link_mbps",
                                   "memory_mb",
+                                  "process_memory_mb",
                                   "whole_messages_mb",
                                   "advertise_operators",
                                   "max_connections",
@@ -262,6 +268,9 @@
   if (MemoryMb > 0 && MemoryMb < MinMemoryMb)
     Check.addError("memory_mb", "must be 0 or at least 32");
   Read.MemoryMb_ = static_cast<std::uint32_t>(std::max(MemoryMb, 0));
+  Read.ProcessMemoryMb_ = std::min(
+      Check.amount("process_memory_mb", absl::GetFlag(FLAGS_process_memory_mb)),
+      static_cast<double>(MaxMemoryMb));
   constexpr int MaxWholeMessagesMb = 65536;
   Read.WholeMessagesMb_ = static_cast<std::uint32_t>(
       std::max(0, Check.number("whole_messages_mb",
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -45,6 +45,8 @@
   case ResultCode::EventTooLarge:
   case ResultCode::AnswerTooLarge:
     return 502;
+  case ResultCode::TooManyConnections:
+    return 503;
   case ResultCode::CrashesServers:
   case ResultCode::PromptPartCrashesServers:
     // States that the request was not run. Without Retry-After, since a retry
--- a/UnitTests/Request/FinalAnswerTest.cpp
+++ b/UnitTests/Request/FinalAnswerTest.cpp
@@ -24,3 +24,11 @@
       CHECK(Response.Status_ >= 400);
   }
 }
+
+TEST_CASE("a caller that finds too many connections may come back") {
+  // Guards against sound requests that are denied for what others do.
+  HttpResponse Refused =
+      finalResponse(RequestId(), Verdict(ResultCode::TooManyConnections, ""));
+  CHECK(Refused.Status_ == 503);
+  CHECK(Refused.Fields_.contains("retry-after"));
+}
