Answers that are held whole wait for room instead of ending

Callers saw: 311, or another run, for a sound answer that came while others held the memory. A server's answer that can't be held now waits as long as its request has time; the one whose turn it is has room of its own, so that answers that wait for each other end one after the other. One that could not be held even alone ends at once, as before.

Open: the collected answer of the product's own model calls still ends (ModelCall).

--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -8,6 +8,7 @@
 #include "Connection/MemoryBudget.h"
 #include "Connection/Spawn.h"
 #include "Request/CrashEvidence.h"
+#include "Request/HeldAnswer.h"
 #include "Request/ServerNotices.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -196,6 +197,7 @@
     if (!Head)
       co_return Head.error();
     reportServerNotices(Context_, Ready_, *Head);
+    AnswerTurn Turn(Context_.Services_.Memory_);
     while (true) {
       auto Received = co_await Connection.readSome(Context_.remaining());
       if (!Received)
@@ -203,7 +205,10 @@
       if (Received->empty())
         break;
       std::size_t Size = Head->Body_.size() + Received->size();
-      if (!HeldAnswer_.grow(Size))
+      auto IsOver = [this] { return Context_.expired(); };
+      bool Held =
+          co_await growAnswer(Turn, HeldAnswer_, Size, std::move(IsOver));
+      if (!Held)
         co_return Failure{ResultCode::AnswerTooLarge,
                           fmt::format("{} bytes", Size)};
       Head->Body_ += *Received;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -4,6 +4,7 @@
 #include "Connection/EventSplitter.h"
 #include "Request/AnswerWriter.h"
 #include "Request/CrashEvidence.h"
+#include "Request/HeldAnswer.h"
 #include "Request/ResumedStream.h"
 #include "Request/RunSuspension.h"
 #include "Request/ServerNotices.h"
@@ -445,8 +446,12 @@
         co_return Received.error();
       if (Received->empty())
         co_return Result<void>();
-      if (!HeldAnswer_.grow(Answer.Body_.size() + Received->size()))
-        co_return answerTooLarge(Answer.Body_.size() + Received->size());
+      std::size_t Bytes = Answer.Body_.size() + Received->size();
+      auto IsOver = [this] { return CallerLeft_ || Context_.expired(); };
+      bool Held =
+          co_await growAnswer(Turn, HeldAnswer_, Bytes, std::move(IsOver));
+      if (!Held)
+        co_return answerTooLarge(Bytes);
       Answer.Body_ += *Received;
     }
   }
--- /dev/null
+++ b/Source/Request/HeldAnswer.h
@@ -0,0 +1,19 @@
+#pragma once
+/// \file
+/// Waits for the memory of an answer that is read whole.
+
+#include "Connection/Http.h"
+#include "Connection/MemoryBudget.h"
+
+#include <functional>
+
+namespace samphireshunt {
+
+/// Sets the bytes of an answer that grows, and waits for room if there is none:
+/// the answer is under way, and its server may not run the request again.
+/// \returns false if the answer is too large to be held even alone, or if
+/// \p IsOver before there was room.
+Awaitable<bool> growAnswer(AnswerTurn &Turn, MemoryUse &Held, std::size_t Bytes,
+                           std::function<bool()> IsOver);
+
+} // namespace samphireshunt
