The store's answers are bounded by four megabytes

The store is a peer too: its answers were read up to 64 MB. A page of a list has about a megabyte and at most one value beyond it, so 4 MiB are enough for it. Changes come at once: if they are longer, they count as lost history and the state is listed anew, in pages.

The new case of StoreTest names MaxStoreAnswerBytes, so it doesn't build on the code before; there a watch of any length up to 64 MB was taken.

--- a/Source/Process/Configuration/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -49,7 +49,8 @@
 /// failure.
 Awaitable<Result<JsonBody>> call(Endpoint Address, HttpRequest Request,
                                  milliseconds Timeout) {
-  auto Response = co_await httpCall(Address, std::move(Request), Timeout);
+  auto Response = co_await httpCall(Address, std::move(Request), Timeout,
+                                    MaxStoreAnswerBytes);
   if (!Response)
     co_return Failure{ResultCode::PlatformUnavailable,
                       Response.error().Detail_};
--- a/Source/Process/Configuration/Platform.h
+++ b/Source/Process/Configuration/Platform.h
@@ -17,6 +17,10 @@
 
 namespace samphireshunt {
 
+/// The longest answer of the service: a page of a list, with a value of the
+/// largest size, one megabyte, in base64 beside it.
+inline constexpr std::size_t MaxStoreAnswerBytes = 4 * 1024 * 1024;
+
 /// Number of a write to the key-value service. Rises with each write of an era.
 using Revision = Quantity<struct RevisionTag>;
 /// How many times the service was restored from an older backup. A restore
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -264,3 +264,17 @@
           ResultCode::BadStoreEra);
   }
 }
+
+TEST_CASE("changes that are too long to be read are listed instead") {
+  // Guards against a store whose answers take a daemon's memory, and against a
+  // view that stays as it is because the same changes are asked for again.
+  StoreFixture Test;
+  Test.Store_.AnswerWith_ =
+      "{\"events\":[\"" + std::string(MaxStoreAnswerBytes, 'x') + "\"]}";
+  auto Changes = Test.watch(at(1), milliseconds(0));
+  REQUIRE(Changes.has_error());
+  CHECK(Changes.error().Code_ == ResultCode::HistoryLost);
+  auto Listed = Test.list("");
+  REQUIRE(Listed.has_error());
+  CHECK(Listed.error().Code_ == ResultCode::AnswerTooLarge);
+}
