Cache events that are too long are passed over

An engine's list of cache events over 1 MiB was asked for again at each poll, twice a second, and never read. It now counts as a gap: what is known of that engine's cache is dropped, and the next events are those after it.

--- a/Source/Process/Keeping/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -96,7 +96,7 @@
   if (Reached || !Healthy)
     Keeper_.engineReport(Key.first, Key.second, Healthy, Report.Load_);
   if (HasEvents)
-    co_await readEvents(Key, Address);
+    co_await readEvents(Key, Address, Report.NextEvent_);
   else if (Reached)
     Keeper_.cacheEvicted(Key.first, Key.second, {}, false);
 }
@@ -105,12 +105,22 @@
 /// gaps. After a gap it is unknown which blocks were evicted, so the whole
 /// prefix index of the engine is cleared: dispatches fill it again, while a
 /// stale entry would route prompts to an engine that has to recompute them.
-Awaitable<void> EngineMonitor::readEvents(ServerKey Key, Endpoint Address) {
+Awaitable<void> EngineMonitor::readEvents(ServerKey Key, Endpoint Address,
+                                          std::uint64_t Newest) {
   HttpRequest Request;
   Request.Target_ =
       fmt::format("/v1/cache-events?after={}", PolledEngines_[Key].NextEvent_);
   auto Response = co_await httpCall(Address, std::move(Request),
                                     Options_.Timeout_, MaxControlAnswerBytes);
+  bool TooLong =
+      !Response && Response.error().Code_ == ResultCode::AnswerTooLarge;
+  if (TooLong) {
+    // A list that is never read to its end would be asked for at each poll.
+    logEvent(LogCategory::Keeper, spdlog::level::warn,
+             "cache-events-passed-over", {{"server", Key.second.str()}});
+    PolledEngines_[Key].NextEvent_ = Newest;
+    Keeper_.cacheEvicted(Key.first, Key.second, {}, /*Gap=*/true);
+  }
   if (!Response || Response->Status_ != 200)
     co_return;
   Json Body = Json::parse(Response->Body_, nullptr, false);
--- a/Source/Process/Keeping/EngineMonitor.h
+++ b/Source/Process/Keeping/EngineMonitor.h
@@ -41,7 +41,9 @@
 
   Awaitable<void> run();
   Awaitable<void> poll(ServerKey Key, Endpoint Address);
-  Awaitable<void> readEvents(ServerKey Key, Endpoint Address);
+  /// Reads the events up to \p Newest, as the engine reports it.
+  Awaitable<void> readEvents(ServerKey Key, Endpoint Address,
+                             std::uint64_t Newest);
   Awaitable<void> cancelOrphan(Endpoint Address, RequestId Id);
 
   boost::asio::io_context &Control_;
