A stream at a silent server ends after its caller has given it up

The daemon and the caller counted the same time from the same event, so it was open which of them broke the answer off, and a server's silence is no reason to end an answer sooner. A stream that can't go on elsewhere, or whose first event has not come, now ends 0.3 s after its caller's patience, 2.3 s or more. A resumable one leaves its server as before, after 1.2 to 1.6 s.

The new case of WaitPlanTest asks for 250 ms between both; before, there were none.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -350,7 +350,7 @@
     auto Left = Context_.remaining();
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
     if (Last || !Rule_.retryable())
-      return isStream() ? std::min(Left, callerPatience(Rule_)) : Left;
+      return isStream() ? std::min(Left, endAfterSilence(Rule_)) : Left;
     return isStream() ? std::min(Left, resumeAfterSilence(Rule_))
                       : Left / FirstAttemptDivisor;
   }
@@ -359,7 +359,7 @@
   milliseconds eventTimeout() const {
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
     bool Move = Rule_.Resumable_ && !Last && couldGoOnElsewhere();
-    auto Timeout = Move ? resumeAfterSilence(Rule_) : callerPatience(Rule_);
+    auto Timeout = Move ? resumeAfterSilence(Rule_) : endAfterSilence(Rule_);
     return std::min(Context_.remaining(), Timeout);
   }
 
--- a/Source/Request/WaitPlan.cpp
+++ b/Source/Request/WaitPlan.cpp
@@ -84,6 +84,13 @@
                    Rule.MaxEventGap_ * GapFactor});
 }
 
+milliseconds endAfterSilence(const ForwardingRule &Rule) {
+  // Callers begin to count when the last event reaches them, and are told of
+  // none that comes in the moment in which both give up.
+  constexpr milliseconds CallersFirst{300};
+  return callerPatience(Rule) + CallersFirst;
+}
+
 milliseconds resumeAfterSilence(const ForwardingRule &Rule) {
   // A sound server may be silent for a second or so and go on: its run would be
   // done twice, and by then another one would hardly be ahead.
--- a/Source/Request/WaitPlan.h
+++ b/Source/Request/WaitPlan.h
@@ -66,6 +66,10 @@
 /// gives the stream up.
 std::chrono::milliseconds callerPatience(const ForwardingRule &Rule);
 
+/// \returns how long a stream that can't go on elsewhere waits for a silent
+/// server: until its caller has given it up.
+std::chrono::milliseconds endAfterSilence(const ForwardingRule &Rule);
+
 /// \returns how long a resumable stream waits for a silent server before it
 /// goes on elsewhere.
 std::chrono::milliseconds resumeAfterSilence(const ForwardingRule &Rule);
--- a/UnitTests/Request/WaitPlanTest.cpp
+++ b/UnitTests/Request/WaitPlanTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace samphireshunt;
 using std::chrono::milliseconds;
 
@@ -99,3 +101,20 @@
   CHECK(After(500, 100) == 1500);
   CHECK(After(0, 0) == 1600);
 }
+
+TEST_CASE(
+    "a stream at a silent server is not ended before its caller gives up") {
+  // Guards against answers that the daemon ends, and of which the caller would
+  // have got the rest.
+  constexpr auto MostDelay = milliseconds(250);
+  for (int Objective : {0, 300, 800, 3000})
+    for (int Gap : {0, 100, 400}) {
+      ForwardingRule Rule = stream();
+      Rule.Objective_ = milliseconds(Objective);
+      Rule.MaxEventGap_ = milliseconds(Gap);
+      auto Patience = std::max(
+          {milliseconds(2000), 4 * Rule.Objective_, 8 * Rule.MaxEventGap_});
+      CHECK(endAfterSilence(Rule) > Patience + MostDelay);
+      CHECK(resumeAfterSilence(Rule) < Patience);
+    }
+}
