Sight: processes of other daemons that were replaced unannounced

A process that is killed for its memory writes nothing, and its VM keeps nothing. The others know that it had not said that it leaves: members with status=restarted-unannounced, many in one line, and the gauge members_restarted_unannounced. After a loss of all processes at once nobody knows.

The new case of MemberTableTest: announced or not, found dead before or not.

--- a/Source/Process/Membership/MemberLog.cpp
+++ b/Source/Process/Membership/MemberLog.cpp
@@ -13,7 +13,15 @@
 } // namespace
 
 void MemberLog::changed(const Member &Changed) {
-  Changes_[Changed.Status_].push_back(Changed.Id_.str());
+  add(memberStatusName(Changed.Status_), Changed);
+}
+
+void MemberLog::restarted(const Member &Restarted) {
+  add("restarted-unannounced", Restarted);
+}
+
+void MemberLog::add(std::string_view Status, const Member &Changed) {
+  Changes_[std::string(Status)].push_back(Changed.Id_.str());
   if (std::exchange(Scheduled_, true))
     return;
   Timer_.expires_after(BatchTime);
@@ -27,7 +35,7 @@
 void MemberLog::write() {
   for (const auto &[Status, Names] : std::exchange(Changes_, {}))
     logEvent(LogCategory::Membership, spdlog::level::info, "members",
-             {{"status", std::string(memberStatusName(Status))},
+             {{"status", Status},
               {"count", std::to_string(Names.size())},
               {"members", fmt::format("{}", fmt::join(Names, ","))}});
 }
--- a/Source/Process/Membership/MemberLog.h
+++ b/Source/Process/Membership/MemberLog.h
@@ -9,8 +9,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphireshunt {
@@ -22,14 +24,17 @@
   /// Logs the change within a quarter of a second, together with all changes
   /// until then.
   void changed(const Member &Changed);
+  /// The same for a member whose process is a new one, unannounced.
+  void restarted(const Member &Restarted);
   void stop() { Timer_.cancel(); }
 
 private:
+  void add(std::string_view Status, const Member &Changed);
   void write();
 
   boost::asio::steady_timer Timer_;
   bool Scheduled_ = false;
-  std::map<MemberStatus, std::vector<std::string>> Changes_;
+  std::map<std::string, std::vector<std::string>, std::less<>> Changes_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Membership/MemberTable.cpp
+++ b/Source/Process/Membership/MemberTable.cpp
@@ -81,6 +81,7 @@
     if (Update.Status_ == MemberStatus::Dead)
       return false;
     Found = Members_.emplace(Update.Id_, Entry{Update, Now, 0}).first;
+    Found->second.Left_ = Update.Status_ == MemberStatus::Leaving;
     if (Changed_)
       Changed_(Found->second.Member_);
     return true;
@@ -95,6 +96,11 @@
   if (Target.Member_.Status_ == MemberStatus::Dead &&
       Update.Status_ < MemberStatus::Suspect)
     LastReturn_ = Now;
+  bool IsNew = Update.Incarnation_ != Target.Member_.Incarnation_;
+  if (IsNew && !Target.Left_ && Restarted_)
+    Restarted_(Update);
+  Target.Left_ =
+      Update.Status_ == MemberStatus::Leaving || (Target.Left_ && !IsNew);
   Target.Member_ = Update;
   Target.Since_ = Now;
   Target.Sent_ = 0;
--- a/Source/Process/Membership/MemberTable.h
+++ b/Source/Process/Membership/MemberTable.h
@@ -112,6 +112,10 @@
   double liveShare() const;
   /// Sets the hook that is called after each change of another member.
   void onChanged(ChangedHook Hook) { Changed_ = std::move(Hook); }
+  /// Sets the hook that is called when a member's process is a new one although
+  /// the one before had not announced that it leaves: it was ended, or ended by
+  /// itself, and may have written nothing about it.
+  void onRestarted(ChangedHook Hook) { Restarted_ = std::move(Hook); }
 
 private:
   struct Entry {
@@ -120,6 +124,8 @@
     std::uint32_t Sent_ = 0;
     /// Whether it was known before with another state.
     bool Changed_ = false;
+    /// Whether its process has announced that it leaves.
+    bool Left_ = false;
   };
   bool isRecentChange(const Entry &Known, TimePoint Now) const;
   void refute(const Member &Update);
@@ -138,6 +144,7 @@
   std::vector<VmId> ProbeRound_;
   pcg32 Random_;
   ChangedHook Changed_;
+  ChangedHook Restarted_;
 };
 
 } // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -320,6 +320,10 @@
   Members_ = std::make_unique<MemberTable>(std::move(Self), TableOptions);
   Members_->onChanged(
       [this](const Member &Changed) { onMemberChanged(Changed); });
+  Members_->onRestarted([this](const Member &Restarted) {
+    ++RestartedMembers_;
+    MemberLog_.restarted(Restarted);
+  });
   MembershipService::Hooks Hooks;
   Hooks.Versions_ = [this] {
     std::vector<wire::ServiceVersionT> Versions;
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -175,6 +175,8 @@
   RcuCell<std::vector<Member>> MemberSnapshot_;
   RcuCell<std::vector<RelayCandidate>> RelayCandidates_;
   MemberLog MemberLog_;
+  /// Processes of other daemons that were replaced unannounced.
+  std::uint64_t RestartedMembers_ = 0;
   std::unique_ptr<PeerNetwork> Peers_;
   std::unique_ptr<MembershipService> Membership_;
   /// A cache that const reports fill too.
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -173,6 +173,12 @@
                     static_cast<double>(Memory_.readersEnded()));
   Metrics_.setGauge("bodies_refused",
                     static_cast<double>(Memory_.bodiesRefused()));
+  Metrics_.setGauge("members_restarted_unannounced",
+                    static_cast<double>(RestartedMembers_));
+  Metrics_.setGauge("links_closed_for_memory",
+                    static_cast<double>(Memory_.linksClosed()));
+  Metrics_.setGauge("links_without_name",
+                    static_cast<double>(Peers_->unidentified()));
   for (MemoryOwner Owner : MemoryOwners)
     Metrics_.setGauge(std::string(memoryGauge(Owner)),
                       static_cast<double>(Memory_.used(Owner)));
--- a/UnitTests/Process/Membership/MemberTableTest.cpp
+++ b/UnitTests/Process/Membership/MemberTableTest.cpp
@@ -144,3 +144,32 @@
     Table.suspect(VmId(Name), Start);
   CHECK(Table.suspectsToProbe().size() == 4);
 }
+
+TEST_CASE("a process that is replaced unannounced is told apart from a stop") {
+  // Guards against a process that is killed for its memory and of whose end
+  // nothing can be found: it writes nothing.
+  for (bool Announced : {false, true})
+    for (bool FoundDead : {false, true}) {
+      CAPTURE(Announced);
+      CAPTURE(FoundDead);
+      MemberTable Table(member("self"), {});
+      int Restarted = 0;
+      Table.onRestarted([&](const Member &Seen) {
+        CHECK(Seen.Id_ == VmId("vm-1"));
+        ++Restarted;
+      });
+      Member Before = member("vm-1", 1);
+      Table.merge(Before, Start);
+      Before.Status_ = Announced ? MemberStatus::Leaving : MemberStatus::Alive;
+      Before.Counter_ = 1;
+      Table.merge(Before, Start);
+      if (FoundDead) {
+        Table.suspect(VmId("vm-1"), Start);
+        Table.tick(Start + std::chrono::seconds(10));
+      }
+      Table.merge(member("vm-1", 2), Start + std::chrono::seconds(11));
+      CHECK(Restarted == (Announced ? 0 : 1));
+      Table.merge(member("vm-1", 3), Start + std::chrono::seconds(12));
+      CHECK(Restarted == (Announced ? 1 : 2));
+    }
+}
