--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -718,10 +718,10 @@
   Options.Limits_ = [this] { return callerLimits(); };
   Options.ReceiveBytes_ = receiveBytes(Settings_);
   // Checks only state that all workers share.
-  Options.CheckBody_ = [Any = Workers_.front()->Callers_.get()](
-                           const HttpRequest &Head) {
-    return Any->checkHead(Head);
-  };
+  Options.CheckBody_ =
+      [Any = Workers_.front()->Callers_.get()](const HttpRequest &Head) {
+        return Any->checkHead(Head);
+      };
   Options.Handler_ = [ByContext](HttpExchange &Exchange) -> Awaitable<void> {
     auto Executor = co_await asio::this_coro::executor;
     auto &Context = asio::query(Executor, asio::execution::context);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -220,7 +220,7 @@
   's/  send\(encodeMessage\(heartbeatReply\(\)\)\);\n\}/}/' \
   ${U}Connection '*takes a long frame says so*'
 mutate queue-bound $S/Connection/FrameChannel.cpp \
-  's/return closeOnFullQueue\(\);/;/' \
+  's/return closeForMemory\("link-overfull", "queued_bytes", Queued\);/;/' \
   ${U}Connection '*too much waits to be sent*'
 mutate text-apart $S/Process/Configuration/PeerFollower.cpp \
   's/  Request\.text_apart = true;\n//' \
@@ -247,7 +247,7 @@
   's/ && !answerArriving\(\)\)/)/' \
   ${U}platform '*whose answer is coming*'
 mutate answer-silence platform/Store.cpp \
-  's/Limits\{Timeout, Timeout_, MaxBodyTime_\}/Limits{Timeout, Timeout_, Timeout_}/' \
+  's/Limits\{Timeout, Timeout_, MaxBodyTime_,/Limits{Timeout, Timeout_, Timeout_,/' \
   ${U}platform '*over a slow link*'
 mutate soonest-lapse $S/Process/Configuration/StoreFollower.cpp \
   's/ &&\s+Freshness_\.age\(SentAt\) >= Options_\.EarliestExpiry_\)/)/' \
@@ -635,7 +635,7 @@
   's/while \(!Failed_ && isFarBehind\(\)\)/while (false)/' \
   ${U}SlowCaller '*server waits for its slow caller*'
 mutate body-in-chunks $S/Connection/HttpServer.cpp \
-  's/if \(Body_ && !Parser\.content_length\(\)\)/if (false)/' \
+  's/while \(!Memory\.admitsBody\(Bytes, Body_\.bytes\(\)\)\)/while (false)/' \
   ${U}Connection '*large body in chunks is refused*'
 mutate ending-listener $S/Process/Relay/ServerConnector.cpp \
   's/bool Refuses = co_await refusesNext\(Server, std::move\(\*Direct\)\);/bool Refuses = false;/' \
@@ -654,8 +654,44 @@
   's/Buffer_\.max_size\(\n.*?\);//s' \
   ${U}Connection '*line before a chunk of a body*'
 mutate whole-messages $S/Connection/MemoryBudget.cpp \
-  's/if \(Bytes <= KernelBufferBytes\)\n    return true;/return true;/' \
+  's/(bool MemoryBudget::mayHold\(.*?\{\n)/$1  return true;\n/s' \
   ${U}Connection '*message without end leaves room*'
+mutate frame-memory $S/Connection/FrameChannel.cpp \
+  's/std::min\(Size, std::max\(FirstFrameMemory, 2 \* Read\)\)/Size/' \
+  ${U}Connection '*frame that is announced takes no memory*'
+mutate frame-tables $S/Connection/PeerMessage.cpp \
+  's/Limits\.max_tables = /auto Unused = /' \
+  ${U}Connection '*refers to one table many times*'
+mutate frame-progress $S/Connection/FrameChannel.cpp \
+  's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
+  ${U}Connection '*frame of which single bytes come*'
+mutate links-together $S/Connection/FrameChannel.cpp \
+  's/QueueMemory_ && !QueueMemory_->grow\(Queued\)/false/' \
+  ${U}Connection '*waits on all links is bounded together*'
+mutate link-name $S/Process/Membership/PeerNetwork.cpp \
+  's/bool Closed = \+\+Known\.Checks_ >= MaxHelloChecks;/bool Closed = false;/' \
+  ${U}PeerNetwork '*connection that sends no name*'
+mutate stranger-frames $S/Process/Membership/PeerNetwork.cpp \
+  's/limits\(MaxHelloBytes\)/limits(MaxFrameBytes)/' \
+  ${U}PeerNetwork '*before its name*'
+mutate opening-queue $S/Process/Membership/PeerNetwork.cpp \
+  's/Target\.Memory_ && !Target\.Memory_->grow\(Bytes\)/false/' \
+  ${U}PeerNetwork '*waits for a link to open*'
+mutate body-by-head $S/Connection/HttpServer.cpp \
+  's/auto Refusal = Check \? Check\(Request_\) : std::nullopt;/std::optional<Failure> Refusal;/' \
+  ${U}Connection '*refused by its head before it is read*'
+mutate body-stalls $S/Connection/HttpServer.cpp \
+  's/return Stalls_ >= MaxStalls;/return false;/' \
+  ${U}Connection '*body that stalls gives its room*'
+mutate body-announced $S/Connection/HttpServer.cpp \
+  's/bool Large = Come > KernelBufferBytes;/bool Large = Into.content_length().value_or(0) > KernelBufferBytes;/' \
+  ${U}Connection '*bodies that are only announced*'
+mutate short-bodies $S/Connection/MemoryBudget.cpp \
+  's/return Owner != MemoryOwner::RequestBodies \|\|/return true ||/' \
+  ${U}Connection '*short bodies are bounded together*'
+mutate answer-turn $S/Connection/MemoryBudget.cpp \
+  's/!Budget_\.mayHoldInTurn\(Bytes, Held\.bytes\(\)\) \|\|/true ||/' \
+  ${U}Connection '*answer whose turn it is ends*'
 mutate stream-without-end $S/Request/ForwardedCall.cpp \
   's/if \(Context_\.expired\(ReadyEventsTime\)\)/if (false)/' \
   ${U}Request '*stream without end ends*'
