--- a/Source/Process/Membership/PeerNetwork.cpp
+++ b/Source/Process/Membership/PeerNetwork.cpp
@@ -5,7 +5,6 @@
 #include "Connection/TcpConnect.h"
 
 #include <algorithm>
-#include <ranges>
 #include <string_view>
 #include <utility>
 
@@ -119,8 +118,9 @@
 
 bool PeerNetwork::mayLink(const VmId &From) const {
   auto IsUnknown = [this](const VmId &Id) { return !Hooks_.AddressOf_(Id); };
+  auto OfUnknown = [&](const auto &Item) { return IsUnknown(Item.first); };
   return Inbound_.contains(From) || !IsUnknown(From) ||
-         std::ranges::count_if(Inbound_ | std::views::keys, IsUnknown) <
+         std::ranges::count_if(Inbound_, OfUnknown) <
              static_cast<std::ptrdiff_t>(MaxStrangers);
 }
 
