Review's findings: room for short bodies, one link, operators, silent servers

- Entries of a message may name one text many times, in a datagram too: 4,000 members with one text of 30 KB are half a gigabyte once decoded.
- Short bodies, kept out by strangers or by large ones: room of their own, and any body that stalls while others wait gives its memory back.
Operators' bodies have a budget of their own, 4 MB.
Heads are limited by the heads that are being read, not by idle connections.
- A body no longer counts as stalled while it waits for memory.
- A silent, sound server was left although the stream couldn't go on elsewhere, as its events have no ids or the budget of repeats is used up: the answer was cut after 1.6 s.
It waits until its caller gives up (ForwardedCallTest).

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
@@ -76,6 +75,7 @@
   if (Writing_)
     return;
   Writing_ = true;
+  LastWritten_ = steady_clock::now();
   auto Write = [Self = shared_from_this()]() { return Self->writeFrames(); };
   spawnLogged(Socket_.get_executor(), "write-frames", std::move(Write));
 }
@@ -212,9 +212,7 @@
   while (!Outgoing_.empty() && Socket_.is_open() && !Error) {
     std::string Frame = std::move(Outgoing_.front());
     Outgoing_.pop_front();
-    co_await asio::async_write(
-        Socket_, asio::buffer(Frame),
-        asio::redirect_error(asio::use_awaitable, Error));
+    Error = co_await writeAll(Frame);
     QueuedBytes_ -= Frame.size();
     if (QueueMemory_)
       QueueMemory_->set(QueuedBytes_);
@@ -235,6 +233,17 @@
   return Incoming_->Bytes_ - Before >= MinFrameProgress;
 }
 
+Awaitable<error_code> FrameChannel::writeAll(const std::string &Frame) {
+  asio::const_buffer Rest = asio::buffer(Frame);
+  error_code Error;
+  while (Rest.size() > 0 && !Error) {
+    Rest += co_await Socket_.async_write_some(
+        Rest, asio::redirect_error(asio::use_awaitable, Error));
+    LastWritten_ = steady_clock::now();
+  }
+  co_return Error;
+}
+
 /// Closes the connection when the peer is silent for too long. A network
 /// element between the two ends can lose the state of a connection: writes then
 /// succeed into the socket's buffer and no error is ever reported. Without
@@ -257,8 +266,15 @@
     bool WasPaused = Now - SilenceTimer_.expiry() > Timing_.Heartbeat_;
     if (WasPaused)
       LastReceived_ = Now;
+    if (WasPaused)
+      LastWritten_ = Now;
     if (WasPaused && Incoming_)
       Incoming_->Checked_ = Now;
+    // A peer that takes nothing holds the memory of the links to all others.
+    if (Writing_ && Now - LastWritten_ > Timing_.Progress_) {
+      closeForMemory("link-stalled", "queued_bytes", QueuedBytes_);
+      break;
+    }
     if (!makesProgress(Now)) {
       closeForMemory("frame-stalled", "bytes", Incoming_->Bytes_);
       break;
--- a/Source/Connection/FrameChannel.h
+++ b/Source/Connection/FrameChannel.h
@@ -99,6 +99,7 @@
   /// wait if need be.
   Awaitable<bool> awaitMemory(std::size_t Bytes);
   bool makesProgress(TimePoint Now);
+  Awaitable<boost::system::error_code> writeAll(const std::string &Frame);
   /// Reports to the peer that a long frame is still arriving. \p Begun is the
   /// time at which the first bytes of the current read arrived.
   void reportProgress(TimePoint Begun);
@@ -120,6 +121,8 @@
   std::deque<std::string> Outgoing_;
   boost::asio::steady_timer SilenceTimer_;
   TimePoint LastReceived_;
+  /// When the peer last took bytes, while some wait for it.
+  TimePoint LastWritten_;
   /// When the peer was last notified that a frame from it is arriving.
   TimePoint LastProgressSent_;
   std::size_t QueuedBytes_ = 0;
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -37,15 +37,15 @@
 /// How long the rest of a refused request is read and discarded.
 constexpr std::chrono::milliseconds DiscardTime{1000};
 
-/// How long a large body waits for memory in all. A body takes about as long to
-/// come over a slow link, and is worth more than one that is sent again.
-constexpr std::chrono::milliseconds MaxBodyWait{2000};
-/// While others wait, a large body that holds memory has to grow by this much
-/// in one of two looks at it. A caller that announces a body and sends nothing
+/// How long a body waits for memory. Callers leave if nothing is read of their
+/// request for a second, and would not see the refusal.
+constexpr std::chrono::milliseconds MaxBodyWait{700};
+/// While others wait, a body that holds memory has to grow by this much in one
+/// of two looks at it. A caller that announces a body and sends nothing
 /// of it would hold the memory for the whole time of the read otherwise.
-constexpr std::size_t MinBodyProgress = 8 * 1024;
+constexpr std::size_t MinBodyProgress = 4 * 1024;
 /// Two looks without progress fit into the time that another body waits.
-constexpr std::chrono::milliseconds ProgressInterval{500};
+constexpr std::chrono::milliseconds ProgressInterval{200};
 constexpr int MaxStalls = 2;
 
 /// State shared by the connections of one server; it outlives the server
@@ -59,15 +59,17 @@
   std::atomic<bool> CloseAfterAnswers_ = false;
   std::atomic<std::size_t> OpenConnections_ = 0;
   std::atomic<std::size_t> ActiveExchanges_ = 0;
+  /// Requests whose heads are being read.
+  std::atomic<std::size_t> HeadsInProgress_ = 0;
 
-  /// \returns how long a head may be that is not whole. Beside thousands of
-  /// other connections it is as short as usual ones are.
+  /// \returns how long a head may be that is not whole. Beside hundreds of
+  /// others it is as short as usual ones are.
   std::size_t headLimit(std::size_t Most) const {
     constexpr std::size_t UsualBytes = 4096;
     std::size_t Share = Options_.ReceiveBytes_;
     if (Share == 0)
       return Most;
-    return std::min(Most, std::max(UsualBytes, Share / (OpenConnections_ + 1)));
+    return std::min(Most, std::max(UsualBytes, Share / (HeadsInProgress_ + 1)));
   }
 
   HttpLimits limits() const {
@@ -98,8 +100,8 @@
          Error == asio::error::operation_aborted;
 }
 
-/// Counts one request as active during its lifetime, also when the handler
-/// throws. A graceful stop waits until the count is 0.
+/// Counts one request, or its head, during its lifetime, also when the handler
+/// throws. A graceful stop waits until no request is counted.
 class ActiveExchange {
 public:
   explicit ActiveExchange(std::atomic<std::size_t> &Count) : Count_(Count) {
@@ -288,8 +290,9 @@
     State State_ = State::Reading;
     asio::steady_timer Timer_;
     TimePoint End_;
-    /// The body has the memory for all of it.
     bool HoldsMemory_ = false;
+    /// Nothing is read, as there is no memory for it.
+    bool WaitsForMemory_ = false;
     std::size_t Bytes_ = 0; ///< Bytes of the body that have come.
     std::size_t CheckedBytes_ = 0;
     int Stalls_ = 0;
@@ -298,7 +301,8 @@
     /// \returns whether it holds memory for a body that does not come.
     bool stalled(bool OthersWait) {
       std::size_t Grown = Bytes_ - std::exchange(CheckedBytes_, Bytes_);
-      bool Slow = HoldsMemory_ && OthersWait && Grown < MinBodyProgress;
+      bool Slow = HoldsMemory_ && !WaitsForMemory_ && OthersWait &&
+                  Grown < MinBodyProgress;
       Stalls_ = Slow ? Stalls_ + 1 : 0;
       return Stalls_ >= MaxStalls;
     }
@@ -453,13 +457,19 @@
 
   Awaitable<ReadEnd> readParts(Parser &Into, RequestRead &Read) {
     ReadEnd Ended;
-    co_await http::async_read_header(
-        Stream_, Buffer_, Into,
-        asio::redirect_error(asio::use_awaitable, Ended.Error_));
-    if (!Ended.Error_)
-      takeHead(Into.get());
+    {
+      ActiveExchange Reading(State_->HeadsInProgress_);
+      co_await http::async_read_header(
+          Stream_, Buffer_, Into,
+          asio::redirect_error(asio::use_awaitable, Ended.Error_));
+    }
+    if (Ended.Error_ && Read.timedOut())
+      Ended.Refusal_ = lateRequest();
+    if (Ended.Error_)
+      co_return Ended;
+    takeHead(Into.get());
     auto Length = Into.content_length();
-    if (!Ended.Error_ && Length && *Length > KernelBufferBytes)
+    if (Length && *Length > KernelBufferBytes)
       Ended.Refusal_ = checkLargeBody(*Length);
     Into.eager(true);
     while (!Ended.Error_ && !Ended.Refusal_ && !Into.is_done()) {
@@ -473,11 +483,14 @@
         Ended.Refusal_ = co_await holdBody(Into, Read);
     }
     if (Read.timedOut() && !Ended.Refusal_ && !Into.is_done())
-      Ended.Refusal_ =
-          Failure{ResultCode::ReadTimeout, "the request is not whole in time"};
+      Ended.Refusal_ = lateRequest();
     co_return Ended;
   }
 
+  static Failure lateRequest() {
+    return {ResultCode::ReadTimeout, "the request is not whole in time"};
+  }
+
   template <class Message> void takeHead(const Message &Head) {
     KeepAlive_ = Head.keep_alive();
     Version_ = Head.version();
@@ -540,19 +553,24 @@
               : Come;
     if (Wanted <= Body_.bytes())
       co_return std::nullopt;
+    bool Waits = !State_->Memory_.admitsBody(Wanted, Body_.bytes());
+    if (Waits && !std::exchange(BodyChecked_, true))
+      if (auto Refusal = checkLargeBody(Come))
+        co_return Refusal;
     bool Held = co_await awaitMemory(Wanted, Read);
     if (!Held)
       co_return bodyRefused(Wanted);
-    Read.HoldsMemory_ = Large;
+    Read.HoldsMemory_ = true;
     co_return std::nullopt;
   }
 
   /// Waits for memory for a body of \p Bytes. \returns false if there is none
   /// in time.
-  Awaitable<bool> awaitMemory(std::size_t Bytes, const RequestRead &Read) {
+  Awaitable<bool> awaitMemory(std::size_t Bytes, RequestRead &Read) {
     MemoryBudget &Memory = State_->Memory_;
     if (!Memory.admitsBody(Bytes, Body_.bytes())) {
       MemoryBudget::WaitingBody Waiting(Memory);
+      Read.WaitsForMemory_ = true;
       asio::steady_timer Timer(Stream_.get_executor());
       auto Waited = MemoryWaitStep * 0;
       while (!Memory.admitsBody(Bytes, Body_.bytes())) {
@@ -563,6 +581,7 @@
         co_await Timer.async_wait(asio::use_awaitable);
       }
     }
+    Read.WaitsForMemory_ = false;
     Body_.set(Bytes);
     co_return true;
   }
--- a/Source/Connection/MemoryBudget.cpp
+++ b/Source/Connection/MemoryBudget.cpp
@@ -17,6 +17,9 @@
 /// around a bound doesn't fill the log.
 constexpr double ReportMargin = 0.1;
 
+/// The part of what all links may hold that one of them may.
+constexpr std::size_t LinkParts = 4;
+
 std::size_t indexOf(MemoryOwner Owner) {
   return static_cast<std::size_t>(Owner);
 }
@@ -77,10 +80,12 @@
   std::size_t Used = used(Owner);
   std::size_t Others = Used - std::min(Used, Counted);
   if (Bytes <= alwaysFreeBytes(Owner))
-    return Owner != MemoryOwner::RequestBodies ||
-           Others <= WholeLimit_ - std::min(Bytes, WholeLimit_);
+    return Owner != MemoryOwner::RequestBodies || holdsShortBody(Others, Bytes);
   if (Bytes > WholeLimit_)
     return false;
+  // One link leaves room to the others, however many messages wait on it.
+  if (Owner == MemoryOwner::PeerFrames && Bytes > WholeLimit_ / LinkParts)
+    return false;
   // Answers and bodies are also bounded by the level, frames are not.
   if (Limit_ > 0 && Owner != MemoryOwner::PeerFrames)
     return used() - std::min(used(), Counted) + Bytes <= Limit_;
@@ -88,6 +93,11 @@
   return Others <= Room && Bytes <= Room - Others;
 }
 
+/// Short bodies have as much room again as large ones may take.
+bool MemoryBudget::holdsShortBody(std::size_t Others, std::size_t Bytes) const {
+  return Others <= WholeLimit_ || Others - WholeLimit_ + Bytes <= WholeLimit_;
+}
+
 /// What one answer may take beyond the others is half of what may be held
 /// whole, the size of the largest message that is taken without a limit.
 bool MemoryBudget::mayHoldInTurn(std::size_t Bytes, std::size_t Counted) const {
--- a/Source/Connection/MemoryBudget.h
+++ b/Source/Connection/MemoryBudget.h
@@ -152,6 +152,7 @@
   friend class AnswerTurn;
   bool takeTurn(const AnswerTurn &Answer);
   bool takeTurnNow(const AnswerTurn &Answer);
+  bool holdsShortBody(std::size_t Others, std::size_t Bytes) const;
   bool mayHoldInTurn(std::size_t Bytes, std::size_t Counted) const;
   void endTurn(const AnswerTurn &Answer);
   MemoryLevel levelOf(std::size_t Bytes) const;
--- a/Source/Connection/SocketOptions.cpp
+++ b/Source/Connection/SocketOptions.cpp
@@ -16,9 +16,9 @@
 } // namespace
 
 std::size_t receiveBufferBytes(std::size_t Share, std::size_t Connections) {
-  // A sender needs some packets' worth to keep going, and no more than the
-  // kernel's own first size.
-  constexpr std::size_t Least = 2048;
+  // With less a sender stops after each packet of a large body. More than the
+  // kernel's own first size is not needed.
+  constexpr std::size_t Least = 16384;
   constexpr std::size_t Most = 65536;
   // The sum over connections grows with the logarithm of their number: of
   // thousands it is about eight times that of one.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -56,6 +56,8 @@
 }
 
 constexpr std::size_t BytesPerMb = 1000 * 1000;
+/// Two documents of the largest size, in whatever encoding, at once.
+constexpr std::size_t OperatorBytes = 4 * BytesPerMb;
 
 /// \returns how many bytes may be held for callers: a third of the process's
 /// memory. Another third is for the process itself, and the last one for bytes
@@ -162,7 +164,7 @@
                      : milliseconds(0),
                  applyTime(Settings_.ApplyBound_)),
       Memory_(bufferBytes(Settings_.MemoryMb_), wholeMessageBytes(Settings_)),
-      Incarnation_(newIncarnation()),
+      OperatorMemory_(0, OperatorBytes), Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       RelayCandidates_(std::make_shared<std::vector<RelayCandidate>>()),
       MemberLog_(Control_),
@@ -751,14 +753,14 @@
   Hooks.Metrics_ = [this] { return metrics(); };
   Hooks.Vms_ = [this] { return vms(); };
   Operators_ = std::make_unique<OperatorService>(Platform_, std::move(Hooks));
-  auto Server = HttpServer::create(Control_, {&Control_}, Memory_,
+  auto Server = HttpServer::create(Control_, {&Control_}, OperatorMemory_,
                                    operatorOptions(Settings_.Operators_));
   if (!Server)
     return Server.error();
   OperatorServer_ = std::move(*Server);
   if (Settings_.Metrics_.port() == 0)
     return {};
-  auto Metrics = HttpServer::create(Control_, {&Control_}, Memory_,
+  auto Metrics = HttpServer::create(Control_, {&Control_}, OperatorMemory_,
                                     operatorOptions(Settings_.Metrics_));
   if (!Metrics)
     return Metrics.error();
@@ -771,6 +773,8 @@
   HttpServerOptions Options;
   Options.Address_ = Address;
   Options.MaxConnections_ = MaxConnections;
+  Options.MaxBodyBytes_ = OperatorBytes / 2;
+  Options.ReceiveBytes_ = OperatorBytes;
   Options.Handler_ = [this](HttpExchange &Exchange) {
     return Operators_->handle(Exchange);
   };
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -147,6 +147,8 @@
   FreshnessLease Freshness_;
   std::unique_ptr<RetryBudget> RetryBudget_;
   MemoryBudget Memory_;
+  /// For the bodies of operators' requests, which take no room from callers.
+  MemoryBudget OperatorMemory_;
   Incarnation Incarnation_;
   std::uint64_t Origin_ = 0;
   std::atomic<std::uint64_t> NextSequence_ = 1;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -250,6 +250,13 @@
         steady_clock::now());
   }
 
+  /// The same without taking the repeat.
+  bool hasRepeat() const {
+    return Context_.Services_.RetryBudget_.hasRetry(
+        Context_.Pool_->Name_, Context_.Services_.FleetSize_(),
+        steady_clock::now());
+  }
+
   /// Called when a stream has ended without its end. \returns true if that is
   /// because its run was stopped, and it can go on.
   Awaitable<bool> wasSuspended() {
@@ -351,14 +358,19 @@
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
     if (Last || !Rule_.retryable())
       return isStream() ? std::min(Left, endAfterSilence(Rule_)) : Left;
-    return isStream() ? std::min(Left, resumeAfterSilence(Rule_))
-                      : Left / FirstAttemptDivisor;
+    if (!isStream())
+      return Left / FirstAttemptDivisor;
+    return std::min(Left, hasRepeat() ? resumeAfterSilence(Rule_)
+                                      : endAfterSilence(Rule_));
   }
 
   /// Timeout for the next event of a stream.
   milliseconds eventTimeout() const {
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
-    bool Move = Rule_.Resumable_ && !Last && couldGoOnElsewhere();
+    // What can't go on elsewhere would only be broken off at a sound server.
+    bool KnowsPlace = !HeadSent_ || Splitter_.lastId();
+    bool Move = Rule_.Resumable_ && !Last && KnowsPlace && hasRepeat() &&
+                couldGoOnElsewhere();
     auto Timeout = Move ? resumeAfterSilence(Rule_) : endAfterSilence(Rule_);
     return std::min(Context_.remaining(), Timeout);
   }
--- a/Source/Request/RetryBudget.cpp
+++ b/Source/Request/RetryBudget.cpp
@@ -21,16 +21,21 @@
   countsOf(Pool).Requests_.add(Now);
 }
 
-bool RetryBudget::tryRetry(const PoolName &Pool, std::size_t Daemons,
+bool RetryBudget::hasRetry(const PoolName &Pool, std::size_t Daemons,
                            TimePoint Now) {
   Counts &PoolCounts = countsOf(Pool);
   double Extra = Options_.Allowance_ /
                  static_cast<double>(std::max<std::size_t>(1, Daemons));
   double Allowed =
       UsedFraction * (Options_.Ratio_ * PoolCounts.Requests_.sum(Now) + Extra);
-  if (PoolCounts.Retries_.sum(Now) + 1 > Allowed)
+  return PoolCounts.Retries_.sum(Now) + 1 <= Allowed;
+}
+
+bool RetryBudget::tryRetry(const PoolName &Pool, std::size_t Daemons,
+                           TimePoint Now) {
+  if (!hasRetry(Pool, Daemons, Now))
     return false;
-  PoolCounts.Retries_.add(Now);
+  countsOf(Pool).Retries_.add(Now);
   return true;
 }
 
--- a/Source/Request/RetryBudget.h
+++ b/Source/Request/RetryBudget.h
@@ -36,6 +36,9 @@
   /// more in a fleet of \p Daemons daemons.
   bool tryRetry(const PoolName &Pool, std::size_t Daemons, TimePoint Now);
 
+  /// \returns whether tryRetry() would allow one more; counts nothing.
+  bool hasRetry(const PoolName &Pool, std::size_t Daemons, TimePoint Now);
+
 private:
   static constexpr std::size_t Slots = 10;
   struct Counts {
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -662,6 +662,18 @@
 mutate frame-tables $S/Connection/PeerMessage.cpp \
   's/Limits\.max_tables = /auto Unused = /' \
   ${U}Connection '*refers to one table many times*'
+mutate frame-texts $S/Connection/PeerMessage.cpp \
+  's/if \(listedText\(.*?\) > Bytes\.size\(\)\)/if (false)/s' \
+  ${U}Connection '*name one text many times*'
+mutate link-takes-nothing $S/Connection/FrameChannel.cpp \
+  's/if \(Writing_ && Now - LastWritten_ > Timing_\.Progress_\)/if (false)/' \
+  ${U}Connection '*peer that takes nothing*'
+mutate link-part $S/Connection/MemoryBudget.cpp \
+  's/Bytes > WholeLimit_ \/ LinkParts/false/' \
+  ${U}Connection '*one link leaves room*'
+mutate silent-stays $S/Request/ForwardedCall.cpp \
+  's/bool KnowsPlace = .*?;/bool KnowsPlace = true;/' \
+  ${U}Request '*stays at its silent server*'
 mutate frame-progress $S/Connection/FrameChannel.cpp \
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
   ${U}Connection '*frame of which single bytes come*'
--- a/UnitTests/Connection/FrameChannelTest.cpp
+++ b/UnitTests/Connection/FrameChannelTest.cpp
@@ -336,3 +336,27 @@
   CHECK(Budget.linksClosed() > 0);
   CHECK(Ends.front()->End_->isOpen());
 }
+
+TEST_CASE("a link to a peer that takes nothing is closed") {
+  // Guards against one peer that holds the memory of the links to all others.
+  OneEnd Test(false, milliseconds(5), {nullptr, MaxFrameBytes},
+              milliseconds(50));
+  for (int Sent = 0; Sent < 7; ++Sent)
+    Test.End_->send(makeLongMessage(1000000));
+  Test.runUntil([&] { return Test.Closed_; });
+  CHECK(Test.Closed_);
+}
+
+TEST_CASE("one link leaves room to the others") {
+  // Guards against links that are closed because another peer reads nothing.
+  constexpr std::size_t Limit = 4000000;
+  MemoryBudget Budget(0, Limit);
+  FrameChannel::Limits Bounds{&Budget, MaxFrameBytes};
+  OneEnd Slow(false, milliseconds(20), Bounds);
+  OneEnd Other(false, milliseconds(20), Bounds);
+  while (Slow.End_->isOpen())
+    Slow.End_->send(makeLongMessage(100000));
+  CHECK(Budget.used() <= Limit / 4);
+  Other.End_->send(makeLongMessage(500000));
+  CHECK(Other.End_->isOpen());
+}
--- a/UnitTests/Connection/PeerMessageTest.cpp
+++ b/UnitTests/Connection/PeerMessageTest.cpp
@@ -74,3 +74,26 @@
     CHECK(decodeMessage(Bytes).has_value() == (Count == 10));
   }
 }
+
+TEST_CASE("entries that name one text many times are no message") {
+  // Guards against a datagram that takes a gigabyte once it is decoded.
+  for (std::size_t Count : {std::size_t{1}, std::size_t{4000}}) {
+    flatbuffers::FlatBufferBuilder Copy;
+    auto Text = Copy.CreateString(std::string(30000, 'x'));
+    auto Known = wire::CreateMember(Copy, Text);
+    auto List = Copy.CreateVector(
+        std::vector<flatbuffers::Offset<wire::Member>>(Count, Known));
+    wire::ProbeBuilder Probe(Copy);
+    Probe.add_members(List);
+    auto Body = Probe.Finish();
+    wire::EnvelopeBuilder Envelope(Copy);
+    Envelope.add_body_type(wire::Body::Probe);
+    Envelope.add_body(Body.Union());
+    Copy.Finish(Envelope.Finish());
+    std::string_view Bytes(
+        reinterpret_cast<const char *>(Copy.GetBufferPointer()),
+        Copy.GetSize());
+    CHECK(Bytes.size() < 65536);
+    CHECK(decodeMessage(Bytes).has_value() == (Count == 1));
+  }
+}
--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -493,3 +493,16 @@
   CHECK(Path.call("c5").status() == 503);
   CHECK(Path.received() == 1);
 }
+
+TEST_CASE("a stream that can't go on elsewhere stays at its silent server") {
+  // Guards against answers of sound servers that are ended for a silence: their
+  // events have no ids, so that no other server can go on with them.
+  const std::string First = streamHead("c1") + chunk("data: a\n\n");
+  Script Silent{First};
+  Silent.Silence_ = std::chrono::milliseconds(1800);
+  Silent.AfterSilence_ = chunk("data: b\n\n") + LastChunk;
+  ForwardingHarness Path(stream(true), {always(Silent), always(Silent)});
+  auto Reply = Path.call("c1");
+  CHECK(Reply.hasLastChunk());
+  CHECK(Path.received() == 1);
+}
--- a/UnitTests/Request/RetryBudgetTest.cpp
+++ b/UnitTests/Request/RetryBudgetTest.cpp
@@ -33,6 +33,16 @@
   CHECK(Budget.tryRetry(Pool, 7, Start + std::chrono::seconds(11)));
 }
 
+TEST_CASE("to ask for a retry takes none") {
+  // Guards against streams that use up the budget by waiting.
+  RetryBudget Budget({.Ratio_ = 0, .Allowance_ = 2});
+  for (int Index = 0; Index < 10; ++Index)
+    CHECK(Budget.hasRetry(Pool, 1, Start));
+  CHECK(Budget.tryRetry(Pool, 1, Start));
+  CHECK_FALSE(Budget.hasRetry(Pool, 1, Start));
+  CHECK_FALSE(Budget.tryRetry(Pool, 1, Start));
+}
+
 TEST_CASE(
     "a daemon that knows no other one has the whole additional allowance") {
   RetryBudget Budget({.Ratio_ = 0, .Allowance_ = 8});
