Routes: a list among the backends doesn't end the process

"backends":[[{"weight":1},5]] ended the process: in the inner list the 5 counted as the weight of the last backend, and there was none, so it was written to the end of an empty vector. Any text of a configuration reaches this, in both layouts. Found by reading the reader.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -713,6 +713,9 @@
 mutate follower-again $S/Process/Configuration/StoreFollower.cpp \
   's/spawnRepeated\(Control_, "follow-store"/spawnLogged(Control_, "follow-store"/' \
   ${U}platform '*whose follower fails follows again*'
+mutate target-begun platform/RouteReader.cpp \
+  's/InTarget_ && Depth_ == TargetDepth/InTargets_ \&\& Depth_ == TargetDepth/' \
+  ${U}platform '*list among the backends*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/platform/MutatedMessagesTest.cpp
+++ b/UnitTests/platform/MutatedMessagesTest.cpp
@@ -170,3 +170,12 @@
   checkMutated("store-era:12\n",
                [](auto &Text) { return isRead(storeEraOf(fieldsOf(Text))); });
 }
+
+TEST_CASE("a list among the backends of a route is refused") {
+  // Guards against a weight that is written to a backend that does not exist.
+  std::string Text = RouteText;
+  Text.replace(Text.find("[{"), 1, R"([[{"weight":1},5],)");
+  auto Read = platform::readRoute(Text);
+  REQUIRE(Read.has_error());
+  CHECK(Read.error().Code_ == ResultCode::DocumentSchema);
+}
