Configuration: a limit of the nesting depth

200,000 nested lists ended the process by a stack overflow, in two ways: in a route of a configuration that is parsed whole (a name of a member with escapes, two lists of routes), which readUnsplit() writes again, and in a customer's keys in any layout, which value() copies. In a route of the usual layout they were skipped.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -716,6 +716,12 @@
 mutate target-begun platform/RouteReader.cpp \
   's/InTarget_ && Depth_ == TargetDepth/InTargets_ \&\& Depth_ == TargetDepth/' \
   ${U}platform '*list among the backends*'
+mutate nested-route platform/RouteReader.cpp \
+  's/return \+\+Depth_ <= MaxDepth;/++Depth_; return true;/' \
+  ${U}platform '*deeply nested configuration*'
+mutate nested-configuration platform/Configuration.cpp \
+  's/\(Begins && Level >= MaxNestingDepth\)/false/' \
+  ${U}platform '*deeply nested configuration*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/platform/MutatedMessagesTest.cpp
+++ b/UnitTests/platform/MutatedMessagesTest.cpp
@@ -171,6 +171,23 @@
                [](auto &Text) { return isRead(storeEraOf(fieldsOf(Text))); });
 }
 
+TEST_CASE("a deeply nested configuration is refused") {
+  // Guards against a stack that overflows, since the JSON library copies and
+  // writes values recursively.
+  const std::string Deep = nestedLists(200000);
+  std::string Route = RouteText;
+  Route.replace(Route.find("[1]"), 3, Deep);
+  for (const std::string &Name : RoutesMembers) {
+    CAPTURE(Name);
+    for (const std::string &Text :
+         {configuration(Name, Route), configuration(Name, RouteText, Deep)}) {
+      auto Read = platform::readConfiguration(Text);
+      CHECK((Read ? ResultCode::Ok : Read.error().Code_) ==
+            ResultCode::DocumentSchema);
+    }
+  }
+}
+
 TEST_CASE("a list among the backends of a route is refused") {
   // Guards against a weight that is written to a backend that does not exist.
   std::string Text = RouteText;
