--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -41,8 +41,8 @@
 /// request for a second, and would not see the refusal.
 constexpr std::chrono::milliseconds MaxBodyWait{700};
 /// While others wait, a body that holds memory has to grow by this much in one
-/// of two looks at it. A caller that announces a body and sends nothing
-/// of it would hold the memory for the whole time of the read otherwise.
+/// of two looks at it. One that stops coming would hold the memory for the
+/// whole time of the read otherwise.
 constexpr std::size_t MinBodyProgress = 4 * 1024;
 /// Two looks without progress fit into the time that another body waits.
 constexpr std::chrono::milliseconds ProgressInterval{200};
@@ -443,7 +443,9 @@
       co_return false;
     }
     auto Message = Into->release();
-    takeHead(Message);
+    // Fields may follow the last chunk.
+    if (Message.chunked())
+      takeHead(Message);
     Request_.Body_ = std::move(Message.body());
     Body_.set(Request_.Body_.size());
     co_return true;
