EngineMonitor: cache events are read once at a time, invalid ones passed over

Cause: a poll of the load counts as ended before the events are read, so that a slow list doesn't delay the next load. The next poll saw the same number of new events and began one more read of them, at each period until the first read had ended. With the sanitizer a megabyte took longer than eleven periods of 10 ms. In a daemon (period 500 ms, timeout 400 ms) no two reads overlap by default; the fault is one of order. Of the same kind: a list that isn't what it should be (an event that is a number) ended the reader by an exception, its number never moved, and it was read again at each poll, while its prefixes stayed trusted.

Ruled out: a timeout of the call (all reads began within 132 ms, below the 400 ms), a wrong result code (with one read at a time the test passes).

Change: an engine's events are read again only when the last read has ended; a list that can't be understood counts as one that is too long: passed over, and the engine's prefix index cleared.

--- a/Source/Process/Keeping/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -74,6 +74,28 @@
   }
 }
 
+struct CacheEvents {
+  std::vector<std::uint64_t> Evicted_;
+  std::uint64_t Next_ = 0;
+  bool Gap_ = false;
+};
+
+/// \returns nothing for an invalid list.
+std::optional<CacheEvents> readCacheEvents(const std::string &Text) {
+  try {
+    Json Body = Json::parse(Text);
+    CacheEvents Read;
+    Read.Gap_ = Body.value("gap", false);
+    Read.Next_ = Body.value("next", std::uint64_t(0));
+    for (const Json &Event : Body.at("events"))
+      if (Event.value("kind", "") == "evicted")
+        Read.Evicted_.push_back(Event.value("block", std::uint64_t(0)));
+    return Read;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
 } // namespace
 
 Awaitable<void> EngineMonitor::poll(ServerKey Key, Endpoint Address) {
@@ -95,9 +117,9 @@
   bool HasEvents = Report.NextEvent_ > State.NextEvent_;
   if (Reached || !Healthy)
     Keeper_.engineReport(Key.first, Key.second, Healthy, Report.Load_);
-  if (HasEvents)
+  if (HasEvents && !State.ReadsEvents_)
     co_await readEvents(Key, Address, Report.NextEvent_);
-  else if (Reached)
+  else if (Reached && !HasEvents)
     Keeper_.cacheEvicted(Key.first, Key.second, {}, false);
 }
 
@@ -107,32 +129,28 @@
 /// stale entry would route prompts to an engine that has to recompute them.
 Awaitable<void> EngineMonitor::readEvents(ServerKey Key, Endpoint Address,
                                           std::uint64_t Newest) {
+  PolledEngine &State = PolledEngines_[Key];
   HttpRequest Request;
-  Request.Target_ =
-      fmt::format("/v1/cache-events?after={}", PolledEngines_[Key].NextEvent_);
+  Request.Target_ = fmt::format("/v1/cache-events?after={}", State.NextEvent_);
+  State.ReadsEvents_ = true;
   auto Response = co_await httpCall(Address, std::move(Request),
                                     Options_.Timeout_, MaxControlAnswerBytes);
-  bool TooLong =
-      !Response && Response.error().Code_ == ResultCode::AnswerTooLarge;
-  if (TooLong) {
-    // A list that is never read to its end would be asked for at each poll.
+  State.ReadsEvents_ = false;
+  if (!Response && Response.error().Code_ != ResultCode::AnswerTooLarge)
+    co_return;
+  if (Response && Response->Status_ != 200)
+    co_return;
+  std::optional<CacheEvents> Read;
+  if (Response)
+    Read = readCacheEvents(Response->Body_);
+  if (!Read) {
+    // A list that is never understood would be asked for at each poll.
     logEvent(LogCategory::Keeper, spdlog::level::warn,
              "cache-events-passed-over", {{"server", Key.second.str()}});
-    PolledEngines_[Key].NextEvent_ = Newest;
-    Keeper_.cacheEvicted(Key.first, Key.second, {}, /*Gap=*/true);
+    Read = CacheEvents{{}, Newest, /*Gap_=*/true};
   }
-  if (!Response || Response->Status_ != 200)
-    co_return;
-  Json Body = Json::parse(Response->Body_, nullptr, false);
-  if (!Body.is_object() || !Body.contains("events"))
-    co_return;
-  std::vector<std::uint64_t> Evicted;
-  bool Gap = Body.value("gap", false);
-  for (const Json &Event : Body["events"])
-    if (Event.value("kind", "") == "evicted")
-      Evicted.push_back(Event.value("block", std::uint64_t(0)));
-  PolledEngines_[Key].NextEvent_ = Body.value("next", std::uint64_t(0));
-  Keeper_.cacheEvicted(Key.first, Key.second, Evicted, Gap);
+  State.NextEvent_ = Read->Next_;
+  Keeper_.cacheEvicted(Key.first, Key.second, Read->Evicted_, Read->Gap_);
 }
 
 void EngineMonitor::handleOrphan(const OrphanedRequest &Orphan) {
--- a/Source/Process/Keeping/EngineMonitor.h
+++ b/Source/Process/Keeping/EngineMonitor.h
@@ -35,6 +35,8 @@
   struct PolledEngine {
     int Failures_ = 0;
     bool Busy_ = false;
+    /// Reading the events may take longer than a period.
+    bool ReadsEvents_ = false;
     std::uint64_t NextEvent_ = 0;
   };
   using ServerKey = std::pair<CellId, ServerName>;
