Soak: silent engines, peers that send without end, a bound of memory, flag files

What lacked: the soak had stops, kills, pauses, reloads and faulty links, but no sound engine that falls silent, no peer that sends without end, no bound of a daemon's memory, and its SIGHUPs reached daemons without a flag file, so that nothing was read again.

UnendingBytesTest and the soak share the senders and the reading of the most memory.

--- a/FailureTests/ChildProcess.cpp
+++ b/FailureTests/ChildProcess.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <fstream>
 #include <iterator>
 #include <spawn.h>
 #include <stdexcept>
@@ -137,6 +138,16 @@
   return WEXITSTATUS(Status);
 }
 
+std::size_t ChildProcess::mostMemory() const {
+  std::ifstream Lines(fmt::format("/proc/{}/status", Pid_));
+  constexpr std::string_view Field = "VmHWM:";
+  constexpr std::size_t BytesPerKib = 1024;
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.starts_with(Field))
+      return std::stoul(Line.substr(Field.size())) * BytesPerKib;
+  return 0;
+}
+
 std::string ChildProcess::reap(int Status) {
   Pid_ = -1;
   return exitDescription(Status);
--- a/FailureTests/ChildProcess.h
+++ b/FailureTests/ChildProcess.h
@@ -45,6 +45,9 @@
   /// death by a signal that the test did not send fails the test.
   /// \returns the exit status, or -1 if a signal ended the process.
   [[nodiscard]] int wait();
+  /// \returns the most memory that the running process has had, in bytes; 0 if
+  /// it is not known.
+  std::size_t mostMemory() const;
   bool running() const { return Pid_ > 0; }
   pid_t pid() const { return Pid_; }
 
--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -190,6 +191,7 @@
   std::string Version_;
   std::unique_ptr<HttpServer> Server_;
   Time Leaving_;
+  Time SilentUntil_;
   bool Removed_ = false;
   bool Crashed_ = false;
   int Running_ = 0;
@@ -320,6 +322,13 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+Awaitable<void> SoakEnvironment::work(const Engine &Self, milliseconds Time) {
+  co_await sleep(Time);
+  constexpr milliseconds CheckInterval{10};
+  while (EnginesSilent_ || steady_clock::now() < Self.SilentUntil_)
+    co_await sleep(CheckInterval);
+}
+
 Awaitable<void> SoakEnvironment::serve(Engine &Self, HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   std::string CallId = Request.field("x-samphireshunt-request-id");
@@ -368,14 +377,14 @@
   if (EngineFaults_ && pick(Percent) < 4)
     co_return Exchange.abort();
   if (EngineFaults_ && pick(Percent) < 5)
-    co_await sleep(milliseconds(pick(900)));
+    co_await work(Self, milliseconds(pick(900)));
   bool Fails = drawBad(Self, failedPercent(Self));
   bool Slow = !Fails && drawBad(Self, slowPercent(Self));
   int Factor = Slow ? SlowFactor : 1;
   if (Stream)
     co_return co_await serveStream(Self, Exchange, std::move(CallId), Factor,
                                    Fails);
-  co_await sleep(Factor * milliseconds(2 + pick(20)));
+  co_await work(Self, Factor * milliseconds(2 + pick(20)));
   if (Self.Crashed_)
     co_return Exchange.abort();
   Answer.Fields_["x-samphireshunt-server-stamp"] = Self.Id_;
@@ -554,6 +563,43 @@
   asio::co_spawn(Context_, std::move(Leave), asio::detached);
 }
 
+void SoakEnvironment::silenceEngine(std::size_t Place, milliseconds Time) {
+  run([&] {
+    std::vector<Engine *> InService;
+    for (const auto &Known : Engines_)
+      if (!Known->Removed_ && !Known->Crashed_)
+        InService.push_back(Known.get());
+    if (!InService.empty())
+      InService[Place % InService.size()]->SilentUntil_ =
+          steady_clock::now() + Time;
+  });
+}
+
+void SoakEnvironment::silenceEngines(bool Silent) {
+  run([&] { EnginesSilent_ = Silent; });
+}
+
+void SoakEnvironment::sendWithoutEnd(const Endpoint &To) {
+  constexpr std::size_t Connections = 8;
+  constexpr std::size_t Most = 2 * 1024 * 1024;
+  const std::string Head = "POST /safe/1 HTTP/1.1\r\nhost: soak.example\r\n"
+                           "authorization: Bearer key-6\r\n";
+  // A frame between daemons that announces four megabytes.
+  const std::string Frame("\0\0\x3f\0", 4);
+  run([&] {
+    for (const std::string &Start :
+         {Frame, Head + "x: ", Head + "content-length: 3900000\r\n\r\n",
+          Head + "transfer-encoding: chunked\r\n\r\n3fffff\r\n"})
+      for (std::size_t Count = 0; Count < Connections; ++Count)
+        asio::co_spawn(Context_, Senders_.send(To, Start, Most),
+                       asio::detached);
+  });
+}
+
+void SoakEnvironment::closeSenders() {
+  run([&] { Senders_.closeAll(); });
+}
+
 void SoakEnvironment::limitEngine() {
   run([&] {
     auto MayName = [](const auto &Known) {
@@ -630,7 +676,7 @@
   auto Cut = StreamCut::None;
   for (int Number = First;
        Open && Cut == StreamCut::None && Number <= EventCount; ++Number) {
-    co_await sleep(Factor * milliseconds(2 + pick(15)));
+    co_await work(Self, Factor * milliseconds(2 + pick(15)));
     std::string Event = eventText(CallId, Number, Self.Version_);
     if (Self.Crashed_)
       co_return Exchange.abort();
@@ -790,7 +836,8 @@
     if (Open)
       Seen.Body_ += *Chunk;
   }
-  if (!Connection->reusable())
+  Seen.Kept_ = Connection->reusable();
+  if (!Seen.Kept_)
     Connection.reset();
   co_return Seen;
 }
@@ -1369,6 +1416,27 @@
   return Done.get_future().get();
 }
 
+std::future<SoakCall> SoakEnvironment::beginCall(const Endpoint &Daemon,
+                                                 SoakKind Kind) {
+  auto Call = [this, Daemon, Kind]() -> Awaitable<SoakCall> {
+    std::unique_ptr<HttpConnection> Connection;
+    SoakCall Seen =
+        co_await callOnce(Kind, *ActiveKeys_.rbegin(), Daemon, Connection);
+    Calls_.push_back(Seen);
+    co_return Seen;
+  };
+  return asio::co_spawn(Context_, std::move(Call), asio::use_future);
+}
+
+int SoakEnvironment::running() {
+  int Count = 0;
+  run([&] {
+    for (const auto &Known : Engines_)
+      Count += Known->Running_;
+  });
+  return Count;
+}
+
 SoakCount SoakEnvironment::countCalls(std::size_t Daemon, Time Begin) {
   SoakCount Counted;
   run([&] {
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -5,11 +5,13 @@
 /// and engines observe is recorded, and the guarantees are checked from these
 /// records alone.
 
+#include "FailureTests/UnendingSenders.h"
 #include "UnitTests/platform/FakeStore.h"
 
 #include <pcg_random.hpp>
 
 #include <deque>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -30,6 +32,7 @@
   std::chrono::steady_clock::time_point Sent_;
   int Status_ = 0;        ///< HTTP status; 0 without an answer.
   bool Complete_ = false; ///< The answer looked complete.
+  bool Kept_ = false;     ///< The connection could be used again.
   std::string Body_;
   /// Of a stream that the caller took up again: the call that brought its first
   /// event, and the number of events that the caller already had.
@@ -130,6 +133,16 @@
   /// engine that begins to answer on it, again and again for a while.
   void sendCrashingPart();
 
+  /// Lets the engine at \p Place among those in service accept requests and
+  /// send nothing for \p Time. Then it goes on.
+  void silenceEngine(std::size_t Place, std::chrono::milliseconds Time);
+  /// Lets all engines accept requests and send nothing until they are told to
+  /// go on.
+  void silenceEngines(bool Silent);
+  /// Opens connections to \p To that send without end, until closeSenders().
+  void sendWithoutEnd(const Endpoint &To);
+  void closeSenders();
+
   /// Orders a roll-out and starts as many engines of the version as are ready.
   /// The engines in service stop without draining when the status becomes
   /// completed; those of the version drain when it becomes reverted.
@@ -152,6 +165,10 @@
   std::vector<std::string> cutCalls();
   /// Sends a request with \p Key to a running daemon. \returns its HTTP status.
   int statusWithKey(const std::string &Key);
+  /// Sends a request on a new connection to a daemon.
+  std::future<SoakCall> beginCall(const Endpoint &Daemon, SoakKind Kind);
+  /// \returns how many requests run at engines.
+  int running();
   /// Counts the calls that were sent to a daemon since \p Begin and have ended.
   SoakCount countCalls(std::size_t Daemon,
                        std::chrono::steady_clock::time_point Begin);
@@ -229,6 +246,8 @@
   Awaitable<void> takeUp(SoakCall Broken);
   std::string drawVersion();
   Awaitable<void> sleep(std::chrono::milliseconds Time);
+  /// Sleeps, and then until the engine is no longer silent.
+  Awaitable<void> work(const Engine &Self, std::chrono::milliseconds Time);
   void check(const SoakCall &Call, std::vector<std::string> &Violations) const;
   /// Checks that no stream holds events of several versions, over all attempts
   /// of its caller.
@@ -253,6 +272,7 @@
   std::vector<std::string> Versions_;
   std::vector<std::string> CrashingParts_;
   FakeStore Store_;
+  UnendingSenders Senders_{Context_};
   std::vector<std::unique_ptr<Engine>> Engines_;
   std::vector<std::optional<Endpoint>> Daemons_;
   std::vector<SoakCall> Calls_;
@@ -284,6 +304,7 @@
   bool CallersRunning_ = false;
   int ActiveCallers_ = 0;
   bool EngineFaults_ = false;
+  bool EnginesSilent_ = false;
   std::thread Thread_;
 };
 
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 namespace samphireshunt::tests {
@@ -19,13 +20,13 @@
     : Environment_(Environment), Random_(Seed), RestoreRandom_(Seed, 1),
       Options_(Wanted), CrashRandom_(Seed, 2), PartRandom_(Seed, 7),
       LimitRandom_(Seed, 3), NoticeRandom_(Seed, 4), LinkRandom_(Seed, 5),
+      SilenceRandom_(Seed, 8), BytesRandom_(Seed, 9),
       DaemonsPerReader_(Seed % 2 == 0 ? 2 : Daemons) {
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     start(Index);
 }
 
 void SoakFleet::start(std::size_t Index) {
-  std::string Log = fmt::format("{}/vm-{}.log", Folder_.path(), Index);
   std::vector<std::string> Command = {
       Options_.FaultyLinks_ ? FAULTY_LINKS_DAEMON : PLATFORM_DAEMON,
       fmt::format("--vm_id=vm-{}", Index),
@@ -45,14 +46,68 @@
       "--drain_admit_ms=1000",
       "--drain_timeout_ms=4000",
       "--log_output=stderr"};
-  Processes_[Index] = std::make_unique<ChildProcess>(Command, Log);
-  auto Addresses = Processes_[Index]->readLine();
-  auto Callers = parseEndpoint(Addresses["callers"].get<std::string>());
-  Environment_.setDaemon(Index, *Callers);
+  if (Options_.MemoryMb_ > 0)
+    Command.push_back(
+        fmt::format("--process_memory_mb={}", Options_.MemoryMb_));
+  if (Options_.FlagFiles_) {
+    writeFlagFile(Index, "info");
+    Command.push_back("--flagfile=" + flagFile(Index));
+  }
+  Processes_[Index] = std::make_unique<ChildProcess>(Command, logPath(Index));
+  auto Reported = Processes_[Index]->readLine();
+  Addresses_[Index].clear();
+  for (const char *Name : {"callers", "peers", "operators"})
+    Addresses_[Index].push_back(
+        *parseEndpoint(Reported[Name].get<std::string>()));
+  Environment_.setDaemon(Index, callersAddress(Index));
+}
+
+std::string SoakFleet::logPath(std::size_t Index) const {
+  return fmt::format("{}/vm-{}.log", Folder_.path(), Index);
+}
+
+std::string SoakFleet::flagFile(std::size_t Index) const {
+  return fmt::format("{}/vm-{}.flags", Folder_.path(), Index);
+}
+
+void SoakFleet::writeFlagFile(std::size_t Index,
+                              const std::string &LogLevel) const {
+  std::ofstream(flagFile(Index)) << "--log_level=" << LogLevel << '\n';
+}
+
+void SoakFleet::reload(std::size_t Index) {
+  writeFlagFile(Index, ++Reloads_ % 2 == 0 ? "info" : "debug");
+  signal(Index, SIGHUP);
+}
+
+bool SoakFleet::hasLogged(std::size_t Index, const std::string &Text) const {
+  std::ifstream Lines(logPath(Index));
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.find(Text) != std::string::npos)
+      return true;
+  return false;
+}
+
+void SoakFleet::signal(std::size_t Index, int Number) {
+  Processes_[Index]->signal(Number);
+}
+
+int SoakFleet::wait(std::size_t Index) { return Processes_[Index]->wait(); }
+
+/// The sanitizer's own memory is not the daemon's.
+void SoakFleet::checkMemory(std::size_t Index) const {
+#ifndef __SANITIZE_ADDRESS__
+  constexpr std::size_t BytesPerMb = 1000 * 1000;
+  std::size_t Most = Processes_[Index]->mostMemory();
+  if (Options_.MemoryMb_ > 0 && Most > Options_.MemoryMb_ * BytesPerMb)
+    testHooks().Fail_(fmt::format("vm-{} had {} MB of {}", Index,
+                                  Most / BytesPerMb, Options_.MemoryMb_));
+#endif
 }
 
 void SoakFleet::kill(std::size_t Index) {
   Environment_.setDaemon(Index, std::nullopt);
+  checkMemory(Index);
   Processes_[Index]->kill();
 }
 
@@ -62,9 +117,10 @@
 
 int SoakFleet::stopAndStart(std::size_t Index) {
   // Callers still connect for a while, as a load balancer keeps sending them.
-  Processes_[Index]->signal(SIGTERM);
+  signal(Index, SIGTERM);
   std::this_thread::sleep_for(milliseconds(200));
   Environment_.setDaemon(Index, std::nullopt);
+  checkMemory(Index);
   int Status = Processes_[Index]->wait();
   start(Index);
   return Status;
@@ -168,7 +224,29 @@
   setLinks(Index, Signal);
 }
 
+/// Leaves time between two silences, so that at least half of the engines are
+/// heard at any time.
+void SoakFleet::silenceEngine() {
+  constexpr std::uint32_t OneIn = 6;
+  if (!Options_.SilentEngines_ || SilenceRandom_(OneIn) != 0)
+    return;
+  std::size_t Place = SilenceRandom_(16);
+  Environment_.silenceEngine(Place, milliseconds(800 + SilenceRandom_(500)));
+}
+
+void SoakFleet::sendWithoutEnd() {
+  constexpr std::uint32_t OneIn = 8;
+  std::size_t Index = BytesRandom_(Daemons);
+  if (!Options_.UnendingBytes_ || BytesRandom_(OneIn) != 0)
+    return;
+  Environment_.closeSenders();
+  for (const Endpoint &To : Addresses_[Index])
+    Environment_.sendWithoutEnd(To);
+}
+
 void SoakFleet::injectFault() {
+  silenceEngine();
+  sendWithoutEnd();
   copyOrRestoreStore();
   disturbEngines();
   cutLinks();
@@ -209,10 +287,12 @@
   Environment_.failStore(0);
   Environment_.silenceStore(false);
   Environment_.setEngineFaults(false);
-  for (auto &Process : Processes_) {
-    Process->resume();
+  Environment_.closeSenders();
+  for (std::size_t Index = 0; Index < Daemons; ++Index) {
+    Processes_[Index]->resume();
     if (Options_.FaultyLinks_)
-      Process->signal(PassSignal);
+      Processes_[Index]->signal(PassSignal);
+    checkMemory(Index);
   }
 }
 
--- a/FailureTests/platform/SoakTest.cpp
+++ b/FailureTests/platform/SoakTest.cpp
@@ -52,12 +52,12 @@
 
 namespace {
 
-void soak(const std::vector<std::uint64_t> &Seeds, bool RestoreCopies) {
+void soak(const std::vector<std::uint64_t> &Seeds, SoakFleetOptions Faults) {
+  Faults.FaultyLinks_ = true;
   for (std::uint64_t Seed : Seeds) {
     SoakEnvironment Environment(Seed, {"v1", "v1.1"});
     Environment.takeStoreCopy();
-    SoakFleet Fleet(Seed, Environment,
-                    {.RestoreCopies_ = RestoreCopies, .FaultyLinks_ = true});
+    SoakFleet Fleet(Seed, Environment, Faults);
     auto Before = probeUntilHealthy(Environment);
     REQUIRE_MESSAGE(Before.empty(), "seed " << Seed << ": " << Before.front());
     Environment.startCallers(Callers);
@@ -88,11 +88,21 @@
   // stops, pauses, reloads, a store that fails, drops its history or loses
   // answers, faulty or replaced engines, and revoked keys. Code that handles
   // each fault alone may not handle two of them at the same time.
-  soak(seeds(), /*RestoreCopies=*/false);
+  soak(seeds(), {});
 }
 
 // A store that is restored from an older copy loses later writes. Daemons have
 // to accept its state as valid, also while other faults are injected.
 TEST_CASE("all guarantees hold while the store is restored from copies") {
-  soak(seeds(), /*RestoreCopies=*/true);
+  soak(seeds(), {.RestoreCopies_ = true});
+}
+
+TEST_CASE("all guarantees hold beside silent engines and peers that send "
+          "without end") {
+  // Guards against a daemon that exceeds its VM's memory, or ends answers for a
+  // silence, while it also handles the other faults.
+  soak(seeds(), {.SilentEngines_ = true,
+                 .UnendingBytes_ = true,
+                 .MemoryMb_ = 88,
+                 .FlagFiles_ = true});
 }
--- a/FailureTests/platform/UnendingBytesTest.cpp
+++ b/FailureTests/platform/UnendingBytesTest.cpp
@@ -5,6 +5,7 @@
 #include "FailureTests/Cluster.h"
 #include "FailureTests/ContextThread.h"
 #include "FailureTests/TestFolder.h"
+#include "FailureTests/UnendingSenders.h"
 #include "UnitTests/platform/FakeStore.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,8 +40,6 @@
 /// What a peer sends at most before it falls silent: twice the VM's memory.
 constexpr std::size_t SentBytes = 2 * MemoryMb * BytesPerMb;
 constexpr int CallsAtOnce = 4;
-/// How long a connection goes on sending what is not read.
-constexpr milliseconds SendLimit{500};
 constexpr milliseconds CallLimit{20000};
 #ifdef __SANITIZE_ADDRESS__
 /// The sanitizer's own memory is not the daemon's.
@@ -162,7 +161,7 @@
     while (Senders.size() < Count)
       Senders.push_back(asio::co_spawn(
           Thread_.context(),
-          [this, To, Start, Most] { return sendUpTo(To, Start, Most); },
+          [this, To, Start, Most] { return Senders_.send(To, Start, Most); },
           asio::use_future));
     for (auto &Sender : Senders)
       Sender.get();
@@ -173,7 +172,7 @@
     asio::co_spawn(
         Thread_.context(),
         [this]() -> Awaitable<void> {
-          Senders_.clear();
+          Senders_.closeAll();
           co_return;
         },
         asio::use_future)
@@ -212,18 +211,8 @@
     return Found;
   }
 
-  /// \returns the most memory that the process has had, in bytes.
-  std::size_t mostMemory() const {
-    std::ifstream Lines(fmt::format("/proc/{}/status", Daemon_->pid()));
-    constexpr std::string_view Field = "VmHWM:";
-    constexpr std::size_t BytesPerKib = 1024;
-    for (std::string Line; std::getline(Lines, Line);)
-      if (Line.starts_with(Field))
-        return std::stoul(Line.substr(Field.size())) * BytesPerKib;
-    return 0;
-  }
   bool memoryHeld(std::size_t Megabytes = MemoryMb) const {
-    std::size_t Most = mostMemory();
+    std::size_t Most = Daemon_->mostMemory();
     MESSAGE((Most / BytesPerMb) << " MB at most");
     return Most > 0 && (!MemoryIsOwn || Most < Megabytes * BytesPerMb);
   }
@@ -249,26 +238,6 @@
     Store_.put("servers/engine", Entry.dump());
   }
 
-  Awaitable<void> sendUpTo(Endpoint To, std::string Start, std::size_t Most) {
-    auto Peer = std::make_shared<Tcp::socket>(Thread_.context());
-    boost::system::error_code Error;
-    co_await Peer->async_connect(
-        To, asio::redirect_error(asio::use_awaitable, Error));
-    Senders_.push_back(Peer);
-    std::string Block = std::move(Start);
-    asio::steady_timer Limit(Thread_.context(), SendLimit);
-    Limit.async_wait([Peer](const boost::system::error_code &Ended) {
-      if (!Ended)
-        Peer->cancel();
-    });
-    for (std::size_t Sent = 0; Sent < Most && !Error; Sent += BlockBytes) {
-      co_await asio::async_write(
-          *Peer, asio::buffer(Block),
-          asio::redirect_error(asio::use_awaitable, Error));
-      Block.assign(BlockBytes, 'a');
-    }
-  }
-
   Awaitable<void> accept() {
     boost::system::error_code Error;
     while (!Error) {
@@ -337,7 +306,7 @@
   Tcp::acceptor Engine_;
   TestFolder Folder_;
   std::optional<ChildProcess> Daemon_;
-  std::vector<std::shared_ptr<Tcp::socket>> Senders_;
+  UnendingSenders Senders_{Thread_.context()};
   Endpoint Callers_;
   int Calls_ = 0;
 };
