PlannedWorkTest: whole answers to all, connections that stay, an outage of the store

What lacked: the test counted only requests that an engine had run and whose answer was not whole; a request that got nothing at all before its dispatch, and a connection that closes after a whole answer, were not seen. The clause of the store's disruption for requests without a key had no test of this kind.

Change: no request may stay without a whole answer and no connection may close at daemons that aren't stopped, beside changes of the configuration, reloads, replaced and silent servers, and a store that is silent for 2 s and fails for 1.5 s.

--- a/FailureTests/platform/PlannedWorkTest.cpp
+++ b/FailureTests/platform/PlannedWorkTest.cpp
@@ -19,10 +19,13 @@
 constexpr std::uint64_t Seed = 2;
 constexpr int Callers = 24;
 
-void checkNothingCut(SoakEnvironment &Environment) {
+void checkNothingLost(SoakEnvironment &Environment) {
   Environment.stopCallers();
-  auto Cut = Environment.cutCalls();
-  CHECK_MESSAGE(Cut.empty(), Cut.size() << " cut, first " << Cut.front());
+  auto Lost = Environment.unanswered();
+  CHECK_MESSAGE(Lost.empty(), Lost.size() << " lost, first " << Lost.front());
+  auto Closed = Environment.closedAfterAnswer();
+  CHECK_MESSAGE(Closed.empty(), Closed.size()
+                                    << " closed, first " << Closed.front());
   auto Violations = Environment.violations();
   CHECK_MESSAGE(Violations.empty(), Violations.front());
   CHECK(Environment.answered() > 100);
@@ -45,7 +48,7 @@
       Environment.replaceEngine();
     std::this_thread::sleep_for(milliseconds(200));
   }
-  checkNothingCut(Environment);
+  checkNothingLost(Environment);
   for (std::size_t Index = 0; Index < SoakFleet::Daemons; ++Index)
     CHECK(Fleet.hasLogged(Index, "settings-read"));
 }
@@ -62,7 +65,25 @@
     Environment.silenceEngine(Place, milliseconds(1250));
     std::this_thread::sleep_for(milliseconds(1600));
   }
-  checkNothingCut(Environment);
+  checkNothingLost(Environment);
+}
+
+TEST_CASE("an outage of the store cuts no request") {
+  // Guards against answers that wait for the store, or connections that are
+  // closed while it is away.
+  SoakEnvironment Environment(Seed);
+  SoakFleet Fleet(Seed, Environment);
+  REQUIRE(probeUntilHealthy(Environment).empty());
+  Environment.startCallers(Callers);
+  Environment.silenceStore(true);
+  std::this_thread::sleep_for(milliseconds(2000));
+  auto Failed = Environment.probeAll();
+  CHECK_MESSAGE(Failed.empty(), Failed.front());
+  Environment.silenceStore(false);
+  Environment.failStore(503);
+  std::this_thread::sleep_for(milliseconds(1500));
+  Environment.failStore(0);
+  checkNothingLost(Environment);
 }
 
 TEST_CASE("a daemon that stops refuses streams without enough time, cuts none "
--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -1389,15 +1389,32 @@
   return Violations;
 }
 
-std::vector<std::string> SoakEnvironment::cutCalls() {
-  std::vector<std::string> Cut;
+std::vector<std::string> SoakEnvironment::callsThat(
+    const std::function<bool(const SoakCall &)> &Matches) {
+  std::vector<std::string> Found;
   run([&] {
     for (const SoakCall &Call : Calls_)
-      if (RunCounts_.contains(Call.Id_) && !Call.Complete_)
-        Cut.push_back(fmt::format("{} kind {} status {}", Call.Id_,
-                                  static_cast<int>(Call.Kind_), Call.Status_));
+      if (Matches(Call))
+        Found.push_back(fmt::format("{} kind {} status {}", Call.Id_,
+                                    static_cast<int>(Call.Kind_),
+                                    Call.Status_));
+  });
+  return Found;
+}
+
+std::vector<std::string> SoakEnvironment::cutCalls() {
+  return callsThat([this](const SoakCall &Call) {
+    return RunCounts_.contains(Call.Id_) && !Call.Complete_;
   });
-  return Cut;
+}
+
+std::vector<std::string> SoakEnvironment::unanswered() {
+  return callsThat([](const SoakCall &Call) { return !Call.Complete_; });
+}
+
+std::vector<std::string> SoakEnvironment::closedAfterAnswer() {
+  return callsThat(
+      [](const SoakCall &Call) { return Call.Complete_ && !Call.Kept_; });
 }
 
 int SoakEnvironment::statusWithKey(const std::string &Key) {
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -163,6 +163,11 @@
   /// \returns the requests that an engine ran and whose caller got no complete
   /// answer. Without engine faults, each of them was cut by a daemon.
   std::vector<std::string> cutCalls();
+  /// \returns the requests whose caller got no whole answer, whether an engine
+  /// ran them or not.
+  std::vector<std::string> unanswered();
+  /// \returns the requests after whose whole answer the connection was closed.
+  std::vector<std::string> closedAfterAnswer();
   /// Sends a request with \p Key to a running daemon. \returns its HTTP status.
   int statusWithKey(const std::string &Key);
   /// Sends a request on a new connection to a daemon.
@@ -180,6 +185,9 @@
   struct Engine;
   using Time = std::chrono::steady_clock::time_point;
 
+  /// \returns descriptions of the calls for which \p Matches is true.
+  std::vector<std::string>
+  callsThat(const std::function<bool(const SoakCall &)> &Matches);
   /// Runs \p Work on the thread of this object and waits until it is done.
   void run(std::function<void()> Work);
   Engine &addEngine(const std::string &Version);
