--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -722,6 +722,21 @@
 mutate nested-configuration platform/Configuration.cpp \
   's/\(Begins && Level >= MaxNestingDepth\)/false/' \
   ${U}platform '*deeply nested configuration*'
+mutate events-at-once $S/Process/Keeping/EngineMonitor.cpp \
+  's/if \(HasEvents && !State\.ReadsEvents_\)/if (HasEvents)/' \
+  ${U}Process '*longer than a period are read once*'
+mutate events-invalid $S/Process/Keeping/EngineMonitor.cpp \
+  's/State\.NextEvent_ = Read->Next_;/if (!Read->Gap_) State.NextEvent_ = Read->Next_;/' \
+  ${U}Process '*cache events that is invalid*'
+mutate close-at-stop $S/Programs/DaemonLife.cpp \
+  's/CallerServer_->closeAfterAnswers\(\);//' \
+  ${F}platform_PlannedWorkTest '*keeps no connection*'
+mutate stop-admits-streams $S/Programs/DaemonLife.cpp \
+  's/if \(Drained < Settings_\.DrainAdmit_\)/if (true)/' \
+  ${F}platform_PlannedWorkTest '*refuses streams without enough time*'
+mutate flags-read-again $S/Programs/DaemonLife.cpp \
+  's/if \(Error \|\| Written == std::exchange\(FlagFileTime_, Written\)\)/if (true)/' \
+  ${F}platform_PlannedWorkTest '*reloads*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
