--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -224,8 +224,7 @@
   setLinks(Index, Signal);
 }
 
-/// Leaves time between two silences, so that at least half of the engines are
-/// heard at any time.
+/// Several engines may be silent at a time, but hardly all.
 void SoakFleet::silenceEngine() {
   constexpr std::uint32_t OneIn = 6;
   if (!Options_.SilentEngines_ || SilenceRandom_(OneIn) != 0)
