--- a/UnitTests/Process/Keeping/EngineMonitorTest.cpp
+++ b/UnitTests/Process/Keeping/EngineMonitorTest.cpp
@@ -5,6 +5,7 @@
 #include "Process/Keeping/EngineMonitor.h"
 
 #include "Connection/MemoryBudget.h"
+#include "UnitTests/Process/Keeping/LoneKeeper.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,15 +37,9 @@
     Server_ = std::move(*HttpServer::create(
         Control_, {&Control_}, MemoryBudget::unlimited(), std::move(Options)));
     adopt();
-    KeeperService::Hooks Hooks;
-    Hooks.Decided_ = [](const CellId &, const Decision &) {};
-    Hooks.Orphaned_ = [](const OrphanedRequest &) {};
-    Hooks.AloneInFleet_ = [] { return true; };
-    Hooks.IsKeeper_ = [](const CellId &) { return true; };
-    Hooks.LiveShare_ = [] { return 1.0; };
-    Hooks.FloorRaised_ = [] {};
-    Keeper_ = std::make_unique<KeeperService>(
-        Control_, Documents_, KeeperService::Options(), std::move(Hooks));
+    Keeper_ = std::make_unique<KeeperService>(Control_, Documents_,
+                                              KeeperService::Options(),
+                                              tests::loneKeeperHooks());
     Keeper_->refresh();
     EngineMonitor::Options Polling;
     Polling.Period_ = Period;
--- a/UnitTests/Process/Keeping/GrantClientTest.cpp
+++ b/UnitTests/Process/Keeping/GrantClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Connection/PeerMessage.h"
 #include "Process/Keeping/KeeperService.h"
+#include "UnitTests/Process/Keeping/LoneKeeper.h"
 
 #include <doctest/doctest.h>
 
@@ -269,15 +270,10 @@
     return Hooks;
   }
   KeeperService::Hooks keeperHooks() {
-    KeeperService::Hooks Hooks;
+    KeeperService::Hooks Hooks = tests::loneKeeperHooks();
     Hooks.Decided_ = [this](const CellId &, const Decision &Made) {
       Client_.onDecision(Made, Self);
     };
-    Hooks.Orphaned_ = [](const OrphanedRequest &) {};
-    Hooks.AloneInFleet_ = [] { return true; };
-    Hooks.IsKeeper_ = [](const CellId &) { return true; };
-    Hooks.LiveShare_ = [] { return 1.0; };
-    Hooks.FloorRaised_ = [] {};
     return Hooks;
   }
 };
--- a/UnitTests/Process/Keeping/KeeperServiceTest.cpp
+++ b/UnitTests/Process/Keeping/KeeperServiceTest.cpp
@@ -3,6 +3,8 @@
 
 #include "Process/Keeping/KeeperService.h"
 
+#include "UnitTests/Process/Keeping/LoneKeeper.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -107,7 +109,7 @@
                     std::make_shared<const Document>(std::move(Built)));
   }
   KeeperService::Hooks hooks() {
-    KeeperService::Hooks Hooks;
+    KeeperService::Hooks Hooks = tests::loneKeeperHooks();
     Hooks.Decided_ = [this](const CellId &, const Decision &Made) {
       ++Notifications_;
       if (const auto *Grant = std::get_if<GrantDecision>(&Made))
@@ -119,10 +121,6 @@
       ++Notifications_;
       Orphans_.push_back(Orphan.Request_.Id_);
     };
-    Hooks.AloneInFleet_ = [] { return true; };
-    Hooks.IsKeeper_ = [](const CellId &) { return true; };
-    Hooks.LiveShare_ = [] { return 1.0; };
-    Hooks.FloorRaised_ = [] {};
     return Hooks;
   }
 };
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Request/ForwardingHarness.h"
 
 #include "Common/Hash.h"
+#include "UnitTests/Process/Keeping/LoneKeeper.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
@@ -257,15 +258,10 @@
   };
   Grants_ = std::make_unique<GrantClient>(Context_, VmId("vm"),
                                           std::move(ClientHooks));
-  KeeperService::Hooks Hooks;
+  KeeperService::Hooks Hooks = loneKeeperHooks();
   Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
     Grants_->onDecision(Taken, VmId("vm"));
   };
-  Hooks.Orphaned_ = [](const OrphanedRequest &) {};
-  Hooks.AloneInFleet_ = [] { return true; };
-  Hooks.IsKeeper_ = [](const CellId &) { return true; };
-  Hooks.LiveShare_ = [] { return 1.0; };
-  Hooks.FloorRaised_ = [] {};
   Hooks.StandingOf_ = [this](const RequestFingerprint &Request) {
     return Crashes_.standing(Request);
   };
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -3,6 +3,7 @@
 /// requests with deeply nested bodies.
 
 #include "Common/Hash.h"
+#include "UnitTests/Process/Keeping/LoneKeeper.h"
 #include "UnitTests/Request/ForwardingHarness.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -69,15 +70,10 @@
     ClientHooks.Check_ = [](const VmId &) {};
     Grants_ =
         std::make_unique<GrantClient>(Context_, Self, std::move(ClientHooks));
-    KeeperService::Hooks Hooks;
+    KeeperService::Hooks Hooks = tests::loneKeeperHooks();
     Hooks.Decided_ = [this](const CellId &, const Decision &Taken) {
       Grants_->onDecision(Taken, Self);
     };
-    Hooks.Orphaned_ = [](const OrphanedRequest &) {};
-    Hooks.AloneInFleet_ = [] { return true; };
-    Hooks.IsKeeper_ = [](const CellId &) { return true; };
-    Hooks.LiveShare_ = [] { return 1.0; };
-    Hooks.FloorRaised_ = [] {};
     Keeper_ = std::make_unique<KeeperService>(
         Context_, Documents_, KeeperService::Options(), std::move(Hooks));
     Grants_->setLocalKeeper(Keeper_.get());
