--- a/FailureTests/platform/SlowCallersTest.cpp
+++ b/FailureTests/platform/SlowCallersTest.cpp
@@ -15,7 +15,6 @@
 #include <fmt/format.h>
 
 #include <atomic>
-#include <fstream>
 #include <optional>
 #include <sstream>
 
@@ -122,16 +121,7 @@
     return Read.is_object() ? Read : Json::object();
   }
 
-  /// \returns the most memory that the process has had, in bytes.
-  std::size_t peakMemory() const {
-    std::ifstream Lines(fmt::format("/proc/{}/status", Daemon_->pid()));
-    constexpr std::string_view Field = "VmHWM:";
-    constexpr std::size_t BytesPerKib = 1024;
-    for (std::string Line; std::getline(Lines, Line);)
-      if (Line.starts_with(Field))
-        return std::stoul(Line.substr(Field.size())) * BytesPerKib;
-    return 0;
-  }
+  std::size_t peakMemory() const { return Daemon_->mostMemory(); }
 
   int runs() const { return Runs_; }
 
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -112,7 +112,7 @@
 }
 
 void SoakFleet::setLinks(std::size_t Index, int Signal) {
-  Processes_[Index]->signal(Signal);
+  signal(Index, Signal);
 }
 
 int SoakFleet::stopAndStart(std::size_t Index) {
