One wait for memory; an answer that has room waits for nothing

And each part of each plain answer began a coroutine with a timer and two function objects although it nearly always has room: awaitRoom() is called only where AnswerTurn::grow() has failed, and a body that is admitted at once starts no wait.

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "Common/Log.h"
 #include "Connection/AcceptLoop.h"
 #include "Connection/MemoryBudget.h"
+#include "Connection/MemoryWait.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
 
@@ -570,22 +571,20 @@
   /// in time.
   Awaitable<bool> awaitMemory(std::size_t Bytes, RequestRead &Read) {
     MemoryBudget &Memory = State_->Memory_;
-    if (!Memory.admitsBody(Bytes, Body_.bytes())) {
-      MemoryBudget::WaitingBody Waiting(Memory);
-      Read.WaitsForMemory_ = true;
-      asio::steady_timer Timer(Stream_.get_executor());
-      auto Waited = MemoryWaitStep * 0;
-      while (!Memory.admitsBody(Bytes, Body_.bytes())) {
-        if (Waited >= MaxBodyWait || Read.timedOut())
-          co_return false;
-        Waited += MemoryWaitStep;
-        Timer.expires_after(MemoryWaitStep);
-        co_await Timer.async_wait(asio::use_awaitable);
-      }
-    }
+    auto Take = [&] {
+      bool Admitted = Memory.admitsBody(Bytes, Body_.bytes());
+      if (Admitted)
+        Body_.set(Bytes);
+      return Admitted;
+    };
+    if (Take())
+      co_return true;
+    MemoryBudget::WaitingBody Waiting(Memory);
+    Read.WaitsForMemory_ = true;
+    auto IsOver = [&] { return Read.timedOut(); };
+    bool Held = co_await waitForMemory(MaxBodyWait, Take, std::move(IsOver));
     Read.WaitsForMemory_ = false;
-    Body_.set(Bytes);
-    co_return true;
+    co_return Held;
   }
 
   template <class Message> void fillHead(Message &Target, HttpResponse &Head) {
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -206,8 +206,9 @@
         break;
       std::size_t Size = Head->Body_.size() + Received->size();
       auto IsOver = [this] { return Context_.expired(); };
-      bool Held =
-          co_await growAnswer(Turn, HeldAnswer_, Size, std::move(IsOver));
+      bool Held = Turn.grow(HeldAnswer_, Size);
+      if (!Held)
+        Held = co_await awaitRoom(Turn, HeldAnswer_, Size, std::move(IsOver));
       if (!Held)
         co_return Failure{ResultCode::AnswerTooLarge,
                           fmt::format("{} bytes", Size)};
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -460,8 +460,9 @@
         co_return Result<void>();
       std::size_t Bytes = Answer.Body_.size() + Received->size();
       auto IsOver = [this] { return CallerLeft_ || Context_.expired(); };
-      bool Held =
-          co_await growAnswer(Turn, HeldAnswer_, Bytes, std::move(IsOver));
+      bool Held = Turn.grow(HeldAnswer_, Bytes);
+      if (!Held)
+        Held = co_await awaitRoom(Turn, HeldAnswer_, Bytes, std::move(IsOver));
       if (!Held)
         co_return answerTooLarge(Bytes);
       Answer.Body_ += *Received;
--- a/Source/Request/HeldAnswer.cpp
+++ b/Source/Request/HeldAnswer.cpp
@@ -1,8 +1,6 @@
 #include "Request/HeldAnswer.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "Connection/MemoryWait.h"
 
 #include <chrono>
 
@@ -15,19 +13,12 @@
 
 } // namespace
 
-Awaitable<bool> growAnswer(AnswerTurn &Turn, MemoryUse &Held, std::size_t Bytes,
-                           std::function<bool()> IsOver) {
-  auto Executor = co_await boost::asio::this_coro::executor;
-  boost::asio::steady_timer Timer(Executor);
-  auto Waited = MemoryWaitStep * 0;
-  while (!Turn.grow(Held, Bytes)) {
-    if (Turn.tooLarge(Bytes) || IsOver() || Waited >= MaxWait)
-      co_return false;
-    Waited += MemoryWaitStep;
-    Timer.expires_after(MemoryWaitStep);
-    co_await Timer.async_wait(boost::asio::use_awaitable);
-  }
-  co_return true;
+Awaitable<bool> awaitRoom(AnswerTurn &Turn, MemoryUse &Held, std::size_t Bytes,
+                          std::function<bool()> IsOver) {
+  if (Turn.tooLarge(Bytes))
+    co_return false;
+  auto Take = [&] { return Turn.grow(Held, Bytes); };
+  co_return co_await waitForMemory(MaxWait, std::move(Take), std::move(IsOver));
 }
 
 } // namespace samphireshunt
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -635,7 +635,7 @@
   's/while \(!Failed_ && isFarBehind\(\)\)/while (false)/' \
   ${U}SlowCaller '*server waits for its slow caller*'
 mutate body-in-chunks $S/Connection/HttpServer.cpp \
-  's/while \(!Memory\.admitsBody\(Bytes, Body_\.bytes\(\)\)\)/while (false)/' \
+  's/bool Admitted = Memory\.admitsBody\(Bytes, Body_\.bytes\(\)\);/bool Admitted = true;/' \
   ${U}Connection '*large body in chunks is refused*'
 mutate ending-listener $S/Process/Relay/ServerConnector.cpp \
   's/bool Refuses = co_await refusesNext\(Server, std::move\(\*Direct\)\);/bool Refuses = false;/' \
