Links: without a budget they have the unlimited one; no state that can be derived

FrameChannel and PeerNetwork asked at each step whether they have a budget, though MemoryBudget::unlimited() is there for those that have none. The bytes that wait were counted next to the memory that counts them (QueuedBytes_ in both), and whether a link is being opened next to what waits for it (Opening_). A frame begins a wait only if its memory is not there.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -1,6 +1,7 @@
 #include "Connection/FrameChannel.h"
 
 #include "Common/Log.h"
+#include "Connection/MemoryWait.h"
 #include "Connection/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -49,12 +50,11 @@
 FrameChannel::FrameChannel(asio::ip::tcp::socket Socket, Hooks Callbacks,
                            Timing Periods, Limits Bounds)
     : Socket_(std::move(Socket)), Hooks_(std::move(Callbacks)),
-      Timing_(Periods), Limits_(Bounds), SilenceTimer_(Socket_.get_executor()),
+      Timing_(Periods), Limits_(Bounds),
+      FrameMemory_(*Bounds.Memory_, MemoryOwner::PeerFrames),
+      QueueMemory_(*Bounds.Memory_, MemoryOwner::PeerFrames),
+      SilenceTimer_(Socket_.get_executor()),
       LastReceived_(steady_clock::now()) {
-  if (Limits_.Memory_) {
-    FrameMemory_.emplace(*Limits_.Memory_, MemoryOwner::PeerFrames);
-    QueueMemory_.emplace(*Limits_.Memory_, MemoryOwner::PeerFrames);
-  }
   error_code Ignored;
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
 }
@@ -66,10 +66,9 @@
       static_cast<std::uint32_t>(Message.size()));
   std::string Frame(reinterpret_cast<const char *>(&Size), sizeof(Size));
   Frame += Message;
-  std::size_t Queued = QueuedBytes_ + Frame.size();
-  if (Queued > MaxQueuedBytes || (QueueMemory_ && !QueueMemory_->grow(Queued)))
+  std::size_t Queued = QueueMemory_.bytes() + Frame.size();
+  if (Queued > MaxQueuedBytes || !QueueMemory_.grow(Queued))
     return closeForMemory("link-overfull", "queued_bytes", Queued);
-  QueuedBytes_ = Queued;
   BytesSent_ += Frame.size();
   Outgoing_.push_back(std::move(Frame));
   if (Writing_)
@@ -103,8 +102,7 @@
   logEvent(LogCategory::Process, spdlog::level::warn, Event,
            {{"address", formatEndpoint(Other)},
             {std::string(Name), std::to_string(Bytes)}});
-  if (Limits_.Memory_)
-    Limits_.Memory_->linkClosed();
+  Limits_.Memory_->linkClosed();
   Outgoing_.clear();
   Socket_.close(Ignored);
   SilenceTimer_.cancel();
@@ -122,8 +120,7 @@
     if (!Bytes)
       break;
     receive(*Bytes);
-    if (FrameMemory_)
-      FrameMemory_->set(0);
+    FrameMemory_.set(0);
   }
   fail();
 }
@@ -136,7 +133,10 @@
   while (Bytes.size() < Size) {
     std::size_t Read = Bytes.size();
     std::size_t Next = std::min(Size, std::max(FirstFrameMemory, 2 * Read));
-    if (!co_await awaitMemory(Next))
+    bool Held = FrameMemory_.grow(Next);
+    if (!Held)
+      Held = co_await awaitMemory(Next);
+    if (!Held)
       co_return std::nullopt;
     Bytes.resize(Next);
     auto Rest = asio::buffer(Bytes) + Read;
@@ -149,19 +149,13 @@
 }
 
 Awaitable<bool> FrameChannel::awaitMemory(std::size_t Bytes) {
-  if (!FrameMemory_)
-    co_return true;
-  asio::steady_timer Timer(Socket_.get_executor());
-  for (auto Waited = MemoryWaitStep * 0; !FrameMemory_->grow(Bytes);
-       Waited += MemoryWaitStep) {
-    if (Waited >= MaxMemoryWait || !Socket_.is_open()) {
-      closeForMemory("frame-refused", "bytes", Bytes);
-      co_return false;
-    }
-    Timer.expires_after(MemoryWaitStep);
-    co_await Timer.async_wait(asio::use_awaitable);
-  }
-  co_return true;
+  auto Take = [this, Bytes] { return FrameMemory_.grow(Bytes); };
+  auto IsOver = [this] { return !Socket_.is_open(); };
+  bool Held =
+      co_await waitForMemory(MaxMemoryWait, std::move(Take), std::move(IsOver));
+  if (!Held)
+    closeForMemory("frame-refused", "bytes", Bytes);
+  co_return Held;
 }
 
 Awaitable<error_code> FrameChannel::readAll(asio::mutable_buffer Target) {
@@ -213,9 +207,7 @@
     std::string Frame = std::move(Outgoing_.front());
     Outgoing_.pop_front();
     Error = co_await writeAll(Frame);
-    QueuedBytes_ -= Frame.size();
-    if (QueueMemory_)
-      QueueMemory_->set(QueuedBytes_);
+    QueueMemory_.set(QueueMemory_.bytes() - Frame.size());
   }
   Writing_ = false;
   if (Error)
@@ -272,7 +264,7 @@
       Incoming_->Checked_ = Now;
     // A peer that takes nothing holds the memory of the links to all others.
     if (Writing_ && Now - LastWritten_ > Timing_.Progress_) {
-      closeForMemory("link-stalled", "queued_bytes", QueuedBytes_);
+      closeForMemory("link-stalled", "queued_bytes", QueueMemory_.bytes());
       break;
     }
     if (!makesProgress(Now)) {
--- a/Source/Connection/FrameChannel.h
+++ b/Source/Connection/FrameChannel.h
@@ -52,16 +52,15 @@
     std::chrono::milliseconds Progress_{5000};
   };
   struct Limits {
-    /// For the frame that is being read, and for what waits to be sent; null:
-    /// there is no budget.
-    MemoryBudget *Memory_ = nullptr;
+    /// For the frame that is being read, and for what waits to be sent.
+    MemoryBudget *Memory_ = &MemoryBudget::unlimited();
     /// The longest frame that is read.
     std::size_t FrameBytes_ = MaxFrameBytes;
   };
 
   static std::shared_ptr<FrameChannel>
   create(boost::asio::ip::tcp::socket Socket, Hooks Callbacks, Timing Periods,
-         Limits Bounds = {nullptr, MaxFrameBytes});
+         Limits Bounds = {&MemoryBudget::unlimited(), MaxFrameBytes});
 
   /// Queues one encoded message. If the queue exceeds MaxQueuedBytes, the
   /// connection closes itself; Closed_ is then called later, not on the
@@ -95,8 +94,8 @@
   /// Reads a frame of \p Size bytes. The memory for it grows with what arrives.
   /// \returns nothing if the connection ends or has no memory for it.
   Awaitable<std::optional<std::string>> readBody(std::size_t Size);
-  /// \returns whether there is memory for \p Bytes of a frame, after a short
-  /// wait if need be.
+  /// Waits for the memory of \p Bytes of a frame. \returns false if there is
+  /// none in time.
   Awaitable<bool> awaitMemory(std::size_t Bytes);
   bool makesProgress(TimePoint Now);
   Awaitable<boost::system::error_code> writeAll(const std::string &Frame);
@@ -115,8 +114,8 @@
   Hooks Hooks_;
   Timing Timing_;
   Limits Limits_;
-  std::optional<MemoryUse> FrameMemory_;
-  std::optional<MemoryUse> QueueMemory_;
+  MemoryUse FrameMemory_;
+  MemoryUse QueueMemory_;
   std::optional<IncomingFrame> Incoming_;
   std::deque<std::string> Outgoing_;
   boost::asio::steady_timer SilenceTimer_;
@@ -125,7 +124,6 @@
   TimePoint LastWritten_;
   /// When the peer was last notified that a frame from it is arriving.
   TimePoint LastProgressSent_;
-  std::size_t QueuedBytes_ = 0;
   std::uint64_t BytesSent_ = 0;
   bool Writing_ = false;
 };
--- a/Source/Connection/MemoryBudget.h
+++ b/Source/Connection/MemoryBudget.h
@@ -72,7 +72,7 @@
   explicit MemoryBudget(std::size_t Limit, std::size_t WholeLimit = NoLimit)
       : Limit_(Limit), WholeLimit_(WholeLimit) {}
   /// \returns a budget without limits that lives as long as the process, for
-  /// servers that hold only what their own process sends.
+  /// what holds only bytes of its own process.
   static MemoryBudget &unlimited();
   /// Called once, before the first use.
   void onLevelChanged(LevelChanged Hook) { LevelChanged_ = std::move(Hook); }
--- a/Source/Process/Membership/PeerNetwork.cpp
+++ b/Source/Process/Membership/PeerNetwork.cpp
@@ -173,8 +173,9 @@
     Target.Channel_->send(std::move(Message));
     return;
   }
+  bool IsOpening = Target.Overfull_ || !Target.Queued_.empty();
   queue(Target, std::move(Message));
-  if (!std::exchange(Target.Opening_, true))
+  if (!IsOpening)
     open(To);
 }
 
@@ -183,14 +184,11 @@
 void PeerNetwork::queue(Link &Target, std::string Message) {
   if (Target.Overfull_)
     return;
-  if (Options_.Memory_ && !Target.Memory_)
-    Target.Memory_ =
-        std::make_unique<MemoryUse>(*Options_.Memory_, MemoryOwner::PeerFrames);
-  std::size_t Bytes = Target.QueuedBytes_ + Message.size();
-  Target.Overfull_ = Bytes > MaxQueuedBytes ||
-                     (Target.Memory_ && !Target.Memory_->grow(Bytes));
+  if (!Target.Memory_)
+    Target.Memory_.emplace(*Options_.Memory_, MemoryOwner::PeerFrames);
+  std::size_t Bytes = Target.Memory_->bytes() + Message.size();
+  Target.Overfull_ = Bytes > MaxQueuedBytes || !Target.Memory_->grow(Bytes);
   if (!Target.Overfull_) {
-    Target.QueuedBytes_ = Bytes;
     Target.Queued_.push_back(std::move(Message));
     return;
   }
@@ -235,7 +233,6 @@
   for (std::string &Message : Target.Queued_)
     Target.Channel_->send(std::move(Message));
   Target.Queued_.clear();
-  Target.QueuedBytes_ = 0;
 }
 
 void PeerNetwork::linkDown(const VmId &To) {
--- a/Source/Process/Membership/PeerNetwork.h
+++ b/Source/Process/Membership/PeerNetwork.h
@@ -29,8 +29,8 @@
     /// that still has not at the sixth time is closed: counted so, a pause of
     /// this process closes none whose name is there to be read.
     std::chrono::milliseconds HelloCheck_{500};
-    /// For what all links hold; null: there is no budget.
-    MemoryBudget *Memory_ = nullptr;
+    /// For what all links hold.
+    MemoryBudget *Memory_ = &MemoryBudget::unlimited();
   };
   struct Hooks {
     /// Called with a message on a link that \p From opened.
@@ -67,9 +67,7 @@
     std::shared_ptr<FrameChannel> Channel_;
     /// What waits for the connection, and its memory.
     std::vector<std::string> Queued_;
-    std::size_t QueuedBytes_ = 0;
-    std::unique_ptr<MemoryUse> Memory_;
-    bool Opening_ = false;
+    std::optional<MemoryUse> Memory_;
     /// Something that waited was dropped: the link is given up once connected.
     bool Overfull_ = false;
   };
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -678,7 +678,7 @@
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
   ${U}Connection '*frame of which single bytes come*'
 mutate links-together $S/Connection/FrameChannel.cpp \
-  's/QueueMemory_ && !QueueMemory_->grow\(Queued\)/false/' \
+  's/!QueueMemory_\.grow\(Queued\)/false/' \
   ${U}Connection '*waits on all links is bounded together*'
 mutate link-name $S/Process/Membership/PeerNetwork.cpp \
   's/bool Closed = \+\+Known\.Checks_ >= MaxHelloChecks;/bool Closed = false;/' \
@@ -687,7 +687,7 @@
   's/limits\(MaxHelloBytes\)/limits(MaxFrameBytes)/' \
   ${U}PeerNetwork '*before its name*'
 mutate opening-queue $S/Process/Membership/PeerNetwork.cpp \
-  's/Target\.Memory_ && !Target\.Memory_->grow\(Bytes\)/false/' \
+  's/!Target\.Memory_->grow\(Bytes\)/false/' \
   ${U}PeerNetwork '*waits for a link to open*'
 mutate body-by-head $S/Connection/HttpServer.cpp \
   's/auto Refusal = Check \? Check\(Request_\) : std::nullopt;/std::optional<Failure> Refusal;/' \
--- a/UnitTests/Connection/FrameChannelTest.cpp
+++ b/UnitTests/Connection/FrameChannelTest.cpp
@@ -72,7 +72,8 @@
 class OneEnd {
 public:
   explicit OneEnd(bool Awaiting, milliseconds Heartbeat = milliseconds(20),
-                  FrameChannel::Limits Bounds = {nullptr, MaxFrameBytes},
+                  FrameChannel::Limits Bounds = {&MemoryBudget::unlimited(),
+                                                 MaxFrameBytes},
                   milliseconds Progress = std::chrono::seconds(5))
       : Periods_{Heartbeat, milliseconds(70), Progress} {
     Tcp::acceptor Acceptor(Context_, {asio::ip::make_address("127.0.0.1"), 0});
@@ -307,8 +308,8 @@
 TEST_CASE("a frame of which single bytes come ends its link") {
   // Guards against a frame that holds its memory for as long as its sender
   // likes: it is never silent.
-  OneEnd Test(false, milliseconds(5), {nullptr, MaxFrameBytes},
-              milliseconds(50));
+  OneEnd Test(false, milliseconds(5),
+              {&MemoryBudget::unlimited(), MaxFrameBytes}, milliseconds(50));
   std::string Frame = makeLongFrame(300000);
   std::size_t Sent = 0;
   boost::system::error_code Ended;
@@ -339,8 +340,8 @@
 
 TEST_CASE("a link to a peer that takes nothing is closed") {
   // Guards against one peer that holds the memory of the links to all others.
-  OneEnd Test(false, milliseconds(5), {nullptr, MaxFrameBytes},
-              milliseconds(50));
+  OneEnd Test(false, milliseconds(5),
+              {&MemoryBudget::unlimited(), MaxFrameBytes}, milliseconds(50));
   for (int Sent = 0; Sent < 7; ++Sent)
     Test.End_->send(makeLongMessage(1000000));
   Test.runUntil([&] { return Test.Closed_; });
