CallerService: readiness and the need of a key are decided once

checkHead() wrote down again what check() and checkForwarded() decide: whether requests are served now, and whether a route needs a key.

--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -33,8 +33,8 @@
   std::uint32_t MemoryMb_ = 0;
   /// The memory at which the platform ends the process; 0: that of the VM.
   double ProcessMemoryMb_ = 0;
-  /// Memory for bodies of requests, and as much for answers, that are held
-  /// whole, in MB; 0: an eighth of the memory.
+  /// Memory for bodies of requests, as much for answers, and as much for
+  /// messages of other daemons, in MB; 0: an eighth of the memory.
   std::uint32_t WholeMessagesMb_ = 0;
   /// Daemons to join while the platform is unavailable.
   std::vector<Endpoint> SeedPeers_;
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -79,6 +79,12 @@
   return Key.empty() ? nullptr : Known.customerByKeyDigest(sha256Hex(Key));
 }
 
+/// \returns whether only customers may use a route.
+bool needsKey(const Route &Target, const Document &Known) {
+  const auto &Rule = Target.Forwarding_;
+  return !Rule || !(Rule->Anonymous_ || Known.Customers_.empty());
+}
+
 } // namespace
 
 CallerService::CallerService(RequestServices Services,
@@ -128,10 +134,8 @@
 }
 
 std::optional<Verdict> CallerService::check(RequestContext &Context) {
-  if (!IsReady_())
-    return refused(ResultCode::NotReady);
-  if (Services_.Freshness_.overdue(BootClock::now()))
-    return refused(ResultCode::ConfigurationStale, "a newer one is overdue");
+  if (auto Cause = checkServing())
+    return refused(Cause->Code_, std::move(Cause->Detail_));
   if (auto Refusal = checkRoute(Context))
     return Refusal;
   if (Context.Route_->Forwarding_)
@@ -186,11 +190,17 @@
   return Fresh ? Code : ResultCode::ConfigurationStale;
 }
 
-std::optional<Failure> CallerService::checkHead(const HttpRequest &Head) const {
+std::optional<Failure> CallerService::checkServing() const {
   if (!IsReady_())
     return Failure{ResultCode::NotReady, ""};
   if (Services_.Freshness_.overdue(BootClock::now()))
     return Failure{ResultCode::ConfigurationStale, "a newer one is overdue"};
+  return std::nullopt;
+}
+
+std::optional<Failure> CallerService::checkHead(const HttpRequest &Head) const {
+  if (auto Cause = checkServing())
+    return Cause;
   auto Snapshot = Services_.Documents_.snapshot();
   const std::string &Host = Head.field("host");
   const ServiceConfiguration *Service = Snapshot->serviceForHost(Host);
@@ -199,9 +209,7 @@
   if (!Found)
     return Failure{codeIfFresh(ResultCode::NoRoute), "no route matches"};
   const Document &Known = *Service->Document_;
-  bool NeedsKey = !Found->Forwarding_ ||
-                  !(Found->Forwarding_->Anonymous_ || Known.Customers_.empty());
-  if (NeedsKey && !customerOf(Known, Head))
+  if (needsKey(*Found, Known) && !customerOf(Known, Head))
     return Failure{codeIfFresh(ResultCode::UnknownCustomer), ""};
   return std::nullopt;
 }
@@ -228,7 +236,7 @@
   Context.PromptTokens_ = Context.Call_.Prompt_.value_or(Tokens(0));
   Context.AnswerTokens_ = Context.Call_.MaxAnswer_.value_or(Tokens(0));
   Context.Prefix_ = prefixHashes(Context.Call_.Parts_);
-  if (Rule.Anonymous_ || Context.document().Customers_.empty())
+  if (!needsKey(*Context.Route_, Context.document()))
     return std::nullopt;
   std::string_view Key = bearerKey(Request);
   if (Key.empty())
--- a/Source/Request/CallerService.h
+++ b/Source/Request/CallerService.h
@@ -25,6 +25,8 @@
   std::optional<Verdict> check(RequestContext &Context);
   std::optional<Verdict> checkRoute(RequestContext &Context) const;
   std::optional<Verdict> checkForwarded(RequestContext &Context);
+  /// \returns why no request is served now.
+  std::optional<Failure> checkServing() const;
   ResultCode codeIfFresh(ResultCode Code) const;
   Verdict refusedIfFresh(ResultCode Code, std::string Detail) const;
   const Pool *choosePool(const RequestContext &Context) const;
