--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -422,9 +422,10 @@
 TEST_CASE("a stream without end ends at its deadline") {
   // Guards against a request that never ends, as its server sends all the time.
   constexpr std::size_t ManyBytes = 64 * 1024 * 1024;
+  const std::string Event = eventChunk(1, "one of many");
   std::string Events;
   while (Events.size() < ManyBytes)
-    Events += eventChunk(1, "one of many");
+    Events += Event;
   auto Wanted = stream(false);
   Wanted.Timeout_ = std::chrono::milliseconds(100);
   ForwardingHarness Path(
