JsonNesting: one check of the depth of a JSON text, before it is parsed

Bodies and configurations each had a check of their own within the parser's callback, which is called for each value; the depth of the text says the same without a parse. Mutations levels-of-body and nested-configuration follow.

--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -1,6 +1,7 @@
 #include "Request/CallerService.h"
 
 #include "Common/Hash.h"
+#include "Common/JsonNesting.h"
 #include "Common/Log.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Request/ForwardedCall.h"
@@ -30,22 +31,14 @@
 
 /// Maximum nesting depth of a JSON body. The schemas of tools, the deepest part
 /// of regular requests, nest by 10 to 20 levels.
-constexpr int MaxNestingDepth = 100;
+constexpr std::size_t MaxNestingDepth = 100;
 
-/// Parses a JSON body and rejects excessive nesting. The JSON library copies
-/// and writes values recursively, so that a body of deeply nested arrays would
-/// overflow the stack and crash the process with all its requests (seen as a
-/// segmentation fault below hundreds of frames of the library).
 /// \returns a value that is not an object when \p Text is not a JSON object or
 /// is nested too deeply.
 Json parseBody(const std::string &Text) {
-  bool TooDeep = false;
-  auto WithinLimit = [&TooDeep](int Level, Json::parse_event_t, Json &) {
-    TooDeep |= Level > MaxNestingDepth;
-    return !TooDeep;
-  };
-  Json Body = Json::parse(Text, WithinLimit, /*allow_exceptions=*/false);
-  return TooDeep ? Json() : Body;
+  if (nestsDeeperThan(Text, MaxNestingDepth))
+    return {};
+  return Json::parse(Text, nullptr, /*allow_exceptions=*/false);
 }
 
 /// Concatenates all messages of a chat, in order, into one prompt.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -235,7 +235,7 @@
   's/~ConnectionCloser\(\) \{ Stream_\.close\(\); \}/~ConnectionCloser() {}/' \
   ${U}Connection "*looks out for its caller's end closes*"
 mutate levels-of-body $S/Request/CallerService.cpp \
-  's/TooDeep \|= Level > MaxNestingDepth;/TooDeep |= Level > 1000 * MaxNestingDepth * 1000;/' \
+  's/nestsDeeperThan\(Text, MaxNestingDepth\)/false/' \
   ${U}Request '*nests deeply is refused*'
 mutate small-confirmation $S/Process/Configuration/StoreFollower.cpp \
   's/std::string Prefix = ownKey\(\);/std::string Prefix = View_.layout().ConfigurationKey_;/' \
@@ -720,7 +720,7 @@
   's/return \+\+Depth_ <= MaxDepth;/++Depth_; return true;/' \
   ${U}platform '*deeply nested configuration*'
 mutate nested-configuration platform/Configuration.cpp \
-  's/\(Begins && Level >= MaxNestingDepth\)/false/' \
+  's/nestsDeeperThan\(Text, MaxNestingDepth\)/false/' \
   ${U}platform '*deeply nested configuration*'
 mutate events-at-once $S/Process/Keeping/EngineMonitor.cpp \
   's/if \(HasEvents && !State\.ReadsEvents_\)/if (HasEvents)/' \
