RetryBudget: token buckets whose sum over the fleet is bounded in any window

Callers' view: at a pool that fails or refuses, more requests came a second time than a fifth of its requests and the allowance permit: load on servers that fail already.

Cause: each daemon counted its own requests and repeats in a sliding window and divided the allowance by the daemons that it took for alive. A process that started again had forgotten its repeats; slots of a second forgot too early; a daemon that saw no other took the whole allowance; repeats that waited arrived together; requests that moved between daemons counted twice.

Now a token bucket for each pool at each daemon, empty at the start; a repeat that waits takes up depth; the allowance is divided by all daemons that are listed or were known lately. Lines and metrics say what was wanted, allowed and refused.

--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -332,6 +332,8 @@
 Awaitable<void> SoakEnvironment::serve(Engine &Self, HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   std::string CallId = Request.field("x-samphireshunt-request-id");
+  if (!Arrived_.insert(CallId).second)
+    Repeats_.push_back(steady_clock::now());
   if (Self.Crashed_)
     co_return Exchange.abort();
   HttpResponse Answer;
@@ -1360,10 +1362,38 @@
                          ": ran after the revocation bound of its key");
 }
 
+/// The sum over all daemons, with the limits that a daemon has unless they are
+/// set: callers see it as load on servers that fail already.
+void SoakEnvironment::checkRepeats(std::vector<std::string> &Violations) const {
+  constexpr std::chrono::seconds Window{10};
+  constexpr double Ratio = 0.2;
+  constexpr double Allowance = 10;
+  std::vector<Time> Sent;
+  std::ranges::transform(SentAt_, std::back_inserter(Sent),
+                         [](const auto &Item) { return Item.second; });
+  std::ranges::sort(Sent);
+  auto CountFrom = [&](const std::vector<Time> &Times, Time From) {
+    auto First = std::ranges::lower_bound(Times, From);
+    return std::ranges::lower_bound(First, Times.end(), From + Window) - First;
+  };
+  for (Time From : Repeats_) {
+    auto Requests =
+        std::max({CountFrom(Sent, From), CountFrom(Sent, From - Window),
+                  CountFrom(Sent, From - Window / 2)});
+    double Allowed = Ratio * static_cast<double>(Requests) + Allowance;
+    auto Count = CountFrom(Repeats_, From);
+    if (static_cast<double>(Count) > Allowed)
+      return Violations.push_back(
+          fmt::format("{} repeats in {} s for {} requests; allowed {:.1f}",
+                      Count, Window.count(), Requests, Allowed));
+  }
+}
+
 std::vector<std::string> SoakEnvironment::violations() {
   std::vector<std::string> Violations;
   run([&] {
     Violations = Violations_;
+    checkRepeats(Violations);
     checkCrashes(Violations);
     checkCrashingParts(Violations);
     checkVersions(Violations);
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -266,6 +266,7 @@
                   std::vector<std::string> &Violations) const;
   /// Checks how often requests that crash engines reached engines.
   void checkCrashes(std::vector<std::string> &Violations) const;
+  void checkRepeats(std::vector<std::string> &Violations) const;
   /// \returns whether an engine that began to leave at \p Since may still get
   /// the call: the daemon of the call was paused before it had to know this and
   /// has resumed only recently.
@@ -286,6 +287,9 @@
   std::vector<SoakCall> Calls_;
   std::vector<SoakRun> Runs_;
   std::map<std::string, std::size_t> RunCounts_;
+  std::set<std::string> Arrived_; ///< Ids of calls that reached an engine.
+  /// When calls reached an engine once more, in order.
+  std::vector<Time> Repeats_;
   std::map<std::string, std::string> CustomerByKey_; ///< Customer names by key.
   std::set<std::string> ActiveKeys_;
   std::map<std::string, Time> Revoked_;
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -122,6 +122,8 @@
   /// True if the service has an entry of that daemon. Known only to a daemon
   /// that reads the service.
   bool hasDaemon(const VmId &Daemon) const { return Daemons_.contains(Daemon); }
+  /// The daemons that have an entry. Known as hasDaemon().
+  const std::set<VmId> &daemons() const { return Daemons_; }
   /// Unset until an era has begun during the life of this process.
   const std::optional<EraStart> &eraStart() const { return EraStart_; }
   /// Version of the active configuration; 0 if there is none.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace samphireshunt {
 
@@ -188,6 +189,7 @@
   RetryBudget_ = std::make_unique<RetryBudget>(Budget);
   Claims_ = std::make_unique<ClaimStore>(Platform_, ClaimStore::Options());
 }
+  Budget.Started_ = steady_clock::now();
 
 Daemon::~Daemon() = default;
 
@@ -576,6 +578,7 @@
   if (Address)
     return Membership_->join(*Address);
   logEvent(LogCategory::Membership, spdlog::level::err, "bad-address",
+  scheduleRefresh();
            {{"member", Id.str()}, {"detail", Address.error().Detail_}});
 }
 
@@ -623,13 +626,6 @@
              Other.Status_ != MemberStatus::Dead;
     });
   };
-  auto FleetSize = [this] {
-    auto Known = MemberSnapshot_.read();
-    auto Alive = std::ranges::count_if(*Known, [](const Member &Other) {
-      return Other.Status_ != MemberStatus::Dead;
-    });
-    return static_cast<std::size_t>(Alive) + 1;
-  };
   return {Documents_,
           *Grants_,
           *Claims_,
@@ -644,7 +640,6 @@
           Freshness_,
           *RetryBudget_,
           [this](const ForwardingRule &Rule) { return hasTimeFor(Rule); },
-          FleetSize,
           *Origins_,
           Memory_,
           schedulingOptions(Settings_).SuspendStreams_};
@@ -939,11 +934,22 @@
     Grants_->rebind();
   });
 }
+    RetryBudget_->noteFleetSize(knownDaemons(), steady_clock::now());
 
 void Daemon::onVmsListed(const std::vector<ListedVm> &Listed) {
   std::set<Endpoint> Leaving;
   std::set<VmId> Daemons;
   for (const ListedVm &Vm : Listed) {
+/// \returns the number of daemons that may be running: those that are listed,
+/// and those that this one has heard of and that may only be cut off.
+std::size_t Daemon::knownDaemons() const {
+  std::set<VmId> Known = View_ ? View_->daemons() : ListedDaemons_;
+  Known.insert(Settings_.Vm_);
+  std::ranges::transform(Members_->others(), std::inserter(Known, Known.end()),
+                         &Member::Id_);
+  return Known.size();
+}
+
     auto Address = parseEndpoint(Vm.Address_);
     if (!Address)
       continue;
@@ -957,7 +963,9 @@
       Membership_->join(*Address);
   }
   Members_->forgetDead([&](const VmId &Id) { return Daemons.contains(Id); });
-  bool Changed = Documents_.snapshot()->LeavingAddresses_ != Leaving;
+  bool Changed = Documents_.snapshot()->LeavingAddresses_ != Leaving ||
+                 ListedDaemons_ != Daemons;
+  ListedDaemons_ = std::move(Daemons);
   Documents_.setLeavingAddresses(std::move(Leaving));
   if (Changed)
     scheduleRefresh();
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -30,6 +30,7 @@
 #include <filesystem>
 #include <memory>
 #include <optional>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -85,6 +86,7 @@
   Result<void> wireRelay();
   Awaitable<RelayedSocket> openForRelay(RelayTarget Target);
   std::vector<RelayCandidate> relayCandidates() const;
+  std::size_t knownDaemons() const;
   void wireMembership(Udp::socket Datagrams);
   void wireKeeper();
   void wireConfiguration();
@@ -186,6 +188,8 @@
   std::unique_ptr<KeeperService> Keeper_;
   std::unique_ptr<GrantClient> Grants_;
   VersionTimeline VersionTimeline_;
+  /// The daemons that the platform lists, where it has no store view.
+  std::set<VmId> ListedDaemons_;
   std::unique_ptr<StreamOriginService> Origins_;
   std::unique_ptr<EngineMonitor> Engines_;
   /// Synchronizes the product's own documents; unset if the configuration comes
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -173,6 +173,10 @@
                     static_cast<double>(Memory_.readersEnded()));
   Metrics_.setGauge("bodies_refused",
                     static_cast<double>(Memory_.bodiesRefused()));
+  Metrics_.setGauge("repeats_allowed",
+                    static_cast<double>(RetryBudget_->allowedInAll()));
+  Metrics_.setGauge("repeats_refused",
+                    static_cast<double>(RetryBudget_->refusedInAll()));
   Metrics_.setGauge("members_restarted_unannounced",
                     static_cast<double>(RestartedMembers_));
   Metrics_.setGauge("links_closed_for_memory",
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <array>
 #include <exception>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -174,6 +175,9 @@
     HttpConnection &Connection = *Ready_.Connection_;
     Connection.acceptUnframed();
     HttpRequest Request = forwardedRequest();
+    if (Repeat_)
+      Repeat_->sent();
+    Repeat_.reset();
     auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return failed(Sent.error());
@@ -245,16 +249,47 @@
   /// \returns whether the budget for repeated sends allows one more, and takes
   /// it.
   bool mayRepeat() {
-    return Context_.Services_.RetryBudget_.tryRetry(
-        Context_.Pool_->Name_, Context_.Services_.FleetSize_(),
-        steady_clock::now());
+    if (Repeat_)
+      return true;
+    auto Allowed = Context_.Services_.RetryBudget_.tryRetry(
+        Context_.Pool_->Name_, steady_clock::now());
+    if (Allowed)
+      Repeat_.emplace(std::move(*Allowed));
+    else
+      logRefusedRepeat();
+    return Repeat_.has_value();
+  }
+
+  /// \returns what the budget of repeats of the request's pool is based on.
+  LogFields repeatFields() const {
+    RetryAccount Account = Context_.Services_.RetryBudget_.account(
+        Context_.Pool_->Name_, steady_clock::now());
+    return {{"pool", Context_.Pool_->Name_.str()},
+            {"window_requests", fmt::format("{}", Account.Requests_)},
+            {"repeat_tokens", fmt::format("{:.1f}", Account.Tokens_)},
+            {"repeats_reserved", fmt::format("{}", Account.Reserved_)},
+            {"repeat_depth", fmt::format("{:.1f}", Account.Depth_)},
+            {"daemons", fmt::format("{}", Account.Daemons_)}};
+  }
+
+  void logRefusedRepeat() const {
+    constexpr std::uint32_t LinesPerSecond = 5;
+    thread_local LogSampler Sampler(LinesPerSecond);
+    auto Dropped = Sampler.admit(0, steady_clock::now());
+    if (!Dropped)
+      return;
+    LogFields Fields = {{"request", Context_.Id_.str()},
+                        {"call", Context_.Call_.CallId_},
+                        {"dropped", std::to_string(*Dropped)}};
+    std::ranges::copy(repeatFields(), std::back_inserter(Fields));
+    logEvent(LogCategory::Request, spdlog::level::info, "repeat-refused",
+             Fields);
   }
 
   /// The same without taking the repeat.
   bool hasRepeat() const {
-    return Context_.Services_.RetryBudget_.hasRetry(
-        Context_.Pool_->Name_, Context_.Services_.FleetSize_(),
-        steady_clock::now());
+    return Context_.Services_.RetryBudget_.hasRetry(Context_.Pool_->Name_,
+                                                    steady_clock::now());
   }
 
   /// Called when a stream has ended without its end. \returns true if that is
@@ -324,9 +359,11 @@
   /// Frees what an order to stop the run may leave after the run has ended in
   /// another way.
   void releaseStopped() {
-    if (Suspension_)
-      Suspension_->abandon();
+    if (!Suspension_)
+      return;
+    Suspension_->abandon();
     Suspension_.reset();
+    Repeat_.reset();
   }
 
   HttpRequest forwardedRequest() {
@@ -693,14 +730,16 @@
   }
 
   void logRetry(AttemptEnd Ended) const {
+    LogFields Fields = {
+        {"request", Context_.Id_.str()},
+        {"call", Context_.Call_.CallId_},
+        {"server", Ready_.Server_.Name_.str()},
+        {"version", Ready_.Server_.Version_.str()},
+        {"code", std::to_string(static_cast<int>(LastFailure_.Code_))},
+        {"detail", LastFailure_.Detail_}};
+    std::ranges::copy(repeatFields(), std::back_inserter(Fields));
     logEvent(LogCategory::Request, spdlog::level::info,
-             Ended == AttemptEnd::Broken ? "resumed" : "repeated",
-             {{"request", Context_.Id_.str()},
-              {"call", Context_.Call_.CallId_},
-              {"server", Ready_.Server_.Name_.str()},
-              {"version", Ready_.Server_.Version_.str()},
-              {"code", std::to_string(static_cast<int>(LastFailure_.Code_))},
-              {"detail", LastFailure_.Detail_}});
+             Ended == AttemptEnd::Broken ? "resumed" : "repeated", Fields);
   }
 
   Verdict verdictAfter(AttemptEnd Ended) const {
@@ -714,6 +753,7 @@
   /// or allowed.
   Awaitable<void> finish(Verdict Ended) {
     releaseKept();
+    Repeat_.reset();
     if (HeadSent_) {
       // What came whole reaches the caller before the end that is missing.
       if (!CallerLeft_)
@@ -758,6 +798,8 @@
   std::shared_ptr<AnswerWriter> Writer_;
   /// Where the memory of the run is that the next dispatch goes on with.
   std::optional<MemoryLocation> Memory_;
+  /// The repeat that was allowed and is not sent yet.
+  std::optional<RetryReservation> Repeat_;
   Failure LastFailure_;
   /// As in AnswerLabels, of the last dispatch; 0 if unknown.
   std::uint32_t WorkTimePercent_ = 0;
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -73,8 +73,6 @@
   /// \returns false for a request that the shutdown of this daemon would
   /// interrupt.
   std::function<bool(const ForwardingRule &)> HasTimeFor_;
-  /// \returns the number of live daemons, this one included.
-  std::function<std::size_t()> FleetSize_;
   StreamOriginService &Origins_;
   MemoryBudget &Memory_;
   /// Keepers may ask to suspend streams.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -674,6 +674,18 @@
 mutate silent-stays $S/Request/ForwardedCall.cpp \
   's/bool KnowsPlace = .*?;/bool KnowsPlace = true;/' \
   ${U}Request '*stays at its silent server*'
+mutate retry-empty-start $S/Request/RetryBudget.h \
+  's/Refilled_\(Started\)/Refilled_()/' \
+  UnitTests/UnitTests_Request '*begins with an empty budget*'
+mutate retry-reserved $S/Request/RetryBudget.cpp \
+  's/Account\.Depth_ - Locked\.Reserved_/Account.Depth_/' \
+  UnitTests/UnitTests_Request '*sent all at once*'
+mutate retry-share $S/Request/RetryBudget.cpp \
+  's/Fleet_\.Smaller_ = std::max<std::size_t>\(1, Daemons\);/Fleet_.Daemons_ = Daemons;/' \
+  UnitTests/UnitTests_Request '*loses sight of the others*'
+mutate retry-depth $S/Request/RetryBudget.cpp \
+  's/RequestsAtOnce = 0\.3;/RequestsAtOnce = 1.0;/' \
+  UnitTests/UnitTests_Request '*move from one daemon*'
 mutate frame-progress $S/Connection/FrameChannel.cpp \
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
   ${U}Connection '*frame of which single bytes come*'
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -430,7 +430,6 @@
           Lease_,
           RetryBudget_,
           [this](const ForwardingRule &) { return !Draining_; },
-          [] { return std::size_t{1}; },
           *Origins_,
           Memory_};
 }
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -157,7 +157,6 @@
             Lease_,
             RetryBudget_,
             [](const ForwardingRule &) { return true; },
-            [] { return std::size_t{1}; },
             Origins_,
             Memory_};
   }
