VersionTimeline: a version may have come and gone while the list was not current

Callers' view: a stream that is taken up goes on at another version than the one that began it. Found by reading: a daemon asked how old its list of servers is now, not whether it was current all the while since the stream may have begun. A version that registered, served and left while the store was unreachable left no trace. TakenUpStreamsTest kills all daemons four times while two versions serve.

--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -177,6 +177,10 @@
   /// Counts the calls that were sent to a daemon since \p Begin and have ended.
   SoakCount countCalls(std::size_t Daemon,
                        std::chrono::steady_clock::time_point Begin);
+
+  /// \returns descriptions of the calls for which \p Matches is true.
+  std::vector<std::string>
+  callsThat(const std::function<bool(const SoakCall &)> &Matches);
   SoakTakeUps takeUps();
   std::size_t answered();
   std::size_t callCount();
@@ -184,10 +188,6 @@
 private:
   struct Engine;
   using Time = std::chrono::steady_clock::time_point;
-
-  /// \returns descriptions of the calls for which \p Matches is true.
-  std::vector<std::string>
-  callsThat(const std::function<bool(const SoakCall &)> &Matches);
   /// Runs \p Work on the thread of this object and waits until it is done.
   void run(std::function<void()> Work);
   Engine &addEngine(const std::string &Version);
--- a/FailureTests/platform/TakenUpStreamsTest.cpp
+++ b/FailureTests/platform/TakenUpStreamsTest.cpp
@@ -58,3 +58,33 @@
   // At least half as often as new streams begin.
   CHECK(2 * Counted.WentOn_ * Counted.New_ >= Counted.Begun_ * Counted.All_);
 }
+
+TEST_CASE("no stream changes its version after all daemons were killed") {
+  // Guards against streams of which no daemon knows any more where they began,
+  // and that go on at whatever version serves.
+  constexpr std::uint64_t Seed = 2;
+  constexpr int MinRounds = 4;
+  SoakEnvironment Environment(Seed, {"v1", "v2"});
+  SoakFleet Fleet(Seed, Environment, {});
+  auto Failed = probeUntilHealthy(Environment);
+  REQUIRE_MESSAGE(Failed.empty(), Failed.front());
+  Environment.startCallers(Callers);
+  std::this_thread::sleep_for(ContactTime);
+  auto TakenUp = [&] {
+    auto Found = Environment.callsThat(
+        [](const SoakCall &Call) { return !Call.First_.empty(); });
+    return Found.size();
+  };
+  auto End = steady_clock::now() + MaxRunTime;
+  for (int Round = 0; Round < MinRounds || TakenUp() < MinTakeUps; ++Round) {
+    REQUIRE(steady_clock::now() < End);
+    for (std::size_t Index = 0; Index < SoakFleet::Daemons; ++Index)
+      Fleet.kill(Index);
+    for (std::size_t Index = 0; Index < SoakFleet::Daemons; ++Index)
+      Fleet.start(Index);
+    std::this_thread::sleep_for(BetweenKills);
+  }
+  Environment.stopCallers();
+  auto Violations = Environment.violations();
+  CHECK_MESSAGE(Violations.empty(), Violations.front());
+}
--- a/Source/Process/Configuration/FreshnessLease.h
+++ b/Source/Process/Configuration/FreshnessLease.h
@@ -17,10 +17,12 @@
 public:
   /// \p Duration is how long a confirmation is valid; 0: forever. \p ApplyBound
   /// is how long a newer configuration may be known before the older one is
-  /// overdue; 0: forever.
+  /// overdue; 0: forever. Confirmations more than \p MaxGap apart leave open
+  /// what there was in between; 0: never.
   explicit FreshnessLease(BootClock::duration Duration,
-                          BootClock::duration ApplyBound = {})
-      : Duration_(Duration), ApplyBound_(ApplyBound) {}
+                          BootClock::duration ApplyBound = {},
+                          BootClock::duration MaxGap = {})
+      : Duration_(Duration), ApplyBound_(ApplyBound), MaxGap_(MaxGap) {}
 
   /// Renews the lease after the newest configuration was read by a call that
   /// was sent at \p SentAt. The time of reading proves nothing, since an answer
@@ -28,6 +30,9 @@
   void renew(BootTime SentAt) {
     auto Sent = SentAt.time_since_epoch().count();
     auto Known = ConfirmedAt_.load();
+    bool Gap = MaxGap_.count() > 0 && Sent - Known > MaxGap_.count();
+    if (Known == Never || Gap)
+      UnbrokenSince_.store(Sent);
     while (Known < Sent && !ConfirmedAt_.compare_exchange_weak(Known, Sent)) {
     }
   }
@@ -41,6 +46,11 @@
   BootTime confirmedAt() const {
     return BootTime(BootClock::duration(ConfirmedAt_.load()));
   }
+  /// The first of the confirmations that had no gap up to the last one; the
+  /// clock's epoch before the first.
+  BootTime unbrokenSince() const {
+    return BootTime(BootClock::duration(UnbrokenSince_.load()));
+  }
   /// Time since the last confirmation.
   BootClock::duration age(BootTime Now) const { return Now - confirmedAt(); }
 
@@ -72,7 +82,9 @@
   static constexpr BootClock::rep Never = 0;
   BootClock::duration Duration_;
   BootClock::duration ApplyBound_;
+  BootClock::duration MaxGap_;
   std::atomic<BootClock::rep> ConfirmedAt_ = Never;
+  std::atomic<BootClock::rep> UnbrokenSince_ = Never;
   std::atomic<BootClock::rep> NewerSince_ = Never;
 };
 
--- a/Source/Process/Streams/VersionTimeline.cpp
+++ b/Source/Process/Streams/VersionTimeline.cpp
@@ -31,9 +31,12 @@
 }
 
 std::optional<SoftwareVersion>
-VersionTimeline::onlyVersion(const PoolName &Pool, BootTime Since) const {
+VersionTimeline::onlyVersion(const PoolName &Pool, BootTime Since,
+                             BootTime CurrentSince) const {
   auto Found = Pools_.find(Pool);
-  if (Found == Pools_.end() || Found->second.Began_ > Since)
+  if (Found == Pools_.end())
+    return std::nullopt;
+  if (std::max(Found->second.Began_, CurrentSince) > Since)
     return std::nullopt;
   std::optional<SoftwareVersion> Only;
   for (const auto &[Version, Gone] : Found->second.Versions_) {
--- a/Source/Process/Streams/VersionTimeline.h
+++ b/Source/Process/Streams/VersionTimeline.h
@@ -16,9 +16,11 @@
   /// Notes all registered servers, also those that may get no requests.
   void note(const ServersByPool &Registered, BootTime Now);
   /// \returns the version of the pool's servers if there was only one from \p
-  /// Since until now; nothing if there were others, or if that is not known.
+  /// Since until now; nothing if there were others, or if that is not known:
+  /// note() has been told of all servers since \p CurrentSince.
   std::optional<SoftwareVersion> onlyVersion(const PoolName &Pool,
-                                             BootTime Since) const;
+                                             BootTime Since,
+                                             BootTime CurrentSince) const;
 
 private:
   struct PoolTimeline {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -44,6 +44,9 @@
 /// The list of servers tells that a pool has only one version while it is at
 /// most this old: no daemon sends requests to a new version any sooner.
 constexpr milliseconds DirectoryAge = VersionSelection::HoldTime;
+/// After a longer time without the list, a version may have served and left
+/// meanwhile. Confirmations are up to 3.2 s apart.
+constexpr milliseconds MaxDirectoryGap{4000};
 
 Incarnation newIncarnation() {
   auto Now = std::chrono::system_clock::now().time_since_epoch();
@@ -163,7 +166,7 @@
       Freshness_(Settings_.RevocationBound_.count() > 0
                      ? Settings_.RevocationBound_ - RevocationMargin
                      : milliseconds(0),
-                 applyTime(Settings_.ApplyBound_)),
+                 applyTime(Settings_.ApplyBound_), MaxDirectoryGap),
       Memory_(bufferBytes(Settings_.MemoryMb_), wholeMessageBytes(Settings_)),
       OperatorMemory_(0, OperatorBytes), Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
@@ -186,10 +189,10 @@
   Budget.Ratio_ = Settings_.RetryRatio_;
   Budget.Allowance_ = Settings_.ExtraRetries_;
   Budget.Window_ = Settings_.RetryWindow_;
+  Budget.Started_ = steady_clock::now();
   RetryBudget_ = std::make_unique<RetryBudget>(Budget);
   Claims_ = std::make_unique<ClaimStore>(Platform_, ClaimStore::Options());
 }
-  Budget.Started_ = steady_clock::now();
 
 Daemon::~Daemon() = default;
 
@@ -491,7 +494,8 @@
   BootTime Now = BootClock::now();
   if (Freshness_.age(Now) > DirectoryAge)
     return std::nullopt;
-  return VersionTimeline_.onlyVersion(Pool, Now - Within);
+  return VersionTimeline_.onlyVersion(Pool, Now - Within,
+                                      Freshness_.unbrokenSince());
 }
 
 void Daemon::wireRollouts() {
@@ -574,11 +578,11 @@
 void Daemon::onDaemonRegistered(const VmId &Id, const std::string &Text) {
   if (Id == Settings_.Vm_ || Members_->find(Id))
     return;
+  scheduleRefresh();
   auto Address = parseEndpoint(Text);
   if (Address)
     return Membership_->join(*Address);
   logEvent(LogCategory::Membership, spdlog::level::err, "bad-address",
-  scheduleRefresh();
            {{"member", Id.str()}, {"detail", Address.error().Detail_}});
 }
 
@@ -930,16 +934,12 @@
         std::make_shared<std::vector<Member>>(Members_->others()));
     RelayCandidates_.write(
         std::make_shared<std::vector<RelayCandidate>>(relayCandidates()));
+    RetryBudget_->noteFleetSize(knownDaemons(), steady_clock::now());
     Keeper_->refresh();
     Grants_->rebind();
   });
 }
-    RetryBudget_->noteFleetSize(knownDaemons(), steady_clock::now());
 
-void Daemon::onVmsListed(const std::vector<ListedVm> &Listed) {
-  std::set<Endpoint> Leaving;
-  std::set<VmId> Daemons;
-  for (const ListedVm &Vm : Listed) {
 /// \returns the number of daemons that may be running: those that are listed,
 /// and those that this one has heard of and that may only be cut off.
 std::size_t Daemon::knownDaemons() const {
@@ -950,6 +950,10 @@
   return Known.size();
 }
 
+void Daemon::onVmsListed(const std::vector<ListedVm> &Listed) {
+  std::set<Endpoint> Leaving;
+  std::set<VmId> Daemons;
+  for (const ListedVm &Vm : Listed) {
     auto Address = parseEndpoint(Vm.Address_);
     if (!Address)
       continue;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -581,8 +581,14 @@
   's/recordKeepers\(Key, others\(\), Options_\.Copies_\)/std::vector<VmId>()/' \
   ${U}Streams '*known at all others*'
 mutate origin-guessed $S/Process/Streams/VersionTimeline.cpp \
-  's/ \|\| Found->second\.Began_ > Since//' \
+  's/std::max\(Found->second\.Began_, CurrentSince\)/CurrentSince/' \
   ${U}Streams '*before a daemon knew the pool*'
+mutate origin-gap $S/Process/Streams/VersionTimeline.cpp \
+  's/std::max\(Found->second\.Began_, CurrentSince\)/Found->second.Began_/' \
+  ${U}Streams '*come and gone while the store was unreachable*'
+mutate confirmed-gap $S/Process/Configuration/FreshnessLease.h \
+  's/Known == Never \|\| Gap/Known == Never/' \
+  ${U}Process '*far apart leave open*'
 mutate origin-of-another $S/Process/Streams/StreamOrigins.cpp \
   's/if \(Known\.Origin_ != Origin\)/if (false)/' \
   ${U}Streams '*two streams of different versions*'
@@ -734,6 +740,9 @@
 mutate nested-configuration platform/Configuration.cpp \
   's/nestsDeeperThan\(Text, MaxNestingDepth\)/false/' \
   ${U}platform '*deeply nested configuration*'
+mutate evidence-now $S/Process/Rollout/VersionEvidence.cpp \
+  's/std::max\(Target\.Usual_\.rate\(\), Target\.Now_\.rate\(\)\)/Target.Usual_.rate()/' \
+  ${U}Rollout '*moment in which all versions are bad*'
 mutate events-at-once $S/Process/Keeping/EngineMonitor.cpp \
   's/if \(HasEvents && !State\.ReadsEvents_\)/if (HasEvents)/' \
   ${U}Process '*longer than a period are read once*'
@@ -752,8 +761,5 @@
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
-mutate evidence-now $S/Process/Rollout/VersionEvidence.cpp \
-  's/std::max\(Target\.Usual_\.rate\(\), Target\.Now_\.rate\(\)\)/Target.Usual_.rate()/' \
-  ${U}Rollout '*moment in which all versions are bad*'
 exit "$Missed"
 }
--- a/UnitTests/Process/Configuration/FreshnessLeaseTest.cpp
+++ b/UnitTests/Process/Configuration/FreshnessLeaseTest.cpp
@@ -63,3 +63,17 @@
   Lease.newerKnown(Start);
   CHECK_FALSE(Lease.overdue(Start + seconds(9)));
 }
+
+TEST_CASE("confirmations far apart leave open what there was in between") {
+  // Guards against an older answer, or one that was sent within the gap, that
+  // hides it.
+  FreshnessLease Lease(seconds(5), seconds(0), seconds(4));
+  CHECK(Lease.unbrokenSince() == BootTime());
+  Lease.renew(Start);
+  Lease.renew(Start + seconds(4));
+  Lease.renew(Start + seconds(1));
+  CHECK(Lease.unbrokenSince() == Start);
+  Lease.renew(Start + seconds(9));
+  Lease.renew(Start + seconds(6));
+  CHECK(Lease.unbrokenSince() == Start + seconds(9));
+}
