--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -1,6 +1,7 @@
 #include "Process/Keeping/KeeperService.h"
 
 #include "Connection/Spawn.h"
+#include "Process/Keeping/AllotmentShare.h"
 
 #include <fmt/format.h>
 
@@ -238,20 +239,12 @@
         scheduledCell({Name, Whole.Name_, Index});
 }
 
-/// Returns the fraction of an allotment that this daemon may grant. The keepers
-/// of a pool's cells don't know each other's counts, so each grants the
-/// fraction that corresponds to its fraction of the cells; if a keeper of two
-/// cells granted only one cell's share, the rest would be unused. A daemon that
-/// gets grant requests without being a keeper stands in for a keeper that may
-/// be granting as well, so it grants half of one cell's share.
 double
 KeeperService::allotmentShare(const ServiceConfiguration &Service) const {
-  constexpr double StandInFraction = 0.5;
   auto Found = ScheduledFractions_.find(Service.Document_->Service_);
   double Fraction = Found == ScheduledFractions_.end() ? 0 : Found->second;
-  if (Fraction == 0)
-    Fraction = StandInFraction / maxCellCount(Service);
-  return Hooks_.LiveShare_() * Fraction;
+  return samphireshunt::allotmentShare(Fraction, maxCellCount(Service),
+                                       Hooks_.LiveShare_());
 }
 
 std::optional<RefuseDecision>
