--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -674,12 +674,6 @@
 mutate link-takes-nothing $S/Connection/FrameChannel.cpp \
   's/if \(Writing_ && Now - LastWritten_ > Timing_\.Progress_\)/if (false)/' \
   ${U}Connection '*peer that takes nothing*'
-mutate link-part $S/Connection/MemoryBudget.cpp \
-  's/Bytes > WholeLimit_ \/ LinkParts/false/' \
-  ${U}Connection '*one link leaves room*'
-mutate silent-stays $S/Request/ForwardedCall.cpp \
-  's/bool KnowsPlace = .*?;/bool KnowsPlace = true;/' \
-  ${U}Request '*stays at its silent server*'
 mutate retry-empty-start $S/Request/RetryBudget.h \
   's/Refilled_\(Started\)/Refilled_()/' \
   UnitTests/UnitTests_Request '*begins with an empty budget*'
@@ -692,6 +686,12 @@
 mutate retry-depth $S/Request/RetryBudget.cpp \
   's/RequestsAtOnce = 0\.3;/RequestsAtOnce = 1.0;/' \
   UnitTests/UnitTests_Request '*move from one daemon*'
+mutate link-part $S/Connection/MemoryBudget.cpp \
+  's/Bytes > WholeLimit_ \/ LinkParts/false/' \
+  ${U}Connection '*one link leaves room*'
+mutate silent-stays $S/Request/ForwardedCall.cpp \
+  's/bool KnowsPlace = .*?;/bool KnowsPlace = true;/' \
+  ${U}Request '*stays at its silent server*'
 mutate frame-progress $S/Connection/FrameChannel.cpp \
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
   ${U}Connection '*frame of which single bytes come*'
