SlowCallerTest: the quick call begins once the slow answer has come

The slot is in use until then; the case is about the time after it. It now awaits that the whole answer is held (REQUIRE), and then expects the quick call's answer as before: a daemon that reads no further than its caller, or keeps the slot, fails either.

--- a/UnitTests/Request/SlowCallerTest.cpp
+++ b/UnitTests/Request/SlowCallerTest.cpp
@@ -76,7 +76,8 @@
   ForwardingHarness Path(oneSlot(RequestKind::Idempotent, 64 * LongAnswerBytes),
                          {plain});
   auto Slow = Path.beginUnread("slow", "long");
-  REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
+  // The slot is in use until the whole answer has come.
+  REQUIRE(Path.runUntil([&] { return answerBytes(Path) >= LongAnswerBytes; }));
   CHECK(Path.call("quick").body() == "b");
   CHECK(answerBytes(Path) > 0);
   Slow->Pause_->cancel();
