A stream leaves its silent server only with a repeat in hand

Callers' view: where a server with many streams stalls for a second or two, all of its resumable streams break off but as many as the budget of repeats permits, though the server goes on before their callers give up.

Cause: each stream looked at its last event whether a repeat was to be had, and took it only after it had closed the connection. With one token all left, and one went on.

Now SilenceWatch leaves once the repeat is reserved, and asks again until the caller gives the stream up. It keeps one timer an attempt instead of a look at the budget (a lock) and at the list of servers for each event.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -8,6 +8,7 @@
 #include "Request/ResumedStream.h"
 #include "Request/RunSuspension.h"
 #include "Request/ServerNotices.h"
+#include "Request/SilenceWatch.h"
 #include "Request/WaitPlan.h"
 
 #include <boost/asio/post.hpp>
@@ -116,6 +117,7 @@
       }
       Ready_ = std::move(std::get<ReadyServer>(Obtained));
       AttemptEnd Ended = co_await attempt();
+      Silence_.reset();
       co_await reportAttempt(Ended);
       goOnWithBackup(Ended);
       if (Ended != AttemptEnd::Suspended) {
@@ -181,9 +183,11 @@
     auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return failed(Sent.error());
+    watchSilence();
     auto Head = co_await Connection.readHead(headTimeout());
+    endRead();
     if (!Head)
-      co_return failed(Head.error());
+      co_return failed(readFailure(Head.error()));
     Context_.AnswerEnd_.KnownBy_ = Connection.bodyEnd();
     AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
     WorkTimePercent_ = Labels.WorkTimePercent_.value_or(0);
@@ -286,12 +290,6 @@
              Fields);
   }
 
-  /// The same without taking the repeat.
-  bool hasRepeat() const {
-    return Context_.Services_.RetryBudget_.hasRetry(Context_.Pool_->Name_,
-                                                    steady_clock::now());
-  }
-
   /// Called when a stream has ended without its end. \returns true if that is
   /// because its run was stopped, and it can go on.
   Awaitable<bool> wasSuspended() {
@@ -391,25 +389,65 @@
   /// Timeout for the head of the answer. A server that hangs must leave time
   /// for another one if the request may be retried.
   milliseconds headTimeout() const {
+    if (isStream())
+      return eventTimeout();
     auto Left = Context_.remaining();
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
-    if (Last || !Rule_.retryable())
-      return isStream() ? std::min(Left, endAfterSilence(Rule_)) : Left;
-    if (!isStream())
-      return Left / FirstAttemptDivisor;
-    return std::min(Left, hasRepeat() ? resumeAfterSilence(Rule_)
-                                      : endAfterSilence(Rule_));
+    return Last || !Rule_.retryable() ? Left : Left / FirstAttemptDivisor;
   }
 
   /// Timeout for the next event of a stream.
   milliseconds eventTimeout() const {
+    return std::min(Context_.remaining(), endAfterSilence(Rule_));
+  }
+
+  /// Begins to watch a server whose stream may go on at another one.
+  void watchSilence() {
     bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
-    // What can't go on elsewhere would only be broken off at a sound server.
+    if (!isStream() || !Rule_.Resumable_ || Last)
+      return;
+    Silence_ = SilenceWatch::create(Executor_, resumeAfterSilence(Rule_),
+                                    [this] { return leaveSilentServer(); });
+    beginRead();
+  }
+
+  void beginRead() {
+    if (Silence_)
+      Silence_->beginRead();
+  }
+
+  void endRead() {
+    if (Silence_)
+      Silence_->endRead();
+  }
+
+  /// Leaves a silent server if the stream may go on at another one. The repeat
+  /// is taken before that: a stream that left without one would be broken off
+  /// at a server that may be sound.
+  bool leaveSilentServer() {
+    auto Since = std::max(Dispatched_, Ready_.Connection_->lastReceived());
+    auto Silent = steady_clock::now() - Since;
+    bool InTime =
+        Silent < callerPatience(Rule_) && Context_.remaining() > MinTimeLeft;
     bool KnowsPlace = !HeadSent_ || Splitter_.lastId();
-    bool Move = Rule_.Resumable_ && !Last && KnowsPlace && hasRepeat() &&
-                couldGoOnElsewhere();
-    auto Timeout = Move ? resumeAfterSilence(Rule_) : endAfterSilence(Rule_);
-    return std::min(Context_.remaining(), Timeout);
+    if (Silent < resumeAfterSilence(Rule_) || !InTime || !KnowsPlace ||
+        !couldGoOnElsewhere() || !hasRepeat() || !mayRepeat())
+      return false;
+    Ready_.Connection_->close();
+    return true;
+  }
+
+  /// \returns whether mayRepeat() would allow one; takes nothing.
+  bool hasRepeat() const {
+    return Repeat_ || Context_.Services_.RetryBudget_.hasRetry(
+                          Context_.Pool_->Name_, steady_clock::now());
+  }
+
+  /// \returns the cause of a read that failed.
+  Failure readFailure(const Failure &Cause) const {
+    if (Silence_ && Silence_->left())
+      return {ResultCode::AnswerTimeout, "left after a silence"};
+    return Cause;
   }
 
   /// \returns whether another server is listed that may go on with the stream.
@@ -579,14 +617,16 @@
   /// the last complete one.
   Awaitable<AttemptEnd> relayEvents(HttpResponse Head) {
     while (true) {
+      beginRead();
       auto Received = co_await Ready_.Connection_->readSome(eventTimeout());
+      endRead();
       bool Stopped = !Received && co_await wasSuspended();
       if (Stopped) {
         Ready_.Connection_->close();
         co_return CallerLeft_ ? AttemptEnd::CallerLeft : AttemptEnd::Suspended;
       }
       if (!Received)
-        co_return failed(Received.error());
+        co_return failed(readFailure(Received.error()));
       if (Received->empty())
         break;
       auto Events = Splitter_.feed(*Received);
@@ -783,6 +823,8 @@
   std::vector<ServerName> TriedServers_;
   std::optional<HttpResponse> ServerErrorAnswer_;
   boost::asio::any_io_executor Executor_;
+  /// Of the current dispatch; null if its stream can't go on elsewhere.
+  std::shared_ptr<SilenceWatch> Silence_;
   /// The order to stop the current run; null if there is none.
   std::shared_ptr<RunSuspension> Suspension_;
   /// The memory of a suspended run, until the run goes on.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -692,6 +692,9 @@
 mutate silent-stays $S/Request/ForwardedCall.cpp \
   's/bool KnowsPlace = .*?;/bool KnowsPlace = true;/' \
   ${U}Request '*stays at its silent server*'
+mutate silent-leaves $S/Request/ForwardedCall.cpp \
+  's/ \|\| !hasRepeat\(\)\s+\|\| !mayRepeat\(\)//' \
+  ${U}Request '*without a repeat stay*'
 mutate frame-progress $S/Connection/FrameChannel.cpp \
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
   ${U}Connection '*frame of which single bytes come*'
--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -478,6 +478,34 @@
   CHECK(Path.received() == 2);
 }
 
+TEST_CASE("streams without a repeat stay at their silent server") {
+  // Guards against streams of a sound server that are all broken off for a
+  // silence, as the budget lets only one of them go on elsewhere.
+  constexpr int Streams = 3;
+  auto Answer = [](const std::string &Request, std::size_t) {
+    std::string Head = streamHead(fieldIn(Request, "x-call-id"));
+    std::string Rest = eventChunk(2, "b") + LastChunk;
+    if (!fieldIn(Request, "last-event-id").empty())
+      return Script{Head + Rest};
+    Script Silent{Head + eventChunk(1, "a")};
+    Silent.Silence_ = std::chrono::milliseconds(1900);
+    Silent.AfterSilence_ = Rest;
+    return Silent;
+  };
+  auto Wanted = stream(true);
+  // Seven tenths of it, and something for the requests, are there at once.
+  Wanted.Retries_.Allowance_ = 2;
+  ForwardingHarness Path(Wanted, {Answer, Answer});
+  std::vector<std::shared_ptr<CallerReply>> Replies;
+  for (int Number = 0; Number < Streams; ++Number)
+    Replies.push_back(Path.begin("c" + std::to_string(Number)));
+  CHECK(Path.runUntil(
+      [&] { return std::ranges::all_of(Replies, &CallerReply::Ended_); }));
+  for (const auto &Reply : Replies)
+    CHECK(Reply->hasLastChunk());
+  CHECK(Path.received() == Streams + 1);
+}
+
 TEST_CASE("a large body is decided by its head as other requests are") {
   // Guards against callers that are denied by the head what they would get, or
   // get what they would be denied.
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -190,6 +190,7 @@
     RunMemoryPolicy RunMemory_;
     /// Tells the keeper that requests of the route must not run twice.
     bool NonIdempotent_ = false;
+    RetryBudget::Options Retries_;
   };
 
   ForwardingHarness(Options Wanted, std::vector<ScriptOf> Servers);
@@ -256,7 +257,7 @@
   std::vector<std::unique_ptr<ScriptedServer>> Servers_;
   PlatformHooks NoPlatform_;
   ClaimStore Claims_{NoPlatform_, ClaimStore::Options()};
-  RetryBudget RetryBudget_{RetryBudget::Options()};
+  RetryBudget RetryBudget_{Options_.Retries_};
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
   PortState Links_ = PortState::Open;
