--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -281,7 +281,7 @@
   ${U}platform '*becomes a reader*'
 mutate patient-followers $S/Process/Configuration/PeerFollower.cpp \
   's/return Role_ == StoreRole::Spare && Service_\.paused\(\) &&/return false \&\&/' \
-  ${U}platform '*short outage of the service*'
+  ${U}ReaderOutage '*short outage of the service*'
 mutate overdue-refused $S/Request/CallerService.cpp \
   's/if \(Services_\.Freshness_\.overdue\(BootClock::now\(\)\)\)/if (false)/' \
   ${U}OverdueConfiguration '*without a key*'
