SilenceWatch: the interval is not that of a retry

A retry is a second send in this code; the constant is how soon a stream asks again. Name only; nine cases of Unit.Request on silence passed again.

--- a/Source/Request/SilenceWatch.cpp
+++ b/Source/Request/SilenceWatch.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// How soon a stream that may not leave yet asks again.
-constexpr std::chrono::milliseconds RetryInterval{100};
+constexpr std::chrono::milliseconds AskInterval{100};
 
 } // namespace
 
@@ -45,7 +45,7 @@
     return arm(Limit_ - Silent);
   Left_ = Leave_();
   if (!Left_)
-    arm(RetryInterval);
+    arm(AskInterval);
 }
 
 } // namespace samphireshunt
