A server that leaves while its connection opens gets no request

What callers and servers saw: a request could reach a server that the platform had reported as leaving or gone since the grant, up to 1.25 s later (a direct connection of 200 ms, then up to three relays of 350 ms). Cause: the newest list of servers was compared before the connection was opened; afterwards only for streams that go on. Now it is compared in both places for every request. Ruled out: it is not the cause of the DRAIN finding in which a server was granted 2.2 s after every daemon had written it off; that one isn't traced.

--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -456,8 +456,8 @@
       continue;
     }
     auto &Link = std::get<ServerLink>(Connected);
-    // Its entry may also have changed.
-    bool Fits = !Context.Origin_ || findServer(Context, Chosen.Name_);
+    // Its entry may have changed, or the server may have left meanwhile.
+    bool Fits = findServer(Context, Chosen.Name_).has_value();
     if (IsHeld() || !Fits) {
       Grants.done(Context.Id_, ServedSample());
       Context.Services_.Servers_.putBack(Chosen.Address_, std::move(Link));
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -524,6 +524,9 @@
 mutate held-at-dispatch $S/Request/RequestContext.cpp \
   's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s' \
   ${U}LeavingServer '*granted before*'
+mutate gone-at-dispatch $S/Request/RequestContext.cpp \
+  's/bool Fits = findServer\(Context, Chosen\.Name_\)\.has_value\(\);/bool Fits = true;/' \
+  ${U}LeavingServer '*while its connection opens*'
 R=$S/Process/Rollout
 mutate rollout-selection $R/VersionSelection.cpp \
   's/Use Allowed = useOf\(Server\);/Use Allowed = Use::Full;/' \
--- a/UnitTests/Request/LeavingServerTest.cpp
+++ b/UnitTests/Request/LeavingServerTest.cpp
@@ -63,3 +63,18 @@
   CHECK(Path.server(0).requests().empty());
   CHECK(Path.server(1).requests().size() == 1);
 }
+
+TEST_CASE("a server that leaves while its connection opens gets nothing") {
+  // Guards against new work for a server that has left since the grant.
+  using Indexes = std::vector<std::size_t>;
+  for (bool Gone : {false, true}) {
+    ForwardingHarness Path(idempotent(), {answer, answer});
+    Path.onConnect([&] {
+      Path.publish(Gone ? Indexes() : Indexes{0},
+                   Gone ? Indexes{0} : Indexes());
+    });
+    CHECK(Path.call("c").status() == 200);
+    CHECK(Path.server(0).requests().empty());
+    CHECK(Path.server(1).requests().size() == 1);
+  }
+}
