Members: how a process ended is known to the others and to its successor

Nothing could tell afterwards whether it was killed, ran out of memory, stood still or crashed: a process that is killed writes nothing, and its VM keeps nothing.

Each probe and ack carries the sender's memory in percent of its limit and the longest time lately for which its control thread did not run. Peers note when they last heard a process, and when its links ended: these end with the process, not with the start of its successor, so the silence before tells a process at work from one that stood still. They write `member-vanished`, and tell the successor in their acks for ten seconds; it writes `previous-process` once and has the metrics `previous_process_...`. The fields are appended to the messages; earlier daemons ignore them.

Ruled out: a copy of each member's report in the gossip of all others (cost), and a line per peer and end without a limit (hundreds of daemons).

Failure.ProcessEndTest ends a real daemon by SIGTERM, SIGSEGV, SIGABRT, SIGKILL, SIGSTOP then SIGKILL, and SIGKILL above its limit of memory, and finds the way from the lines. Without the mechanism no such line exists.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -104,6 +104,10 @@
 struct ProbeBuilder;
 struct ProbeT;
 
+struct ProcessEnd;
+struct ProcessEndBuilder;
+struct ProcessEndT;
+
 struct ProbeAck;
 struct ProbeAckBuilder;
 struct ProbeAckT;
@@ -3386,6 +3390,8 @@
   std::vector<std::unique_ptr<samphireshunt::wire::FloorT>> floors{};
   uint64_t crash_digest = 0;
   std::vector<std::unique_ptr<samphireshunt::wire::CrashRecordT>> crashes{};
+  uint8_t memory_percent = 0;
+  uint32_t longest_stall_ms = 0;
   ProbeT() = default;
   ProbeT(const ProbeT &o);
   ProbeT(ProbeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3403,7 +3409,9 @@
     VT_VERSIONS = 12,
     VT_FLOORS = 14,
     VT_CRASH_DIGEST = 16,
-    VT_CRASHES = 18
+    VT_CRASHES = 18,
+    VT_MEMORY_PERCENT = 20,
+    VT_LONGEST_STALL_MS = 22
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -3431,6 +3439,14 @@
   const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *>(VT_CRASHES);
   }
+  /// The sender's memory in use, in percent of what it may have; 0 is unknown.
+  uint8_t memory_percent() const {
+    return GetField<uint8_t>(VT_MEMORY_PERCENT, 0);
+  }
+  /// The longest time lately for which the sender's control thread did not run.
+  uint32_t longest_stall_ms() const {
+    return GetField<uint32_t>(VT_LONGEST_STALL_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -3451,6 +3467,8 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint8_t>(verifier, VT_MEMORY_PERCENT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LONGEST_STALL_MS, 4) &&
            verifier.EndTable();
   }
   ProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3486,6 +3504,12 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes) {
     fbb_.AddOffset(Probe::VT_CRASHES, crashes);
   }
+  void add_memory_percent(uint8_t memory_percent) {
+    fbb_.AddElement<uint8_t>(Probe::VT_MEMORY_PERCENT, memory_percent, 0);
+  }
+  void add_longest_stall_ms(uint32_t longest_stall_ms) {
+    fbb_.AddElement<uint32_t>(Probe::VT_LONGEST_STALL_MS, longest_stall_ms, 0);
+  }
   explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3506,9 +3530,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>> versions = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors = 0,
     uint64_t crash_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes = 0,
+    uint8_t memory_percent = 0,
+    uint32_t longest_stall_ms = 0) {
   ProbeBuilder builder_(_fbb);
   builder_.add_crash_digest(crash_digest);
+  builder_.add_longest_stall_ms(longest_stall_ms);
   builder_.add_crashes(crashes);
   builder_.add_floors(floors);
   builder_.add_versions(versions);
@@ -3516,6 +3543,7 @@
   builder_.add_target(target);
   builder_.add_sender(sender);
   builder_.add_sequence(sequence);
+  builder_.add_memory_percent(memory_percent);
   return builder_.Finish();
 }
 
@@ -3528,7 +3556,9 @@
     const std::vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>> *versions = nullptr,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors = nullptr,
     uint64_t crash_digest = 0,
-    const std::vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes = nullptr,
+    uint8_t memory_percent = 0,
+    uint32_t longest_stall_ms = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Member>>(*members) : 0;
   auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>(*versions) : 0;
@@ -3543,11 +3573,122 @@
       versions__,
       floors__,
       crash_digest,
-      crashes__);
+      crashes__,
+      memory_percent,
+      longest_stall_ms);
 }
 
 flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ProcessEndT : public flatbuffers::NativeTable {
+  typedef ProcessEnd TableType;
+  uint64_t incarnation = 0;
+  bool left = false;
+  uint8_t silence_end = 0;
+  uint32_t silence_ms = 0;
+  uint8_t memory_percent = 0;
+  uint32_t longest_stall_ms = 0;
+};
+
+/// What the sender knows of the end of an earlier process of the receiver.
+struct ProcessEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProcessEndT NativeTableType;
+  typedef ProcessEndBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INCARNATION = 4,
+    VT_LEFT = 6,
+    VT_SILENCE_END = 8,
+    VT_SILENCE_MS = 10,
+    VT_MEMORY_PERCENT = 12,
+    VT_LONGEST_STALL_MS = 14
+  };
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  bool left() const {
+    return GetField<uint8_t>(VT_LEFT, 0) != 0;
+  }
+  /// See SilenceEnd in ProcessEnd.h.
+  uint8_t silence_end() const {
+    return GetField<uint8_t>(VT_SILENCE_END, 0);
+  }
+  uint32_t silence_ms() const {
+    return GetField<uint32_t>(VT_SILENCE_MS, 0);
+  }
+  uint8_t memory_percent() const {
+    return GetField<uint8_t>(VT_MEMORY_PERCENT, 0);
+  }
+  uint32_t longest_stall_ms() const {
+    return GetField<uint32_t>(VT_LONGEST_STALL_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEFT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SILENCE_END, 1) &&
+           VerifyField<uint32_t>(verifier, VT_SILENCE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_MEMORY_PERCENT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LONGEST_STALL_MS, 4) &&
+           verifier.EndTable();
+  }
+  ProcessEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProcessEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ProcessEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProcessEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProcessEndBuilder {
+  typedef ProcessEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ProcessEnd::VT_INCARNATION, incarnation, 0);
+  }
+  void add_left(bool left) {
+    fbb_.AddElement<uint8_t>(ProcessEnd::VT_LEFT, static_cast<uint8_t>(left), 0);
+  }
+  void add_silence_end(uint8_t silence_end) {
+    fbb_.AddElement<uint8_t>(ProcessEnd::VT_SILENCE_END, silence_end, 0);
+  }
+  void add_silence_ms(uint32_t silence_ms) {
+    fbb_.AddElement<uint32_t>(ProcessEnd::VT_SILENCE_MS, silence_ms, 0);
+  }
+  void add_memory_percent(uint8_t memory_percent) {
+    fbb_.AddElement<uint8_t>(ProcessEnd::VT_MEMORY_PERCENT, memory_percent, 0);
+  }
+  void add_longest_stall_ms(uint32_t longest_stall_ms) {
+    fbb_.AddElement<uint32_t>(ProcessEnd::VT_LONGEST_STALL_MS, longest_stall_ms, 0);
+  }
+  explicit ProcessEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProcessEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProcessEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProcessEnd> CreateProcessEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    bool left = false,
+    uint8_t silence_end = 0,
+    uint32_t silence_ms = 0,
+    uint8_t memory_percent = 0,
+    uint32_t longest_stall_ms = 0) {
+  ProcessEndBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_longest_stall_ms(longest_stall_ms);
+  builder_.add_silence_ms(silence_ms);
+  builder_.add_memory_percent(memory_percent);
+  builder_.add_silence_end(silence_end);
+  builder_.add_left(left);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<ProcessEnd> CreateProcessEnd(flatbuffers::FlatBufferBuilder &_fbb, const ProcessEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ProbeAckT : public flatbuffers::NativeTable {
   typedef ProbeAck TableType;
   uint32_t sequence = 0;
@@ -3557,6 +3698,9 @@
   std::vector<std::unique_ptr<samphireshunt::wire::FloorT>> floors{};
   uint64_t crash_digest = 0;
   std::vector<std::unique_ptr<samphireshunt::wire::CrashRecordT>> crashes{};
+  uint8_t memory_percent = 0;
+  uint32_t longest_stall_ms = 0;
+  std::unique_ptr<samphireshunt::wire::ProcessEndT> previous{};
   ProbeAckT() = default;
   ProbeAckT(const ProbeAckT &o);
   ProbeAckT(ProbeAckT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3573,7 +3717,10 @@
     VT_VERSIONS = 10,
     VT_FLOORS = 12,
     VT_CRASH_DIGEST = 14,
-    VT_CRASHES = 16
+    VT_CRASHES = 16,
+    VT_MEMORY_PERCENT = 18,
+    VT_LONGEST_STALL_MS = 20,
+    VT_PREVIOUS = 22
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -3597,6 +3744,17 @@
   const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *>(VT_CRASHES);
   }
+  /// As in Probe.
+  uint8_t memory_percent() const {
+    return GetField<uint8_t>(VT_MEMORY_PERCENT, 0);
+  }
+  uint32_t longest_stall_ms() const {
+    return GetField<uint32_t>(VT_LONGEST_STALL_MS, 0);
+  }
+  /// Set while the receiver's process is new.
+  const samphireshunt::wire::ProcessEnd *previous() const {
+    return GetPointer<const samphireshunt::wire::ProcessEnd *>(VT_PREVIOUS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -3615,6 +3773,10 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint8_t>(verifier, VT_MEMORY_PERCENT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LONGEST_STALL_MS, 4) &&
+           VerifyOffset(verifier, VT_PREVIOUS) &&
+           verifier.VerifyTable(previous()) &&
            verifier.EndTable();
   }
   ProbeAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3647,6 +3809,15 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes) {
     fbb_.AddOffset(ProbeAck::VT_CRASHES, crashes);
   }
+  void add_memory_percent(uint8_t memory_percent) {
+    fbb_.AddElement<uint8_t>(ProbeAck::VT_MEMORY_PERCENT, memory_percent, 0);
+  }
+  void add_longest_stall_ms(uint32_t longest_stall_ms) {
+    fbb_.AddElement<uint32_t>(ProbeAck::VT_LONGEST_STALL_MS, longest_stall_ms, 0);
+  }
+  void add_previous(flatbuffers::Offset<samphireshunt::wire::ProcessEnd> previous) {
+    fbb_.AddOffset(ProbeAck::VT_PREVIOUS, previous);
+  }
   explicit ProbeAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3666,15 +3837,21 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>> versions = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::Floor>>> floors = 0,
     uint64_t crash_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>>> crashes = 0,
+    uint8_t memory_percent = 0,
+    uint32_t longest_stall_ms = 0,
+    flatbuffers::Offset<samphireshunt::wire::ProcessEnd> previous = 0) {
   ProbeAckBuilder builder_(_fbb);
   builder_.add_crash_digest(crash_digest);
+  builder_.add_previous(previous);
+  builder_.add_longest_stall_ms(longest_stall_ms);
   builder_.add_crashes(crashes);
   builder_.add_floors(floors);
   builder_.add_versions(versions);
   builder_.add_members(members);
   builder_.add_sender(sender);
   builder_.add_sequence(sequence);
+  builder_.add_memory_percent(memory_percent);
   return builder_.Finish();
 }
 
@@ -3686,7 +3863,10 @@
     const std::vector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>> *versions = nullptr,
     const std::vector<flatbuffers::Offset<samphireshunt::wire::Floor>> *floors = nullptr,
     uint64_t crash_digest = 0,
-    const std::vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> *crashes = nullptr,
+    uint8_t memory_percent = 0,
+    uint32_t longest_stall_ms = 0,
+    flatbuffers::Offset<samphireshunt::wire::ProcessEnd> previous = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Member>>(*members) : 0;
   auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::ServiceVersion>>(*versions) : 0;
   auto floors__ = floors ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>>(*floors) : 0;
@@ -3699,7 +3879,10 @@
       versions__,
       floors__,
       crash_digest,
-      crashes__);
+      crashes__,
+      memory_percent,
+      longest_stall_ms,
+      previous);
 }
 
 flatbuffers::Offset<ProbeAck> CreateProbeAck(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6808,7 +6991,9 @@
       : sequence(o.sequence),
         sender((o.sender) ? new samphireshunt::wire::MemberT(*o.sender) : nullptr),
         target(o.target),
-        crash_digest(o.crash_digest) {
+        crash_digest(o.crash_digest),
+        memory_percent(o.memory_percent),
+        longest_stall_ms(o.longest_stall_ms) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new samphireshunt::wire::MemberT(*members_) : nullptr); }
   versions.reserve(o.versions.size());
@@ -6828,6 +7013,8 @@
   std::swap(floors, o.floors);
   std::swap(crash_digest, o.crash_digest);
   std::swap(crashes, o.crashes);
+  std::swap(memory_percent, o.memory_percent);
+  std::swap(longest_stall_ms, o.longest_stall_ms);
   return *this;
 }
 
@@ -6848,6 +7035,8 @@
   { auto _e = floors(); if (_e) { _o->floors.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->floors[_i] = std::unique_ptr<samphireshunt::wire::FloorT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crash_digest(); _o->crash_digest = _e; }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<samphireshunt::wire::CrashRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = memory_percent(); _o->memory_percent = _e; }
+  { auto _e = longest_stall_ms(); _o->longest_stall_ms = _e; }
 }
 
 inline flatbuffers::Offset<Probe> Probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6866,6 +7055,8 @@
   auto _floors = _o->floors.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>> (_o->floors.size(), [](size_t i, _VectorArgs *__va) { return CreateFloor(*__va->__fbb, __va->__o->floors[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crash_digest = _o->crash_digest;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRecord(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _memory_percent = _o->memory_percent;
+  auto _longest_stall_ms = _o->longest_stall_ms;
   return samphireshunt::wire::CreateProbe(
       _fbb,
       _sequence,
@@ -6875,13 +7066,59 @@
       _versions,
       _floors,
       _crash_digest,
-      _crashes);
+      _crashes,
+      _memory_percent,
+      _longest_stall_ms);
+}
+
+inline ProcessEndT *ProcessEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ProcessEndT>(new ProcessEndT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ProcessEnd::UnPackTo(ProcessEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = left(); _o->left = _e; }
+  { auto _e = silence_end(); _o->silence_end = _e; }
+  { auto _e = silence_ms(); _o->silence_ms = _e; }
+  { auto _e = memory_percent(); _o->memory_percent = _e; }
+  { auto _e = longest_stall_ms(); _o->longest_stall_ms = _e; }
+}
+
+inline flatbuffers::Offset<ProcessEnd> ProcessEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProcessEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProcessEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ProcessEnd> CreateProcessEnd(flatbuffers::FlatBufferBuilder &_fbb, const ProcessEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProcessEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation;
+  auto _left = _o->left;
+  auto _silence_end = _o->silence_end;
+  auto _silence_ms = _o->silence_ms;
+  auto _memory_percent = _o->memory_percent;
+  auto _longest_stall_ms = _o->longest_stall_ms;
+  return samphireshunt::wire::CreateProcessEnd(
+      _fbb,
+      _incarnation,
+      _left,
+      _silence_end,
+      _silence_ms,
+      _memory_percent,
+      _longest_stall_ms);
 }
 
 inline ProbeAckT::ProbeAckT(const ProbeAckT &o)
       : sequence(o.sequence),
         sender((o.sender) ? new samphireshunt::wire::MemberT(*o.sender) : nullptr),
-        crash_digest(o.crash_digest) {
+        crash_digest(o.crash_digest),
+        memory_percent(o.memory_percent),
+        longest_stall_ms(o.longest_stall_ms),
+        previous((o.previous) ? new samphireshunt::wire::ProcessEndT(*o.previous) : nullptr) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new samphireshunt::wire::MemberT(*members_) : nullptr); }
   versions.reserve(o.versions.size());
@@ -6900,6 +7137,9 @@
   std::swap(floors, o.floors);
   std::swap(crash_digest, o.crash_digest);
   std::swap(crashes, o.crashes);
+  std::swap(memory_percent, o.memory_percent);
+  std::swap(longest_stall_ms, o.longest_stall_ms);
+  std::swap(previous, o.previous);
   return *this;
 }
 
@@ -6919,6 +7159,9 @@
   { auto _e = floors(); if (_e) { _o->floors.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->floors[_i] = std::unique_ptr<samphireshunt::wire::FloorT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crash_digest(); _o->crash_digest = _e; }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<samphireshunt::wire::CrashRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = memory_percent(); _o->memory_percent = _e; }
+  { auto _e = longest_stall_ms(); _o->longest_stall_ms = _e; }
+  { auto _e = previous(); if (_e) _o->previous = std::unique_ptr<samphireshunt::wire::ProcessEndT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<ProbeAck> ProbeAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6936,6 +7179,9 @@
   auto _floors = _o->floors.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::Floor>> (_o->floors.size(), [](size_t i, _VectorArgs *__va) { return CreateFloor(*__va->__fbb, __va->__o->floors[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crash_digest = _o->crash_digest;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::CrashRecord>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRecord(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _memory_percent = _o->memory_percent;
+  auto _longest_stall_ms = _o->longest_stall_ms;
+  auto _previous = _o->previous ? CreateProcessEnd(_fbb, _o->previous.get(), _rehasher) : 0;
   return samphireshunt::wire::CreateProbeAck(
       _fbb,
       _sequence,
@@ -6944,7 +7190,10 @@
       _versions,
       _floors,
       _crash_digest,
-      _crashes);
+      _crashes,
+      _memory_percent,
+      _longest_stall_ms,
+      _previous);
 }
 
 inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Common/ProcessMemory.cpp
+++ b/Source/Common/ProcessMemory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <limits>
 
 namespace samphireshunt {
 
@@ -38,4 +39,13 @@
   return static_cast<std::size_t>(Usage.ru_maxrss) * BytesPerKib;
 }
 
+std::uint8_t memoryPercent(std::size_t Used, std::size_t Limit) {
+  if (Used == 0 || Limit == 0)
+    return 0;
+  constexpr std::size_t Whole = 100;
+  constexpr std::size_t Most = std::numeric_limits<std::uint8_t>::max();
+  return static_cast<std::uint8_t>(
+      std::clamp<std::size_t>(Used * Whole / Limit, 1, Most));
+}
+
 } // namespace samphireshunt
--- a/Source/Common/ProcessMemory.h
+++ b/Source/Common/ProcessMemory.h
@@ -3,6 +3,7 @@
 /// How much memory the VM and this process have.
 
 #include <cstddef>
+#include <cstdint>
 
 namespace samphireshunt {
 
@@ -14,5 +15,7 @@
 /// \returns the most that was in memory since its start, in bytes; 0 if it
 /// can't be read.
 std::size_t mostProcessMemoryBytes();
+/// \returns \p Used in percent of \p Limit, 1 to 255; 0 if either is unknown.
+std::uint8_t memoryPercent(std::size_t Used, std::size_t Limit);
 
 } // namespace samphireshunt
--- a/Source/Process/Membership/MemberTable.cpp
+++ b/Source/Process/Membership/MemberTable.cpp
@@ -99,6 +99,7 @@
   bool IsNew = Update.Incarnation_ != Target.Member_.Incarnation_;
   if (IsNew && !Target.Left_ && Restarted_)
     Restarted_(Update);
+  noteEnd(Target, Update, Now);
   Target.Left_ =
       Update.Status_ == MemberStatus::Leaving || (Target.Left_ && !IsNew);
   Target.Member_ = Update;
@@ -109,6 +110,57 @@
     Changed_(Target.Member_);
 }
 
+/// Keeps and reports how a process ended if \p Update says that it is dead or
+/// replaced.
+void MemberTable::noteEnd(Entry &Target, const Member &Update, TimePoint Now) {
+  const Member &Known = Target.Member_;
+  bool IsNew = Update.Incarnation_ != Known.Incarnation_;
+  if (!IsNew && Update.Status_ != MemberStatus::Dead)
+    return;
+  ProcessEnd End = Target.Trace_.end(Known.Incarnation_, Target.Left_, Now);
+  bool IsNews = std::exchange(Target.ReportedEnd_, End) != End;
+  if (!End.Left_ && IsNews && Vanished_)
+    Vanished_(Known.Id_, End);
+  if (!IsNew)
+    return;
+  Target.Previous_ = End;
+  Target.Replaced_ = Now;
+  Target.Trace_ = {};
+}
+
+void MemberTable::heard(const Member &Sender, const ProcessHealth &Health,
+                        TimePoint Now) {
+  auto Found = Members_.find(Sender.Id_);
+  if (Found != Members_.end() &&
+      Found->second.Member_.Incarnation_ == Sender.Incarnation_)
+    Found->second.Trace_.heard(Health, Now);
+}
+
+void MemberTable::heardOnLink(const VmId &Id, TimePoint Now) {
+  if (auto Found = Members_.find(Id); Found != Members_.end())
+    Found->second.Trace_.heardOnLink(Now);
+}
+
+void MemberTable::linkEnded(const VmId &Id, TimePoint Now) {
+  if (auto Found = Members_.find(Id); Found != Members_.end())
+    Found->second.Trace_.linkEnded(Now);
+}
+
+ProcessHealth MemberTable::healthOf(const VmId &Id) const {
+  auto Found = Members_.find(Id);
+  return Found == Members_.end() ? ProcessHealth()
+                                 : Found->second.Trace_.health();
+}
+
+std::optional<ProcessEnd> MemberTable::previousEnd(const VmId &Id,
+                                                   TimePoint Now) const {
+  auto Found = Members_.find(Id);
+  if (Found == Members_.end() ||
+      Now - Found->second.Replaced_ > Options_.NewProcessTime_)
+    return std::nullopt;
+  return Found->second.Previous_;
+}
+
 void MemberTable::suspect(const VmId &Id, TimePoint Now) {
   auto Found = Members_.find(Id);
   if (Found == Members_.end() ||
--- a/Source/Process/Membership/MemberTable.h
+++ b/Source/Process/Membership/MemberTable.h
@@ -6,6 +6,7 @@
 
 #include "Common/Ids.h"
 #include "Common/TimePoint.h"
+#include "Process/Membership/ProcessEnd.h"
 
 #include <pcg_random.hpp>
 
@@ -55,9 +56,12 @@
     std::chrono::milliseconds DeadRetention_{60000};
     /// How long a change is recent: recent changes are sent before older ones.
     std::chrono::milliseconds RecentChangeTime_{10000};
+    /// How long a new process of a member is told how the one before ended.
+    std::chrono::milliseconds NewProcessTime_{10000};
     std::uint64_t Seed_ = 1;
   };
   using ChangedHook = std::function<void(const Member &)>;
+  using VanishedHook = std::function<void(const VmId &, const ProcessEnd &)>;
 
   MemberTable(Member Self, Options Settings);
 
@@ -69,6 +73,17 @@
   bool merge(const Member &Update, TimePoint Now);
   /// Marks the member as suspect, because it did not answer.
   void suspect(const VmId &Id, TimePoint Now);
+  /// Reports a probe or an ack that the process itself sent.
+  void heard(const Member &Sender, const ProcessHealth &Health, TimePoint Now);
+  /// Reports a message on a link with the member.
+  void heardOnLink(const VmId &Id, TimePoint Now);
+  /// Reports that a link with the member ended.
+  void linkEnded(const VmId &Id, TimePoint Now);
+  /// Returns what the process of the member last said of itself.
+  ProcessHealth healthOf(const VmId &Id) const;
+  /// Returns how the process before the member's present one ended, while that
+  /// one is new.
+  std::optional<ProcessEnd> previousEnd(const VmId &Id, TimePoint Now) const;
   /// Declares members dead whose suspicion expired, and removes those that died
   /// long ago.
   void tick(TimePoint Now);
@@ -116,6 +131,9 @@
   /// the one before had not announced that it leaves: it was ended, or ended by
   /// itself, and may have written nothing about it.
   void onRestarted(ChangedHook Hook) { Restarted_ = std::move(Hook); }
+  /// Sets the hook that is called when a process that had not announced that it
+  /// leaves is found dead or replaced.
+  void onVanished(VanishedHook Hook) { Vanished_ = std::move(Hook); }
 
 private:
   struct Entry {
@@ -126,12 +144,18 @@
     bool Changed_ = false;
     /// Whether its process has announced that it leaves.
     bool Left_ = false;
+    ProcessTrace Trace_;
+    std::optional<ProcessEnd> ReportedEnd_;
+    /// The end of the process before, and when it was replaced.
+    std::optional<ProcessEnd> Previous_;
+    TimePoint Replaced_;
   };
   bool isRecentChange(const Entry &Known, TimePoint Now) const;
   void refute(const Member &Update);
   std::vector<Member>
   sample(std::size_t Count, const std::function<bool(const Member &)> &Matches);
   void change(Entry &Target, const Member &Update, TimePoint Now);
+  void noteEnd(Entry &Target, const Member &Update, TimePoint Now);
   std::uint32_t maxTransmissions() const;
   std::chrono::milliseconds suspectTime() const;
 
@@ -145,6 +169,7 @@
   pcg32 Random_;
   ChangedHook Changed_;
   ChangedHook Restarted_;
+  VanishedHook Vanished_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Membership/MembershipProtocol.cpp
+++ b/Source/Process/Membership/MembershipProtocol.cpp
@@ -46,6 +46,31 @@
   return Target;
 }
 
+std::unique_ptr<wire::ProcessEndT> endToWire(const ProcessEnd &Value) {
+  auto Target = std::make_unique<wire::ProcessEndT>();
+  Target->incarnation = Value.Incarnation_.count();
+  Target->left = Value.Left_;
+  Target->silence_end = static_cast<std::uint8_t>(Value.SilenceEnd_);
+  Target->silence_ms = static_cast<std::uint32_t>(Value.Silence_.count());
+  Target->memory_percent = Value.LastHealth_.MemoryPercent_;
+  Target->longest_stall_ms =
+      static_cast<std::uint32_t>(Value.LastHealth_.LongestStall_.count());
+  return Target;
+}
+
+ProcessEnd endFromWire(const wire::ProcessEndT &Value) {
+  auto Highest = static_cast<std::uint8_t>(SilenceEnd::LinkDown);
+  ProcessEnd Target;
+  Target.Incarnation_ = Incarnation(Value.incarnation);
+  Target.Left_ = Value.left;
+  Target.SilenceEnd_ =
+      static_cast<SilenceEnd>(std::min(Value.silence_end, Highest));
+  Target.Silence_ = milliseconds(Value.silence_ms);
+  Target.LastHealth_ = {Value.memory_percent,
+                        milliseconds(Value.longest_stall_ms)};
+  return Target;
+}
+
 } // namespace
 
 MembershipProtocol::MembershipProtocol(MemberTable &Members, Options Settings,
@@ -65,9 +90,11 @@
 /// timers are then due before the acks that arrived meanwhile are read. Without
 /// this, it would declare all probed members dead, their keepers would change,
 /// and their requests would move.
-void MembershipProtocol::onLateTimer(steady_clock::duration Late) {
+void MembershipProtocol::onLateTimer(steady_clock::duration Late,
+                                     TimePoint Now) {
   if (Late < SuspendThreshold)
     return;
+  Stall_.record(Late, Now);
   Health_.recordFailure();
   // One more interval is added, in which the acks are read.
   for (auto &[Sequence, Probe] : Pending_)
@@ -77,6 +104,7 @@
 
 void MembershipProtocol::onPeriod(TimePoint Now) {
   NextPeriod_ = Now + Options_.Period_;
+  MemoryPercent_ = Hooks_.MemoryPercent_();
   if (auto Target = Members_.nextProbe())
     probe(*Target, Now);
   for (const Member &Target : Members_.suspectsToProbe())
@@ -175,6 +203,9 @@
   Member Sender = memberFromWire(*Received.sender);
   bool FromSelf = Sender.Id_ == Members_.self().Id_;
   Members_.merge(Sender, Now);
+  Members_.heard(
+      Sender,
+      {Received.memory_percent, milliseconds(Received.longest_stall_ms)}, Now);
   ReceivedFromPeer_ = ReceivedFromPeer_ || !FromSelf;
   for (const auto &Update : Received.members)
     Members_.merge(memberFromWire(*Update), Now);
@@ -211,6 +242,8 @@
         std::chrono::duration_cast<milliseconds>(Floor.Until_ - Now).count());
     Target.floors.push_back(std::move(Entry));
   }
+  Target.memory_percent = MemoryPercent_;
+  Target.longest_stall_ms = static_cast<std::uint32_t>(Stall_.get(Now).count());
   Target.crash_digest = Hooks_.CrashDigest_();
   for (auto &Record : Hooks_.CrashRecords_(CrashDigestDiffers))
     Target.crashes.push_back(
@@ -225,9 +258,13 @@
     Ack.sequence = Probe.sequence;
     addGossip(Ack, Now, Probe.crash_digest != Hooks_.CrashDigest_());
     // A suspected sender receives the claim, whatever else is piggybacked.
-    if (Probe.sender)
-      if (auto Known = Members_.find(VmId(Probe.sender->vm)))
+    if (Probe.sender) {
+      VmId Sender(Probe.sender->vm);
+      if (auto Known = Members_.find(Sender))
         Ack.members.push_back(memberToWire(*Known));
+      if (auto Previous = Members_.previousEnd(Sender, Now))
+        Ack.previous = endToWire(*Previous);
+    }
     send(std::move(Ack), From);
     return;
   }
@@ -242,6 +279,8 @@
 
 void MembershipProtocol::onAck(const wire::ProbeAckT &Ack, TimePoint Now) {
   applyGossip(Ack, Now);
+  if (Ack.previous && Ack.sender)
+    Hooks_.PreviousEndSeen_(VmId(Ack.sender->vm), endFromWire(*Ack.previous));
   auto Found = Pending_.find(Ack.sequence);
   if (Found == Pending_.end())
     return;
--- a/Source/Process/Membership/MembershipProtocol.h
+++ b/Source/Process/Membership/MembershipProtocol.h
@@ -57,6 +57,13 @@
         [](bool) { return std::vector<wire::CrashRecordT>(); };
     std::function<void(const wire::CrashRecordT &)> CrashSeen_ =
         [](const wire::CrashRecordT &) {};
+    /// Returns the memory in use, in percent of what the process may have; 0 is
+    /// unknown.
+    std::function<std::uint8_t()> MemoryPercent_ = [] { return 0; };
+    /// Called with what a member knows of the end of this daemon's earlier
+    /// process.
+    std::function<void(const VmId &From, const ProcessEnd &)> PreviousEndSeen_ =
+        [](const VmId &, const ProcessEnd &) {};
   };
   using SendHook = std::function<void(const Endpoint &, std::string Datagram)>;
 
@@ -67,7 +74,7 @@
   /// \returns when it must be called again.
   TimePoint step(TimePoint Now);
   /// Reports that the timer for step() fired \p Late after its expiry.
-  void onLateTimer(std::chrono::steady_clock::duration Late);
+  void onLateTimer(std::chrono::steady_clock::duration Late, TimePoint Now);
   void receive(std::string_view Datagram, const Endpoint &From, TimePoint Now);
   /// Probes an address whose daemon is still unknown.
   void join(const Endpoint &Address, TimePoint Now);
@@ -113,6 +120,8 @@
   Hooks Hooks_;
   SendHook Send_;
   LocalHealth Health_;
+  LongestStall Stall_;
+  std::uint8_t MemoryPercent_ = 0;
   TimePoint NextPeriod_;
   std::map<std::uint32_t, PendingProbe> Pending_;
   std::uint32_t NextSequence_ = 1;
--- a/Source/Process/Membership/MembershipService.cpp
+++ b/Source/Process/Membership/MembershipService.cpp
@@ -57,7 +57,7 @@
     if (Error)
       return;
     auto Now = steady_clock::now();
-    Protocol_.onLateTimer(Now - Timer_.expiry());
+    Protocol_.onLateTimer(Now - Timer_.expiry(), Now);
     TimePoint Next = Now + Protocol_.options().Period_;
     runLogged("membership-step", [&] { Next = Protocol_.step(Now); });
     schedule(Next);
--- a/Source/Process/Membership/PeerNetwork.cpp
+++ b/Source/Process/Membership/PeerNetwork.cpp
@@ -164,6 +164,7 @@
   VmId From = Found->first;
   ClosedBytesSent_ += Found->second->bytesSent();
   Inbound_.erase(Found);
+  Hooks_.LinkEnded_(From);
   Hooks_.PeerDisconnected_(From);
 }
 
@@ -239,9 +240,12 @@
   auto Found = Links_.find(To);
   if (Found == Links_.end())
     return;
-  if (Found->second.Channel_)
+  bool WasOpen = Found->second.Channel_ != nullptr;
+  if (WasOpen)
     ClosedBytesSent_ += Found->second.Channel_->bytesSent();
   Links_.erase(Found);
+  if (WasOpen)
+    Hooks_.LinkEnded_(To);
   Hooks_.LinkDown_(To);
 }
 
--- a/Source/Process/Membership/PeerNetwork.h
+++ b/Source/Process/Membership/PeerNetwork.h
@@ -39,6 +39,8 @@
     std::function<void(const VmId &From, wire::EnvelopeT)> ReplyReceived_;
     /// Called when a link to \p To could not be opened, or broke.
     std::function<void(const VmId &To)> LinkDown_;
+    /// Called when an open link with \p Other, of either direction, ended.
+    std::function<void(const VmId &Other)> LinkEnded_ = [](const VmId &) {};
     /// Called when \p From opened a link, which replaces its earlier ones.
     std::function<void(const VmId &From)> PeerConnected_;
     /// Called when the link that \p From had opened broke.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -171,7 +171,7 @@
       OperatorMemory_(0, OperatorBytes), Incarnation_(newIncarnation()),
       MemberSnapshot_(std::make_shared<std::vector<Member>>()),
       RelayCandidates_(std::make_shared<std::vector<RelayCandidate>>()),
-      MemberLog_(Control_),
+      MemberLog_(Control_), PreviousProcess_(Incarnation_, steady_clock::now()),
       KeeperChoice_([this] { return Members_->keepers(); }), Signals_(Control_),
       DrainTimer_(Control_), RefreshTimer_(Control_) {
   Memory_.onLevelChanged([](MemoryLevel Level) {
@@ -214,11 +214,16 @@
 PeerNetwork::Hooks Daemon::peerHooks() {
   PeerNetwork::Hooks Hooks;
   Hooks.RequestReceived_ = [this](const VmId &From, wire::EnvelopeT Message) {
+    Members_->heardOnLink(From, steady_clock::now());
     onPeerRequest(From, std::move(Message));
   };
   Hooks.ReplyReceived_ = [this](const VmId &From, wire::EnvelopeT Message) {
+    Members_->heardOnLink(From, steady_clock::now());
     onPeerResponse(From, std::move(Message));
   };
+  Hooks.LinkEnded_ = [this](const VmId &Other) {
+    Members_->linkEnded(Other, steady_clock::now());
+  };
   Hooks.LinkDown_ = [this](const VmId &To) {
     Grants_->onLinkDown(To);
     if (PeerFollower_)
@@ -331,7 +336,16 @@
     ++RestartedMembers_;
     MemberLog_.restarted(Restarted);
   });
+  Members_->onVanished([this](const VmId &Id, const ProcessEnd &End) {
+    MemberLog_.vanished(Id, End, steady_clock::now());
+  });
   MembershipService::Hooks Hooks;
+  Hooks.MemoryPercent_ = [this] {
+    return memoryPercent(processMemoryBytes(), processMemory(Settings_));
+  };
+  Hooks.PreviousEndSeen_ = [this](const VmId &From, const ProcessEnd &End) {
+    PreviousProcess_.onReport(From, End, steady_clock::now());
+  };
   Hooks.Versions_ = [this] {
     std::vector<wire::ServiceVersionT> Versions;
     auto Snapshot = Documents_.snapshot();
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -136,6 +136,7 @@
 
   void beginDrain();
   void checkProcess();
+  void logPreviousProcess();
   void awaitDrained();
   void stopAll();
   std::string status() const;
@@ -181,6 +182,7 @@
   MemberLog MemberLog_;
   /// Processes of other daemons that were replaced unannounced.
   std::uint64_t RestartedMembers_ = 0;
+  PreviousProcess PreviousProcess_;
   std::unique_ptr<PeerNetwork> Peers_;
   std::unique_ptr<MembershipService> Membership_;
   /// A cache that const reports fill too.
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 namespace samphireshunt {
@@ -217,6 +218,7 @@
   Ready_ = configurationReady();
   if (Ready_ && !WasReady)
     logEvent(LogCategory::Process, spdlog::level::info, "ready");
+  logPreviousProcess();
   if (Draining_) {
     auto Drained = steady_clock::now() - DrainStarted_;
     if (Drained >= Settings_.DrainTimeout_)
@@ -228,6 +230,18 @@
     reloadSettings();
 }
 
+void Daemon::logPreviousProcess() {
+  auto Summary = PreviousProcess_.takeSummary(steady_clock::now());
+  if (!Summary)
+    return;
+  LogFields Fields{{"reported_by", std::to_string(Summary->Reporters_)}};
+  if (Summary->End_)
+    std::ranges::copy(processEndFields(*Summary->End_),
+                      std::back_inserter(Fields));
+  logEvent(LogCategory::Process, spdlog::level::info, "previous-process",
+           Fields);
+}
+
 /// Checks periodically whether the daemon has become ready or its stop is
 /// complete.
 void Daemon::awaitDrained() {
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -88,11 +88,16 @@
     Root["services"][Name.str()] = std::move(Entry);
   }
   Root["members"] = Json::array();
-  for (const Member &Other : Members_->others())
-    Root["members"].push_back({{"vm", Other.Id_.str()},
-                               {"status", memberStatusName(Other.Status_)},
-                               {"dataCenter", Other.DataCenter_.str()},
-                               {"operators", Other.OperatorAddress_}});
+  for (const Member &Other : Members_->others()) {
+    ProcessHealth Health = Members_->healthOf(Other.Id_);
+    Root["members"].push_back(
+        {{"vm", Other.Id_.str()},
+         {"status", memberStatusName(Other.Status_)},
+         {"dataCenter", Other.DataCenter_.str()},
+         {"operators", Other.OperatorAddress_},
+         {"memoryPercent", Health.MemoryPercent_},
+         {"longestStallMs", Health.LongestStall_.count()}});
+  }
   Root["cells"] = Json::array();
   for (const CellId &Cell : Keeper_->cells()) {
     const Scheduler *Scheduling = Keeper_->scheduler(Cell);
@@ -179,6 +184,18 @@
                     static_cast<double>(RetryBudget_->refusedInAll()));
   Metrics_.setGauge("members_restarted_unannounced",
                     static_cast<double>(RestartedMembers_));
+  auto Previous = PreviousProcess_.end().value_or(ProcessEnd());
+  bool IsKnown = Previous.Incarnation_.count() != 0;
+  Metrics_.setGauge("previous_process_left", IsKnown && Previous.Left_);
+  Metrics_.setGauge("previous_process_vanished", IsKnown && !Previous.Left_);
+  Metrics_.setGauge("previous_process_memory_percent",
+                    Previous.LastHealth_.MemoryPercent_);
+  Metrics_.setGauge("previous_process_silence_seconds",
+                    std::chrono::duration<double>(Previous.Silence_).count());
+  Metrics_.setGauge(
+      "previous_process_longest_stall_seconds",
+      std::chrono::duration<double>(Previous.LastHealth_.LongestStall_)
+          .count());
   Metrics_.setGauge("links_closed_for_memory",
                     static_cast<double>(Memory_.linksClosed()));
   Metrics_.setGauge("links_without_name",
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -761,6 +761,15 @@
 mutate flags-read-again $S/Programs/DaemonLife.cpp \
   's/if \(Error \|\| Written == std::exchange\(FlagFileTime_, Written\)\)/if (true)/' \
   ${F}platform_PlannedWorkTest '*reloads*'
+mutate end-of-link $S/Process/Membership/ProcessEnd.cpp \
+  's/LinkEnded_\.value_or\(Now\)/Now/' \
+  ${U}Process '*silence of a process ends with its links*'
+mutate previous-told $S/Process/Membership/MembershipProtocol.cpp \
+  's/Ack\.previous = endToWire\(\*Previous\);/(void)*Previous;/' \
+  ${U}MembershipFleet '*how the one before it ended*'
+mutate stalled-process $S/Process/Membership/PeerNetwork.cpp \
+  's/Hooks_\.LinkEnded_\(From\);//' \
+  ${F}ProcessEndTest '*is found afterwards*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Process/Membership/SimulatedFleet.cpp
+++ b/UnitTests/Process/Membership/SimulatedFleet.cpp
@@ -74,6 +74,13 @@
   Hooks.VersionSeen_ = [](const VmId &, const wire::ServiceVersionT &) {};
   Hooks.Floors_ = [] { return std::vector<PoolFloor>(); };
   Hooks.FloorSeen_ = [](const PoolFloor &) {};
+  Hooks.MemoryPercent_ = [&Target] { return Target.MemoryPercent_; };
+  Target.Previous_ =
+      std::make_unique<PreviousProcess>(Target.Self_.Incarnation_, Now_);
+  Hooks.PreviousEndSeen_ = [this, &Target](const VmId &From,
+                                           const ProcessEnd &End) {
+    Target.Previous_->onReport(From, End, Now_);
+  };
   Target.Crashes_ = std::make_unique<CrashTracker>([this] { return Now_; });
   CrashTracker &Crashes = *Target.Crashes_;
   Hooks.CrashDigest_ = [&Crashes] { return Crashes.digest(); };
@@ -127,7 +134,7 @@
     constexpr microseconds StepCost{20};
     runOnVm(Index, StepCost, [this, Index, Due] {
       MembershipProtocol &Protocol = *Nodes_[Index]->Protocol_;
-      Protocol.onLateTimer(Now_ - Due);
+      Protocol.onLateTimer(Now_ - Due, Now_);
       planStep(Index, Protocol.step(Now_));
     });
   });
--- a/UnitTests/Process/Membership/SimulatedFleet.h
+++ b/UnitTests/Process/Membership/SimulatedFleet.h
@@ -79,6 +79,14 @@
     return Nodes_[Index]->Received_;
   }
   std::uint64_t bytesSent() const { return BytesSent_; }
+  /// What the daemon says of its memory from its next period on.
+  void setMemoryPercent(std::size_t Index, std::uint8_t Percent) {
+    Nodes_[Index]->MemoryPercent_ = Percent;
+  }
+  /// What the daemon's process has learned of the end of the one before.
+  const PreviousProcess &previous(std::size_t Index) const {
+    return *Nodes_[Index]->Previous_;
+  }
   static VmId nameOf(std::size_t Index);
 
 private:
@@ -87,6 +95,8 @@
     std::unique_ptr<MemberTable> Members_;
     std::unique_ptr<MembershipProtocol> Protocol_;
     std::unique_ptr<CrashTracker> Crashes_;
+    std::unique_ptr<PreviousProcess> Previous_;
+    std::uint8_t MemoryPercent_ = 0;
     bool Alive_ = true;
     int Side_ = 0;
     double Slowness_ = 1;
