FrameChannel: a length that never comes whole ends its link

Seen: of 400 links of daemons with names that sent 1, 2, 3 or 4 bytes of the length of a frame of 4 MB and then nothing, 100 were closed by a real daemon within 20 s (those with the whole length); 300 stayed open and hold descriptors.

Cause: a frame had to make progress only once its length was whole.

Change: a frame is being read from the first byte of its length on. Ruled out: links without a name end by the check of names, a whole length by its progress.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -128,7 +128,6 @@
 /// A connection that announces a long frame and sends nothing of it costs no
 /// more than one that announces nothing.
 Awaitable<std::optional<std::string>> FrameChannel::readBody(std::size_t Size) {
-  Incoming_ = IncomingFrame{0, 0, steady_clock::now()};
   std::string Bytes;
   while (Bytes.size() < Size) {
     std::size_t Read = Bytes.size();
@@ -166,6 +165,8 @@
         Target, asio::redirect_error(asio::use_awaitable, Error));
     Target += Count;
     LastReceived_ = Error ? LastReceived_ : steady_clock::now();
+    if (Count > 0 && !Incoming_)
+      Incoming_ = IncomingFrame{0, 0, LastReceived_};
     if (Incoming_)
       Incoming_->Bytes_ += Count;
     Begun = Begun.value_or(LastReceived_);
--- a/Source/Connection/FrameChannel.h
+++ b/Source/Connection/FrameChannel.h
@@ -76,9 +76,9 @@
 private:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /// The frame that is being read.
+  /// The frame that is being read, from the first byte of its length on.
   struct IncomingFrame {
-    std::size_t Bytes_ = 0; ///< Bytes that have arrived.
+    std::size_t Bytes_ = 0; ///< Bytes that have arrived, with its length.
     /// Bytes that had arrived at the last check of its progress.
     std::size_t CheckedBytes_ = 0;
     TimePoint Checked_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -698,6 +698,9 @@
 mutate frame-progress $S/Connection/FrameChannel.cpp \
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
   ${U}Connection '*frame of which single bytes come*'
+mutate frame-begun $S/Connection/FrameChannel.cpp \
+  's/if \(Count > 0 && !Incoming_\)/if (Begun \&\& !Incoming_)/' \
+  ${U}Connection '*half announced*'
 mutate links-together $S/Connection/FrameChannel.cpp \
   's/!QueueMemory_\.grow\(Queued\)/false/' \
   ${U}Connection '*waits on all links is bounded together*'
--- a/UnitTests/Connection/FrameChannelTest.cpp
+++ b/UnitTests/Connection/FrameChannelTest.cpp
@@ -321,6 +321,33 @@
   CHECK(Test.Closed_);
 }
 
+TEST_CASE("a frame that is announced, or half announced, and doesn't come ends "
+          "its link") {
+  // Guards against links that stay open without end and hold descriptors.
+  const std::string Announced = makeLongFrame(300000).substr(0, 4);
+  for (std::size_t Bytes = 1; Bytes <= Announced.size(); ++Bytes) {
+    CAPTURE(Bytes);
+    OneEnd Test(false, milliseconds(5),
+                {&MemoryBudget::unlimited(), MaxFrameBytes}, milliseconds(50));
+    asio::write(Test.Bare_, asio::buffer(Announced.data(), Bytes));
+    Test.runUntil([&] { return Test.Closed_; });
+    CHECK(Test.Closed_);
+  }
+}
+
+TEST_CASE("a link on which no frame has begun stays open") {
+  // Guards against daemons with nothing to say that connect again and again.
+  OneEnd Test(false, milliseconds(5),
+              {&MemoryBudget::unlimited(), MaxFrameBytes}, milliseconds(20));
+  asio::write(Test.Bare_, asio::buffer(makeLongFrame(2000)));
+  Test.runUntil([&] { return Test.Received_ == 1; });
+  constexpr int Looks = 100;
+  for (int Look = 0; Look < Looks; ++Look)
+    TwoEnds::runFor(Test.Context_);
+  CHECK(Test.Received_ == 1);
+  CHECK_FALSE(Test.Closed_);
+}
+
 TEST_CASE("what waits on all links is bounded together") {
   // Guards against a daemon whose memory its links take when no other daemon
   // reads: each link alone stays below its limit.
