HttpServer: a body takes memory when it has room, not when it is announced

The platform ends such a process, and with it all that it has accepted.

Cause: beast's string_body reserves the announced length with the head, for all 40 before the first of them has room in the budget. The reservations are not touched, but each is filled once its body has its turn, and what was filled stays in the process's heap when it is freed.

Change: a body whose reader reserves nothing; the room is reserved when the budget has admitted the body, so that the next one gets the same memory.

--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Connection/AcceptLoop.h"
+#include "Connection/GrowingBody.h"
 #include "Connection/MemoryBudget.h"
 #include "Connection/MemoryWait.h"
 #include "Connection/SocketOptions.h"
@@ -278,7 +279,7 @@
   bool mayHaveBody() const { return Request_.Method_ != "HEAD"; }
 
   using TimePoint = std::chrono::steady_clock::time_point;
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<GrowingBody>;
 
   /// The read of one request. Its timer shares it: a handler that is already
   /// queued when the timer is cancelled would cancel the next operation of the
@@ -563,6 +564,7 @@
     bool Held = co_await awaitMemory(Wanted, Read);
     if (!Held)
       co_return bodyRefused(Wanted);
+    Into.get().body().reserve(Wanted);
     Read.HoldsMemory_ = true;
     co_return std::nullopt;
   }
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -701,6 +701,9 @@
 mutate frame-begun $S/Connection/FrameChannel.cpp \
   's/if \(Count > 0 && !Incoming_\)/if (Begun \&\& !Incoming_)/' \
   ${U}Connection '*half announced*'
+mutate body-reserved $S/Connection/GrowingBody.h \
+  's/(boost::optional<std::uint64_t> &) \/\*Length\*\/,(.*?)Error = \{\};/$1Length,$2Error = {};\n      Body_.reserve(Length.value_or(0));/s' \
+  ${U}Connection '*announced reserves no memory*'
 mutate links-together $S/Connection/FrameChannel.cpp \
   's/!QueueMemory_\.grow\(Queued\)/false/' \
   ${U}Connection '*waits on all links is bounded together*'
--- a/UnitTests/Connection/HttpServerTest.cpp
+++ b/UnitTests/Connection/HttpServerTest.cpp
@@ -2,6 +2,8 @@
 /// Tests of the HTTP server with callers that are slow at unfavourable moments.
 
 #include "Connection/Http.h"
+
+#include "Connection/GrowingBody.h"
 #include "Connection/MemoryBudget.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -341,6 +344,22 @@
   CHECK(Budget.used() == 0);
 }
 
+TEST_CASE("a body that is announced reserves no memory") {
+  // Guards against the memory of bodies that wait for room, all at once.
+  constexpr std::size_t Bytes = 3900000;
+  namespace http = boost::beast::http;
+  http::request_parser<GrowingBody> Parser;
+  Parser.body_limit(Bytes);
+  Parser.eager(true);
+  boost::system::error_code Error;
+  std::string Text = headWithLength(Bytes) + "begun";
+  Parser.put(asio::buffer(Text), Error);
+  CHECK_FALSE(Error);
+  CHECK_FALSE(Parser.is_done());
+  CHECK(Parser.get().body() == "begun");
+  CHECK(Parser.get().body().capacity() < Bytes / 100);
+}
+
 TEST_CASE("bodies that are only announced leave the room to others") {
   // Guards against callers that announce large bodies and send little of them:
   // the bodies of all others were refused for as long as that lasted.
