UnendingBytesTest: its thread ends before what it uses; announced messages

Seen: the test aborted once under the address sanitizer, beside load.

Cause that fits: the fixture destroyed its store on the test's thread while the thread of the event loop still ran the store's watches, which look at the store's changes every 2 ms. It can't be shown that the recorded abort was this.

Change: ContextThread::StopFirst as the last member ends the thread first, also when a constructor throws; SlowCallersTest had the same fault.

--- a/FailureTests/ContextThread.h
+++ b/FailureTests/ContextThread.h
@@ -18,14 +18,31 @@
   ContextThread()
       : Guard_(boost::asio::make_work_guard(Context_)),
         Thread_([this] { Context_.run(); }) {}
-  ~ContextThread() {
-    Context_.stop();
-    Thread_.join();
-  }
+  ~ContextThread() { stop(); }
   ContextThread(const ContextThread &) = delete;
   ContextThread &operator=(const ContextThread &) = delete;
 
   boost::asio::io_context &context() { return Context_; }
+  /// Returns when no handler runs and none will.
+  void stop() {
+    Context_.stop();
+    if (Thread_.joinable())
+      Thread_.join();
+  }
+
+  /// Stops the thread on destruction. A class whose members are used by
+  /// handlers has it as its last member: the thread ends before them then, also
+  /// if the constructor throws, while the event loop outlives their sockets.
+  class StopFirst {
+  public:
+    explicit StopFirst(ContextThread &Thread) : Thread_(Thread) {}
+    ~StopFirst() { Thread_.stop(); }
+    StopFirst(const StopFirst &) = delete;
+    StopFirst &operator=(const StopFirst &) = delete;
+
+  private:
+    ContextThread &Thread_;
+  };
 
 private:
   boost::asio::io_context Context_{1};
--- a/FailureTests/UnendingSenders.h
+++ b/FailureTests/UnendingSenders.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
   /// is read, up to \p Most bytes and half a second. The connection stays open
   /// until closeAll().
   Awaitable<void> send(Endpoint To, std::string Start, std::size_t Most);
+  /// \returns how many of the connections the other end closes within
+  /// \p Limit.
+  Awaitable<std::size_t> countEnded(std::chrono::milliseconds Limit);
   void closeAll() { Peers_.clear(); }
 
 private:
--- a/FailureTests/platform/SlowCallersTest.cpp
+++ b/FailureTests/platform/SlowCallersTest.cpp
@@ -185,6 +185,7 @@
   std::optional<ChildProcess> Daemon_;
   Endpoint Callers_;
   Endpoint Operators_;
+  ContextThread::StopFirst StopFirst_{Thread_};
 };
 
 } // namespace
--- a/FailureTests/platform/UnendingBytesTest.cpp
+++ b/FailureTests/platform/UnendingBytesTest.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Servers and callers that send without end, at a daemon with little memory.
 
+#include "Connection/PeerMessage.h"
+
 #include "FailureTests/ChildProcess.h"
 #include "FailureTests/Cluster.h"
 #include "FailureTests/ContextThread.h"
@@ -14,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -21,6 +24,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <map>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -81,7 +85,8 @@
 /// A store, an engine, and one daemon as a real process.
 class SmallVm {
 public:
-  explicit SmallVm(const std::string &MemoryFlag)
+  explicit SmallVm(const std::string &MemoryFlag,
+                   milliseconds ReadTimeout = std::chrono::seconds(30))
       : Store_(Thread_.context()),
         Engine_(Thread_.context(), {asio::ip::make_address("127.0.0.1"), 0}) {
     asio::co_spawn(
@@ -101,23 +106,20 @@
             "--operators_address=127.0.0.1:0",
             "--platform_address=" + formatEndpoint(Store_.address()),
             "--threads=0", "--admission=objectives", MemoryFlag,
+            fmt::format("--read_timeout_ms={}", ReadTimeout.count()),
             "--log_output=stderr"},
         Folder_.path() + "/vm-1.log");
     Json Addresses = Daemon_->readLine();
     Callers_ = *parseEndpoint(Addresses["callers"].get<std::string>());
-  }
-  ~SmallVm() {
-    std::promise<void> Closed;
-    asio::post(Thread_.context(), [&] {
-      Engine_.close();
-      Closed.set_value();
-    });
-    Closed.get_future().wait();
+    Peers_ = *parseEndpoint(Addresses["peers"].get<std::string>());
   }
 
-  std::future<Result<HttpResponse>> begin(const std::string &Target) {
+  std::future<Result<HttpResponse>> begin(const std::string &Target,
+                                          std::size_t BodyBytes = 0) {
     HttpRequest Request;
     Request.Target_ = Target;
+    Request.Method_ = BodyBytes > 0 ? "POST" : "GET";
+    Request.Body_.assign(BodyBytes, 'b');
     Request.Fields_ = {
         {"host", "endless.example"},
         {"x-samphireshunt-request-id", fmt::format("call-{}", ++Calls_)}};
@@ -167,6 +169,14 @@
       Sender.get();
   }
   Endpoint callers() const { return Callers_; }
+  /// \returns how many connections of sendOnMany() the daemon ends in time.
+  std::size_t countEnded() {
+    return asio::co_spawn(
+               Thread_.context(),
+               [this] { return Senders_.countEnded(CallLimit); },
+               asio::use_future)
+        .get();
+  }
   /// Closes the connections of sendOnMany().
   void closeSenders() {
     asio::co_spawn(
@@ -179,6 +189,20 @@
         .get();
   }
 
+  /// Opens \p Count connections as daemons of different names do, and sends
+  /// \p Start on each.
+  void announceAsDaemons(std::size_t Count, const std::string &Start) {
+    for (std::size_t Number = 0; Number < Count; ++Number) {
+      wire::HelloT Hello;
+      Hello.vm = fmt::format("announcing-{}", ++Calls_);
+      std::string Message = encodeMessage(std::move(Hello));
+      std::uint32_t Size = boost::endian::native_to_little(
+          static_cast<std::uint32_t>(Message.size()));
+      std::string Frame(reinterpret_cast<const char *>(&Size), sizeof(Size));
+      sendOnMany(Peers_, 1, Frame + Message + Start, 1);
+    }
+  }
+
   /// \returns the addresses at which the daemon listens, as the kernel tells.
   std::vector<Endpoint> listeners() const {
     std::set<std::string> Own;
@@ -261,6 +285,12 @@
           asio::redirect_error(asio::use_awaitable, Error));
       Request.append(Space.data(), Count);
     }
+    std::size_t Rest = unreadOf(Request);
+    while (!Error && Rest > 0)
+      Rest -=
+          std::min(Rest, co_await Peer->async_read_some(
+                             asio::buffer(Space),
+                             asio::redirect_error(asio::use_awaitable, Error)));
     if (Error)
       co_return;
     std::string Start = answerTo(Request);
@@ -273,6 +303,17 @@
       co_await sendEndless(*Peer, std::move(Start));
   }
 
+  /// \returns how much of the body of a request is still to be read.
+  static std::size_t unreadOf(const std::string &Read) {
+    constexpr std::string_view Field = "\r\ncontent-length: ";
+    std::size_t HeadBytes = Read.find("\r\n\r\n") + 4;
+    std::size_t At = lowerCase(Read.substr(0, HeadBytes)).find(Field);
+    if (At == std::string::npos)
+      return 0;
+    std::size_t Body = std::stoul(Read.substr(At + Field.size()));
+    return Body - std::min(Body, Read.size() - HeadBytes);
+  }
+
   /// \returns the beginning of an answer to the path's last part.
   static std::string answerTo(const std::string &Request) {
     std::string Path = Request.substr(0, Request.find(" HTTP"));
@@ -308,7 +349,9 @@
   std::optional<ChildProcess> Daemon_;
   UnendingSenders Senders_{Thread_.context()};
   Endpoint Callers_;
+  Endpoint Peers_;
   int Calls_ = 0;
+  ContextThread::StopFirst StopFirst_{Thread_};
 };
 
 constexpr int BadGateway = 502;
@@ -383,6 +426,52 @@
   }
 }
 
+TEST_CASE("large bodies that come at once don't take a daemon's memory") {
+  // Guards against memory that is reserved for bodies that wait for room.
+  constexpr std::size_t Callers = 40;
+  constexpr std::size_t Bytes = 3900000;
+  constexpr int ServiceUnavailable = 503;
+  /// As many as have room at once.
+  constexpr std::size_t AtOnce = MemoryMb * BytesPerMb / 8 / Bytes;
+  SmallVm Vm("--process_memory_mb=88");
+  REQUIRE(eventually([&] { return Vm.call("/plain/short") == 200; }));
+  std::vector<std::future<Result<HttpResponse>>> Calls;
+  while (Calls.size() < Callers)
+    Calls.push_back(Vm.begin("/plain/short", Bytes));
+  std::map<int, std::size_t> Counts;
+  for (auto &Call : Calls) {
+    auto Answer = Call.get();
+    ++Counts[Answer ? Answer->Status_ : 0];
+  }
+  MESSAGE(Counts[200] << " of " << Callers << " answered");
+  CHECK(Counts[200] + Counts[ServiceUnavailable] == Callers);
+  CHECK(Counts[200] > AtOnce);
+  CHECK(Vm.memoryHeld());
+}
+
+TEST_CASE("connections on which a message is announced and doesn't come end") {
+  // Guards against connections that stay open without end at any listener, and
+  // hold its descriptors.
+  constexpr std::size_t Connections = 100;
+  SmallVm Vm("--process_memory_mb=88", std::chrono::seconds(3));
+  REQUIRE(eventually([&] { return Vm.call("/plain/short") == 200; }));
+  const std::string Frame("\0\0\x3f\0", 4);
+  const std::string Head = "POST /plain/x HTTP/1.1\r\nhost: endless.example\r\n"
+                           "content-length: 3900000\r\n\r\n";
+  for (const Endpoint &To : Vm.listeners())
+    for (const std::string &Start : {Frame, Frame.substr(0, 2), Head}) {
+      CAPTURE(To.port());
+      CAPTURE(Start);
+      Vm.sendOnMany(To, Connections, Start, 1);
+      CHECK(Vm.countEnded() == Connections);
+      Vm.closeSenders();
+    }
+  // A connection that has said a daemon's name may send long frames.
+  for (std::size_t Bytes = 1; Bytes <= Frame.size(); ++Bytes)
+    Vm.announceAsDaemons(Connections, Frame.substr(0, Bytes));
+  CHECK(Vm.countEnded() == 4 * Connections);
+}
+
 TEST_CASE("connections that stay open don't take a daemon's memory") {
   // Guards against hundreds of callers whose heads are never whole.
   constexpr std::size_t SmallMb = 60;
