Followers: the list of servers can be confirmed as soon as that is wanted

A daemon learned that its list of servers is the newest only by its own schedule: every 0.6 s at a reader, 3.2 s in a small fleet, and up to a second later where another daemon is followed. Whoever needs a list that was asked for after some moment (a stream that is taken up) had to wait for that.

StoreFollower::confirmSoon() makes the next call at once, one for all who want it, at most every 150 ms; a call that is under way was sent before, so another follows. StoreView::Hooks::Applied_ tells of each answer.

--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -3840,6 +3840,7 @@
   uint64_t number = 0;
   bool text_apart = false;
   uint64_t digest = 0;
+  bool confirm = false;
 };
 
 /// Requests the changes that a reader of the platform's service has applied
@@ -3852,7 +3853,8 @@
     VT_INCARNATION = 6,
     VT_NUMBER = 8,
     VT_TEXT_APART = 12,
-    VT_DIGEST = 14
+    VT_DIGEST = 14,
+    VT_CONFIRM = 16
   };
   /// Copied into the answer.
   uint32_t sequence() const {
@@ -3875,6 +3877,10 @@
   uint64_t digest() const {
     return GetField<uint64_t>(VT_DIGEST, 0);
   }
+  /// The reader confirms its state at once, for a later request.
+  bool confirm() const {
+    return GetField<uint8_t>(VT_CONFIRM, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -3882,6 +3888,7 @@
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_TEXT_APART, 1) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRM, 1) &&
            verifier.EndTable();
   }
   FollowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3908,6 +3915,9 @@
   void add_digest(uint64_t digest) {
     fbb_.AddElement<uint64_t>(Follow::VT_DIGEST, digest, 0);
   }
+  void add_confirm(bool confirm) {
+    fbb_.AddElement<uint8_t>(Follow::VT_CONFIRM, static_cast<uint8_t>(confirm), 0);
+  }
   explicit FollowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3925,12 +3935,14 @@
     uint64_t incarnation = 0,
     uint64_t number = 0,
     bool text_apart = false,
-    uint64_t digest = 0) {
+    uint64_t digest = 0,
+    bool confirm = false) {
   FollowBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
   builder_.add_sequence(sequence);
+  builder_.add_confirm(confirm);
   builder_.add_text_apart(text_apart);
   return builder_.Finish();
 }
@@ -7016,6 +7028,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = text_apart(); _o->text_apart = _e; }
   { auto _e = digest(); _o->digest = _e; }
+  { auto _e = confirm(); _o->confirm = _e; }
 }
 
 inline flatbuffers::Offset<Follow> Follow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FollowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7031,13 +7044,15 @@
   auto _number = _o->number;
   auto _text_apart = _o->text_apart;
   auto _digest = _o->digest;
+  auto _confirm = _o->confirm;
   return samphireshunt::wire::CreateFollow(
       _fbb,
       _sequence,
       _incarnation,
       _number,
       _text_apart,
-      _digest);
+      _digest,
+      _confirm);
 }
 
 inline StateEntryT *StateEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -136,6 +136,7 @@
   Request.number = ReaderNumber_;
   Request.text_apart = true;
   Request.digest = View_.digest();
+  Request.confirm = std::exchange(ConfirmWanted_, false);
   Awaiting_ = true;
   Overdue_ = false;
   Unanswered_.insert(*Reader_);
@@ -145,6 +146,22 @@
   Hooks_.Send_(VmId(*Reader_), encodeMessage(std::move(Request)));
 }
 
+/// The age in an answer counts from the request, so a second request is needed,
+/// after the reader's call.
+void PeerFollower::confirmSoon() {
+  if (!Reader_)
+    return Service_.confirmSoon();
+  ConfirmWanted_ = true;
+  if (!Awaiting_)
+    schedule(untilNextRequest());
+}
+
+milliseconds PeerFollower::untilNextRequest() const {
+  auto Earliest = RequestedAt_ + Options_.MinRequestInterval_;
+  auto Left = std::chrono::ceil<milliseconds>(Earliest - BootClock::now());
+  return std::max(Left, milliseconds(0));
+}
+
 void PeerFollower::abandonReader(const VmId &Reader, Fault Kind,
                                  std::string_view Why) {
   // In an outage of the service no daemon can be followed, and one log line is
@@ -230,7 +247,7 @@
         {{"reader", From.str()}, {"revision", std::to_string(State.revision)}});
     Service_.pause();
   }
-  schedule(Options_.RequestInterval_);
+  schedule(ConfirmWanted_ ? untilNextRequest() : Options_.RequestInterval_);
 }
 
 bool PeerFollower::lacksTextOf(const wire::StateT &State) const {
@@ -421,6 +438,8 @@
 void PeerFollower::onFollow(const VmId &From, const wire::FollowT &Request) {
   Followers_[From].LastRequest_ = steady_clock::now();
   Followers_[From].SeparateText_ = Request.text_apart;
+  if (Request.confirm && !Service_.paused())
+    Service_.confirmSoon();
   bool Continues = Request.incarnation == Self_.count();
   bool SameServers = !Continues && Request.text_apart && Request.digest != 0 &&
                      Request.digest == View_.digest();
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -46,6 +46,8 @@
     /// how long a change may go unnoticed when readers freeze.
     std::chrono::milliseconds RequestInterval_{500};
     std::chrono::milliseconds AnswerTimeout_{400};
+    /// The shortest time between two requests, unless the reader changes.
+    std::chrono::milliseconds MinRequestInterval_{200};
     /// A reader whose own state is older than this has lost the service:
     /// readers confirm theirs every 600 ms.
     std::chrono::milliseconds MaxStateAge_{1200};
@@ -110,6 +112,10 @@
   bool awaiting(const VmId &Reader) const;
   /// False if no reader answers, or if none has had the service for a while.
   bool hasSource() const;
+  /// Asks the reader, or the service if this daemon reads it, to confirm the
+  /// state by a call that is sent after this one. View::Hooks::Applied_
+  /// follows, with an answer that may still be older.
+  void confirmSoon();
   /// The daemon that is followed, if any.
   const std::optional<VmId> &reader() const { return Reader_; }
 
@@ -131,6 +137,7 @@
   void schedule(std::chrono::milliseconds Delay);
   void onTimer();
   void sendRequest();
+  std::chrono::milliseconds untilNextRequest() const;
   /// Why a reader is abandoned.
   enum class Fault { Silent, Unusable };
   void abandonReader(const VmId &Reader, Fault Kind, std::string_view Why);
@@ -195,6 +202,8 @@
   };
   std::map<VmId, FailedReader> FailedReaders_;
   bool SawOldState_ = false;
+  /// The next request asks the reader to confirm its state.
+  bool ConfirmWanted_ = false;
   std::map<VmId, Follower> Followers_;
   StateEntries Entries_;
   DocumentTexts Texts_;
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -80,6 +80,11 @@
     ConfirmTimer_.cancel();
 }
 
+void StoreFollower::confirmSoon() {
+  ConfirmWanted_ = true;
+  ConfirmTimer_.cancel();
+}
+
 milliseconds StoreFollower::confirmTime() const {
   return Role_ == StoreRole::Reader ? Options_.ReaderConfirmTime_
                                     : Options_.ConfirmTime_;
@@ -136,11 +141,16 @@
 Awaitable<void> StoreFollower::confirmRegularly() {
   milliseconds Wait = confirmTime();
   while (!Stopped_) {
-    co_await sleepUntilConfirm(Wait);
+    if (!ConfirmWanted_)
+      co_await sleepUntilConfirm(Wait);
+    if (ConfirmWanted_)
+      co_await sleep(millisUntil(LastConfirm_ + Options_.MinConfirmTime_));
+    ConfirmWanted_ = false;
     if (Paused_) {
       Wait = confirmTime();
       continue;
     }
+    LastConfirm_ = BootClock::now();
     bool WasLost = !platformReachable();
     auto Confirmed = co_await confirm();
     Wait = Confirmed ? confirmTime() : milliseconds(0);
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -32,6 +32,8 @@
     /// The same at a daemon that others follow: until it notices that it has
     /// lost the service, its followers don't learn of servers that leave.
     std::chrono::milliseconds ReaderConfirmTime_{600};
+    /// The shortest time between two such requests, however many are wanted.
+    std::chrono::milliseconds MinConfirmTime_{150};
     /// How long the watch may lag behind the revision that the service has
     /// stated.
     std::chrono::milliseconds MaxWatchLag_{300};
@@ -76,6 +78,9 @@
   /// Sets the role. A daemon that becomes a reader confirms at once that it has
   /// the service.
   void setRole(StoreRole Role);
+  /// Confirms the state by a call that is sent after this one, as soon as
+  /// Options::MinConfirmTime_ allows it.
+  void confirmSoon();
   /// True if this daemon is registered under its address.
   bool registered() const { return RegisteredAddress_ == Address_; }
   /// When the last call of the service was sent whose answer is completely
@@ -153,6 +158,8 @@
   bool MaybeOutage_ = false;
   StoreRole Role_ = StoreRole::Alone;
   boost::asio::steady_timer ConfirmTimer_;
+  bool ConfirmWanted_ = false;
+  BootTime LastConfirm_;
   /// The cause for which the last answer's era was rejected, as logged.
   std::string BadEra_;
   std::uint64_t BadEras_ = 0;
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -182,6 +182,7 @@
 }
 
 void StoreView::appliedAsOf(BootTime Asked) {
+  Hooks_.Applied_();
   if (Unconfirmed_.empty() || Asked < EraStart_->SeenAt_ + Times_.EntryExpiry_)
     return;
   for (const auto &[Name, Entry] : std::exchange(Unconfirmed_, {}))
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -61,6 +61,9 @@
     /// registered.
     std::function<ServersByPool(ServersByPool)> SelectServers_ =
         [](ServersByPool Registered) { return Registered; };
+    /// Called when everything that the service contained at some moment is
+    /// applied, perhaps before it is published.
+    std::function<void()> Applied_ = [] {};
     std::function<BootTime()> Now_ = BootClock::now;
   };
   struct Times {
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -586,6 +586,12 @@
 mutate origin-gap $S/Process/Streams/VersionTimeline.cpp \
   's/std::max\(Found->second\.Began_, CurrentSince\)/Found->second.Began_/' \
   ${U}Streams '*come and gone while the store was unreachable*'
+mutate confirm-for-followers $S/Process/Configuration/PeerFollower.cpp \
+  's/Request\.confirm && !Service_\.paused\(\)/false/' \
+  ${U}platform '*by a later call of its reader*'
+mutate confirm-for-all $S/Process/Configuration/StoreFollower.cpp \
+  's/ConfirmWanted_ = true;\n  ConfirmTimer_\.cancel\(\);/ConfirmWanted_ = true;/' \
+  ${U}platform '*is confirmed as soon as that is wanted*'
 mutate confirmed-gap $S/Process/Configuration/FreshnessLease.h \
   's/Known == Never \|\| Gap/Known == Never/' \
   ${U}Process '*far apart leave open*'
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -40,6 +40,28 @@
   CHECK(Test.calls() == Calls);
 }
 
+TEST_CASE("a follower's state is confirmed by a later call of its reader as "
+          "soon as that is wanted") {
+  // Guards against a stream that goes on by a list that its reader asked for
+  // before, and against one that waits for the reader's own next call.
+  constexpr int Slow = 50;
+  constexpr milliseconds ReaderInterval = Slow * milliseconds(40);
+  Fleet Test(/*Small=*/false, Slow);
+  FollowingDaemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  auto Calls = Test.calls();
+  FakeStore &Store = Test.storeOf("first");
+  auto Before = Store.calls("/-/kv-range");
+  BootTime Wanted = BootClock::now();
+  CHECK(Test.runUntil([&] {
+    Spare.Peers_->confirmSoon();
+    return Spare.Freshness_.confirmedAt() >= Wanted;
+  }));
+  CHECK(BootClock::now() - Wanted < ReaderInterval);
+  CHECK(Store.calls("/-/kv-range") > Before);
+  CHECK(Test.calls() == Calls);
+}
+
 TEST_CASE("a reader that freezes is left within two requests") {
   // The reader that a daemon follows freezes, and a server begins to leave. If
   // the daemon did not turn to another reader, it would not be notified and
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -141,6 +141,22 @@
   CHECK(Test.Store_.calls("/-/kv-txn") <= 2);
 }
 
+TEST_CASE("the state is confirmed as soon as that is wanted, for all at once") {
+  // Guards against streams that wait for a confirmation that comes too late,
+  // and against a call for each of them.
+  constexpr int Wanted = 80;
+  constexpr milliseconds Long(20000);
+  FollowerFixture Test(Long, StoreFollower::Options().EarliestExpiry_, Long);
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.runFor(milliseconds(50));
+  auto Calls = Test.Store_.calls("/-/kv-range");
+  for (int Number = 0; Number < Wanted; ++Number)
+    Test.Follower_->confirmSoon();
+  BootTime Asked = BootClock::now();
+  CHECK(Test.runUntil([&] { return Test.Freshness_.confirmedAt() >= Asked; }));
+  CHECK(Test.Store_.calls("/-/kv-range") == Calls + 1);
+}
+
 TEST_CASE("an older version never becomes active again") {
   FollowerFixture Test;
   REQUIRE(Test.runUntil([&] { return Test.version() == DocumentVersion(3); }));
