Streams: without a record only a list asked for after the attempt shows the version

Callers got streams of two software versions: a daemon cut off from its peers for some seconds found no record of a stream and took it up at the only version of its own list, while the stream had begun at a newer one elsewhere.

Cause: a list up to 3 s old counted as complete, since daemons hold a new version back for so long. They don't where a daemon starts, where nothing else could serve, and on trial in a roll-out. A longer hold would be the same race.

Now belief is enough to refuse, not to bind: the list must have been asked for at the service after this daemon read the attempt. The stream broke off before, so each version that served it was registered by then. VersionTimeline::versionOf decides: none, unconfirmed, shown. An unconfirmed attempt waits up to 0.5 s, and all that wait share one question; then it is refused (216, not run) as before. DirectoryAge and its use of HoldTime are gone.

Ruled out: a hold on every way to be admitted (costs roll-outs, still a race). Not mended here: a version that came and went between two lists at most 4 s apart, one that others still use though its entry is gone here, and a restored store.

--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -19,6 +19,14 @@
   return Key ? StreamKey{Key->high(), Key->low()} : StreamKey();
 }
 
+FoundOrigin originOf(const UnrecordedStream &Stream,
+                     const StreamVersion &Known) {
+  if (Known.Proof_ != StreamVersion::Proof::Shown)
+    return {};
+  return {StreamOrigin{Stream.Pool_, Known.Version_},
+          OriginSource::OnlyVersion};
+}
+
 } // namespace
 
 std::string_view originSourceName(OriginSource Source) {
@@ -84,7 +92,7 @@
 
 void StreamOriginService::findNow(OriginQuery Query, Answered OnAnswer) {
   if (!Query.Key_)
-    return OnAnswer(withoutRecord(Query));
+    return withoutRecord(Query, std::move(OnAnswer));
   if (auto Known = Origins_.find(*Query.Key_, steady_clock::now()))
     return OnAnswer({std::move(Known), OriginSource::Self});
   ask(std::move(Query), std::move(OnAnswer));
@@ -98,13 +106,9 @@
   std::vector<VmId> Asked =
       recordKeepers(*Query.Key_, others(), Options_.Asked_);
   if (Asked.empty())
-    return OnAnswer(withoutRecord(Query));
-  auto Timer = std::make_unique<asio::steady_timer>(Control_);
-  Timer->expires_after(Options_.AnswerTime_);
-  Timer->async_wait([this, Sequence](const boost::system::error_code &Error) {
-    if (!Error)
-      finish(Sequence, std::nullopt);
-  });
+    return withoutRecord(Query, std::move(OnAnswer));
+  auto Timer = timeLimit(Options_.AnswerTime_,
+                         [this, Sequence] { finish(Sequence, std::nullopt); });
   Lookups_.emplace(Sequence, Lookup{std::move(Query), std::move(OnAnswer),
                                     Asked, std::move(Timer)});
   std::string Message = encodeMessage(std::move(Ask));
@@ -112,6 +116,17 @@
     Hooks_.Send_(To, Message);
 }
 
+std::unique_ptr<asio::steady_timer>
+StreamOriginService::timeLimit(milliseconds Time, std::function<void()> OnEnd) {
+  auto Timer = std::make_unique<asio::steady_timer>(Control_, Time);
+  Timer->async_wait(
+      [OnEnd = std::move(OnEnd)](const boost::system::error_code &Error) {
+        if (!Error)
+          OnEnd();
+      });
+  return Timer;
+}
+
 void StreamOriginService::onAsk(const VmId &From, const wire::OriginAskT &Ask) {
   wire::OriginAnswerT Answer;
   Answer.sequence = Ask.sequence;
@@ -144,17 +159,48 @@
   Lookup &Ended = Node.mapped();
   if (Origin)
     return Ended.OnAnswer_({std::move(Origin), OriginSource::Peer});
-  Ended.OnAnswer_(withoutRecord(Ended.Query_));
+  withoutRecord(Ended.Query_, std::move(Ended.OnAnswer_));
 }
 
-FoundOrigin StreamOriginService::withoutRecord(const OriginQuery &Query) const {
+void StreamOriginService::withoutRecord(const OriginQuery &Query,
+                                        Answered OnAnswer) {
   if (!Query.Pool_)
-    return {};
-  auto Only = Hooks_.OnlyVersion_(*Query.Pool_, Query.MaxAge_);
-  if (!Only)
-    return {};
-  return {StreamOrigin{*Query.Pool_, std::move(*Only)},
-          OriginSource::OnlyVersion};
+    return OnAnswer({});
+  UnrecordedStream Stream{*Query.Pool_, Query.Arrived_, Query.MaxAge_};
+  StreamVersion Known = Hooks_.VersionOf_(Stream);
+  if (Known.Proof_ != StreamVersion::Proof::Unconfirmed)
+    return OnAnswer(originOf(Stream, Known));
+  std::uint64_t Sequence = NextSequence_++;
+  auto Timer = timeLimit(Options_.ConfirmTime_,
+                         [this, Sequence] { refuseUnrecorded(Sequence); });
+  Unrecorded_.emplace(
+      Sequence,
+      Unrecorded{std::move(Stream), std::move(OnAnswer), std::move(Timer)});
+  Hooks_.ConfirmList_();
+}
+
+void StreamOriginService::refuseUnrecorded(std::uint64_t Sequence) {
+  if (auto Node = Unrecorded_.extract(Sequence))
+    Node.mapped().OnAnswer_({});
+}
+
+void StreamOriginService::listConfirmed() {
+  std::vector<std::pair<Answered, FoundOrigin>> Ended;
+  for (auto Next = Unrecorded_.begin(); Next != Unrecorded_.end();) {
+    Unrecorded &Waiting = Next->second;
+    StreamVersion Known = Hooks_.VersionOf_(Waiting.Stream_);
+    if (Known.Proof_ == StreamVersion::Proof::Unconfirmed) {
+      ++Next;
+      continue;
+    }
+    Ended.emplace_back(std::move(Waiting.OnAnswer_),
+                       originOf(Waiting.Stream_, Known));
+    Next = Unrecorded_.erase(Next);
+  }
+  if (!Unrecorded_.empty())
+    Hooks_.ConfirmList_();
+  for (auto &[OnAnswer, Found] : Ended)
+    OnAnswer(std::move(Found));
 }
 
 bool StreamOriginService::awaiting(const VmId &Peer) const {
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -7,6 +7,7 @@
 
 #include "Connection/PeerMessage.h"
 #include "Process/Streams/StreamOrigins.h"
+#include "Process/Streams/VersionTimeline.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,6 +45,8 @@
   std::optional<PoolName> Pool_;
   /// The longest time since the stream began.
   std::chrono::milliseconds MaxAge_{0};
+  /// When this daemon read the attempt.
+  BootTime Arrived_;
 };
 
 class StreamOriginService {
@@ -57,17 +60,19 @@
     /// How long their answers are awaited. Callers give up an attempt after a
     /// second without an answer.
     std::chrono::milliseconds AnswerTime_{400};
+    /// How long a newer list of servers is awaited after that.
+    std::chrono::milliseconds ConfirmTime_{500};
   };
   struct Hooks {
     std::function<void(const VmId &, std::string)> Send_;
     std::function<void(const VmId &, std::string)> Reply_;
     /// Returns the other daemons that may keep records.
     std::function<std::vector<VmId>()> Others_;
-    /// Returns the version of the pool's servers if there was only one within
-    /// the time; nothing if that is not known.
-    std::function<std::optional<SoftwareVersion>(const PoolName &,
-                                                 std::chrono::milliseconds)>
-        OnlyVersion_;
+    /// Returns the version that an unrecorded stream may go on at.
+    std::function<StreamVersion(const UnrecordedStream &)> VersionOf_;
+    /// Asks for a newer list of servers, once for all calls that come soon
+    /// after each other; listConfirmed() follows.
+    std::function<void()> ConfirmList_;
   };
   using Answered = std::function<void(FoundOrigin)>;
 
@@ -84,6 +89,8 @@
   void onRecord(const wire::StreamOriginT &Received);
   void onAsk(const VmId &From, const wire::OriginAskT &Ask);
   void onAnswer(const VmId &From, const wire::OriginAnswerT &Answer);
+  /// Called when the service has confirmed the list of servers.
+  void listConfirmed();
   /// Called when the list of other daemons changed.
   void membersChanged() { Others_.reset(); }
   /// \returns true while an answer of \p Peer is awaited.
@@ -99,13 +106,23 @@
     std::unique_ptr<boost::asio::steady_timer> Timer_;
   };
 
+  /// A stream without a record that waits for a newer list of servers.
+  struct Unrecorded {
+    UnrecordedStream Stream_;
+    Answered OnAnswer_;
+    std::unique_ptr<boost::asio::steady_timer> Timer_;
+  };
+
   const std::vector<VmId> &others();
   void recordNow(const StreamKey &Key, const StreamOrigin &Origin,
                  std::chrono::milliseconds Needed);
   void findNow(OriginQuery Query, Answered OnAnswer);
   void ask(OriginQuery Query, Answered OnAnswer);
   void finish(std::uint64_t Sequence, std::optional<StreamOrigin> Origin);
-  FoundOrigin withoutRecord(const OriginQuery &Query) const;
+  std::unique_ptr<boost::asio::steady_timer>
+  timeLimit(std::chrono::milliseconds Time, std::function<void()> OnEnd);
+  void withoutRecord(const OriginQuery &Query, Answered OnAnswer);
+  void refuseUnrecorded(std::uint64_t Sequence);
 
   boost::asio::io_context &Control_;
   Options Options_;
@@ -113,6 +130,7 @@
   StreamOrigins Origins_;
   std::optional<std::vector<VmId>> Others_;
   std::map<std::uint64_t, Lookup> Lookups_;
+  std::map<std::uint64_t, Unrecorded> Unrecorded_;
   std::uint64_t NextSequence_ = 1;
 };
 
--- a/Source/Process/Streams/VersionTimeline.cpp
+++ b/Source/Process/Streams/VersionTimeline.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -49,4 +50,15 @@
   return Only;
 }
 
+StreamVersion VersionTimeline::versionOf(const UnrecordedStream &Stream,
+                                         const ListTimes &List) const {
+  auto Only = onlyVersion(Stream.Pool_, Stream.Arrived_ - Stream.MaxAge_,
+                          List.UnbrokenSince_);
+  if (!Only)
+    return {};
+  if (List.AskedAt_ < Stream.Arrived_)
+    return {StreamVersion::Proof::Unconfirmed, {}};
+  return {StreamVersion::Proof::Shown, std::move(*Only)};
+}
+
 } // namespace samphireshunt
--- a/Source/Process/Streams/VersionTimeline.h
+++ b/Source/Process/Streams/VersionTimeline.h
@@ -11,6 +11,37 @@
 
 namespace samphireshunt {
 
+/// A stream that its caller takes up again, without a record of its origin.
+struct UnrecordedStream {
+  PoolName Pool_;
+  /// When this daemon read the attempt. The stream broke off before.
+  BootTime Arrived_;
+  /// The longest time from the start of a stream to such an attempt.
+  std::chrono::milliseconds MaxAge_{0};
+};
+
+/// What a daemon's list of servers contains.
+struct ListTimes {
+  /// All that the service contained at \p AskedAt_, when it was asked.
+  BootTime AskedAt_;
+  /// All servers that the service had since.
+  BootTime UnbrokenSince_;
+};
+
+/// The version that an unrecorded stream may go on at.
+struct StreamVersion {
+  enum class Proof {
+    None,        ///< Several may have begun it, or that is not known.
+    Unconfirmed, ///< Only one is known, by a list that may lack others.
+    Shown        ///< No other can have begun it.
+  };
+  Proof Proof_ = Proof::None;
+  /// Set if it is shown.
+  SoftwareVersion Version_;
+
+  bool operator==(const StreamVersion &) const = default;
+};
+
 class VersionTimeline {
 public:
   /// Notes all registered servers, also those that may get no requests.
@@ -21,6 +52,12 @@
   std::optional<SoftwareVersion> onlyVersion(const PoolName &Pool,
                                              BootTime Since,
                                              BootTime CurrentSince) const;
+  /// \returns the version at which \p Stream goes on. Daemons learn of a server
+  /// at different times, and each may send to it at once, so only a list that
+  /// the service was asked for after the stream broke off names all versions
+  /// that can have begun it.
+  StreamVersion versionOf(const UnrecordedStream &Stream,
+                          const ListTimes &List) const;
 
 private:
   struct PoolTimeline {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -41,9 +41,6 @@
 /// The owner of a roll-out acts only while what it knows of the platform's
 /// service is at most this old.
 constexpr milliseconds RolloutStateAge{3000};
-/// The list of servers tells that a pool has only one version while it is at
-/// most this old: no daemon sends requests to a new version any sooner.
-constexpr milliseconds DirectoryAge = VersionSelection::HoldTime;
 /// After a longer time without the list, a version may have served and left
 /// meanwhile. Confirmations are up to 3.2 s apart.
 constexpr milliseconds MaxDirectoryGap{4000};
@@ -470,9 +467,10 @@
     Peers_->reply(To, std::move(Message));
   };
   Hooks.Others_ = [this] { return recordKeeperCandidates(); };
-  Hooks.OnlyVersion_ = [this](const PoolName &Pool, milliseconds Within) {
-    return onlyVersion(Pool, Within);
+  Hooks.VersionOf_ = [this](const UnrecordedStream &Stream) {
+    return versionOf(Stream);
   };
+  Hooks.ConfirmList_ = [this] { PeerFollower_->confirmSoon(); };
   Origins_ = std::make_unique<StreamOriginService>(
       Control_, StreamOriginService::Options(), std::move(Hooks));
 }
@@ -486,16 +484,12 @@
   return Candidates;
 }
 
-std::optional<SoftwareVersion> Daemon::onlyVersion(const PoolName &Pool,
-                                                   milliseconds Within) {
+StreamVersion Daemon::versionOf(const UnrecordedStream &Stream) const {
   // The servers of the product's own documents have no versions.
   if (!View_)
-    return SoftwareVersion();
-  BootTime Now = BootClock::now();
-  if (Freshness_.age(Now) > DirectoryAge)
-    return std::nullopt;
-  return VersionTimeline_.onlyVersion(Pool, Now - Within,
-                                      Freshness_.unbrokenSince());
+    return {StreamVersion::Proof::Shown, {}};
+  return VersionTimeline_.versionOf(
+      Stream, {Freshness_.confirmedAt(), Freshness_.unbrokenSince()});
 }
 
 void Daemon::wireRollouts() {
@@ -554,6 +548,10 @@
     VersionTimeline_.note(Registered, BootClock::now());
     return Rollouts_->select(std::move(Registered));
   };
+  // Posted, since the servers may not be noted yet.
+  ViewHooks.Applied_ = [this] {
+    asio::post(Control_, [this] { Origins_->listConfirmed(); });
+  };
   View_->setHooks(std::move(ViewHooks));
   Follower_ = std::make_unique<StoreFollower>(
       Control_, Platform_, *View_, Freshness_, StoreFollower::Options());
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -100,8 +100,7 @@
   void reportParts(const ServerName &Server, const ServedSample &Sample);
   void wireOrigins();
   std::vector<VmId> recordKeeperCandidates() const;
-  std::optional<SoftwareVersion> onlyVersion(const PoolName &Pool,
-                                             std::chrono::milliseconds Within);
+  StreamVersion versionOf(const UnrecordedStream &Stream) const;
   void onDaemonRegistered(const VmId &Id, const std::string &Text);
   void startConfiguration();
   /// Logs and counts a caller that got no whole response.
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -40,6 +40,7 @@
   if (Targets.size() == 1)
     Query.Pool_ = Targets.front().Pool_;
   Query.MaxAge_ = longestStream(Context);
+  Query.Arrived_ = BootClock::now();
   return Query;
 }
 
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -586,6 +586,12 @@
 mutate origin-gap $S/Process/Streams/VersionTimeline.cpp \
   's/std::max\(Found->second\.Began_, CurrentSince\)/Found->second.Began_/' \
   ${U}Streams '*come and gone while the store was unreachable*'
+mutate origin-unconfirmed $S/Process/Streams/VersionTimeline.cpp \
+  's/List\.AskedAt_ < Stream\.Arrived_/false/' \
+  ${U}Streams '*whichever daemon is out of step*'
+mutate origin-not-asked $S/Process/Streams/StreamOriginService.cpp \
+  's/Known\.Proof_ != StreamVersion::Proof::Unconfirmed/true/' \
+  ${U}Streams '*wait together for a newer list*'
 mutate confirm-for-followers $S/Process/Configuration/PeerFollower.cpp \
   's/Request\.confirm && !Service_\.paused\(\)/false/' \
   ${U}platform '*by a later call of its reader*'
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -37,6 +37,11 @@
     Context_.restart();
     Context_.run();
   }
+  /// Runs what is due, and no timers.
+  void runReady() {
+    Context_.restart();
+    Context_.poll();
+  }
   FoundOrigin find(std::size_t Index, OriginQuery Query) {
     std::optional<FoundOrigin> Found;
     at(Index).find(std::move(Query),
@@ -46,7 +51,8 @@
     return *Found;
   }
   std::size_t bytes() const { return Bytes_; }
-  std::optional<SoftwareVersion> Only_;
+  StreamVersion Version_;
+  int Confirmations_ = 0;
 
 private:
   StreamOriginService::Hooks hooks(const VmId &Self) {
@@ -60,9 +66,8 @@
       std::erase(Others, Self);
       return Others;
     };
-    Hooks.OnlyVersion_ = [this](const PoolName &, milliseconds) {
-      return Only_;
-    };
+    Hooks.VersionOf_ = [this](const UnrecordedStream &) { return Version_; };
+    Hooks.ConfirmList_ = [this] { ++Confirmations_; };
     return Hooks;
   }
 
@@ -149,7 +154,7 @@
   CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
   CHECK(std::chrono::steady_clock::now() - Begin <
         StreamOriginService::Options().AnswerTime_);
-  Fleet.Only_ = SoftwareVersion("v1");
+  Fleet.Version_ = {StreamVersion::Proof::Shown, SoftwareVersion("v1")};
   FoundOrigin Found = Fleet.find(1, query(1));
   CHECK(Found.Source_ == OriginSource::OnlyVersion);
   CHECK(Found.Origin_ == origin(0));
@@ -161,6 +166,37 @@
   CHECK(Fleet.find(1, SplitRoute).Source_ == OriginSource::Unknown);
 }
 
+TEST_CASE("streams without a record wait together for a newer list") {
+  // Guards against a question for each of the streams of a fleet that was
+  // killed, and against a stream that goes on by a list that may lack versions.
+  constexpr int Streams = 80;
+  const StreamVersion Unconfirmed{StreamVersion::Proof::Unconfirmed, {}};
+  const StreamVersion Shown{StreamVersion::Proof::Shown, SoftwareVersion("v1")};
+  OriginFleet Fleet(1);
+  Fleet.Version_ = Unconfirmed;
+  std::vector<OriginSource> Found;
+  for (int Number = 0; Number < Streams; ++Number)
+    Fleet.at(0).find(query(Number), [&](const FoundOrigin &Answer) {
+      Found.push_back(Answer.Source_);
+    });
+  Fleet.runReady();
+  Fleet.at(0).listConfirmed();
+  CHECK(Found.empty());
+  Fleet.Confirmations_ = 0;
+  Fleet.Version_ = Shown;
+  Fleet.at(0).listConfirmed();
+  CHECK(Found == std::vector(Streams, OriginSource::OnlyVersion));
+  CHECK(Fleet.Confirmations_ == 0);
+}
+
+TEST_CASE("a stream whose version stays unconfirmed is refused in time") {
+  // Guards against callers that are held up while the store is away.
+  OriginFleet Fleet(8);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+  CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
+  CHECK(Fleet.Confirmations_ == 1);
+}
+
 TEST_CASE("a daemon that is alone decides by itself") {
   OriginFleet Fleet(1);
   Fleet.at(0).record(*query(1).Key_, origin(1), Needed);
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -407,10 +407,11 @@
 StreamOriginService::Hooks ForwardingHarness::origins() {
   StreamOriginService::Hooks Hooks;
   Hooks.Others_ = [] { return std::vector<VmId>(); };
-  Hooks.OnlyVersion_ = [this](const PoolName &, milliseconds) {
+  Hooks.VersionOf_ = [this](const UnrecordedStream &) {
     return Options_.Versions_.size() == 1
-               ? std::optional(SoftwareVersion(Options_.Versions_.front()))
-               : std::nullopt;
+               ? StreamVersion{StreamVersion::Proof::Shown,
+                               SoftwareVersion(Options_.Versions_.front())}
+               : StreamVersion();
   };
   return Hooks;
 }
