A stop answers every request, and asks at each step whether there is time

Callers saw: requests that a stopping daemon had taken were closed without an answer when drain_timeout_ms expired, whether they waited for a grant (though nothing had been sent for them) or ran. Requests of the own interface were taken until the last moment.

Cause: Daemon::hasTimeFor was asked for forwarded requests only, on arrival only, and looked at the route's timeout alone; stopAll stopped the loops with requests in them.

Ruled out: refusing in the first drain_admit_ms whatever has more time left than the stop: nearly every route's timeout is longer than what its calls take, and balancers still send.

Change: Request/StopPolicy, a pure module, decides on arrival, while a request waits, before the dispatch, before a repeat and while it runs, for all interfaces. RunLengths tells how long the last runs of a route took. An end by the stop blames no server.

Tests: Unit.Request (StopPolicyTest: any arrival, kind, wait, work and time left in virtual time; ModelCallTest: refused on arrival, after the grant, before the dispatch), Failure.LeavingTest and Failure.platform.StopTest ("a stop whose timeout expires answers ...").

--- a/FailureTests/LeavingTest.cpp
+++ b/FailureTests/LeavingTest.cpp
@@ -211,3 +211,44 @@
   CHECK(Fleet.process("vm-1").wait() == 0);
   finish(Calls);
 }
+
+TEST_CASE("a stop whose timeout expires answers what waits and what runs") {
+  // Guards against callers whose connections are closed in silence.
+  constexpr milliseconds LongTimeout{60000};
+  constexpr int Count = 12;
+  ClusterOptions Options;
+  Options.Models_ = 1;
+  Options.MaxInFlight_ = 2;
+  Options.StepMs_ = 100;
+  Options.DaemonFlags_ = {"--threads=2", "--drain_timeout_ms=4000"};
+  Cluster Fleet(Options);
+  std::vector<std::future<CallRecord>> Calls;
+  auto Start = [&](bool Streams) {
+    CallRequest Request = Streams ? Fleet.stream(1) : Fleet.chat(1);
+    Request.MaxTokens_ = 600;
+    Request.Timeout_ = LongTimeout;
+    Calls.push_back(Fleet.start(std::move(Request)));
+  };
+  for (int Index = 0; Index < Count; ++Index)
+    Start(Index % 2 == 0);
+  REQUIRE(eventually(
+      [&] { return Fleet.status(1).value("activeRequests", 0) == Count; }));
+  REQUIRE(eventually([&] { return Fleet.ledgerCount("ran") >= 2; }));
+  Fleet.process("vm-1").signal(SIGTERM);
+  REQUIRE(eventually([&] { return Fleet.status(1).value("draining", false); }));
+  for (int Index = 0; Index < Count; ++Index)
+    Start(Index % 2 == 0);
+  CHECK(Fleet.process("vm-1").wait() == 0);
+  auto Records = finish(Calls);
+  // More than two if the keeper was this daemon.
+  std::size_t Ran = Fleet.ledgerCount("ran");
+  CHECK(Ran < Count);
+  CHECK_MESSAGE(countOutcome(Records, "not-run") == 2 * Count - Ran,
+                unanswered(Records));
+  CHECK(std::ranges::all_of(Records, [](const CallRecord &Call) {
+    bool Begun = Call.Outcome_ == "unknown" || Call.Outcome_ == "partial";
+    bool Refused = Call.Status_ == 503 && Call.HasRetryAfter_;
+    return Begun || (Call.Outcome_ == "not-run" && Refused);
+  }));
+  CHECK_MESSAGE(Fleet.violations().empty(), joined(Fleet.violations()));
+}
--- a/FailureTests/platform/SoakFleet.cpp
+++ b/FailureTests/platform/SoakFleet.cpp
@@ -44,7 +44,7 @@
       "--drain_delay_ms=600",
       "--drain_quiet_ms=100",
       "--drain_admit_ms=1000",
-      "--drain_timeout_ms=4000",
+      fmt::format("--drain_timeout_ms={}", Options_.DrainTimeout_.count()),
       "--log_output=stderr"};
   if (Options_.MemoryMb_ > 0)
     Command.push_back(
--- a/FailureTests/platform/SoakFleet.h
+++ b/FailureTests/platform/SoakFleet.h
@@ -27,6 +27,8 @@
   std::size_t MemoryMb_ = 0;
   /// Daemons read settings from a file that can change.
   bool FlagFiles_ = false;
+  /// How long requests may run after SIGTERM.
+  std::chrono::milliseconds DrainTimeout_{4000};
 };
 
 /// Three daemons. With an even seed one daemon reads the store and the others
--- a/FailureTests/platform/StopTest.cpp
+++ b/FailureTests/platform/StopTest.cpp
@@ -2,13 +2,18 @@
 /// Planned stops and the loss of all daemons on the platform's protocol, with
 /// real processes, checked from the perspective of callers and engines.
 
+#include "FailureTests/Cluster.h"
 #include "FailureTests/platform/SoakEnvironment.h"
 #include "FailureTests/platform/SoakFleet.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
+#include <iterator>
 
+using namespace samphireshunt;
 using namespace samphireshunt::tests;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
@@ -47,6 +52,41 @@
   CHECK(Environment.answered() > 100);
 }
 
+TEST_CASE("a stop whose timeout expires answers every request") {
+  // Guards against callers whose connections are closed in silence.
+  constexpr int Calls = 30;
+  SoakEnvironment Environment(Seed);
+  SoakFleetOptions Options;
+  // Shorter than the routes' timeouts.
+  Options.DrainTimeout_ = milliseconds(1500);
+  SoakFleet Fleet(Seed, Environment, Options);
+  REQUIRE(probeUntilHealthy(Environment).empty());
+  Environment.silenceEngines(true);
+  const Endpoint Daemon = Fleet.callersAddress(0);
+  std::vector<std::future<SoakCall>> Sent;
+  auto Send = [&] {
+    for (int Index = 0; Index < Calls; ++Index)
+      Sent.push_back(Environment.beginCall(
+          Daemon, std::array{SoakKind::Safe, SoakKind::Stream,
+                             SoakKind::Unsafe}[Index % 3]));
+  };
+  Send();
+  REQUIRE(eventually([&] { return Environment.running() >= 3; }));
+  Environment.setDaemon(0, std::nullopt);
+  Fleet.signal(0, SIGTERM);
+  Send();
+  CHECK(Fleet.wait(0) == 0);
+  std::vector<SoakCall> Ended;
+  std::ranges::transform(Sent, std::back_inserter(Ended),
+                         [](auto &Call) { return Call.get(); });
+  Environment.silenceEngines(false);
+  CHECK(std::ranges::count(Ended, 0, &SoakCall::Status_) == 0);
+  CHECK(std::ranges::count(Ended, 503, &SoakCall::Status_) > 0);
+  CHECK(std::ranges::count(Ended, 504, &SoakCall::Status_) > 0);
+  auto Violations = Environment.violations();
+  CHECK_MESSAGE(Violations.empty(), Violations.front());
+}
+
 TEST_CASE("after all daemons are killed at once the newest configuration is "
           "active and all requests are served again") {
   // A key is revoked, the store acknowledges the write, and at that moment all
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -643,7 +643,7 @@
           Adapter_.Dialect_,
           Freshness_,
           *RetryBudget_,
-          [this](const ForwardingRule &Rule) { return hasTimeFor(Rule); },
+          [this] { return currentStop(); },
           *Origins_,
           Memory_,
           schedulingOptions(Settings_).SuspendStreams_};
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -110,7 +110,9 @@
   bool configurationReady();
   bool platformReachable() const;
   bool isAcceptingCallers() const;
-  bool hasTimeFor(const ForwardingRule &Rule) const;
+  StopTimes stopTimes() const;
+  std::optional<CurrentStop> currentStop() const;
+  void endRequestsAtStop();
   void flushEventQueues();
   void flushNextQueue(std::vector<boost::asio::io_context *> Left);
   void onEventQueuesFlushed();
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -31,6 +31,8 @@
 /// Interval at which the flag file is checked, since it may change without a
 /// signal.
 constexpr milliseconds FlagFileInterval{1000};
+/// How long the answers to requests that the stop ended may take to be written.
+constexpr milliseconds LastAnswersTime{300};
 /// Event-loop iterations of a thread after which a connection that was pending
 /// at the first one has been accepted, its request read, and counts as active.
 constexpr std::size_t FlushIterations = 5;
@@ -150,16 +152,25 @@
   scheduleRefresh();
 }
 
-/// True when a request has enough time before the stop. A request that is
-/// refused can go to another daemon; one that is cut is lost.
-bool Daemon::hasTimeFor(const ForwardingRule &Rule) const {
+StopTimes Daemon::stopTimes() const {
+  return {Settings_.DrainAdmit_, Settings_.DrainTimeout_,
+          Settings_.DrainTimeout_ + LastAnswersTime};
+}
+
+std::optional<CurrentStop> Daemon::currentStop() const {
   if (!Draining_)
-    return true;
-  auto Drained = steady_clock::now() - DrainStarted_;
-  if (Drained < Settings_.DrainAdmit_)
-    return true;
-  return Rule.Kind_ != RequestKind::Stream &&
-         Drained + Rule.Timeout_ < Settings_.DrainTimeout_;
+    return std::nullopt;
+  auto Since = steady_clock::now() - DrainStarted_;
+  return CurrentStop{stopTimes(),
+                     std::chrono::duration_cast<milliseconds>(Since)};
+}
+
+/// Lets all workers end the requests that the stop leaves no time for.
+void Daemon::endRequestsAtStop() {
+  for (const auto &Current : Workers_)
+    asio::post(*Current->Context_, [Callers = Current->Callers_.get()] {
+      runLogged("end-at-stop", [&] { Callers->endAtStop(); });
+    });
 }
 
 /// Starts to process all pending events before the stop is decided. A process
@@ -201,15 +212,17 @@
 /// expected. A balancer with few other daemons keeps sending to this one, so
 /// connections are accepted until none arrives any more. If they never end, the
 /// daemon continues only while requests are active: requests that arrive that
-/// late are refused anyway.
+/// late are refused anyway. Once the runs have ended, only their answers are
+/// waited for.
 bool Daemon::mayStop(steady_clock::duration Drained) {
   auto SinceAccepted = steady_clock::now() - CallerServer_->lastAccepted();
   if (Settings_.DrainQuiet_.count() == 0)
     CallerServer_->stopAccepting();
   bool Quiet = SinceAccepted >= Settings_.DrainQuiet_ ||
                Drained >= 2 * Settings_.DrainDelay_;
-  return CallerServer_->activeExchanges() == 0 && Relay_->connections() == 0 &&
-         Quiet;
+  bool Over = Drained >= Settings_.DrainTimeout_;
+  return CallerServer_->activeExchanges() == 0 &&
+         (Over || (Relay_->connections() == 0 && Quiet));
 }
 
 void Daemon::checkProcess() {
@@ -219,9 +232,11 @@
     logEvent(LogCategory::Process, spdlog::level::info, "ready");
   if (Draining_) {
     auto Drained = steady_clock::now() - DrainStarted_;
-    if (Drained >= Settings_.DrainTimeout_)
+    if (Drained >= stopTimes().ProcessEnd_)
       return stopAll();
-    if (Drained >= Settings_.DrainDelay_)
+    endRequestsAtStop();
+    bool Over = Drained >= Settings_.DrainTimeout_;
+    if (Over || Drained >= Settings_.DrainDelay_)
       flushEventQueues();
   }
   if (steady_clock::now() - FlagFileChecked_ >= FlagFileInterval)
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -66,15 +66,16 @@
     // the effects of an interrupted run would be unknown.
     Context_.Exchange_.onCallerLeft(nullptr);
     Dispatched_ = steady_clock::now();
-    auto Answer = co_await exchange();
+    auto Answer = co_await runExchange();
     ServedSample Sample;
     Sample.Reached_ = true;
     Sample.Complete_ = Answer.has_value();
     Sample.Duration_ =
         duration_cast<microseconds>(steady_clock::now() - Dispatched_);
-    if (Answer)
+    if (Answer) {
       addFingerprint(Context_, Sample);
-    else
+      Context_.recordRun(Sample.Duration_);
+    } else
       co_await addCrashEvidence(Context_, Ready_.Server_, Answer.error().Code_,
                                 Sample);
     Context_.Services_.Grants_.done(Context_.Id_, Sample);
@@ -184,6 +185,19 @@
     co_await answerVerdict(Context_, std::move(Ended));
   }
 
+  Awaitable<Result<HttpResponse>> runExchange() {
+    StopHook Hook(Context_, StopStage::Dispatched, [this] {
+      StopEnded_ = true;
+      Ready_.Connection_->close();
+    });
+    auto Answer = co_await exchange();
+    bool Ended = !Answer && StopEnded_ &&
+                 Answer.error().Code_ != ResultCode::RefusedByServer;
+    if (Ended)
+      co_return Failure{ResultCode::AnswerTimeout, "the daemon stops"};
+    co_return Answer;
+  }
+
   Awaitable<Result<HttpResponse>> exchange() {
     std::size_t SpanNumber = Context_.Trace_.begin("dispatch");
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
@@ -205,7 +219,7 @@
       if (Received->empty())
         break;
       std::size_t Size = Head->Body_.size() + Received->size();
-      auto IsOver = [this] { return Context_.expired(); };
+      auto IsOver = [this] { return StopEnded_ || Context_.expired(); };
       bool Held = Turn.grow(HeldAnswer_, Size);
       if (!Held)
         Held = co_await awaitRoom(Turn, HeldAnswer_, Size, std::move(IsOver));
@@ -295,6 +309,7 @@
   std::optional<Claim> Claimed_;
   std::optional<Claim> OtherClaim_;
   bool MayTakeEffectLate_ = false;
+  bool StopEnded_ = false;
 };
 
 } // namespace
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -6,6 +6,7 @@
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Request/ForwardedCall.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -96,6 +97,10 @@
                          .Trace_ =
                              Trace(Exchange.request().field("traceparent"),
                                    std::hash<RequestId>()(Id))};
+  Current_->insert(&Context);
+  absl::Cleanup Forget = [Current = Current_, Ended = &Context] {
+    Current->erase(Ended);
+  };
   std::string Fault;
   try {
     if (auto Refusal = check(Context))
@@ -126,6 +131,13 @@
   }
 }
 
+void CallerService::endAtStop() {
+  for (const RequestContext *Context : *Current_)
+    if (Context->OnStop_ &&
+        Context->decideStop(Context->Stage_) != StopDecision::GoOn)
+      Context->OnStop_();
+}
+
 std::optional<Verdict> CallerService::check(RequestContext &Context) {
   if (auto Cause = checkServing())
     return refused(Cause->Code_, std::move(Cause->Detail_));
@@ -137,6 +149,8 @@
     return Refusal;
   if (auto Refusal = checkDeadline(Context))
     return Refusal;
+  if (auto Refusal = checkStop(Context, StopStage::Arrived))
+    return Refusal;
   if (Context.Pool_->Kind_ == PoolKind::Model)
     return checkModelBody(Context);
   return std::nullopt;
@@ -213,8 +227,6 @@
   const HttpRequest &Request = Context.Exchange_.request();
   const ForwardingRule &Rule = *Context.Route_->Forwarding_;
   Context.Call_ = Services_.Dialect_.ReadCall_(Request.Fields_);
-  if (!Services_.HasTimeFor_(Rule))
-    return refused(ResultCode::Stopping);
   Context.Tier_ = Rule.Tier_;
   Context.Pool_ = choosePool(Context);
   if (!Context.Pool_)
@@ -226,6 +238,8 @@
         Context.Route_->Name_, *Context.Call_.Timeout_, Context.Started_);
   }
   Context.Deadline_ = Context.Started_ + Timeout;
+  if (auto Refusal = checkStop(Context, StopStage::Arrived))
+    return Refusal;
   Context.PromptTokens_ = Context.Call_.Prompt_.value_or(Tokens(0));
   Context.AnswerTokens_ = Context.Call_.MaxAnswer_.value_or(Tokens(0));
   Context.Prefix_ = prefixHashes(Context.Call_.Parts_);
--- a/Source/Request/CallerService.h
+++ b/Source/Request/CallerService.h
@@ -7,6 +7,8 @@
 #include "Request/WaitPlan.h"
 
 #include <functional>
+#include <memory>
+#include <set>
 
 namespace samphireshunt {
 
@@ -17,6 +19,9 @@
 
   /// Validates and runs one request and writes its final answer.
   Awaitable<void> handle(HttpExchange &Exchange);
+  /// Ends what the stop of the daemon leaves no time for. Called again and
+  /// again during the stop, on the worker.
+  void endAtStop();
   /// Decides from the head of a request with a large body whether a customer of
   /// this daemon sends it. May be called on any thread. \returns why not.
   std::optional<Failure> checkHead(const HttpRequest &Head) const;
@@ -38,6 +43,9 @@
   RetryDetector RetryDetector_;
   std::function<bool()> IsReady_;
   std::function<RequestId()> NextId_;
+  /// Shared by the requests, which may end after this service.
+  std::shared_ptr<std::set<const RequestContext *>> Current_ =
+      std::make_shared<std::set<const RequestContext *>>();
 };
 
 } // namespace samphireshunt
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -174,6 +174,10 @@
     Rejected_ = false;
     Context_.AnswerEnd_ = AnswerEnd();
     watchCaller();
+    StopHook Hook(Context_, StopStage::Dispatched, [Weak = weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->endAtStop();
+    });
     HttpConnection &Connection = *Ready_.Connection_;
     Connection.acceptUnframed();
     HttpRequest Request = forwardedRequest();
@@ -236,7 +240,7 @@
                      FirstEvent_ != TimePoint() && Splitter_.lastId();
     bool MayStop = Target && Target->Name_ != Ready_.Server_.Name_ &&
                    Streaming && !Suspension_ && !CallerLeft_ &&
-                   Context_.Services_.HasTimeFor_(Rule_) && mayRepeat();
+                   hasTimeToRepeat() && mayRepeat();
     if (!MayStop)
       return Context_.Services_.Grants_.notSuspended(Context_.Id_);
     milliseconds Patience =
@@ -431,7 +435,8 @@
         Silent < callerPatience(Rule_) && Context_.remaining() > MinTimeLeft;
     bool KnowsPlace = !HeadSent_ || Splitter_.lastId();
     if (Silent < resumeAfterSilence(Rule_) || !InTime || !KnowsPlace ||
-        !couldGoOnElsewhere() || !hasRepeat() || !mayRepeat())
+        !couldGoOnElsewhere() || !hasTimeToRepeat() || !hasRepeat() ||
+        !mayRepeat())
       return false;
     Ready_.Connection_->close();
     return true;
@@ -489,6 +494,17 @@
     Writer_->giveUp();
   }
 
+  void endAtStop() {
+    StopEnded_ = true;
+    if (Ready_.Connection_)
+      Ready_.Connection_->close();
+  }
+
+  /// \returns whether the stop of the daemon leaves the time.
+  bool hasTimeToRepeat() const {
+    return Context_.decideStop(StopStage::Repeat) == StopDecision::GoOn;
+  }
+
   AttemptEnd failed(Failure Cause) {
     Ready_.Connection_->close();
     MayHaveRun_ = true;
@@ -497,8 +513,11 @@
     if (CallerLeft_)
       return AttemptEnd::CallerLeft;
     // A stream that ends after an order to stop its run is no fault.
-    Faulty_ = !Context_.expired() && !Suspension_ && !OwnShortage_;
+    Faulty_ =
+        !Context_.expired() && !Suspension_ && !OwnShortage_ && !StopEnded_;
     LastFailure_ = std::move(Cause);
+    if (StopEnded_)
+      LastFailure_ = {ResultCode::AnswerTimeout, "the daemon stops"};
     return HeadSent_ ? AttemptEnd::Broken : AttemptEnd::Failed;
   }
 
@@ -522,8 +541,11 @@
   Awaitable<Result<void>> readBody(HttpResponse &Answer) {
     AnswerTurn Turn(Context_.Services_.Memory_);
     while (true) {
+      auto IsOver = [this] {
+        return CallerLeft_ || StopEnded_ || Context_.expired();
+      };
       while (Answer.Body_.size() > KernelBufferBytes && !Turn.mayReadOn() &&
-             !CallerLeft_ && !Context_.expired())
+             !IsOver())
         co_await pauseReading();
       auto Received =
           co_await Ready_.Connection_->readSome(Context_.remaining());
@@ -534,10 +556,9 @@
       if (Received->empty())
         co_return Result<void>();
       std::size_t Bytes = Answer.Body_.size() + Received->size();
-      auto IsOver = [this] { return CallerLeft_ || Context_.expired(); };
       bool Held = Turn.grow(HeldAnswer_, Bytes);
       if (!Held)
-        Held = co_await awaitRoom(Turn, HeldAnswer_, Bytes, std::move(IsOver));
+        Held = co_await awaitRoom(Turn, HeldAnswer_, Bytes, IsOver);
       if (!Held)
         co_return answerTooLarge(Bytes);
       Answer.Body_ += *Received;
@@ -730,6 +751,8 @@
     if (Ended == AttemptEnd::Answered) {
       addFingerprint(Context_, Sample);
       addAnsweredParts(Context_, Sample);
+      if (!Continues_)
+        Context_.recordRun(Sample.Duration_);
     }
     if (Ended == AttemptEnd::Failed || Ended == AttemptEnd::Broken)
       co_await addCrashEvidence(Context_, Ready_.Server_, LastFailure_.Code_,
@@ -741,7 +764,7 @@
   }
 
   bool mayRetry(AttemptEnd Ended) {
-    if (CallerLeft_ || Context_.remaining() <= MinTimeLeft)
+    if (CallerLeft_ || StopEnded_ || Context_.remaining() <= MinTimeLeft)
       return false;
     if (Ended == AttemptEnd::Suspended)
       return true;
@@ -759,7 +782,7 @@
                ++Runs_ >= static_cast<int>(Rule_.MaxAttempts_)) {
       return false;
     }
-    return mayRepeat();
+    return hasTimeToRepeat() && mayRepeat();
   }
 
   /// \returns true when the answer can be continued or restarted elsewhere. A
@@ -860,6 +883,8 @@
   bool Replaced_ = false;
   bool Rejected_ = false;
   bool CallerLeft_ = false;
+  /// The stop of the daemon ended the run.
+  bool StopEnded_ = false;
 };
 
 } // namespace
--- a/Source/Request/GrantWait.cpp
+++ b/Source/Request/GrantWait.cpp
@@ -22,7 +22,7 @@
 Awaitable<std::optional<GrantAnswer>>
 GrantWait::wait(CellId Cell, GrantRequest Request, TimePoint Deadline) {
   Answer_.reset();
-  if (CallerLeft_)
+  if (CallerLeft_ || Stopped_)
     co_return std::nullopt;
   Waiting_ = true;
   Signal_.expires_at(Deadline);
@@ -49,6 +49,12 @@
   Signal_.cancel();
 }
 
+void GrantWait::stop() {
+  Stopped_ = true;
+  if (Waiting_)
+    Signal_.cancel();
+}
+
 void GrantWait::callerLeft() {
   CallerLeft_ = true;
   if (Waiting_)
--- a/Source/Request/GrantWait.h
+++ b/Source/Request/GrantWait.h
@@ -1,7 +1,7 @@
 #pragma once
 /// \file
 /// Waits for a request's grant until the keeper answers, the deadline passes or
-/// the caller disconnects, whichever is first.
+/// the caller disconnects or the daemon stops, whichever is first.
 
 #include "Process/Keeping/GrantClient.h"
 
@@ -22,13 +22,16 @@
          RequestId Id);
 
   /// Requests a grant and waits until \p Deadline. \returns nothing when it
-  /// passed or the caller disconnected; the grant request is withdrawn then,
-  /// and a grant that still comes is returned to the keeper.
+  /// passed, the caller disconnected or the daemon stops; the grant request is
+  /// withdrawn then, and a grant that still comes is returned to the keeper.
   Awaitable<std::optional<GrantAnswer>> wait(CellId Cell, GrantRequest Request,
                                              TimePoint Deadline);
   /// Ends the wait because the caller disconnected.
   void callerLeft();
   bool hasCallerLeft() const { return CallerLeft_; }
+  /// Ends the wait because the daemon stops.
+  void stop();
+  bool isStopped() const { return Stopped_; }
 
 private:
   GrantWait(boost::asio::any_io_executor Executor, GrantClient &Grants,
@@ -42,6 +45,7 @@
   std::optional<GrantAnswer> Answer_;
   bool Waiting_ = false;
   bool CallerLeft_ = false;
+  bool Stopped_ = false;
 };
 
 } // namespace samphireshunt
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -7,6 +7,7 @@
 #include "Connection/EventSplitter.h"
 #include "Connection/EventStream.h"
 #include "Connection/MemoryBudget.h"
+#include "Connection/Spawn.h"
 #include "Request/CrashEvidence.h"
 #include "Request/ServerNotices.h"
 
@@ -85,11 +86,16 @@
     Ready_ = std::move(std::get<ReadyServer>(Obtained));
     Dispatched_ = steady_clock::now();
     co_await watchForCancellation();
+    StopHook Hook(Context_, StopStage::Dispatched, [Weak = weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->endAtStop();
+    });
     std::optional<Verdict> Broken = co_await exchange();
     ServedSample Sample = sample(!Broken);
-    if (!Broken)
+    if (!Broken) {
       addFingerprint(Context_, Sample);
-    else
+      Context_.recordRun(Sample.Duration_);
+    } else
       co_await addCrashEvidence(Context_, Ready_.Server_, Broken->Code_,
                                 Sample);
     Context_.Services_.Grants_.done(Context_.Id_, Sample);
@@ -126,6 +132,10 @@
     Cancelled_ = true;
     closeConnection();
   }
+  void endAtStop() {
+    StopEnded_ = true;
+    closeConnection();
+  }
   void callerLeft() {
     CallerLeft_ = true;
     closeConnection();
@@ -197,7 +207,7 @@
   /// Reads events until the connection breaks or the answer is complete.
   Awaitable<std::optional<Verdict>> readEvents() {
     EventStream Parser;
-    while (!AnswerComplete_) {
+    while (!AnswerComplete_ && !StopEnded_) {
       auto Received = co_await Ready_.Connection_->readSome(
           std::min(SilenceTimeout, Context_.remaining()));
       if (!Received || Received->empty())
@@ -307,7 +317,7 @@
       Ended.Code_ = ResultCode::CallerLeft;
     else if (Cancelled_)
       Ended.Code_ = ResultCode::CancelledForHigherTier;
-    else if (Context_.expired())
+    else if (StopEnded_ || Context_.expired())
       Ended.Code_ = ResultCode::AnswerTimeout;
     else if (IdleResumes_ >= MaxIdleResumes)
       Ended.Code_ = ResultCode::StreamBroken;
@@ -375,12 +385,23 @@
     Ready_.Connection_->close();
     if (Ended.Outcome_ == Outcome::NotRun)
       co_return;
+    // The caller's answer has to leave before the process ends.
+    if (StopEnded_)
+      co_return cancelInBackground(co_await asio::this_coro::executor);
     auto Cancelled = co_await cancelAt(Ready_.Server_.Address_, Context_.Id_);
     if (!Cancelled)
       logEvent(LogCategory::Request, spdlog::level::debug, "cancel-failed",
                {{"request", Context_.Id_.str()}});
   }
 
+  void cancelInBackground(const asio::any_io_executor &On) const {
+    auto Cancel = [Address = Ready_.Server_.Address_,
+                   Id = Context_.Id_]() -> Awaitable<void> {
+      co_await cancelAt(Address, Id);
+    };
+    spawnLogged(On, "cancel-at-stop", std::move(Cancel));
+  }
+
   ServedSample sample(bool Complete) const {
     ServedSample Sample;
     Sample.Reached_ = true;
@@ -458,6 +479,7 @@
   bool HeadSent_ = false;
   bool AnswerComplete_ = false;
   bool CallerLeft_ = false;
+  bool StopEnded_ = false;
   bool Cancelled_ = false;
   std::string Collected_;
   std::string FinishReason_ = "stop";
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -6,6 +6,7 @@
 #include "Request/WaitPlan.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/this_coro.hpp>
@@ -308,6 +309,33 @@
 
 Verdict notRun(ResultCode Code) { return Verdict(Code); }
 
+/// \returns why a wait for a grant ended without an answer.
+ResultCode endOfWait(const GrantWait &Wait) {
+  if (Wait.hasCallerLeft())
+    return ResultCode::CallerLeft;
+  return Wait.isStopped() ? ResultCode::Stopping : ResultCode::DeadlineInQueue;
+}
+
+StopKind stopKind(const Route &Target) {
+  if (!Target.Forwarding_)
+    return Target.NonIdempotent_ ? StopKind::NonIdempotent
+                                 : StopKind::Repeatable;
+  switch (Target.Forwarding_->Kind_) {
+  case RequestKind::Idempotent:
+    return StopKind::Repeatable;
+  case RequestKind::Stream:
+    return StopKind::Stream;
+  default:
+    return StopKind::NonIdempotent;
+  }
+}
+
+/// \returns what tells the requests of a route from others.
+std::string routeKey(const RequestContext &Context) {
+  return absl::StrCat(Context.document().Service_.str(), " ",
+                      Context.Route_->Name_, " ", Context.Route_->PathPrefix_);
+}
+
 /// \returns a server of the request's pool as it is listed now; nothing if it
 /// may not run the request.
 std::optional<BackendServer> findServer(const RequestContext &Context,
@@ -357,6 +385,22 @@
   return steady_clock::now() >= Deadline_ + Since;
 }
 
+StopDecision RequestContext::decideStop(StopStage Stage) const {
+  auto Stop = Services_.Stop_();
+  if (!Stop)
+    return StopDecision::GoOn;
+  StopKind Kind = stopKind(*Route_);
+  auto Wanted = Kind == StopKind::NonIdempotent ? RunLengths::Bound::All
+                                                : RunLengths::Bound::Most;
+  auto Expected = Services_.RunLengths_.expected(routeKey(*this), Wanted);
+  return decideAtStop(*Stop, {Stage, Kind, remaining(), Expected});
+}
+
+void RequestContext::recordRun(microseconds Length) {
+  Services_.RunLengths_.add(routeKey(*this),
+                            duration_cast<milliseconds>(Length));
+}
+
 Awaitable<std::variant<ReadyServer, Verdict>>
 obtainServer(RequestContext &Context, ObtainOptions Options) {
   GrantClient &Grants = Context.Services_.Grants_;
@@ -373,6 +417,14 @@
     Context.State_.tryGiveUp();
     co_return std::move(*Refused);
   }
+  // A run that goes on with its memory is not refused, since that would cut it.
+  bool Continues = !Options.OnlyServer_.empty();
+  StopHook Hook(Context, Continues ? StopStage::Dispatched : StopStage::Waiting,
+                [Weak] {
+                  if (auto Self = Weak.lock())
+                    Self->stop();
+                });
+  StopStage BeforeSend = Continues ? StopStage::Dispatched : StopStage::Granted;
   std::size_t CellTries = 0;
   for (int Try = 0; Try < MaxGrantRequests && !Context.expired(); ++Try) {
     // Servers may come and suspicions arise between two grant requests.
@@ -395,8 +447,7 @@
     Context.Waited_ =
         duration_cast<microseconds>(steady_clock::now() - Context.Started_);
     if (!Answer) {
-      Ended = notRun(Wait->hasCallerLeft() ? ResultCode::CallerLeft
-                                           : ResultCode::DeadlineInQueue);
+      Ended = notRun(endOfWait(*Wait));
       break;
     }
     if (Answer->Code_ != ResultCode::Ok) {
@@ -433,8 +484,8 @@
       Ended = notRun(ResultCode::NoBackendServer);
       continue;
     }
-    std::optional<Verdict> Refused;
-    if (Options.Prepare_)
+    std::optional<Verdict> Refused = checkStop(Context, BeforeSend);
+    if (!Refused && Options.Prepare_)
       Refused = co_await Options.Prepare_();
     if (Refused) {
       Grants.done(Context.Id_, ServedSample());
@@ -465,7 +516,8 @@
       Ended = notRun(ResultCode::NoBackendServer);
       continue;
     }
-    if (Options.BeforeDispatch_)
+    Refused = checkStop(Context, BeforeSend);
+    if (!Refused && Options.BeforeDispatch_)
       Refused = Options.BeforeDispatch_();
     if (!Refused)
       Refused = checkCrashes(Context);
@@ -554,6 +606,13 @@
   return notRun(refusalCode(Known.Cause_));
 }
 
+std::optional<Verdict> checkStop(const RequestContext &Context,
+                                 StopStage Stage) {
+  if (Context.decideStop(Stage) == StopDecision::GoOn)
+    return std::nullopt;
+  return notRun(ResultCode::Stopping);
+}
+
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber) {
   HttpRequest Request = endToEndRequest(Context.Exchange_.request());
   Request.Fields_.erase("x-request-timeout-ms");
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -14,11 +14,14 @@
 #include "Request/ForwardingDialect.h"
 #include "Request/RequestState.h"
 #include "Request/RetryBudget.h"
+#include "Request/RunLengths.h"
+#include "Request/StopPolicy.h"
 #include "Request/Trace.h"
 #include "Version/DocumentStore.h"
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -70,13 +73,13 @@
   const ForwardingDialect &Dialect_;
   const FreshnessLease &Freshness_;
   RetryBudget &RetryBudget_;
-  /// \returns false for a request that the shutdown of this daemon would
-  /// interrupt.
-  std::function<bool(const ForwardingRule &)> HasTimeFor_;
+  /// \returns nothing while the daemon does not stop.
+  std::function<std::optional<CurrentStop>()> Stop_;
   StreamOriginService &Origins_;
   MemoryBudget &Memory_;
   /// Keepers may ask to suspend streams.
   bool SuspendsStreams_ = true;
+  RunLengths RunLengths_;
 };
 
 /// For how long after the deadline events that are ready are still passed on.
@@ -135,6 +138,11 @@
   /// When the stream had to look for another server to go on.
   TimePoint BrokeOff_;
 
+  /// What the request does now, and how the stop of the daemon ends that. Set
+  /// by StopHook.
+  StopStage Stage_ = StopStage::Arrived;
+  std::function<void()> OnStop_;
+
   /// Computed by the first call of fingerprint().
   RequestFingerprint Fingerprint_;
 
@@ -146,6 +154,31 @@
   bool
   expired(std::chrono::milliseconds Since = std::chrono::milliseconds(0)) const;
   const Document &document() const { return *Service_->Document_; }
+  /// \returns what the stop of the daemon means for the request at \p Stage.
+  StopDecision decideStop(StopStage Stage) const;
+  /// Records how long a run took that gave a whole answer.
+  void recordRun(std::chrono::microseconds Length);
+};
+
+/// Names what a request does during its lifetime, and how the stop of the
+/// daemon ends that. The hook is called again while it has no effect.
+class StopHook {
+public:
+  StopHook(RequestContext &Context, StopStage Stage,
+           std::function<void()> OnStop)
+      : Context_(Context), Stage_(std::exchange(Context.Stage_, Stage)),
+        OnStop_(std::exchange(Context.OnStop_, std::move(OnStop))) {}
+  ~StopHook() {
+    Context_.Stage_ = Stage_;
+    Context_.OnStop_ = std::move(OnStop_);
+  }
+  StopHook(const StopHook &) = delete;
+  StopHook &operator=(const StopHook &) = delete;
+
+private:
+  RequestContext &Context_;
+  StopStage Stage_;
+  std::function<void()> OnStop_;
 };
 
 /// A granted server with a connection that is ready to send the request.
@@ -203,6 +236,11 @@
 /// be out of date.
 std::optional<Verdict> recheckCallerKey(const RequestContext &Context);
 
+/// \returns a verdict if nothing more is to be sent for the request at \p Stage
+/// because the daemon stops.
+std::optional<Verdict> checkStop(const RequestContext &Context,
+                                 StopStage Stage);
+
 /// \returns the request for the backend server: the end-to-end fields, and the
 /// request's id, customer and trace.
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber);
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -43,13 +43,14 @@
   return Query;
 }
 
-Awaitable<FoundOrigin> find(StreamOriginService &Origins, OriginQuery Query) {
+Awaitable<FoundOrigin> find(RequestContext &Context, OriginQuery Query) {
   auto Executor = co_await asio::this_coro::executor;
   auto Signal = std::make_shared<asio::steady_timer>(
       Executor, asio::steady_timer::time_point::max());
   auto Found = std::make_shared<FoundOrigin>();
+  StopHook Hook(Context, StopStage::Waiting, [Signal] { Signal->cancel(); });
   // Posted: the answer may come before the wait begins, and on another thread.
-  Origins.find(std::move(Query), [=](FoundOrigin Answer) {
+  Context.Services_.Origins_.find(std::move(Query), [=](FoundOrigin Answer) {
     asio::post(Executor, [=, Answer = std::move(Answer)] {
       *Found = Answer;
       Signal->cancel();
@@ -69,8 +70,9 @@
 
 Awaitable<std::optional<Verdict>> bindToOrigin(RequestContext &Context) {
   OriginQuery Query = queryOf(Context);
-  FoundOrigin Found =
-      co_await find(Context.Services_.Origins_, std::move(Query));
+  FoundOrigin Found = co_await find(Context, std::move(Query));
+  if (auto Refused = checkStop(Context, StopStage::Waiting))
+    co_return Refused;
   Context.OriginSource_ = Found.Source_;
   if (!Found.Origin_)
     co_return Verdict(ResultCode::StreamOriginUnknown);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -65,6 +65,7 @@
 [ -n "$Only$Check" ] || build all || exit 1
 
 F=FailureTests/FailureTests_
+U=UnitTests/UnitTests_
 S=Source
 mutate keeper-rebind $S/Process/Keeping/GrantClient.cpp \
   's/(void GrantClient::onLinkDown.*?)  rebind\(\);\n  scheduleRebind[^\n]*\n/$1/s; s/(void GrantClient::rebind\(\) \{\n)/$1  return;\n/' \
@@ -128,8 +129,22 @@
   's/if \(Version > Known\)\s*Hooks_\.RequestDocument_\(From, Service\);/(void)Known; (void)From;/' \
   ${F}LeavingTest '*cut off from the platform*'
 mutate drain $S/Programs/DaemonLife.cpp \
-  's/return CallerServer_->activeExchanges\(\) == 0 &&\s+Relay_->connections\(\) == 0 &&\s+Quiet;/(void)Quiet;\n  return true;/' \
+  's/return CallerServer_->activeExchanges\(\) == 0 &&\s+\(Over \|\|[^;]*;/(void)Quiet;\n  (void)Over;\n  return true;/' \
   ${F}LeavingTest '*graceful stop*'
+mutate stop-answers $S/Programs/DaemonLife.cpp 's/    endRequestsAtStop\(\);\n//' \
+  ${F}LeavingTest '*answers what waits*'
+mutate stop-own-interface $S/Request/CallerService.cpp \
+  's/(checkDeadline\(Context\)\)\s+return Refusal;\n)\s+if \(auto Refusal = checkStop\(Context, StopStage::Arrived\)\)\s+return Refusal;\n/$1/' \
+  ${U}Request '*own interface*'
+mutate stop-granted $S/Request/RequestContext.cpp \
+  's/    Refused = checkStop\(Context, BeforeSend\);\n//' \
+  ${U}Request '*own interface*'
+mutate stop-length $S/Request/StopPolicy.cpp \
+  's/return \*Request\.Expected_ <= Rest;/return true;/' \
+  ${U}Request '*usual length fits*'
+mutate stop-unknown-length $S/Request/StopPolicy.cpp \
+  's/return Early && Request\.Kind_ != StopKind::NonIdempotent;/return Early;/' \
+  ${U}Request '*risks early*'
 mutate look-before-stop $S/Programs/DaemonLife.cpp \
   's/std::vector<asio::io_context \*> Contexts\(FlushIterations.*?flushNextQueue\(std::move\(Contexts\)\);/onEventQueuesFlushed();/s' \
   ${F}LeavingTest '*comes due while*'
@@ -176,7 +191,6 @@
 mutate report-beside-kill $T/ChildProcess.cpp \
   's/(void ChildProcess::checkReports\(\) const \{\n)/$1  return;\n/' \
   ${F}ClusterTest "*sanitizer's report*"
-U=UnitTests/UnitTests_
 mutate scheduler-order $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/for \(const DeadlineKey &Key : Queue\.Requests_\)/for (const DeadlineKey \&Key : std::set<DeadlineKey, std::greater<>>(Queue.Requests_.begin(), Queue.Requests_.end()))/' \
   ${U}Process '*plain scan*'
@@ -693,7 +707,7 @@
   's/bool KnowsPlace = .*?;/bool KnowsPlace = true;/' \
   ${U}Request '*stays at its silent server*'
 mutate silent-leaves $S/Request/ForwardedCall.cpp \
-  's/ \|\| !hasRepeat\(\)\s+\|\| !mayRepeat\(\)//' \
+  's/ \|\|\s+!hasRepeat\(\) \|\|\s+!mayRepeat\(\)//' \
   ${U}Request '*without a repeat stay*'
 mutate frame-progress $S/Connection/FrameChannel.cpp \
   's/return Incoming_->Bytes_ - Before >= MinFrameProgress;/return true;/' \
@@ -755,8 +769,8 @@
 mutate close-at-stop $S/Programs/DaemonLife.cpp \
   's/CallerServer_->closeAfterAnswers\(\);//' \
   ${F}platform_PlannedWorkTest '*keeps no connection*'
-mutate stop-admits-streams $S/Programs/DaemonLife.cpp \
-  's/if \(Drained < Settings_\.DrainAdmit_\)/if (true)/' \
+mutate stop-admits-streams $S/Request/StopPolicy.cpp \
+  's/bool Early = [^;]*;/bool Early = true;/' \
   ${F}platform_PlannedWorkTest '*refuses streams without enough time*'
 mutate flags-read-again $S/Programs/DaemonLife.cpp \
   's/if \(Error \|\| Written == std::exchange\(FlagFileTime_, Written\)\)/if (true)/' \
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -429,7 +429,7 @@
           Dialect_,
           Lease_,
           RetryBudget_,
-          [this](const ForwardingRule &) { return !Draining_; },
+          [this] { return Stop_; },
           *Origins_,
           Memory_};
 }
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -231,7 +231,13 @@
   /// starting at 1.
   void suspend(std::uint64_t Number, std::size_t CopyTo);
   /// Sets whether the daemon drains.
-  void setDraining(bool Drains) { Draining_ = Drains; }
+  /// Begins a stop that leaves requests too little time, or ends it.
+  void setDraining(bool Drains) {
+    using std::chrono::milliseconds;
+    StopTimes Short{milliseconds(0), milliseconds(100), milliseconds(200)};
+    Stop_ = Drains ? std::optional(CurrentStop{Short, milliseconds(0)})
+                   : std::nullopt;
+  }
   RelayingDaemon &relay(std::size_t Index) { return *Relays_[Index]; }
   ServerConnector &connector() { return Connector_; }
   const CrashTracker &crashes() const { return Crashes_; }
@@ -270,7 +276,7 @@
   std::unique_ptr<CallerService> Callers_;
   std::unique_ptr<HttpServer> Front_;
   std::uint64_t NextId_ = 1;
-  bool Draining_ = false;
+  std::optional<CurrentStop> Stop_;
   std::uint64_t Version_ = 0;
 };
 
--- a/UnitTests/Request/ModelCallTest.cpp
+++ b/UnitTests/Request/ModelCallTest.cpp
@@ -109,7 +109,19 @@
     Grants_->onDecision(CancelDecision{Id, ServerName("engine"), Self}, Self);
   }
 
+  /// Begins a stop without time for requests, after the daemon has looked
+  /// \p Looks times whether there is one.
+  void stopAfter(int Looks) { LooksBeforeStop_ = Looks; }
+  std::size_t received() const { return Engine_.requests().size(); }
+
 private:
+  std::optional<CurrentStop> stop() {
+    if (!LooksBeforeStop_ || ++StopLooks_ <= *LooksBeforeStop_)
+      return std::nullopt;
+    using std::chrono::milliseconds;
+    return CurrentStop{{milliseconds(0), milliseconds(50), milliseconds(100)},
+                       milliseconds(0)};
+  }
   Script answer() const {
     std::string Bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                         "Transfer-Encoding: chunked\r\n\r\n";
@@ -156,12 +168,14 @@
             Dialect_,
             Lease_,
             RetryBudget_,
-            [](const ForwardingRule &) { return true; },
+            [this] { return stop(); },
             Origins_,
             Memory_};
   }
 
   std::vector<std::string> Events_;
+  int StopLooks_ = 0;
+  std::optional<int> LooksBeforeStop_;
   MemoryBudget Memory_{0};
   boost::asio::io_context Context_{1};
   ScriptedServer Engine_;
@@ -220,6 +234,23 @@
   CHECK(Caller.Answer_.Status_ == 500);
 }
 
+TEST_CASE("a stopping daemon sends no request of its own interface that can't "
+          "end in time") {
+  // Guards against requests that are taken, or sent after their grant, and cut.
+  constexpr int Steps = 3;
+  for (int Looks = 0; Looks <= Steps; ++Looks) {
+    ModelHarness Daemon({Word, std::string(FinalEvent)});
+    Daemon.stopAfter(Looks);
+    FakeExchange Caller;
+    Daemon.run(Caller, false);
+    bool Refused = Looks < Steps;
+    CHECK(Caller.Answer_.Status_ == (Refused ? 503 : 200));
+    CHECK(Caller.Answer_.Fields_["x-outcome"] ==
+          (Refused ? "not-run" : "answered"));
+    CHECK(Daemon.received() == (Refused ? 0 : 1));
+  }
+}
+
 TEST_CASE("a body that nests deeply is refused") {
   // Guards against a stack overflow that crashes the daemon with a segmentation
   // fault, and then the next daemon that the caller tries. The caller sends a
