stop_grace_s: the times of a stop follow from the supervisor's grace

Callers saw (by reading, not measured): with a grace other than 8 s the four times by hand in deploy/daemon.flags end a stop too late, and the process is killed with requests in it, or far too early.

Delay, admission and quiet time follow the balancers and only shrink in a short grace; requests may run until 0.6 s before its end. 8 s give 2600, 2800, 400 and 7400 ms as before. The flags' defaults without a grace stay.

Tests: Unit.Programs (StopSettingsTest): derived times of 1 to 600 s fit, others are refused. The deployment's template was not rendered.

--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -5,6 +5,7 @@
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
 #include "Programs/Daemon.h"
+#include "Programs/StopSettings.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -31,8 +32,6 @@
 /// Interval at which the flag file is checked, since it may change without a
 /// signal.
 constexpr milliseconds FlagFileInterval{1000};
-/// How long the answers to requests that the stop ended may take to be written.
-constexpr milliseconds LastAnswersTime{300};
 /// Event-loop iterations of a thread after which a connection that was pending
 /// at the first one has been accepted, its request read, and counts as active.
 constexpr std::size_t FlushIterations = 5;
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -1,5 +1,7 @@
 #include "Programs/Settings.h"
 
+#include "Programs/StopSettings.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
@@ -52,15 +54,22 @@
 ABSL_FLAG(int, read_timeout_ms, 30000,
           "How long a request may take to arrive, and how long an idle "
           "connection is kept open, in ms.");
-ABSL_FLAG(int, drain_delay_ms, 5000,
-          "After SIGTERM, how long new connections are still accepted, in ms.");
-ABSL_FLAG(int, drain_timeout_ms, 600000,
-          "After SIGTERM, how long running requests may take, in ms.");
-ABSL_FLAG(int, drain_admit_ms, 600000,
-          "After SIGTERM, how long new streams are still accepted, in ms.");
-ABSL_FLAG(int, drain_quiet_ms, 0,
+ABSL_FLAG(double, stop_grace_s, 0,
+          "How long after SIGTERM the supervisor kills this process, in s, 1 "
+          "to 3600; the times of a stop follow from it. 0: never.");
+ABSL_FLAG(int, drain_delay_ms, -1,
+          "After SIGTERM, how long new connections are still accepted, in ms; "
+          "-1: by stop_grace_s, without it 5000.");
+ABSL_FLAG(int, drain_timeout_ms, -1,
+          "After SIGTERM, how long running requests may take, in ms; -1: by "
+          "stop_grace_s, without it 600000.");
+ABSL_FLAG(int, drain_admit_ms, -1,
+          "After SIGTERM, how long new streams are still accepted, in ms; -1: "
+          "by stop_grace_s, without it 600000.");
+ABSL_FLAG(int, drain_quiet_ms, -1,
           "After the drain delay, connections are accepted until there was "
-          "none for this long, in ms; 0: none is accepted after the delay.");
+          "none for this long, in ms; 0: none is accepted after the delay; -1: "
+          "by stop_grace_s, without it 0.");
 ABSL_FLAG(std::string, log_output, "stdout", "stdout or stderr.");
 ABSL_FLAG(std::string, metrics_address, "",
           "IP:port that serves /metrics besides operators_address.");
@@ -111,6 +120,8 @@
 
 namespace samphireshunt {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 constexpr std::array FlagNames = {"vm_id",
@@ -153,7 +164,8 @@
                                   "allotment_window_s",
                                   "rollout_exposure_share",
                                   "rollout_exposure_slack",
-                                  "allotment_overrun"};
+                                  "allotment_overrun",
+                                  "stop_grace_s"};
 
 constexpr std::array<std::string_view, 17> OptionalDecisions = {
     "tiers",  "fairness", "feasibility", "preemption", "prefixes", "speeds",
@@ -231,6 +243,36 @@
   return List;
 }
 
+void readStopTimes(Checker &Check, Settings &Read) {
+  constexpr int HourMs = 3600 * 1000;
+  constexpr milliseconds MinGrace{1000};
+  milliseconds Grace =
+      Check.seconds("stop_grace_s", absl::GetFlag(FLAGS_stop_grace_s));
+  bool Known = Grace.count() > 0;
+  if (Known && (Grace < MinGrace || Grace > milliseconds(HourMs)))
+    return Check.addError("stop_grace_s", "is not 0, or from 1 to 3600");
+  StopSettings Times = Known
+                           ? stopWithin(Grace)
+                           : StopSettings{Read.DrainDelay_, Read.DrainQuiet_,
+                                          Read.DrainAdmit_, Read.DrainTimeout_};
+  auto Take = [&](std::string_view Name, int Value, milliseconds &Into) {
+    if (Value >= 0)
+      Into = milliseconds(Value);
+    Check.number(Name, Value, -1, HourMs);
+  };
+  Take("drain_delay_ms", absl::GetFlag(FLAGS_drain_delay_ms), Times.Delay_);
+  Take("drain_quiet_ms", absl::GetFlag(FLAGS_drain_quiet_ms), Times.Quiet_);
+  Take("drain_admit_ms", absl::GetFlag(FLAGS_drain_admit_ms), Times.Admit_);
+  Take("drain_timeout_ms", absl::GetFlag(FLAGS_drain_timeout_ms),
+       Times.Timeout_);
+  if (auto Problem = Known ? misfit(Times, Grace) : std::nullopt)
+    Check.addError("stop_grace_s", *Problem);
+  Read.DrainDelay_ = Times.Delay_;
+  Read.DrainQuiet_ = Times.Quiet_;
+  Read.DrainAdmit_ = Times.Admit_;
+  Read.DrainTimeout_ = Times.Timeout_;
+}
+
 /// \returns the settings for the current values of the flags.
 Result<Settings> fromFlags(Checker Check) {
   constexpr int HourMs = 3600 * 1000;
@@ -284,14 +326,7 @@
                    MaxConnectionsLimit));
   Read.ReadTimeout_ = std::chrono::milliseconds(Check.number(
       "read_timeout_ms", absl::GetFlag(FLAGS_read_timeout_ms), 1, HourMs));
-  Read.DrainDelay_ = std::chrono::milliseconds(Check.number(
-      "drain_delay_ms", absl::GetFlag(FLAGS_drain_delay_ms), 0, HourMs));
-  Read.DrainTimeout_ = std::chrono::milliseconds(Check.number(
-      "drain_timeout_ms", absl::GetFlag(FLAGS_drain_timeout_ms), 0, HourMs));
-  Read.DrainAdmit_ = std::chrono::milliseconds(Check.number(
-      "drain_admit_ms", absl::GetFlag(FLAGS_drain_admit_ms), 0, HourMs));
-  Read.DrainQuiet_ = std::chrono::milliseconds(Check.number(
-      "drain_quiet_ms", absl::GetFlag(FLAGS_drain_quiet_ms), 0, HourMs));
+  readStopTimes(Check, Read);
   Read.Metrics_ = Check.address("metrics_address",
                                 absl::GetFlag(FLAGS_metrics_address), false);
   Read.Relay_ =
