StopPolicyTest: times are drawn from their whole range

The mutation stop-length was missed: generated times grew only with the size of the case, so few were long. Cause: rapidcheck scales inRange by the size. The mutation names the case with fixed times, which catches it.

--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -141,7 +141,7 @@
   ${U}Request '*own interface*'
 mutate stop-length $S/Request/StopPolicy.cpp \
   's/return \*Request\.Expected_ <= Rest;/return true;/' \
-  ${U}Request '*usual length fits*'
+  ${U}Request '*takes what can end*'
 mutate stop-unknown-length $S/Request/StopPolicy.cpp \
   's/return Early && Request\.Kind_ != StopKind::NonIdempotent;/return Early;/' \
   ${U}Request '*risks early*'
--- a/UnitTests/Request/StopPolicyTest.cpp
+++ b/UnitTests/Request/StopPolicyTest.cpp
@@ -75,7 +75,8 @@
 
 Life anyLife() {
   auto Millis = [](int High) {
-    return milliseconds(*rc::gen::inRange(0, High));
+    return milliseconds(
+        *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, High)));
   };
   Life Case;
   Case.Arrival_ = Millis(8000);
