--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -430,7 +430,7 @@
           Dialect_,
           Lease_,
           RetryBudget_,
-          [this](const ForwardingRule &) { return !Draining_; },
+          [this] { return Stop_; },
           *Origins_,
           Memory_};
 }
