StoreFollower: what is confirmed is published before the confirmation counts

A list that was in flight when its watch was replaced was applied and confirmed, and not published until the next one: a take-up without a record could be shown the old version as the only one. Found by a reviewer in the code; seen in no play, and no test of its own.

--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -213,6 +213,8 @@
 void StoreFollower::appliedAsOf(BootTime SentAt) {
   ReachedAt_ = std::max(ReachedAt_, SentAt);
   View_.appliedAsOf(SentAt);
+  // What is confirmed has to be visible, also if this watch has been replaced.
+  View_.publish();
   if (View_.confirmsNewest(SentAt))
     Freshness_.renew(SentAt);
 }
