StopPolicy: no connection is begun that outlives the stop, and a pause costs no answers

What callers would see: a connection closed in silence at the end of a stop. Cause: opening a connection, over relays at worst, takes 1.25 s and nothing interrupts it, so a grant in the last moment was answered after the process had ended; and a process that stood still over the end of its stop ended in its first turn, before it had answered anything. Change: nothing is dispatched that begins to connect in the last 0.95 s before runs end; the process ends 0.1 s after it has ended the runs at the earliest. Found by a reviewer in the code.

--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -112,6 +112,7 @@
   StopTimes stopTimes() const;
   std::optional<CurrentStop> currentStop() const;
   void endRequestsAtStop();
+  std::optional<std::chrono::milliseconds> sinceRunsEnded() const;
   void flushEventQueues();
   void flushNextQueue(std::vector<boost::asio::io_context *> Left);
   void onEventQueuesFlushed();
@@ -163,6 +164,8 @@
   bool Joined_ = false;
   std::atomic<bool> Draining_ = false;
   TimePoint DrainStarted_;
+  /// When the workers were told to end what still runs; unset: not yet.
+  std::optional<TimePoint> RunsEnded_;
   bool FlushingQueues_ = false;
   TimePoint FlushStarted_;
 
--- a/Source/Programs/DaemonLife.cpp
+++ b/Source/Programs/DaemonLife.cpp
@@ -165,6 +165,13 @@
                      std::chrono::duration_cast<milliseconds>(Since)};
 }
 
+std::optional<milliseconds> Daemon::sinceRunsEnded() const {
+  if (!RunsEnded_)
+    return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                  *RunsEnded_);
+}
+
 /// Lets all workers end the requests that the stop leaves no time for.
 void Daemon::endRequestsAtStop() {
   for (const auto &Current : Workers_)
@@ -232,11 +239,14 @@
     logEvent(LogCategory::Process, spdlog::level::info, "ready");
   logPreviousProcess();
   if (Draining_) {
-    auto Drained = steady_clock::now() - DrainStarted_;
-    if (Drained >= stopTimes().ProcessEnd_)
+    auto Now = steady_clock::now();
+    auto Drained = Now - DrainStarted_;
+    bool Over = Drained >= Settings_.DrainTimeout_;
+    if (mayEndUnfinished(*currentStop(), sinceRunsEnded()))
       return stopAll();
     endRequestsAtStop();
-    bool Over = Drained >= Settings_.DrainTimeout_;
+    if (Over && !RunsEnded_)
+      RunsEnded_ = Now;
     if (Over || Drained >= Settings_.DrainDelay_)
       flushEventQueues();
   }
--- a/Source/Request/StopPolicy.cpp
+++ b/Source/Request/StopPolicy.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/// The longest time that opening a connection to a server takes, over relays,
+/// less what is left for the last answers after the runs end.
+constexpr milliseconds ConnectTime{950};
+/// For the last answers, however late this process comes to them.
+constexpr milliseconds AnswerTime{100};
+
 /// \returns whether a request that is not dispatched may go on. \p Rest is what
 /// is left until runs end.
 bool mayGoOn(bool Early, milliseconds Rest, const StoppingRequest &Request) {
@@ -29,8 +35,15 @@
   if (Request.Stage_ == StopStage::Dispatched)
     return Over ? StopDecision::End : StopDecision::GoOn;
   bool Early = Stop.Since_ < Stop.Times_.Admit_;
-  return !Over && mayGoOn(Early, Rest, Request) ? StopDecision::GoOn
-                                                : StopDecision::Refuse;
+  bool MayConnect = Rest >= ConnectTime;
+  return MayConnect && mayGoOn(Early, Rest, Request) ? StopDecision::GoOn
+                                                     : StopDecision::Refuse;
+}
+
+bool mayEndUnfinished(const CurrentStop &Stop,
+                      std::optional<milliseconds> SinceRunsEnded) {
+  return Stop.Since_ >= Stop.Times_.ProcessEnd_ && SinceRunsEnded &&
+         *SinceRunsEnded >= AnswerTime;
 }
 
 } // namespace samphireshunt
--- a/Source/Request/StopPolicy.h
+++ b/Source/Request/StopPolicy.h
@@ -62,4 +62,10 @@
 StopDecision decideAtStop(const CurrentStop &Stop,
                           const StoppingRequest &Request);
 
+/// \returns whether the process may end while requests are active.
+/// \p SinceRunsEnded is the time since this process has ended their runs;
+/// unset: not yet. A process that stood still then still has to answer them.
+bool mayEndUnfinished(const CurrentStop &Stop,
+                      std::optional<std::chrono::milliseconds> SinceRunsEnded);
+
 } // namespace samphireshunt
--- a/UnitTests/Request/StopPolicyTest.cpp
+++ b/UnitTests/Request/StopPolicyTest.cpp
@@ -14,6 +14,8 @@
 
 constexpr StopTimes Times{milliseconds(2800), milliseconds(7400),
                           milliseconds(7700)};
+/// A direct connection, then three relays (ServerConnector::Options), in ms.
+constexpr int LongestConnect = 200 + 3 * 350;
 /// How often a stop is looked at.
 constexpr milliseconds Tick{50};
 
@@ -24,7 +26,8 @@
 /// What happens to a request if nothing but the stop ends it.
 struct Life {
   milliseconds Arrival_{0};
-  milliseconds Wait_{0}; ///< For its grant.
+  milliseconds Wait_{0};    ///< For its grant.
+  milliseconds Connect_{0}; ///< Nothing interrupts it.
   milliseconds Work_{0};
   milliseconds Left_{0}; ///< On its arrival.
   StopKind Kind_ = StopKind::Repeatable;
@@ -55,6 +58,13 @@
     if (Ask(StopStage::Waiting) != StopDecision::GoOn)
       return {End::NotRun, false, Now};
   }
+  if (Now >= Due)
+    return {End::TimedOut, false, Now};
+  if (Ask(StopStage::Granted) != StopDecision::GoOn)
+    return {End::NotRun, false, Now};
+  Now += Case.Connect_;
+  if (Now >= Times.ProcessEnd_)
+    return {End::Silent, false, Now};
   if (Now >= Due)
     return {End::TimedOut, false, Now};
   if (Ask(StopStage::Granted) != StopDecision::GoOn)
@@ -81,6 +91,7 @@
   Life Case;
   Case.Arrival_ = Millis(8000);
   Case.Wait_ = Millis(8000);
+  Case.Connect_ = Millis(LongestConnect);
   Case.Work_ = Millis(9000);
   Case.Left_ = Millis(15000);
   Case.Kind_ = *rc::gen::element(StopKind::Repeatable, StopKind::Stream,
@@ -172,3 +183,14 @@
     Lengths.add("a", milliseconds(200));
   CHECK(Lengths.expected("a", RunLengths::Bound::All) == milliseconds(200));
 }
+
+TEST_CASE(
+    "a process that stands still at the end of its stop answers before it "
+    "ends") {
+  // Guards against requests that are closed in silence after a pause.
+  CHECK(!mayEndUnfinished({Times, milliseconds(7699)}, milliseconds(299)));
+  CHECK(mayEndUnfinished({Times, milliseconds(7700)}, milliseconds(300)));
+  CHECK(!mayEndUnfinished({Times, milliseconds(9000)}, std::nullopt));
+  CHECK(!mayEndUnfinished({Times, milliseconds(9000)}, milliseconds(99)));
+  CHECK(mayEndUnfinished({Times, milliseconds(9000)}, milliseconds(100)));
+}
