SoakEnvironment: a request's count outlives its engine

The end of Failure.platform.StopTest aborted under the address sanitizer, as a request of a silent engine was still counted after the engine was gone: the event loop, which holds it, is destroyed after the engines. A fault of the test's fixture; no check changes.

--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -159,16 +159,18 @@
   BeforeFirst,       ///< The connection ends normally after the head.
 };
 
-/// Counts a request while it exists.
+/// Counts a request while it exists, which may be longer than its engine does.
 class RunningCount {
 public:
-  explicit RunningCount(int &Count) : Count_(Count) { ++Count_; }
+  explicit RunningCount(std::shared_ptr<int> Count) : Count_(std::move(Count)) {
+    ++*Count_;
+  }
   RunningCount(const RunningCount &) = delete;
   RunningCount &operator=(const RunningCount &) = delete;
-  ~RunningCount() { --Count_; }
+  ~RunningCount() { --*Count_; }
 
 private:
-  int &Count_;
+  std::shared_ptr<int> Count_;
 };
 
 Json routeEntry(const char *Name, const char *Kind, bool Resumable) {
@@ -194,7 +196,7 @@
   Time SilentUntil_;
   bool Removed_ = false;
   bool Crashed_ = false;
-  int Running_ = 0;
+  std::shared_ptr<int> Running_ = std::make_shared<int>(0);
   /// The requests per second that it names, 0 for none, and since when.
   double Limit_ = 0;
   Time Limited_;
@@ -470,7 +472,7 @@
                               HttpResponse &Answer) {
   auto Now = steady_clock::now();
   bool Full = isBrittle() && Now > BrittleSince_ + ContactTime &&
-              Self.Running_ >= static_cast<int>(BrittlePlaces);
+              *Self.Running_ >= static_cast<int>(BrittlePlaces);
   if (!Full && !Self.Rests_)
     return false;
   Answer.Status_ = 503;
@@ -1078,9 +1080,9 @@
   for (const auto &Known : Engines_) {
     if (Known->Version_ == ServiceVersion_ || Known->Removed_)
       continue;
-    if (Known->Running_ > 0)
+    if (*Known->Running_ > 0)
       Violations_.push_back(fmt::format("{}: stopped with {} requests",
-                                        Known->Id_, Known->Running_));
+                                        Known->Id_, *Known->Running_));
     Known->Crashed_ = true;
     Known->Removed_ = true;
     Known->Server_->stopAccepting();
@@ -1479,7 +1481,7 @@
   int Count = 0;
   run([&] {
     for (const auto &Known : Engines_)
-      Count += Known->Running_;
+      Count += *Known->Running_;
   });
   return Count;
 }
