--- a/UnitTests/Request/StopPolicyTest.cpp
+++ b/UnitTests/Request/StopPolicyTest.cpp
@@ -1,6 +1,8 @@
 #include "Request/StopPolicy.h"
 #include "Request/RunLengths.h"
 
+#include "Process/Relay/ServerConnector.h"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -14,8 +16,14 @@
 
 constexpr StopTimes Times{milliseconds(2800), milliseconds(7400),
                           milliseconds(7700)};
-/// A direct connection, then three relays (ServerConnector::Options), in ms.
-constexpr int LongestConnect = 200 + 3 * 350;
+/// \returns how long a direct connection takes, then one over each relay, in
+/// ms.
+int longestConnect() {
+  ServerConnector::Options Known;
+  return static_cast<int>(Known.DirectTimeout_.count()) +
+         static_cast<int>(Known.MaxRelays_) *
+             static_cast<int>(Known.RelayTimeout_.count());
+}
 /// How often a stop is looked at.
 constexpr milliseconds Tick{50};
 
@@ -91,7 +99,7 @@
   Life Case;
   Case.Arrival_ = Millis(8000);
   Case.Wait_ = Millis(8000);
-  Case.Connect_ = Millis(LongestConnect);
+  Case.Connect_ = Millis(longestConnect());
   Case.Work_ = Millis(9000);
   Case.Left_ = Millis(15000);
   Case.Kind_ = *rc::gen::element(StopKind::Repeatable, StopKind::Stream,
