--- a/Source/Connection/GrowingBody.h
+++ b/Source/Connection/GrowingBody.h
@@ -11,10 +11,9 @@
 
 namespace samphireshunt {
 
-/// Like beast's string_body, which reserves the length that a head announces:
-/// whatever is touched of such a reservation stays with the process, so that
-/// many callers with large bodies took the memory of all of them, although few
-/// were read at a time.
+/// Beast's string_body reserves the length that a head announces, and what is
+/// touched of such a reservation stays with the process. This body grows as it
+/// is read.
 struct GrowingBody {
   using value_type = std::string;
 
