Review case 1: one caller's expected version takes all engines out of service

An engine answers 421 to a request that expects other weights. The daemon takes that for another server at the address and never uses the engine again. With one request in twenty expecting an older version, no request is served after a restart of the daemons.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O1 -Wall -Wextra -o target/review/smuggled_request \
-  review/standins/SmuggledRequest.cpp review/standins/Standins.cpp -pthread
+compile() {
+  g++ -std=c++20 -O1 -Wall -Wextra -o "target/review/$1" \
+    "review/standins/$2.cpp" review/standins/Standins.cpp -pthread
+}
+compile smuggled_request SmuggledRequest
+compile pinned_version PinnedVersion
--- a/review/standins/SmuggledRequest.cpp
+++ b/review/standins/SmuggledRequest.cpp
@@ -124,9 +124,10 @@
 }
 
 int check(const std::string &RecordPath, bool Disrupt) {
-  Record Log(RecordPath);
-  Store Platform;
-  Desk Notes(Log);
+  // Static, since the threads that use them never end.
+  static Record Log(RecordPath);
+  static Store Platform;
+  static Desk Notes(Log);
   Platform.put("op/config", Configuration);
   Platform.put("servers/i-1", entryOf(Notes.server()));
   std::cout << Platform.address() << std::endl;
@@ -173,7 +174,6 @@
   } catch (const std::exception &Error) {
     std::cerr << Error.what() << '\n';
   }
-  // The threads of the stand-ins never end.
   std::cout.flush();
   std::_Exit(Result);
 }
