Parse JSON from outside in one place, with a nesting limit

What callers saw: another writer of the service left one entry that is nested 200,000 levels deep (400 KB). All daemons that read it ended with signal 11, again at each start, and so did samphireshuntctl.

Cause: the JSON library parses without recursion, but copies, compares and writes values recursively. VersionedDocument::decode() wrote what it had parsed; the limit of nesting was asked for in two files only, so each reader had to remember it.

Change: Common/JsonReader is the only parser of JSON in Source/ and platform/. It refuses what nests deeper than 100 levels (501) before it parses, and catches the exceptions of both libraries, not only those of the JSON library. All readers use it: stored documents, documents, records of roll-outs, claims, reports and answers of engines, answers of both services, the platform's configuration, servers and orders, log lines, callers' bodies. platform/RouteReader counts levels itself while it parses. YAML is limited where it is converted: an alias inside its own anchor ("&a [*a]") nests without end and ended the tool with signal 11 as well. A second document in a YAML file was ignored; it is a finding now.

Ruled out: the platform's readers (configuration, servers, orders) refused the nesting before.

--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -41,6 +41,28 @@
       Limit);
 }
 
+bool isLogged(const Cluster &Fleet, int Daemon, const std::string &Text) {
+  std::ifstream Lines(fmt::format("{}/vm-{}.log", Fleet.folder(), Daemon));
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.find(Text) != std::string::npos)
+      return true;
+  return false;
+}
+
+/// Writes \p Odd as the document of a service "odd", and then version 2 of the
+/// good one.
+void putAndFollow(Cluster &Fleet, const std::string &Odd) {
+  Json Written =
+      Fleet.request("platform", "/v1/kv/config/odd?expect=0", "PUT", Odd);
+  REQUIRE(Written.value("httpStatus", 0) == 200);
+  REQUIRE(Fleet.apply(changedDocument(Fleet, 2), {"--wait"}) == 0);
+  CHECK(activeEverywhere(Fleet, 2));
+  for (int Daemon = 1; Daemon <= 3; ++Daemon) {
+    CHECK(isLogged(Fleet, Daemon, R"("service":"odd")"));
+    CHECK(Fleet.run(Fleet.chat(Daemon)).Correct_);
+  }
+}
+
 } // namespace
 
 TEST_CASE("a daemon that starts on a stale read serves the newest version") {
@@ -179,3 +201,18 @@
   constexpr int Invalid = 1;
   CHECK(Fleet.apply(Newer) == Invalid);
 }
+
+TEST_CASE("a deeply nested document of another writer ends no process") {
+  // Each daemon reads all documents, also when it starts: one nested by 100,000
+  // levels overflowed the stack of all of them, again and again.
+  Cluster Fleet;
+  constexpr std::size_t Levels = 200000;
+  std::string Deep = std::string(Levels, '[') + std::string(Levels, ']');
+  putAndFollow(Fleet,
+               R"({"version":1,"changes":["x"],"document":)" + Deep + "}");
+  Fleet.process("vm-2").kill();
+  Fleet.startDaemon(2);
+  CHECK(activeEverywhere(Fleet, 2, std::chrono::seconds(15)));
+  constexpr int Invalid = 1;
+  CHECK(Fleet.tool({"get", "odd"}).first == Invalid);
+}
--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -1,7 +1,8 @@
 #include "Connection/Http.h"
 
+#include "Common/JsonReader.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -58,7 +59,7 @@
   std::size_t First = Body.find_first_not_of(" \t\r\n");
   bool Bounded = First != std::string_view::npos &&
                  (Body[First] == '{' || Body[First] == '[');
-  return Bounded && nlohmann::json::accept(Body);
+  return Bounded && isJson(Body);
 }
 
 bool isEndKnown(const HttpConnection &Connection, std::string_view Body) {
--- a/Source/Process/Configuration/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -1,8 +1,8 @@
+#include "Common/JsonReader.h"
 #include "Process/Configuration/Platform.h"
 #include "Process/Configuration/StoreEraHeader.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace samphireshunt {
 
@@ -61,11 +61,13 @@
   auto Era = storeEraOf(Response->Fields_);
   if (!Era)
     co_return Era.error();
-  JsonBody Body{Json::parse(Response->Body_, nullptr, false), *Era};
-  if (Response->Status_ != 200 || Body.Root_.is_discarded())
+  if (Response->Status_ != 200)
     co_return Failure{ResultCode::PlatformUnavailable,
                       fmt::format("status {}", Response->Status_)};
-  co_return Body;
+  auto Parsed = readJson(Response->Body_);
+  if (!Parsed)
+    co_return Failure{ResultCode::PlatformUnavailable, Parsed.error().Detail_};
+  co_return JsonBody{std::move(Parsed->Root_), *Era};
 }
 
 /// Runs \p Convert on the body. A body of an unexpected structure is a failure
@@ -74,11 +76,8 @@
 Result<Value> convert(const Result<JsonBody> &Body, Function Convert) {
   if (!Body)
     return Body.error();
-  try {
-    return Convert(*Body);
-  } catch (const Json::exception &Error) {
-    return Failure{ResultCode::PlatformUnavailable, Error.what()};
-  }
+  return readGuarded<Value>(ResultCode::PlatformUnavailable,
+                            [&]() -> Result<Value> { return Convert(*Body); });
 }
 
 Awaitable<Result<std::optional<KeyValue>>>
--- a/Source/Process/Keeping/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -1,12 +1,12 @@
 #include "Process/Keeping/EngineMonitor.h"
 
+#include "Common/JsonReader.h"
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace samphireshunt {
 
@@ -59,14 +59,14 @@
 /// report.
 EngineReport readReport(const ServerName &Server, const std::string &Text) {
   try {
-    Json Body = Json::parse(Text);
+    const Json Body = readJson(Text).value().Root_;
     EngineReport Read;
     Read.Load_.Running_ = Body.value("running", 0U);
     Read.Load_.Waiting_ = Body.value("waiting", 0U);
     Read.Load_.Leaving_ = Body.value("leaving", false);
     Read.NextEvent_ = Body.value("nextEvent", std::uint64_t(0));
     return Read;
-  } catch (const Json::exception &Error) {
+  } catch (const std::exception &Error) {
     logEvent(LogCategory::Keeper, spdlog::level::warn,
              "engine-report-not-understood",
              {{"server", Server.str()}, {"detail", Error.what()}});
@@ -83,7 +83,7 @@
 /// \returns nothing for an invalid list.
 std::optional<CacheEvents> readCacheEvents(const std::string &Text) {
   try {
-    Json Body = Json::parse(Text);
+    const Json Body = readJson(Text).value().Root_;
     CacheEvents Read;
     Read.Gap_ = Body.value("gap", false);
     Read.Next_ = Body.value("next", std::uint64_t(0));
@@ -91,7 +91,7 @@
       if (Event.value("kind", "") == "evicted")
         Read.Evicted_.push_back(Event.value("block", std::uint64_t(0)));
     return Read;
-  } catch (const Json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
--- a/Source/Process/Rollout/RolloutRecord.cpp
+++ b/Source/Process/Rollout/RolloutRecord.cpp
@@ -1,7 +1,8 @@
 #include "Process/Rollout/RolloutRecord.h"
 
+#include "Common/JsonReader.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -87,14 +88,11 @@
 }
 
 Result<RolloutRecord> RolloutRecord::decode(const std::string &Text) {
-  Json Root = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
-  if (!Root.is_object())
-    return Failure{ResultCode::DocumentSyntax, "not a JSON object"};
-  try {
-    return read(Root);
-  } catch (const Json::exception &Error) {
-    return Failure{ResultCode::DocumentSchema, Error.what()};
-  }
+  auto Parsed = readJsonObject(Text);
+  if (!Parsed)
+    return Parsed.error();
+  return readGuarded<RolloutRecord>(ResultCode::DocumentSchema,
+                                    [&] { return read(Parsed->Root_); });
 }
 
 } // namespace samphireshunt
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -1,5 +1,7 @@
 #include "Programs/CtlCommands.h"
 
+#include "Common/JsonReader.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -164,7 +166,7 @@
   auto Decoded = VersionedDocument::decode((*Entry)->Value_);
   if (!Decoded)
     co_return fail(ExitStatus::Invalid, Decoded.error());
-  Json Document = Json::parse(Decoded->CanonicalJson_);
+  Json Document = readJson(Decoded->CanonicalJson_).value().Root_;
   // JSON is valid YAML, so the output can be edited and applied.
   std::string Text = fmt::format("{}{}\n{}\n", VersionComment,
                                  Decoded->Version_.count(), Document.dump(2));
@@ -182,8 +184,9 @@
   Json Before = Json::object();
   if (*Entry)
     if (auto Decoded = VersionedDocument::decode((*Entry)->Value_))
-      Before = Json::parse(Decoded->CanonicalJson_);
-  Json Changes = Json::diff(Before, Json::parse(Checked->CanonicalJson_));
+      Before = readJson(Decoded->CanonicalJson_).value().Root_;
+  Json After = readJson(Checked->CanonicalJson_).value().Root_;
+  Json Changes = Json::diff(Before, After);
   std::string Text;
   for (const Json &Change : Changes)
     Text += fmt::format("{:<8}{} {}\n", Change["op"].get<std::string>(),
@@ -211,7 +214,7 @@
 /// would not be active there.
 Awaitable<std::optional<ExitStatus>>
 CtlCommands::refuseTooNewFormat(std::string CanonicalJson) {
-  int Format = Json::parse(CanonicalJson)["format"].get<int>();
+  int Format = readJson(CanonicalJson).value().Root_["format"].get<int>();
   std::vector<std::string> Old;
   for (const DaemonState &State : co_await queryDaemons())
     if (State.Reached_ && State.Status_.value("format", 0) < Format)
@@ -374,7 +377,7 @@
     auto Response =
         co_await httpCall(*Address, std::move(Request), CallTimeout);
     if (Response && Response->Status_ == 200) {
-      Json Status = Json::parse(Response->Body_, nullptr, false);
+      Json Status = readJsonOrNull(Response->Body_);
       State.Reached_ = Status.is_object();
       if (State.Reached_)
         State.Status_ = std::move(Status);
--- a/Source/Programs/LogLines.cpp
+++ b/Source/Programs/LogLines.cpp
@@ -1,5 +1,7 @@
 #include "Programs/LogLines.h"
 
+#include "Common/JsonReader.h"
+
 #include <charconv>
 
 namespace samphireshunt {
@@ -19,10 +21,7 @@
   std::size_t Start = Text.find('{');
   if (Start == std::string_view::npos)
     return std::nullopt;
-  auto Line = nlohmann::ordered_json::parse(Text.substr(Start), nullptr, false);
-  if (!Line.is_object())
-    return std::nullopt;
-  return Line;
+  return readOrderedJson(Text.substr(Start));
 }
 
 double secondsOfDay(std::string_view Time) {
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -1,14 +1,13 @@
 #include "Request/CallerService.h"
 
 #include "Common/Hash.h"
-#include "Common/JsonNesting.h"
+#include "Common/JsonReader.h"
 #include "Common/Log.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Request/ForwardedCall.h"
 
 #include <absl/cleanup/cleanup.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -30,18 +29,6 @@
   return Verdict(Code, std::move(Detail));
 }
 
-/// Maximum nesting depth of a JSON body. The schemas of tools, the deepest part
-/// of regular requests, nest by 10 to 20 levels.
-constexpr std::size_t MaxNestingDepth = 100;
-
-/// \returns a value that is not an object when \p Text is not a JSON object or
-/// is nested too deeply.
-Json parseBody(const std::string &Text) {
-  if (nestsDeeperThan(Text, MaxNestingDepth))
-    return {};
-  return Json::parse(Text, nullptr, /*allow_exceptions=*/false);
-}
-
 /// Concatenates all messages of a chat, in order, into one prompt.
 Result<std::string> joinPrompt(const Json &Body) {
   auto Messages = Body.find("messages");
@@ -318,7 +305,7 @@
 std::optional<Verdict>
 CallerService::checkModelBody(RequestContext &Context) const {
   const HttpRequest &Request = Context.Exchange_.request();
-  Json Body = parseBody(Request.Body_);
+  Json Body = readJsonOrNull(Request.Body_);
   if (!Body.is_object())
     return refused(ResultCode::MalformedRequest,
                    "the body is no JSON object, or nests too deeply");
--- a/Source/Request/ClaimStore.cpp
+++ b/Source/Request/ClaimStore.cpp
@@ -1,12 +1,12 @@
 #include "Request/ClaimStore.h"
 
 #include "Common/Hash.h"
+#include "Common/JsonReader.h"
 #include "Common/Log.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 
 namespace samphireshunt {
 
@@ -34,7 +34,7 @@
 
 Result<Claim> decodeClaim(const KeyValue &Entry) {
   try {
-    Json Root = Json::parse(Entry.Value_);
+    const Json Root = readJson(Entry.Value_).value().Root_;
     Claim Value;
     Value.Attempt_ = Root.at("attempt").get<std::string>();
     Value.Vm_ = VmId(Root.at("vm").get<std::string>());
@@ -50,7 +50,7 @@
       Value.Answer_.Body_.assign(Bytes.begin(), Bytes.end());
     }
     return Value;
-  } catch (const Json::exception &Error) {
+  } catch (const std::exception &Error) {
     return Failure{ResultCode::PlatformUnavailable, Error.what()};
   }
 }
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -1,6 +1,6 @@
 #include "Request/ForwardingDialect.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/JsonReader.h"
 
 #include <algorithm>
 #include <charconv>
@@ -169,7 +169,7 @@
     return Failure{ResultCode::BadMemoryAnswer,
                    "status " + std::to_string(Answer.Status_)};
   Read.Result_ = Copied ? MoveResult::Copied : MoveResult::NotCopied;
-  auto Body = nlohmann::json::parse(Answer.Body_, nullptr, false);
+  auto Body = readJsonOrNull(Answer.Body_);
   if (!Body.is_object())
     return Failure{ResultCode::BadMemoryAnswer, "no JSON object"};
   if (Body.contains(HandleField) && Body[HandleField].is_string())
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -3,6 +3,7 @@
 /// the caller wants a single one, so that progress and silence are noticed and
 /// an interrupted stream can be resumed where it broke off.
 
+#include "Common/JsonReader.h"
 #include "Common/Log.h"
 #include "Connection/EventSplitter.h"
 #include "Connection/EventStream.h"
@@ -16,7 +17,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <memory>
@@ -107,7 +107,7 @@
 
 private:
   bool wantsStream() const {
-    Json Body = Json::parse(Context_.Exchange_.request().Body_, nullptr, false);
+    Json Body = readJsonOrNull(Context_.Exchange_.request().Body_);
     return Body.is_object() && Body.value("stream", false);
   }
 
@@ -154,7 +154,7 @@
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
     FirstTokenSpan_ = Context_.Trace_.begin("first-token");
     HttpRequest Request = backendRequest(Context_, SpanNumber);
-    Json Body = Json::parse(Request.Body_, nullptr, false);
+    Json Body = readJsonOrNull(Request.Body_);
     Body["stream"] = true;
     Request.Body_ = Body.dump();
     auto Sent =
@@ -279,7 +279,7 @@
 
   /// Appends an event's text to the answer of a caller that wants no stream.
   void collect(const std::string &Data) {
-    Json Chunk = Json::parse(Data, nullptr, false);
+    Json Chunk = readJsonOrNull(Data);
     if (!Chunk.is_object() || !Chunk.contains("choices"))
       return;
     Model_ = Chunk.value("model", Model_);
@@ -375,7 +375,7 @@
     auto Response = co_await cancelAt(Ready_.Server_.Address_, Context_.Id_);
     if (!Response || Response->Status_ != 200)
       co_return false;
-    Json Body = Json::parse(Response->Body_, nullptr, false);
+    Json Body = readJsonOrNull(Response->Body_);
     co_return Body.is_object() && Body.value("state", "") == "never-seen";
   }
 
--- a/Source/Version/DocumentReader.cpp
+++ b/Source/Version/DocumentReader.cpp
@@ -1,9 +1,9 @@
 #include "Version/DocumentReader.h"
 
+#include "Common/JsonReader.h"
 #include "DocumentSchema.inc"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
 #include <valijson/schema_parser.hpp>
@@ -39,11 +39,28 @@
   return Text;
 }
 
-/// Converts YAML to JSON and records the line of each JSON pointer.
+/// Converts YAML to JSON and records the line of each JSON pointer. A node that
+/// is nested deeper than MaxJsonNesting ends the conversion with a finding:
+/// an alias inside its own anchor nests without end.
 class YamlConverter {
 public:
   Json convert(const YAML::Node &Node, const std::string &Pointer) {
+    if (TooDeep_)
+      return nullptr;
     Lines_[Pointer] = Node.Mark().line + 1;
+    if (Depth_ > MaxJsonNesting)
+      return refuseDepth(Node, Pointer);
+    ++Depth_;
+    Json Converted = convertNode(Node, Pointer);
+    --Depth_;
+    return Converted;
+  }
+  bool tooDeep() const { return TooDeep_; }
+  LineByPointer takeLines() { return std::move(Lines_); }
+  std::vector<Finding> takeFindings() { return std::move(Findings_); }
+
+private:
+  Json convertNode(const YAML::Node &Node, const std::string &Pointer) {
     if (Node.IsMap())
       return convertMap(Node, Pointer);
     if (Node.IsSequence())
@@ -52,10 +69,12 @@
       return scalarToJson(Node);
     return nullptr;
   }
-  LineByPointer takeLines() { return std::move(Lines_); }
-  std::vector<Finding> takeFindings() { return std::move(Findings_); }
-
-private:
+  Json refuseDepth(const YAML::Node &Node, const std::string &Pointer) {
+    TooDeep_ = true;
+    Findings_.push_back({ResultCode::DocumentSchema, Node.Mark().line + 1,
+                         Pointer, "is nested too deeply"});
+    return nullptr;
+  }
   Json convertMap(const YAML::Node &Node, const std::string &Pointer) {
     Json Object = Json::object();
     for (const auto &Entry : Node) {
@@ -80,12 +99,14 @@
 
   LineByPointer Lines_;
   std::vector<Finding> Findings_;
+  std::size_t Depth_ = 0;
+  bool TooDeep_ = false;
 };
 
 const valijson::Schema &parsedSchema() {
   static const std::unique_ptr<valijson::Schema> Schema = [] {
     auto Parsed = std::make_unique<valijson::Schema>();
-    Json Text = Json::parse(DocumentSchemaText);
+    Json Text = readJson(DocumentSchemaText).value().Root_;
     valijson::adapters::NlohmannJsonAdapter Adapter(Text);
     valijson::SchemaParser().populateSchema(Adapter, *Parsed);
     return Parsed;
@@ -369,30 +390,51 @@
   return CheckedDocument{std::move(Built), Root.dump()};
 }
 
+/// \returns what check() returns, or a finding if it throws, for example
+/// because a text is not UTF-8.
+DocumentOrFindings checkGuarded(const Json &Root, Findings Found) {
+  try {
+    return check(Root, std::move(Found));
+  } catch (const std::exception &Error) {
+    return std::vector<Finding>{
+        {ResultCode::DocumentSchema, 0, "", Error.what()}};
+  }
+}
+
 } // namespace
 
 const char *documentSchema() { return DocumentSchemaText; }
 
 DocumentOrFindings readYamlDocument(const std::string &Text) {
   try {
-    YAML::Node Root = YAML::Load(Text);
+    std::vector<YAML::Node> Roots = YAML::LoadAll(Text);
+    if (Roots.size() > 1)
+      return std::vector<Finding>{{ResultCode::DocumentSyntax,
+                                   Roots[1].Mark().line + 1, "",
+                                   "more than one document; keep one"}};
+    YAML::Node Root = Roots.empty() ? YAML::Node() : Roots.front();
     YamlConverter Converter;
     Json Converted = Converter.convert(Root, "");
+    if (Converter.tooDeep())
+      return Converter.takeFindings();
     Findings Found(Converter.takeLines());
     Found.add(Converter.takeFindings());
-    return check(Converted, std::move(Found));
+    return checkGuarded(Converted, std::move(Found));
   } catch (const YAML::Exception &Error) {
     return std::vector<Finding>{
         {ResultCode::DocumentSyntax, Error.mark.line + 1, "", Error.msg}};
+  } catch (const std::exception &Error) {
+    return std::vector<Finding>{
+        {ResultCode::DocumentSyntax, 0, "", Error.what()}};
   }
 }
 
 DocumentOrFindings readJsonDocument(const std::string &Text) {
-  Json Root = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
-  if (Root.is_discarded())
+  auto Parsed = readJson(Text);
+  if (!Parsed)
     return std::vector<Finding>{
-        {ResultCode::DocumentSyntax, 0, "", "not valid JSON"}};
-  return check(Root, Findings({}));
+        {Parsed.error().Code_, 0, "", Parsed.error().Detail_}};
+  return checkGuarded(Parsed->Root_, Findings({}));
 }
 
 } // namespace samphireshunt
--- a/Source/Version/VersionedDocument.cpp
+++ b/Source/Version/VersionedDocument.cpp
@@ -1,7 +1,8 @@
 #include "Version/VersionedDocument.h"
 
+#include "Common/JsonReader.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace samphireshunt {
 
@@ -11,21 +12,22 @@
   Json Root;
   Root["version"] = Version_.count();
   Root["changes"] = ChangeIds_;
-  Root["document"] = Json::parse(CanonicalJson_);
+  Root["document"] = readJson(CanonicalJson_).value().Root_;
   return Root.dump();
 }
 
 Result<VersionedDocument> VersionedDocument::decode(const std::string &Text) {
-  try {
-    Json Root = Json::parse(Text);
+  auto Parsed = readJson(Text);
+  if (!Parsed)
+    return Parsed.error();
+  const Json &Root = Parsed->Root_;
+  return readGuarded<VersionedDocument>(ResultCode::DocumentSyntax, [&Root] {
     VersionedDocument Decoded;
     Decoded.Version_ = DocumentVersion(Root.at("version").get<std::uint64_t>());
     Decoded.ChangeIds_ = Root.at("changes").get<std::vector<std::string>>();
     Decoded.CanonicalJson_ = Root.at("document").dump();
     return Decoded;
-  } catch (const Json::exception &Error) {
-    return Failure{ResultCode::DocumentSyntax, Error.what()};
-  }
+  });
 }
 
 VersionedDocument VersionedDocument::next(std::string ChangeId,
--- a/Source/Version/VersionedDocument.h
+++ b/Source/Version/VersionedDocument.h
@@ -24,7 +24,7 @@
   /// \returns the value for the key-value service.
   std::string encode() const;
   /// Parses the result of encode(). Fails with DocumentSyntax if \p Text is
-  /// malformed.
+  /// malformed, with DocumentSchema if it is nested too deeply.
   static Result<VersionedDocument> decode(const std::string &Text);
   /// \returns the next version, created by the change \p ChangeId.
   VersionedDocument next(std::string ChangeId, std::string CanonicalJson) const;
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -2,6 +2,7 @@
 # Runs clang-tidy on the project's own sources; needs a configured build/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+Tools/check_parsers.sh
 Log=$(mktemp)
 trap 'rm -f "$Log"' EXIT
 if git ls-files -co --exclude-standard '*.cpp' | xargs -P "$(nproc)" -n 2 \
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -249,7 +249,7 @@
   's/~ConnectionCloser\(\) \{ Stream_\.close\(\); \}/~ConnectionCloser() {}/' \
   ${U}Connection "*looks out for its caller's end closes*"
 mutate levels-of-body $S/Request/CallerService.cpp \
-  's/nestsDeeperThan\(Text, MaxNestingDepth\)/false/' \
+  's/readJsonOrNull\(Request\.Body_\)/Json::parse(Request.Body_, nullptr, false)/' \
   ${U}Request '*nests deeply is refused*'
 mutate small-confirmation $S/Process/Configuration/StoreFollower.cpp \
   's/std::string Prefix = ownKey\(\);/std::string Prefix = View_.layout().ConfigurationKey_;/' \
@@ -775,9 +775,15 @@
 mutate nested-route platform/RouteReader.cpp \
   's/return \+\+Depth_ <= MaxDepth;/++Depth_; return true;/' \
   ${U}platform '*deeply nested configuration*'
-mutate nested-configuration platform/Configuration.cpp \
-  's/nestsDeeperThan\(Text, MaxNestingDepth\)/false/' \
+mutate nested-configuration $S/Common/JsonReader.cpp \
+  's/nestsDeeperThan\(Text, MaxJsonNesting\)/false/' \
   ${U}platform '*deeply nested configuration*'
+mutate nested-text $S/Common/JsonReader.cpp \
+  's/nestsDeeperThan\(Text, MaxJsonNesting\)/false/' \
+  ${U}platform '*deeply nested text is refused*'
+mutate endless-alias $S/Version/DocumentReader.cpp \
+  's/Depth_ > MaxJsonNesting/Depth_ > 10 * MaxJsonNesting/' \
+  ${U}platform '*alias inside its own anchor*'
 mutate evidence-now $S/Process/Rollout/VersionEvidence.cpp \
   's/std::max\(Target\.Usual_\.rate\(\), Target\.Now_\.rate\(\)\)/Target.Usual_.rate()/' \
   ${U}Rollout '*moment in which all versions are bad*'
