Cut answer without a length never reaches its caller as whole

What callers saw: a 200 with an empty or short body and a Content-Length that fits it. A server wrote the head of a plain answer without a length, or some of its body, and closed.

Cause: only its connection ends such an answer, and the forwarded call takes a normal end for the whole body; it then gives the caller a length made of what came. Streams had a check for an empty body, the own interface one for unfinished JSON; forwarded plain answers had none.

Ruled out, on the same property (each byte, closed, reset or held, direct and relayed): heads that stop before their blank line, bodies with a length or in chunks, relays' framing, ModelCall and ApplicationCall, resumed streams; nothing that may not be repeated was sent twice.

Any other body of that kind can't be told from a whole one, as PROMISES says.

UnitTests_CutAnswer, this case on the old logic: 26 checks fail, 13 each of idempotent and non-idempotent requests ("Content-Length: 0" to 12 of 13 bytes); with the change none of its checks fails.

--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -61,6 +61,14 @@
   return Bounded && nlohmann::json::accept(Body);
 }
 
+bool isShownCut(const HttpResponse &Response) {
+  auto Type = Response.Fields_.find("content-type");
+  bool Json = Type != Response.Fields_.end() &&
+              lowerCase(Type->second).starts_with("application/json");
+  return Response.Body_.empty() ||
+         (Json && !nlohmann::json::accept(Response.Body_));
+}
+
 bool isEndKnown(const HttpConnection &Connection, std::string_view Body) {
   return Connection.bodyEnd() != BodyEnd::Close || isWholeJson(Body);
 }
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -67,6 +67,10 @@
 /// the beginning of a longer one.
 bool isWholeJson(std::string_view Body);
 
+/// \returns whether the body of a response whose end nothing tells is shown to
+/// be cut: it is empty, or JSON by its type and not by its bytes.
+bool isShownCut(const HttpResponse &Response);
+
 /// \returns a response with a JSON body.
 HttpResponse jsonResponse(int Status, std::string Body);
 
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -579,6 +579,10 @@
     Result<void> Whole = co_await readBody(Answer);
     if (!Whole)
       co_return failed(Whole.error());
+    // The caller would get it with a length, as if it were whole.
+    if (Answer.Status_ < StatusMultipleChoices &&
+        Ready_.Connection_->bodyEnd() == BodyEnd::Close && isShownCut(Answer))
+      co_return failed({ResultCode::ConnectionLost, "ended within its body"});
     releaseConnection(Context_, Ready_);
     if (promisesNotRun(Answer.Status_)) {
       // The request may have run, but the caller would take this status for a
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -808,6 +808,9 @@
 mutate stalled-process $S/Process/Membership/PeerNetwork.cpp \
   's/Hooks_\.LinkEnded_\(From\);//' \
   ${F}ProcessEndTest '*is found afterwards*'
+mutate unframed-cut $S/Request/ForwardedCall.cpp \
+  's/BodyEnd::Close && isShownCut\(Answer\)/BodyEnd::Close \&\& false/' \
+  ${U}CutAnswer '*cut after any of its bytes*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -416,6 +416,25 @@
   return Hooks;
 }
 
+PlatformHooks ForwardingHarness::platform() {
+  PlatformHooks Hooks;
+  Hooks.Get_ =
+      [this](std::string Key) -> Awaitable<Result<std::optional<KeyValue>>> {
+    auto Found = Stored_.find(Key);
+    if (Found == Stored_.end())
+      co_return std::optional<KeyValue>();
+    KeyValue Known;
+    Known.Key_ = Key;
+    Known.Value_ = Found->second;
+    co_return std::optional(std::move(Known));
+  };
+  Hooks.Put_ = [this](KeyValueWrite Write) -> Awaitable<Result<StorePosition>> {
+    Stored_[Write.Key_] = Write.Value_;
+    co_return StorePosition();
+  };
+  return Hooks;
+}
+
 RequestServices ForwardingHarness::services() {
   return {Documents_,
           *Grants_,
@@ -470,6 +489,8 @@
   Target.FromDirectory_ = true;
   Target.RunMemory_ = Options_.RunMemory_;
   Target.RunMemory_.Moves_ = Options_.MovesRuns_;
+  Target.Models_ = {"m"};
+  Target.Kind_ = Options_.OwnInterface_.value_or(Target.Kind_);
   Built.Pools_.push_back(std::move(Target));
   Route Only;
   Only.PathPrefix_ = "/";
@@ -483,7 +504,8 @@
   Rule.Objective_ = milliseconds(500);
   Rule.Anonymous_ = !Options_.RequiresKey_;
   Rule.Targets_ = {{ThePool, 1}};
-  Only.Forwarding_ = std::move(Rule);
+  if (!Options_.OwnInterface_)
+    Only.Forwarding_ = std::move(Rule);
   Built.Routes_.push_back(std::make_shared<const Route>(std::move(Only)));
   Customer Caller;
   Caller.Name_ = CustomerName("customer");
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -169,6 +170,9 @@
     /// What the daemon may hold for callers; 0: no bound.
     std::size_t MemoryBytes_ = 0;
     RequestKind Kind_ = RequestKind::NonIdempotent;
+    /// Serves the route by the product's own interface, with such a pool,
+    /// instead of forwarding its requests.
+    std::optional<PoolKind> OwnInterface_;
     std::string Method_ = "POST";
     bool Resumable_ = false;
     std::uint32_t Attempts_ = 2;
@@ -251,6 +255,8 @@
   ServerConnector::Options connecting();
   ServerConnector::Hooks relays();
   StreamOriginService::Hooks origins();
+  /// \returns a service that keeps claims.
+  PlatformHooks platform();
   Awaitable<void> sendAndReceive(std::string Bytes,
                                  std::shared_ptr<CallerReply> Reply);
 
@@ -261,8 +267,8 @@
   FreshnessLease Lease_;
   DocumentStore Documents_;
   std::vector<std::unique_ptr<ScriptedServer>> Servers_;
-  PlatformHooks NoPlatform_;
-  ClaimStore Claims_{NoPlatform_, ClaimStore::Options()};
+  std::map<std::string, std::string> Stored_;
+  ClaimStore Claims_{platform(), ClaimStore::Options()};
   RetryBudget RetryBudget_{Options_.Retries_};
   CrashTracker Crashes_;
   ForwardingDialect Dialect_ = defaultDialect();
