Interim answers of servers are passed over

What callers saw: a 502 (303 "crossed-answer", outcome unknown) for a request whose server wrote "100 Continue" or "103 Early Hints" and then its whole answer. One that may not be repeated was lost by it. A 101 with the call's id reached the caller as the answer.

Cause: readHead() took the first head for the answer. RFC 9110, section 15.2, lets any server send heads with 1xx before it.

Change: heads of 1xx are read over, at most 16 of them with 8 KiB each, all within the one timeout of the head. 101, more of them, and a status below 100 are no answer: the new 312 "malformed-answer" (502). A connection that ends after an interim answer is lost, as before.

UnitTests_CutAnswer, on the old logic: "interim answers are passed over" fails in 192 checks (12 calls not answered of each of the eight kinds of calls, both interfaces, direct and relayed), "interim answers without an answer" in two (101 given to the caller). With the change both cases pass.

--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -157,6 +157,9 @@
                    "daemon may hold.",
                    "It may have run; look at the server, or give the VM more "
                    "memory."},
+    ResultCodeInfo{MalformedAnswer, "malformed-answer",
+                   "A server's answer is not valid HTTP/1.1.",
+                   "It may have run; report the server to its team."},
     ResultCodeInfo{ClaimFailed, "claim-failed",
                    "The idempotency key could not be claimed.",
                    "Nothing ran; send it again with the same key."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -75,6 +75,7 @@
   BadMemoryAnswer = 309,
   CallerReadsSlowly = 310,
   AnswerTooLarge = 311,
+  MalformedAnswer = 312,
   // 4xx: idempotency keys and the platform's service.
   ClaimFailed = 400,
   FirstAttemptRunning = 401,
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -229,8 +229,9 @@
   virtual void acceptUnframed() = 0;
   /// The keep-alive timeout that the server announced for idle connections.
   virtual std::optional<std::chrono::seconds> idleLimit() const = 0;
-  /// Reads the head of the response; the body of the result is empty.
-  /// \returns AnswerTimeout, ConnectionLost or AnswerTooLarge.
+  /// Reads the head of the response; the body of the result is empty. Interim
+  /// responses (RFC 9110, section 15.2) are passed over.
+  /// \returns AnswerTimeout, ConnectionLost, AnswerTooLarge or MalformedAnswer.
   virtual Awaitable<Result<HttpResponse>>
   readHead(std::chrono::milliseconds Timeout) = 0;
   /// Reads a chunk of the body. An empty string marks the end and is returned
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -27,8 +27,14 @@
 /// A longer body is written while the response is awaited, because a server may
 /// respond before it has read the body, and read the rest later or never.
 constexpr std::size_t LongBodyBytes = 4096;
+constexpr int StatusOk = 200;
+constexpr int StatusSwitchingProtocols = 101;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
+/// The most interim answers before an answer, each with a head of at most
+/// MaxHeadBytes. A server sends a few at most: 100 and some hints.
+constexpr int MaxInterimAnswers = 16;
+constexpr std::uint32_t MaxHeadBytes = 8 * 1024;
 using Request = http::request<http::string_body>;
 
 /// The result of writing one request.
@@ -97,24 +103,25 @@
 
   Awaitable<Result<HttpResponse>>
   readHead(std::chrono::milliseconds Timeout) override {
-    Parser_.emplace();
-    Parser_->body_limit(MaxAnswerBytes);
-    Parser_->skip(ToHead_);
-    beast::error_code Error;
+    // One limit for the interim answers and the answer together.
     Stream_->expires_after(Timeout);
-    if (Framed_)
-      co_await http::async_read_header(
-          *Framed_, Buffer_, *Parser_,
-          asio::redirect_error(asio::use_awaitable, Error));
-    else
-      co_await http::async_read_header(
-          *Stream_, Buffer_, *Parser_,
-          asio::redirect_error(asio::use_awaitable, Error));
-    if (Error)
-      co_return connectionFailure(Error);
-    LastReceived_ = std::chrono::steady_clock::now();
+    std::optional<Failure> Failed = co_await parseHead();
+    for (int Interim = 0; !Failed && isInterim(); ++Interim) {
+      if (Interim == MaxInterimAnswers)
+        Failed = Failure{ResultCode::MalformedAnswer, "too many interim ones"};
+      else
+        Failed = co_await parseHead();
+    }
+    // No request asks for another protocol.
+    if (!Failed && status() < StatusOk)
+      Failed = Failure{ResultCode::MalformedAnswer,
+                       "status " + std::to_string(status())};
+    if (Failed) {
+      Parser_.reset();
+      co_return std::move(*Failed);
+    }
     HttpResponse Head;
-    Head.Status_ = static_cast<int>(Parser_->get().result_int());
+    Head.Status_ = status();
     for (const auto &Field : Parser_->get())
       Head.Fields_[lowerCase(Field.name_string())] = std::string(Field.value());
     noteIdleLimit(Head);
@@ -167,9 +174,8 @@
   BodyEnd bodyEnd() const override {
     if (Parser_->chunked())
       return BodyEnd::Chunks;
-    int Status = Parser_->get().result_int();
     bool WithoutBody =
-        ToHead_ || Status == StatusNoContent || Status == StatusNotModified;
+        ToHead_ || status() == StatusNoContent || status() == StatusNotModified;
     return Parser_->content_length() || WithoutBody ? BodyEnd::Length
                                                     : BodyEnd::Close;
   }
@@ -203,6 +209,37 @@
   }
 
 private:
+  int status() const { return static_cast<int>(Parser_->get().result_int()); }
+
+  /// \returns whether another head follows on the one that was read.
+  bool isInterim() const {
+    constexpr int StatusContinue = 100;
+    return status() >= StatusContinue && status() < StatusOk &&
+           status() != StatusSwitchingProtocols;
+  }
+
+  /// Reads a head within the stream's current limit. \returns why there is
+  /// none.
+  Awaitable<std::optional<Failure>> parseHead() {
+    Parser_.emplace();
+    Parser_->header_limit(MaxHeadBytes);
+    Parser_->body_limit(MaxAnswerBytes);
+    Parser_->skip(ToHead_);
+    beast::error_code Error;
+    if (Framed_)
+      co_await http::async_read_header(
+          *Framed_, Buffer_, *Parser_,
+          asio::redirect_error(asio::use_awaitable, Error));
+    else
+      co_await http::async_read_header(
+          *Stream_, Buffer_, *Parser_,
+          asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return connectionFailure(Error);
+    LastReceived_ = std::chrono::steady_clock::now();
+    co_return std::nullopt;
+  }
+
   /// Reads the timeout from a field like "Keep-Alive: timeout=5, max=100".
   void noteIdleLimit(const HttpResponse &Head) {
     auto Field = Head.Fields_.find("keep-alive");
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -44,6 +44,7 @@
   case ResultCode::ServerError:
   case ResultCode::EventTooLarge:
   case ResultCode::AnswerTooLarge:
+  case ResultCode::MalformedAnswer:
     return 502;
   case ResultCode::TooManyConnections:
     return 503;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -808,6 +808,12 @@
 mutate stalled-process $S/Process/Membership/PeerNetwork.cpp \
   's/Hooks_\.LinkEnded_\(From\);//' \
   ${F}ProcessEndTest '*is found afterwards*'
+mutate interim-answers $S/Connection/HttpConnection.cpp \
+  's/!Failed && isInterim\(\)/false/' \
+  ${U}CutAnswer '*interim answers are passed over*'
+mutate interim-bound $S/Connection/HttpConnection.cpp \
+  's/Interim == MaxInterimAnswers/false/' \
+  ${U}CutAnswer '*interim answers without an answer*'
 mutate unframed-cut $S/Request/ForwardedCall.cpp \
   's/BodyEnd::Close && isShownCut\(Answer\)/BodyEnd::Close \&\& false/' \
   ${U}CutAnswer '*cut after any of its bytes*'
--- a/UnitTests/Request/CutAnswerTest.cpp
+++ b/UnitTests/Request/CutAnswerTest.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Answers that servers cut after each of their bytes, in the head or the body.
+/// Answers that servers cut after each of their bytes, in the head or the body,
+/// and answers that come after interim ones.
 
 #include "UnitTests/Request/ForwardingHarness.h"
 
@@ -238,3 +239,66 @@
     checkAll(Script::Then::Hold, Relayed, 11);
   }
 }
+
+TEST_CASE("interim answers are passed over") {
+  // Guards against a 502 for a request that ran, and may not run twice, as its
+  // server announced the answer first.
+  const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string Hints =
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nContent-Length: 3\r\n\r\n";
+  for (bool Relayed : {false, true})
+    for (const Kind &Of : kinds())
+      for (const std::string &Before :
+           {Continue, Hints, Continue + Hints + Hints}) {
+        auto Each = [&](const std::string &Request, std::size_t) {
+          return Script{Before + wholeAnswer(Of, Framing::Length, Request)};
+        };
+        ForwardingHarness::Options Wanted = Of.Options_;
+        Wanted.Relays_ = Relayed ? 1 : 0;
+        ForwardingHarness Path(Wanted, {Each});
+        Path.setLinks(Relayed ? PortState::Refused : PortState::Open);
+        // The second one may come on the connection of the first.
+        for (std::string CallId : {"1", "2"}) {
+          CallerReply Reply = Path.call(CallId, Of.Request_,
+                                        "Idempotency-Key: " + CallId + "\r\n");
+          CAPTURE(Of.Name_);
+          CAPTURE(Reply.Bytes_);
+          CHECK(looksWhole(Reply));
+          CHECK(hasAll(Of, Reply));
+        }
+        CHECK(Path.received() == 2);
+      }
+}
+
+TEST_CASE("interim answers without an answer are no answer") {
+  // Guards against a caller that waits for a server's interim answers without
+  // end, or gets one of them as its answer.
+  const std::string Hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n";
+  std::string Many;
+  for (int Number = 0; Number < 1000; ++Number)
+    Many += Hints + "\r\n";
+  auto Plain = [](const std::string &Request) {
+    return completeAnswer(fieldIn(Request, "x-call-id"), "{}");
+  };
+  for (const Kind &Of : kinds()) {
+    if (Of.isModel() || Of.Repeatable_)
+      continue;
+    for (const std::string &Before :
+         {Hints + "\r\n", Many,
+          std::string("HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\n"
+                      "X-Call-Id: 1\r\nX-Answer-Proof: p\r\n\r\n")}) {
+      auto Each = [&](const std::string &Request, std::size_t) {
+        bool Ends = Before == Hints + "\r\n";
+        return Script{Before + (Ends ? "" : Plain(Request)),
+                      Script::Then::Close};
+      };
+      ForwardingHarness Path(Of.Options_, {Each, Each});
+      CallerReply Reply = Path.call("1", Of.Request_, "Idempotency-Key: 1\r\n");
+      CAPTURE(Of.Name_);
+      CAPTURE(Before.substr(0, 30));
+      CHECK(Reply.status() == 502);
+      CHECK(fieldIn(Reply.Bytes_, "x-outcome") == "unknown");
+      CHECK(Path.received() == 1);
+    }
+  }
+}
