--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -66,8 +66,7 @@
   auto Type = Response.Fields_.find("content-type");
   bool Json = Type != Response.Fields_.end() &&
               lowerCase(Type->second).starts_with("application/json");
-  return Response.Body_.empty() ||
-         (Json && !nlohmann::json::accept(Response.Body_));
+  return Response.Body_.empty() || (Json && !isJson(Response.Body_));
 }
 
 bool isEndKnown(const HttpConnection &Connection, std::string_view Body) {
