Versions out of range are refused, and the tool calls only its own document active

What operators saw: another writer put a service's document back with the version 1e300, 2^64-1 or -5. All daemons took it as version (2^64-5), without a word, and followed no document that came after. After an older version was put back, the tool counted on from it, the daemons ignored its document, and it said "active" too. The configuration of a platform was read in the same way.

Cause: the JSON library converts any number into the 64 bits asked for, silently and, for doubles, with an undefined result; next() added 1 without a check; the tool compared "at least this number" with the daemons' versions, whoever had chosen them.

A version out of range that another daemon announces is not waited for, and a reader that states one is not followed (daemons of an earlier release may still have one). The tool counts on from the stored version and from what daemons have active, whichever is higher; there is an error after the last version. `undecodable` and `configuration-not-understood` have a code.

Ruled out: that only the tool was at fault (daemons of the test state version 2^64-1).

The comparison by change id has no test of its own.

--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -179,3 +179,65 @@
   constexpr int Invalid = 1;
   CHECK(Fleet.apply(Newer) == Invalid);
 }
+
+namespace {
+
+/// Writes \p Text over the stored document, as another writer does.
+void overwrite(Cluster &Fleet, const std::string &Text) {
+  Json Entry = Fleet.request("platform", "/v1/kv/config/test");
+  Fleet.request("platform",
+                fmt::format("/v1/kv/config/test?expect={}",
+                            Entry["revision"].get<std::uint64_t>()),
+                "PUT", Text);
+}
+
+/// \returns the stored document with the version \p Number.
+std::string storedWith(Cluster &Fleet, const std::string &Number) {
+  Json Entry = Fleet.request("platform", "/v1/kv/config/test");
+  Json Stored = Json::parse(Entry["value"].get<std::string>());
+  Stored["version"] = "NUMBER";
+  std::string Text = Stored.dump();
+  constexpr std::string_view Placeholder = "\"NUMBER\"";
+  return Text.replace(Text.find(Placeholder), Placeholder.size(), Number);
+}
+
+} // namespace
+
+TEST_CASE("after a document of an odd version, the next one becomes active") {
+  // Another writer put the document back with a version that no number type
+  // holds. Daemons took it as version 2^64-1 and followed none that came after;
+  // the tool said "accepted as version 0" and "active on all 3 daemons".
+  Cluster Fleet;
+  constexpr int Invalid = 1;
+  std::uint64_t Active = 1;
+  for (const std::string Number : {"1e300", "18446744073709551615", "-5"}) {
+    CAPTURE(Number);
+    overwrite(Fleet, storedWith(Fleet, Number));
+    Json Document = changedDocument(Fleet, static_cast<int>(Active));
+    CHECK(Fleet.apply(Document, {"--wait"}) == Invalid);
+    CHECK(activeEverywhere(Fleet, Active));
+    CHECK(version(Fleet, 1) == Active);
+    CHECK(Fleet.apply(Document, {"--wait", "--replace_unreadable"}) == 0);
+    ++Active;
+    for (int Daemon = 1; Daemon <= 3; ++Daemon)
+      CHECK(version(Fleet, Daemon) == Active);
+    CHECK(Fleet.run(Fleet.chat(1)).Correct_);
+  }
+}
+
+TEST_CASE("a document is not called active where another one is") {
+  // Another writer put an older version back. The tool counted on from it, and
+  // as the daemons had a higher one, it called its own document active.
+  Cluster Fleet;
+  REQUIRE(Fleet.apply(changedDocument(Fleet, 2), {"--wait"}) == 0);
+  REQUIRE(Fleet.apply(changedDocument(Fleet, 3), {"--wait"}) == 0);
+  overwrite(Fleet, storedWith(Fleet, "1"));
+  CHECK(Fleet.apply(changedDocument(Fleet, 4), {"--wait"}) == 0);
+  for (int Daemon = 1; Daemon <= 3; ++Daemon)
+    CHECK(version(Fleet, Daemon) == 4);
+  // No version follows the last one.
+  overwrite(Fleet, storedWith(Fleet, "9007199254740991"));
+  REQUIRE(activeEverywhere(Fleet, 9007199254740991));
+  constexpr int Invalid = 1;
+  CHECK(Fleet.apply(changedDocument(Fleet, 5), {"--wait"}) == Invalid);
+}
--- a/Source/Process/Configuration/AnnouncedVersions.cpp
+++ b/Source/Process/Configuration/AnnouncedVersions.cpp
@@ -1,10 +1,13 @@
 #include "Process/Configuration/AnnouncedVersions.h"
 
+#include "Version/VersionedDocument.h"
+
 namespace samphireshunt {
 
 void AnnouncedVersions::noteAnnounced(const VmId &Peer, DocumentVersion Version,
                                       DocumentVersion Active, TimePoint Now) {
-  if (Version <= Active || (Newest_ && Version <= Newest_->Version_))
+  if (Version > MaxDocumentVersion || Version <= Active ||
+      (Newest_ && Version <= Newest_->Version_))
     return;
   std::erase_if(IgnoredUntil_,
                 [Now](const auto &Item) { return Item.second <= Now; });
--- a/Source/Process/Configuration/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -72,7 +72,9 @@
   auto Decoded = VersionedDocument::decode(Encoded);
   if (!Decoded) {
     logEvent(LogCategory::Version, spdlog::level::err, "undecodable",
-             {{"service", Service.str()}, {"detail", Decoded.error().Detail_}});
+             {{"service", Service.str()},
+              {"code", std::to_string(static_cast<int>(Decoded.error().Code_))},
+              {"detail", Decoded.error().Detail_}});
     return;
   }
   auto &Newest = NewestAnnounced_[Service];
@@ -84,6 +86,9 @@
 void ConfigurationSync::versionAnnounced(const VmId &From,
                                          const ServiceName &Service,
                                          DocumentVersion Version) {
+  // No document has it, so this daemon would wait for it for good.
+  if (Version > MaxDocumentVersion)
+    return;
   auto &Newest = NewestAnnounced_[Service];
   Newest = std::max(Newest, Version);
   auto Snapshot = Documents_.snapshot();
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -203,6 +203,9 @@
     return abandonReader(From, Fault::Unusable, "it has lost the service");
   if (!State.reads_service)
     return abandonReader(From, Fault::Unusable, "it does not read the service");
+  if (DocumentVersion(State.text_version) > MaxDocumentVersion)
+    return abandonReader(From, Fault::Unusable,
+                         "its configuration's version is out of range");
   bool Same = State.incarnation == ReaderProcess_;
   bool Continues = State.same_digest == 0
                        ? Same && State.after <= ReaderNumber_
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -436,7 +436,8 @@
   if (!Read) {
     logEvent(LogCategory::Version, spdlog::level::err,
              "configuration-not-understood",
-             {{"detail", Read.error().Detail_}});
+             {{"code", std::to_string(static_cast<int>(Read.error().Code_))},
+              {"detail", Read.error().Detail_}});
     return;
   }
   ConfigurationPosition_ = Entry.Position_;
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -34,6 +34,20 @@
   return Text.str();
 }
 
+/// \returns what the daemon says of \p Service, or an empty object.
+Json serviceIn(const Json &Status, const ServiceName &Service) {
+  Json Services = Status.value("services", Json::object());
+  return Services.value(Service.str(), Json::object());
+}
+
+/// \returns the version that the daemon has active; 0 for none, and for a
+/// number that no document has.
+DocumentVersion activeVersion(const Json &Status, const ServiceName &Service) {
+  auto Read =
+      readVersion(serviceIn(Status, Service), "version", FirstDocumentVersion);
+  return Read ? *Read : DocumentVersion();
+}
+
 std::optional<std::int64_t> versionInComment(const std::string &Text) {
   if (!Text.starts_with(VersionComment))
     return std::nullopt;
@@ -197,37 +211,69 @@
   auto Checked = readChecked(Path);
   if (!Checked)
     co_return ExitStatus::Invalid;
-  if (auto Refused = co_await refuseTooNewFormat(Checked->CanonicalJson_))
+  auto States = co_await queryDaemons();
+  if (auto Refused = refuseTooNewFormat(States, Checked->CanonicalJson_))
     co_return *Refused;
   std::int64_t Expected = Options_.ExpectedVersion_;
   if (Expected < 0)
     Expected = versionInComment(*readFile(Path)).value_or(-1);
   co_return co_await put(Checked->Document_->Service_, Checked->CanonicalJson_,
-                         Expected);
+                         Expected, std::move(States));
 }
 
 /// Refuses a document if any daemon doesn't support its format. Such a daemon
 /// would keep serving the last document that it understood, and the change
 /// would not be active there.
-Awaitable<std::optional<ExitStatus>>
-CtlCommands::refuseTooNewFormat(std::string CanonicalJson) {
+std::optional<ExitStatus>
+CtlCommands::refuseTooNewFormat(const std::vector<DaemonState> &States,
+                                const std::string &CanonicalJson) const {
   int Format = Json::parse(CanonicalJson)["format"].get<int>();
   std::vector<std::string> Old;
-  for (const DaemonState &State : co_await queryDaemons())
+  for (const DaemonState &State : States)
     if (State.Reached_ && State.Status_.value("format", 0) < Format)
       Old.push_back(State.Vm_.str());
   if (Old.empty())
-    co_return std::nullopt;
-  co_return fail(
+    return std::nullopt;
+  return fail(
       ExitStatus::FormatTooNew,
       {ResultCode::FormatTooNew, fmt::format("on {}.", fmt::join(Old, ", "))});
 }
 
+/// \returns the newest version that a daemon has active or that is in the
+/// history: the stored entry can't be read, and a version that isn't newer than
+/// these would not be followed. Fails if no daemon or no history answers.
+Awaitable<Result<DocumentVersion>>
+CtlCommands::newestKnown(ServiceName Service, std::vector<DaemonState> States) {
+  if (std::ranges::none_of(States, &DaemonState::Reached_))
+    co_return Failure{ResultCode::PlatformUnavailable,
+                      "no daemon says which version it has."};
+  std::string Prefix = "history/" + Service.str() + "/";
+  auto Listed = co_await Options_.Platform_.List_(std::move(Prefix));
+  if (!Listed)
+    co_return Listed.error();
+  DocumentVersion Newest = newestActive(Service, States);
+  for (const KeyValue &Entry : Listed->Entries_)
+    if (auto Past = VersionedDocument::decode(Entry.Value_))
+      Newest = std::max(Newest, Past->Version_);
+  co_return Newest;
+}
+
+DocumentVersion
+CtlCommands::newestActive(const ServiceName &Service,
+                          const std::vector<DaemonState> &States) {
+  DocumentVersion Newest;
+  for (const DaemonState &State : States)
+    Newest = std::max(Newest, activeVersion(State.Status_, Service));
+  return Newest;
+}
+
 /// Writes the next version by compare-and-swap against the version that the
-/// operator has read.
+/// operator has read. It is newer than what any daemon has active, since the
+/// stored one may be older.
 Awaitable<ExitStatus> CtlCommands::put(ServiceName Service,
                                        std::string CanonicalJson,
-                                       std::int64_t ExpectedVersion) {
+                                       std::int64_t ExpectedVersion,
+                                       std::vector<DaemonState> States) {
   auto Entry = co_await current(Service);
   if (!Entry)
     co_return fail(ExitStatus::Unavailable, Entry.error());
@@ -235,9 +281,20 @@
   StorePosition Expected;
   if (*Entry) {
     auto Decoded = VersionedDocument::decode((*Entry)->Value_);
-    if (!Decoded)
-      co_return fail(ExitStatus::Invalid, Decoded.error());
-    Present = std::move(*Decoded);
+    if (!Decoded && !Options_.ReplaceUnreadable_)
+      co_return fail(ExitStatus::Invalid,
+                     {Decoded.error().Code_,
+                      fmt::format("The stored document: {}. "
+                                  "--replace_unreadable writes over it.",
+                                  Decoded.error().Detail_)});
+    if (Decoded) {
+      Present = std::move(*Decoded);
+    } else {
+      auto Newest = co_await newestKnown(Service, States);
+      if (!Newest)
+        co_return fail(ExitStatus::Unavailable, Newest.error());
+      Present.Version_ = *Newest;
+    }
     Expected = (*Entry)->Position_;
   }
   auto PresentNumber = static_cast<std::int64_t>(Present.Version_.count());
@@ -250,12 +307,14 @@
                                 "{}.",
                                 ExpectedVersion, PresentNumber, Other)});
   }
-  VersionedDocument Next =
-      Present.next(Options_.ChangeId_, std::move(CanonicalJson));
-  auto Accepted = co_await putOnce(Service, Next, Expected);
+  auto Next = Present.next(newestActive(Service, States), Options_.ChangeId_,
+                           std::move(CanonicalJson));
+  if (!Next)
+    co_return fail(ExitStatus::Invalid, Next.error());
+  auto Accepted = co_await putOnce(Service, *Next, Expected);
   if (!Accepted)
     co_return fail(exitFor(Accepted.error()), Accepted.error());
-  co_await writeHistory(Service, Next);
+  co_await writeHistory(Service, *Next);
   print({{"accepted", Accepted->count()}, {"change", Options_.ChangeId_}},
         fmt::format("accepted as version {}\n", Accepted->count()));
   if (!Options_.Wait_)
@@ -342,7 +401,11 @@
 Awaitable<ExitStatus> CtlCommands::rollback(std::string Service,
                                             std::string Version) {
   std::uint64_t Number = 0;
-  std::from_chars(Version.data(), Version.data() + Version.size(), Number);
+  const char *End = Version.data() + Version.size();
+  auto Parsed = std::from_chars(Version.data(), End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    co_return fail(ExitStatus::NotFound,
+                   {ResultCode::NotFound, "version " + Version + "."});
   ServiceName Name(Service);
   auto Entry = co_await Options_.Platform_.Get_(
       historyKey(Name, DocumentVersion(Number)));
@@ -354,8 +417,9 @@
   auto Decoded = VersionedDocument::decode((*Entry)->Value_);
   if (!Decoded)
     co_return fail(ExitStatus::Invalid, Decoded.error());
+  auto States = co_await queryDaemons();
   co_return co_await put(Name, Decoded->CanonicalJson_,
-                         Options_.ExpectedVersion_);
+                         Options_.ExpectedVersion_, std::move(States));
 }
 
 Awaitable<std::vector<CtlCommands::DaemonState>> CtlCommands::queryDaemons() {
@@ -384,6 +448,19 @@
   co_return States;
 }
 
+/// \returns the newest stored version that was made from this change, or 0.
+Awaitable<DocumentVersion> CtlCommands::newestWithChange(ServiceName Service) {
+  auto Entry = co_await current(Service);
+  if (!Entry || !*Entry)
+    co_return DocumentVersion();
+  auto Decoded = VersionedDocument::decode((*Entry)->Value_);
+  bool Contains =
+      Decoded && std::ranges::count(Decoded->ChangeIds_, Options_.ChangeId_);
+  co_return Contains ? Decoded->Version_ : DocumentVersion();
+}
+
+/// A daemon with another document has this number or a higher one too if
+/// another writer chose it.
 Awaitable<ExitStatus>
 CtlCommands::awaitActiveEverywhere(ServiceName Service,
                                    DocumentVersion Version) {
@@ -393,11 +470,19 @@
   do {
     Behind.clear();
     auto States = co_await queryDaemons();
+    DocumentVersion Last = Version;
+    if (newestActive(Service, States) > Version)
+      Last = co_await newestWithChange(Service);
     for (const DaemonState &State : States) {
-      Json Services = State.Status_.value("services", Json::object());
-      Json Known = Services.value(Service.str(), Json::object());
-      if (Known.value("version", std::uint64_t(0)) < Version.count())
-        Behind.push_back(State.Vm_.str());
+      DocumentVersion Active = activeVersion(State.Status_, Service);
+      // Daemons of earlier releases don't tell the change.
+      std::string Change =
+          serviceIn(State.Status_, Service).value("change", Options_.ChangeId_);
+      bool IsThis = Active == Version && Change == Options_.ChangeId_;
+      bool IsLater = Active > Version && Active <= Last;
+      if (!IsThis && !IsLater)
+        Behind.push_back(
+            fmt::format("{} (version {})", State.Vm_.str(), Active.count()));
     }
     if (!States.empty() && Behind.empty()) {
       print({{"inForce", Version.count()}, {"daemons", States.size()}},
--- a/Source/Programs/CtlCommands.h
+++ b/Source/Programs/CtlCommands.h
@@ -33,6 +33,8 @@
   std::chrono::milliseconds WaitTimeout_{30000};
   /// The version that the operator read; negative if not given.
   std::int64_t ExpectedVersion_ = -1;
+  /// Writes over a stored document that can't be read.
+  bool ReplaceUnreadable_ = false;
   /// Identifies this change; no two changes have the same id.
   std::string ChangeId_;
 };
@@ -63,14 +65,22 @@
   std::optional<CheckedDocument> readChecked(const std::string &Path) const;
   Awaitable<Result<std::optional<KeyValue>>> current(ServiceName Service);
   Awaitable<ExitStatus> put(ServiceName Service, std::string CanonicalJson,
-                            std::int64_t ExpectedVersion);
+                            std::int64_t ExpectedVersion,
+                            std::vector<DaemonState> States);
+  Awaitable<Result<DocumentVersion>>
+  newestKnown(ServiceName Service, std::vector<DaemonState> States);
+  static DocumentVersion newestActive(const ServiceName &Service,
+                                      const std::vector<DaemonState> &States);
+  Awaitable<DocumentVersion> newestWithChange(ServiceName Service);
   Awaitable<Result<DocumentVersion>>
   putOnce(ServiceName Service, VersionedDocument Next, StorePosition Expected);
   Awaitable<void> writeHistory(ServiceName Service, VersionedDocument Accepted);
   Awaitable<ExitStatus> awaitActiveEverywhere(ServiceName Service,
                                               DocumentVersion Version);
   Awaitable<std::vector<DaemonState>> queryDaemons();
-  Awaitable<std::optional<ExitStatus>> refuseTooNewFormat(std::string Json);
+  std::optional<ExitStatus>
+  refuseTooNewFormat(const std::vector<DaemonState> &States,
+                     const std::string &CanonicalJson) const;
 
   CtlOptions Options_;
 };
--- a/Source/Programs/CtlMain.cpp
+++ b/Source/Programs/CtlMain.cpp
@@ -27,7 +27,10 @@
 ABSL_FLAG(bool, wait, false,
           "apply and rollback: wait until it is active on every live daemon.");
 ABSL_FLAG(int, wait_timeout_ms, 30000, "Limit of --wait, in ms.");
-ABSL_FLAG(int, expected_version, -1,
+ABSL_FLAG(bool, replace_unreadable, false,
+          "apply and rollback: write over a stored document that can't be "
+          "read.");
+ABSL_FLAG(std::int64_t, expected_version, -1,
           "apply and rollback: the version that you read; default: the one in "
           "the file's first line, as `get` prints it.");
 
@@ -161,6 +164,7 @@
   Options.WaitTimeout_ =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_wait_timeout_ms));
   Options.ExpectedVersion_ = absl::GetFlag(FLAGS_expected_version);
+  Options.ReplaceUnreadable_ = absl::GetFlag(FLAGS_replace_unreadable);
   Options.ChangeId_ = newChangeId();
   bool Local = Words[0] == "validate" || Words[0] == "explain";
   if (!Local) {
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -83,6 +83,8 @@
   for (const auto &[Name, Service] : Snapshot->Services_) {
     Json Entry;
     Entry["version"] = Service.Version_.count();
+    if (Service.Source_ && !Service.Source_->ChangeIds_.empty())
+      Entry["change"] = Service.Source_->ChangeIds_.back();
     if (Service.UnsupportedVersion_.count() > 0)
       Entry["notUnderstood"] = Service.UnsupportedVersion_.count();
     Root["services"][Name.str()] = std::move(Entry);
--- a/Source/Version/VersionedDocument.cpp
+++ b/Source/Version/VersionedDocument.cpp
@@ -1,8 +1,12 @@
 #include "Version/VersionedDocument.h"
 
+#include "Common/BoundedNumber.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace samphireshunt {
 
 using Json = nlohmann::json;
@@ -19,7 +23,10 @@
   try {
     Json Root = Json::parse(Text);
     VersionedDocument Decoded;
-    Decoded.Version_ = DocumentVersion(Root.at("version").get<std::uint64_t>());
+    auto Version = readVersion(Root, "version", FirstDocumentVersion);
+    if (!Version)
+      return Version.error();
+    Decoded.Version_ = *Version;
     Decoded.ChangeIds_ = Root.at("changes").get<std::vector<std::string>>();
     Decoded.CanonicalJson_ = Root.at("document").dump();
     return Decoded;
@@ -28,10 +35,16 @@
   }
 }
 
-VersionedDocument VersionedDocument::next(std::string ChangeId,
-                                          std::string CanonicalJson) const {
+Result<VersionedDocument>
+VersionedDocument::next(DocumentVersion InForce, std::string ChangeId,
+                        std::string CanonicalJson) const {
+  DocumentVersion Newest = std::max(Version_, InForce);
+  if (Newest >= MaxDocumentVersion)
+    return Failure{ResultCode::DocumentSchema,
+                   fmt::format("version: {} is the last, no other can follow",
+                               Newest.count())};
   VersionedDocument Next;
-  Next.Version_ = Version_ + DocumentVersion(1);
+  Next.Version_ = Newest + DocumentVersion(1);
   Next.ChangeIds_ = ChangeIds_;
   Next.ChangeIds_.push_back(std::move(ChangeId));
   if (Next.ChangeIds_.size() > MaxChangeIds)
@@ -40,6 +53,16 @@
   return Next;
 }
 
+Result<DocumentVersion> readVersion(const Json &Holder, const char *Field,
+                                    DocumentVersion First) {
+  NumberRange Range{static_cast<std::int64_t>(First.count()),
+                    static_cast<std::int64_t>(MaxDocumentVersion.count())};
+  auto Read = readWholeOf(Holder, Field, Range);
+  if (!Read)
+    return Read.error();
+  return DocumentVersion(static_cast<std::uint64_t>(*Read));
+}
+
 std::string documentKey(const ServiceName &Service) {
   return DocumentKeyPrefix + Service.str();
 }
--- a/Source/Version/VersionedDocument.h
+++ b/Source/Version/VersionedDocument.h
@@ -3,6 +3,7 @@
 /// A document with its version, as it is stored under one key of the platform's
 /// key-value service and sent between daemons.
 
+#include "Common/BoundedNumber.h"
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
 
@@ -15,6 +16,15 @@
 /// was lost finds its id there, unless more changes than this followed.
 inline constexpr std::size_t MaxChangeIds = 64;
 
+inline constexpr DocumentVersion FirstDocumentVersion{1};
+/// A version above is refused: daemons that took it could follow no other.
+inline constexpr DocumentVersion MaxDocumentVersion{MaxExactInteger};
+
+/// Reads a version from \p First to MaxDocumentVersion. \returns DocumentSchema
+/// with the name of the field for anything else.
+Result<DocumentVersion> readVersion(const nlohmann::json &Holder,
+                                    const char *Field, DocumentVersion First);
+
 struct VersionedDocument {
   DocumentVersion Version_;
   /// Ids of the last changes, newest last.
@@ -24,10 +34,12 @@
   /// \returns the value for the key-value service.
   std::string encode() const;
   /// Parses the result of encode(). Fails with DocumentSyntax if \p Text is
-  /// malformed.
+  /// malformed, with DocumentSchema if its version is out of range.
   static Result<VersionedDocument> decode(const std::string &Text);
-  /// \returns the next version, created by the change \p ChangeId.
-  VersionedDocument next(std::string ChangeId, std::string CanonicalJson) const;
+  /// \returns the version after this one and after \p InForce, created by the
+  /// change \p ChangeId. Fails with DocumentSchema if there is none.
+  Result<VersionedDocument> next(DocumentVersion InForce, std::string ChangeId,
+                                 std::string CanonicalJson) const;
 };
 
 /// \returns the key of a service's current document.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -808,6 +808,15 @@
 mutate stalled-process $S/Process/Membership/PeerNetwork.cpp \
   's/Hooks_\.LinkEnded_\(From\);//' \
   ${F}ProcessEndTest '*is found afterwards*'
+mutate version-range $S/Version/VersionedDocument.cpp \
+  's/auto Read = readWholeOf\(Holder, Field, Range\);/Result<std::int64_t> Read = Holder.at(Field).get<std::int64_t>();/' \
+  ${U}Version '*version can*t be counted on*'
+mutate version-over-active $S/Version/VersionedDocument.cpp \
+  's/std::max\(Version_, InForce\)/Version_/' \
+  ${F}ConfigurationTest '*not called active where another one is*'
+mutate announced-range $S/Process/Configuration/ConfigurationSync.cpp \
+  's/if \(Version > MaxDocumentVersion\)\s*return;//' \
+  ${U}Process '*version out of range leaves the document active*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Process/Configuration/AnnouncedVersionsTest.cpp
+++ b/UnitTests/Process/Configuration/AnnouncedVersionsTest.cpp
@@ -41,6 +41,13 @@
   CHECK_FALSE(Announced.missing(Old, Start));
 }
 
+TEST_CASE("a version that no configuration can have is not missing") {
+  // The announced one would hide those of all other daemons.
+  AnnouncedVersions Announced{AnnouncedVersions::Options()};
+  Announced.noteAnnounced(First, DocumentVersion(1ULL << 53), Old, Start);
+  CHECK_FALSE(Announced.missing(Old, Start));
+}
+
 // Otherwise a version that a daemon announces and does not deliver would hide
 // those of all other daemons permanently.
 TEST_CASE("announcements of a daemon that does not deliver a version are "
--- a/UnitTests/Process/Configuration/ConfigurationSyncTest.cpp
+++ b/UnitTests/Process/Configuration/ConfigurationSyncTest.cpp
@@ -1,5 +1,7 @@
 #include "Process/Configuration/ConfigurationSync.h"
 
+#include "UnitTests/OddNumbers.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -97,3 +99,37 @@
   CHECK(InForce == std::vector(3, DocumentVersion(3)));
   CHECK(Documents.snapshot()->service(Service)->Version_ == DocumentVersion(4));
 }
+
+// Daemons took a document of version 2^64-1 and followed no other from then on;
+// a version that another daemon only announces must not be waited for either.
+TEST_CASE(
+    "a version out of range leaves the document active, and the next good "
+    "one is followed") {
+  boost::asio::io_context Context;
+  DocumentStore Documents;
+  FreshnessLease Freshness(seconds(0), seconds(2));
+  int Asked = 0;
+  ConfigurationSync::Hooks Hooks;
+  Hooks.RequestDocument_ = [&](const VmId &, const ServiceName &) { ++Asked; };
+  ConfigurationSync Sync(Context, PlatformHooks(), Documents, Freshness,
+                         ConfigurationSync::Options(), std::move(Hooks));
+  std::uint64_t Version = 1;
+  Sync.documentReceived(Service, encoded(Version));
+  for (const std::string &Number : tests::OddNumbers) {
+    CAPTURE(Number);
+    std::string Odd = encoded(Version);
+    auto Member = fmt::format(R"("version":{})", Version);
+    Odd.replace(Odd.find(Member), Member.size(), "\"version\":" + Number);
+    auto Active = [&] {
+      return Documents.snapshot()->service(Service)->Version_.count();
+    };
+    Sync.documentReceived(Service, Odd);
+    CHECK(Active() == Version);
+    Sync.versionAnnounced(Peer, Service,
+                          DocumentVersion(std::uint64_t(-1) - Version));
+    CHECK_FALSE(Freshness.overdue(BootClock::now() + seconds(3)));
+    Sync.documentReceived(Service, encoded(++Version));
+    CHECK(Active() == Version);
+  }
+  CHECK(Asked == 0);
+}
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -4,6 +4,7 @@
 
 #include "Process/Configuration/StoreFollower.h"
 
+#include "UnitTests/OddNumbers.h"
 #include "UnitTests/platform/FakeStore.h"
 #include "UnitTests/platform/StoreEntries.h"
 #include "platform/Configuration.h"
@@ -442,3 +443,30 @@
   Test.Store_.put("servers/i-1", serverEntry("draining"));
   CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
 }
+
+// Another writer's configuration of version 1e300 was taken as version 2^64-1,
+// so none that followed became active.
+TEST_CASE("a configuration of a version out of range stays out, and the next "
+          "good one is followed") {
+  FollowerFixture Test;
+  int Version = 3;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  for (const std::string &Number : OddNumbers) {
+    // 0 is a version, only older than what is active.
+    CAPTURE(Number);
+    std::string Odd = configuration(Version);
+    auto Member = fmt::format(R"("version":{})", Version);
+    Odd.replace(Odd.find(Member), Member.size(), "\"version\":" + Number);
+    Test.Store_.put("op/config", Odd);
+    Test.Store_.put("servers/i-2", serverEntry("ready", 81));
+    REQUIRE(Test.runUntil([&] { return Test.isActive("i-2"); }));
+    CHECK(Test.version().count() == static_cast<std::uint64_t>(Version));
+    Test.Store_.put("op/config", configuration(++Version));
+    CHECK(Test.runUntil([&] {
+      return Test.version().count() == static_cast<std::uint64_t>(Version);
+    }));
+    CHECK(Test.Freshness_.valid(BootClock::now()));
+    Test.Store_.remove("servers/i-2");
+    REQUIRE(Test.runUntil([&] { return Test.servers() == 1; }));
+  }
+}
