Each number from outside has a range, and what lies outside is refused by name

What could be seen: a configuration, a directory entry, a record of a roll-out or an engine's report with -1, 1e300, 2^64 or 1.5 was taken as some other number, another one on x86-64 than on arm64 (conversions of doubles that don't fit are undefined); times became nanoseconds that overflow (VersionSelection, keep-alive timeout=). A format of 2^32+1 was read as format 1. A caller that stated 2^32 tokens was charged none at another daemon's keeper, and prompt and answer of 2^63-1 overflowed in allotmentCost().

Cause: value<T>(), get<T>() and static_cast on parsed numbers, without a bound.

The schema has maxima for maxInFlight and maxWaiting. Counts in labels are at most 2^32-1, which messages between daemons carry; a caller that states more tokens is charged for that many. The allotment's cost is added as doubles. Numbers such as 15000.0 stay valid, as do times that are no numbers (defaults).

The load report's, claims' and max_tokens' new bounds have no test of their own.

--- a/Source/Common/BoundedNumber.cpp
+++ b/Source/Common/BoundedNumber.cpp
@@ -5,6 +5,7 @@
 
 #include <cmath>
 #include <optional>
+#include <ratio>
 #include <utility>
 
 namespace samphireshunt {
@@ -12,6 +13,7 @@
 namespace {
 
 using Json = nlohmann::json;
+using std::chrono::milliseconds;
 
 /// \returns the value of a whole number that an std::int64_t can hold.
 std::optional<std::int64_t> wholeValue(const Json &Given) {
@@ -55,4 +57,59 @@
   return readWhole(Field, *Found, Range);
 }
 
+Result<milliseconds> readTime(std::string_view Field, double Millis) {
+  if (Millis >= 0 && Millis <= static_cast<double>(MaxReadTime.count()))
+    return milliseconds(static_cast<std::int64_t>(Millis));
+  return Failure{ResultCode::DocumentSchema,
+                 fmt::format("{}: is not a time from 0 to {} ms", Field,
+                             MaxReadTime.count())};
+}
+
+void NumberFields::note(const Failure &Cause) {
+  if (Problem_.empty())
+    Problem_ = Cause.Detail_;
+}
+
+std::int64_t NumberFields::whole(const char *Field, std::int64_t Default,
+                                 NumberRange Range) {
+  auto Found = Holder_.find(Field);
+  if (Found == Holder_.end())
+    return Default;
+  auto Read = readWhole(Field, *Found, Range);
+  if (!Read)
+    note(Read.error());
+  return Read ? *Read : Default;
+}
+
+double NumberFields::real(const char *Field, double Default) {
+  auto Found = Holder_.find(Field);
+  if (Found == Holder_.end())
+    return Default;
+  constexpr auto Max = static_cast<double>(MaxExactInteger);
+  double Value = Found->is_number() ? Found->get<double>() : -1;
+  if (Value >= 0 && Value <= Max)
+    return Value;
+  note({ResultCode::DocumentSchema,
+        fmt::format("{}: is not a number from 0 to {}", Field,
+                    MaxExactInteger)});
+  return Default;
+}
+
+milliseconds NumberFields::time(const char *Field, milliseconds Default) {
+  auto Found = Holder_.find(Field);
+  if (Found == Holder_.end() || !Found->is_number())
+    return Default;
+  auto Read = readTime(Field, Found->get<double>());
+  if (!Read)
+    note(Read.error());
+  return Read ? *Read : Default;
+}
+
+milliseconds NumberFields::seconds(const char *Field) {
+  auto Read = readTime(Field, real(Field, 0) * std::milli::den);
+  if (!Read)
+    note(Read.error());
+  return Read ? *Read : milliseconds(0);
+}
+
 } // namespace samphireshunt
--- a/Source/Common/BoundedNumber.h
+++ b/Source/Common/BoundedNumber.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace samphireshunt {
@@ -33,4 +34,39 @@
 Result<std::int64_t> readWholeOf(const nlohmann::json &Holder,
                                  const char *Field, NumberRange Range);
 
+/// The longest time that is read. Several of them, in nanoseconds, can be added
+/// to a time point.
+inline constexpr std::chrono::milliseconds MaxReadTime =
+    std::chrono::hours(24 * 7);
+
+/// Reads a time that is given as \p Millis. A fraction is rounded down.
+/// \returns DocumentSchema unless it is from 0 to MaxReadTime.
+Result<std::chrono::milliseconds> readTime(std::string_view Field,
+                                           double Millis);
+
+/// Reads numbers of an object that may lack them, and keeps the first problem.
+class NumberFields {
+public:
+  /// \p Problem, unless it is empty, gets no other text. Both must live longer.
+  NumberFields(const nlohmann::json &Holder, std::string &Problem)
+      : Holder_(Holder), Problem_(Problem) {}
+
+  /// These return \p Default if the field is missing or wrong.
+  std::int64_t whole(const char *Field, std::int64_t Default,
+                     NumberRange Range = {});
+  /// A number from 0 to MaxExactInteger.
+  double real(const char *Field, double Default);
+  /// A time in milliseconds. A value that is no number counts as missing.
+  std::chrono::milliseconds time(const char *Field,
+                                 std::chrono::milliseconds Default);
+  /// A time in seconds.
+  std::chrono::milliseconds seconds(const char *Field);
+
+private:
+  void note(const Failure &Cause);
+
+  const nlohmann::json &Holder_;
+  std::string &Problem_;
+};
+
 } // namespace samphireshunt
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -214,8 +214,10 @@
       return;
     const char *First = Field->second.data() + Start + Name.size();
     const char *End = Field->second.data() + Field->second.size();
-    std::int64_t Seconds = 0;
-    if (std::from_chars(First, End, Seconds).ec == std::errc())
+    std::uint32_t Seconds = 0;
+    auto Parsed = std::from_chars(First, End, Seconds);
+    // A longer time is no limit for a connection here.
+    if (Parsed.ec == std::errc())
       IdleLimit_ = std::chrono::seconds(Seconds);
   }
 
--- a/Source/Process/Keeping/EngineMonitor.cpp
+++ b/Source/Process/Keeping/EngineMonitor.cpp
@@ -1,5 +1,6 @@
 #include "Process/Keeping/EngineMonitor.h"
 
+#include "Common/BoundedNumber.h"
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
 
@@ -8,6 +9,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace samphireshunt {
 
 namespace asio = boost::asio;
@@ -55,23 +58,35 @@
   std::uint64_t NextEvent_ = 0;
 };
 
+void logBadReport(const ServerName &Server, const std::string &Detail) {
+  logEvent(LogCategory::Keeper, spdlog::level::warn,
+           "engine-report-not-understood",
+           {{"server", Server.str()}, {"detail", Detail}});
+}
+
 /// Parses a load report; an invalid one is logged and counts as an empty
 /// report.
 EngineReport readReport(const ServerName &Server, const std::string &Text) {
   try {
     Json Body = Json::parse(Text);
     EngineReport Read;
-    Read.Load_.Running_ = Body.value("running", 0U);
-    Read.Load_.Waiting_ = Body.value("waiting", 0U);
+    std::string Problem;
+    NumberFields Numbers(Body, Problem);
+    constexpr NumberRange Requests{0,
+                                   std::numeric_limits<std::uint32_t>::max()};
+    Read.Load_.Running_ =
+        static_cast<std::uint32_t>(Numbers.whole("running", 0, Requests));
+    Read.Load_.Waiting_ =
+        static_cast<std::uint32_t>(Numbers.whole("waiting", 0, Requests));
     Read.Load_.Leaving_ = Body.value("leaving", false);
-    Read.NextEvent_ = Body.value("nextEvent", std::uint64_t(0));
-    return Read;
+    Read.NextEvent_ = static_cast<std::uint64_t>(Numbers.whole("nextEvent", 0));
+    if (Problem.empty())
+      return Read;
+    logBadReport(Server, Problem);
   } catch (const Json::exception &Error) {
-    logEvent(LogCategory::Keeper, spdlog::level::warn,
-             "engine-report-not-understood",
-             {{"server", Server.str()}, {"detail", Error.what()}});
-    return {};
+    logBadReport(Server, Error.what());
   }
+  return {};
 }
 
 struct CacheEvents {
@@ -86,7 +101,11 @@
     Json Body = Json::parse(Text);
     CacheEvents Read;
     Read.Gap_ = Body.value("gap", false);
-    Read.Next_ = Body.value("next", std::uint64_t(0));
+    std::string Problem;
+    Read.Next_ = static_cast<std::uint64_t>(
+        NumberFields(Body, Problem).whole("next", 0));
+    if (!Problem.empty())
+      return std::nullopt;
     for (const Json &Event : Body.at("events"))
       if (Event.value("kind", "") == "evicted")
         Read.Evicted_.push_back(Event.value("block", std::uint64_t(0)));
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -33,10 +33,10 @@
 double allotmentCost(const Allotment &Allowed, const GrantRequest &Request) {
   if (!Allowed.CountsTokens_)
     return 1;
-  Tokens Charged = Request.Prompt_ + Request.Answer_;
-  if (Charged.count() == 0)
-    Charged = Allowed.DefaultTokens_;
-  return static_cast<double>(Charged.count());
+  double Charged = static_cast<double>(Request.Prompt_.count()) +
+                   static_cast<double>(Request.Answer_.count());
+  return Charged == 0 ? static_cast<double>(Allowed.DefaultTokens_.count())
+                      : Charged;
 }
 } // namespace
 
--- a/Source/Process/Rollout/RolloutRecord.cpp
+++ b/Source/Process/Rollout/RolloutRecord.cpp
@@ -1,5 +1,7 @@
 #include "Process/Rollout/RolloutRecord.h"
 
+#include "Common/BoundedNumber.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -36,6 +38,9 @@
 Result<RolloutRecord> read(const Json &Root) {
   RolloutRecord Read;
   Read.Target_ = SoftwareVersion(Root.at("target").get<std::string>());
+  for (const char *Field : {"era", "revision", "started", "stageBegan"})
+    if (auto Number = readWholeOf(Root, Field, {}); !Number)
+      return Number.error();
   Read.Order_ = {StoreEra(Root.at("era").get<std::uint64_t>()),
                  Revision(Root.at("revision").get<std::uint64_t>())};
   auto Name = Root.at("stage").get<std::string>();
--- a/Source/Request/CallerService.cpp
+++ b/Source/Request/CallerService.cpp
@@ -1,5 +1,6 @@
 #include "Request/CallerService.h"
 
+#include "Common/BoundedNumber.h"
 #include "Common/Hash.h"
 #include "Common/JsonNesting.h"
 #include "Common/Log.h"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace samphireshunt {
 
@@ -345,10 +347,14 @@
   auto Limit = Body.find("max_tokens");
   std::int64_t Answer = DefaultAnswerTokens;
   if (Limit != Body.end()) {
-    if (!Limit->is_number_integer() || Limit->get<std::int64_t>() < 1)
+    constexpr NumberRange Range{1, std::numeric_limits<std::uint32_t>::max()};
+    auto Read = readWhole("max_tokens", *Limit, Range);
+    if (!Limit->is_number_integer() || !Read)
       return refused(ResultCode::MalformedRequest,
-                     "'max_tokens' must be a whole number from 1");
-    Answer = Limit->get<std::int64_t>();
+                     fmt::format("'max_tokens' must be a whole number from {} "
+                                 "to {}",
+                                 Range.Min_, Range.Max_));
+    Answer = *Read;
   }
   Context.AnswerTokens_ = Tokens(Answer);
   return std::nullopt;
--- a/Source/Request/ClaimStore.cpp
+++ b/Source/Request/ClaimStore.cpp
@@ -1,5 +1,6 @@
 #include "Request/ClaimStore.h"
 
+#include "Common/BoundedNumber.h"
 #include "Common/Hash.h"
 #include "Common/Log.h"
 
@@ -38,10 +39,15 @@
     Claim Value;
     Value.Attempt_ = Root.at("attempt").get<std::string>();
     Value.Vm_ = VmId(Root.at("vm").get<std::string>());
-    Value.Incarnation_ =
-        Incarnation(Root.at("incarnation").get<std::uint64_t>());
+    auto Process = readWholeOf(Root, "incarnation", {});
+    auto State = readWholeOf(
+        Root, "state", {0, static_cast<std::int64_t>(ClaimState::Unknown)});
+    if (!Process || !State)
+      return Failure{ResultCode::PlatformUnavailable,
+                     (Process ? State : Process).error().Detail_};
+    Value.Incarnation_ = Incarnation(static_cast<std::uint64_t>(*Process));
     Value.BodyDigest_ = Root.at("bodyDigest").get<std::string>();
-    Value.State_ = static_cast<ClaimState>(Root.at("state").get<int>());
+    Value.State_ = static_cast<ClaimState>(*State);
     Value.Position_ = Entry.Position_;
     if (Value.State_ == ClaimState::Answered) {
       Value.Answer_.Status_ = Root.at("status").get<int>();
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int StatusMisdirected = 421;
+/// Messages between daemons carry counts of this size, and sums of several fit.
+constexpr std::int64_t MaxCount = std::numeric_limits<std::uint32_t>::max();
 
 const std::string &fieldOrEmpty(const HttpFields &Fields,
                                 const std::string &Name) {
@@ -21,8 +23,7 @@
 
 std::optional<Tokens> tokenField(const HttpFields &Fields,
                                  const std::string &Name) {
-  auto Count = parseCount(fieldOrEmpty(Fields, Name));
-  return Count ? std::optional(Tokens(*Count)) : std::nullopt;
+  return parseTokens(fieldOrEmpty(Fields, Name));
 }
 
 CallLabels readCall(const HttpFields &Fields) {
@@ -58,7 +59,7 @@
   Labels.HasProof_ = Head.Fields_.contains("x-answer-proof");
   auto Percent = parseCount(fieldOrEmpty(Head.Fields_, "x-work-time-percent"));
   if (Percent)
-    Labels.WorkTimePercent_ = saturated(*Percent);
+    Labels.WorkTimePercent_ = static_cast<std::uint32_t>(*Percent);
   return Labels;
 }
 
@@ -137,18 +138,21 @@
   return Present ? std::optional(Found->second) : std::nullopt;
 }
 
-std::uint32_t saturated(std::int64_t Number) {
-  constexpr std::int64_t Max = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::min(Number, Max));
-}
-
 std::optional<std::int64_t> parseCount(std::string_view Text) {
   std::int64_t Count = 0;
   const char *End = Text.data() + Text.size();
   auto Parsed = std::from_chars(Text.data(), End, Count);
   if (Parsed.ec != std::errc() || Parsed.ptr != End || Count < 0)
     return std::nullopt;
-  return Count;
+  return std::min(Count, MaxCount);
+}
+
+std::optional<Tokens> parseTokens(std::string_view Text) {
+  if (auto Count = parseCount(Text))
+    return Tokens(*Count);
+  bool TooLarge =
+      !Text.empty() && Text.find_first_not_of("0123456789") == Text.npos;
+  return TooLarge ? std::optional(Tokens(MaxCount)) : std::nullopt;
 }
 
 Result<MoveAnswer> readMoveAnswer(const HttpResponse &Answer,
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -126,10 +126,12 @@
 Result<MoveAnswer> readMoveAnswer(const HttpResponse &Answer,
                                   const std::string &HandleField,
                                   const std::string &EventsField);
-/// \returns the number; the largest one if it is too large, so that it is still
+/// \returns nothing unless \p Text is a non-negative integer of 64 bits. A
+/// larger one than a std::uint32_t holds becomes its largest, which is still
 /// recognized as absurd.
-std::uint32_t saturated(std::int64_t Number);
-/// \returns nothing unless \p Text is a non-negative integer.
 std::optional<std::int64_t> parseCount(std::string_view Text);
+/// Reads the tokens that a caller states. Any larger number becomes the
+/// largest: a caller that states too many is charged for them, not for none.
+std::optional<Tokens> parseTokens(std::string_view Text);
 
 } // namespace samphireshunt
--- a/Source/Version/DocumentReader.cpp
+++ b/Source/Version/DocumentReader.cpp
@@ -1,5 +1,6 @@
 #include "Version/DocumentReader.h"
 
+#include "Common/BoundedNumber.h"
 #include "DocumentSchema.inc"
 
 #include <fmt/format.h>
@@ -12,6 +13,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -354,7 +356,9 @@
   // format is reported then, since all other findings would be misleading.
   bool Numbered = Root.is_object() && Root.contains("format") &&
                   Root["format"].is_number_integer();
-  if (Numbered && Root["format"].get<int>() > NewestFormat) {
+  constexpr NumberRange Known{std::numeric_limits<std::int64_t>::min(),
+                              NewestFormat};
+  if (Numbered && !readWhole("format", Root["format"], Known)) {
     Found.add(
         ResultCode::FormatTooNew, "/format",
         fmt::format("this program understands formats up to {}", NewestFormat));
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -817,6 +817,9 @@
 mutate announced-range $S/Process/Configuration/ConfigurationSync.cpp \
   's/if \(Version > MaxDocumentVersion\)\s*return;//' \
   ${U}Process '*version out of range leaves the document active*'
+mutate time-range $S/Common/BoundedNumber.cpp \
+  's/Millis >= 0 && Millis <= static_cast<double>\(MaxReadTime\.count\(\)\)/true/' \
+  ${U}platform '*entry of the directory with a number out of range*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/OddNumbers.h
+++ b/UnitTests/OddNumbers.h
@@ -4,6 +4,7 @@
 /// expects one.
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <string>
@@ -25,6 +26,15 @@
                                                     "\"7\"",
                                                     "null"};
 
+/// \returns the text of \p Root with \p Number at the place \p Pointer.
+inline std::string withNumber(nlohmann::json Root, const std::string &Pointer,
+                              const std::string &Number) {
+  Root[nlohmann::json::json_pointer(Pointer)] = "NUMBER";
+  std::string Text = Root.dump();
+  constexpr std::string_view Placeholder = "\"NUMBER\"";
+  return Text.replace(Text.find(Placeholder), Placeholder.size(), Number);
+}
+
 /// Checks that \p Read takes the \p Valid ones of OddNumbers and refuses all
 /// others with a failure whose detail names \p Field.
 template <class Reading>
--- a/UnitTests/Version/DocumentReaderTest.cpp
+++ b/UnitTests/Version/DocumentReaderTest.cpp
@@ -1,6 +1,9 @@
 #include "Version/DocumentReader.h"
 
+#include "UnitTests/OddNumbers.h"
+
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -87,3 +90,30 @@
   CHECK(Found[0].Line_ == 7);
   CHECK(Found[1].Line_ == 15);
 }
+
+// A format of 2^32 + 1 was taken for format 1, a limit of 2^32 for none.
+TEST_CASE("a document's numbers out of range are findings, not other numbers") {
+  auto Of = [](const std::string &Old, const std::string &New) {
+    return findings(replaced(Valid, Old, New));
+  };
+  for (const char *Format : {"4294967297", "9223372036854775807"})
+    CHECK(has(Of("format: 1", fmt::format("format: {}", Format)),
+              ResultCode::FormatTooNew, 1));
+  for (const char *Format : {"0", "-4294967295", "1.5", "1e300"})
+    CHECK(has(Of("format: 1", fmt::format("format: {}", Format)),
+              ResultCode::DocumentSchema, 1));
+  for (const std::string &Number : tests::OddNumbers) {
+    CAPTURE(Number);
+    CHECK_FALSE(Of("    defaultTier",
+                   fmt::format("    maxInFlight: {}\n    defaultTier", Number))
+                    .empty());
+    CHECK_FALSE(
+        Of("    kind", fmt::format("    maxWaiting: {}\n    kind", Number))
+            .empty());
+    std::string Json = tests::withNumber(
+        nlohmann::json::parse(
+            std::get<CheckedDocument>(readYamlDocument(Valid)).CanonicalJson_),
+        "/customers/0/maxInFlight", Number);
+    CHECK(std::holds_alternative<std::vector<Finding>>(readJsonDocument(Json)));
+  }
+}
