Addresses that no server can have are refused, and no daemon connects to itself

What could be seen: entries with port 0, 0.0.0.0, 224.0.0.1, 255.255.255.255 or [::] were taken as engines; a connection to 0.0.0.0 ends at the daemon's own machine. An entry with a daemon's own address brought its requests back to it as a caller's.

Change: parseServerAddress() refuses port 0, unspecified, multicast and broadcast addresses, IPv4 ones written as IPv6 too, for the directory and for documents. 127.0.0.1 stays valid. ServerConnector neither opens a connection to an address at which its process listens (callers, operators, metrics, peers, relays; for unspecified ones on all of the machine's addresses), nor asks a relay to, nor relays one.

No test with real daemons.

Remains: two daemons that are listed as engines of one service may pass a request to and fro, until its deadline. An engine's load is still asked for at such an address.

--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -75,13 +75,17 @@
 
 Awaitable<std::variant<ServerLink, LinkFailure>>
 ServerConnector::take(ServerTarget Target, milliseconds MaxIdle) {
+  LinkFailure Failed;
+  if (Hooks_.IsOwnAddress_(Target.Address_)) {
+    Failed.Detail_ = formatEndpoint(Target.Address_) + ": this daemon's own";
+    co_return Failed;
+  }
   Paths_.used(Target.Address_, steady_clock::now());
   ServerLink Link;
   if (!Paths_.trustsIdle(Target.Address_))
     Pool_.closeIdle(Target.Address_);
   else if ((Link.Connection_ = Pool_.takeIdle(Target.Address_, MaxIdle)))
     co_return Link;
-  LinkFailure Failed;
   PortState Seen = PortState::Silent;
   bool TriedDirect = !Paths_.isCutOff(Target.Address_);
   if (TriedDirect) {
@@ -234,6 +238,8 @@
 
 Awaitable<RelayedSocket> ServerConnector::openForRelay(ServerTarget Target) {
   RelayedSocket Opened;
+  if (Hooks_.IsOwnAddress_(Target.Address_))
+    co_return Opened;
   Paths_.used(Target.Address_, steady_clock::now());
   if (Paths_.isCutOff(Target.Address_)) {
     Opened.Result_ = RelayResult::NoPath;
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -72,6 +72,11 @@
         Relays_ = [] {
           return std::make_shared<const std::vector<RelayCandidate>>();
         };
+    /// Returns whether this process listens at the address. A request that it
+    /// sends there would come back to it, as often as its deadline allows.
+    std::function<bool(const Endpoint &)> IsOwnAddress_ = [](const Endpoint &) {
+      return false;
+    };
   };
 
   ServerConnector(boost::asio::io_context &Context, Options Settings,
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -672,6 +672,9 @@
   Connecting.Connect_ = Adapter_.ConnectServer_;
   ServerConnector::Hooks Hooks;
   Hooks.Relays_ = [this] { return RelayCandidates_.read(); };
+  Hooks.IsOwnAddress_ = [this](const Endpoint &Address) {
+    return OwnAddresses_.contains(Address);
+  };
   Made->Servers_ = std::make_unique<ServerConnector>(
       *Made->Context_, std::move(Connecting), std::move(Hooks));
   Made->Callers_ = std::make_unique<CallerService>(
@@ -754,9 +757,20 @@
   if (!Server)
     return Server.error();
   CallerServer_ = std::move(*Server);
+  noteOwnAddresses();
   return {};
 }
 
+/// Called before any worker runs.
+void Daemon::noteOwnAddresses() {
+  std::vector<Endpoint> Listening = {CallerServer_->address(),
+                                     OperatorServer_->address(),
+                                     Peers_->address(), Relay_->address()};
+  if (MetricsServer_)
+    Listening.push_back(MetricsServer_->address());
+  OwnAddresses_ = OwnAddresses(std::move(Listening), machineAddresses());
+}
+
 Result<void> Daemon::wireOperators() {
   OperatorService::Hooks Hooks;
   Hooks.IsReady_ = [this] { return isAcceptingCallers(); };
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -4,6 +4,7 @@
 /// membership, scheduling and configuration; worker threads handle requests.
 
 #include "Connection/MemoryBudget.h"
+#include "Connection/ServerAddress.h"
 #include "Process/Configuration/ConfigurationSync.h"
 #include "Process/Configuration/PeerFollower.h"
 #include "Process/Configuration/StoreFollower.h"
@@ -92,6 +93,7 @@
   void wireConfiguration();
   Result<void> wireCallers();
   Result<void> wireOperators();
+  void noteOwnAddresses();
   HttpServerOptions operatorOptions(const Endpoint &Address);
   RequestServices requestServices(ServerConnector &Servers);
   std::unique_ptr<Worker> makeWorker(bool OnControlThread);
@@ -212,6 +214,7 @@
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::unique_ptr<RelayServer> Relay_;
   std::unique_ptr<HttpServer> CallerServer_;
+  OwnAddresses OwnAddresses_;
   std::unique_ptr<OperatorService> Operators_;
   std::unique_ptr<HttpServer> OperatorServer_;
   std::unique_ptr<HttpServer> MetricsServer_;
--- a/Source/Version/DocumentReader.cpp
+++ b/Source/Version/DocumentReader.cpp
@@ -1,6 +1,7 @@
 #include "Version/DocumentReader.h"
 
 #include "Common/BoundedNumber.h"
+#include "Connection/ServerAddress.h"
 #include "DocumentSchema.inc"
 
 #include <fmt/format.h>
@@ -300,7 +301,7 @@
       Names.push_back(Entry.at("name").get<std::string>());
       Built.Name_ = ServerName(Names.back());
       std::string Text = Entry.at("address").get<std::string>();
-      auto Address = parseEndpoint(Text);
+      auto Address = parseServerAddress(Text);
       if (!Address)
         Found_.add(ResultCode::DocumentSchema, ServerPointer + "/address",
                    Address.error().Detail_ + "; write e.g. 10.1.2.3:8000");
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -820,6 +820,12 @@
 mutate time-range $S/Common/BoundedNumber.cpp \
   's/Millis >= 0 && Millis <= static_cast<double>\(MaxReadTime\.count\(\)\)/true/' \
   ${U}platform '*entry of the directory with a number out of range*'
+mutate server-address $S/Connection/ServerAddress.cpp \
+  's/bool Usable = [^;]*;/bool Usable = true;/' \
+  ${U}Connection '*address that no server can have*'
+mutate own-address $S/Process/Relay/ServerConnector.cpp \
+  's/if \(Hooks_\.IsOwnAddress_\(Target\.Address_\)\) \{.*?\n  \}\n//s' \
+  ${U}Process '*opens no connection to itself*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Process/Relay/ServerConnectorTest.cpp
+++ b/UnitTests/Process/Relay/ServerConnectorTest.cpp
@@ -140,3 +140,42 @@
   CHECK(checkAt(Context, Connector, targetAt(Refusing.port())) ==
         ServerCheck::Refused);
 }
+
+TEST_CASE("a daemon opens no connection to itself, nor has another one do it") {
+  // An entry of the directory named a daemon's own address. Its requests came
+  // back to it as those of a caller.
+  asio::io_context Context{1};
+  int Opened = 0;
+  int Asked = 0;
+  ServerConnector::Options Options;
+  Options.Connect_ =
+      [&](Endpoint, std::chrono::milliseconds) -> Awaitable<ConnectResult> {
+    ++Opened;
+    co_return ConnectResult();
+  };
+  ServerConnector::Hooks Hooks;
+  Hooks.IsOwnAddress_ = [](const Endpoint &Address) {
+    return Address.port() == 7;
+  };
+  Hooks.Relays_ = [&] {
+    ++Asked;
+    return std::make_shared<const std::vector<RelayCandidate>>();
+  };
+  ServerConnector Connector(Context, Options, Hooks);
+  std::vector<bool> Taken;
+  auto Take = [&](std::uint16_t Port) -> Awaitable<void> {
+    auto Link = co_await Connector.take(targetAt(Port),
+                                        std::chrono::milliseconds(1000));
+    Taken.push_back(std::holds_alternative<ServerLink>(Link));
+    auto Relayed = co_await Connector.openForRelay(targetAt(Port));
+    Taken.push_back(Relayed.Socket_.has_value());
+  };
+  asio::co_spawn(Context, Take(7), asio::detached);
+  Context.run();
+  CHECK(Taken == std::vector<bool>{false, false});
+  CHECK(Opened + Asked == 0);
+  Context.restart();
+  asio::co_spawn(Context, Take(8), asio::detached);
+  Context.run();
+  CHECK(Opened >= 2);
+}
--- a/UnitTests/platform/OddNumbersTest.cpp
+++ b/UnitTests/platform/OddNumbersTest.cpp
@@ -139,3 +139,24 @@
   }
   CHECK(Read("0").Prompt_ == Tokens(0));
 }
+
+TEST_CASE("an entry of the directory at an address that no engine can have is "
+          "refused") {
+  auto Read = [](const std::string &Address) {
+    Json Root = {{"service", "engines"}, {"address", Address},
+                 {"zone", "z"},          {"batch-size", 7},
+                 {"state", "ready"},     {"version", "v1"},
+                 {"warmup-left-ms", 0},  {"sequence", 4}};
+    return platform::readServer("i-1", Root.dump());
+  };
+  CHECK(Read("127.0.0.1:80").has_value());
+  for (const char *Wrong :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "0.0.0.0:80",
+        "224.0.0.1:80", "255.255.255.255:80", "[::]:80", "[ff02::1]:80"}) {
+    CAPTURE(Wrong);
+    auto Entry = Read(Wrong);
+    REQUIRE_FALSE(Entry.has_value());
+    CHECK(Entry.error().Code_ == ResultCode::DocumentSchema);
+    CHECK(Entry.error().Detail_.starts_with("address: "));
+  }
+}
