--- a/Source/Version/DocumentReader.cpp
+++ b/Source/Version/DocumentReader.cpp
@@ -1,6 +1,8 @@
 #include "Version/DocumentReader.h"
 
+#include "Common/BoundedNumber.h"
 #include "Common/JsonReader.h"
+#include "Connection/ServerAddress.h"
 #include "DocumentSchema.inc"
 
 #include <fmt/format.h>
@@ -12,6 +14,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -319,7 +322,7 @@
       Names.push_back(Entry.at("name").get<std::string>());
       Built.Name_ = ServerName(Names.back());
       std::string Text = Entry.at("address").get<std::string>();
-      auto Address = parseEndpoint(Text);
+      auto Address = parseServerAddress(Text);
       if (!Address)
         Found_.add(ResultCode::DocumentSchema, ServerPointer + "/address",
                    Address.error().Detail_ + "; write e.g. 10.1.2.3:8000");
@@ -375,7 +378,9 @@
   // format is reported then, since all other findings would be misleading.
   bool Numbered = Root.is_object() && Root.contains("format") &&
                   Root["format"].is_number_integer();
-  if (Numbered && Root["format"].get<int>() > NewestFormat) {
+  constexpr NumberRange Known{std::numeric_limits<std::int64_t>::min(),
+                              NewestFormat};
+  if (Numbered && !readWhole("format", Root["format"], Known)) {
     Found.add(
         ResultCode::FormatTooNew, "/format",
         fmt::format("this program understands formats up to {}", NewestFormat));
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -823,6 +823,24 @@
 mutate unframed-cut $S/Request/ForwardedCall.cpp \
   's/BodyEnd::Close && isShownCut\(Answer\)/BodyEnd::Close \&\& false/' \
   ${U}CutAnswer '*cut after any of its bytes*'
+mutate version-range $S/Version/VersionedDocument.cpp \
+  's/auto Read = readWholeOf\(Holder, Field, Range\);/Result<std::int64_t> Read = Holder.at(Field).get<std::int64_t>();/' \
+  ${U}Version '*version can*t be counted on*'
+mutate version-over-active $S/Version/VersionedDocument.cpp \
+  's/std::max\(Version_, InForce\)/Version_/' \
+  ${F}ConfigurationTest '*not called active where another one is*'
+mutate announced-range $S/Process/Configuration/ConfigurationSync.cpp \
+  's/if \(Version > MaxDocumentVersion\)\s*return;//' \
+  ${U}Process '*version out of range leaves the document active*'
+mutate time-range $S/Common/BoundedNumber.cpp \
+  's/Millis >= 0 && Millis <= static_cast<double>\(MaxReadTime\.count\(\)\)/true/' \
+  ${U}platform '*entry of the directory with a number out of range*'
+mutate server-address $S/Connection/ServerAddress.cpp \
+  's/bool Usable = [^;]*;/bool Usable = true;/' \
+  ${U}Connection '*address that no server can have*'
+mutate own-address $S/Process/Relay/ServerConnector.cpp \
+  's/if \(Hooks_\.IsOwnAddress_\(Target\.Address_\)\) \{.*?\n  \}\n//s' \
+  ${U}Process '*opens no connection to itself*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
