A server is replaced by its own word only, and for 2 s at a time

Callers saw none of their requests served: of all servers of a pool none was used any more. One request in 20 expected weights that the servers no longer had and got 421 from each of them, and a 421 was taken for "another server has this address", which only a new incarnation could end.

A 421 now counts as another server's if the answer names another one, or if it names none and the caller wrote no expectation, so that only the instance that this daemon expects can be the reason. Such a server gets nothing for 2 s, then one request at a time until it answers one. A 421 is no rejection either: a brittle server rested a second for each.

Ruled out: to count no 421 without a name.

The check that a 421 is another server's is now a table by status, name and expectation, since the old one asked for the fault; the rows without an expectation are as strict as before.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -308,19 +308,24 @@
   ServerModel *Server =
       Ended ? Target.Scheduler_.server(Ended->Server_) : nullptr;
   bool WasLeftOut = Server && Server->health().leftOut(steady_clock::now());
+  bool WasReplaced = Server && Server->replaced();
   auto Ignored = Target.Scheduler_.workTimes().ignoredFigures();
   Target.Scheduler_.done(Id, Sample, steady_clock::now());
   if (Ended && Target.Scheduler_.workTimes().ignoredFigures() != Ignored)
     logIgnoredWorkTime(Cell, Ended->Server_, Sample.WorkTimePercent_);
   if (Server)
     logHealth(Cell, *Ended, Server->health(), WasLeftOut);
+  bool IsBack = WasReplaced && !Server->replaced();
   if (Ended) {
     Hooks_.Ended_(Ended->Server_, Sample);
     Hooks_.Served_(Cell, *Ended, Sample);
   }
-  if (Server && Sample.Replaced_)
-    logEvent(LogCategory::Keeper, spdlog::level::info, "server-replaced",
-             {{"server", Ended->Server_.str()}, {"cell", Cell.str()}});
+  if (Server && (Sample.Replaced_ || IsBack))
+    logEvent(LogCategory::Keeper, spdlog::level::info,
+             Sample.Replaced_ ? "server-replaced" : "server-answers-again",
+             {{"server", Ended->Server_.str()},
+              {"cell", Cell.str()},
+              {"reported_by", Ended->Ingress_.str()}});
   decide(Cell, Target);
 }
 
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -148,6 +148,8 @@
   }
   if (!Continues)
     OwnTier.RecentArrivals_.add(Now);
+  for (auto &[Name, Server] : Servers_)
+    Server.advance(Now);
   if (!hasServerFor(Request, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::NoBackendServer);
     Refusal.RetryAfter_ =
--- a/Source/Process/Scheduling/SchedulerAdmission.cpp
+++ b/Source/Process/Scheduling/SchedulerAdmission.cpp
@@ -294,9 +294,11 @@
   auto ExcludedCount =
       static_cast<std::size_t>(std::ranges::count_if(Servers_, IsExcluded));
   bool TooMany = 2 * ExcludedCount > Servers_.size();
-  for (auto &[Name, Server] : Servers_)
+  for (auto &[Name, Server] : Servers_) {
+    Server.advance(Now);
     Server.setLeftOut(!TooMany && Server.health().leftOut(Now),
                       !TooMany && Server.health().onTrial());
+  }
 }
 
 double Scheduler::poolFailureRate() const {
@@ -308,8 +310,10 @@
 
 void Scheduler::recordOutcome(ServerModel &Server, const ServedSample &Sample,
                               TimePoint Now) {
+  if (Sample.Complete_)
+    Server.confirmPresent();
   if (Sample.Replaced_)
-    Server.markReplaced();
+    Server.markReplaced(Now);
   else if (Sample.Complete_)
     Server.health().succeeded();
   else if (Sample.Faulty_ && !Sample.Reached_)
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -17,6 +17,10 @@
 /// of all requests that run there.
 constexpr std::chrono::milliseconds MaxUnreadTime{120};
 
+/// The engine's entry is removed within about this time if it is gone; if it
+/// isn't, others miss it no longer.
+constexpr std::chrono::seconds ReplacedTime{2};
+
 /// Prompts with fewer shared blocks than this evict nothing worth keeping.
 constexpr std::size_t MinLongPrefixBlocks = 8;
 /// How often evicted prompt work is expected to be repeated.
@@ -52,7 +56,8 @@
   Rejections_ = RejectionLimit();
   WorkTime_ = WorkTime();
   RestUntil_.clear();
-  LeftOut_ = OnTrial_ = Replaced_ = SaysLeaving_ = false;
+  LeftOut_ = OnTrial_ = SaysLeaving_ = false;
+  ReplacedUntil_.reset();
   InFlight_.clear();
   Reported_ = LoadReport();
   Prefilling_.clear();
@@ -88,12 +93,17 @@
   std::uint32_t Usual = Rejections_.named() ? slots() : Limit_;
   if (SlotsAside_ > 0)
     Usual = slots() - std::min(slots(), SlotsAside_);
-  double Limit = OnTrial_ ? 1.0 : std::floor(Usual * Share);
+  double Limit = OnTrial_ || replaced() ? 1.0 : std::floor(Usual * Share);
   return usable() && Rate_.allowsOne() && Rejections_.allowsOne() &&
          inFlight() < std::max(1.0, Limit) &&
          pendingReadingTime() < MaxUnreadTime;
 }
 
+void ServerModel::markReplaced(TimePoint Now) {
+  advance(Now);
+  ReplacedUntil_ = Now + ReplacedTime;
+}
+
 void ServerModel::rest(const VmId &Ingress, TimePoint Until) {
   TimePoint &Known = RestUntil_[Ingress];
   Known = std::max(Known, Until);
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -13,9 +13,11 @@
 #include "Process/Scheduling/ServerRate.h"
 #include "Process/Scheduling/WorkTime.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
@@ -107,12 +109,18 @@
   bool usable() const {
     bool Answers = Reachable_ || !ReachabilityTrusted_;
     return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_ &&
-           !Replaced_ && !SaysLeaving_;
+           Now_ >= ReplacedUntil_.value_or(TimePoint()) && !SaysLeaving_;
   }
   Incarnation incarnation() const { return Capacity_.Incarnation_; }
-  /// Marks the engine as gone because another server answers at its address. It
-  /// stays gone until it starts again, even while the directory still lists it.
-  void markReplaced() { Replaced_ = true; }
+  /// Takes the engine out of use for a while because another server answers at
+  /// its address. Then it gets one request at a time, until it answers one.
+  void markReplaced(TimePoint Now);
+  /// The engine answers at its address.
+  void confirmPresent() { ReplacedUntil_.reset(); }
+  /// True if another server answered last at the engine's address.
+  bool replaced() const { return ReplacedUntil_.has_value(); }
+  /// Sets the current time.
+  void advance(TimePoint Now) { Now_ = std::max(Now_, Now); }
   /// Marks the engine's process as leaving, whatever the directory says.
   void markLeaving() { SaysLeaving_ = true; }
   bool saysLeaving() const { return SaysLeaving_; }
@@ -232,7 +240,8 @@
   bool LeftOut_ = false;
   bool OnTrial_ = false;
   std::uint32_t SlotsAside_ = 0;
-  bool Replaced_ = false;
+  TimePoint Now_;
+  std::optional<TimePoint> ReplacedUntil_;
   bool SaysLeaving_ = false;
   /// Until when it wants no requests from ingress daemons.
   std::map<VmId, TimePoint> RestUntil_;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -195,12 +195,15 @@
     Context_.AnswerEnd_.KnownBy_ = Connection.bodyEnd();
     AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
     WorkTimePercent_ = Labels.WorkTimePercent_.value_or(0);
-    if (!Labels.Replaced_)
+    Answerer By = answererOf(Labels, Context_.Call_, Ready_.Server_.Name_);
+    if (By == Answerer::Intended)
       reportServerNotices(Context_, Ready_, *Head);
     // The connection may deliver an extra answer to an earlier request first.
     if (Labels.CallId_ != Context_.Call_.CallId_)
       co_return failed({ResultCode::CrossedAnswer, Labels.CallId_});
-    Replaced_ = Labels.Replaced_;
+    Replaced_ = By == Answerer::Other;
+    // A server that is another one than expected says nothing of its load.
+    Rejected_ = Labels.NotRun_ && !Labels.Misdirected_;
     if (Labels.NotRun_)
       co_return co_await refusedByServer(std::move(*Head));
     bool Success = Head->Status_ < StatusMultipleChoices;
@@ -522,7 +525,6 @@
   }
 
   Awaitable<AttemptEnd> refusedByServer(HttpResponse Head) {
-    Rejected_ = !Replaced_;
     Result<void> Whole = co_await readBody(Head);
     HeldAnswer_.set(0);
     if (Whole)
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -35,6 +35,7 @@
   Labels.Parts_ = parsePromptParts(fieldOrEmpty(Fields, "x-prompt-parts"));
   Labels.AfterEvent_ = readAfterEvent(Fields);
   Labels.Resumes_ = fieldOrEmpty(Fields, "x-resumes");
+  Labels.ExpectsVersion_ = Fields.contains("x-expect-version");
   return Labels;
 }
 
@@ -53,8 +54,9 @@
 AnswerLabels readAnswer(const HttpResponse &Head) {
   AnswerLabels Labels;
   Labels.CallId_ = fieldOrEmpty(Head.Fields_, "x-call-id");
-  Labels.Replaced_ = Head.Status_ == StatusMisdirected;
-  Labels.NotRun_ = Head.Fields_.contains("x-not-run") || Labels.Replaced_;
+  Labels.Misdirected_ = Head.Status_ == StatusMisdirected;
+  Labels.AnsweredBy_ = ServerName(fieldOrEmpty(Head.Fields_, "x-server"));
+  Labels.NotRun_ = Head.Fields_.contains("x-not-run") || Labels.Misdirected_;
   Labels.HasProof_ = Head.Fields_.contains("x-answer-proof");
   auto Percent = parseCount(fieldOrEmpty(Head.Fields_, "x-work-time-percent"));
   if (Percent)
@@ -131,6 +133,14 @@
   return parseRest(Found->second);
 }
 
+Answerer answererOf(const AnswerLabels &Answer, const CallLabels &Call,
+                    const ServerName &Intended) {
+  bool Named = !Answer.AnsweredBy_.empty();
+  if (!Answer.Misdirected_ || (Named && Answer.AnsweredBy_ == Intended))
+    return Answerer::Intended;
+  return Named || !Call.ExpectsVersion_ ? Answerer::Other : Answerer::Unknown;
+}
+
 std::optional<std::string> readAfterEvent(const HttpFields &Fields) {
   auto Found = Fields.find("last-event-id");
   bool Present = Found != Fields.end() && !Found->second.empty();
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -34,6 +34,8 @@
   /// The call id of the attempt that brought the first event of that stream;
   /// empty if the caller does not state it.
   std::string Resumes_;
+  /// Servers of another version refuse it: the caller asked for that.
+  bool ExpectsVersion_ = false;
 };
 
 /// Metadata that the daemon sends to a backend server.
@@ -53,8 +55,11 @@
   std::string CallId_;
   /// The server has not run the request and won't run it.
   bool NotRun_ = false;
-  /// Another server answered at this address; the intended one is gone.
-  bool Replaced_ = false;
+  /// The server refuses because it isn't what the request expects: the intended
+  /// server, or what the caller wrote.
+  bool Misdirected_ = false;
+  /// The server that answers; empty if it doesn't name itself.
+  ServerName AnsweredBy_;
   /// The answer carries the server's proof of authenticity.
   bool HasProof_ = false;
   /// Requests queued in the server, if it reports them.
@@ -95,13 +100,23 @@
 
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
-/// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-server, x-customer,
-/// x-not-run, x-answer-proof, x-server-limit, x-server-brittle,
+/// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-version,
+/// x-expect-server, x-customer, x-server, x-not-run, x-answer-proof,
+/// x-server-limit, x-server-brittle,
 /// x-server-leaving, x-work-time-percent, x-memory-from, x-memory-backup,
 /// retry-after, and the calls POST /v1/runs/ID/move and DELETE
 /// /v1/memory/HANDLE.
 ForwardingDialect defaultDialect();
 
+/// Whether an answer comes from the server that the request was sent to.
+enum class Answerer { Intended, Other, Unknown };
+
+/// \returns who gave \p Answer to a request with the labels \p Call. A server
+/// that doesn't name itself is another one if nothing that the caller wrote can
+/// be the reason of its refusal.
+Answerer answererOf(const AnswerLabels &Answer, const CallLabels &Call,
+                    const ServerName &Intended);
+
 /// \returns the id in the field last-event-id; nothing if it is absent or
 /// empty.
 std::optional<std::string> readAfterEvent(const HttpFields &Fields);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -528,6 +528,15 @@
   's/ && !SaysLeaving_;/;/' \
   ${U}LeavingServer '*' $S/Request/RequestContext.cpp \
   's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
+mutate replaced-by-caller $S/Request/ForwardingDialect.cpp \
+  's/Named \|\| !Call\.ExpectsVersion_/true/' \
+  ${U}ReplacedServer '*takes no server from others*'
+mutate replaced-named $S/Request/ForwardingDialect.cpp \
+  's/\(Named && Answer\.AnsweredBy_ == Intended\)/false/' \
+  ${U}ReplacedServer '*takes no server from others*'
+mutate replaced-for-good $S/Process/Scheduling/ServerModel.cpp \
+  's/ReplacedUntil_ = Now \+ ReplacedTime;/ReplacedUntil_ = TimePoint::max();/' \
+  ${U}Process '*tried again after 2 s*'
 mutate rest-kept $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/ && !Rests && hasRoom/ \&\& hasRoom/' \
   ${U}RestingServer '*gets it*' $S/Request/RequestContext.cpp \
--- a/UnitTests/Process/Scheduling/SchedulerTest.cpp
+++ b/UnitTests/Process/Scheduling/SchedulerTest.cpp
@@ -282,13 +282,41 @@
   auto List = servers(1, 2);
   List.front().Incarnation_ = Incarnation(1000);
   Real.configure(List, customers(), TierCount, 1000);
-  Real.server(ServerName("engine-0"))->markReplaced();
+  Real.server(ServerName("engine-0"))->markReplaced(Now);
   List.front().Incarnation_ = Incarnation(2000);
   Real.configure(List, customers(), TierCount, 1000);
   Real.requestGrant(request(1, 0, Now + milliseconds(900)), Now);
   CHECK(Real.decide(Now).size() == 1);
 }
 
+TEST_CASE("an engine marked as replaced is tried again after 2 s, one request "
+          "at a time") {
+  // Guards against an engine out of use for good that nobody else misses.
+  Scheduler Real = configured({.TierCount_ = TierCount}, 1, 4);
+  TimePoint Now{std::chrono::seconds(1000)};
+  std::uint64_t Number = 0;
+  auto GrantsAfter = [&](milliseconds Time) {
+    Now += Time;
+    for (int Count = 0; Count < 4; ++Count)
+      Real.requestGrant(request(++Number, 0, Now + milliseconds(100)), Now);
+    return Real.decide(Now).size();
+  };
+  ServedSample Other, Own;
+  Other.Reached_ = Other.Replaced_ = true;
+  Own.Reached_ = Own.Complete_ = true;
+  REQUIRE(GrantsAfter(milliseconds(0)) == 4);
+  Real.done({1, 1}, Other, Now);
+  for (std::uint64_t Ended : {2, 3, 4})
+    Real.done({1, Ended}, ServedSample(), Now);
+  CHECK(GrantsAfter(milliseconds(1999)) == 0);
+  CHECK(GrantsAfter(milliseconds(1)) == 1);
+  Real.done({1, Number - 3}, Other, Now);
+  CHECK(GrantsAfter(milliseconds(1999)) == 3); // Those that waited are refused.
+  CHECK(GrantsAfter(milliseconds(1)) == 1);
+  Real.done({1, Number - 3}, Own, Now);
+  CHECK(Real.decide(Now).size() == 3);
+}
+
 TEST_CASE("canaries get only as many requests as are allowed") {
   // Guards against rounds that give the version on trial every request for
   // which it has room.
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -12,13 +12,36 @@
 } // namespace
 
 TEST_CASE("another server at the address is distinguished from a refusal") {
-  HttpResponse Head;
-  Head.Status_ = 421;
-  CHECK(Dialect.ReadAnswer_(Head).Replaced_);
-  Head.Status_ = 503;
-  Head.Fields_["x-samphireshunt-not-executed"] = "1";
-  CHECK(Dialect.ReadAnswer_(Head).NotRun_);
-  CHECK_FALSE(Dialect.ReadAnswer_(Head).Replaced_);
+  // Guards also against a refusal that the caller asked for, which counted as
+  // another server's.
+  struct Row {
+    int Status_;
+    const char *Named_;
+    bool Expects_;
+    Answerer By_;
+  };
+  for (const Row &Case : {Row{421, nullptr, false, Answerer::Other},
+                          Row{421, nullptr, true, Answerer::Unknown},
+                          Row{421, "i-2", false, Answerer::Other},
+                          Row{421, "i-2", true, Answerer::Other},
+                          Row{421, "i-1", false, Answerer::Intended},
+                          Row{421, "i-1", true, Answerer::Intended},
+                          Row{503, nullptr, false, Answerer::Intended},
+                          Row{503, nullptr, true, Answerer::Intended}}) {
+    HttpResponse Head;
+    Head.Status_ = Case.Status_;
+    Head.Fields_["x-samphireshunt-not-executed"] = "1";
+    if (Case.Named_)
+      Head.Fields_["x-samphireshunt-instance-id"] = Case.Named_;
+    HttpFields Sent;
+    if (Case.Expects_)
+      Sent["x-samphireshunt-expect-version"] = "1";
+    CAPTURE(Case.Status_);
+    CAPTURE(Case.Expects_);
+    CHECK(Dialect.ReadAnswer_(Head).NotRun_);
+    CHECK(answererOf(Dialect.ReadAnswer_(Head), Dialect.ReadCall_(Sent),
+                     ServerName("i-1")) == Case.By_);
+  }
 }
 
 TEST_CASE("a caller's labels are read into typed values") {
