A daemon tells its own outage from the service's

Callers' requests reached servers that had left: a daemon that was cut off took that for an outage of the platform's service, in which entries of live servers expire, and kept for 2.4 s what was missing after it. By then it counted as in touch again.

OutageCause, a pure module: who heard no other daemon from when it lost the service until shortly before it regained it was cut off itself, or did not run, and what the service says is taken as it is. Both ends are compared, so that a cut within an outage of the service, or the loss of all others at another time, doesn't count.

A part of the fleet that is cut off hears itself, and can't tell by that. In fleets in which each daemon reads the service, one that retains servers now asks the others for their state, one after the other: those outside the cut know what is gone, those within retain the same and say so, and after an outage of the service all retain. An entry that another daemon only retains no longer clears the doubt here.

`server-gone` is logged when the server gets no more requests, however this daemon learned of it; `server-missing` when it is retained, `outage-ended` with the cause.

Ruled out: to count how many daemons were heard (an outage of the service beside a cut looks the same), and to have daemons tell by gossip for how long they had the service: one that confirms every 3.2 s may miss a silent outage, and a server's own state at another daemon is the better evidence.

--- a/Source/Process/Configuration/DirectoryView.cpp
+++ b/Source/Process/Configuration/DirectoryView.cpp
@@ -95,8 +95,8 @@
 
 void DirectoryView::outageBegan() { Outage_ = true; }
 
-void DirectoryView::outageEnded(BootTime Now) {
-  if (Outage_)
+void DirectoryView::outageEnded(BootTime Now, OutageCause Cause) {
+  if (Outage_ && Cause == OutageCause::Service)
     RetainUntil_ = Now + RegisterAgainTime_;
   Outage_ = false;
 }
--- a/Source/Process/Configuration/DirectoryView.h
+++ b/Source/Process/Configuration/DirectoryView.h
@@ -7,9 +7,10 @@
 /// platform's service is unavailable. Dropping them at once would lose all
 /// servers in an outage; keeping them forever would send work to a server that
 /// has left. So entries that go missing in an outage are retained until the
-/// live servers have registered again.
+/// live servers have registered again, unless only this daemon was cut off.
 
 #include "Common/BootClock.h"
+#include "Process/Configuration/OutageCause.h"
 #include "Version/DocumentStore.h"
 
 #include <optional>
@@ -39,8 +40,9 @@
 
   /// Called when the service became unreachable.
   void outageBegan();
-  /// Called when the service answers again.
-  void outageEnded(BootTime Now);
+  /// Called when the service answers again. After an outage of this daemon's
+  /// own nothing is retained: the service's list is right as it is.
+  void outageEnded(BootTime Now, OutageCause Cause = OutageCause::Service);
   /// Drops servers that are still missing once their retention time is over.
   bool dropMissing(BootTime Now);
   /// When dropMissing() next has something to do.
@@ -56,6 +58,11 @@
   bool contains(const ServerName &Name) const {
     return Entries_.contains(Name);
   }
+  /// True if the server went missing in an outage and is retained.
+  bool isMissing(const ServerName &Name) const {
+    auto Found = Entries_.find(Name);
+    return Found != Entries_.end() && Found->second.Missing_;
+  }
 
   // Reported by a daemon that has accounted for outages itself.
   /// \returns true if the server was known.
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -115,7 +115,7 @@
 bool PeerFollower::needsReader() const {
   switch (Role_) {
   case StoreRole::Alone:
-    return !Service_.platformReachable();
+    return !Service_.platformReachable() || View_.retainsMissing();
   case StoreRole::Spare:
     return Service_.registered() &&
            steady_clock::now() - Started_ >= Options_.SettleTime_;
@@ -240,6 +240,11 @@
   if (NamesNone || DocumentVersion(State.text_version) == View_.version())
     Freshness_.renew(RequestedAt_ - milliseconds(State.age_ms) -
                      milliseconds(State.unconfirmed_ms));
+  // This one retains the same servers, so another one is asked next.
+  if (Role_ == StoreRole::Alone && Service_.platformReachable() &&
+      View_.retainsMissing())
+    FailedReaders_[From] = {Fault::Unusable,
+                            LastAnswer_ + Options_.SameDoubtRetryTime_};
   bool Spare = Role_ == StoreRole::Spare;
   if (Spare && !Service_.paused()) {
     logEvent(
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -69,6 +69,9 @@
     /// How long until a reader is asked again whose answer showed that it can't
     /// be followed.
     std::chrono::milliseconds UnusableRetryTime_{250};
+    /// The same for one that retains the servers that this daemon is in doubt
+    /// about.
+    std::chrono::milliseconds SameDoubtRetryTime_{3000};
     /// How long until a reader that did not answer, or whose link broke, is
     /// tried again.
     std::chrono::milliseconds SilentRetryTime_{1000};
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -31,7 +31,8 @@
                              StoreView &View, FreshnessLease &Freshness,
                              Options Settings)
     : Control_(Control), Platform_(std::move(Platform)), View_(View),
-      Freshness_(Freshness), Options_(Settings), ConfirmTimer_(Control) {}
+      Freshness_(Freshness), Options_(Settings), Outage_(Settings.Outages_),
+      ConfirmTimer_(Control) {}
 
 void StoreFollower::start(VmId Self, std::string Address) {
   Self_ = std::move(Self);
@@ -57,7 +58,7 @@
   // The followed daemon reads the service. If the outage ended only with this
   // daemon's own next list, minutes later, it would retain servers then that
   // were removed in between.
-  View_.outageEnded();
+  endOutage();
   // Makes the current watch end when it returns.
   ++Generation_;
 }
@@ -243,10 +244,25 @@
 void StoreFollower::succeeded() {
   if (std::exchange(Failures_, 0) > 1)
     logEvent(LogCategory::Process, spdlog::level::info, "platform-regained");
-  View_.outageEnded();
+  endOutage();
   applyDirectory();
 }
 
+void StoreFollower::beginOutage() {
+  InOutage_ = true;
+  Outage_.lost(BootClock::now());
+  View_.outageBegan();
+}
+
+void StoreFollower::endOutage() {
+  if (!std::exchange(InOutage_, false))
+    return;
+  OutageCause Cause = Outage_.regained(BootClock::now());
+  logEvent(LogCategory::Process, spdlog::level::info, "outage-ended",
+           {{"cause", std::string(outageCauseName(Cause))}});
+  View_.outageEnded(Cause);
+}
+
 void StoreFollower::applyDirectory() {
   scheduleDrops();
   View_.publish();
@@ -285,7 +301,7 @@
   if (Failures_ == 2)
     logEvent(LogCategory::Process, spdlog::level::warn, "platform-lost",
              {{"detail", Cause.Detail_}});
-  View_.outageBegan();
+  beginOutage();
   constexpr int MaxDoublings = 5;
   int Doublings = std::min(Failures_ - 2, MaxDoublings);
   co_await sleep(std::min(firstPause() * (1 << Doublings), maxPause()));
@@ -307,12 +323,12 @@
   // were removed meanwhile.
   if (std::exchange(MaybeOutage_, false) &&
       Freshness_.age(SentAt) >= Options_.EarliestExpiry_)
-    View_.outageBegan();
+    beginOutage();
   // This daemon's entry is seen again below if it still exists.
   OwnPosition_ = {};
   RegisteredAddress_.clear();
   // The outage must be over before missing servers are examined.
-  View_.outageEnded();
+  endOutage();
   View_.listed(*Listed);
   After_ = Listed->Position_;
   NeedsList_ = false;
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -5,6 +5,7 @@
 /// thread.
 
 #include "Process/Configuration/FreshnessLease.h"
+#include "Process/Configuration/OutageCause.h"
 #include "Process/Configuration/StoreReaders.h"
 #include "Process/Configuration/StoreView.h"
 
@@ -59,6 +60,7 @@
     /// Daemons that follow others write their missing entries again at times
     /// spread over this interval.
     std::chrono::milliseconds RegisterSpread_{5000};
+    OutageObserver::Options Outages_;
   };
 
   StoreFollower(boost::asio::io_context &Control, PlatformHooks Platform,
@@ -78,6 +80,9 @@
   /// Sets the role. A daemon that becomes a reader confirms at once that it has
   /// the service.
   void setRole(StoreRole Role);
+  /// Called when another daemon was heard. Without that, an outage counts as
+  /// this daemon's own.
+  void heardOther() { Outage_.heardOther(BootClock::now()); }
   /// Confirms the state by a call that is sent after this one, as soon as
   /// Options::MinConfirmTime_ allows it.
   void confirmSoon();
@@ -127,6 +132,8 @@
   Awaitable<void> sleepUntilConfirm(std::chrono::milliseconds Time);
   Awaitable<void> dropMissingLater();
   void succeeded();
+  void beginOutage();
+  void endOutage();
   void applyDirectory();
   Awaitable<void> failed(const Failure &Cause);
   std::chrono::milliseconds confirmTime() const;
@@ -156,6 +163,8 @@
   bool Paused_ = false;
   /// The daemon that was followed had lost contact with the service.
   bool MaybeOutage_ = false;
+  OutageObserver Outage_;
+  bool InOutage_ = false;
   StoreRole Role_ = StoreRole::Alone;
   boost::asio::steady_timer ConfirmTimer_;
   bool ConfirmWanted_ = false;
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -192,10 +192,12 @@
 }
 
 void StoreView::publish() {
+  bool Changed = std::exchange(DirectoryChanged_, false);
+  if (Changed)
+    noteServers();
   logServers();
-  if (!std::exchange(DirectoryChanged_, false))
+  if (!Changed)
     return;
-  noteServers();
   Documents_.setServers(Layout_.Service_,
                         Hooks_.SelectServers_(Directory_.servers()));
   Hooks_.Changed_();
@@ -213,9 +215,14 @@
       Log_.removeUnless(Layout_.ServerPrefix_, [this](const std::string &Name) {
         return Directory_.contains(ServerName(Name));
       });
-  for (const KeyValue &Entry : Removed)
-    Departed_.markDeparted(Entry.Key_.substr(Layout_.ServerPrefix_.size()),
-                           {Entry.Position_, incarnationOf(Entry)});
+  for (const KeyValue &Entry : Removed) {
+    std::string Name = Entry.Key_.substr(Layout_.ServerPrefix_.size());
+    Departed_.markDeparted(Name, {Entry.Position_, incarnationOf(Entry)});
+    ServerLines_.push_back(
+        {"server-gone",
+         std::move(Name),
+         {{"revision", std::to_string(Position_.Revision_.count())}}});
+  }
 }
 
 Incarnation StoreView::incarnationOf(const KeyValue &Entry) const {
@@ -298,6 +305,11 @@
       DirectoryChanged_ |= Directory_.remove(Name);
     } else {
       bool IsUnsure = Unsure.contains(Entry.Key_);
+      // A daemon that retains the server too doesn't know that it lives.
+      if (IsUnsure && Directory_.isMissing(Name)) {
+        Servers.insert(std::move(Name));
+        continue;
+      }
       applyFrom(IsUnsure ? Source::UnverifiedDaemon : Source::Daemon, Entry);
     }
     if (IsServer)
@@ -341,12 +353,13 @@
   if (Entry.Deleted_) {
     Rejected_.erase(Name);
     Unconfirmed_.erase(Name);
-    ServerLines_.push_back(
-        {"server-gone",
-         Name,
-         {{"revision", std::to_string(Entry.Position_.Revision_.count())}}});
     DirectoryChanged_ |=
         Directory_.markMissing(ServerName(Name), Hooks_.Now_());
+    if (Directory_.isMissing(ServerName(Name)))
+      ServerLines_.push_back(
+          {"server-missing",
+           Name,
+           {{"revision", std::to_string(Entry.Position_.Revision_.count())}}});
     return;
   }
   auto Read = Layout_.ReadServer_(Name, Entry.Value_);
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -88,10 +88,15 @@
   /// Applies a complete list of all keys.
   void listed(const KeyValueList &All);
   void outageBegan() { Directory_.outageBegan(); }
-  void outageEnded() { Directory_.outageEnded(Hooks_.Now_()); }
+  void outageEnded(OutageCause Cause) {
+    Directory_.outageEnded(Hooks_.Now_(), Cause);
+  }
   /// Drops servers that went missing in an outage and have not come back.
   void dropMissing();
   std::optional<BootTime> nextDrop() const { return Directory_.nextDrop(); }
+  /// True if servers that went missing in an outage are retained after it.
+  /// Another daemon may know whether they are gone.
+  bool retainsMissing() const { return nextDrop().has_value(); }
   /// Called when everything that the service contained at \p Asked is applied,
   /// directly or by way of a daemon. From then on, entries from the backup of
   /// an era that have not expired by then are accepted.
--- a/Source/Process/Membership/MemberTable.cpp
+++ b/Source/Process/Membership/MemberTable.cpp
@@ -131,14 +131,19 @@
 void MemberTable::heard(const Member &Sender, const ProcessHealth &Health,
                         TimePoint Now) {
   auto Found = Members_.find(Sender.Id_);
-  if (Found != Members_.end() &&
-      Found->second.Member_.Incarnation_ == Sender.Incarnation_)
+  if (Found == Members_.end())
+    return;
+  if (Found->second.Member_.Incarnation_ == Sender.Incarnation_)
     Found->second.Trace_.heard(Health, Now);
+  Heard_();
 }
 
 void MemberTable::heardOnLink(const VmId &Id, TimePoint Now) {
-  if (auto Found = Members_.find(Id); Found != Members_.end())
-    Found->second.Trace_.heardOnLink(Now);
+  auto Found = Members_.find(Id);
+  if (Found == Members_.end())
+    return;
+  Found->second.Trace_.heardOnLink(Now);
+  Heard_();
 }
 
 void MemberTable::linkEnded(const VmId &Id, TimePoint Now) {
--- a/Source/Process/Membership/MemberTable.h
+++ b/Source/Process/Membership/MemberTable.h
@@ -61,6 +61,7 @@
     std::uint64_t Seed_ = 1;
   };
   using ChangedHook = std::function<void(const Member &)>;
+  using HeardHook = std::function<void()>;
   using VanishedHook = std::function<void(const VmId &, const ProcessEnd &)>;
 
   MemberTable(Member Self, Options Settings);
@@ -131,6 +132,9 @@
   /// the one before had not announced that it leaves: it was ended, or ended by
   /// itself, and may have written nothing about it.
   void onRestarted(ChangedHook Hook) { Restarted_ = std::move(Hook); }
+  /// Sets the hook that is called for each message that another member itself
+  /// sent.
+  void onHeard(HeardHook Hook) { Heard_ = std::move(Hook); }
   /// Sets the hook that is called when a process that had not announced that it
   /// leaves is found dead or replaced.
   void onVanished(VanishedHook Hook) { Vanished_ = std::move(Hook); }
@@ -170,6 +174,7 @@
   ChangedHook Changed_;
   ChangedHook Restarted_;
   VanishedHook Vanished_;
+  HeardHook Heard_ = [] {};
 };
 
 } // namespace samphireshunt
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -329,6 +329,10 @@
   Members_ = std::make_unique<MemberTable>(std::move(Self), TableOptions);
   Members_->onChanged(
       [this](const Member &Changed) { onMemberChanged(Changed); });
+  Members_->onHeard([this] {
+    if (Follower_)
+      Follower_->heardOther();
+  });
   Members_->onRestarted([this](const Member &Restarted) {
     ++RestartedMembers_;
     MemberLog_.restarted(Restarted);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -267,8 +267,20 @@
   's/ &&\s+Freshness_\.age\(SentAt\) >= Options_\.EarliestExpiry_\)/)/' \
   ${U}platform '*gone with the first list*'
 mutate followed-outage $S/Process/Configuration/StoreFollower.cpp \
-  's/(minutes later, it would retain servers then that\n.*\n)  View_\.outageEnded\(\);/$1/' \
+  's/(minutes later, it would retain servers then that\n.*\n)  endOutage\(\);/$1/' \
   ${U}platform '*follows one that reads again*'
+mutate outage-own $S/Process/Configuration/OutageCause.cpp \
+  's/return BeganTogether && EndedTogether \? OutageCause::Own/return false ? OutageCause::Own/' \
+  ${U}Process '*heard nobody while it had lost the service*'
+mutate outage-own-retained $S/Process/Configuration/DirectoryView.cpp \
+  's/if \(Outage_ && Cause == OutageCause::Service\)/if (Outage_)/' \
+  ${U}platform '*left while this daemon was cut off*'
+mutate outage-others-asked $S/Process/Configuration/PeerFollower.cpp \
+  's/ \|\| View_\.retainsMissing\(\);/;/' \
+  ${U}platform '*a part of a small fleet*'
+mutate outage-same-doubt $S/Process/Configuration/StoreView.cpp \
+  's/if \(IsUnsure && Directory_\.isMissing\(Name\)\)/if (false)/' \
+  ${U}platform '*a part of a small fleet*'
 mutate cells-by-size $S/Process/Keeping/Cell.cpp \
   's/(  std::uint32_t Count = cellCount\(Whole\);\n  if \(Count == 1\)\n    return 0;)/$1\n  return static_cast<std::uint32_t>(Key % Count);/' \
   ${U}Process '*get requests as they have servers*'
--- a/UnitTests/Process/Configuration/DirectoryViewTest.cpp
+++ b/UnitTests/Process/Configuration/DirectoryViewTest.cpp
@@ -52,6 +52,19 @@
   CHECK_FALSE(View.nextDrop().has_value());
 }
 
+TEST_CASE("what is missing after an outage of this daemon alone is gone") {
+  // Guards against requests to a server that left while the daemon was cut off.
+  DirectoryView View(RegisterAgainTime);
+  View.addOrUpdate(server("left"));
+  View.addOrUpdate(server("stays"));
+  View.outageBegan();
+  CHECK_FALSE(View.markMissing(ServerName("left"), Start));
+  View.outageEnded(Start, OutageCause::Own);
+  CHECK(View.dropMissing(Start));
+  CHECK(View.markMissing(ServerName("stays"), Start));
+  CHECK(View.size() == 0);
+}
+
 TEST_CASE("an entry that is removed long after the outage is dropped at once") {
   DirectoryView View(RegisterAgainTime);
   View.addOrUpdate(server("a"));
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -203,6 +203,56 @@
   CHECK(Spare.isActive("i-1"));
 }
 
+TEST_CASE("a part of a small fleet that was cut off learns from the others "
+          "which servers are gone") {
+  // Guards against daemons that heard each other while they were cut off, and
+  // take that for an outage of the service: they send requests to servers that
+  // left. After such an outage live servers are missing too, and must stay.
+  for (bool ServiceAway : {false, true}) {
+    CAPTURE(ServiceAway);
+    Fleet Test(/*Small=*/true, /*Slowdown=*/1,
+               [](StoreDaemon::Settings &Wanted) {
+                 Wanted.Times_.RegisterAgain_ = std::chrono::hours(1);
+               });
+    FollowingDaemon &Spare = Test["spare"];
+    REQUIRE(Test.runUntil([&] {
+      return Spare.isActive("i-1") && Test["first"].isActive("i-1") &&
+             Test["second"].isActive("i-1");
+    }));
+    if (!ServiceAway)
+      Test.Frozen_ = {"second", "third"};
+    std::vector<FakeStore *> Lost = {&Test.SpareStore_, &Test.storeOf("first")};
+    if (ServiceAway)
+      Lost.push_back(&Test.storeOf("second"));
+    for (FakeStore *Store : Lost)
+      Store->FailWith_ = 503;
+    REQUIRE(Test.runUntil([&] {
+      return !Spare.Service_->platformReachable() &&
+             !Test["first"].Service_->platformReachable() &&
+             Test["second"].Service_->platformReachable() != ServiceAway;
+    }));
+    Test.remove("servers/i-1");
+    // Not known to "spare", so that all of what others know is told to it.
+    for (const char *Name : {"first", "second", "third"})
+      Test.storeOf(Name).put("servers/i-2", serverEntry("ready"));
+    CHECK(Test.runUntil(
+        [&] { return Test["second"].isActive("i-1") == ServiceAway; }));
+    for (FakeStore *Store : Lost)
+      Store->FailWith_ = 0;
+    Test.Frozen_.clear();
+    if (!ServiceAway) {
+      CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+      continue;
+    }
+    REQUIRE(Test.runUntil([&] { return Spare.View_.retainsMissing(); }));
+    Test.runFor(milliseconds(300));
+    CHECK(Spare.isActive("i-1"));
+    Test.put("servers/i-1", serverEntry("ready"));
+    CHECK(Test.runUntil([&] { return !Spare.View_.retainsMissing(); }));
+    CHECK(Spare.isActive("i-1"));
+  }
+}
+
 TEST_CASE("a daemon of a small fleet that lost the service learns of a leaving "
           "server from others, and reads the service again when it is back") {
   // The service rejects the calls of one daemon, and a server begins to leave.
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -32,11 +32,12 @@
   explicit FollowerFixture(
       milliseconds WatchTime = milliseconds(2000),
       milliseconds LapseTime = StoreFollower::Options().EarliestExpiry_,
-      milliseconds ConfirmTime = milliseconds(100))
+      milliseconds ConfirmTime = milliseconds(100),
+      BootClock::duration RegisterAgain = milliseconds(150))
       : WatchTime_(WatchTime), EarliestExpiry_(LapseTime),
         ConfirmTime_(ConfirmTime), Store_(Context_),
         Freshness_(Lease, ApplyBound),
-        View_(Documents_, platform::storeLayout(), {milliseconds(150)}) {
+        View_(Documents_, platform::storeLayout(), {RegisterAgain}) {
     Store_.put("op/config", configuration(3));
     Store_.put("servers/i-1", serverEntry("ready"));
     follow();
@@ -52,6 +53,8 @@
     Options.FirstBatchTime_ = milliseconds(5);
     Options.FirstPause_ = milliseconds(5);
     Options.MaxPause_ = milliseconds(10);
+    Options.Outages_ = {milliseconds(50), std::chrono::hours(1),
+                        std::chrono::hours(1)};
     StoreView::Hooks Hooks;
     Hooks.DaemonEntryRead_ = [this](const VmId &Id, const KeyValue &Entry) {
       Follower_->onDaemonEntry(Id, Entry);
@@ -212,6 +215,22 @@
   CHECK(Test.isActive("i-1"));
 }
 
+TEST_CASE("a server that left while this daemon was cut off is not used after "
+          "it") {
+  // Guards against requests to it for as long as entries may take to return.
+  FollowerFixture Test(milliseconds(2000),
+                       StoreFollower::Options().EarliestExpiry_,
+                       milliseconds(100), std::chrono::hours(1));
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Follower_->heardOther();
+  Test.Store_.FailWith_ = 503;
+  REQUIRE(Test.runUntil([&] { return !Test.Follower_->platformReachable(); }));
+  Test.runFor(milliseconds(100));
+  Test.Store_.remove("servers/i-1");
+  Test.Store_.FailWith_ = 0;
+  CHECK(Test.runUntil([&] { return Test.servers() == 0; }));
+}
+
 TEST_CASE("a store that stops answering ends the freshness, and its return "
           "renews it") {
   FollowerFixture Test;
--- a/UnitTests/platform/StoreViewTest.cpp
+++ b/UnitTests/platform/StoreViewTest.cpp
@@ -110,6 +110,30 @@
   CHECK(Log.count(R"("event":"server-gone","server":"i-7")") == 1);
 }
 
+TEST_CASE("a server is logged as gone when it gets no more requests") {
+  // Guards against a line that precedes the requests that still follow it.
+  for (auto Cause : {OutageCause::Service, OutageCause::Own}) {
+    Follower Test;
+    Test.View_.apply(configuration());
+    Test.View_.apply(server("i-7", 5));
+    Test.View_.publish();
+    tests::LogCapture Log;
+    KeyValue Gone = server("i-7", 11);
+    Gone.Deleted_ = true;
+    Test.View_.outageBegan();
+    Test.View_.apply(Gone);
+    Test.View_.publish();
+    CHECK(Test.isActive("i-7"));
+    CHECK(Log.count("server-gone") == 0);
+    CHECK(Log.count("server-missing") == 1);
+    Test.View_.outageEnded(Cause);
+    Test.View_.dropMissing();
+    bool IsGone = Cause == OutageCause::Own;
+    CHECK(Test.isActive("i-7") == !IsGone);
+    CHECK(Log.count("server-gone") == (IsGone ? 1 : 0));
+  }
+}
+
 TEST_CASE("entries of roll-outs reach followers, and only newer ones count") {
   // Guards against a daemon that is behind or restored bringing back an order
   // that was withdrawn, and against a follower that never learns of one.
