A caller that leaves a server little time says nothing against it

Callers saw servers left out for 1 to 4 s that were sound: the first server of a repeatable request gets half of the time that its caller has left, and a server that had not answered by then counted as faulty. A caller with a deadline of 60 ms so blames each server that needs more than 30 ms; three such requests at one server, with none answered in between, take it out of use for everybody, unless the whole pool fails as often.

A silence counts once the server has had the route's objective or a quarter of the route's timeout, both the operator's; before, it counts for nothing. The same for a 504, a server's answer at the time limit that it was given.

Ruled out: looking at the caller's deadline only when it is over, which was done already: the limit of the first attempt comes before it.

Unit.ImpatientCaller on the logic before: the server got 3 of 12 hasty requests and then none of the patient caller (2 of 15 assertions fail); now 15 of 15. Unit.Request 79 of 79 cases.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -35,6 +35,8 @@
 
 constexpr int StatusMultipleChoices = 300;
 constexpr int StatusInternalError = 500;
+/// The server's own time limit, which is what the caller has left.
+constexpr int StatusTimeLimit = 504;
 /// Statuses that promise a caller that the request was not run.
 constexpr std::array NotRunStatuses = {408, 421, 429, 503};
 /// Maximum idle time of a connection that is reused for a retryable request.
@@ -45,6 +47,9 @@
 /// The first server of a retryable request gets the remaining time divided by
 /// this.
 constexpr int FirstAttemptDivisor = 2;
+/// A silence for the route's timeout divided by this may be a fault, also where
+/// the objective is longer.
+constexpr int FairTimeDivisor = 4;
 /// Maximum number of servers that may refuse a request before it is given up.
 constexpr int MaxRefusals = 3;
 
@@ -508,6 +513,13 @@
     return Context_.decideStop(StopStage::Repeat) == StopDecision::GoOn;
   }
 
+  /// \returns whether the server has had so little time that its silence shows
+  /// the caller's deadline rather than a fault.
+  bool wasHurried() const {
+    auto Fair = std::min(Rule_.Objective_, Rule_.Timeout_ / FairTimeDivisor);
+    return steady_clock::now() - Dispatched_ < Fair;
+  }
+
   AttemptEnd failed(Failure Cause) {
     Ready_.Connection_->close();
     MayHaveRun_ = true;
@@ -516,8 +528,9 @@
     if (CallerLeft_)
       return AttemptEnd::CallerLeft;
     // A stream that ends after an order to stop its run is no fault.
-    Faulty_ =
-        !Context_.expired() && !Suspension_ && !OwnShortage_ && !StopEnded_;
+    bool Hurried = Cause.Code_ == ResultCode::AnswerTimeout && wasHurried();
+    Faulty_ = !Context_.expired() && !Suspension_ && !OwnShortage_ &&
+              !StopEnded_ && !Hurried;
     LastFailure_ = std::move(Cause);
     if (StopEnded_)
       LastFailure_ = {ResultCode::AnswerTimeout, "the daemon stops"};
@@ -597,7 +610,7 @@
     }
     if (Answer.Status_ >= StatusInternalError) {
       MayHaveRun_ = true;
-      Faulty_ = true;
+      Faulty_ = Answer.Status_ != StatusTimeLimit || !wasHurried();
       LastFailure_ = {ResultCode::ServerError,
                       fmt::format("status {}", Answer.Status_)};
       HeldAnswer_.set(0);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -540,6 +540,9 @@
   's/ && !SaysLeaving_;/;/' \
   ${U}LeavingServer '*' $S/Request/RequestContext.cpp \
   's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
+mutate hurried $S/Request/ForwardedCall.cpp \
+  's/!StopEnded_ && !Hurried;/!StopEnded_;/' \
+  ${U}ImpatientCaller '*little time take no server*'
 mutate replaced-by-caller $S/Request/ForwardingDialect.cpp \
   's/Named \|\| !Call\.ExpectsVersion_/true/' \
   ${U}ReplacedServer '*takes no server from others*'
