--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -267,8 +267,20 @@
   's/ &&\s+Freshness_\.age\(SentAt\) >= Options_\.EarliestExpiry_\)/)/' \
   ${U}platform '*gone with the first list*'
 mutate followed-outage $S/Process/Configuration/StoreFollower.cpp \
-  's/(minutes later, it would retain servers then that\n.*\n)  View_\.outageEnded\(\);/$1/' \
+  's/(minutes later, it would retain servers then that\n.*\n)  endOutage\(\);/$1/' \
   ${U}platform '*follows one that reads again*'
+mutate outage-own $S/Process/Configuration/OutageCause.cpp \
+  's/return BeganTogether && EndedTogether \? OutageCause::Own/return false ? OutageCause::Own/' \
+  ${U}Process '*heard nobody while it had lost the service*'
+mutate outage-own-retained $S/Process/Configuration/DirectoryView.cpp \
+  's/if \(Outage_ && Cause == OutageCause::Service\)/if (Outage_)/' \
+  ${U}platform '*left while this daemon was cut off*'
+mutate outage-others-asked $S/Process/Configuration/PeerFollower.cpp \
+  's/ \|\| View_\.retainsMissing\(\);/;/' \
+  ${U}platform '*a part of a small fleet*'
+mutate outage-same-doubt $S/Process/Configuration/StoreView.cpp \
+  's/if \(IsUnsure && Directory_\.isMissing\(Name\)\)/if (false)/' \
+  ${U}platform '*a part of a small fleet*'
 mutate cells-by-size $S/Process/Keeping/Cell.cpp \
   's/(  std::uint32_t Count = cellCount\(Whole\);\n  if \(Count == 1\)\n    return 0;)/$1\n  return static_cast<std::uint32_t>(Key % Count);/' \
   ${U}Process '*get requests as they have servers*'
@@ -528,6 +540,18 @@
   's/ && !SaysLeaving_;/;/' \
   ${U}LeavingServer '*' $S/Request/RequestContext.cpp \
   's/return !Grants\.holds\(\)->maySend[^;]*;/return false;/s'
+mutate hurried $S/Request/ForwardedCall.cpp \
+  's/!StopEnded_ && !Hurried;/!StopEnded_;/' \
+  ${U}ImpatientCaller '*little time take no server*'
+mutate replaced-by-caller $S/Request/ForwardingDialect.cpp \
+  's/Named \|\| !Call\.ExpectsVersion_/true/' \
+  ${U}ReplacedServer '*takes no server from others*'
+mutate replaced-named $S/Request/ForwardingDialect.cpp \
+  's/\(Named && Answer\.AnsweredBy_ == Intended\)/false/' \
+  ${U}ReplacedServer '*takes no server from others*'
+mutate replaced-for-good $S/Process/Scheduling/ServerModel.cpp \
+  's/ReplacedUntil_ = Now \+ ReplacedTime;/ReplacedUntil_ = TimePoint::max();/' \
+  ${U}Process '*tried again after 2 s*'
 mutate rest-kept $S/Process/Scheduling/SchedulerPlacement.cpp \
   's/ && !Rests && hasRoom/ \&\& hasRoom/' \
   ${U}RestingServer '*gets it*' $S/Request/RequestContext.cpp \
