--- a/Source/Common/BoundedNumber.cpp
+++ b/Source/Common/BoundedNumber.cpp
@@ -57,6 +57,14 @@
   return readWhole(Field, *Found, Range);
 }
 
+Result<std::uint64_t> readUnsignedOf(const Json &Holder, const char *Field) {
+  auto Found = Holder.find(Field);
+  if (Found != Holder.end() && Found->is_number_unsigned())
+    return Found->get<std::uint64_t>();
+  return Failure{ResultCode::DocumentSchema,
+                 fmt::format("{}: is not an unsigned 64-bit integer", Field)};
+}
+
 Result<milliseconds> readTime(std::string_view Field, double Millis) {
   if (Millis >= 0 && Millis <= static_cast<double>(MaxReadTime.count()))
     return milliseconds(static_cast<std::int64_t>(Millis));
--- a/Source/Common/BoundedNumber.h
+++ b/Source/Common/BoundedNumber.h
@@ -34,10 +34,16 @@
 Result<std::int64_t> readWholeOf(const nlohmann::json &Holder,
                                  const char *Field, NumberRange Range);
 
+/// Reads a number that only has to be kept, as an era of the service: any
+/// unsigned integer of 64 bits. \returns DocumentSchema, with the name of the
+/// field, for anything else.
+Result<std::uint64_t> readUnsignedOf(const nlohmann::json &Holder,
+                                     const char *Field);
+
 /// The longest time that is read. Several of them, in nanoseconds, can be added
 /// to a time point.
 inline constexpr std::chrono::milliseconds MaxReadTime =
-    std::chrono::hours(24 * 7);
+    std::chrono::hours(24 * 365);
 
 /// Reads a time that is given as \p Millis. A fraction is rounded down.
 /// \returns DocumentSchema unless it is from 0 to MaxReadTime.
--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -64,9 +64,13 @@
 
 bool isShownCut(const HttpResponse &Response) {
   auto Type = Response.Fields_.find("content-type");
-  bool Json = Type != Response.Fields_.end() &&
-              lowerCase(Type->second).starts_with("application/json");
-  return Response.Body_.empty() || (Json && !isJson(Response.Body_));
+  std::string Media =
+      Type == Response.Fields_.end() ? std::string() : lowerCase(Type->second);
+  Media.resize(std::min(Media.find_first_of("; \t"), Media.size()));
+  bool Json = Media == "application/json" || Media.ends_with("+json");
+  constexpr int StatusResetContent = 205;
+  bool Empty = Response.Body_.empty() && Response.Status_ != StatusResetContent;
+  return Empty || (Json && !isJson(Response.Body_));
 }
 
 bool isEndKnown(const HttpConnection &Connection, std::string_view Body) {
--- a/Source/Process/Configuration/DirectoryView.cpp
+++ b/Source/Process/Configuration/DirectoryView.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -81,6 +82,9 @@
   for (const auto &[Name, Known] : Entries_)
     if (!Names.contains(Name))
       Absent.push_back(Name);
+  bool MostAbsent = 2 * Absent.size() > Entries_.size();
+  if (std::exchange(OwnOutageEnded_, false) && MostAbsent)
+    RetainUntil_ = Now + RegisterAgainTime_;
   bool Changed = false;
   for (const ServerName &Name : Absent)
     Changed |= markMissing(Name, Now);
@@ -98,6 +102,7 @@
 void DirectoryView::outageEnded(BootTime Now, OutageCause Cause) {
   if (Outage_ && Cause == OutageCause::Service)
     RetainUntil_ = Now + RegisterAgainTime_;
+  OwnOutageEnded_ = Outage_ && Cause == OutageCause::Own;
   Outage_ = false;
 }
 
--- a/Source/Process/Configuration/DirectoryView.h
+++ b/Source/Process/Configuration/DirectoryView.h
@@ -41,7 +41,9 @@
   /// Called when the service became unreachable.
   void outageBegan();
   /// Called when the service answers again. After an outage of this daemon's
-  /// own nothing is retained: the service's list is right as it is.
+  /// own nothing is retained: the service's list is right as it is. If that
+  /// list lacks most of the known servers, they were cut off from the service
+  /// too, and it counts as an outage of the service.
   void outageEnded(BootTime Now, OutageCause Cause = OutageCause::Service);
   /// Drops servers that are still missing once their retention time is over.
   bool dropMissing(BootTime Now);
@@ -82,6 +84,8 @@
   BootClock::duration RegisterAgainTime_;
   std::map<ServerName, Entry> Entries_;
   bool Outage_ = false;
+  /// An outage of this daemon's own has ended, and no list was examined since.
+  bool OwnOutageEnded_ = false;
   BootTime RetainUntil_;
   /// Unset after a change of the servers, until it is computed again.
   mutable std::optional<std::uint64_t> Digest_;
--- a/Source/Process/Configuration/StoreFollower.h
+++ b/Source/Process/Configuration/StoreFollower.h
@@ -80,8 +80,8 @@
   /// Sets the role. A daemon that becomes a reader confirms at once that it has
   /// the service.
   void setRole(StoreRole Role);
-  /// Called when another daemon was heard. Without that, an outage counts as
-  /// this daemon's own.
+  /// Called when another daemon was heard. An outage of the service in which
+  /// this daemon stops hearing others counts as its own.
   void heardOther() { Outage_.heardOther(BootClock::now()); }
   /// Confirms the state by a call that is sent after this one, as soon as
   /// Options::MinConfirmTime_ allows it.
--- a/Source/Process/Rollout/RolloutRecord.cpp
+++ b/Source/Process/Rollout/RolloutRecord.cpp
@@ -38,11 +38,16 @@
 Result<RolloutRecord> read(const Json &Root) {
   RolloutRecord Read;
   Read.Target_ = SoftwareVersion(Root.at("target").get<std::string>());
-  for (const char *Field : {"era", "revision", "started", "stageBegan"})
+  for (const char *Field : {"started", "stageBegan"})
     if (auto Number = readWholeOf(Root, Field, {}); !Number)
       return Number.error();
-  Read.Order_ = {StoreEra(Root.at("era").get<std::uint64_t>()),
-                 Revision(Root.at("revision").get<std::uint64_t>())};
+  auto Era = readUnsignedOf(Root, "era");
+  if (!Era)
+    return Era.error();
+  auto Change = readUnsignedOf(Root, "revision");
+  if (!Change)
+    return Change.error();
+  Read.Order_ = {StoreEra(*Era), Revision(*Change)};
   auto Name = Root.at("stage").get<std::string>();
   const auto *Stage = std::ranges::find(
       StageNames, Name, [](const auto &Known) { return Known.second; });
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -38,8 +38,12 @@
 
 /// \returns what the daemon says of \p Service, or an empty object.
 Json serviceIn(const Json &Status, const ServiceName &Service) {
-  Json Services = Status.value("services", Json::object());
-  return Services.value(Service.str(), Json::object());
+  auto Services = Status.find("services");
+  if (Services == Status.end() || !Services->is_object())
+    return Json::object();
+  auto Found = Services->find(Service.str());
+  return Found != Services->end() && Found->is_object() ? *Found
+                                                        : Json::object();
 }
 
 /// \returns the version that the daemon has active; 0 for none, and for a
@@ -479,9 +483,10 @@
     for (const DaemonState &State : States) {
       DocumentVersion Active = activeVersion(State.Status_, Service);
       // Daemons of earlier releases don't tell the change.
-      std::string Change =
-          serviceIn(State.Status_, Service).value("change", Options_.ChangeId_);
-      bool IsThis = Active == Version && Change == Options_.ChangeId_;
+      Json Known = serviceIn(State.Status_, Service);
+      bool IsOther = Known.contains("change") &&
+                     Known["change"] != Json(Options_.ChangeId_);
+      bool IsThis = Active == Version && !IsOther;
       bool IsLater = Active > Version && Active <= Last;
       if (!IsThis && !IsLater)
         Behind.push_back(
--- a/Source/Request/ClaimStore.cpp
+++ b/Source/Request/ClaimStore.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <limits>
+
 namespace samphireshunt {
 
 namespace asio = boost::asio;
@@ -33,6 +35,18 @@
   return Root.dump();
 }
 
+Result<std::string> bytesOf(const Json &Numbers) {
+  std::string Bytes;
+  for (const Json &Number : Numbers) {
+    auto Byte = readWhole("body", Number,
+                          {0, std::numeric_limits<std::uint8_t>::max()});
+    if (!Byte)
+      return Byte.error();
+    Bytes += static_cast<char>(*Byte);
+  }
+  return Bytes;
+}
+
 Result<Claim> decodeClaim(const KeyValue &Entry) {
   try {
     const Json Root = readJson(Entry.Value_).value().Root_;
@@ -50,10 +64,15 @@
     Value.State_ = static_cast<ClaimState>(*State);
     Value.Position_ = Entry.Position_;
     if (Value.State_ == ClaimState::Answered) {
-      Value.Answer_.Status_ = Root.at("status").get<int>();
+      constexpr NumberRange Statuses{200, 599};
+      auto Status = readWholeOf(Root, "status", Statuses);
+      auto Body = bytesOf(Root.at("body"));
+      if (!Status || !Body)
+        return Failure{ResultCode::PlatformUnavailable,
+                       Status ? Body.error().Detail_ : Status.error().Detail_};
+      Value.Answer_.Status_ = static_cast<int>(*Status);
       Value.Answer_.Fields_ = Root.at("fields").get<HttpFields>();
-      auto Bytes = Root.at("body").get<std::vector<std::uint8_t>>();
-      Value.Answer_.Body_.assign(Bytes.begin(), Bytes.end());
+      Value.Answer_.Body_ = std::move(*Body);
     }
     return Value;
   } catch (const std::exception &Error) {
--- a/Source/Version/DocumentReader.cpp
+++ b/Source/Version/DocumentReader.cpp
@@ -413,6 +413,9 @@
 DocumentOrFindings readYamlDocument(const std::string &Text) {
   try {
     std::vector<YAML::Node> Roots = YAML::LoadAll(Text);
+    // A separator at the end begins an empty document.
+    while (Roots.size() > 1 && Roots.back().IsNull())
+      Roots.pop_back();
     if (Roots.size() > 1)
       return std::vector<Finding>{{ResultCode::DocumentSyntax,
                                    Roots[1].Mark().line + 1, "",
--- a/UnitTests/Process/Configuration/DirectoryViewTest.cpp
+++ b/UnitTests/Process/Configuration/DirectoryViewTest.cpp
@@ -65,6 +65,21 @@
   CHECK(View.size() == 0);
 }
 
+TEST_CASE("a list that lacks most servers after an outage of this daemon's own "
+          "removes none") {
+  // Guards against the loss of all servers that were cut off from the service
+  // together with all daemons, so that each daemon heard no other.
+  DirectoryView View(RegisterAgainTime);
+  for (const char *Name : {"a", "b", "c"})
+    View.addOrUpdate(server(Name));
+  View.outageBegan();
+  View.outageEnded(Start, OutageCause::Own);
+  View.listed({ServerName("a")}, Start);
+  CHECK(View.size() == 3);
+  View.listed({ServerName("a")}, Start + RegisterAgainTime);
+  CHECK(View.size() == 1);
+}
+
 TEST_CASE("an entry that is removed long after the outage is dropped at once") {
   DirectoryView View(RegisterAgainTime);
   View.addOrUpdate(server("a"));
--- a/UnitTests/platform/OddNumbersTest.cpp
+++ b/UnitTests/platform/OddNumbersTest.cpp
@@ -27,6 +27,9 @@
 const Numbers Real = {"0", "1.5"};
 /// Times that are no numbers have their defaults.
 const Numbers Time = {"0", "1.5", "\"7\"", "null"};
+/// Numbers of the service that are only compared.
+const Numbers Kept = {"0", "9007199254740992", "9223372036854775808",
+                      "18446744073709551615"};
 const Numbers Rounded = {"0", "1.5"};
 const Numbers None = {};
 
@@ -77,6 +80,9 @@
                {"/tenants/0/rate-per-s", Real},
                {"/tenants/0/burst", Real}},
               platform::readConfiguration);
+  // Connections count the bytes of a head in 32 bits: 2^32 was 0 there.
+  CHECK_FALSE(platform::readConfiguration(
+      withNumber(Root, "/limits/max-header-bytes", "4294967296")));
 }
 
 TEST_CASE("an entry of the directory with a number out of range is refused, "
@@ -100,8 +106,8 @@
           "name") {
   RolloutRecord Record;
   checkPlaces(Json::parse(Record.encode()),
-              {{"/era", Whole},
-               {"/revision", Whole},
+              {{"/era", Kept},
+               {"/revision", Kept},
                {"/started", Whole},
                {"/stageBegan", Whole}},
               RolloutRecord::decode);
