One strict reading of what delimits a message, before the parser

What callers saw: a request whose Transfer-Encoding does not end with "chunked" was run without its body, with a 200, and its body was run as another request, with whatever id, path and key it names. Fields after the last chunk of a body took the place of the head's.

Cause: the parser decides the end of a message while it reads the fields, and is tolerant: an unknown coding counts as no body, a list of equal lengths as one, folded lines and a coding in HTTP/1.0 are taken. removeHopFields() then drops the evidence. The fields of the whole message, trailers too, were taken for the head after a body in chunks.

Change: MessageFraming, a pure reading of RFC 9112 sections 2 to 7, gets all bytes of a message before the parser does (FramingReader, a stream around the stream), for requests and for answers, relayed ones too. Malformed requests get 100 (400) and their connection ends; malformed answers are 312 (502), and their connection is closed. Codings other than exactly "chunked" are refused, since none is decoded. Legal chunk extensions are ignored; those, and trailers, that are named like fields which frame, route or authorize are refused; other trailers are dropped and never become fields of the head. Two Host fields are refused. Parser and reading have to agree on the end as well.

All listeners for HTTP (callers, operators, metrics) go through HttpServer, all calls to servers and to the platform's store through HttpConnection; between daemons there are frames, no HTTP.

--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -236,7 +236,7 @@
   readHead(std::chrono::milliseconds Timeout) = 0;
   /// Reads a chunk of the body. An empty string marks the end and is returned
   /// only when the body was complete.
-  /// \returns AnswerTimeout, ConnectionLost or AnswerTooLarge.
+  /// \returns AnswerTimeout, ConnectionLost, AnswerTooLarge or MalformedAnswer.
   virtual Awaitable<Result<std::string>>
   readSome(std::chrono::milliseconds Timeout) = 0;
   /// How the end of the response is known whose head was read last.
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "Connection/Http.h"
 
 #include "Connection/ByteFrames.h"
+#include "Connection/FramingReader.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
 #include "Connection/TcpConnect.h"
@@ -136,19 +137,11 @@
       std::array<char, ReadBufferBytes> Space;
       Parser_->get().body().data = Space.data();
       Parser_->get().body().size = Space.size();
-      beast::error_code Error;
       Stream_->expires_after(Timeout);
-      if (Framed_)
-        co_await http::async_read_some(
-            *Framed_, Buffer_, *Parser_,
-            asio::redirect_error(asio::use_awaitable, Error));
-      else
-        co_await http::async_read_some(
-            *Stream_, Buffer_, *Parser_,
-            asio::redirect_error(asio::use_awaitable, Error));
+      beast::error_code Error = co_await readPart(ReadPart::Body);
       bool BufferFull = Error == http::error::need_buffer;
       if (Error && !BufferFull)
-        co_return connectionFailure(Error);
+        co_return readFailure(Error);
       LastReceived_ = std::chrono::steady_clock::now();
       std::size_t Count = Space.size() - Parser_->get().body().size;
       if (Count > 0)
@@ -158,6 +151,8 @@
     // truncated. Only a body with a length or in chunks is known to be
     // complete.
     bool Counted = bodyEnd() != BodyEnd::Close;
+    if (Counted && !Framing_->whole())
+      co_return Failure{ResultCode::MalformedAnswer, "an end that is unclear"};
     if (!Counted && !AcceptUnframed_)
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
     if (!Counted && End_ == EndOfBytes::Unknown)
@@ -218,6 +213,36 @@
            status() != StatusSwitchingProtocols;
   }
 
+  enum class ReadPart { Head, Body };
+
+  /// Reads all of a head, or some of a body.
+  Awaitable<beast::error_code> readPart(ReadPart Wanted) {
+    if (Framed_)
+      co_return co_await readFrom(*Framed_, Wanted);
+    co_return co_await readFrom(*Stream_, Wanted);
+  }
+
+  template <class Source>
+  Awaitable<beast::error_code> readFrom(Source &From, ReadPart Wanted) {
+    FramingReader<Source> Checked(From, *Framing_);
+    beast::error_code Error;
+    if (Wanted == ReadPart::Head)
+      co_await http::async_read_header(
+          Checked, Buffer_, *Parser_,
+          asio::redirect_error(asio::use_awaitable, Error));
+    else
+      co_await http::async_read_some(
+          Checked, Buffer_, *Parser_,
+          asio::redirect_error(asio::use_awaitable, Error));
+    co_return Error;
+  }
+
+  Failure readFailure(const beast::error_code &Error) const {
+    if (!Framing_->fault().empty())
+      return {ResultCode::MalformedAnswer, std::string(Framing_->fault())};
+    return connectionFailure(Error);
+  }
+
   /// Reads a head within the stream's current limit. \returns why there is
   /// none.
   Awaitable<std::optional<Failure>> parseHead() {
@@ -225,17 +250,13 @@
     Parser_->header_limit(MaxHeadBytes);
     Parser_->body_limit(MaxAnswerBytes);
     Parser_->skip(ToHead_);
+    Framing_.emplace(ToHead_ ? MessageKind::AnswerToHead : MessageKind::Answer);
+    auto Held = Buffer_.cdata();
     beast::error_code Error;
-    if (Framed_)
-      co_await http::async_read_header(
-          *Framed_, Buffer_, *Parser_,
-          asio::redirect_error(asio::use_awaitable, Error));
-    else
-      co_await http::async_read_header(
-          *Stream_, Buffer_, *Parser_,
-          asio::redirect_error(asio::use_awaitable, Error));
-    if (Error)
-      co_return connectionFailure(Error);
+    if (Framing_->feed({static_cast<const char *>(Held.data()), Held.size()}))
+      Error = co_await readPart(ReadPart::Head);
+    if (Error || !Framing_->fault().empty())
+      co_return readFailure(Error);
     LastReceived_ = std::chrono::steady_clock::now();
     co_return std::nullopt;
   }
@@ -265,6 +286,8 @@
   bool AcceptUnframed_ = false;
   beast::flat_buffer Buffer_{MaxFramingBytes};
   std::optional<http::response_parser<http::buffer_body>> Parser_;
+  /// Reads the same bytes as the parser, before it.
+  std::optional<MessageFraming> Framing_;
   std::chrono::steady_clock::time_point LastReceived_;
   bool Complete_ = false;
   /// The response answers HEAD and has no body, whatever its fields say.
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Connection/AcceptLoop.h"
+#include "Connection/FramingReader.h"
 #include "Connection/GrowingBody.h"
 #include "Connection/MemoryBudget.h"
 #include "Connection/MemoryWait.h"
@@ -445,9 +446,6 @@
       co_return false;
     }
     auto Message = Into->release();
-    // Fields may follow the last chunk.
-    if (Message.chunked())
-      takeHead(Message);
     Request_.Body_ = std::move(Message.body());
     Body_.set(Request_.Body_.size());
     co_return true;
@@ -460,11 +458,30 @@
   };
 
   Awaitable<ReadEnd> readParts(Parser &Into, RequestRead &Read) {
+    MessageFraming Framing(MessageKind::Request);
+    auto Held = Buffer_.cdata();
+    ReadEnd Ended;
+    if (Framing.feed({static_cast<const char *>(Held.data()), Held.size()}))
+      Ended = co_await readFramed(Framing, Into, Read);
+    if (!Framing.fault().empty())
+      Ended.Refusal_ = malformed(Framing.fault());
+    else if (!Ended.Error_ && !Ended.Refusal_ && !Framing.whole())
+      Ended.Refusal_ = malformed("an end that is unclear");
+    co_return Ended;
+  }
+
+  static Failure malformed(std::string_view Fault) {
+    return {ResultCode::MalformedRequest, std::string(Fault)};
+  }
+
+  Awaitable<ReadEnd> readFramed(MessageFraming &Framing, Parser &Into,
+                                RequestRead &Read) {
+    FramingReader<beast::tcp_stream> Source(Stream_, Framing);
     ReadEnd Ended;
     {
       ActiveExchange Reading(State_->HeadsInProgress_);
       co_await http::async_read_header(
-          Stream_, Buffer_, Into,
+          Source, Buffer_, Into,
           asio::redirect_error(asio::use_awaitable, Ended.Error_));
     }
     if (Ended.Error_ && Read.timedOut())
@@ -481,7 +498,7 @@
       if (Read.timedOut())
         break;
       co_await http::async_read_some(
-          Stream_, Buffer_, Into,
+          Source, Buffer_, Into,
           asio::redirect_error(asio::use_awaitable, Ended.Error_));
       if (!Ended.Error_)
         Ended.Refusal_ = co_await holdBody(Into, Read);
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -328,7 +328,8 @@
     bool InTime = Context_.remaining() > MinTimeLeft;
     // After a timeout the run may still be there.
     constexpr std::array RunLost = {ResultCode::ConnectionLost,
-                                    ResultCode::StreamBroken};
+                                    ResultCode::StreamBroken,
+                                    ResultCode::MalformedAnswer};
     if (!Lost || !InTime || !Ready_.Backup_ || Continues_ || CallerLeft_ ||
         std::ranges::count(RunLost, LastFailure_.Code_) == 0)
       return;
@@ -536,8 +537,8 @@
     co_return AttemptEnd::NotRun;
   }
 
-  /// Reads the rest of an answer. \returns ConnectionLost, AnswerTimeout or
-  /// AnswerTooLarge.
+  /// Reads the rest of an answer. \returns ConnectionLost, AnswerTooLarge or
+  /// MalformedAnswer.
   Awaitable<Result<void>> readBody(HttpResponse &Answer) {
     AnswerTurn Turn(Context_.Services_.Memory_);
     while (true) {
@@ -549,7 +550,10 @@
         co_await pauseReading();
       auto Received =
           co_await Ready_.Connection_->readSome(Context_.remaining());
-      if (!Received && Received.error().Code_ != ResultCode::AnswerTooLarge)
+      bool Lost = !Received &&
+                  Received.error().Code_ != ResultCode::AnswerTooLarge &&
+                  Received.error().Code_ != ResultCode::MalformedAnswer;
+      if (Lost)
         co_return Failure{ResultCode::ConnectionLost, "answer broke off"};
       if (!Received)
         co_return Received.error();
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -78,7 +78,7 @@
   ${F}OwnAnswerTest '*after the deadline*' $S/Connection/BackendConnections.cpp \
   's/Connection->lastReceived\(\) >= OldestProof && Connection->hasNoUnexpectedInput\(\)/true/; s/!Connection->reusable\(\) \|\|//'
 mutate whole-body $S/Connection/HttpConnection.cpp \
-  's/if \(Error && !BufferFull\)\s*co_return connectionFailure\(Error\);/if (Error && !BufferFull) co_return std::string();/' \
+  's/if \(Error && !BufferFull\)\s*co_return readFailure\(Error\);/if (Error && !BufferFull) co_return std::string();/' \
   ${F}OwnAnswerTest '*cut off is not passed*'
 mutate resume $S/Request/ModelCall.cpp \
   's/(Awaitable<std::optional<Verdict>> resume\(\) \{\n)/$1    IdleResumes_ = MaxIdleResumes; co_return std::nullopt;\n/' \
@@ -817,6 +817,18 @@
 mutate unframed-cut $S/Request/ForwardedCall.cpp \
   's/BodyEnd::Close && isShownCut\(Answer\)/BodyEnd::Close \&\& false/' \
   ${U}CutAnswer '*cut after any of its bytes*'
+mutate framing-lengths $S/Connection/MessageFraming.cpp \
+  's/bool Plain = [^;]*;/bool Plain = true;/' \
+  ${U}Connection '*one possible end*'
+mutate framing-codings $S/Connection/MessageFraming.cpp \
+  's/Name != "chunked"/!Name.ends_with("chunked")/' \
+  ${U}Connection '*one possible end*'
+mutate framing-trailers $S/Connection/MessageFraming.cpp \
+  's/if \(InTrailers_\)\n    checkLateName\(\);//' \
+  ${U}Connection '*one possible end*'
+mutate framing-of-requests $S/Connection/HttpServer.cpp \
+  's/if \(Framing\.feed\(\{[^}]*\}\)\)/if (true)/; s/if \(!Framing\.fault\(\)\.empty\(\)\)\n/if (false)\n/; s/&& !Framing\.whole\(\)/\&\& false/' \
+  ${F}platform_FramingTest '*hidden in another one*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
