Ask a keeper again whose link was reset or that has started again

Cause: a daemon took each end of its link to a keeper for the keeper's end and asked another one for two seconds. After a reset, the keeper went on granting to the others; after a restart, the new process was the keeper by all views, and the previous one granted beside it for the rest of the time.

Change: a link tells how it was lost (not opened, closed here after a silence, ended by the other side or the network). After a reset the keeper is told on a new link what runs, and asked again for what waits; one that has ended accepts no link, and another one is asked as before. A second reset within 0.5 s counts as unreachable. A new process of a keeper ends its avoidance. The log line names the cause; keeper-link-reset is new.

Ruled out: a refused connection as proof that the process has ended, since a cut may refuse connections too.

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -93,6 +93,12 @@
     Closed();
 }
 
+void FrameChannel::noteError(const error_code &Error) {
+  WasReset_ |= Error == asio::error::eof ||
+               Error == asio::error::connection_reset ||
+               Error == asio::error::broken_pipe;
+}
+
 /// Closes the socket only: readFrames() then ends with an error and calls
 /// Closed_.
 void FrameChannel::closeForMemory(std::string_view Event, std::string_view Name,
@@ -173,6 +179,7 @@
     if (!Error && Target.size() > 0)
       reportProgress(*Begun);
   }
+  noteError(Error);
   co_return Error;
 }
 
@@ -234,6 +241,7 @@
         Rest, asio::redirect_error(asio::use_awaitable, Error));
     LastWritten_ = steady_clock::now();
   }
+  noteError(Error);
   co_return Error;
 }
 
--- a/Source/Connection/FrameChannel.h
+++ b/Source/Connection/FrameChannel.h
@@ -71,6 +71,9 @@
   /// Sets the longest frame that is read from now on, in bytes.
   void setFrameLimit(std::size_t Bytes) { Limits_.FrameBytes_ = Bytes; }
   bool isOpen() const { return Socket_.is_open(); }
+  /// Returns whether the peer, or the network, ended the connection, and not
+  /// this side because of a silent peer or for want of memory.
+  bool wasReset() const { return WasReset_; }
   std::uint64_t bytesSent() const { return BytesSent_; }
 
 private:
@@ -105,6 +108,7 @@
   Awaitable<void> writeFrames();
   Awaitable<void> watchSilence();
   void fail();
+  void noteError(const boost::system::error_code &Error);
   /// Closes the socket and logs \p Event with \p Bytes in the field \p Name.
   void closeForMemory(std::string_view Event, std::string_view Name,
                       std::size_t Bytes);
@@ -126,6 +130,7 @@
   TimePoint LastProgressSent_;
   std::uint64_t BytesSent_ = 0;
   bool Writing_ = false;
+  bool WasReset_ = false;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -23,6 +23,9 @@
 /// How long a keeper is avoided after it could not be reached, or answered that
 /// it has no configuration.
 constexpr milliseconds UnreachableBackoff{2000};
+/// A keeper whose link is reset twice within this time is taken for
+/// unreachable: it may be one that accepts links and closes them at once.
+constexpr milliseconds ReopenPause{500};
 /// How long a keeper is avoided after its answers were overdue: a VM that was
 /// slow for a second is likely to stay slow for a few more.
 constexpr milliseconds SlowBackoff{5000};
@@ -365,13 +368,47 @@
     Found->second.OnSuspend_(Suspend.CopyTo_);
 }
 
-void GrantClient::onLinkDown(const VmId &Keeper) {
+void GrantClient::onLinkDown(const VmId &Keeper, LinkLoss Loss) {
   Hooks_.Check_(Keeper);
-  logEvent(LogCategory::Keeper, spdlog::level::warn, "keeper-unreachable",
-           {{"keeper", Keeper.str()}});
+  bool Reopens = Loss == LinkLoss::Reset && mayReopen(Keeper);
+  logEvent(
+      LogCategory::Keeper, spdlog::level::warn,
+      Reopens ? "keeper-link-reset" : "keeper-unreachable",
+      {{"keeper", Keeper.str()}, {"cause", std::string(linkLossName(Loss))}});
+  if (Reopens)
+    return askAgain(Keeper);
   failOver(Keeper, UnreachableBackoff);
 }
 
+bool GrantClient::mayReopen(const VmId &Keeper) {
+  auto Now = steady_clock::now();
+  std::erase_if(Reopened_, [Now](const auto &Item) {
+    return Now - Item.second >= ReopenPause;
+  });
+  return Reopened_.try_emplace(Keeper, Now).second;
+}
+
+/// Reports to a keeper on a new link what runs, and asks again for what waits.
+/// The end of a connection doesn't show that the keeper has ended. If all
+/// daemons whose link was reset asked another one meanwhile, two would grant
+/// from the same allotments. A keeper that has ended accepts no link.
+void GrantClient::askAgain(const VmId &Keeper) {
+  std::erase_if(InformedKeepers_,
+                [&](const auto &Item) { return Item.second == Keeper; });
+  for (auto &[Id, Target] : GrantedRequests_)
+    if (Target.Keeper_ == Keeper)
+      sendRunning(Target);
+  for (auto &[Id, Target] : PendingRequests_)
+    if (Target.Keeper_ == Keeper)
+      sendGrantRequest(Target);
+}
+
+void GrantClient::onMemberSeen(const VmId &Id, Incarnation Process) {
+  auto Known = Processes_.try_emplace(Id, Process).first;
+  if (std::exchange(Known->second, Process) != Process)
+    Unreachable_.erase(Id);
+}
+
 void GrantClient::failOver(const VmId &Keeper, milliseconds Duration) {
   Unreachable_[Keeper] = steady_clock::now() + Duration;
   std::erase_if(InformedKeepers_,
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -8,6 +8,7 @@
 
 #include "Process/Keeping/Cell.h"
 #include "Process/Keeping/KeeperMessages.h"
+#include "Process/Membership/PeerNetwork.h"
 #include "Process/Scheduling/Scheduler.h"
 #include "Process/Scheduling/ServerHolds.h"
 #include "Version/RcuCell.h"
@@ -98,7 +99,11 @@
   /// it relayed.
   void hold(const ServerStatement &Said);
   void onDecision(const Decision &Made, const VmId &From);
-  void onLinkDown(const VmId &Keeper);
+  /// Asks a keeper again whose link was reset, and fails over from any other.
+  void onLinkDown(const VmId &Keeper, LinkLoss Loss);
+  /// Ends the avoidance of a keeper whose process is a new one. The requests
+  /// move to it at the next rebind().
+  void onMemberSeen(const VmId &Id, Incarnation Process);
   /// Fails over from keepers whose answers are overdue in two consecutive
   /// checks.
   void checkOverdueAnswers(TimePoint Now);
@@ -151,6 +156,8 @@
   void onGrant(const GrantDecision &Grant, const VmId &From);
   void onRefusal(const RefuseDecision &Refusal, const VmId &From);
   void failOver(const VmId &Keeper, std::chrono::milliseconds Duration);
+  bool mayReopen(const VmId &Keeper);
+  void askAgain(const VmId &Keeper);
   void withdrawAll(const VmId &Keeper);
   void onCancel(const CancelDecision &Cancel);
   void onSuspend(const SuspendDecision &Suspend);
@@ -167,6 +174,9 @@
   std::unordered_map<RequestId, GrantedRequest> GrantedRequests_;
   /// Keepers that failed, with the time until which each is avoided.
   std::map<VmId, TimePoint> Unreachable_;
+  /// When the link to each keeper was last opened again after a reset.
+  std::map<VmId, TimePoint> Reopened_;
+  std::map<VmId, Incarnation> Processes_;
   /// Keepers whose answers were overdue at the last check.
   std::set<VmId> OverdueKeepers_;
   std::map<ServerName, KnownLimit> KnownLimits_;
--- a/Source/Process/Membership/PeerNetwork.cpp
+++ b/Source/Process/Membership/PeerNetwork.cpp
@@ -30,6 +30,18 @@
 
 } // namespace
 
+std::string_view linkLossName(LinkLoss Loss) {
+  switch (Loss) {
+  case LinkLoss::Unopened:
+    return "unopened";
+  case LinkLoss::Failed:
+    return "failed";
+  case LinkLoss::Reset:
+    return "reset";
+  }
+  return "failed";
+}
+
 Result<std::unique_ptr<PeerNetwork>>
 PeerNetwork::create(asio::io_context &Control, Endpoint Address, VmId Self,
                     Options Settings, Hooks Callbacks) {
@@ -241,12 +253,16 @@
   if (Found == Links_.end())
     return;
   bool WasOpen = Found->second.Channel_ != nullptr;
-  if (WasOpen)
+  LinkLoss Loss = LinkLoss::Unopened;
+  if (WasOpen) {
     ClosedBytesSent_ += Found->second.Channel_->bytesSent();
+    Loss =
+        Found->second.Channel_->wasReset() ? LinkLoss::Reset : LinkLoss::Failed;
+  }
   Links_.erase(Found);
   if (WasOpen)
     Hooks_.LinkEnded_(To);
-  Hooks_.LinkDown_(To);
+  Hooks_.LinkDown_(To, Loss);
 }
 
 void PeerNetwork::reply(const VmId &To, std::string Message) {
--- a/Source/Process/Membership/PeerNetwork.h
+++ b/Source/Process/Membership/PeerNetwork.h
@@ -15,10 +15,21 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphireshunt {
 
+/// How a link was lost.
+enum class LinkLoss : std::uint8_t {
+  Unopened, ///< It could not be opened.
+  Failed,   ///< This daemon closed it, for example after a silence.
+  Reset     ///< The other daemon, or the network, ended it.
+};
+
+/// Returns the name as operators see it, e.g. "reset".
+std::string_view linkLossName(LinkLoss Loss);
+
 class PeerNetwork {
 public:
   struct Options {
@@ -38,7 +49,7 @@
     /// Called with a message on a link that this daemon opened to \p From.
     std::function<void(const VmId &From, wire::EnvelopeT)> ReplyReceived_;
     /// Called when a link to \p To could not be opened, or broke.
-    std::function<void(const VmId &To)> LinkDown_;
+    std::function<void(const VmId &To, LinkLoss Loss)> LinkDown_;
     /// Called when an open link with \p Other, of either direction, ended.
     std::function<void(const VmId &Other)> LinkEnded_ = [](const VmId &) {};
     /// Called when \p From opened a link, which replaces its earlier ones.
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -221,8 +221,8 @@
   Hooks.LinkEnded_ = [this](const VmId &Other) {
     Members_->linkEnded(Other, steady_clock::now());
   };
-  Hooks.LinkDown_ = [this](const VmId &To) {
-    Grants_->onLinkDown(To);
+  Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
+    Grants_->onLinkDown(To, Loss);
     if (PeerFollower_)
       PeerFollower_->onLinkDown(To);
   };
@@ -909,6 +909,7 @@
 void Daemon::onMemberChanged(const Member &Changed) {
   MemberLog_.changed(Changed);
   membersChanged();
+  Grants_->onMemberSeen(Changed.Id_, Changed.Incarnation_);
   scheduleRefresh();
   if (Changed.Status_ != MemberStatus::Dead)
     return;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -362,6 +362,12 @@
 mutate allotment-overflow $S/Process/Scheduling/AllotmentLedger.cpp \
   's/ \* Seconds \+ Overflow;/ * Seconds;/' \
   ${U}AllotmentOfManyCells '*'
+mutate keeper-reset $S/Process/Keeping/GrantClient.cpp \
+  's/Loss == LinkLoss::Reset && mayReopen\(Keeper\)/false/' \
+  ${U}Process '*link was reset*'
+mutate keeper-started-again $S/Process/Keeping/GrantClient.cpp \
+  's/    Unreachable_\.erase\(Id\);/    return;/' \
+  ${U}Process '*until it starts again*'
 
 mutate crash-refused $S/Process/Scheduling/CrashHistory.cpp \
   's/\.ToRefuse_ = 3/.ToRefuse_ = 1000/' \
--- a/UnitTests/Process/Keeping/GrantClientTest.cpp
+++ b/UnitTests/Process/Keeping/GrantClientTest.cpp
@@ -106,7 +106,7 @@
   // by its request.
   IngressDaemon Ingress;
   Ingress.acquire();
-  Ingress.Client_.onLinkDown(VmId("first"));
+  Ingress.Client_.onLinkDown(VmId("first"), LinkLoss::Failed);
   CHECK(Ingress.sent("second", wire::Body::Ask) == 1);
   Ingress.grantFrom("first", "e1");
   CHECK(Ingress.Answers_.empty());
@@ -116,6 +116,43 @@
   CHECK(Ingress.Answers_[0].Server_ == ServerName("e2"));
 }
 
+TEST_CASE("a keeper whose link was reset is asked again") {
+  // Guards against a customer that gets more than its allotment: daemons whose
+  // links were reset would ask another keeper for two seconds, beside theirs.
+  IngressDaemon Ingress;
+  Ingress.acquire();
+  Ingress.grantFrom("first", "e1");
+  Ingress.Client_.onLinkDown(VmId("first"), LinkLoss::Reset);
+  CHECK(Ingress.sent("first", wire::Body::Running) == 1);
+  Ingress.Client_.done(Id, ServedSample());
+  Ingress.acquire();
+  CHECK(Ingress.sent("first", wire::Body::Ask) == 2);
+  // It accepts links and closes them.
+  Ingress.Client_.onLinkDown(VmId("first"), LinkLoss::Reset);
+  CHECK(Ingress.sent("first", wire::Body::Ask) == 2);
+  CHECK(Ingress.sent("second", wire::Body::Ask) == 1);
+}
+
+TEST_CASE("a keeper whose process has ended is skipped until it starts again") {
+  // Guards against a customer that gets more than its allotment: after a
+  // restart, daemons would ask the previous keeper for the rest of two seconds,
+  // and the present one would grant beside it.
+  IngressDaemon Ingress;
+  Ingress.Client_.onMemberSeen(VmId("first"), Incarnation(1));
+  Ingress.acquire();
+  for (LinkLoss Loss : {LinkLoss::Reset, LinkLoss::Unopened})
+    Ingress.Client_.onLinkDown(VmId("first"), Loss);
+  CHECK(Ingress.sent("second", wire::Body::Ask) == 1);
+  // Others reach the same process; this daemon does not.
+  Ingress.Client_.onMemberSeen(VmId("first"), Incarnation(1));
+  Ingress.Client_.rebind();
+  CHECK(Ingress.sent("first", wire::Body::Ask) == 2);
+  Ingress.Client_.onMemberSeen(VmId("first"), Incarnation(2));
+  Ingress.Client_.rebind();
+  CHECK(Ingress.sent("second", wire::Body::Withdraw) == 1);
+  CHECK(Ingress.sent("first", wire::Body::Ask) == 3);
+}
+
 TEST_CASE("running requests are reported to a new keeper") {
   // An engine would get twice its limit after the link to a keeper breaks while
   // a request runs, if the new keeper knows only what it granted itself.
@@ -124,7 +161,7 @@
   Ingress.grantFrom("first", "e1");
   Ingress.Client_.dispatched(Id, nullptr);
   Ingress.settle();
-  Ingress.Client_.onLinkDown(VmId("first"));
+  Ingress.Client_.onLinkDown(VmId("first"), LinkLoss::Failed);
   CHECK(Ingress.sent("second", wire::Body::Running) == 1);
   Ingress.Client_.done(Id, ServedSample());
   Ingress.settle();
@@ -143,7 +180,7 @@
   CHECK(Ingress.sent("first", wire::Body::ServerLimit) == 1);
   Ingress.Client_.done(Id, ServedSample());
   Ingress.settle();
-  Ingress.Client_.onLinkDown(VmId("first"));
+  Ingress.Client_.onLinkDown(VmId("first"), LinkLoss::Failed);
   Ingress.acquire();
   auto ToSecond = [](const auto &Message) { return Message.first == "second"; };
   auto First = std::ranges::find_if(Ingress.Sent_, ToSecond);
@@ -325,7 +362,7 @@
   // after all.
   IngressDaemon Ingress;
   Ingress.acquire();
-  Ingress.Client_.onLinkDown(VmId("first"));
+  Ingress.Client_.onLinkDown(VmId("first"), LinkLoss::Failed);
   REQUIRE(Ingress.sent("second", wire::Body::Ask) == 1);
   RefuseDecision Stale{
       Id, ResultCode::WaitTooLong, std::chrono::milliseconds(0), {}};
--- a/UnitTests/Process/Membership/PeerNetworkTest.cpp
+++ b/UnitTests/Process/Membership/PeerNetworkTest.cpp
@@ -70,6 +70,7 @@
   void send(const VmId &To, std::string Message) {
     Client_->send(To, std::move(Message));
   }
+  void stopServer(std::size_t Index) { Servers_[Index]->stop(); }
   const PeerNetwork &server(std::size_t Index) const {
     return *Servers_[Index];
   }
@@ -107,6 +108,7 @@
   /// Called with each daemon whose link broke or could not be opened.
   std::function<void(const VmId &)> OnDown_;
   std::multiset<VmId> Down_;
+  std::multimap<VmId, LinkLoss> Losses_;
   std::multiset<VmId> Received_;
 
 private:
@@ -133,7 +135,8 @@
   }
   PeerNetwork::Hooks clientHooks() {
     PeerNetwork::Hooks Hooks;
-    Hooks.LinkDown_ = [this](const VmId &To) {
+    Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
+      Losses_.emplace(To, Loss);
       Down_.insert(To);
       if (OnDown_)
         OnDown_(To);
@@ -254,3 +257,19 @@
   Daemons.pollUntil([&] { return Daemons.Received_.count(To) > 0; });
   CHECK(Daemons.Received_.count(To) == 1);
 }
+
+TEST_CASE(
+    "a link that the other daemon ends is told from one that never opens") {
+  // Guards against a daemon that avoids another one for seconds because its
+  // link was reset, though that one goes on.
+  Fleet Daemons;
+  const VmId To = namesOf("early").front();
+  Daemons.send(To);
+  Daemons.pollUntil([&] { return Daemons.Received_.count(To) > 0; });
+  Daemons.stopServer(0);
+  Daemons.send(Refusing);
+  Daemons.pollUntil([&] { return Daemons.Down_.size() == 2; });
+  CHECK(Daemons.Losses_ ==
+        std::multimap<VmId, LinkLoss>{{To, LinkLoss::Reset},
+                                      {Refusing, LinkLoss::Unopened}});
+}
