--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -73,7 +73,7 @@
   }
   Root["relayedConnections"] = Relay_->connections();
   Root["activeRequests"] = CallerServer_->activeExchanges();
-  Root["liveShare"] = Members_->liveShare();
+  Root["liveShare"] = Members_->reachableShare();
   Root["controlBytesSent"] =
       Membership_->protocol().bytesSent() + Peers_->bytesSent();
   Root["gossipBytesReceived"] = Membership_->protocol().bytesReceived();
@@ -234,7 +234,7 @@
   Metrics_.setGauge("streams_suspended", Suspended);
   Metrics_.setGauge("suspensions_ordered", Ordered);
   Metrics_.setGauge("suspensions_failed", Failed);
-  Metrics_.setGauge("live_share", Members_->liveShare());
+  Metrics_.setGauge("live_share", Members_->reachableShare());
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
   Metrics_.setGauge("configuration_age_seconds",
                     std::chrono::duration<double>(configurationAge()).count());
