--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -221,8 +221,8 @@
   Hooks.LinkEnded_ = [this](const VmId &Other) {
     Members_->linkEnded(Other, steady_clock::now());
   };
-  Hooks.LinkDown_ = [this](const VmId &To) {
-    Grants_->onLinkDown(To);
+  Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
+    Grants_->onLinkDown(To, Loss);
     if (PeerFollower_)
       PeerFollower_->onLinkDown(To);
   };
@@ -412,6 +412,7 @@
     return keeperFor(Cell, {}) == Settings_.Vm_;
   };
   Hooks.LiveShare_ = [this] { return Members_->liveShare(); };
+  Hooks.ReachableShare_ = [this] { return Members_->reachableShare(); };
   Hooks.FloorRaised_ = [this] { Membership_->spreadUpdates(); };
   Hooks.Ended_ = [this](const ServerName &Server, const ServedSample &Sample) {
     Crashes_.requestEnded(Server, Sample);
@@ -535,7 +536,7 @@
     return PeerFollower_->hasSource() &&
            Freshness_.age(BootClock::now()) < RolloutStateAge;
   };
-  Hooks.LiveShare_ = [this] { return Members_->liveShare(); };
+  Hooks.LiveShare_ = [this] { return Members_->reachableShare(); };
   Hooks.CountRunning_ =
       [this](const PoolName &Pool,
              const std::function<bool(const ServerName &)> &Matches) {
@@ -927,6 +928,7 @@
 void Daemon::onMemberChanged(const Member &Changed) {
   MemberLog_.changed(Changed);
   membersChanged();
+  Grants_->onMemberSeen(Changed.Id_, Changed.Incarnation_);
   scheduleRefresh();
   if (Changed.Status_ != MemberStatus::Dead)
     return;
