Refuse an item of the service's answer alone, not the whole answer

What callers saw: another writer left one entry that can't be read. Each list and each watch failed from then on, and the daemons followed neither configuration nor servers as long as the entry stood. With a value that is no UTF-8, on our own service, they wrote no line either.

Cause: the readers of both services returned the failure of one item as the failure of the answer. In the silent case the stand-in of the service could not write such a value as JSON and dropped the connection ("end of stream" at the daemons); ConfigurationSync never said that its calls fail.

Change: items are read one by one (Configuration/ItemReader). One without a readable value, revision or key, or with bytes that are not UTF-8, goes into KeyValueList::Refused_ with its key and cause; RefusedItems logs it once (item-refused, 501), counts it (items_refused, items_refused_now) and shows it in /status. The view treats it as an entry whose value can't be parsed: a server's entry that is overwritten names no server, the last configuration stays active. A list with an item without a key removes nothing; a page without any key to continue after is a failure of the list, since the rest would be taken for removed. A watch goes on after refused items. An exception of any kind for one entry is logged with its key (entry-not-applied) and ends neither the other entries nor the coroutine. ConfigurationSync logs platform-lost and platform-regained. A daemon whose own entry can't be written pauses before it tries again.

Tests: the five odd items in "an answer whose members are of another type" were expected to fail the answer, which is this fault; they are expected to be refused alone now, with seven others, for a list and a watch, with key and position. What is odd in the answer itself is expected to fail it as before, with two cases more.

The nested entries (200,000 levels) on the platform's way were refused before; the test with real daemons has one of them all the same.

--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -216,3 +216,10 @@
   constexpr int Invalid = 1;
   CHECK(Fleet.tool({"get", "odd"}).first == Invalid);
 }
+
+TEST_CASE("a document of another writer that is not UTF-8 hides no change") {
+  // Each answer of the service with such a value failed, and the daemons
+  // followed nothing more without a line in their logs.
+  Cluster Fleet;
+  putAndFollow(Fleet, "\xff\xfe");
+}
--- a/FailureTests/platform/PlannedWorkTest.cpp
+++ b/FailureTests/platform/PlannedWorkTest.cpp
@@ -116,6 +116,39 @@
   CHECK(Environment.violations().empty());
 }
 
+TEST_CASE("odd entries of another writer end no daemon and hide no change") {
+  // Guards against daemons that end again and again, or follow nothing more,
+  // while an entry stands that they can't read.
+  constexpr std::size_t Levels = 200000;
+  SoakEnvironment Environment(Seed);
+  SoakFleet Fleet(Seed, Environment);
+  REQUIRE(probeUntilHealthy(Environment).empty());
+  Environment.startCallers(Callers);
+  std::string Deep = std::string(Levels, '[') + std::string(Levels, ']');
+  Environment.putEntry("servers/odd-deep", Deep);
+  Environment.putEntry("servers/odd-bytes", "\xff\xfe");
+  Environment.putEntry("servers/odd-item", "x", "no base64!");
+  Environment.putEntry("op/rollout/odd", Deep);
+  std::string RevokedKey = Environment.revokeKey();
+  Environment.replaceEngine();
+  CHECK(eventually([&] { return Environment.statusWithKey(RevokedKey) == 401; },
+                   std::chrono::seconds(2)));
+  Fleet.kill(1);
+  Fleet.start(1);
+  auto Failed = probeUntilHealthy(Environment);
+  CHECK_MESSAGE(Failed.empty(), Failed.front());
+  Environment.stopCallers();
+  auto Violations = Environment.violations();
+  CHECK_MESSAGE(Violations.empty(), Violations.front());
+  for (const char *Key : {"odd-deep", "odd-bytes", "servers/odd-item"}) {
+    CAPTURE(Key);
+    bool Logged = false;
+    for (std::size_t Index = 0; Index < SoakFleet::Daemons; ++Index)
+      Logged = Logged || Fleet.hasLogged(Index, Key);
+    CHECK(Logged);
+  }
+}
+
 TEST_CASE("all daemons start beside an older copy of the store") {
   // Guards against daemons that have no memory of the newer state and serve
   // nothing, or by the copy once the operator has written again.
--- a/FailureTests/platform/SoakEnvironment.cpp
+++ b/FailureTests/platform/SoakEnvironment.cpp
@@ -892,6 +892,15 @@
   run([&] { Store_.dropHistory(); });
 }
 
+void SoakEnvironment::putEntry(const std::string &Key, const std::string &Value,
+                               const std::optional<std::string> &Item) {
+  run([&] {
+    if (Item)
+      Store_.OddItems_[Key] = *Item;
+    Store_.put(Key, Value);
+  });
+}
+
 void SoakEnvironment::takeStoreCopy() {
   run([&] { Store_.takeBackup(); });
 }
--- a/FailureTests/platform/SoakEnvironment.h
+++ b/FailureTests/platform/SoakEnvironment.h
@@ -100,6 +100,10 @@
   void failStore(int Status);
   void silenceStore(bool Silent);
   void dropHistory();
+  /// Writes an entry to the store, as another writer would. If \p Item is set,
+  /// the store's answers contain it instead of the value in base64.
+  void putEntry(const std::string &Key, const std::string &Value,
+                const std::optional<std::string> &Item = std::nullopt);
   void takeStoreCopy();
   /// Makes the store unavailable for \p Away and then restores it from the
   /// copy. Afterwards the operator and the engines write their entries again,
--- a/Source/Common/JsonReader.h
+++ b/Source/Common/JsonReader.h
@@ -42,6 +42,13 @@
 /// nesting depth does not matter.
 bool isJson(std::string_view Text);
 
+/// \returns whether \p Text is UTF-8, as JSON has to be.
+bool isUtf8(std::string_view Text);
+
+/// \returns \p Text with each byte that is no part of a UTF-8 sequence replaced
+/// by U+FFFD.
+std::string withReplacedBytes(std::string_view Text);
+
 /// \returns what \p Read returns, or a failure with \p Code if it throws. Bad
 /// data causes exceptions of the JSON library and of the standard library
 /// alike; one that escaped would end the reading coroutine.
--- a/Source/Process/Configuration/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -2,11 +2,13 @@
 
 #include "Common/Log.h"
 #include "Connection/Spawn.h"
+#include "Process/Configuration/RefusedItems.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -44,12 +46,13 @@
     auto Wait = All ? milliseconds(0) : Options_.WatchTime_;
     auto Changes = co_await Platform_.Watch_(DocumentKeyPrefix, After, Wait);
     PlatformReachable_ = Changes.has_value();
+    logReachable(Changes ? Failure() : Changes.error());
     if (!Changes) {
       co_await pause(Options_.RetryTime_);
       continue;
     }
     for (const KeyValue &Entry : Changes->Entries_)
-      adoptEntry(Entry);
+      applyGuarded(Entry.Key_, [&] { adoptEntry(Entry); });
     // After a restore from an older backup, the watch must not wait for the old
     // revision, which the service may not reach for a long time. Nor is a
     // revision of the former era valid, since the service assigns it again.
@@ -61,6 +64,20 @@
   }
 }
 
+/// A call may fail although the service is available; the one after it shows
+/// whether it is.
+void ConfigurationSync::logReachable(const Failure &Cause) {
+  constexpr int LostAt = 2;
+  if (PlatformReachable_) {
+    if (std::exchange(Failures_, 0) >= LostAt)
+      logEvent(LogCategory::Process, spdlog::level::info, "platform-regained");
+  } else if (++Failures_ == LostAt) {
+    logEvent(LogCategory::Process, spdlog::level::warn, "platform-lost",
+             {{"code", std::to_string(static_cast<int>(Cause.Code_))},
+              {"detail", Cause.Detail_}});
+  }
+}
+
 void ConfigurationSync::adoptEntry(const KeyValue &Entry) {
   std::string_view Prefix(DocumentKeyPrefix);
   ServiceName Service(Entry.Key_.substr(Prefix.size()));
@@ -72,7 +89,9 @@
   auto Decoded = VersionedDocument::decode(Encoded);
   if (!Decoded) {
     logEvent(LogCategory::Version, spdlog::level::err, "undecodable",
-             {{"service", Service.str()}, {"detail", Decoded.error().Detail_}});
+             {{"service", Service.str()},
+              {"code", std::to_string(static_cast<int>(Decoded.error().Code_))},
+              {"detail", Decoded.error().Detail_}});
     return;
   }
   auto &Newest = NewestAnnounced_[Service];
--- a/Source/Process/Configuration/ConfigurationSync.h
+++ b/Source/Process/Configuration/ConfigurationSync.h
@@ -55,6 +55,7 @@
   Awaitable<void> listVms();
   Awaitable<void> pause(std::chrono::milliseconds Time);
   void adoptEntry(const KeyValue &Entry);
+  void logReachable(const Failure &Cause);
   /// True if the active documents are as new as every version learned of.
   bool upToDate() const;
   void noteLag();
@@ -69,6 +70,8 @@
   std::chrono::steady_clock::time_point Started_;
   bool PlatformRead_ = false;
   bool PlatformReachable_ = false;
+  /// Consecutive failed calls.
+  int Failures_ = 0;
   bool ExpectsPeers_ = true;
   bool WasReady_ = false;
   bool Stopped_ = false;
--- a/Source/Process/Configuration/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -1,4 +1,4 @@
-#include "Common/JsonReader.h"
+#include "Process/Configuration/ItemReader.h"
 #include "Process/Configuration/Platform.h"
 #include "Process/Configuration/StoreEraHeader.h"
 
@@ -11,26 +11,24 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
-/// A parsed body. Wrapped, since a JSON value converts from anything, including
-/// failures.
-struct JsonBody {
-  Json Root_;
-  StoreEra Era_;
-};
-
-StorePosition positionFromJson(const JsonBody &Body, const Json &Holder) {
+StorePosition positionFromJson(const StoreAnswer &Body, const Json &Holder) {
   return {Body.Era_, Revision(Holder.at("revision").get<std::uint64_t>())};
 }
 
-KeyValue keyValueFromJson(const JsonBody &Body, const Json &Entry) {
+KeyValue keyValueFromJson(const StoreAnswer &Body, const Json &Entry) {
   return {Entry.at("key").get<std::string>(),
           Entry.at("value").get<std::string>(), positionFromJson(Body, Entry)};
 }
 
-KeyValueList listFromJson(const JsonBody &Body) {
+Result<KeyValueList> listFromJson(const StoreAnswer &Body) {
   KeyValueList List;
-  for (const Json &Entry : Body.Root_.at("entries"))
-    List.Entries_.push_back(keyValueFromJson(Body, Entry));
+  ItemReader Read = [&Body](const Json &Entry) -> Result<KeyValue> {
+    return keyValueFromJson(Body, Entry);
+  };
+  auto Done = readItems(Body, Body.Root_.at("entries"), {"key", "revision"},
+                        Read, List);
+  if (!Done)
+    return Done.error();
   List.Position_ = positionFromJson(Body, Body.Root_);
   return List;
 }
@@ -47,8 +45,8 @@
 
 /// Makes one call. A status of 200 returns the body; any other becomes a
 /// failure.
-Awaitable<Result<JsonBody>> call(Endpoint Address, HttpRequest Request,
-                                 milliseconds Timeout) {
+Awaitable<Result<StoreAnswer>> call(Endpoint Address, HttpRequest Request,
+                                    milliseconds Timeout) {
   auto Response = co_await httpCall(Address, std::move(Request), Timeout,
                                     MaxStoreAnswerBytes);
   if (!Response)
@@ -64,16 +62,13 @@
   if (Response->Status_ != 200)
     co_return Failure{ResultCode::PlatformUnavailable,
                       fmt::format("status {}", Response->Status_)};
-  auto Parsed = readJson(Response->Body_);
-  if (!Parsed)
-    co_return Failure{ResultCode::PlatformUnavailable, Parsed.error().Detail_};
-  co_return JsonBody{std::move(Parsed->Root_), *Era};
+  co_return readStoreAnswer(Response->Body_, *Era);
 }
 
 /// Runs \p Convert on the body. A body of an unexpected structure is a failure
 /// of the service, not of this program.
 template <class Value, class Function>
-Result<Value> convert(const Result<JsonBody> &Body, Function Convert) {
+Result<Value> convert(const Result<StoreAnswer> &Body, Function Convert) {
   if (!Body)
     return Body.error();
   return readGuarded<Value>(ResultCode::PlatformUnavailable,
@@ -87,9 +82,10 @@
   auto Body = co_await call(Address, std::move(Request), Timeout);
   if (!Body && Body.error().Code_ == ResultCode::NotFound)
     co_return std::optional<KeyValue>();
-  co_return convert<std::optional<KeyValue>>(Body, [](const JsonBody &Entry) {
-    return std::optional(keyValueFromJson(Entry, Entry.Root_));
-  });
+  co_return convert<std::optional<KeyValue>>(
+      Body, [](const StoreAnswer &Entry) {
+        return std::optional(keyValueFromJson(Entry, Entry.Root_));
+      });
 }
 
 Awaitable<Result<StorePosition>> put(Endpoint Address, milliseconds Timeout,
@@ -104,7 +100,7 @@
   auto Body = co_await call(Address, std::move(Request), Timeout);
   if (Body && spansEras(Write.Expected_, Body->Era_))
     co_return Failure{ResultCode::StoreRestored, "a write spans two eras"};
-  co_return convert<StorePosition>(Body, [](const JsonBody &Done) {
+  co_return convert<StorePosition>(Body, [](const StoreAnswer &Done) {
     return positionFromJson(Done, Done.Root_);
   });
 }
@@ -146,7 +142,7 @@
   HttpRequest Request;
   Request.Target_ = "/v1/vms";
   auto Body = co_await call(Address, std::move(Request), Timeout);
-  co_return convert<std::vector<ListedVm>>(Body, [](const JsonBody &Listed) {
+  co_return convert<std::vector<ListedVm>>(Body, [](const StoreAnswer &Listed) {
     std::vector<ListedVm> List;
     for (const Json &Entry : Listed.Root_.at("vms"))
       List.push_back(vmFromJson(Entry));
--- a/Source/Process/Configuration/Platform.h
+++ b/Source/Process/Configuration/Platform.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,10 +46,26 @@
   bool Deleted_ = false;
 };
 
+/// An item of an answer that can't be read.
+struct RefusedItem {
+  /// Position of the write; revision 0 if that can't be read either.
+  StorePosition Position_;
+  std::string Detail_;
+  bool operator==(const RefusedItem &) const = default;
+};
+
 /// Entries under a prefix, and the position up to which they are complete.
 struct KeyValueList {
   std::vector<KeyValue> Entries_;
   StorePosition Position_;
+  /// The items that can't be read, by key, which is empty if it can't be read
+  /// either. A key is here only if the item is newer than those of Entries_
+  /// with the same key.
+  std::map<std::string, RefusedItem> Refused_{};
+
+  /// \returns whether each item has a key, so that a key that is neither in
+  /// Entries_ nor in Refused_ does not exist.
+  bool hasAllKeys() const { return !Refused_.contains(""); }
 };
 
 struct KeyValueWrite {
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -339,13 +339,16 @@
   // changes ends without entries, although its revision shows that there were
   // some. Accepting that revision would send work to a server that left,
   // permanently.
-  if (Changes->Entries_.empty() && After_ < Changes->Position_)
+  bool Empty = Changes->Entries_.empty() && Changes->Refused_.empty();
+  if (Empty && After_ < Changes->Position_)
     co_return Failure{ResultCode::HistoryLost, "a watch omitted changes"};
   for (const KeyValue &Entry : Changes->Entries_)
     View_.apply(Entry);
+  for (const auto &[Key, Item] : Changes->Refused_)
+    View_.refuse(Key, Item);
   After_ = Changes->Position_;
   View_.advance(After_);
-  SawChanges_ = !Changes->Entries_.empty();
+  SawChanges_ = !Empty;
   appliedAsOf(SentAt);
   renewLease();
   co_return Result<void>();
@@ -378,8 +381,9 @@
   auto Code = Written.error().Code_;
   if (Code == ResultCode::VersionConflict || Code == ResultCode::StoreRestored)
     NeedsList_ = true;
-  else
-    co_await sleep(Options_.FirstPause_);
+  // The revision of the entry there may be one that can't be read, and then
+  // each write meets another one.
+  co_await sleep(Options_.FirstPause_);
 }
 
 Awaitable<void> StoreFollower::dropMissingLater() {
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -1,6 +1,7 @@
 #include "Process/Configuration/StoreView.h"
 
 #include "Common/Log.h"
+#include "Process/Configuration/RefusedItems.h"
 
 #include <fmt/format.h>
 
@@ -10,6 +11,17 @@
 
 namespace samphireshunt {
 
+namespace {
+
+std::set<std::string_view> keysOf(const std::vector<KeyValue> &Entries) {
+  std::set<std::string_view> Keys;
+  for (const KeyValue &Entry : Entries)
+    Keys.insert(Entry.Key_);
+  return Keys;
+}
+
+} // namespace
+
 StoreView::StoreView(DocumentStore &Documents, StoreLayout Layout, Times Limits)
     : Documents_(Documents), Layout_(std::move(Layout)),
       RolloutPrefixes_(Layout_.RolloutStatePrefixes_),
@@ -85,6 +97,10 @@
 }
 
 void StoreView::applyFrom(Source From, const KeyValue &Entry) {
+  applyGuarded(Entry.Key_, [&] { applyUnguarded(From, Entry); });
+}
+
+void StoreView::applyUnguarded(Source From, const KeyValue &Entry) {
   const std::string &Key = Entry.Key_;
   if (Key == Layout_.ConfigurationKey_ && !Entry.Deleted_)
     return adopt(Entry);
@@ -120,10 +136,7 @@
 
 /// An order that was lost with a restore is not withdrawn: the operator writes
 /// it again.
-void StoreView::retainRollouts(const std::vector<KeyValue> &Complete) {
-  std::set<std::string_view> Keys;
-  for (const KeyValue &Entry : Complete)
-    Keys.insert(Entry.Key_);
+void StoreView::retainRollouts(const std::set<std::string_view> &Keys) {
   for (const std::string &Prefix : RolloutPrefixes_) {
     auto Keep = [&](const std::string &Name) {
       const KeyValue *Known = Log_.find(Prefix + Name);
@@ -162,18 +175,36 @@
 void StoreView::listed(const KeyValueList &All) {
   Unconfirmed_.clear();
   Daemons_.clear();
-  std::set<ServerName> Servers;
-  for (const KeyValue &Entry : All.Entries_) {
-    if (Entry.Key_.starts_with(Layout_.ServerPrefix_))
-      Servers.emplace(Entry.Key_.substr(Layout_.ServerPrefix_.size()));
+  for (const KeyValue &Entry : All.Entries_)
     apply(Entry);
-  }
-  retainRollouts(All.Entries_);
+  for (const auto &[Key, Item] : All.Refused_)
+    refuse(Key, Item);
+  if (All.hasAllKeys())
+    retainKeys(All);
+  advance(All.Position_);
+}
+
+void StoreView::retainKeys(const KeyValueList &All) {
+  std::set<std::string_view> Keys = keysOf(All.Entries_);
+  for (const auto &[Key, Item] : All.Refused_)
+    Keys.insert(Key);
+  std::set<ServerName> Servers;
+  for (std::string_view Key : Keys)
+    if (Key.starts_with(Layout_.ServerPrefix_))
+      Servers.emplace(std::string(Key.substr(Layout_.ServerPrefix_.size())));
+  retainRollouts(Keys);
   std::erase_if(Rejected_, [&](const auto &Item) {
     return !Servers.contains(ServerName(Item.first));
   });
   DirectoryChanged_ |= Directory_.listed(Servers, Hooks_.Now_());
-  advance(All.Position_);
+}
+
+void StoreView::refuse(const std::string &Key, const RefusedItem &Item) {
+  KeyValue Entry{Key, "", Item.Position_, false};
+  if (!Key.starts_with(Layout_.ServerPrefix_))
+    return apply(Entry);
+  rejectServer(Key.substr(Layout_.ServerPrefix_.size()), Entry,
+               {ResultCode::DocumentSchema, Item.Detail_});
 }
 
 void StoreView::dropMissing() {
@@ -305,7 +336,7 @@
   }
   if (Changes.Complete_) {
     retainListed(Servers);
-    retainRollouts(Changes.Entries_);
+    retainRollouts(keysOf(Changes.Entries_));
   }
   advance(Reached);
   publish();
@@ -436,7 +467,9 @@
   if (!Read) {
     logEvent(LogCategory::Version, spdlog::level::err,
              "configuration-not-understood",
-             {{"detail", Read.error().Detail_}});
+             {{"code", std::to_string(static_cast<int>(Read.error().Code_))},
+              {"detail", Read.error().Detail_},
+              {"revision", std::to_string(Entry.Position_.Revision_.count())}});
     return;
   }
   ConfigurationPosition_ = Entry.Position_;
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -85,7 +85,11 @@
   Result<void> reached(const StorePosition &Answered);
   /// Applies one entry that was read or has changed; publish() activates it.
   void apply(const KeyValue &Entry);
-  /// Applies a complete list of all keys.
+  /// Applies an item whose value can't be read, like an entry whose value can't
+  /// be parsed.
+  void refuse(const std::string &Key, const RefusedItem &Item);
+  /// Applies a list of all keys. Servers and roll-outs that are not in it are
+  /// removed, unless it has an item without a key.
   void listed(const KeyValueList &All);
   void outageBegan() { Directory_.outageBegan(); }
   void outageEnded() { Directory_.outageEnded(Hooks_.Now_()); }
@@ -149,11 +153,13 @@
   void beginEra(const StorePosition &First);
   void logEra();
   void applyFrom(Source From, const KeyValue &Entry);
+  void applyUnguarded(Source From, const KeyValue &Entry);
+  void retainKeys(const KeyValueList &All);
   void applyDaemon(const VmId &Daemon, const KeyValue &Entry);
   bool isRolloutKey(const std::string &Key) const;
   void applyRollout(const KeyValue &Entry);
   /// Removes the entries of roll-outs that are not in a complete state.
-  void retainRollouts(const std::vector<KeyValue> &Complete);
+  void retainRollouts(const std::set<std::string_view> &Keys);
   void applyServer(Source From, const std::string &Name, const KeyValue &Entry);
   Admission admits(Source From, const std::string &Name,
                    const BackendServer &Server,
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -177,7 +177,9 @@
   });
   Origin_ = stableHash(Settings_.Vm_.str(), Incarnation_.count());
   Platform_ = measuredPlatform(
-      Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_),
+      notingRefusedItems(
+          Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_),
+          RefusedItems_),
       [this](const std::string &Call, bool Succeeded,
              std::chrono::microseconds Time) {
         Metrics_.reportPlatformCall(Call, Succeeded, Time);
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -6,6 +6,7 @@
 #include "Connection/MemoryBudget.h"
 #include "Process/Configuration/ConfigurationSync.h"
 #include "Process/Configuration/PeerFollower.h"
+#include "Process/Configuration/RefusedItems.h"
 #include "Process/Configuration/StoreFollower.h"
 #include "Process/Keeping/EngineMonitor.h"
 #include "Process/Keeping/KeeperChoice.h"
@@ -187,6 +188,7 @@
   /// Processes of other daemons that were replaced unannounced.
   std::uint64_t RestartedMembers_ = 0;
   PreviousProcess PreviousProcess_;
+  RefusedItems RefusedItems_;
   std::unique_ptr<PeerNetwork> Peers_;
   std::unique_ptr<MembershipService> Membership_;
   /// A cache that const reports fill too.
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <ranges>
+
 namespace samphireshunt {
 
 using Json = nlohmann::json;
@@ -38,6 +40,18 @@
       Freshness_.age(BootClock::now()));
 }
 
+namespace {
+
+Json keysAndDetails(const std::map<std::string, RefusedItem> &Refused) {
+  constexpr std::size_t MaxListed = 20;
+  Json Listed = Json::array();
+  for (const auto &[Key, Item] : Refused | std::views::take(MaxListed))
+    Listed.push_back({{"key", Key}, {"detail", Item.Detail_}});
+  return Listed;
+}
+
+} // namespace
+
 std::string Daemon::status() const {
   Json Root;
   Root["vm"] = Settings_.Vm_.str();
@@ -52,6 +66,8 @@
   Root["platformReachable"] = platformReachable();
   Root["configurationAgeMs"] = configurationAge().count();
   Root["configurationBehindMs"] = millis(Freshness_.behind(BootClock::now()));
+  if (!RefusedItems_.current().empty())
+    Root["refusedItems"] = keysAndDetails(RefusedItems_.current());
   if (PeerFollower_) {
     Root["follows"] = Follower_->paused() && PeerFollower_->reader()
                           ? Json(PeerFollower_->reader()->str())
@@ -235,6 +251,10 @@
   Metrics_.setGauge("suspensions_ordered", Ordered);
   Metrics_.setGauge("suspensions_failed", Failed);
   Metrics_.setGauge("live_share", Members_->liveShare());
+  Metrics_.setGauge("items_refused",
+                    static_cast<double>(RefusedItems_.count()));
+  Metrics_.setGauge("items_refused_now",
+                    static_cast<double>(RefusedItems_.current().size()));
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
   Metrics_.setGauge("configuration_age_seconds",
                     std::chrono::duration<double>(configurationAge()).count());
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -255,7 +255,7 @@
   's/std::string Prefix = ownKey\(\);/std::string Prefix = View_.layout().ConfigurationKey_;/' \
   ${U}platform '*large configuration is read once*'
 mutate untold-changes $S/Process/Configuration/StoreFollower.cpp \
-  's/if \(Changes->Entries_\.empty\(\) && After_ < Changes->Position_\)/if (false)/' \
+  's/if \(Empty && After_ < Changes->Position_\)/if (false)/' \
   ${U}platform '*ends past changes*'
 mutate answer-comes $S/Process/Configuration/StoreFollower.cpp \
   's/ && !answerArriving\(\)\)/)/' \
@@ -778,6 +778,15 @@
 mutate nested-configuration $S/Common/JsonReader.cpp \
   's/nestsDeeperThan\(Text, MaxJsonNesting\)/false/' \
   ${U}platform '*deeply nested configuration*'
+mutate refused-alone $S/Process/Configuration/ItemReader.cpp \
+  's/(    \} else \{\n)/$1      return Entry.error();\n/' \
+  ${U}platform "*item that can't be read is refused alone*"
+mutate refused-present $S/Process/Configuration/StoreView.cpp \
+  's/if \(All\.hasAllKeys\(\)\)/if (true)/' \
+  ${U}platform '*item without a key removes no server*'
+mutate refused-no-work $S/Process/Configuration/StoreFollower.cpp \
+  's/    View_\.refuse\(Key, Item\);/    (void)Item;/' \
+  ${U}platform '*odd entry among good ones*'
 mutate nested-text $S/Common/JsonReader.cpp \
   's/nestsDeeperThan\(Text, MaxJsonNesting\)/false/' \
   ${U}platform '*deeply nested text is refused*'
--- a/UnitTests/platform/FakeStore.cpp
+++ b/UnitTests/platform/FakeStore.cpp
@@ -90,11 +90,17 @@
 }
 
 Json FakeStore::itemOf(const std::string &Key, const Item &Stored) const {
-  return {{"key", Key},
-          {"value", encodeBase64(Stored.Value_)},
-          {"revision", Stored.Revision_},
-          {"created", Stored.Revision_},
-          {"lease", 0}};
+  Json Item = {{"key", Key},
+               {"value", encodeBase64(Stored.Value_)},
+               {"revision", Stored.Revision_},
+               {"created", Stored.Revision_},
+               {"lease", 0}};
+  auto Odd = OddItems_.find(Key);
+  if (Odd != OddItems_.end() && Odd->second.empty())
+    Item.erase("key");
+  else if (Odd != OddItems_.end())
+    Item["value"] = Odd->second;
+  return Item;
 }
 
 Awaitable<void> FakeStore::handle(HttpExchange &Exchange) {
--- a/UnitTests/platform/FakeStore.h
+++ b/UnitTests/platform/FakeStore.h
@@ -52,6 +52,9 @@
   /// Called before a page of a list is read: with 0 for the first page and 1
   /// for all later ones.
   std::function<void(std::size_t)> BeforePage_ = [](std::size_t) {};
+  /// Keys whose items have this value as it is, instead of their own in base64,
+  /// or no key at all if it is empty.
+  std::map<std::string, std::string> OddItems_;
   /// The bandwidth of the store's link, shared by all responses; 0 for no
   /// limit.
   std::size_t BytesPerSecond_ = 0;
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -442,3 +442,51 @@
   Test.Store_.put("servers/i-1", serverEntry("draining"));
   CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
 }
+
+TEST_CASE("an odd entry among good ones hides no later change") {
+  // An entry whose value the store's answers can't carry made each list and
+  // each watch fail: the daemon followed nothing as long as the entry stood.
+  constexpr std::size_t Levels = 200000;
+  for (const std::string &Odd :
+       {std::string("?"), std::string("\xff\xfe"), std::string(),
+        std::string(Levels, '[') + std::string(Levels, ']')})
+    for (bool Listed : {false, true})
+      for (const std::string &Key :
+           {std::string("servers/i-2"), std::string("op/config"),
+            std::string("samphireshunt/daemons/vm-1"),
+            std::string("op/rollout/s"), std::string("other/k")}) {
+        CAPTURE(Key);
+        CAPTURE(Listed);
+        FollowerFixture Test;
+        REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+        Test.Store_.put("servers/i-2", serverEntry("ready", 81));
+        REQUIRE(Test.runUntil([&] { return Test.isActive("i-2"); }));
+        if (Odd == "?")
+          Test.Store_.OddItems_[Key] = "no base64!";
+        Test.Store_.put(Key, Odd);
+        if (Listed)
+          Test.resume(false);
+        Test.Store_.put("servers/i-3", serverEntry("ready", 82));
+        Test.Store_.put("servers/i-1", serverEntry("draining"));
+        CHECK(Test.runUntil(
+            [&] { return Test.isActive("i-3") && !Test.isActive("i-1"); }));
+        // An entry that an odd one overwrites names no server any more.
+        CHECK(Test.isActive("i-2") == (Key != "servers/i-2"));
+        CHECK(Test.version() == DocumentVersion(3));
+        Test.Store_.OddItems_.clear();
+        Test.Store_.put("op/config", configuration(5));
+        CHECK(Test.runUntil(
+            [&] { return Test.version() == DocumentVersion(5); }));
+      }
+}
+
+TEST_CASE("a list with an item without a key removes no server") {
+  FollowerFixture Test;
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-1"); }));
+  Test.Store_.OddItems_["servers/i-1"] = "";
+  Test.Store_.put("servers/i-4", serverEntry("ready", 83));
+  Test.resume(false);
+  REQUIRE(Test.runUntil([&] { return Test.isActive("i-4"); }));
+  Test.runFor(milliseconds(300));
+  CHECK(Test.isActive("i-1"));
+}
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -132,28 +132,92 @@
   // log entry.
   StoreFixture Test;
   for (const char *Body :
-       {R"({"entries":[{"key":5,"value":"","revision":1}],"current-rev":1})",
-        R"({"entries":[{"key":"k","value":7,"revision":1}],"current-rev":1})",
-        R"({"entries":[{"key":"k","value":"","revision":"1"}]})",
-        R"({"entries":[{"key":"k","tombstone":"yes"}]})",
-        R"({"entries":[],"current-rev":"1"})",
-        R"({"entries":[{"key":"k"}],"has-more":"no"})", R"({"entries":7})"}) {
+       {R"({"entries":[],"current-rev":"1"})",
+        R"({"entries":[{"key":"k"}],"has-more":"no"})", R"({"entries":7})",
+        R"({"entries":{"key":"k"}})", R"({"entries":"k"})"}) {
     CAPTURE(Body);
     Test.Store_.AnswerWith_ = Body;
     CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
   }
-  Test.Store_.AnswerWith_ = R"({"events":[{"key":"k","revision":[]}]})";
+  Test.Store_.AnswerWith_ = R"({"events":[],"current-rev":[]})";
   CHECK(Test.watch(at(1), milliseconds(10)).error().Code_ ==
         ResultCode::PlatformUnavailable);
-  Test.Store_.AnswerWith_ = R"({"key":{},"value":"","revision":1})";
-  auto Got =
-      Test.wait<std::optional<KeyValue>>([&] { return Test.Hooks_.Get_("k"); });
-  CHECK(Got.error().Code_ == ResultCode::PlatformUnavailable);
+  for (const char *Body : {R"({"key":{},"value":"","revision":1})",
+                           R"({"key":"k","value":"?","revision":1})"}) {
+    Test.Store_.AnswerWith_ = Body;
+    auto Got = Test.wait<std::optional<KeyValue>>(
+        [&] { return Test.Hooks_.Get_("k"); });
+    CHECK(Got.error().Code_ == ResultCode::PlatformUnavailable);
+  }
   Test.Store_.AnswerWith_ = R"({"revision":"1"})";
   CHECK(Test.put("k", "v", at(0)).error().Code_ ==
         ResultCode::PlatformUnavailable);
 }
 
+TEST_CASE("an item that can't be read is refused alone") {
+  // One odd item made each list and each watch fail, so the daemons followed
+  // nothing as long as it stood.
+  StoreFixture Test;
+  struct Case {
+    const char *Item_;
+    std::string Key_;
+    std::uint64_t Revision_;
+  };
+  for (const Case &Odd : std::initializer_list<Case>{
+           {R"({"key":"k","value":"no base64!","revision":4})", "k", 4},
+           {R"({"key":"k","value":7,"revision":4})", "k", 4},
+           {R"({"key":"k","value":[[[["x"]]]],"revision":4})", "k", 4},
+           {R"({"key":"k","value":"","revision":"4"})", "k", 0},
+           {R"({"key":"k","value":"","revision":{}})", "k", 0},
+           {R"({"key":"k","tombstone":"yes","revision":4})", "k", 4},
+           {"{\"key\":\"k\",\"value\":\"\xff\",\"revision\":4}", "k", 4},
+           {"{\"key\":\"k\xff\",\"value\":\"\",\"revision\":4}",
+            "k\xef\xbf\xbd", 4},
+           {R"({"key":5,"value":"","revision":4})", "", 4},
+           {R"({"value":"","revision":4})", "", 4},
+           {"[]", "", 0},
+           {"null", "", 0}}) {
+    CAPTURE(Odd.Item_);
+    auto Check = [&](const Result<KeyValueList> &Read) {
+      REQUIRE(Read.has_value());
+      CHECK(Read->Position_ == at(9));
+      CHECK(Read->Entries_.size() == 2);
+      REQUIRE(Read->Refused_.contains(Odd.Key_));
+      CHECK(Read->Refused_.at(Odd.Key_).Position_ == at(Odd.Revision_));
+      CHECK_FALSE(Read->Refused_.at(Odd.Key_).Detail_.empty());
+      CHECK(Read->hasAllKeys() == !Odd.Key_.empty());
+    };
+    std::string Items = R"([{"key":"a","value":"","revision":1},)" +
+                        std::string(Odd.Item_) +
+                        R"(,{"key":"z","value":"","revision":2}])";
+    Test.Store_.AnswerWith_ =
+        R"({"current-rev":9,"has-more":false,"entries":)" + Items + "}";
+    Check(Test.list(""));
+    Test.Store_.AnswerWith_ = R"({"current-rev":9,"events":)" + Items + "}";
+    Check(Test.watch(at(1), milliseconds(10)));
+  }
+}
+
+TEST_CASE("of two items with one key the later one counts") {
+  StoreFixture Test;
+  const std::string Good = R"({"key":"k","value":"","revision":4})";
+  const std::string Odd = R"({"key":"k","value":"?","revision":3})";
+  auto Read = [&](const std::string &Items) {
+    Test.Store_.AnswerWith_ = R"({"current-rev":9,"events":[)" + Items + "]}";
+    return Test.watch(at(1), milliseconds(10));
+  };
+  CHECK(Read(Odd + "," + Good)->Refused_.empty());
+  CHECK(Read(Good + "," + Odd)->Refused_.size() == 1);
+}
+
+TEST_CASE("a page whose last item has no key ends the list as an outage") {
+  // The rest of the list would be taken for removed.
+  StoreFixture Test;
+  Test.Store_.AnswerWith_ =
+      R"({"current-rev":9,"has-more":true,"entries":[{"value":""}]})";
+  CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
+}
+
 TEST_CASE("a write that is refused is distinguished from one whose answer is "
           "lost") {
   StoreFixture Test;
--- a/standins/StandinMain.cpp
+++ b/standins/StandinMain.cpp
@@ -50,7 +50,9 @@
 }
 
 HttpResponse jsonAnswer(int Status, const Json &Body) {
-  return jsonResponse(Status, Body.dump());
+  // A stored value may be no UTF-8, which a JSON text can't contain.
+  constexpr auto Replace = Json::error_handler_t::replace;
+  return jsonResponse(Status, Body.dump(-1, ' ', false, Replace));
 }
 
 Json jsonBody(const HttpRequest &Request) {
