--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -278,3 +278,10 @@
   constexpr int Invalid = 1;
   CHECK(Fleet.apply(changedDocument(Fleet, 5), {"--wait"}) == Invalid);
 }
+
+TEST_CASE("a document of another writer that is not UTF-8 hides no change") {
+  // Each answer of the service with such a value failed, and the daemons
+  // followed nothing more without a line in their logs.
+  Cluster Fleet;
+  putAndFollow(Fleet, "\xff\xfe");
+}
