--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -285,3 +285,27 @@
   Cluster Fleet;
   putAndFollow(Fleet, "\xff\xfe");
 }
+
+TEST_CASE("a document is not called active where another has its number") {
+  // Another writer's document became active before its entry was overwritten.
+  // The tool reached no daemon at first and chose the same number.
+  Cluster Fleet;
+  std::string First = storedWith(Fleet, "1");
+  Json Other = Json::parse(First);
+  Other["version"] = 2;
+  Other["changes"] = {"other"};
+  overwrite(Fleet, Other.dump());
+  REQUIRE(activeEverywhere(Fleet, 2));
+  overwrite(Fleet, First);
+  Fleet.request("platform", "/control/vms", "POST", R"({"vms":[]})");
+  int Status = 0;
+  std::thread Tool([&] {
+    Status = Fleet.apply(changedDocument(Fleet, 3),
+                         {"--wait", "--wait_timeout_ms=1500"});
+  });
+  CHECK(eventually([&] { return storedWith(Fleet, "1") != First; }));
+  Fleet.listVms();
+  Tool.join();
+  constexpr int NotEverywhere = 5;
+  CHECK(Status == NotEverywhere);
+}
--- a/Source/Process/Configuration/StoreReaders.h
+++ b/Source/Process/Configuration/StoreReaders.h
@@ -39,7 +39,8 @@
 struct ReaderChoice {
   StoreRole Role_ = StoreRole::Alone;
   /// The daemons to follow, the best one first. A spare daemon always follows
-  /// one of them, a daemon that is alone only while it has lost the service.
+  /// one of them, a daemon that is alone only while it has lost the service, or
+  /// retains servers that went missing meanwhile.
   std::vector<VmId> Readers_;
 };
 
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -17,8 +17,7 @@
 /// of all requests that run there.
 constexpr std::chrono::milliseconds MaxUnreadTime{120};
 
-/// The engine's entry is removed within about this time if it is gone; if it
-/// isn't, others miss it no longer.
+/// No longer than this is an engine missed that is still there.
 constexpr std::chrono::seconds ReplacedTime{2};
 
 /// Prompts with fewer shared blocks than this evict nothing worth keeping.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -880,6 +880,9 @@
 mutate version-over-active $S/Version/VersionedDocument.cpp \
   's/std::max\(Version_, InForce\)/Version_/' \
   ${F}ConfigurationTest '*not called active where another one is*'
+mutate change-compared $S/Programs/CtlCommands.cpp \
+  's/ && !IsOther//' \
+  ${F}ConfigurationTest '*where another has its number*'
 mutate announced-range $S/Process/Configuration/ConfigurationSync.cpp \
   's/if \(Version > MaxDocumentVersion\)\s*return;//' \
   ${U}Process '*version out of range leaves the document active*'
--- a/UnitTests/Connection/MessageFramingTest.cpp
+++ b/UnitTests/Connection/MessageFramingTest.cpp
@@ -73,10 +73,10 @@
       Row{MessageKind::AnswerToHead,
           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true},
   };
-  for (const auto &[Kind, Message, Whole] : Rows) {
-    CAPTURE(Message);
-    MessageFraming Framing(Kind);
-    Framing.feed(Message);
-    CHECK(Framing.whole() == Whole);
+  for (const Row &Each : Rows) {
+    CAPTURE(Each.Message_);
+    MessageFraming Framing(Each.Kind_);
+    Framing.feed(Each.Message_);
+    CHECK(Framing.whole() == Each.Whole_);
   }
 }
