--- a/Source/Process/Configuration/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -1,3 +1,4 @@
+#include "Common/BoundedNumber.h"
 #include "Process/Configuration/ItemReader.h"
 #include "Process/Configuration/Platform.h"
 #include "Process/Configuration/StoreEraHeader.h"
@@ -12,7 +13,7 @@
 using std::chrono::milliseconds;
 
 StorePosition positionFromJson(const StoreAnswer &Body, const Json &Holder) {
-  return {Body.Era_, Revision(Holder.at("revision").get<std::uint64_t>())};
+  return {Body.Era_, Revision(readUnsignedOf(Holder, "revision").value())};
 }
 
 KeyValue keyValueFromJson(const StoreAnswer &Body, const Json &Entry) {
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -133,6 +133,7 @@
   StoreFixture Test;
   for (const char *Body :
        {R"({"entries":[],"current-rev":"1"})",
+        R"({"entries":[],"current-rev":-1})",
         R"({"entries":[{"key":"k"}],"has-more":"no"})", R"({"entries":7})",
         R"({"entries":{"key":"k"}})", R"({"entries":"k"})"}) {
     CAPTURE(Body);
@@ -169,6 +170,8 @@
            {R"({"key":"k","value":[[[["x"]]]],"revision":4})", "k", 4},
            {R"({"key":"k","value":"","revision":"4"})", "k", 0},
            {R"({"key":"k","value":"","revision":{}})", "k", 0},
+           {R"({"key":"k","value":"","revision":-1})", "k", 0},
+           {R"({"key":"k","value":"","revision":1e300})", "k", 0},
            {R"({"key":"k","tombstone":"yes","revision":4})", "k", 4},
            {"{\"key\":\"k\",\"value\":\"\xff\",\"revision\":4}", "k", 4},
            {"{\"key\":\"k\xff\",\"value\":\"\",\"revision\":4}",
