--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -7,8 +7,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <ranges>
-
 namespace samphireshunt {
 
 using Json = nlohmann::json;
@@ -45,8 +43,11 @@
 Json keysAndDetails(const std::map<std::string, RefusedItem> &Refused) {
   constexpr std::size_t MaxListed = 20;
   Json Listed = Json::array();
-  for (const auto &[Key, Item] : Refused | std::views::take(MaxListed))
+  for (const auto &[Key, Item] : Refused) {
+    if (Listed.size() == MaxListed)
+      break;
     Listed.push_back({{"key", Key}, {"detail", Item.Detail_}});
+  }
   return Listed;
 }
 
