Revert "Let keepers grant later what they gain, and at once no more what they lose"

Cause: who isn't the keeper by its own view had no share, a new keeper waits for 0.5 s and begins with empty buckets, and leaving daemons hand over each cell several times in a rolling stop.

Links that are opened again stay.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -1,6 +1,7 @@
 #include "Process/Keeping/KeeperService.h"
 
 #include "Connection/Spawn.h"
+#include "Process/Keeping/AllotmentShare.h"
 
 #include <fmt/format.h>
 
@@ -73,7 +74,6 @@
 }
 
 void KeeperService::onTick() {
-  noteRunning(steady_clock::now());
   for (auto &[Id, Target] : Cells_)
     if (Target->Scheduler_.waiting() > 0)
       decide(Id, *Target);
@@ -124,7 +124,7 @@
     configure(Cell, *Target);
     if (!Hooks_.AloneInFleet_()) {
       Target->Scheduler_.setWarmupEnd(Now + Options_.WarmUp_);
-      Allotments_.beginAccountsAt(Now);
+      Allotments_.restart(Now);
     }
     logEvent(LogCategory::Keeper, spdlog::level::info, "keeping",
              {{"cell", Cell.str()}});
@@ -164,10 +164,9 @@
   // partition uses all of them: if it scaled down as well, the minority's share
   // would be idle while the partition lasts. Requests granted in excess by both
   // wait in the engines.
-  double Reachable = Hooks_.ReachableShare_();
   double Share = Hooks_.LiveShare_();
   constexpr double Half = 0.5;
-  Target.Scheduler_.setShare(Reachable > Half ? 1.0 : Reachable);
+  Target.Scheduler_.setShare(Share > Half ? 1.0 : Share);
   // A daemon that stands in for the cell's keeper may do so while that one
   // grants too.
   Target.Scheduler_.setRateShare(Hooks_.IsKeeper_(Cell) ? Share : Share * Half);
@@ -175,9 +174,7 @@
 
 void KeeperService::refresh() {
   auto Snapshot = Documents_.snapshot();
-  std::erase_if(KeptCells_, [&](const auto &Item) {
-    return !Snapshot->service(Item.first);
-  });
+  ScheduledFractions_.clear();
   for (const auto &[Name, Service] : Snapshot->Services_)
     refreshService(Name, Service);
   auto Now = steady_clock::now();
@@ -235,31 +232,19 @@
   for (std::uint32_t Index = 0; Index < Count; ++Index)
     if (Hooks_.IsKeeper_({Name, AnyPool, Index}))
       Scheduled.push_back(Index);
-  auto Now = steady_clock::now();
-  KeptCells_[Name].update(
-      Scheduled, Count, Hooks_.AloneInFleet_() ? Now : Now + AllotmentHandOver);
+  ScheduledFractions_[Name] = static_cast<double>(Scheduled.size()) / Count;
   for (const Pool &Whole : Service.Pools_)
     for (std::uint32_t Index : Scheduled)
       if (Index < cellCount(Whole))
         scheduledCell({Name, Whole.Name_, Index});
 }
 
-AllotmentPart KeeperService::allotmentPart(const ServiceConfiguration &Service,
-                                           TimePoint Now) const {
-  auto Found = KeptCells_.find(Service.Document_->Service_);
-  if (Found == KeptCells_.end())
-    return KeptCells().part(Hooks_.LiveShare_() / maxCellCount(Service), Now);
-  return Found->second.part(Hooks_.LiveShare_(), Now);
-}
-
-void KeeperService::noteRunning(TimePoint Now) {
-  if (Hooks_.AloneInFleet_())
-    return;
-  bool Paused = false;
-  for (auto &[Service, Kept] : KeptCells_)
-    Paused |= Kept.noteRunning(Now);
-  if (Paused)
-    Allotments_.restart(Now);
+double
+KeeperService::allotmentShare(const ServiceConfiguration &Service) const {
+  auto Found = ScheduledFractions_.find(Service.Document_->Service_);
+  double Fraction = Found == ScheduledFractions_.end() ? 0 : Found->second;
+  return samphireshunt::allotmentShare(Fraction, maxCellCount(Service),
+                                       Hooks_.LiveShare_());
 }
 
 std::optional<RefuseDecision>
@@ -281,16 +266,11 @@
   Charge.Cost_ = allotmentCost(Allowed, Request);
   Charge.LeavesRoomForHighTier_ =
       Options_.ReserveHeadroom_ && Request.Tier_.count() > 0;
-  auto Now = steady_clock::now();
-  noteRunning(Now);
-  AllotmentPart Part = allotmentPart(*Service, Now);
-  Charge.StandsIn_ = Part.StandsIn_;
-  Charge.ShareSince_ = Part.Since_;
-  if (Allotments_.charge(Charge, Allowed, Part.Share_, Now))
+  double Share = allotmentShare(*Service);
+  if (Allotments_.charge(Charge, Allowed, Share, steady_clock::now()))
     return std::nullopt;
-  auto RetryAfter =
-      std::max(MinAllotmentRetryAfter,
-               Allotments_.timeUntilFit(Charge, Allowed, Part.Share_));
+  auto RetryAfter = std::max(MinAllotmentRetryAfter,
+                             Allotments_.timeUntilFit(Charge, Allowed, Share));
   return RefuseDecision{Request.Id_, ResultCode::AllotmentSpent, RetryAfter,
                         Request.Ingress_};
 }
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -5,7 +5,6 @@
 /// rebuilds it from the ingress daemons. Runs on the control thread.
 
 #include "Common/Log.h"
-#include "Process/Keeping/AllotmentShare.h"
 #include "Process/Keeping/Cell.h"
 #include "Process/Keeping/KeeperMessages.h"
 #include "Process/Keeping/PostedQueue.h"
@@ -74,11 +73,8 @@
     std::function<bool()> AloneInFleet_;
     /// Returns true if this daemon should schedule the cell.
     std::function<bool(const CellId &)> IsKeeper_;
-    /// Returns the fraction of the fleet whose part of a common limit this
-    /// daemon's partition may use.
-    std::function<double()> LiveShare_;
     /// Returns the fraction of the fleet in this daemon's partition.
-    std::function<double()> ReachableShare_ = [] { return 1.0; };
+    std::function<double()> LiveShare_;
     /// Reports the end of a request on a server.
     std::function<void(const ServerName &, const ServedSample &)> Ended_ =
         [](const ServerName &, const ServedSample &) {};
@@ -191,10 +187,7 @@
   /// fraction of all its cells.
   void refreshService(const ServiceName &Name,
                       const ServiceConfiguration &Service);
-  AllotmentPart allotmentPart(const ServiceConfiguration &Service,
-                              TimePoint Now) const;
-  /// Lets a process that was paused begin anew to count what customers use.
-  void noteRunning(TimePoint Now);
+  double allotmentShare(const ServiceConfiguration &Service) const;
   std::optional<RefuseDecision> chargeAllotment(const CellId &Cell,
                                                 const GrantRequest &Request);
   void configure(const CellId &Cell, ScheduledCell &Target);
@@ -216,7 +209,7 @@
   std::map<CellId, std::unique_ptr<ScheduledCell>> Cells_;
   std::map<VmId, DisconnectedIngress> DisconnectedIngresses_;
   AllotmentLedger Allotments_;
-  std::map<ServiceName, KeptCells> KeptCells_;
+  std::map<ServiceName, double> ScheduledFractions_;
   LogSampler RefusalSampler_;
   LogSampler WorkTimeSampler_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
--- a/Source/Process/Membership/MemberTable.cpp
+++ b/Source/Process/Membership/MemberTable.cpp
@@ -96,9 +96,6 @@
   if (Target.Member_.Status_ == MemberStatus::Dead &&
       Update.Status_ < MemberStatus::Suspect)
     LastReturn_ = Now;
-  if (Target.Member_.Status_ >= MemberStatus::Suspect &&
-      Update.Status_ < MemberStatus::Suspect)
-    Target.Returned_ = Now;
   bool IsNew = Update.Incarnation_ != Target.Member_.Incarnation_;
   if (IsNew && !Target.Left_ && Restarted_)
     Restarted_(Update);
@@ -185,17 +182,9 @@
                   Options_.SuspectTimePerDoubling_ * Doublings);
 }
 
-std::chrono::milliseconds MemberTable::returnTime() const {
-  auto Doublings = static_cast<int>(std::bit_width(Members_.size()));
-  return Options_.ReturnTimePerDoubling_ * Doublings;
-}
-
 void MemberTable::tick(TimePoint Now) {
   auto Time = suspectTime();
-  auto Absence = returnTime();
   for (auto &[Id, Known] : Members_) {
-    if (Known.Returned_ && Now - *Known.Returned_ >= Absence)
-      Known.Returned_.reset();
     bool Due = Now - Known.Since_ >= Time;
     if (Known.Member_.Status_ != MemberStatus::Suspect || !Due)
       continue;
@@ -372,24 +361,12 @@
   return Candidates;
 }
 
-double MemberTable::shareWithout(
-    const std::function<bool(const Entry &)> &Absent) const {
-  auto Count = std::ranges::count_if(
-      Members_, [&](const auto &Item) { return Absent(Item.second); });
-  double Known = static_cast<double>(Members_.size() + 1);
-  return (Known - static_cast<double>(Count)) / Known;
-}
-
-double MemberTable::reachableShare() const {
-  return shareWithout([](const Entry &Known) {
-    return Known.Member_.Status_ == MemberStatus::Dead;
-  });
-}
-
 double MemberTable::liveShare() const {
-  return shareWithout([](const Entry &Known) {
-    return Known.Member_.Status_ >= MemberStatus::Suspect || Known.Returned_;
+  auto Dead = std::ranges::count_if(Members_, [](const auto &Item) {
+    return Item.second.Member_.Status_ == MemberStatus::Dead;
   });
+  double Known = static_cast<double>(Members_.size() + 1);
+  return (Known - static_cast<double>(Dead)) / Known;
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Membership/MemberTable.h
+++ b/Source/Process/Membership/MemberTable.h
@@ -54,10 +54,6 @@
     /// How long a dead member counts as possibly partitioned rather than gone,
     /// if the platform does not report it.
     std::chrono::milliseconds DeadRetention_{60000};
-    /// How long a member that was suspect or dead doesn't count in liveShare()
-    /// after it has returned, per doubling of the fleet. Those on its side
-    /// count it as theirs until they know of the others again.
-    std::chrono::milliseconds ReturnTimePerDoubling_{300};
     /// How long a change is recent: recent changes are sent before older ones.
     std::chrono::milliseconds RecentChangeTime_{10000};
     /// How long a new process of a member is told how the one before ended.
@@ -126,13 +122,9 @@
   /// Returns the members that may schedule cells: those that are alive or
   /// suspect, and this daemon unless it is leaving.
   std::vector<Member> keepers() const;
-  /// Returns the ratio of members that are not declared dead to all known ones,
-  /// including dead ones that are still listed: the fraction of the fleet in
-  /// this daemon's partition.
-  double reachableShare() const;
-  /// Returns the fraction of the fleet whose part of a common limit this
-  /// daemon's partition may use. When a partition begins, it shrinks before
-  /// reachableShare() does, by suspects; when it ends, it grows later.
+  /// Returns the ratio of live members to all known ones, including dead ones
+  /// that are still listed: the fraction of the fleet in this daemon's
+  /// partition.
   double liveShare() const;
   /// Sets the hook that is called after each change of another member.
   void onChanged(ChangedHook Hook) { Changed_ = std::move(Hook); }
@@ -156,9 +148,6 @@
     bool Changed_ = false;
     /// Whether its process has announced that it leaves.
     bool Left_ = false;
-    /// When it was found alive after it had been suspect or dead, until it
-    /// counts in liveShare().
-    std::optional<TimePoint> Returned_;
     ProcessTrace Trace_;
     std::optional<ProcessEnd> ReportedEnd_;
     /// The end of the process before, and when it was replaced.
@@ -166,7 +155,6 @@
     TimePoint Replaced_;
   };
   bool isRecentChange(const Entry &Known, TimePoint Now) const;
-  double shareWithout(const std::function<bool(const Entry &)> &Absent) const;
   void refute(const Member &Update);
   std::vector<Member>
   sample(std::size_t Count, const std::function<bool(const Member &)> &Matches);
@@ -174,7 +162,6 @@
   void noteEnd(Entry &Target, const Member &Update, TimePoint Now);
   std::uint32_t maxTransmissions() const;
   std::chrono::milliseconds suspectTime() const;
-  std::chrono::milliseconds returnTime() const;
 
   Member Self_;
   std::uint32_t SelfSent_ = 0;
--- a/Source/Process/Scheduling/AllotmentLedger.cpp
+++ b/Source/Process/Scheduling/AllotmentLedger.cpp
@@ -2,18 +2,16 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace samphireshunt {
 
 namespace {
 
-/// The fraction of the tolerance that keepers use.
+/// The fraction of the tolerance that is used. The rest covers times at which
+/// two daemons count for the same cell (one that was killed and has returned,
+/// and the one to which ingress daemons switched meanwhile), and requests that
+/// arrive at engines later than they are counted.
 constexpr double UsedToleranceFraction = 0.6;
-/// The fraction of the tolerance that daemons use which stand in for a keeper.
-/// The rest covers times at which daemons differ on who keeps a cell, and
-/// requests that arrive at engines later than they are counted.
-constexpr double StandInToleranceFraction = 0.3;
 /// The fraction of the used tolerance that is available at once; the rest is
 /// spread over the window. With less, a large request of a small customer would
 /// never fit.
@@ -28,24 +26,20 @@
 
 } // namespace
 
-AllotmentLedger::Flows AllotmentLedger::flows(const Allotment &Allowed,
-                                              const Part &Granted) const {
-  double Share = Granted.Share_;
-  if (Granted.StandsIn_)
-    return {{0, 0}, tolerated(Allowed, Share * StandInToleranceFraction)};
-  return {{Share * Allowed.PerSecond_, Share * Allowed.Burst_},
-          tolerated(Allowed, Share * UsedToleranceFraction)};
+AllotmentLedger::Flow AllotmentLedger::allotted(const Allotment &Allowed,
+                                                double Share) const {
+  return {Share * Allowed.PerSecond_, Share * Allowed.Burst_};
 }
 
-/// Returns the bucket of the fraction of the tolerance. Its capacity is
-/// subtracted from its rate, so that no more than the tolerance is used within
-/// any window, including one in which a new keeper takes over with an empty
-/// bucket.
+/// Returns the bucket of the tolerance. Its capacity is subtracted from its
+/// rate, so that no more than the tolerance is used within any window,
+/// including one in which a new keeper takes over with an empty bucket.
 AllotmentLedger::Flow AllotmentLedger::tolerated(const Allotment &Allowed,
-                                                 double Fraction) const {
+                                                 double Share) const {
   std::chrono::duration<double> Window = Options_.Window_;
   double Allotted = Allowed.PerSecond_ * Window.count() + Allowed.Burst_;
-  double Usable = Fraction * (Options_.Overrun_ * Allotted + Options_.Credit_);
+  double Usable = Share * UsedToleranceFraction *
+                  (Options_.Overrun_ * Allotted + Options_.Credit_);
   double Burst = BurstFraction * Usable;
   return {(Usable - Burst) / Window.count(), Burst};
 }
@@ -84,17 +78,15 @@
                              double Share, TimePoint Now) {
   if (Allowed.PerSecond_ <= 0)
     return true;
-  Part Granted{Share, Request.StandsIn_};
-  Account Empty{{}, 0, std::max(Started_, Request.ShareSince_), Granted};
+  Account Empty{{}, 0, Started_};
   Account &Target =
       Accounts_.try_emplace(Request.Customer_, Empty).first->second;
   std::chrono::duration<double> Elapsed = Now - Target.Filled_;
   Target.Filled_ = Now;
-  auto [Regular, Tolerance] = flows(Allowed, Granted);
-  Flows Before = flows(Allowed, std::exchange(Target.Part_, Granted));
+  Flow Regular = allotted(Allowed, Share);
+  Flow Tolerance = tolerated(Allowed, Share);
   Levels &Left = Target.Left_;
-  Left = filled(Left, slower(Regular, Before.Regular_),
-                slower(Tolerance, Before.Tolerance_), Elapsed.count());
+  Left = filled(Left, Regular, Tolerance, Elapsed.count());
   double Largest = recordCost(Target, Request, Elapsed);
   double Reserved = Request.LeavesRoomForHighTier_ ? Largest : 0;
   auto Cost = fit(Left, Request.Cost_, Reserved, Regular, Tolerance);
@@ -118,33 +110,21 @@
   return Target.Largest_;
 }
 
-/// Returns \p Present with the rate at which its bucket filled for certain
-/// since it was \p Before.
-AllotmentLedger::Flow AllotmentLedger::slower(const Flow &Present,
-                                              const Flow &Before) {
-  return {std::min(Present.PerSecond_, Before.PerSecond_), Present.Capacity_};
-}
-
 std::chrono::milliseconds
 AllotmentLedger::timeUntilFit(const Charge &Request, const Allotment &Allowed,
                               double Share) const {
   auto Found = Accounts_.find(Request.Customer_);
-  auto [Regular, Tolerance] = flows(Allowed, {Share, Request.StandsIn_});
+  Flow Regular = allotted(Allowed, Share);
+  Flow Tolerance = tolerated(Allowed, Share);
   if (Found == Accounts_.end() ||
       Regular.Capacity_ + Tolerance.Capacity_ < Request.Cost_)
     return Options_.Window_;
   const Levels &Left = Found->second.Left_;
-  if (Request.StandsIn_)
-    return inWindow((Request.Cost_ - Left.Tolerated_) / Tolerance.PerSecond_);
   double Seconds = (Request.Cost_ - Left.Allotted_) / Regular.PerSecond_;
   if (Regular.Capacity_ < Request.Cost_)
     Seconds = std::max((Request.Cost_ - Left.Allotted_ - Left.Tolerated_) /
                            (Regular.PerSecond_ + Tolerance.PerSecond_),
                        Seconds - Tolerance.Capacity_ / Regular.PerSecond_);
-  return inWindow(Seconds);
-}
-
-std::chrono::milliseconds AllotmentLedger::inWindow(double Seconds) const {
   std::chrono::duration<double> Window = Options_.Window_;
   std::chrono::duration<double> Exact(std::clamp(Seconds, 0.0, Window.count()));
   return std::chrono::duration_cast<std::chrono::milliseconds>(Exact);
--- a/Source/Process/Scheduling/AllotmentLedger.h
+++ b/Source/Process/Scheduling/AllotmentLedger.h
@@ -21,12 +21,8 @@
 ///
 /// A new keeper does not know what an earlier one admitted, which may be a
 /// whole burst just before. Its buckets therefore start empty at the time it
-/// gets its share, so that any number of keeper changes adds no more than the
-/// rate. When a share grows, the time before fills the buckets by the smaller
-/// one.
-///
-/// A daemon that stands in for a keeper has a bucket of the tolerance only, of
-/// a part that keepers leave, since the keeper may grant beside it.
+/// starts counting, so that any number of keeper changes adds no more than the
+/// rate.
 
 #include "Common/Ids.h"
 #include "Version/Document.h"
@@ -61,11 +57,6 @@
     /// The request is not of the highest tier and must leave room for a large
     /// one of it.
     bool LeavesRoomForHighTier_ = false;
-    /// The share is not one of the allotment, but of the part of the tolerance
-    /// that keepers leave to the daemons that stand in for them.
-    bool StandsIn_ = false;
-    /// This daemon has had the share since then.
-    TimePoint ShareSince_{};
   };
 
   /// Charges the request's cost to the customer's allotment, of which this
@@ -85,9 +76,6 @@
   /// Starts again with empty buckets, because another daemon has counted until
   /// now.
   void restart(TimePoint Now);
-  /// Starts the buckets of customers that are not known yet empty, because
-  /// another daemon may have counted for them until now.
-  void beginAccountsAt(TimePoint Now) { Started_ = Now; }
 
 private:
   /// Fill rate and capacity of a bucket.
@@ -100,19 +88,8 @@
     double Allotted_ = 0;
     double Tolerated_ = 0;
   };
-  /// The buckets of the allotment and of the tolerance.
-  struct Flows {
-    Flow Regular_;
-    Flow Tolerance_;
-  };
-  /// What a keeper may use of an allotment.
-  struct Part {
-    double Share_ = 0;
-    bool StandsIn_ = false;
-  };
-  Flows flows(const Allotment &Allowed, const Part &Granted) const;
-  Flow tolerated(const Allotment &Allowed, double Fraction) const;
-  static Flow slower(const Flow &Present, const Flow &Before);
+  Flow allotted(const Allotment &Allowed, double Share) const;
+  Flow tolerated(const Allotment &Allowed, double Share) const;
   /// Fills both buckets for \p Seconds; what overflows the allotment's bucket
   /// goes into the tolerance's.
   static Levels filled(const Levels &Left, const Flow &Regular,
@@ -127,9 +104,7 @@
     Levels Left_;
     double Largest_ = 0; ///< Decaying cost of the largest recent request.
     TimePoint Filled_;
-    Part Part_; ///< At the last charge.
   };
-  std::chrono::milliseconds inWindow(double Seconds) const;
   static double recordCost(Account &Target, const Charge &Request,
                            std::chrono::duration<double> Elapsed);
   struct PendingCharge {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -414,7 +414,6 @@
     return keeperFor(Cell, {}) == Settings_.Vm_;
   };
   Hooks.LiveShare_ = [this] { return Members_->liveShare(); };
-  Hooks.ReachableShare_ = [this] { return Members_->reachableShare(); };
   Hooks.FloorRaised_ = [this] { Membership_->spreadUpdates(); };
   Hooks.Ended_ = [this](const ServerName &Server, const ServedSample &Sample) {
     Crashes_.requestEnded(Server, Sample);
@@ -538,7 +537,7 @@
     return PeerFollower_->hasSource() &&
            Freshness_.age(BootClock::now()) < RolloutStateAge;
   };
-  Hooks.LiveShare_ = [this] { return Members_->reachableShare(); };
+  Hooks.LiveShare_ = [this] { return Members_->liveShare(); };
   Hooks.CountRunning_ =
       [this](const PoolName &Pool,
              const std::function<bool(const ServerName &)> &Matches) {
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -90,7 +90,7 @@
   }
   Root["relayedConnections"] = Relay_->connections();
   Root["activeRequests"] = CallerServer_->activeExchanges();
-  Root["liveShare"] = Members_->reachableShare();
+  Root["liveShare"] = Members_->liveShare();
   Root["controlBytesSent"] =
       Membership_->protocol().bytesSent() + Peers_->bytesSent();
   Root["gossipBytesReceived"] = Membership_->protocol().bytesReceived();
@@ -253,7 +253,7 @@
   Metrics_.setGauge("streams_suspended", Suspended);
   Metrics_.setGauge("suspensions_ordered", Ordered);
   Metrics_.setGauge("suspensions_failed", Failed);
-  Metrics_.setGauge("live_share", Members_->reachableShare());
+  Metrics_.setGauge("live_share", Members_->liveShare());
   Metrics_.setGauge("items_refused",
                     static_cast<double>(RefusedItems_.count()));
   Metrics_.setGauge("items_refused_now",
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -173,7 +173,7 @@
   's/(void EngineMonitor::handleOrphan\([^{]*\{\n)/$1  return;\n/' \
   ${F}PartitionTest '*dead daemon*'
 mutate live-share $S/Process/Membership/MemberTable.cpp \
-  's/return \(Known - static_cast<double>\(Count\)\) \/ Known;/return Count > 100 ? Known : 1.0;/' \
+  's/return \(Known - static_cast<double>\(Dead\)\) \/ Known;/return Dead > 100 ? Known : 1.0;/' \
   ${F}PartitionTest '*all cut off*'
 mutate waiting-of-gone $S/Process/Keeping/KeeperService.cpp \
   's/    for \(const RequestId &Id : Target->Scheduler_\.removeWaiting\(Ingress\)\)\n\s*Allotments_\.refund\(Id\);/    (void)Target;/' \
@@ -374,18 +374,6 @@
 mutate allotment-overflow $S/Process/Scheduling/AllotmentLedger.cpp \
   's/ \* Seconds \+ Overflow;/ * Seconds;/' \
   ${U}AllotmentOfManyCells '*'
-mutate allotment-stand-in $S/Process/Keeping/AllotmentShare.cpp \
-  's/  Part\.StandsIn_ = Granted == 0;\n  if \(Part\.StandsIn_\)\n/  if (Granted == 0)\n/' \
-  ${U}AllotmentFleet '*no more than*'
-mutate allotment-hand-over $S/Process/Keeping/AllotmentShare.cpp \
-  's/try_emplace\(Index, GrantsFrom\)/try_emplace(Index, GrantsFrom - AllotmentHandOver)/' \
-  ${U}AllotmentFleet '*some time after*'
-mutate allotment-pause $S/Process/Keeping/AllotmentShare.cpp \
-  's/  if \(Paused\)/  if (false)/' \
-  ${U}AllotmentFleet '*some time after*'
-mutate allotment-suspects $S/Process/Membership/MemberTable.cpp \
-  's/>= MemberStatus::Suspect \|\| Known\.Returned_/== MemberStatus::Dead/' \
-  ${U}AllotmentShare '*'
 mutate keeper-reset $S/Process/Keeping/GrantClient.cpp \
   's/Loss == LinkLoss::Reset && mayReopen\(Keeper\)/false/' \
   ${U}Process '*link was reset*'
