--- a/UnitTests/platform/OddNumbersTest.cpp
+++ b/UnitTests/platform/OddNumbersTest.cpp
@@ -36,9 +36,10 @@
 template <class Reading>
 void checkPlaces(const Json &Root, const Places &All, Reading Read) {
   REQUIRE(Read(Root.dump()).has_value());
-  for (const auto &[Pointer, Valid] : All) {
+  for (const auto &Place : All) {
+    const std::string &Pointer = Place.first;
     std::string Field = Pointer.substr(Pointer.rfind('/') + 1);
-    checkOddNumbers(Field, Valid, [&](const std::string &Number) {
+    checkOddNumbers(Field, Place.second, [&](const std::string &Number) {
       return Read(withNumber(Root, Pointer, Number));
     });
   }
