--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -17,7 +17,7 @@
 /// of all requests that run there.
 constexpr std::chrono::milliseconds MaxUnreadTime{120};
 
-/// No longer than this is an engine missed that is still there.
+/// The longest time for which an engine that is still there is avoided.
 constexpr std::chrono::seconds ReplacedTime{2};
 
 /// Prompts with fewer shared blocks than this evict nothing worth keeping.
