Scheduler: replaced servers are looked at again only before a refusal

Each request walked over all servers of its cell once more, to let those back whose 2 s are over. A request that finds a server needs no such walk, and decide() does it before it grants.

--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -148,9 +148,7 @@
   }
   if (!Continues)
     OwnTier.RecentArrivals_.add(Now);
-  for (auto &[Name, Server] : Servers_)
-    Server.advance(Now);
-  if (!hasServerFor(Request, Now)) {
+  if (!hasServerFor(Request, Now) && !hasServerAgain(Request, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::NoBackendServer);
     Refusal.RetryAfter_ =
         timeUntilRested(Request, Now).value_or(Refusal.RetryAfter_);
@@ -225,6 +223,13 @@
   });
 }
 
+/// A server that was replaced may be usable again since the last decision.
+bool Scheduler::hasServerAgain(const GrantRequest &Request, TimePoint Now) {
+  for (auto &[Name, Server] : Servers_)
+    Server.advance(Now);
+  return hasServerFor(Request, Now);
+}
+
 std::optional<milliseconds>
 Scheduler::timeUntilRested(const GrantRequest &Request, TimePoint Now) const {
   std::optional<milliseconds> Shortest;
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -422,6 +422,7 @@
   /// \returns whether the server is one that may run the request, free or not.
   static bool mayRunOn(const GrantRequest &Request, const ServerModel &Server);
   bool hasServerFor(const GrantRequest &Request, TimePoint Now) const;
+  bool hasServerAgain(const GrantRequest &Request, TimePoint Now);
   /// \returns the time until the first engine no longer rests for the request's
   /// ingress daemon; nothing if none rests.
   std::optional<std::chrono::milliseconds>
