--- a/FailureTests/platform/FramingTest.cpp
+++ b/FailureTests/platform/FramingTest.cpp
@@ -6,6 +6,7 @@
 #include "FailureTests/Cluster.h"
 #include "FailureTests/ContextThread.h"
 #include "FailureTests/TestFolder.h"
+#include "FailureTests/platform/OneEngine.h"
 #include "UnitTests/Connection/FramingRows.h"
 #include "UnitTests/platform/FakeStore.h"
 
@@ -47,7 +48,13 @@
       : Store_(Thread_.context()),
         Engine_(Thread_.context(), {asio::ip::make_address("127.0.0.1"), 0}) {
     asio::co_spawn(
-        Thread_.context(), [this] { return accept(); }, asio::detached);
+        Thread_.context(),
+        [this] {
+          return acceptEach(Engine_, [this](std::shared_ptr<Tcp::socket> Peer) {
+            return serve(std::move(Peer));
+          });
+        },
+        asio::detached);
     asio::co_spawn(
         Thread_.context(),
         [this]() -> Awaitable<void> {
@@ -56,14 +63,8 @@
         },
         asio::use_future)
         .get();
-    Daemon_.emplace(
-        std::vector<std::string>{
-            PLATFORM_DAEMON, "--vm_id=vm-1", "--data_center=z",
-            "--callers_address=127.0.0.1:0", "--peers_address=127.0.0.1:0",
-            "--operators_address=127.0.0.1:0",
-            "--platform_address=" + formatEndpoint(Store_.address()),
-            "--threads=0", "--admission=objectives", "--log_output=stderr"},
-        Folder_.path() + "/vm-1.log");
+    Daemon_.emplace(daemonCommand(PLATFORM_DAEMON, Store_, {}),
+                    Folder_.path() + "/vm-1.log");
     Json Addresses = Daemon_->readLine();
     for (const char *Name : {"callers", "operators"})
       Listeners_.push_back(*parseEndpoint(Addresses[Name].get<std::string>()));
@@ -135,35 +136,7 @@
                   {"timeout-ms", 3000},  {"goal-ms", 1000},
                   {"priority", 0},       {"attempts", 1},
                   {"resumable", false},  {"service", "engines"}};
-    Json Root = {{"version", 1},
-                 {"routes", {Route}},
-                 {"services", {{{"name", "engines"}}}},
-                 {"limits", {{"idle-timeout-ms", 15000}}},
-                 {"tenants", Json::array()}};
-    Store_.put("op/config", Root.dump());
-    Json Entry = {{"service", "engines"},
-                  {"address", formatEndpoint(Engine_.local_endpoint())},
-                  {"zone", "z"},
-                  {"batch-size", 16},
-                  {"version", "v1"},
-                  {"warmup-left-ms", 0},
-                  {"sequence", 1},
-                  {"born", 1},
-                  {"state", "ready"}};
-    Store_.put("servers/engine", Entry.dump());
-  }
-
-  Awaitable<void> accept() {
-    boost::system::error_code Error;
-    while (!Error) {
-      auto Peer = std::make_shared<Tcp::socket>(Thread_.context());
-      co_await Engine_.async_accept(
-          *Peer, asio::redirect_error(asio::use_awaitable, Error));
-      if (!Error)
-        asio::co_spawn(
-            Thread_.context(), [this, Peer] { return serve(Peer); },
-            asio::detached);
-    }
+    publishEngine(Store_, {Route}, Engine_.local_endpoint(), 16);
   }
 
   /// Answers what is there, which is one request if its framing is right.
--- a/FailureTests/platform/SlowCallersTest.cpp
+++ b/FailureTests/platform/SlowCallersTest.cpp
@@ -6,6 +6,7 @@
 #include "FailureTests/Cluster.h"
 #include "FailureTests/ContextThread.h"
 #include "FailureTests/TestFolder.h"
+#include "FailureTests/platform/OneEngine.h"
 #include "UnitTests/platform/FakeStore.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -71,15 +72,9 @@
       publish();
       co_return;
     });
-    Daemon_.emplace(
-        std::vector<std::string>{
-            PLATFORM_DAEMON, "--vm_id=vm-1", "--data_center=z",
-            "--callers_address=127.0.0.1:0", "--peers_address=127.0.0.1:0",
-            "--operators_address=127.0.0.1:0",
-            "--platform_address=" + formatEndpoint(Store_.address()),
-            "--threads=0", "--admission=objectives",
-            fmt::format("--memory_mb={}", MemoryMb), "--log_output=stderr"},
-        Folder_.path() + "/vm-1.log");
+    Daemon_.emplace(daemonCommand(PLATFORM_DAEMON, Store_,
+                                  {fmt::format("--memory_mb={}", MemoryMb)}),
+                    Folder_.path() + "/vm-1.log");
     Json Addresses = Daemon_->readLine();
     Callers_ = *parseEndpoint(Addresses["callers"].get<std::string>());
     Operators_ = *parseEndpoint(Addresses["operators"].get<std::string>());
@@ -138,20 +133,9 @@
   }
 
   void publish() {
-    Json Root = {
-        {"version", 1},
-        {"routes", {route("plain", "safe"), route("stream", "streaming")}},
-        {"services", {{{"name", "engines"}}}},
-        {"limits", {{"idle-timeout-ms", 15000}}},
-        {"tenants", Json::array()}};
-    Store_.put("op/config", Root.dump());
-    Json Entry = {
-        {"service", "engines"}, {"address", formatEndpoint(Engine_->address())},
-        {"zone", "z"},          {"batch-size", SlowCallers + QuickCalls},
-        {"version", "v1"},      {"warmup-left-ms", 0},
-        {"sequence", 1},        {"born", 1},
-        {"state", "ready"}};
-    Store_.put("servers/engine", Entry.dump());
+    publishEngine(Store_,
+                  {route("plain", "safe"), route("stream", "streaming")},
+                  Engine_->address(), SlowCallers + QuickCalls);
   }
 
   Awaitable<void> serve(HttpExchange &Exchange) {
--- a/FailureTests/platform/UnendingBytesTest.cpp
+++ b/FailureTests/platform/UnendingBytesTest.cpp
@@ -8,6 +8,7 @@
 #include "FailureTests/ContextThread.h"
 #include "FailureTests/TestFolder.h"
 #include "FailureTests/UnendingSenders.h"
+#include "FailureTests/platform/OneEngine.h"
 #include "UnitTests/platform/FakeStore.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -90,7 +91,13 @@
       : Store_(Thread_.context()),
         Engine_(Thread_.context(), {asio::ip::make_address("127.0.0.1"), 0}) {
     asio::co_spawn(
-        Thread_.context(), [this] { return accept(); }, asio::detached);
+        Thread_.context(),
+        [this] {
+          return acceptEach(Engine_, [this](std::shared_ptr<Tcp::socket> Peer) {
+            return serve(std::move(Peer));
+          });
+        },
+        asio::detached);
     asio::co_spawn(
         Thread_.context(),
         [this]() -> Awaitable<void> {
@@ -100,14 +107,9 @@
         asio::use_future)
         .get();
     Daemon_.emplace(
-        std::vector<std::string>{
-            PLATFORM_DAEMON, "--vm_id=vm-1", "--data_center=z",
-            "--callers_address=127.0.0.1:0", "--peers_address=127.0.0.1:0",
-            "--operators_address=127.0.0.1:0",
-            "--platform_address=" + formatEndpoint(Store_.address()),
-            "--threads=0", "--admission=objectives", MemoryFlag,
-            fmt::format("--read_timeout_ms={}", ReadTimeout.count()),
-            "--log_output=stderr"},
+        daemonCommand(PLATFORM_DAEMON, Store_,
+                      {MemoryFlag, fmt::format("--read_timeout_ms={}",
+                                               ReadTimeout.count())}),
         Folder_.path() + "/vm-1.log");
     Json Addresses = Daemon_->readLine();
     Callers_ = *parseEndpoint(Addresses["callers"].get<std::string>());
@@ -243,36 +245,9 @@
 
 private:
   void publish() {
-    Json Root = {
-        {"version", 1},
-        {"routes", {route("plain", "safe"), route("stream", "streaming")}},
-        {"services", {{{"name", "engines"}}}},
-        {"limits", {{"idle-timeout-ms", 15000}}},
-        {"tenants", Json::array()}};
-    Store_.put("op/config", Root.dump());
-    Json Entry = {{"service", "engines"},
-                  {"address", formatEndpoint(Engine_.local_endpoint())},
-                  {"zone", "z"},
-                  {"batch-size", 4 * CallsAtOnce},
-                  {"version", "v1"},
-                  {"warmup-left-ms", 0},
-                  {"sequence", 1},
-                  {"born", 1},
-                  {"state", "ready"}};
-    Store_.put("servers/engine", Entry.dump());
-  }
-
-  Awaitable<void> accept() {
-    boost::system::error_code Error;
-    while (!Error) {
-      auto Peer = std::make_shared<Tcp::socket>(Thread_.context());
-      co_await Engine_.async_accept(
-          *Peer, asio::redirect_error(asio::use_awaitable, Error));
-      if (!Error)
-        asio::co_spawn(
-            Thread_.context(), [this, Peer] { return serve(Peer); },
-            asio::detached);
-    }
+    publishEngine(Store_,
+                  {route("plain", "safe"), route("stream", "streaming")},
+                  Engine_.local_endpoint(), 4 * CallsAtOnce);
   }
 
   Awaitable<void> serve(std::shared_ptr<Tcp::socket> Peer) {
