Requests reach servers with the fields that callers sent, or not at all

What callers and servers saw, at a real daemon, raw bytes, an unsafe route: "Connection: X-Samphireshunt-Request-Id" was run without an id and answered 502 though it had run; "Connection: Host" was run for the host "backend"; with "Connection: ...-Token-Count" or "-Model" the server got no such field, though the daemon had decided by it; two ids were run as "a7, other", an id that nobody sent, two counts as "1,1, 9,9" of which the daemon counted the first; two Cookie lines came as "a=1, b=2"; of two Set-Cookie, Vary or Link of a server only the last reached the caller, and "Connection: X-Samphireshunt-Server-Stamp" of a server took the proof off its answer.

Cause: one class, the one of hidden requests: a daemon decides by one reading of a message and sends on another. Its sight of fields was a map, which joined repeated lines (requests) or kept the last one (answers); and removeHopFields() erased after the decision whatever Connection lists, also fields that are meant for the server (RFC 9110, section 7.6.1 forbids to list those).

Ruled out: that it is enough to remove fields before they are read. Then a caller could take its own key or deadline away unseen, and repeated lines would stay ambiguous to servers that take the last one.

Change: HttpFields keeps all lines of a field in their order, from end to end. FieldRules, a pure module, says which fields hold one value (a second line: 100, 400, the connection ends), which are meant for the other end (listed by Connection: 400 from a caller; kept in an answer, which is delivered), and which stay on the connection. Names with an underscore in the place of a hyphen of such a field are refused: some servers read them as the same name. A dialect adds its fields, by prefix, so a field of a later version is covered. All listeners use it, the own interface included; relays pass bytes on and read no fields. New line in the log: request-unread, for requests that are refused before they are read whole.

--- a/Source/Connection/Http.cpp
+++ b/Source/Connection/Http.cpp
@@ -9,14 +9,6 @@
 
 namespace samphireshunt {
 
-std::string lowerCase(std::string_view Text) {
-  std::string Lower(Text);
-  std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Lower;
-}
-
 const std::string &HttpRequest::field(const std::string &LowerName) const {
   static const std::string Absent;
   auto Found = Fields_.find(LowerName);
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -5,6 +5,8 @@
 /// are slow to compile.
 
 #include "Common/ResultCode.h"
+#include "Connection/FieldRules.h"
+#include "Connection/HttpFields.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,7 +14,6 @@
 
 #include <chrono>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,12 +36,6 @@
 /// events or a result.
 inline constexpr std::size_t MaxControlAnswerBytes = 1024 * 1024;
 
-/// Header fields by lower-case name.
-using HttpFields = std::map<std::string, std::string>;
-
-/// \returns \p Text in lower case, as names of header fields are compared.
-std::string lowerCase(std::string_view Text);
-
 /// A complete request.
 struct HttpRequest {
   std::string Method_ = "GET";
@@ -48,7 +43,8 @@
   HttpFields Fields_;
   std::string Body_;
 
-  /// \returns the value of the field \p LowerName, empty when absent.
+  /// \returns the value of the field \p LowerName, of its first line if it has
+  /// several; empty when absent.
   const std::string &field(const std::string &LowerName) const;
   /// The target without its query.
   std::string_view path() const;
@@ -159,6 +155,8 @@
   /// What the kernel may hold of what callers send and is not read, over all
   /// connections, and as much of heads, in bytes; 0: without limit.
   std::size_t ReceiveBytes_ = 0;
+  /// Requests whose fields contradict each other are refused.
+  FieldRules Fields_;
   /// Called before a large body is read, which otherwise takes the room of
   /// others although its request is refused; unset: all are read.
   BodyCheck CheckBody_;
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -82,7 +82,7 @@
     Message->method_string(Request.Method_);
     Message->target(Request.Target_);
     for (const auto &[Name, Value] : Request.Fields_)
-      Message->set(Name, Value);
+      Message->insert(Name, Value);
     if (!Request.Fields_.contains("host"))
       Message->set(http::field::host, "backend");
     Message->body() = Request.Body_;
@@ -124,7 +124,8 @@
     HttpResponse Head;
     Head.Status_ = status();
     for (const auto &Field : Parser_->get())
-      Head.Fields_[lowerCase(Field.name_string())] = std::string(Field.value());
+      Head.Fields_.add(lowerCase(Field.name_string()),
+                       std::string(Field.value()));
     noteIdleLimit(Head);
     co_return Head;
   }
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -489,6 +489,10 @@
     if (Ended.Error_)
       co_return Ended;
     takeHead(Into.get());
+    if (auto Fault = State_->Options_.Fields_.requestFault(Request_.Fields_)) {
+      Ended.Refusal_ = malformed(*Fault);
+      co_return Ended;
+    }
     auto Length = Into.content_length();
     if (Length && *Length > KernelBufferBytes)
       Ended.Refusal_ = checkLargeBody(*Length);
@@ -518,13 +522,9 @@
     Request_.Method_ = std::string(Head.method_string());
     Request_.Target_ = std::string(Head.target());
     Request_.Fields_.clear();
-    for (const auto &Field : Head) {
-      auto [Known, New] = Request_.Fields_.try_emplace(
-          lowerCase(Field.name_string()), std::string(Field.value()));
-      // Fields with the same name form one list.
-      if (!New)
-        Known->second += ", " + std::string(Field.value());
-    }
+    for (const auto &Field : Head)
+      Request_.Fields_.add(lowerCase(Field.name_string()),
+                           std::string(Field.value()));
   }
 
   /// \returns why a body of \p Bytes is not read.
@@ -612,7 +612,7 @@
     Target.version(Version_);
     Target.result(static_cast<unsigned>(Head.Status_));
     for (const auto &[Name, Value] : Head.Fields_)
-      Target.set(Name, Value);
+      Target.insert(Name, Value);
     Target.keep_alive(KeepAlive_);
   }
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -721,6 +721,24 @@
               {"dropped", std::to_string(*Dropped)}});
 }
 
+HttpResponse Daemon::refuseUnread(const Failure &Cause) {
+  Verdict Ended;
+  Ended.Code_ = Cause.Code_;
+  Ended.Detail_ = Cause.Detail_;
+  RequestId Id = nextRequestId();
+  constexpr std::uint32_t LinesPerSecond = 20;
+  thread_local LogSampler Sampler(LinesPerSecond);
+  auto Dropped = Sampler.admit(static_cast<int>(Cause.Code_),
+                               std::chrono::steady_clock::now());
+  if (Dropped)
+    logEvent(LogCategory::Request, spdlog::level::info, "request-unread",
+             {{"request", Id.str()},
+              {"code", std::to_string(static_cast<int>(Cause.Code_))},
+              {"detail", Cause.Detail_},
+              {"dropped", std::to_string(*Dropped)}});
+  return finalResponse(Id, Ended);
+}
+
 Result<void> Daemon::wireCallers() {
   std::vector<asio::io_context *> Contexts;
   std::map<asio::execution_context *, CallerService *> ByContext;
@@ -739,6 +757,7 @@
   Options.ReadTimeout_ = Settings_.ReadTimeout_;
   Options.Limits_ = [this] { return callerLimits(); };
   Options.ReceiveBytes_ = receiveBytes(Settings_);
+  Options.Fields_ = Adapter_.Dialect_.Fields_;
   // Checks only state that all workers share.
   Options.CheckBody_ =
       [Any = Workers_.front()->Callers_.get()](const HttpRequest &Head) {
@@ -752,11 +771,8 @@
   Options.Cut_ = [this](const HttpRequest &Request, CutReason Reason) {
     reportCut(Request, Reason);
   };
-  Options.Refusal_ = [this](Failure Cause) {
-    Verdict Ended;
-    Ended.Code_ = Cause.Code_;
-    Ended.Detail_ = Cause.Detail_;
-    return finalResponse(nextRequestId(), Ended);
+  Options.Refusal_ = [this](const Failure &Cause) {
+    return refuseUnread(Cause);
   };
   auto Server = HttpServer::create(Control_, std::move(Contexts), Memory_,
                                    std::move(Options));
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -108,6 +108,8 @@
   void startConfiguration();
   /// Logs and counts a caller that got no whole response.
   void reportCut(const HttpRequest &Request, CutReason Reason);
+  /// \returns the answer to a request that was not read whole.
+  HttpResponse refuseUnread(const Failure &Cause);
   HttpLimits callerLimits() const;
   bool configurationReady();
   bool platformReachable() const;
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -34,7 +34,7 @@
   Stored.Body_ = Answer.Body_;
   auto Type = Answer.Fields_.find("content-type");
   if (Type != Answer.Fields_.end())
-    Stored.Fields_.insert(*Type);
+    Stored.Fields_.add(Type->first, Type->second);
   return Stored;
 }
 
@@ -248,9 +248,7 @@
     if (Claimed_)
       co_await finishInBackground(ClaimState::Answered, &Answer);
     releaseConnection(Context_, Ready_);
-    for (std::string_view Field :
-         {"connection", "keep-alive", "transfer-encoding", "content-length"})
-      Answer.Fields_.erase(std::string(Field));
+    Context_.Services_.Dialect_.Fields_.removeHopFields(Answer.Fields_);
     addOutcomeFields(Answer, Context_.Id_, Outcome::Answered, ResultCode::Ok);
     Answer.Fields_["x-served-by"] = Context_.Services_.Vm_.str();
     Answer.Fields_["x-backend-server"] = Ready_.Server_.Name_.str();
--- a/Source/Request/ClaimStore.cpp
+++ b/Source/Request/ClaimStore.cpp
@@ -27,7 +27,9 @@
   Root["state"] = static_cast<int>(Value.State_);
   if (Value.State_ == ClaimState::Answered) {
     Root["status"] = Value.Answer_.Status_;
-    Root["fields"] = Value.Answer_.Fields_;
+    Json &Fields = Root["fields"] = Json::object();
+    for (const auto &[Name, Text] : Value.Answer_.Fields_)
+      Fields[Name] = Text;
     // A body may hold arbitrary bytes, which a JSON string can't represent.
     Root["body"] = std::vector<std::uint8_t>(Value.Answer_.Body_.begin(),
                                              Value.Answer_.Body_.end());
@@ -71,7 +73,8 @@
         return Failure{ResultCode::PlatformUnavailable,
                        Status ? Body.error().Detail_ : Status.error().Detail_};
       Value.Answer_.Status_ = static_cast<int>(*Status);
-      Value.Answer_.Fields_ = Root.at("fields").get<HttpFields>();
+      for (const auto &[Name, Text] : Root.at("fields").items())
+        Value.Answer_.Fields_.add(Name, Text.get<std::string>());
       Value.Answer_.Body_ = std::move(*Body);
     }
     return Value;
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -382,7 +382,7 @@
     Context_.Trace_.attribute(SpanNumber, "server", Ready_.Server_.Name_.str());
     if (Ready_.Relay_)
       Context_.Trace_.attribute(SpanNumber, "relay", Ready_.Relay_->str());
-    HttpRequest Request = endToEndRequest(Context_.Exchange_.request());
+    HttpRequest Request = endToEndRequest(Context_);
     Request.Fields_["traceparent"] = Context_.Trace_.traceparent(SpanNumber);
     ForwardLabels Labels;
     Labels.Timeout_ = Context_.remaining();
@@ -640,7 +640,7 @@
       // The writer counts what waits for its caller only within a budget.
       if (Context_.Services_.Memory_.limit() > 0)
         HeldAnswer_.set(0);
-      removeHopFields(Answer.Fields_);
+      Dialect_.Fields_.removeHopFields(Answer.Fields_);
       co_await Writer_->respond(std::move(Answer));
       HeldAnswer_.set(0);
       co_return Writer_->readTooSlowly() ? writeFailed() : AttemptEnd::Answered;
@@ -652,7 +652,7 @@
   }
 
   Awaitable<void> deliver(HttpResponse Answer) {
-    removeHopFields(Answer.Fields_);
+    Dialect_.Fields_.removeHopFields(Answer.Fields_);
     co_await Context_.Exchange_.respond(std::move(Answer));
   }
 
@@ -727,7 +727,7 @@
   /// head of its first server.
   Awaitable<bool> writeEvents(HttpResponse &Head, std::string Events) {
     if (!HeadSent_) {
-      removeHopFields(Head.Fields_);
+      Dialect_.Fields_.removeHopFields(Head.Fields_);
       recordOrigin(Context_, Ready_.Server_);
       bool Written = co_await Context_.Exchange_.beginStream(std::move(Head));
       if (!Written)
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -3,7 +3,9 @@
 #include "Common/JsonReader.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <iterator>
 #include <limits>
 
 namespace samphireshunt {
@@ -14,28 +16,21 @@
 /// Messages between daemons carry counts of this size, and sums of several fit.
 constexpr std::int64_t MaxCount = std::numeric_limits<std::uint32_t>::max();
 
-const std::string &fieldOrEmpty(const HttpFields &Fields,
-                                const std::string &Name) {
-  static const std::string Absent;
-  auto Found = Fields.find(Name);
-  return Found == Fields.end() ? Absent : Found->second;
-}
-
 std::optional<Tokens> tokenField(const HttpFields &Fields,
-                                 const std::string &Name) {
-  return parseTokens(fieldOrEmpty(Fields, Name));
+                                 std::string_view Name) {
+  return parseTokens(Fields.only(Name));
 }
 
 CallLabels readCall(const HttpFields &Fields) {
   CallLabels Labels;
-  Labels.CallId_ = fieldOrEmpty(Fields, "x-call-id");
-  if (auto Millis = parseCount(fieldOrEmpty(Fields, "x-request-timeout-ms")))
+  Labels.CallId_ = std::string(Fields.only("x-call-id"));
+  if (auto Millis = parseCount(Fields.only("x-request-timeout-ms")))
     Labels.Timeout_ = std::chrono::milliseconds(*Millis);
   Labels.Prompt_ = tokenField(Fields, "x-prompt-tokens");
   Labels.MaxAnswer_ = tokenField(Fields, "x-answer-tokens");
-  Labels.Parts_ = parsePromptParts(fieldOrEmpty(Fields, "x-prompt-parts"));
+  Labels.Parts_ = parsePromptParts(Fields.only("x-prompt-parts"));
   Labels.AfterEvent_ = readAfterEvent(Fields);
-  Labels.Resumes_ = fieldOrEmpty(Fields, "x-resumes");
+  Labels.Resumes_ = std::string(Fields.only("x-resumes"));
   Labels.ExpectsVersion_ = Fields.contains("x-expect-version");
   return Labels;
 }
@@ -54,12 +49,12 @@
 
 AnswerLabels readAnswer(const HttpResponse &Head) {
   AnswerLabels Labels;
-  Labels.CallId_ = fieldOrEmpty(Head.Fields_, "x-call-id");
+  Labels.CallId_ = std::string(Head.Fields_.only("x-call-id"));
   Labels.Misdirected_ = Head.Status_ == StatusMisdirected;
-  Labels.AnsweredBy_ = ServerName(fieldOrEmpty(Head.Fields_, "x-server"));
+  Labels.AnsweredBy_ = ServerName(std::string(Head.Fields_.only("x-server")));
   Labels.NotRun_ = Head.Fields_.contains("x-not-run") || Labels.Misdirected_;
   Labels.HasProof_ = Head.Fields_.contains("x-answer-proof");
-  auto Percent = parseCount(fieldOrEmpty(Head.Fields_, "x-work-time-percent"));
+  auto Percent = parseCount(Head.Fields_.only("x-work-time-percent"));
   if (Percent)
     Labels.WorkTimePercent_ = static_cast<std::uint32_t>(*Percent);
   return Labels;
@@ -220,8 +215,22 @@
   return Parts;
 }
 
+DialectFields ownInterfaceFields() {
+  DialectFields Fields;
+  Fields.Names_ = {"x-request-timeout-ms", "x-tier"};
+  return Fields;
+}
+
 ForwardingDialect defaultDialect() {
   ForwardingDialect Dialect;
+  DialectFields Fields = ownInterfaceFields();
+  std::ranges::copy(std::array{"x-answer-tokens", "x-call-id", "x-customer",
+                               "x-expect-server", "x-expect-version",
+                               "x-memory-backup", "x-memory-from",
+                               "x-prompt-parts", "x-prompt-tokens",
+                               "x-resumes"},
+                    std::back_inserter(Fields.Names_));
+  Dialect.Fields_ = FieldRules(std::move(Fields));
   Dialect.ReadCall_ = readCall;
   Dialect.WriteForward_ = writeForward;
   Dialect.ReadAnswer_ = readAnswer;
--- a/Source/Request/ForwardingDialect.h
+++ b/Source/Request/ForwardingDialect.h
@@ -5,6 +5,7 @@
 /// names of samphireshunt itself; an adapter may use others.
 
 #include "Common/Ids.h"
+#include "Connection/FieldRules.h"
 #include "Connection/Http.h"
 #include "Process/Scheduling/PrefixIndex.h"
 #include "Process/Scheduling/ServerNotice.h"
@@ -94,10 +95,15 @@
   /// Adds the call id to an answer that the daemon generates itself.
   std::function<void(HttpFields &, const std::string &CallId)> AddCallId_;
   RunMemoryCalls Memory_;
+  /// Which of these fields hold one value.
+  FieldRules Fields_;
   /// Retry-After may have a fraction of a second.
   bool FractionalRetryAfter_ = false;
 };
 
+/// \returns the fields of this program's own interface, which each dialect has.
+DialectFields ownInterfaceFields();
+
 /// \returns the default dialect, with the fields x-call-id,
 /// x-request-timeout-ms, x-prompt-tokens, x-answer-tokens, x-prompt-parts
 /// (HEX:TOKENS,...), x-resumes, last-event-id, x-expect-version,
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -5,15 +5,12 @@
 #include "Request/Lateness.h"
 #include "Request/WaitPlan.h"
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
-#include <absl/strings/str_split.h>
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <numeric>
 
 namespace samphireshunt {
@@ -29,17 +26,6 @@
 /// connection can be established.
 constexpr int MaxGrantRequests = 4;
 
-/// Hop-by-hop fields, fields that address this proxy alone, and Content-Length.
-constexpr std::array<std::string_view, 10> HopFields = {"connection",
-                                                        "keep-alive",
-                                                        "proxy-authorization",
-                                                        "te",
-                                                        "trailer",
-                                                        "upgrade",
-                                                        "transfer-encoding",
-                                                        "proxy-connection",
-                                                        "proxy-authenticate",
-                                                        "content-length"};
 /// Carries the caller's key, which backend servers must not see.
 constexpr std::string_view CallerKeyField = "authorization";
 /// A refused caller is asked to wait for at most the remaining time divided by
@@ -566,23 +552,10 @@
       Used.Server_.Address_, {std::move(Used.Connection_), Used.Relay_});
 }
 
-void removeHopFields(HttpFields &Fields) {
-  // The Connection field lists further hop-by-hop fields.
-  auto Listed = Fields.find("connection");
-  std::vector<std::string> Names;
-  if (Listed != Fields.end())
-    Names = absl::StrSplit(absl::AsciiStrToLower(Listed->second),
-                           absl::ByAnyChar(", "), absl::SkipEmpty());
-  for (const std::string &Name : Names)
-    Fields.erase(Name);
-  for (std::string_view Field : HopFields)
-    Fields.erase(std::string(Field));
-}
-
-HttpRequest endToEndRequest(const HttpRequest &Request) {
-  HttpRequest Forwarded = Request;
-  removeHopFields(Forwarded.Fields_);
-  Forwarded.Fields_.erase(std::string(CallerKeyField));
+HttpRequest endToEndRequest(const RequestContext &Context) {
+  HttpRequest Forwarded = Context.Exchange_.request();
+  Context.Services_.Dialect_.Fields_.removeHopFields(Forwarded.Fields_);
+  Forwarded.Fields_.erase(CallerKeyField);
   return Forwarded;
 }
 
@@ -614,7 +587,7 @@
 }
 
 HttpRequest backendRequest(RequestContext &Context, std::size_t SpanNumber) {
-  HttpRequest Request = endToEndRequest(Context.Exchange_.request());
+  HttpRequest Request = endToEndRequest(Context);
   Request.Fields_.erase("x-request-timeout-ms");
   Request.Fields_["x-request-id"] = Context.Id_.str();
   Request.Fields_["x-customer"] = Context.Customer_->Name_.str();
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -225,12 +225,9 @@
 Awaitable<std::variant<ReadyServer, Verdict>>
 obtainServer(RequestContext &Context, ObtainOptions Options);
 
-/// Removes hop-by-hop fields, and Content-Length, which is computed again when
-/// the message is sent.
-void removeHopFields(HttpFields &Fields);
-/// \returns a copy of \p Request without hop-by-hop fields and without the
-/// caller's key.
-HttpRequest endToEndRequest(const HttpRequest &Request);
+/// \returns a copy of the caller's request without the fields of its connection
+/// and without the caller's key.
+HttpRequest endToEndRequest(const RequestContext &Context);
 /// Checks the caller's key again. \returns a verdict when the newest
 /// configuration no longer has the key, or when the daemon's configuration may
 /// be out of date.
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -92,7 +92,7 @@
                              {"x-other", "kept"}});
   Labels.Customer_ = CustomerName("t-1");
   Dialect.WriteForward_(Fields, Labels);
-  CHECK(Fields.at("x-samphireshunt-tenant") == "t-1");
+  CHECK(Fields.only("x-samphireshunt-tenant") == "t-1");
 }
 
 TEST_CASE("only a server's own statement counts as proof that it did not run a "
--- a/UnitTests/platform/MutatedMessagesTest.cpp
+++ b/UnitTests/platform/MutatedMessagesTest.cpp
@@ -62,7 +62,7 @@
   for (std::string Line; std::getline(Lines, Line);) {
     auto Colon = std::min(Line.find(':'), Line.size());
     std::string Name = Line.substr(0, Colon);
-    Fields[Name] = Line.erase(0, std::min(Colon + 1, Line.size()));
+    Fields.add(Name, Line.erase(0, std::min(Colon + 1, Line.size())));
   }
   return Fields;
 }
