An answer whose fields tell two origins reaches no caller

What callers saw: of two server stamps the last one, with 200; with two ids, another request's first and their own last, 200 (the other order was refused, 303); of two notices (limit, leaving, Retry-After of a rejection) the last one was believed.

Change: a dialect names the fields that tell whose answer it is; a second line of those, of Content-Type, Content-Length, Content-Range or Location makes an answer malformed (312, 502; the connection is closed, what ran counts as may have run). It is checked where a request reads the head of its answer, on all four ways (forwarded, application, model, resumed). Notices that are there twice are not read (306, 307 in the log), and the answer is delivered: it is whole and its own, and an engine's odd notice is no reason to take it from the caller. An application engine's answer has to echo the request's id in each line of it. Two Store-Era fields are no era (BadStoreEra).

--- a/FailureTests/platform/FieldsTest.cpp
+++ b/FailureTests/platform/FieldsTest.cpp
@@ -123,6 +123,30 @@
   }
 }
 
+TEST_CASE("an answer whose fields tell two origins reaches no caller") {
+  // Guards against an answer that is taken for another request's, or for that
+  // of another server.
+  RawDaemon Daemon;
+  const std::string Other = "X-Samphireshunt-Request-Id: other\r\n";
+  const std::string OtherStamp = "X-Samphireshunt-Server-Stamp: f\r\n";
+  const std::string Type = "Content-Type: text/plain\r\n";
+  const std::vector<std::string> Rows = {
+      std::string(Id) + Stamp + OtherStamp, Other + Id + Stamp,
+      Id + Other + Stamp, Id + Type + Stamp + "Content-Type: text/html\r\n",
+      std::string(Id) + Id + Stamp};
+  int Number = 0;
+  for (const std::string &Row : Rows) {
+    CAPTURE(Row);
+    Daemon.answerExactly(answerWith(Row));
+    std::string Reply = RawDaemon::exchange(
+        Daemon.listeners().front(),
+        requestWith(fmt::format("outer-{}", ++Number), ""), /*Whole=*/true);
+    CHECK_MESSAGE(Reply.starts_with("HTTP/1.1 502 "), Reply);
+    CHECK_MESSAGE(Reply.find("malformed-answer") != Reply.npos, Reply);
+    CHECK(Daemon.received().size() == 1);
+  }
+}
+
 TEST_CASE("a caller gets the fields of an answer as the server sent them") {
   // Guards against an answer without its proof, its type or some of its lines.
   RawDaemon Daemon;
--- a/Source/Connection/FieldRules.cpp
+++ b/Source/Connection/FieldRules.cpp
@@ -44,6 +44,10 @@
     "traceparent",
     "user-agent",
     "x-http-method-override"};
+/// Fields of answers that hold one value, and without which the body can't be
+/// read.
+constexpr std::array<std::string_view, 4> SingleAnswerFields = {
+    "content-length", "content-range", "content-type", "location"};
 /// Further fields that are meant for the receiver at the other end.
 constexpr std::array<std::string_view, 30> EndToEndFields = {
     "accept",
@@ -79,6 +83,7 @@
 
 static_assert(std::ranges::is_sorted(HopFields));
 static_assert(std::ranges::is_sorted(SingleFields));
+static_assert(std::ranges::is_sorted(SingleAnswerFields));
 static_assert(std::ranges::is_sorted(EndToEndFields));
 
 template <std::size_t Count>
@@ -148,6 +153,16 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+FieldRules::answerFault(const HttpFields &Fields) const {
+  auto Repeated = repeatedName(Fields, [this](std::string_view Name) {
+    return isAmong(SingleAnswerFields, Name) ||
+           isAmong(Dialect_.AnswerNames_, Name);
+  });
+  return Repeated ? std::optional(quoted("more than one field", *Repeated))
+                  : std::nullopt;
+}
+
 void FieldRules::removeHopFields(HttpFields &Fields) const {
   for (const std::string &Name : listedNames(Fields))
     if (!isEndToEnd(Name))
@@ -166,7 +181,8 @@
 bool FieldRules::isEndToEnd(std::string_view Name) const {
   if (isAmong(HopFields, Name))
     return false;
-  return isSingle(Name) || isAmong(EndToEndFields, Name);
+  return isSingle(Name) || isAmong(EndToEndFields, Name) ||
+         isAmong(Dialect_.AnswerNames_, Name);
 }
 
 } // namespace samphireshunt
--- a/Source/Connection/FieldRules.h
+++ b/Source/Connection/FieldRules.h
@@ -20,6 +20,8 @@
   std::string Prefix_;
   /// Further fields, which name, route, limit or charge a request.
   std::vector<std::string> Names_;
+  /// Fields of an answer that tell whose answer it is.
+  std::vector<std::string> AnswerNames_;
 };
 
 /// Reads fields by the standard's rules and those of a dialect.
@@ -33,6 +35,9 @@
   /// backend server, or a name has an underscore where a field of these rules
   /// has a hyphen, which some servers read as the same name.
   std::optional<std::string> requestFault(const HttpFields &Fields) const;
+  /// \returns why an answer with \p Fields is malformed: a field that describes
+  /// its body, or tells whose answer it is, is there twice.
+  std::optional<std::string> answerFault(const HttpFields &Fields) const;
   /// Removes the fields that are meant for one connection only, also those that
   /// the field Connection lists. One that is meant for the receiver at the
   /// other end stays although it is listed.
--- a/Source/Process/Configuration/StoreEraHeader.cpp
+++ b/Source/Process/Configuration/StoreEraHeader.cpp
@@ -8,6 +8,8 @@
   auto Found = Fields.find(Name);
   if (Found == Fields.end())
     return StoreEra();
+  if (Fields.count(Name) > 1)
+    return Failure{ResultCode::BadStoreEra, "more than one field"};
   const std::string &Text = Found->second;
   const char *End = Text.data() + Text.size();
   std::uint64_t Number = 0;
--- a/Source/Request/ApplicationCall.cpp
+++ b/Source/Request/ApplicationCall.cpp
@@ -207,7 +207,8 @@
     auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return Sent.error();
-    auto Head = co_await Connection.readHead(Context_.remaining());
+    auto Head =
+        co_await readAnswerHead(Context_, Connection, Context_.remaining());
     if (!Head)
       co_return Head.error();
     reportServerNotices(Context_, Ready_, *Head);
@@ -233,8 +234,11 @@
     if (!isEndKnown(Connection, Head->Body_))
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
     Context_.Trace_.end(SpanNumber);
-    auto Echo = Head->Fields_.find("x-request-id");
-    if (Echo != Head->Fields_.end() && Echo->second != Context_.Id_.str())
+    auto [First, Last] = Head->Fields_.equal_range("x-request-id");
+    bool IsCrossed = std::any_of(First, Last, [&](const auto &Echo) {
+      return Echo.second != Context_.Id_.str();
+    });
+    if (IsCrossed)
       co_return Failure{ResultCode::CrossedAnswer, "answer to another request"};
     bool Refused = Ready_.Server_.RefusesBeforeRunning_ &&
                    (Head->Status_ == 503 || Head->Status_ == 429);
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -193,7 +193,7 @@
     if (!Sent)
       co_return failed(Sent.error());
     watchSilence();
-    auto Head = co_await Connection.readHead(headTimeout());
+    auto Head = co_await readAnswerHead(Context_, Connection, headTimeout());
     endRead();
     if (!Head)
       co_return failed(readFailure(Head.error()));
--- a/Source/Request/ForwardingDialect.cpp
+++ b/Source/Request/ForwardingDialect.cpp
@@ -21,6 +21,19 @@
   return parseTokens(Fields.only(Name));
 }
 
+/// Reads the value of a field of an answer with \p Parse. \returns
+/// \p Absent if there is none, \p Repeated if it is there more than once.
+template <class Value, class Parser>
+Result<Value> readNotice(const HttpFields &Fields, const std::string &Name,
+                         Value Absent, ResultCode Repeated, Parser Parse) {
+  auto Found = Fields.find(Name);
+  if (Found == Fields.end())
+    return Absent;
+  if (Fields.count(Name) > 1)
+    return Failure{Repeated, "more than one field '" + Name + "'"};
+  return Parse(Found->second);
+}
+
 CallLabels readCall(const HttpFields &Fields) {
   CallLabels Labels;
   Labels.CallId_ = std::string(Fields.only("x-call-id"));
@@ -91,42 +104,45 @@
 
 Result<std::optional<RequestRate>> readServerLimit(const HttpFields &Fields,
                                                    const std::string &Name) {
-  auto Found = Fields.find(Name);
-  if (Found == Fields.end())
-    return std::optional<RequestRate>();
-  auto Rate = parseRequestRate(Found->second);
-  if (!Rate)
-    return Rate.error();
-  return std::optional(*Rate);
+  using Read = std::optional<RequestRate>;
+  auto Parse = [](const std::string &Text) -> Result<Read> {
+    auto Rate = parseRequestRate(Text);
+    if (!Rate)
+      return Rate.error();
+    return Read(*Rate);
+  };
+  return readNotice(Fields, Name, Read(), ResultCode::BadServerLimit, Parse);
 }
 
 Result<std::optional<RejectionCount>> readBrittle(const HttpFields &Fields,
                                                   const std::string &Name) {
-  auto Found = Fields.find(Name);
-  if (Found == Fields.end())
-    return std::optional<RejectionCount>();
-  auto Survived = parseRejectionCount(Found->second);
-  if (!Survived)
-    return Survived.error();
-  return std::optional(*Survived);
+  using Read = std::optional<RejectionCount>;
+  auto Parse = [](const std::string &Text) -> Result<Read> {
+    auto Survived = parseRejectionCount(Text);
+    if (!Survived)
+      return Survived.error();
+    return Read(*Survived);
+  };
+  return readNotice(Fields, Name, Read(), ResultCode::BadServerNotice, Parse);
 }
 
 Result<bool> readLeaving(const HttpFields &Fields, const std::string &Name) {
-  auto Found = Fields.find(Name);
-  if (Found == Fields.end() || Found->second == "0")
-    return false;
-  if (Found->second != "1")
-    return Failure{ResultCode::BadServerNotice,
-                   "'" + Found->second + "' is neither 0 nor 1"};
-  return true;
+  auto Parse = [](const std::string &Text) -> Result<bool> {
+    if (Text != "0" && Text != "1")
+      return Failure{ResultCode::BadServerNotice,
+                     "'" + Text + "' is neither 0 nor 1"};
+    return Text == "1";
+  };
+  return readNotice(Fields, Name, false, ResultCode::BadServerNotice, Parse);
 }
 
 Result<std::chrono::milliseconds> readRest(const HttpResponse &Head) {
   constexpr int StatusUnavailable = 503;
-  auto Found = Head.Fields_.find("retry-after");
-  if (Head.Status_ != StatusUnavailable || Found == Head.Fields_.end())
-    return std::chrono::milliseconds(0);
-  return parseRest(Found->second);
+  constexpr std::chrono::milliseconds None{0};
+  if (Head.Status_ != StatusUnavailable)
+    return None;
+  return readNotice(Head.Fields_, "retry-after", None,
+                    ResultCode::BadServerNotice, parseRest);
 }
 
 Answerer answererOf(const AnswerLabels &Answer, const CallLabels &Call,
@@ -230,6 +246,7 @@
                                "x-prompt-parts", "x-prompt-tokens",
                                "x-resumes"},
                     std::back_inserter(Fields.Names_));
+  Fields.AnswerNames_ = {"x-answer-proof", "x-call-id", "x-server"};
   Dialect.Fields_ = FieldRules(std::move(Fields));
   Dialect.ReadCall_ = readCall;
   Dialect.WriteForward_ = writeForward;
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -163,7 +163,8 @@
     std::optional<Verdict> Broken;
     bool Attached = Sent.has_value();
     if (Attached) {
-      auto Head = co_await Ready_.Connection_->readHead(
+      auto Head = co_await readAnswerHead(
+          Context_, *Ready_.Connection_,
           std::min(SilenceTimeout, Context_.remaining()));
       Attached = Head.has_value();
       if (Attached)
@@ -353,7 +354,8 @@
     auto Sent = co_await Ready_.Connection_->send(Request, ResumeTimeout);
     if (!Sent)
       co_return std::nullopt; // The next attempt opens another connection.
-    auto Head = co_await Ready_.Connection_->readHead(ResumeTimeout);
+    auto Head =
+        co_await readAnswerHead(Context_, *Ready_.Connection_, ResumeTimeout);
     if (!Head || Head->Status_ == 200)
       co_return std::nullopt;
     bool NeverReceived = Head->Status_ == 404 && NextEvent_ == 0;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -559,6 +559,18 @@
   return Forwarded;
 }
 
+Awaitable<Result<HttpResponse>> readAnswerHead(const RequestContext &Context,
+                                               HttpConnection &Connection,
+                                               milliseconds Timeout) {
+  auto Head = co_await Connection.readHead(Timeout);
+  if (!Head)
+    co_return Head;
+  auto Fault = Context.Services_.Dialect_.Fields_.answerFault(Head->Fields_);
+  if (Fault)
+    co_return Failure{ResultCode::MalformedAnswer, std::move(*Fault)};
+  co_return Head;
+}
+
 std::optional<Verdict> recheckCallerKey(const RequestContext &Context) {
   if (!Context.Customer_)
     return std::nullopt;
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -228,6 +228,11 @@
 /// \returns a copy of the caller's request without the fields of its connection
 /// and without the caller's key.
 HttpRequest endToEndRequest(const RequestContext &Context);
+/// Reads the head of an answer as HttpConnection::readHead() does.
+/// \returns MalformedAnswer also for fields that contradict each other.
+Awaitable<Result<HttpResponse>>
+readAnswerHead(const RequestContext &Context, HttpConnection &Connection,
+               std::chrono::milliseconds Timeout);
 /// Checks the caller's key again. \returns a verdict when the newest
 /// configuration no longer has the key, or when the daemon's configuration may
 /// be out of date.
--- a/UnitTests/Connection/FieldRulesTest.cpp
+++ b/UnitTests/Connection/FieldRulesTest.cpp
@@ -12,6 +12,7 @@
   DialectFields Fields;
   Fields.Prefix_ = "x-vm-";
   Fields.Names_ = {"resumes"};
+  Fields.AnswerNames_ = {"x-vm-stamp"};
   return FieldRules(std::move(Fields));
 }
 
@@ -77,6 +78,19 @@
   CHECK(rules().requestFault(Fields).value().size() < 100);
 }
 
+TEST_CASE("an answer is refused that tells two origins or types") {
+  // Guards against an answer that is taken for another request's.
+  CHECK(rules().answerFault({{"x-vm-stamp", "a"}, {"x-vm-stamp", "a"}}));
+  CHECK(rules().answerFault({{"content-type", "a"}, {"content-type", "b"}}));
+  CHECK_FALSE(rules().answerFault({{"set-cookie", "a"},
+                                   {"set-cookie", "b"},
+                                   {"x-vm-limit", "1"},
+                                   {"x-vm-limit", "2"},
+                                   {"connection", "x-vm-stamp"},
+                                   {"date", "a"},
+                                   {"date", "b"}}));
+}
+
 TEST_CASE("only fields of the connection are removed") {
   // Guards against an answer that loses its proof on the way.
   HttpFields Fields = {{"connection", "X-VM-Stamp, x-hop"},
--- a/UnitTests/platform/HeadersTest.cpp
+++ b/UnitTests/platform/HeadersTest.cpp
@@ -62,6 +62,31 @@
   CHECK(Labels.Parts_[1].Length_ == Tokens(410));
 }
 
+TEST_CASE("notices of a server that are there twice are not read") {
+  // Guards against one of two contradicting values that is believed.
+  for (const char *Name : {"server-limit", "x-samphireshunt-server-limit"})
+    CHECK(Dialect.ReadServerLimit_(HttpFields{{Name, "1"}, {Name, "9"}})
+              .error()
+              .Code_ == ResultCode::BadServerLimit);
+  for (const char *Name : {"server-brittle", "x-samphireshunt-server-brittle"})
+    CHECK(Dialect.ReadBrittle_(HttpFields{{Name, "1"}, {Name, "9"}})
+              .error()
+              .Code_ == ResultCode::BadServerNotice);
+  for (const char *Name : {"server-leaving", "x-samphireshunt-server-leaving"})
+    CHECK(Dialect.ReadLeaving_(HttpFields{{Name, "0"}, {Name, "1"}})
+              .error()
+              .Code_ == ResultCode::BadServerNotice);
+  HttpResponse Rejected;
+  Rejected.Status_ = 503;
+  Rejected.Fields_ = {{"retry-after", "1"}, {"retry-after", "9"}};
+  CHECK(Dialect.ReadRest_(Rejected).error().Code_ ==
+        ResultCode::BadServerNotice);
+  HttpResponse Head;
+  Head.Fields_ = {{"x-samphireshunt-server-load", "1,2,3"},
+                  {"x-samphireshunt-server-load", "4,5,6"}};
+  CHECK_FALSE(Dialect.ReadAnswer_(Head).Waiting_);
+}
+
 TEST_CASE("labels that can't be read are absent, not zero") {
   CallLabels Labels =
       Dialect.ReadCall_({{"x-samphireshunt-deadline-ms", "soon"},
