MessageFraming reads runs of ordinary bytes at once

Change: names and values that need no look at each byte are passed over as runs (one search for the end of the line, one pass for control characters that the compiler vectorizes), line ends as pairs, the digits of a chunk's size together.

--- a/Source/Connection/MessageFraming.cpp
+++ b/Source/Connection/MessageFraming.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace samphireshunt {
@@ -22,6 +23,9 @@
 constexpr std::size_t MaxKeptBytes = 64;
 constexpr int MaxSizeDigits = 16;
 constexpr int HexBase = 16;
+constexpr int HexBits = 4;
+/// A size has as many bits as its most digits; all of them at once replace 0.
+constexpr int SizeBits = MaxSizeDigits * HexBits;
 constexpr unsigned char FirstPrintable = 0x20;
 constexpr unsigned char Delete = 0x7F;
 
@@ -57,17 +61,48 @@
 
 bool isSpace(char Byte) { return Byte == ' ' || Byte == '\t'; }
 
-/// \returns whether \p Byte may be part of a name (RFC 9110, section 5.6.2).
-bool isTokenByte(char Byte) {
-  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
-  return isDigit(Byte) || (lower(Byte) >= 'a' && lower(Byte) <= 'z') ||
-         Marks.find(Byte) != std::string_view::npos;
+/// A set of bytes.
+using ByteSet = std::array<bool, std::numeric_limits<unsigned char>::max() + 1>;
+
+/// The bytes that may be part of a name (RFC 9110, section 5.6.2).
+constexpr ByteSet TokenBytes = [] {
+  ByteSet Set{};
+  for (unsigned char Byte :
+       std::string_view("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+                        "ABCDEFGHIJKLMNOPQRSTUVWXYZ"))
+    Set[Byte] = true;
+  return Set;
+}();
+
+/// The bytes that may be part of a line.
+constexpr ByteSet TextBytes = [] {
+  ByteSet Set{};
+  for (std::size_t Byte = FirstPrintable; Byte < Set.size(); ++Byte)
+    Set[Byte] = Byte != Delete;
+  Set['\t'] = true;
+  return Set;
+}();
+
+bool isAmong(const ByteSet &Set, char Byte) {
+  return Set[static_cast<unsigned char>(Byte)];
 }
 
-/// \returns whether \p Byte may be part of a line.
-bool isTextByte(char Byte) {
-  auto Code = static_cast<unsigned char>(Byte);
-  return Byte == '\t' || (Code >= FirstPrintable && Code != Delete);
+/// \returns the first bytes of \p Bytes that are all in \p Set.
+std::string_view firstOf(std::string_view Bytes, const ByteSet &Set) {
+  auto End = std::ranges::find_if_not(
+      Bytes, [&](char Byte) { return isAmong(Set, Byte); });
+  return {Bytes.begin(), End};
+}
+
+/// \returns the first bytes of \p Bytes that may be part of a line.
+std::string_view firstText(std::string_view Bytes) {
+  std::string_view Line = Bytes.substr(0, Bytes.find('\r'));
+  // Without an early end, so that the compiler can vectorize it.
+  auto Controls = std::ranges::count_if(Line, [](char Byte) {
+    auto Code = static_cast<unsigned char>(Byte);
+    return (Code < FirstPrintable && Code != '\t') || Code == Delete;
+  });
+  return Controls == 0 ? Line : firstOf(Line, TextBytes);
 }
 
 std::string_view withoutSpaces(std::string_view Text) {
@@ -84,20 +119,59 @@
   while (!Bytes.empty() && Fault_.empty()) {
     if (Next_ == Part::End || Next_ == Part::BodyToClose)
       break;
-    if (Next_ != Part::Body) {
+    std::size_t Count = Next_ == Part::Body ? readBody(Bytes) : readRun(Bytes);
+    if (Count == 0) {
       read(Bytes.front());
-      Bytes.remove_prefix(1);
-      continue;
+      Count = 1;
     }
-    std::uint64_t Count = std::min<std::uint64_t>(Size_, Bytes.size());
-    Size_ -= Count;
-    Bytes.remove_prefix(static_cast<std::size_t>(Count));
-    if (Size_ == 0)
-      Next_ = Coding_ == Coding::Chunked ? Part::ChunkEnd : Part::End;
+    Bytes.remove_prefix(Count);
   }
   return Fault_.empty();
 }
 
+std::size_t MessageFraming::readBody(std::string_view Bytes) {
+  std::uint64_t Count = std::min<std::uint64_t>(Size_, Bytes.size());
+  Size_ -= Count;
+  if (Size_ == 0)
+    Next_ = Coding_ == Coding::Chunked ? Part::ChunkEnd : Part::End;
+  return static_cast<std::size_t>(Count);
+}
+
+std::size_t MessageFraming::readRun(std::string_view Bytes) {
+  if (AfterCr_)
+    return 0;
+  constexpr std::string_view LineEnd = "\r\n";
+  if (Bytes.starts_with(LineEnd)) {
+    endLine();
+    return LineEnd.size();
+  }
+  std::string_view Run;
+  if (Next_ == Part::StartLine) {
+    Run = firstText(Bytes);
+    keepOfStartLine(Run);
+  } else if (Next_ == Part::FieldName) {
+    Run = firstOf(Bytes, TokenBytes);
+    keepOfName(Run);
+  } else if (Next_ == Part::FieldValue && !KeepsValue_) {
+    Run = firstText(Bytes);
+  }
+  return Next_ == Part::ChunkSize ? readSize(Bytes) : Run.size();
+}
+
+std::size_t MessageFraming::readSize(std::string_view Bytes) {
+  std::string_view Digits = Bytes.substr(0, MaxSizeDigits);
+  std::uint64_t Read = 0;
+  auto Parsed = std::from_chars(Digits.data(), Digits.data() + Digits.size(),
+                                Read, HexBase);
+  auto Count = static_cast<int>(Parsed.ptr - Digits.data());
+  SizeDigits_ += Count;
+  if (SizeDigits_ > MaxSizeDigits)
+    refuse("a chunk size of too many digits");
+  else if (Count > 0)
+    Size_ = (Size_ << (Count * HexBits % SizeBits)) | Read;
+  return static_cast<std::size_t>(Count);
+}
+
 void MessageFraming::read(char Byte) {
   if (AfterCr_) {
     AfterCr_ = false;
@@ -109,11 +183,9 @@
     AfterCr_ = true;
     return;
   }
-  if (!isTextByte(Byte))
+  if (!isAmong(TextBytes, Byte))
     return refuse("a control character");
   switch (Next_) {
-  case Part::StartLine:
-    return readStartLine(Byte);
   case Part::FieldStart:
     return readFieldStart(Byte);
   case Part::FieldName:
@@ -129,13 +201,22 @@
   }
 }
 
-void MessageFraming::readStartLine(char Byte) {
-  bool IsRequest = Kind_ == MessageKind::Request;
+void MessageFraming::keepOfStartLine(std::string_view Run) {
+  if (Kind_ != MessageKind::Request) {
+    Name_ += Run.substr(0, StatusBytes - std::min(StatusBytes, Name_.size()));
+    return;
+  }
   // The version is at the end of a request's line.
-  if (IsRequest && Name_.size() == VersionBytes)
-    Name_.erase(0, 1);
-  if (IsRequest || Name_.size() < StatusBytes)
-    Name_ += Byte;
+  Name_ += Run.substr(Run.size() - std::min(VersionBytes, Run.size()));
+  Name_.erase(0, Name_.size() - std::min(VersionBytes, Name_.size()));
+}
+
+void MessageFraming::keepOfName(std::string_view Run) {
+  std::size_t Known = Name_.size();
+  Name_ += Run.substr(0, MaxKeptBytes - std::min(MaxKeptBytes, Known));
+  std::ranges::transform(
+      Name_.begin() + static_cast<std::ptrdiff_t>(Known), Name_.end(),
+      Name_.begin() + static_cast<std::ptrdiff_t>(Known), lower);
 }
 
 void MessageFraming::readFieldStart(char Byte) {
@@ -148,20 +229,18 @@
 }
 
 void MessageFraming::readFieldName(char Byte) {
-  if (isTokenByte(Byte)) {
-    if (Name_.size() < MaxKeptBytes)
-      Name_ += lower(Byte);
-    return;
-  }
+  if (isAmong(TokenBytes, Byte))
+    return keepOfName({&Byte, 1});
   if (Byte != ':' || Name_.empty())
     return refuse("a field name that is none");
   Next_ = Part::FieldValue;
+  KeepsValue_ = Name_ == LengthField || Name_ == CodingField;
   if (InTrailers_)
     checkLateName();
 }
 
 void MessageFraming::readFieldValue(char Byte) {
-  if (Name_ != LengthField && Name_ != CodingField)
+  if (!KeepsValue_)
     return;
   if (Value_.size() == MaxKeptBytes)
     return refuse("a framing field that is too long");
@@ -169,14 +248,6 @@
 }
 
 void MessageFraming::readChunkSize(char Byte) {
-  std::uint64_t Digit = 0;
-  auto Parsed = std::from_chars(&Byte, &Byte + 1, Digit, HexBase);
-  if (Parsed.ec == std::errc()) {
-    if (++SizeDigits_ > MaxSizeDigits)
-      return refuse("a chunk size of too many digits");
-    Size_ = Size_ * HexBase + Digit;
-    return;
-  }
   bool Ends = SizeDigits_ > 0 && (Byte == ';' || isSpace(Byte));
   if (!Ends)
     return refuse("a chunk size that is no number");
@@ -195,11 +266,8 @@
     Quoted_ = !Ends;
     return;
   }
-  if (InExtensionName_ && isTokenByte(Byte)) {
-    if (Name_.size() < MaxKeptBytes)
-      Name_ += lower(Byte);
-    return;
-  }
+  if (InExtensionName_ && isAmong(TokenBytes, Byte))
+    return keepOfName({&Byte, 1});
   Quoted_ = Byte == '"';
   // Spaces may precede a name.
   if (InExtensionName_ && !(isSpace(Byte) && Name_.empty())) {
--- a/Source/Connection/MessageFraming.h
+++ b/Source/Connection/MessageFraming.h
@@ -5,6 +5,7 @@
 /// tolerant, so that the two sides of a connection never differ on where a
 /// message ends. No input or output.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -56,9 +57,18 @@
   };
   enum class Coding { None, Chunked };
 
+  /// Reads the part of \p Bytes that is of the body, or of its chunk.
+  /// \returns how many that are.
+  std::size_t readBody(std::string_view Bytes);
+  /// Reads bytes outside of a body that need no look at each of them.
+  /// \returns how many those are.
+  std::size_t readRun(std::string_view Bytes);
+  /// Reads digits of a chunk's size. \returns how many there are.
+  std::size_t readSize(std::string_view Bytes);
+  void keepOfStartLine(std::string_view Run);
+  void keepOfName(std::string_view Run);
   /// Reads one byte outside of a body.
   void read(char Byte);
-  void readStartLine(char Byte);
   void readFieldStart(char Byte);
   void readFieldName(char Byte);
   void readFieldValue(char Byte);
@@ -101,6 +111,8 @@
   std::string Name_;
   /// The value of a field that frames.
   std::string Value_;
+  /// The current field frames.
+  bool KeepsValue_ = false;
 };
 
 } // namespace samphireshunt
