HTTP/1.1 as callers' libraries expect it

What callers saw, raw bytes at a real daemon: "Expect: 100-continue" was never answered and passed on, so that a caller waits before each large body; HTTP/1.1 without Host and a target that is no path got 404; an absolute target of a known host 404; one empty line before a request 400; CONNECT was run by a server, whose 200 the caller had to take for a tunnel; TRACE with a body ended as 900, a fault of this program; answers to HEAD and with 304 said a length of 0 whatever the server stated, those with 204 had a length; a status without a name came with the reason "<unknown-status>", 600 and 999 as they were.

Cause: the parser's view of a request line was taken as it is, and the head of an answer was framed as if each had a body.

Change: RequestTarget, a pure module: method, target and host are read once, before anything decides by them; an absolute target becomes a path, its host replaces Host (RFC 9112, section 3.2.2). 100 is sent after the checks that need only the head, so a refusal costs no body; servers get no such expectation. Answers without a body carry the length that their server states, or none. One empty line before a request is skipped.

--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -57,6 +58,9 @@
   int Status_ = 200;
   HttpFields Fields_;
   std::string Body_;
+  /// The bytes that a server states for a body that it does not send: in a
+  /// response to HEAD, or with status 304.
+  std::optional<std::uint64_t> StatedLength_ = std::nullopt;
 };
 
 /// \returns whether \p Body is a complete JSON object or list, which can't be
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -32,6 +32,8 @@
 constexpr int StatusSwitchingProtocols = 101;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
+/// The first number that is no status (RFC 9110, section 15).
+constexpr int StatusEnd = 600;
 /// The most interim answers before an answer, each with a head of at most
 /// MaxHeadBytes. A server sends a few at most: 100 and some hints.
 constexpr int MaxInterimAnswers = 16;
@@ -113,8 +115,9 @@
       else
         Failed = co_await parseHead();
     }
-    // No request asks for another protocol.
-    if (!Failed && status() < StatusOk)
+    // No request asks for another protocol, and no class of statuses is above
+    // the fifth.
+    if (!Failed && (status() < StatusOk || status() >= StatusEnd))
       Failed = Failure{ResultCode::MalformedAnswer,
                        "status " + std::to_string(status())};
     if (Failed) {
@@ -126,6 +129,8 @@
     for (const auto &Field : Parser_->get())
       Head.Fields_.add(lowerCase(Field.name_string()),
                        std::string(Field.value()));
+    if (ToHead_ || Head.Status_ == StatusNotModified)
+      Head.StatedLength_ = statedLength(Head);
     noteIdleLimit(Head);
     co_return Head;
   }
@@ -262,6 +267,14 @@
     co_return std::nullopt;
   }
 
+  static std::optional<std::uint64_t> statedLength(const HttpResponse &Head) {
+    std::string_view Digits = Head.Fields_.only("content-length");
+    std::uint64_t Length = 0;
+    auto Parsed =
+        std::from_chars(Digits.data(), Digits.data() + Digits.size(), Length);
+    return Parsed.ec == std::errc() ? std::optional(Length) : std::nullopt;
+  }
+
   /// Reads the timeout from a field like "Keep-Alive: timeout=5, max=100".
   void noteIdleLimit(const HttpResponse &Head) {
     auto Field = Head.Fields_.find("keep-alive");
--- a/Source/Connection/HttpServer.cpp
+++ b/Source/Connection/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include "Connection/GrowingBody.h"
 #include "Connection/MemoryBudget.h"
 #include "Connection/MemoryWait.h"
+#include "Connection/RequestTarget.h"
 #include "Connection/SocketOptions.h"
 #include "Connection/Spawn.h"
 
@@ -32,6 +33,8 @@
 
 constexpr std::size_t FirstReadBytes = 4096;
 constexpr unsigned Http11 = 11;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotModified = 304;
 /// How long the connection of a caller whose VM disappeared without closing it
 /// is kept.
 constexpr SilenceLimits CallerSilence{std::chrono::milliseconds(10000),
@@ -174,11 +177,14 @@
   Awaitable<bool> respond(HttpResponse Response) override {
     http::response<http::string_body> Message;
     fillHead(Message, Response);
-    // A response to HEAD has no body; otherwise the client would misread the
-    // next response.
-    if (mayHaveBody())
+    // Otherwise the client would misread the next response.
+    if (!mayHaveBody(Response.Status_)) {
+      if (auto Length = statedLength(Response))
+        Message.content_length(*Length);
+    } else {
       Message.body() = std::move(Response.Body_);
-    Message.prepare_payload();
+      Message.prepare_payload();
+    }
     Begun_ = true;
     beast::error_code Error;
     Stream_.expires_after(State_->Options_.WriteTimeout_);
@@ -197,7 +203,7 @@
   }
 
   Awaitable<bool> writeChunk(std::string Data) override {
-    if (Data.empty() || !mayHaveBody())
+    if (Data.empty() || isHead())
       co_return true;
     auto Bytes = asio::buffer(Data);
     if (!Chunked_)
@@ -207,7 +213,7 @@
   }
 
   Awaitable<bool> endStream() override {
-    if (Chunked_ && mayHaveBody()) {
+    if (Chunked_ && !isHead()) {
       auto Last = http::make_chunk_last();
       Answered_ = co_await writeBuffers(Last);
       co_return Answered_;
@@ -277,7 +283,21 @@
     Stream_.socket().set_option(asio::socket_base::linger(Reset, 0), Ignored);
   }
 
-  bool mayHaveBody() const { return Request_.Method_ != "HEAD"; }
+  bool isHead() const { return Request_.Method_ == "HEAD"; }
+
+  bool mayHaveBody(int Status) const {
+    return !isHead() && Status != StatusNoContent &&
+           Status != StatusNotModified;
+  }
+
+  /// \returns the length that the head of a response without a body states.
+  std::optional<std::uint64_t>
+  statedLength(const HttpResponse &Response) const {
+    if (Response.Status_ == StatusNoContent)
+      return std::nullopt;
+    bool KnowsBody = isHead() && !Response.Body_.empty();
+    return KnowsBody ? Response.Body_.size() : Response.StatedLength_;
+  }
 
   using TimePoint = std::chrono::steady_clock::time_point;
   using Parser = http::request_parser<GrowingBody>;
@@ -346,16 +366,30 @@
 
   /// Waits for the first byte of a request. Idle connections are distinguished
   /// from those with a request in progress, which a graceful stop must not cut.
+  /// One empty line before a request is skipped (RFC 9112, section 2.2).
   Awaitable<bool> awaitFirstByte() {
-    if (Buffer_.size() > 0)
-      co_return true;
+    constexpr std::string_view EmptyLine = "\r\n";
+    bool Skipped = false;
     beast::error_code Error;
     Stream_.expires_after(State_->limits().IdleTimeout_);
-    auto Space = Buffer_.prepare(FirstReadBytes);
-    std::size_t Count = co_await Stream_.async_read_some(
-        Space, asio::redirect_error(asio::use_awaitable, Error));
-    Buffer_.commit(Count);
-    co_return !Error;
+    while (!Error) {
+      auto Data = Buffer_.cdata();
+      std::string_view Held(static_cast<const char *>(Data.data()),
+                            Data.size());
+      bool MayBeLine = !Skipped && EmptyLine.starts_with(Held.substr(0, 2));
+      if (!Held.empty() && !MayBeLine)
+        co_return true;
+      if (Held.starts_with(EmptyLine)) {
+        Buffer_.consume(EmptyLine.size());
+        Skipped = true;
+        continue;
+      }
+      auto Space = Buffer_.prepare(FirstReadBytes);
+      std::size_t Count = co_await Stream_.async_read_some(
+          Space, asio::redirect_error(asio::use_awaitable, Error));
+      Buffer_.commit(Count);
+    }
+    co_return false;
   }
 
   /// \returns whether the response was sent completely.
@@ -489,13 +523,14 @@
     if (Ended.Error_)
       co_return Ended;
     takeHead(Into.get());
-    if (auto Fault = State_->Options_.Fields_.requestFault(Request_.Fields_)) {
-      Ended.Refusal_ = malformed(*Fault);
-      co_return Ended;
-    }
+    Ended.Refusal_ = checkHead();
     auto Length = Into.content_length();
-    if (Length && *Length > KernelBufferBytes)
-      Ended.Refusal_ = checkLargeBody(*Length);
+    bool Awaited = !Into.is_done() && takeExpectation();
+    bool Large = Length && *Length > KernelBufferBytes;
+    if (!Ended.Refusal_ && (Large || Awaited))
+      Ended.Refusal_ = checkLargeBody(Length.value_or(0));
+    if (!Ended.Refusal_ && Awaited && Buffer_.size() == 0)
+      Ended.Error_ = co_await sendContinue();
     Into.eager(true);
     while (!Ended.Error_ && !Ended.Refusal_ && !Into.is_done()) {
       // The limit may have run out while no read was in progress.
@@ -527,6 +562,33 @@
                            std::string(Field.value()));
   }
 
+  /// \returns why the request is not served, whatever its body is.
+  std::optional<Failure> checkHead() {
+    if (auto Fault = State_->Options_.Fields_.requestFault(Request_.Fields_))
+      return malformed(*Fault);
+    return normalizeTarget(Request_, Version_ < Http11);
+  }
+
+  /// \returns whether the caller waits for an interim response before it sends
+  /// the body (RFC 9110, section 10.1.1). Servers need not know: they get the
+  /// body with the head.
+  bool takeExpectation() {
+    bool Waits = Version_ >= Http11 &&
+                 lowerCase(Request_.field("expect")) == "100-continue";
+    if (Waits)
+      Request_.Fields_.erase("expect");
+    return Waits;
+  }
+
+  Awaitable<beast::error_code> sendContinue() {
+    constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    beast::error_code Error;
+    co_await asio::async_write(
+        Stream_, asio::buffer(Continue),
+        asio::redirect_error(asio::use_awaitable, Error));
+    co_return Error;
+  }
+
   /// \returns why a body of \p Bytes is not read.
   std::optional<Failure> checkLargeBody(std::size_t Bytes) {
     BodyChecked_ = true;
@@ -610,7 +672,10 @@
     if (State_->CloseAfterAnswers_)
       KeepAlive_ = false;
     Target.version(Version_);
-    Target.result(static_cast<unsigned>(Head.Status_));
+    auto Status = static_cast<unsigned>(Head.Status_);
+    Target.result(Status);
+    if (http::int_to_status(Status) == http::status::unknown)
+      Target.reason("Unknown");
     for (const auto &[Name, Value] : Head.Fields_)
       Target.insert(Name, Value);
     Target.keep_alive(KeepAlive_);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -895,6 +895,33 @@
 mutate framing-of-requests $S/Connection/HttpServer.cpp \
   's/if \(Framing\.feed\(\{[^}]*\}\)\)/if (true)/; s/if \(!Framing\.fault\(\)\.empty\(\)\)\n/if (false)\n/; s/&& !Framing\.whole\(\)/\&\& false/' \
   ${F}platform_FramingTest '*hidden in another one*'
+mutate repeated-fields $S/Connection/FieldRules.cpp \
+  's/return Line\.first == After\.first && IsSingle\(Line\.first\);/return false;/' \
+  ${U}Connection '*fields can be read in two ways*'
+mutate listed-fields $S/Connection/FieldRules.cpp \
+  's/if \(isEndToEnd\(Name\)\)\n      return quoted/if (false)\n      return quoted/' \
+  ${U}Connection '*fields can be read in two ways*'
+mutate underscored-fields $S/Connection/FieldRules.cpp \
+  's/if \(isSingle\(Meant\) \|\| isAmong\(HopFields, Meant\)\)/if (false)/' \
+  ${U}Connection '*fields can be read in two ways*'
+mutate listed-in-answers $S/Connection/FieldRules.cpp \
+  's/if \(!isEndToEnd\(Name\)\)\n      Fields\.erase/if (true)\n      Fields.erase/' \
+  ${U}Connection '*fields of the connection are removed*'
+mutate fields-of-requests $S/Connection/HttpServer.cpp \
+  's/if \(auto Fault = State_->Options_\.Fields_\.requestFault\([^)]*\)\)/if (std::optional<std::string> Fault; Fault)/' \
+  ${F}platform_FieldsTest '*run whose fields can be read in two ways*'
+mutate fields-of-answers $S/Request/RequestContext.cpp \
+  's/if \(Fault\)\n    co_return Failure\{ResultCode::MalformedAnswer/if (false)\n    co_return Failure{ResultCode::MalformedAnswer/' \
+  ${F}platform_FieldsTest '*tell two origins*'
+mutate absolute-target $S/Connection/RequestTarget.cpp \
+  's/if \(auto Absolute = [^)]*\)\)/if (std::optional<std::string_view> Absolute; Absolute)/' \
+  ${U}Connection '*target becomes a path*'
+mutate interim-response $S/Connection/HttpServer.cpp \
+  's/Ended\.Error_ = co_await sendContinue\(\);/(void)0;/' \
+  ${F}platform_HttpTest '*waits before its body*'
+mutate stated-length $S/Connection/HttpConnection.cpp \
+  's/Head\.StatedLength_ = statedLength\(Head\);/(void)0;/' \
+  ${F}platform_HttpTest '*length that its server states*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
