--- a/Source/Connection/MessageFraming.cpp
+++ b/Source/Connection/MessageFraming.cpp
@@ -24,8 +24,8 @@
 constexpr int MaxSizeDigits = 16;
 constexpr int HexBase = 16;
 constexpr int HexBits = 4;
-/// The bits of a size. It is still 0 when all digits come at once, and a shift by
-/// all of its bits would be undefined.
+/// The bits of a size. It is still 0 when all digits come at once, and a shift
+/// by all of its bits would be undefined.
 constexpr int SizeBits = MaxSizeDigits * HexBits;
 constexpr unsigned char FirstPrintable = 0x20;
 constexpr unsigned char Delete = 0x7F;
