FieldRules: the list of Connection is read in plain steps

The nested moves stopped a newcomer; what Content-Length does among the fields of one connection is said. No change of behaviour: UnitTests_Connection 84 of 84 cases and Failure.platform.FieldsTest 100 of 100 assertions pass, the linter is clean on it.

--- a/Source/Connection/FieldRules.cpp
+++ b/Source/Connection/FieldRules.cpp
@@ -4,13 +4,13 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
 
 namespace samphireshunt {
 
 namespace {
 
-/// Fields of one connection.
+/// Fields of one connection, and Content-Length, which is computed again when
+/// the message is sent.
 constexpr std::array<std::string_view, 10> HopFields = {"connection",
                                                         "content-length",
                                                         "keep-alive",
@@ -106,11 +106,12 @@
 std::vector<std::string> listedNames(const HttpFields &Fields) {
   std::vector<std::string> Names;
   auto [First, Last] = Fields.equal_range("connection");
-  for (auto Line = First; Line != Last; ++Line)
-    std::ranges::move(std::vector<std::string>(absl::StrSplit(
-                          lowerCase(Line->second), absl::ByAnyChar(", \t"),
-                          absl::SkipEmpty())),
-                      std::back_inserter(Names));
+  for (auto Line = First; Line != Last; ++Line) {
+    std::string List = lowerCase(Line->second);
+    for (absl::string_view Name :
+         absl::StrSplit(List, absl::ByAnyChar(", \t"), absl::SkipEmpty()))
+      Names.emplace_back(Name);
+  }
   return Names;
 }
 
