Streams go on at a version that a daemon still holds back

Cause: a daemon that starts admits all versions that it finds; the others hold a new one back for 3 s, in case an order to roll it out is on its way, and left its servers out of their lists altogether. So a stream that began at one daemon could not go on at another. Class: a rule for new work is applied to work that has begun.

Change: servers of a version that is held back for want of an order are listed and marked; only requests that began at the version are granted to them, and they count for no estimate of other requests. Versions on trial or retired stay left out.

Ruled out: admitting the version everywhere at once (the hold protects roll-outs); refusing the version at a daemon that starts (nothing else might serve).

With the mechanism left out the new tests fail: VersionSelectionTest (1 check), VersionBoundTest (32), StreamOriginTest (1).

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -142,10 +142,11 @@
   std::vector<ServerCapacity> Servers;
   for (const BackendServer *Server : cellServers(*Whole, Cell.Index_)) {
     bool Active = Snapshot->isActive(*Server);
-    Servers.push_back(
-        {Server->Name_, Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
-         Whole->CacheTokens_, Options_.AheadPerServer_, Server->Incarnation_,
-         Server->Canary_, Server->Version_, Server->DataCenter_});
+    Servers.push_back({Server->Name_,
+                       Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
+                       Whole->CacheTokens_, Options_.AheadPerServer_,
+                       Server->Incarnation_, Server->Canary_, Server->Version_,
+                       Server->DataCenter_, Server->Held_});
   }
   std::map<CustomerName, CustomerPolicy> Policies;
   for (const Customer &Known : Service->Document_->Customers_)
--- a/Source/Process/Rollout/VersionSelection.cpp
+++ b/Source/Process/Rollout/VersionSelection.cpp
@@ -50,6 +50,11 @@
          Record_->Base_.contains(Version);
 }
 
+bool VersionSelection::isHeldBack(const SoftwareVersion &Version) const {
+  return !Admitted_.contains(Version) && !onTrial(Version) &&
+         !isRetired(Version);
+}
+
 void VersionSelection::note(const std::vector<BackendServer> &Registered,
                             BootTime Now) {
   std::map<ServerName, KnownServer> Noted;
@@ -75,7 +80,7 @@
   std::set<SoftwareVersion> Due;
   for (const auto &[Name, Server] : Servers_) {
     const SoftwareVersion &Version = Server.Version_;
-    if (Admitted_.contains(Version) || onTrial(Version) || isRetired(Version))
+    if (!isHeldBack(Version))
       continue;
     BootTime At = Server.FirstSeen_ + HoldTime;
     if (!AnyServes || Now >= At)
@@ -92,6 +97,8 @@
   bool IsTarget = Record_ && Record_->Target_ == Version;
   if (!IsTarget) {
     bool Replaced = Record_ && Record_->Stage_ == RolloutStage::Shifting;
+    if (isHeldBack(Version))
+      return Use::Held;
     if (!Admitted_.contains(Version) || onTrial(Version))
       return Use::None;
     return Replaced ? Use::FinishOnly : Use::Full;
@@ -123,6 +130,7 @@
     if (Allowed == Use::None)
       continue;
     Server.Canary_ = Allowed == Use::Canary;
+    Server.Held_ = Allowed == Use::Held;
     Server.Leaving_ |= Allowed == Use::FinishOnly;
     Selected.push_back(std::move(Server));
   }
--- a/Source/Process/Rollout/VersionSelection.h
+++ b/Source/Process/Rollout/VersionSelection.h
@@ -7,7 +7,9 @@
 /// arrives at a daemon. Until the version is proven, they may get no requests
 /// but those of the trial. Without any order, a new version is held back for as
 /// long as an order may take to arrive, and then admitted: some operators
-/// replace servers without orders.
+/// replace servers without orders. Daemons admit it at different times, those
+/// that have just started at once, so a stream that began at one of them may be
+/// taken up at another one that still holds the version back.
 
 #include "Common/BootClock.h"
 #include "Process/Rollout/RolloutRecord.h"
@@ -56,8 +58,9 @@
   const std::set<SoftwareVersion> &admitted() const { return Admitted_; }
   const std::map<ServerName, KnownServer> &servers() const { return Servers_; }
 
-  /// \returns the servers that may get requests, and those that only finish
-  /// theirs, which are marked as leaving. Notes all of \p Registered.
+  /// \returns the servers that may get requests, those that only finish theirs,
+  /// which are marked as leaving, and those of versions that are held back,
+  /// which are marked so. Notes all of \p Registered.
   std::vector<BackendServer> select(std::vector<BackendServer> Registered,
                                     BootTime Now);
   /// When the result of select() will change because a version is admitted.
@@ -72,12 +75,14 @@
   }
 
 private:
-  enum class Use { Full, Canary, FinishOnly, None };
+  enum class Use { Full, Canary, Held, FinishOnly, None };
 
   void note(const std::vector<BackendServer> &Registered, BootTime Now);
   void admit(BootTime Now);
   bool onTrial(const SoftwareVersion &Version) const;
   bool isRetired(const SoftwareVersion &Version) const;
+  /// True while no order is known that decides on the version.
+  bool isHeldBack(const SoftwareVersion &Version) const;
   Use useOf(const BackendServer &Server) const;
 
   std::optional<RolloutOrder> Order_;
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -206,7 +206,8 @@
       Request.Version_.empty() || Request.Version_ == Capacity.Version_;
   bool ServerFits =
       Request.OnlyServer_.empty() || Request.OnlyServer_ == Capacity.Name_;
-  return VersionFits && ServerFits &&
+  bool Begun = !Capacity.Held_ || !Request.Version_.empty();
+  return VersionFits && ServerFits && Begun &&
          std::ranges::count(Request.Excluded_, Capacity.Name_) == 0;
 }
 
@@ -217,7 +218,7 @@
   if (Request.MaxWait_.count() > 0)
     Latest = std::min(Latest, Now + Request.MaxWait_);
   return std::ranges::any_of(Servers_, [&](const auto &Item) {
-    return Item.second.usable() &&
+    return Item.second.mayContinue() &&
            Item.second.restUntil(Request.Ingress_) < Latest &&
            mayRunOn(Request, Item.second);
   });
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -503,6 +503,7 @@
   /// \returns the expected number of generated tokens; 0 while unknown.
   Tokens expectedAnswer(const GrantRequest &Request) const;
   bool anyEngineHasRoom() const;
+  bool onlyHeldHaveRoom() const;
   /// \returns the expected time on the fastest idle engine, with a margin; 0
   /// while unknown.
   std::chrono::nanoseconds bestServiceTime(const GrantRequest &Request) const;
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -91,6 +91,17 @@
   return Allowed && Server.hasRoom(Share_);
 }
 
+/// True if only engines of versions that are held back have room. Many other
+/// requests must not hold up those that began there.
+bool Scheduler::onlyHeldHaveRoom() const {
+  auto RoomAt = [this](bool Held) {
+    return std::ranges::any_of(Servers_, [&](const auto &Item) {
+      return Item.second.capacity().Held_ == Held && hasRoom(Item.second);
+    });
+  };
+  return RoomAt(true) && !RoomAt(false);
+}
+
 /// True if the engine can take the request now.
 bool Scheduler::canTake(const GrantRequest &Request, const ServerModel &Server,
                         TimePoint Now) const {
@@ -390,9 +401,13 @@
   // engine while others could be served.
   constexpr int MaxChecked = 8;
   int Checked = 0;
+  bool OnlyHeldHaveRoom = onlyHeldHaveRoom();
   for (const DeadlineKey &Key : Queue.Requests_) {
     RequestId Id = std::get<RequestId>(Key);
     const GrantRequest &Details = Waiting_.at(Id).Details_;
+    bool Bound = !Details.Version_.empty() || !Details.OnlyServer_.empty();
+    if (OnlyHeldHaveRoom && !Bound)
+      continue;
     if (InTime && Details.Objective_ < Now + MinFirstEventDelay)
       continue;
     // Many copies of one request must not hold up its customer's others.
@@ -402,7 +417,7 @@
       return Placement{Id, Server};
     // Many requests that are bound to a version or a server must not hold up
     // those that any server may run.
-    if (!Details.Version_.empty() || !Details.OnlyServer_.empty())
+    if (Bound)
       continue;
     if (!Options_.UsePrefixes_ || ++Checked == MaxChecked)
       break;
--- a/Source/Process/Scheduling/ServerModel.cpp
+++ b/Source/Process/Scheduling/ServerModel.cpp
@@ -93,7 +93,7 @@
   if (SlotsAside_ > 0)
     Usual = slots() - std::min(slots(), SlotsAside_);
   double Limit = OnTrial_ || replaced() ? 1.0 : std::floor(Usual * Share);
-  return usable() && Rate_.allowsOne() && Rejections_.allowsOne() &&
+  return mayContinue() && Rate_.allowsOne() && Rejections_.allowsOne() &&
          inFlight() < std::max(1.0, Limit) &&
          pendingReadingTime() < MaxUnreadTime;
 }
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -44,6 +44,8 @@
   /// Of the engine's software; empty means unknown.
   SoftwareVersion Version_;
   DataCenterName DataCenter_;
+  /// The engine gets only requests that began at its version.
+  bool Held_ = false;
 };
 
 /// The outcome of a request.
@@ -106,7 +108,9 @@
   /// Sets whether the keeper's own view of reachability is reliable.
   void trustReachability(bool Trusted) { ReachabilityTrusted_ = Trusted; }
   /// True if the engine may get new work.
-  bool usable() const {
+  bool usable() const { return mayContinue() && !Capacity_.Held_; }
+  /// True if the engine may get requests that began at its version.
+  bool mayContinue() const {
     bool Answers = Reachable_ || !ReachabilityTrusted_;
     return Capacity_.Active_ && !Reported_.Leaving_ && Answers && !LeftOut_ &&
            Now_ >= ReplacedUntil_.value_or(TimePoint()) && !SaysLeaving_;
--- a/Source/Version/Document.h
+++ b/Source/Version/Document.h
@@ -57,6 +57,9 @@
   /// The server's version is on trial: it gets only as many requests as the
   /// roll-out allows.
   bool Canary_ = false;
+  /// The server's version is too new to be chosen here. Other daemons may have
+  /// chosen it already, so streams that began at it go on at it.
+  bool Held_ = false;
 };
 
 /// What the engines of a pool can do with the memory of a run.
--- a/UnitTests/Process/Rollout/VersionSelectionTest.cpp
+++ b/UnitTests/Process/Rollout/VersionSelectionTest.cpp
@@ -45,11 +45,20 @@
   std::vector<std::string> Names;
   for (const BackendServer &Server :
        Versions.select(std::move(Registered), Now))
-    if (!Server.Leaving_)
+    if (!Server.Leaving_ && !Server.Held_)
       Names.push_back(Server.Name_.str() + (Server.Canary_ ? "*" : ""));
   return Names;
 }
 
+/// The servers that get only streams that began at their version.
+std::vector<std::string> held(VersionSelection &Versions, BootTime Now) {
+  std::vector<std::string> Names;
+  for (const BackendServer &Server : Versions.select(Both, Now))
+    if (Server.Held_)
+      Names.push_back(Server.Name_.str());
+  return Names;
+}
+
 using Names = std::vector<std::string>;
 
 } // namespace
@@ -73,6 +82,21 @@
   CHECK(!Versions.nextAdmission());
 }
 
+TEST_CASE("streams go on at a version that is held back here") {
+  // Guards against refusing streams that began at daemons which have admitted
+  // the version, because they have just started.
+  VersionSelection Versions;
+  usable(Versions, {server("a1", V1)});
+  CHECK(held(Versions, Start) == Names{"b1", "b2"});
+  CHECK(held(Versions, Start + VersionSelection::HoldTime).empty());
+  VersionSelection Ordered;
+  usable(Ordered, {server("a1", V1)});
+  Ordered.setOrder(ToV2, OrderedAt);
+  CHECK(held(Ordered, Start).empty());
+  VersionSelection Started;
+  CHECK(held(Started, Start).empty());
+}
+
 TEST_CASE("a new version is used at once if no other server is there") {
   VersionSelection Versions;
   usable(Versions, {server("a1", V1)});
--- a/UnitTests/Process/Scheduling/VersionBoundTest.cpp
+++ b/UnitTests/Process/Scheduling/VersionBoundTest.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint32_t Slots = 4;
 constexpr std::uint64_t Bound = 30;
 
-Scheduler schedulerOfTwoVersions() {
+Scheduler schedulerOfTwoVersions(bool HoldsV2 = false) {
   Scheduler::Options Options;
   Options.GuaranteedShare_ = 0.15;
   Options.Preempt_ = false;
@@ -29,6 +29,7 @@
     Server.Name_ = ServerName(fmt::format("engine-{}", Index));
     Server.MaxInFlight_ = Slots;
     Server.Version_ = SoftwareVersion(Index < 2 ? "v1" : "v2");
+    Server.Held_ = HoldsV2 && Index >= 2;
     Servers.push_back(std::move(Server));
   }
   Built.configure(std::move(Servers), {}, 1, 1000);
@@ -80,6 +81,21 @@
   CHECK(grantsOf(Keeper.decide(Start), {"engine-2", "engine-3"}) == Slots);
 }
 
+TEST_CASE("servers of a version that is held back get only its streams") {
+  // Guards against streams that are refused although their servers are there,
+  // and against new requests at a version that is held back.
+  Scheduler Keeper = schedulerOfTwoVersions(/*HoldsV2=*/true);
+  for (std::uint64_t Number = 1; Number <= Bound; ++Number)
+    Keeper.requestGrant(request(Number, ""), Start);
+  auto Decisions = Keeper.decide(Start);
+  CHECK(grantsOf(Decisions, {"engine-0", "engine-1"}) == 2 * Slots);
+  CHECK(grantsOf(Decisions, {"engine-2", "engine-3"}) == 0);
+  for (std::uint64_t Number = 1; Number <= Bound; ++Number)
+    CHECK(Keeper.requestGrant(request(Bound + Number, "v2"), Start).empty());
+  Decisions = Keeper.decide(Start);
+  CHECK(grantsOf(Decisions, {"engine-2", "engine-3"}) == 2 * Slots);
+}
+
 TEST_CASE("a stream whose version has no server left is refused at once") {
   // Guards against callers that wait for a server that can't come.
   Scheduler Keeper = schedulerOfTwoVersions();
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -465,6 +465,7 @@
     Built.Address_ = Servers_[Index]->address();
     Built.MaxInFlight_ = Options_.MaxInFlight_;
     Built.Leaving_ = std::ranges::count(Leaving, Index) > 0;
+    Built.Held_ = std::ranges::count(Held_, Index) > 0;
     const auto &Versions = Options_.Versions_;
     Built.Version_ = SoftwareVersion(Versions[Index % Versions.size()]);
     Listed.push_back(std::move(Built));
@@ -472,6 +473,11 @@
   Documents_.setServers(Service, {{ThePool, std::move(Listed)}});
 }
 
+void ForwardingHarness::hold(std::vector<std::size_t> Held) {
+  Held_ = std::move(Held);
+  publish();
+}
+
 void ForwardingHarness::publishAt(const Endpoint &Address) {
   BackendServer Built;
   Built.Name_ = ServerName("server-0");
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -118,6 +118,20 @@
   CHECK(Path.call("d", "x", takeUp("")).hasLastChunk());
 }
 
+TEST_CASE("a stream goes on at its version where that is held back by now") {
+  // Guards against streams of a new version that are refused, with its servers
+  // idle, by a daemon that has not admitted it.
+  ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
+  std::string Begun = Path.call("c").body();
+  std::size_t First = has(Begun, "v1") ? 0 : 1;
+  Path.hold({First});
+  CallerReply New = Path.call("d");
+  CHECK(has(New.body(), First == 0 ? "v2" : "v1"));
+  CallerReply Rest = Path.call("e", "x", takeUp("c"));
+  CHECK(Rest.hasLastChunk());
+  CHECK_FALSE(isMixed(Begun + Rest.body()));
+}
+
 TEST_CASE("a stream whose version has no server left is not begun elsewhere") {
   // Guards against a caller's second attempt that falls back to what is left.
   ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
