StreamOriginService: a newer list is asked for while answers are awaited

Cause: answers were awaited for 0.4 s, then a newer list for 0.5 s. A daemon that was known to be out of reach was awaited like one that is slow.

Change: the list is asked for after 100 ms, answers are awaited for 250 ms, both for 500 ms; an answer is no longer awaited once its link is lost. Six daemons are asked instead of four, since daemons differ in which members they know.

--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/dispatch.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace samphireshunt {
@@ -19,11 +21,10 @@
   return Key ? StreamKey{Key->high(), Key->low()} : StreamKey();
 }
 
-FoundOrigin originOf(const UnrecordedStream &Stream,
-                     const StreamVersion &Known) {
+FoundOrigin originOf(const OriginQuery &Query, const StreamVersion &Known) {
   if (Known.Proof_ != StreamVersion::Proof::Shown)
     return {};
-  return {StreamOrigin{Stream.Pool_, Known.Version_},
+  return {StreamOrigin{*Query.Pool_, Known.Version_},
           OriginSource::OnlyVersion};
 }
 
@@ -91,31 +92,45 @@
 }
 
 void StreamOriginService::findNow(OriginQuery Query, Answered OnAnswer) {
-  if (!Query.Key_)
-    return withoutRecord(Query, std::move(OnAnswer));
-  if (auto Known = Origins_.find(*Query.Key_, steady_clock::now()))
-    return OnAnswer({std::move(Known), OriginSource::Self});
-  ask(std::move(Query), std::move(OnAnswer));
-}
-
-void StreamOriginService::ask(OriginQuery Query, Answered OnAnswer) {
+  auto Now = steady_clock::now();
+  Question Asked{std::move(Query), std::move(OnAnswer), Now};
+  if (!Asked.Query_.Key_)
+    return withoutRecord(std::move(Asked));
+  if (auto Known = Origins_.find(*Asked.Query_.Key_, Now))
+    return Asked.OnAnswer_({std::move(Known), OriginSource::Self});
+  ask(std::move(Asked));
+}
+
+void StreamOriginService::ask(Question Asked) {
+  const StreamKey &Key = *Asked.Query_.Key_;
+  std::vector<VmId> Keepers = recordKeepers(Key, others(), Options_.Asked_);
+  if (Keepers.empty())
+    return withoutRecord(std::move(Asked));
   std::uint64_t Sequence = NextSequence_++;
   wire::OriginAskT Ask;
   Ask.sequence = Sequence;
-  Ask.key = std::make_unique<wire::StreamKey>(toWire(*Query.Key_));
-  std::vector<VmId> Asked =
-      recordKeepers(*Query.Key_, others(), Options_.Asked_);
-  if (Asked.empty())
-    return withoutRecord(Query, std::move(OnAnswer));
-  auto Timer = timeLimit(Options_.AnswerTime_,
-                         [this, Sequence] { finish(Sequence, std::nullopt); });
-  Lookups_.emplace(Sequence, Lookup{std::move(Query), std::move(OnAnswer),
-                                    Asked, std::move(Timer)});
+  Ask.key = std::make_unique<wire::StreamKey>(toWire(Key));
+  auto Timer = timeLimit(Options_.UsualAnswerTime_,
+                         [this, Sequence] { answersLate(Sequence); });
+  Lookups_.emplace(Sequence,
+                   Lookup{std::move(Asked), Keepers, std::move(Timer)});
   std::string Message = encodeMessage(std::move(Ask));
-  for (const VmId &To : Asked)
+  for (const VmId &To : Keepers)
     Hooks_.Send_(To, Message);
 }
 
+void StreamOriginService::answersLate(std::uint64_t Sequence) {
+  auto Found = Lookups_.find(Sequence);
+  if (Found == Lookups_.end())
+    return;
+  Lookup &Late = Found->second;
+  Late.Timer_ = timeLimit(Options_.AnswerTime_ - Options_.UsualAnswerTime_,
+                          [this, Sequence] { finish(Sequence, std::nullopt); });
+  if (versionOf(Late.Question_.Query_).Proof_ ==
+      StreamVersion::Proof::Unconfirmed)
+    Hooks_.ConfirmList_();
+}
+
 std::unique_ptr<asio::steady_timer>
 StreamOriginService::timeLimit(milliseconds Time, std::function<void()> OnEnd) {
   auto Timer = std::make_unique<asio::steady_timer>(Control_, Time);
@@ -143,12 +158,27 @@
   auto Found = Lookups_.find(Answer.sequence);
   if (Found == Lookups_.end())
     return;
-  std::erase(Found->second.Asked_, From);
   if (Answer.known)
     finish(Answer.sequence, StreamOrigin{PoolName(Answer.pool),
                                          SoftwareVersion(Answer.software)});
-  else if (Found->second.Asked_.empty())
-    finish(Answer.sequence, std::nullopt);
+  else
+    unknownAt(From, Answer.sequence);
+}
+
+void StreamOriginService::onLinkDown(const VmId &Peer) {
+  std::vector<std::uint64_t> Sequences;
+  std::ranges::copy(std::views::keys(Lookups_), std::back_inserter(Sequences));
+  for (std::uint64_t Sequence : Sequences)
+    unknownAt(Peer, Sequence);
+}
+
+void StreamOriginService::unknownAt(const VmId &Peer, std::uint64_t Sequence) {
+  auto Found = Lookups_.find(Sequence);
+  if (Found == Lookups_.end())
+    return;
+  std::vector<VmId> &Awaited = Found->second.Asked_;
+  if (std::erase(Awaited, Peer) > 0 && Awaited.empty())
+    finish(Sequence, std::nullopt);
 }
 
 void StreamOriginService::finish(std::uint64_t Sequence,
@@ -156,45 +186,48 @@
   auto Node = Lookups_.extract(Sequence);
   if (!Node)
     return;
-  Lookup &Ended = Node.mapped();
+  Question &Asked = Node.mapped().Question_;
   if (Origin)
-    return Ended.OnAnswer_({std::move(Origin), OriginSource::Peer});
-  withoutRecord(Ended.Query_, std::move(Ended.OnAnswer_));
+    return Asked.OnAnswer_({std::move(Origin), OriginSource::Peer});
+  withoutRecord(std::move(Asked));
 }
 
-void StreamOriginService::withoutRecord(const OriginQuery &Query,
-                                        Answered OnAnswer) {
+StreamVersion StreamOriginService::versionOf(const OriginQuery &Query) const {
   if (!Query.Pool_)
-    return OnAnswer({});
-  UnrecordedStream Stream{*Query.Pool_, Query.Arrived_, Query.MaxAge_};
-  StreamVersion Known = Hooks_.VersionOf_(Stream);
+    return {};
+  return Hooks_.VersionOf_({*Query.Pool_, Query.Arrived_, Query.MaxAge_});
+}
+
+void StreamOriginService::withoutRecord(Question Asked) {
+  const OriginQuery &Query = Asked.Query_;
+  StreamVersion Known = versionOf(Query);
   if (Known.Proof_ != StreamVersion::Proof::Unconfirmed)
-    return OnAnswer(originOf(Stream, Known));
+    return Asked.OnAnswer_(originOf(Query, Known));
   std::uint64_t Sequence = NextSequence_++;
-  auto Timer = timeLimit(Options_.ConfirmTime_,
+  auto Elapsed =
+      std::chrono::floor<milliseconds>(steady_clock::now() - Asked.Began_);
+  auto Timer = timeLimit(Options_.ConfirmTime_ - Elapsed,
                          [this, Sequence] { refuseUnrecorded(Sequence); });
-  Unrecorded_.emplace(
-      Sequence,
-      Unrecorded{std::move(Stream), std::move(OnAnswer), std::move(Timer)});
+  Unrecorded_.emplace(Sequence, Unrecorded{std::move(Asked), std::move(Timer)});
   Hooks_.ConfirmList_();
 }
 
 void StreamOriginService::refuseUnrecorded(std::uint64_t Sequence) {
   if (auto Node = Unrecorded_.extract(Sequence))
-    Node.mapped().OnAnswer_({});
+    Node.mapped().Question_.OnAnswer_({});
 }
 
 void StreamOriginService::listConfirmed() {
   std::vector<std::pair<Answered, FoundOrigin>> Ended;
   for (auto Next = Unrecorded_.begin(); Next != Unrecorded_.end();) {
     Unrecorded &Waiting = Next->second;
-    StreamVersion Known = Hooks_.VersionOf_(Waiting.Stream_);
+    StreamVersion Known = versionOf(Waiting.Question_.Query_);
     if (Known.Proof_ == StreamVersion::Proof::Unconfirmed) {
       ++Next;
       continue;
     }
-    Ended.emplace_back(std::move(Waiting.OnAnswer_),
-                       originOf(Waiting.Stream_, Known));
+    Ended.emplace_back(std::move(Waiting.Question_.OnAnswer_),
+                       originOf(Waiting.Question_.Query_, Known));
     Next = Unrecorded_.erase(Next);
   }
   if (!Unrecorded_.empty())
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -56,11 +56,15 @@
     std::size_t Copies_ = 2;
     /// Other daemons that are asked. More than are told: some may be gone, and
     /// daemons differ in which they know.
-    std::size_t Asked_ = 4;
-    /// How long their answers are awaited. Callers give up an attempt after a
-    /// second without an answer.
-    std::chrono::milliseconds AnswerTime_{400};
-    /// How long a newer list of servers is awaited after that.
+    std::size_t Asked_ = 6;
+    /// By then all answer that are in reach and not starved of processor time.
+    /// A newer list of servers is asked for while the others are awaited.
+    std::chrono::milliseconds UsualAnswerTime_{100};
+    /// How long answers are awaited in all.
+    std::chrono::milliseconds AnswerTime_{250};
+    /// How long the answers and a newer list of servers are awaited in all.
+    /// Callers give up an attempt after a second without an answer, and a
+    /// daemon that is cut off delays them in vain.
     std::chrono::milliseconds ConfirmTime_{500};
   };
   struct Hooks {
@@ -93,14 +97,23 @@
   void listConfirmed();
   /// Called when the list of other daemons changed.
   void membersChanged() { Others_.reset(); }
+  /// Called when the link to \p Peer could not be opened, or broke: no answer
+  /// of it will come.
+  void onLinkDown(const VmId &Peer);
   /// \returns true while an answer of \p Peer is awaited.
   bool awaiting(const VmId &Peer) const;
   std::size_t recordCount() const { return Origins_.size(); }
 
 private:
-  struct Lookup {
+  /// A stream that was asked for, and who waits for the answer.
+  struct Question {
     OriginQuery Query_;
     Answered OnAnswer_;
+    TimePoint Began_;
+  };
+
+  struct Lookup {
+    Question Question_;
     /// Daemons whose answers are awaited.
     std::vector<VmId> Asked_;
     std::unique_ptr<boost::asio::steady_timer> Timer_;
@@ -108,8 +121,7 @@
 
   /// A stream without a record that waits for a newer list of servers.
   struct Unrecorded {
-    UnrecordedStream Stream_;
-    Answered OnAnswer_;
+    Question Question_;
     std::unique_ptr<boost::asio::steady_timer> Timer_;
   };
 
@@ -117,11 +129,15 @@
   void recordNow(const StreamKey &Key, const StreamOrigin &Origin,
                  std::chrono::milliseconds Needed);
   void findNow(OriginQuery Query, Answered OnAnswer);
-  void ask(OriginQuery Query, Answered OnAnswer);
+  void ask(Question Asked);
+  void answersLate(std::uint64_t Sequence);
+  /// Notes that \p Peer does not know the stream.
+  void unknownAt(const VmId &Peer, std::uint64_t Sequence);
   void finish(std::uint64_t Sequence, std::optional<StreamOrigin> Origin);
   std::unique_ptr<boost::asio::steady_timer>
   timeLimit(std::chrono::milliseconds Time, std::function<void()> OnEnd);
-  void withoutRecord(const OriginQuery &Query, Answered OnAnswer);
+  StreamVersion versionOf(const OriginQuery &Query) const;
+  void withoutRecord(Question Asked);
   void refuseUnrecorded(std::uint64_t Sequence);
 
   boost::asio::io_context &Control_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -225,6 +225,7 @@
   };
   Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
     Grants_->onLinkDown(To, Loss);
+    Origins_->onLinkDown(To);
     if (PeerFollower_)
       PeerFollower_->onLinkDown(To);
   };
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -32,6 +32,11 @@
   }
   /// Ends a daemon. The others still list it.
   void kill(std::size_t Index) { Killed_.insert(Ids_[Index]); }
+  /// Ends the links of a daemon to all that were killed.
+  void loseLinks(std::size_t Index) {
+    for (const VmId &Killed : Killed_)
+      at(Index).onLinkDown(Killed);
+  }
   /// Daemons without an answer stay silent.
   void run() {
     Context_.restart();
@@ -145,6 +150,17 @@
   CHECK(2 * Known >= Streams);
 }
 
+TEST_CASE("a newer list is asked for while silent daemons are awaited") {
+  // Guards against callers that a daemon which is cut off holds up for the sum
+  // of the two times.
+  OriginFleet Fleet(8);
+  for (std::size_t Index = 1; Index < 8; ++Index)
+    Fleet.kill(Index);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+  CHECK(Fleet.find(0, query(1)).Source_ == OriginSource::Unknown);
+  CHECK(Fleet.Confirmations_ == 2);
+}
+
 TEST_CASE("a stream that nobody knows is unknown at once, unless its pool has "
           "only one version") {
   // Guards against callers that are held up although all others have answered,
