Streams that last are recorded at two further daemons

Streams of one event cost no more.

The new test (64 daemons, half killed) does not compile on the code before.

--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -51,22 +51,30 @@
 void StreamOriginService::record(StreamKey Key, StreamOrigin Origin,
                                  milliseconds Needed) {
   asio::dispatch(Control_, [this, Key, Origin = std::move(Origin), Needed] {
-    recordNow(Key, Origin, Needed);
+    auto Now = steady_clock::now();
+    Origins_.add(Key, Origin, Now + Needed, Now);
+    tell(Key, Origin, Needed, 0, Options_.Copies_);
   });
 }
 
-void StreamOriginService::recordNow(const StreamKey &Key,
-                                    const StreamOrigin &Origin,
-                                    milliseconds Needed) {
-  auto Now = steady_clock::now();
-  Origins_.add(Key, Origin, Now + Needed, Now);
+void StreamOriginService::recordLasting(StreamKey Key, StreamOrigin Origin,
+                                        milliseconds Needed) {
+  asio::dispatch(Control_, [this, Key, Origin = std::move(Origin), Needed] {
+    tell(Key, Origin, Needed, Options_.Copies_, Options_.LastingCopies_);
+  });
+}
+
+void StreamOriginService::tell(const StreamKey &Key, const StreamOrigin &Origin,
+                               milliseconds Needed, std::size_t First,
+                               std::size_t Last) {
   wire::StreamOriginT Record;
   Record.key = std::make_unique<wire::StreamKey>(toWire(Key));
   Record.pool = Origin.Pool_.str();
   Record.software = Origin.Version_.str();
   Record.needed_ms = static_cast<std::uint32_t>(Needed.count());
   std::string Message = encodeMessage(std::move(Record));
-  for (const VmId &To : recordKeepers(Key, others(), Options_.Copies_))
+  for (const VmId &To :
+       recordKeepers(Key, others(), Last) | std::views::drop(First))
     Hooks_.Send_(To, Message);
 }
 
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -54,6 +54,9 @@
   struct Options {
     /// Other daemons that are told of each stream.
     std::size_t Copies_ = 2;
+    /// Other daemons that are told of a stream that lasts. Where half of a
+    /// fleet is killed at once, one such stream in 16 loses all records.
+    std::size_t LastingCopies_ = 4;
     /// Other daemons that are asked. More than are told: some may be gone, and
     /// daemons differ in which they know.
     std::size_t Asked_ = 6;
@@ -86,6 +89,9 @@
   /// Records where a stream began; its caller may take it up for \p Needed.
   void record(StreamKey Key, StreamOrigin Origin,
               std::chrono::milliseconds Needed);
+  /// Tells further daemons of a stream that was recorded and still runs.
+  void recordLasting(StreamKey Key, StreamOrigin Origin,
+                     std::chrono::milliseconds Needed);
   /// Calls \p OnAnswer once, on the control thread.
   void find(OriginQuery Query, Answered OnAnswer);
 
@@ -126,8 +132,11 @@
   };
 
   const std::vector<VmId> &others();
-  void recordNow(const StreamKey &Key, const StreamOrigin &Origin,
-                 std::chrono::milliseconds Needed);
+  /// Tells the daemons that keep the record, from the best one after \p First
+  /// to the one at \p Last.
+  void tell(const StreamKey &Key, const StreamOrigin &Origin,
+            std::chrono::milliseconds Needed, std::size_t First,
+            std::size_t Last);
   void findNow(OriginQuery Query, Answered OnAnswer);
   void ask(Question Asked);
   void answersLate(std::uint64_t Sequence);
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -150,6 +150,34 @@
   CHECK(2 * Known >= Streams);
 }
 
+TEST_CASE("nearly all streams that last are known where half of a fleet was "
+          "killed") {
+  // Guards against streams that all who know of them are killed with.
+  constexpr int Streams = 200;
+  constexpr std::size_t Daemons = 64;
+  OriginFleet Fleet(Daemons);
+  recordStreams(Fleet, Streams);
+  for (int Number = 0; Number < Streams; ++Number)
+    Fleet.at(0).recordLasting(*query(Number).Key_, origin(Number), Needed);
+  Fleet.run();
+  for (std::size_t Index = 0; Index < Daemons; Index += 2)
+    Fleet.kill(Index);
+  int Known = 0;
+  for (int Number = 0; Number < Streams; ++Number) {
+    std::optional<FoundOrigin> Found;
+    Fleet.at(1).find(query(Number),
+                     [&](FoundOrigin Answer) { Found = Answer; });
+    Fleet.runReady();
+    Fleet.loseLinks(1);
+    Fleet.runReady();
+    REQUIRE(Found.has_value());
+    if (Found->Origin_)
+      CHECK(Found->Origin_ == origin(Number));
+    Known += Found->Origin_.has_value();
+  }
+  CHECK(10 * Known >= 9 * Streams);
+}
+
 TEST_CASE("a newer list is asked for while silent daemons are awaited") {
   // Guards against callers that a daemon which is cut off holds up for the sum
   // of the two times.
@@ -228,4 +256,9 @@
   recordStreams(Fleet, StreamsPerSecond);
   CHECK(Fleet.bytes() <= MaxBytes);
   MESSAGE(Fleet.bytes() << " bytes for " << StreamsPerSecond << " streams");
+  // If all of them last.
+  for (int Number = 0; Number < static_cast<int>(StreamsPerSecond); ++Number)
+    Fleet.at(0).recordLasting(*query(Number).Key_, origin(Number), Needed);
+  Fleet.run();
+  CHECK(Fleet.bytes() <= 2 * MaxBytes);
 }
