A stream that nobody can tell the beginning of asks its caller to come back later

What callers saw: a stream whose records were all lost was refused three times within half a second (216, come back after 60 ms), until its caller had no attempt left.

Cause: one time to come back for two cases: a daemon that can't ask, where another one may know, and daemons that have all answered that they don't know.

Change: in the second case the time is 1 s, and the detail says so.

The new checks (two) do not compile on the code before.

--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -21,9 +21,12 @@
   return Key ? StreamKey{Key->high(), Key->low()} : StreamKey();
 }
 
-FoundOrigin originOf(const OriginQuery &Query, const StreamVersion &Known) {
-  if (Known.Proof_ != StreamVersion::Proof::Shown)
-    return {};
+FoundOrigin originOf(const OriginQuery &Query, const StreamVersion &Known,
+                     bool AllAnswered) {
+  if (Known.Proof_ != StreamVersion::Proof::Shown) {
+    bool Lost = AllAnswered && Known.Proof_ == StreamVersion::Proof::None;
+    return {std::nullopt, OriginSource::Unknown, Lost};
+  }
   return {StreamOrigin{*Query.Pool_, Known.Version_},
           OriginSource::OnlyVersion};
 }
@@ -120,6 +123,7 @@
   Ask.key = std::make_unique<wire::StreamKey>(toWire(Key));
   auto Timer = timeLimit(Options_.UsualAnswerTime_,
                          [this, Sequence] { answersLate(Sequence); });
+  Asked.AllAnswered_ = true;
   Lookups_.emplace(Sequence,
                    Lookup{std::move(Asked), Keepers, std::move(Timer)});
   std::string Message = encodeMessage(std::move(Ask));
@@ -170,22 +174,27 @@
     finish(Answer.sequence, StreamOrigin{PoolName(Answer.pool),
                                          SoftwareVersion(Answer.software)});
   else
-    unknownAt(From, Answer.sequence);
+    unknownAt(From, Answer.sequence, /*Answered=*/true);
 }
 
 void StreamOriginService::onLinkDown(const VmId &Peer) {
   std::vector<std::uint64_t> Sequences;
   std::ranges::copy(std::views::keys(Lookups_), std::back_inserter(Sequences));
   for (std::uint64_t Sequence : Sequences)
-    unknownAt(Peer, Sequence);
+    unknownAt(Peer, Sequence, /*Answered=*/false);
 }
 
-void StreamOriginService::unknownAt(const VmId &Peer, std::uint64_t Sequence) {
+void StreamOriginService::unknownAt(const VmId &Peer, std::uint64_t Sequence,
+                                    bool Answered) {
   auto Found = Lookups_.find(Sequence);
   if (Found == Lookups_.end())
     return;
   std::vector<VmId> &Awaited = Found->second.Asked_;
-  if (std::erase(Awaited, Peer) > 0 && Awaited.empty())
+  if (std::erase(Awaited, Peer) == 0)
+    return;
+  bool &AllAnswered = Found->second.Question_.AllAnswered_;
+  AllAnswered = AllAnswered && Answered;
+  if (Awaited.empty())
     finish(Sequence, std::nullopt);
 }
 
@@ -195,6 +204,7 @@
   if (!Node)
     return;
   Question &Asked = Node.mapped().Question_;
+  Asked.AllAnswered_ = Asked.AllAnswered_ && Node.mapped().Asked_.empty();
   if (Origin)
     return Asked.OnAnswer_({std::move(Origin), OriginSource::Peer});
   withoutRecord(std::move(Asked));
@@ -210,7 +220,7 @@
   const OriginQuery &Query = Asked.Query_;
   StreamVersion Known = versionOf(Query);
   if (Known.Proof_ != StreamVersion::Proof::Unconfirmed)
-    return Asked.OnAnswer_(originOf(Query, Known));
+    return Asked.OnAnswer_(originOf(Query, Known, Asked.AllAnswered_));
   std::uint64_t Sequence = NextSequence_++;
   auto Elapsed =
       std::chrono::floor<milliseconds>(steady_clock::now() - Asked.Began_);
@@ -235,7 +245,8 @@
       continue;
     }
     Ended.emplace_back(std::move(Waiting.Question_.OnAnswer_),
-                       originOf(Waiting.Question_.Query_, Known));
+                       originOf(Waiting.Question_.Query_, Known,
+                                Waiting.Question_.AllAnswered_));
     Next = Unrecorded_.erase(Next);
   }
   if (!Unrecorded_.empty())
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -35,6 +35,8 @@
   /// Unset if Source_ is Unknown.
   std::optional<StreamOrigin> Origin_;
   OriginSource Source_ = OriginSource::Unknown;
+  /// All daemons that keep its record have answered that they don't know it.
+  bool Lost_ = false;
 };
 
 /// A stream that its caller takes up again.
@@ -116,6 +118,8 @@
     OriginQuery Query_;
     Answered OnAnswer_;
     TimePoint Began_;
+    /// All who were asked have answered.
+    bool AllAnswered_ = false;
   };
 
   struct Lookup {
@@ -140,8 +144,8 @@
   void findNow(OriginQuery Query, Answered OnAnswer);
   void ask(Question Asked);
   void answersLate(std::uint64_t Sequence);
-  /// Notes that \p Peer does not know the stream.
-  void unknownAt(const VmId &Peer, std::uint64_t Sequence);
+  /// Notes that no record will come from \p Peer.
+  void unknownAt(const VmId &Peer, std::uint64_t Sequence, bool Answered);
   void finish(std::uint64_t Sequence, std::optional<StreamOrigin> Origin);
   std::unique_ptr<boost::asio::steady_timer>
   timeLimit(std::chrono::milliseconds Time, std::function<void()> OnEnd);
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -19,6 +19,10 @@
 /// arrive.
 constexpr milliseconds ArrivalTime{2000};
 
+/// No daemon can tell more by then either. Callers that came back at once
+/// would be refused each time, and have no attempt left to send anew.
+constexpr milliseconds AfterLostRecord{1000};
+
 StreamKey keyOf(const RequestContext &Context, const std::string &CallId) {
   return streamKey(
       Context.Customer_ ? Context.Customer_->Name_ : CustomerName(), CallId);
@@ -75,8 +79,14 @@
   if (auto Refused = checkStop(Context, StopStage::Waiting))
     co_return Refused;
   Context.OriginSource_ = Found.Source_;
-  if (!Found.Origin_)
-    co_return Verdict(ResultCode::StreamOriginUnknown);
+  if (!Found.Origin_) {
+    Verdict Refused(ResultCode::StreamOriginUnknown);
+    if (Found.Lost_) {
+      Refused.Detail_ = "no daemon has its record";
+      Refused.RetryAfter_ = AfterLostRecord;
+    }
+    co_return Refused;
+  }
   const auto &Targets = Context.Route_->Forwarding_->Targets_;
   bool Routed = std::ranges::count(Targets, Found.Origin_->Pool_,
                                    &WeightedPool::Pool_) > 0;
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -185,7 +185,9 @@
   for (std::size_t Index = 1; Index < 8; ++Index)
     Fleet.kill(Index);
   Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
-  CHECK(Fleet.find(0, query(1)).Source_ == OriginSource::Unknown);
+  FoundOrigin Found = Fleet.find(0, query(1));
+  CHECK(Found.Source_ == OriginSource::Unknown);
+  CHECK_FALSE(Found.Lost_);
   CHECK(Fleet.Confirmations_ == 2);
 }
 
@@ -198,6 +200,7 @@
   CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
   CHECK(std::chrono::steady_clock::now() - Begin <
         StreamOriginService::Options().AnswerTime_);
+  CHECK(Fleet.find(1, query(1)).Lost_);
   Fleet.Version_ = {StreamVersion::Proof::Shown, SoftwareVersion("v1")};
   FoundOrigin Found = Fleet.find(1, query(1));
   CHECK(Found.Source_ == OriginSource::OnlyVersion);
