FrameChannel: a frame over the limit is told apart

What callers saw: nothing by itself. A link on which a frame over 4 MiB comes closes and opens again without end, and no line says why (read in the code; not seen in a record).

Change: the end that refuses the frame logs `frame-too-long` with the size, and counts the link as closed for memory, as for the other bounds of a link.

Evidence: the new case of Unit.Connection passes; the code before has no such line, so it fails there by reading (not run there).

--- a/Source/Connection/FrameChannel.cpp
+++ b/Source/Connection/FrameChannel.cpp
@@ -120,7 +120,9 @@
     auto SizeBuffer = asio::buffer(&Size, sizeof(Size));
     error_code Error = co_await readAll(SizeBuffer);
     Size = boost::endian::little_to_native(Size);
-    if (Error || Size > Limits_.FrameBytes_)
+    if (!Error && Size > Limits_.FrameBytes_)
+      closeForMemory("frame-too-long", "bytes", Size);
+    if (Error || !Socket_.is_open())
       break;
     auto Bytes = co_await readBody(Size);
     if (!Bytes)
--- a/UnitTests/Connection/FrameChannelTest.cpp
+++ b/UnitTests/Connection/FrameChannelTest.cpp
@@ -3,8 +3,11 @@
 
 #include "Connection/FrameChannel.h"
 
+#include "UnitTests/LogCapture.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
 #include <doctest/doctest.h>
 
 #include <chrono>
@@ -287,6 +290,19 @@
   CHECK(Budget.used() <= Links * alwaysFreeBytes(MemoryOwner::PeerFrames));
 }
 
+TEST_CASE("a frame over the limit ends its link, and a line names its size") {
+  // Guards against links that end again and again without a reason in the log.
+  tests::LogCapture Log;
+  OneEnd Test(false);
+  auto Size = boost::endian::native_to_little(
+      static_cast<std::uint32_t>(MaxFrameBytes + 1));
+  asio::write(Test.Bare_, asio::buffer(&Size, sizeof(Size)));
+  Test.runUntil([&] { return Test.Closed_; });
+  CHECK(Test.Closed_);
+  CHECK(Log.count("frame-too-long") == 1);
+  CHECK(Log.count(std::to_string(MaxFrameBytes + 1)) == 1);
+}
+
 TEST_CASE("a frame that finds no memory ends its link, and those of others go "
           "on") {
   // Guards against links that take a daemon's memory together.
