DocumentTransfer: texts that change faster than the link still arrive

Cause, traced in virtual time (Unit.TextSeries): a follower dropped what it had of a text as soon as a newer one was announced, and a reader served only its newest text. Each version began anew, larger by all that had been missed.

Change: a text of which a part has arrived goes on, and serves the next one as prefix. The reader, who knows both sizes, ends it only if the newest text would be complete sooner than the rest of the older one; so a large text that was taken back delays nothing, and no follower gets two texts at once. Readers keep the texts that followers receive or have, beside the newest three. All texts are held compressed: the newest and, together, as many bytes as one text may have, where there were three uncompressed ones. Nothing changes on the wire: a reader of the previous version answers as before that it has a newer text, and a follower of it drops its transfer as before.

Ruled out: content-defined chunks or digests per route, which need fields on the wire; a follower that asks for both texts and compares, which costs a chunk a version and may get nothing but first chunks.

The case "a newer text replaces the one in transfer" demanded what is the fault here: that any newer text ends the one in transfer at once. Two cases replace it: a newer text that arrives sooner still replaces it, with the same texts and the same checks of late chunks, one chunk later; one that takes longer doesn't.

--- a/Source/Process/Configuration/DocumentTransfer.cpp
+++ b/Source/Process/Configuration/DocumentTransfer.cpp
@@ -4,35 +4,99 @@
 #include "Process/Configuration/TextPacking.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <numeric>
+#include <vector>
 
 namespace samphireshunt {
 
 void DocumentTexts::store(DocumentVersion Number, const std::string &Text) {
-  if (Number <= newest() || Text.size() > MaxTextBytes)
+  if (Number <= newest() || Text.size() > MaxBytes_)
     return;
-  Texts_[Number] = Text;
-  NewestHash_ = stableHash(Text);
-  Packed_.clear();
-  if (Texts_.size() > MaxTexts)
-    Texts_.erase(Texts_.begin());
+  auto Compressed = packText(Text, "");
+  if (!Compressed)
+    return;
+  Texts_[Number] = {std::move(*Compressed), Text.size(), stableHash(Text), 0};
+  forgetTexts();
 }
 
-const std::string *DocumentTexts::find(DocumentVersion Number) const {
+std::optional<std::string> DocumentTexts::find(DocumentVersion Number) const {
   auto Found = Texts_.find(Number);
-  return Found == Texts_.end() ? nullptr : &Found->second;
+  if (Found == Texts_.end())
+    return std::nullopt;
+  return unpackText(Found->second.Packed_, Found->second.Size_, "");
 }
 
 DocumentVersion DocumentTexts::newest() const {
   return Texts_.empty() ? DocumentVersion() : Texts_.rbegin()->first;
 }
 
-const std::string &DocumentTexts::packed(DocumentVersion PrefixVersion) {
-  auto [Found, Added] = Packed_.try_emplace(PrefixVersion);
-  if (!Added)
-    return Found->second;
-  const std::string *Prefix = find(PrefixVersion);
-  auto Compressed = packText(Texts_.rbegin()->second, Prefix ? *Prefix : "");
-  return Found->second = std::move(Compressed).value_or("");
+/// The texts asked for last stay, then the newest ones.
+void DocumentTexts::forgetTexts() {
+  std::vector<std::map<DocumentVersion, StoredText>::iterator> Earlier;
+  for (auto Item = Texts_.begin(); Item != std::prev(Texts_.end()); ++Item)
+    Earlier.push_back(Item);
+  std::ranges::sort(Earlier, std::greater<>(), [](const auto &Item) {
+    return std::pair(Item->second.Asked_, Item->first);
+  });
+  std::size_t Bytes = 0;
+  std::size_t Asked = 0;
+  auto OldestRecent = Texts_.size() > MaxTexts
+                          ? std::prev(Texts_.end(), MaxTexts)->first
+                          : DocumentVersion();
+  for (auto &Item : Earlier) {
+    Bytes += Item->second.Packed_.size();
+    bool InUse = Item->second.Asked_ > 0 && ++Asked <= MaxAskedTexts;
+    if ((InUse || Item->first >= OldestRecent) && Bytes <= maxEarlierBytes())
+      continue;
+    Texts_.erase(Item);
+  }
+  std::erase_if(Packed_, [this](const auto &Item) {
+    return !Texts_.contains(Item.first.first);
+  });
+}
+
+void DocumentTexts::forgetPackings() {
+  auto Bytes = [this] {
+    return std::accumulate(Packed_.begin(), Packed_.end(), std::size_t(0),
+                           [](std::size_t Sum, const auto &Item) {
+                             return Sum + Item.second.Bytes_.size();
+                           });
+  };
+  while (Packed_.size() > MinPackings && Bytes() > maxPackingBytes())
+    Packed_.erase(std::ranges::min_element(
+        Packed_, {}, [](const auto &Item) { return Item.second.Used_; }));
+}
+
+const std::string &DocumentTexts::packed(DocumentVersion Number,
+                                         DocumentVersion PrefixVersion) {
+  if (PrefixVersion == DocumentVersion())
+    return Texts_.at(Number).Packed_;
+  auto Found = Packed_.try_emplace({Number, PrefixVersion}).first;
+  Found->second.Used_ = Requests_;
+  if (!Found->second.Bytes_.empty())
+    return Found->second.Bytes_;
+  auto Text = find(Number);
+  auto Prefix = find(PrefixVersion);
+  if (Text && Prefix)
+    Found->second.Bytes_ = packText(*Text, *Prefix).value_or("");
+  forgetPackings();
+  return Found->second.Bytes_;
+}
+
+DocumentVersion DocumentTexts::prefixFor(DocumentVersion Number,
+                                         DocumentVersion Known) const {
+  bool Usable = Known < Number &&
+                (Texts_.contains(Known) || Packed_.contains({Number, Known}));
+  return Usable ? Known : DocumentVersion();
+}
+
+/// A follower may ask for an older text that it has begun to receive.
+bool DocumentTexts::newestIsSooner(DocumentVersion Wanted,
+                                   DocumentVersion Known, std::size_t Left) {
+  return Wanted != newest() &&
+         packed(newest(), prefixFor(newest(), Known)).size() < Left;
 }
 
 wire::TextPartT DocumentTexts::chunk(const wire::TextAskT &Request) {
@@ -40,19 +104,24 @@
   Chunk.version = Request.version;
   Chunk.offset = Request.offset;
   DocumentVersion Wanted(Request.version);
-  if (Texts_.empty() || Wanted != newest())
-    return Chunk;
   DocumentVersion Known(Request.held_version);
-  DocumentVersion Prefix =
-      Known < Wanted && find(Known) ? Known : DocumentVersion();
-  const std::string &Whole = packed(Prefix);
-  if (Request.offset >= Whole.size())
+  auto Text = Texts_.find(Wanted);
+  if (Text == Texts_.end())
+    return Chunk;
+  Text->second.Asked_ = ++Requests_;
+  if (auto Held = Texts_.find(Known); Held != Texts_.end())
+    Held->second.Asked_ = Requests_;
+  DocumentVersion Prefix = prefixFor(Wanted, Known);
+  std::size_t Size = packed(Wanted, Prefix).size();
+  if (Request.offset >= Size ||
+      newestIsSooner(Wanted, Known, Size - Request.offset))
     return Chunk;
   Chunk.held_version = Prefix.count();
-  Chunk.size = static_cast<std::uint32_t>(Texts_.rbegin()->second.size());
-  Chunk.hash = NewestHash_;
-  Chunk.packed_size = static_cast<std::uint32_t>(Whole.size());
-  auto Bytes = std::string_view(Whole).substr(Request.offset, TextChunkBytes);
+  Chunk.size = static_cast<std::uint32_t>(Text->second.Size_);
+  Chunk.hash = Text->second.Hash_;
+  Chunk.packed_size = static_cast<std::uint32_t>(Size);
+  auto Bytes = std::string_view(packed(Wanted, Prefix))
+                   .substr(Request.offset, TextChunkBytes);
   Chunk.bytes.assign(Bytes.begin(), Bytes.end());
   return Chunk;
 }
@@ -66,9 +135,10 @@
 DocumentTransfer::onAnnounced(DocumentVersion Wanted,
                               std::optional<std::size_t> Size,
                               DocumentVersion Known, TimePoint Now) {
-  if (Size && (*Size == 0 || *Size > MaxTextBytes))
+  if (Size && (*Size == 0 || *Size > MaxBytes_))
     return std::nullopt;
-  if (Wanted == Wanted_ && Now - RequestedAt_ < ChunkTimeout)
+  bool Begun = Wanted == Wanted_ || !Packed_.empty();
+  if (Begun && Now - RequestedAt_ < ChunkTimeout)
     return std::nullopt;
   if (Wanted != Wanted_) {
     drop();
@@ -110,6 +180,7 @@
   if (!fits(Chunk))
     return broken();
   Packed_.append(Chunk.bytes.begin(), Chunk.bytes.end());
+  ReceivedAt_ = Now;
   if (Packed_.size() == PackedSize_)
     return finish(Chunk, Texts);
   RequestedAt_ = Now;
@@ -125,15 +196,15 @@
   bool AsRequested =
       Prefix_ == RequestedPrefix_ || Prefix_ == DocumentVersion();
   return AsBefore && AsRequested && !Chunk.bytes.empty() &&
-         Chunk.size <= MaxTextBytes && PackedSize_ <= maxPackedSize(*Size_) &&
+         Chunk.size <= MaxBytes_ && PackedSize_ <= maxPackedSize(*Size_) &&
          Chunk.bytes.size() <= PackedSize_ - Packed_.size();
 }
 
 DocumentTransfer::Step
 DocumentTransfer::finish(const wire::TextPartT &LastChunk,
                          const DocumentTexts &Texts) {
-  const std::string *Prefix = Texts.find(Prefix_);
-  auto Text = unpackText(Packed_, LastChunk.size, Prefix ? *Prefix : "");
+  std::string Prefix = Texts.find(Prefix_).value_or("");
+  auto Text = unpackText(Packed_, LastChunk.size, Prefix);
   if (!Text || stableHash(*Text) != Hash_)
     return broken();
   Finished_ = Wanted_;
@@ -151,6 +222,10 @@
   return Failed;
 }
 
+bool DocumentTransfer::arriving(TimePoint Now) const {
+  return !Packed_.empty() && Now - ReceivedAt_ < ChunkTimeout;
+}
+
 void DocumentTransfer::drop() {
   Wanted_ = DocumentVersion();
   Packed_ = std::string();
--- a/Source/Process/Configuration/DocumentTransfer.h
+++ b/Source/Process/Configuration/DocumentTransfer.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -27,36 +28,75 @@
 /// take.
 inline constexpr std::size_t TextChunkBytes = 16 * 1024;
 
-/// Longer texts are rejected, so that a wrong size can't exhaust the 64 MB of
-/// memory that a daemon may need for control.
+/// The longest text that is held or requested unless another bound is set, so
+/// that a wrong size can't exhaust the memory.
 inline constexpr std::size_t MaxTextBytes = 8 * 1024 * 1024;
 
-/// The texts that this daemon has: the newest, and some earlier ones, which
-/// serve as compression prefixes for daemons that have these.
+/// The texts that this daemon has, compressed: the newest, some earlier ones,
+/// and those that other daemons are receiving or have.
 class DocumentTexts {
 public:
+  /// \p MaxBytes is the size of the longest text that is stored.
+  explicit DocumentTexts(std::size_t MaxBytes = MaxTextBytes)
+      : MaxBytes_(MaxBytes) {}
   /// Stores a text. Does nothing unless \p Number is newer than all stored
   /// texts.
   void store(DocumentVersion Number, const std::string &Text);
-  /// \returns a null pointer if the text is not stored.
-  const std::string *find(DocumentVersion Number) const;
+  /// \returns nothing if the text is not stored.
+  std::optional<std::string> find(DocumentVersion Number) const;
   /// The newest stored version; 0 if there is none.
   DocumentVersion newest() const;
-  /// The requested chunk; without bytes if the text is not available.
+  /// The requested chunk; without bytes if the text is not available, or if the
+  /// newest one would arrive sooner than the rest of it.
   wire::TextPartT chunk(const wire::TextAskT &Request);
 
 private:
   /// The newest text and two earlier ones, since changes may come seconds
   /// apart.
   static constexpr std::size_t MaxTexts = 3;
+  /// Of the texts that were asked for, or that are prefixes of these: where
+  /// texts change faster than they are transferred, followers are at different
+  /// ones.
+  static constexpr std::size_t MaxAskedTexts = 8;
+  /// The text in transfer and the newest one are compared for each chunk.
+  static constexpr std::size_t MinPackings = 2;
+
+  struct StoredText {
+    std::string Packed_; ///< Compressed without a prefix.
+    std::size_t Size_ = 0;
+    std::uint64_t Hash_ = 0;
+    std::uint64_t Asked_ = 0; ///< Number of the last request; 0: none.
+  };
+  struct Packing {
+    std::string Bytes_;
+    std::uint64_t Used_ = 0;
+  };
 
-  /// The newest text, compressed with the text \p PrefixVersion as prefix.
-  /// Compressed once for all daemons that ask.
-  const std::string &packed(DocumentVersion PrefixVersion);
-
-  std::map<DocumentVersion, std::string> Texts_;
-  std::uint64_t NewestHash_ = 0;
-  std::map<DocumentVersion, std::string> Packed_;
+  /// The text \p Number, compressed with the text \p PrefixVersion as prefix.
+  /// Compressed once for all daemons that ask. Both must be stored.
+  const std::string &packed(DocumentVersion Number,
+                            DocumentVersion PrefixVersion);
+  /// The version of the prefix with which \p Number is sent to a daemon that
+  /// has \p Known; 0 is none.
+  DocumentVersion prefixFor(DocumentVersion Number,
+                            DocumentVersion Known) const;
+  /// True if the newest text is smaller than the \p Left bytes of \p Wanted,
+  /// for a daemon that has \p Known.
+  bool newestIsSooner(DocumentVersion Wanted, DocumentVersion Known,
+                      std::size_t Left);
+  void forgetTexts();
+  void forgetPackings();
+  /// How many bytes the earlier texts may take together: as many as one that is
+  /// not compressed.
+  std::size_t maxEarlierBytes() const { return MaxBytes_; }
+  /// The same for texts that are compressed with a prefix.
+  std::size_t maxPackingBytes() const { return MaxBytes_ / 2; }
+
+  std::size_t MaxBytes_;
+  std::map<DocumentVersion, StoredText> Texts_;
+  /// By the version and that of its prefix.
+  std::map<std::pair<DocumentVersion, DocumentVersion>, Packing> Packed_;
+  std::uint64_t Requests_ = 0;
 };
 
 /// The text that this daemon is receiving.
@@ -64,6 +104,10 @@
 public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
+  /// \p MaxBytes is the size of the longest text that is requested.
+  explicit DocumentTransfer(std::size_t MaxBytes = MaxTextBytes)
+      : MaxBytes_(MaxBytes) {}
+
   /// The action that follows from a chunk.
   struct Step {
     std::optional<wire::TextAskT> Request_;
@@ -77,9 +121,11 @@
   /// True if \p Announced is newer than \p Known and than every text that was
   /// received.
   bool lacks(DocumentVersion Announced, DocumentVersion Known) const;
-  /// Called when the reader announced a text that this daemon lacks. A newer
-  /// text replaces the one in transfer. \p Size is unset if only the version
-  /// was announced.
+  /// Called when the reader announced a text that this daemon lacks. A text of
+  /// which a part has arrived goes on while its chunks arrive, and the reader
+  /// ends it if the newer one would arrive sooner. Otherwise texts that change
+  /// faster than they are transferred would never arrive. \p Size is unset if
+  /// only the version was announced.
   /// \returns the request to send, if any.
   std::optional<wire::TextAskT> onAnnounced(DocumentVersion Wanted,
                                             std::optional<std::size_t> Size,
@@ -90,6 +136,8 @@
   /// Called when the reader has changed or is gone.
   void drop();
   DocumentVersion wanted() const { return Wanted_; }
+  /// True while chunks arrive.
+  bool arriving(TimePoint Now) const;
   /// Number of compressed bytes received so far.
   std::size_t received() const { return Packed_.size(); }
 
@@ -104,6 +152,7 @@
   Step finish(const wire::TextPartT &LastChunk, const DocumentTexts &Texts);
   Step broken();
 
+  std::size_t MaxBytes_;
   DocumentVersion Wanted_;
   std::optional<std::size_t> Size_;
   /// Version of the requested prefix.
@@ -114,6 +163,8 @@
   DocumentVersion Prefix_;
   std::string Packed_;
   TimePoint RequestedAt_;
+  /// When the last chunk arrived.
+  TimePoint ReceivedAt_;
   /// The newest version that arrived whole, even if it could not be parsed.
   DocumentVersion Finished_;
   /// The version whose last transfer was invalid; it is requested without a
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -245,6 +245,18 @@
 mutate text-hash $S/Process/Configuration/DocumentTransfer.cpp \
   's/ \|\| stableHash\(\*Text\) != Hash_//' \
   ${U}Process '*not what it was named as*'
+mutate text-goes-on $S/Process/Configuration/DocumentTransfer.cpp \
+  's/Wanted == Wanted_ \|\| !Packed_\.empty\(\)/Wanted == Wanted_/' \
+  ${U}TextSeries '*come in force one after the other*'
+mutate text-older-served $S/Process/Configuration/DocumentTransfer.cpp \
+  's/  if \(Text == Texts_\.end\(\)\)/  if (Text == Texts_.end() || Wanted != newest())/' \
+  ${U}TextSeries '*come in force one after the other*'
+mutate text-newest-sooner $S/Process/Configuration/DocumentTransfer.cpp \
+  's/return Wanted != newest\(\) &&/return false \&\&/' \
+  ${U}TextSeries '*small change that takes it back*'
+mutate text-asked-stays $S/Process/Configuration/DocumentTransfer.cpp \
+  's/Text->second\.Asked_ = \+\+Requests_;/++Requests_;/' \
+  ${U}TextSeries '*stays stored while*'
 mutate closed-at-end $S/Connection/HttpServer.cpp \
   's/~ConnectionCloser\(\) \{ Stream_\.close\(\); \}/~ConnectionCloser() {}/' \
   ${U}Connection "*looks out for its caller's end closes*"
--- a/UnitTests/Process/Configuration/DocumentTransferTest.cpp
+++ b/UnitTests/Process/Configuration/DocumentTransferTest.cpp
@@ -30,7 +30,7 @@
       Texts->store(DocumentVersion(3), textOf(3, 100000));
   }
   std::optional<wire::TextAskT> announce(std::uint64_t Number) {
-    const std::string *Text = Reader_.find(DocumentVersion(Number));
+    auto Text = Reader_.find(DocumentVersion(Number));
     return Transfer_.onAnnounced(DocumentVersion(Number),
                                  Text ? Text->size() : 1, Follower_.newest(),
                                  Now_);
@@ -111,7 +111,7 @@
   CHECK_FALSE(Test.deliver(Chunk).Request_);
 }
 
-TEST_CASE("a newer text replaces the one in transfer") {
+TEST_CASE("a newer text that arrives sooner replaces the one in transfer") {
   TransferFixture Test;
   Test.Reader_.store(DocumentVersion(4), textOf(4, 100000));
   auto Request = Test.announce(4);
@@ -120,14 +120,41 @@
   REQUIRE(Next.Request_);
   std::string Text = textOf(5, 50000);
   Test.Reader_.store(DocumentVersion(5), Text);
+  // A chunk is on its way, and the reader decides with the next one.
+  CHECK_FALSE(Test.announce(5));
+  auto Ended = Test.deliver(Test.Reader_.chunk(*Next.Request_));
+  CHECK_FALSE(Ended.Request_);
+  CHECK_FALSE(Ended.Invalid_);
   auto Newer = Test.announce(5);
   REQUIRE(Newer);
+  CHECK(Newer->version == 5);
   CHECK(Newer->offset == 0);
-  // The answer for the earlier text, which is no longer available.
-  CHECK_FALSE(Test.deliver(Test.Reader_.chunk(*Next.Request_)).Request_);
+  // The answer for the earlier text, which is late.
+  CHECK_FALSE(Test.deliver(Test.Reader_.chunk(*Request)).Request_);
   CHECK(Test.runFrom(Newer).Text_ == Text);
 }
 
+TEST_CASE("a text in transfer of which less is left than the newer one takes "
+          "goes on, and is the prefix of the newer one") {
+  TransferFixture Test;
+  std::string Older = textOf(4, 100000);
+  Test.Reader_.store(DocumentVersion(4), Older);
+  auto Request = Test.announce(4);
+  REQUIRE(Request);
+  auto Next = Test.deliver(Test.Reader_.chunk(*Request));
+  std::string Text = Older + textOf(5, 10000);
+  Test.Reader_.store(DocumentVersion(5), Text);
+  CHECK_FALSE(Test.announce(5));
+  REQUIRE(Next.Request_);
+  CHECK(Next.Request_->version == 4);
+  CHECK(Test.runFrom(Next.Request_).Text_ == Older);
+  CHECK(Test.Transfer_.lacks(DocumentVersion(5), DocumentVersion(3)));
+  Test.Follower_.store(DocumentVersion(4), Older);
+  Test.Chunks_ = 0;
+  CHECK(Test.runFrom(Test.announce(5)).Text_ == Text);
+  CHECK(Test.Chunks_ == 1);
+}
+
 TEST_CASE("the transfer of a text that the reader no longer has ends, and "
           "that of the next one begins") {
   TransferFixture Test;
