--- a/UnitTests/Process/Configuration/TextSeriesTest.cpp
+++ b/UnitTests/Process/Configuration/TextSeriesTest.cpp
@@ -12,7 +12,6 @@
 #include <memory>
 #include <optional>
 #include <queue>
-#include <ranges>
 #include <vector>
 
 using namespace samphireshunt;
@@ -137,15 +136,12 @@
   }
   /// The fewest versions that any follower adopted so far.
   std::size_t fewestAdopted() const {
-    return std::ranges::min(
-        Followers_ |
-        std::views::transform([](const auto &Each) { return Each->Adopted_; }));
+    auto Adopted = [](const auto &Each) { return Each->Adopted_; };
+    return (*std::ranges::min_element(Followers_, {}, Adopted))->Adopted_;
   }
   milliseconds longestAnswer() const {
-    return std::ranges::max(Followers_ |
-                            std::views::transform([](const auto &Each) {
-                              return Each->LongestAnswer_;
-                            }));
+    auto Longest = [](const auto &Each) { return Each->LongestAnswer_; };
+    return (*std::ranges::max_element(Followers_, {}, Longest))->LongestAnswer_;
   }
 
   /// A follower rejected a chunk or a text.
