Servers that are held back count for no other request, nor get one

- A keeper that has just started has admitted all versions; a daemon that holds one back listed its servers and sent new requests that were granted there.
It gives such a grant back again, as before.
- Where nothing else was usable in a cell, streams of a version that is held back were refused with the requests that no server may run.
- Its servers counted among those of which too many fail, in the pool's rate of failures, as room that suspends no stream, and drew new requests to cells that have no others.
- A daemon whose own history is too short asked callers back late, like one that knows that several versions may have begun the stream.

Mutations for the new mechanisms; three older ones matched nothing any more.

--- a/Source/Process/Keeping/Cell.cpp
+++ b/Source/Process/Keeping/Cell.cpp
@@ -57,8 +57,9 @@
   std::uint32_t Count = cellCount(Whole);
   if (Count == 1)
     return 0;
+  // A cell whose servers are all held back has nothing for a new request.
   auto Weight = [Key](const BackendServer &Server) {
-    return stableHash(Server.Name_.str(), Key);
+    return std::pair(!Server.HeldBack_, stableHash(Server.Name_.str(), Key));
   };
   auto Chosen = std::ranges::max_element(Whole.Servers_, {}, Weight);
   return cellOf(Chosen->Name_, Count);
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -146,7 +146,7 @@
                        Server->MaxInFlight_ + Options_.AheadPerServer_, Active,
                        Whole->CacheTokens_, Options_.AheadPerServer_,
                        Server->Incarnation_, Server->Canary_, Server->Version_,
-                       Server->DataCenter_, Server->Held_});
+                       Server->DataCenter_, Server->HeldBack_});
   }
   std::map<CustomerName, CustomerPolicy> Policies;
   for (const Customer &Known : Service->Document_->Customers_)
--- a/Source/Process/Rollout/VersionSelection.cpp
+++ b/Source/Process/Rollout/VersionSelection.cpp
@@ -130,7 +130,7 @@
     if (Allowed == Use::None)
       continue;
     Server.Canary_ = Allowed == Use::Canary;
-    Server.Held_ = Allowed == Use::Held;
+    Server.HeldBack_ = Allowed == Use::Held;
     Server.Leaving_ |= Allowed == Use::FinishOnly;
     Selected.push_back(std::move(Server));
   }
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -206,8 +206,8 @@
       Request.Version_.empty() || Request.Version_ == Capacity.Version_;
   bool ServerFits =
       Request.OnlyServer_.empty() || Request.OnlyServer_ == Capacity.Name_;
-  bool Begun = !Capacity.Held_ || !Request.Version_.empty();
-  return VersionFits && ServerFits && Begun &&
+  bool HoldAllows = !Capacity.HeldBack_ || !Request.Version_.empty();
+  return VersionFits && ServerFits && HoldAllows &&
          std::ranges::count(Request.Excluded_, Capacity.Name_) == 0;
 }
 
@@ -244,13 +244,25 @@
   return Shortest;
 }
 
-/// Refuses all waiting requests if no server is usable, so that they do not
-/// wait until their deadlines.
+/// Refuses waiting requests if no server is usable, so that they do not wait
+/// until their deadlines. Those that began at a version that is held back wait
+/// for its servers.
 void Scheduler::refuseUnservable(std::vector<Decision> &Out) {
   bool AnyUsable = std::ranges::any_of(
       Servers_, [](const auto &Item) { return Item.second.usable(); });
-  while (!AnyUsable && !ByLatestStart_.empty()) {
-    WaitingRequest Refused = dequeue(ByLatestStart_.begin()->second);
+  if (AnyUsable)
+    return;
+  std::vector<RequestId> Unservable;
+  for (const auto &[Id, Waiting] : Waiting_) {
+    bool Servable = std::ranges::any_of(Servers_, [&](const auto &Item) {
+      return Item.second.mayContinue() &&
+             mayRunOn(Waiting.Details_, Item.second);
+    });
+    if (!Servable)
+      Unservable.push_back(Id);
+  }
+  for (const RequestId &Id : Unservable) {
+    WaitingRequest Refused = dequeue(Id);
     Out.push_back(refusal(Refused.Details_, ResultCode::NoBackendServer));
   }
 }
--- a/Source/Process/Scheduling/SchedulerAdmission.cpp
+++ b/Source/Process/Scheduling/SchedulerAdmission.cpp
@@ -289,11 +289,15 @@
 /// the others would be overloaded.
 void Scheduler::applyHealth(TimePoint Now) {
   auto IsExcluded = [&](const auto &Item) {
-    return Item.second.health().leftOut(Now);
+    return !Item.second.capacity().HeldBack_ &&
+           Item.second.health().leftOut(Now);
   };
-  auto ExcludedCount =
-      static_cast<std::size_t>(std::ranges::count_if(Servers_, IsExcluded));
-  bool TooMany = 2 * ExcludedCount > Servers_.size();
+  auto IsHeldBack = [](const auto &Item) {
+    return Item.second.capacity().HeldBack_;
+  };
+  auto ExcludedCount = std::ranges::count_if(Servers_, IsExcluded);
+  auto HeldBackCount = std::ranges::count_if(Servers_, IsHeldBack);
+  bool TooMany = 2 * ExcludedCount > std::ssize(Servers_) - HeldBackCount;
   for (auto &[Name, Server] : Servers_) {
     Server.advance(Now);
     Server.setLeftOut(!TooMany && Server.health().leftOut(Now),
@@ -303,9 +307,14 @@
 
 double Scheduler::poolFailureRate() const {
   double Sum = 0;
-  for (const auto &[Name, Server] : Servers_)
+  int Count = 0;
+  for (const auto &[Name, Server] : Servers_) {
+    if (Server.capacity().HeldBack_)
+      continue;
     Sum += Server.health().failureRate();
-  return Servers_.empty() ? 0 : Sum / static_cast<double>(Servers_.size());
+    ++Count;
+  }
+  return Count == 0 ? 0 : Sum / Count;
 }
 
 void Scheduler::recordOutcome(ServerModel &Server, const ServedSample &Sample,
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -96,7 +96,7 @@
 bool Scheduler::onlyHeldHaveRoom() const {
   auto RoomAt = [this](bool Held) {
     return std::ranges::any_of(Servers_, [&](const auto &Item) {
-      return Item.second.capacity().Held_ == Held && hasRoom(Item.second);
+      return Item.second.capacity().HeldBack_ == Held && hasRoom(Item.second);
     });
   };
   return RoomAt(true) && !RoomAt(false);
--- a/Source/Process/Scheduling/SchedulerSuspension.cpp
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -112,7 +112,8 @@
   double Soon = Ends_.sum(Now) * SoonEnough.count();
   auto Expected = static_cast<std::size_t>(Soon) + Suspension_.orders();
   UnservedInTime Unserved;
-  if (!Waiting_.empty() && !anyEngineHasRoom())
+  bool NoRoom = !anyEngineHasRoom() || onlyHeldHaveRoom();
+  if (!Waiting_.empty() && NoRoom)
     Unserved = unservedInTime(Now, Expected + Suspension_.options().Copies_);
   bool Needed = Unserved.Count_ > Expected;
   setAsideForCopies(Needed, Now);
@@ -145,7 +146,7 @@
     const WaitingRequest &Request = Waiting_.at(Id);
     auto MaxWait = Request.Details_.MaxWait_;
     ServerModel *Own = server(Server);
-    bool OnlyLacksRoom = Own && Own->usable() &&
+    bool OnlyLacksRoom = Own && Own->mayContinue() &&
                          mayRunOn(Request.Details_, *Own) &&
                          finishesInTime(Request.Details_, *Own, Now) &&
                          !atMaxInFlight(Request.Details_.Customer_);
--- a/Source/Process/Scheduling/ServerModel.h
+++ b/Source/Process/Scheduling/ServerModel.h
@@ -45,7 +45,7 @@
   SoftwareVersion Version_;
   DataCenterName DataCenter_;
   /// The engine gets only requests that began at its version.
-  bool Held_ = false;
+  bool HeldBack_ = false;
 };
 
 /// The outcome of a request.
@@ -108,7 +108,7 @@
   /// Sets whether the keeper's own view of reachability is reliable.
   void trustReachability(bool Trusted) { ReachabilityTrusted_ = Trusted; }
   /// True if the engine may get new work.
-  bool usable() const { return mayContinue() && !Capacity_.Held_; }
+  bool usable() const { return mayContinue() && !Capacity_.HeldBack_; }
   /// True if the engine may get requests that began at its version.
   bool mayContinue() const {
     bool Answers = Reachable_ || !ReachabilityTrusted_;
--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -24,7 +24,7 @@
 FoundOrigin originOf(const OriginQuery &Query, const StreamVersion &Known,
                      bool AllAnswered) {
   if (Known.Proof_ != StreamVersion::Proof::Shown) {
-    bool Lost = AllAnswered && Known.Proof_ == StreamVersion::Proof::None;
+    bool Lost = AllAnswered && Known.Proof_ == StreamVersion::Proof::Several;
     return {std::nullopt, OriginSource::Unknown, Lost};
   }
   return {StreamOrigin{*Query.Pool_, Known.Version_},
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -35,7 +35,8 @@
   /// Unset if Source_ is Unknown.
   std::optional<StreamOrigin> Origin_;
   OriginSource Source_ = OriginSource::Unknown;
-  /// All daemons that keep its record have answered that they don't know it.
+  /// Several versions may have begun it, and all daemons that were asked have
+  /// answered that they don't know it.
   bool Lost_ = false;
 };
 
@@ -56,8 +57,7 @@
   struct Options {
     /// Other daemons that are told of each stream.
     std::size_t Copies_ = 2;
-    /// Other daemons that are told of a stream that lasts. Where half of a
-    /// fleet is killed at once, one such stream in 16 loses all records.
+    /// Other daemons that are told of a stream that lasts.
     std::size_t LastingCopies_ = 4;
     /// Other daemons that are asked. More than are told: some may be gone, and
     /// daemons differ in which they know.
@@ -136,8 +136,7 @@
   };
 
   const std::vector<VmId> &others();
-  /// Tells the daemons that keep the record, from the best one after \p First
-  /// to the one at \p Last.
+  /// Tells the keepers \p First to \p Last of the record, best first.
   void tell(const StreamKey &Key, const StreamOrigin &Origin,
             std::chrono::milliseconds Needed, std::size_t First,
             std::size_t Last);
--- a/Source/Process/Streams/VersionTimeline.cpp
+++ b/Source/Process/Streams/VersionTimeline.cpp
@@ -39,21 +39,30 @@
     return std::nullopt;
   if (std::max(Found->second.Began_, CurrentSince) > Since)
     return std::nullopt;
-  std::optional<SoftwareVersion> Only;
-  for (const auto &[Version, Gone] : Found->second.Versions_) {
-    if (Gone && *Gone < Since)
-      continue;
-    if (Only)
-      return std::nullopt;
-    Only = Version;
-  }
-  return Only;
+  auto Versions = knownVersions(Pool, Since);
+  if (Versions.size() != 1)
+    return std::nullopt;
+  return Versions.front();
+}
+
+std::vector<SoftwareVersion>
+VersionTimeline::knownVersions(const PoolName &Pool, BootTime Since) const {
+  std::vector<SoftwareVersion> Versions;
+  auto Found = Pools_.find(Pool);
+  if (Found == Pools_.end())
+    return Versions;
+  for (const auto &[Version, Gone] : Found->second.Versions_)
+    if (!Gone || *Gone >= Since)
+      Versions.push_back(Version);
+  return Versions;
 }
 
 StreamVersion VersionTimeline::versionOf(const UnrecordedStream &Stream,
                                          const ListTimes &List) const {
-  auto Only = onlyVersion(Stream.Pool_, Stream.Arrived_ - Stream.MaxAge_,
-                          List.UnbrokenSince_);
+  BootTime Since = Stream.Arrived_ - Stream.MaxAge_;
+  if (knownVersions(Stream.Pool_, Since).size() > 1)
+    return {StreamVersion::Proof::Several, {}};
+  auto Only = onlyVersion(Stream.Pool_, Since, List.UnbrokenSince_);
   if (!Only)
     return {};
   if (List.AskedAt_ < Stream.Arrived_)
--- a/Source/Process/Streams/VersionTimeline.h
+++ b/Source/Process/Streams/VersionTimeline.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace samphireshunt {
 
@@ -31,7 +32,8 @@
 /// The version that an unrecorded stream may go on at.
 struct StreamVersion {
   enum class Proof {
-    None,        ///< Several may have begun it, or that is not known.
+    None,        ///< This daemon has not known the pool for long enough.
+    Several,     ///< Any of several may have begun it.
     Unconfirmed, ///< Only one is known, by a list that may lack others.
     Shown        ///< No other can have begun it.
   };
@@ -52,6 +54,9 @@
   std::optional<SoftwareVersion> onlyVersion(const PoolName &Pool,
                                              BootTime Since,
                                              BootTime CurrentSince) const;
+  /// \returns the versions that are known to have been there since then.
+  std::vector<SoftwareVersion> knownVersions(const PoolName &Pool,
+                                             BootTime Since) const;
   /// \returns the version at which \p Stream goes on. Daemons learn of a server
   /// at different times, and each may send to it at once, so only a list that
   /// the service was asked for after the stream broke off names all versions
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -333,6 +333,9 @@
     return std::nullopt;
   if (Context.Origin_ && Context.Origin_->Version_ != Listed->Version_)
     return std::nullopt;
+  // The keeper may have admitted the version already.
+  if (Listed->HeldBack_ && !Context.Origin_)
+    return std::nullopt;
   return *Listed;
 }
 
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -19,8 +19,8 @@
 /// arrive.
 constexpr milliseconds ArrivalTime{2000};
 
-/// No daemon can tell more by then either. Callers that came back at once
-/// would be refused each time, and have no attempt left to send anew.
+/// Other daemons would ask the same ones. Callers that came back at once would
+/// be refused each time, and have no attempt left to send anew.
 constexpr milliseconds AfterLostRecord{1000};
 
 StreamKey keyOf(const RequestContext &Context, const std::string &CallId) {
--- a/Source/Version/Document.h
+++ b/Source/Version/Document.h
@@ -61,7 +61,7 @@
   bool Canary_ = false;
   /// The server's version is too new to be chosen here. Other daemons may have
   /// chosen it already, so streams that began at it go on at it.
-  bool Held_ = false;
+  bool HeldBack_ = false;
 };
 
 /// What the engines of a pool can do with the memory of a run.
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -594,7 +594,7 @@
   's/!AnyServes \|\| Now >= At/true/' \
   ${U}Rollout '*held back for a while*'
 mutate rollout-retired $R/VersionSelection.cpp \
-  's/ \|\| isRetired\(Version\)//' \
+  's/ &&\n *!isRetired\(Version\)//' \
   ${U}Rollout '*each stage of a roll-out*'
 mutate rollout-no-return $R/RolloutRecord.cpp \
   's/Known\.ended\(\) \|\| Stage_ < Known\.Stage_/false/' \
@@ -637,11 +637,29 @@
   's/return VersionFits &&/return/' \
   ${U}Process '*fill the servers of their version and no other*'
 mutate origin-holds-up $S/Process/Scheduling/SchedulerPlacement.cpp \
-  's/if \(!Details\.Version_\.empty\(\) \|\| !Details\.OnlyServer_\.empty\(\)\)\n *continue;//' \
+  's/    if \(Bound\)\n *continue;//' \
   ${U}Process '*hold up no other request*'
 mutate origin-not-told $S/Process/Streams/StreamOriginService.cpp \
-  's/recordKeepers\(Key, others\(\), Options_\.Copies_\)/std::vector<VmId>()/' \
+  's/recordKeepers\(Key, others\(\), Last\)/std::vector<VmId>()/' \
   ${U}Streams '*known at all others*'
+mutate held-back-streams $R/VersionSelection.cpp \
+  's/return Use::Held;/return Use::None;/' \
+  ${U}Rollout '*held back here*'
+mutate held-back-new $S/Process/Scheduling/Scheduler.cpp \
+  's/ && HoldAllows//' \
+  ${U}Process '*held back get only its streams*'
+mutate held-back-queue $S/Process/Scheduling/SchedulerPlacement.cpp \
+  's/if \(OnlyHeldHaveRoom && !Bound\)\n *continue;//' \
+  ${U}Process '*held back get only its streams*'
+mutate held-back-alone $S/Process/Scheduling/Scheduler.cpp \
+  's/    if \(!Servable\)\n//' \
+  ${U}Process '*nothing else is usable*'
+mutate held-back-dispatch $S/Request/RequestContext.cpp \
+  's/if \(Listed->HeldBack_ && !Context\.Origin_\)\n *return std::nullopt;//' \
+  ${U}StreamOrigin '*granted by a keeper that has admitted*'
+mutate origin-lasting $S/Process/Streams/StreamOriginService.cpp \
+  's/(Needed, Options_\.Copies_), Options_\.LastingCopies_/$1, Options_.Copies_/' \
+  ${U}Streams '*nearly all streams that last*'
 mutate origin-guessed $S/Process/Streams/VersionTimeline.cpp \
   's/std::max\(Found->second\.Began_, CurrentSince\)/CurrentSince/' \
   ${U}Streams '*before a daemon knew the pool*'
--- a/UnitTests/Process/Scheduling/VersionBoundTest.cpp
+++ b/UnitTests/Process/Scheduling/VersionBoundTest.cpp
@@ -18,21 +18,27 @@
 constexpr std::uint32_t Slots = 4;
 constexpr std::uint64_t Bound = 30;
 
-Scheduler schedulerOfTwoVersions(bool HoldsV2 = false) {
-  Scheduler::Options Options;
-  Options.GuaranteedShare_ = 0.15;
-  Options.Preempt_ = false;
-  Scheduler Built(Options);
+std::vector<ServerCapacity> serversOfTwoVersions(bool HoldsV2, bool V1Active) {
   std::vector<ServerCapacity> Servers;
   for (int Index = 0; Index < 4; ++Index) {
     ServerCapacity Server;
     Server.Name_ = ServerName(fmt::format("engine-{}", Index));
     Server.MaxInFlight_ = Slots;
     Server.Version_ = SoftwareVersion(Index < 2 ? "v1" : "v2");
-    Server.Held_ = HoldsV2 && Index >= 2;
+    Server.HeldBack_ = HoldsV2 && Index >= 2;
+    Server.Active_ = V1Active || Index >= 2;
     Servers.push_back(std::move(Server));
   }
-  Built.configure(std::move(Servers), {}, 1, 1000);
+  return Servers;
+}
+
+Scheduler schedulerOfTwoVersions(bool HoldsV2 = false) {
+  Scheduler::Options Options;
+  Options.GuaranteedShare_ = 0.15;
+  Options.Preempt_ = false;
+  Scheduler Built(Options);
+  Built.configure(serversOfTwoVersions(HoldsV2, /*V1Active=*/true), {}, 1,
+                  1000);
   return Built;
 }
 
@@ -96,6 +102,22 @@
   CHECK(grantsOf(Decisions, {"engine-2", "engine-3"}) == 2 * Slots);
 }
 
+TEST_CASE("streams go on at a version that is held back where nothing else is "
+          "usable") {
+  // Guards against refusing them with the requests that no server may run.
+  Scheduler Keeper = schedulerOfTwoVersions(/*HoldsV2=*/true);
+  Keeper.requestGrant(request(1, ""), Start);
+  Keeper.requestGrant(request(2, "v2"), Start);
+  Keeper.configure(serversOfTwoVersions(/*HoldsV2=*/true, /*V1Active=*/false),
+                   {}, 1, 1000);
+  auto Decisions = Keeper.decide(Start);
+  CHECK(grantsOf(Decisions, {"engine-2", "engine-3"}) == 1);
+  CHECK(std::ranges::count_if(Decisions, [](const Decision &Made) {
+          const auto *Refused = std::get_if<RefuseDecision>(&Made);
+          return Refused && Refused->Id_ == RequestId{1, 1};
+        }) == 1);
+}
+
 TEST_CASE("a stream whose version has no server left is refused at once") {
   // Guards against callers that wait for a server that can't come.
   Scheduler Keeper = schedulerOfTwoVersions();
--- a/UnitTests/Process/Streams/TakenUpVersionTest.cpp
+++ b/UnitTests/Process/Streams/TakenUpVersionTest.cpp
@@ -73,7 +73,7 @@
   std::vector<SoftwareVersion> serving(BootTime Now) {
     std::vector<SoftwareVersion> Versions;
     for (const BackendServer &Server : Selection_.select(Known_, Now))
-      if (!Server.Leaving_ && !Server.Held_)
+      if (!Server.Leaving_ && !Server.HeldBack_)
         Versions.push_back(Server.Version_);
     return Versions;
   }
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -277,8 +277,10 @@
   Grants_->setLocalKeeper(Keeper_.get());
   Origins_ = std::make_unique<StreamOriginService>(
       Context_, StreamOriginService::Options(), origins());
-  Documents_.onChanged(
-      [this](const ServiceName &, DocumentVersion) { Keeper_->refresh(); });
+  Documents_.onChanged([this](const ServiceName &, DocumentVersion) {
+    if (KeeperKnows_)
+      Keeper_->refresh();
+  });
   publish();
   adopt({"key"});
   Callers_ = std::make_unique<CallerService>(
@@ -465,7 +467,7 @@
     Built.Address_ = Servers_[Index]->address();
     Built.MaxInFlight_ = Options_.MaxInFlight_;
     Built.Leaving_ = std::ranges::count(Leaving, Index) > 0;
-    Built.Held_ = std::ranges::count(Held_, Index) > 0;
+    Built.HeldBack_ = std::ranges::count(HeldBack_, Index) > 0;
     const auto &Versions = Options_.Versions_;
     Built.Version_ = SoftwareVersion(Versions[Index % Versions.size()]);
     Listed.push_back(std::move(Built));
@@ -473,9 +475,12 @@
   Documents_.setServers(Service, {{ThePool, std::move(Listed)}});
 }
 
-void ForwardingHarness::hold(std::vector<std::size_t> Held) {
-  Held_ = std::move(Held);
+void ForwardingHarness::hold(std::vector<std::size_t> HeldBack,
+                             bool KeeperKnows) {
+  HeldBack_ = std::move(HeldBack);
+  KeeperKnows_ = KeeperKnows;
   publish();
+  KeeperKnows_ = true;
 }
 
 void ForwardingHarness::publishAt(const Endpoint &Address) {
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -221,9 +221,9 @@
   /// Publishes the directory; \p Leaving and \p Gone are indexes of servers.
   void publish(std::vector<std::size_t> Leaving = {},
                std::vector<std::size_t> Gone = {});
-  /// Publishes the directory; the servers \p Held are of versions that this
-  /// daemon holds back.
-  void hold(std::vector<std::size_t> Held);
+  /// Publishes the directory; the servers \p HeldBack are of versions that this
+  /// daemon holds back. The keeper has admitted these unless it knows.
+  void hold(std::vector<std::size_t> HeldBack, bool KeeperKnows = true);
   /// Publishes a directory with one server, at this address.
   void publishAt(const Endpoint &Address);
   /// Activates a configuration in which the customer has these keys.
@@ -264,7 +264,8 @@
                                  std::shared_ptr<CallerReply> Reply);
 
   Options Options_;
-  std::vector<std::size_t> Held_;
+  std::vector<std::size_t> HeldBack_;
+  bool KeeperKnows_ = true;
   /// Outlives the context, whose coroutines give their memory back.
   MemoryBudget Memory_{Options_.MemoryBytes_};
   boost::asio::io_context Context_{1};
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -132,6 +132,18 @@
   CHECK_FALSE(isMixed(Begun + Rest.body()));
 }
 
+TEST_CASE("a server of a version that is held back here gets no new request "
+          "that is granted by a keeper that has admitted it") {
+  // Guards against new work at a version whose order may be on its way, from
+  // all daemons, because of one keeper that has just started.
+  ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
+  Path.hold({1}, /*KeeperKnows=*/false);
+  int AtHeldBack = 0;
+  for (int Number = 0; Number < Streams; ++Number)
+    AtHeldBack += has(Path.call(fmt::format("c{}", Number)).body(), "v2");
+  CHECK(AtHeldBack == 0);
+}
+
 TEST_CASE("a stream whose version has no server left is not begun elsewhere") {
   // Guards against a caller's second attempt that falls back to what is left.
   ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
