Streams that began are refused neither for others' waits nor for a new keeper's count

Cause: a stream that is taken up counted as new work in two places. Its version's servers may be free while it is refused for the queue of all others. And a keeper that takes over counts allotments from nothing, just when streams break off: its caller is asked back after 0.3 s, with an attempt less.

Change: a request that is bound to a version waits for it, up to its usual longest wait. One that is refused for the allotment waits where it is if that takes 0.5 s at most, once, and is charged as before: what a customer may use is unchanged.

StreamOriginTest and VersionBoundTest have a case for each.

--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -170,7 +170,10 @@
     Out.push_back(refusal(Request, ResultCode::CannotFinishInTime));
     return Out;
   }
-  if (!Continues && wouldWaitTooLong(Request, Rank, Now)) {
+  // A stream that began waits for its own version, whatever the others wait
+  // for.
+  if (!Continues && Request.Version_.empty() &&
+      wouldWaitTooLong(Request, Rank, Now)) {
     RefuseDecision Refusal = refusal(Request, ResultCode::WaitTooLong);
     Refusal.RetryAfter_ = returnAfter(Request, Now);
     Out.push_back(Refusal);
--- a/Source/Request/GrantWait.cpp
+++ b/Source/Request/GrantWait.cpp
@@ -39,6 +39,15 @@
   co_return std::move(Answer_);
 }
 
+Awaitable<void> GrantWait::pause(std::chrono::milliseconds Time) {
+  if (CallerLeft_ || Stopped_)
+    co_return;
+  Pausing_ = true;
+  Signal_.expires_after(Time);
+  co_await Signal_.async_wait(asio::as_tuple(asio::use_awaitable));
+  Pausing_ = false;
+}
+
 void GrantWait::deliver(GrantAnswer Answer) {
   // The wait may have ended after the keeper answered. The withdrawal is then
   // already posted to the control thread and returns the grant there, so the
@@ -51,13 +60,13 @@
 
 void GrantWait::stop() {
   Stopped_ = true;
-  if (Waiting_)
+  if (Waiting_ || Pausing_)
     Signal_.cancel();
 }
 
 void GrantWait::callerLeft() {
   CallerLeft_ = true;
-  if (Waiting_)
+  if (Waiting_ || Pausing_)
     Signal_.cancel();
 }
 
--- a/Source/Request/GrantWait.h
+++ b/Source/Request/GrantWait.h
@@ -26,6 +26,9 @@
   /// withdrawn then, and a grant that still comes is returned to the keeper.
   Awaitable<std::optional<GrantAnswer>> wait(CellId Cell, GrantRequest Request,
                                              TimePoint Deadline);
+  /// Waits between two requests for a grant, until \p Time is over or the
+  /// caller disconnects or the daemon stops.
+  Awaitable<void> pause(std::chrono::milliseconds Time);
   /// Ends the wait because the caller disconnected.
   void callerLeft();
   bool hasCallerLeft() const { return CallerLeft_; }
@@ -44,6 +47,7 @@
   boost::asio::steady_timer Signal_;
   std::optional<GrantAnswer> Answer_;
   bool Waiting_ = false;
+  bool Pausing_ = false;
   bool CallerLeft_ = false;
   bool Stopped_ = false;
 };
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -390,6 +391,21 @@
                             duration_cast<milliseconds>(Length));
 }
 
+namespace {
+
+/// \returns whether a stream that has begun waits here until its customer may
+/// use more. Refused, its caller would come back then, with an attempt less. A
+/// keeper that takes over counts from nothing, just when streams break off.
+bool mayWaitForAllotment(const RequestContext &Context,
+                         const GrantAnswer &Refusal) {
+  constexpr milliseconds MaxPause{500};
+  return Context.Origin_ && Refusal.Code_ == ResultCode::AllotmentSpent &&
+         Refusal.RetryAfter_ <= MaxPause &&
+         Refusal.RetryAfter_ < Context.remaining();
+}
+
+} // namespace
+
 Awaitable<std::variant<ReadyServer, Verdict>>
 obtainServer(RequestContext &Context, ObtainOptions Options) {
   GrantClient &Grants = Context.Services_.Grants_;
@@ -415,6 +431,7 @@
                 });
   StopStage BeforeSend = Continues ? StopStage::Dispatched : StopStage::Granted;
   std::size_t CellTries = 0;
+  bool WaitedForAllotment = false;
   for (int Try = 0; Try < MaxGrantRequests && !Context.expired(); ++Try) {
     // Servers may come and suspicions arise between two grant requests.
     std::vector<std::uint32_t> Cells = cellsFor(Context, Options.OnlyServer_);
@@ -450,6 +467,12 @@
           Answer->Code_ != ResultCode::PromptPartCrashesServers;
       if (MoreCells && OtherCellMayGrant)
         continue;
+      if (mayWaitForAllotment(Context, *Answer) &&
+          !std::exchange(WaitedForAllotment, true)) {
+        co_await Wait->pause(Answer->RetryAfter_);
+        CellTries = 0;
+        continue;
+      }
       break;
     }
     // The server may have started to leave while the request waited, so the
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -660,6 +660,12 @@
 mutate origin-lasting $S/Process/Streams/StreamOriginService.cpp \
   's/(Needed, Options_\.Copies_), Options_\.LastingCopies_/$1, Options_.Copies_/' \
   ${U}Streams '*nearly all streams that last*'
+mutate begun-waits $S/Process/Scheduling/Scheduler.cpp \
+  's/!Continues && Request\.Version_\.empty\(\) &&/!Continues \&\&/' \
+  ${U}Process '*not refused for what others wait for*'
+mutate begun-allotment $S/Request/RequestContext.cpp \
+  's/return Context\.Origin_ && Refusal/return false \&\& Context.Origin_ \&\& Refusal/' \
+  ${U}StreamOrigin '*until its customer may use more*'
 mutate origin-guessed $S/Process/Streams/VersionTimeline.cpp \
   's/std::max\(Found->second\.Began_, CurrentSince\)/CurrentSince/' \
   ${U}Streams '*before a daemon knew the pool*'
--- a/UnitTests/Process/Scheduling/VersionBoundTest.cpp
+++ b/UnitTests/Process/Scheduling/VersionBoundTest.cpp
@@ -118,6 +118,41 @@
         }) == 1);
 }
 
+TEST_CASE("a stream that began is not refused for what others wait for") {
+  // Guards against refusing streams that are taken up while servers of their
+  // version are free, because of the queue for those of another one.
+  constexpr std::uint64_t Queued = 400;
+  constexpr milliseconds Service{1000};
+  Scheduler::Options Options;
+  Options.RefuseLongWaits_ = true;
+  Options.Preempt_ = false;
+  Scheduler Keeper(Options);
+  Keeper.configure(serversOfTwoVersions(/*HoldsV2=*/true, /*V1Active=*/true),
+                   {}, 1, 1000);
+  auto Now = Start;
+  for (std::uint64_t Number = 1; Number <= 2 * Slots; ++Number)
+    Keeper.requestGrant(request(Number, ""), Now);
+  Keeper.decide(Now);
+  Now += Service;
+  ServedSample Sample;
+  Sample.Reached_ = Sample.Complete_ = true;
+  Sample.Duration_ = Service;
+  for (std::uint64_t Number = 1; Number <= 2 * Slots; ++Number)
+    Keeper.done({1, Number}, Sample, Now);
+  auto Asked = [&](std::uint64_t Number, const std::string &Version) {
+    GrantRequest Built = request(Number, Version);
+    Built.Deadline_ = Now + milliseconds(10000);
+    Built.Objective_ = Now + milliseconds(500);
+    return Keeper.requestGrant(std::move(Built), Now);
+  };
+  std::size_t Refused = 0;
+  for (std::uint64_t Number = 1; Number <= Queued; ++Number)
+    Refused += Asked(1000 + Number, "").size();
+  CHECK(Refused > 0);
+  CHECK(Asked(5000, "v2").empty());
+  CHECK(grantsOf(Keeper.decide(Now), {"engine-2", "engine-3"}) == 1);
+}
+
 TEST_CASE("a stream whose version has no server left is refused at once") {
   // Guards against callers that wait for a server that can't come.
   Scheduler Keeper = schedulerOfTwoVersions();
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -200,6 +200,8 @@
   CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
   CHECK(std::chrono::steady_clock::now() - Begin <
         StreamOriginService::Options().AnswerTime_);
+  CHECK_FALSE(Fleet.find(1, query(1)).Lost_);
+  Fleet.Version_ = {StreamVersion::Proof::Several, {}};
   CHECK(Fleet.find(1, query(1)).Lost_);
   Fleet.Version_ = {StreamVersion::Proof::Shown, SoftwareVersion("v1")};
   FoundOrigin Found = Fleet.find(1, query(1));
--- a/UnitTests/Process/Streams/TakenUpVersionTest.cpp
+++ b/UnitTests/Process/Streams/TakenUpVersionTest.cpp
@@ -125,7 +125,8 @@
   if (shows(Test.Daemon_.takeUp(Arrived)))
     return false;
   Test.Daemon_.read(Test.Store_, Arrived, Arrived + milliseconds(10));
-  return Test.Daemon_.takeUp(Arrived) == StreamVersion();
+  return Test.Daemon_.takeUp(Arrived) ==
+         StreamVersion{StreamVersion::Proof::Several, {}};
 }
 
 } // namespace
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -520,6 +520,7 @@
   Built.Routes_.push_back(std::make_shared<const Route>(std::move(Only)));
   Customer Caller;
   Caller.Name_ = CustomerName("customer");
+  Caller.Allotment_ = Options_.Allotment_;
   std::ranges::transform(Keys, std::back_inserter(Caller.KeyDigests_),
                          [](const std::string &Key) { return sha256Hex(Key); });
   Built.Customers_.push_back(std::move(Caller));
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -169,6 +169,8 @@
   struct Options {
     /// What the daemon may hold for callers; 0: no bound.
     std::size_t MemoryBytes_ = 0;
+    /// Of the customer.
+    Allotment Allotment_;
     RequestKind Kind_ = RequestKind::NonIdempotent;
     /// Serves the route by the product's own interface, with such a pool,
     /// instead of forwarding its requests.
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -144,6 +144,25 @@
   CHECK(AtHeldBack == 0);
 }
 
+TEST_CASE("a stream that goes on waits until its customer may use more") {
+  // Guards against streams that lose an attempt to a keeper which has just
+  // taken over, and counts allotments from nothing.
+  ForwardingHarness::Options Wanted = versions(1);
+  Wanted.Allotment_ = {/*PerSecond_=*/5, /*Burst_=*/1};
+  ForwardingHarness Path(Wanted, {breakOff("v1"), breakOff("v2")});
+  std::string Begun;
+  std::string CallId;
+  for (int Number = 0; Begun.empty() && Number < 1000; ++Number) {
+    CallId = fmt::format("c{}", Number);
+    CallerReply First = Path.call(CallId);
+    if (First.status() == 200)
+      Begun = First.body();
+  }
+  CallerReply Rest = Path.call("rest", "x", takeUp(CallId));
+  CHECK(Rest.hasLastChunk());
+  CHECK_FALSE(isMixed(Begun + Rest.body()));
+}
+
 TEST_CASE("a stream whose version has no server left is not begun elsewhere") {
   // Guards against a caller's second attempt that falls back to what is left.
   ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
