ProcessMemory: large blocks go back to the system

After several versions of 100,000 routes a reader had 733 bytes a route in memory while 216 were allocated. Cause: glibc raises its threshold for separate mappings to the largest block that was ever freed (up to 32 MiB); after the first text the next ones, and the lists of 100,000 routes, come out of the heap, and stay there when freed because routes lie behind them. Ruled out: a leak (allocated bytes are level over 21 versions) and small fragments (with the threshold fixed by GLIBC_TUNABLES at 128 KiB 230 are resident).

Change: daemons fix the threshold at 1 MiB and that of the heap's end at 2 MiB.

Not played: what it costs a daemon with large bodies (a block of 1 MiB or more is mapped each time) is not measured.

--- a/Bench/RouteMemory.cpp
+++ b/Bench/RouteMemory.cpp
@@ -209,6 +209,7 @@
 
 int main(int Count, char **Arguments) {
   spdlog::set_level(spdlog::level::off);
+  returnLargeBlocks(); // As daemons do.
   std::vector<std::size_t> Counts;
   std::transform(Arguments + 1, Arguments + Count, std::back_inserter(Counts),
                  countOf);
--- a/Source/Common/ProcessMemory.cpp
+++ b/Source/Common/ProcessMemory.cpp
@@ -1,5 +1,6 @@
 #include "Common/ProcessMemory.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -39,6 +40,12 @@
   return static_cast<std::size_t>(Usage.ru_maxrss) * BytesPerKib;
 }
 
+void returnLargeBlocks() {
+  constexpr int LargeBytes = 1 << 20;
+  mallopt(M_MMAP_THRESHOLD, LargeBytes);
+  mallopt(M_TRIM_THRESHOLD, 2 * LargeBytes);
+}
+
 std::uint8_t memoryPercent(std::size_t Used, std::size_t Limit) {
   if (Used == 0 || Limit == 0)
     return 0;
--- a/Source/Programs/DaemonMain.cpp
+++ b/Source/Programs/DaemonMain.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/CrashReport.h"
 #include "Common/Log.h"
+#include "Common/ProcessMemory.h"
 
 #include <fmt/format.h>
 
@@ -44,6 +45,7 @@
 } // namespace
 
 int daemonMain(int ArgumentCount, char **Arguments, PlatformAdapter Adapter) {
+  returnLargeBlocks();
   // A SIGHUP may arrive before the daemon handles it, and a reader of the logs
   // may close its end of the pipe. Neither may end the process.
   std::signal(SIGHUP, SIG_IGN);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -823,6 +823,9 @@
 mutate taken-entries $S/Common/JsonReader.cpp \
   's/(Taker_\.Entry_\(Value\);\n\s*return )false/$1true/' \
   ${U}Common '*taken one by one and not kept*'
+mutate large-blocks $S/Common/ProcessMemory.cpp \
+  's/  mallopt\(M_MMAP_THRESHOLD, LargeBytes\);\n//; s/  mallopt\(M_TRIM_THRESHOLD, 2 \* LargeBytes\);\n/  (void)LargeBytes;\n/' \
+  ${U}Common '*what a large text took is given back*'
 mutate refused-alone $S/Process/Configuration/ItemReader.cpp \
   's/(    \} else \{\n)/$1      return Entry.error();\n/' \
   ${U}platform "*item that can't be read is refused alone*"
