--- a/FailureTests/platform/RawDaemon.h
+++ b/FailureTests/platform/RawDaemon.h
@@ -21,6 +21,8 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -34,7 +36,8 @@
 public:
   static constexpr std::string_view IdField = "x-samphireshunt-request-id: ";
 
-  RawDaemon()
+  /// \p Flags are added to the daemon's command line.
+  explicit RawDaemon(std::vector<std::string> Flags = {})
       : Store_(Thread_.context()),
         Engine_(Thread_.context(),
                 {boost::asio::ip::make_address("127.0.0.1"), 0}) {
@@ -49,15 +52,8 @@
               });
         },
         boost::asio::detached);
-    boost::asio::co_spawn(
-        Thread_.context(),
-        [this]() -> Awaitable<void> {
-          publish();
-          co_return;
-        },
-        boost::asio::use_future)
-        .get();
-    Daemon_.emplace(daemonCommand(PLATFORM_DAEMON, Store_, {}),
+    runInStore([this] { publish(); });
+    Daemon_.emplace(daemonCommand(PLATFORM_DAEMON, Store_, std::move(Flags)),
                     Folder_.path() + "/vm-1.log");
     nlohmann::json Addresses = Daemon_->readLine();
     for (const char *Name : {"callers", "operators"})
@@ -72,6 +68,26 @@
     received();
   }
 
+  /// Writes to the store, as operators and servers do.
+  void put(const std::string &Key, const std::string &Value) {
+    runInStore([&] { Store_.put(Key, Value); });
+  }
+  /// \returns what is stored under \p Key.
+  std::string stored(const std::string &Key) {
+    std::string Value;
+    runInStore([&] { Value = Store_.get(Key); });
+    return Value;
+  }
+  /// \returns whether the daemon has logged a line with \p Text.
+  bool hasLogged(const std::string &Text) const {
+    std::ifstream Log(Folder_.path() + "/vm-1.log");
+    std::string Line;
+    while (std::getline(Log, Line))
+      if (Line.find(Text) != std::string::npos)
+        return true;
+    return false;
+  }
+
   /// For callers, and for operators.
   const std::vector<Endpoint> &listeners() const { return Listeners_; }
 
@@ -120,6 +136,17 @@
   }
 
 private:
+  void runInStore(const std::function<void()> &Work) {
+    boost::asio::co_spawn(
+        Thread_.context(),
+        [&Work]() -> Awaitable<void> {
+          Work();
+          co_return;
+        },
+        boost::asio::use_future)
+        .get();
+  }
+
   static std::size_t lengthOf(const std::string &Message) {
     constexpr std::string_view Field = "\r\ncontent-length: ";
     std::size_t At = lowerCase(Message).find(Field);
--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -4271,6 +4271,7 @@
   uint64_t same_digest = 0;
   std::vector<uint8_t> packed{};
   uint32_t packed_from = 0;
+  uint32_t newer_known_ms = 0;
   StateT() = default;
   StateT(const StateT &o);
   StateT(StateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4302,7 +4303,8 @@
     VT_LACKS_ENTRY = 38,
     VT_SAME_DIGEST = 40,
     VT_PACKED = 42,
-    VT_PACKED_FROM = 44
+    VT_PACKED_FROM = 44,
+    VT_NEWER_KNOWN_MS = 46
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -4387,6 +4389,11 @@
   uint32_t packed_from() const {
     return GetField<uint32_t>(VT_PACKED_FROM, 0);
   }
+  /// How long the sender has known of a configuration newer than
+  /// `text_version` that it can't hold; 0 if there is none.
+  uint32_t newer_known_ms() const {
+    return GetField<uint32_t>(VT_NEWER_KNOWN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -4414,6 +4421,7 @@
            VerifyOffset(verifier, VT_PACKED) &&
            verifier.VerifyVector(packed()) &&
            VerifyField<uint32_t>(verifier, VT_PACKED_FROM, 4) &&
+           VerifyField<uint32_t>(verifier, VT_NEWER_KNOWN_MS, 4) &&
            verifier.EndTable();
   }
   StateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4485,6 +4493,9 @@
   void add_packed_from(uint32_t packed_from) {
     fbb_.AddElement<uint32_t>(State::VT_PACKED_FROM, packed_from, 0);
   }
+  void add_newer_known_ms(uint32_t newer_known_ms) {
+    fbb_.AddElement<uint32_t>(State::VT_NEWER_KNOWN_MS, newer_known_ms, 0);
+  }
   explicit StateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4517,7 +4528,8 @@
     bool lacks_entry = false,
     uint64_t same_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
-    uint32_t packed_from = 0) {
+    uint32_t packed_from = 0,
+    uint32_t newer_known_ms = 0) {
   StateBuilder builder_(_fbb);
   builder_.add_same_digest(same_digest);
   builder_.add_era_first(era_first);
@@ -4528,6 +4540,7 @@
   builder_.add_after(after);
   builder_.add_number(number);
   builder_.add_incarnation(incarnation);
+  builder_.add_newer_known_ms(newer_known_ms);
   builder_.add_packed_from(packed_from);
   builder_.add_packed(packed);
   builder_.add_unsure(unsure);
@@ -4563,7 +4576,8 @@
     bool lacks_entry = false,
     uint64_t same_digest = 0,
     const std::vector<uint8_t> *packed = nullptr,
-    uint32_t packed_from = 0) {
+    uint32_t packed_from = 0,
+    uint32_t newer_known_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<samphireshunt::wire::StateEntry>>(*entries) : 0;
   auto unsure__ = unsure ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unsure) : 0;
   auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
@@ -4588,7 +4602,8 @@
       lacks_entry,
       same_digest,
       packed__,
-      packed_from);
+      packed_from,
+      newer_known_ms);
 }
 
 flatbuffers::Offset<State> CreateState(flatbuffers::FlatBufferBuilder &_fbb, const StateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7361,7 +7376,8 @@
         lacks_entry(o.lacks_entry),
         same_digest(o.same_digest),
         packed(o.packed),
-        packed_from(o.packed_from) {
+        packed_from(o.packed_from),
+        newer_known_ms(o.newer_known_ms) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new samphireshunt::wire::StateEntryT(*entries_) : nullptr); }
 }
@@ -7387,6 +7403,7 @@
   std::swap(same_digest, o.same_digest);
   std::swap(packed, o.packed);
   std::swap(packed_from, o.packed_from);
+  std::swap(newer_known_ms, o.newer_known_ms);
   return *this;
 }
 
@@ -7419,6 +7436,7 @@
   { auto _e = same_digest(); _o->same_digest = _e; }
   { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
   { auto _e = packed_from(); _o->packed_from = _e; }
+  { auto _e = newer_known_ms(); _o->newer_known_ms = _e; }
 }
 
 inline flatbuffers::Offset<State> State::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7449,6 +7467,7 @@
   auto _same_digest = _o->same_digest;
   auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
   auto _packed_from = _o->packed_from;
+  auto _newer_known_ms = _o->newer_known_ms;
   return samphireshunt::wire::CreateState(
       _fbb,
       _sequence,
@@ -7470,7 +7489,8 @@
       _lacks_entry,
       _same_digest,
       _packed,
-      _packed_from);
+      _packed_from,
+      _newer_known_ms);
 }
 
 inline TextAskT *TextAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Common/ResultCode.cpp
+++ b/Source/Common/ResultCode.cpp
@@ -187,6 +187,10 @@
                    "The platform's service tells an era that is no number or "
                    "falls.",
                    "Look at the service; the last good state holds."},
+    ResultCodeInfo{ValueTooLarge, "value-too-large",
+                   "A value is larger than this process can hold.",
+                   "Write a smaller one, or give the VMs more memory; the last "
+                   "good state holds."},
     ResultCodeInfo{DocumentSyntax, "document-syntax",
                    "The document is not valid YAML.",
                    "Correct the line that the finding names."},
--- a/Source/Common/ResultCode.h
+++ b/Source/Common/ResultCode.h
@@ -86,6 +86,7 @@
   HistoryLost = 406,
   StoreRestored = 407,
   BadStoreEra = 408,
+  ValueTooLarge = 409,
   // 5xx: documents and settings.
   DocumentSyntax = 500,
   DocumentSchema = 501,
--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -268,6 +268,10 @@
   /// From the head of the response to its end.
   std::chrono::milliseconds Body_;
   std::size_t MaxBodyBytes_ = MaxAnswerBytes;
+  /// The time for the body is granted again with each of so many bytes of it,
+  /// since a longer one takes longer on the same link; 0: never. Only for
+  /// httpCallInParts().
+  std::size_t BytesPerBodyTime_ = 0;
 };
 
 /// Sends one request over a connection of its own. \p OnHead, if set, is called
@@ -276,6 +280,25 @@
                                          HttpCallLimits Limits,
                                          std::function<void()> OnHead);
 
+/// Read a body while it comes, so that it is never held as a whole.
+struct HttpBodyHooks {
+  /// Called with the head, before any byte of the body.
+  std::function<void(const HttpResponse &Head)> Begin_;
+  /// Called with each part of the body. A failure ends the call.
+  std::function<Result<void>(std::string_view Bytes)> Take_;
+  /// \returns whether the body is complete if only the end of the connection
+  /// ends it.
+  std::function<bool()> IsWhole_;
+};
+
+/// Sends one request over a connection of its own. The body goes to \p Body,
+/// not into the result; \p Limits do not bound its size. If their time for the
+/// body is 0, the one for the head is for the whole call.
+Awaitable<Result<HttpResponse>> httpCallInParts(Endpoint Address,
+                                                HttpRequest Request,
+                                                HttpCallLimits Limits,
+                                                HttpBodyHooks Body);
+
 /// Sends one request over a connection of its own, with \p Timeout for the
 /// whole call. A longer body than \p MaxBodyBytes is AnswerTooLarge.
 Awaitable<Result<HttpResponse>>
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -341,6 +341,7 @@
         End_ - std::chrono::steady_clock::now());
     return std::max(Time, std::chrono::milliseconds(1));
   }
+  void extend(std::chrono::steady_clock::duration Time) { End_ += Time; }
 
 private:
   std::chrono::steady_clock::time_point End_;
@@ -372,30 +373,62 @@
 
 /// Reads the rest of the response. One without a length or chunks is complete
 /// only if its body shows that. Each chunk restarts the timeout \p Silence,
-/// within the limit \p Remaining of the whole body.
+/// within the limit \p Remaining of the whole body, to which each byte adds \p
+/// TimePerByte.
 Awaitable<Result<HttpResponse>> endCall(AnsweredCall Call,
                                         std::chrono::milliseconds Silence,
                                         RemainingTime Remaining,
-                                        std::size_t MaxBodyBytes) {
+                                        std::chrono::nanoseconds TimePerByte,
+                                        HttpBodyHooks Body) {
+  Body.Begin_(Call.Head_);
   while (true) {
     auto Chunk =
         co_await Call.Connection_->readSome(std::min(Silence, Remaining()));
     if (!Chunk)
       co_return Chunk.error();
     if (!Chunk->empty()) {
-      std::size_t Size = Call.Head_.Body_.size() + Chunk->size();
-      if (Size > MaxBodyBytes)
-        co_return Failure{ResultCode::AnswerTooLarge,
-                          std::to_string(Size) + " bytes"};
-      Call.Head_.Body_ += *Chunk;
+      Remaining.extend(TimePerByte * static_cast<std::int64_t>(Chunk->size()));
+      if (auto Taken = Body.Take_(*Chunk); !Taken)
+        co_return Taken.error();
       continue;
     }
-    if (!isEndKnown(*Call.Connection_, Call.Head_.Body_))
+    bool Known = Call.Connection_->bodyEnd() != BodyEnd::Close;
+    if (!Known && !Body.IsWhole_())
       co_return Failure{ResultCode::ConnectionLost, "body without length"};
     co_return std::move(Call.Head_);
   }
 }
 
+/// \returns hooks that hold a body in \p Held, of \p MaxBytes at most.
+HttpBodyHooks holdingBody(std::string &Held, std::size_t MaxBytes) {
+  HttpBodyHooks Hooks;
+  Hooks.Begin_ = [](const HttpResponse &) {};
+  Hooks.Take_ = [&Held, MaxBytes](std::string_view Bytes) -> Result<void> {
+    std::size_t Size = Held.size() + Bytes.size();
+    if (Size > MaxBytes)
+      return Failure{ResultCode::AnswerTooLarge,
+                     std::to_string(Size) + " bytes"};
+    Held += Bytes;
+    return {};
+  };
+  Hooks.IsWhole_ = [&Held] { return isWholeJson(Held); };
+  return Hooks;
+}
+
+/// The same with the body in the result.
+Awaitable<Result<HttpResponse>> endHeldCall(AnsweredCall Call,
+                                            std::chrono::milliseconds Silence,
+                                            RemainingTime Remaining,
+                                            std::size_t MaxBodyBytes) {
+  std::string Held;
+  HttpBodyHooks Hooks = holdingBody(Held, MaxBodyBytes);
+  auto Ended = co_await endCall(std::move(Call), Silence, Remaining,
+                                std::chrono::nanoseconds(0), std::move(Hooks));
+  if (Ended)
+    Ended->Body_ = std::move(Held);
+  co_return Ended;
+}
+
 } // namespace
 
 Awaitable<Result<HttpResponse>> httpCall(Endpoint Address, HttpRequest Request,
@@ -409,8 +442,8 @@
   if (OnHead)
     OnHead();
   RemainingTime ToEnd(Limits.Body_);
-  co_return co_await endCall(std::move(*Begun), Limits.Silence_, ToEnd,
-                             Limits.MaxBodyBytes_);
+  co_return co_await endHeldCall(std::move(*Begun), Limits.Silence_, ToEnd,
+                                 Limits.MaxBodyBytes_);
 }
 
 Awaitable<Result<HttpResponse>> httpCall(Endpoint Address, HttpRequest Request,
@@ -421,8 +454,27 @@
       co_await beginCall(std::move(Address), std::move(Request), Remaining);
   if (!Begun)
     co_return Begun.error();
-  co_return co_await endCall(std::move(*Begun), Timeout, Remaining,
-                             MaxBodyBytes);
+  co_return co_await endHeldCall(std::move(*Begun), Timeout, Remaining,
+                                 MaxBodyBytes);
+}
+
+Awaitable<Result<HttpResponse>> httpCallInParts(Endpoint Address,
+                                                HttpRequest Request,
+                                                HttpCallLimits Limits,
+                                                HttpBodyHooks Body) {
+  RemainingTime ToHead(Limits.Head_);
+  auto Begun =
+      co_await beginCall(std::move(Address), std::move(Request), ToHead);
+  if (!Begun)
+    co_return Begun.error();
+  bool OneLimit = Limits.Body_.count() == 0;
+  RemainingTime ToEnd = OneLimit ? ToHead : RemainingTime(Limits.Body_);
+  std::chrono::nanoseconds TimePerByte(0);
+  if (Limits.BytesPerBodyTime_ > 0)
+    TimePerByte = std::chrono::nanoseconds(Limits.Body_) /
+                  static_cast<std::int64_t>(Limits.BytesPerBodyTime_);
+  co_return co_await endCall(std::move(*Begun), Limits.Silence_, ToEnd,
+                             TimePerByte, std::move(Body));
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/ConfigurationSync.cpp
+++ b/Source/Process/Configuration/ConfigurationSync.cpp
@@ -53,6 +53,8 @@
     }
     for (const KeyValue &Entry : Changes->Entries_)
       applyGuarded(Entry.Key_, [&] { adoptEntry(Entry); });
+    for (const auto &[Key, Item] : Changes->Refused_)
+      refuseEntry(Key, Item);
     // After a restore from an older backup, the watch must not wait for the old
     // revision, which the service may not reach for a long time. Nor is a
     // revision of the former era valid, since the service assigns it again.
@@ -84,6 +86,16 @@
   documentReceived(Service, Entry.Value_);
 }
 
+/// What the document says is unknown, so the one in force counts as replaced.
+void ConfigurationSync::refuseEntry(const std::string &Key,
+                                    const RefusedItem &Item) {
+  if (Item.Code_ != ResultCode::ValueTooLarge)
+    return;
+  std::string_view Prefix(DocumentKeyPrefix);
+  TooLarge_.emplace(Key.substr(std::min(Prefix.size(), Key.size())));
+  noteLag();
+}
+
 void ConfigurationSync::documentReceived(const ServiceName &Service,
                                          const std::string &Encoded) {
   auto Decoded = VersionedDocument::decode(Encoded);
@@ -94,6 +106,7 @@
               {"detail", Decoded.error().Detail_}});
     return;
   }
+  TooLarge_.erase(Service);
   auto &Newest = NewestAnnounced_[Service];
   Newest = std::max(Newest, Decoded->Version_);
   Documents_.adopt(Service, *Decoded);
@@ -128,7 +141,7 @@
 }
 
 void ConfigurationSync::noteLag() {
-  if (upToDate())
+  if (upToDate() && TooLarge_.empty())
     Freshness_.newestActive();
   else
     Freshness_.newerKnown(BootClock::now());
--- a/Source/Process/Configuration/ConfigurationSync.h
+++ b/Source/Process/Configuration/ConfigurationSync.h
@@ -57,6 +57,7 @@
   void adoptEntry(const KeyValue &Entry);
   void logReachable(const Failure &Cause);
   /// True if the active documents are as new as every version learned of.
+  void refuseEntry(const std::string &Key, const RefusedItem &Item);
   bool upToDate() const;
   void noteLag();
 
@@ -67,6 +68,8 @@
   Options Options_;
   Hooks Hooks_;
   std::map<ServiceName, DocumentVersion> NewestAnnounced_;
+  /// Services whose newest document is too large to be held here.
+  std::set<ServiceName> TooLarge_;
   std::chrono::steady_clock::time_point Started_;
   bool PlatformRead_ = false;
   bool PlatformReachable_ = false;
--- a/Source/Process/Configuration/HttpPlatform.cpp
+++ b/Source/Process/Configuration/HttpPlatform.cpp
@@ -12,6 +12,8 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr int StatusOk = 200;
+
 StorePosition positionFromJson(const StoreAnswer &Body, const Json &Holder) {
   return {Body.Era_, Revision(readUnsignedOf(Holder, "revision").value())};
 }
@@ -21,17 +23,22 @@
           Entry.at("value").get<std::string>(), positionFromJson(Body, Entry)};
 }
 
-Result<KeyValueList> listFromJson(const StoreAnswer &Body) {
-  KeyValueList List;
-  ItemReader Read = [&Body](const Json &Entry) -> Result<KeyValue> {
-    return keyValueFromJson(Body, Entry);
+AnswerSplitter::Limits boundsOf(const StoreLimits &Limits) {
+  // Escaping at most doubles a text. An answer has other values beside it.
+  std::size_t MaxText = 2 * Limits.MaxValueBytes_ + AnswerSplitter::Quotes;
+  return {MaxText, std::max(MaxStoreAnswerBytes, 2 * MaxText)};
+}
+
+ListFormat listFormat(const StoreLimits &Limits) {
+  ListFormat Format;
+  Format.MaxValueBytes_ = Limits.MaxValueBytes_;
+  Format.Items_ = "entries";
+  Format.Key_ = "key";
+  Format.Revision_ = "revision";
+  Format.Read_ = [](const StoreAnswer &Entry) -> Result<KeyValue> {
+    return keyValueFromJson(Entry, Entry.Root_);
   };
-  auto Done = readItems(Body, Body.Root_.at("entries"), {"key", "revision"},
-                        Read, List);
-  if (!Done)
-    return Done.error();
-  List.Position_ = positionFromJson(Body, Body.Root_);
-  return List;
+  return Format;
 }
 
 ListedVm vmFromJson(const Json &Entry) {
@@ -44,25 +51,35 @@
   return Vm;
 }
 
+/// \returns what a status other than 200 means.
+Failure failureOf(const HttpResponse &Answer) {
+  constexpr int StatusNotFound = 404;
+  constexpr int StatusConflict = 409;
+  if (Answer.Status_ == StatusNotFound)
+    return {ResultCode::NotFound, ""};
+  if (Answer.Status_ == StatusConflict)
+    return {ResultCode::VersionConflict, Answer.Body_};
+  if (auto Era = storeEraOf(Answer.Fields_); !Era)
+    return Era.error();
+  return {ResultCode::PlatformUnavailable,
+          fmt::format("status {}", Answer.Status_)};
+}
+
 /// Makes one call. A status of 200 returns the body; any other becomes a
 /// failure.
-Awaitable<Result<StoreAnswer>> call(Endpoint Address, HttpRequest Request,
-                                    milliseconds Timeout) {
-  auto Response = co_await httpCall(Address, std::move(Request), Timeout,
-                                    MaxStoreAnswerBytes);
+Awaitable<Result<StoreAnswer>>
+call(Endpoint Address, HttpRequest Request, milliseconds Timeout,
+     std::size_t MaxBytes = MaxStoreAnswerBytes) {
+  auto Response =
+      co_await httpCall(Address, std::move(Request), Timeout, MaxBytes);
   if (!Response)
     co_return Failure{ResultCode::PlatformUnavailable,
                       Response.error().Detail_};
-  if (Response->Status_ == 404)
-    co_return Failure{ResultCode::NotFound, ""};
-  if (Response->Status_ == 409)
-    co_return Failure{ResultCode::VersionConflict, Response->Body_};
+  if (Response->Status_ != StatusOk)
+    co_return failureOf(*Response);
   auto Era = storeEraOf(Response->Fields_);
   if (!Era)
     co_return Era.error();
-  if (Response->Status_ != 200)
-    co_return Failure{ResultCode::PlatformUnavailable,
-                      fmt::format("status {}", Response->Status_)};
   co_return readStoreAnswer(Response->Body_, *Era);
 }
 
@@ -76,11 +93,14 @@
                             [&]() -> Result<Value> { return Convert(*Body); });
 }
 
-Awaitable<Result<std::optional<KeyValue>>>
-get(Endpoint Address, milliseconds Timeout, std::string Key) {
+Awaitable<Result<std::optional<KeyValue>>> get(Endpoint Address,
+                                               milliseconds Timeout,
+                                               std::string Key,
+                                               StoreLimits Limits) {
   HttpRequest Request;
   Request.Target_ = "/v1/kv/" + Key;
-  auto Body = co_await call(Address, std::move(Request), Timeout);
+  auto Body = co_await call(Address, std::move(Request), Timeout,
+                            boundsOf(Limits).MaxAnswer_);
   if (!Body && Body.error().Code_ == ResultCode::NotFound)
     co_return std::optional<KeyValue>();
   co_return convert<std::optional<KeyValue>>(
@@ -118,24 +138,57 @@
   co_return Result<void>();
 }
 
+Result<KeyValueList> readList(IncomingList &Incoming) {
+  KeyValueList List;
+  auto Body = Incoming.finish(List);
+  return convert<KeyValueList>(
+      Body, [&List](const StoreAnswer &Read) -> Result<KeyValueList> {
+        if (!Read.Root_.contains("entries"))
+          return Failure{ResultCode::PlatformUnavailable, "no entries"};
+        List.Position_ = positionFromJson(Read, Read.Root_);
+        return std::move(List);
+      });
+}
+
+/// Makes one call for a list, which is read while it comes.
+Awaitable<Result<KeyValueList>> callForList(Endpoint Address,
+                                            HttpRequest Request,
+                                            milliseconds Timeout,
+                                            StoreLimits Limits) {
+  AnswerSplitter::Limits Bounds = boundsOf(Limits);
+  auto Incoming = std::make_shared<IncomingList>(
+      listFormat(Limits), Bounds,
+      [](const HttpFields &Fields) { return storeEraOf(Fields); });
+  HttpBodyHooks Hooks = IncomingList::hooks(Incoming, {});
+  HttpCallLimits Times{Timeout, Timeout, milliseconds(0)};
+  auto Response = co_await httpCallInParts(Address, std::move(Request), Times,
+                                           std::move(Hooks));
+  if (!Response)
+    co_return Failure{ResultCode::PlatformUnavailable,
+                      Response.error().Detail_};
+  if (Response->Status_ != StatusOk)
+    co_return failureOf(*Response);
+  co_return readList(*Incoming);
+}
+
 Awaitable<Result<KeyValueList>> list(Endpoint Address, milliseconds Timeout,
-                                     std::string Prefix) {
+                                     std::string Prefix, StoreLimits Limits) {
   HttpRequest Request;
   Request.Target_ = "/v1/list?prefix=" + Prefix;
-  auto Body = co_await call(Address, std::move(Request), Timeout);
-  co_return convert<KeyValueList>(Body, listFromJson);
+  co_return co_await callForList(std::move(Address), std::move(Request),
+                                 Timeout, Limits);
 }
 
 Awaitable<Result<KeyValueList>> watch(Endpoint Address, milliseconds Timeout,
                                       std::string Prefix, StorePosition After,
-                                      milliseconds Wait) {
+                                      milliseconds Wait, StoreLimits Limits) {
   HttpRequest Request;
   Request.Target_ = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}",
                                 Prefix, After.Revision_.count(), Wait.count());
   // A time limit ends a watch that never returns, since it would report no
   // changes.
-  auto Body = co_await call(Address, std::move(Request), Timeout + Wait);
-  co_return convert<KeyValueList>(Body, listFromJson);
+  co_return co_await callForList(std::move(Address), std::move(Request),
+                                 Timeout + Wait, Limits);
 }
 
 Awaitable<Result<std::vector<ListedVm>>> vms(Endpoint Address,
@@ -153,9 +206,12 @@
 
 } // namespace
 
-PlatformHooks httpPlatform(Endpoint Address, milliseconds Timeout) {
+PlatformHooks httpPlatform(Endpoint Address, milliseconds Timeout,
+                           StoreLimits Limits) {
   PlatformHooks Hooks;
-  Hooks.Get_ = [=](std::string Key) { return get(Address, Timeout, Key); };
+  Hooks.Get_ = [=](std::string Key) {
+    return get(Address, Timeout, Key, Limits);
+  };
   Hooks.Put_ = [=](KeyValueWrite Write) {
     return put(Address, Timeout, Write);
   };
@@ -163,11 +219,11 @@
     return remove(Address, Timeout, Key, Expected);
   };
   Hooks.List_ = [=](std::string Prefix) {
-    return list(Address, Timeout, Prefix);
+    return list(Address, Timeout, Prefix, Limits);
   };
   Hooks.Watch_ = [=](std::string Prefix, StorePosition After,
                      milliseconds Wait) {
-    return watch(Address, Timeout, Prefix, After, Wait);
+    return watch(Address, Timeout, Prefix, After, Wait, Limits);
   };
   Hooks.Vms_ = [=]() { return vms(Address, Timeout); };
   return Hooks;
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -264,9 +264,12 @@
 }
 
 void PeerFollower::noteLag(const wire::StateT &State) {
+  BootTime Now = BootClock::now();
+  bool Held = View_.version() > DocumentVersion(State.text_version);
+  if (State.newer_known_ms > 0 && !Held)
+    return Freshness_.newerKnown(Now - milliseconds(State.newer_known_ms));
   if (!lacksTextOf(State))
     return Freshness_.newestActive();
-  BootTime Now = BootClock::now();
   Freshness_.newerKnown(Now - milliseconds(State.text_age_ms));
   DocumentVersion Announced(State.text_version);
   if (!Freshness_.overdue(Now) ||
@@ -409,6 +412,8 @@
   State.age_ms = millisSince(Service_.reachedAt());
   std::uint32_t Confirmed = millisSince(Freshness_.confirmedAt());
   State.unconfirmed_ms = Confirmed - std::min(Confirmed, State.age_ms);
+  if (View_.tooLargeSince())
+    State.newer_known_ms = std::max(1U, millisSince(*View_.tooLargeSince()));
   State.reads_service = !Service_.paused() && Service_.platformReachable();
   return State;
 }
--- a/Source/Process/Configuration/Platform.h
+++ b/Source/Process/Configuration/Platform.h
@@ -18,10 +18,16 @@
 
 namespace samphireshunt {
 
-/// The longest answer of the service: a page of a list, with a value of the
-/// largest size, one megabyte, in base64 beside it.
+/// What is held of an answer of the service: a page of a list, with a value of
+/// one megabyte in base64 beside it. More if longer values are allowed.
 inline constexpr std::size_t MaxStoreAnswerBytes = 4 * 1024 * 1024;
 
+/// What a process can hold of the service's answers, in bytes.
+struct StoreLimits {
+  /// The longest value. A longer one is refused, and nothing else with it.
+  std::size_t MaxValueBytes_ = 2 * 1024 * 1024;
+};
+
 /// Number of a write to the key-value service. Rises with each write of an era.
 using Revision = Quantity<struct RevisionTag>;
 /// How many times the service was restored from an older backup. A restore
@@ -51,6 +57,11 @@
   /// Position of the write; revision 0 if that can't be read either.
   StorePosition Position_;
   std::string Detail_;
+  /// ValueTooLarge if the value can't be held here, whatever it is.
+  ResultCode Code_ = ResultCode::DocumentSchema;
+  /// Of a value that is too large, and the most that can be held, in bytes.
+  std::size_t Size_ = 0;
+  std::size_t Bound_ = 0;
   bool operator==(const RefusedItem &) const = default;
 };
 
@@ -117,6 +128,7 @@
 
 /// Hooks that use HTTP and JSON to call the service at \p Address. Each call
 /// takes at most \p Timeout.
-PlatformHooks httpPlatform(Endpoint Address, std::chrono::milliseconds Timeout);
+PlatformHooks httpPlatform(Endpoint Address, std::chrono::milliseconds Timeout,
+                           StoreLimits Limits = {});
 
 } // namespace samphireshunt
--- a/Source/Process/Configuration/RefusedItems.cpp
+++ b/Source/Process/Configuration/RefusedItems.cpp
@@ -7,6 +7,23 @@
 
 namespace samphireshunt {
 
+namespace {
+
+void logRefused(const std::string &Key, const RefusedItem &Item) {
+  LogFields Fields = {
+      {"key", Key},
+      {"code", std::to_string(static_cast<int>(Item.Code_))},
+      {"detail", Item.Detail_},
+      {"revision", std::to_string(Item.Position_.Revision_.count())}};
+  if (Item.Code_ == ResultCode::ValueTooLarge) {
+    Fields.emplace_back("size", std::to_string(Item.Size_));
+    Fields.emplace_back("bound", std::to_string(Item.Bound_));
+  }
+  logEvent(LogCategory::Version, spdlog::level::err, "item-refused", Fields);
+}
+
+} // namespace
+
 void RefusedItems::noteChanges(const KeyValueList &Changes) {
   if (!Known_.empty())
     for (const KeyValue &Entry : Changes.Entries_)
@@ -31,15 +48,11 @@
     if (!New && Known->second == Item)
       continue;
     ++Count_;
+    TooLarge_ += Item.Code_ == ResultCode::ValueTooLarge ? 1 : 0;
     if (New && Known_.size() >= MaxKnown)
       continue;
     Known_[Key] = Item;
-    logEvent(
-        LogCategory::Version, spdlog::level::err, "item-refused",
-        {{"key", Key},
-         {"code", std::to_string(static_cast<int>(ResultCode::DocumentSchema))},
-         {"detail", Item.Detail_},
-         {"revision", std::to_string(Item.Position_.Revision_.count())}});
+    logRefused(Key, Item);
   }
 }
 
--- a/Source/Process/Configuration/RefusedItems.h
+++ b/Source/Process/Configuration/RefusedItems.h
@@ -20,6 +20,8 @@
   void noteList(const std::string &Prefix, const KeyValueList &Listed);
   /// \returns how many were refused so far.
   std::uint64_t count() const { return Count_; }
+  /// \returns how many of them for their size.
+  std::uint64_t tooLarge() const { return TooLarge_; }
   /// \returns the keys of those that have not been replaced by a readable one.
   const std::map<std::string, RefusedItem> &current() const { return Known_; }
 
@@ -31,6 +33,7 @@
 
   std::map<std::string, RefusedItem> Known_;
   std::uint64_t Count_ = 0;
+  std::uint64_t TooLarge_ = 0;
 };
 
 /// Runs \p Apply for the entry of \p Key and logs an exception that escapes. It
--- a/Source/Process/Configuration/StoreFollower.cpp
+++ b/Source/Process/Configuration/StoreFollower.cpp
@@ -237,7 +237,9 @@
   std::for_each(PendingPositions_.begin(), Newer,
                 [this](const auto &Asked) { appliedAsOf(Asked.second); });
   PendingPositions_.erase(PendingPositions_.begin(), Newer);
-  if (PendingPositions_.empty())
+  if (View_.tooLargeSince())
+    Freshness_.newerKnown(*View_.tooLargeSince());
+  else if (PendingPositions_.empty())
     Freshness_.newestActive();
 }
 
--- a/Source/Process/Configuration/StoreView.cpp
+++ b/Source/Process/Configuration/StoreView.cpp
@@ -77,7 +77,21 @@
             {"age_ms", std::to_string(Age.count())}});
 }
 
+namespace {
+
+void logInvalid(const Failure &Cause, const StorePosition &Written) {
+  logEvent(LogCategory::Version, spdlog::level::err,
+           "configuration-not-understood",
+           {{"code", std::to_string(static_cast<int>(Cause.Code_))},
+            {"detail", Cause.Detail_},
+            {"revision", std::to_string(Written.Revision_.count())}});
+}
+
+} // namespace
+
 bool StoreView::confirmsNewest(BootTime Asked) const {
+  if (TooLargeSince_)
+    return false;
   if (!EraStart_)
     return true;
   if (ReadVersion_ < version())
@@ -200,11 +214,13 @@
 }
 
 void StoreView::refuse(const std::string &Key, const RefusedItem &Item) {
+  if (Key == Layout_.ConfigurationKey_)
+    return refuseConfiguration(Item);
   KeyValue Entry{Key, "", Item.Position_, false};
   if (!Key.starts_with(Layout_.ServerPrefix_))
     return apply(Entry);
   rejectServer(Key.substr(Layout_.ServerPrefix_.size()), Entry,
-               {ResultCode::DocumentSchema, Item.Detail_});
+               {Item.Code_, Item.Detail_});
 }
 
 void StoreView::dropMissing() {
@@ -475,22 +491,35 @@
 void StoreView::adopt(const KeyValue &Entry) {
   // The entry is read repeatedly to confirm that it is the newest.
   if (Entry.Position_ == ConfigurationPosition_)
-    return;
+    return TooLargeSince_.reset();
   auto Read = Layout_.ReadConfiguration_(Entry.Value_);
-  if (!Read) {
-    logEvent(LogCategory::Version, spdlog::level::err,
-             "configuration-not-understood",
-             {{"code", std::to_string(static_cast<int>(Read.error().Code_))},
-              {"detail", Read.error().Detail_},
-              {"revision", std::to_string(Entry.Position_.Revision_.count())}});
-    return;
-  }
+  if (!Read)
+    return logInvalid(Read.error(), Entry.Position_);
+  TooLargeSince_.reset();
   ConfigurationPosition_ = Entry.Position_;
   ReadVersion_ = Read->Version_;
   activateConfiguration(*Read, Entry);
   logEra();
 }
 
+/// The version in force stays so. One that is only too large has replaced it.
+void StoreView::refuseConfiguration(const RefusedItem &Item) {
+  if (Item.Code_ != ResultCode::ValueTooLarge)
+    return logInvalid({Item.Code_, Item.Detail_}, Item.Position_);
+  bool Known = TooLargeSince_ && TooLargePosition_ == Item.Position_;
+  if (!TooLargeSince_)
+    TooLargeSince_ = Hooks_.Now_();
+  TooLargePosition_ = Item.Position_;
+  if (Known)
+    return;
+  logEvent(LogCategory::Version, spdlog::level::err, "configuration-too-large",
+           {{"code", std::to_string(static_cast<int>(Item.Code_))},
+            {"size", std::to_string(Item.Size_)},
+            {"bound", std::to_string(Item.Bound_)},
+            {"revision", std::to_string(Item.Position_.Revision_.count())},
+            {"in_force", std::to_string(version().count())}});
+}
+
 bool StoreView::activateConfiguration(const ReadConfiguration &Read,
                                       const KeyValue &Entry) {
   if (!Documents_.adopt(Layout_.Service_, Read.Version_, Read.Document_))
--- a/Source/Process/Configuration/StoreView.h
+++ b/Source/Process/Configuration/StoreView.h
@@ -105,6 +105,12 @@
   /// directly or by way of a daemon. From then on, entries from the backup of
   /// an era that have not expired by then are accepted.
   void appliedAsOf(BootTime Asked);
+  /// Since when the service has had a newer configuration that is too large to
+  /// be held here; unset if it has none. What it says is unknown, so the active
+  /// one is not confirmed meanwhile.
+  const std::optional<BootTime> &tooLargeSince() const {
+    return TooLargeSince_;
+  }
   /// True if an answer to a call sent at \p Asked proves that no newer
   /// configuration than the active one was ever accepted.
   bool confirmsNewest(BootTime Asked) const;
@@ -180,6 +186,7 @@
   void rejectServer(const std::string &Name, const KeyValue &Entry,
                     const Failure &Cause);
   void adopt(const KeyValue &Entry);
+  void refuseConfiguration(const RefusedItem &Item);
   bool activateConfiguration(const ReadConfiguration &Read,
                              const KeyValue &Entry);
   void noteServers();
@@ -205,6 +212,9 @@
   StorePosition ConfigurationPosition_;
   DocumentVersion ReadVersion_;
   BootTime ConfigurationReadAt_;
+  std::optional<BootTime> TooLargeSince_;
+  /// Position of the configuration that was too large, as logged.
+  StorePosition TooLargePosition_;
   bool DirectoryChanged_ = false;
   /// Server events that are not logged yet, with the fields to log.
   struct ServerLine {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -109,6 +109,21 @@
   return Known > 0 ? Known / Parts : MemoryBudget::NoLimit;
 }
 
+/// \returns the longest value of the platform's service that is read. A
+/// configuration takes many times its text: while it is read, as routes, and
+/// beside the version that it replaces.
+StoreLimits storeLimits(const Settings &Configured) {
+  constexpr std::size_t MemoryPerByte = 20;
+  constexpr std::size_t OwnBytes = 24 * BytesPerMb;
+  constexpr std::size_t Smallest = BytesPerMb;
+  constexpr std::size_t Largest = 64 * BytesPerMb;
+  std::size_t Memory = processMemory(Configured);
+  if (Memory == 0)
+    return {Largest};
+  std::size_t Free = Memory - std::min(Memory, OwnBytes);
+  return {std::clamp(Free / MemoryPerByte, Smallest, Largest)};
+}
+
 /// \returns how long a newer configuration may be known without being active;
 /// 0: without limit.
 milliseconds applyTime(milliseconds Bound) {
@@ -176,10 +191,12 @@
              {{"level", std::string(memoryLevelName(Level))}});
   });
   Origin_ = stableHash(Settings_.Vm_.str(), Incarnation_.count());
+  ReadLimits_ = storeLimits(Settings_);
   Platform_ = measuredPlatform(
-      notingRefusedItems(
-          Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_),
-          RefusedItems_),
+      notingRefusedItems(Adapter_.Hooks_(Settings_.Platform_,
+                                         Settings_.PlatformTimeout_,
+                                         ReadLimits_),
+                         RefusedItems_),
       [this](const std::string &Call, bool Succeeded,
              std::chrono::microseconds Time) {
         Metrics_.reportPlatformCall(Call, Succeeded, Time);
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -41,8 +41,8 @@
 /// Adapts the daemon to a platform. The defaults are the product's own
 /// platform.
 struct PlatformAdapter {
-  std::function<PlatformHooks(Endpoint, std::chrono::milliseconds)> Hooks_ =
-      httpPlatform;
+  std::function<PlatformHooks(Endpoint, std::chrono::milliseconds, StoreLimits)>
+      Hooks_ = httpPlatform;
   /// Set if the platform's service itself contains the configuration, servers
   /// and daemons. If unset, the service contains documents as samphireshuntctl
   /// writes them.
@@ -192,6 +192,8 @@
   /// Processes of other daemons that were replaced unannounced.
   std::uint64_t RestartedMembers_ = 0;
   PreviousProcess PreviousProcess_;
+  /// What is read of the platform's service.
+  StoreLimits ReadLimits_;
   RefusedItems RefusedItems_;
   std::unique_ptr<PeerNetwork> Peers_;
   std::unique_ptr<MembershipService> Membership_;
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -46,7 +46,9 @@
   for (const auto &[Key, Item] : Refused) {
     if (Listed.size() == MaxListed)
       break;
-    Listed.push_back({{"key", Key}, {"detail", Item.Detail_}});
+    Listed.push_back({{"key", Key},
+                      {"code", static_cast<int>(Item.Code_)},
+                      {"detail", Item.Detail_}});
   }
   return Listed;
 }
@@ -67,6 +69,10 @@
   Root["platformReachable"] = platformReachable();
   Root["configurationAgeMs"] = configurationAge().count();
   Root["configurationBehindMs"] = millis(Freshness_.behind(BootClock::now()));
+  Root["maxValueBytes"] = ReadLimits_.MaxValueBytes_;
+  Root["valuesTooLarge"] = RefusedItems_.tooLarge();
+  if (View_ && View_->tooLargeSince())
+    Root["configurationTooLarge"] = true;
   if (!RefusedItems_.current().empty())
     Root["refusedItems"] = keysAndDetails(RefusedItems_.current());
   if (PeerFollower_) {
@@ -256,6 +262,10 @@
   Metrics_.setGauge("live_share", Members_->liveShare());
   Metrics_.setGauge("items_refused",
                     static_cast<double>(RefusedItems_.count()));
+  Metrics_.setGauge("values_too_large",
+                    static_cast<double>(RefusedItems_.tooLarge()));
+  Metrics_.setGauge("configuration_too_large",
+                    View_ && View_->tooLargeSince() ? 1 : 0);
   Metrics_.setGauge("items_refused_now",
                     static_cast<double>(RefusedItems_.current().size()));
   Metrics_.setGauge("platform_reachable", platformReachable() ? 1 : 0);
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -809,8 +809,38 @@
   's/nestsDeeperThan\(Text, MaxJsonNesting\)/false/' \
   ${U}platform '*deeply nested configuration*'
 mutate refused-alone $S/Process/Configuration/ItemReader.cpp \
-  's/(    \} else \{\n)/$1      return Entry.error();\n/' \
+  's/(    Refused\.Detail_ = Entry\.error\(\)\.Detail_;)/$1\n    Fault_ = Entry.error();/' \
   ${U}platform "*item that can't be read is refused alone*"
+mutate large-left-out $S/Process/Configuration/AnswerSplitter.cpp \
+  's/    leaveOutValue\(\);/    refuse(ResultCode::AnswerTooLarge, "");/' \
+  ${U}platform '*too large is refused alone*'
+mutate large-hides-servers $S/Process/Configuration/AnswerSplitter.cpp \
+  's/    leaveOutValue\(\);/    refuse(ResultCode::AnswerTooLarge, "");/' \
+  ${U}platform '*too large to be held hides no server*'
+mutate large-real-daemon $S/Process/Configuration/AnswerSplitter.cpp \
+  's/    leaveOutValue\(\);/    refuse(ResultCode::AnswerTooLarge, "");/' \
+  FailureTests/FailureTests_platform_LargeValueTest '*leaving servers are obeyed*'
+mutate large-after-end $S/Process/Configuration/AnswerSplitter.cpp \
+  's/LeavingOut_ && ValueEnded_ && !Closes/false/' \
+  ${U}Process '*left out still has to be JSON*'
+mutate large-whole $S/Process/Configuration/ItemReader.cpp \
+  's/if \(!whole\(\)\)/if (false)/' \
+  ${U}platform '*has to be whole JSON*'
+mutate large-overdue $S/Process/Configuration/StoreFollower.cpp \
+  's/if \(View_\.tooLargeSince\(\)\)/if (false)/' \
+  ${U}platform '*too large makes the active one overdue*'
+mutate large-confirms $S/Process/Configuration/StoreView.cpp \
+  's/  if \(TooLargeSince_\)\n    return false;\n//' \
+  ${U}platform '*too large makes the active one overdue*'
+mutate large-told $S/Process/Configuration/PeerFollower.cpp \
+  's/State\.newer_known_ms > 0/false/' \
+  ${U}platform '*followers of a reader that cannot hold*'
+mutate large-invalid platform/LargeConfiguration.cpp \
+  's/    Invalid_ = Read\.error\(\);/    {}/' \
+  ${U}platform '*invalid configuration that is too large*'
+mutate large-sum $S/Process/Configuration/AnswerSplitter.cpp \
+  's/std::max\(Room, ShortValueBytes\)/Limits_.MaxValue_/' \
+  ${U}platform '*bounded in sum*'
 mutate refused-present $S/Process/Configuration/StoreView.cpp \
   's/if \(All\.hasAllKeys\(\)\)/if (true)/' \
   ${U}platform '*item without a key removes no server*'
--- a/UnitTests/Process/Configuration/ConfigurationSyncTest.cpp
+++ b/UnitTests/Process/Configuration/ConfigurationSyncTest.cpp
@@ -133,3 +133,45 @@
   }
   CHECK(Asked == 0);
 }
+
+// What the document says is unknown: it may revoke keys.
+TEST_CASE("a document that is too large makes the active one overdue, until "
+          "one is held") {
+  boost::asio::io_context Context;
+  DocumentStore Documents;
+  FreshnessLease Freshness(seconds(0), seconds(2));
+  ConfigurationSync::Hooks Hooks;
+  Hooks.VmsListed_ = [](const std::vector<ListedVm> &) {};
+  RefusedItem Large;
+  Large.Code_ = ResultCode::ValueTooLarge;
+  KeyValue First{documentKey(Service), encoded(1), {StoreEra(), Revision(1)}};
+  KeyValue Third{documentKey(Service), encoded(3), {StoreEra(), Revision(3)}};
+  const std::vector<KeyValueList> Answers{
+      {{First}, First.Position_},
+      {{}, {StoreEra(), Revision(2)}, {{documentKey(Service), Large}}},
+      {{Third}, Third.Position_}};
+  std::vector<bool> Overdue;
+  ConfigurationSync *Running = nullptr;
+  PlatformHooks Platform;
+  Platform.Watch_ =
+      [&](const std::string &, const StorePosition &,
+          std::chrono::milliseconds) -> Awaitable<Result<KeyValueList>> {
+    Overdue.push_back(Freshness.overdue(BootClock::now() + seconds(3)));
+    if (Overdue.size() == Answers.size())
+      Running->stop();
+    co_return Answers[Overdue.size() - 1];
+  };
+  Platform.Vms_ = []() -> Awaitable<Result<std::vector<ListedVm>>> {
+    co_return std::vector<ListedVm>();
+  };
+  ConfigurationSync::Options Options;
+  Options.ListInterval_ = std::chrono::milliseconds(1);
+  ConfigurationSync Sync(Context, std::move(Platform), Documents, Freshness,
+                         Options, std::move(Hooks));
+  Running = &Sync;
+  Sync.start();
+  Context.run();
+  CHECK(Overdue == std::vector<bool>{false, false, true});
+  CHECK_FALSE(Freshness.overdue(BootClock::now() + seconds(3)));
+  CHECK(Documents.snapshot()->service(Service)->Version_ == DocumentVersion(3));
+}
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -526,3 +526,28 @@
   CHECK(Test.runUntil([&] { return Spare.isActive("i-999"); }));
   CHECK(Test.MaxMessageSize_ < MaxSent);
 }
+
+// What a version says that the reader can't hold is unknown to its followers
+// too: they must not serve by the one that it replaced.
+TEST_CASE("followers of a reader that cannot hold a configuration know that "
+          "theirs is replaced, and go on following it") {
+  constexpr std::size_t MaxHeld = 20000;
+  Fleet Test(/*Small=*/false, SlowdownFactor, [](StoreDaemon::Settings &Built) {
+    Built.Limits_.MaxValueBytes_ = MaxHeld;
+  });
+  FollowingDaemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  REQUIRE(Test.runUntil([&] { return Spare.version() == DocumentVersion(3); }));
+  auto IsOverdue = [&] { return Spare.Freshness_.overdue(BootClock::now()); };
+  CHECK_FALSE(IsOverdue());
+  Test.put("op/config", largeConfiguration(5, 2 * MaxHeld));
+  CHECK(Test.runUntil(IsOverdue));
+  Test.put("servers/i-1", serverEntry("draining"));
+  CHECK(Test.runUntil([&] { return !Spare.isActive("i-1"); }));
+  CHECK(Spare.follows("first"));
+  CHECK(Spare.version() == DocumentVersion(3));
+  CHECK(IsOverdue());
+  Test.put("op/config", configuration(6));
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(6); }));
+  CHECK(Test.runUntil([&] { return !IsOverdue(); }));
+}
--- a/UnitTests/platform/StoreDaemon.h
+++ b/UnitTests/platform/StoreDaemon.h
@@ -22,6 +22,7 @@
     BootClock::duration ApplyBound_{};
     StoreView::Times Times_{};
     std::chrono::milliseconds CallTimeout_{};
+    StoreLimits Limits_{};
     StoreFollower::Options Service_;
     PeerFollower::Options Peers_;
   };
@@ -57,7 +58,8 @@
 private:
   PlatformHooks countedHooks(const FakeStore &Store) {
     PlatformHooks Hooks =
-        platform::storeHooks(Store.address(), Wanted_.CallTimeout_);
+        platform::storeHooks(Store.address(), Wanted_.CallTimeout_,
+                             platform::DefaultMaxBodyTime, Wanted_.Limits_);
     Hooks.List_ = [this, List = Hooks.List_](std::string Prefix) {
       ++ReadsBegun_;
       return List(std::move(Prefix));
--- a/UnitTests/platform/StoreFollowerTest.cpp
+++ b/UnitTests/platform/StoreFollowerTest.cpp
@@ -34,8 +34,9 @@
       milliseconds WatchTime = milliseconds(2000),
       milliseconds LapseTime = StoreFollower::Options().EarliestExpiry_,
       milliseconds ConfirmTime = milliseconds(100),
-      BootClock::duration RegisterAgain = milliseconds(150))
-      : WatchTime_(WatchTime), EarliestExpiry_(LapseTime),
+      BootClock::duration RegisterAgain = milliseconds(150),
+      StoreLimits Limits = {})
+      : Limits_(Limits), WatchTime_(WatchTime), EarliestExpiry_(LapseTime),
         ConfirmTime_(ConfirmTime), Store_(Context_),
         Freshness_(Lease, ApplyBound),
         View_(Documents_, platform::storeLayout(), {RegisterAgain}) {
@@ -64,7 +65,9 @@
     Hooks.Changed_ = [this] { Changed_(); };
     View_.setHooks(std::move(Hooks));
     Follower_ = std::make_unique<StoreFollower>(
-        Context_, platform::storeHooks(Store_.address(), milliseconds(100)),
+        Context_,
+        platform::storeHooks(Store_.address(), milliseconds(100),
+                             platform::DefaultMaxBodyTime, Limits_),
         View_, Freshness_, Options);
     Follower_->start(VmId("vm-1"), "10.0.0.9:7600");
   }
@@ -90,6 +93,7 @@
     return tests::isActive(Documents_, Name);
   }
 
+  StoreLimits Limits_;
   milliseconds WatchTime_;
   milliseconds EarliestExpiry_;
   milliseconds ConfirmTime_;
@@ -537,3 +541,70 @@
   Test.runFor(milliseconds(300));
   CHECK(Test.isActive("i-1"));
 }
+
+namespace {
+
+constexpr std::size_t MaxHeld = 20000;
+
+/// A follower that holds values of MaxHeld bytes.
+FollowerFixture withLittleMemory() {
+  return FollowerFixture(
+      milliseconds(2000), StoreFollower::Options().EarliestExpiry_,
+      milliseconds(100), milliseconds(150), StoreLimits{MaxHeld});
+}
+
+} // namespace
+
+TEST_CASE("a configuration that is too large to be held hides no server that "
+          "leaves") {
+  // The whole answer with it was refused, which counted as a lost service: no
+  // server that left was seen, and nothing could be confirmed any more.
+  for (bool Listed : {false, true}) {
+    CAPTURE(Listed);
+    FollowerFixture Test = withLittleMemory();
+    Test.Store_.put("servers/i-2", serverEntry("ready", 81));
+    REQUIRE(Test.runUntil([&] { return Test.servers() == 2; }));
+    Test.Store_.put("op/config", largeConfiguration(5, 3 * MaxHeld));
+    if (Listed)
+      Test.resume(false);
+    Test.Store_.put("servers/i-1", serverEntry("draining"));
+    CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
+    Test.Store_.remove("servers/i-2");
+    CHECK(Test.runUntil([&] { return !Test.isActive("i-2"); }));
+    BootTime Now = BootClock::now();
+    CHECK(Test.runUntil([&] { return Test.Follower_->reachedAt() >= Now; }));
+    CHECK(Test.Follower_->platformReachable());
+    CHECK(Test.version() == DocumentVersion(3));
+    Test.Store_.put("op/config", configuration(6));
+    CHECK(Test.runUntil([&] { return Test.version() == DocumentVersion(6); }));
+  }
+}
+
+TEST_CASE("a configuration that is too large makes the active one overdue, "
+          "until one is held") {
+  // What it says is unknown: it may revoke keys and drop routes.
+  FollowerFixture Test = withLittleMemory();
+  auto IsFresh = [&] { return Test.Freshness_.valid(BootClock::now()); };
+  auto IsOverdue = [&] { return Test.Freshness_.overdue(BootClock::now()); };
+  REQUIRE(Test.runUntil(IsFresh));
+  CHECK_FALSE(IsOverdue());
+  Test.Store_.put("op/config", largeConfiguration(5, 3 * MaxHeld));
+  CHECK(Test.runUntil(IsOverdue));
+  CHECK(Test.runUntil([&] { return !IsFresh(); }));
+  Test.Store_.put("servers/i-1", serverEntry("draining"));
+  REQUIRE(Test.runUntil([&] { return !Test.isActive("i-1"); }));
+  CHECK(IsOverdue());
+  Test.Store_.put("op/config", configuration(6));
+  CHECK(Test.runUntil([&] { return IsFresh() && !IsOverdue(); }));
+  CHECK(Test.version() == DocumentVersion(6));
+}
+
+TEST_CASE("a server's entry that is too large gives it no new work") {
+  FollowerFixture Test = withLittleMemory();
+  Test.Store_.put("servers/i-2", serverEntry("ready", 81));
+  REQUIRE(Test.runUntil([&] { return Test.servers() == 2; }));
+  Test.Store_.put("servers/i-1", std::string(3 * MaxHeld, 'x'));
+  CHECK(Test.runUntil([&] { return !Test.isActive("i-1"); }));
+  CHECK(Test.isActive("i-2"));
+  CHECK(Test.runUntil([&] { return Test.Freshness_.valid(BootClock::now()); }));
+}
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -4,6 +4,7 @@
 #include "platform/Store.h"
 
 #include "UnitTests/platform/FakeStore.h"
+#include "UnitTests/platform/StoreEntries.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -345,3 +346,107 @@
   REQUIRE(Listed.has_error());
   CHECK(Listed.error().Code_ == ResultCode::AnswerTooLarge);
 }
+
+TEST_CASE("a value that is too large is refused alone, by list, by pages and "
+          "by watch") {
+  // One value over the bound made each answer with it fail: the daemons that
+  // read the store took it for lost, as long as the value stood.
+  constexpr std::size_t Bound = 30000;
+  constexpr std::size_t Size = 3 * Bound;
+  StoreFixture Test;
+  Test.Hooks_ =
+      platform::storeHooks(Test.Store_.address(), CallTime,
+                           platform::DefaultMaxBodyTime, StoreLimits{Bound});
+  Test.Store_.put("a", "first");
+  Test.Store_.put("k", std::string(Size, 'v'));
+  Test.Store_.put("z", std::string(Bound, 'v'));
+  auto Check = [&](const Result<KeyValueList> &Read) {
+    REQUIRE(Read.has_value());
+    CHECK(Read->Position_ == at(4));
+    REQUIRE(Read->Entries_.size() == 2);
+    CHECK(Read->Entries_[0].Value_ == "first");
+    CHECK(Read->Entries_[1].Value_.size() == Bound);
+    REQUIRE(Read->Refused_.size() == 1);
+    REQUIRE(Read->hasAllKeys());
+    const RefusedItem &Item = Read->Refused_.at("k");
+    CHECK(Item.Code_ == ResultCode::ValueTooLarge);
+    CHECK(Item.Position_ == at(3));
+    CHECK(Item.Size_ == Size);
+    CHECK(Item.Bound_ == Bound);
+  };
+  Check(Test.list(""));
+  Check(Test.watch(at(1), milliseconds(0)));
+  Test.Store_.PageSize_ = 1;
+  Check(Test.list(""));
+  Test.Store_.put("k", "smaller");
+  auto Changes = Test.watch(at(4), milliseconds(0));
+  REQUIRE(Changes.has_value());
+  CHECK(Changes->Refused_.empty());
+  CHECK(Changes->Entries_.front().Value_ == "smaller");
+}
+
+TEST_CASE("an answer with a value that is too large has to be whole JSON") {
+  // A cut answer would count as a list without the keys that are cut off.
+  StoreFixture Test;
+  Test.Hooks_ =
+      platform::storeHooks(Test.Store_.address(), CallTime,
+                           platform::DefaultMaxBodyTime, StoreLimits{10000});
+  std::string Begin = R"({"current-rev":9,"entries":[{"key":"k","value":")" +
+                      std::string(50000, 'A');
+  for (const char *End : {"", "\"", "\"}", "\"}]", "\"}}]}", "\"x}]}",
+                          "\\q\"}]}", "\"}]}}", "\"},]}"}) {
+    CAPTURE(End);
+    Test.Store_.AnswerWith_ = Begin + End;
+    CHECK(Test.list("").error().Code_ == ResultCode::PlatformUnavailable);
+  }
+  Test.Store_.AnswerWith_ = Begin + "\"}]}";
+  CHECK(Test.list("").has_value());
+}
+
+TEST_CASE(
+    "many long values in a list are bounded in sum, and short ones read") {
+  StoreFixture Test;
+  constexpr std::size_t Size = 1000000;
+  for (const char *Key : {"b", "c", "d", "e", "f", "g"})
+    Test.Store_.put(Key, std::string(Size, 'v'));
+  Test.Store_.put("a", "short");
+  Test.Store_.put("z", "short");
+  Test.Store_.PageSize_ = 2;
+  auto Listed = Test.list("");
+  REQUIRE(Listed.has_value());
+  CHECK(Listed->Entries_.size() + Listed->Refused_.size() == 8);
+  CHECK(Listed->Refused_.size() == 3);
+  CHECK(Listed->Entries_.back().Key_ == "z");
+}
+
+TEST_CASE("an invalid configuration that is too large is refused as invalid") {
+  // Guards against large garbage that counts as a version which replaces the
+  // one in force.
+  constexpr std::size_t Bound = 20000;
+  StoreFixture Test;
+  Test.Hooks_ =
+      platform::storeHooks(Test.Store_.address(), CallTime,
+                           platform::DefaultMaxBodyTime, StoreLimits{Bound});
+  const std::string Padding(3 * Bound, ' ');
+  const std::string Valid = configuration(5, 300) + Padding;
+  auto Refused = [&](const std::string &Value) {
+    Test.Store_.put("op/config", Value);
+    auto Listed = Test.list("");
+    REQUIRE(Listed.has_value());
+    REQUIRE(Listed->Refused_.contains("op/config"));
+    return Listed->Refused_.at("op/config").Code_;
+  };
+  CHECK(Refused(Valid) == ResultCode::ValueTooLarge);
+  for (std::string Odd :
+       {Valid.substr(0, 25000), "x" + Valid, Valid + "}", std::string(Padding),
+        std::string(3 * Bound, '['), std::string(3 * Bound, '\xff')})
+    CHECK(Refused(Odd) == ResultCode::DocumentSyntax);
+  std::string Odd = Valid;
+  Odd.replace(Odd.find("h299.example") - 1, 14, "true");
+  CHECK(Refused(Odd) == ResultCode::DocumentSchema);
+  CHECK(Refused(R"({"version":-1,"routes":[],"services":[]})" + Padding) ==
+        ResultCode::DocumentSchema);
+  // What it holds back must be bounded, so this one is not looked into.
+  CHECK(Refused(R"({"x":")" + std::string(2000000, 'x')) ==
+        ResultCode::ValueTooLarge);
+}
