CtlCommands: a document that a daemon can't hold isn't written

What operators saw: a document that daemons can't hold was accepted, came into force nowhere, and made the one in force old.

The tool itself reads documents of up to 64 MB.

Not run without the check (mutation large-by-tool is there for that).

--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -309,3 +309,27 @@
   constexpr int NotEverywhere = 5;
   CHECK(Status == NotEverywhere);
 }
+
+TEST_CASE("a document that a daemon can't hold is refused before it is "
+          "written") {
+  // Guards against a document that is accepted and can come into force nowhere:
+  // the one in force would count as replaced.
+  // In all more than a megabyte, the least that a daemon can hold.
+  constexpr std::size_t Keys = 20000;
+  ClusterOptions Options;
+  Options.DaemonFlags_ = {"--process_memory_mb=40"};
+  Cluster Fleet(Options);
+  REQUIRE(Fleet.apply(changedDocument(Fleet, 2), {"--wait"}) == 0);
+  Json Large = changedDocument(Fleet, 3);
+  for (std::size_t Key = 0; Key < Keys; ++Key)
+    Large["customers"][0]["keyDigests"].push_back(
+        fmt::format("sha256:{:064x}", Key));
+  const std::string Path = Fleet.folder() + "/large.yaml";
+  std::ofstream(Path) << Large.dump();
+  auto [Status, Told] = Fleet.tool({"apply", Path, "--output=json"});
+  CHECK(Status == 1);
+  CHECK_MESSAGE(Told.find("409") != std::string::npos, Told.substr(0, 500));
+  CHECK(version(Fleet, 1) == 2);
+  REQUIRE(Fleet.apply(changedDocument(Fleet, 4), {"--wait"}) == 0);
+  CHECK(version(Fleet, 1) == 3);
+}
--- a/Source/Programs/CtlCommands.cpp
+++ b/Source/Programs/CtlCommands.cpp
@@ -318,6 +318,8 @@
                            std::move(CanonicalJson));
   if (!Next)
     co_return fail(ExitStatus::Invalid, Next.error());
+  if (auto Cause = tooLargeFor(States, *Next))
+    co_return fail(ExitStatus::Invalid, *Cause);
   auto Accepted = co_await putOnce(Service, *Next, Expected);
   if (!Accepted)
     co_return fail(exitFor(Accepted.error()), Accepted.error());
@@ -329,6 +331,23 @@
   co_return co_await awaitActiveEverywhere(Service, *Accepted);
 }
 
+/// \returns why a daemon could not hold \p Next; nothing if all that were
+/// reached can, as far as they tell.
+std::optional<Failure>
+CtlCommands::tooLargeFor(const std::vector<DaemonState> &States,
+                         const VersionedDocument &Next) {
+  std::size_t Size = Next.encode().size();
+  for (const DaemonState &Known : States) {
+    auto Bound = Known.Status_.find("maxValueBytes");
+    bool Told = Bound != Known.Status_.end() && Bound->is_number_unsigned();
+    if (Told && Size > Bound->get<std::size_t>())
+      return Failure{ResultCode::ValueTooLarge,
+                     fmt::format("{} bytes; daemon {} can hold {}.", Size,
+                                 Known.Vm_.str(), Bound->get<std::size_t>())};
+  }
+  return std::nullopt;
+}
+
 /// Writes \p Next, retrying on errors. A write may take effect although its
 /// answer is lost. The ids of the last changes show whether it did, even if
 /// another operator has made a change since.
--- a/Source/Programs/CtlCommands.h
+++ b/Source/Programs/CtlCommands.h
@@ -71,6 +71,9 @@
   newestKnown(ServiceName Service, std::vector<DaemonState> States);
   static DocumentVersion newestActive(const ServiceName &Service,
                                       const std::vector<DaemonState> &States);
+  static std::optional<Failure>
+  tooLargeFor(const std::vector<DaemonState> &States,
+              const VersionedDocument &Next);
   Awaitable<DocumentVersion> newestWithChange(ServiceName Service);
   Awaitable<Result<DocumentVersion>>
   putOnce(ServiceName Service, VersionedDocument Next, StorePosition Expected);
--- a/Source/Programs/CtlMain.cpp
+++ b/Source/Programs/CtlMain.cpp
@@ -174,7 +174,9 @@
       return ExitStatus::Usage;
     }
     constexpr std::chrono::milliseconds Timeout{2000};
-    Options.Platform_ = httpPlatform(*Server, Timeout);
+    // Daemons have less memory than the computer that runs this.
+    constexpr StoreLimits Limits{64 * 1000 * 1000};
+    Options.Platform_ = httpPlatform(*Server, Timeout, Limits);
   }
   CtlCommands Commands(std::move(Options));
   if (Words[0] == "validate")
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -841,6 +841,9 @@
 mutate large-sum $S/Process/Configuration/AnswerSplitter.cpp \
   's/std::max\(Room, ShortValueBytes\)/Limits_.MaxValue_/' \
   ${U}platform '*bounded in sum*'
+mutate large-by-tool $S/Programs/CtlCommands.cpp \
+  's/Told && Size > /Told \&\& false \&\& Size > /' \
+  FailureTests/FailureTests_ConfigurationTest "*daemon can't hold*"
 mutate refused-present $S/Process/Configuration/StoreView.cpp \
   's/if \(All\.hasAllKeys\(\)\)/if (true)/' \
   ${U}platform '*item without a key removes no server*'
