--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -134,6 +134,12 @@
   return Memory > 0 ? std::min(Memory / Parts, Largest) : Largest;
 }
 
+/// \returns the longest value of the platform's service that is read: as long
+/// as a text of another daemon.
+StoreLimits storeLimits(const Settings &Configured) {
+  return {maxTextBytes(Configured)};
+}
+
 /// \returns how long a newer configuration may be known without being active;
 /// 0: without limit.
 milliseconds applyTime(milliseconds Bound) {
@@ -201,10 +207,12 @@
              {{"level", std::string(memoryLevelName(Level))}});
   });
   Origin_ = stableHash(Settings_.Vm_.str(), Incarnation_.count());
+  ReadLimits_ = storeLimits(Settings_);
   Platform_ = measuredPlatform(
-      notingRefusedItems(
-          Adapter_.Hooks_(Settings_.Platform_, Settings_.PlatformTimeout_),
-          RefusedItems_),
+      notingRefusedItems(Adapter_.Hooks_(Settings_.Platform_,
+                                         Settings_.PlatformTimeout_,
+                                         ReadLimits_),
+                         RefusedItems_),
       [this](const std::string &Call, bool Succeeded,
              std::chrono::microseconds Time) {
         Metrics_.reportPlatformCall(Call, Succeeded, Time);
