DocumentTransfer: the bound of texts is 8 MiB or more, a forgotten prefix is no error

A process of 88 MB refused texts above 4.9 MiB that it took before. Routes take less memory now, so the bound is an eighth of the memory beyond 24 MiB and never below the earlier 8 MiB: maxTextBytesFor, which others can use.

A reader that had dropped the prefix of a text in transfer sent the next chunk of the whole text, and the follower logged `configuration-broken`. The follower ends such a transfer and begins again. An empty chunk of the reader was ruled out: its request doesn't tell whether the transfer began without a prefix that the reader never had, and that one must go on.

Stored texts that are dropped no longer count for the room of those that stay.

Evidence: DocumentTransferTest "forgets the prefix" failed before (Invalid_), TextSeriesTest "takes no room" failed before (version 1 was gone); both pass. "the longest text follows from the memory" is new with its function.

--- a/Source/Process/Configuration/DocumentTransfer.cpp
+++ b/Source/Process/Configuration/DocumentTransfer.cpp
@@ -46,11 +46,13 @@
                           ? std::prev(Texts_.end(), MaxTexts)->first
                           : DocumentVersion();
   for (auto &Item : Earlier) {
-    Bytes += Item->second.Packed_.size();
+    std::size_t Size = Item->second.Packed_.size();
     bool InUse = Item->second.Asked_ > 0 && ++Asked <= MaxAskedTexts;
-    if ((InUse || Item->first >= OldestRecent) && Bytes <= maxEarlierBytes())
-      continue;
-    Texts_.erase(Item);
+    if ((InUse || Item->first >= OldestRecent) &&
+        Bytes + Size <= maxEarlierBytes())
+      Bytes += Size;
+    else
+      Texts_.erase(Item);
   }
   std::erase_if(Packed_, [this](const auto &Item) {
     return !Texts_.contains(Item.first.first);
@@ -177,6 +179,10 @@
     Hash_ = Chunk.hash;
     Prefix_ = DocumentVersion(Chunk.held_version);
   }
+  if (forgotPrefix(Chunk)) {
+    drop();
+    return {};
+  }
   if (!fits(Chunk))
     return broken();
   Packed_.append(Chunk.bytes.begin(), Chunk.bytes.end());
@@ -189,6 +195,12 @@
   return Next;
 }
 
+bool DocumentTransfer::forgotPrefix(const wire::TextPartT &Chunk) const {
+  return !Packed_.empty() && Prefix_ != DocumentVersion() &&
+         DocumentVersion(Chunk.held_version) == DocumentVersion() &&
+         Chunk.hash == Hash_ && Chunk.size == Size_;
+}
+
 bool DocumentTransfer::fits(const wire::TextPartT &Chunk) const {
   bool AsBefore = Chunk.size == Size_ && Chunk.packed_size == PackedSize_ &&
                   Chunk.hash == Hash_ &&
--- a/Source/Process/Configuration/DocumentTransfer.h
+++ b/Source/Process/Configuration/DocumentTransfer.h
@@ -15,6 +15,7 @@
 #include "Connection/PeerMessage.h"
 #include "Process/Configuration/Platform.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -32,6 +33,21 @@
 /// that a wrong size can't exhaust the memory.
 inline constexpr std::size_t MaxTextBytes = 8 * 1024 * 1024;
 
+/// \returns the longest text of a configuration that a process with
+/// \p ProcessMemory bytes takes in, in bytes; 0 is unknown memory. While a text
+/// is read, it takes less than five times its size as routes, and the text
+/// itself and the version that it replaces are held beside it.
+constexpr std::size_t maxTextBytesFor(std::size_t ProcessMemory) {
+  constexpr std::size_t MemoryPerByte = 8;
+  constexpr std::size_t OwnBytes = 24 * 1024 * 1024;
+  // A text and its prefix fit into the largest window of the compression.
+  constexpr std::size_t Largest = 64 * 1024 * 1024;
+  if (ProcessMemory == 0)
+    return Largest;
+  std::size_t Free = ProcessMemory - std::min(ProcessMemory, OwnBytes);
+  return std::clamp(Free / MemoryPerByte, MaxTextBytes, Largest);
+}
+
 /// The texts that this daemon has, compressed: the newest, some earlier ones,
 /// and those that other daemons are receiving or have.
 class DocumentTexts {
@@ -148,6 +164,9 @@
   static constexpr std::chrono::milliseconds ChunkTimeout{1500};
 
   wire::TextAskT nextRequest() const;
+  /// True if the reader has sent the text with a prefix so far, and no longer
+  /// has it.
+  bool forgotPrefix(const wire::TextPartT &Chunk) const;
   bool fits(const wire::TextPartT &Chunk) const;
   Step finish(const wire::TextPartT &LastChunk, const DocumentTexts &Texts);
   Step broken();
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -109,22 +109,6 @@
   return Known > 0 ? Known / Parts : MemoryBudget::NoLimit;
 }
 
-/// \returns the longest text of a configuration that is taken from another
-/// daemon, in bytes. As routes it takes more than six times as much, and the
-/// version that it replaces is held beside it.
-std::size_t maxTextBytes(const Settings &Configured) {
-  constexpr std::size_t MemoryPerByte = 13;
-  constexpr std::size_t OwnBytes = 24 * BytesPerMb;
-  constexpr std::size_t Smallest = BytesPerMb;
-  // A text and its prefix fit into the largest window of the compression.
-  constexpr std::size_t Largest = 64 * BytesPerMb;
-  std::size_t Memory = processMemory(Configured);
-  if (Memory == 0)
-    return Largest;
-  std::size_t Free = Memory - std::min(Memory, OwnBytes);
-  return std::clamp(Free / MemoryPerByte, Smallest, Largest);
-}
-
 /// \returns the largest state of another daemon that is unpacked, in bytes: it
 /// is held twice while its entries are taken in.
 std::size_t maxStateBytes(const Settings &Configured) {
@@ -615,7 +599,7 @@
     Peers_->reply(To, std::move(Message));
   };
   PeerFollower::Options Options;
-  Options.MaxTextBytes_ = maxTextBytes(Settings_);
+  Options.MaxTextBytes_ = maxTextBytesFor(processMemory(Settings_));
   Options.MaxStateBytes_ = maxStateBytes(Settings_);
   PeerFollower_ =
       std::make_unique<PeerFollower>(Control_, Incarnation_, *Follower_, *View_,
--- a/UnitTests/Process/Configuration/DocumentTransferTest.cpp
+++ b/UnitTests/Process/Configuration/DocumentTransferTest.cpp
@@ -195,6 +195,23 @@
   CHECK(Test.runFrom(Again).Text_ == Text);
 }
 
+TEST_CASE("a reader that forgets the prefix during a transfer makes it begin "
+          "again, and that isn't an error") {
+  // Guards against a line in the log that blames the texts.
+  TransferFixture Test;
+  std::string Text = textOf(4, 100000);
+  Test.Reader_.store(DocumentVersion(4), Text);
+  auto Request = Test.announce(4);
+  REQUIRE(Request);
+  auto Next = Test.deliver(Test.Reader_.chunk(*Request));
+  Test.Reader_ = DocumentTexts();
+  Test.Reader_.store(DocumentVersion(4), Text);
+  auto Last = Test.runFrom(Next.Request_);
+  CHECK_FALSE(Last.Invalid_);
+  CHECK_FALSE(Last.Text_);
+  CHECK(Test.runFrom(Test.announce(4)).Text_ == Text);
+}
+
 TEST_CASE("a different prefix of the same version is detected") {
   TransferFixture Test;
   Test.Follower_ = DocumentTexts();
@@ -213,6 +230,19 @@
   CHECK(Test.Reader_.newest() == DocumentVersion(3));
 }
 
+TEST_CASE("the longest text follows from the memory, and is never shorter than "
+          "where the memory isn't considered") {
+  // Guards against a daemon with little memory that refuses a configuration
+  // which it can hold.
+  constexpr std::size_t Mb = 1024 * 1024;
+  CHECK(maxTextBytesFor(0) == 64 * Mb);
+  CHECK(maxTextBytesFor(1) == MaxTextBytes);
+  CHECK(maxTextBytesFor(64 * Mb) == MaxTextBytes);
+  CHECK(maxTextBytesFor(88 * Mb) == MaxTextBytes);
+  CHECK(maxTextBytesFor(184 * Mb) == 20 * Mb);
+  CHECK(maxTextBytesFor(4096 * Mb) == 64 * Mb);
+}
+
 TEST_CASE("few texts are stored, and none that is older than the newest when "
           "it arrives") {
   DocumentTexts Texts;
--- a/UnitTests/Process/Configuration/TextSeriesTest.cpp
+++ b/UnitTests/Process/Configuration/TextSeriesTest.cpp
@@ -374,3 +374,19 @@
     Stored += Texts.find(DocumentVersion(Number)) ? 1 : 0;
   CHECK(Stored == 3);
 }
+
+TEST_CASE("a text that is forgotten takes no room from those that stay") {
+  DocumentTexts Texts(100000);
+  Texts.store(DocumentVersion(1), routesOf(1, 30000));
+  Texts.store(DocumentVersion(2), routesOf(2, 60000));
+  Texts.store(DocumentVersion(3), routesOf(3, 60000));
+  wire::TextAskT Request;
+  for (std::uint64_t Number : {1, 2, 3}) {
+    Request.version = Number;
+    Texts.chunk(Request);
+  }
+  Texts.store(DocumentVersion(4), routesOf(4, 30000));
+  CHECK(Texts.find(DocumentVersion(3)));
+  CHECK_FALSE(Texts.find(DocumentVersion(2)));
+  CHECK(Texts.find(DocumentVersion(1)));
+}
