PeerFollower: a reader without the text it names is left, a newer text waits for a limited time

A reader that names a text it doesn't hold was asked again and again, and the daemon stayed behind though others had the text. After the second chunk without bytes for the version that the reader still names, the reader is passed over. One such chunk only leads to the next request, in the usual time.

An older text that arrived slowly held off a newer one that gossip named, and the daemon that named it was then ignored as one that doesn't deliver, though it had not been asked. The newer one waits for half of the time to apply it, and the time of delivery doesn't run meanwhile.

AnnouncedVersionsTest has the bounds.

--- a/Source/Process/Configuration/AnnouncedVersions.cpp
+++ b/Source/Process/Configuration/AnnouncedVersions.cpp
@@ -12,7 +12,7 @@
   std::erase_if(IgnoredUntil_,
                 [Now](const auto &Item) { return Item.second <= Now; });
   if (!IgnoredUntil_.contains(Peer))
-    Newest_ = Announcement{Peer, Version, Now};
+    Newest_ = Announcement{Peer, Version, Now, Now};
 }
 
 void AnnouncedVersions::notDelivered(const VmId &Peer, TimePoint Now) {
@@ -21,11 +21,23 @@
     Newest_.reset();
 }
 
+bool AnnouncedVersions::waitsFor(DocumentVersion Arriving,
+                                 std::chrono::nanoseconds MaxWait,
+                                 TimePoint Now) {
+  if (!Newest_)
+    return true;
+  bool Limited = MaxWait.count() > 0 && Newest_->Version_ > Arriving;
+  if (Limited && Now - Newest_->Since_ >= MaxWait)
+    return false;
+  Newest_->AskableSince_ = Now;
+  return true;
+}
+
 std::optional<AnnouncedVersions::Announcement>
 AnnouncedVersions::missing(DocumentVersion Active, TimePoint Now) {
   if (Newest_ && Newest_->Version_ <= Active)
     Newest_.reset();
-  if (Newest_ && Now - Newest_->Since_ >= Options_.DeliveryTimeout_)
+  if (Newest_ && Now - Newest_->AskableSince_ >= Options_.DeliveryTimeout_)
     notDelivered(VmId(Newest_->Announcer_), Now);
   return Newest_;
 }
--- a/Source/Process/Configuration/AnnouncedVersions.h
+++ b/Source/Process/Configuration/AnnouncedVersions.h
@@ -32,6 +32,8 @@
     VmId Announcer_;
     DocumentVersion Version_;
     TimePoint Since_;
+    /// Since when the announcer could have been asked.
+    TimePoint AskableSince_;
   };
 
   explicit AnnouncedVersions(Options Settings) : Options_(Settings) {}
@@ -41,6 +43,12 @@
   /// Called when \p Peer does not have the announced version, or did not
   /// deliver it.
   void notDelivered(const VmId &Peer, TimePoint Now);
+  /// Called before due() while the text of \p Arriving comes from the reader. A
+  /// newer version waits for it for less than \p MaxWait (0: without limit),
+  /// and its time of delivery does not run meanwhile. \returns true if no
+  /// announcer is to be asked.
+  bool waitsFor(DocumentVersion Arriving, std::chrono::nanoseconds MaxWait,
+                TimePoint Now);
   /// The newest announced version that is not active, until it is given up.
   std::optional<Announcement> missing(DocumentVersion Active, TimePoint Now);
   /// The same, but only once it is time to ask for it.
--- a/Source/Process/Configuration/FreshnessLease.h
+++ b/Source/Process/Configuration/FreshnessLease.h
@@ -72,6 +72,8 @@
       return BootClock::duration(0);
     return Now.time_since_epoch() - BootClock::duration(Since);
   }
+  /// How long a newer configuration may be known; 0: forever.
+  BootClock::duration applyBound() const { return ApplyBound_; }
   /// True if the active configuration should have been replaced by now: no
   /// request may be decided by it, with a key or without.
   bool overdue(BootTime Now) const {
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -94,6 +94,8 @@
     FollowedSince_ = Now;
     ReaderProcess_ = 0;
     ReaderNumber_ = 0;
+    ReaderVersion_ = DocumentVersion();
+    RefusedVersion_ = DocumentVersion();
   }
   sendRequest();
 }
@@ -229,6 +231,7 @@
   Service_.scheduleDrops();
   ReaderProcess_ = State.incarnation;
   ReaderNumber_ = State.number;
+  ReaderVersion_ = DocumentVersion(State.text_version);
   noteLag(State);
   if (Answer)
     onAnswer(From, State);
@@ -343,17 +346,30 @@
   if (Reader_ == From && Transfer_.wanted() == Version) {
     applyStep(From, Chunk,
               Transfer_.received(Chunk, Texts_, steady_clock::now()));
-    // The reader has ended the transfer in favour of a newer text.
-    bool Ended = Chunk.size == 0 &&
-                 NewerSince_.upper_bound(Version) != NewerSince_.end();
-    if (Ended && !Awaiting_)
-      sendRequest();
+    if (Chunk.size > 0)
+      RefusedVersion_ = DocumentVersion();
+    else if (Transfer_.wanted() != Version)
+      onTextRefused(From, Version);
     return;
   }
   if (AnnouncedFrom_ == From && AnnouncedTransfer_.wanted() == Version)
     onAnnouncedChunk(Chunk);
 }
 
+/// The reader ends the transfer in favour of a newer text, or doesn't have the
+/// text: it is over the reader's own bound, or the reader is of an earlier
+/// release. The first refusal may have crossed the announcement of a newer one.
+void PeerFollower::onTextRefused(const VmId &From, DocumentVersion Version) {
+  bool Announced = ReaderVersion_ == Version;
+  if (Announced && RefusedVersion_ == Version)
+    return abandonReader(VmId(From), Fault::Unusable,
+                         "it does not have the configuration that it names");
+  if (Announced)
+    RefusedVersion_ = Version;
+  if (!Awaiting_)
+    schedule(untilNextRequest());
+}
+
 void PeerFollower::onAnnouncedChunk(const wire::TextPartT &Chunk) {
   VmId From = *AnnouncedFrom_;
   if (Chunk.size == 0) {
@@ -406,12 +422,13 @@
 
 void PeerFollower::requestAnnouncedVersion() {
   auto Now = steady_clock::now();
+  // A second transfer beside that of the reader delays both.
+  if (Transfer_.arriving(Now) &&
+      Announced_.waitsFor(Transfer_.wanted(), Freshness_.applyBound() / 2, Now))
+    return;
   auto Wanted = Announced_.due(View_.version(), Now);
   if (!Wanted || Reader_ == Wanted->Announcer_)
     return;
-  // A second transfer beside that of the reader would delay both.
-  if (Transfer_.arriving(Now))
-    return;
   if (AnnouncedFrom_ != Wanted->Announcer_)
     AnnouncedTransfer_.drop();
   AnnouncedFrom_ = Wanted->Announcer_;
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -170,6 +170,8 @@
   /// Logs a state that is over the bound.
   void noteStateTooLong(const wire::StateT &State);
   void requestText(const wire::StateT &State);
+  /// Handles a chunk without bytes of the text that the reader was asked for.
+  void onTextRefused(const VmId &From, DocumentVersion Version);
   void requestAnnouncedVersion();
   /// Handles a chunk of a text that gossip has announced.
   void onAnnouncedChunk(const wire::TextPartT &Chunk);
@@ -200,6 +202,10 @@
   /// Up to which of the reader's changes this daemon is current.
   std::uint64_t ReaderProcess_ = 0;
   std::uint64_t ReaderNumber_ = 0;
+  /// The version that the reader named last, and the one among these whose text
+  /// it did not send when asked.
+  DocumentVersion ReaderVersion_;
+  DocumentVersion RefusedVersion_;
   std::uint32_t Sequence_ = 0;
   bool Awaiting_ = false;
   /// The answer's deadline has passed once, and data that lies unread is
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -260,6 +260,12 @@
 mutate text-behind $S/Process/Configuration/PeerFollower.cpp \
   's/  noteActive\(\);\n/  Freshness_.newestActive();\n/' \
   ${U}platform '*in force before a newer one*'
+mutate text-refused $S/Process/Configuration/PeerFollower.cpp \
+  's/    RefusedVersion_ = Version;\n/    ;\n/' \
+  ${U}platform "*announces a text and doesn't have it*"
+mutate text-held-off $S/Process/Configuration/AnnouncedVersions.cpp \
+  's/  if \(Limited && Now - Newest_->Since_ >= MaxWait\)\n    return false;\n//' \
+  ${U}platform '*older text that arrives slowly*'
 mutate closed-at-end $S/Connection/HttpServer.cpp \
   's/~ConnectionCloser\(\) \{ Stream_\.close\(\); \}/~ConnectionCloser() {}/' \
   ${U}Connection "*looks out for its caller's end closes*"
--- a/UnitTests/Process/Configuration/AnnouncedVersionsTest.cpp
+++ b/UnitTests/Process/Configuration/AnnouncedVersionsTest.cpp
@@ -71,3 +71,19 @@
   REQUIRE(Due);
   CHECK(Due->Announcer_ == Second);
 }
+
+TEST_CASE("a newer version waits for an older text that arrives, for a limited "
+          "time in which its announcer doesn't count as failed") {
+  constexpr milliseconds MaxWait{1500};
+  AnnouncedVersions Announced = withNewAnnounced();
+  CHECK(Announced.waitsFor(DocumentVersion(4), MaxWait,
+                           Start + milliseconds(1499)));
+  CHECK_FALSE(Announced.waitsFor(DocumentVersion(4), MaxWait,
+                                 Start + milliseconds(1500)));
+  // The same version, or one without a time to apply it.
+  CHECK(Announced.waitsFor(New, MaxWait, Start + seconds(4)));
+  CHECK(Announced.waitsFor(DocumentVersion(4), milliseconds(0),
+                           Start + seconds(6)));
+  CHECK(Announced.due(Old, Start + milliseconds(8999)));
+  CHECK_FALSE(Announced.due(Old, Start + seconds(9)));
+}
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -467,6 +467,43 @@
       [&] { return !Spare.Freshness_.overdue(BootClock::now()); }));
 }
 
+TEST_CASE("a reader that announces a text and doesn't have it is passed over") {
+  // Guards against a daemon that stays behind with a reader of a smaller bound,
+  // while others have the text.
+  int Made = 0;
+  Fleet Test(/*Small=*/false, SlowdownFactor,
+             [&Made](StoreDaemon::Settings &Wanted) {
+               if (++Made == 1)
+                 Wanted.Peers_.MaxTextBytes_ = 50000;
+             });
+  FollowingDaemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  Test.put("op/config", largeConfiguration(5, 100000));
+  CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+}
+
+TEST_CASE("an older text that arrives slowly holds off a newer one of another "
+          "daemon for half of the time to apply it") {
+  // Guards against a daemon behind a full link that doesn't ask for the newest
+  // version, and then ignores the one that announced it.
+  constexpr std::size_t SlowLink = 500;
+  Fleet Test(/*Small=*/false, SlowdownFactor);
+  FollowingDaemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  Test.SpareStore_.FailWith_ = 503;
+  for (const char *Name : {"first", "second"})
+    Test.BytesPerMs_[Name] = SlowLink;
+  Test.put("op/config", largeConfiguration(5, 2000000));
+  REQUIRE(Test.runUntil([&] { return Test.DeliveredChunks_ >= 2; }));
+  Test.storeOf("third").put("op/config", configuration(6));
+  REQUIRE(Test.runUntil(
+      [&] { return Test["third"].version() == DocumentVersion(6); }));
+  Spare.Peers_->onVersionAnnounced(VmId("third"), DocumentVersion(6));
+  CHECK(Test.runUntil([&] { return Spare.version() > DocumentVersion(3); }));
+  CHECK(Spare.version() == DocumentVersion(6));
+}
+
 TEST_CASE("a state over the bound is told apart, and the service is read") {
   LogCapture Log;
   Fleet Test(/*Small=*/false, /*Slowdown=*/1,
