PeerFollower: a late chunk doesn't make a daemon behind, lines on bounds don't repeat

A chunk of the version in force made it count as behind until the next answer. Such chunks do nothing now, and transfers of texts that aren't newer end.

`state-too-long` was logged at each change of size; it is logged once until a state is accepted. A version that was logged as too long isn't asked for from the daemons that gossip names.

--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -228,6 +228,7 @@
     return abandonReader(From, Fault::Unusable, Changes.error().Detail_);
   if (!View_.follow(*Changes, Reached, Revision(State.era_first)))
     return abandonReader(From, Fault::Unusable, "it is behind");
+  StateTooLong_ = false;
   Service_.scheduleDrops();
   ReaderProcess_ = State.incarnation;
   ReaderNumber_ = State.number;
@@ -290,6 +291,8 @@
 }
 
 void PeerFollower::noteNewer(DocumentVersion Version, BootTime Since) {
+  if (Version <= View_.version())
+    return;
   constexpr std::size_t MaxVersions = 64;
   if (NewerSince_.size() < MaxVersions)
     NewerSince_.try_emplace(Version, Since);
@@ -320,8 +323,7 @@
 /// The readers that are passed over one after the other send the same state.
 void PeerFollower::noteStateTooLong(const wire::StateT &State) {
   std::uint32_t Size = State.packed_from;
-  bool TooLong = Size > Options_.MaxStateBytes_;
-  if (!TooLong || std::exchange(LoggedStateBytes_, Size) == Size)
+  if (Size <= Options_.MaxStateBytes_ || std::exchange(StateTooLong_, true))
     return;
   logEvent(LogCategory::Process, spdlog::level::err, "state-too-long",
            {{"reader", Reader_->str()},
@@ -429,6 +431,9 @@
   auto Wanted = Announced_.due(View_.version(), Now);
   if (!Wanted || Reader_ == Wanted->Announcer_)
     return;
+  // The text is as long at the other daemons.
+  if (Wanted->Version_ == LoggedTooLong_)
+    return;
   if (AnnouncedFrom_ != Wanted->Announcer_)
     AnnouncedTransfer_.drop();
   AnnouncedFrom_ = Wanted->Announcer_;
@@ -442,6 +447,12 @@
   Hooks_.Send_(Wanted->Announcer_, encodeMessage(std::move(*Request)));
 }
 
+void PeerFollower::dropOldTransfers() {
+  for (DocumentTransfer *Each : {&Transfer_, &AnnouncedTransfer_})
+    if (Each->wanted() <= View_.version())
+      Each->drop();
+}
+
 /// Stores the active text, which serves as compression prefix with whichever
 /// daemon is followed later.
 void PeerFollower::storeText() {
@@ -541,6 +552,7 @@
 }
 
 void PeerFollower::onChanged() {
+  dropOldTransfers();
   storeText();
   forgetFollowers();
   for (auto &[Name, Known] : Followers_)
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -167,7 +167,7 @@
   void noteActive();
   /// Logs, once a version, that a text is over the bound.
   void noteTooLong(DocumentVersion Version, std::size_t Size);
-  /// Logs a state that is over the bound.
+  /// Logs, once until a state is accepted, that a state is over the bound.
   void noteStateTooLong(const wire::StateT &State);
   void requestText(const wire::StateT &State);
   /// Handles a chunk without bytes of the text that the reader was asked for.
@@ -178,6 +178,8 @@
   /// Carries out what follows from a chunk of a text.
   void applyStep(const VmId &From, const wire::TextPartT &Chunk,
                  DocumentTransfer::Step Next);
+  /// Ends transfers of texts that aren't newer than the active one.
+  void dropOldTransfers();
   void storeText();
   /// This daemon's state, without changes.
   wire::StateT currentState() const;
@@ -238,8 +240,8 @@
   std::map<DocumentVersion, BootTime> NewerSince_;
   /// The version last logged as too long to accept.
   DocumentVersion LoggedTooLong_;
-  /// The size of the state last logged as too long.
-  std::uint32_t LoggedStateBytes_ = 0;
+  /// A state was logged as too long, and none has been accepted since.
+  bool StateTooLong_ = false;
   /// The version last logged as overdue.
   DocumentVersion LoggedOverdue_;
 };
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -266,6 +266,9 @@
 mutate text-held-off $S/Process/Configuration/AnnouncedVersions.cpp \
   's/  if \(Limited && Now - Newest_->Since_ >= MaxWait\)\n    return false;\n//' \
   ${U}platform '*older text that arrives slowly*'
+mutate text-late-chunk $S/Process/Configuration/PeerFollower.cpp \
+  's/  if \(Version <= View_\.version\(\)\)\n    return;\n  constexpr/  constexpr/' \
+  ${U}platform "*late chunk of the version in force*"
 mutate closed-at-end $S/Connection/HttpServer.cpp \
   's/~ConnectionCloser\(\) \{ Stream_\.close\(\); \}/~ConnectionCloser() {}/' \
   ${U}Connection "*looks out for its caller's end closes*"
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -461,6 +461,10 @@
   // Once at each daemon.
   CHECK(Log.count("configuration-too-long") == Test.Daemons_.size());
   CHECK(Log.count("50000") == Test.Daemons_.size());
+  // Another daemon's text would be the same.
+  Spare.Peers_->onVersionAnnounced(VmId("third"), DocumentVersion(5));
+  Test.runFor(milliseconds(200));
+  CHECK(Log.count("asking-for-version") == 0);
   Test.put("op/config", configuration(6));
   CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(6); }));
   CHECK(Test.runUntil(
@@ -504,6 +508,30 @@
   CHECK(Spare.version() == DocumentVersion(6));
 }
 
+TEST_CASE("a late chunk of the version in force doesn't make it count as "
+          "behind") {
+  LogCapture Log;
+  Fleet Test;
+  FollowingDaemon &Spare = Test["spare"];
+  REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
+  REQUIRE(Test.dropTextOf(5));
+  Spare.Peers_->onVersionAnnounced(VmId("third"), DocumentVersion(5));
+  REQUIRE(Test.runUntil([&] { return Log.count("asking-for-version") > 0; }));
+  Test.Frozen_.insert("third");
+  Test.DropChunks_ = false;
+  REQUIRE(Test.runUntil([&] { return Spare.version() == DocumentVersion(5); }));
+  REQUIRE(Test.runUntil([&] {
+    return Spare.Freshness_.behind(BootClock::now()) == milliseconds(0);
+  }));
+  wire::TextPartT Late;
+  Late.version = 5;
+  Late.size = 100;
+  Late.packed_size = 100;
+  Late.bytes = {1};
+  Spare.Peers_->onTextChunk(VmId("third"), Late);
+  CHECK(Spare.Freshness_.behind(BootClock::now()) == milliseconds(0));
+}
+
 TEST_CASE("a state over the bound is told apart, and the service is read") {
   LogCapture Log;
   Fleet Test(/*Small=*/false, /*Slowdown=*/1,
@@ -518,7 +546,10 @@
   Spare.Choice_.Role_ = StoreRole::Alone;
   CHECK(Test.runUntil([&] { return Log.count("state-too-long") > 0; }));
   Test.runFor(milliseconds(200));
-  // All readers send the same.
+  // All readers send the same, and it changes in size.
+  CHECK(Log.count("state-too-long") == 1);
+  Test.put("servers/i-100", serverEntry("ready"));
+  Test.runFor(milliseconds(200));
   CHECK(Log.count("state-too-long") == 1);
   CHECK_FALSE(Spare.isActive("i-99"));
   Test.SpareStore_.FailWith_ = 0;
