--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -94,6 +94,8 @@
     FollowedSince_ = Now;
     ReaderProcess_ = 0;
     ReaderNumber_ = 0;
+    ReaderVersion_ = DocumentVersion();
+    RefusedVersion_ = DocumentVersion();
   }
   sendRequest();
 }
@@ -226,9 +228,11 @@
     return abandonReader(From, Fault::Unusable, Changes.error().Detail_);
   if (!View_.follow(*Changes, Reached, Revision(State.era_first)))
     return abandonReader(From, Fault::Unusable, "it is behind");
+  StateTooLong_ = false;
   Service_.scheduleDrops();
   ReaderProcess_ = State.incarnation;
   ReaderNumber_ = State.number;
+  ReaderVersion_ = DocumentVersion(State.text_version);
   noteLag(State);
   if (Answer)
     onAnswer(From, State);
@@ -290,6 +294,8 @@
 }
 
 void PeerFollower::noteNewer(DocumentVersion Version, BootTime Since) {
+  if (Version <= View_.version())
+    return;
   constexpr std::size_t MaxVersions = 64;
   if (NewerSince_.size() < MaxVersions)
     NewerSince_.try_emplace(Version, Since);
@@ -320,8 +326,7 @@
 /// The readers that are passed over one after the other send the same state.
 void PeerFollower::noteStateTooLong(const wire::StateT &State) {
   std::uint32_t Size = State.packed_from;
-  bool TooLong = Size > Options_.MaxStateBytes_;
-  if (!TooLong || std::exchange(LoggedStateBytes_, Size) == Size)
+  if (Size <= Options_.MaxStateBytes_ || std::exchange(StateTooLong_, true))
     return;
   logEvent(LogCategory::Process, spdlog::level::err, "state-too-long",
            {{"reader", Reader_->str()},
@@ -346,17 +351,30 @@
   if (Reader_ == From && Transfer_.wanted() == Version) {
     applyStep(From, Chunk,
               Transfer_.received(Chunk, Texts_, steady_clock::now()));
-    // The reader has ended the transfer in favour of a newer text.
-    bool Ended = Chunk.size == 0 &&
-                 NewerSince_.upper_bound(Version) != NewerSince_.end();
-    if (Ended && !Awaiting_)
-      sendRequest();
+    if (Chunk.size > 0)
+      RefusedVersion_ = DocumentVersion();
+    else if (Transfer_.wanted() != Version)
+      onTextRefused(From, Version);
     return;
   }
   if (AnnouncedFrom_ == From && AnnouncedTransfer_.wanted() == Version)
     onAnnouncedChunk(Chunk);
 }
 
+/// The reader ends the transfer in favour of a newer text, or doesn't have the
+/// text: it is over the reader's own bound, or the reader is of an earlier
+/// release. The first refusal may have crossed the announcement of a newer one.
+void PeerFollower::onTextRefused(const VmId &From, DocumentVersion Version) {
+  bool Announced = ReaderVersion_ == Version;
+  if (Announced && RefusedVersion_ == Version)
+    return abandonReader(VmId(From), Fault::Unusable,
+                         "it does not have the configuration that it names");
+  if (Announced)
+    RefusedVersion_ = Version;
+  if (!Awaiting_)
+    schedule(untilNextRequest());
+}
+
 void PeerFollower::onAnnouncedChunk(const wire::TextPartT &Chunk) {
   VmId From = *AnnouncedFrom_;
   if (Chunk.size == 0) {
@@ -409,11 +427,15 @@
 
 void PeerFollower::requestAnnouncedVersion() {
   auto Now = steady_clock::now();
+  // A second transfer beside that of the reader delays both.
+  if (Transfer_.arriving(Now) &&
+      Announced_.waitsFor(Transfer_.wanted(), Freshness_.applyBound() / 2, Now))
+    return;
   auto Wanted = Announced_.due(View_.version(), Now);
   if (!Wanted || Reader_ == Wanted->Announcer_)
     return;
-  // A second transfer beside that of the reader would delay both.
-  if (Transfer_.arriving(Now))
+  // The text is as long at the other daemons.
+  if (Wanted->Version_ == LoggedTooLong_)
     return;
   if (AnnouncedFrom_ != Wanted->Announcer_)
     AnnouncedTransfer_.drop();
@@ -428,6 +450,12 @@
   Hooks_.Send_(Wanted->Announcer_, encodeMessage(std::move(*Request)));
 }
 
+void PeerFollower::dropOldTransfers() {
+  for (DocumentTransfer *Each : {&Transfer_, &AnnouncedTransfer_})
+    if (Each->wanted() <= View_.version())
+      Each->drop();
+}
+
 /// Stores the active text, which serves as compression prefix with whichever
 /// daemon is followed later.
 void PeerFollower::storeText() {
@@ -529,6 +557,7 @@
 }
 
 void PeerFollower::onChanged() {
+  dropOldTransfers();
   storeText();
   forgetFollowers();
   for (auto &[Name, Known] : Followers_)
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -167,15 +167,19 @@
   void noteActive();
   /// Logs, once a version, that a text is over the bound.
   void noteTooLong(DocumentVersion Version, std::size_t Size);
-  /// Logs a state that is over the bound.
+  /// Logs, once until a state is accepted, that a state is over the bound.
   void noteStateTooLong(const wire::StateT &State);
   void requestText(const wire::StateT &State);
+  /// Handles a chunk without bytes of the text that the reader was asked for.
+  void onTextRefused(const VmId &From, DocumentVersion Version);
   void requestAnnouncedVersion();
   /// Handles a chunk of a text that gossip has announced.
   void onAnnouncedChunk(const wire::TextPartT &Chunk);
   /// Carries out what follows from a chunk of a text.
   void applyStep(const VmId &From, const wire::TextPartT &Chunk,
                  DocumentTransfer::Step Next);
+  /// Ends transfers of texts that aren't newer than the active one.
+  void dropOldTransfers();
   void storeText();
   /// This daemon's state, without changes.
   wire::StateT currentState() const;
@@ -200,6 +204,10 @@
   /// Up to which of the reader's changes this daemon is current.
   std::uint64_t ReaderProcess_ = 0;
   std::uint64_t ReaderNumber_ = 0;
+  /// The version that the reader named last, and the one among these whose text
+  /// it did not send when asked.
+  DocumentVersion ReaderVersion_;
+  DocumentVersion RefusedVersion_;
   std::uint32_t Sequence_ = 0;
   bool Awaiting_ = false;
   /// The answer's deadline has passed once, and data that lies unread is
@@ -232,8 +240,8 @@
   std::map<DocumentVersion, BootTime> NewerSince_;
   /// The version last logged as too long to accept.
   DocumentVersion LoggedTooLong_;
-  /// The size of the state last logged as too long.
-  std::uint32_t LoggedStateBytes_ = 0;
+  /// A state was logged as too long, and none has been accepted since.
+  bool StateTooLong_ = false;
   /// The version last logged as overdue.
   DocumentVersion LoggedOverdue_;
 };
