Daemon: the bound of the service's values follows from what they take

A value is held 3.7 times while it is read (base64, parsed, decoded); routes take 216 bytes each, 2.1 a byte of text of the shortest ones in plays, and the version in force is beside it. 6.4 MB at 88 MB (3.2 before, a guess), and no less than what an answer of 4 MiB could hold. Worked out, not measured with a daemon.

--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -118,10 +118,19 @@
   return Memory > 0 ? std::min(Memory / Parts, Largest) : Largest;
 }
 
-/// \returns the longest value of the platform's service that is read: as long
-/// as a text of another daemon.
+/// \returns the longest value of the platform's service that is read. Its text
+/// is held in base64, parsed and decoded beside the version in force; a text
+/// of another daemon takes less.
 StoreLimits storeLimits(const Settings &Configured) {
-  return {maxTextBytes(Configured)};
+  constexpr std::size_t MemoryPerByte = 10;
+  constexpr std::size_t OwnBytes = 24 * BytesPerMb;
+  constexpr std::size_t Smallest = 3 * BytesPerMb;
+  constexpr std::size_t Largest = 64 * BytesPerMb;
+  std::size_t Memory = processMemory(Configured);
+  if (Memory == 0)
+    return {Largest};
+  std::size_t Free = Memory - std::min(Memory, OwnBytes);
+  return {std::clamp(Free / MemoryPerByte, Smallest, Largest)};
 }
 
 /// \returns how long a newer configuration may be known without being active;
