JsonReader: long lists outside the routes are read in linear time

What callers saw: a configuration that splitConfiguration() refuses and that has a long list of objects apart from `routes` blocked the control thread: the parser of the JSON library with a filter scans the whole parent list after each end of an object in it.

Change: ListEvents, a handler of the library's public SAX interface, builds what is kept and one entry of the list at a time. The nesting limit, the result codes and the rule that the last of two members counts are the same. readJson() without a list is parsed as before.

Evidence: a list type that counts the steps of its iterators. A second test compares what is kept and taken with the plain parser's value. UnitTests_platform was not run.

--- a/Source/Common/JsonReader.cpp
+++ b/Source/Common/JsonReader.cpp
@@ -1,6 +1,7 @@
 #include "Common/JsonReader.h"
 
 #include "Common/JsonNesting.h"
+#include "Common/ListEvents.h"
 
 #include <algorithm>
 
@@ -59,14 +60,12 @@
 
 namespace {
 
-/// Parses \p Text with \p Filter, which says of each value whether it is kept.
-Result<ParsedJson> readFiltered(std::string_view Text,
-                                const Json::parser_callback_t &Filter) {
+/// \returns what \p Read returns or throws, unless \p Text nests too deeply.
+template <class Reading>
+Result<ParsedJson> readBounded(std::string_view Text, Reading Read) {
   if (nestsDeeperThan(Text, MaxJsonNesting))
     return Failure{ResultCode::DocumentSchema, "is nested too deeply"};
-  return readGuarded<ParsedJson>(ResultCode::DocumentSyntax, [&] {
-    return ParsedJson{Json::parse(Text, Filter)};
-  });
+  return readGuarded<ParsedJson>(ResultCode::DocumentSyntax, std::move(Read));
 }
 
 Result<ParsedJson> onlyObject(Result<ParsedJson> Read) {
@@ -75,46 +74,10 @@
   return Read;
 }
 
-/// The parser's filter that passes a list on to a ListTaker.
-class ListFilter {
-public:
-  explicit ListFilter(const ListTaker &Taker) : Taker_(Taker) {}
-
-  /// \returns whether \p Value, whose parsing \p Event reports, is kept.
-  bool operator()(int Depth, Json::parse_event_t Event, const Json &Value) {
-    using Events = Json::parse_event_t;
-    if (Depth == MemberDepth && Event == Events::key)
-      onMember(Value);
-    else if (Depth == MemberDepth)
-      InList_ = IsWanted_ && Event == Events::array_start;
-    bool Ends = Event == Events::value || Event == Events::object_end ||
-                Event == Events::array_end;
-    if (!InList_ || Depth != EntryDepth || !Ends)
-      return true;
-    Taker_.Entry_(Value);
-    return false;
-  }
-
-private:
-  static constexpr int MemberDepth = 1;
-  static constexpr int EntryDepth = 2;
-
-  void onMember(const Json &Name) {
-    InList_ = false;
-    IsWanted_ = Name.get_ref<const std::string &>() == Taker_.Member_;
-    if (IsWanted_)
-      Taker_.Begin_();
-  }
-
-  const ListTaker &Taker_;
-  bool IsWanted_ = false;
-  bool InList_ = false;
-};
-
 } // namespace
 
 Result<ParsedJson> readJson(std::string_view Text) {
-  return readFiltered(Text, nullptr);
+  return readBounded(Text, [&] { return ParsedJson{Json::parse(Text)}; });
 }
 
 Result<ParsedJson> readJsonObject(std::string_view Text) {
@@ -123,9 +86,13 @@
 
 Result<ParsedJson> readJsonObject(std::string_view Text,
                                   const ListTaker &Taker) {
-  if (!nestsDeeperThan(Text, MaxJsonNesting) && !isJson(Text))
-    return Failure{ResultCode::DocumentSyntax, "not JSON"};
-  return onlyObject(readFiltered(Text, ListFilter(Taker)));
+  return onlyObject(readBounded(Text, [&]() -> Result<ParsedJson> {
+    if (!isJson(Text))
+      return Failure{ResultCode::DocumentSyntax, "not JSON"};
+    ListEvents<Json> Events(Taker.Member_, Taker.Begin_, Taker.Entry_);
+    Json::sax_parse(Text, &Events);
+    return ParsedJson{Events.takeKept()};
+  }));
 }
 
 Json readJsonOrNull(std::string_view Text) {
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -859,9 +859,12 @@
 mutate tier-of-reused platform/Configuration.cpp \
   's/if \(Target->Forwarding_->Tier_ == Tier\)/if (true)/' \
   ${U}platform '*all that successive versions say*'
-mutate taken-entries $S/Common/JsonReader.cpp \
-  's/(Taker_\.Entry_\(Value\);\n\s*return )false/$1true/' \
+mutate taken-entries $S/Common/ListEvents.h \
+  's/InList_ && Depth_ >= EntryDepth \? Item_ : Kept_/Kept_/' \
   ${U}Common '*taken one by one and not kept*'
+mutate scanned-list $S/Common/ListEvents.h \
+  's/(void close\(\) \{ Open_\.pop_back\(\);)/$1 if (!Open_.empty()) for (Json \&Each : *Open_.back()) if (Each.is_discarded()) break;/' \
+  ${U}Common '*is not scanned per object*'
 mutate large-blocks $S/Common/ProcessMemory.cpp \
   's/  mallopt\(M_MMAP_THRESHOLD, LargeBytes\);\n//; s/  mallopt\(M_TRIM_THRESHOLD, 2 \* LargeBytes\);\n/  (void)LargeBytes;\n/' \
   ${U}Common '*what a large text took is given back*'
