--- a/FailureTests/ConfigurationTest.cpp
+++ b/FailureTests/ConfigurationTest.cpp
@@ -326,7 +326,8 @@
         fmt::format("sha256:{:064x}", Key));
   const std::string Path = Fleet.folder() + "/large.yaml";
   std::ofstream(Path) << Large.dump();
-  auto [Status, Told] = Fleet.tool({"apply", Path, "--output=json"});
+  auto [Status, Output] = Fleet.tool({"apply", Path, "--output=json"});
+  const std::string Told = std::move(Output);
   CHECK(Status == 1);
   CHECK_MESSAGE(Told.find("409") != std::string::npos, Told.substr(0, 500));
   CHECK(version(Fleet, 1) == 2);
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -257,9 +257,9 @@
     return;
   std::vector<RequestId> Unservable;
   for (const auto &[Id, Waiting] : Waiting_) {
+    const GrantRequest &Request = Waiting.Details_;
     bool Servable = std::ranges::any_of(Servers_, [&](const auto &Item) {
-      return Item.second.mayContinue() &&
-             mayRunOn(Waiting.Details_, Item.second);
+      return Item.second.mayContinue() && mayRunOn(Request, Item.second);
     });
     if (!Servable)
       Unservable.push_back(Id);
--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace samphireshunt {
@@ -76,9 +75,11 @@
   Record.software = Origin.Version_.str();
   Record.needed_ms = static_cast<std::uint32_t>(Needed.count());
   std::string Message = encodeMessage(std::move(Record));
-  for (const VmId &To :
-       recordKeepers(Key, others(), Last) | std::views::drop(First))
-    Hooks_.Send_(To, Message);
+  std::vector<VmId> Keepers = recordKeepers(Key, others(), Last);
+  First = std::min(First, Keepers.size());
+  std::for_each(Keepers.begin() + static_cast<std::ptrdiff_t>(First),
+                Keepers.end(),
+                [&](const VmId &To) { Hooks_.Send_(To, Message); });
 }
 
 const std::vector<VmId> &StreamOriginService::others() {
@@ -179,7 +180,8 @@
 
 void StreamOriginService::onLinkDown(const VmId &Peer) {
   std::vector<std::uint64_t> Sequences;
-  std::ranges::copy(std::views::keys(Lookups_), std::back_inserter(Sequences));
+  std::ranges::transform(Lookups_, std::back_inserter(Sequences),
+                         [](const auto &Item) { return Item.first; });
   for (std::uint64_t Sequence : Sequences)
     unknownAt(Peer, Sequence, /*Answered=*/false);
 }
