--- a/UnitTests/Version/SharedValuesTest.cpp
+++ b/UnitTests/Version/SharedValuesTest.cpp
@@ -25,7 +25,8 @@
   Shared<std::string> None;
   CHECK(None->empty());
   Shared<std::string> Given = std::string("a");
-  Shared<std::string> Copy = Given;
+  Shared<std::string> Copy;
+  Copy = Given;
   CHECK(&*Copy == &*Given);
   CHECK(*Copy == "a");
 }
--- a/UnitTests/platform/StoreTest.cpp
+++ b/UnitTests/platform/StoreTest.cpp
@@ -437,7 +437,7 @@
     return Listed->Refused_.at("op/config").Code_;
   };
   CHECK(Refused(Valid) == ResultCode::ValueTooLarge);
-  for (std::string Odd :
+  for (const std::string &Odd :
        {Valid.substr(0, 25000), "x" + Valid, Valid + "}", std::string(Padding),
         std::string(3 * Bound, '['), std::string(3 * Bound, '\xff')})
     CHECK(Refused(Odd) == ResultCode::DocumentSyntax);
