--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -444,7 +444,7 @@
   // Guards against a bound that ends the service of all: the version in force
   // stays and gets old, and all else goes on.
   LogCapture Log;
-  Fleet Test(/*Small=*/false, /*Slowdown=*/1,
+  Fleet Test(/*Small=*/false, SlowdownFactor,
              [](StoreDaemon::Settings &Wanted) {
                Wanted.Peers_.MaxTextBytes_ = 50000;
              });
