Streams: a stream that goes on is recorded under its first attempt

Callers saw: a stream that had been taken up and broke off once more was refused (216) although the daemon that had served it knew its version.

So the records of later attempts were never asked for, and those of the first one were not renewed at daemons that had started again since.

Change: the record's key is the attempt that the caller names, or its own id where it begins the stream.

Test: "a stream that breaks off again is known by its first attempt" fails with the attempt's own id (216 in place of the rest).

--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -28,6 +28,12 @@
       Context.Customer_ ? Context.Customer_->Name_ : CustomerName(), CallId);
 }
 
+/// \returns the attempt that began the stream, which all later ones name.
+const std::string &firstAttempt(const RequestContext &Context) {
+  const CallLabels &Call = Context.Call_;
+  return Call.Resumes_.empty() ? Call.CallId_ : Call.Resumes_;
+}
+
 /// The longest time from the start of a stream to its caller's last attempt.
 milliseconds longestStream(const RequestContext &Context) {
   milliseconds Limit = Context.Route_->Forwarding_->Timeout_;
@@ -106,9 +112,8 @@
     Context.Origin_ = StreamOrigin{Context.Pool_->Name_, Server.Version_};
   if (!Context.Route_->Forwarding_->Resumable_)
     return;
-  StreamKey Key = keyOf(Context, Context.Call_.CallId_);
-  Context.Services_.Origins_.record(Key, *Context.Origin_,
-                                    longestStream(Context));
+  Context.Services_.Origins_.record(keyOf(Context, firstAttempt(Context)),
+                                    *Context.Origin_, longestStream(Context));
 }
 
 } // namespace samphireshunt
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -669,6 +669,9 @@
 mutate origin-copies $S/Process/Streams/StreamOriginService.h \
   's/Copies_ = 4/Copies_ = 2/' \
   ${U}Streams '*half of a fleet was*'
+mutate origin-first-attempt $S/Request/ResumedStream.cpp \
+  's/Call\.Resumes_\.empty\(\) \? Call\.CallId_ : Call\.Resumes_/Call.CallId_/' \
+  ${U}StreamOrigin '*breaks off again*'
 mutate begun-waits $S/Process/Scheduling/Scheduler.cpp \
   's/!Continues && Request\.Version_\.empty\(\) &&/!Continues \&\&/' \
   ${U}Process '*not refused for what others wait for*'
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -226,6 +226,12 @@
   /// Publishes the directory; the servers \p HeldBack are of versions that this
   /// daemon holds back. The keeper has admitted these unless it knows.
   void hold(std::vector<std::size_t> HeldBack, bool KeeperKnows = true);
+  /// Publishes the directory with these versions, which the servers have in
+  /// turn.
+  void publishVersions(std::vector<std::string> Versions) {
+    Options_.Versions_ = std::move(Versions);
+    publish();
+  }
   /// Publishes a directory with one server, at this address.
   void publishAt(const Endpoint &Address);
   /// Activates a configuration in which the customer has these keys.
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -118,6 +118,18 @@
   CHECK(Path.call("d", "x", takeUp("")).hasLastChunk());
 }
 
+TEST_CASE("a stream that breaks off again is known by its first attempt") {
+  // Guards against a second break whose origin only the first daemons knew.
+  ForwardingHarness::Options Wanted = versions(1);
+  Wanted.Versions_ = {"v1"};
+  ForwardingHarness Path(Wanted, {breakOff("v1"), breakOff("v2")});
+  REQUIRE(Path.call("second", "x", takeUp("first")).status() == 200);
+  Path.publishVersions({"v1", "v2"});
+  std::size_t AtFirst = Path.server(0).requests().size();
+  CHECK(Path.call("third", "x", takeUp("first")).hasLastChunk());
+  CHECK(Path.server(0).requests().size() == AtFirst + 1);
+}
+
 TEST_CASE("a stream goes on at its version where that is held back by now") {
   // Guards against streams of a new version that are refused, with its servers
   // idle, by a daemon that has not admitted it.
