Streams: a daemon that reaches nobody refuses at once what it can't know

Retries are few, and the time of a caller that has lost a stream is short.

Cause: a daemon forgot between two lookups that nobody had answered the first.

Change: PeerReach notes which daemons were asked and whether anything was heard of any since. If three or more are silent for longer than an answer takes, and a newer list of servers was asked for 0.15 s ago and hasn't come, the refusal follows at once, with the usual Retry-After for another daemon. The question is sent all the same: an answer ends that state. A daemon that still reaches the service, or gets a reset from another VM, waits as before; plain new work isn't touched, and no version is guessed.

--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -48,7 +48,8 @@
 
 StreamOriginService::StreamOriginService(asio::io_context &Control,
                                          Options Settings, Hooks Callbacks)
-    : Control_(Control), Options_(Settings), Hooks_(std::move(Callbacks)) {}
+    : Control_(Control), Options_(Settings), Hooks_(std::move(Callbacks)),
+      Reach_({.AnswerTime_ = Settings.UsualAnswerTime_}) {}
 
 void StreamOriginService::record(StreamKey Key, StreamOrigin Origin,
                                  milliseconds Needed) {
@@ -111,6 +112,9 @@
   wire::OriginAskT Ask;
   Ask.sequence = Sequence;
   Ask.key = std::make_unique<wire::StreamKey>(toWire(Key));
+  bool OutOfReach = outOfReach(Asked.Began_);
+  std::ranges::for_each(
+      Keepers, [&](const VmId &To) { Reach_.asked(To, Asked.Began_); });
   auto Timer = timeLimit(Options_.UsualAnswerTime_,
                          [this, Sequence] { answersLate(Sequence); });
   Asked.AllAnswered_ = true;
@@ -119,6 +123,21 @@
   std::string Message = encodeMessage(std::move(Ask));
   for (const VmId &To : Keepers)
     Hooks_.Send_(To, Message);
+  // The question was sent all the same: an answer shows that others are in
+  // reach again.
+  if (OutOfReach)
+    finish(Sequence, std::nullopt);
+}
+
+bool StreamOriginService::outOfReach(TimePoint Now) const {
+  return Reach_.isLost(Now) && ListAsked_ &&
+         Now - *ListAsked_ >= Options_.ListTime_;
+}
+
+void StreamOriginService::confirmList() {
+  if (!ListAsked_)
+    ListAsked_ = steady_clock::now();
+  Hooks_.ConfirmList_();
 }
 
 void StreamOriginService::answersLate(std::uint64_t Sequence) {
@@ -130,7 +149,7 @@
                           [this, Sequence] { finish(Sequence, std::nullopt); });
   if (versionOf(Late.Question_.Query_).Proof_ ==
       StreamVersion::Proof::Unconfirmed)
-    Hooks_.ConfirmList_();
+    confirmList();
 }
 
 std::unique_ptr<asio::steady_timer>
@@ -212,13 +231,17 @@
   StreamVersion Known = versionOf(Query);
   if (Known.Proof_ != StreamVersion::Proof::Unconfirmed)
     return Asked.OnAnswer_(originOf(Query, Known, Asked.AllAnswered_));
+  if (outOfReach(steady_clock::now())) {
+    confirmList();
+    return Asked.OnAnswer_({.OutOfReach_ = true});
+  }
   std::uint64_t Sequence = NextSequence_++;
   auto Elapsed =
       std::chrono::floor<milliseconds>(steady_clock::now() - Asked.Began_);
   auto Timer = timeLimit(Options_.ConfirmTime_ - Elapsed,
                          [this, Sequence] { refuseUnrecorded(Sequence); });
   Unrecorded_.emplace(Sequence, Unrecorded{std::move(Asked), std::move(Timer)});
-  Hooks_.ConfirmList_();
+  confirmList();
 }
 
 void StreamOriginService::refuseUnrecorded(std::uint64_t Sequence) {
@@ -227,6 +250,7 @@
 }
 
 void StreamOriginService::listConfirmed() {
+  ListAsked_.reset();
   std::vector<std::pair<Answered, FoundOrigin>> Ended;
   for (auto Next = Unrecorded_.begin(); Next != Unrecorded_.end();) {
     Unrecorded &Waiting = Next->second;
@@ -241,7 +265,7 @@
     Next = Unrecorded_.erase(Next);
   }
   if (!Unrecorded_.empty())
-    Hooks_.ConfirmList_();
+    confirmList();
   for (auto &[OnAnswer, Found] : Ended)
     OnAnswer(std::move(Found));
 }
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -6,6 +6,7 @@
 /// any thread unless noted; the state is confined to the control thread.
 
 #include "Connection/PeerMessage.h"
+#include "Process/Streams/PeerReach.h"
 #include "Process/Streams/StreamOrigins.h"
 #include "Process/Streams/VersionTimeline.h"
 
@@ -38,6 +39,9 @@
   /// Several versions may have begun it, and all daemons that were asked have
   /// answered that they don't know it.
   bool Lost_ = false;
+  /// This daemon reaches neither the others nor the service. Another daemon may
+  /// know the stream.
+  bool OutOfReach_ = false;
 };
 
 /// A stream that its caller takes up again.
@@ -70,6 +74,8 @@
     /// Callers give up an attempt after a second without an answer, and a
     /// daemon that is cut off delays them in vain.
     std::chrono::milliseconds ConfirmTime_{500};
+    /// A newer list that takes longer is not to be had.
+    std::chrono::milliseconds ListTime_{150};
   };
   struct Hooks {
     std::function<void(const VmId &, std::string)> Send_;
@@ -101,6 +107,8 @@
   void listConfirmed();
   /// Called when the list of other daemons changed.
   void membersChanged() { Others_.reset(); }
+  /// Called with each sign that another daemon's VM is in reach.
+  void heardOther() { Reach_.heard(); }
   /// Called when the link to \p Peer could not be opened, or broke: no answer
   /// of it will come.
   void onLinkDown(const VmId &Peer);
@@ -134,6 +142,9 @@
   const std::vector<VmId> &others();
   void tell(const StreamKey &Key, const StreamOrigin &Origin,
             std::chrono::milliseconds Needed);
+  void confirmList();
+  /// \returns whether neither another daemon nor the service answers.
+  bool outOfReach(TimePoint Now) const;
   void findNow(OriginQuery Query, Answered OnAnswer);
   void ask(Question Asked);
   void answersLate(std::uint64_t Sequence);
@@ -151,6 +162,9 @@
   Hooks Hooks_;
   StreamOrigins Origins_;
   std::optional<std::vector<VmId>> Others_;
+  PeerReach Reach_;
+  /// When a newer list was first asked for; unset if one came since.
+  std::optional<TimePoint> ListAsked_;
   std::map<std::uint64_t, Lookup> Lookups_;
   std::map<std::uint64_t, Unrecorded> Unrecorded_;
   std::uint64_t NextSequence_ = 1;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -251,6 +251,8 @@
   };
   Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
     Grants_->onLinkDown(To, Loss);
+    if (Loss == LinkLoss::Reset)
+      Origins_->heardOther();
     Origins_->onLinkDown(To);
     if (PeerFollower_)
       PeerFollower_->onLinkDown(To);
@@ -359,6 +361,7 @@
   Members_->onChanged(
       [this](const Member &Changed) { onMemberChanged(Changed); });
   Members_->onHeard([this] {
+    Origins_->heardOther();
     if (Follower_)
       Follower_->heardOther();
   });
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -91,6 +91,8 @@
       Refused.Detail_ = "no daemon has its record";
       Refused.RetryAfter_ = AfterLostRecord;
     }
+    if (Found.OutOfReach_)
+      Refused.Detail_ = "no other daemon answers";
     co_return Refused;
   }
   const auto &Targets = Context.Route_->Forwarding_->Targets_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -669,6 +669,12 @@
 mutate origin-copies $S/Process/Streams/StreamOriginService.h \
   's/Copies_ = 4/Copies_ = 2/' \
   ${U}Streams '*half of a fleet was*'
+mutate origin-out-of-reach $S/Process/Streams/StreamOriginService.cpp \
+  's/return Reach_\.isLost\(Now\) && /return false \&\& /' \
+  ${U}Streams '*daemon that is alone refuses*'
+mutate origin-reach-heard $S/Process/Streams/PeerReach.h \
+  's/void heard\(\) \{ Silent_\.clear\(\); \}/void heard() {}/' \
+  ${U}Streams '*reach again*'
 mutate origin-first-attempt $S/Request/ResumedStream.cpp \
   's/Call\.Resumes_\.empty\(\) \? Call\.CallId_ : Call\.Resumes_/Call.CallId_/' \
   ${U}StreamOrigin '*breaks off again*'
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -6,8 +6,12 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
+#include <numeric>
+#include <random>
 #include <set>
+#include <span>
 
 using namespace samphireshunt;
 using std::chrono::milliseconds;
@@ -32,6 +36,14 @@
   }
   /// Ends a daemon. The others still list it.
   void kill(std::size_t Index) { Killed_.insert(Ids_[Index]); }
+  /// Cuts a daemon off from all others and from the service, or ends that.
+  void cut(std::size_t Index, bool Cut) {
+    if (Cut)
+      Cut_.insert(Ids_[Index]);
+    else
+      Cut_.erase(Ids_[Index]);
+  }
+  bool isCut(std::size_t Index) const { return Cut_.contains(Ids_[Index]); }
   /// Ends the links of a daemon to all that were killed.
   void loseLinks(std::size_t Index) {
     for (const VmId &Killed : Killed_)
@@ -55,6 +67,14 @@
     REQUIRE(Found.has_value());
     return *Found;
   }
+  /// \returns what is known without waiting for a timer.
+  std::optional<FoundOrigin> findReady(std::size_t Index, OriginQuery Query) {
+    auto Found = std::make_shared<std::optional<FoundOrigin>>();
+    at(Index).find(std::move(Query),
+                   [Found](FoundOrigin Answer) { *Found = std::move(Answer); });
+    runReady();
+    return *Found;
+  }
   std::size_t bytes() const { return Bytes_; }
   StreamVersion Version_;
   int Confirmations_ = 0;
@@ -76,11 +96,17 @@
     return Hooks;
   }
 
+  bool apart(const VmId &From, const VmId &To) const {
+    return Killed_.contains(To) || Killed_.contains(From) ||
+           Cut_.contains(To) || Cut_.contains(From);
+  }
+
   void deliver(const VmId &From, const VmId &To, std::string Message) {
     Bytes_ += Message.size();
-    if (Killed_.contains(To) || Killed_.contains(From))
+    if (apart(From, To))
       return;
     StreamOriginService &Target = *Services_.at(To);
+    Target.heardOther();
     auto Decoded = decodeMessage(Message);
     REQUIRE(Decoded.has_value());
     if (const auto *Record = Decoded->body.AsStreamOrigin())
@@ -95,6 +121,7 @@
   std::vector<VmId> Ids_;
   std::map<VmId, std::unique_ptr<StreamOriginService>> Services_;
   std::set<VmId> Killed_;
+  std::set<VmId> Cut_;
   std::size_t Bytes_ = 0;
 };
 
@@ -117,6 +144,15 @@
   Fleet.run();
 }
 
+/// Lets random daemons record streams of two versions, in turn.
+void recordAnywhere(OriginFleet &Fleet, int Count, std::size_t Daemons) {
+  std::mt19937 Random(7);
+  for (int Number = 0; Number < Count; ++Number)
+    Fleet.at(Random() % Daemons)
+        .record(*query(Number).Key_, origin(Number), Needed);
+  Fleet.run();
+}
+
 } // namespace
 
 TEST_CASE("streams of a daemon that was killed are known at all others") {
@@ -188,6 +224,85 @@
   CHECK(Fleet.Confirmations_ == 2);
 }
 
+TEST_CASE("a daemon that is alone refuses what it can't know at once, until "
+          "others are in reach again") {
+  // Guards against callers that a daemon which is cut off holds up, where
+  // another one would know their streams.
+  OriginFleet Fleet(8);
+  recordStreams(Fleet, 8);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+  Fleet.cut(1, true);
+  CHECK(Fleet.find(1, query(100)).OutOfReach_);
+  CHECK(Fleet.findReady(1, query(101)).value().OutOfReach_);
+  Fleet.cut(1, false);
+  CHECK(Fleet.find(1, query(0)).Origin_ == origin(0));
+  CHECK_FALSE(Fleet.find(1, query(102)).OutOfReach_);
+}
+
+TEST_CASE("a daemon that is cut off from the others only goes on by the list") {
+  // Guards against a fleet whose daemons reach the service, but not each other,
+  // and that refuses all streams.
+  OriginFleet Fleet(8);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+  Fleet.cut(1, true);
+  CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
+  Fleet.at(1).listConfirmed();
+  std::optional<FoundOrigin> Found;
+  Fleet.at(1).find(query(2), [&](FoundOrigin Answer) { Found = Answer; });
+  Fleet.runReady();
+  CHECK_FALSE(Found.has_value());
+  Fleet.Version_ = {StreamVersion::Proof::Shown, SoftwareVersion("v1")};
+  Fleet.run();
+  REQUIRE(Found.has_value());
+  CHECK(Found->Source_ == OriginSource::OnlyVersion);
+}
+
+TEST_CASE("most streams go on where half of a fleet was killed and three "
+          "daemons are alone") {
+  // Guards against streams that lose their attempts at daemons that can't know
+  // them, and with daemons that all end together.
+  constexpr int Streams = 200;
+  constexpr int Attempts = 3;
+  constexpr int Alone = 3;
+  for (std::size_t Daemons : {29U, 74U, 400U}) {
+    CAPTURE(Daemons);
+    std::mt19937 Random(29);
+    OriginFleet Fleet(Daemons);
+    Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+    recordAnywhere(Fleet, Streams, Daemons);
+    std::vector<std::size_t> Order(Daemons);
+    std::iota(Order.begin(), Order.end(), 0U);
+    std::ranges::shuffle(Order, Random);
+    auto Killed = static_cast<std::ptrdiff_t>(Daemons * 55 / 100);
+    std::vector<std::size_t> Ready(Order.begin() + Killed, Order.end());
+    for (std::size_t Index : std::span(Ready).first(Alone))
+      Fleet.cut(Index, true);
+    std::for_each(Order.begin(), Order.begin() + Killed,
+                  [&](std::size_t Index) { Fleet.kill(Index); });
+    // The first attempts show these daemons that they are alone.
+    for (std::size_t Index : std::span(Ready).first(Alone))
+      Fleet.at(Index).find(query(Streams), [](const FoundOrigin &) {});
+    Fleet.run();
+    int GoOn = 0;
+    int HeldAlone = 0;
+    for (int Number = 0; Number < Streams; ++Number) {
+      bool Known = false;
+      for (int Attempt = 0; Attempt < Attempts && !Known; ++Attempt) {
+        std::size_t At = Ready[Random() % Ready.size()];
+        auto Found = Fleet.findReady(At, query(Number));
+        HeldAlone += !Found && Fleet.isCut(At);
+        Known = Found && Found->Origin_ == origin(Number);
+      }
+      GoOn += Known;
+    }
+    MESSAGE(Daemons << " daemons: " << GoOn << " of " << Streams
+                    << " streams go on, " << HeldAlone
+                    << " attempts held by daemons that are alone");
+    CHECK(4 * GoOn >= 3 * Streams);
+    CHECK(HeldAlone == 0);
+  }
+}
+
 TEST_CASE("a stream that nobody knows is unknown at once, unless its pool has "
           "only one version") {
   // Guards against callers that are held up although all others have answered,
