--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -649,7 +649,7 @@
   's/    if \(Bound\)\n *continue;//' \
   ${U}Process '*hold up no other request*'
 mutate origin-not-told $S/Process/Streams/StreamOriginService.cpp \
-  's/recordKeepers\(Key, others\(\), Last\)/std::vector<VmId>()/' \
+  's/recordKeepers\(Key, others\(\), Options_\.Copies_\)/std::vector<VmId>()/' \
   ${U}Streams '*known at all others*'
 mutate held-back-streams $R/VersionSelection.cpp \
   's/return Use::Held;/return Use::None;/' \
