Streams that go on are placed before new requests of their tier

Callers that took a stream up again after a break were refused in the queue (200) though the stream's origin was known and servers of its version were busy for moments only.

Cause: a keeper ordered such a stream among the new requests of its tier and customer, behind all that had arrived before. Once its objective was past (a second grant request after a break counts from that break) it was put behind all requests that could still be in time.

The suspicion that the past objective alone does it is only half of it: the stream also starves with its objective ahead of it, by the order alone.

Change: of a tier, streams that go on are granted first, by arrival, and have no missed objective and no deferral by length. The order between tiers, the guaranteed shares and the limits of customers are as before: the same turn of a tier now goes to its stream. Each stream is checked once in a round, where it was checked again with each grant of its customer.

The mutation held-back-queue removed a condition that is gone; it now removes what replaced it, against the same test.

--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -95,6 +95,8 @@
                           Details.Id_);
   ++Tier.Count_;
   Tier.ObjectiveMissedCount_ += Request.Rank_.ObjectiveMissed_ ? 1 : 0;
+  if (Details.goesOn())
+    Tier.GoOn_.emplace(Request.Arrival_, Details.Id_);
   ByLatestStart_.emplace(Request.LatestStart_, Details.Id_);
   RequestId Id = Details.Id_;
   if (!Details.OnlyServer_.empty())
@@ -113,6 +115,7 @@
   Queue.Requests_.erase({Request.Rank_.Urgency_, Request.Arrival_, Id});
   --Tier.Count_;
   Tier.ObjectiveMissedCount_ -= Request.Rank_.ObjectiveMissed_ ? 1 : 0;
+  Tier.GoOn_.erase({Request.Arrival_, Id});
   if (Queue.Requests_.empty())
     Tier.Active_.erase({Queue.ServedTokens_, Name});
   ByLatestStart_.erase({Request.LatestStart_, Id});
@@ -671,16 +674,41 @@
                               backupFor(Details, Server, Now)});
 }
 
-/// Grants one request of the tier. Requests that have already missed their
-/// objective wait for lower load. If they were served first, all requests after
-/// them would miss theirs too, including those of other customers.
+/// Grants one request of the tier, a stream that goes on before a new request.
+/// New requests that have already missed their objective wait for lower load.
+/// If they were served first, all requests after them would miss theirs too,
+/// including those of other customers.
 bool Scheduler::grantFromTier(TierQueue &Tier, TimePoint Now,
                               std::vector<Decision> &Out) {
+  if (grantGoingOn(Tier, Now, Out))
+    return true;
   if (Options_.RefuseLongWaits_ && grantInOrder(Tier, true, Now, Out))
     return true;
   return grantInOrder(Tier, false, Now, Out);
 }
 
+/// Grants the first stream that goes on and that an engine with room can take.
+/// Each one is checked once in a round.
+bool Scheduler::grantGoingOn(TierQueue &Tier, TimePoint Now,
+                             std::vector<Decision> &Out) {
+  auto Item = Tier.GoOn_.lower_bound({Tier.NextGoOn_, RequestId()});
+  for (; Item != Tier.GoOn_.end(); ++Item) {
+    auto [Arrival, Id] = *Item;
+    Tier.NextGoOn_ = Arrival + 1;
+    const GrantRequest &Details = Waiting_.at(Id).Details_;
+    if (atMaxInFlight(Details.Customer_) || isCopyRunning(Details))
+      continue;
+    ServerModel *Server = chooseEngine(Details, Now);
+    if (!Server)
+      continue;
+    CustomerName Customer =
+        Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
+    grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
+    return true;
+  }
+  return false;
+}
+
 bool Scheduler::grantInOrder(TierQueue &Tier, bool InTime, TimePoint Now,
                              std::vector<Decision> &Out) {
   for (const auto &[Served, Name] : Tier.Active_) {
@@ -731,6 +759,8 @@
   if (Now < WarmupEnd_)
     return;
   Round_ = Round();
+  for (TierQueue &Tier : Tiers_)
+    Tier.NextGoOn_ = 0;
   grantPromised(Now, Out);
   grantStarving(Now, Out);
   for (TierQueue &Tier : Tiers_) {
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -6,7 +6,8 @@
 ///
 /// Requests are served strictly by tier. Within a tier, the customer with the
 /// fewest served tokens relative to its weight goes first; within a customer,
-/// the request with the earliest deadline.
+/// the request with the earliest deadline. Streams that go on are served before
+/// the new requests of their tier: their callers have waited longest.
 
 #include "Common/Ids.h"
 #include "Common/ResultCode.h"
@@ -71,6 +72,9 @@
   VmId Ingress_;
   /// Set while any request is known to have crashed a server.
   RequestFingerprint Fingerprint_;
+
+  /// True for a stream whose caller has a part of it already.
+  bool goesOn() const { return !Version_.empty() || !OnlyServer_.empty(); }
 };
 
 /// A request that runs on an engine of the cell.
@@ -381,6 +385,11 @@
     /// The number of queued requests that had missed their objective when they
     /// arrived: they go last.
     std::size_t ObjectiveMissedCount_ = 0;
+    /// Streams that go on, by arrival.
+    std::set<std::pair<std::uint64_t, RequestId>> GoOn_;
+    /// The first arrival of a stream that goes on which was not checked in this
+    /// round.
+    std::uint64_t NextGoOn_ = 0;
     DecayingShare Share_;
     /// Shares by answer length.
     std::array<DecayingShare, LengthClassCount> ShareByLength_ =
@@ -439,6 +448,7 @@
   void grant(TimePoint Now, std::vector<Decision> &Out);
   std::optional<Placement> firstPlaceable(const CustomerQueue &Queue,
                                           TimePoint Now);
+  bool grantGoingOn(TierQueue &Tier, TimePoint Now, std::vector<Decision> &Out);
   bool grantInOrder(TierQueue &Tier, bool InTime, TimePoint Now,
                     std::vector<Decision> &Out);
   std::optional<Placement> firstGrantable(const CustomerQueue &Queue,
--- a/Source/Process/Scheduling/SchedulerAdmission.cpp
+++ b/Source/Process/Scheduling/SchedulerAdmission.cpp
@@ -208,10 +208,14 @@
     Rank.Urgency_ = Request.Deadline_;
     return Rank;
   }
-  Rank.ObjectiveMissed_ = Request.Objective_ < Now + MinFirstEventDelay;
+  // Streams that go on are served before new requests, whatever their
+  // objective.
+  Rank.ObjectiveMissed_ =
+      !Request.goesOn() && Request.Objective_ < Now + MinFirstEventDelay;
   Rank.Service_ = averageService(Request);
   Rank.Length_ = lengthClassOf(Rank.Service_);
-  Rank.Deferred_ = mayDefer(Request.Tier_, Rank.Length_, Now);
+  Rank.Deferred_ =
+      !Request.goesOn() && mayDefer(Request.Tier_, Rank.Length_, Now);
   Rank.Urgency_ = Request.Objective_;
   if (Rank.Deferred_)
     Rank.Urgency_ +=
--- a/Source/Process/Scheduling/SchedulerPlacement.cpp
+++ b/Source/Process/Scheduling/SchedulerPlacement.cpp
@@ -392,7 +392,7 @@
   return Best == nanoseconds::max() ? nanoseconds(0) : withMargin(Best);
 }
 
-/// \returns the first request that an engine with room can take. With \p
+/// \returns the first new request that an engine with room can take. With \p
 /// InTime, only requests that can still meet their objective are considered.
 std::optional<Scheduler::Placement>
 Scheduler::firstGrantable(const CustomerQueue &Queue, bool InTime,
@@ -401,12 +401,13 @@
   // engine while others could be served.
   constexpr int MaxChecked = 8;
   int Checked = 0;
-  bool OnlyHeldHaveRoom = onlyHeldHaveRoom();
+  if (onlyHeldHaveRoom())
+    return std::nullopt;
   for (const DeadlineKey &Key : Queue.Requests_) {
     RequestId Id = std::get<RequestId>(Key);
     const GrantRequest &Details = Waiting_.at(Id).Details_;
-    bool Bound = !Details.Version_.empty() || !Details.OnlyServer_.empty();
-    if (OnlyHeldHaveRoom && !Bound)
+    // Those have been checked before, and must not hold up the others.
+    if (Details.goesOn())
       continue;
     if (InTime && Details.Objective_ < Now + MinFirstEventDelay)
       continue;
@@ -415,10 +416,6 @@
       continue;
     if (ServerModel *Server = chooseEngine(Details, Now))
       return Placement{Id, Server};
-    // Many requests that are bound to a version or a server must not hold up
-    // those that any server may run.
-    if (Bound)
-      continue;
     if (!Options_.UsePrefixes_ || ++Checked == MaxChecked)
       break;
   }
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -646,7 +646,7 @@
   's/return VersionFits &&/return/' \
   ${U}Process '*fill the servers of their version and no other*'
 mutate origin-holds-up $S/Process/Scheduling/SchedulerPlacement.cpp \
-  's/    if \(Bound\)\n *continue;//' \
+  's/    if \(Details\.goesOn\(\)\)\n *continue;//' \
   ${U}Process '*hold up no other request*'
 mutate origin-not-told $S/Process/Streams/StreamOriginService.cpp \
   's/recordKeepers\(Key, others\(\), Last\)/std::vector<VmId>()/' \
@@ -657,9 +657,12 @@
 mutate held-back-new $S/Process/Scheduling/Scheduler.cpp \
   's/ && HoldAllows//' \
   ${U}Process '*held back get only its streams*'
-mutate held-back-queue $S/Process/Scheduling/SchedulerPlacement.cpp \
-  's/if \(OnlyHeldHaveRoom && !Bound\)\n *continue;//' \
+mutate held-back-queue $S/Process/Scheduling/Scheduler.cpp \
+  's/if \(grantGoingOn\(Tier, Now, Out\)\)\n *return true;//' \
   ${U}Process '*held back get only its streams*'
+mutate going-on-first $S/Process/Scheduling/Scheduler.cpp \
+  's/(  if \(grantGoingOn\(Tier, Now, Out\)\)\n *return true;\n)(.*?)  return (grantInOrder\(Tier, false, Now, Out\));/$2  return $3 || grantGoingOn(Tier, Now, Out);/s' \
+  ${U}Process '*before new requests of their tier*'
 mutate held-back-alone $S/Process/Scheduling/Scheduler.cpp \
   's/    if \(!Servable\)\n//' \
   ${U}Process '*nothing else is usable*'
