A stream that goes on waits for as long as its caller stays

Callers that took a stream up again got 200 from the queue 0.5 to 0.7 s later, though the stream's origin was found.

Cause: the plan of its wait counted the break as a first attempt, which may wait until its objective only. So its request ended after the objective, whatever its place in the queue, with most of the caller's patience and of its time left.

Change: such a stream waits as a retry does, for 75 % of its caller's patience and 60 % of its time at most.

Test: one slot, taken for 0.9 s, objective 0.5 s. On the code before the stream was refused with 200 after 503 ms; now it is answered.

--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -119,7 +119,8 @@
                        Context.SinceFirstAttempt_};
     // The next event is what such a request is in time for, not the first one.
     if (Context.Origin_)
-      Times = {Context.BrokeOff_, Context.Deadline_, milliseconds(0)};
+      Times = {Context.BrokeOff_, Context.Deadline_, milliseconds(0),
+               /*GoesOn_=*/true};
     WaitPlan Plan = planWait(Rule, Times, steady_clock::now());
     Request.Objective_ = Plan.Objective_;
     Request.MaxWait_ = Plan.MaxWait_;
--- a/Source/Request/WaitPlan.cpp
+++ b/Source/Request/WaitPlan.cpp
@@ -50,7 +50,7 @@
   if (Rule.Kind_ == RequestKind::Stream)
     MaxWait =
         std::min(MaxWait, callerPatience(Rule) * PercentOfPatience / Hundred);
-  if (!IsRetry)
+  if (!IsRetry && !Times.GoesOn_)
     MaxWait = std::min(MaxWait, Rule.Objective_);
   // The wait counts from the request's arrival, however many grants it
   // requests.
--- a/Source/Request/WaitPlan.h
+++ b/Source/Request/WaitPlan.h
@@ -9,7 +9,8 @@
 /// Refused early, with a Retry-After, callers retry after the burst. A first
 /// attempt therefore waits only while it can still meet its objective. A retry
 /// has missed it already and may wait for as long as its caller stays
-/// connected.
+/// connected. So may a stream that goes on: refused, its caller loses what it
+/// has, and it is served before new requests of its tier.
 
 #include "Common/TimePoint.h"
 #include "Version/Document.h"
@@ -46,9 +47,10 @@
 
 /// A request's arrival, its deadline and the time since its first attempt.
 struct RequestTimes {
-  TimePoint Started_;
+  TimePoint Started_; ///< Of a stream that goes on: when it broke off.
   TimePoint Deadline_;
   std::chrono::milliseconds SinceFirstAttempt_{0};
+  bool GoesOn_ = false;
 };
 
 /// \returns the plan for a grant request at \p Now, which need not be the first
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -759,6 +759,9 @@
 mutate watched-check-counts $S/Process/Relay/ServerConnector.cpp \
   's/unless it is ending\.\n    endCheck\(Server\);/unless it is ending.\n    beginCheck(Server, Begun);/' \
   ${U}Process '*checks of servers that go on*'
+mutate going-on-patience $S/Request/WaitPlan.cpp \
+  's/if \(!IsRetry && !Times\.GoesOn_\)/if (!IsRetry)/' \
+  ${U}StreamOrigin '*beyond the objective*'
 mutate memory-kept $S/Request/WaitPlan.cpp \
   's/if \(KeepTime\.count\(\) > 0\)/if (false)/' \
   ${U}Request '*no longer than its memory is kept*'
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -163,6 +163,30 @@
   CHECK_FALSE(isMixed(Begun + Rest.body()));
 }
 
+TEST_CASE("a stream that goes on waits for a slot beyond the objective") {
+  // Guards against streams that are refused after their objective (200), with
+  // most of their callers' patience left.
+  ForwardingHarness::Options Wanted = versions(1);
+  Wanted.MaxInFlight_ = 1;
+  Wanted.Versions_ = {"v1"};
+  ScriptOf Serve = [](const std::string &Request, std::size_t Number) {
+    Script Answer = breakOff("v1")(Request, Number);
+    if (fieldIn(Request, "x-call-id") == "long") {
+      Answer.Then_ = Script::Then::KeepOpen;
+      Answer.Silence_ = std::chrono::milliseconds(900);
+      Answer.AfterSilence_ = eventChunk(2, "v1") + LastChunk;
+    }
+    return Answer;
+  };
+  ForwardingHarness Path(Wanted, {Serve});
+  Path.call("c");
+  auto Long = Path.begin("long");
+  REQUIRE(Path.runUntil([&] { return Path.received() == 2; }));
+  CallerReply Rest = Path.call("rest", "x", takeUp("c"));
+  CHECK(Rest.hasLastChunk());
+  CHECK(fieldIn(Rest.Bytes_, "x-result-code") == "");
+}
+
 TEST_CASE("a stream whose version has no server left is not begun elsewhere") {
   // Guards against a caller's second attempt that falls back to what is left.
   ForwardingHarness Path(versions(1), {breakOff("v1"), breakOff("v2")});
--- a/UnitTests/Request/WaitPlanTest.cpp
+++ b/UnitTests/Request/WaitPlanTest.cpp
@@ -37,6 +37,21 @@
   CHECK(Retry.Objective_ == Start);
 }
 
+TEST_CASE(
+    "a stream that goes on waits while its caller stays, within its time") {
+  // Guards against streams that are refused after their objective, and against
+  // ones that are held beyond what leaves time for a server.
+  RequestTimes Times = times(milliseconds(0));
+  Times.GoesOn_ = true;
+  WaitPlan Plan = planWait(stream(), Times, Start);
+  CHECK(Plan.MaxWait_ == milliseconds(2400));
+  CHECK(Plan.Objective_ == Start + milliseconds(500));
+  CHECK(planWait(stream(), Times, Start + milliseconds(900)).MaxWait_ ==
+        milliseconds(1500));
+  Times.Deadline_ = Start + milliseconds(1000);
+  CHECK(planWait(stream(), Times, Start).MaxWait_ == milliseconds(600));
+}
+
 TEST_CASE("the wait at a second cell includes the wait at the first one") {
   // Guards against callers of streams that disconnect after 3.2 s without an
   // answer. A request waits for 2.4 s at one cell, is refused, and requests a
