Streams: daemons that are cut off together refuse at once too

Change: daemons are silent one by one, since they were asked. Others are out of reach if at least four are silent and at most half as many were heard of since these were asked. Daemons that ended long ago stay silent and don't count: all the others were heard since. A reset of a link counts as heard.

--- a/Source/Process/Streams/PeerReach.cpp
+++ b/Source/Process/Streams/PeerReach.cpp
@@ -1,15 +1,32 @@
 #include "Process/Streams/PeerReach.h"
 
+#include <algorithm>
+#include <functional>
+#include <ranges>
+#include <vector>
+
 namespace samphireshunt {
 
-void PeerReach::asked(const VmId &To, TimePoint Now) {
-  if (Silent_.size() < Options_.MinAsked_ && Silent_.insert(To).second)
-    Asked_ = Now;
+void PeerReach::heard(const VmId &From, TimePoint Now) {
+  Silent_.erase(From);
+  Heard_[From] = Now;
+}
+
+std::size_t PeerReach::heardSince(TimePoint Since) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Heard_, [&](const auto &Item) { return Item.second > Since; }));
 }
 
 bool PeerReach::isLost(TimePoint Now) const {
-  return Silent_.size() >= Options_.MinAsked_ &&
-         Now - Asked_ >= Options_.AnswerTime_;
+  std::vector<TimePoint> Asked;
+  for (const auto &[Id, At] : Silent_)
+    if (Now - At >= Options_.AnswerTime_)
+      Asked.push_back(At);
+  std::ranges::sort(Asked, std::greater());
+  for (std::size_t Count = Options_.MinSilent_; Count <= Asked.size(); ++Count)
+    if (heardSince(Asked[Count - 1]) * Options_.SilentForEachHeard_ <= Count)
+      return true;
+  return false;
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Streams/PeerReach.h
+++ b/Source/Process/Streams/PeerReach.h
@@ -1,17 +1,17 @@
 #pragma once
 /// \file
-/// Tells from questions that stay unanswered whether this daemon reaches any
-/// other one. The code is free of I/O; the current time is passed in.
+/// Tells from questions that stay unanswered whether this daemon reaches the
+/// others. The code is free of I/O; the current time is passed in.
 ///
-/// Load pattern: a daemon is cut off from all others while callers and servers
-/// still reach it, and callers come to it with streams that broke off
-/// elsewhere. Only other daemons know where these began.
+/// Load pattern: a few daemons are cut off from all others while callers and
+/// servers still reach them, and callers come to them with streams that broke
+/// off elsewhere. Only other daemons know where these began.
 
 #include "Common/Ids.h"
 #include "Common/TimePoint.h"
 
 #include <cstddef>
-#include <set>
+#include <map>
 
 namespace samphireshunt {
 
@@ -19,7 +19,9 @@
 public:
   struct Options {
     /// Fewer daemons may all have ended at once.
-    std::size_t MinAsked_ = 3;
+    std::size_t MinSilent_ = 4;
+    /// Daemons that are cut off together still hear each other.
+    std::size_t SilentForEachHeard_ = 2;
     /// By then all answer that are in reach and not starved of processor time.
     std::chrono::milliseconds AnswerTime_{100};
   };
@@ -27,19 +29,21 @@
   explicit PeerReach(Options Settings) : Options_(Settings) {}
 
   /// A question that is answered at once was sent to \p To.
-  void asked(const VmId &To, TimePoint Now);
-  /// A message of another daemon came, or its system ended a connection.
-  void heard() { Silent_.clear(); }
-  /// \returns whether several daemons should have answered by now, and nothing
-  /// was heard of any daemon since they were asked.
+  void asked(const VmId &To, TimePoint Now) { Silent_.try_emplace(To, Now); }
+  /// A message of \p From came, or its system ended a connection.
+  void heard(const VmId &From, TimePoint Now);
+  /// \returns whether several daemons should have answered by now, and few
+  /// others were heard of since these were asked.
   bool isLost(TimePoint Now) const;
 
 private:
+  std::size_t heardSince(TimePoint Since) const;
+
   Options Options_;
-  /// Daemons that were asked since one was heard, up to the number that counts.
-  std::set<VmId> Silent_;
-  /// When the last one was added.
-  TimePoint Asked_;
+  /// Daemons that were not heard since they were asked, and when that was.
+  std::map<VmId, TimePoint> Silent_;
+  /// When daemons were heard last.
+  std::map<VmId, TimePoint> Heard_;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -129,6 +129,10 @@
     finish(Sequence, std::nullopt);
 }
 
+void StreamOriginService::heardOther(const VmId &Other) {
+  Reach_.heard(Other, steady_clock::now());
+}
+
 bool StreamOriginService::outOfReach(TimePoint Now) const {
   return Reach_.isLost(Now) && ListAsked_ &&
          Now - *ListAsked_ >= Options_.ListTime_;
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -39,8 +39,8 @@
   /// Several versions may have begun it, and all daemons that were asked have
   /// answered that they don't know it.
   bool Lost_ = false;
-  /// This daemon reaches neither the others nor the service. Another daemon may
-  /// know the stream.
+  /// This daemon reaches neither most others nor the service. Another daemon
+  /// may know the stream.
   bool OutOfReach_ = false;
 };
 
@@ -107,8 +107,8 @@
   void listConfirmed();
   /// Called when the list of other daemons changed.
   void membersChanged() { Others_.reset(); }
-  /// Called with each sign that another daemon's VM is in reach.
-  void heardOther() { Reach_.heard(); }
+  /// Called with each sign on a link that the VM of \p Other is in reach.
+  void heardOther(const VmId &Other);
   /// Called when the link to \p Peer could not be opened, or broke: no answer
   /// of it will come.
   void onLinkDown(const VmId &Peer);
@@ -143,7 +143,7 @@
   void tell(const StreamKey &Key, const StreamOrigin &Origin,
             std::chrono::milliseconds Needed);
   void confirmList();
-  /// \returns whether neither another daemon nor the service answers.
+  /// \returns whether neither other daemons nor the service answer.
   bool outOfReach(TimePoint Now) const;
   void findNow(OriginQuery Query, Answered OnAnswer);
   void ask(Question Asked);
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -240,10 +240,12 @@
   PeerNetwork::Hooks Hooks;
   Hooks.RequestReceived_ = [this](const VmId &From, wire::EnvelopeT Message) {
     Members_->heardOnLink(From, steady_clock::now());
+    Origins_->heardOther(From);
     onPeerRequest(From, std::move(Message));
   };
   Hooks.ReplyReceived_ = [this](const VmId &From, wire::EnvelopeT Message) {
     Members_->heardOnLink(From, steady_clock::now());
+    Origins_->heardOther(From);
     onPeerResponse(From, std::move(Message));
   };
   Hooks.LinkEnded_ = [this](const VmId &Other) {
@@ -252,7 +254,7 @@
   Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
     Grants_->onLinkDown(To, Loss);
     if (Loss == LinkLoss::Reset)
-      Origins_->heardOther();
+      Origins_->heardOther(To);
     Origins_->onLinkDown(To);
     if (PeerFollower_)
       PeerFollower_->onLinkDown(To);
@@ -361,7 +363,6 @@
   Members_->onChanged(
       [this](const Member &Changed) { onMemberChanged(Changed); });
   Members_->onHeard([this] {
-    Origins_->heardOther();
     if (Follower_)
       Follower_->heardOther();
   });
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -92,7 +92,7 @@
       Refused.RetryAfter_ = AfterLostRecord;
     }
     if (Found.OutOfReach_)
-      Refused.Detail_ = "no other daemon answers";
+      Refused.Detail_ = "other daemons don't answer";
     co_return Refused;
   }
   const auto &Targets = Context.Route_->Forwarding_->Targets_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -675,8 +675,8 @@
 mutate origin-out-of-reach $S/Process/Streams/StreamOriginService.cpp \
   's/return Reach_\.isLost\(Now\) && /return false \&\& /' \
   ${U}Streams '*daemon that is alone refuses*'
-mutate origin-reach-heard $S/Process/Streams/PeerReach.h \
-  's/void heard\(\) \{ Silent_\.clear\(\); \}/void heard() {}/' \
+mutate origin-reach-heard $S/Process/Streams/PeerReach.cpp \
+  's/  Silent_\.erase\(From\);\n//' \
   ${U}Streams '*reach again*'
 mutate origin-first-attempt $S/Request/ResumedStream.cpp \
   's/Call\.Resumes_\.empty\(\) \? Call\.CallId_ : Call\.Resumes_/Call.CallId_/' \
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -36,7 +36,8 @@
   }
   /// Ends a daemon. The others still list it.
   void kill(std::size_t Index) { Killed_.insert(Ids_[Index]); }
-  /// Cuts a daemon off from all others and from the service, or ends that.
+  /// Cuts a daemon off from all others that are not cut off, and from the
+  /// service, or ends that.
   void cut(std::size_t Index, bool Cut) {
     if (Cut)
       Cut_.insert(Ids_[Index]);
@@ -98,7 +99,7 @@
 
   bool apart(const VmId &From, const VmId &To) const {
     return Killed_.contains(To) || Killed_.contains(From) ||
-           Cut_.contains(To) || Cut_.contains(From);
+           Cut_.contains(To) != Cut_.contains(From);
   }
 
   void deliver(const VmId &From, const VmId &To, std::string Message) {
@@ -106,7 +107,7 @@
     if (apart(From, To))
       return;
     StreamOriginService &Target = *Services_.at(To);
-    Target.heardOther();
+    Target.heardOther(From);
     auto Decoded = decodeMessage(Message);
     REQUIRE(Decoded.has_value());
     if (const auto *Record = Decoded->body.AsStreamOrigin())
@@ -258,12 +259,12 @@
 }
 
 TEST_CASE("most streams go on where half of a fleet was killed and three "
-          "daemons are alone") {
+          "daemons are cut off together") {
   // Guards against streams that lose their attempts at daemons that can't know
   // them, and with daemons that all end together.
   constexpr int Streams = 200;
   constexpr int Attempts = 3;
-  constexpr int Alone = 3;
+  constexpr int CutOff = 3;
   for (std::size_t Daemons : {29U, 74U, 400U}) {
     CAPTURE(Daemons);
     std::mt19937 Random(29);
@@ -275,31 +276,31 @@
     std::ranges::shuffle(Order, Random);
     auto Killed = static_cast<std::ptrdiff_t>(Daemons * 55 / 100);
     std::vector<std::size_t> Ready(Order.begin() + Killed, Order.end());
-    for (std::size_t Index : std::span(Ready).first(Alone))
+    for (std::size_t Index : std::span(Ready).first(CutOff))
       Fleet.cut(Index, true);
     std::for_each(Order.begin(), Order.begin() + Killed,
                   [&](std::size_t Index) { Fleet.kill(Index); });
-    // The first attempts show these daemons that they are alone.
-    for (std::size_t Index : std::span(Ready).first(Alone))
+    // The first attempts show these daemons that they are cut off.
+    for (std::size_t Index : std::span(Ready).first(CutOff))
       Fleet.at(Index).find(query(Streams), [](const FoundOrigin &) {});
     Fleet.run();
     int GoOn = 0;
-    int HeldAlone = 0;
+    int HeldThere = 0;
     for (int Number = 0; Number < Streams; ++Number) {
       bool Known = false;
       for (int Attempt = 0; Attempt < Attempts && !Known; ++Attempt) {
         std::size_t At = Ready[Random() % Ready.size()];
         auto Found = Fleet.findReady(At, query(Number));
-        HeldAlone += !Found && Fleet.isCut(At);
+        HeldThere += !Found && Fleet.isCut(At);
         Known = Found && Found->Origin_ == origin(Number);
       }
       GoOn += Known;
     }
     MESSAGE(Daemons << " daemons: " << GoOn << " of " << Streams
-                    << " streams go on, " << HeldAlone
-                    << " attempts held by daemons that are alone");
+                    << " streams go on, " << HeldThere
+                    << " attempts held by daemons that are cut off");
     CHECK(4 * GoOn >= 3 * Streams);
-    CHECK(HeldAlone == 0);
+    CHECK(HeldThere == 0);
   }
 }
 
