PeerFollowerTest: an older text in transfer, decided by events instead of times

Cause, by a trace: the test. It needs the reader to adopt the newer text (600 kB) within the rest of the transfer of the older one, some 200 to 300 ms. Plain the reader adopts it 89 ms after it was written and the older text arrives 108 ms later; under the sanitizer (load 24) it adopted it 797 ms after, when the older text had been in force for 490 ms. Nobody had named the newer version to the follower before, so that it isn't behind is right: no fault of the product.

Change: chunks are held until a state that names the newer version was delivered, then those of the older text alone are let through. No time of the follower's ends meanwhile: the longest time of a chunk becomes a setting (the same 1.5 s). As strict: sizes, link and checks as before, and the version named is required.

--- a/Source/Process/Configuration/DocumentTransfer.cpp
+++ b/Source/Process/Configuration/DocumentTransfer.cpp
@@ -140,7 +140,7 @@
   if (Size && (*Size == 0 || *Size > MaxBytes_))
     return std::nullopt;
   bool Begun = Wanted == Wanted_ || !Packed_.empty();
-  if (Begun && Now - RequestedAt_ < ChunkTimeout)
+  if (Begun && Now - RequestedAt_ < MaxChunkTime_)
     return std::nullopt;
   if (Wanted != Wanted_) {
     drop();
@@ -235,7 +235,7 @@
 }
 
 bool DocumentTransfer::arriving(TimePoint Now) const {
-  return !Packed_.empty() && Now - ReceivedAt_ < ChunkTimeout;
+  return !Packed_.empty() && Now - ReceivedAt_ < MaxChunkTime_;
 }
 
 void DocumentTransfer::drop() {
--- a/Source/Process/Configuration/DocumentTransfer.h
+++ b/Source/Process/Configuration/DocumentTransfer.h
@@ -120,9 +120,16 @@
 public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
+  /// A chunk that has not arrived by then was lost with its link or its
+  /// reader's process. The chunks of twelve followers take a tenth of this time
+  /// on a weak link.
+  static constexpr std::chrono::milliseconds ChunkTimeout{1500};
+
   /// \p MaxBytes is the size of the longest text that is requested.
-  explicit DocumentTransfer(std::size_t MaxBytes = MaxTextBytes)
-      : MaxBytes_(MaxBytes) {}
+  explicit DocumentTransfer(
+      std::size_t MaxBytes = MaxTextBytes,
+      std::chrono::milliseconds MaxChunkTime = ChunkTimeout)
+      : MaxBytes_(MaxBytes), MaxChunkTime_(MaxChunkTime) {}
 
   /// The action that follows from a chunk.
   struct Step {
@@ -158,11 +165,6 @@
   std::size_t received() const { return Packed_.size(); }
 
 private:
-  /// A chunk that has not arrived by then was lost with its link or its
-  /// reader's process. The chunks of twelve followers take a tenth of this time
-  /// on a weak link.
-  static constexpr std::chrono::milliseconds ChunkTimeout{1500};
-
   wire::TextAskT nextRequest() const;
   /// True if the reader has sent the text with a prefix so far, and no longer
   /// has it.
@@ -172,6 +174,7 @@
   Step broken();
 
   std::size_t MaxBytes_;
+  std::chrono::milliseconds MaxChunkTime_;
   DocumentVersion Wanted_;
   std::optional<std::size_t> Size_;
   /// Version of the requested prefix.
--- a/Source/Process/Configuration/PeerFollower.cpp
+++ b/Source/Process/Configuration/PeerFollower.cpp
@@ -38,9 +38,10 @@
                            Hooks Reactions)
     : Timer_(Control), Self_(Self), Service_(Service), View_(View),
       Freshness_(Freshness), Options_(Settings), Hooks_(std::move(Reactions)),
-      Texts_(Settings.MaxTextBytes_), Transfer_(Settings.MaxTextBytes_),
+      Texts_(Settings.MaxTextBytes_),
+      Transfer_(Settings.MaxTextBytes_, Settings.ChunkTimeout_),
       Announced_(Settings.Announced_),
-      AnnouncedTransfer_(Settings.MaxTextBytes_) {}
+      AnnouncedTransfer_(Settings.MaxTextBytes_, Settings.ChunkTimeout_) {}
 
 void PeerFollower::start() {
   Started_ = steady_clock::now();
--- a/Source/Process/Configuration/PeerFollower.h
+++ b/Source/Process/Configuration/PeerFollower.h
@@ -88,6 +88,8 @@
     AnnouncedVersions::Options Announced_;
     /// The longest text of a configuration that is requested or passed on.
     std::size_t MaxTextBytes_ = MaxTextBytes;
+    /// How long a chunk of a text may take.
+    std::chrono::milliseconds ChunkTimeout_ = DocumentTransfer::ChunkTimeout;
     /// The largest uncompressed state of a reader that is taken in.
     std::size_t MaxStateBytes_ = MaxStateBytes;
   };
--- a/UnitTests/platform/FollowerFleet.h
+++ b/UnitTests/platform/FollowerFleet.h
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,6 +28,8 @@
 inline constexpr milliseconds ApplyBound{300};
 inline constexpr milliseconds RegistrationInterval{150};
 inline constexpr milliseconds ExpiryTime{800};
+/// Longer than any run: it never ends, however long the test's process pauses.
+inline constexpr std::chrono::hours Endless{1};
 
 /// A configuration of about \p Size bytes that consists of pseudo-random
 /// digits, so that compression cannot make it small.
@@ -168,6 +171,11 @@
              DocumentVersion(static_cast<std::uint64_t>(Version));
     });
   }
+  /// Delivers the chunks that were held, unless they are to be held still.
+  void releaseChunks() {
+    for (const auto &Deliver : std::exchange(HeldChunks_, {}))
+      Deliver();
+  }
   FollowingDaemon &operator[](const std::string &Name) {
     return *Daemons_.at(Name);
   }
@@ -192,8 +200,13 @@
   bool DropChunks_ = false;
   /// The number of chunks that are still to be delivered with a wrong byte.
   int CorruptChunks_ = 0;
+  /// Returns true for chunks that are not delivered before releaseChunks().
+  std::function<bool(const wire::TextPartT &)> Holds_ =
+      [](const wire::TextPartT &) { return false; };
   /// The number of chunks delivered so far.
   int DeliveredChunks_ = 0;
+  /// The version that the last delivered state names.
+  DocumentVersion NamedVersion_;
   /// The packed size of the whole text to which the last chunk belongs.
   std::size_t PackedSize_ = 0;
   /// The number of follow requests whose flag for separate texts is set.
@@ -268,27 +281,34 @@
     if (const auto *Text = Decoded.body.AsTextAsk())
       return Peers.onTextRequest(VmId(From), *Text);
     if (auto *Part = Decoded.body.AsTextPart())
-      return deliverChunk(From, Peers, *Part);
+      return deliverChunk(From, To, *Part);
     const auto *Answer = Decoded.body.AsState();
     if (Answer->sequence == 0 && DropPushes_ > 0) {
       --DropPushes_;
       return;
     }
+    NamedVersion_ = DocumentVersion(Answer->text_version);
     Peers.onState(VmId(From), *Answer);
   }
-  void deliverChunk(const std::string &From, PeerFollower &Peers,
+  void deliverChunk(const std::string &From, const std::string &To,
                     wire::TextPartT &Part) {
     if (DropChunks_)
       return;
+    if (Holds_(Part)) {
+      HeldChunks_.emplace_back(
+          [this, From, To, Part]() mutable { deliverChunk(From, To, Part); });
+      return;
+    }
     ++DeliveredChunks_;
     PackedSize_ = Part.packed_size;
     if (CorruptChunks_ > 0 && !Part.bytes.empty()) {
       --CorruptChunks_;
       Part.bytes.back() ^= 0xff;
     }
-    Peers.onTextChunk(VmId(From), Part);
+    Daemons_.at(To)->Peers_->onTextChunk(VmId(From), Part);
   }
 
+  std::vector<std::function<void()>> HeldChunks_;
   /// When each daemon's link has transmitted all messages that it was given.
   std::map<std::string, std::chrono::steady_clock::time_point> LinkFreeAt_;
 };
--- a/UnitTests/platform/PeerFollowerTest.cpp
+++ b/UnitTests/platform/PeerFollowerTest.cpp
@@ -421,18 +421,34 @@
   // Guards against texts that never arrive because the next ones replace them,
   // and against a daemon that takes the older one for the newest.
   constexpr std::size_t SlowLink = 500;
-  Fleet Test(/*Small=*/false, SlowdownFactor);
+  Fleet Test(/*Small=*/false, SlowdownFactor,
+             [](StoreDaemon::Settings &Wanted) {
+               Wanted.CallTimeout_ = Endless;
+               Wanted.Peers_.AnswerTimeout_ = Endless;
+               Wanted.Peers_.MaxStateAge_ = Endless;
+               Wanted.Peers_.ChunkTimeout_ = Endless;
+             });
   FollowingDaemon &Spare = Test["spare"];
   REQUIRE(Test.runUntil([&] { return Spare.follows("first"); }));
   Test.SpareStore_.FailWith_ = 503;
   for (const char *Name : {"first", "second"})
     Test.BytesPerMs_[Name] = SlowLink;
+  // Readers may take any time to adopt the newer text.
+  Test.Holds_ = [&](const auto &) { return Test.DeliveredChunks_ >= 2; };
   Test.put("op/config", largeConfiguration(5, 200000));
   REQUIRE(Test.runUntil([&] { return Test.DeliveredChunks_ >= 2; }));
   Test.put("op/config", largeConfiguration(6, 600000));
+  REQUIRE(
+      Test.runUntil([&] { return Test.NamedVersion_ == DocumentVersion(6); }));
+  REQUIRE(Spare.version() == DocumentVersion(3));
+  // The older text alone arrives.
+  Test.Holds_ = [](const auto &Part) { return Part.version == 6; };
+  Test.releaseChunks();
   CHECK(Test.runUntil([&] { return Spare.version() > DocumentVersion(3); }));
   CHECK(Spare.version() == DocumentVersion(5));
   CHECK(Spare.Freshness_.behind(BootClock::now()) > milliseconds(0));
+  Test.Holds_ = [](const auto &) { return false; };
+  Test.releaseChunks();
   CHECK(Test.runUntil([&] { return Spare.version() == DocumentVersion(6); }));
   CHECK(Test.runUntil([&] {
     return Spare.Freshness_.behind(BootClock::now()) == milliseconds(0);
--- a/UnitTests/platform/ReaderOutageTest.cpp
+++ b/UnitTests/platform/ReaderOutageTest.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Longer than any run: it never ends, however long the test's process pauses.
-constexpr std::chrono::hours Endless{1};
-
 /// Lets all readers lose their stores until the follower has no reader.
 bool loseReaders(Fleet &Test) {
   for (const char *Name : {"first", "second", "third"})
