--- a/FailureTests/platform/RawDaemon.h
+++ b/FailureTests/platform/RawDaemon.h
@@ -88,6 +88,9 @@
     return false;
   }
 
+  /// \returns the most memory that the daemon has had, in bytes.
+  std::size_t mostMemory() const { return Daemon_->mostMemory(); }
+
   /// For callers, and for operators.
   const std::vector<Endpoint> &listeners() const { return Listeners_; }
 
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -994,6 +994,12 @@
 mutate framing-of-requests $S/Connection/HttpServer.cpp \
   's/if \(Framing\.feed\(\{[^}]*\}\)\)/if (true)/; s/if \(!Framing\.fault\(\)\.empty\(\)\)\n/if (false)\n/; s/&& !Framing\.whole\(\)/\&\& false/' \
   ${F}platform_FramingTest '*hidden in another one*'
+mutate hunted-framing $S/Connection/HttpServer.cpp \
+  's/if \(Framing\.feed\(\{[^}]*\}\)\)/if (true)/; s/if \(!Framing\.fault\(\)\.empty\(\)\)\n/if (false)\n/; s/&& !Framing\.whole\(\)/\&\& false/' \
+  ${F}platform_MessageHuntTest '*run as it was sent*'
+mutate hunted-fields $S/Connection/HttpServer.cpp \
+  's/if \(auto Fault = State_->Options_\.Fields_\.requestFault\([^)]*\)\)/if (std::optional<std::string> Fault; Fault)/' \
+  ${F}platform_MessageHuntTest '*run as it was sent*'
 mutate repeated-fields $S/Connection/FieldRules.cpp \
   's/return Line\.first == After\.first && IsSingle\(Line\.first\);/return false;/' \
   ${U}Connection '*fields can be read in two ways*'
