--- a/FailureTests/platform/MessageGrammar.cpp
+++ b/FailureTests/platform/MessageGrammar.cpp
@@ -325,8 +325,13 @@
     Answer.Bytes_ = Stray;
     return;
   case 2:
+    // Two origins, or two types.
     Answer.Bytes_ = absl::StrReplaceAll(
-        Answer.Bytes_, {{Owner, Owner + "X-Samphireshunt-Request-Id: b\r\n"}});
+        Answer.Bytes_,
+        {{Owner,
+          Owner + pick({"X-Samphireshunt-Request-Id: b\r\n",
+                        "X-Samphireshunt-Server-Stamp: f\r\n",
+                        "Content-Type: a/b\r\nContent-Type: a/c\r\n"})}});
     return;
   case 3:
     // The bytes after an answer belong to no request.
