--- a/Tools/install.sh
+++ b/Tools/install.sh
@@ -2,7 +2,8 @@
 # Installs the packages needed for building and testing on Debian 12.
 set -euo pipefail
 Packages=(
-  curl g++ cmake ninja-build ccache clang-format clang-tidy git ca-certificates
+  curl g++ cmake ninja-build ccache clang-format clang-tidy libclang-rt-14-dev git
+  ca-certificates
   libboost1.81-dev libflatbuffers-dev prometheus-cpp-dev libabsl-dev
   libspdlog-dev libfmt-dev doctest-dev librapidcheck-dev liburcu-dev
   libyaml-cpp-dev nlohmann-json3-dev libvalijson-dev libxxhash-dev
