--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -674,17 +674,24 @@
                               backupFor(Details, Server, Now)});
 }
 
-/// Grants one request of the tier, a stream that goes on before a new request.
+/// Grants one request of the tier, a stream that goes on before a new request;
+/// new requests get every fourth slot, so that no caller can keep others of its
+/// tier out by what it names as streams.
 /// New requests that have already missed their objective wait for lower load.
 /// If they were served first, all requests after them would miss theirs too,
 /// including those of other customers.
 bool Scheduler::grantFromTier(TierQueue &Tier, TimePoint Now,
                               std::vector<Decision> &Out) {
-  if (grantGoingOn(Tier, Now, Out))
+  constexpr int MaxGoingOnInRow = 3;
+  bool NewFirst = Tier.GoingOnInRow_ >= MaxGoingOnInRow;
+  if (!NewFirst && grantGoingOn(Tier, Now, Out))
     return true;
-  if (Options_.RefuseLongWaits_ && grantInOrder(Tier, true, Now, Out))
+  if ((Options_.RefuseLongWaits_ && grantInOrder(Tier, true, Now, Out)) ||
+      grantInOrder(Tier, false, Now, Out)) {
+    Tier.GoingOnInRow_ = 0;
     return true;
-  return grantInOrder(Tier, false, Now, Out);
+  }
+  return NewFirst && grantGoingOn(Tier, Now, Out);
 }
 
 /// Grants the first stream that goes on and that an engine with room can take.
@@ -704,6 +711,7 @@
     CustomerName Customer =
         Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
     grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
+    ++Tier.GoingOnInRow_;
     return true;
   }
   return false;
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -390,6 +390,8 @@
     /// The first arrival of a stream that goes on which was not checked in this
     /// round.
     std::uint64_t NextGoOn_ = 0;
+    /// Streams that go on which were granted since a new request was.
+    int GoingOnInRow_ = 0;
     DecayingShare Share_;
     /// Shares by answer length.
     std::array<DecayingShare, LengthClassCount> ShareByLength_ =
--- a/Source/Process/Streams/PeerReach.cpp
+++ b/Source/Process/Streams/PeerReach.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <ranges>
-#include <vector>
+#include <set>
 
 namespace samphireshunt {
 
@@ -12,6 +12,18 @@
   Heard_[From] = Now;
 }
 
+void PeerReach::retain(const std::vector<VmId> &Members) {
+  std::set<VmId> Kept(Members.begin(), Members.end());
+  auto IsGone = [&](const auto &Item) { return !Kept.contains(Item.first); };
+  std::erase_if(Silent_, IsGone);
+  std::erase_if(Heard_, IsGone);
+}
+
+bool PeerReach::isSilent(const VmId &Other, TimePoint Now) const {
+  auto Found = Silent_.find(Other);
+  return Found != Silent_.end() && Now - Found->second >= Options_.AnswerTime_;
+}
+
 std::size_t PeerReach::heardSince(TimePoint Since) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       Heard_, [&](const auto &Item) { return Item.second > Since; }));
--- a/Source/Process/Streams/PeerReach.h
+++ b/Source/Process/Streams/PeerReach.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <map>
+#include <vector>
 
 namespace samphireshunt {
 
@@ -30,8 +31,15 @@
 
   /// A question that is answered at once was sent to \p To.
   void asked(const VmId &To, TimePoint Now) { Silent_.try_emplace(To, Now); }
-  /// A message of \p From came, or its system ended a connection.
+  /// A message of \p From came.
   void heard(const VmId &From, TimePoint Now);
+  /// No answer of \p Other will come: its process has ended, or it is no longer
+  /// in the fleet.
+  void ended(const VmId &Other) { Silent_.erase(Other); }
+  /// Forgets all daemons but \p Members.
+  void retain(const std::vector<VmId> &Members);
+  /// \returns whether \p Other should have answered by now.
+  bool isSilent(const VmId &Other, TimePoint Now) const;
   /// \returns whether several daemons should have answered by now, and few
   /// others were heard of since these were asked.
   bool isLost(TimePoint Now) const;
--- a/Source/Process/Streams/StreamOriginService.cpp
+++ b/Source/Process/Streams/StreamOriginService.cpp
@@ -73,8 +73,10 @@
 }
 
 const std::vector<VmId> &StreamOriginService::others() {
-  if (!Others_)
+  if (!Others_) {
     Others_ = Hooks_.Others_();
+    Reach_.retain(*Others_);
+  }
   return *Others_;
 }
 
@@ -112,20 +114,26 @@
   wire::OriginAskT Ask;
   Ask.sequence = Sequence;
   Ask.key = std::make_unique<wire::StreamKey>(toWire(Key));
-  bool OutOfReach = outOfReach(Asked.Began_);
-  std::ranges::for_each(
-      Keepers, [&](const VmId &To) { Reach_.asked(To, Asked.Began_); });
-  auto Timer = timeLimit(Options_.UsualAnswerTime_,
-                         [this, Sequence] { answersLate(Sequence); });
-  Asked.AllAnswered_ = true;
-  Lookups_.emplace(Sequence,
-                   Lookup{std::move(Asked), Keepers, std::move(Timer)});
   std::string Message = encodeMessage(std::move(Ask));
+  TimePoint Now = Asked.Began_;
+  bool OutOfReach = outOfReach(Asked.Query_, Now);
+  std::vector<VmId> Awaited = Keepers;
+  // All are asked in either case: an answer shows that they are in reach again.
+  if (OutOfReach)
+    std::erase_if(Awaited,
+                  [&](const VmId &Id) { return Reach_.isSilent(Id, Now); });
+  for (const VmId &To : Keepers)
+    Reach_.asked(To, Now);
+  Asked.AllAnswered_ = !OutOfReach;
+  bool NobodyNear = Awaited.empty();
+  auto Timer = timeLimit(OutOfReach ? Options_.NearAnswerTime_
+                                    : Options_.UsualAnswerTime_,
+                         [this, Sequence] { answersLate(Sequence); });
+  Lookups_.emplace(
+      Sequence, Lookup{std::move(Asked), std::move(Awaited), std::move(Timer)});
   for (const VmId &To : Keepers)
     Hooks_.Send_(To, Message);
-  // The question was sent all the same: an answer shows that others are in
-  // reach again.
-  if (OutOfReach)
+  if (NobodyNear)
     finish(Sequence, std::nullopt);
 }
 
@@ -133,14 +141,39 @@
   Reach_.heard(Other, steady_clock::now());
 }
 
-bool StreamOriginService::outOfReach(TimePoint Now) const {
-  return Reach_.isLost(Now) && ListAsked_ &&
-         Now - *ListAsked_ >= Options_.ListTime_;
+bool StreamOriginService::outOfReach(const OriginQuery &Query,
+                                     TimePoint Now) const {
+  auto Proof = versionOf(Query).Proof_;
+  if (Proof == StreamVersion::Proof::Shown)
+    return false;
+  bool ListOverdue =
+      ListAsked_ && BootClock::now() - *ListAsked_ >= Options_.ListTime_;
+  return (Proof != StreamVersion::Proof::Unconfirmed || ListOverdue) &&
+         Reach_.isLost(Now);
+}
+
+void StreamOriginService::refuseOutOfReach() {
+  auto Now = steady_clock::now();
+  std::vector<std::uint64_t> Ended;
+  for (const auto &[Sequence, Waiting] : Lookups_)
+    if (Now - Waiting.Question_.Began_ >= Options_.UsualAnswerTime_ &&
+        outOfReach(Waiting.Question_.Query_, Now))
+      Ended.push_back(Sequence);
+  for (const auto &[Sequence, Waiting] : Unrecorded_)
+    if (outOfReach(Waiting.Question_.Query_, Now))
+      Ended.push_back(Sequence);
+  for (std::uint64_t Sequence : Ended) {
+    finish(Sequence, std::nullopt);
+    if (auto Node = Unrecorded_.extract(Sequence))
+      Node.mapped().Question_.OnAnswer_({.OutOfReach_ = true});
+  }
 }
 
 void StreamOriginService::confirmList() {
-  if (!ListAsked_)
-    ListAsked_ = steady_clock::now();
+  if (!ListAsked_) {
+    ListAsked_ = BootClock::now();
+    ListTimer_ = timeLimit(Options_.ListTime_, [this] { refuseOutOfReach(); });
+  }
   Hooks_.ConfirmList_();
 }
 
@@ -149,6 +182,8 @@
   if (Found == Lookups_.end())
     return;
   Lookup &Late = Found->second;
+  if (outOfReach(Late.Question_.Query_, steady_clock::now()))
+    return finish(Sequence, std::nullopt);
   Late.Timer_ = timeLimit(Options_.AnswerTime_ - Options_.UsualAnswerTime_,
                           [this, Sequence] { finish(Sequence, std::nullopt); });
   if (versionOf(Late.Question_.Query_).Proof_ ==
@@ -233,12 +268,13 @@
 void StreamOriginService::withoutRecord(Question Asked) {
   const OriginQuery &Query = Asked.Query_;
   StreamVersion Known = versionOf(Query);
-  if (Known.Proof_ != StreamVersion::Proof::Unconfirmed)
-    return Asked.OnAnswer_(originOf(Query, Known, Asked.AllAnswered_));
-  if (outOfReach(steady_clock::now())) {
+  bool OutOfReach = outOfReach(Query, steady_clock::now());
+  if (OutOfReach && Known.Proof_ == StreamVersion::Proof::Unconfirmed)
     confirmList();
+  if (OutOfReach)
     return Asked.OnAnswer_({.OutOfReach_ = true});
-  }
+  if (Known.Proof_ != StreamVersion::Proof::Unconfirmed)
+    return Asked.OnAnswer_(originOf(Query, Known, Asked.AllAnswered_));
   std::uint64_t Sequence = NextSequence_++;
   auto Elapsed =
       std::chrono::floor<milliseconds>(steady_clock::now() - Asked.Began_);
@@ -253,8 +289,9 @@
     Node.mapped().Question_.OnAnswer_({});
 }
 
-void StreamOriginService::listConfirmed() {
-  ListAsked_.reset();
+void StreamOriginService::listConfirmed(BootTime AskedAt) {
+  if (ListAsked_ && AskedAt >= *ListAsked_)
+    ListAsked_.reset();
   std::vector<std::pair<Answered, FoundOrigin>> Ended;
   for (auto Next = Unrecorded_.begin(); Next != Unrecorded_.end();) {
     Unrecorded &Waiting = Next->second;
--- a/Source/Process/Streams/StreamOriginService.h
+++ b/Source/Process/Streams/StreamOriginService.h
@@ -75,7 +75,10 @@
     /// daemon that is cut off delays them in vain.
     std::chrono::milliseconds ConfirmTime_{500};
     /// A newer list that takes longer is not to be had.
-    std::chrono::milliseconds ListTime_{150};
+    std::chrono::milliseconds ListTime_{100};
+    /// How long those are awaited that may answer, once others are out of
+    /// reach.
+    std::chrono::milliseconds NearAnswerTime_{30};
   };
   struct Hooks {
     std::function<void(const VmId &, std::string)> Send_;
@@ -103,12 +106,15 @@
   void onRecord(const wire::StreamOriginT &Received);
   void onAsk(const VmId &From, const wire::OriginAskT &Ask);
   void onAnswer(const VmId &From, const wire::OriginAnswerT &Answer);
-  /// Called when the service has confirmed the list of servers.
-  void listConfirmed();
+  /// Called when the service has confirmed the list of servers, as of \p
+  /// AskedAt.
+  void listConfirmed(BootTime AskedAt);
   /// Called when the list of other daemons changed.
   void membersChanged() { Others_.reset(); }
-  /// Called with each sign on a link that the VM of \p Other is in reach.
+  /// Called with each message of \p Other on a link.
   void heardOther(const VmId &Other);
+  /// Called when \p Other reset its link.
+  void otherEnded(const VmId &Other) { Reach_.ended(Other); }
   /// Called when the link to \p Peer could not be opened, or broke: no answer
   /// of it will come.
   void onLinkDown(const VmId &Peer);
@@ -143,8 +149,11 @@
   void tell(const StreamKey &Key, const StreamOrigin &Origin,
             std::chrono::milliseconds Needed);
   void confirmList();
-  /// \returns whether neither other daemons nor the service answer.
-  bool outOfReach(TimePoint Now) const;
+  /// \returns whether neither other daemons nor a newer list can tell where the
+  /// stream began.
+  bool outOfReach(const OriginQuery &Query, TimePoint Now) const;
+  /// Refuses what waits in vain.
+  void refuseOutOfReach();
   void findNow(OriginQuery Query, Answered OnAnswer);
   void ask(Question Asked);
   void answersLate(std::uint64_t Sequence);
@@ -164,7 +173,8 @@
   std::optional<std::vector<VmId>> Others_;
   PeerReach Reach_;
   /// When a newer list was first asked for; unset if one came since.
-  std::optional<TimePoint> ListAsked_;
+  std::optional<BootTime> ListAsked_;
+  std::unique_ptr<boost::asio::steady_timer> ListTimer_;
   std::map<std::uint64_t, Lookup> Lookups_;
   std::map<std::uint64_t, Unrecorded> Unrecorded_;
   std::uint64_t NextSequence_ = 1;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -254,7 +254,7 @@
   Hooks.LinkDown_ = [this](const VmId &To, LinkLoss Loss) {
     Grants_->onLinkDown(To, Loss);
     if (Loss == LinkLoss::Reset)
-      Origins_->heardOther(To);
+      Origins_->otherEnded(To);
     Origins_->onLinkDown(To);
     if (PeerFollower_)
       PeerFollower_->onLinkDown(To);
@@ -601,7 +601,8 @@
   };
   // Posted, since the servers may not be noted yet.
   ViewHooks.Applied_ = [this] {
-    asio::post(Control_, [this] { Origins_->listConfirmed(); });
+    asio::post(Control_,
+               [this] { Origins_->listConfirmed(Freshness_.confirmedAt()); });
   };
   View_->setHooks(std::move(ViewHooks));
   Follower_ = std::make_unique<StoreFollower>(
--- a/Source/Request/ResumedStream.cpp
+++ b/Source/Request/ResumedStream.cpp
@@ -23,6 +23,10 @@
 /// be refused each time, and have no attempt left to send anew.
 constexpr milliseconds AfterLostRecord{1000};
 
+/// Daemons that don't answer may have ended, and start again within this time.
+/// Callers that came back sooner would lose attempts to them.
+constexpr milliseconds WhileOutOfReach{500};
+
 StreamKey keyOf(const RequestContext &Context, const std::string &CallId) {
   return streamKey(
       Context.Customer_ ? Context.Customer_->Name_ : CustomerName(), CallId);
@@ -31,7 +35,8 @@
 /// \returns the attempt that began the stream, which all later ones name.
 const std::string &firstAttempt(const RequestContext &Context) {
   const CallLabels &Call = Context.Call_;
-  return Call.Resumes_.empty() ? Call.CallId_ : Call.Resumes_;
+  bool Later = resumesStream(Context) && !Call.Resumes_.empty();
+  return Later ? Call.Resumes_ : Call.CallId_;
 }
 
 /// The longest time from the start of a stream to its caller's last attempt.
@@ -91,8 +96,10 @@
       Refused.Detail_ = "no daemon has its record";
       Refused.RetryAfter_ = AfterLostRecord;
     }
-    if (Found.OutOfReach_)
+    if (Found.OutOfReach_) {
       Refused.Detail_ = "other daemons don't answer";
+      Refused.RetryAfter_ = WhileOutOfReach;
+    }
     co_return Refused;
   }
   const auto &Targets = Context.Route_->Forwarding_->Targets_;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -658,11 +658,14 @@
   's/ && HoldAllows//' \
   ${U}Process '*held back get only its streams*'
 mutate held-back-queue $S/Process/Scheduling/Scheduler.cpp \
-  's/if \(grantGoingOn\(Tier, Now, Out\)\)\n *return true;//' \
+  's/(!NewFirst|NewFirst) && grantGoingOn\(Tier, Now, Out\)/false/g' \
   ${U}Process '*held back get only its streams*'
 mutate going-on-first $S/Process/Scheduling/Scheduler.cpp \
-  's/(  if \(grantGoingOn\(Tier, Now, Out\)\)\n *return true;\n)(.*?)  return (grantInOrder\(Tier, false, Now, Out\));/$2  return $3 || grantGoingOn(Tier, Now, Out);/s' \
+  's/bool NewFirst = .*?;/bool NewFirst = true;/s' \
   ${U}Process '*before new requests of their tier*'
+mutate going-on-share $S/Process/Scheduling/Scheduler.cpp \
+  's/bool NewFirst = .*?;/bool NewFirst = false;/s' \
+  ${U}Process '*leave slots to new requests*'
 mutate held-back-alone $S/Process/Scheduling/Scheduler.cpp \
   's/    if \(!Servable\)\n//' \
   ${U}Process '*nothing else is usable*'
@@ -673,13 +676,13 @@
   's/Copies_ = 4/Copies_ = 2/' \
   ${U}Streams '*half of a fleet was*'
 mutate origin-out-of-reach $S/Process/Streams/StreamOriginService.cpp \
-  's/return Reach_\.isLost\(Now\) && /return false \&\& /' \
+  's/ &&\n *Reach_\.isLost\(Now\)/ \&\& false/' \
   ${U}Streams '*daemon that is alone refuses*'
 mutate origin-reach-heard $S/Process/Streams/PeerReach.cpp \
   's/  Silent_\.erase\(From\);\n//' \
   ${U}Streams '*reach again*'
 mutate origin-first-attempt $S/Request/ResumedStream.cpp \
-  's/Call\.Resumes_\.empty\(\) \? Call\.CallId_ : Call\.Resumes_/Call.CallId_/' \
+  's/Later \? Call\.Resumes_ : Call\.CallId_/Call.CallId_/' \
   ${U}StreamOrigin '*breaks off again*'
 mutate begun-waits $S/Process/Scheduling/Scheduler.cpp \
   's/!Continues && Request\.Version_\.empty\(\) &&/!Continues \&\&/' \
--- a/UnitTests/Process/Scheduling/TakenUpStreamsTest.cpp
+++ b/UnitTests/Process/Scheduling/TakenUpStreamsTest.cpp
@@ -161,3 +161,20 @@
     CHECK(After.Refused_[0] <= Before.Refused_[0]);
   }
 }
+
+TEST_CASE("streams that go on leave slots to new requests of their tier") {
+  // Guards against a caller that keeps others of its tier out by naming streams
+  // that it never had.
+  constexpr std::uint64_t Each = 60;
+  Scheduler Keeper = keeper(byObjective());
+  for (std::uint64_t Number = 1; Number <= 2 * Each; ++Number)
+    CHECK(Keeper.requestGrant(request(Number, 1, Start, Number <= Each), Start)
+              .empty());
+  auto IsNew = [](const Decision &Made) {
+    const auto *Grant = std::get_if<GrantDecision>(&Made);
+    return Grant && Grant->Id_.Sequence_ > Each;
+  };
+  std::vector<Decision> Granted = Keeper.decide(Start);
+  CHECK(Granted.size() == ServerCount * Slots);
+  CHECK(std::ranges::count_if(Granted, IsNew) >= ServerCount * Slots / 4);
+}
--- a/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
+++ b/UnitTests/Process/Streams/StreamOriginServiceTest.cpp
@@ -26,9 +26,8 @@
     for (std::size_t Index = 0; Index < Count; ++Index)
       Ids_.emplace_back(fmt::format("vm-{}", Index));
     for (const VmId &Id : Ids_)
-      Services_.emplace(
-          Id, std::make_unique<StreamOriginService>(
-                  Context_, StreamOriginService::Options(), hooks(Id)));
+      Services_.emplace(Id, std::make_unique<StreamOriginService>(
+                                Context_, options(), hooks(Id)));
   }
 
   StreamOriginService &at(std::size_t Index) {
@@ -81,6 +80,12 @@
   int Confirmations_ = 0;
 
 private:
+  /// Here those in reach answer before the question's send returns.
+  static StreamOriginService::Options options() {
+    StreamOriginService::Options Options;
+    Options.NearAnswerTime_ = milliseconds(0);
+    return Options;
+  }
   StreamOriginService::Hooks hooks(const VmId &Self) {
     StreamOriginService::Hooks Hooks;
     Hooks.Send_ = [this, Self](const VmId &To, std::string Message) {
@@ -236,10 +241,49 @@
   CHECK(Fleet.find(1, query(100)).OutOfReach_);
   CHECK(Fleet.findReady(1, query(101)).value().OutOfReach_);
   Fleet.cut(1, false);
-  CHECK(Fleet.find(1, query(0)).Origin_ == origin(0));
+  for (int Number = 0; Number < 8; ++Number)
+    CHECK(Fleet.find(1, query(Number)).Origin_ == origin(Number));
   CHECK_FALSE(Fleet.find(1, query(102)).OutOfReach_);
 }
 
+TEST_CASE("a daemon that is cut off refuses at once where several versions may "
+          "have begun a stream") {
+  // Guards against callers that are held up for a list which could not help.
+  OriginFleet Fleet(8);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Several;
+  Fleet.cut(1, true);
+  FoundOrigin First = Fleet.find(1, query(1));
+  CHECK(First.OutOfReach_);
+  CHECK_FALSE(First.Lost_);
+  CHECK(Fleet.findReady(1, query(2)).value().OutOfReach_);
+}
+
+TEST_CASE("daemons that are cut off together tell each other of streams") {
+  // Guards against refusals although the record is in reach.
+  constexpr int Streams = 8;
+  OriginFleet Fleet(9);
+  recordStreams(Fleet, Streams);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+  Fleet.cut(0, true);
+  Fleet.cut(1, true);
+  CHECK(Fleet.find(1, query(100)).OutOfReach_);
+  int Known = 0;
+  for (int Number = 0; Number < Streams; ++Number)
+    Known += Fleet.findReady(1, query(Number)).value().Origin_.has_value();
+  CHECK(2 * Known >= Streams);
+}
+
+TEST_CASE("an older list doesn't end the wait for a newer one") {
+  // Guards against callers that are held up by a reader that is cut off too.
+  OriginFleet Fleet(8);
+  Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
+  Fleet.cut(1, true);
+  BootTime Before = BootClock::now();
+  CHECK(Fleet.find(1, query(1)).OutOfReach_);
+  Fleet.at(1).listConfirmed(Before);
+  CHECK(Fleet.findReady(1, query(2)).value().OutOfReach_);
+}
+
 TEST_CASE("a daemon that is cut off from the others only goes on by the list") {
   // Guards against a fleet whose daemons reach the service, but not each other,
   // and that refuses all streams.
@@ -247,7 +291,7 @@
   Fleet.Version_.Proof_ = StreamVersion::Proof::Unconfirmed;
   Fleet.cut(1, true);
   CHECK(Fleet.find(1, query(1)).Source_ == OriginSource::Unknown);
-  Fleet.at(1).listConfirmed();
+  Fleet.at(1).listConfirmed(BootClock::now());
   std::optional<FoundOrigin> Found;
   Fleet.at(1).find(query(2), [&](FoundOrigin Answer) { Found = Answer; });
   Fleet.runReady();
@@ -342,11 +386,11 @@
       Found.push_back(Answer.Source_);
     });
   Fleet.runReady();
-  Fleet.at(0).listConfirmed();
+  Fleet.at(0).listConfirmed(BootClock::now());
   CHECK(Found.empty());
   Fleet.Confirmations_ = 0;
   Fleet.Version_ = Shown;
-  Fleet.at(0).listConfirmed();
+  Fleet.at(0).listConfirmed(BootClock::now());
   CHECK(Found == std::vector(Streams, OriginSource::OnlyVersion));
   CHECK(Fleet.Confirmations_ == 0);
 }
--- a/UnitTests/Request/StreamOriginTest.cpp
+++ b/UnitTests/Request/StreamOriginTest.cpp
@@ -130,6 +130,21 @@
   CHECK(Path.server(0).requests().size() == AtFirst + 1);
 }
 
+TEST_CASE("a new request that names an earlier one is a stream of its own") {
+  // Guards against a stream that nobody knows any more since a request of
+  // another version was recorded as its rest.
+  ForwardingHarness Path(versions(1), serversOfTwoVersions());
+  int Known = 0;
+  for (int Number = 0; Number < Streams; ++Number) {
+    std::string First = fmt::format("c{}", Number);
+    Path.call(First);
+    Path.call(First + "-new", "x", fmt::format("X-Resumes: {}\r\n", First));
+    CallerReply Rest = Path.call(First + "-again", "x", takeUp(First));
+    Known += fieldIn(Rest.Bytes_, "x-result-code") != "216";
+  }
+  CHECK(Known == Streams);
+}
+
 TEST_CASE("a stream goes on at its version where that is held back by now") {
   // Guards against streams of a new version that are refused, with its servers
   // idle, by a daemon that has not admitted it.
