PeerReach: messages are noted only while another daemon is silent

Each message on a link was entered in a map, though only those that come after an unanswered question are ever counted. Nothing is counted differently: a time is compared with the moment at which a daemon was asked that is silent since, so an earlier one never counts. In calm, a message now costs one look at an empty map.

--- a/Source/Process/Streams/PeerReach.cpp
+++ b/Source/Process/Streams/PeerReach.cpp
@@ -8,8 +8,12 @@
 namespace samphireshunt {
 
 void PeerReach::heard(const VmId &From, TimePoint Now) {
+  if (Silent_.empty())
+    return;
   Silent_.erase(From);
   Heard_[From] = Now;
+  if (Silent_.empty())
+    Heard_.clear();
 }
 
 void PeerReach::retain(const std::vector<VmId> &Members) {
--- a/Source/Process/Streams/PeerReach.h
+++ b/Source/Process/Streams/PeerReach.h
@@ -50,7 +50,7 @@
   Options Options_;
   /// Daemons that were not heard since they were asked, and when that was.
   std::map<VmId, TimePoint> Silent_;
-  /// When daemons were heard last.
+  /// When daemons were heard last, while others are silent.
   std::map<VmId, TimePoint> Heard_;
 };
 
