Scheduler: one name for the queue in which a request waits

Streams that go on had brought a third copy of the same expression into Scheduler.cpp. Same behaviour: Unit.Process 263 of 263, plain. A copy in SchedulerBackups.cpp, which has no such queue at hand, stays.

--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -21,6 +21,13 @@
   return static_cast<double>(std::max<std::int64_t>(1, Cost));
 }
 
+/// \returns the customer in whose queue the request waits: one for all unless
+/// customers are served fairly.
+CustomerName queueName(const Scheduler::Options &Options,
+                       const GrantRequest &Request) {
+  return Options.FairCustomers_ ? Request.Customer_ : CustomerName();
+}
+
 } // namespace
 
 Scheduler::Scheduler(Options Settings)
@@ -81,8 +88,7 @@
 void Scheduler::enqueue(WaitingRequest Request) {
   const GrantRequest &Details = Request.Details_;
   TierQueue &Tier = Tiers_[queueIndex(Details.Tier_)];
-  CustomerName Name =
-      Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
+  CustomerName Name = queueName(Options_, Details);
   CustomerQueue &Queue = Tier.Customers_[Name];
   if (Queue.Requests_.empty()) {
     // A customer that had no requests has no claim to what it did not use.
@@ -109,8 +115,7 @@
   WaitingRequest Request = std::move(Node.mapped());
   const GrantRequest &Details = Request.Details_;
   TierQueue &Tier = Tiers_[queueIndex(Details.Tier_)];
-  CustomerName Name =
-      Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
+  CustomerName Name = queueName(Options_, Details);
   CustomerQueue &Queue = Tier.Customers_[Name];
   Queue.Requests_.erase({Request.Rank_.Urgency_, Request.Arrival_, Id});
   --Tier.Count_;
@@ -708,8 +713,7 @@
     ServerModel *Server = chooseEngine(Details, Now);
     if (!Server)
       continue;
-    CustomerName Customer =
-        Options_.FairCustomers_ ? Details.Customer_ : CustomerName();
+    CustomerName Customer = queueName(Options_, Details);
     grantTo(Tier, Customer, Placement{Id, Server}, Now, Out);
     ++Tier.GoingOnInRow_;
     return true;
