--- /dev/null
+++ b/review/actors/HalfClose.cpp
@@ -0,0 +1,149 @@
+/// \file
+/// Requests to a streaming route that may not be resumed. With trouble, the
+/// requester closes the sending direction of its channel while the engine
+/// works, and reads what it gets.
+///
+/// Usage: half_close RECORD TROUBLE. Prints the store's address, and reads the
+/// daemon's addresses for requesters and for readiness from standard input.
+/// Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+#include "Actors.h"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+using namespace review;
+
+namespace {
+
+constexpr int Requests = 5;
+/// The engine has begun by then, and has not answered yet.
+constexpr int LeaveAfterMs = 200;
+constexpr int AnswerTimeMs = 6000;
+
+void sleepMs(int Milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
+}
+
+std::string configuration() {
+  Json Route = {
+      {"name", "r-1"},       {"hostname", "h.example"}, {"prefix", "/stream/"},
+      {"kind", "streaming"}, {"timeout-ms", 6000},      {"goal-ms", 800},
+      {"priority", 0},       {"service", "pool"},       {"attempts", 1},
+      {"anonymous", false},  {"sticky", true},          {"resumable", false},
+      {"gap-target-ms", 400}};
+  Json Service = {{"name", "pool"},
+                  {"health-path", "/healthz"},
+                  {"max-conns", 490},
+                  {"protocol", "h1"},
+                  {"tls", false}};
+  Json Tenant = {{"name", "tenant-1"}, {"api-keys", {"key-1"}},
+                 {"unit", "tokens"},   {"plain-tokens", 200},
+                 {"rate-per-s", 0},    {"burst", 0}};
+  Json Limits = {{"max-header-bytes", 16384},
+                 {"max-body-bytes", 4194304},
+                 {"header-timeout-ms", 3000},
+                 {"idle-timeout-ms", 15000}};
+  Json Root = {{"version", 7},
+               {"routes", Json::array({Route})},
+               {"services", Json::array({Service})},
+               {"limits", Limits},
+               {"tenants", Json::array({Tenant})}};
+  return Root.dump();
+}
+
+bool awaitReady(const std::string &Address) {
+  constexpr int Tries = 200;
+  constexpr int PauseMs = 50;
+  for (int Try = 0; Try < Tries; ++Try) {
+    int Socket = connectTo(Address);
+    if (Socket >= 0) {
+      Connection Daemon(Socket);
+      Daemon.limitReads(AnswerTimeMs);
+      Daemon.send(
+          "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+      auto Answer = Daemon.readHead();
+      if (Answer && Answer->status() == 200)
+        return true;
+    }
+    sleepMs(PauseMs);
+  }
+  return false;
+}
+
+/// \returns the status of the answer; 0 if there is none.
+int request(const std::string &Front, const std::string &Id, bool Leaves,
+            Record &Log) {
+  int Socket = connectTo(Front);
+  if (Socket < 0)
+    return 0;
+  Connection Daemon(Socket);
+  Daemon.limitReads(AnswerTimeMs);
+  Log.line("requester sends " + Id);
+  Daemon.send("POST /stream/2f HTTP/1.1\r\nHost: h.example\r\n"
+              "X-Samphireshunt-Request-Id: " +
+              Id +
+              "\r\nX-Samphireshunt-Token-Count: 100,20\r\n"
+              "X-Samphireshunt-Deadline-Ms: 6000\r\n"
+              "Authorization: Bearer key-1\r\nContent-Length: 2\r\n\r\n{}");
+  sleepMs(LeaveAfterMs);
+  if (Leaves) {
+    Log.line("requester closes its sending direction, " + Id);
+    Daemon.endSending();
+  }
+  auto Answer = Daemon.readHead();
+  Log.line("requester gets " + (Answer ? Answer->Line_ : "no answer") + ", " +
+           Id);
+  if (!Answer)
+    return 0;
+  for (const char *Name : {"x-outcome", "retry-after"})
+    if (!Answer->field(Name).empty())
+      Log.line(std::string("  ") + Name + ": " + Answer->field(Name));
+  return Answer->status();
+}
+
+/// \returns whether the status promises that the request has not run.
+bool promisesNotRun(int Status) {
+  return Status == 429 || Status == 503 || Status == 408 || Status == 421;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  constexpr int CouldNotRun = 2;
+  if (Count != 3)
+    return CouldNotRun;
+  bool Trouble = std::string(Arguments[2]) != "0";
+  Record Log(Arguments[1]);
+  Store Platform;
+  Platform.put("op/config", configuration());
+  StreamEngine First("i-1", "pool", Platform, Log);
+  StreamEngine Second("i-2", "pool", Platform, Log);
+  First.start();
+  Second.start();
+  std::cout << Platform.start() << std::endl;
+  std::string Front;
+  std::string Ready;
+  if (!(std::cin >> Front >> Ready) || !awaitReady(Ready))
+    std::_Exit(CouldNotRun);
+  sleepMs(500);
+  int Broken = 0;
+  int Answered = 0;
+  for (int Number = 1; Number <= Requests; ++Number) {
+    std::string Id = "request-" + std::to_string(Number);
+    int Status = request(Front, Id, Trouble, Log);
+    bool Ran = First.hasRun(Id) || Second.hasRun(Id);
+    Answered += Status > 0 ? 1 : 0;
+    Broken += Ran && promisesNotRun(Status) ? 1 : 0;
+    sleepMs(500);
+  }
+  Log.line(std::to_string(Broken) + " of " + std::to_string(Requests) +
+           " requests ran and were answered as not run; " +
+           std::to_string(Answered) + " got an answer");
+  if (!Trouble && Answered < Requests)
+    std::_Exit(CouldNotRun);
+  std::_Exit(Broken > 0 ? 1 : 0);
+}
