Review case 6: a run whose answer was lost is answered 503

The requester has closed the sending direction of its channel. An unsafe request that ran, and whose answer the engine lost, is then answered 503, as is a stream that the requester leaves (rule REFUSED). Nothing is fixed.

--- a/review/actors/Actors.cpp
+++ b/review/actors/Actors.cpp
@@ -147,6 +147,11 @@
 
 void Connection::endSending() { ::shutdown(Socket_, SHUT_WR); }
 
+void Connection::resetAtEnd() {
+  linger Now{1, 0};
+  ::setsockopt(Socket_, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+}
+
 void Connection::limitReads(int Milliseconds) {
   timeval Limit{Milliseconds / 1000, Milliseconds % 1000 * 1000};
   ::setsockopt(Socket_, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
@@ -410,12 +415,12 @@
   std::fflush(File_);
 }
 
-void StreamEngine::start() {
+void Engine::start() {
   Address_ = serve([this](Connection &Peer) { handle(Peer); });
   std::thread([this] { keepRegistered(); }).detach();
 }
 
-void StreamEngine::keepRegistered() {
+void Engine::keepRegistered() {
   constexpr int HeartbeatMs = 1200;
   for (std::uint64_t Sequence = 1;; ++Sequence) {
     Json Entry = {{"service", Service_},  {"address", Address_},
@@ -427,12 +432,12 @@
   }
 }
 
-bool StreamEngine::hasRun(const std::string &RequestId) {
+bool Engine::hasRun(const std::string &RequestId) {
   std::lock_guard Lock(Mutex_);
   return std::ranges::count(Runs_, RequestId) > 0;
 }
 
-void StreamEngine::handle(Connection &Peer) {
+void Engine::handle(Connection &Peer) {
   while (auto Request = Peer.read()) {
     bool Expected = Request->field("x-samphireshunt-expect-instance") == Id_;
     if (!Expected)
@@ -446,16 +451,41 @@
   }
 }
 
-bool StreamEngine::run(Connection &Peer, const Message &Request) {
-  constexpr int PrefillMs = 600;
-  constexpr int StepMs = 20;
-  constexpr int Events = 5;
+bool Engine::run(Connection &Peer, const Message &Request) {
   std::string Id = Request.field("x-samphireshunt-request-id");
   {
     std::lock_guard Lock(Mutex_);
     Runs_.push_back(Id);
   }
   Log_.line("engine " + Id_ + " begins to run " + Id);
+  return Request.word(1).starts_with("/stream/") ? answerStream(Peer, Id)
+                                                 : answerBody(Peer, Id);
+}
+
+bool Engine::answerBody(Connection &Peer, const std::string &Id) {
+  constexpr int WorkMs = 300;
+  sleepMs(WorkMs);
+  bool Loses = false;
+  {
+    std::lock_guard Lock(Mutex_);
+    int Number = Bodies_++ % 5;
+    Loses = Loses_ && (Number == 1 || Number == 3);
+  }
+  if (Loses) {
+    Log_.line("engine " + Id_ + " has run " + Id + "; its answer is lost");
+    Peer.resetAtEnd();
+    return false;
+  }
+  Log_.line("engine " + Id_ + " has answered " + Id);
+  return Peer.send("HTTP/1.1 200 OK\r\nX-Samphireshunt-Request-Id: " + Id +
+                   "\r\nX-Samphireshunt-Server-Stamp: stamp." + Id_ +
+                   "\r\nContent-Length: 4\r\n\r\ndone");
+}
+
+bool Engine::answerStream(Connection &Peer, const std::string &Id) {
+  constexpr int PrefillMs = 600;
+  constexpr int StepMs = 20;
+  constexpr int Events = 5;
   for (int Spent = 0; Spent < PrefillMs; Spent += StepMs) {
     sleepMs(StepMs);
     if (Peer.peerHasClosed()) {
--- a/review/actors/Actors.h
+++ b/review/actors/Actors.h
@@ -44,6 +44,8 @@
   bool send(const std::string &Bytes);
   /// Closes the sending direction only.
   void endSending();
+  /// Makes the end of the connection a reset.
+  void resetAtEnd();
   /// \returns nothing if the connection ends before the head does.
   std::optional<Message> readHead();
   /// Reads a message with a length or in chunks. \returns nothing if it is not
@@ -114,22 +116,27 @@
   std::int64_t Started_;
 };
 
-/// An engine that answers a stream of events. It begins to work on a request at
-/// once, and drops it when its channel closes.
-class StreamEngine {
+/// An engine. It begins to work on a request at once. It answers a path below
+/// /stream/ with events, and drops such a request when its channel closes; it
+/// answers other paths with a body.
+class Engine {
 public:
-  StreamEngine(std::string Id, std::string Service, Store &Registry,
-               Record &Log)
+  Engine(std::string Id, std::string Service, Store &Registry, Record &Log)
       : Id_(std::move(Id)), Service_(std::move(Service)), Registry_(Registry),
         Log_(Log) {}
 
   /// Starts to serve, and to write its entry.
   void start();
+  /// Loses the answers of two in five requests with a body: their channels are
+  /// reset.
+  void loseAnswers() { Loses_ = true; }
   bool hasRun(const std::string &RequestId);
 
 private:
   void handle(Connection &Peer);
   bool run(Connection &Peer, const Message &Request);
+  bool answerBody(Connection &Peer, const std::string &Id);
+  bool answerStream(Connection &Peer, const std::string &Id);
   void keepRegistered();
 
   std::string Id_;
@@ -139,6 +146,8 @@
   std::string Address_;
   std::mutex Mutex_;
   std::vector<std::string> Runs_;
+  bool Loses_ = false;
+  int Bodies_ = 0;
 };
 
 } // namespace review
--- a/review/actors/HalfClose.cpp
+++ b/review/actors/HalfClose.cpp
@@ -1,7 +1,11 @@
 /// \file
-/// Requests to a streaming route that may not be resumed. With trouble, the
-/// requester closes the sending direction of its channel while the engine
-/// works, and reads what it gets.
+/// A requester that closes the sending direction of its channel while an engine
+/// works on its request, and reads the answer.
+///
+/// With requests of an unsafe route it always does so; with trouble, the engine
+/// runs two in five of them and loses their answers. With requests of a
+/// streaming route that may not be resumed it does so with trouble only, as a
+/// requester that leaves.
 ///
 /// Usage: half_close RECORD TROUBLE. Prints the store's address, and reads the
 /// daemon's addresses for requesters and for readiness from standard input.
@@ -19,22 +23,32 @@
 
 namespace {
 
+/// Of each route.
 constexpr int Requests = 5;
-/// The engine has begun by then, and has not answered yet.
-constexpr int LeaveAfterMs = 200;
+/// An engine works on the request by then, and has not answered yet.
+constexpr int CloseAfterMs = 150;
 constexpr int AnswerTimeMs = 6000;
 
 void sleepMs(int Milliseconds) {
   std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
 }
 
+Json route(const std::string &Name, const std::string &Kind, int TimeoutMs) {
+  return {{"name", Name},
+          {"hostname", "h.example"},
+          {"prefix", "/" + Name + "/"},
+          {"kind", Kind},
+          {"timeout-ms", TimeoutMs},
+          {"goal-ms", 800},
+          {"priority", 0},
+          {"service", "pool"},
+          {"attempts", 1},
+          {"anonymous", false},
+          {"resumable", false},
+          {"gap-target-ms", 400}};
+}
+
 std::string configuration() {
-  Json Route = {
-      {"name", "r-1"},       {"hostname", "h.example"}, {"prefix", "/stream/"},
-      {"kind", "streaming"}, {"timeout-ms", 6000},      {"goal-ms", 800},
-      {"priority", 0},       {"service", "pool"},       {"attempts", 1},
-      {"anonymous", false},  {"sticky", true},          {"resumable", false},
-      {"gap-target-ms", 400}};
   Json Service = {{"name", "pool"},
                   {"health-path", "/healthz"},
                   {"max-conns", 490},
@@ -48,7 +62,8 @@
                  {"header-timeout-ms", 3000},
                  {"idle-timeout-ms", 15000}};
   Json Root = {{"version", 7},
-               {"routes", Json::array({Route})},
+               {"routes", Json::array({route("order", "unsafe", 1500),
+                                       route("stream", "streaming", 6000)})},
                {"services", Json::array({Service})},
                {"limits", Limits},
                {"tenants", Json::array({Tenant})}};
@@ -75,22 +90,24 @@
 }
 
 /// \returns the status of the answer; 0 if there is none.
-int request(const std::string &Front, const std::string &Id, bool Leaves,
-            Record &Log) {
+int request(const std::string &Front, const std::string &Route,
+            const std::string &Id, bool Closes, Record &Log) {
   int Socket = connectTo(Front);
   if (Socket < 0)
     return 0;
   Connection Daemon(Socket);
   Daemon.limitReads(AnswerTimeMs);
   Log.line("requester sends " + Id);
-  Daemon.send("POST /stream/2f HTTP/1.1\r\nHost: h.example\r\n"
+  Daemon.send("POST /" + Route +
+              "/2f HTTP/1.1\r\nHost: h.example\r\n"
               "X-Samphireshunt-Request-Id: " +
               Id +
               "\r\nX-Samphireshunt-Token-Count: 100,20\r\n"
-              "X-Samphireshunt-Deadline-Ms: 6000\r\n"
-              "Authorization: Bearer key-1\r\nContent-Length: 2\r\n\r\n{}");
-  sleepMs(LeaveAfterMs);
-  if (Leaves) {
+              "X-Samphireshunt-Deadline-Ms: " +
+              (Route == "order" ? "1500" : "6000") +
+              "\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\n{}");
+  if (Closes) {
+    sleepMs(CloseAfterMs);
     Log.line("requester closes its sending direction, " + Id);
     Daemon.endSending();
   }
@@ -120,10 +137,13 @@
   Record Log(Arguments[1]);
   Store Platform;
   Platform.put("op/config", configuration());
-  StreamEngine First("i-1", "pool", Platform, Log);
-  StreamEngine Second("i-2", "pool", Platform, Log);
-  First.start();
-  Second.start();
+  Engine First("i-1", "pool", Platform, Log);
+  Engine Second("i-2", "pool", Platform, Log);
+  for (Engine *Each : {&First, &Second}) {
+    if (Trouble)
+      Each->loseAnswers();
+    Each->start();
+  }
   std::cout << Platform.start() << std::endl;
   std::string Front;
   std::string Ready;
@@ -132,18 +152,24 @@
   sleepMs(500);
   int Broken = 0;
   int Answered = 0;
-  for (int Number = 1; Number <= Requests; ++Number) {
-    std::string Id = "request-" + std::to_string(Number);
-    int Status = request(Front, Id, Trouble, Log);
-    bool Ran = First.hasRun(Id) || Second.hasRun(Id);
-    Answered += Status > 0 ? 1 : 0;
-    Broken += Ran && promisesNotRun(Status) ? 1 : 0;
-    sleepMs(500);
+  for (const char *Route : {"order", "stream"}) {
+    bool Closes = Trouble || std::string(Route) == "order";
+    for (int Number = 1; Number <= Requests; ++Number) {
+      std::string Id = std::string(Route) + "-" + std::to_string(Number);
+      int Status = request(Front, Route, Id, Closes, Log);
+      bool Ran = First.hasRun(Id) || Second.hasRun(Id);
+      Answered += Status > 0 ? 1 : 0;
+      bool False = Ran && promisesNotRun(Status);
+      Broken += False ? 1 : 0;
+      if (False)
+        Log.line("  " + Id + " has run: the rule REFUSED is broken");
+      sleepMs(500);
+    }
   }
-  Log.line(std::to_string(Broken) + " of " + std::to_string(Requests) +
+  Log.line(std::to_string(Broken) + " of " + std::to_string(2 * Requests) +
            " requests ran and were answered as not run; " +
            std::to_string(Answered) + " got an answer");
-  if (!Trouble && Answered < Requests)
+  if (!Trouble && Answered < 2 * Requests)
     std::_Exit(CouldNotRun);
   std::_Exit(Broken > 0 ? 1 : 0);
 }
