Connections know the calls they carried; answers and refusals that may belong to another call are logged

- 'refused-on-kept-connection' and 'answer-of-another-request' name the call, the address, how long the connection was idle, how long ago the request was sent, how many calls it carried and whether the answer's id was among them.
- Metrics refusals_on_kept_connections, second_answers, unknown_answers.

No decision changes.

--- a/Source/Connection/Http.h
+++ b/Source/Connection/Http.h
@@ -5,6 +5,7 @@
 /// are slow to compile.
 
 #include "Common/ResultCode.h"
+#include "Connection/CarriedCalls.h"
 #include "Connection/FieldRules.h"
 #include "Connection/HttpFields.h"
 
@@ -253,6 +254,13 @@
   virtual std::chrono::steady_clock::time_point lastReceived() const = 0;
   /// Closes the connection. A pending read returns ConnectionLost.
   virtual void close() = 0;
+
+  /// The calls that the connection has carried.
+  CarriedCalls &carried() { return Carried_; }
+  const CarriedCalls &carried() const { return Carried_; }
+
+private:
+  CarriedCalls Carried_;
 };
 
 /// \returns whether the end of \p Body, read from \p Connection, is known: by
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -79,6 +79,8 @@
                                std::chrono::milliseconds Timeout) override {
     Complete_ = false;
     ToHead_ = Request.Method_ == "HEAD";
+    if (ToHead_)
+      carried().addHead();
     auto Message = std::make_shared<http::request<http::string_body>>();
     Message->version(11);
     Message->method_string(Request.Method_);
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -12,6 +12,7 @@
 namespace samphireshunt {
 
 namespace asio = boost::asio;
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -74,7 +75,15 @@
 }
 
 Awaitable<std::variant<ServerLink, LinkFailure>>
-ServerConnector::take(ServerTarget Target, milliseconds MaxIdle) {
+ServerConnector::take(ServerTarget Target, milliseconds MaxIdle, CallKey Call) {
+  auto Obtained = co_await obtain(std::move(Target), MaxIdle);
+  if (auto *Link = std::get_if<ServerLink>(&Obtained))
+    Link->Connection_->carried().add(Call);
+  co_return Obtained;
+}
+
+Awaitable<std::variant<ServerLink, LinkFailure>>
+ServerConnector::obtain(ServerTarget Target, milliseconds MaxIdle) {
   LinkFailure Failed;
   if (Hooks_.IsOwnAddress_(Target.Address_)) {
     Failed.Detail_ = formatEndpoint(Target.Address_) + ": this daemon's own";
@@ -84,8 +93,11 @@
   ServerLink Link;
   if (!Paths_.trustsIdle(Target.Address_))
     Pool_.closeIdle(Target.Address_);
-  else if ((Link.Connection_ = Pool_.takeIdle(Target.Address_, MaxIdle)))
+  else if ((Link.Connection_ = Pool_.takeIdle(Target.Address_, MaxIdle))) {
+    Link.Idle_ = duration_cast<milliseconds>(steady_clock::now() -
+                                             Link.Connection_->lastReceived());
     co_return Link;
+  }
   PortState Seen = PortState::Silent;
   bool TriedDirect = !Paths_.isCutOff(Target.Address_);
   if (TriedDirect) {
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -28,6 +28,19 @@
   std::unique_ptr<HttpConnection> Connection_;
   /// The daemon that relays it; unset if it is direct.
   std::optional<VmId> Relay_;
+  /// How long it was kept unused; unset if it is new.
+  std::optional<std::chrono::milliseconds> Idle_;
+};
+
+/// Counts what shows that answers and calls of a connection don't match.
+/// Thread-safe.
+struct ExchangeCounts {
+  /// Refusals that came on a connection that was in use before.
+  std::atomic<std::uint64_t> RefusalsOnKept_ = 0;
+  /// Answers with the id of an earlier call of their connection.
+  std::atomic<std::uint64_t> SecondAnswers_ = 0;
+  /// Answers with an id that their connection never carried.
+  std::atomic<std::uint64_t> UnknownAnswers_ = 0;
 };
 
 /// Why there is no connection to a server.
@@ -83,9 +96,9 @@
                   Hooks Callbacks);
 
   /// \returns an idle connection that received bytes within \p MaxIdle, or a
-  /// new one.
+  /// new one, to carry \p Call.
   Awaitable<std::variant<ServerLink, LinkFailure>>
-  take(ServerTarget Target, std::chrono::milliseconds MaxIdle);
+  take(ServerTarget Target, std::chrono::milliseconds MaxIdle, CallKey Call);
   /// Keeps a direct connection for further requests; closes a relayed one.
   void giveBack(const Endpoint &Address, ServerLink Link);
   /// Returns a connection on which nothing was sent.
@@ -103,6 +116,7 @@
   std::size_t cutOffCount() const { return CutOffCount_; }
   /// \returns how many connections other daemons have relayed. Thread-safe.
   std::uint64_t relayedCount() const { return RelayedCount_; }
+  ExchangeCounts &exchanges() { return Exchanges_; }
 
 private:
   /// The answers of the daemons that were asked to relay.
@@ -115,6 +129,8 @@
     std::size_t WithoutPath_ = 0;
   };
 
+  Awaitable<std::variant<ServerLink, LinkFailure>>
+  obtain(ServerTarget Target, std::chrono::milliseconds MaxIdle);
   std::chrono::milliseconds directTimeout() const;
   Awaitable<RelayAttempt> tryRelays(RelayTarget Target);
   void onReached(const Endpoint &Server);
@@ -149,6 +165,7 @@
   TimePoint CheckedTogether_;
   std::atomic<std::size_t> CutOffCount_ = 0;
   std::atomic<std::uint64_t> RelayedCount_ = 0;
+  ExchangeCounts Exchanges_;
 };
 
 } // namespace samphireshunt
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -234,10 +234,20 @@
                     static_cast<double>(Relay_->connections()));
   double CutOff = 0;
   double RelayedByOthers = 0;
+  double RefusalsOnKept = 0;
+  double SecondAnswers = 0;
+  double UnknownAnswers = 0;
   for (const auto &Current : Workers_) {
     CutOff += static_cast<double>(Current->Servers_->cutOffCount());
     RelayedByOthers += static_cast<double>(Current->Servers_->relayedCount());
+    const ExchangeCounts &Counted = Current->Servers_->exchanges();
+    RefusalsOnKept += static_cast<double>(Counted.RefusalsOnKept_);
+    SecondAnswers += static_cast<double>(Counted.SecondAnswers_);
+    UnknownAnswers += static_cast<double>(Counted.UnknownAnswers_);
   }
+  Metrics_.setGauge("refusals_on_kept_connections", RefusalsOnKept);
+  Metrics_.setGauge("second_answers", SecondAnswers);
+  Metrics_.setGauge("unknown_answers", UnknownAnswers);
   Metrics_.setGauge("servers_cut_off", CutOff);
   Metrics_.setGauge("connections_relayed_by_others", RelayedByOthers);
   auto Cells = Keeper_->cells();
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -204,8 +204,10 @@
     if (By == Answerer::Intended)
       reportServerNotices(Context_, Ready_, *Head);
     // The connection may deliver an extra answer to an earlier request first.
-    if (Labels.CallId_ != Context_.Call_.CallId_)
+    if (Labels.CallId_ != Context_.Call_.CallId_) {
+      noteOtherAnswer(Labels.CallId_);
       co_return failed({ResultCode::CrossedAnswer, Labels.CallId_});
+    }
     Replaced_ = By == Answerer::Other;
     // A server that is another one than expected says nothing of its load.
     Rejected_ = Labels.NotRun_ && !Labels.Misdirected_;
@@ -538,7 +540,50 @@
     return HeadSent_ ? AttemptEnd::Broken : AttemptEnd::Failed;
   }
 
+  /// Counts and logs an answer that bears the id of another request.
+  void noteOtherAnswer(const std::string &Id) {
+    const CarriedCalls &Carried = Ready_.Connection_->carried();
+    bool Known = Carried.contains(callKey(Id));
+    ExchangeCounts &Counts = Context_.Services_.Servers_.exchanges();
+    ++(Known ? Counts.SecondAnswers_ : Counts.UnknownAnswers_);
+    logExchange("answer-of-another-request", ResultCode::CrossedAnswer,
+                {{"answer_to", Id}, {"carried", Known ? "yes" : "no"}});
+  }
+
+  /// Counts and logs a refusal on a connection that was in use before: it may
+  /// be a copy of an earlier one.
+  void noteRefusal(const HttpResponse &Head) {
+    if (!Ready_.Idle_)
+      return;
+    ++Context_.Services_.Servers_.exchanges().RefusalsOnKept_;
+    logExchange("refused-on-kept-connection", ResultCode::RefusedByServer,
+                {{"status", std::to_string(Head.Status_)}});
+  }
+
+  void logExchange(const char *Event, ResultCode Kind, LogFields Seen) const {
+    constexpr std::uint32_t LinesPerSecond = 5;
+    thread_local LogSampler Sampler(LinesPerSecond);
+    auto Dropped = Sampler.admit(static_cast<int>(Kind), steady_clock::now());
+    if (!Dropped)
+      return;
+    auto Idle = Ready_.Idle_.value_or(milliseconds(0));
+    auto Waited =
+        duration_cast<milliseconds>(steady_clock::now() - Dispatched_);
+    LogFields Fields = {
+        {"request", Context_.Id_.str()},
+        {"call", Context_.Call_.CallId_},
+        {"server", Ready_.Server_.Name_.str()},
+        {"address", formatEndpoint(Ready_.Server_.Address_)},
+        {"idle_ms", std::to_string(Idle.count())},
+        {"sent_ms_ago", std::to_string(Waited.count())},
+        {"calls_carried", std::to_string(Ready_.Connection_->carried().size())},
+        {"dropped", std::to_string(*Dropped)}};
+    std::ranges::move(Seen, std::back_inserter(Fields));
+    logEvent(LogCategory::Request, spdlog::level::info, Event, Fields);
+  }
+
   Awaitable<AttemptEnd> refusedByServer(HttpResponse Head) {
+    noteRefusal(Head);
     Result<void> Whole = co_await readBody(Head);
     HeldAnswer_.set(0);
     if (Whole)
--- a/Source/Request/ModelCall.cpp
+++ b/Source/Request/ModelCall.cpp
@@ -336,7 +336,7 @@
     Ready_.Connection_->close();
     ServerTarget Target = targetOf(Context_, Ready_.Server_);
     auto Connected = co_await Context_.Services_.Servers_.take(
-        std::move(Target), milliseconds(0));
+        std::move(Target), milliseconds(0), callKeyOf(Context_));
     Verdict Broken;
     Broken.Outcome_ = HeadSent_ ? Outcome::Partial : Outcome::Unknown;
     Broken.Code_ =
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -506,8 +506,8 @@
       co_return std::move(*Refused);
     }
     ServerTarget Target = targetOf(Context, Chosen);
-    auto Connected = co_await Context.Services_.Servers_.take(std::move(Target),
-                                                              Options.MaxIdle_);
+    auto Connected = co_await Context.Services_.Servers_.take(
+        std::move(Target), Options.MaxIdle_, callKeyOf(Context));
     if (auto *Failed = std::get_if<LinkFailure>(&Connected)) {
       ServedSample Unreachable;
       Unreachable.Faulty_ = !Failed->PathLost_;
@@ -559,6 +559,7 @@
     Ready.Server_ = std::move(Chosen);
     Ready.Connection_ = std::move(Link.Connection_);
     Ready.Relay_ = std::move(Link.Relay_);
+    Ready.Idle_ = Link.Idle_;
     Ready.Limited_ = Answer->Limited_;
     if (!Answer->Backup_.empty())
       Ready.Backup_ = findServer(Context, Answer->Backup_);
@@ -574,6 +575,11 @@
           Server.Address_};
 }
 
+CallKey callKeyOf(const RequestContext &Context) {
+  bool Forwarded = Context.Route_ && Context.Route_->Forwarding_;
+  return callKey(Forwarded ? Context.Call_.CallId_ : Context.Id_.str());
+}
+
 void releaseConnection(RequestContext &Context, ReadyServer &Used) {
   Context.Services_.Servers_.giveBack(
       Used.Server_.Address_, {std::move(Used.Connection_), Used.Relay_});
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -187,6 +187,8 @@
   std::unique_ptr<HttpConnection> Connection_;
   /// The daemon that relays the connection; unset if it is direct.
   std::optional<VmId> Relay_;
+  /// How long the connection was kept unused; unset if it is new.
+  std::optional<std::chrono::milliseconds> Idle_;
   /// The server names the rate of requests that it accepts.
   bool Limited_ = false;
   /// The server to which the run's memory is to be backed up; unset: none.
@@ -196,6 +198,8 @@
 /// \returns the server of a request's pool as connections address it.
 ServerTarget targetOf(const RequestContext &Context,
                       const BackendServer &Server);
+/// \returns what tells the answers to the request from those to others.
+CallKey callKeyOf(const RequestContext &Context);
 /// Keeps the connection for further requests.
 void releaseConnection(RequestContext &Context, ReadyServer &Used);
 
--- a/UnitTests/Process/Relay/ServerConnectorTest.cpp
+++ b/UnitTests/Process/Relay/ServerConnectorTest.cpp
@@ -164,8 +164,8 @@
   ServerConnector Connector(Context, Options, Hooks);
   std::vector<bool> Taken;
   auto Take = [&](std::uint16_t Port) -> Awaitable<void> {
-    auto Link = co_await Connector.take(targetAt(Port),
-                                        std::chrono::milliseconds(1000));
+    auto Link = co_await Connector.take(
+        targetAt(Port), std::chrono::milliseconds(1000), callKey("c1"));
     Taken.push_back(std::holds_alternative<ServerLink>(Link));
     auto Relayed = co_await Connector.openForRelay(targetAt(Port));
     Taken.push_back(Relayed.Socket_.has_value());
