A connection carries no call's id twice; second answers to earlier calls are passed over

What callers saw: a request that must run once ran twice. Reproduced with scripted servers and without an odd caller: a server refuses a request with 421 since another process has its address; the entry comes with the new name; the keeper, which leaves out names, grants it; the pool, which knows addresses, gives the connection of the refusal; the server, which works on the request now, sends the refusal a second time.

Cause: an answer was matched by the name of the request rather than by the exchange that it belongs to. Ids only tell exchanges apart while a connection never carries one twice.

Change: BackendConnections passes over connections that have carried the id, whoever asks, and keeps them for other calls. Weighed against closing each connection that refused: servers refuse most when they are full, and a new channel may take a slot there; here only a repeat of the same call at the same address opens one.

Also: an answer with the id of an earlier call of the same connection is passed over, up to four of 1 MiB, if its end is known. Never over an id that the connection has not carried, nor after HEAD, whose lengths are not those of bodies.

Ruled out: bytes that come while a connection is idle close it, as before.

--- a/Source/Connection/BackendConnections.cpp
+++ b/Source/Connection/BackendConnections.cpp
@@ -1,6 +1,7 @@
 #include "Connection/BackendConnections.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace samphireshunt {
 
@@ -27,19 +28,25 @@
 } // namespace
 
 std::unique_ptr<HttpConnection>
-BackendConnections::takeIdle(const Endpoint &Address, milliseconds MaxIdle) {
+BackendConnections::takeIdle(const Endpoint &Address, milliseconds MaxIdle,
+                             CallKey Call) {
   auto Found = Idle_.find(Address);
-  if (Found == Idle_.end() || MaxIdle.count() == 0)
+  if (Found == Idle_.end() || MaxIdle.count() == 0 || Call == CallKey())
     return nullptr;
   Connections &Idle = Found->second;
-  while (!Idle.empty()) {
-    auto Connection = std::move(Idle.back());
-    Idle.pop_back();
+  auto MayCarry = [Call](const auto &Pooled) {
+    return !Pooled->carried().contains(Call);
+  };
+  while (true) {
+    auto Newest = std::find_if(Idle.rbegin(), Idle.rend(), MayCarry);
+    if (Newest == Idle.rend())
+      return nullptr;
+    auto Connection = std::move(*Newest);
+    Idle.erase(std::next(Newest).base());
     if (usable(*Connection, MaxIdle))
       return Connection;
     Connection->close();
   }
-  return nullptr;
 }
 
 void BackendConnections::returnConnection(
@@ -49,7 +56,8 @@
   std::erase_if(Idle, [Oldest](const auto &Pooled) {
     return Pooled->lastReceived() < Oldest;
   });
-  if (!Connection->reusable() || Idle.size() >= Options_.MaxIdlePerServer_)
+  bool MayKeep = Connection->reusable() && Connection->carried().mayCarryMore();
+  if (!MayKeep || Idle.size() >= Options_.MaxIdlePerServer_)
     return Connection->close();
   Idle.push_back(std::move(Connection));
 }
--- a/Source/Connection/BackendConnections.h
+++ b/Source/Connection/BackendConnections.h
@@ -25,15 +25,17 @@
 
   explicit BackendConnections(Options Settings) : Options_(Settings) {}
 
-  /// \returns an idle connection that received bytes within \p MaxIdle; null if
-  /// there is none, or with a \p MaxIdle of 0.
+  /// \returns an idle connection that received bytes within \p MaxIdle and has
+  /// not carried \p Call; null if there is none, with a \p MaxIdle of 0, or if
+  /// \p Call is unknown.
   std::unique_ptr<HttpConnection> takeIdle(const Endpoint &Address,
-                                           std::chrono::milliseconds MaxIdle);
+                                           std::chrono::milliseconds MaxIdle,
+                                           CallKey Call);
   /// Closes the idle connections to a server.
   void closeIdle(const Endpoint &Address) { Idle_.erase(Address); }
-  /// Returns \p Connection to the pool if its last response was read
-  /// completely. Otherwise closes it, so that the rest of that response can
-  /// never be taken for the response to another request.
+  /// Returns \p Connection to the pool if its last response was read completely
+  /// and it may carry more calls. Otherwise closes it, so that the rest of that
+  /// response can never be taken for the response to another request.
   void returnConnection(const Endpoint &Address,
                         std::unique_ptr<HttpConnection> Connection);
 
--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -76,14 +76,15 @@
 
 Awaitable<std::variant<ServerLink, LinkFailure>>
 ServerConnector::take(ServerTarget Target, milliseconds MaxIdle, CallKey Call) {
-  auto Obtained = co_await obtain(std::move(Target), MaxIdle);
+  auto Obtained = co_await obtain(std::move(Target), MaxIdle, Call);
   if (auto *Link = std::get_if<ServerLink>(&Obtained))
     Link->Connection_->carried().add(Call);
   co_return Obtained;
 }
 
 Awaitable<std::variant<ServerLink, LinkFailure>>
-ServerConnector::obtain(ServerTarget Target, milliseconds MaxIdle) {
+ServerConnector::obtain(ServerTarget Target, milliseconds MaxIdle,
+                        CallKey Call) {
   LinkFailure Failed;
   if (Hooks_.IsOwnAddress_(Target.Address_)) {
     Failed.Detail_ = formatEndpoint(Target.Address_) + ": this daemon's own";
@@ -93,7 +94,8 @@
   ServerLink Link;
   if (!Paths_.trustsIdle(Target.Address_))
     Pool_.closeIdle(Target.Address_);
-  else if ((Link.Connection_ = Pool_.takeIdle(Target.Address_, MaxIdle))) {
+  else if ((Link.Connection_ =
+                Pool_.takeIdle(Target.Address_, MaxIdle, Call))) {
     Link.Idle_ = duration_cast<milliseconds>(steady_clock::now() -
                                              Link.Connection_->lastReceived());
     co_return Link;
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -95,8 +95,8 @@
   ServerConnector(boost::asio::io_context &Context, Options Settings,
                   Hooks Callbacks);
 
-  /// \returns an idle connection that received bytes within \p MaxIdle, or a
-  /// new one, to carry \p Call.
+  /// \returns an idle connection that received bytes within \p MaxIdle and has
+  /// not carried \p Call, or a new one, to carry it.
   Awaitable<std::variant<ServerLink, LinkFailure>>
   take(ServerTarget Target, std::chrono::milliseconds MaxIdle, CallKey Call);
   /// Keeps a direct connection for further requests; closes a relayed one.
@@ -130,7 +130,7 @@
   };
 
   Awaitable<std::variant<ServerLink, LinkFailure>>
-  obtain(ServerTarget Target, std::chrono::milliseconds MaxIdle);
+  obtain(ServerTarget Target, std::chrono::milliseconds MaxIdle, CallKey Call);
   std::chrono::milliseconds directTimeout() const;
   Awaitable<RelayAttempt> tryRelays(RelayTarget Target);
   void onReached(const Endpoint &Server);
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -50,6 +50,11 @@
 /// A silence for the route's timeout divided by this may be a fault, also where
 /// the objective is longer.
 constexpr int FairTimeDivisor = 4;
+/// Second answers to earlier calls that are passed over before the own one. A
+/// server sends one of them now and then; one that sends more has lost count.
+constexpr int MaxSecondAnswers = 4;
+/// The longest of them: reading more costs more than another connection.
+constexpr std::size_t MaxSecondAnswerBytes = 1024 * 1024;
 /// Maximum number of servers that may refuse a request before it is given up.
 constexpr int MaxRefusals = 3;
 
@@ -193,7 +198,7 @@
     if (!Sent)
       co_return failed(Sent.error());
     watchSilence();
-    auto Head = co_await readAnswerHead(Context_, Connection, headTimeout());
+    auto Head = co_await readOwnHead();
     endRead();
     if (!Head)
       co_return failed(readFailure(Head.error()));
@@ -203,11 +208,6 @@
     Answerer By = answererOf(Labels, Context_.Call_, Ready_.Server_.Name_);
     if (By == Answerer::Intended)
       reportServerNotices(Context_, Ready_, *Head);
-    // The connection may deliver an extra answer to an earlier request first.
-    if (Labels.CallId_ != Context_.Call_.CallId_) {
-      noteOtherAnswer(Labels.CallId_);
-      co_return failed({ResultCode::CrossedAnswer, Labels.CallId_});
-    }
     Replaced_ = By == Answerer::Other;
     // A server that is another one than expected says nothing of its load.
     Rejected_ = Labels.NotRun_ && !Labels.Misdirected_;
@@ -223,6 +223,50 @@
     co_return co_await relayAnswer(std::move(*Head));
   }
 
+  /// Reads the head of the answer to the dispatch, after any second answers to
+  /// earlier calls of the connection. \returns CrossedAnswer for one that is
+  /// neither.
+  Awaitable<Result<HttpResponse>> readOwnHead() {
+    HttpConnection &Connection = *Ready_.Connection_;
+    TimePoint End = steady_clock::now() + headTimeout();
+    for (int Passed = 0; true; ++Passed) {
+      auto Head = co_await readAnswerHead(Context_, Connection, timeUntil(End));
+      if (!Head)
+        co_return Head;
+      std::string Id = Dialect_.ReadAnswer_(*Head).CallId_;
+      if (Id == Context_.Call_.CallId_)
+        co_return Head;
+      noteOtherAnswer(Id);
+      bool MayPass = Passed < MaxSecondAnswers &&
+                     Connection.carried().isSecondAnswer(callKey(Id));
+      if (!MayPass || !co_await passOver(End))
+        co_return Failure{ResultCode::CrossedAnswer, Id};
+    }
+  }
+
+  /// Reads the rest of an answer to another call. \returns whether its end is
+  /// known.
+  Awaitable<bool> passOver(TimePoint End) {
+    HttpConnection &Connection = *Ready_.Connection_;
+    if (Connection.bodyEnd() == BodyEnd::Close)
+      co_return false;
+    std::size_t Bytes = 0;
+    while (Bytes <= MaxSecondAnswerBytes) {
+      auto Received = co_await Connection.readSome(timeUntil(End));
+      if (!Received)
+        co_return false;
+      if (Received->empty())
+        co_return true;
+      Bytes += Received->size();
+    }
+    co_return false;
+  }
+
+  static milliseconds timeUntil(TimePoint End) {
+    auto Left = duration_cast<milliseconds>(End - steady_clock::now());
+    return std::max(Left, milliseconds(1));
+  }
+
   /// \returns the hook for a keeper's wish to suspend the run. It is called on
   /// another thread.
   GrantClient::Suspended suspendHook() {
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -76,7 +76,7 @@
 mutate close-abandoned $S/Request/ApplicationCall.cpp \
   's/(so that no other request receives it\.\n)\s*Ready_\.Connection_->close\(\);/$1    Context_.Services_.Connections_.returnConnection(Ready_.Server_.Address_, std::move(Ready_.Connection_));/' \
   ${F}OwnAnswerTest '*after the deadline*' $S/Connection/BackendConnections.cpp \
-  's/Connection->lastReceived\(\) >= OldestProof && Connection->hasNoUnexpectedInput\(\)/true/; s/!Connection->reusable\(\) \|\|//'
+  's/Connection->lastReceived\(\) >= OldestProof && Connection->hasNoUnexpectedInput\(\)/true/; s/bool MayKeep = Connection->reusable\(\) &&/bool MayKeep =/'
 mutate whole-body $S/Connection/HttpConnection.cpp \
   's/if \(Error && !BufferFull\)\s*co_return readFailure\(Error\);/if (Error && !BufferFull) co_return std::string();/' \
   ${F}OwnAnswerTest '*cut off is not passed*'
@@ -1045,6 +1045,17 @@
 mutate stated-length $S/Connection/HttpConnection.cpp \
   's/Head\.StatedLength_ = statedLength\(Head\);/(void)0;/' \
   ${F}platform_HttpTest '*length that its server states*'
+mutate carried-ids $S/Connection/BackendConnections.cpp \
+  's/return !Pooled->carried\(\)\.contains\(Call\);/return true;/' \
+  ${U}CopiedRefusal '*copy of a refusal*'
+mutate carried-unnamed $S/Connection/CarriedCalls.cpp \
+  's/HasUnnamed_ = true;/HasUnnamed_ = false;/' \
+  ${U}CopiedRefusal '*without an id*'
+mutate second-answers $S/Request/ForwardedCall.cpp \
+  's/if \(!MayPass \|\|/if (true ||/' ${U}CopiedRefusal '*passed over*'
+mutate second-answers-after-head $S/Connection/CarriedCalls.h \
+  's/return !HasHead_ && contains/return contains/' \
+  ${U}CopiedRefusal '*after HEAD*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -463,7 +463,10 @@
     if (std::ranges::count(Gone, Index))
       continue;
     BackendServer Built;
-    Built.Name_ = ServerName(fmt::format("server-{}", Index));
+    auto Renamed = Names_.find(Index);
+    Built.Name_ = ServerName(Renamed == Names_.end()
+                                 ? fmt::format("server-{}", Index)
+                                 : Renamed->second);
     Built.Address_ = Servers_[Index]->address();
     Built.MaxInFlight_ = Options_.MaxInFlight_;
     Built.Leaving_ = std::ranges::count(Leaving, Index) > 0;
@@ -483,6 +486,11 @@
   KeeperKnows_ = true;
 }
 
+void ForwardingHarness::rename(std::size_t Index, std::string Name) {
+  Names_[Index] = std::move(Name);
+  publish();
+}
+
 void ForwardingHarness::publishAt(const Endpoint &Address) {
   BackendServer Built;
   Built.Name_ = ServerName("server-0");
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -232,6 +232,9 @@
     Options_.Versions_ = std::move(Versions);
     publish();
   }
+  /// Publishes the directory, with another name for the server \p Index: a new
+  /// process has its address.
+  void rename(std::size_t Index, std::string Name);
   /// Publishes a directory with one server, at this address.
   void publishAt(const Endpoint &Address);
   /// Activates a configuration in which the customer has these keys.
@@ -273,6 +276,8 @@
 
   Options Options_;
   std::vector<std::size_t> HeldBack_;
+  /// Of servers that were renamed.
+  std::map<std::size_t, std::string> Names_;
   bool KeeperKnows_ = true;
   /// Outlives the context, whose coroutines give their memory back.
   MemoryBudget Memory_{Options_.MemoryBytes_};
