--- a/Generated/Peer_generated.h
+++ b/Generated/Peer_generated.h
@@ -1099,6 +1099,7 @@
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   std::string software{};
   std::string only_server{};
+  uint64_t ask = 0;
   AskT() = default;
   AskT(const AskT &o);
   AskT(AskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1129,7 +1130,8 @@
     VT_MAX_PAUSE_MS = 36,
     VT_FINGERPRINT = 38,
     VT_SOFTWARE = 40,
-    VT_ONLY_SERVER = 42
+    VT_ONLY_SERVER = 42,
+    VT_ASK = 44
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1204,6 +1206,10 @@
   const flatbuffers::String *only_server() const {
     return GetPointer<const flatbuffers::String *>(VT_ONLY_SERVER);
   }
+  /// The number of this ask; 0 is unknown. The answer has it too.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1234,6 +1240,7 @@
            verifier.VerifyString(software()) &&
            VerifyOffset(verifier, VT_ONLY_SERVER) &&
            verifier.VerifyString(only_server()) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   AskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1305,6 +1312,9 @@
   void add_only_server(flatbuffers::Offset<flatbuffers::String> only_server) {
     fbb_.AddOffset(Ask::VT_ONLY_SERVER, only_server);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Ask::VT_ASK, ask, 0);
+  }
   explicit AskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1337,8 +1347,10 @@
     uint32_t max_pause_ms = 0,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
     flatbuffers::Offset<flatbuffers::String> software = 0,
-    flatbuffers::Offset<flatbuffers::String> only_server = 0) {
+    flatbuffers::Offset<flatbuffers::String> only_server = 0,
+    uint64_t ask = 0) {
   AskBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_document_version(document_version);
   builder_.add_only_server(only_server);
   builder_.add_software(software);
@@ -1383,7 +1395,8 @@
     uint32_t max_pause_ms = 0,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
     const char *software = nullptr,
-    const char *only_server = nullptr) {
+    const char *only_server = nullptr,
+    uint64_t ask = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto prefix__ = prefix ? _fbb.CreateVector<uint64_t>(*prefix) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -1411,7 +1424,8 @@
       max_pause_ms,
       fingerprint,
       software__,
-      only_server__);
+      only_server__,
+      ask);
 }
 
 flatbuffers::Offset<Ask> CreateAsk(flatbuffers::FlatBufferBuilder &_fbb, const AskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1420,6 +1434,7 @@
   typedef Withdraw TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
   std::unique_ptr<samphireshunt::wire::CellT> cell{};
+  uint64_t ask = 0;
   WithdrawT() = default;
   WithdrawT(const WithdrawT &o);
   WithdrawT(WithdrawT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1433,7 +1448,8 @@
   typedef WithdrawBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_CELL = 6
+    VT_CELL = 6,
+    VT_ASK = 8
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1441,11 +1457,16 @@
   const samphireshunt::wire::Cell *cell() const {
     return GetPointer<const samphireshunt::wire::Cell *>(VT_CELL);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_CELL) &&
            verifier.VerifyTable(cell()) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   WithdrawT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1463,6 +1484,9 @@
   void add_cell(flatbuffers::Offset<samphireshunt::wire::Cell> cell) {
     fbb_.AddOffset(Withdraw::VT_CELL, cell);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Withdraw::VT_ASK, ask, 0);
+  }
   explicit WithdrawBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1477,8 +1501,10 @@
 inline flatbuffers::Offset<Withdraw> CreateWithdraw(
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
-    flatbuffers::Offset<samphireshunt::wire::Cell> cell = 0) {
+    flatbuffers::Offset<samphireshunt::wire::Cell> cell = 0,
+    uint64_t ask = 0) {
   WithdrawBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_cell(cell);
   builder_.add_id(id);
   return builder_.Finish();
@@ -1492,6 +1518,7 @@
   std::string server{};
   bool limited = false;
   std::string backup{};
+  uint64_t ask = 0;
   GrantT() = default;
   GrantT(const GrantT &o);
   GrantT(GrantT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1505,7 +1532,8 @@
     VT_ID = 4,
     VT_SERVER = 6,
     VT_LIMITED = 8,
-    VT_BACKUP = 10
+    VT_BACKUP = 10,
+    VT_ASK = 12
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1522,6 +1550,10 @@
   const flatbuffers::String *backup() const {
     return GetPointer<const flatbuffers::String *>(VT_BACKUP);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -1530,6 +1562,7 @@
            VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
            VerifyOffset(verifier, VT_BACKUP) &&
            verifier.VerifyString(backup()) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   GrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1553,6 +1586,9 @@
   void add_backup(flatbuffers::Offset<flatbuffers::String> backup) {
     fbb_.AddOffset(Grant::VT_BACKUP, backup);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Grant::VT_ASK, ask, 0);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1569,8 +1605,10 @@
     const samphireshunt::wire::Id *id = nullptr,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     bool limited = false,
-    flatbuffers::Offset<flatbuffers::String> backup = 0) {
+    flatbuffers::Offset<flatbuffers::String> backup = 0,
+    uint64_t ask = 0) {
   GrantBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_backup(backup);
   builder_.add_server(server);
   builder_.add_id(id);
@@ -1583,7 +1621,8 @@
     const samphireshunt::wire::Id *id = nullptr,
     const char *server = nullptr,
     bool limited = false,
-    const char *backup = nullptr) {
+    const char *backup = nullptr,
+    uint64_t ask = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto backup__ = backup ? _fbb.CreateString(backup) : 0;
   return samphireshunt::wire::CreateGrant(
@@ -1591,7 +1630,8 @@
       id,
       server__,
       limited,
-      backup__);
+      backup__,
+      ask);
 }
 
 flatbuffers::Offset<Grant> CreateGrant(flatbuffers::FlatBufferBuilder &_fbb, const GrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1900,6 +1940,7 @@
   std::unique_ptr<samphireshunt::wire::Id> id{};
   int32_t code = 0;
   uint32_t retry_after_ms = 0;
+  uint64_t ask = 0;
   RefuseT() = default;
   RefuseT(const RefuseT &o);
   RefuseT(RefuseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1912,7 +1953,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_CODE = 6,
-    VT_RETRY_AFTER_MS = 8
+    VT_RETRY_AFTER_MS = 8,
+    VT_ASK = 10
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1923,11 +1965,16 @@
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyField<int32_t>(verifier, VT_CODE, 4) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   RefuseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1948,6 +1995,9 @@
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(Refuse::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Refuse::VT_ASK, ask, 0);
+  }
   explicit RefuseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1963,8 +2013,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
     int32_t code = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    uint64_t ask = 0) {
   RefuseBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_code(code);
   builder_.add_id(id);
@@ -1977,6 +2029,7 @@
   typedef Cancel TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
   int32_t code = 0;
+  uint64_t ask = 0;
   CancelT() = default;
   CancelT(const CancelT &o);
   CancelT(CancelT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1989,7 +2042,8 @@
   typedef CancelBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_CODE = 6
+    VT_CODE = 6,
+    VT_ASK = 8
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -1997,10 +2051,15 @@
   int32_t code() const {
     return GetField<int32_t>(VT_CODE, 0);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyField<int32_t>(verifier, VT_CODE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   CancelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2018,6 +2077,9 @@
   void add_code(int32_t code) {
     fbb_.AddElement<int32_t>(Cancel::VT_CODE, code, 0);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Cancel::VT_ASK, ask, 0);
+  }
   explicit CancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2032,8 +2094,10 @@
 inline flatbuffers::Offset<Cancel> CreateCancel(
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
-    int32_t code = 0) {
+    int32_t code = 0,
+    uint64_t ask = 0) {
   CancelBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_code(code);
   builder_.add_id(id);
   return builder_.Finish();
@@ -2045,6 +2109,7 @@
   typedef Suspend TableType;
   std::unique_ptr<samphireshunt::wire::Id> id{};
   std::string copy_to{};
+  uint64_t ask = 0;
   SuspendT() = default;
   SuspendT(const SuspendT &o);
   SuspendT(SuspendT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2058,7 +2123,8 @@
   typedef SuspendBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_COPY_TO = 6
+    VT_COPY_TO = 6,
+    VT_ASK = 8
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -2067,11 +2133,16 @@
   const flatbuffers::String *copy_to() const {
     return GetPointer<const flatbuffers::String *>(VT_COPY_TO);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_COPY_TO) &&
            verifier.VerifyString(copy_to()) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   SuspendT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2089,6 +2160,9 @@
   void add_copy_to(flatbuffers::Offset<flatbuffers::String> copy_to) {
     fbb_.AddOffset(Suspend::VT_COPY_TO, copy_to);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Suspend::VT_ASK, ask, 0);
+  }
   explicit SuspendBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2103,8 +2177,10 @@
 inline flatbuffers::Offset<Suspend> CreateSuspend(
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
-    flatbuffers::Offset<flatbuffers::String> copy_to = 0) {
+    flatbuffers::Offset<flatbuffers::String> copy_to = 0,
+    uint64_t ask = 0) {
   SuspendBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_copy_to(copy_to);
   builder_.add_id(id);
   return builder_.Finish();
@@ -2113,12 +2189,14 @@
 inline flatbuffers::Offset<Suspend> CreateSuspendDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const samphireshunt::wire::Id *id = nullptr,
-    const char *copy_to = nullptr) {
+    const char *copy_to = nullptr,
+    uint64_t ask = 0) {
   auto copy_to__ = copy_to ? _fbb.CreateString(copy_to) : 0;
   return samphireshunt::wire::CreateSuspend(
       _fbb,
       id,
-      copy_to__);
+      copy_to__,
+      ask);
 }
 
 flatbuffers::Offset<Suspend> CreateSuspend(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2204,6 +2282,7 @@
   bool non_idempotent = false;
   std::unique_ptr<samphireshunt::wire::Fingerprint> fingerprint{};
   std::vector<uint64_t> parts{};
+  uint64_t ask = 0;
   RunningT() = default;
   RunningT(const RunningT &o);
   RunningT(RunningT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2225,7 +2304,8 @@
     VT_ANSWER_TOKENS = 16,
     VT_NON_IDEMPOTENT = 18,
     VT_FINGERPRINT = 20,
-    VT_PARTS = 22
+    VT_PARTS = 22,
+    VT_ASK = 24
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -2258,6 +2338,10 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -2274,6 +2358,7 @@
            VerifyField<samphireshunt::wire::Fingerprint>(verifier, VT_FINGERPRINT, 8) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   RunningT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2315,6 +2400,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(Running::VT_PARTS, parts);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Running::VT_ASK, ask, 0);
+  }
   explicit RunningBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2337,8 +2425,10 @@
     uint32_t answer_tokens = 0,
     bool non_idempotent = false,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint64_t ask = 0) {
   RunningBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_parts(parts);
   builder_.add_fingerprint(fingerprint);
   builder_.add_answer_tokens(answer_tokens);
@@ -2363,7 +2453,8 @@
     uint32_t answer_tokens = 0,
     bool non_idempotent = false,
     const samphireshunt::wire::Fingerprint *fingerprint = nullptr,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    uint64_t ask = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
@@ -2378,7 +2469,8 @@
       answer_tokens,
       non_idempotent,
       fingerprint,
-      parts__);
+      parts__,
+      ask);
 }
 
 flatbuffers::Offset<Running> CreateRunning(flatbuffers::FlatBufferBuilder &_fbb, const RunningT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2402,6 +2494,7 @@
   std::vector<uint64_t> parts{};
   bool suspended = false;
   uint32_t work_time_percent = 0;
+  uint64_t ask = 0;
   DoneT() = default;
   DoneT(const DoneT &o);
   DoneT(DoneT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2429,7 +2522,8 @@
     VT_REJECTED = 30,
     VT_PARTS = 32,
     VT_SUSPENDED = 34,
-    VT_WORK_TIME_PERCENT = 36
+    VT_WORK_TIME_PERCENT = 36,
+    VT_ASK = 38
   };
   const samphireshunt::wire::Id *id() const {
     return GetStruct<const samphireshunt::wire::Id *>(VT_ID);
@@ -2494,6 +2588,10 @@
   uint32_t work_time_percent() const {
     return GetField<uint32_t>(VT_WORK_TIME_PERCENT, 0);
   }
+  /// The number of the ask that it is about; 0 is unknown.
+  uint64_t ask() const {
+    return GetField<uint64_t>(VT_ASK, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<samphireshunt::wire::Id>(verifier, VT_ID, 8) &&
@@ -2516,6 +2614,7 @@
            verifier.VerifyVector(parts()) &&
            VerifyField<uint8_t>(verifier, VT_SUSPENDED, 1) &&
            VerifyField<uint32_t>(verifier, VT_WORK_TIME_PERCENT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ASK, 8) &&
            verifier.EndTable();
   }
   DoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2578,6 +2677,9 @@
   void add_work_time_percent(uint32_t work_time_percent) {
     fbb_.AddElement<uint32_t>(Done::VT_WORK_TIME_PERCENT, work_time_percent, 0);
   }
+  void add_ask(uint64_t ask) {
+    fbb_.AddElement<uint64_t>(Done::VT_ASK, ask, 0);
+  }
   explicit DoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2607,8 +2709,10 @@
     bool rejected = false,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
     bool suspended = false,
-    uint32_t work_time_percent = 0) {
+    uint32_t work_time_percent = 0,
+    uint64_t ask = 0) {
   DoneBuilder builder_(_fbb);
+  builder_.add_ask(ask);
   builder_.add_work_time_percent(work_time_percent);
   builder_.add_parts(parts);
   builder_.add_fingerprint(fingerprint);
@@ -2647,7 +2751,8 @@
     bool rejected = false,
     const std::vector<uint64_t> *parts = nullptr,
     bool suspended = false,
-    uint32_t work_time_percent = 0) {
+    uint32_t work_time_percent = 0,
+    uint64_t ask = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return samphireshunt::wire::CreateDone(
@@ -2668,7 +2773,8 @@
       rejected,
       parts__,
       suspended,
-      work_time_percent);
+      work_time_percent,
+      ask);
 }
 
 flatbuffers::Offset<Done> CreateDone(flatbuffers::FlatBufferBuilder &_fbb, const DoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6052,7 +6158,8 @@
         max_pause_ms(o.max_pause_ms),
         fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
         software(o.software),
-        only_server(o.only_server) {
+        only_server(o.only_server),
+        ask(o.ask) {
 }
 
 inline AskT &AskT::operator=(AskT o) FLATBUFFERS_NOEXCEPT {
@@ -6076,6 +6183,7 @@
   std::swap(fingerprint, o.fingerprint);
   std::swap(software, o.software);
   std::swap(only_server, o.only_server);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6108,6 +6216,7 @@
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
   { auto _e = software(); if (_e) _o->software = _e->str(); }
   { auto _e = only_server(); if (_e) _o->only_server = _e->str(); }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Ask> Ask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6138,6 +6247,7 @@
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   auto _software = _o->software.empty() ? 0 : _fbb.CreateString(_o->software);
   auto _only_server = _o->only_server.empty() ? 0 : _fbb.CreateString(_o->only_server);
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateAsk(
       _fbb,
       _id,
@@ -6159,17 +6269,20 @@
       _max_pause_ms,
       _fingerprint,
       _software,
-      _only_server);
+      _only_server,
+      _ask);
 }
 
 inline WithdrawT::WithdrawT(const WithdrawT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
-        cell((o.cell) ? new samphireshunt::wire::CellT(*o.cell) : nullptr) {
+        cell((o.cell) ? new samphireshunt::wire::CellT(*o.cell) : nullptr),
+        ask(o.ask) {
 }
 
 inline WithdrawT &WithdrawT::operator=(WithdrawT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(cell, o.cell);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6184,6 +6297,7 @@
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = cell(); if (_e) _o->cell = std::unique_ptr<samphireshunt::wire::CellT>(_e->UnPack(_resolver)); }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Withdraw> Withdraw::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6196,17 +6310,20 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _cell = _o->cell ? CreateCell(_fbb, _o->cell.get(), _rehasher) : 0;
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateWithdraw(
       _fbb,
       _id,
-      _cell);
+      _cell,
+      _ask);
 }
 
 inline GrantT::GrantT(const GrantT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
         server(o.server),
         limited(o.limited),
-        backup(o.backup) {
+        backup(o.backup),
+        ask(o.ask) {
 }
 
 inline GrantT &GrantT::operator=(GrantT o) FLATBUFFERS_NOEXCEPT {
@@ -6214,6 +6331,7 @@
   std::swap(server, o.server);
   std::swap(limited, o.limited);
   std::swap(backup, o.backup);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6230,6 +6348,7 @@
   { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = limited(); _o->limited = _e; }
   { auto _e = backup(); if (_e) _o->backup = _e->str(); }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Grant> Grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6244,12 +6363,14 @@
   auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
   auto _limited = _o->limited;
   auto _backup = _o->backup.empty() ? 0 : _fbb.CreateString(_o->backup);
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateGrant(
       _fbb,
       _id,
       _server,
       _limited,
-      _backup);
+      _backup,
+      _ask);
 }
 
 inline ServerLimitT::ServerLimitT(const ServerLimitT &o)
@@ -6385,13 +6506,15 @@
 inline RefuseT::RefuseT(const RefuseT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
         code(o.code),
-        retry_after_ms(o.retry_after_ms) {
+        retry_after_ms(o.retry_after_ms),
+        ask(o.ask) {
 }
 
 inline RefuseT &RefuseT::operator=(RefuseT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(code, o.code);
   std::swap(retry_after_ms, o.retry_after_ms);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6407,6 +6530,7 @@
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = code(); _o->code = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Refuse> Refuse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RefuseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6420,21 +6544,25 @@
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _code = _o->code;
   auto _retry_after_ms = _o->retry_after_ms;
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateRefuse(
       _fbb,
       _id,
       _code,
-      _retry_after_ms);
+      _retry_after_ms,
+      _ask);
 }
 
 inline CancelT::CancelT(const CancelT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
-        code(o.code) {
+        code(o.code),
+        ask(o.ask) {
 }
 
 inline CancelT &CancelT::operator=(CancelT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(code, o.code);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6449,6 +6577,7 @@
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = code(); _o->code = _e; }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Cancel> Cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6461,20 +6590,24 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _code = _o->code;
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateCancel(
       _fbb,
       _id,
-      _code);
+      _code,
+      _ask);
 }
 
 inline SuspendT::SuspendT(const SuspendT &o)
       : id((o.id) ? new samphireshunt::wire::Id(*o.id) : nullptr),
-        copy_to(o.copy_to) {
+        copy_to(o.copy_to),
+        ask(o.ask) {
 }
 
 inline SuspendT &SuspendT::operator=(SuspendT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(copy_to, o.copy_to);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6489,6 +6622,7 @@
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = std::unique_ptr<samphireshunt::wire::Id>(new samphireshunt::wire::Id(*_e)); }
   { auto _e = copy_to(); if (_e) _o->copy_to = _e->str(); }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Suspend> Suspend::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspendT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6501,10 +6635,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspendT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id ? _o->id.get() : nullptr;
   auto _copy_to = _o->copy_to.empty() ? 0 : _fbb.CreateString(_o->copy_to);
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateSuspend(
       _fbb,
       _id,
-      _copy_to);
+      _copy_to,
+      _ask);
 }
 
 inline NotSuspendedT::NotSuspendedT(const NotSuspendedT &o)
@@ -6557,7 +6693,8 @@
         answer_tokens(o.answer_tokens),
         non_idempotent(o.non_idempotent),
         fingerprint((o.fingerprint) ? new samphireshunt::wire::Fingerprint(*o.fingerprint) : nullptr),
-        parts(o.parts) {
+        parts(o.parts),
+        ask(o.ask) {
 }
 
 inline RunningT &RunningT::operator=(RunningT o) FLATBUFFERS_NOEXCEPT {
@@ -6571,6 +6708,7 @@
   std::swap(non_idempotent, o.non_idempotent);
   std::swap(fingerprint, o.fingerprint);
   std::swap(parts, o.parts);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6593,6 +6731,7 @@
   { auto _e = non_idempotent(); _o->non_idempotent = _e; }
   { auto _e = fingerprint(); if (_e) _o->fingerprint = std::unique_ptr<samphireshunt::wire::Fingerprint>(new samphireshunt::wire::Fingerprint(*_e)); }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Running> Running::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunningT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6613,6 +6752,7 @@
   auto _non_idempotent = _o->non_idempotent;
   auto _fingerprint = _o->fingerprint ? _o->fingerprint.get() : nullptr;
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateRunning(
       _fbb,
       _id,
@@ -6624,7 +6764,8 @@
       _answer_tokens,
       _non_idempotent,
       _fingerprint,
-      _parts);
+      _parts,
+      _ask);
 }
 
 inline DoneT::DoneT(const DoneT &o)
@@ -6644,7 +6785,8 @@
         rejected(o.rejected),
         parts(o.parts),
         suspended(o.suspended),
-        work_time_percent(o.work_time_percent) {
+        work_time_percent(o.work_time_percent),
+        ask(o.ask) {
 }
 
 inline DoneT &DoneT::operator=(DoneT o) FLATBUFFERS_NOEXCEPT {
@@ -6665,6 +6807,7 @@
   std::swap(parts, o.parts);
   std::swap(suspended, o.suspended);
   std::swap(work_time_percent, o.work_time_percent);
+  std::swap(ask, o.ask);
   return *this;
 }
 
@@ -6694,6 +6837,7 @@
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
   { auto _e = suspended(); _o->suspended = _e; }
   { auto _e = work_time_percent(); _o->work_time_percent = _e; }
+  { auto _e = ask(); _o->ask = _e; }
 }
 
 inline flatbuffers::Offset<Done> Done::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6721,6 +6865,7 @@
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
   auto _suspended = _o->suspended;
   auto _work_time_percent = _o->work_time_percent;
+  auto _ask = _o->ask;
   return samphireshunt::wire::CreateDone(
       _fbb,
       _id,
@@ -6739,7 +6884,8 @@
       _rejected,
       _parts,
       _suspended,
-      _work_time_percent);
+      _work_time_percent,
+      _ask);
 }
 
 inline FirstTokenT::FirstTokenT(const FirstTokenT &o)
--- a/Source/Common/Ids.h
+++ b/Source/Common/Ids.h
@@ -71,6 +71,13 @@
 /// with the same VmId or ServerName, the one with the higher value is newer. 0
 /// is unknown.
 using Incarnation = Quantity<struct IncarnationTag>;
+/// The number of an ask for a grant among those of one process. It increases; 0
+/// is unknown, as in messages of daemons of earlier versions.
+using AskNumber = Quantity<struct AskTag>;
+/// \returns whether both may be the number of one ask.
+constexpr bool mayBeSameAsk(AskNumber Left, AskNumber Right) {
+  return Left == AskNumber() || Right == AskNumber() || Left == Right;
+}
 /// The index of a tier in the document; 0 is the highest tier.
 using TierIndex = Quantity<struct TierTag, std::uint32_t>;
 
--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -78,6 +78,10 @@
   // with the share of the engines' limits that its partition of the fleet may
   // use.
   Target.Keeper_ = chooseKeeper(Target.Cell_).value_or(Self_);
+  // A keeper that is asked a second time may still answer the first ask, which
+  // allowed other servers.
+  LastAsk_ += AskNumber(1);
+  Target.Request_.Ask_ = LastAsk_;
   informKeeper(Target.Cell_, Target.Keeper_);
   milliseconds MaxWait = Target.Request_.MaxWait_;
   if (MaxWait.count() > 0)
@@ -99,17 +103,18 @@
 }
 
 void GrantClient::sendWithdraw(const CellId &Cell, const RequestId &Id,
-                               const VmId &To) {
+                               AskNumber Ask, const VmId &To) {
   if (To == Self_)
-    return LocalKeeper_->withdraw(Cell, Id);
-  Hooks_.Send_(To, encodeWithdraw(Cell, Id));
+    return LocalKeeper_->withdraw(Cell, Id, Ask);
+  Hooks_.Send_(To, encodeWithdraw(Cell, Id, Ask));
 }
 
 void GrantClient::withdraw(RequestId Id) {
   asio::post(Control_, [this, Id] {
     auto Node = PendingRequests_.extract(Id);
     if (Node) {
-      sendWithdraw(Node.mapped().Cell_, Id, Node.mapped().Keeper_);
+      const Ask &Left = Node.mapped();
+      sendWithdraw(Left.Cell_, Id, Left.Request_.Ask_, Left.Keeper_);
       return;
     }
     // The grant arrived while the withdrawal was queued here.
@@ -284,8 +289,9 @@
   const GrantedRequest &Ended = Node.mapped();
   Hooks_.Ended_(Ended.Request_.Server_, Sample);
   if (Ended.Keeper_ == Self_)
-    return LocalKeeper_->done(Ended.Cell_, Id, Sample);
-  Hooks_.Send_(Ended.Keeper_, encodeDone(Ended.Cell_, Id, Sample));
+    return LocalKeeper_->done(Ended.Cell_, Id, Sample, Ended.Request_.Ask_);
+  Hooks_.Send_(Ended.Keeper_,
+               encodeDone(Ended.Cell_, Id, Sample, Ended.Request_.Ask_));
 }
 
 void GrantClient::onDecision(const Decision &Made, const VmId &From) {
@@ -300,17 +306,22 @@
 }
 
 /// Accepts a grant only once, and only from the keeper that the request is
-/// currently assigned to. A grant may arrive after its request was abandoned,
-/// from a previous keeper, or twice. Any other grant is returned to its keeper;
-/// otherwise its engine slot would stay occupied until this daemon ends.
+/// currently assigned to, for the ask that it has sent there. A grant may
+/// arrive after its request was abandoned, from a previous keeper, for an
+/// earlier ask, or twice. Any other grant is returned to its keeper; otherwise
+/// its engine slot would stay occupied until this daemon ends.
 void GrantClient::onGrant(const GrantDecision &Grant, const VmId &From) {
   auto Found = PendingRequests_.find(Grant.Id_);
-  if (Found == PendingRequests_.end() || Found->second.Keeper_ != From) {
+  auto IsFor = [&](const auto &Target) {
+    return Target.Keeper_ == From &&
+           mayBeSameAsk(Target.Request_.Ask_, Grant.Ask_);
+  };
+  if (Found == PendingRequests_.end() || !IsFor(Found->second)) {
     auto Running = GrantedRequests_.find(Grant.Id_);
     bool Duplicate =
-        Running != GrantedRequests_.end() && Running->second.Keeper_ == From;
+        Running != GrantedRequests_.end() && IsFor(Running->second);
     if (!Duplicate)
-      returnGrant(Grant.Id_, From);
+      returnGrant(Grant, From);
     return;
   }
   Ask Accepted = std::move(Found->second);
@@ -329,16 +340,29 @@
                      Self_,
                      Request.Fingerprint_,
                      sharedParts(Request.Parts_)};
+  Target.Request_.Ask_ = Request.Ask_;
   GrantedRequests_[Request.Id_] = std::move(Target);
   Accepted.OnAnswer_(
       {ResultCode::Ok, Grant.Server_, {}, Grant.Limited_, Grant.Backup_});
 }
 
-void GrantClient::returnGrant(const RequestId &Id, const VmId &Keeper) {
+void GrantClient::returnGrant(const GrantDecision &Grant, const VmId &Keeper) {
+  ++Returned_;
+  auto Pending = PendingRequests_.find(Grant.Id_);
+  AskNumber Waits = Pending == PendingRequests_.end()
+                        ? AskNumber()
+                        : Pending->second.Request_.Ask_;
+  logEvent(LogCategory::Keeper, spdlog::level::info, "grant-returned",
+           {{"request", Grant.Id_.str()},
+            {"keeper", Keeper.str()},
+            {"server", Grant.Server_.str()},
+            {"ask", std::to_string(Grant.Ask_.count())},
+            {"waiting_ask", std::to_string(Waits.count())}});
   // The cell is no longer known here; the keeper searches all its cells.
   if (Keeper == Self_)
-    return LocalKeeper_->returnGrant(Id);
-  Hooks_.Send_(Keeper, encodeDone(CellId(), Id, ServedSample()));
+    return LocalKeeper_->returnGrant(Grant.Id_, Grant.Ask_);
+  Hooks_.Send_(Keeper,
+               encodeDone(CellId(), Grant.Id_, ServedSample(), Grant.Ask_));
 }
 
 void GrantClient::onRefusal(const RefuseDecision &Refusal, const VmId &From) {
@@ -348,9 +372,10 @@
   if (Refusal.Code_ == ResultCode::NotReady && From != Self_)
     return failOver(From, UnreachableBackoff);
   // A refusal from a previous keeper is ignored: the current one may have
-  // capacity for the request.
+  // capacity for the request. So is that of an earlier ask.
   auto Found = PendingRequests_.find(Refusal.Id_);
-  if (Found == PendingRequests_.end() || Found->second.Keeper_ != From)
+  if (Found == PendingRequests_.end() || Found->second.Keeper_ != From ||
+      !mayBeSameAsk(Found->second.Request_.Ask_, Refusal.Ask_))
     return;
   auto Node = PendingRequests_.extract(Found);
   Node.mapped().OnAnswer_({Refusal.Code_, {}, Refusal.RetryAfter_});
@@ -358,13 +383,15 @@
 
 void GrantClient::onCancel(const CancelDecision &Cancel) {
   auto Found = GrantedRequests_.find(Cancel.Id_);
-  if (Found != GrantedRequests_.end() && Found->second.OnCancel_)
+  if (Found != GrantedRequests_.end() && Found->second.OnCancel_ &&
+      mayBeSameAsk(Found->second.Request_.Ask_, Cancel.Ask_))
     Found->second.OnCancel_();
 }
 
 void GrantClient::onSuspend(const SuspendDecision &Suspend) {
   auto Found = GrantedRequests_.find(Suspend.Id_);
-  if (Found != GrantedRequests_.end() && Found->second.OnSuspend_)
+  if (Found != GrantedRequests_.end() && Found->second.OnSuspend_ &&
+      mayBeSameAsk(Found->second.Request_.Ask_, Suspend.Ask_))
     Found->second.OnSuspend_(Suspend.CopyTo_);
 }
 
@@ -462,10 +489,10 @@
 void GrantClient::withdrawAll(const VmId &Keeper) {
   for (const auto &[Id, Target] : PendingRequests_)
     if (Target.Keeper_ == Keeper)
-      sendWithdraw(Target.Cell_, Id, Keeper);
+      sendWithdraw(Target.Cell_, Id, Target.Request_.Ask_, Keeper);
   for (const auto &[Id, Target] : GrantedRequests_)
     if (Target.Keeper_ == Keeper)
-      sendWithdraw(Target.Cell_, Id, Keeper);
+      sendWithdraw(Target.Cell_, Id, Target.Request_.Ask_, Keeper);
 }
 
 void GrantClient::scheduleRebind(milliseconds Delay) {
@@ -485,7 +512,7 @@
   };
   auto WithdrawFromKeeper = [this](const RequestId &Id, const auto &Target) {
     if (!Unreachable_.contains(Target.Keeper_))
-      sendWithdraw(Target.Cell_, Id, Target.Keeper_);
+      sendWithdraw(Target.Cell_, Id, Target.Request_.Ask_, Target.Keeper_);
   };
   // Running requests are moved first: the next keeper must not grant their
   // slots to others.
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -113,6 +113,9 @@
   bool awaiting(const VmId &Keeper) const;
   std::size_t waiting() const { return PendingRequests_.size(); }
   std::size_t running() const { return GrantedRequests_.size(); }
+  /// \returns how many grants were not used, since their ask had been answered
+  /// or withdrawn, or another keeper was asked.
+  std::uint64_t returned() const { return Returned_; }
 
 private:
   struct Ask {
@@ -152,7 +155,8 @@
   void informKeeper(const CellId &Cell, const VmId &Keeper);
   void sendGrantRequest(Ask &Target);
   void sendRunning(GrantedRequest &Target);
-  void sendWithdraw(const CellId &Cell, const RequestId &Id, const VmId &To);
+  void sendWithdraw(const CellId &Cell, const RequestId &Id, AskNumber Ask,
+                    const VmId &To);
   void onGrant(const GrantDecision &Grant, const VmId &From);
   void onRefusal(const RefuseDecision &Refusal, const VmId &From);
   void failOver(const VmId &Keeper, std::chrono::milliseconds Duration);
@@ -161,7 +165,7 @@
   void withdrawAll(const VmId &Keeper);
   void onCancel(const CancelDecision &Cancel);
   void onSuspend(const SuspendDecision &Suspend);
-  void returnGrant(const RequestId &Id, const VmId &Keeper);
+  void returnGrant(const GrantDecision &Grant, const VmId &Keeper);
   void finish(const RequestId &Id, const ServedSample &Sample);
   void scheduleRebind(std::chrono::milliseconds Delay);
   void scheduleCheck();
@@ -186,6 +190,9 @@
   boost::asio::steady_timer RebindTimer_;
   boost::asio::steady_timer CheckTimer_;
   bool CheckScheduled_ = false;
+  /// Of the last ask that was sent.
+  AskNumber LastAsk_;
+  std::uint64_t Returned_ = 0;
 };
 
 } // namespace samphireshunt
--- a/Source/Process/Keeping/KeeperMessages.cpp
+++ b/Source/Process/Keeping/KeeperMessages.cpp
@@ -60,6 +60,7 @@
   Ask.fingerprint = toWire(Request.Fingerprint_);
   Ask.software = Request.Version_.str();
   Ask.only_server = Request.OnlyServer_.str();
+  Ask.ask = Request.Ask_.count();
   for (const ServerName &Name : Request.Excluded_)
     Ask.excluded.push_back(Name.str());
   return encodeMessage(std::move(Ask));
@@ -77,13 +78,15 @@
   Running.non_idempotent = Request.NonIdempotent_;
   Running.fingerprint = toWire(Request.Fingerprint_);
   Running.parts = Request.Parts_;
+  Running.ask = Request.Ask_.count();
   return encodeMessage(std::move(Running));
 }
 
 std::string encodeDone(const CellId &Cell, const RequestId &Id,
-                       const ServedSample &Sample) {
+                       const ServedSample &Sample, AskNumber Ask) {
   wire::DoneT Done;
   Done.id = toWire(Id);
+  Done.ask = Ask.count();
   Done.cell = Cell.toWire();
   Done.reached = Sample.Reached_;
   Done.complete = Sample.Complete_;
@@ -102,9 +105,11 @@
   return encodeMessage(std::move(Done));
 }
 
-std::string encodeWithdraw(const CellId &Cell, const RequestId &Id) {
+std::string encodeWithdraw(const CellId &Cell, const RequestId &Id,
+                           AskNumber Ask) {
   wire::WithdrawT Withdraw;
   Withdraw.id = toWire(Id);
+  Withdraw.ask = Ask.count();
   Withdraw.cell = Cell.toWire();
   return encodeMessage(std::move(Withdraw));
 }
@@ -213,16 +218,20 @@
   Request.Fingerprint_ = fromWire(Ask.fingerprint);
   Request.Version_ = SoftwareVersion(Ask.software);
   Request.OnlyServer_ = ServerName(Ask.only_server);
+  Request.Ask_ = AskNumber(Ask.ask);
   return Request;
 }
 
 RunningRequest runningFromWire(const wire::RunningT &Running,
                                const VmId &From) {
-  return {fromWire(Running.id),           TierIndex(Running.tier),
-          CustomerName(Running.customer), ServerName(Running.server),
-          Tokens(Running.prompt_tokens),  Tokens(Running.answer_tokens),
-          Running.non_idempotent,         From,
-          fromWire(Running.fingerprint),  Running.parts};
+  RunningRequest Request{
+      fromWire(Running.id),           TierIndex(Running.tier),
+      CustomerName(Running.customer), ServerName(Running.server),
+      Tokens(Running.prompt_tokens),  Tokens(Running.answer_tokens),
+      Running.non_idempotent,         From,
+      fromWire(Running.fingerprint),  Running.parts};
+  Request.Ask_ = AskNumber(Running.ask);
+  return Request;
 }
 
 ServedSample sampleFromWire(const wire::DoneT &Done) {
@@ -249,11 +258,28 @@
 }
 
 GrantDecision grantFromWire(const wire::GrantT &Grant) {
-  return {fromWire(Grant.id),
-          ServerName(Grant.server),
+  return {fromWire(Grant.id), ServerName(Grant.server), {},
+          Grant.limited,      ServerName(Grant.backup), AskNumber(Grant.ask)};
+}
+
+RefuseDecision refusalFromWire(const wire::RefuseT &Refusal) {
+  return {fromWire(Refusal.id),
+          static_cast<ResultCode>(Refusal.code),
+          milliseconds(Refusal.retry_after_ms),
+          {},
+          AskNumber(Refusal.ask)};
+}
+
+CancelDecision cancelFromWire(const wire::CancelT &Cancel) {
+  return {fromWire(Cancel.id), {}, {}, AskNumber(Cancel.ask)};
+}
+
+SuspendDecision suspendFromWire(const wire::SuspendT &Suspend) {
+  return {fromWire(Suspend.id),
+          {},
           {},
-          Grant.limited,
-          ServerName(Grant.backup)};
+          ServerName(Suspend.copy_to),
+          AskNumber(Suspend.ask)};
 }
 
 std::string encodeDecision(const Decision &Made) {
@@ -263,6 +289,7 @@
     Message.server = Grant->Server_.str();
     Message.limited = Grant->Limited_;
     Message.backup = Grant->Backup_.str();
+    Message.ask = Grant->Ask_.count();
     return encodeMessage(std::move(Message));
   }
   if (const auto *Refusal = std::get_if<RefuseDecision>(&Made)) {
@@ -271,16 +298,20 @@
     Message.code = static_cast<int>(Refusal->Code_);
     Message.retry_after_ms =
         static_cast<std::uint32_t>(Refusal->RetryAfter_.count());
+    Message.ask = Refusal->Ask_.count();
     return encodeMessage(std::move(Message));
   }
   if (const auto *Suspended = std::get_if<SuspendDecision>(&Made)) {
     wire::SuspendT Message;
     Message.id = toWire(Suspended->Id_);
     Message.copy_to = Suspended->CopyTo_.str();
+    Message.ask = Suspended->Ask_.count();
     return encodeMessage(std::move(Message));
   }
+  const auto &Cancel = std::get<CancelDecision>(Made);
   wire::CancelT Message;
-  Message.id = toWire(std::get<CancelDecision>(Made).Id_);
+  Message.id = toWire(Cancel.Id_);
+  Message.ask = Cancel.Ask_.count();
   return encodeMessage(std::move(Message));
 }
 
--- a/Source/Process/Keeping/KeeperMessages.h
+++ b/Source/Process/Keeping/KeeperMessages.h
@@ -13,13 +13,14 @@
 
 // From an ingress daemon to a keeper.
 std::string encodeAsk(const CellId &Cell, const GrantRequest &Request);
-std::string encodeWithdraw(const CellId &Cell, const RequestId &Id);
+std::string encodeWithdraw(const CellId &Cell, const RequestId &Id,
+                           AskNumber Ask);
 std::string encodeNotSuspended(const CellId &Cell, const RequestId &Id);
 std::string encodeRunning(const CellId &Cell, const RunningRequest &Request);
 std::string encodeFirstToken(const CellId &Cell, const RequestId &Id,
                              const FirstTokenSample &Sample);
 std::string encodeDone(const CellId &Cell, const RequestId &Id,
-                       const ServedSample &Sample);
+                       const ServedSample &Sample, AskNumber Ask);
 /// \p Id is the answered request; unset in a report to a new keeper.
 std::string encodeServerLimit(const CellId &Cell, const ServerName &Server,
                               const RequestId &Id,
@@ -50,5 +51,8 @@
 // From a keeper to an ingress daemon.
 std::string encodeDecision(const Decision &Made);
 GrantDecision grantFromWire(const wire::GrantT &Grant);
+RefuseDecision refusalFromWire(const wire::RefuseT &Refusal);
+CancelDecision cancelFromWire(const wire::CancelT &Cancel);
+SuspendDecision suspendFromWire(const wire::SuspendT &Suspend);
 
 } // namespace samphireshunt
--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -193,10 +193,13 @@
 
 void KeeperService::requestGrant(const CellId &Cell, GrantRequest Request) {
   if (!knowsPool(Cell))
-    return postDecisions(Cell,
-                         {RefuseDecision{Request.Id_, ResultCode::NotReady,
-                                         milliseconds(0), Request.Ingress_}});
+    return postDecisions(
+        Cell,
+        {RefuseDecision{Request.Id_, ResultCode::NotReady, milliseconds(0),
+                        Request.Ingress_, Request.Ask_}});
   ScheduledCell &Target = scheduledCell(Cell);
+  if (Target.Scheduler_.hasAsk(Request.Id_, Request.Ask_))
+    return;
   if (auto Refusal = chargeAllotment(Cell, Request))
     return postDecisions(Cell, {*Refusal});
   auto Remote = RemoteFloors_.find({Cell.Service_, Cell.Pool_});
@@ -273,13 +276,16 @@
   auto RetryAfter = std::max(MinAllotmentRetryAfter,
                              Allotments_.timeUntilFit(Charge, Allowed, Share));
   return RefuseDecision{Request.Id_, ResultCode::AllotmentSpent, RetryAfter,
-                        Request.Ingress_};
+                        Request.Ingress_, Request.Ask_};
 }
 
-void KeeperService::withdraw(const CellId &Cell, const RequestId &Id) {
-  Allotments_.refund(Id);
+void KeeperService::withdraw(const CellId &Cell, const RequestId &Id,
+                             AskNumber Ask) {
   ScheduledCell &Target = scheduledCell(Cell);
-  Target.Scheduler_.withdraw(Id);
+  if (Target.Scheduler_.hasOtherAsk(Id, Ask))
+    return;
+  Allotments_.refund(Id);
+  Target.Scheduler_.withdraw(Id, Ask);
   decide(Cell, Target);
 }
 
@@ -303,8 +309,10 @@
 }
 
 void KeeperService::done(const CellId &Cell, const RequestId &Id,
-                         const ServedSample &Sample) {
+                         const ServedSample &Sample, AskNumber Ask) {
   ScheduledCell &Target = scheduledCell(Cell);
+  if (Target.Scheduler_.hasOtherAsk(Id, Ask))
+    return;
   auto Ended = Target.Scheduler_.findRunning(Id);
   ServerModel *Server =
       Ended ? Target.Scheduler_.server(Ended->Server_) : nullptr;
@@ -384,9 +392,9 @@
     postDecisions(Cell, Target->Scheduler_.refuseCrashing(Request));
 }
 
-void KeeperService::returnGrant(const RequestId &Id) {
+void KeeperService::returnGrant(const RequestId &Id, AskNumber Ask) {
   for (auto &[Cell, Target] : Cells_) {
-    Target->Scheduler_.done(Id, ServedSample(), steady_clock::now());
+    Target->Scheduler_.done(Id, ServedSample(), steady_clock::now(), Ask);
     decide(Cell, *Target);
   }
 }
@@ -512,7 +520,7 @@
     return true; // The cell was dropped, which revokes no grants.
   auto Running = Deciding->findRunning(Grant.Id_);
   return Running && Running->Server_ == Grant.Server_ &&
-         Running->Ingress_ == Grant.Ingress_;
+         Running->Ingress_ == Grant.Ingress_ && Running->Ask_ == Grant.Ask_;
 }
 
 /// Removes the waiting requests of an ingress daemon whose link broke: a grant
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -97,16 +97,19 @@
                 Options Settings, Hooks Callbacks);
 
   void requestGrant(const CellId &Cell, GrantRequest Request);
-  void withdraw(const CellId &Cell, const RequestId &Id);
+  /// Without a number, \p Ask is any: a daemon of an earlier version sends
+  /// none.
+  void withdraw(const CellId &Cell, const RequestId &Id,
+                AskNumber Ask = AskNumber());
   void running(const CellId &Cell, RunningRequest Request);
   void notSuspended(const CellId &Cell, const RequestId &Id);
   void firstToken(const CellId &Cell, const RequestId &Id,
                   const FirstTokenSample &Sample);
-  void done(const CellId &Cell, const RequestId &Id,
-            const ServedSample &Sample);
+  void done(const CellId &Cell, const RequestId &Id, const ServedSample &Sample,
+            AskNumber Ask = AskNumber());
   /// Releases a grant that was not used and whose cell the ingress daemon no
   /// longer knows.
-  void returnGrant(const RequestId &Id);
+  void returnGrant(const RequestId &Id, AskNumber Ask = AskNumber());
   /// Called when the link of an ingress daemon broke. It will request its
   /// grants again, here or at another keeper.
   void ingressDisconnected(const VmId &Ingress);
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -135,7 +135,7 @@
   // An ingress daemon repeats a grant request when its link was replaced.
   // Either the first one is still queued, or it was granted and the grant was
   // lost with the link.
-  if (Waiting_.contains(Request.Id_))
+  if (hasAsk(Request.Id_, Request.Ask_) || replaceWaiting(Request))
     return Out;
   if (auto Granted = Running_.find(Request.Id_); Granted != Running_.end())
     endRunning(Granted);
@@ -210,6 +210,43 @@
   return Out;
 }
 
+std::optional<AskNumber> Scheduler::askOf(const RequestId &Id) const {
+  if (auto Queued = Waiting_.find(Id); Queued != Waiting_.end())
+    return Queued->second.Details_.Ask_;
+  if (auto Granted = Running_.find(Id); Granted != Running_.end())
+    return Granted->second.Ask_;
+  return std::nullopt;
+}
+
+bool Scheduler::hasAsk(const RequestId &Id, AskNumber Ask) const {
+  auto Known = askOf(Id);
+  return Known && Ask != AskNumber() && *Known >= Ask;
+}
+
+bool Scheduler::hasOtherAsk(const RequestId &Id, AskNumber Ask) const {
+  auto Known = askOf(Id);
+  return Known && !mayBeSameAsk(*Known, Ask);
+}
+
+/// Lets a later ask take the place of the one by which the request waits.
+/// \returns false if the request doesn't wait, or is to be decided anew since
+/// other servers may run it.
+bool Scheduler::replaceWaiting(const GrantRequest &Request) {
+  auto Queued = Waiting_.find(Request.Id_);
+  if (Queued == Waiting_.end())
+    return false;
+  GrantRequest &Details = Queued->second.Details_;
+  bool Same = Request.Ask_ == AskNumber() ||
+              (Details.Excluded_ == Request.Excluded_ &&
+               Details.OnlyServer_ == Request.OnlyServer_ &&
+               Details.Version_ == Request.Version_);
+  if (Same)
+    Details.Ask_ = Request.Ask_;
+  else
+    dequeue(Request.Id_);
+  return Same;
+}
+
 bool Scheduler::mayRunOn(const GrantRequest &Request,
                          const ServerModel &Server) {
   const ServerCapacity &Capacity = Server.capacity();
@@ -298,7 +335,8 @@
 
 RefuseDecision Scheduler::refusal(const GrantRequest &Request,
                                   ResultCode Code) {
-  return {Request.Id_, Code, retryAfter(Request.Tier_), Request.Ingress_};
+  return {Request.Id_, Code, retryAfter(Request.Tier_), Request.Ingress_,
+          Request.Ask_};
 }
 
 /// Divides the number of requests that are served first by the rate at which
@@ -344,7 +382,9 @@
   return true;
 }
 
-void Scheduler::withdraw(const RequestId &Id) {
+void Scheduler::withdraw(const RequestId &Id, AskNumber Ask) {
+  if (hasOtherAsk(Id, Ask))
+    return;
   Suspension_.ended(Id);
   if (Waiting_.contains(Id)) {
     dequeue(Id);
@@ -355,8 +395,16 @@
 }
 
 void Scheduler::addRunning(const RunningRequest &Request) {
+  // It has asked again since.
+  if (hasOtherAsk(Request.Id_, Request.Ask_) &&
+      hasAsk(Request.Id_, Request.Ask_))
+    return;
   if (Waiting_.contains(Request.Id_))
     dequeue(Request.Id_);
+  auto Known = Running_.find(Request.Id_);
+  if (Known != Running_.end() &&
+      !mayBeSameAsk(Known->second.Ask_, Request.Ask_))
+    endRunning(Known);
   if (!Running_.try_emplace(Request.Id_, Request).second)
     return;
   ++RunningByCustomer_[Request.Customer_];
@@ -386,9 +434,9 @@
 }
 
 void Scheduler::done(const RequestId &Id, const ServedSample &Sample,
-                     TimePoint Now) {
+                     TimePoint Now, AskNumber Ask) {
   auto Found = Running_.find(Id);
-  if (Found == Running_.end())
+  if (Found == Running_.end() || hasOtherAsk(Id, Ask))
     return;
   const RunningRequest &Ended = Found->second;
   if (!Sample.Suspended_)
@@ -545,7 +593,8 @@
   if (!Victim)
     return false;
   Cancelled_.insert(Victim->Id_);
-  Out.push_back(CancelDecision{Victim->Id_, Victim->Server_, Victim->Ingress_});
+  Out.push_back(CancelDecision{Victim->Id_, Victim->Server_, Victim->Ingress_,
+                               Victim->Ask_});
   return true;
 }
 
@@ -672,11 +721,12 @@
                            Details.Deadline_,
                            expectedAnswer(Details),
                            !Details.OnlyServer_.empty(),
-                           !Details.OnlyServer_.empty()};
+                           !Details.OnlyServer_.empty(),
+                           Details.Ask_};
   Out.push_back(GrantDecision{Details.Id_, Name, Details.Ingress_,
                               Server.rate().named().has_value() ||
                                   Server.rejections().named().has_value(),
-                              backupFor(Details, Server, Now)});
+                              backupFor(Details, Server, Now), Details.Ask_});
 }
 
 /// Grants one request of the tier, a stream that goes on before a new request;
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -72,6 +72,9 @@
   VmId Ingress_;
   /// Set while any request is known to have crashed a server.
   RequestFingerprint Fingerprint_;
+  /// Among the asks of the ingress daemon. A request asks again when a server
+  /// refused it, and when its keeper changes.
+  AskNumber Ask_;
 
   /// True for a stream whose caller has a part of it already.
   bool goesOn() const { return !Version_.empty() || !OnlyServer_.empty(); }
@@ -100,6 +103,8 @@
   bool Continues_ = false;
   /// Its caller has got an event.
   bool Streaming_ = false;
+  /// The ask that was granted.
+  AskNumber Ask_{};
 };
 
 /// The requests that an ingress daemon had at a keeper when it was removed.
@@ -116,6 +121,8 @@
   bool Limited_ = false;
   /// The server to which the run's memory is to be backed up; empty: none.
   ServerName Backup_;
+  /// The ask that is granted; likewise in the other decisions.
+  AskNumber Ask_{};
   bool operator==(const GrantDecision &) const = default;
 };
 struct RefuseDecision {
@@ -123,11 +130,13 @@
   ResultCode Code_;
   std::chrono::milliseconds RetryAfter_;
   VmId Ingress_;
+  AskNumber Ask_{};
 };
 struct CancelDecision {
   RequestId Id_;
   ServerName Server_;
   VmId Ingress_;
+  AskNumber Ask_{};
   bool operator==(const CancelDecision &) const = default;
 };
 /// The run is to be stopped with its memory kept, so that it goes on later.
@@ -137,6 +146,7 @@
   VmId Ingress_;
   /// The server that takes a copy of the memory for a moment.
   ServerName CopyTo_;
+  AskNumber Ask_{};
   bool operator==(const SuspendDecision &) const = default;
 };
 using Decision = std::variant<GrantDecision, RefuseDecision, CancelDecision,
@@ -245,17 +255,27 @@
   void setWarmupEnd(TimePoint Until) { WarmupEnd_ = Until; }
   bool warming(TimePoint Now) const { return Now < WarmupEnd_; }
 
-  /// Queues a request, or refuses it at once.
+  /// Queues a request, or refuses it at once. An ask that hasAsk() knows
+  /// changes nothing.
   std::vector<Decision> requestGrant(GrantRequest Request, TimePoint Now);
+  /// \returns whether the request waits or runs by \p Ask or a later one.
+  /// Messages of an ingress daemon may come twice, and in another order if its
+  /// link was replaced.
+  bool hasAsk(const RequestId &Id, AskNumber Ask) const;
+  /// \returns whether the request waits or runs by another ask than \p Ask.
+  bool hasOtherAsk(const RequestId &Id, AskNumber Ask) const;
   /// Refuses all waiting requests of which servers crash: copies of one
   /// request, or those with one part of their prompts.
   std::vector<Decision> refuseCrashing(const RequestFingerprint &Cause);
-  /// Removes a request that no longer waits, or that runs under another keeper.
-  void withdraw(const RequestId &Id);
+  /// Removes a request that no longer waits, or that runs under another keeper,
+  /// unless hasOtherAsk().
+  void withdraw(const RequestId &Id, AskNumber Ask = AskNumber());
   /// Adds a request that an earlier keeper granted and that still runs.
   void addRunning(const RunningRequest &Request);
-  /// Ends a granted request; the server model learns from \p Sample.
-  void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now);
+  /// Ends a granted request, unless hasOtherAsk(); the server model learns from
+  /// \p Sample.
+  void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now,
+            AskNumber Ask = AskNumber());
   /// Records that a run which was to be suspended goes on or has ended.
   void notSuspended(const RequestId &Id);
   const StreamSuspension &suspension() const { return Suspension_; }
@@ -439,6 +459,10 @@
   std::optional<std::chrono::milliseconds>
   timeUntilRested(const GrantRequest &Request, TimePoint Now) const;
   void refuseUnservable(std::vector<Decision> &Out);
+  /// \returns the ask by which the request waits or runs; nothing if it does
+  /// neither.
+  std::optional<AskNumber> askOf(const RequestId &Id) const;
+  bool replaceWaiting(const GrantRequest &Request);
   RefuseDecision refusal(const GrantRequest &Request, ResultCode Code);
   std::optional<RequestId> lowestWaiting(TierIndex Above) const;
   bool shedOneBelow(TierIndex Tier, std::vector<Decision> &Out);
--- a/Source/Process/Scheduling/SchedulerSuspension.cpp
+++ b/Source/Process/Scheduling/SchedulerSuspension.cpp
@@ -133,7 +133,8 @@
     if (Target.inFlight() + Suspension_.orders() >= Target.slots())
       return;
     Suspension_.ordered(Run, Now);
-    Out.push_back(SuspendDecision{Run.Id_, Run.Server_, Run.Ingress_, *CopyTo});
+    Out.push_back(SuspendDecision{Run.Id_, Run.Server_, Run.Ingress_, *CopyTo,
+                                  Running_.at(Run.Id_).Ask_});
   }
 }
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -875,7 +875,8 @@
   if (const auto *Ask = Message.body.AsAsk())
     Keeper_->requestGrant(CellId::fromWire(Ask->cell), askFromWire(*Ask, From));
   else if (const auto *Withdraw = Message.body.AsWithdraw())
-    Keeper_->withdraw(CellId::fromWire(Withdraw->cell), fromWire(Withdraw->id));
+    Keeper_->withdraw(CellId::fromWire(Withdraw->cell), fromWire(Withdraw->id),
+                      AskNumber(Withdraw->ask));
   else if (const auto *Running = Message.body.AsRunning())
     Keeper_->running(CellId::fromWire(Running->cell),
                      runningFromWire(*Running, From));
@@ -898,9 +899,9 @@
   } else if (const auto *Done = Message.body.AsDone()) {
     if (Done->cell && !Done->cell->service.empty())
       Keeper_->done(CellId::fromWire(Done->cell), fromWire(Done->id),
-                    sampleFromWire(*Done));
+                    sampleFromWire(*Done), AskNumber(Done->ask));
     else
-      Keeper_->returnGrant(fromWire(Done->id));
+      Keeper_->returnGrant(fromWire(Done->id), AskNumber(Done->ask));
   } else if (const auto *Record = Message.body.AsStreamOrigin())
     Origins_->onRecord(*Record);
   else if (const auto *Crash = Message.body.AsCrashRecord())
@@ -935,18 +936,11 @@
   if (const auto *Grant = Message.body.AsGrant())
     Grants_->onDecision(grantFromWire(*Grant), From);
   else if (const auto *Refusal = Message.body.AsRefuse())
-    Grants_->onDecision(RefuseDecision{fromWire(Refusal->id),
-                                       static_cast<ResultCode>(Refusal->code),
-                                       milliseconds(Refusal->retry_after_ms),
-                                       {}},
-                        From);
+    Grants_->onDecision(refusalFromWire(*Refusal), From);
   else if (const auto *Cancel = Message.body.AsCancel())
-    Grants_->onDecision(CancelDecision{fromWire(Cancel->id), {}, {}}, From);
+    Grants_->onDecision(cancelFromWire(*Cancel), From);
   else if (const auto *Suspend = Message.body.AsSuspend())
-    Grants_->onDecision(
-        SuspendDecision{
-            fromWire(Suspend->id), {}, {}, ServerName(Suspend->copy_to)},
-        From);
+    Grants_->onDecision(suspendFromWire(*Suspend), From);
   else if (const auto *Reply = Message.body.AsDocumentReply();
            Reply && Configuration_)
     Configuration_->documentReceived(ServiceName(Reply->service),
--- a/Source/Programs/DaemonReports.cpp
+++ b/Source/Programs/DaemonReports.cpp
@@ -230,6 +230,8 @@
                       static_cast<double>(Memory_.used(Owner)));
   Metrics_.setGauge("asks_waiting", static_cast<double>(Grants_->waiting()));
   Metrics_.setGauge("grants_running", static_cast<double>(Grants_->running()));
+  Metrics_.setGauge("grants_returned",
+                    static_cast<double>(Grants_->returned()));
   Metrics_.setGauge("relayed_connections",
                     static_cast<double>(Relay_->connections()));
   double CutOff = 0;
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -295,6 +295,15 @@
             {"dropped", std::to_string(*Dropped)}});
 }
 
+/// A server that has refused a request, or lost it, is not to get it again.
+void logUnfitGrant(const RequestContext &Context, const ServerName &Server) {
+  logEvent(LogCategory::Request, spdlog::level::warn, "grant-not-used",
+           {{"request", Context.Id_.str()},
+            {"call", Context.Call_.CallId_},
+            {"server", Server.str()},
+            {"servers", serversText(Context)}});
+}
+
 Verdict notRun(ResultCode Code) { return Verdict(Code); }
 
 /// \returns why a wait for a grant ended without an answer.
@@ -476,6 +485,13 @@
       }
       break;
     }
+    if (std::ranges::count(Excluded, Answer->Server_) > 0) {
+      // Its keeper did not know, or answered another ask.
+      Grants.done(Context.Id_, ServedSample());
+      Ended = notRun(ResultCode::NoBackendServer);
+      logUnfitGrant(Context, Answer->Server_);
+      continue;
+    }
     // The server may have started to leave while the request waited, so the
     // newest snapshot is checked, not the one that the request started with.
     auto Server = findServer(Context, Answer->Server_);
--- a/UnitTests/Process/Keeping/KeeperMessagesTest.cpp
+++ b/UnitTests/Process/Keeping/KeeperMessagesTest.cpp
@@ -12,7 +12,7 @@
   const RequestId Id{1, 2};
   ServedSample Served;
   Served.WorkTimePercent_ = 250;
-  auto Done = decodeMessage(encodeDone(Cell, Id, Served)).value();
+  auto Done = decodeMessage(encodeDone(Cell, Id, Served, AskNumber(7))).value();
   CHECK(sampleFromWire(*Done.body.AsDone()).WorkTimePercent_ == 250);
   auto First = decodeMessage(encodeFirstToken(
                                  Cell, Id, {std::chrono::microseconds(7), 180}))
