A promise that a request has not run is made only if each send was refused by its server

Cause: the status followed from the result code alone. A caller that counts as gone has code 207, of the group "ended before any dispatch", and the code of the failed send was not put in its place.

Change: httpStatus() takes the verdict: 408, 421, 429 and 503 only with the outcome not-run, else 502; Retry-After likewise. RunRecord says whether a send is open: it is, from before the first byte until its server refuses it. ForwardedCall had set a flag at each place where a send failed.

--- a/Source/Programs/OperatorService.cpp
+++ b/Source/Programs/OperatorService.cpp
@@ -19,7 +19,7 @@
   Verdict Ended;
   Ended.Code_ = Cause.Code_;
   Ended.Detail_ = Cause.Detail_;
-  return jsonResponse(httpStatus(Cause.Code_), errorBody(Ended));
+  return jsonResponse(httpStatus(Ended), errorBody(Ended));
 }
 
 HttpResponse responseWithEra(const Json &Body, StoreEra Era) {
--- a/Source/Request/FinalAnswer.cpp
+++ b/Source/Request/FinalAnswer.cpp
@@ -3,9 +3,16 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace samphireshunt {
 
-int httpStatus(ResultCode Code) {
+namespace {
+
+constexpr int StatusBadGateway = 502;
+
+int usualStatus(ResultCode Code) {
   switch (Code) {
   case ResultCode::Ok:
     return 200;
@@ -60,6 +67,19 @@
   }
 }
 
+} // namespace
+
+bool promisesNotRun(int Status) {
+  constexpr std::array Promises = {408, 421, 429, 503};
+  return std::ranges::count(Promises, Status) > 0;
+}
+
+int httpStatus(const Verdict &Ended) {
+  int Status = usualStatus(Ended.Code_);
+  bool IsFalse = promisesNotRun(Status) && Ended.Outcome_ != Outcome::NotRun;
+  return IsFalse ? StatusBadGateway : Status;
+}
+
 std::chrono::milliseconds defaultRetryAfter(ResultCode Code) {
   constexpr std::chrono::milliseconds AtAnotherDaemon{60};
   constexpr std::chrono::milliseconds AtAnotherServer{200};
@@ -89,7 +109,8 @@
 
 bool isRetryable(const Verdict &Ended) {
   int Number = static_cast<int>(Ended.Code_);
-  bool Overload = Number >= 200 && Number < 300;
+  bool Overload =
+      Number >= 200 && Number < 300 && Ended.Outcome_ == Outcome::NotRun;
   bool Claim = Ended.Code_ == ResultCode::ClaimFailed ||
                Ended.Code_ == ResultCode::FirstAttemptRunning ||
                Ended.Code_ == ResultCode::PlatformUnavailable;
@@ -117,8 +138,7 @@
 
 HttpResponse finalResponse(const RequestId &Id, const Verdict &Ended,
                            bool Fractional) {
-  HttpResponse Response =
-      jsonResponse(httpStatus(Ended.Code_), errorBody(Ended));
+  HttpResponse Response = jsonResponse(httpStatus(Ended), errorBody(Ended));
   addOutcomeFields(Response, Id, Ended.Outcome_, Ended.Code_);
   if (!isRetryable(Ended))
     return Response;
--- a/Source/Request/FinalAnswer.h
+++ b/Source/Request/FinalAnswer.h
@@ -24,14 +24,18 @@
   std::chrono::milliseconds RetryAfter_{1000};
 };
 
-/// \returns the HTTP status for a result code.
-int httpStatus(ResultCode Code);
+/// \returns whether a caller takes the status for a promise that its request
+/// has not run and never will.
+bool promisesNotRun(int Status);
+/// \returns the HTTP status of a verdict. Only an outcome of NotRun has one
+/// that promisesNotRun(), whatever its code is.
+int httpStatus(const Verdict &Ended);
 /// \returns how long a caller should wait before it retries, when nothing more
 /// specific is known. Conditions of this daemon alone get a very short delay,
 /// since another daemon can serve the retry.
 std::chrono::milliseconds defaultRetryAfter(ResultCode Code);
-/// \returns true when a later retry can succeed, so that the answer carries
-/// Retry-After.
+/// \returns true when a later retry can succeed and runs nothing twice, so that
+/// the answer carries Retry-After.
 bool isRetryable(const Verdict &Ended);
 /// \returns the JSON body of an error in the format of the OpenAI API, extended
 /// by outcome and code.
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -6,6 +6,7 @@
 #include "Request/CrashEvidence.h"
 #include "Request/HeldAnswer.h"
 #include "Request/ResumedStream.h"
+#include "Request/RunRecord.h"
 #include "Request/RunSuspension.h"
 #include "Request/ServerNotices.h"
 #include "Request/SilenceWatch.h"
@@ -37,8 +38,6 @@
 constexpr int StatusInternalError = 500;
 /// The server's own time limit, which is what the caller has left.
 constexpr int StatusTimeLimit = 504;
-/// Statuses that promise a caller that the request was not run.
-constexpr std::array NotRunStatuses = {408, 421, 429, 503};
 /// Maximum idle time of a connection that is reused for a retryable request.
 constexpr milliseconds RetryableMaxIdle{4000};
 /// A request with less time left isn't retried, since no server could answer it
@@ -68,10 +67,6 @@
   CallerLeft ///< The caller has disconnected.
 };
 
-bool promisesNotRun(int Status) {
-  return std::ranges::count(NotRunStatuses, Status) > 0;
-}
-
 /// \returns whether a successful answer to a streaming route is a stream of
 /// events: by its type, and without one unless it has a length.
 bool isEventStream(const HttpResponse &Head) {
@@ -194,6 +189,7 @@
     if (Repeat_)
       Repeat_->sent();
     Repeat_.reset();
+    Runs_.sent();
     auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return failed(Sent.error());
@@ -569,7 +565,6 @@
 
   AttemptEnd failed(Failure Cause) {
     Ready_.Connection_->close();
-    MayHaveRun_ = true;
     if (Writer_->failed())
       return writeFailed();
     if (CallerLeft_)
@@ -628,6 +623,7 @@
 
   Awaitable<AttemptEnd> refusedByServer(HttpResponse Head) {
     noteRefusal(Head);
+    Runs_.refused();
     Result<void> Whole = co_await readBody(Head);
     HeldAnswer_.set(0);
     if (Whole)
@@ -635,7 +631,7 @@
     else
       Ready_.Connection_->close();
     // A server that has no copy of the run doesn't change how the run was lost.
-    if (!(Continues_ && MayHaveRun_))
+    if (!(Continues_ && Runs_.mayHaveRun()))
       LastFailure_ = {ResultCode::RefusedByServer,
                       fmt::format("status {}", Head.Status_)};
     co_return AttemptEnd::NotRun;
@@ -695,7 +691,6 @@
     if (promisesNotRun(Answer.Status_)) {
       // The request may have run, but the caller would take this status for a
       // promise that it did not.
-      MayHaveRun_ = true;
       LastFailure_ = {ResultCode::ServerError,
                       fmt::format("status {}", Answer.Status_)};
       co_return AttemptEnd::Failed;
@@ -706,7 +701,6 @@
       co_return AttemptEnd::Broken;
     }
     if (Answer.Status_ >= StatusInternalError) {
-      MayHaveRun_ = true;
       Faulty_ = Answer.Status_ != StatusTimeLimit || !wasHurried();
       LastFailure_ = {ResultCode::ServerError,
                       fmt::format("status {}", Answer.Status_)};
@@ -883,7 +877,7 @@
     if (Memory_)
       return mayRepeat();
     // Only its own run may go on with a request that may not be repeated.
-    if (MayHaveRun_ && !Rule_.retryable())
+    if (Runs_.mayHaveRun() && !Rule_.retryable())
       return false;
     if (HeadSent_ && !Rule_.Resumable_)
       return false;
@@ -891,7 +885,7 @@
       if (++Refusals_ > MaxRefusals)
         return false;
     } else if (!Rule_.retryable() || !canContinue(Ended) ||
-               ++Runs_ >= static_cast<int>(Rule_.MaxAttempts_)) {
+               ++FailedSends_ >= static_cast<int>(Rule_.MaxAttempts_)) {
       return false;
     }
     return hasTimeToRepeat() && mayRepeat();
@@ -940,7 +934,7 @@
       co_await deliver(std::move(*ServerErrorAnswer_));
       co_return reportEnd(Context_, Outcome::Answered, LastFailure_.Code_);
     }
-    if (MayHaveRun_) {
+    if (Runs_.mayHaveRun()) {
       // "not-run" would be wrong here, so the code of the failed attempt is
       // reported.
       Ended.Outcome_ = Outcome::Unknown;
@@ -982,13 +976,13 @@
   std::uint32_t WorkTimePercent_ = 0;
   TimePoint Dispatched_;
   TimePoint FirstEvent_;
-  int Sends_ = 0;    ///< Dispatches, refused ones too.
-  int Runs_ = 0;     ///< Dispatches that may have run.
-  int Refusals_ = 0; ///< Dispatches that were refused.
+  int Sends_ = 0;       ///< Dispatches, refused ones too.
+  int FailedSends_ = 0; ///< Dispatches that may have run.
+  int Refusals_ = 0;    ///< Dispatches that were refused.
+  RunRecord Runs_;
   bool HeadSent_ = false;
   /// The current dispatch goes on with the memory of the run.
   bool Continues_ = false;
-  bool MayHaveRun_ = false;
   bool Faulty_ = false;
   /// The answer was given up because others hold this daemon's memory.
   bool OwnShortage_ = false;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -222,7 +222,7 @@
   's/    Allotments_\.commit\(Grant->Id_\);\n//' \
   ${U}Process '*use their allotment*'
 mutate late-refusal $S/Process/Keeping/GrantClient.cpp \
-  's/ \|\| Found->second\.Keeper_ != From\)\n    return;/)\n    return;/' \
+  's/Found->second\.Keeper_ != From \|\|\n      !mayBeSameAsk/!mayBeSameAsk/' \
   ${U}Process '*asked now can refuse*'
 mutate connection-given-back $S/Request/ModelCall.cpp \
   's/(void closeConnection\(\) \{\n)    if \(Ready_\.Connection_\)\n/$1/' \
@@ -415,7 +415,7 @@
   's/!Lost \|\| !Active/!Lost/' \
   ${U}CrashingRequest '*leaving server that ends*'
 mutate crash-final $S/Request/FinalAnswer.cpp \
-  's/bool Overload = Number >= 200/bool Overload = Number >= 113/' \
+  's/Number >= 200 && Number < 300/Number >= 113 && Number < 300/' \
   ${U}CrashingRequest '*refusal is final*'
 mutate crash-together $S/Process/Scheduling/CrashHistory.cpp \
   's/Crash\.Dispatched_ >= Last/Crash.Dispatched_ != TimePoint()/' \
@@ -498,7 +498,7 @@
   's/Asked\.size\(\) < Options_\.MaxRelays_/false/' \
   ${F}platform_CutFromServersTest '*cut off from all servers serves*'
 mutate relay-normal-end $L/RelayServer.cpp \
-  's/(copyBytes\(Pair->Server_, Pair->Daemon_, Pair->Framed_\);\n)  if \(Error != asio::error::eof\)\n    co_return Pair->reset\(\);\n/$1/' \
+  's/(copyBytes\(Pair->Server_, Pair->Daemon_, Pair->Framed_\);\n)  if \(Error != asio::error::eof \|\| wasReset\(Pair->Server_\)\)\n    co_return Pair->reset\(\);\n/$1/' \
   ${U}RelayedCall '*complete only if it ends normally*'
 mutate relay-caller-left $L/RelayServer.cpp \
   's/  Pair->Server_\.close\(Ignored\);\n  Pair->Daemon_\.close\(Ignored\);\n//' \
@@ -1056,6 +1056,18 @@
 mutate second-answers-after-head $S/Connection/CarriedCalls.h \
   's/return !HasHead_ && contains/return contains/' \
   ${U}CopiedRefusal '*after HEAD*'
+mutate ask-not-compared $S/Common/Ids.h \
+  's/return Left == AskNumber\(\) \|\|/return true ||/' \
+  ${U}Process '*messages late, doubled*'
+mutate false-promise $S/Request/FinalAnswer.cpp \
+  's/return IsFalse \? StatusBadGateway : Status;/return Status;/' \
+  ${U}FalsePromise '*server had is answered*'
+mutate reset-not-seen $S/Connection/HttpConnection.cpp \
+  's/wasReset\(Stream_->socket\(\)\)/false/' \
+  ${U}Connection '*whoever has seen the reset*'
+mutate share-not-applied $S/Process/Scheduling/AllotmentLedger.cpp \
+  's/(void AllotmentLedger::setShare.*?\{\n)/$1  return;\n/s' \
+  ${U}Process '*returns from a cut*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Request/FinalAnswerTest.cpp
+++ b/UnitTests/Request/FinalAnswerTest.cpp
@@ -25,6 +25,25 @@
   }
 }
 
+TEST_CASE("only what has not run is answered with a promise that it has not") {
+  // Guards against a caller that sends a request again which has run.
+  for (const ResultCodeInfo &Row : resultCodeTable())
+    for (auto Known : {Outcome::Answered, Outcome::NotRun, Outcome::Unknown,
+                       Outcome::Partial}) {
+      CAPTURE(Row.Name_);
+      Verdict Ended(Row.Code_);
+      Ended.Outcome_ = Known;
+      HttpResponse Response = finalResponse({1, 2}, Ended);
+      CHECK_FALSE(
+          (promisesNotRun(Response.Status_) && Known != Outcome::NotRun));
+    }
+  Verdict Left(ResultCode::CallerLeft);
+  CHECK(httpStatus(Left) == 503);
+  Left.Outcome_ = Outcome::Unknown;
+  CHECK(httpStatus(Left) == 502);
+  CHECK_FALSE(isRetryable(Left));
+}
+
 TEST_CASE("a caller that finds too many connections may come back") {
   // Guards against sound requests that are denied for what others do.
   HttpResponse Refused =
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -81,7 +81,9 @@
     auto Executor = Accepted.get_executor();
     auto Peer = std::make_shared<Tcp::socket>(std::move(Accepted));
     Peers_.push_back(Peer);
-    auto Serve = [this, Peer]() { return serve(Peer); };
+    auto Serve = [this, Peer, Number = Connections_]() {
+      return serve(Peer, Number);
+    };
     asio::co_spawn(Executor, std::move(Serve), asio::detached);
   }
 }
@@ -112,13 +114,15 @@
   }
 }
 
-Awaitable<void> ScriptedServer::serve(std::shared_ptr<Tcp::socket> Peer) {
+Awaitable<void> ScriptedServer::serve(std::shared_ptr<Tcp::socket> Peer,
+                                      std::size_t Number) {
   Tcp::socket &Socket = *Peer;
   std::string Request;
   Script Current;
   bool Decided = false;
   while (true) {
     if (!Decided && headEnd(Request) != std::string::npos) {
+      Serving_ = Number;
       Current = Decide_(Request, Requests_.size());
       Decided = true;
     }
@@ -464,9 +468,9 @@
       continue;
     BackendServer Built;
     auto Renamed = Names_.find(Index);
-    Built.Name_ = ServerName(Renamed == Names_.end()
-                                 ? fmt::format("server-{}", Index)
-                                 : Renamed->second);
+    Built.Name_ =
+        ServerName(Renamed == Names_.end() ? fmt::format("server-{}", Index)
+                                           : Renamed->second);
     Built.Address_ = Servers_[Index]->address();
     Built.MaxInFlight_ = Options_.MaxInFlight_;
     Built.Leaving_ = std::ranges::count(Leaving, Index) > 0;
@@ -587,6 +591,13 @@
   return *Reply;
 }
 
+void ForwardingHarness::endSending(const CallerReply &Call) {
+  if (auto Socket = Call.Connection_.lock()) {
+    boost::system::error_code Ignored;
+    Socket->shutdown(Tcp::socket::shutdown_send, Ignored);
+  }
+}
+
 void ForwardingHarness::disconnect(const CallerReply &Call) {
   if (auto Socket = Call.Connection_.lock())
     Socket->close();
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -55,6 +55,8 @@
   const Endpoint &address() const { return Address_; }
   const std::vector<std::string> &requests() const { return Requests_; }
   std::size_t connections() const { return Connections_; }
+  /// \returns the number of the connection whose request is decided on, from 1.
+  std::size_t serving() const { return Serving_; }
   /// Number of connections that the peer closed.
   std::size_t closed() const { return Closed_; }
   /// Resets all connections and refuses new ones.
@@ -66,7 +68,7 @@
   Awaitable<void> accept();
   /// Does with the other connections what the script says.
   void actOnOthers(const Socket &Own, const Script &Current);
-  Awaitable<void> serve(std::shared_ptr<Socket> Peer);
+  Awaitable<void> serve(std::shared_ptr<Socket> Peer, std::size_t Number);
 
   Endpoint Address_;
   boost::asio::ip::tcp::acceptor Acceptor_;
@@ -76,6 +78,7 @@
   std::vector<std::string> Requests_;
   std::size_t Connections_ = 0;
   std::size_t Closed_ = 0;
+  std::size_t Serving_ = 0;
 };
 
 /// A listening socket that no coroutine serves. It shows what it has received
@@ -211,6 +214,8 @@
   /// Starts a call whose caller reads nothing until its pause is cancelled.
   std::shared_ptr<CallerReply> beginUnread(const std::string &CallId,
                                            const std::string &Body);
+  /// Closes the sending direction of the caller's connection.
+  static void endSending(const CallerReply &Call);
   /// Closes the caller's connection.
   static void disconnect(const CallerReply &Call);
   /// Runs until \p Done returns true or a time limit expires. \returns the
