CopiedRefusalTest: servers that copy refusals and change their names, played by seeds

Each request runs once at most, is told that it has not run only if it has not, and gets its own answer. Copies come at once in the same segment, a little later, and before the answer to a later request of the same connection.

--- a/UnitTests/Request/CopiedRefusalTest.cpp
+++ b/UnitTests/Request/CopiedRefusalTest.cpp
@@ -6,8 +6,10 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <pcg_random.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace samphireshunt;
 using namespace samphireshunt::tests;
@@ -75,6 +77,103 @@
   ForwardingHarness Path_;
 };
 
+/// Servers that refuse requests, lose their places to new processes, and send
+/// copies of their refusals: at once, a little later, or before or behind the
+/// answer to a later request on the same connection. A seed chooses.
+class CopyingServers {
+public:
+  static constexpr std::size_t Count = 3;
+
+  CopyingServers(std::uint64_t Seed, RequestKind Kind)
+      : Random_(Seed), Path_(options(Kind), {script(0), script(1), script(2)}) {
+  }
+
+  /// Sends some requests at the same time, while servers are renamed.
+  void playRound() {
+    constexpr int Together = 10;
+    constexpr std::uint32_t OneOfRenamed = 8;
+    std::vector<std::shared_ptr<CallerReply>> Replies;
+    std::size_t First = Next_;
+    for (int Each = 0; Each < Together; ++Each)
+      Replies.push_back(Path_.begin("c" + std::to_string(Next_++)));
+    auto Ended = [&] {
+      if (Random_(OneOfRenamed) == 0)
+        Path_.rename(Random_(Count), "process-" + std::to_string(++Processes_));
+      return std::ranges::all_of(Replies, &CallerReply::Ended_);
+    };
+    REQUIRE(Path_.runUntil(Ended));
+    for (std::size_t Each = 0; Each < Replies.size(); ++Each)
+      check("c" + std::to_string(First + Each), *Replies[Each]);
+  }
+
+  int Answered_ = 0;
+  int Copies_ = 0;
+
+private:
+  static ForwardingHarness::Options options(RequestKind Kind) {
+    auto Wanted = kind(Kind);
+    Wanted.MaxInFlight_ = 2;
+    Wanted.Retries_.Allowance_ = 1000;
+    return Wanted;
+  }
+
+  void check(const std::string &Id, const CallerReply &Reply) {
+    CAPTURE(Id);
+    CHECK(Runs_[Id] <= 1);
+    bool Promised = Reply.status() == 503 || Reply.status() == 429;
+    CHECK_FALSE((Promised && Runs_[Id] > 0));
+    if (Reply.status() != 200)
+      return;
+    ++Answered_;
+    CHECK(Reply.body() == "answer to " + Id);
+  }
+
+  ScriptOf script(std::size_t Index) {
+    return [this, Index](const std::string &Request, std::size_t) {
+      return decide(Index, fieldIn(Request, "x-call-id"));
+    };
+  }
+
+  Script decide(std::size_t Index, const std::string &Id) {
+    constexpr std::uint32_t OneOfRefused = 3;
+    std::vector<std::string> &Late =
+        Late_[{Index, Path_.server(Index).serving()}];
+    if (Random_(OneOfRefused) > 0) {
+      ++Runs_[Id];
+      std::string Before;
+      for (const std::string &Copy : std::exchange(Late, {}))
+        Before += Copy;
+      Copies_ += Before.empty() ? 0 : 1;
+      return {Before + completeAnswer(Id, "answer to " + Id)};
+    }
+    std::string Refusal = Random_(2) > 0 ? refusal(Id) : misdirected(Id);
+    Script Refused{Refusal};
+    switch (Random_(4)) {
+    case 0:
+      Refused.Bytes_ += Refusal;
+      break;
+    case 1:
+      Refused.Silence_ = std::chrono::milliseconds(1);
+      Refused.AfterSilence_ = Refusal;
+      break;
+    case 2:
+      Late.push_back(Refusal);
+      break;
+    default:
+      break;
+    }
+    return Refused;
+  }
+
+  pcg32 Random_;
+  std::size_t Next_ = 1;
+  std::size_t Processes_ = 0;
+  std::map<std::string, int> Runs_;
+  /// Copies to come, by server and connection.
+  std::map<std::pair<std::size_t, std::size_t>, std::vector<std::string>> Late_;
+  ForwardingHarness Path_;
+};
+
 } // namespace
 
 TEST_CASE(
@@ -140,6 +239,21 @@
     }
 }
 
+TEST_CASE("among servers that copy refusals no request runs twice") {
+  // Guards against a request that runs twice, is told that it has not run
+  // although it has, or gets the answer to another one.
+  constexpr int Rounds = 20;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed)
+    for (auto Kind : {RequestKind::NonIdempotent, RequestKind::Stream}) {
+      CAPTURE(Seed);
+      CopyingServers Test(Seed, Kind);
+      for (int Round = 0; Round < Rounds; ++Round)
+        Test.playRound();
+      CHECK(Test.Answered_ > Rounds);
+      CHECK(Test.Copies_ > 0);
+    }
+}
+
 TEST_CASE("after HEAD no answer of the connection is passed over") {
   // Guards against a length without a body, by which the next answer would be
   // taken for that body.
