An answer without a length that is reset is not whole, whoever has seen the reset

The kernel reports a reset to one call. If that is the write of a long request, the read of its answer sees a normal end, and a part of an answer without a length looks whole. HttpConnection knew of the failed write only if its handler came first, RelayServer relied on the same order. Now both ask for the state of the connection: after a reset it is closed, after a normal end it is not.

The case in HttpConnectionTest, where another holder of the socket sees the reset, shows the order that was relied on. Statuses that are none (000 and others): 502 for all kinds of calls, as before, now with a test.

--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -166,10 +166,11 @@
     if (!Counted && End_ == EndOfBytes::Unknown)
       co_return Failure{ResultCode::ConnectionLost,
                         "end not told by the relay"};
-    // The socket reports a reset once: after the write of the request's body
-    // has received it, a read sees a normal end.
     if (!Counted && Sent_->Error_)
       co_return connectionFailure(Sent_->Error_);
+    if (!Counted && End_ == EndOfBytes::OfConnection &&
+        wasReset(Stream_->socket()))
+      co_return Failure{ResultCode::ConnectionLost, "reset"};
     Complete_ = Counted && Parser_->keep_alive();
     co_return std::string();
   }
--- a/Source/Connection/SocketOptions.cpp
+++ b/Source/Connection/SocketOptions.cpp
@@ -55,4 +55,12 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, Limits.Probes_);
 }
 
+bool wasReset(boost::asio::ip::tcp::socket &Socket) {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  int Failed =
+      ::getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info, &Size);
+  return Failed != 0 || Info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace samphireshunt
--- a/Source/Connection/SocketOptions.h
+++ b/Source/Connection/SocketOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 /// \file
-/// TCP socket options that detect unresponsive peers.
+/// TCP socket options that detect unresponsive peers, and what the kernel tells
+/// of a connection.
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -50,4 +51,9 @@
 void limitSilence(boost::asio::ip::tcp::socket &Socket,
                   const SilenceLimits &Limits);
 
+/// \returns whether a connection whose end has been read was reset, or is
+/// closed here. The kernel reports a reset to one call only: if that was a
+/// write, reads see a normal end.
+bool wasReset(boost::asio::ip::tcp::socket &Socket);
+
 } // namespace samphireshunt
--- a/Source/Process/Relay/RelayServer.cpp
+++ b/Source/Process/Relay/RelayServer.cpp
@@ -95,7 +95,7 @@
 Awaitable<void> copyAnswer(std::shared_ptr<RelayedPair> Pair) {
   error_code Error =
       co_await copyBytes(Pair->Server_, Pair->Daemon_, Pair->Framed_);
-  if (Error != asio::error::eof)
+  if (Error != asio::error::eof || wasReset(Pair->Server_))
     co_return Pair->reset();
   error_code Ignored;
   FrameHead Last = frameHead(0);
--- a/UnitTests/Connection/HttpConnectionTest.cpp
+++ b/UnitTests/Connection/HttpConnectionTest.cpp
@@ -10,6 +10,9 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <string>
 
 using namespace samphireshunt;
@@ -104,3 +107,45 @@
   CHECK(readFrom(ChunkedHead + "1\r\nb\r\n0\r\nx: ") ==
         ResultCode::AnswerTooLarge);
 }
+
+TEST_CASE("an answer that is reset is not whole, whoever has seen the reset") {
+  // Guards against a part of an answer without a length that a caller gets as
+  // the whole: the write of its request was told of the reset, and the read
+  // sees a normal end.
+  asio::io_context Context(1);
+  Tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  for (bool Resets : {false, true}) {
+    Tcp::socket Near(Context);
+    Near.connect(Acceptor.local_endpoint());
+    Tcp::socket Far = Acceptor.accept();
+    int Copy = ::dup(Near.native_handle());
+    auto Connection =
+        HttpConnection::adopt(std::move(Near), EndOfBytes::OfConnection);
+    Connection->acceptUnframed();
+    Result<std::string> Read = std::string("unread");
+    auto Work = [&]() -> Awaitable<void> {
+      HttpRequest Request;
+      (void)co_await Connection->send(Request, Timeout);
+      asio::write(Far,
+                  asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+      (void)co_await Connection->readHead(Timeout);
+      Read = co_await Connection->readSome(Timeout);
+      CHECK(*Read == "part");
+      if (Resets) {
+        Far.set_option(asio::socket_base::linger(true, 0));
+        Far.close();
+        CHECK(::send(Copy, "x", 1, MSG_NOSIGNAL) < 0);
+      } else {
+        Far.shutdown(Tcp::socket::shutdown_send);
+      }
+      Read = co_await Connection->readSome(Timeout);
+    };
+    asio::co_spawn(Context, std::move(Work), asio::detached);
+    Context.restart();
+    Context.run();
+    ::close(Copy);
+    CHECK(Read.has_value() == !Resets);
+    if (Read)
+      CHECK(Read->empty());
+  }
+}
--- a/UnitTests/Connection/SocketOptionsTest.cpp
+++ b/UnitTests/Connection/SocketOptionsTest.cpp
@@ -1,5 +1,8 @@
 #include "Connection/SocketOptions.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <doctest/doctest.h>
 
 using namespace samphireshunt;
@@ -37,3 +40,31 @@
   CHECK(receiveBufferBytes(22000000, 10) == 65536);
   CHECK(receiveBufferBytes(1000, 100000) >= 16384);
 }
+
+TEST_CASE("a reset shows after a write has seen it, a normal end does not") {
+  // Guards against a part of an answer that is taken for the whole: its server
+  // resets the connection while the request is still written.
+  using Tcp = boost::asio::ip::tcp;
+  boost::asio::io_context Context;
+  Tcp::acceptor Acceptor(Context,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0});
+  for (bool Resets : {false, true}) {
+    Tcp::socket Near(Context);
+    Near.connect(Acceptor.local_endpoint());
+    Tcp::socket Far = Acceptor.accept();
+    CHECK_FALSE(wasReset(Near));
+    if (Resets)
+      Far.set_option(boost::asio::socket_base::linger(true, 0));
+    Far.close();
+    boost::system::error_code Seen;
+    char Byte = 0;
+    if (Resets)
+      Near.write_some(boost::asio::buffer(&Byte, 1), Seen);
+    CHECK(Seen.failed() == Resets);
+    Near.read_some(boost::asio::buffer(&Byte, 1), Seen);
+    CHECK(Seen == boost::asio::error::eof);
+    CHECK(wasReset(Near) == Resets);
+    Near.close();
+    CHECK(wasReset(Near));
+  }
+}
--- a/UnitTests/Request/CutAnswerTest.cpp
+++ b/UnitTests/Request/CutAnswerTest.cpp
@@ -249,6 +249,60 @@
   }
 }
 
+TEST_CASE("an answer that is reset while its request is written never looks "
+          "whole") {
+  // Guards against a part of an answer that a caller gets as the whole: its
+  // server answers a long upload at once, without a length, and resets the
+  // connection in its middle.
+  const std::string Padding(2000000, 'x');
+  for (bool Relayed : {false, true})
+    for (const Kind &Of : kinds())
+      for (std::size_t Early : {1, 5000, 200000}) {
+        auto Each = [&](const std::string &Request, std::size_t Number) {
+          std::string Whole = wholeAnswer(Of, Framing::Close, Request);
+          if (Number > 0 || !Request.starts_with("POST"))
+            return Script{Whole, Script::Then::Close};
+          Script Cut{Whole.substr(0, Whole.size() - 4), Script::Then::Reset};
+          Cut.AnswerAfterBytes_ = Early;
+          return Cut;
+        };
+        ForwardingHarness::Options Wanted = Of.Options_;
+        Wanted.Relays_ = Relayed ? 1 : 0;
+        ForwardingHarness Path(Wanted, {Each});
+        Path.setLinks(Relayed ? PortState::Refused : PortState::Open);
+        std::string Body = Of.Request_;
+        Body.replace(Body.rfind('x'), 1, Padding);
+        CallerReply Reply = Path.call(
+            "1", Body, "Idempotency-Key: 1\r\nX-Request-Timeout-Ms: 2000\r\n");
+        CAPTURE(Of.Name_);
+        CAPTURE(Relayed);
+        CAPTURE(Early);
+        CHECK(Path.received() > 0);
+        CHECK((!looksWhole(Reply) || hasAll(Of, Reply)));
+      }
+}
+
+TEST_CASE("a status that is none makes no answer") {
+  // Guards against callers that get what a server in trouble sends as an
+  // answer.
+  for (const Kind &Of : kinds())
+    for (const char *Status :
+         {"000", "001", "099", "600", "999", "20", "2000"}) {
+      auto Each = [&](const std::string &Request, std::size_t) {
+        std::string Whole = wholeAnswer(Of, Framing::Length, Request);
+        return Script{Whole.replace(Whole.find("200"), 3, Status)};
+      };
+      ForwardingHarness Path(Of.Options_, {Each, Each});
+      CallerReply Reply =
+          Path.call("1", Of.Request_,
+                    "Idempotency-Key: 1\r\nX-Request-Timeout-Ms: 2000\r\n");
+      CAPTURE(Of.Name_);
+      CAPTURE(Status);
+      CHECK(Path.received() > 0);
+      CHECK(Reply.status() == 502);
+    }
+}
+
 TEST_CASE("interim answers are passed over") {
   // Guards against a 502 for a request that ran, and may not run twice, as its
   // server announced the answer first.
