A keeper that returns from a cut finds no second burst of an allotment

A keeper's buckets filled for all of the time since their last charge by the share that it has now. Now the buckets fill by the share of the time: the keeper applies each change of its share as it learns of it (AllotmentLedger::setShare), and a lower share takes what its buckets hold above their new size.

Customers: one at its limit has less at once after a cut, at most the share that the keeper had during it; one below its limit finds its rate as before.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -176,9 +176,13 @@
 void KeeperService::refresh() {
   auto Snapshot = Documents_.snapshot();
   ScheduledFractions_.clear();
-  for (const auto &[Name, Service] : Snapshot->Services_)
-    refreshService(Name, Service);
   auto Now = steady_clock::now();
+  for (const auto &[Name, Service] : Snapshot->Services_) {
+    refreshService(Name, Service);
+    double Share = allotmentShare(Service);
+    for (const Customer &Known : Service.Document_->Customers_)
+      Allotments_.setShare(Known.Name_, Known.Allotment_, Share, Now);
+  }
   std::erase_if(Cells_, [&](const auto &Item) {
     const ScheduledCell &Target = *Item.second;
     return Target.Scheduler_.waiting() == 0 &&
--- a/Source/Process/Scheduling/AllotmentLedger.cpp
+++ b/Source/Process/Scheduling/AllotmentLedger.cpp
@@ -78,15 +78,12 @@
                              double Share, TimePoint Now) {
   if (Allowed.PerSecond_ <= 0)
     return true;
-  Account Empty{{}, 0, Started_};
-  Account &Target =
-      Accounts_.try_emplace(Request.Customer_, Empty).first->second;
+  Account &Target = account(Request.Customer_, Allowed, Share);
   std::chrono::duration<double> Elapsed = Now - Target.Filled_;
-  Target.Filled_ = Now;
-  Flow Regular = allotted(Allowed, Share);
-  Flow Tolerance = tolerated(Allowed, Share);
+  advance(Target, Allowed, Share, Now);
+  const Flow &Regular = Target.Regular_;
+  const Flow &Tolerance = Target.Tolerance_;
   Levels &Left = Target.Left_;
-  Left = filled(Left, Regular, Tolerance, Elapsed.count());
   double Largest = recordCost(Target, Request, Elapsed);
   double Reserved = Request.LeavesRoomForHighTier_ ? Largest : 0;
   auto Cost = fit(Left, Request.Cost_, Reserved, Regular, Tolerance);
@@ -98,6 +95,37 @@
   return true;
 }
 
+AllotmentLedger::Account &AllotmentLedger::account(const CustomerName &Customer,
+                                                   const Allotment &Allowed,
+                                                   double Share) {
+  auto [Known, New] = Accounts_.try_emplace(Customer);
+  if (New)
+    Known->second = {
+        {}, 0, Started_, allotted(Allowed, Share), tolerated(Allowed, Share)};
+  return Known->second;
+}
+
+void AllotmentLedger::advance(Account &Target, const Allotment &Allowed,
+                              double Share, TimePoint Now) const {
+  std::chrono::duration<double> Elapsed = Now - Target.Filled_;
+  Target.Filled_ = Now;
+  Target.Left_ =
+      filled(Target.Left_, Target.Regular_, Target.Tolerance_, Elapsed.count());
+  Target.Regular_ = allotted(Allowed, Share);
+  Target.Tolerance_ = tolerated(Allowed, Share);
+  Target.Left_.Allotted_ =
+      std::min(Target.Left_.Allotted_, Target.Regular_.Capacity_);
+  Target.Left_.Tolerated_ =
+      std::min(Target.Left_.Tolerated_, Target.Tolerance_.Capacity_);
+}
+
+void AllotmentLedger::setShare(const CustomerName &Customer,
+                               const Allotment &Allowed, double Share,
+                               TimePoint Now) {
+  if (Allowed.PerSecond_ > 0)
+    advance(account(Customer, Allowed, Share), Allowed, Share, Now);
+}
+
 /// Decays the recorded largest cost of the highest tier, and raises it to that
 /// of the request if the request is of that tier. \returns the result.
 double AllotmentLedger::recordCost(Account &Target, const Charge &Request,
--- a/Source/Process/Scheduling/AllotmentLedger.h
+++ b/Source/Process/Scheduling/AllotmentLedger.h
@@ -64,6 +64,12 @@
   /// anything, when too little is left.
   bool charge(const Charge &Request, const Allotment &Allowed, double Share,
               TimePoint Now);
+  /// Applies a change of what this keeper may use from now on: what it gains
+  /// until then is by the fraction of before. Without this, a keeper that was
+  /// cut off would find a full burst when it returns, beside what the keeper
+  /// meanwhile has granted.
+  void setShare(const CustomerName &Customer, const Allotment &Allowed,
+                double Share, TimePoint Now);
   /// \returns the time after which a request that was just refused would fit if
   /// nothing else is charged meanwhile; the whole window if it would never fit.
   std::chrono::milliseconds timeUntilFit(const Charge &Request,
@@ -104,7 +110,17 @@
     Levels Left_;
     double Largest_ = 0; ///< Decaying cost of the largest recent request.
     TimePoint Filled_;
+    /// By which the buckets fill since then.
+    Flow Regular_{};
+    Flow Tolerance_{};
   };
+  /// \returns the customer's account; a new one has filled since the start.
+  Account &account(const CustomerName &Customer, const Allotment &Allowed,
+                   double Share);
+  /// Fills the buckets by the flows until now, and applies those of \p Share
+  /// from now on.
+  void advance(Account &Target, const Allotment &Allowed, double Share,
+               TimePoint Now) const;
   static double recordCost(Account &Target, const Charge &Request,
                            std::chrono::duration<double> Elapsed);
   struct PendingCharge {
--- a/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
+++ b/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
@@ -54,6 +54,23 @@
   CHECK(Admitted <= 100 * 8 + 100 + 50);
 }
 
+TEST_CASE("a keeper that returns from a cut finds no second burst") {
+  // Guards against a customer that gets two bursts within a window: one from
+  // the keeper during the cut, and one from that of before, whose buckets have
+  // filled meanwhile.
+  constexpr double OfEight = 0.125;
+  AllotmentLedger First({.Credit_ = 0}, Start - seconds(10));
+  AllotmentLedger Meanwhile({.Credit_ = 0}, Start);
+  flood(First, Start - seconds(1), seconds(1));
+  First.setShare(Hot, hundredPerSecond(), OfEight, Start);
+  double Admitted =
+      flood(Meanwhile, Start + seconds(5), seconds(1), 1 - OfEight);
+  First.setShare(Hot, hundredPerSecond(), 1, Start + seconds(6));
+  Admitted += flood(First, Start + seconds(6), seconds(7));
+  CHECK(Admitted <= 100 * 8 + 100);
+  CHECK(Admitted >= 100 * 8);
+}
+
 TEST_CASE("keepers on both sides of a partition share the allotment") {
   AllotmentLedger Left({.Credit_ = 0}, Start);
   AllotmentLedger Right({.Credit_ = 0}, Start);
