--- a/UnitTests/Request/FalsePromiseTest.cpp
+++ b/UnitTests/Request/FalsePromiseTest.cpp
@@ -48,7 +48,6 @@
 ForwardingHarness::Options once(RequestKind Kind) {
   ForwardingHarness::Options Wanted;
   Wanted.Kind_ = Kind;
-  Wanted.Timeout_ = std::chrono::milliseconds(300);
   return Wanted;
 }
 
@@ -66,8 +65,11 @@
         Script Late = End.Answer_;
         std::swap(Late.Bytes_, Late.AfterSilence_);
         Late.Silence_ = std::chrono::milliseconds(20);
-        ForwardingHarness Path(once(Kind), {[&](const std::string &,
-                                                std::size_t) { return Late; }});
+        auto Wanted = once(Kind);
+        if (Late.Then_ == Script::Then::Hold)
+          Wanted.Timeout_ = std::chrono::milliseconds(600);
+        ForwardingHarness Path(
+            Wanted, {[&](const std::string &, std::size_t) { return Late; }});
         auto Reply = Path.begin("c1");
         REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
         if (Way == Leaves::EndsSending)
@@ -110,7 +112,7 @@
             Wanted, {[&](const std::string &, std::size_t) { return Lost; }});
         auto Reply =
             Path.begin("c1", R"({"model":"m","messages":[{"content":"x"}]})",
-                       "X-Request-Timeout-Ms: 400\r\n");
+                       "X-Request-Timeout-Ms: 2000\r\n");
         REQUIRE(Path.runUntil([&] { return Path.received() >= 1; }));
         if (Way == Leaves::EndsSending)
           ForwardingHarness::endSending(*Reply);
