Returned and unfit grants are logged at most five times a second

Read again: both lines were written for each grant. A caller that leaves while it waits has its grant on its way, so under overload there are as many as there are callers that leave. The counter grants_returned counts all; the line says how many were left out.

--- a/Source/Process/Keeping/GrantClient.cpp
+++ b/Source/Process/Keeping/GrantClient.cpp
@@ -38,6 +38,9 @@
 /// If the check itself is delayed by more than this, it is the local VM that is
 /// slow, and no keeper is blamed.
 constexpr milliseconds MaxCheckDelay{50};
+/// Maximum number of returned grants logged each second. Where callers leave
+/// while they wait, each one may have a grant on its way.
+constexpr std::uint32_t MaxReturnedLogsPerSecond = 5;
 /// How long a server's limit is remembered for a new keeper after the server
 /// last named it to this daemon.
 constexpr std::chrono::seconds LimitMemory{60};
@@ -47,7 +50,7 @@
 GrantClient::GrantClient(asio::io_context &Control, VmId Self, Hooks Callbacks)
     : Control_(Control), Self_(std::move(Self)), Hooks_(std::move(Callbacks)),
       Holds_(std::make_shared<const ServerHolds>()), RebindTimer_(Control),
-      CheckTimer_(Control) {}
+      CheckTimer_(Control), ReturnedSampler_(MaxReturnedLogsPerSecond) {}
 
 void GrantClient::acquire(CellId Cell, GrantRequest Request,
                           Answered OnAnswer) {
@@ -348,6 +351,18 @@
 
 void GrantClient::returnGrant(const GrantDecision &Grant, const VmId &Keeper) {
   ++Returned_;
+  logReturned(Grant, Keeper);
+  // The cell is no longer known here; the keeper searches all its cells.
+  if (Keeper == Self_)
+    return LocalKeeper_->returnGrant(Grant.Id_, Grant.Ask_);
+  Hooks_.Send_(Keeper,
+               encodeDone(CellId(), Grant.Id_, ServedSample(), Grant.Ask_));
+}
+
+void GrantClient::logReturned(const GrantDecision &Grant, const VmId &Keeper) {
+  auto Dropped = ReturnedSampler_.admit(0, steady_clock::now());
+  if (!Dropped)
+    return;
   auto Pending = PendingRequests_.find(Grant.Id_);
   AskNumber Waits = Pending == PendingRequests_.end()
                         ? AskNumber()
@@ -357,12 +372,8 @@
             {"keeper", Keeper.str()},
             {"server", Grant.Server_.str()},
             {"ask", std::to_string(Grant.Ask_.count())},
-            {"waiting_ask", std::to_string(Waits.count())}});
-  // The cell is no longer known here; the keeper searches all its cells.
-  if (Keeper == Self_)
-    return LocalKeeper_->returnGrant(Grant.Id_, Grant.Ask_);
-  Hooks_.Send_(Keeper,
-               encodeDone(CellId(), Grant.Id_, ServedSample(), Grant.Ask_));
+            {"waiting_ask", std::to_string(Waits.count())},
+            {"dropped", std::to_string(*Dropped)}});
 }
 
 void GrantClient::onRefusal(const RefuseDecision &Refusal, const VmId &From) {
--- a/Source/Process/Keeping/GrantClient.h
+++ b/Source/Process/Keeping/GrantClient.h
@@ -6,6 +6,7 @@
 /// called from any thread unless noted; the state is confined to the control
 /// thread.
 
+#include "Common/Log.h"
 #include "Process/Keeping/Cell.h"
 #include "Process/Keeping/KeeperMessages.h"
 #include "Process/Membership/PeerNetwork.h"
@@ -166,6 +167,7 @@
   void onCancel(const CancelDecision &Cancel);
   void onSuspend(const SuspendDecision &Suspend);
   void returnGrant(const GrantDecision &Grant, const VmId &Keeper);
+  void logReturned(const GrantDecision &Grant, const VmId &Keeper);
   void finish(const RequestId &Id, const ServedSample &Sample);
   void scheduleRebind(std::chrono::milliseconds Delay);
   void scheduleCheck();
@@ -193,6 +195,7 @@
   /// Of the last ask that was sent.
   AskNumber LastAsk_;
   std::uint64_t Returned_ = 0;
+  LogSampler ReturnedSampler_;
 };
 
 } // namespace samphireshunt
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -297,11 +297,17 @@
 
 /// A server that has refused a request, or lost it, is not to get it again.
 void logUnfitGrant(const RequestContext &Context, const ServerName &Server) {
+  constexpr std::uint32_t LinesPerSecond = 5;
+  thread_local LogSampler Sampler(LinesPerSecond);
+  auto Dropped = Sampler.admit(0, steady_clock::now());
+  if (!Dropped)
+    return;
   logEvent(LogCategory::Request, spdlog::level::warn, "grant-not-used",
            {{"request", Context.Id_.str()},
             {"call", Context.Call_.CallId_},
             {"server", Server.str()},
-            {"servers", serversText(Context)}});
+            {"servers", serversText(Context)},
+            {"dropped", std::to_string(*Dropped)}});
 }
 
 Verdict notRun(ResultCode Code) { return Verdict(Code); }
