ForwardedCall: the labels of an answer are read once

Read again: since second answers are passed over, the fields of each answer were read twice, once for the id and once for the rest. readOwnHead() returns both.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -67,6 +67,12 @@
   CallerLeft ///< The caller has disconnected.
 };
 
+/// The head of an answer, and what it says of the answer.
+struct LabelledHead {
+  HttpResponse Head_;
+  AnswerLabels Labels_;
+};
+
 /// \returns whether a successful answer to a streaming route is a stream of
 /// events: by its type, and without one unless it has a length.
 bool isEventStream(const HttpResponse &Head) {
@@ -194,44 +200,46 @@
     if (!Sent)
       co_return failed(Sent.error());
     watchSilence();
-    auto Head = co_await readOwnHead();
+    auto Own = co_await readOwnHead();
     endRead();
-    if (!Head)
-      co_return failed(readFailure(Head.error()));
+    if (!Own)
+      co_return failed(readFailure(Own.error()));
+    HttpResponse &Head = Own->Head_;
+    const AnswerLabels &Labels = Own->Labels_;
     Context_.AnswerEnd_.KnownBy_ = Connection.bodyEnd();
-    AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
     WorkTimePercent_ = Labels.WorkTimePercent_.value_or(0);
     Answerer By = answererOf(Labels, Context_.Call_, Ready_.Server_.Name_);
     if (By == Answerer::Intended)
-      reportServerNotices(Context_, Ready_, *Head);
+      reportServerNotices(Context_, Ready_, Head);
     Replaced_ = By == Answerer::Other;
     // A server that is another one than expected says nothing of its load.
     Rejected_ = Labels.NotRun_ && !Labels.Misdirected_;
     if (Labels.NotRun_)
-      co_return co_await refusedByServer(std::move(*Head));
-    bool Success = Head->Status_ < StatusMultipleChoices;
+      co_return co_await refusedByServer(std::move(Head));
+    bool Success = Head.Status_ < StatusMultipleChoices;
     if (Success && !Labels.HasProof_)
       co_return failed({ResultCode::CrossedAnswer, "answer without proof"});
     if (Success && Continues_)
       continued();
-    if (isStream() && Success && isEventStream(*Head))
-      co_return co_await relayEvents(std::move(*Head));
-    co_return co_await relayAnswer(std::move(*Head));
+    if (isStream() && Success && isEventStream(Head))
+      co_return co_await relayEvents(std::move(Head));
+    co_return co_await relayAnswer(std::move(Head));
   }
 
   /// Reads the head of the answer to the dispatch, after any second answers to
   /// earlier calls of the connection. \returns CrossedAnswer for one that is
   /// neither.
-  Awaitable<Result<HttpResponse>> readOwnHead() {
+  Awaitable<Result<LabelledHead>> readOwnHead() {
     HttpConnection &Connection = *Ready_.Connection_;
     TimePoint End = steady_clock::now() + headTimeout();
     for (int Passed = 0; true; ++Passed) {
       auto Head = co_await readAnswerHead(Context_, Connection, timeUntil(End));
       if (!Head)
-        co_return Head;
-      std::string Id = Dialect_.ReadAnswer_(*Head).CallId_;
-      if (Id == Context_.Call_.CallId_)
-        co_return Head;
+        co_return Head.error();
+      AnswerLabels Labels = Dialect_.ReadAnswer_(*Head);
+      if (Labels.CallId_ == Context_.Call_.CallId_)
+        co_return LabelledHead{std::move(*Head), std::move(Labels)};
+      const std::string &Id = Labels.CallId_;
       noteOtherAnswer(Id);
       bool MayPass = Passed < MaxSecondAnswers &&
                      Connection.carried().isSecondAnswer(callKey(Id));
