Keeper: asks are compared once, shares are applied only when they change

Read again: requestGrant, withdraw and done looked the ask up in KeeperService and again in Scheduler, two tables each, for every request; now KeeperService decides whether an ask or a withdrawal is late, Scheduler::done compares the entry that it has found. refresh(), which follows each change of the members, went over all customers of all services although the share was the same. Unit.Process: 267 of 267 cases, Unit.AllotmentOfManyCells 1 of 1.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace samphireshunt {
 
@@ -180,6 +181,8 @@
   for (const auto &[Name, Service] : Snapshot->Services_) {
     refreshService(Name, Service);
     double Share = allotmentShare(Service);
+    if (std::exchange(AppliedShares_[Name], Share) == Share)
+      continue;
     for (const Customer &Known : Service.Document_->Customers_)
       Allotments_.setShare(Known.Name_, Known.Allotment_, Share, Now);
   }
@@ -289,7 +292,7 @@
   if (Target.Scheduler_.hasOtherAsk(Id, Ask))
     return;
   Allotments_.refund(Id);
-  Target.Scheduler_.withdraw(Id, Ask);
+  Target.Scheduler_.withdraw(Id);
   decide(Cell, Target);
 }
 
@@ -315,15 +318,15 @@
 void KeeperService::done(const CellId &Cell, const RequestId &Id,
                          const ServedSample &Sample, AskNumber Ask) {
   ScheduledCell &Target = scheduledCell(Cell);
-  if (Target.Scheduler_.hasOtherAsk(Id, Ask))
-    return;
   auto Ended = Target.Scheduler_.findRunning(Id);
+  if (Ended && !mayBeSameAsk(Ended->Ask_, Ask))
+    return;
   ServerModel *Server =
       Ended ? Target.Scheduler_.server(Ended->Server_) : nullptr;
   bool WasLeftOut = Server && Server->health().leftOut(steady_clock::now());
   bool WasReplaced = Server && Server->replaced();
   auto Ignored = Target.Scheduler_.workTimes().ignoredFigures();
-  Target.Scheduler_.done(Id, Sample, steady_clock::now());
+  Target.Scheduler_.done(Id, Sample, steady_clock::now(), Ask);
   if (Ended && Target.Scheduler_.workTimes().ignoredFigures() != Ignored)
     logIgnoredWorkTime(Cell, Ended->Server_, Sample.WorkTimePercent_);
   if (Server)
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -213,6 +213,8 @@
   std::map<VmId, DisconnectedIngress> DisconnectedIngresses_;
   AllotmentLedger Allotments_;
   std::map<ServiceName, double> ScheduledFractions_;
+  /// The fraction of each allotment of a service by which buckets fill.
+  std::map<ServiceName, double> AppliedShares_;
   LogSampler RefusalSampler_;
   LogSampler WorkTimeSampler_;
   std::map<std::pair<ServiceName, PoolName>, PoolFloor> RemoteFloors_;
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -135,7 +135,7 @@
   // An ingress daemon repeats a grant request when its link was replaced.
   // Either the first one is still queued, or it was granted and the grant was
   // lost with the link.
-  if (hasAsk(Request.Id_, Request.Ask_) || replaceWaiting(Request))
+  if (replaceWaiting(Request))
     return Out;
   if (auto Granted = Running_.find(Request.Id_); Granted != Running_.end())
     endRunning(Granted);
@@ -382,9 +382,7 @@
   return true;
 }
 
-void Scheduler::withdraw(const RequestId &Id, AskNumber Ask) {
-  if (hasOtherAsk(Id, Ask))
-    return;
+void Scheduler::withdraw(const RequestId &Id) {
   Suspension_.ended(Id);
   if (Waiting_.contains(Id)) {
     dequeue(Id);
@@ -396,8 +394,8 @@
 
 void Scheduler::addRunning(const RunningRequest &Request) {
   // It has asked again since.
-  if (hasOtherAsk(Request.Id_, Request.Ask_) &&
-      hasAsk(Request.Id_, Request.Ask_))
+  auto Latest = askOf(Request.Id_);
+  if (Latest && Request.Ask_ != AskNumber() && *Latest > Request.Ask_)
     return;
   if (Waiting_.contains(Request.Id_))
     dequeue(Request.Id_);
@@ -436,7 +434,7 @@
 void Scheduler::done(const RequestId &Id, const ServedSample &Sample,
                      TimePoint Now, AskNumber Ask) {
   auto Found = Running_.find(Id);
-  if (Found == Running_.end() || hasOtherAsk(Id, Ask))
+  if (Found == Running_.end() || !mayBeSameAsk(Found->second.Ask_, Ask))
     return;
   const RunningRequest &Ended = Found->second;
   if (!Sample.Suspended_)
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -255,8 +255,8 @@
   void setWarmupEnd(TimePoint Until) { WarmupEnd_ = Until; }
   bool warming(TimePoint Now) const { return Now < WarmupEnd_; }
 
-  /// Queues a request, or refuses it at once. An ask that hasAsk() knows
-  /// changes nothing.
+  /// Queues a request, or refuses it at once. Not to be called for an ask that
+  /// hasAsk() knows.
   std::vector<Decision> requestGrant(GrantRequest Request, TimePoint Now);
   /// \returns whether the request waits or runs by \p Ask or a later one.
   /// Messages of an ingress daemon may come twice, and in another order if its
@@ -267,13 +267,12 @@
   /// Refuses all waiting requests of which servers crash: copies of one
   /// request, or those with one part of their prompts.
   std::vector<Decision> refuseCrashing(const RequestFingerprint &Cause);
-  /// Removes a request that no longer waits, or that runs under another keeper,
-  /// unless hasOtherAsk().
-  void withdraw(const RequestId &Id, AskNumber Ask = AskNumber());
+  /// Removes a request that no longer waits, or that runs under another keeper.
+  void withdraw(const RequestId &Id);
   /// Adds a request that an earlier keeper granted and that still runs.
   void addRunning(const RunningRequest &Request);
-  /// Ends a granted request, unless hasOtherAsk(); the server model learns from
-  /// \p Sample.
+  /// Ends a granted request, unless it runs by another ask; the server model
+  /// learns from \p Sample.
   void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now,
             AskNumber Ask = AskNumber());
   /// Records that a run which was to be suspended goes on or has ended.
