What a request's sends show is counted once; how long a connection was unused follows from it

Read again: RunRecord kept two flags beside ForwardedCall's own counts of sends and refusals, from which they follow; now it keeps the counts and ForwardedCall asks it. The idle time of a connection was carried through ServerLink and ReadyServer; the connection knows when it last received, and whether it carried another call.

--- a/Source/Process/Relay/ServerConnector.cpp
+++ b/Source/Process/Relay/ServerConnector.cpp
@@ -12,7 +12,6 @@
 namespace samphireshunt {
 
 namespace asio = boost::asio;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -94,12 +93,8 @@
   ServerLink Link;
   if (!Paths_.trustsIdle(Target.Address_))
     Pool_.closeIdle(Target.Address_);
-  else if ((Link.Connection_ =
-                Pool_.takeIdle(Target.Address_, MaxIdle, Call))) {
-    Link.Idle_ = duration_cast<milliseconds>(steady_clock::now() -
-                                             Link.Connection_->lastReceived());
+  else if ((Link.Connection_ = Pool_.takeIdle(Target.Address_, MaxIdle, Call)))
     co_return Link;
-  }
   PortState Seen = PortState::Silent;
   bool TriedDirect = !Paths_.isCutOff(Target.Address_);
   if (TriedDirect) {
--- a/Source/Process/Relay/ServerConnector.h
+++ b/Source/Process/Relay/ServerConnector.h
@@ -28,8 +28,6 @@
   std::unique_ptr<HttpConnection> Connection_;
   /// The daemon that relays it; unset if it is direct.
   std::optional<VmId> Relay_;
-  /// How long it was kept unused; unset if it is new.
-  std::optional<std::chrono::milliseconds> Idle_;
 };
 
 /// Counts what shows that answers and calls of a connection don't match.
--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -159,7 +159,7 @@
       Options.OnlyServer_ = Memory_->Server_;
     else
       Options.Excluded_ = TriedServers_;
-    Options.IsRetry_ = Sends_ > 0;
+    Options.IsRetry_ = Runs_.sends() > 0;
     Options.BeforeDispatch_ = [this] { return recheckCaller(); };
     return Options;
   }
@@ -172,7 +172,7 @@
   }
 
   Awaitable<AttemptEnd> attempt() {
-    ++Sends_;
+    Runs_.sent();
     Suspension_.reset();
     HeldAnswer_.set(0);
     OwnShortage_ = false;
@@ -190,12 +190,12 @@
         Self->endAtStop();
     });
     HttpConnection &Connection = *Ready_.Connection_;
+    KeptUnused_ = Dispatched_ - Connection.lastReceived();
     Connection.acceptUnframed();
     HttpRequest Request = forwardedRequest();
     if (Repeat_)
       Repeat_->sent();
     Repeat_.reset();
-    Runs_.sent();
     auto Sent = co_await Connection.send(Request, Context_.remaining());
     if (!Sent)
       co_return failed(Sent.error());
@@ -278,10 +278,10 @@
         !Context_.Pool_->RunMemory_.Moves_)
       return {};
     return [Weak = weak_from_this(), Executor = Executor_,
-            Send = Sends_](const ServerName &CopyTo) {
+            Send = Runs_.sends()](const ServerName &CopyTo) {
       boost::asio::post(Executor, [Weak, Send, CopyTo] {
         auto Self = Weak.lock();
-        if (Self && Self->Sends_ == Send)
+        if (Self && Self->Runs_.sends() == Send)
           Self->suspend(CopyTo);
       });
     };
@@ -455,7 +455,7 @@
     if (isStream())
       return eventTimeout();
     auto Left = Context_.remaining();
-    bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
+    bool Last = Runs_.sends() >= static_cast<int>(Rule_.MaxAttempts_);
     return Last || !Rule_.retryable() ? Left : Left / FirstAttemptDivisor;
   }
 
@@ -466,7 +466,7 @@
 
   /// Begins to watch a server whose stream may go on at another one.
   void watchSilence() {
-    bool Last = Sends_ >= static_cast<int>(Rule_.MaxAttempts_);
+    bool Last = Runs_.sends() >= static_cast<int>(Rule_.MaxAttempts_);
     if (!isStream() || !Rule_.Resumable_ || Last)
       return;
     Silence_ = SilenceWatch::create(Executor_, resumeAfterSilence(Rule_),
@@ -597,10 +597,13 @@
                 {{"answer_to", Id}, {"carried", Known ? "yes" : "no"}});
   }
 
+  /// \returns whether the connection carried another call before.
+  bool wasKept() const { return Ready_.Connection_->carried().size() > 1; }
+
   /// Counts and logs a refusal on a connection that was in use before: it may
   /// be a copy of an earlier one.
   void noteRefusal(const HttpResponse &Head) {
-    if (!Ready_.Idle_)
+    if (!wasKept())
       return;
     ++Context_.Services_.Servers_.exchanges().RefusalsOnKept_;
     logExchange("refused-on-kept-connection", ResultCode::RefusedByServer,
@@ -613,7 +616,9 @@
     auto Dropped = Sampler.admit(static_cast<int>(Kind), steady_clock::now());
     if (!Dropped)
       return;
-    auto Idle = Ready_.Idle_.value_or(milliseconds(0));
+    auto Idle = duration_cast<milliseconds>(KeptUnused_);
+    if (!wasKept())
+      Idle = milliseconds(0);
     auto Waited =
         duration_cast<milliseconds>(steady_clock::now() - Dispatched_);
     LogFields Fields = {
@@ -890,7 +895,7 @@
     if (HeadSent_ && !Rule_.Resumable_)
       return false;
     if (Ended == AttemptEnd::NotRun) {
-      if (++Refusals_ > MaxRefusals)
+      if (Runs_.refusals() > MaxRefusals)
         return false;
     } else if (!Rule_.retryable() || !canContinue(Ended) ||
                ++FailedSends_ >= static_cast<int>(Rule_.MaxAttempts_)) {
@@ -983,10 +988,10 @@
   /// As in AnswerLabels, of the last dispatch; 0 if unknown.
   std::uint32_t WorkTimePercent_ = 0;
   TimePoint Dispatched_;
+  /// How long the connection had received nothing then, if it was kept.
+  TimePoint::duration KeptUnused_{};
   TimePoint FirstEvent_;
-  int Sends_ = 0;       ///< Dispatches, refused ones too.
   int FailedSends_ = 0; ///< Dispatches that may have run.
-  int Refusals_ = 0;    ///< Dispatches that were refused.
   RunRecord Runs_;
   bool HeadSent_ = false;
   /// The current dispatch goes on with the memory of the run.
--- a/Source/Request/RequestContext.cpp
+++ b/Source/Request/RequestContext.cpp
@@ -581,7 +581,6 @@
     Ready.Server_ = std::move(Chosen);
     Ready.Connection_ = std::move(Link.Connection_);
     Ready.Relay_ = std::move(Link.Relay_);
-    Ready.Idle_ = Link.Idle_;
     Ready.Limited_ = Answer->Limited_;
     if (!Answer->Backup_.empty())
       Ready.Backup_ = findServer(Context, Answer->Backup_);
--- a/Source/Request/RequestContext.h
+++ b/Source/Request/RequestContext.h
@@ -187,8 +187,6 @@
   std::unique_ptr<HttpConnection> Connection_;
   /// The daemon that relays the connection; unset if it is direct.
   std::optional<VmId> Relay_;
-  /// How long the connection was kept unused; unset if it is new.
-  std::optional<std::chrono::milliseconds> Idle_;
   /// The server names the rate of requests that it accepts.
   bool Limited_ = false;
   /// The server to which the run's memory is to be backed up; unset: none.
--- a/Source/Request/RunRecord.h
+++ b/Source/Request/RunRecord.h
@@ -7,20 +7,18 @@
 class RunRecord {
 public:
   /// A byte of the request may reach a server from now on.
-  void sent() {
-    MayHaveRun_ = mayHaveRun();
-    Open_ = true;
-  }
+  void sent() { ++Sends_; }
   /// The server has answered the last send: it did not run the request.
-  void refused() { Open_ = false; }
+  void refused() { ++Refusals_; }
+  int sends() const { return Sends_; }
+  int refusals() const { return Refusals_; }
   /// \returns whether any send was not refused by its server, so that no answer
   /// may promise that the request has not run.
-  bool mayHaveRun() const { return MayHaveRun_ || Open_; }
+  bool mayHaveRun() const { return Sends_ > Refusals_; }
 
 private:
-  bool MayHaveRun_ = false;
-  /// The last send was not refused.
-  bool Open_ = false;
+  int Sends_ = 0;
+  int Refusals_ = 0;
 };
 
 } // namespace samphireshunt
