--- a/UnitTests/Process/Keeping/AllotmentOfManyCellsTest.cpp
+++ b/UnitTests/Process/Keeping/AllotmentOfManyCellsTest.cpp
@@ -5,10 +5,10 @@
 #include "Process/Keeping/KeeperChoice.h"
 #include "Process/Keeping/KeeperService.h"
 
+#include "UnitTests/Process/Keeping/EnginePool.h"
 #include "UnitTests/Process/MemberFleet.h"
 
 #include <doctest/doctest.h>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <memory>
@@ -35,23 +35,11 @@
 constexpr int MaxRequests = 100;
 constexpr std::chrono::milliseconds Pause{20};
 
-Pool wholePool() {
-  Pool Target;
-  Target.Name_ = ThePool;
-  for (int Number = 0; Number < Servers; ++Number) {
-    BackendServer Engine;
-    Engine.Name_ = ServerName(fmt::format("engine-{}", Number));
-    Engine.MaxInFlight_ = 1;
-    Target.Servers_.push_back(std::move(Engine));
-  }
-  return Target;
-}
-
 void adopt(DocumentStore &Documents) {
   Document Built;
   Built.Service_ = Service;
   Built.Tiers_ = {"0"};
-  Built.Pools_.push_back(wholePool());
+  Built.Pools_.push_back(tests::enginePool(ThePool, Servers, 1));
   Customer Limited;
   Limited.Name_ = Calm;
   Limited.Allotment_ = {static_cast<double>(TokensPerSecond),
@@ -139,7 +127,7 @@
     if (!Keeper->cells().empty())
       Keepers.push_back(std::move(Keeper));
   }
-  CHECK(Cells == cellCount(wholePool()));
+  CHECK(Cells == cellCount(tests::enginePool(ThePool, Servers, 1)));
   for (std::uint64_t Number = 1; Number <= MaxRequests; ++Number) {
     for (auto &Keeper : Keepers)
       if (!Keeper->granted())
--- a/UnitTests/Process/Keeping/AskNumberTest.cpp
+++ b/UnitTests/Process/Keeping/AskNumberTest.cpp
@@ -4,6 +4,7 @@
 
 #include "Process/Keeping/GrantClient.h"
 #include "Process/Keeping/KeeperService.h"
+#include "UnitTests/Process/Keeping/EnginePool.h"
 #include "UnitTests/Process/Keeping/LoneKeeper.h"
 
 #include <doctest/doctest.h>
@@ -37,15 +38,7 @@
   Document Built;
   Built.Service_ = Service;
   Built.Tiers_ = {"0"};
-  Pool Target;
-  Target.Name_ = ThePool;
-  for (int Number = 0; Number < Servers; ++Number) {
-    BackendServer Server;
-    Server.Name_ = ServerName(fmt::format("server-{}", Number));
-    Server.MaxInFlight_ = 2;
-    Target.Servers_.push_back(Server);
-  }
-  Built.Pools_.push_back(std::move(Target));
+  Built.Pools_.push_back(tests::enginePool(ThePool, Servers, 2));
   Built.buildIndex();
   Documents.adopt(Service, DocumentVersion(1),
                   std::make_shared<const Document>(std::move(Built)));
--- a/UnitTests/Process/Keeping/GrantClientTest.cpp
+++ b/UnitTests/Process/Keeping/GrantClientTest.cpp
@@ -2,12 +2,11 @@
 
 #include "Connection/PeerMessage.h"
 #include "Process/Keeping/KeeperService.h"
+#include "UnitTests/Process/Keeping/EnginePool.h"
 #include "UnitTests/Process/Keeping/LoneKeeper.h"
 
 #include <doctest/doctest.h>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <set>
 
@@ -278,15 +277,7 @@
     Document Built;
     Built.Service_ = Cell.Service_;
     Built.Tiers_ = {"0"};
-    Pool Target;
-    Target.Name_ = Cell.Pool_;
-    for (int Index = 0; Index < Count; ++Index) {
-      BackendServer Engine;
-      Engine.Name_ = ServerName(fmt::format("engine-{}", Index));
-      Engine.MaxInFlight_ = 1;
-      Target.Servers_.push_back(std::move(Engine));
-    }
-    Built.Pools_.push_back(std::move(Target));
+    Built.Pools_.push_back(tests::enginePool(Cell.Pool_, Count, 1));
     Built.buildIndex();
     Documents.adopt(Cell.Service_, DocumentVersion(1),
                     std::make_shared<const Document>(std::move(Built)));
--- a/UnitTests/Request/CopiedRefusalTest.cpp
+++ b/UnitTests/Request/CopiedRefusalTest.cpp
@@ -17,18 +17,11 @@
 namespace {
 
 ForwardingHarness::Options kind(RequestKind Kind) {
-  ForwardingHarness::Options Wanted;
-  Wanted.Kind_ = Kind;
+  auto Wanted = optionsOf(Kind);
   Wanted.Retries_.Allowance_ = 100;
   return Wanted;
 }
 
-std::string misdirected(const std::string &CallId) {
-  return fmt::format("HTTP/1.1 421 Other\r\nX-Call-Id: {}\r\nX-Server: other"
-                     "\r\nContent-Length: 0\r\n\r\n",
-                     CallId);
-}
-
 /// Sends \p First for the first request and what \p Next makes of its id for
 /// the others.
 ScriptOf firstThen(const std::string &First,
@@ -60,13 +53,13 @@
         return {"", Script::Then::Hold};
       }
       if (!std::exchange(Refused_, true))
-        return {misdirected(Id)};
+        return {misdirected(Id, "other")};
       ++Runs_;
       bool Reused = Path_.server(Replaced_).connections() == 1;
       if (Index == Replaced_ && Reused)
-        return {misdirected(Id)};
+        return {misdirected(Id, "other")};
       Script Answered{completeAnswer(Id, "answer")};
-      Answered.ToOthers_ = Index == Replaced_ ? misdirected(Id) : "";
+      Answered.ToOthers_ = Index == Replaced_ ? misdirected(Id, "other") : "";
       return Answered;
     };
   }
@@ -146,7 +139,8 @@
       Copies_ += Before.empty() ? 0 : 1;
       return {Before + completeAnswer(Id, "answer to " + Id)};
     }
-    std::string Refusal = Random_(2) > 0 ? refusal(Id) : misdirected(Id);
+    std::string Refusal =
+        Random_(2) > 0 ? refusal(Id) : misdirected(Id, "other");
     Script Refused{Refusal};
     switch (Random_(4)) {
     case 0:
--- a/UnitTests/Request/CrashingRequestTest.cpp
+++ b/UnitTests/Request/CrashingRequestTest.cpp
@@ -24,12 +24,6 @@
   return {completeAnswer(fieldIn(Request, "x-call-id"), "answer")};
 }
 
-ForwardingHarness::Options kind(RequestKind Kind) {
-  ForwardingHarness::Options Wanted;
-  Wanted.Kind_ = Kind;
-  return Wanted;
-}
-
 } // namespace
 
 TEST_CASE("a request that crashes servers stops reaching them") {
@@ -37,7 +31,7 @@
   // after the other.
   for (RequestKind Kind : {RequestKind::Stream, RequestKind::NonIdempotent,
                            RequestKind::Idempotent}) {
-    ForwardingHarness Path(kind(Kind),
+    ForwardingHarness Path(optionsOf(Kind),
                            std::vector<ScriptOf>(Servers, crashOnPoison));
     for (std::size_t Attempt = 0; Attempt < Servers; ++Attempt)
       Path.call("c" + std::to_string(Attempt), "poison");
@@ -48,7 +42,7 @@
 
 TEST_CASE("the refusal is final and says that the request was not run") {
   // Guards against an answer that invites the caller to send it again.
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          std::vector<ScriptOf>(Servers, crashOnPoison));
   CallerReply Last;
   for (std::size_t Attempt = 0; Attempt <= MaxReached; ++Attempt)
@@ -64,7 +58,7 @@
   auto Reset = [](const std::string &, std::size_t) {
     return Script{"", Script::Then::Reset};
   };
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          std::vector<ScriptOf>(Servers, Reset));
   for (std::size_t Attempt = 0; Attempt < Servers; ++Attempt)
     CHECK(fieldIn(Path.call("c" + std::to_string(Attempt)).Bytes_,
@@ -81,7 +75,7 @@
       Target->publish({Index});
       return Script{"", Script::Then::Crash};
     });
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent), Scripts);
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent), Scripts);
   Target = &Path;
   for (std::size_t Attempt = 0; Attempt < Servers; ++Attempt)
     CHECK(fieldIn(Path.call("c" + std::to_string(Attempt)).Bytes_,
--- a/UnitTests/Request/FalsePromiseTest.cpp
+++ b/UnitTests/Request/FalsePromiseTest.cpp
@@ -45,12 +45,6 @@
            {streamHead("c1") + chunk("id: 1\nda"), Then::Close}}};
 }
 
-ForwardingHarness::Options once(RequestKind Kind) {
-  ForwardingHarness::Options Wanted;
-  Wanted.Kind_ = Kind;
-  return Wanted;
-}
-
 } // namespace
 
 TEST_CASE("no request that a server had is answered as one that has not run") {
@@ -65,7 +59,7 @@
         Script Late = End.Answer_;
         std::swap(Late.Bytes_, Late.AfterSilence_);
         Late.Silence_ = std::chrono::milliseconds(20);
-        auto Wanted = once(Kind);
+        auto Wanted = optionsOf(Kind);
         if (Late.Then_ == Script::Then::Hold)
           Wanted.Timeout_ = std::chrono::milliseconds(600);
         ForwardingHarness Path(
@@ -82,7 +76,7 @@
 
 TEST_CASE("a request that no server had is refused with a promise, whoever "
           "leaves") {
-  auto Wanted = once(RequestKind::NonIdempotent);
+  auto Wanted = optionsOf(RequestKind::NonIdempotent);
   Wanted.MaxInFlight_ = 1;
   ForwardingHarness Path(Wanted, {[](const std::string &, std::size_t) {
                            return Script{"", Script::Then::Hold};
--- a/UnitTests/Request/ForwardedCallTest.cpp
+++ b/UnitTests/Request/ForwardedCallTest.cpp
@@ -22,14 +22,8 @@
   return [Fixed](const std::string &, std::size_t) { return Fixed; };
 }
 
-ForwardingHarness::Options kind(RequestKind Kind) {
-  ForwardingHarness::Options Wanted;
-  Wanted.Kind_ = Kind;
-  return Wanted;
-}
-
 ForwardingHarness::Options stream(bool Resumable) {
-  auto Wanted = kind(RequestKind::Stream);
+  auto Wanted = optionsOf(RequestKind::Stream);
   Wanted.Resumable_ = Resumable;
   return Wanted;
 }
@@ -46,7 +40,7 @@
 
 TEST_CASE("request and answer are forwarded unchanged, except for hop-by-hop "
           "fields and the key") {
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent), {answerAll});
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent), {answerAll});
   auto Reply = Path.call("c1", "the body",
                          "X-Other: kept\r\nConnection: keep-alive, X-Hop\r\n"
                          "X-Hop: 1\r\nX-Customer: forged\r\n");
@@ -70,7 +64,7 @@
   // unread bytes, and the next request reads the extra answer.
   std::string TwoAnswers =
       completeAnswer("c1", "one") + completeAnswer("c1", "one");
-  ForwardingHarness Path(kind(RequestKind::Idempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::Idempotent),
                          {[&](const std::string &Request, std::size_t Number) {
                            return Number == 0 ? Script{TwoAnswers}
                                               : answerAll(Request, Number);
@@ -82,7 +76,7 @@
 
 TEST_CASE("an answer with another request's id is a failure, and a "
           "non-idempotent request is not retried") {
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          {always({completeAnswer("other", "x")})});
   CHECK(Path.call("c1").status() == 502);
   CHECK(Path.received() == 1);
@@ -91,7 +85,7 @@
 TEST_CASE("a success without the server's proof is a failure") {
   std::string WithoutProof = "HTTP/1.1 200 OK\r\nX-Call-Id: c1\r\n"
                              "Content-Length: 1\r\n\r\nx";
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          {always({WithoutProof})});
   CHECK(Path.call("c1").status() == 502);
 }
@@ -105,13 +99,13 @@
   SUBCASE("a request that may run twice is retried at another server") {
     auto Count = std::make_shared<int>(0);
     auto Each = firstThen(Count, Truncated, answerAll);
-    ForwardingHarness Path(kind(RequestKind::Idempotent), {Each, Each});
+    ForwardingHarness Path(optionsOf(RequestKind::Idempotent), {Each, Each});
     CHECK(Path.call("c1").body() == "answer");
     CHECK(Path.server(0).requests().size() == 1);
     CHECK(Path.server(1).requests().size() == 1);
   }
   SUBCASE("any other request fails as one that may have run") {
-    ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+    ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                            {always(Truncated), always(Truncated)});
     CHECK(Path.call("c1").status() == 502);
     CHECK(Path.received() == 1);
@@ -123,14 +117,14 @@
   std::string Unframed = "HTTP/1.1 200 OK\r\nX-Call-Id: c1\r\n"
                          "X-Answer-Proof: p\r\n\r\nthe whole";
   SUBCASE("closed") {
-    ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+    ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                            {always({Unframed, Script::Then::Close})});
     auto Reply = Path.call("c1");
     CHECK(Reply.status() == 200);
     CHECK(Reply.body() == "the whole");
   }
   SUBCASE("reset") {
-    ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+    ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                            {always({Unframed, Script::Then::Reset})});
     CHECK(Path.call("c1").status() == 502);
   }
@@ -145,7 +139,7 @@
   const std::string Long(8 * 1024 * 1024 - 1, 'b');
   constexpr std::size_t Early = 1000;
   ForwardingHarness Path(
-      kind(RequestKind::NonIdempotent),
+      optionsOf(RequestKind::NonIdempotent),
       {[&](const std::string &Request, std::size_t Number) {
         if (Number > 0)
           return answerAll(Request, Number);
@@ -160,7 +154,7 @@
 
 TEST_CASE("a request that a server refused without running it is sent "
           "elsewhere, even if non-idempotent") {
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          {[](const std::string &Request, std::size_t) {
                             return Script{
                                 refusal(fieldIn(Request, "x-call-id"))};
@@ -176,7 +170,7 @@
   auto Refuse = [](const std::string &Request, std::size_t) {
     return Script{refusal(fieldIn(Request, "x-call-id"))};
   };
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent), {Refuse});
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent), {Refuse});
   auto Reply = Path.call("c1");
   CHECK(Reply.status() == 503);
   CHECK_FALSE(fieldIn(Reply.Bytes_, "retry-after").empty());
@@ -192,18 +186,18 @@
     auto Count = std::make_shared<int>(0);
     Script First{completeAnswer("c1", "failed", 500)};
     auto Each = firstThen(Count, First, answerAll);
-    ForwardingHarness Path(kind(RequestKind::Idempotent), {Each, Each});
+    ForwardingHarness Path(optionsOf(RequestKind::Idempotent), {Each, Each});
     CHECK(Path.call("c1").status() == 200);
   }
   SUBCASE("both fail") {
-    ForwardingHarness Path(kind(RequestKind::Idempotent), {Fail, Fail});
+    ForwardingHarness Path(optionsOf(RequestKind::Idempotent), {Fail, Fail});
     auto Reply = Path.call("c1");
     CHECK(Reply.status() == 500);
     CHECK(fieldIn(Reply.Bytes_, "x-answer-proof") == "p");
     CHECK(Path.received() == 2);
   }
   SUBCASE("must not be retried") {
-    ForwardingHarness Path(kind(RequestKind::NonIdempotent), {Fail, Fail});
+    ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent), {Fail, Fail});
     CHECK(Path.call("c1").status() == 500);
     CHECK(Path.received() == 1);
   }
@@ -214,7 +208,7 @@
   // Guards against a retry of a request that ran. A server fails with 503 after
   // it started to run the request; forwarded to the caller, this status would
   // promise that the request was not run.
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          {always({completeAnswer("c1", "overloaded", 503)})});
   auto Reply = Path.call("c1");
   CHECK(Reply.status() == 502);
@@ -224,7 +218,7 @@
 TEST_CASE("a non-idempotent request is not retried after its connection was "
           "reset") {
   Script Reset{"", Script::Then::Reset};
-  ForwardingHarness Path(kind(RequestKind::NonIdempotent),
+  ForwardingHarness Path(optionsOf(RequestKind::NonIdempotent),
                          {always(Reset), always(Reset)});
   CHECK(Path.call("c1").status() == 502);
   CHECK(Path.received() == 1);
@@ -296,7 +290,7 @@
 
 TEST_CASE(
     "a request whose caller disconnects while it waits is not dispatched") {
-  auto Wanted = kind(RequestKind::NonIdempotent);
+  auto Wanted = optionsOf(RequestKind::NonIdempotent);
   Wanted.MaxInFlight_ = 1;
   ForwardingHarness Path(Wanted, {always({"", Script::Then::Hold})});
   auto First = Path.begin("c1");
@@ -318,7 +312,7 @@
   // iteration. If the connection's event comes first, the whole request would
   // be sent to the engine before the disconnect is noticed.
   BareListener Server;
-  ForwardingHarness Path(kind(RequestKind::Idempotent), {});
+  ForwardingHarness Path(optionsOf(RequestKind::Idempotent), {});
   Path.publishAt(Server.address());
   auto Reply = Path.begin("c1");
   // The connection is established, but the request's coroutine hasn't been
@@ -334,7 +328,7 @@
   // configuration revokes the key while the request waits for a slot; if keys
   // were checked on arrival only, the request would run when a slot becomes
   // free.
-  auto Wanted = kind(RequestKind::Idempotent);
+  auto Wanted = optionsOf(RequestKind::Idempotent);
   Wanted.MaxInFlight_ = 1;
   Wanted.RequiresKey_ = true;
   ForwardingHarness Path(Wanted, {always({"", Script::Then::Hold})});
@@ -351,7 +345,7 @@
 
 TEST_CASE("with a configuration that may be out of date, keys are neither "
           "accepted nor rejected") {
-  auto Wanted = kind(RequestKind::NonIdempotent);
+  auto Wanted = optionsOf(RequestKind::NonIdempotent);
   Wanted.RequiresKey_ = true;
   Wanted.Lease_ = std::chrono::milliseconds(1);
   ForwardingHarness Path(Wanted, {answerAll});
@@ -369,7 +363,7 @@
   // leave. The directory marks the server as leaving while the request waits
   // for a slot there; the grant must not use the state from the request's
   // arrival.
-  auto Wanted = kind(RequestKind::NonIdempotent);
+  auto Wanted = optionsOf(RequestKind::NonIdempotent);
   Wanted.MaxInFlight_ = 1;
   ForwardingHarness Path(Wanted, {always({"", Script::Then::Hold})});
   auto First = Path.begin("c1");
@@ -390,7 +384,7 @@
   auto Hanging = always({"", Script::Then::Hold});
   for (auto Kind : {RequestKind::Idempotent, RequestKind::NonIdempotent,
                     RequestKind::Stream}) {
-    auto Wanted = kind(Kind);
+    auto Wanted = optionsOf(Kind);
     Wanted.Timeout_ = std::chrono::milliseconds(300);
     ForwardingHarness Path(Wanted, {Hanging, Hanging});
     auto Begin = steady_clock::now();
@@ -510,7 +504,7 @@
   // Guards against callers that are denied by the head what they would get, or
   // get what they would be denied.
   const std::string Long(200000, 'b');
-  auto Wanted = kind(RequestKind::NonIdempotent);
+  auto Wanted = optionsOf(RequestKind::NonIdempotent);
   Wanted.RequiresKey_ = true;
   ForwardingHarness Path(Wanted, {answerAll});
   CHECK(Path.call("c1", Long).status() == 200);
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -623,6 +623,12 @@
   return Sum;
 }
 
+ForwardingHarness::Options optionsOf(RequestKind Kind) {
+  ForwardingHarness::Options Wanted;
+  Wanted.Kind_ = Kind;
+  return Wanted;
+}
+
 std::string completeAnswer(const std::string &CallId, const std::string &Body,
                            int Status) {
   return fmt::format("HTTP/1.1 {} Answer\r\nX-Call-Id: {}\r\nX-Answer-Proof: "
@@ -651,6 +657,13 @@
                      CallId);
 }
 
+std::string misdirected(const std::string &CallId, const std::string &Named) {
+  std::string Field = Named.empty() ? "" : "X-Server: " + Named + "\r\n";
+  return fmt::format("HTTP/1.1 421 Other\r\nX-Call-Id: {}\r\n{}"
+                     "Content-Length: 0\r\n\r\n",
+                     CallId, Field);
+}
+
 std::string fieldIn(const std::string &Bytes, const std::string &Name) {
   std::string Lower = Bytes.substr(0, headEnd(Bytes));
   std::ranges::transform(Lower, Lower.begin(), [](unsigned char C) {
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -312,6 +312,9 @@
   std::uint64_t Version_ = 0;
 };
 
+/// \returns the options of a harness whose route has requests of this kind.
+ForwardingHarness::Options optionsOf(RequestKind Kind);
+
 /// \returns a complete answer with a length, the call's id and the proof.
 std::string completeAnswer(const std::string &CallId, const std::string &Body,
                            int Status = 200);
@@ -323,6 +326,9 @@
 inline const std::string LastChunk = "0\r\n\r\n";
 /// \returns an answer that states that the server did not run the request.
 std::string refusal(const std::string &CallId);
+/// \returns an answer of another server than the one that was meant, which
+/// names itself \p Named, or not if that is empty.
+std::string misdirected(const std::string &CallId, const std::string &Named);
 /// \returns the value of a header field in a raw request or answer; empty if
 /// absent.
 std::string fieldIn(const std::string &Bytes, const std::string &Name);
--- a/UnitTests/Request/ReplacedServerTest.cpp
+++ b/UnitTests/Request/ReplacedServerTest.cpp
@@ -17,19 +17,15 @@
 /// A request that is refused is sent to three other servers.
 constexpr std::size_t ServersTried = 4;
 
-Script misdirected(const std::string &Request, const std::string &Named) {
-  std::string Field = Named.empty() ? "" : "X-Server: " + Named + "\r\n";
-  return {fmt::format("HTTP/1.1 421 Other\r\nX-Call-Id: {}\r\n{}"
-                      "Content-Length: 0\r\n\r\n",
-                      fieldIn(Request, "x-call-id"), Field)};
+Script refuse(const std::string &Request, const std::string &Named) {
+  return {misdirected(fieldIn(Request, "x-call-id"), Named)};
 }
 
 /// Refuses requests that expect a version; it names itself if it \p Names.
 ScriptOf refusesVersions(bool Names) {
   return [Names](const std::string &Request, std::size_t) -> Script {
     if (!fieldIn(Request, "x-expect-version").empty())
-      return misdirected(Request,
-                         Names ? fieldIn(Request, "x-expect-server") : "");
+      return refuse(Request, Names ? fieldIn(Request, "x-expect-server") : "");
     return {completeAnswer(fieldIn(Request, "x-call-id"), "answer")};
   };
 }
@@ -70,7 +66,7 @@
       CAPTURE(Named);
       CAPTURE(Fields);
       auto Other = [Named](const std::string &Request, std::size_t) {
-        return misdirected(Request, Named);
+        return refuse(Request, Named);
       };
       auto Sound = [](const std::string &Request, std::size_t) {
         return Script{completeAnswer(fieldIn(Request, "x-call-id"), "answer")};
