A new count and a new customer don't undo what a keeper's share was

Now a new count keeps by what the buckets fill, and a change of the share names the one of before, also for customers without an account. What was charged before a new count is no longer refunded into it.

AllotmentLedgerTest: four ways into the cut instead of one; each sends at most 900 units in 8 s, and at least 800.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -181,10 +181,12 @@
   for (const auto &[Name, Service] : Snapshot->Services_) {
     refreshService(Name, Service);
     double Share = allotmentShare(Service);
-    if (std::exchange(AppliedShares_[Name], Share) == Share)
+    double Before = std::exchange(AppliedShares_[Name], Share);
+    if (Before == Share)
       continue;
     for (const Customer &Known : Service.Document_->Customers_)
-      Allotments_.setShare(Known.Name_, Known.Allotment_, Share, Now);
+      Allotments_.changeShare(Known.Name_, Known.Allotment_, Before, Share,
+                              Now);
   }
   std::erase_if(Cells_, [&](const auto &Item) {
     const ScheduledCell &Target = *Item.second;
--- a/Source/Process/Scheduling/AllotmentLedger.cpp
+++ b/Source/Process/Scheduling/AllotmentLedger.cpp
@@ -119,11 +119,11 @@
       std::min(Target.Left_.Tolerated_, Target.Tolerance_.Capacity_);
 }
 
-void AllotmentLedger::setShare(const CustomerName &Customer,
-                               const Allotment &Allowed, double Share,
-                               TimePoint Now) {
+void AllotmentLedger::changeShare(const CustomerName &Customer,
+                                  const Allotment &Allowed, double Before,
+                                  double Share, TimePoint Now) {
   if (Allowed.PerSecond_ > 0)
-    advance(account(Customer, Allowed, Share), Allowed, Share, Now);
+    advance(account(Customer, Allowed, Before), Allowed, Share, Now);
 }
 
 /// Decays the recorded largest cost of the highest tier, and raises it to that
@@ -173,7 +173,11 @@
 
 void AllotmentLedger::restart(TimePoint Now) {
   Started_ = Now;
-  Accounts_.clear();
+  // The flows stay: they are by what the keeper may use now.
+  for (auto &[Customer, Target] : Accounts_)
+    Target = {{}, 0, Now, Target.Regular_, Target.Tolerance_};
+  // What was charged before is not in the new count.
+  PendingCharges_.clear();
 }
 
 } // namespace samphireshunt
--- a/Source/Process/Scheduling/AllotmentLedger.h
+++ b/Source/Process/Scheduling/AllotmentLedger.h
@@ -64,12 +64,12 @@
   /// anything, when too little is left.
   bool charge(const Charge &Request, const Allotment &Allowed, double Share,
               TimePoint Now);
-  /// Applies a change of what this keeper may use from now on: what it gains
-  /// until then is by the fraction of before. Without this, a keeper that was
-  /// cut off would find a full burst when it returns, beside what the keeper
-  /// meanwhile has granted.
-  void setShare(const CustomerName &Customer, const Allotment &Allowed,
-                double Share, TimePoint Now);
+  /// Applies a change of the fraction that this keeper may use: what it gains
+  /// until now is by \p Before, also for a customer that has used nothing.
+  /// Without this, a keeper that was cut off would find a full burst when it
+  /// returns, beside what the keeper meanwhile has granted.
+  void changeShare(const CustomerName &Customer, const Allotment &Allowed,
+                   double Before, double Share, TimePoint Now);
   /// \returns the time after which a request that was just refused would fit if
   /// nothing else is charged meanwhile; the whole window if it would never fit.
   std::chrono::milliseconds timeUntilFit(const Charge &Request,
--- a/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
+++ b/UnitTests/Process/Scheduling/AllotmentLedgerTest.cpp
@@ -59,13 +59,25 @@
   // the keeper during the cut, and one from that of before, whose buckets have
   // filled meanwhile.
   constexpr double OfEight = 0.125;
+  const Allotment Allowed = hundredPerSecond();
   AllotmentLedger First({.Credit_ = 0}, Start - seconds(10));
   AllotmentLedger Meanwhile({.Credit_ = 0}, Start);
-  flood(First, Start - seconds(1), seconds(1));
-  First.setShare(Hot, hundredPerSecond(), OfEight, Start);
+  SUBCASE("whose customer used it before") {
+    flood(First, Start - seconds(1), seconds(1));
+    First.changeShare(Hot, Allowed, 1, OfEight, Start);
+  }
+  SUBCASE("whose customer is new to it") {
+    First.changeShare(Hot, Allowed, 1, OfEight, Start);
+  }
+  SUBCASE("that has begun to count anew meanwhile") {
+    flood(First, Start - seconds(1), seconds(1));
+    First.changeShare(Hot, Allowed, 1, OfEight, Start);
+    First.restart(Start + seconds(1));
+  }
+  SUBCASE("to which its customer came during the cut") { First.restart(Start); }
   double Admitted =
       flood(Meanwhile, Start + seconds(5), seconds(1), 1 - OfEight);
-  First.setShare(Hot, hundredPerSecond(), 1, Start + seconds(6));
+  First.changeShare(Hot, Allowed, OfEight, 1, Start + seconds(6));
   Admitted += flood(First, Start + seconds(6), seconds(7));
   CHECK(Admitted <= 100 * 8 + 100);
   CHECK(Admitted >= 100 * 8);
