Keeper: what names an earlier ask is late, and one place compares asks

Found by a fresh review: the keeper's half of the ask's number had no test that can fail, was compared in two classes, and went both ways: a withdrawal or an end that named a later ask than the keeper knew left the earlier one its slot. An ask that replaced a waiting one was charged twice.

KeeperService compares: what names an earlier ask than the one that is known changes nothing; a later ask takes the place of one that waits, and its charge. Scheduler only keeps the number.

--- a/Source/Process/Keeping/KeeperService.cpp
+++ b/Source/Process/Keeping/KeeperService.cpp
@@ -207,8 +207,15 @@
         {RefuseDecision{Request.Id_, ResultCode::NotReady, milliseconds(0),
                         Request.Ingress_, Request.Ask_}});
   ScheduledCell &Target = scheduledCell(Cell);
-  if (Target.Scheduler_.hasAsk(Request.Id_, Request.Ask_))
+  bool Known = Target.Scheduler_.askOf(Request.Id_) == Request.Ask_;
+  bool Numbered = Request.Ask_ != AskNumber();
+  if (Numbered && (Known || isLate(Target, Request.Id_, Request.Ask_)))
     return;
+  // An earlier ask may have allowed other servers.
+  if (Numbered) {
+    Allotments_.refund(Request.Id_);
+    Target.Scheduler_.withdrawWaiting(Request.Id_);
+  }
   if (auto Refusal = chargeAllotment(Cell, Request))
     return postDecisions(Cell, {*Refusal});
   auto Remote = RemoteFloors_.find({Cell.Service_, Cell.Pool_});
@@ -220,6 +227,11 @@
   decide(Cell, Target);
 }
 
+bool KeeperService::isLate(const ScheduledCell &Target, const RequestId &Id,
+                           AskNumber Ask) {
+  return Ask != AskNumber() && Target.Scheduler_.askOf(Id) > Ask;
+}
+
 bool KeeperService::knowsPool(const CellId &Cell) const {
   auto Snapshot = Documents_.snapshot();
   const ServiceConfiguration *Service = Snapshot->service(Cell.Service_);
@@ -291,7 +303,7 @@
 void KeeperService::withdraw(const CellId &Cell, const RequestId &Id,
                              AskNumber Ask) {
   ScheduledCell &Target = scheduledCell(Cell);
-  if (Target.Scheduler_.hasOtherAsk(Id, Ask))
+  if (isLate(Target, Id, Ask))
     return;
   Allotments_.refund(Id);
   Target.Scheduler_.withdraw(Id);
@@ -299,7 +311,9 @@
 }
 
 void KeeperService::running(const CellId &Cell, RunningRequest Request) {
-  scheduledCell(Cell).Scheduler_.addRunning(Request);
+  ScheduledCell &Target = scheduledCell(Cell);
+  if (!isLate(Target, Request.Id_, Request.Ask_))
+    Target.Scheduler_.addRunning(Request);
 }
 
 void KeeperService::notSuspended(const CellId &Cell, const RequestId &Id) {
@@ -320,15 +334,15 @@
 void KeeperService::done(const CellId &Cell, const RequestId &Id,
                          const ServedSample &Sample, AskNumber Ask) {
   ScheduledCell &Target = scheduledCell(Cell);
-  auto Ended = Target.Scheduler_.findRunning(Id);
-  if (Ended && !mayBeSameAsk(Ended->Ask_, Ask))
+  if (isLate(Target, Id, Ask))
     return;
+  auto Ended = Target.Scheduler_.findRunning(Id);
   ServerModel *Server =
       Ended ? Target.Scheduler_.server(Ended->Server_) : nullptr;
   bool WasLeftOut = Server && Server->health().leftOut(steady_clock::now());
   bool WasReplaced = Server && Server->replaced();
   auto Ignored = Target.Scheduler_.workTimes().ignoredFigures();
-  Target.Scheduler_.done(Id, Sample, steady_clock::now(), Ask);
+  Target.Scheduler_.done(Id, Sample, steady_clock::now());
   if (Ended && Target.Scheduler_.workTimes().ignoredFigures() != Ignored)
     logIgnoredWorkTime(Cell, Ended->Server_, Sample.WorkTimePercent_);
   if (Server)
@@ -403,7 +417,9 @@
 
 void KeeperService::returnGrant(const RequestId &Id, AskNumber Ask) {
   for (auto &[Cell, Target] : Cells_) {
-    Target->Scheduler_.done(Id, ServedSample(), steady_clock::now(), Ask);
+    if (isLate(*Target, Id, Ask))
+      continue;
+    Target->Scheduler_.done(Id, ServedSample(), steady_clock::now());
     decide(Cell, *Target);
   }
 }
--- a/Source/Process/Keeping/KeeperService.h
+++ b/Source/Process/Keeping/KeeperService.h
@@ -106,10 +106,10 @@
   void firstToken(const CellId &Cell, const RequestId &Id,
                   const FirstTokenSample &Sample);
   void done(const CellId &Cell, const RequestId &Id, const ServedSample &Sample,
-            AskNumber Ask = AskNumber());
+            AskNumber Ask);
   /// Releases a grant that was not used and whose cell the ingress daemon no
   /// longer knows.
-  void returnGrant(const RequestId &Id, AskNumber Ask = AskNumber());
+  void returnGrant(const RequestId &Id, AskNumber Ask);
   /// Called when the link of an ingress daemon broke. It will request its
   /// grants again, here or at another keeper.
   void ingressDisconnected(const VmId &Ingress);
@@ -171,6 +171,9 @@
   };
 
   ScheduledCell &scheduledCell(const CellId &Cell);
+  /// \returns whether the request has asked again since \p Ask.
+  static bool isLate(const ScheduledCell &Target, const RequestId &Id,
+                     AskNumber Ask);
   /// Returns false while this daemon has no configuration with the cell's pool.
   bool knowsPool(const CellId &Cell) const;
   /// Removes the ingress daemon's requests.
--- a/Source/Process/Scheduling/Scheduler.cpp
+++ b/Source/Process/Scheduling/Scheduler.cpp
@@ -135,7 +135,7 @@
   // An ingress daemon repeats a grant request when its link was replaced.
   // Either the first one is still queued, or it was granted and the grant was
   // lost with the link.
-  if (replaceWaiting(Request))
+  if (Waiting_.contains(Request.Id_))
     return Out;
   if (auto Granted = Running_.find(Request.Id_); Granted != Running_.end())
     endRunning(Granted);
@@ -218,35 +218,6 @@
   return std::nullopt;
 }
 
-bool Scheduler::hasAsk(const RequestId &Id, AskNumber Ask) const {
-  auto Known = askOf(Id);
-  return Known && Ask != AskNumber() && *Known >= Ask;
-}
-
-bool Scheduler::hasOtherAsk(const RequestId &Id, AskNumber Ask) const {
-  auto Known = askOf(Id);
-  return Known && !mayBeSameAsk(*Known, Ask);
-}
-
-/// Lets a later ask take the place of the one by which the request waits.
-/// \returns false if the request doesn't wait, or is to be decided anew since
-/// other servers may run it.
-bool Scheduler::replaceWaiting(const GrantRequest &Request) {
-  auto Queued = Waiting_.find(Request.Id_);
-  if (Queued == Waiting_.end())
-    return false;
-  GrantRequest &Details = Queued->second.Details_;
-  bool Same = Request.Ask_ == AskNumber() ||
-              (Details.Excluded_ == Request.Excluded_ &&
-               Details.OnlyServer_ == Request.OnlyServer_ &&
-               Details.Version_ == Request.Version_);
-  if (Same)
-    Details.Ask_ = Request.Ask_;
-  else
-    dequeue(Request.Id_);
-  return Same;
-}
-
 bool Scheduler::mayRunOn(const GrantRequest &Request,
                          const ServerModel &Server) {
   const ServerCapacity &Capacity = Server.capacity();
@@ -392,13 +363,13 @@
     endRunning(Found);
 }
 
+void Scheduler::withdrawWaiting(const RequestId &Id) {
+  if (Waiting_.contains(Id))
+    dequeue(Id);
+}
+
 void Scheduler::addRunning(const RunningRequest &Request) {
-  // It has asked again since.
-  auto Latest = askOf(Request.Id_);
-  if (Latest && Request.Ask_ != AskNumber() && *Latest > Request.Ask_)
-    return;
-  if (Waiting_.contains(Request.Id_))
-    dequeue(Request.Id_);
+  withdrawWaiting(Request.Id_);
   auto Known = Running_.find(Request.Id_);
   if (Known != Running_.end() &&
       !mayBeSameAsk(Known->second.Ask_, Request.Ask_))
@@ -432,9 +403,9 @@
 }
 
 void Scheduler::done(const RequestId &Id, const ServedSample &Sample,
-                     TimePoint Now, AskNumber Ask) {
+                     TimePoint Now) {
   auto Found = Running_.find(Id);
-  if (Found == Running_.end() || !mayBeSameAsk(Found->second.Ask_, Ask))
+  if (Found == Running_.end())
     return;
   const RunningRequest &Ended = Found->second;
   if (!Sample.Suspended_)
--- a/Source/Process/Scheduling/Scheduler.h
+++ b/Source/Process/Scheduling/Scheduler.h
@@ -255,26 +255,22 @@
   void setWarmupEnd(TimePoint Until) { WarmupEnd_ = Until; }
   bool warming(TimePoint Now) const { return Now < WarmupEnd_; }
 
-  /// Queues a request, or refuses it at once. Not to be called for an ask that
-  /// hasAsk() knows.
+  /// Queues a request, or refuses it at once.
   std::vector<Decision> requestGrant(GrantRequest Request, TimePoint Now);
-  /// \returns whether the request waits or runs by \p Ask or a later one.
-  /// Messages of an ingress daemon may come twice, and in another order if its
-  /// link was replaced.
-  bool hasAsk(const RequestId &Id, AskNumber Ask) const;
-  /// \returns whether the request waits or runs by another ask than \p Ask.
-  bool hasOtherAsk(const RequestId &Id, AskNumber Ask) const;
+  /// \returns the ask by which the request waits or runs; nothing if it does
+  /// neither.
+  std::optional<AskNumber> askOf(const RequestId &Id) const;
   /// Refuses all waiting requests of which servers crash: copies of one
   /// request, or those with one part of their prompts.
   std::vector<Decision> refuseCrashing(const RequestFingerprint &Cause);
   /// Removes a request that no longer waits, or that runs under another keeper.
   void withdraw(const RequestId &Id);
+  /// Removes a request that waits; one that runs stays.
+  void withdrawWaiting(const RequestId &Id);
   /// Adds a request that an earlier keeper granted and that still runs.
   void addRunning(const RunningRequest &Request);
-  /// Ends a granted request, unless it runs by another ask; the server model
-  /// learns from \p Sample.
-  void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now,
-            AskNumber Ask = AskNumber());
+  /// Ends a granted request; the server model learns from \p Sample.
+  void done(const RequestId &Id, const ServedSample &Sample, TimePoint Now);
   /// Records that a run which was to be suspended goes on or has ended.
   void notSuspended(const RequestId &Id);
   const StreamSuspension &suspension() const { return Suspension_; }
@@ -458,10 +454,6 @@
   std::optional<std::chrono::milliseconds>
   timeUntilRested(const GrantRequest &Request, TimePoint Now) const;
   void refuseUnservable(std::vector<Decision> &Out);
-  /// \returns the ask by which the request waits or runs; nothing if it does
-  /// neither.
-  std::optional<AskNumber> askOf(const RequestId &Id) const;
-  bool replaceWaiting(const GrantRequest &Request);
   RefuseDecision refusal(const GrantRequest &Request, ResultCode Code);
   std::optional<RequestId> lowestWaiting(TierIndex Above) const;
   bool shedOneBelow(TierIndex Tier, std::vector<Decision> &Out);
--- a/UnitTests/Process/Keeping/AskNumberTest.cpp
+++ b/UnitTests/Process/Keeping/AskNumberTest.cpp
@@ -51,15 +51,21 @@
   std::string Bytes_;
 };
 
+/// What a network does with messages.
+enum class Delivery {
+  AnyOrder, ///< Delivers any that is on its way, some of them twice.
+  Links,    ///< Keeps the order of each link, and loses what a broken one has.
+};
+
 /// Daemons that ask for grants and daemons that keep the cell, all with the
-/// services of the product. The network between them delivers what a seed
-/// chooses: any message that is on its way, some of them twice.
+/// services of the product. A seed chooses what the network between them
+/// delivers next.
 class Fleet {
 public:
-  explicit Fleet(std::uint64_t Seed) : Random_(Seed) {
+  Fleet(std::uint64_t Seed, Delivery Kind) : Random_(Seed), Kind_(Kind) {
     adoptServers(Documents_);
-    for (int Number = 0; Number < Keepers; ++Number)
-      addKeeper(VmId(fmt::format("keeper-{}", Number)));
+    for (std::uint32_t Number = 0; Number < Keepers; ++Number)
+      addKeeper(keeper(Number));
     for (int Number = 0; Number < Entries; ++Number)
       addEntry(VmId(fmt::format("entry-{}", Number)));
   }
@@ -86,6 +92,25 @@
     }
   }
 
+  /// Lets all requests end, and all messages arrive. \returns how many requests
+  /// are still known to a daemon then.
+  std::size_t drain() {
+    constexpr int MostSteps = 10000;
+    Refuses_ = false;
+    for (int Step = 0; Step < MostSteps; ++Step) {
+      endDispatch();
+      deliver();
+      settle();
+    }
+    std::size_t Left = Calls_.size() + Network_.size();
+    for (const auto &[Id, Client] : Clients_)
+      Left += Client->waiting() + Client->running();
+    for (const auto &[Id, Keeper] : Services_)
+      if (const Scheduler *Kept = Keeper->scheduler(Cell))
+        Left += Kept->waiting() + Kept->running();
+    return Left;
+  }
+
   /// Grants for a server that the request had been sent to before.
   int SentTwice_ = 0;
   int Grants_ = 0;
@@ -97,7 +122,7 @@
   }
 
 private:
-  static constexpr int Keepers = 2;
+  static constexpr std::uint32_t Keepers = 2;
   static constexpr int Entries = 2;
   static constexpr std::size_t MostRequests = 12;
 
@@ -107,6 +132,10 @@
     bool Dispatched_ = false;
   };
 
+  static VmId keeper(std::uint32_t Number) {
+    return VmId(fmt::format("keeper-{}", Number));
+  }
+
   void addKeeper(const VmId &Id) {
     KeeperService::Options Options;
     Options.RoundPauseFactor_ = 0;
@@ -122,8 +151,11 @@
 
   void addEntry(const VmId &Id) {
     GrantClient::Hooks Hooks;
-    Hooks.KeeperOf_ = [this](const CellId &, const std::vector<VmId> &) {
-      return std::optional(VmId(fmt::format("keeper-{}", Chosen_)));
+    Hooks.KeeperOf_ = [this](const CellId &,
+                             const std::vector<VmId> &Unreachable) {
+      VmId First = keeper(Chosen_);
+      bool Avoided = std::ranges::count(Unreachable, First) > 0;
+      return std::optional(Avoided ? keeper((Chosen_ + 1) % Keepers) : First);
     };
     Hooks.Send_ = [this, Id](const VmId &To, std::string Bytes) {
       Network_.push_back({Id, To, std::move(Bytes)});
@@ -176,7 +208,8 @@
     Clients_.at(Target.Entry_)->done(Id, ServedSample());
     Target.Dispatched_ = false;
     constexpr std::uint32_t OneOf = 5;
-    bool Refused = Random_(OneOf) > 0 && Target.Tried_.size() < Servers;
+    bool Refused =
+        Refuses_ && Random_(OneOf) > 0 && Target.Tried_.size() < Servers;
     if (Refused)
       return acquire(Id);
     Calls_.erase(Ended);
@@ -189,25 +222,42 @@
 
   void breakLink() {
     VmId Entry(fmt::format("entry-{}", Random_(Entries)));
-    VmId Keeper(fmt::format("keeper-{}", Random_(Keepers)));
+    VmId Keeper = keeper(Random_(Keepers));
     bool Reset = Random_(2) > 0;
-    Clients_.at(Entry)->onLinkDown(Keeper,
-                                   Reset ? LinkLoss::Reset : LinkLoss::Failed);
-    if (Random_(2) > 0)
+    if (Kind_ == Delivery::Links) {
+      std::erase_if(Network_, [&](const Message &Lost) {
+        return (Lost.From_ == Entry && Lost.To_ == Keeper) ||
+               (Lost.From_ == Keeper && Lost.To_ == Entry);
+      });
       Services_.at(Keeper)->ingressDisconnected(Entry);
-    else
-      Services_.at(Keeper)->ingressReconnected(Entry);
+    }
+    Services_.at(Keeper)->ingressReconnected(Entry);
+    GrantClient &Client = *Clients_.at(Entry);
+    Client.onLinkDown(Keeper, Reset ? LinkLoss::Reset : LinkLoss::Failed);
+    // Ends the avoidance of the keeper, which no time passes for here.
+    Client.onMemberSeen(Keeper, Incarnation(++Processes_));
   }
 
-  void deliver() {
-    if (Network_.empty())
-      return;
-    constexpr std::uint32_t OneOfTwice = 8;
+  /// \returns the message that comes next.
+  Message nextMessage() {
     auto Next =
         Network_.begin() + Random_(static_cast<std::uint32_t>(Network_.size()));
+    if (Kind_ == Delivery::Links)
+      Next = std::ranges::find_if(Network_, [Chosen = *Next](const auto &Each) {
+        return Each.From_ == Chosen.From_ && Each.To_ == Chosen.To_;
+      });
+    constexpr std::uint32_t OneOfTwice = 8;
+    bool Again = Kind_ == Delivery::AnyOrder && Random_(OneOfTwice) == 0;
     Message Taken = *Next;
-    if (Random_(OneOfTwice) > 0)
+    if (!Again)
       Network_.erase(Next);
+    return Taken;
+  }
+
+  void deliver() {
+    if (Network_.empty())
+      return;
+    Message Taken = nextMessage();
     wire::EnvelopeT Envelope = decodeMessage(Taken.Bytes_).value();
     if (auto Keeper = Services_.find(Taken.To_); Keeper != Services_.end())
       toKeeper(*Keeper->second, Taken.From_, Envelope);
@@ -224,7 +274,15 @@
     else if (const auto *Running = Envelope.body.AsRunning())
       Keeper.running(Cell, runningFromWire(*Running, From));
     else if (const auto *Done = Envelope.body.AsDone())
-      Keeper.returnGrant(fromWire(Done->id), AskNumber(Done->ask));
+      endAt(Keeper, *Done);
+  }
+
+  static void endAt(KeeperService &Keeper, const wire::DoneT &Done) {
+    AskNumber Ask(Done.ask);
+    if (Done.cell && !Done.cell->service.empty())
+      Keeper.done(Cell, fromWire(Done.id), sampleFromWire(Done), Ask);
+    else
+      Keeper.returnGrant(fromWire(Done.id), Ask);
   }
 
   static void toEntry(GrantClient &Client, const VmId &From,
@@ -236,6 +294,10 @@
   }
 
   pcg32 Random_;
+  Delivery Kind_;
+  /// Servers refuse requests.
+  bool Refuses_ = true;
+  std::uint64_t Processes_ = 0;
   boost::asio::io_context Control_;
   DocumentStore Documents_;
   std::map<VmId, std::unique_ptr<KeeperService>> Services_;
@@ -335,17 +397,22 @@
   // refused its first send.
   constexpr std::uint64_t Seeds = 20;
   constexpr int Steps = 3000;
-  int Grants = 0;
-  std::uint64_t Returned = 0;
-  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
-    CAPTURE(Seed);
-    Fleet Test(Seed);
-    for (int Step = 0; Step < Steps; ++Step)
-      Test.step();
-    CHECK(Test.SentTwice_ == 0);
-    Grants += Test.Grants_;
-    Returned += Test.returned();
-  }
-  CHECK(Grants > 1000);
-  CHECK(Returned > 100);
+  std::map<Delivery, std::uint64_t> Returned;
+  for (auto Kind : {Delivery::AnyOrder, Delivery::Links})
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      CAPTURE(Seed);
+      CAPTURE(Kind == Delivery::Links);
+      Fleet Test(Seed, Kind);
+      for (int Step = 0; Step < Steps; ++Step)
+        Test.step();
+      CHECK(Test.SentTwice_ == 0);
+      // All requests go on, until the end.
+      CHECK(Test.Grants_ > Steps / 4);
+      Returned[Kind] += Test.returned();
+      // Messages that overtake others on one link may leave what has ended.
+      if (Kind == Delivery::Links)
+        CHECK(Test.drain() == 0);
+    }
+  CHECK(Returned[Delivery::AnyOrder] > 100);
+  CHECK(Returned[Delivery::Links] > 0);
 }
--- a/UnitTests/Process/Keeping/KeeperServiceTest.cpp
+++ b/UnitTests/Process/Keeping/KeeperServiceTest.cpp
@@ -193,13 +193,13 @@
     };
   }
   SUBCASE("a withdrawal") {
-    Decide = [&] { Keeper.withdraw(Cell, {1, 1}); };
+    Decide = [&] { Keeper.withdraw(Cell, {1, 1}, AskNumber()); };
   }
   SUBCASE("the end of a request") {
-    Decide = [&] { Keeper.done(Cell, {1, 1}, ServedSample()); };
+    Decide = [&] { Keeper.done(Cell, {1, 1}, ServedSample(), AskNumber()); };
   }
   SUBCASE("a returned grant") {
-    Decide = [&] { Keeper.returnGrant({1, 1}); };
+    Decide = [&] { Keeper.returnGrant({1, 1}, AskNumber()); };
   }
   SUBCASE("a new link of an ingress daemon") {
     Decide = [&] { Keeper.ingressReconnected(Ingress); };
@@ -226,7 +226,9 @@
   // request meanwhile, two requests would share one slot of an engine.
   OneEngineKeeper Daemon;
   Daemon.Keeper_.requestGrant(Cell, OneEngineKeeper::makeRequest(1));
-  SUBCASE("its request is withdrawn") { Daemon.Keeper_.withdraw(Cell, {1, 1}); }
+  SUBCASE("its request is withdrawn") {
+    Daemon.Keeper_.withdraw(Cell, {1, 1}, AskNumber());
+  }
   SUBCASE("its ingress daemon has a new link") {
     Daemon.Keeper_.ingressReconnected(Ingress);
   }
@@ -252,7 +254,7 @@
   }
   REQUIRE(Granted());
   SUBCASE("its request is withdrawn") {
-    Daemon.Keeper_.withdraw(Cell, Request.Id_);
+    Daemon.Keeper_.withdraw(Cell, Request.Id_, AskNumber());
   }
   SUBCASE("its ingress daemon has a new link") {
     Daemon.Keeper_.ingressReconnected(Ingress);
@@ -275,7 +277,7 @@
     ++Request.Id_.Sequence_;
     Daemon.Keeper_.requestGrant(Cell, Request);
     Daemon.settle();
-    Daemon.Keeper_.withdraw(Cell, Request.Id_);
+    Daemon.Keeper_.withdraw(Cell, Request.Id_, AskNumber());
     Elapsed = std::chrono::steady_clock::now() - Begin;
   }
   auto Max = Allowed.Burst_ + Allowed.PerSecond_ * Elapsed.count();
@@ -320,7 +322,7 @@
   askFrom(Paused, OtherIngress, 3);
   REQUIRE(Paused.granted(1));
   Paused.Keeper_.ingressDisconnected(Ingress);
-  Paused.Keeper_.done(Cell, {1, 1}, ServedSample());
+  Paused.Keeper_.done(Cell, {1, 1}, ServedSample(), AskNumber());
   CHECK(grantedInTime(Paused, 3));
   CHECK_FALSE(Paused.granted(2));
 }
@@ -350,3 +352,125 @@
     CHECK(Paused.Orphans_.empty());
   }
 }
+
+namespace {
+
+/// A keeper of one engine, asked by numbered asks of one request.
+class NumberedAsks : public OneEngineKeeper {
+public:
+  void ask(std::uint64_t Number, std::vector<ServerName> Excluded = {}) {
+    GrantRequest Request = makeRequest(1);
+    Request.Ask_ = AskNumber(Number);
+    Request.Excluded_ = std::move(Excluded);
+    Keeper_.requestGrant(Cell, std::move(Request));
+    settle();
+  }
+  std::size_t running() const { return Keeper_.scheduler(Cell)->running(); }
+  std::size_t waiting() const { return Keeper_.scheduler(Cell)->waiting(); }
+};
+
+const RequestId Asked{1, 1};
+
+} // namespace
+
+TEST_CASE("an ask that comes twice is granted once") {
+  // Guards against a slot that is taken twice, or given to others while the
+  // request uses it.
+  NumberedAsks Test;
+  Test.ask(2);
+  REQUIRE(Test.Granted_.size() == 1);
+  Test.ask(2);
+  Test.ask(1);
+  CHECK(Test.Granted_.size() == 1);
+  CHECK(Test.running() == 1);
+}
+
+TEST_CASE("what is late of an earlier ask does not act on a later one") {
+  // Guards against a slot that is given to others while the later ask's request
+  // uses it, and against a request that is forgotten while it waits.
+  NumberedAsks Test;
+  SUBCASE("that was granted") { Test.ask(2); }
+  SUBCASE("that waits") {
+    Test.requestGrant(2);
+    Test.ask(2);
+    REQUIRE(Test.waiting() == 1);
+  }
+  std::size_t Running = Test.running();
+  std::size_t Waiting = Test.waiting();
+  Test.Keeper_.withdraw(Cell, Asked, AskNumber(1));
+  Test.Keeper_.done(Cell, Asked, ServedSample(), AskNumber(1));
+  Test.Keeper_.returnGrant(Asked, AskNumber(1));
+  RunningRequest Late;
+  Late.Id_ = Asked;
+  Late.Server_ = ServerName("elsewhere");
+  Late.Ask_ = AskNumber(1);
+  Test.Keeper_.running(Cell, Late);
+  Test.settle();
+  CHECK(Test.running() == Running);
+  CHECK(Test.waiting() == Waiting);
+}
+
+TEST_CASE("what names a later ask than is known ends the earlier one") {
+  // Guards against a slot that stays taken after the later ask was lost.
+  NumberedAsks Test;
+  Test.ask(1);
+  REQUIRE(Test.running() == 1);
+  SUBCASE("withdrawn") { Test.Keeper_.withdraw(Cell, Asked, AskNumber(2)); }
+  SUBCASE("ended") {
+    Test.Keeper_.done(Cell, Asked, ServedSample(), AskNumber(2));
+  }
+  SUBCASE("returned") { Test.Keeper_.returnGrant(Asked, AskNumber(2)); }
+  CHECK(Test.running() == 0);
+}
+
+TEST_CASE("a later ask takes the place of one that waits") {
+  // Guards against a grant for a server that has refused the request since.
+  NumberedAsks Test;
+  Test.requestGrant(2);
+  Test.ask(1);
+  REQUIRE(Test.waiting() == 1);
+  Test.ask(2, {ServerName("engine")});
+  CHECK(Test.waiting() == 0);
+  CHECK(Test.Refused_.at(Asked) == ResultCode::NoBackendServer);
+  Test.Keeper_.done(Cell, {1, 2}, ServedSample(), AskNumber());
+  Test.settle();
+  CHECK_FALSE(Test.granted(1));
+}
+
+TEST_CASE("a grant is not delivered for an ask that was replaced") {
+  // Guards against the same while the grant waits for its delivery.
+  NumberedAsks Test;
+  GrantRequest First = NumberedAsks::makeRequest(1);
+  First.Ask_ = AskNumber(1);
+  GrantRequest Second = First;
+  Second.Ask_ = AskNumber(2);
+  Test.Keeper_.requestGrant(Cell, First);
+  Test.Keeper_.requestGrant(Cell, Second);
+  Test.settle();
+  CHECK(Test.Granted_.size() == 1);
+}
+
+TEST_CASE("an ask that takes the place of one that waits is charged once") {
+  // Guards against a customer that pays for each ask of one request.
+  NumberedAsks Test;
+  Test.Keeper_.refresh();
+  Test.requestGrant(2);
+  std::uint64_t Number = 0;
+  auto Ask = [&] {
+    GrantRequest Request = NumberedAsks::makeRequest(1);
+    Request.Customer_ = CustomerName("limited");
+    Request.Ask_ = AskNumber(++Number);
+    Test.Keeper_.requestGrant(Cell, Request);
+    Test.settle();
+  };
+  // The allotment is initially empty, and holds one request.
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (Test.waiting() == 0 && std::chrono::steady_clock::now() < End)
+    Ask();
+  REQUIRE(Test.waiting() == 1);
+  Test.Refused_.clear();
+  for (int Again = 0; Again < 5; ++Again)
+    Ask();
+  CHECK(Test.waiting() == 1);
+  CHECK(Test.Refused_.empty());
+}
