Second answers have a deadline; copies and callers that leave are played in a fixed order

Found by a fresh review: - A second answer that its server sends piece by piece, each within the read's limit, held its request past the route's timeout, up to 4 MiB. It is given up at the end of the time for the head (CopiedRefusalTest). - CopiedRefusalTest drew from one generator for all servers and from the loop's turns, so a seed could not be played again. Each server has its own; the entry of the process that refuses follows its refusal. - FalsePromiseTest ended requests 20 ms after they came, whether or not the daemon had noticed how the caller left. The server is held until it has.

--- a/Source/Request/ForwardedCall.cpp
+++ b/Source/Request/ForwardedCall.cpp
@@ -255,7 +255,8 @@
     if (Connection.bodyEnd() == BodyEnd::Close)
       co_return false;
     std::size_t Bytes = 0;
-    while (Bytes <= MaxSecondAnswerBytes) {
+    // A read doesn't time out while the server sends all the time.
+    while (Bytes <= MaxSecondAnswerBytes && steady_clock::now() < End) {
       auto Received = co_await Connection.readSome(timeUntil(End));
       if (!Received)
         co_return false;
--- a/Tools/mutations.sh
+++ b/Tools/mutations.sh
@@ -1065,8 +1065,29 @@
   's/wasReset\(Stream_->socket\(\)\)/false/' \
   ${U}Connection '*whoever has seen the reset*'
 mutate share-not-applied $S/Process/Scheduling/AllotmentLedger.cpp \
-  's/(void AllotmentLedger::setShare.*?\{\n)/$1  return;\n/s' \
+  's/(void AllotmentLedger::changeShare.*?\{\n)/$1  return;\n/s' \
   ${U}Process '*returns from a cut*'
+mutate late-asks $S/Process/Keeping/KeeperService.cpp \
+  's/if \(Numbered && \(Known \|\|[^;]*;/if (false)\n    return;/' \
+  ${U}Process '*ask that comes twice is granted once*'
+mutate late-ends $S/Process/Keeping/KeeperService.cpp \
+  's/return Ask != AskNumber\(\) &&/return false \&\&/' \
+  ${U}Process '*late of an earlier ask does not act*'
+mutate later-ask-waits $S/Process/Keeping/KeeperService.cpp \
+  's/Target\.Scheduler_\.withdrawWaiting\(Request\.Id_\);/(void)0;/' \
+  ${U}Process '*takes the place of one that waits*'
+mutate later-ask-charge $S/Process/Keeping/KeeperService.cpp \
+  's/  if \(Numbered\) \{\n    Allotments_\.refund\(Request\.Id_\);/  if (Numbered) {/' \
+  ${U}Process '*is charged once*'
+mutate replaced-grant $S/Process/Keeping/KeeperService.cpp \
+  's/ && Running->Ask_ == Grant\.Ask_;/;/' \
+  ${U}Process '*not delivered for an ask that was replaced*'
+mutate relay-reset-not-seen $S/Process/Relay/RelayServer.cpp \
+  's/ \|\| wasReset\(Pair->Server_\)//' \
+  ${U}Process '*answer ended which was reset*'
+mutate second-answer-without-end $S/Request/ForwardedCall.cpp \
+  's/while \(Bytes <= MaxSecondAnswerBytes && steady_clock::now\(\) < End\)/while (Bytes <= MaxSecondAnswerBytes)/' \
+  ${U}CopiedRefusal '*second answer without end*'
 Passed="every mutation was caught"
 [ -z "$Check" ] || Passed="mutations: all expressions match"
 [ "$Missed" -eq 0 ] && echo "$Passed"
--- a/UnitTests/Request/CopiedRefusalTest.cpp
+++ b/UnitTests/Request/CopiedRefusalTest.cpp
@@ -9,6 +9,7 @@
 #include <pcg_random.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 using namespace samphireshunt;
@@ -78,23 +79,18 @@
   static constexpr std::size_t Count = 3;
 
   CopyingServers(std::uint64_t Seed, RequestKind Kind)
-      : Random_(Seed), Path_(options(Kind), {script(0), script(1), script(2)}) {
-  }
+      : Random_{pcg32(Seed, 0), pcg32(Seed, 1), pcg32(Seed, 2)},
+        Path_(options(Kind), {script(0), script(1), script(2)}) {}
 
-  /// Sends some requests at the same time, while servers are renamed.
+  /// Sends some requests at the same time.
   void playRound() {
     constexpr int Together = 10;
-    constexpr std::uint32_t OneOfRenamed = 8;
     std::vector<std::shared_ptr<CallerReply>> Replies;
     std::size_t First = Next_;
     for (int Each = 0; Each < Together; ++Each)
       Replies.push_back(Path_.begin("c" + std::to_string(Next_++)));
-    auto Ended = [&] {
-      if (Random_(OneOfRenamed) == 0)
-        Path_.rename(Random_(Count), "process-" + std::to_string(++Processes_));
-      return std::ranges::all_of(Replies, &CallerReply::Ended_);
-    };
-    REQUIRE(Path_.runUntil(Ended));
+    REQUIRE(Path_.runUntil(
+        [&] { return std::ranges::all_of(Replies, &CallerReply::Ended_); }));
     for (std::size_t Each = 0; Each < Replies.size(); ++Each)
       check("c" + std::to_string(First + Each), *Replies[Each]);
   }
@@ -131,7 +127,8 @@
     constexpr std::uint32_t OneOfRefused = 3;
     std::vector<std::string> &Late =
         Late_[{Index, Path_.server(Index).serving()}];
-    if (Random_(OneOfRefused) > 0) {
+    pcg32 &Random = Random_[Index];
+    if (Random(OneOfRefused) > 0) {
       ++Runs_[Id];
       std::string Before;
       for (const std::string &Copy : std::exchange(Late, {}))
@@ -139,10 +136,13 @@
       Copies_ += Before.empty() ? 0 : 1;
       return {Before + completeAnswer(Id, "answer to " + Id)};
     }
-    std::string Refusal =
-        Random_(2) > 0 ? refusal(Id) : misdirected(Id, "other");
+    bool Replaced = Random(2) == 0;
+    std::string Refusal = Replaced ? misdirected(Id, "other") : refusal(Id);
+    // The entry of the process that refuses comes while the request goes on.
+    if (Replaced)
+      Path_.rename(Index, "process-" + std::to_string(++Processes_));
     Script Refused{Refusal};
-    switch (Random_(4)) {
+    switch (Random(4)) {
     case 0:
       Refused.Bytes_ += Refusal;
       break;
@@ -159,7 +159,8 @@
     return Refused;
   }
 
-  pcg32 Random_;
+  /// Of each server, so that its choices don't depend on the others' requests.
+  std::array<pcg32, Count> Random_;
   std::size_t Next_ = 1;
   std::size_t Processes_ = 0;
   std::map<std::string, int> Runs_;
@@ -233,6 +234,25 @@
     }
 }
 
+TEST_CASE("a second answer without end is given up at the deadline") {
+  // Guards against a request that stays for ever, as its server sends all the
+  // time.
+  const std::string Head = "HTTP/1.1 503 Full\r\nX-Call-Id: c1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  auto Wanted = kind(RequestKind::NonIdempotent);
+  Wanted.Timeout_ = std::chrono::milliseconds(200);
+  ForwardingHarness Path(
+      Wanted, {[&](const std::string &, std::size_t Number) -> Script {
+        if (Number == 0)
+          return {refusal("c1")};
+        Script Endless{Head, Script::Then::Repeat};
+        Endless.AfterSilence_ = chunk("a");
+        return Endless;
+      }});
+  CHECK(Path.call("c1").status() == 503);
+  CHECK(Path.call("c2").status() / 100 == 5);
+}
+
 TEST_CASE("among servers that copy refusals no request runs twice") {
   // Guards against a request that runs twice, is told that it has not run
   // although it has, or gets the answer to another one.
--- a/UnitTests/Request/FalsePromiseTest.cpp
+++ b/UnitTests/Request/FalsePromiseTest.cpp
@@ -45,6 +45,15 @@
            {streamHead("c1") + chunk("id: 1\nda"), Then::Close}}};
 }
 
+/// Lets the server end the request after the daemon has noticed how its caller
+/// left.
+void leave(ForwardingHarness &Path, const CallerReply &Call, Leaves Way) {
+  if (Way == Leaves::EndsSending)
+    ForwardingHarness::endSending(Call);
+  Path.settle();
+  Path.server(0).release();
+}
+
 } // namespace
 
 TEST_CASE("no request that a server had is answered as one that has not run") {
@@ -58,7 +67,7 @@
         CAPTURE(Kind == RequestKind::Stream);
         Script Late = End.Answer_;
         std::swap(Late.Bytes_, Late.AfterSilence_);
-        Late.Silence_ = std::chrono::milliseconds(20);
+        Late.AwaitsRelease_ = true;
         auto Wanted = optionsOf(Kind);
         if (Late.Then_ == Script::Then::Hold)
           Wanted.Timeout_ = std::chrono::milliseconds(600);
@@ -66,8 +75,7 @@
             Wanted, {[&](const std::string &, std::size_t) { return Late; }});
         auto Reply = Path.begin("c1");
         REQUIRE(Path.runUntil([&] { return Path.received() == 1; }));
-        if (Way == Leaves::EndsSending)
-          ForwardingHarness::endSending(*Reply);
+        leave(Path, *Reply, Way);
         CHECK(Path.runUntil([&] { return Reply->Ended_; }));
         CHECK_FALSE(promisesNotRun(Reply->status()));
         CHECK(Path.received() == 1);
@@ -101,15 +109,14 @@
         ForwardingHarness::Options Wanted;
         Wanted.OwnInterface_ = Kind;
         Script Lost{"", Then};
-        Lost.Silence_ = std::chrono::milliseconds(20);
+        Lost.AwaitsRelease_ = true;
         ForwardingHarness Path(
             Wanted, {[&](const std::string &, std::size_t) { return Lost; }});
         auto Reply =
             Path.begin("c1", R"({"model":"m","messages":[{"content":"x"}]})",
                        "X-Request-Timeout-Ms: 2000\r\n");
         REQUIRE(Path.runUntil([&] { return Path.received() >= 1; }));
-        if (Way == Leaves::EndsSending)
-          ForwardingHarness::endSending(*Reply);
+        leave(Path, *Reply, Way);
         CHECK(Path.runUntil([&] { return Reply->Ended_; }));
         CHECK_FALSE(promisesNotRun(Reply->status()));
       }
--- a/UnitTests/Request/ForwardingHarness.cpp
+++ b/UnitTests/Request/ForwardingHarness.cpp
@@ -64,7 +64,9 @@
 } // namespace
 
 ScriptedServer::ScriptedServer(asio::io_context &Context, ScriptOf Decide)
-    : Acceptor_(Context, anyPort()), Decide_(std::move(Decide)) {
+    : Acceptor_(Context, anyPort()),
+      Release_(Context, steady_clock::time_point::max()),
+      Decide_(std::move(Decide)) {
   Address_ = Acceptor_.local_endpoint();
   auto Accept = [this]() { return accept(); };
   asio::co_spawn(Context, std::move(Accept), asio::detached);
@@ -141,13 +143,26 @@
     auto Buffer = asio::buffer(Current.Bytes_);
     co_await asio::async_write(
         Socket, Buffer, asio::redirect_error(asio::use_awaitable, Error));
+    if (Current.AwaitsRelease_)
+      co_await Release_.async_wait(
+          asio::redirect_error(asio::use_awaitable, Error));
     if (Current.Silence_.count() > 0) {
       asio::steady_timer Timer(Socket.get_executor(), Current.Silence_);
       co_await Timer.async_wait(asio::use_awaitable);
+    }
+    if (Current.Silence_.count() > 0 || Current.AwaitsRelease_) {
       auto Later = asio::buffer(Current.AfterSilence_);
       co_await asio::async_write(
           Socket, Later, asio::redirect_error(asio::use_awaitable, Error));
     }
+    if (Current.Then_ == Script::Then::Repeat) {
+      boost::system::error_code Closed;
+      auto Again = asio::buffer(Current.AfterSilence_);
+      while (!Closed)
+        co_await asio::async_write(
+            Socket, Again, asio::redirect_error(asio::use_awaitable, Closed));
+      co_return;
+    }
     bool ClosesOthers = Current.Then_ == Script::Then::CloseOthers;
     if (ClosesOthers || !Current.ToOthers_.empty())
       actOnOthers(Socket, Current);
@@ -616,6 +631,12 @@
   return Done();
 }
 
+void ForwardingHarness::settle() {
+  Context_.restart();
+  while (Context_.poll() > 0) {
+  }
+}
+
 std::size_t ForwardingHarness::received() const {
   std::size_t Sum = 0;
   for (const auto &Server : Servers_)
--- a/UnitTests/Request/ForwardingHarness.h
+++ b/UnitTests/Request/ForwardingHarness.h
@@ -27,6 +27,7 @@
     Reset,       ///< Resets the connection.
     Hold,        ///< Sends nothing more until the peer closes.
     Stall,       ///< Neither sends nor reads anything more.
+    Repeat,      ///< Sends AfterSilence_ again until the peer closes.
     CloseOthers, ///< Closes the server's other connections normally.
     Crash,       ///< Ends the server: resets all connections, refuses new ones.
     End          ///< Ends the server, but this connection ends normally.
@@ -40,6 +41,8 @@
   /// How long the server is silent then, and what it writes after that.
   std::chrono::milliseconds Silence_{0};
   std::string AfterSilence_ = {};
+  /// The silence lasts until ScriptedServer::release() instead.
+  bool AwaitsRelease_ = false;
 };
 
 /// Selects the script by the request's bytes and its number at this server,
@@ -59,6 +62,8 @@
   std::size_t serving() const { return Serving_; }
   /// Number of connections that the peer closed.
   std::size_t closed() const { return Closed_; }
+  /// Ends the silence of scripts that await that.
+  void release() { Release_.cancel(); }
   /// Resets all connections and refuses new ones.
   void crash();
   void resetConnections();
@@ -72,6 +77,7 @@
 
   Endpoint Address_;
   boost::asio::ip::tcp::acceptor Acceptor_;
+  boost::asio::steady_timer Release_;
   std::vector<std::weak_ptr<Socket>> Peers_;
   std::vector<std::shared_ptr<Socket>> Stalled_;
   ScriptOf Decide_;
@@ -222,6 +228,9 @@
   /// final result of \p Done.
   bool runUntil(const std::function<bool()> &Done);
 
+  /// Runs all handlers that are ready, until none is.
+  void settle();
+
   ScriptedServer &server(std::size_t Index) { return *Servers_[Index]; }
   /// \returns the number of requests received by all servers.
   std::size_t received() const;
